--- /dev/null
+++ b/src/runtime/mod.ts
@@ -0,0 +1,9 @@
+/** The four interfaces through which the core meets the world: clock,
+ * random numbers, transport and storage.
+ * @module */
+
+export * from "./clock.ts";
+export * from "./storage.ts";
+export * from "./transport.ts";
+export { FakeClock } from "./fake_clock.ts";
+export { create as createRandom, type Random } from "./random.ts";
