--- /dev/null
+++ b/src/telemetry/mod.ts
@@ -0,0 +1,21 @@
+/** Metrics and logs. Metric names are one documented list; the logger writes
+ * changes of state only and hides secrets.
+ * @module */
+
+export { combine, type Labels, type Metrics, noMetrics } from "./metrics.ts";
+export {
+  createLogger,
+  type Destination,
+  type Level,
+  type Logger,
+  noLogger,
+} from "./logger.ts";
+export {
+  type CountName,
+  type GaugeName,
+  metrics,
+  type Name,
+  type TimeName,
+} from "./names.ts";
+export { open as openStatsd, type Statsd } from "./statsd.ts";
+export { type Spread, Tally, type Totals } from "./tally.ts";
--- /dev/null
+++ b/src/telemetry/names.ts
@@ -0,0 +1,113 @@
+/** The documented list of metrics: a name that is not here does not compile.
+ * Each part of the system has its own block; add a line before the first use.
+ * @module */
+
+/** What a metric counts or measures, for people. */
+export interface Description {
+  type: "count" | "time" | "gauge";
+  /** What it says; times are in milliseconds. */
+  help: string;
+}
+
+/** Every metric by name. */
+export const metrics = {
+  // Requests of callers.
+  "request.arrived": { type: "count", help: "Requests read from callers" },
+  "request.completed": { type: "count", help: "Requests answered whole" },
+  "request.on_time": { type: "count", help: "Answered within the deadline" },
+  "request.refused": { type: "count", help: "Refused or failed, by problem" },
+  "request.abandoned": { type: "count", help: "Left by their callers" },
+  "request.bad": { type: "count", help: "Bad input, nothing dispatched" },
+  "request.unauthorized": { type: "count", help: "Wrong or missing tokens" },
+  "request.duration": { type: "time", help: "From arrival to answer" },
+  "request.slack": { type: "time", help: "Left of the deadline at answer" },
+  "request.queued": { type: "gauge", help: "Requests that wait" },
+  "request.in_flight": { type: "gauge", help: "Requests in this host" },
+
+  // Calls to endpoints.
+  "call.started": { type: "count", help: "Calls sent, by service" },
+  "call.answered": { type: "count", help: "Calls answered, by service" },
+  "call.failed": { type: "count", help: "Calls failed, by reason" },
+  "call.cancelled": { type: "count", help: "Calls cancelled by this host" },
+  "call.retried": { type: "count", help: "Calls that repeat a failed one" },
+  "call.hedged": { type: "count", help: "Calls raced against a slow one" },
+  "call.mismatched": { type: "count", help: "Answers dropped as not ours" },
+  "call.silent": { type: "count", help: "Connections given up as silent" },
+  "call.duration": { type: "time", help: "From sending to the last byte" },
+  "call.first_token": { type: "time", help: "From sending to first token" },
+
+  // Cost by stage.
+  "cost.engine_time": {
+    type: "count",
+    help: "Milliseconds of endpoint slots, by service",
+  },
+  "cost.input_tokens": { type: "count", help: "Tokens read, by service" },
+  "cost.output_tokens": { type: "count", help: "Tokens written, by service" },
+  "cost.cached_tokens": { type: "count", help: "Tokens found in a cache" },
+  "cost.wasted_time": {
+    type: "count",
+    help: "Milliseconds of slots whose results were not used",
+  },
+
+  // Endpoints.
+  "endpoint.announced": { type: "count", help: "First announcements" },
+  "endpoint.renewed": { type: "count", help: "Renewed leases" },
+  "endpoint.left": { type: "count", help: "Endpoints that left by themselves" },
+  "endpoint.expired": { type: "count", help: "Leases that ran out" },
+  "endpoint.rejected": { type: "count", help: "Announcements not taken" },
+  "endpoint.known": { type: "gauge", help: "Endpoints with a lease" },
+  "endpoint.cache_gap": { type: "count", help: "Gaps in cache events" },
+
+  // Operators and the table.
+  "operator.call": { type: "count", help: "Operators' calls" },
+  "operator.denied": { type: "count", help: "Wrong operator tokens" },
+  "table.edited": { type: "count", help: "Edits accepted here" },
+  "table.conflict": { type: "count", help: "Edits that lost a race" },
+  "table.resent": { type: "count", help: "Edits answered again" },
+  "table.unavailable": { type: "count", help: "Edits without a quorum" },
+  "table.revision": { type: "gauge", help: "Revision in force here" },
+
+  // Replicated log.
+  "log.elections": { type: "count", help: "Elections started here" },
+  "log.leading": { type: "gauge", help: "1 while this host leads" },
+  "log.appended": { type: "count", help: "Entries proposed here" },
+  "log.committed": { type: "count", help: "Entries committed" },
+  "log.snapshots": { type: "count", help: "Snapshots written" },
+  "log.commit_time": { type: "time", help: "From proposal to commit" },
+  "storage.syncs": { type: "count", help: "Writes synced to disk" },
+  "storage.sync_time": { type: "time", help: "Time of one synced write" },
+
+  // Hosts among themselves.
+  "peer.sent": { type: "count", help: "Envelopes sent, by channel" },
+  "peer.received": { type: "count", help: "Envelopes received, by channel" },
+  "peer.dropped": { type: "count", help: "Envelopes dropped, by reason" },
+  "peer.bytes_sent": { type: "count", help: "Bytes sent to other hosts" },
+  "peer.connected": { type: "count", help: "Connections made" },
+  "peer.silent": { type: "count", help: "Connections closed as silent" },
+  "member.alive": { type: "gauge", help: "Hosts believed alive" },
+  "member.suspected": { type: "count", help: "Hosts suspected" },
+  "member.failed": { type: "count", help: "Hosts declared failed" },
+  "share.granted": { type: "gauge", help: "Shares of limits held here" },
+  "share.fallback": { type: "count", help: "Falls back to a safe share" },
+
+  // This process.
+  "node.dumps": { type: "count", help: "State dumps written" },
+  "node.draining": { type: "gauge", help: "1 while this host drains" },
+} as const satisfies Record<string, Description>;
+
+/** Name of any metric. */
+export type Name = keyof typeof metrics;
+
+/** Names of the metrics of one type. */
+type Named<T extends Description["type"]> = {
+  [N in Name]: (typeof metrics)[N]["type"] extends T ? N : never;
+}[Name];
+
+/** Name of a counter. */
+export type CountName = Named<"count">;
+
+/** Name of a time. */
+export type TimeName = Named<"time">;
+
+/** Name of a gauge. */
+export type GaugeName = Named<"gauge">;
--- /dev/null
+++ b/src/telemetry/tally.ts
@@ -0,0 +1,78 @@
+/** Measurements kept in memory, for dumps and tests.
+ * @module */
+
+import type * as metrics from "./metrics.ts";
+import type * as names from "./names.ts";
+
+/** Count, sum and extremes of a time, in milliseconds. */
+export interface Spread {
+  count: number;
+  sum: number;
+  least: number;
+  most: number;
+}
+
+/** All that a tally holds, by name and labels. */
+export interface Totals {
+  counts: Record<string, number>;
+  times: Record<string, Spread>;
+  gauges: Record<string, number>;
+}
+
+/** Adds up measurements since the start of the process. */
+export class Tally implements metrics.Metrics {
+  #counts = new Map<string, number>();
+  #times = new Map<string, Spread>();
+  #gauges = new Map<string, number>();
+
+  count(name: names.CountName, by?: number, labels?: metrics.Labels): void {
+    const id = key(name, labels);
+    this.#counts.set(id, (this.#counts.get(id) ?? 0) + (by ?? 1));
+  }
+
+  time(name: names.TimeName, ms: number, labels?: metrics.Labels): void {
+    const id = key(name, labels);
+    const spread = this.#times.get(id);
+    if (spread === undefined) {
+      this.#times.set(id, { count: 1, sum: ms, least: ms, most: ms });
+    } else {
+      spread.count += 1;
+      spread.sum += ms;
+      spread.least = Math.min(spread.least, ms);
+      spread.most = Math.max(spread.most, ms);
+    }
+  }
+
+  gauge(name: names.GaugeName, value: number, labels?: metrics.Labels): void {
+    this.#gauges.set(key(name, labels), value);
+  }
+
+  /** Sum of a counter over all its labels. */
+  total(name: names.CountName): number {
+    let sum = 0;
+    for (const [id, value] of this.#counts) {
+      if (id === name || id.startsWith(`${name}{`)) sum += value;
+    }
+    return sum;
+  }
+
+  /** A copy of all totals, sorted by name. */
+  toJSON(): Totals {
+    return {
+      counts: sorted(this.#counts),
+      times: sorted(this.#times),
+      gauges: sorted(this.#gauges),
+    };
+  }
+}
+
+function key(name: string, labels: metrics.Labels | undefined): string {
+  if (labels === undefined) return name;
+  const parts = Object.keys(labels).sort().map((k) => `${k}=${labels[k]}`);
+  return `${name}{${parts.join(",")}}`;
+}
+
+function sorted<V>(map: ReadonlyMap<string, V>): Record<string, V> {
+  const pairs = [...map].sort(([a], [b]) => a < b ? -1 : 1);
+  return structuredClone(Object.fromEntries(pairs));
+}
