Add the replicated table and the claims on idempotency keys

Operators edit one table and resend what got no answer; requests that may run once need a claim that any host can find. Both are now one machine for the replicated log: cells changed by compare-and-set, answers remembered by operation id, claims granted once and kept for a stated time. Time comes with the commands. Maps are immutable tries that share their nodes, so that an edit or a claim copies one path.

--- /dev/null
+++ b/src/control/claims/mod.ts
@@ -0,0 +1,4 @@
+/** Claims on idempotency keys.
+ * @module */
+
+export * from "./claims.ts";
--- /dev/null
+++ b/src/control/table/column.ts
@@ -0,0 +1,95 @@
+/** What each column of the table may hold.
+ * @module */
+
+import type * as schema from "../../schema/table_types.ts";
+
+/** Longest text in a cell, in characters. */
+export const MOST_TEXT = 128;
+const MOST_NUMBER = 1e9;
+const MOST_REPLICAS = 10_000;
+const TOKEN_HASH = /^[0-9a-f]{64}$/;
+
+/** Rules of one column. */
+interface Rule {
+  /** Kinds of rows that may have the column; all when absent. */
+  rows?: readonly string[];
+  /** What a value must be, for people. */
+  expected: string;
+  accepts(value: schema.CellValue): boolean;
+}
+
+const amount: Rule = {
+  expected: "a number from 0 on",
+  accepts: (value) => isNumber(value) && value >= 0,
+};
+
+const text: Rule = {
+  rows: ["service"],
+  expected: `a text of 1 to ${MOST_TEXT} characters`,
+  accepts: (value) =>
+    typeof value === "string" && value.length > 0 && value.length <= MOST_TEXT,
+};
+
+const rules: Record<schema.Column, Rule> = {
+  weight: {
+    expected: "a number above 0",
+    accepts: (value) => isNumber(value) && value > 0,
+  },
+  rate: amount,
+  concurrency: {
+    expected: "a whole number from 0 on",
+    accepts: (value) => isWhole(value) && value >= 0,
+  },
+  deadline: {
+    expected: "whole milliseconds from 1 on",
+    accepts: (value) => isWhole(value) && value >= 1,
+  },
+  priority: {
+    expected: "a whole number from 0 to 9",
+    accepts: (value) => isWhole(value) && value >= 0 && value <= 9,
+  },
+  spend: {
+    expected: "a number from 0 to 1",
+    accepts: (value) => isNumber(value) && value >= 0 && value <= 1,
+  },
+  tokenHash: {
+    rows: ["account"],
+    expected: "a SHA-256 of 64 hex digits",
+    accepts: (value) => typeof value === "string" && TOKEN_HASH.test(value),
+  },
+  model: text,
+  adapter: text,
+  version: text,
+  role: {
+    rows: ["service"],
+    expected: "one of both, prefill, decode",
+    accepts: (value) =>
+      value === "both" || value === "prefill" || value === "decode",
+  },
+  replicas: {
+    rows: ["service"],
+    expected: `a whole number from 0 to ${MOST_REPLICAS}`,
+    accepts: (value) => isWhole(value) && value >= 0 && value <= MOST_REPLICAS,
+  },
+};
+
+/** Says why `change` is not allowed, or undefined when it is. */
+export function reject(change: schema.Change): string | undefined {
+  const { row, column, value } = change;
+  const rule = rules[column];
+  if (rule === undefined) return `there is no column ${column}`;
+  const kind = row.slice(0, row.indexOf("/"));
+  if (rule.rows !== undefined && !rule.rows.includes(kind)) {
+    return `${row} cannot have the column ${column}`;
+  }
+  if (value === null || rule.accepts(value)) return undefined;
+  return `${row} ${column} must be ${rule.expected}`;
+}
+
+function isNumber(value: schema.CellValue): value is number {
+  return typeof value === "number" && Math.abs(value) <= MOST_NUMBER;
+}
+
+function isWhole(value: schema.CellValue): value is number {
+  return isNumber(value) && Number.isInteger(value);
+}
