--- a/src/schema/settings_types.ts
+++ b/src/schema/settings_types.ts
@@ -18,7 +18,9 @@
 export interface Settings {
   host: Name;
   /**
-   * Data folder; required on a host that votes.
+   * Data folder; required on a host that votes. `{host}` stands for the
+   * host's id. Relative paths start from the folder of the settings file.
+   *
    */
   folder?: string;
   fleet: Fleet;
@@ -82,8 +84,11 @@
    * Holds the replicated log on its disk.
    */
   voter?: boolean;
+  listen?: Listen;
 }
 /**
+ * Where callers and operators are served; a host's own goes first.
+ *
  * This interface was referenced by `Settings`'s JSON-Schema
  * via the `definition` "Listen".
  */
--- a/src/schema/settings_validators.ts
+++ b/src/schema/settings_validators.ts
@@ -5,7 +5,7 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Settings","description":"Settings of one host, read once at its start.","type":"object","additionalProperties":false,"required":["host","fleet","listen","services","pipelines"],"properties":{"host":{"$ref":"#/$defs/Name"},"folder":{"description":"Data folder; required on a host that votes.","type":"string","minLength":1},"fleet":{"$ref":"#/$defs/Fleet"},"listen":{"$ref":"#/$defs/Listen"},"services":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Service"}},"pipelines":{"type":"array","items":{"$ref":"#/$defs/Pipeline"}},"table":{"description":"Rows that the table starts with when it is empty.","type":"array","items":{"$ref":"#/$defs/InitialRow"}},"operators":{"type":"array","items":{"$ref":"#/$defs/Operator"}},"endpointToken":{"$ref":"#/$defs/Secret"},"limits":{"$ref":"#/$defs/Limits"},"log":{"$ref":"#/$defs/Log"},"metrics":{"$ref":"#/$defs/Metrics"}},"$defs":{"Name":{"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"},"Secret":{"title":"Secret","description":"A secret by reference, never by value.","type":"object","additionalProperties":false,"minProperties":1,"maxProperties":1,"properties":{"env":{"type":"string","minLength":1,"description":"Name of an environment variable."},"file":{"type":"string","minLength":1,"description":"Path of a file that holds it."}}},"Fleet":{"title":"Fleet","type":"object","additionalProperties":false,"required":["hosts"],"properties":{"key":{"$ref":"#/$defs/Secret"},"hosts":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Host"}}}},"Host":{"title":"Host","type":"object","additionalProperties":false,"required":["id","dataCentre","address","port"],"properties":{"id":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"region":{"$ref":"#/$defs/Name"},"address":{"type":"string","minLength":1,"description":"IP number other hosts dial."},"port":{"$ref":"#/$defs/Port"},"voter":{"type":"boolean","description":"Holds the replicated log on its disk."}}},"Port":{"title":"Port","type":"integer","minimum":0,"maximum":65535},"Listen":{"title":"Listen","type":"object","additionalProperties":false,"required":["callers","operators"],"properties":{"callers":{"$ref":"#/$defs/Listener"},"operators":{"$ref":"#/$defs/Listener"}}},"Listener":{"title":"Listener","type":"object","additionalProperties":false,"required":["port"],"properties":{"address":{"type":"string","minLength":1,"description":"127.0.0.1 when absent."},"port":{"$ref":"#/$defs/Port"},"tls":{"$ref":"#/$defs/Tls"}}},"Tls":{"title":"Tls","type":"object","additionalProperties":false,"required":["certificate","key"],"properties":{"certificate":{"type":"string","minLength":1,"description":"Path of a PEM file."},"key":{"type":"string","minLength":1,"description":"Path of a PEM file."}}},"Service":{"title":"Service","type":"object","additionalProperties":false,"required":["name","kind"],"properties":{"name":{"$ref":"#/$defs/Name"},"kind":{"enum":["engine","encoder","retriever","reranker","plain"]},"model":{"type":"string","minLength":1},"idempotent":{"description":"Whether its calls may be repeated; true when absent.","type":"boolean"},"slots":{"description":"Calls an endpoint runs at once if it does not say; 8 when absent.","type":"integer","minimum":1},"endpoints":{"description":"Endpoints that do not announce themselves.","type":"array","items":{"$ref":"#/$defs/StaticEndpoint"}}}},"StaticEndpoint":{"title":"StaticEndpoint","type":"object","additionalProperties":false,"required":["id","url","dataCentre"],"properties":{"id":{"$ref":"#/$defs/Name"},"url":{"type":"string","pattern":"^https?://"},"dataCentre":{"$ref":"#/$defs/Name"}}},"Pipeline":{"title":"Pipeline","type":"object","additionalProperties":false,"required":["name","deadline","stages"],"properties":{"name":{"$ref":"#/$defs/Name"},"deadline":{"description":"Milliseconds, when the caller names none; also the most it may name.","type":"integer","minimum":1},"stages":{"type":"array","minItems":1,"maxItems":8,"items":{"$ref":"#/$defs/Stage"}}}},"Stage":{"title":"Stage","type":"object","additionalProperties":false,"required":["name","service"],"properties":{"name":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"top":{"type":"integer","minimum":1,"description":"Documents that a retriever or reranker keeps."},"maxTokens":{"type":"integer","minimum":1,"description":"Most tokens that an engine generates."},"instruction":{"type":"string","description":"Put before the prompt of an engine."}}},"InitialRow":{"title":"InitialRow","type":"object","additionalProperties":false,"required":["row","cells"],"properties":{"row":{"type":"string","pattern":"^(account|kind|service)/[a-z0-9][a-z0-9.-]*$"},"cells":{"type":"object","additionalProperties":{"type":["number","string","boolean"]}}}},"Operator":{"title":"Operator","type":"object","additionalProperties":false,"required":["name","token"],"properties":{"name":{"$ref":"#/$defs/Name"},"token":{"$ref":"#/$defs/Secret"},"role":{"enum":["reader","editor"],"description":"editor when absent."}}},"Limits":{"title":"Limits","type":"object","additionalProperties":false,"properties":{"bodyBytes":{"type":"integer","minimum":1,"description":"Largest body; 4 MiB when absent."},"answerBytes":{"type":"integer","minimum":1,"description":"Largest stage answer; 16 MiB when absent."},"inFlight":{"type":"integer","minimum":1,"description":"Requests in a host at once; 1000 when absent."},"endpointLease":{"type":"integer","minimum":100,"description":"Milliseconds; 1500 when absent."}}},"Log":{"title":"Log","type":"object","additionalProperties":false,"properties":{"level":{"enum":["debug","info","warn","error","silent"]}}},"Metrics":{"title":"Metrics","type":"object","additionalProperties":false,"required":["address","port"],"properties":{"address":{"type":"string","minLength":1},"port":{"$ref":"#/$defs/Port"},"prefix":{"type":"string"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Settings","description":"Settings of one host, read once at its start.","type":"object","additionalProperties":false,"required":["host","fleet","listen","services","pipelines"],"properties":{"host":{"$ref":"#/$defs/Name"},"folder":{"description":"Data folder; required on a host that votes. `{host}` stands for the\nhost's id. Relative paths start from the folder of the settings file.\n","type":"string","minLength":1},"fleet":{"$ref":"#/$defs/Fleet"},"listen":{"$ref":"#/$defs/Listen"},"services":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Service"}},"pipelines":{"type":"array","items":{"$ref":"#/$defs/Pipeline"}},"table":{"description":"Rows that the table starts with when it is empty.","type":"array","items":{"$ref":"#/$defs/InitialRow"}},"operators":{"type":"array","items":{"$ref":"#/$defs/Operator"}},"endpointToken":{"$ref":"#/$defs/Secret"},"limits":{"$ref":"#/$defs/Limits"},"log":{"$ref":"#/$defs/Log"},"metrics":{"$ref":"#/$defs/Metrics"}},"$defs":{"Name":{"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"},"Secret":{"title":"Secret","description":"A secret by reference, never by value.","type":"object","additionalProperties":false,"minProperties":1,"maxProperties":1,"properties":{"env":{"type":"string","minLength":1,"description":"Name of an environment variable."},"file":{"type":"string","minLength":1,"description":"Path of a file that holds it."}}},"Fleet":{"title":"Fleet","type":"object","additionalProperties":false,"required":["hosts"],"properties":{"key":{"$ref":"#/$defs/Secret"},"hosts":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Host"}}}},"Host":{"title":"Host","type":"object","additionalProperties":false,"required":["id","dataCentre","address","port"],"properties":{"id":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"region":{"$ref":"#/$defs/Name"},"address":{"type":"string","minLength":1,"description":"IP number other hosts dial."},"port":{"$ref":"#/$defs/Port"},"voter":{"type":"boolean","description":"Holds the replicated log on its disk."},"listen":{"$ref":"#/$defs/Listen"}}},"Port":{"title":"Port","type":"integer","minimum":0,"maximum":65535},"Listen":{"title":"Listen","description":"Where callers and operators are served; a host's own goes first.","type":"object","additionalProperties":false,"required":["callers","operators"],"properties":{"callers":{"$ref":"#/$defs/Listener"},"operators":{"$ref":"#/$defs/Listener"}}},"Listener":{"title":"Listener","type":"object","additionalProperties":false,"required":["port"],"properties":{"address":{"type":"string","minLength":1,"description":"127.0.0.1 when absent."},"port":{"$ref":"#/$defs/Port"},"tls":{"$ref":"#/$defs/Tls"}}},"Tls":{"title":"Tls","type":"object","additionalProperties":false,"required":["certificate","key"],"properties":{"certificate":{"type":"string","minLength":1,"description":"Path of a PEM file."},"key":{"type":"string","minLength":1,"description":"Path of a PEM file."}}},"Service":{"title":"Service","type":"object","additionalProperties":false,"required":["name","kind"],"properties":{"name":{"$ref":"#/$defs/Name"},"kind":{"enum":["engine","encoder","retriever","reranker","plain"]},"model":{"type":"string","minLength":1},"idempotent":{"description":"Whether its calls may be repeated; true when absent.","type":"boolean"},"slots":{"description":"Calls an endpoint runs at once if it does not say; 8 when absent.","type":"integer","minimum":1},"endpoints":{"description":"Endpoints that do not announce themselves.","type":"array","items":{"$ref":"#/$defs/StaticEndpoint"}}}},"StaticEndpoint":{"title":"StaticEndpoint","type":"object","additionalProperties":false,"required":["id","url","dataCentre"],"properties":{"id":{"$ref":"#/$defs/Name"},"url":{"type":"string","pattern":"^https?://"},"dataCentre":{"$ref":"#/$defs/Name"}}},"Pipeline":{"title":"Pipeline","type":"object","additionalProperties":false,"required":["name","deadline","stages"],"properties":{"name":{"$ref":"#/$defs/Name"},"deadline":{"description":"Milliseconds, when the caller names none; also the most it may name.","type":"integer","minimum":1},"stages":{"type":"array","minItems":1,"maxItems":8,"items":{"$ref":"#/$defs/Stage"}}}},"Stage":{"title":"Stage","type":"object","additionalProperties":false,"required":["name","service"],"properties":{"name":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"top":{"type":"integer","minimum":1,"description":"Documents that a retriever or reranker keeps."},"maxTokens":{"type":"integer","minimum":1,"description":"Most tokens that an engine generates."},"instruction":{"type":"string","description":"Put before the prompt of an engine."}}},"InitialRow":{"title":"InitialRow","type":"object","additionalProperties":false,"required":["row","cells"],"properties":{"row":{"type":"string","pattern":"^(account|kind|service)/[a-z0-9][a-z0-9.-]*$"},"cells":{"type":"object","additionalProperties":{"type":["number","string","boolean"]}}}},"Operator":{"title":"Operator","type":"object","additionalProperties":false,"required":["name","token"],"properties":{"name":{"$ref":"#/$defs/Name"},"token":{"$ref":"#/$defs/Secret"},"role":{"enum":["reader","editor"],"description":"editor when absent."}}},"Limits":{"title":"Limits","type":"object","additionalProperties":false,"properties":{"bodyBytes":{"type":"integer","minimum":1,"description":"Largest body; 4 MiB when absent."},"answerBytes":{"type":"integer","minimum":1,"description":"Largest stage answer; 16 MiB when absent."},"inFlight":{"type":"integer","minimum":1,"description":"Requests in a host at once; 1000 when absent."},"endpointLease":{"type":"integer","minimum":100,"description":"Milliseconds; 1500 when absent."}}},"Log":{"title":"Log","type":"object","additionalProperties":false,"properties":{"level":{"enum":["debug","info","warn","error","silent"]}}},"Metrics":{"title":"Metrics","type":"object","additionalProperties":false,"required":["address","port"],"properties":{"address":{"type":"string","minLength":1},"port":{"$ref":"#/$defs/Port"},"prefix":{"type":"string"}}}}};
 const schema32 = {"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"};
 const schema54 = {"title":"InitialRow","type":"object","additionalProperties":false,"required":["row","cells"],"properties":{"row":{"type":"string","pattern":"^(account|kind|service)/[a-z0-9][a-z0-9.-]*$"},"cells":{"type":"object","additionalProperties":{"type":["number","string","boolean"]}}}};
 const schema34 = {"title":"Secret","description":"A secret by reference, never by value.","type":"object","additionalProperties":false,"minProperties":1,"maxProperties":1,"properties":{"env":{"type":"string","minLength":1,"description":"Name of an environment variable."},"file":{"type":"string","minLength":1,"description":"Path of a file that holds it."}}};
@@ -15,8 +15,244 @@
 const pattern4 = new RegExp("^[a-z0-9][a-z0-9.-]*$", "u");
 const pattern15 = new RegExp("^(account|kind|service)/[a-z0-9][a-z0-9.-]*$", "u");
 const schema33 = {"title":"Fleet","type":"object","additionalProperties":false,"required":["hosts"],"properties":{"key":{"$ref":"#/$defs/Secret"},"hosts":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Host"}}}};
-const schema35 = {"title":"Host","type":"object","additionalProperties":false,"required":["id","dataCentre","address","port"],"properties":{"id":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"region":{"$ref":"#/$defs/Name"},"address":{"type":"string","minLength":1,"description":"IP number other hosts dial."},"port":{"$ref":"#/$defs/Port"},"voter":{"type":"boolean","description":"Holds the replicated log on its disk."}}};
+const schema35 = {"title":"Host","type":"object","additionalProperties":false,"required":["id","dataCentre","address","port"],"properties":{"id":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"region":{"$ref":"#/$defs/Name"},"address":{"type":"string","minLength":1,"description":"IP number other hosts dial."},"port":{"$ref":"#/$defs/Port"},"voter":{"type":"boolean","description":"Holds the replicated log on its disk."},"listen":{"$ref":"#/$defs/Listen"}}};
 const schema39 = {"title":"Port","type":"integer","minimum":0,"maximum":65535};
+const schema40 = {"title":"Listen","description":"Where callers and operators are served; a host's own goes first.","type":"object","additionalProperties":false,"required":["callers","operators"],"properties":{"callers":{"$ref":"#/$defs/Listener"},"operators":{"$ref":"#/$defs/Listener"}}};
+const schema41 = {"title":"Listener","type":"object","additionalProperties":false,"required":["port"],"properties":{"address":{"type":"string","minLength":1,"description":"127.0.0.1 when absent."},"port":{"$ref":"#/$defs/Port"},"tls":{"$ref":"#/$defs/Tls"}}};
+const schema43 = {"title":"Tls","type":"object","additionalProperties":false,"required":["certificate","key"],"properties":{"certificate":{"type":"string","minLength":1,"description":"Path of a PEM file."},"key":{"type":"string","minLength":1,"description":"Path of a PEM file."}}};
+
+function validate24(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate24.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((data.port === undefined) && (missing0 = "port")){
+validate24.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema41.required,parentSchema:schema41,data}];
+return false;
+}
+else {
+const _errs1 = errors;
+for(const key0 in data){
+if(!(((key0 === "address") || (key0 === "port")) || (key0 === "tls"))){
+validate24.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema41,data}];
+return false;
+break;
+}
+}
+if(_errs1 === errors){
+if(data.address !== undefined){
+let data0 = data.address;
+const _errs2 = errors;
+if(errors === _errs2){
+if(typeof data0 === "string"){
+if(data0.length < 1){
+validate24.errors = [{instancePath:instancePath+"/address",schemaPath:"#/properties/address/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41.properties.address,data:data0}];
+return false;
+}
+}
+else {
+validate24.errors = [{instancePath:instancePath+"/address",schemaPath:"#/properties/address/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.properties.address.type,parentSchema:schema41.properties.address,data:data0}];
+return false;
+}
+}
+var valid0 = _errs2 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.port !== undefined){
+let data1 = data.port;
+const _errs4 = errors;
+const _errs5 = errors;
+if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
+validate24.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema39.type,parentSchema:schema39,data:data1}];
+return false;
+}
+if(errors === _errs5){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 > 65535 || isNaN(data1)){
+validate24.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/maximum",keyword:"maximum",params:{comparison: "<=", limit: 65535},message:"must be <= 65535",schema:65535,parentSchema:schema39,data:data1}];
+return false;
+}
+else {
+if(data1 < 0 || isNaN(data1)){
+validate24.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema39,data:data1}];
+return false;
+}
+}
+}
+}
+var valid0 = _errs4 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.tls !== undefined){
+let data2 = data.tls;
+const _errs7 = errors;
+const _errs8 = errors;
+if(errors === _errs8){
+if(data2 && typeof data2 == "object" && !Array.isArray(data2)){
+let missing1;
+if(((data2.certificate === undefined) && (missing1 = "certificate")) || ((data2.key === undefined) && (missing1 = "key"))){
+validate24.errors = [{instancePath:instancePath+"/tls",schemaPath:"#/$defs/Tls/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema43.required,parentSchema:schema43,data:data2}];
+return false;
+}
+else {
+const _errs10 = errors;
+for(const key1 in data2){
+if(!((key1 === "certificate") || (key1 === "key"))){
+validate24.errors = [{instancePath:instancePath+"/tls",schemaPath:"#/$defs/Tls/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema43,data:data2}];
+return false;
+break;
+}
+}
+if(_errs10 === errors){
+if(data2.certificate !== undefined){
+let data3 = data2.certificate;
+const _errs11 = errors;
+if(errors === _errs11){
+if(typeof data3 === "string"){
+if(data3.length < 1){
+validate24.errors = [{instancePath:instancePath+"/tls/certificate",schemaPath:"#/$defs/Tls/properties/certificate/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema43.properties.certificate,data:data3}];
+return false;
+}
+}
+else {
+validate24.errors = [{instancePath:instancePath+"/tls/certificate",schemaPath:"#/$defs/Tls/properties/certificate/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema43.properties.certificate.type,parentSchema:schema43.properties.certificate,data:data3}];
+return false;
+}
+}
+var valid3 = _errs11 === errors;
+}
+else {
+var valid3 = true;
+}
+if(valid3){
+if(data2.key !== undefined){
+let data4 = data2.key;
+const _errs13 = errors;
+if(errors === _errs13){
+if(typeof data4 === "string"){
+if(data4.length < 1){
+validate24.errors = [{instancePath:instancePath+"/tls/key",schemaPath:"#/$defs/Tls/properties/key/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema43.properties.key,data:data4}];
+return false;
+}
+}
+else {
+validate24.errors = [{instancePath:instancePath+"/tls/key",schemaPath:"#/$defs/Tls/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema43.properties.key.type,parentSchema:schema43.properties.key,data:data4}];
+return false;
+}
+}
+var valid3 = _errs13 === errors;
+}
+else {
+var valid3 = true;
+}
+}
+}
+}
+}
+else {
+validate24.errors = [{instancePath:instancePath+"/tls",schemaPath:"#/$defs/Tls/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema43.type,parentSchema:schema43,data:data2}];
+return false;
+}
+}
+var valid0 = _errs7 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+else {
+validate24.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema41.type,parentSchema:schema41,data}];
+return false;
+}
+}
+validate24.errors = vErrors;
+return errors === 0;
+}
+validate24.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+
+
+function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate23.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((data.callers === undefined) && (missing0 = "callers")) || ((data.operators === undefined) && (missing0 = "operators"))){
+validate23.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema40.required,parentSchema:schema40,data}];
+return false;
+}
+else {
+const _errs1 = errors;
+for(const key0 in data){
+if(!((key0 === "callers") || (key0 === "operators"))){
+validate23.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema40,data}];
+return false;
+break;
+}
+}
+if(_errs1 === errors){
+if(data.callers !== undefined){
+const _errs2 = errors;
+if(!(validate24(data.callers, {instancePath:instancePath+"/callers",parentData:data,parentDataProperty:"callers",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate24.errors : vErrors.concat(validate24.errors);
+errors = vErrors.length;
+}
+var valid0 = _errs2 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.operators !== undefined){
+const _errs3 = errors;
+if(!(validate24(data.operators, {instancePath:instancePath+"/operators",parentData:data,parentDataProperty:"operators",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate24.errors : vErrors.concat(validate24.errors);
+errors = vErrors.length;
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+else {
+validate23.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema40.type,parentSchema:schema40,data}];
+return false;
+}
+}
+validate23.errors = vErrors;
+return errors === 0;
+}
+validate23.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -38,7 +274,7 @@
 else {
 const _errs1 = errors;
 for(const key0 in data){
-if(!((((((key0 === "id") || (key0 === "dataCentre")) || (key0 === "region")) || (key0 === "address")) || (key0 === "port")) || (key0 === "voter"))){
+if(!(((((((key0 === "id") || (key0 === "dataCentre")) || (key0 === "region")) || (key0 === "address")) || (key0 === "port")) || (key0 === "voter")) || (key0 === "listen"))){
 validate22.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema35,data}];
 return false;
 break;
@@ -172,6 +408,19 @@
 else {
 var valid0 = true;
 }
+if(valid0){
+if(data.listen !== undefined){
+const _errs18 = errors;
+if(!(validate23(data.listen, {instancePath:instancePath+"/listen",parentData:data,parentDataProperty:"listen",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate23.errors : vErrors.concat(validate23.errors);
+errors = vErrors.length;
+}
+var valid0 = _errs18 === errors;
+}
+else {
+var valid0 = true;
+}
+}
 }
 }
 }
@@ -349,250 +598,14 @@
 }
 validate21.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema40 = {"title":"Listen","type":"object","additionalProperties":false,"required":["callers","operators"],"properties":{"callers":{"$ref":"#/$defs/Listener"},"operators":{"$ref":"#/$defs/Listener"}}};
-const schema41 = {"title":"Listener","type":"object","additionalProperties":false,"required":["port"],"properties":{"address":{"type":"string","minLength":1,"description":"127.0.0.1 when absent."},"port":{"$ref":"#/$defs/Port"},"tls":{"$ref":"#/$defs/Tls"}}};
-const schema43 = {"title":"Tls","type":"object","additionalProperties":false,"required":["certificate","key"],"properties":{"certificate":{"type":"string","minLength":1,"description":"Path of a PEM file."},"key":{"type":"string","minLength":1,"description":"Path of a PEM file."}}};
-
-function validate26(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
-let vErrors = null;
-let errors = 0;
-const evaluated0 = validate26.evaluated;
-if(evaluated0.dynamicProps){
-evaluated0.props = undefined;
-}
-if(evaluated0.dynamicItems){
-evaluated0.items = undefined;
-}
-if(errors === 0){
-if(data && typeof data == "object" && !Array.isArray(data)){
-let missing0;
-if((data.port === undefined) && (missing0 = "port")){
-validate26.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema41.required,parentSchema:schema41,data}];
-return false;
-}
-else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(((key0 === "address") || (key0 === "port")) || (key0 === "tls"))){
-validate26.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema41,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
-if(data.address !== undefined){
-let data0 = data.address;
-const _errs2 = errors;
-if(errors === _errs2){
-if(typeof data0 === "string"){
-if(data0.length < 1){
-validate26.errors = [{instancePath:instancePath+"/address",schemaPath:"#/properties/address/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41.properties.address,data:data0}];
-return false;
-}
-}
-else {
-validate26.errors = [{instancePath:instancePath+"/address",schemaPath:"#/properties/address/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.properties.address.type,parentSchema:schema41.properties.address,data:data0}];
-return false;
-}
-}
-var valid0 = _errs2 === errors;
-}
-else {
-var valid0 = true;
-}
-if(valid0){
-if(data.port !== undefined){
-let data1 = data.port;
-const _errs4 = errors;
-const _errs5 = errors;
-if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate26.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema39.type,parentSchema:schema39,data:data1}];
-return false;
-}
-if(errors === _errs5){
-if((typeof data1 == "number") && (isFinite(data1))){
-if(data1 > 65535 || isNaN(data1)){
-validate26.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/maximum",keyword:"maximum",params:{comparison: "<=", limit: 65535},message:"must be <= 65535",schema:65535,parentSchema:schema39,data:data1}];
-return false;
-}
-else {
-if(data1 < 0 || isNaN(data1)){
-validate26.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema39,data:data1}];
-return false;
-}
-}
-}
-}
-var valid0 = _errs4 === errors;
-}
-else {
-var valid0 = true;
-}
-if(valid0){
-if(data.tls !== undefined){
-let data2 = data.tls;
-const _errs7 = errors;
-const _errs8 = errors;
-if(errors === _errs8){
-if(data2 && typeof data2 == "object" && !Array.isArray(data2)){
-let missing1;
-if(((data2.certificate === undefined) && (missing1 = "certificate")) || ((data2.key === undefined) && (missing1 = "key"))){
-validate26.errors = [{instancePath:instancePath+"/tls",schemaPath:"#/$defs/Tls/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema43.required,parentSchema:schema43,data:data2}];
-return false;
-}
-else {
-const _errs10 = errors;
-for(const key1 in data2){
-if(!((key1 === "certificate") || (key1 === "key"))){
-validate26.errors = [{instancePath:instancePath+"/tls",schemaPath:"#/$defs/Tls/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema43,data:data2}];
-return false;
-break;
-}
-}
-if(_errs10 === errors){
-if(data2.certificate !== undefined){
-let data3 = data2.certificate;
-const _errs11 = errors;
-if(errors === _errs11){
-if(typeof data3 === "string"){
-if(data3.length < 1){
-validate26.errors = [{instancePath:instancePath+"/tls/certificate",schemaPath:"#/$defs/Tls/properties/certificate/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema43.properties.certificate,data:data3}];
-return false;
-}
-}
-else {
-validate26.errors = [{instancePath:instancePath+"/tls/certificate",schemaPath:"#/$defs/Tls/properties/certificate/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema43.properties.certificate.type,parentSchema:schema43.properties.certificate,data:data3}];
-return false;
-}
-}
-var valid3 = _errs11 === errors;
-}
-else {
-var valid3 = true;
-}
-if(valid3){
-if(data2.key !== undefined){
-let data4 = data2.key;
-const _errs13 = errors;
-if(errors === _errs13){
-if(typeof data4 === "string"){
-if(data4.length < 1){
-validate26.errors = [{instancePath:instancePath+"/tls/key",schemaPath:"#/$defs/Tls/properties/key/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema43.properties.key,data:data4}];
-return false;
-}
-}
-else {
-validate26.errors = [{instancePath:instancePath+"/tls/key",schemaPath:"#/$defs/Tls/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema43.properties.key.type,parentSchema:schema43.properties.key,data:data4}];
-return false;
-}
-}
-var valid3 = _errs13 === errors;
-}
-else {
-var valid3 = true;
-}
-}
-}
-}
-}
-else {
-validate26.errors = [{instancePath:instancePath+"/tls",schemaPath:"#/$defs/Tls/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema43.type,parentSchema:schema43,data:data2}];
-return false;
-}
-}
-var valid0 = _errs7 === errors;
-}
-else {
-var valid0 = true;
-}
-}
-}
-}
-}
-}
-else {
-validate26.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema41.type,parentSchema:schema41,data}];
-return false;
-}
-}
-validate26.errors = vErrors;
-return errors === 0;
-}
-validate26.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
-
-
-function validate25(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
-let vErrors = null;
-let errors = 0;
-const evaluated0 = validate25.evaluated;
-if(evaluated0.dynamicProps){
-evaluated0.props = undefined;
-}
-if(evaluated0.dynamicItems){
-evaluated0.items = undefined;
-}
-if(errors === 0){
-if(data && typeof data == "object" && !Array.isArray(data)){
-let missing0;
-if(((data.callers === undefined) && (missing0 = "callers")) || ((data.operators === undefined) && (missing0 = "operators"))){
-validate25.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema40.required,parentSchema:schema40,data}];
-return false;
-}
-else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "callers") || (key0 === "operators"))){
-validate25.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema40,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
-if(data.callers !== undefined){
-const _errs2 = errors;
-if(!(validate26(data.callers, {instancePath:instancePath+"/callers",parentData:data,parentDataProperty:"callers",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate26.errors : vErrors.concat(validate26.errors);
-errors = vErrors.length;
-}
-var valid0 = _errs2 === errors;
-}
-else {
-var valid0 = true;
-}
-if(valid0){
-if(data.operators !== undefined){
-const _errs3 = errors;
-if(!(validate26(data.operators, {instancePath:instancePath+"/operators",parentData:data,parentDataProperty:"operators",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate26.errors : vErrors.concat(validate26.errors);
-errors = vErrors.length;
-}
-var valid0 = _errs3 === errors;
-}
-else {
-var valid0 = true;
-}
-}
-}
-}
-}
-else {
-validate25.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema40.type,parentSchema:schema40,data}];
-return false;
-}
-}
-validate25.errors = vErrors;
-return errors === 0;
-}
-validate25.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
-
 const schema44 = {"title":"Service","type":"object","additionalProperties":false,"required":["name","kind"],"properties":{"name":{"$ref":"#/$defs/Name"},"kind":{"enum":["engine","encoder","retriever","reranker","plain"]},"model":{"type":"string","minLength":1},"idempotent":{"description":"Whether its calls may be repeated; true when absent.","type":"boolean"},"slots":{"description":"Calls an endpoint runs at once if it does not say; 8 when absent.","type":"integer","minimum":1},"endpoints":{"description":"Endpoints that do not announce themselves.","type":"array","items":{"$ref":"#/$defs/StaticEndpoint"}}}};
 const schema46 = {"title":"StaticEndpoint","type":"object","additionalProperties":false,"required":["id","url","dataCentre"],"properties":{"id":{"$ref":"#/$defs/Name"},"url":{"type":"string","pattern":"^https?://"},"dataCentre":{"$ref":"#/$defs/Name"}}};
 const pattern10 = new RegExp("^https?://", "u");
 
-function validate31(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate32(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate31.evaluated;
+const evaluated0 = validate32.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -603,14 +616,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.id === undefined) && (missing0 = "id")) || ((data.url === undefined) && (missing0 = "url"))) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))){
-validate31.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema46.required,parentSchema:schema46,data}];
+validate32.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema46.required,parentSchema:schema46,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "id") || (key0 === "url")) || (key0 === "dataCentre"))){
-validate31.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema46,data}];
+validate32.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema46,data}];
 return false;
 break;
 }
@@ -623,12 +636,12 @@
 if(errors === _errs3){
 if(typeof data0 === "string"){
 if(!pattern4.test(data0)){
-validate31.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
+validate32.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
 return false;
 }
 }
 else {
-validate31.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
+validate32.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
 return false;
 }
 }
@@ -644,12 +657,12 @@
 if(errors === _errs5){
 if(typeof data1 === "string"){
 if(!pattern10.test(data1)){
-validate31.errors = [{instancePath:instancePath+"/url",schemaPath:"#/properties/url/pattern",keyword:"pattern",params:{pattern: "^https?://"},message:"must match pattern \""+"^https?://"+"\"",schema:"^https?://",parentSchema:schema46.properties.url,data:data1}];
+validate32.errors = [{instancePath:instancePath+"/url",schemaPath:"#/properties/url/pattern",keyword:"pattern",params:{pattern: "^https?://"},message:"must match pattern \""+"^https?://"+"\"",schema:"^https?://",parentSchema:schema46.properties.url,data:data1}];
 return false;
 }
 }
 else {
-validate31.errors = [{instancePath:instancePath+"/url",schemaPath:"#/properties/url/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema46.properties.url.type,parentSchema:schema46.properties.url,data:data1}];
+validate32.errors = [{instancePath:instancePath+"/url",schemaPath:"#/properties/url/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema46.properties.url.type,parentSchema:schema46.properties.url,data:data1}];
 return false;
 }
 }
@@ -666,12 +679,12 @@
 if(errors === _errs8){
 if(typeof data2 === "string"){
 if(!pattern4.test(data2)){
-validate31.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data2}];
+validate32.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data2}];
 return false;
 }
 }
 else {
-validate31.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data2}];
+validate32.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data2}];
 return false;
 }
 }
@@ -686,20 +699,20 @@
 }
 }
 else {
-validate31.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema46.type,parentSchema:schema46,data}];
+validate32.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema46.type,parentSchema:schema46,data}];
 return false;
 }
 }
-validate31.errors = vErrors;
+validate32.errors = vErrors;
 return errors === 0;
 }
-validate31.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate32.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate30(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate31(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate30.evaluated;
+const evaluated0 = validate31.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -710,14 +723,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.name === undefined) && (missing0 = "name")) || ((data.kind === undefined) && (missing0 = "kind"))){
-validate30.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema44.required,parentSchema:schema44,data}];
+validate31.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema44.required,parentSchema:schema44,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((((((key0 === "name") || (key0 === "kind")) || (key0 === "model")) || (key0 === "idempotent")) || (key0 === "slots")) || (key0 === "endpoints"))){
-validate30.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema44,data}];
+validate31.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema44,data}];
 return false;
 break;
 }
@@ -730,12 +743,12 @@
 if(errors === _errs3){
 if(typeof data0 === "string"){
 if(!pattern4.test(data0)){
-validate30.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
+validate31.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
 return false;
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
+validate31.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
 return false;
 }
 }
@@ -749,7 +762,7 @@
 let data1 = data.kind;
 const _errs5 = errors;
 if(!(((((data1 === "engine") || (data1 === "encoder")) || (data1 === "retriever")) || (data1 === "reranker")) || (data1 === "plain"))){
-validate30.errors = [{instancePath:instancePath+"/kind",schemaPath:"#/properties/kind/enum",keyword:"enum",params:{allowedValues: schema44.properties.kind.enum},message:"must be equal to one of the allowed values",schema:schema44.properties.kind.enum,parentSchema:schema44.properties.kind,data:data1}];
+validate31.errors = [{instancePath:instancePath+"/kind",schemaPath:"#/properties/kind/enum",keyword:"enum",params:{allowedValues: schema44.properties.kind.enum},message:"must be equal to one of the allowed values",schema:schema44.properties.kind.enum,parentSchema:schema44.properties.kind,data:data1}];
 return false;
 }
 var valid0 = _errs5 === errors;
@@ -764,12 +777,12 @@
 if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length < 1){
-validate30.errors = [{instancePath:instancePath+"/model",schemaPath:"#/properties/model/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema44.properties.model,data:data2}];
+validate31.errors = [{instancePath:instancePath+"/model",schemaPath:"#/properties/model/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema44.properties.model,data:data2}];
 return false;
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/model",schemaPath:"#/properties/model/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema44.properties.model.type,parentSchema:schema44.properties.model,data:data2}];
+validate31.errors = [{instancePath:instancePath+"/model",schemaPath:"#/properties/model/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema44.properties.model.type,parentSchema:schema44.properties.model,data:data2}];
 return false;
 }
 }
@@ -783,7 +796,7 @@
 let data3 = data.idempotent;
 const _errs8 = errors;
 if(typeof data3 !== "boolean"){
-validate30.errors = [{instancePath:instancePath+"/idempotent",schemaPath:"#/properties/idempotent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema44.properties.idempotent.type,parentSchema:schema44.properties.idempotent,data:data3}];
+validate31.errors = [{instancePath:instancePath+"/idempotent",schemaPath:"#/properties/idempotent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema44.properties.idempotent.type,parentSchema:schema44.properties.idempotent,data:data3}];
 return false;
 }
 var valid0 = _errs8 === errors;
@@ -796,13 +809,13 @@
 let data4 = data.slots;
 const _errs10 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
-validate30.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema44.properties.slots.type,parentSchema:schema44.properties.slots,data:data4}];
+validate31.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema44.properties.slots.type,parentSchema:schema44.properties.slots,data:data4}];
 return false;
 }
 if(errors === _errs10){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 1 || isNaN(data4)){
-validate30.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema44.properties.slots,data:data4}];
+validate31.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema44.properties.slots,data:data4}];
 return false;
 }
 }
@@ -822,8 +835,8 @@
 const len0 = data5.length;
 for(let i0=0; i0<len0; i0++){
 const _errs14 = errors;
-if(!(validate31(data5[i0], {instancePath:instancePath+"/endpoints/" + i0,parentData:data5,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate31.errors : vErrors.concat(validate31.errors);
+if(!(validate32(data5[i0], {instancePath:instancePath+"/endpoints/" + i0,parentData:data5,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate32.errors : vErrors.concat(validate32.errors);
 errors = vErrors.length;
 }
 var valid2 = _errs14 === errors;
@@ -833,7 +846,7 @@
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/endpoints",schemaPath:"#/properties/endpoints/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema44.properties.endpoints.type,parentSchema:schema44.properties.endpoints,data:data5}];
+validate31.errors = [{instancePath:instancePath+"/endpoints",schemaPath:"#/properties/endpoints/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema44.properties.endpoints.type,parentSchema:schema44.properties.endpoints,data:data5}];
 return false;
 }
 }
@@ -851,22 +864,22 @@
 }
 }
 else {
-validate30.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema44.type,parentSchema:schema44,data}];
+validate31.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema44.type,parentSchema:schema44,data}];
 return false;
 }
 }
-validate30.errors = vErrors;
+validate31.errors = vErrors;
 return errors === 0;
 }
-validate30.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate31.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 const schema49 = {"title":"Pipeline","type":"object","additionalProperties":false,"required":["name","deadline","stages"],"properties":{"name":{"$ref":"#/$defs/Name"},"deadline":{"description":"Milliseconds, when the caller names none; also the most it may name.","type":"integer","minimum":1},"stages":{"type":"array","minItems":1,"maxItems":8,"items":{"$ref":"#/$defs/Stage"}}}};
 const schema51 = {"title":"Stage","type":"object","additionalProperties":false,"required":["name","service"],"properties":{"name":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"top":{"type":"integer","minimum":1,"description":"Documents that a retriever or reranker keeps."},"maxTokens":{"type":"integer","minimum":1,"description":"Most tokens that an engine generates."},"instruction":{"type":"string","description":"Put before the prompt of an engine."}}};
 
-function validate35(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate36(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate35.evaluated;
+const evaluated0 = validate36.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -877,14 +890,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.name === undefined) && (missing0 = "name")) || ((data.service === undefined) && (missing0 = "service"))){
-validate35.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema51.required,parentSchema:schema51,data}];
+validate36.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema51.required,parentSchema:schema51,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((((key0 === "name") || (key0 === "service")) || (key0 === "top")) || (key0 === "maxTokens")) || (key0 === "instruction"))){
-validate35.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema51,data}];
+validate36.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema51,data}];
 return false;
 break;
 }
@@ -897,12 +910,12 @@
 if(errors === _errs3){
 if(typeof data0 === "string"){
 if(!pattern4.test(data0)){
-validate35.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
+validate36.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
 return false;
 }
 }
 else {
-validate35.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
+validate36.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
 return false;
 }
 }
@@ -919,12 +932,12 @@
 if(errors === _errs6){
 if(typeof data1 === "string"){
 if(!pattern4.test(data1)){
-validate35.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data1}];
+validate36.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data1}];
 return false;
 }
 }
 else {
-validate35.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data1}];
+validate36.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data1}];
 return false;
 }
 }
@@ -938,13 +951,13 @@
 let data2 = data.top;
 const _errs8 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate35.errors = [{instancePath:instancePath+"/top",schemaPath:"#/properties/top/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema51.properties.top.type,parentSchema:schema51.properties.top,data:data2}];
+validate36.errors = [{instancePath:instancePath+"/top",schemaPath:"#/properties/top/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema51.properties.top.type,parentSchema:schema51.properties.top,data:data2}];
 return false;
 }
 if(errors === _errs8){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 1 || isNaN(data2)){
-validate35.errors = [{instancePath:instancePath+"/top",schemaPath:"#/properties/top/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema51.properties.top,data:data2}];
+validate36.errors = [{instancePath:instancePath+"/top",schemaPath:"#/properties/top/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema51.properties.top,data:data2}];
 return false;
 }
 }
@@ -959,13 +972,13 @@
 let data3 = data.maxTokens;
 const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
-validate35.errors = [{instancePath:instancePath+"/maxTokens",schemaPath:"#/properties/maxTokens/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema51.properties.maxTokens.type,parentSchema:schema51.properties.maxTokens,data:data3}];
+validate36.errors = [{instancePath:instancePath+"/maxTokens",schemaPath:"#/properties/maxTokens/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema51.properties.maxTokens.type,parentSchema:schema51.properties.maxTokens,data:data3}];
 return false;
 }
 if(errors === _errs10){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 1 || isNaN(data3)){
-validate35.errors = [{instancePath:instancePath+"/maxTokens",schemaPath:"#/properties/maxTokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema51.properties.maxTokens,data:data3}];
+validate36.errors = [{instancePath:instancePath+"/maxTokens",schemaPath:"#/properties/maxTokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema51.properties.maxTokens,data:data3}];
 return false;
 }
 }
@@ -980,7 +993,7 @@
 let data4 = data.instruction;
 const _errs12 = errors;
 if(typeof data4 !== "string"){
-validate35.errors = [{instancePath:instancePath+"/instruction",schemaPath:"#/properties/instruction/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.properties.instruction.type,parentSchema:schema51.properties.instruction,data:data4}];
+validate36.errors = [{instancePath:instancePath+"/instruction",schemaPath:"#/properties/instruction/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.properties.instruction.type,parentSchema:schema51.properties.instruction,data:data4}];
 return false;
 }
 var valid0 = _errs12 === errors;
@@ -996,20 +1009,20 @@
 }
 }
 else {
-validate35.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema51.type,parentSchema:schema51,data}];
+validate36.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema51.type,parentSchema:schema51,data}];
 return false;
 }
 }
-validate35.errors = vErrors;
+validate36.errors = vErrors;
 return errors === 0;
 }
-validate35.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate36.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate34(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate35(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate34.evaluated;
+const evaluated0 = validate35.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1020,14 +1033,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.name === undefined) && (missing0 = "name")) || ((data.deadline === undefined) && (missing0 = "deadline"))) || ((data.stages === undefined) && (missing0 = "stages"))){
-validate34.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema49.required,parentSchema:schema49,data}];
+validate35.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema49.required,parentSchema:schema49,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "name") || (key0 === "deadline")) || (key0 === "stages"))){
-validate34.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema49,data}];
+validate35.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema49,data}];
 return false;
 break;
 }
@@ -1040,12 +1053,12 @@
 if(errors === _errs3){
 if(typeof data0 === "string"){
 if(!pattern4.test(data0)){
-validate34.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
+validate35.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
 return false;
 }
 }
 else {
-validate34.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
+validate35.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
 return false;
 }
 }
@@ -1059,13 +1072,13 @@
 let data1 = data.deadline;
 const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate34.errors = [{instancePath:instancePath+"/deadline",schemaPath:"#/properties/deadline/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema49.properties.deadline.type,parentSchema:schema49.properties.deadline,data:data1}];
+validate35.errors = [{instancePath:instancePath+"/deadline",schemaPath:"#/properties/deadline/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema49.properties.deadline.type,parentSchema:schema49.properties.deadline,data:data1}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 1 || isNaN(data1)){
-validate34.errors = [{instancePath:instancePath+"/deadline",schemaPath:"#/properties/deadline/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema49.properties.deadline,data:data1}];
+validate35.errors = [{instancePath:instancePath+"/deadline",schemaPath:"#/properties/deadline/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema49.properties.deadline,data:data1}];
 return false;
 }
 }
@@ -1082,12 +1095,12 @@
 if(errors === _errs7){
 if(Array.isArray(data2)){
 if(data2.length > 8){
-validate34.errors = [{instancePath:instancePath+"/stages",schemaPath:"#/properties/stages/maxItems",keyword:"maxItems",params:{limit: 8},message:"must NOT have more than 8 items",schema:8,parentSchema:schema49.properties.stages,data:data2}];
+validate35.errors = [{instancePath:instancePath+"/stages",schemaPath:"#/properties/stages/maxItems",keyword:"maxItems",params:{limit: 8},message:"must NOT have more than 8 items",schema:8,parentSchema:schema49.properties.stages,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate34.errors = [{instancePath:instancePath+"/stages",schemaPath:"#/properties/stages/minItems",keyword:"minItems",params:{limit: 1},message:"must NOT have fewer than 1 items",schema:1,parentSchema:schema49.properties.stages,data:data2}];
+validate35.errors = [{instancePath:instancePath+"/stages",schemaPath:"#/properties/stages/minItems",keyword:"minItems",params:{limit: 1},message:"must NOT have fewer than 1 items",schema:1,parentSchema:schema49.properties.stages,data:data2}];
 return false;
 }
 else {
@@ -1095,8 +1108,8 @@
 const len0 = data2.length;
 for(let i0=0; i0<len0; i0++){
 const _errs9 = errors;
-if(!(validate35(data2[i0], {instancePath:instancePath+"/stages/" + i0,parentData:data2,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate35.errors : vErrors.concat(validate35.errors);
+if(!(validate36(data2[i0], {instancePath:instancePath+"/stages/" + i0,parentData:data2,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate36.errors : vErrors.concat(validate36.errors);
 errors = vErrors.length;
 }
 var valid2 = _errs9 === errors;
@@ -1108,7 +1121,7 @@
 }
 }
 else {
-validate34.errors = [{instancePath:instancePath+"/stages",schemaPath:"#/properties/stages/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema49.properties.stages.type,parentSchema:schema49.properties.stages,data:data2}];
+validate35.errors = [{instancePath:instancePath+"/stages",schemaPath:"#/properties/stages/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema49.properties.stages.type,parentSchema:schema49.properties.stages,data:data2}];
 return false;
 }
 }
@@ -1123,21 +1136,21 @@
 }
 }
 else {
-validate34.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema49.type,parentSchema:schema49,data}];
+validate35.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema49.type,parentSchema:schema49,data}];
 return false;
 }
 }
-validate34.errors = vErrors;
+validate35.errors = vErrors;
 return errors === 0;
 }
-validate34.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate35.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 const schema55 = {"title":"Operator","type":"object","additionalProperties":false,"required":["name","token"],"properties":{"name":{"$ref":"#/$defs/Name"},"token":{"$ref":"#/$defs/Secret"},"role":{"enum":["reader","editor"],"description":"editor when absent."}}};
 
-function validate38(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate39(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate38.evaluated;
+const evaluated0 = validate39.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1148,14 +1161,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.name === undefined) && (missing0 = "name")) || ((data.token === undefined) && (missing0 = "token"))){
-validate38.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema55.required,parentSchema:schema55,data}];
+validate39.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema55.required,parentSchema:schema55,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "name") || (key0 === "token")) || (key0 === "role"))){
-validate38.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema55,data}];
+validate39.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema55,data}];
 return false;
 break;
 }
@@ -1168,12 +1181,12 @@
 if(errors === _errs3){
 if(typeof data0 === "string"){
 if(!pattern4.test(data0)){
-validate38.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
+validate39.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*$",parentSchema:schema32,data:data0}];
 return false;
 }
 }
 else {
-validate38.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
+validate39.errors = [{instancePath:instancePath+"/name",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.type,parentSchema:schema32,data:data0}];
 return false;
 }
 }
@@ -1190,19 +1203,19 @@
 if(errors === _errs6){
 if(data1 && typeof data1 == "object" && !Array.isArray(data1)){
 if(Object.keys(data1).length > 1){
-validate38.errors = [{instancePath:instancePath+"/token",schemaPath:"#/$defs/Secret/maxProperties",keyword:"maxProperties",params:{limit: 1},message:"must NOT have more than 1 properties",schema:1,parentSchema:schema34,data:data1}];
+validate39.errors = [{instancePath:instancePath+"/token",schemaPath:"#/$defs/Secret/maxProperties",keyword:"maxProperties",params:{limit: 1},message:"must NOT have more than 1 properties",schema:1,parentSchema:schema34,data:data1}];
 return false;
 }
 else {
 if(Object.keys(data1).length < 1){
-validate38.errors = [{instancePath:instancePath+"/token",schemaPath:"#/$defs/Secret/minProperties",keyword:"minProperties",params:{limit: 1},message:"must NOT have fewer than 1 properties",schema:1,parentSchema:schema34,data:data1}];
+validate39.errors = [{instancePath:instancePath+"/token",schemaPath:"#/$defs/Secret/minProperties",keyword:"minProperties",params:{limit: 1},message:"must NOT have fewer than 1 properties",schema:1,parentSchema:schema34,data:data1}];
 return false;
 }
 else {
 const _errs8 = errors;
 for(const key1 in data1){
 if(!((key1 === "env") || (key1 === "file"))){
-validate38.errors = [{instancePath:instancePath+"/token",schemaPath:"#/$defs/Secret/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema34,data:data1}];
+validate39.errors = [{instancePath:instancePath+"/token",schemaPath:"#/$defs/Secret/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema34,data:data1}];
 return false;
 break;
 }
@@ -1214,12 +1227,12 @@
 if(errors === _errs9){
 if(typeof data2 === "string"){
 if(data2.length < 1){
-validate38.errors = [{instancePath:instancePath+"/token/env",schemaPath:"#/$defs/Secret/properties/env/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema34.properties.env,data:data2}];
+validate39.errors = [{instancePath:instancePath+"/token/env",schemaPath:"#/$defs/Secret/properties/env/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema34.properties.env,data:data2}];
 return false;
 }
 }
 else {
-validate38.errors = [{instancePath:instancePath+"/token/env",schemaPath:"#/$defs/Secret/properties/env/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema34.properties.env.type,parentSchema:schema34.properties.env,data:data2}];
+validate39.errors = [{instancePath:instancePath+"/token/env",schemaPath:"#/$defs/Secret/properties/env/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema34.properties.env.type,parentSchema:schema34.properties.env,data:data2}];
 return false;
 }
 }
@@ -1235,12 +1248,12 @@
 if(errors === _errs11){
 if(typeof data3 === "string"){
 if(data3.length < 1){
-validate38.errors = [{instancePath:instancePath+"/token/file",schemaPath:"#/$defs/Secret/properties/file/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema34.properties.file,data:data3}];
+validate39.errors = [{instancePath:instancePath+"/token/file",schemaPath:"#/$defs/Secret/properties/file/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema34.properties.file,data:data3}];
 return false;
 }
 }
 else {
-validate38.errors = [{instancePath:instancePath+"/token/file",schemaPath:"#/$defs/Secret/properties/file/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema34.properties.file.type,parentSchema:schema34.properties.file,data:data3}];
+validate39.errors = [{instancePath:instancePath+"/token/file",schemaPath:"#/$defs/Secret/properties/file/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema34.properties.file.type,parentSchema:schema34.properties.file,data:data3}];
 return false;
 }
 }
@@ -1255,7 +1268,7 @@
 }
 }
 else {
-validate38.errors = [{instancePath:instancePath+"/token",schemaPath:"#/$defs/Secret/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema34.type,parentSchema:schema34,data:data1}];
+validate39.errors = [{instancePath:instancePath+"/token",schemaPath:"#/$defs/Secret/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema34.type,parentSchema:schema34,data:data1}];
 return false;
 }
 }
@@ -1269,7 +1282,7 @@
 let data4 = data.role;
 const _errs13 = errors;
 if(!((data4 === "reader") || (data4 === "editor"))){
-validate38.errors = [{instancePath:instancePath+"/role",schemaPath:"#/properties/role/enum",keyword:"enum",params:{allowedValues: schema55.properties.role.enum},message:"must be equal to one of the allowed values",schema:schema55.properties.role.enum,parentSchema:schema55.properties.role,data:data4}];
+validate39.errors = [{instancePath:instancePath+"/role",schemaPath:"#/properties/role/enum",keyword:"enum",params:{allowedValues: schema55.properties.role.enum},message:"must be equal to one of the allowed values",schema:schema55.properties.role.enum,parentSchema:schema55.properties.role,data:data4}];
 return false;
 }
 var valid0 = _errs13 === errors;
@@ -1283,21 +1296,21 @@
 }
 }
 else {
-validate38.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema55.type,parentSchema:schema55,data}];
+validate39.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema55.type,parentSchema:schema55,data}];
 return false;
 }
 }
-validate38.errors = vErrors;
+validate39.errors = vErrors;
 return errors === 0;
 }
-validate38.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate39.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 const schema61 = {"title":"Metrics","type":"object","additionalProperties":false,"required":["address","port"],"properties":{"address":{"type":"string","minLength":1},"port":{"$ref":"#/$defs/Port"},"prefix":{"type":"string"}}};
 
-function validate40(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate41(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate40.evaluated;
+const evaluated0 = validate41.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1308,14 +1321,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.address === undefined) && (missing0 = "address")) || ((data.port === undefined) && (missing0 = "port"))){
-validate40.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema61.required,parentSchema:schema61,data}];
+validate41.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema61.required,parentSchema:schema61,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "address") || (key0 === "port")) || (key0 === "prefix"))){
-validate40.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema61,data}];
+validate41.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema61,data}];
 return false;
 break;
 }
@@ -1327,12 +1340,12 @@
 if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length < 1){
-validate40.errors = [{instancePath:instancePath+"/address",schemaPath:"#/properties/address/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema61.properties.address,data:data0}];
+validate41.errors = [{instancePath:instancePath+"/address",schemaPath:"#/properties/address/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema61.properties.address,data:data0}];
 return false;
 }
 }
 else {
-validate40.errors = [{instancePath:instancePath+"/address",schemaPath:"#/properties/address/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema61.properties.address.type,parentSchema:schema61.properties.address,data:data0}];
+validate41.errors = [{instancePath:instancePath+"/address",schemaPath:"#/properties/address/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema61.properties.address.type,parentSchema:schema61.properties.address,data:data0}];
 return false;
 }
 }
@@ -1347,18 +1360,18 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate40.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema39.type,parentSchema:schema39,data:data1}];
+validate41.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema39.type,parentSchema:schema39,data:data1}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 > 65535 || isNaN(data1)){
-validate40.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/maximum",keyword:"maximum",params:{comparison: "<=", limit: 65535},message:"must be <= 65535",schema:65535,parentSchema:schema39,data:data1}];
+validate41.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/maximum",keyword:"maximum",params:{comparison: "<=", limit: 65535},message:"must be <= 65535",schema:65535,parentSchema:schema39,data:data1}];
 return false;
 }
 else {
 if(data1 < 0 || isNaN(data1)){
-validate40.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema39,data:data1}];
+validate41.errors = [{instancePath:instancePath+"/port",schemaPath:"#/$defs/Port/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema39,data:data1}];
 return false;
 }
 }
@@ -1374,7 +1387,7 @@
 let data2 = data.prefix;
 const _errs7 = errors;
 if(typeof data2 !== "string"){
-validate40.errors = [{instancePath:instancePath+"/prefix",schemaPath:"#/properties/prefix/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema61.properties.prefix.type,parentSchema:schema61.properties.prefix,data:data2}];
+validate41.errors = [{instancePath:instancePath+"/prefix",schemaPath:"#/properties/prefix/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema61.properties.prefix.type,parentSchema:schema61.properties.prefix,data:data2}];
 return false;
 }
 var valid0 = _errs7 === errors;
@@ -1388,14 +1401,14 @@
 }
 }
 else {
-validate40.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema61.type,parentSchema:schema61,data}];
+validate41.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema61.type,parentSchema:schema61,data}];
 return false;
 }
 }
-validate40.errors = vErrors;
+validate41.errors = vErrors;
 return errors === 0;
 }
-validate40.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate41.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -1482,8 +1495,8 @@
 if(valid0){
 if(data.listen !== undefined){
 const _errs8 = errors;
-if(!(validate25(data.listen, {instancePath:instancePath+"/listen",parentData:data,parentDataProperty:"listen",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate25.errors : vErrors.concat(validate25.errors);
+if(!(validate23(data.listen, {instancePath:instancePath+"/listen",parentData:data,parentDataProperty:"listen",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate23.errors : vErrors.concat(validate23.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs8 === errors;
@@ -1506,8 +1519,8 @@
 const len0 = data4.length;
 for(let i0=0; i0<len0; i0++){
 const _errs11 = errors;
-if(!(validate30(data4[i0], {instancePath:instancePath+"/services/" + i0,parentData:data4,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate30.errors : vErrors.concat(validate30.errors);
+if(!(validate31(data4[i0], {instancePath:instancePath+"/services/" + i0,parentData:data4,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate31.errors : vErrors.concat(validate31.errors);
 errors = vErrors.length;
 }
 var valid2 = _errs11 === errors;
@@ -1537,8 +1550,8 @@
 const len1 = data6.length;
 for(let i1=0; i1<len1; i1++){
 const _errs14 = errors;
-if(!(validate34(data6[i1], {instancePath:instancePath+"/pipelines/" + i1,parentData:data6,parentDataProperty:i1,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate34.errors : vErrors.concat(validate34.errors);
+if(!(validate35(data6[i1], {instancePath:instancePath+"/pipelines/" + i1,parentData:data6,parentDataProperty:i1,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate35.errors : vErrors.concat(validate35.errors);
 errors = vErrors.length;
 }
 var valid3 = _errs14 === errors;
@@ -1670,8 +1683,8 @@
 const len3 = data13.length;
 for(let i3=0; i3<len3; i3++){
 const _errs30 = errors;
-if(!(validate38(data13[i3], {instancePath:instancePath+"/operators/" + i3,parentData:data13,parentDataProperty:i3,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate38.errors : vErrors.concat(validate38.errors);
+if(!(validate39(data13[i3], {instancePath:instancePath+"/operators/" + i3,parentData:data13,parentDataProperty:i3,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate39.errors : vErrors.concat(validate39.errors);
 errors = vErrors.length;
 }
 var valid8 = _errs30 === errors;
@@ -1924,8 +1937,8 @@
 if(valid0){
 if(data.metrics !== undefined){
 const _errs56 = errors;
-if(!(validate40(data.metrics, {instancePath:instancePath+"/metrics",parentData:data,parentDataProperty:"metrics",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate40.errors : vErrors.concat(validate40.errors);
+if(!(validate41(data.metrics, {instancePath:instancePath+"/metrics",parentData:data,parentDataProperty:"metrics",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate41.errors : vErrors.concat(validate41.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs56 === errors;
--- /dev/null
+++ b/src/settings/mod.ts
@@ -0,0 +1,8 @@
+/** Settings of a host: one YAML file for a fleet, checked whole before
+ * anything starts.
+ * @module */
+
+export { columnNames, explainCell, isColumn } from "./columns.ts";
+export { load, type LoadOptions, parse, type ParseOptions } from "./load.ts";
+export { type Environment, readSecret } from "./secrets.ts";
+export { type Finding, SettingsError } from "./settings_error.ts";
