--- a/src/request/effect.ts
+++ b/src/request/effect.ts
@@ -18,7 +18,8 @@
   | "outcome-unknown"
   | "claim-refused"
   | "in-progress"
-  | "stopping";
+  | "stopping"
+  | "abandoned";
 
 /** Why a request gets no answer. */
 export interface Problem {
--- /dev/null
+++ b/src/request/fleet.ts
@@ -0,0 +1,108 @@
+/** Endpoints by service, with the calls that this host has out to each.
+ * @module */
+
+import type * as event from "./event.ts";
+import type * as policySet from "./policy_set.ts";
+
+/** One endpoint; replaced in place when it is announced anew. */
+export class Member implements policySet.Member {
+  endpoint: event.Endpoint;
+  inFlight = 0;
+
+  constructor(endpoint: event.Endpoint) {
+    this.endpoint = endpoint;
+  }
+
+  /** Slots that take another call; none while it drains. */
+  get free(): number {
+    if (this.endpoint.state !== "ready") return 0;
+    return Math.max(0, this.endpoint.slots - this.inFlight);
+  }
+}
+
+/** Endpoints of one service. */
+export class Pool implements policySet.Pool {
+  readonly service: string;
+  members: Member[] = [];
+  free = 0;
+  readonly #all = new Map<string, Member>();
+
+  constructor(service: string) {
+    this.service = service;
+  }
+
+  member(id: string): Member | undefined {
+    return this.#all.get(id);
+  }
+
+  /** Counts a call out to, or back from, a member. */
+  shift(member: Member, change: 1 | -1): void {
+    const known = this.#all.get(member.endpoint.id) === member;
+    const before = member.free;
+    member.inFlight += change;
+    if (known) this.free += member.free - before;
+  }
+
+  /** Takes the present endpoints of this service in place of the old. */
+  replace(endpoints: readonly event.Endpoint[]): void {
+    const kept = new Map(this.#all);
+    this.#all.clear();
+    for (const endpoint of endpoints) {
+      const member = kept.get(endpoint.id) ?? new Member(endpoint);
+      member.endpoint = endpoint;
+      this.#all.set(endpoint.id, member);
+    }
+    const all = [...this.#all.values()];
+    this.members = all.filter((member) => member.endpoint.state === "ready");
+    this.free = this.members.reduce((sum, member) => sum + member.free, 0);
+  }
+
+  /** Plain JSON for the state dump. */
+  dump(): unknown {
+    return [...this.#all.values()].map((member) => ({
+      id: member.endpoint.id,
+      state: member.endpoint.state,
+      slots: member.endpoint.slots,
+      inFlight: member.inFlight,
+    }));
+  }
+}
+
+/** Pools by service. */
+export class Pools {
+  readonly #pools = new Map<string, Pool>();
+
+  static create(): Pools {
+    return new Pools();
+  }
+
+  get(service: string): Pool | undefined {
+    return this.#pools.get(service);
+  }
+
+  services(): Iterable<string> {
+    return this.#pools.keys();
+  }
+
+  replace(endpoints: readonly event.Endpoint[]): void {
+    const groups = new Map<string, event.Endpoint[]>();
+    for (const service of this.#pools.keys()) groups.set(service, []);
+    for (const endpoint of endpoints) {
+      const group = groups.get(endpoint.service);
+      if (group === undefined) groups.set(endpoint.service, [endpoint]);
+      else group.push(endpoint);
+    }
+    for (const [service, group] of groups) {
+      const pool = this.#pools.get(service) ?? new Pool(service);
+      this.#pools.set(service, pool);
+      pool.replace(group);
+    }
+  }
+
+  dump(): unknown {
+    const entries = [...this.#pools.values()];
+    return Object.fromEntries(
+      entries.map((pool) => [pool.service, pool.dump()]),
+    );
+  }
+}
--- /dev/null
+++ b/src/request/problems.ts
@@ -0,0 +1,66 @@
+/** Problems that a dispatcher gives up requests with.
+ * @module */
+
+import type * as effect from "./effect.ts";
+import type * as flight from "./flight.ts";
+import type * as request from "./request.ts";
+
+/** Milliseconds after which a caller should try again. */
+const RETRY_AFTER = 1000;
+
+/** This host takes no new requests. */
+export function stopping(retryAfter: number): effect.Problem {
+  const detail = "This host is stopping and takes no new requests";
+  return { name: "stopping", outcome: "not-run", detail, retryAfter };
+}
+
+/** A request came after its deadline. */
+export function late(outcome: request.Outcome): effect.Problem {
+  const detail = "The deadline has passed";
+  return { name: "deadline-passed", outcome, detail };
+}
+
+/** The deadline of a request passed in this host. */
+export function expired(of: flight.Flight): effect.Problem {
+  const { outcome, request } = of;
+  if (!request.idempotent && outcome !== "not-run") return lost(outcome);
+  return late(outcome);
+}
+
+/** What is left of a request takes longer than it has. */
+export function hopeless(outcome: request.Outcome): effect.Problem {
+  const detail = "The request can't be finished within its deadline";
+  return { name: "overloaded", outcome, detail, retryAfter: RETRY_AFTER };
+}
+
+/** A stage failed and may not, or may no more, be tried again. */
+export function failed(
+  of: flight.Flight,
+  failure: request.Failure,
+): effect.Problem {
+  const stage = of.request.stages[of.stage];
+  const { outcome } = of;
+  const { retryAfter = RETRY_AFTER, reason } = failure;
+  if (reason === "deadline") return late(outcome);
+  const detail = `Stage ${stage.name} failed: ${reason}`;
+  return { name: "stage-failed", outcome, detail, retryAfter };
+}
+
+/** A stage that may be dispatched only once failed. */
+export function unrepeatable(
+  of: flight.Flight,
+  failure: request.Failure,
+): effect.Problem {
+  const { outcome } = of;
+  return outcome === "not-run" ? failed(of, failure) : lost(outcome);
+}
+
+/** The caller went away. */
+export function abandoned(outcome: request.Outcome): effect.Problem {
+  return { name: "abandoned", outcome, detail: "The caller went away" };
+}
+
+function lost(outcome: request.Outcome): effect.Problem {
+  const detail = "The request may have run and is not repeated";
+  return { name: "outcome-unknown", outcome, detail };
+}
