Membership: who of the hosts is alive, by probes and bounded news

Cause: hosts need to know each other's state through restarts, pauses and hour-long partitions, at a cost per host that does not grow with the fleet. Change: a pure core; each host watches its successors in O(log n) rings, asks other observers before it suspects, and gives a suspect time to refute. News floods over the same links in bounded batches; copies are compared by bucketed hashes. A death that another host declares is a suspicion here, so that a healed partition buries nobody.

--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,149 @@
+/** Which hosts of the system are alive, as one host sees it.
+ * @module */
+
+import type * as schema from "../schema/membership_types.ts";
+import * as member from "./member.ts";
+import * as merges from "./merge.ts";
+import * as probes from "./probe.ts";
+import * as spreads from "./spread.ts";
+import type * as states from "./state.ts";
+
+/** Outcome of a step. */
+export interface Result {
+  state: Membership;
+  effects: states.Effect[];
+}
+
+type Handlers<T extends { type: string }, C> = {
+  [K in T["type"]]: (
+    step: states.Step,
+    event: Extract<T, { type: K }>,
+    context: C,
+  ) => void;
+};
+
+/** An immutable view of the hosts; `step` gives the next one. */
+export class Membership {
+  readonly #state: states.State;
+
+  private constructor(state: states.State) {
+    this.#state = state;
+  }
+
+  /** The view of a host that has just started; wake it at once. */
+  static create(options: states.Options): Membership {
+    const self: member.Member = {
+      ...options.self,
+      sequence: 0,
+      status: "alive",
+    };
+    return new Membership({
+      options,
+      members: member.createMap().set(self),
+      live: [self.id],
+      subjects: [],
+      neighbours: [],
+      probe: undefined,
+      relays: new Map(),
+      number: options.random.below(2 ** 30),
+      nextProbe: 0,
+      nextHeal: 0,
+      nextSync: 0,
+      changedAt: -Infinity,
+      suspects: new Map(),
+      dead: new Map(),
+      news: new Map(),
+      nextNews: Infinity,
+      wakeAt: Infinity,
+    });
+  }
+
+  /** Takes one event at `now`, milliseconds of a monotonic clock. */
+  step(event: states.Event, now: number): Result {
+    const step: states.Step = { state: this.#state, effects: [], now };
+    const handler = handlers[event.type] as Handler;
+    handler(step, event, undefined);
+    const wakeAt = Math.max(
+      now,
+      Math.min(probes.due(step.state), spreads.due(step.state)),
+    );
+    if (wakeAt !== this.#state.wakeAt || event.type === "wake") {
+      step.effects.push({ type: "wake", at: wakeAt });
+    }
+    const state = new Membership({ ...step.state, wakeAt });
+    return { state, effects: step.effects };
+  }
+
+  /** What is known of a host, alive or not. */
+  get(id: string): member.Member | undefined {
+    return this.#state.members.get(id);
+  }
+
+  /** What this host says of itself. */
+  get self(): member.Member {
+    return this.#state.members.get(this.#state.options.self.id)!;
+  }
+
+  /** Hosts that count as alive, this one and suspects included. */
+  get live(): readonly member.Member[] {
+    return this.#state.live.map((id) => this.#state.members.get(id)!);
+  }
+
+  /** Hosts that this one passes news to. */
+  get neighbours(): readonly string[] {
+    return this.#state.neighbours;
+  }
+
+  /** Hash of the live hosts and their statements; equal where views agree. */
+  get root(): string {
+    return this.#state.members.root();
+  }
+
+  /** For the state dump. */
+  toJSON(): object {
+    const { members, suspects, dead, neighbours, news } = this.#state;
+    return {
+      members: [...members.values()],
+      suspects: [...suspects.keys()],
+      dead: [...dead.keys()],
+      neighbours,
+      pendingNews: news.size,
+    };
+  }
+}
+
+type Handler = (step: states.Step, event: unknown, context: unknown) => void;
+
+const handlers: Handlers<states.Event, undefined> = {
+  wake: (step) => {
+    probes.advance(step);
+    spreads.advance(step);
+  },
+  message: (step, { from, body }) => {
+    const handler = messages[body.type] as Handler;
+    handler(step, body, from);
+  },
+  drain: (step, { reason }) => merges.restate(step, { drain: reason }),
+  resume: (step) => merges.restate(step, { drain: undefined }),
+  leave: (step) => {
+    merges.restate(step, { status: "left" });
+    spreads.sendNews(step);
+  },
+};
+
+const messages: Handlers<schema.MembershipMessage, string> = {
+  ping: (step, body, from) => {
+    merges.mergeAll(step, body.news ?? [], from);
+    probes.answer(step, from, body);
+  },
+  ack: (step, body, from) => {
+    probes.acknowledge(step, body.probe);
+    merges.mergeAll(step, body.news ?? [], from);
+    spreads.compareRoot(step, from, body.root);
+  },
+  relay: (step, body, from) => probes.relay(step, from, body),
+  vouch: (step, body) => probes.acknowledge(step, body.probe),
+  news: (step, body, from) => merges.mergeAll(step, body.news, from),
+  compare: (step, body, from) => spreads.compare(step, from, body),
+  entries: (step, body, from) => spreads.receive(step, from, body),
+};
--- /dev/null
+++ b/src/membership/merge.ts
@@ -0,0 +1,147 @@
+/** Takes statements about members into the state.
+ * @module */
+
+import * as member from "./member.ts";
+import * as rings from "./rings.ts";
+import * as states from "./state.ts";
+
+/** Takes in what `from` says about members. */
+export function mergeAll(
+  step: states.Step,
+  news: readonly member.Member[],
+  from: string,
+): void {
+  for (const statement of news) merge(step, statement, from);
+}
+
+/** Takes in one statement if it is newer than what is known. */
+export function merge(
+  step: states.Step,
+  statement: member.Member,
+  from: string,
+): void {
+  if (statement.id === step.state.options.self.id) {
+    return refute(step, statement);
+  }
+  const known = step.state.members.get(statement.id);
+  if (known === undefined && !member.isLive(statement)) return;
+  if (known !== undefined && member.compare(statement, known) <= 0) return;
+  // The death that another host declares may be news from before a partition
+  // healed: here, too, the member gets its time to refute.
+  if (statement.status === "dead" && known !== undefined) {
+    if (member.isLive(known)) {
+      return merge(step, { ...statement, status: "suspect" }, from);
+    }
+  }
+  adopt(step, statement, from);
+}
+
+/** Declares a suspect dead that has not refuted in time. */
+export function bury(step: states.Step, id: string): void {
+  const known = step.state.members.get(id)!;
+  adopt(step, { ...known, status: "dead" }, "");
+}
+
+/** Replaces what is known of a member, tells the other parts and spreads it. */
+export function adopt(
+  step: states.Step,
+  statement: member.Member,
+  from: string,
+): void {
+  const { state, now } = step;
+  const known = state.members.get(statement.id);
+  const suspects = new Map(state.suspects);
+  const dead = new Map(state.dead);
+  const news = new Map(state.news);
+  suspects.delete(statement.id);
+  dead.delete(statement.id);
+  if (statement.status === "suspect") {
+    suspects.set(statement.id, now + states.SUSPICION);
+  }
+  if (!member.isLive(statement)) dead.set(statement.id, now);
+  news.set(statement.id, { member: statement, from });
+  step.state = {
+    ...state,
+    members: state.members.set(statement),
+    suspects,
+    dead,
+    news,
+    nextNews: Math.min(state.nextNews, now + states.NEWS_DELAY),
+  };
+  relink(step, known, statement);
+  notify(step, known, statement);
+}
+
+/** Changes what this host says of itself, and spreads it. */
+export function restate(
+  step: states.Step,
+  change: Partial<member.Member>,
+): void {
+  const { options, members } = step.state;
+  const self = members.get(options.self.id)!;
+  adopt(step, { ...self, sequence: self.sequence + 1, ...change }, self.id);
+}
+
+function refute(step: states.Step, statement: member.Member): void {
+  const { options, members } = step.state;
+  const self = members.get(options.self.id)!;
+  if (self.status === "left" || member.compare(statement, self) <= 0) return;
+  // A statement of an earlier run of this host may carry a higher number than
+  // the clock gave to this run.
+  const incarnation = statement.incarnation > self.incarnation
+    ? statement.incarnation + 1
+    : self.incarnation;
+  restate(step, { incarnation, sequence: statement.sequence + 1 });
+}
+
+function relink(
+  step: states.Step,
+  known: member.Member | undefined,
+  statement: member.Member,
+): void {
+  const live = member.isLive(statement);
+  const wasLive = known !== undefined && member.isLive(known);
+  const changed = live !== wasLive ||
+    (live && (known?.sequence !== statement.sequence ||
+      known.incarnation !== statement.incarnation));
+  if (changed) step.state = { ...step.state, changedAt: step.now };
+  if (live === wasLive) return;
+  const others = step.state.live.filter((id) => id !== statement.id);
+  const ids = live ? [...others, statement.id].sort() : others;
+  const own = step.state.options.self.id;
+  step.state = {
+    ...step.state,
+    live: ids,
+    subjects: rings.subjects(own, ids),
+    neighbours: rings.neighbours(own, ids),
+  };
+}
+
+function notify(
+  step: states.Step,
+  known: member.Member | undefined,
+  statement: member.Member,
+): void {
+  const change = changeOf(known, statement);
+  if (change === undefined) return;
+  step.effects.push({
+    type: "notify",
+    change: { type: change, member: statement },
+  });
+}
+
+function changeOf(
+  known: member.Member | undefined,
+  statement: member.Member,
+): states.Change["type"] | undefined {
+  const wasLive = known !== undefined && member.isLive(known);
+  if (!member.isLive(statement)) {
+    if (!wasLive) return undefined;
+    return statement.status === "left" ? "left" : "died";
+  }
+  if (!wasLive) return "joined";
+  const same = known.incarnation === statement.incarnation &&
+    known.drain === statement.drain && known.address === statement.address &&
+    known.port === statement.port;
+  return same ? undefined : "changed";
+}
--- /dev/null
+++ b/src/membership/mod.ts
@@ -0,0 +1,9 @@
+/** Hosts of the system: who is alive, who drains, who left.
+ * @module */
+
+export * from "./digest_map.ts";
+export * as hash from "./hash.ts";
+export { isLive, type Member, type Members } from "./member.ts";
+export * from "./membership.ts";
+export * as rings from "./rings.ts";
+export type { Change, Effect, Event, Options } from "./state.ts";
