--- /dev/null
+++ b/src/admission/cost_test.ts
@@ -0,0 +1,59 @@
+import test from "ava";
+import * as cost from "./cost.ts";
+
+function createEntry(fields: Partial<cost.Entry> = {}): cost.Entry {
+  const usage = {
+    inputTokens: 100,
+    outputTokens: 10,
+    cachedTokens: 0,
+    engineTime: 1000,
+  };
+  return {
+    account: "crew",
+    kind: "plan",
+    service: "lm-pool",
+    stage: "generate",
+    fate: "useful",
+    usage,
+    ...fields,
+  };
+}
+
+test("sums cost by stage, account and kind, and what was wasted", (t) => {
+  const ledger = cost.Cost.create();
+  ledger.record(createEntry());
+  ledger.record(createEntry({ fate: "hedge" }));
+  ledger.record(createEntry({ fate: "retry", account: "clerk" }));
+  const stage = ledger.of("stage", "lm-pool generate")!;
+  t.is(stage.useful.time, 1000);
+  t.is(cost.wastedTime(stage), 2000);
+  t.is(cost.wastedTime(ledger.of("account", "clerk")!), 1000);
+  t.is(ledger.of("kind", "plan")?.hedge.outputTokens, 10);
+});
+
+test("extra cost stays within the share that the table grants", (t) => {
+  const policies = new Map([["account/crew", { spend: 0.2 }]]);
+  const ledger = cost.Cost.create(policies);
+  let spent = 0;
+  for (let i = 0; i < 100; i++) {
+    ledger.record(createEntry());
+    while (ledger.spend(createEntry(), 100)) spent += 100;
+  }
+  t.is(spent, 1000 + 0.2 * 100_000);
+});
+
+test("the lower share counts when both rows name one", (t) => {
+  const policies = new Map([
+    ["account/crew", { spend: 0.5 }],
+    ["kind/plan", { spend: 0 }],
+  ]);
+  const ledger = cost.Cost.create(policies);
+  ledger.record(createEntry());
+  t.false(ledger.spend(createEntry(), 1));
+});
+
+test("savings are bounded", (t) => {
+  const ledger = cost.Cost.create();
+  for (let i = 0; i < 1000; i++) ledger.record(createEntry());
+  t.is(ledger.budget(createEntry()), 3000);
+});
--- /dev/null
+++ b/src/admission/fair_queue_test.ts
@@ -0,0 +1,177 @@
+import test from "ava";
+import * as fc from "fast-check";
+import type * as request from "../request/mod.ts";
+import * as fairQueue from "./fair_queue.ts";
+import * as naive from "./naive_fair_queue.ts";
+
+const policies: request.Policies = new Map([
+  ["account/large", { weight: 3 }],
+  ["account/small", { weight: 1 }],
+  ["kind/plan", { weight: 2 }],
+]);
+
+function createItem(fields: Partial<fairQueue.Item> = {}): fairQueue.Item {
+  return {
+    id: "r",
+    account: "large",
+    kind: "plan",
+    arrived: 0,
+    deadline: 1000,
+    expires: 1000,
+    work: 10,
+    ...fields,
+  };
+}
+
+test("serves flows by weight and each by deadline", (t) => {
+  const queue = fairQueue.FairQueue.create(policies);
+  for (let i = 0; i < 40; i++) {
+    queue.push(createItem({ id: `l${i}`, deadline: 1000 - i }));
+    queue.push(createItem({ id: `s${i}`, account: "small" }));
+  }
+  const served = Array.from({ length: 40 }, () => queue.pop()?.id ?? "");
+  t.is(served.filter((id) => id.startsWith("l")).length, 30);
+  t.deepEqual(served.filter((id) => id.startsWith("l")).slice(0, 2), [
+    "l39",
+    "l38",
+  ]);
+});
+
+test("a retried item keeps its place and its flow pays again", (t) => {
+  const queue = fairQueue.FairQueue.create();
+  const [a, b] = ["a", "b"];
+  queue.push(createItem({ id: "a1", account: a }));
+  for (let i = 0; i < 4; i++) {
+    queue.push(createItem({ id: `a2${i}`, account: a }));
+    queue.push(createItem({ id: `b${i}`, account: b }));
+  }
+  const first = queue.pop();
+  t.is(first?.id, "a1");
+  t.is(queue.pop()?.id, "b0");
+  queue.push(first!);
+  t.deepEqual(
+    Array.from({ length: 4 }, () => queue.pop()?.id),
+    ["a1", "b1", "a20", "b2"],
+  );
+});
+
+test("an idle flow saves up no credit", (t) => {
+  const queue = fairQueue.FairQueue.create();
+  for (let i = 0; i < 100; i++) queue.push(createItem({ id: `a${i}` }));
+  for (let i = 0; i < 50; i++) queue.pop();
+  for (let i = 0; i < 50; i++) {
+    queue.push(createItem({ id: `b${i}`, account: "late" }));
+  }
+  const served = Array.from({ length: 20 }, () => queue.pop()?.account);
+  t.is(served.filter((account) => account === "late").length, 10);
+});
+
+test("sheds the latest deadline of the least weighted flow", (t) => {
+  const queue = fairQueue.FairQueue.create(policies);
+  queue.push(createItem({ id: "l" }));
+  queue.push(createItem({ id: "s1", account: "small", deadline: 5 }));
+  queue.push(createItem({ id: "s2", account: "small", deadline: 9 }));
+  t.deepEqual([queue.shed()?.id, queue.shed()?.id, queue.shed()?.id], [
+    "s2",
+    "s1",
+    "l",
+  ]);
+});
+
+test("new weights count at once", (t) => {
+  const queue = fairQueue.FairQueue.create(policies);
+  for (let i = 0; i < 20; i++) {
+    queue.push(createItem({ id: `l${i}` }));
+    queue.push(createItem({ id: `s${i}`, account: "small" }));
+  }
+  queue.setPolicies(new Map([["account/small", { weight: 9 }]]));
+  const served = Array.from({ length: 10 }, () => queue.pop()?.account);
+  t.is(served.filter((account) => account === "small").length, 9);
+});
+
+type Command =
+  | { type: "push"; account: string; deadline: number; work: number }
+  | { type: "pop" }
+  | { type: "retry"; pick: number }
+  | { type: "expire" }
+  | { type: "remove"; pick: number }
+  | { type: "shed" };
+
+const command: fc.Arbitrary<Command> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      type: fc.constant("push" as const),
+      account: fc.constantFrom("large", "small", "other"),
+      deadline: fc.integer({ min: 1, max: 60 }),
+      work: fc.integer({ min: 1, max: 20 }),
+    }),
+  },
+  { weight: 3, arbitrary: fc.constant({ type: "pop" as const }) },
+  fc.record({ type: fc.constant("retry" as const), pick: fc.nat(9) }),
+  fc.record({ type: fc.constant("remove" as const), pick: fc.nat(40) }),
+  fc.constant({ type: "expire" as const }),
+  fc.constant({ type: "shed" as const }),
+);
+
+/** Runs the commands on one queue; returns the ids it gave, in order. */
+function play(
+  queue: Pick<
+    fairQueue.FairQueue,
+    "push" | "pop" | "expire" | "shed" | "remove"
+  >,
+  commands: readonly Command[],
+): string[] {
+  const popped: fairQueue.Item[] = [];
+  const trace: string[] = [];
+  commands.forEach((step, now) => {
+    const handlers = {
+      push: () => {
+        if (step.type !== "push") return [];
+        const deadline = now + step.deadline;
+        const fields = { arrived: now, deadline, expires: deadline };
+        queue.push(createItem({ ...step, ...fields, id: `r${now}` }));
+        return [];
+      },
+      pop: () => [queue.pop()].filter((item) => item !== undefined),
+      retry: () => {
+        const pick = step.type === "retry" ? step.pick : 0;
+        const [item] = popped.splice(pick % (popped.length || 1), 1);
+        if (item !== undefined) queue.push(item);
+        return [];
+      },
+      remove: () => {
+        const pick = step.type === "remove" ? step.pick : 0;
+        return [queue.remove(`r${pick}`)].filter((item) => item !== undefined);
+      },
+      expire: () =>
+        queue.expire(now).sort((a, b) => fairQueue.isBefore(a, b) ? -1 : 1),
+      shed: () => [queue.shed()].filter((item) => item !== undefined),
+    };
+    const items = handlers[step.type]();
+    if (step.type === "pop") popped.push(...items);
+    trace.push(`${step.type} ${items.map((item) => item.id).join()}`);
+  });
+  return trace;
+}
+
+test("decides as its naive twin does", (t) => {
+  fc.assert(
+    fc.property(fc.array(command, { maxLength: 120 }), (commands) => {
+      const fast = play(fairQueue.FairQueue.create(policies), commands);
+      const slow = play(new naive.NaiveFairQueue(policies), commands);
+      t.deepEqual(fast, slow);
+    }),
+    { seed: 4, numRuns: 400 },
+  );
+});
+
+test("forgets flows that are idle", (t) => {
+  const queue = fairQueue.FairQueue.create();
+  for (let i = 0; i < 1000; i++) {
+    queue.push(createItem({ id: `${i}`, account: `a${i}` }));
+    queue.pop();
+  }
+  t.is(queue.toJSON().length, 0);
+  t.is(queue.work, 0);
+});
