--- a/src/control/table/column.ts
+++ b/src/control/table/column.ts
@@ -73,19 +73,37 @@
   },
 };
 
+/** A cell as somebody wants it to be; null empties it. */
+export type Wanted = Omit<schema.Change, "version">;
+
 /** Says why `change` is not allowed, or undefined when it is. */
-export function reject(change: schema.Change): string | undefined {
+export function reject(change: Wanted): string | undefined {
   const { row, column, value } = change;
   const rule = rules[column];
   if (rule === undefined) return `there is no column ${column}`;
-  const kind = row.slice(0, row.indexOf("/"));
-  if (rule.rows !== undefined && !rule.rows.includes(kind)) {
-    return `${row} cannot have the column ${column}`;
-  }
+  if (!fits(rule, row)) return `${row} cannot have the column ${column}`;
   if (value === null || rule.accepts(value)) return undefined;
   return `${row} ${column} must be ${rule.expected}`;
 }
 
+/** What may stand in a cell, for people; undefined where no cell can be. */
+export function expectation(
+  { row, column }: Pick<Wanted, "row" | "column">,
+): string | undefined {
+  const rule = rules[column];
+  return rule !== undefined && fits(rule, row) ? rule.expected : undefined;
+}
+
+/** Names of all columns, in the order in which people read them. */
+export function names(): readonly schema.Column[] {
+  return Object.keys(rules) as schema.Column[];
+}
+
+function fits(rule: Rule, row: string): boolean {
+  const kind = row.slice(0, row.indexOf("/"));
+  return rule.rows === undefined || rule.rows.includes(kind);
+}
+
 function isNumber(value: schema.CellValue): value is number {
   return typeof value === "number" && Math.abs(value) <= MOST_NUMBER;
 }
--- a/src/control/table/mod.ts
+++ b/src/control/table/mod.ts
@@ -3,6 +3,7 @@
 
 export * from "./machine.ts";
 export * from "./table.ts";
+export * as columns from "./column.ts";
 export { Timekeeper } from "./timekeeper.ts";
 export { NaiveTable } from "./naive.ts";
 export { Expiry, type Sweep } from "./expiry.ts";
--- a/src/settings/cross_checks.ts
+++ b/src/settings/cross_checks.ts
@@ -1,8 +1,9 @@
 /** Checks of settings that a schema cannot say: one part against another.
  * @module */
 
+import * as columns from "../control/table/column.ts";
 import type * as settings from "../schema/settings_types.ts";
-import * as columns from "./columns.ts";
+import type * as table from "../schema/table_types.ts";
 import type * as settingsError from "./settings_error.ts";
 
 /** Finds what is wrong with settings that match their schema. */
@@ -180,10 +181,13 @@
       yield { path: ["table", pos, "row"], found: show(row), expected };
     }
     for (const [column, value] of Object.entries(cells)) {
-      const expected = columns.explainCell({ row, column, value });
-      if (expected === undefined) continue;
       const path: Path = ["table", pos, "cells", column];
-      yield { path, found: show(value), expected };
+      const cell = { row, column: column as table.Column, value };
+      if (columns.reject(cell) === undefined) continue;
+      const expected = columns.expectation(cell);
+      yield expected === undefined
+        ? { path, found: "a cell", expected: `none of this column on ${row}` }
+        : { path, found: show(value), expected };
     }
   }
 }
--- /dev/null
+++ b/src/settings/initial_edits.ts
@@ -0,0 +1,36 @@
+/** The table's first rows, as edits of an empty table.
+ * @module */
+
+import type * as settings from "../schema/settings_types.ts";
+import type * as table from "../schema/table_types.ts";
+
+/** Actor of the edits that settings make. */
+const ACTOR = "settings";
+
+/** Most changes in one edit; see schema/table.yaml. */
+const MOST_CHANGES = 4000;
+
+/** Edits that fill an empty table. Their operation ids are always the same,
+ * so that hosts which make them at once apply them once. */
+export function initialEdits(
+  rows: readonly settings.InitialRow[] = [],
+): readonly table.Edit[] {
+  const changes = rows.flatMap(({ row, cells }) =>
+    Object.entries(cells).map(([column, value]): table.Change => ({
+      row,
+      column: column as table.Column,
+      version: 0,
+      value,
+    }))
+  );
+  const edits: table.Edit[] = [];
+  for (let pos = 0; pos < changes.length; pos += MOST_CHANGES) {
+    const part = changes.slice(pos, pos + MOST_CHANGES);
+    edits.push({
+      operation: `initial-${pos / MOST_CHANGES}`,
+      actor: ACTOR,
+      changes: part as table.Edit["changes"],
+    });
+  }
+  return edits;
+}
