--- a/src/control/claims/claims_test.ts
+++ b/src/control/claims/claims_test.ts
@@ -128,7 +128,7 @@
 /** Whether no key is granted to two tokens within the time that it is kept,
  * unless the first was settled as not run. */
 function grantsOnce(machine: table.Machine, steps: Steps): boolean {
-  let state = machine.create();
+  let state = machine.empty;
   const granted = new Map<string, { token: string; until: number }>();
   let at = 0;
   for (const { type, restart, wait, ...rest } of steps) {
--- a/src/control/table/machine.ts
+++ b/src/control/table/machine.ts
@@ -51,7 +51,8 @@
 
 /** The machine as the replicated log takes it. */
 export interface Machine {
-  create(): State;
+  /** State before the first command. */
+  readonly empty: State;
   apply(state: State, command: command.Command): Step;
   toJSON(state: State): StateJSON;
   fromJSON(json: StateJSON): State;
@@ -62,13 +63,13 @@
 /** A machine with `limits`, which only tests change. */
 export function createMachine(limits: Limits = LIMITS): Machine {
   return {
-    create: () => ({
+    empty: {
       now: 0,
       table: table.Table.create(),
       operations: operations.Operations.create(limits.operations),
       claims: claims.Claims.create(limits.claims),
       written: [],
-    }),
+    },
     apply,
     toJSON: ({ now, table, operations, claims }) => ({
       now,
--- a/src/control/table/table_test.ts
+++ b/src/control/table/table_test.ts
@@ -104,7 +104,7 @@
   edits: Edits,
 ): boolean {
   const naive = new table.NaiveTable();
-  let state = machine.create();
+  let state = machine.empty;
   for (const { current, restart, ...rest } of edits) {
     const edit = rest as schema.Edit;
     if (current) refresh(edit, state.table);
@@ -155,7 +155,7 @@
   const forgetful: table.Machine = {
     ...machine,
     apply(state, command) {
-      const { operations } = machine.create();
+      const { operations } = machine.empty;
       return machine.apply({ ...state, operations }, command);
     },
   };
@@ -165,8 +165,8 @@
 
 test("a machine restarted after hundreds of changes is the same machine", (t) => {
   const machine = table.createMachine();
-  let kept = machine.create();
-  let restarted = machine.create();
+  let kept = machine.empty;
+  let restarted = machine.empty;
   for (let pos = 0; pos < 600; pos++) {
     const version = kept.table.cell("account/kivu", "weight")?.version ?? 0;
     const edit = createEdit(`op${pos % 450}`, [createChange(pos + 1, version)]);
--- /dev/null
+++ b/src/control/watch/mod.ts
@@ -0,0 +1,9 @@
+/** How hosts without the replicated log follow the table and bring their
+ * commands to the leader.
+ * @module */
+
+export * from "./acceptor.ts";
+export * from "./forwarder.ts";
+export * from "./publisher.ts";
+export { rank } from "./rank.ts";
+export * from "./watcher.ts";
