--- /dev/null
+++ b/src/control/log/change.ts
@@ -0,0 +1,90 @@
+/** How a leader brings the set of members up to date, one member at a time.
+ * @module */
+
+import type * as schema from "../../schema/log_types.ts";
+import * as drafts from "./draft.ts";
+import * as members from "./members.ts";
+import * as replicaId from "./replica_id.ts";
+import * as replication from "./replication.ts";
+import type * as state from "./state.ts";
+
+/** Entries by which a learner may still lag when it becomes a voter. */
+const CAUGHT_UP = 16;
+
+/** Makes the next change that is due, if any and if it is safe. */
+export function reconcile(draft: drafts.Draft): void {
+  const { state } = draft;
+  if (state.role !== "leader" || !isSettled(state)) return;
+  const current = drafts.currentMembers(state);
+  const removed = !current.voters.includes(state.id);
+  if (removed) return drafts.follow(draft, state.term);
+  const next = removeReplaced(draft, current) ?? promote(draft, current) ??
+    admit(draft, current) ?? dropSilent(draft, current);
+  if (next) replication.setMembers(draft, next);
+}
+
+/** Takes a replica out on an operator's word. */
+export function remove(draft: drafts.Draft, id: string): void {
+  const { state } = draft;
+  const current = drafts.currentMembers(state);
+  if (state.role !== "leader" || !isSettled(state)) return;
+  if (!members.has(current, id)) return;
+  const next = members.without(current, id);
+  if (isLive(draft, next)) replication.setMembers(draft, next);
+}
+
+/** A change needs the one before it, and an entry of this term, committed. */
+function isSettled(from: state.State): boolean {
+  const last = from.configurations.at(-1)!;
+  return from.commit >= from.opened && from.commit >= last.index &&
+    from.transferEnd === undefined;
+}
+
+type Proposal = schema.Members | undefined;
+
+function removeReplaced(draft: drafts.Draft, now: schema.Members): Proposal {
+  const id = members.replaced(now);
+  if (id === undefined) return undefined;
+  const next = members.without(now, id);
+  return isLive(draft, next) ? next : undefined;
+}
+
+function promote(draft: drafts.Draft, now: schema.Members): Proposal {
+  const { state } = draft;
+  const ready = now.learners.find((id) =>
+    state.hosts.includes(replicaId.host(id)) &&
+    replication.isRecent(draft, id) &&
+    replication.progressOf(draft, id).match + CAUGHT_UP >= state.commit
+  );
+  if (ready === undefined) return undefined;
+  const next = members.withVoter(now, ready);
+  return isLive(draft, next) ? next : undefined;
+}
+
+function admit(draft: drafts.Draft, now: schema.Members): Proposal {
+  const { state } = draft;
+  const [id] = Object.values(state.joining);
+  if (id === undefined) return undefined;
+  const { [replicaId.host(id)]: _, ...others } = state.joining;
+  state.joining = others;
+  return members.has(now, id) ? undefined : members.withLearner(now, id);
+}
+
+function dropSilent(draft: drafts.Draft, now: schema.Members): Proposal {
+  const { state } = draft;
+  const silent = now.learners.find((id) => {
+    const { answered, since } = replication.progressOf(draft, id);
+    const last = Math.max(answered, since);
+    return last + state.timing.learnerSilence <= draft.now;
+  });
+  return silent === undefined ? undefined : members.without(now, silent);
+}
+
+/** Whether a majority of the new voters answers now. */
+function isLive(draft: drafts.Draft, next: schema.Members): boolean {
+  const { state } = draft;
+  const live = next.voters.filter((id) =>
+    id === state.id || replication.isRecent(draft, id)
+  );
+  return live.length >= members.majority(next.voters);
+}
--- /dev/null
+++ b/src/control/log/members.ts
@@ -0,0 +1,79 @@
+/** Sets of members, and how a leader changes them by one member at a time.
+ * @module */
+
+import type * as schema from "../../schema/log_types.ts";
+import * as replicaId from "./replica_id.ts";
+
+/** A set of members, and the index of the entry that brought it. */
+export interface Configuration {
+  readonly index: number;
+  readonly members: schema.Members;
+}
+
+/** The set of a replica that has never heard of one. */
+export const NONE: schema.Members = { voters: [], learners: [] };
+
+/** How many of `voters` decide. */
+export function majority(voters: readonly unknown[]): number {
+  return Math.floor(voters.length / 2) + 1;
+}
+
+/** The greatest value that a majority of voters has reached. */
+export function reached(
+  voters: readonly string[],
+  value: (id: string) => number,
+): number {
+  if (voters.length === 0) return -Infinity;
+  const values = voters.map(value).sort((a, b) => b - a);
+  return values[majority(voters) - 1];
+}
+
+/** Voters and learners. */
+export function all(members: schema.Members): string[] {
+  return [...members.voters, ...members.learners];
+}
+
+/** Whether `id` is a voter or a learner. */
+export function has(members: schema.Members, id: string): boolean {
+  return members.voters.includes(id) || members.learners.includes(id);
+}
+
+/** Adds a learner in place of any other learner of its host. */
+export function withLearner(
+  members: schema.Members,
+  id: string,
+): schema.Members {
+  const host = replicaId.host(id);
+  const others = members.learners.filter((other) =>
+    replicaId.host(other) !== host
+  );
+  return { ...members, learners: [...others, id] };
+}
+
+/** Makes a learner a voter. */
+export function withVoter(
+  members: schema.Members,
+  id: string,
+): schema.Members {
+  return {
+    voters: [...members.voters, id],
+    learners: members.learners.filter((other) => other !== id),
+  };
+}
+
+/** Takes a member out. */
+export function without(members: schema.Members, id: string): schema.Members {
+  return {
+    voters: members.voters.filter((other) => other !== id),
+    learners: members.learners.filter((other) => other !== id),
+  };
+}
+
+/** The earlier of two voters of the same host: its folder is gone. */
+export function replaced(members: schema.Members): string | undefined {
+  return members.voters.find((id, pos) =>
+    members.voters.slice(pos + 1).some((later) =>
+      replicaId.host(later) === replicaId.host(id)
+    )
+  );
+}
--- /dev/null
+++ b/src/control/log/mod.ts
@@ -0,0 +1,13 @@
+/** Replicated log: a majority of the hosts with disks agrees on one sequence
+ * of commands. The replica is pure; journal and runner are its shell.
+ * @module */
+
+export * from "./errors.ts";
+export * from "./journal.ts";
+export * from "./machine.ts";
+export * from "./replica.ts";
+export * from "./runner.ts";
+export type * from "./runner_options.ts";
+export type * from "./state.ts";
+export * as members from "./members.ts";
+export * as replicaId from "./replica_id.ts";
--- /dev/null
+++ b/src/control/log/replication.ts
@@ -0,0 +1,266 @@
+/** The leader's part in replication: entries out, answers in, commit.
+ * @module */
+
+import type * as schema from "../../schema/log_types.ts";
+import * as change from "./change.ts";
+import * as drafts from "./draft.ts";
+import * as lease from "./lease.ts";
+import * as members from "./members.ts";
+import * as snapshots from "./snapshots.ts";
+import type * as state from "./state.ts";
+import * as transfer from "./transfer.ts";
+
+/** Takes office: opens the term with an entry of its own. */
+export function lead(draft: drafts.Draft): void {
+  const { state, now } = draft;
+  const founders = state.founders;
+  state.founders = undefined;
+  state.votes = [];
+  state.progress = {};
+  state.joining = {};
+  state.electedAt = now;
+  state.opened = state.log.last.index + 1;
+  state.heartbeatAt = now + state.timing.heartbeat;
+  state.leaseFloor = -Infinity;
+  drafts.setRole(draft, "leader", state.id);
+  otherMembers(state).forEach((id) => setProgress(draft, id, {}));
+  if (founders) setMembers(draft, { voters: [...founders], learners: [] });
+  else append(draft, [{}]);
+}
+
+/** Takes commands into the log, or says why not. */
+export function propose(
+  draft: drafts.Draft,
+  commands: readonly schema.Command[],
+): void {
+  const { state, effects, now } = draft;
+  const { role, leader } = state;
+  const leads = role === "leader" && state.transferEnd === undefined;
+  if (!leads) {
+    effects.push({ type: "reject", reason: "not-leader", leader });
+  } else if (!lease.isHeld(state, now)) {
+    effects.push({ type: "reject", reason: "no-quorum" });
+  } else {
+    const index = state.log.last.index + 1;
+    effects.push({ type: "appended", index, term: state.term });
+    append(draft, commands.map((command) => ({ command })));
+  }
+}
+
+/** Puts another set of members into the log; it counts from then on. */
+export function setMembers(draft: drafts.Draft, next: schema.Members): void {
+  append(draft, [{ members: next }]);
+}
+
+/** Sends to each other member a sign of life, or asks again what it has. */
+export function beat(draft: drafts.Draft): void {
+  const { state, now } = draft;
+  state.heartbeatAt = now + state.timing.heartbeat;
+  for (const id of otherMembers(state)) {
+    const { match, sent } = progressOf(draft, id);
+    // What was not answered within a heartbeat counts as lost.
+    const lost = sent + state.timing.heartbeat <= now;
+    if (match < state.log.last.index && lost && isRecent(draft, id)) {
+      setProgress(draft, id, { next: match + 1, known: false });
+      sendAppend(draft, id);
+    } else {
+      const commit = Math.min(match, state.commit);
+      const at = Math.floor(now);
+      const { term } = state;
+      drafts.send(draft, id, { type: "heartbeat", term, commit, at });
+    }
+  }
+}
+
+/** Whether a replica has answered within an election timeout. */
+export function isRecent(draft: drafts.Draft, id: string): boolean {
+  const { answered } = progressOf(draft, id);
+  return answered + draft.state.timing.electionLeast > draft.now;
+}
+
+/** Takes a sign of life. */
+export function handleHeartbeatReply(
+  draft: drafts.Draft,
+  from: string,
+  body: schema.HeartbeatReply,
+): void {
+  noteAnswer(draft, from, body.at);
+}
+
+/** Takes a follower's answer to entries. */
+export function handleAppended(
+  draft: drafts.Draft,
+  from: string,
+  body: schema.Appended,
+): void {
+  const { state } = draft;
+  if (from === state.id) return advanceCommit(draft);
+  noteAnswer(draft, from, body.at);
+  const progress = progressOf(draft, from);
+  if (body.ok) {
+    const match = Math.max(progress.match, body.match);
+    const next = Math.max(progress.next, match + 1);
+    setProgress(draft, from, { match, next, known: true, snapshot: undefined });
+    advanceCommit(draft);
+  } else if (refuses(progress, body)) {
+    const next = Math.max(progress.match, body.match) + 1;
+    setProgress(draft, from, {
+      next: Math.min(next, body.previous),
+      known: false,
+    });
+  } else return;
+  if (progressOf(draft, from).next <= state.log.last.index) {
+    sendAppend(draft, from);
+  }
+  transfer.handOver(draft);
+}
+
+/** Sends a follower what it lacks, as far as the window allows; while it is
+ * not known what the follower has, only asks for that. */
+export function sendAppend(draft: drafts.Draft, id: string): void {
+  const { state, now } = draft;
+  let progress = progressOf(draft, id);
+  do {
+    const previous = progress.next - 1;
+    const previousTerm = state.log.term(previous);
+    if (previousTerm === undefined) return snapshots.send(draft, id);
+    const limit = progress.match + state.sizes.window;
+    const last = Math.min(previous + state.sizes.batch, limit);
+    const { known } = progress;
+    const entries = known ? state.log.slice(progress.next, last) : [];
+    drafts.send(draft, id, {
+      type: "append",
+      term: state.term,
+      previous,
+      previousTerm,
+      entries,
+      commit: state.commit,
+      at: Math.floor(now),
+    });
+    const next = progress.next + entries.length;
+    progress = setProgress(draft, id, { next, sent: now });
+    if (entries.length === 0) return;
+  } while (progress.next <= state.log.last.index);
+}
+
+/** Whether a refusal is about what was sent last. */
+function refuses(progress: state.Progress, body: schema.Appended): boolean {
+  if (progress.known) return body.previous > progress.match;
+  return body.previous === progress.next - 1 && progress.next > 1;
+}
+
+/** Notes that a message sent at `at` was answered. */
+export function noteAnswer(
+  draft: drafts.Draft,
+  from: string,
+  at: number,
+): void {
+  const { answered } = progressOf(draft, from);
+  setProgress(draft, from, { answered: Math.max(answered, at) });
+}
+
+/** What is known of another replica. */
+export function progressOf(draft: drafts.Draft, id: string): state.Progress {
+  const { state } = draft;
+  return state.progress[id] ?? {
+    match: 0,
+    next: state.log.last.index + 1,
+    known: false,
+    answered: -Infinity,
+    sent: -Infinity,
+    since: draft.now,
+  };
+}
+
+/** Changes what is known of another replica. */
+export function setProgress(
+  draft: drafts.Draft,
+  id: string,
+  change: Partial<state.Progress>,
+): state.Progress {
+  const { state } = draft;
+  const next = { ...progressOf(draft, id), ...change };
+  state.progress = { ...state.progress, [id]: next };
+  return next;
+}
+
+/** Hands committed entries over, each once. */
+export function setCommit(draft: drafts.Draft, commit: number): void {
+  const { state } = draft;
+  if (commit <= state.commit) return;
+  if (commit > state.log.last.index) {
+    throw new Error(`entry ${commit} is committed but not here`);
+  }
+  state.commit = commit;
+  const entries = state.log.slice(state.applied + 1, commit);
+  state.applied = commit;
+  draft.effects.push({ type: "apply", entries });
+  snapshots.askIfLong(draft);
+}
+
+type Payload = Omit<schema.Entry, "index" | "term">;
+
+function append(draft: drafts.Draft, payloads: readonly Payload[]): void {
+  const { state } = draft;
+  const start = state.log.last.index + 1;
+  const entries = payloads.map((payload, pos) => ({
+    index: start + pos,
+    term: state.term,
+    ...payload,
+  }));
+  state.log = state.log.append(entries);
+  noteMembers(draft, entries);
+  drafts.persist(draft, { type: "entries", entries });
+  const { index: match } = state.log.last;
+  drafts.sendDurable(draft, state.id, {
+    type: "appended",
+    term: state.term,
+    ok: true,
+    previous: start - 1,
+    match,
+    at: 0,
+  });
+  for (const id of otherMembers(state)) {
+    const { known, sent } = progressOf(draft, id);
+    if (known || sent === -Infinity) sendAppend(draft, id);
+  }
+}
+
+/** Notes the sets of members that entries bring. */
+export function noteMembers(
+  draft: drafts.Draft,
+  entries: readonly schema.Entry[],
+): void {
+  const { state } = draft;
+  for (const { index, members } of entries) {
+    if (!members) continue;
+    state.configurations = [...state.configurations, { index, members }];
+  }
+}
+
+function otherMembers(from: state.State): string[] {
+  const current = members.all(drafts.currentMembers(from));
+  return current.filter((id) => id !== from.id);
+}
+
+function advanceCommit(draft: drafts.Draft): void {
+  const { state } = draft;
+  const { voters } = drafts.currentMembers(state);
+  const match = members.reached(voters, (id) => {
+    if (id === state.id) return durableLast(state);
+    return state.progress[id]?.match ?? 0;
+  });
+  // Entries of earlier terms are committed by one of this term only.
+  if (state.log.term(match) !== state.term) return;
+  setCommit(draft, match);
+  change.reconcile(draft);
+}
+
+/** Last index that is durable on this replica. */
+function durableLast(from: state.State): number {
+  const waiting = from.held.find(({ to, body }) =>
+    to === from.id && body.type === "appended"
+  );
+  if (waiting?.body.type !== "appended") return from.log.last.index;
+  return waiting.body.previous;
+}
--- /dev/null
+++ b/src/control/log/snapshots.ts
@@ -0,0 +1,168 @@
+/** Snapshots: taken when the log has grown, sent in chunks to a follower that
+ * lacks what the log no longer holds.
+ * @module */
+
+import type * as schema from "../../schema/log_types.ts";
+import * as drafts from "./draft.ts";
+import * as entries from "./entries.ts";
+import * as replication from "./replication.ts";
+
+/** Asks the shell for a snapshot once enough was applied since the last. */
+export function askIfLong(draft: drafts.Draft): void {
+  const { state } = draft;
+  const last = state.snapshot?.position.index ?? 0;
+  const since = Math.max(last, state.snapshotAsked);
+  if (state.applied - since < state.sizes.snapshot) return;
+  state.snapshotAsked = state.applied;
+  draft.effects.push({ type: "need-snapshot", index: state.applied });
+}
+
+/** Takes the state machine's state and drops entries that it covers. */
+export function take(
+  draft: drafts.Draft,
+  index: number,
+  data: string,
+): void {
+  const { state } = draft;
+  if (index <= (state.snapshot?.position.index ?? 0)) return;
+  const term = state.log.term(index);
+  if (term === undefined || index > state.applied) return;
+  const { members } = state.configurations.findLast((configuration) =>
+    configuration.index <= index
+  )!;
+  state.snapshot = { position: { index, term }, members, data };
+  const keep = index - state.sizes.trailing;
+  if (keep > state.log.base.index) state.log = state.log.compact(keep);
+  forgetMembers(draft, index);
+  persist(draft);
+}
+
+/** Sends the next chunk of the snapshot. */
+export function send(draft: drafts.Draft, id: string): void {
+  const { state, now } = draft;
+  const { position, members, data } = state.snapshot!;
+  const known = replication.progressOf(draft, id).snapshot;
+  const offset = known?.index === position.index ? known.offset : 0;
+  replication.setProgress(draft, id, {
+    sent: now,
+    known: false,
+    snapshot: { index: position.index, offset },
+  });
+  drafts.send(draft, id, {
+    type: "snapshot",
+    term: state.term,
+    index: position.index,
+    indexTerm: position.term,
+    members,
+    offset,
+    length: data.length,
+    data: data.slice(offset, offset + state.sizes.chunk),
+    at: Math.floor(now),
+  });
+}
+
+/** Takes a chunk; installs the snapshot when it is whole. */
+export function handleChunk(
+  draft: drafts.Draft,
+  from: string,
+  body: schema.SnapshotChunk,
+): void {
+  const { state } = draft;
+  if (body.index <= state.commit) return acknowledge(draft, from, body);
+  const { arrival } = state;
+  const same = arrival?.leader === from && arrival.term === body.term &&
+    arrival.index === body.index;
+  let parts = same ? arrival.parts : [];
+  let offset = same ? arrival.offset : 0;
+  if (body.offset === offset) {
+    parts = [...parts, body.data];
+    offset += body.data.length;
+  }
+  const { term, index, length, at } = body;
+  state.arrival = { leader: from, term, index, parts, offset };
+  if (offset < length) {
+    const reply = { type: "snapshot-reply" as const, term, index, offset, at };
+    return drafts.send(draft, from, reply);
+  }
+  install(draft, body, parts.join(""));
+  acknowledge(draft, from, body);
+}
+
+/** Sends the chunk that a follower asks for. */
+export function handleReply(
+  draft: drafts.Draft,
+  from: string,
+  body: schema.SnapshotReply,
+): void {
+  const { state } = draft;
+  replication.noteAnswer(draft, from, body.at);
+  const { snapshot } = replication.progressOf(draft, from);
+  const { index, offset } = body;
+  if (snapshot?.index !== index || snapshot.offset === offset) return;
+  if (state.snapshot?.position.index !== index) return;
+  replication.setProgress(draft, from, { snapshot: { index, offset } });
+  send(draft, from);
+}
+
+function install(
+  draft: drafts.Draft,
+  body: schema.SnapshotChunk,
+  data: string,
+): void {
+  const { state } = draft;
+  const { index, indexTerm: term, members } = body;
+  const position = { index, term };
+  const snapshot = { position, members, data };
+  state.arrival = undefined;
+  state.snapshot = snapshot;
+  // Entries that follow on the same position may still count.
+  const continues = state.log.term(index) === term;
+  state.log = continues
+    ? state.log.compact(index)
+    : entries.Entries.create(position);
+  const later = continues
+    ? state.configurations.filter((other) => other.index > index)
+    : [];
+  state.configurations = [{ index, members }, ...later];
+  state.commit = index;
+  state.applied = index;
+  state.snapshotAsked = index;
+  persist(draft);
+  draft.effects.push({ type: "restore", snapshot });
+}
+
+function acknowledge(
+  draft: drafts.Draft,
+  from: string,
+  body: schema.SnapshotChunk,
+): void {
+  const { term, index, at } = body;
+  drafts.sendDurable(draft, from, {
+    type: "appended",
+    term,
+    ok: true,
+    previous: index,
+    match: index,
+    at,
+  });
+}
+
+function persist(draft: drafts.Draft): void {
+  const { snapshot, log, term, vote } = draft.state;
+  const start = snapshot!.position.index + 1;
+  drafts.persist(draft, {
+    type: "snapshot",
+    snapshot: snapshot!,
+    entries: log.slice(start, log.last.index),
+    term,
+    vote,
+  });
+}
+
+function forgetMembers(draft: drafts.Draft, index: number): void {
+  const { state } = draft;
+  const first = state.configurations.findLastIndex((configuration) =>
+    configuration.index <= index
+  );
+  state.configurations = state.configurations.slice(first);
+}
--- /dev/null
+++ b/src/control/log/state.ts
@@ -0,0 +1,200 @@
+/** State of a replica, with the events it takes and the effects it gives.
+ * @module */
+
+import type * as runtime from "../../runtime/mod.ts";
+import type * as schema from "../../schema/log_types.ts";
+import type * as entries from "./entries.ts";
+import type * as members from "./members.ts";
+
+/** Times in milliseconds. `lease` must end before `electionLeast` even on a
+ * clock that runs slow against another's by the quotient of the two. */
+export interface Timing {
+  readonly heartbeat: number;
+  readonly electionLeast: number;
+  readonly electionMost: number;
+  readonly lease: number;
+  /** A learner that is silent for so long is dropped. */
+  readonly learnerSilence: number;
+}
+
+/** Defaults: links of a few milliseconds, clocks that differ by up to a
+ * quarter of their rate. */
+export const TIMING: Timing = {
+  heartbeat: 100,
+  electionLeast: 300,
+  electionMost: 600,
+  lease: 240,
+  learnerSilence: 10_000,
+};
+
+/** Sizes in entries, but for `chunk` in characters. */
+export interface Sizes {
+  /** Most entries in one message. */
+  readonly batch: number;
+  /** Most entries on their way to one follower. */
+  readonly window: number;
+  /** Entries applied since the last snapshot that call for another. */
+  readonly snapshot: number;
+  /** Entries kept behind a snapshot for followers that lag. */
+  readonly trailing: number;
+  /** Most of a snapshot in one message. */
+  readonly chunk: number;
+}
+
+/** Default sizes. */
+export const SIZES: Sizes = {
+  batch: 256,
+  window: 4096,
+  snapshot: 2000,
+  trailing: 500,
+  chunk: 64 * 1024,
+};
+
+/** State machine's state at a position, with the members there. */
+export interface Snapshot {
+  readonly position: entries.Position;
+  readonly members: schema.Members;
+  /** JSON text. */
+  readonly data: string;
+}
+
+/** What a replica finds on its disk. */
+export interface Durable {
+  readonly term: number;
+  readonly vote?: string;
+  readonly snapshot?: Snapshot;
+  /** Entries that follow on the snapshot. */
+  readonly entries: readonly schema.Entry[];
+}
+
+/** What the part of a leader knows of one other replica. */
+export interface Progress {
+  /** Last index known to be durable there. */
+  readonly match: number;
+  readonly next: number;
+  /** Whether `match` is known, so that appends may run ahead of answers. */
+  readonly known: boolean;
+  /** Leader's clock in the last message that it has answered. */
+  readonly answered: number;
+  /** When entries or a chunk were last sent. */
+  readonly sent: number;
+  /** When the leader first heard of it. */
+  readonly since: number;
+  /** Characters of the snapshot at `index` that it has. */
+  readonly snapshot?: { readonly index: number; readonly offset: number };
+}
+
+/** A snapshot that arrives in chunks. */
+export interface Arrival {
+  readonly leader: string;
+  readonly term: number;
+  readonly index: number;
+  readonly parts: readonly string[];
+  readonly offset: number;
+}
+
+/** A message that waits until a write is durable. */
+export interface Held {
+  readonly write: number;
+  readonly to: string;
+  readonly body: schema.LogMessage;
+}
+
+/** Part that a replica plays now. */
+export type Role = "follower" | "pre-candidate" | "candidate" | "leader";
+
+/** Whole state of a replica. */
+export interface State {
+  readonly id: schema.ReplicaId;
+  /** Hosts that the settings name as voters. */
+  readonly hosts: readonly string[];
+  readonly timing: Timing;
+  readonly sizes: Sizes;
+  readonly random: runtime.Random;
+
+  readonly term: number;
+  readonly vote?: string;
+  readonly log: entries.Entries;
+  readonly snapshot?: Snapshot;
+  readonly configurations: readonly members.Configuration[];
+  readonly commit: number;
+  readonly applied: number;
+
+  readonly role: Role;
+  readonly leader?: string;
+  /** When a leader was last heard, or the replica started. */
+  readonly heard: number;
+  readonly electionAt: number;
+  readonly votes: readonly string[];
+  /** First members while they are being agreed on; all must vote. */
+  readonly founders?: readonly string[];
+  /** Empty folders found by probing, by host. */
+  readonly found: Readonly<Record<string, string>>;
+  readonly arrival?: Arrival;
+
+  readonly progress: Readonly<Record<string, Progress>>;
+  readonly heartbeatAt: number;
+  /** Index of the entry that opened the leader's term. */
+  readonly opened: number;
+  readonly electedAt: number;
+  /** No answer to a message from before this time counts for the lease. */
+  readonly leaseFloor: number;
+  /** When the leader gives up waiting for the one it hands over to. */
+  readonly transferEnd?: number;
+  /** The one that was asked to take over. */
+  readonly transferTo?: string;
+  /** Folders that have asked the leader to be added, by host. */
+  readonly joining: Readonly<Record<string, string>>;
+
+  /** Writes asked for, and how many of them are durable. */
+  readonly written: number;
+  readonly synced: number;
+  readonly held: readonly Held[];
+  readonly snapshotAsked: number;
+}
+
+/** What happens to a replica. */
+export type Event =
+  | { type: "tick" }
+  | { type: "message"; host: string; body: schema.LogMessage }
+  | { type: "propose"; commands: readonly schema.Command[] }
+  /** All writes up to and including number `write` are durable. */
+  | { type: "synced"; write: number }
+  /** The state machine's state at `index`, as asked for. */
+  | { type: "snapshot"; index: number; data: string }
+  /** Time has passed that the clock did not count. */
+  | { type: "resumed" }
+  | { type: "hosts"; hosts: readonly string[] }
+  /** Takes a replica out that will not come back. */
+  | { type: "remove"; id: schema.ReplicaId }
+  /** Hands leadership over before a stop. */
+  | { type: "transfer" };
+
+/** Something to be made durable. Entries replace all from the first's index
+ * on. */
+export type LogRecord =
+  | { type: "vote"; term: number; vote?: string }
+  | { type: "entries"; entries: readonly schema.Entry[] }
+  | {
+    type: "snapshot";
+    snapshot: Snapshot;
+    /** Entries that are kept behind it. */
+    entries: readonly schema.Entry[];
+    term: number;
+    vote?: string;
+  };
+
+/** What the shell must do. */
+export type Effect =
+  | { type: "send"; to: string; body: schema.LogMessage }
+  | { type: "persist"; write: number; record: LogRecord }
+  | { type: "apply"; entries: readonly schema.Entry[] }
+  /** Replaces the state machine's state. */
+  | { type: "restore"; snapshot: Snapshot }
+  /** The commands of the event stand from `index` on. */
+  | { type: "appended"; index: number; term: number }
+  /** The commands of the event were not taken. */
+  | { type: "reject"; reason: "not-leader" | "no-quorum"; leader?: string }
+  | { type: "role"; role: Role; term: number; leader?: string }
+  /** The shell answers with a `snapshot` event. */
+  | { type: "need-snapshot"; index: number };
--- /dev/null
+++ b/src/storage/storage_test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import * as fs from "node:fs/promises";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as storage from "./mod.ts";
+
+function createFolder(): Promise<string> {
+  return fs.mkdtemp(path.join(os.tmpdir(), "chicoryloft-storage-"));
+}
+
+function text(bytes: Uint8Array | undefined): string | undefined {
+  return bytes && Buffer.from(bytes).toString();
+}
+
+test("keeps files over closing and opening again", async (t) => {
+  const folder = await createFolder();
+  const first = await storage.FileStorage.open(folder);
+  await first.append("log", Buffer.from("one "));
+  await first.append("log", Buffer.from("two"));
+  await first.replace("other", Buffer.from("x"));
+  await first.truncate("log", 5);
+  await first.close();
+  const second = await storage.FileStorage.open(folder);
+  t.is(text(await second.read("log")), "one t");
+  t.deepEqual(await second.list(), ["log", "other"]);
+  await second.remove("other");
+  t.is(await second.read("other"), undefined);
+  await second.close();
+});
+
+test("refuses a folder that another writer holds", async (t) => {
+  const folder = await createFolder();
+  const first = await storage.FileStorage.open(folder);
+  const failure = await t.throwsAsync(storage.FileStorage.open(folder));
+  t.is((failure as storage.StorageError).kind, "locked");
+  await first.close();
+  await (await storage.FileStorage.open(folder)).close();
+});
+
+test("takes over the lock of a process that has ended", async (t) => {
+  const folder = await createFolder();
+  const owner = { process: 2 ** 22 + 1, started: "1", token: "gone" };
+  await fs.writeFile(path.join(folder, "lock"), JSON.stringify(owner));
+  const opened = await storage.FileStorage.open(folder);
+  t.deepEqual(await opened.list(), []);
+  await opened.close();
+});
+
+test("takes over the lock of an earlier process of the same number", async (t) => {
+  const folder = await createFolder();
+  const owner = { process: process.pid, started: "1", token: "gone" };
+  await fs.writeFile(path.join(folder, "lock"), JSON.stringify(owner));
+  await (await storage.FileStorage.open(folder)).close();
+  t.pass();
+});
+
+test("removes what an interrupted replacement left behind", async (t) => {
+  const folder = await createFolder();
+  await fs.writeFile(path.join(folder, "log.12ab.tmp"), "half");
+  const opened = await storage.FileStorage.open(folder);
+  t.deepEqual(await opened.list(), []);
+  await opened.close();
+});
+
+test("fails all writes after one that failed", async (t) => {
+  const opened = await storage.FileStorage.open(await createFolder());
+  const bytes = Buffer.from("x");
+  await t.throwsAsync(opened.append("no/such/folder", bytes));
+  const failure = await t.throwsAsync(opened.append("log", bytes));
+  t.is((failure as storage.StorageError).kind, "failed");
+  await opened.close();
+});
+
+test("forgets unsynced writes at a crash of the fake", async (t) => {
+  const disk = storage.MemoryStorage.create({ manual: true });
+  const synced = disk.append("log", Buffer.from("kept "));
+  disk.sync();
+  await synced;
+  const lost = disk.append("log", Buffer.from("lost"));
+  const after = disk.crash({ type: "cut", bytes: 2 });
+  await t.throwsAsync(lost);
+  t.is(text(await after.read("log")), "kept lo");
+});
