--- /dev/null
+++ b/src/routing/load.ts
@@ -0,0 +1,95 @@
+/** Predicted load of one endpoint, from this host's own calls in flight and
+ * from reports that come late. Hosts share no counts: what a report says
+ * beyond this host's own part is the work of other hosts.
+ * @module */
+
+import type * as event from "../request/event.ts";
+
+/** Milliseconds in which a report loses half of its weight. */
+const HALF_LIFE = 4000;
+/** Milliseconds for which a report counts in full. */
+const FRESH = 1000;
+/** Changes of the own count that are kept. */
+const HISTORY = 32;
+/** Milliseconds within which changes of the own count are kept as one. */
+const GRAIN = 50;
+
+/** Calls that an endpoint has running and waiting; changed in place. */
+export class Load {
+  #own = 0;
+  #foreign = 0;
+  #reported = -Infinity;
+  #times: number[] = [];
+  #counts: number[] = [];
+
+  /** Load of an endpoint of which nothing is known yet. */
+  static create(): Load {
+    return new Load();
+  }
+
+  /** Calls of this host in flight. */
+  get own(): number {
+    return this.#own;
+  }
+
+  /** When the last report was made; minus infinity before the first. */
+  get reported(): number {
+    return this.#reported;
+  }
+
+  /** Counts a call that this host sends. */
+  send(now: number): void {
+    this.#set(this.#own + 1, now);
+  }
+
+  /** Counts a call of this host that ended, however it did. */
+  end(now: number): void {
+    this.#set(Math.max(0, this.#own - 1), now);
+  }
+
+  /** Takes a report; one older than the last taken is ignored. */
+  report(load: event.Load, now: number): void {
+    const at = Math.min(load.at, now);
+    if (at < this.#reported) return;
+    this.#reported = at;
+    const total = load.running + load.waiting;
+    this.#foreign = Math.max(0, total - this.ownAt(at));
+  }
+
+  /** Own calls that were in flight at an earlier time, as far as kept. */
+  ownAt(at: number): number {
+    let pos = this.#times.length - 1;
+    while (pos >= 0 && this.#times[pos] > at) pos--;
+    if (pos >= 0) return this.#counts[pos];
+    return this.#times.length < HISTORY ? 0 : this.#counts[0];
+  }
+
+  /** Calls of other hosts; a stale report fades towards `prior`. */
+  foreign(now: number, prior = 0): number {
+    const stale = now - this.#reported - FRESH;
+    if (stale <= 0) return this.#foreign;
+    const weight = 2 ** (-stale / HALF_LIFE);
+    return prior + (this.#foreign - prior) * weight;
+  }
+
+  /** All calls that the endpoint is believed to have. */
+  predict(now: number, prior = 0): number {
+    return this.#own + this.foreign(now, prior);
+  }
+
+  #set(own: number, now: number): void {
+    this.#own = own;
+    const last = this.#times.length - 1;
+    if (last > 0 && now - this.#times[last - 1] < GRAIN) {
+      this.#times[last] = now;
+      this.#counts[last] = own;
+      return;
+    }
+    if (this.#times.length === HISTORY) {
+      this.#times.shift();
+      this.#counts.shift();
+    }
+    this.#times.push(now);
+    this.#counts.push(own);
+  }
+}
