--- /dev/null
+++ b/src/routing/group.ts
@@ -0,0 +1,226 @@
+/** Endpoints of one service as routing sees them: load, health, belief about
+ * their caches, and pools from which one is chosen.
+ * @module */
+
+import type * as endpoint from "../schema/endpoint_types.ts";
+import type * as event from "../request/event.ts";
+import type * as runtime from "../runtime/mod.ts";
+import * as ejection from "./ejection.ts";
+import type * as health from "./health.ts";
+import * as load from "./load.ts";
+import * as pool from "./pool.ts";
+import * as prefix from "./prefix.ts";
+import * as ring from "./ring.ts";
+
+/** Where a host is and what it draws random numbers from. */
+export interface GroupOptions {
+  dataCentre: string;
+  random: runtime.Random;
+  /** Milliseconds to another data centre and back. */
+  latency?: number;
+}
+
+/** How a call ended. */
+export interface Ended {
+  /** Undefined where the end says nothing of the endpoint's health. */
+  seen?: health.Observation;
+  /** Milliseconds that the call took, where it ended well. */
+  service?: number;
+}
+
+/** Milliseconds to another data centre and back. */
+const FAR = 2.5;
+/** Weight of the newest call in the mean time of a call. */
+const ALPHA = 0.02;
+/** Members without room looked at again with each choice, in each pool. */
+const REOPENED = 2;
+
+/** Members of one service; changed in place. */
+export class Group {
+  readonly ejection = ejection.Ejection.create();
+  readonly prefixes = prefix.Prefixes.create();
+  readonly ring = ring.Ring.create();
+  readonly random: runtime.Random;
+  #dataCentre: string;
+  #latency: number;
+  #members = new Map<string, pool.Member>();
+  #pools = new Map<endpoint.EngineRole, Map<string, pool.Pool>>();
+  #own = 0;
+  #foreign = 0;
+  #slots = 0;
+  #service = 0;
+
+  private constructor(options: GroupOptions) {
+    this.random = options.random;
+    this.#dataCentre = options.dataCentre;
+    this.#latency = options.latency ?? FAR;
+  }
+
+  /** A group without members. */
+  static create(options: GroupOptions): Group {
+    return new Group(options);
+  }
+
+  /** Number of members, draining ones included. */
+  get size(): number {
+    return this.#members.size;
+  }
+
+  /** Mean time of a call in milliseconds; 0 before the first. */
+  get service(): number {
+    return this.#service;
+  }
+
+  /** Calls in the group over those it runs side by side. */
+  get utilisation(): number {
+    return this.#slots === 0 ? 0 : this.total / this.#slots;
+  }
+
+  /** Calls in the group, of this and of other hosts. */
+  get total(): number {
+    return this.#own + this.#foreign;
+  }
+
+  /** Calls that the group runs side by side. */
+  get slots(): number {
+    return this.#slots;
+  }
+
+  /** A member by its id. */
+  member(id: string): pool.Member | undefined {
+    return this.#members.get(id);
+  }
+
+  /** Ids of all members. */
+  ids(): IterableIterator<string> {
+    return this.#members.keys();
+  }
+
+  /** Pools of a role by data centre. */
+  pools(role: endpoint.EngineRole): Iterable<pool.Pool> {
+    return this.#pools.get(role)?.values() ?? [];
+  }
+
+  /** Adds an endpoint, or takes in what changed of it. */
+  put(described: event.Endpoint): void {
+    const known = this.#members.get(described.id);
+    if (known !== undefined && same(known.endpoint, described)) return;
+    const member = known ?? this.#enter(described);
+    this.#slots += described.slots - (known?.endpoint.slots ?? 0);
+    member.pool?.remove(member);
+    member.endpoint = described;
+    if (described.state === "ready") this.#poolOf(described).add(member);
+  }
+
+  /** Removes an endpoint that is gone. */
+  remove(id: string): void {
+    const member = this.#members.get(id);
+    if (member === undefined) return;
+    member.pool?.remove(member);
+    this.#members.delete(id);
+    this.#slots -= member.endpoint.slots;
+    this.#own -= member.load.own;
+    this.#foreign -= member.foreign;
+    this.ejection.remove(id);
+    this.prefixes.forget(id);
+    this.ring.remove(id);
+  }
+
+  /** Takes a load report. */
+  report(id: string, seen: event.Load, now: number): void {
+    const member = this.#members.get(id);
+    if (member === undefined) return;
+    member.load.report(seen, now);
+    member.kvUsed = seen.kvUsed;
+    const foreign = member.load.foreign(now);
+    this.#foreign += foreign - member.foreign;
+    member.foreign = foreign;
+    this.settle(member, now);
+  }
+
+  /** Counts a call that is sent to a member. */
+  send(id: string, blocks: readonly string[], now: number): void {
+    const member = this.#members.get(id);
+    if (member === undefined) return;
+    member.load.send(now);
+    this.#own++;
+    this.ejection.send(id, now);
+    if (blocks.length > 0) this.prefixes.send(id, blocks, now);
+    this.settle(member, now);
+  }
+
+  /** Counts the end of a call that was sent to a member. */
+  end(id: string, ended: Ended, now: number): void {
+    if (ended.service !== undefined) this.#learn(ended.service);
+    const member = this.#members.get(id);
+    if (member === undefined) return;
+    if (member.load.own > 0) this.#own--;
+    member.load.end(now);
+    if (ended.seen) this.ejection.observe(id, ended.seen, now);
+    this.settle(member, now);
+  }
+
+  /** Calls that a member is believed to have. */
+  load(member: pool.Member, now: number): number {
+    const prior = this.#foreign / this.#members.size;
+    return member.load.predict(now, prior);
+  }
+
+  /** Whether a member can run one more call at once; moves it in its pool. */
+  settle(member: pool.Member, now: number): boolean {
+    const open = this.load(member, now) <= member.endpoint.slots - 1;
+    member.pool?.place(member, open);
+    return open && member.pool !== undefined;
+  }
+
+  /** Looks again at a few members without room: reports fade. */
+  refresh(pools: Iterable<pool.Pool>, now: number): void {
+    for (const one of pools) {
+      for (let count = 0; count < REOPENED; count++) {
+        const member = one.next();
+        if (member !== undefined) this.settle(member, now);
+      }
+    }
+  }
+
+  #enter(described: event.Endpoint): pool.Member {
+    const member: pool.Member = {
+      endpoint: described,
+      load: load.Load.create(),
+      kvUsed: 0,
+      foreign: 0,
+      pool: undefined,
+      open: false,
+      pos: 0,
+    };
+    this.#members.set(described.id, member);
+    this.ejection.add(described.id);
+    this.ring.add(described.id);
+    return member;
+  }
+
+  #poolOf(described: event.Endpoint): pool.Pool {
+    let pools = this.#pools.get(described.role);
+    if (pools === undefined) {
+      pools = new Map();
+      this.#pools.set(described.role, pools);
+    }
+    let found = pools.get(described.dataCentre);
+    if (found === undefined) {
+      const near = described.dataCentre === this.#dataCentre;
+      found = pool.Pool.create(near, near ? 0 : this.#latency);
+      pools.set(described.dataCentre, found);
+    }
+    return found;
+  }
+
+  #learn(service: number): void {
+    const alpha = this.#service === 0 ? 1 : ALPHA;
+    this.#service += alpha * (service - this.#service);
+  }
+}
+
+function same(a: event.Endpoint, b: event.Endpoint): boolean {
+  return a.service === b.service && a.dataCentre === b.dataCentre &&
+    a.slots === b.slots && a.role === b.role && a.state === b.state;
+}
--- /dev/null
+++ b/src/routing/router_test.ts
@@ -0,0 +1,44 @@
+import test from "ava";
+import type * as event from "../request/event.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as router from "./router.ts";
+
+function endpoint(id: string, service: string): event.Endpoint {
+  const place = { dataCentre: "here", slots: 1, state: "ready" as const };
+  return { id, service, kind: "plain", role: "both", ...place };
+}
+
+function call() {
+  const prompt = { work: 10, prefill: 0, prefix: [] };
+  return { ...prompt, role: "both" as const, avoid: [], probe: false };
+}
+
+test("chooses among a service's endpoints as they come and go", (t) => {
+  const random = runtime.createRandom(1);
+  const one = router.Router.create({ dataCentre: "here", random });
+  const list = [endpoint("a", "billing"), endpoint("b", "gear-log")];
+  one.update({ type: "endpoints", endpoints: list }, 0);
+  t.is(one.choose("billing", call(), 0)?.endpoint, "a");
+  const moved = [endpoint("b", "billing")];
+  one.update({ type: "endpoints", endpoints: moved }, 1);
+  t.is(one.choose("billing", call(), 1)?.endpoint, "b");
+  t.is(one.choose("gear-log", call(), 1), undefined);
+});
+
+test("holds a reported load against its endpoint", (t) => {
+  const random = runtime.createRandom(1);
+  const one = router.Router.create({ dataCentre: "here", random });
+  one.update({ type: "endpoints", endpoints: [endpoint("a", "x")] }, 0);
+  const load = { running: 1, waiting: 0, kvUsed: 0, at: 0 };
+  one.update({ type: "load", endpoint: "a", load }, 0);
+  t.is(one.choose("x", call(), 0), undefined);
+});
+
+test("spends on hedges what the table allows, on retries a share", (t) => {
+  const random = runtime.createRandom(1);
+  const one = router.Router.create({ dataCentre: "here", random });
+  for (let count = 0; count < 20; count++) one.request("x", 0.5, 0);
+  const { retries, spend } = one.service("x", 0);
+  t.is(spend.available(0), 10);
+  t.true(Math.abs(retries.available(0) - 3) < 1e-9);
+});
