Endpoint registry: leases held by rendezvous, changes spread to all hosts

Cause: there is no list of endpoints; they announce themselves through any host, and joins, drains and departures must be known everywhere within seconds. Change: any host takes an announcement and spreads what it changes; renewals go to the holder in the endpoint's data centre only. Versions are (generation, phase, sequence), so an old renewal brings nothing back. Only the holder can tell that a lease ran out; a host that was cut off from it cannot. Copies heal by bucketed hashes, shared with membership in exchange.ts.

--- /dev/null
+++ b/src/endpoints/announce.ts
@@ -0,0 +1,128 @@
+/** Takes what endpoints say of themselves, at the host that hears it.
+ * @module */
+
+import type * as announcements from "../schema/endpoint_types.ts";
+import type * as schema from "../schema/registry_types.ts";
+import * as entries from "./entry.ts";
+import * as leases from "./lease.ts";
+import * as merges from "./merge.ts";
+import * as states from "./state.ts";
+
+/** Takes an announcement. A change spreads from here; a renewal only goes to
+ * the host that holds the lease. */
+export function announce(
+  step: states.Step,
+  id: string,
+  announcement: announcements.Announcement,
+): void {
+  const known = step.state.entries.get(id);
+  const stated = statementOf(id, announcement);
+  const refusal = known && refusalOf(step, known, stated);
+  if (refusal !== undefined) {
+    step.effects.push({ type: "refuse", id, reason: refusal });
+    return;
+  }
+  const next = known === undefined ? stated : follow(step, known, stated);
+  if (next !== known) merges.adopt(step, next, step.state.options.host);
+  leases.renew(step, next);
+  step.effects.push({
+    type: "accept",
+    id,
+    lease: states.leaseOf(step.state),
+  });
+}
+
+/** Takes the farewell of an endpoint, unless it is from an earlier run. */
+export function depart(
+  step: states.Step,
+  id: string,
+  incarnation: number | undefined,
+): void {
+  const known = step.state.entries.get(id);
+  if (known === undefined || known.phase === "left") return;
+  const { generation, declared, sequence } = known;
+  const later = declared !== undefined && incarnation !== undefined &&
+    incarnation < declared;
+  if (later) return;
+  const left: entries.Entry = {
+    id,
+    generation,
+    phase: "left",
+    sequence: sequence + 1,
+    declared,
+  };
+  merges.adopt(step, left, step.state.options.host);
+}
+
+function statementOf(
+  id: string,
+  { state, incarnation, ...rest }: announcements.Announcement,
+): entries.Entry {
+  return {
+    id,
+    generation: incarnation ?? 0,
+    phase: state ?? "ready",
+    sequence: 0,
+    declared: incarnation,
+    endpoint: endpointOf(rest),
+  };
+}
+
+/** The same keys in the same order, so that equal content gives equal text. */
+function endpointOf(
+  rest: Omit<announcements.Announcement, "state" | "incarnation">,
+): schema.Endpoint {
+  const { service, kind, url, dataCentre, slots, fencing, role, models } = rest;
+  return { service, kind, url, dataCentre, slots, fencing, role, models };
+}
+
+function refusalOf(
+  step: states.Step,
+  known: entries.Entry,
+  stated: entries.Entry,
+): states.Refusal | undefined {
+  if (startedBefore(stated, known)) return "stale";
+  if (known.phase !== "left" || isNewRun(step, known, stated)) return undefined;
+  return "left";
+}
+
+/** What is known after the statement; `known` itself when it says nothing
+ * new. */
+function follow(
+  step: states.Step,
+  known: entries.Entry,
+  stated: entries.Entry,
+): entries.Entry {
+  if (isNewRun(step, known, stated)) {
+    const generation = Math.max(known.generation + 1, stated.generation);
+    return { ...stated, generation };
+  }
+  const back = entries.PHASE[stated.phase] < entries.PHASE[known.phase];
+  const phase = back ? known.phase : stated.phase;
+  const same = phase === known.phase && known.expired === undefined &&
+    entries.contentOf(stated) === entries.contentOf(known);
+  if (same) return known;
+  const { generation, sequence } = known;
+  return { ...stated, generation, phase, sequence: sequence + 1 };
+}
+
+/** Whether the statement starts a new generation: a higher incarnation, or a
+ * phase that went back and has had time to settle. */
+function isNewRun(
+  { state, now }: states.Step,
+  known: entries.Entry,
+  stated: entries.Entry,
+): boolean {
+  if (startedBefore(known, stated)) return true;
+  if (entries.PHASE[stated.phase] >= entries.PHASE[known.phase]) return false;
+  const turnedAt = state.turned.get(known.id) ?? now;
+  const declared = stated.declared !== undefined;
+  if (declared && known.phase !== "left") return false;
+  return now - turnedAt >=
+    (declared ? states.RETURN_DELAY : states.TURN_DELAY);
+}
+
+function startedBefore(left: entries.Entry, right: entries.Entry): boolean {
+  return left.declared !== undefined && right.declared !== undefined &&
+    left.declared < right.declared;
+}
--- /dev/null
+++ b/src/endpoints/mod.ts
@@ -0,0 +1,7 @@
+/** Endpoints that announce themselves: leases, drains, departures.
+ * @module */
+
+export type { Entry, Serving } from "./entry.ts";
+export * from "./holder.ts";
+export * from "./registry.ts";
+export type { Change, Effect, Event, Options, Refusal } from "./state.ts";
--- /dev/null
+++ b/src/endpoints/registry.ts
@@ -0,0 +1,145 @@
+/** The endpoints that serve, as one host knows them.
+ * @module */
+
+import type * as schema from "../schema/registry_types.ts";
+import * as announces from "./announce.ts";
+import * as entries from "./entry.ts";
+import * as holders from "./holder.ts";
+import * as leases from "./lease.ts";
+import * as merges from "./merge.ts";
+import * as spreads from "./spread.ts";
+import * as states from "./state.ts";
+
+/** Outcome of a step. */
+export interface Result {
+  state: Registry;
+  effects: states.Effect[];
+}
+
+type Handlers<T extends { type: string }> = {
+  [K in T["type"]]: (
+    step: states.Step,
+    event: Extract<T, { type: K }>,
+    from: string,
+  ) => void;
+};
+
+type Handler = (step: states.Step, event: unknown, from: string) => void;
+
+/** An immutable view of the endpoints; `step` gives the next one. */
+export class Registry {
+  readonly #state: states.State;
+
+  private constructor(state: states.State) {
+    this.#state = state;
+  }
+
+  /** The view of a host that has just started; wake it at once. */
+  static create(options: states.Options): Registry {
+    return new Registry({
+      options,
+      entries: entries.createMap(),
+      holders: holders.Holders.create([]),
+      neighbours: [],
+      leases: new Map(),
+      nextExpiry: Infinity,
+      turned: new Map(),
+      renewals: new Map(),
+      nextRenew: Infinity,
+      news: new Map(),
+      nextNews: Infinity,
+      nextRoot: 0,
+      nextSync: 0,
+      changedAt: -Infinity,
+      agreed: false,
+      wakeAt: Infinity,
+    });
+  }
+
+  /** Takes one event at `now`, milliseconds of a monotonic clock. */
+  step(event: states.Event, now: number): Result {
+    const step: states.Step = { state: this.#state, effects: [], now };
+    const handler = handlers[event.type] as Handler;
+    handler(step, event, "");
+    const wakeAt = Math.max(now, due(step.state));
+    if (wakeAt !== this.#state.wakeAt || event.type === "wake") {
+      step.effects.push({ type: "wake", at: wakeAt });
+    }
+    const state = new Registry({ ...step.state, wakeAt });
+    return { state, effects: step.effects };
+  }
+
+  /** What is known of an endpoint, gone or not. */
+  get(id: string): entries.Entry | undefined {
+    return this.#state.entries.get(id);
+  }
+
+  /** Endpoints that serve, draining ones included. */
+  get serving(): entries.Serving[] {
+    return [...this.#state.entries.values()].filter(entries.isServing);
+  }
+
+  /** Whether this copy has once equalled that of another host. */
+  get agreed(): boolean {
+    return this.#state.agreed;
+  }
+
+  /** Hash of the serving endpoints; equal where views agree. */
+  get root(): string {
+    return this.#state.entries.root();
+  }
+
+  /** Ids of the endpoints whose leases this host holds. */
+  get held(): string[] {
+    return [...this.#state.leases.keys()];
+  }
+
+  /** For the state dump. */
+  toJSON(): object {
+    const { entries, leases, news, agreed } = this.#state;
+    return {
+      entries: [...entries.values()],
+      leases: Object.fromEntries(leases),
+      lease: states.leaseOf(this.#state),
+      pendingNews: news.size,
+      agreed,
+    };
+  }
+}
+
+function due(state: states.State): number {
+  const { nextExpiry, nextRenew, nextNews, nextRoot } = state;
+  return Math.min(nextExpiry, nextRenew, nextNews, nextRoot);
+}
+
+const handlers: Handlers<states.Event> = {
+  wake: (step) => {
+    const { now } = step;
+    if (now >= step.state.nextExpiry) leases.expire(step);
+    if (now >= step.state.nextRenew) leases.sendRenewals(step);
+    if (now >= step.state.nextNews) spreads.sendNews(step);
+    if (now >= step.state.nextRoot) spreads.sendRoot(step);
+  },
+  message: (step, { from, body }) => {
+    const handler = messages[body.type] as Handler;
+    handler(step, body, from);
+  },
+  hosts: (step, { hosts, neighbours }) => {
+    leases.takeHosts(step, hosts, neighbours);
+  },
+  announce: (step, { id, announcement }) => {
+    announces.announce(step, id, announcement);
+  },
+  depart: (step, { id, incarnation }) => {
+    announces.depart(step, id, incarnation);
+  },
+};
+
+const messages: Handlers<schema.RegistryMessage> = {
+  renew: (step, body, from) => leases.receive(step, from, body),
+  want: (step, { ids }, from) => spreads.supply(step, from, ids),
+  root: (step, { root }, from) => spreads.compareRoot(step, from, root),
+  news: (step, { news }, from) => merges.mergeAll(step, news, from),
+  compare: (step, body, from) => spreads.compare(step, from, body),
+  entries: (step, body, from) => spreads.receive(step, from, body),
+};
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -2,6 +2,7 @@
  * @module */
 
 export * from "./digest_map.ts";
+export * as exchange from "./exchange.ts";
 export * as hash from "./hash.ts";
 export { isLive, type Member, type Members } from "./member.ts";
 export * from "./membership.ts";
--- a/src/membership/spread.ts
+++ b/src/membership/spread.ts
@@ -2,12 +2,18 @@
  * @module */
 
 import type * as schema from "../schema/membership_types.ts";
-import * as digestMap from "./digest_map.ts";
+import * as exchange from "./exchange.ts";
 import * as member from "./member.ts";
 import * as merges from "./merge.ts";
 import * as probes from "./probe.ts";
 import * as states from "./state.ts";
 
+const ORDER: exchange.Order<member.Member> = {
+  compare: member.compare,
+  isLive: member.isLive,
+  limit: states.NEWS_LIMIT,
+};
+
 /** Does what is due: sends news, tries lost hosts, forgets old ones. */
 export function advance(step: states.Step): void {
   if (step.now >= step.state.nextNews) sendNews(step);
@@ -49,32 +55,17 @@
   const waited = now >= state.nextSync + states.SYNC_INTERVAL;
   if (recent || (!quiet && !waited)) return;
   step.state = { ...state, nextSync: now + states.QUIET };
-  const hashes = state.members.hashes();
-  step.effects.push({
-    type: "send",
-    to: from,
-    body: { type: "compare", hashes },
-  });
+  const body = exchange.open(state.members);
+  step.effects.push({ type: "send", to: from, body });
 }
 
 /** Answers hashes: with finer ones of groups that differ, then with members. */
 export function compare(
   step: states.Step,
   from: string,
-  { group, hashes }: schema.MemberCompare,
+  message: schema.MemberCompare,
 ): void {
-  const { members } = step.state;
-  const differing = members.differing(hashes, group);
-  if (group !== undefined) {
-    const buckets = differing.map((pos) => group * digestMap.FANOUT + pos);
-    return sendEntries(step, from, { buckets, reply: true });
-  }
-  for (const pos of differing) {
-    const body: schema.MemberCompare = {
-      type: "compare",
-      group: pos,
-      hashes: members.hashes(pos),
-    };
+  for (const body of exchange.answer(step.state.members, message, ORDER)) {
     step.effects.push({ type: "send", to: from, body });
   }
 }
@@ -83,48 +74,16 @@
 export function receive(
   step: states.Step,
   from: string,
-  { buckets, news, reply }: schema.MemberEntries,
+  message: schema.MemberEntries,
 ): void {
-  const theirs = new Map(news.map((item) => [item.id, item]));
-  const newer = buckets
-    .flatMap((pos) => step.state.members.bucket(pos))
-    .filter((known) => isNewer(known, theirs.get(known.id)));
-  merges.mergeAll(step, news, from);
-  if (!reply || newer.length === 0) return;
-  for (let pos = 0; pos < newer.length; pos += states.NEWS_LIMIT) {
-    const part = newer.slice(pos, pos + states.NEWS_LIMIT);
+  const newer = exchange.newer(step.state.members, message, ORDER);
+  merges.mergeAll(step, message.news, from);
+  if (!message.reply) return;
+  for (const part of exchange.parts(newer, states.NEWS_LIMIT)) {
     sendMembers(step, from, part);
   }
 }
 
-function sendEntries(
-  step: states.Step,
-  to: string,
-  { buckets, reply }: { buckets: number[]; reply: boolean },
-): void {
-  let part: schema.MemberEntries | undefined;
-  for (const pos of buckets) {
-    const news = step.state.members.bucket(pos);
-    if (
-      part === undefined || part.news.length + news.length > states.NEWS_LIMIT
-    ) {
-      part = { type: "entries", buckets: [], news: [], reply };
-      step.effects.push({ type: "send", to, body: part });
-    }
-    part.buckets.push(pos);
-    part.news.push(...news);
-  }
-}
-
-function isNewer(
-  known: member.Member,
-  theirs: member.Member | undefined,
-): boolean {
-  return theirs === undefined
-    ? member.isLive(known)
-    : member.compare(known, theirs) > 0;
-}
-
 function sendMembers(
   step: states.Step,
   to: string,
--- a/src/schema/membership_types.ts
+++ b/src/schema/membership_types.ts
@@ -7,7 +7,7 @@
 export type MembershipMessage = Ping | Ack | Relay | Vouch | MemberNews | MemberCompare | MemberEntries;
 export type MemberStatus = "alive" | "suspect" | "dead" | "left";
 /**
- * @maxItems 64
+ * @maxItems 512
  */
 export type MemberList = Member[];
 
