Operators' HTTP API over a table with one copy

Operators need the table, its watch, status, dump and drain before control is there. The API stands on small interfaces (TableAccess, Host); LocalTable backs them by the machine of the replicated log in one copy.

--- /dev/null
+++ b/src/operators/body.ts
@@ -0,0 +1,36 @@
+/** Reads bodies of bounded size.
+ * @module */
+
+import type * as http from "node:http";
+import * as problem from "./problem.ts";
+
+/** Largest body in bytes; an edit of 4000 cells takes about 0.6 MB. */
+export const MOST_BODY = 1 << 20;
+
+/** The JSON that a request carries. */
+export async function readJSON(
+  request: http.IncomingMessage,
+): Promise<unknown> {
+  const text = await readText(request);
+  try {
+    return JSON.parse(text);
+  } catch (cause) {
+    const detail = `the body is not JSON: ${(cause as Error).message}`;
+    throw new problem.OperatorsError("bad-request", detail);
+  }
+}
+
+async function readText(request: http.IncomingMessage): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  // Leaving the loop must not close the socket: the refusal goes over it.
+  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
+    size += chunk.length;
+    if (size > MOST_BODY) {
+      const detail = `a body may have ${MOST_BODY} bytes`;
+      throw new problem.OperatorsError("body-too-large", detail);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
--- /dev/null
+++ b/src/operators/local_table.ts
@@ -0,0 +1,72 @@
+/** The table of a host that is alone: one copy, in memory, gone with the
+ * process. It drives the machine that the replicated log drives elsewhere.
+ * @module */
+
+import * as table from "../control/table/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/table_types.ts";
+import type * as access from "./access.ts";
+
+/** One copy of the table. */
+export class LocalTable implements access.TableAccess {
+  #clock: runtime.Clock;
+  #machine = table.createMachine();
+  #state: table.State;
+  #watchers = new Set<access.Watcher>();
+
+  private constructor(clock: runtime.Clock) {
+    this.#clock = clock;
+    this.#state = this.#machine.create();
+  }
+
+  /** A table to which `initial` has been applied. */
+  static create(
+    clock: runtime.Clock,
+    initial: readonly schema.Edit[] = [],
+  ): LocalTable {
+    const local = new LocalTable(clock);
+    for (const edit of initial) local.#apply(edit);
+    return local;
+  }
+
+  view(): table.Table {
+    return this.#state.table;
+  }
+
+  watch(watcher: access.Watcher): runtime.Cancel {
+    this.#watchers.add(watcher);
+    return () => this.#watchers.delete(watcher);
+  }
+
+  edit(edit: schema.Edit): Promise<access.EditResult> {
+    return Promise.resolve(this.#apply(edit));
+  }
+
+  #apply(edit: schema.Edit): access.EditResult {
+    const at = Math.floor(this.#clock.now());
+    const id = `${edit.actor}/${edit.operation}`;
+    const command = { type: "edit" as const, id, at, edit };
+    const { state, reply } = this.#machine.apply(this.#state, command);
+    this.#state = state;
+    if (state.written.length > 0) this.#tell(edit.actor);
+    return toResult(reply);
+  }
+
+  #tell(actor: string): void {
+    const { table: { revision }, written: changes } = this.#state;
+    const at = this.#clock.wall();
+    const event = { type: "change" as const, revision, actor, at, changes };
+    for (const watcher of this.#watchers) watcher(event);
+  }
+}
+
+/** The result that the machine's reply to an edit means. */
+export function toResult(reply: table.Reply): access.EditResult {
+  const { type } = reply;
+  if (type === "accepted" || type === "conflict") return reply;
+  if (type === "invalid" || type === "refused") {
+    return { type: "refused", detail: reply.detail };
+  }
+  const detail = `the table answered ${type} to an edit`;
+  return { type: "unavailable", outcome: "unknown", detail };
+}
--- /dev/null
+++ b/src/operators/mod.ts
@@ -0,0 +1,19 @@
+/** Operators' HTTP API over small interfaces, and the table of a host that is
+ * alone.
+ * @module */
+
+export type {
+  EditResult,
+  EndpointView,
+  Host,
+  HostState,
+  Status,
+  TableAccess,
+  TableEvent,
+  Watcher,
+} from "./access.ts";
+export { type Credential, Operators, type Role } from "./authentication.ts";
+export { LocalTable, toResult } from "./local_table.ts";
+export type { Name as ProblemName, Problem } from "./problem.ts";
+export { redactRows } from "./redaction.ts";
+export { type Options as ServerOptions, Server } from "./server.ts";
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -63,7 +63,7 @@
   "operator.denied": { type: "count", help: "Wrong operator tokens" },
   "table.edited": { type: "count", help: "Edits accepted here" },
   "table.conflict": { type: "count", help: "Edits that lost a race" },
-  "table.resent": { type: "count", help: "Edits answered again" },
+  "table.refused": { type: "count", help: "Edits that are not allowed" },
   "table.unavailable": { type: "count", help: "Edits without a quorum" },
   "table.revision": { type: "gauge", help: "Revision in force here" },
 
