--- a/src/operators/local_table.ts
+++ b/src/operators/local_table.ts
@@ -6,6 +6,7 @@
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/table_types.ts";
 import type * as access from "./access.ts";
+import * as tableEvents from "./table_events.ts";
 
 /** One copy of the table. */
 export class LocalTable implements access.TableAccess {
@@ -16,7 +17,7 @@
 
   private constructor(clock: runtime.Clock) {
     this.#clock = clock;
-    this.#state = this.#machine.create();
+    this.#state = this.#machine.empty;
   }
 
   /** A table to which `initial` has been applied. */
@@ -48,15 +49,15 @@
     const command = { type: "edit" as const, id, at, edit };
     const { state, reply } = this.#machine.apply(this.#state, command);
     this.#state = state;
-    if (state.written.length > 0) this.#tell(edit.actor);
+    this.#tell();
     return toResult(reply);
   }
 
-  #tell(actor: string): void {
-    const { table: { revision }, written: changes } = this.#state;
-    const at = this.#clock.wall();
-    const event = { type: "change" as const, revision, actor, at, changes };
-    for (const watcher of this.#watchers) watcher(event);
+  #tell(): void {
+    const { written } = this.#state;
+    for (const event of tableEvents.changeEvents(written, this.#clock.wall())) {
+      for (const watcher of this.#watchers) watcher(event);
+    }
   }
 }
 
