Request path whole: callers, execution, backends

A pipeline now runs from the caller's HTTP request over encoder, retriever, reranker and engine back to the caller, and plain services are passed through. Bad input gets a problem document, nothing dispatched.

The prompt puts the text before the retrieved documents, so that requests about one text share their prefix.

--- /dev/null
+++ b/src/backends/exchange.ts
@@ -0,0 +1,173 @@
+/** One HTTP exchange with an endpoint, bounded in time and size.
+ *
+ * It knows whether a byte of the request may have left: undici says so before
+ * it writes. An exchange that is cut short destroys its connection, so that
+ * nobody else is given a connection that went silent or carries a late answer.
+ * @module */
+
+import type * as undici from "undici";
+import type * as request from "../request/request.ts";
+import type * as runtime from "../runtime/mod.ts";
+
+/** Headers of an answer, names in lower case. */
+export type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+/** Why an exchange ended without its whole answer. */
+export interface Break {
+  reason: request.FailureReason;
+  outcome: request.Outcome;
+}
+
+/** Hears an exchange; after `end` or `fail` nothing more. */
+export interface Receiver {
+  head(status: number, headers: Headers): void;
+  data(chunk: Buffer): void;
+  end(): void;
+  fail(broken: Break): void;
+}
+
+/** What is sent. */
+export interface Sent {
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+  body?: string | Uint8Array;
+}
+
+/** Bounds and parts of an exchange. */
+export interface Options {
+  dispatcher: undici.Dispatcher;
+  clock: runtime.Clock;
+  /** Base URL of the endpoint. */
+  url: string;
+  /** Milliseconds of the clock. */
+  deadline: number;
+  /** Milliseconds without a byte. */
+  silence: number;
+  /** Most bytes of an answer's body. */
+  mostBytes: number;
+  receiver: Receiver;
+}
+
+/** One exchange. */
+export class Exchange implements undici.Dispatcher.DispatchHandler {
+  readonly #options: Options;
+  #controller: undici.Dispatcher.DispatchController | undefined;
+  #started = false;
+  #headed = false;
+  #done = false;
+  #bytes = 0;
+  #heard: number;
+  #cancelTimer: runtime.Cancel = () => {};
+
+  private constructor(options: Options) {
+    this.#options = options;
+    this.#heard = options.clock.now();
+  }
+
+  /** Sends, and tells the receiver what comes. */
+  static start(sent: Sent, options: Options): Exchange {
+    const exchange = new Exchange(options);
+    exchange.#watch();
+    exchange.#send(sent);
+    return exchange;
+  }
+
+  /** Ends it without another word; cuts the connection if it was in use. */
+  cancel(): void {
+    if (this.#done) return;
+    this.#finish();
+    this.#cut("The call was cancelled");
+  }
+
+  /** Ends it as broken; cuts the connection. */
+  break(reason: request.FailureReason): void {
+    if (this.#done) return;
+    const outcome = this.#started ? "unknown" : "not-run";
+    this.#finish();
+    this.#cut(`The call is given up: ${reason}`);
+    this.#options.receiver.fail({ reason, outcome });
+  }
+
+  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#done) {
+      // Given up while it waited for a connection: undici writes nothing.
+      controller.abort(new Error("The call was given up"));
+      return;
+    }
+    this.#started = true;
+  }
+
+  onResponseStart(
+    _controller: undici.Dispatcher.DispatchController,
+    status: number,
+    headers: Headers,
+  ): void {
+    this.#heard = this.#options.clock.now();
+    if (this.#done || status < 200) return;
+    this.#headed = true;
+    this.#options.receiver.head(status, headers);
+  }
+
+  onResponseData(
+    _controller: undici.Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.#done) return;
+    this.#heard = this.#options.clock.now();
+    this.#bytes += chunk.length;
+    if (this.#bytes > this.#options.mostBytes) return this.break("error");
+    this.#options.receiver.data(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.#done) return;
+    this.#finish();
+    this.#options.receiver.end();
+  }
+
+  onResponseError(): void {
+    this.break(this.#headed ? "broken-stream" : "connection");
+  }
+
+  #send(sent: Sent): void {
+    if (this.#done) return;
+    const { dispatcher, url } = this.#options;
+    const { origin, pathname } = new URL(url);
+    const base = pathname === "/" ? "" : pathname;
+    const asked = {
+      origin,
+      path: base + sent.path,
+      method: sent.method as undici.Dispatcher.HttpMethod,
+      headers: sent.headers,
+      body: sent.body ?? null,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    try {
+      dispatcher.dispatch(asked, this);
+    } catch {
+      this.break("connection");
+    }
+  }
+
+  /** Wakes when the deadline or, if nothing is heard, the bound is reached. */
+  #watch(): void {
+    const { clock, deadline, silence } = this.#options;
+    const now = clock.now();
+    if (now >= deadline) return this.break("deadline");
+    if (now - this.#heard >= silence) return this.break("silent");
+    const next = Math.min(deadline, this.#heard + silence);
+    this.#cancelTimer = clock.after(next - now, () => this.#watch());
+  }
+
+  #finish(): void {
+    this.#done = true;
+    this.#cancelTimer();
+  }
+
+  #cut(message: string): void {
+    this.#controller?.abort(new Error(message));
+  }
+}
--- /dev/null
+++ b/src/backends/mod.ts
@@ -0,0 +1,5 @@
+/** HTTP towards endpoints, one handler for each kind.
+ * @module */
+
+export * from "./backends.ts";
+export * from "./call.ts";
--- /dev/null
+++ b/src/callers/ask.ts
@@ -0,0 +1,96 @@
+/** Turns a caller's headers and body into a checked request.
+ * @module */
+
+import type * as backends from "../backends/call.ts";
+import type * as http from "node:http";
+import * as caller from "../schema/caller_validators.ts";
+import type * as callerTypes from "../schema/caller_types.ts";
+import * as check from "../schema/check.ts";
+import * as problem from "./problem.ts";
+
+/** What the headers of a request say. */
+export interface Terms {
+  kind: string;
+  /** Milliseconds left, when the caller says so. */
+  remaining: number | undefined;
+  /** False when the caller forbids a repetition. */
+  idempotent: boolean;
+  key: string | undefined;
+}
+
+const NAME = /^[a-z0-9][a-z0-9.-]{0,63}$/;
+const NUMBER = /^-?\d{1,12}(\.\d+)?$/;
+const KEY = /^[\x21-\x7e]{1,255}$/;
+
+/** Reads the headers that callers may send. */
+export function termsOf(headers: http.IncomingHttpHeaders): Terms {
+  const kind = one(headers, "chicoryloft-kind") ?? "default";
+  demand(NAME.test(kind), "Chicoryloft-Kind is not a name");
+  const deadline = one(headers, "chicoryloft-deadline");
+  demand(
+    deadline === undefined || NUMBER.test(deadline),
+    "Chicoryloft-Deadline is not a number of milliseconds",
+  );
+  const remaining = deadline === undefined ? undefined : Number(deadline);
+  if (remaining !== undefined && remaining <= 0) {
+    throw new problem.CallerError("deadline-passed", "The deadline has passed");
+  }
+  const idempotent = one(headers, "chicoryloft-idempotent") ?? "true";
+  demand(
+    idempotent === "true" || idempotent === "false",
+    "Chicoryloft-Idempotent is neither true nor false",
+  );
+  const key = one(headers, "idempotency-key");
+  demand(
+    key === undefined || KEY.test(key),
+    "Idempotency-Key is not of 1 to 255 visible ASCII characters",
+  );
+  return { kind, remaining, idempotent: idempotent === "true", key };
+}
+
+/** Parses the body of a request to a pipeline. */
+export function pipelineCallOf(body: Buffer): callerTypes.PipelineCall {
+  return parse<callerTypes.PipelineCall>(body, caller.validate);
+}
+
+/** Parses a JSON body and checks it against its schema. */
+export function parse<T>(body: Buffer, validate: check.Validator): T {
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString());
+  } catch {
+    throw new problem.CallerError("bad-request", "The body is not JSON");
+  }
+  try {
+    return check.check<T>(validate, value);
+  } catch (error) {
+    if (!(error instanceof check.SchemaError)) throw error;
+    const detail = `The body does not match its schema at ${error.message}`;
+    throw new problem.CallerError("bad-request", detail);
+  }
+}
+
+/** A call to a plain service as it is passed on. */
+export function plainInputOf(
+  incoming: http.IncomingMessage,
+  { path, body }: { path: string; body: Buffer },
+): backends.PlainInput {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(incoming.headers)) {
+    if (value === undefined || name.startsWith("chicoryloft-")) continue;
+    headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return { type: "plain", method: incoming.method!, path, headers, body };
+}
+
+function one(
+  headers: http.IncomingHttpHeaders,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value.join(", ") : value;
+}
+
+function demand(holds: boolean, detail: string): void {
+  if (!holds) throw new problem.CallerError("bad-request", detail);
+}
--- /dev/null
+++ b/src/callers/endpoints.ts
@@ -0,0 +1,77 @@
+/** Announcements and leaves of endpoints on the callers' port.
+ * @module */
+
+import * as ask from "./ask.ts";
+import * as body from "./body.ts";
+import * as endpoint from "../schema/endpoint_validators.ts";
+import type * as endpointTypes from "../schema/endpoint_types.ts";
+import * as httpReply from "./http_reply.ts";
+import * as problem from "./problem.ts";
+import type * as request from "../request/mod.ts";
+import type * as server from "./server.ts";
+import * as tokens from "./tokens.ts";
+
+const NAME = /^[a-z0-9][a-z0-9.-]{0,63}$/;
+const MOST_BYTES = 64 * 1024;
+/** Milliseconds in which an announcement must have come. */
+const BODY_TIME = 5000;
+
+/** `PUT` and `DELETE /v1/endpoints/{id}`. */
+export async function notice(
+  options: server.Options,
+  exchange: server.Exchange,
+): Promise<void> {
+  const { incoming, response, names } = exchange;
+  authorize(options, exchange);
+  const [id = ""] = names;
+  if (names.length !== 1 || !NAME.test(id)) {
+    throw new problem.CallerError("bad-request", "The endpoint id is no name");
+  }
+  const read = readers[incoming.method ?? ""];
+  if (read === undefined || options.notices === undefined) {
+    throw new problem.CallerError("bad-request", "There is no such call");
+  }
+  const result = await options.notices(await read(id, options, exchange));
+  if (result.type === "rejected") {
+    options.metrics.count("endpoint.rejected");
+    throw new problem.CallerError("bad-request", result.detail);
+  }
+  httpReply.send(response, {
+    status: 200,
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify({ lease: result.lease }),
+  });
+}
+
+type Reader = (
+  id: string,
+  options: server.Options,
+  exchange: server.Exchange,
+) => Promise<request.Notice>;
+
+const readers: Readonly<Record<string, Reader>> = {
+  async PUT(id, { clock }, { incoming }) {
+    const bounds = { clock, bytes: MOST_BYTES, time: BODY_TIME };
+    const read = await body.read(incoming, bounds);
+    const announcement = ask.parse<endpointTypes.Announcement>(
+      read,
+      endpoint.validate,
+    );
+    return { type: "announce", endpoint: id, announcement };
+  },
+  DELETE(id, _options, { incoming }) {
+    incoming.resume();
+    return Promise.resolve({ type: "leave", endpoint: id });
+  },
+};
+
+function authorize(
+  { endpointToken }: server.Options,
+  { incoming }: server.Exchange,
+): void {
+  const token = tokens.bearerOf(incoming.headers);
+  const fine = token !== undefined && endpointToken !== undefined &&
+    tokens.sameToken(token, endpointToken);
+  if (fine) return;
+  throw new problem.CallerError("unauthorized", "The token is no endpoint's");
+}
--- /dev/null
+++ b/src/callers/server.ts
@@ -0,0 +1,208 @@
+/** The callers' HTTP interface of a host.
+ * @module */
+
+import * as fs from "node:fs/promises";
+import * as http from "node:http";
+import * as https from "node:https";
+import type * as net from "node:net";
+import type * as catalogue from "../request/catalogue.ts";
+import * as endpoints from "./endpoints.ts";
+import * as httpReply from "./http_reply.ts";
+import type * as intake from "../request/intake.ts";
+import * as problem from "./problem.ts";
+import * as requests from "./requests.ts";
+import type * as request from "../request/mod.ts";
+
+/** Parts of a server. */
+export interface Options extends request.PathOptions {
+  catalogue: catalogue.Catalogue;
+  intake: intake.Intake;
+  /** Told when a caller went away before its answer. */
+  abandon(id: string): void;
+}
+
+/** One request as a route gets it. */
+export interface Exchange {
+  incoming: http.IncomingMessage;
+  response: http.ServerResponse;
+  /** Parts of the path behind the route's own, decoded. */
+  names: readonly string[];
+  /** Whether the host is leaving. */
+  draining: () => boolean;
+}
+
+type Route = (options: Options, exchange: Exchange) => Promise<void>;
+
+const HEAD_TIME = 10_000;
+const REQUEST_TIME = 60_000;
+const KEEP_ALIVE_TIME = 15_000;
+/** Milliseconds that connections in use are left after the port is closed. */
+const CLOSE_TIME = 1000;
+
+/** First two parts of a path, behind which its names follow. */
+const routes: Readonly<Record<string, Route>> = {
+  "/health": health,
+  "/v1/pipelines": requests.runPipeline,
+  "/v1/services": requests.callService,
+  "/v1/endpoints": endpoints.notice,
+};
+
+/** Server of callers. */
+export class Server {
+  readonly #options: Options;
+  #server: http.Server | undefined;
+  #draining = false;
+  #open = 0;
+  #idle: (() => void)[] = [];
+
+  private constructor(options: Options) {
+    this.#options = options;
+  }
+
+  static create(options: Options): Server {
+    return new Server(options);
+  }
+
+  /** Requests whose answers are not out yet. */
+  get open(): number {
+    return this.#open;
+  }
+
+  /** Port it listens on; 0 before `start`. */
+  get port(): number {
+    const address = this.#server?.address() as net.AddressInfo | null;
+    return address?.port ?? 0;
+  }
+
+  async start(): Promise<void> {
+    const { tls, address = "127.0.0.1", port } =
+      this.#options.settings.listen.callers;
+    const server = tls === undefined
+      ? http.createServer()
+      : https.createServer({
+        cert: await fs.readFile(tls.certificate),
+        key: await fs.readFile(tls.key),
+      });
+    this.#server = server;
+    server.headersTimeout = HEAD_TIME;
+    server.requestTimeout = REQUEST_TIME;
+    server.keepAliveTimeout = KEEP_ALIVE_TIME;
+    server.on("request", (...pair) => this.#serve(...pair));
+    server.on("clientError", (_error, socket) => this.#malformed(socket));
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, address, () => {
+        server.off("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Says that the host is leaving; open requests go on. */
+  drain(): void {
+    this.#draining = true;
+  }
+
+  /** Resolves once no request is open. */
+  idle(): Promise<void> {
+    if (this.#open === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#idle.push(resolve));
+  }
+
+  /** Closes the port and all connections. */
+  async close(): Promise<void> {
+    const server = this.#server;
+    if (server === undefined) return;
+    const { clock } = this.#options;
+    // Closes idle connections; one that brings a request now may end it.
+    const cancel = clock.after(
+      CLOSE_TIME,
+      () => server.closeAllConnections(),
+    );
+    await new Promise<void>((resolve) => server.close(() => resolve()));
+    cancel();
+  }
+
+  #serve(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    this.#open++;
+    response.once("close", () => this.#ended());
+    const draining = () => this.#draining;
+    this.#route(incoming, response, draining).catch((error) => {
+      this.#refuse(response, error);
+    });
+  }
+
+  async #route(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+    draining: () => boolean,
+  ): Promise<void> {
+    const parts = partsOf(incoming.url ?? "/");
+    const route = routes[`/${parts.slice(0, 2).join("/")}`];
+    if (route === undefined) {
+      throw new problem.CallerError("bad-request", "There is no such path");
+    }
+    const names = parts.slice(2);
+    await route(this.#options, { incoming, response, names, draining });
+  }
+
+  #refuse(response: http.ServerResponse, error: unknown): void {
+    const { metrics, log } = this.#options;
+    if (!(error instanceof problem.CallerError)) {
+      log.warn({ error }, "a request failed unexpectedly");
+      response.destroy();
+      return;
+    }
+    const { name } = error.problem;
+    if (name === "unauthorized") metrics.count("request.unauthorized");
+    else metrics.count("request.bad", 1, { problem: name });
+    httpReply.sendProblem(response, problem.documentOf(error.problem));
+  }
+
+  #malformed(socket: net.Socket | unknown): void {
+    this.#options.metrics.count("request.bad", 1, { problem: "bad-request" });
+    const open = socket as net.Socket;
+    if (!open.writable) return;
+    const error = new problem.CallerError("bad-request", "This is not HTTP");
+    const document = problem.documentOf(error.problem);
+    const body = JSON.stringify(document);
+    open.end(
+      "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n" +
+        "Content-Type: application/problem+json\r\n" +
+        `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
+  }
+
+  #ended(): void {
+    this.#open--;
+    if (this.#open > 0) return;
+    for (const resolve of this.#idle.splice(0)) resolve();
+  }
+}
+
+function partsOf(url: string): string[] {
+  const [path] = url.split("?", 1);
+  try {
+    return path.split("/").slice(1).map(decodeURIComponent);
+  } catch {
+    throw new problem.CallerError("bad-request", "The path is malformed");
+  }
+}
+
+function health(
+  _options: Options,
+  { incoming, response, draining }: Exchange,
+): Promise<void> {
+  incoming.resume();
+  const headers = { "content-type": "text/plain" };
+  const [status, body] = draining() ? [503, "draining"] : [200, "ready"];
+  httpReply.send(response, {
+    status: status as number,
+    headers,
+    body: `${body}`,
+  });
+  return Promise.resolve();
+}
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -133,7 +133,11 @@
       this.#notify.policies(policies, now);
       this.#touchAll();
     },
-    wake: () => this.#touchAll(),
+    wake: () => {
+      // Timers may fire early by a fraction: the next one is armed anew.
+      this.#wakeAt = Infinity;
+      this.#touchAll();
+    },
     drain: () => {
       this.#draining = true;
     },
--- a/src/request/dispatcher_test.ts
+++ b/src/request/dispatcher_test.ts
@@ -155,6 +155,13 @@
   });
 });
 
+test("asks for another wake when one comes early", (t) => {
+  const core = create([endpointOf("g1")]);
+  core.step(arrive(requestOf("a")), 0);
+  const effects = core.step({ type: "wake" }, 999.5);
+  t.deepEqual(effects, [{ type: "wake", at: 1000 }]);
+});
+
 test("cancels the call of a request whose deadline passes", (t) => {
   const core = create([endpointOf("g1")]);
   const [call] = calls(core.step(arrive(requestOf("a")), 0));
--- /dev/null
+++ b/src/request/intake.ts
@@ -0,0 +1,205 @@
+/** Lets checked requests in: gives them ids and deadlines, claims their keys,
+ * and hands them to the execution.
+ * @module */
+
+import * as crypto from "node:crypto";
+import type * as catalogue from "./catalogue.ts";
+import type * as effect from "./effect.ts";
+import type * as event from "./event.ts";
+import type * as execution from "./execution.ts";
+import * as keptReply from "./kept_reply.ts";
+import * as material from "./material.ts";
+import type * as pathOptions from "./path_options.ts";
+import type * as reply from "./reply.ts";
+import type * as request from "./request.ts";
+import type * as runtime from "../runtime/mod.ts";
+
+/** A checked request of a known account. */
+export interface Ask {
+  account: string;
+  kind: string;
+  target: catalogue.Target;
+  payload: material.Payload;
+  /** When its head came, on the host's clock. */
+  arrived: number;
+  /** Milliseconds left at that time, when the caller says so. */
+  remaining: number | undefined;
+  idempotent: boolean;
+  key: string | undefined;
+  streaming: boolean;
+  reply: IntakeReply;
+}
+
+/** Also takes the answer that an earlier request with the same key got. */
+export interface IntakeReply extends reply.Reply {
+  /** Whether the caller went away. */
+  readonly gone: boolean;
+  repeat(answer: pathOptions.StoredAnswer): void;
+}
+
+/** Parts of an intake. */
+export interface Options {
+  host: string;
+  clock: runtime.Clock;
+  random: runtime.Random;
+  execution: execution.Execution;
+  claims: pathOptions.Claims | undefined;
+}
+
+const BASE = 36;
+const ID_RANGE = 2 ** 32;
+
+/** Where requests enter. */
+export class Intake {
+  readonly #options: Options;
+  readonly #prefix: string;
+  #count = 0;
+  #policies: event.Policies = new Map();
+
+  private constructor(options: Options) {
+    this.#options = options;
+    const { host, clock, random } = options;
+    const start = Math.floor(clock.wall()).toString(BASE);
+    // Host, start and a random number: no id returns after a restart.
+    this.#prefix = `${host}-${start}-${random.below(ID_RANGE).toString(BASE)}`;
+  }
+
+  static create(options: Options): Intake {
+    return new Intake(options);
+  }
+
+  setPolicies(policies: event.Policies): void {
+    this.#policies = policies;
+  }
+
+  /** A new id. */
+  id(): string {
+    return `${this.#prefix}-${(this.#count++).toString(BASE)}`;
+  }
+
+  /** Milliseconds that a request may take: the least of what the caller, its
+   * target and the table's cells for its account and kind say. */
+  allowed({ account, kind, target, remaining }: Pick<
+    Ask,
+    "account" | "kind" | "target" | "remaining"
+  >): number {
+    const rows = [`account/${account}`, `kind/${kind}`];
+    const cells = rows.map((row) =>
+      this.#policies.get(row)?.deadline ?? Infinity
+    );
+    return Math.min(remaining ?? Infinity, target.deadline, ...cells);
+  }
+
+  /** Lets a request in, or refuses it. */
+  submit(id: string, ask: Ask): void {
+    const made = this.#request(id, ask);
+    const job = {
+      request: made,
+      target: ask.target,
+      material: material.Material.create(ask.payload),
+      reply: ask.reply,
+    };
+    const { execution, claims } = this.#options;
+    // What may be repeated needs no claim unless the keys are kept.
+    if (ask.key === undefined || (claims === undefined && made.idempotent)) {
+      execution.submit(job);
+    } else if (claims === undefined) {
+      ask.reply.refuse(refusal("claim-refused", NO_CLAIMS));
+    } else {
+      this.#claim(claims, job, ask.reply);
+    }
+  }
+
+  #request(id: string, ask: Ask): request.Request {
+    const { account, kind, target, payload, arrived, key, streaming } = ask;
+    const first = material.Material.create(payload).measure(target.steps[0]);
+    return {
+      id,
+      account,
+      kind,
+      target: target.name,
+      stages: target.steps,
+      size: first.size,
+      arrived,
+      deadline: arrived + this.allowed(ask),
+      idempotent: ask.idempotent && target.idempotent,
+      key,
+      streaming,
+      prefix: first.prefix,
+    };
+  }
+
+  #claim(
+    claims: pathOptions.Claims,
+    job: execution.Job,
+    answer: IntakeReply,
+  ): void {
+    const { clock, execution } = this.#options;
+    const claim: pathOptions.Claim = {
+      account: job.request.account,
+      key: job.request.key!,
+      fingerprint: fingerprintOf(job),
+      request: job.request.id,
+      remaining: job.request.deadline - clock.now(),
+    };
+    let late = false;
+    const cancel = clock.after(claim.remaining, () => {
+      late = true;
+      answer.refuse(refusal("claim-refused", LATE_CLAIM));
+    });
+    const handlers: ClaimHandlers = {
+      granted: () => {
+        // Nobody waits any more: the claim goes back, and nothing runs.
+        if (late || answer.gone) return claims.settle(claim, undefined);
+        const kept = keptReply.KeptReply.create(job.reply, {
+          id: claim.request,
+          settle: (stored) => claims.settle(claim, stored),
+        });
+        execution.submit({ ...job, reply: kept });
+      },
+      answered: (found) => answer.repeat(found.answer),
+      "in-progress": () =>
+        answer.refuse(refusal("in-progress", "The first request still runs")),
+      refused: ({ detail, outcome }) =>
+        answer.refuse({ ...refusal("claim-refused", detail), outcome }),
+    };
+    claims.claim(claim).catch(failedClaim).then((result) => {
+      cancel();
+      if (late && result.type !== "granted") return;
+      const handle = handlers[result.type] as (
+        result: pathOptions.ClaimResult,
+      ) => void;
+      handle(result);
+    });
+  }
+}
+
+type ClaimHandlers = {
+  [T in pathOptions.ClaimResult["type"]]: (
+    result: pathOptions.ClaimResult & { type: T },
+  ) => void;
+};
+
+function failedClaim(): pathOptions.ClaimResult {
+  const detail = "The key can't be claimed now";
+  return { type: "refused", detail, outcome: "not-run" };
+}
+
+const LATE_CLAIM = "The key could not be claimed within the deadline";
+const NO_CLAIMS = "This host keeps no keys";
+const RETRY_AFTER = 1000;
+
+function refusal(name: effect.ProblemName, detail: string): effect.Problem {
+  return { name, outcome: "not-run", detail, retryAfter: RETRY_AFTER };
+}
+
+function fingerprintOf({ request, material }: execution.Job): string {
+  const hash = crypto.createHash("sha256").update(request.target);
+  const { payload } = material;
+  if (payload.type === "pipeline") hash.update(JSON.stringify(payload.call));
+  else {
+    const { method, path, body } = payload.call;
+    hash.update(`\n${method} ${path}\n`).update(body);
+  }
+  return hash.digest("hex");
+}
--- /dev/null
+++ b/src/request/kept_reply.ts
@@ -0,0 +1,62 @@
+/** A reply whose end is also kept for resends with the same key.
+ * @module */
+
+import type * as backends from "../backends/call.ts";
+import type * as effect from "./effect.ts";
+import type * as pathOptions from "./path_options.ts";
+import * as problem from "../callers/problem.ts";
+import type * as reply from "./reply.ts";
+
+/** Where the end goes. */
+export interface Options {
+  id: string;
+  /** Takes the answer, or undefined when the request did not run. */
+  settle(answer: pathOptions.StoredAnswer | undefined): void;
+}
+
+/** Passes everything on and keeps the end. */
+export class KeptReply implements reply.Reply {
+  readonly #reply: reply.Reply;
+  readonly #options: Options;
+
+  private constructor(to: reply.Reply, options: Options) {
+    this.#reply = to;
+    this.#options = options;
+  }
+
+  static create(to: reply.Reply, options: Options): KeptReply {
+    return new KeptReply(to, options);
+  }
+
+  token(offset: number, text: string): void {
+    this.#reply.token(offset, text);
+  }
+
+  complete(answer: reply.Answer): void {
+    this.#options.settle({
+      status: 200,
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(answer),
+    });
+    this.#reply.complete(answer);
+  }
+
+  pass(result: backends.PlainResult): void {
+    const { status, headers } = result;
+    const body = Buffer.from(result.body).toString();
+    this.#options.settle({ status, headers: { ...headers }, body });
+    this.#reply.pass(result);
+  }
+
+  refuse(refused: effect.Problem): void {
+    const document = problem.documentOf(refused, this.#options.id);
+    this.#options.settle(
+      refused.outcome === "not-run" ? undefined : {
+        status: document.status,
+        headers: problem.headersOf(document),
+        body: JSON.stringify(document),
+      },
+    );
+    this.#reply.refuse(refused);
+  }
+}
--- /dev/null
+++ b/src/request/material.ts
@@ -0,0 +1,228 @@
+/** Payload of one request: what its stages are given and what they made.
+ * @module */
+
+import * as crypto from "node:crypto";
+import type * as backends from "../backends/call.ts";
+import type * as caller from "../schema/caller_types.ts";
+import type * as catalogue from "./catalogue.ts";
+import type * as endpoint from "../schema/endpoint_types.ts";
+import type * as reply from "./reply.ts";
+
+/** What a caller sent. */
+export type Payload =
+  | { type: "pipeline"; call: caller.PipelineCall }
+  | { type: "plain"; call: backends.PlainInput };
+
+/** Size and prefix of a stage's input, for the dispatcher. */
+export interface Measure {
+  /** Tokens, estimated. */
+  size: number;
+  /** Prefix blocks of an engine's prompt, longest last. */
+  prefix: readonly string[];
+}
+
+/** Characters that count as one token. */
+const TOKEN_CHARACTERS = 4;
+/** Characters of one block of a prompt's prefix. */
+const BLOCK_CHARACTERS = 256;
+const HASH_DIGITS = 16;
+/** Characters of a piece of text that is embedded by itself. */
+const CHUNK_CHARACTERS = 2048;
+/** Most pieces of one text. */
+const MOST_CHUNKS = 64;
+
+/** What a request's stages work on; grows with each stage. */
+export class Material {
+  readonly payload: Payload;
+  embedding: readonly number[] = [];
+  documents: readonly string[] = [];
+  /** Text of the last engine stage that ended. */
+  draft = "";
+  plain: backends.PlainResult | undefined;
+
+  private constructor(payload: Payload) {
+    this.payload = payload;
+    if (payload.type === "pipeline") {
+      this.documents = payload.call.input.documents ?? [];
+    }
+  }
+
+  static create(payload: Payload): Material {
+    return new Material(payload);
+  }
+
+  /** What the handler of a step's kind is given. */
+  input(step: catalogue.Step): backends.Input {
+    return makers[step.kind].input(this, step);
+  }
+
+  /** Keeps what a stage made; `text` is what an engine generated. */
+  take(result: backends.Result, text: string): void {
+    const taker = takers[result.type] as Taker<backends.Result["type"]>;
+    taker(this, result, text);
+  }
+
+  /** Size and prefix of a step's input. */
+  measure(step: catalogue.Step): Measure {
+    const input = this.input(step);
+    const size = tokens(makers[step.kind].characters(input));
+    const prefix = input.type === "engine" ? prefixOf(input.prompt) : [];
+    return { size, prefix };
+  }
+
+  /** What the pipeline made, by the kind of its last stage. */
+  output(last: endpoint.EndpointKind): reply.Output {
+    return outputs[last](this);
+  }
+}
+
+/** Hashes of the prefix blocks of a prompt, longest prefix last. */
+export function prefixOf(prompt: string): string[] {
+  const hashes: string[] = [];
+  let last = "";
+  const end = prompt.length - BLOCK_CHARACTERS;
+  for (let pos = 0; pos <= end; pos += BLOCK_CHARACTERS) {
+    const block = last + prompt.slice(pos, pos + BLOCK_CHARACTERS);
+    const digest = crypto.createHash("sha256").update(block).digest("hex");
+    last = digest.slice(0, HASH_DIGITS);
+    hashes.push(last);
+  }
+  return hashes;
+}
+
+function tokens(characters: number): number {
+  return Math.ceil(characters / TOKEN_CHARACTERS);
+}
+
+interface Maker {
+  input(material: Material, step: catalogue.Step): backends.Input;
+  characters(input: backends.Input): number;
+}
+
+const makers: Record<endpoint.EndpointKind, Maker> = {
+  encoder: {
+    input: (material, { model }) => {
+      const { text, question } = asked(material);
+      const texts = question === undefined ? [] : [question];
+      return { type: "encoder", model, texts: [...texts, ...chunks(text)] };
+    },
+    characters: (input) => {
+      const { texts } = input as backends.Input & { type: "encoder" };
+      return sum(texts);
+    },
+  },
+  retriever: {
+    input: (material, { top }) => {
+      const { embedding } = material;
+      return { type: "retriever", embedding, text: query(material), top };
+    },
+    characters: (input) =>
+      (input as backends.Input & { type: "retriever" }).text.length,
+  },
+  reranker: {
+    input: (material, { top }) => {
+      const { documents } = material;
+      return { type: "reranker", query: query(material), documents, top };
+    },
+    characters: (input) => {
+      const made = input as backends.Input & { type: "reranker" };
+      return made.query.length + sum(made.documents);
+    },
+  },
+  engine: {
+    input: (material, step) => {
+      const { model, maxTokens } = step;
+      const prompt = promptOf(material, step);
+      const most = Math.min(maxTokens, limit(material));
+      return { type: "engine", model, prompt, maxTokens: most };
+    },
+    characters: (input) =>
+      (input as backends.Input & { type: "engine" }).prompt.length,
+  },
+  plain: {
+    input: ({ payload }) => {
+      if (payload.type === "plain") return payload.call;
+      const headers = { "content-type": "application/json" };
+      const body = Buffer.from(JSON.stringify(payload.call.input));
+      return { type: "plain", method: "POST", path: "/", headers, body };
+    },
+    characters: (input) => (input as backends.PlainInput).body.length,
+  },
+};
+
+type Taker<T extends backends.Result["type"]> = (
+  material: Material,
+  result: backends.Result & { type: T },
+  text: string,
+) => void;
+
+const takers: { [T in backends.Result["type"]]: Taker<T> } = {
+  encoder(material, { embeddings }) {
+    // The first text is the question, or the start of the text without one.
+    material.embedding = embeddings[0] ?? [];
+  },
+  retriever(material, { documents }) {
+    const found = documents.map(({ text }) => text);
+    material.documents = [...material.documents, ...found];
+  },
+  reranker(material, { ranks }) {
+    const { documents } = material;
+    const order = [...ranks].sort((a, b) => b.score - a.score);
+    material.documents = order.map(({ index }) => documents[index]);
+  },
+  engine(material, _result, text) {
+    material.draft = text;
+  },
+  plain(material, result) {
+    material.plain = result;
+  },
+};
+
+const outputs: Record<
+  endpoint.EndpointKind,
+  (material: Material) => reply.Output
+> = {
+  encoder: ({ embedding }) => ({ embedding }),
+  retriever: ({ documents }) => ({ documents }),
+  reranker: ({ documents }) => ({ documents }),
+  engine: ({ draft }) => ({ text: draft }),
+  plain: ({ plain }) => ({ text: Buffer.from(plain?.body ?? []).toString() }),
+};
+
+/** The text goes before the documents: requests about the same text share
+ * their prompt's prefix, whatever is retrieved for each. */
+function promptOf(material: Material, { instruction }: catalogue.Step): string {
+  const { text, question } = asked(material);
+  const parts = [instruction, text, ...material.documents, material.draft];
+  if (question !== undefined) parts.push(`Question: ${question}`);
+  return parts.filter((part) => part !== "").join("\n\n");
+}
+
+function asked({ payload }: Material): caller.PipelineInput {
+  return payload.type === "pipeline" ? payload.call.input : { text: "" };
+}
+
+function limit({ payload }: Material): number {
+  return payload.type === "pipeline"
+    ? payload.call.maxTokens ?? Infinity
+    : Infinity;
+}
+
+function query(material: Material): string {
+  const { text, question } = asked(material);
+  return question ?? text;
+}
+
+function chunks(text: string): string[] {
+  const found: string[] = [];
+  const least = Math.ceil(text.length / MOST_CHUNKS);
+  const length = Math.max(CHUNK_CHARACTERS, least);
+  for (let pos = 0; pos < text.length; pos += length) {
+    found.push(text.slice(pos, pos + length));
+  }
+  return found;
+}
+
+function sum(texts: readonly string[]): number {
+  return texts.reduce((total, text) => total + text.length, 0);
+}
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -8,6 +8,8 @@
 export type * from "./event.ts";
 export type * from "./path_options.ts";
 export type * from "./policy_set.ts";
+export type * from "./reply.ts";
 export type * from "./request.ts";
 export { Dispatcher } from "./dispatcher.ts";
+export { RequestPath } from "./path.ts";
 export { create as createPlainPolicies } from "./plain_policies.ts";
