Bench: scenarios in virtual time against a naive dispatcher

Fake pools of both deployments' sizes drive any dispatcher through its events and effects; invariants are checked in every run.

--- /dev/null
+++ b/bench/scenarios.ts
@@ -0,0 +1,132 @@
+/** Attainment and cost by stage under load and faults, against the naive
+ * baseline, in virtual time.
+ * @module */
+
+import * as naiveDispatcher from "./naive_dispatcher.ts";
+import * as dispatchers from "./scenario/dispatchers.ts";
+import type * as deployment from "./scenario/deployment.ts";
+import * as deployments from "./scenario/deployments.ts";
+import * as scenario from "./scenario/scenario.ts";
+import * as summary from "./scenario/summary.ts";
+import * as world from "./scenario/world.ts";
+import type * as result from "./result.ts";
+
+/** Seeds whose results are averaged. */
+const SEEDS = [1, 2, 3];
+
+/** Hosts that take requests side by side. */
+const HOSTS = 1;
+
+/** The measurement as `bench/main.ts` runs it. */
+export const measurement: result.Measurement = {
+  title: "attainment and cost by stage against the naive baseline",
+  run: () => Promise.resolve(runAll()),
+};
+
+function runAll(): result.Result[] {
+  const results: result.Result[] = [];
+  for (const users of deployments.DEPLOYMENTS) {
+    for (const run of scenario.SCENARIOS) results.push(...compare(users, run));
+  }
+  return results;
+}
+
+/** Results of one scenario for both dispatchers. */
+function compare(
+  users: deployment.Deployment,
+  run: scenario.Scenario,
+): result.Result[] {
+  const createNaive = () => new naiveDispatcher.NaiveDispatcher();
+  const naive = playAll(users, { run, create: createNaive });
+  const own = playAll(users, { run, create: dispatchers.create });
+  const name = `${users.name}/${run.name}`;
+  return [
+    ...describe(`${name}/naive`, naive),
+    ...describe(`${name}/own`, own),
+    ...against(name, { naive, own }),
+  ];
+}
+
+/** Plays every seed. */
+function playAll(
+  users: deployment.Deployment,
+  options: { run: scenario.Scenario; create: world.Run["create"] },
+): summary.Summary[] {
+  const { run, create } = options;
+  return SEEDS.map((seed) => {
+    const setup = { users, scenario: run, seed, hosts: HOSTS, create };
+    return summary.summarize(world.play(setup), users, run);
+  });
+}
+
+function describe(
+  name: string,
+  runs: readonly summary.Summary[],
+): result.Result[] {
+  const violations = runs.flatMap((run) => run.violations);
+  const results: result.Result[] = [
+    ratio(`${name}/attainment`, mean(runs, (run) => run.attainment)),
+    ratio(`${name}/goodput`, mean(runs, (run) => run.goodput)),
+    ratio(`${name}/wasted`, mean(runs, wastedShare)),
+    count(`${name}/violations`, violations.length),
+  ];
+  for (const account of Object.keys(runs[0].byAccount)) {
+    const share = mean(runs, (run) => run.byAccount[account]);
+    results.push(ratio(`${name}/account/${account}`, share));
+  }
+  for (const kind of Object.keys(runs[0].byKind)) {
+    const share = mean(runs, (run) => run.byKind[kind]);
+    results.push(ratio(`${name}/kind/${kind}`, share));
+  }
+  return results;
+}
+
+/** Misses, and cost by stage for each answer in time, as ratios. */
+function against(
+  name: string,
+  runs: {
+    naive: readonly summary.Summary[];
+    own: readonly summary.Summary[];
+  },
+): result.Result[] {
+  const { naive, own } = runs;
+  const misses = (run: summary.Summary) => 1 - run.attainment;
+  const missed = divide(mean(own, misses), mean(naive, misses));
+  const results = [ratio(`${name}/misses of naive`, missed)];
+  for (const stage of Object.keys(naive[0].cost)) {
+    const cost = (run: summary.Summary) => run.cost[stage];
+    const whole = divide(mean(own, cost), mean(naive, cost));
+    results.push(ratio(`${name}/cost/${stage} of naive`, whole));
+    const each = (run: summary.Summary) => {
+      return run.cost[stage] / (run.attainment * run.requests);
+    };
+    const answer = divide(mean(own, each), mean(naive, each));
+    results.push(ratio(`${name}/cost an answer/${stage} of naive`, answer));
+  }
+  return results;
+}
+
+function wastedShare(run: summary.Summary): number {
+  return divide(sum(run.wasted), sum(run.cost));
+}
+
+function sum(values: Record<string, number>): number {
+  return Object.values(values).reduce((total, value) => total + value, 0);
+}
+
+function mean<T>(values: readonly T[], of: (value: T) => number): number {
+  return values.reduce((total, value) => total + of(value), 0) / values.length;
+}
+
+/** A ratio; 1 when both are 0. */
+function divide(a: number, b: number): number {
+  return a === b ? 1 : a / b;
+}
+
+function ratio(name: string, value: number): result.Result {
+  return { name, unit: "ratio", value, kind: "ratio" };
+}
+
+function count(name: string, value: number): result.Result {
+  return { name, unit: "", value, kind: "count" };
+}
--- a/src/admission/fair_queue_test.ts
+++ b/src/admission/fair_queue_test.ts
@@ -2,6 +2,7 @@
 import * as fc from "fast-check";
 import type * as request from "../request/mod.ts";
 import * as fairQueue from "./fair_queue.ts";
+import * as lane from "./lane.ts";
 import * as naive from "./naive_fair_queue.ts";
 
 const policies: request.Policies = new Map([
@@ -10,7 +11,7 @@
   ["kind/plan", { weight: 2 }],
 ]);
 
-function createItem(fields: Partial<fairQueue.Item> = {}): fairQueue.Item {
+function createItem(fields: Partial<lane.Item> = {}): lane.Item {
   return {
     id: "r",
     account: "large",
@@ -55,6 +56,17 @@
   );
 });
 
+test("an item put back keeps its place and its flow does not pay", (t) => {
+  const queue = fairQueue.FairQueue.create();
+  for (let i = 0; i < 4; i++) {
+    queue.push(createItem({ id: `a${i}`, account: "a" }));
+    queue.push(createItem({ id: `b${i}`, account: "b" }));
+  }
+  for (let i = 0; i < 5; i++) queue.putBack(queue.pop()!);
+  const served = Array.from({ length: 6 }, () => queue.pop()?.id);
+  t.deepEqual(served, ["a0", "b0", "a1", "b1", "a2", "b2"]);
+});
+
 test("an idle flow saves up no credit", (t) => {
   const queue = fairQueue.FairQueue.create();
   for (let i = 0; i < 100; i++) queue.push(createItem({ id: `a${i}` }));
@@ -122,7 +134,7 @@
   >,
   commands: readonly Command[],
 ): string[] {
-  const popped: fairQueue.Item[] = [];
+  const popped: lane.Item[] = [];
   const trace: string[] = [];
   commands.forEach((step, now) => {
     const handlers = {
@@ -145,7 +157,7 @@
         return [queue.remove(`r${pick}`)].filter((item) => item !== undefined);
       },
       expire: () =>
-        queue.expire(now).sort((a, b) => fairQueue.isBefore(a, b) ? -1 : 1),
+        queue.expire(now).sort((a, b) => lane.isBefore(a, b) ? -1 : 1),
       shed: () => [queue.shed()].filter((item) => item !== undefined),
     };
     const items = handlers[step.type]();
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -9,6 +9,7 @@
 export * as estimate from "./estimate.ts";
 export * as fairQueue from "./fair_queue.ts";
 export * as gate from "./gate.ts";
+export * as lane from "./lane.ts";
 export * as limit from "./limit.ts";
 export * as split from "./split.ts";
 export * as weight from "./weight.ts";
--- a/src/admission/naive_fair_queue.ts
+++ b/src/admission/naive_fair_queue.ts
@@ -3,12 +3,12 @@
  * @module */
 
 import type * as request from "../request/mod.ts";
-import * as fairQueue from "./fair_queue.ts";
+import * as lane from "./lane.ts";
 import * as weight from "./weight.ts";
 
 /** Same decisions as `FairQueue`, in O(n) an operation. */
 export class NaiveFairQueue {
-  #items: fairQueue.Item[] = [];
+  #items: lane.Item[] = [];
   #virtual = 0;
   readonly #starts = new Map<string, number>();
   readonly #policies: request.Policies;
@@ -17,7 +17,7 @@
     this.#policies = policies;
   }
 
-  push(item: fairQueue.Item): boolean {
+  push(item: lane.Item): boolean {
     if (this.#items.some((other) => other.id === item.id)) return false;
     const name = weight.nameOf(item);
     const own = this.#items.filter((other) => weight.nameOf(other) === name);
@@ -30,7 +30,7 @@
     return true;
   }
 
-  pop(): fairQueue.Item | undefined {
+  pop(): lane.Item | undefined {
     const [first] = this.#items.toSorted((a, b) => this.#compare(a, b));
     if (first === undefined) return undefined;
     const start = first.start ?? this.#startOf(first);
@@ -43,26 +43,26 @@
     return first;
   }
 
-  expire(now: number): fairQueue.Item[] {
+  expire(now: number): lane.Item[] {
     const gone = this.#items.filter((item) => item.expires < now);
     gone.sort((a, b) => a.expires - b.expires);
     this.#take(gone);
     return gone;
   }
 
-  shed(): fairQueue.Item | undefined {
+  shed(): lane.Item | undefined {
     const [worst] = this.#items.toSorted((a, b) => this.#compareWorth(a, b));
     if (worst !== undefined) this.#take([worst]);
     return worst;
   }
 
-  remove(id: string): fairQueue.Item | undefined {
+  remove(id: string): lane.Item | undefined {
     const found = this.#items.find((item) => item.id === id);
     if (found !== undefined) this.#take([found]);
     return found;
   }
 
-  #take(gone: fairQueue.Item[]): void {
+  #take(gone: lane.Item[]): void {
     this.#items = this.#items.filter((item) => !gone.includes(item));
     if (this.#items.length === 0) this.#starts.clear();
   }
@@ -71,7 +71,7 @@
     return this.#starts.get(weight.nameOf(flow)) ?? 0;
   }
 
-  #compare(a: fairQueue.Item, b: fairQueue.Item): number {
+  #compare(a: lane.Item, b: lane.Item): number {
     const start = (a.start ?? this.#startOf(a)) - (b.start ?? this.#startOf(b));
     if (start !== 0) return start;
     const retried = Number(b.start !== undefined) -
@@ -79,10 +79,10 @@
     if (retried !== 0) return retried;
     const name = compareNames(a, b);
     if (name !== 0 && a.start === undefined) return name;
-    return fairQueue.isBefore(a, b) ? -1 : 1;
+    return lane.isBefore(a, b) ? -1 : 1;
   }
 
-  #compareWorth(a: fairQueue.Item, b: fairQueue.Item): number {
+  #compareWorth(a: lane.Item, b: lane.Item): number {
     const weighed = weight.weightOf(this.#policies, a) -
       weight.weightOf(this.#policies, b);
     if (weighed !== 0) return weighed;
@@ -90,7 +90,7 @@
     if (start !== 0) return start;
     const name = compareNames(a, b);
     if (name !== 0) return name;
-    return fairQueue.isBefore(a, b) ? 1 : -1;
+    return lane.isBefore(a, b) ? 1 : -1;
   }
 }
 
