--- /dev/null
+++ b/bench/capacity/main.ts
@@ -0,0 +1,47 @@
+/** Measures every slope of docs/CAPACITY.md and writes tables and plots.
+ * Arguments name the slopes to take anew; the others are kept as saved.
+ * @module */
+
+import * as fs from "node:fs";
+import * as matters from "./matters.ts";
+import * as page from "./page.ts";
+import * as plot from "./plot.ts";
+import * as slope from "./slope.ts";
+
+const PAGE = "docs/CAPACITY.md";
+const FOLDER = "docs/capacity";
+const SAVED = `${FOLDER}/slopes.json`;
+
+async function main(names: readonly string[]): Promise<void> {
+  const saved = readSaved();
+  for (const matter of matters.all) {
+    const wanted = names.length === 0 || names.includes(matter.name);
+    if (!wanted) continue;
+    console.error(`measuring ${matter.name}`);
+    const measured = await slope.take(matter);
+    saved.set(matter.name, measured);
+    fs.writeFileSync(
+      `${FOLDER}/${page.fileOf(matter.name)}`,
+      await plot.render(measured),
+    );
+  }
+  write(matters.all.flatMap(({ name }) => saved.get(name) ?? []));
+}
+
+function readSaved(): Map<string, slope.Slope> {
+  if (!fs.existsSync(SAVED)) return new Map();
+  const slopes = JSON.parse(fs.readFileSync(SAVED, "utf8")) as slope.Slope[];
+  return new Map(slopes.map((measured) => [measured.name, measured]));
+}
+
+function write(slopes: readonly slope.Slope[]): void {
+  fs.writeFileSync(SAVED, `${JSON.stringify(slopes, null, 2)}\n`);
+  let text = fs.readFileSync(PAGE, "utf8");
+  for (const role of new Set(slopes.map((measured) => measured.role))) {
+    const own = slopes.filter((measured) => measured.role === role);
+    text = page.fill(text, role, { text: page.tableOf(own) });
+  }
+  fs.writeFileSync(PAGE, text);
+}
+
+await main(process.argv.slice(2));
