--- /dev/null
+++ b/src/control/host/claim_keeper.ts
@@ -0,0 +1,159 @@
+/** Claims of idempotency keys for the request path of this host.
+ * @module */
+
+import * as crypto from "node:crypto";
+import type * as command from "../../schema/command_types.ts";
+import type * as request from "../../request/mod.ts";
+import type * as claims from "../claims/mod.ts";
+import type * as table from "../table/mod.ts";
+import * as errors from "./errors.ts";
+
+/** Most milliseconds that a claim may take of a request's deadline. */
+const CLAIM_TIMEOUT = 2_000;
+
+/** Milliseconds over which a settlement is sent again and again. */
+const SETTLE_TIMEOUT = 30_000;
+
+/** Milliseconds that a claim outlives the deadline of its request. */
+const LEASE_MARGIN = 2_000;
+
+/** Longest lease; see schema/command.yaml. */
+const MOST_LEASE = 600_000;
+
+/** Proposes a command within milliseconds, or rejects with `ControlError`. */
+export type Propose = (
+  command: command.Command,
+  timeout: number,
+) => Promise<table.Reply>;
+
+/** What a keeper needs of its host. */
+export interface ClaimKeeperOptions {
+  self: string;
+  /** Grows with each start of the host. */
+  incarnation: number;
+  propose: Propose;
+}
+
+/** Makes and settles claims. */
+export class ClaimKeeper implements request.Claims {
+  readonly #options: ClaimKeeperOptions;
+  /** Tokens of the claims granted here, by id of their request. */
+  readonly #tokens = new Map<string, string>();
+  #count = 0;
+
+  private constructor(options: ClaimKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** A keeper without claims. */
+  static create(options: ClaimKeeperOptions): ClaimKeeper {
+    return new ClaimKeeper(options);
+  }
+
+  /** Number of claims granted here that are not settled yet. */
+  get size(): number {
+    return this.#tokens.size;
+  }
+
+  /** Asks a quorum for the right to run a request. */
+  async claim(claim: request.Claim): Promise<request.ClaimResult> {
+    const { self: host, incarnation, propose } = this.#options;
+    const lease = Math.ceil(claim.remaining) + LEASE_MARGIN;
+    const entry: command.ClaimCommand = {
+      type: "claim",
+      id: this.#nextId(),
+      key: keyOf(claim),
+      fingerprint: claim.fingerprint,
+      host,
+      incarnation,
+      lease: Math.min(lease, MOST_LEASE),
+    };
+    const timeout = Math.min(CLAIM_TIMEOUT, claim.remaining);
+    try {
+      const reply = await propose(entry, timeout) as claims.Reply;
+      if (reply.type === "granted") this.#tokens.set(claim.request, entry.id);
+      return results[reply.type](reply as never);
+    } catch (error) {
+      if (!(error instanceof errors.ControlError)) throw error;
+      // Nothing was dispatched, even if the claim is granted in the end.
+      void this.#settle(claim, { token: entry.id, outcome: "not-run" });
+      const detail = `The key cannot be claimed: ${error.message}`;
+      return { type: "refused", detail, outcome: "not-run" };
+    }
+  }
+
+  /** Keeps the final answer; undefined gives the claim back as not run. */
+  settle(claim: request.Claim, answer: request.StoredAnswer | undefined): void {
+    const token = this.#tokens.get(claim.request);
+    if (token === undefined) return;
+    this.#tokens.delete(claim.request);
+    const outcome = answer === undefined ? "not-run" : "ran";
+    void this.#settle(claim, { token, outcome, answer: toKeep(answer) });
+  }
+
+  async #settle(
+    claim: request.Claim,
+    ending: Pick<command.SettleCommand, "token" | "outcome" | "answer">,
+  ): Promise<void> {
+    const entry: command.SettleCommand = {
+      type: "settle",
+      id: this.#nextId(),
+      key: keyOf(claim),
+      ...ending,
+    };
+    try {
+      await this.#options.propose(entry, SETTLE_TIMEOUT);
+    } catch (error) {
+      // The lease of the claim runs out; its outcome is then unknown.
+      if (!(error instanceof errors.ControlError)) throw error;
+    }
+  }
+
+  #nextId(): string {
+    const { self, incarnation } = this.#options;
+    return `${self}/${incarnation}/${this.#count++}`;
+  }
+}
+
+const results: {
+  [T in claims.Reply["type"]]: (
+    reply: Extract<claims.Reply, { type: T }>,
+  ) => request.ClaimResult;
+} = {
+  granted: () => ({ type: "granted" }),
+  held: () => ({ type: "in-progress" }),
+  answered: ({ answer: { status, contentType, body } }) => {
+    const type = contentType === undefined
+      ? undefined
+      : { "content-type": contentType };
+    return { type: "answered", answer: { status, headers: { ...type }, body } };
+  },
+  ended: ({ outcome }) => ({
+    type: "refused",
+    outcome,
+    detail: "The request was taken before, and its answer was not kept",
+  }),
+  mismatch: () => ({
+    type: "refused",
+    outcome: "not-run",
+    detail: "The key was used for another request",
+  }),
+  full: () => ({
+    type: "refused",
+    outcome: "not-run",
+    detail: "There are too many claims",
+  }),
+};
+
+function keyOf({ account, key }: request.Claim): string {
+  const hash = crypto.createHash("sha256").update(key).digest("hex");
+  return `${account}/${hash}`;
+}
+
+function toKeep(
+  answer: request.StoredAnswer | undefined,
+): command.StoredAnswer | undefined {
+  if (answer === undefined) return undefined;
+  const { status, headers, body } = answer;
+  return { status, contentType: headers["content-type"], body };
+}
--- /dev/null
+++ b/src/control/host/control.ts
@@ -0,0 +1,265 @@
+/** Control as one host has it: the table in force, edits, claims and, on a
+ * host with a disk, a replica of the log.
+ * @module */
+
+import * as crypto from "node:crypto";
+import type * as runtime from "../../runtime/mod.ts";
+import type * as control from "../../schema/control_types.ts";
+import type * as schema from "../../schema/table_types.ts";
+import type * as watching from "../../schema/watch_types.ts";
+import type * as telemetry from "../../telemetry/mod.ts";
+import type * as table from "../table/mod.ts";
+import * as watch from "../watch/mod.ts";
+import * as claimKeepers from "./claim_keeper.ts";
+import * as errors from "./errors.ts";
+import * as followers from "./follower.ts";
+import * as proposers from "./proposer.ts";
+import * as voters from "./voter.ts";
+
+/** Milliseconds that an edit may take before its outcome is unknown. */
+const EDIT_TIMEOUT = 4_000;
+
+/** Milliseconds over which a start is announced to the log. */
+const RETIRE_TIMEOUT = 30_000;
+
+/** What control needs of its host. */
+export interface ControlOptions {
+  self: string;
+  /** Grows with each start of the host. */
+  incarnation: number;
+  /** Hosts that the settings name as voters. */
+  voters: readonly string[];
+  clock: runtime.Clock;
+  random: runtime.Random;
+  transport: followers.Transport;
+  /** The data folder; present on a voter. */
+  storage?: runtime.Storage;
+  metrics: telemetry.Metrics;
+  logger: telemetry.Logger;
+  /** Edits that fill an empty table. */
+  first: readonly schema.Edit[];
+  /** The journal of this voter failed. */
+  onFailure(failure: Error): void;
+}
+
+/** Answer to an edit, or why there is none. */
+export type EditResult =
+  | table.Answer
+  | { type: "unavailable"; outcome: "not-run" | "unknown"; detail: string };
+
+/** What a watcher of the table in force hears. */
+export type TableEvent =
+  | {
+    type: "change";
+    revision: number;
+    actor: string;
+    /** When it came into force here, milliseconds since the Unix epoch. */
+    at: number;
+    changes: readonly table.Written[];
+  }
+  /** The table jumped to a later revision by a snapshot. */
+  | { type: "reset"; revision: number };
+
+/** Takes events of the table; must not throw. */
+export type Watcher = (event: TableEvent) => void;
+
+/** Control at one host. */
+export class Control {
+  /** Claims for the request path. */
+  readonly claims: claimKeepers.ClaimKeeper;
+  readonly #options: ControlOptions;
+  readonly #proposer: proposers.Proposer;
+  readonly #follower: followers.Follower;
+  readonly #watchers = new Set<Watcher>();
+  #voter: voters.Voter | undefined;
+
+  private constructor(options: ControlOptions) {
+    this.#options = options;
+    this.#proposer = proposers.Proposer.create(options);
+    this.#follower = followers.Follower.create({
+      ...options,
+      publishers: publishersOf(options),
+      onTable: (_, written) => this.#takeTable(written),
+      onStatus: (status) => this.#takeStatus(status),
+    });
+    this.claims = claimKeepers.ClaimKeeper.create({
+      ...options,
+      propose: (command, timeout) => this.#proposer.propose(command, timeout),
+    });
+  }
+
+  /** Control that does nothing before `start`. */
+  static create(options: ControlOptions): Control {
+    return new Control(options);
+  }
+
+  /** Reads the disk, if there is one, and begins to follow the table. */
+  async start(): Promise<void> {
+    const { storage } = this.#options;
+    if (storage !== undefined) {
+      this.#voter = await voters.Voter.start({ ...this.#options, storage });
+    }
+    this.#follower.start();
+    void this.#retire();
+  }
+
+  /** Takes an envelope of the channels log, watch and control. */
+  receive(envelope: runtime.Envelope): void {
+    const { channel, from, body } = envelope;
+    const type = (body as { type: string }).type;
+    if (channel === "log") this.#voter?.receiveLog(envelope);
+    else if (channel === "control") this.#takeControl(from, body);
+    else if (type === "subscribe" || type === "leave") {
+      this.#voter?.receiveWatch(from, body as watching.Message);
+    } else this.#follower.receive(from, body as watching.Message);
+  }
+
+  /** The table in force here; its revision never goes back. */
+  view(): table.Table {
+    return this.#follower.table;
+  }
+
+  /** Calls `watcher` on each change after this call. */
+  watch(watcher: Watcher): runtime.Cancel {
+    this.#watchers.add(watcher);
+    return () => this.#watchers.delete(watcher);
+  }
+
+  /** Applies a checked edit once, however often it is sent. */
+  async edit(edit: schema.Edit): Promise<EditResult> {
+    const id = `${this.#options.self}/${crypto.randomUUID()}`;
+    const body = edit as unknown as Record<string, unknown>;
+    try {
+      const reply = await this.#proposer.propose(
+        { type: "edit", id, edit: body },
+        EDIT_TIMEOUT,
+      );
+      return answerOf(reply);
+    } catch (error) {
+      if (!(error instanceof errors.ControlError)) throw error;
+      const outcome = error.failure === "unknown" ? "unknown" : "not-run";
+      return { type: "unavailable", outcome, detail: error.message };
+    }
+  }
+
+  /** Whether this host leads the log at this very moment. */
+  leaseHeld(): boolean {
+    return this.#voter?.leaseHeld() ?? false;
+  }
+
+  /** Term of the log on a voter, which fences the orders of former leaders. */
+  get term(): number {
+    return this.#voter?.term ?? 0;
+  }
+
+  /** What is known of the quorum. */
+  get status(): followers.Status {
+    return this.#follower.status;
+  }
+
+  /** Hands leadership over, before a stop. */
+  drain(): void {
+    this.#voter?.drain();
+  }
+
+  /** Takes no further part. */
+  stop(): void {
+    this.#follower.stop();
+    this.#proposer.stop();
+    this.#voter?.stop();
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    return {
+      follower: this.#follower.dump(),
+      proposer: this.#proposer.dump(),
+      claims: this.claims.size,
+      voter: this.#voter?.dump(),
+    };
+  }
+
+  #takeControl(from: string, body: unknown): void {
+    const message = body as control.ControlMessage;
+    if (message.type === "result") this.#proposer.receive(from, message);
+    else if (this.#voter !== undefined) {
+      this.#voter.receiveForward(from, message);
+    } else this.#decline(from, message);
+  }
+
+  /** A host without the log takes no commands: nothing was applied. */
+  #decline(to: string, { attempt, command }: control.Forward): void {
+    const { self: from, transport } = this.#options;
+    const body: control.Result = {
+      type: "result",
+      id: command.id,
+      attempt,
+      status: "not-leader",
+      leader: this.status.leader,
+    };
+    transport.send({ from, to, channel: "control", body });
+  }
+
+  #takeTable(written: readonly table.Written[] | undefined): void {
+    const { metrics, clock } = this.#options;
+    const { revision } = this.view();
+    metrics.gauge("table.revision", revision);
+    if (written === undefined) return this.#tell({ type: "reset", revision });
+    const at = clock.wall();
+    for (const changes of byRevision(written)) {
+      const [{ version, actor }] = changes;
+      this.#tell({ type: "change", revision: version, actor, at, changes });
+    }
+  }
+
+  #takeStatus(status: followers.Status): void {
+    this.#proposer.setLeader(status.leader);
+    this.#options.logger.info({ ...status }, "view of the quorum changed");
+  }
+
+  #tell(event: TableEvent): void {
+    for (const watcher of this.#watchers) watcher(event);
+  }
+
+  /** Tells the log that nothing of an earlier start runs here any more. */
+  async #retire(): Promise<void> {
+    const { self: host, incarnation } = this.#options;
+    const id = `${host}/${incarnation}/retire`;
+    try {
+      await this.#proposer.propose(
+        { type: "retire", id, host, incarnation },
+        RETIRE_TIMEOUT,
+      );
+    } catch (error) {
+      // The next claim of this host says the same.
+      if (!(error instanceof errors.ControlError)) throw error;
+    }
+  }
+}
+
+/** Voters in the order that this host tries them; a voter asks itself first. */
+function publishersOf({ self, voters }: ControlOptions): string[] {
+  const others = watch.rank(self, voters);
+  return voters.includes(self) ? [self, ...others] : others;
+}
+
+function answerOf(reply: table.Reply): EditResult {
+  const { type } = reply;
+  if (type === "accepted" || type === "conflict" || type === "refused") {
+    return reply;
+  }
+  const detail = type === "invalid" ? reply.detail : "No answer to an edit";
+  return { type: "refused", detail };
+}
+
+/** Cells in order of the edits that wrote them. */
+function byRevision(written: readonly table.Written[]): table.Written[][] {
+  const groups = new Map<number, table.Written[]>();
+  for (const cell of written) {
+    const group = groups.get(cell.version);
+    if (group === undefined) groups.set(cell.version, [cell]);
+    else group.push(cell);
+  }
+  return [...groups.keys()].sort((a, b) => a - b)
+    .map((revision) => groups.get(revision)!);
+}
--- a/src/runtime/mod.ts
+++ b/src/runtime/mod.ts
@@ -5,5 +5,6 @@
 export * from "./clock.ts";
 export * from "./storage.ts";
 export * from "./transport.ts";
+export { Alarm } from "./alarm.ts";
 export { FakeClock } from "./fake_clock.ts";
 export { create as createRandom, type Random } from "./random.ts";
