--- a/standins/deployments.ts
+++ b/standins/deployments.ts
@@ -20,19 +20,15 @@
   services: readonly Service[];
 }
 
-const POOLS: readonly Service[] = [
-  { name: "encoder", kind: "encoder", endpoints: 3 },
-  { name: "retriever", kind: "retriever", endpoints: 3 },
-  { name: "reranker", kind: "reranker", endpoints: 3 },
-];
-
 /** Kivu Hull Care Authority. */
 export const kivu: Deployment = {
   name: "kivu",
   dataCentres: ["gisenyi-hall", "nyamyumba-hall", "town-hall"],
   services: [
-    { name: "lm-pool", kind: "engine", endpoints: 6, model: "hull" },
-    ...POOLS,
+    { name: "lm-pool", kind: "engine", endpoints: 6, model: "hull-writer" },
+    { name: "encoders", kind: "encoder", endpoints: 3 },
+    { name: "histories", kind: "retriever", endpoints: 3 },
+    { name: "rerankers", kind: "reranker", endpoints: 3 },
     { name: "dive-desk", kind: "plain", endpoints: 3 },
     { name: "vessel-registry", kind: "plain", endpoints: 3 },
     { name: "gear-log", kind: "plain", endpoints: 4 },
@@ -45,8 +41,15 @@
   name: "tran-gia",
   dataCentres: ["ha-noi-hall", "tam-dao", "ba-vi"],
   services: [
-    { name: "course-model", kind: "engine", endpoints: 6, model: "course" },
-    ...POOLS,
+    {
+      name: "course-model",
+      kind: "engine",
+      endpoints: 6,
+      model: "course-setter",
+    },
+    { name: "encoders", kind: "encoder", endpoints: 3 },
+    { name: "courses", kind: "retriever", endpoints: 3 },
+    { name: "rerankers", kind: "reranker", endpoints: 3 },
     { name: "entry-desk", kind: "plain", endpoints: 3 },
     { name: "results-board", kind: "plain", endpoints: 3 },
     { name: "club-ledger", kind: "plain", endpoints: 3 },
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -264,7 +264,7 @@
     { inputTokens, cached, stream }: Session,
     { slotTime, wasted }: { slotTime: number; wasted: boolean },
   ): void {
-    this.ledger.charge(this.service, {
+    this.ledger.charge({ service: this.service, owner: stream.owner }, {
       engineTime: slotTime,
       inputTokens,
       cachedTokens: cached,
--- a/standins/ledger.ts
+++ b/standins/ledger.ts
@@ -13,6 +13,9 @@
   owner: string;
 }
 
+/** Whose call it was, and where. */
+export type Payer = Pick<Run, "service" | "owner">;
+
 /** Cost of one service. */
 export interface Cost {
   calls: number;
@@ -36,10 +39,19 @@
   wasted: boolean;
 }
 
+/** What one request took of one service. */
+export interface Share {
+  runs: number;
+  /** Most runs of one stage. */
+  most: number;
+  /** Milliseconds of endpoint slots. */
+  engineTime: number;
+}
+
 /** A ledger as it is read over HTTP. */
 export interface Totals {
-  /** Runs by owner, then by service. */
-  runs: Record<string, Record<string, number>>;
+  /** Shares by owner, then by service. */
+  owners: Record<string, Record<string, Share>>;
   /** Runs by `REQUEST/STAGE`. */
   requests: Record<string, number>;
   /** Cost by service. */
@@ -48,15 +60,16 @@
 
 /** Counts runs and costs. */
 export class Ledger {
-  readonly #runs = new Map<string, Map<string, number>>();
+  readonly #owners = new Map<string, Map<string, Share>>();
+  readonly #stages = new Map<string, number>();
   readonly #requests = new Map<string, number>();
   readonly #costs = new Map<string, Cost>();
 
   /** Counts a call that starts. */
   run({ request, stage, service, owner }: Run): void {
-    const runs = this.#runs.get(owner) ?? new Map<string, number>();
-    runs.set(service, (runs.get(service) ?? 0) + 1);
-    this.#runs.set(owner, runs);
+    const share = this.#share(owner, service);
+    share.runs++;
+    share.most = Math.max(share.most, this.#count(owner, { service, stage }));
     const key = `${request}/${stage}`;
     this.#requests.set(key, (this.#requests.get(key) ?? 0) + 1);
     this.#cost(service).calls++;
@@ -67,8 +80,9 @@
     this.#cost(service).refused++;
   }
 
-  /** Adds what a call cost. */
-  charge(service: string, charge: Charge): void {
+  /** Adds what a call of an owner cost. */
+  charge({ service, owner }: Payer, charge: Charge): void {
+    this.#share(owner, service).engineTime += charge.engineTime;
     const cost = this.#cost(service);
     cost.engineTime += charge.engineTime;
     cost.inputTokens += charge.inputTokens;
@@ -79,10 +93,10 @@
 
   /** Runs of an owner at a service, or at all. */
   runs(owner: string, service?: string): number {
-    const runs = this.#runs.get(owner);
-    if (runs === undefined) return 0;
-    if (service !== undefined) return runs.get(service) ?? 0;
-    return [...runs.values()].reduce((sum, count) => sum + count, 0);
+    const shares = this.#owners.get(owner);
+    if (shares === undefined) return 0;
+    if (service !== undefined) return shares.get(service)?.runs ?? 0;
+    return [...shares.values()].reduce((sum, { runs }) => sum + runs, 0);
   }
 
   /** Runs of one stage of a request. */
@@ -92,16 +106,35 @@
 
   /** Everything, as plain objects. */
   totals(): Totals {
-    const runs = [...this.#runs].map(([owner, counts]) =>
-      [owner, Object.fromEntries(counts)] as const
+    const owners = [...this.#owners].map(([owner, shares]) =>
+      [owner, Object.fromEntries(shares)] as const
     );
     return {
-      runs: Object.fromEntries(runs),
+      owners: Object.fromEntries(owners),
       requests: Object.fromEntries(this.#requests),
       costs: Object.fromEntries(this.#costs),
     };
   }
 
+  /** Counts a run of an owner's stage; how many there were. */
+  #count(
+    owner: string,
+    { service, stage }: Pick<Run, "service" | "stage">,
+  ): number {
+    const key = `${owner}/${service}/${stage}`;
+    const count = (this.#stages.get(key) ?? 0) + 1;
+    this.#stages.set(key, count);
+    return count;
+  }
+
+  #share(owner: string, service: string): Share {
+    const shares = this.#owners.get(owner) ?? new Map<string, Share>();
+    this.#owners.set(owner, shares);
+    const share = shares.get(service) ?? { runs: 0, most: 0, engineTime: 0 };
+    shares.set(service, share);
+    return share;
+  }
+
   #cost(service: string): Cost {
     let cost = this.#costs.get(service);
     if (cost === undefined) {
--- a/standins/simple.ts
+++ b/standins/simple.ts
@@ -113,7 +113,7 @@
     const { made, work } = pending;
     this.#pending.delete(key);
     const wasted = pending.state === "abandoned";
-    this.ledger.charge(this.service, {
+    this.ledger.charge({ service: this.service, owner: work.owner }, {
       engineTime: time,
       inputTokens: work.inputTokens,
       cachedTokens: 0,
@@ -221,7 +221,8 @@
 
 function book({ incoming }: call.Call): Work {
   const { method, url, body } = incoming;
-  const asked = `${decodeURIComponent(url.pathname)}${url.search}\n${body}`;
+  const path = decodeURIComponent(`${url.pathname}${url.search}`);
+  const asked = `${path}\n${body}`;
   const owner = text.owner(asked);
   return {
     owner,
