Add the transport between hosts: tRPC over lasting websockets

Parts of a host send envelopes without waiting; until now there was nothing to carry them. Each host dials the hosts it sends to, shows by a keyed hash that it has the fleet key, and sends batches that are each answered. A batch without an answer for 1 s means a silent connection, which is exchanged for a new one; at rest it is probed every 5 s. What waits is bounded in bytes and in age. The sender's name follows from the connection, and each message is checked by its channel's validator.

--- /dev/null
+++ b/src/peers/errors.ts
@@ -0,0 +1,7 @@
+/** Errors of the transport between hosts.
+ * @module */
+
+/** The transport could not start. */
+export class PeerError extends Error {
+  override readonly name = "PeerError";
+}
--- /dev/null
+++ b/src/peers/peers_test.ts
@@ -0,0 +1,195 @@
+import test from "ava";
+import * as ws from "ws";
+import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import * as peers from "./mod.ts";
+import * as queue from "./queue.ts";
+import * as relays from "./relay.ts";
+
+const POLL = 5;
+
+interface Node {
+  peers: peers.Peers;
+  got: runtime.Envelope[];
+  tally: telemetry.Tally;
+  clock: runtime.FakeClock;
+}
+
+/** A host on a port that the system chooses; dials `others`. */
+async function createNode(
+  self: string,
+  others: readonly peers.Host[],
+  changes: Partial<peers.PeersOptions> = {},
+): Promise<Node> {
+  const got: runtime.Envelope[] = [];
+  const tally = new telemetry.Tally();
+  const clock = new runtime.FakeClock();
+  const own = { id: self, address: "127.0.0.1", port: 0 };
+  const node = peers.Peers.create({
+    self,
+    hosts: [own, ...others],
+    key: "secret",
+    validators: { control: (body) => !("bad" in (body as object)) },
+    clock,
+    metrics: tally,
+    onEnvelope: (envelope) => got.push(envelope),
+    ...changes,
+  });
+  await node.start();
+  return { peers: node, got, tally, clock };
+}
+
+function hostAt(id: string, port: number): peers.Host {
+  return { id, address: "127.0.0.1", port };
+}
+
+function envelopeTo(to: string, body: object): runtime.Envelope {
+  return { from: "a", to, channel: "control", body };
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((done) => setTimeout(done, POLL));
+}
+
+async function createPair(changes: Partial<peers.PeersOptions> = {}) {
+  const b = await createNode("b", [hostAt("a", 0)]);
+  const a = await createNode("a", [hostAt("b", b.peers.port)], changes);
+  const stop = () => Promise.all([a.peers.stop(), b.peers.stop()]);
+  return { a, b, stop };
+}
+
+test("delivers in order and names the sender by its connection", async (t) => {
+  const { a, b, stop } = await createPair();
+  const bodies = Array.from({ length: 500 }, (_, pos) => ({ pos }));
+  for (const body of bodies) {
+    a.peers.send({ ...envelopeTo("b", body), from: "forged" });
+  }
+  await until(() => b.got.length === bodies.length);
+  t.deepEqual(b.got.map(({ body }) => body), bodies);
+  t.true(b.got.every(({ from, to }) => from === "a" && to === "b"));
+  await stop();
+});
+
+test("drops ill-formed messages, unknown channels and unknown hosts", async (t) => {
+  const { a, b, stop } = await createPair();
+  a.peers.send(envelopeTo("b", { bad: 1 }));
+  a.peers.send({ ...envelopeTo("b", {}), channel: "log" });
+  a.peers.send(envelopeTo("c", {}));
+  a.peers.send(envelopeTo("b", { good: 1 }));
+  await until(() => b.got.length === 1);
+  t.is(b.tally.total("peer.dropped"), 2);
+  t.is(a.tally.total("peer.dropped"), 1);
+  await stop();
+});
+
+test("hands a host its own messages", async (t) => {
+  const { a, stop } = await createPair();
+  a.peers.send(envelopeTo("a", { self: 1 }));
+  t.is(a.got.length, 0);
+  await until(() => a.got.length === 1);
+  await stop();
+});
+
+const strangers: [string, Partial<peers.PeersOptions>][] = [
+  ["another key", { key: "guess" }],
+  ["no key", { key: undefined }],
+];
+
+for (const [name, changes] of strangers) {
+  test(`refuses a host with ${name}, and counts it`, async (t) => {
+    const { a, b, stop } = await createPair(changes);
+    a.peers.send(envelopeTo("b", {}));
+    await until(() => b.tally.total("peer.refused") > 1);
+    t.is(b.got.length, 0);
+    t.is(a.tally.total("peer.connected"), 0);
+    await stop();
+  });
+}
+
+test("refuses a host that is not in the list, and a bare client", async (t) => {
+  const b = await createNode("b", []);
+  const a = await createNode("a", [hostAt("b", b.peers.port)]);
+  a.peers.send(envelopeTo("b", {}));
+  const bare = new ws.WebSocket(`ws://127.0.0.1:${b.peers.port}`);
+  bare.on("error", () => {});
+  await until(() => b.tally.total("peer.refused") > 1);
+  await until(() => bare.readyState === ws.WebSocket.CLOSED);
+  t.is(b.got.length, 0);
+  await Promise.all([a.peers.stop(), b.peers.stop()]);
+});
+
+test("exchanges a connection that has gone silent", async (t) => {
+  const b = await createNode("b", [hostAt("a", 0)]);
+  const relay = await relays.Relay.create(() => b.peers.port);
+  const a = await createNode("a", [hostAt("b", relay.port)]);
+  a.peers.send(envelopeTo("b", { pos: 1 }));
+  await until(() => b.got.length === 1);
+  relay.silence();
+  a.peers.send(envelopeTo("b", { pos: 2 }));
+  await new Promise((done) => setImmediate(done));
+  a.clock.advance(1500);
+  t.is(a.tally.total("peer.silent"), 1);
+  a.peers.send(envelopeTo("b", { pos: 3 }));
+  await until(() => b.got.length === 2);
+  t.deepEqual(b.got.map(({ body }) => body), [{ pos: 1 }, { pos: 3 }]);
+  t.is(relay.connections, 2);
+  await Promise.all([a.peers.stop(), b.peers.stop()]);
+  await relay.close();
+});
+
+test("probes a connection at rest and closes it when it stays so", async (t) => {
+  const { a, b, stop } = await createPair();
+  const dump = () => JSON.stringify(a.peers.dump());
+  const answered = () => until(() => !/"underWay":[1-9]/.test(dump()));
+  a.peers.send(envelopeTo("b", {}));
+  await until(() => b.got.length === 1);
+  await answered();
+  a.clock.advance(4999);
+  t.regex(dump(), /"batches":1\D/);
+  a.clock.advance(1);
+  t.regex(dump(), /"batches":2\D/);
+  while (a.clock.now() < 60_000) {
+    await answered();
+    a.clock.advance(250);
+  }
+  t.notRegex(dump(), /batches/);
+  t.is(a.tally.total("peer.silent"), 0);
+  await stop();
+});
+
+test("sends again once a host that was down is back", async (t) => {
+  const { a, b } = await createPair();
+  a.peers.send(envelopeTo("b", { pos: 1 }));
+  await until(() => b.got.length === 1);
+  const { port } = b.peers;
+  await b.peers.stop();
+  const back = await createNode("b", [hostAt("a", 0)], {
+    hosts: [hostAt("b", port), hostAt("a", 0)],
+  });
+  a.peers.send(envelopeTo("b", { pos: 2 }));
+  let pos = 2;
+  while (back.got.length === 0) {
+    a.peers.send(envelopeTo("b", { pos: ++pos }));
+    await new Promise((done) => setTimeout(done, POLL));
+  }
+  t.pass();
+  await Promise.all([a.peers.stop(), back.peers.stop()]);
+});
+
+test("a queue is bounded in bytes and age, and drops the oldest", (t) => {
+  const drops: string[] = [];
+  const bounds = { bytes: 205, message: 100, batch: 100, age: 1000 };
+  const waiting = queue.Queue.create(bounds, (reason) => drops.push(reason));
+  for (let pos = 0; pos < 5; pos++) {
+    waiting.push({ channel: "control", body: { pos } }, pos * 100);
+  }
+  t.deepEqual(drops, []);
+  waiting.push({ channel: "control", body: { text: "x".repeat(80) } }, 500);
+  t.deepEqual(drops, ["too-large"]);
+  waiting.push({ channel: "control", body: { pos: 5 } }, 500);
+  t.is(waiting.bytes, 205);
+  t.deepEqual(drops, ["too-large", "queue-full"]);
+  const { batch } = waiting.take(1150);
+  t.deepEqual(batch.map(({ body }) => body), [{ pos: 2 }, { pos: 3 }]);
+  t.is(drops.at(-1), "stale");
+});
--- /dev/null
+++ b/src/peers/queue.ts
@@ -0,0 +1,98 @@
+/** Messages that wait for a connection: bounded in bytes and in age, the
+ * oldest going first.
+ * @module */
+
+import type * as schema from "../schema/peers_types.ts";
+
+/** Bytes of a message beside its body. */
+const OVERHEAD = 32;
+
+/** Why a message was dropped. */
+export type Drop = "too-large" | "queue-full" | "stale";
+
+/** Bounds of a queue. */
+export interface Bounds {
+  /** Bytes of all messages that wait. */
+  bytes: number;
+  /** Bytes of one message. */
+  message: number;
+  /** Bytes of a batch, unless one message alone is larger. */
+  batch: number;
+  /** Milliseconds after which a message is of no use any more. */
+  age: number;
+}
+
+interface Item {
+  parcel: schema.Parcel;
+  bytes: number;
+  at: number;
+}
+
+/** Messages to send at once. */
+export interface Load {
+  batch: schema.Batch;
+  bytes: number;
+}
+
+/** Messages that wait, in order; changed in place. */
+export class Queue {
+  readonly #bounds: Bounds;
+  readonly #drop: (reason: Drop) => void;
+  #items: Item[] = [];
+  #bytes = 0;
+
+  private constructor(bounds: Bounds, drop: (reason: Drop) => void) {
+    this.#bounds = bounds;
+    this.#drop = drop;
+  }
+
+  /** An empty queue that calls `drop` for each message it gives up. */
+  static create(bounds: Bounds, drop: (reason: Drop) => void): Queue {
+    return new Queue(bounds, drop);
+  }
+
+  /** Number of messages that wait. */
+  get length(): number {
+    return this.#items.length;
+  }
+
+  /** Bytes of the messages that wait. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /** Adds a message and drops the oldest past the bound. */
+  push(parcel: schema.Parcel, at: number): void {
+    const bytes = Buffer.byteLength(JSON.stringify(parcel.body)) + OVERHEAD;
+    if (bytes > this.#bounds.message) return this.#drop("too-large");
+    this.#items.push({ parcel, bytes, at });
+    this.#bytes += bytes;
+    while (this.#bytes > this.#bounds.bytes) {
+      this.#shift();
+      this.#drop("queue-full");
+    }
+  }
+
+  /** Takes out the next messages, leaving out those that are too old. */
+  take(now: number): Load {
+    const load: Load = { batch: [], bytes: 0 };
+    while (this.#items.length > 0) {
+      const { parcel, bytes, at } = this.#items[0];
+      const stale = now - at > this.#bounds.age;
+      const full = load.bytes + bytes > this.#bounds.batch;
+      if (!stale && full && load.batch.length > 0) break;
+      this.#shift();
+      if (stale) {
+        this.#drop("stale");
+        continue;
+      }
+      load.batch.push(parcel);
+      load.bytes += bytes;
+    }
+    return load;
+  }
+
+  #shift(): void {
+    this.#bytes -= this.#items.shift()!.bytes;
+  }
+}
--- /dev/null
+++ b/src/schema/peers_types.ts
@@ -0,0 +1,19 @@
+/** Types generated from schema/peers.yaml.
+ * @module */
+
+/**
+ * Messages from one host to another, in order. Who sent them and to whom
+ * follows from the connection.
+ *
+ *
+ * @maxItems 4096
+ */
+export type Batch = Parcel[];
+
+export interface Parcel {
+  channel: "log" | "watch" | "membership" | "registry" | "shares" | "control";
+  /**
+   * Message of the channel, checked against its own schema.
+   */
+  body: {};
+}
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -83,6 +83,7 @@
   "peer.dropped": { type: "count", help: "Envelopes dropped, by reason" },
   "peer.bytes_sent": { type: "count", help: "Bytes sent to other hosts" },
   "peer.connected": { type: "count", help: "Connections made" },
+  "peer.refused": { type: "count", help: "Connections without the fleet key" },
   "peer.silent": { type: "count", help: "Connections closed as silent" },
   "member.alive": { type: "gauge", help: "Hosts believed alive" },
   "member.suspected": { type: "count", help: "Hosts suspected" },
