Command line for operators: check, table, status, dump, drain

Operators edit one table like a spreadsheet and race each other. An export carries the version of each cell, so an import changes just what differs and ends as a conflict where others have written since. An edit is sent again under its operation id while its outcome is unknown, then kept in a file for `table resend`. Exit codes: 0 ok, 1 failed, 2 usage or settings, 3 conflict, 4 unavailable.

--- /dev/null
+++ b/src/operators/cli/main.ts
@@ -0,0 +1,53 @@
+/** The `chicoryloft` command line.
+ * @module */
+
+import * as clipanion from "clipanion";
+import * as client from "../client/mod.ts";
+import * as change from "./change_command.ts";
+import * as check from "./check_command.ts";
+import * as look from "./look_commands.ts";
+import * as table from "./table_commands.ts";
+
+/** Streams and environment of a run; those of the process when absent. */
+export type Context = Partial<clipanion.BaseContext>;
+
+/** Runs one command and returns its exit code. */
+export async function main(
+  args: string[],
+  context: Context = {},
+): Promise<number> {
+  const cli = createCli();
+  const whole = { ...clipanion.Cli.defaultContext, ...context };
+  let command: clipanion.Command;
+  try {
+    command = cli.process(args, whole);
+  } catch (error) {
+    whole.stderr.write(cli.error(error as Error));
+    return client.exitCodes.usage;
+  }
+  return await cli.run(command, whole);
+}
+
+function createCli(): clipanion.Cli {
+  const cli = new clipanion.Cli({
+    binaryLabel: "Chicoryloft, for operators",
+    binaryName: "chicoryloft",
+  });
+  const commands = [
+    clipanion.Builtins.HelpCommand,
+    check.CheckCommand,
+    table.ShowCommand,
+    table.EditCommand,
+    table.ImportCommand,
+    table.ExportCommand,
+    table.WatchCommand,
+    change.ResendCommand,
+    look.PipelinesCommand,
+    look.EndpointsCommand,
+    look.StatusCommand,
+    look.DumpCommand,
+    look.DrainCommand,
+  ];
+  commands.forEach((command) => cli.register(command));
+  return cli;
+}
--- /dev/null
+++ b/src/operators/cli/text_table.ts
@@ -0,0 +1,28 @@
+/** Aligned tables for people.
+ * @module */
+
+const GAP = "  ";
+
+/** Lines with a heading; numbers are aligned to the right. */
+export function textTable(
+  headings: readonly string[],
+  rows: readonly (readonly unknown[])[],
+): string {
+  const texts = rows.map((row) => row.map(show));
+  const widths = headings.map((heading, pos) =>
+    Math.max(heading.length, ...texts.map((row) => row[pos].length))
+  );
+  const right = headings.map((_, pos) =>
+    rows.some((row) => typeof row[pos] === "number")
+  );
+  const line = (cells: readonly string[]) =>
+    cells.map((cell, pos) =>
+      right[pos] ? cell.padStart(widths[pos]) : cell.padEnd(widths[pos])
+    ).join(GAP).trimEnd();
+  return [line(headings), ...texts.map(line)].map((text) => `${text}\n`)
+    .join("");
+}
+
+function show(value: unknown): string {
+  return value === undefined || value === null ? "" : String(value);
+}
--- a/src/settings/initial_edits.ts
+++ b/src/settings/initial_edits.ts
@@ -8,7 +8,7 @@
 const ACTOR = "settings";
 
 /** Most changes in one edit; see schema/table.yaml. */
-const MOST_CHANGES = 4000;
+export const MOST_CHANGES = 4000;
 
 /** Edits that fill an empty table. Their operation ids are always the same,
  * so that hosts which make them at once apply them once. */
