Fleet-wide limits by leased shares

Cause: a limit of the table binds the whole fleet, also while hosts are cut off. A new allocator only renews what hosts hold until the leases of the last one are surely over, so shares in use stay.

--- a/src/membership/fake_fleet.ts
+++ b/src/membership/fake_fleet.ts
@@ -39,11 +39,12 @@
 
 interface Slot<P> {
   program: P;
-  incarnation: number;
   cancel: runtime.Cancel;
   timerAt: number;
   /** How far the clock of the host is behind that of the fleet. */
   behind: number;
+  /** Speed of its clock; 1 is right. */
+  rate: number;
   pausedAt: number | undefined;
   held: runtime.Envelope[];
 }
@@ -58,7 +59,6 @@
   readonly #random: runtime.Random;
   readonly #slots = new Map<string, Slot<P>>();
   readonly #copy: boolean;
-  #starts = 0;
 
   /** With `copy`, each message goes through JSON as on a wire. */
   constructor(random: runtime.Random, copy = true) {
@@ -83,14 +83,14 @@
   }
 
   /** Starts a host, or starts it again with nothing of the last run. */
-  start(id: string, program: P): void {
+  start(id: string, program: P, rate = 1): void {
     this.crash(id);
     this.#slots.set(id, {
       program,
-      incarnation: ++this.#starts,
       cancel: () => {},
       timerAt: Infinity,
       behind: 0,
+      rate,
       pausedAt: undefined,
       held: [],
     });
@@ -116,7 +116,9 @@
   resume(id: string, clockStopped: boolean): void {
     const slot = this.#slots.get(id);
     if (slot?.pausedAt === undefined) return;
-    if (clockStopped) slot.behind += this.clock.now() - slot.pausedAt;
+    if (clockStopped) {
+      slot.behind += (this.clock.now() - slot.pausedAt) * slot.rate;
+    }
     slot.pausedAt = undefined;
     const held = slot.held;
     slot.held = [];
@@ -128,7 +130,7 @@
   call(id: string, action: (program: P, now: number) => Outgoing[]): void {
     const slot = this.#slots.get(id);
     if (slot === undefined || slot.pausedAt !== undefined) return;
-    const outgoing = action(slot.program, this.clock.now() - slot.behind);
+    const outgoing = action(slot.program, this.#nowAt(slot));
     for (const message of outgoing) this.#send({ from: id, ...message });
     this.#arm(id);
   }
@@ -138,15 +140,20 @@
     this.clock.advance(ms);
   }
 
+  #nowAt({ rate, behind }: Slot<P>): number {
+    return this.clock.now() * rate - behind;
+  }
+
   #arm(id: string): void {
     const slot = this.#slots.get(id);
     if (slot === undefined || slot.pausedAt !== undefined) return;
-    const at = slot.program.wakeAt + slot.behind;
+    const at = slot.program.wakeAt;
     if (at === slot.timerAt) return;
     slot.cancel();
     slot.timerAt = at;
     if (at === Infinity) return;
-    slot.cancel = this.clock.after(at - this.clock.now(), () => {
+    const wait = (at - this.#nowAt(slot)) / slot.rate;
+    slot.cancel = this.clock.after(wait, () => {
       slot.timerAt = Infinity;
       this.call(id, (program, now) => program.wake(now));
     });
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -89,6 +89,17 @@
     return this.#state.live.map((id) => this.#state.members.get(id)!);
   }
 
+  /** Number of hosts that may be running: all but those that said they
+   * leave, the seeds included. */
+  get size(): number {
+    const { members, options } = this.#state;
+    const known = [...members.values()].filter(({ status }) =>
+      status !== "left"
+    );
+    const seeds = options.seeds.filter((id) => members.get(id) === undefined);
+    return known.length + seeds.length;
+  }
+
   /** Hosts that this one passes news to. */
   get neighbours(): readonly string[] {
     return this.#state.neighbours;
--- /dev/null
+++ b/src/schema/shares_types.ts
@@ -0,0 +1,78 @@
+/** Types generated from schema/shares.yaml.
+ * @module */
+
+/**
+ * What hosts and the allocator tell each other of shares of limits.
+ */
+export type SharesMessage = Report | Grant;
+/**
+ * Column of the table that holds the limit.
+ */
+export type LimitColumn = "rate" | "concurrency";
+
+/**
+ * What a host needs; sent to the allocator about once a second.
+ */
+export interface Report {
+  type: "report";
+  /**
+   * Grows with each report of one run of the host.
+   */
+  number: number;
+  /**
+   * Term of the allocator that the host reports to.
+   */
+  term: number;
+  /**
+   * Number of the last grant in force at the host.
+   */
+  applied: number;
+  /**
+   * @maxItems 10000
+   */
+  rows: Claim[];
+}
+export interface Claim {
+  row: string;
+  column: LimitColumn;
+  /**
+   * Requests a second, or requests in flight and waiting.
+   */
+  demand: number;
+  /**
+   * Leased to the host now, over its base.
+   */
+  held: number;
+  /**
+   * Requests in flight over its base, which may outlast a lease.
+   */
+  used?: number;
+}
+/**
+ * Shares over the base, for the length of a lease that begins when the report was sent.
+ */
+export interface Grant {
+  type: "grant";
+  /**
+   * Grows with each grant of one term.
+   */
+  number: number;
+  term: number;
+  /**
+   * Number of the report that it answers.
+   */
+  report: number;
+  /**
+   * Milliseconds.
+   */
+  lease: number;
+  /**
+   * @maxItems 10000
+   */
+  rows: Share[];
+}
+export interface Share {
+  row: string;
+  column: LimitColumn;
+  extra: number;
+}
--- /dev/null
+++ b/src/shares/allocator.ts
@@ -0,0 +1,220 @@
+/** Leases shares of fleet-wide limits to hosts. Runs on the host that holds
+ * the control lease; its term orders allocators.
+ * @module */
+
+import type * as schema from "../schema/shares_types.ts";
+import * as divisions from "./division.ts";
+import * as limits from "./limit.ts";
+
+/** Between two rounds of grants. */
+export const ROUND = 1000;
+/** Length of a lease, from when the host sent its report. */
+export const LEASE = 4000;
+/** Most that clocks may differ in speed. */
+export const DRIFT = 0.02;
+/** Added to a lease before its share is granted again. */
+export const MARGIN = 100;
+
+/** What happens to an allocator. */
+export type Event =
+  /** This host has the control lease of a term, until then by its clock;
+   * given again each time the lease is renewed. */
+  | { type: "lead"; term: number; until: number }
+  /** This host lost the control lease. */
+  | { type: "yield" }
+  | { type: "limits"; limits: readonly limits.Limit[] }
+  /** Hosts that may be running, those that count as dead included. */
+  | { type: "hosts"; count: number }
+  | { type: "message"; from: string; body: schema.SharesMessage }
+  | { type: "wake" };
+
+/** What the shell does for an allocator. */
+export type Effect =
+  | { type: "send"; to: string; body: schema.SharesMessage }
+  | { type: "wake"; at: number };
+
+/** Outcome of a step. */
+export interface Result {
+  state: Allocator;
+  effects: Effect[];
+}
+
+interface State {
+  readonly term: number | undefined;
+  /** End of the control lease. */
+  readonly until: number;
+  readonly limits: readonly limits.Limit[];
+  readonly hosts: number;
+  readonly clients: ReadonlyMap<string, divisions.Client>;
+  readonly number: number;
+  /** Until then, leases of the last allocator may run. */
+  readonly waitUntil: number;
+  readonly nextRound: number;
+}
+
+interface Step {
+  state: State;
+  effects: Effect[];
+  now: number;
+}
+
+const IDLE: State = {
+  term: undefined,
+  until: 0,
+  limits: [],
+  hosts: 1,
+  clients: new Map(),
+  number: 0,
+  waitUntil: 0,
+  nextRound: Infinity,
+};
+
+/** An immutable allocator; `step` gives the next one. */
+export class Allocator {
+  readonly #state: State;
+
+  private constructor(state: State) {
+    this.#state = state;
+  }
+
+  /** An allocator that does not lead yet. */
+  static create(): Allocator {
+    return new Allocator(IDLE);
+  }
+
+  /** Takes one event at `now`, milliseconds of a monotonic clock. */
+  step(event: Event, now: number): Result {
+    const step: Step = { state: this.#state, effects: [], now };
+    const handler = handlers[event.type] as (step: Step, event: Event) => void;
+    handler(step, event);
+    const moved = step.state.nextRound !== this.#state.nextRound;
+    if (moved || event.type === "wake") {
+      step.effects.push({ type: "wake", at: step.state.nextRound });
+    }
+    return { state: new Allocator(step.state), effects: step.effects };
+  }
+
+  /** For the state dump. */
+  toJSON(): object {
+    const { term, hosts, clients, waitUntil } = this.#state;
+    return { term, hosts, waitUntil, clients: Object.fromEntries(clients) };
+  }
+}
+
+type Handlers = {
+  [K in Event["type"]]: (
+    step: Step,
+    event: Extract<Event, { type: K }>,
+  ) => void;
+};
+
+const handlers: Handlers = {
+  lead: (step, { term, until }) => {
+    const { limits, hosts } = step.state;
+    if (term === step.state.term) {
+      step.state = { ...step.state, until };
+      return;
+    }
+    const waitUntil = step.now + longest();
+    const nextRound = step.now + ROUND;
+    step.state = { ...IDLE, limits, hosts, term, until, waitUntil, nextRound };
+  },
+  yield: (step) => {
+    const { limits, hosts } = step.state;
+    step.state = { ...IDLE, limits, hosts };
+  },
+  limits: (step, { limits }) => {
+    step.state = { ...step.state, limits };
+  },
+  hosts: (step, { count }) => {
+    step.state = { ...step.state, hosts: count };
+  },
+  message: (step, { from, body }) => {
+    if (body.type === "report") receive(step, from, body);
+  },
+  wake: (step) => {
+    if (step.now < step.state.nextRound) return;
+    if (step.now < step.state.until) round(step);
+    step.state = { ...step.state, nextRound: step.now + ROUND };
+  },
+};
+
+/** Longest time after which a lease granted now is over everywhere. */
+function longest(): number {
+  return LEASE * (1 + DRIFT) + MARGIN;
+}
+
+function receive(step: Step, from: string, report: schema.Report): void {
+  const { state, now } = step;
+  if (report.term !== state.term) return;
+  const known = state.clients.get(from);
+  const outstanding = (known?.outstanding ?? []).filter((grant) => {
+    return grant.number >= report.applied;
+  });
+  const client: divisions.Client = {
+    report: report.number,
+    claims: new Map(report.rows.map((row) => [limits.keyOf(row), row])),
+    reportedAt: now,
+    answered: false,
+    outstanding,
+  };
+  const clients = new Map(state.clients).set(from, client);
+  step.state = { ...state, clients };
+}
+
+/** Answers all reports since the last round. */
+function round(step: Step): void {
+  const { state, now } = step;
+  const clients = new Map<string, divisions.Client>();
+  for (const [host, client] of state.clients) {
+    const outstanding = client.outstanding.filter(({ until }) => until > now);
+    const gone = outstanding.length === 0 && now - client.reportedAt > LEASE;
+    if (!gone) clients.set(host, { ...client, outstanding });
+  }
+  const granted = new Map<string, Map<string, number>>();
+  const waiting = now < state.waitUntil;
+  for (const limit of state.limits) {
+    const division = { clients, granted, hosts: state.hosts, waiting };
+    divisions.divide(limit, division);
+  }
+  const number = state.number + 1;
+  for (const [host, client] of clients) {
+    if (client.answered) continue;
+    const extras = granted.get(host) ?? new Map<string, number>();
+    clients.set(host, grant(step, { host, client, extras, number }));
+  }
+  step.state = { ...state, clients, number };
+}
+
+function grant(
+  step: Step,
+  { host, client, extras, number }: {
+    host: string;
+    client: divisions.Client;
+    extras: divisions.Extras;
+    number: number;
+  },
+): divisions.Client {
+  const { state, now } = step;
+  const rows: schema.Share[] = [];
+  for (const { row, column } of state.limits) {
+    const extra = extras.get(limits.keyOf({ row, column }));
+    if (extra !== undefined) rows.push({ row, column, extra });
+  }
+  const { report } = client;
+  const term = state.term!;
+  const body: schema.Grant = {
+    type: "grant",
+    number,
+    term,
+    report,
+    lease: LEASE,
+    rows,
+  };
+  step.effects.push({ type: "send", to: host, body });
+  const outstanding = [
+    ...client.outstanding,
+    { number, extras, until: now + longest() },
+  ];
+  return { ...client, answered: true, outstanding };
+}
--- /dev/null
+++ b/src/shares/fake_host.ts
@@ -0,0 +1,88 @@
+/** A host with its shares and an allocator on a fake fleet, for tests and
+ * benches.
+ * @module */
+
+import type * as fakeFleet from "../membership/fake_fleet.ts";
+import * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/shares_types.ts";
+import * as allocators from "./allocator.ts";
+import * as holders from "./holder.ts";
+import type * as limits from "./limit.ts";
+
+/** What a fake host starts with. */
+export interface Options {
+  limits: readonly limits.Limit[];
+  hosts: number;
+  seed: number;
+}
+
+/** Both sides of fleet-wide limits, wired as a node wires them. */
+export class FakeHost implements fakeFleet.Program {
+  holder: holders.Holder;
+  allocator = allocators.Allocator.create();
+  /** What clients ask of this host. */
+  demands: readonly holders.Demand[] = [];
+  #demandAt: number;
+  #allocatorAt = Infinity;
+
+  constructor({ limits, hosts, seed }: Options) {
+    const random = runtime.createRandom(seed);
+    this.holder = holders.Holder.create({ hosts, random });
+    this.hold({ type: "limits", limits }, 0);
+    this.allocate({ type: "limits", limits }, 0);
+    this.allocate({ type: "hosts", count: hosts }, 0);
+    this.#demandAt = random.below(holders.REPORT_INTERVAL);
+  }
+
+  get wakeAt(): number {
+    return Math.min(this.#demandAt, this.#allocatorAt);
+  }
+
+  receive({ from, body }: runtime.Envelope, now: number) {
+    const message = body as schema.SharesMessage;
+    const event = { type: "message" as const, from, body: message };
+    if (message.type === "grant") return this.hold(event, now);
+    return this.allocate(event, now);
+  }
+
+  wake(now: number): fakeFleet.Outgoing[] {
+    const outgoing: fakeFleet.Outgoing[] = [];
+    if (now >= this.#allocatorAt) {
+      outgoing.push(...this.allocate({ type: "wake" }, now));
+    }
+    if (now >= this.#demandAt) {
+      this.#demandAt = now + holders.REPORT_INTERVAL;
+      const { demands } = this;
+      outgoing.push(...this.hold({ type: "demand", demands }, now));
+    }
+    return outgoing;
+  }
+
+  /** Gives an event to the shares of this host. */
+  hold(event: holders.Event, now: number): fakeFleet.Outgoing[] {
+    const { state, effects } = this.holder.step(event, now);
+    this.holder = state;
+    return effects.flatMap((effect) => {
+      if (effect.type !== "send") return [];
+      return [{ ...effect, channel: "shares" as const }];
+    });
+  }
+
+  /** Gives an event to the allocator of this host. */
+  allocate(event: allocators.Event, now: number): fakeFleet.Outgoing[] {
+    const { state, effects } = this.allocator.step(event, now);
+    this.allocator = state;
+    const outgoing: fakeFleet.Outgoing[] = [];
+    for (const effect of effects) {
+      if (effect.type === "wake") this.#allocatorAt = effect.at;
+      else outgoing.push({ ...effect, channel: "shares" });
+    }
+    return outgoing;
+  }
+
+  /** What this host may use of a limit at `now`. */
+  shareOf(row: string, now: number): number {
+    this.hold({ type: "wake" }, now);
+    return this.holder.shares.find((share) => share.row === row)?.share ?? 0;
+  }
+}
--- /dev/null
+++ b/src/shares/fill.ts
@@ -0,0 +1,41 @@
+/** Weighted max-min fair division.
+ * @module */
+
+/** One party to a division. */
+export interface Claim {
+  /** The most it can use. */
+  want: number;
+  /** Above 0. */
+  weight: number;
+}
+
+/** Divides `amount`: nobody gets more than it wants, and nobody who gets less
+ * can get more without somebody with less per weight losing some. */
+export function fill(amount: number, claims: readonly Claim[]): number[] {
+  const shares = new Array<number>(claims.length).fill(0);
+  let active = claims.map((_, pos) => pos);
+  let rest = Math.max(0, amount);
+  while (active.length > 0) {
+    const weight = sum(active.map((pos) => claims[pos].weight));
+    const level = rest / weight;
+    const open = active.filter((pos) => {
+      return claims[pos].want > level * claims[pos].weight;
+    });
+    if (open.length === active.length) {
+      for (const pos of open) shares[pos] = level * claims[pos].weight;
+      break;
+    }
+    for (const pos of active) {
+      const { want, weight } = claims[pos];
+      if (want > level * weight) continue;
+      shares[pos] = want;
+      rest = Math.max(0, rest - want);
+    }
+    active = open;
+  }
+  return shares;
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0);
+}
--- /dev/null
+++ b/src/shares/holder.ts
@@ -0,0 +1,257 @@
+/** Shares of fleet-wide limits at one host: a base that it always has, and
+ * what the allocator leases to it beyond.
+ * @module */
+
+import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/shares_types.ts";
+import * as limits from "./limit.ts";
+
+/** Least time between two reports. */
+export const REPORT_INTERVAL = 1000;
+/** Reports whose sending time is remembered. */
+const REPORTS_KEPT = 16;
+
+/** What a host could use of a limit if it were alone. */
+export interface Demand {
+  row: string;
+  column: schema.LimitColumn;
+  /** Requests a second that arrive, or requests in flight and waiting. */
+  demand: number;
+  /** Requests in flight, for a limit on these. */
+  inFlight?: number;
+}
+
+/** What a host may use of a limit. */
+export interface Share {
+  row: string;
+  column: schema.LimitColumn;
+  share: number;
+}
+
+/** What happens to the shares of a host. */
+export type Event =
+  | { type: "limits"; limits: readonly limits.Limit[] }
+  /** Hosts that may be running, those that count as dead included. */
+  | { type: "hosts"; count: number }
+  /** The host that holds the control lease, as far as known. */
+  | { type: "allocator"; host: string; term: number }
+  /** Demand on all limits; to be given at least each `REPORT_INTERVAL`. */
+  | { type: "demand"; demands: readonly Demand[] }
+  | { type: "message"; from: string; body: schema.SharesMessage }
+  | { type: "wake" };
+
+/** What the shell does for the shares of a host. */
+export type Effect =
+  | { type: "send"; to: string; body: schema.SharesMessage }
+  /** All shares, after one has changed. */
+  | { type: "notify"; shares: readonly Share[] }
+  | { type: "wake"; at: number };
+
+/** What the shares of a host need at the start. */
+export interface Options {
+  /** Hosts that may be running. */
+  hosts: number;
+  /** Gives the first number of a report, so that no grant to an earlier run
+   * of this host is taken for one to this run. */
+  random: runtime.Random;
+}
+
+/** Outcome of a step. */
+export interface Result {
+  state: Holder;
+  effects: Effect[];
+}
+
+interface Lease {
+  term: number;
+  number: number;
+  until: number;
+  extras: ReadonlyMap<string, number>;
+}
+
+interface State {
+  readonly limits: readonly limits.Limit[];
+  readonly hosts: number;
+  readonly allocator: string | undefined;
+  readonly term: number;
+  readonly number: number;
+  readonly reportedAt: number;
+  /** When recent reports of this term were sent, by number. */
+  readonly sent: ReadonlyMap<number, number>;
+  readonly lease: Lease | undefined;
+  readonly shares: readonly Share[];
+}
+
+interface Step {
+  state: State;
+  effects: Effect[];
+  now: number;
+}
+
+/** Immutable shares of a host; `step` gives the next ones. */
+export class Holder {
+  readonly #state: State;
+
+  private constructor(state: State) {
+    this.#state = state;
+  }
+
+  /** Shares of a host that has just started. */
+  static create({ hosts, random }: Options): Holder {
+    return new Holder({
+      limits: [],
+      hosts,
+      allocator: undefined,
+      term: 0,
+      number: random.below(2 ** 48),
+      reportedAt: -Infinity,
+      sent: new Map(),
+      lease: undefined,
+      shares: [],
+    });
+  }
+
+  /** Takes one event at `now`, milliseconds of a monotonic clock. */
+  step(event: Event, now: number): Result {
+    const step: Step = { state: this.#state, effects: [], now };
+    const handler = handlers[event.type] as (step: Step, event: Event) => void;
+    handler(step, event);
+    settle(step);
+    return { state: new Holder(step.state), effects: step.effects };
+  }
+
+  /** What this host may use of each limit. */
+  get shares(): readonly Share[] {
+    return this.#state.shares;
+  }
+
+  /** For the state dump. */
+  toJSON(): object {
+    const { allocator, term, hosts, lease, shares } = this.#state;
+    return { allocator, term, hosts, leaseUntil: lease?.until, shares };
+  }
+}
+
+type Handlers = {
+  [K in Event["type"]]: (
+    step: Step,
+    event: Extract<Event, { type: K }>,
+  ) => void;
+};
+
+const handlers: Handlers = {
+  limits: (step, { limits }) => {
+    step.state = { ...step.state, limits };
+  },
+  hosts: (step, { count }) => {
+    step.state = { ...step.state, hosts: count };
+  },
+  allocator: (step, { host, term }) => {
+    if (term <= step.state.term) return;
+    const sent = new Map<number, number>();
+    step.state = { ...step.state, allocator: host, term, sent };
+  },
+  demand: (step, { demands }) => {
+    const { reportedAt, allocator } = step.state;
+    const due = step.now - reportedAt >= REPORT_INTERVAL;
+    if (due && allocator !== undefined) report(step, allocator, demands);
+  },
+  message: (step, { body }) => {
+    if (body.type === "grant") apply(step, body);
+  },
+  wake: () => {},
+};
+
+function report(
+  step: Step,
+  allocator: string,
+  demands: readonly Demand[],
+): void {
+  const { state, now } = step;
+  const { lease } = state;
+  const number = state.number + 1;
+  const recent = [...state.sent].slice(1 - REPORTS_KEPT);
+  step.state = {
+    ...state,
+    number,
+    reportedAt: now,
+    sent: new Map(recent).set(number, now),
+  };
+  const body: schema.Report = {
+    type: "report",
+    number,
+    term: state.term,
+    applied: lease?.term === state.term ? lease.number : 0,
+    rows: claimsOf(state, { demands, now }),
+  };
+  step.effects.push({ type: "send", to: allocator, body });
+}
+
+/** Claims on limits of which the base may not be enough. */
+function claimsOf(
+  state: State,
+  { demands, now }: { demands: readonly Demand[]; now: number },
+): schema.Claim[] {
+  const byKey = new Map(demands.map((item) => [limits.keyOf(item), item]));
+  return state.limits.flatMap((limit) => {
+    const key = limits.keyOf(limit);
+    const { demand = 0, inFlight = 0 } = byKey.get(key) ?? {};
+    const base = limits.base(limit, state.hosts);
+    const used = Math.max(0, inFlight - base);
+    const held = extraOf(state, { key, now });
+    if (demand <= base / 2 && held === 0 && used === 0) return [];
+    const { row, column } = limit;
+    const claim: schema.Claim = { row, column, demand, held };
+    return [used > 0 ? { ...claim, used } : claim];
+  });
+}
+
+/** Puts a grant in force, unless a newer one is or its allocator is old. */
+function apply(step: Step, grant: schema.Grant): void {
+  const { state, now } = step;
+  const { term, number, report, lease, rows } = grant;
+  const sentAt = state.sent.get(report);
+  if (term !== state.term || sentAt === undefined) return;
+  const known = state.lease;
+  if (known?.term === term && number <= known.number) return;
+  const until = sentAt + lease;
+  if (until <= now) return;
+  const extras = new Map(rows.map((row) => [limits.keyOf(row), row.extra]));
+  step.state = { ...state, lease: { term, number, until, extras } };
+}
+
+/** Brings the shares up to date and tells the other parts. */
+function settle(step: Step): void {
+  const { state, now } = step;
+  const shares = state.limits.map((limit) => shareOf(state, { limit, now }));
+  const changed = shares.length !== state.shares.length ||
+    shares.some((share, pos) => !same(share, state.shares[pos]));
+  const until = state.lease?.until ?? 0;
+  if (until > now) step.effects.push({ type: "wake", at: until });
+  if (!changed) return;
+  step.state = { ...state, shares };
+  step.effects.push({ type: "notify", shares });
+}
+
+function shareOf(
+  state: State,
+  { limit, now }: { limit: limits.Limit; now: number },
+): Share {
+  const { row, column } = limit;
+  const extra = extraOf(state, { key: limits.keyOf(limit), now });
+  const share = Math.min(limit.limit, limits.base(limit, state.hosts) + extra);
+  return { row, column, share };
+}
+
+function extraOf(
+  { lease }: State,
+  { key, now }: { key: string; now: number },
+): number {
+  if (lease === undefined || lease.until <= now) return 0;
+  return lease.extras.get(key) ?? 0;
+}
+
+function same(left: Share, right: Share): boolean {
+  return left.row === right.row && left.column === right.column &&
+    left.share === right.share;
+}
--- /dev/null
+++ b/src/shares/mod.ts
@@ -0,0 +1,7 @@
+/** Limits that the whole fleet shares.
+ * @module */
+
+export * as allocator from "./allocator.ts";
+export * from "./fill.ts";
+export * as holder from "./holder.ts";
+export type { Limit } from "./limit.ts";
