A restarted host waits for the table that was in force before it takes requests

Change: a start is announced through the log; its reply names the revision that the host must reach before it is ready. Without a quorum it serves with what it has after 5 s. Seen: tests of both on a fake network.

--- a/src/control/host/control.ts
+++ b/src/control/host/control.ts
@@ -20,7 +20,7 @@
 const EDIT_TIMEOUT = 4_000;
 
 /** Milliseconds over which a start is announced to the log. */
-const RETIRE_TIMEOUT = 30_000;
+const RETIRE_TIMEOUT = 5_000;
 
 /** What control needs of its host. */
 export interface ControlOptions {
@@ -72,6 +72,9 @@
   readonly #follower: followers.Follower;
   readonly #watchers = new Set<Watcher>();
   #voter: voters.Voter | undefined;
+  /** Revision that this host had to reach when it started; unknown at first. */
+  #barrier = Infinity;
+  #passBarrier = () => {};
 
   private constructor(options: ControlOptions) {
     this.#options = options;
@@ -100,7 +103,18 @@
       this.#voter = await voters.Voter.start({ ...this.#options, storage });
     }
     this.#follower.start();
-    void this.#retire();
+  }
+
+  /** Resolves to true once the table here is no older than any that was in
+   * force when this host started, so that a restart takes nothing back. Without
+   * a quorum it resolves to false: the host serves with what it has. */
+  async catchUp(): Promise<boolean> {
+    const revision = await this.#retire();
+    if (revision === undefined) return false;
+    this.#barrier = revision;
+    if (this.view().revision >= revision) return true;
+    await new Promise<void>((resolve) => this.#passBarrier = resolve);
+    return true;
   }
 
   /** Takes an envelope of the channels log, watch and control. */
@@ -204,6 +218,7 @@
     const { metrics, clock } = this.#options;
     const { revision } = this.view();
     metrics.gauge("table.revision", revision);
+    if (revision >= this.#barrier) this.#passBarrier();
     if (written === undefined) return this.#tell({ type: "reset", revision });
     const at = clock.wall();
     for (const changes of byRevision(written)) {
@@ -221,18 +236,21 @@
     for (const watcher of this.#watchers) watcher(event);
   }
 
-  /** Tells the log that nothing of an earlier start runs here any more. */
-  async #retire(): Promise<void> {
+  /** Tells the log that nothing of an earlier start runs here any more; gives
+   * the revision of the table then. */
+  async #retire(): Promise<number | undefined> {
     const { self: host, incarnation } = this.#options;
     const id = `${host}/${incarnation}/retire`;
     try {
-      await this.#proposer.propose(
+      const reply = await this.#proposer.propose(
         { type: "retire", id, host, incarnation },
         RETIRE_TIMEOUT,
       );
+      return reply.type === "retired" ? reply.revision : undefined;
     } catch (error) {
       // The next claim of this host says the same.
       if (!(error instanceof errors.ControlError)) throw error;
+      return undefined;
     }
   }
 }
--- a/src/control/host/control_test.ts
+++ b/src/control/host/control_test.ts
@@ -13,6 +13,8 @@
   readonly clock = new runtime.FakeClock();
   readonly hosts = new Map<string, control.Control>();
   readonly cut = new Set<string>();
+  /** Whether each host found a quorum when it started. */
+  readonly caughtUp = new Map<string, Promise<boolean>>();
   readonly #disks = new Map(
     VOTERS.map((id) => [id, storage.MemoryStorage.create()]),
   );
@@ -46,6 +48,7 @@
     });
     this.hosts.set(self, host);
     await host.start();
+    this.caughtUp.set(self, host.catchUp());
   }
 
   /** Stops a host without a word, as a kill does. */
@@ -179,3 +182,23 @@
   );
   t.like(again, { type: "refused", outcome: "unknown" });
 });
+
+test("a restarted voter is not in force before it has caught up", async (t) => {
+  const fleet = await Fleet.start();
+  const voter = VOTERS.find((id) => id !== fleet.leader)!;
+  fleet.kill(voter);
+  const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
+  await fleet.until(fleet.hosts.get("d")!.edit(edit));
+  await fleet.startHost(voter);
+  t.true(await fleet.until(fleet.caughtUp.get(voter)!));
+  t.is(fleet.hosts.get(voter)!.view().revision, 2);
+});
+
+test("a host that starts without a quorum serves with what it has", async (t) => {
+  const fleet = await Fleet.start();
+  const voter = VOTERS.find((id) => id !== fleet.leader)!;
+  fleet.kill(voter);
+  fleet.cut.add(voter);
+  await fleet.startHost(voter);
+  t.false(await fleet.until(fleet.caughtUp.get(voter)!));
+});
--- a/src/control/table/machine.ts
+++ b/src/control/table/machine.ts
@@ -26,7 +26,7 @@
   | table.Answer
   | claims.Reply
   | claims.Settled
-  | { type: "retired" }
+  | { type: "retired"; revision: number }
   | { type: "invalid"; detail: string };
 
 /** A state after a command, and the answer to it. */
@@ -109,7 +109,11 @@
   },
   retire(state, { host, incarnation }) {
     const claims = state.claims.retire(host, incarnation);
-    return { state: { ...state, claims }, reply: { type: "retired" } };
+    const { revision } = state.table;
+    return {
+      state: { ...state, claims },
+      reply: { type: "retired", revision },
+    };
   },
 };
 
