--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -64,6 +64,11 @@
 const DEFAULT_MAX_TOKENS = 256;
 const BLOCK_TOKENS = text.BLOCK_CHARACTERS / text.TOKEN_CHARACTERS;
 
+/** Sequence tokens of a call: slow ones take more, hung ones never end. */
+function steps({ hit }: call.Call, tokens: number): number {
+  return hit.hang ? Infinity : Math.ceil(Math.max(1, tokens) * hit.factor);
+}
+
 /** A stand-in of a model engine. */
 export class Engine extends standIn.StandIn {
   readonly kind = "engine" as const;
@@ -177,7 +182,7 @@
       priority: asked.priority ?? made.priority,
       // A resumed stream computes what it skips as part of its prompt.
       prefill: Math.max(1, inputTokens - cached + from),
-      decode: Math.ceil(Math.max(1, answer.length - from) * made.hit.factor),
+      decode: steps(made, answer.length - from),
     });
     this.#advance();
   }
@@ -223,6 +228,7 @@
   #start(session: Session): void {
     const { made, stream } = session;
     session.started = this.clock.now();
+    stream.begin();
     this.ledger.run({
       ...made,
       service: this.service,
@@ -239,7 +245,8 @@
 
   #finish(session: Session, slotTime: number): void {
     this.#sessions.delete(session.made.key);
-    this.#charge(session, { slotTime, wasted: false });
+    const wasted = standIn.spoils(session.made);
+    this.#charge(session, { slotTime, wasted });
     session.stream.finish({
       "prompt_tokens": session.inputTokens,
       "completion_tokens": session.stream.sent,
--- a/standins/experiment/page.ts
+++ b/standins/experiment/page.ts
@@ -18,7 +18,7 @@
   h1 { margin-bottom: 0.2rem; } h2 { font-size: 1.1rem; margin-top: 2rem; }
   p.note, figcaption { color: #52606d; font-size: 0.9rem; margin: 0.2rem 0; }
   .tiles { display: grid; gap: 0.8rem; margin: 1.2rem 0;
-    grid-template-columns: repeat(auto-fit, minmax(150px, 1fr)); }
+    grid-template-columns: repeat(auto-fit, minmax(200px, 1fr)); }
   .tile { background: #f3f5f7; border-radius: 6px; padding: 0.7rem 0.9rem; }
   .tile b { display: block; font-size: 1.5rem; }
   .bad { background: #fbe9ea; color: #8f2833; }
@@ -159,6 +159,7 @@
   { title: "wasted", show: ({ wasted }) => String(wasted) },
   { title: "refused", show: ({ refused }) => String(refused) },
   { title: "slot s", show: ({ engineTime }) => seconds(engineTime) },
+  { title: "wasted s", show: ({ wastedTime }) => seconds(wastedTime) },
   {
     title: "slot ms / attained",
     show: ({ engineTimeEach }) => engineTimeEach.toFixed(1),
--- a/standins/experiment/plots.ts
+++ b/standins/experiment/plots.ts
@@ -17,6 +17,8 @@
 
 const WIDTH = 430;
 const HEIGHT = 190;
+/** Height of a horizontal bar and its gap. */
+const STEP = 26;
 const BLUE = "#2b6a99";
 const ORANGE = "#d9822b";
 const GREY = "#9aa5b1";
@@ -34,7 +36,7 @@
   const plots = [
     attainment(made),
     outcomes(made),
-    latency(made),
+    ...(made.stages.length === 0 ? [] : [latency(made)]),
     cost(made),
     accounts(made),
     accountCost(made),
@@ -115,8 +117,10 @@
 
 const OUTCOMES = ["attained", "late", "problems", "lost"] as const;
 
-function outcomes({ timeline }: report.Report): Sketch {
-  const values = timeline.flatMap((moment) =>
+function outcomes({ timeline, duration }: report.Report): Sketch {
+  // The last step needs an end to reach to.
+  const end = { ...timeline[timeline.length - 1], at: duration };
+  const values = [...timeline, end].flatMap((moment) =>
     OUTCOMES.map((outcome, order) => ({
       at: seconds(moment.at),
       outcome,
@@ -185,17 +189,23 @@
 }
 
 function cost({ costs, counts }: report.Report): Sketch {
-  const values = costs.map(({ service, engineTimeEach }) => ({
-    service,
-    milliseconds: engineTimeEach,
-  }));
+  const values = costs.flatMap((cost) => [{
+    service: cost.service,
+    use: "used",
+    milliseconds: cost.engineTimeEach - cost.wastedTimeEach,
+  }, {
+    service: cost.service,
+    use: "wasted",
+    milliseconds: cost.wastedTimeEach,
+  }]);
   return {
     title: "Cost by stage",
     note: "Slot milliseconds of a service for each of the " +
-      `${counts.attained} attained requests, wasted calls included.`,
+      `${counts.attained} attained requests.`,
     spec: {
+      height: { step: STEP },
       data: { values },
-      mark: { type: "bar", color: BLUE },
+      mark: "bar",
       encoding: {
         y: { field: "service", sort: "-x", title: null },
         x: {
@@ -203,6 +213,10 @@
           type: "quantitative",
           title: "slot milliseconds",
         },
+        color: {
+          field: "use",
+          scale: { domain: ["used", "wasted"], range: [BLUE, RED] },
+        },
       },
     } as Partial<Spec>,
   };
@@ -221,6 +235,7 @@
     title: "Outcomes by account",
     note: "Shares of what each client account sent.",
     spec: {
+      height: { step: STEP },
       data: { values },
       mark: "bar",
       encoding: {
@@ -254,6 +269,7 @@
     title: "Cost by account",
     note: "Slot seconds at all services, wasted calls included.",
     spec: {
+      height: { step: STEP },
       data: { values },
       mark: { type: "bar", color: BLUE },
       encoding: {
--- a/standins/experiment/report.ts
+++ b/standins/experiment/report.ts
@@ -51,6 +51,8 @@
   callsEach: number;
   /** Slot milliseconds for each attained request. */
   engineTimeEach: number;
+  /** Those of wasted calls. */
+  wastedTimeEach: number;
 }
 
 /** A breach of what must always hold. */
@@ -225,6 +227,7 @@
     ...cost,
     callsEach: each(cost.calls),
     engineTimeEach: each(cost.engineTime),
+    wastedTimeEach: each(cost.wastedTime),
   }));
 }
 
--- a/standins/ledger.ts
+++ b/standins/ledger.ts
@@ -24,6 +24,8 @@
   refused: number;
   /** Milliseconds of endpoint slots. */
   engineTime: number;
+  /** Those of wasted calls. */
+  wastedTime: number;
   inputTokens: number;
   cachedTokens: number;
   outputTokens: number;
@@ -88,7 +90,9 @@
     cost.inputTokens += charge.inputTokens;
     cost.cachedTokens += charge.cachedTokens;
     cost.outputTokens += charge.outputTokens;
-    if (charge.wasted) cost.wasted++;
+    if (!charge.wasted) return;
+    cost.wasted++;
+    cost.wastedTime += charge.engineTime;
   }
 
   /** Runs of an owner at a service, or at all. */
@@ -143,6 +147,7 @@
         wasted: 0,
         refused: 0,
         engineTime: 0,
+        wastedTime: 0,
         inputTokens: 0,
         cachedTokens: 0,
         outputTokens: 0,
--- a/standins/simple.ts
+++ b/standins/simple.ts
@@ -35,7 +35,9 @@
 interface Pending {
   made: call.Call;
   work: Work;
-  state: "waiting" | "running" | "abandoned";
+  state: "waiting" | "running" | "hung" | "abandoned";
+  /** When it began to run, milliseconds of the clock. */
+  began: number;
 }
 
 const PACES: Record<SimpleKind, Pace> = {
@@ -82,7 +84,7 @@
     const work = workers[this.kind](made);
     const { callTime, tokenTime } = this.#pace;
     const time = (callTime + tokenTime * work.inputTokens) * made.hit.factor;
-    this.#pending.set(made.key, { made, work, state: "waiting" });
+    this.#pending.set(made.key, { made, work, state: "waiting", began: 0 });
     made.incoming.reply.onCancel(() => this.#cancel(made.key));
     const { key: id, priority } = made;
     this.#change(this.#slots.add({ id, priority, time }));
@@ -97,6 +99,7 @@
     const pending = this.#pending.get(id)!;
     const { made, work } = pending;
     pending.state = "running";
+    pending.began = this.clock.now();
     this.ledger.run({
       ...made,
       service: this.service,
@@ -104,34 +107,39 @@
       owner: work.owner,
     });
     const run = this.ledger.runs(work.owner, this.service);
-    this.clock.after(time, () => this.#finish(id, { time, run }));
+    this.clock.after(time, () => this.#finish(id, run));
   }
 
-  #finish(key: string, { time, run }: { time: number; run: number }): void {
+  #finish(key: string, run: number): void {
     // A started call runs to its end even when nobody waits for it.
     const pending = this.#pending.get(key)!;
-    const { made, work } = pending;
+    const { made, work, began } = pending;
+    const abandoned = pending.state === "abandoned";
+    if (made.hit.hang && !abandoned) {
+      pending.state = "hung";
+      return;
+    }
     this.#pending.delete(key);
-    const wasted = pending.state === "abandoned";
+    const time = this.clock.now() - began;
     this.ledger.charge({ service: this.service, owner: work.owner }, {
       engineTime: time,
       inputTokens: work.inputTokens,
       cachedTokens: 0,
       outputTokens: 0,
-      wasted,
+      wasted: abandoned || standIn.spoils(made),
     });
     const usage = { "prompt_tokens": work.inputTokens, "engine_ms": time };
-    if (!wasted) this.deliver(made, { ...work.answer(run), usage });
+    if (!abandoned) this.deliver(made, { ...work.answer(run), usage });
     this.#change(this.#slots.remove(key));
   }
 
   #cancel(key: string): void {
     const pending = this.#pending.get(key);
     if (pending === undefined) return;
-    if (pending.state !== "waiting") {
-      pending.state = "abandoned";
-      return;
-    }
+    const { state } = pending;
+    if (state !== "waiting") pending.state = "abandoned";
+    if (state === "hung") this.#finish(key, 0);
+    if (state !== "waiting") return;
     this.#pending.delete(key);
     this.#change(this.#slots.remove(key));
   }
--- a/standins/stand_in.ts
+++ b/standins/stand_in.ts
@@ -47,6 +47,12 @@
 const CLOCK_SPREAD = 1e6;
 const RETRY_AFTER = "1";
 
+/** Whether nobody can take the answer of a call. */
+export function spoils({ hit, incoming }: call.Call): boolean {
+  const { hang, crossed, late, drop } = hit;
+  return hang || crossed || late || drop || incoming.reply.silent;
+}
+
 /** A server that plays one endpoint. */
 export abstract class StandIn {
   readonly id: string;
@@ -150,7 +156,6 @@
   /** Sends a JSON answer, changed by the faults that hit the call. */
   protected deliver(made: call.Call, value: Record<string, unknown>): void {
     const { hit, incoming: { reply } } = made;
-    if (hit.hang) return;
     if (hit.late) {
       const wait = this.lateness(made);
       const on = { ...made, hit: { ...hit, late: false } };
--- a/standins/stand_in_test.ts
+++ b/standins/stand_in_test.ts
@@ -6,6 +6,7 @@
 import * as simple from "./simple.ts";
 import type * as standIn from "./stand_in.ts";
 import * as text from "./text.ts";
+import * as weightStore from "./weight_store.ts";
 
 const marker = { id: "0123456789ab", length: 4 };
 const headers = { "x-request-id": "r1", "x-stage": "draft", "x-attempt": "1" };
@@ -120,6 +121,42 @@
   await t.throwsAsync(settle(made.clock, answer));
 });
 
+test("moves prefix blocks from one engine to another", async (t) => {
+  const made = options("lm-pool");
+  const [from, to] = [new engine.Engine(made), new engine.Engine(made)];
+  await Promise.all([from.start(), to.start()]);
+  t.teardown(() => Promise.all([from.stop(), to.stop()]));
+  const prompt = text.write(marker) + "a".repeat(3 * text.BLOCK_CHARACTERS);
+  const ask = (fake: engine.Engine) =>
+    settle(made.clock, post(`${fake.url}/v1/completions`, { prompt }));
+  await ask(from);
+  const prefix = text.prefix(prompt).at(-1);
+  const exported = await post(`${from.url}/v1/kv/export`, { prefix });
+  const { handle } = JSON.parse(exported.text);
+  await post(`${to.url}/v1/kv/import`, { handle, from: from.url });
+  const { text: body } = await ask(to);
+  t.true(body.includes('"cached_tokens":192'));
+});
+
+test("loads a model from the weight store and obeys fencing", async (t) => {
+  const made = options("lm-pool");
+  const store = new weightStore.WeightStore({ ...made, rate: 1, burst: 1 });
+  await store.start();
+  const fake = new engine.Engine({ ...made, weights: store.url });
+  await fake.start();
+  t.teardown(() => Promise.all([fake.stop(), store.stop()]));
+  const url = `${fake.url}/v1/orders`;
+  const order = { type: "load", model: "hull-writer", version: "2" };
+  t.is((await post(url, { token: 7, order })).statusCode, 202);
+  while (fake.holding.loading) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  t.is(fake.holding.models.length, 2);
+  const old = await post(url, { token: 6, order });
+  t.is(old.statusCode, 409);
+  t.deepEqual(JSON.parse(old.text), { token: 7 });
+});
+
 test("swallows what arrives on a silent connection", async (t) => {
   const made = options("gear-log");
   const fake = new simple.Simple({ ...made, kind: "plain" });
--- a/standins/stream.ts
+++ b/standins/stream.ts
@@ -43,7 +43,6 @@
   readonly #options: Options;
   readonly #held: string[] = [];
   #sent = 0;
-  #open = false;
   #broken = false;
 
   constructor(made: call.Call, options: Options) {
@@ -61,6 +60,12 @@
     return this.#sent;
   }
 
+  /** Sends the headers of a stream, as its call starts. */
+  begin(): void {
+    const { sse, wait } = this.#options;
+    if (sse && wait === undefined && !this.#made.hit.hang) this.#open();
+  }
+
   /** Sends what is missing up to `count` tokens of this call. */
   advance(count: number): void {
     const { answer, from, sse } = this.#options;
@@ -85,7 +90,7 @@
     }
     if (wait === undefined) return this.#end(usage);
     clock.after(wait(), () => {
-      if (sse) this.#head();
+      if (sse) this.#open();
       for (const event of this.#held) this.#made.incoming.reply.event(event);
       this.#end(usage);
     });
@@ -130,7 +135,7 @@
     return call.echo(crossed?.headers ? crossed.other : this.#made);
   }
 
-  #head(): void {
+  #open(): void {
     const headers = { "content-type": "text/event-stream", ...this.#echo() };
     this.#made.incoming.reply.head(200, headers);
   }
@@ -146,8 +151,6 @@
       this.#held.push(line);
       return;
     }
-    if (!this.#open) this.#head();
-    this.#open = true;
     reply.event(line);
   }
 
