--- /dev/null
+++ b/src/control/orders/mod.ts
@@ -0,0 +1,7 @@
+/** Orders to engines: the table's wishes carried out by the leaseholder.
+ * @module */
+
+export { Caller, type CallerOptions } from "./caller.ts";
+export { OrderError } from "./errors.ts";
+export * from "./orders.ts";
+export * from "./plan.ts";
