--- a/src/admission/estimate.ts
+++ b/src/admission/estimate.ts
@@ -31,6 +31,8 @@
   mean: number;
   /** Milliseconds that 95 of 100 calls stay below. */
   high: number;
+  /** Milliseconds that 90 of 100 calls take at least. */
+  low: number;
 }
 
 /** Most records; later stages share one record for all. */
@@ -65,11 +67,20 @@
   most: 20,
 };
 
+const LOW: quantile.Goal = {
+  quantile: 0.1,
+  initial: 0.5,
+  step: 0.1,
+  least: 0.05,
+  most: 1,
+};
+
 interface Record {
   time: regression.Regression;
   output: regression.Regression;
   size: regression.Regression;
   high: quantile.Quantile;
+  low: quantile.Quantile;
 }
 
 /** Learnt stage times of all services; `observe` changes it in place. */
@@ -87,7 +98,8 @@
     const record = this.#recordOf(work);
     const output = outputOf(record, work);
     const mean = record.time.predict(work.size / UNIT, output / UNIT);
-    return { mean, high: mean * record.high.value };
+    const { high, low } = record;
+    return { mean, high: mean * high.value, low: mean * low.value };
   }
 
   /** Input size of a stage of a request that came in with `size` tokens. */
@@ -103,6 +115,7 @@
     const output = sample.outputTokens / UNIT;
     const guess = record.time.predict(size, output);
     record.high.observe(sample.time / guess);
+    record.low.observe(sample.time / guess);
     record.time.observe([size, output], sample.time);
     if (work.maxTokens > 0) {
       record.output.observe([size, work.maxTokens / UNIT], output);
@@ -118,6 +131,7 @@
     const entries = [...this.#records].map(([name, record]) => [name, {
       time: record.time.toJSON(),
       high: record.high.value,
+      low: record.low.value,
     }]);
     return Object.fromEntries(entries);
   }
@@ -148,6 +162,7 @@
     output: regression.Regression.create(OUTPUT_PRIOR),
     size: regression.Regression.create(SIZE_PRIOR),
     high: quantile.Quantile.create(HIGH),
+    low: quantile.Quantile.create(LOW),
   };
 }
 
--- a/src/admission/estimate_test.ts
+++ b/src/admission/estimate_test.ts
@@ -104,7 +104,10 @@
 });
 
 test("splits the time left over the stages that remain", (t) => {
-  const stages = [{ mean: 10, high: 20 }, { mean: 30, high: 60 }];
+  const stages = [
+    { mean: 10, high: 20, low: 5 },
+    { mean: 30, high: 60, low: 15 },
+  ];
   t.deepEqual(split.split(stages, 100, 500), [
     { latestStart: 460, finish: 200 },
     { latestStart: 470, finish: 500 },
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -5,6 +5,7 @@
  * @module */
 
 export * as backlog from "./backlog.ts";
+export * as controls from "./controls.ts";
 export * as cost from "./cost.ts";
 export * as estimate from "./estimate.ts";
 export * as fairQueue from "./fair_queue.ts";
