--- a/src/admission/backlog.ts
+++ b/src/admission/backlog.ts
@@ -5,21 +5,28 @@
 import type * as request from "../request/mod.ts";
 import * as weight from "./weight.ts";
 
-/** Flows weighed one by one; with more, a coarser bound is taken. */
-const MOST_FLOWS_WEIGHED = 64;
+/** Accounts, and kinds of one, that are weighed one by one; with more, all
+ * work counts as ahead. */
+const MOST_WEIGHED = 64;
 
-interface Share {
-  flow: weight.Flow;
+interface Kind {
   weight: number;
   work: number;
+  /** What the work counts for among the kinds of its account. */
+  charge: number;
   items: number;
 }
 
+interface Account {
+  weight: number;
+  work: number;
+  kinds: Map<string, Kind>;
+}
+
 interface Pool {
   slots: number;
   work: number;
-  weight: number;
-  flows: Map<string, Share>;
+  accounts: Map<string, Account>;
 }
 
 /** Promised work by service and flow; changed in place. */
@@ -37,11 +44,12 @@
 
   setPolicies(policies: request.Policies): void {
     this.#policies = policies;
-    for (const pool of this.#pools.values()) {
-      pool.weight = 0;
-      for (const share of pool.flows.values()) {
-        share.weight = weight.weightOf(policies, share.flow);
-        pool.weight += share.weight;
+    for (const { accounts } of this.#pools.values()) {
+      for (const [name, account] of accounts) {
+        account.weight = weight.ofAccount(policies, name);
+        for (const [name, kind] of account.kinds) {
+          kind.weight = weight.ofKind(policies, name);
+        }
       }
     }
   }
@@ -62,45 +70,45 @@
 
   add(service: string, flow: weight.Flow, work: number): void {
     const pool = this.#poolOf(service);
-    const share = this.#shareOf(pool, flow);
-    share.work += work;
-    share.items++;
-    pool.work += work;
+    const account = this.#accountOf(pool, flow.account);
+    const kind = this.#kindOf(account, flow.kind);
+    kind.items++;
+    change({ pool, account, kind }, work, weight.chargeOf(work));
   }
 
   /** Takes off what `add` put on, with the same work. */
   remove(service: string, flow: weight.Flow, work: number): void {
     const pool = this.#pools.get(service);
-    const name = weight.nameOf(flow);
-    const share = pool?.flows.get(name);
-    if (pool === undefined || share === undefined) return;
-    share.work -= work;
-    share.items--;
-    pool.work -= work;
-    if (share.items > 0) return;
-    pool.work -= share.work;
-    pool.weight -= share.weight;
-    pool.flows.delete(name);
-    if (pool.flows.size > 0) return;
-    pool.work = 0;
-    pool.weight = 0;
+    const account = pool?.accounts.get(flow.account);
+    const kind = account?.kinds.get(flow.kind);
+    if (pool === undefined || account === undefined || kind === undefined) {
+      return;
+    }
+    kind.items--;
+    change({ pool, account, kind }, -work, -weight.chargeOf(work));
+    if (kind.items === 0) account.kinds.delete(flow.kind);
+    if (account.kinds.size === 0) pool.accounts.delete(flow.account);
+    // Sums of fractions leave a rest.
+    if (pool.accounts.size === 0) pool.work = 0;
   }
 
   /** Milliseconds until the work of `flow` promised so far has left, when
-   * flows share the slots by weight; infinite without slots. */
+   * slots are shared by weight; infinite without slots. */
   wait(service: string, flow: weight.Flow): number {
     const pool = this.#pools.get(service);
     if (pool === undefined || pool.slots === 0) return Infinity;
-    const own = pool.flows.get(weight.nameOf(flow));
-    if (own === undefined) return 0;
-    return workAhead(pool, own) / pool.slots;
+    const account = pool.accounts.get(flow.account);
+    const kind = account?.kinds.get(flow.kind);
+    if (account === undefined || kind === undefined) return 0;
+    const own = aheadInAccount(account, kind);
+    return aheadInPool(pool, account, own) / pool.slots;
   }
 
   toJSON() {
     const entries = [...this.#pools].map(([service, pool]) => [service, {
       slots: pool.slots,
       work: pool.work,
-      flows: pool.flows.size,
+      accounts: pool.accounts.size,
     }]);
     return Object.fromEntries(entries);
   }
@@ -108,40 +116,69 @@
   #poolOf(service: string): Pool {
     let pool = this.#pools.get(service);
     if (pool === undefined) {
-      pool = { slots: 0, work: 0, weight: 0, flows: new Map() };
+      pool = { slots: 0, work: 0, accounts: new Map() };
       this.#pools.set(service, pool);
     }
     return pool;
   }
 
-  #shareOf(pool: Pool, flow: weight.Flow): Share {
-    const name = weight.nameOf(flow);
-    let share = pool.flows.get(name);
-    if (share === undefined) {
-      const { account, kind } = flow;
-      share = {
-        flow: { account, kind },
-        weight: weight.weightOf(this.#policies, flow),
-        work: 0,
-        items: 0,
-      };
-      pool.flows.set(name, share);
-      pool.weight += share.weight;
+  #accountOf(pool: Pool, name: string): Account {
+    let account = pool.accounts.get(name);
+    if (account === undefined) {
+      const share = weight.ofAccount(this.#policies, name);
+      account = { weight: share, work: 0, kinds: new Map() };
+      pool.accounts.set(name, account);
     }
-    return share;
+    return account;
   }
-}
 
-/** Work done before the last of `own` is: while it is served, each other flow
- * gets its weight's share, but no more than it has. */
-function workAhead(pool: Pool, own: Share): number {
-  const pace = own.work / own.weight;
-  if (pool.flows.size > MOST_FLOWS_WEIGHED) {
-    return Math.min(pool.work, pace * pool.weight);
+  #kindOf(account: Account, name: string): Kind {
+    let kind = account.kinds.get(name);
+    if (kind === undefined) {
+      const share = weight.ofKind(this.#policies, name);
+      kind = { weight: share, work: 0, charge: 0, items: 0 };
+      account.kinds.set(name, kind);
+    }
+    return kind;
   }
+}
+
+function change(
+  { pool, account, kind }: { pool: Pool; account: Account; kind: Kind },
+  work: number,
+  charge: number,
+): void {
+  pool.work += work;
+  account.work += work;
+  kind.work += work;
+  kind.charge += charge;
+}
+
+/** Work of an account done before the last of `own` is: while that is served,
+ * each other kind gets its share, but no more than it has. */
+function aheadInAccount(account: Account, own: Kind): number {
+  if (account.kinds.size > MOST_WEIGHED) return account.work;
+  const span = spanOf(own);
   let sum = 0;
-  for (const share of pool.flows.values()) {
-    sum += Math.min(share.work, pace * share.weight);
+  for (const kind of account.kinds.values()) {
+    sum += kind.work * Math.min(1, span / spanOf(kind));
   }
   return sum;
 }
+
+/** The same among accounts, while `work` of one of them is served. */
+function aheadInPool(pool: Pool, own: Account, work: number): number {
+  if (pool.accounts.size > MOST_WEIGHED) return pool.work;
+  const span = work / own.weight;
+  let sum = work;
+  for (const account of pool.accounts.values()) {
+    if (account === own) continue;
+    sum += Math.min(account.work, span * account.weight);
+  }
+  return sum;
+}
+
+/** Virtual time that a kind's work takes. */
+function spanOf({ charge, weight }: Kind): number {
+  return Math.max(Number.MIN_VALUE, charge / weight);
+}
--- a/src/admission/fair_queue.ts
+++ b/src/admission/fair_queue.ts
@@ -1,20 +1,19 @@
-/** Weighted fair queue between flows, earliest deadline first within one.
+/** Weighted fair queue: slots are shared between accounts, inside an account
+ * between kinds, and inside a kind the earliest deadline goes first.
  *
- * Start-time fair queueing: a flow carries the virtual time at which its next
- * item starts; the flow with the least one is served and moves on by work
- * divided by weight. Work is charged when an item leaves, so that the order
- * within a flow can change until then. A retried item keeps its virtual start
- * and is served before everything that started later; its flow pays again.
+ * Work is charged when an item leaves, so that the order within a flow can
+ * change until then. A retried item keeps its virtual start and is served
+ * before everything that started later; its account and kind pay again.
  * @module */
 
 import type * as request from "../request/mod.ts";
 import * as heap from "./heap.ts";
 import * as lanes from "./lane.ts";
+import * as schedule from "./schedule.ts";
 import * as weight from "./weight.ts";
 
 /** A flow as a dump shows it. */
-export interface FlowState {
-  flow: string;
+export interface FlowState extends weight.Flow {
   weight: number;
   size: number;
   work: number;
@@ -23,13 +22,11 @@
 /** Items of all flows that wait for one pool of slots. */
 export class FairQueue {
   #policies: request.Policies;
-  #virtual = 0;
   #work = 0;
   readonly #entries = new Map<string, lanes.Entry>();
-  readonly #lanes = new Map<string, lanes.Lane>();
-  readonly #ready = heap.Heap.create<lanes.Lane>(lanes.readyOrder);
-  readonly #waiting = heap.Heap.create<lanes.Lane>(lanes.weightOrder);
-  readonly #idle = heap.Heap.create<lanes.Lane>(lanes.idleOrder);
+  readonly #accounts = new Map<string, lanes.Account>();
+  readonly #turns = schedule.Schedule.create<lanes.Account>();
+  readonly #waiting = heap.Heap.create<lanes.Lane>(lanes.worthOrder);
   readonly #retried = heap.Heap.create<lanes.Entry>(lanes.retriedOrder);
   readonly #expiry = heap.Heap.create<lanes.Entry>(lanes.expiryOrder);
 
@@ -58,9 +55,12 @@
   /** Takes new weights; what waits is weighed by them at once. */
   setPolicies(policies: request.Policies): void {
     this.#policies = policies;
-    for (const lane of this.#lanes.values()) {
-      lane.weight = weight.weightOf(policies, lane.flow);
-      this.#waiting.update(lane);
+    for (const account of this.#accounts.values()) {
+      account.weight = weight.ofAccount(policies, account.name);
+      for (const lane of account.lanes.values()) {
+        this.#weigh(lane);
+        this.#waiting.update(lane);
+      }
     }
   }
 
@@ -68,146 +68,163 @@
   push(item: lanes.Item): boolean {
     if (this.#entries.has(item.id)) return false;
     const lane = this.#laneOf(item);
-    if (lane.size === 0) lane.start = Math.max(lane.start, this.#virtual);
     const entry = lanes.createEntry(item, lane);
     this.#entries.set(item.id, entry);
     this.#expiry.push(entry);
     lane.last.push(entry);
-    lane.size++;
-    lane.work += item.work;
-    this.#work += item.work;
-    if (lane.weightPos < 0) this.#waiting.push(lane);
     if (entry.retried) this.#retried.push(entry);
-    else this.#pushFresh(lane, entry);
+    else lane.fresh.push(entry);
+    this.#count(lane, 1, item.work);
+    this.#settle(lane);
     return true;
   }
 
   /** Removes the item to be served next. */
   pop(): lanes.Item | undefined {
-    const lane = this.#ready.peek();
-    const retried = this.#retried.peek();
-    const entry = lanes.first(retried, lane);
+    const entry = this.#first();
     if (entry === undefined) return undefined;
-    const start = entry.item.start ?? entry.lane.start;
-    this.#virtual = Math.max(this.#virtual, start);
-    entry.item.start = start;
-    this.#drop(entry, entry.item.work / entry.lane.weight);
-    return entry.item;
+    const { item, lane } = entry;
+    const { owner } = lane;
+    const start = item.start ?? owner.start;
+    item.start = start;
+    this.#turns.serve(owner, item.work / owner.weight, start);
+    owner.turns.serve(lane, weight.chargeOf(item.work) / lane.weight);
+    this.#drop(entry);
+    return item;
   }
 
   /** Takes back what `pop` gave but could not be started: it keeps its place,
    * and its flow does not pay. */
   putBack(item: lanes.Item): void {
-    const lane = this.#lanes.get(weight.nameOf(item));
+    const owner = this.#accounts.get(item.account);
+    const lane = owner?.lanes.get(item.kind);
+    if (owner !== undefined) {
+      this.#turns.refund(owner, item.work / owner.weight);
+    }
     if (lane !== undefined) {
-      const refunded = lane.start - item.work / lane.weight;
-      lane.start = Math.max(this.#virtual, refunded);
-      this.#settle(lane);
+      const charge = weight.chargeOf(item.work) / lane.weight;
+      lane.owner.turns.refund(lane, charge);
     }
     this.push(item);
   }
 
-  /** The item that `pop` would give. */
-  peek(): lanes.Item | undefined {
-    return lanes.first(this.#retried.peek(), this.#ready.peek())?.item;
-  }
-
   /** Removes all items whose latest start is before `now`. */
   expire(now: number): lanes.Item[] {
     const gone: lanes.Item[] = [];
     let entry = this.#expiry.peek();
     while (entry !== undefined && entry.item.expires < now) {
-      this.#drop(entry, 0);
+      this.#drop(entry);
       gone.push(entry.item);
       entry = this.#expiry.peek();
     }
     return gone;
   }
 
-  /** Removes the latest deadline of the least weighted flow, and among flows
-   * of one weight that of the one served most. */
+  /** Removes the latest deadline of the least weighted flow. */
   shed(): lanes.Item | undefined {
     const entry = this.#waiting.peek()?.last.peek();
-    if (entry !== undefined) this.#drop(entry, 0);
+    if (entry !== undefined) this.#drop(entry);
     return entry?.item;
   }
 
   /** Removes the item with this id. */
   remove(id: string): lanes.Item | undefined {
     const entry = this.#entries.get(id);
-    if (entry !== undefined) this.#drop(entry, 0);
+    if (entry !== undefined) this.#drop(entry);
     return entry?.item;
   }
 
   toJSON(): FlowState[] {
-    return [...this.#lanes.values()].map(({ name, weight, size, work }) => ({
-      flow: name,
-      weight,
-      size,
-      work,
-    }));
+    const all = [...this.#accounts.values()].flatMap(({ lanes }) => {
+      return [...lanes.values()];
+    });
+    return all.map(({ account, kind, worth, size, work }) => {
+      return { account, kind, weight: worth, size, work };
+    });
   }
 
-  #pushFresh(lane: lanes.Lane, entry: lanes.Entry): void {
-    lane.fresh.push(entry);
-    if (lane.startPos >= 0) return;
-    this.#idle.remove(lane);
-    lane.start = Math.max(lane.start, this.#virtual);
-    this.#ready.push(lane);
-    this.#waiting.update(lane);
+  /** The entry to be served next. */
+  #first(): lanes.Entry | undefined {
+    const retried = this.#retried.peek();
+    const account = this.#turns.peek();
+    const fresh = account?.turns.peek()?.fresh.peek();
+    if (retried === undefined || account === undefined) return retried ?? fresh;
+    return lanes.startOf(retried) <= account.start ? retried : fresh;
   }
 
-  #drop(entry: lanes.Entry, charge: number): void {
+  #drop(entry: lanes.Entry): void {
     const { item, lane } = entry;
     this.#entries.delete(item.id);
     this.#expiry.remove(entry);
     lane.last.remove(entry);
     if (entry.retried) this.#retried.remove(entry);
     else lane.fresh.remove(entry);
-    lane.size--;
-    lane.work -= item.work;
-    this.#work -= item.work;
-    // A retry of an idle flow must not be charged from a time long past.
-    if (charge > 0) lane.start = Math.max(lane.start, this.#virtual) + charge;
+    this.#count(lane, -1, item.work);
     this.#settle(lane);
-    if (this.#entries.size === 0) this.#work = 0;
+    this.#forget(lane.owner);
   }
 
-  #settle(lane: lanes.Lane): void {
-    if (lane.size === 0) {
-      lane.work = 0;
-      this.#waiting.remove(lane);
-    } else this.#waiting.update(lane);
-    if (lane.fresh.size > 0) this.#ready.update(lane);
-    else this.#ready.remove(lane);
-    if (lane.size === 0 && lane.idlePos < 0) this.#idle.push(lane);
-    else this.#idle.update(lane);
-    this.#forget();
-  }
-
-  /** Idle flows that virtual time has passed hold nothing worth keeping. */
-  #forget(): void {
-    let lane = this.#idle.peek();
-    while (lane !== undefined && this.#mayForget(lane)) {
-      this.#idle.remove(lane);
-      this.#lanes.delete(lane.name);
-      lane = this.#idle.peek();
-    }
-  }
-
-  #mayForget(lane: lanes.Lane): boolean {
-    return this.#entries.size === 0 || lane.start <= this.#virtual;
+  #count(lane: lanes.Lane, change: 1 | -1, work: number): void {
+    lane.size += change;
+    lane.owner.size += change;
+    lane.work = lane.size === 0 ? 0 : lane.work + change * work;
+    this.#work = this.size === 0 ? 0 : this.#work + change * work;
   }
 
-  #laneOf(flow: weight.Flow): lanes.Lane {
-    const name = weight.nameOf(flow);
-    let lane = this.#lanes.get(name);
+  /** Puts a lane and its account among those with work, or without. */
+  #settle(lane: lanes.Lane): void {
+    const { owner } = lane;
+    if (lane.fresh.size > 0) owner.turns.begin(lane);
+    else owner.turns.end(lane);
+    if (owner.turns.peek() !== undefined) this.#turns.begin(owner);
+    else this.#turns.end(owner);
+    if (lane.size === 0) this.#waiting.remove(lane);
+    else if (lane.worthPos < 0) this.#waiting.push(lane);
+  }
+
+  #forget(owner: lanes.Account): void {
+    const over = (lane: lanes.Lane) => owner.lanes.delete(lane.kind);
+    forgetAll(owner.turns, { over, all: owner.size === 0 });
+    forgetAll(this.#turns, {
+      over: (account) => this.#accounts.delete(account.name),
+      all: this.size === 0,
+    });
+  }
+
+  #weigh(lane: lanes.Lane): void {
+    lane.weight = weight.ofKind(this.#policies, lane.kind);
+    lane.worth = weight.ofFlow(this.#policies, lane);
+  }
+
+  #laneOf({ account, kind }: weight.Flow): lanes.Lane {
+    let owner = this.#accounts.get(account);
+    if (owner === undefined) {
+      owner = lanes.createAccount(account);
+      owner.weight = weight.ofAccount(this.#policies, account);
+      this.#accounts.set(account, owner);
+    }
+    let lane = owner.lanes.get(kind);
     if (lane === undefined) {
-      lane = lanes.createLane(name, flow);
-      lane.weight = weight.weightOf(this.#policies, flow);
-      this.#lanes.set(name, lane);
+      lane = lanes.createLane(owner, kind);
+      this.#weigh(lane);
+      owner.lanes.set(kind, lane);
     }
-    this.#idle.remove(lane);
     return lane;
   }
 }
+
+/** Forgets members that hold nothing; those that only wait for retries are
+ * kept, since their entries refer to them. */
+function forgetAll<T extends lanes.Account | lanes.Lane>(
+  turns: schedule.Schedule<T>,
+  by: { over(member: T): void; all: boolean },
+): void {
+  const kept: T[] = [];
+  let member = turns.forget(by.all);
+  while (member !== undefined) {
+    if (member.size > 0) kept.push(member);
+    else by.over(member);
+    member = turns.forget(by.all);
+  }
+  for (const one of kept) turns.end(one);
+}
--- a/src/admission/fair_queue_test.ts
+++ b/src/admission/fair_queue_test.ts
@@ -56,6 +56,28 @@
   );
 });
 
+test("inside an account, cheap requests go before dear ones", (t) => {
+  const queue = fairQueue.FairQueue.create(policies);
+  for (let i = 0; i < 20; i++) {
+    queue.push(createItem({ id: `p${i}`, work: 20 }));
+    queue.push(createItem({ id: `q${i}`, kind: "question", work: 10 }));
+  }
+  const served = Array.from({ length: 12 }, () => queue.pop()?.kind);
+  t.is(served.filter((kind) => kind === "question").length, 8);
+});
+
+test("what an account sends of one kind takes nothing from others", (t) => {
+  const queue = fairQueue.FairQueue.create();
+  for (let i = 0; i < 90; i++) queue.push(createItem({ id: `a${i}` }));
+  for (let i = 0; i < 10; i++) {
+    for (const kind of ["plan", "question", "summary"]) {
+      queue.push(createItem({ id: `b${kind}${i}`, account: "b", kind }));
+    }
+  }
+  const served = Array.from({ length: 40 }, () => queue.pop()?.account);
+  t.is(served.filter((account) => account === "b").length, 20);
+});
+
 test("an item put back keeps its place and its flow does not pay", (t) => {
   const queue = fairQueue.FairQueue.create();
   for (let i = 0; i < 4; i++) {
@@ -102,7 +124,13 @@
 });
 
 type Command =
-  | { type: "push"; account: string; deadline: number; work: number }
+  | {
+    type: "push";
+    account: string;
+    kind: string;
+    deadline: number;
+    work: number;
+  }
   | { type: "pop" }
   | { type: "retry"; pick: number }
   | { type: "expire" }
@@ -115,6 +143,7 @@
     arbitrary: fc.record({
       type: fc.constant("push" as const),
       account: fc.constantFrom("large", "small", "other"),
+      kind: fc.constantFrom("plan", "question"),
       deadline: fc.integer({ min: 1, max: 60 }),
       work: fc.integer({ min: 1, max: 20 }),
     }),
--- a/src/admission/lane.ts
+++ b/src/admission/lane.ts
@@ -1,8 +1,9 @@
-/** Items, and the flows they belong to, as the fair queue keeps them.
+/** Items, flows and accounts as the fair queue keeps them.
  * @module */
 
 import * as heap from "./heap.ts";
-import * as weight from "./weight.ts";
+import * as schedule from "./schedule.ts";
+import type * as weight from "./weight.ts";
 
 /** Work that waits for a slot. */
 export interface Item extends weight.Flow {
@@ -29,22 +30,28 @@
   expiryPos: number;
 }
 
-/** A flow in the queue, with its position in each heap. */
-export interface Lane {
-  name: string;
-  flow: weight.Flow;
+/** An account in the queue. */
+export interface Account extends schedule.Member {
   weight: number;
-  /** Virtual start of the next item. */
-  start: number;
+  /** Lanes in turn, and all of them by kind. */
+  turns: schedule.Schedule<Lane>;
+  lanes: Map<string, Lane>;
+  size: number;
+}
+
+/** A flow in the queue: the items of one kind of one account. */
+export interface Lane extends schedule.Member, weight.Flow {
+  owner: Account;
+  /** Weight among the kinds of the account, and among all flows. */
+  weight: number;
+  worth: number;
   work: number;
   size: number;
   /** Fresh items, earliest deadline first. */
   fresh: heap.Heap<Entry>;
   /** All items, latest deadline first. */
   last: heap.Heap<Entry>;
-  startPos: number;
-  weightPos: number;
-  idlePos: number;
+  worthPos: number;
 }
 
 /** An entry in no heap yet. */
@@ -53,31 +60,42 @@
   return { item, lane, retried, orderPos: -1, lastPos: -1, expiryPos: -1 };
 }
 
-/** A lane without items. */
-export function createLane(name: string, flow: weight.Flow): Lane {
+/** An account without lanes. */
+export function createAccount(name: string): Account {
   return {
     name,
-    flow: { account: flow.account, kind: flow.kind },
-    weight: weight.DEFAULT_WEIGHT,
+    weight: 1,
+    start: 0,
+    turns: schedule.Schedule.create(),
+    lanes: new Map(),
+    size: 0,
+    readyPos: -1,
+    idlePos: -1,
+  };
+}
+
+/** A lane without items. */
+export function createLane(owner: Account, kind: string): Lane {
+  return {
+    name: kind,
+    account: owner.name,
+    kind,
+    owner,
+    weight: 1,
+    worth: 1,
     start: 0,
     work: 0,
     size: 0,
     fresh: heap.Heap.create<Entry>(deadlineOrder),
     last: heap.Heap.create<Entry>(lastOrder),
-    startPos: -1,
-    weightPos: -1,
+    readyPos: -1,
     idlePos: -1,
+    worthPos: -1,
   };
 }
 
-/** The entry to be served next, of the first retried one and a lane. */
-export function first(retried?: Entry, lane?: Lane): Entry | undefined {
-  if (retried === undefined) return lane?.fresh.peek();
-  if (lane === undefined) return retried;
-  return startOf(retried) <= lane.start ? retried : lane.fresh.peek();
-}
-
-function startOf(entry: Entry): number {
+/** Virtual start of a retried entry. */
+export function startOf(entry: Entry): number {
   return entry.item.start ?? 0;
 }
 
@@ -89,12 +107,19 @@
 }
 
 /** Earliest deadline first. */
-export const deadlineOrder: heap.Order<Entry> = {
+const deadlineOrder: heap.Order<Entry> = {
   less: (a, b) => isBefore(a.item, b.item),
   position: (entry) => entry.orderPos,
   place: (entry, pos) => entry.orderPos = pos,
 };
 
+/** Latest deadline first. */
+const lastOrder: heap.Order<Entry> = {
+  less: (a, b) => isBefore(b.item, a.item),
+  position: (entry) => entry.lastPos,
+  place: (entry, pos) => entry.lastPos = pos,
+};
+
 /** Least virtual start first. */
 export const retriedOrder: heap.Order<Entry> = {
   less: (a, b) =>
@@ -105,13 +130,6 @@
   place: (entry, pos) => entry.orderPos = pos,
 };
 
-/** Latest deadline first. */
-export const lastOrder: heap.Order<Entry> = {
-  less: (a, b) => isBefore(b.item, a.item),
-  position: (entry) => entry.lastPos,
-  place: (entry, pos) => entry.lastPos = pos,
-};
-
 /** Earliest expiry first. */
 export const expiryOrder: heap.Order<Entry> = {
   less: (a, b) => a.item.expires < b.item.expires,
@@ -119,26 +137,12 @@
   place: (entry, pos) => entry.expiryPos = pos,
 };
 
-/** Least virtual start first. */
-export const readyOrder: heap.Order<Lane> = {
-  less: (a, b) => a.start !== b.start ? a.start < b.start : a.name < b.name,
-  position: (lane) => lane.startPos,
-  place: (lane, pos) => lane.startPos = pos,
-};
-
-/** Least weight first, then the one served most. */
-export const weightOrder: heap.Order<Lane> = {
+/** Least weight among all flows first, then by name. */
+export const worthOrder: heap.Order<Lane> = {
   less(a, b) {
-    if (a.weight !== b.weight) return a.weight < b.weight;
-    return a.start !== b.start ? a.start > b.start : a.name < b.name;
+    if (a.worth !== b.worth) return a.worth < b.worth;
+    return a.account !== b.account ? a.account < b.account : a.kind < b.kind;
   },
-  position: (lane) => lane.weightPos,
-  place: (lane, pos) => lane.weightPos = pos,
-};
-
-/** Least virtual start first. */
-export const idleOrder: heap.Order<Lane> = {
-  less: (a, b) => a.start < b.start,
-  position: (lane) => lane.idlePos,
-  place: (lane, pos) => lane.idlePos = pos,
+  position: (lane) => lane.worthPos,
+  place: (lane, pos) => lane.worthPos = pos,
 };
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -12,5 +12,6 @@
 export * as gate from "./gate.ts";
 export * as lane from "./lane.ts";
 export * as limit from "./limit.ts";
+export * as schedule from "./schedule.ts";
 export * as split from "./split.ts";
 export * as weight from "./weight.ts";
--- a/src/admission/naive_fair_queue.ts
+++ b/src/admission/naive_fair_queue.ts
@@ -6,11 +6,31 @@
 import * as lane from "./lane.ts";
 import * as weight from "./weight.ts";
 
+/** Virtual time of one level and where each name stands in it. */
+class Level {
+  virtual = 0;
+  readonly starts = new Map<string, number>();
+
+  startOf(name: string): number {
+    return this.starts.get(name) ?? 0;
+  }
+
+  begin(name: string): void {
+    this.starts.set(name, Math.max(this.startOf(name), this.virtual));
+  }
+
+  serve(name: string, charge: number, start = this.startOf(name)): void {
+    this.virtual = Math.max(this.virtual, start);
+    const base = Math.max(this.startOf(name), this.virtual);
+    this.starts.set(name, base + charge);
+  }
+}
+
 /** Same decisions as `FairQueue`, in O(n) an operation. */
 export class NaiveFairQueue {
   #items: lane.Item[] = [];
-  #virtual = 0;
-  readonly #starts = new Map<string, number>();
+  #accounts = new Level();
+  readonly #kinds = new Map<string, Level>();
   readonly #policies: request.Policies;
 
   constructor(policies: request.Policies = new Map()) {
@@ -19,39 +39,46 @@
 
   push(item: lane.Item): boolean {
     if (this.#items.some((other) => other.id === item.id)) return false;
-    const name = weight.nameOf(item);
-    const own = this.#items.filter((other) => weight.nameOf(other) === name);
-    const begins = item.start === undefined &&
-      !own.some((other) => other.start === undefined);
-    if (begins || own.length === 0) {
-      this.#starts.set(name, Math.max(this.#startOf(item), this.#virtual));
+    if (item.start === undefined) {
+      const fresh = this.#fresh().filter(({ account }) => {
+        return account === item.account;
+      });
+      if (fresh.length === 0) this.#accounts.begin(item.account);
+      const known = fresh.some(({ kind }) => kind === item.kind);
+      if (!known) this.#levelOf(item.account).begin(item.kind);
     }
     this.#items.push(item);
     return true;
   }
 
   pop(): lane.Item | undefined {
-    const [first] = this.#items.toSorted((a, b) => this.#compare(a, b));
+    const first = this.#first();
     if (first === undefined) return undefined;
-    const start = first.start ?? this.#startOf(first);
-    this.#virtual = Math.max(this.#virtual, start);
-    const base = Math.max(this.#startOf(first), this.#virtual);
-    const charge = first.work / weight.weightOf(this.#policies, first);
-    this.#starts.set(weight.nameOf(first), base + charge);
+    const { account, kind, work } = first;
+    const start = first.start ?? this.#accounts.startOf(account);
     first.start = start;
+    const share = weight.ofAccount(this.#policies, account);
+    this.#accounts.serve(account, work / share, start);
+    const charge = weight.chargeOf(work) / weight.ofKind(this.#policies, kind);
+    this.#levelOf(account).serve(kind, charge);
     this.#take([first]);
     return first;
   }
 
   expire(now: number): lane.Item[] {
     const gone = this.#items.filter((item) => item.expires < now);
-    gone.sort((a, b) => a.expires - b.expires);
     this.#take(gone);
     return gone;
   }
 
   shed(): lane.Item | undefined {
-    const [worst] = this.#items.toSorted((a, b) => this.#compareWorth(a, b));
+    const worst = least(this.#items, (a, b) => {
+      const weighed = weight.ofFlow(this.#policies, a) -
+        weight.ofFlow(this.#policies, b);
+      if (weighed !== 0) return weighed;
+      const names = compare(weight.nameOf(a), weight.nameOf(b));
+      return names !== 0 ? names : lane.isBefore(a, b) ? 1 : -1;
+    });
     if (worst !== undefined) this.#take([worst]);
     return worst;
   }
@@ -62,40 +89,66 @@
     return found;
   }
 
-  #take(gone: lane.Item[]): void {
-    this.#items = this.#items.filter((item) => !gone.includes(item));
-    if (this.#items.length === 0) this.#starts.clear();
+  #fresh(): lane.Item[] {
+    return this.#items.filter(({ start }) => start === undefined);
   }
 
-  #startOf(flow: weight.Flow): number {
-    return this.#starts.get(weight.nameOf(flow)) ?? 0;
+  #first(): lane.Item | undefined {
+    const retried = least(
+      this.#items.filter(({ start }) => start !== undefined),
+      (a, b) => {
+        const starts = (a.start ?? 0) - (b.start ?? 0);
+        return starts !== 0 ? starts : lane.isBefore(a, b) ? -1 : 1;
+      },
+    );
+    const fresh = least(this.#fresh(), (a, b) => this.#compareFresh(a, b));
+    if (retried === undefined || fresh === undefined) return retried ?? fresh;
+    const start = this.#accounts.startOf(fresh.account);
+    return (retried.start ?? 0) <= start ? retried : fresh;
   }
 
-  #compare(a: lane.Item, b: lane.Item): number {
-    const start = (a.start ?? this.#startOf(a)) - (b.start ?? this.#startOf(b));
-    if (start !== 0) return start;
-    const retried = Number(b.start !== undefined) -
-      Number(a.start !== undefined);
-    if (retried !== 0) return retried;
-    const name = compareNames(a, b);
-    if (name !== 0 && a.start === undefined) return name;
+  #compareFresh(a: lane.Item, b: lane.Item): number {
+    const accounts = this.#accounts.startOf(a.account) -
+      this.#accounts.startOf(b.account);
+    if (accounts !== 0) return accounts;
+    if (a.account !== b.account) return compare(a.account, b.account);
+    const level = this.#levelOf(a.account);
+    const kinds = level.startOf(a.kind) - level.startOf(b.kind);
+    if (kinds !== 0) return kinds;
+    if (a.kind !== b.kind) return compare(a.kind, b.kind);
     return lane.isBefore(a, b) ? -1 : 1;
   }
 
-  #compareWorth(a: lane.Item, b: lane.Item): number {
-    const weighed = weight.weightOf(this.#policies, a) -
-      weight.weightOf(this.#policies, b);
-    if (weighed !== 0) return weighed;
-    const start = this.#startOf(b) - this.#startOf(a);
-    if (start !== 0) return start;
-    const name = compareNames(a, b);
-    if (name !== 0) return name;
-    return lane.isBefore(a, b) ? 1 : -1;
+  #levelOf(account: string): Level {
+    let level = this.#kinds.get(account);
+    if (level === undefined) {
+      level = new Level();
+      this.#kinds.set(account, level);
+    }
+    return level;
   }
+
+  /** An account without items starts afresh among its kinds, and a queue
+   * without items altogether. */
+  #take(gone: lane.Item[]): void {
+    this.#items = this.#items.filter((item) => !gone.includes(item));
+    for (const { account } of gone) {
+      const left = this.#items.some((item) => item.account === account);
+      if (!left) this.#levelOf(account).starts.clear();
+    }
+    if (this.#items.length > 0) return;
+    this.#accounts.starts.clear();
+    this.#kinds.clear();
+  }
+}
+
+function compare(a: string, b: string): number {
+  return a === b ? 0 : a < b ? -1 : 1;
 }
 
-function compareNames(a: weight.Flow, b: weight.Flow): number {
-  const [first, second] = [weight.nameOf(a), weight.nameOf(b)];
-  if (first === second) return 0;
-  return first < second ? -1 : 1;
+function least<T>(
+  values: readonly T[],
+  order: (a: T, b: T) => number,
+): T | undefined {
+  return values.toSorted(order)[0];
 }
--- a/src/admission/weight.ts
+++ b/src/admission/weight.ts
@@ -1,4 +1,10 @@
-/** Weights of flows, from the rows of the table.
+/** Weights of accounts and kinds, from the rows of the table, and what work
+ * counts for under them.
+ *
+ * Accounts share slots in proportion to their weights. Inside an account, a
+ * kind's weight is what one of its requests is worth: kinds share the
+ * account's slots in proportion to weight for each millisecond of work, so
+ * that under overload more requests are answered.
  * @module */
 
 import type * as request from "../request/mod.ts";
@@ -20,10 +26,27 @@
   return `${flow.account} ${flow.kind}`;
 }
 
-/** Weight of a flow: that of its account times that of its kind. */
-export function weightOf(policies: request.Policies, flow: Flow): number {
-  const account = policies.get(`account/${flow.account}`)?.weight;
-  const kind = policies.get(`kind/${flow.kind}`)?.weight;
-  const weight = (account ?? DEFAULT_WEIGHT) * (kind ?? DEFAULT_WEIGHT);
+/** Weight of an account among accounts. */
+export function ofAccount(policies: request.Policies, name: string): number {
+  return orLeast(policies.get(`account/${name}`)?.weight);
+}
+
+/** Weight of a kind among the kinds of one account. */
+export function ofKind(policies: request.Policies, name: string): number {
+  return orLeast(policies.get(`kind/${name}`)?.weight);
+}
+
+/** Weight of a flow among all, by which overload sheds. */
+export function ofFlow(policies: request.Policies, flow: Flow): number {
+  const { account, kind } = flow;
+  return ofAccount(policies, account) * ofKind(policies, kind);
+}
+
+/** What work counts for among the kinds of one account. */
+export function chargeOf(work: number): number {
+  return work * work;
+}
+
+function orLeast(weight = DEFAULT_WEIGHT): number {
   return Math.max(LEAST_WEIGHT, weight);
 }
