--- a/src/admission/backlog.ts
+++ b/src/admission/backlog.ts
@@ -3,23 +3,32 @@
  * @module */
 
 import type * as request from "../request/mod.ts";
+import * as rate from "./rate.ts";
 import * as weight from "./weight.ts";
 
 /** Accounts, and kinds of one, that are weighed one by one; with more, all
  * work counts as ahead. */
 const MOST_WEIGHED = 64;
 
+/** Milliseconds over which arrivals are averaged. */
+const RATE_SPAN = 5000;
+
+/** Rounds of approximation of a wait that arrivals lengthen. */
+const ROUNDS = 4;
+
 interface Kind {
   weight: number;
   work: number;
   /** What the work counts for among the kinds of its account. */
   charge: number;
   items: number;
+  arrivals: rate.Rate;
 }
 
 interface Account {
   weight: number;
   work: number;
+  arrivals: rate.Rate;
   kinds: Map<string, Kind>;
 }
 
@@ -68,11 +77,18 @@
     return this.#pools.get(service)?.work ?? 0;
   }
 
-  add(service: string, flow: weight.Flow, work: number): void {
+  /** Promises work to a service. */
+  add(
+    service: string,
+    flow: weight.Flow,
+    { work, now }: { work: number; now: number },
+  ): void {
     const pool = this.#poolOf(service);
     const account = this.#accountOf(pool, flow.account);
     const kind = this.#kindOf(account, flow.kind);
     kind.items++;
+    kind.arrivals.add(work, now);
+    account.arrivals.add(work, now);
     change({ pool, account, kind }, work, weight.chargeOf(work));
   }
 
@@ -93,15 +109,21 @@
   }
 
   /** Milliseconds until the work of `flow` promised so far has left, when
-   * slots are shared by weight; infinite without slots. */
-  wait(service: string, flow: weight.Flow): number {
+   * slots are shared by weight and others go on to arrive as of late; infinite
+   * without slots. */
+  wait(service: string, flow: weight.Flow, now: number): number {
     const pool = this.#pools.get(service);
     if (pool === undefined || pool.slots === 0) return Infinity;
     const account = pool.accounts.get(flow.account);
     const kind = account?.kinds.get(flow.kind);
     if (account === undefined || kind === undefined) return 0;
-    const own = aheadInAccount(account, kind);
-    return aheadInPool(pool, account, own) / pool.slots;
+    let wait = 0;
+    for (let round = 0; round < ROUNDS; round++) {
+      const within = aheadInAccount(account, kind, { wait, now });
+      const ahead = aheadInPool(pool, account, { work: within, wait, now });
+      wait = ahead / pool.slots;
+    }
+    return wait;
   }
 
   toJSON() {
@@ -126,7 +148,8 @@
     let account = pool.accounts.get(name);
     if (account === undefined) {
       const share = weight.ofAccount(this.#policies, name);
-      account = { weight: share, work: 0, kinds: new Map() };
+      const arrivals = rate.Rate.create(RATE_SPAN);
+      account = { weight: share, work: 0, arrivals, kinds: new Map() };
       pool.accounts.set(name, account);
     }
     return account;
@@ -136,7 +159,8 @@
     let kind = account.kinds.get(name);
     if (kind === undefined) {
       const share = weight.ofKind(this.#policies, name);
-      kind = { weight: share, work: 0, charge: 0, items: 0 };
+      const arrivals = rate.Rate.create(RATE_SPAN);
+      kind = { weight: share, work: 0, charge: 0, items: 0, arrivals };
       account.kinds.set(name, kind);
     }
     return kind;
@@ -155,25 +179,36 @@
 }
 
 /** Work of an account done before the last of `own` is: while that is served,
- * each other kind gets its share, but no more than it has. */
-function aheadInAccount(account: Account, own: Kind): number {
+ * each other kind gets its share, but no more than it has and will have. */
+function aheadInAccount(
+  account: Account,
+  own: Kind,
+  { wait, now }: { wait: number; now: number },
+): number {
   if (account.kinds.size > MOST_WEIGHED) return account.work;
   const span = spanOf(own);
-  let sum = 0;
+  let sum = own.work;
   for (const kind of account.kinds.values()) {
-    sum += kind.work * Math.min(1, span / spanOf(kind));
+    if (kind === own) continue;
+    const share = kind.work * span / spanOf(kind);
+    sum += Math.min(share, kind.work + wait * kind.arrivals.at(now));
   }
   return sum;
 }
 
 /** The same among accounts, while `work` of one of them is served. */
-function aheadInPool(pool: Pool, own: Account, work: number): number {
+function aheadInPool(
+  pool: Pool,
+  own: Account,
+  { work, wait, now }: { work: number; wait: number; now: number },
+): number {
   if (pool.accounts.size > MOST_WEIGHED) return pool.work;
   const span = work / own.weight;
   let sum = work;
   for (const account of pool.accounts.values()) {
     if (account === own) continue;
-    sum += Math.min(account.work, span * account.weight);
+    const most = account.work + wait * account.arrivals.at(now);
+    sum += Math.min(most, span * account.weight);
   }
   return sum;
 }
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -107,7 +107,7 @@
   /** Admits or refuses; an admitted request must be ended by `finish`. */
   decide(ask: Ask, now: number): Decision {
     const stages = ask.stages.map((work) => this.#basis.estimate.predict(work));
-    const span = this.#span(ask, stages);
+    const span = this.#span(ask, stages, now);
     const margin = this.#marginOf(ask).value;
     const finish = now + span * margin;
     const fits = finish <= ask.deadline;
@@ -140,10 +140,14 @@
   }
 
   /** Milliseconds predicted for a request that would come now. */
-  #span(ask: Ask, stages: readonly estimate.Prediction[]): number {
+  #span(
+    ask: Ask,
+    stages: readonly estimate.Prediction[],
+    now: number,
+  ): number {
     let span = 0;
     ask.stages.forEach((work, i) => {
-      const wait = this.#basis.backlog.wait(work.service, ask);
+      const wait = this.#basis.backlog.wait(work.service, ask, now);
       span = Math.max(span, wait) + stages[i].mean;
     });
     return span;
@@ -185,11 +189,11 @@
   }
 
   #commit(commitment: Commitment): void {
-    const { ask, stages } = commitment;
+    const { ask, stages, admitted: now } = commitment;
     this.#commitments.set(ask.id, commitment);
     this.counts.admitted++;
     ask.stages.forEach((work, i) => {
-      this.#basis.backlog.add(work.service, ask, stages[i].mean);
+      this.#basis.backlog.add(work.service, ask, { work: stages[i].mean, now });
     });
   }
 
--- a/src/admission/weight.ts
+++ b/src/admission/weight.ts
@@ -3,8 +3,8 @@
  *
  * Accounts share slots in proportion to their weights. Inside an account, a
  * kind's weight is what one of its requests is worth: kinds share the
- * account's slots in proportion to weight for each millisecond of work, so
- * that under overload more requests are answered.
+ * account's slots the more, the less work a request is, so that under overload
+ * more requests are answered.
  * @module */
 
 import type * as request from "../request/mod.ts";
@@ -42,9 +42,13 @@
   return ofAccount(policies, account) * ofKind(policies, kind);
 }
 
+/** 1 would share slots alike between kinds of one weight; 2 in inverse
+ * proportion to work, 3 to its square. Measured: docs/design/admission.md. */
+const CHARGE_POWER = 3;
+
 /** What work counts for among the kinds of one account. */
 export function chargeOf(work: number): number {
-  return work * work;
+  return work ** CHARGE_POWER;
 }
 
 function orLeast(weight = DEFAULT_WEIGHT): number {
