Measure the log; test replica and shell; stop a replica at a contradiction

Adds tests of the pure replica and of whole fleets under single faults, and npm run bench -- log. Group commit moves out of the shell into its own module. An exception inside a step now stops the replica and is reported as kind contradiction; it used to reach whoever delivered the message.

--- /dev/null
+++ b/bench/log_fleet.ts
@@ -0,0 +1,150 @@
+/** Replicas in one process for measurements of the log.
+ * @module */
+
+import * as path from "node:path";
+import * as log from "../src/control/log/mod.ts";
+import * as runtime from "../src/runtime/mod.ts";
+import * as storage from "../src/storage/mod.ts";
+import type * as result from "./result.ts";
+
+/** State of the machine under measurement. */
+interface Count {
+  readonly count: number;
+}
+
+type Runner = log.Runner<Count, number>;
+
+/** Longest wait for an election in a fleet of one, in milliseconds. */
+export const ELECTION = 1;
+
+const HOSTS = ["gisenyi-hall-1", "nyamyumba-hall-1", "town-hall-1"];
+const TIMING = { electionLeast: ELECTION, electionMost: ELECTION, lease: 0.8 };
+const IDLE = 10_000;
+const COMMITS = 100;
+
+const machine: log.Machine<Count, number> = {
+  empty: { count: 0 },
+  apply: ({ count }, _command, index) => ({
+    state: { count: count + 1 },
+    reply: index,
+  }),
+  toJSON: (state) => state,
+  fromJSON: (json) => json as Count,
+};
+
+/** Running replicas with a leader. */
+export interface Fleet {
+  readonly leader: Runner;
+  stop(): Promise<void>;
+}
+
+/** A command about as long as an edit of one cell. */
+export function createCommand(number: number): log.Command {
+  const change = { row: "account/a", column: "weight", version: 1, value: 2 };
+  return { id: `command-${number}`, type: "edit", changes: [change] };
+}
+
+/** Options of a replica that is a fleet of its own and elects itself soon. */
+export function createOptions(disk: runtime.Storage) {
+  return {
+    host: "a",
+    hosts: ["a"],
+    machine,
+    clock: runtime.systemClock,
+    random: runtime.createRandom(1),
+    transport: { send: () => {} },
+    storage: disk,
+    timing: TIMING,
+  };
+}
+
+/** Starts replicas on the disk that `folder` is on. */
+export async function startFleet(
+  folder: string,
+  count: number,
+): Promise<Fleet> {
+  const hosts = HOSTS.slice(0, count);
+  const runners = new Map<string, Runner>();
+  const disks: storage.FileStorage[] = [];
+  const send = (envelope: runtime.Envelope) => {
+    setImmediate(() => runners.get(envelope.to)?.receive(envelope));
+  };
+  for (const host of hosts) {
+    const disk = await storage.FileStorage.open(path.join(folder, host));
+    disks.push(disk);
+    const options = { host, hosts, machine, storage: disk };
+    const clock = runtime.systemClock;
+    const random = runtime.createRandom(runners.size);
+    const transport = { send };
+    runners.set(
+      host,
+      await log.Runner.start({ ...options, clock, random, transport }),
+    );
+  }
+  const all = [...runners.values()];
+  while (!all.some((runner) => runner.leaseHeld())) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  return {
+    leader: all.find((runner) => runner.leaseHeld())!,
+    async stop() {
+      all.forEach((runner) => runner.stop());
+      for (const disk of disks) await disk.close();
+    },
+  };
+}
+
+/** Bytes of JSON that the hosts send, in virtual time: counts that repeat. */
+export async function countBytes(): Promise<result.Result[]> {
+  const bytes = new Map<string, number>();
+  const clock = new runtime.FakeClock();
+  const runners = new Map<string, Runner>();
+  const send = (envelope: runtime.Envelope) => {
+    const { length } = JSON.stringify(envelope.body);
+    bytes.set(envelope.from, (bytes.get(envelope.from) ?? 0) + length);
+    clock.after(1, () => runners.get(envelope.to)?.receive(envelope));
+  };
+  for (const [pos, host] of HOSTS.entries()) {
+    const runner = await log.Runner.start({
+      host,
+      hosts: HOSTS,
+      machine,
+      clock,
+      random: runtime.createRandom(pos),
+      transport: { send },
+      storage: storage.MemoryStorage.create(),
+      incarnation: `1234567${pos}`,
+    });
+    runners.set(host, runner);
+  }
+  const elapse = async (ms: number) => {
+    const end = clock.now() + ms;
+    while (clock.now() < end) {
+      clock.advance(1);
+      await new Promise(setImmediate);
+    }
+  };
+  await elapse(3000);
+  const leader = [...runners.values()].find((runner) => runner.leaseHeld())!;
+  bytes.clear();
+  await elapse(IDLE);
+  const idle = new Map(bytes);
+  for (let number = 0; number < COMMITS; number++) {
+    leader.propose(createCommand(number));
+    await elapse(IDLE / COMMITS);
+  }
+  const sum = (of: Map<string, number>) =>
+    [...of.values()].reduce((total, one) => total + one, 0);
+  const perCommit = (sum(bytes) - 2 * sum(idle)) / COMMITS;
+  const follower = HOSTS.find((host) => host !== leader.leader)!;
+  const seconds = IDLE / 1000;
+  return [
+    count("log/idle/leader sends", idle.get(leader.leader!)! / seconds, 3000),
+    count("log/idle/follower sends", idle.get(follower)! / seconds, 3000),
+    { ...count("log/commit/all send", perCommit), unit: "bytes" },
+  ];
+}
+
+function count(name: string, value: number, most?: number): result.Result {
+  return { name, unit: "bytes/s", value, kind: "count", bound: { most } };
+}
--- a/bench/log_fuzz/host.ts
+++ b/bench/log_fuzz/host.ts
@@ -66,6 +66,10 @@
         if (role !== "leader" || runner === undefined) return;
         this.#world.guard(() => this.#world.checker.lead(runner));
       },
+      onFailure: (failure) =>
+        this.#world.guard(() => {
+          throw failure.cause;
+        }),
     }).then((runner) => {
       if (!runs()) return runner.stop();
       this.#runner = runner;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import * as util from "node:util";
 import * as admission from "./admission.ts";
 import * as peers from "./peers.ts";
+import * as log from "./log.ts";
 import * as result from "./result.ts";
 import * as scenarios from "./scenarios.ts";
 import * as table from "./table.ts";
@@ -14,6 +15,7 @@
 const MEASUREMENTS: Readonly<Record<string, result.Measurement>> = {
   admission: admission.measurement,
   peers: peers.measurement,
+  log: log.measurement,
   scenarios: scenarios.measurement,
   table: table.measurement,
 };
--- a/src/control/log/errors.ts
+++ b/src/control/log/errors.ts
@@ -8,6 +8,7 @@
   | "unknown"
   | "damaged"
   | "storage"
+  | "contradiction"
   | "stopped";
 
 /** A proposal, a read or the journal failed. */
@@ -22,6 +23,15 @@
     this.kind = kind;
     this.leader = options.leader;
   }
+
+  /** The error of a kind, with the usual words. */
+  static refusal(
+    kind: LogFault,
+    leader?: string,
+    options: { cause?: unknown } = {},
+  ): LogError {
+    return new LogError(kind, REFUSALS[kind], { leader, ...options });
+  }
 }
 
 /** What else is known of a failure. */
@@ -29,3 +39,13 @@
   leader?: string;
   cause?: unknown;
 }
+
+const REFUSALS: Record<LogFault, string> = {
+  "not-leader": "another host leads the log",
+  "no-quorum": "no majority of the log answers",
+  unknown: "leadership was lost before the command was seen committed",
+  damaged: "the journal is damaged",
+  storage: "the journal cannot be written",
+  contradiction: "what this replica holds contradicts the log",
+  stopped: "the log has stopped on this host",
+};
--- a/src/control/log/machine.ts
+++ b/src/control/log/machine.ts
@@ -23,3 +23,13 @@
   /** State from what `toJSON` gave. */
   fromJSON(json: unknown): State;
 }
+
+/** State from the data of a snapshot, or the empty one without. */
+export function restore<State>(
+  machine: Machine<State, unknown>,
+  data: string | undefined,
+): State {
+  return data === undefined
+    ? machine.empty
+    : machine.fromJSON(JSON.parse(data));
+}
--- /dev/null
+++ b/src/control/log/replica_test.ts
@@ -0,0 +1,161 @@
+import test from "ava";
+import * as runtime from "../../runtime/mod.ts";
+import * as log from "./mod.ts";
+
+const VOTERS = ["a~1", "b~1", "c~1"];
+
+function createReplica(options: Partial<log.ReplicaOptions> = {}): log.Replica {
+  return log.Replica.create({
+    id: "a~1",
+    hosts: ["a", "b", "c"],
+    random: runtime.createRandom(1),
+    now: 0,
+    durable: {
+      term: 1,
+      entries: [
+        { index: 1, term: 1, members: { voters: VOTERS, learners: [] } },
+      ],
+    },
+    ...options,
+  });
+}
+
+function createAppend(entries: log.Durable["entries"], previous = 1) {
+  const body = {
+    type: "append" as const,
+    from: "1",
+    to: "1",
+    term: 1,
+    previous,
+    previousTerm: 1,
+    entries: [...entries],
+    commit: 1,
+    at: 5,
+  };
+  return { type: "message" as const, host: "b", body };
+}
+
+function createRequest(change: object = {}) {
+  const body = {
+    type: "vote-request" as const,
+    from: "1",
+    to: "1",
+    term: 2,
+    lastIndex: 1,
+    lastTerm: 1,
+    ...change,
+  };
+  return { type: "message" as const, host: "b", body };
+}
+
+function sent(effects: readonly log.Effect[]): log.Message[] {
+  return effects.flatMap((effect) =>
+    effect.type === "send" ? [effect.body] : []
+  );
+}
+
+test("leaves the replica as it is", (t) => {
+  const replica = createReplica();
+  const before = JSON.stringify(replica.state);
+  const { replica: next } = replica.step(
+    createAppend([{ index: 2, term: 1 }]),
+    10,
+  );
+  t.is(JSON.stringify(replica.state), before);
+  t.is(next.state.log.last.index, 2);
+  t.true(Object.isFrozen(next.state));
+});
+
+test("acknowledges entries once they are durable", (t) => {
+  const replica = createReplica();
+  const event = createAppend([{ index: 2, term: 1 }]);
+  const first = replica.step(event, 10);
+  t.deepEqual(sent(first.effects), []);
+  const again = first.replica.step(event, 11);
+  t.deepEqual(sent(again.effects), []);
+  const after = again.replica.step({ type: "synced", write: 1 }, 12);
+  t.deepEqual(sent(after.effects).map(({ type }) => type), [
+    "appended",
+    "appended",
+  ]);
+});
+
+test("votes once it is durable, and once in a term", (t) => {
+  const replica = createReplica();
+  const first = replica.step(createRequest(), 400);
+  t.deepEqual(sent(first.effects), []);
+  const { write } = first.effects.findLast((effect) =>
+    effect.type === "persist"
+  ) as { write: number };
+  const synced = first.replica.step({ type: "synced", write }, 401);
+  t.like(sent(synced.effects)[0], { type: "vote", granted: true });
+  const other = { ...createRequest(), host: "c" };
+  const second = synced.replica.step(other, 402);
+  t.like(sent(second.effects)[0], { type: "vote", granted: false });
+});
+
+test("gives no vote to a log that lacks entries", (t) => {
+  const replica = createReplica();
+  const event = createRequest({ lastIndex: 0, lastTerm: 0, pre: true });
+  const { effects } = replica.step(event, 400);
+  t.like(sent(effects)[0], { granted: false, pre: true });
+});
+
+test("heeds no candidate while it hears a leader or has just started", (t) => {
+  const replica = createReplica();
+  t.deepEqual(replica.step(createRequest(), 299).effects, []);
+  const heard = replica.step(createAppend([]), 300).replica;
+  const { effects, replica: next } = heard.step(createRequest(), 599);
+  t.deepEqual(effects, []);
+  t.is(next.state.term, 1);
+});
+
+test("ignores messages to an earlier folder of its host", (t) => {
+  const replica = createReplica();
+  const event = createRequest({ to: "0" });
+  const { effects, replica: next } = replica.step(event, 400);
+  t.deepEqual(effects, []);
+  t.is(next.state.vote, undefined);
+});
+
+test("replaces entries that contradict the leader's", (t) => {
+  const replica = createReplica();
+  const wrong = [{ index: 2, term: 1 }, { index: 3, term: 1 }];
+  const { replica: next } = replica.step(createAppend(wrong), 10);
+  const event = createAppend([{ index: 2, term: 2 }]);
+  const body = { ...event.body, term: 2 };
+  const { replica: last } = next.step({ ...event, body }, 20);
+  t.deepEqual(last.state.log.last, { index: 2, term: 2 });
+});
+
+test("says where to try next when entries are missing", (t) => {
+  const replica = createReplica();
+  const event = createAppend([{ index: 9, term: 1 }], 8);
+  const { effects } = replica.step(event, 10);
+  t.like(sent(effects)[0], { type: "appended", ok: false, match: 1 });
+});
+
+test("holds a lease from the time of the message that was answered", (t) => {
+  let replica = createReplica();
+  const events: [log.Event, number][] = [];
+  const { wakeAt } = replica;
+  events.push([{ type: "tick" }, wakeAt]);
+  const vote = { type: "vote" as const, from: "1", to: "1", granted: true };
+  const answer = (body: log.Message, now: number) => {
+    events.push([{ type: "message", host: "b", body }, now]);
+  };
+  answer({ ...vote, term: 2, pre: true }, wakeAt + 1);
+  events.push([{ type: "synced", write: 1 }, wakeAt + 2]);
+  answer({ ...vote, term: 2 }, wakeAt + 3);
+  for (const [event, now] of events) ({ replica } = replica.step(event, now));
+  t.is(replica.state.role, "leader");
+  t.false(replica.leaseHeld(wakeAt + 3));
+  const at = Math.floor(wakeAt + 3);
+  const body = { from: "1", to: "1", term: 2, at };
+  const reply = { type: "heartbeat-reply" as const, ...body };
+  const event = { type: "message" as const, host: "b", body: reply };
+  ({ replica } = replica.step(event, wakeAt + 100));
+  t.is(replica.leaseUntil, at + 240);
+  t.true(replica.leaseHeld(at + 239));
+  t.false(replica.leaseHeld(at + 240));
+});
--- a/src/control/log/runner.ts
+++ b/src/control/log/runner.ts
@@ -8,20 +8,21 @@
 import validate from "../../schema/log_validators.ts";
 import * as errors from "./errors.ts";
 import * as journals from "./journal.ts";
-import type * as machines from "./machine.ts";
+import * as machines from "./machine.ts";
 import * as pauses from "./pause.ts";
 import * as proposals from "./proposals.ts";
 import * as replicaId from "./replica_id.ts";
 import * as replicas from "./replica.ts";
 import type * as shell from "./runner_options.ts";
 import type * as states from "./state.ts";
+import * as writers from "./writer.ts";
 
 type Handler<T> = (effect: Extract<states.Effect, { type: T }>) => void;
 
 /** A running replica. */
 export class Runner<State, Reply> {
   readonly #options: shell.RunnerOptions<State, Reply>;
-  readonly #journal: journals.Journal;
+  readonly #writer: writers.Writer;
   readonly #pause: pauses.Detector;
   readonly #counters: shell.Counters = {
     writes: 0,
@@ -39,11 +40,6 @@
   #cancel: runtime.Cancel = () => {};
   #timerAt = Infinity;
 
-  #records: states.LogRecord[] = [];
-  #lastWrite = 0;
-  #writing = false;
-  #writingSince = 0;
-
   readonly #proposals = new proposals.Proposals<Reply>();
 
   private constructor(
@@ -54,9 +50,14 @@
     const { durable, id } = journal;
     const { snapshot } = durable;
     this.#options = options;
-    this.#journal = journal;
+    this.#writer = new writers.Writer({
+      journal,
+      clock,
+      onSynced: (write) => this.#takeSynced(write),
+      onFailure: (cause) => this.#fail("storage", cause),
+    });
     this.#pause = new pauses.Detector(clock);
-    this.#state = restore(machine, snapshot);
+    this.#state = machines.restore(machine, snapshot?.data);
     this.#index = snapshot?.position.index ?? 0;
     const now = clock.now();
     const start = { id, hosts, random, now, durable, timing, sizes };
@@ -95,7 +96,7 @@
   }
 
   get counters(): Readonly<shell.Counters> {
-    return this.#counters;
+    return { ...this.#counters, writes: this.#writer.writes };
   }
 
   /** Host of the leader, where it is known. */
@@ -132,7 +133,7 @@
       if (this.#stopped) return reject(this.#refusal("stopped"));
       const isFirst = this.#proposals.add({ command, resolve, reject });
       // While a write runs, commands gather; they go out with the next.
-      if (isFirst && !this.#writing) queueMicrotask(() => this.#flush());
+      if (isFirst && !this.#writer.isBusy) queueMicrotask(() => this.#flush());
     });
   }
 
@@ -173,10 +174,13 @@
 
   #handle(event: states.Event): void {
     if (this.#stopped) return;
-    const now = this.#now();
-    this.#step(event, now);
+    try {
+      this.#step(event, this.#now());
+    } catch (cause) {
+      return this.#fail("contradiction", cause);
+    }
     this.#arm();
-    if (this.#records.length > 0 && !this.#writing) this.#write();
+    void this.#writer.flush();
   }
 
   #step(event: states.Event, now: number): void {
@@ -204,13 +208,10 @@
       const envelope = { from: host, to: replicaId.host(to), body };
       transport.send({ ...envelope, channel: "log" });
     },
-    persist: ({ write, record }) => {
-      this.#records.push(record);
-      this.#lastWrite = write;
-    },
+    persist: ({ write, record }) => this.#writer.add(write, record),
     apply: ({ entries }) => this.#apply(entries),
     restore: ({ snapshot }) => {
-      this.#state = restore(this.#options.machine, snapshot);
+      this.#state = machines.restore(this.#options.machine, snapshot.data);
       this.#index = snapshot.position.index;
       this.#options.onChange?.(this.#state, this.#index);
     },
@@ -252,40 +253,24 @@
     this.#handle({ type: "propose", commands });
   }
 
-  async #write(): Promise<void> {
-    this.#writing = true;
-    while (this.#records.length > 0) {
-      const batch = this.#records;
-      const write = this.#lastWrite;
-      this.#records = [];
-      this.#writingSince = this.#options.clock.now();
-      this.#counters.writes++;
-      try {
-        await this.#journal.write(batch);
-      } catch (cause) {
-        return this.#fail(cause);
-      }
-      if (this.#stopped) return;
-      this.#handle({ type: "synced", write });
-      this.#flush();
-    }
-    this.#writing = false;
+  #takeSynced(write: number): void {
+    this.#handle({ type: "synced", write });
+    this.#flush();
   }
 
   /** A disk that does not answer must not keep proposals waiting. */
   #noticeStall(): void {
-    const waited = this.#options.clock.now() - this.#writingSince;
-    const { electionMost } = this.#replica.state.timing;
-    if (!this.#writing || waited < electionMost) return;
+    if (this.#writer.waited < this.#replica.state.timing.electionMost) return;
     this.#proposals.rejectWaiting(this.#refusal("no-quorum"));
     this.#handle({ type: "transfer" });
   }
 
-  #fail(cause: unknown): void {
+  /** Stops for good: what cannot be written, or contradicts itself, must not
+   * be acted on. */
+  #fail(kind: errors.LogFault, cause: unknown): void {
     if (this.#stopped) return;
     this.stop();
-    const message = "the journal cannot be written";
-    const failure = new errors.LogError("storage", message, { cause });
+    const failure = errors.LogError.refusal(kind, this.leader, { cause });
     this.#options.onFailure?.(failure);
   }
 
@@ -305,23 +290,6 @@
   }
 
   #refusal(kind: errors.LogFault): errors.LogError {
-    return new errors.LogError(kind, refusals[kind], { leader: this.leader });
+    return errors.LogError.refusal(kind, this.leader);
   }
 }
-
-const refusals: Record<errors.LogFault, string> = {
-  "not-leader": "another host leads the log",
-  "no-quorum": "no majority of the log answers",
-  unknown: "leadership was lost before the command was seen committed",
-  damaged: "the journal is damaged",
-  storage: "the journal cannot be written",
-  stopped: "the log has stopped on this host",
-};
-
-function restore<State>(
-  machine: machines.Machine<State, unknown>,
-  snapshot: states.Snapshot | undefined,
-): State {
-  if (snapshot === undefined) return machine.empty;
-  return machine.fromJSON(JSON.parse(snapshot.data));
-}
--- /dev/null
+++ b/src/control/log/runner_test.ts
@@ -0,0 +1,243 @@
+import test from "ava";
+import * as fuzz from "../../../bench/log_fuzz/mod.ts";
+import * as log from "./mod.ts";
+
+type Host = fuzz.World["hosts"][number];
+
+/** A fleet whose hosts `names` have been running for a while. */
+async function createWorld(voters: number, names = "abcde") {
+  const world = new fuzz.World({ seed: 7, voters });
+  const started = world.hosts.filter(({ name }) => names.includes(name));
+  started.forEach((host) => host.start());
+  await world.run(2000);
+  return world;
+}
+
+function leaderOf(world: fuzz.World): Host {
+  return findLeader(world)!;
+}
+
+function findLeader(world: fuzz.World): Host | undefined {
+  return world.hosts.find(({ runner }) => runner?.leaseHeld());
+}
+
+function othersThan(world: fuzz.World, host: Host): Host[] {
+  return world.hosts.filter((other) => other !== host);
+}
+
+function propose(host: Host, id: string): Promise<number | log.LogFault> {
+  return host.runner!.propose({ id, type: "add" })
+    .catch((failure: log.LogError) => failure.kind);
+}
+
+function cutOff(world: fuzz.World, host: Host): void {
+  for (const { name } of othersThan(world, host)) {
+    world.cut.add(`${host.name}>${name}`).add(`${name}>${host.name}`);
+  }
+}
+
+/** Answers as they are known after `ms`. */
+async function settled<T>(
+  world: fuzz.World,
+  promises: readonly Promise<T>[],
+  ms: number,
+): Promise<(T | "open")[]> {
+  const answers: (T | "open")[] = promises.map(() => "open");
+  promises.forEach((promise, pos) =>
+    promise.then((answer) => answers[pos] = answer)
+  );
+  await world.run(ms);
+  return answers;
+}
+
+test("has the same state on all replicas", async (t) => {
+  const world = await createWorld(3);
+  for (let count = 0; count < 100; count++) world.propose(leaderOf(world));
+  await world.run(1000);
+  t.is(world.checker.acknowledged, 100);
+  world.checker.finish(world.runners);
+  t.deepEqual(world.runners.map(({ index }) => index), [101, 101, 101]);
+});
+
+test("commits commands together that come during a write", async (t) => {
+  const world = await createWorld(3);
+  const leader = leaderOf(world);
+  const { writes } = leader.runner!.counters;
+  for (let count = 0; count < 100; count++) {
+    world.propose(leader);
+    if (count % 10 === 0) await world.run(0.1);
+  }
+  await world.run(300);
+  t.is(world.checker.acknowledged, 100);
+  t.true(leader.runner!.counters.writes - writes <= 20);
+});
+
+test("founds no fleet before all named hosts are there", async (t) => {
+  const world = await createWorld(3, "ab");
+  t.deepEqual(world.runners.map(({ leader }) => leader), [
+    undefined,
+    undefined,
+  ]);
+  world.hosts[2].start();
+  await world.run(2000);
+  t.truthy(findLeader(world));
+});
+
+test("founds no second fleet when a majority has lost its folders", async (t) => {
+  const world = await createWorld(3);
+  world.propose(leaderOf(world));
+  await world.run(500);
+  const [a, b, c] = world.hosts;
+  for (const lost of [a, b]) {
+    lost.loseDisk();
+    lost.start();
+  }
+  await world.run(20_000);
+  t.is(findLeader(world), undefined);
+  t.is(c.runner!.state.count, 1);
+  t.deepEqual(a.runner!.replica.members, log.members.NONE);
+});
+
+test("lets a lost folder come back as another replica", async (t) => {
+  const world = await createWorld(3);
+  const [a] = world.hosts;
+  const before = a.identity!;
+  world.propose(leaderOf(world));
+  a.loseDisk();
+  a.start();
+  await world.run(4000);
+  const { voters, learners } = leaderOf(world).runner!.replica.members;
+  t.false(voters.includes(before));
+  t.true(voters.includes(a.identity!));
+  t.is(voters.length, 3);
+  t.deepEqual(learners, []);
+});
+
+test("survives the loss of a second folder right after a repair", async (t) => {
+  const world = await createWorld(3);
+  for (let round = 0; round < 6; round++) {
+    const leader = leaderOf(world);
+    for (let count = 0; count < 30; count++) world.propose(leader);
+    await world.run(300);
+    leader.loseDisk();
+    leader.start();
+    const hasRepaired = () =>
+      findLeader(world)?.runner?.replica.members.voters
+        .includes(leader.identity!) ?? false;
+    while (!hasRepaired()) await world.run(20);
+  }
+  t.is(world.checker.acknowledged, 180);
+  await world.run(3000);
+  world.checker.finish(world.runners);
+});
+
+test("sends a snapshot in chunks to a replica that lags far behind", async (t) => {
+  const world = await createWorld(3);
+  const [slow] = othersThan(world, leaderOf(world));
+  slow.crash();
+  for (let count = 0; count < 200; count++) {
+    world.propose(leaderOf(world));
+    await world.run(5);
+  }
+  const { restored } = world.checker;
+  slow.start();
+  await world.run(2000);
+  t.true(world.checker.restored > restored);
+  world.checker.finish(world.runners);
+});
+
+test("refuses at once what a cut-off leader cannot commit", async (t) => {
+  const world = await createWorld(3);
+  const leader = leaderOf(world);
+  cutOff(world, leader);
+  await world.run(5);
+  const open = propose(leader, "open");
+  await world.run(290);
+  const refused = propose(leader, "refused");
+  const answers = await settled(world, [refused], 1);
+  t.deepEqual(answers, ["no-quorum"]);
+  t.deepEqual(await settled(world, [open], 700), ["unknown"]);
+  const late = await settled(world, [propose(leader, "late")], 1);
+  t.deepEqual(late, ["not-leader"]);
+  t.not(leaderOf(world), leader);
+});
+
+for (const kind of ["process", "clock"] as const) {
+  test(`ends the lease of a leader whose ${kind} was paused`, async (t) => {
+    const world = await createWorld(3);
+    const leader = leaderOf(world);
+    t.true(leader.runner!.leaseHeld());
+    leader.pause(kind);
+    await world.run(2000);
+    const next = leaderOf(world);
+    t.not(next, leader);
+    leader.resume();
+    t.false(leader.runner!.leaseHeld());
+    t.throws(() => leader.runner!.read(), { instanceOf: log.LogError });
+    await world.run(500);
+    t.is(leader.runner!.leader, next.name);
+  });
+}
+
+test("answers proposals while the leader's disk does not", async (t) => {
+  const world = await createWorld(3);
+  const leader = leaderOf(world);
+  leader.isStalled = true;
+  const first = propose(leader, "first");
+  await world.run(5);
+  const second = propose(leader, "second");
+  const answers = await settled(world, [first, second], 1500);
+  t.deepEqual(answers, [2, "no-quorum"]);
+  t.not(leaderOf(world), leader);
+});
+
+test("hands leadership over without losing a command", async (t) => {
+  const world = await createWorld(3);
+  const leader = leaderOf(world);
+  const open = propose(leader, "open");
+  await world.run(0.1);
+  leader.act((runner) => runner.drain());
+  const answers = await settled(world, [open], 60);
+  t.not(leaderOf(world), leader);
+  t.truthy(findLeader(world));
+  await world.run(500);
+  t.is(leaderOf(world).runner!.state.count, 1);
+  t.true(answers[0] === 2 || answers[0] === "unknown");
+});
+
+test("is not disturbed by a replica that was taken out", async (t) => {
+  const world = await createWorld(5);
+  const leader = leaderOf(world);
+  const [out] = othersThan(world, leader);
+  cutOff(world, out);
+  await world.run(5000);
+  leader.act((runner) => runner.remove(out.identity!));
+  const { term } = leader.runner!;
+  await world.run(1000);
+  t.is(leader.runner!.replica.members.voters.length, 4);
+  world.cut.clear();
+  await world.run(3000);
+  t.is(leaderOf(world), leader);
+  t.is(leader.runner!.term, term);
+  // Its settings still name the host: it has joined again.
+  t.is(leader.runner!.replica.members.voters.length, 5);
+});
+
+test("keeps all through a restart of all hosts at once", async (t) => {
+  const world = await createWorld(3);
+  for (let count = 0; count < 300; count++) {
+    world.propose(leaderOf(world));
+    if (count % 10 === 0) await world.run(10);
+  }
+  await world.run(500);
+  t.is(world.checker.acknowledged, 300);
+  for (const host of world.hosts) {
+    host.crash();
+    host.start();
+  }
+  await world.run(3000);
+  world.propose(leaderOf(world));
+  await world.run(300);
+  t.is(world.checker.acknowledged, 301);
+  world.checker.finish(world.runners);
+});
