Node: a host assembled from settings, and its daemon

Parts stood beside each other without a process around them. Node wires the transport, the table (replicated where hosts vote, one copy in memory elsewhere), membership, the endpoint registry, the request path and the operators' API. Limits are cut into equal shares for each host for now.

--- a/src/node/directory.ts
+++ b/src/node/directory.ts
@@ -47,6 +47,11 @@
     return this.#registry.serving;
   }
 
+  /** Whether this copy has once equalled that of another host. */
+  get agreed(): boolean {
+    return this.#registry.agreed;
+  }
+
   /** Begins to compare notes with other hosts. */
   start(): void {
     this.#step({ type: "wake" });
--- /dev/null
+++ b/src/node/node_test.ts
@@ -0,0 +1,196 @@
+import * as crypto from "node:crypto";
+import * as fs from "node:fs";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import test, { type ExecutionContext } from "ava";
+import type * as schema from "../schema/settings_types.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import * as accounts from "./accounts.ts";
+import * as node from "./mod.ts";
+import * as table from "../control/table/mod.ts";
+
+const TOKEN_HASH = crypto.createHash("sha256").update("crews-token")
+  .digest("hex");
+
+function createSettings(more: Partial<schema.Settings> = {}): schema.Settings {
+  const host = { id: "a", dataCentre: "hall", address: "127.0.0.1", port: 0 };
+  return {
+    host: "a",
+    fleet: { hosts: [host] },
+    listen: { callers: { port: 0 }, operators: { port: 0 } },
+    services: [{ name: "billing", kind: "plain", slots: 2 }],
+    pipelines: [],
+    table: [{
+      row: "account/crews",
+      cells: { weight: 2, tokenHash: TOKEN_HASH },
+    }],
+    operators: [{ name: "ines", token: { env: "INES" } }],
+    endpointToken: { env: "ENDPOINT" },
+    ...more,
+  };
+}
+
+async function start(t: ExecutionContext, settings = createSettings()) {
+  const host = await node.Node.start({
+    settings,
+    logger: telemetry.noLogger,
+    environment: { INES: "ines-token", ENDPOINT: "endpoint-token" },
+  });
+  t.teardown(() => host.stop());
+  await host.ready;
+  return host;
+}
+
+/** An endpoint that answers after `release` was called. */
+async function serveBilling(t: ExecutionContext) {
+  let release = () => {};
+  let arrive = () => {};
+  const arrived = new Promise<void>((resolve) => arrive = resolve);
+  const server = http.createServer((incoming, response) => {
+    incoming.resume();
+    for (const name of ["x-request-id", "x-stage", "x-attempt"]) {
+      response.setHeader(name, incoming.headers[name] ?? "");
+    }
+    release = () => response.end("paid");
+    arrive();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  return {
+    url: `http://127.0.0.1:${port}`,
+    arrived,
+    release: () => release(),
+  };
+}
+
+function announce(host: node.Node, url: string, change: object = {}) {
+  const whole = { service: "billing", kind: "plain", url, dataCentre: "hall" };
+  return fetch(`http://127.0.0.1:${host.callersPort}/v1/endpoints/b-1`, {
+    method: "PUT",
+    headers: { authorization: "Bearer endpoint-token" },
+    body: JSON.stringify({ ...whole, ...change }),
+  });
+}
+
+function callBilling(host: node.Node) {
+  const url = `http://127.0.0.1:${host.callersPort}/v1/services/billing/pay`;
+  return fetch(url, {
+    method: "POST",
+    headers: { authorization: "Bearer crews-token" },
+  });
+}
+
+async function look(host: node.Node, path: string) {
+  const url = `http://127.0.0.1:${host.operatorsPort}${path}`;
+  const headers = { authorization: "Bearer ines-token" };
+  return await (await fetch(url, { headers })).json();
+}
+
+test("a host alone serves callers, endpoints and operators", async (t) => {
+  const host = await start(t);
+  const billing = await serveBilling(t);
+  t.deepEqual(await (await announce(host, billing.url)).json(), {
+    lease: 1500,
+  });
+  t.like(await look(host, "/v1/endpoints"), {
+    endpoints: { 0: { id: "b-1", source: "announced", slots: 2 } },
+  });
+  const answer = callBilling(host);
+  await billing.arrived;
+  billing.release();
+  t.is(await (await answer).text(), "paid");
+  t.like(await look(host, "/v1/status"), { host: "a", state: "ready" });
+});
+
+test("an announcement for another kind of service is refused", async (t) => {
+  const host = await start(t);
+  const answer = await announce(host, "http://127.0.0.1:1", { kind: "engine" });
+  t.is(answer.status, 400);
+  t.deepEqual(host.endpoints(), []);
+});
+
+test("a drain finishes what is in flight and takes nothing new", async (t) => {
+  const host = await start(t);
+  const billing = await serveBilling(t);
+  await announce(host, billing.url);
+  const answer = callBilling(host);
+  await billing.arrived;
+  host.drain();
+  t.is(host.status().state, "draining");
+  t.is((await callBilling(host)).status, 503);
+  const stopped = host.stop();
+  billing.release();
+  t.is(await (await answer).text(), "paid");
+  await stopped;
+});
+
+test("a voter keeps its table over a restart", async (t) => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "chicoryloft-"));
+  t.teardown(() => fs.rmSync(folder, { recursive: true }));
+  const settings = createSettings({ folder });
+  settings.fleet.hosts[0].voter = true;
+  const first = await start(t, settings);
+  const version = first.table.view().cell("account/crews", "weight")!.version;
+  const change = { row: "account/crews", column: "weight" as const };
+  const result = await first.table.edit({
+    operation: "1",
+    actor: "ines",
+    changes: [{ ...change, version, value: 7 }],
+  });
+  t.is(result.type, "accepted");
+  await first.stop();
+  const second = await start(t, settings);
+  t.is(second.table.view().value("account/crews", "weight"), 7);
+});
+
+test("a dump holds all parts and no secret", async (t) => {
+  const host = await start(t);
+  const dump = JSON.stringify(await look(host, "/v1/dump"));
+  for (const part of ["metrics", "path", "control", "members", "endpoints"]) {
+    t.true(dump.includes(`"${part}"`), part);
+  }
+  t.notRegex(dump, new RegExp(`${TOKEN_HASH}|-token`));
+});
+
+test("a host whose port is taken does not start", async (t) => {
+  const { operatorsPort: port } = await start(t);
+  const listen = { callers: { port: 0 }, operators: { port } };
+  await t.throwsAsync(start(t, createSettings({ listen })), {
+    code: "EADDRINUSE",
+  });
+});
+
+test("a host without one of its secrets does not start", async (t) => {
+  const settings = createSettings({ endpointToken: { env: "ELSEWHERE" } });
+  await t.throwsAsync(start(t, settings), {
+    message: "environment: /ELSEWHERE: found nothing, expected a secret",
+  });
+});
+
+test("shares of all hosts add up to the limit", (t) => {
+  const cells = { rate: 10, concurrency: 7 } as const;
+  const changes = Object.entries(cells).map(([column, value]) => ({
+    row: "account/crews",
+    column: column as keyof typeof cells,
+    version: 0,
+    value,
+  }));
+  const { table: view } = table.Table.create().apply({
+    operation: "1",
+    actor: "ines",
+    changes: changes as never,
+  });
+  const shares = [0, 1, 2].map((pos) =>
+    accounts.policiesOf(view, { pos, of: 3 }).get("account/crews")!
+  );
+  t.deepEqual(shares.map(({ concurrency }) => concurrency), [3, 2, 2]);
+  t.is(shares.reduce((sum, { rate = 0 }) => sum + rate, 0), 10);
+});
+
+test("the version is that of the package", (t) => {
+  const { version } = JSON.parse(fs.readFileSync("package.json", "utf8"));
+  t.is(node.VERSION, version);
+});
--- /dev/null
+++ b/src/node/parts.ts
@@ -0,0 +1,139 @@
+/** The parts of a host, wired: transport, table, members, endpoints and the
+ * request path.
+ * @module */
+
+import * as request from "../request/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as membership from "../schema/membership_types.ts";
+import type * as registry from "../schema/registry_types.ts";
+import * as accounts from "./accounts.ts";
+import * as directories from "./directory.ts";
+import type * as foundation from "./foundation.ts";
+import * as memberships from "./members.ts";
+import type * as options from "./options.ts";
+import * as serving from "./serving.ts";
+import * as tableSource from "./table_source.ts";
+import * as transports from "./transport.ts";
+
+/** Milliseconds of an endpoint's lease when the settings name none. */
+const LEASE = 1500;
+
+/** Parts that run. */
+export interface Parts {
+  transport: transports.Transport;
+  source: tableSource.TableSource;
+  members: memberships.Members;
+  directory: directories.Directory;
+  path: request.RequestPath;
+}
+
+/** Takes a message of one channel. */
+type Receiver = (envelope: runtime.Envelope) => void;
+
+/** Wires the parts and starts all but the callers' interface. */
+export async function start(
+  base: foundation.Foundation,
+  options: options.Options,
+): Promise<Parts> {
+  const { settings, clock, logger } = base;
+  const receivers: Partial<Record<runtime.Channel, Receiver>> = {};
+  const transport = transports.create({
+    ...base,
+    key: base.secrets.fleetKey,
+    onEnvelope: (envelope) => receivers[envelope.channel]?.(envelope),
+  });
+  const incarnation = Math.floor(clock.wall());
+  const source = await tableSource.create({
+    ...base,
+    incarnation,
+    transport,
+    onFailure: (failure) => fail(failure, base, options),
+  });
+  const known = accounts.Accounts.create();
+  const path = request.RequestPath.create({
+    ...base,
+    log: logger,
+    accounts: (hash) => known.find(hash),
+    endpointToken: base.secrets.endpointToken,
+    notices: (notice) => take(notice),
+    claims: source.claims,
+    policySet: options.policySet,
+  });
+  const directory = directories.Directory.create({
+    ...base,
+    host: settings.host,
+    lease: settings.limits?.endpointLease ?? LEASE,
+    transport,
+    onChange: () => followEndpoints(),
+  });
+  const members = memberships.Members.create({
+    ...base,
+    transport,
+    self: { ...selfOf(settings), incarnation },
+    seeds: settings.fleet.hosts.map(({ id }) => id),
+    onChange: () => directory.setHosts(members.view),
+  });
+
+  receivers.log = receivers.watch = receivers.control = (envelope) =>
+    source.receive(envelope);
+  receivers.membership = ({ from, body }) =>
+    members.receive(from, body as membership.MembershipMessage);
+  receivers.registry = ({ from, body }) =>
+    directory.receive(from, body as registry.RegistryMessage);
+
+  followTable();
+  source.access.watch(followTable);
+  await transport.start();
+  await source.start();
+  members.start();
+  directory.start();
+  followEndpoints();
+  return { transport, source, members, directory, path };
+
+  function take(notice: request.Notice): Promise<request.NoticeResult> {
+    const detail = serving.reject(settings, notice);
+    if (detail === undefined) return directory.take(notice);
+    return Promise.resolve({ type: "rejected", detail });
+  }
+
+  function followEndpoints(): void {
+    path.setEndpoints(serving.reachable(settings, directory.serving));
+  }
+
+  function followTable(): void {
+    const view = source.access.view();
+    known.update(view);
+    path.setPolicies(accounts.policiesOf(view, shareOf(settings)));
+  }
+}
+
+/** Stops all parts but the request path, which stops by itself. */
+export async function stop(parts: Parts): Promise<void> {
+  const { transport, source, directory } = parts;
+  directory.stop();
+  await source.stop();
+  await transport.stop();
+}
+
+type Settings = foundation.Foundation["settings"];
+
+function selfOf({ fleet, host }: Settings) {
+  const { id, dataCentre, region, address, port } = fleet.hosts.find((each) =>
+    each.id === host
+  )!;
+  return { id, dataCentre, region, address, port };
+}
+
+/** Every host takes an equal share of each limit. */
+function shareOf({ fleet: { hosts }, host }: Settings): accounts.Share {
+  return { pos: hosts.findIndex(({ id }) => id === host), of: hosts.length };
+}
+
+function fail(
+  failure: Error,
+  { logger }: foundation.Foundation,
+  { onFailure }: options.Options,
+): void {
+  logger.error({ err: failure }, "Host failed");
+  onFailure?.(failure);
+}
--- a/src/operators/cli/text_table.ts
+++ b/src/operators/cli/text_table.ts
@@ -13,7 +13,7 @@
     Math.max(heading.length, ...texts.map((row) => row[pos].length))
   );
   const right = headings.map((_, pos) =>
-    rows.some((row) => typeof row[pos] === "number")
+    rows.every((row) => typeof (row[pos] ?? 0) === "number")
   );
   const line = (cells: readonly string[]) =>
     cells.map((cell, pos) =>
