--- /dev/null
+++ b/src/backends/backends_test.ts
@@ -0,0 +1,267 @@
+import type * as ava from "ava";
+import test from "ava";
+import * as http from "node:http";
+import * as net from "node:net";
+import * as backends from "./mod.ts";
+import type * as request from "../request/mod.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
+
+type Serve = (
+  incoming: http.IncomingMessage,
+  response: http.ServerResponse,
+) => void;
+
+interface Listening {
+  url: string;
+  /** Port that each request came from. */
+  ports: readonly (number | undefined)[];
+  close: () => void;
+}
+
+function listen(t: ava.ExecutionContext, serve: Serve): Promise<Listening> {
+  const ports: (number | undefined)[] = [];
+  const server = http.createServer((incoming, response) => {
+    incoming.resume();
+    ports.push(incoming.socket.remotePort);
+    incoming.on("end", () => serve(incoming, response));
+  });
+  return new Promise((resolve) =>
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as net.AddressInfo;
+      const url = `http://127.0.0.1:${port}`;
+      const close = () => {
+        server.close();
+        server.closeAllConnections();
+      };
+      t.teardown(close);
+      resolve({ url, ports, close });
+    })
+  );
+}
+
+const echo = { "x-request-id": "r1", "x-stage": "s", "x-attempt": "1" };
+
+const inputs: { [T in backends.Input["type"]]: backends.Input & { type: T } } =
+  {
+    engine: { type: "engine", model: "m", prompt: "p", maxTokens: 5 },
+    encoder: { type: "encoder", model: "m", texts: ["a", "b"] },
+    retriever: { type: "retriever", embedding: [1], text: "t", top: 2 },
+    reranker: { type: "reranker", query: "q", documents: ["a"], top: 1 },
+    plain: {
+      type: "plain",
+      method: "POST",
+      path: "/p",
+      headers: {},
+      body: Buffer.from("b"),
+    },
+  };
+
+function callOf(
+  url: string,
+  fields: Partial<backends.Call> = {},
+): backends.Call {
+  return {
+    attempt: {
+      request: "r1",
+      stage: 0,
+      attempt: 1,
+      endpoint: "e",
+      started: 0,
+      hedge: false,
+      offset: 0,
+    },
+    stage: "s",
+    url,
+    deadline: 60_000,
+    priority: 5,
+    silence: 30_000,
+    input: inputs.plain,
+    ...fields,
+  };
+}
+
+type End =
+  | { type: "answer"; result: backends.Result; tokens: string[] }
+  | { type: "fail"; failure: request.Failure; tokens: string[] };
+
+interface Running {
+  end: Promise<End>;
+  cancel: runtime.Cancel;
+}
+
+function start(pool: backends.Backends, made: backends.Call): Running {
+  const tokens: string[] = [];
+  let cancel = () => {};
+  const end = new Promise<End>((resolve) => {
+    cancel = pool.call(made, {
+      token: (offset, text) => tokens.push(`${offset}${text}`),
+      answer: (result) => resolve({ type: "answer", result, tokens }),
+      fail: (failure) => resolve({ type: "fail", failure, tokens }),
+    });
+  });
+  return { end, cancel };
+}
+
+function create(clock: runtime.Clock = new runtime.FakeClock()) {
+  const tally = new telemetry.Tally();
+  const options = { clock, metrics: tally, answerBytes: 1000 };
+  return { pool: backends.Backends.create(options), tally };
+}
+
+function chunk(offset: number, text: string, more: object = {}): string {
+  const choices = [{ index: 0, text, "finish_reason": null, ...more }];
+  const body = { id: "r1/s/1", offset, choices, ...more };
+  return `data: ${JSON.stringify(body)}\n\n`;
+}
+
+const last = chunk(2, "", { "finish_reason": "stop", usage: {} });
+
+test("a refused connection proves that nothing ran", async (t) => {
+  const { url, close } = await listen(t, () => {});
+  close();
+  const { pool } = create();
+  const end = await start(pool, callOf(url)).end;
+  t.like(end, { failure: { reason: "connection", outcome: "not-run" } });
+});
+
+test("a connection cut after sending leaves the outcome unknown", async (t) => {
+  const server = await listen(t, (_incoming, response) => response.destroy());
+  const { pool } = create();
+  const end = await start(pool, callOf(server.url)).end;
+  t.like(end, { failure: { reason: "connection", outcome: "unknown" } });
+});
+
+test("believes an endpoint that says it did not start", async (t) => {
+  const server = await listen(t, (_incoming, response) => {
+    const headers = { ...echo, "x-outcome": "not-run", "retry-after": "2" };
+    response.writeHead(429, headers).end();
+  });
+  const { pool } = create();
+  const end = await start(pool, callOf(server.url)).end;
+  const failure = { reason: "refused", outcome: "not-run", retryAfter: 2000 };
+  t.like(end, { failure });
+});
+
+test("counts and drops an answer to another call", async (t) => {
+  const server = await listen(t, (_incoming, response) => {
+    response.writeHead(200, { ...echo, "x-attempt": "2" }).end("another's");
+  });
+  const { pool, tally } = create();
+  const end = await start(pool, callOf(server.url)).end;
+  t.like(end, { failure: { reason: "mismatch", outcome: "unknown" } });
+  t.is(tally.total("call.mismatched"), 1);
+});
+
+test("drops a body that carries another call's id", async (t) => {
+  const server = await listen(t, (_incoming, response) => {
+    response.writeHead(200, echo).end('{"id":"r2/s/1","documents":[]}');
+  });
+  const { pool } = create();
+  const input = inputs.retriever;
+  const end = await start(pool, callOf(server.url, { input })).end;
+  t.like(end, { failure: { reason: "mismatch" } });
+});
+
+test("takes no malformed or incomplete answer", async (t) => {
+  const bodies: [backends.Input, string][] = [
+    [inputs.encoder, '{"id":"r1/s/1","data":[{"index":0,"embedding":[1]}]}'],
+    [
+      inputs.encoder,
+      '{"id":"r1/s/1","data":[{"index":0,"embedding":[1]},' +
+      '{"index":0,"embedding":[1]}]}',
+    ],
+    [inputs.retriever, '{"id":"r1/s/1"}'],
+    [inputs.reranker, '{"id":"r1/s/1","results":[]}'],
+    [inputs.retriever, "{"],
+    [inputs.engine, chunk(0, " a")],
+    [inputs.engine, chunk(0, " a") + last],
+    [inputs.engine, chunk(0, " a") + chunk(2, " c") + last],
+    [inputs.engine, chunk(0, " a") + chunk(0, " a") + last],
+    [inputs.plain, "x".repeat(1001)],
+  ];
+  for (const [input, body] of bodies) {
+    const server = await listen(t, (_incoming, response) => {
+      response.writeHead(200, echo).end(body);
+    });
+    const { pool } = create();
+    const end = await start(pool, callOf(server.url, { input })).end;
+    t.is(end.type, "fail", body);
+  }
+});
+
+test("reports tokens as they come, and where a stream broke", async (t) => {
+  const server = await listen(t, (_incoming, response) => {
+    response.writeHead(200, echo);
+    response.write(chunk(0, " a") + chunk(1, " b").slice(0, 30));
+    response.write(chunk(1, " b").slice(30), () => response.destroy());
+  });
+  const { pool } = create();
+  const input = inputs.engine;
+  const end = await start(pool, callOf(server.url, { input })).end;
+  t.deepEqual(end.tokens, ["0 a", "1 b"]);
+  t.like(end, { failure: { reason: "broken-stream", received: 2 } });
+});
+
+test("ends a stream only when all of it came", async (t) => {
+  const server = await listen(t, (_incoming, response) => {
+    response.writeHead(200, echo);
+    response.end(chunk(0, " a") + chunk(1, " b") + last + "data: [DONE]\n\n");
+  });
+  const { pool } = create();
+  const input = inputs.engine;
+  const end = await start(pool, callOf(server.url, { input })).end;
+  t.like(end, { type: "answer", tokens: ["0 a", "1 b"] });
+});
+
+test("a silent connection is given up and not used again", async (t) => {
+  const clock = new runtime.FakeClock();
+  let silent = true;
+  let heard = () => {};
+  const server = await listen(t, (_incoming, response) => {
+    if (silent) return heard();
+    response.writeHead(200, echo).end("fine");
+  });
+  const { pool } = create(clock);
+  const arrived = new Promise<void>((resolve) => heard = resolve);
+  const first = start(pool, callOf(server.url, { silence: 400 }));
+  await arrived;
+  clock.advance(400);
+  t.like(await first.end, {
+    failure: { reason: "silent", outcome: "unknown" },
+  });
+  silent = false;
+  t.like(await start(pool, callOf(server.url)).end, { type: "answer" });
+  const [one, other] = server.ports;
+  t.not(one, other);
+});
+
+test("a call ends at its deadline", async (t) => {
+  const clock = new runtime.FakeClock();
+  let heard = () => {};
+  const arrived = new Promise<void>((resolve) => heard = resolve);
+  const server = await listen(t, () => heard());
+  const { pool } = create(clock);
+  const running = start(pool, callOf(server.url, { deadline: 250 }));
+  await arrived;
+  clock.advance(250);
+  const failure = { reason: "deadline", outcome: "unknown" };
+  t.like(await running.end, { failure });
+});
+
+test("a cancelled call closes its connection and says no more", async (t) => {
+  let heard = () => {};
+  const arrived = new Promise<void>((resolve) => heard = resolve);
+  const closed = new Promise<void>((resolve) => {
+    listen(t, (_incoming, response) => {
+      response.on("close", () => resolve());
+      heard();
+    }).then((server) => {
+      const running = start(create().pool, callOf(server.url));
+      running.end.then(() => t.fail());
+      arrived.then(() => running.cancel());
+    });
+  });
+  await closed;
+  t.pass();
+});
--- /dev/null
+++ b/src/request/calls.ts
@@ -0,0 +1,99 @@
+/** Starts and ends the calls of requests, and keeps the books on slots.
+ * @module */
+
+import type * as effect from "./effect.ts";
+import type * as fleet from "./fleet.ts";
+import type * as flight from "./flight.ts";
+import type * as notifier from "./notifier.ts";
+import type * as request from "./request.ts";
+
+/** Parts of the books. */
+export interface Options {
+  notifier: notifier.Notifier;
+  priority(of: request.Request): number;
+  emit(asked: effect.Effect): void;
+  /** Told that a service has a free slot again. */
+  freed(service: string): void;
+}
+
+/** Where a call goes. */
+export interface Place {
+  pool: fleet.Pool;
+  member: fleet.Member;
+  hedge: boolean;
+}
+
+/** Calls that are out. */
+export class Calls {
+  readonly #options: Options;
+
+  private constructor(options: Options) {
+    this.#options = options;
+  }
+
+  static create(options: Options): Calls {
+    return new Calls(options);
+  }
+
+  start(of: flight.Flight, place: Place, now: number): request.Attempt {
+    const { notifier, priority, emit } = this.#options;
+    const { pool, member, hedge } = place;
+    const attempt: request.Attempt = {
+      request: of.request.id,
+      stage: of.stage,
+      attempt: ++of.attempts,
+      endpoint: member.endpoint.id,
+      started: now,
+      hedge,
+      offset: of.received,
+    };
+    of.phase = "running";
+    of.calls.push({ attempt, pool, member });
+    pool.shift(member, 1);
+    const { deadline } = of.request;
+    emit({ type: "call", attempt, deadline, priority: priority(of.request) });
+    notifier.started(attempt, of, now);
+    return attempt;
+  }
+
+  answered(
+    of: flight.Flight,
+    call: flight.Call,
+    { usage, now }: { usage: request.Usage; now: number },
+  ): void {
+    this.#release(of, call, "ran");
+    this.#options.notifier.ended(of, call, { result: "answered", usage, now });
+  }
+
+  failed(
+    of: flight.Flight,
+    call: flight.Call,
+    { failure, now }: { failure: request.Failure; now: number },
+  ): void {
+    this.#release(of, call, failure.outcome);
+    of.fail(call.attempt.endpoint);
+    of.received = Math.max(of.received, failure.received);
+    this.#options.notifier.ended(of, call, { result: "failed", failure, now });
+  }
+
+  /** Cancels all calls of a request but `kept`. */
+  cancel(of: flight.Flight, kept: flight.Call | undefined, now: number): void {
+    const { emit, notifier } = this.#options;
+    for (const call of of.calls) {
+      if (call === kept) continue;
+      this.#release(of, call, "unknown");
+      emit({ type: "cancel", attempt: call.attempt });
+      notifier.ended(of, call, { result: "cancelled", now });
+    }
+  }
+
+  #release(
+    of: flight.Flight,
+    call: flight.Call,
+    outcome: request.Outcome,
+  ): void {
+    of.end(call, outcome);
+    call.pool.shift(call.member, -1);
+    this.#options.freed(call.pool.service);
+  }
+}
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -7,6 +7,7 @@
  * @module */
 
 import type * as backends from "../backends/mod.ts";
+import * as books from "./books.ts";
 import type * as catalogue from "./catalogue.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import type * as effect from "./effect.ts";
@@ -56,6 +57,7 @@
 /** Executes the requests of one host. */
 export class Execution {
   readonly #options: Options;
+  readonly #books: books.Books;
   readonly #entries = new Map<string, Entry>();
   readonly #loop: loop.Loop<event.Event, effect.Effect>;
   readonly #urls = new Map<string, string>();
@@ -65,6 +67,7 @@
   private constructor(options: Options) {
     this.#options = options;
     const { dispatcher, clock } = options;
+    this.#books = books.Books.create(options);
     this.#loop = loop.Loop.start<event.Event, effect.Effect>({
       step: (happened) => dispatcher.step(happened, clock.now()),
       perform: (asked) => this.#perform(asked),
@@ -89,7 +92,7 @@
       calls: new Map(),
     });
     this.#loop.push({ type: "arrive", request: job.request });
-    this.#gauge();
+    this.#books.inFlight(this.#entries.size);
   }
 
   /** The caller went away. */
@@ -140,9 +143,7 @@
     const entry = this.#entries.get(attempt.request)!;
     const step = entry.job.target.steps[attempt.stage];
     const url = this.#urls.get(attempt.endpoint);
-    const { metrics } = this.#options;
-    if (attempt.hedge) metrics.count("call.hedged");
-    else if (attempt.attempt > 1) metrics.count("call.retried");
+    this.#books.called(attempt);
     if (url === undefined) return this.#unreachable(attempt);
     const made: backends.Call = {
       attempt,
@@ -185,7 +186,7 @@
     const cancel = entry?.calls.get(attempt.attempt);
     if (entry === undefined || cancel === undefined) return;
     entry.calls.delete(attempt.attempt);
-    this.#waste(entry, attempt);
+    this.#books.waste(entry.job, attempt);
     cancel();
   }
 
@@ -211,7 +212,7 @@
     const { job, tokens } = entry;
     const { steps } = job.target;
     const step = steps[attempt.stage];
-    this.#charge(step.service, usage);
+    this.#books.charge(step.service, usage);
     entry.records.push(this.#record(attempt, step));
     entry.usage.inputTokens += usage.inputTokens;
     entry.usage.outputTokens += usage.outputTokens;
@@ -228,7 +229,7 @@
     const entry = this.#current(attempt);
     if (entry === undefined) return;
     entry.calls.delete(attempt.attempt);
-    if (failure.outcome !== "not-run") this.#waste(entry, attempt);
+    if (failure.outcome !== "not-run") this.#books.waste(entry.job, attempt);
     this.#loop.push({ type: "fail", attempt, failure });
   }
 
@@ -242,11 +243,7 @@
     const entry = this.#end(id);
     if (entry === undefined) return;
     const { job, records, usage } = entry;
-    const { metrics, clock } = this.#options;
-    metrics.count("request.completed");
-    metrics.count("request.on_time");
-    metrics.time("request.duration", clock.now() - job.request.arrived);
-    metrics.time("request.slack", job.request.deadline - clock.now());
+    this.#books.completed(job);
     const { payload, plain } = job.material;
     if (payload.type === "plain") return job.reply.pass(plain!);
     job.reply.complete({
@@ -261,9 +258,7 @@
   #refuse(id: string, problem: effect.Problem): void {
     const entry = this.#end(id);
     if (entry === undefined) return;
-    const { metrics } = this.#options;
-    if (problem.name === "abandoned") metrics.count("request.abandoned");
-    else metrics.count("request.refused", 1, { problem: problem.name });
+    this.#books.refused(problem);
     entry.job.reply.refuse(problem);
   }
 
@@ -271,7 +266,7 @@
     const entry = this.#entries.get(id);
     if (entry === undefined) return undefined;
     this.#entries.delete(id);
-    this.#gauge();
+    this.#books.inFlight(this.#entries.size);
     if (this.#entries.size === 0) {
       for (const resolve of this.#idle.splice(0)) resolve();
     }
@@ -291,24 +286,4 @@
       attempts: attempt.attempt,
     };
   }
-
-  #charge(service: string, usage: request.Usage): void {
-    const { metrics } = this.#options;
-    const labels = { service };
-    metrics.count("cost.engine_time", usage.engineTime, labels);
-    metrics.count("cost.input_tokens", usage.inputTokens, labels);
-    metrics.count("cost.output_tokens", usage.outputTokens, labels);
-    metrics.count("cost.cached_tokens", usage.cachedTokens, labels);
-  }
-
-  #waste({ job }: Entry, attempt: request.Attempt): void {
-    const { metrics, clock } = this.#options;
-    const { service } = job.target.steps[attempt.stage];
-    const elapsed = clock.now() - attempt.started;
-    metrics.count("cost.wasted_time", elapsed, { service });
-  }
-
-  #gauge(): void {
-    this.#options.metrics.gauge("request.in_flight", this.#entries.size);
-  }
 }
--- a/src/request/fleet.ts
+++ b/src/request/fleet.ts
@@ -1,6 +1,7 @@
 /** Endpoints by service, with the calls that this host has out to each.
  * @module */
 
+import * as errors from "./dispatch_error.ts";
 import type * as event from "./event.ts";
 import type * as policySet from "./policy_set.ts";
 
@@ -35,6 +36,13 @@
     return this.#all.get(id);
   }
 
+  /** The member that a policy chose. */
+  own({ endpoint: { id } }: policySet.Member): Member {
+    const member = this.#all.get(id);
+    if (member !== undefined) return member;
+    throw new errors.DispatchError(`The chosen ${id} is not in its pool`);
+  }
+
   /** Counts a call out to, or back from, a member. */
   shift(member: Member, change: 1 | -1): void {
     const known = this.#all.get(member.endpoint.id) === member;
--- a/src/request/flight.ts
+++ b/src/request/flight.ts
@@ -12,6 +12,12 @@
   member: fleet.Member;
 }
 
+/** Size and prefix of a stage's input. */
+export interface Input {
+  size: number;
+  prefix: readonly string[];
+}
+
 /** What a request is doing. */
 export type Phase = "queued" | "running" | "pausing" | "ended";
 
@@ -81,9 +87,10 @@
   }
 
   /** Goes on to the next stage; false when there is none. */
-  advance(next: { size: number; prefix: readonly string[] }): boolean {
+  advance(next: Input, now: number): boolean {
     if (this.stage + 1 >= this.request.stages.length) return false;
     this.stage++;
+    this.since = now;
     this.size = next.size;
     this.prefix = next.prefix;
     this.received = 0;
--- /dev/null
+++ b/src/request/lines.ts
@@ -0,0 +1,71 @@
+/** Queues of work by service, and which of them are worth a look.
+ * @module */
+
+import type * as flight from "./flight.ts";
+import type * as policySet from "./policy_set.ts";
+
+/** All queues of a dispatcher. */
+export class Lines {
+  readonly #maker: policySet.Queues;
+  readonly #queues = new Map<string, policySet.Queue>();
+  readonly #touched = new Set<string>();
+
+  private constructor(maker: policySet.Queues) {
+    this.#maker = maker;
+  }
+
+  static create(maker: policySet.Queues): Lines {
+    return new Lines(maker);
+  }
+
+  size(service: string): number {
+    return this.#queues.get(service)?.size ?? 0;
+  }
+
+  push(work: flight.Flight, now: number): void {
+    const { service } = work;
+    const known = this.#queues.get(service);
+    const queue = known ?? this.#maker.create(service);
+    if (known === undefined) this.#queues.set(service, queue);
+    work.phase = "queued";
+    queue.push(work, now);
+    this.#touched.add(service);
+  }
+
+  remove(work: flight.Flight): void {
+    this.#queues.get(work.service)?.remove(work.request.id);
+  }
+
+  /** Marks the queue of a service as worth a look. */
+  touch(service: string): void {
+    this.#touched.add(service);
+  }
+
+  touchAll(): void {
+    for (const service of this.#queues.keys()) this.#touched.add(service);
+  }
+
+  /** Looks at each marked queue, also at those marked meanwhile. */
+  visit(look: (service: string, queue: policySet.Queue) => void): void {
+    for (const service of this.#touched) {
+      this.#touched.delete(service);
+      const queue = this.#queues.get(service);
+      if (queue !== undefined && queue.size > 0) look(service, queue);
+    }
+  }
+
+  /** When a queue may let go of more without another event, or Infinity. */
+  nextAt(now: number): number {
+    let next = Infinity;
+    for (const queue of this.#queues.values()) {
+      if (queue.nextAt === undefined || queue.size === 0) continue;
+      next = Math.min(next, queue.nextAt(now) ?? Infinity);
+    }
+    return next;
+  }
+
+  dump(): unknown {
+    const sizes = [...this.#queues].map(([name, { size }]) => [name, size]);
+    return Object.fromEntries(sizes);
+  }
+}
--- a/src/request/problems.ts
+++ b/src/request/problems.ts
@@ -9,8 +9,9 @@
 const RETRY_AFTER = 1000;
 
 /** This host takes no new requests. */
-export function stopping(retryAfter: number): effect.Problem {
+export function stopping(): effect.Problem {
   const detail = "This host is stopping and takes no new requests";
+  const retryAfter = RETRY_AFTER;
   return { name: "stopping", outcome: "not-run", detail, retryAfter };
 }
 
