Trust reports by the age of calls, slowness beyond the noise

Six hosts that hear the same late reports all follow them, and a mean of logarithms varies more between calls than between endpoints. What a report saw now fades as calls of the service's mean time end, and half of it counts from the start; slowness within 1.5 or two deviations of the group's median counts as none; room is judged by own calls and by what was reported, not by what is usual.

--- a/src/routing/ejection.ts
+++ b/src/routing/ejection.ts
@@ -20,6 +20,8 @@
 const ENOUGH = 8;
 /** Slowness against the group's median that ejects at the least. */
 const SLOW = Math.log(3);
+/** Slowness against the median that is noise at the least. */
+const NOISE = Math.log(1.5);
 /** Deviations from the group's median that eject. */
 const DEVIATIONS = 5;
 /** Deviation of a normal distribution for its median absolute deviation. */
@@ -89,12 +91,15 @@
     return record.weights[health.state](health, now);
   }
 
-  /** Time that the endpoint takes over what its group's median takes. */
+  /** Time that the endpoint takes over what its group's median takes; 1
+   * within the noise, since calls differ more than endpoints do. */
   slowness(id: string): number {
     const health = this.#members.get(id);
     if (health === undefined || health.timed < ENOUGH) return 1;
     if (!this.#comparable) return 1;
-    return Math.exp(Math.max(-1, health.slowness - this.#median));
+    const against = health.slowness - this.#median;
+    const noise = Math.max(NOISE, 2 * this.#deviation);
+    return against > noise ? Math.exp(against) : 1;
   }
 
   /** Notes that a call is sent; a probe when the endpoint is ejected. */
--- a/src/routing/group.ts
+++ b/src/routing/group.ts
@@ -132,7 +132,7 @@
     if (member === undefined) return;
     member.load.report(seen, now);
     member.kvUsed = seen.kvUsed;
-    const foreign = member.load.foreign(now);
+    const foreign = member.load.reportedForeign;
     this.#foreign += foreign - member.foreign;
     member.foreign = foreign;
     this.settle(member, now);
@@ -162,13 +162,17 @@
 
   /** Calls that a member is believed to have. */
   load(member: pool.Member, now: number): number {
-    const prior = this.#foreign / this.#members.size;
-    return member.load.predict(now, prior);
+    const prior = this.#foreign * member.endpoint.slots / this.#slots;
+    return member.load.predict(now, { prior, service: this.#service });
   }
 
-  /** Whether a member can run one more call at once; moves it in its pool. */
+  /** Whether a member may take one more call; moves it in its pool. Only
+   * what was reported of others counts here, not what is usual: else all
+   * hosts would wait for a report when the group is busy. */
   settle(member: pool.Member, now: number): boolean {
-    const open = this.load(member, now) <= member.endpoint.slots - 1;
+    const { slots } = member.endpoint;
+    const load = member.load.predict(now, { service: this.#service });
+    const open = member.load.own < slots && load < slots;
     member.pool?.place(member, open);
     return open && member.pool !== undefined;
   }
--- a/src/routing/load.ts
+++ b/src/routing/load.ts
@@ -5,15 +5,24 @@
 
 import type * as event from "../request/event.ts";
 
-/** Milliseconds in which a report loses half of its weight. */
-const HALF_LIFE = 4000;
-/** Milliseconds for which a report counts in full. */
-const FRESH = 1000;
+/** Weight of a report against what is usual: all hosts hear the same report
+ * and would all follow it. */
+const TRUST = 0.5;
+/** Milliseconds a call takes where that is not known yet. */
+const SERVICE = 1000;
 /** Changes of the own count that are kept. */
 const HISTORY = 32;
 /** Milliseconds within which changes of the own count are kept as one. */
 const GRAIN = 50;
 
+/** What a prediction assumes of the group. */
+export interface Outlook {
+  /** Calls of other hosts at a usual endpoint; 0 when absent. */
+  prior?: number;
+  /** Mean milliseconds of a call. */
+  service?: number;
+}
+
 /** Calls that an endpoint has running and waiting; changed in place. */
 export class Load {
   #own = 0;
@@ -27,6 +36,11 @@
     return new Load();
   }
 
+  /** Calls of other hosts when the last report was made. */
+  get reportedForeign(): number {
+    return this.#foreign;
+  }
+
   /** Calls of this host in flight. */
   get own(): number {
     return this.#own;
@@ -64,17 +78,19 @@
     return this.#times.length < HISTORY ? 0 : this.#counts[0];
   }
 
-  /** Calls of other hosts; a stale report fades towards `prior`. */
-  foreign(now: number, prior = 0): number {
-    const stale = now - this.#reported - FRESH;
-    if (stale <= 0) return this.#foreign;
-    const weight = 2 ** (-stale / HALF_LIFE);
-    return prior + (this.#foreign - prior) * weight;
+  /** Calls of other hosts. What a report saw has ended by and by, as calls
+   * of `service` milliseconds do; `prior`, where given, is what came
+   * instead, and half counts from the start. */
+  foreign(now: number, { prior, service }: Outlook = {}): number {
+    const age = Math.max(0, now - this.#reported);
+    const ended = Math.exp(-age / (service || SERVICE));
+    const left = prior === undefined ? ended : TRUST * ended;
+    return this.#foreign * left + (prior ?? 0) * (1 - left);
   }
 
   /** All calls that the endpoint is believed to have. */
-  predict(now: number, prior = 0): number {
-    return this.#own + this.foreign(now, prior);
+  predict(now: number, outlook: Outlook = {}): number {
+    return this.#own + this.foreign(now, outlook);
   }
 
   #set(own: number, now: number): void {
