--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import * as peers from "./peers.ts";
 import * as log from "./log.ts";
 import * as result from "./result.ts";
+import * as routing from "./routing.ts";
 import * as scenarios from "./scenarios.ts";
 import * as table from "./table.ts";
 
@@ -16,6 +17,7 @@
   admission: admission.measurement,
   peers: peers.measurement,
   log: log.measurement,
+  routing: routing.measurement,
   scenarios: scenarios.measurement,
   table: table.measurement,
 };
--- a/src/routing/group.ts
+++ b/src/routing/group.ts
@@ -32,8 +32,6 @@
 const FAR = 2.5;
 /** Weight of the newest call in the mean time of a call. */
 const ALPHA = 0.02;
-/** Members without room looked at again with each choice, in each pool. */
-const REOPENED = 2;
 
 /** Members of one service; changed in place. */
 export class Group {
@@ -177,13 +175,11 @@
     return open && member.pool !== undefined;
   }
 
-  /** Looks again at a few members without room: reports fade. */
+  /** Looks again at one member without room in each pool: reports fade. */
   refresh(pools: Iterable<pool.Pool>, now: number): void {
     for (const one of pools) {
-      for (let count = 0; count < REOPENED; count++) {
-        const member = one.next();
-        if (member !== undefined) this.settle(member, now);
-      }
+      const member = one.next();
+      if (member !== undefined) this.settle(member, now);
     }
   }
 
--- a/src/routing/ring.ts
+++ b/src/routing/ring.ts
@@ -6,14 +6,12 @@
 /** Points of each member; evenness matters little, load is bounded. */
 const POINTS = 4;
 
-interface Point {
-  at: number;
-  id: string;
-}
-
 /** Ring of members; changed in place. */
 export class Ring {
-  #points: Point[] = [];
+  /** Places of the points in order, apart from the ids, so that a search
+   * reads one block of numbers. */
+  #places: number[] = [];
+  #ids: string[] = [];
 
   /** A ring without members. */
   static create(): Ring {
@@ -23,42 +21,42 @@
   /** Adds a member. */
   add(id: string): void {
     for (let seed = 0; seed < POINTS; seed++) {
-      const at = hash.text(id, seed);
-      this.#points.splice(this.#find(at), 0, { at, id });
+      const place = hash.text(id, seed);
+      const pos = this.#find(place);
+      this.#places.splice(pos, 0, place);
+      this.#ids.splice(pos, 0, id);
     }
   }
 
   /** Removes a member. */
   remove(id: string): void {
-    for (let seed = 0; seed < POINTS; seed++) this.#drop(id, seed);
+    for (let seed = 0; seed < POINTS; seed++) {
+      this.#drop(id, hash.text(id, seed));
+    }
   }
 
   /** Member that a name belongs to. */
   member(name: string): string | undefined {
-    if (this.#points.length === 0) return undefined;
+    if (this.#ids.length === 0) return undefined;
     const pos = this.#find(hash.text(name));
-    return this.#points[pos % this.#points.length].id;
+    return this.#ids[pos % this.#ids.length];
   }
 
-  #drop(id: string, seed: number): void {
-    const at = hash.text(id, seed);
-    let pos = this.#find(at);
-    while (pos < this.#points.length && this.#points[pos].at === at) {
-      if (this.#points[pos].id === id) {
-        this.#points.splice(pos, 1);
-        return;
-      }
-      pos++;
-    }
+  #drop(id: string, place: number): void {
+    let pos = this.#find(place);
+    while (this.#places[pos] === place && this.#ids[pos] !== id) pos++;
+    if (this.#places[pos] !== place) return;
+    this.#places.splice(pos, 1);
+    this.#ids.splice(pos, 1);
   }
 
-  /** Position of the first point at or after `at`. */
-  #find(at: number): number {
+  /** Position of the first point at or after `place`. */
+  #find(place: number): number {
     let low = 0;
-    let high = this.#points.length;
+    let high = this.#places.length;
     while (low < high) {
       const middle = (low + high) >>> 1;
-      if (this.#points[middle].at < at) low = middle + 1;
+      if (this.#places[middle] < place) low = middle + 1;
       else high = middle;
     }
     return low;
