Experiments run an embedded host with its stand-ins

Without a target, the tool starts one voting host with the deployment's sample settings, a data folder that is removed afterwards, and the stand-ins, all in one process. A question now carries its request's marker, and an embedding of text without a marker carries none: both made own answers look crossed.

--- a/standins/experiment/command.ts
+++ b/standins/experiment/command.ts
@@ -75,7 +75,7 @@
   }
 
   async #run(experiment: schema.Experiment): Promise<number> {
-    const against = open(experiment);
+    const against = await open(experiment);
     const caller = new client.Client({ tokens: tokens(experiment) });
     const clock = runtime.systemClock;
     try {
@@ -124,11 +124,12 @@
   }
 }
 
-function open(experiment: schema.Experiment): target.Target {
+/** The system that a file names, or an embedded one. */
+async function open(experiment: schema.Experiment): Promise<target.Target> {
   if (experiment.target !== undefined) return target.remote(experiment.target);
-  throw new target.ExperimentError(
-    "The experiment names no target; give --host and --stand-ins",
-  );
+  // Loaded only here: a run against a running system needs no host.
+  const embedded = await import("./embedded.ts");
+  return await embedded.start(experiment);
 }
 
 function tokens({ mix }: schema.Experiment): ReadonlyMap<string, string> {
--- a/standins/experiment/plan.ts
+++ b/standins/experiment/plan.ts
@@ -136,7 +136,7 @@
   const own = filler(Math.max(0, size - shared - mark.length), marker.id);
   return {
     text: `${history}${mark} ${own}`,
-    ...(question === undefined ? {} : { question }),
+    ...(question === undefined ? {} : { question: `${question} ${mark}` }),
     ...(documents === undefined ? {} : {
       documents: Array.from(
         { length: documents },
--- a/standins/text.ts
+++ b/standins/text.ts
@@ -28,6 +28,7 @@
 const MARKER = /#m-([0-9a-f]{12})-(\d{1,5})#/g;
 const DEFAULT_LENGTH = 48;
 const EMBEDDING_BASE = 16;
+const ID_DIGITS = 12;
 
 /** The text that stands for a marker in an input. */
 export function write({ id, length }: Marker): string {
@@ -93,21 +94,22 @@
 }
 
 /** An embedding that carries the marker of its text: one number from 0 to 1
- * for each hex digit of the marker's id, then its length. */
+ * for each hex digit of the marker's id, then its length; 0 without one. */
 export function embed(text: string): number[] {
   const { id, length } = find(text)[0] ??
-    { id: hash(text).slice(0, 12), length: DEFAULT_LENGTH };
+    { id: hash(text).slice(0, ID_DIGITS), length: 0 };
   const digits = [...id].map((digit) => parseInt(digit, 16) / EMBEDDING_BASE);
   return [...digits, length];
 }
 
-/** The marker that an embedding carries. */
+/** The marker that an embedding carries, if any. */
 export function unembed(embedding: readonly number[]): Marker | undefined {
-  if (embedding.length !== 13) return undefined;
-  const digits = embedding.slice(0, 12).map((value) =>
+  const length = Math.round(embedding[ID_DIGITS] ?? 0);
+  if (length === 0) return undefined;
+  const digits = embedding.slice(0, ID_DIGITS).map((value) =>
     Math.round(value * EMBEDDING_BASE).toString(16)
   );
-  return { id: digits.join(""), length: Math.round(embedding[12]) };
+  return { id: digits.join(""), length };
 }
 
 /** First 16 hex digits of SHA-256. */
--- a/standins/text_test.ts
+++ b/standins/text_test.ts
@@ -23,6 +23,7 @@
 test("carries the marker through an embedding", (t) => {
   const embedding = text.embed(`about ${text.write(other)}`);
   t.deepEqual(text.unembed(embedding), other);
+  t.is(text.unembed(text.embed("about nobody")), undefined);
 });
 
 test("chains the hashes of whole blocks", (t) => {
