--- a/bench/scenario/summary.ts
+++ b/bench/scenario/summary.ts
@@ -11,6 +11,8 @@
   /** Share of requests answered whole within their deadline. */
   attainment: number;
   byAccount: Record<string, number>;
+  /** Attainment of the account with the highest weight. */
+  highest: number;
   byKind: Record<string, number>;
   /** Requests refused or failed. */
   refused: number;
@@ -31,10 +33,13 @@
   run: scenario.Scenario,
 ): Summary {
   const { traces, violations } = history;
+  const byAccount = attainments(traces, ({ request }) => request.account);
+  const [first] = users.accounts.toSorted((a, b) => b.weight - a.weight);
   return {
     requests: traces.length,
     attainment: attainment(traces),
-    byAccount: attainments(traces, ({ request }) => request.account),
+    byAccount,
+    highest: byAccount[first.name],
     byKind: attainments(traces, ({ request }) => request.kind),
     refused: traces.filter(({ ending }) => ending !== "complete").length,
     ...costs(history),
--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import * as naiveDispatcher from "./naive_dispatcher.ts";
+import * as bounds from "./scenario/bounds.ts";
 import * as dispatchers from "./scenario/dispatchers.ts";
 import type * as deployment from "./scenario/deployment.ts";
 import * as deployments from "./scenario/deployments.ts";
@@ -14,8 +15,8 @@
 /** Seeds whose results are averaged. */
 const SEEDS = [1, 2, 3];
 
-/** Hosts that take requests side by side. */
-const HOSTS = 1;
+/** Numbers of hosts that take requests side by side. */
+const HOSTS = [1, 6];
 
 /** The measurement as `bench/main.ts` runs it. */
 export const measurement: result.Measurement = {
@@ -26,7 +27,9 @@
 function runAll(): result.Result[] {
   const results: result.Result[] = [];
   for (const users of deployments.DEPLOYMENTS) {
-    for (const run of scenario.SCENARIOS) results.push(...compare(users, run));
+    for (const run of scenario.SCENARIOS) {
+      for (const hosts of HOSTS) results.push(...compare(users, run, hosts));
+    }
   }
   return results;
 }
@@ -35,11 +38,12 @@
 function compare(
   users: deployment.Deployment,
   run: scenario.Scenario,
+  hosts: number,
 ): result.Result[] {
   const createNaive = () => new naiveDispatcher.NaiveDispatcher();
-  const naive = playAll(users, { run, create: createNaive });
-  const own = playAll(users, { run, create: dispatchers.create });
-  const name = `${users.name}/${run.name}`;
+  const naive = playAll(users, { run, hosts, create: createNaive });
+  const own = playAll(users, { run, hosts, create: dispatchers.create });
+  const name = `${users.name}/${run.name}/hosts ${hosts}`;
   return [
     ...describe(`${name}/naive`, naive),
     ...describe(`${name}/own`, own),
@@ -50,11 +54,11 @@
 /** Plays every seed. */
 function playAll(
   users: deployment.Deployment,
-  options: { run: scenario.Scenario; create: world.Run["create"] },
+  options: Pick<world.Run, "hosts" | "create"> & { run: scenario.Scenario },
 ): summary.Summary[] {
-  const { run, create } = options;
+  const { run, hosts, create } = options;
   return SEEDS.map((seed) => {
-    const setup = { users, scenario: run, seed, hosts: HOSTS, create };
+    const setup = { users, scenario: run, seed, hosts, create };
     return summary.summarize(world.play(setup), users, run);
   });
 }
@@ -69,6 +73,10 @@
     ratio(`${name}/goodput`, mean(runs, (run) => run.goodput)),
     ratio(`${name}/wasted`, mean(runs, wastedShare)),
     count(`${name}/violations`, violations.length),
+    ratio(
+      `${name}/attainment of the highest weighted`,
+      mean(runs, (run) => run.highest),
+    ),
   ];
   for (const account of Object.keys(runs[0].byAccount)) {
     const share = mean(runs, (run) => run.byAccount[account]);
@@ -124,9 +132,11 @@
 }
 
 function ratio(name: string, value: number): result.Result {
-  return { name, unit: "ratio", value, kind: "ratio" };
+  const bound = bounds.boundOf(name);
+  return { name, unit: "ratio", value, kind: "ratio", bound };
 }
 
 function count(name: string, value: number): result.Result {
-  return { name, unit: "", value, kind: "count" };
+  const bound = bounds.boundOf(name);
+  return { name, unit: "", value, kind: "count", bound };
 }
--- a/src/admission/controls.ts
+++ b/src/admission/controls.ts
@@ -13,6 +13,7 @@
 import * as estimate from "./estimate.ts";
 import * as gate from "./gate.ts";
 import * as limit from "./limit.ts";
+import * as share from "./share.ts";
 import * as serviceQueue from "./service_queue.ts";
 
 /** What controls are made from. */
@@ -45,7 +46,9 @@
   readonly #gate: gate.Gate;
   readonly #queues: serviceQueue.ServiceQueue[] = [];
   readonly #admitted = new Map<string, Admitted>();
-  #services = new Set<string>();
+  readonly #shares = new Map<string, share.Share>();
+  /** Service by endpoint. */
+  #homes = new Map<string, string>();
   #policies: request.Policies = new Map();
   /** What calls cost; retries and hedges ask it for budget. */
   readonly cost = cost.Cost.create();
@@ -65,11 +68,14 @@
     const predict = {
       work: (work: policySet.Work) => this.predict(work).mean,
       expires: (work: policySet.Work) => this.#latestStart(work),
+      mayStart: (now: number) => {
+        const { own, window } = this.#windowOf(service, now);
+        return own < window;
+      },
     };
     const created = serviceQueue.ServiceQueue.create(predict);
     created.setPolicies(this.#policies);
     this.#queues.push(created);
-    this.#services.add(service);
     return created;
   }
 
@@ -124,18 +130,35 @@
   }
 
   endpoints(endpoints: readonly request.Endpoint[]): void {
-    const slots = new Map<string, number>();
-    for (const service of this.#services) slots.set(service, 0);
-    for (const { service, state, slots: own } of endpoints) {
+    const slots = new Map<string, Map<string, number>>();
+    for (const service of this.#shares.keys()) slots.set(service, new Map());
+    this.#homes.clear();
+    for (const { id, service, state, slots: own } of endpoints) {
       if (state !== "ready") continue;
-      slots.set(service, (slots.get(service) ?? 0) + own);
+      const members = slots.get(service) ?? new Map<string, number>();
+      slots.set(service, members.set(id, own));
+      this.#homes.set(id, service);
     }
-    for (const [service, count] of slots) {
-      this.#services.add(service);
-      this.#backlog.setSlots(service, count);
+    for (const [service, members] of slots) {
+      const taken = this.#shareOf(service);
+      taken.replace(members);
+      this.#backlog.setSlots(service, taken.slots);
     }
   }
 
+  load(endpoint: string, load: request.Load, now: number): void {
+    const service = this.#homes.get(endpoint);
+    if (service === undefined) return;
+    const taken = this.#shareOf(service);
+    taken.report(endpoint, load);
+    const slots = Math.min(taken.slots, taken.window(now));
+    this.#backlog.setSlots(service, slots);
+  }
+
+  started(_attempt: request.Attempt, work: policySet.Work): void {
+    this.#shareOf(serviceOf(work)).shift(1);
+  }
+
   finished(ended: request.Request, how: policySet.Ending, now: number): void {
     const admitted = this.#admitted.get(ended.id);
     if (admitted === undefined) return;
@@ -148,6 +171,7 @@
     const { attempt, work, result, elapsed, usage } = report;
     const { account, kind, stages, size } = work.request;
     const { name, service } = stages[attempt.stage];
+    this.#shareOf(service).shift(-1);
     const spent = usage ?? unreported(work, elapsed);
     const entry = { account, kind, service, stage: name, usage: spent };
     this.cost.record({ ...entry, fate: fateOf(report) });
@@ -202,6 +226,20 @@
     return { ...place, size, maxTokens };
   }
 
+  #shareOf(service: string): share.Share {
+    let found = this.#shares.get(service);
+    if (found === undefined) {
+      found = share.Share.create();
+      this.#shares.set(service, found);
+    }
+    return found;
+  }
+
+  #windowOf(service: string, now: number): { own: number; window: number } {
+    const found = this.#shareOf(service);
+    return { own: found.own, window: found.window(now) };
+  }
+
   #latestStart(work: policySet.Work): number {
     return work.request.deadline - this.rest(work);
   }
@@ -212,6 +250,10 @@
   return { service, stage: name, size: work.size, maxTokens };
 }
 
+function serviceOf(work: policySet.Work): string {
+  return work.request.stages[work.stage].service;
+}
+
 function fateOf({ result, attempt }: policySet.Report): cost.Fate {
   if (result === "answered") return "useful";
   if (result === "failed") return "retry";
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -59,11 +59,11 @@
 const MOST_MARGINS = 1024;
 
 const MARGIN: quantile.Goal = {
-  quantile: 0.95,
+  quantile: 0.8,
   initial: 1.2,
   step: 0.1,
   least: 1,
-  most: 4,
+  most: 2,
 };
 
 interface Commitment {
--- /dev/null
+++ b/src/admission/share.ts
@@ -0,0 +1,83 @@
+/** This host's share of a service's slots, so that work waits in the hosts,
+ * where it is ordered by weight and deadline, and not in the endpoints.
+ *
+ * Hosts share no counts. Each takes its own calls in flight, scaled by slots
+ * over all calls that endpoints report, plus half of what is free, or one
+ * call. All hosts that do so settle at about as many calls as slots and one
+ * for each host; the one call evens out their shares.
+ * @module */
+
+import type * as request from "../request/mod.ts";
+
+/** Milliseconds for which a report counts. */
+const FRESH = 3000;
+
+/** Part of the free slots that one host may take before the next report. */
+const FREE_PART = 0.5;
+
+interface Member {
+  slots: number;
+  load?: request.Load;
+}
+
+/** Share of one service's slots; changed in place. */
+export class Share {
+  readonly #members = new Map<string, Member>();
+  #own = 0;
+
+  private constructor() {}
+
+  static create(): Share {
+    return new Share();
+  }
+
+  /** Calls of this host in flight. */
+  get own(): number {
+    return this.#own;
+  }
+
+  /** Slots of all usable endpoints. */
+  get slots(): number {
+    let slots = 0;
+    for (const member of this.#members.values()) slots += member.slots;
+    return slots;
+  }
+
+  /** Takes the usable endpoints with their slots. */
+  replace(endpoints: ReadonlyMap<string, number>): void {
+    for (const id of this.#members.keys()) {
+      if (!endpoints.has(id)) this.#members.delete(id);
+    }
+    for (const [id, slots] of endpoints) {
+      const load = this.#members.get(id)?.load;
+      this.#members.set(id, { slots, load });
+    }
+  }
+
+  report(endpoint: string, load: request.Load): void {
+    const member = this.#members.get(endpoint);
+    if (member !== undefined) member.load = load;
+  }
+
+  /** Counts a call that starts, or one that ends. */
+  shift(change: 1 | -1): void {
+    this.#own = Math.max(0, this.#own + change);
+  }
+
+  /** Calls that this host may have in flight; infinite while the endpoints
+   * report nothing. */
+  window(now: number): number {
+    let slots = 0;
+    let calls = 0;
+    for (const member of this.#members.values()) {
+      const { load } = member;
+      if (load === undefined || now - load.at > FRESH) return Infinity;
+      slots += member.slots;
+      calls += load.running + load.waiting;
+    }
+    if (slots === 0) return Infinity;
+    const free = Math.max(1, FREE_PART * (slots - calls));
+    const scaled = calls > 0 ? this.#own * slots / calls : this.#own;
+    return Math.min(slots, Math.max(1, scaled + free));
+  }
+}
