--- a/bench/log_fuzz/host.ts
+++ b/bench/log_fuzz/host.ts
@@ -55,6 +55,7 @@
     log.Runner.start({
       ...this.#world.options,
       host: this.name,
+      machine: this.#world.checker.machine(() => this.#runner?.term ?? 0),
       clock: this.#clock(runs),
       transport: { send: (envelope) => this.#world.send(envelope) },
       storage: this.#world.breakage.lyingDisks
