--- a/src/control/host/voter.ts
+++ b/src/control/host/voter.ts
@@ -136,11 +136,11 @@
 
   /** State for people. */
   dump(): unknown {
-    const { id, term, index, leader, counters, replica } = this.#runner;
-    const { role } = replica.state;
+    const { index, counters, replica } = this.#runner;
+    const now = this.#options.clock.now();
     const { operations, claims } = this.#runner.state;
     return {
-      log: { id, role, term, index, leader, counters },
+      log: { ...log.dump(replica, now), index, counters },
       leaseHeld: this.leaseHeld(),
       operations: operations.size,
       claims: { count: claims.size, answerBytes: claims.bytes },
--- a/src/control/log/mod.ts
+++ b/src/control/log/mod.ts
@@ -2,6 +2,7 @@
  * of commands. The replica is pure; journal and runner are its shell.
  * @module */
 
+export * from "./dump.ts";
 export * from "./errors.ts";
 export * from "./journal.ts";
 export * from "./machine.ts";
--- a/src/control/log/replica_test.ts
+++ b/src/control/log/replica_test.ts
@@ -156,6 +156,27 @@
   const event = { type: "message" as const, host: "b", body: reply };
   ({ replica } = replica.step(event, wakeAt + 100));
   t.is(replica.leaseUntil, at + 240);
+  t.like(log.dump(replica, at + 200), { role: "leader", term: 2, lease: 40 });
   t.true(replica.leaseHeld(at + 239));
   t.false(replica.leaseHeld(at + 240));
 });
+
+test("takes large snapshots less often", (t) => {
+  const sizes = { snapshot: 2, perEntry: 10 };
+  let replica = createReplica({ sizes });
+  const asked: number[] = [];
+  for (let index = 2; index <= 20; index++) {
+    const event = createAppend([{ index, term: 1 }], index - 1);
+    event.body.commit = index;
+    const step = replica.step(event, index);
+    replica = step.replica;
+    for (const effect of step.effects) {
+      if (effect.type !== "need-snapshot") continue;
+      asked.push(effect.index);
+      const data = "x".repeat(effect.index * 10);
+      const answer = { type: "snapshot" as const, index: effect.index, data };
+      ({ replica } = replica.step(answer, index));
+    }
+  }
+  t.deepEqual(asked, [2, 4, 8, 16]);
+});
--- a/src/control/log/snapshots.ts
+++ b/src/control/log/snapshots.ts
@@ -12,7 +12,9 @@
   const { state } = draft;
   const last = state.snapshot?.position.index ?? 0;
   const since = Math.max(last, state.snapshotAsked);
-  if (state.applied - since < state.sizes.snapshot) return;
+  const { snapshot: least, perEntry } = state.sizes;
+  const size = state.snapshot?.data.length ?? 0;
+  if (state.applied - since < Math.max(least, size / perEntry)) return;
   state.snapshotAsked = state.applied;
   draft.effects.push({ type: "need-snapshot", index: state.applied });
 }
--- a/src/control/log/state.ts
+++ b/src/control/log/state.ts
@@ -37,6 +37,9 @@
   readonly window: number;
   /** Entries applied since the last snapshot that call for another. */
   readonly snapshot: number;
+  /** Characters of the last snapshot that put the next one off by an entry, so
+   * that large ones are taken less often. */
+  readonly perEntry: number;
   /** Entries kept behind a snapshot for followers that lag. */
   readonly trailing: number;
   /** Most of a snapshot in one message. */
@@ -49,6 +52,7 @@
   characters: 256 * 1024,
   window: 1024,
   snapshot: 2000,
+  perEntry: 200,
   trailing: 500,
   chunk: 64 * 1024,
 };
--- a/src/storage/lock.ts
+++ b/src/storage/lock.ts
@@ -1,19 +1,25 @@
 /** One writer of a data folder at a time, by a file that names its process.
  *
  * A lock is stale when no process has its number any more, or when the one
- * that has it started at another time. Two processes that take over the same
- * stale lock at once are told apart by the name that the stale file is moved
- * to: only the one whose move succeeds goes on. A process in another container
- * that shares the folder but not the process numbers is not recognised.
+ * that has it started at another time. The right to remove a stale lock is
+ * itself a file, made exclusively and named after that lock, and who has it
+ * looks at the lock once more: of many that find the same stale lock, one
+ * removes it, and none removes a later one. If a process ends while it has that
+ * right, its file is removed like any other left-over; only then could two that
+ * do so in the same instant both go on. A process in another container that
+ * shares the folder but not the process numbers is not recognised.
  * @module */
 
 import * as crypto from "node:crypto";
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
+import * as timers from "node:timers/promises";
 import * as error from "./error.ts";
 
 const NAME = "lock";
-const MOST_TRIES = 4;
+const MOST_TRIES = 20;
+/** Milliseconds between tries while another removes a stale lock. */
+const PAUSE = 10;
 
 /** A lock that is held until it is released. */
 export interface Lock {
@@ -37,11 +43,13 @@
   const owner = await describe(process.pid);
   const file = path.join(folder, NAME);
   const own = path.join(folder, `${NAME}.${owner.token}`);
-  await fs.writeFile(own, JSON.stringify(owner), { flag: "wx" });
+  // Synced, so that after a loss of power no lock is there without its owner.
+  await fs.writeFile(own, JSON.stringify(owner), { flag: "wx", flush: true });
   try {
     for (let count = 0; count < MOST_TRIES; count++) {
       if (await link(own, file)) return { release: () => release(file, owner) };
-      await removeStale(folder, owner);
+      await removeStale(folder, own);
+      if (count > 0) await timers.setTimeout(PAUSE);
     }
   } finally {
     await fs.rm(own, { force: true });
@@ -59,7 +67,7 @@
   }
 }
 
-async function removeStale(folder: string, own: Owner): Promise<void> {
+async function removeStale(folder: string, own: string): Promise<void> {
   const file = path.join(folder, NAME);
   const owner = await read(file);
   if (owner === undefined) return;
@@ -67,12 +75,16 @@
     const message = `${folder} is in use by process ${owner.process}`;
     throw new error.StorageError("locked", message);
   }
-  const moved = path.join(folder, `${NAME}.${own.token}.stale`);
-  await fs.rename(file, moved).catch(() => {});
-  const found = await read(moved);
-  // Another process took over in between: what was moved is its live lock.
-  if (found && found.token !== owner.token) await link(moved, file);
-  await fs.rm(moved, { force: true });
+  const right = path.join(folder, `${NAME}.${owner.token}.stale`);
+  if (!await link(own, right)) return removeLeftOver(right);
+  // Meanwhile another may have removed it and locked the folder.
+  if ((await read(file))?.token === owner.token) await fs.rm(file);
+  await fs.rm(right);
+}
+
+async function removeLeftOver(right: string): Promise<void> {
+  const owner = await read(right);
+  if (owner && !await isAlive(owner)) await fs.rm(right, { force: true });
 }
 
 async function release(file: string, owner: Owner): Promise<void> {
--- a/src/storage/storage_test.ts
+++ b/src/storage/storage_test.ts
@@ -54,6 +54,22 @@
   t.pass();
 });
 
+test("lets one of many take over a stale lock", async (t) => {
+  const folder = await createFolder();
+  const owner = { process: 2 ** 22 + 1, started: "1", token: "gone" };
+  const lock = path.join(folder, "lock");
+  await fs.writeFile(lock, JSON.stringify(owner));
+  const left = { ...owner, token: "left" };
+  await fs.writeFile(`${lock}.gone.stale`, JSON.stringify(left));
+  const openings = Array.from(
+    { length: 8 },
+    () => storage.FileStorage.open(folder).catch(() => undefined),
+  );
+  const opened = (await Promise.all(openings)).filter((one) => one);
+  t.is(opened.length, 1);
+  await opened[0]!.close();
+});
+
 test("removes what an interrupted replacement left behind", async (t) => {
   const folder = await createFolder();
   await fs.writeFile(path.join(folder, "log.12ab.tmp"), "half");
