Do not take a pause of the host itself for silent connections

After a pause of more than a second, of the collector or for want of processor time, every connection looked silent and was exchanged, and what was under way was lost, although answers waited to be read. A look that comes late is now left out once, in the transport and in the watcher; the next one counts. Tests: a late look keeps the connection, the one after it does not.

--- a/src/control/watch/watch_test.ts
+++ b/src/control/watch/watch_test.ts
@@ -277,6 +277,16 @@
   });
 });
 
+test("a pause of its own is not taken for silence, once", (t) => {
+  const { watcher } = createWatcher().step({ type: "start" }, 0);
+  const paused = watcher.step({ type: "tick" }, 5000);
+  t.false(paused.effects.some(({ type }) => type === "redial"));
+  const wake = paused.effects.find((effect) => effect.type === "wake")!;
+  t.true(wake.at <= 5300);
+  const { effects } = paused.watcher.step({ type: "tick" }, 5300);
+  t.true(effects.some(({ type }) => type === "redial"));
+});
+
 test("390 hosts spread evenly over 15 publishers", (t) => {
   const publishers = Array.from({ length: 15 }, (_, pos) => `control-${pos}`);
   const counts = new Map<string, number>();
--- a/src/control/watch/watcher.ts
+++ b/src/control/watch/watcher.ts
@@ -15,6 +15,9 @@
 /** Milliseconds between requests for what is missing: what was asked for is
  * given this long to arrive, so that one gap costs one snapshot. */
 const ASK_AGAIN = 300;
+/** Milliseconds by which a tick that comes later shows that this host itself
+ * has paused, and that are then left to read what waits. */
+const LATE = 300;
 
 /** What a watcher hears. */
 export type WatcherEvent =
@@ -48,6 +51,8 @@
   /** When that publisher last said that it is in touch with the quorum. */
   heard: number;
   renewed: number;
+  /** Whether it waited longer once for a pause of its own. */
+  excused: boolean;
   /** Parts of a snapshot that is not whole yet. */
   parts: readonly schema.Snapshot[];
   current: boolean;
@@ -74,6 +79,7 @@
       table: first,
       heard: 0,
       renewed: 0,
+      excused: false,
       parts: [],
       current: false,
     });
@@ -142,7 +148,11 @@
   },
   tick(state, _event, turn) {
     if (state.publishers.length === 0) return state;
-    if (turn.now >= state.heard + SILENCE) return redial(state, turn);
+    const over = turn.now - (state.heard + SILENCE);
+    if (over >= LATE && !state.excused) {
+      return { ...state, heard: turn.now - SILENCE + LATE, excused: true };
+    }
+    if (over >= 0) return redial(state, turn);
     if (turn.now >= state.renewed + RENEW) return subscribe(state, turn);
     return state;
   },
@@ -167,7 +177,9 @@
   if (from !== state.publishers[state.pos]) return state;
   const { current, leader, revision } = body;
   const heard = current ? turn.now : state.heard;
-  const next = changeStatus({ ...state, heard }, { current, leader }, turn);
+  const excused = !current && state.excused;
+  const status = { current, leader };
+  const next = changeStatus({ ...state, heard, excused }, status, turn);
   const lacking = revision > state.table.revision && state.parts.length === 0;
   return lacking ? ask(next, turn) : next;
 }
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -86,11 +86,14 @@
     });
   }
 
-  /** Looks for silence; false once the link is idle and may be closed. */
-  tick(): boolean {
+  /** Looks for silence, unless this look is `late`: then this host itself has
+   * paused, and answers may wait to be read. False once the link is idle and
+   * may be closed. */
+  tick(late: boolean): boolean {
     const now = this.#options.clock.now();
     const [oldest] = this.#underWay.values();
-    if (oldest !== undefined && now - oldest >= ANSWER_TIMEOUT) {
+    const silent = oldest !== undefined && now - oldest >= ANSWER_TIMEOUT;
+    if (silent && !late) {
       this.#options.metrics.count("peer.silent");
       this.replace("silent");
     } else if (this.#open && now - this.#lastBatch >= PROBE) {
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -49,6 +49,7 @@
   #listener?: listener.Listener;
   #cancel?: runtime.Cancel;
   #refused = 0;
+  #sweptAt = 0;
 
   private constructor(options: PeersOptions) {
     this.#options = options;
@@ -80,6 +81,7 @@
       admit: (headers) => this.#admit(headers),
       receive: (host, batch) => this.#receive(host, batch),
     });
+    this.#sweptAt = this.#options.clock.now();
     this.#sweep();
   }
 
@@ -194,8 +196,11 @@
   }
 
   #sweep(): void {
+    const now = this.#options.clock.now();
+    const late = now - this.#sweptAt > 2 * SWEEP;
+    this.#sweptAt = now;
     for (const [id, link] of this.#links) {
-      if (link.tick()) continue;
+      if (link.tick(late)) continue;
       link.close();
       this.#links.delete(id);
     }
--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -137,6 +137,27 @@
   await relay.close();
 });
 
+test("a pause of its own does not make a host give up a connection", async (t) => {
+  const clock = new runtime.FakeClock();
+  let paused = 0;
+  const skewed: runtime.Clock = {
+    now: () => clock.now() + paused,
+    wall: () => clock.wall(),
+    after: (delay, callback) => clock.after(delay, callback),
+  };
+  const { a, b, stop } = await createPair({ clock: skewed });
+  a.peers.send(envelopeTo("b", {}));
+  await until(() => b.got.length === 1);
+  a.peers.send(envelopeTo("b", {}));
+  await Promise.resolve();
+  paused = 1500;
+  clock.advance(250);
+  t.is(a.tally.total("peer.silent"), 0);
+  clock.advance(250);
+  t.is(a.tally.total("peer.silent"), 1);
+  await stop();
+});
+
 test("probes a connection at rest and closes it when it stays so", async (t) => {
   const { a, b, stop } = await createPair();
   const dump = () => JSON.stringify(a.peers.dump());
