--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import * as fs from "node:fs/promises";
 import * as util from "node:util";
 import * as admission from "./admission.ts";
+import * as overhead from "./overhead.ts";
 import * as peers from "./peers.ts";
 import * as log from "./log.ts";
 import * as result from "./result.ts";
@@ -15,6 +16,7 @@
 /** All measurements by name. */
 const MEASUREMENTS: Readonly<Record<string, result.Measurement>> = {
   admission: admission.measurement,
+  overhead: overhead.measurement,
   peers: peers.measurement,
   log: log.measurement,
   routing: routing.measurement,
