--- a/src/backends/exchange.ts
+++ b/src/backends/exchange.ts
@@ -49,6 +49,9 @@
   receiver: Receiver;
 }
 
+/** Origin and path of a base URL without a final slash. */
+const URL_PARTS = /^(https?:\/\/[^/?#]+)([^?#]*)$/;
+
 /** One exchange. */
 export class Exchange implements undici.Dispatcher.DispatchHandler {
   readonly #options: Options;
@@ -134,8 +137,8 @@
   #send(sent: Sent): void {
     if (this.#done) return;
     const { dispatcher, url } = this.#options;
-    const { origin, pathname } = new URL(url);
-    const base = pathname === "/" ? "" : pathname;
+    const [, origin, base] = URL_PARTS.exec(url) ?? [];
+    if (origin === undefined) return this.break("connection");
     const asked = {
       origin,
       path: base + sent.path,
--- a/src/callers/body.ts
+++ b/src/callers/body.ts
@@ -22,6 +22,7 @@
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    let done = false;
     const cancel = clock.after(time, () => fail("bad-request", SLOW));
     incoming.on("data", take);
     incoming.on("end", finish);
@@ -37,11 +38,15 @@
     }
 
     function finish(): void {
+      done = true;
       cancel();
       resolve(Buffer.concat(chunks));
     }
 
     function fail(name: "bad-request" | "body-too-large", why: string): void {
+      // Every request is closed some time, also after its end.
+      if (done) return;
+      done = true;
       cancel();
       incoming.off("data", take);
       // What still comes is thrown away, so that the caller reads the answer.
--- a/src/callers/http_reply.ts
+++ b/src/callers/http_reply.ts
@@ -22,6 +22,7 @@
 export class HttpReply implements request.Reply {
   readonly #response: http.ServerResponse;
   readonly #options: Options;
+  #gathering = false;
 
   constructor(response: http.ServerResponse, options: Options) {
     this.#response = response;
@@ -82,9 +83,21 @@
 
   #event(name: string, data: unknown): void {
     if (this.#response.destroyed) return;
+    this.#gather();
     this.#response.write(`event: ${name}\ndata: ${JSON.stringify(data)}\n\n`);
   }
 
+  /** Events of one turn of the loop leave as one write. */
+  #gather(): void {
+    if (this.#gathering) return;
+    this.#gathering = true;
+    this.#response.cork();
+    process.nextTick(() => {
+      this.#gathering = false;
+      this.#response.uncork();
+    });
+  }
+
   #close(): Record<string, string> {
     return this.#options.closing() ? { connection: "close" } : {};
   }
--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -158,8 +158,12 @@
         execution.submit({ ...job, reply: kept });
       },
       answered: (found) => answer.repeat(found.answer),
+      // The key's first request may run: this one alone did not.
       "in-progress": () =>
-        answer.refuse(refusal("in-progress", "The first request still runs")),
+        answer.refuse({
+          ...refusal("in-progress", RUNNING),
+          outcome: "unknown",
+        }),
       refused: ({ detail, outcome }) =>
         answer.refuse({ ...refusal("claim-refused", detail), outcome }),
     };
@@ -185,6 +189,7 @@
   return { type: "refused", detail, outcome: "not-run" };
 }
 
+const RUNNING = "The first request with this key still runs";
 const LATE_CLAIM = "The key could not be claimed within the deadline";
 const NO_CLAIMS = "This host keeps no keys";
 const RETRY_AFTER = 1000;
