--- a/src/routing/group.ts
+++ b/src/routing/group.ts
@@ -89,6 +89,14 @@
     return this.#members.get(id);
   }
 
+  /** Whether a ready member is not among these. */
+  hasOther(ids: readonly string[]): boolean {
+    for (const [id, member] of this.#members) {
+      if (member.pool !== undefined && !ids.includes(id)) return true;
+    }
+    return false;
+  }
+
   /** Ids of all members. */
   ids(): IterableIterator<string> {
     return this.#members.keys();
