--- /dev/null
+++ b/src/control/orders/caller_test.ts
@@ -0,0 +1,101 @@
+import test from "ava";
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as runtime from "../../runtime/mod.ts";
+import * as telemetry from "../../telemetry/mod.ts";
+import * as table from "../table/mod.ts";
+import * as orders from "./mod.ts";
+
+const REPORT = { models: [], role: "both", loading: false, token: 9 };
+
+/** An engine over HTTP that notes the orders that reach it whole. */
+async function listen(status: number) {
+  const taken: string[] = [];
+  const server = http.createServer((request, response) => {
+    let text = "";
+    request.on("data", (chunk) => text += chunk);
+    request.on("end", () => {
+      if (request.method === "POST") taken.push(text);
+      response.writeHead(request.method === "POST" ? status : 200);
+      response.end(JSON.stringify(REPORT));
+    });
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as net.AddressInfo;
+  const url = `http://127.0.0.1:${port}`;
+  const close = () => {
+    server.closeAllConnections();
+    server.close();
+  };
+  return { engine: { id: "e0", service: "lm", url }, taken, close };
+}
+
+const LOAD = { order: { type: "load" as const, model: "m" } };
+
+test("reads and orders over HTTP", async (t) => {
+  const { engine, taken, close } = await listen(202);
+  const caller = orders.Caller.create({ holds: () => true });
+  t.like(await caller.read(engine), { models: [], token: 9 });
+  t.deepEqual(await caller.order(engine, 3, LOAD), { type: "accepted" });
+  t.deepEqual(taken.map((text) => JSON.parse(text)), [{ token: 3, ...LOAD }]);
+  close();
+});
+
+test("an order does not leave once the lease has ended", async (t) => {
+  const { engine, taken, close } = await listen(202);
+  const caller = orders.Caller.create({ holds: () => false });
+  t.deepEqual(await caller.order(engine, 3, LOAD), { type: "unsent" });
+  t.deepEqual(taken, []);
+  close();
+});
+
+test("tells a refusal by fencing token from a lost answer", async (t) => {
+  const caller = orders.Caller.create({ holds: () => true });
+  const fenced = await listen(409);
+  const answer = await caller.order(fenced.engine, 3, LOAD);
+  t.deepEqual(answer, { type: "fenced", token: 9 });
+  fenced.close();
+  const broken = await listen(500);
+  t.deepEqual(await caller.order(broken.engine, 3, LOAD), { type: "lost" });
+  broken.close();
+  t.is(await caller.read(broken.engine), undefined);
+});
+
+test("a reconciler orders while it holds the lease, and no longer", async (t) => {
+  const { engine, taken, close } = await listen(202);
+  const clock = new runtime.FakeClock();
+  let lease: orders.Lease | undefined = { token: 3, since: 0, until: 1e9 };
+  const reconciler = orders.Reconciler.create({
+    clock,
+    logger: telemetry.noLogger,
+    limits: { loads: 2, lease: 3000 },
+    lease: () => lease,
+  });
+  reconciler.setTable(createTable());
+  reconciler.setEngines([{ ...engine, fencing: "checks" }]);
+  reconciler.start();
+  const calling = () => /"call":/.test(JSON.stringify(reconciler.dump()));
+  const move = async () => {
+    clock.advance(100);
+    while (calling()) await new Promise((done) => setTimeout(done, 5));
+  };
+  while (taken.length < 2) await move();
+  t.like(JSON.parse(taken[0]), { token: 3, order: { type: "load" } });
+  lease = undefined;
+  for (let pos = 0; pos < 100; pos++) await move();
+  t.is(taken.length, 2);
+  reconciler.stop();
+  close();
+});
+
+function createTable(): table.Table {
+  const change = { row: "service/lm", version: 0 };
+  return table.Table.create().apply({
+    operation: "a",
+    actor: "an",
+    changes: [
+      { ...change, column: "model", value: "m" },
+      { ...change, column: "role", value: "decode" },
+    ],
+  }).table;
+}
--- a/src/control/orders/orders_test.ts
+++ b/src/control/orders/orders_test.ts
@@ -1,10 +1,7 @@
 import test from "ava";
-import * as http from "node:http";
-import type * as net from "node:net";
 import type * as edits from "../../schema/table_types.ts";
 import type * as schema from "../../schema/orders_types.ts";
 import * as runtime from "../../runtime/mod.ts";
-import * as telemetry from "../../telemetry/mod.ts";
 import * as table from "../table/mod.ts";
 import * as orders from "./mod.ts";
 
@@ -25,44 +22,6 @@
   return { models: [], role: "both", token: 0, loading: false, ...changes };
 }
 
-function candidate(
-  engine: string,
-  changes: Partial<schema.Report> = {},
-): orders.Candidate {
-  return { engine, report: createReport(changes), fresh: true };
-}
-
-const V1 = { model: "m", adapter: null, version: "1" };
-const V2 = { model: "m", adapter: null, version: "2" };
-
-test("loads the wanted version first and then unloads the former", (t) => {
-  const goal = { model: "m", version: "2" };
-  const old = orders.plan(goal, [candidate("e1", { models: [V1] })]);
-  t.like(old, [{ order: { type: "load", version: "2" } }]);
-  const both = orders.plan(goal, [candidate("e1", { models: [V1, V2] })]);
-  t.like(both, [{ order: { type: "unload", version: "1" } }]);
-  const done = [candidate("e1", { models: [V2] })];
-  t.deepEqual(orders.plan(goal, done), []);
-});
-
-test("keeps replicas where the model is, and releases the rest last", (t) => {
-  const goal = { model: "m", replicas: 1 };
-  const there = candidate("e2", { models: [V1] });
-  t.deepEqual(orders.plan(goal, [candidate("e1"), there]), []);
-  const surplus = orders.plan(goal, [candidate("e1", { models: [V1] }), there]);
-  t.like(surplus, [{ engine: "e2", order: { type: "unload" } }]);
-  // An engine that does not answer keeps its place, and its stand-in stays.
-  const silent = { ...candidate("e1", { models: [V1] }), fresh: false };
-  t.deepEqual(orders.plan(goal, [silent, there]), []);
-  t.deepEqual(orders.plan(goal, [silent, candidate("e2")]), []);
-});
-
-test("orders nothing where a load is under way or nothing is asked for", (t) => {
-  const goal = { model: "m" };
-  t.deepEqual(orders.plan(goal, [candidate("e1", { loading: true })]), []);
-  t.deepEqual(orders.plan({}, [candidate("e1", { models: [V1] })]), []);
-});
-
 /** An engine that may ignore fencing tokens and lose answers. */
 class FakeEngine {
   report = createReport();
@@ -258,83 +217,3 @@
   t.is(engine.loads, 1);
   t.is(engine.report.role, "decode");
 });
-
-/** An engine over HTTP that notes the orders that reach it whole. */
-async function listen(status: number) {
-  const taken: string[] = [];
-  const server = http.createServer((request, response) => {
-    let text = "";
-    request.on("data", (chunk) => text += chunk);
-    request.on("end", () => {
-      if (request.method === "POST") taken.push(text);
-      response.writeHead(request.method === "POST" ? status : 200);
-      response.end(JSON.stringify({ ...createReport(), token: 9 }));
-    });
-  });
-  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
-  const { port } = server.address() as net.AddressInfo;
-  const url = `http://127.0.0.1:${port}`;
-  const close = () => {
-    server.closeAllConnections();
-    server.close();
-  };
-  return { engine: { id: "e0", service: "lm", url }, taken, close };
-}
-
-const LOAD = { order: { type: "load" as const, model: "m" } };
-
-test("reads and orders over HTTP", async (t) => {
-  const { engine, taken, close } = await listen(202);
-  const caller = orders.Caller.create({ holds: () => true });
-  t.like(await caller.read(engine), { models: [], token: 9 });
-  t.deepEqual(await caller.order(engine, 3, LOAD), { type: "accepted" });
-  t.deepEqual(taken.map((text) => JSON.parse(text)), [{ token: 3, ...LOAD }]);
-  close();
-});
-
-test("an order does not leave once the lease has ended", async (t) => {
-  const { engine, taken, close } = await listen(202);
-  const caller = orders.Caller.create({ holds: () => false });
-  t.deepEqual(await caller.order(engine, 3, LOAD), { type: "unsent" });
-  t.deepEqual(taken, []);
-  close();
-});
-
-test("tells a refusal by fencing token from a lost answer", async (t) => {
-  const caller = orders.Caller.create({ holds: () => true });
-  const fenced = await listen(409);
-  const answer = await caller.order(fenced.engine, 3, LOAD);
-  t.deepEqual(answer, { type: "fenced", token: 9 });
-  fenced.close();
-  const broken = await listen(500);
-  t.deepEqual(await caller.order(broken.engine, 3, LOAD), { type: "lost" });
-  broken.close();
-  t.is(await caller.read(broken.engine), undefined);
-});
-
-test("a reconciler orders while it holds the lease, and no longer", async (t) => {
-  const { engine, taken, close } = await listen(202);
-  const clock = new runtime.FakeClock();
-  let lease: orders.Lease | undefined = { token: 3, since: 0, until: FOREVER };
-  const reconciler = orders.Reconciler.create({
-    clock,
-    logger: telemetry.noLogger,
-    limits: LIMITS,
-    lease: () => lease,
-  });
-  reconciler.setTable(WISH);
-  reconciler.setEngines([{ ...engine, fencing: "checks" }]);
-  reconciler.start();
-  const calling = () => /"call":/.test(JSON.stringify(reconciler.dump()));
-  const move = async () => {
-    clock.advance(100);
-    while (calling()) await new Promise((done) => setTimeout(done, 5));
-  };
-  while (taken.length < 2) await move();
-  t.like(JSON.parse(taken[0]), { token: 3, order: { type: "load" } });
-  lease = undefined;
-  for (let pos = 0; pos < 100; pos++) await move();
-  t.is(taken.length, 2);
-  reconciler.stop();
-  close();
-});
