--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -118,6 +118,11 @@
     return new Promise((resolve) => this.#idle.push(resolve));
   }
 
+  /** Forgets the wake that is on its way; the host is stopping. */
+  close(): void {
+    this.#cancelWake();
+  }
+
   #perform(asked: effect.Effect): void {
     const perform = this.#performers[asked.type] as (
       asked: effect.Effect,
--- a/src/request/path.ts
+++ b/src/request/path.ts
@@ -117,6 +117,7 @@
     await Promise.race([this.#server.idle(), bound]);
     cancel();
     await this.#server.close();
+    this.#execution.close();
     await this.#backends.close();
   }
 
--- a/src/request/path_test.ts
+++ b/src/request/path_test.ts
@@ -515,3 +515,45 @@
   await started.stop();
   t.is(started.tally.total("request.abandoned"), 1);
 });
+
+const STREAMS = 50;
+
+test("a stop in the middle of 50 streams cuts off none", async (t) => {
+  const held: (() => void)[] = [];
+  let all = () => {};
+  const middle = new Promise<void>((resolve) => all = resolve);
+  const whole = generate();
+  const started = await start({
+    "lm-pool@1": (incoming, response, body) => {
+      response.writeHead(200, { "content-type": "text/event-stream" });
+      response.flushHeaders();
+      response.writeHead = () => response;
+      held.push(() => whole(incoming, response, body));
+      if (held.length === STREAMS) all();
+    },
+  });
+  started.path.setEndpoints([{
+    id: "lm-pool@1",
+    service: "lm-pool",
+    kind: "engine",
+    dataCentre: "gisenyi-hall",
+    slots: STREAMS,
+    role: "both",
+    state: "ready",
+    url: started.fleet["lm-pool@1"].url,
+  }]);
+  const url = `${started.url}/v1/pipelines/short`;
+  const answers = Array.from({ length: STREAMS }, (_, pos) => {
+    const input = { text: `one two three four five nr${pos}` };
+    return post(url, { input, stream: true });
+  });
+  await middle;
+  const stopped = started.stop();
+  for (const release of held) release();
+  const texts = (await Promise.all(answers)).map(({ text }) => text);
+  const complete = texts.filter((text, pos) =>
+    text.includes(` nr${pos}"`) && text.includes("event: done")
+  );
+  t.is(complete.length, STREAMS);
+  await stopped;
+});
