A stopped host lets its process end

Cause: news that came in while a host left set the timer of membership again, and the process stayed after "Host stopped": five of six daemons were still up 5 s after SIGTERM. A member's id no longer hides the host in log lines.

--- a/src/node/directory.ts
+++ b/src/node/directory.ts
@@ -27,6 +27,7 @@
   #registry: endpoints.Registry;
   /** Answer to the announcement under way. */
   #answer: request.NoticeResult | undefined;
+  #stopped = false;
 
   private constructor(options: DirectoryOptions) {
     this.#options = options;
@@ -90,6 +91,7 @@
   /** Takes no further part. */
   stop(): void {
     this.#alarm.cancel();
+    this.#stopped = true;
   }
 
   /** State for people. */
@@ -98,6 +100,7 @@
   }
 
   #step(event: endpoints.Event): void {
+    if (this.#stopped) return;
     const now = this.#options.clock.now();
     const { state, effects } = this.#registry.step(event, now);
     this.#registry = state;
--- a/src/node/members.ts
+++ b/src/node/members.ts
@@ -23,6 +23,7 @@
   readonly #options: MembersOptions;
   readonly #alarm: runtime.Alarm;
   #membership: membership.Membership;
+  #left = false;
 
   private constructor(options: MembersOptions) {
     this.#options = options;
@@ -63,9 +64,12 @@
   leave(): void {
     this.#step({ type: "leave" });
     this.#alarm.cancel();
+    this.#left = true;
   }
 
   #step(event: membership.Event): void {
+    // News that comes in after the host has left must not set the alarm again.
+    if (this.#left) return;
     const now = this.#options.clock.now();
     const { state, effects } = this.#membership.step(event, now);
     this.#membership = state;
@@ -85,10 +89,10 @@
     },
     wake: ({ at }) => this.#alarm.set(at),
     notify: ({ change }) => {
-      const { type, member: { id: host } } = change;
+      const { type, member: { id: member } } = change;
       const { logger, metrics } = this.#options;
       if (type === "died") metrics.count("member.failed");
-      logger.info({ host, change: type }, "host changed");
+      logger.info({ member, change: type }, "host changed");
     },
   };
 }
