--- a/src/endpoints/merge.ts
+++ b/src/endpoints/merge.ts
@@ -41,12 +41,28 @@
   },
 ): void {
   const { state } = step;
-  if (holderOf(state, known) === entry.expired) {
+  const holder = holderOf(state, known);
+  if (holder === entry.expired || holder === from) {
     return adopt(step, { ...entry, endpoint: known.endpoint }, from);
   }
-  if (!state.leases.has(entry.id)) return;
-  const sequence = entry.sequence + 1;
-  adopt(step, { ...known, sequence }, state.options.host);
+  if (state.leases.has(entry.id)) {
+    const sequence = entry.sequence + 1;
+    return adopt(step, { ...known, sequence }, state.options.host);
+  }
+  if (holder !== undefined) askHolder(step, holder, entry);
+}
+
+/** Lets the holder refute an expiry that another host declared, or confirm
+ * it. */
+function askHolder(
+  { effects }: states.Step,
+  to: string,
+  entry: entries.Entry,
+): void {
+  effects.push(
+    { type: "send", to, body: { type: "news", news: [entry] } },
+    { type: "send", to, body: { type: "want", ids: [entry.id] } },
+  );
 }
 
 /** Host that holds the lease of the endpoint, as this host sees it. */
@@ -100,7 +116,7 @@
 /** Starts the lease of an endpoint anew. */
 export function lease(step: states.Step, id: string, grace = 0): void {
   const { state, now } = step;
-  const end = now + states.leaseOf(state) + grace;
+  const end = now + states.leaseOf(state) + states.FORWARD_SLACK + grace;
   const leases = new Map(state.leases).set(id, end);
   const nextExpiry = Math.min(state.nextExpiry, end);
   step.state = { ...state, leases, nextExpiry };
--- a/src/endpoints/state.ts
+++ b/src/endpoints/state.ts
@@ -13,6 +13,8 @@
 export const NEWS_LIMIT = 32;
 /** Renewals for one holder are gathered for so long. */
 export const RENEW_DELAY = 100;
+/** Time that a renewal may take on its way to the holder. */
+export const FORWARD_SLACK = 2 * RENEW_DELAY;
 /** Between two comparisons of roots with a neighbour. */
 export const ROOT_INTERVAL = 2000;
 /** A copy that has not changed for so long should equal that of others. */
--- a/src/membership/fake_fleet.ts
+++ b/src/membership/fake_fleet.ts
@@ -56,6 +56,8 @@
   faults: Faults = { drop: 0, duplicate: 0, delay: [1, 1] };
   /** Whether a message can pass; replaced to cut links. */
   reaches: (from: string, to: string) => boolean = () => true;
+  /** Whether a message is lost, whatever the other faults; for sabotage. */
+  loses: (envelope: runtime.Envelope) => boolean = () => false;
   readonly #random: runtime.Random;
   readonly #slots = new Map<string, Slot<P>>();
   readonly #copy: boolean;
@@ -130,9 +132,7 @@
   call(id: string, action: (program: P, now: number) => Outgoing[]): void {
     const slot = this.#slots.get(id);
     if (slot === undefined || slot.pausedAt !== undefined) return;
-    const outgoing = action(slot.program, this.#nowAt(slot));
-    for (const message of outgoing) this.#send({ from: id, ...message });
-    this.#arm(id);
+    this.#act(id, slot, action);
   }
 
   /** Lets `ms` pass. */
@@ -155,13 +155,25 @@
     const wait = (at - this.#nowAt(slot)) / slot.rate;
     slot.cancel = this.clock.after(wait, () => {
       slot.timerAt = Infinity;
-      this.call(id, (program, now) => program.wake(now));
+      // Rounding must not make a timer fire before it is due.
+      this.#act(id, slot, (program, now) => program.wake(Math.max(now, at)));
     });
   }
 
+  #act(
+    id: string,
+    slot: Slot<P>,
+    action: (program: P, now: number) => Outgoing[],
+  ): void {
+    const outgoing = action(slot.program, this.#nowAt(slot));
+    for (const message of outgoing) this.#send({ from: id, ...message });
+    this.#arm(id);
+  }
+
   #send(envelope: runtime.Envelope): void {
     const text = JSON.stringify(envelope);
     this.#count(envelope.from, text.length);
+    if (this.loses(envelope)) return;
     const { drop, duplicate } = this.faults;
     const copies = this.#random.next() < duplicate ? 2 : 1;
     for (let copy = 0; copy < copies; copy++) {
--- a/src/membership/spread.ts
+++ b/src/membership/spread.ts
@@ -96,7 +96,7 @@
   return member;
 }
 
-/** Pings one host that counts as dead, or a seed that is not known to live:
+/** Pings one seed that is not known to live, and one host that counts as dead:
  * after a partition, or at the start, this is the first contact. */
 function heal(step: states.Step): void {
   forget(step);
@@ -105,11 +105,13 @@
   const alone = live.length < 2;
   const interval = alone ? states.JOIN_INTERVAL : states.HEAL_INTERVAL;
   step.state = { ...state, nextHeal: now + interval };
-  const lost = [...new Set([...state.dead.keys(), ...options.seeds])]
-    .filter((id) => isLost(state, id));
-  if (lost.length === 0) return;
-  const to = lost[options.random.below(lost.length)];
-  probes.ping(step, to, { news: [members.get(options.self.id)!] });
+  const self = members.get(options.self.id)!;
+  for (const ids of [options.seeds, [...state.dead.keys()]]) {
+    const lost = ids.filter((id) => isLost(state, id));
+    if (lost.length === 0) continue;
+    const to = lost[options.random.below(lost.length)];
+    probes.ping(step, to, { news: [self] });
+  }
 }
 
 function isLost({ options, members }: states.State, id: string): boolean {
