Fuzz: faults before the first leader, and a folder lost right after a repair

Schedules began with 1.5 s in peace, so that the first election never met a fault; they now begin at a random time before that.

--- a/bench/log_fuzz/schedule.ts
+++ b/bench/log_fuzz/schedule.ts
@@ -31,7 +31,8 @@
   const world = new worlds.World(options);
   const faults = { all: 0, disks: 0 };
   world.hosts.forEach((host) => host.start());
-  await world.run(1500);
+  // Often there is no leader yet when the faults begin.
+  await world.run(world.random.next() * 1500);
   await run(world, options.duration ?? DURATION, faults);
   world.heal();
   await world.run(RECOVERY);
@@ -132,6 +133,27 @@
 function loseDisk(world: worlds.World, faults: Faults): void {
   const host = world.random.next() < 0.3 ? leaderOf(world) : pickHost(world);
   if (!world.mayLoseDisk(host)) return;
+  wipe(world, host, faults);
+  const next = pickHost(world);
+  if (world.random.next() < 0.5) loseSoon(world, next, { faults, tries: 150 });
+}
+
+interface Tries {
+  faults: Faults;
+  tries: number;
+}
+
+/** Loses a disk as soon as the repair of another allows it. */
+function loseSoon(world: worlds.World, host: hosts.Host, left: Tries): void {
+  if (left.tries === 0) return;
+  world.clock.after(20, () => {
+    const next = { ...left, tries: left.tries - 1 };
+    if (world.mayLoseDisk(host)) wipe(world, host, left.faults);
+    else loseSoon(world, host, next);
+  });
+}
+
+function wipe(world: worlds.World, host: hosts.Host, faults: Faults): void {
   faults.disks++;
   host.loseDisk();
   world.clock.after(world.random.next() * 1500, () => host.start());
