Fuzz: links cut between two hosts, quick restarts; test commit across terms

The fuzz had missed a replica that heeds candidates while it hears a leader: no fault left two hosts apart that a third could reach.

--- a/bench/log_fuzz/schedule.ts
+++ b/bench/log_fuzz/schedule.ts
@@ -105,6 +105,8 @@
   cutOffLeader,
   cutOffOne,
   cutOneWay,
+  cutPair,
+  cutPair,
   mend,
   mend,
   pauseOne,
@@ -171,6 +173,13 @@
   world.cut.add(`${pickHost(world).name}>${pickHost(world).name}`);
 }
 
+/** Two hosts that cannot talk, though a third can talk with both. */
+function cutPair(world: worlds.World): void {
+  const [one, other] = [leaderOf(world).name, pickHost(world).name];
+  world.cut.add(`${one}>${other}`).add(`${other}>${one}`);
+  if (world.random.next() < 0.5) crash(world, pickHost(world));
+}
+
 function mend(world: worlds.World): void {
   world.cut.clear();
 }
@@ -202,7 +211,8 @@
 
 function crash(world: worlds.World, host: hosts.Host): void {
   host.crash(pickTear(world));
-  world.clock.after(world.random.next() * 2000, () => host.start());
+  const delay = 2000 * world.random.next() ** 3;
+  world.clock.after(delay, () => host.start());
 }
 
 function cutOff(world: worlds.World, host: hosts.Host): void {
--- a/src/control/log/replica_test.ts
+++ b/src/control/log/replica_test.ts
@@ -84,9 +84,10 @@
   const replica = createReplica();
   const first = replica.step(createRequest(), 400);
   t.deepEqual(sent(first.effects), []);
-  const { write } = first.effects.findLast((effect) =>
+  const { write, record } = first.effects.findLast((effect) =>
     effect.type === "persist"
-  ) as { write: number };
+  ) as Extract<log.Effect, { type: "persist" }>;
+  t.like(record, { type: "vote", term: 2, vote: "b~1" });
   const synced = first.replica.step({ type: "synced", write }, 401);
   t.like(sent(synced.effects)[0], { type: "vote", granted: true });
   const other = { ...createRequest(), host: "c" };
@@ -135,32 +136,60 @@
   t.like(sent(effects)[0], { type: "appended", ok: false, match: 1 });
 });
 
+/** A replica that has won an election; its term is one above its last. */
+function createLeader(options: Partial<log.ReplicaOptions> = {}): log.Replica {
+  let replica = createReplica(options);
+  const term = replica.state.term + 1;
+  const now = replica.wakeAt;
+  const answer = (pre?: true): log.Event => ({
+    type: "message",
+    host: "b",
+    body: { type: "vote", from: "1", to: "1", granted: true, term, pre },
+  });
+  const events: log.Event[] = [
+    { type: "tick" },
+    answer(true),
+    { type: "synced", write: 1 },
+    answer(),
+  ];
+  for (const event of events) ({ replica } = replica.step(event, now));
+  return replica;
+}
+
 test("holds a lease from the time of the message that was answered", (t) => {
-  let replica = createReplica();
-  const events: [log.Event, number][] = [];
-  const { wakeAt } = replica;
-  events.push([{ type: "tick" }, wakeAt]);
-  const vote = { type: "vote" as const, from: "1", to: "1", granted: true };
-  const answer = (body: log.Message, now: number) => {
-    events.push([{ type: "message", host: "b", body }, now]);
-  };
-  answer({ ...vote, term: 2, pre: true }, wakeAt + 1);
-  events.push([{ type: "synced", write: 1 }, wakeAt + 2]);
-  answer({ ...vote, term: 2 }, wakeAt + 3);
-  for (const [event, now] of events) ({ replica } = replica.step(event, now));
+  let replica = createLeader();
+  const at = replica.state.electedAt;
   t.is(replica.state.role, "leader");
-  t.false(replica.leaseHeld(wakeAt + 3));
-  const at = Math.floor(wakeAt + 3);
+  t.false(replica.leaseHeld(at));
   const body = { from: "1", to: "1", term: 2, at };
   const reply = { type: "heartbeat-reply" as const, ...body };
   const event = { type: "message" as const, host: "b", body: reply };
-  ({ replica } = replica.step(event, wakeAt + 100));
+  ({ replica } = replica.step(event, at + 100));
   t.is(replica.leaseUntil, at + 240);
   t.like(log.dump(replica, at + 200), { role: "leader", term: 2, lease: 40 });
   t.true(replica.leaseHeld(at + 239));
   t.false(replica.leaseHeld(at + 240));
 });
 
+test("commits entries of earlier terms by one of its own", (t) => {
+  const members = { voters: VOTERS, learners: [] };
+  const entries = [{ index: 1, term: 1, members }, { index: 2, term: 2 }];
+  const replica = createLeader({ durable: { term: 2, entries } });
+  const now = replica.state.electedAt;
+  const answer = (match: number) => {
+    const reply = { ok: true, previous: 1, match, at: now, term: 3 };
+    const body = { type: "appended" as const, from: "1", to: "1", ...reply };
+    return { type: "message" as const, host: "b", body };
+  };
+  const { replica: synced } = replica.step({ type: "synced", write: 2 }, now);
+  const early = synced.step(answer(2), now);
+  t.is(early.replica.state.commit, 0);
+  const late = early.replica.step(answer(3), now);
+  t.is(late.replica.state.commit, 3);
+  const applied = late.effects.filter(({ type }) => type === "apply");
+  t.is(applied.length, 1);
+});
+
 test("takes large snapshots less often", (t) => {
   const sizes = { snapshot: 2, perEntry: 10 };
   let replica = createReplica({ sizes });
