--- a/bench/scenario/world.ts
+++ b/bench/scenario/world.ts
@@ -22,7 +22,7 @@
   seed: number;
   /** Hosts that share the endpoints; each has its own dispatcher. */
   hosts: number;
-  create(random: runtime.Random): Dispatcher;
+  create(random: runtime.Random, dataCentre: string): Dispatcher;
 }
 
 /** What became of one request. */
@@ -80,8 +80,11 @@
 
   constructor(run: Run) {
     this.#run = run;
-    const seeds = Array.from({ length: run.hosts }, (_, i) => run.seed + i);
-    this.#hosts = seeds.map((seed) => run.create(runtime.createRandom(seed)));
+    const { dataCentres } = run.users;
+    this.#hosts = Array.from({ length: run.hosts }, (_, i) => {
+      const dataCentre = dataCentres[i % dataCentres.length];
+      return run.create(chance.chanceOf(run.seed, i), dataCentre);
+    });
   }
 
   play(): History {
--- a/src/admission/controls.ts
+++ b/src/admission/controls.ts
@@ -64,14 +64,10 @@
     return new Controls(options);
   }
 
-  create(service: string): policySet.Queue {
+  create(): policySet.Queue {
     const predict = {
       work: (work: policySet.Work) => this.predict(work).mean,
       expires: (work: policySet.Work) => this.#latestStart(work),
-      mayStart: (now: number) => {
-        const { own, window } = this.#windowOf(service, now);
-        return own < window;
-      },
     };
     const created = serviceQueue.ServiceQueue.create(predict);
     created.setPolicies(this.#policies);
@@ -235,11 +231,6 @@
     return found;
   }
 
-  #windowOf(service: string, now: number): { own: number; window: number } {
-    const found = this.#shareOf(service);
-    return { own: found.own, window: found.window(now) };
-  }
-
   #latestStart(work: policySet.Work): number {
     return work.request.deadline - this.rest(work);
   }
--- a/src/admission/service_queue.ts
+++ b/src/admission/service_queue.ts
@@ -12,8 +12,6 @@
   work(work: policySet.Work): number;
   /** Latest start at which the request can still finish. */
   expires(work: policySet.Work): number;
-  /** Whether this host may start another call now. */
-  mayStart(now: number): boolean;
 }
 
 interface Place {
@@ -51,10 +49,7 @@
     this.#queue.push(item);
   }
 
-  /** None while the host's share is in use; the end of a call, which there
-   * is then, asks again. */
-  shift(now: number): policySet.Work | undefined {
-    if (!this.#predict.mayStart(now)) return undefined;
+  shift(): policySet.Work | undefined {
     const item = this.#queue.pop();
     if (item === undefined) return undefined;
     const work = this.#take(item);
--- a/src/admission/share.ts
+++ b/src/admission/share.ts
@@ -1,10 +1,8 @@
-/** This host's share of a service's slots, so that work waits in the hosts,
- * where it is ordered by weight and deadline, and not in the endpoints.
+/** This host's share of a service's slots, by which the gate predicts.
  *
  * Hosts share no counts. Each takes its own calls in flight, scaled by slots
  * over all calls that endpoints report, plus half of what is free, or one
- * call. All hosts that do so settle at about as many calls as slots and one
- * for each host; the one call evens out their shares.
+ * call. Shares of all hosts add up to about the slots when these are in use.
  * @module */
 
 import type * as request from "../request/mod.ts";
@@ -31,11 +29,6 @@
     return new Share();
   }
 
-  /** Calls of this host in flight. */
-  get own(): number {
-    return this.#own;
-  }
-
   /** Slots of all usable endpoints. */
   get slots(): number {
     let slots = 0;
@@ -64,8 +57,8 @@
     this.#own = Math.max(0, this.#own + change);
   }
 
-  /** Calls that this host may have in flight; infinite while the endpoints
-   * report nothing. */
+  /** Slots that this host can count on; infinite while the endpoints report
+   * nothing. */
   window(now: number): number {
     let slots = 0;
     let calls = 0;
--- a/src/admission/share_test.ts
+++ b/src/admission/share_test.ts
@@ -41,7 +41,7 @@
     windows = windows.map((own) => {
       const scaled = createShare(0, calls);
       for (let i = 0; i < own; i++) scaled.shift(1);
-      // Another call starts while fewer than the window are in flight.
+      // As if another call started while fewer than that were in flight.
       return Math.ceil(scaled.window(0));
     });
   }
--- /dev/null
+++ b/src/policies/mod.ts
@@ -0,0 +1,37 @@
+/** The decisions of the product: admission and routing as one policy set.
+ * @module */
+
+import * as admission from "../admission/mod.ts";
+import type * as policySet from "../request/policy_set.ts";
+import type * as runtime from "../runtime/mod.ts";
+import * as routed from "./routed.ts";
+
+/** What the decisions of a host are made from. */
+export interface Options {
+  /** Data centre of the host. */
+  dataCentre: string;
+  random: runtime.Random;
+  /** Requests in the host at once. */
+  inFlight?: number;
+}
+
+/** A policy set for one dispatcher. */
+export function create(options: Options): policySet.PolicySet {
+  const { dataCentre, random, inFlight } = options;
+  const controls = admission.controls.Controls.create({ random, inFlight });
+  const routes = routed.Routes.create({ dataCentre, random, controls });
+  return {
+    queues: controls,
+    admission: controls,
+    estimate: controls,
+    choice: routes,
+    retries: {
+      delay: (work, failure, now) => routes.retry(work, failure, now),
+    },
+    hedge: {
+      delay: (work, _first, now) => routes.hedgeAfter(work, now),
+      allow: (work, now) => routes.mayHedge(work, now),
+    },
+    priority: (request) => controls.priority(request),
+  };
+}
--- /dev/null
+++ b/src/policies/routed.ts
@@ -0,0 +1,178 @@
+/** Routing as the parts of a dispatcher's policy set: choice, retries, hedges.
+ * @module */
+
+import type * as admission from "../admission/mod.ts";
+import type * as policySet from "../request/policy_set.ts";
+import type * as request from "../request/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import * as routing from "../routing/mod.ts";
+
+/** What routes are made from. */
+export interface Options {
+  dataCentre: string;
+  random: runtime.Random;
+  /** Estimates of work, and the budget for extra cost. */
+  controls: admission.controls.Controls;
+}
+
+/** Share of an engine's call that the prefill takes. */
+const PREFILL = 0.3;
+
+/** Failures that say nothing of the endpoint's health. */
+const BLAMELESS: ReadonlySet<request.FailureReason> = new Set(["deadline"]);
+
+/** Decisions of routing; changes its containers in place. */
+export class Routes implements policySet.Choice {
+  readonly #options: Options;
+  readonly #router: routing.router.Router;
+  /** Last call of a stage that started, and last that failed. */
+  readonly #started = new WeakMap<policySet.Work, request.Attempt>();
+  readonly #failed = new WeakMap<policySet.Work, request.Attempt>();
+
+  private constructor(options: Options) {
+    this.#options = options;
+    const { dataCentre, random } = options;
+    this.#router = routing.router.Router.create({ dataCentre, random });
+  }
+
+  static create(options: Options): Routes {
+    return new Routes(options);
+  }
+
+  choose(
+    work: policySet.Work,
+    pool: policySet.Pool,
+    now: number,
+  ): policySet.Member | undefined {
+    const mean = this.#options.controls.predict(work).mean;
+    const engine = stageOf(work).kind === "engine";
+    const call = {
+      work: mean,
+      prefill: engine ? PREFILL * mean : 0,
+      prefix: work.prefix,
+      role: "both" as const,
+      avoid: work.avoid,
+      probe: work.request.idempotent,
+    };
+    const { service } = pool;
+    const chosen = this.#router.choose(service, call, now) ??
+      this.#router.choose(service, { ...call, avoid: [] }, now);
+    const member = chosen && pool.member(chosen.endpoint);
+    if (member === undefined) return undefined;
+    return member.inFlight < member.endpoint.slots ? member : undefined;
+  }
+
+  /** Milliseconds before a failed stage is tried again; undefined for never. */
+  retry(
+    work: policySet.Work,
+    failure: request.Failure,
+    now: number,
+  ): number | undefined {
+    const attempt = this.#failed.get(work);
+    if (attempt === undefined) return undefined;
+    const { service } = stageOf(work);
+    const { group, retries } = this.#router.service(service, now);
+    const call = {
+      attempt,
+      failure,
+      idempotent: work.request.idempotent,
+      deadline: work.request.deadline,
+      estimate: this.#options.controls.predict(work).low,
+      others: group.size > work.avoid.length,
+    };
+    const { random } = this.#options;
+    const decided = routing.retry.decide(call, {
+      budget: retries,
+      random,
+      now,
+    });
+    return decided.type === "retry" ? decided.at - now : undefined;
+  }
+
+  /** Milliseconds after which a call may be raced against a second one: a
+   * straggler where its flow has budget, or else a hang. */
+  hedgeAfter(work: policySet.Work, now: number): number | undefined {
+    const { cost } = this.#options.controls;
+    const { hedges } = this.#serviceOf(work, now);
+    const hang = this.#hang(work, now);
+    const mean = this.#options.controls.predict(work).mean;
+    if (cost.budget(work.request) < mean) return hang;
+    return Math.min(hang, hedges.straggling(work.size) ?? Infinity);
+  }
+
+  /** Whether the second call may start: a hang is paid as a retry is, a
+   * straggler by the extra cost that the table grants. */
+  mayHedge(work: policySet.Work, now: number): boolean {
+    const started = this.#started.get(work)?.started ?? now;
+    if (now - started >= this.#hang(work, now)) {
+      return this.#serviceOf(work, now).retries.take(now);
+    }
+    const { controls } = this.#options;
+    return controls.cost.spend(work.request, controls.predict(work).mean);
+  }
+
+  endpoints(endpoints: readonly request.Endpoint[], now: number): void {
+    this.#router.update({ type: "endpoints", endpoints }, now);
+  }
+
+  load(endpoint: string, load: request.Load, now: number): void {
+    this.#router.update({ type: "load", endpoint, load }, now);
+  }
+
+  cache(change: request.Event & { type: "cache" }, now: number): void {
+    this.#router.update(change, now);
+  }
+
+  started(attempt: request.Attempt, work: policySet.Work, now: number): void {
+    const { service, kind } = stageOf(work);
+    this.#started.set(work, attempt);
+    if (attempt.attempt === 1) this.#router.request(service, undefined, now);
+    const blocks = kind === "engine" ? work.prefix : [];
+    this.#router.service(service, now).group.send(
+      attempt.endpoint,
+      blocks,
+      now,
+    );
+  }
+
+  ended(report: policySet.Report, now: number): void {
+    const { attempt, work, elapsed } = report;
+    const { group, hedges } = this.#serviceOf(work, now);
+    const mean = this.#options.controls.predict(work).mean;
+    const end = ends[report.result](report, elapsed / mean);
+    group.end(attempt.endpoint, end, now);
+    if (report.result === "answered") hedges.finish(work.size, elapsed);
+    if (report.result === "failed") this.#failed.set(work, attempt);
+  }
+
+  #hang(work: policySet.Work, now: number): number {
+    const { hedges } = this.#serviceOf(work, now);
+    return hedges.hanging({ size: work.size, receiving: false });
+  }
+
+  #serviceOf(work: policySet.Work, now: number): routing.router.Service {
+    return this.#router.service(stageOf(work).service, now);
+  }
+}
+
+function stageOf(work: policySet.Work): request.Stage {
+  return work.request.stages[work.stage];
+}
+
+/** What the end of a call tells of its endpoint, by how it ended. */
+const ends: Record<
+  policySet.Report["result"],
+  (report: policySet.Report, slowness: number) => routing.group.Ended
+> = {
+  answered: ({ elapsed }, slowness) => {
+    return { seen: { ok: true, slowness }, service: elapsed };
+  },
+  failed: ({ failure }) => {
+    const blameless = failure !== undefined && BLAMELESS.has(failure.reason);
+    return blameless ? {} : { seen: { ok: false } };
+  },
+  // The time so far is a lower bound.
+  cancelled: (_report, slowness) => {
+    return slowness > 1 ? { seen: { ok: true, slowness } } : {};
+  },
+};
