--- a/src/control/log/replica_test.ts
+++ b/src/control/log/replica_test.ts
@@ -190,6 +190,27 @@
   t.is(applied.length, 1);
 });
 
+test("founds a fleet with the votes of all named hosts", (t) => {
+  let replica = createReplica({ durable: undefined });
+  const events: log.Event[] = [{ type: "tick" }];
+  const answer = (host: string, body: log.Message) => {
+    events.push({ type: "message", host, body });
+  };
+  const addresses = { from: "1", to: "1" };
+  for (const host of ["b", "c"]) {
+    answer(host, { ...addresses, type: "probed", empty: true });
+  }
+  events.push({ type: "synced", write: 1 });
+  const vote = { ...addresses, type: "vote" as const, granted: true, term: 1 };
+  answer("b", vote);
+  for (const event of events) ({ replica } = replica.step(event, 1000));
+  t.is(replica.state.role, "candidate");
+  const last: log.Event = { type: "message", host: "c", body: vote };
+  ({ replica } = replica.step(last, 1000));
+  t.is(replica.state.role, "leader");
+  t.deepEqual(replica.members.voters, VOTERS);
+});
+
 test("takes large snapshots less often", (t) => {
   const sizes = { snapshot: 2, perEntry: 10 };
   let replica = createReplica({ sizes });
