--- a/src/backends/backends_test.ts
+++ b/src/backends/backends_test.ts
@@ -163,6 +163,17 @@
   t.like(end, { failure: { reason: "mismatch" } });
 });
 
+test("lets a plain service use ids of its own", async (t) => {
+  for (const body of ['{"id":"r1/s/1"}', '{"id":"17"}', "{", "[]", ""]) {
+    const server = await listen(t, (_incoming, response) => {
+      response.writeHead(200, echo).end(body);
+    });
+    const { pool } = create();
+    const end = await start(pool, callOf(server.url)).end;
+    t.is(end.type, "answer", body);
+  }
+});
+
 test("takes no malformed or incomplete answer", async (t) => {
   const bodies: [backends.Input, string][] = [
     [inputs.encoder, '{"id":"r1/s/1","data":[{"index":0,"embedding":[1]}]}'],
@@ -179,6 +190,7 @@
     [inputs.engine, chunk(0, " a") + chunk(2, " c") + last],
     [inputs.engine, chunk(0, " a") + chunk(0, " a") + last],
     [inputs.plain, "x".repeat(1001)],
+    [inputs.plain, '{"id":"r2/s/1","booked":"another hull"}'],
   ];
   for (const [input, body] of bodies) {
     const server = await listen(t, (_incoming, response) => {
