--- a/standins/experiment/plots.ts
+++ b/standins/experiment/plots.ts
@@ -150,6 +150,8 @@
   };
 }
 
+/** Milliseconds; a logarithmic axis has no 0. */
+const LEAST_SHOWN = 0.1;
 const PERCENTILES = ["p50", "p90", "p99"] as const;
 
 function latency({ stages }: report.Report): Sketch {
@@ -157,33 +159,36 @@
     PERCENTILES.map((percentile) => ({
       stage: stage.name,
       percentile,
-      milliseconds: stage[percentile],
+      milliseconds: Math.max(LEAST_SHOWN, stage[percentile]),
     }))
   );
+  const y = { field: "stage", sort: null, title: null };
+  const x = {
+    field: "milliseconds",
+    type: "quantitative",
+    title: "milliseconds, logarithmic",
+    scale: { type: "log", nice: true },
+  };
   return {
     title: "Latency by stage",
     note: "Milliseconds of a stage in answered requests, waiting included.",
     spec: {
+      height: { step: STEP + 8 },
       data: { values },
-      mark: "bar",
-      encoding: {
-        x: {
-          field: "stage",
-          sort: null,
-          title: null,
-          axis: { labelAngle: 0 },
-        },
-        xOffset: { field: "percentile" },
-        y: {
-          field: "milliseconds",
-          type: "quantitative",
-          title: "milliseconds",
-        },
-        color: {
-          field: "percentile",
-          scale: { domain: [...PERCENTILES], range: [GREY, BLUE, ORANGE] },
+      layer: [{
+        mark: { type: "line", color: GREY, strokeWidth: 1.5 },
+        encoding: { y, x, detail: { field: "stage" } },
+      }, {
+        mark: { type: "point", filled: true, size: 70, opacity: 1 },
+        encoding: {
+          y,
+          x,
+          color: {
+            field: "percentile",
+            scale: { domain: [...PERCENTILES], range: [GREY, BLUE, ORANGE] },
+          },
         },
-      },
+      }],
     } as Partial<Spec>,
   };
 }
