--- a/src/schema/experiment_types.ts
+++ b/src/schema/experiment_types.ts
@@ -48,6 +48,10 @@
    */
   patience?: number;
   target?: Target;
+  /**
+   * Hosts of the embedded system; 1 when absent.
+   */
+  hosts?: number;
   engines?: Engines;
   arrivals: Arrivals;
   /**
--- a/src/schema/experiment_validators.ts
+++ b/src/schema/experiment_validators.ts
@@ -5,7 +5,7 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Experiment","description":"Load on a running system, or on one embedded in the tool, with faults by\nschedule. Times are milliseconds from the start of the run.\n","type":"object","additionalProperties":false,"required":["name","deployment","duration","arrivals","mix"],"properties":{"name":{"$ref":"#/$defs/Name"},"description":{"type":"string"},"deployment":{"description":"Whose stand-ins the run uses.","enum":["kivu","tran-gia"]},"seed":{"type":"integer","minimum":0,"description":"1 when absent."},"duration":{"description":"Milliseconds in which requests are sent.","type":"integer","minimum":100,"maximum":900000},"requests":{"description":"Requests after which no more are sent; 50000 when absent.","type":"integer","minimum":1,"maximum":200000},"patience":{"description":"Milliseconds past its deadline that a caller waits for a final answer;\n3000 when absent.\n","type":"integer","minimum":0,"maximum":60000},"target":{"$ref":"#/$defs/Target"},"engines":{"$ref":"#/$defs/Engines"},"arrivals":{"$ref":"#/$defs/Arrivals"},"mix":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Entry"}},"faults":{"type":"array","items":{"$ref":"#/$defs/ScheduledFault"}}},"$defs":{"Name":{"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"},"Target":{"title":"Target","description":"A running system; when absent, one is embedded.","type":"object","additionalProperties":false,"required":["hosts","standIns"],"properties":{"hosts":{"description":"Base URLs of the callers' ports, taken in turn.","type":"array","minItems":1,"items":{"type":"string","pattern":"^https?://"}},"standIns":{"description":"Base URL of the control interface of the stand-ins.","type":"string","pattern":"^http://"}}},"Engines":{"title":"Engines","description":"Changes to the engines of embedded stand-ins.","type":"object","additionalProperties":false,"properties":{"slots":{"type":"integer","minimum":1},"stepTime":{"type":"number","exclusiveMinimum":0},"prefillTime":{"type":"number","minimum":0},"decodeTime":{"type":"number","minimum":0},"stride":{"type":"integer","minimum":1},"cacheBlocks":{"type":"integer","minimum":1},"gaps":{"type":"number","minimum":0,"maximum":1}}},"Arrivals":{"title":"Arrivals","description":"Poisson arrivals that do not wait for answers.","type":"object","additionalProperties":false,"required":["rate"],"properties":{"rate":{"type":"number","exclusiveMinimum":0,"maximum":5000,"description":"Requests a second."},"bursts":{"type":"array","items":{"$ref":"#/$defs/Burst"}}}},"Burst":{"title":"Burst","type":"object","additionalProperties":false,"required":["at","for","factor"],"properties":{"at":{"type":"integer","minimum":0},"for":{"type":"integer","minimum":1},"factor":{"type":"number","minimum":0,"description":"How many times the rate."}}},"Entry":{"title":"Entry","description":"Requests of one account and kind.","type":"object","additionalProperties":false,"required":["account","kind","share","deadline","call","input"],"properties":{"account":{"$ref":"#/$defs/Name"},"token":{"$ref":"#/$defs/Secret"},"kind":{"$ref":"#/$defs/Name"},"share":{"type":"number","exclusiveMinimum":0,"description":"Weight in the mix."},"deadline":{"type":"integer","minimum":1},"call":{"$ref":"#/$defs/Call"},"input":{"$ref":"#/$defs/Input"},"tokens":{"$ref":"#/$defs/Distribution"},"maxTokens":{"type":"integer","minimum":1},"stream":{"type":"boolean"},"idempotent":{"type":"boolean","description":"true when absent."},"key":{"type":"boolean","description":"Sends an Idempotency-Key."},"resends":{"description":"Times that a caller asks again, under the same key, when the answer\nwas lost or the system said when to come back; 0 when absent.\n","type":"integer","minimum":0,"maximum":10}}},"Secret":{"title":"Secret","description":"Bearer token by reference; `sample-ACCOUNT` when absent.","type":"object","additionalProperties":false,"minProperties":1,"maxProperties":1,"properties":{"env":{"type":"string","minLength":1},"file":{"type":"string","minLength":1}}},"Call":{"title":"Call","type":"object","discriminator":{"propertyName":"type"},"required":["type"],"oneOf":[{"$ref":"#/$defs/PipelineCall"},{"$ref":"#/$defs/ServiceCall"}]},"PipelineCall":{"title":"PipelineCall","type":"object","additionalProperties":false,"required":["type","pipeline"],"properties":{"type":{"const":"pipeline"},"pipeline":{"$ref":"#/$defs/Name"}}},"ServiceCall":{"title":"ServiceCall","type":"object","additionalProperties":false,"required":["type","service","path"],"properties":{"type":{"const":"service"},"service":{"$ref":"#/$defs/Name"},"method":{"enum":["GET","POST","PUT","DELETE"],"description":"POST when absent."},"path":{"type":"string","pattern":"^/"}}},"Input":{"title":"Input","type":"object","additionalProperties":false,"required":["characters"],"properties":{"characters":{"$ref":"#/$defs/Distribution"},"histories":{"description":"How many different texts the inputs begin with, such as the\nhistories of vessels; each input has its own when absent.\n","type":"integer","minimum":1},"question":{"type":"string","minLength":1},"documents":{"type":"integer","minimum":1,"description":"Documents that the caller sends along."}}},"Distribution":{"title":"Distribution","type":"object","discriminator":{"propertyName":"type"},"required":["type"],"oneOf":[{"$ref":"#/$defs/Fixed"},{"$ref":"#/$defs/Uniform"},{"$ref":"#/$defs/Lognormal"}]},"Fixed":{"title":"Fixed","type":"object","additionalProperties":false,"required":["type","value"],"properties":{"type":{"const":"fixed"},"value":{"type":"integer","minimum":1}}},"Uniform":{"title":"Uniform","type":"object","additionalProperties":false,"required":["type","least","most"],"properties":{"type":{"const":"uniform"},"least":{"type":"integer","minimum":1},"most":{"type":"integer","minimum":1}}},"Lognormal":{"title":"Lognormal","type":"object","additionalProperties":false,"required":["type","median","sigma","most"],"properties":{"type":{"const":"lognormal"},"median":{"type":"integer","minimum":1},"sigma":{"type":"number","minimum":0,"description":"Standard deviation of the logarithm."},"most":{"type":"integer","minimum":1}}},"ScheduledFault":{"title":"ScheduledFault","type":"object","additionalProperties":false,"required":["at","type"],"properties":{"at":{"type":"integer","minimum":0},"type":{"enum":["slow","hang","crossed","late","drop","refuse","silent","leave","kill","clear"]},"service":{"$ref":"#/$defs/Name"},"endpoint":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"first":{"type":"integer","minimum":1,"description":"How many of the selected endpoints."},"factor":{"type":"number","exclusiveMinimum":0},"share":{"type":"number","minimum":0,"maximum":1},"count":{"type":"integer","minimum":1},"for":{"type":"integer","minimum":1}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Experiment","description":"Load on a running system, or on one embedded in the tool, with faults by\nschedule. Times are milliseconds from the start of the run.\n","type":"object","additionalProperties":false,"required":["name","deployment","duration","arrivals","mix"],"properties":{"name":{"$ref":"#/$defs/Name"},"description":{"type":"string"},"deployment":{"description":"Whose stand-ins the run uses.","enum":["kivu","tran-gia"]},"seed":{"type":"integer","minimum":0,"description":"1 when absent."},"duration":{"description":"Milliseconds in which requests are sent.","type":"integer","minimum":100,"maximum":900000},"requests":{"description":"Requests after which no more are sent; 50000 when absent.","type":"integer","minimum":1,"maximum":200000},"patience":{"description":"Milliseconds past its deadline that a caller waits for a final answer;\n3000 when absent.\n","type":"integer","minimum":0,"maximum":60000},"target":{"$ref":"#/$defs/Target"},"hosts":{"description":"Hosts of the embedded system; 1 when absent.","type":"integer","minimum":1,"maximum":6},"engines":{"$ref":"#/$defs/Engines"},"arrivals":{"$ref":"#/$defs/Arrivals"},"mix":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Entry"}},"faults":{"type":"array","items":{"$ref":"#/$defs/ScheduledFault"}}},"$defs":{"Name":{"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"},"Target":{"title":"Target","description":"A running system; when absent, one is embedded.","type":"object","additionalProperties":false,"required":["hosts","standIns"],"properties":{"hosts":{"description":"Base URLs of the callers' ports, taken in turn.","type":"array","minItems":1,"items":{"type":"string","pattern":"^https?://"}},"standIns":{"description":"Base URL of the control interface of the stand-ins.","type":"string","pattern":"^http://"}}},"Engines":{"title":"Engines","description":"Changes to the engines of embedded stand-ins.","type":"object","additionalProperties":false,"properties":{"slots":{"type":"integer","minimum":1},"stepTime":{"type":"number","exclusiveMinimum":0},"prefillTime":{"type":"number","minimum":0},"decodeTime":{"type":"number","minimum":0},"stride":{"type":"integer","minimum":1},"cacheBlocks":{"type":"integer","minimum":1},"gaps":{"type":"number","minimum":0,"maximum":1}}},"Arrivals":{"title":"Arrivals","description":"Poisson arrivals that do not wait for answers.","type":"object","additionalProperties":false,"required":["rate"],"properties":{"rate":{"type":"number","exclusiveMinimum":0,"maximum":5000,"description":"Requests a second."},"bursts":{"type":"array","items":{"$ref":"#/$defs/Burst"}}}},"Burst":{"title":"Burst","type":"object","additionalProperties":false,"required":["at","for","factor"],"properties":{"at":{"type":"integer","minimum":0},"for":{"type":"integer","minimum":1},"factor":{"type":"number","minimum":0,"description":"How many times the rate."}}},"Entry":{"title":"Entry","description":"Requests of one account and kind.","type":"object","additionalProperties":false,"required":["account","kind","share","deadline","call","input"],"properties":{"account":{"$ref":"#/$defs/Name"},"token":{"$ref":"#/$defs/Secret"},"kind":{"$ref":"#/$defs/Name"},"share":{"type":"number","exclusiveMinimum":0,"description":"Weight in the mix."},"deadline":{"type":"integer","minimum":1},"call":{"$ref":"#/$defs/Call"},"input":{"$ref":"#/$defs/Input"},"tokens":{"$ref":"#/$defs/Distribution"},"maxTokens":{"type":"integer","minimum":1},"stream":{"type":"boolean"},"idempotent":{"type":"boolean","description":"true when absent."},"key":{"type":"boolean","description":"Sends an Idempotency-Key."},"resends":{"description":"Times that a caller asks again, under the same key, when the answer\nwas lost or the system said when to come back; 0 when absent.\n","type":"integer","minimum":0,"maximum":10}}},"Secret":{"title":"Secret","description":"Bearer token by reference; `sample-ACCOUNT` when absent.","type":"object","additionalProperties":false,"minProperties":1,"maxProperties":1,"properties":{"env":{"type":"string","minLength":1},"file":{"type":"string","minLength":1}}},"Call":{"title":"Call","type":"object","discriminator":{"propertyName":"type"},"required":["type"],"oneOf":[{"$ref":"#/$defs/PipelineCall"},{"$ref":"#/$defs/ServiceCall"}]},"PipelineCall":{"title":"PipelineCall","type":"object","additionalProperties":false,"required":["type","pipeline"],"properties":{"type":{"const":"pipeline"},"pipeline":{"$ref":"#/$defs/Name"}}},"ServiceCall":{"title":"ServiceCall","type":"object","additionalProperties":false,"required":["type","service","path"],"properties":{"type":{"const":"service"},"service":{"$ref":"#/$defs/Name"},"method":{"enum":["GET","POST","PUT","DELETE"],"description":"POST when absent."},"path":{"type":"string","pattern":"^/"}}},"Input":{"title":"Input","type":"object","additionalProperties":false,"required":["characters"],"properties":{"characters":{"$ref":"#/$defs/Distribution"},"histories":{"description":"How many different texts the inputs begin with, such as the\nhistories of vessels; each input has its own when absent.\n","type":"integer","minimum":1},"question":{"type":"string","minLength":1},"documents":{"type":"integer","minimum":1,"description":"Documents that the caller sends along."}}},"Distribution":{"title":"Distribution","type":"object","discriminator":{"propertyName":"type"},"required":["type"],"oneOf":[{"$ref":"#/$defs/Fixed"},{"$ref":"#/$defs/Uniform"},{"$ref":"#/$defs/Lognormal"}]},"Fixed":{"title":"Fixed","type":"object","additionalProperties":false,"required":["type","value"],"properties":{"type":{"const":"fixed"},"value":{"type":"integer","minimum":1}}},"Uniform":{"title":"Uniform","type":"object","additionalProperties":false,"required":["type","least","most"],"properties":{"type":{"const":"uniform"},"least":{"type":"integer","minimum":1},"most":{"type":"integer","minimum":1}}},"Lognormal":{"title":"Lognormal","type":"object","additionalProperties":false,"required":["type","median","sigma","most"],"properties":{"type":{"const":"lognormal"},"median":{"type":"integer","minimum":1},"sigma":{"type":"number","minimum":0,"description":"Standard deviation of the logarithm."},"most":{"type":"integer","minimum":1}}},"ScheduledFault":{"title":"ScheduledFault","type":"object","additionalProperties":false,"required":["at","type"],"properties":{"at":{"type":"integer","minimum":0},"type":{"enum":["slow","hang","crossed","late","drop","refuse","silent","leave","kill","clear"]},"service":{"$ref":"#/$defs/Name"},"endpoint":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"first":{"type":"integer","minimum":1,"description":"How many of the selected endpoints."},"factor":{"type":"number","exclusiveMinimum":0},"share":{"type":"number","minimum":0,"maximum":1},"count":{"type":"integer","minimum":1},"for":{"type":"integer","minimum":1}}}}};
 const schema32 = {"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"};
 const schema33 = {"title":"Target","description":"A running system; when absent, one is embedded.","type":"object","additionalProperties":false,"required":["hosts","standIns"],"properties":{"hosts":{"description":"Base URLs of the callers' ports, taken in turn.","type":"array","minItems":1,"items":{"type":"string","pattern":"^https?://"}},"standIns":{"description":"Base URL of the control interface of the stand-ins.","type":"string","pattern":"^http://"}}};
 const schema34 = {"title":"Engines","description":"Changes to the engines of embedded stand-ins.","type":"object","additionalProperties":false,"properties":{"slots":{"type":"integer","minimum":1},"stepTime":{"type":"number","exclusiveMinimum":0},"prefillTime":{"type":"number","minimum":0},"decodeTime":{"type":"number","minimum":0},"stride":{"type":"integer","minimum":1},"cacheBlocks":{"type":"integer","minimum":1},"gaps":{"type":"number","minimum":0,"maximum":1}}};
@@ -1761,56 +1761,62 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.engines !== undefined){
-let data11 = data.engines;
+if(data.hosts !== undefined){
+let data11 = data.hosts;
 const _errs26 = errors;
-const _errs27 = errors;
-if(errors === _errs27){
-if(data11 && typeof data11 == "object" && !Array.isArray(data11)){
-const _errs29 = errors;
-for(const key2 in data11){
-if(!(((((((key2 === "slots") || (key2 === "stepTime")) || (key2 === "prefillTime")) || (key2 === "decodeTime")) || (key2 === "stride")) || (key2 === "cacheBlocks")) || (key2 === "gaps"))){
-validate20.errors = [{instancePath:instancePath+"/engines",schemaPath:"#/$defs/Engines/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key2},message:"must NOT have additional properties",schema:false,parentSchema:schema34,data:data11}];
+if(!(((typeof data11 == "number") && (!(data11 % 1) && !isNaN(data11))) && (isFinite(data11)))){
+validate20.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.hosts.type,parentSchema:schema31.properties.hosts,data:data11}];
 return false;
-break;
-}
 }
-if(_errs29 === errors){
-if(data11.slots !== undefined){
-let data12 = data11.slots;
-const _errs30 = errors;
-if(!(((typeof data12 == "number") && (!(data12 % 1) && !isNaN(data12))) && (isFinite(data12)))){
-validate20.errors = [{instancePath:instancePath+"/engines/slots",schemaPath:"#/$defs/Engines/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema34.properties.slots.type,parentSchema:schema34.properties.slots,data:data12}];
+if(errors === _errs26){
+if((typeof data11 == "number") && (isFinite(data11))){
+if(data11 > 6 || isNaN(data11)){
+validate20.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/maximum",keyword:"maximum",params:{comparison: "<=", limit: 6},message:"must be <= 6",schema:6,parentSchema:schema31.properties.hosts,data:data11}];
 return false;
 }
-if(errors === _errs30){
-if((typeof data12 == "number") && (isFinite(data12))){
-if(data12 < 1 || isNaN(data12)){
-validate20.errors = [{instancePath:instancePath+"/engines/slots",schemaPath:"#/$defs/Engines/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema34.properties.slots,data:data12}];
+else {
+if(data11 < 1 || isNaN(data11)){
+validate20.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema31.properties.hosts,data:data11}];
 return false;
 }
 }
 }
-var valid6 = _errs30 === errors;
+}
+var valid0 = _errs26 === errors;
 }
 else {
-var valid6 = true;
+var valid0 = true;
 }
-if(valid6){
-if(data11.stepTime !== undefined){
-let data13 = data11.stepTime;
+if(valid0){
+if(data.engines !== undefined){
+let data12 = data.engines;
+const _errs28 = errors;
+const _errs29 = errors;
+if(errors === _errs29){
+if(data12 && typeof data12 == "object" && !Array.isArray(data12)){
+const _errs31 = errors;
+for(const key2 in data12){
+if(!(((((((key2 === "slots") || (key2 === "stepTime")) || (key2 === "prefillTime")) || (key2 === "decodeTime")) || (key2 === "stride")) || (key2 === "cacheBlocks")) || (key2 === "gaps"))){
+validate20.errors = [{instancePath:instancePath+"/engines",schemaPath:"#/$defs/Engines/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key2},message:"must NOT have additional properties",schema:false,parentSchema:schema34,data:data12}];
+return false;
+break;
+}
+}
+if(_errs31 === errors){
+if(data12.slots !== undefined){
+let data13 = data12.slots;
 const _errs32 = errors;
+if(!(((typeof data13 == "number") && (!(data13 % 1) && !isNaN(data13))) && (isFinite(data13)))){
+validate20.errors = [{instancePath:instancePath+"/engines/slots",schemaPath:"#/$defs/Engines/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema34.properties.slots.type,parentSchema:schema34.properties.slots,data:data13}];
+return false;
+}
 if(errors === _errs32){
 if((typeof data13 == "number") && (isFinite(data13))){
-if(data13 <= 0 || isNaN(data13)){
-validate20.errors = [{instancePath:instancePath+"/engines/stepTime",schemaPath:"#/$defs/Engines/properties/stepTime/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema34.properties.stepTime,data:data13}];
+if(data13 < 1 || isNaN(data13)){
+validate20.errors = [{instancePath:instancePath+"/engines/slots",schemaPath:"#/$defs/Engines/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema34.properties.slots,data:data13}];
 return false;
 }
 }
-else {
-validate20.errors = [{instancePath:instancePath+"/engines/stepTime",schemaPath:"#/$defs/Engines/properties/stepTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema34.properties.stepTime.type,parentSchema:schema34.properties.stepTime,data:data13}];
-return false;
-}
 }
 var valid6 = _errs32 === errors;
 }
@@ -1818,18 +1824,18 @@
 var valid6 = true;
 }
 if(valid6){
-if(data11.prefillTime !== undefined){
-let data14 = data11.prefillTime;
+if(data12.stepTime !== undefined){
+let data14 = data12.stepTime;
 const _errs34 = errors;
 if(errors === _errs34){
 if((typeof data14 == "number") && (isFinite(data14))){
-if(data14 < 0 || isNaN(data14)){
-validate20.errors = [{instancePath:instancePath+"/engines/prefillTime",schemaPath:"#/$defs/Engines/properties/prefillTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema34.properties.prefillTime,data:data14}];
+if(data14 <= 0 || isNaN(data14)){
+validate20.errors = [{instancePath:instancePath+"/engines/stepTime",schemaPath:"#/$defs/Engines/properties/stepTime/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema34.properties.stepTime,data:data14}];
 return false;
 }
 }
 else {
-validate20.errors = [{instancePath:instancePath+"/engines/prefillTime",schemaPath:"#/$defs/Engines/properties/prefillTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema34.properties.prefillTime.type,parentSchema:schema34.properties.prefillTime,data:data14}];
+validate20.errors = [{instancePath:instancePath+"/engines/stepTime",schemaPath:"#/$defs/Engines/properties/stepTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema34.properties.stepTime.type,parentSchema:schema34.properties.stepTime,data:data14}];
 return false;
 }
 }
@@ -1839,18 +1845,18 @@
 var valid6 = true;
 }
 if(valid6){
-if(data11.decodeTime !== undefined){
-let data15 = data11.decodeTime;
+if(data12.prefillTime !== undefined){
+let data15 = data12.prefillTime;
 const _errs36 = errors;
 if(errors === _errs36){
 if((typeof data15 == "number") && (isFinite(data15))){
 if(data15 < 0 || isNaN(data15)){
-validate20.errors = [{instancePath:instancePath+"/engines/decodeTime",schemaPath:"#/$defs/Engines/properties/decodeTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema34.properties.decodeTime,data:data15}];
+validate20.errors = [{instancePath:instancePath+"/engines/prefillTime",schemaPath:"#/$defs/Engines/properties/prefillTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema34.properties.prefillTime,data:data15}];
 return false;
 }
 }
 else {
-validate20.errors = [{instancePath:instancePath+"/engines/decodeTime",schemaPath:"#/$defs/Engines/properties/decodeTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema34.properties.decodeTime.type,parentSchema:schema34.properties.decodeTime,data:data15}];
+validate20.errors = [{instancePath:instancePath+"/engines/prefillTime",schemaPath:"#/$defs/Engines/properties/prefillTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema34.properties.prefillTime.type,parentSchema:schema34.properties.prefillTime,data:data15}];
 return false;
 }
 }
@@ -1860,20 +1866,20 @@
 var valid6 = true;
 }
 if(valid6){
-if(data11.stride !== undefined){
-let data16 = data11.stride;
+if(data12.decodeTime !== undefined){
+let data16 = data12.decodeTime;
 const _errs38 = errors;
-if(!(((typeof data16 == "number") && (!(data16 % 1) && !isNaN(data16))) && (isFinite(data16)))){
-validate20.errors = [{instancePath:instancePath+"/engines/stride",schemaPath:"#/$defs/Engines/properties/stride/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema34.properties.stride.type,parentSchema:schema34.properties.stride,data:data16}];
-return false;
-}
 if(errors === _errs38){
 if((typeof data16 == "number") && (isFinite(data16))){
-if(data16 < 1 || isNaN(data16)){
-validate20.errors = [{instancePath:instancePath+"/engines/stride",schemaPath:"#/$defs/Engines/properties/stride/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema34.properties.stride,data:data16}];
+if(data16 < 0 || isNaN(data16)){
+validate20.errors = [{instancePath:instancePath+"/engines/decodeTime",schemaPath:"#/$defs/Engines/properties/decodeTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema34.properties.decodeTime,data:data16}];
 return false;
 }
 }
+else {
+validate20.errors = [{instancePath:instancePath+"/engines/decodeTime",schemaPath:"#/$defs/Engines/properties/decodeTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema34.properties.decodeTime.type,parentSchema:schema34.properties.decodeTime,data:data16}];
+return false;
+}
 }
 var valid6 = _errs38 === errors;
 }
@@ -1881,17 +1887,17 @@
 var valid6 = true;
 }
 if(valid6){
-if(data11.cacheBlocks !== undefined){
-let data17 = data11.cacheBlocks;
+if(data12.stride !== undefined){
+let data17 = data12.stride;
 const _errs40 = errors;
 if(!(((typeof data17 == "number") && (!(data17 % 1) && !isNaN(data17))) && (isFinite(data17)))){
-validate20.errors = [{instancePath:instancePath+"/engines/cacheBlocks",schemaPath:"#/$defs/Engines/properties/cacheBlocks/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema34.properties.cacheBlocks.type,parentSchema:schema34.properties.cacheBlocks,data:data17}];
+validate20.errors = [{instancePath:instancePath+"/engines/stride",schemaPath:"#/$defs/Engines/properties/stride/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema34.properties.stride.type,parentSchema:schema34.properties.stride,data:data17}];
 return false;
 }
 if(errors === _errs40){
 if((typeof data17 == "number") && (isFinite(data17))){
 if(data17 < 1 || isNaN(data17)){
-validate20.errors = [{instancePath:instancePath+"/engines/cacheBlocks",schemaPath:"#/$defs/Engines/properties/cacheBlocks/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema34.properties.cacheBlocks,data:data17}];
+validate20.errors = [{instancePath:instancePath+"/engines/stride",schemaPath:"#/$defs/Engines/properties/stride/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema34.properties.stride,data:data17}];
 return false;
 }
 }
@@ -1902,28 +1908,49 @@
 var valid6 = true;
 }
 if(valid6){
-if(data11.gaps !== undefined){
-let data18 = data11.gaps;
+if(data12.cacheBlocks !== undefined){
+let data18 = data12.cacheBlocks;
 const _errs42 = errors;
+if(!(((typeof data18 == "number") && (!(data18 % 1) && !isNaN(data18))) && (isFinite(data18)))){
+validate20.errors = [{instancePath:instancePath+"/engines/cacheBlocks",schemaPath:"#/$defs/Engines/properties/cacheBlocks/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema34.properties.cacheBlocks.type,parentSchema:schema34.properties.cacheBlocks,data:data18}];
+return false;
+}
 if(errors === _errs42){
 if((typeof data18 == "number") && (isFinite(data18))){
-if(data18 > 1 || isNaN(data18)){
-validate20.errors = [{instancePath:instancePath+"/engines/gaps",schemaPath:"#/$defs/Engines/properties/gaps/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema34.properties.gaps,data:data18}];
+if(data18 < 1 || isNaN(data18)){
+validate20.errors = [{instancePath:instancePath+"/engines/cacheBlocks",schemaPath:"#/$defs/Engines/properties/cacheBlocks/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema34.properties.cacheBlocks,data:data18}];
 return false;
 }
+}
+}
+var valid6 = _errs42 === errors;
+}
 else {
-if(data18 < 0 || isNaN(data18)){
-validate20.errors = [{instancePath:instancePath+"/engines/gaps",schemaPath:"#/$defs/Engines/properties/gaps/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema34.properties.gaps,data:data18}];
+var valid6 = true;
+}
+if(valid6){
+if(data12.gaps !== undefined){
+let data19 = data12.gaps;
+const _errs44 = errors;
+if(errors === _errs44){
+if((typeof data19 == "number") && (isFinite(data19))){
+if(data19 > 1 || isNaN(data19)){
+validate20.errors = [{instancePath:instancePath+"/engines/gaps",schemaPath:"#/$defs/Engines/properties/gaps/maximum",keyword:"maximum",params:{comparison: "<=", limit: 1},message:"must be <= 1",schema:1,parentSchema:schema34.properties.gaps,data:data19}];
+return false;
+}
+else {
+if(data19 < 0 || isNaN(data19)){
+validate20.errors = [{instancePath:instancePath+"/engines/gaps",schemaPath:"#/$defs/Engines/properties/gaps/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema34.properties.gaps,data:data19}];
 return false;
 }
 }
 }
 else {
-validate20.errors = [{instancePath:instancePath+"/engines/gaps",schemaPath:"#/$defs/Engines/properties/gaps/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema34.properties.gaps.type,parentSchema:schema34.properties.gaps,data:data18}];
+validate20.errors = [{instancePath:instancePath+"/engines/gaps",schemaPath:"#/$defs/Engines/properties/gaps/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema34.properties.gaps.type,parentSchema:schema34.properties.gaps,data:data19}];
 return false;
 }
 }
-var valid6 = _errs42 === errors;
+var valid6 = _errs44 === errors;
 }
 else {
 var valid6 = true;
@@ -1937,47 +1964,47 @@
 }
 }
 else {
-validate20.errors = [{instancePath:instancePath+"/engines",schemaPath:"#/$defs/Engines/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema34.type,parentSchema:schema34,data:data11}];
+validate20.errors = [{instancePath:instancePath+"/engines",schemaPath:"#/$defs/Engines/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema34.type,parentSchema:schema34,data:data12}];
 return false;
 }
 }
-var valid0 = _errs26 === errors;
+var valid0 = _errs28 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.arrivals !== undefined){
-const _errs44 = errors;
+const _errs46 = errors;
 if(!(validate21(data.arrivals, {instancePath:instancePath+"/arrivals",parentData:data,parentDataProperty:"arrivals",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate21.errors : vErrors.concat(validate21.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs44 === errors;
+var valid0 = _errs46 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.mix !== undefined){
-let data20 = data.mix;
-const _errs45 = errors;
-if(errors === _errs45){
-if(Array.isArray(data20)){
-if(data20.length < 1){
-validate20.errors = [{instancePath:instancePath+"/mix",schemaPath:"#/properties/mix/minItems",keyword:"minItems",params:{limit: 1},message:"must NOT have fewer than 1 items",schema:1,parentSchema:schema31.properties.mix,data:data20}];
+let data21 = data.mix;
+const _errs47 = errors;
+if(errors === _errs47){
+if(Array.isArray(data21)){
+if(data21.length < 1){
+validate20.errors = [{instancePath:instancePath+"/mix",schemaPath:"#/properties/mix/minItems",keyword:"minItems",params:{limit: 1},message:"must NOT have fewer than 1 items",schema:1,parentSchema:schema31.properties.mix,data:data21}];
 return false;
 }
 else {
 var valid7 = true;
-const len1 = data20.length;
+const len1 = data21.length;
 for(let i1=0; i1<len1; i1++){
-const _errs47 = errors;
-if(!(validate23(data20[i1], {instancePath:instancePath+"/mix/" + i1,parentData:data20,parentDataProperty:i1,rootData,dynamicAnchors}))){
+const _errs49 = errors;
+if(!(validate23(data21[i1], {instancePath:instancePath+"/mix/" + i1,parentData:data21,parentDataProperty:i1,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate23.errors : vErrors.concat(validate23.errors);
 errors = vErrors.length;
 }
-var valid7 = _errs47 === errors;
+var valid7 = _errs49 === errors;
 if(!valid7){
 break;
 }
@@ -1985,41 +2012,41 @@
 }
 }
 else {
-validate20.errors = [{instancePath:instancePath+"/mix",schemaPath:"#/properties/mix/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema31.properties.mix.type,parentSchema:schema31.properties.mix,data:data20}];
+validate20.errors = [{instancePath:instancePath+"/mix",schemaPath:"#/properties/mix/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema31.properties.mix.type,parentSchema:schema31.properties.mix,data:data21}];
 return false;
 }
 }
-var valid0 = _errs45 === errors;
+var valid0 = _errs47 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.faults !== undefined){
-let data22 = data.faults;
-const _errs48 = errors;
-if(errors === _errs48){
-if(Array.isArray(data22)){
+let data23 = data.faults;
+const _errs50 = errors;
+if(errors === _errs50){
+if(Array.isArray(data23)){
 var valid8 = true;
-const len2 = data22.length;
+const len2 = data23.length;
 for(let i2=0; i2<len2; i2++){
-const _errs50 = errors;
-if(!(validate36(data22[i2], {instancePath:instancePath+"/faults/" + i2,parentData:data22,parentDataProperty:i2,rootData,dynamicAnchors}))){
+const _errs52 = errors;
+if(!(validate36(data23[i2], {instancePath:instancePath+"/faults/" + i2,parentData:data23,parentDataProperty:i2,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate36.errors : vErrors.concat(validate36.errors);
 errors = vErrors.length;
 }
-var valid8 = _errs50 === errors;
+var valid8 = _errs52 === errors;
 if(!valid8){
 break;
 }
 }
 }
 else {
-validate20.errors = [{instancePath:instancePath+"/faults",schemaPath:"#/properties/faults/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema31.properties.faults.type,parentSchema:schema31.properties.faults,data:data22}];
+validate20.errors = [{instancePath:instancePath+"/faults",schemaPath:"#/properties/faults/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema31.properties.faults.type,parentSchema:schema31.properties.faults,data:data23}];
 return false;
 }
 }
-var valid0 = _errs48 === errors;
+var valid0 = _errs50 === errors;
 }
 else {
 var valid0 = true;
@@ -2038,6 +2065,7 @@
 }
 }
 }
+}
 else {
 validate20.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data}];
 return false;
--- a/standins/experiment/embedded.ts
+++ b/standins/experiment/embedded.ts
@@ -1,7 +1,8 @@
-/** A system of one host in this process, with its stand-ins.
+/** A system in this process: its hosts and its stand-ins.
  * @module */
 
 import * as fs from "node:fs";
+import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as url from "node:url";
@@ -18,46 +19,54 @@
 /** From the built module to the root of the project. */
 const ROOT = "../../../";
 
-/** Starts a host with the sample settings of a deployment, and stand-ins. */
+/** Hosts that run. */
+interface Hosts {
+  /** Base URLs of the callers' ports. */
+  urls: string[];
+  stop(): Promise<void>;
+}
+
+/** Starts hosts with the sample settings of a deployment, and stand-ins. */
 export async function start(
-  { deployment, engines = {}, seed }: schema.Experiment,
+  experiment: schema.Experiment,
 ): Promise<target.Target> {
-  const { cacheBlocks, gaps, ...speed } = engines;
-  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "chicoryloft-"));
-  const loaded = alone(load(deployment), folder);
-  const host = await node.Node.start({
-    settings: loaded,
-    logger: telemetry.noLogger,
-  });
-  await host.ready;
-  const hosts = [`http://127.0.0.1:${host.callersPort}`];
-  const { endpointToken } = loaded;
-  const standIns = new fleet.Fleet({
-    deployment: deployments.deployments[deployment],
-    hosts,
-    ...(endpointToken === undefined
+  const loaded = load(experiment.deployment);
+  const hosts = await startHosts(loaded, experiment.hosts ?? 1);
+  const standIns = createFleet(experiment, {
+    hosts: hosts.urls,
+    ...(loaded.endpointToken === undefined
       ? {}
-      : { token: secrets.readSecret(endpointToken) }),
-    ...(seed === undefined ? {} : { seed }),
-    engine: {
-      speed,
-      ...(cacheBlocks === undefined ? {} : { cacheBlocks }),
-      ...(gaps === undefined ? {} : { gaps }),
-    },
+      : { token: secrets.readSecret(loaded.endpointToken) }),
   });
   await standIns.start();
   return {
-    hosts,
+    hosts: hosts.urls,
     ledger: () => Promise.resolve(standIns.ledger.totals()),
     act: (fault) => target.act(standIns, fault),
     async stop() {
-      await host.stop();
+      await hosts.stop();
       await standIns.stop();
-      fs.rmSync(folder, { recursive: true });
     },
   };
 }
 
+function createFleet(
+  { deployment, engines = {}, seed }: schema.Experiment,
+  options: { hosts: readonly string[]; token?: string },
+): fleet.Fleet {
+  const { cacheBlocks, gaps, ...speed } = engines;
+  return new fleet.Fleet({
+    deployment: deployments.deployments[deployment],
+    ...options,
+    ...(seed === undefined ? {} : { seed }),
+    engine: {
+      speed,
+      ...(cacheBlocks === undefined ? {} : { cacheBlocks }),
+      ...(gaps === undefined ? {} : { gaps }),
+    },
+  });
+}
+
 function load(deployment: string): hostSchema.Settings {
   const place = new URL(
     `${ROOT}examples/${deployment}/fleet.yaml`,
@@ -66,18 +75,51 @@
   return settings.load(url.fileURLToPath(place));
 }
 
-/** The same settings for a fleet of one host, which votes. */
-function alone(
+/** Starts the first hosts of a fleet on free ports of the loopback interface,
+ * with data folders that go when they stop. */
+async function startHosts(
   of: hostSchema.Settings,
-  folder: string,
-): hostSchema.Settings {
-  const { id, dataCentre, address } = of.fleet.hosts
-    .find((host) => host.id === of.host)!;
-  const { metrics: _metrics, ...rest } = of;
+  count: number,
+): Promise<Hosts> {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "chicoryloft-"));
+  const hosts = await Promise.all(
+    of.fleet.hosts.slice(0, count).map(async (host) => ({
+      ...host,
+      port: await freePort(),
+      listen: { callers: { port: 0 }, operators: { port: 0 } },
+    })),
+  );
+  const [first, ...rest] = hosts;
+  const nodes = await Promise.all(hosts.map(({ id, listen }) => {
+    const { metrics: _metrics, ...others } = of;
+    return node.Node.start({
+      settings: {
+        ...others,
+        host: id,
+        folder: path.join(folder, id),
+        fleet: { ...of.fleet, hosts: [first, ...rest] },
+        listen,
+      },
+      logger: telemetry.noLogger,
+    });
+  }));
+  await Promise.all(nodes.map(({ ready }) => ready));
   return {
-    ...rest,
-    folder,
-    fleet: { hosts: [{ id, dataCentre, address, port: 0, voter: true }] },
-    listen: { callers: { port: 0 }, operators: { port: 0 } },
+    urls: nodes.map(({ callersPort }) => `http://127.0.0.1:${callersPort}`),
+    async stop() {
+      await Promise.all(nodes.map((each) => each.stop()));
+      fs.rmSync(folder, { recursive: true });
+    },
   };
 }
+
+/** A port that nobody listens on at this moment. */
+async function freePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
