--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -13,6 +13,7 @@
 import type * as reply from "./reply.ts";
 import type * as request from "./request.ts";
 import type * as runtime from "../runtime/mod.ts";
+import type * as telemetry from "../telemetry/mod.ts";
 
 /** A checked request of a known account. */
 export interface Ask {
@@ -42,6 +43,7 @@
   host: string;
   clock: runtime.Clock;
   random: runtime.Random;
+  metrics: telemetry.Metrics;
   execution: execution.Execution;
   claims: pathOptions.Claims | undefined;
 }
@@ -104,12 +106,19 @@
     if (ask.key === undefined || (claims === undefined && made.idempotent)) {
       execution.submit(job);
     } else if (claims === undefined) {
-      ask.reply.refuse(refusal("claim-refused", NO_CLAIMS));
+      this.#deny(ask.reply, refusal("claim-refused", NO_CLAIMS));
     } else {
       this.#claim(claims, job, ask.reply);
     }
   }
 
+  /** Refuses what never reached the dispatcher. */
+  #deny(answer: IntakeReply, problem: effect.Problem): void {
+    const labels = { problem: problem.name };
+    this.#options.metrics.count("request.refused", 1, labels);
+    answer.refuse(problem);
+  }
+
   #request(id: string, ask: Ask): request.Request {
     const { account, kind, target, payload, arrived, key, streaming } = ask;
     const first = material.Material.create(payload).measure(target.steps[0]);
@@ -145,7 +154,7 @@
     let late = false;
     const cancel = clock.after(claim.remaining, () => {
       late = true;
-      answer.refuse(refusal("claim-refused", LATE_CLAIM));
+      this.#deny(answer, refusal("claim-refused", LATE_CLAIM));
     });
     const handlers: ClaimHandlers = {
       granted: () => {
@@ -160,12 +169,12 @@
       answered: (found) => answer.repeat(found.answer),
       // The key's first request may run: this one alone did not.
       "in-progress": () =>
-        answer.refuse({
+        this.#deny(answer, {
           ...refusal("in-progress", RUNNING),
           outcome: "unknown",
         }),
       refused: ({ detail, outcome }) =>
-        answer.refuse({ ...refusal("claim-refused", detail), outcome }),
+        this.#deny(answer, { ...refusal("claim-refused", detail), outcome }),
     };
     claims.claim(claim).catch(failedClaim).then((result) => {
       cancel();
--- a/src/request/path.ts
+++ b/src/request/path.ts
@@ -48,6 +48,7 @@
       host: settings.host,
       clock,
       random,
+      metrics,
       execution: this.#execution,
       claims,
     });
--- a/src/request/path_test.ts
+++ b/src/request/path_test.ts
@@ -463,6 +463,7 @@
   });
   t.like(await post(url, "book", once), { status: 503 });
   t.is(started.fleet.billing.calls(), 0);
+  t.is(started.tally.total("request.refused"), 2);
   await started.stop();
 });
 
