Take out a voter whose host is neither named nor heard

A host taken out of the settings stayed a voter that is down, and nothing an operator could do changed that.

--- a/src/control/log/change.ts
+++ b/src/control/log/change.ts
@@ -19,7 +19,7 @@
   const removed = !current.voters.includes(state.id);
   if (removed) return drafts.follow(draft, state.term);
   const next = promote(draft, current) ?? admit(draft, current) ??
-    dropSilent(draft, current);
+    dropSilent(draft, current) ?? dropUnnamed(draft, current);
   if (next) replication.setMembers(draft, next);
 }
 
@@ -72,15 +72,27 @@
 }
 
 function dropSilent(draft: drafts.Draft, now: schema.Members): Proposal {
-  const { state } = draft;
-  const silent = now.learners.find((id) => {
-    const { answered, since } = replication.progressOf(draft, id);
-    const last = Math.max(answered, since);
-    return last + state.timing.learnerSilence <= draft.now;
-  });
+  const silent = now.learners.find((id) => isSilent(draft, id));
   return silent === undefined ? undefined : members.without(now, silent);
 }
 
+/** Takes out a voter whose host is neither heard nor named any more. */
+function dropUnnamed(draft: drafts.Draft, now: schema.Members): Proposal {
+  const { id: own, hosts } = draft.state;
+  const unnamed = now.voters.find((id) =>
+    id !== own && !hosts.includes(replicaId.host(id)) && isSilent(draft, id)
+  );
+  if (unnamed === undefined) return undefined;
+  const next = members.without(now, unnamed);
+  return isLive(draft, next) ? next : undefined;
+}
+
+function isSilent(draft: drafts.Draft, id: string): boolean {
+  const { answered, since } = replication.progressOf(draft, id);
+  const last = Math.max(answered, since);
+  return last + draft.state.timing.silence <= draft.now;
+}
+
 /** Whether a majority of the new voters answers now. */
 function isLive(draft: drafts.Draft, next: schema.Members): boolean {
   const { state } = draft;
--- a/src/control/log/runner_test.ts
+++ b/src/control/log/runner_test.ts
@@ -249,6 +249,30 @@
   t.is(leader.runner!.replica.members.voters.length, 5);
 });
 
+test("takes out a voter that is neither named nor heard", async (t) => {
+  const world = await createWorld(3);
+  const leader = leaderOf(world);
+  const [out, other] = othersThan(world, leader);
+  const hosts = [leader.name, other.name];
+  for (const host of [leader, other]) {
+    host.act((runner) => runner.setHosts(hosts));
+  }
+  await world.run(12_000);
+  t.is(leader.runner!.replica.members.voters.length, 3);
+  out.crash();
+  await world.run(9_000);
+  t.is(leader.runner!.replica.members.voters.length, 3);
+  await world.run(3_000);
+  const expected = [leader.identity!, other.identity!];
+  t.deepEqual(
+    [...leader.runner!.replica.members.voters].sort(),
+    expected.sort(),
+  );
+  world.propose(leader);
+  await world.run(300);
+  t.is(world.checker.acknowledged, 1);
+});
+
 test("keeps all through a restart of all hosts at once", async (t) => {
   const world = await createWorld(3);
   for (let count = 0; count < 300; count++) {
--- a/src/control/log/state.ts
+++ b/src/control/log/state.ts
@@ -13,8 +13,9 @@
   readonly electionLeast: number;
   readonly electionMost: number;
   readonly lease: number;
-  /** A learner that is silent for so long is dropped. */
-  readonly learnerSilence: number;
+  /** A learner that is silent for so long is dropped, and a voter whose host
+   * the settings no longer name. */
+  readonly silence: number;
 }
 
 /** Defaults: links of a few milliseconds, clocks that differ by up to a
@@ -24,7 +25,7 @@
   electionLeast: 300,
   electionMost: 600,
   lease: 240,
-  learnerSilence: 10_000,
+  silence: 10_000,
 };
 
 /** Sizes in entries, but for `characters` and `chunk` in characters. */
