Scenarios: ratios stay finite, so that JSON keeps them

A ratio to a baseline without misses was infinite, which JSON writes as null, so that a comparison with it always broke.

--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -126,9 +126,12 @@
   return values.reduce((total, value) => total + of(value), 0) / values.length;
 }
 
+/** Least divisor, so that a ratio stays finite, as JSON needs. */
+const LEAST = 1e-4;
+
 /** A ratio; 1 when both are 0. */
 function divide(a: number, b: number): number {
-  return a === b ? 1 : a / b;
+  return a === b ? 1 : a / Math.max(LEAST, b);
 }
 
 function ratio(name: string, value: number): result.Result {
