Run of real processes: a leader killed under 500 edits, another voter right after

Change: six daemons from the Kivu example; editors that resend and race; the leader is killed with SIGKILL, another voter as soon as it is back; every host's table is compared with what was accepted.

--- a/bench/processes/editors.ts
+++ b/bench/processes/editors.ts
@@ -30,6 +30,8 @@
 /** What the editors need. */
 export interface Options {
   operators: readonly operator.Operator[];
+  /** Name of the operator whose token they use. */
+  actor: string;
   /** Edits to get accepted, over all editors. */
   edits: number;
   /** Editors at work at once; each has rows of its own. */
@@ -126,7 +128,7 @@
     this.#value++;
     return {
       operation: crypto.randomUUID(),
-      actor: "bench",
+      actor: this.#options.actor,
       changes: [
         {
           row: this.#row,
@@ -145,6 +147,7 @@
       if (answer.type === "accepted" || answer.type === "conflict") {
         return answer;
       }
+      if (answer.type === "rejected") throw new Error(answer.detail);
       await this.#pause();
     }
     throw new Error(`Edit ${edit.operation} was never answered`);
--- a/bench/processes/kills.ts
+++ b/bench/processes/kills.ts
@@ -19,6 +19,8 @@
 /** What a run found. */
 export interface Finding {
   accepted: number;
+  /** Whether both kills and both returns fell into the stream of edits. */
+  killedDuringEdits: boolean;
   /** Accepted edits that are missing, or not the last word on their cell. */
   lost: number;
   /** Revisions that no accepted edit accounts for. */
@@ -51,9 +53,11 @@
   const first = await revisionOf(operators[0]);
   const observer = new Observer(fleet);
   const watching = observer.run();
-  const killing = kill(fleet);
+  let killed = false;
+  const killing = kill(fleet).then(() => killed = true);
   const outcome = await editors.run({
     operators,
+    actor: "planner",
     edits: EDITS,
     editors: EDITORS,
     resends: 0.1,
@@ -61,6 +65,7 @@
     random: runtime.createRandom(SEED),
     clock: runtime.systemClock,
   });
+  const killedDuringEdits = killed;
   const last = Math.max(...outcome.accepted.map(({ revision }) => revision));
   const before = performance.now();
   await fleet.until(async () => {
@@ -73,6 +78,7 @@
   await watching;
   return {
     accepted: outcome.accepted.length,
+    killedDuringEdits,
     lost: await countLost(operators, outcome.accepted),
     doubled: last - first - outcome.accepted.length,
     changedAnswers: outcome.changedAnswers,
--- a/bench/processes/operator.ts
+++ b/bench/processes/operator.ts
@@ -9,7 +9,8 @@
   | { type: "accepted"; revision: number }
   | { type: "conflict" }
   | { type: "not-run" }
-  | { type: "unknown" };
+  | { type: "unknown" }
+  | { type: "rejected"; detail: string };
 
 /** Row of the table as the operators' interface shows it. */
 export interface Row {
@@ -97,6 +98,7 @@
     return { type: "accepted", revision: Number(answer.revision) };
   }
   if (status === 409) return { type: "conflict" };
+  if (status < 500) return { type: "rejected", detail: String(answer.detail) };
   if (answer.outcome === "not-run") return { type: "not-run" };
   return { type: "unknown" };
 }
