--- a/bench/processes/editors.ts
+++ b/bench/processes/editors.ts
@@ -32,8 +32,10 @@
   operators: readonly operator.Operator[];
   /** Name of the operator whose token they use. */
   actor: string;
-  /** Edits to get accepted, over all editors. */
+  /** Edits to get accepted at least, over all editors. */
   edits: number;
+  /** Asked after each edit past these: whether more are wanted. */
+  more(): boolean;
   /** Editors at work at once; each has rows of its own. */
   editors: number;
   /** Share of accepted edits that are sent again. */
@@ -50,7 +52,7 @@
 /** Tries of one edit before the run is given up. */
 const MOST_TRIES = 1_200;
 
-/** Runs the editors until all edits are accepted. */
+/** Runs the editors until enough edits are accepted. */
 export async function run(options: Options): Promise<Outcome> {
   const record = new Tally();
   const share = Math.ceil(options.edits / options.editors);
@@ -94,7 +96,7 @@
   }
 
   async run(edits: number): Promise<void> {
-    for (let count = 0; count < edits; count++) {
+    for (let count = 0; count < edits || this.#options.more(); count++) {
       const racing = this.#options.random.next() < this.#options.races;
       if (racing) await this.#race();
       else await this.#edit();
--- a/bench/processes/kills.ts
+++ b/bench/processes/kills.ts
@@ -9,6 +9,7 @@
 
 const SETTINGS = "examples/kivu/fleet.yaml";
 const FOLDER = "out/kills";
+/** Edits at least; they go on until both killed voters are back. */
 const EDITS = 500;
 const EDITORS = 8;
 const SEED = 7;
@@ -19,8 +20,6 @@
 /** What a run found. */
 export interface Finding {
   accepted: number;
-  /** Whether both kills and both returns fell into the stream of edits. */
-  killedDuringEdits: boolean;
   /** Accepted edits that are missing, or not the last word on their cell. */
   lost: number;
   /** Revisions that no accepted edit accounts for. */
@@ -54,18 +53,18 @@
   const observer = new Observer(fleet);
   const watching = observer.run();
   let killed = false;
-  const killing = kill(fleet).then(() => killed = true);
+  const killing = kill(fleet).finally(() => killed = true);
   const outcome = await editors.run({
     operators,
     actor: "planner",
     edits: EDITS,
+    more: () => !killed,
     editors: EDITORS,
     resends: 0.1,
     races: 0.1,
     random: runtime.createRandom(SEED),
     clock: runtime.systemClock,
   });
-  const killedDuringEdits = killed;
   const last = Math.max(...outcome.accepted.map(({ revision }) => revision));
   const before = performance.now();
   await fleet.until(async () => {
@@ -78,7 +77,6 @@
   await watching;
   return {
     accepted: outcome.accepted.length,
-    killedDuringEdits,
     lost: await countLost(operators, outcome.accepted),
     doubled: last - first - outcome.accepted.length,
     changedAnswers: outcome.changedAnswers,
--- a/standins/demo.ts
+++ b/standins/demo.ts
@@ -3,8 +3,8 @@
  * @module */
 
 import * as random from "../src/runtime/random.ts";
-import * as deployments from "./deployments.ts";
-import * as embedded from "./embedded.ts";
+import * as embedded from "./experiment/embedded.ts";
+import type * as target from "./experiment/target.ts";
 import * as demoReport from "./demo_report.ts";
 import * as histories from "./histories.ts";
 import * as undici from "undici";
@@ -56,13 +56,10 @@
 
 async function main(): Promise<void> {
   console.error("Starting a host and Kivu's stand-ins on loopback");
-  const system = await embedded.Embedded.start({
-    deployment: deployments.kivu,
-    seed: SEED,
-  });
+  const system = await embedded.start({ deployment: "kivu", seed: SEED });
   try {
     const answers = await askAll(system);
-    const totals = system.fleet.ledger.totals();
+    const totals = await system.ledger();
     console.log(demoReport.write(answers, totals));
     const whole = answers.every(({ whole }) => whole);
     if (!whole) process.exitCode = 1;
@@ -72,7 +69,7 @@
 }
 
 async function askAll(
-  system: embedded.Embedded,
+  { hosts: [url] }: target.Target,
 ): Promise<demoReport.Answer[]> {
   const source = random.create(SEED);
   const asked: Promise<demoReport.Answer>[] = [];
@@ -80,7 +77,7 @@
   for (let pos = 0; pos < REQUESTS; pos++) {
     const caller = CALLERS[pos % CALLERS.length];
     const history = histories.write(source, caller);
-    const answer = ask(system.url, { caller, history });
+    const answer = ask(url, { caller, history });
     asked.push(answer.finally(() => done++));
     await pause(PACE);
     if (pos % 10 === 9) console.error(`sent ${pos + 1}, answered ${done}`);
--- a/standins/experiment/embedded.ts
+++ b/standins/experiment/embedded.ts
@@ -26,9 +26,15 @@
   stop(): Promise<void>;
 }
 
+/** What is embedded: the part of an experiment that is not load. */
+export type System = Pick<
+  schema.Experiment,
+  "deployment" | "seed" | "hosts" | "engines"
+>;
+
 /** Starts hosts with the sample settings of a deployment, and stand-ins. */
 export async function start(
-  experiment: schema.Experiment,
+  experiment: System,
 ): Promise<target.Target> {
   const loaded = load(experiment.deployment);
   const hosts = await startHosts(loaded, experiment.hosts ?? 1);
@@ -51,7 +57,7 @@
 }
 
 function createFleet(
-  { deployment, engines = {}, seed }: schema.Experiment,
+  { deployment, engines = {}, seed }: System,
   options: { hosts: readonly string[]; token?: string },
 ): fleet.Fleet {
   const { cacheBlocks, gaps, ...speed } = engines;
