Orders to engines run on the hosts that vote

Cause: the reconciler of the table's service rows was tested by itself but no host ran one, so that editing a model or version did nothing.

Change: every host follows table and announced engines, and orders while it holds the lease of the log. limits.loadRate in the settings (1 when absent) says what the weight store bears. An engine of a new generation is a new process, whose former report is void. Each order is logged with the operators who wrote the row.

--- a/src/control/log/mod.ts
+++ b/src/control/log/mod.ts
@@ -10,6 +10,7 @@
 export * from "./runner.ts";
 export type * from "./runner_options.ts";
 export type * from "./state.ts";
+export { TIMING } from "./state.ts";
 export type { LogMessage as Message } from "../../schema/log_types.ts";
 export * as members from "./members.ts";
 export * as replicaId from "./replica_id.ts";
--- a/src/control/orders/orders.ts
+++ b/src/control/orders/orders.ts
@@ -165,8 +165,8 @@
     const ids = services.get(engine.service) ?? [];
     services.set(engine.service, [...ids, engine.id]);
     const known = state.entries.get(engine.id);
-    // Another URL is another process: what is known of it is void.
-    if (known?.engine.url === engine.url) {
+    // Another process: what is known of the former is void.
+    if (known !== undefined && sameProcess(known.engine, engine)) {
       return [engine.id, { ...known, engine }];
     }
     return [engine.id, { engine, fresh: false, asked: false, readAt: now }];
@@ -175,6 +175,10 @@
   return { ...state, entries: table.Trie.create(entries), services, calls };
 }
 
+function sameProcess(left: plans.Engine, right: plans.Engine): boolean {
+  return left.url === right.url && left.generation === right.generation;
+}
+
 function finish(state: State, entry: Entry): State {
   const ended = { ...entry, call: undefined };
   const entries = state.entries.set(entry.engine.id, ended);
--- a/src/control/orders/orders_test.ts
+++ b/src/control/orders/orders_test.ts
@@ -217,3 +217,28 @@
   t.is(engine.loads, 1);
   t.is(engine.report.role, "decode");
 });
+
+test("what is known of an engine is void once it has started again", (t) => {
+  const engine = { id: "e0", service: "lm", url: "http://e0" };
+  const event = (generation: number): orders.OrdersEvent => ({
+    type: "engines",
+    engines: [{ ...engine, generation, fencing: "checks" }],
+  });
+  const lease = { token: 1, since: 0, until: 9e9 };
+  const events: orders.OrdersEvent[] = [
+    { type: "table", table: createTable({ model: "m" }) },
+    { type: "lease", lease },
+    event(1),
+    {
+      type: "report",
+      engine: "e0",
+      report: createReport({ models: [{ model: "m" }] }),
+    },
+  ];
+  let state = orders.Orders.create(LIMITS);
+  for (const each of events) state = state.step(each, 0).orders;
+  const types = (generation: number) =>
+    state.step(event(generation), 1).effects.map(({ type }) => type);
+  t.deepEqual(types(1), ["wake"]);
+  t.deepEqual(types(2), ["read", "wake"]);
+});
--- a/src/control/orders/plan.ts
+++ b/src/control/orders/plan.ts
@@ -11,6 +11,8 @@
   id: string;
   service: string;
   url: string;
+  /** Run of the engine: a later one has nothing of what the former loaded. */
+  generation?: number;
   /** Whether it refuses old fencing tokens; `unknown` counts as ignoring. */
   fencing?: endpoint.Announcement["fencing"];
 }
--- a/src/control/orders/reconciler.ts
+++ b/src/control/orders/reconciler.ts
@@ -33,6 +33,7 @@
   readonly #alarm: runtime.Alarm;
   readonly #look: runtime.Alarm;
   #orders: orders.Orders;
+  #table: table.Table | undefined;
   #token: number | undefined;
 
   private constructor(options: ReconcilerOptions) {
@@ -61,6 +62,7 @@
 
   /** Follows the table in force. */
   setTable(current: table.Table): void {
+    this.#table = current;
     this.#step({ type: "table", table: current });
   }
 
@@ -125,10 +127,14 @@
   async #order(
     { engine, token, order }: Extract<events.OrdersEffect, { type: "order" }>,
   ): Promise<void> {
+    const { id, service } = engine;
+    const operators = this.#table?.authors(`service/${service}`);
     const answer = await this.#caller.order(engine, token, { order });
-    const { logger } = this.#options;
-    logger.info({ engine: engine.id, token, order, answer }, "engine ordered");
-    this.#step({ type: "answer", engine: engine.id, answer });
+    this.#options.logger.info(
+      { engine: id, service, operators, token, order, answer },
+      "engine ordered",
+    );
+    this.#step({ type: "answer", engine: id, answer });
   }
 }
 
--- a/src/control/table/table.ts
+++ b/src/control/table/table.ts
@@ -120,6 +120,12 @@
     return { row: name, cells: Object.fromEntries(filled) };
   }
 
+  /** Who last wrote the cells of a row, emptied ones included. */
+  authors(name: string): string[] {
+    const cells = Object.values(this.#rows.get(name) ?? {});
+    return [...new Set(cells.map(({ actor }) => actor))].sort();
+  }
+
   /** Rows that are not empty, in order of their names; of one kind if given. */
   rows(kind = ""): Row[] {
     const names = [...this.#rows.entries()].map(([name]) => name);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -109,7 +109,7 @@
 
   dump(): unknown {
     const { tally, settings } = this.#foundation;
-    const { source, members, path, directory, transport } = this.#parts;
+    const { source, members, path, directory, transport, orders } = this.#parts;
     const rows = source.access.view().rows();
     return {
       status: this.status(),
@@ -119,6 +119,7 @@
       control: source.dump(),
       members: members.view.toJSON(),
       endpoints: directory.dump(),
+      orders: orders.dump(),
       peers: transport.dump(),
       settings: redactSettings(settings),
     };
--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -8,6 +8,7 @@
 import type * as registry from "../schema/registry_types.ts";
 import * as accounts from "./accounts.ts";
 import * as directories from "./directory.ts";
+import * as engineOrders from "./engine_orders.ts";
 import type * as foundation from "./foundation.ts";
 import * as memberships from "./members.ts";
 import type * as options from "./options.ts";
@@ -24,6 +25,7 @@
   source: tableSource.TableSource;
   members: memberships.Members;
   directory: directories.Directory;
+  orders: engineOrders.EngineOrders;
   path: request.RequestPath;
 }
 
@@ -49,6 +51,7 @@
     transport,
     onFailure: (failure) => fail(failure, base, options),
   });
+  const orders = engineOrders.EngineOrders.create({ ...base, source });
   const known = accounts.Accounts.create();
   const path = request.RequestPath.create({
     ...base,
@@ -87,8 +90,9 @@
   await source.start();
   members.start();
   directory.start();
+  orders.start();
   followEndpoints();
-  return { transport, source, members, directory, path };
+  return { transport, source, members, directory, orders, path };
 
   function take(notice: request.Notice): Promise<request.NoticeResult> {
     const detail = serving.reject(settings, notice);
@@ -97,6 +101,7 @@
   }
 
   function followEndpoints(): void {
+    orders.setEngines(directory.serving);
     path.setEndpoints(serving.reachable(settings, directory.serving));
   }
 
@@ -109,7 +114,8 @@
 
 /** Stops all parts but the request path, which stops by itself. */
 export async function stop(parts: Parts): Promise<void> {
-  const { transport, source, directory } = parts;
+  const { transport, source, directory, orders } = parts;
+  orders.stop();
   directory.stop();
   await source.stop();
   await transport.stop();
--- a/src/node/table_source.ts
+++ b/src/node/table_source.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import * as control from "../control/mod.ts";
+import type * as orders from "../control/orders/mod.ts";
 import * as operators from "../operators/mod.ts";
 import type * as request from "../request/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
@@ -37,6 +38,9 @@
   catchUp(): Promise<boolean>;
   /** Takes an envelope of the channels log, watch and control. */
   receive(envelope: runtime.Envelope): void;
+  /** The right to order engines and to share out limits, by a fresh look at
+   * the clock; undefined where it is not held. */
+  lease(): orders.Lease | undefined;
   /** Hands leadership over, before a stop. */
   drain(): void;
   stop(): Promise<void>;
@@ -65,6 +69,7 @@
     start: () => Promise.resolve(),
     catchUp: () => Promise.resolve(true),
     receive() {},
+    lease: () => undefined,
     drain() {},
     stop: () => Promise.resolve(),
     status: () => ({ type: "local" }),
@@ -99,6 +104,7 @@
     start: () => access.start(),
     catchUp: () => access.catchUp(),
     receive: (envelope) => access.receive(envelope),
+    lease: () => access.lease(),
     drain: () => access.drain(),
     async stop() {
       access.stop();
--- a/src/schema/settings_types.ts
+++ b/src/schema/settings_types.ts
@@ -239,6 +239,10 @@
    * Milliseconds; 1500 when absent.
    */
   endpointLease?: number;
+  /**
+   * Loads of models a second over all engines, which the weight store allows; 1 when absent.
+   */
+  loadRate?: number;
 }
 /**
  * This interface was referenced by `Settings`'s JSON-Schema
--- a/src/schema/settings_validators.ts
+++ b/src/schema/settings_validators.ts
@@ -5,11 +5,11 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Settings","description":"Settings of one host, read once at its start.","type":"object","additionalProperties":false,"required":["host","fleet","listen","services","pipelines"],"properties":{"host":{"$ref":"#/$defs/Name"},"folder":{"description":"Data folder; required on a host that votes. `{host}` stands for the\nhost's id. Relative paths start from the folder of the settings file.\n","type":"string","minLength":1},"fleet":{"$ref":"#/$defs/Fleet"},"listen":{"$ref":"#/$defs/Listen"},"services":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Service"}},"pipelines":{"type":"array","items":{"$ref":"#/$defs/Pipeline"}},"table":{"description":"Rows that the table starts with when it is empty.","type":"array","items":{"$ref":"#/$defs/InitialRow"}},"operators":{"type":"array","items":{"$ref":"#/$defs/Operator"}},"endpointToken":{"$ref":"#/$defs/Secret"},"limits":{"$ref":"#/$defs/Limits"},"log":{"$ref":"#/$defs/Log"},"metrics":{"$ref":"#/$defs/Metrics"}},"$defs":{"Name":{"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"},"Secret":{"title":"Secret","description":"A secret by reference, never by value.","type":"object","additionalProperties":false,"minProperties":1,"maxProperties":1,"properties":{"env":{"type":"string","minLength":1,"description":"Name of an environment variable."},"file":{"type":"string","minLength":1,"description":"Path of a file that holds it."}}},"Fleet":{"title":"Fleet","type":"object","additionalProperties":false,"required":["hosts"],"properties":{"key":{"$ref":"#/$defs/Secret"},"hosts":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Host"}}}},"Host":{"title":"Host","type":"object","additionalProperties":false,"required":["id","dataCentre","address","port"],"properties":{"id":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"region":{"$ref":"#/$defs/Name"},"address":{"type":"string","minLength":1,"description":"IP number other hosts dial."},"port":{"$ref":"#/$defs/Port"},"voter":{"type":"boolean","description":"Holds the replicated log on its disk."},"listen":{"$ref":"#/$defs/Listen"}}},"Port":{"title":"Port","type":"integer","minimum":0,"maximum":65535},"Listen":{"title":"Listen","description":"Where callers and operators are served; a host's own goes first.","type":"object","additionalProperties":false,"required":["callers","operators"],"properties":{"callers":{"$ref":"#/$defs/Listener"},"operators":{"$ref":"#/$defs/Listener"}}},"Listener":{"title":"Listener","type":"object","additionalProperties":false,"required":["port"],"properties":{"address":{"type":"string","minLength":1,"description":"127.0.0.1 when absent."},"port":{"$ref":"#/$defs/Port"},"tls":{"$ref":"#/$defs/Tls"}}},"Tls":{"title":"Tls","type":"object","additionalProperties":false,"required":["certificate","key"],"properties":{"certificate":{"type":"string","minLength":1,"description":"Path of a PEM file."},"key":{"type":"string","minLength":1,"description":"Path of a PEM file."}}},"Service":{"title":"Service","type":"object","additionalProperties":false,"required":["name","kind"],"properties":{"name":{"$ref":"#/$defs/Name"},"kind":{"enum":["engine","encoder","retriever","reranker","plain"]},"model":{"type":"string","minLength":1},"idempotent":{"description":"Whether its calls may be repeated; true when absent.","type":"boolean"},"slots":{"description":"Calls an endpoint runs at once if it does not say; 8 when absent.","type":"integer","minimum":1},"endpoints":{"description":"Endpoints that do not announce themselves.","type":"array","items":{"$ref":"#/$defs/StaticEndpoint"}}}},"StaticEndpoint":{"title":"StaticEndpoint","type":"object","additionalProperties":false,"required":["id","url","dataCentre"],"properties":{"id":{"$ref":"#/$defs/Name"},"url":{"type":"string","pattern":"^https?://"},"dataCentre":{"$ref":"#/$defs/Name"}}},"Pipeline":{"title":"Pipeline","type":"object","additionalProperties":false,"required":["name","deadline","stages"],"properties":{"name":{"$ref":"#/$defs/Name"},"deadline":{"description":"Milliseconds, when the caller names none; also the most it may name.","type":"integer","minimum":1},"stages":{"type":"array","minItems":1,"maxItems":8,"items":{"$ref":"#/$defs/Stage"}}}},"Stage":{"title":"Stage","type":"object","additionalProperties":false,"required":["name","service"],"properties":{"name":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"top":{"type":"integer","minimum":1,"description":"Documents that a retriever or reranker keeps."},"maxTokens":{"type":"integer","minimum":1,"description":"Most tokens that an engine generates."},"instruction":{"type":"string","description":"Put before the prompt of an engine."}}},"InitialRow":{"title":"InitialRow","type":"object","additionalProperties":false,"required":["row","cells"],"properties":{"row":{"type":"string","pattern":"^(account|kind|service)/[a-z0-9][a-z0-9.-]*$"},"cells":{"type":"object","additionalProperties":{"type":["number","string","boolean"]}}}},"Operator":{"title":"Operator","type":"object","additionalProperties":false,"required":["name","token"],"properties":{"name":{"$ref":"#/$defs/Name"},"token":{"$ref":"#/$defs/Secret"},"role":{"enum":["reader","editor"],"description":"editor when absent."}}},"Limits":{"title":"Limits","type":"object","additionalProperties":false,"properties":{"bodyBytes":{"type":"integer","minimum":1,"description":"Largest body; 4 MiB when absent."},"answerBytes":{"type":"integer","minimum":1,"description":"Largest stage answer; 16 MiB when absent."},"inFlight":{"type":"integer","minimum":1,"description":"Requests in a host at once; 1000 when absent."},"endpointLease":{"type":"integer","minimum":100,"description":"Milliseconds; 1500 when absent."}}},"Log":{"title":"Log","type":"object","additionalProperties":false,"properties":{"level":{"enum":["debug","info","warn","error","silent"]}}},"Metrics":{"title":"Metrics","type":"object","additionalProperties":false,"required":["address","port"],"properties":{"address":{"type":"string","minLength":1},"port":{"$ref":"#/$defs/Port"},"prefix":{"type":"string"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Settings","description":"Settings of one host, read once at its start.","type":"object","additionalProperties":false,"required":["host","fleet","listen","services","pipelines"],"properties":{"host":{"$ref":"#/$defs/Name"},"folder":{"description":"Data folder; required on a host that votes. `{host}` stands for the\nhost's id. Relative paths start from the folder of the settings file.\n","type":"string","minLength":1},"fleet":{"$ref":"#/$defs/Fleet"},"listen":{"$ref":"#/$defs/Listen"},"services":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Service"}},"pipelines":{"type":"array","items":{"$ref":"#/$defs/Pipeline"}},"table":{"description":"Rows that the table starts with when it is empty.","type":"array","items":{"$ref":"#/$defs/InitialRow"}},"operators":{"type":"array","items":{"$ref":"#/$defs/Operator"}},"endpointToken":{"$ref":"#/$defs/Secret"},"limits":{"$ref":"#/$defs/Limits"},"log":{"$ref":"#/$defs/Log"},"metrics":{"$ref":"#/$defs/Metrics"}},"$defs":{"Name":{"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"},"Secret":{"title":"Secret","description":"A secret by reference, never by value.","type":"object","additionalProperties":false,"minProperties":1,"maxProperties":1,"properties":{"env":{"type":"string","minLength":1,"description":"Name of an environment variable."},"file":{"type":"string","minLength":1,"description":"Path of a file that holds it."}}},"Fleet":{"title":"Fleet","type":"object","additionalProperties":false,"required":["hosts"],"properties":{"key":{"$ref":"#/$defs/Secret"},"hosts":{"type":"array","minItems":1,"items":{"$ref":"#/$defs/Host"}}}},"Host":{"title":"Host","type":"object","additionalProperties":false,"required":["id","dataCentre","address","port"],"properties":{"id":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"region":{"$ref":"#/$defs/Name"},"address":{"type":"string","minLength":1,"description":"IP number other hosts dial."},"port":{"$ref":"#/$defs/Port"},"voter":{"type":"boolean","description":"Holds the replicated log on its disk."},"listen":{"$ref":"#/$defs/Listen"}}},"Port":{"title":"Port","type":"integer","minimum":0,"maximum":65535},"Listen":{"title":"Listen","description":"Where callers and operators are served; a host's own goes first.","type":"object","additionalProperties":false,"required":["callers","operators"],"properties":{"callers":{"$ref":"#/$defs/Listener"},"operators":{"$ref":"#/$defs/Listener"}}},"Listener":{"title":"Listener","type":"object","additionalProperties":false,"required":["port"],"properties":{"address":{"type":"string","minLength":1,"description":"127.0.0.1 when absent."},"port":{"$ref":"#/$defs/Port"},"tls":{"$ref":"#/$defs/Tls"}}},"Tls":{"title":"Tls","type":"object","additionalProperties":false,"required":["certificate","key"],"properties":{"certificate":{"type":"string","minLength":1,"description":"Path of a PEM file."},"key":{"type":"string","minLength":1,"description":"Path of a PEM file."}}},"Service":{"title":"Service","type":"object","additionalProperties":false,"required":["name","kind"],"properties":{"name":{"$ref":"#/$defs/Name"},"kind":{"enum":["engine","encoder","retriever","reranker","plain"]},"model":{"type":"string","minLength":1},"idempotent":{"description":"Whether its calls may be repeated; true when absent.","type":"boolean"},"slots":{"description":"Calls an endpoint runs at once if it does not say; 8 when absent.","type":"integer","minimum":1},"endpoints":{"description":"Endpoints that do not announce themselves.","type":"array","items":{"$ref":"#/$defs/StaticEndpoint"}}}},"StaticEndpoint":{"title":"StaticEndpoint","type":"object","additionalProperties":false,"required":["id","url","dataCentre"],"properties":{"id":{"$ref":"#/$defs/Name"},"url":{"type":"string","pattern":"^https?://"},"dataCentre":{"$ref":"#/$defs/Name"}}},"Pipeline":{"title":"Pipeline","type":"object","additionalProperties":false,"required":["name","deadline","stages"],"properties":{"name":{"$ref":"#/$defs/Name"},"deadline":{"description":"Milliseconds, when the caller names none; also the most it may name.","type":"integer","minimum":1},"stages":{"type":"array","minItems":1,"maxItems":8,"items":{"$ref":"#/$defs/Stage"}}}},"Stage":{"title":"Stage","type":"object","additionalProperties":false,"required":["name","service"],"properties":{"name":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"top":{"type":"integer","minimum":1,"description":"Documents that a retriever or reranker keeps."},"maxTokens":{"type":"integer","minimum":1,"description":"Most tokens that an engine generates."},"instruction":{"type":"string","description":"Put before the prompt of an engine."}}},"InitialRow":{"title":"InitialRow","type":"object","additionalProperties":false,"required":["row","cells"],"properties":{"row":{"type":"string","pattern":"^(account|kind|service)/[a-z0-9][a-z0-9.-]*$"},"cells":{"type":"object","additionalProperties":{"type":["number","string","boolean"]}}}},"Operator":{"title":"Operator","type":"object","additionalProperties":false,"required":["name","token"],"properties":{"name":{"$ref":"#/$defs/Name"},"token":{"$ref":"#/$defs/Secret"},"role":{"enum":["reader","editor"],"description":"editor when absent."}}},"Limits":{"title":"Limits","type":"object","additionalProperties":false,"properties":{"bodyBytes":{"type":"integer","minimum":1,"description":"Largest body; 4 MiB when absent."},"answerBytes":{"type":"integer","minimum":1,"description":"Largest stage answer; 16 MiB when absent."},"inFlight":{"type":"integer","minimum":1,"description":"Requests in a host at once; 1000 when absent."},"endpointLease":{"type":"integer","minimum":100,"description":"Milliseconds; 1500 when absent."},"loadRate":{"type":"number","exclusiveMinimum":0,"description":"Loads of models a second over all engines, which the weight store allows; 1 when absent."}}},"Log":{"title":"Log","type":"object","additionalProperties":false,"properties":{"level":{"enum":["debug","info","warn","error","silent"]}}},"Metrics":{"title":"Metrics","type":"object","additionalProperties":false,"required":["address","port"],"properties":{"address":{"type":"string","minLength":1},"port":{"$ref":"#/$defs/Port"},"prefix":{"type":"string"}}}}};
 const schema32 = {"title":"Name","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*$"};
 const schema54 = {"title":"InitialRow","type":"object","additionalProperties":false,"required":["row","cells"],"properties":{"row":{"type":"string","pattern":"^(account|kind|service)/[a-z0-9][a-z0-9.-]*$"},"cells":{"type":"object","additionalProperties":{"type":["number","string","boolean"]}}}};
 const schema34 = {"title":"Secret","description":"A secret by reference, never by value.","type":"object","additionalProperties":false,"minProperties":1,"maxProperties":1,"properties":{"env":{"type":"string","minLength":1,"description":"Name of an environment variable."},"file":{"type":"string","minLength":1,"description":"Path of a file that holds it."}}};
-const schema59 = {"title":"Limits","type":"object","additionalProperties":false,"properties":{"bodyBytes":{"type":"integer","minimum":1,"description":"Largest body; 4 MiB when absent."},"answerBytes":{"type":"integer","minimum":1,"description":"Largest stage answer; 16 MiB when absent."},"inFlight":{"type":"integer","minimum":1,"description":"Requests in a host at once; 1000 when absent."},"endpointLease":{"type":"integer","minimum":100,"description":"Milliseconds; 1500 when absent."}}};
+const schema59 = {"title":"Limits","type":"object","additionalProperties":false,"properties":{"bodyBytes":{"type":"integer","minimum":1,"description":"Largest body; 4 MiB when absent."},"answerBytes":{"type":"integer","minimum":1,"description":"Largest stage answer; 16 MiB when absent."},"inFlight":{"type":"integer","minimum":1,"description":"Requests in a host at once; 1000 when absent."},"endpointLease":{"type":"integer","minimum":100,"description":"Milliseconds; 1500 when absent."},"loadRate":{"type":"number","exclusiveMinimum":0,"description":"Loads of models a second over all engines, which the weight store allows; 1 when absent."}}};
 const schema60 = {"title":"Log","type":"object","additionalProperties":false,"properties":{"level":{"enum":["debug","info","warn","error","silent"]}}};
 const func1 = Object.prototype.hasOwnProperty;
 const pattern4 = new RegExp("^[a-z0-9][a-z0-9.-]*$", "u");
@@ -1794,7 +1794,7 @@
 if(data18 && typeof data18 == "object" && !Array.isArray(data18)){
 const _errs42 = errors;
 for(const key4 in data18){
-if(!((((key4 === "bodyBytes") || (key4 === "answerBytes")) || (key4 === "inFlight")) || (key4 === "endpointLease"))){
+if(!(((((key4 === "bodyBytes") || (key4 === "answerBytes")) || (key4 === "inFlight")) || (key4 === "endpointLease")) || (key4 === "loadRate"))){
 validate20.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/$defs/Limits/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key4},message:"must NOT have additional properties",schema:false,parentSchema:schema59,data:data18}];
 return false;
 break;
@@ -1884,6 +1884,28 @@
 else {
 var valid12 = true;
 }
+if(valid12){
+if(data18.loadRate !== undefined){
+let data23 = data18.loadRate;
+const _errs51 = errors;
+if(errors === _errs51){
+if((typeof data23 == "number") && (isFinite(data23))){
+if(data23 <= 0 || isNaN(data23)){
+validate20.errors = [{instancePath:instancePath+"/limits/loadRate",schemaPath:"#/$defs/Limits/properties/loadRate/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema59.properties.loadRate,data:data23}];
+return false;
+}
+}
+else {
+validate20.errors = [{instancePath:instancePath+"/limits/loadRate",schemaPath:"#/$defs/Limits/properties/loadRate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema59.properties.loadRate.type,parentSchema:schema59.properties.loadRate,data:data23}];
+return false;
+}
+}
+var valid12 = _errs51 === errors;
+}
+else {
+var valid12 = true;
+}
+}
 }
 }
 }
@@ -1901,47 +1923,47 @@
 }
 if(valid0){
 if(data.log !== undefined){
-let data23 = data.log;
-const _errs51 = errors;
-const _errs52 = errors;
-if(errors === _errs52){
-if(data23 && typeof data23 == "object" && !Array.isArray(data23)){
+let data24 = data.log;
+const _errs53 = errors;
 const _errs54 = errors;
-for(const key5 in data23){
+if(errors === _errs54){
+if(data24 && typeof data24 == "object" && !Array.isArray(data24)){
+const _errs56 = errors;
+for(const key5 in data24){
 if(!(key5 === "level")){
-validate20.errors = [{instancePath:instancePath+"/log",schemaPath:"#/$defs/Log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema60,data:data23}];
+validate20.errors = [{instancePath:instancePath+"/log",schemaPath:"#/$defs/Log/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key5},message:"must NOT have additional properties",schema:false,parentSchema:schema60,data:data24}];
 return false;
 break;
 }
 }
-if(_errs54 === errors){
-if(data23.level !== undefined){
-let data24 = data23.level;
-if(!(((((data24 === "debug") || (data24 === "info")) || (data24 === "warn")) || (data24 === "error")) || (data24 === "silent"))){
-validate20.errors = [{instancePath:instancePath+"/log/level",schemaPath:"#/$defs/Log/properties/level/enum",keyword:"enum",params:{allowedValues: schema60.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema60.properties.level.enum,parentSchema:schema60.properties.level,data:data24}];
+if(_errs56 === errors){
+if(data24.level !== undefined){
+let data25 = data24.level;
+if(!(((((data25 === "debug") || (data25 === "info")) || (data25 === "warn")) || (data25 === "error")) || (data25 === "silent"))){
+validate20.errors = [{instancePath:instancePath+"/log/level",schemaPath:"#/$defs/Log/properties/level/enum",keyword:"enum",params:{allowedValues: schema60.properties.level.enum},message:"must be equal to one of the allowed values",schema:schema60.properties.level.enum,parentSchema:schema60.properties.level,data:data25}];
 return false;
 }
 }
 }
 }
 else {
-validate20.errors = [{instancePath:instancePath+"/log",schemaPath:"#/$defs/Log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema60.type,parentSchema:schema60,data:data23}];
+validate20.errors = [{instancePath:instancePath+"/log",schemaPath:"#/$defs/Log/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema60.type,parentSchema:schema60,data:data24}];
 return false;
 }
 }
-var valid0 = _errs51 === errors;
+var valid0 = _errs53 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.metrics !== undefined){
-const _errs56 = errors;
+const _errs58 = errors;
 if(!(validate41(data.metrics, {instancePath:instancePath+"/metrics",parentData:data,parentDataProperty:"metrics",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate41.errors : vErrors.concat(validate41.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs56 === errors;
+var valid0 = _errs58 === errors;
 }
 else {
 var valid0 = true;
--- a/src/settings/settings_test.ts
+++ b/src/settings/settings_test.ts
@@ -144,6 +144,11 @@
     message: "fleet.yaml:24: /table/0/cells/weight: found 0, " +
       "expected a number above 0",
   },
+  {
+    title: "a load rate of nothing",
+    text: `${WHOLE}limits: { loadRate: 0 }\n`,
+    message: "fleet.yaml:27: /limits/loadRate: found 0, expected > 0",
+  },
   {
     title: "a row of a service that is not there",
     text: changed("row: account/crews", "row: service/crews"),
