--- a/standins/experiment/page.ts
+++ b/standins/experiment/page.ts
@@ -47,8 +47,8 @@
 <body>
 <h1>${escape(made.experiment)}</h1>
 <p class="note">${escape(made.description)}</p>
-<p class="note">Deployment ${made.deployment}, seed ${made.seed}, requests
-sent for ${seconds(made.duration)} s, open loop.</p>
+<p class="note">Deployment ${made.deployment}, ${made.system}, seed
+${made.seed}, requests sent for ${seconds(made.duration)} s, open loop.</p>
 ${tiles(made)}
 <div class="plots">${drawn.map(figure).join("\n")}</div>
 ${violations(made)}
--- a/standins/experiment/report.ts
+++ b/standins/experiment/report.ts
@@ -71,6 +71,8 @@
   description: string;
   deployment: string;
   seed: number;
+  /** What it ran against. */
+  system: string;
   duration: number;
   counts: Counts;
   latency: summary.Summary;
@@ -115,6 +117,7 @@
     description: experiment.description ?? "",
     deployment: experiment.deployment,
     seed: experiment.seed ?? 1,
+    system: describe(experiment),
     duration: experiment.duration,
     counts,
     latency: summarizeLatency(checked),
@@ -133,6 +136,11 @@
   };
 }
 
+function describe({ target, hosts = 1 }: schema.Experiment): string {
+  if (target !== undefined) return `${target.hosts.length} running hosts`;
+  return `${hosts} embedded host${hosts === 1 ? "" : "s"}`;
+}
+
 function checkRuns(outcome: run.Outcome, totals: ledger.Totals): run.Outcome {
   const { expected, reply, marker } = outcome;
   const violation = outcome.violation ??
