--- a/bench/members.ts
+++ b/bench/members.ts
@@ -5,10 +5,12 @@
 
 import * as fleets from "./members/fleet.ts";
 import * as memory from "./members/memory.ts";
+import * as shares from "./members/shares.ts";
 import type * as result from "./result.ts";
 
 /** Hosts of the fleets, and endpoints before each host. */
 const SIZES = [6, 50, 150, 390];
+const SHARE_SIZES = [6, 50];
 const ENDPOINTS_PER_HOST = 2;
 /** Seconds of each window. */
 const IDLE = 20;
@@ -31,6 +33,7 @@
   results.push(
     bytes("dense/50 hosts, 705 endpoints/idle", dense.bytes, BUDGET),
   );
+  results.push(...SHARE_SIZES.flatMap(measureShares));
   results.push(
     time("memory of one host for each host known", perHost, "B"),
     time("memory of one host for each endpoint known", perEndpoint, "B"),
@@ -79,6 +82,16 @@
   ];
 }
 
+function measureShares(size: number): result.Result[] {
+  const { allocator, host, cpu } = shares.measure(size);
+  const name = (what: string) => `shares/${size} hosts, 10 limits/${what}`;
+  return [
+    count(name("allocator sends"), allocator, "B/s"),
+    count(name("another host sends"), host, "B/s"),
+    time(name("processor time of all"), cpu / 10, "% of a core"),
+  ];
+}
+
 /** Bytes that each host sends for a restart of a host and of an endpoint. */
 function measureRestarts(fleet: fleets.Fleet, idle: fleets.Window): number {
   const { clock } = fleet.hosts;
--- a/bench/members/memory.ts
+++ b/bench/members/memory.ts
@@ -9,7 +9,7 @@
 import type * as members from "../../src/schema/membership_types.ts";
 import type * as schema from "../../src/schema/registry_types.ts";
 
-const HOSTS = 390;
+const HOSTS = 2000;
 const ENDPOINTS = 5500;
 
 /** Bytes of heap. */
--- a/src/schema/shares_types.ts
+++ b/src/schema/shares_types.ts
@@ -67,9 +67,15 @@
    */
   lease: number;
   /**
+   * Number of the grant in force whose shares it repeats.
+   */
+  like?: number;
+  /**
+   * Absent when it repeats a grant.
+   *
    * @maxItems 10000
    */
-  rows: Share[];
+  rows?: Share[];
 }
 export interface Share {
   row: string;
--- a/src/shares/allocator.ts
+++ b/src/shares/allocator.ts
@@ -153,6 +153,7 @@
   });
   const client: divisions.Client = {
     report: report.number,
+    applied: report.applied,
     claims: new Map(report.rows.map((row) => [limits.keyOf(row), row])),
     reportedAt: now,
     answered: false,
@@ -196,21 +197,14 @@
   },
 ): divisions.Client {
   const { state, now } = step;
-  const rows: schema.Share[] = [];
-  for (const { row, column } of state.limits) {
-    const extra = extras.get(limits.keyOf({ row, column }));
-    if (extra !== undefined) rows.push({ row, column, extra });
-  }
-  const { report } = client;
+  const { report, applied } = client;
   const term = state.term!;
-  const body: schema.Grant = {
-    type: "grant",
-    number,
-    term,
-    report,
-    lease: LEASE,
-    rows,
-  };
+  const type = "grant";
+  const head = { type, number, term, report, lease: LEASE } as const;
+  const last = client.outstanding.find((grant) => grant.number === applied);
+  const body: schema.Grant = last !== undefined && same(last.extras, extras)
+    ? { ...head, like: applied }
+    : { ...head, rows: sharesOf(state, extras) };
   step.effects.push({ type: "send", to: host, body });
   const outstanding = [
     ...client.outstanding,
@@ -218,3 +212,15 @@
   ];
   return { ...client, answered: true, outstanding };
 }
+
+function sharesOf({ limits: all }: State, extras: divisions.Extras) {
+  return all.flatMap(({ row, column }): schema.Share[] => {
+    const extra = extras.get(limits.keyOf({ row, column }));
+    return extra === undefined ? [] : [{ row, column, extra }];
+  });
+}
+
+function same(left: divisions.Extras, right: divisions.Extras): boolean {
+  return left.size === right.size &&
+    [...left].every(([key, extra]) => right.get(key) === extra);
+}
--- a/src/shares/division.ts
+++ b/src/shares/division.ts
@@ -21,6 +21,8 @@
 export interface Client {
   /** Number of the last report. */
   report: number;
+  /** Number of the grant that was in force when it was sent. */
+  applied: number;
   claims: ReadonlyMap<string, schema.Claim>;
   reportedAt: number;
   /** Whether a round has answered the report. */
@@ -62,7 +64,7 @@
   for (const [pos, party] of parties.entries()) {
     if (party.answered) continue;
     const most = waiting ? party.held : party.committed + free;
-    const extra = Math.min(targets[pos], most);
+    const extra = limits.round(limit.column, Math.min(targets[pos], most));
     free -= Math.max(0, extra - party.committed);
     const extras = granted.get(party.host) ?? new Map<string, number>();
     granted.set(party.host, extras.set(key, extra));
--- a/src/shares/holder.ts
+++ b/src/shares/holder.ts
@@ -8,6 +8,8 @@
 
 /** Least time between two reports. */
 export const REPORT_INTERVAL = 1000;
+/** Significant digits of a demand: small changes move no share. */
+const DEMAND_DIGITS = 2;
 /** Reports whose sending time is remembered. */
 const REPORTS_KEPT = 16;
 
@@ -201,7 +203,12 @@
     const held = extraOf(state, { key, now });
     if (demand <= base / 2 && held === 0 && used === 0) return [];
     const { row, column } = limit;
-    const claim: schema.Claim = { row, column, demand, held };
+    const claim: schema.Claim = {
+      row,
+      column,
+      demand: Number(demand.toPrecision(DEMAND_DIGITS)),
+      held,
+    };
     return [used > 0 ? { ...claim, used } : claim];
   });
 }
@@ -209,17 +216,23 @@
 /** Puts a grant in force, unless a newer one is or its allocator is old. */
 function apply(step: Step, grant: schema.Grant): void {
   const { state, now } = step;
-  const { term, number, report, lease, rows } = grant;
+  const { term, number, report, lease, like } = grant;
   const sentAt = state.sent.get(report);
   if (term !== state.term || sentAt === undefined) return;
   const known = state.lease;
   if (known?.term === term && number <= known.number) return;
   const until = sentAt + lease;
   if (until <= now) return;
-  const extras = new Map(rows.map((row) => [limits.keyOf(row), row.extra]));
+  const repeats = known?.term === term && known.number === like;
+  if (like !== undefined && !repeats) return;
+  const extras = repeats ? known.extras : extrasOf(grant);
   step.state = { ...state, lease: { term, number, until, extras } };
 }
 
+function extrasOf({ rows = [] }: schema.Grant): ReadonlyMap<string, number> {
+  return new Map(rows.map((row) => [limits.keyOf(row), row.extra]));
+}
+
 /** Brings the shares up to date and tells the other parts. */
 function settle(step: Step): void {
   const { state, now } = step;
--- a/src/shares/limit.ts
+++ b/src/shares/limit.ts
@@ -35,7 +35,12 @@
   return limit.limit - divisor(hosts) * base(limit, hosts);
 }
 
-/** A share in the unit of its column: whole for requests in flight. */
+/** Parts of a request a second in which rates are divided. */
+const RATE_PARTS = 1000;
+
+/** A share in the unit of its column, never more than before. */
 export function round(column: schema.LimitColumn, share: number): number {
-  return column === "concurrency" ? Math.floor(share) : share;
+  if (column === "concurrency") return Math.floor(share);
+  // A share that is rounded again must not lose another part.
+  return Math.floor(share * RATE_PARTS + 1e-6) / RATE_PARTS;
 }
