One definition of table events; file names by the style guide

Cause: control and the operators' API each had the events of the table and their order by revision, which must stay alike.

--- a/src/control/host/control.ts
+++ b/src/control/host/control.ts
@@ -15,6 +15,7 @@
 import * as errors from "./errors.ts";
 import * as followers from "./follower.ts";
 import * as proposers from "./proposer.ts";
+import * as events from "./table_event.ts";
 import * as voters from "./voter.ts";
 
 /** Milliseconds that an edit may take before its outcome is unknown. */
@@ -48,22 +49,6 @@
   | table.Answer
   | { type: "unavailable"; outcome: "not-run" | "unknown"; detail: string };
 
-/** What a watcher of the table in force hears. */
-export type TableEvent =
-  | {
-    type: "change";
-    revision: number;
-    actor: string;
-    /** When it came into force here, milliseconds since the Unix epoch. */
-    at: number;
-    changes: readonly table.Written[];
-  }
-  /** The table jumped to a later revision by a snapshot. */
-  | { type: "reset"; revision: number };
-
-/** Takes events of the table; must not throw. */
-export type Watcher = (event: TableEvent) => void;
-
 /** Control at one host. */
 export class Control {
   /** Claims for the request path. */
@@ -71,7 +56,7 @@
   readonly #options: ControlOptions;
   readonly #proposer: proposers.Proposer;
   readonly #follower: followers.Follower;
-  readonly #watchers = new Set<Watcher>();
+  readonly #watchers = new Set<events.Watcher>();
   #voter: voters.Voter | undefined;
   /** Revision that this host had to reach when it started; unknown at first. */
   #barrier = Infinity;
@@ -135,7 +120,7 @@
   }
 
   /** Calls `watcher` on each change after this call. */
-  watch(watcher: Watcher): runtime.Cancel {
+  watch(watcher: events.Watcher): runtime.Cancel {
     this.#watchers.add(watcher);
     return () => this.#watchers.delete(watcher);
   }
@@ -226,10 +211,8 @@
     metrics.gauge("table.revision", revision);
     if (revision >= this.#barrier) this.#passBarrier();
     if (written === undefined) return this.#tell({ type: "reset", revision });
-    const at = clock.wall();
-    for (const changes of byRevision(written)) {
-      const [{ version, actor }] = changes;
-      this.#tell({ type: "change", revision: version, actor, at, changes });
+    for (const event of events.changeEvents(written, clock.wall())) {
+      this.#tell(event);
     }
   }
 
@@ -238,7 +221,7 @@
     this.#options.logger.info({ ...status }, "view of the quorum changed");
   }
 
-  #tell(event: TableEvent): void {
+  #tell(event: events.TableEvent): void {
     for (const watcher of this.#watchers) watcher(event);
   }
 
@@ -275,15 +258,3 @@
   const detail = type === "invalid" ? reply.detail : "No answer to an edit";
   return { type: "refused", detail };
 }
-
-/** Cells in order of the edits that wrote them. */
-function byRevision(written: readonly table.Written[]): table.Written[][] {
-  const groups = new Map<number, table.Written[]>();
-  for (const cell of written) {
-    const group = groups.get(cell.version);
-    if (group === undefined) groups.set(cell.version, [cell]);
-    else group.push(cell);
-  }
-  return [...groups.keys()].sort((a, b) => a - b)
-    .map((revision) => groups.get(revision)!);
-}
--- a/src/control/host/mod.ts
+++ b/src/control/host/mod.ts
@@ -4,4 +4,5 @@
 export * from "./claim_keeper.ts";
 export * from "./control.ts";
 export * from "./errors.ts";
+export * from "./table_event.ts";
 export type { Status, Transport } from "./follower.ts";
--- a/src/operators/table_events.ts
+++ b/src/control/host/table_event.ts
@@ -1,15 +1,30 @@
-/** Events for watchers of the table, out of what changed in it.
+/** What watchers of the table in force hear.
  * @module */
 
-import type * as table from "../control/table/mod.ts";
-import type * as access from "./access.ts";
+import type * as table from "../table/mod.ts";
+
+/** What a watcher of the table in force hears. */
+export type TableEvent =
+  | {
+    type: "change";
+    revision: number;
+    actor: string;
+    /** When it came into force here, milliseconds since the Unix epoch. */
+    at: number;
+    changes: readonly table.Written[];
+  }
+  /** The table jumped to a later revision by a snapshot. */
+  | { type: "reset"; revision: number };
+
+/** Takes events of the table; must not throw. */
+export type Watcher = (event: TableEvent) => void;
 
 /** One change event for each revision in `written`, in order. A delta between
  * hosts may carry several revisions; each is one edit of one actor. */
 export function changeEvents(
   written: readonly table.Written[],
   at: number,
-): readonly access.TableEvent[] {
+): readonly TableEvent[] {
   const byRevision = new Map<number, table.Written[]>();
   for (const cell of written) {
     const cells = byRevision.get(cell.version);
--- a/src/operators/access.ts
+++ b/src/operators/access.ts
@@ -2,46 +2,22 @@
  * the local table for a host that is alone.
  * @module */
 
+import type * as control from "../control/mod.ts";
 import type * as table from "../control/table/mod.ts";
-import type * as request from "../request/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as settings from "../schema/settings_types.ts";
 import type * as schema from "../schema/table_types.ts";
 
-/** Answer to an edit, or why there is none. */
-export type EditResult =
-  | table.Answer
-  | {
-    type: "unavailable";
-    /** `unknown` once the edit may have reached the log. */
-    outcome: Exclude<request.Outcome, "ran">;
-    detail: string;
-  };
-
-/** What a watcher of the table hears. */
-export type TableEvent =
-  | {
-    type: "change";
-    revision: number;
-    actor: string;
-    /** When it came into force here, milliseconds since the Unix epoch. */
-    at: number;
-    changes: readonly table.Written[];
-  }
-  /** The table jumped to a later revision by a snapshot. */
-  | { type: "reset"; revision: number };
-
-/** Takes events of the table; must not throw. */
-export type Watcher = (event: TableEvent) => void;
+export type { EditResult, TableEvent, Watcher } from "../control/mod.ts";
 
 /** The table as one host sees and edits it. */
 export interface TableAccess {
   /** The table in force on this host; its revision never goes back. */
   view(): table.Table;
   /** Calls `watcher` on each change after this call. */
-  watch(watcher: Watcher): runtime.Cancel;
+  watch(watcher: control.Watcher): runtime.Cancel;
   /** Applies a checked edit once, however often it is sent. */
-  edit(edit: schema.Edit): Promise<EditResult>;
+  edit(edit: schema.Edit): Promise<control.EditResult>;
 }
 
 /** Whether a host takes requests. */
--- a/src/operators/local_table.ts
+++ b/src/operators/local_table.ts
@@ -2,11 +2,11 @@
  * process. It drives the machine that the replicated log drives elsewhere.
  * @module */
 
+import * as control from "../control/mod.ts";
 import * as table from "../control/table/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/table_types.ts";
 import type * as access from "./access.ts";
-import * as tableEvents from "./table_events.ts";
 
 /** One copy of the table. */
 export class LocalTable implements access.TableAccess {
@@ -55,7 +55,7 @@
 
   #tell(): void {
     const { written } = this.#state;
-    for (const event of tableEvents.changeEvents(written, this.#clock.wall())) {
+    for (const event of control.changeEvents(written, this.#clock.wall())) {
       for (const watcher of this.#watchers) watcher(event);
     }
   }
--- a/src/operators/mod.ts
+++ b/src/operators/mod.ts
@@ -17,4 +17,3 @@
 export type { Name as ProblemName, Problem } from "./problem.ts";
 export { redactRows } from "./redaction.ts";
 export { type Options as ServerOptions, Server } from "./server.ts";
-export { changeEvents } from "./table_events.ts";
