--- a/bench/fuzz_members.ts
+++ b/bench/fuzz_members.ts
@@ -1,6 +1,6 @@
 /** Runs seeded schedules of faults against membership, registry and shares.
  *
- *     node dist/bench/fuzz_members.js [--seeds 200] [--from 1] [--seconds 60]
+ *     npm run fuzz:members -- [--seeds 200] [--from 1] [--seconds 60]
  *
  * @module */
 
--- a/bench/members.ts
+++ b/bench/members.ts
@@ -17,7 +17,7 @@
 const CHURN = 30;
 /** Restarts of hosts, and of endpoints, within the churn window. */
 const RESTARTS = 5;
-/** The letter's rate at 390 hosts: restarts and failures of hosts in a day. */
+/** Target at 390 hosts: restarts and failures of hosts in a day. */
 const RESTARTS_A_DAY = 1839;
 const DAY = 86_400;
 const LARGEST = 390;
@@ -28,7 +28,7 @@
 export function run(): Promise<result.Result[]> {
   const { perHost, perEndpoint } = memory.measure();
   const results = SIZES.flatMap(measureSize);
-  // Endpoints before a host as the letter has them, on a smaller fleet.
+  // Endpoints before a host as at the target size, on a smaller fleet.
   const dense = new fleets.Fleet(50, 705).measure(IDLE);
   results.push(
     bytes("dense/50 hosts, 705 endpoints/idle", dense.bytes, BUDGET),
@@ -73,7 +73,7 @@
       perRestart,
       "B",
     ),
-    bytes(name("at the letter's restarts"), idle.bytes + rate * perRestart),
+    bytes(name("at the target's restarts"), idle.bytes + rate * perRestart),
     count(name("join at all hosts"), join, "ms", 2000),
     count(name("departure at all hosts"), leave, "ms", 2000),
     count(name("loss of a data centre known at all hosts"), settled, "ms"),
