--- a/bench/processes/editors.ts
+++ b/bench/processes/editors.ts
@@ -36,6 +36,8 @@
   edits: number;
   /** Asked after each edit past these: whether more are wanted. */
   more(): boolean;
+  /** Milliseconds between two edits of one editor; none when absent. */
+  pace?: number;
   /** Editors at work at once; each has rows of its own. */
   editors: number;
   /** Share of accepted edits that are sent again. */
@@ -100,6 +102,8 @@
       const racing = this.#options.random.next() < this.#options.races;
       if (racing) await this.#race();
       else await this.#edit();
+      const { pace } = this.#options;
+      if (pace !== undefined) await this.#pause(pace);
     }
   }
 
@@ -150,7 +154,7 @@
         return answer;
       }
       if (answer.type === "rejected") throw new Error(answer.detail);
-      await this.#pause();
+      await this.#pause(PAUSE);
     }
     throw new Error(`Edit ${edit.operation} was never answered`);
   }
@@ -179,9 +183,9 @@
     return operators[random.below(operators.length)];
   }
 
-  #pause(): Promise<void> {
+  #pause(time: number): Promise<void> {
     return new Promise((resolve) => {
-      this.#options.clock.after(PAUSE, resolve);
+      this.#options.clock.after(time, resolve);
     });
   }
 }
--- a/bench/processes/fleet.ts
+++ b/bench/processes/fleet.ts
@@ -12,6 +12,12 @@
 /** Most milliseconds that a host may take to be ready. */
 const READY_TIMEOUT = 20_000;
 
+/** Most milliseconds that a host may take to say whether it is ready. */
+const HEALTH_TIMEOUT = 2_000;
+
+/** Most milliseconds that hosts may take to end at the end of a run. */
+const STOP_TIMEOUT = 15_000;
+
 /** Milliseconds between two looks. */
 const LOOK = 25;
 
@@ -21,6 +27,7 @@
   readonly #file: string;
   readonly #folder: string;
   readonly #daemons = new Map<string, daemon.Daemon>();
+  readonly #loaded = new Map<string, settings.Settings>();
 
   private constructor(file: string, folder: string) {
     this.settings = loader.load(file);
@@ -58,13 +65,13 @@
 
   /** Base URL towards callers. */
   callersUrl(host: string): string {
-    const { listen } = loader.load(this.#file, { host });
+    const { listen } = this.#of(host);
     return `http://127.0.0.1:${listen.callers.port}`;
   }
 
   /** A client of the operators' interface of a host. */
   operator(host: string): operator.Operator {
-    const { listen, operators } = loader.load(this.#file, { host });
+    const { listen, operators } = this.#of(host);
     const editor = operators!.find(({ role }) => role !== "reader")!;
     const url = `http://127.0.0.1:${listen.operators.port}`;
     return operator.Operator.create(url, loader.readSecret(editor.token));
@@ -91,7 +98,9 @@
   async ready(host: string): Promise<boolean> {
     try {
       const url = `${this.callersUrl(host)}/health`;
-      const { statusCode, body } = await undici.request(url);
+      const { statusCode, body } = await undici.request(url, {
+        signal: AbortSignal.timeout(HEALTH_TIMEOUT),
+      });
       await body.dump();
       return statusCode === 200;
     } catch {
@@ -105,11 +114,22 @@
     await this.daemon(host).ended();
   }
 
-  /** Ends all hosts that still run. */
+  /** Ends all hosts that still run, by force when they take too long. */
   async stop(): Promise<void> {
     const running = [...this.#daemons.values()].filter((one) => one.running);
     running.forEach((one) => one.signal("SIGTERM"));
+    const force = setTimeout(() => {
+      running.forEach((one) => one.signal("SIGKILL"));
+    }, STOP_TIMEOUT);
     await Promise.all(running.map((one) => one.ended()));
+    clearTimeout(force);
+  }
+
+  /** Settings of one host; the file is read once. */
+  #of(host: string): settings.Settings {
+    const loaded = this.#loaded.get(host) ?? loader.load(this.#file, { host });
+    this.#loaded.set(host, loaded);
+    return loaded;
   }
 
   /** Waits until `condition` holds. */
--- a/bench/processes/kills.ts
+++ b/bench/processes/kills.ts
@@ -6,6 +6,7 @@
 import * as editors from "./editors.ts";
 import * as fleets from "./fleet.ts";
 import type * as operator from "./operator.ts";
+import * as tables from "./tables.ts";
 
 const SETTINGS = "examples/kivu/fleet.yaml";
 const FOLDER = "out/kills";
@@ -48,9 +49,12 @@
 
 async function measure(fleet: fleets.Fleet): Promise<Finding> {
   const operators = fleet.hosts.map((host) => fleet.operator(host));
-  await fleet.until(async () => await revisionOf(operators[0]) > 0, "rows");
-  const first = await revisionOf(operators[0]);
-  const observer = new Observer(fleet);
+  await fleet.until(
+    async () => await tables.revisionOf(operators[0]) > 0,
+    "rows",
+  );
+  const first = await tables.revisionOf(operators[0]);
+  const observer = new tables.Observer(fleet, CALM / 20);
   const watching = observer.run();
   let killed = false;
   const killing = kill(fleet).finally(() => killed = true);
@@ -68,7 +72,7 @@
   const last = Math.max(...outcome.accepted.map(({ revision }) => revision));
   const before = performance.now();
   await fleet.until(async () => {
-    const revisions = await Promise.all(operators.map(revisionOf));
+    const revisions = await Promise.all(operators.map(tables.revisionOf));
     return revisions.every((revision) => revision === last);
   }, "the last edit is in force everywhere");
   const settled = performance.now() - before;
@@ -77,7 +81,7 @@
   await watching;
   return {
     accepted: outcome.accepted.length,
-    lost: await countLost(operators, outcome.accepted),
+    lost: await tables.countLost(operators, outcome.accepted),
     doubled: last - first - outcome.accepted.length,
     changedAnswers: outcome.changedAnswers,
     unfairRaces: outcome.unfairRaces,
@@ -109,70 +113,6 @@
   return parts.control.leader;
 }
 
-/** Looks at all hosts all the time: the revision in force on a host that is
- * ready must never go back, not even over a restart. */
-class Observer {
-  reverted = 0;
-  readonly #fleet: fleets.Fleet;
-  readonly #seen = new Map<string, number>();
-  #stopped = false;
-
-  constructor(fleet: fleets.Fleet) {
-    this.#fleet = fleet;
-  }
-
-  async run(): Promise<void> {
-    while (!this.#stopped) {
-      await Promise.all(this.#fleet.hosts.map((host) => this.#look(host)));
-      await fleets.pause(CALM / 20);
-    }
-  }
-
-  stop(): void {
-    this.#stopped = true;
-  }
-
-  async #look(host: string): Promise<void> {
-    if (!await this.#fleet.ready(host)) return;
-    const revision = await revisionOf(this.#fleet.operator(host));
-    if (revision < 0) return;
-    if (revision < (this.#seen.get(host) ?? 0)) this.reverted++;
-    this.#seen.set(host, revision);
-  }
-}
-
-async function revisionOf(client: operator.Operator): Promise<number> {
-  try {
-    const { revision } = await client.table();
-    return revision;
-  } catch {
-    return -1;
-  }
-}
-
-/** Compares every host's table with the last accepted edit of each cell. */
-async function countLost(
-  operators: readonly operator.Operator[],
-  accepted: readonly editors.Accepted[],
-): Promise<number> {
-  const last = new Map<string, editors.Accepted>();
-  for (const edit of accepted) {
-    const known = last.get(edit.row);
-    if (known === undefined || known.revision < edit.revision) {
-      last.set(edit.row, edit);
-    }
-  }
-  let lost = 0;
-  for (const client of operators) {
-    const { rows } = await client.table();
-    for (const { row, value, revision } of last.values()) {
-      const cell = rows.find((one) => one.row === row)?.cells.weight;
-      if (cell?.value !== value || cell.version !== revision) lost++;
-    }
-  }
-  return lost;
-}
-
 function median(values: readonly number[]): number {
   return values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)];
 }
--- a/standins/fleet.ts
+++ b/standins/fleet.ts
@@ -106,6 +106,18 @@
     );
   }
 
+  /** Announces the selected ones anew, as after a restart. */
+  async rejoin(selection: Selection): Promise<void> {
+    const { length } = this.#members;
+    await Promise.all(
+      this.#select(selection).map(async (member) => {
+        member.announcer.vanish();
+        member.announcer = this.#member(member.standIn, length).announcer;
+        await member.announcer.start();
+      }),
+    );
+  }
+
   /** Ends the selected ones without a word. */
   async kill(selection: Selection): Promise<void> {
     await Promise.all(
--- a/standins/ledger.ts
+++ b/standins/ledger.ts
@@ -66,9 +66,11 @@
   readonly #stages = new Map<string, number>();
   readonly #requests = new Map<string, number>();
   readonly #costs = new Map<string, Cost>();
+  readonly #endpoints = new Map<string, number>();
 
   /** Counts a call that starts. */
-  run({ request, stage, service, owner }: Run): void {
+  run({ request, stage, service, endpoint, owner }: Run): void {
+    this.#endpoints.set(endpoint, this.endpointRuns(endpoint) + 1);
     const share = this.#share(owner, service);
     share.runs++;
     share.most = Math.max(share.most, this.#count(owner, { service, stage }));
@@ -103,6 +105,11 @@
     return [...shares.values()].reduce((sum, { runs }) => sum + runs, 0);
   }
 
+  /** Calls that an endpoint has started. */
+  endpointRuns(endpoint: string): number {
+    return this.#endpoints.get(endpoint) ?? 0;
+  }
+
   /** Runs of one stage of a request. */
   stageRuns(request: string, stage: string): number {
     return this.#requests.get(`${request}/${stage}`) ?? 0;
