Look again at running calls, so that one that hangs is replaced

A hedge was asked about once per call: a hang that began later, or in the middle of a stream, lasted until the connection's own silence bound (half of the time left). A look that comes late is not believed: then the host itself was held up. The only endpoint of a service gets a new connection. Pauses between tokens are learnt now; nothing fed them before.

Work that found no endpoint though slots were free is looked at again after 50 ms and on each load report; before, it waited for another event.

--- a/src/policies/mod.ts
+++ b/src/policies/mod.ts
@@ -31,6 +31,8 @@
     hedge: {
       delay: (work, _first, now) => routes.hedgeAfter(work, now),
       allow: (work, now) => routes.mayHedge(work, now),
+      hangsAt: (work, progress, now) => routes.hangsAt(work, progress, now),
+      replace: (work, now) => routes.mayReplace(work, now),
     },
     priority: (request) => controls.priority(request),
   };
--- a/src/policies/routed.ts
+++ b/src/policies/routed.ts
@@ -6,6 +6,7 @@
 import type * as request from "../request/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import * as routing from "../routing/mod.ts";
+import * as paces from "./paces.ts";
 
 /** What routes are made from. */
 export interface Options {
@@ -28,6 +29,7 @@
   /** Last call of a stage that started, and last that failed. */
   readonly #started = new WeakMap<policySet.Work, request.Attempt>();
   readonly #failed = new WeakMap<policySet.Work, request.Attempt>();
+  readonly #paces = paces.Paces.create();
 
   private constructor(options: Options) {
     this.#options = options;
@@ -111,6 +113,25 @@
     return controls.cost.spend(work.request, controls.predict(work).mean);
   }
 
+  /** When a call counts as hung; see `policySet.Hedge`. */
+  hangsAt(
+    work: policySet.Work,
+    { at, receiving }: policySet.Progress,
+    now: number,
+  ): number {
+    const { hedges } = this.#serviceOf(work, now);
+    return hedges.hangsAt({ size: work.size, receiving, progressed: at });
+  }
+
+  /** Whether a hung call may be replaced; paid as a retry is. */
+  mayReplace(work: policySet.Work, now: number): boolean {
+    const { low } = this.#options.controls.predict(work);
+    const left = work.request.deadline - now;
+    // What was received already need not be made again.
+    if (work.received === 0 && low > left) return false;
+    return this.#serviceOf(work, now).retries.take(now);
+  }
+
   endpoints(endpoints: readonly request.Endpoint[], now: number): void {
     this.#router.update({ type: "endpoints", endpoints }, now);
   }
@@ -126,6 +147,7 @@
   started(attempt: request.Attempt, work: policySet.Work, now: number): void {
     const { service, kind } = stageOf(work);
     this.#started.set(work, attempt);
+    this.#paces.start(attempt, { service, size: work.size }, now);
     if (attempt.attempt === 1) this.#router.request(service, undefined, now);
     const blocks = kind === "engine" ? work.prefix : [];
     this.#router.service(service, now).group.send(
@@ -135,6 +157,21 @@
     );
   }
 
+  progressed(attempt: request.Attempt, _received: number, now: number): void {
+    const pace = this.#paces.progress(attempt, now);
+    if (pace === undefined) return;
+    const { hedges } = this.#router.service(pace.service, now);
+    hedges.progress(pace.size, pace);
+  }
+
+  finished(ended: request.Request): void {
+    this.#paces.forget(ended.id);
+  }
+
+  dump(now: number): unknown {
+    return { routing: this.#router.dump(now) };
+  }
+
   ended(report: policySet.Report, now: number): void {
     const { attempt, work, elapsed } = report;
     const { group, hedges } = this.#serviceOf(work, now);
--- a/src/request/agenda.ts
+++ b/src/request/agenda.ts
@@ -6,14 +6,16 @@
 
 /** Something that falls due for a request. */
 export interface Due {
-  type: "deadline" | "retry" | "hedge";
+  type: "deadline" | "retry" | "hedge" | "look";
+  /** Milliseconds of the host's monotonic clock. */
+  at: number;
   flight: flight.Flight;
   /** Stage and attempts when it was set: tell whether it still holds. */
   stage: number;
   attempts: number;
 }
 
-/** Deadlines, retries and hedges by time. */
+/** Deadlines, retries, hedges and looks at running calls, by time. */
 export class Agenda {
   readonly #timers = timers.Timers.create<Due>();
   #wakeAt = Infinity;
@@ -28,7 +30,7 @@
 
   set(at: number, type: Due["type"], of: flight.Flight): void {
     const { stage, attempts } = of;
-    this.#timers.add(at, { type, flight: of, stage, attempts });
+    this.#timers.add(at, { type, at, flight: of, stage, attempts });
   }
 
   /** Takes out the next thing that is due and still holds. */
--- a/src/request/calls.ts
+++ b/src/request/calls.ts
@@ -76,6 +76,15 @@
     this.#options.notifier.ended(of, call, { result: "failed", failure, now });
   }
 
+  /** Cancels a call that hangs, which counts as a failure of its endpoint. */
+  give(of: flight.Flight, call: flight.Call, now: number): void {
+    const { attempt } = call;
+    this.#options.emit({ type: "cancel", attempt, hung: true });
+    const { received } = of;
+    const failure = { reason: "silent", outcome: "unknown", received } as const;
+    this.failed(of, call, { failure, now });
+  }
+
   /** Cancels all calls of a request but `kept`. */
   cancel(of: flight.Flight, kept: flight.Call | undefined, now: number): void {
     const { emit, notifier } = this.#options;
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -20,6 +20,7 @@
 import type * as policySet from "./policy_set.ts";
 import * as problems from "./problems.ts";
 import type * as request from "./request.ts";
+import * as runs from "./runs.ts";
 
 /** What a dispatcher is made from. */
 export interface Options {
@@ -33,6 +34,10 @@
   ) => void;
 };
 
+/** Milliseconds after which work is looked at again that found no endpoint
+ * though slots are free: what was reported of others fades. */
+const LOOK_AGAIN = 50;
+
 /** Dispatcher of one host. */
 export class Dispatcher implements policySet.Fleet {
   readonly #policies: policySet.PolicySet;
@@ -42,6 +47,7 @@
   readonly #pools = fleet.Pools.create();
   readonly #agenda = agenda.Agenda.create();
   readonly #calls: calls.Calls;
+  readonly #runs: runs.Runs;
   #effects: effect.Effect[] = [];
   #draining = false;
 
@@ -55,6 +61,12 @@
       emit: (asked) => this.#effects.push(asked),
       freed: (service) => this.#lines.touch(service),
     });
+    this.#runs = runs.Runs.create({
+      policySet,
+      pools: this.#pools,
+      calls: this.#calls,
+      agenda: this.#agenda,
+    });
   }
 
   static create(options: Options): Dispatcher {
@@ -119,7 +131,11 @@
       this.#notify.endpoints(endpoints, now);
       this.#lines.touchAll();
     },
-    load: ({ endpoint, load }, now) => this.#notify.load(endpoint, load, now),
+    load: ({ endpoint, load }, now) => {
+      this.#notify.load(endpoint, load, now);
+      const service = this.#pools.serviceOf(endpoint);
+      if (service !== undefined) this.#lines.touch(service);
+    },
     cache: (change, now) => this.#notify.cache(change, now),
     policies: ({ policies }, now) => {
       this.#notify.policies(policies, now);
@@ -161,6 +177,7 @@
     const { owner, call } = found;
     this.#calls.cancel(owner, call, now);
     owner.received = Math.max(owner.received, happened.received);
+    owner.progressed = now;
     this.#notify.progressed(happened.attempt, happened.received, now);
   }
 
@@ -225,8 +242,11 @@
         continue;
       }
       const chosen = this.#policies.choice.choose(work, pool, now);
-      if (chosen === undefined) return queue.unshift(work, now);
-      this.#start(this.#flights.of(work), pool, { chosen, now });
+      if (chosen === undefined) {
+        queue.unshift(work, now);
+        return this.#lines.again(service, now + LOOK_AGAIN);
+      }
+      this.#runs.start(this.#flights.of(work), pool, { chosen, now });
     }
   }
 
@@ -237,29 +257,6 @@
     this.#refuse(dropped, problems.hopeless(dropped.outcome), now);
   }
 
-  #start(
-    of: flight.Flight,
-    pool: fleet.Pool,
-    { chosen, now }: { chosen: policySet.Member; now: number },
-  ): void {
-    const member = pool.own(chosen);
-    const attempt = this.#calls.start(of, { pool, member, hedge: false }, now);
-    if (!of.request.idempotent) return;
-    const delay = this.#policies.hedge.delay(of, attempt, now);
-    if (delay !== undefined) this.#agenda.set(now + delay, "hedge", of);
-  }
-
-  #hedge(slow: flight.Flight, now: number): void {
-    if (slow.calls.length !== 1 || slow.received > 0) return;
-    const pool = this.#pools.get(slow.service);
-    if (pool === undefined || pool.free === 0) return;
-    const chosen = this.#policies.choice.choose(slow, pool, now);
-    if (chosen === undefined || slow.avoid.includes(chosen.endpoint.id)) return;
-    if (!this.#policies.hedge.allow(slow, now)) return;
-    const member = pool.own(chosen);
-    this.#calls.start(slow, { pool, member, hedge: true }, now);
-  }
-
   #refuse(
     refused: flight.Flight,
     problem: effect.Problem,
@@ -282,16 +279,18 @@
 
   #runDue(now: number): void {
     for (let due; (due = this.#agenda.take(now)) !== undefined;) {
-      this.#dueHandlers[due.type](due.flight, now);
+      this.#dueHandlers[due.type](due, now);
     }
   }
 
   readonly #dueHandlers: Record<
     agenda.Due["type"],
-    (of: flight.Flight, now: number) => void
+    (due: agenda.Due, now: number) => void
   > = {
-    deadline: (of, now) => this.#refuse(of, problems.expired(of), now),
-    retry: (of, now) => this.#lines.push(of, now),
-    hedge: (of, now) => this.#hedge(of, now),
+    deadline: ({ flight }, now) =>
+      this.#refuse(flight, problems.expired(flight), now),
+    retry: ({ flight }, now) => this.#lines.push(flight, now),
+    hedge: ({ flight }, now) => this.#runs.hedge(flight, now),
+    look: (due, now) => this.#runs.look(due, now),
   };
 }
--- a/src/request/effect.ts
+++ b/src/request/effect.ts
@@ -39,7 +39,12 @@
     deadline: number;
     priority: number;
   }
-  | { type: "cancel"; attempt: request.Attempt }
+  | {
+    type: "cancel";
+    attempt: request.Attempt;
+    /** Set when the call is given up since it hangs. */
+    hung?: true;
+  }
   | { type: "complete"; request: string }
   | { type: "refuse"; request: string; problem: Problem }
   | { type: "wake"; at: number };
--- a/src/request/fleet.ts
+++ b/src/request/fleet.ts
@@ -88,6 +88,14 @@
     return this.#pools.get(service);
   }
 
+  /** Service of an endpoint. */
+  serviceOf(endpoint: string): string | undefined {
+    for (const [service, pool] of this.#pools) {
+      if (pool.member(endpoint) !== undefined) return service;
+    }
+    return undefined;
+  }
+
   services(): Iterable<string> {
     return this.#pools.keys();
   }
--- a/src/request/flight.ts
+++ b/src/request/flight.ts
@@ -30,6 +30,8 @@
   prefix: readonly string[];
   since: number;
   received = 0;
+  /** When the last token of the present stage came. */
+  progressed = -Infinity;
   /** Attempts of the present stage so far. */
   attempts = 0;
   /** Calls of the present stage that are out: at most two. */
--- a/src/request/lines.ts
+++ b/src/request/lines.ts
@@ -9,6 +9,8 @@
   readonly #maker: policySet.Queues;
   readonly #queues = new Map<string, policySet.Queue>();
   readonly #touched = new Set<string>();
+  /** When to look again at a queue, by service. */
+  readonly #again = new Map<string, number>();
 
   private constructor(maker: policySet.Queues) {
     this.#maker = maker;
@@ -45,10 +47,16 @@
     for (const service of this.#queues.keys()) this.#touched.add(service);
   }
 
+  /** Asks for a look at a queue at that time, if not earlier. */
+  again(service: string, at: number): void {
+    this.#again.set(service, at);
+  }
+
   /** Looks at each marked queue, also at those marked meanwhile. */
   visit(look: (service: string, queue: policySet.Queue) => void): void {
     for (const service of this.#touched) {
       this.#touched.delete(service);
+      this.#again.delete(service);
       const queue = this.#queues.get(service);
       if (queue !== undefined && queue.size > 0) look(service, queue);
     }
@@ -57,9 +65,10 @@
   /** When a queue may let go of more without another event, or Infinity. */
   nextAt(now: number): number {
     let next = Infinity;
-    for (const queue of this.#queues.values()) {
-      if (queue.nextAt === undefined || queue.size === 0) continue;
-      next = Math.min(next, queue.nextAt(now) ?? Infinity);
+    for (const [service, queue] of this.#queues) {
+      if (queue.size === 0) continue;
+      const own = queue.nextAt?.(now) ?? Infinity;
+      next = Math.min(next, own, this.#again.get(service) ?? Infinity);
     }
     return next;
   }
--- a/src/request/policy_set.ts
+++ b/src/request/policy_set.ts
@@ -130,12 +130,27 @@
   delay(work: Work, failure: request.Failure, now: number): number | undefined;
 }
 
-/** When a slow call gets a second one raced against it. */
+/** How far a call got that is out. */
+export interface Progress {
+  readonly attempt: request.Attempt;
+  /** When its last sign of progress came; its start before any. */
+  readonly at: number;
+  /** Whether any token of it has come. */
+  readonly receiving: boolean;
+}
+
+/** When a slow call gets a second one raced against it, and a hung one is
+ * given up for a new one. */
 export interface Hedge extends Observer {
   /** Milliseconds after the start of the first; undefined for never. */
   delay(work: Work, first: request.Attempt, now: number): number | undefined;
   /** Whether the hedge may start now; asked when the delay has passed. */
   allow(work: Work, now: number): boolean;
+  /** When a call counts as hung unless it shows progress before; asked time
+   * and again while it runs. Absent: never. */
+  hangsAt?(work: Work, progress: Progress, now: number): number;
+  /** Whether a hung call may be given up for a new one, which this pays. */
+  replace?(work: Work, now: number): boolean;
 }
 
 /** All decisions of one dispatcher. */
--- /dev/null
+++ b/src/request/runs.ts
@@ -0,0 +1,117 @@
+/** Starts the calls of stages and looks after them while they run: a slow one
+ * is raced against a second, a hung one is given up for a new one.
+ * @module */
+
+import type * as agenda from "./agenda.ts";
+import type * as calls from "./calls.ts";
+import type * as fleet from "./fleet.ts";
+import type * as flight from "./flight.ts";
+import type * as policySet from "./policy_set.ts";
+
+/** Parts that runs are made from. */
+export interface Options {
+  policySet: policySet.PolicySet;
+  pools: fleet.Pools;
+  calls: calls.Calls;
+  agenda: agenda.Agenda;
+}
+
+/** Milliseconds until another look at what could not be helped now. */
+const LOOK_AGAIN = 250;
+/** Milliseconds by which a look may come late and still be believed: a host
+ * that was held up itself has not read yet what its endpoints sent. */
+const LATE = 50;
+
+/** Calls of the stages that run. */
+export class Runs {
+  readonly #options: Options;
+
+  private constructor(options: Options) {
+    this.#options = options;
+  }
+
+  static create(options: Options): Runs {
+    return new Runs(options);
+  }
+
+  /** Starts a call of a stage at a chosen endpoint. */
+  start(
+    of: flight.Flight,
+    pool: fleet.Pool,
+    { chosen, now }: { chosen: policySet.Member; now: number },
+  ): void {
+    const { calls, agenda, policySet: { hedge } } = this.#options;
+    const member = pool.own(chosen);
+    const attempt = calls.start(of, { pool, member, hedge: false }, now);
+    if (!of.request.idempotent) return;
+    const delay = hedge.delay(of, attempt, now);
+    if (delay !== undefined) agenda.set(now + delay, "hedge", of);
+    this.#watch(of, of.calls[0], now);
+  }
+
+  /** Races a second call against a slow one, where the policy allows it. */
+  hedge(slow: flight.Flight, now: number): void {
+    if (slow.calls.length !== 1 || slow.received > 0) return;
+    const { calls, policySet: { hedge } } = this.#options;
+    const place = this.#other(slow, now);
+    if (place === undefined) return;
+    if (slow.avoid.includes(place.member.endpoint.id)) return;
+    if (!hedge.allow(slow, now)) return;
+    calls.start(slow, { ...place, hedge: true }, now);
+    this.#lookAt(slow, now + LOOK_AGAIN);
+  }
+
+  /** Gives a call up for a new one when it hangs; else looks again later. */
+  look({ flight, at }: agenda.Due, now: number): void {
+    const [call, other] = flight.calls;
+    if (call === undefined) return;
+    const late = now - at > LATE;
+    if (late || other !== undefined) {
+      return this.#lookAt(flight, now + LOOK_AGAIN);
+    }
+    if (this.#hangsAt(flight, call, now) > now) {
+      return this.#watch(flight, call, now);
+    }
+    if (!this.#replace(flight, call, now)) {
+      this.#lookAt(flight, now + LOOK_AGAIN);
+    }
+  }
+
+  #replace(hung: flight.Flight, call: flight.Call, now: number): boolean {
+    const { calls, policySet: { hedge } } = this.#options;
+    // Maybe the same endpoint: a new connection may work where one hangs.
+    const place = this.#other(hung, now);
+    if (place === undefined || !hedge.replace?.(hung, now)) return false;
+    calls.give(hung, call, now);
+    this.start(hung, place.pool, { chosen: place.member, now });
+    return true;
+  }
+
+  #other(
+    of: flight.Flight,
+    now: number,
+  ): Omit<calls.Place, "hedge"> | undefined {
+    const { pools, policySet: { choice } } = this.#options;
+    const pool = pools.get(of.service);
+    if (pool === undefined || pool.free === 0) return undefined;
+    const chosen = choice.choose(of, pool, now);
+    return chosen && { pool, member: pool.own(chosen) };
+  }
+
+  #watch(of: flight.Flight, call: flight.Call, now: number): void {
+    const at = this.#hangsAt(of, call, now);
+    if (at < of.request.deadline) this.#lookAt(of, at);
+  }
+
+  #hangsAt(of: flight.Flight, { attempt }: flight.Call, now: number): number {
+    const { hedge } = this.#options.policySet;
+    const receiving = of.received > attempt.offset;
+    const at = receiving ? of.progressed : attempt.started;
+    return hedge.hangsAt?.(of, { attempt, at, receiving }, now) ?? Infinity;
+  }
+
+  #lookAt(of: flight.Flight, at: number): void {
+    if (this.#options.policySet.hedge.hangsAt === undefined) return;
+    this.#options.agenda.set(at, "look", of);
+  }
+}
--- a/src/routing/hedge.ts
+++ b/src/routing/hedge.ts
@@ -85,9 +85,16 @@
     return Math.max(SHORTEST_HANG, HANG_FACTOR * pause);
   }
 
+  /** When a call hangs unless it shows progress before. */
+  hangsAt(
+    call: Pick<RunningCall, "size" | "receiving" | "progressed">,
+  ): number {
+    return call.progressed + this.hanging(call);
+  }
+
   /** Decides on a call in flight; a hedge takes from the budget. */
   decide(call: RunningCall, spend: budget.Budget, now: number): HedgeDecision {
-    const hang = call.progressed + this.hanging(call);
+    const hang = this.hangsAt(call);
     const movable = call.idempotent && call.others && !call.hedged;
     if (!movable) return { type: "wait", until: call.deadline };
     if (now >= hang) return { type: "replace" };
