--- a/src/backends/backends.ts
+++ b/src/backends/backends.ts
@@ -10,6 +10,8 @@
 import * as plain from "./plain.ts";
 import * as receiver from "./receiver.ts";
 import type * as runtime from "../runtime/mod.ts";
+import type * as subscription from "./subscription.ts";
+import * as subscriptions from "./subscriptions.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 
 /** Parts and bounds. */
@@ -83,6 +85,16 @@
     };
   }
 
+  /** Listens to what endpoints publish, once it is told of endpoints. */
+  listen(
+    { random, take }: Pick<subscription.Options, "random" | "take">,
+  ): subscriptions.Subscriptions {
+    const { clock, metrics } = this.#options;
+    const dispatcher = this.#agent;
+    const options = { dispatcher, clock, metrics, random, take };
+    return subscriptions.Subscriptions.create(options);
+  }
+
   /** Closes all connections. */
   async close(): Promise<void> {
     await this.#agent.destroy();
--- a/src/backends/mod.ts
+++ b/src/backends/mod.ts
@@ -3,3 +3,5 @@
 
 export * from "./backends.ts";
 export * from "./call.ts";
+export type { Heard, Publisher } from "./subscription.ts";
+export { Subscriptions } from "./subscriptions.ts";
--- a/src/node/engine_orders_test.ts
+++ b/src/node/engine_orders_test.ts
@@ -164,6 +164,8 @@
   let lost = false;
   const server = http.createServer(async (incoming, response) => {
     const { method, url } = incoming;
+    // No events: a stream without end can't be passed on as a whole.
+    if (url === "/v1/events") return void response.writeHead(404).end();
     const chunks: Buffer[] = [];
     for await (const chunk of incoming) chunks.push(chunk);
     const body = method === "POST" ? Buffer.concat(chunks) : undefined;
--- a/src/node/node_test.ts
+++ b/src/node/node_test.ts
@@ -50,6 +50,10 @@
   const arrived = new Promise<void>((resolve) => arrive = resolve);
   const server = http.createServer((incoming, response) => {
     incoming.resume();
+    // It publishes no events.
+    if (incoming.url === "/v1/events") {
+      return void response.writeHead(404).end();
+    }
     for (const name of ["x-request-id", "x-stage", "x-attempt"]) {
       response.setHeader(name, incoming.headers[name] ?? "");
     }
--- a/src/request/path.ts
+++ b/src/request/path.ts
@@ -20,6 +20,7 @@
   readonly #options: pathOptions.PathOptions;
   readonly #dispatcher: dispatcher.Dispatcher;
   readonly #backends: backends.Backends;
+  readonly #subscriptions: backends.Subscriptions;
   readonly #execution: execution.Execution;
   readonly #intake: intake.Intake;
   readonly #server: callers.Server;
@@ -44,6 +45,10 @@
       clock,
       metrics,
     });
+    this.#subscriptions = this.#backends.listen({
+      random,
+      take: (heard) => this.#execution.push(heard),
+    });
     this.#intake = intake.Intake.create({
       host: settings.host,
       clock,
@@ -77,6 +82,7 @@
   /** Takes the present endpoints in place of the old ones. */
   setEndpoints(endpoints: readonly pathOptions.ReachableEndpoint[]): void {
     this.#execution.setEndpoints(endpoints);
+    this.#subscriptions.replace(endpoints);
   }
 
   /** Takes the table's policies in place of the old ones. */
@@ -85,11 +91,6 @@
     this.#execution.push({ type: "policies", policies });
   }
 
-  /** Passes a load report or a cache event of an endpoint on. */
-  observe(heard: event.Event & { type: "load" | "cache" }): void {
-    this.#execution.push(heard);
-  }
-
   /** Opens the callers' interface. */
   async start(): Promise<void> {
     await this.#server.start();
@@ -118,6 +119,7 @@
     await Promise.race([this.#server.idle(), bound]);
     cancel();
     await this.#server.close();
+    this.#subscriptions.close();
     this.#execution.close();
     await this.#backends.close();
   }
--- a/src/request/path_test.ts
+++ b/src/request/path_test.ts
@@ -26,6 +26,10 @@
 function listen(serve: Serve): Promise<Endpoint> {
   let calls = 0;
   const server = http.createServer((incoming, response) => {
+    // It publishes no events.
+    if (incoming.url === "/v1/events") {
+      return void response.writeHead(404).end();
+    }
     let body = "";
     incoming.on("data", (chunk) => body += chunk);
     incoming.on("end", () => {
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -56,6 +56,8 @@
   "endpoint.expired": { type: "count", help: "Leases that ran out" },
   "endpoint.rejected": { type: "count", help: "Announcements not taken" },
   "endpoint.known": { type: "gauge", help: "Endpoints with a lease" },
+  "endpoint.subscribed": { type: "count", help: "Event streams opened" },
+  "endpoint.event_malformed": { type: "count", help: "Events not understood" },
   "endpoint.cache_gap": { type: "count", help: "Gaps in cache events" },
 
   // Operators and the table.
