Embed only what is used

The encoder was asked for the question and every piece of the text; only the first embedding went anywhere.

--- a/src/request/material.ts
+++ b/src/request/material.ts
@@ -26,10 +26,8 @@
 /** Characters of one block of a prompt's prefix. */
 const BLOCK_CHARACTERS = 256;
 const HASH_DIGITS = 16;
-/** Characters of a piece of text that is embedded by itself. */
-const CHUNK_CHARACTERS = 2048;
-/** Most pieces of one text. */
-const MOST_CHUNKS = 64;
+/** Characters of a text without a question that are embedded. */
+const START_CHARACTERS = 2048;
 
 /** What a request's stages work on; grows with each stage. */
 export class Material {
@@ -102,9 +100,10 @@
 const makers: Record<endpoint.EndpointKind, Maker> = {
   encoder: {
     input: (material, { model }) => {
+      // Only one embedding is used: nothing else is embedded.
       const { text, question } = asked(material);
-      const texts = question === undefined ? [] : [question];
-      return { type: "encoder", model, texts: [...texts, ...chunks(text)] };
+      const start = text.slice(0, START_CHARACTERS);
+      return { type: "encoder", model, texts: [question ?? start] };
     },
     characters: (input) => {
       const { texts } = input as backends.Input & { type: "encoder" };
@@ -158,7 +157,6 @@
 
 const takers: { [T in backends.Result["type"]]: Taker<T> } = {
   encoder(material, { embeddings }) {
-    // The first text is the question, or the start of the text without one.
     material.embedding = embeddings[0] ?? [];
   },
   retriever(material, { documents }) {
@@ -213,16 +211,6 @@
   return question ?? text;
 }
 
-function chunks(text: string): string[] {
-  const found: string[] = [];
-  const least = Math.ceil(text.length / MOST_CHUNKS);
-  const length = Math.max(CHUNK_CHARACTERS, least);
-  for (let pos = 0; pos < text.length; pos += length) {
-    found.push(text.slice(pos, pos + length));
-  }
-  return found;
-}
-
 function sum(texts: readonly string[]): number {
   return texts.reduce((total, text) => total + text.length, 0);
 }
