Cost and attainment by account in metrics and dump

Cost was counted by service, and what was wasted in one sum. Both now carry stage, account and kind, waste also why (retry, hedge, cancelled); ends of requests carry account and kind, and the dump counts them by account. An answer that comes too late is booked as late, not as useful. Calls that were given up as hung are counted.

--- a/src/admission/controls.ts
+++ b/src/admission/controls.ts
@@ -163,14 +163,14 @@
     this.#gate.finish(ended.id, now, how === "completed");
   }
 
-  ended(report: policySet.Report): void {
+  ended(report: policySet.Report, now: number): void {
     const { attempt, work, result, elapsed, usage } = report;
     const { account, kind, stages, size } = work.request;
     const { name, service } = stages[attempt.stage];
     this.#shareOf(service).shift(-1);
     const spent = usage ?? unreported(work, elapsed);
     const entry = { account, kind, service, stage: name, usage: spent };
-    this.cost.record({ ...entry, fate: fateOf(report) });
+    this.cost.record({ ...entry, fate: fateOf(report, now) });
     if (result !== "answered" || usage === undefined) return;
     const done = workOf(work);
     const { outputTokens } = usage;
@@ -245,8 +245,12 @@
   return work.request.stages[work.stage].service;
 }
 
-function fateOf({ result, attempt }: policySet.Report): cost.Fate {
-  if (result === "answered") return "useful";
+function fateOf(
+  { result, attempt, work }: policySet.Report,
+  now: number,
+): cost.Fate {
+  const late = now >= work.request.deadline;
+  if (result === "answered") return late ? "late" : "useful";
   if (result === "failed") return "retry";
   return attempt.hedge ? "hedge" : "cancelled";
 }
--- a/src/request/books.ts
+++ b/src/request/books.ts
@@ -1,12 +1,17 @@
 /** Counts what requests came to and what they cost.
  * @module */
 
+import * as attainment from "./attainment.ts";
 import type * as effect from "./effect.ts";
 import type * as execution from "./execution.ts";
 import type * as request from "./request.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 
+/** Why a call's result was not used: it failed or hung and was made again, it
+ * lost a race, or its request ended first. */
+export type Waste = "retry" | "hedge" | "cancelled";
+
 /** Parts of the books. */
 export interface Options {
   clock: runtime.Clock;
@@ -17,6 +22,7 @@
 export class Books {
   readonly #clock: runtime.Clock;
   readonly #metrics: telemetry.Metrics;
+  readonly #attainment = attainment.Attainment.create();
 
   private constructor({ clock, metrics }: Options) {
     this.#clock = clock;
@@ -37,8 +43,8 @@
   }
 
   /** Books what an answered call used. */
-  charge(service: string, usage: request.Usage): void {
-    const labels = { service };
+  charge(job: execution.Job, attempt: request.Attempt, usage: request.Usage) {
+    const labels = labelsOf(job, attempt);
     const metrics = this.#metrics;
     metrics.count("cost.engine_time", usage.engineTime, labels);
     metrics.count("cost.input_tokens", usage.inputTokens, labels);
@@ -48,23 +54,56 @@
 
   /** Books the time of a call whose result is not used; an upper bound, since
    * the endpoint does not say what it spent. */
-  waste({ target }: execution.Job, attempt: request.Attempt): void {
-    const { service } = target.steps[attempt.stage];
+  waste(job: execution.Job, attempt: request.Attempt, fate: Waste): void {
+    const labels = { ...labelsOf(job, attempt), fate };
     const elapsed = this.#clock.now() - attempt.started;
-    this.#metrics.count("cost.wasted_time", elapsed, { service });
+    this.#metrics.count("cost.wasted_calls", 1, labels);
+    this.#metrics.count("cost.wasted_time", elapsed, labels);
+  }
+
+  /** Counts a call that was given up since it hangs. */
+  hung({ target }: execution.Job, attempt: request.Attempt): void {
+    const { service } = target.steps[attempt.stage];
+    this.#metrics.count("call.hung", 1, { service });
   }
 
   completed({ request }: execution.Job): void {
     const now = this.#clock.now();
     const metrics = this.#metrics;
-    metrics.count("request.completed");
-    if (now < request.deadline) metrics.count("request.on_time");
+    const labels = flowOf(request);
+    const onTime = now < request.deadline;
+    this.#attainment.count(request.account, onTime ? "onTime" : "late");
+    metrics.count("request.completed", 1, labels);
+    if (onTime) metrics.count("request.on_time", 1, labels);
     metrics.time("request.duration", now - request.arrived);
     metrics.time("request.slack", request.deadline - now);
   }
 
-  refused({ name }: effect.Problem): void {
-    if (name === "abandoned") this.#metrics.count("request.abandoned");
-    else this.#metrics.count("request.refused", 1, { problem: name });
+  refused({ account, kind }: request.Request, { name }: effect.Problem): void {
+    const labels = { account, kind };
+    if (name === "abandoned") {
+      this.#attainment.count(account, "abandoned");
+      this.#metrics.count("request.abandoned", 1, labels);
+      return;
+    }
+    this.#attainment.count(account, "refused");
+    this.#metrics.count("request.refused", 1, { ...labels, problem: name });
   }
+
+  /** Ends of requests by account, for the state dump. */
+  dump(): unknown {
+    return this.#attainment.toJSON();
+  }
+}
+
+function flowOf({ account, kind }: request.Request): telemetry.Labels {
+  return { account, kind };
+}
+
+function labelsOf(
+  { target, request }: execution.Job,
+  attempt: request.Attempt,
+): telemetry.Labels {
+  const { service, name } = target.steps[attempt.stage];
+  return { service, stage: name, ...flowOf(request) };
 }
--- /dev/null
+++ b/src/request/books_test.ts
@@ -0,0 +1,24 @@
+import test from "ava";
+import * as fakePath from "./fake_path.ts";
+
+test("counts ends by account, and what was wasted by fate", async (t) => {
+  const broken = fakePath.generate({ breakAt: 3 });
+  const serves = { "lm-pool@1": broken, "lm-pool@2": fakePath.generate() };
+  const started = await fakePath.start(serves);
+  const url = `${started.url}/v1/pipelines/short`;
+  const input = { text: "one two three four five six" };
+  await fakePath.post(url, { input });
+  await fakePath.post(`${started.url}/v1/services/billing/`, "book");
+  t.like(started.path.dump(), {
+    accounts: {
+      "kivu-crew": { onTime: 1, late: 0, refused: 1, abandoned: 0 },
+    },
+  });
+  const { counts } = started.tally.toJSON();
+  const flow = "account=kivu-crew,";
+  const stage = "kind=default,service=lm-pool,stage=generate";
+  t.is(counts[`request.on_time{${flow}kind=default}`], 1);
+  t.is(counts[`cost.wasted_calls{${flow}fate=retry,${stage}}`], 1);
+  t.is(counts[`cost.output_tokens{${flow}${stage}}`], 6);
+  await started.stop();
+});
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -7,7 +7,7 @@
  * @module */
 
 import type * as backends from "../backends/mod.ts";
-import * as books from "./books.ts";
+import type * as books from "./books.ts";
 import type * as catalogue from "./catalogue.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import type * as effect from "./effect.ts";
@@ -17,7 +17,6 @@
 import type * as reply from "./reply.ts";
 import type * as request from "./request.ts";
 import type * as runtime from "../runtime/mod.ts";
-import type * as telemetry from "../telemetry/mod.ts";
 
 /** A request with its payload and its caller. */
 export interface Job {
@@ -32,7 +31,7 @@
   dispatcher: dispatcher.Dispatcher;
   backends: backends.Backends;
   clock: runtime.Clock;
-  metrics: telemetry.Metrics;
+  books: books.Books;
 }
 
 interface Entry {
@@ -67,7 +66,7 @@
   private constructor(options: Options) {
     this.#options = options;
     const { dispatcher, clock } = options;
-    this.#books = books.Books.create(options);
+    this.#books = options.books;
     this.#loop = loop.Loop.start<event.Event, effect.Effect>({
       step: (happened) => dispatcher.step(happened, clock.now()),
       perform: (asked) => this.#perform(asked),
@@ -132,7 +131,7 @@
 
   readonly #performers: Performers = {
     call: (asked) => this.#call(asked),
-    cancel: ({ attempt }) => this.#cancel(attempt),
+    cancel: (asked) => this.#cancel(asked),
     complete: ({ request }) => this.#complete(request),
     refuse: ({ request, problem }) => this.#refuse(request, problem),
     wake: ({ at }) => {
@@ -186,12 +185,14 @@
     return Math.max(LEAST_SILENCE, left * SILENCE_SHARE);
   }
 
-  #cancel(attempt: request.Attempt): void {
+  #cancel({ attempt, hung }: effect.Effect & { type: "cancel" }): void {
     const entry = this.#entries.get(attempt.request);
     const cancel = entry?.calls.get(attempt.attempt);
     if (entry === undefined || cancel === undefined) return;
     entry.calls.delete(attempt.attempt);
-    this.#books.waste(entry.job, attempt);
+    if (hung) this.#books.hung(entry.job, attempt);
+    const lost = attempt.hedge ? "hedge" : "cancelled";
+    this.#books.waste(entry.job, attempt, hung ? "retry" : lost);
     cancel();
   }
 
@@ -217,7 +218,7 @@
     const { job, tokens } = entry;
     const { steps } = job.target;
     const step = steps[attempt.stage];
-    this.#books.charge(step.service, usage);
+    this.#books.charge(job, attempt, usage);
     entry.records.push(this.#record(attempt, step));
     entry.usage.inputTokens += usage.inputTokens;
     entry.usage.outputTokens += usage.outputTokens;
@@ -234,7 +235,9 @@
     const entry = this.#current(attempt);
     if (entry === undefined) return;
     entry.calls.delete(attempt.attempt);
-    if (failure.outcome !== "not-run") this.#books.waste(entry.job, attempt);
+    if (failure.outcome !== "not-run") {
+      this.#books.waste(entry.job, attempt, "retry");
+    }
     this.#loop.push({ type: "fail", attempt, failure });
   }
 
@@ -263,7 +266,7 @@
   #refuse(id: string, problem: effect.Problem): void {
     const entry = this.#end(id);
     if (entry === undefined) return;
-    this.#books.refused(problem);
+    this.#books.refused(entry.job.request, problem);
     entry.job.reply.refuse(problem);
   }
 
--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import * as crypto from "node:crypto";
+import type * as books from "./books.ts";
 import type * as catalogue from "./catalogue.ts";
 import type * as effect from "./effect.ts";
 import type * as event from "./event.ts";
@@ -13,7 +14,6 @@
 import type * as reply from "./reply.ts";
 import type * as request from "./request.ts";
 import type * as runtime from "../runtime/mod.ts";
-import type * as telemetry from "../telemetry/mod.ts";
 
 /** A checked request of a known account. */
 export interface Ask {
@@ -43,7 +43,7 @@
   host: string;
   clock: runtime.Clock;
   random: runtime.Random;
-  metrics: telemetry.Metrics;
+  books: books.Books;
   execution: execution.Execution;
   claims: pathOptions.Claims | undefined;
 }
@@ -106,17 +106,19 @@
     if (ask.key === undefined || (claims === undefined && made.idempotent)) {
       execution.submit(job);
     } else if (claims === undefined) {
-      this.#deny(ask.reply, refusal("claim-refused", NO_CLAIMS));
+      this.#deny(job, refusal("claim-refused", NO_CLAIMS));
     } else {
       this.#claim(claims, job, ask.reply);
     }
   }
 
   /** Refuses what never reached the dispatcher. */
-  #deny(answer: IntakeReply, problem: effect.Problem): void {
-    const labels = { problem: problem.name };
-    this.#options.metrics.count("request.refused", 1, labels);
-    answer.refuse(problem);
+  #deny(
+    { request, reply }: Pick<execution.Job, "request" | "reply">,
+    problem: effect.Problem,
+  ): void {
+    this.#options.books.refused(request, problem);
+    reply.refuse(problem);
   }
 
   #request(id: string, ask: Ask): request.Request {
@@ -154,7 +156,7 @@
     let late = false;
     const cancel = clock.after(claim.remaining, () => {
       late = true;
-      this.#deny(answer, refusal("claim-refused", LATE_CLAIM));
+      this.#deny(job, refusal("claim-refused", LATE_CLAIM));
     });
     const handlers: ClaimHandlers = {
       granted: () => {
@@ -169,12 +171,12 @@
       answered: (found) => answer.repeat(found.answer),
       // The key's first request may run: this one alone did not.
       "in-progress": () =>
-        this.#deny(answer, {
+        this.#deny(job, {
           ...refusal("in-progress", RUNNING),
           outcome: "unknown",
         }),
       refused: ({ detail, outcome }) =>
-        this.#deny(answer, { ...refusal("claim-refused", detail), outcome }),
+        this.#deny(job, { ...refusal("claim-refused", detail), outcome }),
     };
     claims.claim(claim).catch(failedClaim).then((result) => {
       cancel();
--- a/src/request/path.ts
+++ b/src/request/path.ts
@@ -4,6 +4,7 @@
 
 import * as backends from "../backends/mod.ts";
 import * as callers from "../callers/mod.ts";
+import * as books from "./books.ts";
 import * as catalogue from "./catalogue.ts";
 import * as dispatcher from "./dispatcher.ts";
 import type * as event from "./event.ts";
@@ -20,6 +21,7 @@
   readonly #options: pathOptions.PathOptions;
   readonly #dispatcher: dispatcher.Dispatcher;
   readonly #backends: backends.Backends;
+  readonly #books: books.Books;
   readonly #subscriptions: backends.Subscriptions;
   readonly #execution: execution.Execution;
   readonly #intake: intake.Intake;
@@ -39,11 +41,12 @@
       metrics,
       answerBytes: limits.answerBytes,
     });
+    this.#books = books.Books.create({ clock, metrics });
     this.#execution = execution.Execution.create({
       dispatcher: this.#dispatcher,
       backends: this.#backends,
       clock,
-      metrics,
+      books: this.#books,
     });
     this.#subscriptions = this.#backends.listen({
       random,
@@ -53,7 +56,7 @@
       host: settings.host,
       clock,
       random,
-      metrics,
+      books: this.#books,
       execution: this.#execution,
       claims,
     });
@@ -129,6 +132,7 @@
     return {
       draining: this.#draining,
       open: this.#server.open,
+      accounts: this.#books.dump(),
       dispatcher: this.#dispatcher.dump(this.#options.clock.now()),
     };
   }
--- /dev/null
+++ b/src/request/path_claims_test.ts
@@ -0,0 +1,76 @@
+import test from "ava";
+import * as fakePath from "./fake_path.ts";
+import type * as pathOptions from "./path_options.ts";
+
+/** Claims of one host, kept in memory. */
+function claimsOf(
+  results: pathOptions.ClaimResult[],
+): pathOptions.Claims & { settled: (pathOptions.StoredAnswer | undefined)[] } {
+  const settled: (pathOptions.StoredAnswer | undefined)[] = [];
+  return {
+    settled,
+    claim: () => Promise.resolve(results.shift()!),
+    settle: (_claim, answer) => settled.push(answer),
+  };
+}
+
+const once = {
+  headers: { "idempotency-key": "k1", "chicoryloft-idempotent": "false" },
+};
+
+test("runs a claimed request and keeps its answer", async (t) => {
+  const claims = claimsOf([{ type: "granted" }]);
+  const serve: fakePath.Serve = (_incoming, response) => response.end("booked");
+  const started = await fakePath.start({ billing: serve }, { claims });
+  const url = `${started.url}/v1/services/billing/`;
+  t.is((await fakePath.post(url, "book", once)).text, "booked");
+  t.like(claims.settled, { length: 1, 0: { status: 200, body: "booked" } });
+  await started.stop();
+});
+
+test("answers a resend without another dispatch", async (t) => {
+  const answer = { status: 201, headers: {}, body: "booked before" };
+  const claims = claimsOf([
+    { type: "answered", answer },
+    { type: "in-progress" },
+    { type: "refused", detail: "No quorum", outcome: "not-run" },
+  ]);
+  const serve: fakePath.Serve = (_incoming, response) => response.end("booked");
+  const started = await fakePath.start({ billing: serve }, { claims });
+  const url = `${started.url}/v1/services/billing/`;
+  t.like(await fakePath.post(url, "book", once), {
+    status: 201,
+    text: answer.body,
+  });
+  t.like((await fakePath.post(url, "book", once)).body, {
+    status: 409,
+    outcome: "unknown",
+  });
+  t.like(await fakePath.post(url, "book", once), { status: 503 });
+  t.is(started.fleet.billing.calls(), 0);
+  t.is(started.tally.total("request.refused"), 2);
+  await started.stop();
+});
+
+test("gives a claim back when nothing ran", async (t) => {
+  const claims = claimsOf([{ type: "granted" }]);
+  const started = await fakePath.start({}, { claims });
+  const url = `${started.url}/v1/services/billing/`;
+  const refused = await fakePath.post(url, "book", once);
+  t.like(refused.body, { status: 503, outcome: "not-run" });
+  t.deepEqual(claims.settled, [undefined]);
+  await started.stop();
+});
+
+test("refuses at the deadline a claim that nobody answers", async (t) => {
+  const claims: pathOptions.Claims = {
+    claim: () => new Promise(() => {}),
+    settle: () => t.fail(),
+  };
+  const started = await fakePath.start({}, { claims });
+  const headers = { ...once.headers, "chicoryloft-deadline": "50" };
+  const url = `${started.url}/v1/services/billing/`;
+  const refused = await fakePath.post(url, "book", { headers });
+  t.like(refused.body, { status: 503, outcome: "not-run" });
+  await started.stop();
+});
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -13,8 +13,8 @@
 export const metrics = {
   // Requests of callers.
   "request.arrived": { type: "count", help: "Requests read from callers" },
-  "request.completed": { type: "count", help: "Requests answered whole" },
-  "request.on_time": { type: "count", help: "Answered within the deadline" },
+  "request.completed": { type: "count", help: "Answered whole, by account" },
+  "request.on_time": { type: "count", help: "Answered in time, by account" },
   "request.refused": { type: "count", help: "Refused or failed, by problem" },
   "request.abandoned": { type: "count", help: "Left by their callers" },
   "request.bad": { type: "count", help: "Bad input, nothing dispatched" },
@@ -31,6 +31,7 @@
   "call.cancelled": { type: "count", help: "Calls cancelled by this host" },
   "call.retried": { type: "count", help: "Calls that repeat a failed one" },
   "call.hedged": { type: "count", help: "Calls raced against a slow one" },
+  "call.hung": { type: "count", help: "Calls given up as hung, by service" },
   "call.mismatched": { type: "count", help: "Answers dropped as not ours" },
   "call.silent": { type: "count", help: "Connections given up as silent" },
   "call.duration": { type: "time", help: "From sending to the last byte" },
@@ -39,14 +40,18 @@
   // Cost by stage.
   "cost.engine_time": {
     type: "count",
-    help: "Milliseconds of endpoint slots, by service",
+    help: "Milliseconds of endpoint slots, by stage and account",
   },
   "cost.input_tokens": { type: "count", help: "Tokens read, by service" },
   "cost.output_tokens": { type: "count", help: "Tokens written, by service" },
   "cost.cached_tokens": { type: "count", help: "Tokens found in a cache" },
   "cost.wasted_time": {
     type: "count",
-    help: "Milliseconds of slots whose results were not used",
+    help: "Milliseconds of slots whose results were not used, by fate",
+  },
+  "cost.wasted_calls": {
+    type: "count",
+    help: "Calls whose results were not used, by fate",
   },
 
   // Endpoints.
