Tell callers when to return after a deadline too

A deadline that passed in the host gave no Retry-After, though a repeatable or unstarted request can be sent again. Tests through HTTP: every refusal where a retry helps carries it, what may have run and runs at most once does not, and a request that is given up is answered while time stands still.

--- a/src/request/problems.ts
+++ b/src/request/problems.ts
@@ -25,7 +25,7 @@
 export function expired(of: flight.Flight): effect.Problem {
   const { outcome, request } = of;
   if (!request.idempotent && outcome !== "not-run") return lost(outcome);
-  return late(outcome);
+  return { ...late(outcome), retryAfter: RETRY_AFTER };
 }
 
 /** What is left of a request takes longer than it has. */
@@ -42,7 +42,7 @@
   const stage = of.request.stages[of.stage];
   const { outcome } = of;
   const { retryAfter = RETRY_AFTER, reason } = failure;
-  if (reason === "deadline") return late(outcome);
+  if (reason === "deadline") return { ...late(outcome), retryAfter };
   const detail = `Stage ${stage.name} failed: ${reason}`;
   return { name: "stage-failed", outcome, detail, retryAfter };
 }
