--- /dev/null
+++ b/src/callers/tls_test.ts
@@ -0,0 +1,90 @@
+import test, { type ExecutionContext } from "ava";
+import * as fs from "node:fs";
+import * as url from "node:url";
+import * as undici from "undici";
+import * as fakePath from "../request/fake_path.ts";
+import * as operators from "../operators/mod.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
+
+const tls = {
+  certificate: fileOf("certificate.pem"),
+  key: fileOf("key.pem"),
+};
+
+/** The built test stands in `dist/src/callers`. */
+function fileOf(name: string): string {
+  const place = `../../../src/callers/testdata/${name}`;
+  return url.fileURLToPath(new URL(place, import.meta.url));
+}
+
+function agentOf(t: ExecutionContext, ca?: Buffer): undici.Agent {
+  const agent = new undici.Agent({ connect: { ca } });
+  t.teardown(() => agent.destroy());
+  return agent;
+}
+
+test("serves callers over TLS and takes no plain call there", async (t) => {
+  const settings = fakePath.settingsOf();
+  settings.listen.callers = { port: 0, tls };
+  const started = await fakePath.start(fakePath.whole, { settings });
+  t.teardown(() => started.stop());
+  const plain = `${started.url}/v1/pipelines/short`;
+  const secure = plain.replace("http:", "https:");
+  const asked = {
+    method: "POST",
+    headers: { authorization: `Bearer ${fakePath.TOKEN}` },
+    body: JSON.stringify({ input: { text: "one two" }, stream: true }),
+  } as const;
+  const dispatcher = agentOf(t, fs.readFileSync(tls.certificate));
+  const answer = await undici.request(secure, { ...asked, dispatcher });
+  t.is(answer.statusCode, 200);
+  t.regex(await answer.body.text(), /event: done/);
+  // Its certificate is not trusted unless it is named.
+  const stranger = agentOf(t);
+  await t.throwsAsync(
+    undici.request(secure, { ...asked, dispatcher: stranger }),
+    { code: "DEPTH_ZERO_SELF_SIGNED_CERT" },
+  );
+  await t.throwsAsync(undici.request(plain, asked));
+  t.is(started.tally.total("request.arrived"), 1);
+});
+
+test("serves operators over TLS", async (t) => {
+  const clock = new runtime.FakeClock();
+  const server = await operators.Server.start({
+    listener: { port: 0, tls },
+    operators: operators.Operators.create([
+      { name: "ines", role: "reader", token: "reader-token" },
+    ]),
+    host: {
+      table: operators.LocalTable.create(clock),
+      status: () => ({
+        host: "a",
+        dataCentre: "hall",
+        version: "0",
+        state: "ready",
+        uptime: 0,
+        revision: 0,
+        inFlight: 0,
+        endpoints: 0,
+        parts: {},
+      }),
+      pipelines: () => [],
+      endpoints: () => [],
+      dump: () => ({}),
+      drain: () => {},
+    },
+    clock,
+    metrics: new telemetry.Tally(),
+    logger: telemetry.noLogger,
+  });
+  t.teardown(() => server.close());
+  const dispatcher = agentOf(t, fs.readFileSync(tls.certificate));
+  const headers = { authorization: "Bearer reader-token" };
+  const status = `https://127.0.0.1:${server.port}/v1/status`;
+  const answer = await undici.request(status, { dispatcher, headers });
+  t.like(await answer.body.json(), { host: "a", state: "ready" });
+  const plain = status.replace("https:", "http:");
+  await t.throwsAsync(undici.request(plain, { headers }));
+});
