Lock a folder safely also after a right to remove was left behind

The test of many openings at once failed under load: two of eight got the lock. Several had removed the left-over right of an ended process, one of them the new right of another.

--- a/src/storage/lock.ts
+++ b/src/storage/lock.ts
@@ -1,13 +1,13 @@
 /** One writer of a data folder at a time, by a file that names its process.
  *
  * A lock is stale when no process has its number any more, or when the one
- * that has it started at another time. The right to remove a stale lock is
- * itself a file, made exclusively and named after that lock, and who has it
- * looks at the lock once more: of many that find the same stale lock, one
- * removes it, and none removes a later one. If a process ends while it has that
- * right, its file is removed like any other left-over; only then could two that
- * do so in the same instant both go on. A process in another container that
- * shares the folder but not the process numbers is not recognised.
+ * that has it started at another time. The right to remove a stale file is
+ * itself a file, made exclusively and named after the token of the stale one,
+ * and who has it reads the stale file once more before removing it. So of many
+ * that find the same stale file one removes it, and none removes a later one. A
+ * right whose process has ended is a stale file like any other. A process in
+ * another container that shares the folder but not the process numbers is not
+ * recognised.
  * @module */
 
 import * as crypto from "node:crypto";
@@ -48,7 +48,8 @@
   try {
     for (let count = 0; count < MOST_TRIES; count++) {
       if (await link(own, file)) return { release: () => release(file, owner) };
-      await removeStale(folder, own);
+      const holder = await removeStale({ file, own });
+      if (holder) throw inUse(folder, holder);
       if (count > 0) await timers.setTimeout(PAUSE);
     }
   } finally {
@@ -57,6 +58,11 @@
   throw new error.StorageError("locked", `${folder} is being locked by others`);
 }
 
+function inUse(folder: string, { process }: Owner): error.StorageError {
+  const message = `${folder} is in use by process ${process}`;
+  return new error.StorageError("locked", message);
+}
+
 async function link(from: string, to: string): Promise<boolean> {
   try {
     await fs.link(from, to);
@@ -67,24 +73,29 @@
   }
 }
 
-async function removeStale(folder: string, own: string): Promise<void> {
-  const file = path.join(folder, NAME);
+interface Removal {
+  /** File that may be stale. */
+  file: string;
+  /** File of the process that wants to remove it. */
+  own: string;
+}
+
+/** Removes a stale file; returns the owner of one that is not stale. */
+async function removeStale(
+  { file, own }: Removal,
+): Promise<Owner | undefined> {
   const owner = await read(file);
-  if (owner === undefined) return;
-  if (await isAlive(owner)) {
-    const message = `${folder} is in use by process ${owner.process}`;
-    throw new error.StorageError("locked", message);
+  if (owner === undefined) return undefined;
+  if (await isAlive(owner)) return owner;
+  const right = path.join(path.dirname(own), `${NAME}.${owner.token}.stale`);
+  if (!await link(own, right)) {
+    await removeStale({ file: right, own });
+    return undefined;
   }
-  const right = path.join(folder, `${NAME}.${owner.token}.stale`);
-  if (!await link(own, right)) return removeLeftOver(right);
-  // Meanwhile another may have removed it and locked the folder.
+  // Meanwhile another may have removed it and made it anew.
   if ((await read(file))?.token === owner.token) await fs.rm(file);
   await fs.rm(right);
-}
-
-async function removeLeftOver(right: string): Promise<void> {
-  const owner = await read(right);
-  if (owner && !await isAlive(owner)) await fs.rm(right, { force: true });
+  return undefined;
 }
 
 async function release(file: string, owner: Owner): Promise<void> {
