--- a/standins/experiment/page.ts
+++ b/standins/experiment/page.ts
@@ -184,7 +184,7 @@
     title: "where",
     show: ({ at: _at, type: _type, ...rest }) =>
       Object.entries(rest).map(([name, value]) => `${name} ${value}`)
-        .join(", "),
+        .join(", ") || "everywhere",
     left: true,
   },
 ];
