Bench: an upper bound of attainment beside each scenario

Cause: whether half of the naive misses can be reached under a burst was not known. Change: a clairvoyant bound (fluid, one pool, least work first), with and without the highest weighted account before all others.

--- a/bench/scenario/deployment.ts
+++ b/bench/scenario/deployment.ts
@@ -76,6 +76,14 @@
   return Math.min(...needs);
 }
 
+/** The pool that fills up first. */
+export function busiestOf(users: Deployment): Pool {
+  const load = (pool: Pool) => {
+    return meanWork(users, pool) / (pool.endpoints * pool.slots);
+  };
+  return users.pools.toSorted((a, b) => load(b) - load(a))[0];
+}
+
 /** Mean milliseconds of one pool's slots that a request takes. */
 export function meanWork(deployment: Deployment, pool: Pool): number {
   let sum = 0;
--- a/bench/scenario/fake_endpoint.ts
+++ b/bench/scenario/fake_endpoint.ts
@@ -132,11 +132,10 @@
 
   #factor(random: runtime.Random): number {
     const { fault, clock } = this.#options;
-    const noise = Math.exp(NOISE * load.normal(random));
-    const slow = random.next() < SLOW_SHARE ? SLOW_FACTOR : 1;
+    const noise = noiseOf(random);
     const faulty = fault.type === "straggler" &&
       clock.now() >= scenario.FAULT_AT;
-    return noise * slow * (faulty ? fault.factor : 1);
+    return noise * (faulty ? fault.factor : 1);
   }
 
   #isFailing(): boolean {
@@ -226,6 +225,12 @@
   }
 }
 
+/** Factor on the time of a call by chance alone. */
+export function noiseOf(random: runtime.Random): number {
+  const noise = Math.exp(NOISE * load.normal(random));
+  return random.next() < SLOW_SHARE ? SLOW_FACTOR * noise : noise;
+}
+
 /** Name of an attempt among all of a run. */
 export function keyOf(attempt: request.Attempt): string {
   return `${attempt.request}/${attempt.stage}/${attempt.attempt}`;
--- a/bench/scenario/summary.ts
+++ b/bench/scenario/summary.ts
@@ -92,9 +92,7 @@
   users: deployment.Deployment,
   run: scenario.Scenario,
 ): number {
-  const [pool] = users.pools.toSorted((a, b) =>
-    load(users, b) - load(users, a)
-  );
+  const pool = deployment.busiestOf(users);
   const [start, end] = run.window;
   let useful = 0;
   for (const { trace, stage, key, time } of spent) {
@@ -105,8 +103,3 @@
   }
   return useful / (pool.endpoints * pool.slots * (end - start));
 }
-
-/** Share of a pool that one request a millisecond would take. */
-function load(users: deployment.Deployment, pool: deployment.Pool): number {
-  return deployment.meanWork(users, pool) / (pool.endpoints * pool.slots);
-}
--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -5,6 +5,7 @@
 import * as naiveDispatcher from "./naive_dispatcher.ts";
 import * as bounds from "./scenario/bounds.ts";
 import * as dispatchers from "./scenario/dispatchers.ts";
+import * as ceiling from "./scenario/ceiling.ts";
 import type * as deployment from "./scenario/deployment.ts";
 import * as deployments from "./scenario/deployments.ts";
 import * as scenario from "./scenario/scenario.ts";
@@ -18,6 +19,11 @@
 /** Numbers of hosts that take requests side by side. */
 const HOSTS = [1, 6];
 
+/** A run with what could have been reached. */
+interface Played extends summary.Summary {
+  ceiling: ceiling.Ceiling;
+}
+
 /** The measurement as `bench/main.ts` runs it. */
 export const measurement: result.Measurement = {
   title: "attainment and cost by stage against the naive baseline",
@@ -45,6 +51,7 @@
   const own = playAll(users, { run, hosts, create: dispatchers.create });
   const name = `${users.name}/${run.name}/hosts ${hosts}`;
   return [
+    ...limits(name, naive),
     ...describe(`${name}/naive`, naive),
     ...describe(`${name}/own`, own),
     ...against(name, { naive, own }),
@@ -55,11 +62,31 @@
 function playAll(
   users: deployment.Deployment,
   options: Pick<world.Run, "hosts" | "create"> & { run: scenario.Scenario },
-): summary.Summary[] {
+): Played[] {
   const { run, hosts, create } = options;
   return SEEDS.map((seed) => {
     const setup = { users, scenario: run, seed, hosts, create };
-    return summary.summarize(world.play(setup), users, run);
+    const history = world.play(setup);
+    const summed = summary.summarize(history, users, run);
+    return { ...summed, ceiling: ceiling.of(history, users, seed) };
+  });
+}
+
+/** What no dispatcher could better, whatever it knows. */
+function limits(
+  name: string,
+  naive: readonly Played[],
+): result.Result[] {
+  const missed = mean(naive, (run) => 1 - run.attainment);
+  return (["attainment", "weighted"] as const).flatMap((which) => {
+    const most = mean(naive, (run) => run.ceiling[which]);
+    return [
+      ratio(`${name}/ceiling/${which}`, most),
+      ratio(
+        `${name}/ceiling/${which}, misses of naive`,
+        divide(1 - most, missed),
+      ),
+    ];
   });
 }
 
