--- a/bench/log.ts
+++ b/bench/log.ts
@@ -64,7 +64,7 @@
     {
       name: `${name}/${CLIENTS} clients commits per write`,
       unit: "ratio",
-      kind: "ratio",
+      kind: "speed",
       value: together.perWrite,
       bound: { least: 10 },
     },
--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -115,7 +115,7 @@
         name: `${name}: ${what} against direct`,
         unit: "times",
         value: other / one,
-        kind: "ratio" as const,
+        kind: "speed" as const,
         bound,
       },
       {
--- a/bench/result_test.ts
+++ b/bench/result_test.ts
@@ -22,3 +22,21 @@
   const time = createResult({ kind: "time", value: 99 });
   t.is(result.changed(time, old), undefined);
 });
+
+test("lets a result become better, but not worse", (t) => {
+  const old = createResult();
+  t.is(result.changed(createResult({ value: 0.5 }), old), undefined);
+  const share = createResult({ bound: { least: 0 }, value: 0.5 });
+  t.is(result.changed(share, old), "r is 0.5, was 1");
+  const more = createResult({ bound: { least: 0 }, value: 1.5 });
+  t.is(result.changed(more, old), undefined);
+});
+
+test("finds memory that grew by half and a speed that fell to a fourth", (t) => {
+  const size = createResult({ kind: "size", value: 1.5 });
+  t.is(result.changed(size, createResult()), "r is 1.5, was 1");
+  const speed = createResult({ kind: "speed", value: 4 });
+  t.is(result.changed(speed, createResult()), "r is 4, was 1");
+  const noisy = createResult({ kind: "speed", value: 2.5 });
+  t.is(result.changed(noisy, createResult()), undefined);
+});
