Limits of the table are shared out by demand

Cause: each host had an equal part of each rate and concurrency cell, so that the load behind one host was held to one part; shares by lease stood ready but unused, and the transport dropped their messages.

Change: every host holds shares and reports the demand that a meter in the request path reads; the host that leads the log gives them out. A host knows the leader by its watch but not the term, so the allocator answers a report of another term with its own. Parts that only watch can be given to a dispatcher, and hear of each arrival.

The test that equal parts add up to the limit is replaced: the parts no longer exist. In its place policies must hold the given share of each cell, and over three hosts with cut links the sum of shares is compared with the limit at each look.

--- a/src/node/accounts.ts
+++ b/src/node/accounts.ts
@@ -4,9 +4,11 @@
 import type * as table from "../control/table/mod.ts";
 import type * as request from "../request/mod.ts";
 import type * as schema from "../schema/table_types.ts";
+import type * as shares from "../shares/mod.ts";
 
 const ACCOUNTS = "account/";
 const KINDS = "kind/";
+const COLUMNS = ["rate", "concurrency"] as const;
 
 /** Finds accounts by the hash of their token. */
 export class Accounts {
@@ -35,46 +37,47 @@
   }
 }
 
-/** This host among all hosts that share a limit. */
-export interface Share {
-  /** Position of this host in an order that all hosts agree on. */
-  pos: number;
-  /** Number of hosts. */
-  of: number;
+/** What this host may use of a limit of the fleet. */
+export type ShareOf = (limit: shares.Limit) => number;
+
+/** Limits of the fleet by accounts and kinds. */
+export function limitsOf(view: table.Table): shares.Limit[] {
+  const rows = [...view.rows(ACCOUNTS), ...view.rows(KINDS)];
+  return rows.flatMap(({ row, cells }) =>
+    COLUMNS.flatMap((column) => {
+      const value = cells[column]?.value;
+      return typeof value === "number" ? [{ row, column, limit: value }] : [];
+    })
+  );
 }
 
 /** Policies of accounts and kinds, limits cut down to this host's share. */
 export function policiesOf(
   view: table.Table,
-  share: Share,
+  share: ShareOf,
 ): request.Policies {
   const rows = [...view.rows(ACCOUNTS), ...view.rows(KINDS)];
-  return new Map(rows.map(({ row, cells }) => [row, policyOf(cells, share)]));
+  return new Map(rows.map((one) => [one.row, policyOf(one, share)]));
 }
 
-type Cells = table.Row["cells"];
-
-function policyOf(cells: Cells, share: Share): request.Policy {
+function policyOf(
+  { row, cells }: table.Row,
+  share: ShareOf,
+): request.Policy {
   const number = (column: schema.Column) => {
     const value = cells[column]?.value;
     return typeof value === "number" ? value : undefined;
   };
+  const shared = (column: schema.Column & shares.Limit["column"]) => {
+    const limit = number(column);
+    return limit === undefined ? undefined : share({ row, column, limit });
+  };
   return {
     weight: number("weight"),
-    rate: divide(number("rate"), share),
-    concurrency: divideWhole(number("concurrency"), share),
+    rate: shared("rate"),
+    concurrency: shared("concurrency"),
     deadline: number("deadline"),
     priority: number("priority"),
     spend: number("spend"),
   };
 }
-
-function divide(limit: number | undefined, share: Share) {
-  return limit === undefined ? undefined : limit / share.of;
-}
-
-/** Whole shares that add up to the limit. */
-function divideWhole(limit: number | undefined, { pos, of }: Share) {
-  if (limit === undefined) return undefined;
-  return Math.floor(limit / of) + (pos < limit % of ? 1 : 0);
-}
--- /dev/null
+++ b/src/node/local_fleet.ts
@@ -0,0 +1,148 @@
+/** Hosts of one fleet in one process, over loopback sockets and on one clock
+ * that is moved by hand, for tests.
+ * @module */
+
+import * as fs from "node:fs";
+import * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as relays from "../peers/relay.ts";
+import * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/settings_types.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import * as node from "./node.ts";
+
+/** Milliseconds of the clock between two looks at the sockets. */
+const STEP = 5;
+
+/** What the hosts of a local fleet are made from. */
+export interface Options {
+  /** Ids of the hosts that vote. */
+  voters: readonly string[];
+  /** Ids of further hosts. */
+  others?: readonly string[];
+  settings?: Partial<schema.Settings>;
+  /** Changes to hosts of the list. */
+  hosts?: Readonly<Record<string, Partial<schema.Host>>>;
+  /** Called each time that the clock has moved. */
+  watch?(): void;
+}
+
+/** Hosts that run. */
+export class LocalFleet {
+  readonly clock = new runtime.FakeClock();
+  readonly hosts = new Map<string, node.Node>();
+  readonly #folder = fs.mkdtempSync(path.join(os.tmpdir(), "chicoryloft-"));
+  readonly #options: Options;
+  /** Relays in front of each host, by the host that dials. */
+  readonly #relays = new Map<string, Map<string, relays.Relay>>();
+
+  private constructor(options: Options) {
+    this.#options = options;
+  }
+
+  /** Starts all hosts and waits until they serve callers. */
+  static async start(options: Options): Promise<LocalFleet> {
+    const fleet = new LocalFleet(options);
+    const { voters, others = [] } = options;
+    const hosts = await Promise.all(
+      [...voters, ...others].map((id) => hostOf(id, options)),
+    );
+    for (const { id } of hosts) {
+      const started = node.Node.start({
+        settings: await fleet.#settingsOf(id, hosts),
+        clock: fleet.clock,
+        random: runtime.createRandom(fleet.hosts.size + 1),
+        logger: telemetry.noLogger,
+        environment: {},
+      });
+      fleet.hosts.set(id, await fleet.until(started));
+    }
+    const ready = [...fleet.hosts.values()].map((host) => host.ready);
+    await fleet.until(Promise.all(ready));
+    return fleet;
+  }
+
+  /** A host that runs. */
+  get(id: string): node.Node {
+    return this.hosts.get(id)!;
+  }
+
+  /** Lets time pass until `done`. */
+  async pass(done: () => boolean): Promise<void> {
+    while (!done()) {
+      this.clock.advance(STEP);
+      this.#options.watch?.();
+      await new Promise((resolve) => setTimeout(resolve, 1));
+    }
+  }
+
+  /** Lets time pass until `promise` is settled. */
+  async until<T>(promise: Promise<T>): Promise<T> {
+    let done = false;
+    const settled = promise.finally(() => done = true);
+    settled.catch(() => {});
+    await this.pass(() => done);
+    return await settled;
+  }
+
+  /** Cuts a host off from all others for good. */
+  async cut(id: string): Promise<void> {
+    for (const [from, dialled] of this.#relays) {
+      for (const [to, relay] of dialled) {
+        if (from === id || to === id) await relay.close();
+      }
+    }
+  }
+
+  /** Stops all hosts and removes their folders. */
+  async stop(): Promise<void> {
+    const hosts = [...this.hosts.values()];
+    this.hosts.clear();
+    await this.until(Promise.all(hosts.map((host) => host.stop())));
+    for (const dialled of this.#relays.values()) {
+      for (const relay of dialled.values()) await relay.close();
+    }
+    fs.rmSync(this.#folder, { recursive: true });
+  }
+
+  async #settingsOf(
+    id: string,
+    hosts: readonly schema.Host[],
+  ): Promise<schema.Settings> {
+    const dialled = new Map<string, relays.Relay>();
+    this.#relays.set(id, dialled);
+    for (const { id: to, port } of hosts) {
+      if (to !== id) dialled.set(to, await relays.Relay.create(() => port));
+    }
+    const [first, ...rest] = hosts.map((host) => {
+      return { ...host, port: dialled.get(host.id)?.port ?? host.port };
+    });
+    const { voters, settings } = this.#options;
+    return {
+      host: id,
+      folder: voters.includes(id) ? path.join(this.#folder, id) : undefined,
+      fleet: { hosts: [first, ...rest] },
+      listen: { callers: { port: 0 }, operators: { port: 0 } },
+      services: [{ name: "billing", kind: "plain" }],
+      pipelines: [],
+      ...settings,
+    };
+  }
+}
+
+async function hostOf(id: string, options: Options): Promise<schema.Host> {
+  const place = { dataCentre: "hall", address: "127.0.0.1" };
+  const voter = options.voters.includes(id);
+  const port = await freePort();
+  return { id, ...place, port, voter, ...options.hosts?.[id] };
+}
+
+/** A port that was free a moment ago. */
+async function freePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((done) => server.close(done));
+  return port;
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -109,7 +109,8 @@
 
   dump(): unknown {
     const { tally, settings } = this.#foundation;
-    const { source, members, path, directory, transport, orders } = this.#parts;
+    const { source, members, path, directory, transport } = this.#parts;
+    const { orders, limits } = this.#parts;
     const rows = source.access.view().rows();
     return {
       status: this.status(),
@@ -120,6 +121,7 @@
       members: members.view.toJSON(),
       endpoints: directory.dump(),
       orders: orders.dump(),
+      shares: limits.dump(),
       peers: transport.dump(),
       settings: redactSettings(settings),
     };
--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -6,9 +6,11 @@
 import type * as runtime from "../runtime/mod.ts";
 import type * as membership from "../schema/membership_types.ts";
 import type * as registry from "../schema/registry_types.ts";
+import type * as shares from "../schema/shares_types.ts";
 import * as accounts from "./accounts.ts";
 import * as directories from "./directory.ts";
 import * as engineOrders from "./engine_orders.ts";
+import * as limiting from "./limits.ts";
 import type * as foundation from "./foundation.ts";
 import * as memberships from "./members.ts";
 import type * as options from "./options.ts";
@@ -26,6 +28,7 @@
   members: memberships.Members;
   directory: directories.Directory;
   orders: engineOrders.EngineOrders;
+  limits: limiting.Limits;
   path: request.RequestPath;
 }
 
@@ -52,6 +55,12 @@
     onFailure: (failure) => fail(failure, base, options),
   });
   const orders = engineOrders.EngineOrders.create({ ...base, source });
+  const limits = limiting.Limits.create({
+    ...base,
+    source,
+    transport,
+    onChange: () => followLimits(),
+  });
   const known = accounts.Accounts.create();
   const path = request.RequestPath.create({
     ...base,
@@ -60,6 +69,7 @@
     endpointToken: base.secrets.endpointToken,
     notices: (notice) => take(notice),
     claims: source.claims,
+    observers: [limits.meter],
     policySet: options.policySet,
   });
   const directory = directories.Directory.create({
@@ -74,7 +84,10 @@
     transport,
     self: { ...selfOf(settings), incarnation },
     seeds: settings.fleet.hosts.map(({ id }) => id),
-    onChange: () => directory.setHosts(members.view),
+    onChange: () => {
+      directory.setHosts(members.view);
+      limits.setHosts(members.view.size);
+    },
   });
 
   receivers.log = receivers.watch = receivers.control = (envelope) =>
@@ -83,6 +96,8 @@
     members.receive(from, body as membership.MembershipMessage);
   receivers.registry = ({ from, body }) =>
     directory.receive(from, body as registry.RegistryMessage);
+  receivers.shares = ({ from, body }) =>
+    limits.receive(from, body as shares.SharesMessage);
 
   followTable();
   source.access.watch(followTable);
@@ -91,8 +106,9 @@
   members.start();
   directory.start();
   orders.start();
+  limits.start();
   followEndpoints();
-  return { transport, source, members, directory, orders, path };
+  return { transport, source, members, directory, orders, limits, path };
 
   function take(notice: request.Notice): Promise<request.NoticeResult> {
     const detail = serving.reject(settings, notice);
@@ -108,14 +124,22 @@
   function followTable(): void {
     const view = source.access.view();
     known.update(view);
-    path.setPolicies(accounts.policiesOf(view, shareOf(settings)));
+    limits.setLimits(accounts.limitsOf(view));
+    followLimits();
+  }
+
+  function followLimits(): void {
+    const view = source.access.view();
+    const share: accounts.ShareOf = (limit) => limits.share(limit);
+    path.setPolicies(accounts.policiesOf(view, share));
   }
 }
 
 /** Stops all parts but the request path, which stops by itself. */
 export async function stop(parts: Parts): Promise<void> {
-  const { transport, source, directory, orders } = parts;
+  const { transport, source, directory, orders, limits } = parts;
   orders.stop();
+  limits.stop();
   directory.stop();
   await source.stop();
   await transport.stop();
@@ -130,11 +154,6 @@
   return { id, dataCentre, region, address, port };
 }
 
-/** Every host takes an equal share of each limit. */
-function shareOf({ fleet: { hosts }, host }: Settings): accounts.Share {
-  return { pos: hosts.findIndex(({ id }) => id === host), of: hosts.length };
-}
-
 function fail(
   failure: Error,
   { logger }: foundation.Foundation,
--- a/src/node/table_source.ts
+++ b/src/node/table_source.ts
@@ -38,6 +38,8 @@
   catchUp(): Promise<boolean>;
   /** Takes an envelope of the channels log, watch and control. */
   receive(envelope: runtime.Envelope): void;
+  /** Host that takes edits, as far as known here. */
+  readonly leader: string | undefined;
   /** The right to order engines and to share out limits, by a fresh look at
    * the clock; undefined where it is not held. */
   lease(): orders.Lease | undefined;
@@ -69,6 +71,7 @@
     start: () => Promise.resolve(),
     catchUp: () => Promise.resolve(true),
     receive() {},
+    leader: undefined,
     lease: () => undefined,
     drain() {},
     stop: () => Promise.resolve(),
@@ -104,6 +107,9 @@
     start: () => access.start(),
     catchUp: () => access.catchUp(),
     receive: (envelope) => access.receive(envelope),
+    get leader() {
+      return access.status.leader;
+    },
     lease: () => access.lease(),
     drain: () => access.drain(),
     async stop() {
--- a/src/node/transport.ts
+++ b/src/node/transport.ts
@@ -8,6 +8,7 @@
 import * as logMessages from "../schema/log_validators.ts";
 import * as membershipMessages from "../schema/membership_validators.ts";
 import * as registryMessages from "../schema/registry_validators.ts";
+import * as sharesMessages from "../schema/shares_validators.ts";
 import type * as settings from "../schema/settings_types.ts";
 import * as watchMessages from "../schema/watch_validators.ts";
 import type * as telemetry from "../telemetry/mod.ts";
@@ -44,6 +45,7 @@
       log: logMessages.validate,
       membership: membershipMessages.validate,
       registry: registryMessages.validate,
+      shares: sharesMessages.validate,
       watch: watchMessages.validate,
     },
   });
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -25,6 +25,8 @@
 /** What a dispatcher is made from. */
 export interface Options {
   policySet: policySet.PolicySet;
+  /** Further parts that only watch. */
+  observers?: readonly policySet.Observer[];
 }
 
 type Handlers = {
@@ -51,9 +53,9 @@
   #effects: effect.Effect[] = [];
   #draining = false;
 
-  private constructor({ policySet }: Options) {
+  private constructor({ policySet, observers }: Options) {
     this.#policies = policySet;
-    this.#notify = notifier.Notifier.create(policySet);
+    this.#notify = notifier.Notifier.create(policySet, observers);
     this.#lines = lines.Lines.create(policySet.queues);
     this.#calls = calls.Calls.create({
       notifier: this.#notify,
@@ -151,6 +153,7 @@
   };
 
   #arrive(arrived: request.Request, now: number): void {
+    this.#notify.arrived(arrived, now);
     const problem = this.#objection(arrived, now);
     if (problem !== undefined) {
       this.#effects.push({ type: "refuse", request: arrived.id, problem });
--- a/src/request/notifier.ts
+++ b/src/request/notifier.ts
@@ -22,11 +22,15 @@
     this.#parts = parts;
   }
 
-  static create(set: policySet.PolicySet): Notifier {
+  /** Tells the parts of `set`, and then `observers`. */
+  static create(
+    set: policySet.PolicySet,
+    observers: readonly policySet.Observer[] = [],
+  ): Notifier {
     const { queues, admission, choice, estimate, retries, hedge } = set;
     const parts = [queues, admission, choice, estimate, retries, hedge];
     // One object may play several parts and is still told once.
-    return new Notifier([...new Set<policySet.Observer>(parts)]);
+    return new Notifier([...new Set([...parts, ...observers])]);
   }
 
   policies(policies: event.Policies, now: number): void {
@@ -45,6 +49,10 @@
     for (const part of this.#parts) part.cache?.(change, now);
   }
 
+  arrived(arrived: request.Request, now: number): void {
+    for (const part of this.#parts) part.arrived?.(arrived, now);
+  }
+
   admitted(arrived: request.Request, now: number): void {
     for (const part of this.#parts) part.admitted?.(arrived, now);
   }
--- a/src/request/path.ts
+++ b/src/request/path.ts
@@ -35,6 +35,7 @@
     this.#dispatcher = dispatcher.Dispatcher.create({
       policySet: options.policySet ??
         plainPolicies.create({ inFlight: limits.inFlight }),
+      observers: options.observers,
     });
     this.#backends = backends.Backends.create({
       clock,
--- a/src/request/path_options.ts
+++ b/src/request/path_options.ts
@@ -106,4 +106,6 @@
   claims?: Claims;
   /** Decisions; the plain ones when absent. */
   policySet?: policySet.PolicySet;
+  /** Parts that watch requests and calls, and decide nothing. */
+  observers?: readonly policySet.Observer[];
 }
--- a/src/request/policy_set.ts
+++ b/src/request/policy_set.ts
@@ -58,6 +58,8 @@
   endpoints?(endpoints: readonly event.Endpoint[], now: number): void;
   load?(id: string, load: event.Load, now: number): void;
   cache?(change: event.Event & { type: "cache" }, now: number): void;
+  /** A request came; it is admitted or refused next. */
+  arrived?(request: request.Request, now: number): void;
   /** A request was admitted. */
   admitted?(request: request.Request, now: number): void;
   /** A request has its final answer. */
--- a/src/schema/shares_types.ts
+++ b/src/schema/shares_types.ts
@@ -4,7 +4,7 @@
 /**
  * What hosts and the allocator tell each other of shares of limits.
  */
-export type SharesMessage = Report | Grant;
+export type SharesMessage = Report | Grant | Lead;
 /**
  * Column of the table that holds the limit.
  */
@@ -82,3 +82,10 @@
   column: LimitColumn;
   extra: number;
 }
+/**
+ * Answer of the allocator to a report that names another term.
+ */
+export interface Lead {
+  type: "lead";
+  term: number;
+}
--- a/src/schema/shares_validators.ts
+++ b/src/schema/shares_validators.ts
@@ -5,7 +5,8 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"SharesMessage","description":"What hosts and the allocator tell each other of shares of limits.","type":"object","discriminator":{"propertyName":"type"},"required":["type"],"oneOf":[{"$ref":"#/$defs/Report"},{"$ref":"#/$defs/Grant"}],"$defs":{"LimitColumn":{"title":"LimitColumn","description":"Column of the table that holds the limit.","enum":["rate","concurrency"]},"Report":{"title":"Report","description":"What a host needs; sent to the allocator about once a second.","type":"object","additionalProperties":false,"required":["type","number","term","applied","rows"],"properties":{"type":{"const":"report"},"number":{"description":"Grows with each report of one run of the host.","type":"integer","minimum":0},"term":{"description":"Term of the allocator that the host reports to.","type":"integer","minimum":0},"applied":{"description":"Number of the last grant in force at the host.","type":"integer","minimum":0},"rows":{"type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Claim"}}}},"Claim":{"title":"Claim","type":"object","additionalProperties":false,"required":["row","column","demand","held"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"demand":{"description":"Requests a second, or requests in flight and waiting.","type":"number","minimum":0},"held":{"description":"Leased to the host now, over its base.","type":"number","minimum":0},"used":{"description":"Requests in flight over its base, which may outlast a lease.","type":"number","minimum":0}}},"Grant":{"title":"Grant","description":"Shares over the base, for the length of a lease that begins when the report was sent.","type":"object","additionalProperties":false,"required":["type","number","term","report","lease"],"properties":{"type":{"const":"grant"},"number":{"description":"Grows with each grant of one term.","type":"integer","minimum":1},"term":{"type":"integer","minimum":0},"report":{"description":"Number of the report that it answers.","type":"integer","minimum":0},"lease":{"description":"Milliseconds.","type":"integer","minimum":0},"like":{"description":"Number of the grant in force whose shares it repeats.","type":"integer","minimum":1},"rows":{"description":"Absent when it repeats a grant.","type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Share"}}}},"Share":{"title":"Share","type":"object","additionalProperties":false,"required":["row","column","extra"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"extra":{"type":"number","minimum":0}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"SharesMessage","description":"What hosts and the allocator tell each other of shares of limits.","type":"object","discriminator":{"propertyName":"type"},"required":["type"],"oneOf":[{"$ref":"#/$defs/Report"},{"$ref":"#/$defs/Grant"},{"$ref":"#/$defs/Lead"}],"$defs":{"LimitColumn":{"title":"LimitColumn","description":"Column of the table that holds the limit.","enum":["rate","concurrency"]},"Report":{"title":"Report","description":"What a host needs; sent to the allocator about once a second.","type":"object","additionalProperties":false,"required":["type","number","term","applied","rows"],"properties":{"type":{"const":"report"},"number":{"description":"Grows with each report of one run of the host.","type":"integer","minimum":0},"term":{"description":"Term of the allocator that the host reports to.","type":"integer","minimum":0},"applied":{"description":"Number of the last grant in force at the host.","type":"integer","minimum":0},"rows":{"type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Claim"}}}},"Claim":{"title":"Claim","type":"object","additionalProperties":false,"required":["row","column","demand","held"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"demand":{"description":"Requests a second, or requests in flight and waiting.","type":"number","minimum":0},"held":{"description":"Leased to the host now, over its base.","type":"number","minimum":0},"used":{"description":"Requests in flight over its base, which may outlast a lease.","type":"number","minimum":0}}},"Grant":{"title":"Grant","description":"Shares over the base, for the length of a lease that begins when the report was sent.","type":"object","additionalProperties":false,"required":["type","number","term","report","lease"],"properties":{"type":{"const":"grant"},"number":{"description":"Grows with each grant of one term.","type":"integer","minimum":1},"term":{"type":"integer","minimum":0},"report":{"description":"Number of the report that it answers.","type":"integer","minimum":0},"lease":{"description":"Milliseconds.","type":"integer","minimum":0},"like":{"description":"Number of the grant in force whose shares it repeats.","type":"integer","minimum":1},"rows":{"description":"Absent when it repeats a grant.","type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Share"}}}},"Lead":{"title":"Lead","description":"Answer of the allocator to a report that names another term.","type":"object","additionalProperties":false,"required":["type","term"],"properties":{"type":{"const":"lead"},"term":{"type":"integer","minimum":0}}},"Share":{"title":"Share","type":"object","additionalProperties":false,"required":["row","column","extra"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"extra":{"type":"number","minimum":0}}}}};
+const schema38 = {"title":"Lead","description":"Answer of the allocator to a report that names another term.","type":"object","additionalProperties":false,"required":["type","term"],"properties":{"type":{"const":"lead"},"term":{"type":"integer","minimum":0}}};
 const schema32 = {"title":"Report","description":"What a host needs; sent to the allocator about once a second.","type":"object","additionalProperties":false,"required":["type","number","term","applied","rows"],"properties":{"type":{"const":"report"},"number":{"description":"Grows with each report of one run of the host.","type":"integer","minimum":0},"term":{"description":"Term of the allocator that the host reports to.","type":"integer","minimum":0},"applied":{"description":"Number of the last grant in force at the host.","type":"integer","minimum":0},"rows":{"type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Claim"}}}};
 const schema33 = {"title":"Claim","type":"object","additionalProperties":false,"required":["row","column","demand","held"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"demand":{"description":"Requests a second, or requests in flight and waiting.","type":"number","minimum":0},"held":{"description":"Leased to the host now, over its base.","type":"number","minimum":0},"used":{"description":"Requests in flight over its base, which may outlast a lease.","type":"number","minimum":0}}};
 const schema34 = {"title":"LimitColumn","description":"Column of the table that holds the limit.","enum":["rate","concurrency"]};
@@ -654,6 +655,71 @@
 props0 = true;
 }
 }
+else if(tag0 === "lead"){
+const _errs5 = errors;
+if(errors === _errs5){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing1;
+if(((data.type === undefined) && (missing1 = "type")) || ((data.term === undefined) && (missing1 = "term"))){
+validate20.errors = [{instancePath,schemaPath:"#/$defs/Lead/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema38.required,parentSchema:schema38,data}];
+return false;
+}
+else {
+const _errs7 = errors;
+for(const key0 in data){
+if(!((key0 === "type") || (key0 === "term"))){
+validate20.errors = [{instancePath,schemaPath:"#/$defs/Lead/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema38,data}];
+return false;
+break;
+}
+}
+if(_errs7 === errors){
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs8 = errors;
+if("lead" !== data0){
+validate20.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/Lead/properties/type/const",keyword:"const",params:{allowedValue: "lead"},message:"must be equal to constant",schema:"lead",parentSchema:schema38.properties.type,data:data0}];
+return false;
+}
+var valid5 = _errs8 === errors;
+}
+else {
+var valid5 = true;
+}
+if(valid5){
+if(data.term !== undefined){
+let data1 = data.term;
+const _errs9 = errors;
+if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
+validate20.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Lead/properties/term/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema38.properties.term.type,parentSchema:schema38.properties.term,data:data1}];
+return false;
+}
+if(errors === _errs9){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 < 0 || isNaN(data1)){
+validate20.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Lead/properties/term/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema38.properties.term,data:data1}];
+return false;
+}
+}
+}
+var valid5 = _errs9 === errors;
+}
+else {
+var valid5 = true;
+}
+}
+}
+}
+}
+else {
+validate20.errors = [{instancePath,schemaPath:"#/$defs/Lead/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema38.type,parentSchema:schema38,data}];
+return false;
+}
+}
+if(props0 !== true){
+props0 = true;
+}
+}
 else {
 validate20.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema31.discriminator,parentSchema:schema31,data}];
 return false;
--- a/src/shares/allocator.ts
+++ b/src/shares/allocator.ts
@@ -146,7 +146,7 @@
 
 function receive(step: Step, from: string, report: schema.Report): void {
   const { state, now } = step;
-  if (report.term !== state.term) return;
+  if (report.term !== state.term) return correct(step, from);
   const known = state.clients.get(from);
   const outstanding = (known?.outstanding ?? []).filter((grant) => {
     return grant.number >= report.applied;
@@ -163,6 +163,13 @@
   step.state = { ...state, clients };
 }
 
+/** Tells a host that reports to another allocator of the present one. */
+function correct({ state, effects, now }: Step, to: string): void {
+  const { term, until } = state;
+  if (term === undefined || now >= until) return;
+  effects.push({ type: "send", to, body: { type: "lead", term } });
+}
+
 /** Answers all reports since the last round. */
 function round(step: Step): void {
   const { state, now } = step;
--- a/src/shares/holder.ts
+++ b/src/shares/holder.ts
@@ -37,6 +37,8 @@
   | { type: "hosts"; count: number }
   /** The host that holds the control lease, as far as known. */
   | { type: "allocator"; host: string; term: number }
+  /** As above where the term is not known: the host itself will tell. */
+  | { type: "leader"; host: string }
   /** Demand on all limits; to be given at least each `REPORT_INTERVAL`. */
   | { type: "demand"; demands: readonly Demand[] }
   | { type: "message"; from: string; body: schema.SharesMessage }
@@ -78,6 +80,8 @@
   readonly term: number;
   readonly number: number;
   readonly reportedAt: number;
+  /** As last given. */
+  readonly demands: readonly Demand[];
   /** When recent reports of this term were sent, by number. */
   readonly sent: ReadonlyMap<number, number>;
   readonly lease: Lease | undefined;
@@ -107,6 +111,7 @@
       term: 0,
       number: random.below(2 ** 48),
       reportedAt: -Infinity,
+      demands: [],
       sent: new Map(),
       lease: undefined,
       shares: [],
@@ -153,24 +158,30 @@
     const sent = new Map<number, number>();
     step.state = { ...step.state, allocator: host, term, sent };
   },
+  leader: (step, { host }) => {
+    if (host === step.state.allocator) return;
+    step.state = { ...step.state, allocator: host };
+    report(step);
+  },
   demand: (step, { demands }) => {
-    const { reportedAt, allocator } = step.state;
-    const due = step.now - reportedAt >= REPORT_INTERVAL;
-    if (due && allocator !== undefined) report(step, allocator, demands);
+    step.state = { ...step.state, demands };
+    if (step.now - step.state.reportedAt >= REPORT_INTERVAL) report(step);
   },
-  message: (step, { body }) => {
+  message: (step, { from, body }) => {
     if (body.type === "grant") apply(step, body);
+    if (body.type !== "lead" || from !== step.state.allocator) return;
+    const { term } = body;
+    if (term <= step.state.term) return;
+    step.state = { ...step.state, term, sent: new Map() };
+    report(step);
   },
   wake: () => {},
 };
 
-function report(
-  step: Step,
-  allocator: string,
-  demands: readonly Demand[],
-): void {
+function report(step: Step): void {
   const { state, now } = step;
-  const { lease } = state;
+  const { lease, allocator } = state;
+  if (allocator === undefined) return;
   const number = state.number + 1;
   const recent = [...state.sent].slice(1 - REPORTS_KEPT);
   step.state = {
@@ -184,17 +195,16 @@
     number,
     term: state.term,
     applied: lease?.term === state.term ? lease.number : 0,
-    rows: claimsOf(state, { demands, now }),
+    rows: claimsOf(state, now),
   };
   step.effects.push({ type: "send", to: allocator, body });
 }
 
 /** Claims on limits of which the base may not be enough. */
-function claimsOf(
-  state: State,
-  { demands, now }: { demands: readonly Demand[]; now: number },
-): schema.Claim[] {
-  const byKey = new Map(demands.map((item) => [limits.keyOf(item), item]));
+function claimsOf(state: State, now: number): schema.Claim[] {
+  const byKey = new Map(
+    state.demands.map((item) => [limits.keyOf(item), item]),
+  );
   return state.limits.flatMap((limit) => {
     const key = limits.keyOf(limit);
     const { demand = 0, inFlight = 0 } = byKey.get(key) ?? {};
--- a/src/shares/mod.ts
+++ b/src/shares/mod.ts
@@ -5,3 +5,4 @@
 export * from "./fill.ts";
 export * as holder from "./holder.ts";
 export type { Limit } from "./limit.ts";
+export * as meter from "./meter.ts";
