Hosts may be named as observers, which pass the table on

Cause: with hundreds of hosts all of them watched the voters; the relay for that was a tested value that no setting named.

Change: observer: true in fleet.hosts. Observers watch voters and serve the hosts that subscribe; the others try two observers, then the voters, then the rest, so that missing observers cost at most two silences. Settings with an observer that votes, or without a voter, are refused.

Tests over eight hosts in one process: hosts send watches to observers only; with both observers cut off, or with both cut off from the voters, an edit comes into force on all hosts that watch them.

--- a/src/control/host/control.ts
+++ b/src/control/host/control.ts
@@ -24,6 +24,9 @@
 /** Milliseconds over which a start is announced to the log. */
 const RETIRE_TIMEOUT = 5_000;
 
+/** What hosts that watch say to a publisher. */
+const REQUESTS: ReadonlySet<string> = new Set(["subscribe", "leave"]);
+
 /** What control needs of its host. */
 export interface ControlOptions {
   self: string;
@@ -31,6 +34,8 @@
   incarnation: number;
   /** Hosts that the settings name as voters. */
   voters: readonly string[];
+  /** Hosts that watch voters and serve the table to others. */
+  observers?: readonly string[];
   clock: runtime.Clock;
   random: runtime.Random;
   transport: followers.Transport;
@@ -64,10 +69,12 @@
 
   private constructor(options: ControlOptions) {
     this.#options = options;
+    const { self, voters, observers = [] } = options;
     this.#proposer = proposers.Proposer.create(options);
     this.#follower = followers.Follower.create({
       ...options,
-      publishers: publishersOf(options),
+      publishers: watch.publishersOf(self, { voters, observers }),
+      observer: observers.includes(self),
       onTable: (_, written) => this.#takeTable(written),
       onStatus: (status) => this.#takeStatus(status),
     });
@@ -109,8 +116,8 @@
     const type = (body as { type: string }).type;
     if (channel === "log") this.#voter?.receiveLog(envelope);
     else if (channel === "control") this.#takeControl(from, body);
-    else if (type === "subscribe" || type === "leave") {
-      this.#voter?.receiveWatch(from, body as watching.Message);
+    else if (this.#voter !== undefined && REQUESTS.has(type)) {
+      this.#voter.receiveWatch(from, body as watching.Message);
     } else this.#follower.receive(from, body as watching.Message);
   }
 
@@ -244,12 +251,6 @@
   }
 }
 
-/** Voters in the order that this host tries them; a voter asks itself first. */
-function publishersOf({ self, voters }: ControlOptions): string[] {
-  const others = watch.rank(self, voters);
-  return voters.includes(self) ? [self, ...others] : others;
-}
-
 function answerOf(reply: table.Reply): EditResult {
   const { type } = reply;
   if (type === "accepted" || type === "conflict" || type === "refused") {
--- a/src/control/host/control_test.ts
+++ b/src/control/host/control_test.ts
@@ -1,102 +1,9 @@
 import test from "ava";
-import * as runtime from "../../runtime/mod.ts";
 import type * as schema from "../../schema/table_types.ts";
-import * as storage from "../../storage/mod.ts";
-import * as telemetry from "../../telemetry/mod.ts";
-import * as control from "./mod.ts";
+import * as fakeFleet from "./fake_fleet.ts";
+import type * as control from "./mod.ts";
 
-const VOTERS = ["a", "b", "c"];
-const HOSTS = [...VOTERS, "d", "e", "f"];
-
-/** Six hosts in one process, whose messages take a millisecond. */
-class Fleet {
-  readonly clock = new runtime.FakeClock();
-  readonly hosts = new Map<string, control.Control>();
-  readonly cut = new Set<string>();
-  /** Whether each host found a quorum when it started. */
-  readonly caughtUp = new Map<string, Promise<boolean>>();
-  readonly #disks = new Map(
-    VOTERS.map((id) => [id, storage.MemoryStorage.create()]),
-  );
-  #incarnation = 1;
-
-  static async start(): Promise<Fleet> {
-    const fleet = new Fleet();
-    for (const id of HOSTS) await fleet.startHost(id);
-    await fleet.run(2_000);
-    return fleet;
-  }
-
-  async startHost(self: string): Promise<void> {
-    const host = control.Control.create({
-      self,
-      incarnation: this.#incarnation++,
-      voters: VOTERS,
-      clock: this.clock,
-      random: runtime.createRandom(this.#incarnation),
-      transport: {
-        send: (envelope) => this.#send(envelope),
-        redial: () => {},
-      },
-      storage: this.#disks.get(self),
-      metrics: telemetry.noMetrics,
-      logger: telemetry.noLogger,
-      first: [editOf("first", { row: "account/seed", version: 0, value: 5 })],
-      onFailure: (failure) => {
-        throw failure;
-      },
-    });
-    this.hosts.set(self, host);
-    await host.start();
-    this.caughtUp.set(self, host.catchUp());
-  }
-
-  /** Stops a host without a word, as a kill does. */
-  kill(id: string): void {
-    this.hosts.get(id)!.stop();
-    this.hosts.delete(id);
-    const disk = this.#disks.get(id);
-    if (disk !== undefined) this.#disks.set(id, disk.crash());
-  }
-
-  get leader(): string {
-    return [...this.hosts].find(([, host]) => host.leaseHeld())![0];
-  }
-
-  revisions(): number[] {
-    return [...this.hosts.values()].map((host) => host.view().revision);
-  }
-
-  /** Lets time pass; disks write between the milliseconds. */
-  async run(ms: number): Promise<void> {
-    for (let passed = 0; passed < ms; passed++) {
-      this.clock.advance(1);
-      await settle();
-    }
-  }
-
-  /** Waits for `promise` while time passes. */
-  async until<T>(promise: Promise<T>): Promise<T> {
-    let done = false;
-    void promise.finally(() => done = true);
-    while (!done) await this.run(10);
-    return promise;
-  }
-
-  #send(envelope: runtime.Envelope): void {
-    const { from, to } = envelope;
-    this.clock.after(1, () => {
-      if (from !== to && (this.cut.has(from) || this.cut.has(to))) return;
-      this.hosts.get(to)?.receive(envelope);
-    });
-  }
-}
-
-async function settle(): Promise<void> {
-  for (let turn = 0; turn < 4; turn++) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-}
+const { HOSTS, VOTERS } = fakeFleet;
 
 function editOf(
   operation: string,
@@ -107,7 +14,7 @@
 }
 
 test("an edit through any host comes into force on all", async (t) => {
-  const fleet = await Fleet.start();
+  const fleet = await fakeFleet.Fleet.start();
   t.deepEqual(fleet.revisions(), HOSTS.map(() => 1));
   const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
   const answer = await fleet.until(fleet.hosts.get("f")!.edit(edit));
@@ -117,7 +24,7 @@
 });
 
 test("a resend through another leader gets the first answer", async (t) => {
-  const fleet = await Fleet.start();
+  const fleet = await fakeFleet.Fleet.start();
   const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
   const first = await fleet.until(fleet.hosts.get("d")!.edit(edit));
   fleet.kill(fleet.leader);
@@ -126,7 +33,7 @@
 });
 
 test("a host cut off refuses edits as not run and keeps its table", async (t) => {
-  const fleet = await Fleet.start();
+  const fleet = await fakeFleet.Fleet.start();
   fleet.cut.add("e");
   const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
   const answer = await fleet.until(fleet.hosts.get("e")!.edit(edit));
@@ -135,7 +42,7 @@
 });
 
 test("all hosts restarted at once keep the accepted edits", async (t) => {
-  const fleet = await Fleet.start();
+  const fleet = await fakeFleet.Fleet.start();
   const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
   await fleet.until(fleet.hosts.get("d")!.edit(edit));
   HOSTS.forEach((id) => fleet.kill(id));
@@ -158,7 +65,7 @@
 }
 
 test("a key claimed at one host is not granted at another", async (t) => {
-  const fleet = await Fleet.start();
+  const fleet = await fakeFleet.Fleet.start();
   const [d, e] = [fleet.hosts.get("d")!, fleet.hosts.get("e")!];
   const first = await fleet.until(d.claims.claim(claimOf("r1")));
   t.is(first.type, "granted");
@@ -172,7 +79,7 @@
 });
 
 test("a claim of a host that restarted is unknown, never run again", async (t) => {
-  const fleet = await Fleet.start();
+  const fleet = await fakeFleet.Fleet.start();
   await fleet.until(fleet.hosts.get("d")!.claims.claim(claimOf("r1")));
   fleet.kill("d");
   await fleet.startHost("d");
@@ -184,7 +91,7 @@
 });
 
 test("a restarted voter is not in force before it has caught up", async (t) => {
-  const fleet = await Fleet.start();
+  const fleet = await fakeFleet.Fleet.start();
   const voter = VOTERS.find((id) => id !== fleet.leader)!;
   fleet.kill(voter);
   const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
@@ -195,10 +102,54 @@
 });
 
 test("a host that starts without a quorum serves with what it has", async (t) => {
-  const fleet = await Fleet.start();
+  const fleet = await fakeFleet.Fleet.start();
   const voter = VOTERS.find((id) => id !== fleet.leader)!;
   fleet.kill(voter);
   fleet.cut.add(voter);
   await fleet.startHost(voter);
   t.false(await fleet.until(fleet.caughtUp.get(voter)!));
 });
+
+const OBSERVED = {
+  hosts: [...HOSTS, "g", "h"],
+  observers: ["d", "e"],
+};
+
+test("with observers, other hosts leave the voters in peace", async (t) => {
+  const fleet = await fakeFleet.Fleet.start(OBSERVED);
+  const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
+  const answer = fleet.until(fleet.hosts.get("h")!.edit(edit));
+  t.deepEqual(await answer, { type: "accepted", revision: 2 });
+  await fleet.run(500);
+  t.deepEqual(fleet.revisions(), OBSERVED.hosts.map(() => 2));
+  for (const id of ["f", "g", "h"]) {
+    for (const to of fleet.watched.get(id)!) {
+      t.true(OBSERVED.observers.includes(to), `${id} watches ${to}`);
+    }
+  }
+});
+
+test("where no observer answers, hosts watch the voters", async (t) => {
+  const fleet = await fakeFleet.Fleet.start(OBSERVED);
+  for (const id of OBSERVED.observers) fleet.cut.add(id);
+  const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
+  await fleet.until(fleet.hosts.get("a")!.edit(edit));
+  await fleet.run(3_000);
+  for (const id of ["f", "g", "h"]) {
+    t.is(fleet.hosts.get(id)!.view().revision, 2);
+  }
+});
+
+test("an observer that the voters do not reach holds nobody back", async (t) => {
+  const fleet = await fakeFleet.Fleet.start(OBSERVED);
+  // Observers reach the hosts that watch them, but no voter.
+  for (const voter of VOTERS) {
+    for (const id of OBSERVED.observers) fleet.cutLink(voter, id);
+  }
+  const edit = editOf("e1", { row: "account/x", version: 0, value: 3 });
+  await fleet.until(fleet.hosts.get("a")!.edit(edit));
+  await fleet.run(5_000);
+  for (const id of ["f", "g", "h"]) {
+    t.is(fleet.hosts.get(id)!.view().revision, 2);
+  }
+});
--- a/src/control/host/follower.ts
+++ b/src/control/host/follower.ts
@@ -1,4 +1,5 @@
-/** Keeps the table in force on this host: the shell of the watcher.
+/** Keeps the table in force on this host: the shell of the watcher, or of the
+ * observer on a host that serves others.
  * @module */
 
 import * as runtime from "../../runtime/mod.ts";
@@ -16,6 +17,8 @@
   self: string;
   /** Hosts that publish the table, in order of preference. */
   publishers: readonly string[];
+  /** Whether it passes the table on to hosts that subscribe. */
+  observer: boolean;
   clock: runtime.Clock;
   transport: Transport;
   /** The table moved on; `written` is absent after a snapshot. */
@@ -37,11 +40,14 @@
 export class Follower {
   readonly #options: FollowerOptions;
   readonly #alarm: runtime.Alarm;
-  #watcher: watch.Watcher;
+  #watcher: watch.Watcher | watch.Observer;
 
   private constructor(options: FollowerOptions) {
     this.#options = options;
-    this.#watcher = watch.Watcher.create(options.publishers);
+    const { publishers, observer } = options;
+    this.#watcher = observer
+      ? watch.Observer.create(publishers)
+      : watch.Watcher.create(publishers);
     this.#alarm = runtime.Alarm.create(
       options.clock,
       () => this.#step({ type: "tick" }),
@@ -69,7 +75,7 @@
     this.#step({ type: "start" });
   }
 
-  /** Takes a message of a publisher. */
+  /** Takes a message of a publisher, or of a host that subscribes. */
   receive(from: string, body: schema.Message): void {
     this.#step({ type: "message", from, body });
   }
@@ -85,12 +91,10 @@
   }
 
   #step(event: watch.WatcherEvent): void {
-    const { watcher, effects } = this.#watcher.step(
-      event,
-      this.#options.clock.now(),
-    );
-    this.#watcher = watcher;
-    for (const effect of effects) {
+    const now = this.#options.clock.now();
+    const step = this.#watcher.step(event, now);
+    this.#watcher = "observer" in step ? step.observer : step.watcher;
+    for (const effect of step.effects) {
       (this.#handlers[effect.type] as Handler<string>)(effect as never);
     }
   }
--- a/src/control/watch/mod.ts
+++ b/src/control/watch/mod.ts
@@ -6,5 +6,5 @@
 export * from "./forwarder.ts";
 export * from "./observer.ts";
 export * from "./publisher.ts";
-export { rank } from "./rank.ts";
+export { type Publishers, publishersOf, rank } from "./rank.ts";
 export * from "./watcher.ts";
--- a/src/control/watch/observer.ts
+++ b/src/control/watch/observer.ts
@@ -63,6 +63,16 @@
     return { observer: new Observer(parts), effects: turn.effects };
   }
 
+  /** Whether its replica is in touch with the quorum. */
+  get current(): boolean {
+    return this.#parts.watcher.current;
+  }
+
+  /** Host that takes edits, if known. */
+  get leader(): string | undefined {
+    return this.#parts.watcher.leader;
+  }
+
   /** State for people. */
   dump(): unknown {
     const { watcher, publisher } = this.#parts;
--- a/src/control/watch/rank.ts
+++ b/src/control/watch/rank.ts
@@ -14,6 +14,31 @@
   );
 }
 
+/** Observers that a host tries before it turns to a voter. */
+const FIRST_OBSERVERS = 2;
+
+/** Whom `self` watches, in the order in which it tries them: itself if it
+ * votes, else observers. Voters follow early, so that a host that finds no
+ * observer is not long without news, and before the rest of the observers. */
+export function publishersOf(
+  self: string,
+  { voters, observers }: Publishers,
+): string[] {
+  const ranked = rank(self, voters);
+  if (voters.includes(self)) return [self, ...ranked];
+  if (observers.includes(self)) return ranked;
+  const relays = rank(self, observers);
+  const first = relays.slice(0, FIRST_OBSERVERS);
+  return [...first, ...ranked, ...relays.slice(FIRST_OBSERVERS)];
+}
+
+/** Hosts that publish the table. */
+export interface Publishers {
+  voters: readonly string[];
+  /** Hosts that watch voters and serve others. */
+  observers: readonly string[];
+}
+
 /** Final mixing of MurmurHash3; FNV alone leaves close names close. */
 function mix(hash: number): number {
   let mixed = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
--- a/src/node/table_source.ts
+++ b/src/node/table_source.ts
@@ -89,11 +89,13 @@
   options: Options,
   { voters, files }: Quorum,
 ): TableSource {
-  const { settings: { host, table } } = options;
+  const { settings: { host, table, fleet } } = options;
+  const observers = fleet.hosts.filter(({ observer }) => observer);
   const access = control.Control.create({
     ...options,
     self: host,
     voters,
+    observers: observers.map(({ id }) => id),
     storage: files,
     first: settings.initialEdits(table),
   });
--- a/src/schema/settings_types.ts
+++ b/src/schema/settings_types.ts
@@ -84,6 +84,10 @@
    * Holds the replicated log on its disk.
    */
   voter?: boolean;
+  /**
+   * Passes the table on to hosts that do not vote.
+   */
+  observer?: boolean;
   listen?: Listen;
 }
 /**
--- a/src/settings/cross_checks.ts
+++ b/src/settings/cross_checks.ts
@@ -26,6 +26,7 @@
   checkHost,
   checkHosts,
   checkVoters,
+  checkObservers,
   checkListen,
   checkServices,
   checkPipelines,
@@ -71,6 +72,18 @@
   };
 }
 
+function* checkObservers({ fleet: { hosts } }: settings.Settings) {
+  const voting = hosts.some(({ voter }) => voter);
+  for (const [pos, { voter, observer }] of hosts.entries()) {
+    if (!observer || (voting && !voter)) continue;
+    yield {
+      path: ["fleet", "hosts", pos, "observer"] as Path,
+      found: "true",
+      expected: voting ? "no observer that votes" : "voters to observe",
+    };
+  }
+}
+
 function* checkListen({ listen: { callers, operators } }: settings.Settings) {
   if (callers.port === 0 || callers.port !== operators.port) return;
   if (callers.address !== operators.address) return;
--- a/src/settings/settings_test.ts
+++ b/src/settings/settings_test.ts
@@ -105,6 +105,12 @@
     message: "fleet.yaml:1: /folder: found nothing, " +
       "expected a data folder, since host a votes",
   },
+  {
+    title: "a voter that observes",
+    text: changed("port: 1001,", "port: 1001, observer: true,"),
+    message: "fleet.yaml:5: /fleet/hosts/0/observer: found true, " +
+      "expected no observer that votes",
+  },
   {
     title: "hosts with one id",
     text: changed("id: b,", "id: a,"),
