The request path works with a subset of large services

Cause: each host's request path had every endpoint of the fleet; the tested subsets of routing were not wired.

Change: of a service with more than 128 endpoints a host's request path gets the host's subset, by the hosts that live and do not drain. What was chosen for an endpoint is remembered until hosts or sizes change. A request path that has stopped takes no endpoints any more: late news of hosts opened subscriptions that kept the process alive, which the tests of a node found.

Tests: with 40 hosts and 1,000 endpoints every endpoint is worked with, and what is remembered equals a fresh choice; three hosts in one process split 200 endpoints without overlap.

--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -15,6 +15,7 @@
 import * as memberships from "./members.ts";
 import type * as options from "./options.ts";
 import * as serving from "./serving.ts";
+import * as subsetting from "./subsets.ts";
 import * as tableSource from "./table_source.ts";
 import * as transports from "./transport.ts";
 
@@ -72,6 +73,7 @@
     observers: [limits.meter],
     policySet: options.policySet,
   });
+  const subsets = subsetting.Subsets.create(settings.host);
   const directory = directories.Directory.create({
     ...base,
     host: settings.host,
@@ -87,6 +89,7 @@
     onChange: () => {
       directory.setHosts(members.view);
       limits.setHosts(members.view.size);
+      if (subsets.setHosts(members.view.live)) followEndpoints();
     },
   });
 
@@ -118,7 +121,8 @@
 
   function followEndpoints(): void {
     orders.setEngines(directory.serving);
-    path.setEndpoints(serving.reachable(settings, directory.serving));
+    const known = serving.reachable(settings, directory.serving);
+    path.setEndpoints(subsets.choose(known));
   }
 
   function followTable(): void {
--- a/src/request/path.ts
+++ b/src/request/path.ts
@@ -27,6 +27,7 @@
   readonly #intake: intake.Intake;
   readonly #server: callers.Server;
   #draining = false;
+  #closed = false;
 
   private constructor(options: pathOptions.PathOptions) {
     this.#options = options;
@@ -85,6 +86,8 @@
 
   /** Takes the present endpoints in place of the old ones. */
   setEndpoints(endpoints: readonly pathOptions.ReachableEndpoint[]): void {
+    // Late news would open connections that nobody closes.
+    if (this.#closed) return;
     this.#execution.setEndpoints(endpoints);
     this.#subscriptions.replace(endpoints);
   }
@@ -123,6 +126,7 @@
     await Promise.race([this.#server.idle(), bound]);
     cancel();
     await this.#server.close();
+    this.#closed = true;
     this.#subscriptions.close();
     this.#execution.close();
     await this.#backends.close();
--- a/src/routing/subset.ts
+++ b/src/routing/subset.ts
@@ -22,11 +22,13 @@
 export class Fleet {
   #hosts: readonly Place[];
   #hashes: Uint32Array;
+  #positions: ReadonlyMap<string, number>;
   #perDataCentre = new Map<string, number>();
 
   private constructor(hosts: readonly Place[]) {
     this.#hosts = hosts;
     this.#hashes = Uint32Array.from(hosts, (one) => hash.text(one.id));
+    this.#positions = new Map(hosts.map(({ id }, pos) => [id, pos]));
     for (const { dataCentre } of hosts) {
       const count = this.#perDataCentre.get(dataCentre) ?? 0;
       this.#perDataCentre.set(dataCentre, count + 1);
@@ -53,13 +55,14 @@
     target = TARGET,
   ): Set<string> {
     const covers = this.covers(endpoints.length, target);
-    const self = this.#hosts.findIndex((one) => one.id === host);
-    const chosen = new Set<string>();
-    if (self < 0) return chosen;
-    for (const one of endpoints) {
-      if (this.#covered(one, self, covers)) chosen.add(one.id);
-    }
-    return chosen;
+    const chosen = endpoints.filter((one) => this.covered(host, one, covers));
+    return new Set(chosen.map(({ id }) => id));
+  }
+
+  /** Whether a host is among the `covers` hosts of an endpoint. */
+  covered(host: string, endpoint: Place, covers: number): boolean {
+    const self = this.#positions.get(host);
+    return self !== undefined && this.#covered(endpoint, self, covers);
   }
 
   /** Whether fewer hosts than its class may have rank above this one. */
