Routing forgets the caches of an endpoint that has started again

Cause: the request path did not hear of a new run of an endpoint with the same id, so that prompts followed beliefs about a cache that was gone.

Change: the registry's generation goes with each endpoint to the request path; when it changes, routing discards what it believes the endpoint holds.

Tests: a router finds no holder after a new generation, and the same holder after a renewal; a node's policy set hears one generation for each incarnation.

--- a/src/node/node_test.ts
+++ b/src/node/node_test.ts
@@ -7,6 +7,7 @@
 import test, { type ExecutionContext } from "ava";
 import type * as schema from "../schema/settings_types.ts";
 import * as telemetry from "../telemetry/mod.ts";
+import * as request from "../request/mod.ts";
 import * as accounts from "./accounts.ts";
 import * as node from "./mod.ts";
 import * as table from "../control/table/mod.ts";
@@ -32,8 +33,13 @@
   };
 }
 
-async function start(t: ExecutionContext, settings = createSettings()) {
+async function start(
+  t: ExecutionContext,
+  settings = createSettings(),
+  options: Partial<node.Options> = {},
+) {
   const host = await node.Node.start({
+    ...options,
     settings,
     logger: telemetry.noLogger,
     environment: { INES: "ines-token", ENDPOINT: "endpoint-token" },
@@ -116,6 +122,19 @@
   t.deepEqual(host.endpoints(), []);
 });
 
+test("the request path hears that an endpoint has started again", async (t) => {
+  const policySet = request.createPlainPolicies();
+  const heard = new Set<number | undefined>();
+  policySet.choice.endpoints = (endpoints) => {
+    for (const { generation } of endpoints) heard.add(generation);
+  };
+  const host = await start(t, createSettings(), { policySet });
+  for (const incarnation of [4, 4, 5]) {
+    await announce(host, "http://127.0.0.1:1", { incarnation });
+  }
+  t.deepEqual([...heard], [4, 5]);
+});
+
 test("a drain finishes what is in flight and takes nothing new", async (t) => {
   const host = await start(t);
   const billing = await serveBilling(t);
--- a/src/node/serving.ts
+++ b/src/node/serving.ts
@@ -29,9 +29,9 @@
   serving: readonly endpoints.Serving[],
 ): readonly operators.EndpointView[] {
   const announced = new Set(serving.map(({ id }) => id));
-  return reachable(of, serving).map(({ role: _, ...endpoint }) => ({
-    ...endpoint,
-    source: announced.has(endpoint.id) ? "announced" : "static",
+  return reachable(of, serving).map(({ role: _, generation: __, ...rest }) => ({
+    ...rest,
+    source: announced.has(rest.id) ? "announced" : "static",
   }));
 }
 
@@ -52,7 +52,7 @@
 }
 
 function fromEntry(
-  { id, phase, endpoint }: endpoints.Serving,
+  { id, generation, phase, endpoint }: endpoints.Serving,
   defaultSlots: number,
 ): request.ReachableEndpoint {
   const { service, kind, url, dataCentre, slots, role } = endpoint;
@@ -65,6 +65,7 @@
     slots: slots ?? defaultSlots,
     role: role ?? "both",
     state: phase === "draining" ? "draining" : "ready",
+    generation,
   };
 }
 
--- a/src/request/event.ts
+++ b/src/request/event.ts
@@ -13,6 +13,8 @@
   slots: number;
   role: endpoint.EngineRole;
   state: "ready" | "draining";
+  /** Run of the endpoint, where it is known; a later one has empty caches. */
+  generation?: number;
 }
 
 /** Load as an endpoint last reported it. */
--- a/src/routing/group.ts
+++ b/src/routing/group.ts
@@ -111,6 +111,9 @@
   put(described: event.Endpoint): void {
     const known = this.#members.get(described.id);
     if (known !== undefined && same(known.endpoint, described)) return;
+    if (known !== undefined && restarted(known.endpoint, described)) {
+      this.prefixes.forget(described.id);
+    }
     const member = known ?? this.#enter(described);
     this.#slots += described.slots - (known?.endpoint.slots ?? 0);
     member.pool?.remove(member);
@@ -230,5 +233,11 @@
 
 function same(a: event.Endpoint, b: event.Endpoint): boolean {
   return a.service === b.service && a.dataCentre === b.dataCentre &&
-    a.slots === b.slots && a.role === b.role && a.state === b.state;
+    a.slots === b.slots && a.role === b.role && a.state === b.state &&
+    !restarted(a, b);
+}
+
+/** Whether it is another run of the endpoint. */
+function restarted(a: event.Endpoint, b: event.Endpoint): boolean {
+  return a.generation !== b.generation;
 }
--- a/src/routing/router_test.ts
+++ b/src/routing/router_test.ts
@@ -51,3 +51,19 @@
   const dump = JSON.parse(JSON.stringify(one.dump(0)));
   t.like(dump, { x: { endpoints: 1, ejected: [], utilisation: 1 } });
 });
+
+test("forgets what an endpoint held once it has started again", (t) => {
+  const random = runtime.createRandom(1);
+  const one = router.Router.create({ dataCentre: "here", random });
+  const announce = (generation: number) => {
+    const described = { ...endpoint("a", "x"), generation };
+    one.update({ type: "endpoints", endpoints: [described] }, 0);
+  };
+  const holders = () => one.service("x", 0).group.prefixes.holders(["p"], 0);
+  announce(1);
+  one.service("x", 0).group.send("a", ["p"], 0);
+  announce(1);
+  t.is(holders().length, 1);
+  announce(2);
+  t.deepEqual(holders(), []);
+});
