A key that can't be claimed is refused as unknown, not as not run

No booking ran twice (17,658 calls at the desk for 17,650 answered ones), all 8,835 later resends that got an answer got the first one, but 36 bookings heard `claim-refused`, `not-run` after an earlier try had run through another host: a host without a quorum or in time for none can't know that. A caller who believes it would book anew, which doubles the job.

--- a/src/control/host/claim_keeper.ts
+++ b/src/control/host/claim_keeper.ts
@@ -75,10 +75,11 @@
       return results[reply.type](reply as never);
     } catch (error) {
       if (!(error instanceof errors.ControlError)) throw error;
-      // Nothing was dispatched, even if the claim is granted in the end.
+      // This try is not dispatched, even if the claim is granted in the end.
       void this.#settle(claim, { token: entry.id, outcome: "not-run" });
       const detail = `The key cannot be claimed: ${error.message}`;
-      return { type: "refused", detail, outcome: "not-run" };
+      // An earlier try under this key may have run through another host.
+      return { type: "refused", detail, outcome: "unknown" };
     }
   }
 
--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -156,7 +156,10 @@
     let late = false;
     const cancel = clock.after(claim.remaining, () => {
       late = true;
-      this.#deny(job, refusal("claim-refused", LATE_CLAIM));
+      this.#deny(job, {
+        ...refusal("claim-refused", LATE_CLAIM),
+        outcome: "unknown",
+      });
     });
     const handlers: ClaimHandlers = {
       granted: () => {
@@ -197,7 +200,8 @@
 
 function failedClaim(): pathOptions.ClaimResult {
   const detail = "The key can't be claimed now";
-  return { type: "refused", detail, outcome: "not-run" };
+  // An earlier try under this key may have run through another host.
+  return { type: "refused", detail, outcome: "unknown" };
 }
 
 const RUNNING = "The first request with this key still runs";
