Log: a fleet that starts anew goes on in later terms

Cause: fuzz (3 voters). All three folders of a first start were lost one after another before anything was committed; the second start took term 2 again, so two leaders had the same fencing token. The same happens when an operator starts anew after the loss of a majority: terms count from 1, and engines that check tokens refuse all orders as old.

Ways weighed: a random first term, and the founder's wall clock in seconds. Taken: the clock, which also grows. The checker and its schedules stay as they are; the seed is kept as a test, which failed before.

--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -113,7 +113,8 @@
   transfer?: boolean,
 ): void {
   const { state } = draft;
-  state.term++;
+  // Terms go on growing when a fleet starts anew because its folders are lost.
+  state.term = Math.max(state.term + 1, founders ? state.foundingTerm : 0);
   state.vote = state.id;
   state.votes = [];
   state.founders = founders;
--- a/src/control/log/fuzz_test.ts
+++ b/src/control/log/fuzz_test.ts
@@ -13,6 +13,9 @@
   // The checker asked a leader of term 5, late to learn of its election, for
   // an entry of term 3 that was committed in term 6 only.
   { seed: 11417, voters: 5 },
+  // All folders of a first start were lost one after another before anything
+  // was committed; the second start took the same term as the first.
+  { seed: 700524, voters: 3 },
 ];
 
 for (const voters of [3, 5]) {
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -22,6 +22,8 @@
   readonly hosts: readonly string[];
   readonly random: runtime.Random;
   readonly now: number;
+  /** Least term of a log that this replica founds; 0 when absent. */
+  readonly foundingTerm?: number;
   /** What the disk holds; nothing on a new folder. */
   readonly durable?: states.Durable;
   readonly timing?: Partial<states.Timing>;
@@ -175,7 +177,7 @@
 }
 
 function initial(options: ReplicaOptions): states.State {
-  const { id, hosts, random, now, durable } = options;
+  const { id, hosts, random, now, durable, foundingTerm = 0 } = options;
   const snapshot = durable?.snapshot;
   const index = snapshot?.position.index ?? 0;
   const log = entries.Entries.create(snapshot?.position)
@@ -197,6 +199,7 @@
     heard: now,
     electionAt: now,
     votes: [],
+    foundingTerm,
     found: {},
     progress: {},
     heartbeatAt: now,
--- a/src/control/log/runner.ts
+++ b/src/control/log/runner.ts
@@ -59,9 +59,10 @@
     this.#pause = new pauses.Detector(clock);
     this.#state = machines.restore(machine, snapshot?.data);
     this.#index = snapshot?.position.index ?? 0;
+    const start = { id, hosts, random, durable, timing, sizes };
     const now = clock.now();
-    const start = { id, hosts, random, now, durable, timing, sizes };
-    this.#replica = replicas.Replica.create(start);
+    const foundingTerm = Math.floor(clock.wall() / 1000);
+    this.#replica = replicas.Replica.create({ ...start, now, foundingTerm });
   }
 
   /** Reads the disk and takes part from then on. */
--- a/src/control/log/state.ts
+++ b/src/control/log/state.ts
@@ -134,6 +134,8 @@
   readonly heard: number;
   readonly electionAt: number;
   readonly votes: readonly string[];
+  /** Least term of a log that this replica founds. */
+  readonly foundingTerm: number;
   /** First members while they are being agreed on; all must vote. */
   readonly founders?: readonly string[];
   /** Empty folders found by probing, by host. */
