Retry past the budget while most slots of a service are free

A retry or replacement now needs budget only above half of the slots in use. Attempts of a stage stay limited, and backoff and ejection as they were.

--- a/src/policies/routed.ts
+++ b/src/policies/routed.ts
@@ -19,6 +19,9 @@
 /** Share of an engine's call that the prefill takes. */
 const PREFILL = 0.3;
 
+/** Share of a service's slots in use below which a retry needs no budget. */
+const SPARE = 0.5;
+
 /** Failures that say nothing of the endpoint's health. */
 const BLAMELESS: ReadonlySet<request.FailureReason> = new Set(["deadline"]);
 
@@ -83,11 +86,8 @@
       others: group.size > work.avoid.length,
     };
     const { random } = this.#options;
-    const decided = routing.retry.decide(call, {
-      budget: retries,
-      random,
-      now,
-    });
+    const budget = { take: () => this.#pays(group, retries, now) };
+    const decided = routing.retry.decide(call, { budget, random, now });
     return decided.type === "retry" ? decided.at - now : undefined;
   }
 
@@ -129,7 +129,8 @@
     const left = work.request.deadline - now;
     // What was received already need not be made again.
     if (work.received === 0 && low > left) return false;
-    return this.#serviceOf(work, now).retries.take(now);
+    const { group, retries } = this.#serviceOf(work, now);
+    return this.#pays(group, retries, now);
   }
 
   endpoints(endpoints: readonly request.Endpoint[], now: number): void {
@@ -182,6 +183,16 @@
     if (report.result === "failed") this.#failed.set(work, attempt);
   }
 
+  /** Whether a call may be made again: from the budget, which keeps failures
+   * from multiplying the load, or while most slots are free anyway. */
+  #pays(
+    { utilisation }: routing.group.Group,
+    retries: routing.budget.Budget,
+    now: number,
+  ): boolean {
+    return retries.take(now) || utilisation < SPARE;
+  }
+
   #hang(work: policySet.Work, now: number): number {
     const { hedges } = this.#serviceOf(work, now);
     return hedges.hanging({ size: work.size, receiving: false });
--- a/src/routing/retry.ts
+++ b/src/routing/retry.ts
@@ -53,7 +53,7 @@
 
 /** Sources that a decision draws on. */
 export interface RetrySources {
-  budget: budget.Budget;
+  budget: Pick<budget.Budget, "take">;
   random: runtime.Random;
   now: number;
 }
