Move a stream that trickles, in time for its deadline

It goes on elsewhere from its offset past twice the 95th percentile of its size or, before that is learnt, at the last moment at which the estimate lets another endpoint finish.

Running calls are looked at once a second at least. Engines that announce decode get whole calls; they got none.

--- a/src/policies/routed.ts
+++ b/src/policies/routed.ts
@@ -19,6 +19,12 @@
 /** Share of an engine's call that the prefill takes. */
 const PREFILL = 0.3;
 
+/** Times the bound of stragglers, or the mean where the deadline is near,
+ * after which a stream goes on elsewhere. */
+const SLOW = 2;
+/** Times the high estimate of a call that another endpoint needs. */
+const LAST = 1.5;
+
 /** Share of a service's slots in use below which a retry needs no budget. */
 const SPARE = 0.5;
 
@@ -55,13 +61,12 @@
       work: mean,
       prefill: engine ? PREFILL * mean : 0,
       prefix: work.prefix,
-      role: "both" as const,
       avoid: work.avoid,
       probe: work.request.idempotent,
     };
     const { service } = pool;
-    const chosen = this.#router.choose(service, call, now) ??
-      this.#router.choose(service, { ...call, avoid: [] }, now);
+    const chosen = this.#among(service, call, now) ??
+      this.#among(service, { ...call, avoid: [] }, now);
     const member = chosen && pool.member(chosen.endpoint);
     if (member === undefined) return undefined;
     return member.inFlight < member.endpoint.slots ? member : undefined;
@@ -116,11 +121,21 @@
   /** When a call counts as hung; see `policySet.Hedge`. */
   hangsAt(
     work: policySet.Work,
-    { at, receiving }: policySet.Progress,
+    { attempt, at, receiving }: policySet.Progress,
     now: number,
   ): number {
     const { hedges } = this.#serviceOf(work, now);
-    return hedges.hangsAt({ size: work.size, receiving, progressed: at });
+    const { size } = work;
+    const hang = hedges.hangsAt({ size, receiving, progressed: at });
+    // A stream that trickles is moved once; one that has not begun is hedged.
+    if (!receiving || attempt.attempt > 1) return hang;
+    const { mean, high } = this.#options.controls.predict(work);
+    const straggling = hedges.straggling(size) ?? Infinity;
+    // What is learnt by size takes long: the estimate tells the last moment
+    // at which another endpoint can finish in time.
+    const last = work.request.deadline - LAST * high;
+    const due = Math.max(last, attempt.started + SLOW * mean);
+    return Math.min(hang, due, attempt.started + SLOW * straggling);
   }
 
   /** Whether a hung call may be replaced; paid as a retry is. */
@@ -183,6 +198,16 @@
     if (report.result === "failed") this.#failed.set(work, attempt);
   }
 
+  /** Engines that prefill only get no calls: their KV cache is not moved. */
+  #among(
+    service: string,
+    call: Omit<routing.choice.Call, "role">,
+    now: number,
+  ): routing.choice.Chosen | undefined {
+    return this.#router.choose(service, { ...call, role: "both" }, now) ??
+      this.#router.choose(service, { ...call, role: "decode" }, now);
+  }
+
   /** Whether a call may be made again: from the budget, which keeps failures
    * from multiplying the load, or while most slots are free anyway. */
   #pays(
--- a/src/policies/retries_test.ts
+++ b/src/policies/routed_test.ts
@@ -25,7 +25,7 @@
   };
 }
 
-function create(): request.Dispatcher {
+function create(role: request.Endpoint["role"] = "both"): request.Dispatcher {
   const random = runtime.createRandom(1);
   const policySet = policies.create({ dataCentre: "gisenyi-hall", random });
   const core = request.Dispatcher.create({ policySet });
@@ -35,7 +35,7 @@
     kind: "engine",
     dataCentre: "gisenyi-hall",
     slots: SLOTS,
-    role: "both",
+    role,
     state: "ready",
   }));
   core.step({ type: "endpoints", endpoints }, 0);
@@ -70,6 +70,14 @@
   return calls;
 }
 
+test("engines that decode take whole calls, those that prefill none", (t) => {
+  const arrived = { type: "arrive" as const, request: requestOf(1) };
+  const counts = (["decode", "prefill"] as const).map((role) =>
+    attemptsIn(create(role).step(arrived, 0)).length
+  );
+  t.deepEqual(counts, [1, 0]);
+});
+
 test("while most slots are free, retries need no budget", (t) => {
   const calls = failAll(create());
   t.true(calls > 2 * CALLS, `${calls}`);
--- a/src/request/runs.ts
+++ b/src/request/runs.ts
@@ -18,6 +18,9 @@
 
 /** Milliseconds until another look at what could not be helped now. */
 const LOOK_AGAIN = 250;
+/** Milliseconds between two looks at most: progress may bring the time forward
+ * at which a call counts as hung. */
+const LONGEST = 1000;
 /** Milliseconds by which a look may come late and still be believed: a host
  * that was held up itself has not read yet what its endpoints sent. */
 const LATE = 50;
@@ -99,7 +102,7 @@
   }
 
   #watch(of: flight.Flight, call: flight.Call, now: number): void {
-    const at = this.#hangsAt(of, call, now);
+    const at = Math.min(this.#hangsAt(of, call, now), now + LONGEST);
     if (at < of.request.deadline) this.#lookAt(of, at);
   }
 
