Claims count at a host whose clock was set back

Cause: the incarnation of a host is its wall clock at the start. After the clock was set back an hour the log knew a higher one, so that each new claim of the host counted as lost at once, and a resend at another host was told unknown while the request ran.

Ways weighed: a counter in the data folder (hosts without a disk have none); the machine raises the number on each retire (one that comes twice takes back what it gave); the answer names the lowest that counts and the host takes the next. Taken: the last. A host that found no quorum at its start announces itself before its first claim; both share the time of one claim.

Membership already refutes with the number above the one it hears of, which the tests now show for an hour, after a crash and after a leave, within 2 s. The two tests of claims fail with the announced number in place of the next (refused instead of in progress). The fixture of claim_keeper_test gets the new option; its checks stand as they were.

--- a/src/control/claims/claims.ts
+++ b/src/control/claims/claims.ts
@@ -170,6 +170,11 @@
     return this.#retire(host, incarnation);
   }
 
+  /** Lowest incarnation of `host` that may still run something. */
+  lowest(host: string): number {
+    return this.#parts.incarnations[host] ?? 0;
+  }
+
   /** A copy without what has been kept long enough at `now`. */
   sweep(now: number): Claims {
     const { expiry: due, keys } = this.#parts.due.sweep(now);
@@ -196,8 +201,7 @@
   }
 
   #lost({ host, incarnation, expires }: Claim, now: number): boolean {
-    return now >= expires ||
-      incarnation < (this.#parts.incarnations[host] ?? 0);
+    return now >= expires || incarnation < this.lowest(host);
   }
 
   #retire(host: string, incarnation: number): Claims {
--- a/src/control/host/claim_keeper.ts
+++ b/src/control/host/claim_keeper.ts
@@ -29,8 +29,11 @@
 /** What a keeper needs of its host. */
 export interface ClaimKeeperOptions {
   self: string;
-  /** Grows with each start of the host. */
+  /** Tells the runs of this host apart. */
   incarnation: number;
+  /** Announces this run within `timeout` milliseconds, or rejects with
+   * `ControlError`; gives the incarnation that counts for its claims. */
+  announce(timeout: number): Promise<number>;
   propose: Propose;
 }
 
@@ -39,6 +42,8 @@
   readonly #options: ClaimKeeperOptions;
   /** Tokens of the claims granted here, by id of their request. */
   readonly #tokens = new Map<string, string>();
+  /** Known once this run was announced. */
+  #incarnation: number | undefined;
   #count = 0;
 
   private constructor(options: ClaimKeeperOptions) {
@@ -57,26 +62,28 @@
 
   /** Asks a quorum for the right to run a request. */
   async claim(claim: request.Claim): Promise<request.ClaimResult> {
-    const { self: host, incarnation, propose } = this.#options;
+    const { self: host, announce, propose } = this.#options;
+    const whole = Math.min(CLAIM_TIMEOUT, claim.remaining);
+    const timeout = this.#incarnation === undefined ? whole / 2 : whole;
+    const id = this.#nextId();
     const lease = Math.ceil(claim.remaining) + LEASE_MARGIN;
-    const entry: command.ClaimCommand = {
-      type: "claim",
-      id: this.#nextId(),
-      key: keyOf(claim),
-      fingerprint: claim.fingerprint,
-      host,
-      incarnation,
-      lease: Math.min(lease, MOST_LEASE),
-    };
-    const timeout = Math.min(CLAIM_TIMEOUT, claim.remaining);
     try {
+      const entry: command.ClaimCommand = {
+        type: "claim",
+        id,
+        key: keyOf(claim),
+        fingerprint: claim.fingerprint,
+        host,
+        incarnation: this.#incarnation ??= await announce(timeout),
+        lease: Math.min(lease, MOST_LEASE),
+      };
       const reply = await propose(entry, timeout) as claims.Reply;
-      if (reply.type === "granted") this.#tokens.set(claim.request, entry.id);
+      if (reply.type === "granted") this.#tokens.set(claim.request, id);
       return results[reply.type](reply as never);
     } catch (error) {
       if (!(error instanceof errors.ControlError)) throw error;
       // This try is not dispatched, even if the claim is granted in the end.
-      void this.#settle(claim, { token: entry.id, outcome: "not-run" });
+      void this.#settle(claim, { token: id, outcome: "not-run" });
       const detail = `The key cannot be claimed: ${error.message}`;
       // An earlier try under this key may have run through another host.
       return { type: "refused", detail, outcome: "unknown" };
--- a/src/control/host/claim_keeper_test.ts
+++ b/src/control/host/claim_keeper_test.ts
@@ -18,6 +18,7 @@
   const keeper = claimKeeper.ClaimKeeper.create({
     self: "h1",
     incarnation: 1,
+    announce: () => Promise.resolve(1),
     propose(made) {
       proposed.push(made);
       const answer = answers.shift();
--- a/src/control/host/control.ts
+++ b/src/control/host/control.ts
@@ -30,7 +30,7 @@
 /** What control needs of its host. */
 export interface ControlOptions {
   self: string;
-  /** Grows with each start of the host. */
+  /** Wall clock of the start: grows with each, unless it was set back. */
   incarnation: number;
   /** Hosts that the settings name as voters. */
   voters: readonly string[];
@@ -66,6 +66,8 @@
   /** Revision that this host had to reach when it started; unknown at first. */
   #barrier = Infinity;
   #passBarrier = () => {};
+  /** Incarnation for the claims of this run, once the log has said it. */
+  #counting: number | undefined;
 
   private constructor(options: ControlOptions) {
     this.#options = options;
@@ -80,6 +82,7 @@
     });
     this.claims = claimKeepers.ClaimKeeper.create({
       ...options,
+      announce: (timeout) => this.#announce(timeout),
       propose: (command, timeout) => this.#proposer.propose(command, timeout),
     });
   }
@@ -102,7 +105,7 @@
    * force when this host started, so that a restart takes nothing back. Without
    * a quorum it resolves to false: the host serves with what it has. */
   async catchUp(): Promise<boolean> {
-    const revision = await this.#retire();
+    const revision = await this.#announceStart();
     if (revision === undefined) return false;
     this.#barrier = revision;
     if (this.view().revision >= revision) return true;
@@ -232,23 +235,39 @@
     for (const watcher of this.#watchers) watcher(event);
   }
 
-  /** Tells the log that nothing of an earlier start runs here any more; gives
-   * the revision of the table then. */
-  async #retire(): Promise<number | undefined> {
-    const { self: host, incarnation } = this.#options;
-    const id = `${host}/${incarnation}/retire`;
+  /** Gives the revision of the table when this host started; undefined when
+   * no quorum said so in time. */
+  async #announceStart(): Promise<number | undefined> {
     try {
-      const reply = await this.#proposer.propose(
-        { type: "retire", id, host, incarnation },
-        RETIRE_TIMEOUT,
-      );
-      return reply.type === "retired" ? reply.revision : undefined;
+      const { revision } = await this.#retire(RETIRE_TIMEOUT);
+      return revision;
     } catch (error) {
-      // The next claim of this host says the same.
+      // The next claim announces the start first.
       if (!(error instanceof errors.ControlError)) throw error;
       return undefined;
     }
   }
+
+  /** The incarnation that counts for claims of this run. */
+  async #announce(timeout: number): Promise<number> {
+    if (this.#counting === undefined) await this.#retire(timeout);
+    return this.#counting!;
+  }
+
+  /** Tells the log that nothing of an earlier run is here any more. After the
+   * clock was set back that run has the higher incarnation; this one then
+   * takes the next, and its first claim retires the earlier run. */
+  async #retire(timeout: number): Promise<table.Retired> {
+    const { self: host, incarnation } = this.#options;
+    const id = `${host}/${incarnation}/retire`;
+    const reply = await this.#proposer.propose(
+      { type: "retire", id, host, incarnation },
+      timeout,
+    ) as table.Retired;
+    const { incarnation: lowest } = reply;
+    this.#counting ??= lowest > incarnation ? lowest + 1 : incarnation;
+    return reply;
+  }
 }
 
 function answerOf(reply: table.Reply): EditResult {
--- a/src/control/host/control_test.ts
+++ b/src/control/host/control_test.ts
@@ -52,12 +52,12 @@
   t.is(fleet.hosts.get("f")!.view().value("account/x", "weight"), 3);
 });
 
-function claimOf(request: string): Parameters<
+function claimOf(request: string, key = "entry-1"): Parameters<
   control.ClaimKeeper["claim"]
 >[0] {
   return {
     account: "club",
-    key: "entry-1",
+    key,
     fingerprint: "f",
     request,
     remaining: 5_000,
@@ -90,6 +90,36 @@
   t.like(again, { type: "refused", outcome: "unknown" });
 });
 
+const HOUR = 3_600_000;
+
+for (const start of ["with a quorum", "without a quorum"]) {
+  test(`claims count after a clock set back an hour, started ${start}`, async (t) => {
+    const fleet = await fakeFleet.Fleet.start();
+    const e = fleet.hosts.get("e")!.claims;
+    fleet.kill("d");
+    await fleet.startHost("d", 2 * HOUR);
+    const before = fleet.hosts.get("d")!.claims;
+    await fleet.until(before.claim(claimOf("r1", "before")));
+    fleet.kill("d");
+    if (start === "without a quorum") fleet.cut.add("d");
+    await fleet.startHost("d", HOUR);
+    if (start === "without a quorum") await fleet.run(6_000);
+    fleet.cut.delete("d");
+    const after = fleet.hosts.get("d")!.claims;
+    const granted = await fleet.until(after.claim(claimOf("r2", "after")));
+    t.is(granted.type, "granted");
+    const held = await fleet.until(e.claim(claimOf("r3", "after")));
+    t.is(held.type, "in-progress");
+    const lost = await fleet.until(e.claim(claimOf("r4", "before")));
+    t.like(lost, { type: "refused", outcome: "unknown" });
+    const answer = { status: 200, headers: {}, body: "done" };
+    after.settle(claimOf("r2", "after"), answer);
+    await fleet.run(100);
+    const answered = await fleet.until(e.claim(claimOf("r5", "after")));
+    t.deepEqual(answered, { type: "answered", answer });
+  });
+}
+
 test("a restarted voter is not in force before it has caught up", async (t) => {
   const fleet = await fakeFleet.Fleet.start();
   const voter = VOTERS.find((id) => id !== fleet.leader)!;
--- a/src/control/host/fake_fleet.ts
+++ b/src/control/host/fake_fleet.ts
@@ -55,10 +55,13 @@
   }
 
   /** Starts a host, on its disk if it votes. */
-  async startHost(self: string): Promise<void> {
+  async startHost(
+    self: string,
+    incarnation = this.#incarnation++,
+  ): Promise<void> {
     const host = control.Control.create({
       self,
-      incarnation: this.#incarnation++,
+      incarnation,
       voters: VOTERS,
       observers: this.#observers,
       clock: this.clock,
--- a/src/control/table/machine.ts
+++ b/src/control/table/machine.ts
@@ -21,12 +21,22 @@
   readonly written: readonly table.Written[];
 }
 
+/** Answer to the announcement of a start. */
+export interface Retired {
+  readonly type: "retired";
+  /** Revision of the table then. */
+  readonly revision: number;
+  /** Lowest incarnation of the host that counts: higher than announced after
+   * its clock was set back. */
+  readonly incarnation: number;
+}
+
 /** Answer to a command; `invalid` when it has no meaning to the machine. */
 export type Reply =
   | table.Answer
   | claims.Reply
   | claims.Settled
-  | { type: "retired"; revision: number }
+  | Retired
   | { type: "invalid"; detail: string };
 
 /** A state after a command, and the answer to it. */
@@ -112,7 +122,11 @@
     const { revision } = state.table;
     return {
       state: { ...state, claims },
-      reply: { type: "retired", revision },
+      reply: {
+        type: "retired",
+        revision,
+        incarnation: claims.lowest(host),
+      },
     };
   },
 };
--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -42,6 +42,7 @@
 
 type Fleet = fakeFleet.FakeFleet<Host>;
 
+const HOUR = 3_600_000;
 const IDS = ["h1", "h2", "h3", "h4", "h5", "h6"];
 
 function fleetOf(seed: number, ids: readonly string[] = IDS): Fleet {
@@ -114,6 +115,25 @@
   t.true(fleet.get("h1").view.get("h4")!.incarnation > 9);
 });
 
+for (const end of ["leave", "crash"] as const) {
+  test(`a clock set back an hour after a ${end} is made up for`, (t) => {
+    const fleet = fleetOf(4);
+    fleet.run(5000);
+    start(fleet, "h4", { incarnation: 2 * HOUR });
+    fleet.run(5000);
+    if (end === "leave") {
+      fleet.call("h4", (host, now) => host.step({ type: "leave" }, now));
+      fleet.run(100);
+    }
+    fleet.crash("h4");
+    fleet.run(20_000);
+    start(fleet, "h4", { incarnation: HOUR });
+    fleet.run(2000);
+    t.true(agree(fleet));
+    t.is(fleet.get("h1").view.get("h4")!.incarnation, 2 * HOUR + 1);
+  });
+}
+
 test("drain and leave reach all hosts within 2 seconds", (t) => {
   const fleet = fleetOf(5);
   fleet.run(5000);
