Fewer positional arguments; storage wraps all errors of the file system

What read badly: calls such as submit(target, payload, true), problem(body, 500, NaN), unique(path, names, "name") and fill(slots, a, b) said nothing of their third argument, and the house style allows two. They take an options object now; the route of the callers' server no longer hands a closure through. page.write was one template of 39 lines; head and tables are functions of their own with the same text.

FileStorage.list and close let an error of node:fs through, though a layer turns errors from below into its own; both throw a StorageError with the cause now. Its messages start with a capital letter like the other layers'.

Behaviour is otherwise unchanged.

--- a/src/callers/requests.ts
+++ b/src/callers/requests.ts
@@ -29,7 +29,7 @@
   const read = await opened.read(target);
   const call = ask.pipelineCallOf(read);
   const { stream = false } = call;
-  opened.submit(target, { type: "pipeline", call }, stream);
+  opened.submit(target, { payload: { type: "pipeline", call }, stream });
 }
 
 /** Any method on `/v1/services/{service}/{path}`. */
@@ -48,16 +48,20 @@
   const rest = /^\/v1\/services\/[^/?]*(.*)$/.exec(incoming.url!)![1];
   const path = rest.startsWith("/") ? rest : `/${rest}`;
   const call = ask.plainInputOf(incoming, { path, body: read });
-  opened.submit(target, { type: "plain", call }, false);
+  const payload: material.Payload = { type: "plain", call };
+  opened.submit(target, { payload, stream: false });
 }
 
+/** What a caller asks for, and whether it wants the answer as a stream. */
+interface Work {
+  payload: material.Payload;
+  stream: boolean;
+}
+
+/** A request whose caller and terms are known. */
 interface Opened {
   read(target: catalogue.Target): Promise<Buffer>;
-  submit(
-    target: catalogue.Target,
-    payload: material.Payload,
-    streaming: boolean,
-  ): void;
+  submit(target: catalogue.Target, work: Work): void;
 }
 
 /** Checks who asks and on which terms. */
@@ -77,11 +81,8 @@
     const time = Math.min(BODY_TIME, allowed);
     return body.read(incoming, { clock, bytes, time });
   }
-  function submit(
-    target: catalogue.Target,
-    payload: material.Payload,
-    streaming: boolean,
-  ): void {
+  function submit(target: catalogue.Target, work: Work): void {
+    const { payload, stream: streaming } = work;
     const id = intake.id();
     const reply = new httpReply.HttpReply(response, {
       id,
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -129,8 +129,7 @@
   ): void {
     this.#open++;
     response.once("close", () => this.#ended());
-    const draining = () => this.#draining;
-    this.#route(incoming, response, draining).catch((error) => {
+    this.#route(incoming, response).catch((error) => {
       this.#refuse(response, error);
     });
   }
@@ -138,7 +137,6 @@
   async #route(
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
-    draining: () => boolean,
   ): Promise<void> {
     const parts = partsOf(incoming.url ?? "/");
     const route = routes[`/${parts.slice(0, 2).join("/")}`];
@@ -146,6 +144,7 @@
       throw new problem.CallerError("bad-request", "There is no such path");
     }
     const names = parts.slice(2);
+    const draining = () => this.#draining;
     await route(this.#options, { incoming, response, names, draining });
   }
 
--- a/src/settings/cross_checks.ts
+++ b/src/settings/cross_checks.ts
@@ -46,11 +46,11 @@
 
 function* checkHosts({ fleet }: settings.Settings) {
   const at: Path = ["fleet", "hosts"];
-  yield* unique(at, fleet.hosts.map(({ id }) => id), "id");
+  yield* unique(fleet.hosts.map(({ id }) => id), { at, key: "id" });
   const addresses = fleet.hosts.map(({ address, port }, pos) =>
     port === 0 ? `any port of host ${pos}` : `${address}:${port}`
   );
-  yield* unique(at, addresses, "port");
+  yield* unique(addresses, { at, key: "port" });
 }
 
 function* checkVoters({ host, folder, fleet }: settings.Settings) {
@@ -95,7 +95,8 @@
 }
 
 function* checkServices({ services }: settings.Settings) {
-  yield* unique(["services"], services.map(({ name }) => name), "name");
+  const names = services.map(({ name }) => name);
+  yield* unique(names, { at: ["services"], key: "name" });
   const known = new Set<string>();
   for (const [pos, { endpoints = [] }] of services.entries()) {
     for (const [place, { id }] of endpoints.entries()) {
@@ -112,11 +113,12 @@
 }
 
 function* checkPipelines({ services, pipelines }: settings.Settings) {
-  yield* unique(["pipelines"], pipelines.map(({ name }) => name), "name");
+  const names = pipelines.map(({ name }) => name);
+  yield* unique(names, { at: ["pipelines"], key: "name" });
   const byName = new Map(services.map((service) => [service.name, service]));
   for (const [pos, { stages }] of pipelines.entries()) {
     const at: Path = ["pipelines", pos, "stages"];
-    yield* unique(at, stages.map(({ name }) => name), "name");
+    yield* unique(stages.map(({ name }) => name), { at, key: "name" });
     yield* checkStages(at, { stages, byName });
   }
 }
@@ -186,7 +188,8 @@
 };
 
 function* checkTable({ services, table = [] }: settings.Settings) {
-  yield* unique(["table"], table.map(({ row }) => row), "row");
+  const rows = table.map(({ row }) => row);
+  yield* unique(rows, { at: ["table"], key: "row" });
   const names = new Set(services.map(({ name }) => `service/${name}`));
   for (const [pos, { row, cells }] of table.entries()) {
     if (row.startsWith("service/") && !names.has(row)) {
@@ -206,10 +209,14 @@
 }
 
 function* checkOperators({ operators = [] }: settings.Settings) {
-  yield* unique(["operators"], operators.map(({ name }) => name), "name");
+  const names = operators.map(({ name }) => name);
+  yield* unique(names, { at: ["operators"], key: "name" });
 }
 
-function* unique(at: Path, names: readonly string[], key: string) {
+function* unique(
+  names: readonly string[],
+  { at, key }: { at: Path; key: string },
+) {
   const known = new Set<string>();
   for (const [pos, name] of names.entries()) {
     if (known.has(name)) {
--- a/src/storage/error.ts
+++ b/src/storage/error.ts
@@ -9,8 +9,8 @@
   override readonly name = "StorageError";
   readonly kind: StorageFault;
 
-  constructor(kind: StorageFault, message: string, cause?: unknown) {
-    super(message, { cause });
+  constructor(kind: StorageFault, message: string, options?: ErrorOptions) {
+    super(message, options);
     this.kind = kind;
   }
 }
--- a/src/storage/file_storage.ts
+++ b/src/storage/file_storage.ts
@@ -33,7 +33,7 @@
       return storage;
     } catch (cause) {
       if (cause instanceof error.StorageError) throw cause;
-      throw new error.StorageError("failed", `cannot open ${folder}`, cause);
+      throw failed(`open ${folder}`, cause);
     }
   }
 
@@ -42,7 +42,7 @@
       return await fs.readFile(this.#path(name));
     } catch (cause) {
       if (isMissing(cause)) return undefined;
-      throw new error.StorageError("failed", `cannot read ${name}`, cause);
+      throw failed(`read ${name}`, cause);
     }
   }
 
@@ -88,16 +88,24 @@
   }
 
   async list(): Promise<readonly string[]> {
-    const names = await fs.readdir(this.#folder);
-    return names.filter((name) =>
-      !name.endsWith(TEMPORARY) && !lock.isLock(name)
-    ).sort();
+    try {
+      const names = await fs.readdir(this.#folder);
+      return names.filter((name) =>
+        !name.endsWith(TEMPORARY) && !lock.isLock(name)
+      ).sort();
+    } catch (cause) {
+      throw failed(`list ${this.#folder}`, cause);
+    }
   }
 
   /** Closes all files and lets go of the lock. */
   async close(): Promise<void> {
-    for (const name of [...this.#handles.keys()]) await this.#release(name);
-    await this.#lock.release();
+    try {
+      for (const name of [...this.#handles.keys()]) await this.#release(name);
+      await this.#lock.release();
+    } catch (cause) {
+      throw failed(`close ${this.#folder}`, cause);
+    }
   }
 
   async #write(name: string, action: () => Promise<void>): Promise<void> {
@@ -105,8 +113,7 @@
     try {
       await action();
     } catch (cause) {
-      const message = `cannot write ${name}`;
-      this.#failure ??= new error.StorageError("failed", message, cause);
+      this.#failure ??= failed(`write ${name}`, cause);
       throw this.#failure;
     }
   }
@@ -135,6 +142,10 @@
   }
 }
 
+function failed(action: string, cause: unknown): error.StorageError {
+  return new error.StorageError("failed", `Cannot ${action}`, { cause });
+}
+
 function isMissing(cause: unknown): boolean {
   return (cause as NodeJS.ErrnoException).code === "ENOENT";
 }
--- a/src/storage/memory_storage.ts
+++ b/src/storage/memory_storage.ts
@@ -68,7 +68,7 @@
     const files = new Map(this.#files);
     const torn = this.#waiting[0] as Append | undefined;
     if (torn?.bytes) tears[tear.type](files, torn, tear);
-    const lost = new error.StorageError("crashed", "the process has crashed");
+    const lost = new error.StorageError("crashed", "The process has crashed");
     this.#crashed = true;
     this.#waiting.forEach((write) => write.reject(lost));
     this.#waiting = [];
--- a/src/storage/storage_test.ts
+++ b/src/storage/storage_test.ts
@@ -37,6 +37,16 @@
   await (await storage.FileStorage.open(folder)).close();
 });
 
+test("turns errors of the file system into its own", async (t) => {
+  const folder = await createFolder();
+  const opened = await storage.FileStorage.open(folder);
+  await fs.rm(folder, { recursive: true });
+  const failure = await t.throwsAsync(opened.list());
+  t.true(failure instanceof storage.StorageError);
+  t.is((failure!.cause as NodeJS.ErrnoException).code, "ENOENT");
+  await opened.close();
+});
+
 test("takes over the lock of a process that has ended", async (t) => {
   const folder = await createFolder();
   const owner = { process: 2 ** 22 + 1, started: "1", token: "gone" };
--- a/standins/experiment/client.ts
+++ b/standins/experiment/client.ts
@@ -82,7 +82,8 @@
     const text = await answer.body.text();
     if (answer.statusCode >= 400) {
       const retry = answer.headers["retry-after"];
-      return problem(text, answer.statusCode, Number(retry ?? NaN));
+      const retryAfter = Number(retry ?? NaN);
+      return problem(text, { status: answer.statusCode, retryAfter });
     }
     if (planned.entry.call.type === "service") {
       return { type: "plain", body: text };
@@ -134,8 +135,7 @@
 
 function problem(
   body: string,
-  status: number,
-  retryAfter: number,
+  { status, retryAfter }: { status: number; retryAfter: number },
 ): verify.Reply {
   let found: Problem = {};
   try {
@@ -165,7 +165,7 @@
   for (const { name, data } of readEvents(body)) {
     if (name === "error") {
       const { status } = JSON.parse(data) as { status?: number };
-      return problem(data, status ?? 500, NaN);
+      return problem(data, { status: status ?? 500, retryAfter: NaN });
     }
     if (name === "token") parts.push(JSON.parse(data));
     if (name !== "done") continue;
--- a/standins/experiment/page.ts
+++ b/standins/experiment/page.ts
@@ -35,15 +35,9 @@
 
 /** The page of a report. */
 export function write(made: report.Report, drawn: readonly plots.Plot[]) {
-  const title = `${made.experiment}: experiment report`;
   return `<!doctype html>
 <html lang="en">
-<head>
-<meta charset="utf-8">
-<meta name="viewport" content="width=device-width, initial-scale=1">
-<title>${escape(title)}</title>
-<style>${STYLE}</style>
-</head>
+${head(made)}
 <body>
 <h1>${escape(made.experiment)}</h1>
 <p class="note">${escape(made.description)}</p>
@@ -52,7 +46,26 @@
 ${tiles(made)}
 <div class="plots">${drawn.map(figure).join("\n")}</div>
 ${violations(made)}
-<h2>Client accounts</h2>
+${tables(made)}
+<p class="note">The load tool itself sent late by ${made.lag.p99} ms at the
+99th percentile, ${made.lag.max} ms at most; latencies count from the intended
+time. Callers asked again ${made.resends} times.</p>
+</body>
+</html>
+`;
+}
+
+function head(made: report.Report): string {
+  return `<head>
+<meta charset="utf-8">
+<meta name="viewport" content="width=device-width, initial-scale=1">
+<title>${escape(made.experiment)}: experiment report</title>
+<style>${STYLE}</style>
+</head>`;
+}
+
+function tables(made: report.Report): string {
+  return `<h2>Client accounts</h2>
 ${table(made.accounts, GROUP_COLUMNS)}
 <h2>Request kinds</h2>
 ${table(made.kinds, GROUP_COLUMNS)}
@@ -66,13 +79,7 @@
 <h2>Problem documents</h2>
 ${tally(made.problems, "None.")}
 <h2>Faults</h2>
-${table(made.faults, FAULT_COLUMNS)}
-<p class="note">The load tool itself sent late by ${made.lag.p99} ms at the
-99th percentile, ${made.lag.max} ms at most; latencies count from the intended
-time. Callers asked again ${made.resends} times.</p>
-</body>
-</html>
-`;
+${table(made.faults, FAULT_COLUMNS)}`;
 }
 
 function tiles(made: report.Report): string {
@@ -86,12 +93,12 @@
 ${tile("99th percentile", `${Math.round(latency.p99)} ms`)}
 ${tile("late", String(counts.late))}
 ${tile("problem documents", String(counts.problems))}
-${tile("lost", String(counts.lost), counts.lost > 0)}
-${tile("violations", String(broken), broken > 0)}
+${tile("lost", String(counts.lost), { bad: counts.lost > 0 })}
+${tile("violations", String(broken), { bad: broken > 0 })}
 </div>`;
 }
 
-function tile(name: string, value: string, bad = false): string {
+function tile(name: string, value: string, { bad = false } = {}): string {
   const kind = bad ? "tile bad" : "tile";
   return `<div class="${kind}"><b>${value}</b>${name}</div>`;
 }
--- a/standins/server.ts
+++ b/standins/server.ts
@@ -104,7 +104,7 @@
     this.#http = http.createServer((request, response) => {
       const reply = new Reply(response, this.#silent);
       if (reply.silent) this.#swallowed++;
-      answer(request, reply, listener).catch(() => reply.destroy());
+      answer(request, { reply, listener }).catch(() => reply.destroy());
     });
     // Idle connections stay open, as the fault of silent ones needs.
     this.#http.keepAliveTimeout = 0;
@@ -158,8 +158,7 @@
 
 async function answer(
   request: http.IncomingMessage,
-  reply: Reply,
-  listener: Listener,
+  { reply, listener }: { reply: Reply; listener: Listener },
 ): Promise<void> {
   const url = new URL(request.url ?? "/", "http://stand-in");
   const body = await read(request);
--- a/standins/slots.ts
+++ b/standins/slots.ts
@@ -58,14 +58,15 @@
     );
     const at = pos < 0 ? this.waiting.length : pos;
     const waiting = this.waiting.toSpliced(at, 0, job);
-    return fill(this, this.running, waiting);
+    return fill(this, { running: this.running, waiting });
   }
 
   /** Takes a job out, running or not. */
   remove(id: string): Change {
     const others = (list: readonly Job[]) =>
       list.filter((job) => job.id !== id);
-    return fill(this, others(this.running), others(this.waiting));
+    const running = others(this.running);
+    return fill(this, { running, waiting: others(this.waiting) });
   }
 
   /** The same limits with other jobs. */
@@ -74,10 +75,10 @@
   }
 }
 
+/** Starts what waits while slots are free. */
 function fill(
   slots: Slots,
-  running: readonly Job[],
-  waiting: readonly Job[],
+  { running, waiting }: Pick<Slots, "running" | "waiting">,
 ): Change {
   const free = Math.max(0, slots.limits.slots - running.length);
   const started = waiting.slice(0, free);
