A stop waits for the settlements of claims

Cause: control stopped while settlements were on their way to the leader; with a change of leader at that moment they were lost, so that a resend at another host heard in-progress, and unknown after the lease, for a request that had been answered.

Ways weighed: settle before the answer goes to the caller (a commit more in each answer's latency), hand settlements to another host, wait within a bound. Taken: the last, 3 s, when the parts of the host are stopped, while its own replica and transport still run.

The test kills the leader, settles, and stops: in-progress before, answered after. Another shows the bound without a quorum.

--- a/src/control/host/claim_keeper.ts
+++ b/src/control/host/claim_keeper.ts
@@ -42,6 +42,7 @@
   readonly #options: ClaimKeeperOptions;
   /** Tokens of the claims granted here, by id of their request. */
   readonly #tokens = new Map<string, string>();
+  readonly #settling = new Set<Promise<void>>();
   /** Known once this run was announced. */
   #incarnation: number | undefined;
   #count = 0;
@@ -83,7 +84,7 @@
     } catch (error) {
       if (!(error instanceof errors.ControlError)) throw error;
       // This try is not dispatched, even if the claim is granted in the end.
-      void this.#settle(claim, { token: id, outcome: "not-run" });
+      this.#settle(claim, { token: id, outcome: "not-run" });
       const detail = `The key cannot be claimed: ${error.message}`;
       // An earlier try under this key may have run through another host.
       return { type: "refused", detail, outcome: "unknown" };
@@ -96,13 +97,21 @@
     if (token === undefined) return;
     this.#tokens.delete(claim.request);
     const outcome = answer === undefined ? "not-run" : "ran";
-    void this.#settle(claim, { token, outcome, answer: toKeep(answer) });
+    this.#settle(claim, { token, outcome, answer: toKeep(answer) });
   }
 
-  async #settle(
-    claim: request.Claim,
-    ending: Pick<command.SettleCommand, "token" | "outcome" | "answer">,
-  ): Promise<void> {
+  /** Resolves once no settlement is under way. */
+  async finish(): Promise<void> {
+    while (this.#settling.size > 0) await Promise.allSettled(this.#settling);
+  }
+
+  #settle(claim: request.Claim, ending: Ending): void {
+    const settling = this.#proposeEnding(claim, ending);
+    this.#settling.add(settling);
+    void settling.finally(() => this.#settling.delete(settling));
+  }
+
+  async #proposeEnding(claim: request.Claim, ending: Ending): Promise<void> {
     const entry: command.SettleCommand = {
       type: "settle",
       id: this.#nextId(),
@@ -123,6 +132,8 @@
   }
 }
 
+type Ending = Pick<command.SettleCommand, "token" | "outcome" | "answer">;
+
 const results: {
   [T in claims.Reply["type"]]: (
     reply: Extract<claims.Reply, { type: T }>,
--- a/src/control/host/control.ts
+++ b/src/control/host/control.ts
@@ -27,6 +27,10 @@
 /** What hosts that watch say to a publisher. */
 const REQUESTS: ReadonlySet<string> = new Set(["subscribe", "leave"]);
 
+/** Milliseconds that a stop waits for settlements: longer than a change of
+ * leader. */
+const FINISH_TIMEOUT = 3_000;
+
 /** What control needs of its host. */
 export interface ControlOptions {
   self: string;
@@ -177,6 +181,18 @@
     this.#voter?.drain();
   }
 
+  /** Resolves once the settlements under way are answered, or after
+   * `FINISH_TIMEOUT`: then the leases of their claims run out. Before `stop`. */
+  async finish(): Promise<void> {
+    const { clock } = this.#options;
+    let cancel = () => {};
+    const over = new Promise<void>((resolve) => {
+      cancel = clock.after(FINISH_TIMEOUT, resolve);
+    });
+    await Promise.race([this.claims.finish(), over]);
+    cancel();
+  }
+
   /** Takes no further part. */
   stop(): void {
     this.#follower.stop();
--- a/src/control/host/control_test.ts
+++ b/src/control/host/control_test.ts
@@ -120,6 +120,33 @@
   });
 }
 
+test("a claim settled just before a stop is answered elsewhere", async (t) => {
+  const fleet = await fakeFleet.Fleet.start();
+  const [d, e] = [fleet.hosts.get("d")!, fleet.hosts.get("e")!];
+  await fleet.until(d.claims.claim(claimOf("r1")));
+  // The settlement has to wait for another leader.
+  fleet.kill(fleet.leader);
+  const answer = { status: 200, headers: {}, body: "done" };
+  d.claims.settle(claimOf("r1"), answer);
+  await fleet.until(d.finish());
+  fleet.kill("d");
+  const again = await fleet.until(e.claims.claim(claimOf("r2")));
+  t.deepEqual(again, { type: "answered", answer });
+});
+
+test("a stop waits for settlements no longer than its bound", async (t) => {
+  const fleet = await fakeFleet.Fleet.start();
+  const d = fleet.hosts.get("d")!;
+  await fleet.until(d.finish());
+  await fleet.until(d.claims.claim(claimOf("r1")));
+  fleet.cut.add("d");
+  d.claims.settle(claimOf("r1"), undefined);
+  const before = fleet.clock.now();
+  await fleet.until(d.finish());
+  t.true(fleet.clock.now() - before <= 3_010);
+  fleet.kill("d");
+});
+
 test("a restarted voter is not in force before it has caught up", async (t) => {
   const fleet = await fakeFleet.Fleet.start();
   const voter = VOTERS.find((id) => id !== fleet.leader)!;
--- a/src/node/table_source.ts
+++ b/src/node/table_source.ts
@@ -45,6 +45,7 @@
   lease(): orders.Lease | undefined;
   /** Hands leadership over, before a stop. */
   drain(): void;
+  /** Finishes the settlements of claims, within a bound, and stops. */
   stop(): Promise<void>;
   /** How control is, in a few values. */
   status(): unknown;
@@ -115,6 +116,7 @@
     lease: () => access.lease(),
     drain: () => access.drain(),
     async stop() {
+      await access.finish();
       access.stop();
       await files?.close();
     },
