Control: CommandServer and CommandClient in place of Acceptor and Proposer

Cause: the two names are those of roles in Paxos, which the classes do not play. One takes forwarded commands at a replica and answers them, the other sends a host's commands and waits: server and client of commands. Weighed: ForwardReceiver and ForwardSender, which say how and not what.

Tests are the same but for names; in the state dump the part proposer is now commands.

--- a/src/control/host/proposer.ts
+++ b/src/control/host/command_client.ts
@@ -9,8 +9,8 @@
 import * as watch from "../watch/mod.ts";
 import * as errors from "./errors.ts";
 
-/** What a proposer needs of its host. */
-export interface ProposerOptions {
+/** What a client needs of its host. */
+export interface CommandClientOptions {
   self: string;
   /** Hosts that may lead. */
   voters: readonly string[];
@@ -26,13 +26,13 @@
 type Handler<T> = (effect: Extract<watch.ForwarderEffect, { type: T }>) => void;
 
 /** Proposes commands from any host. */
-export class Proposer {
-  readonly #options: ProposerOptions;
+export class CommandClient {
+  readonly #options: CommandClientOptions;
   readonly #alarm: runtime.Alarm;
   readonly #waiters = new Map<string, Waiter>();
   #forwarder: watch.Forwarder;
 
-  private constructor(options: ProposerOptions) {
+  private constructor(options: CommandClientOptions) {
     this.#options = options;
     this.#forwarder = watch.Forwarder.create(options.voters);
     this.#alarm = runtime.Alarm.create(
@@ -41,9 +41,9 @@
     );
   }
 
-  /** A proposer that knows no leader yet. */
-  static create(options: ProposerOptions): Proposer {
-    return new Proposer(options);
+  /** A client that knows no leader yet. */
+  static create(options: CommandClientOptions): CommandClient {
+    return new CommandClient(options);
   }
 
   /** Commits a command within `timeout` milliseconds, or rejects with a
--- a/src/control/host/control.ts
+++ b/src/control/host/control.ts
@@ -12,9 +12,9 @@
 import type * as table from "../table/mod.ts";
 import * as watch from "../watch/mod.ts";
 import * as claimKeepers from "./claim_keeper.ts";
+import * as commandClients from "./command_client.ts";
 import * as errors from "./errors.ts";
 import * as followers from "./follower.ts";
-import * as proposers from "./proposer.ts";
 import * as events from "./table_event.ts";
 import * as voters from "./voter.ts";
 
@@ -63,7 +63,7 @@
   /** Claims for the request path. */
   readonly claims: claimKeepers.ClaimKeeper;
   readonly #options: ControlOptions;
-  readonly #proposer: proposers.Proposer;
+  readonly #commands: commandClients.CommandClient;
   readonly #follower: followers.Follower;
   readonly #watchers = new Set<events.Watcher>();
   #voter: voters.Voter | undefined;
@@ -76,7 +76,7 @@
   private constructor(options: ControlOptions) {
     this.#options = options;
     const { self, voters, observers = [] } = options;
-    this.#proposer = proposers.Proposer.create(options);
+    this.#commands = commandClients.CommandClient.create(options);
     this.#follower = followers.Follower.create({
       ...options,
       publishers: watch.publishersOf(self, { voters, observers }),
@@ -87,7 +87,7 @@
     this.claims = claimKeepers.ClaimKeeper.create({
       ...options,
       announce: (timeout) => this.#announce(timeout),
-      propose: (command, timeout) => this.#proposer.propose(command, timeout),
+      propose: (command, timeout) => this.#commands.propose(command, timeout),
     });
   }
 
@@ -144,7 +144,7 @@
     const id = `${this.#options.self}/${crypto.randomUUID()}`;
     const body = edit as unknown as Record<string, unknown>;
     try {
-      const reply = await this.#proposer.propose(
+      const reply = await this.#commands.propose(
         { type: "edit", id, edit: body },
         EDIT_TIMEOUT,
       );
@@ -196,7 +196,7 @@
   /** Takes no further part. */
   stop(): void {
     this.#follower.stop();
-    this.#proposer.stop();
+    this.#commands.stop();
     this.#voter?.stop();
   }
 
@@ -204,7 +204,7 @@
   dump(): unknown {
     return {
       follower: this.#follower.dump(),
-      proposer: this.#proposer.dump(),
+      commands: this.#commands.dump(),
       claims: this.claims.size,
       voter: this.#voter?.dump(),
     };
@@ -212,7 +212,7 @@
 
   #takeControl(from: string, body: unknown): void {
     const message = body as control.ControlMessage;
-    if (message.type === "result") this.#proposer.receive(from, message);
+    if (message.type === "result") this.#commands.receive(from, message);
     else if (this.#voter !== undefined) {
       this.#voter.receiveForward(from, message);
     } else this.#decline(from, message);
@@ -243,7 +243,7 @@
   }
 
   #takeStatus(status: followers.Status): void {
-    this.#proposer.setLeader(status.leader);
+    this.#commands.setLeader(status.leader);
     this.#options.logger.info({ ...status }, "view of the quorum changed");
   }
 
@@ -276,7 +276,7 @@
   async #retire(timeout: number): Promise<table.Retired> {
     const { self: host, incarnation } = this.#options;
     const id = `${host}/${incarnation}/retire`;
-    const reply = await this.#proposer.propose(
+    const reply = await this.#commands.propose(
       { type: "retire", id, host, incarnation },
       timeout,
     ) as table.Retired;
--- a/src/control/host/voter.ts
+++ b/src/control/host/voter.ts
@@ -36,7 +36,7 @@
 /** Runs the replicated log on this host. */
 export class Voter {
   readonly #options: VoterOptions;
-  readonly #acceptor: watch.Acceptor;
+  readonly #commands: watch.CommandServer;
   readonly #alarm: runtime.Alarm;
   readonly #look: runtime.Alarm;
   #runner!: log.Runner<table.State, table.Reply>;
@@ -49,7 +49,7 @@
   private constructor(options: VoterOptions) {
     const { clock } = options;
     this.#options = options;
-    this.#acceptor = watch.Acceptor.create({
+    this.#commands = watch.CommandServer.create({
       propose: (command) => this.#propose(command),
       stamp: () => this.#timekeeper.at(clock.now()),
       send: (to, body) => this.#send("control", to, body),
@@ -119,7 +119,7 @@
 
   /** Takes a command of another host, or of this one. */
   receiveForward(from: string, body: control.Forward): void {
-    void this.#acceptor.receive(from, body);
+    void this.#commands.receive(from, body);
   }
 
   /** Hands leadership over, before a stop. */
--- a/src/control/watch/acceptor.ts
+++ b/src/control/watch/command_server.ts
@@ -11,8 +11,8 @@
  * refused in one copy and applied in the other. */
 const MOST_SEEN = 4096;
 
-/** What an acceptor needs of its host. */
-export interface AcceptorOptions {
+/** What a server needs of its host. */
+export interface CommandServerOptions {
   /** Commits a command; rejects with an error that has a `kind`. */
   propose(command: command.Command): Promise<unknown>;
   /** The leader's time for a command; see `Timekeeper`. */
@@ -28,17 +28,17 @@
 }
 
 /** Proposes the commands that other hosts forward. */
-export class Acceptor {
-  readonly #options: AcceptorOptions;
+export class CommandServer {
+  readonly #options: CommandServerOptions;
   readonly #seen = new Set<string>();
 
-  private constructor(options: AcceptorOptions) {
+  private constructor(options: CommandServerOptions) {
     this.#options = options;
   }
 
-  /** An acceptor that commits by `options.propose`. */
-  static create(options: AcceptorOptions): Acceptor {
-    return new Acceptor(options);
+  /** A server that commits by `options.propose`. */
+  static create(options: CommandServerOptions): CommandServer {
+    return new CommandServer(options);
   }
 
   /** Proposes the command in `body`; resolves once its answer is sent. */
--- a/src/control/watch/forwarder_test.ts
+++ b/src/control/watch/forwarder_test.ts
@@ -63,10 +63,10 @@
   t.is(failureOf(effects), "unknown");
 });
 
-test("an acceptor answers an attempt that came twice only once", async (t) => {
+test("a command server answers an attempt that came twice only once", async (t) => {
   const sent: schema.Result[] = [];
   let proposed = 0;
-  const acceptor = watch.Acceptor.create({
+  const server = watch.CommandServer.create({
     propose: () => Promise.resolve({ type: "accepted", revision: ++proposed }),
     stamp: () => 7,
     send: (_to, body) => sent.push(body),
@@ -74,8 +74,8 @@
   const command = createCommand("c1");
   const forward = { type: "forward" as const, attempt: 1, command };
   await Promise.all([
-    acceptor.receive("h", forward),
-    acceptor.receive("h", forward),
+    server.receive("h", forward),
+    server.receive("h", forward),
   ]);
   t.is(proposed, 1);
   t.is(sent.length, 1);
@@ -90,9 +90,9 @@
   let state = machine.empty;
   let applied = 0;
   const inbox: schema.Result[] = [];
-  const acceptors = new Map(VOTERS.map((id) => [
+  const servers = new Map(VOTERS.map((id) => [
     id,
-    watch.Acceptor.create({
+    watch.CommandServer.create({
       propose(command) {
         const roll = random.next();
         if (roll < 0.3) return Promise.reject({ kind: "not-leader" });
@@ -119,7 +119,7 @@
       const copies = random.next() < 0.2 ? 2 : 1;
       for (let copy = 0; copy < copies; copy++) {
         const forward = effect.body as schema.Forward;
-        await acceptors.get(effect.to)!.receive("h", forward);
+        await servers.get(effect.to)!.receive("h", forward);
       }
     }
     effects = [];
--- a/src/control/watch/mod.ts
+++ b/src/control/watch/mod.ts
@@ -2,7 +2,7 @@
  * commands to the leader.
  * @module */
 
-export * from "./acceptor.ts";
+export * from "./command_server.ts";
 export * from "./forwarder.ts";
 export * from "./observer.ts";
 export * from "./publisher.ts";
