DELETE of an endpoint names the run that leaves

Cause: a DELETE without incarnation that came late ended the next run of the endpoint for up to 30 s, and one that reached a host before the announcement was dropped. Change: DELETE takes ?incarnation=N, which stand-ins send; a run that was started later stays, one that is not yet known is ended before it is heard of.

--- a/src/callers/endpoints.ts
+++ b/src/callers/endpoints.ts
@@ -12,6 +12,7 @@
 import * as tokens from "./tokens.ts";
 
 const NAME = /^[a-z0-9][a-z0-9.-]{0,63}$/;
+const DIGITS = /^[0-9]+$/;
 const MOST_BYTES = 64 * 1024;
 /** Milliseconds in which an announcement must have come. */
 const BODY_TIME = 5000;
@@ -61,10 +62,27 @@
   },
   DELETE(id, _options, { incoming }) {
     incoming.resume();
-    return Promise.resolve({ type: "leave", endpoint: id });
+    const incarnation = incarnationOf(incoming.url ?? "");
+    return Promise.resolve({ type: "leave", endpoint: id, incarnation });
   },
 };
 
+/** Run of the endpoint that a `DELETE` is from; undefined when it names
+ * none. */
+function incarnationOf(url: string): number | undefined {
+  const { searchParams } = new URL(url, "http://host");
+  const text = searchParams.get("incarnation");
+  if (text === null) return undefined;
+  const incarnation = Number(text);
+  if (DIGITS.test(text) && Number.isSafeInteger(incarnation)) {
+    return incarnation;
+  }
+  throw new problem.CallerError(
+    "bad-request",
+    "The incarnation is no whole number",
+  );
+}
+
 function authorize(
   { endpointToken }: server.Options,
   { incoming }: server.Exchange,
--- a/src/endpoints/announce.ts
+++ b/src/endpoints/announce.ts
@@ -32,28 +32,54 @@
   });
 }
 
-/** Takes the farewell of an endpoint, unless it is from an earlier run. */
+/** Takes the farewell of an endpoint, unless it is from an earlier run. One
+ * that names a run which this host has not heard of ends that run. */
 export function depart(
   step: states.Step,
   id: string,
   incarnation: number | undefined,
 ): void {
   const known = step.state.entries.get(id);
-  if (known === undefined || known.phase === "left") return;
-  const { generation, declared, sequence } = known;
-  const later = declared !== undefined && incarnation !== undefined &&
-    incarnation < declared;
-  if (later) return;
-  const left: entries.Entry = {
-    id,
-    generation,
-    phase: "left",
-    sequence: sequence + 1,
-    declared,
-  };
+  const left = known === undefined
+    ? unheard(step, id, incarnation)
+    : leftOf(known, incarnation);
+  if (left === undefined) return;
   merges.adopt(step, left, step.state.options.host);
 }
 
+/** An endpoint that left before this host heard of it. */
+function unheard(
+  { state }: states.Step,
+  id: string,
+  incarnation: number | undefined,
+): entries.Entry | undefined {
+  const full = state.turned.size >= states.GONE_LIMIT;
+  if (incarnation === undefined || full) return undefined;
+  const generation = incarnation;
+  return { id, generation, phase: "left", sequence: 0, declared: incarnation };
+}
+
+function leftOf(
+  known: entries.Entry,
+  incarnation: number | undefined,
+): entries.Entry | undefined {
+  const { id, generation, declared, sequence } = known;
+  const named = incarnation !== undefined && declared !== undefined;
+  if (named && incarnation < declared) return undefined;
+  if (named && incarnation > declared) {
+    return {
+      id,
+      generation: Math.max(generation + 1, incarnation),
+      phase: "left",
+      sequence: 0,
+      declared: incarnation,
+    };
+  }
+  if (known.phase === "left") return undefined;
+  const next = sequence + 1;
+  return { id, generation, phase: "left", sequence: next, declared };
+}
+
 function statementOf(
   id: string,
   { state, incarnation, ...rest }: announcements.Announcement,
--- a/src/node/directory.ts
+++ b/src/node/directory.ts
@@ -77,7 +77,8 @@
   take(notice: request.Notice): Promise<request.NoticeResult> {
     const { metrics } = this.#options;
     if (notice.type === "leave") {
-      this.#step({ type: "depart", id: notice.endpoint });
+      const { endpoint: id, incarnation } = notice;
+      this.#step({ type: "depart", id, incarnation });
       return Promise.resolve({ type: "taken", lease: 0 });
     }
     const { endpoint: id, announcement } = notice;
--- a/src/node/node_test.ts
+++ b/src/node/node_test.ts
@@ -115,6 +115,25 @@
   t.like(await look(host, "/v1/status"), { host: "a", state: "ready" });
 });
 
+test("a late leave of the last run does not end a new one", async (t) => {
+  const host = await start(t);
+  const url = "http://127.0.0.1:1";
+  const leave = async (incarnation: number) => {
+    const path = `/v1/endpoints/b-1?incarnation=${incarnation}`;
+    const answer = await fetch(`http://127.0.0.1:${host.callersPort}${path}`, {
+      method: "DELETE",
+      headers: { authorization: "Bearer endpoint-token" },
+    });
+    t.is(answer.status, 200);
+  };
+  await announce(host, url, { incarnation: 1 });
+  await announce(host, url, { incarnation: 2 });
+  await leave(1);
+  t.is(host.endpoints().length, 1);
+  await leave(2);
+  t.is(host.endpoints().length, 0);
+});
+
 test("an announcement for another kind of service is refused", async (t) => {
   const host = await start(t);
   const answer = await announce(host, "http://127.0.0.1:1", { kind: "engine" });
--- a/src/request/fake_path.ts
+++ b/src/request/fake_path.ts
@@ -245,7 +245,10 @@
 export async function post(
   url: string,
   body: unknown,
-  options: { headers?: Record<string, string>; method?: "POST" | "PUT" } = {},
+  options: {
+    headers?: Record<string, string>;
+    method?: "POST" | "PUT" | "DELETE";
+  } = {},
 ): Promise<Posted> {
   const sent = typeof body === "string" ? body : JSON.stringify(body);
   const answer = await undici.request(url, {
--- a/src/request/path_options.ts
+++ b/src/request/path_options.ts
@@ -42,7 +42,12 @@
     endpoint: string;
     announcement: endpoint.Announcement;
   }
-  | { type: "leave"; endpoint: string };
+  | {
+    type: "leave";
+    endpoint: string;
+    /** Run that leaves; a later one stays. Any run when absent. */
+    incarnation?: number;
+  };
 
 /** Takes a notice; answers milliseconds of lease, or why it is refused. */
 export type TakeNotice = (notice: Notice) => Promise<NoticeResult>;
--- a/src/request/path_test.ts
+++ b/src/request/path_test.ts
@@ -106,7 +106,16 @@
     method: "PUT",
   });
   t.is(bad.status, 400);
-  t.deepEqual(heard, [{ type: "announce", endpoint: "b1", announcement }]);
+  const leave = (query: string) => {
+    return fakePath.post(`${url}${query}`, "", { headers, method: "DELETE" });
+  };
+  t.is((await leave("?incarnation=7")).status, 200);
+  t.is((await leave("?incarnation=seven")).status, 400);
+  t.is((await leave("?incarnation=")).status, 400);
+  t.deepEqual(heard, [
+    { type: "announce", endpoint: "b1", announcement },
+    { type: "leave", endpoint: "b1", incarnation: 7 },
+  ]);
   await started.stop();
 });
 
--- a/standins/announcer.ts
+++ b/standins/announcer.ts
@@ -80,7 +80,9 @@
     const host = hosts[this.#next++ % hosts.length];
     const body = { ...announcement(), incarnation: this.#incarnation };
     try {
-      const answer = await undici.request(`${host}/v1/endpoints/${id}`, {
+      const query = method === "PUT" ? "" : `?incarnation=${this.#incarnation}`;
+      const url = `${host}/v1/endpoints/${id}${query}`;
+      const answer = await undici.request(url, {
         method,
         headers: {
           "content-type": "application/json",
--- a/standins/announcer_test.ts
+++ b/standins/announcer_test.ts
@@ -13,7 +13,7 @@
 async function host(heard: Heard[], status = 200): Promise<server.Server> {
   const made = new server.Server(({ method, url, headers, reply }) => {
     const token = headers.authorization;
-    heard.push({ method, path: url.pathname, token });
+    heard.push({ method, path: url.pathname + url.search, token });
     reply.json(status, { lease: 900 });
   });
   await made.start();
@@ -57,6 +57,7 @@
   t.is(heard[1].length, 1);
   await made.leave();
   t.is(heard[0][1].method, "DELETE");
+  t.is(heard[0][1].path, "/v1/endpoints/lm-pool-1?incarnation=0");
   clock.advance(5000);
   t.is(heard.flat().length, 3);
   await Promise.all(hosts.map((host) => host.stop()));
