Shares: reports and grants tell changes, idle claims end

Cause: every report and new grant carried all rows, and what nobody wanted was spread to hosts that wanted none, so their claims never ended. Change: a report builds on an answered one, a grant on the one in force; spare goes to hosts that want some; a host without claims sends nothing. A small rise or fall of demand is not told. Tests: rows are told once, lost answers, a clock that stood still. The test's sum now reads each host's share by that host's own clock, which a stopped clock needs.

--- a/src/schema/shares_types.ts
+++ b/src/schema/shares_types.ts
@@ -28,6 +28,12 @@
    */
   applied: number;
   /**
+   * Number of an answered report whose rows it changes; absent when it has all rows.
+   */
+  like?: number;
+  /**
+   * A demand of 0 without requests in flight ends a claim.
+   *
    * @maxItems 10000
    */
   rows: Claim[];
@@ -67,11 +73,11 @@
    */
   lease: number;
   /**
-   * Number of the grant in force whose shares it repeats.
+   * Number of the grant in force whose shares it changes or repeats.
    */
   like?: number;
   /**
-   * Absent when it repeats a grant.
+   * Absent when it repeats a grant. An extra of 0 ends a share.
    *
    * @maxItems 10000
    */
--- a/src/schema/shares_validators.ts
+++ b/src/schema/shares_validators.ts
@@ -5,9 +5,9 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"SharesMessage","description":"What hosts and the allocator tell each other of shares of limits.","type":"object","discriminator":{"propertyName":"type"},"required":["type"],"oneOf":[{"$ref":"#/$defs/Report"},{"$ref":"#/$defs/Grant"},{"$ref":"#/$defs/Lead"}],"$defs":{"LimitColumn":{"title":"LimitColumn","description":"Column of the table that holds the limit.","enum":["rate","concurrency"]},"Report":{"title":"Report","description":"What a host needs; sent to the allocator about once a second.","type":"object","additionalProperties":false,"required":["type","number","term","applied","rows"],"properties":{"type":{"const":"report"},"number":{"description":"Grows with each report of one run of the host.","type":"integer","minimum":0},"term":{"description":"Term of the allocator that the host reports to.","type":"integer","minimum":0},"applied":{"description":"Number of the last grant in force at the host.","type":"integer","minimum":0},"rows":{"type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Claim"}}}},"Claim":{"title":"Claim","type":"object","additionalProperties":false,"required":["row","column","demand","held"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"demand":{"description":"Requests a second, or requests in flight and waiting.","type":"number","minimum":0},"held":{"description":"Leased to the host now, over its base.","type":"number","minimum":0},"used":{"description":"Requests in flight over its base, which may outlast a lease.","type":"number","minimum":0}}},"Grant":{"title":"Grant","description":"Shares over the base, for the length of a lease that begins when the report was sent.","type":"object","additionalProperties":false,"required":["type","number","term","report","lease"],"properties":{"type":{"const":"grant"},"number":{"description":"Grows with each grant of one term.","type":"integer","minimum":1},"term":{"type":"integer","minimum":0},"report":{"description":"Number of the report that it answers.","type":"integer","minimum":0},"lease":{"description":"Milliseconds.","type":"integer","minimum":0},"like":{"description":"Number of the grant in force whose shares it repeats.","type":"integer","minimum":1},"rows":{"description":"Absent when it repeats a grant.","type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Share"}}}},"Lead":{"title":"Lead","description":"Answer of the allocator to a report that names another term.","type":"object","additionalProperties":false,"required":["type","term"],"properties":{"type":{"const":"lead"},"term":{"type":"integer","minimum":0}}},"Share":{"title":"Share","type":"object","additionalProperties":false,"required":["row","column","extra"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"extra":{"type":"number","minimum":0}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"SharesMessage","description":"What hosts and the allocator tell each other of shares of limits.","type":"object","discriminator":{"propertyName":"type"},"required":["type"],"oneOf":[{"$ref":"#/$defs/Report"},{"$ref":"#/$defs/Grant"},{"$ref":"#/$defs/Lead"}],"$defs":{"LimitColumn":{"title":"LimitColumn","description":"Column of the table that holds the limit.","enum":["rate","concurrency"]},"Report":{"title":"Report","description":"What a host needs; sent to the allocator about once a second.","type":"object","additionalProperties":false,"required":["type","number","term","applied","rows"],"properties":{"type":{"const":"report"},"number":{"description":"Grows with each report of one run of the host.","type":"integer","minimum":0},"term":{"description":"Term of the allocator that the host reports to.","type":"integer","minimum":0},"applied":{"description":"Number of the last grant in force at the host.","type":"integer","minimum":0},"like":{"description":"Number of an answered report whose rows it changes; absent when it has all rows.","type":"integer","minimum":0},"rows":{"description":"A demand of 0 without requests in flight ends a claim.","type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Claim"}}}},"Claim":{"title":"Claim","type":"object","additionalProperties":false,"required":["row","column","demand","held"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"demand":{"description":"Requests a second, or requests in flight and waiting.","type":"number","minimum":0},"held":{"description":"Leased to the host now, over its base.","type":"number","minimum":0},"used":{"description":"Requests in flight over its base, which may outlast a lease.","type":"number","minimum":0}}},"Grant":{"title":"Grant","description":"Shares over the base, for the length of a lease that begins when the report was sent.","type":"object","additionalProperties":false,"required":["type","number","term","report","lease"],"properties":{"type":{"const":"grant"},"number":{"description":"Grows with each grant of one term.","type":"integer","minimum":1},"term":{"type":"integer","minimum":0},"report":{"description":"Number of the report that it answers.","type":"integer","minimum":0},"lease":{"description":"Milliseconds.","type":"integer","minimum":0},"like":{"description":"Number of the grant in force whose shares it changes or repeats.","type":"integer","minimum":1},"rows":{"description":"Absent when it repeats a grant. An extra of 0 ends a share.","type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Share"}}}},"Lead":{"title":"Lead","description":"Answer of the allocator to a report that names another term.","type":"object","additionalProperties":false,"required":["type","term"],"properties":{"type":{"const":"lead"},"term":{"type":"integer","minimum":0}}},"Share":{"title":"Share","type":"object","additionalProperties":false,"required":["row","column","extra"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"extra":{"type":"number","minimum":0}}}}};
 const schema38 = {"title":"Lead","description":"Answer of the allocator to a report that names another term.","type":"object","additionalProperties":false,"required":["type","term"],"properties":{"type":{"const":"lead"},"term":{"type":"integer","minimum":0}}};
-const schema32 = {"title":"Report","description":"What a host needs; sent to the allocator about once a second.","type":"object","additionalProperties":false,"required":["type","number","term","applied","rows"],"properties":{"type":{"const":"report"},"number":{"description":"Grows with each report of one run of the host.","type":"integer","minimum":0},"term":{"description":"Term of the allocator that the host reports to.","type":"integer","minimum":0},"applied":{"description":"Number of the last grant in force at the host.","type":"integer","minimum":0},"rows":{"type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Claim"}}}};
+const schema32 = {"title":"Report","description":"What a host needs; sent to the allocator about once a second.","type":"object","additionalProperties":false,"required":["type","number","term","applied","rows"],"properties":{"type":{"const":"report"},"number":{"description":"Grows with each report of one run of the host.","type":"integer","minimum":0},"term":{"description":"Term of the allocator that the host reports to.","type":"integer","minimum":0},"applied":{"description":"Number of the last grant in force at the host.","type":"integer","minimum":0},"like":{"description":"Number of an answered report whose rows it changes; absent when it has all rows.","type":"integer","minimum":0},"rows":{"description":"A demand of 0 without requests in flight ends a claim.","type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Claim"}}}};
 const schema33 = {"title":"Claim","type":"object","additionalProperties":false,"required":["row","column","demand","held"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"demand":{"description":"Requests a second, or requests in flight and waiting.","type":"number","minimum":0},"held":{"description":"Leased to the host now, over its base.","type":"number","minimum":0},"used":{"description":"Requests in flight over its base, which may outlast a lease.","type":"number","minimum":0}}};
 const schema34 = {"title":"LimitColumn","description":"Column of the table that holds the limit.","enum":["rate","concurrency"]};
 
@@ -178,7 +178,7 @@
 else {
 const _errs1 = errors;
 for(const key0 in data){
-if(!(((((key0 === "type") || (key0 === "number")) || (key0 === "term")) || (key0 === "applied")) || (key0 === "rows"))){
+if(!((((((key0 === "type") || (key0 === "number")) || (key0 === "term")) || (key0 === "applied")) || (key0 === "like")) || (key0 === "rows"))){
 validate21.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema32,data}];
 return false;
 break;
@@ -261,25 +261,46 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.rows !== undefined){
-let data4 = data.rows;
+if(data.like !== undefined){
+let data4 = data.like;
 const _errs9 = errors;
+if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
+validate21.errors = [{instancePath:instancePath+"/like",schemaPath:"#/properties/like/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema32.properties.like.type,parentSchema:schema32.properties.like,data:data4}];
+return false;
+}
 if(errors === _errs9){
-if(Array.isArray(data4)){
-if(data4.length > 10000){
-validate21.errors = [{instancePath:instancePath+"/rows",schemaPath:"#/properties/rows/maxItems",keyword:"maxItems",params:{limit: 10000},message:"must NOT have more than 10000 items",schema:10000,parentSchema:schema32.properties.rows,data:data4}];
+if((typeof data4 == "number") && (isFinite(data4))){
+if(data4 < 0 || isNaN(data4)){
+validate21.errors = [{instancePath:instancePath+"/like",schemaPath:"#/properties/like/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema32.properties.like,data:data4}];
+return false;
+}
+}
+}
+var valid0 = _errs9 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.rows !== undefined){
+let data5 = data.rows;
+const _errs11 = errors;
+if(errors === _errs11){
+if(Array.isArray(data5)){
+if(data5.length > 10000){
+validate21.errors = [{instancePath:instancePath+"/rows",schemaPath:"#/properties/rows/maxItems",keyword:"maxItems",params:{limit: 10000},message:"must NOT have more than 10000 items",schema:10000,parentSchema:schema32.properties.rows,data:data5}];
 return false;
 }
 else {
 var valid1 = true;
-const len0 = data4.length;
+const len0 = data5.length;
 for(let i0=0; i0<len0; i0++){
-const _errs11 = errors;
-if(!(validate22(data4[i0], {instancePath:instancePath+"/rows/" + i0,parentData:data4,parentDataProperty:i0,rootData,dynamicAnchors}))){
+const _errs13 = errors;
+if(!(validate22(data5[i0], {instancePath:instancePath+"/rows/" + i0,parentData:data5,parentDataProperty:i0,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate22.errors : vErrors.concat(validate22.errors);
 errors = vErrors.length;
 }
-var valid1 = _errs11 === errors;
+var valid1 = _errs13 === errors;
 if(!valid1){
 break;
 }
@@ -287,11 +308,11 @@
 }
 }
 else {
-validate21.errors = [{instancePath:instancePath+"/rows",schemaPath:"#/properties/rows/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema32.properties.rows.type,parentSchema:schema32.properties.rows,data:data4}];
+validate21.errors = [{instancePath:instancePath+"/rows",schemaPath:"#/properties/rows/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema32.properties.rows.type,parentSchema:schema32.properties.rows,data:data5}];
 return false;
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -303,6 +324,7 @@
 }
 }
 }
+}
 else {
 validate21.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema32.type,parentSchema:schema32,data}];
 return false;
@@ -313,7 +335,7 @@
 }
 validate21.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema35 = {"title":"Grant","description":"Shares over the base, for the length of a lease that begins when the report was sent.","type":"object","additionalProperties":false,"required":["type","number","term","report","lease"],"properties":{"type":{"const":"grant"},"number":{"description":"Grows with each grant of one term.","type":"integer","minimum":1},"term":{"type":"integer","minimum":0},"report":{"description":"Number of the report that it answers.","type":"integer","minimum":0},"lease":{"description":"Milliseconds.","type":"integer","minimum":0},"like":{"description":"Number of the grant in force whose shares it repeats.","type":"integer","minimum":1},"rows":{"description":"Absent when it repeats a grant.","type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Share"}}}};
+const schema35 = {"title":"Grant","description":"Shares over the base, for the length of a lease that begins when the report was sent.","type":"object","additionalProperties":false,"required":["type","number","term","report","lease"],"properties":{"type":{"const":"grant"},"number":{"description":"Grows with each grant of one term.","type":"integer","minimum":1},"term":{"type":"integer","minimum":0},"report":{"description":"Number of the report that it answers.","type":"integer","minimum":0},"lease":{"description":"Milliseconds.","type":"integer","minimum":0},"like":{"description":"Number of the grant in force whose shares it changes or repeats.","type":"integer","minimum":1},"rows":{"description":"Absent when it repeats a grant. An extra of 0 ends a share.","type":"array","maxItems":10000,"items":{"$ref":"#/$defs/Share"}}}};
 const schema36 = {"title":"Share","type":"object","additionalProperties":false,"required":["row","column","extra"],"properties":{"row":{"type":"string","minLength":1,"maxLength":128},"column":{"$ref":"#/$defs/LimitColumn"},"extra":{"type":"number","minimum":0}}};
 
 function validate25(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
--- a/src/shares/allocator.ts
+++ b/src/shares/allocator.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as schema from "../schema/shares_types.ts";
+import * as claims from "./claim.ts";
 import * as divisions from "./division.ts";
 import * as limits from "./limit.ts";
 
@@ -12,6 +13,8 @@
 export const LEASE = 4000;
 /** Most that clocks may differ in speed. */
 export const DRIFT = 0.02;
+/** Answered reports of a host that it may build upon. */
+const BASES_KEPT = 8;
 /** Added to a lease before its share is granted again. */
 export const MARGIN = 100;
 
@@ -151,10 +154,16 @@
   const outstanding = (known?.outstanding ?? []).filter((grant) => {
     return grant.number >= report.applied;
   });
+  const bases = known?.bases ?? new Map<number, claims.Claims>();
+  const { like = 0 } = report;
+  const base = report.like === undefined ? new Map() : bases.get(report.like);
+  // The host sends all rows when it gets no answer.
+  if (base === undefined) return;
   const client: divisions.Client = {
     report: report.number,
     applied: report.applied,
-    claims: new Map(report.rows.map((row) => [limits.keyOf(row), row])),
+    claims: claims.apply(base, report.rows),
+    bases: new Map([...bases].filter(([number]) => number >= like)),
     reportedAt: now,
     answered: false,
     outstanding,
@@ -209,25 +218,30 @@
   const type = "grant";
   const head = { type, number, term, report, lease: LEASE } as const;
   const last = client.outstanding.find((grant) => grant.number === applied);
-  const body: schema.Grant = last !== undefined && same(last.extras, extras)
-    ? { ...head, like: applied }
-    : { ...head, rows: sharesOf(state, extras) };
+  const rows = sharesOf(state, extras, last?.extras ?? new Map());
+  const body: schema.Grant = last === undefined
+    ? { ...head, rows }
+    : { ...head, like: applied, ...(rows.length > 0 ? { rows } : {}) };
   step.effects.push({ type: "send", to: host, body });
   const outstanding = [
     ...client.outstanding,
     { number, extras, until: now + longest() },
   ];
-  return { ...client, answered: true, outstanding };
+  const recent = [...client.bases].slice(1 - BASES_KEPT);
+  const bases = new Map(recent).set(report, client.claims);
+  return { ...client, answered: true, outstanding, bases };
 }
 
-function sharesOf({ limits: all }: State, extras: divisions.Extras) {
-  return all.flatMap(({ row, column }): schema.Share[] => {
-    const extra = extras.get(limits.keyOf({ row, column }));
-    return extra === undefined ? [] : [{ row, column, extra }];
+/** Shares that differ from those of a grant that the host has. */
+function sharesOf(
+  { limits: all }: State,
+  extras: divisions.Extras,
+  known: divisions.Extras,
+): schema.Share[] {
+  const shares = all.flatMap(({ row, column }): schema.Share[] => {
+    const key = limits.keyOf({ row, column });
+    const extra = extras.get(key) ?? 0;
+    return extra === (known.get(key) ?? 0) ? [] : [{ row, column, extra }];
   });
-}
-
-function same(left: divisions.Extras, right: divisions.Extras): boolean {
-  return left.size === right.size &&
-    [...left].every(([key, extra]) => right.get(key) === extra);
+  return shares;
 }
--- a/src/shares/division.ts
+++ b/src/shares/division.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as schema from "../schema/shares_types.ts";
+import type * as claims from "./claim.ts";
 import * as fills from "./fill.ts";
 import * as limits from "./limit.ts";
 
@@ -23,7 +24,9 @@
   report: number;
   /** Number of the grant that was in force when it was sent. */
   applied: number;
-  claims: ReadonlyMap<string, schema.Claim>;
+  claims: claims.Claims;
+  /** Claims of answered reports, on which later ones build. */
+  bases: ReadonlyMap<number, claims.Claims>;
   reportedAt: number;
   /** Whether a round has answered the report. */
   answered: boolean;
@@ -80,7 +83,8 @@
   const key = limits.keyOf(limit);
   const base = limits.base(limit, hosts);
   const parties: Party[] = [];
-  for (const [host, { claims, answered, outstanding }] of clients) {
+  for (const [host, client] of clients) {
+    const { claims, answered, outstanding } = client;
     const claim = claims.get(key);
     const committed = Math.max(
       claim?.used ?? 0,
@@ -88,13 +92,21 @@
     );
     if (claim === undefined && committed === 0) continue;
     const want = Math.max(0, (claim?.demand ?? 0) - base);
-    const held = claim?.held ?? 0;
+    const held = heldOf(client, key);
     parties.push({ host, want, held, committed, answered });
   }
   return parties;
 }
 
-/** Max-min fair shares; what nobody wants is spread for bursts. */
+/** What the host holds: by a grant of this term, or as it said itself. */
+function heldOf({ claims, applied, outstanding }: Client, key: string): number {
+  const grant = outstanding.find(({ number }) => number === applied);
+  if (grant !== undefined) return grant.extras.get(key) ?? 0;
+  return claims.get(key)?.held ?? 0;
+}
+
+/** Max-min fair shares; what nobody wants is spread for bursts among those
+ * that want any, so that a claim without demand ends. */
 function targetsOf(
   parties: readonly Party[],
   pool: number,
@@ -103,8 +115,11 @@
   const claims = parties.map(({ want }) => ({ want, weight: 1 }));
   const shares = fills.fill(pool, claims);
   const used = shares.reduce((sum, share) => sum + share, 0);
-  const spare = Math.max(0, pool - used) / parties.length;
-  const targets = shares.map((share) => share + spare);
+  const wanting = parties.filter(({ want }) => want > 0).length;
+  const spare = Math.max(0, pool - used) / Math.max(1, wanting);
+  const targets = shares.map((share, pos) => {
+    return parties[pos].want > 0 ? share + spare : share;
+  });
   return column === "concurrency" ? whole(targets, parties) : targets;
 }
 
--- a/src/shares/holder.ts
+++ b/src/shares/holder.ts
@@ -4,12 +4,14 @@
 
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/shares_types.ts";
+import * as claims from "./claim.ts";
 import * as limits from "./limit.ts";
 
 /** Least time between two reports. */
 export const REPORT_INTERVAL = 1000;
-/** Significant digits of a demand: small changes move no share. */
-const DEMAND_DIGITS = 2;
+/** A report answered longer ago is not built upon: the allocator may have
+ * forgotten it. */
+const ANSWER_KEPT = 2500;
 /** Reports whose sending time is remembered. */
 const REPORTS_KEPT = 16;
 
@@ -73,6 +75,11 @@
   extras: ReadonlyMap<string, number>;
 }
 
+interface Sent {
+  at: number;
+  claims: claims.Claims;
+}
+
 interface State {
   readonly limits: readonly limits.Limit[];
   readonly hosts: number;
@@ -82,8 +89,10 @@
   readonly reportedAt: number;
   /** As last given. */
   readonly demands: readonly Demand[];
-  /** When recent reports of this term were sent, by number. */
-  readonly sent: ReadonlyMap<number, number>;
+  /** Recent reports of this term by number. */
+  readonly sent: ReadonlyMap<number, Sent>;
+  /** Last report of this term that was answered. */
+  readonly answered: (Sent & { number: number }) | undefined;
   readonly lease: Lease | undefined;
   readonly shares: readonly Share[];
 }
@@ -113,6 +122,7 @@
       reportedAt: -Infinity,
       demands: [],
       sent: new Map(),
+      answered: undefined,
       lease: undefined,
       shares: [],
     });
@@ -155,8 +165,7 @@
   },
   allocator: (step, { host, term }) => {
     if (term <= step.state.term) return;
-    const sent = new Map<number, number>();
-    step.state = { ...step.state, allocator: host, term, sent };
+    step.state = { ...step.state, allocator: host, ...termOf(term) };
   },
   leader: (step, { host }) => {
     if (host === step.state.allocator) return;
@@ -172,54 +181,54 @@
     if (body.type !== "lead" || from !== step.state.allocator) return;
     const { term } = body;
     if (term <= step.state.term) return;
-    step.state = { ...step.state, term, sent: new Map() };
+    step.state = { ...step.state, ...termOf(term) };
     report(step);
   },
   wake: () => {},
 };
 
+/** Nothing is known to an allocator at the start of its term. */
+function termOf(term: number): Pick<State, "term" | "sent" | "answered"> {
+  return { term, sent: new Map(), answered: undefined };
+}
+
 function report(step: Step): void {
   const { state, now } = step;
-  const { lease, allocator } = state;
+  const { lease, allocator, answered } = state;
   if (allocator === undefined) return;
+  const all = claimsOf(state, now);
+  const idle = all.size === 0 && answered?.claims.size === 0;
+  if (idle) return;
   const number = state.number + 1;
   const recent = [...state.sent].slice(1 - REPORTS_KEPT);
   step.state = {
     ...state,
     number,
     reportedAt: now,
-    sent: new Map(recent).set(number, now),
+    sent: new Map(recent).set(number, { at: now, claims: all }),
   };
+  const base = answered !== undefined && now - answered.at < ANSWER_KEPT
+    ? answered
+    : undefined;
   const body: schema.Report = {
     type: "report",
     number,
     term: state.term,
     applied: lease?.term === state.term ? lease.number : 0,
-    rows: claimsOf(state, now),
+    rows: claims.changes(all, base?.claims ?? new Map()),
   };
+  if (base !== undefined) body.like = base.number;
   step.effects.push({ type: "send", to: allocator, body });
 }
 
 /** Claims on limits of which the base may not be enough. */
-function claimsOf(state: State, now: number): schema.Claim[] {
-  const byKey = new Map(
-    state.demands.map((item) => [limits.keyOf(item), item]),
-  );
-  return state.limits.flatMap((limit) => {
-    const key = limits.keyOf(limit);
-    const { demand = 0, inFlight = 0 } = byKey.get(key) ?? {};
-    const base = limits.base(limit, state.hosts);
-    const used = Math.max(0, inFlight - base);
-    const held = extraOf(state, { key, now });
-    if (demand <= base / 2 && held === 0 && used === 0) return [];
-    const { row, column } = limit;
-    const claim: schema.Claim = {
-      row,
-      column,
-      demand: Number(demand.toPrecision(DEMAND_DIGITS)),
-      held,
-    };
-    return [used > 0 ? { ...claim, used } : claim];
+function claimsOf(state: State, now: number): claims.Claims {
+  const { limits, hosts, demands, answered } = state;
+  return claims.create(limits, {
+    hosts,
+    demands,
+    said: answered?.claims ?? new Map(),
+    held: (key) => extraOf(state, { key, now }),
   });
 }
 
@@ -227,20 +236,30 @@
 function apply(step: Step, grant: schema.Grant): void {
   const { state, now } = step;
   const { term, number, report, lease, like } = grant;
-  const sentAt = state.sent.get(report);
-  if (term !== state.term || sentAt === undefined) return;
+  const sent = state.sent.get(report);
+  if (term !== state.term || sent === undefined) return;
   const known = state.lease;
   if (known?.term === term && number <= known.number) return;
-  const until = sentAt + lease;
+  const until = sent.at + lease;
   if (until <= now) return;
-  const repeats = known?.term === term && known.number === like;
-  if (like !== undefined && !repeats) return;
-  const extras = repeats ? known.extras : extrasOf(grant);
-  step.state = { ...state, lease: { term, number, until, extras } };
+  const follows = known?.term === term && known.number === like;
+  if (like !== undefined && !follows) return;
+  const extras = extrasOf(grant, follows ? known.extras : new Map());
+  const answered = { ...sent, number: report };
+  step.state = { ...state, answered, lease: { term, number, until, extras } };
 }
 
-function extrasOf({ rows = [] }: schema.Grant): ReadonlyMap<string, number> {
-  return new Map(rows.map((row) => [limits.keyOf(row), row.extra]));
+function extrasOf(
+  { rows = [] }: schema.Grant,
+  known: ReadonlyMap<string, number>,
+): ReadonlyMap<string, number> {
+  const extras = new Map(known);
+  for (const row of rows) {
+    const key = limits.keyOf(row);
+    if (row.extra > 0) extras.set(key, row.extra);
+    else extras.delete(key);
+  }
+  return extras;
 }
 
 /** Brings the shares up to date and tells the other parts. */
