Claims run counts answers that no resend gets again

Cause: an answer goes out before its settlement is committed, so a host killed between the two leaves a claim whose outcome is unknown.

Waiting for the commit before each answer would mend it at the cost of a commit per booking; not done here.

--- a/bench/processes/claims.ts
+++ b/bench/processes/claims.ts
@@ -61,6 +61,7 @@
         kills: killer.counts.kill,
         fates: callers.fates,
         askedAgain: callers.askedAgain,
+        notRepeated: callers.notRepeated,
         callsAtDesk: callsAtDesk(site),
         verdict,
       },
@@ -80,6 +81,8 @@
   readonly fates: Record<string, number> = {};
   /** Answers to resends of answered bookings, by kind. */
   readonly askedAgain: Record<string, number> = {};
+  /** Answered bookings whose answer no resend got again. */
+  notRepeated = 0;
   readonly #site: sites.Site;
   readonly #random: runtime.Random;
   readonly #later: Promise<void>[] = [];
@@ -135,6 +138,7 @@
       if (reply.type === "plain") return;
       await fleets.pause(RESEND);
     }
+    this.notRepeated++;
   }
 
   #send(booking: plan.Planned): Promise<verify.Reply> {
