--- a/bench/processes/once.ts
+++ b/bench/processes/once.ts
@@ -22,6 +22,8 @@
 /** Milliseconds of load before and after the leave. */
 const BEFORE = 1_500;
 const AFTER = 4_000;
+/** Tokens of the answer to the one request through each host. */
+const TOKENS = 64;
 /** Requests a second while an endpoint leaves. */
 const RATE = 60;
 /** Services of which the busiest endpoint leaves. */
@@ -93,7 +95,7 @@
 async function askEach(site: sites.Site): Promise<Record<string, Asked>> {
   const found: Record<string, Asked> = {};
   for (const host of site.fleet.hosts) {
-    const planned = requests.create("plan");
+    const planned = requests.create("plan", { maxTokens: TOKENS });
     const left = planned.entry.deadline;
     const began = performance.now();
     const reply = await site.witness.send(planned, {
