--- a/bench/log.ts
+++ b/bench/log.ts
@@ -1,5 +1,6 @@
-/** Commits a second and their latency on a real disk, recovery with and
- * without a snapshot, bytes of an idle log and of a commit, time of a failover.
+/** Commits a second, their latency and CPU on a real disk, CPU of an idle log,
+ * recovery with and without a snapshot, bytes of an idle log and of a commit,
+ * time of a failover.
  * @module */
 
 import * as fs from "node:fs/promises";
@@ -14,6 +15,9 @@
 const CLIENTS = 64;
 const ALONE = 300;
 const TOGETHER = 6400;
+
+/** Milliseconds over which the CPU of idle replicas is counted. */
+const IDLE = 5_000;
 const RECORDS = 20_000;
 const RECORDS_A_WRITE = 10;
 
@@ -42,6 +46,7 @@
   count: number,
 ): Promise<result.Result[]> {
   const fleet = await fleets.startFleet(folder, count);
+  const idle = await measureIdle();
   const alone = await propose(fleet, { clients: 1, commands: ALONE });
   const together = await propose(fleet, {
     clients: CLIENTS,
@@ -56,6 +61,9 @@
     time(`${name}/${CLIENTS} clients`, "commits/s", together.rate),
     time(`${name}/${CLIENTS} clients p50`, "ms", together.median),
     time(`${name}/${CLIENTS} clients p99`, "ms", together.late),
+    time(`${name}/idle CPU of each`, "ms/s", idle / count),
+    time(`${name}/one client CPU of all`, "ms/commit", alone.cpu),
+    time(`${name}/${CLIENTS} clients CPU of all`, "ms/commit", together.cpu),
     {
       name: `${name}/group commit of one by one`,
       unit: "times",
@@ -73,6 +81,20 @@
   ];
 }
 
+/** Milliseconds of CPU that the process takes in an idle second. */
+async function measureIdle(): Promise<number> {
+  const start = performance.now();
+  const used = process.cpuUsage();
+  await new Promise((resolve) => setTimeout(resolve, IDLE));
+  return millisecondsOf(used) / (performance.now() - start) * 1000;
+}
+
+/** CPU of the process since `before`. */
+function millisecondsOf(before: NodeJS.CpuUsage): number {
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / 1000;
+}
+
 interface Load {
   clients: number;
   commands: number;
@@ -82,6 +104,8 @@
   rate: number;
   median: number;
   late: number;
+  /** Milliseconds of CPU for each commit, clients included. */
+  cpu: number;
   /** Commits for each write of the leader to its disk. */
   perWrite: number;
 }
@@ -90,6 +114,7 @@
   const { leader } = fleet;
   const times: number[] = [];
   const { writes } = leader.counters;
+  const used = process.cpuUsage();
   const start = performance.now();
   const client = async () => {
     for (let pos = 0; pos < load.commands / load.clients; pos++) {
@@ -100,11 +125,13 @@
   };
   await Promise.all(Array.from({ length: load.clients }, client));
   const seconds = (performance.now() - start) / 1000;
+  const cpu = millisecondsOf(used) / times.length;
   times.sort((a, b) => a - b);
   return {
     rate: times.length / seconds,
     median: times[Math.floor(times.length * 0.5)],
     late: times[Math.floor(times.length * 0.99)],
+    cpu,
     perWrite: times.length / (leader.counters.writes - writes),
   };
 }
