Hosts decide by the product's own policies

A host used the plain decisions unless a program gave it others, so that the table's weights, limits and spend had no effect on a running host. Its default is now src/policies (its data centre, its random numbers, limits.inFlight).

--- a/src/node/node_test.ts
+++ b/src/node/node_test.ts
@@ -154,6 +154,14 @@
   t.deepEqual([...heard], [4, 5]);
 });
 
+test("a host decides by the product's own policies", async (t) => {
+  const host = await start(t);
+  const dump = JSON.stringify(await look(host, "/v1/dump"));
+  for (const part of ["gate", "backlog", "cost"]) {
+    t.true(dump.includes(`"${part}":`), part);
+  }
+});
+
 test("a drain finishes what is in flight and takes nothing new", async (t) => {
   const host = await start(t);
   const billing = await serveBilling(t);
--- a/src/node/options.ts
+++ b/src/node/options.ts
@@ -20,7 +20,7 @@
   metrics?: telemetry.Metrics;
   /** Where secrets by `env` are; that of the process when absent. */
   environment?: settings.Environment;
-  /** Decisions of the request path; its own when absent. */
+  /** Decisions of the request path; those of `src/policies` when absent. */
   policySet?: request.PolicySet;
   /** The host cannot go on and should be stopped. */
   onFailure?(failure: Error): void;
--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -2,6 +2,7 @@
  * request path.
  * @module */
 
+import * as policies from "../policies/mod.ts";
 import * as request from "../request/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as membership from "../schema/membership_types.ts";
@@ -71,7 +72,7 @@
     notices: (notice) => take(notice),
     claims: source.claims,
     observers: [limits.meter],
-    policySet: options.policySet,
+    policySet: options.policySet ?? decisions(base),
   });
   const subsets = subsetting.Subsets.create(settings.host);
   const directory = directories.Directory.create({
@@ -158,6 +159,13 @@
   return { id, dataCentre, region, address, port };
 }
 
+/** The product's decisions, unless a program brings its own. */
+function decisions({ settings, random }: foundation.Foundation) {
+  const { dataCentre } = selfOf(settings);
+  const { inFlight } = settings.limits ?? {};
+  return policies.create({ dataCentre, random, inFlight });
+}
+
 function fail(
   failure: Error,
   { logger }: foundation.Foundation,
