Log each change of the voters: who led it, and what the set is

Cause: a voter taken out of the settings, or one whose disk was lost, changed the members of the log without a line; edits, orders and drains had theirs.

Change: a voter writes one line when the set it knows changes.

--- a/src/control/host/control_test.ts
+++ b/src/control/host/control_test.ts
@@ -210,3 +210,21 @@
     t.is(fleet.hosts.get(id)!.view().revision, 2);
   }
 });
+
+test("a change of voters is logged with who led it and what it is", async (t) => {
+  const fleet = await fakeFleet.Fleet.start();
+  const voter = VOTERS.find((id) => id !== fleet.leader)!;
+  const { leader } = fleet;
+  fleet.kill(voter);
+  fleet.wipe(voter);
+  await fleet.startHost(voter);
+  await fleet.run(5_000);
+  const changes = fleet.lines.filter(({ msg, host }) =>
+    msg === "members of the log changed" && host === leader
+  );
+  const first = changes[0] as unknown as { voters: string[] };
+  const last = changes.at(-1) as unknown as { voters: string[] };
+  t.like(last, { leader });
+  t.is(last.voters.length, VOTERS.length);
+  t.notDeepEqual(last.voters, first.voters);
+});
--- a/src/control/host/fake_fleet.ts
+++ b/src/control/host/fake_fleet.ts
@@ -34,6 +34,8 @@
   readonly #disks = new Map(
     VOTERS.map((id) => [id, storage.MemoryStorage.create()]),
   );
+  /** Lines of the logs of all hosts. */
+  readonly lines: Record<string, unknown>[] = [];
   /** Hosts that each host has sent watch messages to. */
   readonly watched = new Map<string, Set<string>>();
   readonly #links = new Set<string>();
@@ -72,7 +74,10 @@
       },
       storage: this.#disks.get(self),
       metrics: telemetry.noMetrics,
-      logger: telemetry.noLogger,
+      logger: telemetry.createLogger({
+        host: self,
+        destination: { write: (line) => this.lines.push(JSON.parse(line)) },
+      }),
       first: [{ operation: "first", actor: "planner", changes: [SEED] }],
       onFailure: (failure) => {
         throw failure;
@@ -91,6 +96,11 @@
     if (disk !== undefined) this.#disks.set(id, disk.crash());
   }
 
+  /** Takes the disk of a killed host away. */
+  wipe(id: string): void {
+    this.#disks.set(id, storage.MemoryStorage.create());
+  }
+
   /** Host that leads the log. */
   get leader(): string {
     return [...this.hosts].find(([, host]) => host.leaseHeld())![0];
--- a/src/control/host/voter.ts
+++ b/src/control/host/voter.ts
@@ -45,6 +45,7 @@
   #written: (readonly table.Written[])[] = [];
   #timekeeper = table.Timekeeper.create(0, 0);
   #seeded = false;
+  #members: log.Replica["members"] | undefined;
 
   private constructor(options: VoterOptions) {
     const { clock } = options;
@@ -196,9 +197,22 @@
   #lookAround(): void {
     this.#look.set(this.#options.clock.now() + LOOK);
     this.#publishStatus();
+    this.#noteMembers();
     if (!this.#seeded && this.leaseHeld()) void this.#seed();
   }
 
+  /** Says which host changed the set of voters, and to what. */
+  #noteMembers(): void {
+    const { members, state: { term } } = this.#runner.replica;
+    if (members === this.#members) return;
+    this.#members = members;
+    const { leader } = this.#runner;
+    this.#options.logger.info(
+      { ...members, leader, term },
+      "members of the log changed",
+    );
+  }
+
   /** Fills an empty table; the operation ids keep it from being done twice. */
   async #seed(): Promise<void> {
     this.#seeded = true;
