Hosts of a local fleet listen on ports that the system chooses

Cause: a test fleet picked ports that were free a moment before; among tests in parallel one of them was taken again, once in a full run, and the hosts started before it were left behind, so that the run did not end.

Change: each host listens on port 0 behind its relays, which ask the running host for its port; a fleet whose start fails stops what it started.

--- a/src/node/local_fleet.ts
+++ b/src/node/local_fleet.ts
@@ -3,7 +3,6 @@
  * @module */
 
 import * as fs from "node:fs";
-import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as relays from "../peers/relay.ts";
@@ -15,6 +14,13 @@
 /** Milliseconds of the clock between two looks at the sockets. */
 const STEP = 5;
 
+interface Dump {
+  peers: { port: number };
+}
+
+/** What stands for the dump of a host that does not run. */
+const NONE: Dump = { peers: { port: 1 } };
+
 /** What the hosts of a local fleet are made from. */
 export interface Options {
   /** Ids of the hosts that vote. */
@@ -44,23 +50,30 @@
   /** Starts all hosts and waits until they serve callers. */
   static async start(options: Options): Promise<LocalFleet> {
     const fleet = new LocalFleet(options);
-    const { voters, others = [] } = options;
-    const hosts = await Promise.all(
-      [...voters, ...others].map((id) => hostOf(id, options)),
-    );
+    try {
+      await fleet.#start();
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+    return fleet;
+  }
+
+  async #start(): Promise<void> {
+    const { voters, others = [] } = this.#options;
+    const hosts = [...voters, ...others].map((id) => hostOf(id, this.#options));
     for (const { id } of hosts) {
       const started = node.Node.start({
-        settings: await fleet.#settingsOf(id, hosts),
-        clock: fleet.clock,
-        random: runtime.createRandom(fleet.hosts.size + 1),
+        settings: await this.#settingsOf(id, hosts),
+        clock: this.clock,
+        random: runtime.createRandom(this.hosts.size + 1),
         logger: telemetry.noLogger,
         environment: {},
       });
-      fleet.hosts.set(id, await fleet.until(started));
+      this.hosts.set(id, await this.until(started));
     }
-    const ready = [...fleet.hosts.values()].map((host) => host.ready);
-    await fleet.until(Promise.all(ready));
-    return fleet;
+    const ready = [...this.hosts.values()].map((host) => host.ready);
+    await this.until(Promise.all(ready));
   }
 
   /** A host that runs. */
@@ -106,14 +119,21 @@
     fs.rmSync(this.#folder, { recursive: true });
   }
 
+  /** Port that a host listens on for others. */
+  #portOf(id: string): number {
+    const { peers } = this.hosts.get(id)?.dump() as Dump | undefined ?? NONE;
+    return peers.port;
+  }
+
   async #settingsOf(
     id: string,
     hosts: readonly schema.Host[],
   ): Promise<schema.Settings> {
     const dialled = new Map<string, relays.Relay>();
     this.#relays.set(id, dialled);
-    for (const { id: to, port } of hosts) {
-      if (to !== id) dialled.set(to, await relays.Relay.create(() => port));
+    for (const { id: to } of hosts) {
+      if (to === id) continue;
+      dialled.set(to, await relays.Relay.create(() => this.#portOf(to)));
     }
     const [first, ...rest] = hosts.map((host) => {
       return { ...host, port: dialled.get(host.id)?.port ?? host.port };
@@ -131,18 +151,7 @@
   }
 }
 
-async function hostOf(id: string, options: Options): Promise<schema.Host> {
-  const place = { dataCentre: "hall", address: "127.0.0.1" };
-  const voter = options.voters.includes(id);
-  const port = await freePort();
-  return { id, ...place, port, voter, ...options.hosts?.[id] };
-}
-
-/** A port that was free a moment ago. */
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((done) => server.close(done));
-  return port;
+function hostOf(id: string, { voters, hosts }: Options): schema.Host {
+  const place = { dataCentre: "hall", address: "127.0.0.1", port: 0 };
+  return { id, ...place, voter: voters.includes(id), ...hosts?.[id] };
 }
