Read the rows of policies once for each edit

Cause: shares change about once a second, and each change read and sorted all rows of accounts and kinds again. Change: the rows are kept until the table changes.

--- a/src/node/accounts.ts
+++ b/src/node/accounts.ts
@@ -40,9 +40,13 @@
 /** What this host may use of a limit of the fleet. */
 export type ShareOf = (limit: shares.Limit) => number;
 
+/** Rows of the table that make policies. */
+export function rowsOf(view: table.Table): readonly table.Row[] {
+  return [...view.rows(ACCOUNTS), ...view.rows(KINDS)];
+}
+
 /** Limits of the fleet by accounts and kinds. */
-export function limitsOf(view: table.Table): shares.Limit[] {
-  const rows = [...view.rows(ACCOUNTS), ...view.rows(KINDS)];
+export function limitsOf(rows: readonly table.Row[]): shares.Limit[] {
   return rows.flatMap(({ row, cells }) =>
     COLUMNS.flatMap((column) => {
       const value = cells[column]?.value;
@@ -53,10 +57,9 @@
 
 /** Policies of accounts and kinds, limits cut down to this host's share. */
 export function policiesOf(
-  view: table.Table,
+  rows: readonly table.Row[],
   share: ShareOf,
 ): request.Policies {
-  const rows = [...view.rows(ACCOUNTS), ...view.rows(KINDS)];
   return new Map(rows.map((one) => [one.row, policyOf(one, share)]));
 }
 
--- a/src/node/node_test.ts
+++ b/src/node/node_test.ts
@@ -234,13 +234,14 @@
     changes: changes as never,
   });
   const row = "account/crews";
-  t.deepEqual(accounts.limitsOf(view), [
+  const rows = accounts.rowsOf(view);
+  t.deepEqual(accounts.limitsOf(rows), [
     { row, column: "rate", limit: 10 },
     { row, column: "concurrency", limit: 7 },
   ]);
   const share: accounts.ShareOf = ({ column, limit }) =>
     column === "rate" ? limit / 4 : 3;
-  const policy = accounts.policiesOf(view, share).get(row);
+  const policy = accounts.policiesOf(rows, share).get(row);
   t.like(policy, { rate: 2.5, concurrency: 3, weight: 2 });
 });
 
--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -64,6 +64,7 @@
     onChange: () => followLimits(),
   });
   const known = accounts.Accounts.create();
+  let rows: ReturnType<typeof accounts.rowsOf> = [];
   const path = request.RequestPath.create({
     ...base,
     log: logger,
@@ -129,14 +130,15 @@
   function followTable(): void {
     const view = source.access.view();
     known.update(view);
-    limits.setLimits(accounts.limitsOf(view));
+    // Shares change each second, rows seldom.
+    rows = accounts.rowsOf(view);
+    limits.setLimits(accounts.limitsOf(rows));
     followLimits();
   }
 
   function followLimits(): void {
-    const view = source.access.view();
     const share: accounts.ShareOf = (limit) => limits.share(limit);
-    path.setPolicies(accounts.policiesOf(view, share));
+    path.setPolicies(accounts.policiesOf(rows, share));
   }
 }
 
