--- a/bench/members_fuzz/members_fuzz_test.ts
+++ b/bench/members_fuzz/members_fuzz_test.ts
@@ -3,7 +3,7 @@
 import * as fuzz from "./mod.ts";
 
 /** Seeds whose schedules once ended wrong, and some others. */
-const SEEDS = [11, 14, 16, 21, 53, 67, 91, 104, 178, 280];
+const SEEDS = [11, 14, 16, 21, 53, 67, 91, 104, 178, 280, 367];
 
 test("hosts agree on hosts and endpoints once faults end", (t) => {
   for (const seed of SEEDS) fuzz.views.run({ seed });
--- a/src/endpoints/announce_test.ts
+++ b/src/endpoints/announce_test.ts
@@ -1,7 +1,18 @@
 import test from "ava";
 import * as runtime from "../runtime/mod.ts";
+import * as fakeHost from "./fake_host.ts";
 import * as endpoints from "./mod.ts";
 
+function announcementOf(incarnation: number) {
+  return {
+    service: "books",
+    kind: "engine" as const,
+    url: "http://127.0.0.1:9",
+    dataCentre: "west",
+    incarnation,
+  };
+}
+
 /** One host that takes announcements, leaves and news. */
 class Host {
   #registry = endpoints.Registry.create({
@@ -21,13 +32,7 @@
   }
 
   announce(incarnation: number): endpoints.Effect[] {
-    const announcement = {
-      service: "books",
-      kind: "engine" as const,
-      url: "http://127.0.0.1:9",
-      dataCentre: "west",
-      incarnation,
-    };
+    const announcement = announcementOf(incarnation);
     return this.step({ type: "announce", id: "e1", announcement });
   }
 
@@ -58,3 +63,14 @@
     t.is(host.serving, 1);
   }
 });
+
+// Found by seed 367: a fake host without others was never told of itself.
+test("a host that is alone ends the leases of endpoints", (t) => {
+  const options = { id: "h1", dataCentre: "west", incarnation: 1, seed: 1 };
+  const host = new fakeHost.FakeHost({ ...options, seeds: ["h1"], lease: 500 });
+  host.wake(0);
+  host.announce("e1", announcementOf(1), 10);
+  t.is(host.endpoints.serving.length, 1);
+  for (let now = 100; now < 5000; now += 100) host.wake(now);
+  t.is(host.endpoints.serving.length, 0);
+});
--- a/src/endpoints/fake_host.ts
+++ b/src/endpoints/fake_host.ts
@@ -33,6 +33,7 @@
   readonly answers: states.Effect[] = [];
   #memberAt = 0;
   #registryAt = 0;
+  #started = false;
 
   constructor({ id, seeds, lease, seed, ...self }: Options) {
     const random = runtime.createRandom(seed);
@@ -61,6 +62,9 @@
 
   wake(now: number): fakeFleet.Outgoing[] {
     const outgoing: fakeFleet.Outgoing[] = [];
+    // A host that is alone never hears of a change.
+    if (!this.#started) outgoing.push(...this.#takeHosts(now));
+    this.#started = true;
     if (now >= this.#memberAt) {
       outgoing.push(...this.member({ type: "wake" }, now));
     }
--- a/src/endpoints/spread.ts
+++ b/src/endpoints/spread.ts
@@ -75,7 +75,8 @@
     if (!state.agreed) step.state = { ...state, agreed: true };
     return;
   }
-  const quiet = now - state.changedAt >= states.QUIET;
+  const quiet = now - state.changedAt >= states.QUIET &&
+    state.outbox.items.size === 0;
   const waited = now >= state.nextSync + states.SYNC_INTERVAL;
   if (now < state.nextSync || (!quiet && !waited)) return;
   step.state = { ...state, nextSync: now + states.QUIET };
--- a/src/membership/spread.ts
+++ b/src/membership/spread.ts
@@ -65,7 +65,8 @@
 ): void {
   const { state, now } = step;
   if (root === state.members.root()) return;
-  const quiet = now - state.changedAt >= states.QUIET;
+  const quiet = now - state.changedAt >= states.QUIET &&
+    state.outbox.items.size === 0;
   const recent = now < state.nextSync;
   const waited = now >= state.nextSync + states.SYNC_INTERVAL;
   if (recent || (!quiet && !waited)) return;
