Request path: names by what things are

Cause: books, agenda, lines, runs and material were figures of speech that a reader had to look up. Change: accounting, schedule, queue set, running calls, stage data; behaviour and tests unchanged but for the names.

--- a/src/callers/requests.ts
+++ b/src/callers/requests.ts
@@ -5,7 +5,7 @@
 import * as body from "./body.ts";
 import type * as catalogue from "../request/catalogue.ts";
 import * as httpReply from "./http_reply.ts";
-import type * as material from "../request/material.ts";
+import type * as stageData from "../request/stage_data.ts";
 import * as problem from "./problem.ts";
 import type * as server from "./server.ts";
 import * as tokens from "./tokens.ts";
@@ -48,13 +48,13 @@
   const rest = /^\/v1\/services\/[^/?]*(.*)$/.exec(incoming.url!)![1];
   const path = rest.startsWith("/") ? rest : `/${rest}`;
   const call = ask.plainInputOf(incoming, { path, body: read });
-  const payload: material.Payload = { type: "plain", call };
+  const payload: stageData.Payload = { type: "plain", call };
   opened.submit(target, { payload, stream: false });
 }
 
 /** What a caller asks for, and whether it wants the answer as a stream. */
 interface Work {
-  payload: material.Payload;
+  payload: stageData.Payload;
   stream: boolean;
 }
 
--- a/src/request/books.ts
+++ b/src/request/accounting.ts
@@ -12,14 +12,14 @@
  * lost a race, or its request ended first. */
 export type Waste = "retry" | "hedge" | "cancelled";
 
-/** Parts of the books. */
+/** What it is made from. */
 export interface Options {
   clock: runtime.Clock;
   metrics: telemetry.Metrics;
 }
 
-/** Books of one host. */
-export class Books {
+/** Accounting of one host. */
+export class Accounting {
   readonly #clock: runtime.Clock;
   readonly #metrics: telemetry.Metrics;
   readonly #attainment = attainment.Attainment.create();
@@ -29,8 +29,8 @@
     this.#metrics = metrics;
   }
 
-  static create(options: Options): Books {
-    return new Books(options);
+  static create(options: Options): Accounting {
+    return new Accounting(options);
   }
 
   inFlight(count: number): void {
@@ -42,7 +42,7 @@
     else if (attempt.attempt > 1) this.#metrics.count("call.retried");
   }
 
-  /** Books what an answered call used. */
+  /** Counts what an answered call used. */
   charge(job: execution.Job, attempt: request.Attempt, usage: request.Usage) {
     const labels = labelsOf(job, attempt);
     const metrics = this.#metrics;
@@ -52,7 +52,7 @@
     metrics.count("cost.cached_tokens", usage.cachedTokens, labels);
   }
 
-  /** Books the time of a call whose result is not used; an upper bound, since
+  /** Counts the time of a call whose result is not used; an upper bound, since
    * the endpoint does not say what it spent. */
   waste(job: execution.Job, attempt: request.Attempt, fate: Waste): void {
     const labels = { ...labelsOf(job, attempt), fate };
--- a/src/request/calls.ts
+++ b/src/request/calls.ts
@@ -1,4 +1,4 @@
-/** Starts and ends the calls of requests, and keeps the books on slots.
+/** Starts and ends the calls of requests, and accounts for slots.
  * @module */
 
 import type * as effect from "./effect.ts";
@@ -7,7 +7,7 @@
 import type * as notifier from "./notifier.ts";
 import type * as request from "./request.ts";
 
-/** Parts of the books. */
+/** What it is made from. */
 export interface Options {
   notifier: notifier.Notifier;
   priority(of: request.Request): number;
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -8,19 +8,19 @@
  * when it is given up, and never after its deadline.
  * @module */
 
-import * as agenda from "./agenda.ts";
+import * as schedule from "./schedule.ts";
 import * as calls from "./calls.ts";
 import type * as effect from "./effect.ts";
 import type * as event from "./event.ts";
 import * as fleet from "./fleet.ts";
 import type * as flight from "./flight.ts";
 import * as flights from "./flights.ts";
-import * as lines from "./lines.ts";
+import * as queueSet from "./queue_set.ts";
 import * as notifier from "./notifier.ts";
 import type * as policySet from "./policy_set.ts";
 import * as problems from "./problems.ts";
 import type * as request from "./request.ts";
-import * as runs from "./runs.ts";
+import * as runningCalls from "./running_calls.ts";
 
 /** What a dispatcher is made from. */
 export interface Options {
@@ -45,29 +45,29 @@
   readonly #policies: policySet.PolicySet;
   readonly #notify: notifier.Notifier;
   readonly #flights = flights.Flights.create();
-  readonly #lines: lines.Lines;
+  readonly #queues: queueSet.QueueSet;
   readonly #pools = fleet.Pools.create();
-  readonly #agenda = agenda.Agenda.create();
+  readonly #schedule = schedule.Schedule.create();
   readonly #calls: calls.Calls;
-  readonly #runs: runs.Runs;
+  readonly #runningCalls: runningCalls.RunningCalls;
   #effects: effect.Effect[] = [];
   #draining = false;
 
   private constructor({ policySet, observers }: Options) {
     this.#policies = policySet;
     this.#notify = notifier.Notifier.create(policySet, observers);
-    this.#lines = lines.Lines.create(policySet.queues);
+    this.#queues = queueSet.QueueSet.create(policySet.queues);
     this.#calls = calls.Calls.create({
       notifier: this.#notify,
       priority: policySet.priority,
       emit: (asked) => this.#effects.push(asked),
-      freed: (service) => this.#lines.touch(service),
+      freed: (service) => this.#queues.touch(service),
     });
-    this.#runs = runs.Runs.create({
+    this.#runningCalls = runningCalls.RunningCalls.create({
       policySet,
       pools: this.#pools,
       calls: this.#calls,
-      agenda: this.#agenda,
+      schedule: this.#schedule,
     });
   }
 
@@ -89,7 +89,7 @@
   }
 
   queued(service: string): number {
-    return this.#lines.size(service);
+    return this.#queues.size(service);
   }
 
   /** Takes an event at `now` and returns what it asks for, in order. */
@@ -102,8 +102,8 @@
     handle(happened, now);
     // After the event: it may have ended what a hedge or a retry is due for.
     this.#runDue(now);
-    this.#lines.visit((service, queue) => this.#serve(service, queue, now));
-    const wake = this.#agenda.arm(now, this.#lines.nextAt(now));
+    this.#queues.visit((service, queue) => this.#serve(service, queue, now));
+    const wake = this.#schedule.arm(now, this.#queues.nextAt(now));
     if (wake !== undefined) this.#effects.push({ type: "wake", at: wake });
     return this.#effects;
   }
@@ -114,8 +114,8 @@
       draining: this.#draining,
       inFlight: this.#flights.size,
       stale: this.stale,
-      timers: this.#agenda.size,
-      queues: this.#lines.dump(),
+      timers: this.#schedule.size,
+      queues: this.#queues.dump(),
       pools: this.#pools.dump(),
       policies: this.#notify.dump(now),
       requests: this.#flights.dump(now),
@@ -131,21 +131,21 @@
     endpoints: ({ endpoints }, now) => {
       this.#pools.replace(endpoints);
       this.#notify.endpoints(endpoints, now);
-      this.#lines.touchAll();
+      this.#queues.touchAll();
     },
     load: ({ endpoint, load }, now) => {
       this.#notify.load(endpoint, load, now);
       const service = this.#pools.serviceOf(endpoint);
-      if (service !== undefined) this.#lines.touch(service);
+      if (service !== undefined) this.#queues.touch(service);
     },
     cache: (change, now) => this.#notify.cache(change, now),
     policies: ({ policies }, now) => {
       this.#notify.policies(policies, now);
-      this.#lines.touchAll();
+      this.#queues.touchAll();
     },
     wake: () => {
-      this.#agenda.woken();
-      this.#lines.touchAll();
+      this.#schedule.woken();
+      this.#queues.touchAll();
     },
     drain: () => {
       this.#draining = true;
@@ -161,8 +161,8 @@
     }
     const entered = this.#flights.add(arrived, now);
     this.#notify.admitted(arrived, now);
-    this.#agenda.set(arrived.deadline, "deadline", entered);
-    this.#lines.push(entered, now);
+    this.#schedule.set(arrived.deadline, "deadline", entered);
+    this.#queues.push(entered, now);
   }
 
   #objection(
@@ -193,7 +193,7 @@
     if (now >= owner.request.deadline) {
       return this.#refuse(owner, problems.expired(owner), now);
     }
-    if (owner.advance(happened, now)) return this.#lines.push(owner, now);
+    if (owner.advance(happened, now)) return this.#queues.push(owner, now);
     this.#effects.push({ type: "complete", request: owner.request.id });
     this.#finish(owner, "completed", now);
   }
@@ -218,9 +218,9 @@
       return this.#refuse(of, problems.failed(of, failure), now);
     }
     of.since = now;
-    if (delay === 0) return this.#lines.push(of, now);
+    if (delay === 0) return this.#queues.push(of, now);
     of.phase = "pausing";
-    this.#agenda.set(now + delay, "retry", of);
+    this.#schedule.set(now + delay, "retry", of);
   }
 
   #abandon(id: string, now: number): void {
@@ -247,9 +247,9 @@
       const chosen = this.#policies.choice.choose(work, pool, now);
       if (chosen === undefined) {
         queue.unshift(work, now);
-        return this.#lines.again(service, now + LOOK_AGAIN);
+        return this.#queues.again(service, now + LOOK_AGAIN);
       }
-      this.#runs.start(this.#flights.of(work), pool, { chosen, now });
+      this.#runningCalls.start(this.#flights.of(work), pool, { chosen, now });
     }
   }
 
@@ -265,7 +265,7 @@
     problem: effect.Problem,
     now: number,
   ): void {
-    if (refused.phase === "queued") this.#lines.remove(refused);
+    if (refused.phase === "queued") this.#queues.remove(refused);
     this.#calls.cancel(refused, undefined, now);
     this.#effects.push({
       type: "refuse",
@@ -281,19 +281,19 @@
   }
 
   #runDue(now: number): void {
-    for (let due; (due = this.#agenda.take(now)) !== undefined;) {
+    for (let due; (due = this.#schedule.take(now)) !== undefined;) {
       this.#dueHandlers[due.type](due, now);
     }
   }
 
   readonly #dueHandlers: Record<
-    agenda.Due["type"],
-    (due: agenda.Due, now: number) => void
+    schedule.Due["type"],
+    (due: schedule.Due, now: number) => void
   > = {
     deadline: ({ flight }, now) =>
       this.#refuse(flight, problems.expired(flight), now),
-    retry: ({ flight }, now) => this.#lines.push(flight, now),
-    hedge: ({ flight }, now) => this.#runs.hedge(flight, now),
-    look: (due, now) => this.#runs.look(due, now),
+    retry: ({ flight }, now) => this.#queues.push(flight, now),
+    hedge: ({ flight }, now) => this.#runningCalls.hedge(flight, now),
+    look: (due, now) => this.#runningCalls.look(due, now),
   };
 }
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -7,13 +7,13 @@
  * @module */
 
 import type * as backends from "../backends/mod.ts";
-import type * as books from "./books.ts";
+import type * as accounting from "./accounting.ts";
 import type * as catalogue from "./catalogue.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import type * as effect from "./effect.ts";
 import type * as event from "./event.ts";
 import * as loop from "./loop.ts";
-import type * as material from "./material.ts";
+import type * as stageData from "./stage_data.ts";
 import type * as reply from "./reply.ts";
 import type * as request from "./request.ts";
 import type * as runtime from "../runtime/mod.ts";
@@ -22,7 +22,7 @@
 export interface Job {
   request: request.Request;
   target: catalogue.Target;
-  material: material.Material;
+  data: stageData.StageData;
   reply: reply.Reply;
 }
 
@@ -31,7 +31,7 @@
   dispatcher: dispatcher.Dispatcher;
   backends: backends.Backends;
   clock: runtime.Clock;
-  books: books.Books;
+  accounting: accounting.Accounting;
 }
 
 interface Entry {
@@ -56,7 +56,7 @@
 /** Executes the requests of one host. */
 export class Execution {
   readonly #options: Options;
-  readonly #books: books.Books;
+  readonly #accounting: accounting.Accounting;
   readonly #entries = new Map<string, Entry>();
   readonly #loop: loop.Loop<event.Event, effect.Effect>;
   readonly #urls = new Map<string, string>();
@@ -66,7 +66,7 @@
   private constructor(options: Options) {
     this.#options = options;
     const { dispatcher, clock } = options;
-    this.#books = options.books;
+    this.#accounting = options.accounting;
     this.#loop = loop.Loop.start<event.Event, effect.Effect>({
       step: (happened) => dispatcher.step(happened, clock.now()),
       perform: (asked) => this.#perform(asked),
@@ -91,7 +91,7 @@
       calls: new Map(),
     });
     this.#loop.push({ type: "arrive", request: job.request });
-    this.#books.inFlight(this.#entries.size);
+    this.#accounting.inFlight(this.#entries.size);
   }
 
   /** The caller went away. */
@@ -147,7 +147,7 @@
     const entry = this.#entries.get(attempt.request)!;
     const step = entry.job.target.steps[attempt.stage];
     const url = this.#urls.get(attempt.endpoint);
-    this.#books.called(attempt);
+    this.#accounting.called(attempt);
     if (url === undefined) return this.#unreachable(attempt);
     const made: backends.Call = {
       attempt,
@@ -156,7 +156,7 @@
       deadline,
       priority,
       silence: this.#silence(entry.job.request),
-      input: entry.job.material.input(step),
+      input: entry.job.data.input(step),
     };
     // Registered first: a call may fail before `call` returns.
     entry.calls.set(attempt.attempt, () => {});
@@ -190,9 +190,9 @@
     const cancel = entry?.calls.get(attempt.attempt);
     if (entry === undefined || cancel === undefined) return;
     entry.calls.delete(attempt.attempt);
-    if (hung) this.#books.hung(entry.job, attempt);
+    if (hung) this.#accounting.hung(entry.job, attempt);
     const lost = attempt.hedge ? "hedge" : "cancelled";
-    this.#books.waste(entry.job, attempt, hung ? "retry" : lost);
+    this.#accounting.waste(entry.job, attempt, hung ? "retry" : lost);
     cancel();
   }
 
@@ -218,16 +218,16 @@
     const { job, tokens } = entry;
     const { steps } = job.target;
     const step = steps[attempt.stage];
-    this.#books.charge(job, attempt, usage);
+    this.#accounting.charge(job, attempt, usage);
     entry.records.push(this.#record(attempt, step));
     entry.usage.inputTokens += usage.inputTokens;
     entry.usage.outputTokens += usage.outputTokens;
-    job.material.take(result, tokens.join(""));
+    job.data.take(result, tokens.join(""));
     entry.tokens = [];
     const next = steps[attempt.stage + 1];
     const { size, prefix } = next === undefined
       ? { size: 0, prefix: [] }
-      : job.material.measure(next);
+      : job.data.measure(next);
     this.#loop.push({ type: "answer", attempt, usage, size, prefix });
   }
 
@@ -236,7 +236,7 @@
     if (entry === undefined) return;
     entry.calls.delete(attempt.attempt);
     if (failure.outcome !== "not-run") {
-      this.#books.waste(entry.job, attempt, "retry");
+      this.#accounting.waste(entry.job, attempt, "retry");
     }
     this.#loop.push({ type: "fail", attempt, failure });
   }
@@ -251,13 +251,13 @@
     const entry = this.#end(id);
     if (entry === undefined) return;
     const { job, records, usage } = entry;
-    this.#books.completed(job);
-    const { payload, plain } = job.material;
+    this.#accounting.completed(job);
+    const { payload, plain } = job.data;
     if (payload.type === "plain") return job.reply.pass(plain!);
     job.reply.complete({
       id,
       pipeline: job.target.name,
-      output: job.material.output(job.target.steps.at(-1)!.kind),
+      output: job.data.output(job.target.steps.at(-1)!.kind),
       stages: records,
       usage,
     });
@@ -266,7 +266,7 @@
   #refuse(id: string, problem: effect.Problem): void {
     const entry = this.#end(id);
     if (entry === undefined) return;
-    this.#books.refused(entry.job.request, problem);
+    this.#accounting.refused(entry.job.request, problem);
     entry.job.reply.refuse(problem);
   }
 
@@ -274,7 +274,7 @@
     const entry = this.#entries.get(id);
     if (entry === undefined) return undefined;
     this.#entries.delete(id);
-    this.#books.inFlight(this.#entries.size);
+    this.#accounting.inFlight(this.#entries.size);
     if (this.#entries.size === 0) {
       for (const resolve of this.#idle.splice(0)) resolve();
     }
--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -3,13 +3,13 @@
  * @module */
 
 import * as crypto from "node:crypto";
-import type * as books from "./books.ts";
+import type * as accounting from "./accounting.ts";
 import type * as catalogue from "./catalogue.ts";
 import type * as effect from "./effect.ts";
 import type * as event from "./event.ts";
 import type * as execution from "./execution.ts";
 import * as keptReply from "./kept_reply.ts";
-import * as material from "./material.ts";
+import * as stageData from "./stage_data.ts";
 import type * as pathOptions from "./path_options.ts";
 import type * as reply from "./reply.ts";
 import type * as request from "./request.ts";
@@ -20,7 +20,7 @@
   account: string;
   kind: string;
   target: catalogue.Target;
-  payload: material.Payload;
+  payload: stageData.Payload;
   /** When its head came, on the host's clock. */
   arrived: number;
   /** Milliseconds left at that time, when the caller says so. */
@@ -43,7 +43,7 @@
   host: string;
   clock: runtime.Clock;
   random: runtime.Random;
-  books: books.Books;
+  accounting: accounting.Accounting;
   execution: execution.Execution;
   claims: pathOptions.Claims | undefined;
 }
@@ -98,7 +98,7 @@
     const job = {
       request: made,
       target: ask.target,
-      material: material.Material.create(ask.payload),
+      data: stageData.StageData.create(ask.payload),
       reply: ask.reply,
     };
     const { execution, claims } = this.#options;
@@ -117,13 +117,13 @@
     { request, reply }: Pick<execution.Job, "request" | "reply">,
     problem: effect.Problem,
   ): void {
-    this.#options.books.refused(request, problem);
+    this.#options.accounting.refused(request, problem);
     reply.refuse(problem);
   }
 
   #request(id: string, ask: Ask): request.Request {
     const { account, kind, target, payload, arrived, key, streaming } = ask;
-    const first = material.Material.create(payload).measure(target.steps[0]);
+    const first = stageData.StageData.create(payload).measure(target.steps[0]);
     return {
       id,
       account,
@@ -213,9 +213,9 @@
   return { name, outcome: "not-run", detail, retryAfter: RETRY_AFTER };
 }
 
-function fingerprintOf({ request, material }: execution.Job): string {
+function fingerprintOf({ request, data }: execution.Job): string {
   const hash = crypto.createHash("sha256").update(request.target);
-  const { payload } = material;
+  const { payload } = data;
   if (payload.type === "pipeline") hash.update(JSON.stringify(payload.call));
   else {
     const { method, path, body } = payload.call;
--- a/src/request/path.ts
+++ b/src/request/path.ts
@@ -4,7 +4,7 @@
 
 import * as backends from "../backends/mod.ts";
 import * as callers from "../callers/mod.ts";
-import * as books from "./books.ts";
+import * as accounting from "./accounting.ts";
 import * as catalogue from "./catalogue.ts";
 import * as dispatcher from "./dispatcher.ts";
 import type * as event from "./event.ts";
@@ -21,7 +21,7 @@
   readonly #options: pathOptions.PathOptions;
   readonly #dispatcher: dispatcher.Dispatcher;
   readonly #backends: backends.Backends;
-  readonly #books: books.Books;
+  readonly #accounting: accounting.Accounting;
   readonly #subscriptions: backends.Subscriptions;
   readonly #execution: execution.Execution;
   readonly #intake: intake.Intake;
@@ -43,12 +43,12 @@
       metrics,
       answerBytes: limits.answerBytes,
     });
-    this.#books = books.Books.create({ clock, metrics });
+    this.#accounting = accounting.Accounting.create({ clock, metrics });
     this.#execution = execution.Execution.create({
       dispatcher: this.#dispatcher,
       backends: this.#backends,
       clock,
-      books: this.#books,
+      accounting: this.#accounting,
     });
     this.#subscriptions = this.#backends.listen({
       random,
@@ -58,7 +58,7 @@
       host: settings.host,
       clock,
       random,
-      books: this.#books,
+      accounting: this.#accounting,
       execution: this.#execution,
       claims,
     });
@@ -137,7 +137,7 @@
     return {
       draining: this.#draining,
       open: this.#server.open,
-      accounts: this.#books.dump(),
+      accounts: this.#accounting.dump(),
       dispatcher: this.#dispatcher.dump(this.#options.clock.now()),
     };
   }
--- a/src/request/lines.ts
+++ b/src/request/queue_set.ts
@@ -5,7 +5,7 @@
 import type * as policySet from "./policy_set.ts";
 
 /** All queues of a dispatcher. */
-export class Lines {
+export class QueueSet {
   readonly #maker: policySet.Queues;
   readonly #queues = new Map<string, policySet.Queue>();
   readonly #touched = new Set<string>();
@@ -16,8 +16,8 @@
     this.#maker = maker;
   }
 
-  static create(maker: policySet.Queues): Lines {
-    return new Lines(maker);
+  static create(maker: policySet.Queues): QueueSet {
+    return new QueueSet(maker);
   }
 
   size(service: string): number {
--- a/src/request/runs.ts
+++ b/src/request/running_calls.ts
@@ -2,18 +2,18 @@
  * is raced against a second, a hung one is given up for a new one.
  * @module */
 
-import type * as agenda from "./agenda.ts";
+import type * as schedules from "./schedule.ts";
 import type * as calls from "./calls.ts";
 import type * as fleet from "./fleet.ts";
 import type * as flight from "./flight.ts";
 import type * as policySet from "./policy_set.ts";
 
-/** Parts that runs are made from. */
+/** What running calls are made from. */
 export interface Options {
   policySet: policySet.PolicySet;
   pools: fleet.Pools;
   calls: calls.Calls;
-  agenda: agenda.Agenda;
+  schedule: schedules.Schedule;
 }
 
 /** Milliseconds until another look at what could not be helped now. */
@@ -26,15 +26,15 @@
 const LATE = 50;
 
 /** Calls of the stages that run. */
-export class Runs {
+export class RunningCalls {
   readonly #options: Options;
 
   private constructor(options: Options) {
     this.#options = options;
   }
 
-  static create(options: Options): Runs {
-    return new Runs(options);
+  static create(options: Options): RunningCalls {
+    return new RunningCalls(options);
   }
 
   /** Starts a call of a stage at a chosen endpoint. */
@@ -43,12 +43,12 @@
     pool: fleet.Pool,
     { chosen, now }: { chosen: policySet.Member; now: number },
   ): void {
-    const { calls, agenda, policySet: { hedge } } = this.#options;
+    const { calls, schedule, policySet: { hedge } } = this.#options;
     const member = pool.own(chosen);
     const attempt = calls.start(of, { pool, member, hedge: false }, now);
     if (!of.request.idempotent) return;
     const delay = hedge.delay(of, attempt, now);
-    if (delay !== undefined) agenda.set(now + delay, "hedge", of);
+    if (delay !== undefined) schedule.set(now + delay, "hedge", of);
     this.#watch(of, of.calls[0], now);
   }
 
@@ -65,7 +65,7 @@
   }
 
   /** Gives a call up for a new one when it hangs; else looks again later. */
-  look({ flight, at }: agenda.Due, now: number): void {
+  look({ flight, at }: schedules.Due, now: number): void {
     const [call, other] = flight.calls;
     if (call === undefined) return;
     const late = now - at > LATE;
@@ -115,6 +115,6 @@
 
   #lookAt(of: flight.Flight, at: number): void {
     if (this.#options.policySet.hedge.hangsAt === undefined) return;
-    this.#options.agenda.set(at, "look", of);
+    this.#options.schedule.set(at, "look", of);
   }
 }
--- a/src/request/agenda.ts
+++ b/src/request/schedule.ts
@@ -16,12 +16,12 @@
 }
 
 /** Deadlines, retries, hedges and looks at running calls, by time. */
-export class Agenda {
+export class Schedule {
   readonly #timers = timers.Timers.create<Due>();
   #wakeAt = Infinity;
 
-  static create(): Agenda {
-    return new Agenda();
+  static create(): Schedule {
+    return new Schedule();
   }
 
   get size(): number {
@@ -47,7 +47,7 @@
     this.#wakeAt = Infinity;
   }
 
-  /** When to wake for the agenda or at `other`, whichever is earlier;
+  /** When to wake for the schedule or at `other`, whichever is earlier;
    * undefined when an earlier wake is on its way or there is nothing. */
   arm(now: number, other: number): number | undefined {
     while (this.#timers.size > 0 && !holds(this.#timers.peek()!)) {
--- a/src/request/material.ts
+++ b/src/request/stage_data.ts
@@ -30,7 +30,7 @@
 const START_CHARACTERS = 2048;
 
 /** What a request's stages work on; grows with each stage. */
-export class Material {
+export class StageData {
   readonly payload: Payload;
   embedding: readonly number[] = [];
   documents: readonly string[] = [];
@@ -45,8 +45,8 @@
     }
   }
 
-  static create(payload: Payload): Material {
-    return new Material(payload);
+  static create(payload: Payload): StageData {
+    return new StageData(payload);
   }
 
   /** What the handler of a step's kind is given. */
@@ -93,15 +93,15 @@
 }
 
 interface Maker {
-  input(material: Material, step: catalogue.Step): backends.Input;
+  input(data: StageData, step: catalogue.Step): backends.Input;
   characters(input: backends.Input): number;
 }
 
 const makers: Record<endpoint.EndpointKind, Maker> = {
   encoder: {
-    input: (material, { model }) => {
+    input: (data, { model }) => {
       // Only one embedding is used: nothing else is embedded.
-      const { text, question } = asked(material);
+      const { text, question } = asked(data);
       const start = text.slice(0, START_CHARACTERS);
       return { type: "encoder", model, texts: [question ?? start] };
     },
@@ -111,17 +111,17 @@
     },
   },
   retriever: {
-    input: (material, { top }) => {
-      const { embedding } = material;
-      return { type: "retriever", embedding, text: query(material), top };
+    input: (data, { top }) => {
+      const { embedding } = data;
+      return { type: "retriever", embedding, text: query(data), top };
     },
     characters: (input) =>
       (input as backends.Input & { type: "retriever" }).text.length,
   },
   reranker: {
-    input: (material, { top }) => {
-      const { documents } = material;
-      return { type: "reranker", query: query(material), documents, top };
+    input: (data, { top }) => {
+      const { documents } = data;
+      return { type: "reranker", query: query(data), documents, top };
     },
     characters: (input) => {
       const made = input as backends.Input & { type: "reranker" };
@@ -129,10 +129,10 @@
     },
   },
   engine: {
-    input: (material, step) => {
+    input: (data, step) => {
       const { model, maxTokens } = step;
-      const prompt = promptOf(material, step);
-      const most = Math.min(maxTokens, limit(material));
+      const prompt = promptOf(data, step);
+      const most = Math.min(maxTokens, limit(data));
       return { type: "engine", model, prompt, maxTokens: most };
     },
     characters: (input) =>
@@ -150,35 +150,35 @@
 };
 
 type Taker<T extends backends.Result["type"]> = (
-  material: Material,
+  data: StageData,
   result: backends.Result & { type: T },
   text: string,
 ) => void;
 
 const takers: { [T in backends.Result["type"]]: Taker<T> } = {
-  encoder(material, { embeddings }) {
-    material.embedding = embeddings[0] ?? [];
+  encoder(data, { embeddings }) {
+    data.embedding = embeddings[0] ?? [];
   },
-  retriever(material, { documents }) {
+  retriever(data, { documents }) {
     const found = documents.map(({ text }) => text);
-    material.documents = [...material.documents, ...found];
+    data.documents = [...data.documents, ...found];
   },
-  reranker(material, { ranks }) {
-    const { documents } = material;
+  reranker(data, { ranks }) {
+    const { documents } = data;
     const order = [...ranks].sort((a, b) => b.score - a.score);
-    material.documents = order.map(({ index }) => documents[index]);
+    data.documents = order.map(({ index }) => documents[index]);
   },
-  engine(material, _result, text) {
-    material.draft = text;
+  engine(data, _result, text) {
+    data.draft = text;
   },
-  plain(material, result) {
-    material.plain = result;
+  plain(data, result) {
+    data.plain = result;
   },
 };
 
 const outputs: Record<
   endpoint.EndpointKind,
-  (material: Material) => reply.Output
+  (data: StageData) => reply.Output
 > = {
   encoder: ({ embedding }) => ({ embedding }),
   retriever: ({ documents }) => ({ documents }),
@@ -189,25 +189,28 @@
 
 /** The text goes before the documents: requests about the same text share
  * their prompt's prefix, whatever is retrieved for each. */
-function promptOf(material: Material, { instruction }: catalogue.Step): string {
-  const { text, question } = asked(material);
-  const parts = [instruction, text, ...material.documents, material.draft];
+function promptOf(
+  data: StageData,
+  { instruction }: catalogue.Step,
+): string {
+  const { text, question } = asked(data);
+  const parts = [instruction, text, ...data.documents, data.draft];
   if (question !== undefined) parts.push(`Question: ${question}`);
   return parts.filter((part) => part !== "").join("\n\n");
 }
 
-function asked({ payload }: Material): caller.PipelineInput {
+function asked({ payload }: StageData): caller.PipelineInput {
   return payload.type === "pipeline" ? payload.call.input : { text: "" };
 }
 
-function limit({ payload }: Material): number {
+function limit({ payload }: StageData): number {
   return payload.type === "pipeline"
     ? payload.call.maxTokens ?? Infinity
     : Infinity;
 }
 
-function query(material: Material): string {
-  const { text, question } = asked(material);
+function query(data: StageData): string {
+  const { text, question } = asked(data);
   return question ?? text;
 }
 
--- a/src/request/material_test.ts
+++ b/src/request/stage_data_test.ts
@@ -1,12 +1,12 @@
 import test from "ava";
 import type * as catalogue from "./catalogue.ts";
-import * as material from "./material.ts";
+import * as stageData from "./stage_data.ts";
 
 const encode = { name: "encode", service: "enc", kind: "encoder", model: "m" };
 
 function textsFor(input: { text: string; question?: string }) {
   const payload = { type: "pipeline" as const, call: { input } };
-  const made = material.Material.create(payload);
+  const made = stageData.StageData.create(payload);
   const step = encode as unknown as catalogue.Step;
   const { size } = made.measure(step);
   return { size, asked: made.input(step) };
