--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -36,12 +36,7 @@
 
 function write(slopes: readonly slope.Slope[]): void {
   fs.writeFileSync(SAVED, `${JSON.stringify(slopes, null, 2)}\n`);
-  let text = fs.readFileSync(PAGE, "utf8");
-  for (const role of new Set(slopes.map((measured) => measured.role))) {
-    const own = slopes.filter((measured) => measured.role === role);
-    text = page.fill(text, role, { text: page.tableOf(own) });
-  }
-  fs.writeFileSync(PAGE, text);
+  fs.writeFileSync(PAGE, page.write(fs.readFileSync(PAGE, "utf8"), slopes));
 }
 
 await main(process.argv.slice(2));
--- a/bench/capacity/slope.ts
+++ b/bench/capacity/slope.ts
@@ -69,6 +69,8 @@
   const pairs = points.map(({ size, value }) => [size, value]);
   const { m, b } = statistics.linearRegression(pairs);
   const line = statistics.linearRegressionLine({ m, b });
-  const fit = statistics.rSquared(pairs, line);
+  // Where all values are equal there is no spread to explain.
+  const flat = points.every(({ value }) => value === points[0].value);
+  const fit = flat ? 1 : statistics.rSquared(pairs, line);
   return { slope: m, intercept: b, fit, expected: line(target) };
 }
--- a/bench/log_fleet.ts
+++ b/bench/log_fleet.ts
@@ -105,58 +105,92 @@
   };
 }
 
-/** Bytes of JSON that the hosts send, in virtual time: counts that repeat. */
-export async function countBytes(): Promise<result.Result[]> {
-  const bytes = new Map<string, number>();
-  const carried = new Map<string, number>();
-  const clock = new runtime.FakeClock();
-  const hostClock: runtime.Clock = {
-    now: () => clock.now(),
-    wall: () => WALL + clock.now(),
-    after: (delay, callback) => clock.after(delay, callback),
-  };
-  const runners = new Map<string, Runner>();
-  const send = (envelope: runtime.Envelope) => {
-    const { length } = JSON.stringify(envelope.body);
-    add(bytes, envelope.from, length);
-    add(carried, envelope.from, length);
-    add(carried, envelope.to, length);
-    clock.after(1, () => runners.get(envelope.to)?.receive(envelope));
-  };
-  for (const [pos, host] of HOSTS.entries()) {
+/** Replicas in virtual time, whose messages are counted. */
+export class CountedFleet {
+  /** Bytes of JSON that each host has sent. */
+  readonly bytes = new Map<string, number>();
+  /** Bytes of JSON that each host has sent and received. */
+  readonly carried = new Map<string, number>();
+  readonly #clock = new runtime.FakeClock();
+  readonly #runners = new Map<string, Runner>();
+
+  /** A fleet of `hosts` that has elected a leader. */
+  static async create(hosts: readonly string[]): Promise<CountedFleet> {
+    const fleet = new CountedFleet();
+    for (const [pos, host] of hosts.entries()) {
+      await fleet.#start(host, hosts, pos);
+    }
+    await fleet.elapse(3000);
+    fleet.bytes.clear();
+    fleet.carried.clear();
+    return fleet;
+  }
+
+  /** The replica that leads. */
+  get leader(): Runner {
+    return [...this.#runners.values()].find((runner) => runner.leaseHeld())!;
+  }
+
+  /** Bytes that all hosts have sent. */
+  get sum(): number {
+    return [...this.bytes.values()].reduce((total, one) => total + one, 0);
+  }
+
+  /** Lets virtual time pass. */
+  async elapse(ms: number): Promise<void> {
+    const end = this.#clock.now() + ms;
+    while (this.#clock.now() < end) {
+      this.#clock.advance(1);
+      await new Promise(setImmediate);
+    }
+  }
+
+  async #start(
+    host: string,
+    hosts: readonly string[],
+    pos: number,
+  ): Promise<void> {
+    const clock: runtime.Clock = {
+      now: () => this.#clock.now(),
+      wall: () => WALL + this.#clock.now(),
+      after: (delay, callback) => this.#clock.after(delay, callback),
+    };
     const runner = await log.Runner.start({
       host,
-      hosts: HOSTS,
+      hosts,
       machine,
-      clock: hostClock,
+      clock,
       random: runtime.createRandom(pos),
-      transport: { send },
+      transport: { send: (envelope) => this.#send(envelope) },
       storage: storage.MemoryStorage.create(),
       incarnation: `1234567${pos}`,
     });
-    runners.set(host, runner);
+    this.#runners.set(host, runner);
   }
-  const elapse = async (ms: number) => {
-    const end = clock.now() + ms;
-    while (clock.now() < end) {
-      clock.advance(1);
-      await new Promise(setImmediate);
-    }
-  };
-  await elapse(3000);
-  const leader = [...runners.values()].find((runner) => runner.leaseHeld())!;
-  bytes.clear();
-  carried.clear();
-  await elapse(IDLE);
-  const idle = new Map(bytes);
-  const carries = carried.get(leader.leader!)!;
+
+  #send(envelope: runtime.Envelope): void {
+    const { from, to, body } = envelope;
+    const { length } = JSON.stringify(body);
+    add(this.bytes, from, length);
+    add(this.carried, from, length);
+    add(this.carried, to, length);
+    this.#clock.after(1, () => this.#runners.get(to)?.receive(envelope));
+  }
+}
+
+/** Bytes of JSON that the hosts send, in virtual time: counts that repeat. */
+export async function countBytes(): Promise<result.Result[]> {
+  const fleet = await CountedFleet.create(HOSTS);
+  const { leader } = fleet;
+  await fleet.elapse(IDLE);
+  const idle = new Map(fleet.bytes);
+  const carries = fleet.carried.get(leader.leader!)!;
+  const rest = fleet.sum;
   for (let number = 0; number < COMMITS; number++) {
     leader.propose(createCommand(number));
-    await elapse(IDLE / COMMITS);
+    await fleet.elapse(IDLE / COMMITS);
   }
-  const sum = (of: Map<string, number>) =>
-    [...of.values()].reduce((total, one) => total + one, 0);
-  const perCommit = (sum(bytes) - 2 * sum(idle)) / COMMITS;
+  const perCommit = (fleet.sum - 2 * rest) / COMMITS;
   const follower = HOSTS.find((host) => host !== leader.leader)!;
   const seconds = IDLE / 1000;
   return [
--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -19,7 +19,8 @@
   run,
 };
 
-const TOKEN = "bench";
+/** Token of the client account. */
+export const TOKEN = "bench";
 const WARM_UP = 500;
 const CALLS = 1000;
 const ROUNDS = 7;
@@ -28,7 +29,8 @@
 const TOKENS = 32;
 const MICROSECONDS = 1000;
 
-interface Cost {
+/** What calls cost. */
+export interface Cost {
   /** Median milliseconds of one call. */
   time: number;
   /** Milliseconds of CPU a call. */
@@ -129,7 +131,7 @@
 }
 
 /** Makes `count` calls, `lanes` at once. */
-async function work(
+export async function work(
   call: () => Promise<void>,
   lanes: number,
   count: number,
@@ -149,14 +151,16 @@
   return { time: median(times), cpu };
 }
 
-interface Post {
+/** One call. */
+export interface Post {
   port: number;
   path: string;
   body: string;
   headers: Record<string, string>;
 }
 
-async function post(agent: undici.Agent, asked: Post): Promise<void> {
+/** Makes one call and reads all of its answer. */
+export async function post(agent: undici.Agent, asked: Post): Promise<void> {
   const { port, path, body, headers } = asked;
   const answer = await agent.request({
     origin: `http://127.0.0.1:${port}`,
@@ -169,7 +173,19 @@
   if (answer.statusCode !== 200) throw new Error(`A call failed: ${text}`);
 }
 
-function listen(): Promise<http.Server> {
+/** What the server streams; may be changed between two calls. */
+export interface Stream {
+  chunks: number;
+  /** Words in one chunk. */
+  words: number;
+  /** Whether each chunk is written by itself, as a model gives them. */
+  apart: boolean;
+}
+
+/** A small server of plain calls and of streams. */
+export function listen(
+  stream: Readonly<Stream> = { chunks: TOKENS, words: 1, apart: false },
+): Promise<http.Server> {
   const server = http.createServer((incoming, response) => {
     incoming.resume();
     incoming.on("end", () => {
@@ -180,7 +196,7 @@
       }
       response.writeHead(200, echo);
       if (url !== "/v1/completions") return response.end("booked");
-      generate(response, Object.values(echo).join("/"));
+      generate(response, Object.values(echo).join("/"), stream);
     });
   });
   return new Promise((resolve) =>
@@ -188,17 +204,24 @@
   );
 }
 
-function generate(response: http.ServerResponse, id: string): void {
-  for (let offset = 0; offset < TOKENS; offset++) {
-    const choices = [{ index: 0, text: " word", "finish_reason": null }];
+async function generate(
+  response: http.ServerResponse,
+  id: string,
+  { chunks, words, apart }: Stream,
+): Promise<void> {
+  const text = " word".repeat(words);
+  for (let offset = 0; offset < chunks; offset++) {
+    const choices = [{ index: 0, text, "finish_reason": null }];
     response.write(`data: ${JSON.stringify({ id, offset, choices })}\n\n`);
+    if (apart) await new Promise(setImmediate);
   }
   const choices = [{ index: 0, text: "", "finish_reason": "stop" }];
-  const last = { id, offset: TOKENS, choices, usage: {} };
+  const last = { id, offset: chunks, choices, usage: {} };
   response.end(`data: ${JSON.stringify(last)}\n\ndata: [DONE]\n\n`);
 }
 
-function createPath(url: string): request.RequestPath {
+/** A host's request path in front of the server at `url`. */
+export function createPath(url: string): request.RequestPath {
   const tokenHash = crypto.createHash("sha256").update(TOKEN).digest("hex");
   const account = { name: "bench", tokenHash };
   const path = request.RequestPath.create({
--- a/bench/peers.ts
+++ b/bench/peers.ts
@@ -38,12 +38,14 @@
 };
 
 /** A publisher and a watcher on two hosts, whose clock is moved by hand. */
-class Pair {
+export class Pair {
   readonly clock = new runtime.FakeClock();
   readonly hosts = new Map<string, peers.Peers>();
   readonly relays: relays.Relay[] = [];
   received = 0;
-  publisher = watch.Publisher.create(table.Table.create());
+  #arrived = () => {};
+  #table = table.Table.create();
+  publisher = watch.Publisher.create(this.#table);
   watcher = watch.Watcher.create(["p"]);
 
   static async create(): Promise<Pair> {
@@ -66,6 +68,21 @@
     for (const relay of this.relays) await relay.close();
   }
 
+  /** Commits a change of one cell, each time in another row. */
+  edit(): void {
+    const { revision } = this.#table;
+    const row = `account/a${revision}`;
+    const change = { row, column: "weight" as const, version: 0, value: 2 };
+    const operation = `op-${revision}`;
+    const edit = { operation, actor: "an", changes: [change] };
+    const step = this.#table.apply(
+      edit as unknown as Parameters<table.Table["apply"]>[0],
+    );
+    this.#table = step.table;
+    const { written } = step;
+    this.publish({ type: "commit", table: step.table, written });
+  }
+
   publish(event: watch.PublisherEvent): void {
     const step = this.publisher.step(event, this.clock.now());
     this.publisher = step.publisher;
@@ -95,6 +112,11 @@
     }
   }
 
+  /** Resolves when the next message has arrived. */
+  arrival(): Promise<void> {
+    return new Promise((resolve) => this.#arrived = resolve);
+  }
+
   /** Waits until nothing is under way. */
   async settle(): Promise<void> {
     let before = -1;
@@ -125,6 +147,7 @@
       clock: this.clock,
       onEnvelope: ({ from, body }) => {
         this.received++;
+        this.#arrived();
         const message = body as schema.Message;
         const event = { type: "message" as const, from, body: message };
         if (self === "p") this.publish(event);
@@ -156,18 +179,9 @@
 }
 
 async function measureDelta(pair: Pair): Promise<result.Result> {
-  let current = table.Table.create();
   const before = pair.bytes;
   for (let pos = 0; pos < EDITS; pos++) {
-    const row = `account/a${pos}`;
-    const change = { row, column: "weight" as const, version: 0, value: 2 };
-    const edit = { operation: `op-${pos}`, actor: "an", changes: [change] };
-    const step = current.apply(
-      edit as unknown as Parameters<table.Table["apply"]>[0],
-    );
-    current = step.table;
-    const { written } = step;
-    pair.publish({ type: "commit", table: current, written });
+    pair.edit();
     pair.clock.advance(20);
     pair.publish({ type: "tick" });
     await pair.settle();
