--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -13,18 +13,20 @@
 const SAVED = `${FOLDER}/slopes.json`;
 
 async function main(names: readonly string[]): Promise<void> {
-  const saved = readSaved();
+  const taken = new Map<string, slope.Slope>();
   for (const matter of matters.all) {
     const wanted = names.length === 0 || names.includes(matter.name);
     if (!wanted) continue;
     console.error(`measuring ${matter.name}`);
     const measured = await slope.take(matter);
-    saved.set(matter.name, measured);
+    taken.set(matter.name, measured);
     fs.writeFileSync(
       `${FOLDER}/${page.fileOf(matter.name)}`,
       await plot.render(measured),
     );
   }
+  // Read last, so that runs of different slopes may overlap.
+  const saved = new Map([...readSaved(), ...taken]);
   write(matters.all.flatMap(({ name }) => saved.get(name) ?? []));
 }
 
