One rule for imports of ava's types; colours of outcomes stand once

Tests imported a type of ava by name beside the default, where the house style wants a namespace import. Two plots of a report carried the same ten lines on how outcomes are stacked and coloured. Behaviour is unchanged.

--- a/src/backends/subscriptions_test.ts
+++ b/src/backends/subscriptions_test.ts
@@ -1,4 +1,5 @@
-import test, { type ExecutionContext } from "ava";
+import type * as ava from "ava";
+import test from "ava";
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as backends from "./mod.ts";
@@ -13,7 +14,7 @@
 }
 
 function listen(
-  t: ExecutionContext,
+  t: ava.ExecutionContext,
   { status = 200, type = "text/event-stream" } = {},
 ): Promise<Publisher> {
   const opened: http.ServerResponse[] = [];
@@ -41,7 +42,7 @@
   );
 }
 
-function create(t: ExecutionContext) {
+function create(t: ava.ExecutionContext) {
   const clock = new runtime.FakeClock();
   const tally = new telemetry.Tally();
   const heard: backends.Heard[] = [];
--- a/src/callers/tls_test.ts
+++ b/src/callers/tls_test.ts
@@ -1,4 +1,5 @@
-import test, { type ExecutionContext } from "ava";
+import type * as ava from "ava";
+import test from "ava";
 import * as fs from "node:fs";
 import * as url from "node:url";
 import * as undici from "undici";
@@ -18,7 +19,7 @@
   return url.fileURLToPath(new URL(place, import.meta.url));
 }
 
-function agentOf(t: ExecutionContext, ca?: Buffer): undici.Agent {
+function agentOf(t: ava.ExecutionContext, ca?: Buffer): undici.Agent {
   const agent = new undici.Agent({ connect: { ca } });
   t.teardown(() => agent.destroy());
   return agent;
--- a/src/operators/api_test.ts
+++ b/src/operators/api_test.ts
@@ -1,4 +1,5 @@
-import test, { type ExecutionContext } from "ava";
+import type * as ava from "ava";
+import test from "ava";
 import type * as schema from "../schema/table_types.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
@@ -39,7 +40,7 @@
 }
 
 /** A served host, and a way to call it as an operator. */
-async function serve(t: ExecutionContext, access?: operators.TableAccess) {
+async function serve(t: ava.ExecutionContext, access?: operators.TableAccess) {
   const clock = new runtime.FakeClock();
   const table = access ?? operators.LocalTable.create(clock);
   const metrics = new telemetry.Tally();
--- a/src/operators/cli/cli_test.ts
+++ b/src/operators/cli/cli_test.ts
@@ -2,7 +2,8 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as stream from "node:stream";
-import test, { type ExecutionContext } from "ava";
+import type * as ava from "ava";
+import test from "ava";
 import * as runtime from "../../runtime/mod.ts";
 import type * as schema from "../../schema/table_types.ts";
 import * as telemetry from "../../telemetry/mod.ts";
@@ -22,7 +23,7 @@
 }
 
 /** A command line towards a served table. */
-async function serve(t: ExecutionContext, table = createTable()) {
+async function serve(t: ava.ExecutionContext, table = createTable()) {
   const server = await operators.Server.start({
     listener: { port: 0 },
     operators: operators.Operators.create([
@@ -67,7 +68,7 @@
   };
 }
 
-function temporaryFile(t: ExecutionContext, text: string): string {
+function temporaryFile(t: ava.ExecutionContext, text: string): string {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "chicoryloft-"));
   t.teardown(() => fs.rmSync(folder, { recursive: true }));
   const file = path.join(folder, "table.csv");
--- a/standins/experiment/plots.ts
+++ b/standins/experiment/plots.ts
@@ -117,6 +117,15 @@
 
 const OUTCOMES = ["attained", "late", "problems", "lost"] as const;
 
+/** Stacks and colours outcomes. */
+const BY_OUTCOME = {
+  order: { field: "order" },
+  color: {
+    field: "outcome",
+    scale: { domain: [...OUTCOMES], range: [BLUE, ORANGE, GREY, RED] },
+  },
+};
+
 function outcomes({ timeline, duration }: report.Report): Sketch {
   // The last step needs an end to reach to.
   const end = { ...timeline[timeline.length - 1], at: duration };
@@ -137,14 +146,7 @@
       encoding: {
         x: SECONDS,
         y: { field: "requests", type: "quantitative", title: "requests" },
-        order: { field: "order" },
-        color: {
-          field: "outcome",
-          scale: {
-            domain: [...OUTCOMES],
-            range: [BLUE, ORANGE, GREY, RED],
-          },
-        },
+        ...BY_OUTCOME,
       },
     } as Partial<Spec>,
   };
@@ -252,14 +254,7 @@
           axis: { format: "%" },
           scale: { domain: [0, 1] },
         },
-        order: { field: "order" },
-        color: {
-          field: "outcome",
-          scale: {
-            domain: [...OUTCOMES],
-            range: [BLUE, ORANGE, GREY, RED],
-          },
-        },
+        ...BY_OUTCOME,
       },
     } as Partial<Spec>,
   };
