Metrics: drop nine names that nothing counts

The list of names is the operators' reference, and it named elections, commits,

sends: whoever built an alert on them would have waited for good. What takes their place is in the state dump (the parts control.voter, members and shares). A name that comes to be counted goes into the list with its first use.

--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -75,14 +75,8 @@
   "table.revision": { type: "gauge", help: "Revision in force here" },
 
   // Replicated log.
-  "log.elections": { type: "count", help: "Elections started here" },
   "log.leading": { type: "gauge", help: "1 while this host leads" },
   "log.appended": { type: "count", help: "Entries proposed here" },
-  "log.committed": { type: "count", help: "Entries committed" },
-  "log.snapshots": { type: "count", help: "Snapshots written" },
-  "log.commit_time": { type: "time", help: "From proposal to commit" },
-  "storage.syncs": { type: "count", help: "Writes synced to disk" },
-  "storage.sync_time": { type: "time", help: "Time of one synced write" },
 
   // Hosts among themselves.
   "peer.sent": { type: "count", help: "Envelopes sent, by channel" },
@@ -93,10 +87,7 @@
   "peer.refused": { type: "count", help: "Connections without the fleet key" },
   "peer.silent": { type: "count", help: "Connections closed as silent" },
   "member.alive": { type: "gauge", help: "Hosts believed alive" },
-  "member.suspected": { type: "count", help: "Hosts suspected" },
   "member.failed": { type: "count", help: "Hosts declared failed" },
-  "share.granted": { type: "gauge", help: "Shares of limits held here" },
-  "share.fallback": { type: "count", help: "Falls back to a safe share" },
 
   // This process.
   "node.dumps": { type: "count", help: "State dumps written" },
