Endpoints that come together are told together

Change: the first change is told at once, those of the next 20 ms with one more. Before: 100 announcements at once made 100 lists.

--- a/src/node/directory.ts
+++ b/src/node/directory.ts
@@ -18,15 +18,21 @@
   onChange(): void;
 }
 
+/** Milliseconds over which changes gather after one was told: many endpoints
+ * that come at once must not have the list made anew for each. */
+const GATHER = 20;
+
 type Handler<T> = (effect: Extract<endpoints.Effect, { type: T }>) => void;
 
 /** Keeps track of announced endpoints. */
 export class Directory {
   readonly #options: DirectoryOptions;
   readonly #alarm: runtime.Alarm;
+  readonly #gathered: runtime.Alarm;
   #registry: endpoints.Registry;
   /** Answer to the announcement under way. */
   #answer: request.NoticeResult | undefined;
+  #toldAt = -Infinity;
   #stopped = false;
 
   private constructor(options: DirectoryOptions) {
@@ -36,6 +42,7 @@
       options.clock,
       () => this.#step({ type: "wake" }),
     );
+    this.#gathered = runtime.Alarm.create(options.clock, () => this.#tell());
   }
 
   /** A directory without endpoints. */
@@ -92,6 +99,7 @@
   /** Takes no further part. */
   stop(): void {
     this.#alarm.cancel();
+    this.#gathered.cancel();
     this.#stopped = true;
   }
 
@@ -108,10 +116,17 @@
     for (const effect of effects) {
       (this.#handlers[effect.type] as Handler<string>)(effect as never);
     }
-    if (effects.some(({ type }) => type === "notify")) {
-      this.#options.metrics.gauge("endpoint.known", this.serving.length);
-      this.#options.onChange();
-    }
+    if (!effects.some(({ type }) => type === "notify")) return;
+    const due = this.#toldAt + GATHER;
+    if (now >= due) this.#tell();
+    else this.#gathered.set(due);
+  }
+
+  #tell(): void {
+    const { clock, metrics, onChange } = this.#options;
+    this.#toldAt = clock.now();
+    metrics.gauge("endpoint.known", this.serving.length);
+    onChange();
   }
 
   readonly #handlers: { [T in endpoints.Effect["type"]]: Handler<T> } = {
