--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -37,7 +37,8 @@
   "resume_from"?: number;
 }
 
-interface Session {
+/** One completion under way. */
+interface Generation {
   made: call.Call;
   stream: stream.Stream;
   hashes: readonly string[];
@@ -74,7 +75,7 @@
   readonly kind = "engine" as const;
   readonly #orders: engineOrders.EngineOrders;
   readonly #cache: prefixCache.PrefixCache;
-  readonly #sessions = new Map<string, Session>();
+  readonly #generations = new Map<string, Generation>();
   readonly #gaps: number;
   readonly #cacheLag: number;
   #batch: batch.Batch;
@@ -160,7 +161,7 @@
     const inputTokens = text.size(prompt);
     const matched = this.#cache.match(hashes) * BLOCK_TOKENS;
     const cached = Math.min(matched, inputTokens - 1);
-    const session = {
+    const generation = {
       made,
       stream: new stream.Stream(made, {
         answer,
@@ -175,7 +176,7 @@
       inputTokens,
       generated: 0,
     };
-    this.#sessions.set(made.key, session);
+    this.#generations.set(made.key, generation);
     made.incoming.reply.onCancel(() => this.#cancel(made.key));
     this.#batch = this.#batch.add({
       id: made.key,
@@ -189,9 +190,9 @@
 
   /** By turns all of another's answer, only its body, or its second half. */
   #cross(made: call.Call, answer: text.Answer): stream.Crossing {
-    const others = [...this.#sessions.values()];
-    const found = others.find((session) =>
-      session.made.request !== made.request
+    const others = [...this.#generations.values()];
+    const found = others.find((generation) =>
+      generation.made.request !== made.request
     );
     const madeUp = { request: "another", stage: made.stage, attempt: "1" };
     const turn = this.#crossed++ % CROSSINGS;
@@ -218,16 +219,16 @@
   }
 
   #apply(effect: batch.Effect): void {
-    const session = this.#sessions.get(effect.id);
-    if (session === undefined) return;
-    if (effect.type === "start") this.#start(session);
-    if (effect.type === "tokens") this.#emit(session, effect.count);
-    if (effect.type === "finish") this.#finish(session, effect.slotTime);
+    const generation = this.#generations.get(effect.id);
+    if (generation === undefined) return;
+    if (effect.type === "start") this.#start(generation);
+    if (effect.type === "tokens") this.#emit(generation, effect.count);
+    if (effect.type === "finish") this.#finish(generation, effect.slotTime);
   }
 
-  #start(session: Session): void {
-    const { made, stream } = session;
-    session.started = this.clock.now();
+  #start(generation: Generation): void {
+    const { made, stream } = generation;
+    generation.started = this.clock.now();
     stream.begin();
     this.ledger.run({
       ...made,
@@ -237,38 +238,40 @@
     });
   }
 
-  #emit(session: Session, count: number): void {
-    session.generated += count;
+  #emit(generation: Generation, count: number): void {
+    generation.generated += count;
     // A slow call decodes `factor` sequence tokens for each real one.
-    session.stream.advance(session.generated / session.made.hit.factor);
+    generation.stream.advance(
+      generation.generated / generation.made.hit.factor,
+    );
   }
 
-  #finish(session: Session, slotTime: number): void {
-    this.#sessions.delete(session.made.key);
-    const wasted = standIn.spoils(session.made);
-    this.#charge(session, { slotTime, wasted });
-    session.stream.finish({
-      "prompt_tokens": session.inputTokens,
-      "completion_tokens": session.stream.sent,
-      "cached_tokens": session.cached,
+  #finish(generation: Generation, slotTime: number): void {
+    this.#generations.delete(generation.made.key);
+    const wasted = standIn.spoils(generation.made);
+    this.#charge(generation, { slotTime, wasted });
+    generation.stream.finish({
+      "prompt_tokens": generation.inputTokens,
+      "completion_tokens": generation.stream.sent,
+      "cached_tokens": generation.cached,
       "engine_ms": slotTime,
     });
-    this.#changed(this.#cache.store(session.hashes));
+    this.#changed(this.#cache.store(generation.hashes));
   }
 
   #cancel(key: string): void {
-    const session = this.#sessions.get(key);
-    if (session === undefined) return;
-    this.#sessions.delete(key);
+    const generation = this.#generations.get(key);
+    if (generation === undefined) return;
+    this.#generations.delete(key);
     this.#batch = this.#batch.remove(key);
-    const { started } = session;
+    const { started } = generation;
     if (started === undefined) return;
     const slotTime = this.clock.now() - started;
-    this.#charge(session, { slotTime, wasted: true });
+    this.#charge(generation, { slotTime, wasted: true });
   }
 
   #charge(
-    { inputTokens, cached, stream }: Session,
+    { inputTokens, cached, stream }: Generation,
     { slotTime, wasted }: { slotTime: number; wasted: boolean },
   ): void {
     this.ledger.charge({ service: this.service, owner: stream.owner }, {
