--- a/src/callers/ask.ts
+++ b/src/callers/ask.ts
@@ -1,7 +1,7 @@
 /** Turns a caller's headers and body into a checked request.
  * @module */
 
-import type * as backends from "../backends/call.ts";
+import type * as endpointCalls from "../endpoint_calls/call.ts";
 import type * as http from "node:http";
 import * as caller from "../schema/caller_validators.ts";
 import type * as callerTypes from "../schema/caller_types.ts";
@@ -74,7 +74,7 @@
 export function plainInputOf(
   incoming: http.IncomingMessage,
   { path, body }: { path: string; body: Buffer },
-): backends.PlainInput {
+): endpointCalls.PlainInput {
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(incoming.headers)) {
     if (value === undefined || name.startsWith("chicoryloft-")) continue;
--- a/src/callers/http_reply.ts
+++ b/src/callers/http_reply.ts
@@ -3,7 +3,7 @@
  * @module */
 
 import type * as http from "node:http";
-import type * as backends from "../backends/call.ts";
+import type * as endpointCalls from "../endpoint_calls/call.ts";
 import * as problem from "./problem.ts";
 import type * as request from "../request/mod.ts";
 
@@ -53,7 +53,7 @@
     this.#response.end();
   }
 
-  pass({ status, headers, body }: backends.PlainResult): void {
+  pass({ status, headers, body }: endpointCalls.PlainResult): void {
     const all = { ...headers, ...this.#close() };
     send(this.#response, { status, headers: all, body });
   }
--- a/src/backends/backends.ts
+++ b/src/endpoint_calls/endpoint_client.ts
@@ -38,7 +38,7 @@
 };
 
 /** Connections to all endpoints. */
-export class Backends {
+export class EndpointClient {
   readonly #options: Options;
   readonly #agent: undici.Agent;
 
@@ -52,8 +52,8 @@
     });
   }
 
-  static create(options: Options): Backends {
-    return new Backends(options);
+  static create(options: Options): EndpointClient {
+    return new EndpointClient(options);
   }
 
   /** Starts a call; the returned function cancels it without another word. */
--- a/src/backends/backends_test.ts
+++ b/src/endpoint_calls/endpoint_client_test.ts
@@ -2,7 +2,7 @@
 import test from "ava";
 import * as http from "node:http";
 import * as net from "node:net";
-import * as backends from "./mod.ts";
+import * as endpointCalls from "./mod.ts";
 import type * as request from "../request/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
@@ -42,25 +42,26 @@
 
 const echo = { "x-request-id": "r1", "x-stage": "s", "x-attempt": "1" };
 
-const inputs: { [T in backends.Input["type"]]: backends.Input & { type: T } } =
-  {
-    engine: { type: "engine", model: "m", prompt: "p", maxTokens: 5 },
-    encoder: { type: "encoder", model: "m", texts: ["a", "b"] },
-    retriever: { type: "retriever", embedding: [1], text: "t", top: 2 },
-    reranker: { type: "reranker", query: "q", documents: ["a"], top: 1 },
-    plain: {
-      type: "plain",
-      method: "POST",
-      path: "/p",
-      headers: {},
-      body: Buffer.from("b"),
-    },
-  };
+const inputs: {
+  [T in endpointCalls.Input["type"]]: endpointCalls.Input & { type: T };
+} = {
+  engine: { type: "engine", model: "m", prompt: "p", maxTokens: 5 },
+  encoder: { type: "encoder", model: "m", texts: ["a", "b"] },
+  retriever: { type: "retriever", embedding: [1], text: "t", top: 2 },
+  reranker: { type: "reranker", query: "q", documents: ["a"], top: 1 },
+  plain: {
+    type: "plain",
+    method: "POST",
+    path: "/p",
+    headers: {},
+    body: Buffer.from("b"),
+  },
+};
 
 function callOf(
   url: string,
-  fields: Partial<backends.Call> = {},
-): backends.Call {
+  fields: Partial<endpointCalls.Call> = {},
+): endpointCalls.Call {
   return {
     attempt: {
       request: "r1",
@@ -82,7 +83,7 @@
 }
 
 type End =
-  | { type: "answer"; result: backends.Result; tokens: string[] }
+  | { type: "answer"; result: endpointCalls.Result; tokens: string[] }
   | { type: "fail"; failure: request.Failure; tokens: string[] };
 
 interface Running {
@@ -90,7 +91,10 @@
   cancel: runtime.Cancel;
 }
 
-function start(pool: backends.Backends, made: backends.Call): Running {
+function start(
+  pool: endpointCalls.EndpointClient,
+  made: endpointCalls.Call,
+): Running {
   const tokens: string[] = [];
   let cancel = () => {};
   const end = new Promise<End>((resolve) => {
@@ -106,7 +110,7 @@
 function create(clock: runtime.Clock = new runtime.FakeClock()) {
   const tally = new telemetry.Tally();
   const options = { clock, metrics: tally, answerBytes: 1000 };
-  return { pool: backends.Backends.create(options), tally };
+  return { pool: endpointCalls.EndpointClient.create(options), tally };
 }
 
 function chunk(offset: number, text: string, more: object = {}): string {
@@ -175,7 +179,7 @@
 });
 
 test("takes no malformed or incomplete answer", async (t) => {
-  const bodies: [backends.Input, string][] = [
+  const bodies: [endpointCalls.Input, string][] = [
     [inputs.encoder, '{"id":"r1/s/1","data":[{"index":0,"embedding":[1]}]}'],
     [
       inputs.encoder,
--- a/src/backends/mod.ts
+++ b/src/endpoint_calls/mod.ts
@@ -1,7 +1,7 @@
 /** HTTP towards endpoints, one handler for each kind.
  * @module */
 
-export * from "./backends.ts";
+export * from "./endpoint_client.ts";
 export * from "./call.ts";
 export type { Heard, Publisher } from "./subscription.ts";
 export { Subscriptions } from "./subscriptions.ts";
--- a/src/backends/subscriptions_test.ts
+++ b/src/endpoint_calls/subscriptions_test.ts
@@ -2,7 +2,7 @@
 import test from "ava";
 import * as http from "node:http";
 import type * as net from "node:net";
-import * as backends from "./mod.ts";
+import * as endpointCalls from "./mod.ts";
 import * as clockOffset from "./clock_offset.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
@@ -45,9 +45,9 @@
 function create(t: ava.ExecutionContext) {
   const clock = new runtime.FakeClock();
   const tally = new telemetry.Tally();
-  const heard: backends.Heard[] = [];
+  const heard: endpointCalls.Heard[] = [];
   let wake = () => {};
-  const pool = backends.Backends.create({ clock, metrics: tally });
+  const pool = endpointCalls.EndpointClient.create({ clock, metrics: tally });
   const subscriptions = pool.listen({
     random: runtime.createRandom(1),
     take: (event) => {
@@ -59,7 +59,7 @@
     subscriptions.close();
     return pool.close();
   });
-  async function hear(count: number): Promise<backends.Heard[]> {
+  async function hear(count: number): Promise<endpointCalls.Heard[]> {
     while (heard.length < count) {
       await new Promise<void>((resolve) => wake = resolve);
     }
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -30,8 +30,7 @@
     try {
       return await run(settings.load(this.settings, { host: this.host }));
     } catch (error) {
-      const { message } = error as Error;
-      this.context.stderr.write(`chicoryloftd: ${message}\n`);
+      this.context.stderr.write(`chicoryloftd: ${explain(error)}\n`);
       return error instanceof settings.SettingsError
         ? exitCodes.settings
         : exitCodes.failed;
@@ -39,6 +38,15 @@
   }
 }
 
+/** Message of an error with those of its causes: the reason stands there. */
+function explain(error: unknown): string {
+  const messages: string[] = [];
+  for (let at = error; at instanceof Error; at = at.cause) {
+    messages.push(at.message);
+  }
+  return messages.join(": ");
+}
+
 /** Resolves with the exit code once the host has stopped. */
 async function run(
   of: ReturnType<typeof settings.load>,
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -6,7 +6,7 @@
  * core as well, and what it brings is kept for its own request only.
  * @module */
 
-import type * as backends from "../backends/mod.ts";
+import type * as endpointCalls from "../endpoint_calls/mod.ts";
 import type * as accounting from "./accounting.ts";
 import type * as catalogue from "./catalogue.ts";
 import type * as dispatcher from "./dispatcher.ts";
@@ -29,7 +29,7 @@
 /** Parts of an execution. */
 export interface Options {
   dispatcher: dispatcher.Dispatcher;
-  backends: backends.Backends;
+  endpointCalls: endpointCalls.EndpointClient;
   clock: runtime.Clock;
   accounting: accounting.Accounting;
 }
@@ -149,7 +149,7 @@
     const url = this.#urls.get(attempt.endpoint);
     this.#accounting.called(attempt);
     if (url === undefined) return this.#unreachable(attempt);
-    const made: backends.Call = {
+    const made: endpointCalls.Call = {
       attempt,
       stage: step.name,
       url,
@@ -160,7 +160,7 @@
     };
     // Registered first: a call may fail before `call` returns.
     entry.calls.set(attempt.attempt, () => {});
-    const cancel = this.#options.backends.call(made, {
+    const cancel = this.#options.endpointCalls.call(made, {
       token: (offset, text) => this.#token(attempt, offset, text),
       answer: (result, usage) => this.#answer(attempt, result, usage),
       fail: (failure) => this.#fail(attempt, failure),
@@ -209,7 +209,7 @@
 
   #answer(
     attempt: request.Attempt,
-    result: backends.Result,
+    result: endpointCalls.Result,
     usage: request.Usage,
   ): void {
     const entry = this.#current(attempt);
--- a/src/request/kept_reply.ts
+++ b/src/request/kept_reply.ts
@@ -1,7 +1,7 @@
 /** A reply whose end is also kept for resends with the same key.
  * @module */
 
-import type * as backends from "../backends/call.ts";
+import type * as endpointCalls from "../endpoint_calls/call.ts";
 import type * as effect from "./effect.ts";
 import type * as pathOptions from "./path_options.ts";
 import * as problem from "../callers/problem.ts";
@@ -41,7 +41,7 @@
     this.#reply.complete(answer);
   }
 
-  pass(result: backends.PlainResult): void {
+  pass(result: endpointCalls.PlainResult): void {
     const { status, headers } = result;
     const body = Buffer.from(result.body).toString();
     this.#options.settle({ status, headers: { ...headers }, body });
--- a/src/request/path.ts
+++ b/src/request/path.ts
@@ -2,7 +2,7 @@
  * dispatcher, execution and connections to endpoints.
  * @module */
 
-import * as backends from "../backends/mod.ts";
+import * as endpointCalls from "../endpoint_calls/mod.ts";
 import * as callers from "../callers/mod.ts";
 import * as accounting from "./accounting.ts";
 import * as catalogue from "./catalogue.ts";
@@ -20,9 +20,9 @@
 export class RequestPath {
   readonly #options: pathOptions.PathOptions;
   readonly #dispatcher: dispatcher.Dispatcher;
-  readonly #backends: backends.Backends;
+  readonly #endpointCalls: endpointCalls.EndpointClient;
   readonly #accounting: accounting.Accounting;
-  readonly #subscriptions: backends.Subscriptions;
+  readonly #subscriptions: endpointCalls.Subscriptions;
   readonly #execution: execution.Execution;
   readonly #intake: intake.Intake;
   readonly #server: callers.Server;
@@ -38,7 +38,7 @@
         plainPolicies.create({ inFlight: limits.inFlight }),
       observers: options.observers,
     });
-    this.#backends = backends.Backends.create({
+    this.#endpointCalls = endpointCalls.EndpointClient.create({
       clock,
       metrics,
       answerBytes: limits.answerBytes,
@@ -46,11 +46,11 @@
     this.#accounting = accounting.Accounting.create({ clock, metrics });
     this.#execution = execution.Execution.create({
       dispatcher: this.#dispatcher,
-      backends: this.#backends,
+      endpointCalls: this.#endpointCalls,
       clock,
       accounting: this.#accounting,
     });
-    this.#subscriptions = this.#backends.listen({
+    this.#subscriptions = this.#endpointCalls.listen({
       random,
       take: (heard) => this.#execution.push(heard),
     });
@@ -129,7 +129,7 @@
     this.#closed = true;
     this.#subscriptions.close();
     this.#execution.close();
-    await this.#backends.close();
+    await this.#endpointCalls.close();
   }
 
   /** Plain JSON of the present state, without secrets and payloads. */
--- a/src/request/reply.ts
+++ b/src/request/reply.ts
@@ -1,7 +1,7 @@
 /** What the shell tells a caller.
  * @module */
 
-import type * as backends from "../backends/call.ts";
+import type * as endpointCalls from "../endpoint_calls/call.ts";
 import type * as effect from "./effect.ts";
 
 /** One stage of an answered request. */
@@ -38,6 +38,6 @@
   token(offset: number, text: string): void;
   complete(answer: Answer): void;
   /** Answer of a plain service. */
-  pass(result: backends.PlainResult): void;
+  pass(result: endpointCalls.PlainResult): void;
   refuse(problem: effect.Problem): void;
 }
--- a/src/request/stage_data.ts
+++ b/src/request/stage_data.ts
@@ -2,7 +2,7 @@
  * @module */
 
 import * as crypto from "node:crypto";
-import type * as backends from "../backends/call.ts";
+import type * as endpointCalls from "../endpoint_calls/call.ts";
 import type * as caller from "../schema/caller_types.ts";
 import type * as catalogue from "./catalogue.ts";
 import type * as endpoint from "../schema/endpoint_types.ts";
@@ -11,7 +11,7 @@
 /** What a caller sent. */
 export type Payload =
   | { type: "pipeline"; call: caller.PipelineCall }
-  | { type: "plain"; call: backends.PlainInput };
+  | { type: "plain"; call: endpointCalls.PlainInput };
 
 /** Size and prefix of a stage's input, for the dispatcher. */
 export interface Measure {
@@ -36,7 +36,7 @@
   documents: readonly string[] = [];
   /** Text of the last engine stage that ended. */
   draft = "";
-  plain: backends.PlainResult | undefined;
+  plain: endpointCalls.PlainResult | undefined;
 
   private constructor(payload: Payload) {
     this.payload = payload;
@@ -50,13 +50,13 @@
   }
 
   /** What the handler of a step's kind is given. */
-  input(step: catalogue.Step): backends.Input {
+  input(step: catalogue.Step): endpointCalls.Input {
     return makers[step.kind].input(this, step);
   }
 
   /** Keeps what a stage made; `text` is what an engine generated. */
-  take(result: backends.Result, text: string): void {
-    const taker = takers[result.type] as Taker<backends.Result["type"]>;
+  take(result: endpointCalls.Result, text: string): void {
+    const taker = takers[result.type] as Taker<endpointCalls.Result["type"]>;
     taker(this, result, text);
   }
 
@@ -93,8 +93,8 @@
 }
 
 interface Maker {
-  input(data: StageData, step: catalogue.Step): backends.Input;
-  characters(input: backends.Input): number;
+  input(data: StageData, step: catalogue.Step): endpointCalls.Input;
+  characters(input: endpointCalls.Input): number;
 }
 
 const makers: Record<endpoint.EndpointKind, Maker> = {
@@ -106,7 +106,7 @@
       return { type: "encoder", model, texts: [question ?? start] };
     },
     characters: (input) => {
-      const { texts } = input as backends.Input & { type: "encoder" };
+      const { texts } = input as endpointCalls.Input & { type: "encoder" };
       return sum(texts);
     },
   },
@@ -116,7 +116,7 @@
       return { type: "retriever", embedding, text: query(data), top };
     },
     characters: (input) =>
-      (input as backends.Input & { type: "retriever" }).text.length,
+      (input as endpointCalls.Input & { type: "retriever" }).text.length,
   },
   reranker: {
     input: (data, { top }) => {
@@ -124,7 +124,7 @@
       return { type: "reranker", query: query(data), documents, top };
     },
     characters: (input) => {
-      const made = input as backends.Input & { type: "reranker" };
+      const made = input as endpointCalls.Input & { type: "reranker" };
       return made.query.length + sum(made.documents);
     },
   },
@@ -136,7 +136,7 @@
       return { type: "engine", model, prompt, maxTokens: most };
     },
     characters: (input) =>
-      (input as backends.Input & { type: "engine" }).prompt.length,
+      (input as endpointCalls.Input & { type: "engine" }).prompt.length,
   },
   plain: {
     input: ({ payload }) => {
@@ -145,17 +145,17 @@
       const body = Buffer.from(JSON.stringify(payload.call.input));
       return { type: "plain", method: "POST", path: "/", headers, body };
     },
-    characters: (input) => (input as backends.PlainInput).body.length,
+    characters: (input) => (input as endpointCalls.PlainInput).body.length,
   },
 };
 
-type Taker<T extends backends.Result["type"]> = (
+type Taker<T extends endpointCalls.Result["type"]> = (
   data: StageData,
-  result: backends.Result & { type: T },
+  result: endpointCalls.Result & { type: T },
   text: string,
 ) => void;
 
-const takers: { [T in backends.Result["type"]]: Taker<T> } = {
+const takers: { [T in endpointCalls.Result["type"]]: Taker<T> } = {
   encoder(data, { embeddings }) {
     data.embedding = embeddings[0] ?? [];
   },
