Embedded hosts may be given their storage; the test of bookings does

Change: a node takes a storage in place of files; the test gives one in memory. What it asserts is unchanged.

--- a/src/node/options.ts
+++ b/src/node/options.ts
@@ -20,6 +20,9 @@
   metrics?: telemetry.Metrics;
   /** Where secrets by `env` are; that of the process when absent. */
   environment?: settings.Environment;
+  /** The data folder of a voter; files in the folder of its settings when
+   * absent. */
+  storage?: runtime.Storage;
   /** Decisions of the request path; those of `src/policies` when absent. */
   policySet?: request.PolicySet;
   /** The host cannot go on and should be stopped. */
--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -52,6 +52,7 @@
   const incarnation = Math.floor(clock.wall());
   const source = await tableSource.create({
     ...base,
+    storage: options.storage,
     incarnation,
     transport,
     onFailure: (failure) => fail(failure, base, options),
--- a/src/node/table_source.ts
+++ b/src/node/table_source.ts
@@ -21,6 +21,8 @@
   transport: control.Transport;
   metrics: telemetry.Metrics;
   logger: telemetry.Logger;
+  /** The data folder of a voter, in place of files. */
+  storage?: runtime.Storage;
   /** The journal of a voter failed. */
   onFailure(failure: Error): void;
 }
@@ -58,7 +60,7 @@
   const voters = fleet.hosts.filter(({ voter }) => voter).map(({ id }) => id);
   if (voters.length === 0) return createLocal(options);
   const files = voters.includes(host) && folder !== undefined
-    ? await storage.FileStorage.open(folder)
+    ? options.storage ?? await storage.FileStorage.open(folder)
     : undefined;
   return createReplicated(options, { voters, files });
 }
@@ -81,9 +83,12 @@
   };
 }
 
+/** Storage that may have something to close. */
+type Disk = runtime.Storage & { close?(): Promise<void> };
+
 interface Quorum {
   voters: readonly string[];
-  files: storage.FileStorage | undefined;
+  files: Disk | undefined;
 }
 
 function createReplicated(
@@ -118,7 +123,7 @@
     async stop() {
       await access.finish();
       access.stop();
-      await files?.close();
+      await files?.close?.();
     },
     status: () => ({
       ...access.status,
--- a/standins/experiment/embedded.ts
+++ b/standins/experiment/embedded.ts
@@ -6,6 +6,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as url from "node:url";
+import type * as runtime from "../../src/runtime/mod.ts";
 import * as node from "../../src/node/mod.ts";
 import type * as schema from "../../src/schema/experiment_types.ts";
 import type * as hostSchema from "../../src/schema/settings_types.ts";
@@ -32,12 +33,20 @@
   "deployment" | "seed" | "hosts" | "engines"
 >;
 
+/** What a test puts in place of the usual parts. */
+export interface Options {
+  /** Makes the data folder of a host; files when absent. */
+  createStorage?(): runtime.Storage;
+}
+
 /** Starts hosts with the sample settings of a deployment, and stand-ins. */
 export async function start(
   experiment: System,
+  options: Options = {},
 ): Promise<target.Target> {
   const loaded = load(experiment.deployment);
-  const hosts = await startHosts(loaded, experiment.hosts ?? 1);
+  const { hosts: count = 1 } = experiment;
+  const hosts = await startHosts(loaded, { ...options, count });
   const standIns = createFleet(experiment, {
     hosts: hosts.urls,
     ...(loaded.endpointToken === undefined
@@ -85,7 +94,7 @@
  * with data folders that go when they stop. */
 async function startHosts(
   of: hostSchema.Settings,
-  count: number,
+  { count, createStorage }: Options & { count: number },
 ): Promise<Hosts> {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "chicoryloft-"));
   const hosts = await Promise.all(
@@ -107,6 +116,7 @@
         listen,
       },
       logger: telemetry.noLogger,
+      storage: createStorage?.(),
     });
   }));
   await Promise.all(nodes.map(({ ready }) => ready));
--- a/standins/experiment/embedded_test.ts
+++ b/standins/experiment/embedded_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import * as runtime from "../../src/runtime/mod.ts";
 import type * as schema from "../../src/schema/experiment_types.ts";
+import * as storage from "../../src/storage/mod.ts";
 import type * as faults from "../faults.ts";
 import * as client from "./client.ts";
 import * as embedded from "./embedded.ts";
@@ -41,7 +42,10 @@
   of: schema.Experiment,
   fault?: faults.Fault & { service: string },
 ) {
-  const target = await embedded.start(of);
+  const target = await embedded.start(of, {
+    // A real disk that is slow to sync would have claims refused.
+    createStorage: () => storage.MemoryStorage.create(),
+  });
   const tokens = new Map([["dive-crews", "sample-dive-crews"]]);
   const caller = new client.Client({ tokens });
   try {
