--- a/bench/capacity/matters_log.ts
+++ b/bench/capacity/matters_log.ts
@@ -2,14 +2,13 @@
  * and what table and claims keep.
  * @module */
 
-import type * as command from "../../src/schema/command_types.ts";
 import * as log from "../../src/control/log/mod.ts";
 import * as table from "../../src/control/table/mod.ts";
 import * as storage from "../../src/storage/mod.ts";
 import * as fleets from "../log_fleet.ts";
+import * as machines from "../machine.ts";
 import * as gauge from "./gauge.ts";
 import type * as slope from "./slope.ts";
-import * as tables from "./tables.ts";
 
 const VOTERS = [1, 3, 5, 7];
 const IDLE = 5000;
@@ -153,7 +152,7 @@
 
 function byAccounts(cost: (state: table.State) => number): slope.Point[] {
   return ACCOUNTS.map((size) => {
-    return { size, value: cost(tables.fill(size)) };
+    return { size, value: cost(machines.fill(size)) };
   });
 }
 
@@ -241,7 +240,7 @@
     async measure() {
       const points: slope.Point[] = [];
       for (const size of ACCOUNTS) {
-        const text = JSON.stringify(tables.fill(size).table);
+        const text = JSON.stringify(machines.fill(size).table);
         const read = () => {
           for (let pos = 0; pos < 10; pos++) {
             table.Table.fromJSON(JSON.parse(text));
@@ -259,32 +258,11 @@
   const machine = table.createMachine();
   let state = machine.empty;
   for (let pos = 0; pos < count; pos++) {
-    state = machine.apply(state, createClaim(pos)).state;
-    state = machine.apply(state, createSettle(pos)).state;
+    state = machine.apply(state, machines.createClaim(pos)).state;
+    state = machine.apply(state, machines.createSettle(pos)).state;
   }
   return state;
 }
 
-function createClaim(pos: number): command.ClaimCommand {
-  return {
-    type: "claim",
-    id: `kivu-1-1764697457-${pos}`,
-    at: pos,
-    key: `billing/${String(pos).padStart(43, "k")}`,
-    fingerprint: String(pos).padStart(43, "f"),
-    host: "kivu-1",
-    incarnation: 1764697457,
-    lease: 10_000,
-  };
-}
-
-function createSettle(pos: number): command.SettleCommand {
-  const { id: token, key } = createClaim(pos);
-  const body = String(pos).padStart(200, "b");
-  const answer = { status: 200, contentType: "application/json", body };
-  const id = `${token}-s`;
-  return { type: "settle", id, at: pos, key, token, outcome: "ran", answer };
-}
-
 /** Every slope of the log, and of the table and claims that it drives. */
 export const all: readonly slope.Matter[] = [...groups, ...logs, ...states];
--- a/bench/capacity/slope.ts
+++ b/bench/capacity/slope.ts
@@ -33,15 +33,7 @@
 }
 
 /** A line through measured points, read at the target size. */
-export interface Slope {
-  name: string;
-  role: Role;
-  per: string;
-  unit: string;
-  target: number;
-  reason: string;
-  mechanism: string;
-  budget?: number;
+export interface Slope extends Omit<Matter, "measure"> {
   points: readonly Point[];
   slope: number;
   intercept: number;
--- a/bench/capacity/tables.ts
+++ b/bench/capacity/tables.ts
@@ -1,37 +1,11 @@
 /** Tables, publishers and watchers as measurements of capacity need them.
  * @module */
 
-import type * as edits from "../../src/schema/table_types.ts";
+import * as machines from "../machine.ts";
 import type * as schema from "../../src/schema/watch_types.ts";
 import * as table from "../../src/control/table/mod.ts";
 import * as watch from "../../src/control/watch/mod.ts";
 
-const COLUMNS: edits.Column[] = [
-  "weight",
-  "rate",
-  "concurrency",
-  "deadline",
-  "priority",
-  "spend",
-];
-
-/** A machine's state with a table of `accounts` rows of six cells. */
-export function fill(accounts: number): table.State {
-  const machine = table.createMachine();
-  let state = machine.empty;
-  for (let pos = 0; pos < accounts; pos++) {
-    const changes = COLUMNS.map((column) => ({
-      row: `account/a${pos}`,
-      column,
-      version: 0,
-      value: column === "spend" ? 0.5 : 1 + pos % 9,
-    }));
-    const edit = { operation: `fill-${pos}`, actor: "an", changes };
-    state = machine.apply(state, { type: "edit", id: "x", at: 0, edit }).state;
-  }
-  return state;
-}
-
 /** Changes one cell of a state. */
 export function edit(state: table.State, pos: number): table.State {
   const row = `account/a${pos % state.table.size}`;
@@ -63,7 +37,7 @@
   readonly bytes = new Map<string, number>();
   /** Host that hears and says nothing more. */
   mute = "";
-  #state = fill(10);
+  #state = machines.fill(10);
   #publisher: watch.Publisher;
   #watcher: watch.Watcher;
   readonly #observers = new Map<string, watch.Observer>();
@@ -161,7 +135,7 @@
   now = 0;
   messages = 0;
   bytes = 0;
-  #state = fill(100);
+  #state = machines.fill(100);
   #publisher: watch.Publisher;
   readonly #subscribers: number;
 
