--- /dev/null
+++ b/src/configuration/configuration.ts
@@ -0,0 +1,117 @@
+/** What operators order as a whole, version by version: routes, services,
+ * client accounts and limits. Times are in milliseconds, sizes in bytes.
+ * @module */
+
+/** What may be repeated: `safe` work always, `unsafe` work never, a stream
+ * only where its route lets it be resumed. */
+export type RouteKind = "safe" | "unsafe" | "streaming";
+
+/** Work on pieces that must be done before a request of a route can run. */
+export interface Stage {
+  readonly service: string;
+  /** Numbers of the stages whose results it needs. */
+  readonly after: readonly number[];
+  /** About how large one result is. */
+  readonly bytes: number;
+}
+
+/** A service that a route leads to, and its part of the requests. */
+export interface Target {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** Where requests of one host name and path prefix go. */
+export interface Route {
+  readonly name: string;
+  readonly hostname: string;
+  /** Begins and ends with a slash. */
+  readonly prefix: string;
+  readonly kind: RouteKind;
+  readonly targets: readonly Target[];
+  /** Longest time that a client is kept waiting. */
+  readonly timeout: number;
+  /** Time within which an answer earns its full credit. */
+  readonly objective: number;
+  /** Rank; 0 is the highest. */
+  readonly priority: number;
+  /** Most endpoints that one attempt of a client may be sent to. */
+  readonly attempts: number;
+  readonly stages: readonly Stage[];
+  /** Whether requests need no key. */
+  readonly isPublic: boolean;
+  /** Whether requests name the shared parts of their prompts. */
+  readonly affinity: boolean;
+  /** Whether a stream may go on at another endpoint. */
+  readonly resumable: boolean;
+  /** Longest pause between events that is still on time. */
+  readonly gap?: number;
+}
+
+/** Figures of one engine of a service that runs models. */
+export interface EngineTraits {
+  readonly slots: number;
+  /** Tokens of running requests and cached parts that its memory holds. */
+  readonly tokens: number;
+}
+
+/** Figures of one endpoint of a service that makes pieces. */
+export interface PieceTraits {
+  /** Calls in progress at once. */
+  readonly slots: number;
+  /** Calls that may wait. */
+  readonly queue: number;
+  /** Most pieces in a call. */
+  readonly batch: number;
+  readonly callTime: number;
+  readonly pieceTime: number;
+  /** Bytes of results that it can hold. */
+  readonly room: number;
+  /** How long a result is kept after its call. */
+  readonly keepTime: number;
+}
+
+/** A kind of endpoint. */
+export interface Service {
+  readonly name: string;
+  /** Connections that one endpoint takes from all hosts together. */
+  readonly connections: number;
+  readonly engine?: EngineTraits;
+  readonly pieces?: PieceTraits;
+}
+
+/** A client account and the keys that show it. */
+export interface Account {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Rank that goes before that of a route. */
+  readonly priority?: number;
+}
+
+/** Bounds on what a client may send. */
+export interface Limits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerTimeout: number;
+  readonly idleTimeout: number;
+}
+
+/** One whole version. */
+export interface Configuration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly Service[];
+  readonly accounts: readonly Account[];
+  readonly limits: Limits;
+}
+
+/** Whether the work of a route may run more than once. */
+export function isIdempotent({ kind, resumable }: Route): boolean {
+  return kind === "safe" || (kind === "streaming" && resumable);
+}
+
+/** Whether what a client has left behind is stopped at its endpoint: work that
+ * may be repeated, and streams, which nobody reads to their end any more. */
+export function isStoppable({ kind }: Route): boolean {
+  return kind !== "unsafe";
+}
--- /dev/null
+++ b/src/configuration/mod.ts
@@ -0,0 +1,7 @@
+/** The configuration that operators order as a whole: its types, its check and
+ * the index of one version.
+ * @module */
+
+export * from "./catalogue.ts";
+export * from "./configuration.ts";
+export * from "./fault.ts";
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -186,7 +186,7 @@
   const host = replicaId.host(state.id);
   const first = [...state.hosts].sort()[0];
   const others = state.hosts.filter((other) => other !== host);
-  return isEmpty(state) && host === first &&
+  return state.founds && isEmpty(state) && host === first &&
     others.every((other) => state.found[other] !== undefined);
 }
 
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -22,6 +22,8 @@
   readonly hosts: readonly string[];
   readonly random: runtime.Random;
   readonly now: number;
+  /** Whether it may found a log on an empty disk; it may when absent. */
+  readonly founds?: boolean;
   /** Least term of a log that this replica founds; 0 when absent. */
   readonly foundingTerm?: number;
   /** What the disk holds; nothing on a new folder. */
@@ -89,6 +91,14 @@
     return this.leaseHeld(now) && commit >= opened;
   }
 
+  /** Whether a majority has answered what this leader sent at `time` or later,
+   * so that no other had been elected by then. */
+  isConfirmed(time: number): boolean {
+    const { role, commit, opened } = this.state;
+    return role === "leader" && commit >= opened &&
+      lease.heard(this.state) >= time;
+  }
+
   /** When the lease ends; `-Infinity` without one. */
   get leaseUntil(): number {
     return lease.until(this.state);
@@ -116,6 +126,9 @@
     draft.state.hosts = hosts;
   },
   remove: (draft, { id }) => change.remove(draft, id),
+  confirm(draft) {
+    if (draft.state.role === "leader") replication.beat(draft);
+  },
   transfer: (draft) => transfer.start(draft),
 };
 
@@ -177,7 +190,8 @@
 }
 
 function initial(options: ReplicaOptions): states.State {
-  const { id, hosts, random, now, durable, foundingTerm = 0 } = options;
+  const { id, hosts, random, now, durable } = options;
+  const { founds = true, foundingTerm = 0 } = options;
   const snapshot = durable?.snapshot;
   const index = snapshot?.position.index ?? 0;
   const log = entries.Entries.create(snapshot?.position)
@@ -199,6 +213,7 @@
     heard: now,
     electionAt: now,
     votes: [],
+    founds,
     foundingTerm,
     found: {},
     progress: {},
--- a/src/control/log/runner.ts
+++ b/src/control/log/runner.ts
@@ -11,6 +11,7 @@
 import * as machines from "./machine.ts";
 import * as pauses from "./pause.ts";
 import * as proposals from "./proposals.ts";
+import * as reads from "./reads.ts";
 import * as replicaId from "./replica_id.ts";
 import * as replicas from "./replica.ts";
 import type * as shell from "./runner_options.ts";
@@ -41,12 +42,13 @@
   #timerAt = Infinity;
 
   readonly #proposals = new proposals.Proposals<Reply>();
+  readonly #reads = new reads.Reads();
 
   private constructor(
     options: shell.RunnerOptions<State, Reply>,
     journal: journals.Journal,
   ) {
-    const { clock, machine, hosts, random, timing, sizes } = options;
+    const { clock, machine, hosts, random, timing, sizes, founds } = options;
     const { durable, id } = journal;
     const { snapshot } = durable;
     this.#options = options;
@@ -59,7 +61,7 @@
     this.#pause = new pauses.Detector(clock);
     this.#state = machines.restore(machine, snapshot?.data);
     this.#index = snapshot?.position.index ?? 0;
-    const start = { id, hosts, random, durable, timing, sizes };
+    const start = { id, hosts, random, durable, timing, sizes, founds };
     const now = clock.now();
     const foundingTerm = Math.floor(clock.wall() / 1000);
     this.#replica = replicas.Replica.create({ ...start, now, foundingTerm });
@@ -127,6 +129,24 @@
     );
   }
 
+  /** Resolves with an index of the log: a state that has it applied has all
+   * that was accepted anywhere before the call. Needs no clock to be right: a
+   * majority answers messages that were sent after the call. */
+  confirm(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      const isLeader = this.#replica.state.role === "leader";
+      if (this.#stopped) return reject(this.#refusal("stopped"));
+      if (!isLeader) return reject(this.#refusal("not-leader"));
+      this.#reads.add({
+        time: Math.floor(this.#now()) + 1,
+        index: this.#replica.state.commit,
+        resolve,
+        reject,
+      });
+      if (this.#reads.size === 1) this.#askAgain();
+    });
+  }
+
   /** Commits a command; resolves with what the state machine replies. A
    * `LogError` of any kind but `unknown` says that it has no effect. */
   propose(command: schema.Command): Promise<Reply> {
@@ -171,6 +191,25 @@
     this.#cancel();
     this.#proposals.rejectWaiting(this.#refusal("stopped"));
     this.#proposals.rejectAppended(this.#refusal("unknown"));
+    this.#reads.reject(this.#refusal("stopped"));
+  }
+
+  /** Asks the majority while reads wait. */
+  #askAgain(): void {
+    this.#options.clock.after(reads.ROUND, () => {
+      if (this.#stopped) return;
+      this.#reads.expire(this.#now(), this.#refusal("no-quorum"));
+      if (this.#reads.size === 0) return;
+      this.#handle({ type: "confirm" });
+      this.#askAgain();
+    });
+  }
+
+  #settleReads(): void {
+    if (this.#reads.size === 0) return;
+    if (this.#replica.state.role === "leader") {
+      this.#reads.settle(this.#replica);
+    } else this.#reads.reject(this.#refusal("not-leader"));
   }
 
   #handle(event: states.Event): void {
@@ -180,6 +219,7 @@
     } catch (cause) {
       return this.#fail("contradiction", cause);
     }
+    this.#settleReads();
     this.#arm();
     void this.#writer.flush();
   }
--- a/src/control/log/runner_options.ts
+++ b/src/control/log/runner_options.ts
@@ -16,6 +16,8 @@
   readonly random: runtime.Random;
   readonly transport: runtime.Transport;
   readonly storage: runtime.Storage;
+  /** Whether it may found a log on an empty disk; it may when absent. */
+  readonly founds?: boolean;
   readonly timing?: Partial<states.Timing>;
   readonly sizes?: Partial<states.Sizes>;
   /** Incarnation of a new folder, in hex digits; random when absent. */
--- a/src/control/log/state.ts
+++ b/src/control/log/state.ts
@@ -134,6 +134,8 @@
   readonly heard: number;
   readonly electionAt: number;
   readonly votes: readonly string[];
+  /** Whether this replica may found a log on an empty disk. */
+  readonly founds: boolean;
   /** Least term of a log that this replica founds. */
   readonly foundingTerm: number;
   /** First members while they are being agreed on; all must vote. */
@@ -177,6 +179,8 @@
   | { type: "hosts"; hosts: readonly string[] }
   /** Takes a replica out that will not come back. */
   | { type: "remove"; id: schema.ReplicaId }
+  /** Asks a majority whether this replica still leads. */
+  | { type: "confirm" }
   /** Hands leadership over before a stop. */
   | { type: "transfer" };
 
--- /dev/null
+++ b/src/control/versions/errors.ts
@@ -0,0 +1,22 @@
+/** Errors of the keeper of versions.
+ * @module */
+
+/** Why there is no answer. Only `unknown` may have taken effect. */
+export type VersionFault = "no-leader" | "unknown" | "stopped";
+
+/** An order or a read of the configuration was not answered. */
+export class VersionError extends Error {
+  override readonly name = "VersionError";
+  readonly kind: VersionFault;
+
+  constructor(kind: VersionFault, options: { cause?: unknown } = {}) {
+    super(MESSAGES[kind], options);
+    this.kind = kind;
+  }
+}
+
+const MESSAGES: Record<VersionFault, string> = {
+  "no-leader": "no leader of the log answers",
+  unknown: "the order may or may not be in force",
+  stopped: "the log does not run on this host",
+};
--- /dev/null
+++ b/src/control/versions/keeper.ts
@@ -0,0 +1,343 @@
+/** Keeps the configuration on a host with a disk: a replica of the log, orders
+ * and reads that go to its leader, wherever that is.
+ * @module */
+
+import * as runtime from "../../runtime/mod.ts";
+import type * as schema from "../../schema/fleet_types.ts";
+import type * as telemetry from "../../telemetry/mod.ts";
+import * as log from "../log/mod.ts";
+import * as errors from "./errors.ts";
+import * as machines from "./machine.ts";
+
+/** Milliseconds between tries while no leader answers: an election takes some
+ * hundreds. */
+const RETRY = 60;
+/** Milliseconds after which a replica whose disk failed is started anew. */
+const RESTART = 500;
+/** Milliseconds in which a leader answers a question of another host. */
+const ANSWER = 1000;
+
+/** Sizes of the log for commands that hold whole documents, of which a hundred
+ * kilobytes each are expected: snapshots come often enough for a small disk. */
+const SIZES = { snapshot: 64, perEntry: 50_000, trailing: 16 };
+/** Milliseconds of silence after which a voter is exchanged for a live host:
+ * the exchange must end before a second loss is to be borne. */
+const TIMING = { silence: 1500 };
+
+/** Opens the disk. It is opened again after a failure. */
+export type OpenStorage = () => Promise<Storage>;
+
+/** A disk that can be closed. */
+export interface Storage extends runtime.Storage {
+  close?(): Promise<void>;
+}
+
+/** Asks another host. */
+export type Ask = (
+  to: string,
+  question: schema.Question,
+  options: { timeout: number },
+) => Promise<schema.Reply>;
+
+/** What a keeper needs of its host. */
+export interface KeeperOptions {
+  self: string;
+  /** Hosts that may found the log. */
+  founders: readonly string[];
+  /** Whether this host may found it. */
+  founds: boolean;
+  clock: runtime.Clock;
+  random: runtime.Random;
+  transport: runtime.Transport;
+  open: OpenStorage;
+  ask: Ask;
+  logger: telemetry.Logger;
+  /** A version was applied here. */
+  onEdition?(edition: machines.Edition): void;
+}
+
+type Runner = log.Runner<machines.Edition, machines.Reply>;
+
+/** The replica of this host, and the way to its leader. */
+export class Keeper {
+  readonly #options: KeeperOptions;
+  #runner?: Runner;
+  #hosts: readonly string[];
+  #orders = 0;
+  #stopped = false;
+  #waiting: { index: number; resolve(): void }[] = [];
+  #members?: unknown;
+
+  private constructor(options: KeeperOptions) {
+    this.#options = options;
+    this.#hosts = options.founders;
+  }
+
+  /** Reads the disk and takes part from then on. */
+  static async start(options: KeeperOptions): Promise<Keeper> {
+    const keeper = new Keeper(options);
+    await keeper.#start();
+    return keeper;
+  }
+
+  /** Hosts of the voters as this host knows them. */
+  get voters(): string[] {
+    const { voters = [] } = this.#runner?.replica.members ?? {};
+    return voters.map((id) => log.replicaId.host(id));
+  }
+
+  get leader(): string | undefined {
+    return this.#runner?.leader;
+  }
+
+  get isLeader(): boolean {
+    return this.#runner?.replica.state.role === "leader";
+  }
+
+  /** The newest version applied here, which may not be the newest of all. */
+  get edition(): machines.Edition {
+    return this.#runner?.state ?? machines.NONE;
+  }
+
+  /** Names the hosts that should be voters. */
+  setHosts(hosts: readonly string[]): void {
+    if (hosts.join() === this.#hosts.join()) return;
+    this.#hosts = hosts;
+    this.#runner?.setHosts(hosts);
+  }
+
+  /** Takes a message of another replica. */
+  receive(envelope: runtime.Envelope): void {
+    this.#runner?.receive(envelope);
+  }
+
+  /** Orders a version; resolves once a majority has it on disk. Rejects with
+   * `VersionError` when that is not known after `patience` milliseconds. */
+  async replace(
+    order: Pick<machines.Edition, "version" | "document">,
+    patience: number,
+  ): Promise<machines.Reply> {
+    const reply = await this.#untilAnswered(
+      patience,
+      () => this.#replaceHere(order),
+      { type: "replace", ...order },
+    );
+    return reply as schema.ReplacedReply;
+  }
+
+  /** The newest version of all at some moment after the call, confirmed by a
+   * majority. Rejects with `VersionError`. */
+  async read(patience: number): Promise<machines.Edition> {
+    const reply = await this.#untilAnswered(
+      patience,
+      () => this.#confirmHere(),
+      { type: "confirm" },
+    );
+    await this.#reach((reply as schema.ConfirmedReply).index, patience);
+    return this.edition;
+  }
+
+  /** Answers a question that another host has sent to the leader. */
+  answer(
+    question: schema.ConfirmQuestion | schema.ReplaceQuestion,
+  ): Promise<schema.Reply> {
+    const { type } = question;
+    return type === "confirm"
+      ? this.#confirmHere()
+      : this.#replaceHere(question);
+  }
+
+  /** Hands leadership over, before a stop. */
+  drain(): void {
+    this.#runner?.drain();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#runner?.stop();
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    if (this.#runner === undefined) return { runs: false };
+    const { index, counters, replica, state } = this.#runner;
+    const now = this.#options.clock.now();
+    const { version, digest } = state;
+    return {
+      ...log.dump(replica, now) as object,
+      index,
+      counters,
+      version,
+      digest,
+    };
+  }
+
+  async #start(): Promise<void> {
+    const { self, founds, clock, random, transport, logger } = this.#options;
+    let storage: Storage | undefined;
+    try {
+      storage = await this.#options.open();
+      const opened = storage;
+      this.#runner = await log.Runner.start<machines.Edition, machines.Reply>({
+        host: self,
+        hosts: this.#hosts,
+        founds,
+        machine: machines.machine,
+        clock,
+        random,
+        transport,
+        storage,
+        sizes: SIZES,
+        timing: TIMING,
+        onChange: (state, index) => this.#takeState(state, index),
+        onRole: (role, term, { leader }) => {
+          logger.info({ role, term, leader }, "Role in the log changed");
+        },
+        onFailure: (failure) => void this.#restart(failure, opened),
+      });
+    } catch (error) {
+      void this.#restart(error, storage);
+      return;
+    }
+    const { id, term, index, state } = this.#runner;
+    const { version } = state;
+    logger.info({ id, term, index, version }, "Replica of the log started");
+    this.#options.onEdition?.(state);
+  }
+
+  /** Starts the replica anew from what its disk holds. */
+  async #restart(error: unknown, storage?: Storage): Promise<void> {
+    const { clock, logger } = this.#options;
+    this.#runner = undefined;
+    logger.error({ err: error, retryMs: RESTART }, "Replica of the log failed");
+    try {
+      await storage?.close?.();
+    } catch (cause) {
+      logger.warn({ err: cause }, "Disk was not closed");
+    }
+    clock.after(RESTART, () => {
+      if (!this.#stopped) void this.#start();
+    });
+  }
+
+  #takeState(state: machines.Edition, index: number): void {
+    const ready = this.#waiting.filter((each) => each.index <= index);
+    this.#waiting = this.#waiting.filter((each) => each.index > index);
+    this.#options.onEdition?.(state);
+    ready.forEach(({ resolve }) => resolve());
+    this.#noteMembers();
+  }
+
+  #noteMembers(): void {
+    const members = this.#runner?.replica.members;
+    if (members === undefined || members === this.#members) return;
+    this.#members = members;
+    const { leader } = this;
+    this.#options.logger.info(
+      { ...members, leader },
+      "Members of the log changed",
+    );
+  }
+
+  /** Waits until this host has applied an index. */
+  #reach(index: number, patience: number): Promise<void> {
+    const applied = this.#runner?.index ?? -1;
+    if (applied >= index) return Promise.resolve();
+    return new Promise((resolve, reject) => {
+      const cancel = this.#options.clock.after(patience, () => {
+        this.#waiting = this.#waiting.filter((each) => each !== entry);
+        reject(new errors.VersionError("no-leader"));
+      });
+      const entry = {
+        index,
+        resolve() {
+          cancel();
+          resolve();
+        },
+      };
+      this.#waiting.push(entry);
+    });
+  }
+
+  async #confirmHere(): Promise<schema.Reply> {
+    const runner = this.#runner;
+    if (runner === undefined) return { type: "failed", reason: "stopped" };
+    try {
+      return { type: "confirmed", index: await runner.confirm() };
+    } catch (error) {
+      return failure(error);
+    }
+  }
+
+  async #replaceHere(
+    order: Pick<machines.Edition, "version" | "document">,
+  ): Promise<schema.Reply> {
+    const runner = this.#runner;
+    if (runner === undefined) return { type: "failed", reason: "stopped" };
+    const { self, clock } = this.#options;
+    const id = `${self}/${Math.floor(clock.wall())}/${++this.#orders}`;
+    try {
+      const reply = await runner.propose(machines.command(id, order));
+      return { type: "replaced", ...reply };
+    } catch (error) {
+      return failure(error);
+    }
+  }
+
+  /** Asks the leader, here or elsewhere, until it answers. */
+  async #untilAnswered(
+    patience: number,
+    here: () => Promise<schema.Reply>,
+    question: schema.Question,
+  ): Promise<schema.Reply> {
+    const { clock } = this.#options;
+    const until = clock.now() + patience;
+    let isOpen = false;
+    for (;;) {
+      const left = until - clock.now();
+      if (this.#stopped) throw new errors.VersionError("stopped");
+      if (left <= 0) throw givenUp(isOpen);
+      const reply = await this.#once(here, question, left);
+      if (reply?.type !== "failed" && reply !== undefined) return reply;
+      // An order that is sent again does no harm: versions say which wins.
+      isOpen ||= reply === undefined || reply.reason === "unknown";
+      await new Promise<void>((resolve) =>
+        void clock.after(RETRY, () => resolve())
+      );
+    }
+  }
+
+  /** One try; undefined when the leader did not answer. */
+  async #once(
+    here: () => Promise<schema.Reply>,
+    question: schema.Question,
+    left: number,
+  ): Promise<schema.Reply | undefined> {
+    const { leader } = this;
+    const { self, ask, logger } = this.#options;
+    if (leader === undefined) return { type: "failed", reason: "not-leader" };
+    if (leader === self) return here();
+    try {
+      const timeout = Math.min(left, ANSWER);
+      return await ask(leader, question, { timeout });
+    } catch (error) {
+      const { type } = question;
+      logger.debug({ err: error, leader, type }, "Leader did not answer");
+      return undefined;
+    }
+  }
+}
+
+function givenUp(isOpen: boolean): errors.VersionError {
+  return new errors.VersionError(isOpen ? "unknown" : "no-leader");
+}
+
+function failure(error: unknown): schema.FailedReply {
+  if (!(error instanceof log.LogError)) throw error;
+  const reasons: Partial<Record<log.LogFault, schema.FailedReply["reason"]>> = {
+    "not-leader": "not-leader",
+    "no-quorum": "no-quorum",
+    stopped: "stopped",
+  };
+  return { type: "failed", reason: reasons[error.kind] ?? "unknown" };
+}
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -61,11 +61,13 @@
   #done = false;
   #bytes = 0;
   #heard: number;
+  #silence: number;
   #cancelTimer: runtime.Cancel = () => {};
 
   private constructor(options: Options) {
     this.#options = options;
     this.#heard = options.clock.now();
+    this.#silence = options.silence;
   }
 
   /** Sends, and tells the receiver what comes. */
@@ -83,6 +85,14 @@
     this.#cut("The call was cancelled");
   }
 
+  /** Gives it up after so many milliseconds without a byte, from now on. */
+  expectWithin(silence: number): void {
+    if (this.#done) return;
+    this.#silence = silence;
+    this.#cancelTimer();
+    this.#watch();
+  }
+
   /** Ends it as broken; cuts the connection. */
   break(reason: request.FailureReason): void {
     if (this.#done) return;
@@ -157,7 +167,8 @@
 
   /** Wakes when the deadline or, if nothing is heard, the bound is reached. */
   #watch(): void {
-    const { clock, deadline, silence } = this.#options;
+    const { clock, deadline } = this.#options;
+    const silence = this.#silence;
     const now = clock.now();
     if (now >= deadline) return this.break("deadline");
     if (now - this.#heard >= silence) return this.break("silent");
--- a/src/endpoints/mod.ts
+++ b/src/endpoints/mod.ts
@@ -4,4 +4,5 @@
 export type { Entry, Serving } from "./entry.ts";
 export * from "./holder.ts";
 export * from "./registry.ts";
+export * from "./roster.ts";
 export type { Change, Effect, Event, Options, Refusal } from "./state.ts";
--- /dev/null
+++ b/src/fleet/base.ts
@@ -0,0 +1,68 @@
+/** What every host of such a fleet has: clock, log lines, counters, and the
+ * way to the other hosts.
+ * @module */
+
+import * as peers from "../peers/mod.ts";
+import * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import * as fleetMessages from "../schema/fleet_validators.ts";
+import * as logMessages from "../schema/log_validators.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import type * as settings from "./settings.ts";
+
+/** What a host stands on. */
+export interface Base {
+  settings: settings.HostSettings;
+  clock: runtime.Clock;
+  random: runtime.Random;
+  logger: telemetry.Logger;
+  metrics: telemetry.Metrics;
+}
+
+/** Transport and questions of a host. */
+export interface Network {
+  transport: peers.Peers;
+  calls: peers.Calls;
+}
+
+/** Takes what comes from other hosts. */
+export interface Receivers {
+  handlers: peers.Handlers;
+  onNotice(notice: schema.Notice, from: string): void;
+  onLog?(envelope: runtime.Envelope): void;
+}
+
+/** The way to the other hosts; it does not listen yet. */
+export function createNetwork(
+  { settings: { host, peerPort }, clock, logger, metrics }: Base,
+  { handlers, onNotice, onLog }: Receivers,
+): Network {
+  const transport = peers.Peers.create({
+    self: host,
+    hosts: {
+      get: (id) => ({ id, address: id, port: peerPort }),
+      has: () => true,
+    },
+    validators: {
+      fleet: fleetMessages.validate,
+      log: logMessages.validate,
+    },
+    clock,
+    logger,
+    metrics,
+    onEnvelope(envelope) {
+      if (envelope.channel === "log") return onLog?.(envelope);
+      calls.receive(envelope.from, envelope.body as schema.FleetMessage);
+    },
+  });
+  const calls = peers.Calls.create({
+    self: host,
+    clock,
+    transport,
+    handlers,
+    onNotice,
+    onFault: (error, { type }) =>
+      logger.error({ err: error, type }, "Question not answered"),
+  });
+  return { transport, calls };
+}
--- /dev/null
+++ b/src/fleet/control_protocol.ts
@@ -0,0 +1,40 @@
+/** What operators and endpoints say to a control host, as an adapter of their
+ * platform decodes it.
+ * @module */
+
+import type * as configurations from "../configuration/mod.ts";
+import type * as endpoints from "../endpoints/mod.ts";
+
+/** A call that was read. */
+export interface ControlCall {
+  readonly method: string;
+  /** Path with query. */
+  readonly target: string;
+  readonly body: Buffer;
+}
+
+/** What a call asks for. */
+export type ControlOrder =
+  | {
+    type: "replace";
+    document: string;
+    configuration: configurations.Configuration;
+  }
+  | { type: "read" }
+  | { type: "heartbeat"; sighting: endpoints.Sighting; coldFor: number }
+  | { type: "leave"; id: string }
+  /** A call that there is, with content that cannot be read. */
+  | { type: "malformed"; detail: string }
+  | { type: "unknown" };
+
+/** Answer to a call. */
+export interface ControlAnswer {
+  readonly status: number;
+  /** JSON text. */
+  readonly body: string;
+}
+
+/** Decodes calls to control hosts. */
+export interface ControlProtocol {
+  decode(call: ControlCall): ControlOrder;
+}
--- /dev/null
+++ b/src/fleet/control_server.ts
@@ -0,0 +1,108 @@
+/** HTTP towards operators and endpoints.
+ * @module */
+
+import type * as http from "node:http";
+import type * as runtime from "../runtime/mod.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import * as errors from "./errors.ts";
+import * as httpListener from "./http_listener.ts";
+import type * as protocol from "./control_protocol.ts";
+
+/** Bytes of the largest configuration: thousands of routes. */
+const MOST_BODY = 16 * 1024 * 1024;
+
+type Order<T> = Extract<protocol.ControlOrder, { type: T }>;
+type Served = "replace" | "read" | "heartbeat" | "leave";
+
+/** Answers orders by their types. */
+export type Handlers = {
+  [T in Served]: (order: Order<T>) => Promise<protocol.ControlAnswer>;
+};
+
+/** What the server needs of its host. */
+export interface ControlServerOptions {
+  place: httpListener.Place;
+  logger: telemetry.Logger;
+  metrics: telemetry.Metrics;
+  clock: runtime.Clock;
+  protocol: protocol.ControlProtocol;
+  handlers: Handlers;
+}
+
+/** A listening server. */
+export class ControlServer {
+  readonly #options: ControlServerOptions;
+  #server!: http.Server;
+
+  private constructor(options: ControlServerOptions) {
+    this.#options = options;
+  }
+
+  /** Listens; resolves once calls are taken. */
+  static async start(options: ControlServerOptions): Promise<ControlServer> {
+    const control = new ControlServer(options);
+    control.#server = await httpListener.listen(
+      options.place,
+      (request, response) => void control.#serve(request, response),
+    );
+    return control;
+  }
+
+  /** Closes all connections. */
+  stop(): Promise<void> {
+    return httpListener.close(this.#server);
+  }
+
+  async #serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const { clock, metrics, logger } = this.#options;
+    const started = clock.now();
+    const { status, body } = await this.#answer(request);
+    const target = request.url ?? "";
+    metrics.time("control.duration", clock.now() - started, {
+      status: `${status}`,
+    });
+    if (status >= 400) logger.info({ target, status, body }, "Call refused");
+    response.writeHead(status, {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
+    });
+    response.end(body);
+  }
+
+  async #answer(
+    request: http.IncomingMessage,
+  ): Promise<protocol.ControlAnswer> {
+    const { protocol, logger } = this.#options;
+    const { method = "", url: target = "" } = request;
+    try {
+      const body = await httpListener.readBody(request, MOST_BODY);
+      return await this.#handle(protocol.decode({ method, target, body }));
+    } catch (error) {
+      if (error instanceof errors.FleetError) {
+        return answer(413, error.message);
+      }
+      logger.error({ err: error, target }, "Call failed");
+      return answer(500, "the call failed");
+    }
+  }
+
+  #handle(
+    order: protocol.ControlOrder,
+  ): protocol.ControlAnswer | Promise<protocol.ControlAnswer> {
+    const { handlers, metrics } = this.#options;
+    metrics.count("control.calls", 1, { type: order.type });
+    if (order.type === "malformed") return answer(400, order.detail);
+    if (order.type === "unknown") return answer(404, "no such call");
+    const handler = handlers[order.type] as (
+      order: protocol.ControlOrder,
+    ) => Promise<protocol.ControlAnswer>;
+    return handler(order);
+  }
+}
+
+function answer(status: number, detail: string): protocol.ControlAnswer {
+  return { status, body: JSON.stringify({ detail }) };
+}
--- /dev/null
+++ b/src/fleet/core_host.ts
@@ -0,0 +1,338 @@
+/** A host with a disk: keeps the configuration, hears the endpoints, and
+ * answers operators and the hosts that take requests.
+ * @module */
+
+import * as configurations from "../configuration/mod.ts";
+import * as versions from "../control/versions/mod.ts";
+import * as endpoints from "../endpoints/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import * as bases from "./base.ts";
+import * as controlServer from "./control_server.ts";
+import * as coreMembers from "./core_members.ts";
+import * as entryMembers from "./entry_members.ts";
+import * as protocol from "./control_protocol.ts";
+import * as spread from "./spread.ts";
+import type * as settings from "./settings.ts";
+import * as sightings from "./sightings.ts";
+
+/** Milliseconds between greetings among hosts with disks. */
+const GREETING = 400;
+/** Milliseconds in which a change of the configuration is acknowledged: before
+ * an operator's call ends after a second, so that it hears why not. */
+const ORDER_PATIENCE = 900;
+/** Milliseconds in which a majority confirms a read. */
+const READ_PATIENCE = 800;
+/** Milliseconds in which a majority confirms what is in force, for a host that
+ * asks another one soon. */
+const SYNC_PATIENCE = 350;
+/** Heartbeats that an endpoint may miss before it counts as silent. */
+const MISSED = 3.5;
+/** Milliseconds for which a silent endpoint, or one that is gone, is kept:
+ * longer than any late report of it. */
+const MEMORY = 60_000;
+/** Fewest voters, where there are so many hosts. */
+const VOTERS = 5;
+
+/** What a host with a disk is made from. */
+export interface CoreOptions extends bases.Base {
+  protocol: protocol.ControlProtocol;
+  open: versions.OpenStorage;
+}
+
+/** A running host with a disk. */
+export class CoreHost {
+  readonly #options: CoreOptions;
+  readonly #network: bases.Network;
+  readonly #members: coreMembers.CoreMembers;
+  readonly #entries = entryMembers.EntryMembers.create();
+  readonly #roster: endpoints.Roster;
+  readonly #spread: spread.Spread;
+  readonly #epoch: string;
+  #keeper!: versions.Keeper;
+  #server?: controlServer.ControlServer;
+  #stopped = false;
+
+  private constructor(options: CoreOptions) {
+    const { settings, clock } = options;
+    const { host, dataCentre, seeds, heartbeat } = settings;
+    this.#options = options;
+    this.#epoch = `${host}/${Math.floor(clock.wall())}`;
+    this.#members = coreMembers.CoreMembers.create({ host, dataCentre }, seeds);
+    this.#roster = endpoints.Roster.create({
+      silence: MISSED * heartbeat,
+      memory: MEMORY,
+    });
+    this.#network = bases.createNetwork(options, {
+      handlers: {
+        confirm: (question) => this.#keeper.answer(question),
+        replace: (question) => this.#keeper.answer(question),
+        sync: (question, from) => this.#sync(question, from),
+        note: (question) => this.#note(question),
+      },
+      onNotice: (notice, from) => this.#hear(notice, from),
+      onLog: (envelope) => this.#keeper?.receive(envelope),
+    });
+    this.#spread = spread.Spread.create({
+      clock,
+      roster: this.#roster,
+      logger: options.logger,
+      calls: this.#network.calls,
+      others: () => this.#others(),
+    });
+  }
+
+  /** Reads the disk, takes part in the log and serves callers. */
+  static async start(options: CoreOptions): Promise<CoreHost> {
+    const host = new CoreHost(options);
+    await host.#start();
+    return host;
+  }
+
+  /** Follows settings that have changed. */
+  reload({ seeds }: settings.HostSettings): void {
+    this.#members.learn(seeds);
+    this.#options.logger.info({ seeds }, "Settings read again");
+  }
+
+  /** Hands its part in the log over and ends. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    this.#keeper.drain();
+    await new Promise<void>((resolve) =>
+      void this.#options.clock.after(FAREWELL, () => resolve())
+    );
+    await this.#server?.stop();
+    this.#keeper.stop();
+    this.#network.calls.stop();
+    await this.#network.transport.stop();
+    this.#options.logger.info({}, "Host stopped");
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    const now = this.#options.clock.now();
+    return {
+      log: this.#keeper.dump(),
+      cores: this.#members.live(now),
+      entryHosts: this.#entries.live(now),
+      endpoints: [...this.#roster.entries],
+      peers: this.#network.transport.dump(),
+    };
+  }
+
+  async #start(): Promise<void> {
+    const { settings, logger, clock, open } = this.#options;
+    const { host, seeds, isFirstStart, control } = settings;
+    const founds = isFirstStart && seeds.includes(host);
+    await this.#network.transport.start();
+    this.#keeper = await versions.Keeper.start({
+      ...this.#options,
+      self: host,
+      founders: seeds,
+      founds,
+      transport: this.#network.transport,
+      open,
+      ask: (to, question, options) =>
+        this.#network.calls.ask(to, question, options),
+    });
+    this.#tick();
+    if (control !== undefined) {
+      this.#server = await controlServer.ControlServer.start({
+        place: control,
+        logger,
+        metrics: this.#options.metrics,
+        clock,
+        protocol: this.#options.protocol,
+        handlers: {
+          replace: (order) => this.#replace(order),
+          read: () => this.#read(),
+          heartbeat: (order) => this.#heartbeat(order),
+          leave: (order) => this.#leave(order),
+        },
+      });
+    }
+    logger.info({ founds, seeds }, "Host started");
+  }
+
+  #tick(): void {
+    if (this.#stopped) return;
+    const { clock } = this.#options;
+    const now = clock.now();
+    this.#members.learn(this.#keeper.voters);
+    this.#greet(now);
+    this.#roster.expire(now);
+    this.#spread.tick();
+    this.#chooseVoters(now);
+    clock.after(GREETING, () => this.#tick());
+  }
+
+  #greet(now: number): void {
+    const { settings: { dataCentre } } = this.#options;
+    const cores = this.#members.live(now).map(({ host }) => host);
+    const hosts = this.#entries.live(now);
+    for (const other of this.#members.others) {
+      const notice = { type: "hello" as const, dataCentre, cores, hosts };
+      this.#network.calls.cast(other, notice);
+    }
+  }
+
+  #chooseVoters(now: number): void {
+    const { voters, isLeader } = this.#keeper;
+    if (!isLeader) return;
+    const { lossesBorne } = this.#options.settings;
+    const most = Math.max(VOTERS, 2 * lossesBorne + 1);
+    const live = this.#members.live(now);
+    this.#keeper.setHosts(coreMembers.chooseVoters({ live, voters, most }));
+  }
+
+  #others(): string[] {
+    const { host } = this.#options.settings;
+    return this.#members.live(this.#options.clock.now())
+      .map((each) => each.host)
+      .filter((other) => other !== host);
+  }
+
+  #hear(notice: schema.Notice, from: string): void {
+    if (notice.type !== "hello") return;
+    const now = this.#options.clock.now();
+    const { dataCentre, cores, hosts } = notice;
+    const isNew = !this.#others().includes(from);
+    this.#members.hear({ host: from, dataCentre, heard: now });
+    this.#members.learn(cores);
+    hosts.forEach((host) => this.#entries.hear(host, now));
+    // A host that has just come knows no endpoints.
+    if (isNew) this.#spread.tellAll(from);
+  }
+
+  async #sync(
+    question: schema.SyncQuestion,
+    from: string,
+  ): Promise<schema.Reply> {
+    const { clock } = this.#options;
+    this.#entries.hear({ ...question.host, host: from }, clock.now());
+    const edition = await this.#confirmed();
+    const now = clock.now();
+    const isSame = question.epoch === this.#epoch;
+    const since = isSame ? question.revision : 0;
+    const { version, document } = edition ?? versions.NONE;
+    return {
+      type: "synced",
+      confirmed: edition !== undefined,
+      version,
+      ...(version > question.version && { document }),
+      epoch: this.#epoch,
+      revision: this.#roster.revision,
+      sightings: this.#roster.since(since).map((entry) =>
+        sightings.encode(entry, now)
+      ),
+      hosts: this.#entries.live(now),
+      cores: this.#members.live(now).map(({ host }) => host),
+    };
+  }
+
+  async #confirmed(): Promise<versions.Edition | undefined> {
+    try {
+      return await this.#keeper.read(SYNC_PATIENCE);
+    } catch (error) {
+      if (!(error instanceof versions.VersionError)) throw error;
+      this.#options.metrics.count("config.unconfirmed");
+      return undefined;
+    }
+  }
+
+  #note({ sightings: told }: schema.NoteQuestion): Promise<schema.Reply> {
+    const now = this.#options.clock.now();
+    for (const sighting of told) {
+      this.#roster.take(sightings.decode(sighting, { now, judges: true }));
+    }
+    return Promise.resolve({ type: "noted" });
+  }
+
+  async #replace(
+    { document, configuration }: Order<"replace">,
+  ): Promise<protocol.ControlAnswer> {
+    const { version } = configuration;
+    const fault = configurations.faultOf(configuration);
+    const { logger } = this.#options;
+    if (fault !== undefined) {
+      logger.info({ version, ...fault }, "Configuration refused as invalid");
+      return problem(400, fault.detail);
+    }
+    try {
+      const order = { version, document };
+      const reply = await this.#keeper.replace(order, ORDER_PATIENCE);
+      logger.info({ asked: version, ...reply }, "Configuration ordered");
+      return reply.verdict === "conflict"
+        ? problem(409, `version ${version} is in force with other content`)
+        : { status: 200, body: JSON.stringify({ version: reply.version }) };
+    } catch (error) {
+      return this.#unanswered(error, { version });
+    }
+  }
+
+  async #read(): Promise<protocol.ControlAnswer> {
+    try {
+      const edition = await this.#keeper.read(READ_PATIENCE);
+      if (edition.version > 0) return { status: 200, body: edition.document };
+      return problem(503, "no configuration has been accepted yet");
+    } catch (error) {
+      return this.#unanswered(error, { read: true });
+    }
+  }
+
+  async #heartbeat(
+    { sighting, coldFor }: Order<"heartbeat">,
+  ): Promise<protocol.ControlAnswer> {
+    const heard = this.#options.clock.now();
+    const coldUntil = coldFor > 0 ? heard + coldFor : 0;
+    const isNews = this.#roster.take({ sighting, heard, coldUntil });
+    this.#spread.hear(sighting.id);
+    if (sighting.state === "ready" && !isNews) return DONE;
+    return await this.#tell(sighting.id, sighting.state);
+  }
+
+  #leave({ id }: Order<"leave">): Promise<protocol.ControlAnswer> {
+    this.#roster.leave(id, this.#options.clock.now());
+    this.#spread.hear(id);
+    return this.#tell(id, "gone");
+  }
+
+  /** Tells the other hosts of a change. One that takes an endpoint away is
+   * acknowledged only when a majority knows, so that it is not forgotten. */
+  async #tell(
+    id: string,
+    state: endpoints.SightingState,
+  ): Promise<protocol.ControlAnswer> {
+    const { logger } = this.#options;
+    if (state === "ready") {
+      void this.#spread.tell(id);
+      logger.info({ endpoint: id, state }, "Endpoint changed");
+      return DONE;
+    }
+    const { told, of } = await this.#spread.tell(id);
+    const isKnown = 2 * told > of;
+    logger.info({ endpoint: id, state, told, of, isKnown }, "Endpoint leaves");
+    return isKnown ? DONE : problem(503, "other hosts do not answer");
+  }
+
+  #unanswered(error: unknown, about: object): protocol.ControlAnswer {
+    if (!(error instanceof versions.VersionError)) throw error;
+    const { kind, message } = error;
+    const { leader } = this.#keeper;
+    const fields = { ...about, kind, leader };
+    this.#options.logger.info(fields, "Operator not answered");
+    return problem(503, message);
+  }
+}
+
+/** Milliseconds for which a host that stops still answers: its successor in
+ * the log is elected within. */
+const FAREWELL = 300;
+
+type Order<T> = Extract<protocol.ControlOrder, { type: T }>;
+
+const DONE: protocol.ControlAnswer = { status: 200, body: "{}" };
+
+function problem(status: number, detail: string): protocol.ControlAnswer {
+  return { status, body: JSON.stringify({ detail }) };
+}
--- /dev/null
+++ b/src/fleet/core_members.ts
@@ -0,0 +1,106 @@
+/** The hosts with disks: who is there, and who should be a voter.
+ * @module */
+
+/** Milliseconds without a greeting after which a host counts as lost: three
+ * greetings and the delay of a busy host. */
+const LOST = 1500;
+
+/** A host with a disk that was heard. */
+export interface CoreHost {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly heard: number;
+}
+
+/** Hosts with disks as one of them knows them; changed in place. */
+export class CoreMembers {
+  readonly #self: CoreHost;
+  readonly #known = new Set<string>();
+  readonly #heard = new Map<string, CoreHost>();
+
+  private constructor(self: CoreHost) {
+    this.#self = self;
+  }
+
+  /** Only this host is known, and `known` by their addresses. */
+  static create(
+    self: Pick<CoreHost, "host" | "dataCentre">,
+    known: readonly string[],
+  ): CoreMembers {
+    const members = new CoreMembers({ ...self, heard: Infinity });
+    members.learn(known);
+    return members;
+  }
+
+  /** Notes hosts that may be there. */
+  learn(hosts: readonly string[]): void {
+    for (const host of hosts) {
+      if (host !== this.#self.host) this.#known.add(host);
+    }
+  }
+
+  /** Notes a greeting. */
+  hear(host: CoreHost): void {
+    this.learn([host.host]);
+    this.#heard.set(host.host, host);
+  }
+
+  /** The other hosts that greetings go to. */
+  get others(): string[] {
+    return [...this.#known];
+  }
+
+  /** Hosts that are there, this one among them. */
+  live(now: number): CoreHost[] {
+    const others = [...this.#heard.values()];
+    return [
+      this.#self,
+      ...others.filter(({ heard }) => now - heard <= LOST),
+    ];
+  }
+}
+
+/** What a choice of voters goes by. */
+export interface Electorate {
+  readonly live: readonly Pick<CoreHost, "host" | "dataCentre">[];
+  /** Hosts that are voters now. */
+  readonly voters: readonly string[];
+  /** Most voters; odd. */
+  readonly most: number;
+}
+
+/** Hosts that should be voters: those that are and live, then live ones from
+ * the data centres with the fewest, up to an odd number; a lost voter stays
+ * until a live host can take its place. */
+export function chooseVoters({ live, voters, most }: Electorate): string[] {
+  const chosen = live.filter(({ host }) => voters.includes(host));
+  const free = live.filter(({ host }) => !voters.includes(host));
+  const known = new Set([...voters, ...live.map(({ host }) => host)]);
+  const wanted = Math.min(most, oddUpTo(known.size));
+  while (chosen.length < wanted && free.length > 0) {
+    const next = free.reduce((best, each) =>
+      compare(each, best, chosen) < 0 ? each : best
+    );
+    free.splice(free.indexOf(next), 1);
+    chosen.push(next);
+  }
+  const lost = voters.filter((host) => !live.some((one) => one.host === host));
+  const kept = lost.sort().slice(0, Math.max(0, wanted - chosen.length));
+  return [...chosen.map(({ host }) => host), ...kept].sort();
+}
+
+type Candidate = Pick<CoreHost, "host" | "dataCentre">;
+
+function compare(
+  one: Candidate,
+  other: Candidate,
+  chosen: readonly Candidate[],
+): number {
+  const count = ({ dataCentre }: Candidate) =>
+    chosen.filter((each) => each.dataCentre === dataCentre).length;
+  return count(one) - count(other) || (one.host < other.host ? -1 : 1);
+}
+
+function oddUpTo(count: number): number {
+  return count % 2 === 0 ? count - 1 : count;
+}
--- /dev/null
+++ b/src/fleet/entry_host.ts
@@ -0,0 +1,238 @@
+/** A host that takes requests: it has no disk, follows the hosts that have one
+ * and passes requests on to services.
+ * @module */
+
+import * as undici from "undici";
+import * as configurations from "../configuration/mod.ts";
+import * as gateway from "../gateway/mod.ts";
+import * as pieces from "../pieces/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import * as bases from "./base.ts";
+import * as errors from "./errors.ts";
+import * as followers from "./follower.ts";
+import type * as settings from "./settings.ts";
+
+/** Part of the time in which a key must stop to serve that a host may go
+ * without hearing of changes: a poll, and a request's way to its endpoint, take
+ * the rest; the users owe nothing above 0.6. */
+const FRESH = 0.55;
+/** Milliseconds of the stop's grace that are kept for the end itself. */
+const END_RESERVE = 700;
+/** Milliseconds for which a host that stops goes on taking requests: callers
+ * are sent elsewhere after two looks at its readiness, a second apart. */
+const TAKING = 2600;
+/** Milliseconds in which a connection to an endpoint is made: a retry of the
+ * opening packet takes a second, and another endpoint is better by then. */
+const CONNECT_TIMEOUT = 700;
+/** Milliseconds that an idle connection is kept when its endpoint names no
+ * time, and the margin by which it is closed before a named time. */
+const KEEP_ALIVE = 2000;
+const KEEP_ALIVE_MARGIN = 400;
+
+/** Decodes a configuration; throws `FleetError` when it cannot be read. */
+export type DecodeConfiguration = (
+  document: string,
+) => configurations.Configuration;
+
+/** What a host that takes requests is made from. */
+export interface EntryOptions extends bases.Base {
+  protocol: gateway.GatewayProtocol;
+  decode: DecodeConfiguration;
+}
+
+/** A running host that takes requests. */
+export class EntryHost {
+  readonly #options: EntryOptions;
+  readonly #network: bases.Network;
+  readonly #follower: followers.Follower;
+  readonly #pool = gateway.Pool.create();
+  readonly #batcher: pieces.Batcher;
+  readonly #maker: pieces.Maker;
+  readonly #dispatcher: undici.Agent;
+  readonly #budgets = new Map<string, gateway.RetryBudget>();
+  #catalogue?: configurations.Catalogue;
+  #server!: gateway.Server;
+  #isDraining = false;
+
+  private constructor(options: EntryOptions) {
+    const { settings, clock, logger } = options;
+    const { host: self, dataCentre, seeds } = settings;
+    this.#options = options;
+    this.#dispatcher = new undici.Agent({
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT },
+      keepAliveTimeout: KEEP_ALIVE,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN,
+    });
+    this.#network = bases.createNetwork(options, {
+      handlers: { make: (question) => this.#make(question) },
+      onNotice: (notice) => this.#hear(notice),
+    });
+    this.#follower = followers.Follower.create({
+      ...options,
+      self,
+      dataCentre,
+      seeds,
+      calls: this.#network.calls,
+      isReady: () => this.#isReady,
+      onVersion: (_, document) => this.#takeVersion(document),
+      onChange: () => this.#follow(),
+    });
+    this.#batcher = pieces.Batcher.create({
+      ...options,
+      dispatcher: this.#dispatcher,
+      service: (name) => this.#catalogue?.service(name),
+      workers: (service) => this.#workers(service),
+    });
+    this.#maker = pieces.Maker.create({
+      self,
+      clock,
+      logger,
+      calls: this.#network.calls,
+      batcher: this.#batcher,
+      hosts: () => this.#readyHosts(),
+    });
+  }
+
+  /** Listens and begins to follow; it is ready once it knows what is in
+   * force. */
+  static async start(options: EntryOptions): Promise<EntryHost> {
+    const host = new EntryHost(options);
+    await host.#start();
+    return host;
+  }
+
+  /** Follows settings that have changed. */
+  reload({ seeds }: settings.HostSettings): void {
+    this.#follower.setSeeds(seeds);
+    this.#options.logger.info({ seeds }, "Settings read again");
+  }
+
+  /** Takes no new callers, finishes what is under way, and ends. */
+  async stop(): Promise<void> {
+    const { clock, logger, settings: { bounds } } = this.#options;
+    const started = clock.now();
+    this.#isDraining = true;
+    this.#server.drain();
+    logger.info({ inFlight: this.#server.inFlight }, "Host drains");
+    await new Promise<void>((resolve) =>
+      void clock.after(TAKING, () => resolve())
+    );
+    const left = bounds.grace - END_RESERVE - (clock.now() - started);
+    await this.#server.finish(left);
+    await this.#server.stop();
+    this.#follower.stop();
+    this.#network.calls.stop();
+    await this.#network.transport.stop();
+    await this.#dispatcher.destroy();
+    logger.info({ tookMs: Math.round(clock.now() - started) }, "Host stopped");
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    const now = this.#options.clock.now();
+    return {
+      ready: this.#isReady,
+      inFlight: this.#server.inFlight,
+      follower: this.#follower.dump(),
+      pool: this.#pool.dump(now),
+      batcher: this.#batcher.dump(),
+      peers: this.#network.transport.dump(),
+    };
+  }
+
+  async #start(): Promise<void> {
+    const { settings, logger } = this.#options;
+    const { callers, readiness } = settings;
+    if (callers === undefined) {
+      throw new errors.FleetError("The settings name no address for callers");
+    }
+    await this.#network.transport.start();
+    this.#server = await gateway.Server.start({
+      context: this.#context(),
+      callers,
+      readiness,
+      isReady: () => this.#isReady,
+    });
+    this.#follower.start();
+    logger.info({ seeds: settings.seeds }, "Host started");
+  }
+
+  get #greatestAge(): number {
+    return FRESH * this.#options.settings.bounds.revoke;
+  }
+
+  get #isReady(): boolean {
+    return !this.#isDraining && this.#catalogue !== undefined &&
+      this.#follower.age <= this.#greatestAge;
+  }
+
+  #context(): gateway.Context {
+    return {
+      ...this.#options,
+      dispatcher: this.#dispatcher,
+      dataCentre: this.#options.settings.dataCentre,
+      pool: this.#pool,
+      maker: this.#maker,
+      greatestAge: this.#greatestAge,
+      knowledge: {
+        catalogue: () => this.#catalogue,
+        age: () => this.#follower.age,
+        hosts: () => Math.max(1, this.#follower.hosts.length),
+      },
+      budget: (service) => this.#budget(service),
+      isDraining: () => this.#isDraining,
+    };
+  }
+
+  #budget(service: string): gateway.RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const { bounds } = this.#options.settings;
+    const made = gateway.RetryBudget.create({
+      ratio: bounds.retryRatio,
+      burst: bounds.retryBurst,
+      window: bounds.retryWindow,
+    });
+    this.#budgets.set(service, made);
+    return made;
+  }
+
+  #takeVersion(document: string): void {
+    const configuration = this.#options.decode(document);
+    this.#catalogue = configurations.Catalogue.create(configuration);
+    this.#server.limit(configuration.limits);
+    this.#options.metrics.gauge("config.version", configuration.version);
+  }
+
+  #follow(): void {
+    this.#pool.update(
+      this.#follower.roster.entries,
+      (name) => this.#catalogue?.service(name),
+    );
+    this.#batcher.update();
+    this.#options.metrics.gauge("config.proof_age", this.#follower.age);
+  }
+
+  #workers(
+    service: string,
+  ): { id: string; address: string; dataCentre: string }[] {
+    const now = this.#options.clock.now();
+    return this.#pool.usable(service, now).map(({ identity }) => identity);
+  }
+
+  #readyHosts(): string[] {
+    return this.#follower.hosts.filter(({ ready }) => ready)
+      .map(({ host }) => host);
+  }
+
+  async #make(question: schema.MakeQuestion): Promise<schema.Reply> {
+    if (this.#isDraining) return { type: "failed", reason: "stopped" };
+    return { type: "made", results: await this.#batcher.make(question) };
+  }
+
+  #hear(notice: schema.Notice): void {
+    if (notice.type !== "release") return;
+    this.#batcher.release(notice.service, notice.handles);
+  }
+}
--- /dev/null
+++ b/src/fleet/follower.ts
@@ -0,0 +1,224 @@
+/** What a host without a disk knows: it asks one host with a disk after the
+ * other for what is new, and for the proof that nothing else is.
+ * @module */
+
+import * as endpoints from "../endpoints/mod.ts";
+import type * as peers from "../peers/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import * as freshness from "./freshness.ts";
+import * as sightings from "./sightings.ts";
+
+/** Milliseconds between questions: a drain must be known everywhere within
+ * two seconds, a version too. */
+const INTERVAL = 300;
+/** Milliseconds after which another host is asked beside the one that has not
+ * answered: some times the usual answer with a round of the log. */
+const HEDGE = 150;
+/** Milliseconds after which an answer is of no use any more. */
+const TIMEOUT = 900;
+/** Milliseconds after which an endpoint that is silent or gone is forgotten:
+ * longer than any late report of it. */
+const MEMORY = 60_000;
+
+/** What a follower needs of its host. */
+export interface FollowerOptions {
+  self: string;
+  dataCentre: string;
+  seeds: readonly string[];
+  clock: runtime.Clock;
+  random: runtime.Random;
+  calls: Pick<peers.Calls, "ask">;
+  logger: telemetry.Logger;
+  isReady(): boolean;
+  /** A newer version than any before. */
+  onVersion(version: number, document: string): void;
+  /** Endpoints or hosts may have changed. */
+  onChange(): void;
+}
+
+/** Follows the hosts with disks. */
+export class Follower {
+  readonly roster = endpoints.Roster.create({
+    silence: Infinity,
+    memory: MEMORY,
+  });
+  readonly #options: FollowerOptions;
+  readonly #revisions = new Map<string, { epoch: string; revision: number }>();
+  #cores: string[];
+  #failedAt = new Map<string, number>();
+  #hosts: readonly schema.EntryHost[] = [];
+  #version = 0;
+  #proof?: freshness.Moment;
+  #source?: string;
+  #stopped = false;
+  #asked = 0;
+
+  private constructor(options: FollowerOptions) {
+    this.#options = options;
+    this.#cores = [...options.seeds];
+  }
+
+  static create(options: FollowerOptions): Follower {
+    return new Follower(options);
+  }
+
+  /** Begins to ask. */
+  start(): void {
+    void this.#round();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Adds hosts that the settings name now. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#cores = [...new Set([...this.#cores, ...seeds])];
+  }
+
+  /** Milliseconds by which the version in force here may be too old; endless
+   * before the first proof. */
+  get age(): number {
+    if (this.#proof === undefined) return Infinity;
+    return freshness.ageOf(this.#proof, this.#options.clock);
+  }
+
+  /** Hosts that take requests, as last heard. */
+  get hosts(): readonly schema.EntryHost[] {
+    return this.#hosts;
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    return {
+      version: this.#version,
+      proofAgeMs: Math.round(this.age),
+      source: this.#source,
+      cores: this.#cores,
+      hosts: this.#hosts,
+      endpoints: [...this.roster.entries],
+    };
+  }
+
+  async #round(): Promise<void> {
+    const { clock } = this.#options;
+    if (this.#stopped) return;
+    const started = clock.now();
+    await this.#ask();
+    this.roster.expire(clock.now());
+    const spent = clock.now() - started;
+    clock.after(Math.max(20, INTERVAL - spent), () => void this.#round());
+  }
+
+  /** Asks hosts in turn, another one beside each that is slow; resolves with
+   * the first confirmed answer, or when all have failed. */
+  #ask(): Promise<void> {
+    const { clock } = this.#options;
+    const order = this.#order();
+    return new Promise((resolve) => {
+      let open = 0;
+      let cancel: runtime.Cancel = () => {};
+      const next = () => {
+        cancel();
+        const core = order.shift();
+        if (core === undefined) {
+          if (open === 0) resolve();
+          return;
+        }
+        open++;
+        cancel = clock.after(HEDGE, next);
+        void this.#sync(core).then((isConfirmed) => {
+          open--;
+          if (!isConfirmed) return next();
+          order.length = 0;
+          cancel();
+          resolve();
+        });
+      };
+      next();
+    });
+  }
+
+  /** The host that answered last, then others, those that failed last. */
+  #order(): string[] {
+    const { random } = this.#options;
+    const rank = new Map(this.#cores.map((core) => [
+      core,
+      core === this.#source ? -1 : (this.#failedAt.get(core) ?? 0) +
+        random.next(),
+    ]));
+    return [...this.#cores].sort((a, b) => rank.get(a)! - rank.get(b)!);
+  }
+
+  async #sync(core: string): Promise<boolean> {
+    const { clock, calls, self, dataCentre, isReady } = this.#options;
+    const sent = freshness.moment(clock);
+    const known = this.#revisions.get(core) ?? { epoch: "", revision: 0 };
+    const host = { host: self, dataCentre, ready: isReady(), age: 0 };
+    this.#asked++;
+    try {
+      const reply = await calls.ask(
+        core,
+        { type: "sync", version: this.#version, ...known, host },
+        { timeout: TIMEOUT },
+      );
+      if (reply.type !== "synced") throw new Error(`answered ${reply.type}`);
+      this.#take(core, reply, sent);
+      if (!reply.confirmed) this.#noteFailure(core, "no quorum");
+      return reply.confirmed;
+    } catch (error) {
+      this.#noteFailure(core, error);
+      return false;
+    }
+  }
+
+  #noteFailure(core: string, reason: unknown): void {
+    const { clock, logger } = this.#options;
+    this.#failedAt.set(core, clock.now());
+    if (this.#source !== core) return;
+    this.#source = undefined;
+    logger.info({ core, reason: `${reason}` }, "Control host lost");
+  }
+
+  #take(
+    core: string,
+    reply: schema.SyncedReply,
+    sent: freshness.Moment,
+  ): void {
+    const { clock, onChange } = this.#options;
+    const now = clock.now();
+    const { epoch, revision } = reply;
+    this.#revisions.set(core, { epoch, revision });
+    for (const sighting of reply.sightings) {
+      this.roster.take(sightings.decode(sighting, { now, judges: false }));
+    }
+    if (reply.confirmed) this.#takeProof(core, reply, sent);
+    onChange();
+  }
+
+  #takeProof(
+    core: string,
+    reply: schema.SyncedReply,
+    sent: freshness.Moment,
+  ): void {
+    const { logger, onVersion } = this.#options;
+    this.#hosts = reply.hosts;
+    this.#cores = [...new Set([...reply.cores, ...this.#options.seeds])];
+    if (reply.version > this.#version && reply.document !== undefined) {
+      onVersion(reply.version, reply.document);
+      this.#version = reply.version;
+      const { version } = reply;
+      logger.info({ version, core }, "Configuration in force");
+    }
+    if (reply.version > this.#version) return;
+    if (this.#proof === undefined || sent.now > this.#proof.now) {
+      this.#proof = sent;
+    }
+    this.#failedAt.delete(core);
+    if (this.#source === core) return;
+    this.#source = core;
+    logger.info({ core, version: this.#version }, "Control host found");
+  }
+}
--- /dev/null
+++ b/src/fleet/spread.ts
@@ -0,0 +1,104 @@
+/** How hosts with disks tell each other of endpoints: a change at once, what
+ * was heard in batches, and changes of the last seconds once more, so that a
+ * host which could not be reached learns them from any other.
+ * @module */
+
+import type * as endpoints from "../endpoints/mod.ts";
+import type * as peers from "../peers/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import * as sightings from "./sightings.ts";
+
+/** Milliseconds in which another host notes a change. */
+const TIMEOUT = 600;
+/** Milliseconds for which changes are told again. */
+const AGAIN = 3000;
+/** Milliseconds between tellings of everything: repairs whatever was lost. */
+const ALL = 5000;
+
+/** What spreading needs of its host. */
+export interface SpreadOptions {
+  clock: runtime.Clock;
+  roster: endpoints.Roster;
+  calls: Pick<peers.Calls, "ask">;
+  logger: telemetry.Logger;
+  /** The other hosts with disks that are there. */
+  others(): readonly string[];
+}
+
+/** Spreads one host's roster. */
+export class Spread {
+  readonly #options: SpreadOptions;
+  /** Endpoints heard here since the last tick. */
+  #heard = new Set<string>();
+  /** When endpoints last changed here. */
+  readonly #changed = new Map<string, number>();
+  #allAt: number;
+
+  private constructor(options: SpreadOptions) {
+    this.#options = options;
+    this.#allAt = options.clock.now() + ALL;
+  }
+
+  static create(options: SpreadOptions): Spread {
+    return new Spread(options);
+  }
+
+  /** Notes that an endpoint was heard here. */
+  hear(id: string): void {
+    this.#heard.add(id);
+  }
+
+  /** Tells of one endpoint; resolves with how many of the hosts know it, this
+   * one among them. */
+  async tell(id: string): Promise<{ told: number; of: number }> {
+    const { clock, others } = this.#options;
+    this.#changed.set(id, clock.now());
+    const hosts = others();
+    const answers = await Promise.all(
+      hosts.map((host) => this.#send(host, [id])),
+    );
+    const told = answers.filter((isNoted) => isNoted).length + 1;
+    return { told, of: hosts.length + 1 };
+  }
+
+  /** Tells one host of everything. */
+  tellAll(host: string): void {
+    const ids = [...this.#options.roster.entries].map(({ id }) => id);
+    void this.#send(host, ids);
+  }
+
+  /** Tells of what was heard, and again of what has changed. */
+  tick(): void {
+    const { clock, others } = this.#options;
+    const now = clock.now();
+    if (now >= this.#allAt) {
+      this.#allAt = now + ALL;
+      others().forEach((host) => this.tellAll(host));
+    }
+    for (const [id, at] of this.#changed) {
+      if (now - at > AGAIN) this.#changed.delete(id);
+      else this.#heard.add(id);
+    }
+    const ids = [...this.#heard];
+    this.#heard.clear();
+    for (const host of others()) void this.#send(host, ids);
+  }
+
+  async #send(host: string, ids: readonly string[]): Promise<boolean> {
+    const { clock, roster, calls, logger } = this.#options;
+    const now = clock.now();
+    const known = ids.map((id) => roster.get(id))
+      .filter((entry) => entry !== undefined)
+      .map((entry) => sightings.encode(entry, now));
+    if (known.length === 0) return true;
+    try {
+      const question = { type: "note" as const, sightings: known };
+      const reply = await calls.ask(host, question, { timeout: TIMEOUT });
+      return reply.type === "noted";
+    } catch (error) {
+      logger.debug({ host, endpoints: ids.length, err: error }, "Not noted");
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/choice.ts
@@ -0,0 +1,111 @@
+/** Which endpoint a call goes to.
+ * @module */
+
+import type * as runtime from "../runtime/mod.ts";
+import type * as endpoint from "./endpoint.ts";
+import type * as protocol from "./protocol.ts";
+import * as rendezvous from "./rendezvous.ts";
+
+/** Prompt tokens that an engine reads in a millisecond, by the users' figures
+ * for their engines; only ratios of times hang on it. */
+const READ_RATE = 60;
+/** Milliseconds by which each stream under way delays the next one's start:
+ * some steps of the engine, as the users give them. */
+const STREAM_DELAY = 8;
+/** Part of a prompt's shared parts that the engine which they belong to must
+ * likely still read, when this host has not sent them there itself. */
+const HOME_SHARE = 0.4;
+/** Milliseconds within which engines count as equal; chance decides. */
+const NEAR = 10;
+/** Milliseconds that a call in another data centre takes longer. */
+const FAR = 3;
+/** Power by which failures lower an endpoint's chance. */
+const HEALTH_POWER = 3;
+
+/** What a choice goes by. */
+export interface Situation {
+  readonly now: number;
+  readonly random: runtime.Random;
+  /** Data centre of this host. */
+  readonly dataCentre: string;
+}
+
+/** Endpoint for a plain call: the one that should answer first. */
+export function choosePlain(
+  candidates: readonly endpoint.Endpoint[],
+  { now, random, dataCentre }: Situation,
+): endpoint.Endpoint | undefined {
+  return least(candidates, (each) => {
+    const { slots, dataCentre: place } = each.identity;
+    const work = each.duration || 1;
+    const queue = Math.max(0, each.load(now) + 1 - slots) / slots;
+    const busy = each.load(now) / slots;
+    const far = place === dataCentre ? 0 : FAR;
+    const time = work * (1 + queue + busy) + far;
+    return time / Math.max(0.01, each.health ** HEALTH_POWER) +
+      random.next() * FAR;
+  });
+}
+
+/** Engine for a prompt: the one with the earliest first token, given what each
+ * has read, what waits there and what else runs there. */
+export function chooseEngine(
+  candidates: readonly endpoint.Endpoint[],
+  prompt: protocol.Prompt,
+  { now, random }: Situation,
+): endpoint.Endpoint | undefined {
+  const home = homeOf(candidates, prompt);
+  return least(candidates, (each) => {
+    const read = unread(each, prompt, home);
+    const wait = (each.backlog + read) / READ_RATE;
+    const time = wait + each.delay(now) + each.inFlight * STREAM_DELAY;
+    const full = Math.max(0, each.inFlight + 1 - each.identity.slots);
+    return (time + random.next() * NEAR) /
+        Math.max(0.01, each.health ** HEALTH_POWER) + full * 1000;
+  });
+}
+
+/** Milliseconds that an engine takes for reading so many tokens. */
+export function readTime(tokens: number): number {
+  return tokens / READ_RATE;
+}
+
+/** Tokens that an engine must read, as far as is known. */
+export function unread(
+  engine: endpoint.Endpoint,
+  prompt: protocol.Prompt,
+  home?: string,
+): number {
+  const known = engine.memory?.known(prompt) ?? 0;
+  const open = Math.max(0, prompt.inputTokens - known);
+  if (engine.identity.id !== home) return open;
+  const own = prompt.parts.at(-1)?.tokens ?? 0;
+  const shared = Math.max(0, open - own);
+  return open - shared * (1 - HOME_SHARE);
+}
+
+/** Engine that the shared parts of a prompt belong to, on all hosts. */
+export function homeOf(
+  candidates: readonly endpoint.Endpoint[],
+  { parts }: protocol.Prompt,
+): string | undefined {
+  const shared = parts.at(-2) ?? parts.at(-1);
+  if (shared === undefined) return undefined;
+  const ids = candidates.map(({ identity }) => identity.id);
+  return rendezvous.rank(shared.id, ids)[0];
+}
+
+function least<T>(
+  items: readonly T[],
+  cost: (item: T) => number,
+): T | undefined {
+  let best: T | undefined;
+  let lowest = Infinity;
+  for (const item of items) {
+    const value = cost(item);
+    if (value >= lowest) continue;
+    best = item;
+    lowest = value;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/gateway/context.ts
@@ -0,0 +1,39 @@
+/** What requests on one host share.
+ * @module */
+
+import type * as undici from "undici";
+import type * as configurations from "../configuration/mod.ts";
+import type * as pieces from "../pieces/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import type * as pools from "./pool.ts";
+import type * as protocols from "./protocol.ts";
+import type * as retryBudget from "./retry_budget.ts";
+
+/** The configuration in force, and what is known of the fleet. */
+export interface Knowledge {
+  /** Undefined before the first version has come. */
+  catalogue(): configurations.Catalogue | undefined;
+  /** Milliseconds by which the configuration may be too old. */
+  age(): number;
+  /** Hosts that share the retry budget; at least 1. */
+  hosts(): number;
+}
+
+/** What requests need of their host. */
+export interface Context {
+  readonly clock: runtime.Clock;
+  readonly random: runtime.Random;
+  readonly logger: telemetry.Logger;
+  readonly metrics: telemetry.Metrics;
+  readonly protocol: protocols.GatewayProtocol;
+  readonly dispatcher: undici.Dispatcher;
+  readonly dataCentre: string;
+  readonly pool: pools.Pool;
+  readonly maker: Pick<pieces.Maker, "make" | "release">;
+  readonly knowledge: Knowledge;
+  /** Greatest age of the configuration with which a key is believed. */
+  readonly greatestAge: number;
+  budget(service: string): retryBudget.RetryBudget;
+  isDraining(): boolean;
+}
--- /dev/null
+++ b/src/gateway/endpoint.ts
@@ -0,0 +1,132 @@
+/** An endpoint as one host sees it through its own calls.
+ * @module */
+
+import type * as promptMemory from "./prompt_memory.ts";
+import type * as protocol from "./protocol.ts";
+
+/** Part of a new value in a running mean of about ten values. */
+const GAIN = 0.1;
+/** Failures in a row after which an endpoint is left alone for a while. */
+const FAILURES = 3;
+/** Milliseconds of the first such while; it doubles up to the last. */
+const FIRST_REST = 500;
+const LAST_REST = 8000;
+/** Milliseconds for which a reported load counts: a few calls at most. */
+const LOAD_AGE = 500;
+/** Milliseconds over which a measured delay loses half of its weight. */
+const DELAY_HALF = 1500;
+
+/** Who and where an endpoint is. */
+export interface Identity {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly slots: number;
+}
+
+/** How a call ended, as far as its endpoint is to be judged by it. */
+export type Verdict = "good" | "bad" | "full";
+
+/** One endpoint; changed in place. */
+export class Endpoint {
+  readonly identity: Identity;
+  /** What it has read, for an engine. */
+  readonly memory?: promptMemory.PromptMemory;
+  /** Whether it takes new requests, by its own word. */
+  isReady = true;
+  /** Whether its heartbeats have stopped. */
+  isSilent = false;
+  /** Another endpoint has its address. */
+  isReplaced = false;
+  coldUntil = 0;
+  /** Calls of this host under way. */
+  inFlight = 0;
+  /** Prompt tokens sent by this host whose first event has not come. */
+  backlog = 0;
+  /** Mean of the times of good calls. */
+  duration = 0;
+  /** Part of the calls that went well, lately. */
+  health = 1;
+  #failures = 0;
+  #rest = FIRST_REST;
+  #restUntil = 0;
+  #goodAt = -Infinity;
+  #load?: protocol.ReportedLoad;
+  #loadAt = -Infinity;
+  #delay = 0;
+  #delayAt = 0;
+
+  private constructor(
+    identity: Identity,
+    memory?: promptMemory.PromptMemory,
+  ) {
+    this.identity = identity;
+    this.memory = memory;
+  }
+
+  static create(
+    identity: Identity,
+    memory?: promptMemory.PromptMemory,
+  ): Endpoint {
+    return new Endpoint(identity, memory);
+  }
+
+  /** Milliseconds since its last good answer. */
+  sinceGood(now: number): number {
+    return now - this.#goodAt;
+  }
+
+  /** Whether it is left alone for now. */
+  isResting(now: number): boolean {
+    return now < this.#restUntil;
+  }
+
+  /** Judges it by a call. `full` says that it lives and is busy. */
+  judge(verdict: Verdict, now: number): void {
+    const isGood = verdict !== "bad";
+    this.health += GAIN * ((isGood ? 1 : 0) - this.health);
+    if (isGood) {
+      this.#failures = 0;
+      this.#rest = FIRST_REST;
+      this.#goodAt = now;
+      return;
+    }
+    this.#failures++;
+    if (this.#failures < FAILURES) return;
+    this.#restUntil = now + this.#rest;
+    this.#rest = Math.min(LAST_REST, 2 * this.#rest);
+  }
+
+  /** Notes how long a good call took. */
+  time(duration: number): void {
+    this.duration += (this.duration === 0 ? 1 : GAIN) *
+      (duration - this.duration);
+  }
+
+  /** Notes the load that it has reported. */
+  report(load: protocol.ReportedLoad, now: number): void {
+    this.#load = load;
+    this.#loadAt = now;
+  }
+
+  /** Calls under way there: this host's, or more where it says so. */
+  load(now: number): number {
+    if (this.#load === undefined || now - this.#loadAt > LOAD_AGE) {
+      return this.inFlight;
+    }
+    const { running, waiting } = this.#load;
+    return Math.max(this.inFlight, running + waiting);
+  }
+
+  /** Notes by how much a first event came later than the prompt explains. */
+  noteDelay(delay: number, now: number): void {
+    this.#delay = (this.delay(now) + Math.max(0, delay)) / 2;
+    this.#delayAt = now;
+  }
+
+  /** Milliseconds that a first event is late by, as lately seen. */
+  delay(now: number): number {
+    return this.#delay * 0.5 ** ((now - this.#delayAt) / DELAY_HALF);
+  }
+}
--- /dev/null
+++ b/src/gateway/mod.ts
@@ -0,0 +1,9 @@
+/** The path of requests that are passed through to services.
+ * @module */
+
+export * from "./context.ts";
+export * from "./errors.ts";
+export * from "./pool.ts";
+export * from "./protocol.ts";
+export * from "./retry_budget.ts";
+export * from "./server.ts";
--- /dev/null
+++ b/src/gateway/passage.ts
@@ -0,0 +1,548 @@
+/** The life of one request: read, judged, its pieces made, sent, answered.
+ * @module */
+
+import type * as http from "node:http";
+import * as configurations from "../configuration/mod.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import * as attempts from "./attempt.ts";
+import * as bodies from "./body.ts";
+import * as choice from "./choice.ts";
+import type * as contexts from "./context.ts";
+import type * as endpoint from "./endpoint.ts";
+import type * as eventText from "./event_text.ts";
+import * as preparation from "./preparation.ts";
+import type * as protocols from "./protocol.ts";
+import * as refusals from "./refusal.ts";
+import * as retry from "./retry.ts";
+
+/** Milliseconds without a byte after which a repeatable call is given up, as
+ * multiples of the route's objective; an answer later than that earns little,
+ * and another endpoint may still give one. */
+const SILENCE_OBJECTIVES = 2;
+/** Least of these milliseconds. */
+const LEAST_SILENCE = 800;
+/** Milliseconds between events after which a stream goes on elsewhere: callers
+ * leave after two seconds. */
+const EVENT_SILENCE = 1200;
+/** Times that lost results are made again. */
+const REMAKES = 1;
+/** Least milliseconds left for a call to be worth sending. */
+const LEAST_LEFT = 5;
+
+type Phase = "reading" | "pieces" | "sent" | "streaming" | "over";
+
+/** What one call was, for the log line of its request. */
+interface CallNote {
+  endpoint: string;
+  ms: number;
+  outcome: string;
+}
+
+/** A request under way. */
+export class Passage {
+  readonly #context: contexts.Context;
+  readonly #request: http.IncomingMessage;
+  readonly #response: http.ServerResponse;
+  readonly #arrival: number;
+  readonly #calls: CallNote[] = [];
+  #phase: Phase = "reading";
+  #ask?: protocols.Ask;
+  #route?: configurations.Route;
+  #account?: configurations.Account;
+  #until = Infinity;
+  #cancelTimer = () => {};
+  #attempt?: attempts.Attempt;
+  #runs = 0;
+  #hasLeft = false;
+  #head?: protocols.ReplyHead;
+  #lastId?: string;
+  #fallback?: { head: protocols.ReplyHead; body: Buffer };
+  #preparation?: preparation.Preparation;
+  #resolveOver!: () => void;
+  /** Resolves when the request is answered or given up. */
+  readonly over: Promise<void>;
+
+  private constructor(
+    context: contexts.Context,
+    { request, response }: Pair,
+  ) {
+    this.#context = context;
+    this.#request = request;
+    this.#response = response;
+    this.#arrival = context.clock.now();
+    this.over = new Promise((resolve) => this.#resolveOver = resolve);
+  }
+
+  /** Serves a request. */
+  static start(context: contexts.Context, pair: Pair): Passage {
+    const passage = new Passage(context, pair);
+    pair.response.once("close", () => passage.#closed());
+    void passage.#serve();
+    return passage;
+  }
+
+  /** Whether a caller still waits for it. */
+  get isOver(): boolean {
+    return this.#phase === "over";
+  }
+
+  /** Gives the request up: the host must end now. */
+  abort(): void {
+    if (this.isOver) return;
+    if (this.#phase === "streaming") return this.#breakOff("stopping");
+    this.#refuse(this.#runs > 0 ? "failed" : "stopping");
+  }
+
+  async #serve(): Promise<void> {
+    try {
+      const body = await this.#admit();
+      if (this.isOver) return;
+      const inputs = await this.#prepare();
+      if (this.isOver) return;
+      await this.#send(body, inputs);
+    } catch (error) {
+      const request = this.#ask?.id;
+      this.#context.logger.error({ err: error, request }, "Request failed");
+      this.#refuse(this.#runs > 0 ? "failed" : "not-run");
+    }
+  }
+
+  /** Reads the request and judges whether it may pass. */
+  async #admit(): Promise<Buffer> {
+    const { protocol, knowledge, clock } = this.#context;
+    const reading = protocol.readAsk(this.#request);
+    if (reading.type === "malformed") {
+      return this.#stop("malformed", { detail: reading.detail });
+    }
+    const { ask } = reading;
+    this.#ask = ask;
+    const reason = this.#judge(ask, knowledge.catalogue());
+    if (reason !== undefined) return this.#stop(reason);
+    const route = this.#route!;
+    const patience = Math.min(route.timeout, ask.patience ?? Infinity);
+    this.#until = this.#arrival + patience;
+    this.#cancelTimer = clock.after(patience, () => this.#timeOut());
+    const { limits } = knowledge.catalogue()!.configuration;
+    const body = await bodies.read(this.#request, limits.bodyBytes);
+    if (typeof body === "string") return this.#stop(body);
+    // The version may have changed while a slow body came in.
+    const now = this.#judge(ask, knowledge.catalogue());
+    if (now !== undefined && !this.isOver) return this.#stop(now);
+    return body;
+  }
+
+  /** Why a request may not pass; notes route and account when it may. */
+  #judge(
+    ask: protocols.Ask,
+    catalogue: configurations.Catalogue | undefined,
+  ): refusals.RefusalReason | undefined {
+    const { knowledge, greatestAge } = this.#context;
+    if (catalogue === undefined) return "no-configuration";
+    if (knowledge.age() > greatestAge) return "stale-configuration";
+    const route = catalogue.route(ask.host, ask.target);
+    if (route === undefined) return "no-route";
+    this.#route = route;
+    if (route.isPublic || !catalogue.hasAccounts) return undefined;
+    this.#account = ask.key === undefined
+      ? undefined
+      : catalogue.account(ask.key);
+    return this.#account === undefined ? "bad-key" : undefined;
+  }
+
+  /** Has the pieces of the request's stages made. */
+  async #prepare(): Promise<readonly string[] | undefined> {
+    const { clock, metrics } = this.#context;
+    const route = this.#route!;
+    const ask = this.#ask!;
+    if (route.stages.length === 0) return undefined;
+    this.#phase = "pieces";
+    const started = clock.now();
+    this.#preparation ??= preparation.Preparation.create(this.#context, {
+      ask,
+      route,
+      rank: this.#rank,
+      until: this.#until,
+      wanted: this.#arrival + route.objective,
+    });
+    const result = await this.#preparation.run();
+    if (this.isOver) return undefined;
+    metrics.time("gateway.stages", clock.now() - started, {
+      route: route.name,
+    });
+    if (result.type === "made") return result.inputs;
+    return this.#stop("no-pieces", { detail: result.detail });
+  }
+
+  /** Calls endpoints until one gives the answer or no other may be asked. */
+  async #send(
+    body: Buffer,
+    first: readonly string[] | undefined,
+  ): Promise<void> {
+    const { clock } = this.#context;
+    const service = this.#pickService();
+    let inputs = first;
+    let remakes = 0;
+    this.#context.budget(service).earn(clock.now());
+    for (;;) {
+      const target = this.#choose(service);
+      if (target === undefined) return this.#conclude("no-endpoint");
+      const outcome = await this.#call(target, { body, inputs });
+      if (this.isOver) return;
+      if (outcome.type === "ended") return this.#endStream();
+      if (outcome.type === "answer") {
+        if (!this.#mayRepeatAnswer(outcome, service)) {
+          return this.#answer(outcome);
+        }
+        continue;
+      }
+      const isLacking = outcome.cause === "lacks-input";
+      if (isLacking && remakes++ < REMAKES) {
+        this.#preparation!.forget();
+        inputs = await this.#prepare();
+        if (this.isOver) return;
+      } else if (!this.#mayRepeat(outcome, service)) {
+        return this.#conclude("not-run");
+      }
+    }
+  }
+
+  #pickService(): string {
+    const { targets } = this.#route!;
+    if (targets.length === 1) return targets[0].service;
+    const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+    let left = this.#context.random.next() * total;
+    const picked = targets.find(({ weight }) => (left -= weight) < 0);
+    return (picked ?? targets.at(-1)!).service;
+  }
+
+  #choose(service: string): endpoint.Endpoint | undefined {
+    const { pool, clock, random, dataCentre } = this.#context;
+    const now = clock.now();
+    const usable = pool.usable(service, now);
+    const tried = new Set(this.#calls.map((call) => call.endpoint));
+    const fresh = usable.filter(({ identity }) => !tried.has(identity.id));
+    const candidates = fresh.length > 0 ? fresh : usable;
+    const situation = { now, random, dataCentre };
+    const prompt = this.#ask!.prompt;
+    return prompt === undefined
+      ? choice.choosePlain(candidates, situation)
+      : choice.chooseEngine(candidates, prompt, situation);
+  }
+
+  async #call(
+    target: endpoint.Endpoint,
+    { body, inputs }: { body: Buffer; inputs?: readonly string[] },
+  ): Promise<attempts.Outcome> {
+    const { clock, metrics } = this.#context;
+    const { id, service } = target.identity;
+    const started = clock.now();
+    const note: CallNote = { endpoint: id, ms: 0, outcome: "open" };
+    this.#calls.push(note);
+    this.#phase = this.#head === undefined ? "sent" : "streaming";
+    metrics.count("gateway.sent", 1, { service });
+    if (this.#calls.length > 1) {
+      metrics.count("gateway.repeated", 1, { service });
+    }
+    const read = this.#beginRead(target);
+    target.inFlight++;
+    let first = false;
+    const onFirst = () => {
+      if (first) return;
+      first = true;
+      this.#noteFirst(target, { read, started });
+    };
+    this.#attempt = attempts.Attempt.start({
+      ...this.#context,
+      endpoint: target,
+      ask: this.#ask!,
+      terms: this.#terms(id, inputs),
+      body: body.length > 0 ? body : undefined,
+      deadline: this.#until,
+      silence: this.#silence(),
+      stream: this.#route!.kind === "streaming"
+        ? this.#listener(onFirst)
+        : undefined,
+    });
+    const outcome = await this.#attempt.outcome;
+    target.inFlight--;
+    if (!first) target.backlog -= read;
+    note.ms = Math.round(clock.now() - started);
+    note.outcome = nameOf(outcome);
+    this.#judgeEndpoint(target, outcome, clock.now() - started);
+    if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
+    return outcome;
+  }
+
+  #terms(
+    id: string,
+    inputs: readonly string[] | undefined,
+  ): protocols.CallTerms {
+    const { clock } = this.#context;
+    const left = Math.max(LEAST_LEFT, Math.floor(this.#until - clock.now()));
+    return {
+      endpoint: id,
+      account: this.#account?.name,
+      remaining: left,
+      urgency: Math.min(9, FIRST_URGENCY + this.#rank),
+      inputs,
+      resumeAfter: this.#lastId ?? this.#ask!.resumeAfter,
+    };
+  }
+
+  get #rank(): number {
+    return this.#account?.priority ?? this.#route!.priority;
+  }
+
+  /** Milliseconds without a byte that a call is given. Work that must not be
+   * repeated is waited for: silence is no reason to end it. */
+  #silence(): number {
+    const route = this.#route!;
+    if (!configurations.isIdempotent(route)) return Infinity;
+    if (this.#head !== undefined) return EVENT_SILENCE;
+    return Math.max(LEAST_SILENCE, SILENCE_OBJECTIVES * route.objective);
+  }
+
+  /** Notes prompt tokens on their way to an engine. */
+  #beginRead(target: endpoint.Endpoint): number {
+    const { prompt } = this.#ask!;
+    if (prompt === undefined) return 0;
+    const read = choice.unread(target, prompt);
+    target.memory?.read(prompt);
+    target.backlog += read;
+    return read;
+  }
+
+  #noteFirst(
+    target: endpoint.Endpoint,
+    { read, started }: { read: number; started: number },
+  ): void {
+    const { clock, metrics } = this.#context;
+    const now = clock.now();
+    target.backlog -= read;
+    target.noteDelay(now - started - choice.readTime(read), now);
+    metrics.time("gateway.first_event", now - this.#arrival, {
+      route: this.#route!.name,
+    });
+  }
+
+  #judgeEndpoint(
+    target: endpoint.Endpoint,
+    outcome: attempts.Outcome,
+    duration: number,
+  ): void {
+    const { clock, metrics } = this.#context;
+    const now = clock.now();
+    const { service } = target.identity;
+    if (outcome.type === "failed") {
+      const { cause } = outcome;
+      metrics.count("gateway.failed", 1, { service, cause });
+      if (cause === "cancelled" || cause === "deadline") return;
+      if (cause === "misdirected") target.isReplaced = true;
+      const isFull = cause === "full" || cause === "lacks-input";
+      return target.judge(isFull ? "full" : "bad", now);
+    }
+    if (outcome.type === "answer") {
+      const { head } = outcome;
+      if (head.load !== undefined) target.report(head.load, now);
+      target.time(duration);
+      return target.judge(head.status >= 500 ? "bad" : "good", now);
+    }
+    target.judge("good", now);
+  }
+
+  #listener(onFirst: () => void): attempts.StreamListener {
+    let head: protocols.ReplyHead;
+    return {
+      head: (each) => void (head = each),
+      events: (whole) => {
+        onFirst();
+        this.#passOn(head, whole);
+      },
+    };
+  }
+
+  /** Passes whole events on; the first ones bring the head with them. */
+  #passOn(head: protocols.ReplyHead, whole: eventText.Whole): void {
+    if (this.isOver) return;
+    if (this.#head === undefined) this.#beginStream(head);
+    if (whole.lastId !== undefined) this.#lastId = whole.lastId;
+    this.#response.write(whole.bytes);
+  }
+
+  #beginStream(head: protocols.ReplyHead): void {
+    this.#head = head;
+    this.#phase = "streaming";
+    this.#preparation?.release();
+    if (configurations.isIdempotent(this.#route!)) {
+      this.#attempt?.expectWithin(EVENT_SILENCE);
+    }
+    this.#response.writeHead(head.status, this.#headersOf(head));
+  }
+
+  #endStream(): void {
+    // A stream without events has a head all the same.
+    if (this.#head === undefined) return this.#conclude("failed");
+    this.#finish();
+    this.#response.end();
+    this.#log("info", { status: this.#head.status }, "Request answered");
+  }
+
+  #answer({ head, body }: { head: protocols.ReplyHead; body: Buffer }): void {
+    this.#finish();
+    if (!this.#hasLeft) {
+      this.#response.writeHead(head.status, {
+        ...this.#headersOf(head),
+        "content-length": `${body.length}`,
+      });
+      this.#response.end(body);
+    }
+    this.#log("info", { status: head.status }, "Request answered");
+  }
+
+  #headersOf({ headers }: protocols.ReplyHead): Record<string, string> {
+    const isLast = this.#context.isDraining();
+    return { ...headers, ...(isLast && { connection: "close" }) };
+  }
+
+  /** Whether an endpoint's own failure is followed by another call; it is kept
+   * for the case that no other answer comes. */
+  #mayRepeatAnswer(
+    outcome: Extract<attempts.Outcome, { type: "answer" }>,
+    service: string,
+  ): boolean {
+    const { head } = outcome;
+    const sends = this.#calls.length;
+    const history = { runs: this.#runs, sends };
+    if (!retry.isWorthRepeating(this.#route!, head, history)) return false;
+    this.#fallback = outcome;
+    return this.#spend(service);
+  }
+
+  #mayRepeat(
+    outcome: Extract<attempts.Outcome, { type: "failed" }>,
+    service: string,
+  ): boolean {
+    const history = { runs: this.#runs, sends: this.#calls.length };
+    const verdict = retry.afterFailure(this.#route!, outcome, history);
+    if (verdict === "again-free") return true;
+    return verdict === "again" && this.#spend(service);
+  }
+
+  #spend(service: string): boolean {
+    const { clock, knowledge, metrics } = this.#context;
+    const budget = this.#context.budget(service);
+    const isSpent = budget.spend(clock.now(), knowledge.hosts());
+    if (!isSpent) metrics.count("gateway.no_budget", 1, { service });
+    return isSpent;
+  }
+
+  /** The end of a request that no call has answered. */
+  #conclude(reason: refusals.RefusalReason): void {
+    if (this.#head !== undefined) return this.#breakOff("failed");
+    if (this.#fallback !== undefined) return this.#answer(this.#fallback);
+    this.#refuse(this.#runs > 0 ? "failed" : reason);
+  }
+
+  #timeOut(): void {
+    if (this.isOver) return;
+    if (this.#head !== undefined) return this.#breakOff("timeout");
+    const mayHaveRun = this.#runs > 0 || this.#phase === "sent";
+    this.#refuse(mayHaveRun ? "timeout" : "timeout-not-run");
+  }
+
+  /** Ends a stream so that it does not look complete. */
+  #breakOff(reason: refusals.RefusalReason): void {
+    this.#finish();
+    this.#context.metrics.count("gateway.refused", 1, { reason });
+    this.#response.destroy();
+    this.#log("warn", { reason, lastEvent: this.#lastId }, "Stream broken off");
+  }
+
+  #refuse(reason: refusals.RefusalReason, about: object = {}): void {
+    if (this.isOver) return;
+    this.#finish();
+    const { status, retryAfter } = refusals.REFUSALS[reason];
+    this.#context.metrics.count("gateway.refused", 1, { reason });
+    if (!this.#hasLeft) this.#writeRefusal(reason, { status, retryAfter });
+    this.#log("info", { status, reason, ...about }, "Request refused");
+  }
+
+  #writeRefusal(
+    reason: refusals.RefusalReason,
+    { status, retryAfter }: refusals.Refusal,
+  ): void {
+    const text = JSON.stringify({ status, reason });
+    const isUnread = !this.#request.complete;
+    const isLast = isUnread || this.#context.isDraining();
+    this.#response.writeHead(status, {
+      "content-type": "application/problem+json",
+      "content-length": `${Buffer.byteLength(text)}`,
+      ...(retryAfter !== undefined && { "retry-after": `${retryAfter}` }),
+      ...(isLast && { connection: "close" }),
+    });
+    this.#response.end(text);
+  }
+
+  /** Refuses, and says to the caller of a step that it is over. */
+  #stop(reason: refusals.RefusalReason, about: object = {}): never[] & Buffer {
+    this.#refuse(reason, about);
+    return NOTHING as never[] & Buffer;
+  }
+
+  /** The caller's connection has closed. */
+  #closed(): void {
+    if (this.isOver) return;
+    this.#hasLeft = true;
+    this.#context.metrics.count("gateway.left");
+    const route = this.#route;
+    const isSent = this.#phase === "sent";
+    // What must not be repeated goes on: cut off, nobody would know its end.
+    if (isSent && route !== undefined && !configurations.isStoppable(route)) {
+      return;
+    }
+    this.#finish();
+    this.#log("info", { reason: "left" }, "Caller left");
+  }
+
+  #finish(): void {
+    this.#phase = "over";
+    this.#cancelTimer();
+    this.#attempt?.cancel();
+    this.#preparation?.end();
+    this.#resolveOver();
+  }
+
+  #log(level: keyof telemetry.Logger, about: object, message: string): void {
+    const { clock, logger, metrics, knowledge } = this.#context;
+    const ms = Math.round(clock.now() - this.#arrival);
+    const route = this.#route?.name;
+    metrics.time("gateway.duration", ms, { route: route ?? "none" });
+    logger[level]({
+      request: this.#ask?.id,
+      route,
+      account: this.#account?.name,
+      ms,
+      calls: this.#calls,
+      version: knowledge.catalogue()?.version,
+      ageMs: Math.round(knowledge.age()),
+      ...about,
+    }, message);
+  }
+}
+
+/** A request, and the way to answer it. */
+export interface Pair {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+}
+
+/** Urgency of the highest rank: below it there is room for what is more urgent
+ * than any request of a caller. */
+const FIRST_URGENCY = 2;
+
+const NOTHING = Buffer.alloc(0);
+
+function nameOf(outcome: attempts.Outcome): string {
+  if (outcome.type === "failed") return outcome.cause;
+  return outcome.type === "answer" ? `${outcome.head.status}` : "ended";
+}
--- /dev/null
+++ b/src/gateway/pool.ts
@@ -0,0 +1,115 @@
+/** The endpoints that a host knows, by service.
+ * @module */
+
+import type * as configurations from "../configuration/mod.ts";
+import type * as endpoints from "../endpoints/mod.ts";
+import * as endpoint from "./endpoint.ts";
+import * as promptMemory from "./prompt_memory.ts";
+
+/** Milliseconds for which an endpoint without heartbeats counts as there when
+ * its calls go well: heartbeats may be cut off where calls are not. */
+const TRUSTED = 5000;
+
+/** Endpoints by service; changed in place. */
+export class Pool {
+  readonly #byId = new Map<string, endpoint.Endpoint>();
+  readonly #byService = new Map<string, endpoint.Endpoint[]>();
+
+  static create(): Pool {
+    return new Pool();
+  }
+
+  /** Follows a roster. `service` tells what is known of a service. */
+  update(
+    entries: Iterable<endpoints.RosterEntry>,
+    service: (name: string) => configurations.Service | undefined,
+  ): void {
+    const seen = new Set<string>();
+    const newest = newestByAddress(entries);
+    for (const entry of newest.values()) {
+      seen.add(entry.id);
+      const known = this.#byId.get(entry.id) ??
+        this.#add(entry, service(entry.service));
+      known.isReady = entry.state === "ready";
+      known.isSilent = entry.isSilent;
+      known.coldUntil = entry.coldUntil;
+    }
+    for (const [id, known] of this.#byId) {
+      if (seen.has(id)) continue;
+      known.isReady = false;
+      this.#remove(id, known);
+    }
+  }
+
+  get(id: string): endpoint.Endpoint | undefined {
+    return this.#byId.get(id);
+  }
+
+  /** All endpoints of a service that are known. */
+  of(service: string): readonly endpoint.Endpoint[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Endpoints that take new requests, the sound ones where there are any. */
+  usable(service: string, now: number): readonly endpoint.Endpoint[] {
+    const ready = this.of(service).filter((each) =>
+      each.isReady && !each.isReplaced
+    );
+    const heard = ready.filter((each) =>
+      !each.isSilent || each.sinceGood(now) < TRUSTED
+    );
+    const there = heard.length > 0 ? heard : ready;
+    const sound = there.filter((each) => !each.isResting(now));
+    return sound.length > 0 ? sound : there;
+  }
+
+  /** State for people. */
+  dump(now: number): unknown {
+    return [...this.#byId.values()].map((each) => ({
+      ...each.identity,
+      ready: each.isReady,
+      silent: each.isSilent,
+      inFlight: each.inFlight,
+      health: each.health,
+      resting: each.isResting(now),
+      duration: each.duration,
+    }));
+  }
+
+  #add(
+    { id, service, address, dataCentre, slots }: endpoints.RosterEntry,
+    traits: configurations.Service | undefined,
+  ): endpoint.Endpoint {
+    const memory = traits?.engine &&
+      promptMemory.PromptMemory.create(traits.engine.tokens);
+    const identity = { id, service, address, dataCentre, slots };
+    const added = endpoint.Endpoint.create(identity, memory);
+    this.#byId.set(id, added);
+    this.#byService.set(service, [...this.of(service), added]);
+    return added;
+  }
+
+  #remove(id: string, { identity }: endpoint.Endpoint): void {
+    this.#byId.delete(id);
+    const rest = this.of(identity.service).filter((each) =>
+      each.identity.id !== id
+    );
+    this.#byService.set(identity.service, rest);
+  }
+}
+
+/** Of the endpoints that were heard at one address, the one heard last: the
+ * others have ended, whether they have said so or not. */
+function newestByAddress(
+  entries: Iterable<endpoints.RosterEntry>,
+): Map<string, endpoints.RosterEntry> {
+  const newest = new Map<string, endpoints.RosterEntry>();
+  for (const entry of entries) {
+    if (entry.state === "gone") continue;
+    const other = newest.get(entry.address);
+    if (other === undefined || other.heard < entry.heard) {
+      newest.set(entry.address, entry);
+    }
+  }
+  return newest;
+}
--- /dev/null
+++ b/src/gateway/preparation.ts
@@ -0,0 +1,131 @@
+/** Has the pieces of one request made, stage by stage.
+ * @module */
+
+import type * as configurations from "../configuration/mod.ts";
+import * as pieces from "../pieces/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import type * as contexts from "./context.ts";
+import type * as protocols from "./protocol.ts";
+
+/** Times that pieces of one request are asked for again. */
+const REPEATS = 3;
+
+/** What a preparation is for. */
+export interface PreparationOptions {
+  readonly ask: protocols.Ask;
+  readonly route: configurations.Route;
+  readonly rank: number;
+  /** When the request ends at the latest. */
+  readonly until: number;
+  /** When its answer is wanted. */
+  readonly wanted: number;
+}
+
+/** How it ended. */
+export type PreparationResult =
+  | { type: "made"; inputs: readonly string[] }
+  | { type: "failed"; detail: string };
+
+type Needs = Pick<contexts.Context, "clock" | "maker" | "dataCentre">;
+
+/** Pieces of a request on their way. */
+export class Preparation {
+  readonly #needs: Needs;
+  readonly #options: PreparationOptions;
+  #plan: pieces.Plan;
+  #repeats = 0;
+  #isOver = false;
+
+  private constructor(needs: Needs, options: PreparationOptions) {
+    this.#needs = needs;
+    this.#options = options;
+    const { route, ask } = options;
+    this.#plan = pieces.Plan.create(route.stages, ask.pieces ?? []);
+  }
+
+  static create(needs: Needs, options: PreparationOptions): Preparation {
+    return new Preparation(needs, options);
+  }
+
+  /** Makes what is missing; resolves once all is there or cannot be. */
+  run(): Promise<PreparationResult> {
+    return new Promise((resolve) => {
+      const step = () => {
+        if (this.#isOver) return;
+        if (this.#plan.isDone) {
+          return resolve({ type: "made", inputs: this.#plan.outputs });
+        }
+        for (const round of this.#plan.rounds) {
+          this.#plan = this.#plan.ask(round.stage);
+          void this.#make(round).then((detail) => {
+            if (detail === undefined) return step();
+            resolve({ type: "failed", detail });
+          });
+        }
+      };
+      step();
+    });
+  }
+
+  /** Forgets all results: one of them is gone, and nobody says which. */
+  forget(): void {
+    this.#plan = this.#plan.forget(this.#plan.numbers);
+  }
+
+  /** Gives the results up; they have been read. */
+  release(): void {
+    for (const { service, handles } of this.#plan.held) {
+      this.#needs.maker.release(service, handles);
+    }
+  }
+
+  /** Stops: nobody waits for it any more. */
+  end(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.release();
+  }
+
+  /** Makes the pieces of a stage; resolves with why they cannot be. */
+  async #make(round: pieces.Round): Promise<string | undefined> {
+    const { stage, service } = round;
+    const results = await this.#needs.maker.make(this.#question(round));
+    const made = results.filter(({ handle }) => handle !== undefined);
+    this.#plan = this.#plan.take(stage, made);
+    if (this.#isOver) this.release();
+    const failures = results.flatMap(({ failure }) => failure ?? []);
+    if (failures.length === 0) return undefined;
+    const [failure] = failures;
+    if (failures.includes("late")) return `stage ${stage}: late`;
+    if (++this.#repeats > REPEATS) return `stage ${stage}: ${failure}`;
+    if (failures.includes("gone")) {
+      this.#plan = this.#plan.forget(this.#plan.inputsOf(stage));
+    }
+    return this.#left() > 0 ? undefined : `stage ${stage} (${service}): late`;
+  }
+
+  #question(
+    { stage, service, pieces, bytes, inputs }: pieces.Round,
+  ): schema.MakeQuestion {
+    const { ask, rank, wanted } = this.#options;
+    const { clock, dataCentre } = this.#needs;
+    const isFirst = inputs === undefined;
+    return {
+      type: "make",
+      service,
+      request: ask.id,
+      stage,
+      pieces: [...pieces],
+      ...(isFirst ? { key: ask.pieceKey ?? "" } : { inputs: [...inputs] }),
+      bytes,
+      remaining: Math.max(0, this.#left()),
+      slack: wanted - clock.now(),
+      rank,
+      dataCentre,
+    };
+  }
+
+  #left(): number {
+    return this.#options.until - this.#needs.clock.now();
+  }
+}
--- /dev/null
+++ b/src/gateway/prompt_memory.ts
@@ -0,0 +1,62 @@
+/** Which parts of prompts an engine has read lately, as one host knows it from
+ * what it sent there. The parts that were used least recently yield.
+ * @module */
+
+import type * as protocol from "./protocol.ts";
+
+/** Part of an engine's memory that cached parts are counted on for: running
+ * requests take the rest. */
+const SHARE = 0.6;
+
+/** Parts that one engine may still hold; changed in place. */
+export class PromptMemory {
+  readonly #capacity: number;
+  /** Tokens by the path of a part; the least recently used comes first. */
+  readonly #parts = new Map<string, number>();
+  #tokens = 0;
+
+  private constructor(capacity: number) {
+    this.#capacity = capacity;
+  }
+
+  /** An empty memory of an engine that holds so many tokens in all. */
+  static create(tokens: number): PromptMemory {
+    return new PromptMemory(tokens * SHARE);
+  }
+
+  /** Tokens that need not be read again: a part counts only when all parts
+   * before it do. */
+  known({ parts }: protocol.Prompt): number {
+    let tokens = 0;
+    for (const { path, part } of pathsOf(parts)) {
+      if (!this.#parts.has(path)) break;
+      tokens += part.tokens;
+    }
+    return tokens;
+  }
+
+  /** Notes that the engine reads a prompt. */
+  read({ parts }: protocol.Prompt): void {
+    for (const { path, part } of pathsOf(parts)) {
+      if (!this.#parts.delete(path)) this.#tokens += part.tokens;
+      this.#parts.set(path, part.tokens);
+    }
+    this.#yield();
+  }
+
+  #yield(): void {
+    for (const [path, tokens] of this.#parts) {
+      if (this.#tokens <= this.#capacity) return;
+      this.#parts.delete(path);
+      this.#tokens -= tokens;
+    }
+  }
+}
+
+function* pathsOf(parts: readonly protocol.PromptPart[]) {
+  let path = "";
+  for (const part of parts) {
+    path += `/${part.id}`;
+    yield { path, part };
+  }
+}
--- /dev/null
+++ b/src/gateway/protocol.ts
@@ -0,0 +1,134 @@
+/** What callers and endpoints say, as an adapter of their platform decodes and
+ * encodes it. Times are in milliseconds.
+ * @module */
+
+import type * as http from "node:http";
+
+/** A part of a prompt that requests may share; `id` names its content. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** What is known of a prompt for a model. */
+export interface Prompt {
+  readonly model: string;
+  readonly inputTokens: number;
+  /** Most tokens that may be generated. */
+  readonly outputTokens: number;
+  /** In order; the last belongs to the request or its session alone. */
+  readonly parts: readonly PromptPart[];
+}
+
+/** A request as a caller has sent it. */
+export interface Ask {
+  /** Id of this attempt of the caller; each retry has another. */
+  readonly id: string;
+  readonly method: string;
+  /** Host that the caller names. */
+  readonly host: string;
+  /** Path and query, as sent. */
+  readonly target: string;
+  /** Headers that go on to an endpoint as they are. */
+  readonly headers: Readonly<Record<string, string>>;
+  /** How long the caller waits. */
+  readonly patience?: number;
+  readonly key?: string;
+  readonly prompt?: Prompt;
+  /** Number of pieces of each stage. */
+  readonly pieces?: readonly number[];
+  readonly pieceKey?: string;
+  /** The caller has the events of a stream up to this one. */
+  readonly resumeAfter?: string;
+}
+
+/** A request that was read, or why it could not be. */
+export type Reading =
+  | { type: "ask"; ask: Ask }
+  | { type: "malformed"; detail: string };
+
+/** What the system tells an endpoint beside the request itself. */
+export interface CallTerms {
+  /** Id of the endpoint that is meant; another one does not run the call. */
+  readonly endpoint: string;
+  readonly account?: string;
+  /** How long the answer is of use. */
+  readonly remaining?: number;
+  /** From 0, the most urgent, to 9. */
+  readonly urgency?: number;
+  /** Results of the last stages; present where a route has stages. */
+  readonly inputs?: readonly string[];
+  readonly resumeAfter?: string;
+}
+
+/** How busy an endpoint says it is. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** Head of an endpoint's answer. */
+export interface ReplyHead {
+  readonly status: number;
+  /** Id of the attempt that it answers. */
+  readonly attempt?: string;
+  /** Shows that an endpoint has made the answer. */
+  readonly signature?: string;
+  /** Whether the endpoint says that it has not run the call. */
+  readonly isNotRun: boolean;
+  /** Whether another endpoint than the one that was meant has answered. */
+  readonly isMisdirected: boolean;
+  /** Whether a result that the call needs is gone. */
+  readonly lacksInput: boolean;
+  /** Whether the endpoint takes no further call on the connection. */
+  readonly load?: ReportedLoad;
+  /** Headers that go back to the caller as they are. */
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** One piece in a call. */
+export interface PieceOrder {
+  readonly request: string;
+  readonly stage: number;
+  readonly piece: number;
+  readonly remaining?: number;
+  /** Content that the first stages work on. */
+  readonly key?: string;
+  /** Results that later stages work on. */
+  readonly inputs?: readonly string[];
+}
+
+/** Why a piece was not made. */
+export type PieceFailure = "late" | "gone" | "room" | "error";
+
+/** What became of one piece. */
+export type PieceResult =
+  | { type: "made"; handle: string }
+  | { type: "failed"; failure: PieceFailure };
+
+/** A call as it goes to an endpoint. */
+export interface OutgoingCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Record<string, string>;
+  readonly body: string;
+}
+
+/** Decodes and encodes; decides nothing. */
+export interface GatewayProtocol {
+  readAsk(request: http.IncomingMessage): Reading;
+  /** Whether a request on the readiness address asks for readiness. */
+  isReadinessCall(request: http.IncomingMessage): boolean;
+  callHeaders(ask: Ask, terms: CallTerms): Record<string, string>;
+  readReply(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): ReplyHead;
+  pieceCall(endpoint: string, orders: readonly PieceOrder[]): OutgoingCall;
+  /** Results in the order of the orders; undefined when they are unreadable. */
+  readPieces(body: Buffer): readonly PieceResult[] | undefined;
+  releaseCall(handles: readonly string[]): OutgoingCall;
+  /** Host and port of the endpoint that holds a result. */
+  makerOf(handle: string): string;
+}
--- /dev/null
+++ b/src/gateway/refusal.ts
@@ -0,0 +1,47 @@
+/** The system's own answers: what they say and what they promise.
+ * @module */
+
+/** Why a request gets no endpoint's answer. */
+export type RefusalReason =
+  | "malformed"
+  | "too-large"
+  | "unreadable"
+  | "no-configuration"
+  | "stale-configuration"
+  | "no-route"
+  | "bad-key"
+  | "no-endpoint"
+  | "not-run"
+  | "no-pieces"
+  | "timeout-not-run"
+  | "timeout"
+  | "failed"
+  | "stopping";
+
+/** What is said for a reason. Only 503 promises that the request has not run
+ * and never will. */
+export interface Refusal {
+  readonly status: number;
+  /** Seconds after which to come back; present where that can help. */
+  readonly retryAfter?: number;
+}
+
+/** Answers by reason. Retry-After follows how soon the reason may be over: an
+ * election or a poll of the configuration takes some hundreds of
+ * milliseconds, a new endpoint about a heartbeat. */
+export const REFUSALS: Readonly<Record<RefusalReason, Refusal>> = {
+  "malformed": { status: 400 },
+  "too-large": { status: 413 },
+  "unreadable": { status: 400 },
+  "no-configuration": { status: 503, retryAfter: 0.5 },
+  "stale-configuration": { status: 503, retryAfter: 0.5 },
+  "no-route": { status: 404 },
+  "bad-key": { status: 401 },
+  "no-endpoint": { status: 503, retryAfter: 0.6 },
+  "not-run": { status: 503, retryAfter: 0.4 },
+  "no-pieces": { status: 503, retryAfter: 0.6 },
+  "timeout-not-run": { status: 503, retryAfter: 0.5 },
+  "timeout": { status: 504 },
+  "failed": { status: 502 },
+  "stopping": { status: 503, retryAfter: 0.1 },
+};
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -1,5 +1,6 @@
 /** The transport between the system's hosts.
  * @module */
 
+export * from "./calls.ts";
 export { PeerError } from "./errors.ts";
 export * from "./peers.ts";
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -22,11 +22,18 @@
   port: number;
 }
 
+/** Where hosts are found by their ids. */
+export interface Directory {
+  get(id: string): Host | undefined;
+  has(id: string): boolean;
+}
+
 /** What the transport needs. */
 export interface PeersOptions {
   /** This host; it is among `hosts`. */
   self: string;
-  hosts: readonly Host[];
+  /** A list, or a directory where hosts come and go without one. */
+  hosts: readonly Host[] | Directory;
   /** Fleet key; without one any host of the list's names is admitted. */
   key?: string;
   /** Address to listen on; that of `self` in `hosts` when absent. */
@@ -45,7 +52,7 @@
   readonly #metrics: telemetry.Metrics;
   readonly #logger: telemetry.Logger;
   readonly #links = new Map<string, link.Link>();
-  #hosts: ReadonlyMap<string, Host>;
+  #hosts: Directory;
   #listener?: listener.Listener;
   #cancel?: runtime.Cancel;
   #refused = 0;
@@ -55,7 +62,8 @@
     this.#options = options;
     this.#metrics = options.metrics ?? telemetry.noMetrics;
     this.#logger = options.logger ?? telemetry.noLogger;
-    this.#hosts = byId(options.hosts);
+    const { hosts } = options;
+    this.#hosts = "get" in hosts ? hosts : byId(hosts);
   }
 
   /** A transport that neither listens nor dials yet. */
--- /dev/null
+++ b/src/pieces/maker.ts
@@ -0,0 +1,86 @@
+/** Gets pieces made for the requests of one host: by the host whose batcher
+ * serves the stage's service, or by its own when that one is lost.
+ * @module */
+
+import type * as peers from "../peers/mod.ts";
+import * as rendezvous from "../gateway/rendezvous.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import type * as batchers from "./batcher.ts";
+
+/** Hosts that are tried before the own one. */
+const TRIES = 2;
+/** Milliseconds for which a host that did not answer is left out. */
+const LEFT_OUT = 2000;
+
+/** What a maker needs of its host. */
+export interface MakerOptions {
+  self: string;
+  clock: runtime.Clock;
+  calls: Pick<peers.Calls, "ask" | "cast">;
+  batcher: batchers.Batcher;
+  logger: telemetry.Logger;
+  /** Hosts that take requests and are ready. */
+  hosts(): readonly string[];
+}
+
+/** Asks batchers. */
+export class Maker {
+  readonly #options: MakerOptions;
+  readonly #leftOut = new Map<string, number>();
+
+  private constructor(options: MakerOptions) {
+    this.#options = options;
+  }
+
+  static create(options: MakerOptions): Maker {
+    return new Maker(options);
+  }
+
+  /** Makes pieces; resolves once each is made or cannot be. */
+  async make(question: schema.MakeQuestion): Promise<schema.Result[]> {
+    const { self, clock, calls, batcher, logger } = this.#options;
+    const started = clock.now();
+    for (const host of this.#hostsFor(question.service).slice(0, TRIES)) {
+      const remaining = question.remaining - (clock.now() - started);
+      const asked = { ...question, remaining };
+      if (host === self) return batcher.make(asked);
+      try {
+        const reply = await calls.ask(host, asked, { timeout: remaining + 50 });
+        if (reply.type === "made") return reply.results;
+        throw new Error(`answered ${reply.type}`);
+      } catch (error) {
+        this.#leftOut.set(host, clock.now() + LEFT_OUT);
+        const { request, service } = question;
+        const reason = `${error}`;
+        logger.info({ request, service, host, reason }, "Batcher lost");
+      }
+    }
+    const remaining = question.remaining - (clock.now() - started);
+    return batcher.make({ ...question, remaining });
+  }
+
+  /** Gives results up. */
+  release(service: string, handles: readonly string[]): void {
+    if (handles.length === 0) return;
+    const { self, calls, batcher } = this.#options;
+    const [host] = this.#hostsFor(service);
+    if (host === self || host === undefined) {
+      batcher.release(service, handles);
+    } else {calls.cast(host, {
+        type: "release",
+        service,
+        handles: [...handles],
+      });}
+  }
+
+  #hostsFor(service: string): string[] {
+    const { clock, hosts, self } = this.#options;
+    const now = clock.now();
+    const there = hosts().filter((host) =>
+      (this.#leftOut.get(host) ?? 0) <= now
+    );
+    return rendezvous.rank(service, there.length > 0 ? there : [self]);
+  }
+}
--- /dev/null
+++ b/src/pieces/mod.ts
@@ -0,0 +1,8 @@
+/** Pieces that must be made before a request can run.
+ * @module */
+
+export * from "./batcher.ts";
+export * from "./maker.ts";
+export * from "./plan.ts";
+export { Scheduler } from "./scheduler.ts";
+export type { Work, Worker } from "./scheduler.ts";
--- /dev/null
+++ b/src/pieces/plan.ts
@@ -0,0 +1,139 @@
+/** Which pieces of a request's stages can be made now, and what they give: an
+ * immutable value, changed by steps.
+ * @module */
+
+import type * as configurations from "../configuration/mod.ts";
+
+/** A stage with the results so far. */
+export interface StageState {
+  readonly stage: configurations.Stage;
+  /** Handle of each piece; undefined until it is made. */
+  readonly handles: readonly (string | undefined)[];
+  /** Whether its pieces have been asked for. */
+  readonly isAsked: boolean;
+}
+
+/** Pieces to ask for at once. */
+export interface Round {
+  readonly stage: number;
+  readonly service: string;
+  readonly pieces: readonly number[];
+  readonly bytes: number;
+  /** Results that they need; undefined for stages that work on the key. */
+  readonly inputs?: readonly string[];
+}
+
+/** Progress of one request through its stages. */
+export class Plan {
+  readonly #stages: readonly StageState[];
+
+  private constructor(stages: readonly StageState[]) {
+    this.#stages = stages;
+  }
+
+  /** A plan with nothing made; `counts` says how many pieces each stage has,
+   * 0 where it is left out. */
+  static create(
+    stages: readonly configurations.Stage[],
+    counts: readonly number[],
+  ): Plan {
+    return new Plan(stages.map((stage, number) => ({
+      stage,
+      handles: new Array(counts[number] ?? 0).fill(undefined),
+      isAsked: false,
+    })));
+  }
+
+  /** Whether every piece is made. */
+  get isDone(): boolean {
+    return this.#stages.every(isMade);
+  }
+
+  /** Results that no other stage works on: the request itself needs them. */
+  get outputs(): string[] {
+    const followed = new Set(this.#stages.flatMap(({ stage }) => stage.after));
+    return this.#stages
+      .filter((_, number) => !followed.has(number))
+      .flatMap(({ handles }) => handles as string[]);
+  }
+
+  /** Stages whose pieces can be made and have not been asked for. */
+  get rounds(): Round[] {
+    return this.#stages.flatMap((state, stage) => {
+      const { handles, isAsked, stage: { service, after, bytes } } = state;
+      const isReady = after.every((other) => isMade(this.#stages[other]));
+      const pieces = missing(handles);
+      if (isAsked || !isReady || pieces.length === 0) return [];
+      const inputs = after.length === 0 ? undefined : this.#handlesOf(after);
+      return [{ stage, service, pieces, bytes, inputs }];
+    });
+  }
+
+  /** Results by the service that holds them. */
+  get held(): { service: string; handles: string[] }[] {
+    return this.#stages.map(({ stage: { service }, handles }) => ({
+      service,
+      handles: handles.filter((handle) => handle !== undefined),
+    }));
+  }
+
+  /** Notes that the missing pieces of a stage have been asked for. */
+  ask(stage: number): Plan {
+    return this.#with(stage, (state) => ({ ...state, isAsked: true }));
+  }
+
+  /** Notes results; pieces that failed may be asked for again. */
+  take(
+    stage: number,
+    results: readonly { piece: number; handle?: string }[],
+  ): Plan {
+    return this.#with(stage, (state) => {
+      const handles = [...state.handles];
+      for (const { piece, handle } of results) handles[piece] = handle;
+      return { ...state, handles, isAsked: false };
+    });
+  }
+
+  /** Forgets the results that stages have given: one of them is gone. */
+  forget(stages: readonly number[]): Plan {
+    return new Plan(
+      this.#stages.map((state, number) =>
+        stages.includes(number)
+          ? { ...state, handles: state.handles.map(() => undefined) }
+          : state
+      ),
+    );
+  }
+
+  /** Stages that a stage works on. */
+  inputsOf(stage: number): readonly number[] {
+    return this.#stages[stage].stage.after;
+  }
+
+  /** All stages. */
+  get numbers(): number[] {
+    return this.#stages.map((_, number) => number);
+  }
+
+  #handlesOf(stages: readonly number[]): string[] {
+    return stages.flatMap((number) => this.#stages[number].handles as string[]);
+  }
+
+  #with(stage: number, change: (state: StageState) => StageState): Plan {
+    return new Plan(
+      this.#stages.map((state, number) =>
+        number === stage ? change(state) : state
+      ),
+    );
+  }
+}
+
+function isMade({ handles }: StageState): boolean {
+  return handles.every((handle) => handle !== undefined);
+}
+
+function missing(handles: readonly (string | undefined)[]): number[] {
+  return handles.flatMap((handle, piece) =>
+    handle === undefined ? [piece] : []
+  );
+}
--- /dev/null
+++ b/src/pieces/scheduler.ts
@@ -0,0 +1,315 @@
+/** Which pieces go to which endpoint of one service, and when.
+ *
+ * One scheduler sees all pieces that wait and knows which endpoint is free and
+ * how much room it has left. An endpoint that gets free is given the most
+ * urgent pieces that wait, from any requests, up to a full call: so calls fill
+ * up under load by themselves, and nothing waits for a timer.
+ * @module */
+
+import type * as configurations from "../configuration/mod.ts";
+
+/** A piece to be made. */
+export interface Work {
+  readonly request: string;
+  readonly stage: number;
+  readonly piece: number;
+  readonly key?: string;
+  readonly inputs?: readonly string[];
+  /** About how large the result is. */
+  readonly bytes: number;
+  /** When the result is of no use any more. */
+  readonly expires: number;
+  /** When it is wanted. */
+  readonly wanted: number;
+  /** 0 is the highest. */
+  readonly rank: number;
+  /** Where the result is needed. */
+  readonly dataCentre?: string;
+  readonly tries: number;
+}
+
+/** An endpoint that makes pieces. */
+export interface Worker {
+  readonly id: string;
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+/** A call to make. */
+export interface Assignment {
+  readonly worker: Worker;
+  readonly works: readonly Work[];
+}
+
+interface WorkerState {
+  worker: Worker;
+  /** Calls of this host there. */
+  calls: number;
+  /** Not before this time. */
+  blockedUntil: number;
+  /** Pause after the next failure. */
+  rest: number;
+  /** How many times slower than its service's figures. */
+  slowness: number;
+  /** Results that it holds, and when they end by themselves. */
+  readonly held: Map<string, { bytes: number; until: number }>;
+  heldBytes: number;
+  /** Bytes of the results that calls under way will give. */
+  reserved: number;
+}
+
+/** Milliseconds of the first pause after a failure; it doubles up to the
+ * last. */
+const FIRST_REST = 300;
+const LAST_REST = 5000;
+/** Part of an endpoint's room that is filled: sizes are approximate. */
+const FILLED = 0.9;
+/** Part of a new value in the running mean of a worker's slowness. */
+const GAIN = 0.3;
+/** Slowness by which a worker in another data centre must be better. */
+const FAR = 0.15;
+
+/** Pieces and endpoints of one service; changed in place. */
+export class Scheduler {
+  #traits: configurations.PieceTraits;
+  #workers = new Map<string, WorkerState>();
+  #waiting: Work[] = [];
+
+  private constructor(traits: configurations.PieceTraits) {
+    this.#traits = traits;
+  }
+
+  static create(traits: configurations.PieceTraits): Scheduler {
+    return new Scheduler(traits);
+  }
+
+  /** Pieces that wait. */
+  get waiting(): readonly Work[] {
+    return this.#waiting;
+  }
+
+  /** Follows a change of the service's figures. */
+  setTraits(traits: configurations.PieceTraits): void {
+    this.#traits = traits;
+  }
+
+  /** Follows the endpoints that take work. */
+  setWorkers(workers: readonly Worker[]): void {
+    const next = new Map<string, WorkerState>();
+    for (const worker of workers) {
+      next.set(worker.id, this.#workers.get(worker.id) ?? stateOf(worker));
+    }
+    this.#workers = next;
+  }
+
+  /** Adds pieces. */
+  add(works: readonly Work[]): void {
+    this.#waiting.push(...works);
+    this.#waiting.sort(byUrgency);
+  }
+
+  /** Takes out the pieces of a request that nobody waits for any more. */
+  drop(request: string): Work[] {
+    return this.#takeOut((work) => work.request === request);
+  }
+
+  /** Takes out the pieces that are of no use any more. */
+  expire(now: number): Work[] {
+    return this.#takeOut((work) => work.expires <= now);
+  }
+
+  /** The calls that can be made now; they count as made. */
+  assign(now: number): Assignment[] {
+    const assignments: Assignment[] = [];
+    while (this.#waiting.length > 0) {
+      const state = this.#bestFree(this.#waiting[0], now);
+      if (state === undefined) break;
+      const works = this.#fill(state);
+      if (works.length === 0) break;
+      state.calls++;
+      state.reserved += bytesOf(works);
+      assignments.push({ worker: state.worker, works });
+    }
+    return assignments;
+  }
+
+  /** Milliseconds after which a call counts as hung. */
+  patience({ works, worker }: Assignment): number {
+    const state = this.#workers.get(worker.id);
+    const slowness = Math.max(1, state?.slowness ?? 1);
+    return LEAST_PATIENCE + HANGING * slowness * this.#expected(works.length);
+  }
+
+  /** Notes the end of a call with the results it gave. */
+  finish(
+    { worker, works }: Assignment,
+    { handles, duration, now }: {
+      handles: readonly { handle: string; bytes: number }[];
+      duration: number;
+      now: number;
+    },
+  ): void {
+    const state = this.#workers.get(worker.id);
+    if (state === undefined) return;
+    this.#end(state, works);
+    state.rest = FIRST_REST;
+    const ratio = duration / this.#expected(works.length);
+    state.slowness += GAIN * (ratio - state.slowness);
+    const until = now + this.#traits.keepTime;
+    for (const { handle, bytes } of handles) {
+      state.held.set(handle, { bytes, until });
+      state.heldBytes += bytes;
+    }
+  }
+
+  /** Notes that a call gave nothing. `pause` says for how long the endpoint is
+   * left alone, where it is not failing but full. */
+  fail(
+    { worker, works }: Assignment,
+    { now, pause }: { now: number; pause?: number },
+  ): void {
+    const state = this.#workers.get(worker.id);
+    if (state === undefined) return;
+    this.#end(state, works);
+    state.blockedUntil = now + (pause ?? state.rest);
+    if (pause === undefined) state.rest = Math.min(LAST_REST, 2 * state.rest);
+  }
+
+  /** Notes that an endpoint has no room left, whatever was thought. */
+  noteFull(worker: string, now: number): void {
+    const state = this.#workers.get(worker);
+    if (state !== undefined) state.blockedUntil = now + FULL_PAUSE;
+  }
+
+  /** Notes that results have been given up. */
+  release(handles: readonly string[]): void {
+    for (const state of this.#workers.values()) {
+      for (const handle of handles) this.#dropHandle(state, handle);
+    }
+  }
+
+  /** When a blocked endpoint may be tried again. */
+  wakeAt(now: number): number | undefined {
+    if (this.#waiting.length === 0) return undefined;
+    const times = [...this.#workers.values()].flatMap((state) => [
+      state.blockedUntil,
+      ...[...state.held.values()].map(({ until }) => until),
+    ]).filter((time) => time > now);
+    const first = this.#waiting.reduce(
+      (least, { expires }) => Math.min(least, expires),
+      Infinity,
+    );
+    return Math.min(first, ...times);
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    return {
+      waiting: this.#waiting.length,
+      workers: [...this.#workers.values()].map((state) => ({
+        ...state.worker,
+        calls: state.calls,
+        slowness: state.slowness,
+        heldBytes: state.heldBytes,
+        reserved: state.reserved,
+      })),
+    };
+  }
+
+  #expected(count: number): number {
+    const { callTime, pieceTime } = this.#traits;
+    return callTime + count * pieceTime;
+  }
+
+  #end(state: WorkerState, works: readonly Work[]): void {
+    state.calls = Math.max(0, state.calls - 1);
+    state.reserved = Math.max(0, state.reserved - bytesOf(works));
+  }
+
+  /** The free endpoint that should have a piece first. */
+  #bestFree(first: Work, now: number): WorkerState | undefined {
+    let best: WorkerState | undefined;
+    let least = Infinity;
+    for (const state of this.#workers.values()) {
+      if (state.calls >= this.#traits.slots) continue;
+      if (state.blockedUntil > now) continue;
+      this.#forget(state, now);
+      if (this.#room(state) < first.bytes) continue;
+      const isFar = first.dataCentre !== undefined &&
+        state.worker.dataCentre !== first.dataCentre;
+      const cost = state.slowness + (isFar ? FAR : 0);
+      if (cost >= least) continue;
+      best = state;
+      least = cost;
+    }
+    return best;
+  }
+
+  /** Takes the most urgent pieces that one call can hold. */
+  #fill(state: WorkerState): Work[] {
+    const taken: Work[] = [];
+    let room = this.#room(state);
+    this.#waiting = this.#waiting.filter((work) => {
+      const fits = taken.length < this.#traits.batch && work.bytes <= room;
+      if (!fits) return true;
+      taken.push(work);
+      room -= work.bytes;
+      return false;
+    });
+    return taken;
+  }
+
+  #room(state: WorkerState): number {
+    return this.#traits.room * FILLED - state.heldBytes - state.reserved;
+  }
+
+  #forget(state: WorkerState, now: number): void {
+    for (const [handle, { until }] of state.held) {
+      if (until <= now) this.#dropHandle(state, handle);
+    }
+  }
+
+  #dropHandle(state: WorkerState, handle: string): void {
+    const held = state.held.get(handle);
+    if (held === undefined) return;
+    state.held.delete(handle);
+    state.heldBytes -= held.bytes;
+  }
+
+  #takeOut(isOut: (work: Work) => boolean): Work[] {
+    const out = this.#waiting.filter(isOut);
+    if (out.length > 0) {
+      this.#waiting = this.#waiting.filter((work) => !isOut(work));
+    }
+    return out;
+  }
+}
+
+/** Milliseconds that a call may take however short its work is. */
+const LEAST_PATIENCE = 400;
+/** A call that takes so many times as long as it should counts as hung: slow
+ * endpoints take some times as long, and are still of use. */
+const HANGING = 6;
+/** Milliseconds after which an endpoint without room is asked again. */
+const FULL_PAUSE = 150;
+
+function stateOf(worker: Worker): WorkerState {
+  return {
+    worker,
+    calls: 0,
+    blockedUntil: 0,
+    rest: FIRST_REST,
+    slowness: 1,
+    held: new Map(),
+    heldBytes: 0,
+    reserved: 0,
+  };
+}
+
+function bytesOf(works: readonly Work[]): number {
+  return works.reduce((sum, { bytes }) => sum + bytes, 0);
+}
+
+function byUrgency(one: Work, other: Work): number {
+  return one.wanted - other.wanted || one.rank - other.rank;
+}
--- a/src/runtime/transport.ts
+++ b/src/runtime/transport.ts
@@ -8,7 +8,8 @@
   | "membership"
   | "registry"
   | "shares"
-  | "control";
+  | "control"
+  | "fleet";
 
 /** One message on its way; may be lost, delayed, doubled or overtaken. */
 export interface Envelope {
--- /dev/null
+++ b/src/schema/fleet_types.ts
@@ -0,0 +1,196 @@
+/** Types generated from schema/fleet.yaml.
+ * @module */
+
+/**
+ * Messages between hosts that find each other by seeds: questions that are
+ * answered, and notices that are not.
+ *
+ */
+export type FleetMessage = Ask | Answer | Working | Cast;
+export type Count = number;
+export type Question = ConfirmQuestion | ReplaceQuestion | SyncQuestion | NoteQuestion | MakeQuestion;
+export type Name = string;
+export type Reply = FailedReply | ConfirmedReply | ReplacedReply | SyncedReply | NotedReply | MadeReply;
+export type Notice = HelloNotice | ReleaseNotice;
+
+export interface Ask {
+  type: "ask";
+  id: Count;
+  body: Question;
+}
+/**
+ * Asks a leader which index a current state has applied.
+ */
+export interface ConfirmQuestion {
+  type: "confirm";
+}
+/**
+ * Orders a version of the configuration.
+ */
+export interface ReplaceQuestion {
+  type: "replace";
+  version: Count;
+  document: string;
+}
+/**
+ * Asks for what is new, and for a proof that nothing else is.
+ */
+export interface SyncQuestion {
+  type: "sync";
+  version: Count;
+  /**
+   * Of the roster that `revision` counts; empty without one.
+   */
+  epoch: string;
+  revision: Count;
+  host: EntryHost;
+}
+/**
+ * A host that takes requests.
+ */
+export interface EntryHost {
+  host: Name;
+  dataCentre: Name;
+  ready: boolean;
+  /**
+   * Milliseconds since it was last heard.
+   */
+  age: number;
+}
+/**
+ * Tells another core host of endpoints.
+ */
+export interface NoteQuestion {
+  type: "note";
+  sightings: Sighting[];
+}
+/**
+ * What an endpoint last said of itself.
+ */
+export interface Sighting {
+  id: Name;
+  service: Name;
+  address: Name;
+  dataCentre: Name;
+  version: string;
+  slots: number;
+  state: "ready" | "draining" | "gone";
+  sequence: number;
+  /**
+   * Milliseconds since it was last heard.
+   */
+  age: number;
+  /**
+   * Milliseconds for which it is still slow after its start.
+   */
+  cold?: number;
+  /**
+   * Whether its heartbeats have stopped; for entry hosts.
+   */
+  silent?: boolean;
+}
+/**
+ * Asks the scheduler of a service for pieces of one request.
+ */
+export interface MakeQuestion {
+  type: "make";
+  service: Name;
+  request: Name;
+  stage: Count;
+  pieces: Count[];
+  key?: string;
+  inputs?: string[];
+  /**
+   * About how large a result is.
+   */
+  bytes: number;
+  /**
+   * Milliseconds after which the results are of no use.
+   */
+  remaining: number;
+  /**
+   * Milliseconds within which they are wanted.
+   */
+  slack?: number;
+  rank: number;
+  dataCentre?: string;
+}
+export interface Answer {
+  type: "answer";
+  id: Count;
+  body: Reply;
+}
+export interface FailedReply {
+  type: "failed";
+  reason: "not-leader" | "no-quorum" | "unknown" | "stopped" | "not-served" | "unreachable";
+  leader?: string;
+}
+export interface ConfirmedReply {
+  type: "confirmed";
+  index: Count;
+}
+export interface ReplacedReply {
+  type: "replaced";
+  verdict: "accepted" | "known" | "older" | "conflict";
+  version: Count;
+}
+export interface SyncedReply {
+  type: "synced";
+  /**
+   * Whether a majority says that no version is newer.
+   */
+  confirmed: boolean;
+  version: Count;
+  /**
+   * The configuration, if the asker has an older one.
+   */
+  document?: string;
+  epoch: string;
+  revision: Count;
+  sightings: Sighting[];
+  hosts: EntryHost[];
+  cores: Name[];
+}
+export interface NotedReply {
+  type: "noted";
+}
+export interface MadeReply {
+  type: "made";
+  results: Result[];
+}
+/**
+ * A result, or why there is none.
+ */
+export interface Result {
+  piece: Count;
+  handle?: string;
+  failure?: "late" | "gone" | "room" | "error" | "unreachable";
+}
+/**
+ * Questions that this host has and has not answered yet.
+ */
+export interface Working {
+  type: "working";
+  ids: Count[];
+}
+export interface Cast {
+  type: "cast";
+  body: Notice;
+}
+/**
+ * A core host is there, and knows these.
+ */
+export interface HelloNotice {
+  type: "hello";
+  dataCentre: Name;
+  cores: Name[];
+  hosts: EntryHost[];
+}
+/**
+ * Results that nobody needs any more.
+ */
+export interface ReleaseNotice {
+  type: "release";
+  service: Name;
+  handles: string[];
+}
