Give a stage's results up once all who need them have worked on them

A host that restarts waited for the dials of others: 0.7 s until its first configuration. Change: intermediate results go back when the next stages are made, waiting pieces are dropped with their request, a link dials at once when its host shows up.

--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -232,7 +232,11 @@
   }
 
   #hear(notice: schema.Notice): void {
-    if (notice.type !== "release") return;
-    this.#batcher.release(notice.service, notice.handles);
+    const { type } = notice;
+    if (type === "release") {
+      this.#batcher.release(notice.service, notice.handles);
+    } else if (type === "drop") {
+      this.#batcher.drop(notice.service, notice.request);
+    }
   }
 }
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -74,9 +74,7 @@
 
   /** Gives the results up; they have been read. */
   release(): void {
-    for (const { service, handles } of this.#plan.held) {
-      this.#needs.maker.release(service, handles);
-    }
+    this.#giveUp(this.#plan.held);
   }
 
   /** Stops: nobody waits for it any more. */
@@ -84,6 +82,16 @@
     if (this.#isOver) return;
     this.#isOver = true;
     this.release();
+    const { id } = this.#options.ask;
+    for (const service of new Set(this.#plan.asked)) {
+      this.#needs.maker.drop(service, id);
+    }
+  }
+
+  #giveUp(holdings: readonly pieces.Holding[]): void {
+    for (const { service, handles } of holdings) {
+      this.#needs.maker.release(service, handles);
+    }
   }
 
   /** Makes the pieces of a stage; resolves with why they cannot be. */
@@ -93,6 +101,8 @@
     const made = results.filter(({ handle }) => handle !== undefined);
     this.#plan = this.#plan.take(stage, made);
     if (this.#isOver) this.release();
+    this.#giveUp(this.#plan.read);
+    this.#plan = this.#plan.giveUpRead();
     const failures = results.flatMap(({ failure }) => failure ?? []);
     if (failures.length === 0) return undefined;
     const [failure] = failures;
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -21,6 +21,8 @@
 const WINDOW = 8;
 /** Milliseconds in which a connection opens. */
 const HANDSHAKE_TIMEOUT = 2000;
+/** Milliseconds within which a dial is let go on: some round trips. */
+const WAKE_LEAST = 60;
 const FIRST_RETRY = 100;
 const LAST_RETRY = 1000;
 /** Bytes of the largest answer. */
@@ -57,6 +59,7 @@
   #batches = 0;
   #lastMessage: number;
   #lastBatch: number;
+  #dialledAt = 0;
 
   private constructor(options: LinkOptions) {
     const { clock, metrics } = options;
@@ -114,6 +117,14 @@
     this.#connection = this.#dial();
   }
 
+  /** Dials at once where it would wait for its next try: the other host has
+   * just shown that it is there. */
+  wake(): void {
+    const now = this.#options.clock.now();
+    const isDialling = now - this.#dialledAt < WAKE_LEAST;
+    if (!this.#open && !this.#closed && !isDialling) this.replace("awake");
+  }
+
   /** Closes the connection and drops what waits. */
   close(): void {
     this.#closed = true;
@@ -133,6 +144,7 @@
   }
 
   #dial(): Connection {
+    this.#dialledAt = this.#options.clock.now();
     const connection: Connection = dial(this.#options, {
       open: () => {
         if (connection !== this.#connection || this.#closed) return;
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -160,7 +160,10 @@
   #admit(headers: proof.Headers): string | undefined {
     const { self: to, key } = this.#options;
     const host = proof.verify(headers, { to, key, hosts: this.#hosts });
-    if (host !== undefined) return host;
+    if (host !== undefined) {
+      this.#links.get(host)?.wake();
+      return host;
+    }
     this.#refused++;
     this.#metrics.count("peer.refused");
     return undefined;
--- a/src/pieces/batcher.ts
+++ b/src/pieces/batcher.ts
@@ -69,6 +69,14 @@
     });
   }
 
+  /** Drops the pieces of a request that have not been begun. */
+  drop(service: string, request: string): void {
+    const dropped = this.#schedulers.get(service)?.drop(request) ?? [];
+    for (const work of dropped) {
+      this.#settle(service, work, { piece: work.piece, failure: "late" });
+    }
+  }
+
   /** Gives results up, so that their room is free. */
   release(service: string, handles: readonly string[]): void {
     this.#schedulers.get(service)?.release(handles);
--- a/src/pieces/maker.ts
+++ b/src/pieces/maker.ts
@@ -75,6 +75,14 @@
       });}
   }
 
+  /** Drops pieces of a request that have not been begun. */
+  drop(service: string, request: string): void {
+    const { self, calls, batcher } = this.#options;
+    const [host] = this.#hostsFor(service);
+    if (host === self || host === undefined) batcher.drop(service, request);
+    else calls.cast(host, { type: "drop", service, request });
+  }
+
   #hostsFor(service: string): string[] {
     const { clock, hosts, self } = this.#options;
     const now = clock.now();
--- a/src/pieces/plan.ts
+++ b/src/pieces/plan.ts
@@ -11,6 +11,14 @@
   readonly handles: readonly (string | undefined)[];
   /** Whether its pieces have been asked for. */
   readonly isAsked: boolean;
+  /** Whether its results have been given up, since all have worked on them. */
+  readonly isRead: boolean;
+}
+
+/** Results that one service holds. */
+export interface Holding {
+  readonly service: string;
+  readonly handles: readonly string[];
 }
 
 /** Pieces to ask for at once. */
@@ -41,6 +49,7 @@
       stage,
       handles: new Array(counts[number] ?? 0).fill(undefined),
       isAsked: false,
+      isRead: false,
     })));
   }
 
@@ -69,12 +78,36 @@
     });
   }
 
-  /** Results by the service that holds them. */
-  get held(): { service: string; handles: string[] }[] {
-    return this.#stages.map(({ stage: { service }, handles }) => ({
-      service,
-      handles: handles.filter((handle) => handle !== undefined),
-    }));
+  /** Results that somebody may still work on, by the service that holds
+   * them. */
+  get held(): Holding[] {
+    return this.#stages.flatMap((state) =>
+      state.isRead ? [] : holdingOf(state)
+    );
+  }
+
+  /** Results that have been worked on by all stages that need them: their room
+   * is wanted by others. */
+  get read(): Holding[] {
+    return this.#stages.flatMap((state, number) =>
+      this.#isRead(number) && !state.isRead ? holdingOf(state) : []
+    );
+  }
+
+  /** Notes that what was `read` has been given up. */
+  giveUpRead(): Plan {
+    return new Plan(
+      this.#stages.map((state, number) =>
+        this.#isRead(number) ? { ...state, isRead: true } : state
+      ),
+    );
+  }
+
+  /** Services whose pieces have been asked for and have not come. */
+  get asked(): string[] {
+    return this.#stages.flatMap(({ isAsked, stage }) =>
+      isAsked ? [stage.service] : []
+    );
   }
 
   /** Notes that the missing pieces of a stage have been asked for. */
@@ -99,7 +132,11 @@
     return new Plan(
       this.#stages.map((state, number) =>
         stages.includes(number)
-          ? { ...state, handles: state.handles.map(() => undefined) }
+          ? {
+            ...state,
+            handles: state.handles.map(() => undefined),
+            isRead: false,
+          }
           : state
       ),
     );
@@ -115,6 +152,14 @@
     return this.#stages.map((_, number) => number);
   }
 
+  /** Whether all stages that work on a stage's results are made. */
+  #isRead(number: number): boolean {
+    const followers = this.#stages.filter(({ stage }) =>
+      stage.after.includes(number)
+    );
+    return followers.length > 0 && followers.every(isMade);
+  }
+
   #handlesOf(stages: readonly number[]): string[] {
     return stages.flatMap((number) => this.#stages[number].handles as string[]);
   }
@@ -128,6 +173,11 @@
   }
 }
 
+function holdingOf({ stage: { service }, handles }: StageState): Holding[] {
+  const held = handles.filter((handle) => handle !== undefined);
+  return held.length > 0 ? [{ service, handles: held }] : [];
+}
+
 function isMade({ handles }: StageState): boolean {
   return handles.every((handle) => handle !== undefined);
 }
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -11,7 +11,7 @@
 export type Question = ConfirmQuestion | ReplaceQuestion | SyncQuestion | NoteQuestion | MakeQuestion;
 export type Name = string;
 export type Reply = FailedReply | ConfirmedReply | ReplacedReply | SyncedReply | NotedReply | MadeReply;
-export type Notice = HelloNotice | ReleaseNotice;
+export type Notice = HelloNotice | ReleaseNotice | DropNotice;
 
 export interface Ask {
   type: "ask";
@@ -194,3 +194,11 @@
   service: Name;
   handles: string[];
 }
+/**
+ * A request that nobody waits for any more.
+ */
+export interface DropNotice {
+  type: "drop";
+  service: Name;
+  request: Name;
+}
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,7 +5,7 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the scheduler of a service for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"handles":{"type":"array","items":{"type":"string"}}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the scheduler of a service for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
 const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"}]};
@@ -2249,7 +2249,7 @@
 validate51.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 const schema73 = {"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema74 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"}]};
+const schema74 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]};
 const schema75 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
 
 function validate54(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -2534,6 +2534,122 @@
 }
 validate56.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
+const schema80 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"}}};
+
+function validate57(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate57.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.request === undefined) && (missing0 = "request"))){
+validate57.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema80.required,parentSchema:schema80,data}];
+return false;
+}
+else {
+const _errs1 = errors;
+for(const key0 in data){
+if(!(((key0 === "type") || (key0 === "service")) || (key0 === "request"))){
+validate57.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema80,data}];
+return false;
+break;
+}
+}
+if(_errs1 === errors){
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs2 = errors;
+if(typeof data0 !== "string"){
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema80.properties.type.type,parentSchema:schema80.properties.type,data:data0}];
+return false;
+}
+if("drop" !== data0){
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema80.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs2 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.service !== undefined){
+let data1 = data.service;
+const _errs4 = errors;
+const _errs5 = errors;
+if(errors === _errs5){
+if(typeof data1 === "string"){
+if(data1.length > 256){
+validate57.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate57.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+return false;
+}
+}
+}
+else {
+validate57.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+return false;
+}
+}
+var valid0 = _errs4 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.request !== undefined){
+let data2 = data.request;
+const _errs7 = errors;
+const _errs8 = errors;
+if(errors === _errs8){
+if(typeof data2 === "string"){
+if(data2.length > 256){
+validate57.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
+return false;
+}
+else {
+if(data2.length < 1){
+validate57.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
+return false;
+}
+}
+}
+else {
+validate57.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
+return false;
+}
+}
+var valid0 = _errs7 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+else {
+validate57.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema80.type,parentSchema:schema80,data}];
+return false;
+}
+}
+validate57.errors = vErrors;
+return errors === 0;
+}
+validate57.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+
 
 function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2571,6 +2687,15 @@
 props0 = true;
 }
 }
+else if(tag0 === "drop"){
+if(!(validate57(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate57.errors : vErrors.concat(validate57.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = true;
+}
+}
 else {
 validate53.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema74.discriminator,parentSchema:schema74,data}];
 return false;
