A reset never passes for the end of an endpoint's answer

Change: connections to endpoints carry another code for a reset. The test fails without it (1 of 3).

--- /dev/null
+++ b/src/endpoint_calls/connector_test.ts
@@ -0,0 +1,75 @@
+/** @module */
+
+import * as net from "node:net";
+import type * as ava from "ava";
+import test from "ava";
+import * as undici from "undici";
+import * as runtime from "../runtime/mod.ts";
+import * as connector from "./connector.ts";
+import * as exchange from "./exchange.ts";
+
+/** A server that sends `text` on each request and then does `end`. */
+async function serverOf(
+  t: ava.ExecutionContext,
+  text: string,
+  end: (socket: net.Socket) => void,
+): Promise<string> {
+  const server = net.createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(text);
+      setTimeout(() => end(socket), 30);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  return `http://127.0.0.1:${port}`;
+}
+
+/** How an exchange with the server ends. */
+function fetch(t: ava.ExecutionContext, url: string): Promise<string> {
+  const dispatcher = new undici.Agent({
+    connect: connector.create({ timeout: 500 }),
+  });
+  t.teardown(() => dispatcher.destroy());
+  return new Promise((resolve) => {
+    let body = "";
+    exchange.Exchange.start(
+      { method: "GET", path: "/", headers: {} },
+      {
+        dispatcher,
+        clock: runtime.systemClock,
+        url,
+        deadline: runtime.systemClock.now() + 2000,
+        silence: 2000,
+        mostBytes: 1000,
+        receiver: {
+          head() {},
+          data: (part) => void (body += part),
+          end: () => resolve(`whole: ${body}`),
+          fail: ({ reason }) => resolve(reason),
+        },
+      },
+    );
+  });
+}
+
+const UNFRAMED = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf";
+const CHUNKED = "HTTP/1.1 200 OK\r\nConnection: close\r\n" +
+  "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+
+test("an answer without a length is whole when its connection ends", async (t) => {
+  const url = await serverOf(t, UNFRAMED, (socket) => socket.end());
+  t.is(await fetch(t, url), "whole: half");
+});
+
+test("an answer without a length is broken when it is reset", async (t) => {
+  const url = await serverOf(t, UNFRAMED, (socket) => socket.resetAndDestroy());
+  t.is(await fetch(t, url), "broken-stream");
+});
+
+test("a chunked answer is broken when its connection ends early", async (t) => {
+  const url = await serverOf(t, CHUNKED, (socket) => socket.end());
+  t.is(await fetch(t, url), "broken-stream");
+});
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -4,6 +4,7 @@
 
 import * as undici from "undici";
 import * as configurations from "../configuration/mod.ts";
+import * as connector from "../endpoint_calls/connector.ts";
 import * as gateway from "../gateway/mod.ts";
 import * as pieces from "../pieces/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
@@ -60,7 +61,7 @@
     this.#options = options;
     this.#dispatcher = new undici.Agent({
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT },
+      connect: connector.create({ timeout: CONNECT_TIMEOUT }),
       keepAliveTimeout: KEEP_ALIVE,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN,
     });
