--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -66,7 +66,10 @@
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN,
     });
     this.#network = bases.createNetwork(options, {
-      handlers: { make: (question) => this.#make(question) },
+      handlers: {
+        make: (question) => this.#make(question),
+        book: (question) => this.#book(question),
+      },
       onNotice: (notice) => this.#hear(notice),
     });
     this.#follower = followers.Follower.create({
@@ -232,6 +235,11 @@
     return { type: "made", results: await this.#batcher.make(question) };
   }
 
+  #book(question: schema.BookQuestion): Promise<schema.Reply> {
+    const wait = this.#batcher.book(question);
+    return Promise.resolve({ type: "booked", wait });
+  }
+
   #hear(notice: schema.Notice): void {
     const { type } = notice;
     if (type === "release") {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -30,7 +30,7 @@
   readonly dispatcher: undici.Dispatcher;
   readonly dataCentre: string;
   readonly pool: pools.Pool;
-  readonly maker: Pick<pieces.Maker, "make" | "release" | "drop">;
+  readonly maker: Pick<pieces.Maker, "make" | "book" | "release" | "drop">;
   readonly knowledge: Knowledge;
   /** Greatest age of the configuration with which a key is believed. */
   readonly greatestAge: number;
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -29,6 +29,13 @@
 /** Least milliseconds left for a call to be worth sending. */
 const LEAST_LEFT = 5;
 
+/** Milliseconds that an engine takes for the first event of a usual prompt: a
+ * step with others beside it, and most of a prompt found in its memory. */
+const FIRST_EVENT = 250;
+/** Milliseconds by which a request may be expected to miss its objective: the
+ * forecast is about so exact. */
+const TOLERANCE = 200;
+
 type Phase = "reading" | "pieces" | "sent" | "streaming" | "over";
 
 /** What one call was, for the log line of its request. */
@@ -157,13 +164,24 @@
     if (route.stages.length === 0) return undefined;
     this.#phase = "pieces";
     const started = clock.now();
-    this.#preparation ??= preparation.Preparation.create(this.#context, {
-      ask,
-      route,
-      rank: this.#rank,
-      until: this.#until,
-      wanted: this.#arrival + route.objective,
-    });
+    if (this.#preparation === undefined) {
+      const wanted = this.#arrival + route.objective - FIRST_EVENT;
+      this.#preparation = preparation.Preparation.create(this.#context, {
+        ask,
+        route,
+        rank: this.#rank,
+        until: this.#until,
+        wanted,
+      });
+      const expected = await this.#preparation.book();
+      if (this.isOver) return undefined;
+      const left = wanted - clock.now();
+      const { finish, alone } = expected;
+      if (finish > Math.max(left, alone) + TOLERANCE) {
+        const about = { expectedMs: Math.round(finish), aloneMs: alone, left };
+        return this.#stop("no-time", about);
+      }
+    }
     const result = await this.#preparation.run();
     if (this.isOver) return undefined;
     metrics.time("gateway.stages", clock.now() - started, {
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -26,7 +26,17 @@
   | { type: "made"; inputs: readonly string[] }
   | { type: "failed"; detail: string };
 
-type Needs = Pick<contexts.Context, "clock" | "maker" | "dataCentre">;
+type Needs = Pick<
+  contexts.Context,
+  "clock" | "maker" | "dataCentre" | "knowledge"
+>;
+
+/** When the stages are expected to be made, in milliseconds from now. */
+export interface Expectation {
+  readonly finish: number;
+  /** The same if nothing waited anywhere. */
+  readonly alone: number;
+}
 
 /** Pieces of a request on their way. */
 export class Preparation {
@@ -35,18 +45,56 @@
   #plan: pieces.Plan;
   #repeats = 0;
   #isOver = false;
+  readonly #stages: readonly Omit<pieces.forecast.StageForecast, "wait">[];
+  readonly #tails: readonly number[];
 
   private constructor(needs: Needs, options: PreparationOptions) {
     this.#needs = needs;
     this.#options = options;
     const { route, ask } = options;
     this.#plan = pieces.Plan.create(route.stages, ask.pieces ?? []);
+    const { counts } = this.#plan;
+    const catalogue = needs.knowledge.catalogue();
+    this.#stages = route.stages.map(({ after, service }, number) => {
+      const traits = catalogue?.service(service)?.pieces;
+      const count = counts[number];
+      const work = traits && pieces.forecast.workOf(traits, count);
+      return { after, work: work ?? 0 };
+    });
+    this.#tails = pieces.forecast.tails(this.#stages);
   }
 
   static create(needs: Needs, options: PreparationOptions): Preparation {
     return new Preparation(needs, options);
   }
 
+  /** Books the pieces of all stages; resolves with when they would be made. */
+  async book(): Promise<Expectation> {
+    const { route, ask, rank } = this.#options;
+    const { counts } = this.#plan;
+    const waits = await Promise.all(route.stages.map(({ service }, stage) => {
+      if (counts[stage] === 0) return 0;
+      return this.#needs.maker.book({
+        type: "book",
+        service,
+        request: ask.id,
+        stage,
+        pieces: counts[stage],
+        slack: this.#slack(stage),
+        rank,
+      });
+    }));
+    const stages = this.#stages.map((stage, number) => ({
+      ...stage,
+      wait: waits[number],
+    }));
+    const free = stages.map((stage) => ({ ...stage, wait: 0 }));
+    return {
+      finish: pieces.forecast.finish(stages),
+      alone: pieces.forecast.finish(free),
+    };
+  }
+
   /** Makes what is missing; resolves once all is there or cannot be. */
   run(): Promise<PreparationResult> {
     return new Promise((resolve) => {
@@ -83,7 +131,10 @@
     this.#isOver = true;
     this.release();
     const { id } = this.#options.ask;
-    for (const service of new Set(this.#plan.asked)) {
+    const services = this.#options.route.stages
+      .filter((_, stage) => this.#plan.counts[stage] > 0)
+      .map(({ service }) => service);
+    for (const service of new Set(services)) {
       this.#needs.maker.drop(service, id);
     }
   }
@@ -117,8 +168,8 @@
   #question(
     { stage, service, pieces, bytes, inputs }: pieces.Round,
   ): schema.MakeQuestion {
-    const { ask, rank, wanted } = this.#options;
-    const { clock, dataCentre } = this.#needs;
+    const { ask, rank } = this.#options;
+    const { dataCentre } = this.#needs;
     const isFirst = inputs === undefined;
     return {
       type: "make",
@@ -129,12 +180,19 @@
       ...(isFirst ? { key: ask.pieceKey ?? "" } : { inputs: [...inputs] }),
       bytes,
       remaining: Math.max(0, this.#left()),
-      slack: wanted - clock.now(),
+      slack: this.#slack(stage),
       rank,
       dataCentre,
     };
   }
 
+  /** Milliseconds within which a stage's results are wanted, so that what
+   * follows on them ends in time. */
+  #slack(stage: number): number {
+    const { wanted } = this.#options;
+    return wanted - this.#needs.clock.now() - this.#tails[stage];
+  }
+
   #left(): number {
     return this.#options.until - this.#needs.clock.now();
   }
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -13,6 +13,7 @@
   | "no-endpoint"
   | "not-run"
   | "no-pieces"
+  | "no-time"
   | "timeout-not-run"
   | "timeout"
   | "failed"
@@ -39,6 +40,7 @@
   "bad-key": { status: 401 },
   "no-endpoint": { status: 503, retryAfter: 0.6 },
   "not-run": { status: 503, retryAfter: 0.4 },
+  "no-time": { status: 503, retryAfter: 0.8 },
   "no-pieces": { status: 503, retryAfter: 0.6 },
   "timeout-not-run": { status: 503, retryAfter: 0.5 },
   "timeout": { status: 504 },
--- a/src/pieces/batcher.ts
+++ b/src/pieces/batcher.ts
@@ -69,6 +69,17 @@
     });
   }
 
+  /** Notes pieces that will be asked for; says how long they would wait. */
+  book(question: schema.BookQuestion): number {
+    const { service, request, stage, pieces: count, slack, rank } = question;
+    const scheduler = this.#schedulerOf(service);
+    if (scheduler === undefined) return 0;
+    const now = this.#options.clock.now();
+    scheduler.setWorkers(this.#options.workers(service));
+    const wanted = now + slack;
+    return scheduler.book({ request, stage, count, wanted, rank }, now);
+  }
+
   /** Drops the pieces of a request that have not been begun. */
   drop(service: string, request: string): void {
     const dropped = this.#schedulers.get(service)?.drop(request) ?? [];
--- a/src/pieces/maker.ts
+++ b/src/pieces/maker.ts
@@ -14,6 +14,9 @@
 /** Milliseconds for which a host that did not answer is left out. */
 const LEFT_OUT = 2000;
 
+/** Milliseconds for which an answer to a booking is waited for. */
+const BOOKING = 200;
+
 /** What a maker needs of its host. */
 export interface MakerOptions {
   self: string;
@@ -61,6 +64,23 @@
     return batcher.make({ ...question, remaining });
   }
 
+  /** Books pieces; resolves with how long they would wait, or with 0 where
+   * nobody says so in time. */
+  async book(question: schema.BookQuestion): Promise<number> {
+    const { self, calls, batcher, logger } = this.#options;
+    const { service, request } = question;
+    const [host] = this.#hostsFor(service);
+    if (host === self || host === undefined) return batcher.book(question);
+    try {
+      const reply = await calls.ask(host, question, { timeout: BOOKING });
+      return reply.type === "booked" ? reply.wait : 0;
+    } catch (error) {
+      const reason = `${error}`;
+      logger.info({ request, service, host, reason }, "Pieces not booked");
+      return 0;
+    }
+  }
+
   /** Gives results up. */
   release(service: string, handles: readonly string[]): void {
     if (handles.length === 0) return;
--- a/src/pieces/plan.ts
+++ b/src/pieces/plan.ts
@@ -142,6 +142,11 @@
     );
   }
 
+  /** Number of pieces of each stage. */
+  get counts(): number[] {
+    return this.#stages.map(({ handles }) => handles.length);
+  }
+
   /** Stages that a stage works on. */
   inputsOf(stage: number): readonly number[] {
     return this.#stages[stage].stage.after;
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -41,6 +41,15 @@
   readonly works: readonly Work[];
 }
 
+/** Pieces that will be asked for. */
+export interface Booking {
+  readonly request: string;
+  readonly stage: number;
+  readonly count: number;
+  readonly wanted: number;
+  readonly rank: number;
+}
+
 interface WorkerState {
   worker: Worker;
   /** Calls of this host there. */
@@ -74,6 +83,7 @@
   #traits: configurations.PieceTraits;
   #workers = new Map<string, WorkerState>();
   #waiting: Work[] = [];
+  readonly #bookings = new Map<string, Booking>();
 
   private constructor(traits: configurations.PieceTraits) {
     this.#traits = traits;
@@ -102,14 +112,51 @@
     this.#workers = next;
   }
 
+  /** Notes pieces that will be asked for; says how many milliseconds they
+   * would wait if they were asked for now. */
+  book(booking: Booking, now: number): number {
+    this.#forgetBookings(now);
+    const wait = this.wait(booking, now);
+    this.#bookings.set(bookingKey(booking), booking);
+    return wait;
+  }
+
+  /** Milliseconds until pieces would be begun, behind all that is more urgent,
+   * asked for or booked. */
+  wait({ wanted, rank }: Pick<Work, "wanted" | "rank">, now: number): number {
+    const key = keyOf({ wanted, rank });
+    const waiting = this.#waiting.filter((work) => keyOf(work) <= key).length;
+    let booked = 0;
+    for (const booking of this.#bookings.values()) {
+      if (keyOf(booking) <= key) booked += booking.count;
+    }
+    const usable = [...this.#workers.values()].filter((state) =>
+      state.blockedUntil <= now
+    );
+    const { batch, slots } = this.#traits;
+    const full = this.#expected(batch);
+    const rate = usable.reduce(
+      (sum, { slowness }) =>
+        sum + slots * batch / (full * Math.max(1, slowness)),
+      0,
+    );
+    if (rate === 0) return NO_WORKER;
+    const isBusy = usable.every(({ calls }) => calls >= slots);
+    return (waiting + booked) / rate + (isBusy ? full / 2 / usable.length : 0);
+  }
+
   /** Adds pieces. */
   add(works: readonly Work[]): void {
+    for (const work of works) this.#bookings.delete(bookingKey(work));
     this.#waiting.push(...works);
     this.#waiting.sort(byUrgency);
   }
 
   /** Takes out the pieces of a request that nobody waits for any more. */
   drop(request: string): Work[] {
+    for (const [key, booking] of this.#bookings) {
+      if (booking.request === request) this.#bookings.delete(key);
+    }
     return this.#takeOut((work) => work.request === request);
   }
 
@@ -216,6 +263,13 @@
     };
   }
 
+  /** What was booked and did not come in time. */
+  #forgetBookings(now: number): void {
+    for (const [key, { wanted }] of this.#bookings) {
+      if (wanted + BOOKING_MEMORY < now) this.#bookings.delete(key);
+    }
+  }
+
   #expected(count: number): number {
     const { callTime, pieceTime } = this.#traits;
     return callTime + count * pieceTime;
@@ -310,6 +364,26 @@
   return works.reduce((sum, { bytes }) => sum + bytes, 0);
 }
 
+/** Milliseconds by which a rank lets a piece wait behind those of the rank
+ * above: a few calls, so that the higher goes first where time is short and
+ * the lower is not passed over for long. */
+const RANK_DELAY = 400;
+/** Milliseconds after which pieces that were booked are not expected. */
+const BOOKING_MEMORY = 1000;
+/** Milliseconds that pieces wait where nobody can make them: about until an
+ * endpoint is tried again. */
+const NO_WORKER = 1000;
+
+function keyOf({ wanted, rank }: Pick<Work, "wanted" | "rank">): number {
+  return wanted + rank * RANK_DELAY;
+}
+
 function byUrgency(one: Work, other: Work): number {
-  return one.wanted - other.wanted || one.rank - other.rank;
+  return keyOf(one) - keyOf(other);
+}
+
+function bookingKey(
+  { request, stage }: Pick<Booking, "request" | "stage">,
+): string {
+  return `${request}/${stage}`;
 }
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -8,9 +8,9 @@
  */
 export type FleetMessage = Ask | Answer | Working | Cast;
 export type Count = number;
-export type Question = ConfirmQuestion | ReplaceQuestion | SyncQuestion | NoteQuestion | MakeQuestion;
+export type Question = ConfirmQuestion | ReplaceQuestion | SyncQuestion | NoteQuestion | MakeQuestion | BookQuestion;
 export type Name = string;
-export type Reply = FailedReply | ConfirmedReply | ReplacedReply | SyncedReply | NotedReply | MadeReply;
+export type Reply = FailedReply | ConfirmedReply | ReplacedReply | SyncedReply | NotedReply | MadeReply | BookedReply;
 export type Notice = HelloNotice | ReleaseNotice | DropNotice;
 
 export interface Ask {
@@ -115,6 +115,20 @@
   rank: number;
   dataCentre?: string;
 }
+/**
+ * Announces pieces that will be asked for, and asks how long they would
+ * wait.
+ *
+ */
+export interface BookQuestion {
+  type: "book";
+  service: Name;
+  request: Name;
+  stage: Count;
+  pieces: Count;
+  slack: number;
+  rank: number;
+}
 export interface Answer {
   type: "answer";
   id: Count;
@@ -166,6 +180,13 @@
   handle?: string;
   failure?: "late" | "gone" | "room" | "error" | "unreachable";
 }
+export interface BookedReply {
+  type: "booked";
+  /**
+   * Milliseconds until they would be begun.
+   */
+  wait: number;
+}
 /**
  * Questions that this host has and has not answered yet.
  */
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,11 +5,11 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the scheduler of a service for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the scheduler of a service for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
-const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"}]};
-const schema54 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
+const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]};
+const schema59 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
 const schema35 = {"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"type":"string"}}};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -1035,6 +1035,196 @@
 }
 validate30.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
+const schema54 = {"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}};
+
+function validate31(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate31.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.request === undefined) && (missing0 = "request"))) || ((data.stage === undefined) && (missing0 = "stage"))) || ((data.pieces === undefined) && (missing0 = "pieces"))) || ((data.slack === undefined) && (missing0 = "slack"))) || ((data.rank === undefined) && (missing0 = "rank"))){
+validate31.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema54.required,parentSchema:schema54,data}];
+return false;
+}
+else {
+const _errs1 = errors;
+for(const key0 in data){
+if(!(((((((key0 === "type") || (key0 === "service")) || (key0 === "request")) || (key0 === "stage")) || (key0 === "pieces")) || (key0 === "slack")) || (key0 === "rank"))){
+validate31.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema54,data}];
+return false;
+break;
+}
+}
+if(_errs1 === errors){
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs2 = errors;
+if(typeof data0 !== "string"){
+validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema54.properties.type.type,parentSchema:schema54.properties.type,data:data0}];
+return false;
+}
+if("book" !== data0){
+validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "book"},message:"must be equal to constant",schema:"book",parentSchema:schema54.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs2 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.service !== undefined){
+let data1 = data.service;
+const _errs4 = errors;
+const _errs5 = errors;
+if(errors === _errs5){
+if(typeof data1 === "string"){
+if(data1.length > 256){
+validate31.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate31.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+return false;
+}
+}
+}
+else {
+validate31.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+return false;
+}
+}
+var valid0 = _errs4 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.request !== undefined){
+let data2 = data.request;
+const _errs7 = errors;
+const _errs8 = errors;
+if(errors === _errs8){
+if(typeof data2 === "string"){
+if(data2.length > 256){
+validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
+return false;
+}
+else {
+if(data2.length < 1){
+validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
+return false;
+}
+}
+}
+else {
+validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
+return false;
+}
+}
+var valid0 = _errs7 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.stage !== undefined){
+let data3 = data.stage;
+const _errs10 = errors;
+const _errs11 = errors;
+if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
+validate31.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data3}];
+return false;
+}
+if(errors === _errs11){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate31.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data3}];
+return false;
+}
+}
+}
+var valid0 = _errs10 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.pieces !== undefined){
+let data4 = data.pieces;
+const _errs13 = errors;
+const _errs14 = errors;
+if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
+validate31.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data4}];
+return false;
+}
+if(errors === _errs14){
+if((typeof data4 == "number") && (isFinite(data4))){
+if(data4 < 0 || isNaN(data4)){
+validate31.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data4}];
+return false;
+}
+}
+}
+var valid0 = _errs13 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.slack !== undefined){
+let data5 = data.slack;
+const _errs16 = errors;
+if(!((typeof data5 == "number") && (isFinite(data5)))){
+validate31.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema54.properties.slack.type,parentSchema:schema54.properties.slack,data:data5}];
+return false;
+}
+var valid0 = _errs16 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.rank !== undefined){
+let data6 = data.rank;
+const _errs18 = errors;
+if(!((typeof data6 == "number") && (isFinite(data6)))){
+validate31.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema54.properties.rank.type,parentSchema:schema54.properties.rank,data:data6}];
+return false;
+}
+var valid0 = _errs18 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+}
+}
+}
+}
+else {
+validate31.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema54.type,parentSchema:schema54,data}];
+return false;
+}
+}
+validate31.errors = vErrors;
+return errors === 0;
+}
+validate31.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1062,14 +1252,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if((data.type === undefined) && (missing1 = "type")){
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema54.required,parentSchema:schema54,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema59.required,parentSchema:schema59,data}];
 return false;
 }
 else {
 const _errs5 = errors;
 for(const key0 in data){
 if(!(key0 === "type")){
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema54,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema59,data}];
 return false;
 break;
 }
@@ -1078,11 +1268,11 @@
 if(data.type !== undefined){
 let data0 = data.type;
 if(typeof data0 !== "string"){
-validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema54.properties.type.type,parentSchema:schema54.properties.type,data:data0}];
+validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema59.properties.type.type,parentSchema:schema59.properties.type,data:data0}];
 return false;
 }
 if("confirm" !== data0){
-validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/const",keyword:"const",params:{allowedValue: "confirm"},message:"must be equal to constant",schema:"confirm",parentSchema:schema54.properties.type,data:data0}];
+validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/const",keyword:"const",params:{allowedValue: "confirm"},message:"must be equal to constant",schema:"confirm",parentSchema:schema59.properties.type,data:data0}];
 return false;
 }
 }
@@ -1090,7 +1280,7 @@
 }
 }
 else {
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema54.type,parentSchema:schema54,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema59.type,parentSchema:schema59,data}];
 return false;
 }
 }
@@ -1132,6 +1322,15 @@
 props0 = true;
 }
 }
+else if(tag0 === "book"){
+if(!(validate31(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate31.errors : vErrors.concat(validate31.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = true;
+}
+}
 else {
 validate22.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema34.discriminator,parentSchema:schema34,data}];
 return false;
@@ -1247,16 +1446,17 @@
 }
 validate21.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema55 = {"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema57 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"}]};
-const schema69 = {"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema70 = {"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema58 = {"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
+const schema60 = {"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema62 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]};
+const schema74 = {"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema75 = {"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema76 = {"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"}}};
+const schema63 = {"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
 
-function validate38(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate40(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate38.evaluated;
+const evaluated0 = validate40.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1267,14 +1467,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate38.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema58.required,parentSchema:schema58,data}];
+validate40.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema63.required,parentSchema:schema63,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((key0 === "type") || (key0 === "index"))){
-validate38.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema58,data}];
+validate40.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema63,data}];
 return false;
 break;
 }
@@ -1284,11 +1484,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.properties.type.type,parentSchema:schema58.properties.type,data:data0}];
+validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema63.properties.type.type,parentSchema:schema63.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema58.properties.type,data:data0}];
+validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema63.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -1302,13 +1502,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate38.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate40.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate38.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate40.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -1323,21 +1523,21 @@
 }
 }
 else {
-validate38.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema58.type,parentSchema:schema58,data}];
+validate40.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema63.type,parentSchema:schema63,data}];
 return false;
 }
 }
-validate38.errors = vErrors;
+validate40.errors = vErrors;
 return errors === 0;
 }
-validate38.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate40.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema60 = {"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema65 = {"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
-function validate39(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate41(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate39.evaluated;
+const evaluated0 = validate41.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1348,14 +1548,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate39.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema60.required,parentSchema:schema60,data}];
+validate41.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema65.required,parentSchema:schema65,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "type") || (key0 === "verdict")) || (key0 === "version"))){
-validate39.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema60,data}];
+validate41.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema65,data}];
 return false;
 break;
 }
@@ -1365,11 +1565,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema60.properties.type.type,parentSchema:schema60.properties.type,data:data0}];
+validate41.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema65.properties.type.type,parentSchema:schema65.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema60.properties.type,data:data0}];
+validate41.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema65.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -1382,7 +1582,7 @@
 let data1 = data.verdict;
 const _errs4 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate39.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema60.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema60.properties.verdict.enum,parentSchema:schema60.properties.verdict,data:data1}];
+validate41.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema65.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema65.properties.verdict.enum,parentSchema:schema65.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -1396,13 +1596,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate39.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate41.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate39.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate41.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -1418,21 +1618,21 @@
 }
 }
 else {
-validate39.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema60.type,parentSchema:schema60,data}];
+validate41.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema65.type,parentSchema:schema65,data}];
 return false;
 }
 }
-validate39.errors = vErrors;
+validate41.errors = vErrors;
 return errors === 0;
 }
-validate39.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate41.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema62 = {"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema67 = {"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
-function validate40(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate42(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate40.evaluated;
+const evaluated0 = validate42.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1443,14 +1643,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.hosts === undefined) && (missing0 = "hosts"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate40.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema62.required,parentSchema:schema62,data}];
+validate42.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema67.required,parentSchema:schema67,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
-if(!(func1.call(schema62.properties, key0))){
-validate40.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema62,data}];
+if(!(func1.call(schema67.properties, key0))){
+validate42.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema67,data}];
 return false;
 break;
 }
@@ -1460,11 +1660,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema62.properties.type.type,parentSchema:schema62.properties.type,data:data0}];
+validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.type.type,parentSchema:schema67.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema62.properties.type,data:data0}];
+validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema67.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -1477,7 +1677,7 @@
 let data1 = data.confirmed;
 const _errs4 = errors;
 if(typeof data1 !== "boolean"){
-validate40.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema62.properties.confirmed.type,parentSchema:schema62.properties.confirmed,data:data1}];
+validate42.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema67.properties.confirmed.type,parentSchema:schema67.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -1491,13 +1691,13 @@
 const _errs6 = errors;
 const _errs7 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate40.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate42.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs7){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate40.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate42.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -1512,7 +1712,7 @@
 let data3 = data.document;
 const _errs9 = errors;
 if(typeof data3 !== "string"){
-validate40.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema62.properties.document.type,parentSchema:schema62.properties.document,data:data3}];
+validate42.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.document.type,parentSchema:schema67.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -1525,7 +1725,7 @@
 let data4 = data.epoch;
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate40.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema62.properties.epoch.type,parentSchema:schema62.properties.epoch,data:data4}];
+validate42.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.epoch.type,parentSchema:schema67.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs11 === errors;
@@ -1539,13 +1739,13 @@
 const _errs13 = errors;
 const _errs14 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
-validate40.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+validate42.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
 if(errors === _errs14){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate40.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
+validate42.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
 return false;
 }
 }
@@ -1576,7 +1776,7 @@
 }
 }
 else {
-validate40.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema62.properties.sightings.type,parentSchema:schema62.properties.sightings,data:data6}];
+validate42.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema67.properties.sightings.type,parentSchema:schema67.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -1606,7 +1806,7 @@
 }
 }
 else {
-validate40.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema62.properties.hosts.type,parentSchema:schema62.properties.hosts,data:data8}];
+validate42.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema67.properties.hosts.type,parentSchema:schema67.properties.hosts,data:data8}];
 return false;
 }
 }
@@ -1630,18 +1830,18 @@
 if(errors === _errs25){
 if(typeof data11 === "string"){
 if(data11.length > 256){
-validate40.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data11}];
+validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data11}];
 return false;
 }
 else {
 if(data11.length < 1){
-validate40.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data11}];
+validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data11}];
 return false;
 }
 }
 }
 else {
-validate40.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data11}];
+validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data11}];
 return false;
 }
 }
@@ -1652,7 +1852,7 @@
 }
 }
 else {
-validate40.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema62.properties.cores.type,parentSchema:schema62.properties.cores,data:data10}];
+validate42.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema67.properties.cores.type,parentSchema:schema67.properties.cores,data:data10}];
 return false;
 }
 }
@@ -1673,22 +1873,22 @@
 }
 }
 else {
-validate40.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema62.type,parentSchema:schema62,data}];
+validate42.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema67.type,parentSchema:schema67,data}];
 return false;
 }
 }
-validate40.errors = vErrors;
+validate42.errors = vErrors;
 return errors === 0;
 }
-validate40.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate42.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema66 = {"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema67 = {"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema71 = {"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema72 = {"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
-function validate44(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate46(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate44.evaluated;
+const evaluated0 = validate46.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1699,14 +1899,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate44.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema67.required,parentSchema:schema67,data}];
+validate46.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema72.required,parentSchema:schema72,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "piece") || (key0 === "handle")) || (key0 === "failure"))){
-validate44.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema67,data}];
+validate46.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema72,data}];
 return false;
 break;
 }
@@ -1717,13 +1917,13 @@
 const _errs2 = errors;
 const _errs3 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate44.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate46.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs3){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate44.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate46.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -1738,7 +1938,7 @@
 let data1 = data.handle;
 const _errs5 = errors;
 if(typeof data1 !== "string"){
-validate44.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.handle.type,parentSchema:schema67.properties.handle,data:data1}];
+validate46.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema72.properties.handle.type,parentSchema:schema72.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs5 === errors;
@@ -1751,7 +1951,7 @@
 let data2 = data.failure;
 const _errs7 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate44.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema67.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema67.properties.failure.enum,parentSchema:schema67.properties.failure,data:data2}];
+validate46.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema72.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema72.properties.failure.enum,parentSchema:schema72.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs7 === errors;
@@ -1765,20 +1965,20 @@
 }
 }
 else {
-validate44.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema67.type,parentSchema:schema67,data}];
+validate46.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema72.type,parentSchema:schema72,data}];
 return false;
 }
 }
-validate44.errors = vErrors;
+validate46.errors = vErrors;
 return errors === 0;
 }
-validate44.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate46.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate43(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate45(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate43.evaluated;
+const evaluated0 = validate45.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1789,14 +1989,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate43.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema66.required,parentSchema:schema66,data}];
+validate45.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema71.required,parentSchema:schema71,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((key0 === "type") || (key0 === "results"))){
-validate43.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema66,data}];
+validate45.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema71,data}];
 return false;
 break;
 }
@@ -1806,11 +2006,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate43.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema66.properties.type.type,parentSchema:schema66.properties.type,data:data0}];
+validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema71.properties.type.type,parentSchema:schema71.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate43.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema66.properties.type,data:data0}];
+validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema71.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -1828,8 +2028,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs6 = errors;
-if(!(validate44(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
+if(!(validate46(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate46.errors : vErrors.concat(validate46.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs6 === errors;
@@ -1839,7 +2039,7 @@
 }
 }
 else {
-validate43.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema66.properties.results.type,parentSchema:schema66.properties.results,data:data1}];
+validate45.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema71.properties.results.type,parentSchema:schema71.properties.results,data:data1}];
 return false;
 }
 }
@@ -1853,20 +2053,20 @@
 }
 }
 else {
-validate43.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema66.type,parentSchema:schema66,data}];
+validate45.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema71.type,parentSchema:schema71,data}];
 return false;
 }
 }
-validate43.errors = vErrors;
+validate45.errors = vErrors;
 return errors === 0;
 }
-validate43.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate45.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate37(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate39(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate37.evaluated;
+const evaluated0 = validate39.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1877,7 +2077,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate37.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema57.required,parentSchema:schema57,data}];
+validate39.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema62.required,parentSchema:schema62,data}];
 return false;
 }
 else {
@@ -1889,14 +2089,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate37.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema69.required,parentSchema:schema69,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema74.required,parentSchema:schema74,data}];
 return false;
 }
 else {
 const _errs5 = errors;
 for(const key0 in data){
 if(!(((key0 === "type") || (key0 === "reason")) || (key0 === "leader"))){
-validate37.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema69,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema74,data}];
 return false;
 break;
 }
@@ -1906,11 +2106,11 @@
 let data0 = data.type;
 const _errs6 = errors;
 if(typeof data0 !== "string"){
-validate37.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.type.type,parentSchema:schema69.properties.type,data:data0}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.properties.type.type,parentSchema:schema74.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate37.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema69.properties.type,data:data0}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema74.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs6 === errors;
@@ -1923,7 +2123,7 @@
 let data1 = data.reason;
 const _errs8 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate37.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema69.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema69.properties.reason.enum,parentSchema:schema69.properties.reason,data:data1}];
+validate39.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema74.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema74.properties.reason.enum,parentSchema:schema74.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -1936,7 +2136,7 @@
 let data2 = data.leader;
 const _errs9 = errors;
 if(typeof data2 !== "string"){
-validate37.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.leader.type,parentSchema:schema69.properties.leader,data:data2}];
+validate39.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.properties.leader.type,parentSchema:schema74.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs9 === errors;
@@ -1950,15 +2150,15 @@
 }
 }
 else {
-validate37.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema69.type,parentSchema:schema69,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema74.type,parentSchema:schema74,data}];
 return false;
 }
 }
 var props0 = true;
 }
 else if(tag0 === "confirmed"){
-if(!(validate38(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate38.errors : vErrors.concat(validate38.errors);
+if(!(validate40(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate40.errors : vErrors.concat(validate40.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -1966,8 +2166,8 @@
 }
 }
 else if(tag0 === "replaced"){
-if(!(validate39(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate39.errors : vErrors.concat(validate39.errors);
+if(!(validate41(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate41.errors : vErrors.concat(validate41.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -1975,8 +2175,8 @@
 }
 }
 else if(tag0 === "synced"){
-if(!(validate40(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate40.errors : vErrors.concat(validate40.errors);
+if(!(validate42(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate42.errors : vErrors.concat(validate42.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -1989,14 +2189,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate37.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema70.required,parentSchema:schema70,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema75.required,parentSchema:schema75,data}];
 return false;
 }
 else {
 const _errs17 = errors;
 for(const key1 in data){
 if(!(key1 === "type")){
-validate37.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema70,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema75,data}];
 return false;
 break;
 }
@@ -2005,11 +2205,11 @@
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate37.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema70.properties.type.type,parentSchema:schema70.properties.type,data:data3}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema75.properties.type.type,parentSchema:schema75.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate37.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema70.properties.type,data:data3}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema75.properties.type,data:data3}];
 return false;
 }
 }
@@ -2017,7 +2217,7 @@
 }
 }
 else {
-validate37.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema70.type,parentSchema:schema70,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema75.type,parentSchema:schema75,data}];
 return false;
 }
 }
@@ -2026,41 +2226,102 @@
 }
 }
 else if(tag0 === "made"){
-if(!(validate43(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate43.errors : vErrors.concat(validate43.errors);
+if(!(validate45(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate45.errors : vErrors.concat(validate45.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
 props0 = true;
 }
 }
+else if(tag0 === "booked"){
+const _errs22 = errors;
+if(errors === _errs22){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing3;
+if(((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))){
+validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema76.required,parentSchema:schema76,data}];
+return false;
+}
+else {
+const _errs24 = errors;
+for(const key2 in data){
+if(!((key2 === "type") || (key2 === "wait"))){
+validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key2},message:"must NOT have additional properties",schema:false,parentSchema:schema76,data}];
+return false;
+break;
+}
+}
+if(_errs24 === errors){
+if(data.type !== undefined){
+let data4 = data.type;
+const _errs25 = errors;
+if(typeof data4 !== "string"){
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.type.type,parentSchema:schema76.properties.type,data:data4}];
+return false;
+}
+if("booked" !== data4){
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema76.properties.type,data:data4}];
+return false;
+}
+var valid13 = _errs25 === errors;
+}
+else {
+var valid13 = true;
+}
+if(valid13){
+if(data.wait !== undefined){
+let data5 = data.wait;
+const _errs27 = errors;
+if(!((typeof data5 == "number") && (isFinite(data5)))){
+validate39.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema76.properties.wait.type,parentSchema:schema76.properties.wait,data:data5}];
+return false;
+}
+var valid13 = _errs27 === errors;
+}
+else {
+var valid13 = true;
+}
+}
+}
+}
+}
+else {
+validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema76.type,parentSchema:schema76,data}];
+return false;
+}
+}
+if(props0 !== true){
+props0 = true;
+}
+}
 else {
-validate37.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema57.discriminator,parentSchema:schema57,data}];
+validate39.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema62.discriminator,parentSchema:schema62,data}];
 return false;
 }
 }
 else {
-validate37.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema57.discriminator,parentSchema:schema57,data}];
+validate39.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema62.discriminator,parentSchema:schema62,data}];
 return false;
 }
 }
 }
 else {
-validate37.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema57.type,parentSchema:schema57,data}];
+validate39.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema62.type,parentSchema:schema62,data}];
 return false;
 }
 }
-validate37.errors = vErrors;
+validate39.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate37.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate39.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate36(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate38(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate36.evaluated;
+const evaluated0 = validate38.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2071,14 +2332,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate36.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema55.required,parentSchema:schema55,data}];
+validate38.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema60.required,parentSchema:schema60,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "type") || (key0 === "id")) || (key0 === "body"))){
-validate36.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema55,data}];
+validate38.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema60,data}];
 return false;
 break;
 }
@@ -2088,11 +2349,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate36.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema55.properties.type.type,parentSchema:schema55.properties.type,data:data0}];
+validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema60.properties.type.type,parentSchema:schema60.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate36.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema55.properties.type,data:data0}];
+validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema60.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2106,13 +2367,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate36.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate38.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate36.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate38.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -2125,8 +2386,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs7 = errors;
-if(!(validate37(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate37.errors : vErrors.concat(validate37.errors);
+if(!(validate39(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate39.errors : vErrors.concat(validate39.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs7 === errors;
@@ -2140,21 +2401,21 @@
 }
 }
 else {
-validate36.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema55.type,parentSchema:schema55,data}];
+validate38.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema60.type,parentSchema:schema60,data}];
 return false;
 }
 }
-validate36.errors = vErrors;
+validate38.errors = vErrors;
 return errors === 0;
 }
-validate36.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate38.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema71 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema77 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
-function validate51(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate51.evaluated;
+const evaluated0 = validate53.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2165,14 +2426,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate51.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema71.required,parentSchema:schema71,data}];
+validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema77.required,parentSchema:schema77,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((key0 === "type") || (key0 === "ids"))){
-validate51.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema71,data}];
+validate53.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema77,data}];
 return false;
 break;
 }
@@ -2182,11 +2443,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate51.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema71.properties.type.type,parentSchema:schema71.properties.type,data:data0}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.type.type,parentSchema:schema77.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate51.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema71.properties.type,data:data0}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema77.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2207,13 +2468,13 @@
 const _errs6 = errors;
 const _errs7 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate51.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate53.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs7){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate51.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate53.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -2225,7 +2486,7 @@
 }
 }
 else {
-validate51.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema71.properties.ids.type,parentSchema:schema71.properties.ids,data:data1}];
+validate53.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema77.properties.ids.type,parentSchema:schema77.properties.ids,data:data1}];
 return false;
 }
 }
@@ -2239,23 +2500,23 @@
 }
 }
 else {
-validate51.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema71.type,parentSchema:schema71,data}];
+validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema77.type,parentSchema:schema77,data}];
 return false;
 }
 }
-validate51.errors = vErrors;
+validate53.errors = vErrors;
 return errors === 0;
 }
-validate51.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate53.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema73 = {"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema74 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]};
-const schema75 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
+const schema79 = {"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema80 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]};
+const schema81 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
 
-function validate54(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate56(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate54.evaluated;
+const evaluated0 = validate56.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2266,14 +2527,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema75.required,parentSchema:schema75,data}];
+validate56.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema81.required,parentSchema:schema81,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((((key0 === "type") || (key0 === "dataCentre")) || (key0 === "cores")) || (key0 === "hosts"))){
-validate54.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema75,data}];
+validate56.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema81,data}];
 return false;
 break;
 }
@@ -2283,11 +2544,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema75.properties.type.type,parentSchema:schema75.properties.type,data:data0}];
+validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema81.properties.type.type,parentSchema:schema81.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema75.properties.type,data:data0}];
+validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema81.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2303,18 +2564,18 @@
 if(errors === _errs5){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate54.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate56.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate54.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate56.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate56.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -2338,18 +2599,18 @@
 if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate54.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
+validate56.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate54.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
+validate56.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
 return false;
 }
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+validate56.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
 }
@@ -2360,7 +2621,7 @@
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema75.properties.cores.type,parentSchema:schema75.properties.cores,data:data2}];
+validate56.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema81.properties.cores.type,parentSchema:schema81.properties.cores,data:data2}];
 return false;
 }
 }
@@ -2390,7 +2651,7 @@
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema75.properties.hosts.type,parentSchema:schema75.properties.hosts,data:data4}];
+validate56.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema81.properties.hosts.type,parentSchema:schema81.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -2406,21 +2667,21 @@
 }
 }
 else {
-validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema75.type,parentSchema:schema75,data}];
+validate56.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
 return false;
 }
 }
-validate54.errors = vErrors;
+validate56.errors = vErrors;
 return errors === 0;
 }
-validate54.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate56.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema78 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema84 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"handles":{"type":"array","items":{"type":"string"}}}};
 
-function validate56(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate58(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate56.evaluated;
+const evaluated0 = validate58.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2431,14 +2692,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate56.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema78.required,parentSchema:schema78,data}];
+validate58.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema84.required,parentSchema:schema84,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "type") || (key0 === "service")) || (key0 === "handles"))){
-validate56.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema78,data}];
+validate58.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema84,data}];
 return false;
 break;
 }
@@ -2448,11 +2709,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema78.properties.type.type,parentSchema:schema78.properties.type,data:data0}];
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema84.properties.type.type,parentSchema:schema84.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema78.properties.type,data:data0}];
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema84.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2468,18 +2729,18 @@
 if(errors === _errs5){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate56.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate56.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -2500,7 +2761,7 @@
 let data3 = data2[i0];
 const _errs9 = errors;
 if(typeof data3 !== "string"){
-validate56.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema78.properties.handles.items.type,parentSchema:schema78.properties.handles.items,data:data3}];
+validate58.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema84.properties.handles.items.type,parentSchema:schema84.properties.handles.items,data:data3}];
 return false;
 }
 var valid2 = _errs9 === errors;
@@ -2510,7 +2771,7 @@
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema78.properties.handles.type,parentSchema:schema78.properties.handles,data:data2}];
+validate58.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema84.properties.handles.type,parentSchema:schema84.properties.handles,data:data2}];
 return false;
 }
 }
@@ -2525,21 +2786,21 @@
 }
 }
 else {
-validate56.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema78.type,parentSchema:schema78,data}];
+validate58.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema84.type,parentSchema:schema84,data}];
 return false;
 }
 }
-validate56.errors = vErrors;
+validate58.errors = vErrors;
 return errors === 0;
 }
-validate56.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate58.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema80 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"}}};
+const schema86 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"}}};
 
-function validate57(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate59(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate57.evaluated;
+const evaluated0 = validate59.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2550,14 +2811,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate57.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema80.required,parentSchema:schema80,data}];
+validate59.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema86.required,parentSchema:schema86,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "type") || (key0 === "service")) || (key0 === "request"))){
-validate57.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema80,data}];
+validate59.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema86,data}];
 return false;
 break;
 }
@@ -2567,11 +2828,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema80.properties.type.type,parentSchema:schema80.properties.type,data:data0}];
+validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.type.type,parentSchema:schema86.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema80.properties.type,data:data0}];
+validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema86.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2587,18 +2848,18 @@
 if(errors === _errs5){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate57.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate59.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate57.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate59.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate57.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate59.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -2615,18 +2876,18 @@
 if(errors === _errs8){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate57.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate57.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
 return false;
 }
 }
 }
 else {
-validate57.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
 return false;
 }
 }
@@ -2641,20 +2902,20 @@
 }
 }
 else {
-validate57.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema80.type,parentSchema:schema80,data}];
+validate59.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema86.type,parentSchema:schema86,data}];
 return false;
 }
 }
-validate57.errors = vErrors;
+validate59.errors = vErrors;
 return errors === 0;
 }
-validate57.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate59.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate55(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate53.evaluated;
+const evaluated0 = validate55.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2665,22 +2926,22 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema74.required,parentSchema:schema74,data}];
+validate55.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema80.required,parentSchema:schema80,data}];
 return false;
 }
 else {
 const tag0 = data.type;
 if(typeof tag0 == "string"){
 if(tag0 === "hello"){
-if(!(validate54(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate54.errors : vErrors.concat(validate54.errors);
+if(!(validate56(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate56.errors : vErrors.concat(validate56.errors);
 errors = vErrors.length;
 }
 var props0 = true;
 }
 else if(tag0 === "release"){
-if(!(validate56(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate56.errors : vErrors.concat(validate56.errors);
+if(!(validate58(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate58.errors : vErrors.concat(validate58.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -2688,8 +2949,8 @@
 }
 }
 else if(tag0 === "drop"){
-if(!(validate57(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate57.errors : vErrors.concat(validate57.errors);
+if(!(validate59(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate59.errors : vErrors.concat(validate59.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -2697,32 +2958,32 @@
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema74.discriminator,parentSchema:schema74,data}];
+validate55.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema80.discriminator,parentSchema:schema80,data}];
 return false;
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema74.discriminator,parentSchema:schema74,data}];
+validate55.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema80.discriminator,parentSchema:schema80,data}];
 return false;
 }
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema74.type,parentSchema:schema74,data}];
+validate55.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema80.type,parentSchema:schema80,data}];
 return false;
 }
 }
-validate53.errors = vErrors;
+validate55.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate53.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate55.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate52(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate54(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate52.evaluated;
+const evaluated0 = validate54.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2733,14 +2994,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate52.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema73.required,parentSchema:schema73,data}];
+validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema79.required,parentSchema:schema79,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((key0 === "type") || (key0 === "body"))){
-validate52.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema73,data}];
+validate54.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema79,data}];
 return false;
 break;
 }
@@ -2750,11 +3011,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate52.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema73.properties.type.type,parentSchema:schema73.properties.type,data:data0}];
+validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema79.properties.type.type,parentSchema:schema79.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate52.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema73.properties.type,data:data0}];
+validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema79.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2765,8 +3026,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs4 = errors;
-if(!(validate53(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate53.errors : vErrors.concat(validate53.errors);
+if(!(validate55(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate55.errors : vErrors.concat(validate55.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs4 === errors;
@@ -2779,14 +3040,14 @@
 }
 }
 else {
-validate52.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema73.type,parentSchema:schema73,data}];
+validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema79.type,parentSchema:schema79,data}];
 return false;
 }
 }
-validate52.errors = vErrors;
+validate54.errors = vErrors;
 return errors === 0;
 }
-validate52.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate54.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -2817,8 +3078,8 @@
 var props0 = true;
 }
 else if(tag0 === "answer"){
-if(!(validate36(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate36.errors : vErrors.concat(validate36.errors);
+if(!(validate38(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate38.errors : vErrors.concat(validate38.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -2826,8 +3087,8 @@
 }
 }
 else if(tag0 === "working"){
-if(!(validate51(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate51.errors : vErrors.concat(validate51.errors);
+if(!(validate53(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate53.errors : vErrors.concat(validate53.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -2835,8 +3096,8 @@
 }
 }
 else if(tag0 === "cast"){
-if(!(validate52(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate52.errors : vErrors.concat(validate52.errors);
+if(!(validate54(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate54.errors : vErrors.concat(validate54.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
