--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -61,6 +61,7 @@
   #attempt?: attempts.Attempt;
   #runs = 0;
   #hasLeft = false;
+  #stagesNote?: { expectedMs?: number; tookMs?: number };
   #head?: protocols.ReplyHead;
   #lastId?: string;
   #fallback?: { head: protocols.ReplyHead; body: Buffer };
@@ -177,6 +178,7 @@
       if (this.isOver) return undefined;
       const left = wanted - clock.now();
       const { finish, alone } = expected;
+      this.#stagesNote = { expectedMs: Math.round(finish) };
       if (finish > Math.max(left, alone) + TOLERANCE) {
         const about = { expectedMs: Math.round(finish), aloneMs: alone, left };
         return this.#stop("no-time", about);
@@ -184,7 +186,9 @@
     }
     const result = await this.#preparation.run();
     if (this.isOver) return undefined;
-    metrics.time("gateway.stages", clock.now() - started, {
+    const tookMs = Math.round(clock.now() - started);
+    this.#stagesNote = { ...this.#stagesNote, tookMs };
+    metrics.time("gateway.stages", tookMs, {
       route: route.name,
     });
     if (result.type === "made") return result.inputs;
@@ -540,6 +544,7 @@
       route,
       account: this.#account?.name,
       ms,
+      stages: this.#stagesNote,
       calls: this.#calls,
       version: knowledge.catalogue()?.version,
       ageMs: Math.round(knowledge.age()),
--- a/src/pieces/batcher.ts
+++ b/src/pieces/batcher.ts
@@ -14,7 +14,7 @@
 /** Times that a piece is tried; each costs an endpoint's time. */
 const TRIES = 4;
 /** Milliseconds over which results to be given up gather into one call. */
-const GATHER = 60;
+const GATHER = 8;
 
 /** What a batcher needs of its host. */
 export interface BatcherOptions {
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -7,6 +7,7 @@
  * @module */
 
 import type * as configurations from "../configuration/mod.ts";
+import * as pace from "./pace.ts";
 
 /** A piece to be made. */
 export interface Work {
@@ -72,7 +73,7 @@
 const FIRST_REST = 300;
 const LAST_REST = 5000;
 /** Part of an endpoint's room that is filled: sizes are approximate. */
-const FILLED = 0.9;
+const FILLED = 0.97;
 /** Part of a new value in the running mean of a worker's slowness. */
 const GAIN = 0.3;
 /** Slowness by which a worker in another data centre must be better. */
@@ -84,6 +85,7 @@
   #workers = new Map<string, WorkerState>();
   #waiting: Work[] = [];
   readonly #bookings = new Map<string, Booking>();
+  readonly #pace = pace.Pace.create();
 
   private constructor(traits: configurations.PieceTraits) {
     this.#traits = traits;
@@ -135,12 +137,13 @@
     );
     const { batch, slots } = this.#traits;
     const full = this.#expected(batch);
-    const rate = usable.reduce(
+    const nominal = usable.reduce(
       (sum, { slowness }) =>
         sum + slots * batch / (full * Math.max(1, slowness)),
       0,
     );
-    if (rate === 0) return NO_WORKER;
+    if (nominal === 0) return NO_WORKER;
+    const rate = this.#pace.rate(nominal, now);
     const isBusy = usable.every(({ calls }) => calls >= slots);
     return (waiting + booked) / rate + (isBusy ? full / 2 / usable.length : 0);
   }
@@ -175,8 +178,10 @@
       if (works.length === 0) break;
       state.calls++;
       state.reserved += bytesOf(works);
+      this.#pace.begin(works.length, now);
       assignments.push({ worker: state.worker, works });
     }
+    this.#pace.note(this.#waiting.length >= this.#traits.batch, now);
     return assignments;
   }
 
@@ -345,7 +350,7 @@
  * endpoints take some times as long, and are still of use. */
 const HANGING = 6;
 /** Milliseconds after which an endpoint without room is asked again. */
-const FULL_PAUSE = 150;
+const FULL_PAUSE = 60;
 
 function stateOf(worker: Worker): WorkerState {
   return {
