--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -54,6 +54,7 @@
   #catalogue?: configurations.Catalogue;
   #server!: gateway.Server;
   #isDraining = false;
+  #isEnding = false;
 
   private constructor(options: EntryOptions) {
     const { settings, clock, logger } = options;
@@ -122,6 +123,7 @@
     await new Promise<void>((resolve) =>
       void clock.after(TAKING, () => resolve())
     );
+    this.#isEnding = true;
     const left = bounds.grace - END_RESERVE - (clock.now() - started);
     await this.#server.finish(left);
     await this.#server.stop();
@@ -186,6 +188,7 @@
       },
       budget: (service) => this.#budget(service),
       isDraining: () => this.#isDraining,
+      isEnding: () => this.#isEnding,
     };
   }
 
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -19,6 +19,15 @@
 const NEAR = 10;
 /** Milliseconds that a call in another data centre takes longer. */
 const FAR = 3;
+/** Milliseconds of an engine's first event beside reading: the first token
+ * after an idle step, as the users' figures have it. */
+const FIRST_EVENT = 130;
+/** Milliseconds by which another engine must be better than the one that the
+ * stages were made near: results then cross data centres. */
+const MOVED = 30;
+/** Milliseconds for each request beyond an engine's slots: it waits for the end
+ * of a stream. */
+const FULL_DELAY = 1000;
 /** Power by which failures lower an endpoint's chance. */
 const HEALTH_POWER = 3;
 
@@ -30,6 +39,19 @@
   readonly dataCentre: string;
 }
 
+/** What the choice of an engine goes by. */
+export interface EngineSituation extends Situation {
+  /** The engine that was meant when the request came: its stages were made
+   * near it. */
+  readonly planned?: endpoint.Endpoint;
+}
+
+/** An engine, and how many milliseconds its first event is expected to take. */
+export interface EngineChoice {
+  readonly engine: endpoint.Endpoint;
+  readonly firstEvent: number;
+}
+
 /** Endpoint for a plain call: the one that should answer first. */
 export function choosePlain(
   candidates: readonly endpoint.Endpoint[],
@@ -52,22 +74,35 @@
 export function chooseEngine(
   candidates: readonly endpoint.Endpoint[],
   prompt: protocol.Prompt,
-  { now, random }: Situation,
-): endpoint.Endpoint | undefined {
+  { now, random, planned }: EngineSituation,
+): EngineChoice | undefined {
   const home = homeOf(candidates, prompt);
-  return least(candidates, (each) => {
-    const read = unread(each, prompt, home);
-    const wait = (each.backlog + read) / READ_RATE;
-    const time = wait + each.delay(now) + each.inFlight * STREAM_DELAY;
+  const engine = least(candidates, (each) => {
+    const time = firstEvent(each, prompt, { now, home });
+    const moved = planned === undefined || planned === each ? 0 : MOVED;
     const full = Math.max(0, each.inFlight + 1 - each.identity.slots);
-    return (time + random.next() * NEAR) /
-        Math.max(0.01, each.health ** HEALTH_POWER) + full * 1000;
+    return (time + moved + random.next() * NEAR) /
+        Math.max(0.01, each.health ** HEALTH_POWER) + full * FULL_DELAY;
   });
+  if (engine === undefined) return undefined;
+  return { engine, firstEvent: firstEvent(engine, prompt, { now, home }) };
+}
+
+/** Milliseconds until an engine's first event for a prompt. */
+function firstEvent(
+  engine: endpoint.Endpoint,
+  prompt: protocol.Prompt,
+  { now, home }: { now: number; home?: string },
+): number {
+  const read = unread(engine, prompt, home);
+  return FIRST_EVENT + (engine.backlog + read) / READ_RATE +
+    engine.delay(now) + engine.inFlight * STREAM_DELAY;
 }
 
-/** Milliseconds that an engine takes for reading so many tokens. */
+/** Milliseconds after which an engine that nothing delays gives the first event
+ * of a prompt with so many tokens to read. */
 export function readTime(tokens: number): number {
-  return tokens / READ_RATE;
+  return FIRST_EVENT + tokens / READ_RATE;
 }
 
 /** Tokens that an engine must read, as far as is known. */
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -36,4 +36,6 @@
   readonly greatestAge: number;
   budget(service: string): retryBudget.RetryBudget;
   isDraining(): boolean;
+  /** Whether the host ends so soon that no new request would be finished. */
+  isEnding(): boolean;
 }
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -29,12 +29,11 @@
 /** Least milliseconds left for a call to be worth sending. */
 const LEAST_LEFT = 5;
 
-/** Milliseconds that an engine takes for the first event of a usual prompt: a
- * step with others beside it, and most of a prompt found in its memory. */
+/** Milliseconds of a first event where no engine is known. */
 const FIRST_EVENT = 250;
 /** Milliseconds by which a request may be expected to miss its objective: the
  * forecast is about so exact. */
-const TOLERANCE = 200;
+const TOLERANCE = 100;
 
 type Phase = "reading" | "pieces" | "sent" | "streaming" | "over";
 
@@ -66,6 +65,7 @@
   #lastId?: string;
   #fallback?: { head: protocols.ReplyHead; body: Buffer };
   #preparation?: preparation.Preparation;
+  #planned?: endpoint.Endpoint;
   #resolveOver!: () => void;
   /** Resolves when the request is answered or given up. */
   readonly over: Promise<void>;
@@ -105,9 +105,10 @@
     try {
       const body = await this.#admit();
       if (this.isOver) return;
-      const inputs = await this.#prepare();
+      const service = this.#pickService();
+      const inputs = await this.#prepare(service);
       if (this.isOver) return;
-      await this.#send(body, inputs);
+      await this.#send(body, { service, inputs });
     } catch (error) {
       const request = this.#ask?.id;
       this.#context.logger.error({ err: error, request }, "Request failed");
@@ -124,7 +125,9 @@
     }
     const { ask } = reading;
     this.#ask = ask;
-    const reason = this.#judge(ask, knowledge.catalogue());
+    const reason = this.#context.isEnding()
+      ? "stopping"
+      : this.#judge(ask, knowledge.catalogue());
     if (reason !== undefined) return this.#stop(reason);
     const route = this.#route!;
     const patience = Math.min(route.timeout, ask.patience ?? Infinity);
@@ -158,7 +161,7 @@
   }
 
   /** Has the pieces of the request's stages made. */
-  async #prepare(): Promise<readonly string[] | undefined> {
+  async #prepare(service: string): Promise<readonly string[] | undefined> {
     const { clock, metrics } = this.#context;
     const route = this.#route!;
     const ask = this.#ask!;
@@ -166,13 +169,17 @@
     this.#phase = "pieces";
     const started = clock.now();
     if (this.#preparation === undefined) {
-      const wanted = this.#arrival + route.objective - FIRST_EVENT;
+      const planned = this.#plan(service);
+      this.#planned = planned?.engine;
+      const firstEvent = planned?.firstEvent ?? FIRST_EVENT;
+      const wanted = this.#arrival + route.objective - firstEvent;
       this.#preparation = preparation.Preparation.create(this.#context, {
         ask,
         route,
         rank: this.#rank,
         until: this.#until,
         wanted,
+        dataCentre: planned?.engine.identity.dataCentre,
       });
       const expected = await this.#preparation.book();
       if (this.isOver) return undefined;
@@ -198,10 +205,12 @@
   /** Calls endpoints until one gives the answer or no other may be asked. */
   async #send(
     body: Buffer,
-    first: readonly string[] | undefined,
+    { service, inputs: first }: {
+      service: string;
+      inputs: readonly string[] | undefined;
+    },
   ): Promise<void> {
     const { clock } = this.#context;
-    const service = this.#pickService();
     let inputs = first;
     let remakes = 0;
     this.#context.budget(service).earn(clock.now());
@@ -220,7 +229,7 @@
       const isLacking = outcome.cause === "lacks-input";
       if (isLacking && remakes++ < REMAKES) {
         this.#preparation!.forget();
-        inputs = await this.#prepare();
+        inputs = await this.#prepare(service);
         if (this.isOver) return;
       } else if (!this.#mayRepeat(outcome, service)) {
         return this.#conclude("not-run");
@@ -244,11 +253,26 @@
     const tried = new Set(this.#calls.map((call) => call.endpoint));
     const fresh = usable.filter(({ identity }) => !tried.has(identity.id));
     const candidates = fresh.length > 0 ? fresh : usable;
-    const situation = { now, random, dataCentre };
     const prompt = this.#ask!.prompt;
-    return prompt === undefined
-      ? choice.choosePlain(candidates, situation)
-      : choice.chooseEngine(candidates, prompt, situation);
+    if (prompt === undefined) {
+      return choice.choosePlain(candidates, { now, random, dataCentre });
+    }
+    return choice.chooseEngine(candidates, prompt, {
+      now,
+      random,
+      dataCentre,
+      planned: this.#planned,
+    })?.engine;
+  }
+
+  /** The engine that the request would go to now. */
+  #plan(service: string): choice.EngineChoice | undefined {
+    const { pool, clock, random, dataCentre } = this.#context;
+    const { prompt } = this.#ask!;
+    if (prompt === undefined) return undefined;
+    const now = clock.now();
+    const usable = pool.usable(service, now);
+    return choice.chooseEngine(usable, prompt, { now, random, dataCentre });
   }
 
   async #call(
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -19,6 +19,8 @@
   readonly until: number;
   /** When its answer is wanted. */
   readonly wanted: number;
+  /** Where the results are needed; that of the own host when absent. */
+  readonly dataCentre?: string;
 }
 
 /** How it ended. */
@@ -169,7 +171,7 @@
     { stage, service, pieces, bytes, inputs }: pieces.Round,
   ): schema.MakeQuestion {
     const { ask, rank } = this.#options;
-    const { dataCentre } = this.#needs;
+    const { dataCentre = this.#needs.dataCentre } = this.#options;
     const isFirst = inputs === undefined;
     return {
       type: "make",
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -76,8 +76,16 @@
 const FILLED = 0.97;
 /** Part of a new value in the running mean of a worker's slowness. */
 const GAIN = 0.3;
-/** Slowness by which a worker in another data centre must be better. */
-const FAR = 0.15;
+/** Bytes of a result that is made where it is needed while there is time: its
+ * way to another data centre costs more than some wait. */
+const LARGE = 500_000;
+/** Calls' worth of time before a large result is wanted up to which it waits
+ * for an endpoint where it is needed. */
+const PATIENT_CALLS = 4;
+/** Slowness beyond which nothing waits for an endpoint. */
+const SLOW = 2;
+/** Milliseconds by which a piece may be late and still go before others. */
+const LATE_TOLERANCE = 100;
 
 /** Pieces and endpoints of one service; changed in place. */
 export class Scheduler {
@@ -152,7 +160,6 @@
   add(works: readonly Work[]): void {
     for (const work of works) this.#bookings.delete(bookingKey(work));
     this.#waiting.push(...works);
-    this.#waiting.sort(byUrgency);
   }
 
   /** Takes out the pieces of a request that nobody waits for any more. */
@@ -171,11 +178,10 @@
   /** The calls that can be made now; they count as made. */
   assign(now: number): Assignment[] {
     const assignments: Assignment[] = [];
-    while (this.#waiting.length > 0) {
-      const state = this.#bestFree(this.#waiting[0], now);
-      if (state === undefined) break;
-      const works = this.#fill(state);
-      if (works.length === 0) break;
+    this.#sort(now);
+    for (const state of this.#free(now)) {
+      const works = this.#fill(state, now);
+      if (works.length === 0) continue;
       state.calls++;
       state.reserved += bytesOf(works);
       this.#pace.begin(works.length, now);
@@ -247,8 +253,14 @@
       state.blockedUntil,
       ...[...state.held.values()].map(({ until }) => until),
     ]).filter((time) => time > now);
+    const patience = PATIENT_CALLS * this.#expected(1);
     const first = this.#waiting.reduce(
-      (least, { expires }) => Math.min(least, expires),
+      (least, { expires, wanted }) =>
+        Math.min(
+          least,
+          expires,
+          wanted - patience > now ? wanted - patience : Infinity,
+        ),
       Infinity,
     );
     return Math.min(first, ...times);
@@ -285,32 +297,32 @@
     state.reserved = Math.max(0, state.reserved - bytesOf(works));
   }
 
-  /** The free endpoint that should have a piece first. */
-  #bestFree(first: Work, now: number): WorkerState | undefined {
-    let best: WorkerState | undefined;
-    let least = Infinity;
-    for (const state of this.#workers.values()) {
-      if (state.calls >= this.#traits.slots) continue;
-      if (state.blockedUntil > now) continue;
-      this.#forget(state, now);
-      if (this.#room(state) < first.bytes) continue;
-      const isFar = first.dataCentre !== undefined &&
-        state.worker.dataCentre !== first.dataCentre;
-      const cost = state.slowness + (isFar ? FAR : 0);
-      if (cost >= least) continue;
-      best = state;
-      least = cost;
-    }
-    return best;
+  /** Puts pieces first that can still be in time, the most urgent of them
+   * first: those that cannot must not make all others late. */
+  #sort(now: number): void {
+    const soonest = now + this.#expected(1) - LATE_TOLERANCE;
+    const late = ({ wanted }: Work) => wanted < soonest ? 1 : 0;
+    this.#waiting.sort((one, other) =>
+      late(one) - late(other) || byUrgency(one, other)
+    );
+  }
+
+  /** Endpoints that can take a call, the fastest first. */
+  #free(now: number): WorkerState[] {
+    const free = [...this.#workers.values()].filter((state) =>
+      state.calls < this.#traits.slots && state.blockedUntil <= now
+    );
+    free.forEach((state) => this.#forget(state, now));
+    return free.sort((one, other) => one.slowness - other.slowness);
   }
 
   /** Takes the most urgent pieces that one call can hold. */
-  #fill(state: WorkerState): Work[] {
+  #fill(state: WorkerState, now: number): Work[] {
     const taken: Work[] = [];
     let room = this.#room(state);
     this.#waiting = this.#waiting.filter((work) => {
       const fits = taken.length < this.#traits.batch && work.bytes <= room;
-      if (!fits) return true;
+      if (!fits || !this.#suits(state, work, now)) return true;
       taken.push(work);
       room -= work.bytes;
       return false;
@@ -318,6 +330,20 @@
     return taken;
   }
 
+  /** Whether a piece may be made there: a large result waits a little for an
+   * endpoint where it is needed, while there is time. */
+  #suits({ worker }: WorkerState, work: Work, now: number): boolean {
+    const { dataCentre, bytes, wanted } = work;
+    if (bytes < LARGE || dataCentre === undefined) return true;
+    if (worker.dataCentre === dataCentre) return true;
+    if (this.#waiting.length > this.#traits.batch) return true;
+    const isThere = [...this.#workers.values()].some((state) =>
+      state.worker.dataCentre === dataCentre && state.blockedUntil <= now &&
+      state.slowness < SLOW
+    );
+    return !isThere || wanted - now < PATIENT_CALLS * this.#expected(1);
+  }
+
   #room(state: WorkerState): number {
     return this.#traits.room * FILLED - state.heldBytes - state.reserved;
   }
