--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -48,7 +48,8 @@
   readonly #roster: endpoints.Roster;
   readonly #spread: spread.Spread;
   readonly #epoch: string;
-  #keeper!: versions.Keeper;
+  /** Undefined until the disk is read. */
+  #keeper?: versions.Keeper;
   #server?: controlServer.ControlServer;
   #stopped = false;
 
@@ -64,8 +65,8 @@
     });
     this.#network = bases.createNetwork(options, {
       handlers: {
-        confirm: (question) => this.#keeper.answer(question),
-        replace: (question) => this.#keeper.answer(question),
+        confirm: (question) => this.#answer(question),
+        replace: (question) => this.#answer(question),
         sync: (question, from) => this.#sync(question, from),
         note: (question) => this.#note(question),
       },
@@ -97,12 +98,12 @@
   /** Hands its part in the log over and ends. */
   async stop(): Promise<void> {
     this.#stopped = true;
-    this.#keeper.drain();
+    this.#keeper?.drain();
     await new Promise<void>((resolve) =>
       void this.#options.clock.after(FAREWELL, () => resolve())
     );
     await this.#server?.stop();
-    this.#keeper.stop();
+    this.#keeper?.stop();
     this.#network.calls.stop();
     await this.#network.transport.stop();
     this.#options.logger.info({}, "Host stopped");
@@ -112,7 +113,7 @@
   dump(): unknown {
     const now = this.#options.clock.now();
     return {
-      log: this.#keeper.dump(),
+      log: this.#keeper?.dump(),
       cores: this.#members.live(now),
       entryHosts: this.#entries.live(now),
       endpoints: [...this.#roster.entries],
@@ -158,7 +159,7 @@
     if (this.#stopped) return;
     const { clock } = this.#options;
     const now = clock.now();
-    this.#members.learn(this.#keeper.voters);
+    this.#members.learn(this.#keeper?.voters ?? []);
     this.#greet(now);
     this.#roster.expire(now);
     this.#spread.tick();
@@ -177,12 +178,13 @@
   }
 
   #chooseVoters(now: number): void {
-    const { voters, isLeader } = this.#keeper;
-    if (!isLeader) return;
+    const keeper = this.#keeper;
+    if (keeper === undefined || !keeper.isLeader) return;
+    const { voters } = keeper;
     const { lossesBorne } = this.#options.settings;
     const most = Math.max(VOTERS, 2 * lossesBorne + 1);
     const live = this.#members.live(now);
-    this.#keeper.setHosts(coreMembers.chooseVoters({ live, voters, most }));
+    keeper.setHosts(coreMembers.chooseVoters({ live, voters, most }));
   }
 
   #others(): string[] {
@@ -232,7 +234,7 @@
 
   async #confirmed(): Promise<versions.Edition | undefined> {
     try {
-      return await this.#keeper.read(SYNC_PATIENCE);
+      return await this.#keeper?.read(SYNC_PATIENCE);
     } catch (error) {
       if (!(error instanceof versions.VersionError)) throw error;
       this.#options.metrics.count("config.unconfirmed");
@@ -240,6 +242,13 @@
     }
   }
 
+  async #answer(
+    question: schema.ConfirmQuestion | schema.ReplaceQuestion,
+  ): Promise<schema.Reply> {
+    const reply = await this.#keeper?.answer(question);
+    return reply ?? { type: "failed", reason: "stopped" };
+  }
+
   #note({ sightings: told }: schema.NoteQuestion): Promise<schema.Reply> {
     const now = this.#options.clock.now();
     for (const sighting of told) {
@@ -260,7 +269,7 @@
     }
     try {
       const order = { version, document };
-      const reply = await this.#keeper.replace(order, ORDER_PATIENCE);
+      const reply = await this.#keeper!.replace(order, ORDER_PATIENCE);
       logger.info({ asked: version, ...reply }, "Configuration ordered");
       return reply.verdict === "conflict"
         ? problem(409, `version ${version} is in force with other content`)
@@ -272,7 +281,7 @@
 
   async #read(): Promise<protocol.ControlAnswer> {
     try {
-      const edition = await this.#keeper.read(READ_PATIENCE);
+      const edition = await this.#keeper!.read(READ_PATIENCE);
       if (edition.version > 0) return { status: 200, body: edition.document };
       return problem(503, "no configuration has been accepted yet");
     } catch (error) {
@@ -318,7 +327,7 @@
   #unanswered(error: unknown, about: object): protocol.ControlAnswer {
     if (!(error instanceof versions.VersionError)) throw error;
     const { kind, message } = error;
-    const { leader } = this.#keeper;
+    const leader = this.#keeper?.leader;
     const fields = { ...about, kind, leader };
     this.#options.logger.info(fields, "Operator not answered");
     return problem(503, message);
--- a/src/pieces/batcher.ts
+++ b/src/pieces/batcher.ts
@@ -27,6 +27,13 @@
   workers(service: string): readonly schedulers.Worker[];
 }
 
+/** Results of one maker that are to be given up. */
+interface Released {
+  readonly service: string;
+  readonly maker: string;
+  readonly handles: Set<string>;
+}
+
 interface Order {
   readonly question: schema.MakeQuestion;
   readonly results: Map<number, schema.Result>;
@@ -38,7 +45,7 @@
   readonly #options: BatcherOptions;
   readonly #schedulers = new Map<string, schedulers.Scheduler>();
   readonly #orders = new Map<string, Order>();
-  readonly #released = new Map<string, Set<string>>();
+  readonly #released = new Map<string, Released>();
   readonly #wakes = new Map<string, runtime.Cancel>();
   #isReleasing = false;
 
@@ -90,14 +97,15 @@
 
   /** Gives results up, so that their room is free. */
   release(service: string, handles: readonly string[]): void {
-    this.#schedulers.get(service)?.release(handles);
     const { protocol, clock } = this.#options;
     for (const handle of handles) {
       const maker = protocol.makerOf(handle);
-      const gathered = this.#released.get(maker) ?? new Set();
-      this.#released.set(maker, gathered.add(handle));
+      const key = `${service} ${maker}`;
+      const gathered = this.#released.get(key) ??
+        { service, maker, handles: new Set() };
+      gathered.handles.add(handle);
+      this.#released.set(key, gathered);
     }
-    this.#run(service);
     if (this.#isReleasing) return;
     this.#isReleasing = true;
     clock.after(GATHER, () => this.#sendReleases());
@@ -196,6 +204,10 @@
         : []
     );
     scheduler.finish(assignment, { handles, duration, now });
+    const isFull = results.some((result) =>
+      result.type === "failed" && result.failure === "room"
+    );
+    if (isFull) scheduler.noteFull(worker.id, now);
     results.forEach((result, pos) => {
       const work = works[pos];
       const { piece } = work;
@@ -205,7 +217,6 @@
       }
       const { failure } = result;
       this.#options.metrics.count("pieces.failed", 1, { service, failure });
-      if (failure === "room") scheduler.noteFull(worker.id, now);
       const isFinal = failure === "gone" || failure === "late";
       if (isFinal) this.#settle(service, work, { piece, failure });
       else this.#again(service, work, failure);
@@ -267,10 +278,23 @@
 
   #sendReleases(): void {
     this.#isReleasing = false;
-    for (const [maker, handles] of this.#released) {
-      void pieceCall.release(maker, [...handles], this.#options);
-    }
+    const released = [...this.#released.values()];
     this.#released.clear();
+    for (const { service, maker, handles } of released) {
+      void this.#sendRelease(service, maker, [...handles]);
+    }
+  }
+
+  /** Their room is free once their maker has heard of it, not before. */
+  async #sendRelease(
+    service: string,
+    maker: string,
+    handles: readonly string[],
+  ): Promise<void> {
+    const isDone = await pieceCall.release(maker, handles, this.#options);
+    if (!isDone) return;
+    this.#schedulers.get(service)?.release(handles);
+    this.#run(service);
   }
 }
 
--- a/src/pieces/piece_call.ts
+++ b/src/pieces/piece_call.ts
@@ -60,20 +60,21 @@
   return { type: "results", results };
 }
 
-/** Gives results up at their maker; a failure is logged, since they end by
- * themselves. */
+/** Gives results up at their maker; resolves with whether it has heard. A
+ * failure is only logged: results end by themselves. */
 export async function release(
   address: string,
   handles: readonly string[],
   options: CallOptions,
-): Promise<void> {
+): Promise<boolean> {
   const outgoing = options.protocol.releaseCall(handles);
   const timeout = RELEASE_TIMEOUT;
   const whole = await exchange(address, outgoing, { ...options, timeout });
-  if (whole.type === "whole" && whole.head.status === 200) return;
+  if (whole.type === "whole" && whole.head.status === 200) return true;
   const cause = whole.type === "broken" ? whole.cause : whole.head.status;
   const count = handles.length;
   options.logger.debug({ address, count, cause }, "Results not given up");
+  return false;
 }
 
 type Whole =
