A reset that comes with an answer's last bytes is told from its end

Change: after an end a line break is written, which the system refuses on a connection that was reset. A stream that goes on elsewhere and is refused there is broken off: writing a second head failed.

--- a/src/endpoint_calls/connector_test.ts
+++ b/src/endpoint_calls/connector_test.ts
@@ -8,17 +8,20 @@
 import * as connector from "./connector.ts";
 import * as exchange from "./exchange.ts";
 
-/** A server that sends `text` on each request and then does `end`. */
+/** A server that sends `text` on each request and does `end` after `wait`
+ * milliseconds. */
 async function serverOf(
   t: ava.ExecutionContext,
   text: string,
   end: (socket: net.Socket) => void,
+  { wait = 30 }: { wait?: number } = {},
 ): Promise<string> {
   const server = net.createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => {
       socket.write(text);
-      setTimeout(() => end(socket), 30);
+      if (wait === 0) end(socket);
+      else setTimeout(() => end(socket), wait);
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -73,3 +76,19 @@
   const url = await serverOf(t, CHUNKED, (socket) => socket.end());
   t.is(await fetch(t, url), "broken-stream");
 });
+
+test("a reset that comes with the last bytes is seen", async (t) => {
+  for (let round = 0; round < 20; round++) {
+    const reset = (socket: net.Socket) => void socket.resetAndDestroy();
+    const url = await serverOf(t, UNFRAMED, reset, { wait: 0 });
+    t.not(await fetch(t, url), "whole: half");
+  }
+});
+
+test("an end that comes with the last bytes is an end", async (t) => {
+  for (let round = 0; round < 20; round++) {
+    const end = (socket: net.Socket) => void socket.end();
+    const url = await serverOf(t, UNFRAMED, end, { wait: 0 });
+    t.is(await fetch(t, url), "whole: half");
+  }
+});
--- a/src/endpoint_calls/endpoint_client.ts
+++ b/src/endpoint_calls/endpoint_client.ts
@@ -4,6 +4,7 @@
 import * as undici from "undici";
 import type * as call from "./call.ts";
 import * as engine from "./engine.ts";
+import * as connector from "./connector.ts";
 import * as exchange from "./exchange.ts";
 import type * as handler from "./handler.ts";
 import * as json from "./json.ts";
@@ -48,7 +49,7 @@
     // No pipelining: a connection carries one call at a time.
     this.#agent = new undici.Agent({
       pipelining: 1,
-      connect: { timeout: connectTime },
+      connect: connector.create({ timeout: connectTime }),
     });
   }
 
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -7,6 +7,7 @@
 
 import type * as undici from "undici";
 import type * as request from "../request/request.ts";
+import * as connector from "./connector.ts";
 import type * as runtime from "../runtime/mod.ts";
 
 /** Headers of an answer, names in lower case. */
@@ -58,6 +59,10 @@
   #controller: undici.Dispatcher.DispatchController | undefined;
   #started = false;
   #headed = false;
+  /** Whether it is asked for a head alone. */
+  #isHead = false;
+  /** Whether the answer says by itself where it ends. */
+  #isFramed = true;
   #done = false;
   #bytes = 0;
   #heard: number;
@@ -120,6 +125,9 @@
     this.#heard = this.#options.clock.now();
     if (this.#done || status < 200) return;
     this.#headed = true;
+    this.#isFramed = this.#isHead || status === 204 || status === 304 ||
+      headers["content-length"] !== undefined ||
+      headers["transfer-encoding"] !== undefined;
     this.#options.receiver.head(status, headers);
   }
 
@@ -136,15 +144,27 @@
 
   onResponseEnd(): void {
     if (this.#done) return;
-    this.#finish();
-    this.#options.receiver.end();
+    if (this.#isFramed) return this.#end();
+    const ending = connector.currentEnding();
+    if (ending === undefined) return this.break("broken-stream");
+    void ending.then((isInOrder) => {
+      if (this.#done) return;
+      if (isInOrder) this.#end();
+      else this.break("broken-stream");
+    });
   }
 
   onResponseError(): void {
     this.break(this.#headed ? "broken-stream" : "connection");
   }
 
+  #end(): void {
+    this.#finish();
+    this.#options.receiver.end();
+  }
+
   #send(sent: Sent): void {
+    this.#isHead = sent.method === "HEAD";
     if (this.#done) return;
     const { dispatcher, url } = this.#options;
     const [, origin, base] = URL_PARTS.exec(url) ?? [];
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -221,6 +221,8 @@
       if (this.isOver) return;
       if (outcome.type === "ended") return this.#endStream();
       if (outcome.type === "answer") {
+        // A refusal of a stream that has begun elsewhere is no answer to it.
+        if (this.#head !== undefined) return this.#conclude("failed");
         if (!this.#mayRepeatAnswer(outcome, service)) {
           return this.#answer(outcome);
         }
