--- a/bench/log_fuzz/checker.ts
+++ b/bench/log_fuzz/checker.ts
@@ -35,6 +35,8 @@
   readonly #contents = new Map<string, Content>();
   readonly #matched = new WeakSet<object>();
   readonly #acknowledged = new Map<string, number>();
+  #newest = 0;
+  #reads = 0;
   readonly #refused = new Set<string>();
   /** Snapshots that a state machine was restored from. */
   restored = 0;
@@ -46,6 +48,23 @@
     return this.#acknowledged.size;
   }
 
+  /** Index of the newest command that was acknowledged. */
+  get newest(): number {
+    return this.#newest;
+  }
+
+  /** Reads that were confirmed. */
+  get reads(): number {
+    return this.#reads;
+  }
+
+  /** Checks a confirmed read against what was acknowledged before it. */
+  read(least: number, index: number): void {
+    this.#reads++;
+    if (index >= least) return;
+    throw new Violation(`a read was told ${index}, ${least} was acknowledged`);
+  }
+
   /** Commands committed, whether or not their clients know. */
   get committed(): number {
     return this.#committed.size;
@@ -132,6 +151,7 @@
   /** A client is told that its command stands at `index`. */
   acknowledge(id: string, index: number): void {
     this.#acknowledged.set(id, index);
+    this.#newest = Math.max(this.#newest, index);
     this.#lastAcknowledged = Math.max(this.#lastAcknowledged, index);
     if (this.#committed.get(index)?.id !== id) {
       throw new Violation(`${id} was acknowledged and is not at ${index}`);
--- a/bench/log_fuzz/schedule.ts
+++ b/bench/log_fuzz/schedule.ts
@@ -71,6 +71,7 @@
   while (clock.now() < end) {
     const host = random.next() < 0.7 ? leaderOf(world) : pickHost(world);
     for (let count = random.below(5); count > 0; count--) world.propose(host);
+    world.hosts.forEach((each) => world.read(each));
     if (clock.now() >= next) {
       faults.all++;
       pick(world, FAULTS)(world, faults);
--- a/bench/log_fuzz/world.ts
+++ b/bench/log_fuzz/world.ts
@@ -107,6 +107,20 @@
     );
   }
 
+  /** Reads at a host with a majority's word: what it is told to have applied
+   * has all that was acknowledged before. */
+  read(host: hosts.Host): void {
+    if (!host.isAwake || host.runner === undefined) return;
+    const least = this.checker.newest;
+    host.runner.confirm().then(
+      (index) => this.#guard(() => this.checker.read(least, index)),
+      (failure: unknown) =>
+        this.#guard(() => {
+          if (!(failure instanceof log.LogError)) throw failure;
+        }),
+    );
+  }
+
   /** Carries a message, or not. */
   send(envelope: runtime.Envelope): void {
     const { weather, random } = this;
--- a/src/control/log/runner_test.ts
+++ b/src/control/log/runner_test.ts
@@ -291,3 +291,32 @@
   t.is(world.checker.acknowledged, 301);
   world.checker.finish(world.runners);
 });
+
+/** What a host's read with a majority's word gives within `ms`. */
+async function confirmed(world: fuzz.World, host: Host, ms = 2000) {
+  const read = host.runner!.confirm()
+    .catch((failure: log.LogError) => failure.kind);
+  const [answer] = await settled(world, [read], ms);
+  return answer;
+}
+
+test("a majority confirms a read at the leader", async (t) => {
+  const world = await createWorld(3);
+  const leader = leaderOf(world);
+  const accepted = await settled(world, [propose(leader, "c")], 500);
+  t.true((await confirmed(world, leader) as number) >= (accepted[0] as number));
+});
+
+test("nobody but a leader confirms a read", async (t) => {
+  const world = await createWorld(3);
+  const [other] = othersThan(world, leaderOf(world));
+  t.is(await confirmed(world, other), "not-leader");
+});
+
+test("a leader that is cut off confirms nothing, however its clock stands", async (t) => {
+  const world = await createWorld(3);
+  const leader = leaderOf(world);
+  cutOff(world, leader);
+  const answer = await confirmed(world, leader);
+  t.true(answer === "no-quorum" || answer === "not-leader", `${answer}`);
+});
--- /dev/null
+++ b/src/pieces/forecast_test.ts
@@ -0,0 +1,47 @@
+/** @module */
+
+import test from "ava";
+import * as fixture from "../configuration/fixture.ts";
+import * as forecast from "./forecast.ts";
+import * as pace from "./pace.ts";
+
+test("a stage begins when what it needs is made and its turn has come", (t) => {
+  const chain = [
+    { after: [], wait: 100, work: 200 },
+    { after: [0], wait: 250, work: 50 },
+    { after: [1], wait: 900, work: 10 },
+  ];
+  t.is(forecast.finish(chain), 910);
+  t.is(forecast.finish(chain.slice(0, 2)), 350);
+});
+
+test("a stage without pieces takes no time", (t) => {
+  t.is(forecast.finish([{ after: [], wait: 500, work: 0 }]), 0);
+});
+
+test("what follows on a stage is the longest way behind it", (t) => {
+  const tails = forecast.tails([
+    { after: [], work: 5 },
+    { after: [0], work: 10 },
+    { after: [0], work: 70 },
+    { after: [1], work: 100 },
+  ]);
+  t.deepEqual(tails, [110, 100, 0, 0]);
+});
+
+test("calls for more pieces than a batch run side by side", (t) => {
+  const traits = fixture.pieceTraits();
+  t.is(forecast.workOf(traits, 2), 120);
+  t.is(forecast.workOf(traits, 9), 140);
+  t.is(forecast.workOf(traits, 0), 0);
+});
+
+test("a pace that is held up counts while pieces wait", (t) => {
+  const measured = pace.Pace.create();
+  measured.note(true, 0);
+  for (let at = 100; at <= 1000; at += 100) measured.begin(1, at);
+  t.is(measured.rate(0.02, 300), 0.02);
+  t.is(measured.rate(0.02, 1000), 0.01);
+  measured.note(false, 1001);
+  t.is(measured.rate(0.02, 1500), 0.02);
+});
--- /dev/null
+++ b/src/pieces/scheduler_test.ts
@@ -0,0 +1,141 @@
+/** @module */
+
+import test from "ava";
+import * as fixture from "../configuration/fixture.ts";
+import * as schedulers from "./scheduler.ts";
+
+function worker(id: string, dataCentre = "town"): schedulers.Worker {
+  return { id, address: `10.0.0.1:${id}`, dataCentre };
+}
+
+function works(
+  request: string,
+  count: number,
+  change: Partial<schedulers.Work> = {},
+): schedulers.Work[] {
+  return Array.from({ length: count }, (_, piece) => ({
+    request,
+    stage: 0,
+    piece,
+    key: "k",
+    bytes: 100,
+    expires: 10_000,
+    wanted: 2000,
+    rank: 0,
+    tries: 0,
+    ...change,
+  }));
+}
+
+function schedulerOf(...workers: schedulers.Worker[]) {
+  const scheduler = schedulers.Scheduler.create(fixture.pieceTraits());
+  scheduler.setWorkers(workers);
+  return scheduler;
+}
+
+function finish(
+  scheduler: schedulers.Scheduler,
+  assignment: schedulers.Assignment,
+  now = 140,
+) {
+  const handles = assignment.works.map(({ request, piece, bytes }) => ({
+    handle: `${request}.${piece}`,
+    bytes,
+  }));
+  scheduler.finish(assignment, { handles, duration: 140, now });
+}
+
+test("a call takes pieces of any requests, up to a batch", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add([...works("a", 3), ...works("b", 3)]);
+  const [call, ...others] = scheduler.assign(0);
+  t.deepEqual(call.works.map(({ request }) => request), ["a", "a", "a", "b"]);
+  t.deepEqual(others, []);
+  t.is(scheduler.waiting.length, 2);
+});
+
+test("an endpoint has one call at a time", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(works("a", 5));
+  const [call] = scheduler.assign(0);
+  t.deepEqual(scheduler.assign(1), []);
+  finish(scheduler, call);
+  t.is(scheduler.assign(140).length, 1);
+});
+
+test("the most urgent goes first, but not what is late already", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(works("late", 4, { wanted: 10 }));
+  scheduler.add(works("later", 4, { wanted: 3000 }));
+  scheduler.add(works("soon", 4, { wanted: 1000 }));
+  const [call] = scheduler.assign(500);
+  t.is(call.works[0].request, "soon");
+});
+
+test("no more is ordered than an endpoint has room for", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(works("a", 8, { bytes: 300 }));
+  const [call] = scheduler.assign(0);
+  t.is(call.works.length, 3);
+  finish(scheduler, call);
+  t.deepEqual(scheduler.assign(140), []);
+  scheduler.release(["a.0"]);
+  t.is(scheduler.assign(140)[0].works.length, 1);
+});
+
+test("results that nobody gives up end by themselves", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(works("a", 8, { bytes: 300, expires: 20_000 }));
+  finish(scheduler, scheduler.assign(0)[0]);
+  t.deepEqual(scheduler.assign(4000), []);
+  t.is(scheduler.assign(4200)[0].works.length, 3);
+});
+
+test("a failed endpoint is left alone for a while", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(works("a", 4));
+  const [call] = scheduler.assign(0);
+  scheduler.fail(call, { now: 100 });
+  scheduler.add(call.works);
+  t.deepEqual(scheduler.assign(200), []);
+  t.is(scheduler.assign(500).length, 1);
+});
+
+test("a slow endpoint is given work last", (t) => {
+  const scheduler = schedulerOf(worker("1"), worker("2"));
+  scheduler.add(works("a", 4));
+  const [call] = scheduler.assign(0);
+  const handles: [] = [];
+  scheduler.finish(call, { handles, duration: 900, now: 900 });
+  scheduler.add(works("b", 4, { wanted: 5000 }));
+  t.not(scheduler.assign(1000)[0].worker.id, call.worker.id);
+});
+
+test("a large result waits for an endpoint where it is needed", (t) => {
+  const scheduler = schedulers.Scheduler.create(
+    fixture.pieceTraits({ room: 10_000_000 }),
+  );
+  scheduler.setWorkers([worker("1", "near"), worker("2", "far")]);
+  const large = { bytes: 3_000_000, dataCentre: "near" };
+  scheduler.add(works("a", 1, large));
+  t.is(scheduler.assign(0)[0].worker.id, "1");
+  scheduler.add(works("b", 1, large));
+  t.deepEqual(scheduler.assign(10), []);
+  t.is(scheduler.assign(1800)[0].worker.id, "2");
+});
+
+test("a booking makes those behind it wait", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  const booking = { stage: 0, count: 8, wanted: 1000, rank: 0 };
+  t.is(scheduler.book({ ...booking, request: "a" }, 0), 0);
+  const wait = scheduler.book({ ...booking, request: "b", wanted: 1500 }, 0);
+  t.is(Math.round(wait), 280);
+  const urgent = scheduler.wait({ wanted: 500, rank: 0 }, 0);
+  t.is(urgent, 0);
+  scheduler.drop("a");
+  t.true(scheduler.wait({ wanted: 1200, rank: 0 }, 0) < 280);
+});
+
+test("nobody waits for nothing: without endpoints a forecast says so", (t) => {
+  t.true(schedulerOf().wait({ wanted: 500, rank: 0 }, 0) > 500);
+});
