--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -13,6 +13,7 @@
 /** Endpoints by service; changed in place. */
 export class Pool {
   readonly #byId = new Map<string, endpoint.Endpoint>();
+  readonly #byAddress = new Map<string, string>();
   readonly #byService = new Map<string, endpoint.Endpoint[]>();
 
   static create(): Pool {
@@ -45,6 +46,11 @@
     return this.#byId.get(id);
   }
 
+  /** Data centre of the endpoint at an address. */
+  dataCentreOf(address: string): string | undefined {
+    return this.#byAddress.get(address);
+  }
+
   /** All endpoints of a service that are known. */
   of(service: string): readonly endpoint.Endpoint[] {
     return this.#byService.get(service) ?? [];
@@ -82,6 +88,7 @@
   ): endpoint.Endpoint {
     const memory = traits?.engine &&
       promptMemory.PromptMemory.create(traits.engine.tokens);
+    this.#byAddress.set(address, dataCentre);
     const identity = { id, service, address, dataCentre, slots };
     const added = endpoint.Endpoint.create(identity, memory);
     this.#byId.set(id, added);
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -30,7 +30,7 @@
 
 type Needs = Pick<
   contexts.Context,
-  "clock" | "maker" | "dataCentre" | "knowledge"
+  "clock" | "maker" | "dataCentre" | "knowledge" | "pool" | "protocol"
 >;
 
 /** When the stages are expected to be made, in milliseconds from now. */
@@ -168,10 +168,13 @@
   }
 
   #question(
-    { stage, service, pieces, bytes, inputs }: pieces.Round,
+    { stage, service, pieces, bytes, inputs, inputBytes }: pieces.Round,
   ): schema.MakeQuestion {
     const { ask, rank } = this.#options;
-    const { dataCentre = this.#needs.dataCentre } = this.#options;
+    // Inputs are fetched by each piece, a result once: the larger part decides
+    // where a piece is made.
+    const isFed = inputs !== undefined && inputBytes > bytes;
+    const dataCentre = isFed ? this.#placeOf(inputs) : this.#destination;
     const isFirst = inputs === undefined;
     return {
       type: "make",
@@ -181,6 +184,7 @@
       pieces: [...pieces],
       ...(isFirst ? { key: ask.pieceKey ?? "" } : { inputs: [...inputs] }),
       bytes,
+      moved: Math.max(bytes, inputBytes),
       remaining: Math.max(0, this.#left()),
       slack: this.#slack(stage),
       rank,
@@ -188,6 +192,23 @@
     };
   }
 
+  /** Data centre that the request itself will run in. */
+  get #destination(): string {
+    return this.#options.dataCentre ?? this.#needs.dataCentre;
+  }
+
+  /** Data centre that holds most of some results. */
+  #placeOf(handles: readonly string[]): string {
+    const { pool, protocol } = this.#needs;
+    const counts = new Map<string, number>();
+    for (const handle of handles) {
+      const place = pool.dataCentreOf(protocol.makerOf(handle));
+      if (place !== undefined) counts.set(place, (counts.get(place) ?? 0) + 1);
+    }
+    const [most] = [...counts].sort(([, a], [, b]) => b - a);
+    return most?.[0] ?? this.#destination;
+  }
+
   /** Milliseconds within which a stage's results are wanted, so that what
    * follows on them ends in time. */
   #slack(stage: number): number {
--- a/src/pieces/batcher.ts
+++ b/src/pieces/batcher.ts
@@ -315,6 +315,7 @@
   now: number,
 ): schedulers.Work[] {
   const { request, stage, key, inputs, bytes, rank, dataCentre } = question;
+  const { moved = bytes } = question;
   const expires = now + question.remaining;
   const wanted = now + (question.slack ?? question.remaining);
   return question.pieces.map((piece) => ({
@@ -328,6 +329,7 @@
     wanted,
     rank,
     dataCentre,
+    moved,
     tries: 0,
   }));
 }
--- a/src/pieces/plan.ts
+++ b/src/pieces/plan.ts
@@ -29,6 +29,8 @@
   readonly bytes: number;
   /** Results that they need; undefined for stages that work on the key. */
   readonly inputs?: readonly string[];
+  /** Bytes of all these; each piece fetches them by itself. */
+  readonly inputBytes: number;
 }
 
 /** Progress of one request through its stages. */
@@ -74,7 +76,11 @@
       const pieces = missing(handles);
       if (isAsked || !isReady || pieces.length === 0) return [];
       const inputs = after.length === 0 ? undefined : this.#handlesOf(after);
-      return [{ stage, service, pieces, bytes, inputs }];
+      const inputBytes = after.reduce((sum, other) => {
+        const { handles, stage } = this.#stages[other];
+        return sum + handles.length * stage.bytes;
+      }, 0);
+      return [{ stage, service, pieces, bytes, inputs, inputBytes }];
     });
   }
 
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -24,8 +24,10 @@
   readonly wanted: number;
   /** 0 is the highest. */
   readonly rank: number;
-  /** Where the result is needed. */
+  /** Where most of what it works on or gives is. */
   readonly dataCentre?: string;
+  /** Bytes that cross data centres when it is made elsewhere. */
+  readonly moved: number;
   readonly tries: number;
 }
 
@@ -76,11 +78,11 @@
 const FILLED = 0.97;
 /** Part of a new value in the running mean of a worker's slowness. */
 const GAIN = 0.3;
-/** Bytes of a result that is made where it is needed while there is time: its
+/** Bytes for which a piece is made where they are while there is time: their
  * way to another data centre costs more than some wait. */
-const LARGE = 500_000;
-/** Calls' worth of time before a large result is wanted up to which it waits
- * for an endpoint where it is needed. */
+const LARGE = 200_000;
+/** Calls' worth of time before a piece is wanted up to which it waits for an
+ * endpoint where its data is. */
 const PATIENT_CALLS = 4;
 /** Slowness beyond which nothing waits for an endpoint. */
 const SLOW = 2;
@@ -316,27 +318,32 @@
     return free.sort((one, other) => one.slowness - other.slowness);
   }
 
-  /** Takes the most urgent pieces that one call can hold. */
+  /** Takes the most urgent pieces that one call can hold: those that may be
+   * made there, then, while more than a call waits, any. */
   #fill(state: WorkerState, now: number): Work[] {
-    const taken: Work[] = [];
+    const taken = new Set<Work>();
     let room = this.#room(state);
-    this.#waiting = this.#waiting.filter((work) => {
-      const fits = taken.length < this.#traits.batch && work.bytes <= room;
-      if (!fits || !this.#suits(state, work, now)) return true;
-      taken.push(work);
-      room -= work.bytes;
-      return false;
-    });
-    return taken;
+    const take = (suits: (work: Work) => boolean) => {
+      for (const work of this.#waiting) {
+        if (taken.size >= this.#traits.batch) return;
+        if (work.bytes > room || taken.has(work) || !suits(work)) continue;
+        taken.add(work);
+        room -= work.bytes;
+      }
+    };
+    const isCrowded = this.#waiting.length > this.#traits.batch;
+    take((work) => this.#suits(state, work, now));
+    if (isCrowded) take(() => true);
+    this.#waiting = this.#waiting.filter((work) => !taken.has(work));
+    return [...taken];
   }
 
-  /** Whether a piece may be made there: a large result waits a little for an
-   * endpoint where it is needed, while there is time. */
+  /** Whether a piece may be made there: one that moves much waits a little for
+   * an endpoint where its data is, while there is time. */
   #suits({ worker }: WorkerState, work: Work, now: number): boolean {
-    const { dataCentre, bytes, wanted } = work;
-    if (bytes < LARGE || dataCentre === undefined) return true;
+    const { dataCentre, moved, wanted } = work;
+    if (moved < LARGE || dataCentre === undefined) return true;
     if (worker.dataCentre === dataCentre) return true;
-    if (this.#waiting.length > this.#traits.batch) return true;
     const isThere = [...this.#workers.values()].some((state) =>
       state.worker.dataCentre === dataCentre && state.blockedUntil <= now &&
       state.slowness < SLOW
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -22,6 +22,7 @@
     expires: 10_000,
     wanted: 2000,
     rank: 0,
+    moved: 100,
     tries: 0,
     ...change,
   }));
@@ -116,7 +117,7 @@
     fixture.pieceTraits({ room: 10_000_000 }),
   );
   scheduler.setWorkers([worker("1", "near"), worker("2", "far")]);
-  const large = { bytes: 3_000_000, dataCentre: "near" };
+  const large = { bytes: 3_000_000, moved: 3_000_000, dataCentre: "near" };
   scheduler.add(works("a", 1, large));
   t.is(scheduler.assign(0)[0].worker.id, "1");
   scheduler.add(works("b", 1, large));
@@ -124,6 +125,20 @@
   t.is(scheduler.assign(1800)[0].worker.id, "2");
 });
 
+test("when more than a call waits, an endpoint takes what is near first", (t) => {
+  const scheduler = schedulerOf(worker("1", "near"));
+  const moved = 1_000_000;
+  scheduler.add(works("far", 4, { moved, dataCentre: "far", wanted: 1500 }));
+  scheduler.add(works("near", 2, { moved, dataCentre: "near" }));
+  scheduler.setWorkers([worker("1", "near"), worker("2", "far")]);
+  const calls = scheduler.assign(0);
+  const requestsAt = (id: string) =>
+    calls.find((call) => call.worker.id === id)!.works.map((work) =>
+      work.request
+    );
+  t.deepEqual(requestsAt("1").slice(0, 2), ["near", "near"]);
+});
+
 test("a booking makes those behind it wait", (t) => {
   const scheduler = schedulerOf(worker("1"));
   const booking = { stage: 0, count: 8, wanted: 1000, rank: 0 };
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -104,6 +104,10 @@
    * About how large a result is.
    */
   bytes: number;
+  /**
+   * Bytes that cross to another data centre for each piece that is made away from `dataCentre`.
+   */
+  moved?: number;
   /**
    * Milliseconds after which the results are of no use.
    */
