--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -181,6 +181,7 @@
       pool: this.#pool,
       maker: this.#maker,
       greatestAge: this.#greatestAge,
+      calibration: gateway.Calibration.create(),
       knowledge: {
         catalogue: () => this.#catalogue,
         age: () => this.#follower.age,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -6,6 +6,7 @@
 import type * as pieces from "../pieces/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import type * as calibrations from "./calibration.ts";
 import type * as pools from "./pool.ts";
 import type * as protocols from "./protocol.ts";
 import type * as retryBudget from "./retry_budget.ts";
@@ -32,6 +33,7 @@
   readonly pool: pools.Pool;
   readonly maker: Pick<pieces.Maker, "make" | "book" | "release" | "drop">;
   readonly knowledge: Knowledge;
+  readonly calibration: calibrations.Calibration;
   /** Greatest age of the configuration with which a key is believed. */
   readonly greatestAge: number;
   budget(service: string): retryBudget.RetryBudget;
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -1,6 +1,7 @@
 /** The path of requests that are passed through to services.
  * @module */
 
+export * from "./calibration.ts";
 export * from "./context.ts";
 export * from "./errors.ts";
 export * from "./pool.ts";
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -6,6 +6,7 @@
 import type * as telemetry from "../telemetry/mod.ts";
 import * as attempts from "./attempt.ts";
 import * as bodies from "./body.ts";
+import type * as calibrations from "./calibration.ts";
 import * as choice from "./choice.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoint from "./endpoint.ts";
@@ -60,6 +61,7 @@
   #attempt?: attempts.Attempt;
   #runs = 0;
   #hasLeft = false;
+  #forecast?: calibrations.Forecast;
   #stagesNote?: { expectedMs?: number; tookMs?: number };
   #head?: protocols.ReplyHead;
   #lastId?: string;
@@ -184,7 +186,10 @@
       const expected = await this.#preparation.book();
       if (this.isOver) return undefined;
       const left = wanted - clock.now();
-      const { finish, alone } = expected;
+      const { alone } = expected;
+      const { calibration } = this.#context;
+      const finish = calibration.correct(route.name, expected);
+      this.#forecast = expected;
       this.#stagesNote = { expectedMs: Math.round(finish) };
       if (finish > Math.max(left, alone) + TOLERANCE) {
         const about = { expectedMs: Math.round(finish), aloneMs: alone, left };
@@ -195,6 +200,10 @@
     if (this.isOver) return undefined;
     const tookMs = Math.round(clock.now() - started);
     this.#stagesNote = { ...this.#stagesNote, tookMs };
+    if (this.#forecast !== undefined) {
+      this.#context.calibration.learn(route.name, this.#forecast, tookMs);
+      this.#forecast = undefined;
+    }
     metrics.time("gateway.stages", tookMs, {
       route: route.name,
     });
