--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -36,6 +36,14 @@
  * forecast is about so exact. */
 const TOLERANCE = 100;
 
+/** Least milliseconds after which a refused request may come back: a burst
+ * lasts for some seconds. */
+const LEAST_RETURN = 500;
+const RETURN_EXCESS = 1.5;
+/** Most milliseconds: a third of the time that callers have, to which they heed
+ * what they are told. */
+const MOST_RETURN = 3000;
+
 type Phase = "reading" | "pieces" | "sent" | "streaming" | "over";
 
 /** What one call was, for the log line of its request. */
@@ -191,9 +199,10 @@
       const finish = calibration.correct(route.name, expected);
       this.#forecast = expected;
       this.#stagesNote = { expectedMs: Math.round(finish) };
-      if (finish > Math.max(left, alone) + TOLERANCE) {
-        const about = { expectedMs: Math.round(finish), aloneMs: alone, left };
-        return this.#stop("no-time", about);
+      const excess = finish - Math.max(left, alone);
+      if (excess > TOLERANCE) {
+        const retryAfter = this.#returnAfter(excess);
+        return this.#stop("no-time", { aloneMs: alone, left, retryAfter });
       }
     }
     const result = await this.#preparation.run();
@@ -211,6 +220,16 @@
     return this.#stop("no-pieces", { detail: result.detail });
   }
 
+  /** Seconds after which a refused request may find its place: what waits must
+   * be drained by more than what it is too late by, and returns are spread so
+   * that they do not come at once. */
+  #returnAfter(excess: number): number {
+    const { random } = this.#context;
+    const drained = LEAST_RETURN + RETURN_EXCESS * excess;
+    const spread = drained * (1 + random.next());
+    return Math.round(Math.min(MOST_RETURN, spread)) / 1000;
+  }
+
   /** Calls endpoints until one gives the answer or no other may be asked. */
   async #send(
     body: Buffer,
@@ -515,10 +534,10 @@
     this.#log("warn", { reason, lastEvent: this.#lastId }, "Stream broken off");
   }
 
-  #refuse(reason: refusals.RefusalReason, about: object = {}): void {
+  #refuse(reason: refusals.RefusalReason, about: About = {}): void {
     if (this.isOver) return;
     this.#finish();
-    const { status, retryAfter } = refusals.REFUSALS[reason];
+    const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...about };
     this.#context.metrics.count("gateway.refused", 1, { reason });
     if (!this.#hasLeft) this.#writeRefusal(reason, { status, retryAfter });
     this.#log("info", { status, reason, ...about }, "Request refused");
@@ -541,7 +560,7 @@
   }
 
   /** Refuses, and says to the caller of a step that it is over. */
-  #stop(reason: refusals.RefusalReason, about: object = {}): never[] & Buffer {
+  #stop(reason: refusals.RefusalReason, about: About = {}): never[] & Buffer {
     this.#refuse(reason, about);
     return NOTHING as never[] & Buffer;
   }
@@ -588,6 +607,12 @@
   }
 }
 
+/** What is known of a refusal, for its log line. */
+interface About extends Readonly<Record<string, unknown>> {
+  /** Seconds after which to come back, in place of those of the reason. */
+  readonly retryAfter?: number;
+}
+
 /** A request, and the way to answer it. */
 export interface Pair {
   readonly request: http.IncomingMessage;
