Silence is believed from confirmed hosts only; endpoints out of reach keep calls and room

Cause: entry hosts took endpoints for silent on the word of a control host that was cut off, and asked another only for its changes; a scheduler forgot calls and results of an endpoint that was left out for a moment. Tests show each.

--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -88,6 +88,7 @@
       dispatcher: this.#dispatcher,
       service: (name) => this.#catalogue?.service(name),
       workers: (service) => this.#workers(service),
+      noteAnswer: (id) => this.#pool.get(id)?.judge("good", clock.now()),
     });
     this.#maker = pieces.Maker.create({
       self,
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -22,6 +22,9 @@
  * longer than any late report of it. */
 const MEMORY = 60_000;
 
+/** Asks for everything. */
+const NO_REVISION = { epoch: "", revision: 0 };
+
 /** What a follower needs of its host. */
 export interface FollowerOptions {
   self: string;
@@ -45,7 +48,7 @@
     memory: MEMORY,
   });
   readonly #options: FollowerOptions;
-  readonly #revisions = new Map<string, { epoch: string; revision: number }>();
+  #revision = NO_REVISION;
   #cores: string[];
   #failedAt = new Map<string, number>();
   #hosts: readonly schema.EntryHost[] = [];
@@ -155,7 +158,8 @@
   async #sync(core: string): Promise<boolean> {
     const { clock, calls, self, dataCentre, isReady } = this.#options;
     const sent = freshness.moment(clock);
-    const known = this.#revisions.get(core) ?? { epoch: "", revision: 0 };
+    // Another host's changes say nothing of what this one has told before.
+    const known = core === this.#source ? this.#revision : NO_REVISION;
     const host = { host: self, dataCentre, ready: isReady(), age: 0 };
     this.#asked++;
     try {
@@ -189,10 +193,11 @@
   ): void {
     const { clock, onChange } = this.#options;
     const now = clock.now();
-    const { epoch, revision } = reply;
-    this.#revisions.set(core, { epoch, revision });
+    // A host that is cut off from the others hears few endpoints: what it
+    // holds for silent may not be.
+    const judges = !reply.confirmed;
     for (const sighting of reply.sightings) {
-      this.roster.take(sightings.decode(sighting, { now, judges: false }));
+      this.roster.take(sightings.decode(sighting, { now, judges }));
     }
     if (reply.confirmed) this.#takeProof(core, reply, sent);
     onChange();
@@ -217,6 +222,8 @@
       this.#proof = sent;
     }
     this.#failedAt.delete(core);
+    const { epoch, revision } = reply;
+    this.#revision = { epoch, revision };
     if (this.#source === core) return;
     this.#source = core;
     logger.info({ core, version: this.#version }, "Control host found");
--- /dev/null
+++ b/src/fleet/follower_test.ts
@@ -0,0 +1,136 @@
+/** @module */
+
+import test from "ava";
+import * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import * as followers from "./follower.ts";
+
+/** Answers of control hosts by name; a host without one does not answer. */
+type Answers = Record<string, Partial<schema.SyncedReply> | undefined>;
+
+const BASE: schema.SyncedReply = {
+  type: "synced",
+  confirmed: true,
+  version: 3,
+  document: "three",
+  epoch: "e",
+  revision: 1,
+  sightings: [],
+  hosts: [],
+  cores: ["a", "b"],
+};
+
+function sighting(change: Partial<schema.Sighting> = {}): schema.Sighting {
+  return {
+    id: "i-1",
+    service: "desk",
+    address: "10.0.0.1:80",
+    dataCentre: "town",
+    version: "v1",
+    slots: 4,
+    state: "ready",
+    sequence: 1,
+    age: 0,
+    ...change,
+  };
+}
+
+/** A follower of the hosts `a` and `b`, whose answers may be changed. */
+function followerOf(answers: Answers) {
+  const clock = new runtime.FakeClock();
+  const asked: { core: string; question: schema.SyncQuestion }[] = [];
+  const versions: string[] = [];
+  const follower = followers.Follower.create({
+    self: "me",
+    dataCentre: "town",
+    seeds: ["a", "b"],
+    clock,
+    random: { next: () => 0, below: () => 0 },
+    logger: telemetry.noLogger,
+    isReady: () => true,
+    onVersion: (_, document) => void versions.push(document),
+    onChange() {},
+    calls: {
+      ask(core, question) {
+        asked.push({ core, question: question as schema.SyncQuestion });
+        const answer = answers[core];
+        return answer === undefined
+          ? Promise.reject(new Error("silent"))
+          : Promise.resolve({ ...BASE, ...answer });
+      },
+    },
+  });
+  const run = async (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 50) {
+      clock.advance(50);
+      await new Promise(setImmediate);
+    }
+  };
+  follower.start();
+  return { follower, clock, asked, versions, run };
+}
+
+test("a confirmed answer proves what was in force when it was asked", async (t) => {
+  const answers: Answers = { a: {} };
+  const { follower, versions, run } = followerOf(answers);
+  t.is(follower.age, Infinity);
+  await run(500);
+  t.deepEqual(versions, ["three"]);
+  t.true(follower.age <= 350);
+  answers.a = undefined;
+  await run(2000);
+  t.true(follower.age >= 2000);
+});
+
+test("an answer without a majority proves nothing", async (t) => {
+  const { follower, versions, run } = followerOf({
+    a: { confirmed: false },
+    b: { confirmed: false },
+  });
+  await run(1000);
+  t.is(follower.age, Infinity);
+  t.deepEqual(versions, []);
+});
+
+test("another host is asked when one does not answer", async (t) => {
+  const { follower, run } = followerOf({ b: {} });
+  await run(500);
+  t.true(follower.age <= 350);
+});
+
+test("no version is put in force after a later one", async (t) => {
+  const answers: Answers = { a: { version: 5, document: "five" } };
+  const { versions, run } = followerOf(answers);
+  await run(500);
+  answers.a = { version: 4, document: "four" };
+  await run(500);
+  t.deepEqual(versions, ["five"]);
+});
+
+test("a host that is cut off tells nothing of silence", async (t) => {
+  const answers: Answers = {
+    a: { sightings: [sighting()] },
+  };
+  const { follower, run } = followerOf(answers);
+  await run(500);
+  answers.a = {
+    confirmed: false,
+    sightings: [sighting({ silent: true, age: 5000 })],
+  };
+  await run(500);
+  t.false(follower.roster.get("i-1")?.isSilent);
+});
+
+test("a host that was not asked last is asked for everything", async (t) => {
+  const answers: Answers = { a: {} };
+  const { asked, run } = followerOf(answers);
+  await run(1000);
+  t.is(asked.at(-1)!.question.revision, 1);
+  answers.a = undefined;
+  answers.b = { epoch: "other", revision: 9 };
+  await run(1000);
+  const first = asked.find(({ core }) => core === "b")!;
+  t.is(first.question.epoch, "");
+  t.is(asked.at(-1)!.question.revision, 9);
+});
--- a/src/pieces/batcher.ts
+++ b/src/pieces/batcher.ts
@@ -25,6 +25,9 @@
   logger: telemetry.Logger;
   service(name: string): configurations.Service | undefined;
   workers(service: string): readonly schedulers.Worker[];
+  /** Notes that an endpoint has answered a call. One that has not is left alone
+   * by its scheduler. */
+  noteAnswer(endpoint: string): void;
 }
 
 /** Results of one maker that are to be given up. */
@@ -177,6 +180,8 @@
       patience: scheduler.patience(assignment),
     });
     const now = clock.now();
+    const isGood = outcome.type === "results" || outcome.cause === "full";
+    if (isGood) this.#options.noteAnswer(assignment.worker.id);
     if (outcome.type === "results") {
       this.#takeResults(service, assignment, {
         results: outcome.results,
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -55,6 +55,8 @@
 
 interface WorkerState {
   worker: Worker;
+  /** Whether it takes work now. */
+  isListed: boolean;
   /** Calls of this host there. */
   calls: number;
   /** Not before this time. */
@@ -92,7 +94,7 @@
 /** Pieces and endpoints of one service; changed in place. */
 export class Scheduler {
   #traits: configurations.PieceTraits;
-  #workers = new Map<string, WorkerState>();
+  readonly #workers = new Map<string, WorkerState>();
   #waiting: Work[] = [];
   readonly #bookings = new Map<string, Booking>();
   readonly #pace = pace.Pace.create();
@@ -115,13 +117,18 @@
     this.#traits = traits;
   }
 
-  /** Follows the endpoints that take work. */
+  /** Follows the endpoints that take work. One that is left out is remembered
+   * with its calls and results: it may only be out of reach for a while. */
   setWorkers(workers: readonly Worker[]): void {
-    const next = new Map<string, WorkerState>();
+    for (const state of this.#workers.values()) state.isListed = false;
     for (const worker of workers) {
-      next.set(worker.id, this.#workers.get(worker.id) ?? stateOf(worker));
+      const state = this.#workers.get(worker.id) ?? stateOf(worker);
+      state.isListed = true;
+      this.#workers.set(worker.id, state);
+    }
+    for (const [id, { isListed, calls, held }] of this.#workers) {
+      if (!isListed && calls === 0 && held.size === 0) this.#workers.delete(id);
     }
-    this.#workers = next;
   }
 
   /** Notes pieces that will be asked for; says how many milliseconds they
@@ -143,7 +150,7 @@
       if (keyOf(booking) <= key) booked += booking.count;
     }
     const usable = [...this.#workers.values()].filter((state) =>
-      state.blockedUntil <= now
+      state.isListed && state.blockedUntil <= now
     );
     const { batch, slots } = this.#traits;
     const full = this.#expected(batch);
@@ -312,7 +319,8 @@
   /** Endpoints that can take a call, the fastest first. */
   #free(now: number): WorkerState[] {
     const free = [...this.#workers.values()].filter((state) =>
-      state.calls < this.#traits.slots && state.blockedUntil <= now
+      state.isListed && state.calls < this.#traits.slots &&
+      state.blockedUntil <= now
     );
     free.forEach((state) => this.#forget(state, now));
     return free.sort((one, other) => one.slowness - other.slowness);
@@ -345,8 +353,8 @@
     if (moved < LARGE || dataCentre === undefined) return true;
     if (worker.dataCentre === dataCentre) return true;
     const isThere = [...this.#workers.values()].some((state) =>
-      state.worker.dataCentre === dataCentre && state.blockedUntil <= now &&
-      state.slowness < SLOW
+      state.isListed && state.worker.dataCentre === dataCentre &&
+      state.blockedUntil <= now && state.slowness < SLOW
     );
     return !isThere || wanted - now < PATIENT_CALLS * this.#expected(1);
   }
@@ -388,6 +396,7 @@
 function stateOf(worker: Worker): WorkerState {
   return {
     worker,
+    isListed: true,
     calls: 0,
     blockedUntil: 0,
     rest: FIRST_REST,
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -102,6 +102,20 @@
   t.is(scheduler.assign(500).length, 1);
 });
 
+test("an endpoint that is out of reach for a while keeps calls and room", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(works("a", 8, { bytes: 300 }));
+  const [call] = scheduler.assign(0);
+  scheduler.setWorkers([]);
+  scheduler.setWorkers([worker("1")]);
+  t.deepEqual(scheduler.assign(10), []);
+  finish(scheduler, call);
+  scheduler.setWorkers([]);
+  t.deepEqual(scheduler.assign(150), []);
+  scheduler.setWorkers([worker("1")]);
+  t.deepEqual(scheduler.assign(160), []);
+});
+
 test("a slow endpoint is given work last", (t) => {
   const scheduler = schedulerOf(worker("1"), worker("2"));
   scheduler.add(works("a", 4));
