A call under way when a host ends is not said not to have run

Cause: found by reading: a stop, or a fault of the program, refused with 503 a request whose call was under way (phase sent, no outcome yet), which promises that it has not run. Change: one question, mayHaveRun, for stop, fault and timeout.

--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -56,7 +56,6 @@
   #proof?: freshness.Moment;
   #source?: string;
   #stopped = false;
-  #asked = 0;
 
   private constructor(options: FollowerOptions) {
     this.#options = options;
@@ -161,7 +160,6 @@
     // Another host's changes say nothing of what this one has told before.
     const known = core === this.#source ? this.#revision : NO_REVISION;
     const host = { host: self, dataCentre, ready: isReady(), age: 0 };
-    this.#asked++;
     try {
       const reply = await calls.ask(
         core,
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -108,7 +108,7 @@
   abort(): void {
     if (this.isOver) return;
     if (this.#phase === "streaming") return this.#breakOff("stopping");
-    this.#refuse(this.#runs > 0 ? "failed" : "stopping");
+    this.#refuse(this.#mayHaveRun ? "failed" : "stopping");
   }
 
   async #serve(): Promise<void> {
@@ -122,10 +122,15 @@
     } catch (error) {
       const request = this.#ask?.id;
       this.#context.logger.error({ err: error, request }, "Request failed");
-      this.#refuse(this.#runs > 0 ? "failed" : "not-run");
+      this.#refuse(this.#mayHaveRun ? "failed" : "not-run");
     }
   }
 
+  /** Whether an endpoint may have begun to work on it, or may be at it now. */
+  get #mayHaveRun(): boolean {
+    return this.#runs > 0 || this.#phase === "sent";
+  }
+
   /** Reads the request and judges whether it may pass. */
   async #admit(): Promise<Buffer> {
     const { protocol, knowledge, clock } = this.#context;
@@ -522,8 +527,7 @@
   #timeOut(): void {
     if (this.isOver) return;
     if (this.#head !== undefined) return this.#breakOff("timeout");
-    const mayHaveRun = this.#runs > 0 || this.#phase === "sent";
-    this.#refuse(mayHaveRun ? "timeout" : "timeout-not-run");
+    this.#refuse(this.#mayHaveRun ? "timeout" : "timeout-not-run");
   }
 
   /** Ends a stream so that it does not look complete. */
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -81,7 +81,7 @@
   readonly isMisdirected: boolean;
   /** Whether a result that the call needs is gone. */
   readonly lacksInput: boolean;
-  /** Whether the endpoint takes no further call on the connection. */
+  /** Present where the endpoint tells its load. */
   readonly load?: ReportedLoad;
   /** Headers that go back to the caller as they are. */
   readonly headers: Readonly<Record<string, string>>;
