Remove what nothing uses; one way to say what is wrong with a control call

Read from the whole change: an error class, two getters and a method that nobody calls, and one function that stood in core_host and control_server alike.

--- a/src/fleet/control_protocol.ts
+++ b/src/fleet/control_protocol.ts
@@ -38,3 +38,8 @@
 export interface ControlProtocol {
   decode(call: ControlCall): ControlOrder;
 }
+
+/** An answer that says what is wrong. */
+export function problem(status: number, detail: string): ControlAnswer {
+  return { status, body: JSON.stringify({ detail }) };
+}
--- a/src/fleet/control_server.ts
+++ b/src/fleet/control_server.ts
@@ -6,7 +6,7 @@
 import type * as telemetry from "../telemetry/mod.ts";
 import * as errors from "./errors.ts";
 import * as httpListener from "./http_listener.ts";
-import type * as protocol from "./control_protocol.ts";
+import * as protocol from "./control_protocol.ts";
 
 /** Bytes of the largest configuration: thousands of routes. */
 const MOST_BODY = 16 * 1024 * 1024;
@@ -75,17 +75,18 @@
   async #answer(
     request: http.IncomingMessage,
   ): Promise<protocol.ControlAnswer> {
-    const { protocol, logger } = this.#options;
+    const { logger } = this.#options;
     const { method = "", url: target = "" } = request;
     try {
       const body = await httpListener.readBody(request, MOST_BODY);
-      return await this.#handle(protocol.decode({ method, target, body }));
+      const call = { method, target, body };
+      return await this.#handle(this.#options.protocol.decode(call));
     } catch (error) {
       if (error instanceof errors.FleetError) {
-        return answer(413, error.message);
+        return protocol.problem(413, error.message);
       }
       logger.error({ err: error, target }, "Call failed");
-      return answer(500, "the call failed");
+      return protocol.problem(500, "the call failed");
     }
   }
 
@@ -94,15 +95,11 @@
   ): protocol.ControlAnswer | Promise<protocol.ControlAnswer> {
     const { handlers, metrics } = this.#options;
     metrics.count("control.calls", 1, { type: order.type });
-    if (order.type === "malformed") return answer(400, order.detail);
-    if (order.type === "unknown") return answer(404, "no such call");
+    if (order.type === "malformed") return protocol.problem(400, order.detail);
+    if (order.type === "unknown") return protocol.problem(404, "no such call");
     const handler = handlers[order.type] as (
       order: protocol.ControlOrder,
     ) => Promise<protocol.ControlAnswer>;
     return handler(order);
   }
 }
-
-function answer(status: number, detail: string): protocol.ControlAnswer {
-  return { status, body: JSON.stringify({ detail }) };
-}
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -265,14 +265,17 @@
     const { logger } = this.#options;
     if (fault !== undefined) {
       logger.info({ version, ...fault }, "Configuration refused as invalid");
-      return problem(400, fault.detail);
+      return protocol.problem(400, fault.detail);
     }
     try {
       const order = { version, document };
       const reply = await this.#keeper!.replace(order, ORDER_PATIENCE);
       logger.info({ asked: version, ...reply }, "Configuration ordered");
       return reply.verdict === "conflict"
-        ? problem(409, `version ${version} is in force with other content`)
+        ? protocol.problem(
+          409,
+          `version ${version} is in force with other content`,
+        )
         : { status: 200, body: JSON.stringify({ version: reply.version }) };
     } catch (error) {
       return this.#unanswered(error, { version });
@@ -283,7 +286,7 @@
     try {
       const edition = await this.#keeper!.read(READ_PATIENCE);
       if (edition.version > 0) return { status: 200, body: edition.document };
-      return problem(503, "no configuration has been accepted yet");
+      return protocol.problem(503, "no configuration has been accepted yet");
     } catch (error) {
       return this.#unanswered(error, { read: true });
     }
@@ -321,7 +324,7 @@
     const { told, of } = await this.#spread.tell(id);
     const isKnown = 2 * told > of;
     logger.info({ endpoint: id, state, told, of, isKnown }, "Endpoint leaves");
-    return isKnown ? DONE : problem(503, "other hosts do not answer");
+    return isKnown ? DONE : protocol.problem(503, "other hosts do not answer");
   }
 
   #unanswered(error: unknown, about: object): protocol.ControlAnswer {
@@ -330,7 +333,7 @@
     const leader = this.#keeper?.leader;
     const fields = { ...about, kind, leader };
     this.#options.logger.info(fields, "Operator not answered");
-    return problem(503, message);
+    return protocol.problem(503, message);
   }
 }
 
@@ -341,7 +344,3 @@
 type Order<T> = Extract<protocol.ControlOrder, { type: T }>;
 
 const DONE: protocol.ControlAnswer = { status: 200, body: "{}" };
-
-function problem(status: number, detail: string): protocol.ControlAnswer {
-  return { status, body: JSON.stringify({ detail }) };
-}
--- a/src/gateway/event_text.ts
+++ b/src/gateway/event_text.ts
@@ -32,11 +32,6 @@
     const bytes = all.subarray(0, end);
     return { bytes, lastId: lastIdOf(bytes) };
   }
-
-  /** What is left of an event that was never finished. */
-  get rest(): Buffer {
-    return this.#rest;
-  }
 }
 
 /** Where the last whole event ends. */
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -3,7 +3,6 @@
 
 export * from "./calibration.ts";
 export * from "./context.ts";
-export * from "./errors.ts";
 export * from "./pool.ts";
 export * from "./protocol.ts";
 export * from "./retry_budget.ts";
--- a/src/peers/calls.ts
+++ b/src/peers/calls.ts
@@ -84,13 +84,6 @@
     this.#send(to, { type: "cast", body });
   }
 
-  /** Gives up all questions to a host that is known to be gone. */
-  abandon(host: string): void {
-    for (const [id, { to }] of this.#pending) {
-      if (to === host) this.#fail(id, `Host ${host} is gone`);
-    }
-  }
-
   /** Takes a checked message of another host. */
   receive(from: string, message: schema.FleetMessage): void {
     const receivers: {
--- a/src/pieces/plan.ts
+++ b/src/pieces/plan.ts
@@ -109,13 +109,6 @@
     );
   }
 
-  /** Services whose pieces have been asked for and have not come. */
-  get asked(): string[] {
-    return this.#stages.flatMap(({ isAsked, stage }) =>
-      isAsked ? [stage.service] : []
-    );
-  }
-
   /** Notes that the missing pieces of a stage have been asked for. */
   ask(stage: number): Plan {
     return this.#with(stage, (state) => ({ ...state, isAsked: true }));
