--- a/src/configuration/catalogue.ts
+++ b/src/configuration/catalogue.ts
@@ -6,6 +6,8 @@
 /** Finds routes, accounts and services of one version. */
 export class Catalogue {
   readonly configuration: configurations.Configuration;
+  /** Names of the services that make pieces. */
+  readonly makers: readonly string[];
   readonly #routes = new Map<string, configurations.Route>();
   readonly #accounts = new Map<string, configurations.Account>();
   readonly #services = new Map<string, configurations.Service>();
@@ -22,6 +24,8 @@
     for (const service of configuration.services) {
       this.#services.set(service.name, service);
     }
+    this.makers = configuration.services.filter(({ pieces }) => pieces)
+      .map(({ name }) => name);
   }
 
   /** Indexes a valid configuration. */
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -87,7 +87,7 @@
       ...options,
       dispatcher: this.#dispatcher,
       service: (name) => this.#catalogue?.service(name),
-      workers: (service) => this.#workers(service),
+      workers: (cell) => this.#workers(cell),
       noteAnswer: (id) => this.#pool.get(id)?.judge("good", clock.now()),
     });
     this.#maker = pieces.Maker.create({
@@ -96,7 +96,10 @@
       logger,
       calls: this.#network.calls,
       batcher: this.#batcher,
-      hosts: () => this.#readyHosts(),
+      hosts: () => this.#follower.hosts.filter(({ ready }) => ready),
+      services: () => this.#catalogue?.makers ?? [],
+      workers: (service) => this.#known(service),
+      isSound: ({ id }) => this.#pool.get(id)?.isSound(clock.now()) ?? false,
     });
   }
 
@@ -223,16 +226,16 @@
     this.#options.metrics.gauge("config.proof_age", this.#follower.age);
   }
 
-  #workers(
-    service: string,
-  ): { id: string; address: string; dataCentre: string }[] {
-    const now = this.#options.clock.now();
-    return this.#pool.usable(service, now).map(({ identity }) => identity);
+  #known(service: string): pieces.Worker[] {
+    return this.#pool.of(service).map(({ identity }) => identity);
   }
 
-  #readyHosts(): string[] {
-    return this.#follower.hosts.filter(({ ready }) => ready)
-      .map(({ host }) => host);
+  /** Endpoints of a cell that take calls. */
+  #workers({ service, cell }: pieces.CellName): pieces.Worker[] {
+    const now = this.#options.clock.now();
+    const members = pieces.cells.workersOf(cell, this.#known(service))
+      .flatMap(({ id }) => this.#pool.get(id) ?? []);
+    return gateway.usableOf(members, now).map(({ identity }) => identity);
   }
 
   async #make(question: schema.MakeQuestion): Promise<schema.Reply> {
@@ -248,9 +251,9 @@
   #hear(notice: schema.Notice): void {
     const { type } = notice;
     if (type === "release") {
-      this.#batcher.release(notice.service, notice.handles);
+      this.#batcher.release(notice, notice.handles);
     } else if (type === "drop") {
-      this.#batcher.drop(notice.service, notice.request);
+      this.#batcher.drop(notice, notice.request);
     }
   }
 }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -31,7 +31,10 @@
   readonly dispatcher: undici.Dispatcher;
   readonly dataCentre: string;
   readonly pool: pools.Pool;
-  readonly maker: Pick<pieces.Maker, "make" | "book" | "release" | "drop">;
+  readonly maker: Pick<
+    pieces.Maker,
+    "cell" | "make" | "book" | "release" | "drop"
+  >;
   readonly knowledge: Knowledge;
   readonly calibration: calibrations.Calibration;
   /** Greatest age of the configuration with which a key is believed. */
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -16,6 +16,10 @@
 /** Milliseconds over which a measured delay loses half of its weight. */
 const DELAY_HALF = 1500;
 
+/** Milliseconds for which an endpoint without heartbeats counts as there when
+ * its calls go well: heartbeats may be cut off where calls are not. */
+const TRUSTED = 5000;
+
 /** Who and where an endpoint is. */
 export interface Identity {
   readonly id: string;
@@ -77,6 +81,17 @@
     return now - this.#goodAt;
   }
 
+  /** Whether it is there, by its heartbeats or by its calls. */
+  isHeard(now: number): boolean {
+    return !this.isSilent || this.sinceGood(now) < TRUSTED;
+  }
+
+  /** Whether it takes calls and nothing speaks against it. */
+  isSound(now: number): boolean {
+    return this.isReady && !this.isReplaced && this.isHeard(now) &&
+      !this.isResting(now);
+  }
+
   /** Whether it is left alone for now. */
   isResting(now: number): boolean {
     return now < this.#restUntil;
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -85,6 +85,7 @@
     maker: {
       make: () => Promise.resolve([]),
       book: () => Promise.resolve(0),
+      cell: () => "all",
       release() {},
       drop() {},
     },
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -6,10 +6,6 @@
 import * as endpoint from "./endpoint.ts";
 import * as promptMemory from "./prompt_memory.ts";
 
-/** Milliseconds for which an endpoint without heartbeats counts as there when
- * its calls go well: heartbeats may be cut off where calls are not. */
-const TRUSTED = 5000;
-
 /** Endpoints by service; changed in place. */
 export class Pool {
   readonly #byId = new Map<string, endpoint.Endpoint>();
@@ -58,15 +54,7 @@
 
   /** Endpoints that take new requests, the sound ones where there are any. */
   usable(service: string, now: number): readonly endpoint.Endpoint[] {
-    const ready = this.of(service).filter((each) =>
-      each.isReady && !each.isReplaced
-    );
-    const heard = ready.filter((each) =>
-      !each.isSilent || each.sinceGood(now) < TRUSTED
-    );
-    const there = heard.length > 0 ? heard : ready;
-    const sound = there.filter((each) => !each.isResting(now));
-    return sound.length > 0 ? sound : there;
+    return usableOf(this.of(service), now);
   }
 
   /** State for people. */
@@ -105,6 +93,19 @@
   }
 }
 
+/** Those of some endpoints that take new requests, the sound ones where there
+ * are any. */
+export function usableOf(
+  endpoints: readonly endpoint.Endpoint[],
+  now: number,
+): readonly endpoint.Endpoint[] {
+  const ready = endpoints.filter((each) => each.isReady && !each.isReplaced);
+  const heard = ready.filter((each) => each.isHeard(now));
+  const there = heard.length > 0 ? heard : ready;
+  const sound = there.filter((each) => !each.isResting(now));
+  return sound.length > 0 ? sound : there;
+}
+
 /** Of the endpoints that were heard at one address, the one heard last: the
  * others have ended, whether they have said so or not. */
 function newestByAddress(
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -49,6 +49,8 @@
   #isOver = false;
   readonly #stages: readonly Omit<pieces.forecast.StageForecast, "wait">[];
   readonly #tails: readonly number[];
+  /** Cells that make the pieces, by service. */
+  readonly #cells: ReadonlyMap<string, string>;
 
   private constructor(needs: Needs, options: PreparationOptions) {
     this.#needs = needs;
@@ -64,6 +66,11 @@
       return { after, work: work ?? 0 };
     });
     this.#tails = pieces.forecast.tails(this.#stages);
+    const wanted = { request: ask.id, dataCentre: this.#destination };
+    const services = new Set(route.stages.map(({ service }) => service));
+    this.#cells = new Map(
+      [...services].map((each) => [each, needs.maker.cell(each, wanted)]),
+    );
   }
 
   static create(needs: Needs, options: PreparationOptions): Preparation {
@@ -78,7 +85,7 @@
       if (counts[stage] === 0) return 0;
       return this.#needs.maker.book({
         type: "book",
-        service,
+        ...this.#cellOf(service),
         request: ask.id,
         stage,
         pieces: counts[stage],
@@ -137,16 +144,20 @@
       .filter((_, stage) => this.#plan.counts[stage] > 0)
       .map(({ service }) => service);
     for (const service of new Set(services)) {
-      this.#needs.maker.drop(service, id);
+      this.#needs.maker.drop(this.#cellOf(service), id);
     }
   }
 
   #giveUp(holdings: readonly pieces.Holding[]): void {
     for (const { service, handles } of holdings) {
-      this.#needs.maker.release(service, handles);
+      this.#needs.maker.release(this.#cellOf(service), handles);
     }
   }
 
+  #cellOf(service: string): pieces.CellName {
+    return { service, cell: this.#cells.get(service)! };
+  }
+
   /** Makes the pieces of a stage; resolves with why they cannot be. */
   async #make(round: pieces.Round): Promise<string | undefined> {
     const { stage, service } = round;
@@ -178,7 +189,7 @@
     const isFirst = inputs === undefined;
     return {
       type: "make",
-      service,
+      ...this.#cellOf(service),
       request: ask.id,
       stage,
       pieces: [...pieces],
--- /dev/null
+++ b/src/pieces/cell_batcher.ts
@@ -0,0 +1,287 @@
+/** Makes the pieces of one cell: gathers what hosts ask for and calls the
+ * endpoints that its scheduler names.
+ * @module */
+
+import type * as undici from "undici";
+import type * as configurations from "../configuration/mod.ts";
+import type * as protocols from "../gateway/protocol.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import * as pieceCall from "./piece_call.ts";
+import * as schedulers from "./scheduler.ts";
+
+/** Times that a piece is tried; each costs an endpoint's time. */
+const TRIES = 4;
+/** Milliseconds over which results to be given up gather into one call. */
+const GATHER = 8;
+
+/** What a batcher needs of its host. */
+export interface CallOptions {
+  clock: runtime.Clock;
+  dispatcher: undici.Dispatcher;
+  protocol: protocols.GatewayProtocol;
+  metrics: telemetry.Metrics;
+  logger: telemetry.Logger;
+  /** Notes that an endpoint has answered a call. One that has not is left alone
+   * by its scheduler. */
+  noteAnswer(endpoint: string): void;
+}
+
+/** What a batcher of one cell is made from. */
+export interface CellBatcherOptions extends CallOptions {
+  readonly service: string;
+  /** Figures of the service; those in force before when it has none now. */
+  traits(): configurations.PieceTraits;
+  /** Endpoints that take calls. */
+  workers(): readonly schedulers.Worker[];
+}
+
+interface Order {
+  readonly question: schema.MakeQuestion;
+  readonly results: Map<number, schema.Result>;
+  resolve(results: schema.Result[]): void;
+}
+
+/** The scheduler of a cell, and the calls that it orders. */
+export class CellBatcher {
+  readonly #options: CellBatcherOptions;
+  readonly #scheduler: schedulers.Scheduler;
+  readonly #orders = new Map<string, Order>();
+  /** Results to be given up, by their maker. */
+  readonly #released = new Map<string, Set<string>>();
+  #cancelWake: runtime.Cancel = () => {};
+  #isReleasing = false;
+
+  private constructor(options: CellBatcherOptions) {
+    this.#options = options;
+    this.#scheduler = schedulers.Scheduler.create(options.traits());
+  }
+
+  static create(options: CellBatcherOptions): CellBatcher {
+    return new CellBatcher(options);
+  }
+
+  /** Makes pieces; resolves once each is made or cannot be. */
+  make(question: schema.MakeQuestion): Promise<schema.Result[]> {
+    const now = this.#options.clock.now();
+    return new Promise((resolve) => {
+      const order = { question, results: new Map(), resolve };
+      this.#orders.set(keyOf(question), order);
+      this.#scheduler.add(worksOf(question, now));
+      this.update();
+    });
+  }
+
+  /** Notes pieces that will be asked for; says how long they would wait. */
+  book(question: schema.BookQuestion): number {
+    const { request, stage, pieces: count, slack, rank } = question;
+    const now = this.#options.clock.now();
+    this.#scheduler.setWorkers(this.#options.workers());
+    const wanted = now + slack;
+    return this.#scheduler.book({ request, stage, count, wanted, rank }, now);
+  }
+
+  /** Drops the pieces of a request that have not been begun. */
+  drop(request: string): void {
+    for (const work of this.#scheduler.drop(request)) {
+      this.#settle(work, { piece: work.piece, failure: "late" });
+    }
+  }
+
+  /** Gives results up, so that their room is free. */
+  release(handles: readonly string[]): void {
+    const { protocol, clock } = this.#options;
+    for (const handle of handles) {
+      const maker = protocol.makerOf(handle);
+      const gathered = this.#released.get(maker) ?? new Set();
+      gathered.add(handle);
+      this.#released.set(maker, gathered);
+    }
+    if (this.#isReleasing) return;
+    this.#isReleasing = true;
+    clock.after(GATHER, () => this.#sendReleases());
+  }
+
+  /** Follows a change of endpoints, of the configuration or of what waits:
+   * makes the calls that can be made now. */
+  update(): void {
+    const { clock, workers, traits } = this.#options;
+    const now = clock.now();
+    this.#scheduler.setTraits(traits());
+    this.#scheduler.setWorkers(workers());
+    for (const work of this.#scheduler.expire(now)) {
+      this.#settle(work, { piece: work.piece, failure: "late" });
+    }
+    for (const assignment of this.#scheduler.assign(now)) {
+      void this.#call(assignment);
+    }
+    this.#wakeLater(this.#scheduler.wakeAt(now));
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    return this.#scheduler.dump();
+  }
+
+  #wakeLater(at: number | undefined): void {
+    this.#cancelWake();
+    if (at === undefined || at === Infinity) return;
+    const { clock } = this.#options;
+    const wait = at - clock.now() + 1;
+    this.#cancelWake = clock.after(wait, () => this.update());
+  }
+
+  async #call(assignment: schedulers.Assignment): Promise<void> {
+    const { clock, metrics, service } = this.#options;
+    const started = clock.now();
+    metrics.count("pieces.calls", 1, { service });
+    metrics.count("pieces.made", assignment.works.length, { service });
+    const outcome = await pieceCall.call(assignment, {
+      ...this.#options,
+      patience: this.#scheduler.patience(assignment),
+    });
+    const now = clock.now();
+    const isGood = outcome.type === "results" || outcome.cause === "full";
+    if (isGood) this.#options.noteAnswer(assignment.worker.id);
+    if (outcome.type === "results") {
+      this.#takeResults(assignment, {
+        results: outcome.results,
+        duration: now - started,
+        now,
+      });
+    } else this.#takeFailure(assignment, outcome);
+    this.update();
+  }
+
+  #takeResults(
+    assignment: schedulers.Assignment,
+    { results, duration, now }: {
+      results: readonly protocols.PieceResult[];
+      duration: number;
+      now: number;
+    },
+  ): void {
+    const { works, worker } = assignment;
+    const { metrics, service } = this.#options;
+    const handles = results.flatMap((result, pos) =>
+      result.type === "made"
+        ? [{ handle: result.handle, bytes: works[pos].bytes }]
+        : []
+    );
+    this.#scheduler.finish(assignment, { handles, duration, now });
+    const isFull = results.some((result) =>
+      result.type === "failed" && result.failure === "room"
+    );
+    if (isFull) this.#scheduler.noteFull(worker.id, now);
+    results.forEach((result, pos) => {
+      const work = works[pos];
+      const { piece } = work;
+      if (result.type === "made") {
+        this.#settle(work, { piece, handle: result.handle });
+        return;
+      }
+      const { failure } = result;
+      metrics.count("pieces.failed", 1, { service, failure });
+      const isFinal = failure === "gone" || failure === "late";
+      if (isFinal) this.#settle(work, { piece, failure });
+      else this.#again(work, failure);
+    });
+  }
+
+  #takeFailure(
+    assignment: schedulers.Assignment,
+    { cause }: { cause: pieceCall.CallFailure },
+  ): void {
+    const { clock, metrics, logger, service } = this.#options;
+    const { worker, works } = assignment;
+    const now = clock.now();
+    const pause = cause === "full" ? FULL_PAUSE : undefined;
+    metrics.count("pieces.failed", works.length, { service, failure: cause });
+    logger.info(
+      { service, endpoint: worker.id, cause, pieces: works.length },
+      "Call for pieces failed",
+    );
+    this.#scheduler.fail(assignment, { now, pause });
+    for (const work of works) {
+      // A full endpoint has not tried.
+      const tries = cause === "full" ? work.tries - 1 : work.tries;
+      this.#again({ ...work, tries }, "unreachable");
+    }
+  }
+
+  #again(work: schedulers.Work, failure: schema.Result["failure"]): void {
+    const order = this.#orders.get(keyOf(work));
+    const tries = work.tries + 1;
+    if (order === undefined) return;
+    if (tries < TRIES) {
+      this.#scheduler.add([{ ...work, tries }]);
+    } else this.#settle(work, { piece: work.piece, failure });
+  }
+
+  #settle(work: schedulers.Work, result: schema.Result): void {
+    const key = keyOf(work);
+    const order = this.#orders.get(key);
+    if (order === undefined) {
+      if (result.handle !== undefined) this.release([result.handle]);
+      return;
+    }
+    order.results.set(work.piece, result);
+    if (order.results.size < order.question.pieces.length) return;
+    this.#orders.delete(key);
+    order.resolve([...order.results.values()]);
+  }
+
+  #sendReleases(): void {
+    this.#isReleasing = false;
+    const released = [...this.#released];
+    this.#released.clear();
+    for (const [maker, handles] of released) {
+      void this.#sendRelease(maker, [...handles]);
+    }
+  }
+
+  /** Their room is free once their maker has heard of it, not before. */
+  async #sendRelease(
+    address: string,
+    handles: readonly string[],
+  ): Promise<void> {
+    const isDone = await pieceCall.release(address, handles, this.#options);
+    if (!isDone) return;
+    this.#scheduler.release(address, handles);
+    this.update();
+  }
+}
+
+/** Milliseconds after which a full endpoint is asked again: about one call. */
+const FULL_PAUSE = 120;
+
+function keyOf(
+  { request, stage }: Pick<schema.MakeQuestion, "request" | "stage">,
+): string {
+  return `${request}/${stage}`;
+}
+
+function worksOf(
+  question: schema.MakeQuestion,
+  now: number,
+): schedulers.Work[] {
+  const { request, stage, key, inputs, bytes, rank, dataCentre } = question;
+  const { moved = bytes } = question;
+  const expires = now + question.remaining;
+  const wanted = now + (question.slack ?? question.remaining);
+  return question.pieces.map((piece) => ({
+    request,
+    stage,
+    piece,
+    key,
+    inputs,
+    bytes,
+    expires,
+    wanted,
+    rank,
+    dataCentre,
+    moved,
+    tries: 0,
+  }));
+}
--- /dev/null
+++ b/src/pieces/cells_test.ts
@@ -0,0 +1,72 @@
+/** @module */
+
+import test from "ava";
+import * as cells from "./cells.ts";
+import type * as schedulers from "./scheduler.ts";
+
+function workers(counts: Record<string, number>): schedulers.Worker[] {
+  return Object.entries(counts).flatMap(([dataCentre, count], place) =>
+    Array.from({ length: count }, (_, number) => ({
+      id: `${dataCentre}-${number}`,
+      address: `10.${place}.0.${number}:80`,
+      dataCentre,
+    }))
+  );
+}
+
+function names(divided: readonly cells.Cell[]): string[] {
+  return divided.map(({ name }) => name);
+}
+
+const anywhere = { request: "r", dataCentre: "town", isSound: () => true };
+
+test("a few endpoints are one cell, wherever they are", (t) => {
+  const [cell, ...others] = cells.divide(workers({ hall: 3, town: 3 }));
+  t.is(cell.workers.length, 6);
+  t.is(cell.dataCentre, undefined);
+  t.deepEqual(others, []);
+});
+
+test("more endpoints are divided by data centre, many there once more", (t) => {
+  const divided = cells.divide(workers({ hall: 3, town: 13 }));
+  t.deepEqual(names(divided), ["hall/0.1", "town/0.3", "town/1.3", "town/2.3"]);
+  t.deepEqual(divided.map((cell) => cell.workers.length), [3, 5, 4, 4]);
+});
+
+test("hosts that heard of the endpoints in another order agree", (t) => {
+  const known = workers({ hall: 4, town: 9 });
+  const one = cells.divide(known);
+  const other = cells.divide([...known].reverse());
+  for (const { name, workers } of one) {
+    const same = other.find((cell) => cell.name === name)!.workers;
+    t.deepEqual(
+      same.map(({ id }) => id).sort(),
+      workers.map(({ id }) => id).sort(),
+    );
+  }
+});
+
+test("pieces are made where they are wanted", (t) => {
+  const divided = cells.divide(workers({ hall: 4, town: 4 }));
+  t.is(cells.pick(divided, anywhere).name, "town/0.1");
+  const [whole] = cells.divide(workers({ hall: 2 }));
+  t.is(cells.pick([whole], anywhere), whole);
+});
+
+test("they are made elsewhere where no endpoint there is sound", (t) => {
+  const divided = cells.divide(workers({ hall: 4, town: 4 }));
+  const isSound = ({ dataCentre }: schedulers.Worker) => dataCentre === "hall";
+  t.is(cells.pick(divided, { ...anywhere, isSound }).name, "hall/0.1");
+  const none = { ...anywhere, isSound: () => false };
+  t.true(divided.includes(cells.pick(divided, none)));
+});
+
+test("the name of a cell tells its data centre", (t) => {
+  t.is(cells.placeOf("town/1.3"), "town");
+  t.is(cells.placeOf(cells.divide([])[0].name), undefined);
+});
+
+test("a cell that this host does not know has all endpoints", (t) => {
+  const known = workers({ hall: 1, town: 1 });
+  t.is(cells.workersOf("town/0.1", known), known);
+});
--- a/src/pieces/maker.ts
+++ b/src/pieces/maker.ts
@@ -1,13 +1,15 @@
 /** Gets pieces made for the requests of one host: by the host whose batcher
- * serves the stage's service, or by its own when that one is lost.
+ * serves a cell of the stage's service, or by its own when that one is lost.
  * @module */
 
 import type * as peers from "../peers/mod.ts";
-import * as rendezvous from "../gateway/rendezvous.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import type * as batchers from "./batcher.ts";
+import * as cells from "./cells.ts";
+import type * as schedulers from "./scheduler.ts";
+import * as seats from "./seats.ts";
 
 /** Hosts that are tried before the own one. */
 const TRIES = 2;
@@ -25,7 +27,19 @@
   batcher: batchers.Batcher;
   logger: telemetry.Logger;
   /** Hosts that take requests and are ready. */
-  hosts(): readonly string[];
+  hosts(): readonly Pick<schema.EntryHost, "host" | "dataCentre">[];
+  /** Services that make pieces. */
+  services(): readonly string[];
+  /** All endpoints of a service that are known. */
+  workers(service: string): readonly schedulers.Worker[];
+  /** Whether an endpoint takes calls now. */
+  isSound(worker: schedulers.Worker): boolean;
+}
+
+/** The cell of a service. */
+export interface CellName {
+  readonly service: string;
+  readonly cell: string;
 }
 
 /** Asks batchers. */
@@ -41,11 +55,22 @@
     return new Maker(options);
   }
 
+  /** Name of the cell that makes a request's pieces of a service, wanted in a
+   * data centre. */
+  cell(
+    service: string,
+    wanted: { request: string; dataCentre: string },
+  ): string {
+    const { workers, isSound } = this.#options;
+    const divided = cells.divide(workers(service));
+    return cells.pick(divided, { ...wanted, isSound }).name;
+  }
+
   /** Makes pieces; resolves once each is made or cannot be. */
   async make(question: schema.MakeQuestion): Promise<schema.Result[]> {
     const { self, clock, calls, batcher, logger } = this.#options;
     const started = clock.now();
-    for (const host of this.#hostsFor(question.service).slice(0, TRIES)) {
+    for (const host of this.#hostsFor(question).slice(0, TRIES)) {
       const remaining = question.remaining - (clock.now() - started);
       const asked = { ...question, remaining };
       if (host === self) return batcher.make(asked);
@@ -69,8 +94,8 @@
   async book(question: schema.BookQuestion): Promise<number> {
     const { self, calls, batcher, logger } = this.#options;
     const { service, request } = question;
-    const [host] = this.#hostsFor(service);
-    if (host === self || host === undefined) return batcher.book(question);
+    const [host] = this.#hostsFor(question);
+    if (host === self) return batcher.book(question);
     try {
       const reply = await calls.ask(host, question, { timeout: BOOKING });
       return reply.type === "booked" ? reply.wait : 0;
@@ -82,33 +107,47 @@
   }
 
   /** Gives results up. */
-  release(service: string, handles: readonly string[]): void {
+  release({ service, cell }: CellName, handles: readonly string[]): void {
     if (handles.length === 0) return;
     const { self, calls, batcher } = this.#options;
-    const [host] = this.#hostsFor(service);
-    if (host === self || host === undefined) {
-      batcher.release(service, handles);
-    } else {calls.cast(host, {
-        type: "release",
-        service,
-        handles: [...handles],
-      });}
+    const [host] = this.#hostsFor({ service, cell });
+    if (host === self) return batcher.release({ service, cell }, handles);
+    const notice = { service, cell, handles: [...handles] };
+    calls.cast(host, { type: "release", ...notice });
   }
 
   /** Drops pieces of a request that have not been begun. */
-  drop(service: string, request: string): void {
+  drop({ service, cell }: CellName, request: string): void {
     const { self, calls, batcher } = this.#options;
-    const [host] = this.#hostsFor(service);
-    if (host === self || host === undefined) batcher.drop(service, request);
-    else calls.cast(host, { type: "drop", service, request });
+    const [host] = this.#hostsFor({ service, cell });
+    if (host === self) return batcher.drop({ service, cell }, request);
+    calls.cast(host, { type: "drop", service, cell, request });
   }
 
-  #hostsFor(service: string): string[] {
+  /** Hosts that may batch for a cell, those of its data centre where there are
+   * any; never empty. */
+  #hostsFor({ service, cell }: CellName): string[] {
     const { clock, hosts, self } = this.#options;
     const now = clock.now();
-    const there = hosts().filter((host) =>
+    const there = hosts().filter(({ host }) =>
       (this.#leftOut.get(host) ?? 0) <= now
     );
-    return rendezvous.rank(service, there.length > 0 ? there : [self]);
+    const place = cells.placeOf(cell);
+    const near = there.filter(({ dataCentre }) => dataCentre === place);
+    const names = (near.length > 0 ? near : there).map(({ host }) => host);
+    return seats.hostsFor(`${service} ${cell}`, {
+      cells: this.#cellsAt(place),
+      hosts: names.length > 0 ? names : [self],
+    });
+  }
+
+  /** Cells of all services at a data centre, or in several places. */
+  #cellsAt(place: string | undefined): string[] {
+    const { services, workers } = this.#options;
+    return services().flatMap((service) =>
+      cells.divide(workers(service))
+        .filter(({ dataCentre }) => dataCentre === place)
+        .map(({ name }) => `${service} ${name}`)
+    );
   }
 }
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -65,7 +65,8 @@
   rest: number;
   /** How many times slower than its service's figures. */
   slowness: number;
-  /** Results that it holds, and when they end by themselves. */
+  /** Results that it holds, and when they end by themselves; those that end
+   * first come first, since all are kept for the same time. */
   readonly held: Map<string, { bytes: number; until: number }>;
   heldBytes: number;
   /** Bytes of the results that calls under way will give. */
@@ -187,8 +188,9 @@
   /** The calls that can be made now; they count as made. */
   assign(now: number): Assignment[] {
     const assignments: Assignment[] = [];
-    this.#sort(now);
-    for (const state of this.#free(now)) {
+    const free = this.#waiting.length > 0 ? this.#free(now) : [];
+    if (free.length > 0) this.#sort(now);
+    for (const state of free) {
       const works = this.#fill(state, now);
       if (works.length === 0) continue;
       state.calls++;
@@ -248,9 +250,10 @@
     if (state !== undefined) state.blockedUntil = now + FULL_PAUSE;
   }
 
-  /** Notes that results have been given up. */
-  release(handles: readonly string[]): void {
+  /** Notes that the endpoint at an address has given results up. */
+  release(address: string, handles: readonly string[]): void {
     for (const state of this.#workers.values()) {
+      if (state.worker.address !== address) continue;
       for (const handle of handles) this.#dropHandle(state, handle);
     }
   }
@@ -260,7 +263,7 @@
     if (this.#waiting.length === 0) return undefined;
     const times = [...this.#workers.values()].flatMap((state) => [
       state.blockedUntil,
-      ...[...state.held.values()].map(({ until }) => until),
+      firstEnd(state) ?? 0,
     ]).filter((time) => time > now);
     const patience = PATIENT_CALLS * this.#expected(1);
     const first = this.#waiting.reduce(
@@ -365,7 +368,8 @@
 
   #forget(state: WorkerState, now: number): void {
     for (const [handle, { until }] of state.held) {
-      if (until <= now) this.#dropHandle(state, handle);
+      if (until > now) return;
+      this.#dropHandle(state, handle);
     }
   }
 
@@ -407,6 +411,12 @@
   };
 }
 
+/** When the first of its results ends by itself. */
+function firstEnd({ held }: WorkerState): number | undefined {
+  const [first] = held.values();
+  return first?.until;
+}
+
 function bytesOf(works: readonly Work[]): number {
   return works.reduce((sum, { bytes }) => sum + bytes, 0);
 }
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -80,7 +80,7 @@
   t.is(call.works.length, 3);
   finish(scheduler, call);
   t.deepEqual(scheduler.assign(140), []);
-  scheduler.release(["a.0"]);
+  scheduler.release("10.0.0.1:1", ["a.0"]);
   t.is(scheduler.assign(140)[0].works.length, 1);
 });
 
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -10,6 +10,10 @@
 export type Count = number;
 export type Question = ConfirmQuestion | ReplaceQuestion | SyncQuestion | NoteQuestion | MakeQuestion | BookQuestion;
 export type Name = string;
+/**
+ * Part of a service's endpoints that one batcher schedules.
+ */
+export type Cell = string;
 export type Reply = FailedReply | ConfirmedReply | ReplacedReply | SyncedReply | NotedReply | MadeReply | BookedReply;
 export type Notice = HelloNotice | ReleaseNotice | DropNotice;
 
@@ -90,11 +94,12 @@
   silent?: boolean;
 }
 /**
- * Asks the scheduler of a service for pieces of one request.
+ * Asks the batcher of a cell for pieces of one request.
  */
 export interface MakeQuestion {
   type: "make";
   service: Name;
+  cell: Cell;
   request: Name;
   stage: Count;
   pieces: Count[];
@@ -127,6 +132,7 @@
 export interface BookQuestion {
   type: "book";
   service: Name;
+  cell: Cell;
   request: Name;
   stage: Count;
   pieces: Count;
@@ -217,6 +223,7 @@
 export interface ReleaseNotice {
   type: "release";
   service: Name;
+  cell: Cell;
   handles: string[];
 }
 /**
@@ -225,5 +232,6 @@
 export interface DropNotice {
   type: "drop";
   service: Name;
+  cell: Cell;
   request: Name;
 }
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,11 +5,11 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the scheduler of a service for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
 const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]};
-const schema59 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
+const schema61 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
 const schema35 = {"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"type":"string"}}};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -739,7 +739,8 @@
 }
 validate27.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema49 = {"title":"MakeQuestion","description":"Asks the scheduler of a service for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}};
+const schema49 = {"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}};
+const schema51 = {"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256};
 
 function validate30(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -754,7 +755,7 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.request === undefined) && (missing0 = "request"))) || ((data.stage === undefined) && (missing0 = "stage"))) || ((data.pieces === undefined) && (missing0 = "pieces"))) || ((data.bytes === undefined) && (missing0 = "bytes"))) || ((data.remaining === undefined) && (missing0 = "remaining"))) || ((data.rank === undefined) && (missing0 = "rank"))){
+if((((((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))) || ((data.stage === undefined) && (missing0 = "stage"))) || ((data.pieces === undefined) && (missing0 = "pieces"))) || ((data.bytes === undefined) && (missing0 = "bytes"))) || ((data.remaining === undefined) && (missing0 = "remaining"))) || ((data.rank === undefined) && (missing0 = "rank"))){
 validate30.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema49.required,parentSchema:schema49,data}];
 return false;
 }
@@ -813,25 +814,25 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.request !== undefined){
-let data2 = data.request;
+if(data.cell !== undefined){
+let data2 = data.cell;
 const _errs7 = errors;
 const _errs8 = errors;
 if(errors === _errs8){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate30.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
+validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate30.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
+validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
 return false;
 }
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
+validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
 return false;
 }
 }
@@ -841,185 +842,213 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.stage !== undefined){
-let data3 = data.stage;
+if(data.request !== undefined){
+let data3 = data.request;
 const _errs10 = errors;
 const _errs11 = errors;
-if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
-validate30.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data3}];
+if(errors === _errs11){
+if(typeof data3 === "string"){
+if(data3.length > 256){
+validate30.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs11){
-if((typeof data3 == "number") && (isFinite(data3))){
-if(data3 < 0 || isNaN(data3)){
-validate30.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data3}];
+else {
+if(data3.length < 1){
+validate30.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
 return false;
 }
 }
 }
+else {
+validate30.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+return false;
+}
+}
 var valid0 = _errs10 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
-if(data.pieces !== undefined){
-let data4 = data.pieces;
+if(data.stage !== undefined){
+let data4 = data.stage;
 const _errs13 = errors;
-if(errors === _errs13){
-if(Array.isArray(data4)){
-var valid4 = true;
-const len0 = data4.length;
-for(let i0=0; i0<len0; i0++){
-let data5 = data4[i0];
-const _errs15 = errors;
-const _errs16 = errors;
-if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
-validate30.errors = [{instancePath:instancePath+"/pieces/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+const _errs14 = errors;
+if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
+validate30.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data4}];
+return false;
+}
+if(errors === _errs14){
+if((typeof data4 == "number") && (isFinite(data4))){
+if(data4 < 0 || isNaN(data4)){
+validate30.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data4}];
 return false;
 }
+}
+}
+var valid0 = _errs13 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.pieces !== undefined){
+let data5 = data.pieces;
+const _errs16 = errors;
 if(errors === _errs16){
-if((typeof data5 == "number") && (isFinite(data5))){
-if(data5 < 0 || isNaN(data5)){
-validate30.errors = [{instancePath:instancePath+"/pieces/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
+if(Array.isArray(data5)){
+var valid5 = true;
+const len0 = data5.length;
+for(let i0=0; i0<len0; i0++){
+let data6 = data5[i0];
+const _errs18 = errors;
+const _errs19 = errors;
+if(!(((typeof data6 == "number") && (!(data6 % 1) && !isNaN(data6))) && (isFinite(data6)))){
+validate30.errors = [{instancePath:instancePath+"/pieces/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data6}];
 return false;
 }
+if(errors === _errs19){
+if((typeof data6 == "number") && (isFinite(data6))){
+if(data6 < 0 || isNaN(data6)){
+validate30.errors = [{instancePath:instancePath+"/pieces/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data6}];
+return false;
 }
 }
-var valid4 = _errs15 === errors;
-if(!valid4){
+}
+var valid5 = _errs18 === errors;
+if(!valid5){
 break;
 }
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/properties/pieces/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema49.properties.pieces.type,parentSchema:schema49.properties.pieces,data:data4}];
+validate30.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/properties/pieces/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema49.properties.pieces.type,parentSchema:schema49.properties.pieces,data:data5}];
 return false;
 }
 }
-var valid0 = _errs13 === errors;
+var valid0 = _errs16 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.key !== undefined){
-let data6 = data.key;
-const _errs18 = errors;
-if(typeof data6 !== "string"){
-validate30.errors = [{instancePath:instancePath+"/key",schemaPath:"#/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.key.type,parentSchema:schema49.properties.key,data:data6}];
+let data7 = data.key;
+const _errs21 = errors;
+if(typeof data7 !== "string"){
+validate30.errors = [{instancePath:instancePath+"/key",schemaPath:"#/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.key.type,parentSchema:schema49.properties.key,data:data7}];
 return false;
 }
-var valid0 = _errs18 === errors;
+var valid0 = _errs21 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.inputs !== undefined){
-let data7 = data.inputs;
-const _errs20 = errors;
-if(errors === _errs20){
-if(Array.isArray(data7)){
-var valid6 = true;
-const len1 = data7.length;
+let data8 = data.inputs;
+const _errs23 = errors;
+if(errors === _errs23){
+if(Array.isArray(data8)){
+var valid7 = true;
+const len1 = data8.length;
 for(let i1=0; i1<len1; i1++){
-let data8 = data7[i1];
-const _errs22 = errors;
-if(typeof data8 !== "string"){
-validate30.errors = [{instancePath:instancePath+"/inputs/" + i1,schemaPath:"#/properties/inputs/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.inputs.items.type,parentSchema:schema49.properties.inputs.items,data:data8}];
+let data9 = data8[i1];
+const _errs25 = errors;
+if(typeof data9 !== "string"){
+validate30.errors = [{instancePath:instancePath+"/inputs/" + i1,schemaPath:"#/properties/inputs/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.inputs.items.type,parentSchema:schema49.properties.inputs.items,data:data9}];
 return false;
 }
-var valid6 = _errs22 === errors;
-if(!valid6){
+var valid7 = _errs25 === errors;
+if(!valid7){
 break;
 }
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/inputs",schemaPath:"#/properties/inputs/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema49.properties.inputs.type,parentSchema:schema49.properties.inputs,data:data7}];
+validate30.errors = [{instancePath:instancePath+"/inputs",schemaPath:"#/properties/inputs/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema49.properties.inputs.type,parentSchema:schema49.properties.inputs,data:data8}];
 return false;
 }
 }
-var valid0 = _errs20 === errors;
+var valid0 = _errs23 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.bytes !== undefined){
-let data9 = data.bytes;
-const _errs24 = errors;
-if(!((typeof data9 == "number") && (isFinite(data9)))){
-validate30.errors = [{instancePath:instancePath+"/bytes",schemaPath:"#/properties/bytes/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.bytes.type,parentSchema:schema49.properties.bytes,data:data9}];
+let data10 = data.bytes;
+const _errs27 = errors;
+if(!((typeof data10 == "number") && (isFinite(data10)))){
+validate30.errors = [{instancePath:instancePath+"/bytes",schemaPath:"#/properties/bytes/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.bytes.type,parentSchema:schema49.properties.bytes,data:data10}];
 return false;
 }
-var valid0 = _errs24 === errors;
+var valid0 = _errs27 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.moved !== undefined){
-let data10 = data.moved;
-const _errs26 = errors;
-if(!((typeof data10 == "number") && (isFinite(data10)))){
-validate30.errors = [{instancePath:instancePath+"/moved",schemaPath:"#/properties/moved/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.moved.type,parentSchema:schema49.properties.moved,data:data10}];
+let data11 = data.moved;
+const _errs29 = errors;
+if(!((typeof data11 == "number") && (isFinite(data11)))){
+validate30.errors = [{instancePath:instancePath+"/moved",schemaPath:"#/properties/moved/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.moved.type,parentSchema:schema49.properties.moved,data:data11}];
 return false;
 }
-var valid0 = _errs26 === errors;
+var valid0 = _errs29 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.remaining !== undefined){
-let data11 = data.remaining;
-const _errs28 = errors;
-if(!((typeof data11 == "number") && (isFinite(data11)))){
-validate30.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.remaining.type,parentSchema:schema49.properties.remaining,data:data11}];
+let data12 = data.remaining;
+const _errs31 = errors;
+if(!((typeof data12 == "number") && (isFinite(data12)))){
+validate30.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.remaining.type,parentSchema:schema49.properties.remaining,data:data12}];
 return false;
 }
-var valid0 = _errs28 === errors;
+var valid0 = _errs31 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.slack !== undefined){
-let data12 = data.slack;
-const _errs30 = errors;
-if(!((typeof data12 == "number") && (isFinite(data12)))){
-validate30.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.slack.type,parentSchema:schema49.properties.slack,data:data12}];
+let data13 = data.slack;
+const _errs33 = errors;
+if(!((typeof data13 == "number") && (isFinite(data13)))){
+validate30.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.slack.type,parentSchema:schema49.properties.slack,data:data13}];
 return false;
 }
-var valid0 = _errs30 === errors;
+var valid0 = _errs33 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.rank !== undefined){
-let data13 = data.rank;
-const _errs32 = errors;
-if(!((typeof data13 == "number") && (isFinite(data13)))){
-validate30.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.rank.type,parentSchema:schema49.properties.rank,data:data13}];
+let data14 = data.rank;
+const _errs35 = errors;
+if(!((typeof data14 == "number") && (isFinite(data14)))){
+validate30.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.rank.type,parentSchema:schema49.properties.rank,data:data14}];
 return false;
 }
-var valid0 = _errs32 === errors;
+var valid0 = _errs35 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.dataCentre !== undefined){
-let data14 = data.dataCentre;
-const _errs34 = errors;
-if(typeof data14 !== "string"){
-validate30.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/properties/dataCentre/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.dataCentre.type,parentSchema:schema49.properties.dataCentre,data:data14}];
+let data15 = data.dataCentre;
+const _errs37 = errors;
+if(typeof data15 !== "string"){
+validate30.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/properties/dataCentre/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.dataCentre.type,parentSchema:schema49.properties.dataCentre,data:data15}];
 return false;
 }
-var valid0 = _errs34 === errors;
+var valid0 = _errs37 === errors;
 }
 else {
 var valid0 = true;
@@ -1039,6 +1068,7 @@
 }
 }
 }
+}
 else {
 validate30.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema49.type,parentSchema:schema49,data}];
 return false;
@@ -1049,7 +1079,7 @@
 }
 validate30.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema54 = {"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}};
+const schema55 = {"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}};
 
 function validate31(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1064,15 +1094,15 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if((((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.request === undefined) && (missing0 = "request"))) || ((data.stage === undefined) && (missing0 = "stage"))) || ((data.pieces === undefined) && (missing0 = "pieces"))) || ((data.slack === undefined) && (missing0 = "slack"))) || ((data.rank === undefined) && (missing0 = "rank"))){
-validate31.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema54.required,parentSchema:schema54,data}];
+if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))) || ((data.stage === undefined) && (missing0 = "stage"))) || ((data.pieces === undefined) && (missing0 = "pieces"))) || ((data.slack === undefined) && (missing0 = "slack"))) || ((data.rank === undefined) && (missing0 = "rank"))){
+validate31.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema55.required,parentSchema:schema55,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
-if(!(((((((key0 === "type") || (key0 === "service")) || (key0 === "request")) || (key0 === "stage")) || (key0 === "pieces")) || (key0 === "slack")) || (key0 === "rank"))){
-validate31.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema54,data}];
+if(!((((((((key0 === "type") || (key0 === "service")) || (key0 === "cell")) || (key0 === "request")) || (key0 === "stage")) || (key0 === "pieces")) || (key0 === "slack")) || (key0 === "rank"))){
+validate31.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema55,data}];
 return false;
 break;
 }
@@ -1082,11 +1112,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema54.properties.type.type,parentSchema:schema54.properties.type,data:data0}];
+validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema55.properties.type.type,parentSchema:schema55.properties.type,data:data0}];
 return false;
 }
 if("book" !== data0){
-validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "book"},message:"must be equal to constant",schema:"book",parentSchema:schema54.properties.type,data:data0}];
+validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "book"},message:"must be equal to constant",schema:"book",parentSchema:schema55.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -1123,25 +1153,25 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.request !== undefined){
-let data2 = data.request;
+if(data.cell !== undefined){
+let data2 = data.cell;
 const _errs7 = errors;
 const _errs8 = errors;
 if(errors === _errs8){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
+validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
+validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
 return false;
 }
 }
 }
 else {
-validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
+validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
 return false;
 }
 }
@@ -1151,40 +1181,46 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.stage !== undefined){
-let data3 = data.stage;
+if(data.request !== undefined){
+let data3 = data.request;
 const _errs10 = errors;
 const _errs11 = errors;
-if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
-validate31.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data3}];
+if(errors === _errs11){
+if(typeof data3 === "string"){
+if(data3.length > 256){
+validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs11){
-if((typeof data3 == "number") && (isFinite(data3))){
-if(data3 < 0 || isNaN(data3)){
-validate31.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data3}];
+else {
+if(data3.length < 1){
+validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
 return false;
 }
 }
 }
+else {
+validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+return false;
+}
+}
 var valid0 = _errs10 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
-if(data.pieces !== undefined){
-let data4 = data.pieces;
+if(data.stage !== undefined){
+let data4 = data.stage;
 const _errs13 = errors;
 const _errs14 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
-validate31.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data4}];
+validate31.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data4}];
 return false;
 }
 if(errors === _errs14){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate31.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data4}];
+validate31.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data4}];
 return false;
 }
 }
@@ -1195,27 +1231,49 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.slack !== undefined){
-let data5 = data.slack;
+if(data.pieces !== undefined){
+let data5 = data.pieces;
 const _errs16 = errors;
-if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate31.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema54.properties.slack.type,parentSchema:schema54.properties.slack,data:data5}];
+const _errs17 = errors;
+if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
+validate31.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+return false;
+}
+if(errors === _errs17){
+if((typeof data5 == "number") && (isFinite(data5))){
+if(data5 < 0 || isNaN(data5)){
+validate31.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
 return false;
 }
+}
+}
 var valid0 = _errs16 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
-if(data.rank !== undefined){
-let data6 = data.rank;
-const _errs18 = errors;
+if(data.slack !== undefined){
+let data6 = data.slack;
+const _errs19 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate31.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema54.properties.rank.type,parentSchema:schema54.properties.rank,data:data6}];
+validate31.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema55.properties.slack.type,parentSchema:schema55.properties.slack,data:data6}];
 return false;
 }
-var valid0 = _errs18 === errors;
+var valid0 = _errs19 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.rank !== undefined){
+let data7 = data.rank;
+const _errs21 = errors;
+if(!((typeof data7 == "number") && (isFinite(data7)))){
+validate31.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema55.properties.rank.type,parentSchema:schema55.properties.rank,data:data7}];
+return false;
+}
+var valid0 = _errs21 === errors;
 }
 else {
 var valid0 = true;
@@ -1229,8 +1287,9 @@
 }
 }
 }
+}
 else {
-validate31.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema54.type,parentSchema:schema54,data}];
+validate31.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema55.type,parentSchema:schema55,data}];
 return false;
 }
 }
@@ -1266,14 +1325,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if((data.type === undefined) && (missing1 = "type")){
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema59.required,parentSchema:schema59,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema61.required,parentSchema:schema61,data}];
 return false;
 }
 else {
 const _errs5 = errors;
 for(const key0 in data){
 if(!(key0 === "type")){
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema59,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema61,data}];
 return false;
 break;
 }
@@ -1282,11 +1341,11 @@
 if(data.type !== undefined){
 let data0 = data.type;
 if(typeof data0 !== "string"){
-validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema59.properties.type.type,parentSchema:schema59.properties.type,data:data0}];
+validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema61.properties.type.type,parentSchema:schema61.properties.type,data:data0}];
 return false;
 }
 if("confirm" !== data0){
-validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/const",keyword:"const",params:{allowedValue: "confirm"},message:"must be equal to constant",schema:"confirm",parentSchema:schema59.properties.type,data:data0}];
+validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/const",keyword:"const",params:{allowedValue: "confirm"},message:"must be equal to constant",schema:"confirm",parentSchema:schema61.properties.type,data:data0}];
 return false;
 }
 }
@@ -1294,7 +1353,7 @@
 }
 }
 else {
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema59.type,parentSchema:schema59,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema61.type,parentSchema:schema61,data}];
 return false;
 }
 }
@@ -1460,12 +1519,12 @@
 }
 validate21.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema60 = {"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema62 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]};
-const schema74 = {"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema75 = {"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema76 = {"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"}}};
-const schema63 = {"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
+const schema62 = {"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema64 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]};
+const schema76 = {"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema77 = {"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema78 = {"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"}}};
+const schema65 = {"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
 
 function validate40(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1481,14 +1540,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate40.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema63.required,parentSchema:schema63,data}];
+validate40.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema65.required,parentSchema:schema65,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((key0 === "type") || (key0 === "index"))){
-validate40.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema63,data}];
+validate40.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema65,data}];
 return false;
 break;
 }
@@ -1498,11 +1557,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema63.properties.type.type,parentSchema:schema63.properties.type,data:data0}];
+validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema65.properties.type.type,parentSchema:schema65.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema63.properties.type,data:data0}];
+validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema65.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -1537,7 +1596,7 @@
 }
 }
 else {
-validate40.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema63.type,parentSchema:schema63,data}];
+validate40.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema65.type,parentSchema:schema65,data}];
 return false;
 }
 }
@@ -1546,7 +1605,7 @@
 }
 validate40.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema65 = {"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema67 = {"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
 function validate41(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1562,14 +1621,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate41.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema65.required,parentSchema:schema65,data}];
+validate41.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema67.required,parentSchema:schema67,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "type") || (key0 === "verdict")) || (key0 === "version"))){
-validate41.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema65,data}];
+validate41.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema67,data}];
 return false;
 break;
 }
@@ -1579,11 +1638,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate41.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema65.properties.type.type,parentSchema:schema65.properties.type,data:data0}];
+validate41.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.type.type,parentSchema:schema67.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate41.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema65.properties.type,data:data0}];
+validate41.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema67.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -1596,7 +1655,7 @@
 let data1 = data.verdict;
 const _errs4 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate41.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema65.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema65.properties.verdict.enum,parentSchema:schema65.properties.verdict,data:data1}];
+validate41.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema67.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema67.properties.verdict.enum,parentSchema:schema67.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -1632,7 +1691,7 @@
 }
 }
 else {
-validate41.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema65.type,parentSchema:schema65,data}];
+validate41.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema67.type,parentSchema:schema67,data}];
 return false;
 }
 }
@@ -1641,7 +1700,7 @@
 }
 validate41.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema67 = {"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema69 = {"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
 function validate42(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1657,14 +1716,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.hosts === undefined) && (missing0 = "hosts"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate42.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema67.required,parentSchema:schema67,data}];
+validate42.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema69.required,parentSchema:schema69,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
-if(!(func1.call(schema67.properties, key0))){
-validate42.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema67,data}];
+if(!(func1.call(schema69.properties, key0))){
+validate42.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema69,data}];
 return false;
 break;
 }
@@ -1674,11 +1733,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.type.type,parentSchema:schema67.properties.type,data:data0}];
+validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.type.type,parentSchema:schema69.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema67.properties.type,data:data0}];
+validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema69.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -1691,7 +1750,7 @@
 let data1 = data.confirmed;
 const _errs4 = errors;
 if(typeof data1 !== "boolean"){
-validate42.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema67.properties.confirmed.type,parentSchema:schema67.properties.confirmed,data:data1}];
+validate42.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema69.properties.confirmed.type,parentSchema:schema69.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -1726,7 +1785,7 @@
 let data3 = data.document;
 const _errs9 = errors;
 if(typeof data3 !== "string"){
-validate42.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.document.type,parentSchema:schema67.properties.document,data:data3}];
+validate42.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.document.type,parentSchema:schema69.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -1739,7 +1798,7 @@
 let data4 = data.epoch;
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate42.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.epoch.type,parentSchema:schema67.properties.epoch,data:data4}];
+validate42.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.epoch.type,parentSchema:schema69.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs11 === errors;
@@ -1790,7 +1849,7 @@
 }
 }
 else {
-validate42.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema67.properties.sightings.type,parentSchema:schema67.properties.sightings,data:data6}];
+validate42.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema69.properties.sightings.type,parentSchema:schema69.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -1820,7 +1879,7 @@
 }
 }
 else {
-validate42.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema67.properties.hosts.type,parentSchema:schema67.properties.hosts,data:data8}];
+validate42.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema69.properties.hosts.type,parentSchema:schema69.properties.hosts,data:data8}];
 return false;
 }
 }
@@ -1866,7 +1925,7 @@
 }
 }
 else {
-validate42.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema67.properties.cores.type,parentSchema:schema67.properties.cores,data:data10}];
+validate42.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema69.properties.cores.type,parentSchema:schema69.properties.cores,data:data10}];
 return false;
 }
 }
@@ -1887,7 +1946,7 @@
 }
 }
 else {
-validate42.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema67.type,parentSchema:schema67,data}];
+validate42.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema69.type,parentSchema:schema69,data}];
 return false;
 }
 }
@@ -1896,8 +1955,8 @@
 }
 validate42.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema71 = {"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema72 = {"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema73 = {"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema74 = {"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
 function validate46(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1913,14 +1972,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate46.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema72.required,parentSchema:schema72,data}];
+validate46.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema74.required,parentSchema:schema74,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "piece") || (key0 === "handle")) || (key0 === "failure"))){
-validate46.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema72,data}];
+validate46.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema74,data}];
 return false;
 break;
 }
@@ -1952,7 +2011,7 @@
 let data1 = data.handle;
 const _errs5 = errors;
 if(typeof data1 !== "string"){
-validate46.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema72.properties.handle.type,parentSchema:schema72.properties.handle,data:data1}];
+validate46.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.properties.handle.type,parentSchema:schema74.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs5 === errors;
@@ -1965,7 +2024,7 @@
 let data2 = data.failure;
 const _errs7 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate46.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema72.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema72.properties.failure.enum,parentSchema:schema72.properties.failure,data:data2}];
+validate46.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema74.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema74.properties.failure.enum,parentSchema:schema74.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs7 === errors;
@@ -1979,7 +2038,7 @@
 }
 }
 else {
-validate46.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema72.type,parentSchema:schema72,data}];
+validate46.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema74.type,parentSchema:schema74,data}];
 return false;
 }
 }
@@ -2003,14 +2062,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate45.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema71.required,parentSchema:schema71,data}];
+validate45.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema73.required,parentSchema:schema73,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((key0 === "type") || (key0 === "results"))){
-validate45.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema71,data}];
+validate45.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema73,data}];
 return false;
 break;
 }
@@ -2020,11 +2079,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema71.properties.type.type,parentSchema:schema71.properties.type,data:data0}];
+validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema73.properties.type.type,parentSchema:schema73.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema71.properties.type,data:data0}];
+validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema73.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2053,7 +2112,7 @@
 }
 }
 else {
-validate45.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema71.properties.results.type,parentSchema:schema71.properties.results,data:data1}];
+validate45.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema73.properties.results.type,parentSchema:schema73.properties.results,data:data1}];
 return false;
 }
 }
@@ -2067,7 +2126,7 @@
 }
 }
 else {
-validate45.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema71.type,parentSchema:schema71,data}];
+validate45.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema73.type,parentSchema:schema73,data}];
 return false;
 }
 }
@@ -2091,7 +2150,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate39.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema62.required,parentSchema:schema62,data}];
+validate39.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema64.required,parentSchema:schema64,data}];
 return false;
 }
 else {
@@ -2103,14 +2162,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema74.required,parentSchema:schema74,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema76.required,parentSchema:schema76,data}];
 return false;
 }
 else {
 const _errs5 = errors;
 for(const key0 in data){
 if(!(((key0 === "type") || (key0 === "reason")) || (key0 === "leader"))){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema74,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema76,data}];
 return false;
 break;
 }
@@ -2120,11 +2179,11 @@
 let data0 = data.type;
 const _errs6 = errors;
 if(typeof data0 !== "string"){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.properties.type.type,parentSchema:schema74.properties.type,data:data0}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.type.type,parentSchema:schema76.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema74.properties.type,data:data0}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema76.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs6 === errors;
@@ -2137,7 +2196,7 @@
 let data1 = data.reason;
 const _errs8 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate39.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema74.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema74.properties.reason.enum,parentSchema:schema74.properties.reason,data:data1}];
+validate39.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema76.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema76.properties.reason.enum,parentSchema:schema76.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -2150,7 +2209,7 @@
 let data2 = data.leader;
 const _errs9 = errors;
 if(typeof data2 !== "string"){
-validate39.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.properties.leader.type,parentSchema:schema74.properties.leader,data:data2}];
+validate39.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.leader.type,parentSchema:schema76.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs9 === errors;
@@ -2164,7 +2223,7 @@
 }
 }
 else {
-validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema74.type,parentSchema:schema74,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema76.type,parentSchema:schema76,data}];
 return false;
 }
 }
@@ -2203,14 +2262,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema75.required,parentSchema:schema75,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema77.required,parentSchema:schema77,data}];
 return false;
 }
 else {
 const _errs17 = errors;
 for(const key1 in data){
 if(!(key1 === "type")){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema75,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema77,data}];
 return false;
 break;
 }
@@ -2219,11 +2278,11 @@
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema75.properties.type.type,parentSchema:schema75.properties.type,data:data3}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.type.type,parentSchema:schema77.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema75.properties.type,data:data3}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema77.properties.type,data:data3}];
 return false;
 }
 }
@@ -2231,7 +2290,7 @@
 }
 }
 else {
-validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema75.type,parentSchema:schema75,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema77.type,parentSchema:schema77,data}];
 return false;
 }
 }
@@ -2254,14 +2313,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if(((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema76.required,parentSchema:schema76,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema78.required,parentSchema:schema78,data}];
 return false;
 }
 else {
 const _errs24 = errors;
 for(const key2 in data){
 if(!((key2 === "type") || (key2 === "wait"))){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key2},message:"must NOT have additional properties",schema:false,parentSchema:schema76,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key2},message:"must NOT have additional properties",schema:false,parentSchema:schema78,data}];
 return false;
 break;
 }
@@ -2271,11 +2330,11 @@
 let data4 = data.type;
 const _errs25 = errors;
 if(typeof data4 !== "string"){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.type.type,parentSchema:schema76.properties.type,data:data4}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema78.properties.type.type,parentSchema:schema78.properties.type,data:data4}];
 return false;
 }
 if("booked" !== data4){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema76.properties.type,data:data4}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema78.properties.type,data:data4}];
 return false;
 }
 var valid13 = _errs25 === errors;
@@ -2288,7 +2347,7 @@
 let data5 = data.wait;
 const _errs27 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate39.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema76.properties.wait.type,parentSchema:schema76.properties.wait,data:data5}];
+validate39.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema78.properties.wait.type,parentSchema:schema78.properties.wait,data:data5}];
 return false;
 }
 var valid13 = _errs27 === errors;
@@ -2301,7 +2360,7 @@
 }
 }
 else {
-validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema76.type,parentSchema:schema76,data}];
+validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema78.type,parentSchema:schema78,data}];
 return false;
 }
 }
@@ -2310,18 +2369,18 @@
 }
 }
 else {
-validate39.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema62.discriminator,parentSchema:schema62,data}];
+validate39.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema64.discriminator,parentSchema:schema64,data}];
 return false;
 }
 }
 else {
-validate39.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema62.discriminator,parentSchema:schema62,data}];
+validate39.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema64.discriminator,parentSchema:schema64,data}];
 return false;
 }
 }
 }
 else {
-validate39.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema62.type,parentSchema:schema62,data}];
+validate39.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema64.type,parentSchema:schema64,data}];
 return false;
 }
 }
@@ -2346,14 +2405,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate38.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema60.required,parentSchema:schema60,data}];
+validate38.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema62.required,parentSchema:schema62,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!(((key0 === "type") || (key0 === "id")) || (key0 === "body"))){
-validate38.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema60,data}];
+validate38.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema62,data}];
 return false;
 break;
 }
@@ -2363,11 +2422,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema60.properties.type.type,parentSchema:schema60.properties.type,data:data0}];
+validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema62.properties.type.type,parentSchema:schema62.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema60.properties.type,data:data0}];
+validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema62.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2415,7 +2474,7 @@
 }
 }
 else {
-validate38.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema60.type,parentSchema:schema60,data}];
+validate38.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema62.type,parentSchema:schema62,data}];
 return false;
 }
 }
@@ -2424,7 +2483,7 @@
 }
 validate38.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema77 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema79 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
 function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2440,14 +2499,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema77.required,parentSchema:schema77,data}];
+validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema79.required,parentSchema:schema79,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((key0 === "type") || (key0 === "ids"))){
-validate53.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema77,data}];
+validate53.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema79,data}];
 return false;
 break;
 }
@@ -2457,11 +2516,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.type.type,parentSchema:schema77.properties.type,data:data0}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema79.properties.type.type,parentSchema:schema79.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema77.properties.type,data:data0}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema79.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2500,7 +2559,7 @@
 }
 }
 else {
-validate53.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema77.properties.ids.type,parentSchema:schema77.properties.ids,data:data1}];
+validate53.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema79.properties.ids.type,parentSchema:schema79.properties.ids,data:data1}];
 return false;
 }
 }
@@ -2514,7 +2573,7 @@
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema77.type,parentSchema:schema77,data}];
+validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema79.type,parentSchema:schema79,data}];
 return false;
 }
 }
@@ -2523,9 +2582,9 @@
 }
 validate53.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema79 = {"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema80 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]};
-const schema81 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
+const schema81 = {"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema82 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]};
+const schema83 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
 
 function validate56(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2541,14 +2600,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate56.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema81.required,parentSchema:schema81,data}];
+validate56.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema83.required,parentSchema:schema83,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((((key0 === "type") || (key0 === "dataCentre")) || (key0 === "cores")) || (key0 === "hosts"))){
-validate56.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema81,data}];
+validate56.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema83,data}];
 return false;
 break;
 }
@@ -2558,11 +2617,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema81.properties.type.type,parentSchema:schema81.properties.type,data:data0}];
+validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema83.properties.type.type,parentSchema:schema83.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema81.properties.type,data:data0}];
+validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema83.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2635,7 +2694,7 @@
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema81.properties.cores.type,parentSchema:schema81.properties.cores,data:data2}];
+validate56.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema83.properties.cores.type,parentSchema:schema83.properties.cores,data:data2}];
 return false;
 }
 }
@@ -2665,7 +2724,7 @@
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema81.properties.hosts.type,parentSchema:schema81.properties.hosts,data:data4}];
+validate56.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema83.properties.hosts.type,parentSchema:schema83.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -2681,7 +2740,7 @@
 }
 }
 else {
-validate56.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
+validate56.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema83.type,parentSchema:schema83,data}];
 return false;
 }
 }
@@ -2690,7 +2749,7 @@
 }
 validate56.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema84 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema86 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
 function validate58(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2705,15 +2764,15 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate58.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema84.required,parentSchema:schema84,data}];
+if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.handles === undefined) && (missing0 = "handles"))){
+validate58.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema86.required,parentSchema:schema86,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
-if(!(((key0 === "type") || (key0 === "service")) || (key0 === "handles"))){
-validate58.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema84,data}];
+if(!((((key0 === "type") || (key0 === "service")) || (key0 === "cell")) || (key0 === "handles"))){
+validate58.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema86,data}];
 return false;
 break;
 }
@@ -2723,11 +2782,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema84.properties.type.type,parentSchema:schema84.properties.type,data:data0}];
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.type.type,parentSchema:schema86.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema84.properties.type,data:data0}];
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema86.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2764,32 +2823,60 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.handles !== undefined){
-let data2 = data.handles;
+if(data.cell !== undefined){
+let data2 = data.cell;
 const _errs7 = errors;
-if(errors === _errs7){
-if(Array.isArray(data2)){
-var valid2 = true;
-const len0 = data2.length;
+const _errs8 = errors;
+if(errors === _errs8){
+if(typeof data2 === "string"){
+if(data2.length > 256){
+validate58.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
+return false;
+}
+else {
+if(data2.length < 1){
+validate58.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
+return false;
+}
+}
+}
+else {
+validate58.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
+return false;
+}
+}
+var valid0 = _errs7 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.handles !== undefined){
+let data3 = data.handles;
+const _errs10 = errors;
+if(errors === _errs10){
+if(Array.isArray(data3)){
+var valid3 = true;
+const len0 = data3.length;
 for(let i0=0; i0<len0; i0++){
-let data3 = data2[i0];
-const _errs9 = errors;
-if(typeof data3 !== "string"){
-validate58.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema84.properties.handles.items.type,parentSchema:schema84.properties.handles.items,data:data3}];
+let data4 = data3[i0];
+const _errs12 = errors;
+if(typeof data4 !== "string"){
+validate58.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.handles.items.type,parentSchema:schema86.properties.handles.items,data:data4}];
 return false;
 }
-var valid2 = _errs9 === errors;
-if(!valid2){
+var valid3 = _errs12 === errors;
+if(!valid3){
 break;
 }
 }
 }
 else {
-validate58.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema84.properties.handles.type,parentSchema:schema84.properties.handles,data:data2}];
+validate58.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.handles.type,parentSchema:schema86.properties.handles,data:data3}];
 return false;
 }
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs10 === errors;
 }
 else {
 var valid0 = true;
@@ -2799,8 +2886,9 @@
 }
 }
 }
+}
 else {
-validate58.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema84.type,parentSchema:schema84,data}];
+validate58.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema86.type,parentSchema:schema86,data}];
 return false;
 }
 }
@@ -2809,7 +2897,7 @@
 }
 validate58.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema86 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"}}};
+const schema89 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
 function validate59(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2824,15 +2912,15 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate59.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema86.required,parentSchema:schema86,data}];
+if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))){
+validate59.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema89.required,parentSchema:schema89,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
-if(!(((key0 === "type") || (key0 === "service")) || (key0 === "request"))){
-validate59.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema86,data}];
+if(!((((key0 === "type") || (key0 === "service")) || (key0 === "cell")) || (key0 === "request"))){
+validate59.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema89,data}];
 return false;
 break;
 }
@@ -2842,11 +2930,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.type.type,parentSchema:schema86.properties.type,data:data0}];
+validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.type.type,parentSchema:schema89.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema86.properties.type,data:data0}];
+validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema89.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -2883,25 +2971,25 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.request !== undefined){
-let data2 = data.request;
+if(data.cell !== undefined){
+let data2 = data.cell;
 const _errs7 = errors;
 const _errs8 = errors;
 if(errors === _errs8){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
 return false;
 }
 }
 }
 else {
-validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
 return false;
 }
 }
@@ -2910,13 +2998,42 @@
 else {
 var valid0 = true;
 }
+if(valid0){
+if(data.request !== undefined){
+let data3 = data.request;
+const _errs10 = errors;
+const _errs11 = errors;
+if(errors === _errs11){
+if(typeof data3 === "string"){
+if(data3.length > 256){
+validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
+return false;
+}
+else {
+if(data3.length < 1){
+validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
+return false;
+}
+}
+}
+else {
+validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+return false;
+}
+}
+var valid0 = _errs10 === errors;
+}
+else {
+var valid0 = true;
+}
+}
 }
 }
 }
 }
 }
 else {
-validate59.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema86.type,parentSchema:schema86,data}];
+validate59.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema89.type,parentSchema:schema89,data}];
 return false;
 }
 }
@@ -2940,7 +3057,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate55.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema80.required,parentSchema:schema80,data}];
+validate55.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema82.required,parentSchema:schema82,data}];
 return false;
 }
 else {
@@ -2972,18 +3089,18 @@
 }
 }
 else {
-validate55.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema80.discriminator,parentSchema:schema80,data}];
+validate55.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema82.discriminator,parentSchema:schema82,data}];
 return false;
 }
 }
 else {
-validate55.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema80.discriminator,parentSchema:schema80,data}];
+validate55.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema82.discriminator,parentSchema:schema82,data}];
 return false;
 }
 }
 }
 else {
-validate55.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema80.type,parentSchema:schema80,data}];
+validate55.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema82.type,parentSchema:schema82,data}];
 return false;
 }
 }
@@ -3008,14 +3125,14 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema79.required,parentSchema:schema79,data}];
+validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema81.required,parentSchema:schema81,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
 if(!((key0 === "type") || (key0 === "body"))){
-validate54.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema79,data}];
+validate54.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema81,data}];
 return false;
 break;
 }
@@ -3025,11 +3142,11 @@
 let data0 = data.type;
 const _errs2 = errors;
 if(typeof data0 !== "string"){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema79.properties.type.type,parentSchema:schema79.properties.type,data:data0}];
+validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema81.properties.type.type,parentSchema:schema81.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema79.properties.type,data:data0}];
+validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema81.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs2 === errors;
@@ -3054,7 +3171,7 @@
 }
 }
 else {
-validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema79.type,parentSchema:schema79,data}];
+validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
 return false;
 }
 }
