Configurations are stored and sent packed

Cause: a configuration of 1,400 routes is several hundred kilobytes, escaped once more in each message. On the small twin of the grown Kivu site (75 hosts) it was in force on 33 of 75 hosts 6.7 s after it was ordered, and hosts refused requests because what they knew was 3.3 s old: at 7 to 10 Mbit/s an answer takes longer than the question is given (900 ms) or a batch may stay unanswered (1 s).

A read gives back the text as it was sent.

No differences between versions are needed at this size.

--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -5,3 +5,4 @@
 export * from "./catalogue.ts";
 export * from "./configuration.ts";
 export * from "./fault.ts";
+export * from "./packed.ts";
--- a/src/control/versions/keeper.ts
+++ b/src/control/versions/keeper.ts
@@ -114,7 +114,7 @@
   /** Orders a version; resolves once a majority has it on disk. Rejects with
    * `VersionError` when that is not known after `patience` milliseconds. */
   async replace(
-    order: Pick<machines.Edition, "version" | "document">,
+    order: machines.Edition,
     patience: number,
   ): Promise<machines.Reply> {
     const reply = await this.#untilAnswered(
@@ -270,14 +270,16 @@
   }
 
   async #replaceHere(
-    order: Pick<machines.Edition, "version" | "document">,
+    { version, document, digest }: machines.Edition,
   ): Promise<schema.Reply> {
     const runner = this.#runner;
     if (runner === undefined) return { type: "failed", reason: "stopped" };
     const { self, clock } = this.#options;
     const id = `${self}/${Math.floor(clock.wall())}/${++this.#orders}`;
     try {
-      const reply = await runner.propose(machines.command(id, order));
+      const reply = await runner.propose(
+        machines.command(id, { version, document, digest }),
+      );
       return { type: "replaced", ...reply };
     } catch (error) {
       return failure(error);
--- a/src/control/versions/machine.ts
+++ b/src/control/versions/machine.ts
@@ -1,15 +1,17 @@
-/** State machine of the log: the newest version of the configuration, as the
- * text that operators sent. The highest version wins.
+/** State machine of the log: the newest version of the configuration, packed
+ * from the text that operators sent. The highest version wins.
  * @module */
 
 import * as crypto from "node:crypto";
+import * as configurations from "../../configuration/mod.ts";
 import type * as log from "../log/mod.ts";
 
 /** One version; `version` is 0 before the first. */
 export interface Edition {
   readonly version: number;
-  /** The whole configuration as it was sent. */
+  /** The whole configuration as it was sent, packed. */
   readonly document: string;
+  /** Short mark of the text. */
   readonly digest: string;
 }
 
@@ -28,19 +30,27 @@
 /** Before the first order. */
 export const NONE: Edition = { version: 0, document: "", digest: "" };
 
+/** A version out of the text that an operator sent. */
+export function editionOf(version: number, text: string): Edition {
+  const document = configurations.pack(text);
+  const digest = crypto.createHash("sha256").update(text).digest("base64url")
+    .slice(0, DIGEST_LENGTH);
+  return { version, document, digest };
+}
+
+/** Characters of a mark: 132 bits, which no two documents share. */
+const DIGEST_LENGTH = 22;
+
 /** The command that orders a version. */
-export function command(
-  id: string,
-  { version, document }: Pick<Edition, "version" | "document">,
-): log.Command {
-  return { id, type: "replace", version, document };
+export function command(id: string, edition: Edition): log.Command {
+  return { id, type: "replace", ...edition };
 }
 
 /** The machine of the log. */
 export const machine: log.Machine<Edition, Reply> = {
   empty: NONE,
   apply(state, command) {
-    const edition = editionOf(command);
+    const edition = orderedBy(command);
     const verdict = judge(state, edition);
     const next = verdict === "accepted" ? edition : state;
     return { state: next, reply: { verdict, version: next.version } };
@@ -59,14 +69,9 @@
   return digest === state.digest ? "known" : "conflict";
 }
 
-/** Short mark of a text. */
-export function digestOf(document: string): string {
-  return crypto.createHash("sha256").update(document).digest("base64url")
-    .slice(0, 22);
-}
-
-function editionOf(command: log.Command): Edition {
+function orderedBy(command: log.Command): Edition {
   const version = command.version as number;
   const document = command.document as string;
-  return { version, document, digest: digestOf(document) };
+  const digest = command.digest as string;
+  return { version, document, digest };
 }
--- a/src/control/versions/machine_test.ts
+++ b/src/control/versions/machine_test.ts
@@ -1,26 +1,28 @@
 /** @module */
 
 import test from "ava";
+import * as configurations from "../../configuration/mod.ts";
 import * as versions from "./mod.ts";
 
-type Order = [version: number, document: string];
+type Order = [version: number, text: string];
 
 /** Verdicts on orders, one after the other, and what is in force then. */
 function play(orders: readonly Order[]) {
   let state = versions.machine.empty;
-  const verdicts = orders.map(([version, document], pos) => {
-    const command = versions.command(`${pos}`, { version, document });
+  const verdicts = orders.map(([version, text], pos) => {
+    const edition = versions.editionOf(version, text);
+    const command = versions.command(`${pos}`, edition);
     const outcome = versions.machine.apply(state, command, pos + 1);
     state = outcome.state;
     return outcome.reply.verdict;
   });
-  return { verdicts, state };
+  return { verdicts, state, text: configurations.unpack(state.document) };
 }
 
 test("the highest version wins, in whatever order versions come", (t) => {
-  const { verdicts, state } = play([[2, "b"], [7, "c"], [3, "a"]]);
+  const { verdicts, text } = play([[2, "b"], [7, "c"], [3, "a"]]);
   t.deepEqual(verdicts, ["accepted", "accepted", "older"]);
-  t.is(state.document, "c");
+  t.is(text, "c");
 });
 
 test("the same order is acknowledged again", (t) => {
@@ -29,9 +31,9 @@
 });
 
 test("other content under the version in force changes nothing", (t) => {
-  const { verdicts, state } = play([[2, "b"], [2, "other"]]);
+  const { verdicts, text } = play([[2, "b"], [2, "other"]]);
   t.deepEqual(verdicts, ["accepted", "conflict"]);
-  t.is(state.document, "b");
+  t.is(text, "b");
 });
 
 test("a snapshot gives back the same state", (t) => {
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -268,7 +268,7 @@
       return protocol.problem(400, fault.detail);
     }
     try {
-      const order = { version, document };
+      const order = versions.editionOf(version, document);
       const reply = await this.#keeper!.replace(order, ORDER_PATIENCE);
       logger.info({ asked: version, ...reply }, "Configuration ordered");
       return reply.verdict === "conflict"
@@ -285,8 +285,11 @@
   async #read(): Promise<protocol.ControlAnswer> {
     try {
       const edition = await this.#keeper!.read(READ_PATIENCE);
-      if (edition.version > 0) return { status: 200, body: edition.document };
-      return protocol.problem(503, "no configuration has been accepted yet");
+      if (edition.version === 0) {
+        return protocol.problem(503, "no configuration has been accepted yet");
+      }
+      const body = configurations.unpack(edition.document);
+      return { status: 200, body };
     } catch (error) {
       return this.#unanswered(error, { read: true });
     }
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -211,7 +211,8 @@
   }
 
   #takeVersion(document: string): void {
-    const configuration = this.#options.decode(document);
+    const text = configurations.unpack(document);
+    const configuration = this.#options.decode(text);
     this.#catalogue = configurations.Catalogue.create(configuration);
     this.#server.limit(configuration.limits);
     this.#options.metrics.gauge("config.version", configuration.version);
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -34,7 +34,14 @@
 export interface ReplaceQuestion {
   type: "replace";
   version: Count;
+  /**
+   * The whole configuration, packed.
+   */
   document: string;
+  /**
+   * Short mark of its text.
+   */
+  digest: string;
 }
 /**
  * Asks for what is new, and for a proof that nothing else is.
@@ -166,7 +173,7 @@
   confirmed: boolean;
   version: Count;
   /**
-   * The configuration, if the asker has an older one.
+   * The configuration, packed, if the asker has an older one.
    */
   document?: string;
   epoch: string;
