No small call while an endpoint is short of room

Change: an endpoint that could take less than half of what a call could hold waits for more room, for as long as a call costs at most.

--- a/src/pieces/cell_batcher.ts
+++ b/src/pieces/cell_batcher.ts
@@ -162,7 +162,7 @@
       now: number;
     },
   ): void {
-    const { works, worker } = assignment;
+    const { works } = assignment;
     const { metrics, service } = this.#options;
     const handles = results.flatMap((result, pos) =>
       result.type === "made"
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -71,6 +71,8 @@
   calls: number;
   /** Not before this time. */
   blockedUntil: number;
+  /** Since when it waits for more room. */
+  heldBackSince?: number;
   /** Pause after the next failure. */
   rest: number;
   /** How many times slower than its service's figures. */
@@ -94,6 +96,9 @@
 /** Bytes for which a piece is made where they are while there is time: their
  * way to another data centre costs more than some wait. */
 const LARGE = 200_000;
+/** Part of the pieces that could be in a call which make it worthwhile before
+ * its endpoint has waited for as long as a call costs. */
+const WORTHWHILE = 0.5;
 /** Calls' worth of time before a piece is wanted up to which it waits for an
  * endpoint where its data is. */
 const PATIENT_CALLS = 4;
@@ -215,7 +220,9 @@
     if (free.length > 0) this.#sort(now);
     for (const state of free) {
       const works = this.#fill(state, now);
-      if (works.length === 0) continue;
+      if (works.length === 0 || this.#holdsBack(state, works, now)) continue;
+      this.#remove(works);
+      state.heldBackSince = undefined;
       state.calls++;
       state.reserved += bytesOf(works);
       this.#pace.begin(works.length, now);
@@ -291,6 +298,7 @@
     const times = [...this.#workers.values()].flatMap((state) => [
       state.blockedUntil,
       firstEnd(state) ?? 0,
+      (state.heldBackSince ?? -Infinity) + this.#traits.callTime,
     ]).filter((time) => time > now);
     const patience = PATIENT_CALLS * this.#expected(1);
     const first = this.#waiting.reduce(
@@ -372,10 +380,30 @@
     const isCrowded = this.#waiting.length > this.#traits.batch;
     take((work) => this.#suits(state, work, now));
     if (isCrowded) take(() => true);
-    this.#waiting = this.#waiting.filter((work) => !taken.has(work));
     return [...taken];
   }
 
+  /** Whether an endpoint waits for more of its room before it is called: each
+   * call costs as much again as some pieces, so calls for one or two, as room
+   * comes free, would halve what it makes. */
+  #holdsBack(
+    state: WorkerState,
+    works: readonly Work[],
+    now: number,
+  ): boolean {
+    const { batch, callTime } = this.#traits;
+    const wanted = Math.min(batch, this.#waiting.length);
+    const isSmall = works.length < wanted * WORTHWHILE;
+    if (!isSmall || state.held.size === 0) return false;
+    state.heldBackSince ??= now;
+    return now - state.heldBackSince < callTime;
+  }
+
+  #remove(works: readonly Work[]): void {
+    const taken = new Set(works);
+    this.#waiting = this.#waiting.filter((work) => !taken.has(work));
+  }
+
   /** Whether a piece may be made there: one that moves much waits a little for
    * an endpoint where its data is, while there is time. */
   #suits({ worker }: WorkerState, work: Work, now: number): boolean {
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -139,6 +139,28 @@
   t.is(scheduler.assign(1800)[0].worker.id, "2");
 });
 
+test("an endpoint short of room waits for more before a small call", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(works("a", 4, { bytes: 200 }));
+  const [call] = scheduler.assign(0);
+  finish(scheduler, call);
+  scheduler.add(works("b", 4, { bytes: 150 }));
+  t.deepEqual(scheduler.assign(140), []);
+  t.is(scheduler.wakeAt(140), 240);
+  scheduler.release("10.0.0.1:1", ["a.0"]);
+  t.is(scheduler.assign(150)[0].works.length, 2);
+});
+
+test("it does not wait for longer than a call costs", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(works("a", 4, { bytes: 200 }));
+  const [call] = scheduler.assign(0);
+  finish(scheduler, call);
+  scheduler.add(works("b", 4, { bytes: 150 }));
+  scheduler.assign(140);
+  t.is(scheduler.assign(240)[0].works.length, 1);
+});
+
 test("when more than a call waits, an endpoint takes what is near first", (t) => {
   const scheduler = schedulerOf(worker("1", "near"));
   const moved = 1_000_000;
