The stages of a request stand in a module of their own; they end when its caller leaves

What it did about stages, forecast and refusal is now src/gateway/staging.ts, what a forecast means for a request src/gateway/prospect.ts.

--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -6,15 +6,14 @@
 import type * as telemetry from "../telemetry/mod.ts";
 import * as attempts from "./attempt.ts";
 import * as bodies from "./body.ts";
-import type * as calibrations from "./calibration.ts";
 import * as choice from "./choice.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoint from "./endpoint.ts";
 import type * as eventText from "./event_text.ts";
-import * as preparation from "./preparation.ts";
 import type * as protocols from "./protocol.ts";
 import * as refusals from "./refusal.ts";
 import * as retry from "./retry.ts";
+import * as staging from "./staging.ts";
 
 /** Milliseconds without a byte after which a repeatable call is given up, as
  * multiples of the route's objective; an answer later than that earns little,
@@ -30,20 +29,6 @@
 /** Least milliseconds left for a call to be worth sending. */
 const LEAST_LEFT = 5;
 
-/** Milliseconds of a first event where no engine is known. */
-const FIRST_EVENT = 250;
-/** Milliseconds by which a request may be expected to miss its objective: the
- * forecast is about so exact. */
-const TOLERANCE = 100;
-
-/** Least milliseconds after which a refused request may come back: a burst
- * lasts for some seconds. */
-const LEAST_RETURN = 500;
-const RETURN_EXCESS = 1.5;
-/** Most milliseconds: a third of the time that callers have, to which they heed
- * what they are told. */
-const MOST_RETURN = 3000;
-
 type Phase = "reading" | "pieces" | "sent" | "streaming" | "over";
 
 /** What one call was, for the log line of its request. */
@@ -69,13 +54,10 @@
   #attempt?: attempts.Attempt;
   #runs = 0;
   #hasLeft = false;
-  #forecast?: calibrations.Forecast;
-  #stagesNote?: { expectedMs?: number; tookMs?: number };
   #head?: protocols.ReplyHead;
   #lastId?: string;
   #fallback?: { head: protocols.ReplyHead; body: Buffer };
-  #preparation?: preparation.Preparation;
-  #planned?: endpoint.Endpoint;
+  #staging?: staging.Staging;
   #resolveOver!: () => void;
   /** Resolves when the request is answered or given up. */
   readonly over: Promise<void>;
@@ -177,62 +159,22 @@
 
   /** Has the pieces of the request's stages made. */
   async #prepare(service: string): Promise<readonly string[] | undefined> {
-    const { clock, metrics } = this.#context;
     const route = this.#route!;
-    const ask = this.#ask!;
     if (route.stages.length === 0) return undefined;
     this.#phase = "pieces";
-    const started = clock.now();
-    if (this.#preparation === undefined) {
-      const planned = this.#plan(service);
-      this.#planned = planned?.engine;
-      const firstEvent = planned?.firstEvent ?? FIRST_EVENT;
-      const wanted = this.#arrival + route.objective - firstEvent;
-      this.#preparation = preparation.Preparation.create(this.#context, {
-        ask,
-        route,
-        rank: this.#rank,
-        until: this.#until,
-        wanted,
-        dataCentre: planned?.engine.identity.dataCentre,
-      });
-      const expected = await this.#preparation.book();
-      if (this.isOver) return undefined;
-      const left = wanted - clock.now();
-      const { alone } = expected;
-      const { calibration } = this.#context;
-      const finish = calibration.correct(route.name, expected);
-      this.#forecast = expected;
-      this.#stagesNote = { expectedMs: Math.round(finish) };
-      const excess = finish - Math.max(left, alone);
-      if (excess > TOLERANCE) {
-        const retryAfter = this.#returnAfter(excess);
-        return this.#stop("no-time", { aloneMs: alone, left, retryAfter });
-      }
-    }
-    const result = await this.#preparation.run();
-    if (this.isOver) return undefined;
-    const tookMs = Math.round(clock.now() - started);
-    this.#stagesNote = { ...this.#stagesNote, tookMs };
-    if (this.#forecast !== undefined) {
-      this.#context.calibration.learn(route.name, this.#forecast, tookMs);
-      this.#forecast = undefined;
-    }
-    metrics.time("gateway.stages", tookMs, {
-      route: route.name,
+    const made = this.#staging;
+    this.#staging ??= staging.Staging.create(this.#context, {
+      ask: this.#ask!,
+      route,
+      rank: this.#rank,
+      service,
+      arrival: this.#arrival,
+      until: this.#until,
     });
+    const result = await (made?.again() ?? this.#staging.run());
+    if (this.isOver) return undefined;
     if (result.type === "made") return result.inputs;
-    return this.#stop("no-pieces", { detail: result.detail });
-  }
-
-  /** Seconds after which a refused request may find its place: what waits must
-   * be drained by more than what it is too late by, and returns are spread so
-   * that they do not come at once. */
-  #returnAfter(excess: number): number {
-    const { random } = this.#context;
-    const drained = LEAST_RETURN + RETURN_EXCESS * excess;
-    const spread = drained * (1 + random.next());
-    return Math.round(Math.min(MOST_RETURN, spread)) / 1000;
+    return this.#stop(result.reason, result.about);
   }
 
   /** Calls endpoints until one gives the answer or no other may be asked. */
@@ -263,7 +205,6 @@
       }
       const isLacking = outcome.cause === "lacks-input";
       if (isLacking && remakes++ < REMAKES) {
-        this.#preparation!.forget();
         inputs = await this.#prepare(service);
         if (this.isOver) return;
       } else if (!this.#mayRepeat(outcome, service)) {
@@ -296,20 +237,10 @@
       now,
       random,
       dataCentre,
-      planned: this.#planned,
+      planned: this.#staging?.planned,
     })?.engine;
   }
 
-  /** The engine that the request would go to now. */
-  #plan(service: string): choice.EngineChoice | undefined {
-    const { pool, clock, random, dataCentre } = this.#context;
-    const { prompt } = this.#ask!;
-    if (prompt === undefined) return undefined;
-    const now = clock.now();
-    const usable = pool.usable(service, now);
-    return choice.chooseEngine(usable, prompt, { now, random, dataCentre });
-  }
-
   async #call(
     target: endpoint.Endpoint,
     { body, inputs }: { body: Buffer; inputs?: readonly string[] },
@@ -453,7 +384,7 @@
   #beginStream(head: protocols.ReplyHead): void {
     this.#head = head;
     this.#phase = "streaming";
-    this.#preparation?.release();
+    this.#staging?.release();
     if (configurations.isIdempotent(this.#route!)) {
       this.#attempt?.expectWithin(EVENT_SILENCE);
     }
@@ -588,7 +519,7 @@
     this.#phase = "over";
     this.#cancelTimer();
     this.#attempt?.cancel();
-    this.#preparation?.end();
+    this.#staging?.end();
     this.#resolveOver();
   }
 
@@ -602,7 +533,7 @@
       route,
       account: this.#account?.name,
       ms,
-      stages: this.#stagesNote,
+      stages: this.#staging?.note,
       calls: this.#calls,
       version: knowledge.catalogue()?.version,
       ageMs: Math.round(knowledge.age()),
--- /dev/null
+++ b/src/gateway/prospect.ts
@@ -0,0 +1,36 @@
+/** What is to be expected for a request when its pieces have been booked, and
+ * what is done about it.
+ * @module */
+
+import type * as configurations from "../configuration/mod.ts";
+
+/** Milliseconds by which a request may be expected to miss its objective and
+ * count as in time: a forecast is about so exact. */
+const TOLERANCE = 100;
+/** Callers leave a stream without events after the longest of these: so many
+ * milliseconds, objectives, and longest pauses. */
+const LEAVE = 2000;
+const LEAVE_OBJECTIVES = 4;
+const LEAVE_GAPS = 8;
+
+/** Milliseconds after which a caller leaves when nothing has come. */
+export function leavesAfter(
+  { kind, timeout, objective, gap = 0 }: configurations.Route,
+): number {
+  if (kind !== "streaming") return timeout;
+  const silent = Math.max(
+    LEAVE,
+    LEAVE_OBJECTIVES * objective,
+    LEAVE_GAPS * gap,
+  );
+  return Math.min(timeout, silent);
+}
+
+/** Whether pieces are expected in time. One that takes too long even where
+ * nothing waits is not refused for it: coming back would not help. */
+export function isInTime(
+  { finish, alone }: { finish: number; alone: number },
+  left: number,
+): boolean {
+  return finish - Math.max(left, alone) <= TOLERANCE;
+}
--- /dev/null
+++ b/src/gateway/staging.ts
@@ -0,0 +1,167 @@
+/** The stages of one request: where they are made, whether they will be made in
+ * time, and their results.
+ * A request that cannot be in time is refused at once, before anything has run.
+ * @module */
+
+import type * as configurations from "../configuration/mod.ts";
+import * as choice from "./choice.ts";
+import type * as contexts from "./context.ts";
+import type * as endpoint from "./endpoint.ts";
+import * as preparation from "./preparation.ts";
+import * as prospect from "./prospect.ts";
+import type * as protocols from "./protocol.ts";
+import type * as refusals from "./refusal.ts";
+
+/** Milliseconds of a first event where no engine is known. */
+const FIRST_EVENT = 250;
+
+/** Least milliseconds after which a refused request may come back: a burst
+ * lasts for some seconds. */
+const LEAST_RETURN = 500;
+/** Times what it is too late by that must be drained before it comes back. */
+const RETURN_EXCESS = 1.5;
+/** Most milliseconds: a third of the time that callers have, to which they heed
+ * what they are told. */
+const MOST_RETURN = 3000;
+
+/** What stages are for. */
+export interface StagingOptions {
+  readonly ask: protocols.Ask;
+  readonly route: configurations.Route;
+  readonly rank: number;
+  /** Service that the request goes to then. */
+  readonly service: string;
+  readonly arrival: number;
+  /** When the request ends at the latest. */
+  readonly until: number;
+}
+
+/** How it ended. */
+export type StagingResult =
+  | { type: "made"; inputs: readonly string[] }
+  | {
+    type: "refused";
+    reason: refusals.RefusalReason;
+    about: Readonly<Record<string, unknown>>;
+  };
+
+/** What a log line says of it. */
+export interface StagingNote {
+  expectedMs?: number;
+  tookMs?: number;
+}
+
+/** Stages of a request under way. */
+export class Staging {
+  readonly #context: contexts.Context;
+  readonly #options: StagingOptions;
+  readonly #preparation: preparation.Preparation;
+  readonly #plan?: choice.EngineChoice;
+  readonly #started: number;
+  /** When the results are wanted. */
+  readonly #wanted: number;
+  /** For its log line. */
+  readonly note: StagingNote = {};
+
+  private constructor(context: contexts.Context, options: StagingOptions) {
+    const { ask, route, rank, arrival, until } = options;
+    this.#context = context;
+    this.#options = options;
+    this.#started = context.clock.now();
+    this.#plan = planOf(context, options);
+    const firstEvent = this.#plan?.firstEvent ?? FIRST_EVENT;
+    this.#wanted = arrival + route.objective - firstEvent;
+    this.#preparation = preparation.Preparation.create(context, {
+      ask,
+      route,
+      rank,
+      until: Math.min(until, arrival + prospect.leavesAfter(route)),
+      wanted: this.#wanted,
+      dataCentre: this.#plan?.engine.identity.dataCentre,
+    });
+  }
+
+  static create(context: contexts.Context, options: StagingOptions): Staging {
+    return new Staging(context, options);
+  }
+
+  /** Engine that the results are made near. */
+  get planned(): endpoint.Endpoint | undefined {
+    return this.#plan?.engine;
+  }
+
+  /** Judges the request and makes its pieces. */
+  async run(): Promise<StagingResult> {
+    const forecast = await this.#preparation.book();
+    const refusal = this.#judge(forecast);
+    if (refusal !== undefined) return refusal;
+    const result = await this.#make();
+    if (result.type === "made") {
+      const { calibration } = this.#context;
+      calibration.learn(this.#options.route.name, forecast, this.note.tookMs!);
+    }
+    return result;
+  }
+
+  /** Makes all pieces once more: one of the results is gone. */
+  again(): Promise<StagingResult> {
+    this.#preparation.forget();
+    return this.#make();
+  }
+
+  /** Gives the results up; they have been read. */
+  release(): void {
+    this.#preparation.release();
+  }
+
+  /** Stops: nobody waits for it any more. */
+  end(): void {
+    this.#preparation.end();
+  }
+
+  #judge(forecast: preparation.Expectation): StagingResult | undefined {
+    const { calibration } = this.#context;
+    const { name } = this.#options.route;
+    const { alone } = forecast;
+    const finish = calibration.correct(name, forecast);
+    this.note.expectedMs = Math.round(finish);
+    const left = this.#wanted - this.#context.clock.now();
+    if (prospect.isInTime({ finish, alone }, left)) return undefined;
+    const retryAfter = this.#returnAfter(finish - Math.max(left, alone));
+    const about = { aloneMs: alone, left, retryAfter };
+    return { type: "refused", reason: "no-time", about };
+  }
+
+  async #make(): Promise<StagingResult> {
+    const { clock, metrics } = this.#context;
+    const { route } = this.#options;
+    const result = await this.#preparation.run();
+    const tookMs = Math.round(clock.now() - this.#started);
+    this.note.tookMs = tookMs;
+    metrics.time("gateway.stages", tookMs, { route: route.name });
+    if (result.type === "made") return result;
+    const { detail } = result;
+    return { type: "refused", reason: "no-pieces", about: { detail } };
+  }
+
+  /** Seconds after which a refused request may find its place: what waits must
+   * be drained by more than what it is too late by, and returns are spread so
+   * that they do not come at once. */
+  #returnAfter(excess: number): number {
+    const { random } = this.#context;
+    const drained = LEAST_RETURN + RETURN_EXCESS * excess;
+    const spread = drained * (1 + random.next());
+    return Math.round(Math.min(MOST_RETURN, spread)) / 1000;
+  }
+}
+
+/** The engine that a request would go to now. */
+function planOf(
+  { pool, clock, random, dataCentre }: contexts.Context,
+  { ask: { prompt }, service }: StagingOptions,
+): choice.EngineChoice | undefined {
+  if (prompt === undefined) return undefined;
+  const now = clock.now();
+  const usable = pool.usable(service, now);
+  return choice.chooseEngine(usable, prompt, { now, random, dataCentre });
+}
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -350,7 +350,7 @@
     const soonest = now + this.#expected(1) - LATE_TOLERANCE;
     const late = ({ wanted }: Work) => wanted < soonest ? 1 : 0;
     this.#waiting.sort((one, other) =>
-      late(one) - late(other) || byUrgency(one, other)
+      late(one) - late(other) || keyOf(one) - keyOf(other)
     );
   }
 
@@ -490,10 +490,6 @@
   return wanted + rank * RANK_DELAY;
 }
 
-function byUrgency(one: Work, other: Work): number {
-  return keyOf(one) - keyOf(other);
-}
-
 function bookingKey(
   { request, stage }: Pick<Booking, "request" | "stage">,
 ): string {
