Less is said at rest: fewer questions, shared rounds, hosts told once

Change: entry hosts ask every 600 ms (a second one is asked after 300 ms); the list of hosts is told only to who knows another, by a mark; a control host confirms for all who ask in one round, 100 ms apart (src/fleet/rounds.ts); the leader gathers reads for 40 ms; what was only heard again of endpoints is told every heartbeat, not every 400 ms. A call's line says when its first event came (`first`).

--- a/src/control/log/reads.ts
+++ b/src/control/log/reads.ts
@@ -3,9 +3,9 @@
 
 import type * as errors from "./errors.ts";
 
-/** Milliseconds over which reads gather before a majority is asked: a few
- * times a link's delay, so that many readers share one round. */
-export const ROUND = 10;
+/** Milliseconds over which reads gather before a majority is asked: ten times a
+ * link's delay, so that many readers share one round. */
+export const ROUND = 40;
 
 /** Milliseconds after which a read is given up: an election timeout, after
  * which another leader may answer. */
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -11,6 +11,7 @@
 import * as coreMembers from "./core_members.ts";
 import * as entryMembers from "./entry_members.ts";
 import * as protocol from "./control_protocol.ts";
+import * as rounds from "./rounds.ts";
 import * as spread from "./spread.ts";
 import type * as settings from "./settings.ts";
 import * as sightings from "./sightings.ts";
@@ -25,6 +26,9 @@
 /** Milliseconds in which a majority confirms what is in force, for a host that
  * asks another one soon. */
 const SYNC_PATIENCE = 350;
+/** Least milliseconds between two such rounds: dozens of hosts ask a control
+ * host each second, and each round asks the leader, and it the voters. */
+const SYNC_DISTANCE = 100;
 /** Heartbeats that an endpoint may miss before it counts as silent. */
 const MISSED = 3.5;
 /** Milliseconds for which a silent endpoint, or one that is gone, is kept:
@@ -48,6 +52,7 @@
   readonly #roster: endpoints.Roster;
   readonly #spread: spread.Spread;
   readonly #epoch: string;
+  readonly #confirmations: rounds.Rounds<versions.Edition | undefined>;
   /** Undefined until the disk is read. */
   #keeper?: versions.Keeper;
   #server?: controlServer.ControlServer;
@@ -73,6 +78,11 @@
       onNotice: (notice, from) => this.#hear(notice, from),
       onLog: (envelope) => this.#keeper?.receive(envelope),
     });
+    this.#confirmations = rounds.Rounds.create({
+      clock,
+      distance: SYNC_DISTANCE,
+      ask: () => this.#confirmed(),
+    });
     this.#spread = spread.Spread.create({
       clock,
       roster: this.#roster,
@@ -212,11 +222,13 @@
   ): Promise<schema.Reply> {
     const { clock } = this.#options;
     this.#entries.hear({ ...question.host, host: from }, clock.now());
-    const edition = await this.#confirmed();
+    const edition = await this.#confirmations.join();
     const now = clock.now();
     const isSame = question.epoch === this.#epoch;
     const since = isSame ? question.revision : 0;
     const { version, document } = edition ?? versions.NONE;
+    const hosts = this.#entries.live(now);
+    const mark = entryMembers.markOf(hosts);
     return {
       type: "synced",
       confirmed: edition !== undefined,
@@ -227,7 +239,8 @@
       sightings: this.#roster.since(since).map((entry) =>
         sightings.encode(entry, now)
       ),
-      hosts: this.#entries.live(now),
+      mark,
+      ...(mark !== question.mark && { hosts }),
       cores: this.#members.live(now).map(({ host }) => host),
     };
   }
--- a/src/fleet/entry_members.ts
+++ b/src/fleet/entry_members.ts
@@ -1,6 +1,7 @@
 /** The hosts that take requests, as hosts with disks hear of them.
  * @module */
 
+import * as hash from "../routing/hash.ts";
 import type * as schema from "../schema/fleet_types.ts";
 
 /** Milliseconds after which a host that no longer asks counts as lost: some of
@@ -34,3 +35,14 @@
     return live;
   }
 }
+
+/** Short mark of some hosts and of which are ready: the same wherever the same
+ * are known. */
+export function markOf(hosts: readonly schema.EntryHost[]): string {
+  const names = hosts.map(({ host, ready }) => `${host} ${ready}`).sort();
+  const text = names.join();
+  return `${names.length}.${hash.text(text)}.${hash.text(text, SEED)}`;
+}
+
+/** Of the second hash of a mark: 64 bits in all, which no two lists share. */
+const SEED = 0x5bd1e995;
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -11,11 +11,12 @@
 import * as sightings from "./sightings.ts";
 
 /** Milliseconds between questions: a drain must be known everywhere within
- * two seconds, a version too. */
-const INTERVAL = 300;
+ * two seconds, a version too, also where one control host does not answer. */
+export const INTERVAL = 600;
 /** Milliseconds after which another host is asked beside the one that has not
- * answered: some times the usual answer with a round of the log. */
-const HEDGE = 150;
+ * answered: some times the usual answer, with its wait for a round of the
+ * log. */
+const HEDGE = 300;
 /** Milliseconds after which an answer is of no use any more. */
 const TIMEOUT = 900;
 /** Milliseconds after which an endpoint that is silent or gone is forgotten:
@@ -52,6 +53,7 @@
   #cores: string[];
   #failedAt = new Map<string, number>();
   #hosts: readonly schema.EntryHost[] = [];
+  #mark = "";
   #version = 0;
   #proof?: freshness.Moment;
   #source?: string;
@@ -160,10 +162,11 @@
     // Another host's changes say nothing of what this one has told before.
     const known = core === this.#source ? this.#revision : NO_REVISION;
     const host = { host: self, dataCentre, ready: isReady(), age: 0 };
+    const mark = this.#mark;
     try {
       const reply = await calls.ask(
         core,
-        { type: "sync", version: this.#version, ...known, host },
+        { type: "sync", version: this.#version, ...known, mark, host },
         { timeout: TIMEOUT },
       );
       if (reply.type !== "synced") throw new Error(`answered ${reply.type}`);
@@ -207,7 +210,10 @@
     sent: freshness.Moment,
   ): void {
     const { logger, onVersion } = this.#options;
-    this.#hosts = reply.hosts;
+    if (reply.hosts !== undefined) {
+      this.#hosts = reply.hosts;
+      this.#mark = reply.mark;
+    }
     this.#cores = [...new Set([...reply.cores, ...this.#options.seeds])];
     if (reply.version > this.#version && reply.document !== undefined) {
       onVersion(reply.version, reply.document);
--- /dev/null
+++ b/src/fleet/rounds.ts
@@ -0,0 +1,47 @@
+/** Questions that share their answer: those that come while one is under way
+ * get that of the next, and rounds keep a distance, so that their number does
+ * not grow with that of who asks.
+ * @module */
+
+import type * as runtime from "../runtime/mod.ts";
+
+/** What rounds are made from. */
+export interface RoundsOptions<T> {
+  readonly clock: runtime.Clock;
+  /** Least milliseconds from the begin of one round to that of the next. */
+  readonly distance: number;
+  /** One round. */
+  ask(): Promise<T>;
+}
+
+/** Rounds, one after the other. */
+export class Rounds<T> {
+  readonly #options: RoundsOptions<T>;
+  #next?: Promise<T>;
+  #begun = -Infinity;
+
+  private constructor(options: RoundsOptions<T>) {
+    this.#options = options;
+  }
+
+  static create<T>(options: RoundsOptions<T>): Rounds<T> {
+    return new Rounds(options);
+  }
+
+  /** The answer of a round that begins after this call. */
+  join(): Promise<T> {
+    this.#next ??= this.#begin();
+    return this.#next;
+  }
+
+  async #begin(): Promise<T> {
+    const { clock, distance, ask } = this.#options;
+    const wait = Math.max(0, this.#begun + distance - clock.now());
+    await new Promise<void>((resolve) =>
+      void clock.after(wait, () => resolve())
+    );
+    this.#next = undefined;
+    this.#begun = clock.now();
+    return ask();
+  }
+}
--- a/src/fleet/spread.ts
+++ b/src/fleet/spread.ts
@@ -13,6 +13,9 @@
 const TIMEOUT = 600;
 /** Milliseconds for which changes are told again. */
 const AGAIN = 3000;
+/** Milliseconds between tellings of what was only heard again: a heartbeat, so
+ * that silence is judged from several of them. */
+const HEARD = 1200;
 /** Milliseconds between tellings of everything: repairs whatever was lost. */
 const ALL = 5000;
 
@@ -34,6 +37,7 @@
   /** When endpoints last changed here. */
   readonly #changed = new Map<string, number>();
   #allAt: number;
+  #heardAt = -Infinity;
 
   private constructor(options: SpreadOptions) {
     this.#options = options;
@@ -68,7 +72,7 @@
     void this.#send(host, ids);
   }
 
-  /** Tells of what was heard, and again of what has changed. */
+  /** Tells of what was heard, now and then, and again of what has changed. */
   tick(): void {
     const { clock, others } = this.#options;
     const now = clock.now();
@@ -78,11 +82,15 @@
     }
     for (const [id, at] of this.#changed) {
       if (now - at > AGAIN) this.#changed.delete(id);
-      else this.#heard.add(id);
     }
-    const ids = [...this.#heard];
-    this.#heard.clear();
-    for (const host of others()) void this.#send(host, ids);
+    const ids = new Set(this.#changed.keys());
+    if (now - this.#heardAt >= HEARD) {
+      this.#heardAt = now;
+      this.#heard.forEach((id) => ids.add(id));
+      this.#heard.clear();
+    }
+    if (ids.size === 0) return;
+    for (const host of others()) void this.#send(host, [...ids]);
   }
 
   async #send(host: string, ids: readonly string[]): Promise<boolean> {
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -36,6 +36,8 @@
   endpoint: string;
   ms: number;
   outcome: string;
+  /** Milliseconds to the first event of a stream. */
+  first?: number;
 }
 
 /** A request under way. */
@@ -261,6 +263,7 @@
     const onFirst = () => {
       if (first) return;
       first = true;
+      note.first = Math.round(clock.now() - started);
       this.#noteFirst(target, { read, started });
     };
     this.#attempt = attempts.Attempt.start({
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -54,6 +54,10 @@
    */
   epoch: string;
   revision: Count;
+  /**
+   * Of the hosts that the asker knows; empty without any.
+   */
+  mark: string;
   host: EntryHost;
 }
 /**
@@ -179,7 +183,14 @@
   epoch: string;
   revision: Count;
   sightings: Sighting[];
-  hosts: EntryHost[];
+  /**
+   * Of the hosts that take requests now.
+   */
+  mark: string;
+  /**
+   * These, if the asker knows others.
+   */
+  hosts?: EntryHost[];
   cores: Name[];
 }
 export interface NotedReply {
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,7 +5,7 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
 const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]};
@@ -119,7 +119,7 @@
 }
 validate23.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema37 = {"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"host":{"$ref":"#/$defs/EntryHost"}}};
+const schema37 = {"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"}}};
 const schema40 = {"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}};
 const schema41 = {"type":"string","minLength":1,"maxLength":256};
 
@@ -269,14 +269,14 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if((((((data.type === undefined) && (missing0 = "type")) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.host === undefined) && (missing0 = "host"))){
+if(((((((data.type === undefined) && (missing0 = "type")) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.host === undefined) && (missing0 = "host"))){
 validate24.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema37.required,parentSchema:schema37,data}];
 return false;
 }
 else {
 const _errs1 = errors;
 for(const key0 in data){
-if(!(((((key0 === "type") || (key0 === "version")) || (key0 === "epoch")) || (key0 === "revision")) || (key0 === "host"))){
+if(!((((((key0 === "type") || (key0 === "version")) || (key0 === "epoch")) || (key0 === "revision")) || (key0 === "mark")) || (key0 === "host"))){
 validate24.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema37,data}];
 return false;
 break;
@@ -357,13 +357,26 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.host !== undefined){
+if(data.mark !== undefined){
+let data4 = data.mark;
 const _errs12 = errors;
+if(typeof data4 !== "string"){
+validate24.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema37.properties.mark.type,parentSchema:schema37.properties.mark,data:data4}];
+return false;
+}
+var valid0 = _errs12 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.host !== undefined){
+const _errs14 = errors;
 if(!(validate25(data.host, {instancePath:instancePath+"/host",parentData:data,parentDataProperty:"host",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate25.errors : vErrors.concat(validate25.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs14 === errors;
 }
 else {
 var valid0 = true;
@@ -375,6 +388,7 @@
 }
 }
 }
+}
 else {
 validate24.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema37.type,parentSchema:schema37,data}];
 return false;
@@ -1714,7 +1728,7 @@
 }
 validate41.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
 
-const schema69 = {"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","hosts","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema69 = {"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
 function validate42(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1729,7 +1743,7 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.hosts === undefined) && (missing0 = "hosts"))) || ((data.cores === undefined) && (missing0 = "cores"))){
+if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.cores === undefined) && (missing0 = "cores"))){
 validate42.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema69.required,parentSchema:schema69,data}];
 return false;
 }
@@ -1873,77 +1887,90 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.hosts !== undefined){
-let data8 = data.hosts;
+if(data.mark !== undefined){
+let data8 = data.mark;
 const _errs19 = errors;
-if(errors === _errs19){
-if(Array.isArray(data8)){
+if(typeof data8 !== "string"){
+validate42.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.mark.type,parentSchema:schema69.properties.mark,data:data8}];
+return false;
+}
+var valid0 = _errs19 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.hosts !== undefined){
+let data9 = data.hosts;
+const _errs21 = errors;
+if(errors === _errs21){
+if(Array.isArray(data9)){
 var valid4 = true;
-const len1 = data8.length;
+const len1 = data9.length;
 for(let i1=0; i1<len1; i1++){
-const _errs21 = errors;
-if(!(validate25(data8[i1], {instancePath:instancePath+"/hosts/" + i1,parentData:data8,parentDataProperty:i1,rootData,dynamicAnchors}))){
+const _errs23 = errors;
+if(!(validate25(data9[i1], {instancePath:instancePath+"/hosts/" + i1,parentData:data9,parentDataProperty:i1,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate25.errors : vErrors.concat(validate25.errors);
 errors = vErrors.length;
 }
-var valid4 = _errs21 === errors;
+var valid4 = _errs23 === errors;
 if(!valid4){
 break;
 }
 }
 }
 else {
-validate42.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema69.properties.hosts.type,parentSchema:schema69.properties.hosts,data:data8}];
+validate42.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema69.properties.hosts.type,parentSchema:schema69.properties.hosts,data:data9}];
 return false;
 }
 }
-var valid0 = _errs19 === errors;
+var valid0 = _errs21 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.cores !== undefined){
-let data10 = data.cores;
-const _errs22 = errors;
-if(errors === _errs22){
-if(Array.isArray(data10)){
+let data11 = data.cores;
+const _errs24 = errors;
+if(errors === _errs24){
+if(Array.isArray(data11)){
 var valid5 = true;
-const len2 = data10.length;
+const len2 = data11.length;
 for(let i2=0; i2<len2; i2++){
-let data11 = data10[i2];
-const _errs24 = errors;
-const _errs25 = errors;
-if(errors === _errs25){
-if(typeof data11 === "string"){
-if(data11.length > 256){
-validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data11}];
+let data12 = data11[i2];
+const _errs26 = errors;
+const _errs27 = errors;
+if(errors === _errs27){
+if(typeof data12 === "string"){
+if(data12.length > 256){
+validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data12}];
 return false;
 }
 else {
-if(data11.length < 1){
-validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data11}];
+if(data12.length < 1){
+validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data12}];
 return false;
 }
 }
 }
 else {
-validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data11}];
+validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data12}];
 return false;
 }
 }
-var valid5 = _errs24 === errors;
+var valid5 = _errs26 === errors;
 if(!valid5){
 break;
 }
 }
 }
 else {
-validate42.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema69.properties.cores.type,parentSchema:schema69.properties.cores,data:data10}];
+validate42.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema69.properties.cores.type,parentSchema:schema69.properties.cores,data:data11}];
 return false;
 }
 }
-var valid0 = _errs22 === errors;
+var valid0 = _errs24 === errors;
 }
 else {
 var valid0 = true;
@@ -1959,6 +1986,7 @@
 }
 }
 }
+}
 else {
 validate42.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema69.type,parentSchema:schema69,data}];
 return false;
