--- a/src/configuration/packed_test.ts
+++ b/src/configuration/packed_test.ts
@@ -11,9 +11,9 @@
 test("a thousand routes take a fifth of their text at most", (t) => {
   const route = (_: unknown, number: number) => ({
     name: `r-${number}`,
-    pathPrefix: `/a${number}/`,
+    prefix: `/a${number}/`,
     kind: "streaming",
-    timeoutMs: 15_000,
+    timeout: 15_000,
     stages: [{ service: "desk", after: [], bytes: 3_000_000 }],
   });
   const text = JSON.stringify(Array.from({ length: 1000 }, route));
--- a/src/node/local_fleet.ts
+++ b/src/node/local_fleet.ts
@@ -93,10 +93,10 @@
   /** Lets time pass until `promise` is settled. */
   async until<T>(promise: Promise<T>): Promise<T> {
     let done = false;
-    const settled = promise.finally(() => done = true);
-    settled.catch(() => {});
+    const settled = Promise.allSettled([promise]).then(() => done = true);
     await this.pass(() => done);
-    return await settled;
+    await settled;
+    return await promise;
   }
 
   /** Cuts a host off from all others for good. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -38,7 +38,7 @@
     this.#started = base.clock.now();
     this.ready = this.#serveCallers();
     // A stop before readiness is no failure of whoever waits for neither.
-    this.ready.catch(() => {});
+    this.ready.catch((err) => base.logger.debug({ err }, "Host never ready"));
   }
 
   /** Reads secrets and the disk, listens for peers and operators, and begins
@@ -175,7 +175,7 @@
     const { path, members, source } = this.#parts;
     this.drain();
     this.#stopWaiting();
-    await this.ready.catch(() => {});
+    await Promise.allSettled([this.ready]);
     source.drain();
     await path.stop();
     members.leave();
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -198,7 +198,7 @@
 }
 
 function dial(
-  { url, headers }: LinkOptions,
+  { url, headers, host, logger }: LinkOptions,
   { open, close }: Listeners,
 ): Connection {
   const sockets = new Set<ws.WebSocket>();
@@ -228,7 +228,9 @@
   return {
     proxy,
     close() {
-      socketClient.close().catch(() => {});
+      socketClient.close().catch((err) =>
+        logger.debug({ peer: host, err }, "Connection did not close")
+      );
       // A silent connection would not answer a close either.
       for (const socket of sockets) socket.terminate();
     },
--- a/src/pieces/batcher.ts
+++ b/src/pieces/batcher.ts
@@ -6,13 +6,13 @@
 import type * as schema from "../schema/fleet_types.ts";
 import * as cellBatchers from "./cell_batcher.ts";
 import type * as makers from "./maker.ts";
-import type * as schedulers from "./scheduler.ts";
+import type * as works from "./work.ts";
 
 /** What batchers need of their host. */
 export interface BatcherOptions extends cellBatchers.CallOptions {
   service(name: string): configurations.Service | undefined;
   /** Endpoints of a cell that take calls. */
-  workers(of: makers.CellName): readonly schedulers.Worker[];
+  workers(of: makers.CellName): readonly works.Worker[];
 }
 
 /** Batchers of cells. */
--- a/src/pieces/cell_batcher.ts
+++ b/src/pieces/cell_batcher.ts
@@ -10,6 +10,7 @@
 import type * as telemetry from "../telemetry/mod.ts";
 import * as pieceCall from "./piece_call.ts";
 import * as schedulers from "./scheduler.ts";
+import type * as works from "./work.ts";
 
 /** Times that a piece is tried; each costs an endpoint's time. */
 const TRIES = 4;
@@ -35,7 +36,7 @@
   /** Figures of the service; those in force before when it has none now. */
   traits(): configurations.PieceTraits;
   /** Endpoints that take calls. */
-  workers(): readonly schedulers.Worker[];
+  workers(): readonly works.Worker[];
 }
 
 /** When pieces would be made, in milliseconds. */
@@ -142,7 +143,7 @@
     this.#cancelWake = clock.after(wait, () => this.update());
   }
 
-  async #call(assignment: schedulers.Assignment): Promise<void> {
+  async #call(assignment: works.Assignment): Promise<void> {
     const { clock, metrics, service } = this.#options;
     const started = clock.now();
     metrics.count("pieces.calls", 1, { service });
@@ -165,7 +166,7 @@
   }
 
   #takeResults(
-    assignment: schedulers.Assignment,
+    assignment: works.Assignment,
     { results, duration, now }: {
       results: readonly protocols.PieceResult[];
       duration: number;
@@ -202,8 +203,8 @@
 
   /** Notes that an endpoint had less room than was thought. */
   #noteFull(
-    { worker, works }: schedulers.Assignment,
-    rejected: readonly schedulers.Work[],
+    { worker, works }: works.Assignment,
+    rejected: readonly works.Work[],
     now: number,
   ): void {
     const { logger, service } = this.#options;
@@ -219,7 +220,7 @@
   }
 
   #takeFailure(
-    assignment: schedulers.Assignment,
+    assignment: works.Assignment,
     { cause }: { cause: pieceCall.CallFailure },
   ): void {
     const { clock, metrics, logger, service } = this.#options;
@@ -239,7 +240,7 @@
     }
   }
 
-  #again(work: schedulers.Work, failure: schema.Result["failure"]): void {
+  #again(work: works.Work, failure: schema.Result["failure"]): void {
     const order = this.#orders.get(keyOf(work));
     const tries = work.tries + 1;
     if (order === undefined) return;
@@ -248,7 +249,7 @@
     } else this.#settle(work, { piece: work.piece, failure });
   }
 
-  #settle(work: schedulers.Work, result: schema.Result): void {
+  #settle(work: works.Work, result: schema.Result): void {
     const key = keyOf(work);
     const order = this.#orders.get(key);
     if (order === undefined) {
@@ -294,7 +295,7 @@
 function worksOf(
   question: schema.MakeQuestion,
   now: number,
-): schedulers.Work[] {
+): works.Work[] {
   const { request, stage, key, inputs, bytes, rank, dataCentre } = question;
   const { moved = bytes } = question;
   const expires = now + question.remaining;
--- a/src/pieces/cells.ts
+++ b/src/pieces/cells.ts
@@ -5,7 +5,7 @@
  * @module */
 
 import * as rendezvous from "../gateway/rendezvous.ts";
-import type * as schedulers from "./scheduler.ts";
+import type * as works from "./work.ts";
 
 /** Most endpoints of one cell: the batcher of 10 to 12 of them took 0.2 of a
  * core on average, and over 7 Mbit/s in bursts (docs/RUNS.md). */
@@ -19,14 +19,14 @@
   readonly name: string;
   /** Where all of them are; undefined where they are in several places. */
   readonly dataCentre?: string;
-  readonly workers: readonly schedulers.Worker[];
+  readonly workers: readonly works.Worker[];
 }
 
 /** Divides the endpoints of a service. Which are sound must not matter: a cell
  * that came and went would lose sight of its results. */
-export function divide(workers: readonly schedulers.Worker[]): Cell[] {
+export function divide(workers: readonly works.Worker[]): Cell[] {
   if (workers.length <= MOST) return [{ name: WHOLE, workers }];
-  const places = new Map<string, schedulers.Worker[]>();
+  const places = new Map<string, works.Worker[]>();
   for (const worker of workers) {
     const { dataCentre } = worker;
     places.set(dataCentre, [...(places.get(dataCentre) ?? []), worker]);
@@ -38,8 +38,8 @@
  * which is so for a moment when endpoints come or go. */
 export function workersOf(
   name: string,
-  workers: readonly schedulers.Worker[],
-): readonly schedulers.Worker[] {
+  workers: readonly works.Worker[],
+): readonly works.Worker[] {
   const cell = divide(workers).find((each) => each.name === name);
   return cell?.workers ?? workers;
 }
@@ -56,7 +56,7 @@
   { request, dataCentre, isSound }: {
     request: string;
     dataCentre: string;
-    isSound(worker: schedulers.Worker): boolean;
+    isSound(worker: works.Worker): boolean;
   },
 ): Cell {
   const able = cells.filter(({ workers }) => workers.some(isSound));
@@ -68,7 +68,7 @@
 
 function divideAt(
   dataCentre: string,
-  workers: readonly schedulers.Worker[],
+  workers: readonly works.Worker[],
 ): Cell[] {
   const count = Math.ceil(workers.length / MOST);
   const sorted = [...workers].sort((one, other) =>
--- a/src/pieces/cells_test.ts
+++ b/src/pieces/cells_test.ts
@@ -2,9 +2,9 @@
 
 import test from "ava";
 import * as cells from "./cells.ts";
-import type * as schedulers from "./scheduler.ts";
+import type * as works from "./work.ts";
 
-function workers(counts: Record<string, number>): schedulers.Worker[] {
+function workers(counts: Record<string, number>): works.Worker[] {
   return Object.entries(counts).flatMap(([dataCentre, count], place) =>
     Array.from({ length: count }, (_, number) => ({
       id: `${dataCentre}-${number}`,
@@ -55,7 +55,7 @@
 
 test("they are made elsewhere where no endpoint there is sound", (t) => {
   const divided = cells.divide(workers({ hall: 4, town: 4 }));
-  const isSound = ({ dataCentre }: schedulers.Worker) => dataCentre === "hall";
+  const isSound = ({ dataCentre }: works.Worker) => dataCentre === "hall";
   t.is(cells.pick(divided, { ...anywhere, isSound }).name, "hall/0.1");
   const none = { ...anywhere, isSound: () => false };
   t.true(divided.includes(cells.pick(divided, none)));
--- a/src/pieces/maker.ts
+++ b/src/pieces/maker.ts
@@ -9,7 +9,7 @@
 import type * as batchers from "./batcher.ts";
 import * as cellBatchers from "./cell_batcher.ts";
 import * as cells from "./cells.ts";
-import type * as schedulers from "./scheduler.ts";
+import type * as works from "./work.ts";
 import * as seats from "./seats.ts";
 
 /** Hosts that are tried before the own one. */
@@ -32,9 +32,9 @@
   /** Services that make pieces. */
   services(): readonly string[];
   /** All endpoints of a service that are known. */
-  workers(service: string): readonly schedulers.Worker[];
+  workers(service: string): readonly works.Worker[];
   /** Whether an endpoint takes calls now. */
-  isSound(worker: schedulers.Worker): boolean;
+  isSound(worker: works.Worker): boolean;
 }
 
 /** The cell of a service. */
--- a/src/pieces/mod.ts
+++ b/src/pieces/mod.ts
@@ -7,4 +7,4 @@
 export * from "./maker.ts";
 export * from "./plan.ts";
 export { Scheduler } from "./scheduler.ts";
-export type { Work, Worker } from "./scheduler.ts";
+export type { Work, Worker } from "./work.ts";
--- a/src/pieces/piece_call.ts
+++ b/src/pieces/piece_call.ts
@@ -6,7 +6,7 @@
 import type * as protocols from "../gateway/protocol.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
-import type * as schedulers from "./scheduler.ts";
+import type * as works from "./work.ts";
 
 /** Bytes of the largest answer: a full call has some dozens of results. */
 const MOST_BYTES = 1024 * 1024;
@@ -31,7 +31,7 @@
 
 /** Asks an endpoint for the pieces of an assignment; never rejects. */
 export async function call(
-  { worker, works }: schedulers.Assignment,
+  { worker, works }: works.Assignment,
   options: CallOptions & { readonly patience: number },
 ): Promise<CallOutcome> {
   const { protocol, clock, patience } = options;
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -3,16 +3,17 @@
 import test from "ava";
 import * as fixture from "../configuration/fixture.ts";
 import * as schedulers from "./scheduler.ts";
+import type * as work from "./work.ts";
 
-function worker(id: string, dataCentre = "town"): schedulers.Worker {
+function worker(id: string, dataCentre = "town"): work.Worker {
   return { id, address: `10.0.0.1:${id}`, dataCentre };
 }
 
 function works(
   request: string,
   count: number,
-  change: Partial<schedulers.Work> = {},
-): schedulers.Work[] {
+  change: Partial<work.Work> = {},
+): work.Work[] {
   return Array.from({ length: count }, (_, piece) => ({
     request,
     stage: 0,
@@ -28,7 +29,7 @@
   }));
 }
 
-function schedulerOf(...workers: schedulers.Worker[]) {
+function schedulerOf(...workers: work.Worker[]) {
   const scheduler = schedulers.Scheduler.create(fixture.pieceTraits());
   scheduler.setWorkers(workers);
   return scheduler;
@@ -36,7 +37,7 @@
 
 function finish(
   scheduler: schedulers.Scheduler,
-  assignment: schedulers.Assignment,
+  assignment: work.Assignment,
   now = 140,
 ) {
   const handles = assignment.works.map(({ request, piece, bytes }) => ({
--- /dev/null
+++ b/src/pieces/work.ts
@@ -0,0 +1,54 @@
+/** Pieces to be made, who makes them, and whose turn it is.
+ * @module */
+
+/** Milliseconds by which a rank lets a piece wait behind those of the rank
+ * above: a few calls, so that the higher goes first where time is short and
+ * the lower is not passed over for long. */
+const RANK_DELAY = 400;
+
+/** A piece to be made. */
+export interface Work {
+  readonly request: string;
+  readonly stage: number;
+  readonly piece: number;
+  readonly key?: string;
+  readonly inputs?: readonly string[];
+  /** About how large the result is. */
+  readonly bytes: number;
+  /** When the result is of no use any more. */
+  readonly expires: number;
+  /** When it is wanted. */
+  readonly wanted: number;
+  /** 0 is the highest. */
+  readonly rank: number;
+  /** Where most of what it works on or gives is. */
+  readonly dataCentre?: string;
+  /** Bytes that cross data centres when it is made elsewhere. */
+  readonly moved: number;
+  readonly tries: number;
+}
+
+/** An endpoint that makes pieces. */
+export interface Worker {
+  readonly id: string;
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+/** A call to make. */
+export interface Assignment {
+  readonly worker: Worker;
+  readonly works: readonly Work[];
+}
+
+/** The time that decides whose turn it is: the earlier goes first. */
+export function turnOf(
+  { wanted, rank }: Pick<Work, "wanted" | "rank">,
+): number {
+  return wanted + rank * RANK_DELAY;
+}
+
+/** Bytes of the results of some pieces. */
+export function bytesOf(works: readonly Work[]): number {
+  return works.reduce((sum, { bytes }) => sum + bytes, 0);
+}
--- /dev/null
+++ b/src/pieces/worker_state.ts
@@ -0,0 +1,175 @@
+/** One endpoint as its scheduler sees it: its calls, its pauses after failures,
+ * and the results that take up its room.
+ * @module */
+
+import * as works from "./work.ts";
+
+/** Milliseconds of the first pause after a failure; it doubles up to the
+ * last. */
+const FIRST_REST = 300;
+const LAST_REST = 5000;
+/** Part of its room that is filled: sizes are approximate. */
+const FILLED = 0.97;
+/** Part of a new value in the running mean of its slowness. */
+const GAIN = 0.3;
+
+/** What was thought of an endpoint's room, in bytes. */
+export interface RoomBelief {
+  readonly room: number;
+  readonly heldBytes: number;
+  readonly reserved: number;
+  /** Results that it holds. */
+  readonly held: number;
+}
+
+/** A result that an endpoint holds. */
+export interface Result {
+  readonly handle: string;
+  readonly bytes: number;
+}
+
+/** One endpoint; changed in place. */
+export class WorkerState {
+  readonly worker: works.Worker;
+  /** Whether it takes work now. */
+  isListed = true;
+  /** Since when it waits for more room. */
+  heldBackSince?: number;
+  /** Calls of this host there. */
+  #calls = 0;
+  /** No calls before this time. */
+  #blockedUntil = 0;
+  /** Pause after the next failure. */
+  #rest = FIRST_REST;
+  #slowness = 1;
+  /** Results that it holds, and when they end by themselves; those that end
+   * first come first, since all are kept for the same time. */
+  readonly #held = new Map<string, { bytes: number; until: number }>();
+  #heldBytes = 0;
+  /** Bytes of the results that calls under way will give. */
+  #reserved = 0;
+
+  private constructor(worker: works.Worker) {
+    this.worker = worker;
+  }
+
+  static create(worker: works.Worker): WorkerState {
+    return new WorkerState(worker);
+  }
+
+  get calls(): number {
+    return this.#calls;
+  }
+
+  /** How many times slower it is than its service's figures. */
+  get slowness(): number {
+    return this.#slowness;
+  }
+
+  /** Whether it holds results. */
+  get isHolding(): boolean {
+    return this.#held.size > 0;
+  }
+
+  /** Whether it takes work and does not rest. */
+  isUsable(now: number): boolean {
+    return this.isListed && this.#blockedUntil <= now;
+  }
+
+  /** Bytes that are free of so many, with what calls under way will give. */
+  free(room: number): number {
+    return room * FILLED - this.#heldBytes - this.#reserved;
+  }
+
+  /** What is thought of its room. */
+  belief(room: number): RoomBelief {
+    const { size: held } = this.#held;
+    return {
+      room,
+      heldBytes: this.#heldBytes,
+      reserved: this.#reserved,
+      held,
+    };
+  }
+
+  /** Times at which it may take a call again that it does not take now. */
+  wakes(callTime: number): number[] {
+    const [first] = this.#held.values();
+    const since = this.heldBackSince ?? -Infinity;
+    return [this.#blockedUntil, first?.until ?? 0, since + callTime];
+  }
+
+  /** Notes a call. */
+  begin(called: readonly works.Work[]): void {
+    this.heldBackSince = undefined;
+    this.#calls++;
+    this.#reserved += works.bytesOf(called);
+  }
+
+  /** Notes the end of a call that took `ratio` times as long as it should, and
+   * the results that it gave. */
+  finish(
+    called: readonly works.Work[],
+    { results, until, ratio }: {
+      results: readonly Result[];
+      until: number;
+      ratio: number;
+    },
+  ): void {
+    this.#end(called);
+    this.#rest = FIRST_REST;
+    this.#slowness += GAIN * (ratio - this.#slowness);
+    for (const { handle, bytes } of results) {
+      this.#held.set(handle, { bytes, until });
+      this.#heldBytes += bytes;
+    }
+  }
+
+  /** Notes that a call gave nothing; it rests for `pause` milliseconds, or for
+   * longer with each failure. */
+  fail(
+    called: readonly works.Work[],
+    { now, pause }: { now: number; pause?: number },
+  ): void {
+    this.#end(called);
+    this.#blockedUntil = now + (pause ?? this.#rest);
+    if (pause === undefined) this.#rest = Math.min(LAST_REST, 2 * this.#rest);
+  }
+
+  /** Gives it no call before a time. */
+  block(until: number): void {
+    this.#blockedUntil = until;
+  }
+
+  /** Notes that it has given a result up. */
+  drop(handle: string): void {
+    const held = this.#held.get(handle);
+    if (held === undefined) return;
+    this.#held.delete(handle);
+    this.#heldBytes -= held.bytes;
+  }
+
+  /** Forgets results that have ended by themselves. */
+  expire(now: number): void {
+    for (const [handle, { until }] of this.#held) {
+      if (until > now) return;
+      this.drop(handle);
+    }
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    return {
+      ...this.worker,
+      calls: this.#calls,
+      slowness: this.#slowness,
+      heldBytes: this.#heldBytes,
+      reserved: this.#reserved,
+    };
+  }
+
+  #end(called: readonly works.Work[]): void {
+    this.#calls = Math.max(0, this.#calls - 1);
+    this.#reserved = Math.max(0, this.#reserved - works.bytesOf(called));
+  }
+}
