--- /dev/null
+++ b/src/pieces/maker_test.ts
@@ -0,0 +1,128 @@
+/** @module */
+
+import test from "ava";
+import * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import * as makers from "./maker.ts";
+import type * as works from "./work.ts";
+
+function workers(counts: Record<string, number>): works.Worker[] {
+  return Object.entries(counts).flatMap(([dataCentre, count], place) =>
+    Array.from({ length: count }, (_, number) => ({
+      id: `${dataCentre}-${number}`,
+      address: `10.${place}.0.${number}:80`,
+      dataCentre,
+    }))
+  );
+}
+
+function host(name: string, dataCentre: string) {
+  return { host: name, dataCentre };
+}
+
+const HOSTS = [
+  host("hall-1", "hall"),
+  host("hall-2", "hall"),
+  host("town-1", "town"),
+  host("town-2", "town"),
+];
+
+/** A maker on the host `me`, which is no host of callers; those in `silent` do
+ * not answer. */
+function makerOf(
+  endpoints: readonly works.Worker[],
+  silent: readonly string[] = [],
+) {
+  const asked: string[] = [];
+  const clock = new runtime.FakeClock();
+  const own = { booked: 0, made: 0 };
+  const maker = makers.Maker.create({
+    self: "me",
+    clock,
+    logger: telemetry.noLogger,
+    hosts: () => HOSTS,
+    services: () => ["billing", "maps"],
+    workers: () => endpoints,
+    isSound: () => true,
+    calls: {
+      ask(to, { type }): Promise<schema.Reply> {
+        asked.push(to);
+        if (silent.includes(to)) return Promise.reject(new Error("silent"));
+        return Promise.resolve(
+          type === "book"
+            ? { type: "booked", wait: 7, work: 3 }
+            : { type: "made", results: [] },
+        );
+      },
+      cast: (to) => void asked.push(to),
+    },
+    batcher: {
+      make() {
+        own.made++;
+        return Promise.resolve([]);
+      },
+    } as unknown as makers.MakerOptions["batcher"],
+  });
+  return { maker, asked, own };
+}
+
+function booking(service: string, cell: string): schema.BookQuestion {
+  const rest = { request: "r", stage: 0, pieces: 1, slack: 500, rank: 0 };
+  return { type: "book", service, cell, ...rest };
+}
+
+function making(service: string, cell: string): schema.MakeQuestion {
+  const { slack: _, ...rest } = booking(service, cell);
+  return { ...rest, type: "make", pieces: [0], bytes: 1, remaining: 1000 };
+}
+
+const WANTED = { request: "r", dataCentre: "town" };
+
+test("a host of a cell's data centre batches for it", async (t) => {
+  const { maker, asked } = makerOf(workers({ hall: 5, town: 5 }));
+  const cell = maker.cell("maps", WANTED);
+  t.is(cell, "town/0.1");
+  t.deepEqual(await maker.book(booking("maps", cell)), {
+    type: "booked",
+    wait: 7,
+    work: 3,
+  });
+  t.regex(asked[0], /^town/);
+});
+
+test("two cells of a data centre are batched by two hosts", async (t) => {
+  const { maker, asked } = makerOf(workers({ hall: 5, town: 5 }));
+  for (const service of ["billing", "maps"]) {
+    await maker.book(booking(service, maker.cell(service, WANTED)));
+  }
+  t.deepEqual([...asked].sort(), ["town-1", "town-2"]);
+});
+
+test("other hosts make pieces when one is silent, the own one at last", async (t) => {
+  const silent = HOSTS.map((each) => each.host);
+  const { maker, asked, own } = makerOf(workers({ hall: 1 }), silent);
+  await maker.make(making("maps", "all"));
+  t.is(new Set(asked).size, 2);
+  t.is(own.made, 1);
+});
+
+test("a host that was silent is left out for a while", async (t) => {
+  const first = async () => {
+    const { maker, asked } = makerOf(workers({ hall: 1 }));
+    await maker.make(making("maps", "all"));
+    return asked[0];
+  };
+  const lost = await first();
+  const { maker, asked } = makerOf(workers({ hall: 1 }), [lost]);
+  await maker.make(making("maps", "all"));
+  await maker.make(making("maps", "all"));
+  t.is(asked.filter((host) => host === lost).length, 1);
+  t.is(asked.length, 3);
+});
+
+test("where nobody says when pieces would be made, nothing is assumed", async (t) => {
+  const silent = HOSTS.map((each) => each.host);
+  const { maker } = makerOf(workers({ hall: 1 }), silent);
+  t.deepEqual(await maker.book(booking("maps", "all")), { wait: 0, work: 0 });
+});
--- /dev/null
+++ b/src/pieces/worker_state_test.ts
@@ -0,0 +1,86 @@
+/** @module */
+
+import test from "ava";
+import type * as work from "./work.ts";
+import * as workerStates from "./worker_state.ts";
+
+function pieces(count: number): work.Work[] {
+  return Array.from({ length: count }, (_, piece) => ({
+    request: "r",
+    stage: 0,
+    piece,
+    bytes: 100,
+    expires: 10_000,
+    wanted: 2000,
+    rank: 0,
+    moved: 100,
+    tries: 0,
+  }));
+}
+
+function stateOf() {
+  const worker = { id: "1", address: "10.0.0.1:80", dataCentre: "town" };
+  const state = workerStates.WorkerState.create(worker);
+  state.isListed = true;
+  return state;
+}
+
+const RESULTS = [{ handle: "a", bytes: 100 }, { handle: "b", bytes: 100 }];
+
+test("room is taken from the begin of a call until a result is given up", (t) => {
+  const state = stateOf();
+  t.is(state.free(1000), 970);
+  state.begin(pieces(2));
+  t.is(state.free(1000), 770);
+  state.finish(pieces(2), { results: RESULTS, until: 4000, ratio: 1 });
+  t.is(state.free(1000), 770);
+  state.drop("a");
+  state.drop("a");
+  t.is(state.free(1000), 870);
+  t.deepEqual(state.belief(1000), {
+    room: 1000,
+    heldBytes: 100,
+    reserved: 0,
+    held: 1,
+  });
+});
+
+test("a result that nobody gives up ends by itself", (t) => {
+  const state = stateOf();
+  state.begin(pieces(2));
+  state.finish(pieces(2), { results: RESULTS, until: 4000, ratio: 1 });
+  t.true(state.wakes(100).includes(4000));
+  state.expire(3999);
+  t.true(state.isHolding);
+  state.expire(4000);
+  t.false(state.isHolding);
+});
+
+test("an endpoint rests for longer with each failure, until a call succeeds", (t) => {
+  const state = stateOf();
+  const failAt = (now: number) => {
+    state.begin(pieces(1));
+    state.fail(pieces(1), { now });
+  };
+  failAt(0);
+  t.false(state.isUsable(299));
+  t.true(state.isUsable(300));
+  failAt(1000);
+  t.false(state.isUsable(1599));
+  t.true(state.isUsable(1600));
+  state.begin(pieces(1));
+  state.finish(pieces(1), { results: [], until: 0, ratio: 1 });
+  failAt(3000);
+  t.true(state.isUsable(3300));
+  t.is(state.calls, 0);
+});
+
+test("an endpoint that was full is not punished for it", (t) => {
+  const state = stateOf();
+  state.begin(pieces(1));
+  state.fail(pieces(1), { now: 0, pause: 120 });
+  t.true(state.isUsable(120));
+  state.begin(pieces(1));
+  state.fail(pieces(1), { now: 1000 });
+  t.true(state.isUsable(1300));
+});
