Silence ends a call by the same figure that its timer waits for

Cause: the watch compared 'now - heard' with the bound but waited until 'heard + bound'; with fractions the two round differently, so that on a clock that stands between timers the watch set a timer of 0 ms for ever. Ruled out: a loop of repeated calls (no line was logged). Conclusion: one figure for both.

--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -191,8 +191,9 @@
     const silence = this.#silence;
     const now = clock.now();
     if (now >= deadline) return this.break("deadline");
-    if (now - this.#heard >= silence) return this.break("silent");
-    const next = Math.min(deadline, this.#heard + silence);
+    const silentAt = this.#heard + silence;
+    if (now >= silentAt) return this.break("silent");
+    const next = Math.min(deadline, silentAt);
     this.#cancelTimer = clock.after(next - now, () => this.#watch());
   }
 
