Simulated loads drive the gateway and the batchers as they are

Callers come back once as they are told, leave, and are cut off. What it leaves out: control hosts, configuration, lost packets, processor time, heartbeats; so nothing is said of recovery by them.

--- /dev/null
+++ b/bench/decisions/host.ts
@@ -0,0 +1,158 @@
+/** A host that takes requests in a simulated fleet: the gateway and the
+ * batchers as they are, on the fake clock.
+ * @module */
+
+import type * as undici from "undici";
+import * as configurations from "../../src/configuration/mod.ts";
+import * as gateway from "../../src/gateway/mod.ts";
+import * as passages from "../../src/gateway/passage.ts";
+import * as pieces from "../../src/pieces/mod.ts";
+import type * as endpoints from "../../src/endpoints/mod.ts";
+import type * as runtime from "../../src/runtime/mod.ts";
+import type * as schema from "../../src/schema/fleet_types.ts";
+import * as telemetry from "../../src/telemetry/mod.ts";
+import * as wire from "./wire.ts";
+
+/** What a host needs of its fleet. */
+export interface HostOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly clock: runtime.Clock;
+  readonly random: runtime.Random;
+  readonly logger: telemetry.Logger;
+  readonly catalogue: configurations.Catalogue;
+  readonly dispatcher: undici.Dispatcher;
+  roster(): readonly endpoints.RosterEntry[];
+  /** Hosts that are up. */
+  hosts(): readonly Host[];
+}
+
+/** Milliseconds from host to host, one way. */
+const WAY = 1.4;
+
+/** One host. */
+export class Host {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly #options: HostOptions;
+  readonly #pool = gateway.Pool.create();
+  readonly #batcher: pieces.Batcher;
+  readonly #context: gateway.Context;
+
+  constructor(options: HostOptions) {
+    const { name, dataCentre, clock, catalogue } = options;
+    this.name = name;
+    this.dataCentre = dataCentre;
+    this.#options = options;
+    const { protocol } = wire;
+    const common = { ...options, protocol, metrics: telemetry.noMetrics };
+    this.#batcher = pieces.Batcher.create({
+      ...common,
+      service: (service) => catalogue.service(service),
+      workers: ({ service, cell }) => this.#workers(service, cell),
+      noteAnswer: (id) => this.#pool.get(id)?.judge("good", clock.now()),
+    });
+    const maker = pieces.Maker.create({
+      ...options,
+      self: name,
+      calls: this.#calls(),
+      batcher: this.#batcher,
+      hosts: () =>
+        options.hosts().map(({ name: host, dataCentre }) => ({
+          host,
+          dataCentre,
+        })),
+      services: () => catalogue.makers,
+      workers: (service) => this.#known(service),
+      isSound: ({ id }) => this.#pool.get(id)?.isSound(clock.now()) ?? false,
+    });
+    const bounds = { ratio: 0.2, burst: 50, window: 10_000 };
+    const budget = gateway.RetryBudget.create(bounds);
+    this.#context = {
+      ...common,
+      pool: this.#pool,
+      maker,
+      started: clock.now(),
+      greatestAge: 1000,
+      calibration: gateway.Calibration.create(),
+      knowledge: {
+        catalogue: () => catalogue,
+        age: () => 0,
+        hosts: () => options.hosts().length,
+      },
+      budget: () => budget,
+      isDraining: () => false,
+      isEnding: () => false,
+    };
+    this.follow();
+  }
+
+  /** Follows the endpoints. */
+  follow(): void {
+    const { catalogue } = this.#options;
+    this.#pool.update(
+      this.#options.roster(),
+      (name) => catalogue.service(name),
+    );
+    this.#batcher.update();
+  }
+
+  /** Takes a request. */
+  serve(ask: gateway.Ask, response: wire.Response): void {
+    passages.Passage.start(this.#context, {
+      request: wire.request(ask),
+      response: response as unknown as passages.Pair["response"],
+    });
+  }
+
+  #known(service: string): pieces.Worker[] {
+    return this.#pool.of(service).map(({ identity }) => identity);
+  }
+
+  #workers(service: string, cell: string): pieces.Worker[] {
+    const now = this.#options.clock.now();
+    const members = pieces.cells.workersOf(cell, this.#known(service))
+      .flatMap(({ id }) => this.#pool.get(id) ?? []);
+    return gateway.usableOf(members, now).map(({ identity }) => identity);
+  }
+
+  #calls(): pieces.MakerOptions["calls"] {
+    const { clock, hosts } = this.#options;
+    const find = (name: string) => hosts().find((host) => host.name === name);
+    const way = () =>
+      new Promise<void>((resolve) => void clock.after(WAY, () => resolve()));
+    return {
+      async ask(name, question): Promise<schema.Reply> {
+        await way();
+        const host = find(name);
+        if (host === undefined) throw new Error("lost");
+        const reply = await host.#answer(question);
+        await way();
+        if (find(name) !== host) throw new Error("lost");
+        return reply;
+      },
+      cast(name, notice) {
+        void way().then(() => {
+          const host = find(name);
+          if (host !== undefined) host.#hear(notice);
+        });
+      },
+    };
+  }
+
+  async #answer(question: schema.Question): Promise<schema.Reply> {
+    if (question.type === "make") {
+      return { type: "made", results: await this.#batcher.make(question) };
+    }
+    if (question.type !== "book") return { type: "failed", reason: "unknown" };
+    return { type: "booked", ...this.#batcher.book(question) };
+  }
+
+  #hear(notice: schema.Notice): void {
+    if (notice.type === "release") {
+      this.#batcher.release(notice, notice.handles);
+    } else if (notice.type === "drop") {
+      this.#batcher.drop(notice, notice.request);
+    }
+  }
+}
--- /dev/null
+++ b/bench/decisions/world_test.ts
@@ -0,0 +1,48 @@
+/** @module */
+
+import test from "ava";
+import * as runtime from "../../src/runtime/mod.ts";
+import * as accounts from "./account.ts";
+import * as deployments from "./deployment.ts";
+import * as worlds from "./world.ts";
+
+/** Milliseconds of a short play. */
+const LENGTH = 12_000;
+
+test("a play depends on its seed alone", async (t) => {
+  const play = { deployment: deployments.party(), seed: 3, length: 5000 };
+  t.deepEqual(await worlds.play(play), await worlds.play(play));
+});
+
+test("a calm load is served, nearly all of it in time", async (t) => {
+  const deployment = deployments.party();
+  const account = await worlds.play({ deployment, seed: 1, length: LENGTH });
+  t.true(account.ended.length > 100);
+  t.true(accounts.share(account.ended) > 0.85);
+});
+
+test("each request ends once, whatever fails", async (t) => {
+  const { ended } = await worlds.play({
+    deployment: deployments.party(),
+    seed: 2,
+    length: LENGTH,
+    bursts: [{ at: 2000, length: 4000, factor: 2 }],
+    troubles: [
+      { type: "slow", at: 1000, length: 3000, factor: 4 },
+      { type: "crash", at: 4000, length: 2000, count: 2 },
+      { type: "kill", at: 8000, length: 1000 },
+    ],
+  });
+  const ids = new Set(ended.map(({ request }) => request.id));
+  t.is(ids.size, ended.length);
+  t.true(ended.some(({ ending }) => ending === "in-time"));
+});
+
+test("deployments are drawn with engines and endpoints of other figures", (t) => {
+  const rates = [1, 2, 3, 4].map((seed) => {
+    const { engines } = deployments.drawn(runtime.createRandom(seed));
+    return engines.readRate;
+  });
+  t.is(new Set(rates).size, 4);
+  t.true(rates.every((rate) => rate >= 10 && rate <= 100));
+});
