Who comes back is known by the patience it brings, and is served late, not refused again

Cause: a caller that was refused comes back with a new attempt and was judged as if it had come for the first time: it took the place of first attempts that could still be in time, or was refused a second time. Change: patience.ts compares what a caller brings with the longest patience that a good part of its route's callers bring; what is missing it has waited. Its objective counts from its first attempt. Where that can't be kept it is wanted before it leaves (0.7 of that time) and goes behind all that can be in time, at batchers and at engines; a piece that has become late is wanted then too, instead of last of all. It is refused only where even that is not expected.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -75,6 +75,7 @@
       started: clock.now(),
       greatestAge: 1000,
       calibration: gateway.Calibration.create(),
+      patience: gateway.Patience.create(),
       knowledge: {
         catalogue: () => catalogue,
         age: () => 0,
--- a/bench/decisions/world_test.ts
+++ b/bench/decisions/world_test.ts
@@ -46,3 +46,16 @@
   t.is(new Set(rates).size, 4);
   t.true(rates.every((rate) => rate >= 10 && rate <= 100));
 });
+
+test("in a burst of the dear kind who comes back is not refused again", async (t) => {
+  const { ended } = await worlds.play({
+    deployment: deployments.party(),
+    seed: 1,
+    length: LENGTH,
+    bursts: [{ at: 2000, length: 6000, factor: 2.5, kind: "script" }],
+  });
+  const back = ended.filter(({ isBack }) => isBack);
+  const again = back.filter(({ ending }) => ending === "refused");
+  t.true(back.length > 20);
+  t.true(again.length < back.length / 3, `${again.length} of ${back.length}`);
+});
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -187,6 +187,7 @@
       started: this.#options.clock.now(),
       greatestAge: this.#greatestAge,
       calibration: gateway.Calibration.create(),
+      patience: gateway.Patience.create(),
       knowledge: {
         catalogue: () => this.#catalogue,
         age: () => this.#follower.age,
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -3,6 +3,7 @@
 
 export * from "./calibration.ts";
 export * from "./context.ts";
+export * from "./patience.ts";
 export * from "./pool.ts";
 export * from "./protocol.ts";
 export * from "./retry_budget.ts";
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -52,6 +52,8 @@
   #route?: configurations.Route;
   #account?: configurations.Account;
   #until = Infinity;
+  /** Milliseconds for which its caller had waited before this attempt. */
+  #waited = 0;
   #cancelTimer = () => {};
   #attempt?: attempts.Attempt;
   #runs = 0;
@@ -131,6 +133,7 @@
       return this.#stop(reason, this.#returnFor(reason));
     }
     const route = this.#route!;
+    this.#waited = this.#context.patience.waited(route.name, ask.patience);
     const patience = Math.min(route.timeout, ask.patience ?? Infinity);
     this.#until = this.#arrival + patience;
     this.#cancelTimer = clock.after(patience, () => this.#timeOut());
@@ -181,6 +184,7 @@
       rank: this.#rank,
       service,
       arrival: this.#arrival,
+      waited: this.#waited,
       until: this.#until,
     });
     const result = await (made?.again() ?? this.#staging.run());
@@ -308,12 +312,18 @@
       endpoint: id,
       account: this.#account?.name,
       remaining: left,
-      urgency: Math.min(9, FIRST_URGENCY + this.#rank),
+      urgency: this.#urgency,
       inputs,
       resumeAfter: this.#lastId ?? this.#ask!.resumeAfter,
     };
   }
 
+  /** Who can be in time goes before who cannot, whatever their ranks. */
+  get #urgency(): number {
+    const late = this.#staging?.isLate ? LATE_URGENCY : 0;
+    return Math.min(LAST_URGENCY, FIRST_URGENCY + this.#rank + late);
+  }
+
   get #rank(): number {
     return this.#account?.priority ?? this.#route!.priority;
   }
@@ -546,6 +556,7 @@
       route,
       account: this.#account?.name,
       ms,
+      ...(this.#waited > 0 && { waitedMs: Math.round(this.#waited) }),
       stages: this.#staging?.note,
       calls: this.#calls,
       version: knowledge.catalogue()?.version,
@@ -570,6 +581,9 @@
 /** Urgency of the highest rank: below it there is room for what is more urgent
  * than any request of a caller. */
 const FIRST_URGENCY = 2;
+/** Steps by which a request that is late anyway is less urgent. */
+const LATE_URGENCY = 3;
+const LAST_URGENCY = 9;
 
 const NOTHING = Buffer.alloc(0);
 
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -47,6 +47,8 @@
   #plan: pieces.Plan;
   #repeats = 0;
   #isOver = false;
+  /** When the answer is wanted. */
+  #wanted: number;
   readonly #stages: readonly Omit<pieces.forecast.StageForecast, "wait">[];
   /** Milliseconds of work behind each stage. */
   #tails: readonly number[];
@@ -56,6 +58,7 @@
   private constructor(needs: Needs, options: PreparationOptions) {
     this.#needs = needs;
     this.#options = options;
+    this.#wanted = options.wanted;
     const { route, ask } = options;
     this.#plan = pieces.Plan.create(route.stages, ask.pieces ?? []);
     const { counts } = this.#plan;
@@ -78,6 +81,16 @@
     return new Preparation(needs, options);
   }
 
+  /** Milliseconds that the stages take where nothing waits. */
+  get alone(): number {
+    return pieces.forecast.finish(this.#free);
+  }
+
+  /** Changes when the answer is wanted. */
+  want(at: number): void {
+    this.#wanted = at;
+  }
+
   /** Books the pieces of all stages; resolves with when they would be made. */
   async book(): Promise<Expectation> {
     const { route, ask, rank } = this.#options;
@@ -94,8 +107,7 @@
         rank,
       });
     }));
-    const free = this.#stages.map((stage) => ({ ...stage, wait: 0 }));
-    const stages = free.map(({ after, work }, number) => {
+    const stages = this.#free.map(({ after, work }, number) => {
       const turn = turns[number];
       if (turn === undefined) return { after, work, wait: 0 };
       return { after, wait: turn.wait, work: Math.max(work, turn.work) };
@@ -103,7 +115,7 @@
     this.#tails = pieces.forecast.tails(stages);
     return {
       finish: pieces.forecast.finish(stages),
-      alone: pieces.forecast.finish(free),
+      alone: this.alone,
     };
   }
 
@@ -152,6 +164,11 @@
     }
   }
 
+  /** The stages where nothing waits. */
+  get #free(): pieces.forecast.StageForecast[] {
+    return this.#stages.map((stage) => ({ ...stage, wait: 0 }));
+  }
+
   #giveUp(holdings: readonly pieces.Holding[]): void {
     for (const { service, handles } of holdings) {
       this.#needs.maker.release(this.#cellOf(service), handles);
@@ -227,8 +244,7 @@
   /** Milliseconds within which a stage's results are wanted, so that what
    * follows on them ends in time. */
   #slack(stage: number): number {
-    const { wanted } = this.#options;
-    return wanted - this.#needs.clock.now() - this.#tails[stage];
+    return this.#wanted - this.#needs.clock.now() - this.#tails[stage];
   }
 
   #left(): number {
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -25,6 +25,11 @@
  * what they are told. */
 const MOST_RETURN = 3000;
 
+/** Part of the time until its caller leaves in which a request is to be served
+ * that comes back too late for its objective: the rest is for what a forecast
+ * so far ahead cannot know. */
+const LATE_SHARE = 0.7;
+
 /** What stages are for. */
 export interface StagingOptions {
   readonly ask: protocols.Ask;
@@ -33,6 +38,8 @@
   /** Service that the request goes to then. */
   readonly service: string;
   readonly arrival: number;
+  /** Milliseconds for which its caller had waited before. */
+  readonly waited: number;
   /** When the request ends at the latest. */
   readonly until: number;
 }
@@ -49,6 +56,8 @@
 /** What a log line says of it. */
 export interface StagingNote {
   expectedMs?: number;
+  /** Whether it could not be in time from the start. */
+  isLate?: boolean;
   tookMs?: number;
 }
 
@@ -61,22 +70,27 @@
   readonly #started: number;
   /** When the results are wanted. */
   readonly #wanted: number;
+  /** When they are wanted where that cannot be kept: before the caller leaves. */
+  readonly #lateWanted: number;
+  #isLate = false;
   /** For its log line. */
   readonly note: StagingNote = {};
 
   private constructor(context: contexts.Context, options: StagingOptions) {
-    const { ask, route, rank, arrival, until } = options;
+    const { ask, route, rank, arrival, waited, until } = options;
     this.#context = context;
     this.#options = options;
     this.#started = context.clock.now();
     this.#plan = planOf(context, options);
     const firstEvent = this.#plan?.firstEvent ?? FIRST_EVENT;
-    this.#wanted = arrival + route.objective - firstEvent;
+    this.#wanted = arrival - waited + route.objective - firstEvent;
+    const leaves = Math.min(until, arrival + prospect.leavesAfter(route));
+    this.#lateWanted = arrival + LATE_SHARE * (leaves - arrival) - firstEvent;
     this.#preparation = preparation.Preparation.create(context, {
       ask,
       route,
       rank,
-      until: Math.min(until, arrival + prospect.leavesAfter(route)),
+      until: leaves,
       wanted: this.#wanted,
       dataCentre: this.#plan?.engine.identity.dataCentre,
     });
@@ -91,10 +105,21 @@
     return this.#plan?.engine;
   }
 
+  /** Whether it is served late, behind those that can be in time. */
+  get isLate(): boolean {
+    return this.#isLate;
+  }
+
   /** Judges the request and makes its pieces. */
   async run(): Promise<StagingResult> {
-    const forecast = await this.#preparation.book();
-    const refusal = this.#judge(forecast);
+    if (this.#isPast) this.#setLate();
+    let forecast = await this.#preparation.book();
+    let refusal = this.#judge(forecast);
+    if (refusal !== undefined && this.#options.waited > 0 && !this.#isLate) {
+      this.#setLate();
+      forecast = await this.#preparation.book();
+      refusal = this.#judge(forecast);
+    }
     if (refusal !== undefined) return refusal;
     const result = await this.#make();
     if (result.type === "made") {
@@ -120,13 +145,27 @@
     this.#preparation.end();
   }
 
+  /** Whether its caller has waited for so long that it cannot be in time. */
+  get #isPast(): boolean {
+    const { waited } = this.#options;
+    const left = this.#wanted - this.#context.clock.now();
+    return waited > 0 && left < this.#preparation.alone;
+  }
+
+  #setLate(): void {
+    this.#isLate = true;
+    this.note.isLate = true;
+    this.#preparation.want(this.#lateWanted);
+  }
+
   #judge(forecast: preparation.Expectation): StagingResult | undefined {
     const { calibration } = this.#context;
     const { name } = this.#options.route;
     const { alone } = forecast;
     const finish = calibration.correct(name, forecast);
     this.note.expectedMs = Math.round(finish);
-    const left = this.#wanted - this.#context.clock.now();
+    const wanted = this.#isLate ? this.#lateWanted : this.#wanted;
+    const left = wanted - this.#context.clock.now();
     if (prospect.isInTime({ finish, alone }, left)) return undefined;
     const retryAfter = this.#returnAfter(finish - Math.max(left, alone));
     const about = { aloneMs: alone, left, retryAfter };
--- a/src/gateway/staging_test.ts
+++ b/src/gateway/staging_test.ts
@@ -21,8 +21,12 @@
 
 /** Stages of a request that is needed at `town`; pieces wait so many
  * milliseconds in each data centre, and calls take `work` there. */
-function stagingOf(waits: Record<string, number>, { work = 0 } = {}) {
+function stagingOf(
+  waits: Record<string, number>,
+  { work = 0, waited = 0 } = {},
+) {
   const calls: string[] = [];
+  const slacks: number[] = [];
   const pieces = fixture.pieceTraits();
   const services = [{ name: "maps", connections: 10, pieces }];
   const catalogue = configurations.Catalogue.create(
@@ -30,8 +34,9 @@
   );
   const maker: contexts.Context["maker"] = {
     cell: (_, { dataCentre }) => dataCentre,
-    book({ cell }: schema.BookQuestion) {
+    book({ cell, slack }: schema.BookQuestion) {
       calls.push(`book ${cell}`);
+      slacks.push(slack);
       return Promise.resolve({ wait: waits[cell], work });
     },
     make({ cell, pieces }: schema.MakeQuestion) {
@@ -72,9 +77,10 @@
     rank: 0,
     service: "desk",
     arrival: 0,
+    waited,
     until: 15_000,
   });
-  return { staging, calls };
+  return { staging, calls, slacks };
 }
 
 test("pieces are made where they are needed if they are in time there", async (t) => {
@@ -98,3 +104,35 @@
   const shared = stagingOf({ town: 100 }, { work: 800 });
   t.is((await shared.staging.run()).type, "refused");
 });
+
+test("who comes back is served late rather than refused again", async (t) => {
+  const first = stagingOf({ town: 1500 });
+  t.is((await first.staging.run()).type, "refused");
+  const back = stagingOf({ town: 1500 }, { waited: 300 });
+  t.is((await back.staging.run()).type, "made");
+  t.true(back.staging.isLate);
+});
+
+test("who comes back too late stands behind those that can be in time", async (t) => {
+  const first = stagingOf({ town: 0 });
+  await first.staging.run();
+  t.false(first.staging.isLate);
+  const back = stagingOf({ town: 0 }, { waited: 1200 });
+  await back.staging.run();
+  t.true(back.staging.isLate);
+  t.true(back.slacks[0] > first.slacks[0]);
+});
+
+test("who comes back in time for its objective is wanted sooner", async (t) => {
+  const first = stagingOf({ town: 0 });
+  const back = stagingOf({ town: 0 }, { waited: 300 });
+  await first.staging.run();
+  await back.staging.run();
+  t.false(back.staging.isLate);
+  t.is(first.slacks[0] - back.slacks[0], 300);
+});
+
+test("who comes back and would have left before its answer is refused", async (t) => {
+  const back = stagingOf({ town: 9000 }, { waited: 300 });
+  t.is((await back.staging.run()).type, "refused");
+});
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -28,6 +28,9 @@
 const SLOW = 2;
 /** Milliseconds by which a piece may be late and still go before others. */
 const LATE_TOLERANCE = 100;
+/** Full calls that are kept for what follows on a late piece before its caller
+ * leaves: a chain has three stages or so, and an engine. */
+const LATE_CALLS = 4;
 
 /** Pieces and endpoints of one cell; changed in place. */
 export class Scheduler {
@@ -93,7 +96,9 @@
     now: number,
   ): number {
     const turn = works.turnOf({ wanted, rank });
-    const waiting = this.#waiting.filter((work) => works.turnOf(work) <= turn);
+    const waiting = this.#waiting.filter((work) =>
+      this.#turnOf(work, now) <= turn
+    );
     const usable = [...this.#workers.values()]
       .filter((state) => state.isUsable(now));
     if (usable.length === 0) return NO_WORKER;
@@ -227,14 +232,23 @@
     return callTime + count * pieceTime;
   }
 
-  /** Puts pieces first that can still be in time, the most urgent of them
-   * first: those that cannot must not make all others late. */
+  /** Puts the most urgent pieces first. */
   #sort(now: number): void {
-    const soonest = now + this.#expected(1) - LATE_TOLERANCE;
-    const late = ({ wanted }: works.Work) => wanted < soonest ? 1 : 0;
-    this.#waiting.sort((one, other) =>
-      late(one) - late(other) || works.turnOf(one) - works.turnOf(other)
+    const turns = new Map(
+      this.#waiting.map((work) => [work, this.#turnOf(work, now)]),
     );
+    this.#waiting.sort((one, other) => turns.get(one)! - turns.get(other)!);
+  }
+
+  /** The time that decides a piece's turn. One that cannot be in time any more
+   * must not make others late: it is wanted only before its caller leaves. */
+  #turnOf(work: works.Work, now: number): number {
+    const { wanted, expires, rank } = work;
+    const soonest = now + this.#expected(1) - LATE_TOLERANCE;
+    if (wanted >= soonest) return works.turnOf(work);
+    const { batch } = this.#traits;
+    const last = expires - LATE_CALLS * this.#expected(batch);
+    return works.turnOf({ wanted: Math.max(wanted, last), rank });
   }
 
   /** Endpoints that can take a call, the fastest first. */
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -55,6 +55,14 @@
   t.is(call.works[0].request, "soon");
 });
 
+test("what is late goes before what can wait when its caller is about to leave", (t) => {
+  const scheduler = schedulerOf(worker("1"));
+  scheduler.add(fixture.works("late", 4, { wanted: 10, expires: 1000 }));
+  scheduler.add(fixture.works("later", 4, { wanted: 3000 }));
+  const [call] = scheduler.assign(500);
+  t.is(call.works[0].request, "late");
+});
+
 test("no more is ordered than an endpoint has room for", (t) => {
   const scheduler = schedulerOf(worker("1"));
   scheduler.add(fixture.works("a", 8, { bytes: 300 }));
