--- a/src/gateway/prospect.ts
+++ b/src/gateway/prospect.ts
@@ -4,9 +4,11 @@
 
 import type * as configurations from "../configuration/mod.ts";
 
-/** Milliseconds by which a request may be expected to miss its objective and
- * count as in time: a forecast is about so exact. */
-const TOLERANCE = 100;
+/** Mean errors of forecasts by which a request may be expected to miss its
+ * objective and be let in: then one in six is in time all the same. Who is
+ * refused can hardly be in time when it comes back, while one that is let in
+ * and becomes late goes behind others. */
+const TOLERATED = 1.25;
 /** Callers leave a stream without events after the longest of these: so many
  * milliseconds, objectives, and longest pauses. */
 const LEAVE = 2000;
@@ -26,11 +28,12 @@
   return Math.min(timeout, silent);
 }
 
-/** Whether pieces are expected in time. One that takes too long even where
- * nothing waits is not refused for it: coming back would not help. */
+/** Whether pieces are expected in time, by forecasts that miss by `error` on
+ * average. One that takes too long even where nothing waits is not refused for
+ * it: coming back would not help. */
 export function isInTime(
-  { finish, alone }: { finish: number; alone: number },
+  { finish, alone, error }: { finish: number; alone: number; error: number },
   left: number,
 ): boolean {
-  return finish - Math.max(left, alone) <= TOLERANCE;
+  return finish - Math.max(left, alone) <= TOLERATED * error;
 }
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -166,7 +166,9 @@
     this.note.expectedMs = Math.round(finish);
     const wanted = this.#isLate ? this.#lateWanted : this.#wanted;
     const left = wanted - this.#context.clock.now();
-    if (prospect.isInTime({ finish, alone }, left)) return undefined;
+    const error = calibration.error(name, forecast);
+    const expected = { finish, alone, error };
+    if (prospect.isInTime(expected, left)) return undefined;
     const retryAfter = this.#returnAfter(finish - Math.max(left, alone));
     const about = { aloneMs: alone, left, retryAfter };
     return { type: "refused", reason: "no-time", about };
