Engines' first events are learnt from own calls, not fixed figures

Cause: three figures of other deployments stood in choice.ts (60 tokens a ms, 130 and 8 ms; here engines read 30), and 250 ms in staging.ts: first events took 686 ms for one in ten where less was planned, so that stages ended too late. Change: first_event.ts fits milliseconds by tokens to read and streams under way, by service, with the regression that admission has; the fit is robust to calls that hang. What an engine is slower by than the fit stays its own delay.

--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -6,12 +6,6 @@
 import type * as protocol from "./protocol.ts";
 import * as rendezvous from "./rendezvous.ts";
 
-/** Prompt tokens that an engine reads in a millisecond, by the users' figures
- * for their engines; only ratios of times hang on it. */
-const READ_RATE = 60;
-/** Milliseconds by which each stream under way delays the next one's start:
- * some steps of the engine, as the users give them. */
-const STREAM_DELAY = 8;
 /** Part of a prompt's shared parts that the engine which they belong to must
  * likely still read, when this host has not sent them there itself. */
 const HOME_SHARE = 0.4;
@@ -19,9 +13,6 @@
 const NEAR = 10;
 /** Milliseconds that a call in another data centre takes longer. */
 const FAR = 3;
-/** Milliseconds of an engine's first event beside reading: the first token
- * after an idle step, as the users' figures have it. */
-const FIRST_EVENT = 130;
 /** Milliseconds by which another engine must be better than the one that the
  * stages were made near: results then cross data centres. */
 const MOVED = 30;
@@ -94,15 +85,7 @@
   prompt: protocol.Prompt,
   { now, home }: { now: number; home?: string },
 ): number {
-  const read = unread(engine, prompt, home);
-  return FIRST_EVENT + (engine.backlog + read) / READ_RATE +
-    engine.delay(now) + engine.inFlight * STREAM_DELAY;
-}
-
-/** Milliseconds after which an engine that nothing delays gives the first event
- * of a prompt with so many tokens to read. */
-export function readTime(tokens: number): number {
-  return FIRST_EVENT + tokens / READ_RATE;
+  return engine.expectFirst(unread(engine, prompt, home)) + engine.delay(now);
 }
 
 /** Tokens that an engine must read, as far as is known. */
--- a/src/gateway/choice_test.ts
+++ b/src/gateway/choice_test.ts
@@ -4,6 +4,7 @@
 import * as runtime from "../runtime/mod.ts";
 import * as choice from "./choice.ts";
 import * as endpoint from "./endpoint.ts";
+import * as firstEvents from "./first_event.ts";
 import * as promptMemory from "./prompt_memory.ts";
 
 const random: runtime.Random = { next: () => 0, below: () => 0 };
@@ -13,7 +14,9 @@
   const address = `10.0.0.1:${id}`;
   const identity = { id, service: "s", address, dataCentre: "town", slots: 4 };
   const memory = promptMemory.PromptMemory.create(100_000);
-  return endpoint.Endpoint.create({ ...identity, ...change }, memory);
+  const firstEvent = firstEvents.FirstEvent.create();
+  const engine = { memory, firstEvent };
+  return endpoint.Endpoint.create({ ...identity, ...change }, engine);
 }
 
 function promptOf(shared: string, own: string) {
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -1,6 +1,7 @@
 /** An endpoint as one host sees it through its own calls.
  * @module */
 
+import * as firstEvents from "./first_event.ts";
 import type * as promptMemory from "./prompt_memory.ts";
 import type * as protocol from "./protocol.ts";
 
@@ -29,6 +30,20 @@
   readonly slots: number;
 }
 
+/** What is known of an engine beside its calls. */
+export interface EngineParts {
+  /** What it has read. */
+  readonly memory: promptMemory.PromptMemory;
+  /** How long engines of its service take to a first event. */
+  readonly firstEvent: firstEvents.FirstEvent;
+}
+
+/** Milliseconds that something took, and when it came. */
+export interface Taken {
+  readonly took: number;
+  readonly now: number;
+}
+
 /** How a call ended, as far as its endpoint is to be judged by it. */
 export type Verdict = "good" | "bad" | "full";
 
@@ -37,6 +52,7 @@
   readonly identity: Identity;
   /** What it has read, for an engine. */
   readonly memory?: promptMemory.PromptMemory;
+  readonly #firstEvent: firstEvents.FirstEvent;
   /** Whether it takes new requests, by its own word. */
   isReady = true;
   /** Whether its heartbeats have stopped. */
@@ -63,17 +79,30 @@
 
   private constructor(
     identity: Identity,
-    memory?: promptMemory.PromptMemory,
+    engine?: EngineParts,
   ) {
     this.identity = identity;
-    this.memory = memory;
+    this.memory = engine?.memory;
+    this.#firstEvent = engine?.firstEvent ?? firstEvents.FirstEvent.create();
   }
 
   static create(
     identity: Identity,
-    memory?: promptMemory.PromptMemory,
+    engine?: EngineParts,
   ): Endpoint {
-    return new Endpoint(identity, memory);
+    return new Endpoint(identity, engine);
+  }
+
+  /** What it has to do before the first event of a prompt of which it must read
+   * so many tokens. */
+  workBefore(tokens: number): firstEvents.Work {
+    return { tokens: this.backlog + tokens, streams: this.inFlight };
+  }
+
+  /** Milliseconds after which it should give that event, if nothing else delays
+   * it. */
+  expectFirst(tokens: number): number {
+    return this.#firstEvent.expect(this.workBefore(tokens));
   }
 
   /** Milliseconds since its last good answer. */
@@ -134,8 +163,11 @@
     return Math.max(this.inFlight, running + waiting);
   }
 
-  /** Notes by how much a first event came later than the prompt explains. */
-  noteDelay(delay: number, now: number): void {
+  /** Notes how long a first event took, and by how much that is more than the
+   * work before it explains. */
+  noteFirst(work: firstEvents.Work, { took, now }: Taken): void {
+    const delay = took - this.#firstEvent.expect(work);
+    this.#firstEvent.note(work, took);
     this.#delay = (this.delay(now) + Math.max(0, delay)) / 2;
     this.#delayAt = now;
   }
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -11,6 +11,7 @@
 import type * as endpoint from "./endpoint.ts";
 import type * as eventText from "./event_text.ts";
 import type * as protocols from "./protocol.ts";
+import type * as firstEvents from "./first_event.ts";
 import * as refusals from "./refusal.ts";
 import * as retry from "./retry.ts";
 import * as staging from "./staging.ts";
@@ -271,14 +272,14 @@
     if (this.#calls.length > 1) {
       metrics.count("gateway.repeated", 1, { service });
     }
-    const read = this.#beginRead(target);
+    const { read, work } = this.#beginRead(target);
     target.inFlight++;
     let first = false;
     const onFirst = () => {
       if (first) return;
       first = true;
       note.first = Math.round(clock.now() - started);
-      this.#noteFirst(target, { read, started });
+      this.#noteFirst(target, { read, work, started });
     };
     this.#attempt = attempts.Attempt.start({
       ...this.#context,
@@ -338,23 +339,23 @@
   }
 
   /** Notes prompt tokens on their way to an engine. */
-  #beginRead(target: endpoint.Endpoint): number {
+  #beginRead(target: endpoint.Endpoint): Reading {
     const { prompt } = this.#ask!;
-    if (prompt === undefined) return 0;
-    const read = choice.unread(target, prompt);
-    target.memory?.read(prompt);
+    const read = prompt === undefined ? 0 : choice.unread(target, prompt);
+    const work = target.workBefore(read);
+    if (prompt !== undefined) target.memory?.read(prompt);
     target.backlog += read;
-    return read;
+    return { read, work };
   }
 
   #noteFirst(
     target: endpoint.Endpoint,
-    { read, started }: { read: number; started: number },
+    { read, work, started }: Reading & { started: number },
   ): void {
     const { clock, metrics } = this.#context;
     const now = clock.now();
     target.backlog -= read;
-    target.noteDelay(now - started - choice.readTime(read), now);
+    target.noteFirst(work, { took: now - started, now });
     metrics.time("gateway.first_event", now - this.#arrival, {
       route: this.#route!.name,
     });
@@ -566,6 +567,13 @@
   }
 }
 
+/** Tokens that a call has its engine read, and all that the engine had to do
+ * before its first event. */
+interface Reading {
+  readonly read: number;
+  readonly work: firstEvents.Work;
+}
+
 /** What is known of a refusal, for its log line. */
 interface About extends Readonly<Record<string, unknown>> {
   /** Seconds after which to come back, in place of those of the reason. */
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -4,6 +4,7 @@
 import type * as configurations from "../configuration/mod.ts";
 import type * as endpoints from "../endpoints/mod.ts";
 import * as endpoint from "./endpoint.ts";
+import * as firstEvents from "./first_event.ts";
 import * as promptMemory from "./prompt_memory.ts";
 
 /** Endpoints by service; changed in place. */
@@ -11,6 +12,7 @@
   readonly #byId = new Map<string, endpoint.Endpoint>();
   readonly #byAddress = new Map<string, string>();
   readonly #byService = new Map<string, endpoint.Endpoint[]>();
+  readonly #firstEvents = new Map<string, firstEvents.FirstEvent>();
 
   static create(): Pool {
     return new Pool();
@@ -74,16 +76,26 @@
     { id, service, address, dataCentre, slots }: endpoints.RosterEntry,
     traits: configurations.Service | undefined,
   ): endpoint.Endpoint {
-    const memory = traits?.engine &&
-      promptMemory.PromptMemory.create(traits.engine.tokens);
+    const engine = traits?.engine && {
+      memory: promptMemory.PromptMemory.create(traits.engine.tokens),
+      firstEvent: this.#firstEvent(service),
+    };
     this.#byAddress.set(address, dataCentre);
     const identity = { id, service, address, dataCentre, slots };
-    const added = endpoint.Endpoint.create(identity, memory);
+    const added = endpoint.Endpoint.create(identity, engine);
     this.#byId.set(id, added);
     this.#byService.set(service, [...this.of(service), added]);
     return added;
   }
 
+  #firstEvent(service: string): firstEvents.FirstEvent {
+    const known = this.#firstEvents.get(service);
+    if (known !== undefined) return known;
+    const made = firstEvents.FirstEvent.create();
+    this.#firstEvents.set(service, made);
+    return made;
+  }
+
   #remove(id: string, { identity }: endpoint.Endpoint): void {
     this.#byId.delete(id);
     const rest = this.of(identity.service).filter((each) =>
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -13,9 +13,6 @@
 import type * as protocols from "./protocol.ts";
 import type * as refusals from "./refusal.ts";
 
-/** Milliseconds of a first event where no engine is known. */
-const FIRST_EVENT = 250;
-
 /** Least milliseconds after which a refused request may come back: a burst
  * lasts for some seconds. */
 const LEAST_RETURN = 500;
@@ -82,7 +79,7 @@
     this.#options = options;
     this.#started = context.clock.now();
     this.#plan = planOf(context, options);
-    const firstEvent = this.#plan?.firstEvent ?? FIRST_EVENT;
+    const firstEvent = this.#plan?.firstEvent ?? 0;
     this.#wanted = arrival - waited + route.objective - firstEvent;
     const leaves = Math.min(until, arrival + prospect.leavesAfter(route));
     this.#lateWanted = arrival + LATE_SHARE * (leaves - arrival) - firstEvent;
