Results are given up once their engine must have fetched them, not at its first event

Cause: endpoints of large results have room for nine; results were held from the begin of the call that made them until the engine's first event, a second in a burst, so that room and not work bounded how many dear requests were served. Where a call fails after that, its pieces are made again, once, within the retry budget. Tried and left: a part of the expected first event in place of a time (short prompts lacked results where fetching takes a fixed time).

--- a/bench/decisions/deployment.ts
+++ b/bench/decisions/deployment.ts
@@ -56,6 +56,8 @@
   readonly chunk: number;
   /** Tokens of an event. */
   readonly stride: number;
+  /** Milliseconds from a call to when its inputs are fetched. */
+  readonly fetchTime: number;
 }
 
 /** Endpoints that make pieces. */
@@ -99,6 +101,7 @@
       step: 6,
       chunk: 1024,
       stride: 3,
+      fetchTime: 3,
     },
     makers: {
       roster: makers({ a: 1, b: 1, c: 1 }, [6, 200, 28, 14_000_000]),
--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -76,6 +76,7 @@
       greatestAge: 1000,
       calibration: gateway.Calibration.create(),
       patience: gateway.Patience.create(),
+      inputHold: gateway.InputHold.create(),
       knowledge: {
         catalogue: () => catalogue,
         age: () => 0,
--- a/bench/decisions/wire.ts
+++ b/bench/decisions/wire.ts
@@ -97,7 +97,7 @@
     handler.onRequestStart!(controller, undefined);
     const reply: Reply = {
       head: (more = {}) =>
-        handler.onResponseStart!(controller, 200, {
+        handler.onResponseStart!(controller, statusOf(more), {
           "transfer-encoding": "chunked",
           ...more,
         }),
@@ -151,3 +151,7 @@
   }),
   makerOf: (handle) => handle.slice(0, handle.indexOf("/")),
 };
+
+function statusOf(headers: Record<string, string>): number {
+  return headers["not-run"] === undefined ? 200 : 503;
+}
--- a/bench/decisions/world.ts
+++ b/bench/decisions/world.ts
@@ -107,8 +107,7 @@
     }
     const clock = this.#clock;
     const random = this.#random;
-    const isHeld = (handle: string) =>
-      this.#makers.get(wire.protocol.makerOf(handle))!.holds(handle);
+    const isHeld = (handle: string) => this.#isHeld(handle);
     for (const [service, { counts, traits }] of Object.entries(makers)) {
       for (const { address } of this.#placesOf(service, counts)) {
         const world = { clock, random, isHeld };
@@ -303,12 +302,9 @@
     });
   }
 
-  #generate(
-    { address, headers }: wire.Sent,
-    reply: wire.Reply,
-  ): () => void {
-    const engine = this.#engines.get(address)!;
-    const { attempt, urgency, inputs } = headers;
+  #generate(sent: wire.Sent, reply: wire.Reply): () => void {
+    const engine = this.#engines.get(sent.address)!;
+    const { attempt, inputs } = sent.headers;
     if (engine.isDown) {
       reply.fail();
       return () => {};
@@ -316,13 +312,32 @@
     const handles = inputs === undefined || inputs === ""
       ? []
       : inputs.split(",");
-    const isThere = (handle: string) =>
-      this.#makers.get(wire.protocol.makerOf(handle))!.holds(handle);
-    if (!handles.every(isThere)) {
+    let stop = () => {};
+    const { fetchTime } = this.#play.deployment.engines;
+    const cancel = this.#clock.after(fetchTime, () => {
+      if (handles.every((handle) => this.#isHeld(handle))) {
+        stop = this.#run(sent, { engine, handles, reply });
+        return;
+      }
       reply.head({ attempt, "not-run": "1", "lacks-input": "1" });
       reply.end();
-      return () => {};
-    }
+    });
+    return () => {
+      cancel();
+      stop();
+    };
+  }
+
+  /** Runs a call whose inputs are there; returns what ends it. */
+  #run(
+    { address, headers }: wire.Sent,
+    { engine, handles, reply }: {
+      engine: engines.Engine;
+      handles: readonly string[];
+      reply: wire.Reply;
+    },
+  ): () => void {
+    const { attempt, urgency } = headers;
     handles.forEach((handle) => this.#fetch(handle, address));
     const { prompt, events } = this.#requests.get(attempt)!;
     let stop = () => {};
@@ -357,6 +372,10 @@
     };
   }
 
+  #isHeld(handle: string): boolean {
+    return this.#makers.get(wire.protocol.makerOf(handle))!.holds(handle);
+  }
+
   /** Notes a result on its way to where it is worked on. */
   #fetch(handle: string, address: string): void {
     const maker = this.#places.get(wire.protocol.makerOf(handle))!;
--- a/bench/decisions/world_test.ts
+++ b/bench/decisions/world_test.ts
@@ -59,3 +59,24 @@
   t.true(back.length > 20);
   t.true(again.length < back.length / 3, `${again.length} of ${back.length}`);
 });
+
+test("large results are given up before they keep others from being made", async (t) => {
+  const { ended } = await worlds.play({
+    deployment: deployments.party(),
+    seed: 3,
+    length: LENGTH,
+    bursts: [{ at: 2000, length: 6000, factor: 3, kind: "script" }],
+  });
+  const scripts = ended.filter(({ request: { kind } }) =>
+    kind.name === "script"
+  );
+  t.true(accounts.share(scripts) > 0.7, `${accounts.share(scripts)}`);
+});
+
+test("engines that fetch their inputs late are given them all the same", async (t) => {
+  const party = deployments.party();
+  const engines = { ...party.engines, fetchTime: 200 };
+  const deployment = { ...party, engines };
+  const { ended } = await worlds.play({ deployment, seed: 1, length: LENGTH });
+  t.true(accounts.share(ended) > 0.7, `${accounts.share(ended)}`);
+});
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -188,6 +188,7 @@
       greatestAge: this.#greatestAge,
       calibration: gateway.Calibration.create(),
       patience: gateway.Patience.create(),
+      inputHold: gateway.InputHold.create(),
       knowledge: {
         catalogue: () => this.#catalogue,
         age: () => this.#follower.age,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -7,6 +7,7 @@
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import type * as calibrations from "./calibration.ts";
+import type * as inputHolds from "./input_hold.ts";
 import type * as patiences from "./patience.ts";
 import type * as pools from "./pool.ts";
 import type * as protocols from "./protocol.ts";
@@ -39,6 +40,7 @@
   readonly knowledge: Knowledge;
   readonly calibration: calibrations.Calibration;
   readonly patience: patiences.Patience;
+  readonly inputHold: inputHolds.InputHold;
   /** When the host started, by its clock. */
   readonly started: number;
   /** Greatest age of the configuration with which a key is believed. */
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -220,12 +220,11 @@
         }
         continue;
       }
-      const isLacking = outcome.cause === "lacks-input";
-      if (isLacking && remakes++ < REMAKES) {
+      if (!this.#mayRepeat(outcome, service)) return this.#conclude("not-run");
+      if (outcome.cause === "lacks-input" || this.#staging?.isReleased) {
+        if (remakes++ >= REMAKES) return this.#conclude("not-run");
         inputs = await this.#prepare(service);
         if (this.isOver) return;
-      } else if (!this.#mayRepeat(outcome, service)) {
-        return this.#conclude("not-run");
       }
     }
   }
@@ -272,14 +271,14 @@
     if (this.#calls.length > 1) {
       metrics.count("gateway.repeated", 1, { service });
     }
-    const { read, work } = this.#beginRead(target);
+    const reading = this.#beginRead(target);
     target.inFlight++;
     let first = false;
     const onFirst = () => {
       if (first) return;
       first = true;
       note.first = Math.round(clock.now() - started);
-      this.#noteFirst(target, { read, work, started });
+      this.#noteFirst(target, { ...reading, started });
     };
     this.#attempt = attempts.Attempt.start({
       ...this.#context,
@@ -293,9 +292,17 @@
         ? this.#listener(onFirst)
         : undefined,
     });
+    const hold = this.#context.inputHold.time(service);
+    const cancelRelease = inputs === undefined
+      ? () => {}
+      : clock.after(hold, () => this.#staging?.release());
     const outcome = await this.#attempt.outcome;
+    cancelRelease();
+    if (this.#lacksReleased(outcome)) {
+      this.#context.inputHold.noteLack(service, hold);
+    }
     target.inFlight--;
-    if (!first) target.backlog -= read;
+    if (!first) target.backlog -= reading.read;
     note.ms = Math.round(clock.now() - started);
     note.outcome = nameOf(outcome);
     this.#judgeEndpoint(target, outcome, clock.now() - started);
@@ -303,6 +310,12 @@
     return outcome;
   }
 
+  /** Whether a call lacked results that were given up, as it seems, too soon. */
+  #lacksReleased(outcome: attempts.Outcome): boolean {
+    return outcome.type === "failed" && outcome.cause === "lacks-input" &&
+      this.#staging!.isReleased;
+  }
+
   #terms(
     id: string,
     inputs: readonly string[] | undefined,
@@ -355,6 +368,9 @@
     const { clock, metrics } = this.#context;
     const now = clock.now();
     target.backlog -= read;
+    if (this.#staging?.isReleased) {
+      this.#context.inputHold.noteRead(target.identity.service);
+    }
     target.noteFirst(work, { took: now - started, now });
     metrics.time("gateway.first_event", now - this.#arrival, {
       route: this.#route!.name,
@@ -567,10 +583,11 @@
   }
 }
 
-/** Tokens that a call has its engine read, and all that the engine had to do
- * before its first event. */
+/** What a call has its engine do before its first event. */
 interface Reading {
+  /** Tokens of its own prompt. */
   readonly read: number;
+  /** All that the engine has to do. */
   readonly work: firstEvents.Work;
 }
 
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -92,6 +92,7 @@
     knowledge: { catalogue: () => catalogue, age: () => 0, hosts: () => 1 },
     calibration: gateway.Calibration.create(),
     patience: gateway.Patience.create(),
+    inputHold: gateway.InputHold.create(),
     started: 0,
     greatestAge: 1000,
     budget: () => gateway.RetryBudget.create(bounds),
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -70,6 +70,7 @@
   /** When they are wanted where that cannot be kept: before the caller leaves. */
   readonly #lateWanted: number;
   #isLate = false;
+  #isReleased = false;
   /** For its log line. */
   readonly note: StagingNote = {};
 
@@ -126,14 +127,22 @@
     return result;
   }
 
+  /** Whether the results have been given up. */
+  get isReleased(): boolean {
+    return this.#isReleased;
+  }
+
   /** Makes all pieces once more: one of the results is gone. */
   again(): Promise<StagingResult> {
+    this.#isReleased = false;
     this.#preparation.forget();
     return this.#make();
   }
 
   /** Gives the results up; they have been read. */
   release(): void {
+    if (this.#isReleased) return;
+    this.#isReleased = true;
     this.#preparation.release();
   }
 
