What became of requests, and where their time went, is told from logs

Cause: which kinds are refused, late or failed in which window, and what they waited for, had to be gathered by hand from each play. Change: 'chicoryloft requests FILE...' reads the lines that end requests, of a play or of a running fleet, and shows by route and window how they ended and why, and for those served the spread of what each service, the forecast's error, the call's first event and earlier calls took. The lines now name each round of pieces with its service (bounded by stages and repeats). Simulated plays count pieces whose inputs were gone.

--- a/bench/decisions/account.ts
+++ b/bench/decisions/account.ts
@@ -25,6 +25,8 @@
   /** Milliseconds of calls for pieces, and results that found no room. */
   busy: number;
   rejected: number;
+  /** Pieces whose inputs were gone. */
+  starved: number;
   /** Results that were made, and those that a request was served with. */
   made: number;
   used: number;
--- a/bench/decisions/main.ts
+++ b/bench/decisions/main.ts
@@ -67,6 +67,7 @@
       `read ${(sum(({ read }) => read) / 1e6).toFixed(3)} M tokens`,
       `made ${sum(({ made }) => made).toFixed(0)}`,
       `no room ${sum(({ rejected }) => rejected).toFixed(0)}`,
+      `inputs gone ${sum(({ starved }) => starved).toFixed(0)}`,
       `refused again ${again.toFixed(1)}`,
     );
   }
--- a/bench/decisions/maker_endpoint.ts
+++ b/bench/decisions/maker_endpoint.ts
@@ -44,9 +44,11 @@
   #number = 0;
   /** Times the usual time that a call takes. */
   slowness = 1;
-  /** Milliseconds in calls, and results that found no room. */
+  /** Milliseconds in calls, results that found no room, and pieces whose
+   * inputs were gone. */
   busy = 0;
   rejected = 0;
+  starved = 0;
 
   constructor(
     address: string,
@@ -112,7 +114,10 @@
     if (clock.now() - arrived > item.remaining) {
       return { type: "failed", failure: "late" };
     }
-    if (!item.inputs.every(isHeld)) return { type: "failed", failure: "gone" };
+    if (!item.inputs.every(isHeld)) {
+      this.starved++;
+      return { type: "failed", failure: "gone" };
+    }
     const bytes = item.bytes * (1 + SIZE_SPREAD * chance.normal(random));
     const held = [...this.#held.values()].reduce((sum, each) => sum + each, 0);
     if (held + bytes > this.#traits.room) {
--- a/bench/decisions/world.ts
+++ b/bench/decisions/world.ts
@@ -96,6 +96,7 @@
       read: sum([...this.#engines.values()].map(({ read }) => read)),
       busy: sum(makers.map(({ busy }) => busy)),
       rejected: sum(makers.map(({ rejected }) => rejected)),
+      starved: sum(makers.map(({ starved }) => starved)),
     };
   }
 
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -33,6 +33,13 @@
   "clock" | "maker" | "dataCentre" | "knowledge" | "pool" | "protocol"
 >;
 
+/** Pieces of a stage that were asked for, and how many milliseconds it took. */
+export interface RoundNote {
+  readonly service: string;
+  readonly pieces: number;
+  readonly ms: number;
+}
+
 /** When the stages are expected to be made, in milliseconds from now. */
 export interface Expectation {
   readonly finish: number;
@@ -49,6 +56,8 @@
   #isOver = false;
   /** When the answer is wanted. */
   #wanted: number;
+  /** Each time that pieces of a stage were asked for, for the log. */
+  readonly rounds: RoundNote[] = [];
   readonly #stages: readonly Omit<pieces.forecast.StageForecast, "wait">[];
   /** Milliseconds of work behind each stage. */
   #tails: readonly number[];
@@ -182,7 +191,11 @@
   /** Makes the pieces of a stage; resolves with why they cannot be. */
   async #make(round: pieces.Round): Promise<string | undefined> {
     const { stage, service } = round;
-    const results = await this.#needs.maker.make(this.#question(round));
+    const { clock, maker } = this.#needs;
+    const asked = clock.now();
+    const results = await maker.make(this.#question(round));
+    const ms = Math.round(clock.now() - asked);
+    this.rounds.push({ service, pieces: round.pieces.length, ms });
     const made = results.filter(({ handle }) => handle !== undefined);
     this.#plan = this.#plan.take(stage, made);
     if (this.#isOver) this.release();
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -56,6 +56,8 @@
   /** Whether it could not be in time from the start. */
   isLate?: boolean;
   tookMs?: number;
+  /** What it took stage by stage. */
+  rounds?: readonly preparation.RoundNote[];
 }
 
 /** Stages of a request under way. */
@@ -186,6 +188,7 @@
     const result = await this.#preparation.run();
     const tookMs = Math.round(clock.now() - this.#started);
     this.note.tookMs = tookMs;
+    this.note.rounds = this.#preparation.rounds;
     metrics.time("gateway.stages", tookMs, { route: route.name });
     if (result.type === "made") return result;
     const { detail } = result;
--- a/src/operators/cli/main.ts
+++ b/src/operators/cli/main.ts
@@ -6,6 +6,7 @@
 import * as change from "./change_command.ts";
 import * as check from "./check_command.ts";
 import * as look from "./look_commands.ts";
+import * as requests from "./requests_command.ts";
 import * as table from "./table_commands.ts";
 
 /** Streams and environment of a run; those of the process when absent. */
@@ -36,6 +37,7 @@
   const commands = [
     clipanion.Builtins.HelpCommand,
     check.CheckCommand,
+    requests.RequestsCommand,
     table.ShowCommand,
     table.EditCommand,
     table.ImportCommand,
