--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -243,7 +243,7 @@
   }
 
   /** Endpoints of a cell that take calls. */
-  #workers({ service, cell }: pieces.CellName): pieces.Worker[] {
+  #workers({ service, cell }: pieces.cells.CellName): pieces.Worker[] {
     const now = this.#options.clock.now();
     const members = pieces.cells.workersOf(cell, this.#known(service))
       .flatMap(({ id }) => this.#pool.get(id) ?? []);
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -184,7 +184,7 @@
     }
   }
 
-  #cellOf(service: string): pieces.CellName {
+  #cellOf(service: string): pieces.cells.CellName {
     return { service, cell: this.#cells.get(service)! };
   }
 
--- a/src/pieces/batcher.ts
+++ b/src/pieces/batcher.ts
@@ -5,14 +5,14 @@
 import type * as configurations from "../configuration/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as cellBatchers from "./cell_batcher.ts";
-import type * as makers from "./maker.ts";
+import type * as cells from "./cells.ts";
 import type * as works from "./work.ts";
 
 /** What batchers need of their host. */
 export interface BatcherOptions extends cellBatchers.CallOptions {
   service(name: string): configurations.Service | undefined;
   /** Endpoints of a cell that take calls. */
-  workers(of: makers.CellName): readonly works.Worker[];
+  workers(of: cells.CellName): readonly works.Worker[];
 }
 
 /** Batchers of cells. */
@@ -44,12 +44,12 @@
   }
 
   /** Drops the pieces of a request that have not been begun. */
-  drop(of: makers.CellName, request: string): void {
+  drop(of: cells.CellName, request: string): void {
     this.#cells.get(keyOf(of))?.drop(request);
   }
 
   /** Gives results up, so that their room is free. */
-  release(of: makers.CellName, handles: readonly string[]): void {
+  release(of: cells.CellName, handles: readonly string[]): void {
     this.#cell(of)?.release(handles);
   }
 
@@ -66,7 +66,7 @@
   }
 
   /** Undefined where the service is not known to make pieces. */
-  #cell({ service, cell }: makers.CellName):
+  #cell({ service, cell }: cells.CellName):
     | cellBatchers.CellBatcher
     | undefined {
     const key = keyOf({ service, cell });
@@ -85,6 +85,6 @@
   }
 }
 
-function keyOf({ service, cell }: makers.CellName): string {
+function keyOf({ service, cell }: cells.CellName): string {
   return `${service} ${cell}`;
 }
--- a/src/pieces/cells.ts
+++ b/src/pieces/cells.ts
@@ -22,6 +22,12 @@
   readonly workers: readonly works.Worker[];
 }
 
+/** The cell of a service. */
+export interface CellName {
+  readonly service: string;
+  readonly cell: string;
+}
+
 /** Divides the endpoints of a service. Which are sound must not matter: a cell
  * that came and went would lose sight of its results. */
 export function divide(workers: readonly works.Worker[]): Cell[] {
--- a/src/pieces/maker.ts
+++ b/src/pieces/maker.ts
@@ -37,12 +37,6 @@
   isSound(worker: works.Worker): boolean;
 }
 
-/** The cell of a service. */
-export interface CellName {
-  readonly service: string;
-  readonly cell: string;
-}
-
 /** Asks batchers. */
 export class Maker {
   readonly #options: MakerOptions;
@@ -108,7 +102,7 @@
   }
 
   /** Gives results up. */
-  release({ service, cell }: CellName, handles: readonly string[]): void {
+  release({ service, cell }: cells.CellName, handles: readonly string[]): void {
     if (handles.length === 0) return;
     const { self, calls, batcher } = this.#options;
     const [host] = this.#hostsFor({ service, cell });
@@ -118,7 +112,7 @@
   }
 
   /** Drops pieces of a request that have not been begun. */
-  drop({ service, cell }: CellName, request: string): void {
+  drop({ service, cell }: cells.CellName, request: string): void {
     const { self, calls, batcher } = this.#options;
     const [host] = this.#hostsFor({ service, cell });
     if (host === self) return batcher.drop({ service, cell }, request);
@@ -127,7 +121,7 @@
 
   /** Hosts that may batch for a cell, those of its data centre where there are
    * any; never empty. */
-  #hostsFor({ service, cell }: CellName): string[] {
+  #hostsFor({ service, cell }: cells.CellName): string[] {
     const { clock, hosts, self } = this.#options;
     const now = clock.now();
     const there = hosts().filter(({ host }) =>
