Leaving a host out moves no cell but its own

Change: seats are given among all hosts; who is left out comes last. The test fails without the change.

--- a/src/pieces/maker.ts
+++ b/src/pieces/maker.ts
@@ -122,18 +122,28 @@
   /** Hosts that may batch for a cell, those of its data centre where there are
    * any; never empty. */
   #hostsFor({ service, cell }: cells.CellName): string[] {
-    const { clock, hosts, self } = this.#options;
-    const now = clock.now();
-    const there = hosts().filter(({ host }) =>
-      (this.#leftOut.get(host) ?? 0) <= now
-    );
+    const { hosts, self } = this.#options;
+    const there = hosts();
     const place = cells.placeOf(cell);
     const near = there.filter(({ dataCentre }) => dataCentre === place);
     const names = (near.length > 0 ? near : there).map(({ host }) => host);
-    return seats.hostsFor(`${service} ${cell}`, {
+    const named = seats.hostsFor(`${service} ${cell}`, {
       cells: this.#cellsAt(place),
       hosts: names.length > 0 ? names : [self],
     });
+    return this.#leftOutLast(named);
+  }
+
+  /** Puts hosts that did not answer last. They keep their seats: a host that
+   * gave these away would move cells that for all others stay where they are,
+   * and two hosts would batch for the same endpoints. */
+  #leftOutLast(hosts: readonly string[]): string[] {
+    const now = this.#options.clock.now();
+    const isOut = (host: string) => (this.#leftOut.get(host) ?? 0) > now;
+    return [
+      ...hosts.filter((host) => !isOut(host)),
+      ...hosts.filter(isOut),
+    ];
   }
 
   /** Cells of all services at a data centre, or in several places. */
--- a/src/pieces/maker_test.ts
+++ b/src/pieces/maker_test.ts
@@ -24,6 +24,7 @@
 function makerOf(
   endpoints: readonly works.Worker[],
   silent: readonly string[] = [],
+  services: readonly string[] = ["billing", "maps"],
 ) {
   const asked: string[] = [];
   const clock = new runtime.FakeClock();
@@ -33,7 +34,7 @@
     clock,
     logger: telemetry.noLogger,
     hosts: () => HOSTS,
-    services: () => ["billing", "maps"],
+    services: () => services,
     workers: () => endpoints,
     isSound: () => true,
     calls: {
@@ -112,6 +113,24 @@
   t.is(asked.length, 3);
 });
 
+test("leaving a host out moves no cell but its own", async (t) => {
+  const services = ["billing", "gear", "maps"];
+  const endpoints = fixture.workersAt({ hall: 1 });
+  const { maker, asked } = makerOf(endpoints, [], services);
+  for (const each of services) await maker.make(making(each, "all"));
+  const batchers = [...asked];
+  for (const [pos, lost] of services.entries()) {
+    const other = makerOf(endpoints, [batchers[pos]], services);
+    await other.maker.make(making(lost, "all"));
+    for (const [kept, service] of services.entries()) {
+      if (kept === pos) continue;
+      other.asked.length = 0;
+      await other.maker.make(making(service, "all"));
+      t.deepEqual(other.asked, [batchers[kept]]);
+    }
+  }
+});
+
 test("where nobody says when pieces would be made, nothing is assumed", async (t) => {
   const silent = HOSTS.map((each) => each.host);
   const { maker } = makerOf(fixture.workersAt({ hall: 1 }), silent);
