--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -11,10 +11,11 @@
 import type * as endpoint from "./endpoint.ts";
 import type * as eventText from "./event_text.ts";
 import type * as protocols from "./protocol.ts";
-import type * as firstEvents from "./first_event.ts";
+import * as readings from "./reading.ts";
 import * as refusals from "./refusal.ts";
 import * as retry from "./retry.ts";
 import * as staging from "./staging.ts";
+import * as verdicts from "./verdict.ts";
 
 /** Milliseconds without a byte after which a repeatable call is given up, as
  * multiples of the route's objective; an answer later than that earns little,
@@ -273,15 +274,14 @@
     if (this.#calls.length > 1) {
       metrics.count("gateway.repeated", 1, { service });
     }
-    const reading = this.#beginRead(target);
-    target.inFlight++;
-    this.#context.useTeller.note(target, this.#ask!.prompt);
-    let first = false;
+    const reading = readings.Reading.begin(target, {
+      ...this.#context,
+      prompt: this.#ask!.prompt,
+    });
     const onFirst = () => {
-      if (first) return;
-      first = true;
-      note.first = Math.round(clock.now() - started);
-      this.#noteFirst(target, { ...reading, started });
+      if (reading.first === undefined) {
+        this.#noteFirst(target, { reading, note });
+      }
     };
     this.#attempt = attempts.Attempt.start({
       ...this.#context,
@@ -304,12 +304,14 @@
     if (this.#lacksReleased(outcome)) {
       this.#context.inputHold.noteLack(service, hold);
     }
-    target.inFlight--;
-    if (!first) target.backlog -= reading.read;
-    this.#context.useTeller.note(target);
+    reading.end();
     note.ms = Math.round(clock.now() - started);
-    note.outcome = nameOf(outcome);
-    this.#judgeEndpoint(target, outcome, clock.now() - started);
+    note.outcome = verdicts.nameOf(outcome);
+    verdicts.note(target, outcome, {
+      now: clock.now(),
+      duration: clock.now() - started,
+      metrics,
+    });
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
     return outcome;
   }
@@ -355,58 +357,19 @@
     return Math.max(LEAST_SILENCE, SILENCE_OBJECTIVES * route.objective);
   }
 
-  /** Notes prompt tokens on their way to an engine. */
-  #beginRead(target: endpoint.Endpoint): Reading {
-    const { prompt } = this.#ask!;
-    const read = prompt === undefined ? 0 : choice.unread(target, prompt);
-    const work = target.workBefore(read, this.#context.clock.now());
-    if (prompt !== undefined) target.memory?.read(prompt);
-    target.backlog += read;
-    return { read, work };
-  }
-
   #noteFirst(
     target: endpoint.Endpoint,
-    { read, work, started }: Reading & { started: number },
+    { reading, note }: { reading: readings.Reading; note: CallNote },
   ): void {
-    const { clock, metrics } = this.#context;
-    const now = clock.now();
-    target.backlog -= read;
-    this.#context.useTeller.note(target);
-    if (this.#staging?.isReleased) {
-      this.#context.inputHold.noteRead(target.identity.service);
-    }
-    target.noteFirst(work, { took: now - started, now });
-    metrics.time("gateway.first_event", now - this.#arrival, {
+    const { clock, metrics, inputHold } = this.#context;
+    reading.noteFirst();
+    note.first = Math.round(reading.first!);
+    if (this.#staging?.isReleased) inputHold.noteRead(target.identity.service);
+    metrics.time("gateway.first_event", clock.now() - this.#arrival, {
       route: this.#route!.name,
     });
   }
 
-  #judgeEndpoint(
-    target: endpoint.Endpoint,
-    outcome: attempts.Outcome,
-    duration: number,
-  ): void {
-    const { clock, metrics } = this.#context;
-    const now = clock.now();
-    const { service } = target.identity;
-    if (outcome.type === "failed") {
-      const { cause } = outcome;
-      metrics.count("gateway.failed", 1, { service, cause });
-      if (cause === "cancelled" || cause === "deadline") return;
-      if (cause === "misdirected") target.isReplaced = true;
-      const isFull = cause === "full" || cause === "lacks-input";
-      return target.judge(isFull ? "full" : "bad", now);
-    }
-    if (outcome.type === "answer") {
-      const { head } = outcome;
-      if (head.load !== undefined) target.report(head.load, now);
-      target.time(duration);
-      return target.judge(head.status >= 500 ? "bad" : "good", now);
-    }
-    target.judge("good", now);
-  }
-
   #listener(onFirst: () => void): attempts.StreamListener {
     let head: protocols.ReplyHead;
     return {
@@ -594,14 +557,6 @@
   }
 }
 
-/** What a call has its engine do before its first event. */
-interface Reading {
-  /** Tokens of its own prompt. */
-  readonly read: number;
-  /** All that the engine has to do. */
-  readonly work: firstEvents.Work;
-}
-
 /** What is known of a refusal, for its log line. */
 interface About extends Readonly<Record<string, unknown>> {
   /** Seconds after which to come back, in place of those of the reason. */
@@ -622,8 +577,3 @@
 const LAST_URGENCY = 9;
 
 const NOTHING = Buffer.alloc(0);
-
-function nameOf(outcome: attempts.Outcome): string {
-  if (outcome.type === "failed") return outcome.cause;
-  return outcome.type === "answer" ? `${outcome.head.status}` : "ended";
-}
