--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -30,8 +30,10 @@
 const KEEP_ALIVE = 2000;
 const KEEP_ALIVE_MARGIN = 400;
 
-/** Most hosts that a host tells what it has engines do: all others of a small
- * fleet; in a large one what a host sends and hears does not grow further. */
+/** Most hosts that a host tells what it has engines do. In a larger fleet it
+ * tells none: each word goes to all, 50 times a second at most, so that both
+ * what a host sends and what it hears grow with the fleet, and what a part of
+ * the hosts would know is not measured. */
 const TOLD = 11;
 
 /** Decodes a configuration; throws `FleetError` when it cannot be read. */
@@ -260,16 +262,12 @@
     return Promise.resolve({ type: "booked", wait, work });
   }
 
-  /** Tells some other hosts what this one has engines do: the next ones in the
-   * order of their names, so that each hears from as many. */
+  /** Tells the other hosts what this one has engines do. */
   #tellUse(uses: schema.EngineUse[]): void {
     const { settings: { host: self } } = this.#options;
-    const names = this.#follower.hosts.map(({ host }) => host)
-      .filter((host) => host !== self).sort();
-    const next = names.findIndex((host) => host > self);
-    const after = next < 0 ? 0 : next;
-    const told = [...names.slice(after), ...names.slice(0, after)];
-    for (const host of told.slice(0, TOLD)) {
+    const others = this.#follower.hosts.filter(({ host }) => host !== self);
+    if (others.length > TOLD) return;
+    for (const { host } of others) {
       this.#network.calls.cast(host, { type: "use", uses });
     }
   }
