Work that can wait finds its inputs and its room still there

Change: a stage whose inputs are there is wanted within 0.4 of the time for which they are kept, and keeps its turn when it is late; an endpoint that had no room for most of a call rests for 60, 120, 240, 480 ms; those pieces have not been tried.

--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -7,6 +7,11 @@
 import type * as contexts from "./context.ts";
 import type * as protocols from "./protocol.ts";
 
+/** Part of the time for which results are kept in which what works on them is
+ * wanted once they are there: work that can wait would else find them gone, and
+ * have them made again. */
+const KEPT = 0.4;
+
 /** Times that pieces of one request are asked for again. */
 const REPEATS = 3;
 
@@ -231,7 +236,7 @@
       bytes,
       moved: Math.max(bytes, inputBytes),
       remaining: Math.max(0, this.#left()),
-      slack: this.#slack(stage),
+      slack: Math.min(this.#slack(stage), this.#kept(stage)),
       rank,
       dataCentre,
     };
@@ -260,6 +265,17 @@
     return this.#wanted - this.#needs.clock.now() - this.#tails[stage];
   }
 
+  /** Milliseconds within which a stage whose inputs are there is wanted. */
+  #kept(stage: number): number {
+    const { route } = this.#options;
+    const catalogue = this.#needs.knowledge.catalogue();
+    const times = route.stages[stage].after.map((other) => {
+      const { service } = route.stages[other];
+      return catalogue?.service(service)?.pieces?.keepTime ?? Infinity;
+    });
+    return KEPT * Math.min(Infinity, ...times);
+  }
+
   #left(): number {
     return this.#options.until - this.#needs.clock.now();
   }
--- a/src/pieces/cell_batcher.ts
+++ b/src/pieces/cell_batcher.ts
@@ -185,7 +185,8 @@
       const result = results[pos];
       return result.type === "failed" && result.failure === "room";
     });
-    if (rejected.length > 0) this.#noteFull(assignment, rejected, now);
+    const isFull = rejected.length > 0 &&
+      this.#noteFull(assignment, rejected, now);
     results.forEach((result, pos) => {
       const work = works[pos];
       const { piece } = work;
@@ -197,26 +198,25 @@
       metrics.count("pieces.failed", 1, { service, failure });
       const isFinal = failure === "gone" || failure === "late";
       if (isFinal) this.#settle(work, { piece, failure });
-      else this.#again(work, failure);
+      else this.#again(isFull ? untried(work) : work, failure);
     });
   }
 
-  /** Notes that an endpoint had less room than was thought. */
+  /** Notes that an endpoint had less room than was thought; says whether most
+   * of the call found none. */
   #noteFull(
     { worker, works }: works.Assignment,
     rejected: readonly works.Work[],
     now: number,
-  ): void {
+  ): boolean {
     const { logger, service } = this.#options;
-    const belief = this.#scheduler.noteFull(worker.id, now);
-    logger.info({
-      service,
-      endpoint: worker.id,
-      pieces: works.length,
-      rejected: rejected.length,
-      bytes: rejected[0].bytes,
-      ...belief,
-    }, "Endpoint had no room");
+    const full = { rejected: rejected.length, pieces: works.length };
+    const belief = this.#scheduler.noteFull(worker.id, full, now);
+    logger.info(
+      { service, endpoint: worker.id, ...full, ...belief, ...sizeOf(rejected) },
+      "Endpoint had no room",
+    );
+    return belief.isMost;
   }
 
   #takeFailure(
@@ -234,9 +234,7 @@
     );
     this.#scheduler.fail(assignment, { now, pause });
     for (const work of works) {
-      // A full endpoint has not tried.
-      const tries = cause === "full" ? work.tries - 1 : work.tries;
-      this.#again({ ...work, tries }, "unreachable");
+      this.#again(cause === "full" ? untried(work) : work, "unreachable");
     }
   }
 
@@ -283,6 +281,15 @@
   }
 }
 
+/** A piece that a full endpoint has not tried. */
+function untried(work: works.Work): works.Work {
+  return { ...work, tries: work.tries - 1 };
+}
+
+function sizeOf([{ bytes }]: readonly works.Work[]): { bytes: number } {
+  return { bytes };
+}
+
 /** Milliseconds after which a full endpoint is asked again: about one call. */
 const FULL_PAUSE = 120;
 
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -187,12 +187,16 @@
     this.#workers.get(worker.id)?.fail(called, { now, pause });
   }
 
-  /** Notes that an endpoint has no room left, whatever was thought; returns
-   * what was thought. */
-  noteFull(worker: string, now: number): workerStates.RoomBelief | undefined {
+  /** Notes that an endpoint had no room for some pieces of a call, whatever was
+   * thought; returns what was thought, and whether those were most of it. */
+  noteFull(
+    worker: string,
+    full: { rejected: number; pieces: number },
+    now: number,
+  ): Partial<workerStates.RoomBelief> & { isMost: boolean } {
     const state = this.#workers.get(worker);
-    state?.block(now + FULL_PAUSE);
-    return state?.belief(this.#traits.room);
+    const isMost = state?.noteFull(full, now) ?? false;
+    return { ...state?.belief(this.#traits.room), isMost };
   }
 
   /** Notes that the endpoint at an address has given results up. */
@@ -250,9 +254,11 @@
    * and end by themselves before that: what is begun keeps its turn. In
    * simulated bursts .05 of the worth hangs on it. */
   #turnOf(work: works.Work, now: number): number {
-    const { wanted, expires, rank, isBegun } = work;
+    const { wanted, expires, rank, isBegun, inputs } = work;
     const soonest = now + this.#expected(1) - LATE_TOLERANCE;
-    if (wanted >= soonest || isBegun) return works.turnOf(work);
+    if (wanted >= soonest || isBegun || inputs !== undefined) {
+      return works.turnOf(work);
+    }
     const { batch } = this.#traits;
     const last = expires - LATE_CALLS * this.#expected(batch);
     return works.turnOf({ wanted: Math.max(wanted, last), rank });
@@ -356,8 +362,6 @@
 /** A call that takes so many times as long as it should counts as hung: slow
  * endpoints take some times as long, and are still of use. */
 const HANGING = 6;
-/** Milliseconds after which an endpoint without room is asked again. */
-const FULL_PAUSE = 60;
 
 /** Milliseconds that pieces wait where nobody can make them: about until an
  * endpoint is tried again. */
--- a/src/pieces/worker_state.ts
+++ b/src/pieces/worker_state.ts
@@ -10,6 +10,13 @@
 const LAST_REST = 5000;
 /** Part of its room that is filled: sizes are approximate. */
 const FILLED = 0.97;
+/** Milliseconds of the pause after a call of which it had no room for a piece;
+ * it doubles up to the last while most of each call finds none: something else
+ * holds its room, such as results of a batcher that was lost, for seconds. */
+const FIRST_FULL = 60;
+const LAST_FULL = 480;
+/** Part of the pieces of a call from which on most of it found no room. */
+const MOSTLY = 0.5;
 /** Part of a new value in the running mean of its slowness. */
 const GAIN = 0.3;
 
@@ -43,6 +50,8 @@
   #blockedUntil = 0;
   /** Pause after the next failure. */
   #rest = FIRST_REST;
+  /** Pause after the next call that mostly finds no room. */
+  #fullPause = FIRST_FULL;
   #slowness = 1;
   /** Results that it holds, and when they end by themselves; those that end
    * first come first, since all are kept for the same time. */
@@ -150,9 +159,17 @@
     if (pause === undefined) this.#rest = Math.min(LAST_REST, 2 * this.#rest);
   }
 
-  /** Gives it no call before a time. */
-  block(until: number): void {
-    this.#blockedUntil = until;
+  /** Notes that it had no room for some of a call's pieces; says whether that
+   * was most of them. */
+  noteFull(
+    { rejected, pieces }: { rejected: number; pieces: number },
+    now: number,
+  ): boolean {
+    const isMost = rejected >= MOSTLY * pieces;
+    if (!isMost) this.#fullPause = FIRST_FULL;
+    this.#blockedUntil = now + this.#fullPause;
+    if (isMost) this.#fullPause = Math.min(LAST_FULL, 2 * this.#fullPause);
+    return isMost;
   }
 
   /** Notes that it has given a result up. */
--- a/src/pieces/worker_state_test.ts
+++ b/src/pieces/worker_state_test.ts
@@ -74,3 +74,18 @@
   state.fail(pieces(1), { now: 1000 });
   t.true(state.isUsable(1300));
 });
+
+test("an endpoint whose room others hold is asked ever less often", (t) => {
+  const state = stateOf();
+  const pauses: number[] = [];
+  let now = 0;
+  for (let call = 0; call < 5; call++) {
+    t.true(state.noteFull({ rejected: 6, pieces: 12 }, now));
+    const from = now;
+    while (!state.isUsable(now)) now += 10;
+    pauses.push(now - from);
+  }
+  t.deepEqual(pauses, [60, 120, 240, 480, 480]);
+  t.false(state.noteFull({ rejected: 1, pieces: 12 }, now));
+  t.true(state.isUsable(now + 60));
+});
