What forecasts miss by is tolerated up to a tenth of the objective

Change: at most a tenth of the objective; what is late from the start does not teach forecasts, whose horizon is another.

--- a/src/gateway/prospect.ts
+++ b/src/gateway/prospect.ts
@@ -9,6 +9,9 @@
  * refused can hardly be in time when it comes back, while one that is let in
  * and becomes late goes behind others. */
 const TOLERATED = 1.25;
+/** Part of the objective that is tolerated at most: where all is late, errors
+ * are seconds, and what they would let in makes more late. */
+const MOST_TOLERATED = 0.1;
 /** Callers leave a stream without events after the longest of these: so many
  * milliseconds, objectives, and longest pauses. */
 const LEAVE = 2000;
@@ -28,12 +31,23 @@
   return Math.min(timeout, silent);
 }
 
-/** Whether pieces are expected in time, by forecasts that miss by `error` on
- * average. One that takes too long even where nothing waits is not refused for
- * it: coming back would not help. */
+/** What is expected of a request's pieces, in milliseconds from now. */
+export interface Prospect {
+  /** Until all are made. */
+  readonly finish: number;
+  /** The same if nothing waited. */
+  readonly alone: number;
+  /** By which forecasts miss on average. */
+  readonly error: number;
+}
+
+/** Whether pieces are expected in time for an objective, of which `left` is
+ * left for them. One that takes too long even where nothing waits is not
+ * refused for it: coming back would not help. */
 export function isInTime(
-  { finish, alone, error }: { finish: number; alone: number; error: number },
-  left: number,
+  { finish, alone, error }: Prospect,
+  { left, objective }: { left: number; objective: number },
 ): boolean {
-  return finish - Math.max(left, alone) <= TOLERATED * error;
+  const tolerance = Math.min(TOLERATED * error, MOST_TOLERATED * objective);
+  return finish - Math.max(left, alone) <= tolerance;
 }
--- a/src/gateway/prospect_test.ts
+++ b/src/gateway/prospect_test.ts
@@ -5,11 +5,23 @@
 import * as prospect from "./prospect.ts";
 
 test("a request is in time when its pieces are, or when nothing waits", (t) => {
-  const forecast = { alone: 500, error: 80 };
-  t.true(prospect.isInTime({ ...forecast, finish: 900 }, 900));
-  t.true(prospect.isInTime({ ...forecast, finish: 1000 }, 900));
-  t.false(prospect.isInTime({ ...forecast, finish: 1001 }, 900));
-  t.true(prospect.isInTime({ ...forecast, finish: 500 }, 100));
+  const forecast = { alone: 500 };
+  const isInTime = (finish: number, left: number, error = 80) =>
+    prospect.isInTime({ ...forecast, finish, error }, {
+      left,
+      objective: 1500,
+    });
+  t.true(isInTime(900, 900));
+  t.true(isInTime(1000, 900));
+  t.false(isInTime(1001, 900));
+  t.true(isInTime(500, 100));
+});
+
+test("forecasts that miss by seconds do not let in what they would make late", (t) => {
+  const forecast = { alone: 500, error: 3000 };
+  const time = { left: 900, objective: 1500 };
+  t.true(prospect.isInTime({ ...forecast, finish: 1050 }, time));
+  t.false(prospect.isInTime({ ...forecast, finish: 1051 }, time));
 });
 
 test("callers leave a stream that is silent for some objectives", (t) => {
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -122,7 +122,7 @@
     }
     if (refusal !== undefined) return refusal;
     const result = await this.#make();
-    if (result.type === "made") {
+    if (result.type === "made" && !this.#isLate) {
       const { calibration } = this.#context;
       calibration.learn(this.#options.route.name, forecast, this.note.tookMs!);
     }
@@ -168,7 +168,7 @@
 
   #judge(forecast: preparation.Expectation): StagingResult | undefined {
     const { calibration } = this.#context;
-    const { name } = this.#options.route;
+    const { name, objective } = this.#options.route;
     const { alone } = forecast;
     const finish = calibration.correct(name, forecast);
     this.note.expectedMs = Math.round(finish);
@@ -176,7 +176,7 @@
     const left = wanted - this.#context.clock.now();
     const error = calibration.error(name, forecast);
     const expected = { finish, alone, error };
-    if (prospect.isInTime(expected, left)) return undefined;
+    if (prospect.isInTime(expected, { left, objective })) return undefined;
     const retryAfter = this.#returnAfter(finish - Math.max(left, alone));
     const about = { aloneMs: alone, left, retryAfter };
     return { type: "refused", reason: "no-time", about };
