--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -250,9 +250,9 @@
 
   /** The time that decides a piece's turn. One that cannot be in time any more
    * must not make others late: it is wanted only before its caller leaves. But
-   * results of its stage that were begun take up room until the last is made,
-   * and end by themselves before that: what is begun keeps its turn. In
-   * simulated bursts .05 of the worth hangs on it. */
+   * results of its own stage, or those that it works on, take up room until it
+   * is made, and end by themselves before that: what is begun keeps its turn.
+   * In simulated bursts .05 of the worth hangs on it. */
   #turnOf(work: works.Work, now: number): number {
     const { wanted, expires, rank, isBegun, inputs } = work;
     const soonest = now + this.#expected(1) - LATE_TOLERANCE;
