A host without a leader of the log says why

Cause: from one host's lines alone, a replica that was never taken in, split elections, a silent leader and a lost majority looked the same.

--- a/src/control/versions/keeper.ts
+++ b/src/control/versions/keeper.ts
@@ -8,6 +8,7 @@
 import * as log from "../log/mod.ts";
 import * as errors from "./errors.ts";
 import * as machines from "./machine.ts";
+import * as standings from "./standing.ts";
 
 /** Milliseconds between tries while no leader answers: an election takes some
  * hundreds. */
@@ -16,6 +17,9 @@
 const RESTART = 500;
 /** Milliseconds in which a leader answers a question of another host. */
 const ANSWER = 1000;
+/** Milliseconds between looks for a log without a leader: longer than one
+ * election takes, so that a line says that it did not succeed. */
+const WATCH = 1000;
 
 /** Sizes of the log for commands that hold whole documents, of which a hundred
  * kilobytes each are expected: snapshots come often enough for a small disk. */
@@ -67,6 +71,8 @@
   #stopped = false;
   #waiting: { index: number; resolve(): void }[] = [];
   #members?: unknown;
+  /** When a replica of each host was heard last. */
+  readonly #heard = new Map<string, number>();
 
   private constructor(options: KeeperOptions) {
     this.#options = options;
@@ -77,6 +83,7 @@
   static async start(options: KeeperOptions): Promise<Keeper> {
     const keeper = new Keeper(options);
     await keeper.#start();
+    keeper.#watch();
     return keeper;
   }
 
@@ -108,6 +115,7 @@
 
   /** Takes a message of another replica. */
   receive(envelope: runtime.Envelope): void {
+    this.#heard.set(envelope.from, this.#options.clock.now());
     this.#runner?.receive(envelope);
   }
 
@@ -157,6 +165,15 @@
     this.#runner?.stop();
   }
 
+  /** What this host knows of leader and majority; undefined while the replica
+   * does not run. */
+  get standing(): standings.Standing | undefined {
+    const replica = this.#runner?.replica;
+    if (replica === undefined) return undefined;
+    const now = this.#options.clock.now();
+    return standings.standingOf(replica, { heard: this.#heard, now });
+  }
+
   /** State for people. */
   dump(): unknown {
     if (this.#runner === undefined) return { runs: false };
@@ -220,6 +237,18 @@
     });
   }
 
+  /** Says so, time and again, while this host knows of no leader. */
+  #watch(): void {
+    const { clock, logger } = this.#options;
+    clock.after(WATCH, () => {
+      if (this.#stopped) return;
+      if (this.leader === undefined) {
+        logger.info({ ...this.standing }, "Log without a leader");
+      }
+      this.#watch();
+    });
+  }
+
   #takeState(state: machines.Edition, index: number): void {
     const ready = this.#waiting.filter((each) => each.index <= index);
     this.#waiting = this.#waiting.filter((each) => each.index > index);
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -347,8 +347,7 @@
   #unanswered(error: unknown, about: object): protocol.ControlAnswer {
     if (!(error instanceof versions.VersionError)) throw error;
     const { kind, message } = error;
-    const leader = this.#keeper?.leader;
-    const fields = { ...about, kind, leader };
+    const fields = { ...about, kind, ...this.#keeper?.standing };
     this.#options.logger.info(fields, "Operator not answered");
     return protocol.problem(503, message);
   }
