A leader does its duties whenever it sends signs of life

Cause: rounds that confirm reads send signs of life and put the next heartbeat off; taking in replicas and stepping down hung on the heartbeat's tick. Under steady reads a leader took in nobody until the next order, and one that is cut off never stepped down. Change: both go through one function, which does the duties first.

--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -130,7 +130,7 @@
   },
   remove: (draft, { id }) => change.remove(draft, id),
   confirm(draft) {
-    if (draft.state.role === "leader") replication.beat(draft);
+    if (draft.state.role === "leader") lead(draft);
   },
   transfer: (draft) => transfer.start(draft),
 };
@@ -183,7 +183,13 @@
     if (now >= state.electionAt) election.timeOut(draft);
     return;
   }
-  if (now < state.heartbeatAt) return;
+  if (now >= state.heartbeatAt) lead(draft);
+}
+
+/** What a leader owes whenever it sends signs of life: each sending puts the
+ * next one off, so that duties done at other times might never come. */
+function lead(draft: drafts.Draft): void {
+  const { state, now } = draft;
   const heard = Math.max(lease.heard(state), state.electedAt);
   const isAlone = heard + state.timing.electionMost <= now;
   const hasHandedOver = now >= (state.transferEnd ?? Infinity);
