--- a/src/fleet/base.ts
+++ b/src/fleet/base.ts
@@ -47,6 +47,7 @@
       fleet: fleetMessages.validate,
       log: logMessages.validate,
     },
+    entryLists: { fleet: ["sightings", "uses", "hosts"] },
     clock,
     logger,
     metrics,
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -10,6 +10,7 @@
 import * as link from "./link.ts";
 import * as listener from "./listener.ts";
 import * as proof from "./proof.ts";
+import * as salvages from "./salvage.ts";
 
 /** Milliseconds between looks for silent and idle connections. */
 const SWEEP = 250;
@@ -40,6 +41,9 @@
   listenAddress?: string;
   /** Validator of each channel; messages of other channels are dropped. */
   validators: Partial<Record<runtime.Channel, check.Validator>>;
+  /** Lists of each channel's messages whose entries stand by themselves: one
+   * that can't be read is left out, the others hold. */
+  entryLists?: Partial<Record<runtime.Channel, readonly string[]>>;
   clock: runtime.Clock;
   metrics?: telemetry.Metrics;
   logger?: telemetry.Logger;
@@ -170,10 +174,11 @@
   }
 
   #receive(from: string, batch: schema.Batch): number {
-    const { self: to, validators } = this.#options;
+    const { self: to } = this.#options;
     let taken = 0;
-    for (const { channel, body } of batch) {
-      if (!validators[channel]?.(body)) {
+    for (const { channel: name, body } of batch) {
+      const channel = name as runtime.Channel;
+      if (!this.#isReadable({ from, channel, body })) {
         this.#drop("ill-formed");
         continue;
       }
@@ -184,6 +189,32 @@
     return taken;
   }
 
+  #isReadable(
+    { from, channel, body }: Omit<runtime.Envelope, "to">,
+  ): boolean {
+    const { validators, entryLists = {} } = this.#options;
+    const validate = validators[channel];
+    if (validate === undefined) return false;
+    const lists = entryLists[channel];
+    const leftOut = salvages.salvage(body, { validate, lists });
+    const reason = validate.errors?.[0];
+    if (leftOut === undefined) {
+      const about = { peer: from, channel, path: reason?.instancePath };
+      this.#logger.warn(about, "Message could not be read");
+      return false;
+    }
+    if (leftOut.length === 0) return true;
+    for (const list of leftOut) {
+      this.#metrics.count("peer.left_out", 1, { list });
+    }
+    const about = { peer: from, channel, lists: [...new Set(leftOut)] };
+    this.#logger.warn(
+      { ...about, count: leftOut.length },
+      "Entries of a message could not be read",
+    );
+    return true;
+  }
+
   /** One message that fails must not lose the others of its batch. */
   #hand(envelope: runtime.Envelope): void {
     try {
--- a/src/schema/log_validators.ts
+++ b/src/schema/log_validators.ts
@@ -5,8 +5,8 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"LogMessage","description":"Messages between replicas of the log. `from` and `to` are the incarnations of\nthe two data folders; the hosts stand in the envelope. An empty `to` means\nwhichever folder the host has now.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Probe"},{"$ref":"#/$defs/Probed"},{"$ref":"#/$defs/VoteRequest"},{"$ref":"#/$defs/Vote"},{"$ref":"#/$defs/Heartbeat"},{"$ref":"#/$defs/HeartbeatReply"},{"$ref":"#/$defs/Append"},{"$ref":"#/$defs/Appended"},{"$ref":"#/$defs/SnapshotChunk"},{"$ref":"#/$defs/SnapshotReply"},{"$ref":"#/$defs/TimeoutNow"}],"$defs":{"Count":{"title":"Count","type":"integer","minimum":0},"Incarnation":{"title":"Incarnation","type":"string","maxLength":16},"ReplicaId":{"title":"ReplicaId","description":"Host and incarnation of its data folder, joined by a tilde.","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$"},"Members":{"title":"Members","type":"object","additionalProperties":false,"required":["voters","learners"],"properties":{"voters":{"type":"array","items":{"$ref":"#/$defs/ReplicaId"}},"learners":{"type":"array","items":{"$ref":"#/$defs/ReplicaId"}}}},"Command":{"title":"Command","description":"Opaque to the log but for its id and type.","type":"object","required":["id","type"],"properties":{"id":{"type":"string"},"type":{"type":"string"}},"additionalProperties":true},"Entry":{"title":"Entry","description":"An entry without command or members opens a term.","type":"object","additionalProperties":false,"required":["index","term"],"properties":{"index":{"$ref":"#/$defs/Count"},"term":{"$ref":"#/$defs/Count"},"command":{"$ref":"#/$defs/Command"},"members":{"$ref":"#/$defs/Members"}}},"Probe":{"title":"Probe","description":"Asks a host whether its log is empty; asks a leader to be added.","type":"object","additionalProperties":false,"required":["type","from","to"],"properties":{"type":{"const":"probe"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"}}},"Probed":{"title":"Probed","type":"object","additionalProperties":false,"required":["type","from","to","empty"],"properties":{"type":{"const":"probed"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"empty":{"type":"boolean"}}},"VoteRequest":{"title":"VoteRequest","type":"object","additionalProperties":false,"required":["type","from","to","term","lastIndex","lastTerm"],"properties":{"type":{"const":"vote-request"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"lastIndex":{"$ref":"#/$defs/Count"},"lastTerm":{"$ref":"#/$defs/Count"},"pre":{"type":"boolean","description":"Asks without raising the term."},"transfer":{"type":"boolean","description":"The leader has asked for it."}}},"Vote":{"title":"Vote","type":"object","additionalProperties":false,"required":["type","from","to","term","granted"],"properties":{"type":{"const":"vote"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"granted":{"type":"boolean"},"pre":{"type":"boolean"}}},"Heartbeat":{"title":"Heartbeat","type":"object","additionalProperties":false,"required":["type","from","to","term","commit","at"],"properties":{"type":{"const":"heartbeat"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"commit":{"$ref":"#/$defs/Count"},"at":{"type":"number","description":"Leader's clock; echoed by the reply."}}},"HeartbeatReply":{"title":"HeartbeatReply","type":"object","additionalProperties":false,"required":["type","from","to","term","at"],"properties":{"type":{"const":"heartbeat-reply"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}},"Append":{"title":"Append","type":"object","additionalProperties":false,"required":["type","from","to","term","previous","previousTerm","entries","commit","at"],"properties":{"type":{"const":"append"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"previous":{"$ref":"#/$defs/Count"},"previousTerm":{"$ref":"#/$defs/Count"},"entries":{"type":"array","items":{"$ref":"#/$defs/Entry"}},"commit":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}},"Appended":{"title":"Appended","type":"object","additionalProperties":false,"required":["type","from","to","term","ok","previous","match","at"],"properties":{"type":{"const":"appended"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"ok":{"type":"boolean"},"previous":{"$ref":"#/$defs/Count"},"match":{"description":"Last index known to match; when refused, where to try next.","$ref":"#/$defs/Count"},"at":{"type":"number"}}},"SnapshotChunk":{"title":"SnapshotChunk","type":"object","additionalProperties":false,"required":["type","from","to","term","index","indexTerm","members","offset","length","data","at"],"properties":{"type":{"const":"snapshot"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"index":{"$ref":"#/$defs/Count"},"indexTerm":{"$ref":"#/$defs/Count"},"members":{"$ref":"#/$defs/Members"},"offset":{"$ref":"#/$defs/Count"},"length":{"$ref":"#/$defs/Count"},"data":{"type":"string"},"at":{"type":"number"}}},"SnapshotReply":{"title":"SnapshotReply","type":"object","additionalProperties":false,"required":["type","from","to","term","index","offset","at"],"properties":{"type":{"const":"snapshot-reply"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"index":{"$ref":"#/$defs/Count"},"offset":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}},"TimeoutNow":{"title":"TimeoutNow","description":"Asks a follower to stand for election at once.","type":"object","additionalProperties":false,"required":["type","from","to","term"],"properties":{"type":{"const":"timeout-now"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"}}}}};
-const schema32 = {"title":"Probe","description":"Asks a host whether its log is empty; asks a leader to be added.","type":"object","additionalProperties":false,"required":["type","from","to"],"properties":{"type":{"const":"probe"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"LogMessage","description":"Messages between replicas of the log. `from` and `to` are the incarnations of\nthe two data folders; the hosts stand in the envelope. An empty `to` means\nwhichever folder the host has now.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Probe"},{"$ref":"#/$defs/Probed"},{"$ref":"#/$defs/VoteRequest"},{"$ref":"#/$defs/Vote"},{"$ref":"#/$defs/Heartbeat"},{"$ref":"#/$defs/HeartbeatReply"},{"$ref":"#/$defs/Append"},{"$ref":"#/$defs/Appended"},{"$ref":"#/$defs/SnapshotChunk"},{"$ref":"#/$defs/SnapshotReply"},{"$ref":"#/$defs/TimeoutNow"}],"$defs":{"Count":{"title":"Count","type":"integer","minimum":0},"Incarnation":{"title":"Incarnation","type":"string","maxLength":16},"ReplicaId":{"title":"ReplicaId","description":"Host and incarnation of its data folder, joined by a tilde.","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$"},"Members":{"title":"Members","type":"object","required":["voters","learners"],"properties":{"voters":{"type":"array","items":{"$ref":"#/$defs/ReplicaId"}},"learners":{"type":"array","items":{"$ref":"#/$defs/ReplicaId"}}}},"Command":{"title":"Command","description":"Opaque to the log but for its id and type.","type":"object","required":["id","type"],"properties":{"id":{"type":"string"},"type":{"type":"string"}},"additionalProperties":true},"Entry":{"title":"Entry","description":"An entry without command or members opens a term.","type":"object","required":["index","term"],"properties":{"index":{"$ref":"#/$defs/Count"},"term":{"$ref":"#/$defs/Count"},"command":{"$ref":"#/$defs/Command"},"members":{"$ref":"#/$defs/Members"}}},"Probe":{"title":"Probe","description":"Asks a host whether its log is empty; asks a leader to be added.","type":"object","required":["type","from","to"],"properties":{"type":{"const":"probe"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"}}},"Probed":{"title":"Probed","type":"object","required":["type","from","to","empty"],"properties":{"type":{"const":"probed"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"empty":{"type":"boolean"}}},"VoteRequest":{"title":"VoteRequest","type":"object","required":["type","from","to","term","lastIndex","lastTerm"],"properties":{"type":{"const":"vote-request"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"lastIndex":{"$ref":"#/$defs/Count"},"lastTerm":{"$ref":"#/$defs/Count"},"pre":{"type":"boolean","description":"Asks without raising the term."},"transfer":{"type":"boolean","description":"The leader has asked for it."}}},"Vote":{"title":"Vote","type":"object","required":["type","from","to","term","granted"],"properties":{"type":{"const":"vote"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"granted":{"type":"boolean"},"pre":{"type":"boolean"}}},"Heartbeat":{"title":"Heartbeat","type":"object","required":["type","from","to","term","commit","at"],"properties":{"type":{"const":"heartbeat"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"commit":{"$ref":"#/$defs/Count"},"at":{"type":"number","description":"Leader's clock; echoed by the reply."}}},"HeartbeatReply":{"title":"HeartbeatReply","type":"object","required":["type","from","to","term","at"],"properties":{"type":{"const":"heartbeat-reply"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}},"Append":{"title":"Append","type":"object","required":["type","from","to","term","previous","previousTerm","entries","commit","at"],"properties":{"type":{"const":"append"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"previous":{"$ref":"#/$defs/Count"},"previousTerm":{"$ref":"#/$defs/Count"},"entries":{"type":"array","items":{"$ref":"#/$defs/Entry"}},"commit":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}},"Appended":{"title":"Appended","type":"object","required":["type","from","to","term","ok","previous","match","at"],"properties":{"type":{"const":"appended"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"ok":{"type":"boolean"},"previous":{"$ref":"#/$defs/Count"},"match":{"description":"Last index known to match; when refused, where to try next.","$ref":"#/$defs/Count"},"at":{"type":"number"}}},"SnapshotChunk":{"title":"SnapshotChunk","type":"object","required":["type","from","to","term","index","indexTerm","members","offset","length","data","at"],"properties":{"type":{"const":"snapshot"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"index":{"$ref":"#/$defs/Count"},"indexTerm":{"$ref":"#/$defs/Count"},"members":{"$ref":"#/$defs/Members"},"offset":{"$ref":"#/$defs/Count"},"length":{"$ref":"#/$defs/Count"},"data":{"type":"string"},"at":{"type":"number"}}},"SnapshotReply":{"title":"SnapshotReply","type":"object","required":["type","from","to","term","index","offset","at"],"properties":{"type":{"const":"snapshot-reply"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"index":{"$ref":"#/$defs/Count"},"offset":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}},"TimeoutNow":{"title":"TimeoutNow","description":"Asks a follower to stand for election at once.","type":"object","required":["type","from","to","term"],"properties":{"type":{"const":"timeout-now"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"}}}}};
+const schema32 = {"title":"Probe","description":"Asks a host whether its log is empty; asks a leader to be added.","type":"object","required":["type","from","to"],"properties":{"type":{"const":"probe"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"}}};
 const schema33 = {"title":"Incarnation","type":"string","maxLength":16};
 
 function validate21(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -27,23 +27,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(((key0 === "type") || (key0 === "from")) || (key0 === "to"))){
-validate21.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema32,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("probe" !== data0){
 validate21.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "probe"},message:"must be equal to constant",schema:"probe",parentSchema:schema32.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -51,9 +42,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate21.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -65,7 +56,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -73,9 +64,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate21.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -87,7 +78,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -96,7 +87,6 @@
 }
 }
 }
-}
 else {
 validate21.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema32.type,parentSchema:schema32,data}];
 return false;
@@ -105,9 +95,9 @@
 validate21.errors = vErrors;
 return errors === 0;
 }
-validate21.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate21.evaluated = {"props":{"type":true,"from":true,"to":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema35 = {"title":"Probed","type":"object","additionalProperties":false,"required":["type","from","to","empty"],"properties":{"type":{"const":"probed"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"empty":{"type":"boolean"}}};
+const schema35 = {"title":"Probed","type":"object","required":["type","from","to","empty"],"properties":{"type":{"const":"probed"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"empty":{"type":"boolean"}}};
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -127,23 +117,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "type") || (key0 === "from")) || (key0 === "to")) || (key0 === "empty"))){
-validate22.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema35,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("probed" !== data0){
 validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "probed"},message:"must be equal to constant",schema:"probed",parentSchema:schema35.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -151,9 +132,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate22.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -165,7 +146,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -173,9 +154,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate22.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -187,7 +168,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -195,12 +176,12 @@
 if(valid0){
 if(data.empty !== undefined){
 let data3 = data.empty;
-const _errs9 = errors;
+const _errs8 = errors;
 if(typeof data3 !== "boolean"){
 validate22.errors = [{instancePath:instancePath+"/empty",schemaPath:"#/properties/empty/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema35.properties.empty.type,parentSchema:schema35.properties.empty,data:data3}];
 return false;
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -210,7 +191,6 @@
 }
 }
 }
-}
 else {
 validate22.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema35.type,parentSchema:schema35,data}];
 return false;
@@ -219,9 +199,9 @@
 validate22.errors = vErrors;
 return errors === 0;
 }
-validate22.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate22.evaluated = {"props":{"type":true,"from":true,"to":true,"empty":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema38 = {"title":"VoteRequest","type":"object","additionalProperties":false,"required":["type","from","to","term","lastIndex","lastTerm"],"properties":{"type":{"const":"vote-request"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"lastIndex":{"$ref":"#/$defs/Count"},"lastTerm":{"$ref":"#/$defs/Count"},"pre":{"type":"boolean","description":"Asks without raising the term."},"transfer":{"type":"boolean","description":"The leader has asked for it."}}};
+const schema38 = {"title":"VoteRequest","type":"object","required":["type","from","to","term","lastIndex","lastTerm"],"properties":{"type":{"const":"vote-request"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"lastIndex":{"$ref":"#/$defs/Count"},"lastTerm":{"$ref":"#/$defs/Count"},"pre":{"type":"boolean","description":"Asks without raising the term."},"transfer":{"type":"boolean","description":"The leader has asked for it."}}};
 const schema41 = {"title":"Count","type":"integer","minimum":0};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -242,23 +222,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((((((key0 === "type") || (key0 === "from")) || (key0 === "to")) || (key0 === "term")) || (key0 === "lastIndex")) || (key0 === "lastTerm")) || (key0 === "pre")) || (key0 === "transfer"))){
-validate23.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema38,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("vote-request" !== data0){
 validate23.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "vote-request"},message:"must be equal to constant",schema:"vote-request",parentSchema:schema38.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -266,9 +237,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate23.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -280,7 +251,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -288,9 +259,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate23.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -302,7 +273,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -310,13 +281,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate23.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate23.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -324,7 +295,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -332,13 +303,13 @@
 if(valid0){
 if(data.lastIndex !== undefined){
 let data4 = data.lastIndex;
+const _errs11 = errors;
 const _errs12 = errors;
-const _errs13 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
 validate23.errors = [{instancePath:instancePath+"/lastIndex",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data4}];
 return false;
 }
-if(errors === _errs13){
+if(errors === _errs12){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
 validate23.errors = [{instancePath:instancePath+"/lastIndex",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data4}];
@@ -346,7 +317,7 @@
 }
 }
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -354,13 +325,13 @@
 if(valid0){
 if(data.lastTerm !== undefined){
 let data5 = data.lastTerm;
+const _errs14 = errors;
 const _errs15 = errors;
-const _errs16 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
 validate23.errors = [{instancePath:instancePath+"/lastTerm",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data5}];
 return false;
 }
-if(errors === _errs16){
+if(errors === _errs15){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
 validate23.errors = [{instancePath:instancePath+"/lastTerm",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data5}];
@@ -368,7 +339,7 @@
 }
 }
 }
-var valid0 = _errs15 === errors;
+var valid0 = _errs14 === errors;
 }
 else {
 var valid0 = true;
@@ -376,12 +347,12 @@
 if(valid0){
 if(data.pre !== undefined){
 let data6 = data.pre;
-const _errs18 = errors;
+const _errs17 = errors;
 if(typeof data6 !== "boolean"){
 validate23.errors = [{instancePath:instancePath+"/pre",schemaPath:"#/properties/pre/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema38.properties.pre.type,parentSchema:schema38.properties.pre,data:data6}];
 return false;
 }
-var valid0 = _errs18 === errors;
+var valid0 = _errs17 === errors;
 }
 else {
 var valid0 = true;
@@ -389,12 +360,12 @@
 if(valid0){
 if(data.transfer !== undefined){
 let data7 = data.transfer;
-const _errs20 = errors;
+const _errs19 = errors;
 if(typeof data7 !== "boolean"){
 validate23.errors = [{instancePath:instancePath+"/transfer",schemaPath:"#/properties/transfer/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema38.properties.transfer.type,parentSchema:schema38.properties.transfer,data:data7}];
 return false;
 }
-var valid0 = _errs20 === errors;
+var valid0 = _errs19 === errors;
 }
 else {
 var valid0 = true;
@@ -408,7 +379,6 @@
 }
 }
 }
-}
 else {
 validate23.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema38.type,parentSchema:schema38,data}];
 return false;
@@ -417,9 +387,9 @@
 validate23.errors = vErrors;
 return errors === 0;
 }
-validate23.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate23.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true,"lastIndex":true,"lastTerm":true,"pre":true,"transfer":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema44 = {"title":"Vote","type":"object","additionalProperties":false,"required":["type","from","to","term","granted"],"properties":{"type":{"const":"vote"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"granted":{"type":"boolean"},"pre":{"type":"boolean"}}};
+const schema44 = {"title":"Vote","type":"object","required":["type","from","to","term","granted"],"properties":{"type":{"const":"vote"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"granted":{"type":"boolean"},"pre":{"type":"boolean"}}};
 
 function validate24(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -439,23 +409,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((((key0 === "type") || (key0 === "from")) || (key0 === "to")) || (key0 === "term")) || (key0 === "granted")) || (key0 === "pre"))){
-validate24.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema44,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("vote" !== data0){
 validate24.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "vote"},message:"must be equal to constant",schema:"vote",parentSchema:schema44.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -463,9 +424,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate24.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -477,7 +438,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -485,9 +446,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate24.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -499,7 +460,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -507,13 +468,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate24.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate24.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -521,7 +482,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -529,12 +490,12 @@
 if(valid0){
 if(data.granted !== undefined){
 let data4 = data.granted;
-const _errs12 = errors;
+const _errs11 = errors;
 if(typeof data4 !== "boolean"){
 validate24.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema44.properties.granted.type,parentSchema:schema44.properties.granted,data:data4}];
 return false;
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -542,12 +503,12 @@
 if(valid0){
 if(data.pre !== undefined){
 let data5 = data.pre;
-const _errs14 = errors;
+const _errs13 = errors;
 if(typeof data5 !== "boolean"){
 validate24.errors = [{instancePath:instancePath+"/pre",schemaPath:"#/properties/pre/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema44.properties.pre.type,parentSchema:schema44.properties.pre,data:data5}];
 return false;
 }
-var valid0 = _errs14 === errors;
+var valid0 = _errs13 === errors;
 }
 else {
 var valid0 = true;
@@ -559,7 +520,6 @@
 }
 }
 }
-}
 else {
 validate24.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema44.type,parentSchema:schema44,data}];
 return false;
@@ -568,9 +528,9 @@
 validate24.errors = vErrors;
 return errors === 0;
 }
-validate24.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate24.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true,"granted":true,"pre":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema48 = {"title":"Heartbeat","type":"object","additionalProperties":false,"required":["type","from","to","term","commit","at"],"properties":{"type":{"const":"heartbeat"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"commit":{"$ref":"#/$defs/Count"},"at":{"type":"number","description":"Leader's clock; echoed by the reply."}}};
+const schema48 = {"title":"Heartbeat","type":"object","required":["type","from","to","term","commit","at"],"properties":{"type":{"const":"heartbeat"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"commit":{"$ref":"#/$defs/Count"},"at":{"type":"number","description":"Leader's clock; echoed by the reply."}}};
 
 function validate25(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -590,23 +550,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((((key0 === "type") || (key0 === "from")) || (key0 === "to")) || (key0 === "term")) || (key0 === "commit")) || (key0 === "at"))){
-validate25.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema48,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("heartbeat" !== data0){
 validate25.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "heartbeat"},message:"must be equal to constant",schema:"heartbeat",parentSchema:schema48.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -614,9 +565,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate25.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -628,7 +579,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -636,9 +587,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate25.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -650,7 +601,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -658,13 +609,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate25.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate25.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -672,7 +623,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -680,13 +631,13 @@
 if(valid0){
 if(data.commit !== undefined){
 let data4 = data.commit;
+const _errs11 = errors;
 const _errs12 = errors;
-const _errs13 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
 validate25.errors = [{instancePath:instancePath+"/commit",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data4}];
 return false;
 }
-if(errors === _errs13){
+if(errors === _errs12){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
 validate25.errors = [{instancePath:instancePath+"/commit",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data4}];
@@ -694,7 +645,7 @@
 }
 }
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -702,12 +653,12 @@
 if(valid0){
 if(data.at !== undefined){
 let data5 = data.at;
-const _errs15 = errors;
+const _errs14 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
 validate25.errors = [{instancePath:instancePath+"/at",schemaPath:"#/properties/at/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema48.properties.at.type,parentSchema:schema48.properties.at,data:data5}];
 return false;
 }
-var valid0 = _errs15 === errors;
+var valid0 = _errs14 === errors;
 }
 else {
 var valid0 = true;
@@ -719,7 +670,6 @@
 }
 }
 }
-}
 else {
 validate25.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema48.type,parentSchema:schema48,data}];
 return false;
@@ -728,9 +678,9 @@
 validate25.errors = vErrors;
 return errors === 0;
 }
-validate25.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate25.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true,"commit":true,"at":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema53 = {"title":"HeartbeatReply","type":"object","additionalProperties":false,"required":["type","from","to","term","at"],"properties":{"type":{"const":"heartbeat-reply"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}};
+const schema53 = {"title":"HeartbeatReply","type":"object","required":["type","from","to","term","at"],"properties":{"type":{"const":"heartbeat-reply"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}};
 
 function validate26(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -750,23 +700,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(((((key0 === "type") || (key0 === "from")) || (key0 === "to")) || (key0 === "term")) || (key0 === "at"))){
-validate26.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema53,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("heartbeat-reply" !== data0){
 validate26.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "heartbeat-reply"},message:"must be equal to constant",schema:"heartbeat-reply",parentSchema:schema53.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -774,9 +715,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate26.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -788,7 +729,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -796,9 +737,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate26.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -810,7 +751,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -818,13 +759,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate26.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate26.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -832,7 +773,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -840,12 +781,12 @@
 if(valid0){
 if(data.at !== undefined){
 let data4 = data.at;
-const _errs12 = errors;
+const _errs11 = errors;
 if(!((typeof data4 == "number") && (isFinite(data4)))){
 validate26.errors = [{instancePath:instancePath+"/at",schemaPath:"#/properties/at/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema53.properties.at.type,parentSchema:schema53.properties.at,data:data4}];
 return false;
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -856,7 +797,6 @@
 }
 }
 }
-}
 else {
 validate26.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema53.type,parentSchema:schema53,data}];
 return false;
@@ -865,13 +805,12 @@
 validate26.errors = vErrors;
 return errors === 0;
 }
-validate26.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate26.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true,"at":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema57 = {"title":"Append","type":"object","additionalProperties":false,"required":["type","from","to","term","previous","previousTerm","entries","commit","at"],"properties":{"type":{"const":"append"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"previous":{"$ref":"#/$defs/Count"},"previousTerm":{"$ref":"#/$defs/Count"},"entries":{"type":"array","items":{"$ref":"#/$defs/Entry"}},"commit":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}};
-const func1 = Object.prototype.hasOwnProperty;
-const schema63 = {"title":"Entry","description":"An entry without command or members opens a term.","type":"object","additionalProperties":false,"required":["index","term"],"properties":{"index":{"$ref":"#/$defs/Count"},"term":{"$ref":"#/$defs/Count"},"command":{"$ref":"#/$defs/Command"},"members":{"$ref":"#/$defs/Members"}}};
+const schema57 = {"title":"Append","type":"object","required":["type","from","to","term","previous","previousTerm","entries","commit","at"],"properties":{"type":{"const":"append"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"previous":{"$ref":"#/$defs/Count"},"previousTerm":{"$ref":"#/$defs/Count"},"entries":{"type":"array","items":{"$ref":"#/$defs/Entry"}},"commit":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}};
+const schema63 = {"title":"Entry","description":"An entry without command or members opens a term.","type":"object","required":["index","term"],"properties":{"index":{"$ref":"#/$defs/Count"},"term":{"$ref":"#/$defs/Count"},"command":{"$ref":"#/$defs/Command"},"members":{"$ref":"#/$defs/Members"}}};
 const schema66 = {"title":"Command","description":"Opaque to the log but for its id and type.","type":"object","required":["id","type"],"properties":{"id":{"type":"string"},"type":{"type":"string"}},"additionalProperties":true};
-const schema67 = {"title":"Members","type":"object","additionalProperties":false,"required":["voters","learners"],"properties":{"voters":{"type":"array","items":{"$ref":"#/$defs/ReplicaId"}},"learners":{"type":"array","items":{"$ref":"#/$defs/ReplicaId"}}}};
+const schema67 = {"title":"Members","type":"object","required":["voters","learners"],"properties":{"voters":{"type":"array","items":{"$ref":"#/$defs/ReplicaId"}},"learners":{"type":"array","items":{"$ref":"#/$defs/ReplicaId"}}}};
 const schema68 = {"title":"ReplicaId","description":"Host and incarnation of its data folder, joined by a tilde.","type":"string","pattern":"^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$"};
 const pattern4 = new RegExp("^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$", "u");
 
@@ -893,27 +832,18 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "voters") || (key0 === "learners"))){
-validate29.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema67,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.voters !== undefined){
 let data0 = data.voters;
-const _errs2 = errors;
-if(errors === _errs2){
+const _errs1 = errors;
+if(errors === _errs1){
 if(Array.isArray(data0)){
 var valid1 = true;
 const len0 = data0.length;
 for(let i0=0; i0<len0; i0++){
 let data1 = data0[i0];
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
-if(errors === _errs5){
+if(errors === _errs4){
 if(typeof data1 === "string"){
 if(!pattern4.test(data1)){
 validate29.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/ReplicaId/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$",parentSchema:schema68,data:data1}];
@@ -925,7 +855,7 @@
 return false;
 }
 }
-var valid1 = _errs4 === errors;
+var valid1 = _errs3 === errors;
 if(!valid1){
 break;
 }
@@ -936,7 +866,7 @@
 return false;
 }
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -944,16 +874,16 @@
 if(valid0){
 if(data.learners !== undefined){
 let data2 = data.learners;
-const _errs7 = errors;
-if(errors === _errs7){
+const _errs6 = errors;
+if(errors === _errs6){
 if(Array.isArray(data2)){
 var valid3 = true;
 const len1 = data2.length;
 for(let i1=0; i1<len1; i1++){
 let data3 = data2[i1];
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
-if(errors === _errs10){
+if(errors === _errs9){
 if(typeof data3 === "string"){
 if(!pattern4.test(data3)){
 validate29.errors = [{instancePath:instancePath+"/learners/" + i1,schemaPath:"#/$defs/ReplicaId/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$"+"\"",schema:"^[a-z0-9][a-z0-9.-]*~[0-9a-f]{1,16}$",parentSchema:schema68,data:data3}];
@@ -965,7 +895,7 @@
 return false;
 }
 }
-var valid3 = _errs9 === errors;
+var valid3 = _errs8 === errors;
 if(!valid3){
 break;
 }
@@ -976,7 +906,7 @@
 return false;
 }
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -984,7 +914,6 @@
 }
 }
 }
-}
 else {
 validate29.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema67.type,parentSchema:schema67,data}];
 return false;
@@ -993,7 +922,7 @@
 validate29.errors = vErrors;
 return errors === 0;
 }
-validate29.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate29.evaluated = {"props":{"voters":true,"learners":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate28(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -1014,24 +943,15 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "index") || (key0 === "term")) || (key0 === "command")) || (key0 === "members"))){
-validate28.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema63,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.index !== undefined){
 let data0 = data.index;
+const _errs1 = errors;
 const _errs2 = errors;
-const _errs3 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
 validate28.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data0}];
 return false;
 }
-if(errors === _errs3){
+if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
 validate28.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data0}];
@@ -1039,7 +959,7 @@
 }
 }
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1047,13 +967,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data1 = data.term;
+const _errs4 = errors;
 const _errs5 = errors;
-const _errs6 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
 validate28.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
-if(errors === _errs6){
+if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
 validate28.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data1}];
@@ -1061,7 +981,7 @@
 }
 }
 }
-var valid0 = _errs5 === errors;
+var valid0 = _errs4 === errors;
 }
 else {
 var valid0 = true;
@@ -1069,9 +989,9 @@
 if(valid0){
 if(data.command !== undefined){
 let data2 = data.command;
+const _errs7 = errors;
 const _errs8 = errors;
-const _errs9 = errors;
-if(errors === _errs9){
+if(errors === _errs8){
 if(data2 && typeof data2 == "object" && !Array.isArray(data2)){
 let missing1;
 if(((data2.id === undefined) && (missing1 = "id")) || ((data2.type === undefined) && (missing1 = "type"))){
@@ -1081,12 +1001,12 @@
 else {
 if(data2.id !== undefined){
 let data3 = data2.id;
-const _errs12 = errors;
+const _errs11 = errors;
 if(typeof data3 !== "string"){
 validate28.errors = [{instancePath:instancePath+"/command/id",schemaPath:"#/$defs/Command/properties/id/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema66.properties.id.type,parentSchema:schema66.properties.id,data:data3}];
 return false;
 }
-var valid4 = _errs12 === errors;
+var valid4 = _errs11 === errors;
 }
 else {
 var valid4 = true;
@@ -1094,12 +1014,12 @@
 if(valid4){
 if(data2.type !== undefined){
 let data4 = data2.type;
-const _errs14 = errors;
+const _errs13 = errors;
 if(typeof data4 !== "string"){
 validate28.errors = [{instancePath:instancePath+"/command/type",schemaPath:"#/$defs/Command/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema66.properties.type.type,parentSchema:schema66.properties.type,data:data4}];
 return false;
 }
-var valid4 = _errs14 === errors;
+var valid4 = _errs13 === errors;
 }
 else {
 var valid4 = true;
@@ -1112,19 +1032,19 @@
 return false;
 }
 }
-var valid0 = _errs8 === errors;
+var valid0 = _errs7 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.members !== undefined){
-const _errs16 = errors;
+const _errs15 = errors;
 if(!(validate29(data.members, {instancePath:instancePath+"/members",parentData:data,parentDataProperty:"members",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate29.errors : vErrors.concat(validate29.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs16 === errors;
+var valid0 = _errs15 === errors;
 }
 else {
 var valid0 = true;
@@ -1134,7 +1054,6 @@
 }
 }
 }
-}
 else {
 validate28.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema63.type,parentSchema:schema63,data}];
 return false;
@@ -1143,7 +1062,7 @@
 validate28.errors = vErrors;
 return errors === 0;
 }
-validate28.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate28.evaluated = {"props":{"index":true,"term":true,"command":true,"members":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate27(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -1164,23 +1083,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(func1.call(schema57.properties, key0))){
-validate27.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema57,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("append" !== data0){
 validate27.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "append"},message:"must be equal to constant",schema:"append",parentSchema:schema57.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1188,9 +1098,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate27.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -1202,7 +1112,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -1210,9 +1120,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate27.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -1224,7 +1134,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -1232,13 +1142,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate27.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate27.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -1246,7 +1156,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -1254,13 +1164,13 @@
 if(valid0){
 if(data.previous !== undefined){
 let data4 = data.previous;
+const _errs11 = errors;
 const _errs12 = errors;
-const _errs13 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
 validate27.errors = [{instancePath:instancePath+"/previous",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data4}];
 return false;
 }
-if(errors === _errs13){
+if(errors === _errs12){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
 validate27.errors = [{instancePath:instancePath+"/previous",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data4}];
@@ -1268,7 +1178,7 @@
 }
 }
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -1276,13 +1186,13 @@
 if(valid0){
 if(data.previousTerm !== undefined){
 let data5 = data.previousTerm;
+const _errs14 = errors;
 const _errs15 = errors;
-const _errs16 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
 validate27.errors = [{instancePath:instancePath+"/previousTerm",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data5}];
 return false;
 }
-if(errors === _errs16){
+if(errors === _errs15){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
 validate27.errors = [{instancePath:instancePath+"/previousTerm",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data5}];
@@ -1290,7 +1200,7 @@
 }
 }
 }
-var valid0 = _errs15 === errors;
+var valid0 = _errs14 === errors;
 }
 else {
 var valid0 = true;
@@ -1298,18 +1208,18 @@
 if(valid0){
 if(data.entries !== undefined){
 let data6 = data.entries;
-const _errs18 = errors;
-if(errors === _errs18){
+const _errs17 = errors;
+if(errors === _errs17){
 if(Array.isArray(data6)){
 var valid6 = true;
 const len0 = data6.length;
 for(let i0=0; i0<len0; i0++){
-const _errs20 = errors;
+const _errs19 = errors;
 if(!(validate28(data6[i0], {instancePath:instancePath+"/entries/" + i0,parentData:data6,parentDataProperty:i0,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate28.errors : vErrors.concat(validate28.errors);
 errors = vErrors.length;
 }
-var valid6 = _errs20 === errors;
+var valid6 = _errs19 === errors;
 if(!valid6){
 break;
 }
@@ -1320,7 +1230,7 @@
 return false;
 }
 }
-var valid0 = _errs18 === errors;
+var valid0 = _errs17 === errors;
 }
 else {
 var valid0 = true;
@@ -1328,13 +1238,13 @@
 if(valid0){
 if(data.commit !== undefined){
 let data8 = data.commit;
+const _errs20 = errors;
 const _errs21 = errors;
-const _errs22 = errors;
 if(!(((typeof data8 == "number") && (!(data8 % 1) && !isNaN(data8))) && (isFinite(data8)))){
 validate27.errors = [{instancePath:instancePath+"/commit",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data8}];
 return false;
 }
-if(errors === _errs22){
+if(errors === _errs21){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < 0 || isNaN(data8)){
 validate27.errors = [{instancePath:instancePath+"/commit",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data8}];
@@ -1342,7 +1252,7 @@
 }
 }
 }
-var valid0 = _errs21 === errors;
+var valid0 = _errs20 === errors;
 }
 else {
 var valid0 = true;
@@ -1350,12 +1260,12 @@
 if(valid0){
 if(data.at !== undefined){
 let data9 = data.at;
-const _errs24 = errors;
+const _errs23 = errors;
 if(!((typeof data9 == "number") && (isFinite(data9)))){
 validate27.errors = [{instancePath:instancePath+"/at",schemaPath:"#/properties/at/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema57.properties.at.type,parentSchema:schema57.properties.at,data:data9}];
 return false;
 }
-var valid0 = _errs24 === errors;
+var valid0 = _errs23 === errors;
 }
 else {
 var valid0 = true;
@@ -1370,7 +1280,6 @@
 }
 }
 }
-}
 else {
 validate27.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema57.type,parentSchema:schema57,data}];
 return false;
@@ -1379,9 +1288,9 @@
 validate27.errors = vErrors;
 return errors === 0;
 }
-validate27.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate27.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true,"previous":true,"previousTerm":true,"entries":true,"commit":true,"at":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema71 = {"title":"Appended","type":"object","additionalProperties":false,"required":["type","from","to","term","ok","previous","match","at"],"properties":{"type":{"const":"appended"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"ok":{"type":"boolean"},"previous":{"$ref":"#/$defs/Count"},"match":{"description":"Last index known to match; when refused, where to try next.","$ref":"#/$defs/Count"},"at":{"type":"number"}}};
+const schema71 = {"title":"Appended","type":"object","required":["type","from","to","term","ok","previous","match","at"],"properties":{"type":{"const":"appended"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"ok":{"type":"boolean"},"previous":{"$ref":"#/$defs/Count"},"match":{"description":"Last index known to match; when refused, where to try next.","$ref":"#/$defs/Count"},"at":{"type":"number"}}};
 
 function validate32(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1401,23 +1310,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((((((key0 === "type") || (key0 === "from")) || (key0 === "to")) || (key0 === "term")) || (key0 === "ok")) || (key0 === "previous")) || (key0 === "match")) || (key0 === "at"))){
-validate32.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema71,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("appended" !== data0){
 validate32.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "appended"},message:"must be equal to constant",schema:"appended",parentSchema:schema71.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1425,9 +1325,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate32.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -1439,7 +1339,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -1447,9 +1347,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate32.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -1461,7 +1361,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -1469,13 +1369,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate32.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate32.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -1483,7 +1383,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -1491,12 +1391,12 @@
 if(valid0){
 if(data.ok !== undefined){
 let data4 = data.ok;
-const _errs12 = errors;
+const _errs11 = errors;
 if(typeof data4 !== "boolean"){
 validate32.errors = [{instancePath:instancePath+"/ok",schemaPath:"#/properties/ok/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema71.properties.ok.type,parentSchema:schema71.properties.ok,data:data4}];
 return false;
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -1504,13 +1404,13 @@
 if(valid0){
 if(data.previous !== undefined){
 let data5 = data.previous;
+const _errs13 = errors;
 const _errs14 = errors;
-const _errs15 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
 validate32.errors = [{instancePath:instancePath+"/previous",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data5}];
 return false;
 }
-if(errors === _errs15){
+if(errors === _errs14){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
 validate32.errors = [{instancePath:instancePath+"/previous",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data5}];
@@ -1518,7 +1418,7 @@
 }
 }
 }
-var valid0 = _errs14 === errors;
+var valid0 = _errs13 === errors;
 }
 else {
 var valid0 = true;
@@ -1526,13 +1426,13 @@
 if(valid0){
 if(data.match !== undefined){
 let data6 = data.match;
+const _errs16 = errors;
 const _errs17 = errors;
-const _errs18 = errors;
 if(!(((typeof data6 == "number") && (!(data6 % 1) && !isNaN(data6))) && (isFinite(data6)))){
 validate32.errors = [{instancePath:instancePath+"/match",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data6}];
 return false;
 }
-if(errors === _errs18){
+if(errors === _errs17){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
 validate32.errors = [{instancePath:instancePath+"/match",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data6}];
@@ -1540,7 +1440,7 @@
 }
 }
 }
-var valid0 = _errs17 === errors;
+var valid0 = _errs16 === errors;
 }
 else {
 var valid0 = true;
@@ -1548,12 +1448,12 @@
 if(valid0){
 if(data.at !== undefined){
 let data7 = data.at;
-const _errs20 = errors;
+const _errs19 = errors;
 if(!((typeof data7 == "number") && (isFinite(data7)))){
 validate32.errors = [{instancePath:instancePath+"/at",schemaPath:"#/properties/at/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema71.properties.at.type,parentSchema:schema71.properties.at,data:data7}];
 return false;
 }
-var valid0 = _errs20 === errors;
+var valid0 = _errs19 === errors;
 }
 else {
 var valid0 = true;
@@ -1567,7 +1467,6 @@
 }
 }
 }
-}
 else {
 validate32.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema71.type,parentSchema:schema71,data}];
 return false;
@@ -1576,9 +1475,9 @@
 validate32.errors = vErrors;
 return errors === 0;
 }
-validate32.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate32.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true,"ok":true,"previous":true,"match":true,"at":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema77 = {"title":"SnapshotChunk","type":"object","additionalProperties":false,"required":["type","from","to","term","index","indexTerm","members","offset","length","data","at"],"properties":{"type":{"const":"snapshot"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"index":{"$ref":"#/$defs/Count"},"indexTerm":{"$ref":"#/$defs/Count"},"members":{"$ref":"#/$defs/Members"},"offset":{"$ref":"#/$defs/Count"},"length":{"$ref":"#/$defs/Count"},"data":{"type":"string"},"at":{"type":"number"}}};
+const schema77 = {"title":"SnapshotChunk","type":"object","required":["type","from","to","term","index","indexTerm","members","offset","length","data","at"],"properties":{"type":{"const":"snapshot"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"index":{"$ref":"#/$defs/Count"},"indexTerm":{"$ref":"#/$defs/Count"},"members":{"$ref":"#/$defs/Members"},"offset":{"$ref":"#/$defs/Count"},"length":{"$ref":"#/$defs/Count"},"data":{"type":"string"},"at":{"type":"number"}}};
 
 function validate33(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1598,23 +1497,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(func1.call(schema77.properties, key0))){
-validate33.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema77,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("snapshot" !== data0){
 validate33.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "snapshot"},message:"must be equal to constant",schema:"snapshot",parentSchema:schema77.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1622,9 +1512,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate33.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -1636,7 +1526,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -1644,9 +1534,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate33.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -1658,7 +1548,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -1666,13 +1556,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate33.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate33.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -1680,7 +1570,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -1688,13 +1578,13 @@
 if(valid0){
 if(data.index !== undefined){
 let data4 = data.index;
+const _errs11 = errors;
 const _errs12 = errors;
-const _errs13 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
 validate33.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data4}];
 return false;
 }
-if(errors === _errs13){
+if(errors === _errs12){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
 validate33.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data4}];
@@ -1702,7 +1592,7 @@
 }
 }
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -1710,13 +1600,13 @@
 if(valid0){
 if(data.indexTerm !== undefined){
 let data5 = data.indexTerm;
+const _errs14 = errors;
 const _errs15 = errors;
-const _errs16 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
 validate33.errors = [{instancePath:instancePath+"/indexTerm",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data5}];
 return false;
 }
-if(errors === _errs16){
+if(errors === _errs15){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
 validate33.errors = [{instancePath:instancePath+"/indexTerm",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data5}];
@@ -1724,19 +1614,19 @@
 }
 }
 }
-var valid0 = _errs15 === errors;
+var valid0 = _errs14 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.members !== undefined){
-const _errs18 = errors;
+const _errs17 = errors;
 if(!(validate29(data.members, {instancePath:instancePath+"/members",parentData:data,parentDataProperty:"members",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate29.errors : vErrors.concat(validate29.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs18 === errors;
+var valid0 = _errs17 === errors;
 }
 else {
 var valid0 = true;
@@ -1744,13 +1634,13 @@
 if(valid0){
 if(data.offset !== undefined){
 let data7 = data.offset;
+const _errs18 = errors;
 const _errs19 = errors;
-const _errs20 = errors;
 if(!(((typeof data7 == "number") && (!(data7 % 1) && !isNaN(data7))) && (isFinite(data7)))){
 validate33.errors = [{instancePath:instancePath+"/offset",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data7}];
 return false;
 }
-if(errors === _errs20){
+if(errors === _errs19){
 if((typeof data7 == "number") && (isFinite(data7))){
 if(data7 < 0 || isNaN(data7)){
 validate33.errors = [{instancePath:instancePath+"/offset",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data7}];
@@ -1758,7 +1648,7 @@
 }
 }
 }
-var valid0 = _errs19 === errors;
+var valid0 = _errs18 === errors;
 }
 else {
 var valid0 = true;
@@ -1766,13 +1656,13 @@
 if(valid0){
 if(data.length !== undefined){
 let data8 = data.length;
+const _errs21 = errors;
 const _errs22 = errors;
-const _errs23 = errors;
 if(!(((typeof data8 == "number") && (!(data8 % 1) && !isNaN(data8))) && (isFinite(data8)))){
 validate33.errors = [{instancePath:instancePath+"/length",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data8}];
 return false;
 }
-if(errors === _errs23){
+if(errors === _errs22){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < 0 || isNaN(data8)){
 validate33.errors = [{instancePath:instancePath+"/length",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data8}];
@@ -1780,7 +1670,7 @@
 }
 }
 }
-var valid0 = _errs22 === errors;
+var valid0 = _errs21 === errors;
 }
 else {
 var valid0 = true;
@@ -1788,12 +1678,12 @@
 if(valid0){
 if(data.data !== undefined){
 let data9 = data.data;
-const _errs25 = errors;
+const _errs24 = errors;
 if(typeof data9 !== "string"){
 validate33.errors = [{instancePath:instancePath+"/data",schemaPath:"#/properties/data/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.data.type,parentSchema:schema77.properties.data,data:data9}];
 return false;
 }
-var valid0 = _errs25 === errors;
+var valid0 = _errs24 === errors;
 }
 else {
 var valid0 = true;
@@ -1801,12 +1691,12 @@
 if(valid0){
 if(data.at !== undefined){
 let data10 = data.at;
-const _errs27 = errors;
+const _errs26 = errors;
 if(!((typeof data10 == "number") && (isFinite(data10)))){
 validate33.errors = [{instancePath:instancePath+"/at",schemaPath:"#/properties/at/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema77.properties.at.type,parentSchema:schema77.properties.at,data:data10}];
 return false;
 }
-var valid0 = _errs27 === errors;
+var valid0 = _errs26 === errors;
 }
 else {
 var valid0 = true;
@@ -1823,7 +1713,6 @@
 }
 }
 }
-}
 else {
 validate33.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema77.type,parentSchema:schema77,data}];
 return false;
@@ -1832,9 +1721,9 @@
 validate33.errors = vErrors;
 return errors === 0;
 }
-validate33.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate33.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true,"index":true,"indexTerm":true,"members":true,"offset":true,"length":true,"data":true,"at":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema85 = {"title":"SnapshotReply","type":"object","additionalProperties":false,"required":["type","from","to","term","index","offset","at"],"properties":{"type":{"const":"snapshot-reply"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"index":{"$ref":"#/$defs/Count"},"offset":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}};
+const schema85 = {"title":"SnapshotReply","type":"object","required":["type","from","to","term","index","offset","at"],"properties":{"type":{"const":"snapshot-reply"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"},"index":{"$ref":"#/$defs/Count"},"offset":{"$ref":"#/$defs/Count"},"at":{"type":"number"}}};
 
 function validate35(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1854,23 +1743,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(((((((key0 === "type") || (key0 === "from")) || (key0 === "to")) || (key0 === "term")) || (key0 === "index")) || (key0 === "offset")) || (key0 === "at"))){
-validate35.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema85,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("snapshot-reply" !== data0){
 validate35.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "snapshot-reply"},message:"must be equal to constant",schema:"snapshot-reply",parentSchema:schema85.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1878,9 +1758,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate35.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -1892,7 +1772,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -1900,9 +1780,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate35.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -1914,7 +1794,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -1922,13 +1802,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate35.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate35.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -1936,7 +1816,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -1944,13 +1824,13 @@
 if(valid0){
 if(data.index !== undefined){
 let data4 = data.index;
+const _errs11 = errors;
 const _errs12 = errors;
-const _errs13 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
 validate35.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data4}];
 return false;
 }
-if(errors === _errs13){
+if(errors === _errs12){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
 validate35.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data4}];
@@ -1958,7 +1838,7 @@
 }
 }
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -1966,13 +1846,13 @@
 if(valid0){
 if(data.offset !== undefined){
 let data5 = data.offset;
+const _errs14 = errors;
 const _errs15 = errors;
-const _errs16 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
 validate35.errors = [{instancePath:instancePath+"/offset",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data5}];
 return false;
 }
-if(errors === _errs16){
+if(errors === _errs15){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
 validate35.errors = [{instancePath:instancePath+"/offset",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data5}];
@@ -1980,7 +1860,7 @@
 }
 }
 }
-var valid0 = _errs15 === errors;
+var valid0 = _errs14 === errors;
 }
 else {
 var valid0 = true;
@@ -1988,12 +1868,12 @@
 if(valid0){
 if(data.at !== undefined){
 let data6 = data.at;
-const _errs18 = errors;
+const _errs17 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
 validate35.errors = [{instancePath:instancePath+"/at",schemaPath:"#/properties/at/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema85.properties.at.type,parentSchema:schema85.properties.at,data:data6}];
 return false;
 }
-var valid0 = _errs18 === errors;
+var valid0 = _errs17 === errors;
 }
 else {
 var valid0 = true;
@@ -2006,7 +1886,6 @@
 }
 }
 }
-}
 else {
 validate35.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema85.type,parentSchema:schema85,data}];
 return false;
@@ -2015,9 +1894,9 @@
 validate35.errors = vErrors;
 return errors === 0;
 }
-validate35.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate35.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true,"index":true,"offset":true,"at":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema91 = {"title":"TimeoutNow","description":"Asks a follower to stand for election at once.","type":"object","additionalProperties":false,"required":["type","from","to","term"],"properties":{"type":{"const":"timeout-now"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"}}};
+const schema91 = {"title":"TimeoutNow","description":"Asks a follower to stand for election at once.","type":"object","required":["type","from","to","term"],"properties":{"type":{"const":"timeout-now"},"from":{"$ref":"#/$defs/Incarnation"},"to":{"$ref":"#/$defs/Incarnation"},"term":{"$ref":"#/$defs/Count"}}};
 
 function validate36(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2037,23 +1916,14 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "type") || (key0 === "from")) || (key0 === "to")) || (key0 === "term"))){
-validate36.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema91,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if("timeout-now" !== data0){
 validate36.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "timeout-now"},message:"must be equal to constant",schema:"timeout-now",parentSchema:schema91.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -2061,9 +1931,9 @@
 if(valid0){
 if(data.from !== undefined){
 let data1 = data.from;
+const _errs2 = errors;
 const _errs3 = errors;
-const _errs4 = errors;
-if(errors === _errs4){
+if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 16){
 validate36.errors = [{instancePath:instancePath+"/from",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data1}];
@@ -2075,7 +1945,7 @@
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs2 === errors;
 }
 else {
 var valid0 = true;
@@ -2083,9 +1953,9 @@
 if(valid0){
 if(data.to !== undefined){
 let data2 = data.to;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
-if(errors === _errs7){
+if(errors === _errs6){
 if(typeof data2 === "string"){
 if(data2.length > 16){
 validate36.errors = [{instancePath:instancePath+"/to",schemaPath:"#/$defs/Incarnation/maxLength",keyword:"maxLength",params:{limit: 16},message:"must NOT have more than 16 characters",schema:16,parentSchema:schema33,data:data2}];
@@ -2097,7 +1967,7 @@
 return false;
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -2105,13 +1975,13 @@
 if(valid0){
 if(data.term !== undefined){
 let data3 = data.term;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate36.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate36.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema41,data:data3}];
@@ -2119,7 +1989,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -2129,7 +1999,6 @@
 }
 }
 }
-}
 else {
 validate36.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema91.type,parentSchema:schema91,data}];
 return false;
@@ -2138,7 +2007,7 @@
 validate36.errors = vErrors;
 return errors === 0;
 }
-validate36.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate36.evaluated = {"props":{"type":true,"from":true,"to":true,"term":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -2166,7 +2035,10 @@
 vErrors = vErrors === null ? validate21.errors : vErrors.concat(validate21.errors);
 errors = vErrors.length;
 }
-var props0 = true;
+var props0 = {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
 }
 else if(tag0 === "probed"){
 if(!(validate22(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
@@ -2174,7 +2046,11 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.empty = true;
 }
 }
 else if(tag0 === "vote-request"){
@@ -2183,7 +2059,15 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
+props0.lastIndex = true;
+props0.lastTerm = true;
+props0.pre = true;
+props0.transfer = true;
 }
 }
 else if(tag0 === "vote"){
@@ -2192,7 +2076,13 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
+props0.granted = true;
+props0.pre = true;
 }
 }
 else if(tag0 === "heartbeat"){
@@ -2201,7 +2091,13 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
+props0.commit = true;
+props0.at = true;
 }
 }
 else if(tag0 === "heartbeat-reply"){
@@ -2210,7 +2106,12 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
+props0.at = true;
 }
 }
 else if(tag0 === "append"){
@@ -2219,7 +2120,16 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
+props0.previous = true;
+props0.previousTerm = true;
+props0.entries = true;
+props0.commit = true;
+props0.at = true;
 }
 }
 else if(tag0 === "appended"){
@@ -2228,7 +2138,15 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
+props0.ok = true;
+props0.previous = true;
+props0.match = true;
+props0.at = true;
 }
 }
 else if(tag0 === "snapshot"){
@@ -2237,7 +2155,18 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
+props0.index = true;
+props0.indexTerm = true;
+props0.members = true;
+props0.offset = true;
+props0.length = true;
+props0.data = true;
+props0.at = true;
 }
 }
 else if(tag0 === "snapshot-reply"){
@@ -2246,7 +2175,14 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
+props0.index = true;
+props0.offset = true;
+props0.at = true;
 }
 }
 else if(tag0 === "timeout-now"){
@@ -2255,7 +2191,11 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.from = true;
+props0.to = true;
+props0.term = true;
 }
 }
 else {
--- a/src/schema/peers_types.ts
+++ b/src/schema/peers_types.ts
@@ -11,7 +11,12 @@
 export type Batch = Parcel[];
 
 export interface Parcel {
-  channel: "log" | "watch" | "membership" | "registry" | "shares" | "control" | "fleet";
+  /**
+   * A channel that a host does not know, as of a later release, costs
+   * its own message only.
+   *
+   */
+  channel: string;
   /**
    * Message of the channel, checked against its own schema.
    */
--- a/src/schema/peers_validators.ts
+++ b/src/schema/peers_validators.ts
@@ -5,8 +5,8 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Batch","description":"Messages from one host to another, in order. Who sent them and to whom\nfollows from the connection.\n","type":"array","maxItems":4096,"items":{"$ref":"#/$defs/Parcel"},"$defs":{"Parcel":{"title":"Parcel","type":"object","additionalProperties":false,"required":["channel","body"],"properties":{"channel":{"enum":["log","watch","membership","registry","shares","control","fleet"]},"body":{"description":"Message of the channel, checked against its own schema.","type":"object"}}}}};
-const schema32 = {"title":"Parcel","type":"object","additionalProperties":false,"required":["channel","body"],"properties":{"channel":{"enum":["log","watch","membership","registry","shares","control","fleet"]},"body":{"description":"Message of the channel, checked against its own schema.","type":"object"}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Batch","description":"Messages from one host to another, in order. Who sent them and to whom\nfollows from the connection.\n","type":"array","maxItems":4096,"items":{"$ref":"#/$defs/Parcel"},"$defs":{"Parcel":{"title":"Parcel","type":"object","required":["channel","body"],"properties":{"channel":{"description":"A channel that a host does not know, as of a later release, costs\nits own message only.\n","type":"string","maxLength":64},"body":{"description":"Message of the channel, checked against its own schema.","type":"object"}}}}};
+const schema32 = {"title":"Parcel","type":"object","required":["channel","body"],"properties":{"channel":{"description":"A channel that a host does not know, as of a later release, costs\nits own message only.\n","type":"string","maxLength":64},"body":{"description":"Message of the channel, checked against its own schema.","type":"object"}}};
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -39,23 +39,22 @@
 return false;
 }
 else {
+if(data0.channel !== undefined){
+let data1 = data0.channel;
 const _errs4 = errors;
-for(const key0 in data0){
-if(!((key0 === "channel") || (key0 === "body"))){
-validate20.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Parcel/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema32,data:data0}];
+if(errors === _errs4){
+if(typeof data1 === "string"){
+if(data1.length > 64){
+validate20.errors = [{instancePath:instancePath+"/" + i0+"/channel",schemaPath:"#/$defs/Parcel/properties/channel/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema32.properties.channel,data:data1}];
 return false;
-break;
 }
 }
-if(_errs4 === errors){
-if(data0.channel !== undefined){
-let data1 = data0.channel;
-const _errs5 = errors;
-if(!(((((((data1 === "log") || (data1 === "watch")) || (data1 === "membership")) || (data1 === "registry")) || (data1 === "shares")) || (data1 === "control")) || (data1 === "fleet"))){
-validate20.errors = [{instancePath:instancePath+"/" + i0+"/channel",schemaPath:"#/$defs/Parcel/properties/channel/enum",keyword:"enum",params:{allowedValues: schema32.properties.channel.enum},message:"must be equal to one of the allowed values",schema:schema32.properties.channel.enum,parentSchema:schema32.properties.channel,data:data1}];
+else {
+validate20.errors = [{instancePath:instancePath+"/" + i0+"/channel",schemaPath:"#/$defs/Parcel/properties/channel/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.properties.channel.type,parentSchema:schema32.properties.channel,data:data1}];
 return false;
 }
-var valid2 = _errs5 === errors;
+}
+var valid2 = _errs4 === errors;
 }
 else {
 var valid2 = true;
@@ -76,7 +75,6 @@
 }
 }
 }
-}
 else {
 validate20.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Parcel/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema32.type,parentSchema:schema32,data:data0}];
 return false;
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -27,6 +27,10 @@
   "pieces.made": { type: "count", help: "Pieces asked for, by service" },
   "pieces.failed": { type: "count", help: "Pieces not made, by failure" },
   "control.calls": { type: "count", help: "Calls to this control host" },
+  "control.malformed": {
+    type: "count",
+    help: "Calls that could not be read, by what is wrong",
+  },
   "control.duration": { type: "time", help: "Of calls to a control host" },
   "config.unconfirmed": { type: "count", help: "Reads without a majority" },
   "config.version": { type: "gauge", help: "Version in force here" },
@@ -103,6 +107,10 @@
   // Hosts among themselves.
   "peer.sent": { type: "count", help: "Envelopes sent, by channel" },
   "peer.received": { type: "count", help: "Envelopes received, by channel" },
+  "peer.left_out": {
+    type: "count",
+    help: "Entries of messages that could not be read, by list",
+  },
   "peer.dropped": { type: "count", help: "Envelopes dropped, by reason" },
   "peer.bytes_sent": { type: "count", help: "Bytes sent to other hosts" },
   "peer.connected": { type: "count", help: "Connections made" },
