--- a/bench/decisions/world.ts
+++ b/bench/decisions/world.ts
@@ -136,7 +136,13 @@
 
   #roster(): endpoints.RosterEntry[] {
     const rest = { version: "", state: "ready" as const, sequence: 1 };
-    const heard = { heard: 0, coldUntil: 0, revision: 1, isSilent: false };
+    const heard = {
+      heard: 0,
+      since: 0,
+      coldUntil: 0,
+      revision: 1,
+      isSilent: false,
+    };
     const { slots } = this.#play.deployment.engines;
     return [...this.#places.values()]
       .filter(({ address }) => !this.#engines.get(address)?.isDown)
--- a/src/endpoints/mod.ts
+++ b/src/endpoints/mod.ts
@@ -3,6 +3,7 @@
 
 export type { Entry, Serving } from "./entry.ts";
 export * from "./holder.ts";
+export * as incarnations from "./incarnation.ts";
 export * from "./registry.ts";
 export * from "./roster.ts";
 export type { Change, Effect, Event, Options, Refusal } from "./state.ts";
--- a/src/endpoints/roster.ts
+++ b/src/endpoints/roster.ts
@@ -1,16 +1,20 @@
 /** Endpoints as their heartbeats tell of them, merged from several hosts.
  *
- * An endpoint that starts anew has a new id. Of two reports about one id the
- * higher sequence is the later; `gone` is final. An endpoint that is silent is
- * only marked: a cut between it and this host says nothing about its calls.
+ * An endpoint may start again under its id: of two incarnations the later one
+ * replaces the earlier whole, and nothing said of the earlier one counts any
+ * more. Of two reports about one incarnation the higher sequence is the later;
+ * `gone` is final. So hosts that have heard the same words hold the same,
+ * whatever the order. An endpoint that is silent is only marked: a cut between
+ * it and this host says nothing about its calls.
  * @module */
 
+import * as incarnations from "./incarnation.ts";
+
 /** What an endpoint says of itself; `gone` once it has left. */
 export type SightingState = "ready" | "draining" | "gone";
 
 /** One report about an endpoint. */
-export interface Sighting {
-  readonly id: string;
+export interface Sighting extends incarnations.Incarnation {
   readonly service: string;
   /** IP number and port. */
   readonly address: string;
@@ -32,6 +36,8 @@
   /** Revision of the roster at which others should hear of it again. */
   readonly revision: number;
   readonly isSilent: boolean;
+  /** When this host first heard of this incarnation. */
+  readonly since: number;
 }
 
 /** Times in milliseconds. */
@@ -85,16 +91,18 @@
   /** Takes a report; returns whether others should hear of it at once. */
   take({ sighting, heard, coldUntil = 0, isSilent }: Report): boolean {
     const known = this.#entries.get(sighting.id);
-    if (known === undefined) {
-      this.#put({ ...sighting, heard, coldUntil, isSilent: isSilent ?? false });
+    const order = known === undefined ? 1 : orderOf(sighting, known, heard);
+    if (known === undefined || order > 0) {
+      const told = { coldUntil, isSilent: isSilent ?? false };
+      this.#put({ ...sighting, ...told, heard, since: heard });
       return true;
     }
-    if (known.state === "gone") return false;
-    const isOlder = sighting.sequence < known.sequence;
+    if (order < 0 || known.state === "gone") return false;
+    const isOlder = isOlderWord(sighting, known);
     if (isOlder && sighting.state !== "gone") return false;
     const next: RosterEntry = {
       ...known,
-      ...(isOlder ? {} : sighting),
+      ...(isOlder ? {} : { ...sighting, born: known.born }),
       state: sighting.state,
       heard: Math.max(heard, known.heard),
       coldUntil: isOlder ? known.coldUntil : coldUntil,
@@ -106,12 +114,10 @@
     return isNews;
   }
 
-  /** Notes that an endpoint has left, also one that was never heard. */
-  leave(id: string, now: number): boolean {
-    const known = this.#entries.get(id) ?? unknown(id);
-    if (known.state === "gone") return false;
-    this.#put({ ...known, state: "gone", heard: now });
-    return true;
+  /** Notes that an endpoint has left, also one that was never heard. Without a
+   * `born` it is the incarnation that is known. */
+  leave(left: incarnations.Incarnation, now: number): boolean {
+    return this.take({ sighting: departureOf(left), heard: now });
   }
 
   /** Marks what is silent and forgets what has been so for long. */
@@ -139,23 +145,53 @@
   }
 }
 
-function unknown(id: string): Omit<RosterEntry, "revision"> {
+/** Whether a word is of a later incarnation than the known one (above 0), of an
+ * earlier one (below 0), or of the same. */
+function orderOf(word: Sighting, known: RosterEntry, heard: number): number {
+  const order = incarnations.compare(word, known);
+  const isVague = word.state === "gone" && word.born === undefined;
+  if (order >= 0 || !isVague) return order;
+  // A leave may come without its incarnation: it is of the one known then, and
+  // of none that was heard of since.
+  return heard >= known.since ? 0 : order;
+}
+
+/** Whether a word of the same incarnation is the older one. Of different words
+ * with one sequence, which another writer may send, all hosts take the same. */
+function isOlderWord(word: Sighting, known: RosterEntry): boolean {
+  if (word.sequence !== known.sequence) return word.sequence < known.sequence;
+  return textOf(word) < textOf(known);
+}
+
+/** Text that orders words of one sequence: a drain goes before readiness. */
+function textOf(word: Sighting): string {
+  const { state, service, address, dataCentre, version, slots } = word;
+  const first = state === "ready" ? 0 : 1;
+  return JSON.stringify([first, service, address, dataCentre, version, slots]);
+}
+
+function departureOf({ id, born }: incarnations.Incarnation): Sighting {
   return {
     id,
+    born,
     service: "unknown",
     address: "unknown",
     dataCentre: "unknown",
     version: "",
     slots: 0,
-    state: "ready",
+    state: "gone",
     sequence: -1,
-    heard: 0,
-    coldUntil: 0,
-    isSilent: false,
   };
 }
 
-const COMPARED = ["service", "address", "slots", "state", "isSilent"] as const;
+const COMPARED = [
+  "born",
+  "service",
+  "address",
+  "slots",
+  "state",
+  "isSilent",
+] as const;
 
 function isDifferent(one: RosterEntry, other: RosterEntry): boolean {
   return COMPARED.some((key) => one[key] !== other[key]);
--- a/src/endpoints/roster_test.ts
+++ b/src/endpoints/roster_test.ts
@@ -24,7 +24,7 @@
 
 test("an endpoint that has left stays gone", (t) => {
   const roster = rosterOf({ sequence: 5 });
-  t.true(roster.leave("i-1", 10));
+  t.true(roster.leave({ id: "i-1" }, 10));
   t.false(
     roster.take({ sighting: fixture.sighting({ sequence: 9 }), heard: 20 }),
   );
@@ -33,7 +33,7 @@
 
 test("an endpoint that leaves before it was heard is not taken later", (t) => {
   const roster = rosterOf();
-  roster.leave("i-1", 10);
+  roster.leave({ id: "i-1" }, 10);
   roster.take({ sighting: fixture.sighting({ sequence: 3 }), heard: 20 });
   t.is(roster.get("i-1")?.state, "gone");
 });
@@ -74,7 +74,7 @@
 
 test("what is silent or gone is forgotten, nothing else", (t) => {
   const roster = rosterOf({ id: "i-1" }, { id: "i-2" });
-  roster.leave("i-1", 0);
+  roster.leave({ id: "i-1" }, 0);
   roster.expire(5000);
   roster.take({
     sighting: fixture.sighting({ id: "i-2", sequence: 2 }),
--- a/src/fleet/control_protocol.ts
+++ b/src/fleet/control_protocol.ts
@@ -22,9 +22,9 @@
   }
   | { type: "read" }
   | { type: "heartbeat"; sighting: endpoints.Sighting; coldFor: number }
-  | { type: "leave"; id: string }
+  | { type: "leave"; id: string; born?: number }
   /** A call that there is, with content that cannot be read. */
-  | { type: "malformed"; detail: string }
+  | { type: "malformed"; detail: string; fault: string }
   | { type: "unknown" };
 
 /** Answer to a call. */
--- a/src/fleet/control_server.ts
+++ b/src/fleet/control_server.ts
@@ -10,6 +10,8 @@
 
 /** Bytes of the largest configuration: thousands of routes. */
 const MOST_BODY = 16 * 1024 * 1024;
+/** Characters of a target in a line: what others send is not bounded. */
+const MOST_SHOWN = 300;
 
 type Order<T> = Extract<protocol.ControlOrder, { type: T }>;
 type Served = "replace" | "read" | "heartbeat" | "leave";
@@ -60,7 +62,7 @@
     const { clock, metrics, logger } = this.#options;
     const started = clock.now();
     const { status, body } = await this.#answer(request);
-    const target = request.url ?? "";
+    const target = (request.url ?? "").slice(0, MOST_SHOWN);
     metrics.time("control.duration", clock.now() - started, {
       status: `${status}`,
     });
@@ -95,7 +97,10 @@
   ): protocol.ControlAnswer | Promise<protocol.ControlAnswer> {
     const { handlers, metrics } = this.#options;
     metrics.count("control.calls", 1, { type: order.type });
-    if (order.type === "malformed") return protocol.problem(400, order.detail);
+    if (order.type === "malformed") {
+      metrics.count("control.malformed", 1, { fault: order.fault });
+      return protocol.problem(400, order.detail);
+    }
     if (order.type === "unknown") return protocol.problem(404, "no such call");
     const handler = handlers[order.type] as (
       order: protocol.ControlOrder,
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -321,8 +321,8 @@
     return await this.#tell(sighting.id, sighting.state);
   }
 
-  #leave({ id }: Order<"leave">): Promise<protocol.ControlAnswer> {
-    this.#roster.leave(id, this.#options.clock.now());
+  #leave({ id, born }: Order<"leave">): Promise<protocol.ControlAnswer> {
+    this.#roster.leave({ id, born }, this.#options.clock.now());
     this.#spread.hear(id);
     return this.#tell(id, "gone");
   }
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -2,8 +2,8 @@
  * and passes requests on to services.
  * @module */
 
-import * as undici from "undici";
 import * as configurations from "../configuration/mod.ts";
+import * as connections from "../endpoint_calls/connections.ts";
 import * as connector from "../endpoint_calls/connector.ts";
 import * as gateway from "../gateway/mod.ts";
 import * as pieces from "../pieces/mod.ts";
@@ -55,7 +55,7 @@
   readonly #pool = gateway.Pool.create();
   readonly #batcher: pieces.Batcher;
   readonly #maker: pieces.Maker;
-  readonly #dispatcher: undici.Agent;
+  readonly #connections: connections.Connections;
   readonly #budgets = new Map<string, gateway.RetryBudget>();
   #catalogue?: configurations.Catalogue;
   #server!: gateway.Server;
@@ -66,7 +66,7 @@
     const { settings, clock, logger } = options;
     const { host: self, dataCentre, seeds } = settings;
     this.#options = options;
-    this.#dispatcher = new undici.Agent({
+    this.#connections = connections.Connections.create({
       pipelining: 1,
       connect: connector.create({ timeout: CONNECT_TIMEOUT }),
       keepAliveTimeout: KEEP_ALIVE,
@@ -91,7 +91,7 @@
     });
     this.#batcher = pieces.Batcher.create({
       ...options,
-      dispatcher: this.#dispatcher,
+      dispatcher: this.#connections,
       service: (name) => this.#catalogue?.service(name),
       workers: (cell) => this.#workers(cell),
       noteAnswer: (id) => this.#pool.get(id)?.judge("good", clock.now()),
@@ -140,7 +140,7 @@
     this.#follower.stop();
     this.#network.calls.stop();
     await this.#network.transport.stop();
-    await this.#dispatcher.destroy();
+    await this.#connections.destroy();
     logger.info({ tookMs: Math.round(clock.now() - started) }, "Host stopped");
   }
 
@@ -186,7 +186,7 @@
   #context(): gateway.Context {
     return {
       ...this.#options,
-      dispatcher: this.#dispatcher,
+      dispatcher: this.#connections,
       dataCentre: this.#options.settings.dataCentre,
       pool: this.#pool,
       maker: this.#maker,
@@ -232,14 +232,28 @@
   }
 
   #follow(): void {
-    this.#pool.update(
+    const ended = this.#pool.update(
       this.#follower.roster.entries,
       (name) => this.#catalogue?.service(name),
     );
+    ended.forEach((one) => void this.#end(one));
     this.#batcher.update();
     this.#options.metrics.gauge("config.proof_age", this.#follower.age);
   }
 
+  /** Leaves the connections to an endpoint that has ended. */
+  async #end({ identity, isReborn }: gateway.Ended): Promise<void> {
+    const { id, service, address } = identity;
+    const { logger } = this.#options;
+    logger.info({ endpoint: id, service, address, isReborn }, "Endpoint ended");
+    try {
+      if (isReborn) await this.#connections.cut(address);
+      else await this.#connections.retire(address);
+    } catch (error) {
+      logger.warn({ err: error, endpoint: id }, "Connections were not closed");
+    }
+  }
+
   #known(service: string): pieces.Worker[] {
     return this.#pool.of(service).map(({ identity }) => identity);
   }
--- a/src/fleet/sightings.ts
+++ b/src/fleet/sightings.ts
@@ -9,11 +9,12 @@
   entry: endpoints.RosterEntry,
   now: number,
 ): schema.Sighting {
-  const { id, service, address, dataCentre, version, slots } = entry;
+  const { id, born, service, address, dataCentre, version, slots } = entry;
   const { state, sequence, heard, coldUntil, isSilent } = entry;
   const cold = Math.max(0, Math.round(coldUntil - now));
   return {
     id,
+    ...(born !== undefined && { born }),
     service,
     address,
     dataCentre,
@@ -30,11 +31,14 @@
 /** A report out of a message. Hosts that hear heartbeats judge silence by
  * themselves; others believe what they are told. */
 export function decode(
-  { age, cold = 0, silent, ...sighting }: schema.Sighting,
+  told: schema.Sighting,
   { now, judges }: { now: number; judges: boolean },
 ): endpoints.Report {
+  const { id, born, service, address, dataCentre, version, slots } = told;
+  const { state, sequence, age, cold = 0, silent } = told;
+  const place = { service, address, dataCentre };
   return {
-    sighting,
+    sighting: { id, born, ...place, version, slots, state, sequence },
     heard: now - age,
     coldUntil: cold > 0 ? now + cold : 0,
     ...(judges ? {} : { isSilent: silent ?? false }),
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -98,21 +98,22 @@
 ): number {
   const known = engine.memory?.known(prompt) ?? 0;
   const open = Math.max(0, prompt.inputTokens - known);
-  if (engine.identity.id !== home) return open;
+  if (engine.identity.name !== home) return open;
   const own = prompt.parts.at(-1)?.tokens ?? 0;
   const shared = Math.max(0, open - own);
   return open - shared * (1 - HOME_SHARE);
 }
 
-/** Engine that the shared parts of a prompt belong to, on all hosts. */
+/** Name of the engine that the shared parts of a prompt belong to, on all
+ * hosts: one that starts again has read nothing and is their home again. */
 export function homeOf(
   candidates: readonly endpoint.Endpoint[],
   { parts }: protocol.Prompt,
 ): string | undefined {
   const shared = parts.at(-2) ?? parts.at(-1);
   if (shared === undefined) return undefined;
-  const ids = candidates.map(({ identity }) => identity.id);
-  return rendezvous.rank(shared.id, ids)[0];
+  const names = candidates.map(({ identity }) => identity.name);
+  return rendezvous.rank(shared.id, names)[0];
 }
 
 function least<T>(
--- a/src/gateway/choice_test.ts
+++ b/src/gateway/choice_test.ts
@@ -12,7 +12,8 @@
 
 function endpointOf(id: string, change: Partial<endpoint.Identity> = {}) {
   const address = `10.0.0.1:${id}`;
-  const identity = { id, service: "s", address, dataCentre: "town", slots: 4 };
+  const place = { service: "s", address, dataCentre: "town", slots: 4 };
+  const identity = { id, name: id, ...place };
   const memory = promptMemory.PromptMemory.create(100_000);
   const firstEvent = firstEvents.FirstEvent.create();
   const engine = { memory, firstEvent };
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -24,7 +24,11 @@
 
 /** Who and where an endpoint is. */
 export interface Identity {
+  /** One incarnation of it: all that a host believes of an endpoint from its
+   * own calls is kept by this, and ends with it. */
   readonly id: string;
+  /** What it calls itself, through all its incarnations. */
+  readonly name: string;
   readonly service: string;
   readonly address: string;
   readonly dataCentre: string;
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -265,7 +265,7 @@
     { body, inputs }: { body: Buffer; inputs?: readonly string[] },
   ): Promise<attempts.Outcome> {
     const { clock, metrics } = this.#context;
-    const { id, service } = target.identity;
+    const { id, name, service } = target.identity;
     const started = clock.now();
     const note: CallNote = { endpoint: id, ms: 0, outcome: "open" };
     this.#calls.push(note);
@@ -287,7 +287,7 @@
       ...this.#context,
       endpoint: target,
       ask: this.#ask!,
-      terms: this.#terms(id, inputs),
+      terms: this.#terms(name, inputs),
       body: body.length > 0 ? body : undefined,
       deadline: this.#until,
       silence: this.#silence(),
@@ -323,13 +323,13 @@
   }
 
   #terms(
-    id: string,
+    endpoint: string,
     inputs: readonly string[] | undefined,
   ): protocols.CallTerms {
     const { clock } = this.#context;
     const left = Math.max(LEAST_LEFT, Math.floor(this.#until - clock.now()));
     return {
-      endpoint: id,
+      endpoint,
       account: this.#account?.name,
       remaining: left,
       urgency: this.#urgency,
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -69,7 +69,13 @@
   const pool = gateway.Pool.create();
   const sighting = { id: "e-1", service: "desk", address, dataCentre: "town" };
   const rest = { version: "", slots: 4, state: "ready" as const, sequence: 1 };
-  const heard = { heard: 0, coldUntil: 0, revision: 1, isSilent: false };
+  const heard = {
+    heard: 0,
+    since: 0,
+    coldUntil: 0,
+    revision: 1,
+    isSilent: false,
+  };
   pool.update([{ ...sighting, ...rest, ...heard }], () => undefined);
   const bounds = { ratio: 1, burst: 10, window: 1000 };
   const started: passages.Passage[] = [];
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -2,13 +2,23 @@
  * @module */
 
 import type * as configurations from "../configuration/mod.ts";
+import * as incarnations from "../endpoints/incarnation.ts";
 import type * as endpoints from "../endpoints/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as endpoint from "./endpoint.ts";
 import * as firstEvents from "./first_event.ts";
 import * as promptMemory from "./prompt_memory.ts";
 
-/** Endpoints by service; changed in place. */
+/** An endpoint that is no more. */
+export interface Ended {
+  readonly identity: endpoint.Identity;
+  /** Whether it has started again under its name, so that what was under way
+   * is lost. */
+  readonly isReborn: boolean;
+}
+
+/** Endpoints by service, each incarnation an endpoint of its own; changed in
+ * place. */
 export class Pool {
   readonly #byId = new Map<string, endpoint.Endpoint>();
   readonly #byAddress = new Map<string, string>();
@@ -19,26 +29,32 @@
     return new Pool();
   }
 
-  /** Follows a roster. `service` tells what is known of a service. */
+  /** Follows a roster; returns who has ended. `service` tells what is known of
+   * a service. */
   update(
     entries: Iterable<endpoints.RosterEntry>,
     service: (name: string) => configurations.Service | undefined,
-  ): void {
+  ): Ended[] {
     const seen = new Set<string>();
+    const names = new Set<string>();
     const newest = newestByAddress(entries);
     for (const entry of newest.values()) {
-      seen.add(entry.id);
-      const known = this.#byId.get(entry.id) ??
+      const id = incarnations.keyOf(entry);
+      seen.add(id);
+      names.add(entry.id);
+      const known = this.#byId.get(id) ??
         this.#add(entry, service(entry.service));
       known.isReady = entry.state === "ready";
       known.isSilent = entry.isSilent;
       known.coldUntil = entry.coldUntil;
     }
-    for (const [id, known] of this.#byId) {
-      if (seen.has(id)) continue;
+    const ended = [...this.#byId].filter(([id]) => !seen.has(id));
+    return ended.map(([id, known]) => {
       known.isReady = false;
       this.#remove(id, known);
-    }
+      const { identity } = known;
+      return { identity, isReborn: names.has(identity.name) };
+    });
   }
 
   get(id: string): endpoint.Endpoint | undefined {
@@ -87,15 +103,17 @@
   }
 
   #add(
-    { id, service, address, dataCentre, slots }: endpoints.RosterEntry,
+    entry: endpoints.RosterEntry,
     traits: configurations.Service | undefined,
   ): endpoint.Endpoint {
+    const { id: name, service, address, dataCentre, slots } = entry;
+    const id = incarnations.keyOf(entry);
     const engine = traits?.engine && {
       memory: promptMemory.PromptMemory.create(traits.engine.tokens),
       firstEvent: this.#firstEvent(service),
     };
     this.#byAddress.set(address, dataCentre);
-    const identity = { id, service, address, dataCentre, slots };
+    const identity = { id, name, service, address, dataCentre, slots };
     const added = endpoint.Endpoint.create(identity, engine);
     this.#byId.set(id, added);
     this.#byService.set(service, [...this.of(service), added]);
--- a/src/gateway/use_teller_test.ts
+++ b/src/gateway/use_teller_test.ts
@@ -20,7 +20,8 @@
 
 function engineOf(id: string): endpoint.Endpoint {
   const address = `10.0.0.1:${id}`;
-  const identity = { id, service: "s", address, dataCentre: "town", slots: 4 };
+  const place = { service: "s", address, dataCentre: "town", slots: 4 };
+  const identity = { id, name: id, ...place };
   const memory = promptMemory.PromptMemory.create(100_000);
   const firstEvent = firstEvents.FirstEvent.create();
   return endpoint.Endpoint.create(identity, { memory, firstEvent });
@@ -70,7 +71,13 @@
 test("a prompt avoids the engine that other hosts load", (t) => {
   const pool = pools.Pool.create();
   const rest = { version: "", state: "ready" as const, sequence: 1 };
-  const heard = { heard: 0, coldUntil: 0, revision: 1, isSilent: false };
+  const heard = {
+    heard: 0,
+    since: 0,
+    coldUntil: 0,
+    revision: 1,
+    isSilent: false,
+  };
   const place = { service: "s", dataCentre: "town", slots: 64 };
   pool.update(
     ["1", "2"].map((id) => ({
--- a/src/pieces/fixture.ts
+++ b/src/pieces/fixture.ts
@@ -8,6 +8,7 @@
   return Object.entries(counts).flatMap(([dataCentre, count], place) =>
     Array.from({ length: count }, (_, number) => ({
       id: `${dataCentre}-${number}`,
+      name: `${dataCentre}-${number}`,
       address: `10.${place}.0.${number}:80`,
       dataCentre,
     }))
--- a/src/pieces/piece_call.ts
+++ b/src/pieces/piece_call.ts
@@ -44,7 +44,7 @@
     key: work.key,
     inputs: work.inputs,
   }));
-  const outgoing = protocol.pieceCall(worker.id, orders);
+  const outgoing = protocol.pieceCall(worker.name, orders);
   const whole = await exchange(worker.address, outgoing, {
     ...options,
     timeout: patience,
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -7,7 +7,7 @@
 import type * as work from "./work.ts";
 
 function worker(id: string, dataCentre = "town"): work.Worker {
-  return { id, address: `10.0.0.1:${id}`, dataCentre };
+  return { id, name: id, address: `10.0.0.1:${id}`, dataCentre };
 }
 
 function schedulerOf(...workers: work.Worker[]) {
--- a/src/pieces/work.ts
+++ b/src/pieces/work.ts
@@ -32,7 +32,10 @@
 
 /** An endpoint that makes pieces. */
 export interface Worker {
+  /** One incarnation of it. */
   readonly id: string;
+  /** What it calls itself, through all its incarnations. */
+  readonly name: string;
   readonly address: string;
   readonly dataCentre: string;
 }
--- a/src/pieces/worker_state_test.ts
+++ b/src/pieces/worker_state_test.ts
@@ -9,7 +9,12 @@
 }
 
 function stateOf() {
-  const worker = { id: "1", address: "10.0.0.1:80", dataCentre: "town" };
+  const worker = {
+    id: "1",
+    name: "1",
+    address: "10.0.0.1:80",
+    dataCentre: "town",
+  };
   const state = workerStates.WorkerState.create(worker);
   state.isListed = true;
   return state;
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -3,7 +3,8 @@
 
 /**
  * Messages between hosts that find each other by seeds: questions that are
- * answered, and notices that are not.
+ * answered, and notices that are not. Fields that a host does not know are left
+ * alone: hosts of two releases run beside each other during an upgrade.
  *
  */
 export type FleetMessage = Ask | Answer | Working | Cast;
@@ -84,6 +85,11 @@
  */
 export interface Sighting {
   id: Name;
+  /**
+   * Unix milliseconds of its start; absent where it does not say.
+   *
+   */
+  born?: number;
   service: Name;
   address: Name;
   dataCentre: Name;
@@ -265,7 +271,10 @@
   uses: EngineUse[];
 }
 export interface EngineUse {
-  engine: Name;
+  /**
+   * One incarnation of it; what was said of another is ignored.
+   */
+  engine: string;
   /**
    * Prompt tokens sent there whose first event has not come.
    */
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,12 +5,12 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","additionalProperties":false,"required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","additionalProperties":false,"required":["engine","tokens","streams","read"],"properties":{"engine":{"$ref":"#/$defs/Name"},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}}},"PromptPart":{"title":"PromptPart","type":"object","additionalProperties":false,"required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
-const schema32 = {"title":"Ask","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema32 = {"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
 const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"}]};
-const schema61 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
-const schema35 = {"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","additionalProperties":false,"required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}};
+const schema61 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
+const schema35 = {"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -30,18 +30,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "type") || (key0 === "version")) || (key0 === "document")) || (key0 === "digest"))){
-validate23.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema35,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate23.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema35.properties.type.type,parentSchema:schema35.properties.type,data:data0}];
 return false;
@@ -50,7 +41,7 @@
 validate23.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replace"},message:"must be equal to constant",schema:"replace",parentSchema:schema35.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -58,13 +49,13 @@
 if(valid0){
 if(data.version !== undefined){
 let data1 = data.version;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
 validate23.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
-if(errors === _errs5){
+if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
 validate23.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
@@ -72,7 +63,7 @@
 }
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -80,12 +71,12 @@
 if(valid0){
 if(data.document !== undefined){
 let data2 = data.document;
-const _errs7 = errors;
+const _errs6 = errors;
 if(typeof data2 !== "string"){
 validate23.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema35.properties.document.type,parentSchema:schema35.properties.document,data:data2}];
 return false;
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -93,12 +84,12 @@
 if(valid0){
 if(data.digest !== undefined){
 let data3 = data.digest;
-const _errs9 = errors;
+const _errs8 = errors;
 if(typeof data3 !== "string"){
 validate23.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema35.properties.digest.type,parentSchema:schema35.properties.digest,data:data3}];
 return false;
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -108,7 +99,6 @@
 }
 }
 }
-}
 else {
 validate23.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema35.type,parentSchema:schema35,data}];
 return false;
@@ -117,10 +107,10 @@
 validate23.errors = vErrors;
 return errors === 0;
 }
-validate23.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate23.evaluated = {"props":{"type":true,"version":true,"document":true,"digest":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema37 = {"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","additionalProperties":false,"required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"}}};
-const schema40 = {"title":"EntryHost","description":"A host that takes requests.","type":"object","additionalProperties":false,"required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}};
+const schema37 = {"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"}}};
+const schema40 = {"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}};
 const schema41 = {"type":"string","minLength":1,"maxLength":256};
 
 function validate25(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -141,20 +131,11 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "host") || (key0 === "dataCentre")) || (key0 === "ready")) || (key0 === "age"))){
-validate25.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema40,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.host !== undefined){
 let data0 = data.host;
+const _errs1 = errors;
 const _errs2 = errors;
-const _errs3 = errors;
-if(errors === _errs3){
+if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 256){
 validate25.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data0}];
@@ -172,7 +153,7 @@
 return false;
 }
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -180,9 +161,9 @@
 if(valid0){
 if(data.dataCentre !== undefined){
 let data1 = data.dataCentre;
+const _errs4 = errors;
 const _errs5 = errors;
-const _errs6 = errors;
-if(errors === _errs6){
+if(errors === _errs5){
 if(typeof data1 === "string"){
 if(data1.length > 256){
 validate25.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
@@ -200,7 +181,7 @@
 return false;
 }
 }
-var valid0 = _errs5 === errors;
+var valid0 = _errs4 === errors;
 }
 else {
 var valid0 = true;
@@ -208,12 +189,12 @@
 if(valid0){
 if(data.ready !== undefined){
 let data2 = data.ready;
-const _errs8 = errors;
+const _errs7 = errors;
 if(typeof data2 !== "boolean"){
 validate25.errors = [{instancePath:instancePath+"/ready",schemaPath:"#/properties/ready/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema40.properties.ready.type,parentSchema:schema40.properties.ready,data:data2}];
 return false;
 }
-var valid0 = _errs8 === errors;
+var valid0 = _errs7 === errors;
 }
 else {
 var valid0 = true;
@@ -221,8 +202,8 @@
 if(valid0){
 if(data.age !== undefined){
 let data3 = data.age;
-const _errs10 = errors;
-if(errors === _errs10){
+const _errs9 = errors;
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate25.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema40.properties.age,data:data3}];
@@ -234,7 +215,7 @@
 return false;
 }
 }
-var valid0 = _errs10 === errors;
+var valid0 = _errs9 === errors;
 }
 else {
 var valid0 = true;
@@ -244,7 +225,6 @@
 }
 }
 }
-}
 else {
 validate25.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema40.type,parentSchema:schema40,data}];
 return false;
@@ -253,7 +233,7 @@
 validate25.errors = vErrors;
 return errors === 0;
 }
-validate25.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate25.evaluated = {"props":{"host":true,"dataCentre":true,"ready":true,"age":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate24(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -274,18 +254,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((((key0 === "type") || (key0 === "version")) || (key0 === "epoch")) || (key0 === "revision")) || (key0 === "mark")) || (key0 === "host"))){
-validate24.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema37,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate24.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema37.properties.type.type,parentSchema:schema37.properties.type,data:data0}];
 return false;
@@ -294,7 +265,7 @@
 validate24.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "sync"},message:"must be equal to constant",schema:"sync",parentSchema:schema37.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -302,13 +273,13 @@
 if(valid0){
 if(data.version !== undefined){
 let data1 = data.version;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
 validate24.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
-if(errors === _errs5){
+if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
 validate24.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
@@ -316,7 +287,7 @@
 }
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -324,12 +295,12 @@
 if(valid0){
 if(data.epoch !== undefined){
 let data2 = data.epoch;
-const _errs7 = errors;
+const _errs6 = errors;
 if(typeof data2 !== "string"){
 validate24.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema37.properties.epoch.type,parentSchema:schema37.properties.epoch,data:data2}];
 return false;
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -337,13 +308,13 @@
 if(valid0){
 if(data.revision !== undefined){
 let data3 = data.revision;
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
 validate24.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data3}];
 return false;
 }
-if(errors === _errs10){
+if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
 validate24.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data3}];
@@ -351,7 +322,7 @@
 }
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -359,24 +330,24 @@
 if(valid0){
 if(data.mark !== undefined){
 let data4 = data.mark;
-const _errs12 = errors;
+const _errs11 = errors;
 if(typeof data4 !== "string"){
 validate24.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema37.properties.mark.type,parentSchema:schema37.properties.mark,data:data4}];
 return false;
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.host !== undefined){
-const _errs14 = errors;
+const _errs13 = errors;
 if(!(validate25(data.host, {instancePath:instancePath+"/host",parentData:data,parentDataProperty:"host",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate25.errors : vErrors.concat(validate25.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs14 === errors;
+var valid0 = _errs13 === errors;
 }
 else {
 var valid0 = true;
@@ -388,7 +359,6 @@
 }
 }
 }
-}
 else {
 validate24.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema37.type,parentSchema:schema37,data}];
 return false;
@@ -397,11 +367,10 @@
 validate24.errors = vErrors;
 return errors === 0;
 }
-validate24.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate24.evaluated = {"props":{"type":true,"version":true,"epoch":true,"revision":true,"mark":true,"host":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema43 = {"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","additionalProperties":false,"required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}};
-const schema44 = {"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","additionalProperties":false,"required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}};
-const func1 = Object.prototype.hasOwnProperty;
+const schema43 = {"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}};
+const schema44 = {"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}};
 
 function validate28(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -421,20 +390,11 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(func1.call(schema44.properties, key0))){
-validate28.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema44,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.id !== undefined){
 let data0 = data.id;
+const _errs1 = errors;
 const _errs2 = errors;
-const _errs3 = errors;
-if(errors === _errs3){
+if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 256){
 validate28.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data0}];
@@ -452,206 +412,227 @@
 return false;
 }
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.born !== undefined){
+let data1 = data.born;
+const _errs4 = errors;
+if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
+validate28.errors = [{instancePath:instancePath+"/born",schemaPath:"#/properties/born/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema44.properties.born.type,parentSchema:schema44.properties.born,data:data1}];
+return false;
+}
+if(errors === _errs4){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 < 0 || isNaN(data1)){
+validate28.errors = [{instancePath:instancePath+"/born",schemaPath:"#/properties/born/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema44.properties.born,data:data1}];
+return false;
+}
+}
+}
+var valid0 = _errs4 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.service !== undefined){
-let data1 = data.service;
-const _errs5 = errors;
+let data2 = data.service;
 const _errs6 = errors;
-if(errors === _errs6){
-if(typeof data1 === "string"){
-if(data1.length > 256){
-validate28.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+const _errs7 = errors;
+if(errors === _errs7){
+if(typeof data2 === "string"){
+if(data2.length > 256){
+validate28.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
 return false;
 }
 else {
-if(data1.length < 1){
-validate28.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+if(data2.length < 1){
+validate28.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
 return false;
 }
 }
 }
 else {
-validate28.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate28.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
 return false;
 }
 }
-var valid0 = _errs5 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.address !== undefined){
-let data2 = data.address;
-const _errs8 = errors;
+let data3 = data.address;
 const _errs9 = errors;
-if(errors === _errs9){
-if(typeof data2 === "string"){
-if(data2.length > 256){
-validate28.errors = [{instancePath:instancePath+"/address",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data2}];
+const _errs10 = errors;
+if(errors === _errs10){
+if(typeof data3 === "string"){
+if(data3.length > 256){
+validate28.errors = [{instancePath:instancePath+"/address",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
 return false;
 }
 else {
-if(data2.length < 1){
-validate28.errors = [{instancePath:instancePath+"/address",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data2}];
+if(data3.length < 1){
+validate28.errors = [{instancePath:instancePath+"/address",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
 return false;
 }
 }
 }
 else {
-validate28.errors = [{instancePath:instancePath+"/address",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data2}];
+validate28.errors = [{instancePath:instancePath+"/address",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
 }
-var valid0 = _errs8 === errors;
+var valid0 = _errs9 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.dataCentre !== undefined){
-let data3 = data.dataCentre;
-const _errs11 = errors;
+let data4 = data.dataCentre;
 const _errs12 = errors;
-if(errors === _errs12){
-if(typeof data3 === "string"){
-if(data3.length > 256){
-validate28.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
+const _errs13 = errors;
+if(errors === _errs13){
+if(typeof data4 === "string"){
+if(data4.length > 256){
+validate28.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data4}];
 return false;
 }
 else {
-if(data3.length < 1){
-validate28.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
+if(data4.length < 1){
+validate28.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data4}];
 return false;
 }
 }
 }
 else {
-validate28.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+validate28.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data4}];
 return false;
 }
 }
-var valid0 = _errs11 === errors;
+var valid0 = _errs12 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.version !== undefined){
-let data4 = data.version;
-const _errs14 = errors;
-if(typeof data4 !== "string"){
-validate28.errors = [{instancePath:instancePath+"/version",schemaPath:"#/properties/version/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema44.properties.version.type,parentSchema:schema44.properties.version,data:data4}];
+let data5 = data.version;
+const _errs15 = errors;
+if(typeof data5 !== "string"){
+validate28.errors = [{instancePath:instancePath+"/version",schemaPath:"#/properties/version/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema44.properties.version.type,parentSchema:schema44.properties.version,data:data5}];
 return false;
 }
-var valid0 = _errs14 === errors;
+var valid0 = _errs15 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.slots !== undefined){
-let data5 = data.slots;
-const _errs16 = errors;
-if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate28.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.slots.type,parentSchema:schema44.properties.slots,data:data5}];
+let data6 = data.slots;
+const _errs17 = errors;
+if(!((typeof data6 == "number") && (isFinite(data6)))){
+validate28.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.slots.type,parentSchema:schema44.properties.slots,data:data6}];
 return false;
 }
-var valid0 = _errs16 === errors;
+var valid0 = _errs17 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.state !== undefined){
-let data6 = data.state;
-const _errs18 = errors;
-if(!(((data6 === "ready") || (data6 === "draining")) || (data6 === "gone"))){
-validate28.errors = [{instancePath:instancePath+"/state",schemaPath:"#/properties/state/enum",keyword:"enum",params:{allowedValues: schema44.properties.state.enum},message:"must be equal to one of the allowed values",schema:schema44.properties.state.enum,parentSchema:schema44.properties.state,data:data6}];
+let data7 = data.state;
+const _errs19 = errors;
+if(!(((data7 === "ready") || (data7 === "draining")) || (data7 === "gone"))){
+validate28.errors = [{instancePath:instancePath+"/state",schemaPath:"#/properties/state/enum",keyword:"enum",params:{allowedValues: schema44.properties.state.enum},message:"must be equal to one of the allowed values",schema:schema44.properties.state.enum,parentSchema:schema44.properties.state,data:data7}];
 return false;
 }
-var valid0 = _errs18 === errors;
+var valid0 = _errs19 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.sequence !== undefined){
-let data7 = data.sequence;
-const _errs19 = errors;
-if(!(((typeof data7 == "number") && (!(data7 % 1) && !isNaN(data7))) && (isFinite(data7)))){
-validate28.errors = [{instancePath:instancePath+"/sequence",schemaPath:"#/properties/sequence/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema44.properties.sequence.type,parentSchema:schema44.properties.sequence,data:data7}];
+let data8 = data.sequence;
+const _errs20 = errors;
+if(!(((typeof data8 == "number") && (!(data8 % 1) && !isNaN(data8))) && (isFinite(data8)))){
+validate28.errors = [{instancePath:instancePath+"/sequence",schemaPath:"#/properties/sequence/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema44.properties.sequence.type,parentSchema:schema44.properties.sequence,data:data8}];
 return false;
 }
-if(errors === _errs19){
-if((typeof data7 == "number") && (isFinite(data7))){
-if(data7 < -1 || isNaN(data7)){
-validate28.errors = [{instancePath:instancePath+"/sequence",schemaPath:"#/properties/sequence/minimum",keyword:"minimum",params:{comparison: ">=", limit: -1},message:"must be >= -1",schema:-1,parentSchema:schema44.properties.sequence,data:data7}];
+if(errors === _errs20){
+if((typeof data8 == "number") && (isFinite(data8))){
+if(data8 < -1 || isNaN(data8)){
+validate28.errors = [{instancePath:instancePath+"/sequence",schemaPath:"#/properties/sequence/minimum",keyword:"minimum",params:{comparison: ">=", limit: -1},message:"must be >= -1",schema:-1,parentSchema:schema44.properties.sequence,data:data8}];
 return false;
 }
 }
 }
-var valid0 = _errs19 === errors;
+var valid0 = _errs20 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.age !== undefined){
-let data8 = data.age;
-const _errs21 = errors;
-if(errors === _errs21){
-if((typeof data8 == "number") && (isFinite(data8))){
-if(data8 < 0 || isNaN(data8)){
-validate28.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema44.properties.age,data:data8}];
+let data9 = data.age;
+const _errs22 = errors;
+if(errors === _errs22){
+if((typeof data9 == "number") && (isFinite(data9))){
+if(data9 < 0 || isNaN(data9)){
+validate28.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema44.properties.age,data:data9}];
 return false;
 }
 }
 else {
-validate28.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.age.type,parentSchema:schema44.properties.age,data:data8}];
+validate28.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.age.type,parentSchema:schema44.properties.age,data:data9}];
 return false;
 }
 }
-var valid0 = _errs21 === errors;
+var valid0 = _errs22 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.cold !== undefined){
-let data9 = data.cold;
-const _errs23 = errors;
-if(errors === _errs23){
-if((typeof data9 == "number") && (isFinite(data9))){
-if(data9 < 0 || isNaN(data9)){
-validate28.errors = [{instancePath:instancePath+"/cold",schemaPath:"#/properties/cold/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema44.properties.cold,data:data9}];
+let data10 = data.cold;
+const _errs24 = errors;
+if(errors === _errs24){
+if((typeof data10 == "number") && (isFinite(data10))){
+if(data10 < 0 || isNaN(data10)){
+validate28.errors = [{instancePath:instancePath+"/cold",schemaPath:"#/properties/cold/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema44.properties.cold,data:data10}];
 return false;
 }
 }
 else {
-validate28.errors = [{instancePath:instancePath+"/cold",schemaPath:"#/properties/cold/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.cold.type,parentSchema:schema44.properties.cold,data:data9}];
+validate28.errors = [{instancePath:instancePath+"/cold",schemaPath:"#/properties/cold/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.cold.type,parentSchema:schema44.properties.cold,data:data10}];
 return false;
 }
 }
-var valid0 = _errs23 === errors;
+var valid0 = _errs24 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.silent !== undefined){
-let data10 = data.silent;
-const _errs25 = errors;
-if(typeof data10 !== "boolean"){
-validate28.errors = [{instancePath:instancePath+"/silent",schemaPath:"#/properties/silent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema44.properties.silent.type,parentSchema:schema44.properties.silent,data:data10}];
+let data11 = data.silent;
+const _errs26 = errors;
+if(typeof data11 !== "boolean"){
+validate28.errors = [{instancePath:instancePath+"/silent",schemaPath:"#/properties/silent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema44.properties.silent.type,parentSchema:schema44.properties.silent,data:data11}];
 return false;
 }
-var valid0 = _errs25 === errors;
+var valid0 = _errs26 === errors;
 }
 else {
 var valid0 = true;
@@ -677,7 +658,7 @@
 validate28.errors = vErrors;
 return errors === 0;
 }
-validate28.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate28.evaluated = {"props":{"id":true,"born":true,"service":true,"address":true,"dataCentre":true,"version":true,"slots":true,"state":true,"sequence":true,"age":true,"cold":true,"silent":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate27(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -698,18 +679,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "type") || (key0 === "sightings"))){
-validate27.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema43,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate27.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema43.properties.type.type,parentSchema:schema43.properties.type,data:data0}];
 return false;
@@ -718,7 +690,7 @@
 validate27.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "note"},message:"must be equal to constant",schema:"note",parentSchema:schema43.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -726,18 +698,18 @@
 if(valid0){
 if(data.sightings !== undefined){
 let data1 = data.sightings;
-const _errs4 = errors;
-if(errors === _errs4){
+const _errs3 = errors;
+if(errors === _errs3){
 if(Array.isArray(data1)){
 var valid1 = true;
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
-const _errs6 = errors;
+const _errs5 = errors;
 if(!(validate28(data1[i0], {instancePath:instancePath+"/sightings/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate28.errors : vErrors.concat(validate28.errors);
 errors = vErrors.length;
 }
-var valid1 = _errs6 === errors;
+var valid1 = _errs5 === errors;
 if(!valid1){
 break;
 }
@@ -748,7 +720,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -756,7 +728,6 @@
 }
 }
 }
-}
 else {
 validate27.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema43.type,parentSchema:schema43,data}];
 return false;
@@ -765,9 +736,9 @@
 validate27.errors = vErrors;
 return errors === 0;
 }
-validate27.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate27.evaluated = {"props":{"type":true,"sightings":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema49 = {"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}};
+const schema49 = {"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}};
 const schema51 = {"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256};
 
 function validate30(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -788,18 +759,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(func1.call(schema49.properties, key0))){
-validate30.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema49,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate30.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.type.type,parentSchema:schema49.properties.type,data:data0}];
 return false;
@@ -808,7 +770,7 @@
 validate30.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "make"},message:"must be equal to constant",schema:"make",parentSchema:schema49.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -816,9 +778,9 @@
 if(valid0){
 if(data.service !== undefined){
 let data1 = data.service;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
-if(errors === _errs5){
+if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
 validate30.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
@@ -836,7 +798,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -844,9 +806,9 @@
 if(valid0){
 if(data.cell !== undefined){
 let data2 = data.cell;
+const _errs6 = errors;
 const _errs7 = errors;
-const _errs8 = errors;
-if(errors === _errs8){
+if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
 validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
@@ -864,7 +826,7 @@
 return false;
 }
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -872,9 +834,9 @@
 if(valid0){
 if(data.request !== undefined){
 let data3 = data.request;
+const _errs9 = errors;
 const _errs10 = errors;
-const _errs11 = errors;
-if(errors === _errs11){
+if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
 validate30.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
@@ -892,7 +854,7 @@
 return false;
 }
 }
-var valid0 = _errs10 === errors;
+var valid0 = _errs9 === errors;
 }
 else {
 var valid0 = true;
@@ -900,13 +862,13 @@
 if(valid0){
 if(data.stage !== undefined){
 let data4 = data.stage;
+const _errs12 = errors;
 const _errs13 = errors;
-const _errs14 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
 validate30.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data4}];
 return false;
 }
-if(errors === _errs14){
+if(errors === _errs13){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
 validate30.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data4}];
@@ -914,7 +876,7 @@
 }
 }
 }
-var valid0 = _errs13 === errors;
+var valid0 = _errs12 === errors;
 }
 else {
 var valid0 = true;
@@ -922,20 +884,20 @@
 if(valid0){
 if(data.pieces !== undefined){
 let data5 = data.pieces;
-const _errs16 = errors;
-if(errors === _errs16){
+const _errs15 = errors;
+if(errors === _errs15){
 if(Array.isArray(data5)){
 var valid5 = true;
 const len0 = data5.length;
 for(let i0=0; i0<len0; i0++){
 let data6 = data5[i0];
+const _errs17 = errors;
 const _errs18 = errors;
-const _errs19 = errors;
 if(!(((typeof data6 == "number") && (!(data6 % 1) && !isNaN(data6))) && (isFinite(data6)))){
 validate30.errors = [{instancePath:instancePath+"/pieces/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data6}];
 return false;
 }
-if(errors === _errs19){
+if(errors === _errs18){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
 validate30.errors = [{instancePath:instancePath+"/pieces/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data6}];
@@ -943,7 +905,7 @@
 }
 }
 }
-var valid5 = _errs18 === errors;
+var valid5 = _errs17 === errors;
 if(!valid5){
 break;
 }
@@ -954,7 +916,7 @@
 return false;
 }
 }
-var valid0 = _errs16 === errors;
+var valid0 = _errs15 === errors;
 }
 else {
 var valid0 = true;
@@ -962,12 +924,12 @@
 if(valid0){
 if(data.key !== undefined){
 let data7 = data.key;
-const _errs21 = errors;
+const _errs20 = errors;
 if(typeof data7 !== "string"){
 validate30.errors = [{instancePath:instancePath+"/key",schemaPath:"#/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.key.type,parentSchema:schema49.properties.key,data:data7}];
 return false;
 }
-var valid0 = _errs21 === errors;
+var valid0 = _errs20 === errors;
 }
 else {
 var valid0 = true;
@@ -975,19 +937,19 @@
 if(valid0){
 if(data.inputs !== undefined){
 let data8 = data.inputs;
-const _errs23 = errors;
-if(errors === _errs23){
+const _errs22 = errors;
+if(errors === _errs22){
 if(Array.isArray(data8)){
 var valid7 = true;
 const len1 = data8.length;
 for(let i1=0; i1<len1; i1++){
 let data9 = data8[i1];
-const _errs25 = errors;
+const _errs24 = errors;
 if(typeof data9 !== "string"){
 validate30.errors = [{instancePath:instancePath+"/inputs/" + i1,schemaPath:"#/properties/inputs/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.inputs.items.type,parentSchema:schema49.properties.inputs.items,data:data9}];
 return false;
 }
-var valid7 = _errs25 === errors;
+var valid7 = _errs24 === errors;
 if(!valid7){
 break;
 }
@@ -998,7 +960,7 @@
 return false;
 }
 }
-var valid0 = _errs23 === errors;
+var valid0 = _errs22 === errors;
 }
 else {
 var valid0 = true;
@@ -1006,12 +968,12 @@
 if(valid0){
 if(data.bytes !== undefined){
 let data10 = data.bytes;
-const _errs27 = errors;
+const _errs26 = errors;
 if(!((typeof data10 == "number") && (isFinite(data10)))){
 validate30.errors = [{instancePath:instancePath+"/bytes",schemaPath:"#/properties/bytes/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.bytes.type,parentSchema:schema49.properties.bytes,data:data10}];
 return false;
 }
-var valid0 = _errs27 === errors;
+var valid0 = _errs26 === errors;
 }
 else {
 var valid0 = true;
@@ -1019,12 +981,12 @@
 if(valid0){
 if(data.moved !== undefined){
 let data11 = data.moved;
-const _errs29 = errors;
+const _errs28 = errors;
 if(!((typeof data11 == "number") && (isFinite(data11)))){
 validate30.errors = [{instancePath:instancePath+"/moved",schemaPath:"#/properties/moved/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.moved.type,parentSchema:schema49.properties.moved,data:data11}];
 return false;
 }
-var valid0 = _errs29 === errors;
+var valid0 = _errs28 === errors;
 }
 else {
 var valid0 = true;
@@ -1032,12 +994,12 @@
 if(valid0){
 if(data.remaining !== undefined){
 let data12 = data.remaining;
-const _errs31 = errors;
+const _errs30 = errors;
 if(!((typeof data12 == "number") && (isFinite(data12)))){
 validate30.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.remaining.type,parentSchema:schema49.properties.remaining,data:data12}];
 return false;
 }
-var valid0 = _errs31 === errors;
+var valid0 = _errs30 === errors;
 }
 else {
 var valid0 = true;
@@ -1045,12 +1007,12 @@
 if(valid0){
 if(data.slack !== undefined){
 let data13 = data.slack;
-const _errs33 = errors;
+const _errs32 = errors;
 if(!((typeof data13 == "number") && (isFinite(data13)))){
 validate30.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.slack.type,parentSchema:schema49.properties.slack,data:data13}];
 return false;
 }
-var valid0 = _errs33 === errors;
+var valid0 = _errs32 === errors;
 }
 else {
 var valid0 = true;
@@ -1058,12 +1020,12 @@
 if(valid0){
 if(data.rank !== undefined){
 let data14 = data.rank;
-const _errs35 = errors;
+const _errs34 = errors;
 if(!((typeof data14 == "number") && (isFinite(data14)))){
 validate30.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.rank.type,parentSchema:schema49.properties.rank,data:data14}];
 return false;
 }
-var valid0 = _errs35 === errors;
+var valid0 = _errs34 === errors;
 }
 else {
 var valid0 = true;
@@ -1071,12 +1033,12 @@
 if(valid0){
 if(data.dataCentre !== undefined){
 let data15 = data.dataCentre;
-const _errs37 = errors;
+const _errs36 = errors;
 if(typeof data15 !== "string"){
 validate30.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/properties/dataCentre/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.dataCentre.type,parentSchema:schema49.properties.dataCentre,data:data15}];
 return false;
 }
-var valid0 = _errs37 === errors;
+var valid0 = _errs36 === errors;
 }
 else {
 var valid0 = true;
@@ -1096,7 +1058,6 @@
 }
 }
 }
-}
 else {
 validate30.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema49.type,parentSchema:schema49,data}];
 return false;
@@ -1105,9 +1066,9 @@
 validate30.errors = vErrors;
 return errors === 0;
 }
-validate30.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate30.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true,"stage":true,"pieces":true,"key":true,"inputs":true,"bytes":true,"moved":true,"remaining":true,"slack":true,"rank":true,"dataCentre":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema55 = {"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","additionalProperties":false,"required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}};
+const schema55 = {"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}};
 
 function validate31(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1127,18 +1088,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((((((key0 === "type") || (key0 === "service")) || (key0 === "cell")) || (key0 === "request")) || (key0 === "stage")) || (key0 === "pieces")) || (key0 === "slack")) || (key0 === "rank"))){
-validate31.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema55,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema55.properties.type.type,parentSchema:schema55.properties.type,data:data0}];
 return false;
@@ -1147,7 +1099,7 @@
 validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "book"},message:"must be equal to constant",schema:"book",parentSchema:schema55.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1155,9 +1107,9 @@
 if(valid0){
 if(data.service !== undefined){
 let data1 = data.service;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
-if(errors === _errs5){
+if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
 validate31.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
@@ -1175,7 +1127,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -1183,9 +1135,9 @@
 if(valid0){
 if(data.cell !== undefined){
 let data2 = data.cell;
+const _errs6 = errors;
 const _errs7 = errors;
-const _errs8 = errors;
-if(errors === _errs8){
+if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
 validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
@@ -1203,7 +1155,7 @@
 return false;
 }
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -1211,9 +1163,9 @@
 if(valid0){
 if(data.request !== undefined){
 let data3 = data.request;
+const _errs9 = errors;
 const _errs10 = errors;
-const _errs11 = errors;
-if(errors === _errs11){
+if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
 validate31.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
@@ -1231,7 +1183,7 @@
 return false;
 }
 }
-var valid0 = _errs10 === errors;
+var valid0 = _errs9 === errors;
 }
 else {
 var valid0 = true;
@@ -1239,13 +1191,13 @@
 if(valid0){
 if(data.stage !== undefined){
 let data4 = data.stage;
+const _errs12 = errors;
 const _errs13 = errors;
-const _errs14 = errors;
 if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
 validate31.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data4}];
 return false;
 }
-if(errors === _errs14){
+if(errors === _errs13){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
 validate31.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data4}];
@@ -1253,7 +1205,7 @@
 }
 }
 }
-var valid0 = _errs13 === errors;
+var valid0 = _errs12 === errors;
 }
 else {
 var valid0 = true;
@@ -1261,13 +1213,13 @@
 if(valid0){
 if(data.pieces !== undefined){
 let data5 = data.pieces;
+const _errs15 = errors;
 const _errs16 = errors;
-const _errs17 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
 validate31.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
-if(errors === _errs17){
+if(errors === _errs16){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
 validate31.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
@@ -1275,7 +1227,7 @@
 }
 }
 }
-var valid0 = _errs16 === errors;
+var valid0 = _errs15 === errors;
 }
 else {
 var valid0 = true;
@@ -1283,12 +1235,12 @@
 if(valid0){
 if(data.slack !== undefined){
 let data6 = data.slack;
-const _errs19 = errors;
+const _errs18 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
 validate31.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema55.properties.slack.type,parentSchema:schema55.properties.slack,data:data6}];
 return false;
 }
-var valid0 = _errs19 === errors;
+var valid0 = _errs18 === errors;
 }
 else {
 var valid0 = true;
@@ -1296,12 +1248,12 @@
 if(valid0){
 if(data.rank !== undefined){
 let data7 = data.rank;
-const _errs21 = errors;
+const _errs20 = errors;
 if(!((typeof data7 == "number") && (isFinite(data7)))){
 validate31.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema55.properties.rank.type,parentSchema:schema55.properties.rank,data:data7}];
 return false;
 }
-var valid0 = _errs21 === errors;
+var valid0 = _errs20 === errors;
 }
 else {
 var valid0 = true;
@@ -1315,7 +1267,6 @@
 }
 }
 }
-}
 else {
 validate31.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema55.type,parentSchema:schema55,data}];
 return false;
@@ -1324,7 +1275,7 @@
 validate31.errors = vErrors;
 return errors === 0;
 }
-validate31.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate31.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true,"stage":true,"pieces":true,"slack":true,"rank":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -1357,15 +1308,6 @@
 return false;
 }
 else {
-const _errs5 = errors;
-for(const key0 in data){
-if(!(key0 === "type")){
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema61,data}];
-return false;
-break;
-}
-}
-if(_errs5 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
 if(typeof data0 !== "string"){
@@ -1379,13 +1321,13 @@
 }
 }
 }
-}
 else {
 validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema61.type,parentSchema:schema61,data}];
 return false;
 }
 }
-var props0 = true;
+var props0 = {};
+props0.type = true;
 }
 else if(tag0 === "replace"){
 if(!(validate23(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
@@ -1393,7 +1335,11 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.version = true;
+props0.document = true;
+props0.digest = true;
 }
 }
 else if(tag0 === "sync"){
@@ -1402,7 +1348,13 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.version = true;
+props0.epoch = true;
+props0.revision = true;
+props0.mark = true;
+props0.host = true;
 }
 }
 else if(tag0 === "note"){
@@ -1411,7 +1363,9 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.sightings = true;
 }
 }
 else if(tag0 === "make"){
@@ -1420,7 +1374,21 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.service = true;
+props0.cell = true;
+props0.request = true;
+props0.stage = true;
+props0.pieces = true;
+props0.key = true;
+props0.inputs = true;
+props0.bytes = true;
+props0.moved = true;
+props0.remaining = true;
+props0.slack = true;
+props0.rank = true;
+props0.dataCentre = true;
 }
 }
 else if(tag0 === "book"){
@@ -1429,7 +1397,15 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.service = true;
+props0.cell = true;
+props0.request = true;
+props0.stage = true;
+props0.pieces = true;
+props0.slack = true;
+props0.rank = true;
 }
 }
 else {
@@ -1473,18 +1449,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(((key0 === "type") || (key0 === "id")) || (key0 === "body"))){
-validate21.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema32,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate21.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema32.properties.type.type,parentSchema:schema32.properties.type,data:data0}];
 return false;
@@ -1493,7 +1460,7 @@
 validate21.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "ask"},message:"must be equal to constant",schema:"ask",parentSchema:schema32.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1501,13 +1468,13 @@
 if(valid0){
 if(data.id !== undefined){
 let data1 = data.id;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
 validate21.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
-if(errors === _errs5){
+if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
 validate21.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
@@ -1515,19 +1482,19 @@
 }
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.body !== undefined){
-const _errs7 = errors;
+const _errs6 = errors;
 if(!(validate22(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate22.errors : vErrors.concat(validate22.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -1536,7 +1503,6 @@
 }
 }
 }
-}
 else {
 validate21.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema32.type,parentSchema:schema32,data}];
 return false;
@@ -1545,14 +1511,14 @@
 validate21.errors = vErrors;
 return errors === 0;
 }
-validate21.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate21.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema62 = {"title":"Answer","type":"object","additionalProperties":false,"required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema62 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
 const schema64 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"}]};
-const schema76 = {"title":"FailedReply","type":"object","additionalProperties":false,"required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema77 = {"title":"NotedReply","type":"object","additionalProperties":false,"required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema78 = {"title":"BookedReply","type":"object","additionalProperties":false,"required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}};
-const schema65 = {"title":"ConfirmedReply","type":"object","additionalProperties":false,"required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
+const schema76 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema77 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema78 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}};
+const schema65 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
 
 function validate40(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1572,18 +1538,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "type") || (key0 === "index"))){
-validate40.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema65,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema65.properties.type.type,parentSchema:schema65.properties.type,data:data0}];
 return false;
@@ -1592,7 +1549,7 @@
 validate40.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema65.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1600,13 +1557,13 @@
 if(valid0){
 if(data.index !== undefined){
 let data1 = data.index;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
 validate40.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
-if(errors === _errs5){
+if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
 validate40.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
@@ -1614,7 +1571,7 @@
 }
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -1622,7 +1579,6 @@
 }
 }
 }
-}
 else {
 validate40.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema65.type,parentSchema:schema65,data}];
 return false;
@@ -1631,9 +1587,9 @@
 validate40.errors = vErrors;
 return errors === 0;
 }
-validate40.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate40.evaluated = {"props":{"type":true,"index":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema67 = {"title":"ReplacedReply","type":"object","additionalProperties":false,"required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema67 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
 function validate41(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1653,18 +1609,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(((key0 === "type") || (key0 === "verdict")) || (key0 === "version"))){
-validate41.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema67,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate41.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.properties.type.type,parentSchema:schema67.properties.type,data:data0}];
 return false;
@@ -1673,7 +1620,7 @@
 validate41.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema67.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1681,12 +1628,12 @@
 if(valid0){
 if(data.verdict !== undefined){
 let data1 = data.verdict;
-const _errs4 = errors;
+const _errs3 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
 validate41.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema67.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema67.properties.verdict.enum,parentSchema:schema67.properties.verdict,data:data1}];
 return false;
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -1694,13 +1641,13 @@
 if(valid0){
 if(data.version !== undefined){
 let data2 = data.version;
+const _errs4 = errors;
 const _errs5 = errors;
-const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
 validate41.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
-if(errors === _errs6){
+if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
 validate41.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
@@ -1708,7 +1655,7 @@
 }
 }
 }
-var valid0 = _errs5 === errors;
+var valid0 = _errs4 === errors;
 }
 else {
 var valid0 = true;
@@ -1717,7 +1664,6 @@
 }
 }
 }
-}
 else {
 validate41.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema67.type,parentSchema:schema67,data}];
 return false;
@@ -1726,9 +1672,9 @@
 validate41.errors = vErrors;
 return errors === 0;
 }
-validate41.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate41.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema69 = {"title":"SyncedReply","type":"object","additionalProperties":false,"required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema69 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
 function validate42(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1748,18 +1694,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(func1.call(schema69.properties, key0))){
-validate42.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema69,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.type.type,parentSchema:schema69.properties.type,data:data0}];
 return false;
@@ -1768,7 +1705,7 @@
 validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema69.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -1776,12 +1713,12 @@
 if(valid0){
 if(data.confirmed !== undefined){
 let data1 = data.confirmed;
-const _errs4 = errors;
+const _errs3 = errors;
 if(typeof data1 !== "boolean"){
 validate42.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema69.properties.confirmed.type,parentSchema:schema69.properties.confirmed,data:data1}];
 return false;
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -1789,13 +1726,13 @@
 if(valid0){
 if(data.version !== undefined){
 let data2 = data.version;
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
 validate42.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
-if(errors === _errs7){
+if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
 validate42.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
@@ -1803,7 +1740,7 @@
 }
 }
 }
-var valid0 = _errs6 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -1811,12 +1748,12 @@
 if(valid0){
 if(data.document !== undefined){
 let data3 = data.document;
-const _errs9 = errors;
+const _errs8 = errors;
 if(typeof data3 !== "string"){
 validate42.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.document.type,parentSchema:schema69.properties.document,data:data3}];
 return false;
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -1824,12 +1761,12 @@
 if(valid0){
 if(data.epoch !== undefined){
 let data4 = data.epoch;
-const _errs11 = errors;
+const _errs10 = errors;
 if(typeof data4 !== "string"){
 validate42.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.epoch.type,parentSchema:schema69.properties.epoch,data:data4}];
 return false;
 }
-var valid0 = _errs11 === errors;
+var valid0 = _errs10 === errors;
 }
 else {
 var valid0 = true;
@@ -1837,13 +1774,13 @@
 if(valid0){
 if(data.revision !== undefined){
 let data5 = data.revision;
+const _errs12 = errors;
 const _errs13 = errors;
-const _errs14 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
 validate42.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
-if(errors === _errs14){
+if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
 validate42.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
@@ -1851,7 +1788,7 @@
 }
 }
 }
-var valid0 = _errs13 === errors;
+var valid0 = _errs12 === errors;
 }
 else {
 var valid0 = true;
@@ -1859,18 +1796,18 @@
 if(valid0){
 if(data.sightings !== undefined){
 let data6 = data.sightings;
-const _errs16 = errors;
-if(errors === _errs16){
+const _errs15 = errors;
+if(errors === _errs15){
 if(Array.isArray(data6)){
 var valid3 = true;
 const len0 = data6.length;
 for(let i0=0; i0<len0; i0++){
-const _errs18 = errors;
+const _errs17 = errors;
 if(!(validate28(data6[i0], {instancePath:instancePath+"/sightings/" + i0,parentData:data6,parentDataProperty:i0,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate28.errors : vErrors.concat(validate28.errors);
 errors = vErrors.length;
 }
-var valid3 = _errs18 === errors;
+var valid3 = _errs17 === errors;
 if(!valid3){
 break;
 }
@@ -1881,7 +1818,7 @@
 return false;
 }
 }
-var valid0 = _errs16 === errors;
+var valid0 = _errs15 === errors;
 }
 else {
 var valid0 = true;
@@ -1889,12 +1826,12 @@
 if(valid0){
 if(data.mark !== undefined){
 let data8 = data.mark;
-const _errs19 = errors;
+const _errs18 = errors;
 if(typeof data8 !== "string"){
 validate42.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.mark.type,parentSchema:schema69.properties.mark,data:data8}];
 return false;
 }
-var valid0 = _errs19 === errors;
+var valid0 = _errs18 === errors;
 }
 else {
 var valid0 = true;
@@ -1902,18 +1839,18 @@
 if(valid0){
 if(data.hosts !== undefined){
 let data9 = data.hosts;
-const _errs21 = errors;
-if(errors === _errs21){
+const _errs20 = errors;
+if(errors === _errs20){
 if(Array.isArray(data9)){
 var valid4 = true;
 const len1 = data9.length;
 for(let i1=0; i1<len1; i1++){
-const _errs23 = errors;
+const _errs22 = errors;
 if(!(validate25(data9[i1], {instancePath:instancePath+"/hosts/" + i1,parentData:data9,parentDataProperty:i1,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate25.errors : vErrors.concat(validate25.errors);
 errors = vErrors.length;
 }
-var valid4 = _errs23 === errors;
+var valid4 = _errs22 === errors;
 if(!valid4){
 break;
 }
@@ -1924,7 +1861,7 @@
 return false;
 }
 }
-var valid0 = _errs21 === errors;
+var valid0 = _errs20 === errors;
 }
 else {
 var valid0 = true;
@@ -1932,16 +1869,16 @@
 if(valid0){
 if(data.cores !== undefined){
 let data11 = data.cores;
-const _errs24 = errors;
-if(errors === _errs24){
+const _errs23 = errors;
+if(errors === _errs23){
 if(Array.isArray(data11)){
 var valid5 = true;
 const len2 = data11.length;
 for(let i2=0; i2<len2; i2++){
 let data12 = data11[i2];
+const _errs25 = errors;
 const _errs26 = errors;
-const _errs27 = errors;
-if(errors === _errs27){
+if(errors === _errs26){
 if(typeof data12 === "string"){
 if(data12.length > 256){
 validate42.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data12}];
@@ -1959,7 +1896,7 @@
 return false;
 }
 }
-var valid5 = _errs26 === errors;
+var valid5 = _errs25 === errors;
 if(!valid5){
 break;
 }
@@ -1970,7 +1907,7 @@
 return false;
 }
 }
-var valid0 = _errs24 === errors;
+var valid0 = _errs23 === errors;
 }
 else {
 var valid0 = true;
@@ -1986,7 +1923,6 @@
 }
 }
 }
-}
 else {
 validate42.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema69.type,parentSchema:schema69,data}];
 return false;
@@ -1995,10 +1931,10 @@
 validate42.errors = vErrors;
 return errors === 0;
 }
-validate42.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate42.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema73 = {"title":"MadeReply","type":"object","additionalProperties":false,"required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema74 = {"title":"Result","description":"A result, or why there is none.","type":"object","additionalProperties":false,"required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema73 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema74 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
 function validate46(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2018,24 +1954,15 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(((key0 === "piece") || (key0 === "handle")) || (key0 === "failure"))){
-validate46.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema74,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.piece !== undefined){
 let data0 = data.piece;
+const _errs1 = errors;
 const _errs2 = errors;
-const _errs3 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
 validate46.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
-if(errors === _errs3){
+if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
 validate46.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
@@ -2043,7 +1970,7 @@
 }
 }
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -2051,12 +1978,12 @@
 if(valid0){
 if(data.handle !== undefined){
 let data1 = data.handle;
-const _errs5 = errors;
+const _errs4 = errors;
 if(typeof data1 !== "string"){
 validate46.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.properties.handle.type,parentSchema:schema74.properties.handle,data:data1}];
 return false;
 }
-var valid0 = _errs5 === errors;
+var valid0 = _errs4 === errors;
 }
 else {
 var valid0 = true;
@@ -2064,12 +1991,12 @@
 if(valid0){
 if(data.failure !== undefined){
 let data2 = data.failure;
-const _errs7 = errors;
+const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
 validate46.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema74.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema74.properties.failure.enum,parentSchema:schema74.properties.failure,data:data2}];
 return false;
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -2078,7 +2005,6 @@
 }
 }
 }
-}
 else {
 validate46.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema74.type,parentSchema:schema74,data}];
 return false;
@@ -2087,7 +2013,7 @@
 validate46.errors = vErrors;
 return errors === 0;
 }
-validate46.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate46.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate45(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -2108,18 +2034,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "type") || (key0 === "results"))){
-validate45.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema73,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema73.properties.type.type,parentSchema:schema73.properties.type,data:data0}];
 return false;
@@ -2128,7 +2045,7 @@
 validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema73.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -2136,18 +2053,18 @@
 if(valid0){
 if(data.results !== undefined){
 let data1 = data.results;
-const _errs4 = errors;
-if(errors === _errs4){
+const _errs3 = errors;
+if(errors === _errs3){
 if(Array.isArray(data1)){
 var valid1 = true;
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
-const _errs6 = errors;
+const _errs5 = errors;
 if(!(validate46(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate46.errors : vErrors.concat(validate46.errors);
 errors = vErrors.length;
 }
-var valid1 = _errs6 === errors;
+var valid1 = _errs5 === errors;
 if(!valid1){
 break;
 }
@@ -2158,7 +2075,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -2166,7 +2083,6 @@
 }
 }
 }
-}
 else {
 validate45.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema73.type,parentSchema:schema73,data}];
 return false;
@@ -2175,7 +2091,7 @@
 validate45.errors = vErrors;
 return errors === 0;
 }
-validate45.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate45.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate39(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -2208,18 +2124,9 @@
 return false;
 }
 else {
-const _errs5 = errors;
-for(const key0 in data){
-if(!(((key0 === "type") || (key0 === "reason")) || (key0 === "leader"))){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema76,data}];
-return false;
-break;
-}
-}
-if(_errs5 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs6 = errors;
+const _errs5 = errors;
 if(typeof data0 !== "string"){
 validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.type.type,parentSchema:schema76.properties.type,data:data0}];
 return false;
@@ -2228,7 +2135,7 @@
 validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema76.properties.type,data:data0}];
 return false;
 }
-var valid3 = _errs6 === errors;
+var valid3 = _errs5 === errors;
 }
 else {
 var valid3 = true;
@@ -2236,12 +2143,12 @@
 if(valid3){
 if(data.reason !== undefined){
 let data1 = data.reason;
-const _errs8 = errors;
+const _errs7 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
 validate39.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema76.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema76.properties.reason.enum,parentSchema:schema76.properties.reason,data:data1}];
 return false;
 }
-var valid3 = _errs8 === errors;
+var valid3 = _errs7 === errors;
 }
 else {
 var valid3 = true;
@@ -2249,12 +2156,12 @@
 if(valid3){
 if(data.leader !== undefined){
 let data2 = data.leader;
-const _errs9 = errors;
+const _errs8 = errors;
 if(typeof data2 !== "string"){
 validate39.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.leader.type,parentSchema:schema76.properties.leader,data:data2}];
 return false;
 }
-var valid3 = _errs9 === errors;
+var valid3 = _errs8 === errors;
 }
 else {
 var valid3 = true;
@@ -2263,13 +2170,15 @@
 }
 }
 }
-}
 else {
 validate39.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema76.type,parentSchema:schema76,data}];
 return false;
 }
 }
-var props0 = true;
+var props0 = {};
+props0.type = true;
+props0.reason = true;
+props0.leader = true;
 }
 else if(tag0 === "confirmed"){
 if(!(validate40(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
@@ -2277,7 +2186,9 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.index = true;
 }
 }
 else if(tag0 === "replaced"){
@@ -2286,7 +2197,10 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.verdict = true;
+props0.version = true;
 }
 }
 else if(tag0 === "synced"){
@@ -2295,12 +2209,22 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.confirmed = true;
+props0.version = true;
+props0.document = true;
+props0.epoch = true;
+props0.revision = true;
+props0.sightings = true;
+props0.mark = true;
+props0.hosts = true;
+props0.cores = true;
 }
 }
 else if(tag0 === "noted"){
-const _errs15 = errors;
-if(errors === _errs15){
+const _errs14 = errors;
+if(errors === _errs14){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
@@ -2308,15 +2232,6 @@
 return false;
 }
 else {
-const _errs17 = errors;
-for(const key1 in data){
-if(!(key1 === "type")){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema77,data}];
-return false;
-break;
-}
-}
-if(_errs17 === errors){
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
@@ -2330,14 +2245,14 @@
 }
 }
 }
-}
 else {
 validate39.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema77.type,parentSchema:schema77,data}];
 return false;
 }
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
 }
 }
 else if(tag0 === "made"){
@@ -2346,12 +2261,14 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.results = true;
 }
 }
 else if(tag0 === "booked"){
-const _errs22 = errors;
-if(errors === _errs22){
+const _errs20 = errors;
+if(errors === _errs20){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if((((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))) || ((data.work === undefined) && (missing3 = "work"))){
@@ -2359,18 +2276,9 @@
 return false;
 }
 else {
-const _errs24 = errors;
-for(const key2 in data){
-if(!(((key2 === "type") || (key2 === "wait")) || (key2 === "work"))){
-validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key2},message:"must NOT have additional properties",schema:false,parentSchema:schema78,data}];
-return false;
-break;
-}
-}
-if(_errs24 === errors){
 if(data.type !== undefined){
 let data4 = data.type;
-const _errs25 = errors;
+const _errs22 = errors;
 if(typeof data4 !== "string"){
 validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema78.properties.type.type,parentSchema:schema78.properties.type,data:data4}];
 return false;
@@ -2379,7 +2287,7 @@
 validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema78.properties.type,data:data4}];
 return false;
 }
-var valid13 = _errs25 === errors;
+var valid13 = _errs22 === errors;
 }
 else {
 var valid13 = true;
@@ -2387,12 +2295,12 @@
 if(valid13){
 if(data.wait !== undefined){
 let data5 = data.wait;
-const _errs27 = errors;
+const _errs24 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
 validate39.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema78.properties.wait.type,parentSchema:schema78.properties.wait,data:data5}];
 return false;
 }
-var valid13 = _errs27 === errors;
+var valid13 = _errs24 === errors;
 }
 else {
 var valid13 = true;
@@ -2400,12 +2308,12 @@
 if(valid13){
 if(data.work !== undefined){
 let data6 = data.work;
-const _errs29 = errors;
+const _errs26 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
 validate39.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema78.properties.work.type,parentSchema:schema78.properties.work,data:data6}];
 return false;
 }
-var valid13 = _errs29 === errors;
+var valid13 = _errs26 === errors;
 }
 else {
 var valid13 = true;
@@ -2414,14 +2322,16 @@
 }
 }
 }
-}
 else {
 validate39.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema78.type,parentSchema:schema78,data}];
 return false;
 }
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.wait = true;
+props0.work = true;
 }
 }
 else {
@@ -2465,18 +2375,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!(((key0 === "type") || (key0 === "id")) || (key0 === "body"))){
-validate38.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema62,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema62.properties.type.type,parentSchema:schema62.properties.type,data:data0}];
 return false;
@@ -2485,7 +2386,7 @@
 validate38.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema62.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -2493,13 +2394,13 @@
 if(valid0){
 if(data.id !== undefined){
 let data1 = data.id;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
 validate38.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
-if(errors === _errs5){
+if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
 validate38.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
@@ -2507,19 +2408,19 @@
 }
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.body !== undefined){
-const _errs7 = errors;
+const _errs6 = errors;
 if(!(validate39(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate39.errors : vErrors.concat(validate39.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -2528,7 +2429,6 @@
 }
 }
 }
-}
 else {
 validate38.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema62.type,parentSchema:schema62,data}];
 return false;
@@ -2537,9 +2437,9 @@
 validate38.errors = vErrors;
 return errors === 0;
 }
-validate38.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate38.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema79 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","additionalProperties":false,"required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema79 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
 function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2559,18 +2459,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "type") || (key0 === "ids"))){
-validate53.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema79,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema79.properties.type.type,parentSchema:schema79.properties.type,data:data0}];
 return false;
@@ -2579,7 +2470,7 @@
 validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema79.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -2587,20 +2478,20 @@
 if(valid0){
 if(data.ids !== undefined){
 let data1 = data.ids;
-const _errs4 = errors;
-if(errors === _errs4){
+const _errs3 = errors;
+if(errors === _errs3){
 if(Array.isArray(data1)){
 var valid1 = true;
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 let data2 = data1[i0];
+const _errs5 = errors;
 const _errs6 = errors;
-const _errs7 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
 validate53.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
-if(errors === _errs7){
+if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
 validate53.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
@@ -2608,7 +2499,7 @@
 }
 }
 }
-var valid1 = _errs6 === errors;
+var valid1 = _errs5 === errors;
 if(!valid1){
 break;
 }
@@ -2619,7 +2510,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -2627,7 +2518,6 @@
 }
 }
 }
-}
 else {
 validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema79.type,parentSchema:schema79,data}];
 return false;
@@ -2636,11 +2526,11 @@
 validate53.errors = vErrors;
 return errors === 0;
 }
-validate53.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate53.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema81 = {"title":"Cast","type":"object","additionalProperties":false,"required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema81 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
 const schema82 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"}]};
-const schema83 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","additionalProperties":false,"required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
+const schema83 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
 
 function validate56(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2660,18 +2550,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "type") || (key0 === "dataCentre")) || (key0 === "cores")) || (key0 === "hosts"))){
-validate56.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema83,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema83.properties.type.type,parentSchema:schema83.properties.type,data:data0}];
 return false;
@@ -2680,7 +2561,7 @@
 validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema83.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -2688,9 +2569,9 @@
 if(valid0){
 if(data.dataCentre !== undefined){
 let data1 = data.dataCentre;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
-if(errors === _errs5){
+if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
 validate56.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
@@ -2708,7 +2589,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -2716,16 +2597,16 @@
 if(valid0){
 if(data.cores !== undefined){
 let data2 = data.cores;
-const _errs7 = errors;
-if(errors === _errs7){
+const _errs6 = errors;
+if(errors === _errs6){
 if(Array.isArray(data2)){
 var valid2 = true;
 const len0 = data2.length;
 for(let i0=0; i0<len0; i0++){
 let data3 = data2[i0];
+const _errs8 = errors;
 const _errs9 = errors;
-const _errs10 = errors;
-if(errors === _errs10){
+if(errors === _errs9){
 if(typeof data3 === "string"){
 if(data3.length > 256){
 validate56.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
@@ -2743,7 +2624,7 @@
 return false;
 }
 }
-var valid2 = _errs9 === errors;
+var valid2 = _errs8 === errors;
 if(!valid2){
 break;
 }
@@ -2754,7 +2635,7 @@
 return false;
 }
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -2762,18 +2643,18 @@
 if(valid0){
 if(data.hosts !== undefined){
 let data4 = data.hosts;
-const _errs12 = errors;
-if(errors === _errs12){
+const _errs11 = errors;
+if(errors === _errs11){
 if(Array.isArray(data4)){
 var valid4 = true;
 const len1 = data4.length;
 for(let i1=0; i1<len1; i1++){
-const _errs14 = errors;
+const _errs13 = errors;
 if(!(validate25(data4[i1], {instancePath:instancePath+"/hosts/" + i1,parentData:data4,parentDataProperty:i1,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate25.errors : vErrors.concat(validate25.errors);
 errors = vErrors.length;
 }
-var valid4 = _errs14 === errors;
+var valid4 = _errs13 === errors;
 if(!valid4){
 break;
 }
@@ -2784,7 +2665,7 @@
 return false;
 }
 }
-var valid0 = _errs12 === errors;
+var valid0 = _errs11 === errors;
 }
 else {
 var valid0 = true;
@@ -2794,7 +2675,6 @@
 }
 }
 }
-}
 else {
 validate56.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema83.type,parentSchema:schema83,data}];
 return false;
@@ -2803,9 +2683,9 @@
 validate56.errors = vErrors;
 return errors === 0;
 }
-validate56.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate56.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema86 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","additionalProperties":false,"required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema86 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
 function validate58(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2825,18 +2705,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "type") || (key0 === "service")) || (key0 === "cell")) || (key0 === "handles"))){
-validate58.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema86,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.type.type,parentSchema:schema86.properties.type,data:data0}];
 return false;
@@ -2845,7 +2716,7 @@
 validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema86.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -2853,9 +2724,9 @@
 if(valid0){
 if(data.service !== undefined){
 let data1 = data.service;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
-if(errors === _errs5){
+if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
 validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
@@ -2873,7 +2744,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -2881,9 +2752,9 @@
 if(valid0){
 if(data.cell !== undefined){
 let data2 = data.cell;
+const _errs6 = errors;
 const _errs7 = errors;
-const _errs8 = errors;
-if(errors === _errs8){
+if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
 validate58.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
@@ -2901,7 +2772,7 @@
 return false;
 }
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -2909,19 +2780,19 @@
 if(valid0){
 if(data.handles !== undefined){
 let data3 = data.handles;
-const _errs10 = errors;
-if(errors === _errs10){
+const _errs9 = errors;
+if(errors === _errs9){
 if(Array.isArray(data3)){
 var valid3 = true;
 const len0 = data3.length;
 for(let i0=0; i0<len0; i0++){
 let data4 = data3[i0];
-const _errs12 = errors;
+const _errs11 = errors;
 if(typeof data4 !== "string"){
 validate58.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.handles.items.type,parentSchema:schema86.properties.handles.items,data:data4}];
 return false;
 }
-var valid3 = _errs12 === errors;
+var valid3 = _errs11 === errors;
 if(!valid3){
 break;
 }
@@ -2932,7 +2803,7 @@
 return false;
 }
 }
-var valid0 = _errs10 === errors;
+var valid0 = _errs9 === errors;
 }
 else {
 var valid0 = true;
@@ -2942,7 +2813,6 @@
 }
 }
 }
-}
 else {
 validate58.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema86.type,parentSchema:schema86,data}];
 return false;
@@ -2951,9 +2821,9 @@
 validate58.errors = vErrors;
 return errors === 0;
 }
-validate58.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate58.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema89 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","additionalProperties":false,"required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
+const schema89 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
 function validate59(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2973,18 +2843,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "type") || (key0 === "service")) || (key0 === "cell")) || (key0 === "request"))){
-validate59.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema89,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.type.type,parentSchema:schema89.properties.type,data:data0}];
 return false;
@@ -2993,7 +2854,7 @@
 validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema89.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -3001,9 +2862,9 @@
 if(valid0){
 if(data.service !== undefined){
 let data1 = data.service;
+const _errs3 = errors;
 const _errs4 = errors;
-const _errs5 = errors;
-if(errors === _errs5){
+if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
 validate59.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
@@ -3021,7 +2882,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -3029,9 +2890,9 @@
 if(valid0){
 if(data.cell !== undefined){
 let data2 = data.cell;
+const _errs6 = errors;
 const _errs7 = errors;
-const _errs8 = errors;
-if(errors === _errs8){
+if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
 validate59.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
@@ -3049,7 +2910,7 @@
 return false;
 }
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -3057,9 +2918,9 @@
 if(valid0){
 if(data.request !== undefined){
 let data3 = data.request;
+const _errs9 = errors;
 const _errs10 = errors;
-const _errs11 = errors;
-if(errors === _errs11){
+if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
 validate59.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
@@ -3077,7 +2938,7 @@
 return false;
 }
 }
-var valid0 = _errs10 === errors;
+var valid0 = _errs9 === errors;
 }
 else {
 var valid0 = true;
@@ -3087,7 +2948,6 @@
 }
 }
 }
-}
 else {
 validate59.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema89.type,parentSchema:schema89,data}];
 return false;
@@ -3096,11 +2956,11 @@
 validate59.errors = vErrors;
 return errors === 0;
 }
-validate59.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate59.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema93 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","additionalProperties":false,"required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
-const schema94 = {"title":"EngineUse","type":"object","additionalProperties":false,"required":["engine","tokens","streams","read"],"properties":{"engine":{"$ref":"#/$defs/Name"},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}}};
-const schema96 = {"title":"PromptPart","type":"object","additionalProperties":false,"required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}};
+const schema93 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
+const schema94 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}}};
+const schema95 = {"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}};
 
 function validate62(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -3116,24 +2976,15 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.id === undefined) && (missing0 = "id")) || ((data.tokens === undefined) && (missing0 = "tokens"))){
-validate62.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema96.required,parentSchema:schema96,data}];
+validate62.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema95.required,parentSchema:schema95,data}];
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "id") || (key0 === "tokens"))){
-validate62.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema96,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.id !== undefined){
 let data0 = data.id;
+const _errs1 = errors;
 const _errs2 = errors;
-const _errs3 = errors;
-if(errors === _errs3){
+if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 256){
 validate62.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data0}];
@@ -3151,7 +3002,7 @@
 return false;
 }
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -3159,20 +3010,20 @@
 if(valid0){
 if(data.tokens !== undefined){
 let data1 = data.tokens;
-const _errs5 = errors;
-if(errors === _errs5){
+const _errs4 = errors;
+if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate62.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema96.properties.tokens,data:data1}];
+validate62.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema95.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate62.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema96.properties.tokens.type,parentSchema:schema96.properties.tokens,data:data1}];
+validate62.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema95.properties.tokens.type,parentSchema:schema95.properties.tokens,data:data1}];
 return false;
 }
 }
-var valid0 = _errs5 === errors;
+var valid0 = _errs4 === errors;
 }
 else {
 var valid0 = true;
@@ -3180,16 +3031,15 @@
 }
 }
 }
-}
 else {
-validate62.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema96.type,parentSchema:schema96,data}];
+validate62.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema95.type,parentSchema:schema95,data}];
 return false;
 }
 }
 validate62.errors = vErrors;
 return errors === 0;
 }
-validate62.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate62.evaluated = {"props":{"id":true,"tokens":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate61(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -3210,38 +3060,28 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((((key0 === "engine") || (key0 === "tokens")) || (key0 === "streams")) || (key0 === "read"))){
-validate61.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema94,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.engine !== undefined){
 let data0 = data.engine;
-const _errs2 = errors;
-const _errs3 = errors;
-if(errors === _errs3){
+const _errs1 = errors;
+if(errors === _errs1){
 if(typeof data0 === "string"){
-if(data0.length > 256){
-validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data0}];
+if(data0.length > 300){
+validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema94.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data0}];
+validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema94.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data0}];
+validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.engine.type,parentSchema:schema94.properties.engine,data:data0}];
 return false;
 }
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -3249,8 +3089,8 @@
 if(valid0){
 if(data.tokens !== undefined){
 let data1 = data.tokens;
-const _errs5 = errors;
-if(errors === _errs5){
+const _errs3 = errors;
+if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
 validate61.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.tokens,data:data1}];
@@ -3262,7 +3102,7 @@
 return false;
 }
 }
-var valid0 = _errs5 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -3270,12 +3110,12 @@
 if(valid0){
 if(data.streams !== undefined){
 let data2 = data.streams;
-const _errs7 = errors;
+const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
 validate61.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema94.properties.streams.type,parentSchema:schema94.properties.streams,data:data2}];
 return false;
 }
-if(errors === _errs7){
+if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
 validate61.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.streams,data:data2}];
@@ -3283,7 +3123,7 @@
 }
 }
 }
-var valid0 = _errs7 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -3291,26 +3131,26 @@
 if(valid0){
 if(data.read !== undefined){
 let data3 = data.read;
-const _errs9 = errors;
-if(errors === _errs9){
+const _errs7 = errors;
+if(errors === _errs7){
 if(Array.isArray(data3)){
-var valid2 = true;
+var valid1 = true;
 const len0 = data3.length;
 for(let i0=0; i0<len0; i0++){
 let data4 = data3[i0];
-const _errs11 = errors;
-if(errors === _errs11){
+const _errs9 = errors;
+if(errors === _errs9){
 if(Array.isArray(data4)){
-var valid3 = true;
+var valid2 = true;
 const len1 = data4.length;
 for(let i1=0; i1<len1; i1++){
-const _errs13 = errors;
+const _errs11 = errors;
 if(!(validate62(data4[i1], {instancePath:instancePath+"/read/" + i0+"/" + i1,parentData:data4,parentDataProperty:i1,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate62.errors : vErrors.concat(validate62.errors);
 errors = vErrors.length;
 }
-var valid3 = _errs13 === errors;
-if(!valid3){
+var valid2 = _errs11 === errors;
+if(!valid2){
 break;
 }
 }
@@ -3320,8 +3160,8 @@
 return false;
 }
 }
-var valid2 = _errs11 === errors;
-if(!valid2){
+var valid1 = _errs9 === errors;
+if(!valid1){
 break;
 }
 }
@@ -3331,7 +3171,7 @@
 return false;
 }
 }
-var valid0 = _errs9 === errors;
+var valid0 = _errs7 === errors;
 }
 else {
 var valid0 = true;
@@ -3341,7 +3181,6 @@
 }
 }
 }
-}
 else {
 validate61.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
 return false;
@@ -3350,7 +3189,7 @@
 validate61.errors = vErrors;
 return errors === 0;
 }
-validate61.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate61.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate60(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -3371,18 +3210,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "type") || (key0 === "uses"))){
-validate60.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema93,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema93.properties.type.type,parentSchema:schema93.properties.type,data:data0}];
 return false;
@@ -3391,7 +3221,7 @@
 validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema93.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
@@ -3399,18 +3229,18 @@
 if(valid0){
 if(data.uses !== undefined){
 let data1 = data.uses;
-const _errs4 = errors;
-if(errors === _errs4){
+const _errs3 = errors;
+if(errors === _errs3){
 if(Array.isArray(data1)){
 var valid1 = true;
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
-const _errs6 = errors;
+const _errs5 = errors;
 if(!(validate61(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate61.errors : vErrors.concat(validate61.errors);
 errors = vErrors.length;
 }
-var valid1 = _errs6 === errors;
+var valid1 = _errs5 === errors;
 if(!valid1){
 break;
 }
@@ -3421,7 +3251,7 @@
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -3429,7 +3259,6 @@
 }
 }
 }
-}
 else {
 validate60.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema93.type,parentSchema:schema93,data}];
 return false;
@@ -3438,7 +3267,7 @@
 validate60.errors = vErrors;
 return errors === 0;
 }
-validate60.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate60.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate55(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -3466,7 +3295,11 @@
 vErrors = vErrors === null ? validate56.errors : vErrors.concat(validate56.errors);
 errors = vErrors.length;
 }
-var props0 = true;
+var props0 = {};
+props0.type = true;
+props0.dataCentre = true;
+props0.cores = true;
+props0.hosts = true;
 }
 else if(tag0 === "release"){
 if(!(validate58(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
@@ -3474,7 +3307,11 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.service = true;
+props0.cell = true;
+props0.handles = true;
 }
 }
 else if(tag0 === "drop"){
@@ -3483,7 +3320,11 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.service = true;
+props0.cell = true;
+props0.request = true;
 }
 }
 else if(tag0 === "use"){
@@ -3492,7 +3333,9 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.uses = true;
 }
 }
 else {
@@ -3536,18 +3379,9 @@
 return false;
 }
 else {
-const _errs1 = errors;
-for(const key0 in data){
-if(!((key0 === "type") || (key0 === "body"))){
-validate54.errors = [{instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema81,data}];
-return false;
-break;
-}
-}
-if(_errs1 === errors){
 if(data.type !== undefined){
 let data0 = data.type;
-const _errs2 = errors;
+const _errs1 = errors;
 if(typeof data0 !== "string"){
 validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema81.properties.type.type,parentSchema:schema81.properties.type,data:data0}];
 return false;
@@ -3556,19 +3390,19 @@
 validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema81.properties.type,data:data0}];
 return false;
 }
-var valid0 = _errs2 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.body !== undefined){
-const _errs4 = errors;
+const _errs3 = errors;
 if(!(validate55(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate55.errors : vErrors.concat(validate55.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs3 === errors;
 }
 else {
 var valid0 = true;
@@ -3576,7 +3410,6 @@
 }
 }
 }
-}
 else {
 validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
 return false;
@@ -3585,7 +3418,7 @@
 validate54.errors = vErrors;
 return errors === 0;
 }
-validate54.evaluated = {"props":true,"dynamicProps":false,"dynamicItems":false};
+validate54.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -3613,7 +3446,10 @@
 vErrors = vErrors === null ? validate21.errors : vErrors.concat(validate21.errors);
 errors = vErrors.length;
 }
-var props0 = true;
+var props0 = {};
+props0.type = true;
+props0.id = true;
+props0.body = true;
 }
 else if(tag0 === "answer"){
 if(!(validate38(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
@@ -3621,7 +3457,10 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.id = true;
+props0.body = true;
 }
 }
 else if(tag0 === "working"){
@@ -3630,7 +3469,9 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.ids = true;
 }
 }
 else if(tag0 === "cast"){
@@ -3639,7 +3480,9 @@
 errors = vErrors.length;
 }
 if(props0 !== true){
-props0 = true;
+props0 = props0 || {};
+props0.type = true;
+props0.body = true;
 }
 }
 else {
