A stream that has begun is broken off, whatever ends it

Cause: a resumed stream whose pieces were made again was refused where these failed or its host ended: a second head threw, and the caller kept an open connection; by abort the exception left the process. Change: refusing is one function, and it breaks off what has begun. Before: the two new tests end with ERR_HTTP_HEADERS_SENT, one uncaught. After: both pass.

--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -97,7 +97,6 @@
   /** Gives the request up: the host must end now. */
   abort(): void {
     if (this.isOver) return;
-    if (this.#phase === "streaming") return this.#breakOff("stopping");
     this.#refuse(this.#mayHaveRun ? "failed" : "stopping");
   }
 
@@ -461,14 +460,15 @@
 
   /** The end of a request that no call has answered. */
   #conclude(reason: refusals.RefusalReason): void {
-    if (this.#head !== undefined) return this.#breakOff("failed");
-    if (this.#fallback !== undefined) return this.#answer(this.#fallback);
+    const isOpen = this.#head === undefined;
+    if (isOpen && this.#fallback !== undefined) {
+      return this.#answer(this.#fallback);
+    }
     this.#refuse(this.#runs > 0 ? "failed" : reason);
   }
 
   #timeOut(): void {
     if (this.isOver) return;
-    if (this.#head !== undefined) return this.#breakOff("timeout");
     this.#refuse(this.#mayHaveRun ? "timeout" : "timeout-not-run");
   }
 
@@ -482,6 +482,8 @@
 
   #refuse(reason: refusals.RefusalReason, about: About = {}): void {
     if (this.isOver) return;
+    // A stream that has begun has its head; its pieces may be made again.
+    if (this.#head !== undefined) return this.#breakOff(reason);
     this.#finish();
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...about };
     this.#context.metrics.count("gateway.refused", 1, { reason });
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -16,7 +16,14 @@
 const PROTOCOL: gateway.GatewayProtocol = {
   readAsk: ({ method = "", url = "" }) => ({
     type: "ask",
-    ask: { id: "a-1", method, host: "host.example", target: url, headers: {} },
+    ask: {
+      id: "a-1",
+      method,
+      host: "host.example",
+      target: url,
+      headers: {},
+      pieces: [1],
+    },
   }),
   isReadinessCall: () => true,
   callHeaders: (_, { endpoint }) => ({ "test-endpoint": endpoint }),
@@ -35,6 +42,15 @@
   makerOf: (handle) => handle,
 };
 
+/** A stream that may be resumed, after pieces of a stage. */
+const STREAM: Partial<configurations.Route> = {
+  kind: "streaming",
+  resumable: true,
+  objective: 1000,
+  timeout: 3000,
+  stages: [{ service: "maps", after: [], bytes: 100 }],
+};
+
 /** Listens on loopback; resolves with the place. */
 async function listen(
   t: ava.ExecutionContext,
@@ -52,8 +68,9 @@
 /** A host before one endpoint that does `endpoint` with each request. */
 async function hostOf(
   t: ava.ExecutionContext,
-  kind: configurations.RouteKind,
+  route: Partial<configurations.Route>,
   endpoint: http.RequestListener,
+  make: gateway.Context["maker"]["make"] = () => Promise.resolve([]),
 ) {
   const seen: (() => void)[] = [];
   const sent = new Promise<void>((resolve) => seen.push(resolve));
@@ -64,7 +81,13 @@
   const dispatcher = new undici.Agent({ pipelining: 1 });
   t.teardown(() => dispatcher.destroy());
   const catalogue = configurations.Catalogue.create(
-    fixture.configuration({ routes: [fixture.route({ kind })] }),
+    fixture.configuration({
+      routes: [fixture.route(route)],
+      services: [
+        { name: "desk", connections: 10 },
+        { name: "maps", connections: 10, pieces: fixture.pieceTraits() },
+      ],
+    }),
   );
   const pool = gateway.Pool.create();
   const sighting = { id: "e-1", service: "desk", address, dataCentre: "town" };
@@ -89,7 +112,7 @@
     dataCentre: "town",
     pool,
     maker: {
-      make: () => Promise.resolve([]),
+      make,
       book: () => Promise.resolve({ wait: 0, work: 0 }),
       cell: () => "all",
       release() {},
@@ -117,7 +140,7 @@
 }
 
 test("a call under way when a host ends is not said not to have run", async (t) => {
-  const { ask, sent, started } = await hostOf(t, "unsafe", () => {});
+  const { ask, sent, started } = await hostOf(t, { kind: "unsafe" }, () => {});
   const answer = ask();
   await sent;
   started[0].abort();
@@ -125,21 +148,21 @@
 });
 
 test("a whole answer is passed on", async (t) => {
-  const { ask } = await hostOf(t, "unsafe", (_, response) => {
+  const { ask } = await hostOf(t, { kind: "unsafe" }, (_, response) => {
     response.writeHead(200, { "test-signature": "s" }).end("done");
   });
   t.deepEqual(await ask(), { status: 200, text: "done" });
 });
 
 test("an answer that no endpoint has signed is not passed on", async (t) => {
-  const { ask } = await hostOf(t, "unsafe", (_, response) => {
+  const { ask } = await hostOf(t, { kind: "unsafe" }, (_, response) => {
     response.writeHead(200).end("done");
   });
   t.is((await ask()).status, 502);
 });
 
 test("what an endpoint has not run is refused with that promise", async (t) => {
-  const { ask } = await hostOf(t, "unsafe", (_, response) => {
+  const { ask } = await hostOf(t, { kind: "unsafe" }, (_, response) => {
     response.writeHead(503, { "test-not-run": "1" }).end();
   });
   t.is((await ask()).status, 503);
@@ -147,10 +170,68 @@
 
 test("work that may run once is sent once", async (t) => {
   let count = 0;
-  const { ask } = await hostOf(t, "unsafe", (request) => {
+  const { ask } = await hostOf(t, { kind: "unsafe" }, (request) => {
     count++;
     request.socket.destroy();
   });
   t.is((await ask()).status, 502);
   t.is(count, 1);
 });
+
+/** Milliseconds in which a connection that is broken off has closed. */
+const CLOSED = 1500;
+
+/** How an answer ends: whole, broken off, or not at all. */
+async function endOf(answer: Promise<unknown>): Promise<string> {
+  const late = new Promise<string>((resolve) =>
+    setTimeout(() => resolve("open"), CLOSED)
+  );
+  return await Promise.race([
+    answer.then(() => "whole", () => "broken off"),
+    late,
+  ]);
+}
+
+// What was seen, by reading: where a stream had begun and its pieces could not
+// be made again, a second head was to be written, which throws, and the caller
+// was left with an open connection.
+test("a stream whose pieces can't be made again is broken off", async (t) => {
+  let rounds = 0;
+  const { ask } = await hostOf(t, STREAM, (_, response) => {
+    response.writeHead(200, { "test-signature": "s" });
+    response.write("id: 1\ndata: 1\n\n");
+    setTimeout(() => response.destroy(), 50);
+  }, ({ pieces: [piece] }) => {
+    const result = { piece, handle: "place/1" };
+    const none = { piece, failure: "error" as const };
+    return Promise.resolve(rounds++ === 0 ? [result] : [none]);
+  });
+  t.is(await endOf(ask()), "broken off");
+  t.true(rounds > 1);
+});
+
+test("a host that ends while pieces are made again breaks the stream off", async (t) => {
+  let rounds = 0;
+  const { ask, started } = await hostOf(t, STREAM, (_, response) => {
+    response.writeHead(200, { "test-signature": "s" });
+    response.write("id: 1\ndata: 1\n\n");
+    setTimeout(() => response.destroy(), 50);
+  }, ({ pieces: [piece] }) => {
+    if (rounds++ === 0) return Promise.resolve([{ piece, handle: "place/1" }]);
+    setTimeout(() => started[0].abort(), 10);
+    return new Promise(() => {});
+  });
+  t.is(await endOf(ask()), "broken off");
+});
+
+test("what has run is never said not to have run", async (t) => {
+  let rounds = 0;
+  const { ask } = await hostOf(t, STREAM, (request) => {
+    request.socket.destroy();
+  }, ({ pieces: [piece] }) => {
+    const result = { piece, handle: "place/1" };
+    const none = { piece, failure: "error" as const };
+    return Promise.resolve(rounds++ === 0 ? [result] : [none]);
+  });
+  t.is((await ask()).status, 502);
+});
