Room that others' results hold is not filled

Change: a piece that found no room says how much others hold; that much is not filled, and is believed to come free over 2 s.

--- a/src/pieces/cell_batcher.ts
+++ b/src/pieces/cell_batcher.ts
@@ -186,7 +186,7 @@
       return result.type === "failed" && result.failure === "room";
     });
     const isFull = rejected.length > 0 &&
-      this.#noteFull(assignment, rejected, now);
+      this.#noteFull(assignment, { rejected, made }, now);
     results.forEach((result, pos) => {
       const work = works[pos];
       const { piece } = work;
@@ -206,14 +206,22 @@
    * of the call found none. */
   #noteFull(
     { worker, works }: works.Assignment,
-    rejected: readonly works.Work[],
+    { rejected, made }: {
+      rejected: readonly works.Work[];
+      made: readonly { bytes: number }[];
+    },
     now: number,
   ): boolean {
     const { logger, service } = this.#options;
-    const full = { rejected: rejected.length, pieces: works.length };
+    const full = {
+      rejected: rejected.length,
+      pieces: works.length,
+      bytes: Math.min(...rejected.map(({ bytes }) => bytes)),
+      made: made.reduce((sum, { bytes }) => sum + bytes, 0),
+    };
     const belief = this.#scheduler.noteFull(worker.id, full, now);
     logger.info(
-      { service, endpoint: worker.id, ...full, ...belief, ...sizeOf(rejected) },
+      { service, endpoint: worker.id, ...full, ...belief },
       "Endpoint had no room",
     );
     return belief.isMost;
@@ -286,10 +294,6 @@
   return { ...work, tries: work.tries - 1 };
 }
 
-function sizeOf([{ bytes }]: readonly works.Work[]): { bytes: number } {
-  return { bytes };
-}
-
 /** Milliseconds after which a full endpoint is asked again: about one call. */
 const FULL_PAUSE = 120;
 
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -191,12 +191,13 @@
    * thought; returns what was thought, and whether those were most of it. */
   noteFull(
     worker: string,
-    full: { rejected: number; pieces: number },
+    full: Omit<workerStates.FullCall, "room">,
     now: number,
   ): Partial<workerStates.RoomBelief> & { isMost: boolean } {
+    const { room } = this.#traits;
     const state = this.#workers.get(worker);
-    const isMost = state?.noteFull(full, now) ?? false;
-    return { ...state?.belief(this.#traits.room), isMost };
+    const isMost = state?.noteFull({ ...full, room }, now) ?? false;
+    return { ...state?.belief(room), isMost };
   }
 
   /** Notes that the endpoint at an address has given results up. */
@@ -212,7 +213,7 @@
     if (this.#waiting.length === 0) return undefined;
     const { callTime } = this.#traits;
     const times = [...this.#workers.values()]
-      .flatMap((state) => state.wakes(callTime))
+      .flatMap((state) => state.wakes(callTime, now))
       .filter((time) => time > now);
     const patience = PATIENT_CALLS * this.#expected(this.#traits.batch);
     const first = this.#waiting.reduce(
@@ -277,7 +278,7 @@
    * there. */
   #fill(state: workerStates.WorkerState, now: number): works.Work[] {
     const taken = new Set<works.Work>();
-    let room = state.free(this.#traits.room);
+    let room = state.free(this.#traits.room, now);
     const take = (suits: (work: works.Work) => boolean) => {
       for (const work of this.#waiting) {
         if (taken.size >= this.#traits.batch) return;
--- a/src/pieces/worker_state.ts
+++ b/src/pieces/worker_state.ts
@@ -15,6 +15,12 @@
  * holds its room, such as results of a batcher that was lost, for seconds. */
 const FIRST_FULL = 60;
 const LAST_FULL = 480;
+/** Milliseconds over which room that others' results take is believed to come
+ * free: they are held for one to two seconds, and at the most for the four that
+ * results of a lost host are kept. */
+const FADE = 2000;
+/** Looks at room that comes free so, while pieces wait for it. */
+const FADE_LOOKS = 20;
 /** Part of the pieces of a call from which on most of it found no room. */
 const MOSTLY = 0.5;
 /** Part of a new value in the running mean of its slowness. */
@@ -29,6 +35,18 @@
   readonly held: number;
 }
 
+/** A call of which some pieces found no room. */
+export interface FullCall {
+  readonly rejected: number;
+  readonly pieces: number;
+  /** Size of the smallest one that found none. */
+  readonly bytes: number;
+  /** Bytes of the results that it gave. */
+  readonly made: number;
+  /** Bytes of the endpoint's room. */
+  readonly room: number;
+}
+
 /** A result that an endpoint holds. */
 export interface Result {
   readonly handle: string;
@@ -57,6 +75,12 @@
    * first come first, since all are kept for the same time. */
   readonly #held = new Map<string, { bytes: number; until: number }>();
   #heldBytes = 0;
+  /** Bytes held when the call under way began. */
+  #heldBefore = 0;
+  /** Bytes of results that are not this batcher's, as last shown by a piece
+   * that found no room, and when. */
+  #foreign = 0;
+  #foreignAt = 0;
   /** Bytes of the results that calls under way will give. */
   #reserved = 0;
 
@@ -87,9 +111,18 @@
     return this.isListed && this.#blockedUntil <= now;
   }
 
-  /** Bytes that are free of so many, with what calls under way will give. */
-  free(room: number): number {
-    return room * FILLED - this.#heldBytes - this.#reserved;
+  /** Bytes that are free of so many, with what calls under way will give and
+   * what is there of others. */
+  free(room: number, now: number): number {
+    return room * FILLED - this.#heldBytes - this.#reserved -
+      this.foreign(now);
+  }
+
+  /** Bytes that results of others are believed to take: those of a batcher
+   * before this one, or of one beside it. */
+  foreign(now: number): number {
+    const faded = (now - this.#foreignAt) / FADE;
+    return this.#foreign * Math.max(0, 1 - faded);
   }
 
   /** What is thought of its room. */
@@ -104,10 +137,11 @@
   }
 
   /** Times at which it may take a call again that it does not take now. */
-  wakes(callTime: number): number[] {
+  wakes(callTime: number, now: number): number[] {
     const [first] = this.#held.values();
     const since = this.heldBackSince ?? -Infinity;
-    return [this.#blockedUntil, first?.until ?? 0, since + callTime];
+    const look = this.foreign(now) > 0 ? now + FADE / FADE_LOOKS : 0;
+    return [this.#blockedUntil, first?.until ?? 0, since + callTime, look];
   }
 
   /** When it is expected to take another call; one that is overdue may take as
@@ -126,6 +160,7 @@
     this.#callEnds = ends;
     this.heldBackSince = undefined;
     this.#calls++;
+    this.#heldBefore = this.#heldBytes;
     this.#reserved += works.bytesOf(called);
   }
 
@@ -160,11 +195,15 @@
   }
 
   /** Notes that it had no room for some of a call's pieces; says whether that
-   * was most of them. */
+   * was most of them. What was not this batcher's when the call began is of
+   * others. */
   noteFull(
-    { rejected, pieces }: { rejected: number; pieces: number },
+    { rejected, pieces, bytes, made, room }: FullCall,
     now: number,
   ): boolean {
+    const own = this.#heldBefore + made + bytes / 2;
+    this.#foreign = Math.max(0, room - own);
+    this.#foreignAt = now;
     const isMost = rejected >= MOSTLY * pieces;
     if (!isMost) this.#fullPause = FIRST_FULL;
     this.#blockedUntil = now + this.#fullPause;
--- a/src/pieces/worker_state_test.ts
+++ b/src/pieces/worker_state_test.ts
@@ -24,14 +24,14 @@
 
 test("room is taken from the begin of a call until a result is given up", (t) => {
   const state = stateOf();
-  t.is(state.free(1000), 970);
+  t.is(state.free(1000, 0), 970);
   state.begin(pieces(2), 100);
-  t.is(state.free(1000), 770);
+  t.is(state.free(1000, 0), 770);
   state.finish(pieces(2), { results: RESULTS, until: 4000, ratio: 1 });
-  t.is(state.free(1000), 770);
+  t.is(state.free(1000, 0), 770);
   state.drop("a");
   state.drop("a");
-  t.is(state.free(1000), 870);
+  t.is(state.free(1000, 0), 870);
   t.deepEqual(state.belief(1000), {
     room: 1000,
     heldBytes: 100,
@@ -44,7 +44,7 @@
   const state = stateOf();
   state.begin(pieces(2), 100);
   state.finish(pieces(2), { results: RESULTS, until: 4000, ratio: 1 });
-  t.true(state.wakes(100).includes(4000));
+  t.true(state.wakes(100, 0).includes(4000));
   state.expire(3999);
   t.true(state.isHolding);
   state.expire(4000);
@@ -80,17 +80,44 @@
   t.true(state.isUsable(1300));
 });
 
+/** A call of twelve pieces of 100 bytes, of which some found no room. */
+function full(rejected: number, room = 1000): workerStates.FullCall {
+  const made = 100 * (12 - rejected);
+  return { rejected, pieces: 12, bytes: 100, made, room };
+}
+
 test("an endpoint whose room others hold is asked ever less often", (t) => {
   const state = stateOf();
   const pauses: number[] = [];
   let now = 0;
   for (let call = 0; call < 5; call++) {
-    t.true(state.noteFull({ rejected: 6, pieces: 12 }, now));
+    t.true(state.noteFull(full(6), now));
     const from = now;
     while (!state.isUsable(now)) now += 10;
     pauses.push(now - from);
   }
   t.deepEqual(pauses, [60, 120, 240, 480, 480]);
-  t.false(state.noteFull({ rejected: 1, pieces: 12 }, now));
+  t.false(state.noteFull(full(1), now));
   t.true(state.isUsable(now + 60));
 });
+
+test("room that others hold is not filled, and is believed to come free", (t) => {
+  const state = stateOf();
+  state.begin(pieces(12), 100);
+  state.finish(pieces(12), { results: RESULTS, until: 4000, ratio: 1 });
+  // Two of twelve were made: others hold 750 of 1,000, within half a piece.
+  state.noteFull(full(10), 500);
+  t.is(state.foreign(500), 750);
+  t.is(state.free(1000, 500), 970 - 200 - 750);
+  t.is(state.foreign(1500), 375);
+  t.is(state.foreign(2500), 0);
+  t.is(state.free(1000, 2500), 770);
+});
+
+test("an endpoint that only its own batcher fills is not thought to be others'", (t) => {
+  const state = stateOf();
+  state.begin(pieces(12), 100);
+  state.finish(pieces(12), { results: RESULTS, until: 4000, ratio: 1 });
+  state.noteFull(full(2), 500);
+  t.is(state.foreign(500), 0);
+});
