--- a/bench/decisions/world.ts
+++ b/bench/decisions/world.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import * as configurations from "../../src/configuration/mod.ts";
+import * as fixture from "../../src/endpoints/fixture.ts";
 import type * as endpoints from "../../src/endpoints/mod.ts";
 import type * as gateway from "../../src/gateway/mod.ts";
 import * as runtime from "../../src/runtime/mod.ts";
@@ -135,18 +136,10 @@
   }
 
   #roster(): endpoints.RosterEntry[] {
-    const rest = { version: "", state: "ready" as const, sequence: 1 };
-    const heard = {
-      heard: 0,
-      since: 0,
-      coldUntil: 0,
-      revision: 1,
-      isSilent: false,
-    };
     const { slots } = this.#play.deployment.engines;
     return [...this.#places.values()]
       .filter(({ address }) => !this.#engines.get(address)?.isDown)
-      .map((place) => ({ ...place, slots, ...rest, ...heard }));
+      .map((place) => fixture.entry({ ...place, slots }));
   }
 
   #startHosts(): void {
--- a/src/endpoints/fixture.ts
+++ b/src/endpoints/fixture.ts
@@ -19,3 +19,18 @@
     ...change,
   };
 }
+
+/** A ready endpoint as a roster holds it. */
+export function entry(
+  change: Partial<roster.RosterEntry> = {},
+): roster.RosterEntry {
+  return {
+    ...sighting(),
+    heard: 0,
+    since: 0,
+    coldUntil: 0,
+    revision: 1,
+    isSilent: false,
+    ...change,
+  };
+}
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -6,6 +6,7 @@
 import test from "ava";
 import * as undici from "undici";
 import * as fixture from "../configuration/fixture.ts";
+import * as endpointFixture from "../endpoints/fixture.ts";
 import * as configurations from "../configuration/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
@@ -90,16 +91,8 @@
     }),
   );
   const pool = gateway.Pool.create();
-  const sighting = { id: "e-1", service: "desk", address, dataCentre: "town" };
-  const rest = { version: "", slots: 4, state: "ready" as const, sequence: 1 };
-  const heard = {
-    heard: 0,
-    since: 0,
-    coldUntil: 0,
-    revision: 1,
-    isSilent: false,
-  };
-  pool.update([{ ...sighting, ...rest, ...heard }], () => undefined);
+  const entry = endpointFixture.entry({ id: "e-1", address });
+  pool.update([entry], () => undefined);
   const bounds = { ratio: 1, burst: 10, window: 1000 };
   const started: passages.Passage[] = [];
   const context: gateway.Context = {
--- a/src/gateway/pool_test.ts
+++ b/src/gateway/pool_test.ts
@@ -13,18 +13,8 @@
   parts: PARTS,
 };
 
-function entryOf(
-  change: Partial<endpoints.RosterEntry>,
-): endpoints.RosterEntry {
-  return {
-    ...fixture.sighting({ service: "models" }),
-    heard: 0,
-    since: 0,
-    coldUntil: 0,
-    revision: 1,
-    isSilent: false,
-    ...change,
-  };
+function entryOf(change: Partial<endpoints.RosterEntry>) {
+  return fixture.entry({ service: "models", ...change });
 }
 
 /** A pool that follows what is told of one engine. */
--- a/src/gateway/use_teller_test.ts
+++ b/src/gateway/use_teller_test.ts
@@ -1,6 +1,7 @@
 /** @module */
 
 import test from "ava";
+import * as fixture from "../endpoints/fixture.ts";
 import * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as choice from "./choice.ts";
@@ -70,23 +71,11 @@
 
 test("a prompt avoids the engine that other hosts load", (t) => {
   const pool = pools.Pool.create();
-  const rest = { version: "", state: "ready" as const, sequence: 1 };
-  const heard = {
-    heard: 0,
-    since: 0,
-    coldUntil: 0,
-    revision: 1,
-    isSilent: false,
-  };
-  const place = { service: "s", dataCentre: "town", slots: 64 };
+  const place = { service: "s", slots: 64 };
   pool.update(
-    ["1", "2"].map((id) => ({
-      id,
-      address: `10.0.0.1:${id}`,
-      ...place,
-      ...rest,
-      ...heard,
-    })),
+    ["1", "2"].map((id) =>
+      fixture.entry({ id, address: `10.0.0.1:${id}`, ...place })
+    ),
     (name) => ({
       name,
       connections: 1,
--- a/src/peers/salvage_test.ts
+++ b/src/peers/salvage_test.ts
@@ -1,24 +1,14 @@
 /** @module */
 
 import test from "ava";
+import * as fixture from "../endpoints/fixture.ts";
 import * as fleet from "../schema/fleet_validators.ts";
 import * as salvages from "./salvage.ts";
 
 const READING = { validate: fleet.validate, lists: ["sightings", "uses"] };
 
 function sighting(id: string, change: object = {}) {
-  return {
-    id,
-    service: "desk",
-    address: "10.0.0.1:80",
-    dataCentre: "town",
-    version: "v1",
-    slots: 4,
-    state: "ready",
-    sequence: 1,
-    age: 0,
-    ...change,
-  };
+  return { ...fixture.sighting({ id }), age: 0, ...change };
 }
 
 function note(...sightings: unknown[]) {
