--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -14,6 +14,7 @@
 import type * as protocols from "./protocol.ts";
 import * as readings from "./reading.ts";
 import * as refusals from "./refusal.ts";
+import * as replies from "./reply.ts";
 import * as retry from "./retry.ts";
 import * as staging from "./staging.ts";
 import * as verdicts from "./verdict.ts";
@@ -47,7 +48,7 @@
 export class Passage {
   readonly #context: contexts.Context;
   readonly #request: http.IncomingMessage;
-  readonly #response: http.ServerResponse;
+  readonly #reply: replies.Reply;
   readonly #arrival: number;
   readonly #calls: CallNote[] = [];
   #phase: Phase = "reading";
@@ -60,8 +61,6 @@
   #cancelTimer = () => {};
   #attempt?: attempts.Attempt;
   #runs = 0;
-  #hasLeft = false;
-  #head?: protocols.ReplyHead;
   /** Milliseconds from its arrival to the first event that was passed on. */
   #firstMs?: number;
   #lastId?: string;
@@ -77,7 +76,8 @@
   ) {
     this.#context = context;
     this.#request = request;
-    this.#response = response;
+    const { isDraining } = context;
+    this.#reply = replies.Reply.create({ request, response, isDraining });
     this.#arrival = context.clock.now();
     this.over = new Promise((resolve) => this.#resolveOver = resolve);
   }
@@ -217,7 +217,7 @@
       if (outcome.type === "ended") return this.#endStream();
       if (outcome.type === "answer") {
         // A refusal of a stream that has begun elsewhere is no answer to it.
-        if (this.#head !== undefined) return this.#conclude("failed");
+        if (this.#reply.head !== undefined) return this.#conclude("failed");
         if (!this.#mayRepeatAnswer(outcome, service)) {
           return this.#answer(outcome);
         }
@@ -269,7 +269,7 @@
     const started = clock.now();
     const note: CallNote = { endpoint: id, ms: 0, outcome: "open" };
     this.#calls.push(note);
-    this.#phase = this.#head === undefined ? "sent" : "streaming";
+    this.#phase = this.#reply.head === undefined ? "sent" : "streaming";
     metrics.count("gateway.sent", 1, { service });
     if (this.#calls.length > 1) {
       metrics.count("gateway.repeated", 1, { service });
@@ -369,7 +369,7 @@
   #silence(): number {
     const route = this.#route!;
     if (!configurations.isIdempotent(route)) return Infinity;
-    if (this.#head !== undefined) return EVENT_SILENCE;
+    if (this.#reply.head !== undefined) return EVENT_SILENCE;
     return Math.max(LEAST_SILENCE, SILENCE_OBJECTIVES * route.objective);
   }
 
@@ -400,49 +400,38 @@
   /** Passes whole events on; the first ones bring the head with them. */
   #passOn(head: protocols.ReplyHead, whole: eventText.Whole): void {
     if (this.isOver) return;
-    if (this.#head === undefined) {
+    if (this.#reply.head === undefined) {
       this.#firstMs = Math.round(this.#context.clock.now() - this.#arrival);
       this.#beginStream(head);
     }
     if (whole.lastId !== undefined) this.#lastId = whole.lastId;
-    this.#response.write(whole.bytes);
+    this.#reply.pass(whole.bytes);
   }
 
   #beginStream(head: protocols.ReplyHead): void {
-    this.#head = head;
     this.#phase = "streaming";
     this.#staging?.release();
     if (configurations.isIdempotent(this.#route!)) {
       this.#attempt?.expectWithin(EVENT_SILENCE);
     }
-    this.#response.writeHead(head.status, this.#headersOf(head));
+    this.#reply.begin(head);
   }
 
   #endStream(): void {
     // A stream without events has a head all the same.
-    if (this.#head === undefined) return this.#conclude("failed");
+    const { head } = this.#reply;
+    if (head === undefined) return this.#conclude("failed");
     this.#finish();
-    this.#response.end();
-    this.#log("info", { status: this.#head.status }, "Request answered");
+    this.#reply.end();
+    this.#log("info", { status: head.status }, "Request answered");
   }
 
   #answer({ head, body }: { head: protocols.ReplyHead; body: Buffer }): void {
     this.#finish();
-    if (!this.#hasLeft) {
-      this.#response.writeHead(head.status, {
-        ...this.#headersOf(head),
-        "content-length": `${body.length}`,
-      });
-      this.#response.end(body);
-    }
+    this.#reply.answer(head, body);
     this.#log("info", { status: head.status }, "Request answered");
   }
 
-  #headersOf({ headers }: protocols.ReplyHead): Record<string, string> {
-    const isLast = this.#context.isDraining();
-    return { ...headers, ...(isLast && { connection: "close" }) };
-  }
-
   /** Whether an endpoint's own failure is followed by another call; it is kept
    * for the case that no other answer comes. */
   #mayRepeatAnswer(
@@ -477,7 +466,7 @@
 
   /** The end of a request that no call has answered. */
   #conclude(reason: refusals.RefusalReason): void {
-    const isOpen = this.#head === undefined;
+    const isOpen = this.#reply.head === undefined;
     if (isOpen && this.#fallback !== undefined) {
       return this.#answer(this.#fallback);
     }
@@ -493,37 +482,21 @@
   #breakOff(reason: refusals.RefusalReason): void {
     this.#finish();
     this.#context.metrics.count("gateway.refused", 1, { reason });
-    this.#response.destroy();
+    this.#reply.breakOff();
     this.#log("warn", { reason, lastEvent: this.#lastId }, "Stream broken off");
   }
 
   #refuse(reason: refusals.RefusalReason, about: About = {}): void {
     if (this.isOver) return;
     // A stream that has begun has its head; its pieces may be made again.
-    if (this.#head !== undefined) return this.#breakOff(reason);
+    if (this.#reply.head !== undefined) return this.#breakOff(reason);
     this.#finish();
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...about };
     this.#context.metrics.count("gateway.refused", 1, { reason });
-    if (!this.#hasLeft) this.#writeRefusal(reason, { status, retryAfter });
+    this.#reply.refuse(reason, { status, retryAfter });
     this.#log("info", { status, reason, ...about }, "Request refused");
   }
 
-  #writeRefusal(
-    reason: refusals.RefusalReason,
-    { status, retryAfter }: refusals.Refusal,
-  ): void {
-    const text = JSON.stringify({ status, reason });
-    const isUnread = !this.#request.complete;
-    const isLast = isUnread || this.#context.isDraining();
-    this.#response.writeHead(status, {
-      "content-type": "application/problem+json",
-      "content-length": `${Buffer.byteLength(text)}`,
-      ...(retryAfter !== undefined && { "retry-after": `${retryAfter}` }),
-      ...(isLast && { connection: "close" }),
-    });
-    this.#response.end(text);
-  }
-
   /** Refuses, and says to the caller of a step that it is over. */
   #stop(reason: refusals.RefusalReason, about: About = {}): never[] & Buffer {
     this.#refuse(reason, about);
@@ -533,7 +506,7 @@
   /** The caller's connection has closed. */
   #closed(): void {
     if (this.isOver) return;
-    this.#hasLeft = true;
+    this.#reply.hasLeft = true;
     this.#context.metrics.count("gateway.left");
     const route = this.#route;
     const isSent = this.#phase === "sent";
