--- a/bench/decisions/account.ts
+++ b/bench/decisions/account.ts
@@ -38,7 +38,9 @@
 }
 
 /** What a request earns, by its size against the mean of its kind. */
-export function worthOf({ request: { kind, prompt } }: Ended): number {
+export function worthOf(
+  { request: { kind, prompt } }: Pick<Ended, "request">,
+): number {
   const shared = kind.shared.reduce((sum, { tokens }) => sum + tokens, 0);
   const size = prompt.inputTokens / (kind.own.mean + shared);
   return Math.min(4, 0.3 + 0.7 * size) * kind.worth;
--- a/bench/decisions/main.ts
+++ b/bench/decisions/main.ts
@@ -1,11 +1,13 @@
 /** Plays simulated loads, and says what is served of them.
  *
- *     node dist/bench/decisions/main.js [SEEDS] [--drawn] [--kinds]
+ *     node dist/bench/decisions/main.js [SEEDS] [--drawn] [--kinds] [--bound]
  * @module */
 
 import * as runtime from "../../src/runtime/mod.ts";
 import * as accounts from "./account.ts";
+import * as bounds from "./bound.ts";
 import * as deployments from "./deployment.ts";
+import * as loads from "./load.ts";
 import * as worlds from "./world.ts";
 
 /** Milliseconds in which requests come. */
@@ -43,11 +45,13 @@
   const seeds = Number(words.find((word) => /^\d+$/.test(word)) ?? 3);
   for (const [name, parts] of Object.entries(PLAYS)) {
     const all: accounts.Account[] = [];
+    const limits: bounds.Bound[] = [];
     for (let seed = 1; seed <= seeds; seed++) {
       const deployment = words.includes("--drawn")
         ? deployments.drawn(runtime.createRandom(seed))
         : deployments.party();
       const play = { deployment, seed, length: LENGTH, ...parts };
+      if (words.includes("--bound")) limits.push(boundOf(play));
       all.push(await worlds.play(play));
     }
     const sum = (of: (account: accounts.Account) => number) =>
@@ -69,8 +73,17 @@
       `no room ${sum(({ rejected }) => rejected).toFixed(0)}`,
       `inputs gone ${sum(({ starved }) => starved).toFixed(0)}`,
       `refused again ${again.toFixed(1)}`,
+      ...limits.map(({ share, resource }) =>
+        `bound ${share.toFixed(3)} by ${resource}`
+      ),
     );
   }
 }
 
+function boundOf(play: worlds.Play): bounds.Bound {
+  const { deployment, seed, length, bursts = [] } = play;
+  const requests = loads.requests(deployment, { seed, length, bursts });
+  return bounds.boundOf(deployment, requests);
+}
+
 await main();
