--- a/bench/decisions/world_test.ts
+++ b/bench/decisions/world_test.ts
@@ -101,6 +101,29 @@
   t.true(rejected < 250, `${rejected}`);
 });
 
+// What was seen: where a middle stage is asked for a little more than it can
+// make, for some seconds, half of those that are let in are late: each is let
+// in where it is just in time, and what is misjudged makes all behind it late.
+test("of an overload at a middle stage most that are let in are in time", async (t) => {
+  const ended: accounts.Ended[] = [];
+  for (const seed of [1, 2]) {
+    const account = await worlds.play({
+      deployment: deployments.party(),
+      seed,
+      length: 20_000,
+      bursts: [{ at: 4000, length: 8000, factor: 3.5, kind: "letter" }],
+      troubles: [{ type: "slow", at: 3000, length: 6000, factor: 4 }],
+    });
+    ended.push(...account.ended);
+  }
+  const count = (ending: accounts.Ending) =>
+    ended.filter(({ request: { at, kind }, ending: each }) =>
+      kind.name === "letter" && at > 4000 && at < 14_000 && each === ending
+    ).length;
+  const part = count("in-time") / (count("in-time") + count("late"));
+  t.true(part > 0.7, `${part}`);
+});
+
 for (const seed of [1, 2, 3, 4]) {
   test(`drawn deployment ${seed} is served through a burst`, async (t) => {
     const { ended } = await worlds.play({
--- a/src/control/versions/fake_keepers.ts
+++ b/src/control/versions/fake_keepers.ts
@@ -18,7 +18,7 @@
 interface Host {
   readonly name: string;
   /** Hosts that its settings name. */
-  seeds: readonly string[];
+  readonly seeds: readonly string[];
   disk: storage.MemoryStorage;
   keeper?: keepers.Keeper;
   /** Changes at each start and stop, so that what was under way is lost. */
@@ -114,11 +114,6 @@
     this.#host(name).disk = storage.MemoryStorage.create();
   }
 
-  /** Gives a host other settings, for its next start. */
-  name(host: string, seeds: readonly string[]): void {
-    this.#host(host).seeds = seeds;
-  }
-
   /** Lets time pass. Who leads wants all hosts as voters. */
   async run(ms: number): Promise<void> {
     for (let count = 0; count < ms; count += STEP) {
