What may have run is never answered with a promise that it has not

Cause: a call that broke off after its inputs had been given up has them made again; when that failed, the request was refused as one that has not run (503). Change: where a call may have run, a reason that promises the contrary is answered 502, with the reason in the line (after). Before: the test, its timing now fixed, fails each time with 503; after: 502.

--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -490,6 +490,10 @@
     if (this.isOver) return;
     // A stream that has begun has its head; its pieces may be made again.
     if (this.#reply.head !== undefined) return this.#breakOff(reason);
+    // Its pieces may fail to be made again after a call that may have run.
+    if (this.#runs > 0 && refusals.saysNotRun(reason)) {
+      return this.#refuse("failed", { after: reason });
+    }
     this.#finish();
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...about };
     this.#context.metrics.count("gateway.refused", 1, { reason });
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -217,10 +217,14 @@
   t.is(await endOf(ask()), "broken off");
 });
 
+// What was seen: under load this ended 503. The call broke off after its inputs
+// had been given up, so they were made again, and when that failed the request
+// was refused as one that has not run.
 test("what has run is never said not to have run", async (t) => {
   let rounds = 0;
   const { ask } = await hostOf(t, STREAM, (request) => {
-    request.socket.destroy();
+    // Later than inputs are kept for a call.
+    setTimeout(() => request.socket.destroy(), 400);
   }, ({ pieces: [piece] }) => {
     const result = { piece, handle: "place/1" };
     const none = { piece, failure: "error" as const };
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -40,6 +40,11 @@
   return Math.max(LEAST_RETURN, CONFIGURED - uptime) / 1000;
 }
 
+/** Whether a reason is answered with the promise that nothing has run. */
+export function saysNotRun(reason: RefusalReason): boolean {
+  return REFUSALS[reason].status === 503;
+}
+
 /** Answers by reason. Retry-After follows how soon the reason may be over: an
  * election or a poll of the configuration takes some hundreds of
  * milliseconds, a new endpoint about a heartbeat. */
