Read once more: what stood twice stands once, and is computed once

- Whom a replica asks was joined in election.ts and again for the log line; a standing repeated what a dump of the replica says: both take it from there.
- Which engine has read most of a prompt was counted anew for each engine, the home ranked also where another engine's memory serves, and a fetch of nothing priced by two forecasts: counted once, ranked when asked for, not priced.
- What may have run was kept from a 503 in two places; refusing does it.
A line of such a request has the reason it stands for (after) in both cases.

--- a/bench/decisions/bound.ts
+++ b/bench/decisions/bound.ts
@@ -13,6 +13,7 @@
 import * as accounts from "./account.ts";
 import type * as deployments from "./deployment.ts";
 import type * as loads from "./load.ts";
+import * as sums from "./sum.ts";
 
 /** Milliseconds between the times at which stretches begin and end. */
 const GRID = 500;
@@ -46,7 +47,9 @@
   deployment: deployments.Deployment,
   requests: readonly loads.Request[],
 ): Bound {
-  const owed = sum(requests.map((request) => worthOf(request)));
+  const owed = sums.sum(
+    requests.map((request) => accounts.worthOf({ request })),
+  );
   const lost = resourcesOf(deployment, requests)
     .map((resource) => ({ name: resource.name, loss: lossOf(resource) }));
   const most = lost.reduce((one, other) => other.loss > one.loss ? other : one);
@@ -64,7 +67,7 @@
       needsOf(
         requests,
         ({ kind, pieces }) =>
-          sum(kind.stages.map((stage, number) =>
+          sums.sum(kind.stages.map((stage, number) =>
             stage.service === name ? pieces[number] * of(stage) : 0
           )),
       );
@@ -99,7 +102,7 @@
 ): Need[] {
   return requests.map((request) => {
     const { at, kind: { objective, worth, lateWorth } } = request;
-    const atStake = worthOf(request) * (1 - lateWorth / worth);
+    const atStake = accounts.worthOf({ request }) * (1 - lateWorth / worth);
     const amount = amountOf(request);
     return { from: at, until: at + objective, amount, worth: atStake };
   }).filter(({ amount }) => amount > 0);
@@ -127,26 +130,18 @@
 /** What is lost of some needs where there is only so much for all of them: the
  * dearest for what they take are served, the last one in part. */
 function lossWithin(needs: readonly Need[], amount: number): number {
-  if (sum(needs.map((need) => need.amount)) <= amount) return 0;
+  if (sums.sum(needs.map((need) => need.amount)) <= amount) return 0;
   const dearest = [...needs].sort((one, other) =>
     other.worth / other.amount - one.worth / one.amount
   );
   let left = amount;
-  return sum(dearest.map((need) => {
+  return sums.sum(dearest.map((need) => {
     const served = Math.min(1, left / need.amount);
     left -= served * need.amount;
     return need.worth * (1 - served);
   }));
 }
 
-function worthOf(request: loads.Request): number {
-  return accounts.worthOf({ request });
-}
-
 function countOf(counts: Readonly<Record<string, number>>): number {
-  return sum(Object.values(counts));
-}
-
-function sum(numbers: readonly number[]): number {
-  return numbers.reduce((one, other) => one + other, 0);
+  return sums.sum(Object.values(counts));
 }
--- a/bench/decisions/engine.ts
+++ b/bench/decisions/engine.ts
@@ -34,9 +34,8 @@
   readonly #parts = new Map<string, number>();
   #runs: Running[] = [];
   #isStepping = false;
-  /** Prompt tokens that were read, and that were fetched. */
+  /** Prompt tokens that were read. */
   read = 0;
-  fetched = 0;
   /** Whether it takes no calls. */
   isDown = false;
 
@@ -50,7 +49,6 @@
     const own = this.#known(run);
     const { source } = run;
     const known = Math.max(own, source === undefined ? 0 : source.#known(run));
-    this.fetched += known - own;
     const unread = Math.max(1, run.prompt.inputTokens - known);
     const running = { ...run, unread, tokens: 0, isCancelled: false };
     this.#runs.push(running);
--- a/bench/decisions/world.ts
+++ b/bench/decisions/world.ts
@@ -15,6 +15,7 @@
 import * as hosts from "./host.ts";
 import * as loads from "./load.ts";
 import * as makerEndpoints from "./maker_endpoint.ts";
+import * as sums from "./sum.ts";
 import * as wire from "./wire.ts";
 
 /** Something that goes wrong. */
@@ -94,10 +95,10 @@
     return {
       ended: this.#ended,
       ...this.#costs,
-      read: sum([...this.#engines.values()].map(({ read }) => read)),
-      busy: sum(makers.map(({ busy }) => busy)),
-      rejected: sum(makers.map(({ rejected }) => rejected)),
-      starved: sum(makers.map(({ starved }) => starved)),
+      read: sums.sum([...this.#engines.values()].map(({ read }) => read)),
+      busy: sums.sum(makers.map(({ busy }) => busy)),
+      rejected: sums.sum(makers.map(({ rejected }) => rejected)),
+      starved: sums.sum(makers.map(({ starved }) => starved)),
     };
   }
 
@@ -392,10 +393,6 @@
   reply.end();
 }
 
-function sum(numbers: readonly number[]): number {
-  return numbers.reduce((one, other) => one + other, 0);
-}
-
 function configurationOf(
   { kinds, makers, engines }: deployments.Deployment,
 ): configurations.Configuration {
--- a/bench/roster_fuzz/mod.ts
+++ b/bench/roster_fuzz/mod.ts
@@ -22,13 +22,11 @@
 const MOST_WORDS = 24;
 /** Milliseconds over which words are heard: less than a roster's memory. */
 const SPAN = 20_000;
-/** Small seeds give much the same first numbers; an odd factor parts them. */
-const SPREAD = 0x9e3779b1;
 const TIMES = { silence: 4000, memory: 60_000 };
 
 /** Runs one schedule; throws a `Violation`. */
 export function runSchedule({ seed, breakage }: Options): void {
-  const random = runtime.createRandom(Math.imul(seed, SPREAD));
+  const random = runtime.createSpreadRandom(seed);
   // Endpoints of one kind all say when they were born, or never.
   const tellsBirth = random.next() < 0.8;
   const words = Array.from(
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -195,14 +195,19 @@
   return state.hosts.map((host) => host === own ? state.id : state.found[host]);
 }
 
-/** Asks all hosts that may know better, but for the own one. Only a leader takes
- * a replica in, and any voter may lead: the hosts that the settings name, which
- * is what they were at some time, are not enough. */
+/** Hosts that a replica which is no member asks to be taken in. Only a leader
+ * takes in, and any voter may lead: the hosts that the settings name, which is
+ * what they were at some time, are not enough. */
+export function asked({ hosts, contacts }: state.State): string[] {
+  return [...new Set([...hosts, ...contacts])];
+}
+
+/** Asks all hosts that may know better, but for the own one. */
 function probe(draft: drafts.Draft): void {
   const { state } = draft;
   const own = replicaId.host(state.id);
   state.found = {};
-  for (const host of new Set([...state.hosts, ...state.contacts])) {
+  for (const host of asked(state)) {
     if (host !== own) drafts.sendHost(draft, host, { type: "probe" });
   }
 }
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -80,6 +80,11 @@
     return drafts.currentMembers(this.state);
   }
 
+  /** Hosts that it asks to be taken in while it is no member. */
+  get asks(): string[] {
+    return election.asked(this.state);
+  }
+
   /** Whether this replica may order and serve reads; `now` is read afresh. */
   leaseHeld(now: number): boolean {
     return lease.isHeld(this.state, now);
--- a/src/control/versions/fake_keepers.ts
+++ b/src/control/versions/fake_keepers.ts
@@ -185,9 +185,7 @@
       void this.clock.after(DELAY, () => resolve())
     );
     const { keeper } = this.#host(to);
-    if (keeper === undefined || !("type" in question)) {
-      throw new Error(`${to} is silent`);
-    }
+    if (keeper === undefined) throw new Error(`${to} is silent`);
     return await keeper.answer(question as Parameters<typeof keeper.answer>[0]);
   }
 }
--- a/src/control/versions/standing.ts
+++ b/src/control/versions/standing.ts
@@ -3,15 +3,10 @@
  * that takes long, a leader that is gone and a majority that is lost.
  * @module */
 
-import type * as schema from "../../schema/log_types.ts";
 import * as log from "../log/mod.ts";
 
 /** A replica as its host sees it. */
-export interface Standing {
-  readonly id: schema.ReplicaId;
-  readonly role: log.Role;
-  readonly term: number;
-  readonly leader?: string;
+export interface Standing extends Part {
   readonly isMember: boolean;
   readonly voters: readonly string[];
   readonly learners: readonly string[];
@@ -19,31 +14,35 @@
   readonly asks: readonly string[];
   /** Milliseconds since a replica of each host was heard. */
   readonly heardMs: Readonly<Record<string, number>>;
-  readonly commit: number;
-  readonly last: number;
   /** Characters of a snapshot under way that are here. */
   readonly arrived?: number;
 }
 
+/** What a dump of a replica says that is told here too. */
+type Part = Pick<
+  log.Dump,
+  "id" | "role" | "term" | "leader" | "commit" | "last"
+>;
+
 /** Describes a replica; `heard` holds when each host was heard. */
 export function standingOf(
   replica: log.Replica,
   { heard, now }: { heard: ReadonlyMap<string, number>; now: number },
 ): Standing {
-  const { id, members, state } = replica;
+  const { members, ...dump } = log.dump(replica, now);
+  const { id, role, term, leader, commit, last } = dump;
   const ages = [...heard].map(([host, at]) => [host, Math.round(now - at)]);
   return {
     id,
-    role: state.role,
-    term: state.term,
-    leader: state.leader,
+    role,
+    term,
+    leader,
     isMember: log.members.has(members, id),
-    voters: members.voters,
-    learners: members.learners,
-    asks: [...new Set([...state.hosts, ...state.contacts])],
+    ...members,
+    asks: replica.asks,
     heardMs: Object.fromEntries(ages),
-    commit: state.commit,
-    last: state.log.last.index,
-    arrived: state.arrival?.offset,
+    commit,
+    last,
+    arrived: replica.state.arrival?.offset,
   };
 }
--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -98,6 +98,7 @@
   { read, fetched }: lacks.Lack,
   now: number,
 ): number {
+  if (fetched === 0) return 0;
   const asRead = engine.expectFirst(read + fetched, now);
   return FETCH_SHARE * (asRead - engine.expectFirst(read, now));
 }
--- a/src/gateway/lack.ts
+++ b/src/gateway/lack.ts
@@ -31,17 +31,27 @@
 
 /** Engines that a prompt may go to, and what each lacks. */
 export class Lacks {
+  readonly #engines: readonly endpoint.Endpoint[];
   readonly #prompt: protocol.Prompt;
-  readonly #home?: string;
+  /** The engine that has read most of the prompt, and how much. */
   readonly #source?: endpoint.Endpoint;
+  readonly #most: number;
+  /** Computed when it is asked for: where another engine's memory serves, the
+   * home does not matter. */
+  #home?: { readonly name?: string };
 
   private constructor(
     engines: readonly endpoint.Endpoint[],
     prompt: protocol.Prompt,
   ) {
+    this.#engines = engines;
     this.#prompt = prompt;
-    this.#home = homeOf(engines, prompt);
-    this.#source = this.#sourceOf(engines);
+    let most = 0;
+    for (const engine of engines) {
+      const known = this.#known(engine);
+      if (known > most) [this.#source, most] = [engine, known];
+    }
+    this.#most = most;
   }
 
   static of(
@@ -58,7 +68,7 @@
     const open = Math.max(0, inputTokens - own);
     const source = this.#source;
     const rate = engine.fetchRate;
-    const fetched = source === undefined ? 0 : this.#known(source) - own;
+    const fetched = this.#most - own;
     if (source === undefined || rate === undefined || fetched < LEAST_FETCHED) {
       return { read: this.#likely(engine, open), fetched: 0, fetchTime: 0 };
     }
@@ -70,7 +80,8 @@
 
   /** Tokens to read, by what the home of shared parts likely has read. */
   #likely(engine: endpoint.Endpoint, open: number): number {
-    if (engine.identity.name !== this.#home) return open;
+    this.#home ??= { name: homeOf(this.#engines, this.#prompt) };
+    if (engine.identity.name !== this.#home.name) return open;
     const own = this.#prompt.parts.at(-1)?.tokens ?? 0;
     const shared = Math.max(0, open - own);
     return open - shared * (1 - HOME_SHARE);
@@ -79,19 +90,6 @@
   #known(engine: endpoint.Endpoint): number {
     return engine.memory?.known(this.#prompt) ?? 0;
   }
-
-  /** The engine that has read most of the prompt. */
-  #sourceOf(
-    engines: readonly endpoint.Endpoint[],
-  ): endpoint.Endpoint | undefined {
-    let best: endpoint.Endpoint | undefined;
-    let most = 0;
-    for (const engine of engines) {
-      const known = this.#known(engine);
-      if (known > most) [best, most] = [engine, known];
-    }
-    return best;
-  }
 }
 
 /** Name of the engine that the shared parts of a prompt belong to, on all
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -470,7 +470,7 @@
     if (isOpen && this.#fallback !== undefined) {
       return this.#answer(this.#fallback);
     }
-    this.#refuse(this.#runs > 0 ? "failed" : reason);
+    this.#refuse(reason);
   }
 
   #timeOut(): void {
@@ -490,7 +490,7 @@
     if (this.isOver) return;
     // A stream that has begun has its head; its pieces may be made again.
     if (this.#reply.head !== undefined) return this.#breakOff(reason);
-    // Its pieces may fail to be made again after a call that may have run.
+    // A call may have run before, and its pieces failed to be made again.
     if (this.#runs > 0 && refusals.saysNotRun(reason)) {
       return this.#refuse("failed", { after: reason });
     }
--- a/src/runtime/mod.ts
+++ b/src/runtime/mod.ts
@@ -7,4 +7,8 @@
 export * from "./transport.ts";
 export { Alarm } from "./alarm.ts";
 export { FakeClock } from "./fake_clock.ts";
-export { create as createRandom, type Random } from "./random.ts";
+export {
+  create as createRandom,
+  createSpread as createSpreadRandom,
+  type Random,
+} from "./random.ts";
--- a/src/runtime/random.ts
+++ b/src/runtime/random.ts
@@ -12,6 +12,15 @@
   below(bound: number): number;
 }
 
+/** Odd, so that no two seeds become one: about the golden part of 2 ** 32. */
+const SPREAD = 0x9e3779b1;
+
+/** As `create`, with seeds spread first: those of small seeds begin much alike,
+ * so that a run over seeds 1, 2, 3 draws the same first choice each time. */
+export function createSpread(seed: number): Random {
+  return create(Math.imul(seed, SPREAD));
+}
+
 /** Random numbers that depend on `seed` alone. */
 export function create(seed: number): Random {
   const generator = xoroshiro.xoroshiro128plus(seed);
