Pieces that a slow endpoint would make late wait for a faster one

Change: a piece that would be late at the free endpoint and in time at one that is half as fast again, behind the more urgent ones, is left for that; what can wait, and what is late anyway, goes to the slow one.

--- a/bench/decisions/deployment.ts
+++ b/bench/decisions/deployment.ts
@@ -162,6 +162,90 @@
   };
 }
 
+/** A fleet of some hundred hosts before dozens of engines: each host sees a few
+ * of an engine's requests in a hundred, and a shared part of a prompt comes back
+ * through another host. The figures are of the order that users name for
+ * theirs. */
+export function large(): Deployment {
+  const places = ["a", "b", "c", "d", "e"];
+  const spread = (total: number) =>
+    Object.fromEntries(places.map((place, pos) => [
+      place,
+      Math.floor((total + pos) / places.length),
+    ]));
+  const chain = (first: number): StageLoad[] => [
+    stage("records", [], 8000, { mean: 1, effort: 0.3 }),
+    stage("checks", [first], 60_000, { mean: 8 }),
+    stage("accounts", [first + 1], 6000, { mean: 16, spread: 0.4, most: 40 }),
+  ];
+  return {
+    hosts: spread(190),
+    engines: {
+      counts: spread(55),
+      slots: 64,
+      tokens: 580_000,
+      readRate: 60,
+      step: 6.5,
+      chunk: 1024,
+      stride: 2,
+      fetchTime: 3,
+      fetchRate: 2600,
+    },
+    makers: {
+      records: makers(spread(9), [8, 150, 16, 43_000_000]),
+      checks: makers(spread(23), [12, 150, 11, 2_100_000]),
+      accounts: makers(spread(28), [20, 150, 6.4, 350_000]),
+    },
+    kinds: [
+      {
+        ...kind("plan", { rank: 0, rate: 34, objective: 1500 }),
+        patience: 15_000,
+        worth: 4,
+        lateWorth: 0.6,
+        shared: [{ tokens: 13_300, variety: 570 }],
+        own: { mean: 3700, spread: 1.1, most: 50_000 },
+        events: { mean: 60, spread: 1.4, most: 240 },
+        stages: [
+          stage("records", [], 3_000_000, {
+            mean: 2.5,
+            spread: 0.6,
+            most: 10,
+            share: 0.7,
+          }),
+        ],
+      },
+      {
+        ...kind("summary", { rank: 1, rate: 27, objective: 2700 }),
+        patience: 10_000,
+        worth: 1.4,
+        lateWorth: 0.2,
+        shared: [{ tokens: 2500, variety: 4 }, { tokens: 3800, variety: 460 }],
+        own: { mean: 2900, spread: 1, most: 40_000 },
+        events: { mean: 26, spread: 1.4, most: 100 },
+        stages: chain(0),
+      },
+      {
+        ...kind("question", { rank: 2, rate: 37, objective: 2700 }),
+        patience: 15_000,
+        worth: 0.4,
+        lateWorth: 0.06,
+        shared: [{ tokens: 210, variety: 15 }, { tokens: 140, variety: 620 }],
+        own: { mean: 1100, spread: 1, most: 3800 },
+        events: { mean: 86, spread: 0.9, most: 260 },
+        stages: [
+          stage("records", [], 3_000_000, {
+            mean: 1.5,
+            spread: 0.6,
+            most: 6,
+            share: 0.4,
+          }),
+          ...chain(1),
+        ],
+      },
+    ],
+  };
+}
+
 /** Numbers that are drawn before the first that counts. */
 const SKIPPED = 10;
 /** Load of drawn deployments against what would strain them as the others:
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -9,26 +9,16 @@
 import type * as configurations from "../configuration/mod.ts";
 import * as bookings from "./bookings.ts";
 import * as pace from "./pace.ts";
+import * as suitabilities from "./suitability.ts";
 import * as works from "./work.ts";
 import * as workerStates from "./worker_state.ts";
 
 /** Part of a new value in the running mean of the time of calls: some dozens of
  * calls, which is a second or two of a busy cell. */
 const WORK_GAIN = 0.05;
-/** Bytes for which a piece is made where they are while there is time: their
- * way to another data centre costs more than some wait. */
-const LARGE = 200_000;
 /** Part of the pieces that could be in a call which make it worthwhile before
  * its endpoint has waited for as long as a call costs. */
 const WORTHWHILE = 0.5;
-/** Full calls' worth of time that must be left when a piece is begun for which
- * an endpoint where its data is was waited for: its own call, and as much again
- * for what is slower than expected. In simulated loads a quarter less crosses
- * data centres than where pieces wait by a fixed time, and as much is in time;
- * at 1.3 another third less crosses, and .03 of the worth is late. */
-const PATIENT_CALLS = 2;
-/** Slowness beyond which nothing waits for an endpoint. */
-const SLOW = 2;
 /** Milliseconds by which a piece may be late and still go before others. */
 const LATE_TOLERANCE = 100;
 /** Full calls that are kept for what follows on a late piece before its caller
@@ -215,7 +205,7 @@
     const times = [...this.#workers.values()]
       .flatMap((state) => state.wakes(callTime, now))
       .filter((time) => time > now);
-    const patience = PATIENT_CALLS * this.#expected(this.#traits.batch);
+    const patience = suitabilities.patience(this.#traits);
     const first = this.#waiting.reduce(
       (least, { expires, wanted }) =>
         Math.min(
@@ -287,13 +277,12 @@
         room -= work.bytes;
       }
     };
-    const seen = new Map<string, number>();
-    take((work) => {
-      const { dataCentre = "" } = work;
-      const before = seen.get(dataCentre) ?? 0;
-      seen.set(dataCentre, before + 1);
-      return this.#suits(state, work, { before, now });
+    const suitability = suitabilities.Suitability.of(state, {
+      workers: this.#workers.values(),
+      traits: this.#traits,
+      now,
     });
+    take((work) => suitability.suits(work));
     return [...taken];
   }
 
@@ -324,31 +313,6 @@
       );
   }
 
-  /** Whether a piece may be made there: one that moves much waits for an
-   * endpoint where its data is, as long as it is in time there behind the
-   * `before` more urgent ones of that data centre. */
-  #suits(
-    { worker }: workerStates.WorkerState,
-    work: works.Work,
-    { before, now }: { before: number; now: number },
-  ): boolean {
-    const { dataCentre, moved, wanted } = work;
-    if (moved < LARGE || dataCentre === undefined) return true;
-    if (worker.dataCentre === dataCentre) return true;
-    const there = [...this.#workers.values()].filter((state) =>
-      state.isUsable(now) && state.worker.dataCentre === dataCentre &&
-      state.slowness < SLOW
-    );
-    if (there.length === 0) return true;
-    const { batch, callTime } = this.#traits;
-    const free = Math.min(
-      ...there.map((state) => state.freeAt(now, callTime)),
-    );
-    const calls = Math.floor(before / (batch * there.length));
-    const begins = free + calls * this.#expected(batch);
-    return begins + PATIENT_CALLS * this.#expected(batch) > wanted;
-  }
-
   #takeOut(isOut: (work: works.Work) => boolean): works.Work[] {
     const out = this.#waiting.filter(isOut);
     if (out.length > 0) {
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -218,3 +218,31 @@
   t.is(call.worker.id, "2");
   t.deepEqual(new Set(call.works.map(({ request }) => request)).size, 1);
 });
+
+/** A scheduler of a fast endpoint, which is at a call, and of one that was four
+ * times slower than the service's figures. */
+function withSlow() {
+  const scheduler = schedulerOf(worker("fast"), worker("slow"));
+  scheduler.add(fixture.works("first", 8, { wanted: 5000 }));
+  const calls = scheduler.assign(0);
+  for (let now = 0; now < 2800; now += 560) {
+    const slow = calls.find((each) => each.worker.id === "slow")!;
+    scheduler.finish(slow, { results: [], duration: 560, now });
+  }
+  return scheduler;
+}
+
+test("a piece that would be late at a slow endpoint waits for a faster one", (t) => {
+  const scheduler = withSlow();
+  scheduler.add(fixture.works("urgent", 2, { wanted: 3200, expires: 9000 }));
+  t.deepEqual(scheduler.assign(2800), []);
+});
+
+test("a slow endpoint makes what can wait, and what is late anyway", (t) => {
+  for (const wanted of [6000, 2700]) {
+    const scheduler = withSlow();
+    scheduler.add(fixture.works("any", 2, { wanted, expires: 9000 }));
+    const [call] = scheduler.assign(2800);
+    t.is(call?.worker.id, "slow");
+  }
+});
