A host starts with a third less to load, and rests with fewer system calls

Cause: after a loss of power all hosts load at once on a third of a core each. Of .37 s of processor time until the program is loaded, .1 s went into parts of undici that nothing uses, .1 s into reading 2.2 MB. At rest a look at the settings file on another thread was a quarter of an entry host's system calls (strace, 14 of 50 a second). Change: the bundle takes the parts of undici and prom-client that are used, and is stored without white space; the look stays on its thread. Core hosts list the fleet, sort and mark it once a round and not once for each host that asks.

--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -52,7 +52,7 @@
   readonly #roster: endpoints.Roster;
   readonly #spread: spread.Spread;
   readonly #epoch: string;
-  readonly #confirmations: rounds.Rounds<versions.Edition | undefined>;
+  readonly #confirmations: rounds.Rounds<Confirmation>;
   /** Undefined until the disk is read. */
   #keeper?: versions.Keeper;
   #server?: controlServer.ControlServer;
@@ -81,7 +81,7 @@
     this.#confirmations = rounds.Rounds.create({
       clock,
       distance: SYNC_DISTANCE,
-      ask: () => this.#confirmed(),
+      ask: () => this.#confirm(),
     });
     this.#spread = spread.Spread.create({
       clock,
@@ -224,13 +224,11 @@
   ): Promise<schema.Reply> {
     const { clock } = this.#options;
     this.#entries.hear({ ...question.host, host: from }, clock.now());
-    const edition = await this.#confirmations.join();
+    const { edition, hosts, mark, cores } = await this.#confirmations.join();
     const now = clock.now();
     const isSame = question.epoch === this.#epoch;
     const since = isSame ? question.revision : 0;
     const { version, document } = edition ?? versions.NONE;
-    const hosts = this.#entries.live(now);
-    const mark = entryMembers.markOf(hosts);
     return {
       type: "synced",
       confirmed: edition !== undefined,
@@ -243,10 +241,20 @@
       ),
       mark,
       ...(mark !== question.mark && { hosts }),
-      cores: this.#members.live(now).map(({ host }) => host),
+      cores,
     };
   }
 
+  /** What all who ask in one round are told alike. */
+  async #confirm(): Promise<Confirmation> {
+    const edition = await this.#confirmed();
+    const now = this.#options.clock.now();
+    const hosts = this.#entries.live(now);
+    const mark = entryMembers.markOf(hosts);
+    const cores = this.#members.live(now).map(({ host }) => host);
+    return { edition, hosts, mark, cores };
+  }
+
   async #confirmed(): Promise<versions.Edition | undefined> {
     try {
       return await this.#keeper?.read(SYNC_PATIENCE);
@@ -358,6 +366,16 @@
  * the log is elected within. */
 const FAREWELL = 300;
 
+/** What a round has confirmed, and the fleet as it is then. */
+interface Confirmation {
+  /** Undefined where no majority has answered. */
+  readonly edition: versions.Edition | undefined;
+  readonly hosts: schema.EntryHost[];
+  readonly mark: string;
+  /** Hosts with disks. */
+  readonly cores: string[];
+}
+
 type Order<T> = Extract<protocol.ControlOrder, { type: T }>;
 
 const DONE: protocol.ControlAnswer = { status: 200, body: "{}" };
--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -114,15 +114,17 @@
   process.on("SIGHUP", () => reload("signal"));
   if (settingsFile === undefined) return;
   let last = fs.statSync(settingsFile).mtimeMs;
+  // A look takes microseconds; handing it to another thread and back costs a
+  // quarter of all system calls of a host at rest.
   const look = setInterval(() => {
-    fs.stat(settingsFile, (error, found) => {
-      if (error !== null) {
-        logger.debug({ err: error }, "Settings file not found");
-      } else if (found.mtimeMs !== last) {
-        last = found.mtimeMs;
-        reload("file");
-      }
-    });
+    try {
+      const { mtimeMs } = fs.statSync(settingsFile);
+      if (mtimeMs === last) return;
+      last = mtimeMs;
+      reload("file");
+    } catch (error) {
+      logger.debug({ err: error }, "Settings file not found");
+    }
   }, LOOK);
   look.unref();
 }
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,9 +1,44 @@
 /** Bundles the platform's programs, one file for each role: a process then
- * loads only what its role uses, which saves memory and start-up time.
+ * loads only what its role uses, which saves memory and start-up time. After a
+ * loss of power all hosts load at once, on a third of a core each: a program
+ * that takes .1 s of a core less to load serves .3 s sooner.
  * @module */
 
 import * as esbuild from "esbuild";
 
+/** What the programs use of libraries whose indexes load much more: fetch,
+ * caches, mocks and proxies, gauges of the process itself. A name that is
+ * missing here fails the build. */
+const PARTS = {
+  "undici": `
+    export { default as Dispatcher } from "undici/lib/dispatcher/dispatcher.js";
+    export { default as Pool } from "undici/lib/dispatcher/pool.js";
+    export { default as buildConnector } from "undici/lib/core/connect.js";
+    export { default as errors } from "undici/lib/core/errors.js";
+  `,
+  "prom-client": `
+    export { default as Counter } from "prom-client/lib/counter.js";
+    export { default as Gauge } from "prom-client/lib/gauge.js";
+    export { default as Histogram } from "prom-client/lib/histogram.js";
+    import registry from "prom-client/lib/registry.js";
+    export const Registry = registry;
+  `,
+};
+
+/** Puts the parts that are used in place of those indexes. */
+const usedParts = {
+  name: "used-parts",
+  setup(build) {
+    const namespace = "used-parts";
+    const filter = /^(undici|prom-client)$/;
+    build.onResolve({ filter }, ({ path }) => ({ path, namespace }));
+    build.onLoad({ filter: /.*/, namespace }, ({ path }) => ({
+      contents: PARTS[path],
+      resolveDir: process.cwd(),
+    }));
+  },
+};
+
 await esbuild.build({
   entryPoints: ["platform/entry_main.ts", "platform/control_main.ts"],
   outdir: "target",
@@ -13,6 +48,11 @@
   target: "node20",
   format: "esm",
   logLevel: "warning",
+  plugins: [usedParts],
+  // Names stay, so that stacks can be read.
+  minifyWhitespace: true,
+  minifySyntax: true,
+  legalComments: "none",
   // Libraries in CommonJS ask for Node's modules by `require`.
   banner: {
     js: 'import { createRequire as makeRequire } from "node:module";' +
