--- /dev/null
+++ b/src/gateway/admission.ts
@@ -0,0 +1,50 @@
+/** Whether a request may pass, and which service it goes to.
+ * @module */
+
+import type * as configurations from "../configuration/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as contexts from "./context.ts";
+import type * as protocols from "./protocol.ts";
+import type * as refusals from "./refusal.ts";
+
+/** What is known of a request by the configuration in force. */
+export interface Judgement {
+  /** Why it may not pass; absent when it may. */
+  readonly reason?: refusals.RefusalReason;
+  readonly route?: configurations.Route;
+  readonly account?: configurations.Account;
+}
+
+/** Judges a request by the configuration in force. */
+export function judge(
+  ask: protocols.Ask,
+  { knowledge, greatestAge }: Pick<
+    contexts.Context,
+    "knowledge" | "greatestAge"
+  >,
+): Judgement {
+  const catalogue = knowledge.catalogue();
+  if (catalogue === undefined) return { reason: "no-configuration" };
+  if (knowledge.age() > greatestAge) return { reason: "stale-configuration" };
+  const route = catalogue.route(ask.host, ask.target);
+  if (route === undefined) return { reason: "no-route" };
+  if (route.isPublic || !catalogue.hasAccounts) return { route };
+  const account = ask.key === undefined
+    ? undefined
+    : catalogue.account(ask.key);
+  return account === undefined
+    ? { route, reason: "bad-key" }
+    : { route, account };
+}
+
+/** One of a route's services, by their weights. */
+export function pickService(
+  { targets }: configurations.Route,
+  random: runtime.Random,
+): string {
+  if (targets.length === 1) return targets[0].service;
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = random.next() * total;
+  const picked = targets.find(({ weight }) => (left -= weight) < 0);
+  return (picked ?? targets.at(-1)!).service;
+}
--- /dev/null
+++ b/src/gateway/admission_test.ts
@@ -0,0 +1,60 @@
+/** @module */
+
+import test from "ava";
+import * as configurations from "../configuration/mod.ts";
+import * as fixture from "../configuration/fixture.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as admission from "./admission.ts";
+
+const ASK = {
+  id: "r",
+  method: "GET",
+  host: "host.example",
+  target: "/a/x",
+  headers: {},
+};
+
+const ACCOUNT = { name: "crews", keys: ["k"] };
+
+function judge(
+  change: { target?: string; key?: string } = {},
+  { age = 0, isKnown = true } = {},
+) {
+  const catalogue = configurations.Catalogue.create(
+    fixture.configuration({ routes: [fixture.route()], accounts: [ACCOUNT] }),
+  );
+  const knowledge = {
+    catalogue: () => isKnown ? catalogue : undefined,
+    age: () => age,
+    hosts: () => 1,
+  };
+  const context = { knowledge, greatestAge: 1000 };
+  return admission.judge({ ...ASK, ...change }, context);
+}
+
+test("a request with a known key may pass, as its account", (t) => {
+  const { reason, account, route } = judge({ key: "k" });
+  t.is(reason, undefined);
+  t.is(account?.name, "crews");
+  t.is(route?.prefix, "/a/");
+});
+
+test("what may not pass is told why", (t) => {
+  t.is(judge({ key: "other" }).reason, "bad-key");
+  t.is(judge().reason, "bad-key");
+  t.is(judge({ key: "k", target: "/b/" }).reason, "no-route");
+  t.is(judge({ key: "k" }, { age: 1001 }).reason, "stale-configuration");
+  t.is(judge({ key: "k" }, { isKnown: false }).reason, "no-configuration");
+});
+
+test("services are picked by their weights", (t) => {
+  const targets = [{ service: "a", weight: 3 }, { service: "b", weight: 1 }];
+  const random = runtime.createRandom(1);
+  const route = fixture.route({ targets });
+  const picked = Array.from(
+    { length: 400 },
+    () => admission.pickService(route, random),
+  );
+  const count = picked.filter((service) => service === "a").length;
+  t.true(count > 260 && count < 340, `${count}`);
+});
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -4,8 +4,10 @@
 import type * as http from "node:http";
 import * as configurations from "../configuration/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import * as admission from "./admission.ts";
 import * as attempts from "./attempt.ts";
 import * as bodies from "./body.ts";
+import * as callTerms from "./call_terms.ts";
 import * as choice from "./choice.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoint from "./endpoint.ts";
@@ -19,19 +21,8 @@
 import * as staging from "./staging.ts";
 import * as verdicts from "./verdict.ts";
 
-/** Milliseconds without a byte after which a repeatable call is given up, as
- * multiples of the route's objective; an answer later than that earns little,
- * and another endpoint may still give one. */
-const SILENCE_OBJECTIVES = 2;
-/** Least of these milliseconds. */
-const LEAST_SILENCE = 800;
-/** Milliseconds between events after which a stream goes on elsewhere: callers
- * leave after two seconds. */
-const EVENT_SILENCE = 1200;
 /** Times that lost results are made again. */
 const REMAKES = 1;
-/** Least milliseconds left for a call to be worth sending. */
-const LEAST_LEFT = 5;
 
 type Phase = "reading" | "pieces" | "sent" | "streaming" | "over";
 
@@ -114,7 +105,8 @@
     try {
       const body = await this.#admit();
       if (this.isOver) return;
-      const service = this.#pickService();
+      const { random } = this.#context;
+      const service = admission.pickService(this.#route!, random);
       const inputs = await this.#prepare(service);
       if (this.isOver) return;
       await this.#send(body, { service, inputs });
@@ -139,9 +131,7 @@
     }
     const { ask } = reading;
     this.#ask = ask;
-    const reason = this.#context.isEnding()
-      ? "stopping"
-      : this.#judge(ask, knowledge.catalogue());
+    const reason = this.#context.isEnding() ? "stopping" : this.#judge(ask);
     if (reason !== undefined) {
       return this.#stop(reason, this.#returnFor(reason));
     }
@@ -154,27 +144,17 @@
     const body = await bodies.read(this.#request, limits.bodyBytes);
     if (typeof body === "string") return this.#stop(body);
     // The version may have changed while a slow body came in.
-    const now = this.#judge(ask, knowledge.catalogue());
+    const now = this.#judge(ask);
     if (now !== undefined && !this.isOver) return this.#stop(now);
     return body;
   }
 
   /** Why a request may not pass; notes route and account when it may. */
-  #judge(
-    ask: protocols.Ask,
-    catalogue: configurations.Catalogue | undefined,
-  ): refusals.RefusalReason | undefined {
-    const { knowledge, greatestAge } = this.#context;
-    if (catalogue === undefined) return "no-configuration";
-    if (knowledge.age() > greatestAge) return "stale-configuration";
-    const route = catalogue.route(ask.host, ask.target);
-    if (route === undefined) return "no-route";
-    this.#route = route;
-    if (route.isPublic || !catalogue.hasAccounts) return undefined;
-    this.#account = ask.key === undefined
-      ? undefined
-      : catalogue.account(ask.key);
-    return this.#account === undefined ? "bad-key" : undefined;
+  #judge(ask: protocols.Ask): refusals.RefusalReason | undefined {
+    const judged = admission.judge(ask, this.#context);
+    this.#route = judged.route;
+    this.#account = judged.account;
+    return judged.reason;
   }
 
   /** When to come back, where that hangs on more than the reason. */
@@ -243,15 +223,6 @@
     }
   }
 
-  #pickService(): string {
-    const { targets } = this.#route!;
-    if (targets.length === 1) return targets[0].service;
-    const total = targets.reduce((sum, { weight }) => sum + weight, 0);
-    let left = this.#context.random.next() * total;
-    const picked = targets.find(({ weight }) => (left -= weight) < 0);
-    return (picked ?? targets.at(-1)!).service;
-  }
-
   /** An endpoint that was not called yet, where there is one. */
   async #choose(service: string): Promise<Target | undefined> {
     const { pool, clock, random, dataCentre, placement } = this.#context;
@@ -312,7 +283,10 @@
       },
       body: body.length > 0 ? body : undefined,
       deadline: this.#until,
-      silence: this.#silence(),
+      silence: callTerms.silenceOf(
+        this.#route!,
+        this.#reply.head !== undefined,
+      ),
       stream: this.#route!.kind === "streaming"
         ? this.#listener(onFirst)
         : undefined,
@@ -349,36 +323,20 @@
     inputs: readonly string[] | undefined,
   ): protocols.CallTerms {
     const { clock } = this.#context;
-    const left = Math.max(LEAST_LEFT, Math.floor(this.#until - clock.now()));
     return {
       endpoint,
       account: this.#account?.name,
-      remaining: left,
-      urgency: this.#urgency,
+      remaining: callTerms.remaining(this.#until, clock.now()),
+      urgency: callTerms.urgencyOf(this.#rank, this.#staging?.isLate ?? false),
       inputs,
       resumeAfter: this.#lastId ?? this.#ask!.resumeAfter,
     };
   }
 
-  /** Who can be in time goes before who cannot, whatever their ranks. */
-  get #urgency(): number {
-    const late = this.#staging?.isLate ? LATE_URGENCY : 0;
-    return Math.min(LAST_URGENCY, FIRST_URGENCY + this.#rank + late);
-  }
-
   get #rank(): number {
     return this.#account?.priority ?? this.#route!.priority;
   }
 
-  /** Milliseconds without a byte that a call is given. Work that must not be
-   * repeated is waited for: silence is no reason to end it. */
-  #silence(): number {
-    const route = this.#route!;
-    if (!configurations.isIdempotent(route)) return Infinity;
-    if (this.#reply.head !== undefined) return EVENT_SILENCE;
-    return Math.max(LEAST_SILENCE, SILENCE_OBJECTIVES * route.objective);
-  }
-
   #noteFirst(
     target: endpoint.Endpoint,
     { reading, note }: { reading: readings.Reading; note: CallNote },
@@ -418,7 +376,7 @@
     this.#phase = "streaming";
     this.#staging?.release();
     if (configurations.isIdempotent(this.#route!)) {
-      this.#attempt?.expectWithin(EVENT_SILENCE);
+      this.#attempt?.expectWithin(callTerms.EVENT_SILENCE);
     }
     this.#reply.begin(head);
   }
@@ -571,11 +529,4 @@
   readonly response: http.ServerResponse;
 }
 
-/** Urgency of the highest rank: below it there is room for what is more urgent
- * than any request of a caller. */
-const FIRST_URGENCY = 2;
-/** Steps by which a request that is late anyway is less urgent. */
-const LATE_URGENCY = 3;
-const LAST_URGENCY = 9;
-
 const NOTHING = Buffer.alloc(0);
