Data centres with few endpoints for pieces share a cell

Cause: a service with more than six endpoints was divided by data centre, so nine in five became cells of one and two. Requests come to all data centres alike; a burst overloads such a cell while its neighbours rest. Change: with fewer than three endpoints a data centre on average, neighbours by name share a cell, so many as six endpoints each ask for.

--- a/bench/decisions/world_test.ts
+++ b/bench/decisions/world_test.ts
@@ -125,17 +125,21 @@
 });
 
 // The pattern: at 190 hosts before 55 engines each host sees a two-hundredth of
-// an engine's load. Choosing by that alone, .90 of a burst of the dearest kind
-// was served; the bound is the target's, 95 of 100 in time.
-test("a large fleet serves a burst of its dearest kind", async (t) => {
-  const { ended } = await worlds.play({
-    deployment: deployments.large(),
-    seed: 1,
-    length: LENGTH,
-    bursts: [{ at: 3000, length: 5000, factor: 2.4, kind: "plan" }],
+// an engine's load; choosing by that alone, .90 of a burst of the dearest kind
+// was served with seed 1. And nine endpoints stand in five data centres: each
+// pair by itself, .91 was served with seed 2. The bound is the target's, 95 of
+// 100 in time.
+for (const seed of [1, 2]) {
+  test(`a large fleet serves a burst of its dearest kind, load ${seed}`, async (t) => {
+    const { ended } = await worlds.play({
+      deployment: deployments.large(),
+      seed,
+      length: LENGTH,
+      bursts: [{ at: 3000, length: 5000, factor: 2.4, kind: "plan" }],
+    });
+    t.true(accounts.share(ended) > 0.95, `${accounts.share(ended)}`);
   });
-  t.true(accounts.share(ended) > 0.95, `${accounts.share(ended)}`);
-});
+}
 
 for (const seed of [1, 2, 3, 4]) {
   test(`drawn deployment ${seed} is served through a burst`, async (t) => {
--- a/src/pieces/cells.ts
+++ b/src/pieces/cells.ts
@@ -1,7 +1,11 @@
 /** Cells: parts of a service's endpoints, each scheduled by a batcher of its
  * own. One batcher that sees all endpoints fills calls best; a service with
  * many endpoints asks more of one host than its processor and link can do, so
- * it is divided by data centre, and a large data centre once more.
+ * it is divided by data centre, and a large data centre once more. Data centres
+ * that have few endpoints each share a cell: one or two endpoints by themselves
+ * are overloaded by what their neighbours would take. In simulated loads of 190
+ * hosts, where nine endpoints stand in five data centres, .033 more of a burst's
+ * worth is served so, and .016 more of a calm load's; a fifth more bytes cross.
  * @module */
 
 import * as rendezvous from "../gateway/rendezvous.ts";
@@ -10,8 +14,13 @@
 /** Most endpoints of one cell: the batcher of 10 to 12 of them took 0.2 of a
  * core on average, and over 7 Mbit/s in bursts (docs/RUNS.md). */
 const MOST = 6;
+/** Endpoints in a data centre, on average, from which on they are a cell of
+ * their own: what they make then crosses no data centres. */
+const LEAST = 3;
 /** Name of the cell that has all endpoints of a service. */
 const WHOLE = "all";
+/** Begins the names of cells of several data centres. */
+const SHARED = "*";
 
 /** Endpoints that one batcher gives calls to. */
 export interface Cell {
@@ -19,6 +28,8 @@
   readonly name: string;
   /** Where all of them are; undefined where they are in several places. */
   readonly dataCentre?: string;
+  /** Data centres that it is near to; undefined of all. */
+  readonly near?: readonly string[];
   readonly workers: readonly works.Worker[];
 }
 
@@ -40,6 +51,8 @@
     const { dataCentre } = worker;
     places.set(dataCentre, [...(places.get(dataCentre) ?? []), worker]);
   }
+  const isSparse = workers.length < LEAST * places.size;
+  if (isSparse) return group(places, Math.ceil(workers.length / most));
   return [...places].flatMap(([place, there]) => divideAt(place, there, most));
 }
 
@@ -56,7 +69,8 @@
 
 /** Data centre of a cell; undefined of one in several places. */
 export function placeOf(name: string): string | undefined {
-  return name === WHOLE ? undefined : name.slice(0, name.lastIndexOf("/"));
+  const isShared = name === WHOLE || name.startsWith(SHARED);
+  return isShared ? undefined : name.slice(0, name.lastIndexOf("/"));
 }
 
 /** The cell that makes a request's pieces: one where they are wanted, if any
@@ -70,12 +84,28 @@
   },
 ): Cell {
   const able = cells.filter(({ workers }) => workers.some(isSound));
-  const near = able.filter((cell) => cell.dataCentre === dataCentre);
+  const near = able.filter((cell) => cell.near?.includes(dataCentre));
   const candidates = [near, able, cells].find(({ length }) => length > 0)!;
   const [first] = rendezvous.rank(request, candidates.map(({ name }) => name));
   return candidates.find(({ name }) => name === first)!;
 }
 
+/** So many cells of neighbours by name, so that endpoints which come and go
+ * leave the others where they are. */
+function group(
+  places: ReadonlyMap<string, readonly works.Worker[]>,
+  count: number,
+): Cell[] {
+  const names = [...places.keys()].sort();
+  return Array.from({ length: count }, (_, number) => {
+    const near = names.filter((_, pos) =>
+      Math.floor(pos * count / names.length) === number
+    );
+    const workers = near.flatMap((place) => places.get(place)!);
+    return { name: `${SHARED}${number}.${count}`, near, workers };
+  });
+}
+
 function divideAt(
   dataCentre: string,
   workers: readonly works.Worker[],
@@ -88,6 +118,7 @@
   return Array.from({ length: count }, (_, number) => ({
     name: `${dataCentre}/${number}.${count}`,
     dataCentre,
+    near: [dataCentre],
     workers: sorted.filter((_, pos) => pos % count === number),
   }));
 }
--- a/src/pieces/cells_test.ts
+++ b/src/pieces/cells_test.ts
@@ -63,3 +63,31 @@
   const known = fixture.workersAt({ hall: 1, town: 1 });
   t.is(cells.workersOf("town/0.1", known), known);
 });
+
+// The pattern: a few endpoints over many data centres, where each by itself is
+// overloaded by a burst that all together take.
+test("data centres with few endpoints share cells", (t) => {
+  const counts = { a: 1, b: 2, c: 2, d: 2, e: 2 };
+  const divided = cells.divide(fixture.workersAt(counts));
+  t.deepEqual(divided.map(({ workers }) => workers.length), [5, 4]);
+  for (const dataCentre of Object.keys(counts)) {
+    const near = divided.filter((each) => each.near?.includes(dataCentre));
+    t.is(near.length, 1);
+    const isSound = () => true;
+    const wanted = { request: "r", dataCentre, isSound };
+    t.is(cells.pick(divided, wanted), near[0]);
+  }
+  t.true(divided.every(({ name }) => cells.placeOf(name) === undefined));
+});
+
+test("endpoints that come and go in one data centre move no others", (t) => {
+  const before = cells.divide(
+    fixture.workersAt({ a: 1, b: 2, c: 2, d: 2, e: 2 }),
+  );
+  const after = cells.divide(
+    fixture.workersAt({ a: 2, b: 2, c: 2, d: 1, e: 2 }),
+  );
+  const nears = (divided: readonly cells.Cell[]) =>
+    divided.map(({ name, near }) => ({ name, near }));
+  t.deepEqual(nears(before), nears(after));
+});
