--- a/src/gateway/choice.ts
+++ b/src/gateway/choice.ts
@@ -83,7 +83,7 @@
     const lack = lacking.at(each);
     const time = firstEvent(each, lack, now) + paidFor(each, lack, now);
     const moved = planned === undefined || planned === each ? 0 : MOVED;
-    const streams = each.inFlight + each.elsewhere.sum(now).streams;
+    const streams = each.inFlight + each.remoteLoad.sum(now).streams;
     const full = Math.max(0, streams + 1 - each.identity.slots);
     return (time + moved + random.next() * NEAR) /
         Math.max(0.01, each.health ** HEALTH_POWER) + full * FULL_DELAY;
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -1,7 +1,7 @@
 /** An endpoint as one host sees it through its own calls.
  * @module */
 
-import * as elsewheres from "./elsewhere.ts";
+import * as remoteLoads from "./remote_load.ts";
 import * as firstEvents from "./first_event.ts";
 import type * as promptMemory from "./prompt_memory.ts";
 import type * as protocol from "./protocol.ts";
@@ -62,7 +62,7 @@
    * heard before the configuration is. */
   engine?: EngineParts;
   /** What other hosts have it do. */
-  readonly elsewhere = elsewheres.Elsewhere.create();
+  readonly remoteLoad = remoteLoads.RemoteLoad.create();
   /** Its own first events, while it shares none with its service. */
   readonly #ownFirstEvent = firstEvents.FirstEvent.create();
   /** Whether it takes new requests, by its own word. */
@@ -121,7 +121,7 @@
   /** What it has to do before the first event of a prompt of which it must read
    * so many tokens. */
   workBefore(tokens: number, now: number): firstEvents.Work {
-    const others = this.elsewhere.sum(now);
+    const others = this.remoteLoad.sum(now);
     return {
       tokens: this.backlog + others.tokens + tokens,
       streams: this.inFlight + others.streams,
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -121,7 +121,7 @@
     if (chosen === undefined) return { type: "failed", reason: "unreachable" };
     const { engine, firstEvent, lack, work } = chosen;
     if (sent) {
-      engine.elsewhere.expect(from, lack.read, clock.now());
+      engine.remoteLoad.expect(from, lack.read, clock.now());
       engine.memory?.read(prompt);
     }
     const { read, fetched, fetchTime, source } = lack;
--- a/src/gateway/placement_test.ts
+++ b/src/gateway/placement_test.ts
@@ -161,7 +161,7 @@
     placement.tell(usesOf(engine.identity.id));
     return [...members].filter(([, member]) => {
       const [same] = member.pool.of("models");
-      return same.elsewhere.sum(clock.now()).tokens > 0;
+      return same.remoteLoad.sum(clock.now()).tokens > 0;
     }).length;
   };
   t.is(heardBy(12), 11);
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -75,7 +75,7 @@
   ): void {
     for (const use of uses) {
       const engine = this.#byId.get(use.engine);
-      engine?.elsewhere.note(host, use, now);
+      engine?.remoteLoad.note(host, use, now);
       use.read.forEach((parts) => engine?.memory?.read({ parts }));
       use.firsts?.forEach(({ work, took }) =>
         engine?.noteFirst(work, { took, now })
--- a/src/gateway/pool_test.ts
+++ b/src/gateway/pool_test.ts
@@ -32,7 +32,7 @@
   former.memory!.read(PROMPT);
   for (let count = 0; count < 3; count++) former.judge("bad", 10);
   former.report({ running: 9, waiting: 9, slots: 4 }, 10);
-  former.elsewhere.note("host", useOf(former.identity.id), 10);
+  former.remoteLoad.note("host", useOf(former.identity.id), 10);
   former.coldUntil = 500;
   t.true(former.isResting(20) && former.memory!.known(PROMPT) > 0);
 
@@ -44,7 +44,7 @@
   t.false(next.isResting(20));
   t.is(next.health, 1);
   t.is(next.load(20), 0);
-  t.is(next.elsewhere.sum(20).tokens, 0);
+  t.is(next.remoteLoad.sum(20).tokens, 0);
   t.is(next.coldUntil, 0);
 });
 
@@ -53,7 +53,7 @@
   const former = engine().identity.id;
   follow({ born: 200 });
   pool.noteUse("host", [useOf(former)], 10);
-  t.is(engine().elsewhere.sum(10).tokens, 0);
+  t.is(engine().remoteLoad.sum(10).tokens, 0);
   t.is(engine().memory!.known(PROMPT), 0);
 });
 
--- a/src/gateway/elsewhere.ts
+++ b/src/gateway/remote_load.ts
@@ -1,7 +1,7 @@
 /** What other hosts have one engine do, as they tell it.
  * @module */
 
-/** Milliseconds for which a host's word counts: it is told again sooner while
+/** Milliseconds for which a host's message counts: it is sent again sooner while
  * there is something to tell, so that a host that has ended is forgotten. */
 const FRESH = 1500;
 
@@ -14,21 +14,21 @@
 }
 
 /** Milliseconds for which a prompt that was placed for a host counts beside its
- * word: its next word, which has the prompt in it, comes sooner. */
+ * message: its next one, which has the prompt in it, comes sooner. */
 const EXPECTED = 250;
 
 const NOTHING: Use = { tokens: 0, streams: 0 };
 
 /** Use of one engine by host; changed in place. */
-export class Elsewhere {
+export class RemoteLoad {
   readonly #uses = new Map<string, Use & { at: number }>();
   readonly #expected = new Map<string, Use & { at: number }>();
 
-  static create(): Elsewhere {
-    return new Elsewhere();
+  static create(): RemoteLoad {
+    return new RemoteLoad();
   }
 
-  /** Notes the word of a host, which holds in place of its last one. */
+  /** Notes the message of a host, which holds in place of its last one. */
   note(host: string, { tokens, streams }: Use, at: number): void {
     this.#uses.set(host, { tokens, streams, at });
     this.#expected.delete(host);
--- /dev/null
+++ b/src/gateway/remote_load_test.ts
@@ -0,0 +1,19 @@
+/** @module */
+
+import test from "ava";
+import * as remoteLoads from "./remote_load.ts";
+
+test("the last messages of all hosts are summed up", (t) => {
+  const load = remoteLoads.RemoteLoad.create();
+  load.note("one", { tokens: 900, streams: 3 }, 0);
+  load.note("one", { tokens: 100, streams: 2 }, 10);
+  load.note("two", { tokens: 50, streams: 1 }, 10);
+  t.deepEqual(load.sum(20), { tokens: 150, streams: 3 });
+});
+
+test("a host that says nothing more is forgotten", (t) => {
+  const load = remoteLoads.RemoteLoad.create();
+  load.note("gone", { tokens: 900, streams: 3 }, 0);
+  load.note("there", { tokens: 50, streams: 1 }, 1000);
+  t.deepEqual(load.sum(2000), { tokens: 50, streams: 1 });
+});
