--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -85,7 +85,7 @@
       calibration: gateway.Calibration.create(),
       patience: gateway.Patience.create(),
       inputHold: gateway.InputHold.create(),
-      useTeller: gateway.UseTeller.create({
+      loadGossip: gateway.LoadGossip.create({
         clock,
         tell: (uses) => this.#placement.tell(uses),
       }),
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -209,7 +209,7 @@
       calibration: gateway.Calibration.create(),
       patience: gateway.Patience.create(),
       inputHold: gateway.InputHold.create(),
-      useTeller: gateway.UseTeller.create({
+      loadGossip: gateway.LoadGossip.create({
         clock: this.#options.clock,
         tell: (uses) => this.#placement.tell(uses),
       }),
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -13,7 +13,7 @@
 import type * as pools from "./pool.ts";
 import type * as protocols from "./protocol.ts";
 import type * as retryBudget from "./retry_budget.ts";
-import type * as useTellers from "./use_teller.ts";
+import type * as loadGossips from "./load_gossip.ts";
 
 /** The configuration in force, and what is known of the fleet. */
 export interface Knowledge {
@@ -44,7 +44,7 @@
   readonly calibration: calibrations.Calibration;
   readonly patience: patiences.Patience;
   readonly inputHold: inputHolds.InputHold;
-  readonly useTeller: Pick<useTellers.UseTeller, "note">;
+  readonly loadGossip: Pick<loadGossips.LoadGossip, "note">;
   /** When the host started, by its clock. */
   readonly started: number;
   /** Greatest age of the configuration with which a key is believed. */
--- a/src/gateway/use_teller.ts
+++ b/src/gateway/load_gossip.ts
@@ -11,20 +11,20 @@
 import type * as endpoints from "./endpoint.ts";
 import type * as protocol from "./protocol.ts";
 
-/** Milliseconds over which words gather: a small part of a first event, and
+/** Milliseconds over which messages gather: a small part of a first event, and
  * some requests of a busy host. */
 const GATHER = 20;
 /** Milliseconds after which the use of an engine is told again. */
 const AGAIN = 500;
 
-/** What a teller needs of its host. */
-export interface UseTellerOptions {
+/** What gossip needs of its host. */
+export interface LoadGossipOptions {
   readonly clock: runtime.Clock;
   /** Tells the other hosts. */
   tell(uses: schema.EngineUse[]): void;
 }
 
-interface Word {
+interface Message {
   readonly engine: endpoints.Endpoint;
   readonly read: schema.PromptPart[][];
   readonly firsts: schema.FirstEvent[];
@@ -39,17 +39,17 @@
 }
 
 /** Gathers what is to be told. */
-export class UseTeller {
-  readonly #options: UseTellerOptions;
-  readonly #words = new Map<string, Word>();
+export class LoadGossip {
+  readonly #options: LoadGossipOptions;
+  readonly #messages = new Map<string, Message>();
   #isGathering = false;
 
-  private constructor(options: UseTellerOptions) {
+  private constructor(options: LoadGossipOptions) {
     this.#options = options;
   }
 
-  static create(options: UseTellerOptions): UseTeller {
-    return new UseTeller(options);
+  static create(options: LoadGossipOptions): LoadGossip {
+    return new LoadGossip(options);
   }
 
   /** Notes that this host's use of an engine has changed. */
@@ -59,11 +59,11 @@
   ): void {
     if (engine.memory === undefined) return;
     const { id } = engine.identity;
-    const word = this.#words.get(id) ?? { engine, read: [], firsts: [] };
-    this.#words.set(id, word);
+    const message = this.#messages.get(id) ?? { engine, read: [], firsts: [] };
+    this.#messages.set(id, message);
     const shared = prompt?.parts.slice(0, -1) ?? [];
-    if (shared.length > 0) word.read.push([...shared]);
-    if (first !== undefined) word.firsts.push(first);
+    if (shared.length > 0) message.read.push([...shared]);
+    if (first !== undefined) message.firsts.push(first);
     if (this.#isGathering) return;
     this.#isGathering = true;
     this.#options.clock.after(GATHER, () => this.#tell());
@@ -72,16 +72,16 @@
   #tell(): void {
     this.#isGathering = false;
     const { clock, tell } = this.#options;
-    const words = [...this.#words.values()];
-    this.#words.clear();
-    tell(words.map(({ engine, read, firsts }) => ({
+    const messages = [...this.#messages.values()];
+    this.#messages.clear();
+    tell(messages.map(({ engine, read, firsts }) => ({
       engine: engine.identity.id,
       tokens: Math.max(0, engine.backlog),
       streams: engine.inFlight,
       read,
       ...(firsts.length > 0 && { firsts }),
     })));
-    for (const { engine } of words) {
+    for (const { engine } of messages) {
       if (engine.inFlight > 0) clock.after(AGAIN, () => this.#again(engine));
     }
   }
--- a/src/gateway/use_teller_test.ts
+++ b/src/gateway/load_gossip_test.ts
@@ -9,7 +9,7 @@
 import * as firstEvents from "./first_event.ts";
 import * as pools from "./pool.ts";
 import * as promptMemory from "./prompt_memory.ts";
-import * as useTellers from "./use_teller.ts";
+import * as loadGossips from "./load_gossip.ts";
 
 const random: runtime.Random = { next: () => 0, below: () => 0 };
 const PROMPT = {
@@ -28,20 +28,24 @@
   return endpoint.Endpoint.create(identity, { memory, firstEvent });
 }
 
-function teller() {
+function gossipOf() {
   const clock = new runtime.FakeClock();
   const told: schema.EngineUse[][] = [];
   const tell = (uses: schema.EngineUse[]) => void told.push(uses);
-  return { clock, told, teller: useTellers.UseTeller.create({ clock, tell }) };
+  return {
+    clock,
+    told,
+    gossip: loadGossips.LoadGossip.create({ clock, tell }),
+  };
 }
 
 test("what happens close together is told at once, without own parts", (t) => {
-  const { clock, told, teller: words } = teller();
+  const { clock, told, gossip } = gossipOf();
   const [one, two] = [engineOf("1"), engineOf("2")];
   one.backlog = 6000;
   one.inFlight = 1;
-  words.note(one, { prompt: PROMPT });
-  words.note(two);
+  gossip.note(one, { prompt: PROMPT });
+  gossip.note(two);
   clock.advance(30);
   t.deepEqual(told, [[
     {
@@ -55,14 +59,14 @@
 });
 
 test("use that goes on is told again, and ended use is not", (t) => {
-  const { clock, told, teller: words } = teller();
+  const { clock, told, gossip } = gossipOf();
   const engine = engineOf("1");
   engine.inFlight = 1;
-  words.note(engine);
+  gossip.note(engine);
   clock.advance(1700);
   t.true(told.length >= 3);
   engine.inFlight = 0;
-  words.note(engine);
+  gossip.note(engine);
   clock.advance(1000);
   const count = told.length;
   clock.advance(5000);
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -10,4 +10,4 @@
 export * from "./protocol.ts";
 export * from "./retry_budget.ts";
 export * from "./server.ts";
-export * from "./use_teller.ts";
+export * from "./load_gossip.ts";
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -116,7 +116,7 @@
     calibration: gateway.Calibration.create(),
     patience: gateway.Patience.create(),
     inputHold: gateway.InputHold.create(),
-    useTeller: { note() {} },
+    loadGossip: { note() {} },
     started: 0,
     greatestAge: 1000,
     budget: () => gateway.RetryBudget.create(bounds),
--- a/src/gateway/reading.ts
+++ b/src/gateway/reading.ts
@@ -6,12 +6,12 @@
 import type * as endpoint from "./endpoint.ts";
 import type * as firstEvents from "./first_event.ts";
 import type * as protocols from "./protocol.ts";
-import type * as useTellers from "./use_teller.ts";
+import type * as loadGossips from "./load_gossip.ts";
 
 /** What a reading needs of its host. */
 export interface ReadingOptions {
   readonly clock: runtime.Clock;
-  readonly useTeller: Pick<useTellers.UseTeller, "note">;
+  readonly loadGossip: Pick<loadGossips.LoadGossip, "note">;
   /** Absent where the call has no prompt. */
   readonly prompt?: protocols.Prompt;
   /** Prompt tokens that the engine must read for it. */
@@ -33,7 +33,7 @@
   #first?: number;
 
   private constructor(engine: endpoint.Endpoint, options: ReadingOptions) {
-    const { clock, prompt, unread, work, useTeller } = options;
+    const { clock, prompt, unread, work, loadGossip } = options;
     this.#options = options;
     this.#engine = engine;
     this.#started = clock.now();
@@ -42,7 +42,7 @@
     if (prompt !== undefined) engine.memory?.read(prompt);
     engine.backlog += this.#tokens;
     engine.inFlight++;
-    useTeller.note(engine, { prompt });
+    loadGossip.note(engine, { prompt });
   }
 
   /** Notes a call that is sent now. */
@@ -57,12 +57,12 @@
 
   /** Notes the first event. */
   noteFirst(): void {
-    const { clock, useTeller, work } = this.#options;
+    const { clock, loadGossip, work } = this.#options;
     const now = clock.now();
     this.#first = now - this.#started;
     this.#engine.backlog -= this.#tokens;
     const first = work && { work, took: this.#first };
-    useTeller.note(this.#engine, { first });
+    loadGossip.note(this.#engine, { first });
     this.#engine.noteFirst(this.#work, { took: this.#first, now });
   }
 
@@ -70,6 +70,6 @@
   end(): void {
     this.#engine.inFlight--;
     if (this.#first === undefined) this.#engine.backlog -= this.#tokens;
-    this.#options.useTeller.note(this.#engine);
+    this.#options.loadGossip.note(this.#engine);
   }
 }
