Where all engines rest after failures a large fleet tries one all the same

Cause: partitions without a sound engine are left out, and where none was left a request was refused as if there were no engines; a small fleet uses those that rest then. Test fails before.

--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -176,7 +176,7 @@
    * next one where it would take long there. */
   async #placeByOwners(query: PlacementQuery): Promise<Placed | undefined> {
     const [first, second] = this.#partitionsFor(query);
-    if (first === undefined) return undefined;
+    if (first === undefined) return this.#choose(query, "fallback");
     const placed = await this.#placeIn(first, query);
     const isSlow = placed !== undefined &&
       placed.firstEvent > SLOW * query.objective;
--- a/src/gateway/placement_test.ts
+++ b/src/gateway/placement_test.ts
@@ -149,6 +149,15 @@
   t.true(engines.size > 16, `${engines.size} engines`);
 });
 
+test("where all engines rest after failures one is tried all the same", async (t) => {
+  const { place, members } = fleetOf();
+  for (const engine of members.get("h-1")!.pool.of("models")) {
+    for (let failures = 0; failures < 3; failures++) engine.judge("bad", 0);
+  }
+  const placed = await place("h-1", promptOf("part"));
+  t.is(placed?.by, "fallback");
+});
+
 function usesOf(engine: string, firsts?: schema.FirstEvent[]) {
   return [{ engine, tokens: 4000, streams: 2, read: [], firsts }];
 }
