Owners of engines hear how calls ended that they placed

Cause: an owner judges engines by its own calls, of which it makes few. An engine that has crashed and is not yet known to be gone has nothing to do, so its owner would place prompts there for all hosts for up to four heartbeats. Change: a host tells the owner the verdict of each call that it placed. Test fails before.

--- a/src/gateway/load_gossip.ts
+++ b/src/gateway/load_gossip.ts
@@ -28,6 +28,7 @@
   readonly engine: endpoints.Endpoint;
   readonly read: schema.PromptPart[][];
   readonly firsts: schema.FirstEvent[];
+  readonly verdicts: endpoints.Verdict[];
 }
 
 /** What has changed about an engine's use, beside how much it is. */
@@ -36,6 +37,8 @@
   readonly prompt?: protocol.Prompt;
   /** A first event of a prompt that another host has placed. */
   readonly first?: schema.FirstEvent;
+  /** How a call ended of a prompt that another host has placed. */
+  readonly verdict?: endpoints.Verdict;
 }
 
 /** Gathers what is to be told. */
@@ -55,31 +58,40 @@
   /** Notes that this host's use of an engine has changed. */
   note(
     engine: endpoints.Endpoint,
-    { prompt, first }: UseChange = {},
+    { prompt, first, verdict }: UseChange = {},
   ): void {
     if (engine.memory === undefined) return;
-    const { id } = engine.identity;
-    const message = this.#messages.get(id) ?? { engine, read: [], firsts: [] };
-    this.#messages.set(id, message);
+    const message = this.#messageOf(engine);
     const shared = prompt?.parts.slice(0, -1) ?? [];
     if (shared.length > 0) message.read.push([...shared]);
     if (first !== undefined) message.firsts.push(first);
+    if (verdict !== undefined) message.verdicts.push(verdict);
     if (this.#isGathering) return;
     this.#isGathering = true;
     this.#options.clock.after(GATHER, () => this.#tell());
   }
 
+  #messageOf(engine: endpoints.Endpoint): Message {
+    const { id } = engine.identity;
+    const known = this.#messages.get(id);
+    if (known !== undefined) return known;
+    const made = { engine, read: [], firsts: [], verdicts: [] };
+    this.#messages.set(id, made);
+    return made;
+  }
+
   #tell(): void {
     this.#isGathering = false;
     const { clock, tell } = this.#options;
     const messages = [...this.#messages.values()];
     this.#messages.clear();
-    tell(messages.map(({ engine, read, firsts }) => ({
+    tell(messages.map(({ engine, read, firsts, verdicts }) => ({
       engine: engine.identity.id,
       tokens: Math.max(0, engine.backlog),
       streams: engine.inFlight,
       read,
       ...(firsts.length > 0 && { firsts }),
+      ...(verdicts.length > 0 && { verdicts }),
     })));
     for (const { engine } of messages) {
       if (engine.inFlight > 0) clock.after(AGAIN, () => this.#again(engine));
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -251,7 +251,7 @@
     { endpoint: target, placed }: Target,
     { body, inputs }: { body: Buffer; inputs?: readonly string[] },
   ): Promise<attempts.Outcome> {
-    const { clock, metrics } = this.#context;
+    const { clock, metrics, loadGossip } = this.#context;
     const { id, name, service } = target.identity;
     const started = clock.now();
     const note: CallNote = { endpoint: id, ms: 0, outcome: "open" };
@@ -308,6 +308,10 @@
       duration: clock.now() - started,
       metrics,
     });
+    // Who places prompts there must hear of failures that are not its own.
+    if (placed?.by === "owner") {
+      loadGossip.note(target, { verdict: verdicts.of(outcome) });
+    }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
     return outcome;
   }
--- a/src/gateway/placement_test.ts
+++ b/src/gateway/placement_test.ts
@@ -149,6 +149,25 @@
   t.true(engines.size > 16, `${engines.size} engines`);
 });
 
+// An engine that has crashed does nothing, so that it looks idle: its owner
+// would place all prompts there that others send in vain.
+test("an engine that fails calls of several hosts is placed on no more", async (t) => {
+  const { clock, place, members, asked } = fleetOf();
+  const placed = await place("h-1", promptOf("part"));
+  const [owner = "h-1"] = asked;
+  const { id } = placed!.engine.identity;
+  clock.advance(300);
+  const askers = ["h-2", "h-3", "h-4", "h-5"].filter((host) => host !== owner);
+  for (const host of askers) {
+    const use = { engine: id, tokens: 0, streams: 0, read: [] };
+    members.get(host)!.placement.tell([{ ...use, verdicts: ["bad"] }]);
+  }
+  for (const host of askers) {
+    const next = await place(host, promptOf("part"));
+    t.not(next!.engine.identity.id, id);
+  }
+});
+
 test("where all engines rest after failures one is tried all the same", async (t) => {
   const { place, members } = fleetOf();
   for (const engine of members.get("h-1")!.pool.of("models")) {
--- a/src/gateway/pool.ts
+++ b/src/gateway/pool.ts
@@ -77,6 +77,7 @@
       const engine = this.#byId.get(use.engine);
       engine?.remoteLoad.note(host, use, now);
       use.read.forEach((parts) => engine?.memory?.read({ parts }));
+      use.verdicts?.forEach((verdict) => engine?.judge(verdict, now));
       use.firsts?.forEach(({ work, took }) =>
         engine?.noteFirst(work, { took, now })
       );
--- a/src/gateway/verdict.ts
+++ b/src/gateway/verdict.ts
@@ -16,15 +16,30 @@
 export function note(
   target: endpoint.Endpoint,
   outcome: attempts.Outcome,
-  ended: Ended,
+  { now, duration, metrics }: Ended,
 ): void {
-  if (outcome.type === "failed") return noteFailure(target, outcome, ended);
-  const { now, duration } = ended;
-  if (outcome.type === "ended") return target.judge("good", now);
+  const verdict = of(outcome);
+  if (verdict !== undefined) target.judge(verdict, now);
+  if (outcome.type === "failed") {
+    const { service } = target.identity;
+    metrics.count("gateway.failed", 1, { service, cause: outcome.cause });
+    if (outcome.cause === "misdirected") target.isReplaced = true;
+  }
+  if (outcome.type !== "answer") return;
   const { head } = outcome;
   if (head.load !== undefined) target.report(head.load, now);
   target.time(duration);
-  target.judge(head.status >= 500 ? "bad" : "good", now);
+}
+
+/** What an outcome says of an endpoint; undefined where it says nothing. */
+export function of(outcome: attempts.Outcome): endpoint.Verdict | undefined {
+  if (outcome.type === "ended") return "good";
+  if (outcome.type === "answer") {
+    return outcome.head.status >= 500 ? "bad" : "good";
+  }
+  const { cause } = outcome;
+  if (cause === "cancelled" || cause === "deadline") return undefined;
+  return cause === "full" || cause === "lacks-input" ? "full" : "bad";
 }
 
 /** Name of an outcome in logs: a status, or what happened. */
@@ -32,16 +47,3 @@
   if (outcome.type === "failed") return outcome.cause;
   return outcome.type === "answer" ? `${outcome.head.status}` : "ended";
 }
-
-function noteFailure(
-  target: endpoint.Endpoint,
-  { cause }: Extract<attempts.Outcome, { type: "failed" }>,
-  { now, metrics }: Ended,
-): void {
-  const { service } = target.identity;
-  metrics.count("gateway.failed", 1, { service, cause });
-  if (cause === "cancelled" || cause === "deadline") return;
-  if (cause === "misdirected") target.isReplaced = true;
-  const isFull = cause === "full" || cause === "lacks-input";
-  target.judge(isFull ? "full" : "bad", now);
-}
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -358,6 +358,10 @@
    * First events since, of prompts that another host placed.
    */
   firsts?: FirstEvent[];
+  /**
+   * How calls ended since, of prompts that another host placed.
+   */
+  verdicts?: ("good" | "bad" | "full")[];
 }
 export interface FirstEvent {
   work: EngineWork;
