--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -52,7 +52,7 @@
   readonly #roster: endpoints.Roster;
   readonly #spread: spread.Spread;
   readonly #epoch: string;
-  readonly #confirmations: rounds.Rounds<Confirmation>;
+  readonly #confirmations: rounds.Rounds<FleetState>;
   /** Undefined until the disk is read. */
   #keeper?: versions.Keeper;
   #server?: controlServer.ControlServer;
@@ -81,7 +81,7 @@
     this.#confirmations = rounds.Rounds.create({
       clock,
       distance: SYNC_DISTANCE,
-      ask: () => this.#confirm(),
+      ask: () => this.#fleetState(),
     });
     this.#spread = spread.Spread.create({
       clock,
@@ -246,7 +246,7 @@
   }
 
   /** What all who ask in one round are told alike. */
-  async #confirm(): Promise<Confirmation> {
+  async #fleetState(): Promise<FleetState> {
     const edition = await this.#confirmed();
     const now = this.#options.clock.now();
     const hosts = this.#entries.live(now);
@@ -367,7 +367,7 @@
 const FAREWELL = 300;
 
 /** What a round has confirmed, and the fleet as it is then. */
-interface Confirmation {
+interface FleetState {
   /** Undefined where no majority has answered. */
   readonly edition: versions.Edition | undefined;
   readonly hosts: schema.EntryHost[];
