@@ -2975,30 +3681,69 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if(((data.id === undefined) && (missing0 = "id")) || ((data.tokens === undefined) && (missing0 = "tokens"))){
-validate62.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema95.required,parentSchema:schema95,data}];
+if(((data.work === undefined) && (missing0 = "work")) || ((data.took === undefined) && (missing0 = "took"))){
+validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema107.required,parentSchema:schema107,data}];
 return false;
 }
 else {
-if(data.id !== undefined){
-let data0 = data.id;
+if(data.work !== undefined){
+let data0 = data.work;
 const _errs1 = errors;
 const _errs2 = errors;
 if(errors === _errs2){
-if(typeof data0 === "string"){
-if(data0.length > 256){
-validate62.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data0}];
+if(data0 && typeof data0 == "object" && !Array.isArray(data0)){
+let missing1;
+if(((data0.tokens === undefined) && (missing1 = "tokens")) || ((data0.streams === undefined) && (missing1 = "streams"))){
+validate71.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema87.required,parentSchema:schema87,data:data0}];
 return false;
 }
 else {
-if(data0.length < 1){
-validate62.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data0}];
+if(data0.tokens !== undefined){
+let data1 = data0.tokens;
+const _errs4 = errors;
+if(errors === _errs4){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 < 0 || isNaN(data1)){
+validate71.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema87.properties.tokens,data:data1}];
+return false;
+}
+}
+else {
+validate71.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema87.properties.tokens.type,parentSchema:schema87.properties.tokens,data:data1}];
+return false;
+}
+}
+var valid2 = _errs4 === errors;
+}
+else {
+var valid2 = true;
+}
+if(valid2){
+if(data0.streams !== undefined){
+let data2 = data0.streams;
+const _errs6 = errors;
+if(errors === _errs6){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 < 0 || isNaN(data2)){
+validate71.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema87.properties.streams,data:data2}];
+return false;
+}
+}
+else {
+validate71.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema87.properties.streams.type,parentSchema:schema87.properties.streams,data:data2}];
 return false;
 }
 }
+var valid2 = _errs6 === errors;
 }
 else {
-validate62.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data0}];
+var valid2 = true;
+}
+}
+}
+}
+else {
+validate71.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema87.type,parentSchema:schema87,data:data0}];
 return false;
 }
 }
@@ -3008,22 +3753,22 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.tokens !== undefined){
-let data1 = data.tokens;
-const _errs4 = errors;
-if(errors === _errs4){
-if((typeof data1 == "number") && (isFinite(data1))){
-if(data1 < 0 || isNaN(data1)){
-validate62.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema95.properties.tokens,data:data1}];
+if(data.took !== undefined){
+let data3 = data.took;
+const _errs8 = errors;
+if(errors === _errs8){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate71.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema107.properties.took,data:data3}];
 return false;
 }
 }
 else {
-validate62.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema95.properties.tokens.type,parentSchema:schema95.properties.tokens,data:data1}];
+validate71.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema107.properties.took.type,parentSchema:schema107.properties.took,data:data3}];
 return false;
 }
 }
-var valid0 = _errs4 === errors;
+var valid0 = _errs8 === errors;
 }
 else {
 var valid0 = true;
@@ -3032,20 +3777,20 @@
 }
 }
 else {
-validate62.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema95.type,parentSchema:schema95,data}];
+validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema107.type,parentSchema:schema107,data}];
 return false;
 }
 }
-validate62.errors = vErrors;
+validate71.errors = vErrors;
 return errors === 0;
 }
-validate62.evaluated = {"props":{"id":true,"tokens":true},"dynamicProps":false,"dynamicItems":false};
+validate71.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate61(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate69(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate61.evaluated;
+const evaluated0 = validate69.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3056,7 +3801,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.engine === undefined) && (missing0 = "engine")) || ((data.tokens === undefined) && (missing0 = "tokens"))) || ((data.streams === undefined) && (missing0 = "streams"))) || ((data.read === undefined) && (missing0 = "read"))){
-validate61.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
+validate69.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
 return false;
 }
 else {
@@ -3066,18 +3811,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 300){
-validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema94.properties.engine,data:data0}];
+validate69.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema106.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema94.properties.engine,data:data0}];
+validate69.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema106.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate61.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.engine.type,parentSchema:schema94.properties.engine,data:data0}];
+validate69.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.engine.type,parentSchema:schema106.properties.engine,data:data0}];
 return false;
 }
 }
@@ -3093,12 +3838,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate61.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.tokens,data:data1}];
+validate69.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate61.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.tokens.type,parentSchema:schema94.properties.tokens,data:data1}];
+validate69.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.tokens.type,parentSchema:schema106.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -3112,13 +3857,13 @@
 let data2 = data.streams;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate61.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema94.properties.streams.type,parentSchema:schema94.properties.streams,data:data2}];
+validate69.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema106.properties.streams.type,parentSchema:schema106.properties.streams,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate61.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.streams,data:data2}];
+validate69.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.streams,data:data2}];
 return false;
 }
 }
@@ -3145,8 +3890,8 @@
 const len1 = data4.length;
 for(let i1=0; i1<len1; i1++){
 const _errs11 = errors;
-if(!(validate62(data4[i1], {instancePath:instancePath+"/read/" + i0+"/" + i1,parentData:data4,parentDataProperty:i1,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate62.errors : vErrors.concat(validate62.errors);
+if(!(validate34(data4[i1], {instancePath:instancePath+"/read/" + i0+"/" + i1,parentData:data4,parentDataProperty:i1,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate34.errors : vErrors.concat(validate34.errors);
 errors = vErrors.length;
 }
 var valid2 = _errs11 === errors;
@@ -3156,7 +3901,7 @@
 }
 }
 else {
-validate61.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema94.properties.read.items.type,parentSchema:schema94.properties.read.items,data:data4}];
+validate69.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.read.items.type,parentSchema:schema106.properties.read.items,data:data4}];
 return false;
 }
 }
@@ -3167,7 +3912,7 @@
 }
 }
 else {
-validate61.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema94.properties.read.type,parentSchema:schema94.properties.read,data:data3}];
+validate69.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.read.type,parentSchema:schema106.properties.read,data:data3}];
 return false;
 }
 }
@@ -3176,26 +3921,57 @@
 else {
 var valid0 = true;
 }
+if(valid0){
+if(data.firsts !== undefined){
+let data6 = data.firsts;
+const _errs12 = errors;
+if(errors === _errs12){
+if(Array.isArray(data6)){
+var valid3 = true;
+const len2 = data6.length;
+for(let i2=0; i2<len2; i2++){
+const _errs14 = errors;
+if(!(validate71(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
+errors = vErrors.length;
+}
+var valid3 = _errs14 === errors;
+if(!valid3){
+break;
+}
+}
+}
+else {
+validate69.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.firsts.type,parentSchema:schema106.properties.firsts,data:data6}];
+return false;
+}
+}
+var valid0 = _errs12 === errors;
+}
+else {
+var valid0 = true;
+}
+}
 }
 }
 }
 }
 }
 else {
-validate61.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
+validate69.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
 return false;
 }
 }
-validate61.errors = vErrors;
+validate69.errors = vErrors;
 return errors === 0;
 }
-validate61.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true},"dynamicProps":false,"dynamicItems":false};
+validate69.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate60(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate68(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate60.evaluated;
+const evaluated0 = validate68.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3206,7 +3982,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.uses === undefined) && (missing0 = "uses"))){
-validate60.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema93.required,parentSchema:schema93,data}];
+validate68.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema105.required,parentSchema:schema105,data}];
 return false;
 }
 else {
@@ -3214,11 +3990,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema93.properties.type.type,parentSchema:schema93.properties.type,data:data0}];
+validate68.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.type.type,parentSchema:schema105.properties.type,data:data0}];
 return false;
 }
 if("use" !== data0){
-validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema93.properties.type,data:data0}];
+validate68.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema105.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3236,8 +4012,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate61(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate61.errors : vErrors.concat(validate61.errors);
+if(!(validate69(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate69.errors : vErrors.concat(validate69.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -3247,7 +4023,7 @@
 }
 }
 else {
-validate60.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema93.properties.uses.type,parentSchema:schema93.properties.uses,data:data1}];
+validate68.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.uses.type,parentSchema:schema105.properties.uses,data:data1}];
 return false;
 }
 }
@@ -3260,20 +4036,20 @@
 }
 }
 else {
-validate60.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema93.type,parentSchema:schema93,data}];
+validate68.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema105.type,parentSchema:schema105,data}];
 return false;
 }
 }
-validate60.errors = vErrors;
+validate68.errors = vErrors;
 return errors === 0;
 }
-validate60.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
+validate68.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate55(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate63(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate55.evaluated;
+const evaluated0 = validate63.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3284,15 +4060,15 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate55.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema82.required,parentSchema:schema82,data}];
+validate63.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
 return false;
 }
 else {
 const tag0 = data.type;
 if(typeof tag0 == "string"){
 if(tag0 === "hello"){
-if(!(validate56(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate56.errors : vErrors.concat(validate56.errors);
+if(!(validate64(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate64.errors : vErrors.concat(validate64.errors);
 errors = vErrors.length;
 }
 var props0 = {};
@@ -3302,8 +4078,8 @@
 props0.hosts = true;
 }
 else if(tag0 === "release"){
-if(!(validate58(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate58.errors : vErrors.concat(validate58.errors);
+if(!(validate66(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate66.errors : vErrors.concat(validate66.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3315,8 +4091,8 @@
 }
 }
 else if(tag0 === "drop"){
-if(!(validate59(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate59.errors : vErrors.concat(validate59.errors);
+if(!(validate67(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate67.errors : vErrors.concat(validate67.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3328,8 +4104,8 @@
 }
 }
 else if(tag0 === "use"){
-if(!(validate60(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate60.errors : vErrors.concat(validate60.errors);
+if(!(validate68(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate68.errors : vErrors.concat(validate68.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3339,32 +4115,32 @@
 }
 }
 else {
-validate55.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema82.discriminator,parentSchema:schema82,data}];
+validate63.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema94.discriminator,parentSchema:schema94,data}];
 return false;
 }
 }
 else {
-validate55.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema82.discriminator,parentSchema:schema82,data}];
+validate63.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema94.discriminator,parentSchema:schema94,data}];
 return false;
 }
 }
 }
 else {
-validate55.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema82.type,parentSchema:schema82,data}];
+validate63.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
 return false;
 }
 }
-validate55.errors = vErrors;
+validate63.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate55.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate63.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate54(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate62(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate54.evaluated;
+const evaluated0 = validate62.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3375,7 +4151,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema81.required,parentSchema:schema81,data}];
+validate62.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema93.required,parentSchema:schema93,data}];
 return false;
 }
 else {
@@ -3383,11 +4159,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema81.properties.type.type,parentSchema:schema81.properties.type,data:data0}];
+validate62.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema93.properties.type.type,parentSchema:schema93.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema81.properties.type,data:data0}];
+validate62.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema93.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3398,8 +4174,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs3 = errors;
-if(!(validate55(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate55.errors : vErrors.concat(validate55.errors);
+if(!(validate63(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate63.errors : vErrors.concat(validate63.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs3 === errors;
@@ -3411,14 +4187,14 @@
 }
 }
 else {
-validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
+validate62.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema93.type,parentSchema:schema93,data}];
 return false;
 }
 }
-validate54.errors = vErrors;
+validate62.errors = vErrors;
 return errors === 0;
 }
-validate54.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate62.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -3452,8 +4228,8 @@
 props0.body = true;
 }
 else if(tag0 === "answer"){
-if(!(validate38(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate38.errors : vErrors.concat(validate38.errors);
+if(!(validate44(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3464,8 +4240,8 @@
 }
 }
 else if(tag0 === "working"){
-if(!(validate53(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate53.errors : vErrors.concat(validate53.errors);
+if(!(validate61(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate61.errors : vErrors.concat(validate61.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3475,8 +4251,8 @@
 }
 }
 else if(tag0 === "cast"){
-if(!(validate54(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate54.errors : vErrors.concat(validate54.errors);
+if(!(validate62(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate62.errors : vErrors.concat(validate62.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -18,6 +18,7 @@
   "gateway.first_event": { type: "time", help: "To a stream's first event" },
   "gateway.in_flight": { type: "gauge", help: "Requests under way" },
   "gateway.sent": { type: "count", help: "Calls to endpoints, by service" },
+  "gateway.placed": { type: "count", help: "Engines chosen, by whom" },
   "gateway.failed": { type: "count", help: "Failed calls, by cause" },
   "gateway.repeated": { type: "count", help: "Calls that repeat one" },
   "gateway.no_budget": { type: "count", help: "Repeats without a budget" },
