--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -177,6 +177,19 @@
   }
 }
 
+/** Whether the endpoint may have crashed under the call. A cut or a reset of
+ * the connection looks the same. */
+export function mayHaveCrashed(outcome: Outcome): boolean {
+  return outcome.type === "failed" && outcome.mayHaveRun &&
+    CRASHES.has(outcome.cause);
+}
+
+const CRASHES: ReadonlySet<FailureCause> = new Set([
+  "connection",
+  "broken",
+  "silent",
+]);
+
 /** Whether an answer belongs to the request, and a success is an endpoint's. */
 function isAnswerTo(
   head: protocol.ReplyHead,
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -3,6 +3,7 @@
 
 import type * as http from "node:http";
 import * as configurations from "../configuration/mod.ts";
+import * as quarantine from "../quarantine/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as admission from "./admission.ts";
 import * as attempts from "./attempt.ts";
@@ -55,6 +56,9 @@
   #ask?: protocols.Ask;
   #route?: configurations.Route;
   #account?: configurations.Account;
+  #body: Buffer = NOTHING;
+  /** Once a call has broken, as if the endpoint had crashed under it. */
+  #fingerprint?: string;
   #until = Infinity;
   /** Milliseconds for which its caller had waited before this attempt. */
   #waited = 0;
@@ -109,7 +113,8 @@
       const service = admission.pickService(this.#route!, random);
       const inputs = await this.#prepare(service);
       if (this.isOver) return;
-      await this.#send(body, { service, inputs });
+      this.#body = body;
+      await this.#send({ service, inputs });
     } catch (error) {
       const request = this.#ask?.id;
       this.#context.logger.error({ err: error, request }, "Request failed");
@@ -189,7 +194,6 @@
 
   /** Calls endpoints until one gives the answer or no other may be asked. */
   async #send(
-    body: Buffer,
     { service, inputs: first }: {
       service: string;
       inputs: readonly string[] | undefined;
@@ -203,7 +207,7 @@
       const target = await this.#choose(service);
       if (this.isOver) return;
       if (target === undefined) return this.#conclude("no-endpoint");
-      const outcome = await this.#call(target, { body, inputs });
+      const outcome = await this.#call(target, inputs);
       if (this.isOver) return;
       if (outcome.type === "ended") return this.#endStream();
       if (outcome.type === "answer") {
@@ -249,7 +253,7 @@
 
   async #call(
     { endpoint: target, placed }: Target,
-    { body, inputs }: { body: Buffer; inputs?: readonly string[] },
+    inputs: readonly string[] | undefined,
   ): Promise<attempts.Outcome> {
     const { clock, metrics, loadGossip } = this.#context;
     const { id, name, service } = target.identity;
@@ -281,7 +285,7 @@
         ...this.#terms(name, inputs),
         fetchFrom: placed?.lack.source?.identity.address,
       },
-      body: body.length > 0 ? body : undefined,
+      body: this.#body.length > 0 ? this.#body : undefined,
       deadline: this.#until,
       silence: callTerms.silenceOf(
         this.#route!,
@@ -313,9 +317,18 @@
       loadGossip.note(target, { verdict: verdicts.of(outcome) });
     }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
+    if (attempts.mayHaveCrashed(outcome)) this.#identify();
     return outcome;
   }
 
+  #identify(): void {
+    this.#fingerprint ??= quarantine.fingerprints.of({
+      ...this.#ask!,
+      account: this.#account?.name,
+      body: this.#body,
+    });
+  }
+
   /** Whether a call lacked results that were given up, as it seems, too soon. */
   #lacksReleased(outcome: attempts.Outcome): boolean {
     return outcome.type === "failed" && outcome.cause === "lacks-input" &&
@@ -514,6 +527,7 @@
       ...(this.#waited > 0 && { waitedMs: Math.round(this.#waited) }),
       stages: this.#staging?.note,
       calls: this.#calls,
+      fingerprint: this.#fingerprint,
       version: knowledge.catalogue()?.version,
       ageMs: Math.round(knowledge.age()),
       ...about,
--- /dev/null
+++ b/src/quarantine/fingerprint_test.ts
@@ -0,0 +1,39 @@
+/** @module */
+
+import test from "ava";
+import * as fingerprints from "./fingerprint.ts";
+
+const CONTENT: fingerprints.Content = {
+  method: "POST",
+  host: "app.example",
+  target: "/book?seat=1",
+  account: "club",
+  body: Buffer.from("body"),
+};
+
+test("the same content has the same fingerprint", (t) => {
+  const again = { ...CONTENT, body: Buffer.from("body") };
+  t.is(fingerprints.of(again), fingerprints.of(CONTENT));
+});
+
+test("each part of a request's content counts", (t) => {
+  const changes: Partial<fingerprints.Content>[] = [
+    { method: "PUT" },
+    { host: "other.example" },
+    { target: "/book?seat=2" },
+    { account: "other" },
+    { account: undefined },
+    { body: Buffer.from("other") },
+    { body: Buffer.alloc(0) },
+  ];
+  const all = [{}, ...changes].map((change) =>
+    fingerprints.of({ ...CONTENT, ...change })
+  );
+  t.is(new Set(all).size, all.length);
+});
+
+test("no part of a request can stand in for another", (t) => {
+  const one = { ...CONTENT, host: "a", target: "b" };
+  const other = { ...CONTENT, host: 'a","b', target: "" };
+  t.not(fingerprints.of(one), fingerprints.of(other));
+});
