--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -154,6 +154,12 @@
     };
   }
 
+  /** Lets a quarantined request run again on all hosts, by an operator's order;
+   * false where it is not suspected. */
+  release(fingerprint: string): boolean {
+    return this.#coordinator.release(fingerprint);
+  }
+
   async #start(): Promise<void> {
     const { settings, logger, clock, open } = this.#options;
     const { host, seeds, isFirstStart, control } = settings;
--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -21,6 +21,9 @@
   reload(settings: settings.HostSettings): void;
   stop(): Promise<void>;
   dump(): unknown;
+  /** Lets a quarantined request run again, by an operator's order; false where
+   * it is not suspected. Absent where the host can't order it. */
+  release?(fingerprint: string): boolean;
 }
 
 /** Starts a host. */
@@ -54,7 +57,7 @@
   });
   try {
     const host = await options.start(base);
-    const server = await serveMetrics(loaded, exposition);
+    const server = await serveMetrics(loaded, { exposition, host });
     process.on("SIGUSR2", () => logger.info({ dump: host.dump() }, "Dump"));
     followSettings(options, { host, logger });
     await signal();
@@ -84,20 +87,29 @@
   };
 }
 
+/** Serves counters, and takes the orders of operators that concern what hosts
+ * believe. */
 async function serveMetrics(
   { metrics }: settings.HostSettings,
-  exposition: telemetry.Exposition,
+  { exposition, host }: { exposition: telemetry.Exposition; host: Host },
 ): Promise<http.Server | undefined> {
   if (metrics === undefined) return undefined;
   return await httpListener.listen(metrics.place, (request, response) => {
-    if (request.url !== metrics.path) {
-      response.writeHead(404).end();
+    const { method, url = "" } = request;
+    if (url === metrics.path) {
+      void exposition.text().then((text) => response.end(text));
       return;
     }
-    void exposition.text().then((text) => response.end(text));
+    const fingerprint = RELEASE.exec(url)?.[1];
+    const isReleased = method === "POST" && fingerprint !== undefined &&
+      host.release?.(fingerprint);
+    response.writeHead(isReleased ? 204 : 404).end();
   });
 }
 
+/** Target of the order that lets a quarantined request run again. */
+const RELEASE = /^\/suspects\/([\w-]{1,64})\/release$/;
+
 /** Reads the settings again on SIGHUP and when their file has changed. What
  * cannot be read is refused: the former settings stay in force. */
 function followSettings(
--- a/src/quarantine/coordinator.ts
+++ b/src/quarantine/coordinator.ts
@@ -130,6 +130,7 @@
     const now = this.#options.clock.now();
     const suspect = this.#table.get(fingerprint);
     if (suspect.counted.length === 0) return false;
+    this.#options.logger.info({ fingerprint }, "Request released by operator");
     this.#change([() => this.#table.put(suspect.acquit(), now)]);
     return true;
   }
