--- a/src/pieces/cell_batcher.ts
+++ b/src/pieces/cell_batcher.ts
@@ -301,6 +301,16 @@
     address: string,
     handles: readonly string[],
   ): Promise<void> {
+    const { clock, quotas, workers } = this.#options;
+    const worker = workers().find((each) => each.address === address);
+    if (worker !== undefined && quotas.isLimited(worker.id)) {
+      const wait = await quotas.take(worker.id);
+      // Results end by themselves; until then these gather with others.
+      if (wait > 0) {
+        clock.after(wait, () => this.release(handles));
+        return;
+      }
+    }
     const isDone = await pieceCall.release(address, handles, this.#options);
     if (!isDone) return;
     this.#scheduler.release(address, handles);
