What a host knows of suspects reaches a control host that did not take it at first

Found by reading: what an entry host told a control host that it had just begun to follow was sent once; lost, it came again with the next change only. It is repeated like reports are. Tests of the guard.

--- a/bench/quarantine_fuzz/world.ts
+++ b/bench/quarantine_fuzz/world.ts
@@ -274,7 +274,7 @@
     );
     entry.revision = suspectRevision;
     guard.take(suspects);
-    if (!isKept) guard.tellAll(source.name);
+    if (!isKept) void guard.tellAll(source.name);
   }
 
   #beat(endpoint: endpoints.Endpoint): void {
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -94,7 +94,7 @@
       isReady: () => this.#isReady,
       onVersion: (_, document) => this.#takeVersion(document),
       onChange: () => this.#follow(),
-      onSource: (core) => this.#guard.tellAll(core),
+      onSource: (core) => void this.#guard.tellAll(core),
       onSuspects: (suspects) => this.#guard.take(suspects),
       onLimits: (limits) => this.#quotas.follow(limits),
     });
--- a/src/quarantine/guard.ts
+++ b/src/quarantine/guard.ts
@@ -173,9 +173,12 @@
   }
 
   /** Tells a host with a disk all: it may have started since. */
-  tellAll(core: string): void {
+  async tellAll(core: string): Promise<void> {
     if (this.isCalm) return;
-    void this.#report([core], this.#table.all);
+    const { all } = this.#table;
+    const isTold = await this.#report([core], all);
+    const fingerprints = all.map(({ fingerprint }) => fingerprint);
+    if (!isTold) this.#tellSoon(fingerprints, AGAIN);
   }
 
   /** State for people. */
