--- a/src/peers/salvage.ts
+++ b/src/peers/lenient_decode.ts
@@ -17,7 +17,7 @@
 
 /** Takes wrong entries out of `body`, in place. Returns the lists that they
  * stood in, one name for each; undefined when it can't be read at all. */
-export function salvage(
+export function decode(
   body: unknown,
   { validate, lists = [] }: Reading,
 ): string[] | undefined {
--- a/src/peers/salvage_test.ts
+++ b/src/peers/lenient_decode_test.ts
@@ -3,7 +3,7 @@
 import test from "ava";
 import * as fixture from "../endpoints/fixture.ts";
 import * as fleet from "../schema/fleet_validators.ts";
-import * as salvages from "./salvage.ts";
+import * as lenientDecode from "./lenient_decode.ts";
 
 const READING = { validate: fleet.validate, lists: ["sightings", "uses"] };
 
@@ -32,7 +32,7 @@
 for (const [what, entry] of Object.entries(WRONG)) {
   test(`an entry with ${what} does not cost the others`, (t) => {
     const message = note(sighting("a"), entry, sighting("b"));
-    t.deepEqual(salvages.salvage(message, READING), ["sightings"]);
+    t.deepEqual(lenientDecode.decode(message, READING), ["sightings"]);
     t.deepEqual(ids(message), ["a", "b"]);
   });
 }
@@ -40,16 +40,16 @@
 test("a message that is sound stays as it is, with fields of a later release", (t) => {
   const message = note(sighting("a", { colour: "red" }));
   const before = structuredClone(message);
-  t.deepEqual(salvages.salvage({ ...message, later: 1 }, READING), []);
+  t.deepEqual(lenientDecode.decode({ ...message, later: 1 }, READING), []);
   t.deepEqual(message, before);
 });
 
 test("a message that is wrong outside of its lists is not read", (t) => {
   const message = { ...note(sighting("a")), id: "one" };
-  t.is(salvages.salvage(message, READING), undefined);
+  t.is(lenientDecode.decode(message, READING), undefined);
 });
 
 test("a message that is wrong all over is given up", (t) => {
   const message = note(...Array.from({ length: 100 }, () => 7));
-  t.is(salvages.salvage(message, READING), undefined);
+  t.is(lenientDecode.decode(message, READING), undefined);
 });
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -10,7 +10,7 @@
 import * as link from "./link.ts";
 import * as listener from "./listener.ts";
 import * as proof from "./proof.ts";
-import * as salvages from "./salvage.ts";
+import * as lenientDecode from "./lenient_decode.ts";
 
 /** Milliseconds between looks for silent and idle connections. */
 const SWEEP = 250;
@@ -196,7 +196,7 @@
     const validate = validators[channel];
     if (validate === undefined) return false;
     const lists = entryLists[channel];
-    const leftOut = salvages.salvage(body, { validate, lists });
+    const leftOut = lenientDecode.decode(body, { validate, lists });
     const reason = validate.errors?.[0];
     if (leftOut === undefined) {
       const about = { peer: from, channel, path: reason?.instancePath };
