--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -12,6 +12,7 @@
 import * as controlServer from "./control_server.ts";
 import * as coreMembers from "./core_members.ts";
 import * as entryMembers from "./entry_members.ts";
+import * as followers from "./followers.ts";
 import * as protocol from "./control_protocol.ts";
 import * as rounds from "./rounds.ts";
 import * as spread from "./spread.ts";
@@ -20,9 +21,6 @@
 
 /** Milliseconds between greetings among hosts with disks. */
 const GREETING = 400;
-/** Milliseconds after which an entry host that has not asked follows another
- * host: some of its questions. */
-const FOLLOWED = 3000;
 /** Milliseconds in which a change of the configuration is acknowledged: before
  * an operator's call ends after a second, so that it hears why not. */
 const ORDER_PATIENCE = 900;
@@ -58,8 +56,7 @@
   readonly #spread: spread.Spread;
   readonly #coordinator: quarantine.Coordinator;
   readonly #quotas: rateLimits.QuotaServer;
-  /** When entry hosts last asked this host. */
-  readonly #followers = new Map<string, number>();
+  readonly #followers = followers.Followers.create();
   readonly #epoch: string;
   readonly #confirmations: rounds.Rounds<FleetState>;
   /** Undefined until the disk is read. */
@@ -113,7 +110,7 @@
       calls: this.#network.calls,
       heartbeat,
       cores: () => this.#others(),
-      followers: () => [...this.#followers.keys()],
+      followers: () => this.#followers.live(clock.now()),
       heardAt: (endpoint) => this.#heardAt(endpoint),
     });
   }
@@ -208,9 +205,6 @@
     this.#greet(now);
     this.#roster.expire(now);
     this.#spread.tick();
-    for (const [host, at] of this.#followers) {
-      if (now - at > FOLLOWED) this.#followers.delete(host);
-    }
     this.#coordinator.tick();
     this.#quotas.tick();
     this.#chooseVoters(now);
@@ -295,7 +289,7 @@
   ): Promise<schema.Reply> {
     const { clock } = this.#options;
     this.#entries.hear({ ...question.host, host: from }, clock.now());
-    this.#followers.set(from, clock.now());
+    this.#followers.note(from, clock.now());
     const { edition, hosts, mark, cores } = await this.#confirmations.join();
     const now = clock.now();
     const isSame = question.epoch === this.#epoch;
