--- a/bench/quarantine_fuzz/world.ts
+++ b/bench/quarantine_fuzz/world.ts
@@ -183,7 +183,7 @@
       answer: (question, from) => this.#answer(core, { question, from }),
       hear: (notice, from) => {
         if (notice.type === "suspects") coordinator.take(notice.suspects);
-        else if (notice.type === "trial-over") {
+        else if (notice.type === "lease-over") {
           coordinator.end(notice.fingerprint, from);
         }
       },
@@ -206,7 +206,7 @@
     { coordinator }: Core,
     { question, from }: { question: schema.Question; from: string },
   ): schema.Reply {
-    if (question.type === "trial") return coordinator!.allow(question, from);
+    if (question.type === "lease") return coordinator!.allow(question, from);
     if (question.type !== "suspects") {
       return { type: "failed", reason: "not-served" };
     }
--- a/bench/rate_limit_fuzz/rate_limit_fuzz_test.ts
+++ b/bench/rate_limit_fuzz/rate_limit_fuzz_test.ts
@@ -17,7 +17,7 @@
   t.true(most <= 1);
 });
 
-test("hosts that ask for no leave are noticed", async (t) => {
+test("hosts that ask for no grant are noticed", async (t) => {
   const breakage = "asks-nobody" as const;
   await t.throwsAsync(fuzz.runSchedule({ seed: 1, breakage }), {
     message: /got \d+ of/,
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -85,7 +85,7 @@
           return Promise.resolve({ type: "noted" });
         },
         quota: (question) => Promise.resolve(this.#quotas.allow(question)),
-        trial: (question, from) =>
+        lease: (question, from) =>
           Promise.resolve(this.#coordinator.allow(question, from)),
       },
       onNotice: (notice, from) => this.#hear(notice, from),
@@ -256,7 +256,7 @@
       this.#coordinator.take(notice.suspects);
     } else if (notice.type === "limits") {
       this.#quotas.take(notice.limits);
-    } else if (notice.type === "trial-over") {
+    } else if (notice.type === "lease-over") {
       this.#coordinator.end(notice.fingerprint, from);
     }
   }
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -61,14 +61,14 @@
     return refusal && denialOf(refusal, true);
   }
 
-  /** Asks for leave to send the request to an endpoint, where that is needed;
+  /** Asks whether the request may go to an endpoint, where that is needed;
    * resolves with why there is none. */
   async ask(endpoint: string, until: number): Promise<Denial | undefined> {
     return await this.#askLimit(endpoint) ??
       await this.#askGuard(endpoint, until);
   }
 
-  /** Notes that a call that had leave is not made. */
+  /** Notes that a call that was admitted is not made. */
   giveUp(): void {
     const { guard } = this.#needs;
     if (!guard.isCalm) guard.noteEnd(this.#identify());
--- a/src/quarantine/coordinator.ts
+++ b/src/quarantine/coordinator.ts
@@ -22,7 +22,7 @@
 const WAIT = 500;
 /** Most milliseconds that an asker is told to wait. */
 const LONGEST_WAIT = 60_000;
-/** Milliseconds after the deadline of a run for which its leave still holds:
+/** Milliseconds after the deadline of a run for which its lease still holds:
  * its report is under way. */
 const MARGIN = 500;
 
@@ -42,7 +42,7 @@
   heardAt(endpoint: string): number | undefined;
 }
 
-interface Leave {
+interface Lease {
   readonly host: string;
   readonly endpoint: string;
   readonly until: number;
@@ -52,7 +52,7 @@
 export class Coordinator {
   readonly #options: CoordinatorOptions;
   readonly #table = suspectTables.SuspectTable.create();
-  readonly #leaves = new Map<string, Leave>();
+  readonly #leases = new Map<string, Lease>();
   /** Changes that are told again, and when they came. */
   #recent: { suspect: suspects.Suspect; at: number }[] = [];
 
@@ -88,9 +88,9 @@
 
   /** Judges whether a host may run a suspected request now. */
   allow(
-    { fingerprint, endpoint, remaining }: schema.TrialQuestion,
+    { fingerprint, endpoint, remaining }: schema.LeaseQuestion,
     host: string,
-  ): schema.TrialReply {
+  ): schema.LeaseReply {
     const { clock, logger, metrics } = this.#options;
     const now = clock.now();
     const suspect = this.#table.get(fingerprint);
@@ -99,7 +99,7 @@
     const granted = wait === 0 && !taken;
     if (granted) {
       const until = now + remaining + MARGIN;
-      this.#leaves.set(fingerprint, { host, endpoint, until });
+      this.#leases.set(fingerprint, { host, endpoint, until });
       if (suspect.standing === "quarantined") {
         this.#change([() => this.#table.put(suspect.addTrial(), now)]);
       }
@@ -112,17 +112,17 @@
       "Run of a suspected request asked for",
     );
     return {
-      type: "trial",
+      type: "lease",
       granted,
       taken,
       wait: Math.min(LONGEST_WAIT, wait),
     };
   }
 
-  /** Notes that a run with leave has ended. */
+  /** Notes that a run under a lease has ended. */
   end(fingerprint: string, host: string): void {
-    if (this.#leaves.get(fingerprint)?.host !== host) return;
-    this.#leaves.delete(fingerprint);
+    if (this.#leases.get(fingerprint)?.host !== host) return;
+    this.#leases.delete(fingerprint);
   }
 
   /** Releases a request by an operator's order; returns whether it was known. */
@@ -145,8 +145,8 @@
       ),
     );
     this.#table.expire(now);
-    for (const [fingerprint, { until }] of this.#leaves) {
-      if (until < now) this.#leaves.delete(fingerprint);
+    for (const [fingerprint, { until }] of this.#leases) {
+      if (until < now) this.#leases.delete(fingerprint);
     }
     this.#recent = this.#recent.filter(({ at }) => now - at < AGAIN);
     this.#tell(cores(), this.#recent.map(({ suspect }) => suspect));
@@ -158,8 +158,8 @@
   }
 
   #waitFor(suspect: suspects.Suspect, now: number): number {
-    const leave = this.#leaves.get(suspect.fingerprint);
-    if (leave !== undefined && leave.until > now) return WAIT;
+    const lease = this.#leases.get(suspect.fingerprint);
+    if (lease !== undefined && lease.until > now) return WAIT;
     if (suspect.standing !== "quarantined") return 0;
     return Math.max(0, this.#table.trialAt(suspect) - now);
   }
@@ -167,8 +167,8 @@
   /** Whether another suspected request runs at an endpoint: if it crashed, each
    * would speak against the other. */
   #isTaken(endpoint: string, now: number): boolean {
-    return [...this.#leaves.values()].some((leave) =>
-      leave.endpoint === endpoint && leave.until > now
+    return [...this.#leases.values()].some((lease) =>
+      lease.endpoint === endpoint && lease.until > now
     );
   }
 
--- a/src/quarantine/coordinator_test.ts
+++ b/src/quarantine/coordinator_test.ts
@@ -29,7 +29,7 @@
   });
   const ask = (fingerprint: string, endpoint: string, host = "entry") =>
     coordinator.allow(
-      { type: "trial", fingerprint, endpoint, remaining: 2000 },
+      { type: "lease", fingerprint, endpoint, remaining: 2000 },
       host,
     );
   return { clock, heard, told, coordinator, ask };
@@ -86,7 +86,7 @@
   coordinator.end("f", "one");
   t.true(ask("f", "d", "other").granted);
   clock.advance(2501);
-  t.true(ask("f", "d", "one").granted, "a leave ends by itself");
+  t.true(ask("f", "d", "one").granted, "a lease ends by itself");
 });
 
 test("two suspected requests don't meet at an endpoint", (t) => {
--- a/src/quarantine/guard.ts
+++ b/src/quarantine/guard.ts
@@ -69,8 +69,8 @@
 export class Guard {
   readonly #options: GuardOptions;
   readonly #table = suspectTables.SuspectTable.create();
-  /** Requests that run with leave, and who gave it. */
-  readonly #leaves = new Map<string, string>();
+  /** Requests that run under a lease, and who granted it. */
+  readonly #leases = new Map<string, string>();
   #untold = new Set<string>();
 
   private constructor(options: GuardOptions) {
@@ -95,15 +95,15 @@
     return refusalOf(suspect, wait);
   }
 
-  /** Judges a request before a call. A suspected one needs leave, so that it
+  /** Judges a request before a call. A suspected one needs a lease, so that it
    * runs at one endpoint at a time. */
   async admit({ fingerprint, endpoint, remaining }: Run): Promise<Admission> {
     const suspect = this.#table.get(fingerprint);
     if (suspect.standing === "free") return ADMITTED;
     const refusal = this.refusal(fingerprint);
     if (refusal !== undefined) return { type: "refused", ...refusal };
-    // One leave is for one run, also of two requests of this host.
-    if (this.#leaves.has(fingerprint)) {
+    // One lease is for one run, also of two requests of this host.
+    if (this.#leases.has(fingerprint)) {
       return refused(suspect, UNANSWERED_WAIT);
     }
     const { cores, logger } = this.#options;
@@ -111,7 +111,7 @@
     for (const owner of owners) {
       try {
         const { granted, taken, wait } = await this.#ask(owner, {
-          type: "trial",
+          type: "lease",
           fingerprint,
           endpoint,
           remaining: Math.max(0, Math.round(remaining)),
@@ -120,13 +120,13 @@
           return { type: "taken", ...refusalOf(suspect, TAKEN_WAIT) };
         }
         if (!granted) return refused(suspect, wait);
-        this.#leaves.set(fingerprint, owner);
+        this.#leases.set(fingerprint, owner);
         return ADMITTED;
       } catch (error) {
         const reason = `${error}`;
         logger.info(
           { owner, fingerprint, reason },
-          "Leave to run not answered",
+          "Lease to run not answered",
         );
       }
     }
@@ -146,7 +146,7 @@
       { fingerprint, endpoint, crashes, standing },
       "Endpoint may have crashed under a request",
     );
-    this.#endLeave(fingerprint, suspect);
+    this.#endLease(fingerprint, suspect);
   }
 
   /** Notes that an endpoint has run a request and lives. */
@@ -155,12 +155,12 @@
     if (suspect.counted.length === 0) return;
     const acquitted = suspect.acquit();
     this.#put(acquitted);
-    this.#endLeave(fingerprint, acquitted);
+    this.#endLease(fingerprint, acquitted);
   }
 
   /** Notes that a run has ended, and says nothing. */
   noteEnd(fingerprint: string): void {
-    this.#endLeave(fingerprint);
+    this.#endLease(fingerprint);
   }
 
   /** Takes what a host with a disk knows. */
@@ -232,24 +232,24 @@
 
   async #ask(
     owner: string,
-    question: schema.TrialQuestion,
-  ): Promise<schema.TrialReply> {
+    question: schema.LeaseQuestion,
+  ): Promise<schema.LeaseReply> {
     const { calls } = this.#options;
     const reply = await calls.ask(owner, question, { timeout: PATIENCE });
-    if (reply.type !== "trial") throw new Error(`answered ${reply.type}`);
+    if (reply.type !== "lease") throw new Error(`answered ${reply.type}`);
     return reply;
   }
 
-  /** Gives a leave back, behind what its run has shown. */
-  #endLeave(fingerprint: string, shown?: suspects.Suspect): void {
-    const owner = this.#leaves.get(fingerprint);
+  /** Gives a lease back, behind what its run has shown. */
+  #endLease(fingerprint: string, shown?: suspects.Suspect): void {
+    const owner = this.#leases.get(fingerprint);
     if (owner === undefined) return;
-    this.#leaves.delete(fingerprint);
+    this.#leases.delete(fingerprint);
     const { calls } = this.#options;
     if (shown !== undefined) {
       calls.cast(owner, { type: "suspects", suspects: this.#encode([shown]) });
     }
-    calls.cast(owner, { type: "trial-over", fingerprint });
+    calls.cast(owner, { type: "lease-over", fingerprint });
   }
 
   #encode(told: readonly suspects.Suspect[]): schema.Suspect[] {
--- a/src/quarantine/guard_test.ts
+++ b/src/quarantine/guard_test.ts
@@ -22,8 +22,8 @@
         asked.push({ to, question });
         if (!up.includes(to)) return Promise.reject(new Error("silent"));
         return Promise.resolve(
-          question.type === "trial"
-            ? { type: "trial", granted, wait: granted ? 0 : 500 }
+          question.type === "lease"
+            ? { type: "lease", granted, wait: granted ? 0 : 500 }
             : { type: "noted" },
         );
       },
@@ -66,15 +66,15 @@
   t.is(asked.length, 4);
 });
 
-test("a suspected request goes with leave, which is given back", async (t) => {
+test("a suspected request goes under a lease, which is given back", async (t) => {
   const { guard, asked, notices } = guardOf();
   guard.noteCrash("f", "c");
   guard.noteCrash("f", "d");
   t.deepEqual(await guard.admit(RUN), { type: "admitted" });
-  t.is(asked.at(-1)!.question.type, "trial");
+  t.is(asked.at(-1)!.question.type, "lease");
   t.like(await guard.admit(RUN), { type: "refused" }, "one run at a time");
   guard.noteAnswer("f");
-  t.deepEqual(notices.map(({ type }) => type), ["suspects", "trial-over"]);
+  t.deepEqual(notices.map(({ type }) => type), ["suspects", "lease-over"]);
   t.true(guard.isCalm);
 });
 
--- a/src/rate_limits/quota_client.ts
+++ b/src/rate_limits/quota_client.ts
@@ -1,5 +1,5 @@
 /** Keeps what an entry host sends to endpoints that name a rate limit within it:
- * notes what their answers say and asks for leave before each request, of
+ * notes what their answers say and asks for a grant before each request, of
  * whatever kind it is.
  * @module */
 
@@ -76,7 +76,7 @@
     else this.#noteNamed(endpoint, { limit: named, now });
   }
 
-  /** Whether requests to an endpoint need leave. */
+  /** Whether requests to an endpoint need a grant. */
   isLimited(endpoint: string): boolean {
     return this.#entries.has(endpoint);
   }
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -18,7 +18,7 @@
   | BookQuestion
   | PlaceQuestion
   | SuspectsQuestion
-  | TrialQuestion
+  | LeaseQuestion
   | QuotaQuestion;
 export type Name = string;
 /**
@@ -38,10 +38,10 @@
   | MadeReply
   | BookedReply
   | PlacedReply
-  | TrialReply
+  | LeaseReply
   | QuotaReply;
 export type Notice =
-  HelloNotice | ReleaseNotice | DropNotice | UseNotice | SuspectsNotice | TrialOverNotice | LimitsNotice;
+  HelloNotice | ReleaseNotice | DropNotice | UseNotice | SuspectsNotice | LeaseOverNotice | LimitsNotice;
 
 export interface Ask {
   type: "ask";
@@ -248,12 +248,12 @@
   refuted?: boolean;
 }
 /**
- * Asks for leave to run a suspected request: it runs at one endpoint of the
+ * Asks for a lease to run a suspected request: it runs at one endpoint of the
  * fleet at a time, and no other suspected one runs there.
  *
  */
-export interface TrialQuestion {
-  type: "trial";
+export interface LeaseQuestion {
+  type: "lease";
   fingerprint: string;
   endpoint: Engine;
   /**
@@ -262,7 +262,7 @@
   remaining: number;
 }
 /**
- * Asks for leave to send one request to a limited endpoint.
+ * Asks for a grant to send one request to a limited endpoint.
  */
 export interface QuotaQuestion {
   type: "quota";
@@ -393,8 +393,8 @@
   tokens: number;
   streams: number;
 }
-export interface TrialReply {
-  type: "trial";
+export interface LeaseReply {
+  type: "lease";
   granted: boolean;
   /**
    * Whether another suspected request runs at the endpoint.
@@ -409,7 +409,7 @@
   type: "quota";
   granted: boolean;
   /**
-   * Milliseconds until there may be leave.
+   * Milliseconds until there may be a grant.
    */
   wait: number;
 }
@@ -503,10 +503,10 @@
   suspects: Suspect[];
 }
 /**
- * A run with leave has ended without a crash or an answer.
+ * A run under a lease has ended without a crash or an answer.
  */
-export interface TrialOverNotice {
-  type: "trial-over";
+export interface LeaseOverNotice {
+  type: "lease-over";
   fingerprint: string;
 }
 /**
