--- a/src/gateway/lack.ts
+++ b/src/gateway/lack.ts
@@ -8,7 +8,7 @@
 
 import type * as endpoint from "./endpoint.ts";
 import type * as protocol from "./protocol.ts";
-import * as rendezvous from "./rendezvous.ts";
+import * as rendezvous from "../routing/rendezvous.ts";
 
 /** Part of a prompt's shared parts that the engine which they belong to must
  * likely still read, when this host has not sent them there itself. */
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -21,7 +21,7 @@
 import type * as endpoint from "./endpoint.ts";
 import * as pools from "./pool.ts";
 import type * as protocols from "./protocol.ts";
-import * as rendezvous from "./rendezvous.ts";
+import * as rendezvous from "../routing/rendezvous.ts";
 
 /** Most other hosts that are told what a host has engines do. Each word goes to
  * all of them, 50 times a second at most, so that what a host sends and hears
--- a/src/pieces/cells.ts
+++ b/src/pieces/cells.ts
@@ -8,7 +8,7 @@
  * worth is served so, and .016 more of a calm load's; a fifth more bytes cross.
  * @module */
 
-import * as rendezvous from "../gateway/rendezvous.ts";
+import * as rendezvous from "../routing/rendezvous.ts";
 import type * as works from "./work.ts";
 
 /** Most endpoints of one cell: the batcher of 10 to 12 of them took 0.2 of a
--- a/src/pieces/seats.ts
+++ b/src/pieces/seats.ts
@@ -3,7 +3,7 @@
  * batches for none. All hosts that know the same agree.
  * @module */
 
-import * as rendezvous from "../gateway/rendezvous.ts";
+import * as rendezvous from "../routing/rendezvous.ts";
 
 /** Hosts for a cell, the one that batches for it first; empty without hosts.
  * `cells` are all that share the hosts. */
--- a/src/quarantine/guard.ts
+++ b/src/quarantine/guard.ts
@@ -5,7 +5,7 @@
 
 import type * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
-import * as rendezvous from "../gateway/rendezvous.ts";
+import * as rendezvous from "../routing/rendezvous.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as codec from "./codec.ts";
--- a/src/rate_limits/quota_client.ts
+++ b/src/rate_limits/quota_client.ts
@@ -3,7 +3,7 @@
  * whatever kind it is.
  * @module */
 
-import * as rendezvous from "../gateway/rendezvous.ts";
+import * as rendezvous from "../routing/rendezvous.ts";
 import type * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
--- a/src/gateway/rendezvous.ts
+++ b/src/routing/rendezvous.ts
@@ -2,7 +2,7 @@
  * all hosts, and moved only when its candidate is gone.
  * @module */
 
-import * as hash from "../routing/hash.ts";
+import * as hash from "./hash.ts";
 
 /** Weight of a candidate for a key. */
 export function weight(key: string, candidate: string): number {
