--- a/bench/fuzz_quarantine.ts
+++ b/bench/fuzz_quarantine.ts
@@ -5,37 +5,23 @@
  *
  * @module */
 
-import * as util from "node:util";
+import * as options from "./fuzz_world/options.ts";
 import * as fuzz from "./quarantine_fuzz/mod.ts";
 
 /** Seeds of one group: the part of others that is served is compared by its
  * mean. */
 const GROUP = 100;
 
-const { values } = util.parseArgs({
-  options: {
-    seeds: { type: "string", default: "1000" },
-    from: { type: "string", default: "1" },
-    entries: { type: "string" },
-    breakage: { type: "string" },
-  },
-});
-
-const from = Number(values.from);
-const schedules = Number(values.seeds);
-const entries = values.entries === undefined
-  ? undefined
-  : Number(values.entries);
-const breakage = values.breakage as fuzz.Options["breakage"];
+const { from, schedules, entries, breakage } = options.read();
+const { mean } = options;
 let failed = 0;
 const all: fuzz.Seen[] = [];
 for (let first = from; first < from + schedules; first += GROUP) {
   const count = Math.min(GROUP, from + schedules - first);
-  const group = Array.from({ length: count }, (_, number) => ({
-    seed: first + number,
-    entries,
-    breakage,
-  }));
+  const group = Array.from({ length: count }, (_, number) => {
+    const seed = first + number;
+    return { seed, entries, breakage } as fuzz.Options;
+  });
   try {
     all.push(...await fuzz.runAll(group));
   } catch (failure) {
@@ -43,8 +29,6 @@
     console.error(`seeds from ${first}: ${failure}`);
   }
 }
-const mean = (list: readonly number[]) =>
-  list.reduce((sum, each) => sum + each, 0) / list.length;
 console.log(JSON.stringify({
   from,
   schedules,
--- a/bench/fuzz_rate_limits.ts
+++ b/bench/fuzz_rate_limits.ts
@@ -4,36 +4,22 @@
  *
  * @module */
 
-import * as util from "node:util";
+import * as options from "./fuzz_world/options.ts";
 import * as fuzz from "./rate_limit_fuzz/mod.ts";
 
-const { values } = util.parseArgs({
-  options: {
-    seeds: { type: "string", default: "1000" },
-    from: { type: "string", default: "1" },
-    entries: { type: "string" },
-    breakage: { type: "string" },
-  },
-});
-
-const from = Number(values.from);
-const schedules = Number(values.seeds);
-const entries = values.entries === undefined
-  ? undefined
-  : Number(values.entries);
-const breakage = values.breakage as fuzz.Options["breakage"];
+const { from, schedules, entries, breakage } = options.read();
+const { mean } = options;
 let failed = 0;
 const all: fuzz.Seen[] = [];
 for (let seed = from; seed < from + schedules; seed++) {
   try {
-    all.push(await fuzz.runSchedule({ seed, entries, breakage }));
+    const schedule = { seed, entries, breakage } as fuzz.Options;
+    all.push(await fuzz.runSchedule(schedule));
   } catch (failure) {
     failed++;
     console.error(`${failure}`);
   }
 }
-const mean = (list: readonly number[]) =>
-  list.reduce((sum, each) => sum + each, 0) / list.length;
 console.log(JSON.stringify({
   from,
   schedules,
