A rate limit that begins or falls is told to all hosts at once

Cause: a host that had not had an answer yet learnt the limit with its next question for changes, 600 ms later, and sent what it did before. Mend: the host with a disk that hears of it tells the others and its followers at once.

--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -104,7 +104,11 @@
       calls: this.#network.calls,
       others: () => this.#others(),
     });
-    this.#quotas = rateLimits.QuotaServer.create(options);
+    this.#quotas = rateLimits.QuotaServer.create({
+      ...options,
+      calls: this.#network.calls,
+      others: () => [...this.#others(), ...this.#followers.live(clock.now())],
+    });
     this.#coordinator = quarantine.Coordinator.create({
       ...options,
       calls: this.#network.calls,
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -335,6 +335,8 @@
       this.#batcher.drop(notice, notice.request);
     } else if (type === "use") {
       this.#pool.noteUse(from, notice.uses, this.#options.clock.now());
+    } else if (type === "limits") {
+      this.#quotas.follow(notice.limits);
     } else if (type === "suspects") {
       this.#guard.take(notice.suspects);
     }
--- a/src/rate_limits/quota_server.ts
+++ b/src/rate_limits/quota_server.ts
@@ -4,6 +4,7 @@
  * Nothing is kept or sent while no endpoint names a limit.
  * @module */
 
+import type * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
@@ -15,6 +16,10 @@
   readonly clock: runtime.Clock;
   readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
+  readonly calls: Pick<peers.Calls, "cast">;
+  /** Hosts that are told at once: the others with disks, and entry hosts that
+   * follow this one. */
+  others(): readonly string[];
 }
 
 interface Entry {
@@ -74,6 +79,12 @@
     }
   }
 
+  #tell(limit: endpointLimits.EndpointLimit): void {
+    const { calls, clock, others } = this.#options;
+    const limits = [limit.encode(clock.now())];
+    others().forEach((host) => calls.cast(host, { type: "limits", limits }));
+  }
+
   #put(told: endpointLimits.EndpointLimit): void {
     const { clock, logger } = this.#options;
     const now = clock.now();
@@ -87,6 +98,8 @@
     const isSame = known?.limit.limit === limit.limit &&
       known.limit.endedAt === endedAt;
     if (isSame) return;
+    // Until hosts hear of less, they send what they did.
+    if (known === undefined || rate < known.limit.rate(now)) this.#tell(limit);
     const fields = {
       endpoint,
       limit: limit.limit,
