Coordinator and guard encode records in one place; changes are announced as they are

`#encode` stood in both; it is `codec.encodeAll` now. `#change` took functions that it called at once; `#announce` takes their results.

--- a/src/quarantine/codec.ts
+++ b/src/quarantine/codec.ts
@@ -24,6 +24,14 @@
   };
 }
 
+/** Records as a message carries them. */
+export function encodeAll(
+  told: readonly suspects.Suspect[],
+  now: number,
+): schema.Suspect[] {
+  return told.map((suspect) => encode(suspect, now));
+}
+
 /** A record out of a message. */
 export function decode(
   { fingerprint, crashes, acquittals, trials }: schema.Suspect,
--- a/src/quarantine/coordinator.ts
+++ b/src/quarantine/coordinator.ts
@@ -67,8 +67,8 @@
   /** Takes what another host knows. */
   take(told: readonly schema.Suspect[]): void {
     const now = this.#options.clock.now();
-    this.#change(
-      told.map((each) => () => this.#table.merge(codec.decode(each, now), now)),
+    this.#announce(
+      told.map((each) => this.#table.merge(codec.decode(each, now), now)),
     );
   }
 
@@ -77,7 +77,8 @@
     suspectRevision: number;
     suspects: schema.Suspect[];
   } {
-    const suspects = this.#encode(this.#table.since(revision));
+    const now = this.#options.clock.now();
+    const suspects = codec.encodeAll(this.#table.since(revision), now);
     return { suspectRevision: this.#table.revision, suspects };
   }
 
@@ -101,7 +102,7 @@
       const until = now + remaining + MARGIN;
       this.#leases.set(fingerprint, { host, endpoint, until });
       if (suspect.standing === "quarantined") {
-        this.#change([() => this.#table.put(suspect.addTrial(), now)]);
+        this.#announce([this.#table.put(suspect.addTrial(), now)]);
       }
     }
     metrics.count("quarantine.trials", 1, { granted: `${granted}` });
@@ -131,7 +132,7 @@
     const suspect = this.#table.get(fingerprint);
     if (suspect.counted.length === 0) return false;
     this.#options.logger.info({ fingerprint }, "Request released by operator");
-    this.#change([() => this.#table.put(suspect.acquit(), now)]);
+    this.#announce([this.#table.put(suspect.acquit(), now)]);
     return true;
   }
 
@@ -139,8 +140,8 @@
   tick(): void {
     const { clock, cores } = this.#options;
     const now = clock.now();
-    this.#change(
-      this.#table.all.map((suspect) => () =>
+    this.#announce(
+      this.#table.all.map((suspect) =>
         this.#table.put(suspect.refute((each) => this.#wasHeard(each)), now)
       ),
     );
@@ -154,7 +155,7 @@
 
   /** State for people. */
   dump(): unknown {
-    return this.#encode(this.#table.all);
+    return codec.encodeAll(this.#table.all, this.#options.clock.now());
   }
 
   #waitFor(suspect: suspects.Suspect, now: number): number {
@@ -180,10 +181,10 @@
     return heard !== undefined && heard > at + heartbeat;
   }
 
-  /** Makes changes and tells all hosts of those that are news. */
-  #change(changes: readonly (() => suspects.Suspect | undefined)[]): void {
+  /** Tells all hosts of the changes that are news. */
+  #announce(changes: readonly (suspects.Suspect | undefined)[]): void {
     const { clock, cores, followers } = this.#options;
-    const news = changes.flatMap((change) => change() ?? []);
+    const news = changes.filter((change) => change !== undefined);
     if (news.length === 0) return;
     const at = clock.now();
     this.#recent.push(...news.map((suspect) => ({ suspect, at })));
@@ -208,12 +209,9 @@
     told: readonly suspects.Suspect[],
   ): void {
     if (told.length === 0) return;
-    const notice = { type: "suspects" as const, suspects: this.#encode(told) };
-    hosts.forEach((host) => this.#options.calls.cast(host, notice));
-  }
-
-  #encode(told: readonly suspects.Suspect[]): schema.Suspect[] {
-    const now = this.#options.clock.now();
-    return told.map((suspect) => codec.encode(suspect, now));
+    const { calls, clock } = this.#options;
+    const suspects = codec.encodeAll(told, clock.now());
+    const notice = { type: "suspects" as const, suspects };
+    hosts.forEach((host) => calls.cast(host, notice));
   }
 }
--- a/src/quarantine/guard.ts
+++ b/src/quarantine/guard.ts
@@ -183,7 +183,7 @@
 
   /** State for people. */
   dump(): unknown {
-    return this.#encode(this.#table.all);
+    return codec.encodeAll(this.#table.all, this.#options.clock.now());
   }
 
   #put(suspect: suspects.Suspect): void {
@@ -213,10 +213,10 @@
     cores: readonly string[],
     told: readonly suspects.Suspect[],
   ): Promise<boolean> {
-    const { calls, logger } = this.#options;
+    const { calls, clock, logger } = this.#options;
     const question = {
       type: "suspects" as const,
-      suspects: this.#encode(told),
+      suspects: codec.encodeAll(told, clock.now()),
     };
     for (const core of cores) {
       try {
@@ -245,17 +245,13 @@
     const owner = this.#leases.get(fingerprint);
     if (owner === undefined) return;
     this.#leases.delete(fingerprint);
-    const { calls } = this.#options;
+    const { calls, clock } = this.#options;
     if (shown !== undefined) {
-      calls.cast(owner, { type: "suspects", suspects: this.#encode([shown]) });
+      const suspects = codec.encodeAll([shown], clock.now());
+      calls.cast(owner, { type: "suspects", suspects });
     }
     calls.cast(owner, { type: "lease-over", fingerprint });
   }
-
-  #encode(told: readonly suspects.Suspect[]): schema.Suspect[] {
-    const now = this.#options.clock.now();
-    return told.map((suspect) => codec.encode(suspect, now));
-  }
 }
 
 const ADMITTED: Admission = { type: "admitted" };
