--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -8,6 +8,7 @@
 import * as passages from "../../src/gateway/passage.ts";
 import * as pieces from "../../src/pieces/mod.ts";
 import type * as endpoints from "../../src/endpoints/mod.ts";
+import * as quarantineFixture from "../../src/quarantine/fixture.ts";
 import type * as runtime from "../../src/runtime/mod.ts";
 import type * as schema from "../../src/schema/fleet_types.ts";
 import * as telemetry from "../../src/telemetry/mod.ts";
@@ -80,6 +81,7 @@
       pool: this.#pool,
       maker,
       placement: this.#placement,
+      guard: quarantineFixture.openGuard(),
       started: clock.now(),
       greatestAge: 1000,
       calibration: gateway.Calibration.create(),
--- /dev/null
+++ b/bench/quarantine_fuzz/network.ts
@@ -0,0 +1,85 @@
+/** Links between hosts in virtual time: messages are delayed, lost and cut.
+ * @module */
+
+import type * as peers from "../../src/peers/mod.ts";
+import type * as runtime from "../../src/runtime/mod.ts";
+import type * as schema from "../../src/schema/fleet_types.ts";
+
+/** A host that takes messages. */
+export interface Receiver {
+  answer(question: schema.Question, from: string): schema.Reply;
+  hear(notice: schema.Notice, from: string): void;
+}
+
+/** Greatest milliseconds of a message's way. */
+const WAY = 4;
+/** Part of the messages that is lost. */
+const LOSS = 0.02;
+
+/** Links of a fleet. */
+export class Network {
+  readonly #clock: runtime.Clock;
+  readonly #random: runtime.Random;
+  readonly #receivers = new Map<string, Receiver>();
+  readonly #cut = new Set<string>();
+  /** Messages that were sent. */
+  sent = 0;
+
+  constructor(clock: runtime.Clock, random: runtime.Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  /** Connects a host, in place of one of its name. */
+  join(name: string, receiver: Receiver): void {
+    this.#receivers.set(name, receiver);
+  }
+
+  leave(name: string): void {
+    this.#receivers.delete(name);
+  }
+
+  /** Cuts a host off from all others, or joins it again. */
+  setCut(name: string, isCut: boolean): void {
+    if (isCut) this.#cut.add(name);
+    else this.#cut.delete(name);
+  }
+
+  isCut(name: string): boolean {
+    return this.#cut.has(name);
+  }
+
+  /** Calls as one life of a host makes them. */
+  callsOf(self: string): Pick<peers.Calls, "ask" | "cast"> {
+    const own = () => this.#receivers.get(self);
+    return {
+      cast: (to, notice) => {
+        this.#carry(
+          self,
+          to,
+          () => this.#receivers.get(to)?.hear(notice, self),
+        );
+      },
+      ask: (to, question, { timeout }) =>
+        new Promise((resolve, reject) => {
+          const life = own();
+          this.#clock.after(timeout, () => reject(new Error("no answer")));
+          this.#carry(self, to, () => {
+            const reply = this.#receivers.get(to)?.answer(question, self);
+            if (reply === undefined) return;
+            this.#carry(to, self, () => {
+              if (own() === life) resolve(reply);
+            });
+          });
+        }),
+    };
+  }
+
+  #carry(from: string, to: string, deliver: () => void): void {
+    this.sent++;
+    if (this.#random.next() < LOSS) return;
+    this.#clock.after(this.#random.next() * WAY, () => {
+      if (!this.isCut(from) && !this.isCut(to)) deliver();
+    });
+  }
+}
--- a/src/endpoints/incarnation.ts
+++ b/src/endpoints/incarnation.ts
@@ -24,3 +24,8 @@
 export function keyOf({ id, born }: Incarnation): string {
   return born === undefined ? id : `${id}~${born}`;
 }
+
+/** Id in a key that has a start. */
+export function idOf(key: string): string {
+  return key.slice(0, key.lastIndexOf("~"));
+}
--- a/src/endpoints/roster.ts
+++ b/src/endpoints/roster.ts
@@ -88,6 +88,14 @@
     return this.#entries.get(id);
   }
 
+  /** The entry of an incarnation, by its key; undefined where another one of
+   * its id is known. */
+  find(key: string): RosterEntry | undefined {
+    const known = this.get(key) ?? this.get(incarnations.idOf(key));
+    const isSame = known !== undefined && incarnations.keyOf(known) === key;
+    return isSame ? known : undefined;
+  }
+
   /** Takes a report; returns whether others should hear of it at once. */
   take({ sighting, heard, coldUntil = 0, isSilent }: Report): boolean {
     const known = this.#entries.get(sighting.id);
--- a/src/fleet/base.ts
+++ b/src/fleet/base.ts
@@ -47,7 +47,7 @@
       fleet: fleetMessages.validate,
       log: logMessages.validate,
     },
-    entryLists: { fleet: ["sightings", "uses", "hosts"] },
+    entryLists: { fleet: ["sightings", "uses", "hosts", "suspects"] },
     clock,
     logger,
     metrics,
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -5,6 +5,7 @@
 import * as configurations from "../configuration/mod.ts";
 import * as versions from "../control/versions/mod.ts";
 import * as endpoints from "../endpoints/mod.ts";
+import * as quarantine from "../quarantine/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as bases from "./base.ts";
 import * as controlServer from "./control_server.ts";
@@ -18,6 +19,9 @@
 
 /** Milliseconds between greetings among hosts with disks. */
 const GREETING = 400;
+/** Milliseconds after which an entry host that has not asked follows another
+ * host: some of its questions. */
+const FOLLOWED = 3000;
 /** Milliseconds in which a change of the configuration is acknowledged: before
  * an operator's call ends after a second, so that it hears why not. */
 const ORDER_PATIENCE = 900;
@@ -51,6 +55,9 @@
   readonly #entries = entryMembers.EntryMembers.create();
   readonly #roster: endpoints.Roster;
   readonly #spread: spread.Spread;
+  readonly #coordinator: quarantine.Coordinator;
+  /** When entry hosts last asked this host. */
+  readonly #followers = new Map<string, number>();
   readonly #epoch: string;
   readonly #confirmations: rounds.Rounds<FleetState>;
   /** Undefined until the disk is read. */
@@ -74,6 +81,12 @@
         replace: (question) => this.#answer(question),
         sync: (question, from) => this.#sync(question, from),
         note: (question) => this.#note(question),
+        suspects: ({ suspects }) => {
+          this.#coordinator.take(suspects);
+          return Promise.resolve({ type: "noted" });
+        },
+        trial: (question, from) =>
+          Promise.resolve(this.#coordinator.allow(question, from)),
       },
       onNotice: (notice, from) => this.#hear(notice, from),
       onLog: (envelope) => this.#keeper?.receive(envelope),
@@ -91,6 +104,14 @@
       calls: this.#network.calls,
       others: () => this.#others(),
     });
+    this.#coordinator = quarantine.Coordinator.create({
+      ...options,
+      calls: this.#network.calls,
+      heartbeat,
+      cores: () => this.#others(),
+      followers: () => [...this.#followers.keys()],
+      heardAt: (endpoint) => this.#heardAt(endpoint),
+    });
   }
 
   /** Reads the disk, takes part in the log and serves callers. */
@@ -128,6 +149,7 @@
       cores: this.#members.live(now),
       entryHosts: this.#entries.live(now),
       endpoints: [...this.#roster.entries],
+      suspects: this.#coordinator.dump(),
       peers: this.#network.transport.dump(),
     };
   }
@@ -175,6 +197,10 @@
     this.#greet(now);
     this.#roster.expire(now);
     this.#spread.tick();
+    for (const [host, at] of this.#followers) {
+      if (now - at > FOLLOWED) this.#followers.delete(host);
+    }
+    this.#coordinator.tick();
     this.#chooseVoters(now);
     clock.after(GREETING, () => this.#tick());
   }
@@ -207,15 +233,33 @@
   }
 
   #hear(notice: schema.Notice, from: string): void {
-    if (notice.type !== "hello") return;
+    if (notice.type === "hello") this.#greeted(notice, from);
+    else if (notice.type === "suspects") {
+      this.#coordinator.take(notice.suspects);
+    } else if (notice.type === "trial-over") {
+      this.#coordinator.end(notice.fingerprint, from);
+    }
+  }
+
+  #greeted(
+    { dataCentre, cores, hosts }: schema.HelloNotice,
+    from: string,
+  ): void {
     const now = this.#options.clock.now();
-    const { dataCentre, cores, hosts } = notice;
     const isNew = !this.#others().includes(from);
     this.#members.hear({ host: from, dataCentre, heard: now });
     this.#members.learn(cores);
     hosts.forEach((host) => this.#entries.hear(host, now));
-    // A host that has just come knows no endpoints.
-    if (isNew) this.#spread.tellAll(from);
+    // A host that has just come knows no endpoints and no suspects.
+    if (!isNew) return;
+    this.#spread.tellAll(from);
+    this.#coordinator.tellAll(from);
+  }
+
+  #heardAt(endpoint: string): number | undefined {
+    const entry = this.#roster.find(endpoint);
+    // One that has taken leave has ended, and did not crash.
+    return entry?.state === "gone" ? Infinity : entry?.heard;
   }
 
   async #sync(
@@ -224,6 +268,7 @@
   ): Promise<schema.Reply> {
     const { clock } = this.#options;
     this.#entries.hear({ ...question.host, host: from }, clock.now());
+    this.#followers.set(from, clock.now());
     const { edition, hosts, mark, cores } = await this.#confirmations.join();
     const now = clock.now();
     const isSame = question.epoch === this.#epoch;
@@ -242,6 +287,7 @@
       mark,
       ...(mark !== question.mark && { hosts }),
       cores,
+      ...this.#coordinator.since(isSame ? question.suspectRevision ?? 0 : 0),
     };
   }
 
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -7,6 +7,7 @@
 import * as connector from "../endpoint_calls/connector.ts";
 import * as gateway from "../gateway/mod.ts";
 import * as pieces from "../pieces/mod.ts";
+import * as quarantine from "../quarantine/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as bases from "./base.ts";
 import * as errors from "./errors.ts";
@@ -50,6 +51,7 @@
   readonly #batcher: pieces.Batcher;
   readonly #maker: pieces.Maker;
   readonly #placement: gateway.Placement;
+  readonly #guard: quarantine.Guard;
   readonly #connections: connections.Connections;
   readonly #budgets = new Map<string, gateway.RetryBudget>();
   #catalogue?: configurations.Catalogue;
@@ -90,6 +92,13 @@
       isReady: () => this.#isReady,
       onVersion: (_, document) => this.#takeVersion(document),
       onChange: () => this.#follow(),
+      onSource: (core) => this.#guard.tellAll(core),
+      onSuspects: (suspects) => this.#guard.take(suspects),
+    });
+    this.#guard = quarantine.Guard.create({
+      ...options,
+      calls: this.#network.calls,
+      cores: () => this.#follower.cores,
     });
     this.#batcher = pieces.Batcher.create({
       ...options,
@@ -165,6 +174,7 @@
       inFlight: this.#server.inFlight,
       follower: this.#follower.dump(),
       pool: this.#pool.dump(now),
+      suspects: this.#guard.dump(),
       batcher: this.#batcher.dump(),
       peers: this.#network.transport.dump(),
     };
@@ -204,6 +214,7 @@
       pool: this.#pool,
       maker: this.#maker,
       placement: this.#placement,
+      guard: this.#guard,
       started: this.#options.clock.now(),
       greatestAge: this.#greatestAge,
       calibration: gateway.Calibration.create(),
@@ -312,6 +323,8 @@
       this.#batcher.drop(notice, notice.request);
     } else if (type === "use") {
       this.#pool.noteUse(from, notice.uses, this.#options.clock.now());
+    } else if (type === "suspects") {
+      this.#guard.take(notice.suspects);
     }
   }
 }
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -27,7 +27,7 @@
 const MEMORY = 60_000;
 
 /** Asks for everything. */
-const NO_REVISION = { epoch: "", revision: 0 };
+const NO_REVISION = { epoch: "", revision: 0, suspectRevision: 0 };
 
 /** What a follower needs of its host. */
 export interface FollowerOptions {
@@ -41,6 +41,10 @@
   isReady(): boolean;
   /** A newer version than any before. */
   onVersion(version: number, document: string): void;
+  /** A host with a disk answers that knows nothing by this one. */
+  onSource(core: string): void;
+  /** Requests that may crash endpoints, as a host with a disk knows them. */
+  onSuspects(suspects: readonly schema.Suspect[]): void;
   /** Endpoints or hosts may have changed. */
   onChange(): void;
 }
@@ -97,6 +101,12 @@
     return this.#hosts;
   }
 
+  /** Hosts with disks, the one that answers first. */
+  get cores(): readonly string[] {
+    const others = this.#cores.filter((core) => core !== this.#source);
+    return this.#source === undefined ? others : [this.#source, ...others];
+  }
+
   /** State for people. */
   dump(): unknown {
     return {
@@ -196,8 +206,9 @@
     reply: schema.SyncedReply,
     sent: freshness.Moment,
   ): void {
-    const { clock, onChange } = this.#options;
+    const { clock, onChange, onSuspects } = this.#options;
     const now = clock.now();
+    if (reply.suspects !== undefined) onSuspects(reply.suspects);
     // A host that is cut off from the others hears few endpoints: what it
     // holds for silent may not be.
     const judges = !reply.confirmed;
@@ -213,7 +224,7 @@
     reply: schema.SyncedReply,
     sent: freshness.Moment,
   ): void {
-    const { logger, onVersion } = this.#options;
+    const { logger, onVersion, onSource } = this.#options;
     if (reply.hosts !== undefined) {
       this.#hosts = reply.hosts;
       this.#mark = reply.mark;
@@ -230,8 +241,10 @@
       this.#proof = sent;
     }
     this.#failedAt.delete(core);
-    const { epoch, revision } = reply;
-    this.#revision = { epoch, revision };
+    const { epoch, revision, suspectRevision = 0 } = reply;
+    const isNew = this.#source !== core || this.#revision.epoch !== epoch;
+    this.#revision = { epoch, revision, suspectRevision };
+    if (isNew) onSource(core);
     if (this.#source === core) return;
     this.#source = core;
     logger.info({ core, version: this.#version }, "Control host found");
--- a/src/fleet/follower_test.ts
+++ b/src/fleet/follower_test.ts
@@ -45,6 +45,8 @@
     isReady: () => true,
     onVersion: (_, document) => void versions.push(document),
     onChange() {},
+    onSource() {},
+    onSuspects() {},
     calls: {
       ask(core, question) {
         asked.push({ core, question: question as schema.SyncQuestion });
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -4,6 +4,7 @@
 import type * as undici from "undici";
 import type * as configurations from "../configuration/mod.ts";
 import type * as pieces from "../pieces/mod.ts";
+import type * as quarantine from "../quarantine/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import type * as calibrations from "./calibration.ts";
@@ -44,6 +45,15 @@
   readonly calibration: calibrations.Calibration;
   readonly patience: patiences.Patience;
   readonly inputHold: inputHolds.InputHold;
+  readonly guard: Pick<
+    quarantine.Guard,
+    | "isCalm"
+    | "refusal"
+    | "admit"
+    | "noteCrash"
+    | "noteAnswer"
+    | "noteEnd"
+  >;
   readonly loadGossip: Pick<loadGossips.LoadGossip, "note">;
   /** When the host started, by its clock. */
   readonly started: number;
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -22,6 +22,9 @@
 import * as staging from "./staging.ts";
 import * as verdicts from "./verdict.ts";
 
+/** Milliseconds after which a caller may come back at the latest, where it is
+ * not known when its request is let run again. */
+const LONGEST_RETURN = 60_000;
 /** Times that lost results are made again. */
 const REMAKES = 1;
 
@@ -57,7 +60,8 @@
   #route?: configurations.Route;
   #account?: configurations.Account;
   #body: Buffer = NOTHING;
-  /** Once a call has broken, as if the endpoint had crashed under it. */
+  /** Known where a call of any request has broken as if its endpoint had
+   * crashed. */
   #fingerprint?: string;
   #until = Infinity;
   /** Milliseconds for which its caller had waited before this attempt. */
@@ -109,11 +113,15 @@
     try {
       const body = await this.#admit();
       if (this.isOver) return;
-      const { random } = this.#context;
+      this.#body = body;
+      const { random, guard } = this.#context;
+      const refusal = guard.isCalm
+        ? undefined
+        : guard.refusal(this.#identify());
+      if (refusal !== undefined) return this.#keepBack(refusal);
       const service = admission.pickService(this.#route!, random);
       const inputs = await this.#prepare(service);
       if (this.isOver) return;
-      this.#body = body;
       await this.#send({ service, inputs });
     } catch (error) {
       const request = this.#ask?.id;
@@ -204,7 +212,7 @@
     let remakes = 0;
     this.#context.budget(service).earn(clock.now());
     for (;;) {
-      const target = await this.#choose(service);
+      const target = await this.#chooseAdmitted(service);
       if (this.isOver) return;
       if (target === undefined) return this.#conclude("no-endpoint");
       const outcome = await this.#call(target, inputs);
@@ -227,10 +235,47 @@
     }
   }
 
-  /** An endpoint that was not called yet, where there is one. */
-  async #choose(service: string): Promise<Target | undefined> {
+  /** An endpoint that it may go to, as one that has crashed some may not. It is
+   * answered where it may go to none. */
+  async #chooseAdmitted(service: string): Promise<Target | undefined> {
+    const { guard, clock } = this.#context;
+    const taken: string[] = [];
+    for (;;) {
+      const target = await this.#choose(service, taken);
+      if (guard.isCalm || target === undefined || this.isOver) return target;
+      const fingerprint = this.#identify();
+      const { id } = target.endpoint.identity;
+      const remaining = this.#until - clock.now();
+      const run = { fingerprint, endpoint: id, remaining };
+      const admission = await guard.admit(run);
+      if (this.isOver) guard.noteEnd(fingerprint);
+      if (admission.type === "admitted") return target;
+      if (admission.type === "refused" || taken.includes(id)) {
+        this.#keepBack(admission);
+        return undefined;
+      }
+      taken.push(id);
+    }
+  }
+
+  #keepBack({ crashes, wait }: quarantine.Refusal): void {
+    if (this.isOver) return;
+    const reason = crashes < quarantine.QUARANTINED
+      ? "suspected"
+      : "quarantined";
+    const retryAfter = Math.min(LONGEST_RETURN, wait) / 1000;
+    this.#conclude(reason, { crashes, retryAfter });
+  }
+
+  /** An endpoint that was not called yet and is not taken, where there is
+   * one. */
+  async #choose(
+    service: string,
+    taken: readonly string[],
+  ): Promise<Target | undefined> {
     const { pool, clock, random, dataCentre, placement } = this.#context;
-    const tried = this.#calls.map((call) => call.endpoint);
+    const called = this.#calls.map((call) => call.endpoint);
+    const tried = [...called, ...taken];
     const { prompt } = this.#ask!;
     if (prompt !== undefined) {
       const placed = await placement.place({
@@ -317,12 +362,24 @@
       loadGossip.note(target, { verdict: verdicts.of(outcome) });
     }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
-    if (attempts.mayHaveCrashed(outcome)) this.#identify();
+    this.#noteRun(id, outcome);
     return outcome;
   }
 
-  #identify(): void {
-    this.#fingerprint ??= quarantine.fingerprints.of({
+  /** Says what a run shows of the request: whether it crashes endpoints. */
+  #noteRun(endpoint: string, outcome: attempts.Outcome): void {
+    const { guard } = this.#context;
+    if (attempts.mayHaveCrashed(outcome)) {
+      guard.noteCrash(this.#identify(), endpoint);
+    } else if (!guard.isCalm) {
+      const isAnswered = outcome.type !== "failed";
+      if (isAnswered) guard.noteAnswer(this.#identify());
+      else guard.noteEnd(this.#identify());
+    }
+  }
+
+  #identify(): string {
+    return this.#fingerprint ??= quarantine.fingerprints.of({
       ...this.#ask!,
       account: this.#account?.name,
       body: this.#body,
@@ -446,12 +503,12 @@
   }
 
   /** The end of a request that no call has answered. */
-  #conclude(reason: refusals.RefusalReason): void {
+  #conclude(reason: refusals.RefusalReason, about: About = {}): void {
     const isOpen = this.#reply.head === undefined;
     if (isOpen && this.#fallback !== undefined) {
       return this.#answer(this.#fallback);
     }
-    this.#refuse(reason);
+    this.#refuse(reason, about);
   }
 
   #timeOut(): void {
@@ -473,7 +530,8 @@
     if (this.#reply.head !== undefined) return this.#breakOff(reason);
     // A call may have run before, and its pieces failed to be made again.
     if (this.#runs > 0 && refusals.saysNotRun(reason)) {
-      return this.#refuse("failed", { after: reason });
+      const { retryAfter: _, ...rest } = about;
+      return this.#refuse("failed", { ...rest, after: reason });
     }
     this.#finish();
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...about };
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -8,6 +8,7 @@
 import * as fixture from "../configuration/fixture.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
 import * as configurations from "../configuration/mod.ts";
+import * as quarantineFixture from "../quarantine/fixture.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as gateway from "./mod.ts";
@@ -117,6 +118,7 @@
     patience: gateway.Patience.create(),
     inputHold: gateway.InputHold.create(),
     loadGossip: { note() {} },
+    guard: quarantineFixture.openGuard(),
     started: 0,
     greatestAge: 1000,
     budget: () => gateway.RetryBudget.create(bounds),
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -11,6 +11,8 @@
   | "no-route"
   | "bad-key"
   | "no-endpoint"
+  | "suspected"
+  | "quarantined"
   | "not-run"
   | "no-pieces"
   | "no-time"
@@ -58,6 +60,9 @@
   "no-route": { status: 404 },
   "bad-key": { status: 401 },
   "no-endpoint": { status: 503, retryAfter: 0.6 },
+  // When to come back hangs on when it is let run again.
+  "suspected": { status: 503 },
+  "quarantined": { status: 503 },
   "not-run": { status: 503, retryAfter: 0.4 },
   "no-time": { status: 503, retryAfter: 0.8 },
   "no-pieces": { status: 503, retryAfter: 0.6 },
--- /dev/null
+++ b/src/quarantine/coordinator.ts
@@ -0,0 +1,218 @@
+/** What a host with a disk does about requests that crash endpoints: it merges
+ * what entry hosts have seen, tells all hosts at once, refutes breaks that were
+ * no crashes, and lets a suspected request run at one endpoint at a time.
+ *
+ * All of them hold the same; one of them, the same for all hosts that know the
+ * same, grants runs. Without a suspect nothing is sent.
+ * @module */
+
+import type * as peers from "../peers/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import * as codec from "./codec.ts";
+import * as suspects from "./suspect.ts";
+import * as suspectTables from "./suspect_table.ts";
+
+/** Milliseconds for which a change is told to the other hosts with disks again:
+ * a message may be lost. */
+const AGAIN = 1500;
+/** Milliseconds after which to ask again while the request runs elsewhere:
+ * about a short run. */
+const WAIT = 500;
+/** Most milliseconds that an asker is told to wait. */
+const LONGEST_WAIT = 60_000;
+/** Milliseconds after the deadline of a run for which its leave still holds:
+ * its report is under way. */
+const MARGIN = 500;
+
+/** What a coordinator needs of its host. */
+export interface CoordinatorOptions {
+  readonly clock: runtime.Clock;
+  readonly logger: telemetry.Logger;
+  readonly metrics: telemetry.Metrics;
+  readonly calls: Pick<peers.Calls, "cast">;
+  /** Milliseconds between the heartbeats of an endpoint. */
+  readonly heartbeat: number;
+  /** The other hosts with disks that are there. */
+  cores(): readonly string[];
+  /** Entry hosts that follow this host. */
+  followers(): readonly string[];
+  /** When an incarnation of an endpoint was last heard, if it is known. */
+  heardAt(endpoint: string): number | undefined;
+}
+
+interface Leave {
+  readonly host: string;
+  readonly endpoint: string;
+  readonly until: number;
+}
+
+/** Keeps the suspects of the fleet. */
+export class Coordinator {
+  readonly #options: CoordinatorOptions;
+  readonly #table = suspectTables.SuspectTable.create();
+  readonly #leaves = new Map<string, Leave>();
+  /** Changes that are told again, and when they came. */
+  #recent: { suspect: suspects.Suspect; at: number }[] = [];
+
+  private constructor(options: CoordinatorOptions) {
+    this.#options = options;
+  }
+
+  static create(options: CoordinatorOptions): Coordinator {
+    return new Coordinator(options);
+  }
+
+  /** Takes what another host knows. */
+  take(told: readonly schema.Suspect[]): void {
+    const now = this.#options.clock.now();
+    this.#change(
+      told.map((each) => () => this.#table.merge(codec.decode(each, now), now)),
+    );
+  }
+
+  /** What has changed since a revision, for a host that asks. */
+  since(revision: number): {
+    suspectRevision: number;
+    suspects: schema.Suspect[];
+  } {
+    const suspects = this.#encode(this.#table.since(revision));
+    return { suspectRevision: this.#table.revision, suspects };
+  }
+
+  /** Tells a host everything, where there is anything. */
+  tellAll(host: string): void {
+    this.#tell([host], this.#table.all);
+  }
+
+  /** Judges whether a host may run a suspected request now. */
+  allow(
+    { fingerprint, endpoint, remaining }: schema.TrialQuestion,
+    host: string,
+  ): schema.TrialReply {
+    const { clock, logger, metrics } = this.#options;
+    const now = clock.now();
+    const suspect = this.#table.get(fingerprint);
+    const wait = this.#waitFor(suspect, now);
+    const taken = wait === 0 && this.#isTaken(endpoint, now);
+    const granted = wait === 0 && !taken;
+    if (granted) {
+      const until = now + remaining + MARGIN;
+      this.#leaves.set(fingerprint, { host, endpoint, until });
+      if (suspect.standing === "quarantined") {
+        this.#change([() => this.#table.put(suspect.addTrial(), now)]);
+      }
+    }
+    metrics.count("quarantine.trials", 1, { granted: `${granted}` });
+    const { standing, counted, trials } = suspect;
+    const crashes = counted.length;
+    logger.info(
+      { fingerprint, host, endpoint, granted, wait, standing, crashes, trials },
+      "Run of a suspected request asked for",
+    );
+    return {
+      type: "trial",
+      granted,
+      taken,
+      wait: Math.min(LONGEST_WAIT, wait),
+    };
+  }
+
+  /** Notes that a run with leave has ended. */
+  end(fingerprint: string, host: string): void {
+    if (this.#leaves.get(fingerprint)?.host !== host) return;
+    this.#leaves.delete(fingerprint);
+  }
+
+  /** Releases a request by an operator's order; returns whether it was known. */
+  release(fingerprint: string): boolean {
+    const now = this.#options.clock.now();
+    const suspect = this.#table.get(fingerprint);
+    if (suspect.counted.length === 0) return false;
+    this.#change([() => this.#table.put(suspect.acquit(), now)]);
+    return true;
+  }
+
+  /** Refutes, forgets, and tells again what may not have arrived. */
+  tick(): void {
+    const { clock, cores } = this.#options;
+    const now = clock.now();
+    this.#change(
+      this.#table.all.map((suspect) => () =>
+        this.#table.put(suspect.refute((each) => this.#wasHeard(each)), now)
+      ),
+    );
+    this.#table.expire(now);
+    for (const [fingerprint, { until }] of this.#leaves) {
+      if (until < now) this.#leaves.delete(fingerprint);
+    }
+    this.#recent = this.#recent.filter(({ at }) => now - at < AGAIN);
+    this.#tell(cores(), this.#recent.map(({ suspect }) => suspect));
+  }
+
+  /** State for people. */
+  dump(): unknown {
+    return this.#encode(this.#table.all);
+  }
+
+  #waitFor(suspect: suspects.Suspect, now: number): number {
+    const leave = this.#leaves.get(suspect.fingerprint);
+    if (leave !== undefined && leave.until > now) return WAIT;
+    if (suspect.standing !== "quarantined") return 0;
+    return Math.max(0, this.#table.trialAt(suspect) - now);
+  }
+
+  /** Whether another suspected request runs at an endpoint: if it crashed, each
+   * would speak against the other. */
+  #isTaken(endpoint: string, now: number): boolean {
+    return [...this.#leaves.values()].some((leave) =>
+      leave.endpoint === endpoint && leave.until > now
+    );
+  }
+
+  /** An endpoint that crashed says nothing more; a heartbeat that it had sent
+   * before may still be on its way. */
+  #wasHeard({ endpoint, at }: suspects.Crash): boolean {
+    const { heardAt, heartbeat } = this.#options;
+    const heard = heardAt(endpoint);
+    return heard !== undefined && heard > at + heartbeat;
+  }
+
+  /** Makes changes and tells all hosts of those that are news. */
+  #change(changes: readonly (() => suspects.Suspect | undefined)[]): void {
+    const { clock, cores, followers } = this.#options;
+    const news = changes.flatMap((change) => change() ?? []);
+    if (news.length === 0) return;
+    const at = clock.now();
+    this.#recent.push(...news.map((suspect) => ({ suspect, at })));
+    this.#tell([...cores(), ...followers()], news);
+    news.forEach((suspect) => this.#log(suspect));
+  }
+
+  #log(
+    { fingerprint, standing, counted, acquittals, trials }: suspects.Suspect,
+  ) {
+    const { logger, metrics } = this.#options;
+    metrics.count("quarantine.changes", 1, { standing });
+    const endpoints = counted.map(({ endpoint }) => endpoint);
+    logger.info(
+      { fingerprint, standing, endpoints, acquittals, trials },
+      "Suspected request changed",
+    );
+  }
+
+  #tell(
+    hosts: readonly string[],
+    told: readonly suspects.Suspect[],
+  ): void {
+    if (told.length === 0) return;
+    const notice = { type: "suspects" as const, suspects: this.#encode(told) };
+    hosts.forEach((host) => this.#options.calls.cast(host, notice));
+  }
+
+  #encode(told: readonly suspects.Suspect[]): schema.Suspect[] {
+    const now = this.#options.clock.now();
+    return told.map((suspect) => codec.encode(suspect, now));
+  }
+}
--- a/src/quarantine/mod.ts
+++ b/src/quarantine/mod.ts
@@ -2,4 +2,8 @@
  * the fleet keeps them from endpoints.
  * @module */
 
+export * from "./coordinator.ts";
 export * as fingerprints from "./fingerprint.ts";
+export * from "./guard.ts";
+export * from "./suspect.ts";
+export * from "./suspect_table.ts";
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -10,7 +10,15 @@
 export type FleetMessage = Ask | Answer | Working | Cast;
 export type Count = number;
 export type Question =
-  ConfirmQuestion | ReplaceQuestion | SyncQuestion | NoteQuestion | MakeQuestion | BookQuestion | PlaceQuestion;
+  | ConfirmQuestion
+  | ReplaceQuestion
+  | SyncQuestion
+  | NoteQuestion
+  | MakeQuestion
+  | BookQuestion
+  | PlaceQuestion
+  | SuspectsQuestion
+  | TrialQuestion;
 export type Name = string;
 /**
  * Part of a service's endpoints that one batcher schedules.
@@ -21,8 +29,16 @@
  */
 export type Engine = string;
 export type Reply =
-  FailedReply | ConfirmedReply | ReplacedReply | SyncedReply | NotedReply | MadeReply | BookedReply | PlacedReply;
-export type Notice = HelloNotice | ReleaseNotice | DropNotice | UseNotice;
+  | FailedReply
+  | ConfirmedReply
+  | ReplacedReply
+  | SyncedReply
+  | NotedReply
+  | MadeReply
+  | BookedReply
+  | PlacedReply
+  | TrialReply;
+export type Notice = HelloNotice | ReleaseNotice | DropNotice | UseNotice | SuspectsNotice | TrialOverNotice;
 
 export interface Ask {
   type: "ask";
@@ -66,6 +82,10 @@
    */
   mark: string;
   host: EntryHost;
+  /**
+   * Of the suspects that the asker knows; of `epoch`.
+   */
+  suspectRevision?: number;
 }
 /**
  * A host that takes requests.
@@ -194,6 +214,50 @@
   id: Name;
   tokens: number;
 }
+/**
+ * Tells a core host of requests that may crash endpoints.
+ */
+export interface SuspectsQuestion {
+  type: "suspects";
+  suspects: Suspect[];
+}
+/**
+ * What is known of a request that may crash endpoints.
+ */
+export interface Suspect {
+  fingerprint: string;
+  /**
+   * @maxItems 64
+   */
+  crashes: Crash[];
+  acquittals: Count;
+  trials: Count;
+}
+export interface Crash {
+  endpoint: Engine;
+  /**
+   * Milliseconds since the call broke.
+   */
+  age: number;
+  /**
+   * Whether the endpoint was heard again since.
+   */
+  refuted?: boolean;
+}
+/**
+ * Asks for leave to run a suspected request: it runs at one endpoint of the
+ * fleet at a time, and no other suspected one runs there.
+ *
+ */
+export interface TrialQuestion {
+  type: "trial";
+  fingerprint: string;
+  endpoint: Engine;
+  /**
+   * Milliseconds after which its run has ended.
+   */
+  remaining: number;
+}
 export interface Answer {
   type: "answer";
   id: Count;
@@ -236,6 +300,11 @@
    */
   hosts?: EntryHost[];
   cores: Name[];
+  suspectRevision?: Count;
+  /**
+   * Those that have changed since the asker's revision.
+   */
+  suspects?: Suspect[];
 }
 export interface NotedReply {
   type: "noted";
@@ -292,6 +361,18 @@
   tokens: number;
   streams: number;
 }
+export interface TrialReply {
+  type: "trial";
+  granted: boolean;
+  /**
+   * Whether another suspected request runs at the endpoint.
+   */
+  taken?: boolean;
+  /**
+   * Milliseconds after which to ask again, if it is refused.
+   */
+  wait: number;
+}
 /**
  * Questions that this host has and has not answered yet.
  */
@@ -370,3 +451,17 @@
    */
   took: number;
 }
+/**
+ * A core host knows these requests that may crash endpoints.
+ */
+export interface SuspectsNotice {
+  type: "suspects";
+  suspects: Suspect[];
+}
+/**
+ * A run with leave has ended without a crash or an answer.
+ */
+export interface TrialOverNotice {
+  type: "trial-over";
+  fingerprint: string;
+}
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,11 +5,11 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/TrialQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/TrialReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/TrialOverNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"TrialQuestion":{"title":"TrialQuestion","description":"Asks for leave to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"trial"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"TrialReply":{"title":"TrialReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"trial"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"TrialOverNotice":{"title":"TrialOverNotice","description":"A run with leave has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"trial-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
-const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"}]};
-const schema69 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
+const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/TrialQuestion"}]};
+const schema78 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
 const schema35 = {"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -109,7 +109,7 @@
 }
 validate23.evaluated = {"props":{"type":true,"version":true,"document":true,"digest":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema37 = {"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"}}};
+const schema37 = {"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"}}};
 const schema40 = {"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}};
 const schema41 = {"type":"string","minLength":1,"maxLength":256};
 
@@ -352,6 +352,29 @@
 else {
 var valid0 = true;
 }
+if(valid0){
+if(data.suspectRevision !== undefined){
+let data6 = data.suspectRevision;
+const _errs14 = errors;
+const _errs15 = errors;
+if(!(((typeof data6 == "number") && (!(data6 % 1) && !isNaN(data6))) && (isFinite(data6)))){
+validate24.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data6}];
+return false;
+}
+if(errors === _errs15){
+if((typeof data6 == "number") && (isFinite(data6))){
+if(data6 < 0 || isNaN(data6)){
+validate24.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data6}];
+return false;
+}
+}
+}
+var valid0 = _errs14 === errors;
+}
+else {
+var valid0 = true;
+}
+}
 }
 }
 }
@@ -367,10 +390,10 @@
 validate24.errors = vErrors;
 return errors === 0;
 }
-validate24.evaluated = {"props":{"type":true,"version":true,"epoch":true,"revision":true,"mark":true,"host":true},"dynamicProps":false,"dynamicItems":false};
+validate24.evaluated = {"props":{"type":true,"version":true,"epoch":true,"revision":true,"mark":true,"host":true,"suspectRevision":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema43 = {"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}};
-const schema44 = {"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}};
+const schema44 = {"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}};
+const schema45 = {"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}};
 
 function validate28(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -386,7 +409,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((((data.id === undefined) && (missing0 = "id")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.address === undefined) && (missing0 = "address"))) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.slots === undefined) && (missing0 = "slots"))) || ((data.state === undefined) && (missing0 = "state"))) || ((data.sequence === undefined) && (missing0 = "sequence"))) || ((data.age === undefined) && (missing0 = "age"))){
-validate28.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema44.required,parentSchema:schema44,data}];
+validate28.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema45.required,parentSchema:schema45,data}];
 return false;
 }
 else {
@@ -422,13 +445,13 @@
 let data1 = data.born;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate28.errors = [{instancePath:instancePath+"/born",schemaPath:"#/properties/born/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema44.properties.born.type,parentSchema:schema44.properties.born,data:data1}];
+validate28.errors = [{instancePath:instancePath+"/born",schemaPath:"#/properties/born/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema45.properties.born.type,parentSchema:schema45.properties.born,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate28.errors = [{instancePath:instancePath+"/born",schemaPath:"#/properties/born/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema44.properties.born,data:data1}];
+validate28.errors = [{instancePath:instancePath+"/born",schemaPath:"#/properties/born/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema45.properties.born,data:data1}];
 return false;
 }
 }
@@ -527,7 +550,7 @@
 let data5 = data.version;
 const _errs15 = errors;
 if(typeof data5 !== "string"){
-validate28.errors = [{instancePath:instancePath+"/version",schemaPath:"#/properties/version/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema44.properties.version.type,parentSchema:schema44.properties.version,data:data5}];
+validate28.errors = [{instancePath:instancePath+"/version",schemaPath:"#/properties/version/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema45.properties.version.type,parentSchema:schema45.properties.version,data:data5}];
 return false;
 }
 var valid0 = _errs15 === errors;
@@ -540,7 +563,7 @@
 let data6 = data.slots;
 const _errs17 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate28.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.slots.type,parentSchema:schema44.properties.slots,data:data6}];
+validate28.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema45.properties.slots.type,parentSchema:schema45.properties.slots,data:data6}];
 return false;
 }
 var valid0 = _errs17 === errors;
@@ -553,7 +576,7 @@
 let data7 = data.state;
 const _errs19 = errors;
 if(!(((data7 === "ready") || (data7 === "draining")) || (data7 === "gone"))){
-validate28.errors = [{instancePath:instancePath+"/state",schemaPath:"#/properties/state/enum",keyword:"enum",params:{allowedValues: schema44.properties.state.enum},message:"must be equal to one of the allowed values",schema:schema44.properties.state.enum,parentSchema:schema44.properties.state,data:data7}];
+validate28.errors = [{instancePath:instancePath+"/state",schemaPath:"#/properties/state/enum",keyword:"enum",params:{allowedValues: schema45.properties.state.enum},message:"must be equal to one of the allowed values",schema:schema45.properties.state.enum,parentSchema:schema45.properties.state,data:data7}];
 return false;
 }
 var valid0 = _errs19 === errors;
@@ -566,13 +589,13 @@
 let data8 = data.sequence;
 const _errs20 = errors;
 if(!(((typeof data8 == "number") && (!(data8 % 1) && !isNaN(data8))) && (isFinite(data8)))){
-validate28.errors = [{instancePath:instancePath+"/sequence",schemaPath:"#/properties/sequence/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema44.properties.sequence.type,parentSchema:schema44.properties.sequence,data:data8}];
+validate28.errors = [{instancePath:instancePath+"/sequence",schemaPath:"#/properties/sequence/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema45.properties.sequence.type,parentSchema:schema45.properties.sequence,data:data8}];
 return false;
 }
 if(errors === _errs20){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < -1 || isNaN(data8)){
-validate28.errors = [{instancePath:instancePath+"/sequence",schemaPath:"#/properties/sequence/minimum",keyword:"minimum",params:{comparison: ">=", limit: -1},message:"must be >= -1",schema:-1,parentSchema:schema44.properties.sequence,data:data8}];
+validate28.errors = [{instancePath:instancePath+"/sequence",schemaPath:"#/properties/sequence/minimum",keyword:"minimum",params:{comparison: ">=", limit: -1},message:"must be >= -1",schema:-1,parentSchema:schema45.properties.sequence,data:data8}];
 return false;
 }
 }
@@ -589,12 +612,12 @@
 if(errors === _errs22){
 if((typeof data9 == "number") && (isFinite(data9))){
 if(data9 < 0 || isNaN(data9)){
-validate28.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema44.properties.age,data:data9}];
+validate28.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema45.properties.age,data:data9}];
 return false;
 }
 }
 else {
-validate28.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.age.type,parentSchema:schema44.properties.age,data:data9}];
+validate28.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema45.properties.age.type,parentSchema:schema45.properties.age,data:data9}];
 return false;
 }
 }
@@ -610,12 +633,12 @@
 if(errors === _errs24){
 if((typeof data10 == "number") && (isFinite(data10))){
 if(data10 < 0 || isNaN(data10)){
-validate28.errors = [{instancePath:instancePath+"/cold",schemaPath:"#/properties/cold/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema44.properties.cold,data:data10}];
+validate28.errors = [{instancePath:instancePath+"/cold",schemaPath:"#/properties/cold/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema45.properties.cold,data:data10}];
 return false;
 }
 }
 else {
-validate28.errors = [{instancePath:instancePath+"/cold",schemaPath:"#/properties/cold/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema44.properties.cold.type,parentSchema:schema44.properties.cold,data:data10}];
+validate28.errors = [{instancePath:instancePath+"/cold",schemaPath:"#/properties/cold/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema45.properties.cold.type,parentSchema:schema45.properties.cold,data:data10}];
 return false;
 }
 }
@@ -629,7 +652,7 @@
 let data11 = data.silent;
 const _errs26 = errors;
 if(typeof data11 !== "boolean"){
-validate28.errors = [{instancePath:instancePath+"/silent",schemaPath:"#/properties/silent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema44.properties.silent.type,parentSchema:schema44.properties.silent,data:data11}];
+validate28.errors = [{instancePath:instancePath+"/silent",schemaPath:"#/properties/silent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema45.properties.silent.type,parentSchema:schema45.properties.silent,data:data11}];
 return false;
 }
 var valid0 = _errs26 === errors;
@@ -651,7 +674,7 @@
 }
 }
 else {
-validate28.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema44.type,parentSchema:schema44,data}];
+validate28.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema45.type,parentSchema:schema45,data}];
 return false;
 }
 }
@@ -675,7 +698,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.sightings === undefined) && (missing0 = "sightings"))){
-validate27.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema43.required,parentSchema:schema43,data}];
+validate27.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema44.required,parentSchema:schema44,data}];
 return false;
 }
 else {
@@ -683,11 +706,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate27.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema43.properties.type.type,parentSchema:schema43.properties.type,data:data0}];
+validate27.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema44.properties.type.type,parentSchema:schema44.properties.type,data:data0}];
 return false;
 }
 if("note" !== data0){
-validate27.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "note"},message:"must be equal to constant",schema:"note",parentSchema:schema43.properties.type,data:data0}];
+validate27.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "note"},message:"must be equal to constant",schema:"note",parentSchema:schema44.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -716,7 +739,7 @@
 }
 }
 else {
-validate27.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema43.properties.sightings.type,parentSchema:schema43.properties.sightings,data:data1}];
+validate27.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema44.properties.sightings.type,parentSchema:schema44.properties.sightings,data:data1}];
 return false;
 }
 }
@@ -729,7 +752,7 @@
 }
 }
 else {
-validate27.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema43.type,parentSchema:schema43,data}];
+validate27.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema44.type,parentSchema:schema44,data}];
 return false;
 }
 }
@@ -738,8 +761,8 @@
 }
 validate27.evaluated = {"props":{"type":true,"sightings":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema49 = {"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}};
-const schema51 = {"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256};
+const schema50 = {"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}};
+const schema52 = {"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256};
 
 function validate30(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -755,7 +778,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))) || ((data.stage === undefined) && (missing0 = "stage"))) || ((data.pieces === undefined) && (missing0 = "pieces"))) || ((data.bytes === undefined) && (missing0 = "bytes"))) || ((data.remaining === undefined) && (missing0 = "remaining"))) || ((data.rank === undefined) && (missing0 = "rank"))){
-validate30.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema49.required,parentSchema:schema49,data}];
+validate30.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema50.required,parentSchema:schema50,data}];
 return false;
 }
 else {
@@ -763,11 +786,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate30.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.type.type,parentSchema:schema49.properties.type,data:data0}];
+validate30.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema50.properties.type.type,parentSchema:schema50.properties.type,data:data0}];
 return false;
 }
 if("make" !== data0){
-validate30.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "make"},message:"must be equal to constant",schema:"make",parentSchema:schema49.properties.type,data:data0}];
+validate30.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "make"},message:"must be equal to constant",schema:"make",parentSchema:schema50.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -811,18 +834,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
+validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
+validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
+validate30.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -912,7 +935,7 @@
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/properties/pieces/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema49.properties.pieces.type,parentSchema:schema49.properties.pieces,data:data5}];
+validate30.errors = [{instancePath:instancePath+"/pieces",schemaPath:"#/properties/pieces/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema50.properties.pieces.type,parentSchema:schema50.properties.pieces,data:data5}];
 return false;
 }
 }
@@ -926,7 +949,7 @@
 let data7 = data.key;
 const _errs20 = errors;
 if(typeof data7 !== "string"){
-validate30.errors = [{instancePath:instancePath+"/key",schemaPath:"#/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.key.type,parentSchema:schema49.properties.key,data:data7}];
+validate30.errors = [{instancePath:instancePath+"/key",schemaPath:"#/properties/key/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema50.properties.key.type,parentSchema:schema50.properties.key,data:data7}];
 return false;
 }
 var valid0 = _errs20 === errors;
@@ -946,7 +969,7 @@
 let data9 = data8[i1];
 const _errs24 = errors;
 if(typeof data9 !== "string"){
-validate30.errors = [{instancePath:instancePath+"/inputs/" + i1,schemaPath:"#/properties/inputs/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.inputs.items.type,parentSchema:schema49.properties.inputs.items,data:data9}];
+validate30.errors = [{instancePath:instancePath+"/inputs/" + i1,schemaPath:"#/properties/inputs/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema50.properties.inputs.items.type,parentSchema:schema50.properties.inputs.items,data:data9}];
 return false;
 }
 var valid7 = _errs24 === errors;
@@ -956,7 +979,7 @@
 }
 }
 else {
-validate30.errors = [{instancePath:instancePath+"/inputs",schemaPath:"#/properties/inputs/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema49.properties.inputs.type,parentSchema:schema49.properties.inputs,data:data8}];
+validate30.errors = [{instancePath:instancePath+"/inputs",schemaPath:"#/properties/inputs/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema50.properties.inputs.type,parentSchema:schema50.properties.inputs,data:data8}];
 return false;
 }
 }
@@ -970,7 +993,7 @@
 let data10 = data.bytes;
 const _errs26 = errors;
 if(!((typeof data10 == "number") && (isFinite(data10)))){
-validate30.errors = [{instancePath:instancePath+"/bytes",schemaPath:"#/properties/bytes/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.bytes.type,parentSchema:schema49.properties.bytes,data:data10}];
+validate30.errors = [{instancePath:instancePath+"/bytes",schemaPath:"#/properties/bytes/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema50.properties.bytes.type,parentSchema:schema50.properties.bytes,data:data10}];
 return false;
 }
 var valid0 = _errs26 === errors;
@@ -983,7 +1006,7 @@
 let data11 = data.moved;
 const _errs28 = errors;
 if(!((typeof data11 == "number") && (isFinite(data11)))){
-validate30.errors = [{instancePath:instancePath+"/moved",schemaPath:"#/properties/moved/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.moved.type,parentSchema:schema49.properties.moved,data:data11}];
+validate30.errors = [{instancePath:instancePath+"/moved",schemaPath:"#/properties/moved/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema50.properties.moved.type,parentSchema:schema50.properties.moved,data:data11}];
 return false;
 }
 var valid0 = _errs28 === errors;
@@ -996,7 +1019,7 @@
 let data12 = data.remaining;
 const _errs30 = errors;
 if(!((typeof data12 == "number") && (isFinite(data12)))){
-validate30.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.remaining.type,parentSchema:schema49.properties.remaining,data:data12}];
+validate30.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema50.properties.remaining.type,parentSchema:schema50.properties.remaining,data:data12}];
 return false;
 }
 var valid0 = _errs30 === errors;
@@ -1009,7 +1032,7 @@
 let data13 = data.slack;
 const _errs32 = errors;
 if(!((typeof data13 == "number") && (isFinite(data13)))){
-validate30.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.slack.type,parentSchema:schema49.properties.slack,data:data13}];
+validate30.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema50.properties.slack.type,parentSchema:schema50.properties.slack,data:data13}];
 return false;
 }
 var valid0 = _errs32 === errors;
@@ -1022,7 +1045,7 @@
 let data14 = data.rank;
 const _errs34 = errors;
 if(!((typeof data14 == "number") && (isFinite(data14)))){
-validate30.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema49.properties.rank.type,parentSchema:schema49.properties.rank,data:data14}];
+validate30.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema50.properties.rank.type,parentSchema:schema50.properties.rank,data:data14}];
 return false;
 }
 var valid0 = _errs34 === errors;
@@ -1035,7 +1058,7 @@
 let data15 = data.dataCentre;
 const _errs36 = errors;
 if(typeof data15 !== "string"){
-validate30.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/properties/dataCentre/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema49.properties.dataCentre.type,parentSchema:schema49.properties.dataCentre,data:data15}];
+validate30.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/properties/dataCentre/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema50.properties.dataCentre.type,parentSchema:schema50.properties.dataCentre,data:data15}];
 return false;
 }
 var valid0 = _errs36 === errors;
@@ -1059,7 +1082,7 @@
 }
 }
 else {
-validate30.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema49.type,parentSchema:schema49,data}];
+validate30.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema50.type,parentSchema:schema50,data}];
 return false;
 }
 }
@@ -1068,7 +1091,7 @@
 }
 validate30.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true,"stage":true,"pieces":true,"key":true,"inputs":true,"bytes":true,"moved":true,"remaining":true,"slack":true,"rank":true,"dataCentre":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema55 = {"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}};
+const schema56 = {"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}};
 
 function validate31(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1084,7 +1107,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))) || ((data.stage === undefined) && (missing0 = "stage"))) || ((data.pieces === undefined) && (missing0 = "pieces"))) || ((data.slack === undefined) && (missing0 = "slack"))) || ((data.rank === undefined) && (missing0 = "rank"))){
-validate31.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema55.required,parentSchema:schema55,data}];
+validate31.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema56.required,parentSchema:schema56,data}];
 return false;
 }
 else {
@@ -1092,11 +1115,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema55.properties.type.type,parentSchema:schema55.properties.type,data:data0}];
+validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema56.properties.type.type,parentSchema:schema56.properties.type,data:data0}];
 return false;
 }
 if("book" !== data0){
-validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "book"},message:"must be equal to constant",schema:"book",parentSchema:schema55.properties.type,data:data0}];
+validate31.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "book"},message:"must be equal to constant",schema:"book",parentSchema:schema56.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -1140,18 +1163,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
+validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
+validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
+validate31.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -1237,7 +1260,7 @@
 let data6 = data.slack;
 const _errs18 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate31.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema55.properties.slack.type,parentSchema:schema55.properties.slack,data:data6}];
+validate31.errors = [{instancePath:instancePath+"/slack",schemaPath:"#/properties/slack/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema56.properties.slack.type,parentSchema:schema56.properties.slack,data:data6}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -1250,7 +1273,7 @@
 let data7 = data.rank;
 const _errs20 = errors;
 if(!((typeof data7 == "number") && (isFinite(data7)))){
-validate31.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema55.properties.rank.type,parentSchema:schema55.properties.rank,data:data7}];
+validate31.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/properties/rank/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema56.properties.rank.type,parentSchema:schema56.properties.rank,data:data7}];
 return false;
 }
 var valid0 = _errs20 === errors;
@@ -1268,7 +1291,7 @@
 }
 }
 else {
-validate31.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema55.type,parentSchema:schema55,data}];
+validate31.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema56.type,parentSchema:schema56,data}];
 return false;
 }
 }
@@ -1277,10 +1300,10 @@
 }
 validate31.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true,"stage":true,"pieces":true,"slack":true,"rank":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema61 = {"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}};
-const schema67 = {"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300};
-const schema64 = {"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}};
-const schema65 = {"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}};
+const schema62 = {"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}};
+const schema68 = {"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300};
+const schema65 = {"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}};
+const schema66 = {"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}};
 
 function validate34(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1296,7 +1319,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.id === undefined) && (missing0 = "id")) || ((data.tokens === undefined) && (missing0 = "tokens"))){
-validate34.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema65.required,parentSchema:schema65,data}];
+validate34.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema66.required,parentSchema:schema66,data}];
 return false;
 }
 else {
@@ -1334,12 +1357,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate34.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema65.properties.tokens,data:data1}];
+validate34.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema66.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate34.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema65.properties.tokens.type,parentSchema:schema65.properties.tokens,data:data1}];
+validate34.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema66.properties.tokens.type,parentSchema:schema66.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -1352,7 +1375,7 @@
 }
 }
 else {
-validate34.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema65.type,parentSchema:schema65,data}];
+validate34.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema66.type,parentSchema:schema66,data}];
 return false;
 }
 }
@@ -1376,7 +1399,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.model === undefined) && (missing0 = "model")) || ((data.inputTokens === undefined) && (missing0 = "inputTokens"))) || ((data.outputTokens === undefined) && (missing0 = "outputTokens"))) || ((data.parts === undefined) && (missing0 = "parts"))){
-validate33.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema64.required,parentSchema:schema64,data}];
+validate33.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema65.required,parentSchema:schema65,data}];
 return false;
 }
 else {
@@ -1384,7 +1407,7 @@
 let data0 = data.model;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate33.errors = [{instancePath:instancePath+"/model",schemaPath:"#/properties/model/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema64.properties.model.type,parentSchema:schema64.properties.model,data:data0}];
+validate33.errors = [{instancePath:instancePath+"/model",schemaPath:"#/properties/model/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema65.properties.model.type,parentSchema:schema65.properties.model,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -1399,12 +1422,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate33.errors = [{instancePath:instancePath+"/inputTokens",schemaPath:"#/properties/inputTokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema64.properties.inputTokens,data:data1}];
+validate33.errors = [{instancePath:instancePath+"/inputTokens",schemaPath:"#/properties/inputTokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema65.properties.inputTokens,data:data1}];
 return false;
 }
 }
 else {
-validate33.errors = [{instancePath:instancePath+"/inputTokens",schemaPath:"#/properties/inputTokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema64.properties.inputTokens.type,parentSchema:schema64.properties.inputTokens,data:data1}];
+validate33.errors = [{instancePath:instancePath+"/inputTokens",schemaPath:"#/properties/inputTokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema65.properties.inputTokens.type,parentSchema:schema65.properties.inputTokens,data:data1}];
 return false;
 }
 }
@@ -1420,12 +1443,12 @@
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate33.errors = [{instancePath:instancePath+"/outputTokens",schemaPath:"#/properties/outputTokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema64.properties.outputTokens,data:data2}];
+validate33.errors = [{instancePath:instancePath+"/outputTokens",schemaPath:"#/properties/outputTokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema65.properties.outputTokens,data:data2}];
 return false;
 }
 }
 else {
-validate33.errors = [{instancePath:instancePath+"/outputTokens",schemaPath:"#/properties/outputTokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema64.properties.outputTokens.type,parentSchema:schema64.properties.outputTokens,data:data2}];
+validate33.errors = [{instancePath:instancePath+"/outputTokens",schemaPath:"#/properties/outputTokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema65.properties.outputTokens.type,parentSchema:schema65.properties.outputTokens,data:data2}];
 return false;
 }
 }
@@ -1455,7 +1478,7 @@
 }
 }
 else {
-validate33.errors = [{instancePath:instancePath+"/parts",schemaPath:"#/properties/parts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema64.properties.parts.type,parentSchema:schema64.properties.parts,data:data3}];
+validate33.errors = [{instancePath:instancePath+"/parts",schemaPath:"#/properties/parts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema65.properties.parts.type,parentSchema:schema65.properties.parts,data:data3}];
 return false;
 }
 }
@@ -1470,7 +1493,7 @@
 }
 }
 else {
-validate33.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema64.type,parentSchema:schema64,data}];
+validate33.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema65.type,parentSchema:schema65,data}];
 return false;
 }
 }
@@ -1494,7 +1517,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.partition === undefined) && (missing0 = "partition"))) || ((data.prompt === undefined) && (missing0 = "prompt"))) || ((data.tried === undefined) && (missing0 = "tried"))) || ((data.sent === undefined) && (missing0 = "sent"))){
-validate32.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema61.required,parentSchema:schema61,data}];
+validate32.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema62.required,parentSchema:schema62,data}];
 return false;
 }
 else {
@@ -1502,11 +1525,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate32.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema61.properties.type.type,parentSchema:schema61.properties.type,data:data0}];
+validate32.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema62.properties.type.type,parentSchema:schema62.properties.type,data:data0}];
 return false;
 }
 if("place" !== data0){
-validate32.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "place"},message:"must be equal to constant",schema:"place",parentSchema:schema61.properties.type,data:data0}];
+validate32.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "place"},message:"must be equal to constant",schema:"place",parentSchema:schema62.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -1550,18 +1573,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate32.errors = [{instancePath:instancePath+"/partition",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
+validate32.errors = [{instancePath:instancePath+"/partition",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate32.errors = [{instancePath:instancePath+"/partition",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
+validate32.errors = [{instancePath:instancePath+"/partition",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate32.errors = [{instancePath:instancePath+"/partition",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
+validate32.errors = [{instancePath:instancePath+"/partition",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -1590,18 +1613,18 @@
 if(errors === _errs11){
 if(typeof data4 === "string"){
 if(data4.length > 300){
-validate32.errors = [{instancePath:instancePath+"/planned",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema67,data:data4}];
+validate32.errors = [{instancePath:instancePath+"/planned",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data4}];
 return false;
 }
 else {
 if(data4.length < 1){
-validate32.errors = [{instancePath:instancePath+"/planned",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema67,data:data4}];
+validate32.errors = [{instancePath:instancePath+"/planned",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data4}];
 return false;
 }
 }
 }
 else {
-validate32.errors = [{instancePath:instancePath+"/planned",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.type,parentSchema:schema67,data:data4}];
+validate32.errors = [{instancePath:instancePath+"/planned",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data4}];
 return false;
 }
 }
@@ -1625,18 +1648,18 @@
 if(errors === _errs16){
 if(typeof data6 === "string"){
 if(data6.length > 300){
-validate32.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema67,data:data6}];
+validate32.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data6}];
 return false;
 }
 else {
 if(data6.length < 1){
-validate32.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema67,data:data6}];
+validate32.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data6}];
 return false;
 }
 }
 }
 else {
-validate32.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.type,parentSchema:schema67,data:data6}];
+validate32.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data6}];
 return false;
 }
 }
@@ -1647,7 +1670,7 @@
 }
 }
 else {
-validate32.errors = [{instancePath:instancePath+"/tried",schemaPath:"#/properties/tried/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema61.properties.tried.type,parentSchema:schema61.properties.tried,data:data5}];
+validate32.errors = [{instancePath:instancePath+"/tried",schemaPath:"#/properties/tried/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema62.properties.tried.type,parentSchema:schema62.properties.tried,data:data5}];
 return false;
 }
 }
@@ -1661,7 +1684,7 @@
 let data7 = data.sent;
 const _errs18 = errors;
 if(typeof data7 !== "boolean"){
-validate32.errors = [{instancePath:instancePath+"/sent",schemaPath:"#/properties/sent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema61.properties.sent.type,parentSchema:schema61.properties.sent,data:data7}];
+validate32.errors = [{instancePath:instancePath+"/sent",schemaPath:"#/properties/sent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema62.properties.sent.type,parentSchema:schema62.properties.sent,data:data7}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -1678,7 +1701,7 @@
 }
 }
 else {
-validate32.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema61.type,parentSchema:schema61,data}];
+validate32.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema62.type,parentSchema:schema62,data}];
 return false;
 }
 }
@@ -1687,6 +1710,448 @@
 }
 validate32.evaluated = {"props":{"type":true,"service":true,"partition":true,"prompt":true,"planned":true,"tried":true,"sent":true},"dynamicProps":false,"dynamicItems":false};
 
+const schema70 = {"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema71 = {"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}};
+const schema72 = {"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}};
+
+function validate39(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate39.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((data.endpoint === undefined) && (missing0 = "endpoint")) || ((data.age === undefined) && (missing0 = "age"))){
+validate39.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema72.required,parentSchema:schema72,data}];
+return false;
+}
+else {
+if(data.endpoint !== undefined){
+let data0 = data.endpoint;
+const _errs1 = errors;
+const _errs2 = errors;
+if(errors === _errs2){
+if(typeof data0 === "string"){
+if(data0.length > 300){
+validate39.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data0}];
+return false;
+}
+else {
+if(data0.length < 1){
+validate39.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data0}];
+return false;
+}
+}
+}
+else {
+validate39.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data0}];
+return false;
+}
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.age !== undefined){
+let data1 = data.age;
+const _errs4 = errors;
+if(errors === _errs4){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 < 0 || isNaN(data1)){
+validate39.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema72.properties.age,data:data1}];
+return false;
+}
+}
+else {
+validate39.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema72.properties.age.type,parentSchema:schema72.properties.age,data:data1}];
+return false;
+}
+}
+var valid0 = _errs4 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.refuted !== undefined){
+let data2 = data.refuted;
+const _errs6 = errors;
+if(typeof data2 !== "boolean"){
+validate39.errors = [{instancePath:instancePath+"/refuted",schemaPath:"#/properties/refuted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema72.properties.refuted.type,parentSchema:schema72.properties.refuted,data:data2}];
+return false;
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+else {
+validate39.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema72.type,parentSchema:schema72,data}];
+return false;
+}
+}
+validate39.errors = vErrors;
+return errors === 0;
+}
+validate39.evaluated = {"props":{"endpoint":true,"age":true,"refuted":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate38(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate38.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((((data.fingerprint === undefined) && (missing0 = "fingerprint")) || ((data.crashes === undefined) && (missing0 = "crashes"))) || ((data.acquittals === undefined) && (missing0 = "acquittals"))) || ((data.trials === undefined) && (missing0 = "trials"))){
+validate38.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema71.required,parentSchema:schema71,data}];
+return false;
+}
+else {
+if(data.fingerprint !== undefined){
+let data0 = data.fingerprint;
+const _errs1 = errors;
+if(errors === _errs1){
+if(typeof data0 === "string"){
+if(data0.length > 64){
+validate38.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema71.properties.fingerprint,data:data0}];
+return false;
+}
+else {
+if(data0.length < 1){
+validate38.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema71.properties.fingerprint,data:data0}];
+return false;
+}
+}
+}
+else {
+validate38.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema71.properties.fingerprint.type,parentSchema:schema71.properties.fingerprint,data:data0}];
+return false;
+}
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.crashes !== undefined){
+let data1 = data.crashes;
+const _errs3 = errors;
+if(errors === _errs3){
+if(Array.isArray(data1)){
+if(data1.length > 64){
+validate38.errors = [{instancePath:instancePath+"/crashes",schemaPath:"#/properties/crashes/maxItems",keyword:"maxItems",params:{limit: 64},message:"must NOT have more than 64 items",schema:64,parentSchema:schema71.properties.crashes,data:data1}];
+return false;
+}
+else {
+var valid1 = true;
+const len0 = data1.length;
+for(let i0=0; i0<len0; i0++){
+const _errs5 = errors;
+if(!(validate39(data1[i0], {instancePath:instancePath+"/crashes/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate39.errors : vErrors.concat(validate39.errors);
+errors = vErrors.length;
+}
+var valid1 = _errs5 === errors;
+if(!valid1){
+break;
+}
+}
+}
+}
+else {
+validate38.errors = [{instancePath:instancePath+"/crashes",schemaPath:"#/properties/crashes/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema71.properties.crashes.type,parentSchema:schema71.properties.crashes,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.acquittals !== undefined){
+let data3 = data.acquittals;
+const _errs6 = errors;
+const _errs7 = errors;
+if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
+validate38.errors = [{instancePath:instancePath+"/acquittals",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data3}];
+return false;
+}
+if(errors === _errs7){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate38.errors = [{instancePath:instancePath+"/acquittals",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data3}];
+return false;
+}
+}
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.trials !== undefined){
+let data4 = data.trials;
+const _errs9 = errors;
+const _errs10 = errors;
+if(!(((typeof data4 == "number") && (!(data4 % 1) && !isNaN(data4))) && (isFinite(data4)))){
+validate38.errors = [{instancePath:instancePath+"/trials",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data4}];
+return false;
+}
+if(errors === _errs10){
+if((typeof data4 == "number") && (isFinite(data4))){
+if(data4 < 0 || isNaN(data4)){
+validate38.errors = [{instancePath:instancePath+"/trials",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data4}];
+return false;
+}
+}
+}
+var valid0 = _errs9 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+else {
+validate38.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema71.type,parentSchema:schema71,data}];
+return false;
+}
+}
+validate38.errors = vErrors;
+return errors === 0;
+}
+validate38.evaluated = {"props":{"fingerprint":true,"crashes":true,"acquittals":true,"trials":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate37(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate37.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
+validate37.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema70.required,parentSchema:schema70,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate37.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema70.properties.type.type,parentSchema:schema70.properties.type,data:data0}];
+return false;
+}
+if("suspects" !== data0){
+validate37.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema70.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.suspects !== undefined){
+let data1 = data.suspects;
+const _errs3 = errors;
+if(errors === _errs3){
+if(Array.isArray(data1)){
+var valid1 = true;
+const len0 = data1.length;
+for(let i0=0; i0<len0; i0++){
+const _errs5 = errors;
+if(!(validate38(data1[i0], {instancePath:instancePath+"/suspects/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate38.errors : vErrors.concat(validate38.errors);
+errors = vErrors.length;
+}
+var valid1 = _errs5 === errors;
+if(!valid1){
+break;
+}
+}
+}
+else {
+validate37.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema70.properties.suspects.type,parentSchema:schema70.properties.suspects,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+else {
+validate37.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema70.type,parentSchema:schema70,data}];
+return false;
+}
+}
+validate37.errors = vErrors;
+return errors === 0;
+}
+validate37.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
+
+const schema76 = {"title":"TrialQuestion","description":"Asks for leave to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"trial"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}};
+
+function validate42(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate42.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((((data.type === undefined) && (missing0 = "type")) || ((data.fingerprint === undefined) && (missing0 = "fingerprint"))) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.remaining === undefined) && (missing0 = "remaining"))){
+validate42.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema76.required,parentSchema:schema76,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.type.type,parentSchema:schema76.properties.type,data:data0}];
+return false;
+}
+if("trial" !== data0){
+validate42.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "trial"},message:"must be equal to constant",schema:"trial",parentSchema:schema76.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.fingerprint !== undefined){
+let data1 = data.fingerprint;
+const _errs3 = errors;
+if(errors === _errs3){
+if(typeof data1 === "string"){
+if(data1.length > 64){
+validate42.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema76.properties.fingerprint,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate42.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema76.properties.fingerprint,data:data1}];
+return false;
+}
+}
+}
+else {
+validate42.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.fingerprint.type,parentSchema:schema76.properties.fingerprint,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.endpoint !== undefined){
+let data2 = data.endpoint;
+const _errs5 = errors;
+const _errs6 = errors;
+if(errors === _errs6){
+if(typeof data2 === "string"){
+if(data2.length > 300){
+validate42.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data2}];
+return false;
+}
+else {
+if(data2.length < 1){
+validate42.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data2}];
+return false;
+}
+}
+}
+else {
+validate42.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data2}];
+return false;
+}
+}
+var valid0 = _errs5 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.remaining !== undefined){
+let data3 = data.remaining;
+const _errs8 = errors;
+if(errors === _errs8){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate42.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema76.properties.remaining,data:data3}];
+return false;
+}
+}
+else {
+validate42.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema76.properties.remaining.type,parentSchema:schema76.properties.remaining,data:data3}];
+return false;
+}
+}
+var valid0 = _errs8 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+else {
+validate42.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema76.type,parentSchema:schema76,data}];
+return false;
+}
+}
+validate42.errors = vErrors;
+return errors === 0;
+}
+validate42.evaluated = {"props":{"type":true,"fingerprint":true,"endpoint":true,"remaining":true},"dynamicProps":false,"dynamicItems":false};
+
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1714,25 +2179,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if((data.type === undefined) && (missing1 = "type")){
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema69.required,parentSchema:schema69,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema78.required,parentSchema:schema78,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data0 = data.type;
 if(typeof data0 !== "string"){
-validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema69.properties.type.type,parentSchema:schema69.properties.type,data:data0}];
+validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema78.properties.type.type,parentSchema:schema78.properties.type,data:data0}];
 return false;
 }
 if("confirm" !== data0){
-validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/const",keyword:"const",params:{allowedValue: "confirm"},message:"must be equal to constant",schema:"confirm",parentSchema:schema69.properties.type,data:data0}];
+validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/const",keyword:"const",params:{allowedValue: "confirm"},message:"must be equal to constant",schema:"confirm",parentSchema:schema78.properties.type,data:data0}];
 return false;
 }
 }
 }
 }
 else {
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema69.type,parentSchema:schema69,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema78.type,parentSchema:schema78,data}];
 return false;
 }
 }
@@ -1765,6 +2230,7 @@
 props0.revision = true;
 props0.mark = true;
 props0.host = true;
+props0.suspectRevision = true;
 }
 }
 else if(tag0 === "note"){
@@ -1834,6 +2300,30 @@
 props0.sent = true;
 }
 }
+else if(tag0 === "suspects"){
+if(!(validate37(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate37.errors : vErrors.concat(validate37.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.suspects = true;
+}
+}
+else if(tag0 === "trial"){
+if(!(validate42(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate42.errors : vErrors.concat(validate42.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.fingerprint = true;
+props0.endpoint = true;
+props0.remaining = true;
+}
+}
 else {
 validate22.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema34.discriminator,parentSchema:schema34,data}];
 return false;
@@ -1939,17 +2429,18 @@
 }
 validate21.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema70 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema72 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"}]};
-const schema88 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema89 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema90 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}};
-const schema73 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
+const schema79 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema81 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/TrialReply"}]};
+const schema98 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema99 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema100 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}};
+const schema101 = {"title":"TrialReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"trial"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
+const schema82 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
 
-function validate46(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate54(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate46.evaluated;
+const evaluated0 = validate54.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -1960,7 +2451,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate46.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema73.required,parentSchema:schema73,data}];
+validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema82.required,parentSchema:schema82,data}];
 return false;
 }
 else {
@@ -1968,11 +2459,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate46.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema73.properties.type.type,parentSchema:schema73.properties.type,data:data0}];
+validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema82.properties.type.type,parentSchema:schema82.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate46.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema73.properties.type,data:data0}];
+validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema82.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -1986,13 +2477,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate46.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate54.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate46.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate54.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -2006,21 +2497,21 @@
 }
 }
 else {
-validate46.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema73.type,parentSchema:schema73,data}];
+validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema82.type,parentSchema:schema82,data}];
 return false;
 }
 }
-validate46.errors = vErrors;
+validate54.errors = vErrors;
 return errors === 0;
 }
-validate46.evaluated = {"props":{"type":true,"index":true},"dynamicProps":false,"dynamicItems":false};
+validate54.evaluated = {"props":{"type":true,"index":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema75 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema84 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
-function validate47(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate55(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate47.evaluated;
+const evaluated0 = validate55.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2031,7 +2522,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate47.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema75.required,parentSchema:schema75,data}];
+validate55.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema84.required,parentSchema:schema84,data}];
 return false;
 }
 else {
@@ -2039,11 +2530,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate47.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema75.properties.type.type,parentSchema:schema75.properties.type,data:data0}];
+validate55.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema84.properties.type.type,parentSchema:schema84.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate47.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema75.properties.type,data:data0}];
+validate55.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema84.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2056,7 +2547,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate47.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema75.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema75.properties.verdict.enum,parentSchema:schema75.properties.verdict,data:data1}];
+validate55.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema84.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema84.properties.verdict.enum,parentSchema:schema84.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -2070,13 +2561,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate47.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate55.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate47.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate55.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -2091,21 +2582,21 @@
 }
 }
 else {
-validate47.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema75.type,parentSchema:schema75,data}];
+validate55.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema84.type,parentSchema:schema84,data}];
 return false;
 }
 }
-validate47.errors = vErrors;
+validate55.errors = vErrors;
 return errors === 0;
 }
-validate47.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
+validate55.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema77 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema86 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
 
-function validate48(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate56(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate48.evaluated;
+const evaluated0 = validate56.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2116,7 +2607,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate48.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema77.required,parentSchema:schema77,data}];
+validate56.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema86.required,parentSchema:schema86,data}];
 return false;
 }
 else {
@@ -2124,11 +2615,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate48.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.type.type,parentSchema:schema77.properties.type,data:data0}];
+validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.type.type,parentSchema:schema86.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate48.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema77.properties.type,data:data0}];
+validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema86.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2141,7 +2632,7 @@
 let data1 = data.confirmed;
 const _errs3 = errors;
 if(typeof data1 !== "boolean"){
-validate48.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema77.properties.confirmed.type,parentSchema:schema77.properties.confirmed,data:data1}];
+validate56.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema86.properties.confirmed.type,parentSchema:schema86.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -2155,13 +2646,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate48.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate56.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate48.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate56.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -2176,7 +2667,7 @@
 let data3 = data.document;
 const _errs8 = errors;
 if(typeof data3 !== "string"){
-validate48.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.document.type,parentSchema:schema77.properties.document,data:data3}];
+validate56.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.document.type,parentSchema:schema86.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs8 === errors;
@@ -2189,7 +2680,7 @@
 let data4 = data.epoch;
 const _errs10 = errors;
 if(typeof data4 !== "string"){
-validate48.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.epoch.type,parentSchema:schema77.properties.epoch,data:data4}];
+validate56.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.epoch.type,parentSchema:schema86.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs10 === errors;
@@ -2203,13 +2694,13 @@
 const _errs12 = errors;
 const _errs13 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
-validate48.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+validate56.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate48.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
+validate56.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
 return false;
 }
 }
@@ -2240,7 +2731,7 @@
 }
 }
 else {
-validate48.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema77.properties.sightings.type,parentSchema:schema77.properties.sightings,data:data6}];
+validate56.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.sightings.type,parentSchema:schema86.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -2254,7 +2745,7 @@
 let data8 = data.mark;
 const _errs18 = errors;
 if(typeof data8 !== "string"){
-validate48.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.mark.type,parentSchema:schema77.properties.mark,data:data8}];
+validate56.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.mark.type,parentSchema:schema86.properties.mark,data:data8}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -2283,7 +2774,7 @@
 }
 }
 else {
-validate48.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema77.properties.hosts.type,parentSchema:schema77.properties.hosts,data:data9}];
+validate56.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.hosts.type,parentSchema:schema86.properties.hosts,data:data9}];
 return false;
 }
 }
@@ -2307,18 +2798,18 @@
 if(errors === _errs26){
 if(typeof data12 === "string"){
 if(data12.length > 256){
-validate48.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data12}];
+validate56.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data12}];
 return false;
 }
 else {
 if(data12.length < 1){
-validate48.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data12}];
+validate56.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data12}];
 return false;
 }
 }
 }
 else {
-validate48.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data12}];
+validate56.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data12}];
 return false;
 }
 }
@@ -2329,7 +2820,7 @@
 }
 }
 else {
-validate48.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema77.properties.cores.type,parentSchema:schema77.properties.cores,data:data11}];
+validate56.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.cores.type,parentSchema:schema86.properties.cores,data:data11}];
 return false;
 }
 }
@@ -2338,6 +2829,60 @@
 else {
 var valid0 = true;
 }
+if(valid0){
+if(data.suspectRevision !== undefined){
+let data13 = data.suspectRevision;
+const _errs28 = errors;
+const _errs29 = errors;
+if(!(((typeof data13 == "number") && (!(data13 % 1) && !isNaN(data13))) && (isFinite(data13)))){
+validate56.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data13}];
+return false;
+}
+if(errors === _errs29){
+if((typeof data13 == "number") && (isFinite(data13))){
+if(data13 < 0 || isNaN(data13)){
+validate56.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data13}];
+return false;
+}
+}
+}
+var valid0 = _errs28 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.suspects !== undefined){
+let data14 = data.suspects;
+const _errs31 = errors;
+if(errors === _errs31){
+if(Array.isArray(data14)){
+var valid8 = true;
+const len3 = data14.length;
+for(let i3=0; i3<len3; i3++){
+const _errs33 = errors;
+if(!(validate38(data14[i3], {instancePath:instancePath+"/suspects/" + i3,parentData:data14,parentDataProperty:i3,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate38.errors : vErrors.concat(validate38.errors);
+errors = vErrors.length;
+}
+var valid8 = _errs33 === errors;
+if(!valid8){
+break;
+}
+}
+}
+else {
+validate56.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.suspects.type,parentSchema:schema86.properties.suspects,data:data14}];
+return false;
+}
+}
+var valid0 = _errs31 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
 }
 }
 }
@@ -2350,22 +2895,22 @@
 }
 }
 else {
-validate48.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema77.type,parentSchema:schema77,data}];
+validate56.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema86.type,parentSchema:schema86,data}];
 return false;
 }
 }
-validate48.errors = vErrors;
+validate56.errors = vErrors;
 return errors === 0;
 }
-validate48.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true},"dynamicProps":false,"dynamicItems":false};
+validate56.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"suspectRevision":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema81 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema82 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema91 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema92 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
-function validate52(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate61(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate52.evaluated;
+const evaluated0 = validate61.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2376,7 +2921,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate52.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema82.required,parentSchema:schema82,data}];
+validate61.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema92.required,parentSchema:schema92,data}];
 return false;
 }
 else {
@@ -2385,13 +2930,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate52.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate61.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate52.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate61.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -2406,7 +2951,7 @@
 let data1 = data.handle;
 const _errs4 = errors;
 if(typeof data1 !== "string"){
-validate52.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema82.properties.handle.type,parentSchema:schema82.properties.handle,data:data1}];
+validate61.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema92.properties.handle.type,parentSchema:schema92.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -2419,7 +2964,7 @@
 let data2 = data.failure;
 const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate52.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema82.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema82.properties.failure.enum,parentSchema:schema82.properties.failure,data:data2}];
+validate61.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema92.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema92.properties.failure.enum,parentSchema:schema92.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -2432,20 +2977,20 @@
 }
 }
 else {
-validate52.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema82.type,parentSchema:schema82,data}];
+validate61.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema92.type,parentSchema:schema92,data}];
 return false;
 }
 }
-validate52.errors = vErrors;
+validate61.errors = vErrors;
 return errors === 0;
 }
-validate52.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
+validate61.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate51(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate60(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate51.evaluated;
+const evaluated0 = validate60.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2456,7 +3001,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate51.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema81.required,parentSchema:schema81,data}];
+validate60.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema91.required,parentSchema:schema91,data}];
 return false;
 }
 else {
@@ -2464,11 +3009,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate51.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema81.properties.type.type,parentSchema:schema81.properties.type,data:data0}];
+validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema91.properties.type.type,parentSchema:schema91.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate51.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema81.properties.type,data:data0}];
+validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema91.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2486,8 +3031,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate52(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate52.errors : vErrors.concat(validate52.errors);
+if(!(validate61(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate61.errors : vErrors.concat(validate61.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -2497,7 +3042,7 @@
 }
 }
 else {
-validate51.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema81.properties.results.type,parentSchema:schema81.properties.results,data:data1}];
+validate60.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema91.properties.results.type,parentSchema:schema91.properties.results,data:data1}];
 return false;
 }
 }
@@ -2510,22 +3055,22 @@
 }
 }
 else {
-validate51.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
+validate60.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema91.type,parentSchema:schema91,data}];
 return false;
 }
 }
-validate51.errors = vErrors;
+validate60.errors = vErrors;
 return errors === 0;
 }
-validate51.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
+validate60.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema84 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
-const schema87 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
+const schema94 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
+const schema97 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
 
-function validate54(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate63(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate54.evaluated;
+const evaluated0 = validate63.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2536,7 +3081,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((data.type === undefined) && (missing0 = "type")) || ((data.engine === undefined) && (missing0 = "engine"))) || ((data.read === undefined) && (missing0 = "read"))) || ((data.fetched === undefined) && (missing0 = "fetched"))) || ((data.fetchTime === undefined) && (missing0 = "fetchTime"))) || ((data.firstEvent === undefined) && (missing0 = "firstEvent"))) || ((data.work === undefined) && (missing0 = "work"))){
-validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema84.required,parentSchema:schema84,data}];
+validate63.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
 return false;
 }
 else {
@@ -2544,11 +3089,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema84.properties.type.type,parentSchema:schema84.properties.type,data:data0}];
+validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.type.type,parentSchema:schema94.properties.type,data:data0}];
 return false;
 }
 if("placed" !== data0){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema84.properties.type,data:data0}];
+validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema94.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2564,18 +3109,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 300){
-validate54.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema67,data:data1}];
+validate63.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate54.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema67,data:data1}];
+validate63.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data1}];
 return false;
 }
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.type,parentSchema:schema67,data:data1}];
+validate63.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data1}];
 return false;
 }
 }
@@ -2592,18 +3137,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 300){
-validate54.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema67,data:data2}];
+validate63.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate54.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema67,data:data2}];
+validate63.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data2}];
 return false;
 }
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema67.type,parentSchema:schema67,data:data2}];
+validate63.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data2}];
 return false;
 }
 }
@@ -2619,12 +3164,12 @@
 if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate54.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema84.properties.read,data:data3}];
+validate63.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.read,data:data3}];
 return false;
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema84.properties.read.type,parentSchema:schema84.properties.read,data:data3}];
+validate63.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.read.type,parentSchema:schema94.properties.read,data:data3}];
 return false;
 }
 }
@@ -2640,12 +3185,12 @@
 if(errors === _errs11){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate54.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema84.properties.fetched,data:data4}];
+validate63.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.fetched,data:data4}];
 return false;
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema84.properties.fetched.type,parentSchema:schema84.properties.fetched,data:data4}];
+validate63.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.fetched.type,parentSchema:schema94.properties.fetched,data:data4}];
 return false;
 }
 }
@@ -2661,12 +3206,12 @@
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate54.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema84.properties.fetchTime,data:data5}];
+validate63.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.fetchTime,data:data5}];
 return false;
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema84.properties.fetchTime.type,parentSchema:schema84.properties.fetchTime,data:data5}];
+validate63.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.fetchTime.type,parentSchema:schema94.properties.fetchTime,data:data5}];
 return false;
 }
 }
@@ -2682,12 +3227,12 @@
 if(errors === _errs15){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
-validate54.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema84.properties.firstEvent,data:data6}];
+validate63.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.firstEvent,data:data6}];
 return false;
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema84.properties.firstEvent.type,parentSchema:schema84.properties.firstEvent,data:data6}];
+validate63.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.firstEvent.type,parentSchema:schema94.properties.firstEvent,data:data6}];
 return false;
 }
 }
@@ -2705,7 +3250,7 @@
 if(data7 && typeof data7 == "object" && !Array.isArray(data7)){
 let missing1;
 if(((data7.tokens === undefined) && (missing1 = "tokens")) || ((data7.streams === undefined) && (missing1 = "streams"))){
-validate54.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema87.required,parentSchema:schema87,data:data7}];
+validate63.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema97.required,parentSchema:schema97,data:data7}];
 return false;
 }
 else {
@@ -2715,12 +3260,12 @@
 if(errors === _errs20){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < 0 || isNaN(data8)){
-validate54.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema87.properties.tokens,data:data8}];
+validate63.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.tokens,data:data8}];
 return false;
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema87.properties.tokens.type,parentSchema:schema87.properties.tokens,data:data8}];
+validate63.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.tokens.type,parentSchema:schema97.properties.tokens,data:data8}];
 return false;
 }
 }
@@ -2736,12 +3281,12 @@
 if(errors === _errs22){
 if((typeof data9 == "number") && (isFinite(data9))){
 if(data9 < 0 || isNaN(data9)){
-validate54.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema87.properties.streams,data:data9}];
+validate63.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.streams,data:data9}];
 return false;
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema87.properties.streams.type,parentSchema:schema87.properties.streams,data:data9}];
+validate63.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.streams.type,parentSchema:schema97.properties.streams,data:data9}];
 return false;
 }
 }
