@@ -2754,7 +3299,7 @@
 }
 }
 else {
-validate54.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema87.type,parentSchema:schema87,data:data7}];
+validate63.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema97.type,parentSchema:schema97,data:data7}];
 return false;
 }
 }
@@ -2773,20 +3318,20 @@
 }
 }
 else {
-validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema84.type,parentSchema:schema84,data}];
+validate63.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
 return false;
 }
 }
-validate54.errors = vErrors;
+validate63.errors = vErrors;
 return errors === 0;
 }
-validate54.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
+validate63.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate45(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate45.evaluated;
+const evaluated0 = validate53.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2797,7 +3342,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate45.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema72.required,parentSchema:schema72,data}];
+validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema81.required,parentSchema:schema81,data}];
 return false;
 }
 else {
@@ -2809,7 +3354,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate45.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema88.required,parentSchema:schema88,data}];
+validate53.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema98.required,parentSchema:schema98,data}];
 return false;
 }
 else {
@@ -2817,11 +3362,11 @@
 let data0 = data.type;
 const _errs5 = errors;
 if(typeof data0 !== "string"){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema88.properties.type.type,parentSchema:schema88.properties.type,data:data0}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.properties.type.type,parentSchema:schema98.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema88.properties.type,data:data0}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema98.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs5 === errors;
@@ -2834,7 +3379,7 @@
 let data1 = data.reason;
 const _errs7 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate45.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema88.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema88.properties.reason.enum,parentSchema:schema88.properties.reason,data:data1}];
+validate53.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema98.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema98.properties.reason.enum,parentSchema:schema98.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs7 === errors;
@@ -2847,7 +3392,7 @@
 let data2 = data.leader;
 const _errs8 = errors;
 if(typeof data2 !== "string"){
-validate45.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema88.properties.leader.type,parentSchema:schema88.properties.leader,data:data2}];
+validate53.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.properties.leader.type,parentSchema:schema98.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -2860,7 +3405,7 @@
 }
 }
 else {
-validate45.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema88.type,parentSchema:schema88,data}];
+validate53.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema98.type,parentSchema:schema98,data}];
 return false;
 }
 }
@@ -2870,8 +3415,8 @@
 props0.leader = true;
 }
 else if(tag0 === "confirmed"){
-if(!(validate46(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate46.errors : vErrors.concat(validate46.errors);
+if(!(validate54(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate54.errors : vErrors.concat(validate54.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -2881,8 +3426,8 @@
 }
 }
 else if(tag0 === "replaced"){
-if(!(validate47(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate47.errors : vErrors.concat(validate47.errors);
+if(!(validate55(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate55.errors : vErrors.concat(validate55.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -2893,8 +3438,8 @@
 }
 }
 else if(tag0 === "synced"){
-if(!(validate48(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate48.errors : vErrors.concat(validate48.errors);
+if(!(validate56(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate56.errors : vErrors.concat(validate56.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -2909,6 +3454,8 @@
 props0.mark = true;
 props0.hosts = true;
 props0.cores = true;
+props0.suspectRevision = true;
+props0.suspects = true;
 }
 }
 else if(tag0 === "noted"){
@@ -2917,25 +3464,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate45.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema89.required,parentSchema:schema89,data}];
+validate53.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema99.required,parentSchema:schema99,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.type.type,parentSchema:schema89.properties.type,data:data3}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema99.properties.type.type,parentSchema:schema99.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema89.properties.type,data:data3}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema99.properties.type,data:data3}];
 return false;
 }
 }
 }
 }
 else {
-validate45.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema89.type,parentSchema:schema89,data}];
+validate53.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema99.type,parentSchema:schema99,data}];
 return false;
 }
 }
@@ -2945,8 +3492,8 @@
 }
 }
 else if(tag0 === "made"){
-if(!(validate51(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate51.errors : vErrors.concat(validate51.errors);
+if(!(validate60(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate60.errors : vErrors.concat(validate60.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -2961,7 +3508,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if((((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))) || ((data.work === undefined) && (missing3 = "work"))){
-validate45.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema90.required,parentSchema:schema90,data}];
+validate53.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema100.required,parentSchema:schema100,data}];
 return false;
 }
 else {
@@ -2969,11 +3516,11 @@
 let data4 = data.type;
 const _errs22 = errors;
 if(typeof data4 !== "string"){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema90.properties.type.type,parentSchema:schema90.properties.type,data:data4}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema100.properties.type.type,parentSchema:schema100.properties.type,data:data4}];
 return false;
 }
 if("booked" !== data4){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema90.properties.type,data:data4}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema100.properties.type,data:data4}];
 return false;
 }
 var valid13 = _errs22 === errors;
@@ -2986,7 +3533,7 @@
 let data5 = data.wait;
 const _errs24 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate45.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema90.properties.wait.type,parentSchema:schema90.properties.wait,data:data5}];
+validate53.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema100.properties.wait.type,parentSchema:schema100.properties.wait,data:data5}];
 return false;
 }
 var valid13 = _errs24 === errors;
@@ -2999,7 +3546,7 @@
 let data6 = data.work;
 const _errs26 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate45.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema90.properties.work.type,parentSchema:schema90.properties.work,data:data6}];
+validate53.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema100.properties.work.type,parentSchema:schema100.properties.work,data:data6}];
 return false;
 }
 var valid13 = _errs26 === errors;
@@ -3012,7 +3559,7 @@
 }
 }
 else {
-validate45.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema90.type,parentSchema:schema90,data}];
+validate53.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema100.type,parentSchema:schema100,data}];
 return false;
 }
 }
@@ -3024,8 +3571,8 @@
 }
 }
 else if(tag0 === "placed"){
-if(!(validate54(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate54.errors : vErrors.concat(validate54.errors);
+if(!(validate63(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate63.errors : vErrors.concat(validate63.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3040,33 +3587,124 @@
 props0.work = true;
 }
 }
+else if(tag0 === "trial"){
+const _errs30 = errors;
+if(errors === _errs30){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing4;
+if((((data.type === undefined) && (missing4 = "type")) || ((data.granted === undefined) && (missing4 = "granted"))) || ((data.wait === undefined) && (missing4 = "wait"))){
+validate53.errors = [{instancePath,schemaPath:"#/$defs/TrialReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema101.required,parentSchema:schema101,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data7 = data.type;
+const _errs32 = errors;
+if(typeof data7 !== "string"){
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data7}];
+return false;
+}
+if("trial" !== data7){
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialReply/properties/type/const",keyword:"const",params:{allowedValue: "trial"},message:"must be equal to constant",schema:"trial",parentSchema:schema101.properties.type,data:data7}];
+return false;
+}
+var valid17 = _errs32 === errors;
+}
+else {
+var valid17 = true;
+}
+if(valid17){
+if(data.granted !== undefined){
+let data8 = data.granted;
+const _errs34 = errors;
+if(typeof data8 !== "boolean"){
+validate53.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/TrialReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema101.properties.granted.type,parentSchema:schema101.properties.granted,data:data8}];
+return false;
+}
+var valid17 = _errs34 === errors;
+}
+else {
+var valid17 = true;
+}
+if(valid17){
+if(data.taken !== undefined){
+let data9 = data.taken;
+const _errs36 = errors;
+if(typeof data9 !== "boolean"){
+validate53.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/TrialReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema101.properties.taken.type,parentSchema:schema101.properties.taken,data:data9}];
+return false;
+}
+var valid17 = _errs36 === errors;
+}
+else {
+var valid17 = true;
+}
+if(valid17){
+if(data.wait !== undefined){
+let data10 = data.wait;
+const _errs38 = errors;
+if(errors === _errs38){
+if((typeof data10 == "number") && (isFinite(data10))){
+if(data10 < 0 || isNaN(data10)){
+validate53.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/TrialReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema101.properties.wait,data:data10}];
+return false;
+}
+}
+else {
+validate53.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/TrialReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema101.properties.wait.type,parentSchema:schema101.properties.wait,data:data10}];
+return false;
+}
+}
+var valid17 = _errs38 === errors;
+}
+else {
+var valid17 = true;
+}
+}
+}
+}
+}
+}
+else {
+validate53.errors = [{instancePath,schemaPath:"#/$defs/TrialReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
+return false;
+}
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.granted = true;
+props0.taken = true;
+props0.wait = true;
+}
+}
 else {
-validate45.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema72.discriminator,parentSchema:schema72,data}];
+validate53.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema81.discriminator,parentSchema:schema81,data}];
 return false;
 }
 }
 else {
-validate45.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema72.discriminator,parentSchema:schema72,data}];
+validate53.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema81.discriminator,parentSchema:schema81,data}];
 return false;
 }
 }
 }
 else {
-validate45.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema72.type,parentSchema:schema72,data}];
+validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
 return false;
 }
 }
-validate45.errors = vErrors;
+validate53.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate45.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate53.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate44(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate52(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate44.evaluated;
+const evaluated0 = validate52.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3077,7 +3715,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate44.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema70.required,parentSchema:schema70,data}];
+validate52.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema79.required,parentSchema:schema79,data}];
 return false;
 }
 else {
@@ -3085,11 +3723,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate44.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema70.properties.type.type,parentSchema:schema70.properties.type,data:data0}];
+validate52.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema79.properties.type.type,parentSchema:schema79.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate44.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema70.properties.type,data:data0}];
+validate52.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema79.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3103,13 +3741,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate44.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate52.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate44.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate52.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3122,8 +3760,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs6 = errors;
-if(!(validate45(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate45.errors : vErrors.concat(validate45.errors);
+if(!(validate53(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate53.errors : vErrors.concat(validate53.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs6 === errors;
@@ -3136,21 +3774,21 @@
 }
 }
 else {
-validate44.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema70.type,parentSchema:schema70,data}];
+validate52.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema79.type,parentSchema:schema79,data}];
 return false;
 }
 }
-validate44.errors = vErrors;
+validate52.errors = vErrors;
 return errors === 0;
 }
-validate44.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate52.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema91 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema102 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
-function validate61(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate70(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate61.evaluated;
+const evaluated0 = validate70.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3161,7 +3799,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate61.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema91.required,parentSchema:schema91,data}];
+validate70.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema102.required,parentSchema:schema102,data}];
 return false;
 }
 else {
@@ -3169,11 +3807,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate61.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema91.properties.type.type,parentSchema:schema91.properties.type,data:data0}];
+validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema102.properties.type.type,parentSchema:schema102.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate61.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema91.properties.type,data:data0}];
+validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema102.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3194,13 +3832,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate61.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate70.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate61.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate70.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3212,7 +3850,7 @@
 }
 }
 else {
-validate61.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema91.properties.ids.type,parentSchema:schema91.properties.ids,data:data1}];
+validate70.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema102.properties.ids.type,parentSchema:schema102.properties.ids,data:data1}];
 return false;
 }
 }
@@ -3225,23 +3863,24 @@
 }
 }
 else {
-validate61.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema91.type,parentSchema:schema91,data}];
+validate70.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema102.type,parentSchema:schema102,data}];
 return false;
 }
 }
-validate61.errors = vErrors;
+validate70.errors = vErrors;
 return errors === 0;
 }
-validate61.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
+validate70.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema93 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema94 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"}]};
-const schema95 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
+const schema104 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema105 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/TrialOverNotice"}]};
+const schema121 = {"title":"TrialOverNotice","description":"A run with leave has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"trial-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
+const schema106 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
 
-function validate64(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate73(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate64.evaluated;
+const evaluated0 = validate73.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3252,7 +3891,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate64.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema95.required,parentSchema:schema95,data}];
+validate73.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
 return false;
 }
 else {
@@ -3260,11 +3899,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.properties.type.type,parentSchema:schema95.properties.type,data:data0}];
+validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.type.type,parentSchema:schema106.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema95.properties.type,data:data0}];
+validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema106.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3280,18 +3919,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate64.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate73.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate64.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate73.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate64.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate73.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -3315,18 +3954,18 @@
 if(errors === _errs9){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate64.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
+validate73.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate64.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
+validate73.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
 return false;
 }
 }
 }
 else {
-validate64.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+validate73.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
 }
@@ -3337,7 +3976,7 @@
 }
 }
 else {
-validate64.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema95.properties.cores.type,parentSchema:schema95.properties.cores,data:data2}];
+validate73.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.cores.type,parentSchema:schema106.properties.cores,data:data2}];
 return false;
 }
 }
@@ -3367,7 +4006,7 @@
 }
 }
 else {
-validate64.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema95.properties.hosts.type,parentSchema:schema95.properties.hosts,data:data4}];
+validate73.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.hosts.type,parentSchema:schema106.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -3382,21 +4021,21 @@
 }
 }
 else {
-validate64.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema95.type,parentSchema:schema95,data}];
+validate73.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
 return false;
 }
 }
-validate64.errors = vErrors;
+validate73.errors = vErrors;
 return errors === 0;
 }
-validate64.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true},"dynamicProps":false,"dynamicItems":false};
+validate73.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema98 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema109 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
-function validate66(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate75(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate66.evaluated;
+const evaluated0 = validate75.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3407,7 +4046,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate66.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema98.required,parentSchema:schema98,data}];
+validate75.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema109.required,parentSchema:schema109,data}];
 return false;
 }
 else {
@@ -3415,11 +4054,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.properties.type.type,parentSchema:schema98.properties.type,data:data0}];
+validate75.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema109.properties.type.type,parentSchema:schema109.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema98.properties.type,data:data0}];
+validate75.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema109.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3435,18 +4074,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate66.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate75.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate66.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate75.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate66.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate75.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -3463,18 +4102,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate66.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
+validate75.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate66.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
+validate75.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate66.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
+validate75.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -3495,7 +4134,7 @@
 let data4 = data3[i0];
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate66.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.properties.handles.items.type,parentSchema:schema98.properties.handles.items,data:data4}];
+validate75.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema109.properties.handles.items.type,parentSchema:schema109.properties.handles.items,data:data4}];
 return false;
 }
 var valid3 = _errs11 === errors;
@@ -3505,7 +4144,7 @@
 }
 }
 else {
-validate66.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema98.properties.handles.type,parentSchema:schema98.properties.handles,data:data3}];
+validate75.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema109.properties.handles.type,parentSchema:schema109.properties.handles,data:data3}];
 return false;
 }
 }
@@ -3520,21 +4159,21 @@
 }
 }
 else {
-validate66.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema98.type,parentSchema:schema98,data}];
+validate75.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema109.type,parentSchema:schema109,data}];
 return false;
 }
 }
-validate66.errors = vErrors;
+validate75.errors = vErrors;
 return errors === 0;
 }
-validate66.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
+validate75.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema101 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
+const schema112 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
-function validate67(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate76(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate67.evaluated;
+const evaluated0 = validate76.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3545,7 +4184,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate67.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema101.required,parentSchema:schema101,data}];
+validate76.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema112.required,parentSchema:schema112,data}];
 return false;
 }
 else {
@@ -3553,11 +4192,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate67.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data0}];
+validate76.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema112.properties.type.type,parentSchema:schema112.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate67.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema101.properties.type,data:data0}];
+validate76.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema112.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3573,18 +4212,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate67.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate76.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate67.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate76.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate67.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate76.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -3601,18 +4240,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate67.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema51,data:data2}];
+validate76.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate67.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema51,data:data2}];
+validate76.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate67.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema51.type,parentSchema:schema51,data:data2}];
+validate76.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -3629,18 +4268,18 @@
 if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate67.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
+validate76.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate67.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
+validate76.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
 return false;
 }
 }
 }
 else {
-validate67.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+validate76.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
 }
@@ -3655,23 +4294,23 @@
 }
 }
 else {
-validate67.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
+validate76.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema112.type,parentSchema:schema112,data}];
 return false;
 }
 }
-validate67.errors = vErrors;
+validate76.errors = vErrors;
 return errors === 0;
 }
-validate67.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
+validate76.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema105 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
-const schema106 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
-const schema107 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
+const schema116 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
+const schema117 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
+const schema118 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
 
-function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate80(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate71.evaluated;
+const evaluated0 = validate80.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3682,7 +4321,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.work === undefined) && (missing0 = "work")) || ((data.took === undefined) && (missing0 = "took"))){
-validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema107.required,parentSchema:schema107,data}];
+validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema118.required,parentSchema:schema118,data}];
 return false;
 }
 else {
@@ -3694,7 +4333,7 @@
 if(data0 && typeof data0 == "object" && !Array.isArray(data0)){
 let missing1;
 if(((data0.tokens === undefined) && (missing1 = "tokens")) || ((data0.streams === undefined) && (missing1 = "streams"))){
-validate71.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema87.required,parentSchema:schema87,data:data0}];
+validate80.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema97.required,parentSchema:schema97,data:data0}];
 return false;
 }
 else {
@@ -3704,12 +4343,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate71.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema87.properties.tokens,data:data1}];
+validate80.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema87.properties.tokens.type,parentSchema:schema87.properties.tokens,data:data1}];
+validate80.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.tokens.type,parentSchema:schema97.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -3725,12 +4364,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate71.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema87.properties.streams,data:data2}];
+validate80.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.streams,data:data2}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema87.properties.streams.type,parentSchema:schema87.properties.streams,data:data2}];
+validate80.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.streams.type,parentSchema:schema97.properties.streams,data:data2}];
 return false;
 }
 }
@@ -3743,7 +4382,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema87.type,parentSchema:schema87,data:data0}];
+validate80.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema97.type,parentSchema:schema97,data:data0}];
 return false;
 }
 }
@@ -3759,12 +4398,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate71.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema107.properties.took,data:data3}];
+validate80.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema118.properties.took,data:data3}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema107.properties.took.type,parentSchema:schema107.properties.took,data:data3}];
+validate80.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema118.properties.took.type,parentSchema:schema118.properties.took,data:data3}];
 return false;
 }
 }
@@ -3777,20 +4416,20 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema107.type,parentSchema:schema107,data}];
+validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
 return false;
 }
 }
-validate71.errors = vErrors;
+validate80.errors = vErrors;
 return errors === 0;
 }
-validate71.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
+validate80.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate69(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate78(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate69.evaluated;
+const evaluated0 = validate78.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3801,7 +4440,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.engine === undefined) && (missing0 = "engine")) || ((data.tokens === undefined) && (missing0 = "tokens"))) || ((data.streams === undefined) && (missing0 = "streams"))) || ((data.read === undefined) && (missing0 = "read"))){
-validate69.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
+validate78.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema117.required,parentSchema:schema117,data}];
 return false;
 }
 else {
@@ -3811,18 +4450,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 300){
-validate69.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema106.properties.engine,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema117.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate69.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema106.properties.engine,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema117.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate69.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.engine.type,parentSchema:schema106.properties.engine,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema117.properties.engine.type,parentSchema:schema117.properties.engine,data:data0}];
 return false;
 }
 }
@@ -3838,12 +4477,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate69.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.tokens,data:data1}];
+validate78.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate69.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.tokens.type,parentSchema:schema106.properties.tokens,data:data1}];
+validate78.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.tokens.type,parentSchema:schema117.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -3857,13 +4496,13 @@
 let data2 = data.streams;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate69.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema106.properties.streams.type,parentSchema:schema106.properties.streams,data:data2}];
+validate78.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema117.properties.streams.type,parentSchema:schema117.properties.streams,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate69.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.streams,data:data2}];
+validate78.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.streams,data:data2}];
 return false;
 }
 }
@@ -3901,7 +4540,7 @@
 }
 }
 else {
-validate69.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.read.items.type,parentSchema:schema106.properties.read.items,data:data4}];
+validate78.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema117.properties.read.items.type,parentSchema:schema117.properties.read.items,data:data4}];
 return false;
 }
 }
@@ -3912,7 +4551,7 @@
 }
 }
 else {
-validate69.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.read.type,parentSchema:schema106.properties.read,data:data3}];
+validate78.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema117.properties.read.type,parentSchema:schema117.properties.read,data:data3}];
 return false;
 }
 }
@@ -3931,8 +4570,8 @@
 const len2 = data6.length;
 for(let i2=0; i2<len2; i2++){
 const _errs14 = errors;
-if(!(validate71(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
+if(!(validate80(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate80.errors : vErrors.concat(validate80.errors);
 errors = vErrors.length;
 }
 var valid3 = _errs14 === errors;
@@ -3942,7 +4581,7 @@
 }
 }
 else {
-validate69.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.firsts.type,parentSchema:schema106.properties.firsts,data:data6}];
+validate78.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema117.properties.firsts.type,parentSchema:schema117.properties.firsts,data:data6}];
 return false;
 }
 }
@@ -3963,7 +4602,7 @@
 let data9 = data8[i3];
 const _errs17 = errors;
 if(!(((data9 === "good") || (data9 === "bad")) || (data9 === "full"))){
-validate69.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema106.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema106.properties.verdicts.items.enum,parentSchema:schema106.properties.verdicts.items,data:data9}];
+validate78.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema117.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema117.properties.verdicts.items.enum,parentSchema:schema117.properties.verdicts.items,data:data9}];
 return false;
 }
 var valid4 = _errs17 === errors;
@@ -3973,7 +4612,7 @@
 }
 }
 else {
-validate69.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.verdicts.type,parentSchema:schema106.properties.verdicts,data:data8}];
+validate78.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema117.properties.verdicts.type,parentSchema:schema117.properties.verdicts,data:data8}];
 return false;
 }
 }
@@ -3990,20 +4629,20 @@
 }
 }
 else {
-validate69.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
+validate78.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data}];
 return false;
 }
 }
-validate69.errors = vErrors;
+validate78.errors = vErrors;
 return errors === 0;
 }
-validate69.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true,"verdicts":true},"dynamicProps":false,"dynamicItems":false};
+validate78.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true,"verdicts":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate68(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate77(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate68.evaluated;
+const evaluated0 = validate77.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4014,7 +4653,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.uses === undefined) && (missing0 = "uses"))){
-validate68.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema105.required,parentSchema:schema105,data}];
+validate77.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema116.required,parentSchema:schema116,data}];
 return false;
 }
 else {
@@ -4022,11 +4661,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate68.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.type.type,parentSchema:schema105.properties.type,data:data0}];
+validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema116.properties.type.type,parentSchema:schema116.properties.type,data:data0}];
 return false;
 }
 if("use" !== data0){
-validate68.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema105.properties.type,data:data0}];
+validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema116.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4044,8 +4683,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate69(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate69.errors : vErrors.concat(validate69.errors);
+if(!(validate78(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate78.errors : vErrors.concat(validate78.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -4055,7 +4694,7 @@
 }
 }
 else {
-validate68.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.uses.type,parentSchema:schema105.properties.uses,data:data1}];
+validate77.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema116.properties.uses.type,parentSchema:schema116.properties.uses,data:data1}];
 return false;
 }
 }
@@ -4068,20 +4707,99 @@
 }
 }
 else {
-validate68.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema105.type,parentSchema:schema105,data}];
+validate77.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema116.type,parentSchema:schema116,data}];
 return false;
 }
 }
-validate68.errors = vErrors;
+validate77.errors = vErrors;
 return errors === 0;
 }
-validate68.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
+validate77.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
+const schema120 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
 
-function validate63(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate83(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate63.evaluated;
+const evaluated0 = validate83.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
+validate83.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate83.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data0}];
+return false;
+}
+if("suspects" !== data0){
+validate83.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema120.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.suspects !== undefined){
+let data1 = data.suspects;
+const _errs3 = errors;
+if(errors === _errs3){
+if(Array.isArray(data1)){
+var valid1 = true;
+const len0 = data1.length;
+for(let i0=0; i0<len0; i0++){
+const _errs5 = errors;
+if(!(validate38(data1[i0], {instancePath:instancePath+"/suspects/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate38.errors : vErrors.concat(validate38.errors);
+errors = vErrors.length;
+}
+var valid1 = _errs5 === errors;
+if(!valid1){
+break;
+}
+}
+}
+else {
+validate83.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema120.properties.suspects.type,parentSchema:schema120.properties.suspects,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+else {
+validate83.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
+return false;
+}
+}
+validate83.errors = vErrors;
+return errors === 0;
+}
+validate83.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate72(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate72.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4092,15 +4810,15 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate63.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
+validate72.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema105.required,parentSchema:schema105,data}];
 return false;
 }
 else {
 const tag0 = data.type;
 if(typeof tag0 == "string"){
 if(tag0 === "hello"){
-if(!(validate64(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate64.errors : vErrors.concat(validate64.errors);
+if(!(validate73(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate73.errors : vErrors.concat(validate73.errors);
 errors = vErrors.length;
 }
 var props0 = {};
@@ -4110,8 +4828,8 @@
 props0.hosts = true;
 }
 else if(tag0 === "release"){
-if(!(validate66(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate66.errors : vErrors.concat(validate66.errors);
+if(!(validate75(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate75.errors : vErrors.concat(validate75.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4123,8 +4841,8 @@
 }
 }
 else if(tag0 === "drop"){
-if(!(validate67(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate67.errors : vErrors.concat(validate67.errors);
+if(!(validate76(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate76.errors : vErrors.concat(validate76.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4136,8 +4854,8 @@
 }
 }
 else if(tag0 === "use"){
-if(!(validate68(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate68.errors : vErrors.concat(validate68.errors);
+if(!(validate77(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate77.errors : vErrors.concat(validate77.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4146,33 +4864,111 @@
 props0.uses = true;
 }
 }
+else if(tag0 === "suspects"){
+if(!(validate83(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate83.errors : vErrors.concat(validate83.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.suspects = true;
+}
+}
+else if(tag0 === "trial-over"){
+const _errs8 = errors;
+if(errors === _errs8){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing1;
+if(((data.type === undefined) && (missing1 = "type")) || ((data.fingerprint === undefined) && (missing1 = "fingerprint"))){
+validate72.errors = [{instancePath,schemaPath:"#/$defs/TrialOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema121.required,parentSchema:schema121,data}];
+return false;
+}
 else {
-validate63.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema94.discriminator,parentSchema:schema94,data}];
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs10 = errors;
+if(typeof data0 !== "string"){
+validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.type.type,parentSchema:schema121.properties.type,data:data0}];
+return false;
+}
+if("trial-over" !== data0){
+validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "trial-over"},message:"must be equal to constant",schema:"trial-over",parentSchema:schema121.properties.type,data:data0}];
 return false;
 }
+var valid8 = _errs10 === errors;
+}
+else {
+var valid8 = true;
+}
+if(valid8){
+if(data.fingerprint !== undefined){
+let data1 = data.fingerprint;
+const _errs12 = errors;
+if(errors === _errs12){
+if(typeof data1 === "string"){
+if(data1.length > 64){
+validate72.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema121.properties.fingerprint,data:data1}];
+return false;
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema94.discriminator,parentSchema:schema94,data}];
+if(data1.length < 1){
+validate72.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema121.properties.fingerprint,data:data1}];
 return false;
 }
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
+validate72.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.fingerprint.type,parentSchema:schema121.properties.fingerprint,data:data1}];
 return false;
 }
 }
-validate63.errors = vErrors;
+var valid8 = _errs12 === errors;
+}
+else {
+var valid8 = true;
+}
+}
+}
+}
+else {
+validate72.errors = [{instancePath,schemaPath:"#/$defs/TrialOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema121.type,parentSchema:schema121,data}];
+return false;
+}
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.fingerprint = true;
+}
+}
+else {
+validate72.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema105.discriminator,parentSchema:schema105,data}];
+return false;
+}
+}
+else {
+validate72.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema105.discriminator,parentSchema:schema105,data}];
+return false;
+}
+}
+}
+else {
+validate72.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema105.type,parentSchema:schema105,data}];
+return false;
+}
+}
+validate72.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate63.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate72.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate62(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate62.evaluated;
+const evaluated0 = validate71.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4183,7 +4979,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate62.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema93.required,parentSchema:schema93,data}];
+validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema104.required,parentSchema:schema104,data}];
 return false;
 }
 else {
@@ -4191,11 +4987,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate62.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema93.properties.type.type,parentSchema:schema93.properties.type,data:data0}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate62.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema93.properties.type,data:data0}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema104.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4206,8 +5002,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs3 = errors;
-if(!(validate63(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate63.errors : vErrors.concat(validate63.errors);
+if(!(validate72(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate72.errors : vErrors.concat(validate72.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs3 === errors;
@@ -4219,14 +5015,14 @@
 }
 }
 else {
-validate62.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema93.type,parentSchema:schema93,data}];
+validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
 return false;
 }
 }
-validate62.errors = vErrors;
+validate71.errors = vErrors;
 return errors === 0;
 }
-validate62.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate71.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -4260,8 +5056,8 @@
 props0.body = true;
 }
 else if(tag0 === "answer"){
-if(!(validate44(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
+if(!(validate52(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate52.errors : vErrors.concat(validate52.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4272,8 +5068,8 @@
 }
 }
 else if(tag0 === "working"){
-if(!(validate61(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate61.errors : vErrors.concat(validate61.errors);
+if(!(validate70(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate70.errors : vErrors.concat(validate70.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4283,8 +5079,8 @@
 }
 }
 else if(tag0 === "cast"){
-if(!(validate62(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate62.errors : vErrors.concat(validate62.errors);
+if(!(validate71(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -24,6 +24,15 @@
   "gateway.no_budget": { type: "count", help: "Repeats without a budget" },
   "gateway.stages": { type: "time", help: "Until all pieces were made" },
   "gateway.left": { type: "count", help: "Requests whose callers left" },
+  "quarantine.breaks": { type: "count", help: "Calls broken as by crashes" },
+  "quarantine.changes": {
+    type: "count",
+    help: "Suspected requests that changed, by standing",
+  },
+  "quarantine.trials": {
+    type: "count",
+    help: "Runs of suspected requests asked for, by grant",
+  },
   "pieces.calls": { type: "count", help: "Calls for pieces, by service" },
   "pieces.made": { type: "count", help: "Pieces asked for, by service" },
   "pieces.failed": { type: "count", help: "Pieces not made, by failure" },
