--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -9,6 +9,7 @@
 import * as pieces from "../../src/pieces/mod.ts";
 import type * as endpoints from "../../src/endpoints/mod.ts";
 import * as quarantineFixture from "../../src/quarantine/fixture.ts";
+import * as rateLimitFixture from "../../src/rate_limits/fixture.ts";
 import type * as runtime from "../../src/runtime/mod.ts";
 import type * as schema from "../../src/schema/fleet_types.ts";
 import * as telemetry from "../../src/telemetry/mod.ts";
@@ -50,6 +51,7 @@
     const common = { ...options, protocol, metrics: telemetry.noMetrics };
     this.#batcher = pieces.Batcher.create({
       ...common,
+      quotas: rateLimitFixture.openQuotas(),
       service: (service) => catalogue.service(service),
       workers: ({ service, cell }) => this.#workers(service, cell),
       noteAnswer: (id) => this.#pool.get(id)?.judge("good", clock.now()),
@@ -81,6 +83,7 @@
       pool: this.#pool,
       maker,
       placement: this.#placement,
+      quotas: rateLimitFixture.openQuotas(),
       guard: quarantineFixture.openGuard(),
       started: clock.now(),
       greatestAge: 1000,
--- a/bench/quarantine_fuzz/world.ts
+++ b/bench/quarantine_fuzz/world.ts
@@ -6,7 +6,7 @@
 import type * as schema from "../../src/schema/fleet_types.ts";
 import * as telemetry from "../../src/telemetry/mod.ts";
 import * as endpoints from "./endpoint.ts";
-import * as networks from "./network.ts";
+import * as networks from "../fuzz_world/network.ts";
 import * as schedules from "./schedule.ts";
 
 /** Something that must always hold does not. */
--- /dev/null
+++ b/bench/rate_limit_fuzz/rate_limit_fuzz_test.ts
@@ -0,0 +1,25 @@
+/** @module */
+
+import test from "ava";
+import * as fuzz from "./mod.ts";
+
+const SEEDS = Array.from({ length: 25 }, (_, number) => number + 1);
+
+test("no endpoint gets more than the limits that it names", async (t) => {
+  for (const seed of SEEDS) {
+    const { most } = await fuzz.runSchedule({ seed });
+    t.true(most <= 1);
+  }
+});
+
+test("nor from 200 hosts", async (t) => {
+  const { most } = await fuzz.runSchedule({ seed: 1, entries: 200 });
+  t.true(most <= 1);
+});
+
+test("hosts that ask for no leave are noticed", async (t) => {
+  const breakage = "asks-nobody" as const;
+  await t.throwsAsync(fuzz.runSchedule({ seed: 1, breakage }), {
+    message: /got \d+ of/,
+  });
+});
--- a/src/fleet/base.ts
+++ b/src/fleet/base.ts
@@ -47,7 +47,7 @@
       fleet: fleetMessages.validate,
       log: logMessages.validate,
     },
-    entryLists: { fleet: ["sightings", "uses", "hosts", "suspects"] },
+    entryLists: { fleet: ["sightings", "uses", "hosts", "suspects", "limits"] },
     clock,
     logger,
     metrics,
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -6,6 +6,7 @@
 import * as versions from "../control/versions/mod.ts";
 import * as endpoints from "../endpoints/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
+import * as rateLimits from "../rate_limits/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as bases from "./base.ts";
 import * as controlServer from "./control_server.ts";
@@ -56,6 +57,7 @@
   readonly #roster: endpoints.Roster;
   readonly #spread: spread.Spread;
   readonly #coordinator: quarantine.Coordinator;
+  readonly #quotas: rateLimits.QuotaServer;
   /** When entry hosts last asked this host. */
   readonly #followers = new Map<string, number>();
   readonly #epoch: string;
@@ -85,6 +87,7 @@
           this.#coordinator.take(suspects);
           return Promise.resolve({ type: "noted" });
         },
+        quota: (question) => Promise.resolve(this.#quotas.allow(question)),
         trial: (question, from) =>
           Promise.resolve(this.#coordinator.allow(question, from)),
       },
@@ -104,6 +107,7 @@
       calls: this.#network.calls,
       others: () => this.#others(),
     });
+    this.#quotas = rateLimits.QuotaServer.create(options);
     this.#coordinator = quarantine.Coordinator.create({
       ...options,
       calls: this.#network.calls,
@@ -150,6 +154,7 @@
       entryHosts: this.#entries.live(now),
       endpoints: [...this.#roster.entries],
       suspects: this.#coordinator.dump(),
+      limits: this.#quotas.told,
       peers: this.#network.transport.dump(),
     };
   }
@@ -207,6 +212,7 @@
       if (now - at > FOLLOWED) this.#followers.delete(host);
     }
     this.#coordinator.tick();
+    this.#quotas.tick();
     this.#chooseVoters(now);
     clock.after(GREETING, () => this.#tick());
   }
@@ -216,11 +222,23 @@
     const cores = this.#members.live(now).map(({ host }) => host);
     const hosts = this.#entries.live(now);
     for (const other of this.#members.others) {
-      const notice = { type: "hello" as const, dataCentre, cores, hosts };
+      const notice = {
+        type: "hello" as const,
+        dataCentre,
+        cores,
+        hosts,
+        ...this.#limits,
+      };
       this.#network.calls.cast(other, notice);
     }
   }
 
+  /** Rate limits as messages carry them: nothing without any. */
+  get #limits(): { limits?: schema.EndpointLimit[] } {
+    const { told } = this.#quotas;
+    return told.length > 0 ? { limits: told } : {};
+  }
+
   #chooseVoters(now: number): void {
     const keeper = this.#keeper;
     if (keeper === undefined || !keeper.isLeader) return;
@@ -242,13 +260,15 @@
     if (notice.type === "hello") this.#greeted(notice, from);
     else if (notice.type === "suspects") {
       this.#coordinator.take(notice.suspects);
+    } else if (notice.type === "limits") {
+      this.#quotas.take(notice.limits);
     } else if (notice.type === "trial-over") {
       this.#coordinator.end(notice.fingerprint, from);
     }
   }
 
   #greeted(
-    { dataCentre, cores, hosts }: schema.HelloNotice,
+    { dataCentre, cores, hosts, limits = [] }: schema.HelloNotice,
     from: string,
   ): void {
     const now = this.#options.clock.now();
@@ -256,6 +276,7 @@
     this.#members.hear({ host: from, dataCentre, heard: now });
     this.#members.learn(cores);
     hosts.forEach((host) => this.#entries.hear(host, now));
+    this.#quotas.take(limits);
     // A host that has just come knows no endpoints and no suspects.
     if (!isNew) return;
     this.#spread.tellAll(from);
@@ -293,6 +314,7 @@
       mark,
       ...(mark !== question.mark && { hosts }),
       cores,
+      ...this.#limits,
       ...this.#coordinator.since(isSame ? question.suspectRevision ?? 0 : 0),
     };
   }
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -8,6 +8,7 @@
 import * as gateway from "../gateway/mod.ts";
 import * as pieces from "../pieces/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
+import * as rateLimits from "../rate_limits/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as bases from "./base.ts";
 import * as errors from "./errors.ts";
@@ -52,6 +53,7 @@
   readonly #maker: pieces.Maker;
   readonly #placement: gateway.Placement;
   readonly #guard: quarantine.Guard;
+  readonly #quotas: rateLimits.QuotaClient;
   readonly #connections: connections.Connections;
   readonly #budgets = new Map<string, gateway.RetryBudget>();
   #catalogue?: configurations.Catalogue;
@@ -94,14 +96,22 @@
       onChange: () => this.#follow(),
       onSource: (core) => this.#guard.tellAll(core),
       onSuspects: (suspects) => this.#guard.take(suspects),
+      onLimits: (limits) => this.#quotas.follow(limits),
     });
     this.#guard = quarantine.Guard.create({
       ...options,
       calls: this.#network.calls,
       cores: () => this.#follower.cores,
     });
+    this.#quotas = rateLimits.QuotaClient.create({
+      ...options,
+      calls: this.#network.calls,
+      cores: () => this.#follower.cores,
+      hosts: () => this.#follower.hosts.length,
+    });
     this.#batcher = pieces.Batcher.create({
       ...options,
+      quotas: this.#quotas,
       dispatcher: this.#connections,
       service: (name) => this.#catalogue?.service(name),
       workers: (cell) => this.#workers(cell),
@@ -175,6 +185,7 @@
       follower: this.#follower.dump(),
       pool: this.#pool.dump(now),
       suspects: this.#guard.dump(),
+      limits: this.#quotas.dump(),
       batcher: this.#batcher.dump(),
       peers: this.#network.transport.dump(),
     };
@@ -215,6 +226,7 @@
       maker: this.#maker,
       placement: this.#placement,
       guard: this.#guard,
+      quotas: this.#quotas,
       started: this.#options.clock.now(),
       greatestAge: this.#greatestAge,
       calibration: gateway.Calibration.create(),
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -45,6 +45,8 @@
   onSource(core: string): void;
   /** Requests that may crash endpoints, as a host with a disk knows them. */
   onSuspects(suspects: readonly schema.Suspect[]): void;
+  /** Rate limits that endpoints name, as a host with a disk knows them. */
+  onLimits(limits: readonly schema.EndpointLimit[]): void;
   /** Endpoints or hosts may have changed. */
   onChange(): void;
 }
@@ -206,9 +208,10 @@
     reply: schema.SyncedReply,
     sent: freshness.Moment,
   ): void {
-    const { clock, onChange, onSuspects } = this.#options;
+    const { clock, onChange, onSuspects, onLimits } = this.#options;
     const now = clock.now();
     if (reply.suspects !== undefined) onSuspects(reply.suspects);
+    onLimits(reply.limits ?? []);
     // A host that is cut off from the others hears few endpoints: what it
     // holds for silent may not be.
     const judges = !reply.confirmed;
--- a/src/fleet/follower_test.ts
+++ b/src/fleet/follower_test.ts
@@ -47,6 +47,7 @@
     onChange() {},
     onSource() {},
     onSuspects() {},
+    onLimits() {},
     calls: {
       ask(core, question) {
         asked.push({ core, question: question as schema.SyncQuestion });
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -63,6 +63,9 @@
   readonly silence: number;
   /** Present for a stream. */
   readonly stream?: StreamListener;
+  /** Hears the head of each answer of the endpoint itself, also of one that
+   * refuses. */
+  onHead?(head: protocol.ReplyHead): void;
 }
 
 /** A call under way. */
@@ -124,6 +127,7 @@
     const { protocol, ask, stream } = this.#options;
     const head = protocol.readReply(status, headers);
     if (!isAnswerTo(head, ask)) return this.#reject();
+    if (!head.isMisdirected) this.#options.onHead?.(head);
     this.#head = head;
     this.#isStream = stream !== undefined && isSuccess(head);
     if (this.#isStream) stream!.head(head);
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -5,6 +5,7 @@
 import type * as configurations from "../configuration/mod.ts";
 import type * as pieces from "../pieces/mod.ts";
 import type * as quarantine from "../quarantine/mod.ts";
+import type * as rateLimits from "../rate_limits/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import type * as calibrations from "./calibration.ts";
@@ -54,6 +55,10 @@
     | "noteAnswer"
     | "noteEnd"
   >;
+  readonly quotas: Pick<
+    rateLimits.QuotaClient,
+    "note" | "isLimited" | "isDue" | "withheld" | "take"
+  >;
   readonly loadGossip: Pick<loadGossips.LoadGossip, "note">;
   /** When the host started, by its clock. */
   readonly started: number;
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -3,7 +3,6 @@
 
 import type * as http from "node:http";
 import * as configurations from "../configuration/mod.ts";
-import * as quarantine from "../quarantine/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as admission from "./admission.ts";
 import * as attempts from "./attempt.ts";
@@ -12,6 +11,7 @@
 import * as choice from "./choice.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoint from "./endpoint.ts";
+import * as endpointAdmission from "./endpoint_admission.ts";
 import type * as eventText from "./event_text.ts";
 import type * as placements from "./placement.ts";
 import type * as protocols from "./protocol.ts";
@@ -22,9 +22,6 @@
 import * as staging from "./staging.ts";
 import * as verdicts from "./verdict.ts";
 
-/** Milliseconds after which a caller may come back at the latest, where it is
- * not known when its request is let run again. */
-const LONGEST_RETURN = 60_000;
 /** Times that lost results are made again. */
 const REMAKES = 1;
 
@@ -60,9 +57,7 @@
   #route?: configurations.Route;
   #account?: configurations.Account;
   #body: Buffer = NOTHING;
-  /** Known where a call of any request has broken as if its endpoint had
-   * crashed. */
-  #fingerprint?: string;
+  #admission?: endpointAdmission.EndpointAdmission;
   #until = Infinity;
   /** Milliseconds for which its caller had waited before this attempt. */
   #waited = 0;
@@ -114,11 +109,15 @@
       const body = await this.#admit();
       if (this.isOver) return;
       this.#body = body;
-      const { random, guard } = this.#context;
-      const refusal = guard.isCalm
-        ? undefined
-        : guard.refusal(this.#identify());
-      if (refusal !== undefined) return this.#keepBack(refusal);
+      this.#admission = endpointAdmission.EndpointAdmission.create(
+        this.#context,
+        { ...this.#ask!, account: this.#account?.name, body },
+      );
+      const denial = this.#admission.denial();
+      if (denial !== undefined) {
+        return this.#refuse(denial.reason, denial.about);
+      }
+      const { random } = this.#context;
       const service = admission.pickService(this.#route!, random);
       const inputs = await this.#prepare(service);
       if (this.isOver) return;
@@ -235,47 +234,35 @@
     }
   }
 
-  /** An endpoint that it may go to, as one that has crashed some may not. It is
-   * answered where it may go to none. */
+  /** An endpoint that takes it now. It is answered where none does. */
   async #chooseAdmitted(service: string): Promise<Target | undefined> {
-    const { guard, clock } = this.#context;
-    const taken: string[] = [];
+    const admission = this.#admission!;
+    const avoided: string[] = [];
     for (;;) {
-      const target = await this.#choose(service, taken);
-      if (guard.isCalm || target === undefined || this.isOver) return target;
-      const fingerprint = this.#identify();
+      const target = await this.#choose(service, avoided);
+      if (target === undefined || this.isOver) return target;
       const { id } = target.endpoint.identity;
-      const remaining = this.#until - clock.now();
-      const run = { fingerprint, endpoint: id, remaining };
-      const admission = await guard.admit(run);
-      if (this.isOver) guard.noteEnd(fingerprint);
-      if (admission.type === "admitted") return target;
-      if (admission.type === "refused" || taken.includes(id)) {
-        this.#keepBack(admission);
+      const denial = await admission.ask(id, this.#until);
+      if (this.isOver && denial === undefined) admission.giveUp();
+      if (this.isOver || denial === undefined) return target;
+      if (denial.isFinal || avoided.includes(id)) {
+        this.#conclude(denial.reason, denial.about);
         return undefined;
       }
-      taken.push(id);
+      avoided.push(id);
     }
   }
 
-  #keepBack({ crashes, wait }: quarantine.Refusal): void {
-    if (this.isOver) return;
-    const reason = crashes < quarantine.QUARANTINED
-      ? "suspected"
-      : "quarantined";
-    const retryAfter = Math.min(LONGEST_RETURN, wait) / 1000;
-    this.#conclude(reason, { crashes, retryAfter });
-  }
-
-  /** An endpoint that was not called yet and is not taken, where there is
-   * one. */
+  /** An endpoint that was not called yet and is not to be avoided, where there
+   * is one. */
   async #choose(
     service: string,
-    taken: readonly string[],
+    avoided: readonly string[],
   ): Promise<Target | undefined> {
-    const { pool, clock, random, dataCentre, placement } = this.#context;
+    const { pool, clock, random, dataCentre, placement, quotas } =
+      this.#context;
     const called = this.#calls.map((call) => call.endpoint);
-    const tried = [...called, ...taken];
+    const tried = [...called, ...avoided, ...quotas.withheld];
     const { prompt } = this.#ask!;
     if (prompt !== undefined) {
       const placed = await placement.place({
@@ -292,7 +279,9 @@
     const usable = pool.usable(service, now);
     const fresh = usable.filter(({ identity }) => !tried.includes(identity.id));
     const candidates = fresh.length > 0 ? fresh : usable;
-    const chosen = choice.choosePlain(candidates, { now, random, dataCentre });
+    const due = fresh.find(({ identity }) => quotas.isDue(identity.id));
+    const chosen = due ??
+      choice.choosePlain(candidates, { now, random, dataCentre });
     return chosen && { endpoint: chosen };
   }
 
@@ -336,6 +325,7 @@
         this.#route!,
         this.#reply.head !== undefined,
       ),
+      onHead: ({ rateLimit }) => this.#context.quotas.note(id, rateLimit),
       stream: this.#route!.kind === "streaming"
         ? this.#listener(onFirst)
         : undefined,
@@ -362,30 +352,10 @@
       loadGossip.note(target, { verdict: verdicts.of(outcome) });
     }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
-    this.#noteRun(id, outcome);
+    this.#admission!.noteCall(id, outcome);
     return outcome;
   }
 
-  /** Says what a run shows of the request: whether it crashes endpoints. */
-  #noteRun(endpoint: string, outcome: attempts.Outcome): void {
-    const { guard } = this.#context;
-    if (attempts.mayHaveCrashed(outcome)) {
-      guard.noteCrash(this.#identify(), endpoint);
-    } else if (!guard.isCalm) {
-      const isAnswered = outcome.type !== "failed";
-      if (isAnswered) guard.noteAnswer(this.#identify());
-      else guard.noteEnd(this.#identify());
-    }
-  }
-
-  #identify(): string {
-    return this.#fingerprint ??= quarantine.fingerprints.of({
-      ...this.#ask!,
-      account: this.#account?.name,
-      body: this.#body,
-    });
-  }
-
   /** Whether a call lacked results that were given up, as it seems, too soon. */
   #lacksReleased(outcome: attempts.Outcome): boolean {
     return outcome.type === "failed" && outcome.cause === "lacks-input" &&
@@ -585,7 +555,7 @@
       ...(this.#waited > 0 && { waitedMs: Math.round(this.#waited) }),
       stages: this.#staging?.note,
       calls: this.#calls,
-      fingerprint: this.#fingerprint,
+      fingerprint: this.#admission?.fingerprint,
       version: knowledge.catalogue()?.version,
       ageMs: Math.round(knowledge.age()),
       ...about,
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -9,6 +9,7 @@
 import * as endpointFixture from "../endpoints/fixture.ts";
 import * as configurations from "../configuration/mod.ts";
 import * as quarantineFixture from "../quarantine/fixture.ts";
+import * as rateLimitFixture from "../rate_limits/fixture.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as gateway from "./mod.ts";
@@ -118,6 +119,7 @@
     patience: gateway.Patience.create(),
     inputHold: gateway.InputHold.create(),
     loadGossip: { note() {} },
+    quotas: rateLimitFixture.openQuotas(),
     guard: quarantineFixture.openGuard(),
     started: 0,
     greatestAge: 1000,
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -85,6 +85,9 @@
   readonly lacksInput: boolean;
   /** Present where the endpoint tells its load. */
   readonly load?: ReportedLoad;
+  /** Requests a second that the endpoint takes from all hosts together, for as
+   * long as its answers say so. */
+  readonly rateLimit?: number | "unreadable";
   /** Headers that go back to the caller as they are. */
   readonly headers: Readonly<Record<string, string>>;
 }
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -11,6 +11,7 @@
   | "no-route"
   | "bad-key"
   | "no-endpoint"
+  | "rate-limited"
   | "suspected"
   | "quarantined"
   | "not-run"
@@ -60,6 +61,8 @@
   "no-route": { status: 404 },
   "bad-key": { status: 401 },
   "no-endpoint": { status: 503, retryAfter: 0.6 },
+  // When to come back follows from the rate that endpoints name.
+  "rate-limited": { status: 503 },
   // When to come back hangs on when it is let run again.
   "suspected": { status: 503 },
   "quarantined": { status: 503 },
--- a/src/pieces/cell_batcher.ts
+++ b/src/pieces/cell_batcher.ts
@@ -5,6 +5,7 @@
 import type * as undici from "undici";
 import type * as configurations from "../configuration/mod.ts";
 import type * as protocols from "../gateway/protocol.ts";
+import type * as rateLimits from "../rate_limits/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
@@ -28,6 +29,7 @@
   /** Notes that an endpoint has answered a call. One that has not is left alone
    * by its scheduler. */
   noteAnswer(endpoint: string): void;
+  quotas: Pick<rateLimits.QuotaClient, "note" | "isLimited" | "take">;
 }
 
 /** What a batcher of one cell is made from. */
@@ -144,13 +146,21 @@
   }
 
   async #call(assignment: works.Assignment): Promise<void> {
-    const { clock, metrics, service } = this.#options;
+    const { clock, metrics, service, quotas } = this.#options;
+    const { id } = assignment.worker;
+    if (quotas.isLimited(id)) {
+      const wait = await quotas.take(id);
+      if (wait > 0) return this.#putOff(assignment, wait);
+    }
     const started = clock.now();
     metrics.count("pieces.calls", 1, { service });
     metrics.count("pieces.made", assignment.works.length, { service });
     const outcome = await pieceCall.call(assignment, {
       ...this.#options,
       patience: this.#scheduler.patience(assignment),
+      onHead: ({ isMisdirected, rateLimit }) => {
+        if (!isMisdirected) quotas.note(id, rateLimit);
+      },
     });
     const now = clock.now();
     const isGood = outcome.type === "results" || outcome.cause === "full";
@@ -165,6 +175,15 @@
     this.update();
   }
 
+  /** Leaves an endpoint alone that takes no call for so many milliseconds. */
+  #putOff(assignment: works.Assignment, pause: number): void {
+    this.#scheduler.fail(assignment, { now: this.#options.clock.now(), pause });
+    for (const work of assignment.works) {
+      this.#again(untried(work), "unreachable");
+    }
+    this.update();
+  }
+
   #takeResults(
     assignment: works.Assignment,
     { results, duration, now }: {
--- a/src/pieces/piece_call.ts
+++ b/src/pieces/piece_call.ts
@@ -27,6 +27,8 @@
   readonly clock: runtime.Clock;
   readonly protocol: protocols.GatewayProtocol;
   readonly logger: telemetry.Logger;
+  /** Hears the head of each answer. */
+  onHead?(head: protocols.ReplyHead): void;
 }
 
 /** Asks an endpoint for the pieces of an assignment; never rejects. */
@@ -101,6 +103,7 @@
       receiver: {
         head(status, headers) {
           head = protocol.readReply(status, headers);
+          options.onHead?.(head);
         },
         data: (part) => void parts.push(part),
         end: () => resolve({ type: "whole", head, body: Buffer.concat(parts) }),
--- /dev/null
+++ b/src/rate_limits/mod.ts
@@ -0,0 +1,7 @@
+/** Rate limits that endpoints name, kept by the whole fleet.
+ * @module */
+
+export * from "./endpoint_limit.ts";
+export * from "./quota_client.ts";
+export * from "./quota_server.ts";
+export * from "./token_bucket.ts";
--- /dev/null
+++ b/src/rate_limits/quota_server.ts
@@ -0,0 +1,97 @@
+/** Grants requests to endpoints that name a rate limit, for all hosts: a limit
+ * holds for the fleet. One host with a disk grants for an endpoint, the same for
+ * all that know the same hosts; the others know the limit, to take its place.
+ * Nothing is kept or sent while no endpoint names a limit.
+ * @module */
+
+import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import * as endpointLimits from "./endpoint_limit.ts";
+import * as tokenBuckets from "./token_bucket.ts";
+
+/** What a server needs of its host. */
+export interface QuotaServerOptions {
+  readonly clock: runtime.Clock;
+  readonly logger: telemetry.Logger;
+  readonly metrics: telemetry.Metrics;
+}
+
+interface Entry {
+  readonly limit: endpointLimits.EndpointLimit;
+  readonly bucket: tokenBuckets.TokenBucket;
+}
+
+/** Limits of endpoints; changed in place. */
+export class QuotaServer {
+  readonly #options: QuotaServerOptions;
+  readonly #entries = new Map<string, Entry>();
+
+  private constructor(options: QuotaServerOptions) {
+    this.#options = options;
+  }
+
+  static create(options: QuotaServerOptions): QuotaServer {
+    return new QuotaServer(options);
+  }
+
+  /** Takes what another host knows of limits. */
+  take(told: readonly schema.EndpointLimit[]): void {
+    const now = this.#options.clock.now();
+    for (const each of told) {
+      this.#put(endpointLimits.EndpointLimit.decode(each, now));
+    }
+  }
+
+  /** Whether a host may send a request to an endpoint now. */
+  allow({ limit }: schema.QuotaQuestion): schema.QuotaReply {
+    this.take([limit]);
+    const { metrics, clock } = this.#options;
+    const now = clock.now();
+    const entry = this.#entries.get(limit.endpoint);
+    const rate = entry?.limit.rate(now) ?? Infinity;
+    let wait = 0;
+    if (rate !== Infinity) {
+      entry!.bucket.setRate(rate, now);
+      wait = entry!.bucket.take(now);
+    }
+    const granted = wait === 0;
+    metrics.count("quota.asked", 1, { granted: `${granted}` });
+    return { type: "quota", granted, wait: Math.ceil(wait) };
+  }
+
+  /** Limits that hosts should know. */
+  get told(): schema.EndpointLimit[] {
+    const now = this.#options.clock.now();
+    return [...this.#entries.values()].map(({ limit }) => limit.encode(now));
+  }
+
+  /** Forgets what is over. */
+  tick(): void {
+    const now = this.#options.clock.now();
+    for (const [endpoint, { limit }] of this.#entries) {
+      if (limit.isOver(now)) this.#entries.delete(endpoint);
+    }
+  }
+
+  #put(told: endpointLimits.EndpointLimit): void {
+    const { clock, logger } = this.#options;
+    const now = clock.now();
+    const known = this.#entries.get(told.endpoint);
+    const limit = known?.limit.merge(told) ?? told;
+    if (limit === known?.limit || limit.isOver(now)) return;
+    const rate = limit.rate(now);
+    const bucket = known?.bucket ?? tokenBuckets.TokenBucket.create(rate, now);
+    this.#entries.set(told.endpoint, { limit, bucket });
+    const { endpoint, endedAt } = limit;
+    const isSame = known?.limit.limit === limit.limit &&
+      known.limit.endedAt === endedAt;
+    if (isSame) return;
+    const fields = {
+      endpoint,
+      limit: limit.limit,
+      isEnded: endedAt !== undefined,
+    };
+    logger.info(fields, "Rate limit of an endpoint changed");
+  }
+}
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -18,7 +18,8 @@
   | BookQuestion
   | PlaceQuestion
   | SuspectsQuestion
-  | TrialQuestion;
+  | TrialQuestion
+  | QuotaQuestion;
 export type Name = string;
 /**
  * Part of a service's endpoints that one batcher schedules.
@@ -37,8 +38,10 @@
   | MadeReply
   | BookedReply
   | PlacedReply
-  | TrialReply;
-export type Notice = HelloNotice | ReleaseNotice | DropNotice | UseNotice | SuspectsNotice | TrialOverNotice;
+  | TrialReply
+  | QuotaReply;
+export type Notice =
+  HelloNotice | ReleaseNotice | DropNotice | UseNotice | SuspectsNotice | TrialOverNotice | LimitsNotice;
 
 export interface Ask {
   type: "ask";
@@ -258,6 +261,31 @@
    */
   remaining: number;
 }
+/**
+ * Asks for leave to send one request to a limited endpoint.
+ */
+export interface QuotaQuestion {
+  type: "quota";
+  limit: EndpointLimit;
+}
+/**
+ * A rate limit that an endpoint has named in its answers.
+ */
+export interface EndpointLimit {
+  endpoint: Engine;
+  /**
+   * Requests a second from all hosts together.
+   */
+  limit: number;
+  /**
+   * Milliseconds since an answer named it.
+   */
+  age: number;
+  /**
+   * Milliseconds since answers name none any more.
+   */
+  ended?: number;
+}
 export interface Answer {
   type: "answer";
   id: Count;
@@ -305,6 +333,10 @@
    * Those that have changed since the asker's revision.
    */
   suspects?: Suspect[];
+  /**
+   * Rate limits that endpoints name; absent without any.
+   */
+  limits?: EndpointLimit[];
 }
 export interface NotedReply {
   type: "noted";
@@ -373,6 +405,14 @@
    */
   wait: number;
 }
+export interface QuotaReply {
+  type: "quota";
+  granted: boolean;
+  /**
+   * Milliseconds until there may be leave.
+   */
+  wait: number;
+}
 /**
  * Questions that this host has and has not answered yet.
  */
@@ -392,6 +432,10 @@
   dataCentre: Name;
   cores: Name[];
   hosts: EntryHost[];
+  /**
+   * Rate limits that endpoints name; absent without any.
+   */
+  limits?: EndpointLimit[];
 }
 /**
  * Results that nobody needs any more.
@@ -465,3 +509,10 @@
   type: "trial-over";
   fingerprint: string;
 }
+/**
+ * Tells a core host of rate limits that endpoints name.
+ */
+export interface LimitsNotice {
+  type: "limits";
+  limits: EndpointLimit[];
+}
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,11 +5,11 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/TrialQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/TrialReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/TrialOverNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"TrialQuestion":{"title":"TrialQuestion","description":"Asks for leave to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"trial"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"TrialReply":{"title":"TrialReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"trial"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"TrialOverNotice":{"title":"TrialOverNotice","description":"A run with leave has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"trial-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/TrialQuestion"},{"$ref":"#/$defs/QuotaQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/TrialReply"},{"$ref":"#/$defs/QuotaReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/TrialOverNotice"},{"$ref":"#/$defs/LimitsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"TrialQuestion":{"title":"TrialQuestion","description":"Asks for leave to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"trial"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"TrialReply":{"title":"TrialReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"trial"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"TrialOverNotice":{"title":"TrialOverNotice","description":"A run with leave has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"trial-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for leave to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be leave.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
-const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/TrialQuestion"}]};
-const schema78 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
+const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/TrialQuestion"},{"$ref":"#/$defs/QuotaQuestion"}]};
+const schema81 = {"title":"ConfirmQuestion","description":"Asks a leader which index a current state has applied.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"}}};
 const schema35 = {"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -2152,6 +2152,192 @@
 }
 validate42.evaluated = {"props":{"type":true,"fingerprint":true,"endpoint":true,"remaining":true},"dynamicProps":false,"dynamicItems":false};
 
+const schema78 = {"title":"QuotaQuestion","description":"Asks for leave to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}};
+const schema79 = {"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}};
+
+function validate44(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate44.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((((data.endpoint === undefined) && (missing0 = "endpoint")) || ((data.limit === undefined) && (missing0 = "limit"))) || ((data.age === undefined) && (missing0 = "age"))){
+validate44.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema79.required,parentSchema:schema79,data}];
+return false;
+}
+else {
+if(data.endpoint !== undefined){
+let data0 = data.endpoint;
+const _errs1 = errors;
+const _errs2 = errors;
+if(errors === _errs2){
+if(typeof data0 === "string"){
+if(data0.length > 300){
+validate44.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data0}];
+return false;
+}
+else {
+if(data0.length < 1){
+validate44.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data0}];
+return false;
+}
+}
+}
+else {
+validate44.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data0}];
+return false;
+}
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.limit !== undefined){
+let data1 = data.limit;
+const _errs4 = errors;
+if(errors === _errs4){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 < 0 || isNaN(data1)){
+validate44.errors = [{instancePath:instancePath+"/limit",schemaPath:"#/properties/limit/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema79.properties.limit,data:data1}];
+return false;
+}
+}
+else {
+validate44.errors = [{instancePath:instancePath+"/limit",schemaPath:"#/properties/limit/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema79.properties.limit.type,parentSchema:schema79.properties.limit,data:data1}];
+return false;
+}
+}
+var valid0 = _errs4 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.age !== undefined){
+let data2 = data.age;
+const _errs6 = errors;
+if(errors === _errs6){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 < 0 || isNaN(data2)){
+validate44.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema79.properties.age,data:data2}];
+return false;
+}
+}
+else {
+validate44.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema79.properties.age.type,parentSchema:schema79.properties.age,data:data2}];
+return false;
+}
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.ended !== undefined){
+let data3 = data.ended;
+const _errs8 = errors;
+if(errors === _errs8){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate44.errors = [{instancePath:instancePath+"/ended",schemaPath:"#/properties/ended/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema79.properties.ended,data:data3}];
+return false;
+}
+}
+else {
+validate44.errors = [{instancePath:instancePath+"/ended",schemaPath:"#/properties/ended/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema79.properties.ended.type,parentSchema:schema79.properties.ended,data:data3}];
+return false;
+}
+}
+var valid0 = _errs8 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+else {
+validate44.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema79.type,parentSchema:schema79,data}];
+return false;
+}
+}
+validate44.errors = vErrors;
+return errors === 0;
+}
+validate44.evaluated = {"props":{"endpoint":true,"limit":true,"age":true,"ended":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate43(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate43.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((data.type === undefined) && (missing0 = "type")) || ((data.limit === undefined) && (missing0 = "limit"))){
+validate43.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema78.required,parentSchema:schema78,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate43.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema78.properties.type.type,parentSchema:schema78.properties.type,data:data0}];
+return false;
+}
+if("quota" !== data0){
+validate43.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema78.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.limit !== undefined){
+const _errs3 = errors;
+if(!(validate44(data.limit, {instancePath:instancePath+"/limit",parentData:data,parentDataProperty:"limit",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
+errors = vErrors.length;
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+else {
+validate43.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema78.type,parentSchema:schema78,data}];
+return false;
+}
+}
+validate43.errors = vErrors;
+return errors === 0;
+}
+validate43.evaluated = {"props":{"type":true,"limit":true},"dynamicProps":false,"dynamicItems":false};
+
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2179,25 +2365,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if((data.type === undefined) && (missing1 = "type")){
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema78.required,parentSchema:schema78,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema81.required,parentSchema:schema81,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data0 = data.type;
 if(typeof data0 !== "string"){
-validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema78.properties.type.type,parentSchema:schema78.properties.type,data:data0}];
+validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema81.properties.type.type,parentSchema:schema81.properties.type,data:data0}];
 return false;
 }
 if("confirm" !== data0){
-validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/const",keyword:"const",params:{allowedValue: "confirm"},message:"must be equal to constant",schema:"confirm",parentSchema:schema78.properties.type,data:data0}];
+validate22.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/ConfirmQuestion/properties/type/const",keyword:"const",params:{allowedValue: "confirm"},message:"must be equal to constant",schema:"confirm",parentSchema:schema81.properties.type,data:data0}];
 return false;
 }
 }
 }
 }
 else {
-validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema78.type,parentSchema:schema78,data}];
+validate22.errors = [{instancePath,schemaPath:"#/$defs/ConfirmQuestion/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
 return false;
 }
 }
@@ -2324,6 +2510,17 @@
 props0.remaining = true;
 }
 }
+else if(tag0 === "quota"){
+if(!(validate43(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate43.errors : vErrors.concat(validate43.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.limit = true;
+}
+}
 else {
 validate22.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema34.discriminator,parentSchema:schema34,data}];
 return false;
@@ -2429,18 +2626,19 @@
 }
 validate21.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema79 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema81 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/TrialReply"}]};
-const schema98 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema99 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema100 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}};
-const schema101 = {"title":"TrialReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"trial"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
-const schema82 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
+const schema82 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema84 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/TrialReply"},{"$ref":"#/$defs/QuotaReply"}]};
+const schema101 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema102 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema103 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"}}};
+const schema104 = {"title":"TrialReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"trial"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
+const schema105 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be leave.","type":"number","minimum":0}}};
+const schema85 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"$ref":"#/$defs/Count"}}};
 
-function validate54(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate58(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate54.evaluated;
+const evaluated0 = validate58.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2451,7 +2649,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema82.required,parentSchema:schema82,data}];
+validate58.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema85.required,parentSchema:schema85,data}];
 return false;
 }
 else {
@@ -2459,11 +2657,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema82.properties.type.type,parentSchema:schema82.properties.type,data:data0}];
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema85.properties.type.type,parentSchema:schema85.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema82.properties.type,data:data0}];
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema85.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2477,13 +2675,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate54.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate58.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate54.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate58.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -2497,21 +2695,21 @@
 }
 }
 else {
-validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema82.type,parentSchema:schema82,data}];
+validate58.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema85.type,parentSchema:schema85,data}];
 return false;
 }
 }
-validate54.errors = vErrors;
+validate58.errors = vErrors;
 return errors === 0;
 }
-validate54.evaluated = {"props":{"type":true,"index":true},"dynamicProps":false,"dynamicItems":false};
+validate58.evaluated = {"props":{"type":true,"index":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema84 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema87 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
-function validate55(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate59(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate55.evaluated;
+const evaluated0 = validate59.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2522,7 +2720,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate55.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema84.required,parentSchema:schema84,data}];
+validate59.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema87.required,parentSchema:schema87,data}];
 return false;
 }
 else {
@@ -2530,11 +2728,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate55.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema84.properties.type.type,parentSchema:schema84.properties.type,data:data0}];
+validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema87.properties.type.type,parentSchema:schema87.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate55.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema84.properties.type,data:data0}];
+validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema87.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2547,7 +2745,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate55.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema84.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema84.properties.verdict.enum,parentSchema:schema84.properties.verdict,data:data1}];
+validate59.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema87.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema87.properties.verdict.enum,parentSchema:schema87.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -2561,13 +2759,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate55.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate55.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -2582,21 +2780,21 @@
 }
 }
 else {
-validate55.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema84.type,parentSchema:schema84,data}];
+validate59.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema87.type,parentSchema:schema87,data}];
 return false;
 }
 }
-validate55.errors = vErrors;
+validate59.errors = vErrors;
 return errors === 0;
 }
-validate55.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
+validate59.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema86 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema89 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
-function validate56(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate60(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate56.evaluated;
+const evaluated0 = validate60.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2607,7 +2805,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate56.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema86.required,parentSchema:schema86,data}];
+validate60.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema89.required,parentSchema:schema89,data}];
 return false;
 }
 else {
@@ -2615,11 +2813,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.type.type,parentSchema:schema86.properties.type,data:data0}];
+validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.type.type,parentSchema:schema89.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema86.properties.type,data:data0}];
+validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema89.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2632,7 +2830,7 @@
 let data1 = data.confirmed;
 const _errs3 = errors;
 if(typeof data1 !== "boolean"){
-validate56.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema86.properties.confirmed.type,parentSchema:schema86.properties.confirmed,data:data1}];
+validate60.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema89.properties.confirmed.type,parentSchema:schema89.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -2646,13 +2844,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate56.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate60.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate56.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate60.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -2667,7 +2865,7 @@
 let data3 = data.document;
 const _errs8 = errors;
 if(typeof data3 !== "string"){
-validate56.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.document.type,parentSchema:schema86.properties.document,data:data3}];
+validate60.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.document.type,parentSchema:schema89.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs8 === errors;
@@ -2680,7 +2878,7 @@
 let data4 = data.epoch;
 const _errs10 = errors;
 if(typeof data4 !== "string"){
-validate56.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.epoch.type,parentSchema:schema86.properties.epoch,data:data4}];
+validate60.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.epoch.type,parentSchema:schema89.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs10 === errors;
@@ -2694,13 +2892,13 @@
 const _errs12 = errors;
 const _errs13 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
-validate56.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+validate60.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate56.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
+validate60.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
 return false;
 }
 }
@@ -2731,7 +2929,7 @@
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.sightings.type,parentSchema:schema86.properties.sightings,data:data6}];
+validate60.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema89.properties.sightings.type,parentSchema:schema89.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -2745,7 +2943,7 @@
 let data8 = data.mark;
 const _errs18 = errors;
 if(typeof data8 !== "string"){
-validate56.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema86.properties.mark.type,parentSchema:schema86.properties.mark,data:data8}];
+validate60.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.mark.type,parentSchema:schema89.properties.mark,data:data8}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -2774,7 +2972,7 @@
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.hosts.type,parentSchema:schema86.properties.hosts,data:data9}];
+validate60.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema89.properties.hosts.type,parentSchema:schema89.properties.hosts,data:data9}];
 return false;
 }
 }
@@ -2798,18 +2996,18 @@
 if(errors === _errs26){
 if(typeof data12 === "string"){
 if(data12.length > 256){
-validate56.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data12}];
+validate60.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data12}];
 return false;
 }
 else {
 if(data12.length < 1){
-validate56.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data12}];
+validate60.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data12}];
 return false;
 }
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data12}];
+validate60.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data12}];
 return false;
 }
 }
@@ -2820,7 +3018,7 @@
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.cores.type,parentSchema:schema86.properties.cores,data:data11}];
+validate60.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema89.properties.cores.type,parentSchema:schema89.properties.cores,data:data11}];
 return false;
 }
 }
@@ -2835,13 +3033,13 @@
 const _errs28 = errors;
 const _errs29 = errors;
 if(!(((typeof data13 == "number") && (!(data13 % 1) && !isNaN(data13))) && (isFinite(data13)))){
-validate56.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data13}];
+validate60.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data13}];
 return false;
 }
 if(errors === _errs29){
 if((typeof data13 == "number") && (isFinite(data13))){
 if(data13 < 0 || isNaN(data13)){
-validate56.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data13}];
+validate60.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data13}];
 return false;
 }
 }
@@ -2872,7 +3070,7 @@
 }
 }
 else {
-validate56.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema86.properties.suspects.type,parentSchema:schema86.properties.suspects,data:data14}];
+validate60.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema89.properties.suspects.type,parentSchema:schema89.properties.suspects,data:data14}];
 return false;
 }
 }
@@ -2881,6 +3079,37 @@
 else {
 var valid0 = true;
 }
+if(valid0){
+if(data.limits !== undefined){
+let data16 = data.limits;
+const _errs34 = errors;
+if(errors === _errs34){
+if(Array.isArray(data16)){
+var valid9 = true;
+const len4 = data16.length;
+for(let i4=0; i4<len4; i4++){
+const _errs36 = errors;
+if(!(validate44(data16[i4], {instancePath:instancePath+"/limits/" + i4,parentData:data16,parentDataProperty:i4,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
+errors = vErrors.length;
+}
+var valid9 = _errs36 === errors;
+if(!valid9){
+break;
+}
+}
+}
+else {
+validate60.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema89.properties.limits.type,parentSchema:schema89.properties.limits,data:data16}];
+return false;
+}
+}
+var valid0 = _errs34 === errors;
+}
+else {
+var valid0 = true;
+}
+}
 }
 }
 }
@@ -2895,22 +3124,22 @@
 }
 }
 else {
-validate56.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema86.type,parentSchema:schema86,data}];
+validate60.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema89.type,parentSchema:schema89,data}];
 return false;
 }
 }
-validate56.errors = vErrors;
+validate60.errors = vErrors;
 return errors === 0;
 }
-validate56.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"suspectRevision":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
+validate60.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"suspectRevision":true,"suspects":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema91 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema92 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema94 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema95 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
-function validate61(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate66(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate61.evaluated;
+const evaluated0 = validate66.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2921,7 +3150,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate61.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema92.required,parentSchema:schema92,data}];
+validate66.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema95.required,parentSchema:schema95,data}];
 return false;
 }
 else {
@@ -2930,13 +3159,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate61.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate66.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate61.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate66.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -2951,7 +3180,7 @@
 let data1 = data.handle;
 const _errs4 = errors;
 if(typeof data1 !== "string"){
-validate61.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema92.properties.handle.type,parentSchema:schema92.properties.handle,data:data1}];
+validate66.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.properties.handle.type,parentSchema:schema95.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -2964,7 +3193,7 @@
 let data2 = data.failure;
 const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate61.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema92.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema92.properties.failure.enum,parentSchema:schema92.properties.failure,data:data2}];
+validate66.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema95.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema95.properties.failure.enum,parentSchema:schema95.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -2977,20 +3206,20 @@
 }
 }
 else {
-validate61.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema92.type,parentSchema:schema92,data}];
+validate66.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema95.type,parentSchema:schema95,data}];
 return false;
 }
 }
-validate61.errors = vErrors;
+validate66.errors = vErrors;
 return errors === 0;
 }
-validate61.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
+validate66.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate60(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate65(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate60.evaluated;
+const evaluated0 = validate65.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3001,7 +3230,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate60.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema91.required,parentSchema:schema91,data}];
+validate65.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
 return false;
 }
 else {
@@ -3009,11 +3238,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema91.properties.type.type,parentSchema:schema91.properties.type,data:data0}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.type.type,parentSchema:schema94.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate60.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema91.properties.type,data:data0}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema94.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3031,8 +3260,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate61(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate61.errors : vErrors.concat(validate61.errors);
+if(!(validate66(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate66.errors : vErrors.concat(validate66.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -3042,7 +3271,7 @@
 }
 }
 else {
-validate60.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema91.properties.results.type,parentSchema:schema91.properties.results,data:data1}];
+validate65.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema94.properties.results.type,parentSchema:schema94.properties.results,data:data1}];
 return false;
 }
 }
@@ -3055,22 +3284,22 @@
 }
 }
 else {
-validate60.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema91.type,parentSchema:schema91,data}];
+validate65.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
 return false;
 }
 }
-validate60.errors = vErrors;
+validate65.errors = vErrors;
 return errors === 0;
 }
-validate60.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
+validate65.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema94 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
-const schema97 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
+const schema97 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
+const schema100 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
 
-function validate63(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate68(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate63.evaluated;
+const evaluated0 = validate68.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3081,7 +3310,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((data.type === undefined) && (missing0 = "type")) || ((data.engine === undefined) && (missing0 = "engine"))) || ((data.read === undefined) && (missing0 = "read"))) || ((data.fetched === undefined) && (missing0 = "fetched"))) || ((data.fetchTime === undefined) && (missing0 = "fetchTime"))) || ((data.firstEvent === undefined) && (missing0 = "firstEvent"))) || ((data.work === undefined) && (missing0 = "work"))){
-validate63.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
+validate68.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema97.required,parentSchema:schema97,data}];
 return false;
 }
 else {
@@ -3089,11 +3318,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.type.type,parentSchema:schema94.properties.type,data:data0}];
+validate68.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema97.properties.type.type,parentSchema:schema97.properties.type,data:data0}];
 return false;
 }
 if("placed" !== data0){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema94.properties.type,data:data0}];
+validate68.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema97.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3109,18 +3338,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 300){
-validate63.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data1}];
+validate68.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate63.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data1}];
+validate68.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data1}];
 return false;
 }
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data1}];
+validate68.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data1}];
 return false;
 }
 }
@@ -3137,18 +3366,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 300){
-validate63.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data2}];
+validate68.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema68,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate63.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data2}];
+validate68.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema68,data:data2}];
 return false;
 }
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data2}];
+validate68.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema68.type,parentSchema:schema68,data:data2}];
 return false;
 }
 }
@@ -3164,12 +3393,12 @@
 if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate63.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.read,data:data3}];
+validate68.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.read,data:data3}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.read.type,parentSchema:schema94.properties.read,data:data3}];
+validate68.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.read.type,parentSchema:schema97.properties.read,data:data3}];
 return false;
 }
 }
@@ -3185,12 +3414,12 @@
 if(errors === _errs11){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate63.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.fetched,data:data4}];
+validate68.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.fetched,data:data4}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.fetched.type,parentSchema:schema94.properties.fetched,data:data4}];
+validate68.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.fetched.type,parentSchema:schema97.properties.fetched,data:data4}];
 return false;
 }
 }
@@ -3206,12 +3435,12 @@
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate63.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.fetchTime,data:data5}];
+validate68.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.fetchTime,data:data5}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.fetchTime.type,parentSchema:schema94.properties.fetchTime,data:data5}];
+validate68.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.fetchTime.type,parentSchema:schema97.properties.fetchTime,data:data5}];
 return false;
 }
 }
@@ -3227,12 +3456,12 @@
 if(errors === _errs15){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
-validate63.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.firstEvent,data:data6}];
+validate68.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.firstEvent,data:data6}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.firstEvent.type,parentSchema:schema94.properties.firstEvent,data:data6}];
+validate68.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.firstEvent.type,parentSchema:schema97.properties.firstEvent,data:data6}];
 return false;
 }
 }
@@ -3250,7 +3479,7 @@
 if(data7 && typeof data7 == "object" && !Array.isArray(data7)){
 let missing1;
 if(((data7.tokens === undefined) && (missing1 = "tokens")) || ((data7.streams === undefined) && (missing1 = "streams"))){
-validate63.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema97.required,parentSchema:schema97,data:data7}];
+validate68.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema100.required,parentSchema:schema100,data:data7}];
 return false;
 }
 else {
@@ -3260,12 +3489,12 @@
 if(errors === _errs20){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < 0 || isNaN(data8)){
-validate63.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.tokens,data:data8}];
+validate68.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema100.properties.tokens,data:data8}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.tokens.type,parentSchema:schema97.properties.tokens,data:data8}];
+validate68.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema100.properties.tokens.type,parentSchema:schema100.properties.tokens,data:data8}];
 return false;
 }
 }
@@ -3281,12 +3510,12 @@
 if(errors === _errs22){
 if((typeof data9 == "number") && (isFinite(data9))){
 if(data9 < 0 || isNaN(data9)){
-validate63.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.streams,data:data9}];
+validate68.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema100.properties.streams,data:data9}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.streams.type,parentSchema:schema97.properties.streams,data:data9}];
+validate68.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema100.properties.streams.type,parentSchema:schema100.properties.streams,data:data9}];
 return false;
 }
 }
@@ -3299,7 +3528,7 @@
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema97.type,parentSchema:schema97,data:data7}];
+validate68.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema100.type,parentSchema:schema100,data:data7}];
 return false;
 }
 }
@@ -3318,20 +3547,20 @@
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
+validate68.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema97.type,parentSchema:schema97,data}];
 return false;
 }
 }
-validate63.errors = vErrors;
+validate68.errors = vErrors;
 return errors === 0;
 }
-validate63.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
+validate68.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate57(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate53.evaluated;
+const evaluated0 = validate57.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3342,7 +3571,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema81.required,parentSchema:schema81,data}];
+validate57.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema84.required,parentSchema:schema84,data}];
 return false;
 }
 else {
@@ -3354,7 +3583,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate53.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema98.required,parentSchema:schema98,data}];
+validate57.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema101.required,parentSchema:schema101,data}];
 return false;
 }
 else {
@@ -3362,11 +3591,11 @@
 let data0 = data.type;
 const _errs5 = errors;
 if(typeof data0 !== "string"){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.properties.type.type,parentSchema:schema98.properties.type,data:data0}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema98.properties.type,data:data0}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema101.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs5 === errors;
@@ -3379,7 +3608,7 @@
 let data1 = data.reason;
 const _errs7 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate53.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema98.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema98.properties.reason.enum,parentSchema:schema98.properties.reason,data:data1}];
+validate57.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema101.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema101.properties.reason.enum,parentSchema:schema101.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs7 === errors;
@@ -3392,7 +3621,7 @@
 let data2 = data.leader;
 const _errs8 = errors;
 if(typeof data2 !== "string"){
-validate53.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.properties.leader.type,parentSchema:schema98.properties.leader,data:data2}];
+validate57.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.leader.type,parentSchema:schema101.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -3405,7 +3634,7 @@
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema98.type,parentSchema:schema98,data}];
+validate57.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
 return false;
 }
 }
@@ -3415,8 +3644,8 @@
 props0.leader = true;
 }
 else if(tag0 === "confirmed"){
-if(!(validate54(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate54.errors : vErrors.concat(validate54.errors);
+if(!(validate58(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate58.errors : vErrors.concat(validate58.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3426,8 +3655,8 @@
 }
 }
 else if(tag0 === "replaced"){
-if(!(validate55(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate55.errors : vErrors.concat(validate55.errors);
+if(!(validate59(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate59.errors : vErrors.concat(validate59.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3438,8 +3667,8 @@
 }
 }
 else if(tag0 === "synced"){
-if(!(validate56(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate56.errors : vErrors.concat(validate56.errors);
+if(!(validate60(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate60.errors : vErrors.concat(validate60.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3456,6 +3685,7 @@
 props0.cores = true;
 props0.suspectRevision = true;
 props0.suspects = true;
+props0.limits = true;
 }
 }
 else if(tag0 === "noted"){
@@ -3464,25 +3694,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate53.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema99.required,parentSchema:schema99,data}];
+validate57.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema102.required,parentSchema:schema102,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema99.properties.type.type,parentSchema:schema99.properties.type,data:data3}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema102.properties.type.type,parentSchema:schema102.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema99.properties.type,data:data3}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema102.properties.type,data:data3}];
 return false;
 }
 }
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema99.type,parentSchema:schema99,data}];
+validate57.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema102.type,parentSchema:schema102,data}];
 return false;
 }
 }
@@ -3492,8 +3722,8 @@
 }
 }
 else if(tag0 === "made"){
-if(!(validate60(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate60.errors : vErrors.concat(validate60.errors);
+if(!(validate65(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate65.errors : vErrors.concat(validate65.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3508,7 +3738,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if((((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))) || ((data.work === undefined) && (missing3 = "work"))){
-validate53.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema100.required,parentSchema:schema100,data}];
+validate57.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema103.required,parentSchema:schema103,data}];
 return false;
 }
 else {
@@ -3516,11 +3746,11 @@
 let data4 = data.type;
 const _errs22 = errors;
 if(typeof data4 !== "string"){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema100.properties.type.type,parentSchema:schema100.properties.type,data:data4}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.type.type,parentSchema:schema103.properties.type,data:data4}];
 return false;
 }
 if("booked" !== data4){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema100.properties.type,data:data4}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema103.properties.type,data:data4}];
 return false;
 }
 var valid13 = _errs22 === errors;
@@ -3533,7 +3763,7 @@
 let data5 = data.wait;
 const _errs24 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate53.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema100.properties.wait.type,parentSchema:schema100.properties.wait,data:data5}];
+validate57.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema103.properties.wait.type,parentSchema:schema103.properties.wait,data:data5}];
 return false;
 }
 var valid13 = _errs24 === errors;
@@ -3546,7 +3776,7 @@
 let data6 = data.work;
 const _errs26 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate53.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema100.properties.work.type,parentSchema:schema100.properties.work,data:data6}];
+validate57.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema103.properties.work.type,parentSchema:schema103.properties.work,data:data6}];
 return false;
 }
 var valid13 = _errs26 === errors;
@@ -3559,7 +3789,7 @@
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema100.type,parentSchema:schema100,data}];
+validate57.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema103.type,parentSchema:schema103,data}];
 return false;
 }
 }
@@ -3571,8 +3801,8 @@
 }
 }
 else if(tag0 === "placed"){
-if(!(validate63(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate63.errors : vErrors.concat(validate63.errors);
+if(!(validate68(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate68.errors : vErrors.concat(validate68.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3593,7 +3823,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing4;
 if((((data.type === undefined) && (missing4 = "type")) || ((data.granted === undefined) && (missing4 = "granted"))) || ((data.wait === undefined) && (missing4 = "wait"))){
-validate53.errors = [{instancePath,schemaPath:"#/$defs/TrialReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema101.required,parentSchema:schema101,data}];
+validate57.errors = [{instancePath,schemaPath:"#/$defs/TrialReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema104.required,parentSchema:schema104,data}];
 return false;
 }
 else {
@@ -3601,11 +3831,11 @@
 let data7 = data.type;
 const _errs32 = errors;
 if(typeof data7 !== "string"){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data7}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data7}];
 return false;
 }
 if("trial" !== data7){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialReply/properties/type/const",keyword:"const",params:{allowedValue: "trial"},message:"must be equal to constant",schema:"trial",parentSchema:schema101.properties.type,data:data7}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialReply/properties/type/const",keyword:"const",params:{allowedValue: "trial"},message:"must be equal to constant",schema:"trial",parentSchema:schema104.properties.type,data:data7}];
 return false;
 }
 var valid17 = _errs32 === errors;
@@ -3618,7 +3848,7 @@
 let data8 = data.granted;
 const _errs34 = errors;
 if(typeof data8 !== "boolean"){
-validate53.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/TrialReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema101.properties.granted.type,parentSchema:schema101.properties.granted,data:data8}];
+validate57.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/TrialReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema104.properties.granted.type,parentSchema:schema104.properties.granted,data:data8}];
 return false;
 }
 var valid17 = _errs34 === errors;
@@ -3631,7 +3861,7 @@
 let data9 = data.taken;
 const _errs36 = errors;
 if(typeof data9 !== "boolean"){
-validate53.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/TrialReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema101.properties.taken.type,parentSchema:schema101.properties.taken,data:data9}];
+validate57.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/TrialReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema104.properties.taken.type,parentSchema:schema104.properties.taken,data:data9}];
 return false;
 }
 var valid17 = _errs36 === errors;
@@ -3646,12 +3876,12 @@
 if(errors === _errs38){
 if((typeof data10 == "number") && (isFinite(data10))){
 if(data10 < 0 || isNaN(data10)){
-validate53.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/TrialReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema101.properties.wait,data:data10}];
+validate57.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/TrialReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema104.properties.wait,data:data10}];
 return false;
 }
 }
 else {
-validate53.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/TrialReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema101.properties.wait.type,parentSchema:schema101.properties.wait,data:data10}];
+validate57.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/TrialReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema104.properties.wait.type,parentSchema:schema104.properties.wait,data:data10}];
 return false;
 }
 }
@@ -3666,7 +3896,7 @@
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/$defs/TrialReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
+validate57.errors = [{instancePath,schemaPath:"#/$defs/TrialReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
 return false;
 }
 }
@@ -3678,33 +3908,109 @@
 props0.wait = true;
 }
 }
+else if(tag0 === "quota"){
+const _errs41 = errors;
+if(errors === _errs41){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing5;
+if((((data.type === undefined) && (missing5 = "type")) || ((data.granted === undefined) && (missing5 = "granted"))) || ((data.wait === undefined) && (missing5 = "wait"))){
+validate57.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema105.required,parentSchema:schema105,data}];
+return false;
+}
 else {
-validate53.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema81.discriminator,parentSchema:schema81,data}];
+if(data.type !== undefined){
+let data11 = data.type;
+const _errs43 = errors;
+if(typeof data11 !== "string"){
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.type.type,parentSchema:schema105.properties.type,data:data11}];
 return false;
 }
+if("quota" !== data11){
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema105.properties.type,data:data11}];
+return false;
+}
+var valid20 = _errs43 === errors;
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema81.discriminator,parentSchema:schema81,data}];
+var valid20 = true;
+}
+if(valid20){
+if(data.granted !== undefined){
+let data12 = data.granted;
+const _errs45 = errors;
+if(typeof data12 !== "boolean"){
+validate57.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema105.properties.granted.type,parentSchema:schema105.properties.granted,data:data12}];
 return false;
 }
+var valid20 = _errs45 === errors;
+}
+else {
+var valid20 = true;
+}
+if(valid20){
+if(data.wait !== undefined){
+let data13 = data.wait;
+const _errs47 = errors;
+if(errors === _errs47){
+if((typeof data13 == "number") && (isFinite(data13))){
+if(data13 < 0 || isNaN(data13)){
+validate57.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema105.properties.wait,data:data13}];
+return false;
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema81.type,parentSchema:schema81,data}];
+validate57.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema105.properties.wait.type,parentSchema:schema105.properties.wait,data:data13}];
 return false;
 }
 }
-validate53.errors = vErrors;
+var valid20 = _errs47 === errors;
+}
+else {
+var valid20 = true;
+}
+}
+}
+}
+}
+else {
+validate57.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema105.type,parentSchema:schema105,data}];
+return false;
+}
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.granted = true;
+props0.wait = true;
+}
+}
+else {
+validate57.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema84.discriminator,parentSchema:schema84,data}];
+return false;
+}
+}
+else {
+validate57.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema84.discriminator,parentSchema:schema84,data}];
+return false;
+}
+}
+}
+else {
+validate57.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema84.type,parentSchema:schema84,data}];
+return false;
+}
+}
+validate57.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate53.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate57.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate52(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate56(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate52.evaluated;
+const evaluated0 = validate56.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3715,7 +4021,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate52.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema79.required,parentSchema:schema79,data}];
+validate56.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema82.required,parentSchema:schema82,data}];
 return false;
 }
 else {
@@ -3723,11 +4029,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate52.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema79.properties.type.type,parentSchema:schema79.properties.type,data:data0}];
+validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema82.properties.type.type,parentSchema:schema82.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate52.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema79.properties.type,data:data0}];
+validate56.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema82.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3741,13 +4047,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate52.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate56.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate52.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate56.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3760,8 +4066,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs6 = errors;
-if(!(validate53(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate53.errors : vErrors.concat(validate53.errors);
+if(!(validate57(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate57.errors : vErrors.concat(validate57.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs6 === errors;
@@ -3774,21 +4080,21 @@
 }
 }
 else {
-validate52.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema79.type,parentSchema:schema79,data}];
+validate56.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema82.type,parentSchema:schema82,data}];
 return false;
 }
 }
-validate52.errors = vErrors;
+validate56.errors = vErrors;
 return errors === 0;
 }
-validate52.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate56.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema102 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema106 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
-function validate70(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate75(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate70.evaluated;
+const evaluated0 = validate75.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3799,7 +4105,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate70.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema102.required,parentSchema:schema102,data}];
+validate75.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
 return false;
 }
 else {
@@ -3807,11 +4113,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema102.properties.type.type,parentSchema:schema102.properties.type,data:data0}];
+validate75.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.type.type,parentSchema:schema106.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema102.properties.type,data:data0}];
+validate75.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema106.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3832,13 +4138,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate70.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate75.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate70.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate75.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3850,7 +4156,7 @@
 }
 }
 else {
-validate70.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema102.properties.ids.type,parentSchema:schema102.properties.ids,data:data1}];
+validate75.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.ids.type,parentSchema:schema106.properties.ids,data:data1}];
 return false;
 }
 }
@@ -3863,24 +4169,24 @@
 }
 }
 else {
-validate70.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema102.type,parentSchema:schema102,data}];
+validate75.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
 return false;
 }
 }
-validate70.errors = vErrors;
+validate75.errors = vErrors;
 return errors === 0;
 }
-validate70.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
+validate75.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema104 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema105 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/TrialOverNotice"}]};
-const schema121 = {"title":"TrialOverNotice","description":"A run with leave has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"trial-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
-const schema106 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}}}};
+const schema108 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema109 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/TrialOverNotice"},{"$ref":"#/$defs/LimitsNotice"}]};
+const schema126 = {"title":"TrialOverNotice","description":"A run with leave has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"trial-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
+const schema110 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
-function validate73(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate78(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate73.evaluated;
+const evaluated0 = validate78.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3891,7 +4197,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate73.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
+validate78.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema110.required,parentSchema:schema110,data}];
 return false;
 }
 else {
@@ -3899,11 +4205,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.type.type,parentSchema:schema106.properties.type,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema110.properties.type.type,parentSchema:schema110.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema106.properties.type,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema110.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3919,18 +4225,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate73.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate78.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate73.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate78.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate78.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -3954,18 +4260,18 @@
 if(errors === _errs9){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate73.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
+validate78.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate73.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
+validate78.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
 return false;
 }
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+validate78.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
 }
@@ -3976,7 +4282,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.cores.type,parentSchema:schema106.properties.cores,data:data2}];
+validate78.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema110.properties.cores.type,parentSchema:schema110.properties.cores,data:data2}];
 return false;
 }
 }
@@ -4006,7 +4312,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.hosts.type,parentSchema:schema106.properties.hosts,data:data4}];
+validate78.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema110.properties.hosts.type,parentSchema:schema110.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -4015,27 +4321,58 @@
 else {
 var valid0 = true;
 }
+if(valid0){
+if(data.limits !== undefined){
+let data6 = data.limits;
+const _errs14 = errors;
+if(errors === _errs14){
+if(Array.isArray(data6)){
+var valid5 = true;
+const len2 = data6.length;
+for(let i2=0; i2<len2; i2++){
+const _errs16 = errors;
+if(!(validate44(data6[i2], {instancePath:instancePath+"/limits/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
+errors = vErrors.length;
+}
+var valid5 = _errs16 === errors;
+if(!valid5){
+break;
+}
+}
+}
+else {
+validate78.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema110.properties.limits.type,parentSchema:schema110.properties.limits,data:data6}];
+return false;
+}
+}
+var valid0 = _errs14 === errors;
+}
+else {
+var valid0 = true;
+}
+}
 }
 }
 }
 }
 }
 else {
-validate73.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
+validate78.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema110.type,parentSchema:schema110,data}];
 return false;
 }
 }
-validate73.errors = vErrors;
+validate78.errors = vErrors;
 return errors === 0;
 }
-validate73.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true},"dynamicProps":false,"dynamicItems":false};
+validate78.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema109 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema113 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
-function validate75(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate81(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate75.evaluated;
+const evaluated0 = validate81.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4046,7 +4383,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate75.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema109.required,parentSchema:schema109,data}];
+validate81.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema113.required,parentSchema:schema113,data}];
 return false;
 }
 else {
@@ -4054,11 +4391,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate75.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema109.properties.type.type,parentSchema:schema109.properties.type,data:data0}];
+validate81.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema113.properties.type.type,parentSchema:schema113.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate75.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema109.properties.type,data:data0}];
+validate81.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema113.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4074,18 +4411,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate75.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate81.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate75.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate81.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate75.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate81.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -4102,18 +4439,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate75.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
+validate81.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate75.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
+validate81.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate75.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
+validate81.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -4134,7 +4471,7 @@
 let data4 = data3[i0];
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate75.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema109.properties.handles.items.type,parentSchema:schema109.properties.handles.items,data:data4}];
+validate81.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema113.properties.handles.items.type,parentSchema:schema113.properties.handles.items,data:data4}];
 return false;
 }
 var valid3 = _errs11 === errors;
@@ -4144,7 +4481,7 @@
 }
 }
 else {
-validate75.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema109.properties.handles.type,parentSchema:schema109.properties.handles,data:data3}];
+validate81.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema113.properties.handles.type,parentSchema:schema113.properties.handles,data:data3}];
 return false;
 }
 }
@@ -4159,21 +4496,21 @@
 }
 }
 else {
-validate75.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema109.type,parentSchema:schema109,data}];
+validate81.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema113.type,parentSchema:schema113,data}];
 return false;
 }
 }
-validate75.errors = vErrors;
+validate81.errors = vErrors;
 return errors === 0;
 }
-validate75.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
+validate81.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema112 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
+const schema116 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
-function validate76(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate82(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate76.evaluated;
+const evaluated0 = validate82.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4184,7 +4521,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate76.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema112.required,parentSchema:schema112,data}];
+validate82.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema116.required,parentSchema:schema116,data}];
 return false;
 }
 else {
@@ -4192,11 +4529,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate76.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema112.properties.type.type,parentSchema:schema112.properties.type,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema116.properties.type.type,parentSchema:schema116.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate76.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema112.properties.type,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema116.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4212,18 +4549,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate76.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate76.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data1}];
 return false;
 }
 }
 }
 else {
-validate76.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data1}];
 return false;
 }
 }
@@ -4240,18 +4577,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate76.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate76.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate76.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -4268,18 +4605,18 @@
 if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate76.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema41,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate76.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema41,data:data3}];
 return false;
 }
 }
 }
 else {
-validate76.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema41.type,parentSchema:schema41,data:data3}];
 return false;
 }
 }
@@ -4294,23 +4631,23 @@
 }
 }
 else {
-validate76.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema112.type,parentSchema:schema112,data}];
+validate82.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema116.type,parentSchema:schema116,data}];
 return false;
 }
 }
-validate76.errors = vErrors;
+validate82.errors = vErrors;
 return errors === 0;
 }
-validate76.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
+validate82.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema116 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
-const schema117 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
-const schema118 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
+const schema120 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
+const schema121 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
+const schema122 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
 
-function validate80(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate86(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate80.evaluated;
+const evaluated0 = validate86.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
