@@ -4321,7 +4658,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.work === undefined) && (missing0 = "work")) || ((data.took === undefined) && (missing0 = "took"))){
-validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema118.required,parentSchema:schema118,data}];
+validate86.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema122.required,parentSchema:schema122,data}];
 return false;
 }
 else {
@@ -4333,7 +4670,7 @@
 if(data0 && typeof data0 == "object" && !Array.isArray(data0)){
 let missing1;
 if(((data0.tokens === undefined) && (missing1 = "tokens")) || ((data0.streams === undefined) && (missing1 = "streams"))){
-validate80.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema97.required,parentSchema:schema97,data:data0}];
+validate86.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema100.required,parentSchema:schema100,data:data0}];
 return false;
 }
 else {
@@ -4343,12 +4680,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate80.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.tokens,data:data1}];
+validate86.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema100.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.tokens.type,parentSchema:schema97.properties.tokens,data:data1}];
+validate86.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema100.properties.tokens.type,parentSchema:schema100.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -4364,12 +4701,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate80.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.streams,data:data2}];
+validate86.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema100.properties.streams,data:data2}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.streams.type,parentSchema:schema97.properties.streams,data:data2}];
+validate86.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema100.properties.streams.type,parentSchema:schema100.properties.streams,data:data2}];
 return false;
 }
 }
@@ -4382,7 +4719,7 @@
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema97.type,parentSchema:schema97,data:data0}];
+validate86.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema100.type,parentSchema:schema100,data:data0}];
 return false;
 }
 }
@@ -4398,12 +4735,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate80.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema118.properties.took,data:data3}];
+validate86.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema122.properties.took,data:data3}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema118.properties.took.type,parentSchema:schema118.properties.took,data:data3}];
+validate86.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema122.properties.took.type,parentSchema:schema122.properties.took,data:data3}];
 return false;
 }
 }
@@ -4416,20 +4753,20 @@
 }
 }
 else {
-validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
+validate86.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
 return false;
 }
 }
-validate80.errors = vErrors;
+validate86.errors = vErrors;
 return errors === 0;
 }
-validate80.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
+validate86.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate78(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate84(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate78.evaluated;
+const evaluated0 = validate84.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4440,7 +4777,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.engine === undefined) && (missing0 = "engine")) || ((data.tokens === undefined) && (missing0 = "tokens"))) || ((data.streams === undefined) && (missing0 = "streams"))) || ((data.read === undefined) && (missing0 = "read"))){
-validate78.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema117.required,parentSchema:schema117,data}];
+validate84.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema121.required,parentSchema:schema121,data}];
 return false;
 }
 else {
@@ -4450,18 +4787,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 300){
-validate78.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema117.properties.engine,data:data0}];
+validate84.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema121.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate78.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema117.properties.engine,data:data0}];
+validate84.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema121.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate78.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema117.properties.engine.type,parentSchema:schema117.properties.engine,data:data0}];
+validate84.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.engine.type,parentSchema:schema121.properties.engine,data:data0}];
 return false;
 }
 }
@@ -4477,12 +4814,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate78.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.tokens,data:data1}];
+validate84.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema121.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate78.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.tokens.type,parentSchema:schema117.properties.tokens,data:data1}];
+validate84.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema121.properties.tokens.type,parentSchema:schema121.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -4496,13 +4833,13 @@
 let data2 = data.streams;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate78.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema117.properties.streams.type,parentSchema:schema117.properties.streams,data:data2}];
+validate84.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema121.properties.streams.type,parentSchema:schema121.properties.streams,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate78.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.streams,data:data2}];
+validate84.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema121.properties.streams,data:data2}];
 return false;
 }
 }
@@ -4540,7 +4877,7 @@
 }
 }
 else {
-validate78.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema117.properties.read.items.type,parentSchema:schema117.properties.read.items,data:data4}];
+validate84.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema121.properties.read.items.type,parentSchema:schema121.properties.read.items,data:data4}];
 return false;
 }
 }
@@ -4551,7 +4888,7 @@
 }
 }
 else {
-validate78.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema117.properties.read.type,parentSchema:schema117.properties.read,data:data3}];
+validate84.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema121.properties.read.type,parentSchema:schema121.properties.read,data:data3}];
 return false;
 }
 }
@@ -4570,8 +4907,8 @@
 const len2 = data6.length;
 for(let i2=0; i2<len2; i2++){
 const _errs14 = errors;
-if(!(validate80(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate80.errors : vErrors.concat(validate80.errors);
+if(!(validate86(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate86.errors : vErrors.concat(validate86.errors);
 errors = vErrors.length;
 }
 var valid3 = _errs14 === errors;
@@ -4581,7 +4918,7 @@
 }
 }
 else {
-validate78.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema117.properties.firsts.type,parentSchema:schema117.properties.firsts,data:data6}];
+validate84.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema121.properties.firsts.type,parentSchema:schema121.properties.firsts,data:data6}];
 return false;
 }
 }
@@ -4602,7 +4939,7 @@
 let data9 = data8[i3];
 const _errs17 = errors;
 if(!(((data9 === "good") || (data9 === "bad")) || (data9 === "full"))){
-validate78.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema117.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema117.properties.verdicts.items.enum,parentSchema:schema117.properties.verdicts.items,data:data9}];
+validate84.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema121.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema121.properties.verdicts.items.enum,parentSchema:schema121.properties.verdicts.items,data:data9}];
 return false;
 }
 var valid4 = _errs17 === errors;
@@ -4612,7 +4949,7 @@
 }
 }
 else {
-validate78.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema117.properties.verdicts.type,parentSchema:schema117.properties.verdicts,data:data8}];
+validate84.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema121.properties.verdicts.type,parentSchema:schema121.properties.verdicts,data:data8}];
 return false;
 }
 }
@@ -4629,20 +4966,20 @@
 }
 }
 else {
-validate78.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data}];
+validate84.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema121.type,parentSchema:schema121,data}];
 return false;
 }
 }
-validate78.errors = vErrors;
+validate84.errors = vErrors;
 return errors === 0;
 }
-validate78.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true,"verdicts":true},"dynamicProps":false,"dynamicItems":false};
+validate84.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true,"verdicts":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate77(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate83(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate77.evaluated;
+const evaluated0 = validate83.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4653,7 +4990,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.uses === undefined) && (missing0 = "uses"))){
-validate77.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema116.required,parentSchema:schema116,data}];
+validate83.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
 return false;
 }
 else {
@@ -4661,11 +4998,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema116.properties.type.type,parentSchema:schema116.properties.type,data:data0}];
+validate83.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data0}];
 return false;
 }
 if("use" !== data0){
-validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema116.properties.type,data:data0}];
+validate83.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema120.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4683,8 +5020,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate78(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate78.errors : vErrors.concat(validate78.errors);
+if(!(validate84(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate84.errors : vErrors.concat(validate84.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -4694,7 +5031,7 @@
 }
 }
 else {
-validate77.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema116.properties.uses.type,parentSchema:schema116.properties.uses,data:data1}];
+validate83.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema120.properties.uses.type,parentSchema:schema120.properties.uses,data:data1}];
 return false;
 }
 }
@@ -4707,21 +5044,21 @@
 }
 }
 else {
-validate77.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema116.type,parentSchema:schema116,data}];
+validate83.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
 return false;
 }
 }
-validate77.errors = vErrors;
+validate83.errors = vErrors;
 return errors === 0;
 }
-validate77.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
+validate83.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema120 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema124 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
 
-function validate83(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate89(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate83.evaluated;
+const evaluated0 = validate89.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4732,7 +5069,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
-validate83.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
+validate89.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema124.required,parentSchema:schema124,data}];
 return false;
 }
 else {
@@ -4740,11 +5077,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate83.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data0}];
+validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema124.properties.type.type,parentSchema:schema124.properties.type,data:data0}];
 return false;
 }
 if("suspects" !== data0){
-validate83.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema120.properties.type,data:data0}];
+validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema124.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4773,7 +5110,7 @@
 }
 }
 else {
-validate83.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema120.properties.suspects.type,parentSchema:schema120.properties.suspects,data:data1}];
+validate89.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.suspects.type,parentSchema:schema124.properties.suspects,data:data1}];
 return false;
 }
 }
@@ -4786,20 +5123,99 @@
 }
 }
 else {
-validate83.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
+validate89.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema124.type,parentSchema:schema124,data}];
 return false;
 }
 }
-validate83.errors = vErrors;
+validate89.errors = vErrors;
 return errors === 0;
 }
-validate83.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
+validate89.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
 
+const schema125 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
-function validate72(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate91(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate72.evaluated;
+const evaluated0 = validate91.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((data.type === undefined) && (missing0 = "type")) || ((data.limits === undefined) && (missing0 = "limits"))){
+validate91.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema125.required,parentSchema:schema125,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema125.properties.type.type,parentSchema:schema125.properties.type,data:data0}];
+return false;
+}
+if("limits" !== data0){
+validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema125.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.limits !== undefined){
+let data1 = data.limits;
+const _errs3 = errors;
+if(errors === _errs3){
+if(Array.isArray(data1)){
+var valid1 = true;
+const len0 = data1.length;
+for(let i0=0; i0<len0; i0++){
+const _errs5 = errors;
+if(!(validate44(data1[i0], {instancePath:instancePath+"/limits/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
+errors = vErrors.length;
+}
+var valid1 = _errs5 === errors;
+if(!valid1){
+break;
+}
+}
+}
+else {
+validate91.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema125.properties.limits.type,parentSchema:schema125.properties.limits,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+else {
+validate91.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema125.type,parentSchema:schema125,data}];
+return false;
+}
+}
+validate91.errors = vErrors;
+return errors === 0;
+}
+validate91.evaluated = {"props":{"type":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate77(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate77.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4810,15 +5226,15 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate72.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema105.required,parentSchema:schema105,data}];
+validate77.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema109.required,parentSchema:schema109,data}];
 return false;
 }
 else {
 const tag0 = data.type;
 if(typeof tag0 == "string"){
 if(tag0 === "hello"){
-if(!(validate73(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate73.errors : vErrors.concat(validate73.errors);
+if(!(validate78(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate78.errors : vErrors.concat(validate78.errors);
 errors = vErrors.length;
 }
 var props0 = {};
@@ -4826,10 +5242,11 @@
 props0.dataCentre = true;
 props0.cores = true;
 props0.hosts = true;
+props0.limits = true;
 }
 else if(tag0 === "release"){
-if(!(validate75(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate75.errors : vErrors.concat(validate75.errors);
+if(!(validate81(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate81.errors : vErrors.concat(validate81.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4841,8 +5258,8 @@
 }
 }
 else if(tag0 === "drop"){
-if(!(validate76(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate76.errors : vErrors.concat(validate76.errors);
+if(!(validate82(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate82.errors : vErrors.concat(validate82.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4854,8 +5271,8 @@
 }
 }
 else if(tag0 === "use"){
-if(!(validate77(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate77.errors : vErrors.concat(validate77.errors);
+if(!(validate83(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate83.errors : vErrors.concat(validate83.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4865,8 +5282,8 @@
 }
 }
 else if(tag0 === "suspects"){
-if(!(validate83(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate83.errors : vErrors.concat(validate83.errors);
+if(!(validate89(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate89.errors : vErrors.concat(validate89.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4881,7 +5298,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.fingerprint === undefined) && (missing1 = "fingerprint"))){
-validate72.errors = [{instancePath,schemaPath:"#/$defs/TrialOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema121.required,parentSchema:schema121,data}];
+validate77.errors = [{instancePath,schemaPath:"#/$defs/TrialOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema126.required,parentSchema:schema126,data}];
 return false;
 }
 else {
@@ -4889,11 +5306,11 @@
 let data0 = data.type;
 const _errs10 = errors;
 if(typeof data0 !== "string"){
-validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.type.type,parentSchema:schema121.properties.type,data:data0}];
+validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema126.properties.type.type,parentSchema:schema126.properties.type,data:data0}];
 return false;
 }
 if("trial-over" !== data0){
-validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "trial-over"},message:"must be equal to constant",schema:"trial-over",parentSchema:schema121.properties.type,data:data0}];
+validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/TrialOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "trial-over"},message:"must be equal to constant",schema:"trial-over",parentSchema:schema126.properties.type,data:data0}];
 return false;
 }
 var valid8 = _errs10 === errors;
@@ -4908,18 +5325,18 @@
 if(errors === _errs12){
 if(typeof data1 === "string"){
 if(data1.length > 64){
-validate72.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema121.properties.fingerprint,data:data1}];
+validate77.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema126.properties.fingerprint,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate72.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema121.properties.fingerprint,data:data1}];
+validate77.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema126.properties.fingerprint,data:data1}];
 return false;
 }
 }
 }
 else {
-validate72.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.fingerprint.type,parentSchema:schema121.properties.fingerprint,data:data1}];
+validate77.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/TrialOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema126.properties.fingerprint.type,parentSchema:schema126.properties.fingerprint,data:data1}];
 return false;
 }
 }
@@ -4932,7 +5349,7 @@
 }
 }
 else {
-validate72.errors = [{instancePath,schemaPath:"#/$defs/TrialOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema121.type,parentSchema:schema121,data}];
+validate77.errors = [{instancePath,schemaPath:"#/$defs/TrialOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema126.type,parentSchema:schema126,data}];
 return false;
 }
 }
@@ -4942,33 +5359,44 @@
 props0.fingerprint = true;
 }
 }
+else if(tag0 === "limits"){
+if(!(validate91(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate91.errors : vErrors.concat(validate91.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.limits = true;
+}
+}
 else {
-validate72.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema105.discriminator,parentSchema:schema105,data}];
+validate77.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema109.discriminator,parentSchema:schema109,data}];
 return false;
 }
 }
 else {
-validate72.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema105.discriminator,parentSchema:schema105,data}];
+validate77.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema109.discriminator,parentSchema:schema109,data}];
 return false;
 }
 }
 }
 else {
-validate72.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema105.type,parentSchema:schema105,data}];
+validate77.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema109.type,parentSchema:schema109,data}];
 return false;
 }
 }
-validate72.errors = vErrors;
+validate77.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate72.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate77.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate76(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate71.evaluated;
+const evaluated0 = validate76.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4979,7 +5407,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema104.required,parentSchema:schema104,data}];
+validate76.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema108.required,parentSchema:schema108,data}];
 return false;
 }
 else {
@@ -4987,11 +5415,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data0}];
+validate76.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema108.properties.type.type,parentSchema:schema108.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema104.properties.type,data:data0}];
+validate76.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema108.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5002,8 +5430,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs3 = errors;
-if(!(validate72(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate72.errors : vErrors.concat(validate72.errors);
+if(!(validate77(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate77.errors : vErrors.concat(validate77.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs3 === errors;
@@ -5015,14 +5443,14 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
+validate76.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema108.type,parentSchema:schema108,data}];
 return false;
 }
 }
-validate71.errors = vErrors;
+validate76.errors = vErrors;
 return errors === 0;
 }
-validate71.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate76.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -5056,8 +5484,8 @@
 props0.body = true;
 }
 else if(tag0 === "answer"){
-if(!(validate52(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate52.errors : vErrors.concat(validate52.errors);
+if(!(validate56(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate56.errors : vErrors.concat(validate56.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -5068,8 +5496,8 @@
 }
 }
 else if(tag0 === "working"){
-if(!(validate70(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate70.errors : vErrors.concat(validate70.errors);
+if(!(validate75(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate75.errors : vErrors.concat(validate75.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -5079,8 +5507,8 @@
 }
 }
 else if(tag0 === "cast"){
-if(!(validate71(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
+if(!(validate76(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate76.errors : vErrors.concat(validate76.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -24,6 +24,12 @@
   "gateway.no_budget": { type: "count", help: "Repeats without a budget" },
   "gateway.stages": { type: "time", help: "Until all pieces were made" },
   "gateway.left": { type: "count", help: "Requests whose callers left" },
+  "quota.asked": {
+    type: "count",
+    help: "Requests to limited endpoints asked for, by grant",
+  },
+  "quota.withheld": { type: "count", help: "Requests kept from an endpoint" },
+  "quota.unreadable": { type: "count", help: "Rate limits that say nothing" },
   "quarantine.breaks": { type: "count", help: "Calls broken as by crashes" },
   "quarantine.changes": {
     type: "count",
