--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -26,6 +26,9 @@
  * longer than any late report of it. */
 const MEMORY = 60_000;
 
+/** Milliseconds between log lines of a host that gets no proof. */
+const LOGGED = 1000;
+
 /** Asks for everything. */
 const NO_REVISION = { epoch: "", revision: 0, suspectRevision: 0 };
 
@@ -61,6 +64,9 @@
   #revision = NO_REVISION;
   #cores: string[];
   #failedAt = new Map<string, number>();
+  /** Why hosts did not prove anything in this round. */
+  #failures = new Map<string, string>();
+  #loggedAt = -Infinity;
   #hosts: readonly schema.EntryHost[] = [];
   #mark = "";
   #version = 0;
@@ -125,7 +131,9 @@
     const { clock } = this.#options;
     if (this.#stopped) return;
     const started = clock.now();
-    await this.#ask();
+    this.#failures.clear();
+    const isProved = await this.#ask();
+    if (!isProved) this.#logFailures();
     this.roster.expire(clock.now());
     const spent = clock.now() - started;
     const interval = this.#proof === undefined ? EAGER : INTERVAL;
@@ -133,8 +141,8 @@
   }
 
   /** Asks hosts in turn, another one beside each that is slow; resolves with
-   * the first confirmed answer, or when all have failed. */
-  #ask(): Promise<void> {
+   * true at the first confirmed answer, with false when all have failed. */
+  #ask(): Promise<boolean> {
     const { clock } = this.#options;
     const order = this.#order();
     return new Promise((resolve) => {
@@ -144,7 +152,7 @@
         cancel();
         const core = order.shift();
         if (core === undefined) {
-          if (open === 0) resolve();
+          if (open === 0) resolve(false);
           return;
         }
         open++;
@@ -154,7 +162,7 @@
           if (!isConfirmed) return next();
           order.length = 0;
           cancel();
-          resolve();
+          resolve(true);
         });
       };
       next();
@@ -198,11 +206,24 @@
   #noteFailure(core: string, reason: unknown): void {
     const { clock, logger } = this.#options;
     this.#failedAt.set(core, clock.now());
+    this.#failures.set(core, `${reason}`);
     if (this.#source !== core) return;
     this.#source = undefined;
     logger.info({ core, reason: `${reason}` }, "Control host lost");
   }
 
+  #logFailures(): void {
+    const { clock, logger } = this.#options;
+    const now = clock.now();
+    if (now - this.#loggedAt < LOGGED) return;
+    this.#loggedAt = now;
+    const asked = Object.fromEntries(this.#failures);
+    const age = this.age;
+    const proofAgeMs = age === Infinity ? undefined : Math.round(age);
+    const version = this.#version;
+    logger.info({ asked, proofAgeMs, version }, "No control host proves");
+  }
+
   #take(
     core: string,
     reply: schema.SyncedReply,
--- a/src/fleet/follower_test.ts
+++ b/src/fleet/follower_test.ts
@@ -31,7 +31,7 @@
 }
 
 /** A follower of the hosts `a` and `b`, whose answers may be changed. */
-function followerOf(answers: Answers) {
+function followerOf(answers: Answers, logger = telemetry.noLogger) {
   const clock = new runtime.FakeClock();
   const asked: { core: string; question: schema.SyncQuestion }[] = [];
   const versions: string[] = [];
@@ -41,7 +41,7 @@
     seeds: ["a", "b"],
     clock,
     random: { next: () => 0, below: () => 0 },
-    logger: telemetry.noLogger,
+    logger,
     isReady: () => true,
     onVersion: (_, document) => void versions.push(document),
     onChange() {},
@@ -153,3 +153,16 @@
   t.is(first.question.epoch, "");
   t.is(asked.at(-1)!.question.revision, 9);
 });
+
+test("a host without a proof says whom it asks and what they answer", async (t) => {
+  const lines: object[] = [];
+  const info = (fields: object, msg: string) => {
+    if (msg === "No control host proves") lines.push(fields);
+  };
+  const logger = { ...telemetry.noLogger, info };
+  const { run } = followerOf({ b: { confirmed: false } }, logger);
+  await run(3000);
+  const asked = { a: "Error: silent", b: "no quorum" };
+  t.like(lines[0], { asked, version: 0 });
+  t.true(lines.length >= 2 && lines.length <= 3);
+});
