--- a/src/control/versions/fake_keepers.ts
+++ b/src/control/versions/fake_keepers.ts
@@ -25,14 +25,30 @@
   life: number;
 }
 
+/** What a fake fleet is made of. */
+export interface FakeKeepersOptions {
+  /** Most voters; all hosts when absent. */
+  readonly voters?: number;
+  readonly seed?: number;
+}
+
 /** Hosts that keep the configuration together. */
 export class FakeKeepers {
   readonly clock = new runtime.FakeClock();
   readonly #hosts: readonly Host[];
-  readonly #random = runtime.createRandom(5);
+  readonly #random: runtime.Random;
+  readonly #mostVoters: number;
+  /** Links that carry nothing, as `FROM>TO`. */
+  readonly #cutLinks = new Set<string>();
 
   /** Hosts `names`, whose settings name `seeds`. */
-  constructor(names: readonly string[], seeds: readonly string[]) {
+  constructor(
+    names: readonly string[],
+    seeds: readonly string[],
+    { voters = names.length, seed = 5 }: FakeKeepersOptions = {},
+  ) {
+    this.#mostVoters = voters;
+    this.#random = runtime.createRandom(seed);
     this.#hosts = names.map((name) => ({
       name,
       seeds,
@@ -92,7 +108,8 @@
           },
         },
         open: () => Promise.resolve(host.disk),
-        ask: (to, question) => this.#ask(to, question),
+        ask: (to, question, { timeout }) =>
+          this.#ask({ from: name, to, timeout }, question),
         logger: logger ?? telemetry.noLogger,
       });
     }
@@ -114,7 +131,24 @@
     this.#host(name).disk = storage.MemoryStorage.create();
   }
 
-  /** Lets time pass. Who leads wants all hosts as voters. */
+  /** Cuts hosts off from all others, in both directions. */
+  cutOff(names: readonly string[]): void {
+    for (const inside of names) {
+      for (const outside of this.names) {
+        if (names.includes(outside)) continue;
+        this.#cutLinks.add(`${inside}>${outside}`);
+        this.#cutLinks.add(`${outside}>${inside}`);
+      }
+    }
+  }
+
+  /** Makes all links whole. */
+  join(): void {
+    this.#cutLinks.clear();
+  }
+
+  /** Lets time pass. Who leads wants all hosts as voters, or as many as there
+   * may be. */
   async run(ms: number): Promise<void> {
     for (let count = 0; count < ms; count += STEP) {
       this.clock.advance(STEP);
@@ -155,10 +189,27 @@
     for (const name of this.running) {
       const keeper = this.at(name);
       keeper.setContacts(this.names);
-      if (keeper.isLeader) keeper.setHosts(this.names);
+      if (keeper.isLeader) keeper.setHosts(this.#wanted(name));
     }
   }
 
+  /** Hosts that should be voters: those that are and run, then others that
+   * run, those that don't last. */
+  #wanted(leader: string): string[] {
+    const { voters } = this.at(leader);
+    const rank = (name: string) => {
+      const isReached = this.running.includes(name) &&
+        this.#carries(name, leader);
+      return (isReached ? 0 : 2) + (voters.includes(name) ? 0 : 1);
+    };
+    const ranked = [...this.names].sort((a, b) => rank(a) - rank(b));
+    return ranked.slice(0, this.#mostVoters).sort();
+  }
+
+  #carries(from: string, to: string): boolean {
+    return !this.#cutLinks.has(`${from}>${to}`);
+  }
+
   async #settled<T>(promise: Promise<T>): Promise<T | undefined> {
     let answer: T | undefined;
     promise.then((value) => answer = value, () => {});
@@ -171,6 +222,7 @@
   }
 
   #send(envelope: runtime.Envelope): void {
+    if (!this.#carries(envelope.from, envelope.to)) return;
     this.clock.after(
       DELAY,
       () => this.#host(envelope.to).keeper?.receive(envelope),
@@ -178,15 +230,25 @@
   }
 
   async #ask(
-    to: string,
+    { from, to, timeout }: { from: string; to: string; timeout: number },
     question: Parameters<keepers.Ask>[1],
   ): ReturnType<keepers.Ask> {
-    await new Promise<void>((resolve) =>
-      void this.clock.after(DELAY, () => resolve())
-    );
+    await this.#pass(DELAY);
     const { keeper } = this.#host(to);
-    if (keeper === undefined) throw new Error(`${to} is silent`);
-    return await keeper.answer(question as Parameters<typeof keeper.answer>[0]);
+    if (keeper === undefined || !this.#carries(from, to)) {
+      await this.#pass(timeout);
+      throw new Error(`${to} is silent`);
+    }
+    const reply = await keeper.answer(
+      question as Parameters<typeof keeper.answer>[0],
+    );
+    if (this.#carries(to, from)) return reply;
+    await this.#pass(timeout);
+    throw new Error(`${to} is silent`);
+  }
+
+  #pass(ms: number): Promise<void> {
+    return new Promise((resolve) => void this.clock.after(ms, () => resolve()));
   }
 }
 
