CONFIG: control hosts without a vote ask the leader, whom members tell them of

What callers saw: with more control hosts than voters (9 and 5), four of nine answered 503 to each read and each change, for good; so did one that had a vote and lost it while it was away; entry hosts whose seeds were such hosts refused everything. Cause: who leads was heard only by members of the log, from heartbeats. Mend: greetings say who leads, as members hear it, and a new leader greets at once. A host without a vote asks the leader, and a question names the version held, so that the document comes along when it is new; a replica that is no member has nothing to apply. Voters that lag need not wait for their own copy. Why it holds: only the leader answers, after a majority has confirmed it, so a wrong belief costs a try, never an old answer; beliefs are first-hand and end after some greetings.

--- a/src/control/versions/fake_keepers.ts
+++ b/src/control/versions/fake_keepers.ts
@@ -190,6 +190,17 @@
       const keeper = this.at(name);
       keeper.setContacts(this.names);
       if (keeper.isLeader) keeper.setHosts(this.#wanted(name));
+      this.#tellLeadership(name);
+    }
+  }
+
+  #tellLeadership(from: string): void {
+    const { leadership } = this.at(from);
+    if (leadership === undefined) return;
+    for (const to of this.running) {
+      if (to !== from && this.#carries(from, to)) {
+        this.at(to).learnLeadership(leadership);
+      }
     }
   }
 
--- a/src/control/versions/keeper.ts
+++ b/src/control/versions/keeper.ts
@@ -7,6 +7,7 @@
 import type * as telemetry from "../../telemetry/mod.ts";
 import * as log from "../log/mod.ts";
 import * as errors from "./errors.ts";
+import * as leaderBeliefs from "./leader_belief.ts";
 import * as machines from "./machine.ts";
 import * as standings from "./standing.ts";
 
@@ -56,8 +57,8 @@
   open: OpenStorage;
   ask: Ask;
   logger: telemetry.Logger;
-  /** A version was applied here. */
-  onEdition?(edition: machines.Edition): void;
+  /** This host has come to lead. */
+  onLeading?(): void;
 }
 
 type Runner = log.Runner<machines.Edition, machines.Reply>;
@@ -72,6 +73,9 @@
   #stopped = false;
   #waiting: { index: number; resolve(): void }[] = [];
   #members?: unknown;
+  #told = leaderBeliefs.LeaderBelief.NONE;
+  /** Newest version that a leader elsewhere has told. */
+  #fetched: machines.Edition = machines.NONE;
   /** When a replica of each host was heard last. */
   readonly #heard = new Map<string, number>();
 
@@ -88,23 +92,36 @@
     return keeper;
   }
 
+  /** Who leads, as the replica of this host knows: other hosts may be told. */
+  get leadership(): schema.Leadership | undefined {
+    const runner = this.#runner;
+    if (runner?.leader === undefined) return undefined;
+    const { term, leader } = runner;
+    return { term, leader, voters: this.#ownVoters };
+  }
+
+  /** Notes who leads, as a member tells. */
+  learnLeadership(told: schema.Leadership): void {
+    this.#told = this.#told.learn(told, this.#options.clock.now());
+  }
+
   /** Hosts of the voters as this host knows them. */
-  get voters(): string[] {
-    const { voters = [] } = this.#runner?.replica.members ?? {};
-    return voters.map((id) => log.replicaId.host(id));
+  get voters(): readonly string[] {
+    return this.#newestLeadership?.voters ?? this.#ownVoters;
   }
 
   get leader(): string | undefined {
-    return this.#runner?.leader;
+    return this.#newestLeadership?.leader;
   }
 
   get isLeader(): boolean {
     return this.#runner?.replica.state.role === "leader";
   }
 
-  /** The newest version applied here, which may not be the newest of all. */
+  /** The newest version known here, which may not be the newest of all. */
   get edition(): machines.Edition {
-    return this.#runner?.state ?? machines.NONE;
+    const applied = this.#runner?.state ?? machines.NONE;
+    return applied.version >= this.#fetched.version ? applied : this.#fetched;
   }
 
   /** Names the hosts that should be voters. */
@@ -144,12 +161,13 @@
   /** The newest version of all at some moment after the call, confirmed by a
    * majority. Rejects with `VersionError`. */
   async read(patience: number): Promise<machines.Edition> {
+    const { version } = this.edition;
     const reply = await this.#untilAnswered(
       patience,
-      () => this.#confirmHere(),
-      { type: "confirm" },
+      () => this.#confirmHere(version),
+      { type: "confirm", version },
     );
-    await this.#reach((reply as schema.ConfirmedReply).index, patience);
+    await this.#take(reply as schema.ConfirmedReply, patience);
     return this.edition;
   }
 
@@ -157,9 +175,8 @@
   answer(
     question: schema.ConfirmQuestion | schema.ReplaceQuestion,
   ): Promise<schema.Reply> {
-    const { type } = question;
-    return type === "confirm"
-      ? this.#confirmHere()
+    return question.type === "confirm"
+      ? this.#confirmHere(question.version)
       : this.#replaceHere(question);
   }
 
@@ -179,7 +196,8 @@
     const replica = this.#runner?.replica;
     if (replica === undefined) return undefined;
     const now = this.#options.clock.now();
-    return standings.standingOf(replica, { heard: this.#heard, now });
+    const told = this.#told.at(now);
+    return standings.standingOf(replica, { heard: this.#heard, told, now });
   }
 
   /** State for people. */
@@ -214,9 +232,10 @@
         storage,
         sizes: SIZES,
         timing: TIMING,
-        onChange: (state, index) => this.#takeState(state, index),
+        onChange: (_, index) => this.#noteApplied(index),
         onRole: (role, term, { leader }) => {
           logger.info({ role, term, leader }, "Role in the log changed");
+          if (role === "leader") this.#options.onLeading?.();
         },
         onFailure: (failure) => void this.#restart(failure, opened),
       });
@@ -228,7 +247,6 @@
     const { id, term, index, state } = this.#runner;
     const { version } = state;
     logger.info({ id, term, index, version }, "Replica of the log started");
-    this.#options.onEdition?.(state);
   }
 
   /** Starts the replica anew from what its disk holds. */
@@ -258,10 +276,23 @@
     });
   }
 
-  #takeState(state: machines.Edition, index: number): void {
+  get #ownVoters(): string[] {
+    const { voters = [] } = this.#runner?.replica.members ?? {};
+    return voters.map((id) => log.replicaId.host(id));
+  }
+
+  /** Leaders talk to members only: what a host without a vote hears itself, if
+   * anything, is of the time when it had one. */
+  get #newestLeadership(): schema.Leadership | undefined {
+    const own = this.leadership;
+    const told = this.#told.at(this.#options.clock.now());
+    if (own === undefined || told === undefined) return own ?? told;
+    return told.term > own.term ? told : own;
+  }
+
+  #noteApplied(index: number): void {
     const ready = this.#waiting.filter((each) => each.index <= index);
     this.#waiting = this.#waiting.filter((each) => each.index > index);
-    this.#options.onEdition?.(state);
     ready.forEach(({ resolve }) => resolve());
     this.#noteMembers();
   }
@@ -297,11 +328,30 @@
     });
   }
 
-  async #confirmHere(): Promise<schema.Reply> {
+  /** Takes what a leader has confirmed. One of the release before tells no
+   * version: the own replica has it soon. */
+  async #take(
+    { index, version, document, digest }: schema.ConfirmedReply,
+    patience: number,
+  ): Promise<void> {
+    if (version === undefined) return await this.#reach(index, patience);
+    if (document === undefined || digest === undefined) return;
+    if (version <= this.edition.version) return;
+    this.#fetched = { version, document, digest };
+  }
+
+  /** Confirms what is in force; tells it an asker that holds an older one. */
+  async #confirmHere(known?: number): Promise<schema.Reply> {
     const runner = this.#runner;
     if (runner === undefined) return { type: "failed", reason: "stopped" };
     try {
-      return { type: "confirmed", index: await runner.confirm() };
+      const index = await runner.confirm();
+      const { version } = runner.state;
+      const confirmed = { type: "confirmed" as const, index };
+      if (known === undefined) return confirmed;
+      return version > known
+        ? { ...confirmed, ...runner.state }
+        : { ...confirmed, version };
     } catch (error) {
       return failure(error);
     }
@@ -359,7 +409,11 @@
     if (leader === self) return here();
     try {
       const timeout = Math.min(left, ANSWER);
-      return await ask(leader, question, { timeout });
+      const reply = await ask(leader, question, { timeout });
+      const isRefuted = reply.type === "failed" &&
+        reply.reason === "not-leader";
+      if (isRefuted) this.#told = this.#told.refute(leader);
+      return reply;
     } catch (error) {
       const { type } = question;
       logger.debug({ err: error, leader, type }, "Leader did not answer");
--- /dev/null
+++ b/src/control/versions/leader_belief.ts
@@ -0,0 +1,39 @@
+/** Who leads the log, as other hosts tell: a host whose replica is no member
+ * hears no leader itself.
+ * @module */
+
+import type * as schema from "../../schema/fleet_types.ts";
+
+/** Milliseconds after which what was told no longer counts: some greetings. */
+const BELIEVED = 1500;
+
+/** What a host was told of the leader; immutable. */
+export class LeaderBelief {
+  /** Nothing was told. */
+  static readonly NONE = new LeaderBelief();
+
+  readonly #told?: schema.Leadership;
+  readonly #heard: number;
+
+  private constructor(told?: schema.Leadership, heard = -Infinity) {
+    this.#told = told;
+    this.#heard = heard;
+  }
+
+  /** Takes what a member says; the highest term wins. */
+  learn(told: schema.Leadership, now: number): LeaderBelief {
+    const known = this.at(now);
+    if (known !== undefined && told.term < known.term) return this;
+    return new LeaderBelief(told, now);
+  }
+
+  /** Notes that a host says that it does not lead. */
+  refute(leader: string): LeaderBelief {
+    return this.#told?.leader === leader ? LeaderBelief.NONE : this;
+  }
+
+  /** What counts now. */
+  at(now: number): schema.Leadership | undefined {
+    return now - this.#heard <= BELIEVED ? this.#told : undefined;
+  }
+}
--- a/src/control/versions/standing.ts
+++ b/src/control/versions/standing.ts
@@ -3,6 +3,7 @@
  * that takes long, a leader that is gone and a majority that is lost.
  * @module */
 
+import type * as schema from "../../schema/fleet_types.ts";
 import * as log from "../log/mod.ts";
 
 /** A replica as its host sees it. */
@@ -10,6 +11,8 @@
   readonly isMember: boolean;
   readonly voters: readonly string[];
   readonly learners: readonly string[];
+  /** Leader that members tell of. */
+  readonly toldLeader?: string;
   /** Hosts that a replica which is no member asks to be taken in. */
   readonly asks: readonly string[];
   /** Milliseconds since a replica of each host was heard. */
@@ -24,10 +27,18 @@
   "id" | "role" | "term" | "leader" | "commit" | "last"
 >;
 
-/** Describes a replica; `heard` holds when each host was heard. */
+/** What its host knows beside a replica. */
+export interface Surroundings {
+  /** When each host was heard. */
+  readonly heard: ReadonlyMap<string, number>;
+  readonly told?: schema.Leadership;
+  readonly now: number;
+}
+
+/** Describes a replica. */
 export function standingOf(
   replica: log.Replica,
-  { heard, now }: { heard: ReadonlyMap<string, number>; now: number },
+  { heard, told, now }: Surroundings,
 ): Standing {
   const { members, ...dump } = log.dump(replica, now);
   const { id, role, term, leader, commit, last } = dump;
@@ -39,6 +50,7 @@
     leader,
     isMember: log.members.has(members, id),
     ...members,
+    toldLeader: told?.leader,
     asks: replica.asks,
     heardMs: Object.fromEntries(ages),
     commit,
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -180,6 +180,8 @@
       open,
       ask: (to, question, options) =>
         this.#network.calls.ask(to, question, options),
+      // Hosts without a vote hear of a leader by greetings alone.
+      onLeading: () => this.#greet(clock.now()),
     });
     this.#tick();
     if (control !== undefined) {
@@ -225,6 +227,7 @@
         dataCentre,
         cores,
         hosts,
+        leadership: this.#keeper?.leadership,
         ...this.#limits,
       };
       this.#network.calls.cast(other, notice);
@@ -266,7 +269,7 @@
   }
 
   #greeted(
-    { dataCentre, cores, hosts, limits = [] }: schema.HelloNotice,
+    { dataCentre, cores, hosts, leadership, limits = [] }: schema.HelloNotice,
     from: string,
   ): void {
     const now = this.#options.clock.now();
@@ -274,6 +277,7 @@
     this.#members.hear({ host: from, dataCentre, heard: now });
     this.#members.learn(cores);
     hosts.forEach((host) => this.#entries.hear(host, now));
+    if (leadership !== undefined) this.#keeper?.learnLeadership(leadership);
     this.#quotas.take(limits);
     // A host that has just come knows no endpoints and no suspects.
     if (!isNew) return;
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -49,10 +49,14 @@
   body: Question;
 }
 /**
- * Asks a leader which index a current state has applied.
+ * Asks a leader for what is in force.
  */
 export interface ConfirmQuestion {
   type: "confirm";
+  /**
+   * Newest that the asker holds.
+   */
+  version?: number;
 }
 /**
  * Orders a version of the configuration.
@@ -298,7 +302,22 @@
 }
 export interface ConfirmedReply {
   type: "confirmed";
-  index: Count;
+  /**
+   * Of the log; a replica that has it applied is up to date.
+   */
+  index: number;
+  /**
+   * In force; told to an asker that names its own.
+   */
+  version?: number;
+  /**
+   * The configuration, packed, if the asker has an older one.
+   */
+  document?: string;
+  /**
+   * Short mark of its text.
+   */
+  digest?: string;
 }
 export interface ReplacedReply {
   type: "replaced";
@@ -432,11 +451,20 @@
   dataCentre: Name;
   cores: Name[];
   hosts: EntryHost[];
+  leadership?: Leadership;
   /**
    * Rate limits that endpoints name; absent without any.
    */
   limits?: EndpointLimit[];
 }
+/**
+ * Absent where the sender's replica hears no leader.
+ */
+export interface Leadership {
+  term: Count;
+  leader: Name;
+  voters: Name[];
+}
 /**
  * Results that nobody needs any more.
  */
