--- a/src/fleet/follower_test.ts
+++ b/src/fleet/follower_test.ts
@@ -1,87 +1,24 @@
 /** @module */
 
 import test from "ava";
-import * as fixture from "../endpoints/fixture.ts";
-import * as runtime from "../runtime/mod.ts";
-import type * as schema from "../schema/fleet_types.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as followers from "./follower.ts";
-
-/** Answers of control hosts by name; a host without one does not answer. */
-type Answers = Record<string, Partial<schema.SyncedReply> | undefined>;
-
-/** Milliseconds of one step of the clock. */
-const STEP = 50;
-
-const BASE: schema.SyncedReply = {
-  type: "synced",
-  confirmed: true,
-  version: 3,
-  document: "three",
-  epoch: "e",
-  revision: 1,
-  sightings: [],
-  mark: "0",
-  hosts: [],
-  cores: ["a", "b"],
-};
-
-function sighting(change: Partial<schema.Sighting> = {}): schema.Sighting {
-  return { ...fixture.sighting(), age: 0, ...change };
-}
-
-/** A follower of the hosts `a` and `b`, whose answers may be changed. */
-function followerOf(answers: Answers, logger = telemetry.noLogger) {
-  const clock = new runtime.FakeClock();
-  const asked: { core: string; question: schema.SyncQuestion }[] = [];
-  const versions: string[] = [];
-  const follower = followers.Follower.create({
-    self: "me",
-    dataCentre: "town",
-    seeds: ["a", "b"],
-    clock,
-    random: { next: () => 0, below: () => 0 },
-    logger,
-    isReady: () => true,
-    onVersion: (_, document) => void versions.push(document),
-    onChange() {},
-    onSource() {},
-    onSuspects() {},
-    onLimits() {},
-    calls: {
-      ask(core, question) {
-        asked.push({ core, question: question as schema.SyncQuestion });
-        const answer = answers[core];
-        return answer === undefined
-          ? Promise.reject(new Error("silent"))
-          : Promise.resolve({ ...BASE, ...answer });
-      },
-    },
-  });
-  const run = async (ms: number) => {
-    for (let passed = 0; passed < ms; passed += STEP) {
-      clock.advance(STEP);
-      await new Promise(setImmediate);
-    }
-  };
-  follower.start();
-  return { follower, clock, asked, versions, run };
-}
+import * as fixture from "./follower_fixture.ts";
 
 test("a confirmed answer proves what was in force when it was asked", async (t) => {
-  const answers: Answers = { a: {} };
-  const { follower, versions, run } = followerOf(answers);
+  const answers: fixture.Answers = { a: {} };
+  const { follower, versions, run } = fixture.followerOf(answers);
   t.is(follower.age, Infinity);
   await run(500);
   t.deepEqual(versions, ["three"]);
-  t.true(follower.age <= followers.INTERVAL + STEP);
+  t.true(follower.age <= followers.INTERVAL + fixture.STEP);
   answers.a = undefined;
   await run(2000);
   t.true(follower.age >= 2000);
 });
 
 test("an answer without a majority proves nothing", async (t) => {
-  const { follower, versions, run } = followerOf({
+  const { follower, versions, run } = fixture.followerOf({
     a: { confirmed: false },
     b: { confirmed: false },
   });
@@ -91,14 +28,14 @@
 });
 
 test("another host is asked when one does not answer", async (t) => {
-  const { follower, run } = followerOf({ b: {} });
+  const { follower, run } = fixture.followerOf({ b: {} });
   await run(500);
-  t.true(follower.age <= followers.INTERVAL + STEP);
+  t.true(follower.age <= followers.INTERVAL + fixture.STEP);
 });
 
 test("no version is put in force after a later one", async (t) => {
-  const answers: Answers = { a: { version: 5, document: "five" } };
-  const { versions, run } = followerOf(answers);
+  const answers: fixture.Answers = { a: { version: 5, document: "five" } };
+  const { versions, run } = fixture.followerOf(answers);
   await run(500);
   answers.a = { version: 4, document: "four" };
   await run(500);
@@ -106,22 +43,22 @@
 });
 
 test("a host that is cut off tells nothing of silence", async (t) => {
-  const answers: Answers = {
-    a: { sightings: [sighting()] },
+  const answers: fixture.Answers = {
+    a: { sightings: [fixture.sighting()] },
   };
-  const { follower, run } = followerOf(answers);
+  const { follower, run } = fixture.followerOf(answers);
   await run(500);
   answers.a = {
     confirmed: false,
-    sightings: [sighting({ silent: true, age: 5000 })],
+    sightings: [fixture.sighting({ silent: true, age: 5000 })],
   };
   await run(500);
   t.false(follower.roster.get("i-1")?.isSilent);
 });
 
 test("a host that has no proof yet asks more often", async (t) => {
-  const answers: Answers = {};
-  const { follower, asked, run } = followerOf(answers);
+  const answers: fixture.Answers = {};
+  const { follower, asked, run } = fixture.followerOf(answers);
   await run(followers.INTERVAL);
   t.true(asked.length >= 6);
   answers.a = {};
@@ -131,8 +68,8 @@
 
 test("hosts that are known already are not told again", async (t) => {
   const host = { host: "h", dataCentre: "town", ready: true, age: 0 };
-  const answers: Answers = { a: { mark: "1", hosts: [host] } };
-  const { follower, asked, run } = followerOf(answers);
+  const answers: fixture.Answers = { a: { mark: "1", hosts: [host] } };
+  const { follower, asked, run } = fixture.followerOf(answers);
   await run(500);
   answers.a = { mark: "1", hosts: undefined };
   await run(500);
@@ -142,8 +79,8 @@
 });
 
 test("a host that was not asked last is asked for everything", async (t) => {
-  const answers: Answers = { a: {} };
-  const { asked, run } = followerOf(answers);
+  const answers: fixture.Answers = { a: {} };
+  const { asked, run } = fixture.followerOf(answers);
   await run(1000);
   t.is(asked.at(-1)!.question.revision, 1);
   answers.a = undefined;
@@ -160,7 +97,7 @@
     if (msg === "No control host proves") lines.push(fields);
   };
   const logger = { ...telemetry.noLogger, info };
-  const { run } = followerOf({ b: { confirmed: false } }, logger);
+  const { run } = fixture.followerOf({ b: { confirmed: false } }, { logger });
   await run(3000);
   const asked = { a: "Error: silent", b: "no quorum" };
   t.like(lines[0], { asked, version: 0 });
