CONFIG: an entry host asks all control hosts that any answer names

What callers saw: 503 (no-configuration) for as long as the host lived, where its seeds proved nothing; and after a loss, where only hosts named earlier were left. Cause: hosts were noted from proved answers alone, each list in place of the one before, and seeds that were read anew were lost with the next answer. Mend: known control hosts stand in a value of their own: those of the last proof, all named within a minute of the newest naming, and the seeds; an unproved answer adds to the same round. Why it holds: whoever answers at all names whom it hears, so any one live control host leads to a voter or to one that asks the leader; nothing is forgotten while nobody answers.

--- /dev/null
+++ b/src/fleet/control_hosts.ts
@@ -0,0 +1,80 @@
+/** The control hosts that an entry host may ask. Seeds are a few that were there
+ * when the settings were written; answers name those that are there now.
+ * @module */
+
+import type * as runtime from "../runtime/mod.ts";
+
+/** Milliseconds after the newest naming of any host after which one that is no
+ * longer named is forgotten: longer than a cut or a restart. */
+const FORGOTTEN = 60_000;
+
+/** Known control hosts; changed in place. */
+export class ControlHosts {
+  #seeds: readonly string[];
+  /** Those that the last proved answer has named. */
+  #live: readonly string[] = [];
+  readonly #namedAt = new Map<string, number>();
+  readonly #failedAt = new Map<string, number>();
+
+  private constructor(seeds: readonly string[]) {
+    this.#seeds = seeds;
+  }
+
+  static create(seeds: readonly string[]): ControlHosts {
+    return new ControlHosts(seeds);
+  }
+
+  /** Takes seeds of settings that were read again. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
+
+  /** Notes hosts that an answer names. One without a proof may come from a host
+   * that is behind, but whom it names may be the only ones that are not. */
+  name(hosts: readonly string[], now: number): void {
+    hosts.forEach((host) => this.#namedAt.set(host, now));
+    for (const [host, at] of this.#namedAt) {
+      if (now - at <= FORGOTTEN) continue;
+      this.#namedAt.delete(host);
+      this.#failedAt.delete(host);
+    }
+  }
+
+  /** Notes hosts that a proved answer names. */
+  confirm(hosts: readonly string[], now: number): void {
+    this.name(hosts, now);
+    this.#live = hosts;
+  }
+
+  /** Notes that a host proved nothing. */
+  fail(host: string, now: number): void {
+    this.#failedAt.set(host, now);
+  }
+
+  /** Notes that a host has proved something. */
+  succeed(host: string): void {
+    this.#failedAt.delete(host);
+  }
+
+  /** All that may be asked: `first`, then those that have not failed, in any
+   * order, then others, the one that failed last at the end. */
+  inTurn(first: string | undefined, random: runtime.Random): string[] {
+    const rank = new Map(this.all.map((host) => [
+      host,
+      host === first ? -1 : (this.#failedAt.get(host) ?? 0) + random.next(),
+    ]));
+    return this.all.sort((a, b) => rank.get(a)! - rank.get(b)!);
+  }
+
+  /** All that are known. */
+  get all(): string[] {
+    return [
+      ...new Set([...this.#live, ...this.#namedAt.keys(), ...this.#seeds]),
+    ];
+  }
+
+  /** Those that are there, and the seeds. */
+  get current(): string[] {
+    return [...new Set([...this.#live, ...this.#seeds])];
+  }
+}
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -7,6 +7,7 @@
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import * as controlHosts from "./control_hosts.ts";
 import * as freshness from "./freshness.ts";
 import * as sightings from "./sightings.ts";
 
@@ -62,8 +63,7 @@
   });
   readonly #options: FollowerOptions;
   #revision = NO_REVISION;
-  #cores: string[];
-  #failedAt = new Map<string, number>();
+  readonly #controlHosts: controlHosts.ControlHosts;
   /** Why hosts did not prove anything in this round. */
   #failures = new Map<string, string>();
   #loggedAt = -Infinity;
@@ -76,7 +76,7 @@
 
   private constructor(options: FollowerOptions) {
     this.#options = options;
-    this.#cores = [...options.seeds];
+    this.#controlHosts = controlHosts.ControlHosts.create(options.seeds);
   }
 
   static create(options: FollowerOptions): Follower {
@@ -94,7 +94,7 @@
 
   /** Adds hosts that the settings name now. */
   setSeeds(seeds: readonly string[]): void {
-    this.#cores = [...new Set([...this.#cores, ...seeds])];
+    this.#controlHosts.setSeeds(seeds);
   }
 
   /** Milliseconds by which the version in force here may be too old; endless
@@ -111,7 +111,8 @@
 
   /** Hosts with disks, the one that answers first. */
   get cores(): readonly string[] {
-    const others = this.#cores.filter((core) => core !== this.#source);
+    const { current } = this.#controlHosts;
+    const others = current.filter((core) => core !== this.#source);
     return this.#source === undefined ? others : [this.#source, ...others];
   }
 
@@ -121,7 +122,7 @@
       version: this.#version,
       proofAgeMs: Math.round(this.age),
       source: this.#source,
-      cores: this.#cores,
+      cores: this.#controlHosts.all,
       hosts: this.#hosts,
       endpoints: [...this.roster.entries],
     };
@@ -140,27 +141,32 @@
     clock.after(Math.max(20, interval - spent), () => void this.#round());
   }
 
-  /** Asks hosts in turn, another one beside each that is slow; resolves with
-   * true at the first confirmed answer, with false when all have failed. */
+  /** Asks hosts in turn, another one beside each that is slow, and those that
+   * answers name; resolves with true at the first confirmed answer, with false
+   * when all have failed. */
   #ask(): Promise<boolean> {
-    const { clock } = this.#options;
-    const order = this.#order();
+    const { clock, random } = this.#options;
+    const asked = new Set<string>();
     return new Promise((resolve) => {
       let open = 0;
+      let isDone = false;
       let cancel: runtime.Cancel = () => {};
       const next = () => {
         cancel();
-        const core = order.shift();
+        if (isDone) return;
+        const core = this.#controlHosts.inTurn(this.#source, random)
+          .find((each) => !asked.has(each));
         if (core === undefined) {
           if (open === 0) resolve(false);
           return;
         }
+        asked.add(core);
         open++;
         cancel = clock.after(HEDGE, next);
         void this.#sync(core).then((isConfirmed) => {
           open--;
           if (!isConfirmed) return next();
-          order.length = 0;
+          isDone = true;
           cancel();
           resolve(true);
         });
@@ -169,17 +175,6 @@
     });
   }
 
-  /** The host that answered last, then others, those that failed last. */
-  #order(): string[] {
-    const { random } = this.#options;
-    const rank = new Map(this.#cores.map((core) => [
-      core,
-      core === this.#source ? -1 : (this.#failedAt.get(core) ?? 0) +
-        random.next(),
-    ]));
-    return [...this.#cores].sort((a, b) => rank.get(a)! - rank.get(b)!);
-  }
-
   async #sync(core: string): Promise<boolean> {
     const { clock, calls, self, dataCentre, isReady } = this.#options;
     const sent = freshness.moment(clock);
@@ -205,7 +200,7 @@
 
   #noteFailure(core: string, reason: unknown): void {
     const { clock, logger } = this.#options;
-    this.#failedAt.set(core, clock.now());
+    this.#controlHosts.fail(core, clock.now());
     this.#failures.set(core, `${reason}`);
     if (this.#source !== core) return;
     this.#source = undefined;
@@ -239,6 +234,7 @@
     for (const sighting of reply.sightings) {
       this.roster.take(sightings.decode(sighting, { now, judges }));
     }
+    this.#controlHosts.name(reply.cores, now);
     if (reply.confirmed) this.#takeProof(core, reply, sent);
     onChange();
   }
@@ -248,12 +244,12 @@
     reply: schema.SyncedReply,
     sent: freshness.Moment,
   ): void {
-    const { logger, onVersion, onSource } = this.#options;
+    const { clock, logger, onVersion, onSource } = this.#options;
     if (reply.hosts !== undefined) {
       this.#hosts = reply.hosts;
       this.#mark = reply.mark;
     }
-    this.#cores = [...new Set([...reply.cores, ...this.#options.seeds])];
+    this.#controlHosts.confirm(reply.cores, clock.now());
     if (reply.version > this.#version && reply.document !== undefined) {
       onVersion(reply.version, reply.document);
       this.#version = reply.version;
@@ -264,7 +260,7 @@
     if (this.#proof === undefined || sent.now > this.#proof.now) {
       this.#proof = sent;
     }
-    this.#failedAt.delete(core);
+    this.#controlHosts.succeed(core);
     const { epoch, revision, suspectRevision = 0 } = reply;
     const isNew = this.#source !== core || this.#revision.epoch !== epoch;
     this.#revision = { epoch, revision, suspectRevision };
--- a/src/fleet/follower_seeds_test.ts
+++ b/src/fleet/follower_seeds_test.ts
@@ -4,7 +4,8 @@
  * How it came about: an answer names the control hosts that are there, but they
  * were noted only where it was confirmed. So an entry host asked its seeds alone
  * until one of them proved something; and once an answer named few hosts, such
- * as that of a control host which had just started, it forgot the others.
+ * as that of a control host which had just started, it forgot the others. What
+ * proved it: asking whom any answer names ended it, with the same answers.
  * @module */
 
 import test from "ava";
@@ -44,3 +45,15 @@
   await run(FOUND);
   t.true(follower.age <= followers.INTERVAL + fixture.STEP);
 });
+
+test("seeds that are read anew are kept when others were named since", async (t) => {
+  const answers: fixture.Answers = { a: { cores: ["a"] } };
+  const { follower, run } = fixture.followerOf(answers, { seeds: ["a"] });
+  await run(FOUND);
+  follower.setSeeds(["z"]);
+  await run(FOUND);
+  answers.a = undefined;
+  answers.z = { epoch: "z", cores: ["z"] };
+  await run(FOUND);
+  t.true(follower.age <= followers.INTERVAL + fixture.STEP);
+});
