Duties of control hosts go to those that are there, not to seeds

What callers saw: a request to an endpoint that names a rate limit waited 150 ms for a control host that was gone, as long as the settings named it; entry hosts with other seeds asked other control hosts for grants. Cause: owners were ranked over the hosts of the last proof and the host's own seeds. Mend: over the former alone; seeds until there is a proof. Why it holds: all hosts are told the same list within some greetings. Test seen red.

--- a/src/fleet/control_hosts.ts
+++ b/src/fleet/control_hosts.ts
@@ -73,8 +73,9 @@
     ];
   }
 
-  /** Those that are there, and the seeds. */
-  get current(): string[] {
-    return [...new Set([...this.#live, ...this.#seeds])];
+  /** Those that have duties for the fleet: all hosts derive the same owners from
+   * these, so what settings named at some time does not count beside them. */
+  get current(): readonly string[] {
+    return this.#live.length > 0 ? this.#live : this.#seeds;
   }
 }
--- a/src/fleet/control_hosts_test.ts
+++ b/src/fleet/control_hosts_test.ts
@@ -33,3 +33,20 @@
   hosts.fail("b", 500_000);
   t.deepEqual(hosts.all.sort(), ["a", "b"]);
 });
+
+/** What was seen in code: duties that one control host has for the fleet, such as
+ * granting within a rate limit, went to seeds that were gone: each question waited
+ * for them in vain, and hosts with other seeds asked others. Seeds are whom the
+ * settings named at some time; an answer names whom the fleet has now. */
+test("duties go to hosts that are there, whatever seeds were named", (t) => {
+  const one = hostsOf("gone", "a");
+  const other = hostsOf("b", "lost");
+  for (const hosts of [one, other]) {
+    hosts.confirm(["a", "b", "c"], 0);
+    t.deepEqual(hosts.current, ["a", "b", "c"]);
+  }
+});
+
+test("without any answer seeds have the duties", (t) => {
+  t.deepEqual(hostsOf("a", "b").current, ["a", "b"]);
+});
