A leave is acknowledged once a majority of the voters knows of it

What was seen: control hosts that had lost touch with all voters acknowledged that an endpoint leaves; entry hosts that ask the others went on sending there. Cause: the majority was taken of the hosts heard in the last 1.5 s, which on a host that is cut off are few. Four of nine beside five that stand still sufficed. Mend: a majority of the voters has to have noted it, of whom greetings tell; of all hosts ever known while no voters are. Why it holds: what proves a configuration to an entry host is in touch with a majority of the voters, which has one in common with those that noted the leave.

--- a/src/control/versions/keeper.ts
+++ b/src/control/versions/keeper.ts
@@ -107,7 +107,8 @@
 
   /** Hosts of the voters as this host knows them. */
   get voters(): readonly string[] {
-    return this.#newestLeadership?.voters ?? this.#ownVoters;
+    const newest = this.#newestLeadership?.voters ?? this.#told.voters;
+    return newest.length > 0 ? newest : this.#ownVoters;
   }
 
   get leader(): string | undefined {
--- a/src/control/versions/leader_belief.ts
+++ b/src/control/versions/leader_belief.ts
@@ -29,7 +29,14 @@
 
   /** Notes that a host says that it does not lead. */
   refute(leader: string): LeaderBelief {
-    return this.#told?.leader === leader ? LeaderBelief.NONE : this;
+    const isTold = this.#told?.leader === leader;
+    return isTold ? new LeaderBelief(this.#told) : this;
+  }
+
+  /** Voters as they were told last: they seldom change, and a majority of them
+   * must be asked also while nobody leads. */
+  get voters(): readonly string[] {
+    return this.#told?.voters ?? [];
   }
 
   /** What counts now. */
--- a/src/control/versions/leader_belief_test.ts
+++ b/src/control/versions/leader_belief_test.ts
@@ -31,3 +31,9 @@
   t.is(leaderAt(belief.refute("a"), 1), "b");
   t.is(leaderAt(belief.refute("b"), 1), undefined);
 });
+
+test("voters are known also while nobody is believed to lead", (t) => {
+  const belief = NONE.learn(leadership("b", 4), 0);
+  t.deepEqual(NONE.voters, []);
+  t.deepEqual(belief.refute("b").voters, ["b"]);
+});
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -412,7 +412,8 @@
   }
 
   /** Tells the other hosts of a change. One that takes an endpoint away is
-   * acknowledged only when a majority knows, so that it is not forgotten. */
+   * acknowledged only when a majority of the voters knows: any host that is of
+   * use to an entry host is in touch with one of these. */
   async #tell(
     id: string,
     state: endpoints.SightingState,
@@ -423,9 +424,14 @@
       logger.info({ endpoint: id, state }, "Endpoint changed");
       return DONE;
     }
-    const { told, of } = await this.#spread.tell(id);
-    const isKnown = 2 * told > of;
-    logger.info({ endpoint: id, state, told, of, isKnown }, "Endpoint leaves");
+    const { host } = this.#options.settings;
+    const told = [host, ...await this.#spread.tell(id)];
+    const voters = this.#keeper?.voters ?? [];
+    const isKnown = this.#members.isMajority(told, voters);
+    logger.info(
+      { endpoint: id, state, told, voters, isKnown },
+      "Endpoint leaves",
+    );
     return isKnown ? DONE : protocol.problem(503, "other hosts do not answer");
   }
 
--- a/src/fleet/core_members.ts
+++ b/src/fleet/core_members.ts
@@ -45,6 +45,15 @@
     this.#heard.set(host.host, host);
   }
 
+  /** Whether `hosts` are a majority: of the voters, as whatever binds the fleet
+   * needs, or of all hosts ever known while no voters are. Those that were heard
+   * just now don't count as all: on a host that is cut off they are few. */
+  isMajority(hosts: readonly string[], voters: readonly string[]): boolean {
+    const all = voters.length > 0 ? voters : [this.#self.host, ...this.#known];
+    const known = all.filter((host) => hosts.includes(host));
+    return 2 * known.length > all.length;
+  }
+
   /** The other hosts that greetings go to. */
   get others(): string[] {
     return [...this.#known];
--- a/src/fleet/core_members_test.ts
+++ b/src/fleet/core_members_test.ts
@@ -51,3 +51,18 @@
   t.deepEqual(own.live(2000).map(({ host }) => host), ["a1"]);
   t.deepEqual(own.others, ["b1", "c1"]);
 });
+
+test("hosts that were heard just now are no majority of the voters", (t) => {
+  const own = members.CoreMembers.create({ host: "a1", dataCentre: "a" }, []);
+  own.learn(["a2", "b1", "b2", "c1"]);
+  t.true(own.isMajority(["a1", "a2", "b1"], ["a1", "a2", "c1"]));
+  t.false(own.isMajority(["a1", "b1", "b2"], ["a1", "a2", "c1"]));
+  t.false(own.isMajority(["a1", "a2"], ["a1", "a2", "b1", "c1"]));
+});
+
+test("without known voters a majority is of all hosts ever known", (t) => {
+  const own = members.CoreMembers.create({ host: "a1", dataCentre: "a" }, []);
+  own.learn(["a2", "b1"]);
+  t.true(own.isMajority(["a1", "b1"], []));
+  t.false(own.isMajority(["a1"], []));
+});
--- a/src/fleet/spread.ts
+++ b/src/fleet/spread.ts
@@ -53,17 +53,15 @@
     this.#heard.add(id);
   }
 
-  /** Tells of one endpoint; resolves with how many of the hosts know it, this
-   * one among them. */
-  async tell(id: string): Promise<{ told: number; of: number }> {
+  /** Tells of one endpoint; resolves with the other hosts that know it then. */
+  async tell(id: string): Promise<string[]> {
     const { clock, others } = this.#options;
     this.#changed.set(id, clock.now());
     const hosts = others();
-    const answers = await Promise.all(
+    const isNoted = await Promise.all(
       hosts.map((host) => this.#send(host, [id])),
     );
-    const told = answers.filter((isNoted) => isNoted).length + 1;
-    return { told, of: hosts.length + 1 };
+    return hosts.filter((_, position) => isNoted[position]);
   }
 
   /** Tells one host of everything. */
--- a/src/fleet/spread_test.ts
+++ b/src/fleet/spread_test.ts
@@ -49,9 +49,9 @@
   return { spread, told, tick };
 }
 
-test("a change is told at once, and how many know it is said", async (t) => {
+test("a change is told at once, and who knows it is said", async (t) => {
   const { spread, told } = spreadOf(["a", "b", "c"], { silent: ["c"] });
-  t.deepEqual(await spread.tell("i-1"), { told: 3, of: 4 });
+  t.deepEqual(await spread.tell("i-1"), ["a", "b"]);
   t.is(told.length, 3);
 });
 
