Elections in which all votes are needed do not split

What callers saw: after a loss of power of all hosts and of two disks, no control host gave out the configuration for seconds; entry hosts refused meanwhile. Cause: with two of five voters empty three of three must vote for one. Where a message takes as long as the random part of an election timeout, two stand at once, give themselves their vote, and try again as close to each other. Mend: a voter that stands yields to another that asks for its pre-vote, is as far and comes first by name. It only steps back, and refuses nothing, so that one that can ask but hears no answer keeps nobody from being elected for long.

--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -152,6 +152,12 @@
 ): void {
   const { state } = draft;
   const granted = body.term > state.term && isUpToDate(state, body);
+  // Of two that stand at once neither may win where all votes are needed.
+  const yields = granted && state.role === "pre-candidate" && from < state.id;
+  if (yields) {
+    drafts.follow(draft, state.term);
+    drafts.deferRetry(draft);
+  }
   const term = granted ? body.term : state.term;
   drafts.send(draft, from, { type: "vote", term, granted, pre: true });
 }
--- a/src/control/versions/fake_keepers.ts
+++ b/src/control/versions/fake_keepers.ts
@@ -7,8 +7,6 @@
 import * as keepers from "./keeper.ts";
 import * as machines from "./machine.ts";
 
-/** Milliseconds from host to host. */
-const DELAY = 1;
 /** Milliseconds that one step of a run lasts. */
 const STEP = 1;
 /** Milliseconds between looks at who runs, as greetings tell hosts. */
@@ -30,6 +28,8 @@
   /** Most voters; all hosts when absent. */
   readonly voters?: number;
   readonly seed?: number;
+  /** Milliseconds from host to host; 1 when absent. */
+  readonly delay?: number;
 }
 
 /** Hosts that keep the configuration together. */
@@ -38,6 +38,7 @@
   readonly #hosts: readonly Host[];
   readonly #random: runtime.Random;
   readonly #mostVoters: number;
+  readonly #delay: number;
   /** Links that carry nothing, as `FROM>TO`. */
   readonly #cutLinks = new Set<string>();
 
@@ -45,9 +46,10 @@
   constructor(
     names: readonly string[],
     seeds: readonly string[],
-    { voters = names.length, seed = 5 }: FakeKeepersOptions = {},
+    { voters = names.length, seed = 5, delay = 1 }: FakeKeepersOptions = {},
   ) {
     this.#mostVoters = voters;
+    this.#delay = delay;
     this.#random = runtime.createRandom(seed);
     this.#hosts = names.map((name) => ({
       name,
@@ -235,7 +237,7 @@
   #send(envelope: runtime.Envelope): void {
     if (!this.#carries(envelope.from, envelope.to)) return;
     this.clock.after(
-      DELAY,
+      this.#delay,
       () => this.#host(envelope.to).keeper?.receive(envelope),
     );
   }
@@ -244,7 +246,7 @@
     { from, to, timeout }: { from: string; to: string; timeout: number },
     question: Parameters<keepers.Ask>[1],
   ): ReturnType<keepers.Ask> {
-    await this.#pass(DELAY);
+    await this.#pass(this.#delay);
     const { keeper } = this.#host(to);
     if (keeper === undefined || !this.#carries(from, to)) {
       await this.#pass(timeout);
