Fleets keep five voters: a leader that has just started takes nobody for lost

What was seen: after all control hosts had been killed once, six hosts voted where five should, for good; with each such time there may be one more. Each voter more is one that changes and elections wait for. Cause: a new leader counted as lost whom it had not heard, also when it had no time to since its own start, and gave another host a vote; its settings' seeds counted as wanted until then. One that lives was never put out. Mend: voters that a host had no time to hear stay candidates; a leader begins with the voters that it finds; one voter too many is taken out by name, when all others vote. The log's own rule (a voter goes when it is neither named nor heard) is as it was: settings of an operator may err, a choice of live hosts doesn't.

--- a/src/control/versions/fake_keepers.ts
+++ b/src/control/versions/fake_keepers.ts
@@ -16,7 +16,7 @@
 interface Host {
   readonly name: string;
   /** Hosts that its settings name. */
-  readonly seeds: readonly string[];
+  seeds: readonly string[];
   disk: storage.MemoryStorage;
   keeper?: keepers.Keeper;
   /** Changes at each start and stop, so that what was under way is lost. */
@@ -39,6 +39,9 @@
   readonly #random: runtime.Random;
   readonly #mostVoters: number;
   readonly #delay: number;
+  /** Hosts that leaders want as voters, where a test says so; none for no
+   * word of theirs. */
+  #chosen?: readonly string[];
   /** Links that carry nothing, as `FROM>TO`. */
   readonly #cutLinks = new Set<string>();
 
@@ -79,16 +82,19 @@
     return this.running.find((name) => this.at(name).isLeader);
   }
 
-  /** Starts hosts; `founds` at the very first start of all. */
+  /** Starts hosts; `founds` at the very first start of all, `seeds` where their
+   * settings have come to name others. */
   async start(
     names: readonly string[],
-    { founds = false, logger }: {
+    { founds = false, seeds, logger }: {
       founds?: boolean;
+      seeds?: readonly string[];
       logger?: telemetry.Logger;
     } = {},
   ): Promise<void> {
     for (const name of names) {
       const host = this.#host(name);
+      host.seeds = seeds ?? host.seeds;
       const life = ++host.life;
       const runs = () => host.life === life;
       host.keeper = await keepers.Keeper.start({
@@ -144,6 +150,11 @@
     }
   }
 
+  /** Has leaders want these hosts as voters; with none they name nobody. */
+  choose(names: readonly string[]): void {
+    this.#chosen = names;
+  }
+
   /** Makes all links whole. */
   join(): void {
     this.#cutLinks.clear();
@@ -191,7 +202,8 @@
     for (const name of this.running) {
       const keeper = this.at(name);
       keeper.setContacts(this.names);
-      if (keeper.isLeader) keeper.setHosts(this.#wanted(name));
+      const wanted = this.#chosen ?? this.#wanted(name);
+      if (keeper.isLeader && wanted.length > 0) keeper.setHosts(wanted);
       this.#tellLeadership(name);
     }
   }
--- a/src/control/versions/keeper.ts
+++ b/src/control/versions/keeper.ts
@@ -127,9 +127,11 @@
 
   /** Names the hosts that should be voters. */
   setHosts(hosts: readonly string[]): void {
-    if (hosts.join() === this.#hosts.join()) return;
-    this.#hosts = hosts;
-    this.#runner?.setHosts(hosts);
+    if (hosts.join() !== this.#hosts.join()) {
+      this.#hosts = hosts;
+      this.#runner?.setHosts(hosts);
+    }
+    this.#dropSurplus();
   }
 
   /** Names the hosts with disks that are known, whoever named them. */
@@ -236,7 +238,8 @@
         onChange: (_, index) => this.#noteApplied(index),
         onRole: (role, term, { leader }) => {
           logger.info({ role, term, leader }, "Role in the log changed");
-          if (role === "leader") this.#options.onLeading?.();
+          // The step that has led to it is not over yet.
+          if (role === "leader") queueMicrotask(() => this.#lead());
         },
         onFailure: (failure) => void this.#restart(failure, opened),
       });
@@ -250,6 +253,29 @@
     logger.info({ id, term, index, version }, "Replica of the log started");
   }
 
+  /** Takes out a voter that is not named once all that are vote: each voter more
+   * is one more that changes and elections may have to wait for. */
+  #dropSurplus(): void {
+    const runner = this.#runner;
+    if (runner === undefined || !this.isLeader) return;
+    const { voters } = runner.replica.members;
+    const voting = voters.map((id) => log.replicaId.host(id));
+    if (!this.#hosts.every((host) => voting.includes(host))) return;
+    const surplus = voters.find((id) =>
+      id !== runner.id && !this.#hosts.includes(log.replicaId.host(id))
+    );
+    if (surplus !== undefined) runner.remove(surplus);
+  }
+
+  /** Begins to lead, with the voters that there are: those that it knew of as
+   * wanted may be of the time when its settings were written. */
+  #lead(): void {
+    if (!this.isLeader) return;
+    const voters = this.#ownVoters;
+    if (voters.length > 0) this.setHosts(voters);
+    this.#options.onLeading?.();
+  }
+
   /** Starts the replica anew from what its disk holds. */
   async #restart(error: unknown, storage?: Storage): Promise<void> {
     const { clock, logger } = this.#options;
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -69,7 +69,10 @@
     const { host, dataCentre, seeds, heartbeat } = settings;
     this.#options = options;
     this.#epoch = `${host}/${Math.floor(clock.wall())}`;
-    this.#members = coreMembers.CoreMembers.create({ host, dataCentre }, seeds);
+    this.#members = coreMembers.CoreMembers.create({ host, dataCentre }, {
+      known: seeds,
+      now: clock.now(),
+    });
     this.#roster = endpoints.Roster.create({
       silence: MISSED * heartbeat,
       memory: MEMORY,
@@ -246,7 +249,7 @@
     const { voters } = keeper;
     const { lossesBorne } = this.#options.settings;
     const most = Math.max(VOTERS, 2 * lossesBorne + 1);
-    const live = this.#members.live(now);
+    const live = this.#members.candidates(voters, now);
     keeper.setHosts(coreMembers.chooseVoters({ live, voters, most }));
   }
 
--- a/src/fleet/core_members.ts
+++ b/src/fleet/core_members.ts
@@ -17,17 +17,19 @@
   readonly #self: CoreHost;
   readonly #known = new Set<string>();
   readonly #heard = new Map<string, CoreHost>();
+  readonly #started: number;
 
-  private constructor(self: CoreHost) {
+  private constructor(self: CoreHost, started: number) {
     this.#self = self;
+    this.#started = started;
   }
 
   /** Only this host is known, and `known` by their addresses. */
   static create(
     self: Pick<CoreHost, "host" | "dataCentre">,
-    known: readonly string[],
+    { known, now }: { known: readonly string[]; now: number },
   ): CoreMembers {
-    const members = new CoreMembers({ ...self, heard: Infinity });
+    const members = new CoreMembers({ ...self, heard: Infinity }, now);
     members.learn(known);
     return members;
   }
@@ -67,6 +69,18 @@
       ...others.filter(({ heard }) => now - heard <= LOST),
     ];
   }
+
+  /** Hosts to choose voters from: those that are there, and voters that this
+   * host has had no time to hear since its start. */
+  candidates(voters: readonly string[], now: number): CoreHost[] {
+    const live = this.live(now);
+    if (now - this.#started > LOST) return live;
+    const unheard = voters.filter((host) =>
+      !live.some((one) => one.host === host)
+    );
+    const since = { dataCentre: "", heard: this.#started };
+    return [...live, ...unheard.map((host) => ({ host, ...since }))];
+  }
 }
 
 /** What a choice of voters goes by. */
@@ -78,21 +92,25 @@
   readonly most: number;
 }
 
-/** Hosts that should be voters: those that are and live, then live ones from
+/** Hosts that should be voters: those that are and live, then live ones, from
  * the data centres with the fewest, up to an odd number; a lost voter stays
  * until a live host can take its place. */
 export function chooseVoters({ live, voters, most }: Electorate): string[] {
-  const chosen = live.filter(({ host }) => voters.includes(host));
-  const free = live.filter(({ host }) => !voters.includes(host));
   const known = new Set([...voters, ...live.map(({ host }) => host)]);
   const wanted = Math.min(most, oddUpTo(known.size));
-  while (chosen.length < wanted && free.length > 0) {
-    const next = free.reduce((best, each) =>
-      compare(each, best, chosen) < 0 ? each : best
-    );
-    free.splice(free.indexOf(next), 1);
-    chosen.push(next);
-  }
+  const chosen: Candidate[] = [];
+  const choose = (from: readonly Candidate[]) => {
+    const free = [...from];
+    while (chosen.length < wanted && free.length > 0) {
+      const next = free.reduce((best, each) =>
+        compare(each, best, chosen) < 0 ? each : best
+      );
+      free.splice(free.indexOf(next), 1);
+      chosen.push(next);
+    }
+  };
+  choose(live.filter(({ host }) => voters.includes(host)));
+  choose(live.filter(({ host }) => !voters.includes(host)));
   const lost = voters.filter((host) => !live.some((one) => one.host === host));
   const kept = lost.sort().slice(0, Math.max(0, wanted - chosen.length));
   return [...chosen.map(({ host }) => host), ...kept].sort();
--- a/src/fleet/core_members_test.ts
+++ b/src/fleet/core_members_test.ts
@@ -8,6 +8,12 @@
   return names.map((host) => ({ host, dataCentre: host[0] }));
 }
 
+/** Members as a host knows them that started at 0. */
+function createMembers(...known: string[]) {
+  const self = { host: "a1", dataCentre: "a" };
+  return members.CoreMembers.create(self, { known, now: 0 });
+}
+
 function choose(
   live: readonly string[],
   voters: readonly string[],
@@ -37,15 +43,38 @@
   t.is(choose(["a1", "b1", "c2"], ["a1", "b1", "c1"]), "a1 b1 c2");
 });
 
+test("voters beyond the most go, from the data centres with the most", (t) => {
+  const six = ["a1", "a2", "a3", "b1", "b2", "c1"];
+  t.is(choose(six, six), "a1 a2 b1 b2 c1");
+  t.is(
+    choose(["c1", "a1", "a2", "a3"], ["a1", "a2", "a3", "c1"], 3),
+    "a1 a2 c1",
+  );
+});
+
+test("a host that has just started exchanges no voter that it could not hear yet", (t) => {
+  const self = { host: "a1", dataCentre: "a" };
+  const own = members.CoreMembers.create(self, { known: [], now: 1000 });
+  own.hear({ host: "c1", dataCentre: "c", heard: 1400 });
+  const voters = ["a1", "a2", "b1"];
+  const chosenAt = (now: number) =>
+    members.chooseVoters({
+      live: own.candidates(voters, now),
+      voters,
+      most: 3,
+    });
+  t.deepEqual(chosenAt(1500), voters);
+  own.hear({ host: "a2", dataCentre: "a", heard: 2400 });
+  own.hear({ host: "c1", dataCentre: "c", heard: 2400 });
+  t.deepEqual(chosenAt(2501), ["a1", "a2", "c1"]);
+});
+
 test("a voter that lives is never put out for another", (t) => {
   t.is(choose(["a1", "a2", "a3", "b1"], ["a1", "a2", "a3"]), "a1 a2 a3");
 });
 
 test("a host is live while it greets, and this host always", (t) => {
-  const own = members.CoreMembers.create({ host: "a1", dataCentre: "a" }, [
-    "a1",
-    "b1",
-  ]);
+  const own = createMembers("a1", "b1");
   own.hear({ host: "c1", dataCentre: "c", heard: 100 });
   t.deepEqual(own.live(1000).map(({ host }) => host), ["a1", "c1"]);
   t.deepEqual(own.live(2000).map(({ host }) => host), ["a1"]);
@@ -53,7 +82,7 @@
 });
 
 test("hosts that were heard just now are no majority of the voters", (t) => {
-  const own = members.CoreMembers.create({ host: "a1", dataCentre: "a" }, []);
+  const own = createMembers();
   own.learn(["a2", "b1", "b2", "c1"]);
   t.true(own.isMajority(["a1", "a2", "b1"], ["a1", "a2", "c1"]));
   t.false(own.isMajority(["a1", "b1", "b2"], ["a1", "a2", "c1"]));
@@ -61,7 +90,7 @@
 });
 
 test("without known voters a majority is of all hosts ever known", (t) => {
-  const own = members.CoreMembers.create({ host: "a1", dataCentre: "a" }, []);
+  const own = createMembers();
   own.learn(["a2", "b1"]);
   t.true(own.isMajority(["a1", "b1"], []));
   t.false(own.isMajority(["a1"], []));
