Who leads keeps its vote; drawn schedules of fleets with more hosts than voters

Drawn troubles (kills, lost disks, cuts, other seeds; 5, 9 and 15 control hosts in virtual time) check that after them each host answers reads and changes, that no read is older than what was acknowledged when it was sent, and that no more vote than should. Cause: the leader was the one voter too many, and takes nobody out but others. Mend: the choice of voters begins with the leader.

--- /dev/null
+++ b/bench/versions_fuzz/mod.ts
@@ -0,0 +1,270 @@
+/** Seeded schedules of troubles over fleets with more control hosts than voters:
+ * whatever a host is, and was, it answers reads and changes once there is a
+ * leader that it reaches, and never gives out what is older than what was
+ * acknowledged.
+ * @module */
+
+import * as fakes from "../../src/control/versions/fake_keepers.ts";
+import * as runtime from "../../src/runtime/mod.ts";
+
+/** What a schedule is made from. */
+export interface ScheduleOptions {
+  readonly seed: number;
+  /** Control hosts; 5, 9 or 15 by the seed when absent. */
+  readonly hosts?: number;
+  readonly breakage?: fakes.Breakage;
+}
+
+/** What a run has seen. */
+export interface Summary {
+  readonly acknowledged: number;
+  readonly reads: number;
+  readonly refusedReads: number;
+  readonly troubles: number;
+  readonly lostDisks: number;
+}
+
+/** Something that must hold does not. */
+export class Violation extends Error {
+  override readonly name = "Violation";
+}
+
+const NUMBERS_OF_HOSTS = [9, 15, 9, 5];
+const VOTERS = 5;
+const SEEDS = 3;
+/** Troubles of one schedule, between two calm times. */
+const SERIES = 2;
+const TROUBLES = 5;
+/** Milliseconds in which a fleet founds its log and chooses its voters. */
+const FOUNDING = 9000;
+/** Milliseconds without trouble after which every host answers. */
+const CALM = 9000;
+/** Milliseconds that a caller waits for an answer, as operators' calls do. */
+const PATIENCE = 900;
+/** Most milliseconds from one trouble to the next. */
+const PAUSE = 2500;
+
+/** Runs one schedule; throws a `Violation` if something does not hold. */
+export async function runSchedule(options: ScheduleOptions): Promise<Summary> {
+  const world = new World(options);
+  await world.found();
+  for (let series = 0; series < SERIES; series++) {
+    for (let count = 0; count < TROUBLES; count++) await world.trouble();
+    await world.calm();
+  }
+  return world.summary;
+}
+
+/** A fleet, what is drawn for it, and what its callers have heard. */
+class World {
+  readonly #random: runtime.Random;
+  readonly #fleet: fakes.FakeKeepers;
+  readonly #names: readonly string[];
+  /** Identity of the disk of each host, as last seen. */
+  readonly #disks = new Map<string, string>();
+  #version = 0;
+  /** Newest version that was acknowledged. */
+  #acknowledged = 0;
+  readonly #seen = { acks: 0, reads: 0, refused: 0, troubles: 0, wiped: 0 };
+  #violation?: Violation;
+
+  constructor({ seed, hosts, breakage }: ScheduleOptions) {
+    // Neighbouring seeds of the generator begin alike.
+    this.#random = runtime.createRandom(Math.imul(seed, 2_654_435_761) >>> 0);
+    const count = hosts ?? NUMBERS_OF_HOSTS[seed % NUMBERS_OF_HOSTS.length];
+    this.#names = Array.from({ length: count }, (_, n) => `h${10 + n}`);
+    this.#fleet = new fakes.FakeKeepers(
+      this.#names,
+      this.#names.slice(0, SEEDS),
+      {
+        voters: VOTERS,
+        seed: this.#random.below(2 ** 31),
+        delay: 1 + this.#random.below(60),
+        breakage,
+      },
+    );
+  }
+
+  get summary(): Summary {
+    const { acks, reads, refused, troubles, wiped } = this.#seen;
+    return {
+      acknowledged: acks,
+      reads,
+      refusedReads: refused,
+      troubles,
+      lostDisks: wiped,
+    };
+  }
+
+  async found(): Promise<void> {
+    await this.#fleet.start(this.#names, { founds: true });
+    await this.#run(FOUNDING);
+  }
+
+  /** Brings one trouble about while callers ask. */
+  async trouble(): Promise<void> {
+    this.#seen.troubles++;
+    const troubles = [
+      () => this.#kill([this.#pick()]),
+      () => this.#kill(this.#some()),
+      () => this.#kill(this.#names),
+      () => this.#kill([this.#leader]),
+      () => this.#fleet.cutOff([this.#leader]),
+      () => this.#fleet.cutOff(this.#some()),
+      () => this.#fleet.cutOff([this.#pick()]),
+      () => this.#fleet.join(),
+      () => this.#loseDisk(this.#pick()),
+      () => this.#loseDisk(this.#leader),
+      () => this.#loseAll(),
+    ];
+    troubles[this.#random.below(troubles.length)]();
+    const end = this.#fleet.clock.now() + this.#random.next() * PAUSE;
+    while (this.#fleet.clock.now() < end) {
+      this.#askSome();
+      await this.#run(1 + this.#random.below(300));
+    }
+  }
+
+  /** Ends all troubles; every host must answer then. */
+  async calm(): Promise<void> {
+    this.#fleet.join();
+    await this.#startMissing();
+    await this.#run(CALM);
+    for (const name of this.#names) await this.#mustAnswer(name);
+    const voters = this.#fleet.at(this.#leader).voters;
+    if (voters.length > VOTERS) {
+      throw new Violation(`${voters.length} voters: ${voters.join()}`);
+    }
+  }
+
+  get #leader(): string {
+    return this.#fleet.leader ?? this.#pick();
+  }
+
+  #pick(): string {
+    return this.#names[this.#random.below(this.#names.length)];
+  }
+
+  #some(): string[] {
+    return this.#names.filter(() => this.#random.next() < 0.4);
+  }
+
+  /** Hosts that a settings file may name by now, with a vote or without. */
+  #drawnSeeds(): string[] {
+    return Array.from({ length: SEEDS }, () => this.#pick());
+  }
+
+  /** Ends processes; each is back after a while. */
+  #kill(names: readonly string[]): void {
+    this.#noteDisks();
+    const running = names.filter((name) => this.#fleet.running.includes(name));
+    this.#fleet.cut(running);
+    running.forEach((name) => this.#startLater(name));
+  }
+
+  #startLater(name: string): void {
+    this.#fleet.clock.after(this.#random.next() * 2000, () => {
+      if (!this.#fleet.running.includes(name)) void this.#start(name);
+    });
+  }
+
+  #start(name: string): Promise<void> {
+    return this.#fleet.start([name], { seeds: this.#drawnSeeds() });
+  }
+
+  async #startMissing(): Promise<void> {
+    for (const name of this.#names) {
+      if (!this.#fleet.running.includes(name)) await this.#start(name);
+    }
+  }
+
+  #loseDisk(name: string): void {
+    this.#noteDisks();
+    if (!this.#mayLose(name)) return;
+    this.#seen.wiped++;
+    this.#kill([name]);
+    this.#fleet.wipe(name);
+    this.#disks.delete(name);
+  }
+
+  /** As many disks as may be lost, while all hosts lose power. */
+  #loseAll(): void {
+    this.#loseDisk(this.#leader);
+    this.#loseDisk(this.#pick());
+    this.#kill(this.#names);
+  }
+
+  #noteDisks(): void {
+    for (const name of this.#fleet.running) {
+      const { standing } = this.#fleet.at(name);
+      if (standing !== undefined) this.#disks.set(name, standing.id);
+    }
+  }
+
+  /** Whether each set of voters that a host knows keeps a majority of disks. */
+  #mayLose(name: string): boolean {
+    const intact = [...this.#disks].filter(([host]) => host !== name)
+      .map(([, id]) => id);
+    // What a host that is down knows of voters is not seen.
+    if (this.#fleet.running.length < this.#names.length) return false;
+    return this.#fleet.running.every((host) => {
+      const { voters = [] } = this.#fleet.at(host).standing ?? {};
+      const left = voters.filter((id) => intact.includes(id));
+      return 2 * left.length > voters.length || voters.length === 0;
+    });
+  }
+
+  #askSome(): void {
+    for (const name of this.#fleet.running) {
+      if (this.#random.next() < 0.2) this.#read(name);
+      if (this.#random.next() < 0.05) this.#replace(name);
+    }
+  }
+
+  #read(name: string): Promise<boolean> {
+    const least = this.#acknowledged;
+    const at = this.#fleet.clock.now();
+    return this.#fleet.at(name).read(PATIENCE).then(({ version }) => {
+      this.#seen.reads++;
+      if (version < least) {
+        this.#violation ??= new Violation(
+          `${name} read ${version} from ${at} on, ${least} was acknowledged`,
+        );
+      }
+      return true;
+    }, () => {
+      this.#seen.refused++;
+      return false;
+    });
+  }
+
+  #replace(name: string): Promise<boolean> {
+    const version = ++this.#version;
+    const order = fakes.editionOf(version);
+    return this.#fleet.at(name).replace(order, PATIENCE).then(() => {
+      this.#seen.acks++;
+      this.#acknowledged = Math.max(this.#acknowledged, version);
+      return true;
+    }, () => false);
+  }
+
+  async #mustAnswer(name: string): Promise<void> {
+    const answers = { read: false, replace: false };
+    void this.#replace(name).then((isTaken) => answers.replace = isTaken);
+    await this.#run(PATIENCE);
+    void this.#read(name).then((isAnswered) => answers.read = isAnswered);
+    await this.#run(PATIENCE);
+    if (answers.read && answers.replace) return;
+    const { leader } = this.#fleet;
+    const standing = JSON.stringify(this.#fleet.at(name).standing);
+    throw new Violation(
+      `${name} is silent (${JSON.stringify(answers)}) while ${leader} leads: ` +
+        standing,
+    );
+  }
+
+  async #run(ms: number): Promise<void> {
+    await this.#fleet.run(ms);
+    if (this.#violation !== undefined) throw this.#violation;
+  }
+}
--- a/src/control/versions/fake_keepers.ts
+++ b/src/control/versions/fake_keepers.ts
@@ -12,6 +12,11 @@
 /** Milliseconds between looks at who runs, as greetings tell hosts. */
 const GREETING = 400;
 
+/** A version with some content. */
+export function editionOf(version: number): machines.Edition {
+  return machines.editionOf(version, JSON.stringify({ version }));
+}
+
 /** A host of a fake fleet. */
 interface Host {
   readonly name: string;
@@ -23,6 +28,10 @@
   life: number;
 }
 
+/** Deliberate faults, to show that checks notice them: nobody tells who leads;
+ * hosts that ask are told that what they hold is in force. */
+export type Breakage = "untold" | "unconfirmed";
+
 /** What a fake fleet is made of. */
 export interface FakeKeepersOptions {
   /** Most voters; all hosts when absent. */
@@ -30,6 +39,7 @@
   readonly seed?: number;
   /** Milliseconds from host to host; 1 when absent. */
   readonly delay?: number;
+  readonly breakage?: Breakage;
 }
 
 /** Hosts that keep the configuration together. */
@@ -39,6 +49,7 @@
   readonly #random: runtime.Random;
   readonly #mostVoters: number;
   readonly #delay: number;
+  readonly #breakage?: Breakage;
   /** Hosts that leaders want as voters, where a test says so; none for no
    * word of theirs. */
   #chosen?: readonly string[];
@@ -49,8 +60,10 @@
   constructor(
     names: readonly string[],
     seeds: readonly string[],
-    { voters = names.length, seed = 5, delay = 1 }: FakeKeepersOptions = {},
+    { voters = names.length, seed = 5, delay = 1, breakage }:
+      FakeKeepersOptions = {},
   ) {
+    this.#breakage = breakage;
     this.#mostVoters = voters;
     this.#delay = delay;
     this.#random = runtime.createRandom(seed);
@@ -172,8 +185,7 @@
 
   /** Orders a version at a host; undefined when it is not answered. */
   async replace(name: string, version: number): Promise<string | undefined> {
-    const order = machines.editionOf(version, JSON.stringify({ version }));
-    const answer = this.at(name).replace(order, PATIENCE);
+    const answer = this.at(name).replace(editionOf(version), PATIENCE);
     return await this.#settled(answer.then(({ verdict }) => verdict));
   }
 
@@ -210,7 +222,7 @@
 
   #tellLeadership(from: string): void {
     const { leadership } = this.at(from);
-    if (leadership === undefined) return;
+    if (leadership === undefined || this.#breakage === "untold") return;
     for (const to of this.running) {
       if (to !== from && this.#carries(from, to)) {
         this.at(to).learnLeadership(leadership);
@@ -218,11 +230,12 @@
     }
   }
 
-  /** Hosts that should be voters: those that are and run, then others that
-   * run, those that don't last. */
+  /** Hosts that should be voters: who leads, those that are and run, then others
+   * that run, those that don't last. */
   #wanted(leader: string): string[] {
     const { voters } = this.at(leader);
     const rank = (name: string) => {
+      if (name === leader) return -1;
       const isReached = this.running.includes(name) &&
         this.#carries(name, leader);
       return (isReached ? 0 : 2) + (voters.includes(name) ? 0 : 1);
@@ -259,6 +272,9 @@
     question: Parameters<keepers.Ask>[1],
   ): ReturnType<keepers.Ask> {
     await this.#pass(this.#delay);
+    if (this.#breakage === "unconfirmed" && question.type === "confirm") {
+      return { type: "confirmed", index: 0, version: question.version };
+    }
     const { keeper } = this.#host(to);
     if (keeper === undefined || !this.#carries(from, to)) {
       await this.#pass(timeout);
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -247,10 +247,10 @@
     const keeper = this.#keeper;
     if (keeper === undefined || !keeper.isLeader) return;
     const { voters } = keeper;
-    const { lossesBorne } = this.#options.settings;
+    const { host: leader, lossesBorne } = this.#options.settings;
     const most = Math.max(VOTERS, 2 * lossesBorne + 1);
     const live = this.#members.candidates(voters, now);
-    keeper.setHosts(coreMembers.chooseVoters({ live, voters, most }));
+    keeper.setHosts(coreMembers.chooseVoters({ leader, live, voters, most }));
   }
 
   #others(): string[] {
--- a/src/fleet/core_members.ts
+++ b/src/fleet/core_members.ts
@@ -85,6 +85,8 @@
 
 /** What a choice of voters goes by. */
 export interface Electorate {
+  /** Host that leads: it stays a voter. */
+  readonly leader: string;
   readonly live: readonly Pick<CoreHost, "host" | "dataCentre">[];
   /** Hosts that are voters now. */
   readonly voters: readonly string[];
@@ -92,10 +94,12 @@
   readonly most: number;
 }
 
-/** Hosts that should be voters: those that are and live, then live ones, from
+/** Hosts that should be voters: who leads, those that are and live, then live ones, from
  * the data centres with the fewest, up to an odd number; a lost voter stays
  * until a live host can take its place. */
-export function chooseVoters({ live, voters, most }: Electorate): string[] {
+export function chooseVoters(
+  { leader, live, voters, most }: Electorate,
+): string[] {
   const known = new Set([...voters, ...live.map(({ host }) => host)]);
   const wanted = Math.min(most, oddUpTo(known.size));
   const chosen: Candidate[] = [];
@@ -109,7 +113,10 @@
       chosen.push(next);
     }
   };
-  choose(live.filter(({ host }) => voters.includes(host)));
+  choose(live.filter(({ host }) => host === leader));
+  choose(
+    live.filter(({ host }) => host !== leader && voters.includes(host)),
+  );
   choose(live.filter(({ host }) => !voters.includes(host)));
   const lost = voters.filter((host) => !live.some((one) => one.host === host));
   const kept = lost.sort().slice(0, Math.max(0, wanted - chosen.length));
--- a/src/fleet/core_members_test.ts
+++ b/src/fleet/core_members_test.ts
@@ -19,7 +19,8 @@
   voters: readonly string[],
   most = 5,
 ): string {
-  return members.chooseVoters({ live: hosts(...live), voters, most }).join(" ");
+  const electorate = { leader: voters[0] ?? live[0], live: hosts(...live) };
+  return members.chooseVoters({ ...electorate, voters, most }).join(" ");
 }
 
 test("voters grow to an odd number, spread over data centres", (t) => {
@@ -52,6 +53,11 @@
   );
 });
 
+test("who leads keeps its vote where there is one too many", (t) => {
+  const six = ["c9", "a1", "a2", "b1", "b2", "c1"];
+  t.is(choose(six, six), "a1 a2 b1 b2 c9");
+});
+
 test("a host that has just started exchanges no voter that it could not hear yet", (t) => {
   const self = { host: "a1", dataCentre: "a" };
   const own = members.CoreMembers.create(self, { known: [], now: 1000 });
@@ -59,6 +65,7 @@
   const voters = ["a1", "a2", "b1"];
   const chosenAt = (now: number) =>
     members.chooseVoters({
+      leader: "a1",
       live: own.candidates(voters, now),
       voters,
       most: 3,
