--- a/bench/versions_fuzz/mod.ts
+++ b/bench/versions_fuzz/mod.ts
@@ -4,7 +4,7 @@
  * acknowledged.
  * @module */
 
-import * as fakes from "../../src/control/versions/fake_keepers.ts";
+import * as fakes from "../../src/control/versions/fake_stores.ts";
 import * as runtime from "../../src/runtime/mod.ts";
 
 /** What a schedule is made from. */
@@ -58,7 +58,7 @@
 /** A fleet, what is drawn for it, and what its callers have heard. */
 class World {
   readonly #random: runtime.Random;
-  readonly #fleet: fakes.FakeKeepers;
+  readonly #fleet: fakes.FakeStores;
   readonly #names: readonly string[];
   /** Identity of the disk of each host, as last seen. */
   readonly #disks = new Map<string, string>();
@@ -73,7 +73,7 @@
     this.#random = runtime.createRandom(Math.imul(seed, 2_654_435_761) >>> 0);
     const count = hosts ?? NUMBERS_OF_HOSTS[seed % NUMBERS_OF_HOSTS.length];
     this.#names = Array.from({ length: count }, (_, n) => `h${10 + n}`);
-    this.#fleet = new fakes.FakeKeepers(
+    this.#fleet = new fakes.FakeStores(
       this.#names,
       this.#names.slice(0, SEEDS),
       {
@@ -196,8 +196,8 @@
 
   #noteDisks(): void {
     for (const name of this.#fleet.running) {
-      const { standing } = this.#fleet.at(name);
-      if (standing !== undefined) this.#disks.set(name, standing.id);
+      const { status } = this.#fleet.at(name);
+      if (status !== undefined) this.#disks.set(name, status.id);
     }
   }
 
@@ -208,7 +208,7 @@
     // What a host that is down knows of voters is not seen.
     if (this.#fleet.running.length < this.#names.length) return false;
     return this.#fleet.running.every((host) => {
-      const { voters = [] } = this.#fleet.at(host).standing ?? {};
+      const { voters = [] } = this.#fleet.at(host).status ?? {};
       const left = voters.filter((id) => intact.includes(id));
       return 2 * left.length > voters.length || voters.length === 0;
     });
@@ -256,10 +256,10 @@
     await this.#run(PATIENCE);
     if (answers.read && answers.replace) return;
     const { leader } = this.#fleet;
-    const standing = JSON.stringify(this.#fleet.at(name).standing);
+    const status = JSON.stringify(this.#fleet.at(name).status);
     throw new Violation(
       `${name} is silent (${JSON.stringify(answers)}) while ${leader} leads: ` +
-        standing,
+        status,
     );
   }
 
--- a/src/control/versions/keeper.ts
+++ b/src/control/versions/configuration_store.ts
@@ -1,5 +1,5 @@
-/** Keeps the configuration on a host with a disk: a replica of the log, orders
- * and reads that go to its leader, wherever that is.
+/** Replicated store of the configuration on a host with a disk: a replica of the
+ * log where the host votes, and the way to the leader, wherever that is.
  * @module */
 
 import * as runtime from "../../runtime/mod.ts";
@@ -9,7 +9,7 @@
 import * as errors from "./errors.ts";
 import * as leaderBeliefs from "./leader_belief.ts";
 import * as machines from "./machine.ts";
-import * as standings from "./standing.ts";
+import * as replicaStatuses from "./replica_status.ts";
 
 /** Milliseconds between tries while no leader answers: an election takes some
  * hundreds. */
@@ -44,8 +44,8 @@
   options: { timeout: number },
 ) => Promise<schema.Reply>;
 
-/** What a keeper needs of its host. */
-export interface KeeperOptions {
+/** What a store needs of its host. */
+export interface ConfigurationStoreOptions {
   self: string;
   /** Hosts that may found the log. */
   founders: readonly string[];
@@ -64,8 +64,8 @@
 type Runner = log.Runner<machines.Edition, machines.Reply>;
 
 /** The replica of this host, and the way to its leader. */
-export class Keeper {
-  readonly #options: KeeperOptions;
+export class ConfigurationStore {
+  readonly #options: ConfigurationStoreOptions;
   #runner?: Runner;
   #hosts: readonly string[];
   #contacts: readonly string[] = [];
@@ -79,17 +79,19 @@
   /** When a replica of each host was heard last. */
   readonly #heard = new Map<string, number>();
 
-  private constructor(options: KeeperOptions) {
+  private constructor(options: ConfigurationStoreOptions) {
     this.#options = options;
     this.#hosts = options.founders;
   }
 
   /** Reads the disk and takes part from then on. */
-  static async start(options: KeeperOptions): Promise<Keeper> {
-    const keeper = new Keeper(options);
-    await keeper.#start();
-    keeper.#watch();
-    return keeper;
+  static async start(
+    options: ConfigurationStoreOptions,
+  ): Promise<ConfigurationStore> {
+    const store = new ConfigurationStore(options);
+    await store.#start();
+    store.#watch();
+    return store;
   }
 
   /** Who leads, as the replica of this host knows: other hosts may be told. */
@@ -195,12 +197,12 @@
 
   /** What this host knows of leader and majority; undefined while the replica
    * does not run. */
-  get standing(): standings.Standing | undefined {
+  get status(): replicaStatuses.ReplicaStatus | undefined {
     const replica = this.#runner?.replica;
     if (replica === undefined) return undefined;
     const now = this.#options.clock.now();
     const told = this.#told.at(now);
-    return standings.standingOf(replica, { heard: this.#heard, told, now });
+    return replicaStatuses.statusOf(replica, { heard: this.#heard, told, now });
   }
 
   /** State for people. */
@@ -297,7 +299,7 @@
     clock.after(WATCH, () => {
       if (this.#stopped) return;
       if (this.leader === undefined) {
-        logger.info({ ...this.standing }, "Log without a leader");
+        logger.info({ ...this.status }, "Log without a leader");
       }
       this.#watch();
     });
--- a/src/control/versions/errors.ts
+++ b/src/control/versions/errors.ts
@@ -1,4 +1,4 @@
-/** Errors of the keeper of versions.
+/** Errors of the store of versions.
  * @module */
 
 /** Why there is no answer. Only `unknown` may have taken effect. */
--- a/src/control/versions/fake_keepers.ts
+++ b/src/control/versions/fake_stores.ts
@@ -1,10 +1,10 @@
-/** Keepers on a fake clock, with disks and links in memory, for tests.
+/** Stores on a fake clock, with disks and links in memory, for tests.
  * @module */
 
 import * as runtime from "../../runtime/mod.ts";
 import * as storage from "../../storage/mod.ts";
 import * as telemetry from "../../telemetry/mod.ts";
-import * as keepers from "./keeper.ts";
+import * as configurationStores from "./configuration_store.ts";
 import * as machines from "./machine.ts";
 
 /** Milliseconds that one step of a run lasts. */
@@ -23,7 +23,7 @@
   /** Hosts that its settings name. */
   seeds: readonly string[];
   disk: storage.MemoryStorage;
-  keeper?: keepers.Keeper;
+  store?: configurationStores.ConfigurationStore;
   /** Changes at each start and stop, so that what was under way is lost. */
   life: number;
 }
@@ -33,7 +33,7 @@
 export type Breakage = "untold" | "unconfirmed";
 
 /** What a fake fleet is made of. */
-export interface FakeKeepersOptions {
+export interface FakeStoresOptions {
   /** Most voters; all hosts when absent. */
   readonly voters?: number;
   readonly seed?: number;
@@ -43,7 +43,7 @@
 }
 
 /** Hosts that keep the configuration together. */
-export class FakeKeepers {
+export class FakeStores {
   readonly clock = new runtime.FakeClock();
   readonly #hosts: readonly Host[];
   readonly #random: runtime.Random;
@@ -61,7 +61,7 @@
     names: readonly string[],
     seeds: readonly string[],
     { voters = names.length, seed = 5, delay = 1, breakage }:
-      FakeKeepersOptions = {},
+      FakeStoresOptions = {},
   ) {
     this.#breakage = breakage;
     this.#mostVoters = voters;
@@ -75,9 +75,9 @@
     }));
   }
 
-  /** The keeper of a host that runs. */
-  at(name: string): keepers.Keeper {
-    return this.#host(name).keeper!;
+  /** The store of a host that runs. */
+  at(name: string): configurationStores.ConfigurationStore {
+    return this.#host(name).store!;
   }
 
   get names(): string[] {
@@ -86,7 +86,7 @@
 
   /** Hosts that run. */
   get running(): string[] {
-    return this.#hosts.filter(({ keeper }) => keeper !== undefined)
+    return this.#hosts.filter(({ store }) => store !== undefined)
       .map((host) => host.name);
   }
 
@@ -110,7 +110,7 @@
       host.seeds = seeds ?? host.seeds;
       const life = ++host.life;
       const runs = () => host.life === life;
-      host.keeper = await keepers.Keeper.start({
+      host.store = await configurationStores.ConfigurationStore.start({
         self: name,
         founders: host.seeds,
         founds: founds && host.seeds.includes(name),
@@ -141,8 +141,8 @@
     for (const name of names) {
       const host = this.#host(name);
       host.life++;
-      host.keeper?.stop();
-      host.keeper = undefined;
+      host.store?.stop();
+      host.store = undefined;
       host.disk = host.disk.crash();
     }
   }
@@ -212,10 +212,10 @@
 
   #greet(): void {
     for (const name of this.running) {
-      const keeper = this.at(name);
-      keeper.setContacts(this.names);
+      const store = this.at(name);
+      store.setContacts(this.names);
       const wanted = this.#chosen ?? this.#wanted(name);
-      if (keeper.isLeader && wanted.length > 0) keeper.setHosts(wanted);
+      if (store.isLeader && wanted.length > 0) store.setHosts(wanted);
       this.#tellLeadership(name);
     }
   }
@@ -263,25 +263,25 @@
     if (!this.#carries(envelope.from, envelope.to)) return;
     this.clock.after(
       this.#delay,
-      () => this.#host(envelope.to).keeper?.receive(envelope),
+      () => this.#host(envelope.to).store?.receive(envelope),
     );
   }
 
   async #ask(
     { from, to, timeout }: { from: string; to: string; timeout: number },
-    question: Parameters<keepers.Ask>[1],
-  ): ReturnType<keepers.Ask> {
+    question: Parameters<configurationStores.Ask>[1],
+  ): ReturnType<configurationStores.Ask> {
     await this.#pass(this.#delay);
     if (this.#breakage === "unconfirmed" && question.type === "confirm") {
       return { type: "confirmed", index: 0, version: question.version };
     }
-    const { keeper } = this.#host(to);
-    if (keeper === undefined || !this.#carries(from, to)) {
+    const { store } = this.#host(to);
+    if (store === undefined || !this.#carries(from, to)) {
       await this.#pass(timeout);
       throw new Error(`${to} is silent`);
     }
-    const reply = await keeper.answer(
-      question as Parameters<typeof keeper.answer>[0],
+    const reply = await store.answer(
+      question as Parameters<typeof store.answer>[0],
     );
     if (this.#carries(to, from)) return reply;
     await this.#pass(timeout);
--- a/src/control/versions/mod.ts
+++ b/src/control/versions/mod.ts
@@ -2,5 +2,5 @@
  * @module */
 
 export * from "./errors.ts";
-export * from "./keeper.ts";
+export * from "./configuration_store.ts";
 export * from "./machine.ts";
--- a/src/control/versions/standing.ts
+++ b/src/control/versions/replica_status.ts
@@ -7,7 +7,7 @@
 import * as log from "../log/mod.ts";
 
 /** A replica as its host sees it. */
-export interface Standing extends Part {
+export interface ReplicaStatus extends Part {
   readonly isMember: boolean;
   readonly voters: readonly string[];
   readonly learners: readonly string[];
@@ -36,10 +36,10 @@
 }
 
 /** Describes a replica. */
-export function standingOf(
+export function statusOf(
   replica: log.Replica,
   { heard, told, now }: Surroundings,
-): Standing {
+): ReplicaStatus {
   const { members, ...dump } = log.dump(replica, now);
   const { id, role, term, leader, commit, last } = dump;
   const ages = [...heard].map(([host, at]) => [host, Math.round(now - at)]);
--- a/src/control/versions/split_election_test.ts
+++ b/src/control/versions/split_election_test.ts
@@ -9,7 +9,7 @@
  * @module */
 
 import test from "ava";
-import * as fakes from "./fake_keepers.ts";
+import * as fakes from "./fake_stores.ts";
 
 const NAMES = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
 const SEEDS = ["a", "b", "c"];
@@ -27,7 +27,7 @@
  * disks, to a leader. */
 async function electionOf(seed: number): Promise<number> {
   const options = { voters: VOTERS, seed, delay: DELAY };
-  const fleet = new fakes.FakeKeepers(NAMES, SEEDS, options);
+  const fleet = new fakes.FakeStores(NAMES, SEEDS, options);
   await fleet.start(NAMES, { founds: true });
   await fleet.run(9000);
   const others = fleet.at(fleet.leader!).voters.filter((name) =>
--- a/src/control/versions/voteless_test.ts
+++ b/src/control/versions/voteless_test.ts
@@ -8,7 +8,7 @@
  * @module */
 
 import test from "ava";
-import * as fakes from "./fake_keepers.ts";
+import * as fakes from "./fake_stores.ts";
 
 const NAMES = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
 const SEEDS = ["a", "b", "c"];
@@ -18,24 +18,24 @@
 
 /** Nine hosts, five of them voters, that hold a version. */
 async function createFleet() {
-  const fleet = new fakes.FakeKeepers(NAMES, SEEDS, { voters: VOTERS });
+  const fleet = new fakes.FakeStores(NAMES, SEEDS, { voters: VOTERS });
   await fleet.start(NAMES, { founds: true });
   await fleet.run(8000);
   await fleet.replace(fleet.leader!, FIRST);
   return fleet;
 }
 
-function votersOf(fleet: fakes.FakeKeepers) {
+function votersOf(fleet: fakes.FakeStores) {
   return fleet.at(fleet.leader!).voters;
 }
 
-function voteless(fleet: fakes.FakeKeepers) {
+function voteless(fleet: fakes.FakeStores) {
   const voters = votersOf(fleet);
   return NAMES.filter((name) => !voters.includes(name));
 }
 
 /** What each of some hosts reads. */
-async function readAll(fleet: fakes.FakeKeepers, names: readonly string[]) {
+async function readAll(fleet: fakes.FakeStores, names: readonly string[]) {
   const read = [];
   for (const name of names) read.push(await fleet.read(name));
   return read;
--- a/src/control/versions/voters_test.ts
+++ b/src/control/versions/voters_test.ts
@@ -8,20 +8,20 @@
  * @module */
 
 import test from "ava";
-import * as fakes from "./fake_keepers.ts";
+import * as fakes from "./fake_stores.ts";
 
 const NAMES = ["a", "b", "c", "d", "e", "f", "g"];
 const SEEDS = ["a", "b", "c"];
 const VOTERS = 5;
 
 async function createFleet() {
-  const fleet = new fakes.FakeKeepers(NAMES, SEEDS, { voters: VOTERS });
+  const fleet = new fakes.FakeStores(NAMES, SEEDS, { voters: VOTERS });
   await fleet.start(NAMES, { founds: true });
   await fleet.run(8000);
   return fleet;
 }
 
-function votersOf(fleet: fakes.FakeKeepers) {
+function votersOf(fleet: fakes.FakeStores) {
   return [...fleet.at(fleet.leader!).voters].sort();
 }
 
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -60,7 +60,7 @@
   readonly #epoch: string;
   readonly #confirmations: rounds.Rounds<FleetState>;
   /** Undefined until the disk is read. */
-  #keeper?: versions.Keeper;
+  #store?: versions.ConfigurationStore;
   #server?: controlServer.ControlServer;
   #stopped = false;
 
@@ -92,7 +92,7 @@
           Promise.resolve(this.#coordinator.allow(question, from)),
       },
       onNotice: (notice, from) => this.#hear(notice, from),
-      onLog: (envelope) => this.#keeper?.receive(envelope),
+      onLog: (envelope) => this.#store?.receive(envelope),
     });
     this.#confirmations = rounds.Rounds.create({
       clock,
@@ -138,12 +138,12 @@
   /** Hands its part in the log over and ends. */
   async stop(): Promise<void> {
     this.#stopped = true;
-    this.#keeper?.drain();
+    this.#store?.drain();
     await new Promise<void>((resolve) =>
       void this.#options.clock.after(FAREWELL, () => resolve())
     );
     await this.#server?.stop();
-    this.#keeper?.stop();
+    this.#store?.stop();
     this.#network.calls.stop();
     await this.#network.transport.stop();
     this.#options.logger.info({}, "Host stopped");
@@ -153,7 +153,7 @@
   dump(): unknown {
     const now = this.#options.clock.now();
     return {
-      log: this.#keeper?.dump(),
+      log: this.#store?.dump(),
       cores: this.#members.live(now),
       entryHosts: this.#entries.live(now),
       endpoints: [...this.#roster.entries],
@@ -174,7 +174,7 @@
     const { host, seeds, isFirstStart, control } = settings;
     const founds = isFirstStart && seeds.includes(host);
     await this.#network.transport.start();
-    this.#keeper = await versions.Keeper.start({
+    this.#store = await versions.ConfigurationStore.start({
       ...this.#options,
       self: host,
       founders: seeds,
@@ -209,8 +209,8 @@
     if (this.#stopped) return;
     const { clock } = this.#options;
     const now = clock.now();
-    this.#members.learn(this.#keeper?.voters ?? []);
-    this.#keeper?.setContacts(this.#members.others);
+    this.#members.learn(this.#store?.voters ?? []);
+    this.#store?.setContacts(this.#members.others);
     this.#greet(now);
     this.#roster.expire(now);
     this.#spread.tick();
@@ -230,7 +230,7 @@
         dataCentre,
         cores,
         hosts,
-        leadership: this.#keeper?.leadership,
+        leadership: this.#store?.leadership,
         ...this.#limits,
       };
       this.#network.calls.cast(other, notice);
@@ -244,13 +244,13 @@
   }
 
   #chooseVoters(now: number): void {
-    const keeper = this.#keeper;
-    if (keeper === undefined || !keeper.isLeader) return;
-    const { voters } = keeper;
+    const store = this.#store;
+    if (store === undefined || !store.isLeader) return;
+    const { voters } = store;
     const { host: leader, lossesBorne } = this.#options.settings;
     const most = Math.max(VOTERS, 2 * lossesBorne + 1);
     const live = this.#members.candidates(voters, now);
-    keeper.setHosts(coreMembers.chooseVoters({ leader, live, voters, most }));
+    store.setHosts(coreMembers.chooseVoters({ leader, live, voters, most }));
   }
 
   #others(): string[] {
@@ -280,7 +280,7 @@
     this.#members.hear({ host: from, dataCentre, heard: now });
     this.#members.learn(cores);
     hosts.forEach((host) => this.#entries.hear(host, now));
-    if (leadership !== undefined) this.#keeper?.learnLeadership(leadership);
+    if (leadership !== undefined) this.#store?.learnLeadership(leadership);
     this.#quotas.take(limits);
     // A host that has just come knows no endpoints and no suspects.
     if (!isNew) return;
@@ -336,7 +336,7 @@
 
   async #confirmed(): Promise<versions.Edition | undefined> {
     try {
-      return await this.#keeper?.read(SYNC_PATIENCE);
+      return await this.#store?.read(SYNC_PATIENCE);
     } catch (error) {
       if (!(error instanceof versions.VersionError)) throw error;
       this.#options.metrics.count("config.unconfirmed");
@@ -347,7 +347,7 @@
   async #answer(
     question: schema.ConfirmQuestion | schema.ReplaceQuestion,
   ): Promise<schema.Reply> {
-    const reply = await this.#keeper?.answer(question);
+    const reply = await this.#store?.answer(question);
     return reply ?? { type: "failed", reason: "stopped" };
   }
 
@@ -371,7 +371,7 @@
     }
     try {
       const order = versions.editionOf(version, document);
-      const reply = await this.#keeper!.replace(order, ORDER_PATIENCE);
+      const reply = await this.#store!.replace(order, ORDER_PATIENCE);
       logger.info({ asked: version, ...reply }, "Configuration ordered");
       return reply.verdict === "conflict"
         ? protocol.problem(
@@ -386,7 +386,7 @@
 
   async #read(): Promise<protocol.ControlAnswer> {
     try {
-      const edition = await this.#keeper!.read(READ_PATIENCE);
+      const edition = await this.#store!.read(READ_PATIENCE);
       if (edition.version === 0) {
         return protocol.problem(503, "no configuration has been accepted yet");
       }
@@ -429,7 +429,7 @@
     }
     const { host } = this.#options.settings;
     const told = [host, ...await this.#spread.tell(id)];
-    const voters = this.#keeper?.voters ?? [];
+    const voters = this.#store?.voters ?? [];
     const isKnown = this.#members.isMajority(told, voters);
     logger.info(
       { endpoint: id, state, told, voters, isKnown },
@@ -441,7 +441,7 @@
   #unanswered(error: unknown, about: object): protocol.ControlAnswer {
     if (!(error instanceof versions.VersionError)) throw error;
     const { kind, message } = error;
-    const fields = { ...about, kind, ...this.#keeper?.standing };
+    const fields = { ...about, kind, ...this.#store?.status };
     this.#options.logger.info(fields, "Operator not answered");
     return protocol.problem(503, message);
   }
