--- a/src/fleet/core_members.ts
+++ b/src/fleet/core_members.ts
@@ -94,9 +94,9 @@
   readonly most: number;
 }
 
-/** Hosts that should be voters: who leads, those that are and live, then live ones, from
- * the data centres with the fewest, up to an odd number; a lost voter stays
- * until a live host can take its place. */
+/** Hosts that should be voters: who leads, those that are and live, then live
+ * ones, from the data centres with the fewest, up to an odd number; a lost voter
+ * stays until a live host can take its place. */
 export function chooseVoters(
   { leader, live, voters, most }: Electorate,
 ): string[] {
