--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -17,7 +17,7 @@
 import * as rounds from "./rounds.ts";
 import * as spread from "./spread.ts";
 import type * as settings from "./settings.ts";
-import * as sightings from "./sightings.ts";
+import * as rosterCodec from "./roster_codec.ts";
 
 /** Milliseconds between greetings among hosts with disks. */
 const GREETING = 400;
@@ -314,7 +314,7 @@
       epoch: this.#epoch,
       revision: this.#roster.revision,
       sightings: this.#roster.since(since).map((entry) =>
-        sightings.encode(entry, now)
+        rosterCodec.encode(entry, now)
       ),
       mark,
       ...(mark !== question.mark && { hosts }),
@@ -354,7 +354,7 @@
   #note({ sightings: told }: schema.NoteQuestion): Promise<schema.Reply> {
     const now = this.#options.clock.now();
     for (const sighting of told) {
-      this.#roster.take(sightings.decode(sighting, { now, judges: true }));
+      this.#roster.take(rosterCodec.decode(sighting, { now, judges: true }));
     }
     return Promise.resolve({ type: "noted" });
   }
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -9,7 +9,7 @@
 import type * as telemetry from "../telemetry/mod.ts";
 import * as controlHosts from "./control_hosts.ts";
 import * as freshness from "./freshness.ts";
-import * as sightings from "./sightings.ts";
+import * as rosterCodec from "./roster_codec.ts";
 
 /** Milliseconds between questions: a drain must be known everywhere within
  * two seconds, a version too, also where one control host does not answer. */
@@ -232,7 +232,7 @@
     // holds for silent may not be.
     const judges = !reply.confirmed;
     for (const sighting of reply.sightings) {
-      this.roster.take(sightings.decode(sighting, { now, judges }));
+      this.roster.take(rosterCodec.decode(sighting, { now, judges }));
     }
     this.#controlHosts.name(reply.cores, now);
     if (reply.confirmed) this.#takeProof(core, reply, sent);
--- a/src/fleet/spread.ts
+++ b/src/fleet/spread.ts
@@ -7,7 +7,7 @@
 import type * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
-import * as sightings from "./sightings.ts";
+import * as rosterCodec from "./roster_codec.ts";
 
 /** Milliseconds in which another host notes a change. */
 const TIMEOUT = 600;
@@ -96,7 +96,7 @@
     const now = clock.now();
     const known = ids.map((id) => roster.get(id))
       .filter((entry) => entry !== undefined)
-      .map((entry) => sightings.encode(entry, now));
+      .map((entry) => rosterCodec.encode(entry, now));
     if (known.length === 0) return true;
     try {
       const question = { type: "note" as const, sightings: known };
