--- a/src/fleet/rounds.ts
+++ b/src/fleet/coalescing.ts
@@ -1,12 +1,12 @@
-/** Questions that share their answer: those that come while one is under way
- * get that of the next, and rounds keep a distance, so that their number does
+/** Request coalescing: questions that come while one is under way share the
+ * answer of the next, and rounds keep a distance, so that their number does
  * not grow with that of who asks.
  * @module */
 
 import type * as runtime from "../runtime/mod.ts";
 
-/** What rounds are made from. */
-export interface RoundsOptions<T> {
+/** What a coalescer is made from. */
+export interface CoalescerOptions<T> {
   readonly clock: runtime.Clock;
   /** Least milliseconds from the begin of one round to that of the next. */
   readonly distance: number;
@@ -14,18 +14,18 @@
   ask(): Promise<T>;
 }
 
-/** Rounds, one after the other. */
-export class Rounds<T> {
-  readonly #options: RoundsOptions<T>;
+/** Asks in rounds, one after the other. */
+export class Coalescer<T> {
+  readonly #options: CoalescerOptions<T>;
   #next?: Promise<T>;
   #begun = -Infinity;
 
-  private constructor(options: RoundsOptions<T>) {
+  private constructor(options: CoalescerOptions<T>) {
     this.#options = options;
   }
 
-  static create<T>(options: RoundsOptions<T>): Rounds<T> {
-    return new Rounds(options);
+  static create<T>(options: CoalescerOptions<T>): Coalescer<T> {
+    return new Coalescer(options);
   }
 
   /** The answer of a round that begins after this call. */
--- a/src/fleet/rounds_test.ts
+++ b/src/fleet/coalescing_test.ts
@@ -2,13 +2,13 @@
 
 import test from "ava";
 import * as runtime from "../runtime/mod.ts";
-import * as rounds from "./rounds.ts";
+import * as coalescing from "./coalescing.ts";
 
 /** Rounds whose answers are their numbers, and a way to let time pass. */
 function roundsOf({ fails = false } = {}) {
   const clock = new runtime.FakeClock();
   let asked = 0;
-  const shared = rounds.Rounds.create({
+  const shared = coalescing.Coalescer.create({
     clock,
     distance: 100,
     ask: () => fails ? Promise.reject(new Error("no")) : tell(++asked),
--- a/src/fleet/core_host.ts
+++ b/src/fleet/core_host.ts
@@ -14,7 +14,7 @@
 import * as entryMembers from "./entry_members.ts";
 import * as followers from "./followers.ts";
 import * as protocol from "./control_protocol.ts";
-import * as rounds from "./rounds.ts";
+import * as coalescing from "./coalescing.ts";
 import * as spread from "./spread.ts";
 import type * as settings from "./settings.ts";
 import * as rosterCodec from "./roster_codec.ts";
@@ -58,7 +58,7 @@
   readonly #quotas: rateLimits.QuotaServer;
   readonly #followers = followers.Followers.create();
   readonly #epoch: string;
-  readonly #confirmations: rounds.Rounds<FleetState>;
+  readonly #confirmations: coalescing.Coalescer<FleetState>;
   /** Undefined until the disk is read. */
   #store?: versions.ConfigurationStore;
   #server?: controlServer.ControlServer;
@@ -94,7 +94,7 @@
       onNotice: (notice, from) => this.#hear(notice, from),
       onLog: (envelope) => this.#store?.receive(envelope),
     });
-    this.#confirmations = rounds.Rounds.create({
+    this.#confirmations = coalescing.Coalescer.create({
       clock,
       distance: SYNC_DISTANCE,
       ask: () => this.#fleetState(),
