Reads go on as soon as another host leads

Cause: a voter that hears its leader no more believed what others still told of it, and its question waited for that host until its time was up. Mend: a try ends when another host is known to lead, and the next begins at once.

--- a/src/control/versions/configuration_store.ts
+++ b/src/control/versions/configuration_store.ts
@@ -72,6 +72,8 @@
   #orders = 0;
   #stopped = false;
   #waiting: { index: number; resolve(): void }[] = [];
+  /** Questions to leaders that are not answered yet. */
+  #tries: { leader: string; end(): void }[] = [];
   #members?: unknown;
   #told = leaderBeliefs.LeaderBelief.NONE;
   /** Newest version that a leader elsewhere has told. */
@@ -105,6 +107,7 @@
   /** Notes who leads, as a member tells. */
   learnLeadership(told: schema.Leadership): void {
     this.#told = this.#told.learn(told, this.#options.clock.now());
+    this.#noteLeader();
   }
 
   /** Hosts of the voters as this host knows them. */
@@ -241,6 +244,7 @@
         onRole: (role, term, { leader }) => {
           logger.info({ role, term, leader }, "Role in the log changed");
           // The step that has led to it is not over yet.
+          queueMicrotask(() => this.#noteLeader());
           if (role === "leader") queueMicrotask(() => this.#lead());
         },
         onFailure: (failure) => void this.#restart(failure, opened),
@@ -319,6 +323,29 @@
     return told.term > own.term ? told : own;
   }
 
+  /** Ends tries that wait for a host which leads no more: while others still tell
+   * of it, it may be believed for longer than an election takes. */
+  #noteLeader(): void {
+    const { leader } = this;
+    if (leader === undefined) return;
+    const over = this.#tries.filter((each) => each.leader !== leader);
+    this.#tries = this.#tries.filter((each) => each.leader === leader);
+    over.forEach(({ end }) => end());
+  }
+
+  /** Resolves once another host than `leader` leads; `forget` when that is no
+   * longer waited for. */
+  #leaderOtherThan(leader: string): { ended: Promise<void>; forget(): void } {
+    let end = () => {};
+    const ended = new Promise<void>((resolve) => end = resolve);
+    const attempt = { leader, end };
+    this.#tries.push(attempt);
+    const forget = () => {
+      this.#tries = this.#tries.filter((each) => each !== attempt);
+    };
+    return { ended, forget };
+  }
+
   #noteApplied(index: number): void {
     const ready = this.#waiting.filter((each) => each.index <= index);
     this.#waiting = this.#waiting.filter((each) => each.index > index);
@@ -416,10 +443,13 @@
       const left = until - clock.now();
       if (this.#stopped) throw new errors.VersionError("stopped");
       if (left <= 0) throw givenUp(isOpen);
+      const { leader } = this;
       const reply = await this.#once(here, question, left);
       if (reply?.type !== "failed" && reply !== undefined) return reply;
       // An order that is sent again does no harm: versions say which wins.
       isOpen ||= reply === undefined || reply.reason === "unknown";
+      const isAnother = this.leader !== undefined && this.leader !== leader;
+      if (isAnother) continue;
       await new Promise<void>((resolve) =>
         void clock.after(RETRY, () => resolve())
       );
@@ -436,17 +466,21 @@
     const { self, ask, logger } = this.#options;
     if (leader === undefined) return { type: "failed", reason: "not-leader" };
     if (leader === self) return here();
+    const { ended, forget } = this.#leaderOtherThan(leader);
     try {
       const timeout = Math.min(left, ANSWER);
-      const reply = await ask(leader, question, { timeout });
-      const isRefuted = reply.type === "failed" &&
+      const asked = ask(leader, question, { timeout });
+      const reply = await Promise.race([asked, ended]);
+      const isRefuted = reply?.type === "failed" &&
         reply.reason === "not-leader";
       if (isRefuted) this.#told = this.#told.refute(leader);
-      return reply;
+      return reply ?? undefined;
     } catch (error) {
       const { type } = question;
       logger.debug({ err: error, leader, type }, "Leader did not answer");
       return undefined;
+    } finally {
+      forget();
     }
   }
 }
