An entry host asks control hosts that are there before those that were

Found on reading: hosts named within the last minute counted as well as those of the last proof, so that a host whose control host fails might ask one that is long gone first, and waits 300 ms for it. Test of the order.

--- a/src/fleet/control_hosts.ts
+++ b/src/fleet/control_hosts.ts
@@ -56,13 +56,16 @@
     this.#failedAt.delete(host);
   }
 
-  /** All that may be asked: `first`, then those that have not failed, in any
-   * order, then others, the one that failed last at the end. */
+  /** All that may be asked: `first`, then in any order those that are there and
+   * have not failed, then those that were there once, then those that failed, the
+   * last one at the end. */
   inTurn(first: string | undefined, random: runtime.Random): string[] {
-    const rank = new Map(this.all.map((host) => [
-      host,
-      host === first ? -1 : (this.#failedAt.get(host) ?? 0) + random.next(),
-    ]));
+    const rankOf = (host: string) => {
+      if (host === first) return -1;
+      const isThere = this.current.includes(host);
+      return (this.#failedAt.get(host) ?? (isThere ? 0 : 1)) + random.next();
+    };
+    const rank = new Map(this.all.map((host) => [host, rankOf(host)]));
     return this.all.sort((a, b) => rank.get(a)! - rank.get(b)!);
   }
 
--- a/src/fleet/control_hosts_test.ts
+++ b/src/fleet/control_hosts_test.ts
@@ -18,6 +18,16 @@
   t.deepEqual(hosts.inTurn("d", RANDOM), ["d", "a", "c", "b"]);
 });
 
+test("hosts that are there are asked before those that were", (t) => {
+  const hosts = hostsOf("a", "b");
+  hosts.confirm(["x", "c"], 0);
+  hosts.confirm(["c", "d"], 100);
+  hosts.fail("d", 200);
+  const order = hosts.inTurn(undefined, RANDOM);
+  t.is(order[0], "c");
+  t.is(order.at(-1), "d");
+});
+
 test("whoever was named is known until others are named for long", (t) => {
   const hosts = hostsOf("a");
   hosts.name(["b", "c"], 0);
