--- a/src/control/versions/configuration_store.ts
+++ b/src/control/versions/configuration_store.ts
@@ -265,7 +265,7 @@
     const runner = this.#runner;
     if (runner === undefined || !this.isLeader) return;
     const { voters } = runner.replica.members;
-    const voting = voters.map((id) => log.replicaId.host(id));
+    const voting = this.#ownVoters;
     if (!this.#hosts.every((host) => voting.includes(host))) return;
     const surplus = voters.find((id) =>
       id !== runner.id && !this.#hosts.includes(log.replicaId.host(id))
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -234,8 +234,8 @@
     for (const sighting of reply.sightings) {
       this.roster.take(rosterCodec.decode(sighting, { now, judges }));
     }
-    this.#controlHosts.name(reply.cores, now);
     if (reply.confirmed) this.#takeProof(core, reply, sent);
+    else this.#controlHosts.name(reply.cores, now);
     onChange();
   }
 
