Log lines say what a forecast was made of and where a rank comes from

Operators could not tell from logs why the dearest kind is served worst: a line had neither the priorities behind `rank` nor the beliefs behind `expectedMs`, and no counter said by route what was in time, late or refused.

Lines that end a request now have routePriority, accountPriority and, by stage, wait, calls' time with its age, pieces ahead and pace, and the error of forecasts. chicoryloft_gateway_ended counts by route and ending; gateway.answered, which nothing counted, is gone. Answers to bookings carry the same; hosts of the release before leave the new fields alone.

--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -365,8 +365,7 @@
   }
 
   #book(question: schema.BookQuestion): Promise<schema.Reply> {
-    const { wait, work } = this.#batcher.book(question);
-    return Promise.resolve({ type: "booked", wait, work });
+    return Promise.resolve({ type: "booked", ...this.#batcher.book(question) });
   }
 
   #hear(notice: schema.Notice, from: string): void {
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -501,11 +501,26 @@
     this.#resolveOver();
   }
 
-  #log(level: keyof telemetry.Logger, about: object, message: string): void {
+  /** Whether an answer that took so many milliseconds met the objective. */
+  #timeliness(ms: number): "in-time" | "late" {
+    const { objective = Infinity } = this.#route ?? {};
+    const took = this.#waited + (this.#firstMs ?? ms);
+    return took <= objective ? "in-time" : "late";
+  }
+
+  #log(
+    level: keyof telemetry.Logger,
+    about: About & { readonly reason?: refusals.RefusalReason | "left" },
+    message: string,
+  ): void {
     const { clock, logger, metrics, knowledge } = this.#context;
     const ms = Math.round(clock.now() - this.#arrival);
     const route = this.#route?.name;
     metrics.time("gateway.duration", ms, { route: route ?? "none" });
+    metrics.count("gateway.ended", 1, {
+      route: route ?? "none",
+      ending: about.reason ?? this.#timeliness(ms),
+    });
     logger[level]({
       request: this.#ask?.id,
       route,
@@ -513,6 +528,8 @@
       ms,
       objectiveMs: this.#route?.objective,
       rank: this.#route && this.#rank,
+      routePriority: this.#route?.priority,
+      accountPriority: this.#account?.priority,
       firstMs: this.#firstMs,
       ...(this.#waited > 0 && { waitedMs: Math.round(this.#waited) }),
       stages: this.#staging?.note,
--- a/src/gateway/passage_test.ts
+++ b/src/gateway/passage_test.ts
@@ -152,6 +152,28 @@
   t.deepEqual(await ask(), { status: 200, text: "done" });
 });
 
+// Guards against a kind of request that is served late without a counter that
+// shows it.
+test("requests are counted by route and by how they ended", async (t) => {
+  const ended: unknown[] = [];
+  const metrics: telemetry.Metrics = {
+    ...telemetry.noMetrics,
+    count: (name, _, labels) => name === "gateway.ended" && ended.push(labels),
+  };
+  for (const objective of [1000, -1]) {
+    const change = { kind: "unsafe", objective } as const;
+    const { ask, context } = await hostOf(t, change, (_, response) => {
+      response.writeHead(200, { "test-signature": "s" }).end("done");
+    });
+    Object.assign(context, { metrics });
+    await ask();
+  }
+  t.deepEqual(ended, [
+    { route: "route", ending: "in-time" },
+    { route: "route", ending: "late" },
+  ]);
+});
+
 test("an answer that no endpoint has signed is not passed on", async (t) => {
   const { ask } = await hostOf(t, { kind: "unsafe" }, (_, response) => {
     response.writeHead(200).end("done");
--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -45,11 +45,38 @@
   readonly ms: number;
 }
 
+/** What the forecast of one stage was made of, for the log. */
+export interface StageNote {
+  readonly service: string;
+  readonly waitMs: number;
+  readonly workMs: number;
+  readonly workAgeMs?: number;
+  /** Pieces ahead of the stage's own. */
+  readonly ahead?: number;
+  /** Pieces begun in a second. */
+  readonly rate?: number;
+}
+
 /** When the stages are expected to be made, in milliseconds from now. */
 export interface Expectation {
   readonly finish: number;
   /** The same if nothing waited anywhere. */
   readonly alone: number;
+  readonly stages: readonly StageNote[];
+}
+
+function noteOf(
+  service: string,
+  { wait, work, workAge, ahead, rate }: pieces.Turn,
+): StageNote {
+  return {
+    service,
+    waitMs: Math.round(wait),
+    workMs: Math.round(work),
+    workAgeMs: workAge && Math.round(workAge),
+    ahead: ahead && Math.round(ahead),
+    rate: rate && Math.round(rate),
+  };
 }
 
 /** Pieces of a request on their way. */
@@ -129,6 +156,9 @@
     return {
       finish: pieces.forecast.finish(stages),
       alone: this.alone,
+      stages: turns.flatMap((turn, stage) =>
+        turn === undefined ? [] : [noteOf(route.stages[stage].service, turn)]
+      ),
     };
   }
 
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -53,6 +53,10 @@
 /** What a log line says of it. */
 export interface StagingNote {
   expectedMs?: number;
+  /** What that was made of, stage by stage. */
+  forecast?: readonly preparation.StageNote[];
+  /** Milliseconds by which forecasts of its route miss. */
+  errorMs?: number;
   /** Whether it could not be in time from the start. */
   isLate?: boolean;
   tookMs?: number;
@@ -180,10 +184,12 @@
     const { name, objective } = this.#options.route;
     const { alone } = forecast;
     const finish = calibration.correct(name, forecast);
-    this.note.expectedMs = Math.round(finish);
     const wanted = this.#isLate ? this.#lateWanted : this.#wanted;
     const left = wanted - this.#context.clock.now();
     const error = calibration.error(name, forecast);
+    this.note.expectedMs = Math.round(finish);
+    this.note.forecast = forecast.stages;
+    this.note.errorMs = Math.round(error);
     const expected = { finish, alone, error };
     if (prospect.isInTime(expected, { left, objective })) return undefined;
     const retryAfter = this.#returnAfter(finish - Math.max(left, alone));
--- a/src/gateway/staging_test.ts
+++ b/src/gateway/staging_test.ts
@@ -98,6 +98,16 @@
   t.deepEqual(calls, ["book town", "drop town"]);
 });
 
+// Guards against a refusal whose log line can't say which belief caused it.
+test("what a forecast was made of is noted for the log", async (t) => {
+  const { staging } = await stagingOf({ town: 5000 }, { work: 800 });
+  await staging.run();
+  t.like(staging.note, {
+    errorMs: 24,
+    forecast: [{ service: "maps", waitMs: 5000, workMs: 800 }],
+  });
+});
+
 test("calls that others share take longer than one for its pieces alone", async (t) => {
   // 620 ms are left in a second for a wait of 100 and a call of 120 alone.
   const alone = await stagingOf({ town: 100 });
--- a/src/pieces/cell_batcher.ts
+++ b/src/pieces/cell_batcher.ts
@@ -46,8 +46,8 @@
   workers(): readonly works.Worker[];
 }
 
-/** When pieces would be made, in milliseconds. */
-export type Turn = Pick<schema.BookedReply, "wait" | "work">;
+/** When pieces would be made, and what that follows from. */
+export type Turn = Omit<schema.BookedReply, "type">;
 
 /** Nobody says when they would be made. */
 export const UNKNOWN: Turn = { wait: 0, work: 0 };
@@ -96,8 +96,14 @@
     this.#scheduler.setWorkers(this.#options.workers());
     const wanted = now + slack;
     const booking = { request, stage, count, wanted, rank };
-    const wait = this.#scheduler.book(booking, now);
-    return { wait, work: this.#scheduler.work };
+    const { wait, ahead, rate } = this.#scheduler.book(booking, now);
+    return {
+      wait,
+      work: this.#scheduler.work,
+      workAge: this.#scheduler.workAge(now),
+      ahead,
+      rate: 1000 * rate,
+    };
   }
 
   /** Drops the pieces of a request that have not been begun. */
--- a/src/pieces/mod.ts
+++ b/src/pieces/mod.ts
@@ -2,6 +2,7 @@
  * @module */
 
 export * from "./batcher.ts";
+export type { Turn } from "./cell_batcher.ts";
 export * as cells from "./cells.ts";
 export * as forecast from "./forecast.ts";
 export * from "./maker.ts";
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -25,6 +25,16 @@
  * leaves: a chain has three stages or so, and an engine. */
 const LATE_CALLS = 4;
 
+/** When pieces would be begun, and what that follows from. */
+export interface Forecast {
+  /** Milliseconds until then. */
+  readonly wait: number;
+  /** Pieces that come before them: asked for, booked, or expected meanwhile. */
+  readonly ahead: number;
+  /** Pieces that are begun in a millisecond. */
+  readonly rate: number;
+}
+
 /** Pieces and endpoints of one cell; changed in place. */
 export class Scheduler {
   #traits: configurations.PieceTraits;
@@ -33,6 +43,7 @@
   readonly #bookings = bookings.Bookings.create();
   readonly #pace = pace.Pace.create();
   #work = 0;
+  #workAt = -Infinity;
 
   private constructor(traits: configurations.PieceTraits) {
     this.#traits = traits;
@@ -73,21 +84,25 @@
     return this.#work;
   }
 
-  /** Notes pieces that will be asked for; says how many milliseconds they
-   * would wait if they were asked for now. */
-  book(booking: bookings.Booking, now: number): number {
+  /** Milliseconds since a call was last measured; undefined before the first. */
+  workAge(now: number): number | undefined {
+    return this.#work === 0 ? undefined : now - this.#workAt;
+  }
+
+  /** Notes pieces that will be asked for; says when they would be begun if they
+   * were asked for now. */
+  book(booking: bookings.Booking, now: number): Forecast {
     this.#bookings.expire(now);
-    const wait = this.wait(booking, now);
+    const forecast = this.forecast(booking, now);
     this.#bookings.note(booking, now);
-    return wait;
+    return forecast;
   }
 
-  /** Milliseconds until pieces would be begun, behind all that is more urgent:
-   * asked for, booked, or expected to come meanwhile. */
-  wait(
+  /** Forecasts when pieces would be begun, behind all that is more urgent. */
+  forecast(
     { wanted, rank }: Pick<works.Work, "wanted" | "rank">,
     now: number,
-  ): number {
+  ): Forecast {
     const turn = works.turnOf({ wanted, rank });
     const waiting = this.#waiting.filter((work) =>
       this.#turnOf(work, now) <= turn
@@ -106,8 +121,12 @@
     const isBusy = usable.every(({ calls }) => calls >= slots);
     // The first of so many calls under way ends then, each as likely any time.
     const first = isBusy ? full / (usable.length + 1) : 0;
-    const ahead = { waiting: waiting.length, rate, now };
-    return first + this.#bookings.wait(turn, ahead);
+    const wait = this.#bookings.wait(turn, {
+      waiting: waiting.length,
+      rate,
+      now,
+    });
+    return { wait: first + wait, ahead: wait * rate, rate };
   }
 
   /** Adds pieces. */
@@ -167,6 +186,7 @@
     },
   ): void {
     this.#work += (this.#work === 0 ? 1 : WORK_GAIN) * (duration - this.#work);
+    this.#workAt = now;
     const ratio = duration / this.#expected(called.length);
     const until = now + this.#traits.keepTime;
     const state = this.#workers.get(worker.id);
@@ -333,6 +353,6 @@
  * endpoints take some times as long, and are still of use. */
 const HANGING = 6;
 
-/** Milliseconds that pieces wait where nobody can make them: about until an
+/** Pieces wait where nobody can make them until about the time at which an
  * endpoint is tried again. */
-const NO_WORKER = 1000;
+const NO_WORKER: Forecast = { wait: 1000, ahead: 0, rate: 0 };
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -182,13 +182,13 @@
 test("a booking makes those behind it wait", (t) => {
   const scheduler = schedulerOf(worker("1"));
   const booking = { stage: 0, count: 8, wanted: 1000, rank: 0 };
-  t.is(scheduler.book({ ...booking, request: "a" }, 0), 0);
-  t.is(Math.round(scheduler.wait({ wanted: 1000, rank: 0 }, 0)), 280);
+  t.is(scheduler.book({ ...booking, request: "a" }, 0).wait, 0);
+  t.is(Math.round(scheduler.forecast({ wanted: 1000, rank: 0 }, 0).wait), 280);
   scheduler.book({ ...booking, request: "b", wanted: 1500 }, 0);
-  const urgent = scheduler.wait({ wanted: 500, rank: 0 }, 0);
-  t.is(urgent, 0);
+  const urgent = scheduler.forecast({ wanted: 500, rank: 0 }, 0);
+  t.is(urgent.wait, 0);
   scheduler.drop("a");
-  t.true(scheduler.wait({ wanted: 1200, rank: 0 }, 0) < 280);
+  t.true(scheduler.forecast({ wanted: 1200, rank: 0 }, 0).wait < 280);
 });
 
 test("what comes later and is more urgent counts before it comes", (t) => {
@@ -196,12 +196,12 @@
   const urgent = { stage: 0, count: 8, wanted: 500, rank: 0, request: "a" };
   scheduler.book(urgent, 0);
   // 8 pieces in 280 ms, as many again for each second of waiting.
-  t.is(Math.round(scheduler.wait({ wanted: 1500, rank: 0 }, 0)), 388);
-  t.is(Math.round(scheduler.wait({ wanted: 500, rank: 0 }, 0)), 280);
+  t.is(Math.round(scheduler.forecast({ wanted: 1500, rank: 0 }, 0).wait), 388);
+  t.is(Math.round(scheduler.forecast({ wanted: 500, rank: 0 }, 0).wait), 280);
 });
 
 test("nobody waits for nothing: without endpoints a forecast says so", (t) => {
-  t.true(schedulerOf().wait({ wanted: 500, rank: 0 }, 0) > 500);
+  t.true(schedulerOf().forecast({ wanted: 500, rank: 0 }, 0).wait > 500);
 });
 
 test("a piece that moves much is not made elsewhere while it is in time there", (t) => {
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -450,6 +450,18 @@
    * Milliseconds that calls take there lately.
    */
   work: number;
+  /**
+   * Milliseconds since a call was last measured; absent before the first.
+   */
+  workAge?: number;
+  /**
+   * Pieces that `wait` counts before them.
+   */
+  ahead?: number;
+  /**
+   * Pieces that `wait` expects to be begun in a second.
+   */
+  rate?: number;
 }
 export interface PlacedReply {
   type: "placed";
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -12,7 +12,10 @@
 /** Every metric by name. */
 export const metrics = {
   // Requests passed through to services, and their pieces.
-  "gateway.answered": { type: "count", help: "Answers, by route and status" },
+  "gateway.ended": {
+    type: "count",
+    help: "Requests, by route and by how they ended: in time, late, or why not",
+  },
   "gateway.refused": { type: "count", help: "Refused or failed, by reason" },
   "gateway.duration": { type: "time", help: "From arrival to answer" },
   "gateway.first_event": { type: "time", help: "To a stream's first event" },
