Requests rank by account, and within one account priority by route

Callers saw: the kind that is worth most and whose route has the highest priority was served worst.

Cause: an account's priority took the place of its route's. Where all accounts have the same priority, as on these deployments, every request had one rank, and batchers, forecasts, engines and refusals treated the dearest kind like the least. Class: a value that comes first taken for the only one. PROTOCOL says that an account's priority "takes precedence over" the route's. For reading it as a replacement speaks that this is what the word often means for settings; against it, that routes of an account then have no order at all, while what is priced and what users ask for is by kind within a service. Precedence orders accounts; routes decide among the rest.

Requests without an account priority go after those with one.

Simulated: with accounts of one priority kinds must be served as without; the new test of world_test.ts fails on the code before.

Why tests missed it: the simulator and the tests of the request path had no accounts.

--- a/bench/decisions/deployment.ts
+++ b/bench/decisions/deployment.ts
@@ -75,6 +75,9 @@
   readonly engines: EngineTraits;
   readonly makers: Readonly<Record<string, MakerTraits>>;
   readonly kinds: readonly Kind[];
+  /** Client accounts, each with as many callers; requests need no key without
+   * any. */
+  readonly accounts?: readonly configurations.Account[];
 }
 
 /** More requests of a kind, or of all, for a while. */
--- a/bench/decisions/world.ts
+++ b/bench/decisions/world.ts
@@ -237,11 +237,21 @@
       request,
       clock: this.#clock,
       random: this.#random,
-      reach: (ask, hearer) => this.#reach(request, { ask, hearer }),
+      reach: (ask, hearer) =>
+        this.#reach(request, {
+          ask: { ...ask, ...this.#keyOf(request) },
+          hearer,
+        }),
       onEnd: (ended) => void this.#ended.push(ended),
     });
   }
 
+  /** The key of the account that a caller belongs to. */
+  #keyOf({ caller }: loads.Request): { key?: string } {
+    const { accounts = [] } = this.#play.deployment;
+    return { key: accounts[Math.floor(caller * accounts.length)]?.keys[0] };
+  }
+
   /** Brings an attempt to a host; returns what the caller leaves with. */
   #reach(
     request: loads.Request,
@@ -410,7 +420,7 @@
 }
 
 function configurationOf(
-  { kinds, makers, engines }: deployments.Deployment,
+  { kinds, makers, engines, accounts = [] }: deployments.Deployment,
 ): configurations.Configuration {
   const { slots, tokens, fetchRate } = engines;
   const traits = { slots, tokens, fetchRate };
@@ -428,7 +438,7 @@
       priority: rank,
       attempts: 2,
       stages,
-      isPublic: true,
+      isPublic: false,
       affinity: true,
       resumable: true,
     })),
@@ -440,7 +450,7 @@
         pieces,
       })),
     ],
-    accounts: [],
+    accounts,
     limits: {
       headerBytes: 16_384,
       bodyBytes: 1_000_000,
--- a/bench/decisions/world_test.ts
+++ b/bench/decisions/world_test.ts
@@ -21,6 +21,25 @@
   t.true(accounts.share(account.ended) > 0.85);
 });
 
+// Guards against accounts that hide which kind of request is dearest: where all
+// accounts have one priority, it must be served as it is without accounts.
+test("accounts of one priority don't change how kinds are served", async (t) => {
+  const play = {
+    deployment: deployments.party(),
+    seed: 1,
+    length: LENGTH,
+    bursts: [{ at: 2000, length: 6000, factor: 2.5, kind: "letter" }],
+  };
+  const accounts = ["crews", "clubs"].map((name) => ({
+    name,
+    keys: [name],
+    priority: 1,
+  }));
+  const deployment = { ...play.deployment, accounts };
+  const { ended } = await worlds.play({ ...play, deployment });
+  t.deepEqual(ended, (await worlds.play(play)).ended);
+});
+
 test("each request ends once, whatever fails", async (t) => {
   const { ended } = await worlds.play({
     deployment: deployments.party(),
--- a/src/configuration/catalogue.ts
+++ b/src/configuration/catalogue.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import type * as configurations from "./configuration.ts";
+import * as ranks from "./ranks.ts";
 
 /** Finds routes, accounts and services of one version. */
 export class Catalogue {
@@ -11,9 +12,11 @@
   readonly #routes = new Map<string, configurations.Route>();
   readonly #accounts = new Map<string, configurations.Account>();
   readonly #services = new Map<string, configurations.Service>();
+  readonly #ranks: ranks.Ranks;
 
   private constructor(configuration: configurations.Configuration) {
     this.configuration = configuration;
+    this.#ranks = ranks.Ranks.of(configuration);
     for (const route of configuration.routes) {
       const { hostname, prefix } = route;
       this.#routes.set(placeOf(hostname.toLowerCase(), prefix), route);
@@ -63,6 +66,14 @@
     return this.#accounts.get(key);
   }
 
+  /** How urgent a request of a route and an account is; 0 is the highest. */
+  rankOf(
+    route: configurations.Route,
+    account?: configurations.Account,
+  ): number {
+    return this.#ranks.rankOf(route, account);
+  }
+
   /** The service of a name. */
   service(name: string): configurations.Service | undefined {
     return this.#services.get(name);
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -33,7 +33,7 @@
   readonly timeout: number;
   /** Time within which an answer earns its full credit. */
   readonly objective: number;
-  /** Rank; 0 is the highest. */
+  /** Among the requests of one account priority; 0 is the highest. */
   readonly priority: number;
   /** Most endpoints that one attempt of a client may be sent to. */
   readonly attempts: number;
@@ -97,7 +97,8 @@
 export interface Account {
   readonly name: string;
   readonly keys: readonly string[];
-  /** Rank that goes before that of a route. */
+  /** Goes before the priorities of routes; 0 is the highest. Requests without
+   * one go after those with one. */
   readonly priority?: number;
 }
 
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -13,6 +13,8 @@
   readonly reason?: refusals.RefusalReason;
   readonly route?: configurations.Route;
   readonly account?: configurations.Account;
+  /** How urgent it is, where it may pass; 0 is the highest. */
+  readonly rank?: number;
 }
 
 /** Judges a request by the configuration in force. */
@@ -28,13 +30,15 @@
   if (knowledge.age() > greatestAge) return { reason: "stale-configuration" };
   const route = catalogue.route(ask.host, ask.target);
   if (route === undefined) return { reason: "no-route" };
-  if (route.isPublic || !catalogue.hasAccounts) return { route };
+  if (route.isPublic || !catalogue.hasAccounts) {
+    return { route, rank: catalogue.rankOf(route) };
+  }
   const account = ask.key === undefined
     ? undefined
     : catalogue.account(ask.key);
   return account === undefined
     ? { route, reason: "bad-key" }
-    : { route, account };
+    : { route, account, rank: catalogue.rankOf(route, account) };
 }
 
 /** One of a route's services, by their weights. */
--- a/src/gateway/passage.ts
+++ b/src/gateway/passage.ts
@@ -49,6 +49,7 @@
   #ask?: protocols.Ask;
   #route?: configurations.Route;
   #account?: configurations.Account;
+  #rank = 0;
   #body: Buffer = NOTHING;
   #admission?: endpointAdmission.EndpointAdmission;
   #until = Infinity;
@@ -154,11 +155,12 @@
     return body;
   }
 
-  /** Why a request may not pass; notes route and account when it may. */
+  /** Why a request may not pass; notes route, account and rank when it may. */
   #judge(ask: protocols.Ask): refusals.RefusalReason | undefined {
     const judged = admission.judge(ask, this.#context);
     this.#route = judged.route;
     this.#account = judged.account;
+    this.#rank = judged.rank ?? 0;
     return judged.reason;
   }
 
@@ -339,10 +341,6 @@
     };
   }
 
-  get #rank(): number {
-    return this.#account?.priority ?? this.#route!.priority;
-  }
-
   #noteFirst(
     target: endpoint.Endpoint,
     { reading, note }: { reading: readings.Reading; note: CallNote },
