Beliefs that only what they forbid could correct fade

Callers saw: a kind refused as no-time for good, or for as long as nothing else used its stage, after calls had been slow for a moment; beside load, requests refused right after a start.

Cause: the mean time of a cell's calls, the slowness of its endpoints and the ratios and errors of forecasts changed by calls alone, and a forecast by them lets none in. The first call's time was also believed whole. Class: a belief that only what it forbids could correct.

Why this works: a running mean keeps its full weight while values come, and loses it once none came for some seconds, in favour of what the configuration says (src/runtime/fading_mean.ts). A first call counts for twice its service's figures at the most.

Evidence: "what calls took is forgotten once none was made for long" failed before; it now has thirty slow calls in place of one, as strict, since one would pass by the second mend.

--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -136,8 +136,12 @@
     if (refusal !== undefined) return refusal;
     const result = await this.#make();
     if (result.type === "made" && !this.#isLate) {
-      const { calibration } = this.#context;
-      calibration.learn(this.#options.route.name, forecast, this.note.tookMs!);
+      const { calibration, clock } = this.#context;
+      calibration.learn(forecast, {
+        route: this.#options.route.name,
+        now: clock.now(),
+        took: this.note.tookMs!,
+      });
     }
     return result;
   }
@@ -180,13 +184,14 @@
   }
 
   #judge(forecast: preparation.Expectation): StagingResult | undefined {
-    const { calibration } = this.#context;
+    const { calibration, clock } = this.#context;
     const { name, objective } = this.#options.route;
     const { alone } = forecast;
-    const finish = calibration.correct(name, forecast);
+    const now = clock.now();
+    const finish = calibration.correct(forecast, { route: name, now });
     const wanted = this.#isLate ? this.#lateWanted : this.#wanted;
-    const left = wanted - this.#context.clock.now();
-    const error = calibration.error(name, forecast);
+    const left = wanted - now;
+    const error = calibration.error(forecast, { route: name, now });
     this.note.expectedMs = Math.round(finish);
     this.note.forecast = forecast.stages;
     this.note.errorMs = Math.round(error);
--- a/src/pieces/cell_batcher.ts
+++ b/src/pieces/cell_batcher.ts
@@ -99,7 +99,7 @@
     const { wait, ahead, rate } = this.#scheduler.book(booking, now);
     return {
       wait,
-      work: this.#scheduler.work,
+      work: this.#scheduler.work(now),
       workAge: this.#scheduler.workAge(now),
       ahead,
       rate: 1000 * rate,
@@ -153,7 +153,7 @@
 
   /** State for people. */
   dump(): unknown {
-    return this.#scheduler.dump();
+    return this.#scheduler.dump(this.#options.clock.now());
   }
 
   #wakeLater(at: number | undefined): void {
@@ -177,7 +177,7 @@
     metrics.count("pieces.made", assignment.works.length, { service });
     const outcome = await pieceCall.call(assignment, {
       ...this.#options,
-      patience: this.#scheduler.patience(assignment),
+      patience: this.#scheduler.patience(assignment, started),
       onHead: ({ isMisdirected, rateLimit }) => {
         if (!isMisdirected) quotas.note(id, rateLimit);
       },
--- a/src/pieces/scheduler.ts
+++ b/src/pieces/scheduler.ts
@@ -7,15 +7,18 @@
  * @module */
 
 import type * as configurations from "../configuration/mod.ts";
+import * as fadingMeans from "../runtime/fading_mean.ts";
 import * as bookings from "./bookings.ts";
 import * as pace from "./pace.ts";
 import * as suitabilities from "./suitability.ts";
 import * as works from "./work.ts";
 import * as workerStates from "./worker_state.ts";
 
-/** Part of a new value in the running mean of the time of calls: some dozens of
- * calls, which is a second or two of a busy cell. */
-const WORK_GAIN = 0.05;
+/** The running mean of the time of calls: some dozens of calls, which is a
+ * second or two of a busy cell. */
+const WORK = { gain: 0.05, fresh: 2000, halfLife: 1000 };
+/** Times of its service's figures up to which a first call is believed. */
+const FIRST_WORK = 2;
 /** Part of the pieces that could be in a call which make it worthwhile before
  * its endpoint has waited for as long as a call costs. */
 const WORTHWHILE = 0.5;
@@ -42,8 +45,7 @@
   #waiting: works.Work[] = [];
   readonly #bookings = bookings.Bookings.create();
   readonly #pace = pace.Pace.create();
-  #work = 0;
-  #workAt = -Infinity;
+  readonly #work = fadingMeans.FadingMean.create(WORK);
 
   private constructor(traits: configurations.PieceTraits) {
     this.#traits = traits;
@@ -78,15 +80,15 @@
     }
   }
 
-  /** Milliseconds that calls take lately, with what others put into them; 0
-   * before the first. */
-  get work(): number {
-    return this.#work;
+  /** Milliseconds that calls take lately, with what others put into them; those
+   * of a call for one piece where none was made lately. */
+  work(now: number): number {
+    return this.#work.value({ now, prior: this.#expected(1) });
   }
 
   /** Milliseconds since a call was last measured; undefined before the first. */
   workAge(now: number): number | undefined {
-    return this.#work === 0 ? undefined : now - this.#workAt;
+    return this.#work.age(now);
   }
 
   /** Notes pieces that will be asked for; says when they would be begun if they
@@ -113,8 +115,8 @@
     const { batch, slots } = this.#traits;
     const full = this.#expected(batch);
     const nominal = usable.reduce(
-      (sum, { slowness }) =>
-        sum + slots * batch / (full * Math.max(1, slowness)),
+      (sum, state) =>
+        sum + slots * batch / (full * Math.max(1, state.slowness(now))),
       0,
     );
     const rate = this.#pace.rate(nominal, now);
@@ -160,7 +162,8 @@
       const taken = this.#fill(state, now);
       if (taken.length === 0 || this.#holdsBack(state, taken, now)) continue;
       this.#remove(taken);
-      const time = this.#expected(taken.length) * Math.max(1, state.slowness);
+      const slowness = Math.max(1, state.slowness(now));
+      const time = this.#expected(taken.length) * slowness;
       state.begin(taken, now + time);
       this.#pace.begin(taken.length, now);
       assignments.push({ worker: state.worker, works: taken });
@@ -170,9 +173,9 @@
   }
 
   /** Milliseconds after which a call counts as hung. */
-  patience({ works: called, worker }: works.Assignment): number {
+  patience({ works: called, worker }: works.Assignment, now: number): number {
     const state = this.#workers.get(worker.id);
-    const slowness = Math.max(1, state?.slowness ?? 1);
+    const slowness = Math.max(1, state?.slowness(now) ?? 1);
     return LEAST_PATIENCE + HANGING * slowness * this.#expected(called.length);
   }
 
@@ -185,12 +188,13 @@
       now: number;
     },
   ): void {
-    this.#work += (this.#work === 0 ? 1 : WORK_GAIN) * (duration - this.#work);
-    this.#workAt = now;
-    const ratio = duration / this.#expected(called.length);
+    const expected = this.#expected(called.length);
+    const prior = Math.min(duration, FIRST_WORK * expected);
+    this.#work.note(duration, { now, prior });
+    const ratio = duration / expected;
     const until = now + this.#traits.keepTime;
     const state = this.#workers.get(worker.id);
-    state?.finish(called, { results, until, ratio });
+    state?.finish(called, { results, until, ratio, now });
   }
 
   /** Notes that a call gave nothing. `pause` says for how long the endpoint is
@@ -244,10 +248,10 @@
   }
 
   /** State for people. */
-  dump(): unknown {
+  dump(now: number): unknown {
     return {
       waiting: this.#waiting.length,
-      workers: [...this.#workers.values()].map((state) => state.dump()),
+      workers: [...this.#workers.values()].map((state) => state.dump(now)),
     };
   }
 
@@ -286,7 +290,7 @@
       state.isUsable(now) && state.calls < this.#traits.slots
     );
     free.forEach((state) => state.expire(now));
-    return free.sort((one, other) => one.slowness - other.slowness);
+    return free.sort((one, other) => one.slowness(now) - other.slowness(now));
   }
 
   /** Takes the most urgent pieces that one call can hold and that may be made
--- a/src/pieces/scheduler_test.ts
+++ b/src/pieces/scheduler_test.ts
@@ -247,13 +247,46 @@
   }
 });
 
-test("what calls took is forgotten once none was made for long", (t) => {
+/** A scheduler after so many calls of two seconds each, and when they end. */
+function afterSlowCalls(count: number) {
   const scheduler = schedulerOf(worker("1"));
-  scheduler.add(fixture.works("a", 4));
-  const [call] = scheduler.assign(0);
-  scheduler.finish(call, { results: [], duration: 2000, now: 2000 });
-  // A forecast by it refuses all that would make another call.
-  const asked = { request: "b", stage: 0, count: 1, wanted: 12_500, rank: 0 };
-  scheduler.book(asked, 12_000);
-  t.true(scheduler.work < 500, `${scheduler.work}`);
+  let now = 0;
+  for (; now < 2000 * count; now += 2000) {
+    scheduler.add(fixture.works("a", 4, { wanted: 90_000, expires: 90_000 }));
+    const [call] = scheduler.assign(now);
+    const end = { results: [], duration: 2000, now: now + 2000 };
+    scheduler.finish(call, end);
+  }
+  return { scheduler, now };
+}
+
+// Guards against a forecast that refuses for good: what is refused by it would
+// be what makes calls that correct it.
+test("what calls took is forgotten once none was made for long", (t) => {
+  const { scheduler, now } = afterSlowCalls(30);
+  t.true(scheduler.work(now) > 1500, `${scheduler.work(now)}`);
+  const later = now + 10_000;
+  scheduler.book(
+    { request: "b", stage: 0, count: 1, wanted: later + 500, rank: 0 },
+    later,
+  );
+  const work = scheduler.work(later);
+  t.true(work < 500, `${work}`);
+});
+
+// Guards against requests refused after a start, when the first call is slow.
+test("one slow call does not pass for what calls take", (t) => {
+  const { scheduler, now } = afterSlowCalls(1);
+  t.true(scheduler.work(now) < 500, `${scheduler.work(now)}`);
+});
+
+// Guards against an endpoint that gets no call since it was slow once, and so
+// never shows that it is as fast as others again.
+test("a slow endpoint that got no call for long counts as fast again", (t) => {
+  const scheduler = withSlow();
+  scheduler.add(
+    fixture.works("urgent", 2, { wanted: 23_300, expires: 30_000 }),
+  );
+  const [call] = scheduler.assign(23_000);
+  t.is(call?.worker.id, "slow");
 });
--- a/src/pieces/suitability.ts
+++ b/src/pieces/suitability.ts
@@ -53,9 +53,9 @@
     this.#traits = traits;
     this.#now = now;
     this.#usable = [...workers].filter((each) => each.isUsable(now));
-    const slowness = Math.max(1, state.slowness);
+    const slowness = Math.max(1, state.slowness(now));
     const faster = this.#usable.filter((each) =>
-      each.slowness * FASTER < slowness
+      each.slowness(now) * FASTER < slowness
     );
     const full = fullCall(traits);
     this.#ends = now + full * slowness;
@@ -95,8 +95,8 @@
     this.#beforeAt.set(dataCentre, before + 1);
     if (moved < LARGE || dataCentre === "") return false;
     if (this.#state.worker.dataCentre === dataCentre) return false;
-    const there = this.#usable.filter(({ worker, slowness }) =>
-      worker.dataCentre === dataCentre && slowness < SLOW
+    const there = this.#usable.filter((each) =>
+      each.worker.dataCentre === dataCentre && each.slowness(this.#now) < SLOW
     );
     if (there.length === 0) return false;
     const calls = Math.floor(before / (this.#traits.batch * there.length));
--- a/src/pieces/worker_state.ts
+++ b/src/pieces/worker_state.ts
@@ -2,6 +2,7 @@
  * and the results that take up its room.
  * @module */
 
+import * as fadingMeans from "../runtime/fading_mean.ts";
 import * as works from "./work.ts";
 
 /** Milliseconds of the first pause after a failure; it doubles up to the
@@ -25,8 +26,8 @@
 const FADE_LOOKS = 20;
 /** Part of the pieces of a call from which on most of it found no room. */
 const MOSTLY = 0.5;
-/** Part of a new value in the running mean of its slowness. */
-const GAIN = 0.3;
+/** The running mean of its slowness. */
+const SLOWNESS = { gain: 0.3, fresh: 4000, halfLife: 2000 };
 
 /** What was thought of an endpoint's room, in bytes. */
 export interface RoomBelief {
@@ -72,7 +73,7 @@
   #rest = FIRST_REST;
   /** Pause after the next call that mostly finds no room. */
   #fullPause = FIRST_FULL;
-  #slowness = 1;
+  readonly #slowness = fadingMeans.FadingMean.create(SLOWNESS);
   /** Results that it holds, and when they end by themselves; those that end
    * first come first, since all are kept for the same time. */
   readonly #held = new Map<string, { bytes: number; until: number }>();
@@ -99,8 +100,8 @@
   }
 
   /** How many times slower it is than its service's figures. */
-  get slowness(): number {
-    return this.#slowness;
+  slowness(now: number): number {
+    return this.#slowness.value({ now, prior: 1 });
   }
 
   /** Whether it holds results. */
@@ -170,15 +171,16 @@
    * the results that it gave. */
   finish(
     called: readonly works.Work[],
-    { results, until, ratio }: {
+    { results, until, ratio, now }: {
       results: readonly Result[];
       until: number;
       ratio: number;
+      now: number;
     },
   ): void {
     this.#end(called);
     this.#rest = FIRST_REST;
-    this.#slowness += GAIN * (ratio - this.#slowness);
+    this.#slowness.note(ratio, { now, prior: 1 });
     for (const { handle, bytes } of results) {
       this.#held.set(handle, { bytes, until });
       this.#heldBytes += bytes;
@@ -230,11 +232,11 @@
   }
 
   /** State for people. */
-  dump(): unknown {
+  dump(now: number): unknown {
     return {
       ...this.worker,
       calls: this.#calls,
-      slowness: this.#slowness,
+      slowness: this.slowness(now),
       heldBytes: this.#heldBytes,
       reserved: this.#reserved,
     };
--- a/src/pieces/worker_state_test.ts
+++ b/src/pieces/worker_state_test.ts
@@ -27,7 +27,7 @@
   t.is(state.free(1000, 0), 970);
   state.begin(pieces(2), 100);
   t.is(state.free(1000, 0), 770);
-  state.finish(pieces(2), { results: RESULTS, until: 4000, ratio: 1 });
+  state.finish(pieces(2), { results: RESULTS, until: 4000, ratio: 1, now: 0 });
   t.is(state.free(1000, 0), 770);
   state.drop("a");
   state.drop("a");
@@ -43,7 +43,7 @@
 test("a result that nobody gives up ends by itself", (t) => {
   const state = stateOf();
   state.begin(pieces(2), 100);
-  state.finish(pieces(2), { results: RESULTS, until: 4000, ratio: 1 });
+  state.finish(pieces(2), { results: RESULTS, until: 4000, ratio: 1, now: 0 });
   t.true(state.wakes(100, 0).includes(4000));
   state.expire(3999);
   t.true(state.isHolding);
@@ -64,7 +64,7 @@
   t.false(state.isUsable(1599));
   t.true(state.isUsable(1600));
   state.begin(pieces(1), 100);
-  state.finish(pieces(1), { results: [], until: 0, ratio: 1 });
+  state.finish(pieces(1), { results: [], until: 0, ratio: 1, now: 0 });
   failAt(3000);
   t.true(state.isUsable(3300));
   t.is(state.calls, 0);
@@ -104,7 +104,7 @@
 test("room that others hold is not filled, and is believed to come free", (t) => {
   const state = stateOf();
   state.begin(pieces(12), 100);
-  state.finish(pieces(12), { results: RESULTS, until: 4000, ratio: 1 });
+  state.finish(pieces(12), { results: RESULTS, until: 4000, ratio: 1, now: 0 });
   // Two of twelve were made: others hold 750 of 1,000, within half a piece.
   state.noteFull(full(10), 500);
   t.is(state.foreign(500), 750);
@@ -117,7 +117,7 @@
 test("an endpoint that only its own batcher fills is not thought to be others'", (t) => {
   const state = stateOf();
   state.begin(pieces(12), 100);
-  state.finish(pieces(12), { results: RESULTS, until: 4000, ratio: 1 });
+  state.finish(pieces(12), { results: RESULTS, until: 4000, ratio: 1, now: 0 });
   state.noteFull(full(2), 500);
   t.is(state.foreign(500), 0);
 });
