--- a/src/gateway/prospect.ts
+++ b/src/gateway/prospect.ts
@@ -12,8 +12,6 @@
 /** Part of the objective that is tolerated at most: where all is late, errors
  * are seconds, and what they would let in makes more late. */
 const MOST_TOLERATED = 0.1;
-/** Ranks by which a request that cannot be in time goes behind. */
-const LATE_RANKS = 3;
 /** Callers leave a stream without events after the longest of these: so many
  * milliseconds, objectives, and longest pauses. */
 const LEAVE = 2000;
@@ -33,11 +31,6 @@
   return Math.min(timeout, silent);
 }
 
-/** Rank that a request counts as: who can be in time goes before who cannot. */
-export function rankOf(rank: number, isLate: boolean): number {
-  return isLate ? rank + LATE_RANKS : rank;
-}
-
 /** What is expected of a request's pieces, in milliseconds from now. */
 export interface Prospect {
   /** Until all are made. */
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -180,8 +180,7 @@
   #setLate(): void {
     this.#isLate = true;
     this.note.isLate = true;
-    const rank = prospect.rankOf(this.#options.rank, true);
-    this.#preparation.want(this.#lateWanted, rank);
+    this.#preparation.want(this.#lateWanted);
   }
 
   #judge(forecast: preparation.Expectation): StagingResult | undefined {
