Ratios of forecasts don't fade

They were given up after five seconds without a request that was let in, in favour of 1.2. But a ratio forbids nothing for good: while its route is refused, what waits is drained, and the ratio of nothing is nothing (test). Below 1 it is what lets requests in all through a burst; to forget it under refusals is the fault that fading was to mend.

--- a/src/gateway/calibration.ts
+++ b/src/gateway/calibration.ts
@@ -3,8 +3,6 @@
  * what was expected is partly refused.
  * @module */
 
-import * as fadingMeans from "../runtime/fading_mean.ts";
-
 /** Ratio of real to forecast waits before anything is measured: a little over
  * 1, since what comes later is never counted. */
 const FIRST = 1.2;
@@ -13,8 +11,8 @@
  * downwards, requests that would be in time would be refused all through it. */
 const LEAST = 0.3;
 const MOST = 3;
-/** The running means. */
-const MEAN = { gain: 0.15, fresh: 5000, halfLife: 5000 };
+/** Part of a new value in the running means. */
+const GAIN = 0.15;
 /** Mean error before anything is measured, as a part of the work that waits for
  * nothing: calls that others share vary by about as much. */
 const FIRST_ERROR = 0.2;
@@ -29,54 +27,43 @@
   readonly alone: number;
 }
 
-/** Whose forecast, and when. */
-export interface Occasion {
-  readonly route: string;
-  readonly now: number;
-}
-
 /** Ratios by route; changed in place. */
 export class Calibration {
-  readonly #ratios = new Map<string, fadingMeans.FadingMean>();
-  readonly #errors = new Map<string, fadingMeans.FadingMean>();
+  readonly #ratios = new Map<string, number>();
+  readonly #errors = new Map<string, number>();
 
   static create(): Calibration {
     return new Calibration();
   }
 
   /** When the pieces will be made, by what forecasts were worth lately. */
-  correct({ finish, alone }: Forecast, { route, now }: Occasion): number {
-    const ratio = meanOf(this.#ratios, route).value({ now, prior: FIRST });
-    return alone + (finish - alone) * ratio;
+  correct(route: string, { finish, alone }: Forecast): number {
+    return alone + (finish - alone) * (this.#ratios.get(route) ?? FIRST);
   }
 
   /** Milliseconds by which corrected forecasts of a route miss, on average. */
-  error({ alone }: Pick<Forecast, "alone">, { route, now }: Occasion): number {
-    const prior = FIRST_ERROR * alone;
-    return meanOf(this.#errors, route).value({ now, prior });
+  error(route: string, { alone }: Pick<Forecast, "alone">): number {
+    return this.#errors.get(route) ?? FIRST_ERROR * alone;
   }
 
   /** Notes how long it took what was forecast. */
-  learn(
-    forecast: Forecast,
-    { route, now, took }: Occasion & { readonly took: number },
-  ): void {
+  learn(route: string, forecast: Forecast, took: number): void {
     const { finish, alone } = forecast;
-    const error = Math.abs(took - this.correct(forecast, { route, now }));
-    const prior = FIRST_ERROR * alone;
-    meanOf(this.#errors, route).note(error, { now, prior });
+    const known = this.error(route, forecast);
+    const error = Math.abs(took - this.correct(route, forecast));
+    this.#errors.set(route, known + GAIN * (error - known));
+    this.#learnRatio(route, { finish, alone }, took);
+  }
+
+  #learnRatio(
+    route: string,
+    { finish, alone }: Forecast,
+    took: number,
+  ): void {
     const wait = finish - alone;
     if (wait < MEASURABLE) return;
     const ratio = Math.min(MOST, Math.max(LEAST, (took - alone) / wait));
-    meanOf(this.#ratios, route).note(ratio, { now, prior: FIRST });
+    const known = this.#ratios.get(route) ?? FIRST;
+    this.#ratios.set(route, known + GAIN * (ratio - known));
   }
 }
-
-function meanOf(
-  means: Map<string, fadingMeans.FadingMean>,
-  route: string,
-): fadingMeans.FadingMean {
-  const known = means.get(route) ?? fadingMeans.FadingMean.create(MEAN);
-  means.set(route, known);
-  return known;
-}
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -136,12 +136,8 @@
     if (refusal !== undefined) return refusal;
     const result = await this.#make();
     if (result.type === "made" && !this.#isLate) {
-      const { calibration, clock } = this.#context;
-      calibration.learn(forecast, {
-        route: this.#options.route.name,
-        now: clock.now(),
-        took: this.note.tookMs!,
-      });
+      const { calibration } = this.#context;
+      calibration.learn(this.#options.route.name, forecast, this.note.tookMs!);
     }
     return result;
   }
@@ -184,14 +180,13 @@
   }
 
   #judge(forecast: preparation.Expectation): StagingResult | undefined {
-    const { calibration, clock } = this.#context;
+    const { calibration } = this.#context;
     const { name, objective } = this.#options.route;
     const { alone } = forecast;
-    const now = clock.now();
-    const finish = calibration.correct(forecast, { route: name, now });
+    const finish = calibration.correct(name, forecast);
     const wanted = this.#isLate ? this.#lateWanted : this.#wanted;
-    const left = wanted - now;
-    const error = calibration.error(forecast, { route: name, now });
+    const left = wanted - this.#context.clock.now();
+    const error = calibration.error(name, forecast);
     this.note.expectedMs = Math.round(finish);
     this.note.forecast = forecast.stages;
     this.note.errorMs = Math.round(error);
