Who is served late is refused before it leaves where its pieces can't be made

Callers saw: no answer at all, up to the time at which they left, where their pieces were let in behind all others and these left no time.

Cause: pieces were kept until the caller leaves. Now they are given up half-way between when they are wanted and then, and the caller is told that its request has not run.

--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -73,8 +73,8 @@
   readonly #started: number;
   /** When the results are wanted. */
   readonly #wanted: number;
-  /** When they are wanted where that cannot be kept: before the caller leaves. */
-  readonly #lateWanted: number;
+  /** How urgent its pieces are where that cannot be kept. */
+  readonly #lateTerms: preparation.Terms;
   #isLate = false;
   #isReleased = false;
   /** For its log line. */
@@ -93,7 +93,13 @@
     const firstEvent = this.#plan?.firstEvent ?? 0;
     this.#wanted = arrival - waited + route.objective - firstEvent;
     const leaves = Math.min(until, arrival + prospect.leavesAfter(route));
-    this.#lateWanted = arrival + LATE_SHARE * (leaves - arrival) - firstEvent;
+    const lateWanted = arrival + LATE_SHARE * (leaves - arrival) - firstEvent;
+    this.#lateTerms = {
+      wanted: lateWanted,
+      rank: prospect.rankOf(rank, true),
+      // Its caller is refused rather than left without a word.
+      until: (lateWanted + leaves) / 2,
+    };
     this.#preparation = preparation.Preparation.create(context, {
       ask,
       route,
@@ -176,8 +182,7 @@
   #setLate(): void {
     this.#isLate = true;
     this.note.isLate = true;
-    const rank = prospect.rankOf(this.#options.rank, true);
-    this.#preparation.want(this.#lateWanted, rank);
+    this.#preparation.setTerms(this.#lateTerms);
   }
 
   #judge(forecast: preparation.Expectation): StagingResult | undefined {
@@ -185,7 +190,7 @@
     const { name, objective } = this.#options.route;
     const { alone } = forecast;
     const finish = calibration.correct(name, forecast);
-    const wanted = this.#isLate ? this.#lateWanted : this.#wanted;
+    const wanted = this.#isLate ? this.#lateTerms.wanted : this.#wanted;
     const left = wanted - this.#context.clock.now();
     const error = calibration.error(name, forecast);
     this.note.expectedMs = Math.round(finish);
