--- a/src/gateway/preparation.ts
+++ b/src/gateway/preparation.ts
@@ -15,20 +15,16 @@
 /** Times that pieces of one request are asked for again. */
 const REPEATS = 3;
 
-/** How urgent pieces are. */
-export interface Terms {
-  /** When the request's answer is wanted. */
-  readonly wanted: number;
-  /** 0 is the highest. */
-  readonly rank: number;
-  /** When the pieces are of no use any more. */
-  readonly until: number;
-}
-
 /** What a preparation is for. */
-export interface PreparationOptions extends Terms {
+export interface PreparationOptions {
   readonly ask: protocols.Ask;
   readonly route: configurations.Route;
+  /** How urgent the pieces are at first; 0 is the highest. */
+  readonly rank: number;
+  /** When the request ends at the latest. */
+  readonly until: number;
+  /** When its answer is wanted. */
+  readonly wanted: number;
   /** Where the results are needed; that of the own host when absent. */
   readonly dataCentre?: string;
 }
@@ -91,7 +87,9 @@
   #plan: pieces.Plan;
   #repeats = 0;
   #isOver = false;
-  #terms: Terms;
+  /** When the answer is wanted, and how urgent that is. */
+  #wanted: number;
+  #rank: number;
   /** Each time that pieces of a stage were asked for, for the log. */
   readonly rounds: RoundNote[] = [];
   readonly #stages: readonly Omit<pieces.forecast.StageForecast, "wait">[];
@@ -103,7 +101,8 @@
   private constructor(needs: Needs, options: PreparationOptions) {
     this.#needs = needs;
     this.#options = options;
-    this.#terms = options;
+    this.#wanted = options.wanted;
+    this.#rank = options.rank;
     const { route, ask } = options;
     this.#plan = pieces.Plan.create(route.stages, ask.pieces ?? []);
     const { counts } = this.#plan;
@@ -130,9 +129,10 @@
     return pieces.forecast.finish(this.#free);
   }
 
-  /** Changes how urgent the pieces are. */
-  setTerms(terms: Terms): void {
-    this.#terms = terms;
+  /** Changes when the answer is wanted, and how urgent that is. */
+  want(at: number, rank: number): void {
+    this.#wanted = at;
+    this.#rank = rank;
   }
 
   /** Books the pieces of all stages; resolves with when they would be made. */
@@ -148,7 +148,7 @@
         stage,
         pieces: counts[stage],
         slack: this.#slack(stage),
-        rank: this.#terms.rank,
+        rank: this.#rank,
       });
     }));
     const stages = this.#free.map(({ after, work }, number) => {
@@ -279,7 +279,7 @@
       moved: Math.max(bytes, inputBytes),
       remaining: Math.max(0, this.#left()),
       slack: Math.min(this.#slack(stage), this.#kept(stage)),
-      rank: this.#terms.rank,
+      rank: this.#rank,
       dataCentre,
     };
   }
@@ -304,8 +304,7 @@
   /** Milliseconds within which a stage's results are wanted, so that what
    * follows on them ends in time. */
   #slack(stage: number): number {
-    const { wanted } = this.#terms;
-    return wanted - this.#needs.clock.now() - this.#tails[stage];
+    return this.#wanted - this.#needs.clock.now() - this.#tails[stage];
   }
 
   /** Milliseconds within which a stage whose inputs are there is wanted. */
@@ -320,6 +319,6 @@
   }
 
   #left(): number {
-    return this.#terms.until - this.#needs.clock.now();
+    return this.#options.until - this.#needs.clock.now();
   }
 }
--- a/src/gateway/staging.ts
+++ b/src/gateway/staging.ts
@@ -73,8 +73,8 @@
   readonly #started: number;
   /** When the results are wanted. */
   readonly #wanted: number;
-  /** How urgent its pieces are where that cannot be kept. */
-  readonly #lateTerms: preparation.Terms;
+  /** When they are wanted where that cannot be kept: before the caller leaves. */
+  readonly #lateWanted: number;
   #isLate = false;
   #isReleased = false;
   /** For its log line. */
@@ -93,13 +93,7 @@
     const firstEvent = this.#plan?.firstEvent ?? 0;
     this.#wanted = arrival - waited + route.objective - firstEvent;
     const leaves = Math.min(until, arrival + prospect.leavesAfter(route));
-    const lateWanted = arrival + LATE_SHARE * (leaves - arrival) - firstEvent;
-    this.#lateTerms = {
-      wanted: lateWanted,
-      rank: prospect.rankOf(rank, true),
-      // The caller gets a refusal before it gives up waiting.
-      until: (lateWanted + leaves) / 2,
-    };
+    this.#lateWanted = arrival + LATE_SHARE * (leaves - arrival) - firstEvent;
     this.#preparation = preparation.Preparation.create(context, {
       ask,
       route,
@@ -182,7 +176,8 @@
   #setLate(): void {
     this.#isLate = true;
     this.note.isLate = true;
-    this.#preparation.setTerms(this.#lateTerms);
+    const rank = prospect.rankOf(this.#options.rank, true);
+    this.#preparation.want(this.#lateWanted, rank);
   }
 
   #judge(forecast: preparation.Expectation): StagingResult | undefined {
@@ -190,7 +185,7 @@
     const { name, objective } = this.#options.route;
     const { alone } = forecast;
     const finish = calibration.correct(name, forecast);
-    const wanted = this.#isLate ? this.#lateTerms.wanted : this.#wanted;
+    const wanted = this.#isLate ? this.#lateWanted : this.#wanted;
     const left = wanted - this.#context.clock.now();
     const error = calibration.error(name, forecast);
     this.note.expectedMs = Math.round(finish);
