Log, count and dump what endpoints announce of themselves in answers

Before: neither `Server-Leaving` nor `Retry-After` of an endpoint was decoded, so logs could not tell whether a host had not been told that an endpoint leaves or had sent there all the same.

The first notice of leaving and each backoff are a log line with the request; calls in the log line of a request, counters and the state dump have both. Nothing decides by them yet.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -55,6 +55,12 @@
       service: (service) => catalogue.service(service),
       workers: ({ service, cell }) => this.#workers(service, cell),
       isEvacuated: () => false,
+      recordHead: (id, head) => {
+        const endpoint = this.#pool.get(id);
+        if (endpoint !== undefined) {
+          gateway.recordAnnouncements(endpoint, head, common);
+        }
+      },
       acceptsCalls: (id) => this.#pool.get(id)?.isAccepting ?? false,
       recordResponse: (id) =>
         this.#pool.get(id)?.recordHealth("good", clock.now()),
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -30,6 +30,8 @@
   /** Records that an endpoint has responded to a call. A scheduler gives no
    * calls to an endpoint that does not respond. */
   recordResponse(endpoint: string): void;
+  /** Records what the head of an answer announces of its endpoint. */
+  recordHead(endpoint: string, head: protocols.ReplyHead): void;
   /** Whether new calls may be sent to an endpoint, whether it is healthy or
    * not. */
   acceptsCalls(endpoint: string): boolean;
@@ -184,9 +186,7 @@
     const outcome = await batchCalls.call(assignment, {
       ...this.#options,
       timeout: this.#scheduler.callTimeout(assignment, started),
-      onHead: ({ isMisdirected, rateLimit }) => {
-        if (!isMisdirected) quotas.recordLimit(id, rateLimit);
-      },
+      onHead: (head) => this.#recordHead(id, head),
     });
     const now = clock.now();
     const hasResponded = outcome.type === "results" || outcome.cause === "full";
@@ -201,6 +201,12 @@
     this.update();
   }
 
+  #recordHead(endpoint: string, head: protocols.ReplyHead): void {
+    if (head.isMisdirected) return;
+    this.#options.quotas.recordLimit(endpoint, head.rateLimit);
+    this.#options.recordHead(endpoint, head);
+  }
+
   /** Puts the items of an assignment back into the queue and assigns no call to
    * its endpoint for `pause` milliseconds. */
   #postpone(assignment: tasks.Assignment, pause: number): void {
@@ -353,7 +359,10 @@
     const isConfirmed = await batchCalls.release(
       address,
       handles,
-      this.#options,
+      {
+        ...this.#options,
+        onHead: (head) => worker && this.#recordHead(worker.id, head),
+      },
     );
     if (!isConfirmed) return;
     this.#scheduler.releaseResults(address, handles);
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -41,6 +41,7 @@
     workers: () => state.isEvacuated ? [] : [worker],
     isEvacuated: () => state.isEvacuated,
     acceptsCalls: () => !state.isEvacuated,
+    recordHead() {},
     recordResponse() {},
     quotas: {
       ...quotaFixture.unlimitedQuotas(),
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -131,6 +131,12 @@
       service: (name) => this.#catalogue?.service(name),
       workers: (partition) => this.#usableWorkers(partition),
       isEvacuated: (partition) => this.#isEvacuated(partition),
+      recordHead: (id, head) => {
+        const endpoint = this.#pool.get(id);
+        if (endpoint !== undefined) {
+          gateway.recordAnnouncements(endpoint, head, options);
+        }
+      },
       acceptsCalls: (id) => this.#pool.get(id)?.isAccepting ?? false,
       recordResponse: (id) =>
         this.#pool.get(id)?.recordHealth("good", clock.now()),
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -6,6 +6,7 @@
 import * as configurations from "../configuration/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as admissions from "./admission.ts";
+import * as announcementRecords from "./announcement_records.ts";
 import * as attempts from "./attempt.ts";
 import * as bodies from "./body.ts";
 import * as callLimits from "./call_limits.ts";
@@ -39,6 +40,9 @@
   placedBy?: placements.PlacementSource;
   /** Milliseconds to the first event of a stream. */
   first?: number;
+  /** Announcements in the answer. */
+  leaving?: protocols.ReplyHead["leaving"];
+  retryAfterMs?: protocols.ReplyHead["retryAfter"];
 }
 
 /** A caller's request, from its arrival until it is answered or abandoned. */
@@ -310,10 +314,7 @@
         this.#route!,
         this.#reply.head !== undefined,
       ),
-      onHead: ({ rateLimit, coldFor = 0 }) => {
-        this.#context.quotas.recordLimit(id, rateLimit);
-        target.recordCold(coldFor, clock.now());
-      },
+      onHead: (head) => this.#recordHead(target, { head, record }),
       stream: this.#route!.kind === "streaming"
         ? this.#createStreamListener(onFirstEvent)
         : undefined,
@@ -345,6 +346,21 @@
     return outcome;
   }
 
+  /** Records what the head of an answer says of its endpoint. */
+  #recordHead(
+    target: endpoints.Endpoint,
+    { head, record }: { head: protocols.ReplyHead; record: CallRecord },
+  ): void {
+    const { quotas, clock } = this.#context;
+    const { rateLimit, coldFor = 0, leaving, retryAfter } = head;
+    quotas.recordLimit(target.identity.id, rateLimit);
+    target.recordCold(coldFor, clock.now());
+    const request = this.#incoming!.id;
+    announcementRecords.record(target, head, { ...this.#context, request });
+    if (leaving !== undefined) record.leaving = leaving;
+    if (retryAfter !== undefined) record.retryAfterMs = retryAfter;
+  }
+
   /** Whether a call failed for lack of inputs that were probably released too
    * early. */
   #missedReleasedInput(outcome: attempts.Outcome): boolean {
--- /dev/null
+++ b/src/gateway/announcement_records.ts
@@ -0,0 +1,73 @@
+/** Records the announcements in an answer of an endpoint, whichever call it
+ * answers, with a log line for each change of belief.
+ * @module */
+
+import type * as runtime from "../runtime/mod.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+import type * as endpoints from "./endpoint.ts";
+import type * as protocols from "./protocol.ts";
+
+/** Dependencies, and the request whose answer carries the announcements. */
+export interface RecordOptions {
+  readonly clock: runtime.Clock;
+  readonly logger: telemetry.Logger;
+  readonly metrics: telemetry.Metrics;
+  /** Absent for calls that serve several requests. */
+  readonly request?: string;
+}
+
+/** Records the announcements in the head of an answer of `endpoint`. */
+export function record(
+  endpoint: endpoints.Endpoint,
+  head: protocols.ReplyHead,
+  options: RecordOptions,
+): void {
+  if (head.isMisdirected) return;
+  recordLeaving(endpoint, head, options);
+  recordBackoff(endpoint, head, options);
+}
+
+function recordLeaving(
+  { identity, announcements }: endpoints.Endpoint,
+  { leaving }: protocols.ReplyHead,
+  options: RecordOptions,
+): void {
+  if (leaving === undefined) return;
+  if (leaving === "unreadable") return logUnreadable(identity, options);
+  const { clock, logger, metrics, request } = options;
+  if (!announcements.recordLeaving(clock.now())) return;
+  const { id: endpoint, service, address } = identity;
+  metrics.count("gateway.leaving", 1, { service });
+  logger.info(
+    { endpoint, service, address, request },
+    "Endpoint announced that it is leaving",
+  );
+}
+
+function recordBackoff(
+  { identity, announcements }: endpoints.Endpoint,
+  { status, isNotRun, retryAfter }: protocols.ReplyHead,
+  options: RecordOptions,
+): void {
+  if (retryAfter === undefined || !isNotRun) return;
+  if (retryAfter === "unreadable") return logUnreadable(identity, options);
+  const { clock, logger, metrics, request } = options;
+  const { id: endpoint, service, address } = identity;
+  announcements.recordBackoff(retryAfter, clock.now());
+  metrics.count("gateway.backoff", 1, { service });
+  logger.info(
+    { endpoint, service, address, request, status, retryAfterMs: retryAfter },
+    "Endpoint rejected a call and asked for a backoff",
+  );
+}
+
+function logUnreadable(
+  { id: endpoint, service }: endpoints.Identity,
+  { logger, metrics, request }: RecordOptions,
+): void {
+  metrics.count("gateway.unreadable", 1, { service });
+  logger.warn(
+    { endpoint, service, request },
+    "Announcement in a response cannot be parsed; it is ignored",
+  );
+}
--- /dev/null
+++ b/src/gateway/announcements.ts
@@ -0,0 +1,63 @@
+/** What an endpoint announces of itself in its answers: that it is leaving, and
+ * that this host is to send nothing for a while. Applies to one incarnation.
+ * @module */
+
+/** Longest announced backoff that is kept; a longer one is shortened to it. */
+export const MAX_BACKOFF_MS = 600_000;
+
+/** State for diagnostics; times are ages and durations in milliseconds. */
+export interface AnnouncementsDump {
+  readonly leavingForMs?: number;
+  readonly backoffLeftMs?: number;
+  readonly backoffAgeMs?: number;
+}
+
+/** The announcements of one incarnation; changed in place. */
+export class Announcements {
+  #leavingSince?: number;
+  #backoffSince = -Infinity;
+  #backoffUntil = -Infinity;
+
+  static create(): Announcements {
+    return new Announcements();
+  }
+
+  /** Records that it is leaving; returns whether that is new. */
+  recordLeaving(now: number): boolean {
+    const isNew = this.#leavingSince === undefined;
+    this.#leavingSince ??= now;
+    return isNew;
+  }
+
+  /** Records that it asks for no calls for `duration` milliseconds. A shorter
+   * backoff does not end one in force. */
+  recordBackoff(duration: number, now: number): void {
+    const until = now + Math.min(MAX_BACKOFF_MS, duration);
+    if (until <= this.#backoffUntil) return;
+    this.#backoffSince = now;
+    this.#backoffUntil = until;
+  }
+
+  /** Whether it is leaving. */
+  get isLeaving(): boolean {
+    return this.#leavingSince !== undefined;
+  }
+
+  /** Milliseconds until the end of the announced backoff; 0 if there is none. */
+  backoff(now: number): number {
+    return Math.max(0, this.#backoffUntil - now);
+  }
+
+  /** State for diagnostics. */
+  dump(now: number): AnnouncementsDump {
+    const left = this.backoff(now);
+    return {
+      ...(this.#leavingSince !== undefined &&
+        { leavingForMs: Math.round(now - this.#leavingSince) }),
+      ...(left > 0 && {
+        backoffLeftMs: Math.round(left),
+        backoffAgeMs: Math.round(now - this.#backoffSince),
+      }),
+    };
+  }
+}
--- /dev/null
+++ b/src/gateway/announcements_test.ts
@@ -0,0 +1,95 @@
+/** @module */
+
+import test from "ava";
+import * as endpointFixture from "../endpoints/fixture.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import * as announcements from "./announcements.ts";
+import * as gateway from "./mod.ts";
+
+function createEndpoint() {
+  const pool = gateway.EndpointPool.create();
+  pool.update([endpointFixture.entry({ service: "desk" })], () => undefined);
+  return pool.endpointsOf("desk")[0];
+}
+
+/** Records heads of answers; returns the log lines. */
+function record(
+  endpoint: ReturnType<typeof createEndpoint>,
+  ...heads: Partial<gateway.ReplyHead>[]
+): unknown[] {
+  const lines: unknown[] = [];
+  const log = (details: object, message: string) =>
+    void lines.push({ ...details, message });
+  const logger = { ...telemetry.noLogger, info: log, warn: log };
+  const options = {
+    clock: new runtime.FakeClock(),
+    metrics: telemetry.noMetrics,
+    logger: logger as telemetry.Logger,
+    request: "a-1",
+  };
+  for (const head of heads) {
+    gateway.recordAnnouncements(endpoint, {
+      status: 200,
+      isNotRun: false,
+      isMisdirected: false,
+      lacksInput: false,
+      headers: {},
+      ...head,
+    }, options);
+  }
+  return lines;
+}
+
+test("a shorter backoff does not end one in force", (t) => {
+  const known = announcements.Announcements.create();
+  known.recordBackoff(3000, 0);
+  known.recordBackoff(500, 1000);
+  t.is(known.backoff(1000), 2000);
+  t.is(known.backoff(3000), 0);
+});
+
+test("a backoff has an upper bound", (t) => {
+  const known = announcements.Announcements.create();
+  known.recordBackoff(1e12, 0);
+  t.is(known.backoff(0), announcements.MAX_BACKOFF_MS);
+});
+
+test("the first answer that announces a departure is logged with its request", (t) => {
+  const endpoint = createEndpoint();
+  const leaving = { leaving: "announced" } as const;
+  const lines = record(endpoint, leaving, leaving);
+  t.true(endpoint.announcements.isLeaving);
+  t.is(lines.length, 1);
+  t.like(lines[0], { endpoint: endpoint.identity.id, request: "a-1" });
+});
+
+test("a rejection with a backoff is logged with its duration", (t) => {
+  const endpoint = createEndpoint();
+  const head = { status: 503, isNotRun: true, retryAfter: 3000 };
+  t.like(record(endpoint, head)[0], { request: "a-1", retryAfterMs: 3000 });
+  t.is(endpoint.announcements.backoff(0), 3000);
+});
+
+test("an executed call's answer asks for no backoff", (t) => {
+  const endpoint = createEndpoint();
+  t.deepEqual(record(endpoint, { status: 500, retryAfter: 3000 }), []);
+  t.is(endpoint.announcements.backoff(0), 0);
+});
+
+test("the answer of another endpoint announces nothing of the intended one", (t) => {
+  const endpoint = createEndpoint();
+  const head = { isMisdirected: true, isNotRun: true, retryAfter: 3000 };
+  record(endpoint, { ...head, leaving: "announced" });
+  t.false(endpoint.announcements.isLeaving);
+  t.is(endpoint.announcements.backoff(0), 0);
+});
+
+test("announcements that cannot be parsed are logged and ignored", (t) => {
+  const endpoint = createEndpoint();
+  const head = { isNotRun: true, leaving: "unreadable" } as const;
+  const lines = record(endpoint, { ...head, retryAfter: "unreadable" });
+  t.is(lines.length, 2);
+  t.false(endpoint.announcements.isLeaving);
+  t.is(endpoint.announcements.backoff(0), 0);
+});
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as configurations from "../configuration/mod.ts";
+import * as announcements from "./announcements.ts";
 import * as remoteLoads from "./remote_load.ts";
 import * as firstEventLatencies from "./first_event_latency.ts";
 import type * as cachedPrefixes from "./cached_prefixes.ts";
@@ -63,6 +64,8 @@
 /** An endpoint; changed in place. */
 export class Endpoint {
   readonly identity: Identity;
+  /** What it has announced of itself in its answers. */
+  announcements = announcements.Announcements.create();
   /** Undefined unless its service is known to serve prompts: the first
    * heartbeat may arrive before the configuration. */
   engine?: EngineState;
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -132,6 +132,7 @@
       evacuated: each.isEvacuated,
       coldRate: each.coldRate(now),
       duration: each.meanDuration,
+      ...each.announcements.dump(now),
     }));
   }
 
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -1,6 +1,7 @@
 /** The gateway: serves callers' requests by calling the endpoints of services.
  * @module */
 
+export { record as recordAnnouncements } from "./announcement_records.ts";
 export * from "./calibration.ts";
 export * from "./context.ts";
 export * from "./input_retention.ts";
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -93,6 +93,10 @@
   readonly rateLimit?: number | "unreadable";
   /** Milliseconds for which the endpoint will be cold, if reported. */
   readonly coldFor?: number;
+  /** Present if the endpoint announces that it is leaving. */
+  readonly leaving?: "announced" | "unreadable";
+  /** Milliseconds for which the endpoint asks this host to send nothing. */
+  readonly retryAfter?: number | "unreadable";
   /** Headers forwarded to the caller unchanged. */
   readonly headers: Readonly<Record<string, string>>;
 }
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -25,6 +25,18 @@
   "gateway.failed": { type: "count", help: "Failed calls, by cause" },
   "gateway.repeated": { type: "count", help: "Calls that repeat one" },
   "gateway.no_budget": { type: "count", help: "Repeats without a budget" },
+  "gateway.leaving": {
+    type: "count",
+    help: "Endpoints that announced that they are leaving, by service",
+  },
+  "gateway.backoff": {
+    type: "count",
+    help: "Rejected calls with a backoff asked for, by service",
+  },
+  "gateway.unreadable": {
+    type: "count",
+    help: "Announcements of endpoints that cannot be parsed, by service",
+  },
   "gateway.stages": { type: "time", help: "Until all pieces were made" },
   "gateway.left": { type: "count", help: "Requests whose callers left" },
   "quota.asked": {
