Send nothing to endpoints whose answers say that they leave (DRAIN)

Cause: a host took an endpoint's state from its roster alone. The roster comes over a control host; while that one is behind, the host kept sending, though each answer of the endpoint said that it leaves. Class: two sources of one fact, of which the closer one is not read.

Now an endpoint that announced its departure accepts no calls of this host, whatever the roster says, and whichever call the answer was for: attempts, resumed streams, calls for items, releases. The state belongs to the incarnation, also when an outdated roster omits and lists it again; the next incarnation starts without. After 10 minutes without such an answer an endpoint that still sends heartbeats is used again.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -54,14 +54,15 @@
       quotas: rateLimitFixture.unlimitedQuotas(),
       service: (service) => catalogue.service(service),
       workers: ({ service, cell }) => this.#workers(service, cell),
-      isEvacuated: () => false,
+      isClosed: () => false,
       recordHead: (id, head) => {
         const endpoint = this.#pool.get(id);
         if (endpoint !== undefined) {
           gateway.recordAnnouncements(endpoint, head, common);
         }
       },
-      acceptsCalls: (id) => this.#pool.get(id)?.isAccepting ?? false,
+      acceptsCalls: (id) =>
+        this.#pool.get(id)?.isAccepting(clock.now()) ?? false,
       recordResponse: (id) =>
         this.#pool.get(id)?.recordHealth("good", clock.now()),
     });
--- a/src/batching/batch_call.ts
+++ b/src/batching/batch_call.ts
@@ -15,7 +15,12 @@
 const RELEASE_TIMEOUT_MS = 1000;
 
 /** Why a call gave no results. */
-export type CallFailure = "full" | "unreachable" | "broken" | "silent";
+export type CallFailure =
+  | "full"
+  | "unreachable"
+  | "withheld"
+  | "broken"
+  | "silent";
 
 /** Outcome of a call. */
 export type CallOutcome =
@@ -30,6 +35,8 @@
   readonly logger: telemetry.Logger;
   /** Called with the head of each response. */
   onHead?(head: protocols.ReplyHead): void;
+  /** Whether the call may still be sent, asked once a connection is open. */
+  maySend?(): boolean;
 }
 
 /** Calls an endpoint to compute the tasks of an assignment; never rejects. */
@@ -100,7 +107,7 @@
   outgoing: protocols.EncodedCall,
   options: CallOptions & { timeout: number },
 ): Promise<CallResponse> {
-  const { dispatcher, clock, protocol, timeout } = options;
+  const { dispatcher, clock, protocol, timeout, maySend } = options;
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
     let head: protocols.ReplyHead;
@@ -111,6 +118,7 @@
       deadline: clock.now() + timeout,
       idleTimeout: timeout,
       maxBytes: MAX_RESPONSE_BYTES,
+      maySend,
       receiver: {
         head(status, headers) {
           head = protocol.decodeReply(status, headers);
@@ -119,7 +127,12 @@
         data: (part) => void parts.push(part),
         end: () => resolve({ type: "whole", head, body: Buffer.concat(parts) }),
         fail: ({ reason, outcome }) =>
-          resolve({ type: "broken", cause: causeOf(reason, outcome) }),
+          resolve({
+            type: "broken",
+            cause: outcome === "not-run" && !(maySend?.() ?? true)
+              ? "withheld"
+              : causeOf(reason, outcome),
+          }),
       },
     });
   });
--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -13,9 +13,9 @@
   service(name: string): configurations.Service | undefined;
   /** Endpoints of a partition that accept calls. */
   workers(partition: partitions.PartitionName): readonly tasks.Worker[];
-  /** Whether the partition's data centre is evacuated, so that none of its
-   * endpoints may receive new calls. */
-  isEvacuated(partition: partitions.PartitionName): boolean;
+  /** Whether no endpoint of the partition accepts calls any more: each is
+   * evacuated or leaving. */
+  isClosed(partition: partitions.PartitionName): boolean;
 }
 
 /** The batchers of this host, created on first use of a partition. */
@@ -91,7 +91,7 @@
       traits: () =>
         lastTraits = this.#options.service(service)?.batching ?? lastTraits,
       workers: () => this.#options.workers({ service, cell }),
-      isEvacuated: () => this.#options.isEvacuated({ service, cell }),
+      isClosed: () => this.#options.isClosed({ service, cell }),
     });
     this.#batchers.set(key, batcher);
     return batcher;
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -41,9 +41,9 @@
 /** Options of the batcher of one partition. */
 export interface PartitionBatcherOptions extends BatcherDependencies {
   readonly service: string;
-  /** Whether the partition's data centre is evacuated, so that none of its
-   * endpoints may receive new calls. */
-  isEvacuated(): boolean;
+  /** Whether no endpoint of the partition accepts calls any more: each is
+   * evacuated or leaving. */
+  isClosed(): boolean;
   /** Performance figures of the service; the last known ones if the
    * configuration in force has none. */
   traits(): configurations.BatchTraits;
@@ -137,9 +137,9 @@
   /** Applies a change of the endpoints, the configuration or the queue, and
    * makes the calls that are possible now. */
   update(): void {
-    const { clock, workers, traits, isEvacuated } = this.#options;
+    const { clock, workers, traits, isClosed } = this.#options;
     const now = clock.now();
-    if (isEvacuated()) this.#failQueued();
+    if (isClosed()) this.#failQueued();
     this.#scheduler.setTraits(traits());
     this.#scheduler.setWorkers(workers());
     for (const task of this.#scheduler.expire(now)) {
@@ -187,7 +187,11 @@
       ...this.#options,
       timeout: this.#scheduler.callTimeout(assignment, started),
       onHead: (head) => this.#recordHead(id, head),
+      maySend: () => acceptsCalls(id),
     });
+    if (outcome.type === "failed" && outcome.cause === "withheld") {
+      return this.#postpone(assignment, 0);
+    }
     const now = clock.now();
     const hasResponded = outcome.type === "results" || outcome.cause === "full";
     if (hasResponded) this.#options.recordResponse(assignment.worker.id);
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -25,22 +25,22 @@
 
 /** A batcher with one endpoint, whose calls are counted and never answered. */
 function batcherOf(
-  { isEvacuated = false, acquire = () => Promise.resolve(0) }: {
-    isEvacuated?: boolean;
+  { isClosed = false, acquire = () => Promise.resolve(0) }: {
+    isClosed?: boolean;
     acquire?: () => Promise<number>;
   } = {},
 ) {
   const [worker] = batchingFixture.workersAt({ hall: 1 });
-  const state = { isEvacuated, calls: 0 };
+  const state = { isClosed, calls: 0 };
   const batcher = partitionBatchers.PartitionBatcher.create({
     clock: new runtime.FakeClock(),
     metrics: telemetry.noMetrics,
     logger: telemetry.noLogger,
     service: "maps",
     traits: () => fixture.batchTraits(),
-    workers: () => state.isEvacuated ? [] : [worker],
-    isEvacuated: () => state.isEvacuated,
-    acceptsCalls: () => !state.isEvacuated,
+    workers: () => state.isClosed ? [] : [worker],
+    isClosed: () => state.isClosed,
+    acceptsCalls: () => !state.isClosed,
     recordHead() {},
     recordResponse() {},
     quotas: {
@@ -62,7 +62,7 @@
 }
 
 test("queued items fail as unreachable if their data centre is evacuated", async (t) => {
-  const { batcher, state } = batcherOf({ isEvacuated: true });
+  const { batcher, state } = batcherOf({ isClosed: true });
   const results = await batcher.compute(QUESTION);
   t.deepEqual(results.map(({ failure }) => failure), [
     "unreachable",
@@ -76,7 +76,7 @@
   const acquire = () => new Promise<number>((resolve) => grant = resolve);
   const { batcher, state } = batcherOf({ acquire });
   const computed = batcher.compute(QUESTION);
-  state.isEvacuated = true;
+  state.isClosed = true;
   grant(0);
   const results = await computed;
   t.true(results.every(({ failure }) => failure === "unreachable"));
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -49,6 +49,9 @@
   /** Maximum size of the answer's body. */
   maxBytes: number;
   receiver: Receiver;
+  /** Whether the request may still be sent, asked once a connection is open;
+   * otherwise the exchange fails as not run. Absent if it always may. */
+  maySend?(): boolean;
 }
 
 /** Origin and path of a base URL without a final slash. */
@@ -113,8 +116,9 @@
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#isDone) {
-      // Ended while waiting for a connection: undici sends nothing.
+    const { maySend = () => true } = this.#options;
+    if (this.#isDone || !maySend()) {
+      // While waiting for a connection: undici sends nothing.
       controller.abort(new Error("call ended before it was sent"));
       return;
     }
--- a/src/endpoint_calls/exchange_test.ts
+++ b/src/endpoint_calls/exchange_test.ts
@@ -32,3 +32,38 @@
   }
   t.pass();
 });
+
+// Guards against calls that wait for a connection while the reason to make them
+// ends: they reached endpoints that had announced their departure meanwhile.
+test("a request that may no longer be sent when its connection opens fails as not run", (t) => {
+  let handler!: undici.Dispatcher.DispatchHandler;
+  const dispatcher = {
+    dispatch(_: unknown, given: undici.Dispatcher.DispatchHandler) {
+      handler = given;
+      return true;
+    },
+  } as unknown as undici.Dispatcher;
+  let maySend = true;
+  const failures: exchange.ExchangeFailure[] = [];
+  exchange.Exchange.start({ method: "GET", path: "/", headers: {} }, {
+    dispatcher,
+    clock: new runtime.FakeClock(),
+    url: "http://10.0.0.1:80",
+    deadline: 1000,
+    idleTimeout: 1000,
+    maxBytes: 1,
+    receiver: {
+      head() {},
+      data() {},
+      end() {},
+      fail: (failure) => void failures.push(failure),
+    },
+    maySend: () => maySend,
+  });
+  maySend = false;
+  const controller = {
+    abort: (error: Error) => handler.onResponseError!(controller, error),
+  } as unknown as undici.Dispatcher.DispatchController;
+  handler.onRequestStart!(controller, undefined);
+  t.deepEqual(failures, [{ reason: "connection", outcome: "not-run" }]);
+});
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -130,14 +130,15 @@
       dispatcher: this.#connections,
       service: (name) => this.#catalogue?.service(name),
       workers: (partition) => this.#usableWorkers(partition),
-      isEvacuated: (partition) => this.#isEvacuated(partition),
+      isClosed: (partition) => this.#isClosed(partition),
       recordHead: (id, head) => {
         const endpoint = this.#pool.get(id);
         if (endpoint !== undefined) {
           gateway.recordAnnouncements(endpoint, head, options);
         }
       },
-      acceptsCalls: (id) => this.#pool.get(id)?.isAccepting ?? false,
+      acceptsCalls: (id) =>
+        this.#pool.get(id)?.isAccepting(clock.now()) ?? false,
       recordResponse: (id) =>
         this.#pool.get(id)?.recordHealth("good", clock.now()),
     });
@@ -382,10 +383,11 @@
       .map(({ identity }) => identity);
   }
 
-  #isEvacuated(partition: batching.partitions.PartitionName): boolean {
+  #isClosed(partition: batching.partitions.PartitionName): boolean {
+    const now = this.#options.clock.now();
     const endpoints = this.#endpointsOf(partition);
     return endpoints.length > 0 &&
-      endpoints.every(({ isEvacuated }) => isEvacuated);
+      endpoints.every((each) => each.isClosed(now));
   }
 
   #endpointsOf(
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -35,6 +35,7 @@
     attempt: "a-1",
     signature: headers["test-signature"] as string | undefined,
     isNotRun: headers["test-not-run"] !== undefined,
+    leaving: headers["test-leaving"] === undefined ? undefined : "announced",
     isMisdirected: false,
     lacksInput: false,
     headers: {},
@@ -288,3 +289,15 @@
   t.is((await ask()).status, 503);
   t.is(count, 0);
 });
+
+test("a request is refused at once if all endpoints have announced their departure", async (t) => {
+  let count = 0;
+  const { ask } = await startHost(t, { kind: "safe" }, (_, response) => {
+    count++;
+    const head = { "test-signature": "s", "test-leaving": "1" };
+    response.writeHead(200, head).end("done");
+  });
+  t.is((await ask()).status, 200);
+  t.is((await ask()).status, 503);
+  t.is(count, 1);
+});
--- a/src/gateway/announcements.ts
+++ b/src/gateway/announcements.ts
@@ -5,6 +5,10 @@
 /** Longest announced backoff that is kept; a longer one is shortened to it. */
 export const MAX_BACKOFF_MS = 600_000;
 
+/** Time after its last such answer for which an endpoint counts as leaving. One
+ * that still sends heartbeats by then did not leave. */
+export const LEAVING_LIFETIME_MS = 600_000;
+
 /** State for diagnostics; times are ages and durations in milliseconds. */
 export interface AnnouncementsDump {
   readonly leavingForMs?: number;
@@ -14,7 +18,8 @@
 
 /** The announcements of one incarnation; changed in place. */
 export class Announcements {
-  #leavingSince?: number;
+  #leavingSince = -Infinity;
+  #leavingUntil = -Infinity;
   #backoffSince = -Infinity;
   #backoffUntil = -Infinity;
 
@@ -24,8 +29,9 @@
 
   /** Records that it is leaving; returns whether that is new. */
   recordLeaving(now: number): boolean {
-    const isNew = this.#leavingSince === undefined;
-    this.#leavingSince ??= now;
+    const isNew = !this.isLeaving(now);
+    if (isNew) this.#leavingSince = now;
+    this.#leavingUntil = now + LEAVING_LIFETIME_MS;
     return isNew;
   }
 
@@ -39,8 +45,14 @@
   }
 
   /** Whether it is leaving. */
-  get isLeaving(): boolean {
-    return this.#leavingSince !== undefined;
+  isLeaving(now: number): boolean {
+    return now < this.#leavingUntil;
+  }
+
+  /** Whether it has ever announced anything. */
+  get isEmpty(): boolean {
+    return this.#leavingUntil === -Infinity &&
+      this.#backoffUntil === -Infinity;
   }
 
   /** Milliseconds until the end of the announced backoff; 0 if there is none. */
@@ -52,7 +64,7 @@
   dump(now: number): AnnouncementsDump {
     const left = this.backoff(now);
     return {
-      ...(this.#leavingSince !== undefined &&
+      ...(this.isLeaving(now) &&
         { leavingForMs: Math.round(now - this.#leavingSince) }),
       ...(left > 0 && {
         backoffLeftMs: Math.round(left),
--- a/src/gateway/announcements_test.ts
+++ b/src/gateway/announcements_test.ts
@@ -41,6 +41,15 @@
   return lines;
 }
 
+test("an endpoint that announced its departure long ago did not leave", (t) => {
+  const known = announcements.Announcements.create();
+  const { LEAVING_LIFETIME_MS } = announcements;
+  t.true(known.recordLeaving(0));
+  t.false(known.recordLeaving(1000));
+  t.true(known.isLeaving(LEAVING_LIFETIME_MS));
+  t.false(known.isLeaving(LEAVING_LIFETIME_MS + 1000));
+});
+
 test("a shorter backoff does not end one in force", (t) => {
   const known = announcements.Announcements.create();
   known.recordBackoff(3000, 0);
@@ -59,7 +68,7 @@
   const endpoint = createEndpoint();
   const leaving = { leaving: "announced" } as const;
   const lines = record(endpoint, leaving, leaving);
-  t.true(endpoint.announcements.isLeaving);
+  t.true(endpoint.announcements.isLeaving(0));
   t.is(lines.length, 1);
   t.like(lines[0], { endpoint: endpoint.identity.id, request: "a-1" });
 });
@@ -81,7 +90,7 @@
   const endpoint = createEndpoint();
   const head = { isMisdirected: true, isNotRun: true, retryAfter: 3000 };
   record(endpoint, { ...head, leaving: "announced" });
-  t.false(endpoint.announcements.isLeaving);
+  t.false(endpoint.announcements.isLeaving(0));
   t.is(endpoint.announcements.backoff(0), 0);
 });
 
@@ -90,6 +99,6 @@
   const head = { isNotRun: true, leaving: "unreadable" } as const;
   const lines = record(endpoint, { ...head, retryAfter: "unreadable" });
   t.is(lines.length, 2);
-  t.false(endpoint.announcements.isLeaving);
+  t.false(endpoint.announcements.isLeaving(0));
   t.is(endpoint.announcements.backoff(0), 0);
 });
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -19,6 +19,7 @@
 /** Why an attempt has no answer. */
 export type FailureCause =
   | "unreachable"
+  | "withheld"
   | "full"
   | "misdirected"
   | "lacks-input"
@@ -111,6 +112,7 @@
       idleTimeout: options.idleTimeout,
       maxBytes: MAX_ANSWER_BYTES,
       receiver: attempt,
+      maySend: () => endpoint.isAccepting(clock.now()),
     });
     return attempt;
   }
@@ -166,8 +168,14 @@
     // still counts.
     const refusal = this.#head && refusalCause(this.#head);
     if (refusal !== undefined) return this.#fail(refusal, false);
-    const mayHaveRun = outcome !== "not-run";
-    this.#fail(mayHaveRun ? failureCause(reason) : "unreachable", mayHaveRun);
+    if (outcome === "not-run") return this.#failUnsent();
+    this.#fail(failureCause(reason), true);
+  }
+
+  #failUnsent(): void {
+    const { endpoint, clock } = this.#options;
+    const isAccepting = endpoint.isAccepting(clock.now());
+    this.#fail(isAccepting ? "unreachable" : "withheld", false);
   }
 
   #endStream(): void {
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -160,14 +160,20 @@
     return !this.isSilent || this.sinceSuccess(now) < CALL_LIVENESS_MS;
   }
 
+  /** Whether it is to receive no new calls for as long as it exists or its
+   * data centre is evacuated. */
+  isClosed(now: number): boolean {
+    return this.isEvacuated || this.announcements.isLeaving(now);
+  }
+
   /** Whether new calls may go there, regardless of its health. */
-  get isAccepting(): boolean {
-    return this.isReady && !this.isReplaced && !this.isEvacuated;
+  isAccepting(now: number): boolean {
+    return this.isReady && !this.isReplaced && !this.isClosed(now);
   }
 
   /** Whether it accepts calls, is alive and is not ejected. */
   isHealthy(now: number): boolean {
-    return this.isAccepting && this.isAlive(now) && !this.isEjected(now);
+    return this.isAccepting(now) && this.isAlive(now) && !this.isEjected(now);
   }
 
   /** Requests per second that all hosts together may send while it may be cold;
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -8,7 +8,8 @@
 import * as attempts from "./attempt.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoints from "./endpoint.ts";
-import * as refusals from "./refusal.ts";
+import type * as refusals from "./refusal.ts";
+import * as unavailabilities from "./unavailability.ts";
 
 /** Longest retry delay of a caller, in milliseconds; it bounds waits whose
  * end is unknown. */
@@ -76,9 +77,10 @@
     const { id } = endpoint.identity;
     const denial = await this.#acquireQuota(id) ??
       await this.#passQuarantine(id, deadline);
-    if (denial !== undefined || endpoint.isAccepting) return denial;
+    const now = this.#dependencies.clock.now();
+    if (denial !== undefined || endpoint.isAccepting(now)) return denial;
     this.release();
-    return closedDenial(id);
+    return closedDenial(endpoint, now);
   }
 
   /** Releases an admission whose call is not made. */
@@ -129,10 +131,13 @@
 }
 
 /** Denial for an endpoint that stopped accepting calls during the admission. */
-function closedDenial(endpoint: string): Denial {
-  const { retryAfter = 0 } = refusals.REFUSALS.evacuated;
-  const details = { endpoint, retryAfter };
-  return { reason: "evacuated", isFinal: false, details };
+function closedDenial(endpoint: endpoints.Endpoint, now: number): Denial {
+  const { id } = endpoint.identity;
+  const { reason, details } = unavailabilities.unavailabilityOf(
+    [endpoint],
+    now,
+  );
+  return { reason, isFinal: false, details: { endpoint: id, ...details } };
 }
 
 function quarantineDenial(
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -5,10 +5,15 @@
 import * as incarnations from "../endpoints/incarnation.ts";
 import type * as endpoints from "../endpoints/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
+import type * as announcements from "./announcements.ts";
 import * as endpoint from "./endpoint.ts";
 import * as firstEventLatencies from "./first_event_latency.ts";
 import * as cachedPrefixes from "./cached_prefixes.ts";
 
+/** Former endpoints whose announcements are kept, the latest: an outdated
+ * roster may list them again. */
+const MAX_FORMER_COUNT = 1024;
+
 /** An endpoint incarnation that has ended. */
 export interface EndedEndpoint {
   readonly identity: endpoint.Identity;
@@ -27,6 +32,8 @@
     string,
     firstEventLatencies.FirstEventLatency
   >();
+  /** Announcements of former endpoints, by incarnation. */
+  readonly #former = new Map<string, announcements.Announcements>();
   #evacuatedDataCentres: ReadonlySet<string> = new Set();
   #revision = 0;
 
@@ -120,6 +127,14 @@
     return usableOf(this.endpointsOf(service), now);
   }
 
+  /** Ids of the endpoints of a service that accept no calls by what they have
+   * announced to this host. */
+  announcedClosed(service: string, now: number): string[] {
+    return this.endpointsOf(service)
+      .filter(({ announcements }) => announcements.isLeaving(now))
+      .map(({ identity }) => identity.id);
+  }
+
   /** State for diagnostics. */
   dump(now: number): unknown {
     return [...this.#byId.values()].map((each) => ({
@@ -143,6 +158,8 @@
     this.#dataCentres.set(address, dataCentre);
     const identity = { id, name, service, address, dataCentre, slots };
     const added = endpoint.Endpoint.create(identity);
+    added.announcements = this.#former.get(id) ?? added.announcements;
+    this.#former.delete(id);
     this.#applyEvacuation(added);
     this.#byId.set(id, added);
     this.#byService.set(service, [...this.endpointsOf(service), added]);
@@ -190,8 +207,11 @@
     return created;
   }
 
-  #remove(id: string, { identity }: endpoint.Endpoint): void {
+  #remove(id: string, { identity, announcements }: endpoint.Endpoint): void {
     this.#revision++;
+    if (!announcements.isEmpty) this.#former.set(id, announcements);
+    const [oldest] = this.#former.keys();
+    if (this.#former.size > MAX_FORMER_COUNT) this.#former.delete(oldest);
     this.#byId.delete(id);
     const remaining = this.endpointsOf(identity.service).filter((each) =>
       each.identity.id !== id
@@ -206,7 +226,7 @@
   endpoints: readonly endpoint.Endpoint[],
   now: number,
 ): readonly endpoint.Endpoint[] {
-  const accepting = endpoints.filter((each) => each.isAccepting);
+  const accepting = endpoints.filter((each) => each.isAccepting(now));
   const alive = accepting.filter((each) => each.isAlive(now));
   const candidates = alive.length > 0 ? alive : accepting;
   const healthy = candidates.filter((each) => !each.isEjected(now));
--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -181,3 +181,37 @@
   engine().cold = cold;
   t.is(engine().coldRate(800), 5);
 });
+
+// Guards against endpoints that announce their departure in answers and receive
+// calls all the same, since the roster still lists them as ready.
+test("an endpoint that announced its departure is not usable", (t) => {
+  const pool = gateway.EndpointPool.create();
+  const entries = [1, 2].map((number) =>
+    createEntry({ id: `i-${number}`, address: `10.0.0.${number}:80` })
+  );
+  const update = () => pool.update(entries, createService({}));
+  const usable = () =>
+    pool.usable("models", 10).map(({ identity }) => identity.name);
+  update();
+  const [leaving, other] = pool.endpointsOf("models");
+  leaving.announcements.recordLeaving(0);
+  update();
+  t.deepEqual(usable(), ["i-2"], "the roster does not take it back");
+  t.false(leaving.isHealthy(10));
+  other.recordHealth("bad", 5);
+  other.isSilent = true;
+  t.deepEqual(usable(), ["i-2"], "also if the other one is not healthy");
+  other.announcements.recordLeaving(5);
+  t.deepEqual(usable(), [], "also if there is no other");
+});
+
+test("a departure outlives an outdated roster that omits and lists the endpoint", (t) => {
+  const { pool, update, engine } = createPool({ born: 100 });
+  engine().announcements.recordLeaving(0);
+  update({ born: 100, state: "gone" });
+  t.deepEqual(pool.endpointsOf("models"), []);
+  update({ born: 100 });
+  t.true(engine().announcements.isLeaving(10));
+  update({ born: 200 });
+  t.false(engine().announcements.isLeaving(10), "the next incarnation stays");
+});
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -42,10 +42,16 @@
     return outcome.head.status >= 500 ? "bad" : "good";
   }
   const { cause } = outcome;
-  if (cause === "cancelled" || cause === "deadline") return undefined;
+  if (NEUTRAL_CAUSES.has(cause)) return undefined;
   return cause === "full" || cause === "lacks-input" ? "full" : "bad";
 }
 
+const NEUTRAL_CAUSES: ReadonlySet<attempts.FailureCause> = new Set([
+  "cancelled",
+  "deadline",
+  "withheld",
+]);
+
 /** Name of an outcome in logs: a status or a cause of failure. */
 export function outcomeName(outcome: attempts.Outcome): string {
   if (outcome.type === "failed") return outcome.cause;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -237,11 +237,12 @@
   }
 
   #decodeReply(reply: schema.Reply): PlacementResult | undefined {
-    const { pool } = this.#options;
+    const { pool, clock } = this.#options;
     if (reply.type !== "placed") return undefined;
     const engine = pool.get(reply.engine);
-    // An owner may learn of an engine a few hundred milliseconds earlier.
-    if (engine === undefined || !engine.isAccepting) return undefined;
+    // An owner may learn of an engine a few hundred milliseconds earlier, and
+    // does not know what the engine has announced to this host.
+    if (!engine?.isAccepting(clock.now())) return undefined;
     const { read, fetched, fetchTime, firstEvent, work } = reply;
     const source = pool.get(reply.source ?? "");
     const cacheMiss = {
--- a/src/gateway/placement_test.ts
+++ b/src/gateway/placement_test.ts
@@ -216,3 +216,15 @@
   }
   t.true(engine.predictFirstEvent(5000, 0) > 2 * before);
 });
+
+// Guards against placements by an owner that has not received the announcement
+// of an engine that another host has.
+test("an engine that announced its departure to a host gets none of its prompts", async (t) => {
+  const { place, members, asked, clock } = createFleet();
+  const placed = await place("h-1", createPrompt("part"));
+  const { id } = placed!.engine.identity;
+  const asker = asked.includes("h-2") ? "h-3" : "h-2";
+  members.get(asker)!.pool.get(id)!.announcements.recordLeaving(clock.now());
+  const next = await place(asker, createPrompt("part"));
+  t.not(next!.engine.identity.id, id);
+});
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -13,6 +13,7 @@
   | "bad-key"
   | "no-endpoint"
   | "evacuated"
+  | "leaving"
   | "rate-limited"
   | "suspected"
   | "quarantined"
@@ -68,6 +69,8 @@
   // Evacuations last seconds or hours: a caller that can wait retries once,
   // after the hosts have moved its work.
   "evacuated": { status: 503, retryAfter: 1.5 },
+  // All endpoints left are leaving; their successors are new endpoints.
+  "leaving": { status: 503, retryAfter: 0.6 },
   // The delay follows from the rate limit that endpoints announce.
   "rate-limited": { status: 503 },
   // The delay follows from when the quarantine lets the request run again.
--- a/src/gateway/retry.ts
+++ b/src/gateway/retry.ts
@@ -34,7 +34,7 @@
   if (cause === "cancelled" || cause === "deadline") return "stop";
   if (calls >= route.attempts + EXTRA_NOT_RUN_CALLS) return "stop";
   // Nothing was written, so no endpoint has received the call.
-  if (cause === "unreachable") return "retry-free";
+  if (cause === "unreachable" || cause === "withheld") return "retry-free";
   if (!mayHaveRun) return "retry";
   const mayRetry = configurations.isIdempotent(route) && runs < route.attempts;
   return mayRetry ? "retry" : "stop";
--- a/src/gateway/target_choice.ts
+++ b/src/gateway/target_choice.ts
@@ -9,6 +9,7 @@
 import type * as placements from "./placement.ts";
 import type * as protocols from "./protocol.ts";
 import type * as refusals from "./refusal.ts";
+import * as unavailabilities from "./unavailability.ts";
 
 /** The endpoint of a call. */
 export interface Target {
@@ -95,10 +96,13 @@
 
   /** The result when no endpoint can be called. */
   get #unavailable(): TargetChoiceResult {
-    const known = this.#dependencies.pool.endpointsOf(this.#options.service);
-    const isEvacuated = known.some((each) => each.isEvacuated);
-    const reason = isEvacuated ? "evacuated" : "no-endpoint";
-    return { type: "none", reason, about: {} };
+    const { pool, clock } = this.#dependencies;
+    const known = pool.endpointsOf(this.#options.service);
+    const { reason, details: about } = unavailabilities.unavailabilityOf(
+      known,
+      clock.now(),
+    );
+    return { type: "none", reason, about };
   }
 
   /** The best endpoint, preferably one not called yet and not in `avoided`. */
@@ -106,9 +110,16 @@
     { called, planned }: RequestProgress,
     avoided: readonly string[],
   ): Promise<Target | undefined> {
-    const { placement, quotas } = this.#dependencies;
+    const { placement, quotas, pool, clock } = this.#dependencies;
     const { service, prompt, objective } = this.#options;
-    const tried = [...called, ...avoided, ...quotas.blockedEndpoints];
+    // The owner of a partition does not know what engines announce to this host.
+    const closed = pool.announcedClosed(service, clock.now());
+    const tried = [
+      ...called,
+      ...avoided,
+      ...quotas.blockedEndpoints,
+      ...closed,
+    ];
     if (prompt === undefined) return this.#pickEndpoint(tried);
     const placed = await placement.place({
       service,
