--- a/src/gateway/placement_test.ts
+++ b/src/gateway/placement_test.ts
@@ -221,10 +221,13 @@
 // of an engine that another host has.
 test("an engine that announced its departure to a host gets none of its prompts", async (t) => {
   const { place, members, asked, clock } = createFleet();
-  const placed = await place("h-1", createPrompt("part"));
-  const { id } = placed!.engine.identity;
+  const prompt = createPrompt("part");
+  await place("h-1", prompt);
   const asker = asked.includes("h-2") ? "h-3" : "h-2";
+  const placed = await place(asker, prompt, { isSent: false });
+  t.is(placed!.source, "owner");
+  const { id } = placed!.engine.identity;
   members.get(asker)!.pool.get(id)!.announcements.recordLeaving(clock.now());
-  const next = await place(asker, createPrompt("part"));
+  const next = await place(asker, prompt, { isSent: false });
   t.not(next!.engine.identity.id, id);
 });
