--- a/src/gateway/placement_test.ts
+++ b/src/gateway/placement_test.ts
@@ -223,6 +223,8 @@
   const { place, members, asked, clock } = createFleet();
   const prompt = createPrompt("part");
   await place("h-1", prompt);
+  // The reservation of the first prompt expires; its shared part stays cached.
+  clock.advance(300);
   const asker = asked.includes("h-2") ? "h-3" : "h-2";
   const placed = await place(asker, prompt, { isSent: false });
   t.is(placed!.source, "owner");
