--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -16,6 +16,9 @@
   /** Whether no endpoint of the partition accepts calls any more: each is
    * evacuated or leaving. */
   isClosed(partition: partitions.PartitionName): boolean;
+  /** Milliseconds until the first endpoint of a partition accepts calls again by
+   * what endpoints have announced; 0 if one does now. */
+  resumesIn(partition: partitions.PartitionName): number;
 }
 
 /** The batchers of this host, created on first use of a partition. */
@@ -92,6 +95,7 @@
         lastTraits = this.#options.service(service)?.batching ?? lastTraits,
       workers: () => this.#options.workers({ service, cell }),
       isClosed: () => this.#options.isClosed({ service, cell }),
+      resumesIn: () => this.#options.resumesIn({ service, cell }),
     });
     this.#batchers.set(key, batcher);
     return batcher;
--- a/src/batching/mod.ts
+++ b/src/batching/mod.ts
@@ -3,7 +3,10 @@
  * @module */
 
 export * from "./batcher.ts";
-export type { ReservationEstimate } from "./partition_batcher.ts";
+export type {
+  BatcherDependencies,
+  ReservationEstimate,
+} from "./partition_batcher.ts";
 export * as partitions from "./partitions.ts";
 export * as forecast from "./forecast.ts";
 export * from "./batcher_client.ts";
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -27,9 +27,14 @@
   protocol: protocols.GatewayProtocol;
   metrics: telemetry.Metrics;
   logger: telemetry.Logger;
-  /** Records that an endpoint has responded to a call. A scheduler gives no
-   * calls to an endpoint that does not respond. */
-  recordResponse(endpoint: string): void;
+  /** Records that an endpoint has accepted or rejected a call sent at
+   * `startedAt`. A scheduler gives no calls to an endpoint that does not
+   * respond. */
+  recordResponse(endpoint: string, response: BatchResponse): void;
+  /** Id of the endpoint now at an address. */
+  endpointAt(address: string): string | undefined;
+  /** Milliseconds for which an endpoint has asked this host for no calls. */
+  backoff(endpoint: string): number;
   /** Records what the head of an answer announces of its endpoint. */
   recordHead(endpoint: string, head: protocols.ReplyHead): void;
   /** Whether new calls may be sent to an endpoint, whether it is healthy or
@@ -38,12 +43,21 @@
   quotas: Pick<rateLimits.QuotaClient, "recordLimit" | "isLimited" | "acquire">;
 }
 
+/** The response of an endpoint to a call that computes items. */
+export interface BatchResponse {
+  readonly isRejection: boolean;
+  readonly startedAt: number;
+}
+
 /** Options of the batcher of one partition. */
 export interface PartitionBatcherOptions extends BatcherDependencies {
   readonly service: string;
   /** Whether no endpoint of the partition accepts calls any more: each is
    * evacuated or leaving. */
   isClosed(): boolean;
+  /** Milliseconds until the first endpoint of the partition accepts calls again
+   * by what endpoints have announced; 0 if one does now. */
+  resumesIn(): number;
   /** Performance figures of the service; the last known ones if the
    * configuration in force has none. */
   traits(): configurations.BatchTraits;
@@ -105,7 +119,7 @@
     const reservation = { request, stage, count, dueAt, rank };
     const { wait, ahead, rate } = this.#scheduler.reserve(reservation, now);
     return {
-      wait,
+      wait: Math.max(wait, this.#options.resumesIn()),
       work: this.#scheduler.callDuration(now),
       workAge: this.#scheduler.callDurationAge(now),
       ahead,
@@ -137,7 +151,7 @@
   /** Applies a change of the endpoints, the configuration or the queue, and
    * makes the calls that are possible now. */
   update(): void {
-    const { clock, workers, traits, isClosed } = this.#options;
+    const { clock, workers, traits, isClosed, resumesIn } = this.#options;
     const now = clock.now();
     if (isClosed()) this.#failQueued();
     this.#scheduler.setTraits(traits());
@@ -148,7 +162,9 @@
     for (const assignment of this.#scheduler.assign(now)) {
       void this.#call(assignment);
     }
-    this.#scheduleUpdate(this.#scheduler.wakeAt(now));
+    const wakeAt = this.#scheduler.wakeAt(now);
+    const resumesAt = now + (resumesIn() || Infinity);
+    this.#scheduleUpdate(wakeAt && Math.min(wakeAt, resumesAt));
   }
 
   /** Fails all queued items as unreachable, so that their requests submit them
@@ -173,12 +189,10 @@
   }
 
   async #call(assignment: tasks.Assignment): Promise<void> {
-    const { clock, metrics, service, quotas, acceptsCalls } = this.#options;
+    const { clock, metrics, service, acceptsCalls } = this.#options;
     const { id } = assignment.worker;
-    if (quotas.isLimited(id)) {
-      const wait = await quotas.acquire(id);
-      if (wait > 0) return this.#postpone(assignment, wait);
-    }
+    const wait = await this.#acquire(id);
+    if (wait > 0) return this.#postpone(assignment, wait);
     if (!acceptsCalls(id)) return this.#postpone(assignment, 0);
     const started = clock.now();
     metrics.count("pieces.calls", 1, { service });
@@ -193,8 +207,11 @@
       return this.#postpone(assignment, 0);
     }
     const now = clock.now();
-    const hasResponded = outcome.type === "results" || outcome.cause === "full";
-    if (hasResponded) this.#options.recordResponse(assignment.worker.id);
+    const isRejection = outcome.type === "failed" && outcome.cause === "full";
+    if (outcome.type === "results" || isRejection) {
+      const response = { isRejection, startedAt: started };
+      this.#options.recordResponse(id, response);
+    }
     if (outcome.type === "results") {
       this.#handleResults(assignment, {
         results: outcome.results,
@@ -205,6 +222,15 @@
     this.update();
   }
 
+  /** Acquires the right to send one call to an endpoint; resolves with 0, or
+   * with the milliseconds after which to retry. */
+  async #acquire(endpoint: string): Promise<number> {
+    const { quotas, backoff } = this.#options;
+    const left = backoff(endpoint);
+    if (left > 0 || !quotas.isLimited(endpoint)) return left;
+    return await quotas.acquire(endpoint);
+  }
+
   #recordHead(endpoint: string, head: protocols.ReplyHead): void {
     if (head.isMisdirected) return;
     this.#options.quotas.recordLimit(endpoint, head.rateLimit);
@@ -294,10 +320,12 @@
     assignment: tasks.Assignment,
     { cause }: { cause: batchCalls.CallFailure },
   ): void {
-    const { clock, metrics, logger, service } = this.#options;
+    const { clock, metrics, logger, service, backoff } = this.#options;
     const { worker, tasks } = assignment;
     const now = clock.now();
-    const pause = cause === "full" ? QUEUE_FULL_PAUSE_MS : undefined;
+    const pause = cause === "full"
+      ? Math.max(QUEUE_FULL_PAUSE_MS, backoff(worker.id))
+      : undefined;
     metrics.count("pieces.failed", tasks.length, { service, failure: cause });
     logger.info(
       { service, endpoint: worker.id, cause, pieces: tasks.length },
@@ -349,23 +377,22 @@
     address: string,
     handles: readonly string[],
   ): Promise<void> {
-    const { clock, quotas, workers } = this.#options;
-    const worker = workers().find((each) => each.address === address);
-    if (worker !== undefined && quotas.isLimited(worker.id)) {
-      const wait = await quotas.acquire(worker.id);
-      // Results expire by themselves; until the next attempt these are
-      // collected with others.
-      if (wait > 0) {
-        clock.after(wait, () => this.release(handles));
-        return;
-      }
+    const { clock, endpointAt } = this.#options;
+    const endpoint = endpointAt(address);
+    const wait = endpoint === undefined ? 0 : await this.#acquire(endpoint);
+    // Results expire by themselves; until the next attempt these are collected
+    // with others.
+    if (wait > 0) {
+      clock.after(wait, () => this.release(handles));
+      return;
     }
     const isConfirmed = await batchCalls.release(
       address,
       handles,
       {
         ...this.#options,
-        onHead: (head) => worker && this.#recordHead(worker.id, head),
+        onHead: (head) =>
+          endpoint === undefined ? undefined : this.#recordHead(endpoint, head),
       },
     );
     if (!isConfirmed) return;
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -131,16 +131,9 @@
       service: (name) => this.#catalogue?.service(name),
       workers: (partition) => this.#usableWorkers(partition),
       isClosed: (partition) => this.#isClosed(partition),
-      recordHead: (id, head) => {
-        const endpoint = this.#pool.get(id);
-        if (endpoint !== undefined) {
-          gateway.recordAnnouncements(endpoint, head, options);
-        }
-      },
-      acceptsCalls: (id) =>
-        this.#pool.get(id)?.isAccepting(clock.now()) ?? false,
-      recordResponse: (id) =>
-        this.#pool.get(id)?.recordHealth("good", clock.now()),
+      resumesIn: (partition) =>
+        gateway.announcedReturn(this.#endpointsOf(partition), clock.now()),
+      ...gateway.batchEndpointsOf(this.#pool, options),
     });
     this.#batcherClient = batching.BatcherClient.create({
       self,
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -23,6 +23,7 @@
 import * as pipelineRuns from "./pipeline_run.ts";
 import * as targetChoices from "./target_choice.ts";
 import * as healthSignals from "./health_signal.ts";
+import * as unavailabilities from "./unavailability.ts";
 
 /** Times that the stages of a request are run again after results are lost. */
 const MAX_STAGE_RERUNS = 1;
@@ -123,6 +124,11 @@
       }
       const { random } = this.#context;
       const service = admissions.pickService(this.#route!, random);
+      const unavailability = this.#unavailability(service);
+      if (unavailability !== undefined) {
+        const { reason, details } = unavailability;
+        return this.#refuse(reason, details);
+      }
       const inputs = await this.#runStages(service);
       if (this.isFinished) return;
       await this.#callEndpoints({ service, inputs });
@@ -133,6 +139,19 @@
     }
   }
 
+  /** Why the service will not accept a call within the objective, by what its
+   * endpoints have announced: no stage is to run in vain. */
+  #unavailability(
+    service: string,
+  ): unavailabilities.Unavailability | undefined {
+    const { pool, clock, random } = this.#context;
+    const now = clock.now();
+    const known = pool.endpointsOf(service);
+    const wait = unavailabilities.announcedReturn(known, now);
+    if (wait === 0 || wait < this.#route!.objective) return undefined;
+    return unavailabilities.unavailabilityOf(known, { now, random });
+  }
+
   /** Whether an endpoint may have executed the request or may be executing
    * it. */
   get #mayHaveRun(): boolean {
@@ -283,6 +302,7 @@
     const record: CallRecord = { endpoint: id, ms: 0, outcome: "open" };
     if (placement !== undefined) record.placedBy = placement.source;
     this.#calls.push(record);
+    target.rejections.recordCall(started);
     this.#phase = this.#reply.head === undefined ? "sent" : "streaming";
     metrics.count("gateway.sent", 1, { service });
     if (this.#calls.length > 1) {
@@ -314,7 +334,7 @@
         this.#route!,
         this.#reply.head !== undefined,
       ),
-      onHead: (head) => this.#recordHead(target, { head, record }),
+      onHead: (head) => this.#recordHead(target, { head, record, started }),
       stream: this.#route!.kind === "streaming"
         ? this.#createStreamListener(onFirstEvent)
         : undefined,
@@ -349,9 +369,14 @@
   /** Records what the head of an answer says of its endpoint. */
   #recordHead(
     target: endpoints.Endpoint,
-    { head, record }: { head: protocols.ReplyHead; record: CallRecord },
+    { head, record, started }: {
+      head: protocols.ReplyHead;
+      record: CallRecord;
+      started: number;
+    },
   ): void {
     const { quotas, clock } = this.#context;
+    if (!head.isNotRun) target.rejections.recordAcceptance(started);
     const { rateLimit, coldFor = 0, leaving, retryAfter } = head;
     quotas.recordLimit(target.identity.id, rateLimit);
     target.recordCold(coldFor, clock.now());
--- a/src/gateway/announcement_records.ts
+++ b/src/gateway/announcement_records.ts
@@ -28,13 +28,14 @@
 }
 
 function recordLeaving(
-  { identity, announcements }: endpoints.Endpoint,
+  target: endpoints.Endpoint,
   { leaving }: protocols.ReplyHead,
   options: RecordOptions,
 ): void {
   if (leaving === undefined) return;
-  if (leaving === "unreadable") return logUnreadable(identity, options);
+  if (leaving === "unreadable") return recordUnreadable(target, options);
   const { clock, logger, metrics, request } = options;
+  const { identity, announcements } = target;
   if (!announcements.recordLeaving(clock.now())) return;
   const { id: endpoint, service, address } = identity;
   metrics.count("gateway.leaving", 1, { service });
@@ -45,13 +46,14 @@
 }
 
 function recordBackoff(
-  { identity, announcements }: endpoints.Endpoint,
+  target: endpoints.Endpoint,
   { status, isNotRun, retryAfter }: protocols.ReplyHead,
   options: RecordOptions,
 ): void {
   if (retryAfter === undefined || !isNotRun) return;
-  if (retryAfter === "unreadable") return logUnreadable(identity, options);
+  if (retryAfter === "unreadable") return recordUnreadable(target, options);
   const { clock, logger, metrics, request } = options;
+  const { identity, announcements } = target;
   const { id: endpoint, service, address } = identity;
   announcements.recordBackoff(retryAfter, clock.now());
   metrics.count("gateway.backoff", 1, { service });
@@ -61,11 +63,13 @@
   );
 }
 
-function logUnreadable(
-  { id: endpoint, service }: endpoints.Identity,
-  { logger, metrics, request }: RecordOptions,
+function recordUnreadable(
+  { identity, announcements }: endpoints.Endpoint,
+  { clock, logger, metrics, request }: RecordOptions,
 ): void {
+  const { id: endpoint, service } = identity;
   metrics.count("gateway.unreadable", 1, { service });
+  if (!announcements.recordUnreadable(clock.now())) return;
   logger.warn(
     { endpoint, service, request },
     "Announcement in a response cannot be parsed; it is ignored",
--- a/src/gateway/announcements.ts
+++ b/src/gateway/announcements.ts
@@ -9,6 +9,9 @@
  * that still sends heartbeats by then did not leave. */
 export const LEAVING_LIFETIME_MS = 600_000;
 
+/** Least time between log lines about an endpoint's unreadable announcements. */
+const UNREADABLE_LOG_INTERVAL_MS = 10_000;
+
 /** State for diagnostics; times are ages and durations in milliseconds. */
 export interface AnnouncementsDump {
   readonly leavingForMs?: number;
@@ -21,6 +24,7 @@
   #leavingSince = -Infinity;
   #leavingUntil = -Infinity;
   #backoffSince = -Infinity;
+  #unreadableLoggedAt = -Infinity;
   #backoffUntil = -Infinity;
 
   static create(): Announcements {
@@ -44,6 +48,15 @@
     this.#backoffUntil = until;
   }
 
+  /** Records an announcement that cannot be parsed; returns whether it is to be
+   * logged. */
+  recordUnreadable(now: number): boolean {
+    const since = now - this.#unreadableLoggedAt;
+    if (since < UNREADABLE_LOG_INTERVAL_MS) return false;
+    this.#unreadableLoggedAt = now;
+    return true;
+  }
+
   /** Whether it is leaving. */
   isLeaving(now: number): boolean {
     return now < this.#leavingUntil;
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -8,6 +8,7 @@
 import * as firstEventLatencies from "./first_event_latency.ts";
 import type * as cachedPrefixes from "./cached_prefixes.ts";
 import type * as protocols from "./protocol.ts";
+import * as rejectionBackoffs from "./rejection_backoff.ts";
 
 /** Weight of a new value in an exponential moving average of about ten
  * values. */
@@ -66,6 +67,7 @@
   readonly identity: Identity;
   /** What it has announced of itself in its answers. */
   announcements = announcements.Announcements.create();
+  readonly rejections = rejectionBackoffs.RejectionBackoff.create();
   /** Undefined unless its service is known to serve prompts: the first
    * heartbeat may arrive before the configuration. */
   engine?: EngineState;
@@ -168,12 +170,26 @@
 
   /** Whether new calls may go there, regardless of its health. */
   isAccepting(now: number): boolean {
-    return this.isReady && !this.isReplaced && !this.isClosed(now);
+    return this.isReady && !this.isReplaced && !this.isClosed(now) &&
+      this.announcements.backoff(now) === 0;
   }
 
-  /** Whether it accepts calls, is alive and is not ejected. */
+  /** Milliseconds until the end of a backoff, announced or after rejections,
+   * after which it accepts calls; 0 if it does so now or never. */
+  backoff(now: number): number {
+    if (!this.isReady || this.isReplaced || this.isClosed(now)) return 0;
+    return Math.max(this.announcements.backoff(now), this.rejections.left(now));
+  }
+
+  /** Whether it accepts calls, is alive and is not to be avoided. */
   isHealthy(now: number): boolean {
-    return this.isAccepting(now) && this.isAlive(now) && !this.isEjected(now);
+    return this.isAccepting(now) && this.isAlive(now) && !this.isAvoided(now);
+  }
+
+  /** Whether other endpoints are preferred, since it failed or rejected
+   * calls. */
+  isAvoided(now: number): boolean {
+    return this.isEjected(now) || this.rejections.left(now) > 0;
   }
 
   /** Requests per second that all hosts together may send while it may be cold;
@@ -198,8 +214,10 @@
     return now < this.#ejectedUntil;
   }
 
-  /** Records the health signal of a call; "full" counts as a success. */
+  /** Records the health signal of a call; "full" counts as a success of a
+   * healthy endpoint that is avoided for a while. */
   recordHealth(signal: HealthSignal, now: number): void {
+    if (signal === "full") this.rejections.recordRejection(now);
     const isSuccess = signal !== "bad";
     this.successRate += AVERAGE_WEIGHT *
       ((isSuccess ? 1 : 0) - this.successRate);
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -5,15 +5,13 @@
  * @module */
 
 import * as quarantine from "../quarantine/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
 import * as attempts from "./attempt.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoints from "./endpoint.ts";
-import type * as refusals from "./refusal.ts";
+import * as refusals from "./refusal.ts";
 import * as unavailabilities from "./unavailability.ts";
 
-/** Longest retry delay of a caller, in milliseconds; it bounds waits whose
- * end is unknown. */
-const MAX_RETRY_DELAY_MS = 60_000;
 /** Milliseconds over which the retries of rate-limited callers are spread. */
 const RETRY_SPREAD_MS = 1000;
 
@@ -77,10 +75,11 @@
     const { id } = endpoint.identity;
     const denial = await this.#acquireQuota(id) ??
       await this.#passQuarantine(id, deadline);
-    const now = this.#dependencies.clock.now();
+    const { clock, random } = this.#dependencies;
+    const now = clock.now();
     if (denial !== undefined || endpoint.isAccepting(now)) return denial;
     this.release();
-    return closedDenial(endpoint, now);
+    return closedDenial(endpoint, { now, random });
   }
 
   /** Releases an admission whose call is not made. */
@@ -108,7 +107,7 @@
     const wait = await quotas.acquire(endpoint);
     if (wait === 0) return undefined;
     const spread = wait + random.next() * RETRY_SPREAD_MS;
-    const details = { endpoint, retryAfter: retryDelay(spread) };
+    const details = { endpoint, retryAfter: refusals.retryDelay(spread) };
     return { reason: "rate-limited", isFinal: false, details };
   }
 
@@ -131,11 +130,14 @@
 }
 
 /** Denial for an endpoint that stopped accepting calls during the admission. */
-function closedDenial(endpoint: endpoints.Endpoint, now: number): Denial {
+function closedDenial(
+  endpoint: endpoints.Endpoint,
+  context: { now: number; random: runtime.Random },
+): Denial {
   const { id } = endpoint.identity;
   const { reason, details } = unavailabilities.unavailabilityOf(
     [endpoint],
-    now,
+    context,
   );
   return { reason, isFinal: false, details: { endpoint: id, ...details } };
 }
@@ -149,11 +151,6 @@
   return {
     reason,
     isFinal,
-    details: { crashes, retryAfter: retryDelay(wait) },
+    details: { crashes, retryAfter: refusals.retryDelay(wait) },
   };
 }
-
-/** Retry delay in seconds for a wait in milliseconds. */
-function retryDelay(wait: number): number {
-  return Math.round(Math.min(MAX_RETRY_DELAY_MS, wait)) / 1000;
-}
--- a/src/gateway/endpoint_choice.ts
+++ b/src/gateway/endpoint_choice.ts
@@ -41,8 +41,8 @@
   /** Engine that was chosen when the request arrived; its stages ran near
    * it. */
   readonly planned?: endpoints.Endpoint;
-  /** Ids of the engines already called for the request; they are called again
-   * only if there is no other. */
+  /** Ids of the engines already called for the request; those that did not
+   * reject the call are called again if there is no other. */
   readonly tried?: readonly string[];
 }
 
@@ -87,7 +87,10 @@
   const untried = engines.filter(({ identity }) =>
     !tried.includes(identity.id)
   );
-  const engine = minBy(untried.length > 0 ? untried : engines, (each) => {
+  const candidates = untried.length > 0
+    ? untried
+    : engines.filter((each) => each.rejections.left(now) === 0);
+  const engine = minBy(candidates, (each) => {
     const miss = misses.at(each);
     const time = firstEventTime(each, miss, now) + fetchCost(each, miss, now);
     const moveCost = planned === undefined || planned === each
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -27,6 +27,7 @@
 export class EndpointPool {
   readonly #byId = new Map<string, endpoint.Endpoint>();
   readonly #dataCentres = new Map<string, string>();
+  readonly #idByAddress = new Map<string, string>();
   readonly #byService = new Map<string, endpoint.Endpoint[]>();
   readonly #latencies = new Map<
     string,
@@ -105,12 +106,18 @@
       engine?.remoteLoad.record(host, load, now);
       load.read.forEach((parts) => engine?.cachedPrefixes?.insert({ parts }));
       load.verdicts?.forEach((signal) => engine?.recordHealth(signal, now));
-      load.firsts?.forEach(({ work, took }) =>
-        engine?.recordFirstEvent(work, { took, now })
-      );
+      load.firsts?.forEach(({ work, took }) => {
+        engine?.recordFirstEvent(work, { took, now });
+        engine?.rejections.recordAcceptance(now - took);
+      });
     }
   }
 
+  /** The endpoint now at an address. */
+  at(address: string): endpoint.Endpoint | undefined {
+    return this.#byId.get(this.#idByAddress.get(address) ?? "");
+  }
+
   /** Data centre of the endpoint at an address. */
   dataCentreOf(address: string): string | undefined {
     return this.#dataCentres.get(address);
@@ -131,7 +138,9 @@
    * announced to this host. */
   announcedClosed(service: string, now: number): string[] {
     return this.endpointsOf(service)
-      .filter(({ announcements }) => announcements.isLeaving(now))
+      .filter(({ announcements }) =>
+        announcements.isLeaving(now) || announcements.backoff(now) > 0
+      )
       .map(({ identity }) => identity.id);
   }
 
@@ -148,6 +157,7 @@
       coldRate: each.coldRate(now),
       duration: each.meanDuration,
       ...each.announcements.dump(now),
+      ...each.rejections.dump(now),
     }));
   }
 
@@ -156,6 +166,7 @@
     const id = incarnations.keyOf(entry);
     this.#revision++;
     this.#dataCentres.set(address, dataCentre);
+    this.#idByAddress.set(address, id);
     const identity = { id, name, service, address, dataCentre, slots };
     const added = endpoint.Endpoint.create(identity);
     added.announcements = this.#former.get(id) ?? added.announcements;
@@ -213,6 +224,9 @@
     const [oldest] = this.#former.keys();
     if (this.#former.size > MAX_FORMER_COUNT) this.#former.delete(oldest);
     this.#byId.delete(id);
+    if (this.#idByAddress.get(identity.address) === id) {
+      this.#idByAddress.delete(identity.address);
+    }
     const remaining = this.endpointsOf(identity.service).filter((each) =>
       each.identity.id !== id
     );
@@ -221,7 +235,7 @@
 }
 
 /** Those of the given endpoints that accept calls; only the live ones, and of
- * these only those not ejected, if there are any. */
+ * these only those not to be avoided, if there are any. */
 export function usableOf(
   endpoints: readonly endpoint.Endpoint[],
   now: number,
@@ -229,7 +243,7 @@
   const accepting = endpoints.filter((each) => each.isAccepting(now));
   const alive = accepting.filter((each) => each.isAlive(now));
   const candidates = alive.length > 0 ? alive : accepting;
-  const healthy = candidates.filter((each) => !each.isEjected(now));
+  const healthy = candidates.filter((each) => !each.isAvoided(now));
   return healthy.length > 0 ? healthy : candidates;
 }
 
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -43,7 +43,8 @@
   }
   const { cause } = outcome;
   if (NEUTRAL_CAUSES.has(cause)) return undefined;
-  return cause === "full" || cause === "lacks-input" ? "full" : "bad";
+  if (cause === "lacks-input") return "good";
+  return cause === "full" ? "full" : "bad";
 }
 
 const NEUTRAL_CAUSES: ReadonlySet<attempts.FailureCause> = new Set([
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -1,6 +1,7 @@
 /** The gateway: serves callers' requests by calling the endpoints of services.
  * @module */
 
+export * from "./batch_endpoints.ts";
 export { record as recordAnnouncements } from "./announcement_records.ts";
 export * from "./calibration.ts";
 export * from "./context.ts";
@@ -12,3 +13,4 @@
 export * from "./retry_budget.ts";
 export * from "./server.ts";
 export * from "./load_updates.ts";
+export { announcedReturn } from "./unavailability.ts";
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -134,6 +134,7 @@
     if (sent) {
       engine.remoteLoad.reserve(from, cacheMiss.prefillTokens, clock.now());
       engine.cachedPrefixes?.insert(prompt);
+      engine.rejections.recordCall(clock.now());
     }
     const {
       prefillTokens,
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -14,6 +14,7 @@
   | "no-endpoint"
   | "evacuated"
   | "leaving"
+  | "backoff"
   | "rate-limited"
   | "suspected"
   | "quarantined"
@@ -37,6 +38,9 @@
  * if all hosts start at once and the control hosts have to elect a leader
  * first: that takes 0.85 to 1.0 s after a power loss. */
 const CONFIGURATION_TIME_MS = 1200;
+/** Longest retry delay of a caller, in milliseconds; it bounds waits whose
+ * end is unknown. */
+const MAX_RETRY_DELAY_MS = 60_000;
 /** Least retry delay, in milliseconds, for a host without a configuration. */
 const MIN_RETRY_DELAY_MS = 300;
 
@@ -46,6 +50,11 @@
   return Math.max(MIN_RETRY_DELAY_MS, CONFIGURATION_TIME_MS - uptime) / 1000;
 }
 
+/** Seconds until a retry for a wait in milliseconds. */
+export function retryDelay(wait: number): number {
+  return Math.round(Math.min(MAX_RETRY_DELAY_MS, wait)) / 1000;
+}
+
 /** Whether the answer for a reason guarantees that the request has not been
  * executed. */
 export function guaranteesNotRun(reason: RefusalReason): boolean {
@@ -71,6 +80,8 @@
   "evacuated": { status: 503, retryAfter: 1.5 },
   // All endpoints left are leaving; their successors are new endpoints.
   "leaving": { status: 503, retryAfter: 0.6 },
+  // The delay follows from the backoff of the endpoints.
+  "backoff": { status: 503 },
   // The delay follows from the rate limit that endpoints announce.
   "rate-limited": { status: 503 },
   // The delay follows from when the quarantine lets the request run again.
--- a/src/gateway/target_choice.ts
+++ b/src/gateway/target_choice.ts
@@ -96,11 +96,11 @@
 
   /** The result when no endpoint can be called. */
   get #unavailable(): TargetChoiceResult {
-    const { pool, clock } = this.#dependencies;
+    const { pool, clock, random } = this.#dependencies;
     const known = pool.endpointsOf(this.#options.service);
     const { reason, details: about } = unavailabilities.unavailabilityOf(
       known,
-      clock.now(),
+      { now: clock.now(), random },
     );
     return { type: "none", reason, about };
   }
@@ -142,7 +142,9 @@
     const probed = untried.find(({ identity }) =>
       quotas.needsProbe(identity.id)
     );
-    const candidates = untried.length > 0 ? untried : usable;
+    const candidates = untried.length > 0
+      ? untried
+      : usable.filter((each) => each.rejections.left(now) === 0);
     const context = { now, random, dataCentre };
     const endpoint = probed ?? choices.chooseEndpoint(candidates, context);
     return endpoint && { endpoint };
--- a/src/gateway/unavailability.ts
+++ b/src/gateway/unavailability.ts
@@ -1,9 +1,14 @@
 /** Why endpoints accept no calls, and when a caller should retry.
  * @module */
 
+import type * as runtime from "../runtime/mod.ts";
 import type * as endpoints from "./endpoint.ts";
 import * as refusals from "./refusal.ts";
 
+/** Milliseconds over which the retries of callers are spread after the end of a
+ * backoff. */
+const RETRY_SPREAD_MS = 500;
+
 /** Reason, and details for the answer and the log line of a request. */
 export interface Unavailability {
   readonly reason: refusals.RefusalReason;
@@ -13,11 +18,18 @@
   };
 }
 
-/** Why none of the endpoints of a service accepts calls at the time `now`. */
+/** Why none of the endpoints of a service accepts a call. */
 export function unavailabilityOf(
   known: readonly endpoints.Endpoint[],
-  now: number,
+  { now, random }: { now: number; random: runtime.Random },
 ): Unavailability {
+  const backoff = earliestReturn(known, now);
+  if (backoff !== undefined) {
+    const spread = backoff + random.next() * RETRY_SPREAD_MS;
+    const retryAfter = refusals.retryDelay(spread);
+    const backoffMs = Math.round(backoff);
+    return { reason: "backoff", details: { retryAfter, backoffMs } };
+  }
   const leaving =
     known.filter(({ announcements }) => announcements.isLeaving(now)).length;
   const reason = known.some((each) => each.isEvacuated)
@@ -31,3 +43,24 @@
     details: { retryAfter, ...(leaving > 0 && { leaving }) },
   };
 }
+
+/** Milliseconds until the first of the endpoints accepts calls again by what
+ * they have announced; 0 if one does now, or if none has announced a backoff. */
+export function announcedReturn(
+  known: readonly endpoints.Endpoint[],
+  now: number,
+): number {
+  if (known.some((each) => each.isAccepting(now))) return 0;
+  return earliestReturn(known, now) ?? 0;
+}
+
+/** Milliseconds until the first of the endpoints that back off accepts calls;
+ * undefined if none backs off. */
+export function earliestReturn(
+  known: readonly endpoints.Endpoint[],
+  now: number,
+): number | undefined {
+  const backoffs = known.map((each) => each.backoff(now))
+    .filter((backoff) => backoff > 0);
+  return backoffs.length > 0 ? Math.min(...backoffs) : undefined;
+}
