--- a/bench/decisions/wire.ts
+++ b/bench/decisions/wire.ts
@@ -90,11 +90,19 @@
     handler: undici.Dispatcher.DispatchHandler,
   ) => {
     let cancel = () => {};
-    const abort = () => cancel();
+    let isAborted = false;
+    const abort = () => {
+      isAborted = true;
+      cancel();
+    };
     const controller = {
       abort,
     } as unknown as undici.Dispatcher.DispatchController;
     handler.onRequestStart!(controller, undefined);
+    if (isAborted) {
+      handler.onResponseError!(controller, new Error("aborted"));
+      return true;
+    }
     const reply: Reply = {
       head: (more = {}) =>
         handler.onResponseStart!(controller, statusOf(more), {
@@ -122,8 +130,9 @@
     request: (sent as unknown as { ask: gateway.IncomingRequest }).ask,
   }),
   isReadinessProbe: () => false,
-  callHeaders: ({ id }, { inputs, urgency, fetchFrom }) => ({
+  callHeaders: ({ id }, { endpoint, inputs, urgency, fetchFrom }) => ({
     attempt: id,
+    endpoint,
     urgency: `${urgency}`,
     ...(inputs !== undefined && { inputs: inputs.join(",") }),
     ...(fetchFrom !== undefined && { source: fetchFrom }),
@@ -133,14 +142,16 @@
     attempt: headers.attempt as string | undefined,
     signature: headers.attempt as string | undefined,
     isNotRun: headers["not-run"] !== undefined,
-    isMisdirected: false,
+    isMisdirected: headers.misdirected !== undefined,
     lacksInput: headers["lacks-input"] !== undefined,
+    leaving: headers.leaving === undefined ? undefined : "announced",
+    retryAfter: delayOf(headers["retry-after"]),
     headers: {},
   }),
-  batchCall: (_, orders) => ({
+  batchCall: (endpoint, orders) => ({
     method: "POST",
     path: "/make",
-    headers: { call: "make" },
+    headers: { call: "make", endpoint },
     body: JSON.stringify(orders),
   }),
   decodeItemResults: (body) => JSON.parse(body.toString()),
@@ -153,6 +164,15 @@
   holderOf: (handle) => handle.slice(0, handle.indexOf("/")),
 };
 
+/** Milliseconds of a delay in seconds. */
+function delayOf(
+  text: string | string[] | undefined,
+): number | "unreadable" | undefined {
+  if (text === undefined) return undefined;
+  const seconds = Number(text);
+  return seconds >= 0 ? 1000 * seconds : "unreadable";
+}
+
 function statusOf(headers: Record<string, string>): number {
   return headers["not-run"] === undefined ? 200 : 503;
 }
--- a/src/gateway/rejection_backoff_test.ts
+++ b/src/gateway/rejection_backoff_test.ts
@@ -27,7 +27,8 @@
 test("the backoff doubles with each rejected probe up to a maximum", (t) => {
   const backoff = rejectionBackoffs.RejectionBackoff.create();
   const durations: number[] = [];
-  for (let now = 0, count = 0; count < 5; count++) {
+  let now = 0;
+  for (let count = 0; count < 5; count++) {
     backoff.recordRejection(now);
     durations.push(backoff.left(now));
     now += backoff.left(now);
