--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -375,11 +375,10 @@
       started: number;
     },
   ): void {
-    const { quotas, clock } = this.#context;
+    const { quotas } = this.#context;
     if (!head.isNotRun) target.rejections.recordAcceptance(started);
-    const { rateLimit, coldFor = 0, leaving, retryAfter } = head;
+    const { rateLimit, leaving, retryAfter } = head;
     quotas.recordLimit(target.identity.id, rateLimit);
-    target.recordCold(coldFor, clock.now());
     const request = this.#incoming!.id;
     announcementRecords.record(target, head, { ...this.#context, request });
     if (leaving !== undefined) record.leaving = leaving;
--- a/src/gateway/announcement_records.ts
+++ b/src/gateway/announcement_records.ts
@@ -1,5 +1,5 @@
 /** Records the announcements in an answer of an endpoint, whichever call it
- * answers, with a log line for each change of belief.
+ * answers: that it is cold, that it is leaving, and that it asks for a backoff.
  * @module */
 
 import type * as runtime from "../runtime/mod.ts";
@@ -23,6 +23,7 @@
   options: RecordOptions,
 ): void {
   if (head.isMisdirected) return;
+  endpoint.recordCold(head.coldFor ?? 0, options.clock.now());
   recordLeaving(endpoint, head, options);
   recordBackoff(endpoint, head, options);
 }
--- a/src/gateway/announcements_test.ts
+++ b/src/gateway/announcements_test.ts
@@ -87,6 +87,16 @@
   t.is(endpoint.announcements.backoff(0), 3000);
 });
 
+// Guards against batch calls to endpoints that announced in answers to other
+// batch calls that they are cold.
+test("the answer to any call may announce that its endpoint is cold", (t) => {
+  const endpoint = createEndpoint();
+  endpoint.cold = { time: 3000, rate: 5 };
+  record(endpoint, { coldFor: 1000 });
+  t.is(endpoint.coldRate(900), 5);
+  t.is(endpoint.coldRate(1100), undefined);
+});
+
 test("an executed call's answer asks for no backoff", (t) => {
   const endpoint = createEndpoint();
   t.deepEqual(record(endpoint, { status: 500, retryAfter: 3000 }), []);
