--- a/src/gateway/rejection_backoff_test.ts
+++ b/src/gateway/rejection_backoff_test.ts
@@ -102,6 +102,10 @@
   });
   t.is(reason, "backoff");
   t.true(details.retryAfter >= 1.5 && details.retryAfter <= 2);
+  t.deepEqual(details.announced, [
+    { endpoint: all[0].identity.id, backoffLeftMs: 2500, backoffAgeMs: 500 },
+    { endpoint: all[1].identity.id, backoffLeftMs: 1500, backoffAgeMs: 500 },
+  ]);
   all[1].announcements.recordLeaving(500);
   const later = unavailabilities.unavailabilityOf(all, { now: 500, random });
   t.true(later.details.retryAfter >= 2.5, "one that leaves does not return");
--- a/src/gateway/unavailability.ts
+++ b/src/gateway/unavailability.ts
@@ -9,6 +9,9 @@
  * backoff. */
 const RETRY_SPREAD_MS = 500;
 
+/** Most endpoints whose announcements a log line names. */
+const MAX_NAMED_COUNT = 4;
+
 /** Reason, and details for the answer and the log line of a request. */
 export interface Unavailability {
   readonly reason: refusals.RefusalReason;
@@ -27,21 +30,33 @@
   if (backoff !== undefined) {
     const spread = backoff + random.next() * RETRY_SPREAD_MS;
     const retryAfter = refusals.retryDelay(spread);
-    const backoffMs = Math.round(backoff);
-    return { reason: "backoff", details: { retryAfter, backoffMs } };
+    const announced = announcementsOf(known, now);
+    return { reason: "backoff", details: { retryAfter, announced } };
   }
-  const leaving =
-    known.filter(({ announcements }) => announcements.isLeaving(now)).length;
-  const reason = known.some((each) => each.isEvacuated)
-    ? "evacuated"
-    : leaving > 0
-    ? "leaving"
-    : "no-endpoint";
+  const isLeaving = known.some(({ announcements }) =>
+    announcements.isLeaving(now)
+  );
+  const otherwise = isLeaving ? "leaving" : "no-endpoint";
+  const isEvacuated = known.some((each) => each.isEvacuated);
+  const reason = isEvacuated ? "evacuated" : otherwise;
   const { retryAfter = 0 } = refusals.REFUSALS[reason];
-  return {
-    reason,
-    details: { retryAfter, ...(leaving > 0 && { leaving }) },
-  };
+  const announced = isLeaving ? announcementsOf(known, now) : undefined;
+  return { reason, details: { retryAfter, announced } };
+}
+
+/** Announcements in force and rejections of some endpoints, for a log line. */
+function announcementsOf(
+  known: readonly endpoints.Endpoint[],
+  now: number,
+): unknown[] {
+  return known
+    .map(({ identity: { id }, announcements, rejections }) => ({
+      endpoint: id,
+      ...announcements.dump(now),
+      ...rejections.dump(now),
+    }))
+    .filter((each) => Object.keys(each).length > 1)
+    .slice(0, MAX_NAMED_COUNT);
 }
 
 /** Milliseconds until the first of the endpoints accepts calls again by what
