Batchers look up the end of a backoff only when they wait for it

The state of a partition's endpoints was read once more at each update and each reservation; now only if items are queued, or if no endpoint is usable. Release and failure handlers read as statements. Behaviour is the same; the stand-in of a batcher's endpoints lists none during a backoff, as the pool does.

--- a/src/batching/batch_call.ts
+++ b/src/batching/batch_call.ts
@@ -126,13 +126,11 @@
         },
         data: (part) => void parts.push(part),
         end: () => resolve({ type: "whole", head, body: Buffer.concat(parts) }),
-        fail: ({ reason, outcome }) =>
-          resolve({
-            type: "broken",
-            cause: outcome === "not-run" && !(maySend?.() ?? true)
-              ? "withheld"
-              : causeOf(reason, outcome),
-          }),
+        fail: ({ reason, outcome }) => {
+          const isWithheld = outcome === "not-run" && maySend?.() === false;
+          const cause = isWithheld ? "withheld" : causeOf(reason, outcome);
+          resolve({ type: "broken", cause });
+        },
       },
     });
   });
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -118,8 +118,9 @@
     const dueAt = now + slack;
     const reservation = { request, stage, count, dueAt, rank };
     const { wait, ahead, rate } = this.#scheduler.reserve(reservation, now);
+    const minWait = rate === 0 ? this.#options.resumesIn() : 0;
     return {
-      wait: Math.max(wait, this.#options.resumesIn()),
+      wait: Math.max(wait, minWait),
       work: this.#scheduler.callDuration(now),
       workAge: this.#scheduler.callDurationAge(now),
       ahead,
@@ -151,7 +152,7 @@
   /** Applies a change of the endpoints, the configuration or the queue, and
    * makes the calls that are possible now. */
   update(): void {
-    const { clock, workers, traits, isClosed, resumesIn } = this.#options;
+    const { clock, workers, traits, isClosed } = this.#options;
     const now = clock.now();
     if (isClosed()) this.#failQueued();
     this.#scheduler.setTraits(traits());
@@ -162,9 +163,7 @@
     for (const assignment of this.#scheduler.assign(now)) {
       void this.#call(assignment);
     }
-    const wakeAt = this.#scheduler.wakeAt(now);
-    const resumesAt = now + (resumesIn() || Infinity);
-    this.#scheduleUpdate(wakeAt && Math.min(wakeAt, resumesAt));
+    this.#scheduleUpdate(this.#wakeAt(now));
   }
 
   /** Fails all queued items as unreachable, so that their requests submit them
@@ -180,6 +179,13 @@
     return this.#scheduler.dump(this.#options.clock.now());
   }
 
+  /** When to update again, if items are queued. */
+  #wakeAt(now: number): number | undefined {
+    const wakeAt = this.#scheduler.wakeAt(now);
+    if (wakeAt === undefined) return undefined;
+    return Math.min(wakeAt, now + (this.#options.resumesIn() || Infinity));
+  }
+
   #scheduleUpdate(at: number | undefined): void {
     this.#cancelTimer();
     if (at === undefined || at === Infinity) return;
@@ -386,15 +392,12 @@
       clock.after(wait, () => this.release(handles));
       return;
     }
-    const isConfirmed = await batchCalls.release(
-      address,
-      handles,
-      {
-        ...this.#options,
-        onHead: (head) =>
-          endpoint === undefined ? undefined : this.#recordHead(endpoint, head),
+    const isConfirmed = await batchCalls.release(address, handles, {
+      ...this.#options,
+      onHead: (head) => {
+        if (endpoint !== undefined) this.#recordHead(endpoint, head);
       },
-    );
+    });
     if (!isConfirmed) return;
     this.#scheduler.releaseResults(address, handles);
     this.update();
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -42,7 +42,7 @@
     logger: telemetry.noLogger,
     service: "maps",
     traits: () => fixture.batchTraits(),
-    workers: () => state.isClosed ? [] : [worker],
+    workers: () => state.isClosed || left() > 0 ? [] : [worker],
     isClosed: () => state.isClosed,
     acceptsCalls: () => !state.isClosed,
     recordHead() {},
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -139,8 +139,8 @@
     }
   }
 
-  /** Why the service will not accept a call within the objective, by what its
-   * endpoints have announced: no stage is to run in vain. */
+  /** Why the service accepts no call within the objective, by what its endpoints
+   * have announced. Checked before any stage runs for the request. */
   #unavailability(
     service: string,
   ): unavailabilities.Unavailability | undefined {
@@ -366,7 +366,7 @@
     return outcome;
   }
 
-  /** Records what the head of an answer says of its endpoint. */
+  /** Records what the head of an answer shows of its endpoint. */
   #recordHead(
     target: endpoints.Endpoint,
     { head, record, started }: {
--- a/src/gateway/target_choice.ts
+++ b/src/gateway/target_choice.ts
@@ -112,21 +112,16 @@
   ): Promise<Target | undefined> {
     const { placement, quotas, pool, clock } = this.#dependencies;
     const { service, prompt, objective } = this.#options;
+    const tried = [...called, ...avoided, ...quotas.blockedEndpoints];
+    if (prompt === undefined) return this.#pickEndpoint(tried);
     // The owner of a partition does not know what engines announce to this host.
     const closed = pool.announcedClosed(service, clock.now());
-    const tried = [
-      ...called,
-      ...avoided,
-      ...quotas.blockedEndpoints,
-      ...closed,
-    ];
-    if (prompt === undefined) return this.#pickEndpoint(tried);
     const placed = await placement.place({
       service,
       prompt,
       objective,
       planned,
-      tried,
+      tried: [...tried, ...closed],
       isSent: true,
     });
     return placed && { endpoint: placed.engine, placed };
