Heed Retry-After of any 503, also without a word on whether the call ran

The users' page says that an endpoint which turns a request away with 503 may add Retry-After. The backoff was recorded only where the answer also says that the call was not executed.

--- a/src/gateway/announcement_records.ts
+++ b/src/gateway/announcement_records.ts
@@ -7,6 +7,9 @@
 import type * as endpoints from "./endpoint.ts";
 import type * as protocols from "./protocol.ts";
 
+/** Status of an overloaded endpoint, whether it executed the call or not. */
+const SERVICE_UNAVAILABLE = 503;
+
 /** Dependencies, and the request whose answer carries the announcements. */
 export interface RecordOptions {
   readonly clock: runtime.Clock;
@@ -51,7 +54,8 @@
   { status, isNotRun, retryAfter }: protocols.ReplyHead,
   options: RecordOptions,
 ): void {
-  if (retryAfter === undefined || !isNotRun) return;
+  const isOverloaded = isNotRun || status === SERVICE_UNAVAILABLE;
+  if (retryAfter === undefined || !isOverloaded) return;
   if (retryAfter === "unreadable") return recordUnreadable(target, options);
   const { clock, logger, metrics, request } = options;
   const { identity, announcements } = target;
--- a/src/gateway/announcements_test.ts
+++ b/src/gateway/announcements_test.ts
@@ -97,10 +97,12 @@
   t.is(endpoint.coldRate(1100), undefined);
 });
 
-test("an executed call's answer asks for no backoff", (t) => {
+test("an error of an executed call asks for no backoff, but for status 503", (t) => {
   const endpoint = createEndpoint();
   t.deepEqual(record(endpoint, { status: 500, retryAfter: 3000 }), []);
   t.is(endpoint.announcements.backoff(0), 0);
+  t.is(record(endpoint, { status: 503, retryAfter: 3000 }).length, 1);
+  t.is(endpoint.announcements.backoff(0), 3000);
 });
 
 test("the answer of another endpoint announces nothing of the intended one", (t) => {
