--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -182,8 +182,8 @@
   t.is(engine().coldRate(800), 5);
 });
 
-// Guards against endpoints that announce their departure in answers and receive
-// calls all the same, since the roster still lists them as ready.
+// Guards against calls to endpoints whose answers announce their departure while
+// the roster lists them as ready.
 test("an endpoint that announced its departure is not usable", (t) => {
   const pool = gateway.EndpointPool.create();
   const entries = [1, 2].map((number) =>
--- a/src/gateway/rejection_backoff.ts
+++ b/src/gateway/rejection_backoff.ts
@@ -1,9 +1,9 @@
 /** Backoff of a host from an endpoint that rejects its calls.
  *
  * A rejection takes hardly any time, so an endpoint that rejects all calls has
- * no load and would be chosen first. After a rejection it gets no calls for a
- * while, which doubles with each rejected probe; then single probes are sent
- * until one is accepted.
+ * the lowest load. After a rejection other endpoints are preferred for a while,
+ * which doubles with each rejected probe; then single probes are sent until one
+ * is accepted.
  * @module */
 
 /** First and longest backoff, in milliseconds. */
