Batch calls that need no grant are sent without a turn of the event loop

Each call for items waited for a promise even where its endpoint names no limit and asks for no backoff; calls of one turn went out in another order than before.

--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -197,7 +197,8 @@
   async #call(assignment: tasks.Assignment): Promise<void> {
     const { clock, metrics, service, acceptsCalls } = this.#options;
     const { id } = assignment.worker;
-    const wait = await this.#acquire(id);
+    const grant = this.#requestGrant(id);
+    const wait = grant === undefined ? 0 : await grant;
     if (wait > 0) return this.#postpone(assignment, wait);
     if (!acceptsCalls(id)) return this.#postpone(assignment, 0);
     const started = clock.now();
@@ -228,13 +229,13 @@
     this.update();
   }
 
-  /** Acquires the right to send one call to an endpoint; resolves with 0, or
-   * with the milliseconds after which to retry. */
-  async #acquire(endpoint: string): Promise<number> {
+  /** Requests a grant for one call to an endpoint; resolves with 0, or with the
+   * milliseconds after which to retry. Undefined if the call needs no grant. */
+  #requestGrant(endpoint: string): Promise<number> | undefined {
     const { quotas, backoff } = this.#options;
     const left = backoff(endpoint);
-    if (left > 0 || !quotas.isLimited(endpoint)) return left;
-    return await quotas.acquire(endpoint);
+    if (left > 0) return Promise.resolve(left);
+    return quotas.isLimited(endpoint) ? quotas.acquire(endpoint) : undefined;
   }
 
   #recordHead(endpoint: string, head: protocols.ReplyHead): void {
@@ -385,7 +386,8 @@
   ): Promise<void> {
     const { clock, endpointAt } = this.#options;
     const endpoint = endpointAt(address);
-    const wait = endpoint === undefined ? 0 : await this.#acquire(endpoint);
+    const grant = endpoint && this.#requestGrant(endpoint);
+    const wait = grant ? await grant : 0;
     // Results expire by themselves; until the next attempt these are collected
     // with others.
     if (wait > 0) {
