--- a/src/gateway/announcements.ts
+++ b/src/gateway/announcements.ts
@@ -24,8 +24,8 @@
   #leavingSince = -Infinity;
   #leavingUntil = -Infinity;
   #backoffSince = -Infinity;
-  #unreadableLoggedAt = -Infinity;
   #backoffUntil = -Infinity;
+  #unreadableLoggedAt = -Infinity;
 
   static create(): Announcements {
     return new Announcements();
@@ -62,7 +62,7 @@
     return now < this.#leavingUntil;
   }
 
-  /** Whether it has ever announced anything. */
+  /** Whether it has announced neither a departure nor a backoff. */
   get isEmpty(): boolean {
     return this.#leavingUntil === -Infinity &&
       this.#backoffUntil === -Infinity;
