Log lines of ejections, and the host that gave a forecast

Callers of hosts that are partitioned from all endpoints, and some of the hosts beside them, are refused. Health signals that other hosts report could eject sound endpoints, and an ejection has no line; a forecast doesn't name the owner of the partition that gave it.

Change: an ejection is logged and counted (gateway.ejected), with the outcome of the last own call or the host whose report caused it; each forecast in a request's line has its host. No decision changes.

--- a/src/batching/batcher_client.ts
+++ b/src/batching/batcher_client.ts
@@ -38,6 +38,12 @@
   isAvailable(worker: tasks.Worker): boolean;
 }
 
+/** Estimate of a partition's owner. */
+export interface OwnerEstimate extends partitionBatchers.ReservationEstimate {
+  /** The owner; absent if there is none. */
+  readonly host?: string;
+}
+
 /** Client of the batchers of all partitions. */
 export class BatcherClient {
   readonly #options: BatcherClientOptions;
@@ -96,12 +102,17 @@
 
   /** Reserves items; resolves with the estimate of the partition's owner, or
    * with `UNKNOWN_ESTIMATE` if it does not respond in time. */
-  async reserve(
+  async reserve(question: schema.BookQuestion): Promise<OwnerEstimate> {
+    const [host] = this.#candidatesFor(question);
+    return { host, ...await this.#reserveAt(host, question) };
+  }
+
+  async #reserveAt(
+    host: string,
     question: schema.BookQuestion,
   ): Promise<partitionBatchers.ReservationEstimate> {
     const { self, calls, batcher, logger } = this.#options;
     const { service, request } = question;
-    const [host] = this.#candidatesFor(question);
     if (host === self) return batcher.reserve(question);
     try {
       const reply = await calls.ask(host, question, {
--- a/src/batching/batcher_client_test.ts
+++ b/src/batching/batcher_client_test.ts
@@ -78,12 +78,10 @@
   );
   const cell = client.selectPartition("maps", CONSUMER);
   t.is(cell, "town/0.1");
-  t.deepEqual(await client.reserve(bookQuestion("maps", cell)), {
-    type: "booked",
-    wait: 7,
-    work: 3,
-  });
-  t.regex(contacted[0], /^town/);
+  const estimate = await client.reserve(bookQuestion("maps", cell));
+  const [host] = contacted;
+  t.deepEqual(estimate, { type: "booked", host, wait: 7, work: 3 });
+  t.regex(host, /^town/);
 });
 
 test("two partitions of a data centre are owned by two hosts", async (t) => {
@@ -145,9 +143,11 @@
 
 test("no wait is assumed if no host answers a reservation", async (t) => {
   const silent = HOSTS.map((each) => each.host);
-  const { client } = clientOf(fixture.workersAt({ hall: 1 }), silent);
-  t.deepEqual(await client.reserve(bookQuestion("maps", "all")), {
-    wait: 0,
-    work: 0,
-  });
+  const { client, contacted } = clientOf(
+    fixture.workersAt({ hall: 1 }),
+    silent,
+  );
+  const estimate = await client.reserve(bookQuestion("maps", "all"));
+  const [host] = contacted;
+  t.deepEqual(estimate, { host, wait: 0, work: 0 });
 });
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -409,11 +409,19 @@
     } else if (type === "drop") {
       this.#batcher.cancel(notice, notice.request);
     } else if (type === "use") {
-      this.#pool.recordRemoteLoad(from, notice.uses, this.#options.clock.now());
+      this.#recordRemoteLoad(from, notice.uses);
     } else if (type === "limits") {
       this.#quotaClient.mergeLimits(notice.limits);
     } else if (type === "suspects") {
       this.#guard.merge(notice.suspects);
     }
   }
+
+  #recordRemoteLoad(from: string, loads: readonly schema.EngineUse[]): void {
+    const { clock } = this.#options;
+    const ejected = this.#pool.recordRemoteLoad(from, loads, clock.now());
+    for (const endpoint of ejected) {
+      gateway.logEjection(endpoint, { ...this.#options, reportedBy: from });
+    }
+  }
 }
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -296,7 +296,7 @@
     { endpoint: target, placed: placement }: targetChoices.Target,
     inputs: readonly string[] | undefined,
   ): Promise<attempts.Outcome> {
-    const { clock, metrics, loadUpdates } = this.#context;
+    const { clock, logger, metrics, loadUpdates } = this.#context;
     const { id, name, service } = target.identity;
     const started = clock.now();
     const record: CallRecord = { endpoint: id, ms: 0, outcome: "open" };
@@ -355,6 +355,7 @@
       now: clock.now(),
       duration: clock.now() - started,
       metrics,
+      logger,
     });
     // The owner of the partition sees no calls of this host: it has to learn
     // how the calls that it placed end.
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -215,8 +215,9 @@
   }
 
   /** Records the health signal of a call; "full" counts as a success of a
-   * healthy endpoint that is avoided for a while. */
-  recordHealth(signal: HealthSignal, now: number): void {
+   * healthy endpoint that is avoided for a while. Returns whether the signal
+   * ejects the endpoint. */
+  recordHealth(signal: HealthSignal, now: number): boolean {
     if (signal === "full") this.rejections.recordRejection(now);
     const isSuccess = signal !== "bad";
     this.successRate += AVERAGE_WEIGHT *
@@ -225,12 +226,13 @@
       this.#consecutiveFailures = 0;
       this.#ejectionTime = MIN_EJECTION_MS;
       this.#succeededAt = now;
-      return;
+      return false;
     }
     this.#consecutiveFailures++;
-    if (this.#consecutiveFailures < EJECTION_FAILURE_COUNT) return;
+    if (this.#consecutiveFailures < EJECTION_FAILURE_COUNT) return false;
     this.#ejectedUntil = now + this.#ejectionTime;
     this.#ejectionTime = Math.min(MAX_EJECTION_MS, 2 * this.#ejectionTime);
+    return true;
   }
 
   /** Records the duration of an answered call. */
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -95,22 +95,27 @@
   }
 
   /** Records another host's load updates: its load on engines, the prompt parts
-   * that they now have in cache, and the outcomes of its calls. */
+   * that they now have in cache, and the outcomes of its calls. Returns the
+   * engines that these outcomes eject. */
   recordRemoteLoad(
     host: string,
     loads: readonly schema.EngineUse[],
     now: number,
-  ): void {
+  ): endpoint.Endpoint[] {
+    const ejected = new Set<endpoint.Endpoint>();
     for (const load of loads) {
       const engine = this.#byId.get(load.engine);
       engine?.remoteLoad.record(host, load, now);
       load.read.forEach((parts) => engine?.cachedPrefixes?.insert({ parts }));
-      load.verdicts?.forEach((signal) => engine?.recordHealth(signal, now));
+      load.verdicts?.forEach((signal) => {
+        if (engine?.recordHealth(signal, now)) ejected.add(engine);
+      });
       load.firsts?.forEach(({ work, took }) => {
         engine?.recordFirstEvent(work, { took, now });
         engine?.rejections.recordAcceptance(now - took);
       });
     }
+    return [...ejected];
   }
 
   /** The endpoint now at an address. */
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -11,16 +11,19 @@
   /** Milliseconds that the call took. */
   readonly duration: number;
   readonly metrics: telemetry.Metrics;
+  readonly logger: telemetry.Logger;
 }
 
 /** Records the outcome of a call in the state of its endpoint. */
 export function record(
   target: endpoints.Endpoint,
   outcome: attempts.Outcome,
-  { now, duration, metrics }: CallEnd,
+  { now, duration, metrics, logger }: CallEnd,
 ): void {
   const signal = signalOf(outcome);
-  if (signal !== undefined) target.recordHealth(signal, now);
+  if (signal !== undefined && target.recordHealth(signal, now)) {
+    logEjection(target, { metrics, logger, cause: outcomeName(outcome) });
+  }
   if (outcome.type === "failed") {
     const { service } = target.identity;
     metrics.count("gateway.failed", 1, { service, cause: outcome.cause });
@@ -32,6 +35,28 @@
   target.recordDuration(duration);
 }
 
+/** Why an endpoint is ejected. */
+export interface Ejection extends Pick<CallEnd, "metrics" | "logger"> {
+  /** Outcome of the last of this host's failed calls. */
+  readonly cause?: string;
+  /** Host whose failed calls were reported to this one. */
+  readonly reportedBy?: string;
+}
+
+/** Logs and counts that an endpoint is ejected. */
+export function logEjection(
+  { identity }: endpoints.Endpoint,
+  { metrics, logger, cause, reportedBy }: Ejection,
+): void {
+  const { id: endpoint, service } = identity;
+  const by = reportedBy === undefined ? "own" : "reported";
+  metrics.count("gateway.ejected", 1, { service, by });
+  logger.info(
+    { endpoint, service, cause, reportedBy },
+    "Endpoint ejected after consecutive failures",
+  );
+}
+
 /** Health signal of an outcome; undefined if it shows nothing of the
  * endpoint. */
 export function signalOf(
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -13,4 +13,5 @@
 export * from "./retry_budget.ts";
 export * from "./server.ts";
 export * from "./load_updates.ts";
+export { logEjection } from "./health_signal.ts";
 export { announcedReturn } from "./unavailability.ts";
--- a/src/gateway/stage_execution.ts
+++ b/src/gateway/stage_execution.ts
@@ -51,6 +51,8 @@
 /** Terms of one stage's forecast, for the log. */
 export interface StageForecastRecord {
   readonly service: string;
+  /** Host that gave the forecast. */
+  readonly host?: string;
   readonly waitMs: number;
   readonly workMs: number;
   readonly workAgeMs?: number;
@@ -70,10 +72,11 @@
 
 function createRecord(
   service: string,
-  { wait, work, workAge, ahead, rate }: batching.ReservationEstimate,
+  { host, wait, work, workAge, ahead, rate }: batching.OwnerEstimate,
 ): StageForecastRecord {
   return {
     service,
+    host,
     waitMs: Math.round(wait),
     workMs: Math.round(work),
     workAgeMs: workAge && Math.round(workAge),
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -25,6 +25,10 @@
   "gateway.failed": { type: "count", help: "Failed calls, by cause" },
   "gateway.repeated": { type: "count", help: "Calls that repeat one" },
   "gateway.no_budget": { type: "count", help: "Repeats without a budget" },
+  "gateway.ejected": {
+    type: "count",
+    help: "Endpoints ejected after failures, by service and by who saw them",
+  },
   "gateway.leaving": {
     type: "count",
     help: "Endpoints that announced that they are leaving, by service",
