Hosts reach endpoints through other hosts when their own path fails

Cause: a failed connection was taken for a fault of the endpoint, and there was one path to each endpoint. Class: a fault of the path taken for a fault of the destination, one observer's view taken for the fact.

Change (src/relay): a connection to an endpoint is raced over paths before anything is sent, as RFC 8305 does for addresses: directly, then through other hosts of the fleet that are ready, near ones first. The other host connects and forwards bytes (CONNECT on the port between hosts), so deadlines, retries, cancellation, resumption and verification stay where they are. A tunnel leads to known endpoints only and never through a tunnel; hosts that do not know tunnels refuse before anything is sent. That another host reaches an endpoint shows that the path is at fault; two such endpoints without a byte from any other show a partition, and all new connections go through other hosts first. Open connections are not used once a call on one broke, once the path has changed or once all endpoints have been silent for 1 s. Where no path works, calls fail at once; what does not work is probed twice a second.

--- a/src/endpoint_calls/connections.ts
+++ b/src/endpoint_calls/connections.ts
@@ -4,26 +4,56 @@
  * @module */
 
 import * as undici from "undici";
+import type * as runtime from "../runtime/mod.ts";
+
+/** Decides which open connections to an endpoint, given by its address, may be
+ * used for new calls. */
+export interface ReusePolicy {
+  /** Connections may be used while this value is the one at their opening. */
+  epochOf(address: string): string;
+  /** Whether connections opened at `openedAt` may all be dead. */
+  isSilent(address: string, openedAt: number): boolean;
+  /** A call to the endpoint broke or was not answered. */
+  suspect(address: string): void;
+  /** The endpoint at the address has ended. */
+  forget(address: string): void;
+}
+
+/** Dependencies of connection pools. */
+export interface ConnectionsOptions {
+  /** Options of each pool. */
+  readonly pool: undici.Pool.Options;
+  readonly clock: runtime.Clock;
+  readonly reuse: ReusePolicy;
+}
+
+/** Connections to one address. */
+interface AddressPool {
+  readonly pool: undici.Pool;
+  readonly epoch: string;
+  readonly openedAt: number;
+}
 
 /** Connection pools of one host; an undici dispatcher that opens a pool on the
- * first request to an address. */
+ * first request to an address, and another one when the connections of the
+ * first may no longer be used. */
 export class Connections extends undici.Dispatcher {
-  readonly #options: undici.Pool.Options;
-  readonly #pools = new Map<string, undici.Pool>();
+  readonly #options: ConnectionsOptions;
+  readonly #pools = new Map<string, AddressPool>();
 
-  private constructor(options: undici.Pool.Options) {
+  private constructor(options: ConnectionsOptions) {
     super();
     this.#options = options;
   }
 
-  /** Creates a dispatcher without connections; `options` apply to each pool. */
-  static create(options: undici.Pool.Options): Connections {
+  /** Creates a dispatcher without connections. */
+  static create(options: ConnectionsOptions): Connections {
     return new Connections(options);
   }
 
   /** Addresses with a connection pool. */
   get addresses(): string[] {
-    return [...this.#pools.keys()];
+    return [...this.#pools.keys()].map(addressOf);
   }
 
   override dispatch(
@@ -31,41 +61,75 @@
     handler: undici.Dispatcher.DispatchHandler,
   ): boolean {
     const origin = `${options.origin}`;
-    const pool = this.#pools.get(origin) ?? this.#openPool(origin);
+    const pool = this.#usablePool(origin) ?? this.#openPool(origin);
     return pool.dispatch({ ...options, origin }, handler);
   }
 
+  /** Records that a call broke or was not answered: new calls use new
+   * connections. */
+  recordBreak(origin: string): void {
+    this.#options.reuse.suspect(addressOf(origin));
+  }
+
   /** Closes the pool of an address whose endpoint has left; calls in flight are
    * completed. */
   async retire(address: string): Promise<void> {
-    await this.#removePool(address)?.close();
+    this.#options.reuse.forget(address);
+    await this.#removePool(originOf(address))?.close();
   }
 
   /** Destroys the pool of an address whose endpoint has restarted; calls in
    * flight fail. */
   async abort(address: string): Promise<void> {
+    this.#options.reuse.forget(address);
     const error = new undici.errors.SocketError(
       "endpoint restarted; its former connections are closed",
     );
-    await this.#removePool(address)?.destroy(error);
+    await this.#removePool(originOf(address))?.destroy(error);
   }
 
   override async destroy(): Promise<void> {
     const pools = [...this.#pools.values()];
     this.#pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
+  }
+
+  /** The pool of an address if its connections may be used; otherwise it is
+   * closed once its calls in flight are completed. */
+  #usablePool(origin: string): undici.Pool | undefined {
+    const known = this.#pools.get(origin);
+    if (known === undefined) return undefined;
+    const { reuse } = this.#options;
+    const address = addressOf(origin);
+    const { pool, epoch, openedAt } = known;
+    const isUsable = epoch === reuse.epochOf(address) &&
+      !reuse.isSilent(address, openedAt);
+    if (isUsable) return pool;
+    void this.#removePool(origin)?.close();
+    return undefined;
   }
 
   #openPool(origin: string): undici.Pool {
-    const pool = new undici.Pool(origin, this.#options);
-    this.#pools.set(origin, pool);
+    const { pool: options, clock, reuse } = this.#options;
+    const pool = new undici.Pool(origin, options);
+    const epoch = reuse.epochOf(addressOf(origin));
+    this.#pools.set(origin, { pool, epoch, openedAt: clock.now() });
     return pool;
   }
 
-  #removePool(address: string): undici.Pool | undefined {
-    const origin = `http://${address}`;
-    const pool = this.#pools.get(origin);
+  #removePool(origin: string): undici.Pool | undefined {
+    const known = this.#pools.get(origin);
     this.#pools.delete(origin);
-    return pool;
+    return known?.pool;
   }
 }
+
+const SCHEME = "http://";
+
+function originOf(address: string): string {
+  return SCHEME + address;
+}
+
+function addressOf(origin: string): string {
+  return origin.slice(SCHEME.length);
+}
--- a/src/endpoint_calls/connections_test.ts
+++ b/src/endpoint_calls/connections_test.ts
@@ -4,6 +4,7 @@
 import type * as net from "node:net";
 import test, { type ExecutionContext } from "ava";
 import type * as undici from "undici";
+import * as runtime from "../runtime/mod.ts";
 import * as connections from "./connections.ts";
 
 /** Starts a server that never answers `/slow`, and answers any other request
@@ -42,8 +43,21 @@
   return text;
 }
 
-function createConnections(t: ExecutionContext) {
-  const pools = connections.Connections.create({ pipelining: 1 });
+function createConnections(
+  t: ExecutionContext,
+  policy: Partial<connections.ReusePolicy> = {},
+) {
+  const pools = connections.Connections.create({
+    pool: { pipelining: 1 },
+    clock: runtime.systemClock,
+    reuse: {
+      epochOf: () => "",
+      isSilent: () => false,
+      suspect() {},
+      forget() {},
+      ...policy,
+    },
+  });
   t.teardown(() => pools.destroy());
   return pools;
 }
@@ -80,3 +94,49 @@
   await pools.retire(address);
   t.is(await pendingAnswer, "1");
 });
+
+test("an open connection is not used once its epoch has ended", async (t) => {
+  const address = await serve(t);
+  let epoch = "1";
+  const pools = createConnections(t, { epochOf: () => epoch });
+  t.is(await send(pools, address), "1");
+  epoch = "2";
+  t.is(await send(pools, address), "2");
+  t.is(await send(pools, address), "2");
+});
+
+test("an open connection is not used once it may be dead", async (t) => {
+  const address = await serve(t);
+  let isSilent = false;
+  const pools = createConnections(t, { isSilent: () => isSilent });
+  t.is(await send(pools, address), "1");
+  isSilent = true;
+  t.is(await send(pools, address), "2");
+});
+
+test("a call in flight is completed when its epoch ends", async (t) => {
+  const address = await serve(t);
+  let epoch = "1";
+  const pools = createConnections(t, { epochOf: () => epoch });
+  const first = send(pools, address);
+  epoch = "2";
+  t.is(await send(pools, address), "2");
+  t.is(await first, "1");
+});
+
+test("a broken call makes its address suspect, and an endpoint's end forgets it", async (t) => {
+  const address = await serve(t);
+  const recorded: string[] = [];
+  const pools = createConnections(t, {
+    suspect: (each) => recorded.push(`suspect ${each}`),
+    forget: (each) => recorded.push(`forget ${each}`),
+  });
+  pools.recordBreak(`http://${address}`);
+  await pools.retire(address);
+  await pools.abort(address);
+  t.deepEqual(recorded, [
+    `suspect ${address}`,
+    `forget ${address}`,
+    `forget ${address}`,
+  ]);
+});
--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -35,13 +35,18 @@
   return (options, callback) =>
     connect(options, (...results) => {
       const [, socket] = results;
-      // Must run before the listeners of undici and of the socket itself.
-      socket?.prependListener("error", renameReset);
-      socket?.prependListener("end", probeEnd);
+      if (socket) prepare(socket);
       callback(...results as Parameters<typeof callback>);
     });
 }
 
+/** Prepares an open connection before undici uses it. */
+export function prepare(socket: net.Socket): void {
+  // Must run before the listeners of undici and of the socket itself.
+  socket.prependListener("error", renameReset);
+  socket.prependListener("end", probeEnd);
+}
+
 /** Resolves with whether the connection whose `end` event is being handled
  * ended in order; undefined when no such event is being handled. */
 export function currentEndCheck(): Promise<boolean> | undefined {
@@ -52,13 +57,19 @@
   if (error.code === "ECONNRESET") error.code = RESET_CODE;
 }
 
-function probeEnd(this: net.Socket): void {
-  const check = new Promise<boolean>((resolve) => {
-    this.write(
+/** Resolves with whether a connection whose `end` event is being handled ended
+ * in order. */
+export function endsInOrder(socket: net.Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.write(
       PROBE,
       (error) => resolve(error === null || error === undefined),
     );
   });
+}
+
+function probeEnd(this: net.Socket): void {
+  const check = endsInOrder(this);
   currentCheck = check;
   // All listeners of this event run before the next microtask.
   queueMicrotask(() => {
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -36,9 +36,15 @@
   body?: string | Uint8Array;
 }
 
+/** A dispatcher that may choose its connections by how calls end. */
+export type Dispatcher = undici.Dispatcher & {
+  /** A call that was sent to an origin broke or was not answered. */
+  recordBreak?(origin: string): void;
+};
+
 /** Limits and dependencies of an exchange. */
 export interface Options {
-  dispatcher: undici.Dispatcher;
+  dispatcher: Dispatcher;
   clock: runtime.Clock;
   /** Base URL of the endpoint. */
   url: string;
@@ -57,6 +63,13 @@
 /** Origin and path of a base URL without a final slash. */
 const URL_PARTS = /^(https?:\/\/[^/?#]+)([^?#]*)$/;
 
+/** Failures that may be the fault of the connection. */
+const PATH_REASONS: ReadonlySet<request.FailureReason> = new Set([
+  "silent",
+  "connection",
+  "broken-stream",
+]);
+
 /** One HTTP request and its answer. */
 export class Exchange implements undici.Dispatcher.DispatchHandler {
   readonly #options: Options;
@@ -109,6 +122,7 @@
   break(reason: request.FailureReason): void {
     if (this.#isDone) return;
     const outcome = this.#isStarted ? "unknown" : "not-run";
+    if (this.#isStarted && PATH_REASONS.has(reason)) this.#recordBreak();
     this.#finish();
     this.#abort(`call failed: ${reason}`);
     this.#options.receiver.fail({ reason, outcome });
@@ -208,6 +222,12 @@
     this.#cancelTimer = clock.after(next - now, () => this.#checkTimeouts());
   }
 
+  #recordBreak(): void {
+    const { dispatcher, url } = this.#options;
+    const [, origin] = URL_PARTS.exec(url)!;
+    dispatcher.recordBreak?.(origin);
+  }
+
   #finish(): void {
     this.#isDone = true;
     this.#cancelTimer();
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -5,11 +5,11 @@
 import * as evacuations from "../control/versions/evacuations.ts";
 import * as configurations from "../configuration/mod.ts";
 import * as connections from "../endpoint_calls/connections.ts";
-import * as connector from "../endpoint_calls/connector.ts";
 import * as gateway from "../gateway/mod.ts";
 import * as batching from "../batching/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as rateLimits from "../rate_limits/mod.ts";
+import * as relay from "../relay/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as hostContext from "./host_context.ts";
 import * as errors from "./errors.ts";
@@ -28,9 +28,6 @@
  * sending clients after two failed readiness checks, which are one second
  * apart. */
 const DRAIN_DELAY_MS = 2600;
-/** TCP resends a lost SYN after one second; by then it is better to try another
- * endpoint. */
-const CONNECT_TIMEOUT_MS = 700;
 /** How long an idle connection is kept when its endpoint announces no
  * keep-alive timeout, and how long before an announced timeout it is closed. */
 const KEEP_ALIVE_MS = 2000;
@@ -63,6 +60,8 @@
   readonly #placement: gateway.Placement;
   readonly #guard: quarantine.Guard;
   readonly #quotaClient: rateLimits.QuotaClient;
+  readonly #paths: relay.EndpointPaths;
+  readonly #tunnelServer: relay.TunnelServer;
   readonly #connections: connections.Connections;
   readonly #retryBudgets = new Map<string, gateway.RetryBudget>();
   #catalogue?: configurations.Catalogue;
@@ -84,11 +83,26 @@
     const { settings, clock, logger } = options;
     const { host: self, dataCentre, seeds } = settings;
     this.#options = options;
+    this.#paths = relay.EndpointPaths.create({
+      ...options,
+      dataCentre,
+      hosts: () => this.#readyHosts.filter(({ host }) => host !== self),
+      dialAddress: (host) => this.#network.transport.dialAddress(host),
+    });
+    this.#tunnelServer = relay.TunnelServer.create({
+      ...options,
+      mayConnect: (endpoint) =>
+        this.#pool.at(endpoint) !== undefined && this.#paths.isDirect(endpoint),
+    });
     this.#connections = connections.Connections.create({
-      pipelining: 1,
-      connect: connector.create({ timeout: CONNECT_TIMEOUT_MS }),
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      pool: {
+        pipelining: 1,
+        connect: this.#paths.connect,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      },
+      clock,
+      reuse: this.#paths,
     });
     this.#network = hostContext.createNetwork(options, {
       handlers: {
@@ -98,6 +112,7 @@
           Promise.resolve(this.#placement.answerQuery(question, from)),
       },
       onNotice: (notice, from) => this.#handleNotice(notice, from),
+      onTunnel: (request) => this.#tunnelServer.accept(request),
     });
     this.#syncClient = syncClient.SyncClient.create({
       ...options,
@@ -182,18 +197,21 @@
     const started = clock.now();
     this.#isDraining = true;
     this.#server.drain();
+    this.#tunnelServer.drain();
     logger.info({ inFlight: this.#server.inFlight }, "Host draining");
     await new Promise<void>((resolve) =>
       void clock.after(DRAIN_DELAY_MS, () => resolve())
     );
     this.#isStopping = true;
-    const remaining = bounds.shutdownGrace - CLOSE_RESERVE_MS -
-      (clock.now() - started);
-    await this.#server.finish(remaining);
+    const remaining = () =>
+      bounds.shutdownGrace - CLOSE_RESERVE_MS - (clock.now() - started);
+    await this.#server.finish(remaining());
     await this.#server.stop();
+    await this.#tunnelServer.finish(remaining());
     this.#syncClient.stop();
     this.#network.calls.stop();
     await this.#network.transport.stop();
+    this.#paths.close();
     await this.#connections.destroy();
     logger.info({ tookMs: Math.round(clock.now() - started) }, "Host stopped");
   }
@@ -206,6 +224,7 @@
       inFlight: this.#server.inFlight,
       follower: this.#syncClient.dump(),
       pool: this.#pool.dump(now),
+      paths: this.#paths.dump(),
       suspects: this.#guard.dump(),
       limits: this.#quotaClient.dump(),
       batcher: this.#batcher.dump(),
@@ -299,6 +318,7 @@
     );
     this.#applyEvacuations();
     ended.forEach((endpoint) => void this.#closeConnections(endpoint));
+    this.#paths.update();
     this.#batcher.update();
     this.#options.metrics.gauge("config.proof_age", this.#syncClient.proofAge);
   }
--- a/src/fleet/host_context.ts
+++ b/src/fleet/host_context.ts
@@ -30,12 +30,14 @@
   handlers: peers.Handlers;
   onNotice(notice: schema.Notice, from: string): void;
   onLog?(envelope: runtime.Envelope): void;
+  /** Serves a tunnel; absent on hosts that serve none. */
+  onTunnel?(request: peers.TunnelRequest): void;
 }
 
 /** Creates the transport and the RPC layer; neither listens yet. */
 export function createNetwork(
   { settings: { host, peerPort }, clock, logger, metrics }: HostContext,
-  { handlers, onNotice, onLog }: MessageHandlers,
+  { handlers, onNotice, onLog, onTunnel }: MessageHandlers,
 ): Network {
   const transport = peers.Peers.create({
     self: host,
@@ -51,6 +53,7 @@
     clock,
     logger,
     metrics,
+    onTunnel,
     onEnvelope(envelope) {
       if (envelope.channel === "log") return onLog?.(envelope);
       calls.receive(envelope.from, envelope.body as schema.FleetMessage);
--- a/src/peers/listener.ts
+++ b/src/peers/listener.ts
@@ -1,8 +1,9 @@
 /** Accepts connections from the other hosts of the fleet and refuses others.
  * @module */
 
-import type * as http from "node:http";
+import * as http from "node:http";
 import type * as net from "node:net";
+import type * as stream from "node:stream";
 import * as ws from "ws";
 import type * as schema from "../schema/peers_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
@@ -28,6 +29,17 @@
   admit(headers: handshake.Headers): string | undefined;
   /** Processes a batch of messages from a host. */
   receive(host: string, batch: schema.Batch): void;
+  /** Serves a tunnel; absent on hosts that serve none. */
+  onTunnel?(request: TunnelRequest): void;
+}
+
+/** A host's request to be connected to an address through this host. */
+export interface TunnelRequest {
+  /** The host that asks, authenticated. */
+  readonly from: string;
+  /** IP address and port to connect to. */
+  readonly endpoint: string;
+  readonly socket: stream.Duplex;
 }
 
 /** A listening server. */
@@ -39,23 +51,32 @@
 /** Starts listening; resolves once connections are accepted. */
 export async function listen(options: ListenerOptions): Promise<Listener> {
   const { address, port, admit } = options;
-  const server = new ws.WebSocketServer({
-    host: address,
-    port,
+  const server = http.createServer((_request, response) => {
+    response.writeHead(426, { connection: "close" }).end();
+  });
+  const sockets = new ws.WebSocketServer({
+    server,
     maxPayload: MAX_FRAME_BYTES,
     perMessageDeflate: false,
     verifyClient: ({ req }: Upgrade) => admit(req.headers) !== undefined,
   });
+  const tunnels = new Set<stream.Duplex>();
+  server.on("connect", (request, socket) => {
+    tunnels.add(socket);
+    socket.once("close", () => tunnels.delete(socket));
+    handleConnect({ request, socket }, options);
+  });
   await new Promise<void>((resolve, reject) => {
-    server.once("listening", resolve);
-    server.once("error", (cause) => {
+    sockets.once("listening", resolve);
+    sockets.once("error", (cause) => {
       const message = `Cannot listen on ${address}:${port}`;
       reject(new errors.PeerError(message, { cause }));
     });
+    server.listen(port, address);
   });
   const lastFrameAt = new Map<ws.WebSocket, number>();
-  server.on("error", (err) => options.logger.warn({ err }, "Listener failed"));
-  server.on("connection", (socket, request) => {
+  sockets.on("error", (err) => options.logger.warn({ err }, "Listener failed"));
+  sockets.on("connection", (socket, request) => {
     receiveFrames(socket, {
       ...options,
       host: hostOf(request),
@@ -67,12 +88,35 @@
     port: (server.address() as net.AddressInfo).port,
     close() {
       clearInterval(sweep);
-      for (const socket of server.clients) socket.terminate();
-      return new Promise((resolve) => server.close(() => resolve()));
+      for (const socket of sockets.clients) socket.terminate();
+      sockets.close();
+      for (const socket of tunnels) socket.destroy();
+      return new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      });
     },
   };
 }
 
+/** Passes on a request for a tunnel of a host of the fleet. */
+function handleConnect(
+  { request, socket }: {
+    request: http.IncomingMessage;
+    socket: stream.Duplex;
+  },
+  { admit, onTunnel, logger }: ListenerOptions,
+): void {
+  const from = admit(request.headers);
+  const endpoint = request.url ?? "";
+  if (from !== undefined && onTunnel !== undefined) {
+    return onTunnel({ from, endpoint, socket });
+  }
+  logger.info({ from, endpoint }, "Request for a tunnel refused");
+  socket.on("error", (err) => logger.debug({ err }, "Connection failed"));
+  socket.end("HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\n\r\n");
+}
+
 interface Upgrade {
   req: { headers: handshake.Headers };
 }
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -5,4 +5,4 @@
 export { PeerError } from "./errors.ts";
 export * from "./unresponsive_hosts.ts";
 export * from "./peers.ts";
-export * from "./unresponsive_hosts.ts";
+export type { TunnelRequest } from "./listener.ts";
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -49,6 +49,15 @@
   metrics?: telemetry.Metrics;
   logger?: telemetry.Logger;
   onEnvelope(envelope: runtime.Envelope): void;
+  /** Serves a tunnel to another host; absent on hosts that serve none. */
+  onTunnel?(request: listener.TunnelRequest): void;
+}
+
+/** Where and with which headers another host is dialled. */
+export interface DialAddress {
+  readonly address: string;
+  readonly port: number;
+  readonly headers: Readonly<Record<string, string>>;
 }
 
 /** Transport over WebSocket connections. */
@@ -83,7 +92,7 @@
 
   /** Starts listening; resolves once other hosts can connect. */
   async start(): Promise<void> {
-    const { self, listenAddress } = this.#options;
+    const { self, listenAddress, onTunnel } = this.#options;
     const own = this.#hosts.get(self);
     if (own === undefined) {
       throw new errors.PeerError(`Host ${self} is not in the list of hosts`);
@@ -94,6 +103,7 @@
       logger: this.#logger,
       admit: (headers) => this.#admit(headers),
       receive: (host, batch) => this.#receive(host, batch),
+      onTunnel,
     });
     this.#sweptAt = this.#options.clock.now();
     this.#sweep();
@@ -120,6 +130,15 @@
     link.send({ channel, body });
   }
 
+  /** How to dial another host; undefined if it is unknown. */
+  dialAddress(id: string): DialAddress | undefined {
+    const host = this.#hosts.get(id);
+    if (host === undefined) return undefined;
+    const { self, key } = this.#options;
+    const headers = handshake.headersFor({ from: self, to: id }, key);
+    return { address: host.address, port: host.port, headers };
+  }
+
   /** Replaces the connection to a host, which may be dead. */
   redial(host: string): void {
     this.#links.get(host)?.reconnect("redial");
--- /dev/null
+++ b/src/relay/mod.ts
@@ -0,0 +1,6 @@
+/** Paths to endpoints that lead through other hosts: a host that is partitioned
+ * from endpoints tunnels its calls through one that reaches them.
+ * @module */
+
+export * from "./endpoint_paths.ts";
+export * from "./tunnel_server.ts";
--- /dev/null
+++ b/src/relay/tunnel_client.ts
@@ -0,0 +1,60 @@
+/** Opens tunnels: connections to endpoints that another host of the fleet makes
+ * and forwards byte by byte (`CONNECT`, RFC 9110, 9.3.6). Nothing of a call is
+ * sent before the other host has confirmed its connection to the endpoint.
+ * @module */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import type * as peers from "../peers/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as race from "./connection_race.ts";
+import * as errors from "./errors.ts";
+
+/** Opens a tunnel through a host to an endpoint, given as IP address and port;
+ * the returned function gives it up. */
+export function open(
+  { address, port, headers }: peers.DialAddress,
+  endpoint: string,
+  callback: race.AttemptCallback,
+): runtime.Cancel {
+  let isDone = false;
+  const finish: race.AttemptCallback = (error, socket) => {
+    if (isDone) return;
+    isDone = true;
+    callback(error, socket);
+  };
+  const request = http.request({
+    host: address,
+    port,
+    method: "CONNECT",
+    path: endpoint,
+    headers: { ...headers, host: endpoint },
+    agent: false,
+  });
+  request.on("connect", (response, stream, head) => {
+    const socket = stream as net.Socket;
+    if (response.statusCode !== 200) {
+      socket.destroy();
+      const reason = `${response.statusCode} ${response.statusMessage}`;
+      return finish(new errors.RelayError(`tunnel refused: ${reason}`));
+    }
+    if (isDone) return void socket.destroy();
+    socket.setNoDelay(true);
+    if (head.length > 0) socket.unshift(head);
+    finish(undefined, socket);
+  });
+  // A host that does not know tunnels answers with a status or ends the
+  // connection.
+  request.on("response", (response) => {
+    request.destroy();
+    finish(new errors.RelayError(`no tunnels: status ${response.statusCode}`));
+  });
+  request.on("error", (cause) => {
+    finish(new errors.RelayError(cause.message, { cause }));
+  });
+  request.end();
+  return () => {
+    isDone = true;
+    request.destroy();
+  };
+}
--- /dev/null
+++ b/src/relay/tunnel_server.ts
@@ -0,0 +1,174 @@
+/** Serves tunnels to other hosts of the fleet: connects to an endpoint and
+ * forwards bytes in both directions. A tunnel never leads through another
+ * tunnel.
+ *
+ * How the endpoint's connection ends is passed on: an end as an end, a reset as
+ * a reset, since the end of an answer without a length is only told by it.
+ * @module */
+
+import * as net from "node:net";
+import * as connector from "../endpoint_calls/connector.ts";
+import type * as peers from "../peers/mod.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+
+/** Most tunnels at a time. Each takes two descriptors and some buffers, which
+ * this host's own callers need. */
+const MAX_TUNNELS = 256;
+/** Time in which an endpoint accepts a connection: less than the other host
+ * waits for it, so that it is told the reason. */
+const CONNECT_TIMEOUT_MS = 500;
+
+/** Dependencies of a tunnel server. */
+export interface TunnelServerOptions {
+  readonly clock: runtime.Clock;
+  readonly logger: telemetry.Logger;
+  readonly metrics: telemetry.Metrics;
+  /** Whether an endpoint is known to this host and reached directly. */
+  mayConnect(endpoint: string): boolean;
+}
+
+/** Status lines that refuse a tunnel. */
+const REFUSALS = {
+  stopping: "503 Stopping",
+  full: "503 Too Many Tunnels",
+  "no-path": "502 No Direct Path",
+  unreachable: "504 Endpoint Unreachable",
+} as const;
+
+type Refusal = keyof typeof REFUSALS;
+
+/** Tunnels that end at this host. */
+export class TunnelServer {
+  readonly #options: TunnelServerOptions;
+  readonly #tunnels = new Set<net.Socket>();
+  #isStopping = false;
+  #onEmpty = () => {};
+
+  private constructor(options: TunnelServerOptions) {
+    this.#options = options;
+  }
+
+  static create(options: TunnelServerOptions): TunnelServer {
+    return new TunnelServer(options);
+  }
+
+  /** Tunnels that are open or being opened. */
+  get count(): number {
+    return this.#tunnels.size;
+  }
+
+  /** Serves a request for a tunnel, or refuses it. */
+  accept(request: peers.TunnelRequest): void {
+    // The stream that Node's server passes on is the connection's socket.
+    const client = request.socket as net.Socket;
+    client.on("error", () => client.destroy());
+    const refusal = this.#refusalOf(request);
+    if (refusal !== undefined) return this.#refuse(request, refusal);
+    this.#connect(request, client);
+  }
+
+  /** Refuses new tunnels from now on. */
+  drain(): void {
+    this.#isStopping = true;
+  }
+
+  /** Resolves when all tunnels have ended, or after `timeout` milliseconds;
+   * those that are left are reset. */
+  async finish(timeout: number): Promise<void> {
+    this.drain();
+    const { clock, logger } = this.#options;
+    await new Promise<void>((resolve) => {
+      if (this.count === 0) return resolve();
+      const cancel = clock.after(timeout, resolve);
+      this.#onEmpty = () => {
+        cancel();
+        resolve();
+      };
+    });
+    if (this.count > 0) {
+      logger.info({ tunnels: this.count }, "Tunnels reset at the host's stop");
+    }
+    for (const client of this.#tunnels) client.resetAndDestroy();
+  }
+
+  #refusalOf({ endpoint }: peers.TunnelRequest): Refusal | undefined {
+    if (this.#isStopping) return "stopping";
+    if (this.count >= MAX_TUNNELS) return "full";
+    return this.#options.mayConnect(endpoint) ? undefined : "no-path";
+  }
+
+  #refuse(
+    { from, endpoint, socket }: peers.TunnelRequest,
+    reason: Refusal,
+  ): void {
+    const { logger, metrics } = this.#options;
+    metrics.count("relay.served", 1, { result: reason });
+    logger.info({ from, address: endpoint, reason }, "Tunnel refused");
+    socket.end(`HTTP/1.1 ${REFUSALS[reason]}\r\nContent-Length: 0\r\n\r\n`);
+  }
+
+  #connect(request: peers.TunnelRequest, client: net.Socket): void {
+    const { clock, logger, metrics } = this.#options;
+    const { from, endpoint } = request;
+    const [host, port] = endpoint.split(":");
+    this.#add(client);
+    const upstream = net.connect({
+      host,
+      port: Number(port),
+      noDelay: true,
+      allowHalfOpen: true,
+    });
+    const fail = () => {
+      upstream.destroy();
+      if (client.writable) this.#refuse(request, "unreachable");
+    };
+    const cancel = clock.after(CONNECT_TIMEOUT_MS, fail);
+    upstream.once("error", fail);
+    client.once("close", () => {
+      cancel();
+      upstream.destroy();
+    });
+    upstream.once("connect", () => {
+      cancel();
+      upstream.off("error", fail);
+      if (client.destroyed) return void upstream.destroy();
+      metrics.count("relay.served", 1, { result: "open" });
+      logger.info({ from, address: endpoint }, "Tunnel opened");
+      client.write("HTTP/1.1 200 Connected\r\n\r\n");
+      forward(client, upstream);
+    });
+  }
+
+  #add(client: net.Socket): void {
+    const { metrics } = this.#options;
+    this.#tunnels.add(client);
+    metrics.gauge("relay.tunnels", this.count);
+    client.once("close", () => {
+      this.#tunnels.delete(client);
+      metrics.gauge("relay.tunnels", this.count);
+      if (this.count === 0) this.#onEmpty();
+    });
+  }
+}
+
+/** Forwards bytes until either side ends. The pipes pause a side while the other
+ * does not read. */
+function forward(client: net.Socket, upstream: net.Socket): void {
+  client.setNoDelay(true);
+  client.pipe(upstream, { end: false });
+  upstream.pipe(client, { end: false });
+  // The other host has given the call up: the endpoint is to see it.
+  client.once("end", () => client.destroy());
+  client.once("close", () => upstream.destroy());
+  upstream.once("error", () => client.resetAndDestroy());
+  upstream.once("end", () => {
+    client.unpipe(upstream);
+    client.resume();
+    void connector.endsInOrder(upstream).then((isInOrder) => {
+      upstream.destroy();
+      if (isInOrder) client.end();
+      else client.resetAndDestroy();
+    });
+  });
+}
--- /dev/null
+++ b/src/relay/tunnel_test.ts
@@ -0,0 +1,292 @@
+/** Tunnels over loopback, between a host that listens for peers and an endpoint.
+ * @module */
+
+import * as http from "node:http";
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
+import type * as ava from "ava";
+import test from "ava";
+import * as peers from "../peers/mod.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import * as tunnelClient from "./tunnel_client.ts";
+import * as tunnelServers from "./tunnel_server.ts";
+
+const LOOPBACK = "127.0.0.1";
+
+/** Starts an endpoint; resolves with its address and its connections. */
+async function startEndpoint(
+  t: ava.ExecutionContext,
+  serve: (socket: net.Socket) => void,
+) {
+  const sockets: net.Socket[] = [];
+  const server = net.createServer({ allowHalfOpen: true }, (socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    serve(socket);
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  const { port } = server.address() as net.AddressInfo;
+  return { address: `${LOOPBACK}:${port}`, sockets };
+}
+
+/** Starts a host that serves tunnels, and another one that may dial it. */
+async function startRelay(
+  t: ava.ExecutionContext,
+  mayConnect = (_endpoint: string) => true,
+) {
+  const tally = new telemetry.Tally();
+  const server = tunnelServers.TunnelServer.create({
+    clock: runtime.systemClock,
+    logger: telemetry.noLogger,
+    metrics: tally,
+    mayConnect,
+  });
+  const relay = await startPeers(t, "relay", [], {
+    onTunnel: (request) => server.accept(request),
+  });
+  const asker = await startPeers(t, "asker", [relay.port]);
+  return { server, tally, dialAddress: asker.dialAddress("relay")! };
+}
+
+async function startPeers(
+  t: ava.ExecutionContext,
+  self: string,
+  [relayPort = 0]: readonly number[],
+  change: Partial<peers.PeersOptions> = {},
+): Promise<peers.Peers> {
+  const started = peers.Peers.create({
+    self,
+    hosts: ["relay", "asker"].map((id) => ({
+      id,
+      address: LOOPBACK,
+      port: id === self ? 0 : relayPort,
+    })),
+    key: "secret",
+    validators: {},
+    clock: new runtime.FakeClock(),
+    onEnvelope() {},
+    ...change,
+  });
+  await started.start();
+  t.teardown(() => started.stop());
+  return started;
+}
+
+function open(
+  dialAddress: peers.DialAddress,
+  endpoint: string,
+): Promise<net.Socket> {
+  return new Promise((resolve, reject) => {
+    tunnelClient.open(dialAddress, endpoint, (error, socket) => {
+      if (error !== undefined) return reject(error);
+      socket!.on("error", () => {});
+      resolve(socket!);
+    });
+  });
+}
+
+/** Waits until a condition holds; fails after some seconds without. */
+async function until(holds: () => boolean): Promise<void> {
+  for (let count = 0; !holds(); count++) {
+    if (count > 1000) throw new Error("condition does not hold");
+    await timers.setTimeout(5);
+  }
+}
+
+/** How a connection ends. */
+function endOf(socket: net.Socket): Promise<"end" | "reset"> {
+  return new Promise((resolve) => {
+    socket.once("error", () => resolve("reset"));
+    socket.once("end", () => resolve("end"));
+    socket.resume();
+  });
+}
+
+test("a tunnel forwards bytes in both directions", async (t) => {
+  const { address } = await startEndpoint(
+    t,
+    (socket) => socket.on("data", (bytes) => socket.write(`echo ${bytes}`)),
+  );
+  const { dialAddress, server } = await startRelay(t);
+  const tunnel = await open(dialAddress, address);
+  tunnel.write("call");
+  const bytes = await new Promise((resolve) => tunnel.once("data", resolve));
+  t.is(`${bytes}`, "echo call");
+  t.is(server.count, 1);
+  tunnel.destroy();
+  await until(() => server.count === 0);
+  t.pass();
+});
+
+test("an orderly end of the endpoint's connection is passed on as an end", async (t) => {
+  const { address } = await startEndpoint(t, (socket) => {
+    socket.once("data", () => socket.end("answer"));
+  });
+  const { dialAddress } = await startRelay(t);
+  const tunnel = await open(dialAddress, address);
+  const parts: Buffer[] = [];
+  tunnel.on("data", (part) => parts.push(part));
+  const end = endOf(tunnel);
+  tunnel.write("call");
+  t.is(await end, "end");
+  t.is(`${Buffer.concat(parts)}`, "answer");
+});
+
+// Guards against an answer without a length that is taken for complete although
+// the endpoint's connection was reset.
+test("a reset of the endpoint's connection is passed on as a reset", async (t) => {
+  const { address } = await startEndpoint(t, (socket) => {
+    socket.once("data", () => {
+      socket.write("half");
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  });
+  const { dialAddress } = await startRelay(t);
+  for (let round = 0; round < 5; round++) {
+    const tunnel = await open(dialAddress, address);
+    const end = endOf(tunnel);
+    tunnel.write("call");
+    t.is(await end, "reset");
+  }
+});
+
+// Guards against endpoints that go on with calls whose callers have left.
+test("the endpoint's connection closes when the host gives up its call", async (t) => {
+  const { address, sockets } = await startEndpoint(
+    t,
+    (socket) => socket.resume(),
+  );
+  const { dialAddress } = await startRelay(t);
+  const tunnel = await open(dialAddress, address);
+  tunnel.write("call");
+  await timers.setTimeout(20);
+  t.is(sockets.length, 1);
+  tunnel.destroy();
+  await until(() => sockets[0].readableEnded);
+  t.pass();
+});
+
+test("a tunnel that is given up before it opens leaves no connection", async (t) => {
+  const { address, sockets } = await startEndpoint(
+    t,
+    (socket) => socket.resume(),
+  );
+  const { dialAddress, server } = await startRelay(t);
+  const cancel = tunnelClient.open(
+    dialAddress,
+    address,
+    () => t.fail("reported after it was given up"),
+  );
+  cancel();
+  await timers.setTimeout(100);
+  t.is(server.count, 0);
+  t.true(sockets.every(({ readableEnded }) => readableEnded));
+});
+
+// Guards against a relay whose memory fills up with what a slow caller does not
+// read.
+test("a side that does not read pauses the other", async (t) => {
+  let writtenBytes = 0;
+  const { address } = await startEndpoint(t, (socket) => {
+    const part = Buffer.alloc(64 * 1024);
+    const fill = () => {
+      while (socket.write(part)) writtenBytes += part.length;
+      writtenBytes += part.length;
+    };
+    socket.on("drain", fill);
+    socket.once("data", fill);
+  });
+  const { dialAddress } = await startRelay(t);
+  const tunnel = await open(dialAddress, address);
+  tunnel.pause();
+  tunnel.write("call");
+  let before = -1;
+  while (writtenBytes !== before) {
+    before = writtenBytes;
+    await timers.setTimeout(300);
+  }
+  // Buffers of the kernel on three connections, and those of the processes.
+  t.true(before < 64 * 1024 * 1024, `${before}`);
+  tunnel.resume();
+  await timers.setTimeout(100);
+  t.true(writtenBytes > before);
+});
+
+test("a host refuses tunnels to what it does not reach directly", async (t) => {
+  const { dialAddress, tally } = await startRelay(t, () => false);
+  await t.throwsAsync(open(dialAddress, `${LOOPBACK}:1`), {
+    message: /502 No Direct Path/,
+  });
+  t.is(tally.total("relay.served"), 1);
+});
+
+test("a host refuses a tunnel to an endpoint that refuses the connection", async (t) => {
+  const { dialAddress } = await startRelay(t);
+  await t.throwsAsync(open(dialAddress, `${LOOPBACK}:1`), {
+    message: /504 Endpoint Unreachable/,
+  });
+});
+
+test("a draining host refuses new tunnels and lets open ones end", async (t) => {
+  const { address } = await startEndpoint(
+    t,
+    (socket) => socket.on("data", (bytes) => socket.write(bytes)),
+  );
+  const { dialAddress, server } = await startRelay(t);
+  const tunnel = await open(dialAddress, address);
+  const finished = server.finish(5000);
+  await t.throwsAsync(open(dialAddress, address), { message: /503 Stopping/ });
+  tunnel.write("call");
+  const bytes = await new Promise((resolve) => tunnel.once("data", resolve));
+  t.is(`${bytes}`, "call");
+  tunnel.destroy();
+  await finished;
+  t.is(server.count, 0);
+});
+
+test("tunnels that do not end in time are reset", async (t) => {
+  const { address } = await startEndpoint(t, (socket) => socket.resume());
+  const { dialAddress, server } = await startRelay(t);
+  const end = endOf(await open(dialAddress, address));
+  await server.finish(20);
+  t.is(await end, "reset");
+});
+
+test("a host without the fleet's key gets no tunnel", async (t) => {
+  const { address, sockets } = await startEndpoint(
+    t,
+    (socket) => socket.resume(),
+  );
+  const { dialAddress } = await startRelay(t);
+  const headers = { ...dialAddress.headers, "chicoryloft-proof": "forged" };
+  await t.throwsAsync(open({ ...dialAddress, headers }, address), {
+    message: /403/,
+  });
+  t.is(sockets.length, 0);
+});
+
+// Guards against losses while hosts of two releases run beside each other.
+test("a host that does not know tunnels is told apart before anything is sent", async (t) => {
+  const server = http.createServer((_request, response) => {
+    response.writeHead(426).end();
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  const dialAddress = { address: LOOPBACK, port, headers: {} };
+  await t.throwsAsync(open(dialAddress, `${LOOPBACK}:1`), {
+    name: "RelayError",
+  });
+});
+
+test("a host without endpoints to connect to refuses tunnels", async (t) => {
+  const relay = await startPeers(t, "relay", []);
+  const asker = await startPeers(t, "asker", [relay.port]);
+  const dialAddress = asker.dialAddress("relay")!;
+  await t.throwsAsync(open(dialAddress, `${LOOPBACK}:1`), { message: /403/ });
+});
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -43,6 +43,19 @@
   },
   "gateway.stages": { type: "time", help: "Until all pieces were made" },
   "gateway.left": { type: "count", help: "Requests whose callers left" },
+  "relay.connections": {
+    type: "count",
+    help: "Connections to endpoints, by path; none where no path worked",
+  },
+  "relay.detours": {
+    type: "gauge",
+    help: "Endpoints that this host does not reach directly",
+  },
+  "relay.served": {
+    type: "count",
+    help: "Tunnels that other hosts asked for, by result",
+  },
+  "relay.tunnels": { type: "gauge", help: "Tunnels of other hosts" },
   "quota.asked": {
     type: "count",
     help: "Requests to limited endpoints asked for, by grant",
