Pauses of endpoints that no connection reached do not grow

Cause: a batcher's pause after a failed call doubles up to 5 s, also when the call was not sent because no connection opened. Once there is no path, calls fail at once, so four failures take less than the half second between two probes, and the pause outlasts the path. Class: an ejection that outlasts its cause.

Change: a pause of 300 ms after no connection could be opened, without doubling.

--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -330,9 +330,11 @@
     const { clock, metrics, logger, service, backoff } = this.#options;
     const { worker, tasks } = assignment;
     const now = clock.now();
-    const pause = cause === "full"
-      ? Math.max(QUEUE_FULL_PAUSE_MS, backoff(worker.id))
-      : undefined;
+    const pauses: Partial<Record<batchCalls.CallFailure, number>> = {
+      full: Math.max(QUEUE_FULL_PAUSE_MS, backoff(worker.id)),
+      unreachable: UNREACHABLE_PAUSE_MS,
+    };
+    const pause = pauses[cause];
     metrics.count("pieces.failed", tasks.length, { service, failure: cause });
     logger.info(
       { service, endpoint: worker.id, cause, pieces: tasks.length },
@@ -415,6 +417,9 @@
 /** Pause after an endpoint has rejected a call because its queue was full:
  * about the duration of one call. */
 const QUEUE_FULL_PAUSE_MS = 120;
+/** Pause after no connection to an endpoint could be opened. It does not grow:
+ * the endpoint has received nothing, and paths to it are probed more often. */
+const UNREACHABLE_PAUSE_MS = 300;
 
 function tasksOf(
   question: schema.MakeQuestion,
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -33,7 +33,7 @@
   } = {},
 ) {
   const [worker] = batchingFixture.workersAt({ hall: 1 });
-  const state = { isClosed, calls: 0 };
+  const state = { isClosed, calls: 0, isUnreachable: false };
   const clock = new runtime.FakeClock();
   const left = () => Math.max(0, backoff - clock.now());
   const batcher = partitionBatchers.PartitionBatcher.create({
@@ -61,8 +61,12 @@
       holderOf: () => worker.address,
     } as unknown as protocols.GatewayProtocol,
     dispatcher: {
-      dispatch() {
+      dispatch(
+        _options: undici.Dispatcher.DispatchOptions,
+        handler: { onResponseError(): void },
+      ) {
         state.calls++;
+        if (state.isUnreachable) handler.onResponseError();
         return true;
       },
     } as unknown as undici.Dispatcher,
@@ -135,3 +139,27 @@
   }
   t.is(state.calls, 1);
 });
+
+// Guards against endpoints that get no items for seconds after a partition of
+// their batcher's host has ended.
+test("an endpoint that no connection reached gets calls again soon", async (t) => {
+  const { batcher, state, clock } = batcherOf();
+  state.isUnreachable = true;
+  for (let round = 0; round < 3; round++) {
+    const computed = batcher.compute({ ...QUESTION, request: `r${round}` });
+    for (let step = 0; step < 20; step++) {
+      await settle();
+      clock.advance(100);
+    }
+    const results = await computed;
+    t.true(results.every(({ failure }) => failure === "unreachable"));
+  }
+  state.isUnreachable = false;
+  const before = state.calls;
+  void batcher.compute({ ...QUESTION, request: "later" });
+  for (let step = 0; step < 5; step++) {
+    await settle();
+    clock.advance(100);
+  }
+  t.is(state.calls, before + 1);
+});
