Failures that may be the path's say nothing of an endpoint's health

A host that is partitioned reports failures of engines that are sound, and the owner ejects them for all hosts that still reach them. It also ejects them for itself, for up to 8 s where many calls break at once, which outlasts the partition and puts all load on those that had few calls.

Cause: one observer's failures taken for the endpoint's state.

Change: a call that broke or fell silent counts only if this host has heard another endpoint within 1 s on the same kind of path, directly or through other hosts. That no connection opened is reported on the same condition; at the host itself it counts, since it has been tried on all paths. A request's log line names the host that relayed each call.

Test: a host reports a broken call if it hears other endpoints and nothing if it does not. Before: it reported it in both cases.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -84,6 +84,7 @@
     this.#context = {
       ...common,
       pool: this.#pool,
+      paths: { relayOf: () => undefined, hasHeardOthers: () => true },
       batcherClient: maker,
       placement: this.#placement,
       quotas: rateLimitFixture.unlimitedQuotas(),
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -266,6 +266,7 @@
       dispatcher: this.#connections,
       dataCentre: this.#options.settings.dataCentre,
       pool: this.#pool,
+      paths: this.#paths,
       batcherClient: this.#batcherClient,
       placement: this.#placement,
       guard: this.#guard,
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -27,6 +27,8 @@
 
 /** Times that the stages of a request are run again after results are lost. */
 const MAX_STAGE_RERUNS = 1;
+/** Time in which a host that is in touch with endpoints hears one of them. */
+const IN_TOUCH_WINDOW_MS = 1000;
 
 /** Phase of a request: "pieces" while its stages run, "sent" while a call runs
  * whose answer is not relayed yet. */
@@ -37,6 +39,8 @@
   endpoint: string;
   ms: number;
   outcome: string;
+  /** Host through which the endpoint is reached, if not directly. */
+  relay?: string;
   /** Which host chose the engine. */
   placedBy?: placements.PlacementSource;
   /** Milliseconds to the first event of a stream. */
@@ -296,8 +300,8 @@
     { endpoint: target, placed: placement }: targetChoices.Target,
     inputs: readonly string[] | undefined,
   ): Promise<attempts.Outcome> {
-    const { clock, logger, metrics, loadUpdates } = this.#context;
-    const { id, name, service } = target.identity;
+    const { clock, logger, metrics, loadUpdates, paths } = this.#context;
+    const { id, name, service, address } = target.identity;
     const started = clock.now();
     const record: CallRecord = { endpoint: id, ms: 0, outcome: "open" };
     if (placement !== undefined) record.placedBy = placement.source;
@@ -350,17 +354,24 @@
     }
     callLoad.end();
     record.ms = Math.round(clock.now() - started);
+    record.relay = paths.relayOf(address);
     record.outcome = healthSignals.outcomeName(outcome);
+    const isInTouch = paths.hasHeardOthers(
+      address,
+      clock.now() - IN_TOUCH_WINDOW_MS,
+    );
     healthSignals.record(target, outcome, {
       now: clock.now(),
       duration: clock.now() - started,
+      isInTouch,
       metrics,
       logger,
     });
     // The owner of the partition sees no calls of this host: it has to learn
     // how the calls that it placed end.
     if (placement?.source === "owner") {
-      loadUpdates.record(target, { signal: healthSignals.signalOf(outcome) });
+      const signal = healthSignals.reportedSignalOf(outcome, isInTouch);
+      loadUpdates.record(target, { signal });
     }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
     this.#endpointAdmission!.recordOutcome(id, outcome);
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -108,6 +108,7 @@
     dispatcher,
     dataCentre: "town",
     pool,
+    paths: { relayOf: () => undefined, hasHeardOthers: () => true },
     batcherClient: {
       compute: compute,
       reserve: () => Promise.resolve({ wait: 0, work: 0 }),
@@ -301,3 +302,52 @@
   t.is((await ask()).status, 503);
   t.is(count, 1);
 });
+
+/** Health signals that a host reports after calls that an engine breaks off. */
+async function reportedSignals(
+  t: ava.ExecutionContext,
+  hasHeardOthers: boolean,
+): Promise<unknown[]> {
+  const { ask, context, pool } = await startHost(
+    t,
+    { kind: "streaming", objective: 1000, timeout: 3000 },
+    (request) => void request.socket.destroy(),
+  );
+  const signals: unknown[] = [];
+  const [engine] = pool.endpointsOf("desk");
+  const pendingWork = { tokens: 0, streams: 0 };
+  const cacheMiss = { prefillTokens: 0, fetchTokens: 0, fetchTime: 0 };
+  const source = "owner" as const;
+  const placed = { engine, firstEventTime: 0, cacheMiss, pendingWork, source };
+  const prompt = { model: "m", inputTokens: 1, outputTokens: 1, parts: [] };
+  const { decodeRequest } = TEST_PROTOCOL;
+  Object.assign(context, {
+    protocol: {
+      ...TEST_PROTOCOL,
+      decodeRequest(message: http.IncomingMessage) {
+        const decoded = decodeRequest(message);
+        if (decoded.type === "ask") Object.assign(decoded.request, { prompt });
+        return decoded;
+      },
+    },
+    placement: { place: () => Promise.resolve(placed) },
+    loadUpdates: {
+      record: (_: unknown, change: { signal?: unknown } = {}) => {
+        if ("signal" in change) signals.push(change.signal);
+      },
+    },
+    paths: {
+      relayOf: () => undefined,
+      hasHeardOthers: () => hasHeardOthers,
+    },
+  });
+  await ask();
+  return signals;
+}
+
+// Guards against sound engines that hosts in reach of them avoid, because a host
+// that is partitioned from them reports its failures.
+test("broken calls of a host that hears no other endpoint are not reported", async (t) => {
+  t.deepEqual(await reportedSignals(t, true), ["bad"]);
+  t.deepEqual(await reportedSignals(t, false), [undefined]);
+});
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -27,6 +27,16 @@
   hostCount(): number;
 }
 
+/** Paths to endpoints, which are identified by their addresses. */
+export interface PathView {
+  /** Host through which calls to an endpoint go; undefined if they go
+   * directly. */
+  relayOf(address: string): string | undefined;
+  /** Whether other endpoints have sent something since a time on the kind of path
+   * that leads to this one. */
+  hasHeardOthers(address: string, since: number): boolean;
+}
+
 /** Dependencies of requests, provided by their host. */
 export interface Context {
   readonly clock: runtime.Clock;
@@ -37,6 +47,7 @@
   readonly dispatcher: undici.Dispatcher;
   readonly dataCentre: string;
   readonly pool: endpointPools.EndpointPool;
+  readonly paths: PathView;
   readonly batcherClient: Pick<
     batching.BatcherClient,
     "selectPartition" | "compute" | "reserve" | "release" | "cancel"
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -2,7 +2,7 @@
  * @module */
 
 import type * as telemetry from "../telemetry/mod.ts";
-import type * as attempts from "./attempt.ts";
+import * as attempts from "./attempt.ts";
 import type * as endpoints from "./endpoint.ts";
 
 /** The end of a call. */
@@ -10,6 +10,9 @@
   readonly now: number;
   /** Milliseconds that the call took. */
   readonly duration: number;
+  /** Whether this host has recently heard other endpoints, so that a broken call
+   * is not the fault of its own path. */
+  readonly isInTouch: boolean;
   readonly metrics: telemetry.Metrics;
   readonly logger: telemetry.Logger;
 }
@@ -18,9 +21,11 @@
 export function record(
   target: endpoints.Endpoint,
   outcome: attempts.Outcome,
-  { now, duration, metrics, logger }: CallEnd,
+  { now, duration, isInTouch, metrics, logger }: CallEnd,
 ): void {
-  const signal = signalOf(outcome);
+  const signal = isPathFault(outcome, isInTouch)
+    ? undefined
+    : signalOf(outcome);
   if (signal !== undefined && target.recordHealth(signal, now)) {
     logEjection(target, { metrics, logger, cause: outcomeName(outcome) });
   }
@@ -35,6 +40,26 @@
   target.recordDuration(duration);
 }
 
+/** Health signal of an outcome for the hosts that choose the endpoint too;
+ * undefined if it shows nothing of the endpoint, or may show only the state of
+ * this host's path to it. */
+export function reportedSignalOf(
+  outcome: attempts.Outcome,
+  isInTouch: boolean,
+): endpoints.HealthSignal | undefined {
+  const isUnreachable = outcome.type === "failed" &&
+    outcome.cause === "unreachable";
+  if (isUnreachable && !isInTouch) return undefined;
+  return isPathFault(outcome, isInTouch) ? undefined : signalOf(outcome);
+}
+
+/** Whether a call may have failed by a fault of the path. That no connection
+ * could be opened counts as a fault of the endpoint at this host, which then
+ * prefers others. */
+function isPathFault(outcome: attempts.Outcome, isInTouch: boolean): boolean {
+  return !isInTouch && attempts.mayHaveCrashed(outcome);
+}
+
 /** Why an endpoint is ejected. */
 export interface Ejection extends Pick<CallEnd, "metrics" | "logger"> {
   /** Outcome of the last of this host's failed calls. */
--- a/src/relay/endpoint_paths.ts
+++ b/src/relay/endpoint_paths.ts
@@ -122,7 +122,8 @@
     return this.isDirect(endpoint) ? undefined : this.#relays.get(endpoint);
   }
 
-  /** Whether another endpoint has sent something directly since a time. */
+  /** Whether other endpoints have sent something since a time on the kind of path
+   * that leads to this one. */
   hasHeardOthers(endpoint: string, since: number): boolean {
     return this.#table.hasHeardOthers(endpoint, since);
   }
@@ -264,7 +265,7 @@
       if (socket.bytesRead === receivedBytes) return;
       receivedBytes = socket.bytesRead;
       if (relay === undefined) this.#table.recordDirect(endpoint, clock.now());
-      else this.#table.recordRelayed(clock.now());
+      else this.#table.recordRelayed(endpoint, clock.now());
     });
     if (relay === undefined) return;
     this.#tunnels.set(socket, { endpoint, relay });
--- a/src/relay/path_table.ts
+++ b/src/relay/path_table.ts
@@ -24,14 +24,40 @@
   readonly since: number;
 }
 
+/** When endpoints last sent something on one kind of path. */
+class Evidence {
+  readonly #heardAt = new Map<string, number>();
+  lastHeardAt = -Infinity;
+
+  static create(): Evidence {
+    return new Evidence();
+  }
+
+  record(address: string, now: number): void {
+    this.lastHeardAt = now;
+    this.#heardAt.set(address, now);
+  }
+
+  forget(address: string): void {
+    this.#heardAt.delete(address);
+  }
+
+  hasOthers(address: string, since: number): boolean {
+    if (this.lastHeardAt < since) return false;
+    for (const [other, at] of this.#heardAt) {
+      if (other !== address && at >= since) return true;
+    }
+    return false;
+  }
+}
+
 /** Paths to endpoints by address. Changed in place; addresses without a record
  * are reached directly. */
 export class PathTable {
   readonly #detours = new Map<string, Detour>();
-  readonly #heardAt = new Map<string, number>();
   readonly #suspicions = new Map<string, number>();
-  #lastHeardAt = -Infinity;
-  #relayHeardAt = -Infinity;
+  readonly #direct = Evidence.create();
+  readonly #relayed = Evidence.create();
 
   /** Creates a table in which all endpoints are reached directly. */
   static create(): PathTable {
@@ -49,7 +75,7 @@
   get isPartitioned(): boolean {
     if (this.#detours.size < MIN_RELAYED_COUNT) return false;
     const proofs = [...this.#detours.values()].filter(({ path, since }) =>
-      path === "relayed" && since > this.#lastHeardAt
+      path === "relayed" && since > this.#direct.lastHeardAt
     );
     return proofs.length >= MIN_RELAYED_COUNT;
   }
@@ -62,20 +88,19 @@
   /** Records that bytes, or the acceptance of a connection, came directly from
    * an endpoint. */
   recordDirect(address: string, now: number): void {
-    this.#lastHeardAt = now;
-    this.#heardAt.set(address, now);
+    this.#direct.record(address, now);
   }
 
-  /** Records that bytes came through another host. */
-  recordRelayed(now: number): void {
-    this.#relayHeardAt = now;
+  /** Records that bytes came from an endpoint through another host. */
+  recordRelayed(address: string, now: number): void {
+    this.#relayed.record(address, now);
   }
 
   /** Records the path of a new connection to an endpoint, or that none leads to
    * it. Returns whether the path has changed. */
   recordConnection(address: string, path: Path, now: number): boolean {
     if (path === "direct") return this.#recordDirectConnection(address, now);
-    if (path === "relayed") this.recordRelayed(now);
+    if (path === "relayed") this.recordRelayed(address, now);
     const isChanged = this.#detours.get(address)?.path !== path;
     if (isChanged) this.#detours.set(address, { path, since: now });
     return isChanged;
@@ -90,7 +115,8 @@
   /** Removes what is known of an address whose endpoint has ended. */
   forget(address: string): void {
     this.#detours.delete(address);
-    this.#heardAt.delete(address);
+    this.#direct.forget(address);
+    this.#relayed.forget(address);
     this.#suspicions.delete(address);
   }
 
@@ -103,19 +129,19 @@
   /** Whether connections opened at `openedAt` may all be dead, since no endpoint
    * has sent anything on its path for some time. */
   isSilent(address: string, openedAt: number, now: number): boolean {
-    const heardAt = this.pathTo(address) === "direct"
-      ? this.#lastHeardAt
-      : this.#relayHeardAt;
-    return now - Math.max(openedAt, heardAt) > SILENCE_MS;
+    const { lastHeardAt } = this.#evidenceOf(address);
+    return now - Math.max(openedAt, lastHeardAt) > SILENCE_MS;
   }
 
-  /** Whether an endpoint other than the one at `address` has sent something
-   * directly since a time, so that this host is not cut off from all. */
+  /** Whether endpoints other than the one at `address` have sent something
+   * since a time on the kind of path that leads to it: then a fault of the path
+   * is unlikely. */
   hasHeardOthers(address: string, since: number): boolean {
-    for (const [other, at] of this.#heardAt) {
-      if (other !== address && at >= since) return true;
-    }
-    return false;
+    return this.#evidenceOf(address).hasOthers(address, since);
+  }
+
+  #evidenceOf(address: string): Evidence {
+    return this.pathTo(address) === "direct" ? this.#direct : this.#relayed;
   }
 
   /** A direct connection ends a partition of the host: the paths to the other
--- a/src/relay/path_table_test.ts
+++ b/src/relay/path_table_test.ts
@@ -99,11 +99,11 @@
   table.recordConnection(B, "relayed", 1201);
   t.false(table.isSilent(B, 0, 2201));
   t.true(table.isSilent(B, 0, 2202));
-  table.recordRelayed(2100);
+  table.recordRelayed(A, 2100);
   t.false(table.isSilent(B, 0, 3100));
 });
 
-test("what others have sent shows that this host is not cut off", (t) => {
+test("what others have sent on the same kind of path shows that it works", (t) => {
   const table = pathTables.PathTable.create();
   table.recordDirect(A, 100);
   t.true(table.hasHeardOthers(B, 100));
@@ -111,4 +111,9 @@
   t.false(table.hasHeardOthers(A, 0));
   table.forget(A);
   t.false(table.hasHeardOthers(B, 0));
+
+  table.recordConnection(A, "relayed", 200);
+  table.recordConnection(B, "relayed", 201);
+  t.true(table.hasHeardOthers(A, 201));
+  t.false(table.hasHeardOthers(A, 202));
 });
