--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -87,12 +87,15 @@
       ...options,
       dataCentre,
       hosts: () => this.#readyHosts.filter(({ host }) => host !== self),
-      dialAddress: (host) => this.#network.transport.dialAddress(host),
+      dialer: relay.dialers.create((host) =>
+        this.#network.transport.dialAddress(host)
+      ),
     });
     this.#tunnelServer = relay.TunnelServer.create({
       ...options,
       mayConnect: (endpoint) =>
         this.#pool.at(endpoint) !== undefined && this.#paths.isDirect(endpoint),
+      onFailure: (endpoint) => this.#paths.check(endpoint),
     });
     this.#connections = connections.Connections.create({
       pool: {
--- a/src/relay/connection_race.ts
+++ b/src/relay/connection_race.ts
@@ -30,8 +30,9 @@
   readonly candidates: readonly Candidate[];
   /** Milliseconds after which no path counts as working. */
   readonly timeout: number;
-  /** A path has failed, or was slower than another. */
-  onFailure?(candidate: Candidate, error: Error): void;
+  /** A path has failed, or was slower than another. Returns whether no further
+   * path is worth trying. */
+  onFailure?(candidate: Candidate, error: Error): boolean;
 }
 
 /** The connection of the path that won. */
@@ -102,7 +103,8 @@
     if (socket !== undefined) return this.#win({ candidate, socket });
     const failure = error ?? new errors.RelayError("no connection");
     this.#failures.push(`${candidate.name}: ${failure.message}`);
-    this.#options.onFailure?.(candidate, failure);
+    const isHopeless = this.#options.onFailure?.(candidate, failure) ?? false;
+    if (isHopeless) return this.#lose("endpoint unreachable");
     this.#tryNext();
   }
 
--- a/src/relay/connection_race_test.ts
+++ b/src/relay/connection_race_test.ts
@@ -31,7 +31,10 @@
     clock,
     timeout,
     candidates: all.candidates,
-    onFailure: ({ name }) => void failed.push(name),
+    onFailure: ({ name }, { message }) => {
+      failed.push(name);
+      return message === "hopeless";
+    },
   });
   // The test may look at the result only later.
   result.catch(() => {});
@@ -83,6 +86,13 @@
   t.regex(error.message, /path 0: refused; path 1: unreachable/);
 });
 
+test("a race fails as soon as no further path is worth trying", async (t) => {
+  const { opened, callbacks, result } = start([250, 150]);
+  callbacks.get("path 0")!(new Error("hopeless"));
+  await t.throwsAsync(result, { message: /path 0: hopeless/ });
+  t.deepEqual(opened, ["path 0"]);
+});
+
 test("a race fails at its timeout and gives up what is pending", async (t) => {
   const { clock, opened, cancelled, result } = start([250, 150, 700], 500);
   clock.advance(500);
--- a/src/relay/endpoint_paths.ts
+++ b/src/relay/endpoint_paths.ts
@@ -6,19 +6,17 @@
  * Paths are raced before anything is sent, so choosing one is no retry.
  * @module */
 
-import * as net from "node:net";
+import type * as net from "node:net";
 import type * as undici from "undici";
 import * as connector from "../endpoint_calls/connector.ts";
 import type * as connections from "../endpoint_calls/connections.ts";
-import type * as peers from "../peers/mod.ts";
-import * as unresponsiveHosts from "../peers/unresponsive_hosts.ts";
 import type * as runtime from "../runtime/mod.ts";
-import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as race from "./connection_race.ts";
+import type * as dialers from "./dialer.ts";
 import * as errors from "./errors.ts";
 import * as pathTables from "./path_table.ts";
-import * as tunnelClient from "./tunnel_client.ts";
+import * as relayRankings from "./relay_ranking.ts";
 
 /** Time in which a connection opens on some path; TCP sends a lost SYN again
  * after one second. */
@@ -28,16 +26,15 @@
 const DIRECT_PATIENCE_MS = 250;
 /** Time that one host is given before the next is asked. */
 const RELAY_PATIENCE_MS = 150;
-/** Hosts asked for one connection. */
-const MAX_RELAYS = 4;
+/** Hosts asked for one connection; most of a data centre's may be partitioned. */
+const MAX_RELAYS = 8;
+/** Hosts that have not reached an endpoint either after which it counts as down:
+ * some may share this host's fault. */
+const MAX_UNREACHABLE_COUNT = 3;
 /** Interval at which paths that do not work are tried again. */
 const PROBE_INTERVAL_MS = 500;
 /** Endpoints probed at once. */
 const MAX_PROBES = 4;
-/** Delay of TCP keep-alive, as undici's own connections have it. */
-const TCP_KEEP_ALIVE_MS = 60_000;
-/** Size of a socket's read buffer, as undici's own connections have it. */
-const SOCKET_BUFFER_BYTES = 64 * 1024;
 
 /** Dependencies of the paths of a host. */
 export interface EndpointPathsOptions {
@@ -47,9 +44,8 @@
   readonly metrics: telemetry.Metrics;
   readonly dataCentre: string;
   /** Other hosts that are ready to serve. */
-  hosts(): readonly Pick<schema.EntryHost, "host" | "dataCentre">[];
-  /** How to dial a host; undefined if it is unknown. */
-  dialAddress(host: string): peers.DialAddress | undefined;
+  hosts(): readonly relayRankings.RelayHost[];
+  readonly dialer: dialers.Dialer;
 }
 
 /** An open tunnel. */
@@ -62,7 +58,11 @@
 export class EndpointPaths implements connections.ReusePolicy {
   readonly #options: EndpointPathsOptions;
   readonly #table = pathTables.PathTable.create();
-  readonly #unresponsive: unresponsiveHosts.UnresponsiveHosts;
+  readonly #ranking: relayRankings.RelayRanking;
+  /** Addresses to which connections have been opened. */
+  readonly #known = new Set<string>();
+  /** Addresses whose paths are being checked. */
+  readonly #checked = new Set<string>();
   readonly #tunnels = new Map<net.Socket, Tunnel>();
   readonly #relays = new Map<string, string>();
   #isPartitioned = false;
@@ -72,9 +72,7 @@
 
   private constructor(options: EndpointPathsOptions) {
     this.#options = options;
-    this.#unresponsive = unresponsiveHosts.UnresponsiveHosts.create(
-      options.clock,
-    );
+    this.#ranking = relayRankings.RelayRanking.create(options);
   }
 
   static create(options: EndpointPathsOptions): EndpointPaths {
@@ -93,12 +91,11 @@
   }
 
   epochOf(endpoint: string): string {
-    return this.#table.epochOf(endpoint);
+    return this.#table.epochOf(endpoint, this.#now);
   }
 
   isSilent(endpoint: string, openedAt: number): boolean {
-    const now = this.#options.clock.now();
-    return this.#table.isSilent(endpoint, openedAt, now);
+    return this.#table.isSilent(endpoint, openedAt, this.#now);
   }
 
   suspect(endpoint: string): void {
@@ -107,13 +104,21 @@
 
   forget(endpoint: string): void {
     this.#table.forget(endpoint);
+    this.#known.delete(endpoint);
     this.#relays.delete(endpoint);
   }
 
   /** Whether an endpoint is reached directly, so that this host may connect
    * other hosts to it. */
   isDirect(endpoint: string): boolean {
-    return this.#table.pathTo(endpoint) === "direct";
+    return this.#table.pathTo(endpoint, this.#now) === "direct";
+  }
+
+  /** Finds out which path leads to an endpoint, after a direct connection has
+   * failed that this host opened for another one. */
+  check(endpoint: string): void {
+    if (this.#checked.has(endpoint) || !this.isDirect(endpoint)) return;
+    void this.#check(endpoint);
   }
 
   /** Host that last relayed calls to an endpoint; undefined if it is reached
@@ -125,7 +130,7 @@
   /** Whether other endpoints have sent something since a time on the kind of path
    * that leads to this one. */
   hasHeardOthers(endpoint: string, since: number): boolean {
-    return this.#table.hasHeardOthers(endpoint, since);
+    return this.#table.hasHeardOthers(endpoint, { since, now: this.#now });
   }
 
   /** Applies a change of the hosts: calls no longer go through one that is not
@@ -152,8 +157,13 @@
     };
   }
 
+  get #now(): number {
+    return this.#options.clock.now();
+  }
+
   async #open(endpoint: string): Promise<net.Socket> {
-    const path = this.#table.pathTo(endpoint);
+    this.#known.add(endpoint);
+    const path = this.#table.pathTo(endpoint, this.#now);
     if (path === "none") {
       throw new errors.RelayError(`No path leads to ${endpoint}`);
     }
@@ -168,80 +178,97 @@
     endpoint: string,
     preferred: "direct" | "relayed",
   ): Promise<{ socket: net.Socket; relay?: string }> {
-    const { clock } = this.#options;
+    const { clock, metrics } = this.#options;
     const direct = this.#directCandidate(endpoint);
     const relays = this.#relayCandidates(endpoint);
     const candidates = preferred === "direct"
       ? [direct, ...relays]
       : [...relays, direct];
+    let unreachableCount = 0;
     try {
       const { candidate, socket } = await race.race({
         clock,
         candidates,
         timeout: CONNECT_TIMEOUT_MS,
-        onFailure: ({ name }) => {
-          if (name !== DIRECT) this.#unresponsive.add(name);
+        onFailure: ({ name }, error) => {
+          if (name !== DIRECT) this.#ranking.record(name, endpoint, false);
+          if (error instanceof errors.EndpointUnreachableError) {
+            unreachableCount++;
+          }
+          return unreachableCount >= MAX_UNREACHABLE_COUNT;
         },
       });
       const relay = candidate === direct ? undefined : candidate.name;
-      this.#record(endpoint, relay === undefined ? "direct" : "relayed", relay);
+      metrics.count("relay.connections", 1, { path: relay ? "relay" : DIRECT });
+      if (relay === undefined) this.#recordDirect(endpoint);
+      else this.#recordRelay(endpoint, { relay, preferred });
       return { socket, relay };
     } catch (error) {
-      this.#record(endpoint, "none", `${error}`);
+      metrics.count("relay.connections", 1, { path: "none" });
+      const isChanged = this.#table.recordLoss(endpoint, this.#now);
+      this.#recordPath(endpoint, { path: "none", isChanged, err: error });
       throw error;
     }
   }
 
-  #directCandidate(endpoint: string): race.Candidate {
-    return {
-      name: DIRECT,
-      patience: DIRECT_PATIENCE_MS,
-      open: (callback) => openDirect(endpoint, callback),
-    };
+  #recordDirect(endpoint: string): void {
+    const isChanged = this.#table.recordDirectConnection(endpoint, this.#now);
+    this.#recordPath(endpoint, { path: "direct", isChanged });
   }
 
-  /** Hosts to ask in order: those that answer before others, near before far, in
-   * random order otherwise, so that the load spreads. */
-  #relayCandidates(endpoint: string): race.Candidate[] {
-    const { hosts, dataCentre, random, dialAddress } = this.#options;
-    const ranked = hosts()
-      .map((each) => ({
-        ...each,
-        rank: (this.#unresponsive.has(each.host) ? 2 : 0) +
-          (each.dataCentre === dataCentre ? 0 : 1) + random.next(),
-      }))
-      .sort((a, b) => a.rank - b.rank);
-    return ranked.slice(0, MAX_RELAYS).flatMap(({ host }) => {
-      const address = dialAddress(host);
-      if (address === undefined) return [];
-      return {
-        name: host,
-        patience: RELAY_PATIENCE_MS,
-        open: (callback: race.AttemptCallback) =>
-          tunnelClient.open(address, endpoint, callback),
-      };
+  #recordRelay(
+    endpoint: string,
+    { relay, preferred }: { relay: string; preferred: "direct" | "relayed" },
+  ): void {
+    this.#ranking.record(relay, endpoint, true);
+    this.#relays.set(endpoint, relay);
+    const isChanged = this.#table.recordRelayedConnection(endpoint, {
+      isDirectTried: preferred === "direct",
+      now: this.#now,
     });
+    this.#recordPath(endpoint, { path: "relayed", isChanged, relay });
   }
 
-  /** Records the path of a new connection; `detail` is the relay, or why there
-   * is no path. */
-  #record(endpoint: string, path: pathTables.Path, detail?: string): void {
-    const { clock, logger, metrics } = this.#options;
-    metrics.count("relay.connections", 1, { path });
-    if (path === "relayed") this.#relays.set(endpoint, detail!);
-    if (this.#table.recordConnection(endpoint, path, clock.now())) {
-      logger.info(
-        { address: endpoint, path, detail },
-        "Path to endpoint changed",
-      );
+  #recordPath(
+    address: string,
+    { isChanged, ...fields }: {
+      path: pathTables.Path;
+      isChanged: boolean;
+      relay?: string;
+      err?: unknown;
+    },
+  ): void {
+    const { logger } = this.#options;
+    if (isChanged) {
+      logger.info({ address, ...fields }, "Path to endpoint changed");
     }
     this.#recordPartition();
     this.#scheduleProbe();
   }
 
+  #directCandidate(endpoint: string): race.Candidate {
+    return {
+      name: DIRECT,
+      patience: DIRECT_PATIENCE_MS,
+      open: (callback) => this.#options.dialer.direct(endpoint, callback),
+    };
+  }
+
+  #relayCandidates(endpoint: string): race.Candidate[] {
+    const { hosts, dialer } = this.#options;
+    const ordered = this.#ranking.order(endpoint, hosts()).slice(0, MAX_RELAYS);
+    return ordered.map((host) => ({
+      name: host,
+      patience: RELAY_PATIENCE_MS,
+      open: (callback) => dialer.tunnel({ host, endpoint }, callback),
+    }));
+  }
+
+  /** Logs the start and the end of a partition of this host. */
   #recordPartition(): void {
     const { logger, metrics } = this.#options;
-    const { isPartitioned, detours } = this.#table;
+    const { detours } = this.#table;
+    const isPartitioned = this.#table.isPartitioned(this.#now);
     metrics.gauge("relay.detours", detours.length);
     if (isPartitioned === this.#isPartitioned) return;
     this.#isPartitioned = isPartitioned;
@@ -283,31 +310,47 @@
     });
   }
 
-  /** Tries paths that do not work again: one endpoint's direct path shows whether
+  /** Tries paths that do not work again. Any endpoint's direct path may show that
    * a partition of this host has ended. */
   #probe(): void {
-    const { detours, isPartitioned } = this.#table;
-    const count = isPartitioned ? 1 : MAX_PROBES;
-    const relayed = detours.filter(({ path }) => path === "relayed");
-    for (const { address } of this.#takeTurns(relayed, count)) {
+    const { detours } = this.#table;
+    this.#recordPartition();
+    const lost = detours.filter(({ path }) => path === "none")
+      .map(({ address }) => address);
+    const relayed = this.#isPartitioned
+      ? [...this.#known].filter((address) => !lost.includes(address))
+      : detours.filter(({ path }) => path === "relayed")
+        .map(({ address }) => address);
+    for (const address of this.#takeTurns(relayed)) {
       void this.#probeDirect(address);
     }
-    const lost = detours.filter(({ path }) => path === "none");
-    for (const { address } of this.#takeTurns(lost, MAX_PROBES)) {
-      this.#race(address, isPartitioned ? "relayed" : "direct").then(
-        ({ socket }) => socket.destroy(),
-        () => {
-          // Recorded by the race; the next probe tries again.
-        },
-      );
-    }
+    for (const address of this.#takeTurns(lost)) void this.#check(address);
     this.#probeCount++;
   }
 
-  /** Up to `count` of the values, others each time. */
-  #takeTurns<T>(values: readonly T[], count: number): T[] {
-    const start = (this.#probeCount * count) % Math.max(1, values.length);
-    return [...values.slice(start), ...values.slice(0, start)].slice(0, count);
+  /** Some of the addresses, others each time. */
+  #takeTurns(addresses: readonly string[]): string[] {
+    const start = this.#probeCount * MAX_PROBES % Math.max(1, addresses.length);
+    return [...addresses.slice(start), ...addresses.slice(0, start)]
+      .slice(0, MAX_PROBES);
+  }
+
+  /** Opens a connection on any path, to record which one works. */
+  async #check(endpoint: string): Promise<void> {
+    const { logger } = this.#options;
+    if (this.#checked.has(endpoint)) return;
+    this.#checked.add(endpoint);
+    const isPartitioned = this.#table.isPartitioned(this.#now);
+    try {
+      const { socket } = await this.#race(
+        endpoint,
+        isPartitioned ? "relayed" : "direct",
+      );
+      socket.destroy();
+    } catch (error) {
+      logger.debug({ address: endpoint, err: error }, "No path to endpoint");
+    }
+    this.#checked.delete(endpoint);
   }
 
   async #probeDirect(endpoint: string): Promise<void> {
@@ -319,7 +362,7 @@
         timeout: PROBE_INTERVAL_MS,
       });
       socket.destroy();
-      this.#record(endpoint, "direct");
+      this.#recordDirect(endpoint);
     } catch (error) {
       logger.debug(
         { address: endpoint, err: error },
@@ -332,22 +375,3 @@
 const DIRECT = "direct";
 /** Port of an origin that names none. */
 const DEFAULT_PORT = 80;
-
-/** Opens a direct connection to an endpoint. */
-function openDirect(
-  endpoint: string,
-  callback: race.AttemptCallback,
-): runtime.Cancel {
-  const [host, port] = endpoint.split(":");
-  const socket = net.connect({
-    host,
-    port: Number(port),
-    noDelay: true,
-    keepAlive: true,
-    keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
-    highWaterMark: SOCKET_BUFFER_BYTES,
-  } as net.NetConnectOpts);
-  socket.once("connect", () => callback(undefined, socket));
-  socket.on("error", (error) => callback(error));
-  return () => socket.destroy();
-}
--- a/src/relay/errors.ts
+++ b/src/relay/errors.ts
@@ -3,5 +3,10 @@
 
 /** No connection could be opened on a path. */
 export class RelayError extends Error {
-  override readonly name = "RelayError";
+  override readonly name: string = "RelayError";
+}
+
+/** A host that relays has not reached the endpoint either. */
+export class EndpointUnreachableError extends RelayError {
+  override readonly name = "EndpointUnreachableError";
 }
--- a/src/relay/path_table.ts
+++ b/src/relay/path_table.ts
@@ -3,7 +3,7 @@
  *
  * A failed connection alone does not tell a fault of an endpoint from a fault of
  * the path to it. If another host reaches the endpoint, the path is at fault.
- * Several such endpoints without a direct answer of any other mean that this
+ * Several such endpoints without a direct byte from any other mean that this
  * host is partitioned from all of them.
  * @module */
 
@@ -14,11 +14,11 @@
 /** Endpoints that only other hosts reach from which this host counts as
  * partitioned from all: one or its own link may fail by itself. */
 const MIN_RELAYED_COUNT = 2;
-/** Time without a byte from any endpoint after which open connections may be
- * dead. */
+/** Time without a byte from any endpoint after which this host may be partitioned
+ * and open connections may be dead. */
 const SILENCE_MS = 1000;
 
-/** A path other than the direct one. */
+/** A path other than the direct one, which has failed. */
 interface Detour {
   readonly path: "relayed" | "none";
   readonly since: number;
@@ -55,7 +55,8 @@
  * are reached directly. */
 export class PathTable {
   readonly #detours = new Map<string, Detour>();
-  readonly #suspicions = new Map<string, number>();
+  /** Changes of the path, and suspicions, by address. */
+  readonly #changes = new Map<string, number>();
   readonly #direct = Evidence.create();
   readonly #relayed = Evidence.create();
 
@@ -65,22 +66,24 @@
   }
 
   /** The path of new connections to an endpoint. */
-  pathTo(address: string): Path {
+  pathTo(address: string, now: number): Path {
     const path = this.#detours.get(address)?.path ?? "direct";
-    return path === "direct" && this.isPartitioned ? "relayed" : path;
+    return path === "direct" && this.isPartitioned(now) ? "relayed" : path;
   }
 
   /** Whether this host reaches several endpoints through other hosts only, and
-   * none directly. */
-  get isPartitioned(): boolean {
+   * has heard none directly since. */
+  isPartitioned(now: number): boolean {
+    const { lastHeardAt } = this.#direct;
     if (this.#detours.size < MIN_RELAYED_COUNT) return false;
+    if (now - lastHeardAt <= SILENCE_MS) return false;
     const proofs = [...this.#detours.values()].filter(({ path, since }) =>
-      path === "relayed" && since > this.#direct.lastHeardAt
+      path === "relayed" && since > lastHeardAt
     );
     return proofs.length >= MIN_RELAYED_COUNT;
   }
 
-  /** Addresses that are not reached directly. */
+  /** Addresses whose direct path has failed. */
   get detours(): { address: string; path: "relayed" | "none" }[] {
     return [...this.#detours].map(([address, { path }]) => ({ address, path }));
   }
@@ -96,20 +99,44 @@
     this.#relayed.record(address, now);
   }
 
-  /** Records the path of a new connection to an endpoint, or that none leads to
-   * it. Returns whether the path has changed. */
-  recordConnection(address: string, path: Path, now: number): boolean {
-    if (path === "direct") return this.#recordDirectConnection(address, now);
-    if (path === "relayed") this.recordRelayed(address, now);
-    const isChanged = this.#detours.get(address)?.path !== path;
-    if (isChanged) this.#detours.set(address, { path, since: now });
+  /** Records that a direct connection has opened; returns whether the path has
+   * changed. */
+  recordDirectConnection(address: string, now: number): boolean {
+    this.recordDirect(address, now);
+    const isChanged = this.#detours.delete(address);
+    if (isChanged) this.#recordChange(address);
     return isChanged;
   }
 
+  /** Records a connection through another host; `isDirectTried` if the direct
+   * path has failed beside it. Returns whether the path has changed. */
+  recordRelayedConnection(
+    address: string,
+    { isDirectTried, now }: { isDirectTried: boolean; now: number },
+  ): boolean {
+    this.recordRelayed(address, now);
+    const known = this.#detours.get(address)?.path;
+    if (known === "relayed") return false;
+    if (!isDirectTried) return this.#detours.delete(address);
+    this.#detours.set(address, { path: "relayed", since: now });
+    this.#recordChange(address);
+    return true;
+  }
+
+  /** Records that no path leads to an endpoint; returns whether the path has
+   * changed. */
+  recordLoss(address: string, now: number): boolean {
+    const isChanged = this.#detours.get(address)?.path !== "none";
+    if (!isChanged) return false;
+    this.#detours.set(address, { path: "none", since: now });
+    this.#recordChange(address);
+    return true;
+  }
+
   /** Records that a call to an endpoint broke or was not answered, so that open
    * connections to it may be dead. */
   recordSuspicion(address: string): void {
-    this.#suspicions.set(address, (this.#suspicions.get(address) ?? 0) + 1);
+    this.#recordChange(address);
   }
 
   /** Removes what is known of an address whose endpoint has ended. */
@@ -117,40 +144,39 @@
     this.#detours.delete(address);
     this.#direct.forget(address);
     this.#relayed.forget(address);
-    this.#suspicions.delete(address);
+    this.#changes.delete(address);
   }
 
   /** Identifies the connections to an address that may be used for new calls:
    * only those opened while it had the same value. */
-  epochOf(address: string): string {
-    return `${this.pathTo(address)} ${this.#suspicions.get(address) ?? 0}`;
+  epochOf(address: string, now: number): string {
+    return `${this.pathTo(address, now)} ${this.#changes.get(address) ?? 0}`;
   }
 
   /** Whether connections opened at `openedAt` may all be dead, since no endpoint
    * has sent anything on its path for some time. */
   isSilent(address: string, openedAt: number, now: number): boolean {
-    const { lastHeardAt } = this.#evidenceOf(address);
+    const { lastHeardAt } = this.#evidenceOf(address, now);
     return now - Math.max(openedAt, lastHeardAt) > SILENCE_MS;
   }
 
   /** Whether endpoints other than the one at `address` have sent something
    * since a time on the kind of path that leads to it: then a fault of the path
    * is unlikely. */
-  hasHeardOthers(address: string, since: number): boolean {
-    return this.#evidenceOf(address).hasOthers(address, since);
+  hasHeardOthers(
+    address: string,
+    { since, now }: { since: number; now: number },
+  ): boolean {
+    return this.#evidenceOf(address, now).hasOthers(address, since);
   }
 
-  #evidenceOf(address: string): Evidence {
-    return this.pathTo(address) === "direct" ? this.#direct : this.#relayed;
+  #recordChange(address: string): void {
+    this.#changes.set(address, (this.#changes.get(address) ?? 0) + 1);
   }
 
-  /** A direct connection ends a partition of the host: the paths to the other
-   * endpoints are then tried again. */
-  #recordDirectConnection(address: string, now: number): boolean {
-    const isChanged = this.#detours.has(address);
-    if (this.isPartitioned) this.#detours.clear();
-    this.#detours.delete(address);
-    this.recordDirect(address, now);
-    return isChanged;
+  #evidenceOf(address: string, now: number): Evidence {
+    return this.pathTo(address, now) === "direct"
+      ? this.#direct
+      : this.#relayed;
   }
 }
--- a/src/relay/tunnel_client.ts
+++ b/src/relay/tunnel_client.ts
@@ -35,8 +35,7 @@
     const socket = stream as net.Socket;
     if (response.statusCode !== 200) {
       socket.destroy();
-      const reason = `${response.statusCode} ${response.statusMessage}`;
-      return finish(new errors.RelayError(`tunnel refused: ${reason}`));
+      return finish(refusalOf(response));
     }
     if (isDone) return void socket.destroy();
     socket.setNoDelay(true);
@@ -58,3 +57,15 @@
     request.destroy();
   };
 }
+
+/** Status with which a host tells that it has not reached the endpoint. */
+export const UNREACHABLE_STATUS = 504;
+
+function refusalOf(
+  { statusCode, statusMessage }: http.IncomingMessage,
+): errors.RelayError {
+  const message = `tunnel refused: ${statusCode} ${statusMessage}`;
+  return statusCode === UNREACHABLE_STATUS
+    ? new errors.EndpointUnreachableError(message)
+    : new errors.RelayError(message);
+}
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -11,6 +11,7 @@
 import type * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import * as tunnelClient from "./tunnel_client.ts";
 
 /** Most tunnels at a time. Each takes two descriptors and some buffers, which
  * this host's own callers need. */
@@ -26,6 +27,8 @@
   readonly metrics: telemetry.Metrics;
   /** Whether an endpoint is known to this host and reached directly. */
   mayConnect(endpoint: string): boolean;
+  /** A direct connection to an endpoint has failed. */
+  onFailure(endpoint: string): void;
 }
 
 /** Status lines that refuse a tunnel. */
@@ -33,7 +36,7 @@
   stopping: "503 Stopping",
   full: "503 Too Many Tunnels",
   "no-path": "502 No Direct Path",
-  unreachable: "504 Endpoint Unreachable",
+  unreachable: `${tunnelClient.UNREACHABLE_STATUS} Endpoint Unreachable`,
 } as const;
 
 type Refusal = keyof typeof REFUSALS;
@@ -121,6 +124,7 @@
     });
     const fail = () => {
       upstream.destroy();
+      this.#options.onFailure(endpoint);
       if (client.writable) this.#refuse(request, "unreachable");
     };
     const cancel = clock.after(CONNECT_TIMEOUT_MS, fail);
--- a/src/relay/tunnel_test.ts
+++ b/src/relay/tunnel_test.ts
@@ -45,6 +45,7 @@
     logger: telemetry.noLogger,
     metrics: tally,
     mayConnect,
+    onFailure() {},
   });
   const relay = await startPeers(t, "relay", [], {
     onTunnel: (request) => server.accept(request),
