Relay: the opener of connections is a module of its own; plainer names

Asking hosts in turn is one function for quotas and slots (peers/ask_in_turn.ts). Names say what is received instead of heard.

One change of behaviour: a host that was asked last and had no time to answer when another path won does not count as failed.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -86,7 +86,7 @@
     this.#context = {
       ...common,
       pool: this.#pool,
-      paths: { relayOf: () => undefined, hasHeardOthers: () => true },
+      paths: { relayOf: () => undefined, hasReceivedFromOthers: () => true },
       batcherClient: maker,
       placement: this.#placement,
       quotas: rateLimitFixture.unlimitedQuotas(),
--- a/bench/path_fuzz/mod.ts
+++ b/bench/path_fuzz/mod.ts
@@ -13,7 +13,7 @@
 /** Length of a schedule. */
 const SPAN_MS = 60_000;
 /** Time after the last change from which paths must be right: the bound of the
- * rules in which a host counts as in touch again. */
+ * time in which a host has to find a path. */
 const STABLE_MS = 3000;
 /** Time in which a call fails that the host knows no path for. */
 const AT_ONCE_MS = 50;
--- a/src/concurrency/slot_client.ts
+++ b/src/concurrency/slot_client.ts
@@ -2,7 +2,7 @@
  * kind, and acquires a grant before each call to a brittle endpoint.
  * @module */
 
-import type * as peers from "../peers/mod.ts";
+import * as peers from "../peers/mod.ts";
 import * as rendezvous from "../routing/rendezvous.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
@@ -139,20 +139,15 @@
   async #ask(question: schema.SlotQuestion): Promise<number> {
     const { calls, logger } = this.#options;
     const { endpoint } = question;
-    for (const owner of this.#ownersOf(endpoint)) {
-      try {
-        const reply = await calls.ask(owner, question, {
-          timeout: CALL_TIMEOUT_MS,
-        });
-        if (reply.type === "quota") return reply.granted ? 0 : reply.wait;
-      } catch (error) {
-        const reason = `${error}`;
-        logger.info(
-          { owner, endpoint, reason },
-          "Control host did not grant a slot; trying the next one",
-        );
-      }
-    }
+    const reply = await peers.askInTurn(question, "quota", {
+      calls,
+      hosts: this.#ownersOf(endpoint),
+      timeout: CALL_TIMEOUT_MS,
+      logger,
+      message: "Control host did not grant a slot; trying the next one",
+      fields: { endpoint },
+    });
+    if (reply !== undefined) return reply.granted ? 0 : reply.wait;
     return question.inFlight < this.#ownShare(question) ? 0 : LOCAL_RETRY_MS;
   }
 
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -27,8 +27,9 @@
 
 /** Times that the stages of a request are run again after results are lost. */
 const MAX_STAGE_RERUNS = 1;
-/** Time in which a host that is in touch with endpoints hears one of them. */
-const IN_TOUCH_WINDOW_MS = 1000;
+/** Time in which endpoints that are reached send something: then a broken call is
+ * not the fault of the path. */
+const RECEIVE_WINDOW_MS = 1000;
 
 /** Phase of a request: "pieces" while its stages run, "sent" while a call runs
  * whose answer is not relayed yet. */
@@ -359,21 +360,21 @@
     record.ms = Math.round(clock.now() - started);
     record.relay = paths.relayOf(address);
     record.outcome = healthSignals.outcomeName(outcome);
-    const isInTouch = paths.hasHeardOthers(
+    const isReceiving = paths.hasReceivedFromOthers(
       address,
-      clock.now() - IN_TOUCH_WINDOW_MS,
+      clock.now() - RECEIVE_WINDOW_MS,
     );
     healthSignals.record(target, outcome, {
       now: clock.now(),
       duration: clock.now() - started,
-      isInTouch,
+      isReceiving,
       metrics,
       logger,
     });
     // The owner of the partition sees no calls of this host: it has to learn
     // how the calls that it placed end.
     if (placement?.source === "owner") {
-      const signal = healthSignals.reportedSignalOf(outcome, isInTouch);
+      const signal = healthSignals.reportedSignalOf(outcome, isReceiving);
       loadUpdates.record(target, { signal });
     }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -35,7 +35,7 @@
   relayOf(address: string): string | undefined;
   /** Whether other endpoints have sent something since a time on the kind of path
    * that leads to this one. */
-  hasHeardOthers(address: string, since: number): boolean;
+  hasReceivedFromOthers(address: string, since: number): boolean;
 }
 
 /** Dependencies of requests, provided by their host. */
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -10,9 +10,9 @@
   readonly now: number;
   /** Milliseconds that the call took. */
   readonly duration: number;
-  /** Whether this host has recently heard other endpoints, so that a broken call
-   * is not the fault of its own path. */
-  readonly isInTouch: boolean;
+  /** Whether other endpoints have recently sent something on the same kind of path,
+   * so that the path is not at fault. */
+  readonly isReceiving: boolean;
   readonly metrics: telemetry.Metrics;
   readonly logger: telemetry.Logger;
 }
@@ -21,9 +21,9 @@
 export function record(
   target: endpoints.Endpoint,
   outcome: attempts.Outcome,
-  { now, duration, isInTouch, metrics, logger }: CallEnd,
+  { now, duration, isReceiving, metrics, logger }: CallEnd,
 ): void {
-  const signal = isPathFault(outcome, isInTouch)
+  const signal = isPathFault(outcome, isReceiving)
     ? undefined
     : signalOf(outcome);
   if (signal !== undefined && target.recordHealth(signal, now)) {
@@ -45,19 +45,19 @@
  * this host's path to it. */
 export function reportedSignalOf(
   outcome: attempts.Outcome,
-  isInTouch: boolean,
+  isReceiving: boolean,
 ): endpoints.HealthSignal | undefined {
   const isUnreachable = outcome.type === "failed" &&
     outcome.cause === "unreachable";
-  if (isUnreachable && !isInTouch) return undefined;
-  return isPathFault(outcome, isInTouch) ? undefined : signalOf(outcome);
+  if (isUnreachable && !isReceiving) return undefined;
+  return isPathFault(outcome, isReceiving) ? undefined : signalOf(outcome);
 }
 
 /** Whether a call may have failed by a fault of the path. That no connection
  * could be opened counts as a fault of the endpoint at this host, which then
  * prefers others. */
-function isPathFault(outcome: attempts.Outcome, isInTouch: boolean): boolean {
-  return !isInTouch && attempts.mayHaveCrashed(outcome);
+function isPathFault(outcome: attempts.Outcome, isReceiving: boolean): boolean {
+  return !isReceiving && attempts.mayHaveCrashed(outcome);
 }
 
 /** Why an endpoint is ejected. */
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -1,6 +1,7 @@
 /** Transport between the hosts of the fleet, and request-reply calls over it.
  * @module */
 
+export * from "./ask_in_turn.ts";
 export * from "./rpc.ts";
 export { PeerError } from "./errors.ts";
 export * from "./unresponsive_hosts.ts";
--- a/src/rate_limits/quota_client.ts
+++ b/src/rate_limits/quota_client.ts
@@ -5,7 +5,7 @@
  * @module */
 
 import * as rendezvous from "../routing/rendezvous.ts";
-import type * as peers from "../peers/mod.ts";
+import * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
@@ -259,20 +259,16 @@
   ): Promise<number> {
     const { calls, clock, logger, entryHostCount } = this.#options;
     const { endpoint, bucket } = gate;
-    for (const owner of this.#ownersOf(endpoint)) {
-      try {
-        const reply = await calls.ask(owner, question, {
-          timeout: CALL_TIMEOUT_MS,
-        });
-        if (reply.type === "quota") return reply.granted ? 0 : reply.wait;
-      } catch (error) {
-        const reason = `${error}`;
-        logger.info(
-          { owner, endpoint, reason },
-          "Control host did not answer a quota request; trying the next one",
-        );
-      }
-    }
+    const reply = await peers.askInTurn(question, "quota", {
+      calls,
+      hosts: this.#ownersOf(endpoint),
+      timeout: CALL_TIMEOUT_MS,
+      logger,
+      message:
+        "Control host did not answer a quota request; trying the next one",
+      fields: { endpoint },
+    });
+    if (reply !== undefined) return reply.granted ? 0 : reply.wait;
     const now = clock.now();
     bucket.setRate(rate / Math.max(1, entryHostCount()), now);
     return bucket.take(now);
--- a/src/relay/connection_race.ts
+++ b/src/relay/connection_race.ts
@@ -30,8 +30,8 @@
   readonly candidates: readonly Candidate[];
   /** Milliseconds after which no path counts as working. */
   readonly timeout: number;
-  /** A path has failed, or was slower than another. Returns whether no further
-   * path is worth trying. */
+  /** A path has failed, or was too slow. Returns whether no further path is worth
+   * trying. */
   onFailure?(candidate: Candidate, error: Error): boolean;
 }
 
@@ -109,8 +109,10 @@
   }
 
   #win(winner: Winner): void {
-    const { onFailure } = this.#options;
-    const slow = [...this.#pending.keys()];
+    const { candidates, onFailure } = this.#options;
+    // The path that was tried last may have had no time to work.
+    const last = candidates[this.#next - 1];
+    const slow = [...this.#pending.keys()].filter((each) => each !== last);
     this.#end();
     for (const candidate of slow) {
       onFailure?.(candidate, new errors.RelayError("slower than another path"));
--- a/src/relay/endpoint_paths.ts
+++ b/src/relay/endpoint_paths.ts
@@ -10,42 +10,24 @@
 import type * as undici from "undici";
 import * as connector from "../endpoint_calls/connector.ts";
 import type * as connections from "../endpoint_calls/connections.ts";
-import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
-import * as race from "./connection_race.ts";
-import type * as dialers from "./dialer.ts";
+import * as connectionOpeners from "./connection_opener.ts";
 import * as errors from "./errors.ts";
 import * as pathTables from "./path_table.ts";
-import * as relayRankings from "./relay_ranking.ts";
-
-/** Time in which a connection opens on some path; TCP sends a lost SYN again
- * after one second. */
-const CONNECT_TIMEOUT_MS = 700;
-/** Time that the direct path is given before another host is asked, as RFC 8305
- * recommends. */
-const DIRECT_PATIENCE_MS = 250;
-/** Time that one host is given before the next is asked. */
-const RELAY_PATIENCE_MS = 150;
-/** Hosts asked for one connection; most of a data centre's may be partitioned. */
-const MAX_RELAYS = 8;
-/** Hosts that have not reached an endpoint either after which it counts as down:
- * some may share this host's fault. */
-const MAX_UNREACHABLE_COUNT = 3;
+
 /** Interval at which paths that do not work are tried again. */
 const PROBE_INTERVAL_MS = 500;
 /** Endpoints probed at once. */
 const MAX_PROBES = 4;
 
+/** Port of an origin that names none. */
+const DEFAULT_PORT = 80;
+
 /** Dependencies of the paths of a host. */
-export interface EndpointPathsOptions {
-  readonly clock: runtime.Clock;
-  readonly random: runtime.Random;
+export interface EndpointPathsOptions
+  extends connectionOpeners.ConnectionOpenerOptions {
   readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
-  readonly dataCentre: string;
-  /** Other hosts that are ready to serve. */
-  hosts(): readonly relayRankings.RelayHost[];
-  readonly dialer: dialers.Dialer;
 }
 
 /** An open tunnel. */
@@ -58,7 +40,7 @@
 export class EndpointPaths implements connections.ReusePolicy {
   readonly #options: EndpointPathsOptions;
   readonly #table = pathTables.PathTable.create();
-  readonly #ranking: relayRankings.RelayRanking;
+  readonly #opener: connectionOpeners.ConnectionOpener;
   /** Addresses to which connections have been opened. */
   readonly #known = new Set<string>();
   /** Addresses whose paths are being checked. */
@@ -72,7 +54,7 @@
 
   private constructor(options: EndpointPathsOptions) {
     this.#options = options;
-    this.#ranking = relayRankings.RelayRanking.create(options);
+    this.#opener = connectionOpeners.ConnectionOpener.create(options);
   }
 
   static create(options: EndpointPathsOptions): EndpointPaths {
@@ -129,8 +111,11 @@
 
   /** Whether other endpoints have sent something since a time on the kind of path
    * that leads to this one. */
-  hasHeardOthers(endpoint: string, since: number): boolean {
-    return this.#table.hasHeardOthers(endpoint, { since, now: this.#now });
+  hasReceivedFromOthers(endpoint: string, since: number): boolean {
+    return this.#table.hasReceivedFromOthers(endpoint, {
+      since,
+      now: this.#now,
+    });
   }
 
   /** Applies a change of the hosts: calls no longer go through one that is not
@@ -167,42 +152,26 @@
     if (path === "none") {
       throw new errors.RelayError(`No path leads to ${endpoint}`);
     }
-    const { socket, relay } = await this.#race(endpoint, path);
-    this.#watch(socket, { endpoint, relay });
-    connector.prepare(socket);
-    return socket;
+    const connection = await this.#openOn(endpoint, path);
+    this.#watch(endpoint, connection);
+    connector.prepare(connection.socket);
+    return connection.socket;
   }
 
   /** Opens a connection and records which path it took. */
-  async #race(
+  async #openOn(
     endpoint: string,
     preferred: "direct" | "relayed",
-  ): Promise<{ socket: net.Socket; relay?: string }> {
-    const { clock, metrics } = this.#options;
-    const direct = this.#directCandidate(endpoint);
-    const relays = this.#relayCandidates(endpoint);
-    const candidates = preferred === "direct"
-      ? [direct, ...relays]
-      : [...relays, direct];
-    let unreachableCount = 0;
+  ): Promise<connectionOpeners.OpenConnection> {
+    const { metrics } = this.#options;
     try {
-      const { candidate, socket } = await race.race({
-        clock,
-        candidates,
-        timeout: CONNECT_TIMEOUT_MS,
-        onFailure: ({ name }, error) => {
-          if (name !== DIRECT) this.#ranking.record(name, endpoint, false);
-          if (error instanceof errors.EndpointUnreachableError) {
-            unreachableCount++;
-          }
-          return unreachableCount >= MAX_UNREACHABLE_COUNT;
-        },
-      });
-      const relay = candidate === direct ? undefined : candidate.name;
-      metrics.count("relay.connections", 1, { path: relay ? "relay" : DIRECT });
+      const connection = await this.#opener.open(endpoint, preferred);
+      const { relay } = connection;
+      const path = relay === undefined ? "direct" : "relayed";
+      metrics.count("relay.connections", 1, { path });
       if (relay === undefined) this.#recordDirect(endpoint);
       else this.#recordRelay(endpoint, { relay, preferred });
-      return { socket, relay };
+      return connection;
     } catch (error) {
       metrics.count("relay.connections", 1, { path: "none" });
       const isChanged = this.#table.recordLoss(endpoint, this.#now);
@@ -220,7 +189,6 @@
     endpoint: string,
     { relay, preferred }: { relay: string; preferred: "direct" | "relayed" },
   ): void {
-    this.#ranking.record(relay, endpoint, true);
     this.#relays.set(endpoint, relay);
     const isChanged = this.#table.recordRelayedConnection(endpoint, {
       isDirectTried: preferred === "direct",
@@ -246,24 +214,6 @@
     this.#scheduleProbe();
   }
 
-  #directCandidate(endpoint: string): race.Candidate {
-    return {
-      name: DIRECT,
-      patience: DIRECT_PATIENCE_MS,
-      open: (callback) => this.#options.dialer.direct(endpoint, callback),
-    };
-  }
-
-  #relayCandidates(endpoint: string): race.Candidate[] {
-    const { hosts, dialer } = this.#options;
-    const ordered = this.#ranking.order(endpoint, hosts()).slice(0, MAX_RELAYS);
-    return ordered.map((host) => ({
-      name: host,
-      patience: RELAY_PATIENCE_MS,
-      open: (callback) => dialer.tunnel({ host, endpoint }, callback),
-    }));
-  }
-
   /** Logs the start and the end of a partition of this host. */
   #recordPartition(): void {
     const { logger, metrics } = this.#options;
@@ -282,8 +232,8 @@
 
   /** Records what arrives on a connection. */
   #watch(
-    socket: net.Socket,
-    { endpoint, relay }: { endpoint: string; relay?: string },
+    endpoint: string,
+    { socket, relay }: connectionOpeners.OpenConnection,
   ): void {
     const { clock } = this.#options;
     let receivedBytes = socket.bytesRead;
@@ -342,7 +292,7 @@
     this.#checked.add(endpoint);
     const isPartitioned = this.#table.isPartitioned(this.#now);
     try {
-      const { socket } = await this.#race(
+      const { socket } = await this.#openOn(
         endpoint,
         isPartitioned ? "relayed" : "direct",
       );
@@ -354,13 +304,9 @@
   }
 
   async #probeDirect(endpoint: string): Promise<void> {
-    const { clock, logger } = this.#options;
+    const { logger } = this.#options;
     try {
-      const { socket } = await race.race({
-        clock,
-        candidates: [this.#directCandidate(endpoint)],
-        timeout: PROBE_INTERVAL_MS,
-      });
+      const socket = await this.#opener.openDirect(endpoint, PROBE_INTERVAL_MS);
       socket.destroy();
       this.#recordDirect(endpoint);
     } catch (error) {
@@ -371,7 +317,3 @@
     }
   }
 }
-
-const DIRECT = "direct";
-/** Port of an origin that names none. */
-const DEFAULT_PORT = 80;
--- a/src/relay/path_table.ts
+++ b/src/relay/path_table.ts
@@ -26,25 +26,25 @@
 
 /** When endpoints last sent something on one kind of path. */
 class Evidence {
-  readonly #heardAt = new Map<string, number>();
-  lastHeardAt = -Infinity;
+  readonly #receivedAt = new Map<string, number>();
+  lastReceivedAt = -Infinity;
 
   static create(): Evidence {
     return new Evidence();
   }
 
   record(address: string, now: number): void {
-    this.lastHeardAt = now;
-    this.#heardAt.set(address, now);
+    this.lastReceivedAt = now;
+    this.#receivedAt.set(address, now);
   }
 
   forget(address: string): void {
-    this.#heardAt.delete(address);
+    this.#receivedAt.delete(address);
   }
 
   hasOthers(address: string, since: number): boolean {
-    if (this.lastHeardAt < since) return false;
-    for (const [other, at] of this.#heardAt) {
+    if (this.lastReceivedAt < since) return false;
+    for (const [other, at] of this.#receivedAt) {
       if (other !== address && at >= since) return true;
     }
     return false;
@@ -72,13 +72,13 @@
   }
 
   /** Whether this host reaches several endpoints through other hosts only, and
-   * has heard none directly since. */
+   * has received nothing directly since. */
   isPartitioned(now: number): boolean {
-    const { lastHeardAt } = this.#direct;
+    const { lastReceivedAt } = this.#direct;
     if (this.#detours.size < MIN_RELAYED_COUNT) return false;
-    if (now - lastHeardAt <= SILENCE_MS) return false;
+    if (now - lastReceivedAt <= SILENCE_MS) return false;
     const proofs = [...this.#detours.values()].filter(({ path, since }) =>
-      path === "relayed" && since > lastHeardAt
+      path === "relayed" && since > lastReceivedAt
     );
     return proofs.length >= MIN_RELAYED_COUNT;
   }
@@ -156,14 +156,14 @@
   /** Whether connections opened at `openedAt` may all be dead, since no endpoint
    * has sent anything on its path for some time. */
   isSilent(address: string, openedAt: number, now: number): boolean {
-    const { lastHeardAt } = this.#evidenceOf(address, now);
-    return now - Math.max(openedAt, lastHeardAt) > SILENCE_MS;
+    const { lastReceivedAt } = this.#evidenceOf(address, now);
+    return now - Math.max(openedAt, lastReceivedAt) > SILENCE_MS;
   }
 
   /** Whether endpoints other than the one at `address` have sent something
    * since a time on the kind of path that leads to it: then a fault of the path
    * is unlikely. */
-  hasHeardOthers(
+  hasReceivedFromOthers(
     address: string,
     { since, now }: { since: number; now: number },
   ): boolean {
--- a/src/relay/tunnel_client.ts
+++ b/src/relay/tunnel_client.ts
@@ -58,7 +58,7 @@
   };
 }
 
-/** Status with which a host tells that it has not reached the endpoint. */
+/** Status of a tunnel whose endpoint the other host has not reached. */
 export const UNREACHABLE_STATUS = 504;
 
 function refusalOf(
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -2,8 +2,8 @@
  * forwards bytes in both directions. A tunnel never leads through another
  * tunnel.
  *
- * How the endpoint's connection ends is passed on: an end as an end, a reset as
- * a reset, since the end of an answer without a length is only told by it.
+ * An end of the endpoint's connection is forwarded as an end and a reset as a
+ * reset: for an answer without a length, only the end marks it as complete.
  * @module */
 
 import * as net from "node:net";
@@ -17,7 +17,7 @@
  * this host's own callers need. */
 const MAX_TUNNELS = 256;
 /** Time in which an endpoint accepts a connection: less than the other host
- * waits for it, so that it is told the reason. */
+ * waits, so that the refusal arrives in time. */
 const CONNECT_TIMEOUT_MS = 500;
 
 /** Dependencies of a tunnel server. */
