Slots: grants and questions are counted one by one; drawn schedules

Cause: a grant was a number. The expiry of one whose call had long begun took back another one that was still being asked for, so that calls went uncounted. Refused questions that ran beside each other stayed counted at the control host for 3 s. Only the owner of the slots knew the calls of all hosts, so the host that is asked in its place granted too many.

Change: each grant has an expiry that its call cancels; questions are counted apart, and a refusal corrects what was counted in it; begins and ends are reported to both control hosts that may be asked, and calls in flight every 200 ms.

--- a/bench/fuzz_world/network.ts
+++ b/bench/fuzz_world/network.ts
@@ -22,12 +22,21 @@
   readonly #random: runtime.Random;
   readonly #receivers = new Map<string, Receiver>();
   readonly #cut = new Set<string>();
+  readonly #isOrdered: boolean;
+  /** When the last message of each link arrives, by sender and recipient. */
+  readonly #arrivals = new Map<string, number>();
   /** Messages that were sent. */
   sent = 0;
 
-  constructor(clock: runtime.Clock, random: runtime.Random) {
+  /** Messages of a link arrive in any order, or as sent if `isOrdered`. */
+  constructor(
+    clock: runtime.Clock,
+    random: runtime.Random,
+    { isOrdered = false }: { isOrdered?: boolean } = {},
+  ) {
     this.#clock = clock;
     this.#random = random;
+    this.#isOrdered = isOrdered;
   }
 
   /** Connects a host, in place of one of its name. */
@@ -78,8 +87,17 @@
   #carry(from: string, to: string, deliver: () => void): void {
     this.sent++;
     if (this.#random.next() < LOSS) return;
-    this.#clock.after(this.#random.next() * WAY, () => {
+    this.#clock.after(this.#delayOf(`${from} ${to}`), () => {
       if (!this.isCut(from) && !this.isCut(to)) deliver();
     });
   }
+
+  #delayOf(link: string): number {
+    const now = this.#clock.now();
+    const drawn = now + this.#random.next() * WAY;
+    if (!this.#isOrdered) return drawn - now;
+    const arrival = Math.max(drawn, this.#arrivals.get(link) ?? 0);
+    this.#arrivals.set(link, arrival);
+    return arrival - now;
+  }
 }
--- a/src/concurrency/slot_client.ts
+++ b/src/concurrency/slot_client.ts
@@ -10,12 +10,14 @@
 
 /** Timeout of calls to a control host: many times the usual duration. */
 const CALL_TIMEOUT_MS = 150;
-/** Number of control hosts that are tried in turn. */
-const MAX_HOSTS_TRIED = 2;
+/** Control hosts that know the calls at an endpoint: the owner of its slots, and
+ * the one that is asked when the owner does not reply. */
+const OWNER_COUNT = 2;
 /** Time in which a granted call is begun. */
 const GRANT_LIFETIME_MS = 500;
-/** Interval at which calls in flight are reported again. */
-const REPORT_INTERVAL_MS = 1000;
+/** Interval at which calls in flight are reported again; a control host that takes
+ * over knows all of them after one interval. */
+const REPORT_INTERVAL_MS = 200;
 /** Time until the next try while no control host answers. */
 const LOCAL_RETRY_MS = 100;
 
@@ -37,8 +39,11 @@
 /** This host's use of one endpoint. */
 interface Usage {
   calls: number;
-  /** Grants whose calls have not begun. */
-  grants: number;
+  /** Questions without a reply. */
+  questions: number;
+  /** Grants whose calls have not begun, the oldest first; each cancels its
+   * expiry. */
+  readonly grants: runtime.Cancel[];
   blockedUntil: number;
   isReportScheduled: boolean;
 }
@@ -78,24 +83,30 @@
     const usage = this.#usageOf(endpoint);
     const remaining = usage.blockedUntil - clock.now();
     if (remaining > 0) return remaining;
-    // Counted before the answer, so that concurrent questions add up.
-    const inFlight = usage.calls + usage.grants++;
+    this.#scheduleReport(endpoint, usage);
+    // Counted before the reply, so that concurrent questions add up.
+    const inFlight = inFlightOf(usage);
+    usage.questions++;
     const wait = await this.#ask({ type: "slot", endpoint, slots, inFlight });
-    if (wait > 0) {
-      usage.grants--;
-      usage.blockedUntil = clock.now() + wait;
-      metrics.count("slots.withheld");
-      return wait;
+    usage.questions--;
+    if (wait === 0) {
+      this.#addGrant(endpoint, usage);
+      return 0;
     }
-    clock.after(GRANT_LIFETIME_MS, () => this.#expireGrant(endpoint));
-    return 0;
+    // Concurrent questions that were refused too were counted in this one.
+    if (inFlightOf(usage) !== inFlight) this.#report(endpoint, usage);
+    usage.blockedUntil = clock.now() + wait;
+    metrics.count("slots.withheld");
+    return wait;
   }
 
   /** Records that a call begins. */
   begin(endpoint: string): void {
     const usage = this.#usageOf(endpoint);
     usage.calls++;
-    usage.grants = Math.max(0, usage.grants - 1);
+    usage.grants.shift()?.();
+    if (!this.isLimited(endpoint)) return;
+    this.#report(endpoint, usage);
     this.#scheduleReport(endpoint, usage);
   }
 
@@ -105,14 +116,19 @@
     usage.calls--;
     usage.blockedUntil = -Infinity;
     if (this.isLimited(endpoint)) this.#report(endpoint, usage);
-    if (usage.calls + usage.grants === 0) this.#usages.delete(endpoint);
+    if (inFlightOf(usage) === 0) this.#usages.delete(endpoint);
   }
 
   /** State for the state dump. */
   dump(): unknown {
-    return Object.fromEntries(
-      [...this.#usages].filter(([endpoint]) => this.isLimited(endpoint)),
-    );
+    return [...this.#usages]
+      .filter(([endpoint]) => this.isLimited(endpoint))
+      .map(([endpoint, { calls, grants, questions }]) => ({
+        endpoint,
+        calls,
+        grants: grants.length,
+        questions,
+      }));
   }
 
   #usageOf(endpoint: string): Usage {
@@ -120,7 +136,8 @@
     if (known !== undefined) return known;
     const created = {
       calls: 0,
-      grants: 0,
+      questions: 0,
+      grants: [],
       blockedUntil: -Infinity,
       isReportScheduled: false,
     };
@@ -128,12 +145,14 @@
     return created;
   }
 
-  /** Gives up a grant whose call did not begin, if there is one. */
-  #expireGrant(endpoint: string): void {
-    const usage = this.#usages.get(endpoint);
-    if (usage === undefined || usage.grants === 0) return;
-    usage.grants--;
-    this.#report(endpoint, usage);
+  /** Adds a grant, which is given up if its call does not begin. */
+  #addGrant(endpoint: string, usage: Usage): void {
+    const { clock } = this.#options;
+    const cancel = clock.after(GRANT_LIFETIME_MS, () => {
+      usage.grants.splice(usage.grants.indexOf(cancel), 1);
+      this.#report(endpoint, usage);
+    });
+    usage.grants.push(cancel);
   }
 
   async #ask(question: schema.SlotQuestion): Promise<number> {
@@ -167,26 +186,31 @@
     usage.isReportScheduled = true;
     this.#options.clock.after(REPORT_INTERVAL_MS, () => {
       usage.isReportScheduled = false;
-      if (usage.calls === 0) return;
-      if (this.isLimited(endpoint)) this.#report(endpoint, usage);
+      if (usage.calls === 0 || !this.isLimited(endpoint)) return;
+      this.#report(endpoint, usage);
       this.#scheduleReport(endpoint, usage);
     });
   }
 
-  #report(endpoint: string, { calls, grants }: Usage): void {
-    const [owner] = this.#ownersOf(endpoint);
-    if (owner === undefined) return;
-    this.#options.calls.cast(owner, {
-      type: "slots",
-      endpoint,
-      inFlight: calls + grants,
-    });
+  #report(endpoint: string, usage: Usage): void {
+    for (const owner of this.#ownersOf(endpoint)) {
+      this.#options.calls.cast(owner, {
+        type: "slots",
+        endpoint,
+        inFlight: inFlightOf(usage),
+      });
+    }
   }
 
   #ownersOf(endpoint: string): string[] {
     return rendezvous.rank(endpoint, this.#options.controlHosts()).slice(
       0,
-      MAX_HOSTS_TRIED,
+      OWNER_COUNT,
     );
   }
 }
+
+/** Calls in flight, and those that are granted or asked for. */
+function inFlightOf({ calls, questions, grants }: Usage): number {
+  return calls + questions + grants.length;
+}
--- a/src/concurrency/slot_server.ts
+++ b/src/concurrency/slot_server.ts
@@ -1,15 +1,14 @@
 /** Slots of brittle endpoints on control hosts. Rendezvous hashing selects the
  * control host that grants them for an endpoint. Its state consists of what
- * entry hosts report with their questions, so another control host can take over
- * without a transfer.
+ * entry hosts report, so another control host can take over without a transfer.
  * @module */
 
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 
-/** Time after the first question for an endpoint without grants: other hosts
- * have calls in flight there too, which they report meanwhile. */
+/** Time after the first report of an endpoint without grants: other hosts have
+ * calls in flight there too, which they report meanwhile. */
 const SETTLE_MS = 250;
 /** Time for which a host's report counts; hosts with calls in flight report
  * several times within it. */
@@ -62,7 +61,7 @@
 
   /** Records a host's calls in flight. */
   record({ endpoint, inFlight }: schema.SlotsNotice, from: string): void {
-    if (this.#usages.has(endpoint)) this.#report(endpoint, { from, inFlight });
+    this.#report(endpoint, { from, inFlight });
   }
 
   /** Removes endpoints of which no host has reported lately. */
--- a/src/concurrency/slots_test.ts
+++ b/src/concurrency/slots_test.ts
@@ -189,3 +189,16 @@
   t.false(host.isLimited(ENDPOINT));
   t.is(await host.acquire(ENDPOINT), 0);
 });
+
+// Guards against slots that stay taken by questions which were refused.
+test("refused questions take no slots", async (t) => {
+  const fleet = createFleet(2, { slots: 4 });
+  const [first, second] = fleet.hosts;
+  await settle(fleet);
+  t.is(await acquireAll([first], 4), 4);
+  await Promise.all(
+    Array.from({ length: 5 }, () => second.acquire(ENDPOINT)),
+  );
+  for (let count = 0; count < 4; count++) first.end(ENDPOINT);
+  t.is(await acquireAll([first], 4), 4);
+});
