Calls on connections that are not reused fail when their endpoint restarts

Found by reading: a pool whose connections are no longer used for new calls was only closed, so its calls in flight went on waiting when their endpoint had been replaced; those of the pool in use are destroyed then.

Change: such pools are kept until their calls have ended, and destroyed with the endpoint or the host. Test: a call in flight on a former epoch fails at the endpoint's restart; before, it waited for its deadline.

--- a/src/endpoint_calls/connections.ts
+++ b/src/endpoint_calls/connections.ts
@@ -40,6 +40,8 @@
 export class Connections extends undici.Dispatcher {
   readonly #options: ConnectionsOptions;
   readonly #pools = new Map<string, AddressPool>();
+  /** Pools that are closed once their calls in flight are completed, by origin. */
+  readonly #closing = new Map<undici.Pool, string>();
 
   private constructor(options: ConnectionsOptions) {
     super();
@@ -75,7 +77,7 @@
    * completed. */
   async retire(address: string): Promise<void> {
     this.#options.reuse.forget(address);
-    await this.#removePool(originOf(address))?.close();
+    await this.#closePool(originOf(address));
   }
 
   /** Destroys the pool of an address whose endpoint has restarted; calls in
@@ -85,13 +87,20 @@
     const error = new undici.errors.SocketError(
       "endpoint restarted; its former connections are closed",
     );
-    await this.#removePool(originOf(address))?.destroy(error);
+    const origin = originOf(address);
+    const closing = [...this.#closing]
+      .filter(([, each]) => each === origin)
+      .map(([pool]) => pool);
+    closing.forEach((pool) => this.#closing.delete(pool));
+    const pools = [...closing, this.#removePool(origin)];
+    await Promise.all(pools.map((pool) => pool?.destroy(error)));
   }
 
   override async destroy(): Promise<void> {
-    const pools = [...this.#pools.values()];
+    const open = [...this.#pools.values()].map(({ pool }) => pool);
+    const pools = [...open, ...this.#closing.keys()];
     this.#pools.clear();
-    await Promise.all(pools.map(({ pool }) => pool.destroy()));
+    await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
   /** The pool of an address if its connections may be used; otherwise it is
@@ -105,10 +114,20 @@
     const isUsable = epoch === reuse.epochOf(address) &&
       !reuse.isSilent(address, openedAt);
     if (isUsable) return pool;
-    void this.#removePool(origin)?.close();
+    void this.#closePool(origin);
     return undefined;
   }
 
+  /** Closes the pool of an origin once its calls in flight are completed, or once
+   * it is destroyed. */
+  async #closePool(origin: string): Promise<void> {
+    const pool = this.#removePool(origin);
+    if (pool === undefined) return;
+    this.#closing.set(pool, origin);
+    await pool.close();
+    this.#closing.delete(pool);
+  }
+
   #openPool(origin: string): undici.Pool {
     const { pool: options, clock, reuse } = this.#options;
     const pool = new undici.Pool(origin, options);
--- a/src/endpoint_calls/connections_test.ts
+++ b/src/endpoint_calls/connections_test.ts
@@ -140,3 +140,16 @@
     `forget ${address}`,
   ]);
 });
+
+// Guards against calls that go on waiting for an endpoint that has restarted.
+test("calls on connections that are not reused fail when their endpoint restarts", async (t) => {
+  const address = await serve(t);
+  let epoch = "1";
+  const pools = createConnections(t, { epochOf: () => epoch });
+  const pendingAnswer = send(pools, address, "/slow");
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  epoch = "2";
+  await send(pools, address);
+  void pools.abort(address);
+  await t.throwsAsync(pendingAnswer, { message: /endpoint restarted/ });
+});
