Slots: an endpoint that is not used leaves no state

A host that was refused a slot of an endpoint and made no call there kept a record of it for ever, one for each incarnation. Records without calls are removed once the refusal has ended. Test: none is left; before, one was.

--- a/src/concurrency/slot_client.ts
+++ b/src/concurrency/slot_client.ts
@@ -96,6 +96,7 @@
     // Concurrent questions that were refused too were counted in this one.
     if (inFlightOf(usage) !== inFlight) this.#report(endpoint, usage);
     usage.blockedUntil = clock.now() + wait;
+    clock.after(wait, () => this.#removeUnused(endpoint));
     metrics.count("slots.withheld");
     return wait;
   }
@@ -116,7 +117,7 @@
     usage.calls--;
     usage.blockedUntil = -Infinity;
     if (this.isLimited(endpoint)) this.#report(endpoint, usage);
-    if (inFlightOf(usage) === 0) this.#usages.delete(endpoint);
+    this.#removeUnused(endpoint);
   }
 
   /** State for the state dump. */
@@ -145,6 +146,13 @@
     return created;
   }
 
+  #removeUnused(endpoint: string): void {
+    const usage = this.#usages.get(endpoint);
+    if (usage === undefined || inFlightOf(usage) > 0) return;
+    const isBlocked = this.#options.clock.now() < usage.blockedUntil;
+    if (!isBlocked) this.#usages.delete(endpoint);
+  }
+
   /** Adds a grant, which is given up if its call does not begin. */
   #addGrant(endpoint: string, usage: Usage): void {
     const { clock } = this.#options;
--- a/src/concurrency/slots_test.ts
+++ b/src/concurrency/slots_test.ts
@@ -202,3 +202,17 @@
   for (let count = 0; count < 4; count++) first.end(ENDPOINT);
   t.is(await acquireAll([first], 4), 4);
 });
+
+// Guards against state of endpoints that have ended, which grows for ever.
+test("an endpoint that is not used leaves no state", async (t) => {
+  const fleet = createFleet(2, { slots: 1 });
+  const [first, second] = fleet.hosts;
+  await settle(fleet);
+  await acquireAll([first], 1);
+  await second.acquire(ENDPOINT);
+  t.is((second.dump() as unknown[]).length, 1);
+  first.end(ENDPOINT);
+  fleet.clock.advance(200);
+  t.deepEqual(second.dump(), []);
+  t.deepEqual(first.dump(), []);
+});
