Hosts do not ask each other again and again about endpoints that are down

Cause: each host without a path to an endpoint asked up to eight others twice a second; one that had no path either answered no-path, which did not count, so that the next one was asked. Class: an amplification of retries by health checks.

Change: a host without any path answers unreachable, three of which end the search; while this host is not partitioned, only every fourth probe of such an endpoint asks other hosts, the others try the direct path.

--- a/bench/path_fuzz/world.ts
+++ b/bench/path_fuzz/world.ts
@@ -252,8 +252,9 @@
       const { isRunning, paths, links } = this.#hosts[via];
       const isTunnel = via !== host;
       if (!isRunning) return callback(new Error("host is down"));
-      if (isTunnel && !paths.isDirect(addressOf(endpoint))) {
-        return callback(new Error("no direct path"));
+      const path = paths.pathTo(addressOf(endpoint));
+      if (isTunnel && path !== "direct") {
+        return callback(path === "none" ? UNREACHABLE : new Error("no path"));
       }
       if (links[endpoint] === "hang") {
         if (!isTunnel) return;
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -95,8 +95,8 @@
     });
     this.#tunnelServer = relay.TunnelServer.create({
       ...options,
-      mayConnect: (endpoint) =>
-        this.#pool.at(endpoint) !== undefined && this.#paths.isDirect(endpoint),
+      pathTo: (endpoint) =>
+        this.#pool.at(endpoint) && this.#paths.pathTo(endpoint),
       onFailure: (endpoint) => this.#paths.check(endpoint),
     });
     this.#connections = connections.Connections.create({
--- a/src/relay/endpoint_paths.ts
+++ b/src/relay/endpoint_paths.ts
@@ -17,6 +17,9 @@
 
 /** Interval at which paths that do not work are tried again. */
 const PROBE_INTERVAL_MS = 500;
+/** Probes of an endpoint without a path from one to the next that asks other
+ * hosts too. */
+const RELAY_PROBE_INTERVAL = 4;
 /** Endpoints probed at once. */
 const MAX_PROBES = 4;
 
@@ -90,10 +93,14 @@
     this.#relays.delete(endpoint);
   }
 
-  /** Whether an endpoint is reached directly, so that this host may connect
-   * other hosts to it. */
+  /** Path of new connections to an endpoint. */
+  pathTo(endpoint: string): pathTables.Path {
+    return this.#table.pathTo(endpoint, this.#now);
+  }
+
+  /** Whether an endpoint is reached directly. */
   isDirect(endpoint: string): boolean {
-    return this.#table.pathTo(endpoint, this.#now) === "direct";
+    return this.pathTo(endpoint) === "direct";
   }
 
   /** Finds out which path leads to an endpoint, after a direct connection has
@@ -148,7 +155,7 @@
 
   async #open(endpoint: string): Promise<net.Socket> {
     this.#known.add(endpoint);
-    const path = this.#table.pathTo(endpoint, this.#now);
+    const path = this.pathTo(endpoint);
     if (path === "none") {
       throw new errors.RelayError(`No path leads to ${endpoint}`);
     }
@@ -274,7 +281,13 @@
     for (const address of this.#takeTurns(relayed)) {
       void this.#probeDirect(address);
     }
-    for (const address of this.#takeTurns(lost)) void this.#check(address);
+    // A partition apart, an endpoint that no host reached is mostly down.
+    const mayAskHosts = this.#isPartitioned ||
+      this.#probeCount % RELAY_PROBE_INTERVAL === 0;
+    for (const address of this.#takeTurns(lost)) {
+      if (mayAskHosts) void this.#check(address);
+      else void this.#probeDirect(address);
+    }
     this.#probeCount++;
   }
 
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -11,6 +11,7 @@
 import type * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import type * as pathTables from "./path_table.ts";
 import * as tunnelClient from "./tunnel_client.ts";
 
 /** Most tunnels at a time. Each takes two descriptors and some buffers, which
@@ -25,8 +26,8 @@
   readonly clock: runtime.Clock;
   readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
-  /** Whether an endpoint is known to this host and reached directly. */
-  mayConnect(endpoint: string): boolean;
+  /** Path of this host to an endpoint; undefined if it does not know it. */
+  pathTo(endpoint: string): pathTables.Path | undefined;
   /** A direct connection to an endpoint has failed. */
   onFailure(endpoint: string): void;
 }
@@ -98,7 +99,9 @@
   #refusalOf({ endpoint }: peers.TunnelRequest): Refusal | undefined {
     if (this.#isStopping) return "stopping";
     if (this.count >= MAX_TUNNELS) return "full";
-    return this.#options.mayConnect(endpoint) ? undefined : "no-path";
+    const path = this.#options.pathTo(endpoint);
+    if (path === "direct") return undefined;
+    return path === "none" ? "unreachable" : "no-path";
   }
 
   #refuse(
--- a/src/relay/tunnel_test.ts
+++ b/src/relay/tunnel_test.ts
@@ -9,6 +9,8 @@
 import * as peers from "../peers/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
+import * as errors from "./errors.ts";
+import type * as pathTables from "./path_table.ts";
 import * as tunnelClient from "./tunnel_client.ts";
 import * as tunnelServers from "./tunnel_server.ts";
 
@@ -37,14 +39,14 @@
 /** Starts a host that serves tunnels, and another one that may dial it. */
 async function startRelay(
   t: ava.ExecutionContext,
-  mayConnect = (_endpoint: string) => true,
+  path: pathTables.Path | undefined = "direct",
 ) {
   const tally = new telemetry.Tally();
   const server = tunnelServers.TunnelServer.create({
     clock: runtime.systemClock,
     logger: telemetry.noLogger,
     metrics: tally,
-    mayConnect,
+    pathTo: () => path,
     onFailure() {},
   });
   const relay = await startPeers(t, "relay", [], {
@@ -219,13 +221,26 @@
 });
 
 test("a host refuses tunnels to what it does not reach directly", async (t) => {
-  const { dialAddress, tally } = await startRelay(t, () => false);
+  const { dialAddress, tally } = await startRelay(t, "relayed");
   await t.throwsAsync(open(dialAddress, `${LOOPBACK}:1`), {
     message: /502 No Direct Path/,
   });
   t.is(tally.total("relay.served"), 1);
 });
 
+// Guards against many hosts that ask each other about an endpoint that is down.
+test("a host that no path leads from tells that the endpoint is unreachable", async (t) => {
+  const { address, sockets } = await startEndpoint(
+    t,
+    (socket) => socket.resume(),
+  );
+  const { dialAddress } = await startRelay(t, "none");
+  await t.throwsAsync(open(dialAddress, address), {
+    instanceOf: errors.EndpointUnreachableError,
+  });
+  t.is(sockets.length, 0);
+});
+
 test("a host refuses a tunnel to an endpoint that refuses the connection", async (t) => {
   const { dialAddress } = await startRelay(t);
   await t.throwsAsync(open(dialAddress, `${LOOPBACK}:1`), {
