--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -4,6 +4,7 @@
 
 import type * as undici from "undici";
 import * as configurations from "../../src/configuration/mod.ts";
+import * as concurrencyFixture from "../../src/concurrency/fixture.ts";
 import * as gateway from "../../src/gateway/mod.ts";
 import * as passages from "../../src/gateway/active_request.ts";
 import * as pieces from "../../src/batching/mod.ts";
@@ -52,6 +53,7 @@
     this.#batcher = pieces.Batcher.create({
       ...common,
       quotas: rateLimitFixture.unlimitedQuotas(),
+      slots: concurrencyFixture.unlimitedSlots(),
       service: (service) => catalogue.service(service),
       workers: ({ service, cell }) => this.#workers(service, cell),
       isClosed: () => false,
@@ -88,6 +90,7 @@
       batcherClient: maker,
       placement: this.#placement,
       quotas: rateLimitFixture.unlimitedQuotas(),
+      slots: concurrencyFixture.unlimitedSlots(),
       guard: quarantineFixture.permissiveGuard(),
       startedAt: clock.now(),
       maxConfigurationAge: 1000,
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as undici from "undici";
+import type * as concurrency from "../concurrency/mod.ts";
 import type * as configurations from "../configuration/mod.ts";
 import type * as protocols from "../gateway/protocol.ts";
 import type * as rateLimits from "../rate_limits/mod.ts";
@@ -41,6 +42,10 @@
    * not. */
   acceptsCalls(endpoint: string): boolean;
   quotas: Pick<rateLimits.QuotaClient, "recordLimit" | "isLimited" | "acquire">;
+  slots: Pick<
+    concurrency.SlotClient,
+    "isLimited" | "acquire" | "begin" | "end"
+  >;
 }
 
 /** The response of an endpoint to a call that computes items. */
@@ -195,21 +200,25 @@
   }
 
   async #call(assignment: tasks.Assignment): Promise<void> {
-    const { clock, metrics, service, acceptsCalls } = this.#options;
+    const { clock, metrics, service, acceptsCalls, slots } = this.#options;
     const { id } = assignment.worker;
     const grant = this.#requestGrant(id);
     const wait = grant === undefined ? 0 : await grant;
     if (wait > 0) return this.#postpone(assignment, wait);
+    const slotWait = slots.isLimited(id) ? await slots.acquire(id) : 0;
+    if (slotWait > 0) return this.#postpone(assignment, slotWait);
     if (!acceptsCalls(id)) return this.#postpone(assignment, 0);
     const started = clock.now();
     metrics.count("pieces.calls", 1, { service });
     metrics.count("pieces.made", assignment.tasks.length, { service });
+    slots.begin(id);
     const outcome = await batchCalls.call(assignment, {
       ...this.#options,
       timeout: this.#scheduler.callTimeout(assignment, started),
       onHead: (head) => this.#recordHead(id, head),
       maySend: () => acceptsCalls(id),
     });
+    slots.end(id);
     if (outcome.type === "failed" && outcome.cause === "withheld") {
       return this.#postpone(assignment, 0);
     }
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -2,6 +2,7 @@
 
 import test from "ava";
 import type * as undici from "undici";
+import * as concurrencyFixture from "../concurrency/fixture.ts";
 import * as fixture from "../configuration/fixture.ts";
 import type * as protocols from "../gateway/protocol.ts";
 import * as quotaFixture from "../rate_limits/fixture.ts";
@@ -50,6 +51,7 @@
     backoff: left,
     resumesIn: left,
     recordResponse() {},
+    slots: concurrencyFixture.unlimitedSlots(),
     quotas: {
       ...quotaFixture.unlimitedQuotas(),
       isLimited: () => true,
--- /dev/null
+++ b/src/concurrency/slot_client.ts
@@ -0,0 +1,197 @@
+/** Slots of brittle endpoints on entry hosts: counts this host's calls of any
+ * kind, and acquires a grant before each call to a brittle endpoint.
+ * @module */
+
+import type * as peers from "../peers/mod.ts";
+import * as rendezvous from "../routing/rendezvous.ts";
+import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
+import type * as telemetry from "../telemetry/mod.ts";
+
+/** Timeout of calls to a control host: many times the usual duration. */
+const CALL_TIMEOUT_MS = 150;
+/** Number of control hosts that are tried in turn. */
+const MAX_HOSTS_TRIED = 2;
+/** Time in which a granted call is begun. */
+const GRANT_LIFETIME_MS = 500;
+/** Interval at which calls in flight are reported again. */
+const REPORT_INTERVAL_MS = 1000;
+/** Time until the next try while no control host answers. */
+const LOCAL_RETRY_MS = 100;
+
+/** Dependencies of a `SlotClient`. */
+export interface SlotClientOptions {
+  readonly self: string;
+  readonly clock: runtime.Clock;
+  readonly logger: telemetry.Logger;
+  readonly metrics: telemetry.Metrics;
+  readonly calls: Pick<peers.Rpc, "ask" | "cast">;
+  controlHosts(): readonly string[];
+  /** Entry hosts, this one included. */
+  entryHosts(): readonly string[];
+  /** Calls that a brittle endpoint runs at once; undefined if it is not
+   * brittle. */
+  slots(endpoint: string): number | undefined;
+}
+
+/** This host's use of one endpoint. */
+interface Usage {
+  calls: number;
+  /** Grants whose calls have not begun. */
+  grants: number;
+  blockedUntil: number;
+  isReportScheduled: boolean;
+}
+
+/** Calls of one entry host by endpoint. Changed in place. */
+export class SlotClient {
+  readonly #options: SlotClientOptions;
+  readonly #usages = new Map<string, Usage>();
+
+  private constructor(options: SlotClientOptions) {
+    this.#options = options;
+  }
+
+  static create(options: SlotClientOptions): SlotClient {
+    return new SlotClient(options);
+  }
+
+  /** Endpoints that take no call of this host now. */
+  get blockedEndpoints(): string[] {
+    const now = this.#options.clock.now();
+    return [...this.#usages]
+      .filter(([, { blockedUntil }]) => now < blockedUntil)
+      .map(([endpoint]) => endpoint);
+  }
+
+  /** Whether calls to an endpoint need a grant. */
+  isLimited(endpoint: string): boolean {
+    return this.#options.slots(endpoint) !== undefined;
+  }
+
+  /** Acquires a grant for one call; resolves with 0, or with the milliseconds
+   * after which to retry. */
+  async acquire(endpoint: string): Promise<number> {
+    const { slots: slotsOf, clock, metrics } = this.#options;
+    const slots = slotsOf(endpoint);
+    if (slots === undefined) return 0;
+    const usage = this.#usageOf(endpoint);
+    const remaining = usage.blockedUntil - clock.now();
+    if (remaining > 0) return remaining;
+    // Counted before the answer, so that concurrent questions add up.
+    const inFlight = usage.calls + usage.grants++;
+    const wait = await this.#ask({ type: "slot", endpoint, slots, inFlight });
+    if (wait > 0) {
+      usage.grants--;
+      usage.blockedUntil = clock.now() + wait;
+      metrics.count("slots.withheld");
+      return wait;
+    }
+    clock.after(GRANT_LIFETIME_MS, () => this.#expireGrant(endpoint));
+    return 0;
+  }
+
+  /** Records that a call begins. */
+  begin(endpoint: string): void {
+    const usage = this.#usageOf(endpoint);
+    usage.calls++;
+    usage.grants = Math.max(0, usage.grants - 1);
+    this.#scheduleReport(endpoint, usage);
+  }
+
+  /** Records that a call has ended. */
+  end(endpoint: string): void {
+    const usage = this.#usageOf(endpoint);
+    usage.calls--;
+    usage.blockedUntil = -Infinity;
+    if (this.isLimited(endpoint)) this.#report(endpoint, usage);
+    if (usage.calls + usage.grants === 0) this.#usages.delete(endpoint);
+  }
+
+  /** State for the state dump. */
+  dump(): unknown {
+    return Object.fromEntries(
+      [...this.#usages].filter(([endpoint]) => this.isLimited(endpoint)),
+    );
+  }
+
+  #usageOf(endpoint: string): Usage {
+    const known = this.#usages.get(endpoint);
+    if (known !== undefined) return known;
+    const created = {
+      calls: 0,
+      grants: 0,
+      blockedUntil: -Infinity,
+      isReportScheduled: false,
+    };
+    this.#usages.set(endpoint, created);
+    return created;
+  }
+
+  /** Gives up a grant whose call did not begin, if there is one. */
+  #expireGrant(endpoint: string): void {
+    const usage = this.#usages.get(endpoint);
+    if (usage === undefined || usage.grants === 0) return;
+    usage.grants--;
+    this.#report(endpoint, usage);
+  }
+
+  async #ask(question: schema.SlotQuestion): Promise<number> {
+    const { calls, logger } = this.#options;
+    const { endpoint } = question;
+    for (const owner of this.#ownersOf(endpoint)) {
+      try {
+        const reply = await calls.ask(owner, question, {
+          timeout: CALL_TIMEOUT_MS,
+        });
+        if (reply.type === "quota") return reply.granted ? 0 : reply.wait;
+      } catch (error) {
+        const reason = `${error}`;
+        logger.info(
+          { owner, endpoint, reason },
+          "Control host did not grant a slot; trying the next one",
+        );
+      }
+    }
+    return question.inFlight < this.#ownShare(question) ? 0 : LOCAL_RETRY_MS;
+  }
+
+  /** Slots that this host may use while no control host answers; the shares of
+   * all hosts add up to the endpoint's slots. */
+  #ownShare({ endpoint, slots }: schema.SlotQuestion): number {
+    const { self, entryHosts } = this.#options;
+    const ranked = rendezvous.rank(endpoint, entryHosts());
+    const count = Math.max(1, ranked.length);
+    const isExtra = Math.max(0, ranked.indexOf(self)) < slots % count;
+    return Math.floor(slots / count) + (isExtra ? 1 : 0);
+  }
+
+  /** Reports calls in flight while there are any. */
+  #scheduleReport(endpoint: string, usage: Usage): void {
+    if (usage.isReportScheduled) return;
+    usage.isReportScheduled = true;
+    this.#options.clock.after(REPORT_INTERVAL_MS, () => {
+      usage.isReportScheduled = false;
+      if (usage.calls === 0) return;
+      if (this.isLimited(endpoint)) this.#report(endpoint, usage);
+      this.#scheduleReport(endpoint, usage);
+    });
+  }
+
+  #report(endpoint: string, { calls, grants }: Usage): void {
+    const [owner] = this.#ownersOf(endpoint);
+    if (owner === undefined) return;
+    this.#options.calls.cast(owner, {
+      type: "slots",
+      endpoint,
+      inFlight: calls + grants,
+    });
+  }
+
+  #ownersOf(endpoint: string): string[] {
+    return rendezvous.rank(endpoint, this.#options.controlHosts()).slice(
+      0,
+      MAX_HOSTS_TRIED,
+    );
+  }
+}
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -4,6 +4,7 @@
 
 import * as versions from "../control/versions/mod.ts";
 import * as endpoints from "../endpoints/mod.ts";
+import * as concurrency from "../concurrency/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as rateLimits from "../rate_limits/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
@@ -66,6 +67,7 @@
   readonly #replicator: endpointReplicator.EndpointReplicator;
   readonly #coordinator: quarantine.Coordinator;
   readonly #quotaServer: rateLimits.QuotaServer;
+  readonly #slotServer: concurrency.SlotServer;
   readonly #syncSessions = syncSessions.SyncSessions.create();
   readonly #epoch: string;
   readonly #confirmations: coalescers.Coalescer<FleetState>;
@@ -102,6 +104,8 @@
           Promise.resolve(this.#quotaServer.request(question)),
         warmup: (question) =>
           Promise.resolve(this.#quotaServer.requestCold(question)),
+        slot: (question, from) =>
+          Promise.resolve(this.#slotServer.request(question, from)),
         lease: (question, from) =>
           Promise.resolve(this.#coordinator.requestLease(question, from)),
       },
@@ -121,6 +125,7 @@
       calls: this.#network.calls,
       peers: () => this.#peers(),
     });
+    this.#slotServer = concurrency.SlotServer.create(options);
     this.#quotaServer = rateLimits.QuotaServer.create({
       ...options,
       calls: this.#network.calls,
@@ -250,6 +255,7 @@
     this.#replicator.tick();
     this.#coordinator.tick();
     this.#quotaServer.tick();
+    this.#slotServer.tick();
     this.#options.metrics.gauge(
       "evacuation.active",
       this.#store?.evacuations.active.length ?? 0,
@@ -306,6 +312,8 @@
       this.#coordinator.merge(notice.suspects);
     } else if (notice.type === "limits") {
       this.#quotaServer.mergeLimits(notice.limits);
+    } else if (notice.type === "slots") {
+      this.#slotServer.record(notice, from);
     } else if (notice.type === "lease-over") {
       this.#coordinator.endLease(notice.fingerprint, from);
     }
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -7,6 +7,7 @@
 import * as connections from "../endpoint_calls/connections.ts";
 import * as gateway from "../gateway/mod.ts";
 import * as batching from "../batching/mod.ts";
+import * as concurrency from "../concurrency/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as rateLimits from "../rate_limits/mod.ts";
 import * as relay from "../relay/mod.ts";
@@ -60,6 +61,7 @@
   readonly #placement: gateway.Placement;
   readonly #guard: quarantine.Guard;
   readonly #quotaClient: rateLimits.QuotaClient;
+  readonly #slotClient: concurrency.SlotClient;
   readonly #paths: relay.EndpointPaths;
   readonly #tunnelServer: relay.TunnelServer;
   readonly #connections: connections.Connections;
@@ -142,9 +144,18 @@
       entryHostCount: () => this.#syncClient.hosts.length,
       coldRate: (id) => this.#pool.get(id)?.coldRate(clock.now()),
     });
+    this.#slotClient = concurrency.SlotClient.create({
+      ...options,
+      self,
+      calls: this.#network.calls,
+      controlHosts: () => this.#syncClient.controlHosts,
+      entryHosts: () => this.#readyHosts.map(({ host }) => host),
+      slots: (id) => this.#pool.get(id)?.concurrencyLimit(clock.now()),
+    });
     this.#batcher = batching.Batcher.create({
       ...options,
       quotas: this.#quotaClient,
+      slots: this.#slotClient,
       dispatcher: this.#connections,
       service: (name) => this.#catalogue?.service(name),
       workers: (partition) => this.#usableWorkers(partition),
@@ -230,6 +241,7 @@
       paths: this.#paths.dump(),
       suspects: this.#guard.dump(),
       limits: this.#quotaClient.dump(),
+      slots: this.#slotClient.dump(),
       batcher: this.#batcher.dump(),
       peers: this.#network.transport.dump(),
     };
@@ -274,6 +286,7 @@
       placement: this.#placement,
       guard: this.#guard,
       quotas: this.#quotaClient,
+      slots: this.#slotClient,
       startedAt: this.#options.clock.now(),
       maxConfigurationAge: this.#maxProofAge,
       calibration: gateway.Calibration.create(),
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -292,6 +292,7 @@
       prompt: this.#incoming!.prompt,
       objective: this.#route!.objective,
       deadline: this.#deadline,
+      rank: this.#rank,
       endpointAdmission: this.#endpointAdmission!,
     });
   }
@@ -300,7 +301,7 @@
     { endpoint: target, placed: placement }: targetChoices.Target,
     inputs: readonly string[] | undefined,
   ): Promise<attempts.Outcome> {
-    const { clock, logger, metrics, loadUpdates, paths } = this.#context;
+    const { clock, logger, metrics, loadUpdates, paths, slots } = this.#context;
     const { id, name, service, address } = target.identity;
     const started = clock.now();
     const record: CallRecord = { endpoint: id, ms: 0, outcome: "open" };
@@ -319,6 +320,7 @@
       ...(placement?.source === "owner" &&
         { pendingWork: placement.pendingWork }),
     });
+    slots.begin(id);
     const onFirstEvent = () => {
       if (callLoad.firstEventTime === undefined) {
         this.#recordFirstEvent(target, { callLoad, record });
@@ -349,6 +351,7 @@
       : clock.after(retentionTime, () => this.#pipelineRun?.release());
     const outcome = await this.#attempt.outcome;
     cancelRelease();
+    slots.end(id);
     if (this.#missedReleasedInput(outcome)) {
       this.#context.inputRetention.recordMissing(service, retentionTime);
     }
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -5,6 +5,7 @@
 import type * as ava from "ava";
 import test from "ava";
 import * as undici from "undici";
+import * as concurrencyFixture from "../concurrency/fixture.ts";
 import * as fixture from "../configuration/fixture.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
 import * as configurations from "../configuration/mod.ts";
@@ -127,6 +128,7 @@
     inputRetention: gateway.InputRetention.create(),
     loadUpdates: { record() {} },
     quotas: rateLimitFixture.unlimitedQuotas(),
+    slots: concurrencyFixture.unlimitedSlots(),
     guard: quarantineFixture.permissiveGuard(),
     startedAt: 0,
     maxConfigurationAge: 1000,
--- a/src/gateway/announcement_records.ts
+++ b/src/gateway/announcement_records.ts
@@ -27,10 +27,28 @@
 ): void {
   if (head.isMisdirected) return;
   endpoint.recordCold(head.coldFor ?? 0, options.clock.now());
+  recordBrittleness(endpoint, head, options);
   recordLeaving(endpoint, head, options);
   recordBackoff(endpoint, head, options);
 }
 
+function recordBrittleness(
+  target: endpoints.Endpoint,
+  { maxRejections }: protocols.ReplyHead,
+  options: RecordOptions,
+): void {
+  if (maxRejections === "unreadable") return recordUnreadable(target, options);
+  const { clock, logger, metrics, request } = options;
+  const isAnnounced = maxRejections !== undefined;
+  if (!target.brittleness.record(isAnnounced, clock.now())) return;
+  const { id: endpoint, service } = target.identity;
+  metrics.count("gateway.brittle", 1, { service });
+  logger.info(
+    { endpoint, service, request, maxRejections, isBrittle: isAnnounced },
+    "Endpoint became brittle, or is no longer",
+  );
+}
+
 function recordLeaving(
   target: endpoints.Endpoint,
   { leaving }: protocols.ReplyHead,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -4,6 +4,7 @@
 import type * as undici from "undici";
 import type * as configurations from "../configuration/mod.ts";
 import type * as batching from "../batching/mod.ts";
+import type * as concurrency from "../concurrency/mod.ts";
 import type * as quarantine from "../quarantine/mod.ts";
 import type * as rateLimits from "../rate_limits/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
@@ -70,6 +71,10 @@
     rateLimits.QuotaClient,
     "recordLimit" | "isLimited" | "needsProbe" | "blockedEndpoints" | "acquire"
   >;
+  readonly slots: Pick<
+    concurrency.SlotClient,
+    "blockedEndpoints" | "isLimited" | "acquire" | "begin" | "end"
+  >;
   readonly loadUpdates: Pick<loadUpdates.LoadUpdates, "record">;
   /** Time at which the host started, by its clock. */
   readonly startedAt: number;
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -4,6 +4,7 @@
 
 import type * as configurations from "../configuration/mod.ts";
 import * as announcements from "./announcements.ts";
+import * as brittlenesses from "./brittleness.ts";
 import * as remoteLoads from "./remote_load.ts";
 import * as firstEventLatencies from "./first_event_latency.ts";
 import type * as cachedPrefixes from "./cached_prefixes.ts";
@@ -67,6 +68,7 @@
   readonly identity: Identity;
   /** What it has announced of itself in its answers. */
   announcements = announcements.Announcements.create();
+  brittleness = brittlenesses.Brittleness.create();
   readonly rejections = rejectionBackoffs.RejectionBackoff.create();
   /** Undefined unless its service is known to serve prompts: the first
    * heartbeat may arrive before the configuration. */
@@ -199,6 +201,14 @@
     return isCold ? this.cold?.rate : undefined;
   }
 
+  /** Calls that all hosts together may have in flight there; undefined while it
+   * is not brittle. */
+  concurrencyLimit(now: number): number | undefined {
+    return this.brittleness.isBrittle(now)
+      ? Math.max(1, this.identity.slots)
+      : undefined;
+  }
+
   /** Treats it as cold: it may have become so since its last heartbeat. */
   assumeCold(now: number): void {
     this.recordCold(this.cold?.time ?? 0, now);
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -29,7 +29,7 @@
 
 type Dependencies = Pick<
   contexts.Context,
-  "clock" | "random" | "guard" | "quotas"
+  "clock" | "random" | "guard" | "quotas" | "slots"
 >;
 
 /** Admits one request to endpoints. */
@@ -74,7 +74,8 @@
   ): Promise<Denial | undefined> {
     const { id } = endpoint.identity;
     const denial = await this.#acquireQuota(id) ??
-      await this.#passQuarantine(id, deadline);
+      await this.#passQuarantine(id, deadline) ??
+      await this.#acquireSlot(id);
     const { clock, random } = this.#dependencies;
     const now = clock.now();
     if (denial !== undefined || endpoint.isAccepting(now)) return denial;
@@ -111,6 +112,17 @@
     return { reason: "rate-limited", isFinal: false, details };
   }
 
+  async #acquireSlot(endpoint: string): Promise<Denial | undefined> {
+    const { slots, random } = this.#dependencies;
+    if (!slots.isLimited(endpoint)) return undefined;
+    const wait = await slots.acquire(endpoint);
+    if (wait === 0) return undefined;
+    this.release();
+    const spread = wait + random.next() * RETRY_SPREAD_MS;
+    const details = { endpoint, retryAfter: refusals.retryDelay(spread) };
+    return { reason: "no-slot", isFinal: false, details };
+  }
+
   async #passQuarantine(
     endpoint: string,
     deadline: number,
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -5,6 +5,7 @@
 import * as incarnations from "../endpoints/incarnation.ts";
 import type * as endpoints from "../endpoints/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
+import * as brittlenesses from "./brittleness.ts";
 import type * as announcements from "./announcements.ts";
 import * as endpoint from "./endpoint.ts";
 import * as firstEventLatencies from "./first_event_latency.ts";
@@ -33,6 +34,10 @@
     string,
     firstEventLatencies.FirstEventLatency
   >();
+  readonly #brittleness = new Map<
+    string,
+    brittlenesses.ServiceBrittleness
+  >();
   /** Announcements of former endpoints, by incarnation. */
   readonly #former = new Map<string, announcements.Announcements>();
   #evacuatedDataCentres: ReadonlySet<string> = new Set();
@@ -160,6 +165,7 @@
       resting: each.isEjected(now),
       evacuated: each.isEvacuated,
       coldRate: each.coldRate(now),
+      concurrencyLimit: each.concurrencyLimit(now),
       duration: each.meanDuration,
       ...each.announcements.dump(now),
       ...each.rejections.dump(now),
@@ -176,6 +182,9 @@
     const added = endpoint.Endpoint.create(identity);
     added.announcements = this.#former.get(id) ?? added.announcements;
     this.#former.delete(id);
+    added.brittleness = brittlenesses.Brittleness.create(
+      this.#brittlenessOf(service),
+    );
     this.#applyEvacuation(added);
     this.#byId.set(id, added);
     this.#byService.set(service, [...this.endpointsOf(service), added]);
@@ -223,6 +232,14 @@
     return created;
   }
 
+  #brittlenessOf(service: string): brittlenesses.ServiceBrittleness {
+    const known = this.#brittleness.get(service);
+    if (known !== undefined) return known;
+    const created = { announcedAt: -Infinity };
+    this.#brittleness.set(service, created);
+    return created;
+  }
+
   #remove(id: string, { identity, announcements }: endpoint.Endpoint): void {
     this.#revision++;
     if (!announcements.isEmpty) this.#former.set(id, announcements);
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -91,6 +91,9 @@
   /** Requests per second that the endpoint accepts from all hosts together,
    * while its answers contain the limit. */
   readonly rateLimit?: number | "unreadable";
+  /** Rejections per second beyond which the endpoint fails, while its answers
+   * contain them. */
+  readonly maxRejections?: number | "unreadable";
   /** Milliseconds for which the endpoint will be cold, if reported. */
   readonly coldFor?: number;
   /** Present if the endpoint announces that it is leaving. */
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -16,6 +16,7 @@
   | "leaving"
   | "backoff"
   | "rate-limited"
+  | "no-slot"
   | "suspected"
   | "quarantined"
   | "not-run"
@@ -84,6 +85,8 @@
   "backoff": { status: 503 },
   // The delay follows from the rate limit that endpoints announce.
   "rate-limited": { status: 503 },
+  // Slots become free as calls end.
+  "no-slot": { status: 503, retryAfter: 0.6 },
   // The delay follows from when the quarantine lets the request run again.
   "suspected": { status: 503 },
   "quarantined": { status: 503 },
--- a/src/gateway/target_choice.ts
+++ b/src/gateway/target_choice.ts
@@ -11,6 +11,13 @@
 import type * as refusals from "./refusal.ts";
 import * as unavailabilities from "./unavailability.ts";
 
+/** Time between two tries for a slot of a brittle endpoint, per rank, and what is
+ * added at random. */
+const SLOT_WAIT_MS = 25;
+const SLOT_WAIT_SPREAD_MS = 25;
+/** Tries for a slot of one call. */
+const MAX_SLOT_WAITS = 20;
+
 /** The endpoint of a call. */
 export interface Target {
   readonly endpoint: endpoints.Endpoint;
@@ -35,6 +42,8 @@
   readonly objective: number;
   /** Time at which the request ends at the latest. */
   readonly deadline: number;
+  /** Rank of the request; 0 is the highest. */
+  readonly rank: number;
   readonly endpointAdmission: admissions.EndpointAdmission;
 }
 
@@ -50,7 +59,7 @@
 
 type Dependencies = Pick<
   contexts.Context,
-  "pool" | "clock" | "random" | "dataCentre" | "placement" | "quotas"
+  "pool" | "clock" | "random" | "dataCentre" | "placement" | "quotas" | "slots"
 >;
 
 /** Chooses the targets of one request. */
@@ -77,6 +86,7 @@
   async choose(progress: RequestProgress): Promise<TargetChoiceResult> {
     const { endpointAdmission: admission, deadline } = this.#options;
     const avoided: string[] = [];
+    let slotWaits = 0;
     for (;;) {
       const target = await this.#pick(progress, avoided);
       if (target === undefined) return this.#unavailable;
@@ -86,6 +96,15 @@
       const isFinished = progress.isFinished();
       if (isFinished && denial === undefined) admission.release();
       if (isFinished || denial === undefined) return { type: "target", target };
+      const isWaiting = denial.reason === "no-slot" &&
+        avoided.includes(id) && this.#mayWaitForSlot(slotWaits);
+      if (isWaiting) {
+        slotWaits++;
+        avoided.length = 0;
+        await this.#waitForSlot();
+        if (progress.isFinished()) return this.#unavailable;
+        continue;
+      }
       if (denial.isFinal || avoided.includes(id)) {
         const { reason, details: about } = denial;
         return { type: "none", reason, about };
@@ -94,6 +113,25 @@
     }
   }
 
+  /** Whether the request may wait on for a slot of an endpoint: for half of its
+   * objective, some steps at most. */
+  #mayWaitForSlot(waits: number): boolean {
+    const { objective } = this.#options;
+    const stepTime = this.#slotWait + SLOT_WAIT_SPREAD_MS;
+    return waits < MAX_SLOT_WAITS && (waits + 1) * stepTime < objective / 2;
+  }
+
+  /** Milliseconds between two tries: higher ranks try more often. */
+  get #slotWait(): number {
+    return SLOT_WAIT_MS * (1 + this.#options.rank);
+  }
+
+  #waitForSlot(): Promise<void> {
+    const { clock, random } = this.#dependencies;
+    const wait = this.#slotWait + random.next() * SLOT_WAIT_SPREAD_MS;
+    return new Promise((resolve) => void clock.after(wait, () => resolve()));
+  }
+
   /** The result when no endpoint can be called. */
   get #unavailable(): TargetChoiceResult {
     const { pool, clock, random } = this.#dependencies;
@@ -110,9 +148,10 @@
     { called, planned }: RequestProgress,
     avoided: readonly string[],
   ): Promise<Target | undefined> {
-    const { placement, quotas, pool, clock } = this.#dependencies;
+    const { placement, quotas, slots, pool, clock } = this.#dependencies;
     const { service, prompt, objective } = this.#options;
-    const tried = [...called, ...avoided, ...quotas.blockedEndpoints];
+    const blocked = [...quotas.blockedEndpoints, ...slots.blockedEndpoints];
+    const tried = [...called, ...avoided, ...blocked];
     if (prompt === undefined) return this.#pickEndpoint(tried);
     // The owner of a partition does not know what engines announce to this host.
     const closed = pool.announcedClosed(service, clock.now());
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -21,7 +21,8 @@
   | SuspectsQuestion
   | LeaseQuestion
   | QuotaQuestion
-  | WarmupQuestion;
+  | WarmupQuestion
+  | SlotQuestion;
 export type Name = string;
 /**
  * Part of a service's endpoints that one batcher schedules.
@@ -48,7 +49,7 @@
  */
 export type Evacuations = Evacuation[];
 export type Notice =
-  HelloNotice | ReleaseNotice | DropNotice | UseNotice | SuspectsNotice | LeaseOverNotice | LimitsNotice;
+  HelloNotice | ReleaseNotice | DropNotice | UseNotice | SuspectsNotice | LeaseOverNotice | LimitsNotice | SlotsNotice;
 
 export interface Ask {
   type: "ask";
@@ -327,6 +328,21 @@
    */
   rate: number;
 }
+/**
+ * Asks for a grant to send one request to a brittle endpoint.
+ */
+export interface SlotQuestion {
+  type: "slot";
+  endpoint: Engine;
+  /**
+   * Requests that the endpoint runs at once.
+   */
+  slots: number;
+  /**
+   * The asker's requests there, granted ones included.
+   */
+  inFlight: number;
+}
 export interface Answer {
   type: "answer";
   id: Count;
@@ -624,3 +640,11 @@
   type: "limits";
   limits: EndpointLimit[];
 }
+/**
+ * Tells a core host of this host's requests at an endpoint.
+ */
+export interface SlotsNotice {
+  type: "slots";
+  endpoint: Engine;
+  inFlight: number;
+}
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,10 +5,10 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
-const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"}]};
+const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"}]};
 const schema35 = {"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -2658,6 +2658,127 @@
 }
 validate48.evaluated = {"props":{"type":true,"endpoint":true,"rate":true},"dynamicProps":false,"dynamicItems":false};
 
+const schema89 = {"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}};
+
+function validate49(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate49.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.slots === undefined) && (missing0 = "slots"))) || ((data.inFlight === undefined) && (missing0 = "inFlight"))){
+validate49.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema89.required,parentSchema:schema89,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate49.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.type.type,parentSchema:schema89.properties.type,data:data0}];
+return false;
+}
+if("slot" !== data0){
+validate49.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slot"},message:"must be equal to constant",schema:"slot",parentSchema:schema89.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.endpoint !== undefined){
+let data1 = data.endpoint;
+const _errs3 = errors;
+const _errs4 = errors;
+if(errors === _errs4){
+if(typeof data1 === "string"){
+if(data1.length > 300){
+validate49.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate49.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
+return false;
+}
+}
+}
+else {
+validate49.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.slots !== undefined){
+let data2 = data.slots;
+const _errs6 = errors;
+if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
+validate49.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema89.properties.slots.type,parentSchema:schema89.properties.slots,data:data2}];
+return false;
+}
+if(errors === _errs6){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 < 1 || isNaN(data2)){
+validate49.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema89.properties.slots,data:data2}];
+return false;
+}
+}
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.inFlight !== undefined){
+let data3 = data.inFlight;
+const _errs8 = errors;
+if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
+validate49.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema89.properties.inFlight.type,parentSchema:schema89.properties.inFlight,data:data3}];
+return false;
+}
+if(errors === _errs8){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate49.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema89.properties.inFlight,data:data3}];
+return false;
+}
+}
+}
+var valid0 = _errs8 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+else {
+validate49.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema89.type,parentSchema:schema89,data}];
+return false;
+}
+}
+validate49.errors = vErrors;
+return errors === 0;
+}
+validate49.evaluated = {"props":{"type":true,"endpoint":true,"slots":true,"inFlight":true},"dynamicProps":false,"dynamicItems":false};
+
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2846,6 +2967,19 @@
 props0.rate = true;
 }
 }
+else if(tag0 === "slot"){
+if(!(validate49(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate49.errors : vErrors.concat(validate49.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.endpoint = true;
+props0.slots = true;
+props0.inFlight = true;
+}
+}
 else {
 validate22.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema34.discriminator,parentSchema:schema34,data}];
 return false;
@@ -2951,21 +3085,21 @@
 }
 validate21.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema89 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema91 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]};
-const schema115 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema116 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema117 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}};
-const schema118 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
-const schema119 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
-const schema92 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
-const schema95 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
-const schema96 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
+const schema91 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema93 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]};
+const schema117 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema118 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema119 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}};
+const schema120 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
+const schema121 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
+const schema94 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
+const schema97 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
+const schema98 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
 
-function validate66(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate68(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate66.evaluated;
+const evaluated0 = validate68.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2976,7 +3110,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.dataCentre === undefined) && (missing0 = "dataCentre")) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.active === undefined) && (missing0 = "active"))) || ((data.orderedAt === undefined) && (missing0 = "orderedAt"))){
-validate66.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema96.required,parentSchema:schema96,data}];
+validate68.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema98.required,parentSchema:schema98,data}];
 return false;
 }
 else {
@@ -2987,18 +3121,18 @@
 if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 256){
-validate66.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
+validate68.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate66.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
+validate68.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
 return false;
 }
 }
 }
 else {
-validate66.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
+validate68.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
 return false;
 }
 }
@@ -3013,13 +3147,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate66.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate68.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate66.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate68.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3034,7 +3168,7 @@
 let data2 = data.active;
 const _errs7 = errors;
 if(typeof data2 !== "boolean"){
-validate66.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema96.properties.active.type,parentSchema:schema96.properties.active,data:data2}];
+validate68.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema98.properties.active.type,parentSchema:schema98.properties.active,data:data2}];
 return false;
 }
 var valid0 = _errs7 === errors;
@@ -3047,7 +3181,7 @@
 let data3 = data.orderedAt;
 const _errs9 = errors;
 if(!((typeof data3 == "number") && (isFinite(data3)))){
-validate66.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema96.properties.orderedAt.type,parentSchema:schema96.properties.orderedAt,data:data3}];
+validate68.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema98.properties.orderedAt.type,parentSchema:schema98.properties.orderedAt,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -3061,20 +3195,20 @@
 }
 }
 else {
-validate66.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema96.type,parentSchema:schema96,data}];
+validate68.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema98.type,parentSchema:schema98,data}];
 return false;
 }
 }
-validate66.errors = vErrors;
+validate68.errors = vErrors;
 return errors === 0;
 }
-validate66.evaluated = {"props":{"dataCentre":true,"revision":true,"active":true,"orderedAt":true},"dynamicProps":false,"dynamicItems":false};
+validate68.evaluated = {"props":{"dataCentre":true,"revision":true,"active":true,"orderedAt":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate65(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate67(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate65.evaluated;
+const evaluated0 = validate67.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3087,8 +3221,8 @@
 const len0 = data.length;
 for(let i0=0; i0<len0; i0++){
 const _errs1 = errors;
-if(!(validate66(data[i0], {instancePath:instancePath+"/" + i0,parentData:data,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate66.errors : vErrors.concat(validate66.errors);
+if(!(validate68(data[i0], {instancePath:instancePath+"/" + i0,parentData:data,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate68.errors : vErrors.concat(validate68.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs1 === errors;
@@ -3098,20 +3232,20 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema95.type,parentSchema:schema95,data}];
+validate67.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema97.type,parentSchema:schema97,data}];
 return false;
 }
 }
-validate65.errors = vErrors;
+validate67.errors = vErrors;
 return errors === 0;
 }
-validate65.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
+validate67.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate64(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate66(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate64.evaluated;
+const evaluated0 = validate66.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3122,7 +3256,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate64.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema92.required,parentSchema:schema92,data}];
+validate66.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
 return false;
 }
 else {
@@ -3130,11 +3264,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema92.properties.type.type,parentSchema:schema92.properties.type,data:data0}];
+validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.type.type,parentSchema:schema94.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema92.properties.type,data:data0}];
+validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema94.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3148,13 +3282,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate64.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate66.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate64.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate66.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3170,13 +3304,13 @@
 const _errs6 = errors;
 const _errs7 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate64.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate66.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs7){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate64.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate66.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3191,7 +3325,7 @@
 let data3 = data.document;
 const _errs9 = errors;
 if(typeof data3 !== "string"){
-validate64.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema92.properties.document.type,parentSchema:schema92.properties.document,data:data3}];
+validate66.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.document.type,parentSchema:schema94.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -3204,7 +3338,7 @@
 let data4 = data.digest;
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate64.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema92.properties.digest.type,parentSchema:schema92.properties.digest,data:data4}];
+validate66.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.digest.type,parentSchema:schema94.properties.digest,data:data4}];
 return false;
 }
 var valid0 = _errs11 === errors;
@@ -3215,8 +3349,8 @@
 if(valid0){
 if(data.evacuations !== undefined){
 const _errs13 = errors;
-if(!(validate65(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate65.errors : vErrors.concat(validate65.errors);
+if(!(validate67(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate67.errors : vErrors.concat(validate67.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs13 === errors;
@@ -3232,21 +3366,21 @@
 }
 }
 else {
-validate64.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema92.type,parentSchema:schema92,data}];
+validate66.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
 return false;
 }
 }
-validate64.errors = vErrors;
+validate66.errors = vErrors;
 return errors === 0;
 }
-validate64.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
+validate66.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema99 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema101 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
-function validate69(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate69.evaluated;
+const evaluated0 = validate71.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3257,7 +3391,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate69.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema99.required,parentSchema:schema99,data}];
+validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema101.required,parentSchema:schema101,data}];
 return false;
 }
 else {
@@ -3265,11 +3399,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate69.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema99.properties.type.type,parentSchema:schema99.properties.type,data:data0}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate69.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema99.properties.type,data:data0}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema101.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3282,7 +3416,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate69.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema99.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema99.properties.verdict.enum,parentSchema:schema99.properties.verdict,data:data1}];
+validate71.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema101.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema101.properties.verdict.enum,parentSchema:schema101.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3296,13 +3430,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate69.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate71.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate69.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate71.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3317,21 +3451,21 @@
 }
 }
 else {
-validate69.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema99.type,parentSchema:schema99,data}];
+validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
 return false;
 }
 }
-validate69.errors = vErrors;
+validate71.errors = vErrors;
 return errors === 0;
 }
-validate69.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
+validate71.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema101 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
+const schema103 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
 
-function validate70(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate72(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate70.evaluated;
+const evaluated0 = validate72.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3342,7 +3476,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.revision === undefined) && (missing0 = "revision"))){
-validate70.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema101.required,parentSchema:schema101,data}];
+validate72.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema103.required,parentSchema:schema103,data}];
 return false;
 }
 else {
@@ -3350,11 +3484,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data0}];
+validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.type.type,parentSchema:schema103.properties.type,data:data0}];
 return false;
 }
 if("evacuated" !== data0){
-validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema101.properties.type,data:data0}];
+validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema103.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3367,7 +3501,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!(((data1 === "accepted") || (data1 === "known")) || (data1 === "outdated"))){
-validate70.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema101.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema101.properties.verdict.enum,parentSchema:schema101.properties.verdict,data:data1}];
+validate72.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema103.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema103.properties.verdict.enum,parentSchema:schema103.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3381,13 +3515,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate70.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate72.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate70.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate72.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3402,21 +3536,21 @@
 }
 }
 else {
-validate70.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
+validate72.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema103.type,parentSchema:schema103,data}];
 return false;
 }
 }
-validate70.errors = vErrors;
+validate72.errors = vErrors;
 return errors === 0;
 }
-validate70.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
+validate72.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema103 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema105 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
-function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate73(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate71.evaluated;
+const evaluated0 = validate73.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3427,7 +3561,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema103.required,parentSchema:schema103,data}];
+validate73.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema105.required,parentSchema:schema105,data}];
 return false;
 }
 else {
@@ -3435,11 +3569,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.type.type,parentSchema:schema103.properties.type,data:data0}];
+validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.type.type,parentSchema:schema105.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema103.properties.type,data:data0}];
+validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema105.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3452,7 +3586,7 @@
 let data1 = data.confirmed;
 const _errs3 = errors;
 if(typeof data1 !== "boolean"){
-validate71.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema103.properties.confirmed.type,parentSchema:schema103.properties.confirmed,data:data1}];
+validate73.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema105.properties.confirmed.type,parentSchema:schema105.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3466,13 +3600,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate71.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate73.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate71.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate73.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3487,7 +3621,7 @@
 let data3 = data.document;
 const _errs8 = errors;
 if(typeof data3 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.document.type,parentSchema:schema103.properties.document,data:data3}];
+validate73.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.document.type,parentSchema:schema105.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs8 === errors;
@@ -3500,7 +3634,7 @@
 let data4 = data.epoch;
 const _errs10 = errors;
 if(typeof data4 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.epoch.type,parentSchema:schema103.properties.epoch,data:data4}];
+validate73.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.epoch.type,parentSchema:schema105.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs10 === errors;
@@ -3514,13 +3648,13 @@
 const _errs12 = errors;
 const _errs13 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
-validate71.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+validate73.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate71.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
+validate73.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
 return false;
 }
 }
@@ -3551,7 +3685,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema103.properties.sightings.type,parentSchema:schema103.properties.sightings,data:data6}];
+validate73.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.sightings.type,parentSchema:schema105.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -3565,7 +3699,7 @@
 let data8 = data.mark;
 const _errs18 = errors;
 if(typeof data8 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.mark.type,parentSchema:schema103.properties.mark,data:data8}];
+validate73.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.mark.type,parentSchema:schema105.properties.mark,data:data8}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -3594,7 +3728,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema103.properties.hosts.type,parentSchema:schema103.properties.hosts,data:data9}];
+validate73.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.hosts.type,parentSchema:schema105.properties.hosts,data:data9}];
 return false;
 }
 }
@@ -3618,18 +3752,18 @@
 if(errors === _errs26){
 if(typeof data12 === "string"){
 if(data12.length > 256){
-validate71.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data12}];
+validate73.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data12}];
 return false;
 }
 else {
 if(data12.length < 1){
-validate71.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data12}];
+validate73.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data12}];
 return false;
 }
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data12}];
+validate73.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data12}];
 return false;
 }
 }
@@ -3640,7 +3774,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema103.properties.cores.type,parentSchema:schema103.properties.cores,data:data11}];
+validate73.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.cores.type,parentSchema:schema105.properties.cores,data:data11}];
 return false;
 }
 }
@@ -3652,8 +3786,8 @@
 if(valid0){
 if(data.evacuations !== undefined){
 const _errs28 = errors;
-if(!(validate65(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate65.errors : vErrors.concat(validate65.errors);
+if(!(validate67(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate67.errors : vErrors.concat(validate67.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs28 === errors;
@@ -3667,13 +3801,13 @@
 const _errs29 = errors;
 const _errs30 = errors;
 if(!(((typeof data14 == "number") && (!(data14 % 1) && !isNaN(data14))) && (isFinite(data14)))){
-validate71.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data14}];
+validate73.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data14}];
 return false;
 }
 if(errors === _errs30){
 if((typeof data14 == "number") && (isFinite(data14))){
 if(data14 < 0 || isNaN(data14)){
-validate71.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data14}];
+validate73.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data14}];
 return false;
 }
 }
@@ -3704,7 +3838,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema103.properties.suspects.type,parentSchema:schema103.properties.suspects,data:data15}];
+validate73.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.suspects.type,parentSchema:schema105.properties.suspects,data:data15}];
 return false;
 }
 }
@@ -3734,7 +3868,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema103.properties.limits.type,parentSchema:schema103.properties.limits,data:data17}];
+validate73.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.limits.type,parentSchema:schema105.properties.limits,data:data17}];
 return false;
 }
 }
@@ -3759,22 +3893,22 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema103.type,parentSchema:schema103,data}];
+validate73.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema105.type,parentSchema:schema105,data}];
 return false;
 }
 }
-validate71.errors = vErrors;
+validate73.errors = vErrors;
 return errors === 0;
 }
-validate71.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
+validate73.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema108 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema109 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema110 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema111 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
-function validate78(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate80(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate78.evaluated;
+const evaluated0 = validate80.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3785,7 +3919,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate78.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema109.required,parentSchema:schema109,data}];
+validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema111.required,parentSchema:schema111,data}];
 return false;
 }
 else {
@@ -3794,13 +3928,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate78.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate80.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate78.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate80.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -3815,7 +3949,7 @@
 let data1 = data.handle;
 const _errs4 = errors;
 if(typeof data1 !== "string"){
-validate78.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema109.properties.handle.type,parentSchema:schema109.properties.handle,data:data1}];
+validate80.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.handle.type,parentSchema:schema111.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -3828,7 +3962,7 @@
 let data2 = data.failure;
 const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate78.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema109.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema109.properties.failure.enum,parentSchema:schema109.properties.failure,data:data2}];
+validate80.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema111.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema111.properties.failure.enum,parentSchema:schema111.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -3841,20 +3975,20 @@
 }
 }
 else {
-validate78.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema109.type,parentSchema:schema109,data}];
+validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema111.type,parentSchema:schema111,data}];
 return false;
 }
 }
-validate78.errors = vErrors;
+validate80.errors = vErrors;
 return errors === 0;
 }
-validate78.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
+validate80.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate77(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate79(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate77.evaluated;
+const evaluated0 = validate79.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3865,7 +3999,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate77.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema108.required,parentSchema:schema108,data}];
+validate79.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema110.required,parentSchema:schema110,data}];
 return false;
 }
 else {
@@ -3873,11 +4007,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema108.properties.type.type,parentSchema:schema108.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema110.properties.type.type,parentSchema:schema110.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema108.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema110.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3895,8 +4029,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate78(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate78.errors : vErrors.concat(validate78.errors);
+if(!(validate80(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate80.errors : vErrors.concat(validate80.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -3906,7 +4040,7 @@
 }
 }
 else {
-validate77.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema108.properties.results.type,parentSchema:schema108.properties.results,data:data1}];
+validate79.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema110.properties.results.type,parentSchema:schema110.properties.results,data:data1}];
 return false;
 }
 }
@@ -3919,22 +4053,22 @@
 }
 }
 else {
-validate77.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema108.type,parentSchema:schema108,data}];
+validate79.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema110.type,parentSchema:schema110,data}];
 return false;
 }
 }
-validate77.errors = vErrors;
+validate79.errors = vErrors;
 return errors === 0;
 }
-validate77.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
+validate79.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema111 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
-const schema114 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
+const schema113 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
+const schema116 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
 
-function validate80(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate82(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate80.evaluated;
+const evaluated0 = validate82.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3945,7 +4079,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((data.type === undefined) && (missing0 = "type")) || ((data.engine === undefined) && (missing0 = "engine"))) || ((data.read === undefined) && (missing0 = "read"))) || ((data.fetched === undefined) && (missing0 = "fetched"))) || ((data.fetchTime === undefined) && (missing0 = "fetchTime"))) || ((data.firstEvent === undefined) && (missing0 = "firstEvent"))) || ((data.work === undefined) && (missing0 = "work"))){
-validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema111.required,parentSchema:schema111,data}];
+validate82.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema113.required,parentSchema:schema113,data}];
 return false;
 }
 else {
@@ -3953,11 +4087,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate80.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.type.type,parentSchema:schema111.properties.type,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema113.properties.type.type,parentSchema:schema113.properties.type,data:data0}];
 return false;
 }
 if("placed" !== data0){
-validate80.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema111.properties.type,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema113.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3973,18 +4107,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 300){
-validate80.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate80.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
 return false;
 }
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
 return false;
 }
 }
@@ -4001,18 +4135,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 300){
-validate80.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate80.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data2}];
 return false;
 }
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data2}];
 return false;
 }
 }
@@ -4028,12 +4162,12 @@
 if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate80.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema111.properties.read,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema113.properties.read,data:data3}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema111.properties.read.type,parentSchema:schema111.properties.read,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema113.properties.read.type,parentSchema:schema113.properties.read,data:data3}];
 return false;
 }
 }
@@ -4049,12 +4183,12 @@
 if(errors === _errs11){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate80.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema111.properties.fetched,data:data4}];
+validate82.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema113.properties.fetched,data:data4}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema111.properties.fetched.type,parentSchema:schema111.properties.fetched,data:data4}];
+validate82.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema113.properties.fetched.type,parentSchema:schema113.properties.fetched,data:data4}];
 return false;
 }
 }
@@ -4070,12 +4204,12 @@
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate80.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema111.properties.fetchTime,data:data5}];
+validate82.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema113.properties.fetchTime,data:data5}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema111.properties.fetchTime.type,parentSchema:schema111.properties.fetchTime,data:data5}];
+validate82.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema113.properties.fetchTime.type,parentSchema:schema113.properties.fetchTime,data:data5}];
 return false;
 }
 }
@@ -4091,12 +4225,12 @@
 if(errors === _errs15){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
-validate80.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema111.properties.firstEvent,data:data6}];
+validate82.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema113.properties.firstEvent,data:data6}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema111.properties.firstEvent.type,parentSchema:schema111.properties.firstEvent,data:data6}];
+validate82.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema113.properties.firstEvent.type,parentSchema:schema113.properties.firstEvent,data:data6}];
 return false;
 }
 }
@@ -4114,7 +4248,7 @@
 if(data7 && typeof data7 == "object" && !Array.isArray(data7)){
 let missing1;
 if(((data7.tokens === undefined) && (missing1 = "tokens")) || ((data7.streams === undefined) && (missing1 = "streams"))){
-validate80.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema114.required,parentSchema:schema114,data:data7}];
+validate82.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema116.required,parentSchema:schema116,data:data7}];
 return false;
 }
 else {
@@ -4124,12 +4258,12 @@
 if(errors === _errs20){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < 0 || isNaN(data8)){
-validate80.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.tokens,data:data8}];
+validate82.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema116.properties.tokens,data:data8}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.tokens.type,parentSchema:schema114.properties.tokens,data:data8}];
+validate82.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema116.properties.tokens.type,parentSchema:schema116.properties.tokens,data:data8}];
 return false;
 }
 }
@@ -4145,12 +4279,12 @@
 if(errors === _errs22){
 if((typeof data9 == "number") && (isFinite(data9))){
 if(data9 < 0 || isNaN(data9)){
-validate80.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.streams,data:data9}];
+validate82.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema116.properties.streams,data:data9}];
 return false;
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.streams.type,parentSchema:schema114.properties.streams,data:data9}];
+validate82.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema116.properties.streams.type,parentSchema:schema116.properties.streams,data:data9}];
 return false;
 }
 }
@@ -4163,7 +4297,7 @@
 }
 }
 else {
-validate80.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema114.type,parentSchema:schema114,data:data7}];
+validate82.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema116.type,parentSchema:schema116,data:data7}];
 return false;
 }
 }
@@ -4182,20 +4316,20 @@
 }
 }
 else {
-validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema111.type,parentSchema:schema111,data}];
+validate82.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema113.type,parentSchema:schema113,data}];
 return false;
 }
 }
-validate80.errors = vErrors;
+validate82.errors = vErrors;
 return errors === 0;
 }
-validate80.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
+validate82.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate63(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate65(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate63.evaluated;
+const evaluated0 = validate65.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4206,7 +4340,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate63.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema91.required,parentSchema:schema91,data}];
+validate65.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema93.required,parentSchema:schema93,data}];
 return false;
 }
 else {
@@ -4218,7 +4352,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate63.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema115.required,parentSchema:schema115,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema117.required,parentSchema:schema117,data}];
 return false;
 }
 else {
@@ -4226,11 +4360,11 @@
 let data0 = data.type;
 const _errs5 = errors;
 if(typeof data0 !== "string"){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema115.properties.type.type,parentSchema:schema115.properties.type,data:data0}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema117.properties.type.type,parentSchema:schema117.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema115.properties.type,data:data0}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema117.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs5 === errors;
@@ -4243,7 +4377,7 @@
 let data1 = data.reason;
 const _errs7 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate63.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema115.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema115.properties.reason.enum,parentSchema:schema115.properties.reason,data:data1}];
+validate65.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema117.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema117.properties.reason.enum,parentSchema:schema117.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs7 === errors;
@@ -4256,7 +4390,7 @@
 let data2 = data.leader;
 const _errs8 = errors;
 if(typeof data2 !== "string"){
-validate63.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema115.properties.leader.type,parentSchema:schema115.properties.leader,data:data2}];
+validate65.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema117.properties.leader.type,parentSchema:schema117.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -4269,7 +4403,7 @@
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema115.type,parentSchema:schema115,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data}];
 return false;
 }
 }
@@ -4279,8 +4413,8 @@
 props0.leader = true;
 }
 else if(tag0 === "confirmed"){
-if(!(validate64(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate64.errors : vErrors.concat(validate64.errors);
+if(!(validate66(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate66.errors : vErrors.concat(validate66.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4294,8 +4428,8 @@
 }
 }
 else if(tag0 === "replaced"){
-if(!(validate69(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate69.errors : vErrors.concat(validate69.errors);
+if(!(validate71(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4306,8 +4440,8 @@
 }
 }
 else if(tag0 === "evacuated"){
-if(!(validate70(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate70.errors : vErrors.concat(validate70.errors);
+if(!(validate72(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate72.errors : vErrors.concat(validate72.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4318,8 +4452,8 @@
 }
 }
 else if(tag0 === "synced"){
-if(!(validate71(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
+if(!(validate73(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate73.errors : vErrors.concat(validate73.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4346,25 +4480,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate63.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema116.required,parentSchema:schema116,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema118.required,parentSchema:schema118,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema116.properties.type.type,parentSchema:schema116.properties.type,data:data3}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.type.type,parentSchema:schema118.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema116.properties.type,data:data3}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema118.properties.type,data:data3}];
 return false;
 }
 }
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema116.type,parentSchema:schema116,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
 return false;
 }
 }
@@ -4374,8 +4508,8 @@
 }
 }
 else if(tag0 === "made"){
-if(!(validate77(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate77.errors : vErrors.concat(validate77.errors);
+if(!(validate79(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate79.errors : vErrors.concat(validate79.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4390,7 +4524,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if((((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))) || ((data.work === undefined) && (missing3 = "work"))){
-validate63.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema117.required,parentSchema:schema117,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema119.required,parentSchema:schema119,data}];
 return false;
 }
 else {
@@ -4398,11 +4532,11 @@
 let data4 = data.type;
 const _errs23 = errors;
 if(typeof data4 !== "string"){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema117.properties.type.type,parentSchema:schema117.properties.type,data:data4}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema119.properties.type.type,parentSchema:schema119.properties.type,data:data4}];
 return false;
 }
 if("booked" !== data4){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema117.properties.type,data:data4}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema119.properties.type,data:data4}];
 return false;
 }
 var valid14 = _errs23 === errors;
@@ -4415,7 +4549,7 @@
 let data5 = data.wait;
 const _errs25 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate63.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.wait.type,parentSchema:schema117.properties.wait,data:data5}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.wait.type,parentSchema:schema119.properties.wait,data:data5}];
 return false;
 }
 var valid14 = _errs25 === errors;
@@ -4428,7 +4562,7 @@
 let data6 = data.work;
 const _errs27 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate63.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.work.type,parentSchema:schema117.properties.work,data:data6}];
+validate65.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.work.type,parentSchema:schema119.properties.work,data:data6}];
 return false;
 }
 var valid14 = _errs27 === errors;
@@ -4441,7 +4575,7 @@
 let data7 = data.workAge;
 const _errs29 = errors;
 if(!((typeof data7 == "number") && (isFinite(data7)))){
-validate63.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.workAge.type,parentSchema:schema117.properties.workAge,data:data7}];
+validate65.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.workAge.type,parentSchema:schema119.properties.workAge,data:data7}];
 return false;
 }
 var valid14 = _errs29 === errors;
@@ -4454,7 +4588,7 @@
 let data8 = data.ahead;
 const _errs31 = errors;
 if(!((typeof data8 == "number") && (isFinite(data8)))){
-validate63.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.ahead.type,parentSchema:schema117.properties.ahead,data:data8}];
+validate65.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.ahead.type,parentSchema:schema119.properties.ahead,data:data8}];
 return false;
 }
 var valid14 = _errs31 === errors;
@@ -4467,7 +4601,7 @@
 let data9 = data.rate;
 const _errs33 = errors;
 if(!((typeof data9 == "number") && (isFinite(data9)))){
-validate63.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.rate.type,parentSchema:schema117.properties.rate,data:data9}];
+validate65.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.rate.type,parentSchema:schema119.properties.rate,data:data9}];
 return false;
 }
 var valid14 = _errs33 === errors;
@@ -4483,7 +4617,7 @@
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema119.type,parentSchema:schema119,data}];
 return false;
 }
 }
@@ -4498,8 +4632,8 @@
 }
 }
 else if(tag0 === "placed"){
-if(!(validate80(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate80.errors : vErrors.concat(validate80.errors);
+if(!(validate82(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate82.errors : vErrors.concat(validate82.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4520,7 +4654,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing4;
 if((((data.type === undefined) && (missing4 = "type")) || ((data.granted === undefined) && (missing4 = "granted"))) || ((data.wait === undefined) && (missing4 = "wait"))){
-validate63.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema118.required,parentSchema:schema118,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema120.required,parentSchema:schema120,data}];
 return false;
 }
 else {
@@ -4528,11 +4662,11 @@
 let data10 = data.type;
 const _errs39 = errors;
 if(typeof data10 !== "string"){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.type.type,parentSchema:schema118.properties.type,data:data10}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data10}];
 return false;
 }
 if("lease" !== data10){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema118.properties.type,data:data10}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema120.properties.type,data:data10}];
 return false;
 }
 var valid18 = _errs39 === errors;
@@ -4545,7 +4679,7 @@
 let data11 = data.granted;
 const _errs41 = errors;
 if(typeof data11 !== "boolean"){
-validate63.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema118.properties.granted.type,parentSchema:schema118.properties.granted,data:data11}];
+validate65.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema120.properties.granted.type,parentSchema:schema120.properties.granted,data:data11}];
 return false;
 }
 var valid18 = _errs41 === errors;
@@ -4558,7 +4692,7 @@
 let data12 = data.taken;
 const _errs43 = errors;
 if(typeof data12 !== "boolean"){
-validate63.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema118.properties.taken.type,parentSchema:schema118.properties.taken,data:data12}];
+validate65.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema120.properties.taken.type,parentSchema:schema120.properties.taken,data:data12}];
 return false;
 }
 var valid18 = _errs43 === errors;
@@ -4573,12 +4707,12 @@
 if(errors === _errs45){
 if((typeof data13 == "number") && (isFinite(data13))){
 if(data13 < 0 || isNaN(data13)){
-validate63.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema118.properties.wait,data:data13}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema120.properties.wait,data:data13}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema118.properties.wait.type,parentSchema:schema118.properties.wait,data:data13}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.wait.type,parentSchema:schema120.properties.wait,data:data13}];
 return false;
 }
 }
@@ -4593,7 +4727,7 @@
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
 return false;
 }
 }
@@ -4611,7 +4745,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing5;
 if((((data.type === undefined) && (missing5 = "type")) || ((data.granted === undefined) && (missing5 = "granted"))) || ((data.wait === undefined) && (missing5 = "wait"))){
-validate63.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema119.required,parentSchema:schema119,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema121.required,parentSchema:schema121,data}];
 return false;
 }
 else {
@@ -4619,11 +4753,11 @@
 let data14 = data.type;
 const _errs50 = errors;
 if(typeof data14 !== "string"){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema119.properties.type.type,parentSchema:schema119.properties.type,data:data14}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.type.type,parentSchema:schema121.properties.type,data:data14}];
 return false;
 }
 if("quota" !== data14){
-validate63.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema119.properties.type,data:data14}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema121.properties.type,data:data14}];
 return false;
 }
 var valid21 = _errs50 === errors;
@@ -4636,7 +4770,7 @@
 let data15 = data.granted;
 const _errs52 = errors;
 if(typeof data15 !== "boolean"){
-validate63.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema119.properties.granted.type,parentSchema:schema119.properties.granted,data:data15}];
+validate65.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema121.properties.granted.type,parentSchema:schema121.properties.granted,data:data15}];
 return false;
 }
 var valid21 = _errs52 === errors;
@@ -4651,12 +4785,12 @@
 if(errors === _errs54){
 if((typeof data16 == "number") && (isFinite(data16))){
 if(data16 < 0 || isNaN(data16)){
-validate63.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema119.properties.wait,data:data16}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema121.properties.wait,data:data16}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.wait.type,parentSchema:schema119.properties.wait,data:data16}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema121.properties.wait.type,parentSchema:schema121.properties.wait,data:data16}];
 return false;
 }
 }
@@ -4670,7 +4804,7 @@
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema119.type,parentSchema:schema119,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema121.type,parentSchema:schema121,data}];
 return false;
 }
 }
@@ -4682,32 +4816,32 @@
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema91.discriminator,parentSchema:schema91,data}];
+validate65.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema93.discriminator,parentSchema:schema93,data}];
 return false;
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema91.discriminator,parentSchema:schema91,data}];
+validate65.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema93.discriminator,parentSchema:schema93,data}];
 return false;
 }
 }
 }
 else {
-validate63.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema91.type,parentSchema:schema91,data}];
+validate65.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema93.type,parentSchema:schema93,data}];
 return false;
 }
 }
-validate63.errors = vErrors;
+validate65.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate63.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate65.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate62(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate64(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate62.evaluated;
+const evaluated0 = validate64.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4718,7 +4852,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate62.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema89.required,parentSchema:schema89,data}];
+validate64.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema91.required,parentSchema:schema91,data}];
 return false;
 }
 else {
@@ -4726,11 +4860,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate62.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.type.type,parentSchema:schema89.properties.type,data:data0}];
+validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema91.properties.type.type,parentSchema:schema91.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate62.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema89.properties.type,data:data0}];
+validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema91.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4744,13 +4878,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate62.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate64.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate62.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate64.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -4763,8 +4897,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs6 = errors;
-if(!(validate63(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate63.errors : vErrors.concat(validate63.errors);
+if(!(validate65(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate65.errors : vErrors.concat(validate65.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs6 === errors;
@@ -4777,21 +4911,21 @@
 }
 }
 else {
-validate62.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema89.type,parentSchema:schema89,data}];
+validate64.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema91.type,parentSchema:schema91,data}];
 return false;
 }
 }
-validate62.errors = vErrors;
+validate64.errors = vErrors;
 return errors === 0;
 }
-validate62.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate64.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema120 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema122 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
-function validate88(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate90(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate88.evaluated;
+const evaluated0 = validate90.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4802,7 +4936,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate88.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
+validate90.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema122.required,parentSchema:schema122,data}];
 return false;
 }
 else {
@@ -4810,11 +4944,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate88.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data0}];
+validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate88.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema120.properties.type,data:data0}];
+validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema122.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4835,13 +4969,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate88.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate90.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate88.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate90.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -4853,7 +4987,7 @@
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema120.properties.ids.type,parentSchema:schema120.properties.ids,data:data1}];
+validate90.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.ids.type,parentSchema:schema122.properties.ids,data:data1}];
 return false;
 }
 }
