@@ -4866,25 +5000,25 @@
 }
 }
 else {
-validate88.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
+validate90.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
 return false;
 }
 }
-validate88.errors = vErrors;
+validate90.errors = vErrors;
 return errors === 0;
 }
-validate88.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
+validate90.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema122 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema123 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"}]};
-const schema144 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
-const schema124 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
-const schema127 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema124 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema125 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
+const schema148 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
+const schema126 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema129 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
-function validate93(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate95(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate93.evaluated;
+const evaluated0 = validate95.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4895,7 +5029,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.term === undefined) && (missing0 = "term")) || ((data.leader === undefined) && (missing0 = "leader"))) || ((data.voters === undefined) && (missing0 = "voters"))){
-validate93.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema127.required,parentSchema:schema127,data}];
+validate95.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema129.required,parentSchema:schema129,data}];
 return false;
 }
 else {
@@ -4904,13 +5038,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate93.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate95.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate93.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate95.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -4928,18 +5062,18 @@
 if(errors === _errs5){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate93.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate95.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate93.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate95.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate95.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -4963,18 +5097,18 @@
 if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate93.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
+validate95.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate93.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
+validate95.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
 return false;
 }
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
+validate95.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
 return false;
 }
 }
@@ -4985,7 +5119,7 @@
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.properties.voters.type,parentSchema:schema127.properties.voters,data:data2}];
+validate95.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema129.properties.voters.type,parentSchema:schema129.properties.voters,data:data2}];
 return false;
 }
 }
@@ -4999,20 +5133,20 @@
 }
 }
 else {
-validate93.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema127.type,parentSchema:schema127,data}];
+validate95.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema129.type,parentSchema:schema129,data}];
 return false;
 }
 }
-validate93.errors = vErrors;
+validate95.errors = vErrors;
 return errors === 0;
 }
-validate93.evaluated = {"props":{"term":true,"leader":true,"voters":true},"dynamicProps":false,"dynamicItems":false};
+validate95.evaluated = {"props":{"term":true,"leader":true,"voters":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate91(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate93(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate91.evaluated;
+const evaluated0 = validate93.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5023,7 +5157,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate91.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema124.required,parentSchema:schema124,data}];
+validate93.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema126.required,parentSchema:schema126,data}];
 return false;
 }
 else {
@@ -5031,11 +5165,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema124.properties.type.type,parentSchema:schema124.properties.type,data:data0}];
+validate93.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema126.properties.type.type,parentSchema:schema126.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema124.properties.type,data:data0}];
+validate93.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema126.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5051,18 +5185,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate91.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate93.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate91.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate93.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate91.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate93.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -5086,18 +5220,18 @@
 if(errors === _errs9){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate91.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
+validate93.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate91.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
+validate93.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
 return false;
 }
 }
 }
 else {
-validate91.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
+validate93.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
 return false;
 }
 }
@@ -5108,7 +5242,7 @@
 }
 }
 else {
-validate91.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.cores.type,parentSchema:schema124.properties.cores,data:data2}];
+validate93.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema126.properties.cores.type,parentSchema:schema126.properties.cores,data:data2}];
 return false;
 }
 }
@@ -5138,7 +5272,7 @@
 }
 }
 else {
-validate91.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.hosts.type,parentSchema:schema124.properties.hosts,data:data4}];
+validate93.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema126.properties.hosts.type,parentSchema:schema126.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -5150,8 +5284,8 @@
 if(valid0){
 if(data.leadership !== undefined){
 const _errs14 = errors;
-if(!(validate93(data.leadership, {instancePath:instancePath+"/leadership",parentData:data,parentDataProperty:"leadership",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate93.errors : vErrors.concat(validate93.errors);
+if(!(validate95(data.leadership, {instancePath:instancePath+"/leadership",parentData:data,parentDataProperty:"leadership",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate95.errors : vErrors.concat(validate95.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs14 === errors;
@@ -5180,7 +5314,7 @@
 }
 }
 else {
-validate91.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.limits.type,parentSchema:schema124.properties.limits,data:data7}];
+validate93.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema126.properties.limits.type,parentSchema:schema126.properties.limits,data:data7}];
 return false;
 }
 }
@@ -5197,21 +5331,21 @@
 }
 }
 else {
-validate91.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema124.type,parentSchema:schema124,data}];
+validate93.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema126.type,parentSchema:schema126,data}];
 return false;
 }
 }
-validate91.errors = vErrors;
+validate93.errors = vErrors;
 return errors === 0;
 }
-validate91.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true,"leadership":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
+validate93.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true,"leadership":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema131 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema133 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
-function validate96(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate98(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate96.evaluated;
+const evaluated0 = validate98.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5222,7 +5356,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate96.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema131.required,parentSchema:schema131,data}];
+validate98.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema133.required,parentSchema:schema133,data}];
 return false;
 }
 else {
@@ -5230,11 +5364,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate96.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema131.properties.type.type,parentSchema:schema131.properties.type,data:data0}];
+validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema133.properties.type.type,parentSchema:schema133.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate96.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema131.properties.type,data:data0}];
+validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema133.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5250,18 +5384,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -5278,18 +5412,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate96.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema58,data:data2}];
+validate98.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema58,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate96.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema58,data:data2}];
+validate98.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema58,data:data2}];
 return false;
 }
 }
 }
 else {
-validate96.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.type,parentSchema:schema58,data:data2}];
+validate98.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.type,parentSchema:schema58,data:data2}];
 return false;
 }
 }
@@ -5310,7 +5444,7 @@
 let data4 = data3[i0];
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate96.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema131.properties.handles.items.type,parentSchema:schema131.properties.handles.items,data:data4}];
+validate98.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema133.properties.handles.items.type,parentSchema:schema133.properties.handles.items,data:data4}];
 return false;
 }
 var valid3 = _errs11 === errors;
@@ -5320,7 +5454,7 @@
 }
 }
 else {
-validate96.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema131.properties.handles.type,parentSchema:schema131.properties.handles,data:data3}];
+validate98.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema133.properties.handles.type,parentSchema:schema133.properties.handles,data:data3}];
 return false;
 }
 }
@@ -5335,21 +5469,21 @@
 }
 }
 else {
-validate96.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema131.type,parentSchema:schema131,data}];
+validate98.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema133.type,parentSchema:schema133,data}];
 return false;
 }
 }
-validate96.errors = vErrors;
+validate98.errors = vErrors;
 return errors === 0;
 }
-validate96.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
+validate98.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema134 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
+const schema136 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
-function validate97(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate97.evaluated;
+const evaluated0 = validate99.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5360,7 +5494,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate97.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema134.required,parentSchema:schema134,data}];
+validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema136.required,parentSchema:schema136,data}];
 return false;
 }
 else {
@@ -5368,11 +5502,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate97.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema134.properties.type.type,parentSchema:schema134.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema136.properties.type.type,parentSchema:schema136.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate97.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema134.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema136.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5388,18 +5522,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate97.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate97.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate97.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -5416,18 +5550,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate97.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema58,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema58,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate97.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema58,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema58,data:data2}];
 return false;
 }
 }
 }
 else {
-validate97.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.type,parentSchema:schema58,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.type,parentSchema:schema58,data:data2}];
 return false;
 }
 }
@@ -5444,18 +5578,18 @@
 if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate97.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
+validate99.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate97.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
+validate99.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
 return false;
 }
 }
 }
 else {
-validate97.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
+validate99.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
 return false;
 }
 }
@@ -5470,23 +5604,23 @@
 }
 }
 else {
-validate97.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema134.type,parentSchema:schema134,data}];
+validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema136.type,parentSchema:schema136,data}];
 return false;
 }
 }
-validate97.errors = vErrors;
+validate99.errors = vErrors;
 return errors === 0;
 }
-validate97.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
+validate99.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema138 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
-const schema139 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
-const schema140 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
+const schema140 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
+const schema141 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
+const schema142 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
 
-function validate101(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate103(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate101.evaluated;
+const evaluated0 = validate103.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5497,7 +5631,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.work === undefined) && (missing0 = "work")) || ((data.took === undefined) && (missing0 = "took"))){
-validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema140.required,parentSchema:schema140,data}];
+validate103.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema142.required,parentSchema:schema142,data}];
 return false;
 }
 else {
@@ -5509,7 +5643,7 @@
 if(data0 && typeof data0 == "object" && !Array.isArray(data0)){
 let missing1;
 if(((data0.tokens === undefined) && (missing1 = "tokens")) || ((data0.streams === undefined) && (missing1 = "streams"))){
-validate101.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema114.required,parentSchema:schema114,data:data0}];
+validate103.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema116.required,parentSchema:schema116,data:data0}];
 return false;
 }
 else {
@@ -5519,12 +5653,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate101.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.tokens,data:data1}];
+validate103.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema116.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.tokens.type,parentSchema:schema114.properties.tokens,data:data1}];
+validate103.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema116.properties.tokens.type,parentSchema:schema116.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -5540,12 +5674,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate101.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.streams,data:data2}];
+validate103.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema116.properties.streams,data:data2}];
 return false;
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.streams.type,parentSchema:schema114.properties.streams,data:data2}];
+validate103.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema116.properties.streams.type,parentSchema:schema116.properties.streams,data:data2}];
 return false;
 }
 }
@@ -5558,7 +5692,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema114.type,parentSchema:schema114,data:data0}];
+validate103.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema116.type,parentSchema:schema116,data:data0}];
 return false;
 }
 }
@@ -5574,12 +5708,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate101.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema140.properties.took,data:data3}];
+validate103.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema142.properties.took,data:data3}];
 return false;
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema140.properties.took.type,parentSchema:schema140.properties.took,data:data3}];
+validate103.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.took.type,parentSchema:schema142.properties.took,data:data3}];
 return false;
 }
 }
@@ -5592,20 +5726,20 @@
 }
 }
 else {
-validate101.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema140.type,parentSchema:schema140,data}];
+validate103.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema142.type,parentSchema:schema142,data}];
 return false;
 }
 }
-validate101.errors = vErrors;
+validate103.errors = vErrors;
 return errors === 0;
 }
-validate101.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
+validate103.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate101(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate99.evaluated;
+const evaluated0 = validate101.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5616,7 +5750,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.engine === undefined) && (missing0 = "engine")) || ((data.tokens === undefined) && (missing0 = "tokens"))) || ((data.streams === undefined) && (missing0 = "streams"))) || ((data.read === undefined) && (missing0 = "read"))){
-validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema139.required,parentSchema:schema139,data}];
+validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema141.required,parentSchema:schema141,data}];
 return false;
 }
 else {
@@ -5626,18 +5760,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 300){
-validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema139.properties.engine,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema141.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema139.properties.engine,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema141.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema139.properties.engine.type,parentSchema:schema139.properties.engine,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema141.properties.engine.type,parentSchema:schema141.properties.engine,data:data0}];
 return false;
 }
 }
@@ -5653,12 +5787,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate99.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema139.properties.tokens,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema141.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema139.properties.tokens.type,parentSchema:schema139.properties.tokens,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema141.properties.tokens.type,parentSchema:schema141.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -5672,13 +5806,13 @@
 let data2 = data.streams;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate99.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema139.properties.streams.type,parentSchema:schema139.properties.streams,data:data2}];
+validate101.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema141.properties.streams.type,parentSchema:schema141.properties.streams,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate99.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema139.properties.streams,data:data2}];
+validate101.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema141.properties.streams,data:data2}];
 return false;
 }
 }
@@ -5716,7 +5850,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema139.properties.read.items.type,parentSchema:schema139.properties.read.items,data:data4}];
+validate101.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.read.items.type,parentSchema:schema141.properties.read.items,data:data4}];
 return false;
 }
 }
@@ -5727,7 +5861,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema139.properties.read.type,parentSchema:schema139.properties.read,data:data3}];
+validate101.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.read.type,parentSchema:schema141.properties.read,data:data3}];
 return false;
 }
 }
@@ -5746,8 +5880,8 @@
 const len2 = data6.length;
 for(let i2=0; i2<len2; i2++){
 const _errs14 = errors;
-if(!(validate101(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate101.errors : vErrors.concat(validate101.errors);
+if(!(validate103(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate103.errors : vErrors.concat(validate103.errors);
 errors = vErrors.length;
 }
 var valid3 = _errs14 === errors;
@@ -5757,7 +5891,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema139.properties.firsts.type,parentSchema:schema139.properties.firsts,data:data6}];
+validate101.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.firsts.type,parentSchema:schema141.properties.firsts,data:data6}];
 return false;
 }
 }
@@ -5778,7 +5912,7 @@
 let data9 = data8[i3];
 const _errs17 = errors;
 if(!(((data9 === "good") || (data9 === "bad")) || (data9 === "full"))){
-validate99.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema139.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema139.properties.verdicts.items.enum,parentSchema:schema139.properties.verdicts.items,data:data9}];
+validate101.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema141.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema141.properties.verdicts.items.enum,parentSchema:schema141.properties.verdicts.items,data:data9}];
 return false;
 }
 var valid4 = _errs17 === errors;
@@ -5788,7 +5922,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema139.properties.verdicts.type,parentSchema:schema139.properties.verdicts,data:data8}];
+validate101.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.verdicts.type,parentSchema:schema141.properties.verdicts,data:data8}];
 return false;
 }
 }
@@ -5805,20 +5939,20 @@
 }
 }
 else {
-validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema139.type,parentSchema:schema139,data}];
+validate101.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema141.type,parentSchema:schema141,data}];
 return false;
 }
 }
-validate99.errors = vErrors;
+validate101.errors = vErrors;
 return errors === 0;
 }
-validate99.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true,"verdicts":true},"dynamicProps":false,"dynamicItems":false};
+validate101.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true,"verdicts":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate98(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate100(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate98.evaluated;
+const evaluated0 = validate100.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5829,7 +5963,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.uses === undefined) && (missing0 = "uses"))){
-validate98.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema138.required,parentSchema:schema138,data}];
+validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema140.required,parentSchema:schema140,data}];
 return false;
 }
 else {
@@ -5837,11 +5971,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema138.properties.type.type,parentSchema:schema138.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema140.properties.type.type,parentSchema:schema140.properties.type,data:data0}];
 return false;
 }
 if("use" !== data0){
-validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema138.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema140.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5859,8 +5993,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate99(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate99.errors : vErrors.concat(validate99.errors);
+if(!(validate101(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate101.errors : vErrors.concat(validate101.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -5870,7 +6004,7 @@
 }
 }
 else {
-validate98.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema138.properties.uses.type,parentSchema:schema138.properties.uses,data:data1}];
+validate100.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema140.properties.uses.type,parentSchema:schema140.properties.uses,data:data1}];
 return false;
 }
 }
@@ -5883,21 +6017,21 @@
 }
 }
 else {
-validate98.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema138.type,parentSchema:schema138,data}];
+validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema140.type,parentSchema:schema140,data}];
 return false;
 }
 }
-validate98.errors = vErrors;
+validate100.errors = vErrors;
 return errors === 0;
 }
-validate98.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
+validate100.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema142 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema144 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
 
-function validate104(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate106(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate104.evaluated;
+const evaluated0 = validate106.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5908,7 +6042,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
-validate104.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema142.required,parentSchema:schema142,data}];
+validate106.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema144.required,parentSchema:schema144,data}];
 return false;
 }
 else {
@@ -5916,11 +6050,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate104.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema142.properties.type.type,parentSchema:schema142.properties.type,data:data0}];
+validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.type.type,parentSchema:schema144.properties.type,data:data0}];
 return false;
 }
 if("suspects" !== data0){
-validate104.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema142.properties.type,data:data0}];
+validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema144.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5949,7 +6083,7 @@
 }
 }
 else {
-validate104.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.suspects.type,parentSchema:schema142.properties.suspects,data:data1}];
+validate106.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema144.properties.suspects.type,parentSchema:schema144.properties.suspects,data:data1}];
 return false;
 }
 }
@@ -5962,21 +6096,21 @@
 }
 }
 else {
-validate104.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema142.type,parentSchema:schema142,data}];
+validate106.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema144.type,parentSchema:schema144,data}];
 return false;
 }
 }
-validate104.errors = vErrors;
+validate106.errors = vErrors;
 return errors === 0;
 }
-validate104.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
+validate106.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema143 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema145 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
-function validate106(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate108(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate106.evaluated;
+const evaluated0 = validate108.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5987,7 +6121,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.limits === undefined) && (missing0 = "limits"))){
-validate106.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema143.required,parentSchema:schema143,data}];
+validate108.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema145.required,parentSchema:schema145,data}];
 return false;
 }
 else {
@@ -5995,11 +6129,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.type.type,parentSchema:schema143.properties.type,data:data0}];
+validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema145.properties.type.type,parentSchema:schema145.properties.type,data:data0}];
 return false;
 }
 if("limits" !== data0){
-validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema143.properties.type,data:data0}];
+validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema145.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6028,7 +6162,7 @@
 }
 }
 else {
-validate106.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema143.properties.limits.type,parentSchema:schema143.properties.limits,data:data1}];
+validate108.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema145.properties.limits.type,parentSchema:schema145.properties.limits,data:data1}];
 return false;
 }
 }
@@ -6041,20 +6175,119 @@
 }
 }
 else {
-validate106.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema143.type,parentSchema:schema143,data}];
+validate108.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema145.type,parentSchema:schema145,data}];
 return false;
 }
 }
-validate106.errors = vErrors;
+validate108.errors = vErrors;
 return errors === 0;
 }
-validate106.evaluated = {"props":{"type":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
+validate108.evaluated = {"props":{"type":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
+const schema146 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
 
-function validate90(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate110(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate90.evaluated;
+const evaluated0 = validate110.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.inFlight === undefined) && (missing0 = "inFlight"))){
+validate110.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema146.required,parentSchema:schema146,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate110.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema146.properties.type.type,parentSchema:schema146.properties.type,data:data0}];
+return false;
+}
+if("slots" !== data0){
+validate110.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema146.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.endpoint !== undefined){
+let data1 = data.endpoint;
+const _errs3 = errors;
+const _errs4 = errors;
+if(errors === _errs4){
+if(typeof data1 === "string"){
+if(data1.length > 300){
+validate110.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate110.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
+return false;
+}
+}
+}
+else {
+validate110.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.inFlight !== undefined){
+let data2 = data.inFlight;
+const _errs6 = errors;
+if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
+validate110.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema146.properties.inFlight.type,parentSchema:schema146.properties.inFlight,data:data2}];
+return false;
+}
+if(errors === _errs6){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 < 0 || isNaN(data2)){
+validate110.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema146.properties.inFlight,data:data2}];
+return false;
+}
+}
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+else {
+validate110.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema146.type,parentSchema:schema146,data}];
+return false;
+}
+}
+validate110.errors = vErrors;
+return errors === 0;
+}
+validate110.evaluated = {"props":{"type":true,"endpoint":true,"inFlight":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate92(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate92.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -6065,15 +6298,15 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate90.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema123.required,parentSchema:schema123,data}];
+validate92.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema125.required,parentSchema:schema125,data}];
 return false;
 }
 else {
 const tag0 = data.type;
 if(typeof tag0 == "string"){
 if(tag0 === "hello"){
-if(!(validate91(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate91.errors : vErrors.concat(validate91.errors);
+if(!(validate93(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate93.errors : vErrors.concat(validate93.errors);
 errors = vErrors.length;
 }
 var props0 = {};
@@ -6085,8 +6318,8 @@
 props0.limits = true;
 }
 else if(tag0 === "release"){
-if(!(validate96(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate96.errors : vErrors.concat(validate96.errors);
+if(!(validate98(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate98.errors : vErrors.concat(validate98.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6098,8 +6331,8 @@
 }
 }
 else if(tag0 === "drop"){
-if(!(validate97(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate97.errors : vErrors.concat(validate97.errors);
+if(!(validate99(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate99.errors : vErrors.concat(validate99.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6111,8 +6344,8 @@
 }
 }
 else if(tag0 === "use"){
-if(!(validate98(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate98.errors : vErrors.concat(validate98.errors);
+if(!(validate100(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate100.errors : vErrors.concat(validate100.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6122,8 +6355,8 @@
 }
 }
 else if(tag0 === "suspects"){
-if(!(validate104(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate104.errors : vErrors.concat(validate104.errors);
+if(!(validate106(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate106.errors : vErrors.concat(validate106.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6138,7 +6371,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.fingerprint === undefined) && (missing1 = "fingerprint"))){
-validate90.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema144.required,parentSchema:schema144,data}];
+validate92.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema148.required,parentSchema:schema148,data}];
 return false;
 }
 else {
@@ -6146,11 +6379,11 @@
 let data0 = data.type;
 const _errs10 = errors;
 if(typeof data0 !== "string"){
-validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.type.type,parentSchema:schema144.properties.type,data:data0}];
+validate92.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema148.properties.type.type,parentSchema:schema148.properties.type,data:data0}];
 return false;
 }
 if("lease-over" !== data0){
-validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema144.properties.type,data:data0}];
+validate92.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema148.properties.type,data:data0}];
 return false;
 }
 var valid8 = _errs10 === errors;
@@ -6165,18 +6398,18 @@
 if(errors === _errs12){
 if(typeof data1 === "string"){
 if(data1.length > 64){
-validate90.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema144.properties.fingerprint,data:data1}];
+validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema148.properties.fingerprint,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate90.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema144.properties.fingerprint,data:data1}];
+validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema148.properties.fingerprint,data:data1}];
 return false;
 }
 }
 }
 else {
-validate90.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.fingerprint.type,parentSchema:schema144.properties.fingerprint,data:data1}];
+validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema148.properties.fingerprint.type,parentSchema:schema148.properties.fingerprint,data:data1}];
 return false;
 }
 }
@@ -6189,7 +6422,7 @@
 }
 }
 else {
-validate90.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema144.type,parentSchema:schema144,data}];
+validate92.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema148.type,parentSchema:schema148,data}];
 return false;
 }
 }
@@ -6200,8 +6433,8 @@
 }
 }
 else if(tag0 === "limits"){
-if(!(validate106(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate106.errors : vErrors.concat(validate106.errors);
+if(!(validate108(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate108.errors : vErrors.concat(validate108.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6210,33 +6443,45 @@
 props0.limits = true;
 }
 }
+else if(tag0 === "slots"){
+if(!(validate110(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate110.errors : vErrors.concat(validate110.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.endpoint = true;
+props0.inFlight = true;
+}
+}
 else {
-validate90.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema123.discriminator,parentSchema:schema123,data}];
+validate92.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema125.discriminator,parentSchema:schema125,data}];
 return false;
 }
 }
 else {
-validate90.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema123.discriminator,parentSchema:schema123,data}];
+validate92.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema125.discriminator,parentSchema:schema125,data}];
 return false;
 }
 }
 }
 else {
-validate90.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema123.type,parentSchema:schema123,data}];
+validate92.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema125.type,parentSchema:schema125,data}];
 return false;
 }
 }
-validate90.errors = vErrors;
+validate92.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate90.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate92.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate89(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate91(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate89.evaluated;
+const evaluated0 = validate91.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -6247,7 +6492,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate89.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema122.required,parentSchema:schema122,data}];
+validate91.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema124.required,parentSchema:schema124,data}];
 return false;
 }
 else {
@@ -6255,11 +6500,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data0}];
+validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema124.properties.type.type,parentSchema:schema124.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema122.properties.type,data:data0}];
+validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema124.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6270,8 +6515,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs3 = errors;
-if(!(validate90(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate90.errors : vErrors.concat(validate90.errors);
+if(!(validate92(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate92.errors : vErrors.concat(validate92.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs3 === errors;
@@ -6283,14 +6528,14 @@
 }
 }
 else {
-validate89.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
+validate91.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema124.type,parentSchema:schema124,data}];
 return false;
 }
 }
-validate89.errors = vErrors;
+validate91.errors = vErrors;
 return errors === 0;
 }
-validate89.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate91.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -6324,8 +6569,8 @@
 props0.body = true;
 }
 else if(tag0 === "answer"){
-if(!(validate62(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate62.errors : vErrors.concat(validate62.errors);
+if(!(validate64(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate64.errors : vErrors.concat(validate64.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6336,8 +6581,8 @@
 }
 }
 else if(tag0 === "working"){
-if(!(validate88(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate88.errors : vErrors.concat(validate88.errors);
+if(!(validate90(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate90.errors : vErrors.concat(validate90.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6347,8 +6592,8 @@
 }
 }
 else if(tag0 === "cast"){
-if(!(validate89(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate89.errors : vErrors.concat(validate89.errors);
+if(!(validate91(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate91.errors : vErrors.concat(validate91.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -56,6 +56,18 @@
     help: "Tunnels that other hosts asked for, by result",
   },
   "relay.tunnels": { type: "gauge", help: "Tunnels of other hosts" },
+  "gateway.brittle": {
+    type: "count",
+    help: "Endpoints that became brittle or no longer are, by service",
+  },
+  "slots.asked": {
+    type: "count",
+    help: "Calls to brittle endpoints asked for, by grant",
+  },
+  "slots.withheld": {
+    type: "count",
+    help: "Calls kept from a brittle endpoint",
+  },
   "quota.asked": {
     type: "count",
     help: "Requests to limited endpoints asked for, by grant",
