Request lines name the versions of called endpoints and the stream that they resume

The record of the incident shows a stream that a caller resumed at another version, and no line says so: a request's line has neither what it resumes nor the software version of an endpoint. Now calls have `version`, a request `resumeAfter` and `firstAttempt`. No decision uses either yet.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -14,9 +14,9 @@
 import type * as endpoints from "./endpoint.ts";
 import * as endpointAdmissions from "./endpoint_admission.ts";
 import type * as eventBuffers from "./event_buffer.ts";
-import type * as placements from "./placement.ts";
 import type * as protocols from "./protocol.ts";
 import * as callLoads from "./call_load.ts";
+import * as callRecords from "./call_record.ts";
 import * as refusals from "./refusal.ts";
 import * as replies from "./reply.ts";
 import * as retries from "./retry.ts";
@@ -35,29 +35,13 @@
  * whose answer is not relayed yet. */
 type Phase = "reading" | "pieces" | "sent" | "streaming" | "finished";
 
-/** One call to an endpoint, for the log line of its request. */
-interface CallRecord {
-  endpoint: string;
-  ms: number;
-  outcome: string;
-  /** Host through which the endpoint is reached, if not directly. */
-  relay?: string;
-  /** Which host chose the engine. */
-  placedBy?: placements.PlacementSource;
-  /** Milliseconds to the first event of a stream. */
-  first?: number;
-  /** Announcements in the answer. */
-  leaving?: protocols.ReplyHead["leaving"];
-  retryAfterMs?: protocols.ReplyHead["retryAfter"];
-}
-
 /** A caller's request, from its arrival until it is answered or abandoned. */
 export class ActiveRequest {
   readonly #context: contexts.Context;
   readonly #message: http.IncomingMessage;
   readonly #reply: replies.Reply;
   readonly #arrivedAt: number;
-  readonly #calls: CallRecord[] = [];
+  readonly #calls: callRecords.CallRecord[] = [];
   #phase: Phase = "reading";
   #incoming?: protocols.IncomingRequest;
   #route?: configurations.Route;
@@ -299,14 +283,14 @@
   }
 
   async #call(
-    { endpoint: target, placed: placement }: targetChoices.Target,
+    chosen: targetChoices.Target,
     inputs: readonly string[] | undefined,
   ): Promise<attempts.Outcome> {
+    const { endpoint: target, placed: placement } = chosen;
     const { clock, logger, metrics, loadUpdates, paths, slots } = this.#context;
     const { id, name, service, address } = target.identity;
     const started = clock.now();
-    const record: CallRecord = { endpoint: id, ms: 0, outcome: "open" };
-    if (placement !== undefined) record.placedBy = placement.source;
+    const record = callRecords.create(chosen);
     this.#calls.push(record);
     target.rejections.recordCall(started);
     this.#phase = this.#reply.head === undefined ? "sent" : "streaming";
@@ -387,7 +371,7 @@
     target: endpoints.Endpoint,
     { head, record, started }: {
       head: protocols.ReplyHead;
-      record: CallRecord;
+      record: callRecords.CallRecord;
       started: number;
     },
   ): void {
@@ -428,7 +412,10 @@
 
   #recordFirstEvent(
     target: endpoints.Endpoint,
-    { callLoad, record }: { callLoad: callLoads.CallLoad; record: CallRecord },
+    { callLoad, record }: {
+      callLoad: callLoads.CallLoad;
+      record: callRecords.CallRecord;
+    },
   ): void {
     const { clock, metrics, inputRetention } = this.#context;
     callLoad.recordFirstEvent();
@@ -634,6 +621,8 @@
       request: this.#incoming?.id,
       route,
       account: this.#account?.name,
+      resumeAfter: this.#incoming?.resumeAfter,
+      firstAttempt: this.#incoming?.firstAttempt,
       ms,
       objectiveMs: this.#route?.objective,
       rank: this.#route && this.#rank,
--- a/src/gateway/cache_miss_test.ts
+++ b/src/gateway/cache_miss_test.ts
@@ -25,7 +25,7 @@
   const prefixes = cachedPrefixes.CachedPrefixes.create(100_000);
   const firstEventLatency = firstEventLatencies.FirstEventLatency.create();
   return endpoints.Endpoint.create(
-    { id, name: id, ...place, slots: 4 },
+    { id, name: id, ...place, version: "v1", slots: 4 },
     { cachedPrefixes: prefixes, firstEventLatency, fetchRate },
   );
 }
--- /dev/null
+++ b/src/gateway/call_record.ts
@@ -0,0 +1,36 @@
+/** Record of one call to an endpoint, for the log line of its request.
+ * @module */
+
+import type * as placements from "./placement.ts";
+import type * as protocols from "./protocol.ts";
+import type * as targetChoices from "./target_choice.ts";
+
+/** One call to an endpoint; completed while the call runs. */
+export interface CallRecord {
+  readonly endpoint: string;
+  /** Version of the endpoint's software. */
+  readonly version: string;
+  ms: number;
+  outcome: string;
+  /** Host through which the endpoint is reached, if not directly. */
+  relay?: string;
+  /** Which host chose the engine. */
+  readonly placedBy?: placements.PlacementSource;
+  /** Milliseconds to the first event of a stream. */
+  first?: number;
+  /** Announcements in the answer. */
+  leaving?: protocols.ReplyHead["leaving"];
+  retryAfterMs?: protocols.ReplyHead["retryAfter"];
+}
+
+/** Creates the record of a call that begins. */
+export function create({ endpoint, placed }: targetChoices.Target): CallRecord {
+  const { id, version } = endpoint.identity;
+  return {
+    endpoint: id,
+    version,
+    ms: 0,
+    outcome: "open",
+    ...(placed !== undefined && { placedBy: placed.source }),
+  };
+}
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -39,6 +39,8 @@
   readonly service: string;
   readonly address: string;
   readonly dataCentre: string;
+  /** Version of its software. */
+  readonly version: string;
   readonly slots: number;
 }
 
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -173,12 +173,13 @@
   }
 
   #add(entry: endpoints.RosterEntry): endpoint.Endpoint {
-    const { id: name, service, address, dataCentre, slots } = entry;
+    const { id: name, service, address, dataCentre, version, slots } = entry;
     const id = incarnations.keyOf(entry);
     this.#revision++;
     this.#dataCentres.set(address, dataCentre);
     this.#idByAddress.set(address, id);
-    const identity = { id, name, service, address, dataCentre, slots };
+    const location = { service, address, dataCentre };
+    const identity = { id, name, ...location, version, slots };
     const added = endpoint.Endpoint.create(identity);
     added.announcements = this.#former.get(id) ?? added.announcements;
     this.#former.delete(id);
--- a/src/gateway/load_updates_test.ts
+++ b/src/gateway/load_updates_test.ts
@@ -22,7 +22,7 @@
 function createEngine(id: string): endpoints.Endpoint {
   const address = `10.0.0.1:${id}`;
   const place = { service: "s", address, dataCentre: "town", slots: 4 };
-  const identity = { id, name: id, ...place };
+  const identity = { id, name: id, version: "v1", ...place };
   const prefixes = cachedPrefixes.CachedPrefixes.create(100_000);
   const firstEventLatency = firstEventLatencies.FirstEventLatency.create();
   return endpoints.Endpoint.create(identity, {
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -42,8 +42,13 @@
   readonly itemKey?: string;
   /** Id of the last stream event that the caller has received. */
   readonly resumeAfter?: string;
+  /** The caller's attempt that received the first event of the stream. */
+  readonly firstAttempt?: AttemptReference;
 }
 
+/** An attempt that a caller names. */
+export type AttemptReference = { readonly id: string } | "unreadable";
+
 /** A decoded request, or why it is malformed. */
 export type DecodedRequest =
   | { type: "ask"; request: IncomingRequest }
