Prompts are fetched from engines of the same version alone

Same cause as of the streams: the version of an endpoint was no input of the choice of the engine whose cache a prompt is fetched from, and what two versions write does not fit together. That such a fetch breaks a stream is suspected, not seen in a record.

The test failed before: parts were fetched from the engine of the other version. The answer of a partition's owner of an earlier release is checked as well.

--- a/src/gateway/cache_miss.ts
+++ b/src/gateway/cache_miss.ts
@@ -32,13 +32,19 @@
   readonly source?: endpoints.Endpoint;
 }
 
+/** An engine to fetch from, and the tokens of the prompt that it has. */
+interface CacheSource {
+  readonly engine: endpoints.Endpoint;
+  readonly tokens: number;
+}
+
 /** The cache misses of a prompt on each of its candidate engines. */
 export class CacheMisses {
   readonly #engines: readonly endpoints.Endpoint[];
   readonly #prompt: protocols.Prompt;
-  /** The engine with the most cached tokens of the prompt, and their number. */
-  readonly #source?: endpoints.Endpoint;
-  readonly #sourceTokens: number;
+  /** By version the engine with the most cached tokens of the prompt. Engines
+   * of two versions may not understand each other's caches. */
+  readonly #sources = new Map<string, CacheSource>();
   /** Preferred engine; computed on demand, since it is not needed if the tokens
    * can be fetched. */
   #preferred?: { readonly name?: string };
@@ -49,12 +55,12 @@
   ) {
     this.#engines = engines;
     this.#prompt = prompt;
-    let max = 0;
     for (const engine of engines) {
-      const cached = this.#cachedTokens(engine);
-      if (cached > max) [this.#source, max] = [engine, cached];
+      const { version } = engine.identity;
+      const tokens = this.#cachedTokens(engine);
+      const max = this.#sources.get(version)?.tokens ?? 0;
+      if (tokens > max) this.#sources.set(version, { engine, tokens });
     }
-    this.#sourceTokens = max;
   }
 
   static of(
@@ -69,9 +75,10 @@
     const { inputTokens } = this.#prompt;
     const cached = this.#cachedTokens(engine);
     const missing = Math.max(0, inputTokens - cached);
-    const source = this.#source;
+    const { engine: source, tokens = 0 } =
+      this.#sources.get(engine.identity.version) ?? {};
     const rate = engine.fetchRate;
-    const fetchTokens = this.#sourceTokens - cached;
+    const fetchTokens = tokens - cached;
     if (
       source === undefined || rate === undefined ||
       fetchTokens < MIN_FETCH_TOKENS
--- a/src/gateway/cache_miss_test.ts
+++ b/src/gateway/cache_miss_test.ts
@@ -16,16 +16,17 @@
 
 function createEngine(
   id: string,
-  { fetchRate, dataCentre = "town" }: {
+  { fetchRate, dataCentre = "town", version = "v1" }: {
     fetchRate?: number;
     dataCentre?: string;
+    version?: string;
   } = {},
 ) {
   const place = { service: "s", address: `10.0.0.1:${id}`, dataCentre };
   const prefixes = cachedPrefixes.CachedPrefixes.create(100_000);
   const firstEventLatency = firstEventLatencies.FirstEventLatency.create();
   return endpoints.Endpoint.create(
-    { id, name: id, ...place, version: "v1", slots: 4 },
+    { id, name: id, ...place, version, slots: 4 },
     { cachedPrefixes: prefixes, firstEventLatency, fetchRate },
   );
 }
@@ -72,3 +73,21 @@
     t.is(misses.at(engine).source, undefined);
   }
 });
+
+// Guards against engines that continue from a cache that another software version
+// has written.
+test("parts are fetched from engines of the same version alone", (t) => {
+  const [engine, same, other] = [
+    createEngine("1", { fetchRate: 1000 }),
+    createEngine("2", { fetchRate: 1000 }),
+    createEngine("3", { version: "v2" }),
+  ];
+  other.cachedPrefixes!.insert(SHARED);
+  const engines = [engine, same, other];
+  const miss = cacheMisses.CacheMisses.of(engines, PROMPT).at(engine);
+  t.is(miss.source, undefined);
+  t.is(miss.fetchTokens, 0);
+  same.cachedPrefixes!.insert(SHARED);
+  const misses = cacheMisses.CacheMisses.of(engines, PROMPT);
+  t.is(misses.at(engine).source, same);
+});
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -257,11 +257,12 @@
     }
     const { read, fetched, fetchTime, firstEvent, work } = reply;
     const source = pool.get(reply.source ?? "");
+    const isSameVersion = source?.identity.version === engine.identity.version;
     const cacheMiss = {
       prefillTokens: read,
       fetchTokens: fetched,
       fetchTime,
-      source,
+      source: isSameVersion ? source : undefined,
     };
     return {
       engine,
