Origins of streams outlive the loss of all hosts at once

Cause: origins were kept in memory alone, so that one fault of all hosts lost every copy.

Change: a control host writes the origins that it stores to two alternating files in a folder of their own, every 100 ms while there are new ones, and reads them as it starts.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -44,6 +44,8 @@
 export interface ControlHostOptions extends hostContext.HostContext {
   protocol: protocol.ControlProtocol;
   openStorage: versions.OpenStorage;
+  /** Opens a storage apart from the log's, for the origins of streams. */
+  openOriginStorage: origins.OpenStorage;
 }
 
 /** Report of evacuations to operators. */
@@ -110,8 +112,7 @@
           Promise.resolve(this.#slotServer.request(question, from)),
         origins: (question) =>
           Promise.resolve(this.#originServer.store(question)),
-        origin: (question) =>
-          Promise.resolve(this.#originServer.find(question)),
+        origin: (question) => this.#originServer.find(question),
         lease: (question, from) =>
           Promise.resolve(this.#coordinator.requestLease(question, from)),
       },
@@ -132,7 +133,10 @@
       peers: () => this.#peers(),
     });
     this.#slotServer = concurrency.SlotServer.create(options);
-    this.#originServer = origins.OriginServer.create(options);
+    this.#originServer = origins.OriginServer.create({
+      ...options,
+      openStorage: options.openOriginStorage,
+    });
     this.#quotaServer = rateLimits.QuotaServer.create({
       ...options,
       calls: this.#network.calls,
--- a/src/origins/mod.ts
+++ b/src/origins/mod.ts
@@ -5,4 +5,5 @@
 
 export * from "./origin.ts";
 export * from "./origin_client.ts";
+export type { OpenStorage } from "./origin_journal.ts";
 export * from "./origin_server.ts";
--- a/src/origins/origin_server.ts
+++ b/src/origins/origin_server.ts
@@ -6,38 +6,46 @@
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as codec from "./origin_codec.ts";
+import * as journals from "./origin_journal.ts";
 import * as tables from "./origin_table.ts";
 
 /** Dependencies of an `OriginServer`. */
 export interface OriginServerOptions {
   readonly clock: runtime.Clock;
+  readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
+  readonly openStorage: journals.OpenStorage;
 }
 
 /** The origins that one control host stores; changed in place. */
 export class OriginServer {
   readonly #options: OriginServerOptions;
   readonly #table = tables.OriginTable.create();
+  readonly #journal: journals.OriginJournal;
+  readonly #loaded: Promise<void>;
 
   private constructor(options: OriginServerOptions) {
     this.#options = options;
+    this.#journal = journals.OriginJournal.create(options);
+    this.#loaded = this.#load();
   }
 
+  /** Creates a server, which begins to read its journal. */
   static create(options: OriginServerOptions): OriginServer {
     return new OriginServer(options);
   }
 
   /** Stores origins. */
   store({ origins }: schema.OriginsQuestion): schema.NotedReply {
-    const now = this.#options.clock.now();
-    for (const each of origins) {
-      this.#table.put(each.stream, codec.decode(each, now), now);
-    }
+    const added = origins.filter((each) => this.#put(each));
+    if (added.length > 0) this.#journal.append(added);
     return { type: "noted" };
   }
 
-  /** Answers a question for the origin of a stream. */
-  find({ stream }: schema.OriginQuestion): schema.OriginReply {
+  /** Answers a question for the origin of a stream, once the journal is
+   * read. */
+  async find({ stream }: schema.OriginQuestion): Promise<schema.OriginReply> {
+    await this.#loaded;
     const { clock, metrics } = this.#options;
     const now = clock.now();
     const kept = this.#table.get(stream, now);
@@ -64,4 +72,19 @@
     const { size, evictedCount } = this.#table;
     return { streams: size, evicted: evictedCount };
   }
+
+  async #load(): Promise<void> {
+    const origins = await this.#journal.load();
+    origins.forEach((each) => this.#put(each));
+    this.#options.logger.info(
+      { streams: this.#table.size },
+      "Origins of streams read from disk",
+    );
+  }
+
+  /** Returns whether the origin is new. */
+  #put(origin: schema.StreamOrigin): boolean {
+    const now = this.#options.clock.now();
+    return this.#table.put(origin.stream, codec.decode(origin, now), now);
+  }
 }
--- a/src/origins/origins_test.ts
+++ b/src/origins/origins_test.ts
@@ -3,6 +3,7 @@
 import test from "ava";
 import * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
+import * as storage from "../storage/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as origins from "./mod.ts";
 
@@ -22,14 +23,24 @@
 /** Entry hosts before control hosts; each message takes a millisecond. */
 function createFleet() {
   const clock = new runtime.FakeClock();
-  const servers = new Map(CONTROL_HOSTS.map((host) => {
-    const metrics = telemetry.noMetrics;
-    return [host, origins.OriginServer.create({ clock, metrics })];
-  }));
+  const disks = new Map(
+    CONTROL_HOSTS.map((host) => [host, storage.MemoryStorage.create()]),
+  );
+  const servers = new Map<string, origins.OriginServer>();
+  const startControl = (host: string) => {
+    const server = origins.OriginServer.create({
+      clock,
+      logger: telemetry.noLogger,
+      metrics: telemetry.noMetrics,
+      openStorage: () => Promise.resolve(disks.get(host)!),
+    });
+    servers.set(host, server);
+  };
+  CONTROL_HOSTS.forEach(startControl);
   const behaviours = new Map<string, Behaviour>();
-  const answer = (host: string, question: schema.Question): schema.Reply => {
+  const answer = (host: string, question: schema.Question) => {
     if (behaviours.get(host) === "earlier release") {
-      return { type: "failed", reason: "not-served" };
+      return { type: "failed", reason: "not-served" } as const;
     }
     const server = servers.get(host)!;
     if (question.type === "origin") return server.find(question);
@@ -67,15 +78,27 @@
     await settle(1000);
     return await finding;
   };
-  const holders = () =>
-    CONTROL_HOSTS.filter((host) => {
-      const { origin } = servers.get(host)!.find({
-        type: "origin",
-        stream: origins.keyOf(STREAM),
-      });
-      return origin !== undefined;
-    });
-  return { clock, behaviours, createEntry, settle, find, holders };
+  const holders = async () => {
+    const stream = origins.keyOf(STREAM);
+    const replies = await Promise.all(
+      [...servers].map(async ([host, server]) => {
+        const { origin } = await server.find({ type: "origin", stream });
+        return origin === undefined ? [] : [host];
+      }),
+    );
+    return replies.flat();
+  };
+  const restartAllControl = () => CONTROL_HOSTS.forEach(startControl);
+  return {
+    clock,
+    disks,
+    behaviours,
+    createEntry,
+    settle,
+    find,
+    holders,
+    restartAllControl,
+  };
 }
 
 // Guards against streams of two versions: no host but the one that began a
@@ -104,8 +127,9 @@
     const { createEntry, behaviours, settle, find, holders } = createFleet();
     createEntry("h-1").record(BEGUN);
     await settle(5);
-    t.is(holders().length, 2);
-    behaviours.set(holders()[position], "silent");
+    const all = await holders();
+    t.is(all.length, 2);
+    behaviours.set(all[position], "silent");
     t.like(await find(createEntry("h-2")), { type: "found" });
   }
 });
@@ -135,6 +159,26 @@
   t.like(await find(other), { type: "found" });
 });
 
+// Guards against streams that no caller can resume after all hosts have ended at
+// once.
+test("an origin is found after all hosts have started again", async (t) => {
+  const { createEntry, settle, find, restartAllControl } = createFleet();
+  createEntry("h-1").record(BEGUN);
+  await settle(300);
+  restartAllControl();
+  t.like(await find(createEntry("h-2")), { type: "found", source: "control" });
+});
+
+test("origins are stored without a disk that takes writes", async (t) => {
+  const { createEntry, disks, settle, find } = createFleet();
+  for (const disk of disks.values()) {
+    disk.append = () => Promise.reject(new Error("the disk is full"));
+  }
+  createEntry("h-1").record(BEGUN);
+  await settle(300);
+  t.like(await find(createEntry("h-2")), { type: "found", source: "control" });
+});
+
 test("an origin answers only to the account and the route of its stream", async (t) => {
   const { createEntry, settle, find } = createFleet();
   createEntry("h-1").record(BEGUN);
