--- a/src/origins/origin_client.ts
+++ b/src/origins/origin_client.ts
@@ -152,16 +152,15 @@
     return { type: "found", source: "self", origin: kept.origin };
   }
 
-  /** Uses the history of the route's service where no control host has a record:
+  /** Uses the history of the route's service where there is no record in reach:
    * hosts of an earlier release write none, and records can be lost. */
   #findInHistory(
     { services, lifetime: period }: ResumedStream,
     unknown: Extract<Finding, { type: "unknown" }>,
   ): Finding {
     const { clock, viewAge } = this.#options;
-    const isMissing = unknown.reason === "not-recorded" ||
-      unknown.reason === "not-named";
-    if (!isMissing || viewAge() > MAX_VIEW_AGE_MS) return unknown;
+    const isConflicting = unknown.reason === "conflicting";
+    if (isConflicting || viewAge() > MAX_VIEW_AGE_MS) return unknown;
     const [service] = services;
     const now = clock.now();
     const version = services.length === 1
