--- a/src/gateway/stream_binding.ts
+++ b/src/gateway/stream_binding.ts
@@ -16,6 +16,8 @@
 /** Multiple of a route's timeout for which the origin of a stream is kept after
  * its last attempt: one attempt may take the whole timeout. */
 const LIFETIME_TIMEOUT_COUNT = 2;
+/** Retry delay of a resumed stream while control hosts do not answer. */
+const ORIGIN_RETRY_S = 0.5;
 
 /** A request whose answer may be a stream. */
 export interface StreamRequest {
@@ -123,7 +125,7 @@
     const finding = await this.#findOrigin();
     if (finding.type === "found") return this.#bindToOrigin(finding.origin);
     const isRetryable = finding.reason === "unreachable";
-    const details = isRetryable ? { retryAfter: RETRY_AFTER_S } : {};
+    const details = isRetryable ? { retryAfter: ORIGIN_RETRY_S } : {};
     return { type: "none", reason: "unknown-origin", details };
   }
 
@@ -161,6 +163,3 @@
     };
   }
 }
-
-/** Seconds after which control hosts that did not answer may do so. */
-const RETRY_AFTER_S = 0.5;
--- a/src/origins/origin.ts
+++ b/src/origins/origin.ts
@@ -14,7 +14,7 @@
   readonly begunAt: number;
 }
 
-/** What identifies a stream. Ids of attempts are chosen by callers, so two
+/** What identifies a stream. Callers make up the ids of attempts, so two
  * accounts may use the same one. */
 export interface StreamIdentity {
   /** The attempt that received the first event. */
--- a/src/origins/version_history_test.ts
+++ b/src/origins/version_history_test.ts
@@ -25,8 +25,8 @@
   t.is(only(40_000), "v1");
 });
 
-// Guards against streams of two versions after a roll-out: the version that is
-// left says nothing of streams that began before.
+// Guards against streams of two versions after a roll-out: streams that began
+// before it are not of the remaining version.
 test("a version that has just replaced another one is not the only one", (t) => {
   const only = historyOf(40_000, (now) => [now < 20_000 ? "v1" : "v2"]);
   t.is(only(40_000), undefined);
