--- a/bench/fuzz_streams.ts
+++ b/bench/fuzz_streams.ts
@@ -23,5 +23,5 @@
   streams: sumOf("streams"),
   begun: sumOf("begun"),
   resumed: sumOf("resumed"),
-  wentOn: sumOf("wentOn"),
+  continued: sumOf("continued"),
 }));
--- a/bench/stream_fuzz/mod.ts
+++ b/bench/stream_fuzz/mod.ts
@@ -1,7 +1,7 @@
 /** Drawn schedules of streams in virtual time: engines of several versions come
  * and go, hosts end, are cut off and see the engines late, and callers resume
  * streams at any host. Callers count streams that hold events of two versions,
- * and streams resumed that do not go on.
+ * and resumed streams that do not continue.
  * @module */
 
 import type * as configurations from "../../src/configuration/mod.ts";
@@ -46,7 +46,7 @@
   readonly begun: number;
   /** Streams resumed while an engine of their version was up. */
   readonly resumed: number;
-  readonly wentOn: number;
+  readonly continued: number;
 }
 
 interface Stream {
@@ -56,11 +56,11 @@
   received: number;
   firstAttempt?: string;
   isResumed: boolean;
-  wentOn: boolean;
+  continued: boolean;
 }
 
 /** Plays a schedule; rejects if a stream holds events of two versions, or if
- * too few of those resumed go on. */
+ * too few of those resumed continue. */
 export async function runSchedule(options: Options): Promise<Seen> {
   return await new World(options).play();
 }
@@ -126,12 +126,15 @@
     const all = this.#streams;
     const begun = all.filter(({ received }) => received > 0).length;
     const resumed = all.filter(({ isResumed }) => isResumed).length;
-    const wentOn = all.filter((each) => each.isResumed && each.wentOn).length;
+    const continued =
+      all.filter((each) => each.isResumed && each.continued).length;
     const least = MIN_SHARE_RATIO * resumed * begun / all.length;
-    if (resumed >= MIN_RESUMED_COUNT && wentOn < least) {
-      throw new Error(`seed ${seed}: ${wentOn} of ${resumed} resumed go on`);
+    if (resumed >= MIN_RESUMED_COUNT && continued < least) {
+      throw new Error(
+        `seed ${seed}: ${continued} of ${resumed} resumed continue`,
+      );
     }
-    return { streams: all.length, begun, resumed, wentOn };
+    return { streams: all.length, begun, resumed, continued };
   }
 
   #startEntry(name: string): void {
@@ -157,7 +160,7 @@
       versions: new Set(),
       received: 0,
       isResumed: false,
-      wentOn: false,
+      continued: false,
     };
     this.#streams.push(stream);
     while (
@@ -189,7 +192,7 @@
     }
     const calls = { binding, id, breaksOff: this.#random.next() < 0.2 };
     await this.#call(stream, entry, calls);
-    if (before > 0 && stream.received > before) stream.wentOn = true;
+    if (before > 0 && stream.received > before) stream.continued = true;
     return 20 + this.#random.below(200);
   }
 
--- a/bench/stream_fuzz/stream_fuzz_test.ts
+++ b/bench/stream_fuzz/stream_fuzz_test.ts
@@ -7,13 +7,13 @@
 
 // Guards against streams that hold events of two software versions, and against
 // hosts that can't continue the streams of others.
-test("streams keep their version through drawn disturbances, and most go on", async (t) => {
-  const sum = { streams: 0, resumed: 0, wentOn: 0 };
+test("streams keep their version through drawn disturbances, and most continue", async (t) => {
+  const sum = { streams: 0, resumed: 0, continued: 0 };
   for (const seed of SEEDS) {
-    const { streams, resumed, wentOn } = await fuzz.runSchedule({ seed });
+    const { streams, resumed, continued } = await fuzz.runSchedule({ seed });
     sum.streams += streams;
     sum.resumed += resumed;
-    sum.wentOn += wentOn;
+    sum.continued += continued;
   }
   t.log(sum);
   t.true(sum.resumed > 1000);
