Origins: an accessor without use goes, one dump serves both tables

Read once more: `OriginTable.all` was called by nothing, and client and server built the same dump. No behaviour changes; the tests of src/origins and src/fleet pass.

--- a/src/origins/origin_client.ts
+++ b/src/origins/origin_client.ts
@@ -127,8 +127,7 @@
 
   /** State for the state dump. */
   dump(): unknown {
-    const { size, evictedCount } = this.#table;
-    return { streams: size, evicted: evictedCount };
+    return this.#table.dump();
   }
 
   async #findRecorded(
--- a/src/origins/origin_server.ts
+++ b/src/origins/origin_server.ts
@@ -69,8 +69,7 @@
 
   /** State for the state dump. */
   dump(): unknown {
-    const { size, evictedCount } = this.#table;
-    return { streams: size, evicted: evictedCount };
+    return this.#table.dump();
   }
 
   async #load(): Promise<void> {
--- a/src/origins/origin_table.ts
+++ b/src/origins/origin_table.ts
@@ -48,11 +48,9 @@
     return this.#evictedCount;
   }
 
-  /** All origins that are known for certain. */
-  get all(): [string, KeptOrigin][] {
-    return [...this.#entries].flatMap(([stream, { kept }]) =>
-      kept === "conflicting" ? [] : [[stream, kept]]
-    );
+  /** State for the state dump. */
+  dump(): unknown {
+    return { streams: this.size, evicted: this.#evictedCount };
   }
 
   /** Adds an origin. Returns whether the stream was not known with it. */
