--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -21,6 +21,7 @@
 import * as replies from "./reply.ts";
 import * as retries from "./retry.ts";
 import * as pipelineRuns from "./pipeline_run.ts";
+import * as streamBindings from "./stream_binding.ts";
 import * as targetChoices from "./target_choice.ts";
 import * as healthSignals from "./health_signal.ts";
 import * as unavailabilities from "./unavailability.ts";
@@ -60,6 +61,7 @@
   #lastEventId?: string;
   #errorAnswer?: { head: protocols.ReplyHead; body: Buffer };
   #pipelineRun?: pipelineRuns.PipelineRun;
+  readonly #binding = streamBindings.StreamBinding.create();
   #resolveFinished!: () => void;
   /** Resolves when the request is answered, refused or abandoned. */
   readonly finished: Promise<void>;
@@ -240,6 +242,7 @@
       const chosen = await targets.choose({
         called: this.#calls.map(({ endpoint }) => endpoint),
         planned: this.#pipelineRun?.planned,
+        version: this.#binding.version,
         isFinished: () => this.isFinished,
       });
       if (this.isFinished) return;
@@ -327,7 +330,7 @@
       ),
       onHead: (head) => this.#recordHead(target, { head, record, started }),
       stream: this.#route!.kind === "streaming"
-        ? this.#createStreamListener(onFirstEvent)
+        ? this.#createStreamListener(target, onFirstEvent)
         : undefined,
     });
     const retentionTime = this.#context.inputRetention.time(service);
@@ -428,12 +431,16 @@
     });
   }
 
-  #createStreamListener(onFirstEvent: () => void): attempts.StreamListener {
+  #createStreamListener(
+    target: endpoints.Endpoint,
+    onFirstEvent: () => void,
+  ): attempts.StreamListener {
     let head: protocols.ReplyHead;
     return {
       head: (received) => void (head = received),
       events: (complete) => {
         onFirstEvent();
+        this.#binding.bind(target);
         this.#relay(head, complete);
       },
     };
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -275,6 +275,47 @@
   t.is((await ask()).status, 502);
 });
 
+/** Endpoints at `addresses`, each of the version beside it. */
+function entriesOf(addresses: Readonly<Record<string, string>>) {
+  return Object.entries(addresses).map(([address, version], number) =>
+    endpointFixture.entry({ id: `n-${number}`, address, version })
+  );
+}
+
+/** Addresses of the calls for a stream that breaks after its first event, while
+ * another endpoint, of `version`, could continue it. */
+async function callsOfBrokenStream(t: ava.ExecutionContext, version: string) {
+  const called: (string | undefined)[] = [];
+  const handle: http.RequestListener = ({ headers }, response) => {
+    called.push(headers.host);
+    response.writeHead(200, { "test-signature": "s" });
+    if (called.length > 1) return void response.end("id: 2\ndata: 2\n\n");
+    response.write("id: 1\ndata: 1\n\n");
+    setTimeout(() => response.destroy(), 50);
+  };
+  const { ask, pool } = await startHost(t, {
+    kind: "streaming",
+    resumable: true,
+    objective: 1000,
+    timeout: 3000,
+  }, handle);
+  const [{ identity: { address } }] = pool.endpointsOf("desk");
+  const other = await listen(t, handle);
+  const entries = entriesOf({ [address]: "v1", [other]: version });
+  pool.update(entries, () => undefined);
+  t.is(await endOf(ask()), "whole");
+  return called;
+}
+
+// Guards against streams that hold events from endpoints of two software
+// versions: a broken stream was continued at any other endpoint.
+test("a broken stream is continued at an endpoint of its version", async (t) => {
+  const [first, second] = await callsOfBrokenStream(t, "v1");
+  t.not(first, second);
+  const [began, continued] = await callsOfBrokenStream(t, "v2");
+  t.is(began, continued);
+});
+
 test("an endpoint chosen before an evacuation is not called after it", async (t) => {
   let count = 0;
   const host = await startHost(t, { kind: "safe" }, (_, response) => {
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -138,10 +138,14 @@
     return this.#byService.get(service) ?? [];
   }
 
-  /** Endpoints of a service that accept calls; only the healthy ones if there
-   * are any. */
-  usable(service: string, now: number): readonly endpoint.Endpoint[] {
-    return usableOf(this.endpointsOf(service), now);
+  /** Endpoints of a service and version that accept calls; only the healthy
+   * ones if there are any. */
+  usable(
+    service: string,
+    now: number,
+    version?: string,
+  ): readonly endpoint.Endpoint[] {
+    return usableOf(ofVersion(this.endpointsOf(service), version), now);
   }
 
   /** Ids of the endpoints of a service that accept no calls by what they have
@@ -257,6 +261,17 @@
   }
 }
 
+/** Those of the given endpoints whose software has a version; all of them if it
+ * is undefined, none if it is empty, which stands for an unknown one. */
+export function ofVersion(
+  endpoints: readonly endpoint.Endpoint[],
+  version: string | undefined,
+): readonly endpoint.Endpoint[] {
+  if (version === undefined) return endpoints;
+  if (version === "") return [];
+  return endpoints.filter(({ identity }) => identity.version === version);
+}
+
 /** Those of the given endpoints that accept calls; only the live ones, and of
  * these only those not to be avoided, if there are any. */
 export function usableOf(
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -48,6 +48,8 @@
   readonly objective: number;
   /** Engine near which the request's inputs were produced. */
   readonly planned?: endpoints.Endpoint;
+  /** Version that the engine must have; undefined while any will do. */
+  readonly version?: string;
   /** Ids of the engines already called for the request. */
   readonly tried: readonly string[];
   /** Whether the call is sent now; otherwise this is a forecast, which reserves
@@ -104,6 +106,7 @@
 
   /** Resolves with the engine for a prompt; undefined if none accepts it. */
   async place(query: PlacementQuery): Promise<PlacementResult | undefined> {
+    if (query.version === "") return undefined;
     const placed = this.#isSmall
       ? this.#chooseLocally(query, "self")
       : await this.#placeByOwners(query);
@@ -114,7 +117,7 @@
 
   /** Answers another host's query for an engine of a partition. */
   answerQuery(question: schema.PlaceQuestion, from: string): schema.Reply {
-    const { service, partition, prompt, tried, sent } = question;
+    const { service, partition, prompt, tried, sent, version } = question;
     const { pool, clock } = this.#options;
     const planned = pool.get(question.planned ?? "");
     const chosen = this.#chooseInPartition(partition, {
@@ -122,6 +125,7 @@
       prompt,
       tried,
       planned,
+      version,
       isSent: sent,
     });
     if (chosen === undefined) return { type: "failed", reason: "unreachable" };
@@ -225,7 +229,7 @@
       const reply = await calls.ask(owner, createQuestion(partition, query), {
         timeout: OWNER_TIMEOUT_MS,
       });
-      return this.#decodeReply(reply);
+      return this.#decodeReply(reply, query);
     } catch (error) {
       this.#unresponsive.add(owner);
       const reason = `${error}`;
@@ -237,13 +241,20 @@
     }
   }
 
-  #decodeReply(reply: schema.Reply): PlacementResult | undefined {
+  #decodeReply(
+    reply: schema.Reply,
+    { version }: PlacementQuery,
+  ): PlacementResult | undefined {
     const { pool, clock } = this.#options;
     if (reply.type !== "placed") return undefined;
     const engine = pool.get(reply.engine);
     // An owner may learn of an engine a few hundred milliseconds earlier, and
     // does not know what the engine has announced to this host.
     if (!engine?.isAccepting(clock.now())) return undefined;
+    // An owner of an earlier release does not know the condition.
+    if (endpointPools.ofVersion([engine], version).length === 0) {
+      return undefined;
+    }
     const { read, fetched, fetchTime, firstEvent, work } = reply;
     const source = pool.get(reply.source ?? "");
     const cacheMiss = {
@@ -263,12 +274,13 @@
 
   /** Chooses among all engines of a service by this host's own state. */
   #chooseLocally(
-    { service, prompt, planned, tried }: PlacementQuery,
+    { service, prompt, planned, version, tried }: PlacementQuery,
     source: PlacementSource,
   ): PlacementResult | undefined {
     const { pool, clock, random, dataCentre } = this.#options;
     const now = clock.now();
-    const chosen = choices.chooseEngine(pool.usable(service, now), prompt, {
+    const usable = pool.usable(service, now, version);
+    const chosen = choices.chooseEngine(usable, prompt, {
       now,
       random,
       dataCentre,
@@ -280,12 +292,15 @@
 
   #chooseInPartition(
     partition: string,
-    { service, prompt, planned, tried }: Omit<PlacementQuery, "objective">,
+    { service, prompt, planned, version, tried }: Omit<
+      PlacementQuery,
+      "objective"
+    >,
   ): choices.EngineChoice | undefined {
     const { clock, random, dataCentre } = this.#options;
     const now = clock.now();
     const engines = endpointPools.usableOf(
-      this.#enginesIn(partition, service),
+      endpointPools.ofVersion(this.#enginesIn(partition, service), version),
       now,
     );
     return choices.chooseEngine(engines, prompt, {
@@ -307,16 +322,20 @@
 
   /** Partitions with a healthy engine, in order of preference: that of the
    * planned engine first, then by rendezvous hash of the shared part. */
-  #partitionsFor({ service, prompt, planned }: PlacementQuery): string[] {
+  #partitionsFor(
+    { service, prompt, planned, version }: PlacementQuery,
+  ): string[] {
     const now = this.#options.clock.now();
     const names = this.#partitionsOf(service)
       .filter(({ name }) =>
-        this.#enginesIn(name, service).some((each) => each.isHealthy(now))
+        endpointPools.ofVersion(this.#enginesIn(name, service), version)
+          .some((each) => each.isHealthy(now))
       )
       .map(({ name }) => name);
     const ranked = rendezvous.rank(partitionKey(prompt), names);
     if (planned === undefined) return ranked;
     const first = this.#partitionOf(planned);
+    if (version !== undefined && !names.includes(first)) return ranked;
     return [first, ...ranked.filter((name) => name !== first)];
   }
 
@@ -373,7 +392,7 @@
 
 function createQuestion(
   partition: string,
-  { service, prompt, planned, tried, isSent }: PlacementQuery,
+  { service, prompt, planned, version, tried, isSent }: PlacementQuery,
 ): schema.PlaceQuestion {
   const { model, inputTokens, outputTokens, parts } = prompt;
   return {
@@ -382,6 +401,7 @@
     partition,
     prompt: { model, inputTokens, outputTokens, parts: [...parts] },
     ...(planned && { planned: planned.identity.id }),
+    ...(version !== undefined && { version }),
     tried: [...tried],
     sent: isSent,
   };
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -12,6 +12,7 @@
   | "no-route"
   | "bad-key"
   | "no-endpoint"
+  | "no-version"
   | "evacuated"
   | "leaving"
   | "backoff"
@@ -76,6 +77,8 @@
   "no-route": { status: 404 },
   "bad-key": { status: 401 },
   "no-endpoint": { status: 503, retryAfter: 0.6 },
+  // No endpoint is left that could continue the stream.
+  "no-version": { status: 503 },
   // Evacuations last seconds or hours: a caller that can wait retries once,
   // after the hosts have moved its work.
   "evacuated": { status: 503, retryAfter: 1.5 },
--- a/src/gateway/target_choice.ts
+++ b/src/gateway/target_choice.ts
@@ -53,6 +53,8 @@
   readonly called: readonly string[];
   /** Engine near which the request's inputs were produced. */
   readonly planned?: endpoints.Endpoint;
+  /** Version that the endpoint must have; undefined while any will do. */
+  readonly version?: string;
   /** Whether the caller no longer waits. */
   isFinished(): boolean;
 }
@@ -89,7 +91,7 @@
     let slotWaits = 0;
     for (;;) {
       const target = await this.#pick(progress, avoided);
-      if (target === undefined) return this.#unavailable;
+      if (target === undefined) return this.#unavailable(progress);
       if (progress.isFinished()) return { type: "target", target };
       const { id } = target.endpoint.identity;
       const denial = await admission.acquire(target.endpoint, deadline);
@@ -102,7 +104,7 @@
         slotWaits++;
         avoided.length = 0;
         await this.#waitForSlot();
-        if (progress.isFinished()) return this.#unavailable;
+        if (progress.isFinished()) return this.#unavailable(progress);
         continue;
       }
       if (denial.isFinal || avoided.includes(id)) {
@@ -133,26 +135,26 @@
   }
 
   /** The result when no endpoint can be called. */
-  get #unavailable(): TargetChoiceResult {
+  #unavailable({ version }: RequestProgress): TargetChoiceResult {
     const { pool, clock, random } = this.#dependencies;
     const known = pool.endpointsOf(this.#options.service);
-    const { reason, details: about } = unavailabilities.unavailabilityOf(
-      known,
-      { now: clock.now(), random },
-    );
+    const context = { now: clock.now(), random };
+    const { reason, details: about } = version === undefined
+      ? unavailabilities.unavailabilityOf(known, context)
+      : unavailabilities.unavailabilityOfVersion(known, version, context);
     return { type: "none", reason, about };
   }
 
   /** The best endpoint, preferably one not called yet and not in `avoided`. */
   async #pick(
-    { called, planned }: RequestProgress,
+    { called, planned, version }: RequestProgress,
     avoided: readonly string[],
   ): Promise<Target | undefined> {
     const { placement, quotas, slots, pool, clock } = this.#dependencies;
     const { service, prompt, objective } = this.#options;
     const blocked = [...quotas.blockedEndpoints, ...slots.blockedEndpoints];
     const tried = [...called, ...avoided, ...blocked];
-    if (prompt === undefined) return this.#pickEndpoint(tried);
+    if (prompt === undefined) return this.#pickEndpoint(tried, version);
     // The owner of a partition does not know what engines announce to this host.
     const closed = pool.announcedClosed(service, clock.now());
     const placed = await placement.place({
@@ -160,16 +162,20 @@
       prompt,
       objective,
       planned,
+      version,
       tried: [...tried, ...closed],
       isSent: true,
     });
     return placed && { endpoint: placed.engine, placed };
   }
 
-  #pickEndpoint(tried: readonly string[]): Target | undefined {
+  #pickEndpoint(
+    tried: readonly string[],
+    version: string | undefined,
+  ): Target | undefined {
     const { pool, clock, random, dataCentre, quotas } = this.#dependencies;
     const now = clock.now();
-    const usable = pool.usable(this.#options.service, now);
+    const usable = pool.usable(this.#options.service, now, version);
     const untried = usable.filter(({ identity }) =>
       !tried.includes(identity.id)
     );
--- a/src/gateway/unavailability.ts
+++ b/src/gateway/unavailability.ts
@@ -3,6 +3,7 @@
 
 import type * as runtime from "../runtime/mod.ts";
 import type * as endpoints from "./endpoint.ts";
+import * as endpointPools from "./endpoint_pool.ts";
 import * as refusals from "./refusal.ts";
 
 /** Milliseconds over which the retries of callers are spread after the end of a
@@ -44,6 +45,24 @@
   return { reason, details: { retryAfter, announced } };
 }
 
+/** Why none of the endpoints that have a version accepts a call. */
+export function unavailabilityOfVersion(
+  known: readonly endpoints.Endpoint[],
+  version: string,
+  context: { now: number; random: runtime.Random },
+): Pick<Unavailability, "reason"> & {
+  readonly details: Readonly<Record<string, unknown>>;
+} {
+  const remaining = endpointPools.ofVersion(known, version)
+    .filter((each) => each.isReady && !each.isReplaced)
+    .filter(({ announcements }) => !announcements.isLeaving(context.now));
+  if (remaining.length === 0) {
+    return { reason: "no-version", details: { neededVersion: version } };
+  }
+  const { reason, details } = unavailabilityOf(remaining, context);
+  return { reason, details: { ...details, neededVersion: version } };
+}
+
 /** Announcements in force and rejections of some endpoints, for a log line. */
 function announcementsOf(
   known: readonly endpoints.Endpoint[],
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -229,6 +229,10 @@
    * Engine that the prompt's inputs were made near.
    */
   planned?: string;
+  /**
+   * Software version that the engine must have.
+   */
+  version?: string;
   /**
    * Engines that were called for the request before.
    */
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,7 +5,7 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"version":{"description":"Software version that the engine must have.","$ref":"#/$defs/Name"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
 const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"}]};
@@ -1521,7 +1521,7 @@
 }
 validate33.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true,"stage":true,"pieces":true,"slack":true,"rank":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema68 = {"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}};
+const schema68 = {"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"version":{"description":"Software version that the engine must have.","$ref":"#/$defs/Name"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}};
 const schema74 = {"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300};
 const schema71 = {"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}};
 const schema72 = {"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}};
@@ -1855,60 +1855,88 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.tried !== undefined){
-let data5 = data.tried;
+if(data.version !== undefined){
+let data5 = data.version;
 const _errs13 = errors;
-if(errors === _errs13){
-if(Array.isArray(data5)){
-var valid4 = true;
-const len0 = data5.length;
-for(let i0=0; i0<len0; i0++){
-let data6 = data5[i0];
-const _errs15 = errors;
+const _errs14 = errors;
+if(errors === _errs14){
+if(typeof data5 === "string"){
+if(data5.length > 256){
+validate34.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data5}];
+return false;
+}
+else {
+if(data5.length < 1){
+validate34.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data5}];
+return false;
+}
+}
+}
+else {
+validate34.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data5}];
+return false;
+}
+}
+var valid0 = _errs13 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.tried !== undefined){
+let data6 = data.tried;
 const _errs16 = errors;
 if(errors === _errs16){
-if(typeof data6 === "string"){
-if(data6.length > 300){
-validate34.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data6}];
+if(Array.isArray(data6)){
+var valid5 = true;
+const len0 = data6.length;
+for(let i0=0; i0<len0; i0++){
+let data7 = data6[i0];
+const _errs18 = errors;
+const _errs19 = errors;
+if(errors === _errs19){
+if(typeof data7 === "string"){
+if(data7.length > 300){
+validate34.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data7}];
 return false;
 }
 else {
-if(data6.length < 1){
-validate34.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data6}];
+if(data7.length < 1){
+validate34.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data7}];
 return false;
 }
 }
 }
 else {
-validate34.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data6}];
+validate34.errors = [{instancePath:instancePath+"/tried/" + i0,schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data7}];
 return false;
 }
 }
-var valid4 = _errs15 === errors;
-if(!valid4){
+var valid5 = _errs18 === errors;
+if(!valid5){
 break;
 }
 }
 }
 else {
-validate34.errors = [{instancePath:instancePath+"/tried",schemaPath:"#/properties/tried/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema68.properties.tried.type,parentSchema:schema68.properties.tried,data:data5}];
+validate34.errors = [{instancePath:instancePath+"/tried",schemaPath:"#/properties/tried/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema68.properties.tried.type,parentSchema:schema68.properties.tried,data:data6}];
 return false;
 }
 }
-var valid0 = _errs13 === errors;
+var valid0 = _errs16 === errors;
 }
 else {
 var valid0 = true;
 }
 if(valid0){
 if(data.sent !== undefined){
-let data7 = data.sent;
-const _errs18 = errors;
-if(typeof data7 !== "boolean"){
-validate34.errors = [{instancePath:instancePath+"/sent",schemaPath:"#/properties/sent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema68.properties.sent.type,parentSchema:schema68.properties.sent,data:data7}];
+let data8 = data.sent;
+const _errs21 = errors;
+if(typeof data8 !== "boolean"){
+validate34.errors = [{instancePath:instancePath+"/sent",schemaPath:"#/properties/sent/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema68.properties.sent.type,parentSchema:schema68.properties.sent,data:data8}];
 return false;
 }
-var valid0 = _errs18 === errors;
+var valid0 = _errs21 === errors;
 }
 else {
 var valid0 = true;
@@ -1921,6 +1949,7 @@
 }
 }
 }
+}
 else {
 validate34.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema68.type,parentSchema:schema68,data}];
 return false;
@@ -1929,11 +1958,11 @@
 validate34.errors = vErrors;
 return errors === 0;
 }
-validate34.evaluated = {"props":{"type":true,"service":true,"partition":true,"prompt":true,"planned":true,"tried":true,"sent":true},"dynamicProps":false,"dynamicItems":false};
+validate34.evaluated = {"props":{"type":true,"service":true,"partition":true,"prompt":true,"planned":true,"version":true,"tried":true,"sent":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema76 = {"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
-const schema77 = {"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}};
-const schema78 = {"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}};
+const schema77 = {"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema78 = {"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}};
+const schema79 = {"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}};
 
 function validate41(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -1949,7 +1978,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.endpoint === undefined) && (missing0 = "endpoint")) || ((data.age === undefined) && (missing0 = "age"))){
-validate41.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema78.required,parentSchema:schema78,data}];
+validate41.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema79.required,parentSchema:schema79,data}];
 return false;
 }
 else {
@@ -1987,12 +2016,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate41.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema78.properties.age,data:data1}];
+validate41.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema79.properties.age,data:data1}];
 return false;
 }
 }
 else {
-validate41.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema78.properties.age.type,parentSchema:schema78.properties.age,data:data1}];
+validate41.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema79.properties.age.type,parentSchema:schema79.properties.age,data:data1}];
 return false;
 }
 }
@@ -2006,7 +2035,7 @@
 let data2 = data.refuted;
 const _errs6 = errors;
 if(typeof data2 !== "boolean"){
-validate41.errors = [{instancePath:instancePath+"/refuted",schemaPath:"#/properties/refuted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema78.properties.refuted.type,parentSchema:schema78.properties.refuted,data:data2}];
+validate41.errors = [{instancePath:instancePath+"/refuted",schemaPath:"#/properties/refuted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema79.properties.refuted.type,parentSchema:schema79.properties.refuted,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -2019,7 +2048,7 @@
 }
 }
 else {
-validate41.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema78.type,parentSchema:schema78,data}];
+validate41.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema79.type,parentSchema:schema79,data}];
 return false;
 }
 }
@@ -2043,7 +2072,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.fingerprint === undefined) && (missing0 = "fingerprint")) || ((data.crashes === undefined) && (missing0 = "crashes"))) || ((data.acquittals === undefined) && (missing0 = "acquittals"))) || ((data.trials === undefined) && (missing0 = "trials"))){
-validate40.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema77.required,parentSchema:schema77,data}];
+validate40.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema78.required,parentSchema:schema78,data}];
 return false;
 }
 else {
@@ -2053,18 +2082,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 64){
-validate40.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema77.properties.fingerprint,data:data0}];
+validate40.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema78.properties.fingerprint,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate40.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema77.properties.fingerprint,data:data0}];
+validate40.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema78.properties.fingerprint,data:data0}];
 return false;
 }
 }
 }
 else {
-validate40.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.fingerprint.type,parentSchema:schema77.properties.fingerprint,data:data0}];
+validate40.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema78.properties.fingerprint.type,parentSchema:schema78.properties.fingerprint,data:data0}];
 return false;
 }
 }
@@ -2080,7 +2109,7 @@
 if(errors === _errs3){
 if(Array.isArray(data1)){
 if(data1.length > 64){
-validate40.errors = [{instancePath:instancePath+"/crashes",schemaPath:"#/properties/crashes/maxItems",keyword:"maxItems",params:{limit: 64},message:"must NOT have more than 64 items",schema:64,parentSchema:schema77.properties.crashes,data:data1}];
+validate40.errors = [{instancePath:instancePath+"/crashes",schemaPath:"#/properties/crashes/maxItems",keyword:"maxItems",params:{limit: 64},message:"must NOT have more than 64 items",schema:64,parentSchema:schema78.properties.crashes,data:data1}];
 return false;
 }
 else {
@@ -2100,7 +2129,7 @@
 }
 }
 else {
-validate40.errors = [{instancePath:instancePath+"/crashes",schemaPath:"#/properties/crashes/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema77.properties.crashes.type,parentSchema:schema77.properties.crashes,data:data1}];
+validate40.errors = [{instancePath:instancePath+"/crashes",schemaPath:"#/properties/crashes/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema78.properties.crashes.type,parentSchema:schema78.properties.crashes,data:data1}];
 return false;
 }
 }
@@ -2159,7 +2188,7 @@
 }
 }
 else {
-validate40.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema77.type,parentSchema:schema77,data}];
+validate40.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema78.type,parentSchema:schema78,data}];
 return false;
 }
 }
@@ -2183,7 +2212,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
-validate39.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema76.required,parentSchema:schema76,data}];
+validate39.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema77.required,parentSchema:schema77,data}];
 return false;
 }
 else {
@@ -2191,11 +2220,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema76.properties.type.type,parentSchema:schema76.properties.type,data:data0}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema77.properties.type.type,parentSchema:schema77.properties.type,data:data0}];
 return false;
 }
 if("suspects" !== data0){
-validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema76.properties.type,data:data0}];
+validate39.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema77.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2224,7 +2253,7 @@
 }
 }
 else {
-validate39.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema76.properties.suspects.type,parentSchema:schema76.properties.suspects,data:data1}];
+validate39.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema77.properties.suspects.type,parentSchema:schema77.properties.suspects,data:data1}];
 return false;
 }
 }
@@ -2237,7 +2266,7 @@
 }
 }
 else {
-validate39.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema76.type,parentSchema:schema76,data}];
+validate39.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema77.type,parentSchema:schema77,data}];
 return false;
 }
 }
@@ -2246,7 +2275,7 @@
 }
 validate39.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema82 = {"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}};
+const schema83 = {"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}};
 
 function validate44(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2262,7 +2291,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.fingerprint === undefined) && (missing0 = "fingerprint"))) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.remaining === undefined) && (missing0 = "remaining"))){
-validate44.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema82.required,parentSchema:schema82,data}];
+validate44.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema83.required,parentSchema:schema83,data}];
 return false;
 }
 else {
@@ -2270,11 +2299,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate44.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema82.properties.type.type,parentSchema:schema82.properties.type,data:data0}];
+validate44.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema83.properties.type.type,parentSchema:schema83.properties.type,data:data0}];
 return false;
 }
 if("lease" !== data0){
-validate44.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema82.properties.type,data:data0}];
+validate44.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema83.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2289,18 +2318,18 @@
 if(errors === _errs3){
 if(typeof data1 === "string"){
 if(data1.length > 64){
-validate44.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema82.properties.fingerprint,data:data1}];
+validate44.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema83.properties.fingerprint,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate44.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema82.properties.fingerprint,data:data1}];
+validate44.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema83.properties.fingerprint,data:data1}];
 return false;
 }
 }
 }
 else {
-validate44.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema82.properties.fingerprint.type,parentSchema:schema82.properties.fingerprint,data:data1}];
+validate44.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema83.properties.fingerprint.type,parentSchema:schema83.properties.fingerprint,data:data1}];
 return false;
 }
 }
@@ -2344,12 +2373,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate44.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema82.properties.remaining,data:data3}];
+validate44.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema83.properties.remaining,data:data3}];
 return false;
 }
 }
 else {
-validate44.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema82.properties.remaining.type,parentSchema:schema82.properties.remaining,data:data3}];
+validate44.errors = [{instancePath:instancePath+"/remaining",schemaPath:"#/properties/remaining/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema83.properties.remaining.type,parentSchema:schema83.properties.remaining,data:data3}];
 return false;
 }
 }
@@ -2364,7 +2393,7 @@
 }
 }
 else {
-validate44.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema82.type,parentSchema:schema82,data}];
+validate44.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema83.type,parentSchema:schema83,data}];
 return false;
 }
 }
@@ -2373,8 +2402,8 @@
 }
 validate44.evaluated = {"props":{"type":true,"fingerprint":true,"endpoint":true,"remaining":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema84 = {"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}};
-const schema85 = {"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}};
+const schema85 = {"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}};
+const schema86 = {"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}};
 
 function validate46(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2390,7 +2419,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.endpoint === undefined) && (missing0 = "endpoint")) || ((data.limit === undefined) && (missing0 = "limit"))) || ((data.age === undefined) && (missing0 = "age"))){
-validate46.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema85.required,parentSchema:schema85,data}];
+validate46.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema86.required,parentSchema:schema86,data}];
 return false;
 }
 else {
@@ -2428,12 +2457,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate46.errors = [{instancePath:instancePath+"/limit",schemaPath:"#/properties/limit/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema85.properties.limit,data:data1}];
+validate46.errors = [{instancePath:instancePath+"/limit",schemaPath:"#/properties/limit/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema86.properties.limit,data:data1}];
 return false;
 }
 }
 else {
-validate46.errors = [{instancePath:instancePath+"/limit",schemaPath:"#/properties/limit/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema85.properties.limit.type,parentSchema:schema85.properties.limit,data:data1}];
+validate46.errors = [{instancePath:instancePath+"/limit",schemaPath:"#/properties/limit/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema86.properties.limit.type,parentSchema:schema86.properties.limit,data:data1}];
 return false;
 }
 }
@@ -2449,12 +2478,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate46.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema85.properties.age,data:data2}];
+validate46.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema86.properties.age,data:data2}];
 return false;
 }
 }
 else {
-validate46.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema85.properties.age.type,parentSchema:schema85.properties.age,data:data2}];
+validate46.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema86.properties.age.type,parentSchema:schema86.properties.age,data:data2}];
 return false;
 }
 }
@@ -2470,12 +2499,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate46.errors = [{instancePath:instancePath+"/ended",schemaPath:"#/properties/ended/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema85.properties.ended,data:data3}];
+validate46.errors = [{instancePath:instancePath+"/ended",schemaPath:"#/properties/ended/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema86.properties.ended,data:data3}];
 return false;
 }
 }
 else {
-validate46.errors = [{instancePath:instancePath+"/ended",schemaPath:"#/properties/ended/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema85.properties.ended.type,parentSchema:schema85.properties.ended,data:data3}];
+validate46.errors = [{instancePath:instancePath+"/ended",schemaPath:"#/properties/ended/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema86.properties.ended.type,parentSchema:schema86.properties.ended,data:data3}];
 return false;
 }
 }
@@ -2490,7 +2519,7 @@
 }
 }
 else {
-validate46.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema85.type,parentSchema:schema85,data}];
+validate46.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema86.type,parentSchema:schema86,data}];
 return false;
 }
 }
@@ -2514,7 +2543,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.limit === undefined) && (missing0 = "limit"))){
-validate45.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema84.required,parentSchema:schema84,data}];
+validate45.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema85.required,parentSchema:schema85,data}];
 return false;
 }
 else {
@@ -2522,11 +2551,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema84.properties.type.type,parentSchema:schema84.properties.type,data:data0}];
+validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema85.properties.type.type,parentSchema:schema85.properties.type,data:data0}];
 return false;
 }
 if("quota" !== data0){
-validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema84.properties.type,data:data0}];
+validate45.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema85.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2550,7 +2579,7 @@
 }
 }
 else {
-validate45.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema84.type,parentSchema:schema84,data}];
+validate45.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema85.type,parentSchema:schema85,data}];
 return false;
 }
 }
@@ -2559,7 +2588,7 @@
 }
 validate45.evaluated = {"props":{"type":true,"limit":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema87 = {"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}};
+const schema88 = {"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}};
 
 function validate48(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2575,7 +2604,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.rate === undefined) && (missing0 = "rate"))){
-validate48.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema87.required,parentSchema:schema87,data}];
+validate48.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema88.required,parentSchema:schema88,data}];
 return false;
 }
 else {
@@ -2583,11 +2612,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate48.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema87.properties.type.type,parentSchema:schema87.properties.type,data:data0}];
+validate48.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema88.properties.type.type,parentSchema:schema88.properties.type,data:data0}];
 return false;
 }
 if("warmup" !== data0){
-validate48.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "warmup"},message:"must be equal to constant",schema:"warmup",parentSchema:schema87.properties.type,data:data0}];
+validate48.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "warmup"},message:"must be equal to constant",schema:"warmup",parentSchema:schema88.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2630,12 +2659,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 <= 0 || isNaN(data2)){
-validate48.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema87.properties.rate,data:data2}];
+validate48.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema88.properties.rate,data:data2}];
 return false;
 }
 }
 else {
-validate48.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema87.properties.rate.type,parentSchema:schema87.properties.rate,data:data2}];
+validate48.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema88.properties.rate.type,parentSchema:schema88.properties.rate,data:data2}];
 return false;
 }
 }
@@ -2649,7 +2678,7 @@
 }
 }
 else {
-validate48.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema87.type,parentSchema:schema87,data}];
+validate48.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema88.type,parentSchema:schema88,data}];
 return false;
 }
 }
@@ -2658,7 +2687,7 @@
 }
 validate48.evaluated = {"props":{"type":true,"endpoint":true,"rate":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema89 = {"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}};
+const schema90 = {"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}};
 
 function validate49(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -2674,7 +2703,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.slots === undefined) && (missing0 = "slots"))) || ((data.inFlight === undefined) && (missing0 = "inFlight"))){
-validate49.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema89.required,parentSchema:schema89,data}];
+validate49.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema90.required,parentSchema:schema90,data}];
 return false;
 }
 else {
@@ -2682,11 +2711,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate49.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema89.properties.type.type,parentSchema:schema89.properties.type,data:data0}];
+validate49.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema90.properties.type.type,parentSchema:schema90.properties.type,data:data0}];
 return false;
 }
 if("slot" !== data0){
-validate49.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slot"},message:"must be equal to constant",schema:"slot",parentSchema:schema89.properties.type,data:data0}];
+validate49.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slot"},message:"must be equal to constant",schema:"slot",parentSchema:schema90.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2727,13 +2756,13 @@
 let data2 = data.slots;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate49.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema89.properties.slots.type,parentSchema:schema89.properties.slots,data:data2}];
+validate49.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema90.properties.slots.type,parentSchema:schema90.properties.slots,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 1 || isNaN(data2)){
-validate49.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema89.properties.slots,data:data2}];
+validate49.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema90.properties.slots,data:data2}];
 return false;
 }
 }
@@ -2748,13 +2777,13 @@
 let data3 = data.inFlight;
 const _errs8 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
-validate49.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema89.properties.inFlight.type,parentSchema:schema89.properties.inFlight,data:data3}];
+validate49.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema90.properties.inFlight.type,parentSchema:schema90.properties.inFlight,data:data3}];
 return false;
 }
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate49.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema89.properties.inFlight,data:data3}];
+validate49.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema90.properties.inFlight,data:data3}];
 return false;
 }
 }
@@ -2770,7 +2799,7 @@
 }
 }
 else {
-validate49.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema89.type,parentSchema:schema89,data}];
+validate49.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema90.type,parentSchema:schema90,data}];
 return false;
 }
 }
@@ -2916,6 +2945,7 @@
 props0.partition = true;
 props0.prompt = true;
 props0.planned = true;
+props0.version = true;
 props0.tried = true;
 props0.sent = true;
 }
@@ -3085,16 +3115,16 @@
 }
 validate21.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema91 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema93 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]};
-const schema117 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema118 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema119 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}};
-const schema120 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
-const schema121 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
-const schema94 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
-const schema97 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
-const schema98 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
+const schema92 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema94 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]};
+const schema118 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema119 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema120 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}};
+const schema121 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
+const schema122 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
+const schema95 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
+const schema98 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
+const schema99 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
 
 function validate68(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -3110,7 +3140,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.dataCentre === undefined) && (missing0 = "dataCentre")) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.active === undefined) && (missing0 = "active"))) || ((data.orderedAt === undefined) && (missing0 = "orderedAt"))){
-validate68.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema98.required,parentSchema:schema98,data}];
+validate68.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema99.required,parentSchema:schema99,data}];
 return false;
 }
 else {
@@ -3168,7 +3198,7 @@
 let data2 = data.active;
 const _errs7 = errors;
 if(typeof data2 !== "boolean"){
-validate68.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema98.properties.active.type,parentSchema:schema98.properties.active,data:data2}];
+validate68.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema99.properties.active.type,parentSchema:schema99.properties.active,data:data2}];
 return false;
 }
 var valid0 = _errs7 === errors;
@@ -3181,7 +3211,7 @@
 let data3 = data.orderedAt;
 const _errs9 = errors;
 if(!((typeof data3 == "number") && (isFinite(data3)))){
-validate68.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema98.properties.orderedAt.type,parentSchema:schema98.properties.orderedAt,data:data3}];
+validate68.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema99.properties.orderedAt.type,parentSchema:schema99.properties.orderedAt,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -3195,7 +3225,7 @@
 }
 }
 else {
-validate68.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema98.type,parentSchema:schema98,data}];
+validate68.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema99.type,parentSchema:schema99,data}];
 return false;
 }
 }
@@ -3232,7 +3262,7 @@
 }
 }
 else {
-validate67.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema97.type,parentSchema:schema97,data}];
+validate67.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema98.type,parentSchema:schema98,data}];
 return false;
 }
 }
@@ -3256,7 +3286,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate66.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
+validate66.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema95.required,parentSchema:schema95,data}];
 return false;
 }
 else {
@@ -3264,11 +3294,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.type.type,parentSchema:schema94.properties.type,data:data0}];
+validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.properties.type.type,parentSchema:schema95.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema94.properties.type,data:data0}];
+validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema95.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3325,7 +3355,7 @@
 let data3 = data.document;
 const _errs9 = errors;
 if(typeof data3 !== "string"){
-validate66.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.document.type,parentSchema:schema94.properties.document,data:data3}];
+validate66.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.properties.document.type,parentSchema:schema95.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -3338,7 +3368,7 @@
 let data4 = data.digest;
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate66.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.digest.type,parentSchema:schema94.properties.digest,data:data4}];
+validate66.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.properties.digest.type,parentSchema:schema95.properties.digest,data:data4}];
 return false;
 }
 var valid0 = _errs11 === errors;
@@ -3366,7 +3396,7 @@
 }
 }
 else {
-validate66.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
+validate66.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema95.type,parentSchema:schema95,data}];
 return false;
 }
 }
@@ -3375,7 +3405,7 @@
 }
 validate66.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema101 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema102 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
 function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -3391,7 +3421,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema101.required,parentSchema:schema101,data}];
+validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema102.required,parentSchema:schema102,data}];
 return false;
 }
 else {
@@ -3399,11 +3429,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data0}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema102.properties.type.type,parentSchema:schema102.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema101.properties.type,data:data0}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema102.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3416,7 +3446,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate71.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema101.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema101.properties.verdict.enum,parentSchema:schema101.properties.verdict,data:data1}];
+validate71.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema102.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema102.properties.verdict.enum,parentSchema:schema102.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3451,7 +3481,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
+validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema102.type,parentSchema:schema102,data}];
 return false;
 }
 }
@@ -3460,7 +3490,7 @@
 }
 validate71.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema103 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
+const schema104 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
 
 function validate72(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -3476,7 +3506,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.revision === undefined) && (missing0 = "revision"))){
-validate72.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema103.required,parentSchema:schema103,data}];
+validate72.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema104.required,parentSchema:schema104,data}];
 return false;
 }
 else {
@@ -3484,11 +3514,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.type.type,parentSchema:schema103.properties.type,data:data0}];
+validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data0}];
 return false;
 }
 if("evacuated" !== data0){
-validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema103.properties.type,data:data0}];
+validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema104.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3501,7 +3531,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!(((data1 === "accepted") || (data1 === "known")) || (data1 === "outdated"))){
-validate72.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema103.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema103.properties.verdict.enum,parentSchema:schema103.properties.verdict,data:data1}];
+validate72.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema104.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema104.properties.verdict.enum,parentSchema:schema104.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3536,7 +3566,7 @@
 }
 }
 else {
-validate72.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema103.type,parentSchema:schema103,data}];
+validate72.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
 return false;
 }
 }
@@ -3545,7 +3575,7 @@
 }
 validate72.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema105 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema106 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
 function validate73(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -3561,7 +3591,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate73.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema105.required,parentSchema:schema105,data}];
+validate73.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
 return false;
 }
 else {
@@ -3569,11 +3599,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.type.type,parentSchema:schema105.properties.type,data:data0}];
+validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.type.type,parentSchema:schema106.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema105.properties.type,data:data0}];
+validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema106.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3586,7 +3616,7 @@
 let data1 = data.confirmed;
 const _errs3 = errors;
 if(typeof data1 !== "boolean"){
-validate73.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema105.properties.confirmed.type,parentSchema:schema105.properties.confirmed,data:data1}];
+validate73.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema106.properties.confirmed.type,parentSchema:schema106.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3621,7 +3651,7 @@
 let data3 = data.document;
 const _errs8 = errors;
 if(typeof data3 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.document.type,parentSchema:schema105.properties.document,data:data3}];
+validate73.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.document.type,parentSchema:schema106.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs8 === errors;
@@ -3634,7 +3664,7 @@
 let data4 = data.epoch;
 const _errs10 = errors;
 if(typeof data4 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.epoch.type,parentSchema:schema105.properties.epoch,data:data4}];
+validate73.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.epoch.type,parentSchema:schema106.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs10 === errors;
@@ -3685,7 +3715,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.sightings.type,parentSchema:schema105.properties.sightings,data:data6}];
+validate73.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.sightings.type,parentSchema:schema106.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -3699,7 +3729,7 @@
 let data8 = data.mark;
 const _errs18 = errors;
 if(typeof data8 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema105.properties.mark.type,parentSchema:schema105.properties.mark,data:data8}];
+validate73.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.mark.type,parentSchema:schema106.properties.mark,data:data8}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -3728,7 +3758,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.hosts.type,parentSchema:schema105.properties.hosts,data:data9}];
+validate73.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.hosts.type,parentSchema:schema106.properties.hosts,data:data9}];
 return false;
 }
 }
@@ -3774,7 +3804,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.cores.type,parentSchema:schema105.properties.cores,data:data11}];
+validate73.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.cores.type,parentSchema:schema106.properties.cores,data:data11}];
 return false;
 }
 }
@@ -3838,7 +3868,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.suspects.type,parentSchema:schema105.properties.suspects,data:data15}];
+validate73.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.suspects.type,parentSchema:schema106.properties.suspects,data:data15}];
 return false;
 }
 }
@@ -3868,7 +3898,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema105.properties.limits.type,parentSchema:schema105.properties.limits,data:data17}];
+validate73.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.limits.type,parentSchema:schema106.properties.limits,data:data17}];
 return false;
 }
 }
@@ -3893,7 +3923,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema105.type,parentSchema:schema105,data}];
+validate73.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
 return false;
 }
 }
@@ -3902,8 +3932,8 @@
 }
 validate73.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema110 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema111 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema111 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema112 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
 function validate80(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -3919,7 +3949,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema111.required,parentSchema:schema111,data}];
+validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema112.required,parentSchema:schema112,data}];
 return false;
 }
 else {
@@ -3949,7 +3979,7 @@
 let data1 = data.handle;
 const _errs4 = errors;
 if(typeof data1 !== "string"){
-validate80.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.handle.type,parentSchema:schema111.properties.handle,data:data1}];
+validate80.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema112.properties.handle.type,parentSchema:schema112.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -3962,7 +3992,7 @@
 let data2 = data.failure;
 const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate80.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema111.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema111.properties.failure.enum,parentSchema:schema111.properties.failure,data:data2}];
+validate80.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema112.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema112.properties.failure.enum,parentSchema:schema112.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -3975,7 +4005,7 @@
 }
 }
 else {
-validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema111.type,parentSchema:schema111,data}];
+validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema112.type,parentSchema:schema112,data}];
 return false;
 }
 }
@@ -3999,7 +4029,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate79.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema110.required,parentSchema:schema110,data}];
+validate79.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema111.required,parentSchema:schema111,data}];
 return false;
 }
 else {
@@ -4007,11 +4037,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema110.properties.type.type,parentSchema:schema110.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.type.type,parentSchema:schema111.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema110.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema111.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4040,7 +4070,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema110.properties.results.type,parentSchema:schema110.properties.results,data:data1}];
+validate79.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema111.properties.results.type,parentSchema:schema111.properties.results,data:data1}];
 return false;
 }
 }
@@ -4053,7 +4083,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema110.type,parentSchema:schema110,data}];
+validate79.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema111.type,parentSchema:schema111,data}];
 return false;
 }
 }
@@ -4062,8 +4092,8 @@
 }
 validate79.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema113 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
-const schema116 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
+const schema114 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
+const schema117 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
 
 function validate82(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -4079,7 +4109,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((data.type === undefined) && (missing0 = "type")) || ((data.engine === undefined) && (missing0 = "engine"))) || ((data.read === undefined) && (missing0 = "read"))) || ((data.fetched === undefined) && (missing0 = "fetched"))) || ((data.fetchTime === undefined) && (missing0 = "fetchTime"))) || ((data.firstEvent === undefined) && (missing0 = "firstEvent"))) || ((data.work === undefined) && (missing0 = "work"))){
-validate82.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema113.required,parentSchema:schema113,data}];
+validate82.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema114.required,parentSchema:schema114,data}];
 return false;
 }
 else {
@@ -4087,11 +4117,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema113.properties.type.type,parentSchema:schema113.properties.type,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema114.properties.type.type,parentSchema:schema114.properties.type,data:data0}];
 return false;
 }
 if("placed" !== data0){
-validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema113.properties.type,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema114.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4162,12 +4192,12 @@
 if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate82.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema113.properties.read,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.read,data:data3}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema113.properties.read.type,parentSchema:schema113.properties.read,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.read.type,parentSchema:schema114.properties.read,data:data3}];
 return false;
 }
 }
@@ -4183,12 +4213,12 @@
 if(errors === _errs11){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate82.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema113.properties.fetched,data:data4}];
+validate82.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.fetched,data:data4}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema113.properties.fetched.type,parentSchema:schema113.properties.fetched,data:data4}];
+validate82.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.fetched.type,parentSchema:schema114.properties.fetched,data:data4}];
 return false;
 }
 }
@@ -4204,12 +4234,12 @@
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate82.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema113.properties.fetchTime,data:data5}];
+validate82.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.fetchTime,data:data5}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema113.properties.fetchTime.type,parentSchema:schema113.properties.fetchTime,data:data5}];
+validate82.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.fetchTime.type,parentSchema:schema114.properties.fetchTime,data:data5}];
 return false;
 }
 }
@@ -4225,12 +4255,12 @@
 if(errors === _errs15){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
-validate82.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema113.properties.firstEvent,data:data6}];
+validate82.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.firstEvent,data:data6}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema113.properties.firstEvent.type,parentSchema:schema113.properties.firstEvent,data:data6}];
+validate82.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.firstEvent.type,parentSchema:schema114.properties.firstEvent,data:data6}];
 return false;
 }
 }
@@ -4248,7 +4278,7 @@
 if(data7 && typeof data7 == "object" && !Array.isArray(data7)){
 let missing1;
 if(((data7.tokens === undefined) && (missing1 = "tokens")) || ((data7.streams === undefined) && (missing1 = "streams"))){
-validate82.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema116.required,parentSchema:schema116,data:data7}];
+validate82.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema117.required,parentSchema:schema117,data:data7}];
 return false;
 }
 else {
@@ -4258,12 +4288,12 @@
 if(errors === _errs20){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < 0 || isNaN(data8)){
-validate82.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema116.properties.tokens,data:data8}];
+validate82.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.tokens,data:data8}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema116.properties.tokens.type,parentSchema:schema116.properties.tokens,data:data8}];
+validate82.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.tokens.type,parentSchema:schema117.properties.tokens,data:data8}];
 return false;
 }
 }
@@ -4279,12 +4309,12 @@
 if(errors === _errs22){
 if((typeof data9 == "number") && (isFinite(data9))){
 if(data9 < 0 || isNaN(data9)){
-validate82.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema116.properties.streams,data:data9}];
+validate82.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.streams,data:data9}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema116.properties.streams.type,parentSchema:schema116.properties.streams,data:data9}];
+validate82.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.streams.type,parentSchema:schema117.properties.streams,data:data9}];
 return false;
 }
 }
@@ -4297,7 +4327,7 @@
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema116.type,parentSchema:schema116,data:data7}];
+validate82.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data:data7}];
 return false;
 }
 }
@@ -4316,7 +4346,7 @@
 }
 }
 else {
-validate82.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema113.type,parentSchema:schema113,data}];
+validate82.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema114.type,parentSchema:schema114,data}];
 return false;
 }
 }
@@ -4340,7 +4370,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate65.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema93.required,parentSchema:schema93,data}];
+validate65.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
 return false;
 }
 else {
@@ -4352,7 +4382,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema117.required,parentSchema:schema117,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema118.required,parentSchema:schema118,data}];
 return false;
 }
 else {
@@ -4360,11 +4390,11 @@
 let data0 = data.type;
 const _errs5 = errors;
 if(typeof data0 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema117.properties.type.type,parentSchema:schema117.properties.type,data:data0}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.type.type,parentSchema:schema118.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema117.properties.type,data:data0}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema118.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs5 === errors;
@@ -4377,7 +4407,7 @@
 let data1 = data.reason;
 const _errs7 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate65.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema117.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema117.properties.reason.enum,parentSchema:schema117.properties.reason,data:data1}];
+validate65.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema118.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema118.properties.reason.enum,parentSchema:schema118.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs7 === errors;
@@ -4390,7 +4420,7 @@
 let data2 = data.leader;
 const _errs8 = errors;
 if(typeof data2 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema117.properties.leader.type,parentSchema:schema117.properties.leader,data:data2}];
+validate65.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.leader.type,parentSchema:schema118.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -4403,7 +4433,7 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
 return false;
 }
 }
@@ -4480,25 +4510,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema118.required,parentSchema:schema118,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema119.required,parentSchema:schema119,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.type.type,parentSchema:schema118.properties.type,data:data3}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema119.properties.type.type,parentSchema:schema119.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema118.properties.type,data:data3}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema119.properties.type,data:data3}];
 return false;
 }
 }
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema119.type,parentSchema:schema119,data}];
 return false;
 }
 }
@@ -4524,7 +4554,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if((((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))) || ((data.work === undefined) && (missing3 = "work"))){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema119.required,parentSchema:schema119,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema120.required,parentSchema:schema120,data}];
 return false;
 }
 else {
@@ -4532,11 +4562,11 @@
 let data4 = data.type;
 const _errs23 = errors;
 if(typeof data4 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema119.properties.type.type,parentSchema:schema119.properties.type,data:data4}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data4}];
 return false;
 }
 if("booked" !== data4){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema119.properties.type,data:data4}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema120.properties.type,data:data4}];
 return false;
 }
 var valid14 = _errs23 === errors;
@@ -4549,7 +4579,7 @@
 let data5 = data.wait;
 const _errs25 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.wait.type,parentSchema:schema119.properties.wait,data:data5}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.wait.type,parentSchema:schema120.properties.wait,data:data5}];
 return false;
 }
 var valid14 = _errs25 === errors;
@@ -4562,7 +4592,7 @@
 let data6 = data.work;
 const _errs27 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate65.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.work.type,parentSchema:schema119.properties.work,data:data6}];
+validate65.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.work.type,parentSchema:schema120.properties.work,data:data6}];
 return false;
 }
 var valid14 = _errs27 === errors;
@@ -4575,7 +4605,7 @@
 let data7 = data.workAge;
 const _errs29 = errors;
 if(!((typeof data7 == "number") && (isFinite(data7)))){
-validate65.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.workAge.type,parentSchema:schema119.properties.workAge,data:data7}];
+validate65.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.workAge.type,parentSchema:schema120.properties.workAge,data:data7}];
 return false;
 }
 var valid14 = _errs29 === errors;
@@ -4588,7 +4618,7 @@
 let data8 = data.ahead;
 const _errs31 = errors;
 if(!((typeof data8 == "number") && (isFinite(data8)))){
-validate65.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.ahead.type,parentSchema:schema119.properties.ahead,data:data8}];
+validate65.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.ahead.type,parentSchema:schema120.properties.ahead,data:data8}];
 return false;
 }
 var valid14 = _errs31 === errors;
@@ -4601,7 +4631,7 @@
 let data9 = data.rate;
 const _errs33 = errors;
 if(!((typeof data9 == "number") && (isFinite(data9)))){
-validate65.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema119.properties.rate.type,parentSchema:schema119.properties.rate,data:data9}];
+validate65.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.rate.type,parentSchema:schema120.properties.rate,data:data9}];
 return false;
 }
 var valid14 = _errs33 === errors;
@@ -4617,7 +4647,7 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema119.type,parentSchema:schema119,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
 return false;
 }
 }
@@ -4654,7 +4684,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing4;
 if((((data.type === undefined) && (missing4 = "type")) || ((data.granted === undefined) && (missing4 = "granted"))) || ((data.wait === undefined) && (missing4 = "wait"))){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema120.required,parentSchema:schema120,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema121.required,parentSchema:schema121,data}];
 return false;
 }
 else {
@@ -4662,11 +4692,11 @@
 let data10 = data.type;
 const _errs39 = errors;
 if(typeof data10 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data10}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.type.type,parentSchema:schema121.properties.type,data:data10}];
 return false;
 }
 if("lease" !== data10){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema120.properties.type,data:data10}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema121.properties.type,data:data10}];
 return false;
 }
 var valid18 = _errs39 === errors;
@@ -4679,7 +4709,7 @@
 let data11 = data.granted;
 const _errs41 = errors;
 if(typeof data11 !== "boolean"){
-validate65.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema120.properties.granted.type,parentSchema:schema120.properties.granted,data:data11}];
+validate65.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema121.properties.granted.type,parentSchema:schema121.properties.granted,data:data11}];
 return false;
 }
 var valid18 = _errs41 === errors;
@@ -4692,7 +4722,7 @@
 let data12 = data.taken;
 const _errs43 = errors;
 if(typeof data12 !== "boolean"){
-validate65.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema120.properties.taken.type,parentSchema:schema120.properties.taken,data:data12}];
+validate65.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema121.properties.taken.type,parentSchema:schema121.properties.taken,data:data12}];
 return false;
 }
 var valid18 = _errs43 === errors;
@@ -4707,12 +4737,12 @@
 if(errors === _errs45){
 if((typeof data13 == "number") && (isFinite(data13))){
 if(data13 < 0 || isNaN(data13)){
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema120.properties.wait,data:data13}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema121.properties.wait,data:data13}];
 return false;
 }
 }
 else {
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.wait.type,parentSchema:schema120.properties.wait,data:data13}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema121.properties.wait.type,parentSchema:schema121.properties.wait,data:data13}];
 return false;
 }
 }
@@ -4727,7 +4757,7 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema121.type,parentSchema:schema121,data}];
 return false;
 }
 }
@@ -4745,7 +4775,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing5;
 if((((data.type === undefined) && (missing5 = "type")) || ((data.granted === undefined) && (missing5 = "granted"))) || ((data.wait === undefined) && (missing5 = "wait"))){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema121.required,parentSchema:schema121,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema122.required,parentSchema:schema122,data}];
 return false;
 }
 else {
@@ -4753,11 +4783,11 @@
 let data14 = data.type;
 const _errs50 = errors;
 if(typeof data14 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.type.type,parentSchema:schema121.properties.type,data:data14}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data14}];
 return false;
 }
 if("quota" !== data14){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema121.properties.type,data:data14}];
+validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema122.properties.type,data:data14}];
 return false;
 }
 var valid21 = _errs50 === errors;
@@ -4770,7 +4800,7 @@
 let data15 = data.granted;
 const _errs52 = errors;
 if(typeof data15 !== "boolean"){
-validate65.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema121.properties.granted.type,parentSchema:schema121.properties.granted,data:data15}];
+validate65.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema122.properties.granted.type,parentSchema:schema122.properties.granted,data:data15}];
 return false;
 }
 var valid21 = _errs52 === errors;
@@ -4785,12 +4815,12 @@
 if(errors === _errs54){
 if((typeof data16 == "number") && (isFinite(data16))){
 if(data16 < 0 || isNaN(data16)){
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema121.properties.wait,data:data16}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema122.properties.wait,data:data16}];
 return false;
 }
 }
 else {
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema121.properties.wait.type,parentSchema:schema121.properties.wait,data:data16}];
+validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema122.properties.wait.type,parentSchema:schema122.properties.wait,data:data16}];
 return false;
 }
 }
@@ -4804,7 +4834,7 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema121.type,parentSchema:schema121,data}];
+validate65.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
 return false;
 }
 }
@@ -4816,18 +4846,18 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema93.discriminator,parentSchema:schema93,data}];
+validate65.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema94.discriminator,parentSchema:schema94,data}];
 return false;
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema93.discriminator,parentSchema:schema93,data}];
+validate65.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema94.discriminator,parentSchema:schema94,data}];
 return false;
 }
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema93.type,parentSchema:schema93,data}];
+validate65.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
 return false;
 }
 }
@@ -4852,7 +4882,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate64.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema91.required,parentSchema:schema91,data}];
+validate64.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema92.required,parentSchema:schema92,data}];
 return false;
 }
 else {
@@ -4860,11 +4890,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema91.properties.type.type,parentSchema:schema91.properties.type,data:data0}];
+validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema92.properties.type.type,parentSchema:schema92.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema91.properties.type,data:data0}];
+validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema92.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4911,7 +4941,7 @@
 }
 }
 else {
-validate64.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema91.type,parentSchema:schema91,data}];
+validate64.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema92.type,parentSchema:schema92,data}];
 return false;
 }
 }
@@ -4920,7 +4950,7 @@
 }
 validate64.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema122 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema123 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
 function validate90(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -4936,7 +4966,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate90.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema122.required,parentSchema:schema122,data}];
+validate90.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema123.required,parentSchema:schema123,data}];
 return false;
 }
 else {
@@ -4944,11 +4974,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data0}];
+validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema123.properties.type.type,parentSchema:schema123.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema122.properties.type,data:data0}];
+validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema123.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4987,7 +5017,7 @@
 }
 }
 else {
-validate90.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.ids.type,parentSchema:schema122.properties.ids,data:data1}];
+validate90.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema123.properties.ids.type,parentSchema:schema123.properties.ids,data:data1}];
 return false;
 }
 }
@@ -5000,7 +5030,7 @@
 }
 }
 else {
-validate90.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
+validate90.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema123.type,parentSchema:schema123,data}];
 return false;
 }
 }
@@ -5009,11 +5039,11 @@
 }
 validate90.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema124 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema125 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
-const schema148 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
-const schema126 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
-const schema129 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema125 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema126 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
+const schema149 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
+const schema127 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema130 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
 function validate95(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
