@@ -5029,7 +5059,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.term === undefined) && (missing0 = "term")) || ((data.leader === undefined) && (missing0 = "leader"))) || ((data.voters === undefined) && (missing0 = "voters"))){
-validate95.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema129.required,parentSchema:schema129,data}];
+validate95.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema130.required,parentSchema:schema130,data}];
 return false;
 }
 else {
@@ -5119,7 +5149,7 @@
 }
 }
 else {
-validate95.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema129.properties.voters.type,parentSchema:schema129.properties.voters,data:data2}];
+validate95.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema130.properties.voters.type,parentSchema:schema130.properties.voters,data:data2}];
 return false;
 }
 }
@@ -5133,7 +5163,7 @@
 }
 }
 else {
-validate95.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema129.type,parentSchema:schema129,data}];
+validate95.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema130.type,parentSchema:schema130,data}];
 return false;
 }
 }
@@ -5157,7 +5187,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate93.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema126.required,parentSchema:schema126,data}];
+validate93.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema127.required,parentSchema:schema127,data}];
 return false;
 }
 else {
@@ -5165,11 +5195,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate93.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema126.properties.type.type,parentSchema:schema126.properties.type,data:data0}];
+validate93.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema127.properties.type.type,parentSchema:schema127.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate93.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema126.properties.type,data:data0}];
+validate93.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema127.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5242,7 +5272,7 @@
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema126.properties.cores.type,parentSchema:schema126.properties.cores,data:data2}];
+validate93.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.properties.cores.type,parentSchema:schema127.properties.cores,data:data2}];
 return false;
 }
 }
@@ -5272,7 +5302,7 @@
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema126.properties.hosts.type,parentSchema:schema126.properties.hosts,data:data4}];
+validate93.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.properties.hosts.type,parentSchema:schema127.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -5314,7 +5344,7 @@
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema126.properties.limits.type,parentSchema:schema126.properties.limits,data:data7}];
+validate93.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.properties.limits.type,parentSchema:schema127.properties.limits,data:data7}];
 return false;
 }
 }
@@ -5331,7 +5361,7 @@
 }
 }
 else {
-validate93.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema126.type,parentSchema:schema126,data}];
+validate93.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema127.type,parentSchema:schema127,data}];
 return false;
 }
 }
@@ -5340,7 +5370,7 @@
 }
 validate93.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true,"leadership":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema133 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema134 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
 function validate98(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5356,7 +5386,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate98.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema133.required,parentSchema:schema133,data}];
+validate98.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema134.required,parentSchema:schema134,data}];
 return false;
 }
 else {
@@ -5364,11 +5394,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema133.properties.type.type,parentSchema:schema133.properties.type,data:data0}];
+validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema134.properties.type.type,parentSchema:schema134.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema133.properties.type,data:data0}];
+validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema134.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5444,7 +5474,7 @@
 let data4 = data3[i0];
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate98.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema133.properties.handles.items.type,parentSchema:schema133.properties.handles.items,data:data4}];
+validate98.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema134.properties.handles.items.type,parentSchema:schema134.properties.handles.items,data:data4}];
 return false;
 }
 var valid3 = _errs11 === errors;
@@ -5454,7 +5484,7 @@
 }
 }
 else {
-validate98.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema133.properties.handles.type,parentSchema:schema133.properties.handles,data:data3}];
+validate98.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema134.properties.handles.type,parentSchema:schema134.properties.handles,data:data3}];
 return false;
 }
 }
@@ -5469,7 +5499,7 @@
 }
 }
 else {
-validate98.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema133.type,parentSchema:schema133,data}];
+validate98.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema134.type,parentSchema:schema134,data}];
 return false;
 }
 }
@@ -5478,7 +5508,7 @@
 }
 validate98.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema136 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
+const schema137 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
 function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5494,7 +5524,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema136.required,parentSchema:schema136,data}];
+validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema137.required,parentSchema:schema137,data}];
 return false;
 }
 else {
@@ -5502,11 +5532,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema136.properties.type.type,parentSchema:schema136.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema137.properties.type.type,parentSchema:schema137.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema136.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema137.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5604,7 +5634,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema136.type,parentSchema:schema136,data}];
+validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema137.type,parentSchema:schema137,data}];
 return false;
 }
 }
@@ -5613,9 +5643,9 @@
 }
 validate99.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema140 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
-const schema141 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
-const schema142 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
+const schema141 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
+const schema142 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
+const schema143 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
 
 function validate103(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5631,7 +5661,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.work === undefined) && (missing0 = "work")) || ((data.took === undefined) && (missing0 = "took"))){
-validate103.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema142.required,parentSchema:schema142,data}];
+validate103.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema143.required,parentSchema:schema143,data}];
 return false;
 }
 else {
@@ -5643,7 +5673,7 @@
 if(data0 && typeof data0 == "object" && !Array.isArray(data0)){
 let missing1;
 if(((data0.tokens === undefined) && (missing1 = "tokens")) || ((data0.streams === undefined) && (missing1 = "streams"))){
-validate103.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema116.required,parentSchema:schema116,data:data0}];
+validate103.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema117.required,parentSchema:schema117,data:data0}];
 return false;
 }
 else {
@@ -5653,12 +5683,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate103.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema116.properties.tokens,data:data1}];
+validate103.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema116.properties.tokens.type,parentSchema:schema116.properties.tokens,data:data1}];
+validate103.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.tokens.type,parentSchema:schema117.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -5674,12 +5704,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate103.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema116.properties.streams,data:data2}];
+validate103.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.streams,data:data2}];
 return false;
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema116.properties.streams.type,parentSchema:schema116.properties.streams,data:data2}];
+validate103.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.streams.type,parentSchema:schema117.properties.streams,data:data2}];
 return false;
 }
 }
@@ -5692,7 +5722,7 @@
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema116.type,parentSchema:schema116,data:data0}];
+validate103.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data:data0}];
 return false;
 }
 }
@@ -5708,12 +5738,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate103.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema142.properties.took,data:data3}];
+validate103.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema143.properties.took,data:data3}];
 return false;
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.took.type,parentSchema:schema142.properties.took,data:data3}];
+validate103.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema143.properties.took.type,parentSchema:schema143.properties.took,data:data3}];
 return false;
 }
 }
@@ -5726,7 +5756,7 @@
 }
 }
 else {
-validate103.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema142.type,parentSchema:schema142,data}];
+validate103.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema143.type,parentSchema:schema143,data}];
 return false;
 }
 }
@@ -5750,7 +5780,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.engine === undefined) && (missing0 = "engine")) || ((data.tokens === undefined) && (missing0 = "tokens"))) || ((data.streams === undefined) && (missing0 = "streams"))) || ((data.read === undefined) && (missing0 = "read"))){
-validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema141.required,parentSchema:schema141,data}];
+validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema142.required,parentSchema:schema142,data}];
 return false;
 }
 else {
@@ -5760,18 +5790,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 300){
-validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema141.properties.engine,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema142.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema141.properties.engine,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema142.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema141.properties.engine.type,parentSchema:schema141.properties.engine,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema142.properties.engine.type,parentSchema:schema142.properties.engine,data:data0}];
 return false;
 }
 }
@@ -5787,12 +5817,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate101.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema141.properties.tokens,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema142.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema141.properties.tokens.type,parentSchema:schema141.properties.tokens,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.tokens.type,parentSchema:schema142.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -5806,13 +5836,13 @@
 let data2 = data.streams;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate101.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema141.properties.streams.type,parentSchema:schema141.properties.streams,data:data2}];
+validate101.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema142.properties.streams.type,parentSchema:schema142.properties.streams,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate101.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema141.properties.streams,data:data2}];
+validate101.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema142.properties.streams,data:data2}];
 return false;
 }
 }
@@ -5850,7 +5880,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.read.items.type,parentSchema:schema141.properties.read.items,data:data4}];
+validate101.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.read.items.type,parentSchema:schema142.properties.read.items,data:data4}];
 return false;
 }
 }
@@ -5861,7 +5891,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.read.type,parentSchema:schema141.properties.read,data:data3}];
+validate101.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.read.type,parentSchema:schema142.properties.read,data:data3}];
 return false;
 }
 }
@@ -5891,7 +5921,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.firsts.type,parentSchema:schema141.properties.firsts,data:data6}];
+validate101.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.firsts.type,parentSchema:schema142.properties.firsts,data:data6}];
 return false;
 }
 }
@@ -5912,7 +5942,7 @@
 let data9 = data8[i3];
 const _errs17 = errors;
 if(!(((data9 === "good") || (data9 === "bad")) || (data9 === "full"))){
-validate101.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema141.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema141.properties.verdicts.items.enum,parentSchema:schema141.properties.verdicts.items,data:data9}];
+validate101.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema142.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema142.properties.verdicts.items.enum,parentSchema:schema142.properties.verdicts.items,data:data9}];
 return false;
 }
 var valid4 = _errs17 === errors;
@@ -5922,7 +5952,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.verdicts.type,parentSchema:schema141.properties.verdicts,data:data8}];
+validate101.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.verdicts.type,parentSchema:schema142.properties.verdicts,data:data8}];
 return false;
 }
 }
@@ -5939,7 +5969,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema141.type,parentSchema:schema141,data}];
+validate101.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema142.type,parentSchema:schema142,data}];
 return false;
 }
 }
@@ -5963,7 +5993,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.uses === undefined) && (missing0 = "uses"))){
-validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema140.required,parentSchema:schema140,data}];
+validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema141.required,parentSchema:schema141,data}];
 return false;
 }
 else {
@@ -5971,11 +6001,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema140.properties.type.type,parentSchema:schema140.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema141.properties.type.type,parentSchema:schema141.properties.type,data:data0}];
 return false;
 }
 if("use" !== data0){
-validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema140.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema141.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6004,7 +6034,7 @@
 }
 }
 else {
-validate100.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema140.properties.uses.type,parentSchema:schema140.properties.uses,data:data1}];
+validate100.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.uses.type,parentSchema:schema141.properties.uses,data:data1}];
 return false;
 }
 }
@@ -6017,7 +6047,7 @@
 }
 }
 else {
-validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema140.type,parentSchema:schema140,data}];
+validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema141.type,parentSchema:schema141,data}];
 return false;
 }
 }
@@ -6026,7 +6056,7 @@
 }
 validate100.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema144 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema145 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
 
 function validate106(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6042,7 +6072,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
-validate106.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema144.required,parentSchema:schema144,data}];
+validate106.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema145.required,parentSchema:schema145,data}];
 return false;
 }
 else {
@@ -6050,11 +6080,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.type.type,parentSchema:schema144.properties.type,data:data0}];
+validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema145.properties.type.type,parentSchema:schema145.properties.type,data:data0}];
 return false;
 }
 if("suspects" !== data0){
-validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema144.properties.type,data:data0}];
+validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema145.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6083,7 +6113,7 @@
 }
 }
 else {
-validate106.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema144.properties.suspects.type,parentSchema:schema144.properties.suspects,data:data1}];
+validate106.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema145.properties.suspects.type,parentSchema:schema145.properties.suspects,data:data1}];
 return false;
 }
 }
@@ -6096,7 +6126,7 @@
 }
 }
 else {
-validate106.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema144.type,parentSchema:schema144,data}];
+validate106.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema145.type,parentSchema:schema145,data}];
 return false;
 }
 }
@@ -6105,7 +6135,7 @@
 }
 validate106.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema145 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema146 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
 function validate108(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6121,7 +6151,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.limits === undefined) && (missing0 = "limits"))){
-validate108.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema145.required,parentSchema:schema145,data}];
+validate108.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema146.required,parentSchema:schema146,data}];
 return false;
 }
 else {
@@ -6129,11 +6159,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema145.properties.type.type,parentSchema:schema145.properties.type,data:data0}];
+validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema146.properties.type.type,parentSchema:schema146.properties.type,data:data0}];
 return false;
 }
 if("limits" !== data0){
-validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema145.properties.type,data:data0}];
+validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema146.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6162,7 +6192,7 @@
 }
 }
 else {
-validate108.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema145.properties.limits.type,parentSchema:schema145.properties.limits,data:data1}];
+validate108.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema146.properties.limits.type,parentSchema:schema146.properties.limits,data:data1}];
 return false;
 }
 }
@@ -6175,7 +6205,7 @@
 }
 }
 else {
-validate108.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema145.type,parentSchema:schema145,data}];
+validate108.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema146.type,parentSchema:schema146,data}];
 return false;
 }
 }
@@ -6184,7 +6214,7 @@
 }
 validate108.evaluated = {"props":{"type":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema146 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
+const schema147 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
 
 function validate110(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6200,7 +6230,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.inFlight === undefined) && (missing0 = "inFlight"))){
-validate110.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema146.required,parentSchema:schema146,data}];
+validate110.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema147.required,parentSchema:schema147,data}];
 return false;
 }
 else {
@@ -6208,11 +6238,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate110.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema146.properties.type.type,parentSchema:schema146.properties.type,data:data0}];
+validate110.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema147.properties.type.type,parentSchema:schema147.properties.type,data:data0}];
 return false;
 }
 if("slots" !== data0){
-validate110.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema146.properties.type,data:data0}];
+validate110.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema147.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6253,13 +6283,13 @@
 let data2 = data.inFlight;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate110.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema146.properties.inFlight.type,parentSchema:schema146.properties.inFlight,data:data2}];
+validate110.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema147.properties.inFlight.type,parentSchema:schema147.properties.inFlight,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate110.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema146.properties.inFlight,data:data2}];
+validate110.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema147.properties.inFlight,data:data2}];
 return false;
 }
 }
@@ -6274,7 +6304,7 @@
 }
 }
 else {
-validate110.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema146.type,parentSchema:schema146,data}];
+validate110.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema147.type,parentSchema:schema147,data}];
 return false;
 }
 }
@@ -6298,7 +6328,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate92.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema125.required,parentSchema:schema125,data}];
+validate92.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema126.required,parentSchema:schema126,data}];
 return false;
 }
 else {
@@ -6371,7 +6401,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.fingerprint === undefined) && (missing1 = "fingerprint"))){
-validate92.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema148.required,parentSchema:schema148,data}];
+validate92.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema149.required,parentSchema:schema149,data}];
 return false;
 }
 else {
@@ -6379,11 +6409,11 @@
 let data0 = data.type;
 const _errs10 = errors;
 if(typeof data0 !== "string"){
-validate92.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema148.properties.type.type,parentSchema:schema148.properties.type,data:data0}];
+validate92.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema149.properties.type.type,parentSchema:schema149.properties.type,data:data0}];
 return false;
 }
 if("lease-over" !== data0){
-validate92.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema148.properties.type,data:data0}];
+validate92.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema149.properties.type,data:data0}];
 return false;
 }
 var valid8 = _errs10 === errors;
@@ -6398,18 +6428,18 @@
 if(errors === _errs12){
 if(typeof data1 === "string"){
 if(data1.length > 64){
-validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema148.properties.fingerprint,data:data1}];
+validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema149.properties.fingerprint,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema148.properties.fingerprint,data:data1}];
+validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema149.properties.fingerprint,data:data1}];
 return false;
 }
 }
 }
 else {
-validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema148.properties.fingerprint.type,parentSchema:schema148.properties.fingerprint,data:data1}];
+validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema149.properties.fingerprint.type,parentSchema:schema149.properties.fingerprint,data:data1}];
 return false;
 }
 }
@@ -6422,7 +6452,7 @@
 }
 }
 else {
-validate92.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema148.type,parentSchema:schema148,data}];
+validate92.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema149.type,parentSchema:schema149,data}];
 return false;
 }
 }
@@ -6456,18 +6486,18 @@
 }
 }
 else {
-validate92.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema125.discriminator,parentSchema:schema125,data}];
+validate92.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema126.discriminator,parentSchema:schema126,data}];
 return false;
 }
 }
 else {
-validate92.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema125.discriminator,parentSchema:schema125,data}];
+validate92.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema126.discriminator,parentSchema:schema126,data}];
 return false;
 }
 }
 }
 else {
-validate92.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema125.type,parentSchema:schema125,data}];
+validate92.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema126.type,parentSchema:schema126,data}];
 return false;
 }
 }
@@ -6492,7 +6522,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate91.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema124.required,parentSchema:schema124,data}];
+validate91.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema125.required,parentSchema:schema125,data}];
 return false;
 }
 else {
@@ -6500,11 +6530,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema124.properties.type.type,parentSchema:schema124.properties.type,data:data0}];
+validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema125.properties.type.type,parentSchema:schema125.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema124.properties.type,data:data0}];
+validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema125.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6528,7 +6558,7 @@
 }
 }
 else {
-validate91.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema124.type,parentSchema:schema124,data}];
+validate91.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema125.type,parentSchema:schema125,data}];
 return false;
 }
 }
