--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -5,6 +5,7 @@
 import type * as undici from "undici";
 import * as configurations from "../../src/configuration/mod.ts";
 import * as concurrencyFixture from "../../src/concurrency/fixture.ts";
+import * as originFixture from "../../src/origins/fixture.ts";
 import * as gateway from "../../src/gateway/mod.ts";
 import * as passages from "../../src/gateway/active_request.ts";
 import * as pieces from "../../src/batching/mod.ts";
@@ -91,6 +92,7 @@
       placement: this.#placement,
       quotas: rateLimitFixture.unlimitedQuotas(),
       slots: concurrencyFixture.unlimitedSlots(),
+      origins: originFixture.noOrigins(),
       guard: quarantineFixture.permissiveGuard(),
       startedAt: clock.now(),
       maxConfigurationAge: 1000,
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -5,6 +5,7 @@
 import * as versions from "../control/versions/mod.ts";
 import * as endpoints from "../endpoints/mod.ts";
 import * as concurrency from "../concurrency/mod.ts";
+import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as rateLimits from "../rate_limits/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
@@ -68,6 +69,7 @@
   readonly #coordinator: quarantine.Coordinator;
   readonly #quotaServer: rateLimits.QuotaServer;
   readonly #slotServer: concurrency.SlotServer;
+  readonly #originServer: origins.OriginServer;
   readonly #syncSessions = syncSessions.SyncSessions.create();
   readonly #epoch: string;
   readonly #confirmations: coalescers.Coalescer<FleetState>;
@@ -106,6 +108,10 @@
           Promise.resolve(this.#quotaServer.requestCold(question)),
         slot: (question, from) =>
           Promise.resolve(this.#slotServer.request(question, from)),
+        origins: (question) =>
+          Promise.resolve(this.#originServer.store(question)),
+        origin: (question) =>
+          Promise.resolve(this.#originServer.find(question)),
         lease: (question, from) =>
           Promise.resolve(this.#coordinator.requestLease(question, from)),
       },
@@ -126,6 +132,7 @@
       peers: () => this.#peers(),
     });
     this.#slotServer = concurrency.SlotServer.create(options);
+    this.#originServer = origins.OriginServer.create(options);
     this.#quotaServer = rateLimits.QuotaServer.create({
       ...options,
       calls: this.#network.calls,
@@ -179,6 +186,7 @@
       endpoints: [...this.#roster.entries],
       suspects: this.#coordinator.dump(),
       limits: this.#quotaServer.limits,
+      origins: this.#originServer.dump(),
       evacuations: this.evacuations(),
       peers: this.#network.transport.dump(),
     };
@@ -256,6 +264,7 @@
     this.#coordinator.tick();
     this.#quotaServer.tick();
     this.#slotServer.tick();
+    this.#originServer.tick();
     this.#options.metrics.gauge(
       "evacuation.active",
       this.#store?.evacuations.active.length ?? 0,
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -8,6 +8,7 @@
 import * as gateway from "../gateway/mod.ts";
 import * as batching from "../batching/mod.ts";
 import * as concurrency from "../concurrency/mod.ts";
+import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as rateLimits from "../rate_limits/mod.ts";
 import * as relay from "../relay/mod.ts";
@@ -62,6 +63,7 @@
   readonly #guard: quarantine.Guard;
   readonly #quotaClient: rateLimits.QuotaClient;
   readonly #slotClient: concurrency.SlotClient;
+  readonly #originClient: origins.OriginClient;
   readonly #paths: relay.EndpointPaths;
   readonly #tunnelServer: relay.TunnelServer;
   readonly #connections: connections.Connections;
@@ -152,6 +154,13 @@
       entryHosts: () => this.#readyHosts.map(({ host }) => host),
       slots: (id) => this.#pool.get(id)?.concurrencyLimit(clock.now()),
     });
+    this.#originClient = origins.OriginClient.create({
+      ...options,
+      self,
+      calls: this.#network.calls,
+      controlHosts: () => this.#syncClient.controlHosts,
+      viewAge: () => this.#syncClient.proofAge,
+    });
     this.#batcher = batching.Batcher.create({
       ...options,
       quotas: this.#quotaClient,
@@ -242,6 +251,7 @@
       suspects: this.#guard.dump(),
       limits: this.#quotaClient.dump(),
       slots: this.#slotClient.dump(),
+      origins: this.#originClient.dump(),
       batcher: this.#batcher.dump(),
       peers: this.#network.transport.dump(),
     };
@@ -287,6 +297,7 @@
       guard: this.#guard,
       quotas: this.#quotaClient,
       slots: this.#slotClient,
+      origins: this.#originClient,
       startedAt: this.#options.clock.now(),
       maxConfigurationAge: this.#maxProofAge,
       calibration: gateway.Calibration.create(),
@@ -329,8 +340,10 @@
   }
 
   #applyChanges(): void {
+    const { roster } = this.#syncClient;
+    this.#originClient.observe(roster.entries);
     const ended = this.#pool.update(
-      this.#syncClient.roster.entries,
+      roster.entries,
       (name) => this.#catalogue?.service(name),
     );
     this.#applyEvacuations();
--- a/src/fleet/host_context.ts
+++ b/src/fleet/host_context.ts
@@ -49,7 +49,9 @@
       fleet: fleetMessages.validate,
       log: logMessages.validate,
     },
-    entryLists: { fleet: ["sightings", "uses", "hosts", "suspects", "limits"] },
+    entryLists: {
+      fleet: ["sightings", "uses", "hosts", "suspects", "limits", "origins"],
+    },
     clock,
     logger,
     metrics,
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -24,7 +24,6 @@
 import * as streamBindings from "./stream_binding.ts";
 import * as targetChoices from "./target_choice.ts";
 import * as healthSignals from "./health_signal.ts";
-import * as unavailabilities from "./unavailability.ts";
 
 /** Times that the stages of a request are run again after results are lost. */
 const MAX_STAGE_RERUNS = 1;
@@ -61,7 +60,7 @@
   #lastEventId?: string;
   #errorAnswer?: { head: protocols.ReplyHead; body: Buffer };
   #pipelineRun?: pipelineRuns.PipelineRun;
-  readonly #binding = streamBindings.StreamBinding.create();
+  #binding?: streamBindings.StreamBinding;
   #resolveFinished!: () => void;
   /** Resolves when the request is answered, refused or abandoned. */
   readonly finished: Promise<void>;
@@ -113,13 +112,8 @@
       if (denial !== undefined) {
         return this.#refuse(denial.reason, denial.details);
       }
-      const { random } = this.#context;
-      const service = admissions.pickService(this.#route!, random);
-      const unavailability = this.#unavailability(service);
-      if (unavailability !== undefined) {
-        const { reason, details } = unavailability;
-        return this.#refuse(reason, details);
-      }
+      const service = await this.#chooseService();
+      if (service === undefined) return;
       const inputs = await this.#runStages(service);
       if (this.isFinished) return;
       await this.#callEndpoints({ service, inputs });
@@ -130,17 +124,19 @@
     }
   }
 
-  /** Why the service accepts no call within the objective, by what its endpoints
-   * have announced. Checked before any stage runs for the request. */
-  #unavailability(
-    service: string,
-  ): unavailabilities.Unavailability | undefined {
-    const { pool, clock, random } = this.#context;
-    const now = clock.now();
-    const known = pool.endpointsOf(service);
-    const wait = unavailabilities.announcedReturn(known, now);
-    if (wait === 0 || wait < this.#route!.objective) return undefined;
-    return unavailabilities.unavailabilityOf(known, { now, random });
+  /** Chooses the service before any stage runs; refuses the request if there is
+   * none, or if its endpoints accept no call within the objective. */
+  async #chooseService(): Promise<string | undefined> {
+    this.#binding = streamBindings.StreamBinding.create(this.#context, {
+      incoming: this.#incoming!,
+      route: this.#route!,
+      account: this.#account,
+    });
+    const choice = await this.#binding.chooseService();
+    if (choice.type === "none") {
+      return void this.#refuse(choice.reason, choice.details);
+    }
+    return this.isFinished ? undefined : choice.service;
   }
 
   /** Whether an endpoint may have executed the request or may be executing
@@ -215,6 +211,7 @@
       route,
       rank: this.#rank,
       service,
+      version: this.#binding?.version,
       arrival: this.#arrivedAt,
       priorWait: this.#priorWait,
       deadline: this.#deadline,
@@ -242,7 +239,7 @@
       const chosen = await targets.choose({
         called: this.#calls.map(({ endpoint }) => endpoint),
         planned: this.#pipelineRun?.planned,
-        version: this.#binding.version,
+        version: this.#binding?.version,
         isFinished: () => this.isFinished,
       });
       if (this.isFinished) return;
@@ -440,7 +437,7 @@
       head: (received) => void (head = received),
       events: (complete) => {
         onFirstEvent();
-        this.#binding.bind(target);
+        this.#binding!.bind(target);
         this.#relay(head, complete);
       },
     };
@@ -630,6 +627,7 @@
       account: this.#account?.name,
       resumeAfter: this.#incoming?.resumeAfter,
       firstAttempt: this.#incoming?.firstAttempt,
+      origin: this.#binding?.record,
       ms,
       objectiveMs: this.#route?.objective,
       rank: this.#route && this.#rank,
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -9,6 +9,7 @@
 import * as fixture from "../configuration/fixture.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
 import * as configurations from "../configuration/mod.ts";
+import * as originFixture from "../origins/fixture.ts";
 import * as quarantineFixture from "../quarantine/fixture.ts";
 import * as rateLimitFixture from "../rate_limits/fixture.ts";
 import * as runtime from "../runtime/mod.ts";
@@ -129,6 +130,7 @@
     loadUpdates: { record() {} },
     quotas: rateLimitFixture.unlimitedQuotas(),
     slots: concurrencyFixture.unlimitedSlots(),
+    origins: originFixture.noOrigins(),
     guard: quarantineFixture.permissiveGuard(),
     startedAt: 0,
     maxConfigurationAge: 1000,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -5,6 +5,7 @@
 import type * as configurations from "../configuration/mod.ts";
 import type * as batching from "../batching/mod.ts";
 import type * as concurrency from "../concurrency/mod.ts";
+import type * as origins from "../origins/mod.ts";
 import type * as quarantine from "../quarantine/mod.ts";
 import type * as rateLimits from "../rate_limits/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
@@ -75,6 +76,7 @@
     concurrency.SlotClient,
     "blockedEndpoints" | "isLimited" | "acquire" | "begin" | "end"
   >;
+  readonly origins: Pick<origins.OriginClient, "record" | "find">;
   readonly loadUpdates: Pick<loadUpdates.LoadUpdates, "record">;
   /** Time at which the host started, by its clock. */
   readonly startedAt: number;
--- a/src/gateway/pipeline_run.ts
+++ b/src/gateway/pipeline_run.ts
@@ -36,6 +36,8 @@
   readonly rank: number;
   /** Service that executes the request after its stages. */
   readonly service: string;
+  /** Version that its endpoint must have; undefined if any will do. */
+  readonly version?: string;
   readonly arrival: number;
   /** Milliseconds that the caller waited before this attempt. */
   readonly priorWait: number;
@@ -250,9 +252,10 @@
 /** The engine that the request would be sent to now. */
 async function planEngine(
   { placement }: contexts.Context,
-  { request: { prompt }, service, route: { objective } }: PipelineRunOptions,
+  { request: { prompt }, service, version, route }: PipelineRunOptions,
 ): Promise<choices.EngineChoice | undefined> {
   if (prompt === undefined) return undefined;
-  const query = { service, prompt, objective, tried: [], isSent: false };
-  return await placement.place(query);
+  const { objective } = route;
+  const query = { service, version, prompt, objective, tried: [] };
+  return await placement.place({ ...query, isSent: false });
 }
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -13,6 +13,7 @@
   | "bad-key"
   | "no-endpoint"
   | "no-version"
+  | "unknown-origin"
   | "evacuated"
   | "leaving"
   | "backoff"
@@ -79,6 +80,8 @@
   "no-endpoint": { status: 503, retryAfter: 0.6 },
   // No endpoint is left that could continue the stream.
   "no-version": { status: 503 },
+  // A retry helps only if hosts did not answer.
+  "unknown-origin": { status: 503 },
   // Evacuations last seconds or hours: a caller that can wait retries once,
   // after the hosts have moved its work.
   "evacuated": { status: 503, retryAfter: 1.5 },
--- a/src/gateway/unavailability.ts
+++ b/src/gateway/unavailability.ts
@@ -78,6 +78,18 @@
     .slice(0, MAX_NAMED_COUNT);
 }
 
+/** Why the endpoints of a service accept no call within `objective`
+ * milliseconds, by what they have announced. */
+export function announcedUnavailability(
+  known: readonly endpoints.Endpoint[],
+  objective: number,
+  context: { now: number; random: runtime.Random },
+): Unavailability | undefined {
+  const wait = announcedReturn(known, context.now);
+  if (wait === 0 || wait < objective) return undefined;
+  return unavailabilityOf(known, context);
+}
+
 /** Milliseconds until the first of the endpoints accepts calls again by what
  * they have announced; 0 if one does now, or if none has announced a backoff. */
 export function announcedReturn(
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -22,7 +22,9 @@
   | LeaseQuestion
   | QuotaQuestion
   | WarmupQuestion
-  | SlotQuestion;
+  | SlotQuestion
+  | OriginsQuestion
+  | OriginQuestion;
 export type Name = string;
 /**
  * Part of a service's endpoints that one batcher schedules.
@@ -32,6 +34,10 @@
  * One incarnation of an engine.
  */
 export type Engine = string;
+/**
+ * Digest of the account, the route and the first attempt.
+ */
+export type Stream = string;
 export type Reply =
   | FailedReply
   | ConfirmedReply
@@ -43,7 +49,8 @@
   | BookedReply
   | PlacedReply
   | LeaseReply
-  | QuotaReply;
+  | QuotaReply
+  | OriginReply;
 /**
  * Of each data centre that ever was evacuated.
  */
@@ -347,6 +354,40 @@
    */
   inFlight: number;
 }
+/**
+ * Asks a control host to store origins of streams.
+ */
+export interface OriginsQuestion {
+  type: "origins";
+  origins: StreamOrigin[];
+}
+/**
+ * The service and the software version at which a stream began.
+ */
+export interface StreamOrigin {
+  stream: Stream;
+  service: Name;
+  version: Name;
+  /**
+   * Host that relayed its first event.
+   */
+  host: string;
+  /**
+   * Milliseconds for which it is kept after its last use.
+   */
+  lifetime: number;
+  /**
+   * Milliseconds since the first event.
+   */
+  age: number;
+}
+/**
+ * Asks a control host for the origin of a stream.
+ */
+export interface OriginQuestion {
+  type: "origin";
+  stream: Stream;
+}
 export interface Answer {
   type: "answer";
   id: Count;
@@ -532,6 +573,34 @@
    */
   wait: number;
 }
+export interface OriginReply {
+  type: "origin";
+  origin?: StreamOrigin1;
+  /**
+   * Whether different origins were recorded for the stream.
+   */
+  conflicting?: boolean;
+}
+/**
+ * The service and the software version at which a stream began.
+ */
+export interface StreamOrigin1 {
+  stream: Stream;
+  service: Name;
+  version: Name;
+  /**
+   * Host that relayed its first event.
+   */
+  host: string;
+  /**
+   * Milliseconds for which it is kept after its last use.
+   */
+  lifetime: number;
+  /**
+   * Milliseconds since the first event.
+   */
+  age: number;
+}
 /**
  * Questions that this host has and has not answered yet.
  */
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,10 +5,10 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"version":{"description":"Software version that the engine must have.","$ref":"#/$defs/Name"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"StreamOrigin":{"title":"StreamOrigin","description":"The service and the software version at which a stream began.","type":"object","required":["stream","service","version","host","lifetime","age"],"properties":{"stream":{"$ref":"#/$defs/Stream"},"service":{"$ref":"#/$defs/Name"},"version":{"$ref":"#/$defs/Name"},"host":{"description":"Host that relayed its first event.","$ref":"#/$defs/Name"},"lifetime":{"description":"Milliseconds for which it is kept after its last use.","type":"number","minimum":0},"age":{"description":"Milliseconds since the first event.","type":"number","minimum":0}}},"Stream":{"description":"Digest of the account, the route and the first attempt.","type":"string","minLength":1,"maxLength":64},"OriginsQuestion":{"title":"OriginsQuestion","description":"Asks a control host to store origins of streams.","type":"object","required":["type","origins"],"properties":{"type":{"type":"string","const":"origins"},"origins":{"type":"array","items":{"$ref":"#/$defs/StreamOrigin"}}}},"OriginQuestion":{"title":"OriginQuestion","description":"Asks a control host for the origin of a stream.","type":"object","required":["type","stream"],"properties":{"type":{"type":"string","const":"origin"},"stream":{"$ref":"#/$defs/Stream"}}},"OriginReply":{"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"version":{"description":"Software version that the engine must have.","$ref":"#/$defs/Name"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
-const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"}]};
+const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"}]};
 const schema35 = {"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -2808,6 +2808,353 @@
 }
 validate49.evaluated = {"props":{"type":true,"endpoint":true,"slots":true,"inFlight":true},"dynamicProps":false,"dynamicItems":false};
 
+const schema92 = {"title":"OriginsQuestion","description":"Asks a control host to store origins of streams.","type":"object","required":["type","origins"],"properties":{"type":{"type":"string","const":"origins"},"origins":{"type":"array","items":{"$ref":"#/$defs/StreamOrigin"}}}};
+const schema93 = {"title":"StreamOrigin","description":"The service and the software version at which a stream began.","type":"object","required":["stream","service","version","host","lifetime","age"],"properties":{"stream":{"$ref":"#/$defs/Stream"},"service":{"$ref":"#/$defs/Name"},"version":{"$ref":"#/$defs/Name"},"host":{"description":"Host that relayed its first event.","$ref":"#/$defs/Name"},"lifetime":{"description":"Milliseconds for which it is kept after its last use.","type":"number","minimum":0},"age":{"description":"Milliseconds since the first event.","type":"number","minimum":0}}};
+const schema94 = {"description":"Digest of the account, the route and the first attempt.","type":"string","minLength":1,"maxLength":64};
+
+function validate51(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate51.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((((((data.stream === undefined) && (missing0 = "stream")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.host === undefined) && (missing0 = "host"))) || ((data.lifetime === undefined) && (missing0 = "lifetime"))) || ((data.age === undefined) && (missing0 = "age"))){
+validate51.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema93.required,parentSchema:schema93,data}];
+return false;
+}
+else {
+if(data.stream !== undefined){
+let data0 = data.stream;
+const _errs1 = errors;
+const _errs2 = errors;
+if(errors === _errs2){
+if(typeof data0 === "string"){
+if(data0.length > 64){
+validate51.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema94,data:data0}];
+return false;
+}
+else {
+if(data0.length < 1){
+validate51.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema94,data:data0}];
+return false;
+}
+}
+}
+else {
+validate51.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.type,parentSchema:schema94,data:data0}];
+return false;
+}
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.service !== undefined){
+let data1 = data.service;
+const _errs4 = errors;
+const _errs5 = errors;
+if(errors === _errs5){
+if(typeof data1 === "string"){
+if(data1.length > 256){
+validate51.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate51.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+return false;
+}
+}
+}
+else {
+validate51.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+return false;
+}
+}
+var valid0 = _errs4 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.version !== undefined){
+let data2 = data.version;
+const _errs7 = errors;
+const _errs8 = errors;
+if(errors === _errs8){
+if(typeof data2 === "string"){
+if(data2.length > 256){
+validate51.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data2}];
+return false;
+}
+else {
+if(data2.length < 1){
+validate51.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data2}];
+return false;
+}
+}
+}
+else {
+validate51.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data2}];
+return false;
+}
+}
+var valid0 = _errs7 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.host !== undefined){
+let data3 = data.host;
+const _errs10 = errors;
+const _errs11 = errors;
+if(errors === _errs11){
+if(typeof data3 === "string"){
+if(data3.length > 256){
+validate51.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
+return false;
+}
+else {
+if(data3.length < 1){
+validate51.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
+return false;
+}
+}
+}
+else {
+validate51.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
+return false;
+}
+}
+var valid0 = _errs10 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.lifetime !== undefined){
+let data4 = data.lifetime;
+const _errs13 = errors;
+if(errors === _errs13){
+if((typeof data4 == "number") && (isFinite(data4))){
+if(data4 < 0 || isNaN(data4)){
+validate51.errors = [{instancePath:instancePath+"/lifetime",schemaPath:"#/properties/lifetime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema93.properties.lifetime,data:data4}];
+return false;
+}
+}
+else {
+validate51.errors = [{instancePath:instancePath+"/lifetime",schemaPath:"#/properties/lifetime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema93.properties.lifetime.type,parentSchema:schema93.properties.lifetime,data:data4}];
+return false;
+}
+}
+var valid0 = _errs13 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.age !== undefined){
+let data5 = data.age;
+const _errs15 = errors;
+if(errors === _errs15){
+if((typeof data5 == "number") && (isFinite(data5))){
+if(data5 < 0 || isNaN(data5)){
+validate51.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema93.properties.age,data:data5}];
+return false;
+}
+}
+else {
+validate51.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema93.properties.age.type,parentSchema:schema93.properties.age,data:data5}];
+return false;
+}
+}
+var valid0 = _errs15 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+}
+}
+else {
+validate51.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema93.type,parentSchema:schema93,data}];
+return false;
+}
+}
+validate51.errors = vErrors;
+return errors === 0;
+}
+validate51.evaluated = {"props":{"stream":true,"service":true,"version":true,"host":true,"lifetime":true,"age":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate50(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate50.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((data.type === undefined) && (missing0 = "type")) || ((data.origins === undefined) && (missing0 = "origins"))){
+validate50.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema92.required,parentSchema:schema92,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate50.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema92.properties.type.type,parentSchema:schema92.properties.type,data:data0}];
+return false;
+}
+if("origins" !== data0){
+validate50.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origins"},message:"must be equal to constant",schema:"origins",parentSchema:schema92.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.origins !== undefined){
+let data1 = data.origins;
+const _errs3 = errors;
+if(errors === _errs3){
+if(Array.isArray(data1)){
+var valid1 = true;
+const len0 = data1.length;
+for(let i0=0; i0<len0; i0++){
+const _errs5 = errors;
+if(!(validate51(data1[i0], {instancePath:instancePath+"/origins/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate51.errors : vErrors.concat(validate51.errors);
+errors = vErrors.length;
+}
+var valid1 = _errs5 === errors;
+if(!valid1){
+break;
+}
+}
+}
+else {
+validate50.errors = [{instancePath:instancePath+"/origins",schemaPath:"#/properties/origins/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema92.properties.origins.type,parentSchema:schema92.properties.origins,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+else {
+validate50.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema92.type,parentSchema:schema92,data}];
+return false;
+}
+}
+validate50.errors = vErrors;
+return errors === 0;
+}
+validate50.evaluated = {"props":{"type":true,"origins":true},"dynamicProps":false,"dynamicItems":false};
+
+const schema98 = {"title":"OriginQuestion","description":"Asks a control host for the origin of a stream.","type":"object","required":["type","stream"],"properties":{"type":{"type":"string","const":"origin"},"stream":{"$ref":"#/$defs/Stream"}}};
+
+function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate53.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((data.type === undefined) && (missing0 = "type")) || ((data.stream === undefined) && (missing0 = "stream"))){
+validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema98.required,parentSchema:schema98,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.properties.type.type,parentSchema:schema98.properties.type,data:data0}];
+return false;
+}
+if("origin" !== data0){
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origin"},message:"must be equal to constant",schema:"origin",parentSchema:schema98.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.stream !== undefined){
+let data1 = data.stream;
+const _errs3 = errors;
+const _errs4 = errors;
+if(errors === _errs4){
+if(typeof data1 === "string"){
+if(data1.length > 64){
+validate53.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema94,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate53.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema94,data:data1}];
+return false;
+}
+}
+}
+else {
+validate53.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.type,parentSchema:schema94,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+else {
+validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema98.type,parentSchema:schema98,data}];
+return false;
+}
+}
+validate53.errors = vErrors;
+return errors === 0;
+}
+validate53.evaluated = {"props":{"type":true,"stream":true},"dynamicProps":false,"dynamicItems":false};
+
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -3010,6 +3357,28 @@
 props0.inFlight = true;
 }
 }
+else if(tag0 === "origins"){
+if(!(validate50(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate50.errors : vErrors.concat(validate50.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.origins = true;
+}
+}
+else if(tag0 === "origin"){
+if(!(validate53(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate53.errors : vErrors.concat(validate53.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.stream = true;
+}
+}
 else {
 validate22.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema34.discriminator,parentSchema:schema34,data}];
 return false;
@@ -3115,21 +3484,21 @@
 }
 validate21.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema92 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema94 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"}]};
-const schema118 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema119 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema120 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}};
-const schema121 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
-const schema122 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
-const schema95 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
-const schema98 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
-const schema99 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
+const schema100 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema102 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"}]};
+const schema127 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema128 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema129 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}};
+const schema130 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
+const schema131 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
+const schema103 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
+const schema106 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
+const schema107 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
 
-function validate68(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate74(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate68.evaluated;
+const evaluated0 = validate74.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3140,7 +3509,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.dataCentre === undefined) && (missing0 = "dataCentre")) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.active === undefined) && (missing0 = "active"))) || ((data.orderedAt === undefined) && (missing0 = "orderedAt"))){
-validate68.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema99.required,parentSchema:schema99,data}];
+validate74.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema107.required,parentSchema:schema107,data}];
 return false;
 }
 else {
@@ -3151,18 +3520,18 @@
 if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 256){
-validate68.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
+validate74.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate68.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
+validate74.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
 return false;
 }
 }
 }
 else {
-validate68.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
+validate74.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
 return false;
 }
 }
@@ -3177,13 +3546,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate68.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate74.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate68.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate74.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3198,7 +3567,7 @@
 let data2 = data.active;
 const _errs7 = errors;
 if(typeof data2 !== "boolean"){
-validate68.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema99.properties.active.type,parentSchema:schema99.properties.active,data:data2}];
+validate74.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema107.properties.active.type,parentSchema:schema107.properties.active,data:data2}];
 return false;
 }
 var valid0 = _errs7 === errors;
@@ -3211,7 +3580,7 @@
 let data3 = data.orderedAt;
 const _errs9 = errors;
 if(!((typeof data3 == "number") && (isFinite(data3)))){
-validate68.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema99.properties.orderedAt.type,parentSchema:schema99.properties.orderedAt,data:data3}];
+validate74.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema107.properties.orderedAt.type,parentSchema:schema107.properties.orderedAt,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -3225,20 +3594,20 @@
 }
 }
 else {
-validate68.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema99.type,parentSchema:schema99,data}];
+validate74.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema107.type,parentSchema:schema107,data}];
 return false;
 }
 }
-validate68.errors = vErrors;
+validate74.errors = vErrors;
 return errors === 0;
 }
-validate68.evaluated = {"props":{"dataCentre":true,"revision":true,"active":true,"orderedAt":true},"dynamicProps":false,"dynamicItems":false};
+validate74.evaluated = {"props":{"dataCentre":true,"revision":true,"active":true,"orderedAt":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate67(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate73(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate67.evaluated;
+const evaluated0 = validate73.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3251,8 +3620,8 @@
 const len0 = data.length;
 for(let i0=0; i0<len0; i0++){
 const _errs1 = errors;
-if(!(validate68(data[i0], {instancePath:instancePath+"/" + i0,parentData:data,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate68.errors : vErrors.concat(validate68.errors);
+if(!(validate74(data[i0], {instancePath:instancePath+"/" + i0,parentData:data,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate74.errors : vErrors.concat(validate74.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs1 === errors;
@@ -3262,20 +3631,20 @@
 }
 }
 else {
-validate67.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema98.type,parentSchema:schema98,data}];
+validate73.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.type,parentSchema:schema106,data}];
 return false;
 }
 }
-validate67.errors = vErrors;
+validate73.errors = vErrors;
 return errors === 0;
 }
-validate67.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
+validate73.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate66(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate72(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate66.evaluated;
+const evaluated0 = validate72.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3286,7 +3655,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate66.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema95.required,parentSchema:schema95,data}];
+validate72.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema103.required,parentSchema:schema103,data}];
 return false;
 }
 else {
@@ -3294,11 +3663,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.properties.type.type,parentSchema:schema95.properties.type,data:data0}];
+validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.type.type,parentSchema:schema103.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate66.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema95.properties.type,data:data0}];
+validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema103.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3312,13 +3681,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate66.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate72.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate66.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate72.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3334,13 +3703,13 @@
 const _errs6 = errors;
 const _errs7 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate66.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate72.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs7){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate66.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate72.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3355,7 +3724,7 @@
 let data3 = data.document;
 const _errs9 = errors;
 if(typeof data3 !== "string"){
-validate66.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.properties.document.type,parentSchema:schema95.properties.document,data:data3}];
+validate72.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.document.type,parentSchema:schema103.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -3368,7 +3737,7 @@
 let data4 = data.digest;
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate66.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.properties.digest.type,parentSchema:schema95.properties.digest,data:data4}];
+validate72.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema103.properties.digest.type,parentSchema:schema103.properties.digest,data:data4}];
 return false;
 }
 var valid0 = _errs11 === errors;
@@ -3379,8 +3748,8 @@
 if(valid0){
 if(data.evacuations !== undefined){
 const _errs13 = errors;
-if(!(validate67(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate67.errors : vErrors.concat(validate67.errors);
+if(!(validate73(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate73.errors : vErrors.concat(validate73.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs13 === errors;
@@ -3396,21 +3765,21 @@
 }
 }
 else {
-validate66.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema95.type,parentSchema:schema95,data}];
+validate72.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema103.type,parentSchema:schema103,data}];
 return false;
 }
 }
-validate66.errors = vErrors;
+validate72.errors = vErrors;
 return errors === 0;
 }
-validate66.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
+validate72.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema102 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema110 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
-function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate77(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate71.evaluated;
+const evaluated0 = validate77.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3421,7 +3790,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema102.required,parentSchema:schema102,data}];
+validate77.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema110.required,parentSchema:schema110,data}];
 return false;
 }
 else {
@@ -3429,11 +3798,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema102.properties.type.type,parentSchema:schema102.properties.type,data:data0}];
+validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema110.properties.type.type,parentSchema:schema110.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema102.properties.type,data:data0}];
+validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema110.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3446,7 +3815,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate71.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema102.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema102.properties.verdict.enum,parentSchema:schema102.properties.verdict,data:data1}];
+validate77.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema110.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema110.properties.verdict.enum,parentSchema:schema110.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3460,13 +3829,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate71.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate77.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate71.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate77.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3481,21 +3850,21 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema102.type,parentSchema:schema102,data}];
+validate77.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema110.type,parentSchema:schema110,data}];
 return false;
 }
 }
-validate71.errors = vErrors;
+validate77.errors = vErrors;
 return errors === 0;
 }
-validate71.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
+validate77.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema104 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
+const schema112 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
 
-function validate72(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate78(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate72.evaluated;
+const evaluated0 = validate78.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3506,7 +3875,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.revision === undefined) && (missing0 = "revision"))){
-validate72.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema104.required,parentSchema:schema104,data}];
+validate78.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema112.required,parentSchema:schema112,data}];
 return false;
 }
 else {
@@ -3514,11 +3883,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema112.properties.type.type,parentSchema:schema112.properties.type,data:data0}];
 return false;
 }
 if("evacuated" !== data0){
-validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema104.properties.type,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema112.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3531,7 +3900,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!(((data1 === "accepted") || (data1 === "known")) || (data1 === "outdated"))){
-validate72.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema104.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema104.properties.verdict.enum,parentSchema:schema104.properties.verdict,data:data1}];
+validate78.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema112.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema112.properties.verdict.enum,parentSchema:schema112.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3545,13 +3914,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate72.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate78.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate72.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate78.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3566,21 +3935,21 @@
 }
 }
 else {
-validate72.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
+validate78.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema112.type,parentSchema:schema112,data}];
 return false;
 }
 }
-validate72.errors = vErrors;
+validate78.errors = vErrors;
 return errors === 0;
 }
-validate72.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
+validate78.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema106 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema114 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
-function validate73(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate79(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate73.evaluated;
+const evaluated0 = validate79.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3591,7 +3960,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate73.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
+validate79.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema114.required,parentSchema:schema114,data}];
 return false;
 }
 else {
@@ -3599,11 +3968,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.type.type,parentSchema:schema106.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema114.properties.type.type,parentSchema:schema114.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate73.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema106.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema114.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3616,7 +3985,7 @@
 let data1 = data.confirmed;
 const _errs3 = errors;
 if(typeof data1 !== "boolean"){
-validate73.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema106.properties.confirmed.type,parentSchema:schema106.properties.confirmed,data:data1}];
+validate79.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema114.properties.confirmed.type,parentSchema:schema114.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3630,13 +3999,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate73.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate79.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate73.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate79.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3651,7 +4020,7 @@
 let data3 = data.document;
 const _errs8 = errors;
 if(typeof data3 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.document.type,parentSchema:schema106.properties.document,data:data3}];
+validate79.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema114.properties.document.type,parentSchema:schema114.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs8 === errors;
@@ -3664,7 +4033,7 @@
 let data4 = data.epoch;
 const _errs10 = errors;
 if(typeof data4 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.epoch.type,parentSchema:schema106.properties.epoch,data:data4}];
+validate79.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema114.properties.epoch.type,parentSchema:schema114.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs10 === errors;
@@ -3678,13 +4047,13 @@
 const _errs12 = errors;
 const _errs13 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
-validate73.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+validate79.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate73.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
+validate79.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
 return false;
 }
 }
@@ -3715,7 +4084,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.sightings.type,parentSchema:schema106.properties.sightings,data:data6}];
+validate79.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema114.properties.sightings.type,parentSchema:schema114.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -3729,7 +4098,7 @@
 let data8 = data.mark;
 const _errs18 = errors;
 if(typeof data8 !== "string"){
-validate73.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.mark.type,parentSchema:schema106.properties.mark,data:data8}];
+validate79.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema114.properties.mark.type,parentSchema:schema114.properties.mark,data:data8}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -3758,7 +4127,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.hosts.type,parentSchema:schema106.properties.hosts,data:data9}];
+validate79.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema114.properties.hosts.type,parentSchema:schema114.properties.hosts,data:data9}];
 return false;
 }
 }
@@ -3782,18 +4151,18 @@
 if(errors === _errs26){
 if(typeof data12 === "string"){
 if(data12.length > 256){
-validate73.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data12}];
+validate79.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data12}];
 return false;
 }
 else {
 if(data12.length < 1){
-validate73.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data12}];
+validate79.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data12}];
 return false;
 }
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data12}];
+validate79.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data12}];
 return false;
 }
 }
@@ -3804,7 +4173,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.cores.type,parentSchema:schema106.properties.cores,data:data11}];
+validate79.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema114.properties.cores.type,parentSchema:schema114.properties.cores,data:data11}];
 return false;
 }
 }
@@ -3816,8 +4185,8 @@
 if(valid0){
 if(data.evacuations !== undefined){
 const _errs28 = errors;
-if(!(validate67(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate67.errors : vErrors.concat(validate67.errors);
+if(!(validate73(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate73.errors : vErrors.concat(validate73.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs28 === errors;
@@ -3831,13 +4200,13 @@
 const _errs29 = errors;
 const _errs30 = errors;
 if(!(((typeof data14 == "number") && (!(data14 % 1) && !isNaN(data14))) && (isFinite(data14)))){
-validate73.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data14}];
+validate79.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data14}];
 return false;
 }
 if(errors === _errs30){
 if((typeof data14 == "number") && (isFinite(data14))){
 if(data14 < 0 || isNaN(data14)){
-validate73.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data14}];
+validate79.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data14}];
 return false;
 }
 }
@@ -3868,7 +4237,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.suspects.type,parentSchema:schema106.properties.suspects,data:data15}];
+validate79.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema114.properties.suspects.type,parentSchema:schema114.properties.suspects,data:data15}];
 return false;
 }
 }
@@ -3898,7 +4267,7 @@
 }
 }
 else {
-validate73.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.limits.type,parentSchema:schema106.properties.limits,data:data17}];
+validate79.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema114.properties.limits.type,parentSchema:schema114.properties.limits,data:data17}];
 return false;
 }
 }
@@ -3923,22 +4292,22 @@
 }
 }
 else {
-validate73.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
+validate79.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema114.type,parentSchema:schema114,data}];
 return false;
 }
 }
-validate73.errors = vErrors;
+validate79.errors = vErrors;
 return errors === 0;
 }
-validate73.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
+validate79.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema111 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema112 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema119 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema120 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
-function validate80(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate86(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate80.evaluated;
+const evaluated0 = validate86.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3949,7 +4318,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema112.required,parentSchema:schema112,data}];
+validate86.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
 return false;
 }
 else {
@@ -3958,13 +4327,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate80.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate86.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate80.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate86.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -3979,7 +4348,7 @@
 let data1 = data.handle;
 const _errs4 = errors;
 if(typeof data1 !== "string"){
-validate80.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema112.properties.handle.type,parentSchema:schema112.properties.handle,data:data1}];
+validate86.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.handle.type,parentSchema:schema120.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -3992,7 +4361,7 @@
 let data2 = data.failure;
 const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate80.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema112.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema112.properties.failure.enum,parentSchema:schema112.properties.failure,data:data2}];
+validate86.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema120.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema120.properties.failure.enum,parentSchema:schema120.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -4005,20 +4374,20 @@
 }
 }
 else {
-validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema112.type,parentSchema:schema112,data}];
+validate86.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
 return false;
 }
 }
-validate80.errors = vErrors;
+validate86.errors = vErrors;
 return errors === 0;
 }
-validate80.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
+validate86.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate79(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate85(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate79.evaluated;
+const evaluated0 = validate85.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4029,7 +4398,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate79.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema111.required,parentSchema:schema111,data}];
+validate85.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema119.required,parentSchema:schema119,data}];
 return false;
 }
 else {
@@ -4037,11 +4406,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.type.type,parentSchema:schema111.properties.type,data:data0}];
+validate85.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema119.properties.type.type,parentSchema:schema119.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema111.properties.type,data:data0}];
+validate85.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema119.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4059,8 +4428,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate80(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate80.errors : vErrors.concat(validate80.errors);
+if(!(validate86(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate86.errors : vErrors.concat(validate86.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -4070,7 +4439,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema111.properties.results.type,parentSchema:schema111.properties.results,data:data1}];
+validate85.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema119.properties.results.type,parentSchema:schema119.properties.results,data:data1}];
 return false;
 }
 }
@@ -4083,22 +4452,22 @@
 }
 }
 else {
-validate79.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema111.type,parentSchema:schema111,data}];
+validate85.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema119.type,parentSchema:schema119,data}];
 return false;
 }
 }
-validate79.errors = vErrors;
+validate85.errors = vErrors;
 return errors === 0;
 }
-validate79.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
+validate85.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema114 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
-const schema117 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
+const schema122 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
+const schema125 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
 
-function validate82(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate88(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate82.evaluated;
+const evaluated0 = validate88.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4109,7 +4478,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((data.type === undefined) && (missing0 = "type")) || ((data.engine === undefined) && (missing0 = "engine"))) || ((data.read === undefined) && (missing0 = "read"))) || ((data.fetched === undefined) && (missing0 = "fetched"))) || ((data.fetchTime === undefined) && (missing0 = "fetchTime"))) || ((data.firstEvent === undefined) && (missing0 = "firstEvent"))) || ((data.work === undefined) && (missing0 = "work"))){
-validate82.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema114.required,parentSchema:schema114,data}];
+validate88.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema122.required,parentSchema:schema122,data}];
 return false;
 }
 else {
@@ -4117,11 +4486,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema114.properties.type.type,parentSchema:schema114.properties.type,data:data0}];
+validate88.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data0}];
 return false;
 }
 if("placed" !== data0){
-validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema114.properties.type,data:data0}];
+validate88.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema122.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4137,18 +4506,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 300){
-validate82.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
+validate88.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate82.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
+validate88.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
 return false;
 }
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
+validate88.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
 return false;
 }
 }
@@ -4165,18 +4534,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 300){
-validate82.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data2}];
+validate88.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate82.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data2}];
+validate88.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data2}];
 return false;
 }
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data2}];
+validate88.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data2}];
 return false;
 }
 }
@@ -4192,12 +4561,12 @@
 if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate82.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.read,data:data3}];
+validate88.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema122.properties.read,data:data3}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.read.type,parentSchema:schema114.properties.read,data:data3}];
+validate88.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema122.properties.read.type,parentSchema:schema122.properties.read,data:data3}];
 return false;
 }
 }
@@ -4213,12 +4582,12 @@
 if(errors === _errs11){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate82.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.fetched,data:data4}];
+validate88.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema122.properties.fetched,data:data4}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.fetched.type,parentSchema:schema114.properties.fetched,data:data4}];
+validate88.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema122.properties.fetched.type,parentSchema:schema122.properties.fetched,data:data4}];
 return false;
 }
 }
@@ -4234,12 +4603,12 @@
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate82.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.fetchTime,data:data5}];
+validate88.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema122.properties.fetchTime,data:data5}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.fetchTime.type,parentSchema:schema114.properties.fetchTime,data:data5}];
+validate88.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema122.properties.fetchTime.type,parentSchema:schema122.properties.fetchTime,data:data5}];
 return false;
 }
 }
@@ -4255,12 +4624,12 @@
 if(errors === _errs15){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
-validate82.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema114.properties.firstEvent,data:data6}];
+validate88.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema122.properties.firstEvent,data:data6}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema114.properties.firstEvent.type,parentSchema:schema114.properties.firstEvent,data:data6}];
+validate88.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema122.properties.firstEvent.type,parentSchema:schema122.properties.firstEvent,data:data6}];
 return false;
 }
 }
@@ -4278,7 +4647,7 @@
 if(data7 && typeof data7 == "object" && !Array.isArray(data7)){
 let missing1;
 if(((data7.tokens === undefined) && (missing1 = "tokens")) || ((data7.streams === undefined) && (missing1 = "streams"))){
-validate82.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema117.required,parentSchema:schema117,data:data7}];
+validate88.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema125.required,parentSchema:schema125,data:data7}];
 return false;
 }
 else {
@@ -4288,12 +4657,12 @@
 if(errors === _errs20){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < 0 || isNaN(data8)){
-validate82.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.tokens,data:data8}];
+validate88.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema125.properties.tokens,data:data8}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.tokens.type,parentSchema:schema117.properties.tokens,data:data8}];
+validate88.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema125.properties.tokens.type,parentSchema:schema125.properties.tokens,data:data8}];
 return false;
 }
 }
@@ -4309,12 +4678,12 @@
 if(errors === _errs22){
 if((typeof data9 == "number") && (isFinite(data9))){
 if(data9 < 0 || isNaN(data9)){
-validate82.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.streams,data:data9}];
+validate88.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema125.properties.streams,data:data9}];
 return false;
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.streams.type,parentSchema:schema117.properties.streams,data:data9}];
+validate88.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema125.properties.streams.type,parentSchema:schema125.properties.streams,data:data9}];
 return false;
 }
 }
@@ -4327,7 +4696,7 @@
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data:data7}];
+validate88.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema125.type,parentSchema:schema125,data:data7}];
 return false;
 }
 }
@@ -4346,20 +4715,95 @@
 }
 }
 else {
-validate82.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema114.type,parentSchema:schema114,data}];
+validate88.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
+return false;
+}
+}
+validate88.errors = vErrors;
+return errors === 0;
+}
+validate88.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
+
+const schema126 = {"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}};
+
+function validate89(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate89.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((data.type === undefined) && (missing0 = "type")){
+validate89.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema126.required,parentSchema:schema126,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema126.properties.type.type,parentSchema:schema126.properties.type,data:data0}];
+return false;
+}
+if("origin" !== data0){
+validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origin"},message:"must be equal to constant",schema:"origin",parentSchema:schema126.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.origin !== undefined){
+const _errs3 = errors;
+if(!(validate51(data.origin, {instancePath:instancePath+"/origin",parentData:data,parentDataProperty:"origin",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate51.errors : vErrors.concat(validate51.errors);
+errors = vErrors.length;
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.conflicting !== undefined){
+let data2 = data.conflicting;
+const _errs4 = errors;
+if(typeof data2 !== "boolean"){
+validate89.errors = [{instancePath:instancePath+"/conflicting",schemaPath:"#/properties/conflicting/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema126.properties.conflicting.type,parentSchema:schema126.properties.conflicting,data:data2}];
+return false;
+}
+var valid0 = _errs4 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+else {
+validate89.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema126.type,parentSchema:schema126,data}];
 return false;
 }
 }
-validate82.errors = vErrors;
+validate89.errors = vErrors;
 return errors === 0;
 }
-validate82.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
+validate89.evaluated = {"props":{"type":true,"origin":true,"conflicting":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate65(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate65.evaluated;
+const evaluated0 = validate71.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4370,7 +4814,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate65.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
+validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema102.required,parentSchema:schema102,data}];
 return false;
 }
 else {
@@ -4382,7 +4826,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema118.required,parentSchema:schema118,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema127.required,parentSchema:schema127,data}];
 return false;
 }
 else {
@@ -4390,11 +4834,11 @@
 let data0 = data.type;
 const _errs5 = errors;
 if(typeof data0 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.type.type,parentSchema:schema118.properties.type,data:data0}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema127.properties.type.type,parentSchema:schema127.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema118.properties.type,data:data0}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema127.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs5 === errors;
@@ -4407,7 +4851,7 @@
 let data1 = data.reason;
 const _errs7 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate65.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema118.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema118.properties.reason.enum,parentSchema:schema118.properties.reason,data:data1}];
+validate71.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema127.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema127.properties.reason.enum,parentSchema:schema127.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs7 === errors;
@@ -4420,7 +4864,7 @@
 let data2 = data.leader;
 const _errs8 = errors;
 if(typeof data2 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.leader.type,parentSchema:schema118.properties.leader,data:data2}];
+validate71.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema127.properties.leader.type,parentSchema:schema127.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -4433,7 +4877,7 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema127.type,parentSchema:schema127,data}];
 return false;
 }
 }
@@ -4443,8 +4887,8 @@
 props0.leader = true;
 }
 else if(tag0 === "confirmed"){
-if(!(validate66(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate66.errors : vErrors.concat(validate66.errors);
+if(!(validate72(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate72.errors : vErrors.concat(validate72.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4458,8 +4902,8 @@
 }
 }
 else if(tag0 === "replaced"){
-if(!(validate71(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
+if(!(validate77(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate77.errors : vErrors.concat(validate77.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4470,8 +4914,8 @@
 }
 }
 else if(tag0 === "evacuated"){
-if(!(validate72(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate72.errors : vErrors.concat(validate72.errors);
+if(!(validate78(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate78.errors : vErrors.concat(validate78.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4482,8 +4926,8 @@
 }
 }
 else if(tag0 === "synced"){
-if(!(validate73(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate73.errors : vErrors.concat(validate73.errors);
+if(!(validate79(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate79.errors : vErrors.concat(validate79.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4510,25 +4954,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema119.required,parentSchema:schema119,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema128.required,parentSchema:schema128,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema119.properties.type.type,parentSchema:schema119.properties.type,data:data3}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema128.properties.type.type,parentSchema:schema128.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema119.properties.type,data:data3}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema128.properties.type,data:data3}];
 return false;
 }
 }
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema119.type,parentSchema:schema119,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema128.type,parentSchema:schema128,data}];
 return false;
 }
 }
@@ -4538,8 +4982,8 @@
 }
 }
 else if(tag0 === "made"){
-if(!(validate79(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate79.errors : vErrors.concat(validate79.errors);
+if(!(validate85(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate85.errors : vErrors.concat(validate85.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4554,7 +4998,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if((((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))) || ((data.work === undefined) && (missing3 = "work"))){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema120.required,parentSchema:schema120,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema129.required,parentSchema:schema129,data}];
 return false;
 }
 else {
@@ -4562,11 +5006,11 @@
 let data4 = data.type;
 const _errs23 = errors;
 if(typeof data4 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data4}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema129.properties.type.type,parentSchema:schema129.properties.type,data:data4}];
 return false;
 }
 if("booked" !== data4){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema120.properties.type,data:data4}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema129.properties.type,data:data4}];
 return false;
 }
 var valid14 = _errs23 === errors;
@@ -4579,7 +5023,7 @@
 let data5 = data.wait;
 const _errs25 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.wait.type,parentSchema:schema120.properties.wait,data:data5}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema129.properties.wait.type,parentSchema:schema129.properties.wait,data:data5}];
 return false;
 }
 var valid14 = _errs25 === errors;
@@ -4592,7 +5036,7 @@
 let data6 = data.work;
 const _errs27 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate65.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.work.type,parentSchema:schema120.properties.work,data:data6}];
+validate71.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema129.properties.work.type,parentSchema:schema129.properties.work,data:data6}];
 return false;
 }
 var valid14 = _errs27 === errors;
@@ -4605,7 +5049,7 @@
 let data7 = data.workAge;
 const _errs29 = errors;
 if(!((typeof data7 == "number") && (isFinite(data7)))){
-validate65.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.workAge.type,parentSchema:schema120.properties.workAge,data:data7}];
+validate71.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema129.properties.workAge.type,parentSchema:schema129.properties.workAge,data:data7}];
 return false;
 }
 var valid14 = _errs29 === errors;
@@ -4618,7 +5062,7 @@
 let data8 = data.ahead;
 const _errs31 = errors;
 if(!((typeof data8 == "number") && (isFinite(data8)))){
-validate65.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.ahead.type,parentSchema:schema120.properties.ahead,data:data8}];
+validate71.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema129.properties.ahead.type,parentSchema:schema129.properties.ahead,data:data8}];
 return false;
 }
 var valid14 = _errs31 === errors;
@@ -4631,7 +5075,7 @@
 let data9 = data.rate;
 const _errs33 = errors;
 if(!((typeof data9 == "number") && (isFinite(data9)))){
-validate65.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema120.properties.rate.type,parentSchema:schema120.properties.rate,data:data9}];
+validate71.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema129.properties.rate.type,parentSchema:schema129.properties.rate,data:data9}];
 return false;
 }
 var valid14 = _errs33 === errors;
@@ -4647,7 +5091,7 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema129.type,parentSchema:schema129,data}];
 return false;
 }
 }
@@ -4662,8 +5106,8 @@
 }
 }
 else if(tag0 === "placed"){
-if(!(validate82(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate82.errors : vErrors.concat(validate82.errors);
+if(!(validate88(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate88.errors : vErrors.concat(validate88.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4684,7 +5128,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing4;
 if((((data.type === undefined) && (missing4 = "type")) || ((data.granted === undefined) && (missing4 = "granted"))) || ((data.wait === undefined) && (missing4 = "wait"))){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema121.required,parentSchema:schema121,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema130.required,parentSchema:schema130,data}];
 return false;
 }
 else {
@@ -4692,11 +5136,11 @@
 let data10 = data.type;
 const _errs39 = errors;
 if(typeof data10 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.type.type,parentSchema:schema121.properties.type,data:data10}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema130.properties.type.type,parentSchema:schema130.properties.type,data:data10}];
 return false;
 }
 if("lease" !== data10){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema121.properties.type,data:data10}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema130.properties.type,data:data10}];
 return false;
 }
 var valid18 = _errs39 === errors;
@@ -4709,7 +5153,7 @@
 let data11 = data.granted;
 const _errs41 = errors;
 if(typeof data11 !== "boolean"){
-validate65.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema121.properties.granted.type,parentSchema:schema121.properties.granted,data:data11}];
+validate71.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema130.properties.granted.type,parentSchema:schema130.properties.granted,data:data11}];
 return false;
 }
 var valid18 = _errs41 === errors;
@@ -4722,7 +5166,7 @@
 let data12 = data.taken;
 const _errs43 = errors;
 if(typeof data12 !== "boolean"){
-validate65.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema121.properties.taken.type,parentSchema:schema121.properties.taken,data:data12}];
+validate71.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema130.properties.taken.type,parentSchema:schema130.properties.taken,data:data12}];
 return false;
 }
 var valid18 = _errs43 === errors;
@@ -4737,12 +5181,12 @@
 if(errors === _errs45){
 if((typeof data13 == "number") && (isFinite(data13))){
 if(data13 < 0 || isNaN(data13)){
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema121.properties.wait,data:data13}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema130.properties.wait,data:data13}];
 return false;
 }
 }
 else {
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema121.properties.wait.type,parentSchema:schema121.properties.wait,data:data13}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema130.properties.wait.type,parentSchema:schema130.properties.wait,data:data13}];
 return false;
 }
 }
@@ -4757,7 +5201,7 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema121.type,parentSchema:schema121,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema130.type,parentSchema:schema130,data}];
 return false;
 }
 }
@@ -4775,7 +5219,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing5;
 if((((data.type === undefined) && (missing5 = "type")) || ((data.granted === undefined) && (missing5 = "granted"))) || ((data.wait === undefined) && (missing5 = "wait"))){
-validate65.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema122.required,parentSchema:schema122,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema131.required,parentSchema:schema131,data}];
 return false;
 }
 else {
@@ -4783,11 +5227,11 @@
 let data14 = data.type;
 const _errs50 = errors;
 if(typeof data14 !== "string"){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data14}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema131.properties.type.type,parentSchema:schema131.properties.type,data:data14}];
 return false;
 }
 if("quota" !== data14){
-validate65.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema122.properties.type,data:data14}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema131.properties.type,data:data14}];
 return false;
 }
 var valid21 = _errs50 === errors;
@@ -4800,7 +5244,7 @@
 let data15 = data.granted;
 const _errs52 = errors;
 if(typeof data15 !== "boolean"){
-validate65.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema122.properties.granted.type,parentSchema:schema122.properties.granted,data:data15}];
+validate71.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema131.properties.granted.type,parentSchema:schema131.properties.granted,data:data15}];
 return false;
 }
 var valid21 = _errs52 === errors;
@@ -4815,12 +5259,12 @@
 if(errors === _errs54){
 if((typeof data16 == "number") && (isFinite(data16))){
 if(data16 < 0 || isNaN(data16)){
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema122.properties.wait,data:data16}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema131.properties.wait,data:data16}];
 return false;
 }
 }
 else {
-validate65.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema122.properties.wait.type,parentSchema:schema122.properties.wait,data:data16}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema131.properties.wait.type,parentSchema:schema131.properties.wait,data:data16}];
 return false;
 }
 }
@@ -4834,7 +5278,7 @@
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema131.type,parentSchema:schema131,data}];
 return false;
 }
 }
@@ -4845,33 +5289,45 @@
 props0.wait = true;
 }
 }
+else if(tag0 === "origin"){
+if(!(validate89(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate89.errors : vErrors.concat(validate89.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.origin = true;
+props0.conflicting = true;
+}
+}
 else {
-validate65.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema94.discriminator,parentSchema:schema94,data}];
+validate71.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema102.discriminator,parentSchema:schema102,data}];
 return false;
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema94.discriminator,parentSchema:schema94,data}];
+validate71.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema102.discriminator,parentSchema:schema102,data}];
 return false;
 }
 }
 }
 else {
-validate65.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
+validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema102.type,parentSchema:schema102,data}];
 return false;
 }
 }
-validate65.errors = vErrors;
+validate71.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate65.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate71.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate64(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate70(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate64.evaluated;
+const evaluated0 = validate70.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4882,7 +5338,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate64.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema92.required,parentSchema:schema92,data}];
+validate70.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema100.required,parentSchema:schema100,data}];
 return false;
 }
 else {
@@ -4890,11 +5346,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema92.properties.type.type,parentSchema:schema92.properties.type,data:data0}];
+validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema100.properties.type.type,parentSchema:schema100.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate64.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema92.properties.type,data:data0}];
+validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema100.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4908,13 +5364,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate64.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate70.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate64.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate70.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -4927,8 +5383,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs6 = errors;
-if(!(validate65(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate65.errors : vErrors.concat(validate65.errors);
+if(!(validate71(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs6 === errors;
@@ -4941,21 +5397,21 @@
 }
 }
 else {
-validate64.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema92.type,parentSchema:schema92,data}];
+validate70.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema100.type,parentSchema:schema100,data}];
 return false;
 }
 }
-validate64.errors = vErrors;
+validate70.errors = vErrors;
 return errors === 0;
 }
-validate64.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate70.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema123 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema132 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
-function validate90(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate90.evaluated;
+const evaluated0 = validate99.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4966,7 +5422,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate90.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema123.required,parentSchema:schema123,data}];
+validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema132.required,parentSchema:schema132,data}];
 return false;
 }
 else {
@@ -4974,11 +5430,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema123.properties.type.type,parentSchema:schema123.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema132.properties.type.type,parentSchema:schema132.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate90.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema123.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema132.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4999,13 +5455,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate90.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate90.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -5017,7 +5473,7 @@
 }
 }
 else {
-validate90.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema123.properties.ids.type,parentSchema:schema123.properties.ids,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema132.properties.ids.type,parentSchema:schema132.properties.ids,data:data1}];
 return false;
 }
 }
