@@ -5030,25 +5486,25 @@
 }
 }
 else {
-validate90.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema123.type,parentSchema:schema123,data}];
+validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema132.type,parentSchema:schema132,data}];
 return false;
 }
 }
-validate90.errors = vErrors;
+validate99.errors = vErrors;
 return errors === 0;
 }
-validate90.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
+validate99.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema125 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema126 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
-const schema149 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
-const schema127 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
-const schema130 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema134 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema135 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
+const schema158 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64}}};
+const schema136 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema139 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
-function validate95(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate104(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate95.evaluated;
+const evaluated0 = validate104.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5059,7 +5515,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.term === undefined) && (missing0 = "term")) || ((data.leader === undefined) && (missing0 = "leader"))) || ((data.voters === undefined) && (missing0 = "voters"))){
-validate95.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema130.required,parentSchema:schema130,data}];
+validate104.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema139.required,parentSchema:schema139,data}];
 return false;
 }
 else {
@@ -5068,13 +5524,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate95.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate104.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate95.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate104.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -5092,18 +5548,18 @@
 if(errors === _errs5){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate95.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate104.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate95.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate104.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate95.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate104.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -5127,18 +5583,18 @@
 if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate95.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
+validate104.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate95.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
+validate104.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
 return false;
 }
 }
 }
 else {
-validate95.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
+validate104.errors = [{instancePath:instancePath+"/voters/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
 return false;
 }
 }
@@ -5149,7 +5605,7 @@
 }
 }
 else {
-validate95.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema130.properties.voters.type,parentSchema:schema130.properties.voters,data:data2}];
+validate104.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema139.properties.voters.type,parentSchema:schema139.properties.voters,data:data2}];
 return false;
 }
 }
@@ -5163,20 +5619,20 @@
 }
 }
 else {
-validate95.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema130.type,parentSchema:schema130,data}];
+validate104.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema139.type,parentSchema:schema139,data}];
 return false;
 }
 }
-validate95.errors = vErrors;
+validate104.errors = vErrors;
 return errors === 0;
 }
-validate95.evaluated = {"props":{"term":true,"leader":true,"voters":true},"dynamicProps":false,"dynamicItems":false};
+validate104.evaluated = {"props":{"term":true,"leader":true,"voters":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate93(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate102(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate93.evaluated;
+const evaluated0 = validate102.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5187,7 +5643,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate93.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema127.required,parentSchema:schema127,data}];
+validate102.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema136.required,parentSchema:schema136,data}];
 return false;
 }
 else {
@@ -5195,11 +5651,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate93.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema127.properties.type.type,parentSchema:schema127.properties.type,data:data0}];
+validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema136.properties.type.type,parentSchema:schema136.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate93.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema127.properties.type,data:data0}];
+validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema136.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5215,18 +5671,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate93.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate102.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate93.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate102.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate102.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -5250,18 +5706,18 @@
 if(errors === _errs9){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate93.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
+validate102.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate93.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
+validate102.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
 return false;
 }
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
+validate102.errors = [{instancePath:instancePath+"/cores/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
 return false;
 }
 }
@@ -5272,7 +5728,7 @@
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.properties.cores.type,parentSchema:schema127.properties.cores,data:data2}];
+validate102.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema136.properties.cores.type,parentSchema:schema136.properties.cores,data:data2}];
 return false;
 }
 }
@@ -5302,7 +5758,7 @@
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.properties.hosts.type,parentSchema:schema127.properties.hosts,data:data4}];
+validate102.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema136.properties.hosts.type,parentSchema:schema136.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -5314,8 +5770,8 @@
 if(valid0){
 if(data.leadership !== undefined){
 const _errs14 = errors;
-if(!(validate95(data.leadership, {instancePath:instancePath+"/leadership",parentData:data,parentDataProperty:"leadership",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate95.errors : vErrors.concat(validate95.errors);
+if(!(validate104(data.leadership, {instancePath:instancePath+"/leadership",parentData:data,parentDataProperty:"leadership",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate104.errors : vErrors.concat(validate104.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs14 === errors;
@@ -5344,7 +5800,7 @@
 }
 }
 else {
-validate93.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.properties.limits.type,parentSchema:schema127.properties.limits,data:data7}];
+validate102.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema136.properties.limits.type,parentSchema:schema136.properties.limits,data:data7}];
 return false;
 }
 }
@@ -5361,21 +5817,21 @@
 }
 }
 else {
-validate93.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema127.type,parentSchema:schema127,data}];
+validate102.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema136.type,parentSchema:schema136,data}];
 return false;
 }
 }
-validate93.errors = vErrors;
+validate102.errors = vErrors;
 return errors === 0;
 }
-validate93.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true,"leadership":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
+validate102.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true,"leadership":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema134 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema143 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
-function validate98(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate107(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate98.evaluated;
+const evaluated0 = validate107.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5386,7 +5842,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate98.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema134.required,parentSchema:schema134,data}];
+validate107.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema143.required,parentSchema:schema143,data}];
 return false;
 }
 else {
@@ -5394,11 +5850,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema134.properties.type.type,parentSchema:schema134.properties.type,data:data0}];
+validate107.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.type.type,parentSchema:schema143.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema134.properties.type,data:data0}];
+validate107.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema143.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5414,18 +5870,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate107.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate107.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate107.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -5442,18 +5898,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate98.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema58,data:data2}];
+validate107.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema58,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate98.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema58,data:data2}];
+validate107.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema58,data:data2}];
 return false;
 }
 }
 }
 else {
-validate98.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.type,parentSchema:schema58,data:data2}];
+validate107.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.type,parentSchema:schema58,data:data2}];
 return false;
 }
 }
@@ -5474,7 +5930,7 @@
 let data4 = data3[i0];
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate98.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema134.properties.handles.items.type,parentSchema:schema134.properties.handles.items,data:data4}];
+validate107.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.handles.items.type,parentSchema:schema143.properties.handles.items,data:data4}];
 return false;
 }
 var valid3 = _errs11 === errors;
@@ -5484,7 +5940,7 @@
 }
 }
 else {
-validate98.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema134.properties.handles.type,parentSchema:schema134.properties.handles,data:data3}];
+validate107.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema143.properties.handles.type,parentSchema:schema143.properties.handles,data:data3}];
 return false;
 }
 }
@@ -5499,21 +5955,21 @@
 }
 }
 else {
-validate98.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema134.type,parentSchema:schema134,data}];
+validate107.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema143.type,parentSchema:schema143,data}];
 return false;
 }
 }
-validate98.errors = vErrors;
+validate107.errors = vErrors;
 return errors === 0;
 }
-validate98.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
+validate107.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema137 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
+const schema146 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
-function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate108(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate99.evaluated;
+const evaluated0 = validate108.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5524,7 +5980,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema137.required,parentSchema:schema137,data}];
+validate108.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema146.required,parentSchema:schema146,data}];
 return false;
 }
 else {
@@ -5532,11 +5988,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema137.properties.type.type,parentSchema:schema137.properties.type,data:data0}];
+validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema146.properties.type.type,parentSchema:schema146.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema137.properties.type,data:data0}];
+validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema146.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5552,18 +6008,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate99.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate108.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate99.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate108.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate108.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -5580,18 +6036,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate99.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema58,data:data2}];
+validate108.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema58,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate99.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema58,data:data2}];
+validate108.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema58,data:data2}];
 return false;
 }
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.type,parentSchema:schema58,data:data2}];
+validate108.errors = [{instancePath:instancePath+"/cell",schemaPath:"#/$defs/Cell/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema58.type,parentSchema:schema58,data:data2}];
 return false;
 }
 }
@@ -5608,18 +6064,18 @@
 if(errors === _errs10){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate99.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
+validate108.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate99.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
+validate108.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
 return false;
 }
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
+validate108.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
 return false;
 }
 }
@@ -5634,23 +6090,23 @@
 }
 }
 else {
-validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema137.type,parentSchema:schema137,data}];
+validate108.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema146.type,parentSchema:schema146,data}];
 return false;
 }
 }
-validate99.errors = vErrors;
+validate108.errors = vErrors;
 return errors === 0;
 }
-validate99.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
+validate108.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema141 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
-const schema142 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
-const schema143 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
+const schema150 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
+const schema151 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
+const schema152 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
 
-function validate103(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate112(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate103.evaluated;
+const evaluated0 = validate112.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5661,7 +6117,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.work === undefined) && (missing0 = "work")) || ((data.took === undefined) && (missing0 = "took"))){
-validate103.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema143.required,parentSchema:schema143,data}];
+validate112.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema152.required,parentSchema:schema152,data}];
 return false;
 }
 else {
@@ -5673,7 +6129,7 @@
 if(data0 && typeof data0 == "object" && !Array.isArray(data0)){
 let missing1;
 if(((data0.tokens === undefined) && (missing1 = "tokens")) || ((data0.streams === undefined) && (missing1 = "streams"))){
-validate103.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema117.required,parentSchema:schema117,data:data0}];
+validate112.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema125.required,parentSchema:schema125,data:data0}];
 return false;
 }
 else {
@@ -5683,12 +6139,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate103.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.tokens,data:data1}];
+validate112.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema125.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.tokens.type,parentSchema:schema117.properties.tokens,data:data1}];
+validate112.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema125.properties.tokens.type,parentSchema:schema125.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -5704,12 +6160,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate103.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema117.properties.streams,data:data2}];
+validate112.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema125.properties.streams,data:data2}];
 return false;
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.streams.type,parentSchema:schema117.properties.streams,data:data2}];
+validate112.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema125.properties.streams.type,parentSchema:schema125.properties.streams,data:data2}];
 return false;
 }
 }
@@ -5722,7 +6178,7 @@
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data:data0}];
+validate112.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema125.type,parentSchema:schema125,data:data0}];
 return false;
 }
 }
@@ -5738,12 +6194,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate103.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema143.properties.took,data:data3}];
+validate112.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema152.properties.took,data:data3}];
 return false;
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema143.properties.took.type,parentSchema:schema143.properties.took,data:data3}];
+validate112.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema152.properties.took.type,parentSchema:schema152.properties.took,data:data3}];
 return false;
 }
 }
@@ -5756,20 +6212,20 @@
 }
 }
 else {
-validate103.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema143.type,parentSchema:schema143,data}];
+validate112.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema152.type,parentSchema:schema152,data}];
 return false;
 }
 }
-validate103.errors = vErrors;
+validate112.errors = vErrors;
 return errors === 0;
 }
-validate103.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
+validate112.evaluated = {"props":{"work":true,"took":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate101(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate110(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate101.evaluated;
+const evaluated0 = validate110.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5780,7 +6236,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.engine === undefined) && (missing0 = "engine")) || ((data.tokens === undefined) && (missing0 = "tokens"))) || ((data.streams === undefined) && (missing0 = "streams"))) || ((data.read === undefined) && (missing0 = "read"))){
-validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema142.required,parentSchema:schema142,data}];
+validate110.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema151.required,parentSchema:schema151,data}];
 return false;
 }
 else {
@@ -5790,18 +6246,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 300){
-validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema142.properties.engine,data:data0}];
+validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema151.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema142.properties.engine,data:data0}];
+validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema151.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema142.properties.engine.type,parentSchema:schema142.properties.engine,data:data0}];
+validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema151.properties.engine.type,parentSchema:schema151.properties.engine,data:data0}];
 return false;
 }
 }
@@ -5817,12 +6273,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate101.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema142.properties.tokens,data:data1}];
+validate110.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema151.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.tokens.type,parentSchema:schema142.properties.tokens,data:data1}];
+validate110.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema151.properties.tokens.type,parentSchema:schema151.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -5836,13 +6292,13 @@
 let data2 = data.streams;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate101.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema142.properties.streams.type,parentSchema:schema142.properties.streams,data:data2}];
+validate110.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema151.properties.streams.type,parentSchema:schema151.properties.streams,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate101.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema142.properties.streams,data:data2}];
+validate110.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema151.properties.streams,data:data2}];
 return false;
 }
 }
@@ -5880,7 +6336,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.read.items.type,parentSchema:schema142.properties.read.items,data:data4}];
+validate110.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.read.items.type,parentSchema:schema151.properties.read.items,data:data4}];
 return false;
 }
 }
@@ -5891,7 +6347,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.read.type,parentSchema:schema142.properties.read,data:data3}];
+validate110.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.read.type,parentSchema:schema151.properties.read,data:data3}];
 return false;
 }
 }
@@ -5910,8 +6366,8 @@
 const len2 = data6.length;
 for(let i2=0; i2<len2; i2++){
 const _errs14 = errors;
-if(!(validate103(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate103.errors : vErrors.concat(validate103.errors);
+if(!(validate112(data6[i2], {instancePath:instancePath+"/firsts/" + i2,parentData:data6,parentDataProperty:i2,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate112.errors : vErrors.concat(validate112.errors);
 errors = vErrors.length;
 }
 var valid3 = _errs14 === errors;
@@ -5921,7 +6377,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.firsts.type,parentSchema:schema142.properties.firsts,data:data6}];
+validate110.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.firsts.type,parentSchema:schema151.properties.firsts,data:data6}];
 return false;
 }
 }
@@ -5942,7 +6398,7 @@
 let data9 = data8[i3];
 const _errs17 = errors;
 if(!(((data9 === "good") || (data9 === "bad")) || (data9 === "full"))){
-validate101.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema142.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema142.properties.verdicts.items.enum,parentSchema:schema142.properties.verdicts.items,data:data9}];
+validate110.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema151.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema151.properties.verdicts.items.enum,parentSchema:schema151.properties.verdicts.items,data:data9}];
 return false;
 }
 var valid4 = _errs17 === errors;
@@ -5952,7 +6408,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema142.properties.verdicts.type,parentSchema:schema142.properties.verdicts,data:data8}];
+validate110.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.verdicts.type,parentSchema:schema151.properties.verdicts,data:data8}];
 return false;
 }
 }
@@ -5969,20 +6425,20 @@
 }
 }
 else {
-validate101.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema142.type,parentSchema:schema142,data}];
+validate110.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema151.type,parentSchema:schema151,data}];
 return false;
 }
 }
-validate101.errors = vErrors;
+validate110.errors = vErrors;
 return errors === 0;
 }
-validate101.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true,"verdicts":true},"dynamicProps":false,"dynamicItems":false};
+validate110.evaluated = {"props":{"engine":true,"tokens":true,"streams":true,"read":true,"firsts":true,"verdicts":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate100(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate109(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate100.evaluated;
+const evaluated0 = validate109.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5993,7 +6449,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.uses === undefined) && (missing0 = "uses"))){
-validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema141.required,parentSchema:schema141,data}];
+validate109.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema150.required,parentSchema:schema150,data}];
 return false;
 }
 else {
@@ -6001,11 +6457,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema141.properties.type.type,parentSchema:schema141.properties.type,data:data0}];
+validate109.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema150.properties.type.type,parentSchema:schema150.properties.type,data:data0}];
 return false;
 }
 if("use" !== data0){
-validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema141.properties.type,data:data0}];
+validate109.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema150.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6023,8 +6479,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate101(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate101.errors : vErrors.concat(validate101.errors);
+if(!(validate110(data1[i0], {instancePath:instancePath+"/uses/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate110.errors : vErrors.concat(validate110.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -6034,7 +6490,7 @@
 }
 }
 else {
-validate100.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema141.properties.uses.type,parentSchema:schema141.properties.uses,data:data1}];
+validate109.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema150.properties.uses.type,parentSchema:schema150.properties.uses,data:data1}];
 return false;
 }
 }
@@ -6047,21 +6503,21 @@
 }
 }
 else {
-validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema141.type,parentSchema:schema141,data}];
+validate109.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema150.type,parentSchema:schema150,data}];
 return false;
 }
 }
-validate100.errors = vErrors;
+validate109.errors = vErrors;
 return errors === 0;
 }
-validate100.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
+validate109.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema145 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema154 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
 
-function validate106(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate115(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate106.evaluated;
+const evaluated0 = validate115.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -6072,7 +6528,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
-validate106.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema145.required,parentSchema:schema145,data}];
+validate115.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema154.required,parentSchema:schema154,data}];
 return false;
 }
 else {
@@ -6080,11 +6536,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema145.properties.type.type,parentSchema:schema145.properties.type,data:data0}];
+validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema154.properties.type.type,parentSchema:schema154.properties.type,data:data0}];
 return false;
 }
 if("suspects" !== data0){
-validate106.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema145.properties.type,data:data0}];
+validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema154.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6113,7 +6569,7 @@
 }
 }
 else {
-validate106.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema145.properties.suspects.type,parentSchema:schema145.properties.suspects,data:data1}];
+validate115.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema154.properties.suspects.type,parentSchema:schema154.properties.suspects,data:data1}];
 return false;
 }
 }
@@ -6126,21 +6582,21 @@
 }
 }
 else {
-validate106.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema145.type,parentSchema:schema145,data}];
+validate115.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema154.type,parentSchema:schema154,data}];
 return false;
 }
 }
-validate106.errors = vErrors;
+validate115.errors = vErrors;
 return errors === 0;
 }
-validate106.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
+validate115.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema146 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema155 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
-function validate108(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate117(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate108.evaluated;
+const evaluated0 = validate117.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -6151,7 +6607,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.limits === undefined) && (missing0 = "limits"))){
-validate108.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema146.required,parentSchema:schema146,data}];
+validate117.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema155.required,parentSchema:schema155,data}];
 return false;
 }
 else {
@@ -6159,11 +6615,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema146.properties.type.type,parentSchema:schema146.properties.type,data:data0}];
+validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema155.properties.type.type,parentSchema:schema155.properties.type,data:data0}];
 return false;
 }
 if("limits" !== data0){
-validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema146.properties.type,data:data0}];
+validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema155.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6192,7 +6648,7 @@
 }
 }
 else {
-validate108.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema146.properties.limits.type,parentSchema:schema146.properties.limits,data:data1}];
+validate117.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema155.properties.limits.type,parentSchema:schema155.properties.limits,data:data1}];
 return false;
 }
 }
@@ -6205,21 +6661,21 @@
 }
 }
 else {
-validate108.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema146.type,parentSchema:schema146,data}];
+validate117.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema155.type,parentSchema:schema155,data}];
 return false;
 }
 }
-validate108.errors = vErrors;
+validate117.errors = vErrors;
 return errors === 0;
 }
-validate108.evaluated = {"props":{"type":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
+validate117.evaluated = {"props":{"type":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema147 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
+const schema156 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
 
-function validate110(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate119(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate110.evaluated;
+const evaluated0 = validate119.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -6230,7 +6686,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.inFlight === undefined) && (missing0 = "inFlight"))){
-validate110.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema147.required,parentSchema:schema147,data}];
+validate119.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema156.required,parentSchema:schema156,data}];
 return false;
 }
 else {
@@ -6238,11 +6694,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate110.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema147.properties.type.type,parentSchema:schema147.properties.type,data:data0}];
+validate119.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema156.properties.type.type,parentSchema:schema156.properties.type,data:data0}];
 return false;
 }
 if("slots" !== data0){
-validate110.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema147.properties.type,data:data0}];
+validate119.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema156.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6258,18 +6714,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 300){
-validate110.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
+validate119.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate110.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
+validate119.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
 return false;
 }
 }
 }
 else {
-validate110.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
+validate119.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
 return false;
 }
 }
@@ -6283,13 +6739,13 @@
 let data2 = data.inFlight;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate110.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema147.properties.inFlight.type,parentSchema:schema147.properties.inFlight,data:data2}];
+validate119.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema156.properties.inFlight.type,parentSchema:schema156.properties.inFlight,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate110.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema147.properties.inFlight,data:data2}];
+validate119.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema156.properties.inFlight,data:data2}];
 return false;
 }
 }
@@ -6304,20 +6760,20 @@
 }
 }
 else {
-validate110.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema147.type,parentSchema:schema147,data}];
+validate119.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema156.type,parentSchema:schema156,data}];
 return false;
 }
 }
-validate110.errors = vErrors;
+validate119.errors = vErrors;
 return errors === 0;
 }
-validate110.evaluated = {"props":{"type":true,"endpoint":true,"inFlight":true},"dynamicProps":false,"dynamicItems":false};
+validate119.evaluated = {"props":{"type":true,"endpoint":true,"inFlight":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate92(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate101(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate92.evaluated;
+const evaluated0 = validate101.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -6328,15 +6784,15 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate92.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema126.required,parentSchema:schema126,data}];
+validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema135.required,parentSchema:schema135,data}];
 return false;
 }
 else {
 const tag0 = data.type;
 if(typeof tag0 == "string"){
 if(tag0 === "hello"){
-if(!(validate93(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate93.errors : vErrors.concat(validate93.errors);
+if(!(validate102(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate102.errors : vErrors.concat(validate102.errors);
 errors = vErrors.length;
 }
 var props0 = {};
@@ -6348,8 +6804,8 @@
 props0.limits = true;
 }
 else if(tag0 === "release"){
-if(!(validate98(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate98.errors : vErrors.concat(validate98.errors);
+if(!(validate107(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate107.errors : vErrors.concat(validate107.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6361,8 +6817,8 @@
 }
 }
 else if(tag0 === "drop"){
-if(!(validate99(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate99.errors : vErrors.concat(validate99.errors);
+if(!(validate108(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate108.errors : vErrors.concat(validate108.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6374,8 +6830,8 @@
 }
 }
 else if(tag0 === "use"){
-if(!(validate100(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate100.errors : vErrors.concat(validate100.errors);
+if(!(validate109(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate109.errors : vErrors.concat(validate109.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6385,8 +6841,8 @@
 }
 }
 else if(tag0 === "suspects"){
-if(!(validate106(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate106.errors : vErrors.concat(validate106.errors);
+if(!(validate115(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate115.errors : vErrors.concat(validate115.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6401,7 +6857,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.fingerprint === undefined) && (missing1 = "fingerprint"))){
-validate92.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema149.required,parentSchema:schema149,data}];
+validate101.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema158.required,parentSchema:schema158,data}];
 return false;
 }
 else {
@@ -6409,11 +6865,11 @@
 let data0 = data.type;
 const _errs10 = errors;
 if(typeof data0 !== "string"){
-validate92.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema149.properties.type.type,parentSchema:schema149.properties.type,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema158.properties.type.type,parentSchema:schema158.properties.type,data:data0}];
 return false;
 }
 if("lease-over" !== data0){
-validate92.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema149.properties.type,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema158.properties.type,data:data0}];
 return false;
 }
 var valid8 = _errs10 === errors;
@@ -6428,18 +6884,18 @@
 if(errors === _errs12){
 if(typeof data1 === "string"){
 if(data1.length > 64){
-validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema149.properties.fingerprint,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema158.properties.fingerprint,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema149.properties.fingerprint,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema158.properties.fingerprint,data:data1}];
 return false;
 }
 }
 }
 else {
-validate92.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema149.properties.fingerprint.type,parentSchema:schema149.properties.fingerprint,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema158.properties.fingerprint.type,parentSchema:schema158.properties.fingerprint,data:data1}];
 return false;
 }
 }
@@ -6452,7 +6908,7 @@
 }
 }
 else {
-validate92.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema149.type,parentSchema:schema149,data}];
+validate101.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema158.type,parentSchema:schema158,data}];
 return false;
 }
 }
@@ -6463,8 +6919,8 @@
 }
 }
 else if(tag0 === "limits"){
-if(!(validate108(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate108.errors : vErrors.concat(validate108.errors);
+if(!(validate117(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate117.errors : vErrors.concat(validate117.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6474,8 +6930,8 @@
 }
 }
 else if(tag0 === "slots"){
-if(!(validate110(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate110.errors : vErrors.concat(validate110.errors);
+if(!(validate119(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate119.errors : vErrors.concat(validate119.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6486,32 +6942,32 @@
 }
 }
 else {
-validate92.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema126.discriminator,parentSchema:schema126,data}];
+validate101.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema135.discriminator,parentSchema:schema135,data}];
 return false;
 }
 }
 else {
-validate92.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema126.discriminator,parentSchema:schema126,data}];
+validate101.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema135.discriminator,parentSchema:schema135,data}];
 return false;
 }
 }
 }
 else {
-validate92.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema126.type,parentSchema:schema126,data}];
+validate101.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema135.type,parentSchema:schema135,data}];
 return false;
 }
 }
-validate92.errors = vErrors;
+validate101.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate92.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate101.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate91(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate100(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate91.evaluated;
+const evaluated0 = validate100.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -6522,7 +6978,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate91.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema125.required,parentSchema:schema125,data}];
+validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema134.required,parentSchema:schema134,data}];
 return false;
 }
 else {
@@ -6530,11 +6986,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema125.properties.type.type,parentSchema:schema125.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema134.properties.type.type,parentSchema:schema134.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate91.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema125.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema134.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6545,8 +7001,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs3 = errors;
-if(!(validate92(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate92.errors : vErrors.concat(validate92.errors);
+if(!(validate101(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate101.errors : vErrors.concat(validate101.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs3 === errors;
@@ -6558,14 +7014,14 @@
 }
 }
 else {
-validate91.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema125.type,parentSchema:schema125,data}];
+validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema134.type,parentSchema:schema134,data}];
 return false;
 }
 }
-validate91.errors = vErrors;
+validate100.errors = vErrors;
 return errors === 0;
 }
-validate91.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate100.evaluated = {"props":{"type":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate20(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -6599,8 +7055,8 @@
 props0.body = true;
 }
 else if(tag0 === "answer"){
-if(!(validate64(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate64.errors : vErrors.concat(validate64.errors);
+if(!(validate70(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate70.errors : vErrors.concat(validate70.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6611,8 +7067,8 @@
 }
 }
 else if(tag0 === "working"){
-if(!(validate90(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate90.errors : vErrors.concat(validate90.errors);
+if(!(validate99(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate99.errors : vErrors.concat(validate99.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -6622,8 +7078,8 @@
 }
 }
 else if(tag0 === "cast"){
-if(!(validate91(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate91.errors : vErrors.concat(validate91.errors);
+if(!(validate100(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate100.errors : vErrors.concat(validate100.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -25,6 +25,20 @@
   "gateway.failed": { type: "count", help: "Failed calls, by cause" },
   "gateway.repeated": { type: "count", help: "Calls that repeat one" },
   "gateway.no_budget": { type: "count", help: "Repeats without a budget" },
+  "origins.found": {
+    type: "count",
+    help: "Searches for a resumed stream's origin, by where it was found",
+  },
+  "origins.asked": {
+    type: "count",
+    help: "Questions for origins of streams, by whether it is known",
+  },
+  "origins.stored": { type: "count", help: "Copies of origins stored" },
+  "origins.known": { type: "gauge", help: "Streams whose origin is known" },
+  "origins.evicted": {
+    type: "gauge",
+    help: "Origins of streams evicted for lack of room",
+  },
   "gateway.ejected": {
     type: "count",
     help: "Endpoints ejected after failures, by service and by who saw them",
