--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -638,6 +638,7 @@
       stages: this.#pipelineRun?.record,
       calls: this.#calls,
       fingerprint: this.#endpointAdmission?.fingerprint,
+      parts: this.#endpointAdmission?.partFingerprints,
       version: fleetView.catalogue()?.version,
       ageMs: Math.round(fleetView.configurationAge()),
       ...details,
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -9,6 +9,7 @@
 import * as attempts from "./attempt.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoints from "./endpoint.ts";
+import type * as protocols from "./protocol.ts";
 import * as refusals from "./refusal.ts";
 import * as unavailabilities from "./unavailability.ts";
 
@@ -27,6 +28,12 @@
   };
 }
 
+/** The request as far as its admission depends on it. */
+export interface AdmissionRequest
+  extends quarantine.fingerprints.RequestContent {
+  readonly prompt?: protocols.Prompt;
+}
+
 type Dependencies = Pick<
   contexts.Context,
   "clock" | "random" | "guard" | "quotas" | "slots"
@@ -35,22 +42,22 @@
 /** Admits one request to endpoints. */
 export class EndpointAdmission {
   readonly #dependencies: Dependencies;
-  readonly #content: quarantine.fingerprints.RequestContent;
+  readonly #request: AdmissionRequest;
   #fingerprint?: string;
 
   private constructor(
     dependencies: Dependencies,
-    content: quarantine.fingerprints.RequestContent,
+    request: AdmissionRequest,
   ) {
     this.#dependencies = dependencies;
-    this.#content = content;
+    this.#request = request;
   }
 
   static create(
     dependencies: Dependencies,
-    content: quarantine.fingerprints.RequestContent,
+    request: AdmissionRequest,
   ): EndpointAdmission {
-    return new EndpointAdmission(dependencies, content);
+    return new EndpointAdmission(dependencies, request);
   }
 
   /** Fingerprint of the request's content; undefined until it is needed. */
@@ -58,6 +65,14 @@
     return this.#fingerprint;
   }
 
+  /** Fingerprints of the prompt parts that other requests may share, in order;
+   * undefined until `fingerprint` is needed, and without a prompt. */
+  get partFingerprints(): readonly string[] | undefined {
+    if (this.#fingerprint === undefined) return undefined;
+    return this.#request.prompt?.parts.slice(0, -1)
+      .map(({ id }) => quarantine.fingerprints.ofPart(id));
+  }
+
   /** Why no endpoint would admit the request, by this host's own state. */
   denial(): Denial | undefined {
     const { guard } = this.#dependencies;
@@ -137,7 +152,7 @@
   }
 
   #computeFingerprint(): string {
-    return this.#fingerprint ??= quarantine.fingerprints.of(this.#content);
+    return this.#fingerprint ??= quarantine.fingerprints.of(this.#request);
   }
 }
 
--- a/src/quarantine/fingerprint.ts
+++ b/src/quarantine/fingerprint.ts
@@ -1,5 +1,6 @@
-/** Fingerprints of requests: equal for requests with the same content and
- * client account, at whichever host they arrive.
+/** Fingerprints of requests and of prompt parts: equal for requests with the
+ * same content and client account, and for equal parts, at whichever host they
+ * arrive.
  * @module */
 
 import * as crypto from "node:crypto";
@@ -32,3 +33,12 @@
     .digest("base64url")
     .slice(0, DIGEST_LENGTH);
 }
+
+/** Returns the digest of a prompt part's id. */
+export function ofPart(id: string): string {
+  return crypto.createHash("sha256")
+    .update("prompt part ")
+    .update(id)
+    .digest("base64url")
+    .slice(0, DIGEST_LENGTH);
+}
