A prompt part that crashes endpoints is kept from them

What callers saw: requests with one part in their prompts crashed 50 engines in 40 s; meanwhile over a tenth of all streams was not served.

Cause: a crash counted against the content of each request that ran there, and against nothing else. No two of the requests were alike, so each crashed up to three engines before it was known, and the next began from nothing.

Change: a part of a prompt, the last one left out, is a suspect like a request: same table, records, leases, reports, release command. A crash counts against the request and its parts. A whole answer acquits the parts, and a host that remembers one vouches for a part once. A part is quarantined after three crashes, after five if it has ever succeeded; the crashes of a quarantined part do not count against what ran beside it (blame.ts). Parts are never merely suspected: a lease would serialize all requests that share one. The first trial comes 5 s after the last crash. A lease whose run reached no endpoint is no trial any more, since a part would otherwise wait ten minutes for a full endpoint.

Why it works: a poison part is in every crash that it causes and has no success. What all requests share succeeds within the crashes; what ran beside is in fewer crashes and explained by the part.

--- a/bench/quarantine_fuzz/schedule.ts
+++ b/bench/quarantine_fuzz/schedule.ts
@@ -3,9 +3,11 @@
 
 import * as runtime from "../../src/runtime/mod.ts";
 
-/** A request that ends endpoints. */
+/** A request that ends endpoints, or a part of many that does. */
 export interface Poison {
-  readonly fingerprint: string;
+  readonly name: string;
+  /** Whether requests that differ have it as a part of their prompts. */
+  readonly isPart: boolean;
   readonly from: number;
   /** Between two times that it comes. */
   readonly pause: number;
@@ -46,13 +48,14 @@
   const random = runtime.createMixedRandom(seed);
   const between = (least: number, most: number) =>
     least + Math.floor(random.next() * (most - least + 1));
-  return {
+  const drawn = {
     cores: between(3, 5),
     entries: entries ?? ENTRIES[random.below(ENTRIES.length)],
     endpoints: between(6, 16),
     rate: between(10, 30),
     poisons: Array.from({ length: between(1, 2) }, (_, number) => ({
-      fingerprint: `poison-${number}`,
+      name: `poison-${number}`,
+      isPart: false,
       from: between(0, 8000),
       pause: between(200, 1500),
       fuse: between(10, 600),
@@ -68,4 +71,12 @@
       return { type, at };
     }),
   };
+  const parts = Array.from({ length: between(0, 2) }, (_, number) => ({
+    name: `poison-part-${number}`,
+    isPart: true,
+    from: between(0, 8000),
+    pause: between(150, 1500),
+    fuse: between(10, 600),
+  }));
+  return { ...drawn, poisons: [...drawn.poisons, ...parts] };
 }
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -328,7 +328,7 @@
     } else if (notice.type === "slots") {
       this.#slotServer.record(notice, from);
     } else if (notice.type === "lease-over") {
-      this.#coordinator.endLease(notice.fingerprint, from);
+      this.#coordinator.endLease(notice, from);
     }
   }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -139,7 +139,7 @@
     if (!belongsTo(head, request)) return this.#rejectMismatch();
     if (!head.isMisdirected) this.#options.onHead?.(head);
     this.#head = head;
-    this.#isStream = stream !== undefined && isSuccess(head);
+    this.#isStream = stream !== undefined && hasSuccessStatus(head);
     if (this.#isStream) stream!.head(head);
   }
 
@@ -205,6 +205,12 @@
     CRASH_CAUSES.has(outcome.cause);
 }
 
+/** Whether an endpoint has written a whole answer that is a success. */
+export function isSuccess(outcome: Outcome): boolean {
+  return outcome.type === "ended" ||
+    outcome.type === "answer" && hasSuccessStatus(outcome.head);
+}
+
 const CRASH_CAUSES: ReadonlySet<FailureCause> = new Set([
   "connection",
   "broken",
@@ -222,7 +228,7 @@
   return head.attempt === id && head.signature !== undefined;
 }
 
-function isSuccess({ status }: protocols.ReplyHead): boolean {
+function hasSuccessStatus({ status }: protocols.ReplyHead): boolean {
   return status >= 200 && status < 300;
 }
 
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -42,15 +42,17 @@
 /** Admits one request to endpoints. */
 export class EndpointAdmission {
   readonly #dependencies: Dependencies;
-  readonly #request: AdmissionRequest;
-  #fingerprint?: string;
+  readonly #identity: quarantine.Identity;
 
   private constructor(
     dependencies: Dependencies,
     request: AdmissionRequest,
   ) {
     this.#dependencies = dependencies;
-    this.#request = request;
+    this.#identity = quarantine.Identity.create({
+      content: request,
+      parts: request.prompt?.parts,
+    });
   }
 
   static create(
@@ -62,22 +64,19 @@
 
   /** Fingerprint of the request's content; undefined until it is needed. */
   get fingerprint(): string | undefined {
-    return this.#fingerprint;
+    return this.#identity.isComputed ? this.#identity.request : undefined;
   }
 
   /** Fingerprints of the prompt parts that other requests may share, in order;
-   * undefined until `fingerprint` is needed, and without a prompt. */
+   * undefined until `fingerprint` is needed, and without such parts. */
   get partFingerprints(): readonly string[] | undefined {
-    if (this.#fingerprint === undefined) return undefined;
-    return this.#request.prompt?.parts.slice(0, -1)
-      .map(({ id }) => quarantine.fingerprints.ofPart(id));
+    const { isComputed, parts } = this.#identity;
+    return isComputed && parts.length > 0 ? parts : undefined;
   }
 
   /** Why no endpoint would admit the request, by this host's own state. */
   denial(): Denial | undefined {
-    const { guard } = this.#dependencies;
-    if (guard.hasNoSuspects) return undefined;
-    const refusal = guard.refusal(this.#computeFingerprint());
+    const refusal = this.#dependencies.guard.refusal(this.#identity);
     return refusal && quarantineDenial(refusal, true);
   }
 
@@ -100,8 +99,7 @@
 
   /** Releases an admission whose call is not made. */
   release(): void {
-    const { guard } = this.#dependencies;
-    if (!guard.hasNoSuspects) guard.endRun(this.#computeFingerprint());
+    this.#dependencies.guard.endRun(this.#identity, { isUnused: true });
   }
 
   /** Records the outcome of an admitted call, which shows whether the request
@@ -109,11 +107,12 @@
   recordOutcome(endpoint: string, outcome: attempts.Outcome): void {
     const { guard } = this.#dependencies;
     if (attempts.mayHaveCrashed(outcome)) {
-      guard.recordCrash(this.#computeFingerprint(), endpoint);
-    } else if (!guard.hasNoSuspects) {
-      const isAnswered = outcome.type !== "failed";
-      if (isAnswered) guard.recordSuccess(this.#computeFingerprint());
-      else guard.endRun(this.#computeFingerprint());
+      guard.recordCrash(this.#identity, endpoint);
+    } else if (outcome.type === "failed") {
+      guard.endRun(this.#identity, { isUnused: !outcome.mayHaveRun });
+    } else {
+      const isWhole = attempts.isSuccess(outcome);
+      guard.recordSuccess(this.#identity, { isWhole });
     }
   }
 
@@ -143,17 +142,12 @@
     deadline: number,
   ): Promise<Denial | undefined> {
     const { guard, clock } = this.#dependencies;
-    if (guard.hasNoSuspects) return undefined;
-    const fingerprint = this.#computeFingerprint();
+    const identity = this.#identity;
     const remaining = deadline - clock.now();
-    const admission = await guard.admit({ fingerprint, endpoint, remaining });
+    const admission = await guard.admit({ identity, endpoint, remaining });
     if (admission.type === "admitted") return undefined;
     return quarantineDenial(admission, admission.type === "refused");
   }
-
-  #computeFingerprint(): string {
-    return this.#fingerprint ??= quarantine.fingerprints.of(this.#request);
-  }
 }
 
 /** Denial for an endpoint that stopped accepting calls during the admission. */
@@ -170,7 +164,7 @@
 }
 
 function quarantineDenial(
-  { crashes, wait }: quarantine.Refusal,
+  { crashes, wait, suspect }: quarantine.Refusal,
   isFinal: boolean,
 ): Denial {
   const isQuarantined = crashes >= quarantine.QUARANTINE_CRASH_COUNT;
@@ -178,6 +172,6 @@
   return {
     reason,
     isFinal,
-    details: { crashes, retryAfter: refusals.retryDelay(wait) },
+    details: { suspect, crashes, retryAfter: refusals.retryDelay(wait) },
   };
 }
--- /dev/null
+++ b/src/quarantine/answered_parts_test.ts
@@ -0,0 +1,16 @@
+/** @module */
+
+import test from "ava";
+import * as answeredParts from "./answered_parts.ts";
+
+test("the least recently answered parts are forgotten first", (t) => {
+  const parts = answeredParts.AnsweredParts.create();
+  parts.add(["first"]);
+  parts.add(["again"]);
+  for (let number = 0; number < 4095; number++) {
+    parts.add(["again", `part ${number}`]);
+  }
+  t.false(parts.has("first"));
+  t.true(parts.has("again"));
+  t.true(parts.has("part 0"));
+});
--- a/src/quarantine/coordinator.ts
+++ b/src/quarantine/coordinator.ts
@@ -1,9 +1,10 @@
 /** Quarantine on control hosts: merges the crash records of entry hosts,
  * broadcasts changes, refutes records of endpoints that are still alive, and
- * grants leases so that a suspected request runs at one endpoint at a time.
+ * grants leases so that a suspected request, or one with a quarantined part,
+ * runs at one endpoint at a time.
  *
  * All control hosts hold the same records. Rendezvous hashing selects the one
- * that grants leases. Nothing is sent while no request is suspected.
+ * that grants leases. Nothing is sent while nothing is suspected.
  * @module */
 
 import type * as peers from "../peers/mod.ts";
@@ -11,7 +12,8 @@
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as codec from "./codec.ts";
-import * as suspects from "./suspect.ts";
+import * as standingLogs from "./standing_log.ts";
+import type * as suspects from "./suspect.ts";
 import * as suspectTables from "./suspect_table.ts";
 
 /** Time for which a change is sent to the other control hosts repeatedly, since
@@ -47,18 +49,22 @@
   readonly host: string;
   readonly endpoint: string;
   readonly until: number;
+  /** Whether it is the trial of a quarantined request or part. */
+  readonly isTrial: boolean;
 }
 
 /** Maintains the suspects of the fleet and grants leases to run them. */
 export class Coordinator {
   readonly #options: CoordinatorOptions;
   readonly #table = suspectTables.SuspectTable.create();
+  readonly #standings: standingLogs.StandingLog;
   readonly #leases = new Map<string, Lease>();
   /** Recent changes, which are sent repeatedly, and when they were made. */
   #recent: { suspect: suspects.Suspect; at: number }[] = [];
 
   private constructor(options: CoordinatorOptions) {
     this.#options = options;
+    this.#standings = standingLogs.StandingLog.create(options);
   }
 
   static create(options: CoordinatorOptions): Coordinator {
@@ -96,16 +102,16 @@
   ): schema.LeaseReply {
     const { clock, logger, metrics } = this.#options;
     const now = clock.now();
-    const suspect = this.#table.get(fingerprint);
+    const suspect = this.#table.blame.remainderOf(
+      this.#table.get(fingerprint),
+    );
     const wait = this.#retryDelay(suspect, now);
     const taken = wait === 0 && this.#isEndpointLeased(endpoint, now);
     const granted = wait === 0 && !taken;
     if (granted) {
       const until = now + remaining + LEASE_MARGIN_MS;
-      this.#leases.set(fingerprint, { host, endpoint, until });
-      if (suspect.standing === "quarantined") {
-        this.#broadcast([this.#table.put(suspect.addTrial(), now)]);
-      }
+      const isTrial = suspect.standing === "quarantined";
+      this.#leases.set(fingerprint, { host, endpoint, until, isTrial });
     }
     metrics.count("quarantine.trials", 1, { granted: `${granted}` });
     const { standing, activeCrashes, trials } = suspect;
@@ -122,10 +128,16 @@
     };
   }
 
-  /** Ends a lease whose run has ended. */
-  endLease(fingerprint: string, host: string): void {
-    if (this.#leases.get(fingerprint)?.host !== host) return;
+  /** Ends a lease whose run has ended; it counts as a trial unless no endpoint
+   * ran the request. */
+  endLease(
+    { fingerprint, unused = false }: Omit<schema.LeaseOverNotice, "type">,
+    host: string,
+  ): void {
+    const lease = this.#leases.get(fingerprint);
+    if (lease?.host !== host) return;
     this.#leases.delete(fingerprint);
+    if (lease.isTrial && !unused) this.#addTrial(fingerprint);
   }
 
   /** Releases a request from quarantine by an operator's command; returns
@@ -156,9 +168,15 @@
       ),
     );
     this.#table.expire(now);
-    for (const [fingerprint, { until }] of this.#leases) {
-      if (until < now) this.#leases.delete(fingerprint);
+    for (const [fingerprint, { until, isTrial }] of this.#leases) {
+      if (until >= now) continue;
+      this.#leases.delete(fingerprint);
+      if (isTrial) this.#addTrial(fingerprint);
     }
+    this.#options.metrics.gauge(
+      "quarantine.evicted",
+      this.#table.evictedCount,
+    );
     this.#recent = this.#recent.filter(({ at }) => now - at < REPEAT_PERIOD_MS);
     this.#send(cores(), this.#recent.map(({ suspect }) => suspect));
   }
@@ -168,6 +186,14 @@
     return codec.encodeAll(this.#table.all, this.#options.clock.now());
   }
 
+  /** Counts a trial, unless the request or part was acquitted by it. */
+  #addTrial(fingerprint: string): void {
+    const suspect = this.#table.get(fingerprint);
+    if (suspect.activeCrashes.length === 0) return;
+    const now = this.#options.clock.now();
+    this.#broadcast([this.#table.put(suspect.addTrial(), now)]);
+  }
+
   #retryDelay(suspect: suspects.Suspect, now: number): number {
     const lease = this.#leases.get(suspect.fingerprint);
     if (lease !== undefined && lease.until > now) return RETRY_DELAY_MS;
@@ -200,7 +226,9 @@
     const at = clock.now();
     this.#recent.push(...changed.map((suspect) => ({ suspect, at })));
     this.#send([...cores(), ...followers()], changed);
-    changed.forEach((suspect) => this.#logChange(suspect));
+    changed.filter(({ isPart }) => !isPart)
+      .forEach((suspect) => this.#logChange(suspect));
+    this.#standings.update(this.#table);
   }
 
   #logChange(
--- a/src/quarantine/fingerprint.ts
+++ b/src/quarantine/fingerprint.ts
@@ -20,6 +20,9 @@
 /** Length of a fingerprint in characters: 132 bits, for which collisions are
  * infeasible. */
 const DIGEST_LENGTH = 22;
+const PART_PREFIX = "part:";
+/** Ids that are kept as they are; no digest matches. */
+const PLAIN_ID = /^[\w.-]{1,48}$/;
 
 /** Returns the digest of a request's content. The account is the key of the
  * HMAC, so that no account can forge the fingerprint of another one's
@@ -34,11 +37,19 @@
     .slice(0, DIGEST_LENGTH);
 }
 
-/** Returns the digest of a prompt part's id. */
+/** Returns the fingerprint of a prompt part: its id after a prefix, or the id's
+ * digest where the id is long or unusual. No fingerprint of a request has the
+ * prefix. */
 export function ofPart(id: string): string {
-  return crypto.createHash("sha256")
-    .update("prompt part ")
-    .update(id)
-    .digest("base64url")
-    .slice(0, DIGEST_LENGTH);
+  return PART_PREFIX + (PLAIN_ID.test(id) ? id : digestOf(id));
+}
+
+/** Whether a fingerprint is that of a prompt part. */
+export function isOfPart(fingerprint: string): boolean {
+  return fingerprint.startsWith(PART_PREFIX);
+}
+
+function digestOf(id: string): string {
+  const digest = crypto.createHash("sha256").update(id).digest("base64url");
+  return `~${digest.slice(0, DIGEST_LENGTH)}`;
 }
--- a/src/quarantine/fingerprint_test.ts
+++ b/src/quarantine/fingerprint_test.ts
@@ -37,3 +37,12 @@
   const other = { ...CONTENT, host: 'a","b', target: "" };
   t.not(fingerprints.of(one), fingerprints.of(other));
 });
+
+test("fingerprints of parts differ from each other and from those of requests", (t) => {
+  const ids = ["a", "b", "a,b", "x".repeat(49), "x".repeat(50), "", "ä"];
+  const all = ids.map(fingerprints.ofPart);
+  t.is(new Set(all).size, all.length);
+  t.true(all.every(fingerprints.isOfPart));
+  t.true(all.every(({ length }) => length <= 64));
+  t.false(fingerprints.isOfPart(fingerprints.of(CONTENT)));
+});
--- a/src/quarantine/guard.ts
+++ b/src/quarantine/guard.ts
@@ -7,7 +7,10 @@
 import * as rendezvous from "../routing/rendezvous.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import * as answeredParts from "./answered_parts.ts";
 import * as codec from "./codec.ts";
+import type * as identities from "./identity.ts";
+import * as standingLogs from "./standing_log.ts";
 import type * as suspects from "./suspect.ts";
 import * as suspectTables from "./suspect_table.ts";
 
@@ -34,6 +37,8 @@
   readonly wait: number;
   /** Number of endpoints that are known to have crashed while running it. */
   readonly crashes: number;
+  /** Fingerprint of the request or part for which it is refused. */
+  readonly suspect: string;
 }
 
 /** Whether a request may run at an endpoint. */
@@ -45,7 +50,7 @@
 
 /** A run of a request, for which a lease may be needed. */
 export interface LeaseRequest {
-  readonly fingerprint: string;
+  readonly identity: identities.Identity;
   /** Incarnation of the endpoint that is to run it. */
   readonly endpoint: string;
   /** Milliseconds until it ends at the latest. */
@@ -62,48 +67,60 @@
   controlHosts(): readonly string[];
 }
 
+/** A lease that this host holds. */
+interface HeldLease {
+  /** Control host that granted it. */
+  readonly owner: string;
+  /** Identity of the request that runs under it. */
+  readonly holder: identities.Identity;
+}
+
 /** Admits requests to endpoints and reports crashes. */
 export class Guard {
   readonly #options: GuardOptions;
   readonly #table = suspectTables.SuspectTable.create();
-  /** Fingerprints of requests that run under a lease, with the control host
-   * that granted it. */
-  readonly #leases = new Map<string, string>();
+  readonly #answered = answeredParts.AnsweredParts.create();
+  readonly #standings: standingLogs.StandingLog;
+  /** Leases by the fingerprint that they were granted for. */
+  readonly #leases = new Map<string, HeldLease>();
   #unreported = new Set<string>();
 
   private constructor(options: GuardOptions) {
     this.#options = options;
+    this.#standings = standingLogs.StandingLog.create(options);
   }
 
   static create(options: GuardOptions): Guard {
     return new Guard(options);
   }
 
-  /** Whether no request has active crashes, so that fingerprints need not be
-   * computed. */
+  /** Whether no request or part has active crashes, so that fingerprints need
+   * not be computed. */
   get hasNoSuspects(): boolean {
     return this.#table.hasNoSuspects;
   }
 
   /** Why a request may not run now, as far as this host knows; undefined if it
    * may. */
-  refusal(fingerprint: string): Refusal | undefined {
-    const suspect = this.#table.get(fingerprint);
-    if (suspect.standing !== "quarantined") return undefined;
-    const wait = this.#table.nextTrialAt(suspect) - this.#options.clock.now();
-    if (wait <= 0) return undefined;
-    return refusalOf(suspect, wait);
+  refusal(identity: identities.Identity): Refusal | undefined {
+    if (this.hasNoSuspects) return undefined;
+    const refusals = this.#suspectsOf(identity)
+      .map((suspect) => this.#refusalOf(suspect))
+      .filter((refusal) => refusal !== undefined);
+    return refusals.sort((one, other) => other.wait - one.wait)[0];
   }
 
   /** Checks a request before a call. A suspected request needs a lease, so that
    * it runs at one endpoint at a time. */
   async admit(
-    { fingerprint, endpoint, remaining }: LeaseRequest,
+    { identity, endpoint, remaining }: LeaseRequest,
   ): Promise<Admission> {
-    const suspect = this.#table.get(fingerprint);
-    if (suspect.standing === "free") return ADMITTED;
-    const refusal = this.refusal(fingerprint);
+    if (this.hasNoSuspects) return ADMITTED;
+    const refusal = this.refusal(identity);
     if (refusal !== undefined) return { type: "refused", ...refusal };
+    const suspect = this.#leasedOf(identity);
+    if (suspect === undefined) return ADMITTED;
+    const { fingerprint } = suspect;
     // A lease covers a single run, even if this host has two requests with this
     // fingerprint.
     if (this.#leases.has(fingerprint)) {
@@ -126,7 +143,7 @@
           return { type: "taken", ...refusalOf(suspect, TAKEN_RETRY_MS) };
         }
         if (!granted) return refused(suspect, wait);
-        this.#leases.set(fingerprint, owner);
+        this.#leases.set(fingerprint, { owner, holder: identity });
         return ADMITTED;
       } catch (error) {
         const reason = `${error}`;
@@ -140,42 +157,61 @@
   }
 
   /** Records that a call broke as if its endpoint had crashed. */
-  recordCrash(fingerprint: string, endpoint: string): void {
+  recordCrash(identity: identities.Identity, endpoint: string): void {
     const { clock, logger, metrics } = this.#options;
     const now = clock.now();
-    const suspect = this.#table.get(fingerprint).addCrash(endpoint, now);
-    this.#update(suspect);
+    const records = identity.all.map((fingerprint) =>
+      this.#vouchFor(this.#table.get(fingerprint)).addCrash(endpoint, now)
+    );
+    records.forEach((record) => this.#update(record));
     metrics.count("quarantine.breaks");
-    const { standing, activeCrashes } = suspect;
+    const { fingerprint, standing, activeCrashes } = records[0];
     const crashes = activeCrashes.length;
+    const { parts } = identity;
     logger.info(
-      { fingerprint, endpoint, crashes, standing },
+      { fingerprint, parts, endpoint, crashes, standing },
       "Call broke as if the request had crashed its endpoint",
     );
-    this.#endLease(fingerprint, suspect);
+    this.#standings.update(this.#table);
+    this.#endLeases(identity, records);
   }
 
-  /** Records that an endpoint has run a request without crashing. */
-  recordSuccess(fingerprint: string): void {
-    const suspect = this.#table.get(fingerprint);
-    if (suspect.activeCrashes.length === 0) return;
-    const acquitted = suspect.acquit();
-    this.#update(acquitted);
-    this.#endLease(fingerprint, acquitted);
+  /** Records that an endpoint has run a request without crashing. The answer
+   * acquits the parts of the prompt only if it is whole. */
+  recordSuccess(
+    identity: identities.Identity,
+    { isWhole }: { isWhole: boolean },
+  ): void {
+    if (isWhole) this.#answered.add(identity.parts);
+    if (this.hasNoSuspects) return this.#endLeases(identity);
+    const acquitted = this.#recordsOf(identity)
+      .filter(({ isPart, activeCrashes }) =>
+        activeCrashes.length > 0 && (isWhole || !isPart)
+      )
+      .map((suspect) => suspect.acquit());
+    acquitted.forEach((suspect) => this.#update(suspect));
+    this.#standings.update(this.#table);
+    this.#endLeases(identity, acquitted);
   }
 
-  /** Ends the lease of a run that shows neither a crash nor a success. */
-  endRun(fingerprint: string): void {
-    this.#endLease(fingerprint);
+  /** Ends the lease of a run that shows neither a crash nor a success; `isUnused`
+   * if no endpoint ran the request. */
+  endRun(
+    identity: identities.Identity,
+    { isUnused }: { isUnused: boolean },
+  ): void {
+    this.#endLeases(identity, [], { isUnused });
   }
 
   /** Merges the records of a control host. */
   merge(records: readonly schema.Suspect[]): void {
     const now = this.#options.clock.now();
     for (const record of records) {
-      this.#table.merge(codec.decode(record, now), now);
+      const merged = this.#table.merge(codec.decode(record, now), now);
+      if (merged !== undefined) this.#update(this.#vouchFor(merged));
     }
     this.#table.expire(now);
+    this.#standings.update(this.#table);
   }
 
   /** Sends all records to a control host, which may have restarted and lost
@@ -193,6 +229,40 @@
     return codec.encodeAll(this.#table.all, this.#options.clock.now());
   }
 
+  #recordsOf(identity: identities.Identity): suspects.Suspect[] {
+    return identity.all.map((fingerprint) => this.#table.get(fingerprint));
+  }
+
+  /** Suspected or quarantined records of a request, with the crashes that count
+   * against them. */
+  #suspectsOf(identity: identities.Identity): suspects.Suspect[] {
+    const { blame } = this.#table;
+    return this.#recordsOf(identity)
+      .map((suspect) => blame.remainderOf(suspect))
+      .filter(({ standing }) => standing !== "free");
+  }
+
+  #refusalOf(suspect: suspects.Suspect): Refusal | undefined {
+    if (suspect.standing !== "quarantined") return undefined;
+    const wait = this.#table.nextTrialAt(suspect) - this.#options.clock.now();
+    return wait <= 0 ? undefined : refusalOf(suspect, wait);
+  }
+
+  /** The record for which a request needs a lease: a trial of a quarantined one
+   * comes first. */
+  #leasedOf(identity: identities.Identity): suspects.Suspect | undefined {
+    const all = this.#suspectsOf(identity);
+    return all.find(({ standing }) => standing === "quarantined") ?? all[0];
+  }
+
+  /** Acquits a part without a success that this host has seen succeed. It happens
+   * once, so that a part which turned bad later is still recognized. */
+  #vouchFor(suspect: suspects.Suspect): suspects.Suspect {
+    const { fingerprint, acquittals } = suspect;
+    const isKnown = acquittals === 0 && this.#answered.has(fingerprint);
+    return isKnown ? suspect.acquit() : suspect;
+  }
+
   #update(suspect: suspects.Suspect): void {
     const { clock } = this.#options;
     const changed = this.#table.put(suspect, clock.now());
@@ -267,18 +337,27 @@
     return reply;
   }
 
-  /** Ends a lease; the outcome of its run is sent before, so that it is known
-   * when the next lease is granted. */
-  #endLease(fingerprint: string, outcome?: suspects.Suspect): void {
-    const owner = this.#leases.get(fingerprint);
-    if (owner === undefined) return;
-    this.#leases.delete(fingerprint);
+  /** Ends the leases of a request's run; the outcome is sent before, so that it
+   * is known when the next lease is granted. */
+  #endLeases(
+    identity: identities.Identity,
+    outcome: readonly suspects.Suspect[] = [],
+    { isUnused = false } = {},
+  ): void {
     const { calls, clock } = this.#options;
-    if (outcome !== undefined) {
-      const suspects = codec.encodeAll([outcome], clock.now());
-      calls.cast(owner, { type: "suspects", suspects });
+    for (const [fingerprint, { owner, holder }] of this.#leases) {
+      if (holder !== identity) continue;
+      this.#leases.delete(fingerprint);
+      if (outcome.length > 0) {
+        const suspects = codec.encodeAll(outcome, clock.now());
+        calls.cast(owner, { type: "suspects", suspects });
+      }
+      calls.cast(owner, {
+        type: "lease-over",
+        fingerprint,
+        ...(isUnused && { unused: true }),
+      });
     }
-    calls.cast(owner, { type: "lease-over", fingerprint });
   }
 }
 
@@ -289,8 +368,8 @@
 }
 
 function refusalOf(
-  { activeCrashes }: suspects.Suspect,
+  { fingerprint, activeCrashes }: suspects.Suspect,
   wait: number,
 ): Refusal {
-  return { wait, crashes: activeCrashes.length };
+  return { wait, crashes: activeCrashes.length, suspect: fingerprint };
 }
--- a/src/quarantine/suspect.ts
+++ b/src/quarantine/suspect.ts
@@ -1,13 +1,17 @@
-/** Crash record of one request.
+/** Crash record of one request, or of one prompt part that requests share.
  *
  * A connection that breaks may be due to a crash, a partition or a reset, so
  * each break counts as a crash until the endpoint sends a heartbeat in the same
  * incarnation. Requests that run beside the cause of a crash break with it; a
- * run that succeeds acquits its request.
+ * run that succeeds acquits its request and the parts of its prompt.
  * @module */
 
-/** Number of crashes from which a request is quarantined. */
+import * as fingerprints from "./fingerprint.ts";
+
+/** Number of crashes from which a request or a part is quarantined. */
 export const QUARANTINE_CRASH_COUNT = 3;
+/** The same for a part that requests have succeeded with. */
+const ACQUITTED_PART_CRASH_COUNT = 5;
 /** Number of crashes from which a request runs at one endpoint at a time. */
 const SUSPECT_CRASH_COUNT = QUARANTINE_CRASH_COUNT - 1;
 
@@ -38,7 +42,7 @@
   readonly trials: number;
 }
 
-/** The crash record of one request. Immutable; merging is commutative,
+/** The crash record of one request or part. Immutable; merging is commutative,
  * associative and idempotent. */
 export class Suspect implements SuspectFields {
   readonly fingerprint: string;
@@ -68,9 +72,24 @@
     return this.crashes.filter(({ isRefuted }) => !isRefuted);
   }
 
+  /** Whether it is the record of a prompt part. */
+  get isPart(): boolean {
+    return fingerprints.isOfPart(this.fingerprint);
+  }
+
+  /** Number of crashes from which it is quarantined. */
+  get quarantineCrashCount(): number {
+    return this.isPart && this.acquittals > 0
+      ? ACQUITTED_PART_CRASH_COUNT
+      : QUARANTINE_CRASH_COUNT;
+  }
+
+  /** Standing by its crashes. A part is never suspected: a lease would serialize
+   * all requests that share it. */
   get standing(): Standing {
     const { length } = this.activeCrashes;
-    if (length >= QUARANTINE_CRASH_COUNT) return "quarantined";
+    if (length >= this.quarantineCrashCount) return "quarantined";
+    if (this.isPart) return "free";
     return length >= SUSPECT_CRASH_COUNT ? "suspected" : "free";
   }
 
@@ -85,8 +104,19 @@
     return this.merge(new Suspect({ ...this.#fields, crashes }));
   }
 
+  /** Removes the crashes of some endpoints. */
+  without(endpoints: ReadonlySet<string>): Suspect {
+    const crashes = this.crashes.filter(({ endpoint }) =>
+      !endpoints.has(endpoint)
+    );
+    return crashes.length === this.crashes.length
+      ? this
+      : new Suspect({ ...this.#fields, crashes });
+  }
+
   /** Refutes the crashes whose endpoints have sent a heartbeat since. */
   refute(isAlive: (crash: Crash) => boolean): Suspect {
+    if (!this.activeCrashes.some(isAlive)) return this;
     const crashes = this.crashes.map((crash) => ({
       ...crash,
       isRefuted: crash.isRefuted || isAlive(crash),
@@ -118,7 +148,7 @@
     return new Suspect({ ...this.#fields, trials: this.trials + 1 });
   }
 
-  /** Merges two records of the same request. */
+  /** Merges two records of the same request or part. */
   merge(other: Suspect): Suspect {
     if (this.acquittals !== other.acquittals) {
       return this.acquittals > other.acquittals ? this : other;
--- a/src/quarantine/suspect_table.ts
+++ b/src/quarantine/suspect_table.ts
@@ -1,6 +1,7 @@
-/** The suspected requests that one host knows.
+/** The suspected requests and prompt parts that one host knows.
  * @module */
 
+import * as blames from "./blame.ts";
 import * as suspects from "./suspect.ts";
 
 /** Time after its last change for which a record with active crashes is
@@ -18,7 +19,8 @@
  * meanwhile. */
 const TRIAL_DELAY_MS = 300_000;
 /** First trial of a request that may be innocent, since other quarantined
- * requests ran at the same endpoints; it is tried soon. */
+ * requests ran at the same endpoints, and of a part, which keeps many requests
+ * from endpoints; it is tried soon. */
 const AMBIGUOUS_TRIAL_DELAY_MS = 5000;
 /** Number of crashes without another quarantined request from which a request
  * is not ambiguous. A single one may have another cause. */
@@ -42,6 +44,8 @@
   #revision = 0;
   /** Number of entries with active crashes. */
   #activeCount = 0;
+  #evictedCount = 0;
+  #blame?: blames.Blame;
 
   static create(): SuspectTable {
     return new SuspectTable();
@@ -52,6 +56,11 @@
     return this.#revision;
   }
 
+  /** Number of records evicted from a full table. */
+  get evictedCount(): number {
+    return this.#evictedCount;
+  }
+
   /** Whether no request has active crashes. */
   get hasNoSuspects(): boolean {
     return this.#activeCount === 0;
@@ -66,6 +75,15 @@
       suspects.Suspect.create(fingerprint);
   }
 
+  /** Who is to blame for the crashes in this table. */
+  get blame(): blames.Blame {
+    return this.#blame ??= blames.Blame.of(this.all);
+  }
+
+  standingOf(suspect: suspects.Suspect): suspects.Standing {
+    return this.blame.standingOf(suspect);
+  }
+
   /** Merges the record of another host; returns the merged record if it has
    * changed. */
   merge(record: suspects.Suspect, now: number): suspects.Suspect | undefined {
@@ -77,6 +95,7 @@
     const previous = this.get(next.fingerprint);
     if (previous.equals(next)) return undefined;
     this.#activeCount += weightOf(next) - weightOf(previous);
+    this.#blame = undefined;
     this.#entries.set(next.fingerprint, {
       suspect: next,
       revision: ++this.#revision,
@@ -111,18 +130,20 @@
   /** Time of the next trial of a quarantined request; infinite if there is
    * none. */
   nextTrialAt(suspect: suspects.Suspect): number {
-    const { trials, lastCrashAt, acquittals } = suspect;
+    const { trials, lastCrashAt, acquittals, isPart } = suspect;
     if (trials >= MAX_TRIALS) return Infinity;
     if (trials > 0) return lastCrashAt + TRIAL_DELAY_MS * 2 ** trials;
     if (acquittals > 0) return lastCrashAt + ACQUITTED_TRIAL_DELAY_MS;
+    const isTriedSoon = isPart || this.#isAmbiguous(suspect);
     return lastCrashAt +
-      (this.#isAmbiguous(suspect) ? AMBIGUOUS_TRIAL_DELAY_MS : TRIAL_DELAY_MS);
+      (isTriedSoon ? AMBIGUOUS_TRIAL_DELAY_MS : TRIAL_DELAY_MS);
   }
 
   /** Whether its crashes may have been caused by other quarantined requests. */
   #isAmbiguous(suspect: suspects.Suspect): boolean {
-    const others = this.all.filter(({ fingerprint, standing }) =>
-      fingerprint !== suspect.fingerprint && standing === "quarantined"
+    const others = this.all.filter(({ fingerprint, standing, isPart }) =>
+      !isPart && fingerprint !== suspect.fingerprint &&
+      standing === "quarantined"
     );
     const sharedEndpoints = new Set(
       others.flatMap(({ activeCrashes }) =>
@@ -146,14 +167,15 @@
       .sort((one, other) =>
         one.weight - other.weight || one.changedAt - other.changedAt
       );
-    ranked.slice(0, EVICTION_COUNT).forEach(({ suspect }) =>
-      this.#remove(suspect)
-    );
+    const evicted = ranked.slice(0, EVICTION_COUNT);
+    evicted.forEach(({ suspect }) => this.#remove(suspect));
+    this.#evictedCount += evicted.length;
   }
 
   #remove(suspect: suspects.Suspect): void {
     this.#activeCount -= weightOf(suspect);
     this.#entries.delete(suspect.fingerprint);
+    this.#blame = undefined;
   }
 }
 
--- a/src/quarantine/suspect_table_test.ts
+++ b/src/quarantine/suspect_table_test.ts
@@ -77,3 +77,19 @@
   t.deepEqual(table.all, []);
   t.true(table.hasNoSuspects);
 });
+
+test("a part is tried after seconds, then after ten minutes", (t) => {
+  const part = crashed("part:f", ["a", "b", "c"]);
+  const table = tableOf(part);
+  t.is(table.nextTrialAt(part), 5000);
+  t.is(table.nextTrialAt(part.addTrial()), 600_000);
+  t.is(table.nextTrialAt(part.addTrial().addTrial()), Infinity);
+});
+
+test("evicted records are counted", (t) => {
+  const table = tableOf();
+  for (let number = 0; number < 4097; number++) {
+    table.put(crashed(`f${number}`, ["a"]), number);
+  }
+  t.is(table.evictedCount, 512);
+});
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -267,7 +267,7 @@
   suspects: Suspect[];
 }
 /**
- * What is known of a request that may crash endpoints.
+ * What is known of a request, or a prompt part, that may crash endpoints.
  */
 export interface Suspect {
   fingerprint: string;
@@ -705,6 +705,10 @@
 export interface LeaseOverNotice {
   type: "lease-over";
   fingerprint: string;
+  /**
+   * Whether no endpoint ran the request, so it was no trial.
+   */
+  unused?: boolean;
 }
 /**
  * Tells a core host of rate limits that endpoints name.
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -97,6 +97,14 @@
     type: "count",
     help: "Suspected requests that changed, by standing",
   },
+  "quarantine.parts": {
+    type: "count",
+    help: "Prompt parts put in or out of quarantine, by standing",
+  },
+  "quarantine.evicted": {
+    type: "gauge",
+    help: "Records of suspects evicted from a full table",
+  },
   "quarantine.trials": {
     type: "count",
     help: "Runs of suspected requests asked for, by grant",
