A host closes connections unread while more come than it can serve

Cause: the event loop accepts one connection in a turn, so what a host can't serve waits in the operating system's queue of 511 connections, unseen. At 140 a second that is 3.6 s: a caller whose request is read at last has left.

Change: a turn of the event loop without an accept shows that the queue is empty. Once it was not for 700 ms, connections are closed unread until it is, 511 at most; a caller may retry elsewhere, whatever its request. Open connections and requests in progress are not touched.

--- /dev/null
+++ b/src/gateway/accept_queue_test.ts
@@ -0,0 +1,43 @@
+/** @module */
+
+import test from "ava";
+import * as acceptQueues from "./accept_queue.ts";
+
+/** Accepts a connection each millisecond from `from` on; returns how many were
+ * read. */
+function acceptAll(
+  queue: acceptQueues.AcceptQueue,
+  { from = 0, count }: { from?: number; count: number },
+): number {
+  return Array.from({ length: count }, (_, pos) => queue.accept(from + pos))
+    .filter((verdict) => verdict === "read").length;
+}
+
+test("connections are read while the queue is often empty", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  for (let from = 0; from < 5000; from += 200) {
+    t.is(acceptAll(queue, { from, count: 200 }), 200);
+    queue.recordEmpty();
+  }
+});
+
+test("connections are closed unread once the queue was not empty for long", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  t.is(acceptAll(queue, { count: 701 }), 701);
+  t.is(acceptAll(queue, { from: 701, count: 100 }), 0);
+  queue.recordEmpty();
+  t.is(queue.accept(802), "read");
+});
+
+test("some connections are read even if the queue is never empty", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  const read = acceptAll(queue, { count: 5000 });
+  t.true(read >= 4 * 700, `${read}`);
+});
+
+test("a queue that fills while the process stands still is read", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  queue.accept(0);
+  queue.recordEmpty();
+  t.is(acceptAll(queue, { from: 5000, count: 300 }), 300);
+});
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -6,6 +6,7 @@
 import type * as contexts from "./context.ts";
 import * as httpListener from "../fleet/http_listener.ts";
 import * as activeRequests from "./active_request.ts";
+import * as connectionGates from "./connection_gate.ts";
 
 /** Interval in milliseconds at which a stop checks for requests in flight. */
 const STOP_CHECK_INTERVAL_MS = 50;
@@ -51,6 +52,14 @@
       headerTimeout: HEADER_TIMEOUT_MS,
       idleTimeout: IDLE_TIMEOUT_MS,
     });
+    const gate = connectionGates.ConnectionGate.create({
+      ...options.context,
+      afterTurn: setImmediate,
+    });
+    // Before the listener that begins to read.
+    server.#callers.prependListener("connection", (socket) => {
+      gate.take(socket);
+    });
     server.#callers.on("clientError", (error, socket) => {
       server.#rejectInvalid(
         error as NodeJS.ErrnoException,
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -82,6 +82,10 @@
     type: "count",
     help: "Calls kept from a brittle endpoint",
   },
+  "gateway.closed_unread": {
+    type: "count",
+    help: "New connections closed unread",
+  },
   "quota.asked": {
     type: "count",
     help: "Requests to limited endpoints asked for, by grant",
