Tests of answers that end with their connection

Streams and plain answers with neither length nor chunks: each byte a packet, an end inside an event on a route that does not resume, a reset, no reuse of the connection.

--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -7,6 +7,7 @@
 import * as undici from "undici";
 import * as concurrencyFixture from "../concurrency/fixture.ts";
 import * as fixture from "../configuration/fixture.ts";
+import * as connector from "../endpoint_calls/connector.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
 import * as configurations from "../configuration/mod.ts";
 import * as originFixture from "../origins/fixture.ts";
@@ -396,3 +397,77 @@
   t.deepEqual(await reportedSignals(t, true), ["bad"]);
   t.deepEqual(await reportedSignals(t, false), [undefined]);
 });
+
+const UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\ntest-signature: s\r\n\r\n";
+const PLAIN_STREAM: Partial<configurations.Route> = {
+  kind: "streaming",
+  objective: 1000,
+  timeout: 3000,
+};
+
+/** A host whose endpoint answers with neither a length nor chunks: `write` ends
+ * the connection as it likes. */
+async function startUnframedHost(
+  t: ava.ExecutionContext,
+  route: Partial<configurations.Route>,
+  write: (socket: net.Socket) => void,
+) {
+  const sockets = new Set<net.Socket>();
+  const host = await startHost(t, route, ({ socket }) => {
+    sockets.add(socket);
+    socket.write(UNFRAMED_HEAD);
+    write(socket);
+  });
+  const dispatcher = new undici.Agent({
+    connect: connector.create({ timeout: 1000 }),
+    pipelining: 1,
+  });
+  t.teardown(() => dispatcher.destroy());
+  Object.assign(host.context, { dispatcher });
+  return { ...host, sockets };
+}
+
+// The next tests guard against an answer that ends with its connection and is
+// taken for whole although it was cut, or for cut although it is whole.
+test("a stream that ends with its connection is relayed, whatever its packets", async (t) => {
+  const text = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+  const host = await startUnframedHost(t, PLAIN_STREAM, (socket) => {
+    const writeFrom = (pos: number) => {
+      if (pos === text.length) return void socket.end();
+      socket.write(text[pos]);
+      setImmediate(writeFrom, pos + 1);
+    };
+    writeFrom(0);
+  });
+  t.deepEqual(await host.ask(), { status: 200, text });
+  t.deepEqual(await host.ask(), { status: 200, text });
+  t.is(host.sockets.size, 2, "a connection is used once");
+});
+
+test("a stream that ends with its connection inside an event is broken off", async (t) => {
+  const { ask } = await startUnframedHost(t, PLAIN_STREAM, (socket) => {
+    socket.end("id: 1\ndata: 1\n\nid: 2\nda");
+  });
+  t.is(await endOf(ask()), "broken off");
+});
+
+test("a stream without a length whose connection is reset is broken off", async (t) => {
+  const { ask } = await startUnframedHost(t, PLAIN_STREAM, (socket) => {
+    socket.write("id: 1\ndata: 1\n\n");
+    setTimeout(() => socket.resetAndDestroy(), 50);
+  });
+  t.is(await endOf(ask()), "broken off");
+});
+
+test("a plain answer without a length is relayed unless its connection is reset", async (t) => {
+  const whole = await startUnframedHost(t, { kind: "unsafe" }, (socket) => {
+    socket.write("do");
+    setTimeout(() => socket.end("ne"), 20);
+  });
+  t.deepEqual(await whole.ask(), { status: 200, text: "done" });
+  const cut = await startUnframedHost(t, { kind: "unsafe" }, (socket) => {
+    socket.write("do");
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  t.is((await cut.ask()).status, 502);
+});
