--- a/src/quarantine/blame.ts
+++ b/src/quarantine/blame.ts
@@ -8,7 +8,7 @@
  * keeps fewer requests from endpoints.
  * @module */
 
-import type * as suspects from "./suspect.ts";
+import * as suspects from "./suspect.ts";
 
 /** The blame that follows from some records. Immutable. */
 export class Blame {
@@ -20,7 +20,10 @@
   readonly #explained = new Set<string>();
 
   private constructor(all: readonly suspects.Suspect[]) {
-    const candidates = all.filter(({ standing }) => standing === "quarantined");
+    const candidates = all.filter((suspect) =>
+      suspect.crashes.length >= suspects.QUARANTINE_CRASH_COUNT &&
+      suspect.standing === "quarantined"
+    );
     for (const candidate of candidates.sort(compareBlame)) {
       const rest = this.#withoutExplained(candidate);
       if (rest.standing !== "quarantined") continue;
