--- a/src/gateway/connection_gate.ts
+++ b/src/gateway/connection_gate.ts
@@ -69,7 +69,7 @@
     clock.after(LOG_INTERVAL_MS, () => {
       logger.info(
         { closed: this.#closedCount, spanMs: LOG_INTERVAL_MS },
-        "Connections closed unread: more came than this host can serve",
+        "Connections closed unread; more came than this host can serve",
       );
       this.#closedCount = 0;
     });
--- a/src/operators/cli/release_command.ts
+++ b/src/operators/cli/release_command.ts
@@ -1,4 +1,4 @@
-/** `chicoryloft release`: releases a request from quarantine.
+/** `chicoryloft release`: releases a request or a prompt part from quarantine.
  * @module */
 
 import * as clipanion from "clipanion";
@@ -6,18 +6,22 @@
 import * as command from "./command.ts";
 import * as metricsCall from "./metrics_call.ts";
 
-/** Releases a request from quarantine on all hosts. */
+/** Releases a request or a prompt part from quarantine on all hosts. */
 export class ReleaseCommand extends command.Command {
   static override paths = [["release"]];
   static override usage = clipanion.Command.Usage({
-    description: "Release a request that was quarantined because it " +
-      "crashed endpoints",
+    description: "Release a request, or a part of prompts, that was " +
+      "quarantined because it crashed endpoints",
     details:
-      "FINGERPRINT is the one in the request's log lines. Any host with a " +
-      "disk accepts the call at its metrics address and informs all others.",
+      "FINGERPRINT is the `suspect` in the log line of a refused request. Any " +
+      "host with a disk accepts the call at its metrics address and informs " +
+      "all others.",
     examples: [[
-      "Release one",
+      "Release a request",
       "$0 release 5pGZ2Q0w1kq8Yt7bJr3uVA --at 10.0.0.4:9464",
+    ], [
+      "Release a part",
+      "$0 release part:5c1e07a2 --at 10.0.0.4:9464",
     ]],
   });
 
--- a/src/quarantine/standing_log.ts
+++ b/src/quarantine/standing_log.ts
@@ -35,12 +35,14 @@
       before.has(each) !== now.has(each)
     );
     for (const fingerprint of changed) {
-      const { activeCrashes, acquittals, trials } = table.get(fingerprint);
+      const { activeCrashes, answers, acquittals, trials } = table.get(
+        fingerprint,
+      );
       const standing = now.has(fingerprint) ? "quarantined" : "free";
       metrics.count("quarantine.parts", 1, { standing });
       const endpoints = activeCrashes.map(({ endpoint }) => endpoint);
       logger.info(
-        { fingerprint, standing, endpoints, acquittals, trials },
+        { fingerprint, standing, endpoints, answers, acquittals, trials },
         "Standing of a prompt part changed",
       );
     }
