--- a/src/quarantine/guard.ts
+++ b/src/quarantine/guard.ts
@@ -110,10 +110,7 @@
    * may. */
   refusal(identity: identities.Identity): Refusal | undefined {
     if (this.hasNoSuspects) return undefined;
-    const refusals = this.#suspectsOf(identity)
-      .map((suspect) => this.#refusalOf(suspect, identity))
-      .filter((refusal) => refusal !== undefined);
-    return refusals.sort((one, other) => other.wait - one.wait)[0];
+    return this.#worstRefusal(this.#suspectsOf(identity), identity);
   }
 
   /** Checks a request before a call. A suspected request needs a lease, so that
@@ -122,9 +119,10 @@
     { identity, endpoint, remaining }: LeaseRequest,
   ): Promise<Admission> {
     if (this.hasNoSuspects) return ADMITTED;
-    const refusal = this.refusal(identity);
+    const held = this.#suspectsOf(identity);
+    const refusal = this.#worstRefusal(held, identity);
     if (refusal !== undefined) return { type: "refused", ...refusal };
-    const suspect = this.#leasedOf(identity);
+    const suspect = this.#leasedOf(held);
     if (suspect === undefined) return ADMITTED;
     const { fingerprint } = suspect;
     // A lease covers a single run, even if this host has two requests with this
@@ -166,9 +164,8 @@
   recordCrash(identity: identities.Identity, endpoint: string): void {
     const { clock, logger, metrics } = this.#options;
     const now = clock.now();
-    const records = identity.all.map((fingerprint) =>
-      this.#table.get(fingerprint)
-        .raiseAnswers(this.#answered.countOf(fingerprint))
+    const records = this.#recordsOf(identity).map((suspect) =>
+      suspect.raiseAnswers(this.#answered.countOf(suspect.fingerprint))
         .addCrash(endpoint, now)
     );
     records.forEach((record) => this.#update(record));
@@ -217,7 +214,7 @@
     const now = this.#options.clock.now();
     for (const record of records) {
       const merged = this.#table.merge(codec.decode(record, now), now);
-      if (merged !== undefined) this.#update(this.#vouchFor(merged));
+      if (merged !== undefined) this.#vouchFor(merged);
     }
     this.#table.expire(now);
     this.#standings.update(this.#table);
@@ -248,6 +245,16 @@
       .filter((suspect) => this.#table.standingOf(suspect) !== "free");
   }
 
+  /** The refusal that lasts longest, of those for each suspect. */
+  #worstRefusal(
+    held: readonly suspects.Suspect[],
+    identity: identities.Identity,
+  ): Refusal | undefined {
+    return held.map((suspect) => this.#refusalOf(suspect, identity))
+      .filter((refusal) => refusal !== undefined)
+      .sort((one, other) => other.wait - one.wait)[0];
+  }
+
   #refusalOf(
     suspect: suspects.Suspect,
     identity: identities.Identity,
@@ -275,18 +282,19 @@
 
   /** The record for which a request needs a lease: a trial of a quarantined one
    * comes first. */
-  #leasedOf(identity: identities.Identity): suspects.Suspect | undefined {
-    const all = this.#suspectsOf(identity);
-    return all.find((suspect) =>
+  #leasedOf(
+    held: readonly suspects.Suspect[],
+  ): suspects.Suspect | undefined {
+    return held.find((suspect) =>
       this.#table.standingOf(suspect) === "quarantined"
-    ) ?? all[0];
+    ) ?? held[0];
   }
 
   /** Adds what this host remembers of answers on a part, if no host has yet. */
-  #vouchFor(suspect: suspects.Suspect): suspects.Suspect {
-    return suspect.answers > 0
-      ? suspect
-      : suspect.raiseAnswers(this.#answered.countOf(suspect.fingerprint));
+  #vouchFor(suspect: suspects.Suspect): void {
+    const answers = this.#answered.countOf(suspect.fingerprint);
+    if (suspect.answers > 0 || answers === 0) return;
+    this.#update(suspect.raiseAnswers(answers));
   }
 
   #update(suspect: suspects.Suspect): void {
--- a/src/quarantine/suspect.ts
+++ b/src/quarantine/suspect.ts
@@ -92,18 +92,14 @@
     return this.acquittals > 0 || this.answers > 0;
   }
 
-  /** Number of crashes from which it is quarantined. */
-  get quarantineCrashCount(): number {
-    return this.isPart && this.hasSucceeded
-      ? ANSWERED_PART_CRASH_COUNT
-      : QUARANTINE_CRASH_COUNT;
-  }
-
   /** Standing by its crashes. A part is never suspected: a lease would serialize
    * all requests that share it. */
   get standing(): Standing {
     const { length } = this.activeCrashes;
-    if (length >= this.quarantineCrashCount) return "quarantined";
+    const quarantineCount = this.isPart && this.hasSucceeded
+      ? ANSWERED_PART_CRASH_COUNT
+      : QUARANTINE_CRASH_COUNT;
+    if (length >= quarantineCount) return "quarantined";
     if (this.isPart) return "free";
     return length >= SUSPECT_CRASH_COUNT ? "suspected" : "free";
   }
--- a/src/quarantine/suspect_table.ts
+++ b/src/quarantine/suspect_table.ts
@@ -18,8 +18,8 @@
  * endpoints may have been fixed meanwhile. */
 const TRIAL_DELAY_MS = 300_000;
 /** First trial of a request that may be innocent, since other quarantined
- * requests or parts ran at the same endpoints, and of a part, which keeps many requests
- * from endpoints; it is tried soon. */
+ * requests or parts ran at the same endpoints, and of a part, which keeps many
+ * requests from endpoints. */
 const AMBIGUOUS_TRIAL_DELAY_MS = 5000;
 /** Number of crashes without another quarantined request from which a request
  * is not ambiguous. A single one may have another cause. */
@@ -74,7 +74,7 @@
       suspects.Suspect.create(fingerprint);
   }
 
-  /** Who is to blame for the crashes in this table. */
+  /** Standings of parts, derived from all records. */
   get blame(): blames.Blame {
     return this.#blame ??= blames.Blame.of(this.all);
   }
