--- a/src/gateway/accept_queue.ts
+++ b/src/gateway/accept_queue.ts
@@ -28,26 +28,17 @@
     return new AcceptQueue();
   }
 
-  /** Whether connections are being closed unread. */
-  get isShedding(): boolean {
-    return this.#shedCount > 0;
-  }
-
   /** Records that a connection was accepted. */
   accept(now: number): Verdict {
     this.#busySince ??= now;
     if (now - this.#busySince <= MAX_BUSY_MS) return "read";
     this.#shedCount++;
-    if (this.#shedCount >= MAX_SHED_COUNT) this.#reset();
+    if (this.#shedCount >= MAX_SHED_COUNT) this.recordEmpty();
     return "close";
   }
 
   /** Records a turn of the event loop without a connection. */
   recordEmpty(): void {
-    this.#reset();
-  }
-
-  #reset(): void {
     this.#busySince = undefined;
     this.#shedCount = 0;
   }
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -250,9 +250,9 @@
     return true;
   }
 
-  /** Records that another endpoint was chosen. The mean duration comes closer to
-   * `lowest`, the lowest of the candidates: only a call shows whether this one is
-   * still slower. */
+  /** Moves the mean duration towards `lowest`, the lowest of the candidates, when
+   * another of them is chosen: only a call shows whether this one is still
+   * slower. */
   passOver(lowest: number): void {
     const excess = Math.max(0, this.meanDuration - lowest);
     this.meanDuration -= FORGOTTEN_EXCESS * excess;
--- a/src/gateway/endpoint_choice_test.ts
+++ b/src/gateway/endpoint_choice_test.ts
@@ -44,8 +44,8 @@
   t.is(choices.chooseEndpoint([one, two], context), two);
 });
 
-/** Makes `count` choices among endpoints whose calls take `durations`; returns how
- * often the first one is chosen. */
+/** Number of times that the first of some endpoints, whose calls take `durations`,
+ * is chosen in `count` choices. */
 function choicesOfFirst(durations: readonly number[], count: number): number {
   const all = durations.map((_, pos) => createEndpoint(`${pos}`));
   const drawn = { ...context, random: runtime.createRandom(7) };
