@@ -5166,7 +5189,7 @@
 let data12 = data.taken;
 const _errs43 = errors;
 if(typeof data12 !== "boolean"){
-validate71.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema130.properties.taken.type,parentSchema:schema130.properties.taken,data:data12}];
+validate71.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema131.properties.taken.type,parentSchema:schema131.properties.taken,data:data12}];
 return false;
 }
 var valid18 = _errs43 === errors;
@@ -5181,12 +5204,12 @@
 if(errors === _errs45){
 if((typeof data13 == "number") && (isFinite(data13))){
 if(data13 < 0 || isNaN(data13)){
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema130.properties.wait,data:data13}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema131.properties.wait,data:data13}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema130.properties.wait.type,parentSchema:schema130.properties.wait,data:data13}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema131.properties.wait.type,parentSchema:schema131.properties.wait,data:data13}];
 return false;
 }
 }
@@ -5201,7 +5224,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema130.type,parentSchema:schema130,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema131.type,parentSchema:schema131,data}];
 return false;
 }
 }
@@ -5219,7 +5242,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing5;
 if((((data.type === undefined) && (missing5 = "type")) || ((data.granted === undefined) && (missing5 = "granted"))) || ((data.wait === undefined) && (missing5 = "wait"))){
-validate71.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema131.required,parentSchema:schema131,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema132.required,parentSchema:schema132,data}];
 return false;
 }
 else {
@@ -5227,11 +5250,11 @@
 let data14 = data.type;
 const _errs50 = errors;
 if(typeof data14 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema131.properties.type.type,parentSchema:schema131.properties.type,data:data14}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema132.properties.type.type,parentSchema:schema132.properties.type,data:data14}];
 return false;
 }
 if("quota" !== data14){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema131.properties.type,data:data14}];
+validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema132.properties.type,data:data14}];
 return false;
 }
 var valid21 = _errs50 === errors;
@@ -5244,7 +5267,7 @@
 let data15 = data.granted;
 const _errs52 = errors;
 if(typeof data15 !== "boolean"){
-validate71.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema131.properties.granted.type,parentSchema:schema131.properties.granted,data:data15}];
+validate71.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema132.properties.granted.type,parentSchema:schema132.properties.granted,data:data15}];
 return false;
 }
 var valid21 = _errs52 === errors;
@@ -5259,12 +5282,12 @@
 if(errors === _errs54){
 if((typeof data16 == "number") && (isFinite(data16))){
 if(data16 < 0 || isNaN(data16)){
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema131.properties.wait,data:data16}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.wait,data:data16}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema131.properties.wait.type,parentSchema:schema131.properties.wait,data:data16}];
+validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.wait.type,parentSchema:schema132.properties.wait,data:data16}];
 return false;
 }
 }
@@ -5278,7 +5301,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema131.type,parentSchema:schema131,data}];
+validate71.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema132.type,parentSchema:schema132,data}];
 return false;
 }
 }
@@ -5302,18 +5325,18 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema102.discriminator,parentSchema:schema102,data}];
+validate71.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema103.discriminator,parentSchema:schema103,data}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema102.discriminator,parentSchema:schema102,data}];
+validate71.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema103.discriminator,parentSchema:schema103,data}];
 return false;
 }
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema102.type,parentSchema:schema102,data}];
+validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema103.type,parentSchema:schema103,data}];
 return false;
 }
 }
@@ -5338,7 +5361,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate70.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema100.required,parentSchema:schema100,data}];
+validate70.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema101.required,parentSchema:schema101,data}];
 return false;
 }
 else {
@@ -5346,11 +5369,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema100.properties.type.type,parentSchema:schema100.properties.type,data:data0}];
+validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema100.properties.type,data:data0}];
+validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema101.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5397,7 +5420,7 @@
 }
 }
 else {
-validate70.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema100.type,parentSchema:schema100,data}];
+validate70.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
 return false;
 }
 }
@@ -5406,7 +5429,7 @@
 }
 validate70.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema132 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema133 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
 function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5422,7 +5445,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema132.required,parentSchema:schema132,data}];
+validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema133.required,parentSchema:schema133,data}];
 return false;
 }
 else {
@@ -5430,11 +5453,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema132.properties.type.type,parentSchema:schema132.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema133.properties.type.type,parentSchema:schema133.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema132.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema133.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5473,7 +5496,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema132.properties.ids.type,parentSchema:schema132.properties.ids,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema133.properties.ids.type,parentSchema:schema133.properties.ids,data:data1}];
 return false;
 }
 }
@@ -5486,7 +5509,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema132.type,parentSchema:schema132,data}];
+validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema133.type,parentSchema:schema133,data}];
 return false;
 }
 }
@@ -5495,11 +5518,11 @@
 }
 validate99.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema134 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema135 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
-const schema158 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}};
-const schema136 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
-const schema139 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema135 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema136 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
+const schema159 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}};
+const schema137 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema140 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
 function validate104(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5515,7 +5538,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.term === undefined) && (missing0 = "term")) || ((data.leader === undefined) && (missing0 = "leader"))) || ((data.voters === undefined) && (missing0 = "voters"))){
-validate104.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema139.required,parentSchema:schema139,data}];
+validate104.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema140.required,parentSchema:schema140,data}];
 return false;
 }
 else {
@@ -5605,7 +5628,7 @@
 }
 }
 else {
-validate104.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema139.properties.voters.type,parentSchema:schema139.properties.voters,data:data2}];
+validate104.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema140.properties.voters.type,parentSchema:schema140.properties.voters,data:data2}];
 return false;
 }
 }
@@ -5619,7 +5642,7 @@
 }
 }
 else {
-validate104.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema139.type,parentSchema:schema139,data}];
+validate104.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema140.type,parentSchema:schema140,data}];
 return false;
 }
 }
@@ -5643,7 +5666,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate102.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema136.required,parentSchema:schema136,data}];
+validate102.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema137.required,parentSchema:schema137,data}];
 return false;
 }
 else {
@@ -5651,11 +5674,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema136.properties.type.type,parentSchema:schema136.properties.type,data:data0}];
+validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema137.properties.type.type,parentSchema:schema137.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema136.properties.type,data:data0}];
+validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema137.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5728,7 +5751,7 @@
 }
 }
 else {
-validate102.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema136.properties.cores.type,parentSchema:schema136.properties.cores,data:data2}];
+validate102.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema137.properties.cores.type,parentSchema:schema137.properties.cores,data:data2}];
 return false;
 }
 }
@@ -5758,7 +5781,7 @@
 }
 }
 else {
-validate102.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema136.properties.hosts.type,parentSchema:schema136.properties.hosts,data:data4}];
+validate102.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema137.properties.hosts.type,parentSchema:schema137.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -5800,7 +5823,7 @@
 }
 }
 else {
-validate102.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema136.properties.limits.type,parentSchema:schema136.properties.limits,data:data7}];
+validate102.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema137.properties.limits.type,parentSchema:schema137.properties.limits,data:data7}];
 return false;
 }
 }
@@ -5817,7 +5840,7 @@
 }
 }
 else {
-validate102.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema136.type,parentSchema:schema136,data}];
+validate102.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema137.type,parentSchema:schema137,data}];
 return false;
 }
 }
@@ -5826,7 +5849,7 @@
 }
 validate102.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true,"leadership":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema143 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema144 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
 function validate107(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5842,7 +5865,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate107.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema143.required,parentSchema:schema143,data}];
+validate107.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema144.required,parentSchema:schema144,data}];
 return false;
 }
 else {
@@ -5850,11 +5873,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate107.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.type.type,parentSchema:schema143.properties.type,data:data0}];
+validate107.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.type.type,parentSchema:schema144.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate107.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema143.properties.type,data:data0}];
+validate107.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema144.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5930,7 +5953,7 @@
 let data4 = data3[i0];
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate107.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.handles.items.type,parentSchema:schema143.properties.handles.items,data:data4}];
+validate107.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.handles.items.type,parentSchema:schema144.properties.handles.items,data:data4}];
 return false;
 }
 var valid3 = _errs11 === errors;
@@ -5940,7 +5963,7 @@
 }
 }
 else {
-validate107.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema143.properties.handles.type,parentSchema:schema143.properties.handles,data:data3}];
+validate107.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema144.properties.handles.type,parentSchema:schema144.properties.handles,data:data3}];
 return false;
 }
 }
@@ -5955,7 +5978,7 @@
 }
 }
 else {
-validate107.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema143.type,parentSchema:schema143,data}];
+validate107.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema144.type,parentSchema:schema144,data}];
 return false;
 }
 }
@@ -5964,7 +5987,7 @@
 }
 validate107.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema146 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
+const schema147 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
 function validate108(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5980,7 +6003,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate108.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema146.required,parentSchema:schema146,data}];
+validate108.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema147.required,parentSchema:schema147,data}];
 return false;
 }
 else {
@@ -5988,11 +6011,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema146.properties.type.type,parentSchema:schema146.properties.type,data:data0}];
+validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema147.properties.type.type,parentSchema:schema147.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema146.properties.type,data:data0}];
+validate108.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema147.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6090,7 +6113,7 @@
 }
 }
 else {
-validate108.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema146.type,parentSchema:schema146,data}];
+validate108.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema147.type,parentSchema:schema147,data}];
 return false;
 }
 }
@@ -6099,9 +6122,9 @@
 }
 validate108.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema150 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
-const schema151 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
-const schema152 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
+const schema151 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
+const schema152 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}}}};
+const schema153 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0}}};
 
 function validate112(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6117,7 +6140,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.work === undefined) && (missing0 = "work")) || ((data.took === undefined) && (missing0 = "took"))){
-validate112.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema152.required,parentSchema:schema152,data}];
+validate112.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema153.required,parentSchema:schema153,data}];
 return false;
 }
 else {
@@ -6129,7 +6152,7 @@
 if(data0 && typeof data0 == "object" && !Array.isArray(data0)){
 let missing1;
 if(((data0.tokens === undefined) && (missing1 = "tokens")) || ((data0.streams === undefined) && (missing1 = "streams"))){
-validate112.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema125.required,parentSchema:schema125,data:data0}];
+validate112.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema126.required,parentSchema:schema126,data:data0}];
 return false;
 }
 else {
@@ -6139,12 +6162,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate112.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema125.properties.tokens,data:data1}];
+validate112.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema126.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate112.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema125.properties.tokens.type,parentSchema:schema125.properties.tokens,data:data1}];
+validate112.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema126.properties.tokens.type,parentSchema:schema126.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -6160,12 +6183,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate112.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema125.properties.streams,data:data2}];
+validate112.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema126.properties.streams,data:data2}];
 return false;
 }
 }
 else {
-validate112.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema125.properties.streams.type,parentSchema:schema125.properties.streams,data:data2}];
+validate112.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema126.properties.streams.type,parentSchema:schema126.properties.streams,data:data2}];
 return false;
 }
 }
@@ -6178,7 +6201,7 @@
 }
 }
 else {
-validate112.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema125.type,parentSchema:schema125,data:data0}];
+validate112.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema126.type,parentSchema:schema126,data:data0}];
 return false;
 }
 }
@@ -6194,12 +6217,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate112.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema152.properties.took,data:data3}];
+validate112.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema153.properties.took,data:data3}];
 return false;
 }
 }
 else {
-validate112.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema152.properties.took.type,parentSchema:schema152.properties.took,data:data3}];
+validate112.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema153.properties.took.type,parentSchema:schema153.properties.took,data:data3}];
 return false;
 }
 }
@@ -6212,7 +6235,7 @@
 }
 }
 else {
-validate112.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema152.type,parentSchema:schema152,data}];
+validate112.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema153.type,parentSchema:schema153,data}];
 return false;
 }
 }
@@ -6236,7 +6259,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.engine === undefined) && (missing0 = "engine")) || ((data.tokens === undefined) && (missing0 = "tokens"))) || ((data.streams === undefined) && (missing0 = "streams"))) || ((data.read === undefined) && (missing0 = "read"))){
-validate110.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema151.required,parentSchema:schema151,data}];
+validate110.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema152.required,parentSchema:schema152,data}];
 return false;
 }
 else {
@@ -6246,18 +6269,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 300){
-validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema151.properties.engine,data:data0}];
+validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema152.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema151.properties.engine,data:data0}];
+validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema152.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema151.properties.engine.type,parentSchema:schema151.properties.engine,data:data0}];
+validate110.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema152.properties.engine.type,parentSchema:schema152.properties.engine,data:data0}];
 return false;
 }
 }
@@ -6273,12 +6296,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate110.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema151.properties.tokens,data:data1}];
+validate110.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema152.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate110.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema151.properties.tokens.type,parentSchema:schema151.properties.tokens,data:data1}];
+validate110.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema152.properties.tokens.type,parentSchema:schema152.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -6292,13 +6315,13 @@
 let data2 = data.streams;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate110.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema151.properties.streams.type,parentSchema:schema151.properties.streams,data:data2}];
+validate110.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema152.properties.streams.type,parentSchema:schema152.properties.streams,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate110.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema151.properties.streams,data:data2}];
+validate110.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema152.properties.streams,data:data2}];
 return false;
 }
 }
@@ -6336,7 +6359,7 @@
 }
 }
 else {
-validate110.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.read.items.type,parentSchema:schema151.properties.read.items,data:data4}];
+validate110.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema152.properties.read.items.type,parentSchema:schema152.properties.read.items,data:data4}];
 return false;
 }
 }
@@ -6347,7 +6370,7 @@
 }
 }
 else {
-validate110.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.read.type,parentSchema:schema151.properties.read,data:data3}];
+validate110.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema152.properties.read.type,parentSchema:schema152.properties.read,data:data3}];
 return false;
 }
 }
@@ -6377,7 +6400,7 @@
 }
 }
 else {
-validate110.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.firsts.type,parentSchema:schema151.properties.firsts,data:data6}];
+validate110.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema152.properties.firsts.type,parentSchema:schema152.properties.firsts,data:data6}];
 return false;
 }
 }
@@ -6398,7 +6421,7 @@
 let data9 = data8[i3];
 const _errs17 = errors;
 if(!(((data9 === "good") || (data9 === "bad")) || (data9 === "full"))){
-validate110.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema151.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema151.properties.verdicts.items.enum,parentSchema:schema151.properties.verdicts.items,data:data9}];
+validate110.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema152.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema152.properties.verdicts.items.enum,parentSchema:schema152.properties.verdicts.items,data:data9}];
 return false;
 }
 var valid4 = _errs17 === errors;
@@ -6408,7 +6431,7 @@
 }
 }
 else {
-validate110.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.verdicts.type,parentSchema:schema151.properties.verdicts,data:data8}];
+validate110.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema152.properties.verdicts.type,parentSchema:schema152.properties.verdicts,data:data8}];
 return false;
 }
 }
@@ -6425,7 +6448,7 @@
 }
 }
 else {
-validate110.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema151.type,parentSchema:schema151,data}];
+validate110.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema152.type,parentSchema:schema152,data}];
 return false;
 }
 }
@@ -6449,7 +6472,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.uses === undefined) && (missing0 = "uses"))){
-validate109.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema150.required,parentSchema:schema150,data}];
+validate109.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema151.required,parentSchema:schema151,data}];
 return false;
 }
 else {
@@ -6457,11 +6480,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate109.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema150.properties.type.type,parentSchema:schema150.properties.type,data:data0}];
+validate109.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema151.properties.type.type,parentSchema:schema151.properties.type,data:data0}];
 return false;
 }
 if("use" !== data0){
-validate109.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema150.properties.type,data:data0}];
+validate109.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema151.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6490,7 +6513,7 @@
 }
 }
 else {
-validate109.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema150.properties.uses.type,parentSchema:schema150.properties.uses,data:data1}];
+validate109.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema151.properties.uses.type,parentSchema:schema151.properties.uses,data:data1}];
 return false;
 }
 }
@@ -6503,7 +6526,7 @@
 }
 }
 else {
-validate109.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema150.type,parentSchema:schema150,data}];
+validate109.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema151.type,parentSchema:schema151,data}];
 return false;
 }
 }
@@ -6512,7 +6535,7 @@
 }
 validate109.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema154 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema155 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
 
 function validate115(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6528,7 +6551,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
-validate115.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema154.required,parentSchema:schema154,data}];
+validate115.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema155.required,parentSchema:schema155,data}];
 return false;
 }
 else {
@@ -6536,11 +6559,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema154.properties.type.type,parentSchema:schema154.properties.type,data:data0}];
+validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema155.properties.type.type,parentSchema:schema155.properties.type,data:data0}];
 return false;
 }
 if("suspects" !== data0){
-validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema154.properties.type,data:data0}];
+validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema155.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6569,7 +6592,7 @@
 }
 }
 else {
-validate115.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema154.properties.suspects.type,parentSchema:schema154.properties.suspects,data:data1}];
+validate115.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema155.properties.suspects.type,parentSchema:schema155.properties.suspects,data:data1}];
 return false;
 }
 }
@@ -6582,7 +6605,7 @@
 }
 }
 else {
-validate115.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema154.type,parentSchema:schema154,data}];
+validate115.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema155.type,parentSchema:schema155,data}];
 return false;
 }
 }
@@ -6591,7 +6614,7 @@
 }
 validate115.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema155 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema156 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
 function validate117(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6607,7 +6630,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.limits === undefined) && (missing0 = "limits"))){
-validate117.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema155.required,parentSchema:schema155,data}];
+validate117.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema156.required,parentSchema:schema156,data}];
 return false;
 }
 else {
@@ -6615,11 +6638,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema155.properties.type.type,parentSchema:schema155.properties.type,data:data0}];
+validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema156.properties.type.type,parentSchema:schema156.properties.type,data:data0}];
 return false;
 }
 if("limits" !== data0){
-validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema155.properties.type,data:data0}];
+validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema156.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6648,7 +6671,7 @@
 }
 }
 else {
-validate117.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema155.properties.limits.type,parentSchema:schema155.properties.limits,data:data1}];
+validate117.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema156.properties.limits.type,parentSchema:schema156.properties.limits,data:data1}];
 return false;
 }
 }
@@ -6661,7 +6684,7 @@
 }
 }
 else {
-validate117.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema155.type,parentSchema:schema155,data}];
+validate117.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema156.type,parentSchema:schema156,data}];
 return false;
 }
 }
@@ -6670,7 +6693,7 @@
 }
 validate117.evaluated = {"props":{"type":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema156 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
+const schema157 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
 
 function validate119(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6686,7 +6709,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.inFlight === undefined) && (missing0 = "inFlight"))){
-validate119.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema156.required,parentSchema:schema156,data}];
+validate119.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema157.required,parentSchema:schema157,data}];
 return false;
 }
 else {
@@ -6694,11 +6717,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate119.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema156.properties.type.type,parentSchema:schema156.properties.type,data:data0}];
+validate119.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema157.properties.type.type,parentSchema:schema157.properties.type,data:data0}];
 return false;
 }
 if("slots" !== data0){
-validate119.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema156.properties.type,data:data0}];
+validate119.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema157.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6739,13 +6762,13 @@
 let data2 = data.inFlight;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate119.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema156.properties.inFlight.type,parentSchema:schema156.properties.inFlight,data:data2}];
+validate119.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema157.properties.inFlight.type,parentSchema:schema157.properties.inFlight,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate119.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema156.properties.inFlight,data:data2}];
+validate119.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema157.properties.inFlight,data:data2}];
 return false;
 }
 }
@@ -6760,7 +6783,7 @@
 }
 }
 else {
-validate119.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema156.type,parentSchema:schema156,data}];
+validate119.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema157.type,parentSchema:schema157,data}];
 return false;
 }
 }
@@ -6784,7 +6807,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema135.required,parentSchema:schema135,data}];
+validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema136.required,parentSchema:schema136,data}];
 return false;
 }
 else {
@@ -6857,7 +6880,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.fingerprint === undefined) && (missing1 = "fingerprint"))){
-validate101.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema158.required,parentSchema:schema158,data}];
+validate101.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema159.required,parentSchema:schema159,data}];
 return false;
 }
 else {
@@ -6865,11 +6888,11 @@
 let data0 = data.type;
 const _errs10 = errors;
 if(typeof data0 !== "string"){
-validate101.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema158.properties.type.type,parentSchema:schema158.properties.type,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema159.properties.type.type,parentSchema:schema159.properties.type,data:data0}];
 return false;
 }
 if("lease-over" !== data0){
-validate101.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema158.properties.type,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema159.properties.type,data:data0}];
 return false;
 }
 var valid8 = _errs10 === errors;
@@ -6884,18 +6907,18 @@
 if(errors === _errs12){
 if(typeof data1 === "string"){
 if(data1.length > 64){
-validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema158.properties.fingerprint,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema159.properties.fingerprint,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema158.properties.fingerprint,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema159.properties.fingerprint,data:data1}];
 return false;
 }
 }
 }
 else {
-validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema158.properties.fingerprint.type,parentSchema:schema158.properties.fingerprint,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema159.properties.fingerprint.type,parentSchema:schema159.properties.fingerprint,data:data1}];
 return false;
 }
 }
@@ -6909,7 +6932,7 @@
 let data2 = data.unused;
 const _errs14 = errors;
 if(typeof data2 !== "boolean"){
-validate101.errors = [{instancePath:instancePath+"/unused",schemaPath:"#/$defs/LeaseOverNotice/properties/unused/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema158.properties.unused.type,parentSchema:schema158.properties.unused,data:data2}];
+validate101.errors = [{instancePath:instancePath+"/unused",schemaPath:"#/$defs/LeaseOverNotice/properties/unused/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema159.properties.unused.type,parentSchema:schema159.properties.unused,data:data2}];
 return false;
 }
 var valid8 = _errs14 === errors;
@@ -6922,7 +6945,7 @@
 }
 }
 else {
-validate101.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema158.type,parentSchema:schema158,data}];
+validate101.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema159.type,parentSchema:schema159,data}];
 return false;
 }
 }
@@ -6957,18 +6980,18 @@
 }
 }
 else {
-validate101.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema135.discriminator,parentSchema:schema135,data}];
+validate101.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema136.discriminator,parentSchema:schema136,data}];
 return false;
 }
 }
 else {
-validate101.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema135.discriminator,parentSchema:schema135,data}];
+validate101.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema136.discriminator,parentSchema:schema136,data}];
 return false;
 }
 }
 }
 else {
-validate101.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema135.type,parentSchema:schema135,data}];
+validate101.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema136.type,parentSchema:schema136,data}];
 return false;
 }
 }
@@ -6993,7 +7016,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema134.required,parentSchema:schema134,data}];
+validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema135.required,parentSchema:schema135,data}];
 return false;
 }
 else {
@@ -7001,11 +7024,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema134.properties.type.type,parentSchema:schema134.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema135.properties.type.type,parentSchema:schema135.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema134.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema135.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -7029,7 +7052,7 @@
 }
 }
 else {
-validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema134.type,parentSchema:schema134,data}];
+validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema135.type,parentSchema:schema135,data}];
 return false;
 }
 }
