--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -2,7 +2,7 @@
 
 import test from "ava";
 import * as fixture from "../endpoints/fixture.ts";
-import type * as endpoints from "../endpoints/mod.ts";
+import * as endpoints from "../endpoints/mod.ts";
 import * as gateway from "./mod.ts";
 
 const PARTS = [{ id: "shared", tokens: 6000 }, { id: "own", tokens: 100 }];
@@ -13,6 +13,8 @@
   parts: PARTS,
 };
 
+const ROSTER_TIMES = { silenceTimeoutMs: 4000, retentionMs: 60_000 };
+
 function createEntry(change: Partial<endpoints.RosterEntry>) {
   return fixture.entry({ service: "models", ...change });
 }
@@ -59,6 +61,33 @@
   t.is(engine().cachedPrefixes!.cachedTokens(PROMPT), 0);
 });
 
+// Guards against a restarted endpoint that hosts lose when messages of its former
+// incarnation arrive late.
+test("late messages of a former incarnation leave its successor in the pool", (t) => {
+  const pool = gateway.EndpointPool.create();
+  const roster = endpoints.Roster.create(ROSTER_TIMES);
+  const hear = (change: Partial<endpoints.EndpointStatus>, heardAt: number) => {
+    const status = fixture.endpointStatus({ service: "models", ...change });
+    roster.merge({ status, heardAt });
+    return pool.update(roster.entries, createService({}));
+  };
+  hear({ born: 100, sequence: 70 }, 0);
+  const [former] = hear({ born: 200, sequence: 1 }, 1000);
+  t.like(former, { identity: { id: "i-1~100" }, isRestarted: true });
+  t.deepEqual(hear({ born: 100, sequence: 71 }, 1100), []);
+  t.deepEqual(hear({ born: 100, sequence: 72, state: "draining" }, 1200), []);
+  t.deepEqual(hear({ born: 100, address: "10.9.9.9:80" }, 1300), []);
+  roster.recordLeave({ id: "i-1", born: 100 }, 1400);
+  t.deepEqual(pool.update(roster.entries, createService({})), []);
+  t.deepEqual(
+    pool.usable("models", 1500).map(({ identity }) => identity.id),
+    ["i-1~200"],
+  );
+  t.is(pool.at("10.0.0.1:80")?.identity.id, "i-1~200");
+  roster.recordLeave({ id: "i-1", born: 200 }, 1600);
+  t.is(pool.update(roster.entries, createService({})).length, 1);
+});
+
 test("an engine that restarts keeps the name that calls are addressed to", (t) => {
   const { update, engine } = createPool({ born: 100 });
   const { id, name } = engine().identity;
