Roster: a report of an unknown service hides no endpoint in use

Cause: hosts ordered reports under one id by start time and sequence alone, and entries at one address by when they were heard. A heartbeat with an unknown service under the id or at the address of an endpoint in use took its place. The pool also kept the service with which it first knew an incarnation. Change: a roster knows the services of the configuration. A report of an unknown service replaces no entry of a known one, and is replaced by any. The pool prefers known services at an address and adds an incarnation anew when its service becomes known. Entry hosts merge endpoints after the configuration that comes with them. Control hosts count and log heartbeats with unknown services, and bound lines about messages that can't be decoded by a limit of their own.

--- a/src/endpoints/roster.ts
+++ b/src/endpoints/roster.ts
@@ -7,6 +7,11 @@
  * wins, and `gone` is final. An endpoint without heartbeats is marked silent,
  * not removed: a partition between it and this host does not mean that calls
  * to it fail.
+ *
+ * A report that names an unknown service may come from another writer. It is
+ * kept, since the service may become known, but it does not replace a report of
+ * a known service under the same id, and any of these replaces it. Hosts with
+ * the same configuration have the same roster.
  * @module */
 
 import * as incarnations from "./incarnation.ts";
@@ -43,13 +48,16 @@
   readonly firstHeardAt: number;
 }
 
-/** Timeouts of a roster. */
+/** Timeouts of a roster, and the services that it knows. */
 export interface RosterOptions {
   /** Time without a heartbeat after which an endpoint is marked silent. */
   readonly silenceTimeoutMs: number;
   /** Time without a heartbeat after which an endpoint that is silent or gone is
    * removed. */
   readonly retentionMs: number;
+  /** Whether the configuration has a service. Absent if all services are
+   * known. */
+  isKnownService?(service: string): boolean;
 }
 
 /** A status report as received by this host. */
@@ -109,7 +117,8 @@
     const known = this.#entries.get(status.id);
     const order = known === undefined
       ? 1
-      : compareIncarnation(status, known, heardAt);
+      : this.#compareService(status, known) ||
+        compareIncarnation(status, known, heardAt);
     if (known === undefined || order > 0) {
       const reported = { coldUntil, isSilent: isSilent ?? false };
       this.#store({
@@ -164,6 +173,16 @@
     );
   }
 
+  /** Above 0 if only the service of a report is known, below 0 if only that of
+   * the known entry is. Departures name no service. */
+  #compareService(status: EndpointStatus, known: RosterEntry): number {
+    const { isKnownService = () => true } = this.#options;
+    if (status.service === known.service) return 0;
+    if (status.state === "gone" || known.state === "gone") return 0;
+    return Number(isKnownService(status.service)) -
+      Number(isKnownService(known.service));
+  }
+
   #store(entry: Omit<RosterEntry, "revision">): void {
     this.#entries.set(entry.id, { ...entry, revision: ++this.#revision });
   }
--- a/src/endpoints/roster_test.ts
+++ b/src/endpoints/roster_test.ts
@@ -124,3 +124,75 @@
   t.false(heartbeat(4, 5000, 0));
   t.true(heartbeat(5, 6000, 9000), "cold again");
 });
+
+/** A roster that knows the service `desk` and those in `services`. */
+function rosterWithServices(services = new Set(["desk"])) {
+  const roster = endpoints.Roster.create({
+    ...TIMES,
+    isKnownService: (service) => services.has(service),
+  });
+  let heardAt = 0;
+  const hear = (change: Partial<endpoints.EndpointStatus>) =>
+    roster.merge({
+      status: fixture.endpointStatus({ born: 100, ...change }),
+      heardAt: ++heardAt,
+    });
+  return { roster, hear, services };
+}
+
+const FOREIGN: Record<string, Partial<endpoints.EndpointStatus>> = {
+  "a later incarnation": { born: 900 },
+  "a later sequence number": { sequence: 900 },
+  "a drain": { sequence: 900, state: "draining" },
+  "another address": { sequence: 900, address: "10.9.9.9:80" },
+};
+
+// Guards against an endpoint that is lost to all hosts because another writer
+// sends heartbeats under its id.
+for (const [what, change] of Object.entries(FOREIGN)) {
+  test(`a report of an unknown service does not replace a known one: ${what}`, (t) => {
+    const foreign = { service: "unknown", ...change };
+    const { roster, hear } = rosterWithServices();
+    hear({ sequence: 5 });
+    const before = roster.get("i-1");
+    t.false(hear(foreign));
+    t.deepEqual(roster.get("i-1"), before);
+    t.false(hear({ sequence: 6 }), "the next heartbeat changes nothing");
+    t.is(roster.get("i-1")?.sequence, 6);
+
+    const later = rosterWithServices();
+    later.hear(foreign);
+    t.true(later.hear({ sequence: 6 }), "also if the foreign one came first");
+    t.like(later.roster.get("i-1"), {
+      service: "desk",
+      born: 100,
+      state: "ready",
+      address: "10.0.0.1:80",
+    });
+  });
+}
+
+test("a report of a service that becomes known later applies from then on", (t) => {
+  const { roster, hear, services } = rosterWithServices();
+  hear({ sequence: 5 });
+  hear({ service: "map", born: 200, sequence: 1 });
+  t.is(roster.get("i-1")?.service, "desk");
+  services.add("map");
+  t.true(hear({ service: "map", born: 200, sequence: 2 }));
+  t.is(roster.get("i-1")?.service, "map");
+});
+
+test("an endpoint that has left may come back with an unknown service", (t) => {
+  const { roster, hear } = rosterWithServices();
+  hear({ sequence: 5 });
+  roster.recordLeave({ id: "i-1", born: 100 }, 10);
+  t.true(hear({ service: "map", born: 200, sequence: 1 }));
+  t.is(roster.get("i-1")?.service, "map");
+});
+
+test("a leave ends an endpoint whatever services are known", (t) => {
+  const { roster, hear } = rosterWithServices();
+  hear({ sequence: 5 });
+  t.true(roster.recordLeave({ id: "i-1", born: 100 }, 10));
+  t.is(roster.get("i-1")?.state, "gone");
+});
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -13,9 +13,11 @@
 import * as controlServer from "./control_server.ts";
 import * as controlMembers from "./control_members.ts";
 import * as entryMembers from "./entry_members.ts";
+import * as knownServices from "./known_services.ts";
 import * as syncSessions from "./sync_sessions.ts";
 import * as protocol from "./control_protocol.ts";
 import * as operatorCommands from "./operator_commands.ts";
+import * as telemetry from "../telemetry/mod.ts";
 import * as coalescers from "./coalescer.ts";
 import * as endpointReplicator from "./endpoint_replicator.ts";
 import type * as settings from "./settings.ts";
@@ -40,9 +42,14 @@
  * losses must be tolerated. */
 const DEFAULT_VOTER_COUNT = 5;
 
+/** Log lines about heartbeats that name an unknown service: endpoints of a new
+ * service send many until the configuration has it. */
+const UNKNOWN_SERVICE_LOG_BOUNDS = { rate: 0.2, burst: 5 };
+
 /** Dependencies of a control host. */
 export interface ControlHostOptions extends hostContext.HostContext {
   protocol: protocol.ControlProtocol;
+  decodeConfiguration: hostContext.DecodeConfiguration;
   openStorage: versions.OpenStorage;
   /** Opens a storage apart from the log's, for the origins of streams. */
   openOriginStorage: origins.OpenStorage;
@@ -67,6 +74,8 @@
   readonly #members: controlMembers.ControlMembers;
   readonly #entryMembers = entryMembers.EntryMembers.create();
   readonly #roster: endpoints.Roster;
+  readonly #services: knownServices.KnownServices;
+  readonly #unknownServiceLogger: telemetry.Logger;
   readonly #replicator: endpointReplicator.EndpointReplicator;
   readonly #coordinator: quarantine.Coordinator;
   readonly #quotaServer: rateLimits.QuotaServer;
@@ -89,9 +98,19 @@
       known: seeds,
       now: clock.now(),
     });
+    this.#services = knownServices.KnownServices.create({
+      ...options,
+      configuration: () => this.#store?.configuration,
+    });
+    this.#unknownServiceLogger = telemetry.boundLogger(
+      options.logger,
+      clock,
+      UNKNOWN_SERVICE_LOG_BOUNDS,
+    );
     this.#roster = endpoints.Roster.create({
       silenceTimeoutMs: MISSED_HEARTBEAT_COUNT * heartbeatInterval,
       retentionMs: RETENTION_MS,
+      isKnownService: (name) => this.#services.has(name),
     });
     this.#network = hostContext.createNetwork(options, {
       handlers: {
@@ -431,6 +450,9 @@
   async #handleHeartbeat(
     { sighting, coldFor }: CommandOf<"heartbeat">,
   ): Promise<protocol.ControlResponse> {
+    if (!this.#services.has(sighting.service)) {
+      this.#recordUnknownService(sighting);
+    }
     const heard = this.#options.clock.now();
     const coldUntil = coldFor > 0 ? heard + coldFor : 0;
     const isChange = this.#roster.merge({
@@ -443,6 +465,17 @@
     return await this.#replicateChange(sighting.id, sighting.state);
   }
 
+  /** Records a heartbeat that names an unknown service. */
+  #recordUnknownService(
+    { id, born, service, address }: endpoints.EndpointStatus,
+  ): void {
+    this.#options.metrics.count("control.unknown_service");
+    this.#unknownServiceLogger.warn(
+      { endpoint: id, born, service, address },
+      "Heartbeat names a service that the configuration does not have",
+    );
+  }
+
   #handleLeave(
     { id, born }: CommandOf<"leave">,
   ): Promise<protocol.ControlResponse> {
--- a/src/fleet/control_protocol.ts
+++ b/src/fleet/control_protocol.ts
@@ -40,6 +40,8 @@
   readonly status: number;
   /** JSON text. */
   readonly body: string;
+  /** Why the request cannot be decoded. */
+  readonly fault?: string;
 }
 
 /** Decodes requests to control hosts. */
--- a/src/fleet/control_server.ts
+++ b/src/fleet/control_server.ts
@@ -3,13 +3,16 @@
 
 import type * as http from "node:http";
 import type * as runtime from "../runtime/mod.ts";
-import type * as telemetry from "../telemetry/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
 import * as errors from "./errors.ts";
 import * as httpListener from "./http_listener.ts";
 import * as protocol from "./control_protocol.ts";
 
 /** Enough for a configuration with thousands of routes. */
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** Log lines about requests that cannot be decoded: another writer may send many
+ * of them, and other lines must remain. */
+const MALFORMED_LOG_BOUNDS = { rate: 1, burst: 10 };
 /** Targets in log lines are truncated, since clients may send any length. */
 const MAX_LOGGED_CHARACTERS = 300;
 
@@ -37,10 +40,16 @@
 /** A listening control server. */
 export class ControlServer {
   readonly #options: ControlServerOptions;
+  readonly #malformedLogger: telemetry.Logger;
   #server!: http.Server;
 
   private constructor(options: ControlServerOptions) {
     this.#options = options;
+    this.#malformedLogger = telemetry.boundLogger(
+      options.logger,
+      options.clock,
+      MALFORMED_LOG_BOUNDS,
+    );
   }
 
   /** Starts to listen; resolves once requests are accepted. */
@@ -65,13 +74,14 @@
     const { clock, metrics, logger } = this.#options;
     const started = clock.now();
     const connection = { isClosed: () => response.closed };
-    const { status, body } = await this.#respond(request, connection);
+    const { status, body, fault } = await this.#respond(request, connection);
     const target = (request.url ?? "").slice(0, MAX_LOGGED_CHARACTERS);
     metrics.time("control.duration", clock.now() - started, {
       status: `${status}`,
     });
     if (status >= 400) {
-      logger.info({ target, status, body }, "Control request refused");
+      const fitting = fault === undefined ? logger : this.#malformedLogger;
+      fitting.info({ target, status, body, fault }, "Control request refused");
     }
     response.writeHead(status, {
       "content-type": "application/json",
@@ -110,7 +120,8 @@
     metrics.count("control.calls", 1, { type: parsed.type });
     if (parsed.type === "malformed") {
       metrics.count("control.malformed", 1, { fault: parsed.fault });
-      return protocol.problem(400, parsed.detail);
+      const { detail, fault } = parsed;
+      return { ...protocol.problem(400, detail), fault };
     }
     if (parsed.type === "unknown") return protocol.problem(404, "no such call");
     const handler = handlers[parsed.type] as (
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -40,15 +40,10 @@
  * differ. */
 const RETURN_WINDOW_MS = 15_000;
 
-/** Decodes a configuration; throws when it is invalid. */
-export type DecodeConfiguration = (
-  document: string,
-) => configurations.Configuration;
-
 /** Dependencies of an entry host. */
 export interface EntryHostOptions extends hostContext.HostContext {
   protocol: gateway.GatewayProtocol;
-  decodeConfiguration: DecodeConfiguration;
+  decodeConfiguration: hostContext.DecodeConfiguration;
 }
 
 /** A running entry host. */
@@ -128,6 +123,7 @@
       seeds,
       calls: this.#network.calls,
       isReady: () => this.#isReady,
+      isKnownService: (name) => this.#catalogue?.service(name) !== undefined,
       onVersion: (_, document) => this.#applyConfiguration(document),
       onChange: () => this.#applyChanges(),
       onNewSource: (controlHost) => void this.#guard.sendAll(controlHost),
--- a/src/fleet/host_context.ts
+++ b/src/fleet/host_context.ts
@@ -2,6 +2,7 @@
  * RPC layer between hosts.
  * @module */
 
+import type * as configurations from "../configuration/mod.ts";
 import * as peers from "../peers/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
@@ -19,6 +20,11 @@
   metrics: telemetry.Metrics;
 }
 
+/** Decodes a configuration; throws when it is invalid. */
+export type DecodeConfiguration = (
+  document: string,
+) => configurations.Configuration;
+
 /** Transport of a host, and RPC over it. */
 export interface Network {
   transport: peers.Peers;
--- a/src/fleet/sync_client.ts
+++ b/src/fleet/sync_client.ts
@@ -44,6 +44,8 @@
   calls: Pick<peers.Rpc, "ask">;
   logger: telemetry.Logger;
   isReady(): boolean;
+  /** Whether the configuration that was applied last has a service. */
+  isKnownService(service: string): boolean;
   /** A newer configuration than any before has arrived. */
   onVersion(version: number, document: string): void;
   /** Replies come from another control host, or from a restarted one, which has
@@ -59,10 +61,7 @@
 
 /** Syncs with the control hosts. */
 export class SyncClient {
-  readonly roster = endpoints.Roster.create({
-    silenceTimeoutMs: Infinity,
-    retentionMs: RETENTION_MS,
-  });
+  readonly roster: endpoints.Roster;
   readonly #options: SyncClientOptions;
   #revision = NO_REVISION;
   readonly #directory: controlHostDirectory.ControlHostDirectory;
@@ -79,6 +78,11 @@
 
   private constructor(options: SyncClientOptions) {
     this.#options = options;
+    this.roster = endpoints.Roster.create({
+      silenceTimeoutMs: Infinity,
+      retentionMs: RETENTION_MS,
+      isKnownService: options.isKnownService,
+    });
     this.#directory = controlHostDirectory.ControlHostDirectory.create(
       options.seeds,
     );
@@ -257,15 +261,24 @@
     const now = clock.now();
     if (reply.suspects !== undefined) onSuspects(reply.suspects);
     onLimits(reply.limits ?? []);
+    try {
+      if (reply.confirmed) this.#applyConfirmed(controlHost, reply, sentAt);
+      else this.#directory.addReported(reply.cores, now);
+    } finally {
+      // After the configuration, which decides what services are known.
+      this.#mergeSightings(reply);
+      onChange();
+    }
+  }
+
+  #mergeSightings(reply: schema.SyncedReply): void {
+    const now = this.#options.clock.now();
     // A partitioned control host receives few heartbeats, so endpoints that it
     // reports as silent may be live.
     const judges = !reply.confirmed;
     for (const sighting of reply.sightings) {
       this.roster.merge(rosterCodec.decode(sighting, { now, judges }));
     }
-    if (reply.confirmed) this.#applyConfirmed(controlHost, reply, sentAt);
-    else this.#directory.addReported(reply.cores, now);
-    onChange();
   }
 
   #applyConfirmed(
--- a/src/fleet/sync_client_fixture.ts
+++ b/src/fleet/sync_client_fixture.ts
@@ -37,13 +37,18 @@
 export interface FixtureOptions {
   readonly seeds?: readonly string[];
   readonly logger?: telemetry.Logger;
+  isKnownService?(service: string): boolean;
 }
 
 /** Creates a started sync client with the seeds `a` and `b`, or others. Changes
  * of `replies` take effect on later polls. */
 export function createSyncClient(
   replies: Replies,
-  { seeds = ["a", "b"], logger = telemetry.noLogger }: FixtureOptions = {},
+  {
+    seeds = ["a", "b"],
+    logger = telemetry.noLogger,
+    isKnownService = () => true,
+  }: FixtureOptions = {},
 ) {
   const clock = new runtime.FakeClock();
   const requests: { core: string; question: schema.SyncQuestion }[] = [];
@@ -56,6 +61,7 @@
     random: { next: () => 0, below: () => 0 },
     logger,
     isReady: () => true,
+    isKnownService: (service) => isKnownService(service),
     onVersion: (_, document) => void versions.push(document),
     onChange() {},
     onNewSource() {},
--- a/src/fleet/sync_client_test.ts
+++ b/src/fleet/sync_client_test.ts
@@ -130,3 +130,27 @@
   await run(1000);
   t.deepEqual(active(), []);
 });
+
+// Guards against an endpoint that stays hidden on a host which hears of it
+// together with the configuration that makes its service known.
+test("endpoints are merged by the configuration that comes with them", async (t) => {
+  const foreign = { service: "unknown", born: 900 };
+  const replies: fixture.Replies = {
+    a: { sightings: [fixture.sighting(foreign)] },
+  };
+  const host = fixture.createSyncClient(replies, {
+    isKnownService: (service) =>
+      host.versions.includes("four") && service === "desk",
+  });
+  const { client, run } = host;
+  await run(500);
+  t.is(client.roster.get("i-1")?.service, "unknown");
+  replies.a = {
+    version: 4,
+    document: "four",
+    revision: 2,
+    sightings: [fixture.sighting({ born: 100 })],
+  };
+  await run(700);
+  t.is(client.roster.get("i-1")?.service, "desk");
+});
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -55,24 +55,31 @@
   ): EndedEndpoint[] {
     const currentIds = new Set<string>();
     const currentNames = new Set<string>();
-    const newest = newestByAddress(entries);
+    const isKnown = (name: string) => service(name) !== undefined;
+    const ended: endpoint.Endpoint[] = [];
+    const newest = newestByAddress(entries, isKnown);
     for (const entry of newest.values()) {
       const id = incarnations.keyOf(entry);
       currentIds.add(id);
       currentNames.add(entry.id);
+      const known = this.#byId.get(id);
+      const isReplaced = known !== undefined &&
+        known.identity.service !== entry.service &&
+        isKnown(entry.service) && !isKnown(known.identity.service);
+      if (isReplaced) ended.push(this.#remove(id, known));
       const updated = this.#byId.get(id) ?? this.#add(entry);
       this.#applyService(updated, service(entry.service));
       updated.isReady = entry.state === "ready";
       updated.isSilent = entry.isSilent;
       updated.coldUntil = entry.coldUntil;
     }
-    const ended = [...this.#byId].filter(([id]) => !currentIds.has(id));
-    return ended.map(([id, known]) => {
-      known.isReady = false;
-      this.#remove(id, known);
-      const { identity } = known;
-      return { identity, isRestarted: currentNames.has(identity.name) };
-    });
+    for (const [id, known] of [...this.#byId]) {
+      if (!currentIds.has(id)) ended.push(this.#remove(id, known));
+    }
+    return ended.map(({ identity }) => ({
+      identity,
+      isRestarted: currentNames.has(identity.name),
+    }));
   }
 
   /** Sets the evacuated data centres. Endpoints of those just returned to
@@ -245,7 +252,9 @@
     return created;
   }
 
-  #remove(id: string, { identity, announcements }: endpoint.Endpoint): void {
+  #remove(id: string, removed: endpoint.Endpoint): endpoint.Endpoint {
+    const { identity, announcements } = removed;
+    removed.isReady = false;
     this.#revision++;
     if (!announcements.isEmpty) this.#former.set(id, announcements);
     const [oldest] = this.#former.keys();
@@ -258,6 +267,7 @@
       each.identity.id !== id
     );
     this.#byService.set(identity.service, remaining);
+    return removed;
   }
 }
 
@@ -285,18 +295,31 @@
   return healthy.length > 0 ? healthy : candidates;
 }
 
-/** For each address, the entry heard from last: the others at that address have
- * ended, announced or not. */
+/** For each address, the entry of a known service that was heard from last: the
+ * others at that address have ended, announced or not. An entry of an unknown
+ * service may come from another writer, so it counts only where there is no
+ * other. */
 function newestByAddress(
   entries: Iterable<endpoints.RosterEntry>,
+  isKnown: (service: string) => boolean,
 ): Map<string, endpoints.RosterEntry> {
   const newest = new Map<string, endpoints.RosterEntry>();
   for (const entry of entries) {
     if (entry.state === "gone") continue;
     const other = newest.get(entry.address);
-    if (other === undefined || other.heardAt < entry.heardAt) {
+    if (other === undefined || isPreferred(entry, other, { isKnown })) {
       newest.set(entry.address, entry);
     }
   }
   return newest;
 }
+
+function isPreferred(
+  entry: endpoints.RosterEntry,
+  other: endpoints.RosterEntry,
+  { isKnown }: { isKnown(service: string): boolean },
+): boolean {
+  const isEntryKnown = isKnown(entry.service);
+  if (isEntryKnown !== isKnown(other.service)) return isEntryKnown;
+  return other.heardAt < entry.heardAt;
+}
--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -244,3 +244,66 @@
   update({ born: 200 });
   t.false(engine().announcements.isLeaving(10), "the next incarnation stays");
 });
+
+/** A pool before a configuration with the service `models`, and those in
+ * `services`. */
+function createPoolOfServices(services = new Set(["models"])) {
+  const pool = gateway.EndpointPool.create();
+  const update = (...entries: Partial<endpoints.RosterEntry>[]) =>
+    pool.update(
+      entries.map(createEntry),
+      (name) => services.has(name) ? { name, connections: 10 } : undefined,
+    );
+  const usable = (service = "models") =>
+    pool.usable(service, 0).map(({ identity }) => identity.id);
+  return { pool, update, usable, services };
+}
+
+// Guards against an endpoint in use that hosts end because another writer sends
+// heartbeats with its address.
+test("an unknown service does not hide the endpoint at its address", (t) => {
+  const { pool, update, usable } = createPoolOfServices();
+  const own = { heardAt: 0 };
+  const foreign = { id: "x", service: "unknown", heardAt: 500 };
+  update(own);
+  const [known] = pool.endpointsOf("models");
+  t.deepEqual(update(own, foreign), []);
+  t.deepEqual(update(foreign, own), []);
+  t.is(pool.endpointsOf("models")[0], known);
+  t.is(pool.at("10.0.0.1:80"), known);
+  t.deepEqual(usable(), ["i-1"]);
+});
+
+test("an address may be reused by an endpoint of another known service", (t) => {
+  const { update, usable, services } = createPoolOfServices();
+  const former = { heardAt: 0 };
+  const next = { id: "i-2", service: "map", heardAt: 500 };
+  update(former);
+  update(former, next);
+  t.deepEqual(usable(), ["i-1"], "the other service is not known yet");
+  services.add("map");
+  const [ended] = update(former, next);
+  t.like(ended, { identity: { id: "i-1" }, isRestarted: false });
+  t.deepEqual([usable(), usable("map")], [[], ["i-2"]]);
+});
+
+// Guards against an endpoint that stays hidden after another writer's heartbeat
+// under its id had come first.
+test("a known service replaces an unknown one of the same incarnation", (t) => {
+  const { pool, update, usable } = createPoolOfServices();
+  update({ service: "unknown", born: 1, address: "10.9.9.9:80" });
+  const [ended] = update({ born: 1 });
+  t.is(ended.identity.service, "unknown");
+  t.deepEqual(usable(), ["i-1~1"]);
+  t.is(pool.at("10.9.9.9:80"), undefined);
+  t.is(pool.at("10.0.0.1:80")?.identity.service, "models");
+});
+
+test("an endpoint whose service leaves the configuration keeps its place", (t) => {
+  const { pool, update, services } = createPoolOfServices();
+  update({ born: 1 });
+  const [known] = pool.endpointsOf("models");
+  services.delete("models");
+  t.deepEqual(update({ born: 1 }), []);
+  t.is(pool.endpointsOf("models")[0], known);
+});
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -121,6 +121,10 @@
     type: "count",
     help: "Calls that could not be read, by what is wrong",
   },
+  "control.unknown_service": {
+    type: "count",
+    help: "Heartbeats that name a service which the configuration lacks",
+  },
   "control.duration": { type: "time", help: "Of calls to a control host" },
   "config.unconfirmed": { type: "count", help: "Reads without a majority" },
   "config.version": { type: "gauge", help: "Version in force here" },
