Requests: an endpoint's 503, 429 or 408 promises nothing by itself

Cause: these statuses promise a caller that its request has not run. An endpoint's answer with one of them, signed and without X-Not-Executed, was passed on also for requests that are not idempotent. A 408 for an incomplete head behind a request in flight was sent as the answer to that request. Change: such an answer becomes the host's own 502 (reason failed) where the route is not idempotent, and is retried like a 500 where it is. Invalid bytes behind a request in flight close the connection. Conclusion: the promise of a status holds on all paths to a caller.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -480,6 +480,9 @@
   }
 
   #answer({ head, body }: { head: protocols.ReplyHead; body: Buffer }): void {
+    if (!retries.mayRelayAnswer(this.#route!, head)) {
+      return this.#refuse("failed", { answered: head.status });
+    }
     this.#finish();
     this.#reply.send(head, body);
     this.#log("info", { status: head.status }, "Request answered");
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -18,6 +18,14 @@
 import * as gateway from "./mod.ts";
 import * as activeRequests from "./active_request.ts";
 
+/** Headers of an answer that are relayed to the caller. */
+function signatureOf(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  const signature = headers["test-signature"];
+  return signature === undefined ? {} : { "test-signature": `${signature}` };
+}
+
 /** Decodes answers from this test's own header names. */
 const TEST_PROTOCOL: gateway.GatewayProtocol = {
   decodeRequest: ({ method = "", url = "" }) => ({
@@ -39,9 +47,9 @@
     signature: headers["test-signature"] as string | undefined,
     isNotRun: headers["test-not-run"] !== undefined,
     leaving: headers["test-leaving"] === undefined ? undefined : "announced",
-    isMisdirected: false,
+    isMisdirected: status === 421,
     lacksInput: false,
-    headers: {},
+    headers: signatureOf(headers),
   }),
   batchCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
   decodeItemResults: () => undefined,
@@ -148,7 +156,13 @@
     const answer = await undici.request(`http://${gatewayAddress}/a/x`);
     return { status: answer.statusCode, text: await answer.body.text() };
   };
-  return { ask, sent, started, pool, context };
+  const askForHead = async () => {
+    const answer = await undici.request(`http://${gatewayAddress}/a/x`);
+    await answer.body.dump();
+    const { statusCode: status, headers } = answer;
+    return { status, signature: headers["test-signature"] };
+  };
+  return { ask, askForHead, sent, started, pool, context };
 }
 
 test("a call in flight when a host stops is not reported as not executed", async (t) => {
@@ -206,6 +220,63 @@
   t.is((await ask()).status, 503);
 });
 
+/** What a caller gets for a request of a kind, and the number of calls for it,
+ * before an endpoint that answers all of them in the same way. */
+async function answerTo(
+  t: ava.ExecutionContext,
+  kind: configurations.Route["kind"],
+  { status, headers = { "test-signature": "s" } }: {
+    status: number;
+    headers?: Record<string, string>;
+  },
+) {
+  let calls = 0;
+  const { askForHead } = await startHost(
+    t,
+    { kind, attempts: 2 },
+    (_, response) => {
+      calls++;
+      response.writeHead(status, headers).end("error");
+    },
+  );
+  return { ...await askForHead(), calls };
+}
+
+// The next tests guard against a status that promises the caller that a request
+// has not run although its endpoint does not say so, and against a second call
+// of one that may have run.
+for (const status of [503, 429, 408]) {
+  test(`an endpoint's ${status} counts as run`, async (t) => {
+    const unsafe = await answerTo(t, "unsafe", { status });
+    t.deepEqual(unsafe, { status: 502, signature: undefined, calls: 1 });
+    const stream = await answerTo(t, "streaming", { status });
+    t.deepEqual(stream, { status: 502, signature: undefined, calls: 1 });
+    const safe = await answerTo(t, "safe", { status });
+    t.deepEqual(safe, { status, signature: "s", calls: 2 });
+  });
+}
+
+test("an endpoint's own 500 and 504 reach the caller with its signature", async (t) => {
+  for (const status of [500, 504]) {
+    const unsafe = await answerTo(t, "unsafe", { status });
+    t.deepEqual(unsafe, { status, signature: "s", calls: 1 });
+  }
+});
+
+test("only a header or status 421 shows that an endpoint has not run a call", async (t) => {
+  const signed = { "test-signature": "s" };
+  const notRun = { ...signed, "test-not-run": "1" };
+  for (const status of [503, 429, 408, 500]) {
+    const refused = await answerTo(t, "unsafe", { status, headers: notRun });
+    t.deepEqual(refused, { status: 503, signature: undefined, calls: 1 });
+  }
+  const misdirected = await answerTo(t, "unsafe", {
+    status: 421,
+    headers: signed,
+  });
+  t.like(misdirected, { status: 503, signature: undefined });
+});
+
 test("a request that is not idempotent is sent once", async (t) => {
   let count = 0;
   const { ask } = await startHost(t, { kind: "unsafe" }, (request) => {
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -29,8 +29,18 @@
   | "failed"
   | "stopping";
 
-/** Answer for a reason. Only status 503 guarantees that the request has not
- * been executed and will not be. */
+/** Statuses that promise the caller that the request has not been executed and
+ * never will be, whoever answers. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Whether a status promises the caller that the request has not been
+ * executed and never will be. */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
+/** Answer for a reason. Of these statuses only 503 promises that the request has
+ * not been executed and never will be. */
 export interface Refusal {
   readonly status: number;
   /** Seconds until a retry; present if a retry can help. */
@@ -61,7 +71,7 @@
 /** Whether the answer for a reason guarantees that the request has not been
  * executed. */
 export function guaranteesNotRun(reason: RefusalReason): boolean {
-  return REFUSALS[reason].status === 503;
+  return promisesNotRun(REFUSALS[reason].status);
 }
 
 /** Answers by reason. The retry delay is the time within which the reason may
--- a/src/gateway/retry.ts
+++ b/src/gateway/retry.ts
@@ -3,6 +3,7 @@
 
 import * as configurations from "../configuration/mod.ts";
 import type * as attempts from "./attempt.ts";
+import * as refusals from "./refusal.ts";
 
 /** Calls that no endpoint executed which are allowed beyond a route's
  * attempts. */
@@ -41,12 +42,24 @@
 }
 
 /** Whether an endpoint's error answer is retried: for idempotent requests
- * another endpoint may succeed. */
+ * another endpoint may succeed. Without the header that says so, a status such
+ * as 429 does not show that the endpoint has not run the call. */
 export function shouldRetryAnswer(
   route: configurations.Route,
   { status }: { status: number },
   { runs }: RetryHistory,
 ): boolean {
-  return status >= 500 && configurations.isIdempotent(route) &&
+  const isError = status >= 500 || refusals.promisesNotRun(status);
+  return isError && configurations.isIdempotent(route) &&
     runs < route.attempts;
 }
+
+/** Whether an endpoint's answer may reach the caller: the status of a call that
+ * counts as run must not promise that a request which is not idempotent has not
+ * run. */
+export function mayRelayAnswer(
+  route: configurations.Route,
+  { status }: { status: number },
+): boolean {
+  return configurations.isIdempotent(route) || !refusals.promisesNotRun(status);
+}
--- a/src/gateway/retry_test.ts
+++ b/src/gateway/retry_test.ts
@@ -50,3 +50,23 @@
   t.false(retries.shouldRetryAnswer(unsafe, { status: 500 }, ONCE));
   t.false(retries.shouldRetryAnswer(safe, { status: 404 }, ONCE));
 });
+
+// Guards against callers who repeat a request that has run: these statuses
+// promise that it has not, but without a header that says so an endpoint's
+// answer does not.
+test("an endpoint's answer that would promise too much is an error answer", (t) => {
+  for (const status of [408, 429, 503]) {
+    t.true(retries.shouldRetryAnswer(safe, { status }, ONCE), `${status}`);
+    t.false(retries.shouldRetryAnswer(unsafe, { status }, ONCE), `${status}`);
+    t.false(retries.shouldRetryAnswer(stream, { status }, ONCE), `${status}`);
+    t.true(retries.mayRelayAnswer(safe, { status }), `${status}`);
+    t.true(retries.mayRelayAnswer(resumable, { status }), `${status}`);
+    t.false(retries.mayRelayAnswer(unsafe, { status }), `${status}`);
+    t.false(retries.mayRelayAnswer(stream, { status }), `${status}`);
+  }
+  for (const status of [200, 400, 404, 409, 500, 502, 504]) {
+    t.true(retries.mayRelayAnswer(unsafe, { status }), `${status}`);
+  }
+  const twice = { runs: 2, calls: 2 };
+  t.false(retries.shouldRetryAnswer(safe, { status: 429 }, twice));
+});
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -31,6 +31,8 @@
 export class Server {
   readonly #options: ServerOptions;
   readonly #activeRequests = new Set<activeRequests.ActiveRequest>();
+  /** Requests in flight by connection. */
+  readonly #inFlight = new WeakMap<net.Socket, number>();
   #callers!: http.Server;
   #readiness?: http.Server;
   #isDraining = false;
@@ -126,8 +128,16 @@
       response,
     });
     this.#activeRequests.add(active);
+    this.#countOnConnection(request.socket, 1);
     context.metrics.gauge("gateway.in_flight", this.#activeRequests.size);
-    void active.finished.then(() => this.#activeRequests.delete(active));
+    void active.finished.then(() => {
+      this.#activeRequests.delete(active);
+      this.#countOnConnection(request.socket, -1);
+    });
+  }
+
+  #countOnConnection(socket: net.Socket, change: number): void {
+    this.#inFlight.set(socket, (this.#inFlight.get(socket) ?? 0) + change);
   }
 
   #answerProbe(
@@ -142,7 +152,9 @@
     response.writeHead(isReady() && !this.#isDraining ? 200 : 503).end();
   }
 
-  /** Rejects bytes that are not a valid HTTP request; none were forwarded. */
+  /** Rejects bytes that are not a valid HTTP request; none were forwarded. Behind
+   * a request in flight the caller would take the status for its answer, and 408
+   * promises that it has not run, so the connection is closed. */
   #rejectInvalid(error: NodeJS.ErrnoException, socket: net.Socket): void {
     const { metrics, logger } = this.#options.context;
     const { code } = error;
@@ -151,7 +163,8 @@
       { code },
       "Invalid HTTP request from a caller; closing its connection",
     );
-    if (!socket.writable || code === "ECONNRESET") {
+    const isBusy = (this.#inFlight.get(socket) ?? 0) > 0;
+    if (!socket.writable || code === "ECONNRESET" || isBusy) {
       socket.destroy();
       return;
     }
