--- a/src/gateway/announcement_records.ts
+++ b/src/gateway/announcement_records.ts
@@ -1,9 +1,11 @@
 /** Records the announcements in an answer of an endpoint, whichever call it
  * answers: that it is cold, that it is leaving, and that it asks for a backoff.
+ * Those that cannot be parsed are counted and logged, load reports included.
  * @module */
 
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import type * as announcementKinds from "./announcements.ts";
 import type * as endpoints from "./endpoint.ts";
 import type * as protocols from "./protocol.ts";
 
@@ -30,6 +32,8 @@
   recordBrittleness(endpoint, head, options);
   recordLeaving(endpoint, head, options);
   recordBackoff(endpoint, head, options);
+  const unreadable = unreadableKinds(head);
+  if (unreadable.length > 0) recordUnreadable(endpoint, unreadable, options);
 }
 
 function recordBrittleness(
@@ -37,7 +41,7 @@
   { maxRejections }: protocols.ReplyHead,
   options: RecordOptions,
 ): void {
-  if (maxRejections === "unreadable") return recordUnreadable(target, options);
+  if (maxRejections === "unreadable") return;
   const { clock, logger, metrics, request } = options;
   const isAnnounced = maxRejections !== undefined;
   if (!target.brittleness.record(isAnnounced, clock.now())) return;
@@ -54,8 +58,7 @@
   { leaving }: protocols.ReplyHead,
   options: RecordOptions,
 ): void {
-  if (leaving === undefined) return;
-  if (leaving === "unreadable") return recordUnreadable(target, options);
+  if (leaving !== "announced") return;
   const { clock, logger, metrics, request } = options;
   const { identity, announcements } = target;
   if (!announcements.recordLeaving(clock.now())) return;
@@ -69,12 +72,11 @@
 
 function recordBackoff(
   target: endpoints.Endpoint,
-  { status, isNotRun, retryAfter }: protocols.ReplyHead,
+  head: protocols.ReplyHead,
   options: RecordOptions,
 ): void {
-  const isOverloaded = isNotRun || status === SERVICE_UNAVAILABLE;
-  if (retryAfter === undefined || !isOverloaded) return;
-  if (retryAfter === "unreadable") return recordUnreadable(target, options);
+  const { status, retryAfter } = head;
+  if (typeof retryAfter !== "number" || !isOverloaded(head)) return;
   const { clock, logger, metrics, request } = options;
   const { identity, announcements } = target;
   const { id: endpoint, service, address } = identity;
@@ -86,15 +88,40 @@
   );
 }
 
+function isOverloaded({ status, isNotRun }: protocols.ReplyHead): boolean {
+  return isNotRun || status === SERVICE_UNAVAILABLE;
+}
+
+/** Announcements in an answer that cannot be parsed. */
+function unreadableKinds(
+  head: protocols.ReplyHead,
+): announcementKinds.Kind[] {
+  const values = {
+    brittle: head.maxRejections,
+    leaving: head.leaving,
+    load: head.load,
+    backoff: isOverloaded(head) ? head.retryAfter : undefined,
+  };
+  const kinds = Object.keys(values) as (keyof typeof values)[];
+  return kinds.filter((kind) => values[kind] === "unreadable");
+}
+
 function recordUnreadable(
   { identity, announcements }: endpoints.Endpoint,
+  kinds: readonly announcementKinds.Kind[],
   { clock, logger, metrics, request }: RecordOptions,
 ): void {
   const { id: endpoint, service } = identity;
-  metrics.count("gateway.unreadable", 1, { service });
-  if (!announcements.recordUnreadable(clock.now())) return;
+  for (const kind of kinds) {
+    metrics.count("gateway.unreadable", 1, { service, kind });
+  }
+  const now = clock.now();
+  const logged = kinds.filter((kind) =>
+    announcements.recordUnreadable(kind, now)
+  );
+  if (logged.length === 0) return;
   logger.warn(
-    { endpoint, service, request },
+    { endpoint, service, request, kinds: logged },
     "Announcement in a response cannot be parsed; it is ignored",
   );
 }
--- a/src/gateway/announcements.ts
+++ b/src/gateway/announcements.ts
@@ -9,8 +9,18 @@
  * that still sends heartbeats by then did not leave. */
 export const LEAVING_LIFETIME_MS = 600_000;
 
-/** Least time between log lines about an endpoint's unreadable announcements. */
+/** Least time between log lines about an endpoint's unreadable announcements of
+ * one kind, and between those about any endpoint: a new version of the software
+ * of all endpoints may send what hosts can't read. */
 const UNREADABLE_LOG_INTERVAL_MS = 10_000;
+const UNREADABLE_LOG_INTERVAL_OF_ALL_MS = 1000;
+
+/** What an announcement is about. */
+export type Kind = "brittle" | "leaving" | "backoff" | "load";
+
+/** When unreadable announcements of each kind were last logged, whichever
+ * endpoint sent them; shared by the endpoints of a host. */
+export type LastLogged = Map<Kind, number>;
 
 /** State for diagnostics; times are ages and durations in milliseconds. */
 export interface AnnouncementsDump {
@@ -25,10 +35,15 @@
   #leavingUntil = -Infinity;
   #backoffSince = -Infinity;
   #backoffUntil = -Infinity;
-  #unreadableLoggedAt = -Infinity;
+  readonly #loggedAt: LastLogged = new Map();
+  readonly #allLoggedAt: LastLogged;
+
+  private constructor(allLoggedAt: LastLogged) {
+    this.#allLoggedAt = allLoggedAt;
+  }
 
-  static create(): Announcements {
-    return new Announcements();
+  static create(allLoggedAt: LastLogged = new Map()): Announcements {
+    return new Announcements(allLoggedAt);
   }
 
   /** Records that it is leaving; returns whether that is new. */
@@ -50,10 +65,13 @@
 
   /** Records an announcement that cannot be parsed; returns whether it is to be
    * logged. */
-  recordUnreadable(now: number): boolean {
-    const since = now - this.#unreadableLoggedAt;
+  recordUnreadable(kind: Kind, now: number): boolean {
+    const since = now - (this.#loggedAt.get(kind) ?? -Infinity);
+    const sinceAny = now - (this.#allLoggedAt.get(kind) ?? -Infinity);
     if (since < UNREADABLE_LOG_INTERVAL_MS) return false;
-    this.#unreadableLoggedAt = now;
+    if (sinceAny < UNREADABLE_LOG_INTERVAL_OF_ALL_MS) return false;
+    this.#loggedAt.set(kind, now);
+    this.#allLoggedAt.set(kind, now);
     return true;
   }
 
--- a/src/gateway/announcements_test.ts
+++ b/src/gateway/announcements_test.ts
@@ -6,6 +6,7 @@
 import * as telemetry from "../telemetry/mod.ts";
 import * as announcements from "./announcements.ts";
 import * as gateway from "./mod.ts";
+import * as healthSignals from "./health_signal.ts";
 
 function createEndpoint() {
   const pool = gateway.EndpointPool.create();
@@ -43,9 +44,79 @@
 
 test("unreadable announcements of an endpoint are logged now and then", (t) => {
   const known = announcements.Announcements.create();
-  t.true(known.recordUnreadable(0));
-  t.false(known.recordUnreadable(9000));
-  t.true(known.recordUnreadable(11_000));
+  t.true(known.recordUnreadable("load", 0));
+  t.false(known.recordUnreadable("load", 9000));
+  t.true(known.recordUnreadable("leaving", 9000), "one of another kind");
+  t.true(known.recordUnreadable("load", 11_000));
+});
+
+// Guards against a log without other lines after an upgrade of all endpoints to
+// software whose load reports hosts can't read.
+test("unreadable announcements of many endpoints are logged once a second", (t) => {
+  const pool = gateway.EndpointPool.create();
+  const entries = Array.from(
+    { length: 300 },
+    (_, number) =>
+      endpointFixture.entry({
+        id: `i-${number}`,
+        address: `10.0.0.1:${number + 1}`,
+      }),
+  );
+  pool.update(entries, () => undefined);
+  let lines = 0;
+  for (let now = 0; now < 10_000; now += 100) {
+    for (const { announcements } of pool.endpointsOf("desk")) {
+      if (announcements.recordUnreadable("load", now)) lines++;
+    }
+  }
+  t.is(lines, 10);
+});
+
+test("an unreadable load report is logged, counted and ignored", (t) => {
+  const endpoint = createEndpoint();
+  const counted: unknown[] = [];
+  const lines = record(endpoint, { load: "unreadable" });
+  t.like(lines, [{
+    kinds: ["load"],
+    request: "a-1",
+    message: "Announcement in a response cannot be parsed; it is ignored",
+  }]);
+  gateway.recordAnnouncements(endpoint, {
+    status: 200,
+    isNotRun: false,
+    isMisdirected: false,
+    lacksInput: false,
+    headers: {},
+    load: "unreadable",
+  }, {
+    clock: new runtime.FakeClock(),
+    logger: telemetry.noLogger,
+    metrics: {
+      ...telemetry.noMetrics,
+      count: (name, _, labels) => counted.push({ name, ...labels }),
+    },
+  });
+  t.deepEqual(counted, [
+    { name: "gateway.unreadable", service: "desk", kind: "load" },
+  ]);
+  endpoint.recordLoad({ running: 5, waiting: 0, slots: 4 }, 0);
+  const head = {
+    status: 200,
+    isNotRun: false,
+    isMisdirected: false,
+    lacksInput: false,
+    headers: {},
+    load: "unreadable" as const,
+  };
+  const outcome = { type: "answer" as const, head, body: Buffer.alloc(0) };
+  healthSignals.record(endpoint, outcome, {
+    now: 100,
+    duration: 10,
+    isReceiving: true,
+    metrics: telemetry.noMetrics,
+    logger: telemetry.noLogger,
+  });
+  t.is(endpoint.load(100), 5, "the report before is kept");
 });
 
 test("an endpoint that announced its departure long ago did not leave", (t) => {
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -6,7 +6,7 @@
 import type * as endpoints from "../endpoints/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as brittlenesses from "./brittleness.ts";
-import type * as announcements from "./announcements.ts";
+import * as announcements from "./announcements.ts";
 import * as endpoint from "./endpoint.ts";
 import * as firstEventLatencies from "./first_event_latency.ts";
 import * as cachedPrefixes from "./cached_prefixes.ts";
@@ -40,6 +40,7 @@
   >();
   /** Announcements of former endpoints, by incarnation. */
   readonly #former = new Map<string, announcements.Announcements>();
+  readonly #unreadableLoggedAt: announcements.LastLogged = new Map();
   #evacuatedDataCentres: ReadonlySet<string> = new Set();
   #revision = 0;
 
@@ -192,7 +193,8 @@
     const location = { service, address, dataCentre };
     const identity = { id, name, ...location, version, slots };
     const added = endpoint.Endpoint.create(identity);
-    added.announcements = this.#former.get(id) ?? added.announcements;
+    added.announcements = this.#former.get(id) ??
+      announcements.Announcements.create(this.#unreadableLoggedAt);
     this.#former.delete(id);
     added.brittleness = brittlenesses.Brittleness.create(
       this.#brittlenessOf(service),
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -36,7 +36,8 @@
   }
   if (outcome.type !== "answer") return;
   const { head } = outcome;
-  if (head.load !== undefined) target.recordLoad(head.load, now);
+  const { load } = head;
+  if (typeof load === "object") target.recordLoad(load, now);
   target.recordDuration(duration);
 }
 
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -95,7 +95,7 @@
   /** Whether an input of the call is lost. */
   readonly lacksInput: boolean;
   /** Load of the endpoint, if reported. */
-  readonly load?: ReportedLoad;
+  readonly load?: ReportedLoad | "unreadable";
   /** Requests per second that the endpoint accepts from all hosts together,
    * while its answers contain the limit. */
   readonly rateLimit?: number | "unreadable";
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -53,7 +53,8 @@
   },
   "gateway.unreadable": {
     type: "count",
-    help: "Announcements of endpoints that cannot be parsed, by service",
+    help:
+      "Announcements of endpoints that cannot be parsed, by service and kind",
   },
   "gateway.stages": { type: "time", help: "Until all pieces were made" },
   "gateway.left": { type: "count", help: "Requests whose callers left" },
