Replies: unread bytes of callers are counted and bounded

Cause: a host reads responses of endpoints at once and held without limit what their callers had not read. Change: UnreadReplies counts these bytes by reply. While their sum exceeds an eighth of the host's memory (limits.memoryMb), the reply with the most unread bytes is aborted by a reset of its connection, logged and counted. The bound is checked after the turn of the event loop, as the system takes a part of the bytes in it. New: gateway.unread_bytes, gateway.aborted_slow, ending unread, unread in the state dump of entry hosts. Unit tests: an endpoint's 30 MB are taken within 2 s although the caller reads nothing. Conclusion: a slow caller costs at most its own reply.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -130,6 +130,8 @@
     passages.ActiveRequest.start(this.#context, {
       request: wire.request(ask),
       response: response as unknown as passages.HttpExchange["response"],
+      // Callers of this bench read at once.
+      unreadReplies: { update() {}, remove() {} },
     });
   }
 
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -241,6 +241,7 @@
     return {
       ready: this.#isReady,
       inFlight: this.#server.inFlight,
+      unread: this.#server.dump(),
       follower: this.#syncClient.dump(),
       pool: this.#pool.dump(now),
       paths: this.#paths.dump(),
@@ -266,6 +267,7 @@
       context: this.#createContext(),
       callers: callerAddress,
       readiness: readinessAddress,
+      memory: settings.memory,
       isReady: () => this.#isReady,
     });
     this.#syncClient.start();
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -22,6 +22,7 @@
 import * as retries from "./retry.ts";
 import * as pipelineRuns from "./pipeline_run.ts";
 import * as streamBindings from "./stream_binding.ts";
+import type * as unreadReplies from "./unread_replies.ts";
 import * as targetChoices from "./target_choice.ts";
 import * as healthSignals from "./health_signal.ts";
 
@@ -67,12 +68,18 @@
 
   private constructor(
     context: contexts.Context,
-    { request, response }: HttpExchange,
+    { request, response, unreadReplies }: HttpExchange,
   ) {
     this.#context = context;
     this.#message = request;
     const { isDraining } = context;
-    this.#reply = replies.Reply.create({ request, response, isDraining });
+    this.#reply = replies.Reply.create({
+      request,
+      response,
+      unreadReplies,
+      isDraining,
+      onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
+    });
     this.#arrivedAt = context.clock.now();
     this.finished = new Promise((resolve) => this.#resolveFinished = resolve);
   }
@@ -577,6 +584,26 @@
     return EMPTY_BODY as never[] & Buffer;
   }
 
+  /** Ends and logs a request whose reply is aborted, as its caller has not read
+   * it; a reply may be unread after its request has ended. */
+  #recordAbort(unreadBytes: number): void {
+    const message = "Reply aborted, as its caller has not read it";
+    if (!this.isFinished) {
+      this.#finish();
+      const lastEvent = this.#lastEventId;
+      this.#log("warn", { reason: "unread", unreadBytes, lastEvent }, message);
+      return;
+    }
+    const { clock, logger } = this.#context;
+    logger.warn({
+      request: this.#incoming?.id,
+      route: this.#route?.name,
+      account: this.#account?.name,
+      ms: Math.round(clock.now() - this.#arrivedAt),
+      unreadBytes,
+    }, message);
+  }
+
   /** Handles the end of the caller's connection. */
   #onClose(): void {
     if (this.isFinished) return;
@@ -613,7 +640,7 @@
   #log(
     level: keyof telemetry.Logger,
     details: RefusalDetails & {
-      readonly reason?: refusals.RefusalReason | "left";
+      readonly reason?: refusals.RefusalReason | "left" | "unread";
     },
     message: string,
   ): void {
@@ -660,6 +687,10 @@
 export interface HttpExchange {
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
+  readonly unreadReplies: Pick<
+    unreadReplies.UnreadReplies,
+    "update" | "remove"
+  >;
 }
 
 const EMPTY_BODY = Buffer.alloc(0);
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -1,7 +1,8 @@
 /** @module */
 
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
 import type * as ava from "ava";
 import test from "ava";
 import * as undici from "undici";
@@ -17,6 +18,7 @@
 import * as telemetry from "../telemetry/mod.ts";
 import * as gateway from "./mod.ts";
 import * as activeRequests from "./active_request.ts";
+import * as unreadReplies from "./unread_replies.ts";
 
 /** Headers of an answer that are relayed to the caller. */
 function signatureOf(
@@ -80,6 +82,14 @@
   return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
 }
 
+function createUnreadReplies(memory?: number) {
+  return unreadReplies.UnreadReplies.create({
+    metrics: telemetry.noMetrics,
+    memory,
+    afterTurn: setImmediate,
+  });
+}
+
 /** A gateway host with one endpoint that handles each call with `endpoint`. */
 async function startHost(
   t: ava.ExecutionContext,
@@ -147,9 +157,17 @@
     isDraining: () => false,
     isStopping: () => false,
   };
+  let unread = createUnreadReplies();
+  const limitMemory = (memory: number) => {
+    unread = createUnreadReplies(memory);
+  };
   const gatewayAddress = await listen(t, (request, response) => {
     started.push(
-      activeRequests.ActiveRequest.start(context, { request, response }),
+      activeRequests.ActiveRequest.start(context, {
+        request,
+        response,
+        unreadReplies: unread,
+      }),
     );
   });
   const ask = async () => {
@@ -162,7 +180,16 @@
     const { statusCode: status, headers } = answer;
     return { status, signature: headers["test-signature"] };
   };
-  return { ask, askForHead, sent, started, pool, context };
+  return {
+    ask,
+    askForHead,
+    sent,
+    started,
+    pool,
+    context,
+    gatewayAddress,
+    limitMemory,
+  };
 }
 
 test("a call in flight when a host stops is not reported as not executed", async (t) => {
@@ -542,3 +569,129 @@
   });
   t.is((await cut.ask()).status, 502);
 });
+
+/** An event of 100 kB, and a number of them that no buffers of the system
+ * take. */
+const LARGE_EVENT = `id: 1\ndata: ${"x".repeat(100_000)}\n\n`;
+const LARGE_EVENT_COUNT = 300;
+/** Memory of a host whose callers may leave 5 MB unread. */
+const SMALL_MEMORY = 40_000_000;
+
+/** Sends a request and reads nothing of its answer until `read`, which resolves
+ * with what the caller has when the connection ends, or after a time. */
+function askWithoutReading(
+  t: ava.ExecutionContext,
+  address: string,
+  { version = "1.1" } = {},
+) {
+  const [host, port] = address.split(":");
+  const socket = net.connect(Number(port), host);
+  t.teardown(() => void socket.destroy());
+  let text = "";
+  socket.on("data", (part) => text += part.toString("latin1")).pause();
+  socket.write(`GET /a/x HTTP/${version}\r\nHost: h\r\n\r\n`);
+  const ended = new Promise<void>((resolve) => {
+    socket.once("error", () => resolve());
+    socket.once("end", () => resolve());
+  });
+  const read = async () => {
+    socket.resume();
+    await Promise.race([ended, timers.setTimeout(CLOSE_TIMEOUT_MS)]);
+    return text;
+  };
+  return { read };
+}
+
+/** Whether an answer is complete by its length or its last chunk. */
+function isComplete(text: string): boolean {
+  const bodyAt = text.indexOf("\r\n\r\n") + 4;
+  const [, length] = /content-length: (\d+)/i.exec(text) ?? [];
+  return length === undefined
+    ? text.endsWith("\r\n0\r\n\r\n")
+    : text.length - bodyAt === Number(length);
+}
+
+/** A promise, and the function that resolves it. */
+function deferred() {
+  let resolve = () => {};
+  const promise = new Promise<void>((settle) => resolve = settle);
+  return { promise, resolve };
+}
+
+/** Answers with the large events; `onTaken` is called when the host has taken
+ * them all. */
+function sendLargeEvents(response: http.ServerResponse, onTaken = () => {}) {
+  response.writeHead(200, { "test-signature": "s" });
+  for (let count = 0; count < LARGE_EVENT_COUNT; count++) {
+    response.write(LARGE_EVENT);
+  }
+  response.end(onTaken);
+}
+
+// Guards against a response that its endpoint cuts off because the host reads it
+// no faster than its caller does.
+for (const kind of ["streaming", "safe"] as const) {
+  test(`a response is read at once although its caller reads nothing: ${kind}`, async (t) => {
+    const taken = deferred();
+    const { gatewayAddress } = await startHost(
+      t,
+      { kind, objective: 1000, timeout: 5000 },
+      (_, response) => sendLargeEvents(response, taken.resolve),
+    );
+    const { read } = askWithoutReading(t, gatewayAddress);
+    const late = timers.setTimeout(2000, "late");
+    t.is(await Promise.race([taken.promise, late]), undefined);
+    t.true(isComplete(await read()));
+  });
+}
+
+const UNREAD_REPLIES = [
+  { kind: "streaming", version: "1.1" },
+  { kind: "safe", version: "1.1" },
+  { kind: "safe", version: "1.0" },
+] as const;
+
+// Guards against a host that runs out of memory, and against callers who take a
+// reply that was aborted for complete.
+for (const { kind, version } of UNREAD_REPLIES) {
+  test(`an unread reply is aborted above the bound: ${kind}, HTTP/${version}`, async (t) => {
+    const host = await startHost(
+      t,
+      { kind, objective: 1000, timeout: 5000 },
+      (_, response) => sendLargeEvents(response),
+    );
+    const lines: object[] = [];
+    const aborted = deferred();
+    const warn = (details: object) => {
+      lines.push(details);
+      aborted.resolve();
+    };
+    Object.assign(host.context, { logger: { ...telemetry.noLogger, warn } });
+    host.limitMemory(SMALL_MEMORY);
+    const { read } = askWithoutReading(t, host.gatewayAddress, { version });
+    await Promise.race([aborted.promise, timers.setTimeout(2000)]);
+    t.like(lines, [{ request: "a-1", route: "route" }]);
+    const text = await read();
+    t.true(text.startsWith("HTTP/1.1 200"), "a part of it has arrived");
+    t.false(isComplete(text));
+    t.true(host.started[0].isFinished);
+  });
+}
+
+test("a caller that reads gets a reply larger than the bound", async (t) => {
+  const { ask, limitMemory } = await startHost(
+    t,
+    { kind: "streaming", objective: 1000, timeout: 5000 },
+    async (_, response) => {
+      response.writeHead(200, { "test-signature": "s" });
+      for (let count = 0; count < LARGE_EVENT_COUNT; count++) {
+        response.write(LARGE_EVENT);
+        await timers.setTimeout(1);
+      }
+      response.end();
+    },
+  );
+  limitMemory(SMALL_MEMORY);
+  const { text } = await ask();
+  t.is(text.length, LARGE_EVENT_COUNT * LARGE_EVENT.length);
+});
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -5,24 +5,38 @@
 import type * as http from "node:http";
 import type * as protocols from "./protocol.ts";
 import type * as refusals from "./refusal.ts";
+import type * as unreadReplies from "./unread_replies.ts";
 
 /** Dependencies of a reply. */
 export interface ReplyOptions {
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
+  /** Counts the bytes that callers have not read. */
+  readonly unreadReplies: Pick<
+    unreadReplies.UnreadReplies,
+    "update" | "remove"
+  >;
   /** Whether the host accepts no further requests on the connection. */
   isDraining(): boolean;
+  /** The reply is aborted because its caller has not read so many bytes. */
+  onAbortUnread(unreadBytes: number): void;
 }
 
 /** The reply to one request. */
-export class Reply {
+export class Reply implements unreadReplies.UnreadReply {
   readonly #options: ReplyOptions;
+  readonly #onRead = () => this.#updateUnread();
   #head?: protocols.ReplyHead;
+  #isClosed = false;
   /** Whether the caller has closed its connection. */
   isDisconnected = false;
 
   private constructor(options: ReplyOptions) {
     this.#options = options;
+    options.response.once("close", () => {
+      this.#isClosed = true;
+      options.unreadReplies.remove(this);
+    });
   }
 
   static create(options: ReplyOptions): Reply {
@@ -42,7 +56,21 @@
 
   /** Sends bytes of the stream. */
   write(bytes: Buffer): void {
-    this.#options.response.write(bytes);
+    this.#options.response.write(bytes, this.#onRead);
+    this.#updateUnread();
+  }
+
+  /** Bytes of the reply that the system has not taken yet. */
+  get unreadBytes(): number {
+    return this.#options.response.writableLength;
+  }
+
+  /** Resets the connection. Closing it in order would look like the end of a
+   * reply that has neither a length nor chunks, as streams have in HTTP/1.0. */
+  abortUnread(unreadBytes: number): void {
+    const { request, onAbortUnread } = this.#options;
+    onAbortUnread(unreadBytes);
+    request.socket.resetAndDestroy();
   }
 
   /** Ends the stream as complete. */
@@ -64,7 +92,7 @@
       ...this.#headersOf(head),
       "content-length": `${body.length}`,
     });
-    response.end(body);
+    this.#end(body);
   }
 
   /** Sends a refusal by the gateway. */
@@ -82,7 +110,16 @@
       ...(retryAfter !== undefined && { "retry-after": `${retryAfter}` }),
       ...((isUnread || isDraining()) && { connection: "close" }),
     });
-    response.end(text);
+    this.#end(text);
+  }
+
+  #end(body: Buffer | string): void {
+    this.#options.response.end(body);
+    this.#updateUnread();
+  }
+
+  #updateUnread(): void {
+    if (!this.#isClosed) this.#options.unreadReplies.update(this);
   }
 
   #headersOf({ headers }: protocols.ReplyHead): Record<string, string> {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,6 +7,7 @@
 import * as httpListener from "../fleet/http_listener.ts";
 import * as activeRequests from "./active_request.ts";
 import * as connectionGates from "./connection_gate.ts";
+import * as unreadReplies from "./unread_replies.ts";
 
 /** Interval in milliseconds at which a stop checks for requests in flight. */
 const STOP_CHECK_INTERVAL_MS = 50;
@@ -24,12 +25,15 @@
   context: contexts.Context;
   callers: httpListener.ListenAddress;
   readiness?: httpListener.ListenAddress;
+  /** Memory of the host in bytes; undefined without a limit. */
+  memory?: number;
   isReady(): boolean;
 }
 
 /** Server for callers and for readiness probes. */
 export class Server {
   readonly #options: ServerOptions;
+  readonly #unreadReplies: unreadReplies.UnreadReplies;
   readonly #activeRequests = new Set<activeRequests.ActiveRequest>();
   /** Requests in flight by connection. */
   readonly #inFlight = new WeakMap<net.Socket, number>();
@@ -39,6 +43,12 @@
 
   private constructor(options: ServerOptions) {
     this.#options = options;
+    const { context: { metrics }, memory } = options;
+    this.#unreadReplies = unreadReplies.UnreadReplies.create({
+      metrics,
+      memory,
+      afterTurn: setImmediate,
+    });
   }
 
   /** Listens; resolves once callers can connect. */
@@ -82,6 +92,11 @@
     return this.#activeRequests.size;
   }
 
+  /** State for diagnostics. */
+  dump(): unknown {
+    return this.#unreadReplies.dump();
+  }
+
   /** Sets the timeouts of a configuration, in milliseconds. */
   setTimeouts(
     { headerTimeout, idleTimeout }: {
@@ -126,6 +141,7 @@
     const active = activeRequests.ActiveRequest.start(context, {
       request,
       response,
+      unreadReplies: this.#unreadReplies,
     });
     this.#activeRequests.add(active);
     this.#countOnConnection(request.socket, 1);
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -20,6 +20,14 @@
   "gateway.duration": { type: "time", help: "From arrival to answer" },
   "gateway.first_event": { type: "time", help: "To a stream's first event" },
   "gateway.in_flight": { type: "gauge", help: "Requests under way" },
+  "gateway.unread_bytes": {
+    type: "gauge",
+    help: "Bytes of replies that callers have not read",
+  },
+  "gateway.aborted_slow": {
+    type: "count",
+    help: "Replies aborted, as their callers have not read them",
+  },
   "gateway.sent": { type: "count", help: "Calls to endpoints, by service" },
   "gateway.placed": { type: "count", help: "Engines chosen, by whom" },
   "gateway.failed": { type: "count", help: "Failed calls, by cause" },
