Roster: random test of reports of unknown services

Cause: the order of reports had tests of single pairs only. Change: rosters hear an endpoint and reports of unknown services under its id in random orders, with losses, and exchange their entries.

--- a/src/endpoints/roster_test.ts
+++ b/src/endpoints/roster_test.ts
@@ -1,6 +1,7 @@
 /** @module */
 
 import test from "ava";
+import * as runtime from "../runtime/mod.ts";
 import * as fixture from "./fixture.ts";
 import * as endpoints from "./mod.ts";
 
@@ -196,3 +197,55 @@
   t.true(roster.recordLeave({ id: "i-1", born: 100 }, 10));
   t.is(roster.get("i-1")?.state, "gone");
 });
+
+const SEEDS = 500;
+const ROSTER_COUNT = 3;
+
+/** Rosters that hear heartbeats of an endpoint, and others under its id, in
+ * different orders, some of them not at all, and then hear of each other. */
+function rostersAfterExchange(seed: number): endpoints.Roster[] {
+  const random = runtime.createMixedRandom(seed);
+  const own = Array.from({ length: 4 }, (_, pos) => ({
+    born: 100,
+    sequence: pos + 1,
+  }));
+  const foreign = Array.from({ length: 4 }, () => ({
+    service: `unknown-${random.below(2)}`,
+    born: random.below(3) * 100,
+    sequence: random.below(1000),
+    state: (["ready", "draining"] as const)[random.below(2)],
+  }));
+  const statuses = [...own, ...foreign].map(fixture.endpointStatus);
+  const rosters = Array.from({ length: ROSTER_COUNT }, () => {
+    const { roster } = rosterWithServices();
+    const keys = new Map(statuses.map((each) => [each, random.next()]));
+    const order = statuses.toSorted((one, other) =>
+      keys.get(one)! - keys.get(other)!
+    );
+    for (const [heardAt, status] of order.entries()) {
+      if (random.next() < 0.7) roster.merge({ status, heardAt });
+    }
+    return roster;
+  });
+  rosters[0].merge({ status: statuses[own.length - 1], heardAt: 10 });
+  const entries = rosters.flatMap((roster) => [...roster.entries]);
+  for (const roster of rosters) {
+    for (const status of entries) {
+      roster.merge({ status, heardAt: status.heardAt });
+    }
+  }
+  return rosters;
+}
+
+test("hosts agree on an endpoint whatever is reported under its id", (t) => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    for (const roster of rostersAfterExchange(seed)) {
+      t.like(roster.get("i-1"), {
+        service: "desk",
+        born: 100,
+        sequence: 4,
+        state: "ready",
+      }, `seed ${seed}`);
+    }
+  }
+});
