--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -1,7 +1,8 @@
 /** @module */
 
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
 import type * as ava from "ava";
 import test from "ava";
 import * as undici from "undici";
@@ -17,6 +18,15 @@
 import * as telemetry from "../telemetry/mod.ts";
 import * as gateway from "./mod.ts";
 import * as activeRequests from "./active_request.ts";
+import * as unreadReplies from "./unread_replies.ts";
+
+/** Headers of an answer that are relayed to the caller. */
+function signatureOf(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  const signature = headers["test-signature"];
+  return signature === undefined ? {} : { "test-signature": `${signature}` };
+}
 
 /** Decodes answers from this test's own header names. */
 const TEST_PROTOCOL: gateway.GatewayProtocol = {
@@ -39,9 +49,9 @@
     signature: headers["test-signature"] as string | undefined,
     isNotRun: headers["test-not-run"] !== undefined,
     leaving: headers["test-leaving"] === undefined ? undefined : "announced",
-    isMisdirected: false,
+    isMisdirected: status === 421,
     lacksInput: false,
-    headers: {},
+    headers: signatureOf(headers),
   }),
   batchCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
   decodeItemResults: () => undefined,
@@ -72,6 +82,14 @@
   return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
 }
 
+function createUnreadReplies(memory?: number) {
+  return unreadReplies.UnreadReplies.create({
+    metrics: telemetry.noMetrics,
+    memory,
+    afterTurn: setImmediate,
+  });
+}
+
 /** A gateway host with one endpoint that handles each call with `endpoint`. */
 async function startHost(
   t: ava.ExecutionContext,
@@ -139,16 +157,39 @@
     isDraining: () => false,
     isStopping: () => false,
   };
+  let unread = createUnreadReplies();
+  const limitMemory = (memory: number) => {
+    unread = createUnreadReplies(memory);
+  };
   const gatewayAddress = await listen(t, (request, response) => {
     started.push(
-      activeRequests.ActiveRequest.start(context, { request, response }),
+      activeRequests.ActiveRequest.start(context, {
+        request,
+        response,
+        unreadReplies: unread,
+      }),
     );
   });
   const ask = async () => {
     const answer = await undici.request(`http://${gatewayAddress}/a/x`);
     return { status: answer.statusCode, text: await answer.body.text() };
   };
-  return { ask, sent, started, pool, context };
+  const askForHead = async () => {
+    const answer = await undici.request(`http://${gatewayAddress}/a/x`);
+    await answer.body.dump();
+    const { statusCode: status, headers } = answer;
+    return { status, signature: headers["test-signature"] };
+  };
+  return {
+    ask,
+    askForHead,
+    sent,
+    started,
+    pool,
+    context,
+    gatewayAddress,
+    limitMemory,
+  };
 }
 
 test("a call in flight when a host stops is not reported as not executed", async (t) => {
@@ -206,6 +247,63 @@
   t.is((await ask()).status, 503);
 });
 
+/** What a caller gets for a request of a kind, and the number of calls for it,
+ * before an endpoint that answers all of them in the same way. */
+async function answerTo(
+  t: ava.ExecutionContext,
+  kind: configurations.Route["kind"],
+  { status, headers = { "test-signature": "s" } }: {
+    status: number;
+    headers?: Record<string, string>;
+  },
+) {
+  let calls = 0;
+  const { askForHead } = await startHost(
+    t,
+    { kind, attempts: 2 },
+    (_, response) => {
+      calls++;
+      response.writeHead(status, headers).end("error");
+    },
+  );
+  return { ...await askForHead(), calls };
+}
+
+// The next tests guard against a status that promises the caller that a request
+// has not run although its endpoint does not say so, and against a second call
+// of one that may have run.
+for (const status of [503, 429, 408]) {
+  test(`an endpoint's ${status} counts as run`, async (t) => {
+    const unsafe = await answerTo(t, "unsafe", { status });
+    t.deepEqual(unsafe, { status: 502, signature: undefined, calls: 1 });
+    const stream = await answerTo(t, "streaming", { status });
+    t.deepEqual(stream, { status: 502, signature: undefined, calls: 1 });
+    const safe = await answerTo(t, "safe", { status });
+    t.deepEqual(safe, { status, signature: "s", calls: 2 });
+  });
+}
+
+test("an endpoint's own 500 and 504 reach the caller with its signature", async (t) => {
+  for (const status of [500, 504]) {
+    const unsafe = await answerTo(t, "unsafe", { status });
+    t.deepEqual(unsafe, { status, signature: "s", calls: 1 });
+  }
+});
+
+test("only a header or status 421 shows that an endpoint has not run a call", async (t) => {
+  const signed = { "test-signature": "s" };
+  const notRun = { ...signed, "test-not-run": "1" };
+  for (const status of [503, 429, 408, 500]) {
+    const refused = await answerTo(t, "unsafe", { status, headers: notRun });
+    t.deepEqual(refused, { status: 503, signature: undefined, calls: 1 });
+  }
+  const misdirected = await answerTo(t, "unsafe", {
+    status: 421,
+    headers: signed,
+  });
+  t.like(misdirected, { status: 503, signature: undefined });
+});
+
 test("a request that is not idempotent is sent once", async (t) => {
   let count = 0;
   const { ask } = await startHost(t, { kind: "unsafe" }, (request) => {
@@ -471,3 +569,129 @@
   });
   t.is((await cut.ask()).status, 502);
 });
+
+/** An event of 100 kB, and a number of them that no buffers of the system
+ * take. */
+const LARGE_EVENT = `id: 1\ndata: ${"x".repeat(100_000)}\n\n`;
+const LARGE_EVENT_COUNT = 300;
+/** Memory of a host whose callers may leave 5 MB unread. */
+const SMALL_MEMORY = 40_000_000;
+
+/** Sends a request and reads nothing of its answer until `read`, which resolves
+ * with what the caller has when the connection ends, or after a time. */
+function askWithoutReading(
+  t: ava.ExecutionContext,
+  address: string,
+  { version = "1.1" } = {},
+) {
+  const [host, port] = address.split(":");
+  const socket = net.connect(Number(port), host);
+  t.teardown(() => void socket.destroy());
+  let text = "";
+  socket.on("data", (part) => text += part.toString("latin1")).pause();
+  socket.write(`GET /a/x HTTP/${version}\r\nHost: h\r\n\r\n`);
+  const ended = new Promise<void>((resolve) => {
+    socket.once("error", () => resolve());
+    socket.once("end", () => resolve());
+  });
+  const read = async () => {
+    socket.resume();
+    await Promise.race([ended, timers.setTimeout(CLOSE_TIMEOUT_MS)]);
+    return text;
+  };
+  return { read };
+}
+
+/** Whether an answer is complete by its length or its last chunk. */
+function isComplete(text: string): boolean {
+  const bodyAt = text.indexOf("\r\n\r\n") + 4;
+  const [, length] = /content-length: (\d+)/i.exec(text) ?? [];
+  return length === undefined
+    ? text.endsWith("\r\n0\r\n\r\n")
+    : text.length - bodyAt === Number(length);
+}
+
+/** A promise, and the function that resolves it. */
+function deferred() {
+  let resolve = () => {};
+  const promise = new Promise<void>((settle) => resolve = settle);
+  return { promise, resolve };
+}
+
+/** Answers with the large events; `onTaken` is called when the host has taken
+ * them all. */
+function sendLargeEvents(response: http.ServerResponse, onTaken = () => {}) {
+  response.writeHead(200, { "test-signature": "s" });
+  for (let count = 0; count < LARGE_EVENT_COUNT; count++) {
+    response.write(LARGE_EVENT);
+  }
+  response.end(onTaken);
+}
+
+// Guards against a response that its endpoint cuts off because the host reads it
+// no faster than its caller does.
+for (const kind of ["streaming", "safe"] as const) {
+  test(`a response is read at once although its caller reads nothing: ${kind}`, async (t) => {
+    const taken = deferred();
+    const { gatewayAddress } = await startHost(
+      t,
+      { kind, objective: 1000, timeout: 5000 },
+      (_, response) => sendLargeEvents(response, taken.resolve),
+    );
+    const { read } = askWithoutReading(t, gatewayAddress);
+    const late = timers.setTimeout(2000, "late");
+    t.is(await Promise.race([taken.promise, late]), undefined);
+    t.true(isComplete(await read()));
+  });
+}
+
+const UNREAD_REPLIES = [
+  { kind: "streaming", version: "1.1" },
+  { kind: "safe", version: "1.1" },
+  { kind: "safe", version: "1.0" },
+] as const;
+
+// Guards against a host that runs out of memory, and against callers who take a
+// reply that was aborted for complete.
+for (const { kind, version } of UNREAD_REPLIES) {
+  test(`an unread reply is aborted above the bound: ${kind}, HTTP/${version}`, async (t) => {
+    const host = await startHost(
+      t,
+      { kind, objective: 1000, timeout: 5000 },
+      (_, response) => sendLargeEvents(response),
+    );
+    const lines: object[] = [];
+    const aborted = deferred();
+    const warn = (details: object) => {
+      lines.push(details);
+      aborted.resolve();
+    };
+    Object.assign(host.context, { logger: { ...telemetry.noLogger, warn } });
+    host.limitMemory(SMALL_MEMORY);
+    const { read } = askWithoutReading(t, host.gatewayAddress, { version });
+    await Promise.race([aborted.promise, timers.setTimeout(2000)]);
+    t.like(lines, [{ request: "a-1", route: "route" }]);
+    const text = await read();
+    t.true(text.startsWith("HTTP/1.1 200"), "a part of it has arrived");
+    t.false(isComplete(text));
+    t.true(host.started[0].isFinished);
+  });
+}
+
+test("a caller that reads gets a reply larger than the bound", async (t) => {
+  const { ask, limitMemory } = await startHost(
+    t,
+    { kind: "streaming", objective: 1000, timeout: 5000 },
+    async (_, response) => {
+      response.writeHead(200, { "test-signature": "s" });
+      for (let count = 0; count < LARGE_EVENT_COUNT; count++) {
+        response.write(LARGE_EVENT);
+        await timers.setTimeout(1);
+      }
+      response.end();
+    },
+  );
+  limitMemory(SMALL_MEMORY);
+  const { text } = await ask();
+  t.is(text.length, LARGE_EVENT_COUNT * LARGE_EVENT.length);
+});
--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -2,7 +2,7 @@
 
 import test from "ava";
 import * as fixture from "../endpoints/fixture.ts";
-import type * as endpoints from "../endpoints/mod.ts";
+import * as endpoints from "../endpoints/mod.ts";
 import * as gateway from "./mod.ts";
 
 const PARTS = [{ id: "shared", tokens: 6000 }, { id: "own", tokens: 100 }];
@@ -13,6 +13,8 @@
   parts: PARTS,
 };
 
+const ROSTER_TIMES = { silenceTimeoutMs: 4000, retentionMs: 60_000 };
+
 function createEntry(change: Partial<endpoints.RosterEntry>) {
   return fixture.entry({ service: "models", ...change });
 }
@@ -59,6 +61,33 @@
   t.is(engine().cachedPrefixes!.cachedTokens(PROMPT), 0);
 });
 
+// Guards against a restarted endpoint that hosts lose when messages of its former
+// incarnation arrive late.
+test("late messages of a former incarnation leave its successor in the pool", (t) => {
+  const pool = gateway.EndpointPool.create();
+  const roster = endpoints.Roster.create(ROSTER_TIMES);
+  const hear = (change: Partial<endpoints.EndpointStatus>, heardAt: number) => {
+    const status = fixture.endpointStatus({ service: "models", ...change });
+    roster.merge({ status, heardAt });
+    return pool.update(roster.entries, createService({}));
+  };
+  hear({ born: 100, sequence: 70 }, 0);
+  const [former] = hear({ born: 200, sequence: 1 }, 1000);
+  t.like(former, { identity: { id: "i-1~100" }, isRestarted: true });
+  t.deepEqual(hear({ born: 100, sequence: 71 }, 1100), []);
+  t.deepEqual(hear({ born: 100, sequence: 72, state: "draining" }, 1200), []);
+  t.deepEqual(hear({ born: 100, address: "10.9.9.9:80" }, 1300), []);
+  roster.recordLeave({ id: "i-1", born: 100 }, 1400);
+  t.deepEqual(pool.update(roster.entries, createService({})), []);
+  t.deepEqual(
+    pool.usable("models", 1500).map(({ identity }) => identity.id),
+    ["i-1~200"],
+  );
+  t.is(pool.at("10.0.0.1:80")?.identity.id, "i-1~200");
+  roster.recordLeave({ id: "i-1", born: 200 }, 1600);
+  t.is(pool.update(roster.entries, createService({})).length, 1);
+});
+
 test("an engine that restarts keeps the name that calls are addressed to", (t) => {
   const { update, engine } = createPool({ born: 100 });
   const { id, name } = engine().identity;
@@ -215,3 +244,66 @@
   update({ born: 200 });
   t.false(engine().announcements.isLeaving(10), "the next incarnation stays");
 });
+
+/** A pool before a configuration with the service `models`, and those in
+ * `services`. */
+function createPoolOfServices(services = new Set(["models"])) {
+  const pool = gateway.EndpointPool.create();
+  const update = (...entries: Partial<endpoints.RosterEntry>[]) =>
+    pool.update(
+      entries.map(createEntry),
+      (name) => services.has(name) ? { name, connections: 10 } : undefined,
+    );
+  const usable = (service = "models") =>
+    pool.usable(service, 0).map(({ identity }) => identity.id);
+  return { pool, update, usable, services };
+}
+
+// Guards against an endpoint in use that hosts end because another writer sends
+// heartbeats with its address.
+test("an unknown service does not hide the endpoint at its address", (t) => {
+  const { pool, update, usable } = createPoolOfServices();
+  const own = { heardAt: 0 };
+  const foreign = { id: "x", service: "unknown", heardAt: 500 };
+  update(own);
+  const [known] = pool.endpointsOf("models");
+  t.deepEqual(update(own, foreign), []);
+  t.deepEqual(update(foreign, own), []);
+  t.is(pool.endpointsOf("models")[0], known);
+  t.is(pool.at("10.0.0.1:80"), known);
+  t.deepEqual(usable(), ["i-1"]);
+});
+
+test("an address may be reused by an endpoint of another known service", (t) => {
+  const { update, usable, services } = createPoolOfServices();
+  const former = { heardAt: 0 };
+  const next = { id: "i-2", service: "map", heardAt: 500 };
+  update(former);
+  update(former, next);
+  t.deepEqual(usable(), ["i-1"], "the other service is not known yet");
+  services.add("map");
+  const [ended] = update(former, next);
+  t.like(ended, { identity: { id: "i-1" }, isRestarted: false });
+  t.deepEqual([usable(), usable("map")], [[], ["i-2"]]);
+});
+
+// Guards against an endpoint that stays hidden after another writer's heartbeat
+// under its id had come first.
+test("a known service replaces an unknown one of the same incarnation", (t) => {
+  const { pool, update, usable } = createPoolOfServices();
+  update({ service: "unknown", born: 1, address: "10.9.9.9:80" });
+  const [ended] = update({ born: 1 });
+  t.is(ended.identity.service, "unknown");
+  t.deepEqual(usable(), ["i-1~1"]);
+  t.is(pool.at("10.9.9.9:80"), undefined);
+  t.is(pool.at("10.0.0.1:80")?.identity.service, "models");
+});
+
+test("an endpoint whose service leaves the configuration keeps its place", (t) => {
+  const { pool, update, services } = createPoolOfServices();
+  update({ born: 1 });
+  const [known] = pool.endpointsOf("models");
+  services.delete("models");
+  t.deepEqual(update({ born: 1 }), []);
+  t.is(pool.endpointsOf("models")[0], known);
+});
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,6 +7,7 @@
 import * as httpListener from "../fleet/http_listener.ts";
 import * as activeRequests from "./active_request.ts";
 import * as connectionGates from "./connection_gate.ts";
+import * as unreadReplies from "./unread_replies.ts";
 
 /** Interval in milliseconds at which a stop checks for requests in flight. */
 const STOP_CHECK_INTERVAL_MS = 50;
@@ -24,19 +25,30 @@
   context: contexts.Context;
   callers: httpListener.ListenAddress;
   readiness?: httpListener.ListenAddress;
+  /** Memory of the host in bytes; undefined without a limit. */
+  memory?: number;
   isReady(): boolean;
 }
 
 /** Server for callers and for readiness probes. */
 export class Server {
   readonly #options: ServerOptions;
+  readonly #unreadReplies: unreadReplies.UnreadReplies;
   readonly #activeRequests = new Set<activeRequests.ActiveRequest>();
+  /** Requests in flight by connection. */
+  readonly #inFlight = new WeakMap<net.Socket, number>();
   #callers!: http.Server;
   #readiness?: http.Server;
   #isDraining = false;
 
   private constructor(options: ServerOptions) {
     this.#options = options;
+    const { context: { metrics }, memory } = options;
+    this.#unreadReplies = unreadReplies.UnreadReplies.create({
+      metrics,
+      memory,
+      afterTurn: setImmediate,
+    });
   }
 
   /** Listens; resolves once callers can connect. */
@@ -80,6 +92,11 @@
     return this.#activeRequests.size;
   }
 
+  /** State for diagnostics. */
+  dump(): unknown {
+    return this.#unreadReplies.dump();
+  }
+
   /** Sets the timeouts of a configuration, in milliseconds. */
   setTimeouts(
     { headerTimeout, idleTimeout }: {
@@ -124,10 +141,19 @@
     const active = activeRequests.ActiveRequest.start(context, {
       request,
       response,
+      unreadReplies: this.#unreadReplies,
     });
     this.#activeRequests.add(active);
+    this.#countOnConnection(request.socket, 1);
     context.metrics.gauge("gateway.in_flight", this.#activeRequests.size);
-    void active.finished.then(() => this.#activeRequests.delete(active));
+    void active.finished.then(() => {
+      this.#activeRequests.delete(active);
+      this.#countOnConnection(request.socket, -1);
+    });
+  }
+
+  #countOnConnection(socket: net.Socket, change: number): void {
+    this.#inFlight.set(socket, (this.#inFlight.get(socket) ?? 0) + change);
   }
 
   #answerProbe(
@@ -142,7 +168,9 @@
     response.writeHead(isReady() && !this.#isDraining ? 200 : 503).end();
   }
 
-  /** Rejects bytes that are not a valid HTTP request; none were forwarded. */
+  /** Rejects bytes that are not a valid HTTP request; none were forwarded. Behind
+   * a request in flight the caller would take the status for its answer, and 408
+   * promises that it has not run, so the connection is closed. */
   #rejectInvalid(error: NodeJS.ErrnoException, socket: net.Socket): void {
     const { metrics, logger } = this.#options.context;
     const { code } = error;
@@ -151,7 +179,8 @@
       { code },
       "Invalid HTTP request from a caller; closing its connection",
     );
-    if (!socket.writable || code === "ECONNRESET") {
+    const isBusy = (this.#inFlight.get(socket) ?? 0) > 0;
+    if (!socket.writable || code === "ECONNRESET" || isBusy) {
       socket.destroy();
       return;
     }
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -20,6 +20,14 @@
   "gateway.duration": { type: "time", help: "From arrival to answer" },
   "gateway.first_event": { type: "time", help: "To a stream's first event" },
   "gateway.in_flight": { type: "gauge", help: "Requests under way" },
+  "gateway.unread_bytes": {
+    type: "gauge",
+    help: "Bytes of replies that callers have not read",
+  },
+  "gateway.aborted_slow": {
+    type: "count",
+    help: "Replies aborted, as their callers have not read them",
+  },
   "gateway.sent": { type: "count", help: "Calls to endpoints, by service" },
   "gateway.placed": { type: "count", help: "Engines chosen, by whom" },
   "gateway.failed": { type: "count", help: "Failed calls, by cause" },
@@ -53,7 +61,8 @@
   },
   "gateway.unreadable": {
     type: "count",
-    help: "Announcements of endpoints that cannot be parsed, by service",
+    help:
+      "Announcements of endpoints that cannot be parsed, by service and kind",
   },
   "gateway.stages": { type: "time", help: "Until all pieces were made" },
   "gateway.left": { type: "count", help: "Requests whose callers left" },
@@ -121,6 +130,10 @@
     type: "count",
     help: "Calls that could not be read, by what is wrong",
   },
+  "control.unknown_service": {
+    type: "count",
+    help: "Heartbeats that name a service which the configuration lacks",
+  },
   "control.duration": { type: "time", help: "Of calls to a control host" },
   "config.unconfirmed": { type: "count", help: "Reads without a majority" },
   "config.version": { type: "gauge", help: "Version in force here" },
