Performance of endpoints: estimates of slowness, owned by the pool

Endpoints of one service differ in speed by a factor of 2.7 in one deployment, and hosts have no value for that: an endpoint's mean duration is one host's alone and fades with each choice of another.

src/performance has the pure estimate of one endpoint (lasting and momentary slowness) and the estimates of a service, which read 1 while the service is even or the part is turned off. The pool owns one for each service and drops ended incarnations; endpoints read and record their own slowness. Nothing observes or uses it yet, so no choice changes.

The momentary slowness is the weighted mean of recent deviations while their weight is one observation or more, and fades below that. An announced figure counts as one observation in place of the former ones.

--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -56,7 +56,7 @@
   readonly #options: EntryHostOptions;
   readonly #network: hostContext.Network;
   readonly #syncClient: syncClient.SyncClient;
-  readonly #pool = gateway.EndpointPool.create();
+  readonly #pool: gateway.EndpointPool;
   readonly #batcher: batching.Batcher;
   readonly #batcherClient: batching.BatcherClient;
   readonly #placement: gateway.Placement;
@@ -87,6 +87,9 @@
     const { settings, clock, logger } = options;
     const { host: self, dataCentre, seeds } = settings;
     this.#options = options;
+    this.#pool = gateway.EndpointPool.create({
+      isPerformanceEnabled: !settings.disabledParts.has("performance"),
+    });
     this.#paths = relay.EndpointPaths.create({
       ...options,
       dataCentre,
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as configurations from "../configuration/mod.ts";
+import * as performances from "../performance/mod.ts";
 import * as announcements from "./announcements.ts";
 import * as brittlenesses from "./brittleness.ts";
 import * as remoteLoads from "./remote_load.ts";
@@ -27,6 +28,11 @@
 /** Half-life of the delay of first events, in milliseconds. */
 const DELAY_HALF_LIFE_MS = 1500;
 
+/** Of an endpoint that belongs to no pool, or no longer does. */
+const NO_PERFORMANCE = performances.ServicePerformance.create({
+  isEnabled: false,
+});
+
 /** Milliseconds after a successful call for which an endpoint counts as alive
  * without heartbeats: a network partition may block heartbeats but not
  * calls. */
@@ -74,6 +80,8 @@
   /** What it has announced of itself in its answers. */
   announcements = announcements.Announcements.create();
   brittleness = brittlenesses.Brittleness.create();
+  /** Slowness of the endpoints of its service. */
+  performance = NO_PERFORMANCE;
   readonly rejections = rejectionBackoffs.RejectionBackoff.create();
   /** Undefined unless its service is known to serve prompts: the first
    * heartbeat may arrive before the configuration. */
@@ -264,10 +272,35 @@
       (duration - this.meanDuration);
   }
 
-  /** Records the load that it reports. */
+  /** Records the load that it reports, and the slowness that it announces. */
   recordLoad(load: protocols.ReportedLoad, now: number): void {
     this.#load = load;
     this.#loadReportedAt = now;
+    if (load.slowness === undefined) return;
+    this.performance.announce(this.identity.id, load.slowness, now);
+  }
+
+  /** Its slowness at this moment; 1 while its service is even. */
+  slowness(now: number): number {
+    return this.performance.slowness(this.identity.id, now);
+  }
+
+  /** Its slowness without the momentary deviation. */
+  lastingSlowness(now: number): number {
+    return this.performance.lasting(this.identity.id, now);
+  }
+
+  /** Records that work took `ratio` times the expectation. What it does while it
+   * is cold says nothing of its speed. */
+  recordSlowness(ratio: number, now: number): void {
+    if (this.coldRate(now) !== undefined) return;
+    this.performance.observe(this.identity.id, ratio, now);
+  }
+
+  /** Ends the record of its performance: calls that are still under way don't
+   * count any more. */
+  endPerformance(): void {
+    this.performance = NO_PERFORMANCE;
   }
 
   /** Calls in flight there: this host's, or its recent own report if higher. */
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -4,6 +4,7 @@
 import type * as configurations from "../configuration/mod.ts";
 import * as incarnations from "../endpoints/incarnation.ts";
 import type * as endpoints from "../endpoints/mod.ts";
+import * as performances from "../performance/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as brittlenesses from "./brittleness.ts";
 import type * as announcements from "./announcements.ts";
@@ -23,6 +24,12 @@
   readonly isRestarted: boolean;
 }
 
+/** Parts of a pool that a host may turn off. */
+export interface PoolOptions {
+  /** Whether the slowness of endpoints is estimated; true by default. */
+  readonly isPerformanceEnabled?: boolean;
+}
+
 /** Endpoints by service; each incarnation is a separate endpoint. Changed in
  * place. */
 export class EndpointPool {
@@ -38,13 +45,21 @@
     string,
     brittlenesses.ServiceBrittleness
   >();
+  readonly #performances = new Map<string, performances.ServicePerformance>();
+  readonly #isPerformanceEnabled: boolean;
   /** Announcements of former endpoints, by incarnation. */
   readonly #former = new Map<string, announcements.Announcements>();
   #evacuatedDataCentres: ReadonlySet<string> = new Set();
   #revision = 0;
 
-  static create(): EndpointPool {
-    return new EndpointPool();
+  private constructor(isPerformanceEnabled: boolean) {
+    this.#isPerformanceEnabled = isPerformanceEnabled;
+  }
+
+  static create(
+    { isPerformanceEnabled = true }: PoolOptions = {},
+  ): EndpointPool {
+    return new EndpointPool(isPerformanceEnabled);
   }
 
   /** Updates the endpoints from a roster and the configured services; returns
@@ -138,6 +153,11 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Slowness of the endpoints, by service. */
+  get performances(): ReadonlyMap<string, performances.ServicePerformance> {
+    return this.#performances;
+  }
+
   /** Endpoints of a service and version that accept calls; only the healthy
    * ones if there are any. */
   usable(
@@ -190,6 +210,7 @@
     added.brittleness = brittlenesses.Brittleness.create(
       this.#brittlenessOf(service),
     );
+    added.performance = this.#performanceOf(service);
     this.#applyEvacuation(added);
     this.#byId.set(id, added);
     this.#byService.set(service, [...this.endpointsOf(service), added]);
@@ -245,8 +266,20 @@
     return created;
   }
 
-  #remove(id: string, { identity, announcements }: endpoint.Endpoint): void {
+  #performanceOf(service: string): performances.ServicePerformance {
+    const known = this.#performances.get(service);
+    if (known !== undefined) return known;
+    const created = performances.ServicePerformance.create({
+      isEnabled: this.#isPerformanceEnabled,
+    });
+    this.#performances.set(service, created);
+    return created;
+  }
+
+  #remove(id: string, removed: endpoint.Endpoint): void {
+    const { identity, announcements } = removed;
     this.#revision++;
+    removed.endPerformance();
     if (!announcements.isEmpty) this.#former.set(id, announcements);
     const [oldest] = this.#former.keys();
     if (this.#former.size > MAX_FORMER_COUNT) this.#former.delete(oldest);
@@ -258,6 +291,9 @@
       each.identity.id !== id
     );
     this.#byService.set(identity.service, remaining);
+    this.#performances.get(identity.service)?.retain(
+      new Set(remaining.map((each) => each.identity.id)),
+    );
   }
 }
 
--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -215,3 +215,52 @@
   update({ born: 200 });
   t.false(engine().announcements.isLeaving(10), "the next incarnation stays");
 });
+
+/** A pool with a fast and a slow endpoint, after 20 calls at each. */
+function createUnevenPool(options: gateway.PoolOptions = {}) {
+  const pool = gateway.EndpointPool.create(options);
+  const entries = ["fast", "slow"].map((id) =>
+    createEntry({ id, address: id, born: 100 })
+  );
+  pool.update(entries, createService({}));
+  const [fast, slow] = pool.endpointsOf("models");
+  for (let count = 0; count < 20; count++) {
+    fast.recordSlowness(0.5, 0);
+    slow.recordSlowness(2, 0);
+  }
+  return { pool, entries, fast, slow };
+}
+
+test("the endpoints of a service are compared with each other", (t) => {
+  const { fast, slow } = createUnevenPool();
+  t.true(fast.lastingSlowness(0) < 0.6);
+  t.true(slow.lastingSlowness(0) > 1.7);
+  slow.recordLoad({ running: 1, waiting: 0, slots: 2, slowness: 4 }, 0);
+  t.true(slow.slowness(0) > 6);
+});
+
+test("no slowness is used where the part is turned off", (t) => {
+  const { slow } = createUnevenPool({ isPerformanceEnabled: false });
+  t.is(slow.slowness(0), 1);
+});
+
+// Guards against calls in flight that bring back an ended incarnation.
+test("slowness ends with the incarnation", (t) => {
+  const { pool, entries, fast, slow } = createUnevenPool();
+  const restarted = [entries[0], { ...entries[1], born: 200 }];
+  pool.update(restarted, createService({}));
+  slow.recordSlowness(2, 0);
+  t.is(fast.slowness(0), 1);
+  t.is(slow.slowness(0), 1);
+  const reported = pool.performances.get("models")!.takeReports();
+  t.deepEqual(reported.map(({ endpoint }) => endpoint), [fast.identity.id]);
+});
+
+test("a cold endpoint gives no observations", (t) => {
+  const { pool, fast } = createUnevenPool();
+  pool.performances.get("models")!.takeReports();
+  fast.cold = { time: 1000, rate: 1 };
+  fast.assumeCold(0);
+  fast.recordSlowness(4, 10);
+  t.deepEqual(pool.performances.get("models")!.takeReports(), []);
+});
--- /dev/null
+++ b/src/performance/mod.ts
@@ -0,0 +1,6 @@
+/** Performance of endpoints: how slow each one is, relative to the expectation
+ * for its service.
+ * @module */
+
+export * from "./service_performance.ts";
+export * from "./slowness.ts";
--- /dev/null
+++ b/src/performance/service_performance.ts
@@ -0,0 +1,190 @@
+/** Slowness of the endpoints of a service, where they differ enough to matter.
+ * @module */
+
+import * as slownesses from "./slowness.ts";
+
+/** Factor between the slowest and the fastest endpoint from which a service is
+ * uneven. Below it, the feedback by load and delay is enough. */
+const UNEVEN_FACTOR = 1.5;
+/** Factor below which it no longer is; lower, so that an estimate near the bound
+ * doesn't switch the service back and forth. */
+const EVEN_FACTOR = 1.3;
+/** Observations without which an endpoint doesn't count: the mean of fewer
+ * differs by chance. */
+const MIN_EVIDENCE = 8;
+/** Milliseconds after which the comparison is repeated without observations,
+ * since evidence decays. */
+const COMPARISON_MS = 1000;
+
+/** An endpoint and its estimate. */
+export interface EndpointSlowness {
+  readonly endpoint: string;
+  readonly slowness: number;
+  readonly evidence: number;
+}
+
+/** Fastest and slowest endpoint of a service. */
+export interface SlownessRange {
+  readonly fastest: EndpointSlowness;
+  readonly slowest: EndpointSlowness;
+}
+
+/** Own observations of an endpoint that no report has yet. */
+interface Untaken {
+  readonly logSum: number;
+  readonly count: number;
+}
+
+/** Slowness of a service's endpoints; changed in place. Endpoints are named by
+ * the id of one incarnation. */
+export class ServicePerformance {
+  readonly #isEnabled: boolean;
+  readonly #estimates = new Map<string, slownesses.Slowness>();
+  readonly #untaken = new Map<string, Untaken>();
+  #isUneven = false;
+  /** Time of the last comparison; -Infinity when observations are newer. */
+  #comparedAt = -Infinity;
+
+  private constructor(isEnabled: boolean) {
+    this.#isEnabled = isEnabled;
+  }
+
+  static create(
+    { isEnabled }: { readonly isEnabled: boolean },
+  ): ServicePerformance {
+    return new ServicePerformance(isEnabled);
+  }
+
+  /** Records that a call took `ratio` times the expectation. */
+  observe(endpoint: string, ratio: number, now: number): void {
+    if (!this.#isEnabled || !(ratio > 0)) return;
+    this.#set(endpoint, this.#estimate(endpoint).observe(ratio, now));
+    const { logSum, count } = this.#untaken.get(endpoint) ?? NONE;
+    this.#untaken.set(endpoint, {
+      logSum: logSum + slownesses.logOf(ratio),
+      count: count + 1,
+    });
+  }
+
+  /** Records the momentary slowness that an endpoint announces. */
+  announce(endpoint: string, value: number, now: number): void {
+    if (!this.#isEnabled || !(value > 0)) return;
+    const estimate = this.#estimate(endpoint).announce(value, now);
+    this.#estimates.set(endpoint, estimate);
+  }
+
+  /** Replaces the lasting estimates of the endpoints in `reports` by those of all
+   * hosts, plus own observations that no report has yet. */
+  adopt(reports: readonly slownesses.SlownessReport[], now: number): void {
+    if (!this.#isEnabled) return;
+    for (const report of reports) {
+      const { endpoint } = report;
+      const adopted = this.#estimate(endpoint).replaceLasting(report, now);
+      const untaken = this.#untaken.get(endpoint);
+      this.#set(
+        endpoint,
+        untaken === undefined
+          ? adopted
+          : adopted.add(reportOf(endpoint, untaken), now),
+      );
+    }
+  }
+
+  /** Own observations since the last call. */
+  takeReports(): slownesses.SlownessReport[] {
+    const reports = [...this.#untaken].map(([endpoint, untaken]) =>
+      reportOf(endpoint, untaken)
+    );
+    this.#untaken.clear();
+    return reports;
+  }
+
+  /** Slowness of an endpoint at this moment; 1 while the service is even. */
+  slowness(endpoint: string, now: number): number {
+    if (!this.isUneven(now)) return 1;
+    return this.#estimate(endpoint).value(now);
+  }
+
+  /** Its slowness without the momentary deviation. */
+  lasting(endpoint: string, now: number): number {
+    if (!this.isUneven(now)) return 1;
+    return this.#estimate(endpoint).lasting(now);
+  }
+
+  /** Whether the endpoints differ enough for their slowness to be used. */
+  isUneven(now: number): boolean {
+    if (now - this.#comparedAt >= COMPARISON_MS) this.#compare(now);
+    return this.#isUneven;
+  }
+
+  /** Fastest and slowest endpoint among those with enough observations;
+   * undefined without any. */
+  range(now: number): SlownessRange | undefined {
+    const known = [...this.#estimates]
+      .filter(([, estimate]) => estimate.evidence(now) >= MIN_EVIDENCE)
+      .map(([endpoint, estimate]) => ({
+        endpoint,
+        slowness: estimate.lasting(now),
+        evidence: estimate.evidence(now),
+      }))
+      .sort((one, two) => one.slowness - two.slowness);
+    const [fastest] = known;
+    const slowest = known.at(-1);
+    return slowest === undefined ? undefined : { fastest, slowest };
+  }
+
+  /** Drops the incarnations that aren't among `endpoints`. */
+  retain(endpoints: ReadonlySet<string>): void {
+    for (const endpoint of [...this.#estimates.keys()]) {
+      if (endpoints.has(endpoint)) continue;
+      this.#estimates.delete(endpoint);
+      this.#untaken.delete(endpoint);
+      this.#comparedAt = -Infinity;
+    }
+  }
+
+  /** State for diagnostics. */
+  dump(now: number): unknown {
+    return {
+      isUneven: this.isUneven(now),
+      endpoints: [...this.#estimates].map(([endpoint, estimate]) => ({
+        endpoint,
+        slowness: estimate.value(now),
+        lasting: estimate.lasting(now),
+        evidence: estimate.evidence(now),
+      })),
+    };
+  }
+
+  #estimate(endpoint: string): slownesses.Slowness {
+    return this.#estimates.get(endpoint) ?? slownesses.Slowness.PRIOR;
+  }
+
+  #set(endpoint: string, estimate: slownesses.Slowness): void {
+    this.#estimates.set(endpoint, estimate);
+    this.#comparedAt = -Infinity;
+  }
+
+  #compare(now: number): void {
+    this.#comparedAt = now;
+    let fastest = Infinity;
+    let slowest = -Infinity;
+    for (const estimate of this.#estimates.values()) {
+      if (estimate.evidence(now) < MIN_EVIDENCE) continue;
+      const value = estimate.logLasting(now);
+      fastest = Math.min(fastest, value);
+      slowest = Math.max(slowest, value);
+    }
+    const factor = Math.exp(slowest - fastest);
+    this.#isUneven = factor >= (this.#isUneven ? EVEN_FACTOR : UNEVEN_FACTOR);
+  }
+}
+
+const NONE: Untaken = { logSum: 0, count: 0 };
+
+function reportOf(
+  endpoint: string,
+  { logSum, count }: Untaken,
+): slownesses.SlownessReport {
+  return { endpoint, ratio: Math.exp(logSum / count), count };
+}
