Engines: first events are predicted by each engine's slowness

Engines of one service differ in speed by a factor of 2.7, and one latency model describes all of them: it predicts too little for slow engines and too much for fast ones, and the delay of first events carries the difference.

While a service is uneven, the prediction is multiplied by the engine's slowness, the model learns from times divided by the lasting slowness, the delay counts what exceeds both, and a slow engine counts as full with fewer streams. Observations are the time to a first event relative to what engines of the service typically take for that work, and the mean gap of a stream relative to the typical one. Both are compared with geometric means, so the logarithms stay centred on 0 (an arithmetic mean would drift with the spread). A first event after a fetch, or behind more streams than slots, gives no observation: its time depends on another engine or on when a stream ends. FirstEvent gets `fetched`, so that the owner knows. Announced figures of stream heads set the momentary slowness. The record of a call names the slowness that was used, unless it is 1.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -290,7 +290,7 @@
     const { clock, logger, metrics, loadUpdates, paths, slots } = this.#context;
     const { id, name, service, address } = target.identity;
     const started = clock.now();
-    const record = callRecords.create(chosen);
+    const record = callRecords.create(chosen, started);
     this.#calls.push(record);
     target.rejections.recordCall(started);
     this.#phase = this.#reply.head === undefined ? "sent" : "streaming";
@@ -302,14 +302,14 @@
       ...this.#context,
       prompt: this.#incoming!.prompt,
       prefillTokens: placement?.cacheMiss.prefillTokens ?? 0,
+      isFetching: (placement?.cacheMiss.fetchTokens ?? 0) > 0,
       ...(placement?.source === "owner" &&
         { pendingWork: placement.pendingWork }),
     });
     slots.begin(id);
-    const onFirstEvent = () => {
-      if (callLoad.firstEventTime === undefined) {
-        this.#recordFirstEvent(target, { callLoad, record });
-      }
+    const onEvents = () => {
+      if (callLoad.firstEventTime !== undefined) return callLoad.recordEvent();
+      this.#recordFirstEvent(target, { callLoad, record });
     };
     this.#attempt = attempts.Attempt.start({
       ...this.#context,
@@ -327,7 +327,7 @@
       ),
       onHead: (head) => this.#recordHead(target, { head, record, started }),
       stream: this.#route!.kind === "streaming"
-        ? this.#createStreamListener(target, onFirstEvent)
+        ? this.#createStreamListener(target, onEvents)
         : undefined,
     });
     const retentionTime = this.#context.inputRetention.time(service);
@@ -340,7 +340,7 @@
     if (this.#missedReleasedInput(outcome)) {
       this.#context.inputRetention.recordMissing(service, retentionTime);
     }
-    callLoad.end();
+    callLoad.end({ isSuccess: attempts.isSuccess(outcome) });
     record.ms = Math.round(clock.now() - started);
     record.relay = paths.relayOf(address);
     record.outcome = healthSignals.outcomeName(outcome);
@@ -382,6 +382,7 @@
     quotas.recordLimit(target.identity.id, rateLimit);
     const request = this.#incoming!.id;
     announcementRecords.record(target, head, { ...this.#context, request });
+    target.recordAnnouncedSlowness(head.load, this.#context.clock.now());
     if (leaving !== undefined) record.leaving = leaving;
     if (retryAfter !== undefined) record.retryAfterMs = retryAfter;
   }
@@ -431,13 +432,13 @@
 
   #createStreamListener(
     target: endpoints.Endpoint,
-    onFirstEvent: () => void,
+    onEvents: () => void,
   ): attempts.StreamListener {
     let head: protocols.ReplyHead;
     return {
       head: (received) => void (head = received),
       events: (complete) => {
-        onFirstEvent();
+        onEvents();
         this.#binding!.bind(target);
         this.#relay(head, complete);
       },
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -206,6 +206,35 @@
   t.is((await ask()).status, 503);
 });
 
+// Guards against a call that is given up because its endpoint is slow: it could
+// not be repeated, and the endpoint may have run it.
+test("a call that can't be repeated has no idle timeout at a slow endpoint", async (t) => {
+  const route = { kind: "unsafe", objective: 100, timeout: 3000 } as const;
+  const { ask, pool } = await startHost(t, route, (_, response) => {
+    const answer = () =>
+      response.writeHead(200, { "test-signature": "s" }).end("done");
+    // A call that can be repeated is given up after 800 ms without a byte.
+    setTimeout(answer, 900);
+  });
+  const { address } = pool.endpointsOf("desk")[0].identity;
+  pool.update(
+    [{ id: "e-1", address }, { id: "e-2", address: "other" }].map((each) =>
+      endpointFixture.entry(each)
+    ),
+    () => undefined,
+  );
+  const [slow, fast] = pool.endpointsOf("desk");
+  fast.isReady = false;
+  const now = runtime.systemClock.now();
+  for (let count = 0; count < 30; count++) {
+    slow.recordSlowness(8, now);
+    fast.recordSlowness(1, now);
+  }
+  t.true(slow.slowness(now) > 4);
+  t.is((await ask()).status, 200);
+  t.true(slow.isHealthy(runtime.systemClock.now()));
+});
+
 test("a request that is not idempotent is sent once", async (t) => {
   let count = 0;
   const { ask } = await startHost(t, { kind: "unsafe" }, (request) => {
--- a/src/gateway/cache_miss_test.ts
+++ b/src/gateway/cache_miss_test.ts
@@ -5,6 +5,7 @@
 import * as firstEventLatencies from "./first_event_latency.ts";
 import * as cacheMisses from "./cache_miss.ts";
 import * as cachedPrefixes from "./cached_prefixes.ts";
+import * as typicalValues from "./typical_value.ts";
 
 const PROMPT = {
   model: "m",
@@ -25,9 +26,10 @@
   const place = { service: "s", address: `10.0.0.1:${id}`, dataCentre };
   const prefixes = cachedPrefixes.CachedPrefixes.create(100_000);
   const firstEventLatency = firstEventLatencies.FirstEventLatency.create();
+  const eventGap = typicalValues.TypicalValue.create();
   return endpoints.Endpoint.create(
     { id, name: id, ...place, version, slots: 4 },
-    { cachedPrefixes: prefixes, firstEventLatency, fetchRate },
+    { cachedPrefixes: prefixes, firstEventLatency, eventGap, fetchRate },
   );
 }
 
--- a/src/gateway/call_load.ts
+++ b/src/gateway/call_load.ts
@@ -9,6 +9,10 @@
 import type * as protocols from "./protocol.ts";
 import type * as loadUpdates from "./load_updates.ts";
 
+/** Gaps between events from which their mean counts: the mean of fewer shows
+ * little but the jitter of the network. */
+const MIN_GAP_COUNT = 4;
+
 /** Dependencies, and the prompt of the call. */
 export interface CallLoadOptions {
   readonly clock: runtime.Clock;
@@ -20,6 +24,8 @@
   /** Work of the engine before the first event, as the partition owner that
    * placed the call knows it; if absent, by this host's own state. */
   readonly pendingWork?: firstEventLatencies.PendingWork;
+  /** Whether the engine fetches parts of the prompt from another one's cache. */
+  readonly isFetching?: boolean;
 }
 
 /** The load of one call on its endpoint. */
@@ -32,6 +38,9 @@
   /** Work of the engine before the first event, when the call was sent. */
   readonly #pendingWork: firstEventLatencies.PendingWork;
   #firstEventTime?: number;
+  /** Gaps between events so far, and their sum in milliseconds. */
+  #gapCount = 0;
+  #gapSum = 0;
 
   private constructor(endpoint: endpoints.Endpoint, options: CallLoadOptions) {
     const {
@@ -68,25 +77,47 @@
 
   /** Records the first event. */
   recordFirstEvent(): void {
-    const { clock, loadUpdates, pendingWork } = this.#options;
+    const { clock, loadUpdates, pendingWork, isFetching } = this.#options;
     const now = clock.now();
-    this.#firstEventTime = now - this.#startedAt;
+    const took = now - this.#startedAt;
+    this.#firstEventTime = took;
     this.#endpoint.backlog -= this.#prefillTokens;
-    const first = pendingWork &&
-      { work: pendingWork, took: this.#firstEventTime };
+    const fetched = isFetching && { fetched: true };
+    const first = pendingWork && { work: pendingWork, took, ...fetched };
     loadUpdates.record(this.#endpoint, { first });
     this.#endpoint.recordFirstEvent(this.#pendingWork, {
-      took: this.#firstEventTime,
+      took,
       now,
+      isFetched: isFetching,
     });
   }
 
+  /** Records a further event. */
+  recordEvent(): void {
+    const since = this.#startedAt + this.#firstEventTime! + this.#gapSum;
+    this.#gapSum += this.#options.clock.now() - since;
+    this.#gapCount++;
+  }
+
   /** Records the end of the call. */
-  end(): void {
+  end({ isSuccess }: { isSuccess: boolean }): void {
     this.#endpoint.inFlight--;
     if (this.#firstEventTime === undefined) {
       this.#endpoint.backlog -= this.#prefillTokens;
     }
-    this.#options.loadUpdates.record(this.#endpoint);
+    const gap = isSuccess ? this.#recordGap() : undefined;
+    const isReported = this.#options.pendingWork !== undefined;
+    this.#options.loadUpdates.record(
+      this.#endpoint,
+      isReported ? { gap } : undefined,
+    );
+  }
+
+  /** Records the mean gap between the events; returns it relative to the mean
+   * gap of the service. */
+  #recordGap(): number | undefined {
+    if (this.#gapCount < MIN_GAP_COUNT) return undefined;
+    const gap = this.#gapSum / this.#gapCount;
+    return this.#endpoint.recordGap(gap, this.#options.clock.now());
   }
 }
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -16,6 +16,8 @@
   relay?: string;
   /** Which host chose the engine. */
   readonly placedBy?: placements.PlacementSource;
+  /** Slowness of the endpoint by which it was chosen; absent while it is 1. */
+  readonly slowness?: number;
   /** Milliseconds to the first event of a stream. */
   first?: number;
   /** Announcements in the answer. */
@@ -24,13 +26,18 @@
 }
 
 /** Creates the record of a call that begins. */
-export function create({ endpoint, placed }: targetChoices.Target): CallRecord {
+export function create(
+  { endpoint, placed }: targetChoices.Target,
+  now: number,
+): CallRecord {
   const { id, version } = endpoint.identity;
+  const slowness = placed?.slowness ?? endpoint.slowness(now);
   return {
     endpoint: id,
     version,
     ms: 0,
     outcome: "open",
     ...(placed !== undefined && { placedBy: placed.source }),
+    ...(slowness !== 1 && { slowness: Number(slowness.toFixed(2)) }),
   };
 }
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -10,6 +10,7 @@
 import * as firstEventLatencies from "./first_event_latency.ts";
 import type * as cachedPrefixes from "./cached_prefixes.ts";
 import type * as protocols from "./protocol.ts";
+import type * as typicalValues from "./typical_value.ts";
 import * as rejectionBackoffs from "./rejection_backoff.ts";
 
 /** Weight of a new value in an exponential moving average of about ten
@@ -62,12 +63,16 @@
   readonly cachedPrefixes: cachedPrefixes.CachedPrefixes;
   /** Latency model of first events, shared by the engines of its service. */
   readonly firstEventLatency: firstEventLatencies.FirstEventLatency;
+  /** Typical mean gap between events of a stream, shared likewise. */
+  readonly eventGap: typicalValues.TypicalValue;
 }
 
 /** How many milliseconds a first event took, and when it arrived. */
 export interface FirstEventTiming {
   readonly took: number;
   readonly now: number;
+  /** Whether the engine fetched parts of the prompt before. */
+  readonly isFetched?: boolean;
 }
 
 /** What the outcome of a call shows of its endpoint's health; "full" is a
@@ -162,9 +167,11 @@
     };
   }
 
-  /** Expected milliseconds until that event, without other delays. */
+  /** Expected milliseconds until that event at the current slowness, without
+   * other delays. */
   predictFirstEvent(tokens: number, now: number): number {
-    return this.#latency.predict(this.pendingWork(tokens, now));
+    return this.#latency.predict(this.pendingWork(tokens, now)) *
+      this.slowness(now);
   }
 
   /** Milliseconds since the last successful call. */
@@ -276,7 +283,15 @@
   recordLoad(load: protocols.ReportedLoad, now: number): void {
     this.#load = load;
     this.#loadReportedAt = now;
-    if (load.slowness === undefined) return;
+    this.recordAnnouncedSlowness(load, now);
+  }
+
+  /** Records the slowness that it announces with a load report, if any. */
+  recordAnnouncedSlowness(
+    load: protocols.ReportedLoad | undefined,
+    now: number,
+  ): void {
+    if (load?.slowness === undefined) return;
     this.performance.announce(this.identity.id, load.slowness, now);
   }
 
@@ -315,17 +330,44 @@
   }
 
   /** Records the time to a first event, and its delay beyond the time predicted
-   * from the work before it. */
+   * from the work before it and the slowness, which includes this event: what
+   * the slowness explains is not counted twice. */
   recordFirstEvent(
     work: firstEventLatencies.PendingWork,
-    { took, now }: FirstEventTiming,
+    { took, now, isFetched = false }: FirstEventTiming,
   ): void {
-    const delay = took - this.#latency.predict(work);
-    this.#latency.observe(work, took);
+    const predicted = this.#latency.predict(work);
+    const lasting = this.lastingSlowness(now);
+    // The time of a fetch depends on another engine. Without a free slot, the
+    // prompt waited until a stream ended, which the model does not predict.
+    const isComparable = !isFetched && work.streams < this.identity.slots;
+    if (isComparable) this.#compareFirstEvent(work, { took, now });
+    this.#latency.observe(work, took / lasting);
+    const delay = took - predicted * this.slowness(now);
     this.#delay = (this.firstEventDelay(now) + Math.max(0, delay)) / 2;
     this.#delayUpdatedAt = now;
   }
 
+  #compareFirstEvent(
+    work: firstEventLatencies.PendingWork,
+    { took, now }: FirstEventTiming,
+  ): void {
+    const slowness = this.lastingSlowness(now);
+    const ratio = this.#latency.compare(work, { elapsed: took, slowness });
+    if (ratio !== undefined) this.recordSlowness(ratio, now);
+  }
+
+  /** Records the mean gap between events of a stream; returns it relative to the
+   * mean gap of the service, or undefined if that is unknown. */
+  recordGap(gap: number, now: number): number | undefined {
+    if (this.engine === undefined || gap <= 0) return undefined;
+    const { eventGap } = this.engine;
+    const ratio = eventGap.ratio(gap);
+    eventGap.observe(gap, this.lastingSlowness(now));
+    if (ratio !== undefined) this.recordSlowness(ratio, now);
+    return ratio;
+  }
+
   /** Recent delay of first events beyond their prediction, in milliseconds. */
   firstEventDelay(now: number): number {
     return this.#delay *
--- a/src/gateway/endpoint_choice.ts
+++ b/src/gateway/endpoint_choice.ts
@@ -50,6 +50,8 @@
 export interface EngineChoice {
   readonly engine: endpoints.Endpoint;
   readonly firstEventTime: number;
+  /** Its slowness by which that time was predicted. */
+  readonly slowness: number;
   /** Prompt tokens missing from its prefix cache. */
   readonly cacheMiss: cacheMisses.CacheMiss;
   /** Its work before that event, this prompt included. */
@@ -102,7 +104,9 @@
       ? 0
       : MOVE_COST_MS;
     const streams = each.inFlight + each.remoteLoad.total(now).streams;
-    const overflow = Math.max(0, streams + 1 - each.identity.slots);
+    // A slow engine with all slots taken exceeds the gaps that callers want.
+    const slots = each.identity.slots / Math.max(1, each.slowness(now));
+    const overflow = Math.max(0, streams + 1 - slots);
     return (time + moveCost + random.next() * TIE_BREAK_MS) /
         Math.max(0.01, each.successRate ** HEALTH_EXPONENT) +
       overflow * QUEUE_DELAY_MS;
@@ -112,6 +116,7 @@
   return {
     engine,
     firstEventTime: firstEventTime(engine, cacheMiss, now),
+    slowness: engine.slowness(now),
     cacheMiss,
     pendingWork: engine.pendingWork(cacheMiss.prefillTokens, now),
   };
--- a/src/gateway/endpoint_choice_test.ts
+++ b/src/gateway/endpoint_choice_test.ts
@@ -7,6 +7,7 @@
 import * as firstEventLatencies from "./first_event_latency.ts";
 import * as cacheMisses from "./cache_miss.ts";
 import * as cachedPrefixes from "./cached_prefixes.ts";
+import * as typicalValues from "./typical_value.ts";
 
 const random: runtime.Random = { next: () => 0, below: () => 0 };
 const context = { now: 0, random, dataCentre: "town" };
@@ -17,7 +18,8 @@
   const identity = { id, name: id, version: "v1", ...place };
   const prefixes = cachedPrefixes.CachedPrefixes.create(100_000);
   const firstEventLatency = firstEventLatencies.FirstEventLatency.create();
-  const engine = { cachedPrefixes: prefixes, firstEventLatency };
+  const eventGap = typicalValues.TypicalValue.create();
+  const engine = { cachedPrefixes: prefixes, firstEventLatency, eventGap };
   return endpoints.Endpoint.create({ ...identity, ...change }, engine);
 }
 
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -11,6 +11,7 @@
 import * as endpoint from "./endpoint.ts";
 import * as firstEventLatencies from "./first_event_latency.ts";
 import * as cachedPrefixes from "./cached_prefixes.ts";
+import * as typicalValues from "./typical_value.ts";
 
 /** Former endpoints whose announcements are kept, the latest: an outdated
  * roster may list them again. */
@@ -41,6 +42,7 @@
     string,
     firstEventLatencies.FirstEventLatency
   >();
+  readonly #eventGaps = new Map<string, typicalValues.TypicalValue>();
   readonly #brittleness = new Map<
     string,
     brittlenesses.ServiceBrittleness
@@ -130,10 +132,11 @@
       load.verdicts?.forEach((signal) => {
         if (engine?.recordHealth(signal, now)) ejected.add(engine);
       });
-      load.firsts?.forEach(({ work, took }) => {
-        engine?.recordFirstEvent(work, { took, now });
+      load.firsts?.forEach(({ work, took, fetched }) => {
+        engine?.recordFirstEvent(work, { took, now, isFetched: fetched });
         engine?.rejections.recordAcceptance(now - took);
       });
+      load.gaps?.forEach((ratio) => engine?.recordSlowness(ratio, now));
     }
     return [...ejected];
   }
@@ -241,6 +244,7 @@
       fetchRate,
       cachedPrefixes: prefixes,
       firstEventLatency,
+      eventGap: this.#eventGapOf(service.name),
     };
   }
 
@@ -258,6 +262,14 @@
     return created;
   }
 
+  #eventGapOf(service: string): typicalValues.TypicalValue {
+    const known = this.#eventGaps.get(service);
+    if (known !== undefined) return known;
+    const created = typicalValues.TypicalValue.create();
+    this.#eventGaps.set(service, created);
+    return created;
+  }
+
   #brittlenessOf(service: string): brittlenesses.ServiceBrittleness {
     const known = this.#brittleness.get(service);
     if (known !== undefined) return known;
--- /dev/null
+++ b/src/gateway/engine_slowness_test.ts
@@ -0,0 +1,219 @@
+/** @module */
+
+import test from "ava";
+import * as fixture from "../endpoints/fixture.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as callLoads from "./call_load.ts";
+import * as callRecords from "./call_record.ts";
+import * as choices from "./endpoint_choice.ts";
+import type * as endpoints from "./endpoint.ts";
+import * as endpointPools from "./endpoint_pool.ts";
+import type * as loadUpdates from "./load_updates.ts";
+
+const SLOTS = 4;
+const WORK = { tokens: 3000, streams: 1 };
+
+/** Engines of one service. */
+function createEngines(options: endpointPools.PoolOptions = {}) {
+  const pool = endpointPools.EndpointPool.create(options);
+  pool.update(
+    ["fast", "slow"].map((id) =>
+      fixture.entry({ id, address: id, service: "models", slots: SLOTS })
+    ),
+    (name) => ({
+      name,
+      connections: 1,
+      engine: { slots: SLOTS, tokens: 100_000 },
+    }),
+  );
+  const [fast, slow] = pool.endpointsOf("models");
+  return { pool, fast, slow };
+}
+
+/** Records first events of the same work, with some noise. */
+function recordFirstEvents(
+  engine: endpoints.Endpoint,
+  { took, count = 1, ...change }: {
+    took: number;
+    count?: number;
+    isFetched?: boolean;
+    work?: typeof WORK;
+  },
+) {
+  const { work = WORK, ...rest } = change;
+  for (let number = 0; number < count; number++) {
+    const noise = 0.9 + 0.2 * (number % 2);
+    engine.recordFirstEvent(work, { took: noise * took, now: 0, ...rest });
+  }
+}
+
+/** Engines whose first events differ by a factor of 2.5, after 60 of each. */
+function createUnevenEngines(options: endpointPools.PoolOptions = {}) {
+  const created = createEngines(options);
+  for (let number = 0; number < 60; number++) {
+    recordFirstEvents(created.fast, { took: 100 });
+    recordFirstEvents(created.slow, { took: 250 });
+  }
+  return created;
+}
+
+test("first events are predicted for each engine by its slowness", (t) => {
+  const { fast, slow } = createUnevenEngines();
+  // The momentary slowness has faded by then.
+  const now = 3000;
+  const ratio = slow.predictFirstEvent(3000, now) /
+    fast.predictFirstEvent(3000, now);
+  t.true(ratio > 2.1 && ratio < 2.7, `${ratio}`);
+  const predicted = fast.predictFirstEvent(3000, now);
+  t.true(predicted > 80 && predicted < 125, `${predicted}`);
+});
+
+// Guards against a model that describes whichever engines have had most of the
+// calls: predictions for the others would be wrong by the factor between them.
+test("calls to slow engines don't change the prediction for fast ones", (t) => {
+  const { fast, slow } = createUnevenEngines();
+  recordFirstEvents(slow, { took: 250, count: 150 });
+  const predicted = fast.predictFirstEvent(3000, 3000);
+  t.true(predicted > 80 && predicted < 125, `${predicted}`);
+});
+
+// Guards against a delay that a slow engine would keep for ever, in addition to
+// its slowness.
+test("a slow engine's first events are not delayed beyond its slowness", (t) => {
+  const on = createUnevenEngines();
+  const off = createUnevenEngines({ isPerformanceEnabled: false });
+  t.true(on.slow.firstEventDelay(0) < 0.3 * off.slow.firstEventDelay(0));
+});
+
+// Guards against an engine that looks slow for its lifetime because others held
+// up its first events.
+test("fetches and queues beyond the slots don't make an engine slow", (t) => {
+  const { pool, slow } = createEngines();
+  recordFirstEvents(slow, { took: 100, count: 30 });
+  const performance = pool.performances.get("models")!;
+  performance.takeReports();
+  recordFirstEvents(slow, { took: 900, count: 10, isFetched: true });
+  const work = { tokens: 3000, streams: SLOTS };
+  recordFirstEvents(slow, { took: 900, count: 10, work });
+  t.deepEqual(performance.takeReports(), []);
+});
+
+test("a single first event that waited is outweighed by those after it", (t) => {
+  const { pool, fast, slow } = createEngines();
+  for (const engine of [fast, slow]) {
+    recordFirstEvents(engine, { took: 100, count: 20 });
+  }
+  recordFirstEvents(slow, { took: 800 });
+  t.false(pool.performances.get("models")!.isUneven(0));
+  recordFirstEvents(slow, { took: 100, count: 40 });
+  t.true(pool.performances.get("models")!.range(0)!.slowest.slowness < 1.1);
+});
+
+test("while the service is even, values are the same as without the part", (t) => {
+  const run = (isPerformanceEnabled: boolean) => {
+    const random = runtime.createRandom(5);
+    const { pool, fast, slow } = createEngines({ isPerformanceEnabled });
+    return Array.from({ length: 200 }, (_, now) => {
+      const engine = now % 2 === 0 ? fast : slow;
+      const work = { tokens: random.below(9000), streams: random.below(6) };
+      const took = 40 + work.tokens / 30 * (0.8 + 0.4 * random.next());
+      engine.recordFirstEvent(work, { took, now });
+      engine.recordGap(18 + 4 * random.next(), now);
+      const isUneven = pool.performances.get("models")!.isUneven(now);
+      const predicted = engine.predictFirstEvent(3000, now);
+      return { isUneven, predicted, delay: engine.firstEventDelay(now) };
+    });
+  };
+  const values = run(true);
+  t.true(values.every(({ isUneven }) => !isUneven));
+  t.deepEqual(values, run(false));
+});
+
+/** Runs a call whose stream has `gaps`; returns what other hosts are told. */
+function stream(
+  engine: endpoints.Endpoint,
+  { gaps, isSuccess = true, isPlaced = true }: {
+    gaps: readonly number[];
+    isSuccess?: boolean;
+    isPlaced?: boolean;
+  },
+) {
+  const clock = new runtime.FakeClock();
+  const changes: (loadUpdates.LoadChange | undefined)[] = [];
+  const load = callLoads.CallLoad.start(engine, {
+    clock,
+    loadUpdates: { record: (_, change) => void changes.push(change) },
+    prefillTokens: 100,
+    ...(isPlaced && { pendingWork: WORK }),
+  });
+  clock.advance(100);
+  load.recordFirstEvent();
+  for (const gap of gaps) {
+    clock.advance(gap);
+    load.recordEvent();
+  }
+  load.end({ isSuccess });
+  return changes.flatMap((change) => change?.gap ?? []);
+}
+
+const GAPS = [20, 20, 20, 20, 20];
+
+test("a stream's mean gap is reported relative to that of the service", (t) => {
+  const { pool, fast, slow } = createEngines();
+  t.deepEqual(stream(fast, { gaps: GAPS }), []);
+  const slowGaps = [30, 50, 40, 40, 40];
+  const [ratio] = stream(slow, { gaps: slowGaps });
+  t.true(Math.abs(ratio - 2) < 1e-9, `${ratio}`);
+  const [report] = pool.performances.get("models")!.takeReports();
+  t.is(report.endpoint, slow.identity.id);
+  t.true(Math.abs(report.ratio - 2) < 1e-9);
+  t.deepEqual(stream(slow, { gaps: slowGaps, isPlaced: false }), []);
+});
+
+test("failed streams and few events show nothing of an engine's speed", (t) => {
+  const { pool, fast, slow } = createEngines();
+  stream(fast, { gaps: GAPS });
+  t.deepEqual(stream(slow, { gaps: [400, 400] }), []);
+  t.deepEqual(stream(slow, { gaps: GAPS, isSuccess: false }), []);
+  t.deepEqual(pool.performances.get("models")!.takeReports(), []);
+});
+
+test("an owner records the gaps that other hosts have seen", (t) => {
+  const { pool, slow } = createEngines();
+  const { id } = slow.identity;
+  const use = { engine: id, tokens: 0, streams: 0, read: [], gaps: [2, 2] };
+  pool.recordRemoteLoad("other", [use], 0);
+  const [report] = pool.performances.get("models")!.takeReports();
+  t.is(report.endpoint, id);
+  t.is(report.count, 2);
+});
+
+// Guards against a slow engine that is nearly full, whose events come too late
+// for callers although its first event is in time.
+test("a slow engine is full with fewer streams than it has slots", (t) => {
+  const { fast, slow } = createUnevenEngines();
+  slow.inFlight = SLOTS - 1;
+  fast.inFlight = SLOTS - 1;
+  fast.backlog = 40_000;
+  const prompt = {
+    model: "m",
+    inputTokens: 100,
+    outputTokens: 10,
+    parts: [{ id: "own", tokens: 100 }],
+  };
+  const context = {
+    now: 0,
+    random: { next: () => 0, below: () => 0 },
+    dataCentre: "town",
+  };
+  const chosen = choices.chooseEngine([fast, slow], prompt, context)!;
+  t.is(chosen.engine, fast);
+});
+
+test("the record of a call names the slowness that was used", (t) => {
+  const { slow } = createUnevenEngines();
+  const record = callRecords.create({ endpoint: slow }, 0);
+  t.true(record.slowness! > 1.4);
+  const { slow: even } = createEngines();
+  t.false("slowness" in callRecords.create({ endpoint: even }, 0));
+});
--- a/src/gateway/first_event_latency.ts
+++ b/src/gateway/first_event_latency.ts
@@ -7,11 +7,15 @@
  * @module */
 
 import * as regression from "../admission/regression.ts";
+import * as typicalValues from "./typical_value.ts";
 
 /** Prior of the fit: milliseconds of an idle engine, per 1,000 tokens to
  * prefill, and per running stream. Observations soon outweigh it; its ratios
  * give the shape of the fit while there are few. */
 const PRIOR: regression.Coefficients = { constant: 60, first: 30, second: 5 };
+/** Observations from which times are compared with the fit: before, its level
+ * is mostly that of the prior, which may be wrong by a factor of ten. */
+const MIN_COMPARED_COUNT = 10;
 /** Number of tokens in one unit of the fit. */
 const TOKEN_UNIT = 1000;
 
@@ -26,6 +30,8 @@
 /** First-event latency of one service's engines; changed in place. */
 export class FirstEventLatency {
   readonly #fit = regression.Regression.create(PRIOR);
+  /** Typical ratio of observed times to predicted ones. */
+  readonly #typicalRatio = typicalValues.TypicalValue.create();
 
   static create(): FirstEventLatency {
     return new FirstEventLatency();
@@ -41,6 +47,22 @@
     this.#fit.observe([tokens / TOKEN_UNIT, streams], elapsed);
   }
 
+  /** The time to a first event relative to the time that the service's engines
+   * typically take for the same work; undefined while too little is known.
+   * Learns from the time, which an engine of the given lasting slowness took. */
+  compare(
+    { tokens, streams }: PendingWork,
+    { elapsed, slowness }: { elapsed: number; slowness: number },
+  ): number | undefined {
+    if (this.#fit.samples < MIN_COMPARED_COUNT || elapsed <= 0) {
+      return undefined;
+    }
+    const value = elapsed / this.predict({ tokens, streams });
+    const ratio = this.#typicalRatio.ratio(value);
+    this.#typicalRatio.observe(value, slowness);
+    return ratio;
+  }
+
   /** State for diagnostics. */
   toJSON(): unknown {
     return this.#fit.toJSON();
--- a/src/gateway/load_updates.ts
+++ b/src/gateway/load_updates.ts
@@ -29,6 +29,7 @@
   readonly cachedParts: schema.PromptPart[][];
   readonly firstEvents: schema.FirstEvent[];
   readonly signals: endpoints.HealthSignal[];
+  readonly gaps: number[];
 }
 
 /** Events behind a change of the load on an engine. */
@@ -39,6 +40,9 @@
   readonly first?: schema.FirstEvent;
   /** Health signal of a call whose prompt another host has placed. */
   readonly signal?: endpoints.HealthSignal;
+  /** Mean gap between events of such a call's stream, relative to the mean gap
+   * of the service. */
+  readonly gap?: number;
 }
 
 /** Batches and sends load updates. */
@@ -58,7 +62,7 @@
   /** Records that this host's load on an engine has changed. */
   record(
     engine: endpoints.Endpoint,
-    { prompt, first, signal }: LoadChange = {},
+    { prompt, first, signal, gap }: LoadChange = {},
   ): void {
     if (engine.cachedPrefixes === undefined) return;
     const update = this.#updateOf(engine);
@@ -66,6 +70,7 @@
     if (shared.length > 0) update.cachedParts.push([...shared]);
     if (first !== undefined) update.firstEvents.push(first);
     if (signal !== undefined) update.signals.push(signal);
+    if (gap !== undefined) update.gaps.push(gap);
     if (this.#isBatching) return;
     this.#isBatching = true;
     this.#options.clock.after(BATCH_INTERVAL_MS, () => this.#send());
@@ -75,7 +80,13 @@
     const { id } = engine.identity;
     const pending = this.#pending.get(id);
     if (pending !== undefined) return pending;
-    const created = { engine, cachedParts: [], firstEvents: [], signals: [] };
+    const created = {
+      engine,
+      cachedParts: [],
+      firstEvents: [],
+      signals: [],
+      gaps: [],
+    };
     this.#pending.set(id, created);
     return created;
   }
@@ -92,6 +103,7 @@
           cachedParts,
           firstEvents,
           signals,
+          gaps,
         },
       ) => ({
         engine: engine.identity.id,
@@ -100,6 +112,7 @@
         read: cachedParts,
         ...(firstEvents.length > 0 && { firsts: firstEvents }),
         ...(signals.length > 0 && { verdicts: signals }),
+        ...(gaps.length > 0 && { gaps }),
       })),
     );
     for (const { engine } of updates) {
--- a/src/gateway/load_updates_test.ts
+++ b/src/gateway/load_updates_test.ts
@@ -9,6 +9,7 @@
 import * as firstEventLatencies from "./first_event_latency.ts";
 import * as endpointPools from "./endpoint_pool.ts";
 import * as cachedPrefixes from "./cached_prefixes.ts";
+import * as typicalValues from "./typical_value.ts";
 import * as loadUpdates from "./load_updates.ts";
 
 const random: runtime.Random = { next: () => 0, below: () => 0 };
@@ -28,6 +29,7 @@
   return endpoints.Endpoint.create(identity, {
     cachedPrefixes: prefixes,
     firstEventLatency,
+    eventGap: typicalValues.TypicalValue.create(),
   });
 }
 
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -132,6 +132,7 @@
     const {
       engine,
       firstEventTime,
+      slowness,
       cacheMiss,
       pendingWork,
     } = chosen;
@@ -155,6 +156,7 @@
       fetchTime,
       firstEvent: firstEventTime,
       work: pendingWork,
+      ...(slowness !== 1 && { slowness }),
     };
   }
 
@@ -255,7 +257,7 @@
     if (endpointPools.ofVersion([engine], version).length === 0) {
       return undefined;
     }
-    const { read, fetched, fetchTime, firstEvent, work } = reply;
+    const { read, fetched, fetchTime, firstEvent, work, slowness = 1 } = reply;
     const source = pool.get(reply.source ?? "");
     const isSameVersion = source?.identity.version === engine.identity.version;
     const cacheMiss = {
@@ -267,6 +269,7 @@
     return {
       engine,
       firstEventTime: firstEvent,
+      slowness,
       cacheMiss,
       pendingWork: work,
       source: "owner",
--- a/src/gateway/placement_test.ts
+++ b/src/gateway/placement_test.ts
@@ -234,6 +234,22 @@
   t.true(engine.predictFirstEvent(5000, 0) > 2 * before);
 });
 
+// Guards against a log line without the value that decided a placement.
+test("an owner names the slowness by which it chose, while its service is uneven", async (t) => {
+  const { place, members } = createFleet();
+  const even = await place("h-1", createPrompt("part"));
+  t.is(even!.slowness, 1);
+  for (const { pool } of members.values()) {
+    pool.endpointsOf("models").forEach((engine, index) => {
+      const ratio = index === 0 ? 1 : 2;
+      for (let count = 0; count < 20; count++) engine.recordSlowness(ratio, 0);
+    });
+  }
+  const tried = ["i-0"];
+  const uneven = await place("h-1", createPrompt("part"), { tried });
+  t.true(uneven!.slowness > 1.6, `${uneven!.slowness}`);
+});
+
 // Guards against placements by an owner that has not received the announcement
 // of an engine that another host has.
 test("an engine that announced its departure to a host gets none of its prompts", async (t) => {
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -809,6 +809,12 @@
    * Milliseconds from the call.
    */
   took: number;
+  /**
+   * Whether the engine fetched parts of the prompt from another one's
+   * cache; absent if not.
+   *
+   */
+  fetched?: boolean;
 }
 /**
  * A core host knows these requests that may crash endpoints.
