Stage workers: the shared slowness orders calls while a service is uneven

A batcher measures the slowness of an endpoint by its own calls alone, with a mean that follows a change in three or four calls; what endpoints announce of their machines is not used.

While the service is uneven, the shared estimate replaces that mean wherever it is read: order of idle endpoints, expected end of a call, forecast throughput, and delay scheduling, which compares the same figures. A timeout uses the larger of both, so it is never shorter than before. A call counts as an observation only if it gave all its results, since a call that rejected items ends early. Announced figures of the heads of batch calls and releases set the momentary slowness.

--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -13,6 +13,7 @@
 import * as batchCalls from "./batch_call.ts";
 import * as schedulers from "./scheduler.ts";
 import * as tasks from "./task.ts";
+import type * as workerStates from "./worker_state.ts";
 
 /** Calls in which an item may be tried before it fails; each takes up time of
  * an endpoint. */
@@ -38,6 +39,11 @@
   backoff(endpoint: string): number;
   /** Records what the head of an answer announces of its endpoint. */
   recordHead(endpoint: string, head: protocols.ReplyHead): void;
+  /** Shared estimate of an endpoint's slowness. */
+  readonly sharedSlowness: workerStates.SharedSlowness;
+  /** Records the ratio of the duration of a call that gave all its results to
+   * the duration that the configuration gives. */
+  recordDurationRatio(endpoint: string, ratio: number): void;
   /** Whether new calls may be sent to an endpoint, whether it is healthy or
    * not. */
   acceptsCalls(endpoint: string): boolean;
@@ -96,7 +102,8 @@
 
   private constructor(options: PartitionBatcherOptions) {
     this.#options = options;
-    this.#scheduler = schedulers.Scheduler.create(options.traits());
+    const { traits, sharedSlowness } = options;
+    this.#scheduler = schedulers.Scheduler.create(traits(), sharedSlowness);
   }
 
   static create(options: PartitionBatcherOptions): PartitionBatcher {
@@ -281,7 +288,12 @@
         ? [{ handle: result.handle, bytes: tasks[pos].bytes }]
         : []
     );
-    this.#scheduler.completeCall(assignment, { results: held, duration, now });
+    const call = { results: held, duration, now };
+    const ratio = this.#scheduler.completeCall(assignment, call);
+    // A call that computed only some of its items says little about speed.
+    if (held.length === tasks.length) {
+      this.#options.recordDurationRatio(assignment.worker.id, ratio);
+    }
     const rejected = tasks.filter((_, pos) => {
       const result = results[pos];
       return result.type === "failed" && result.failure === "room";
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -24,10 +24,25 @@
   rank: 0,
 };
 
-/** A batcher with one endpoint, whose calls are counted and never answered. */
+const NO_CONTROLLER = {} as undici.Dispatcher.DispatchController;
+
+/** Duration of an answered call: twice that of two items by the
+ * configuration. */
+const CALL_MS = 240;
+
+/** A batcher with one endpoint, whose calls are counted and, unless there are
+ * `results`, never answered. */
 function batcherOf(
-  { isClosed = false, acquire = () => Promise.resolve(0), backoff = 0 }: {
+  {
+    isClosed = false,
+    acquire = () => Promise.resolve(0),
+    backoff = 0,
+    results,
+    recordDurationRatio = () => {},
+  }: {
     isClosed?: boolean;
+    results?: readonly protocols.ItemResult[];
+    recordDurationRatio?: (endpoint: string, ratio: number) => void;
     acquire?: () => Promise<number>;
     /** Milliseconds for which the endpoint asks for no calls. */
     backoff?: number;
@@ -51,6 +66,8 @@
     backoff: left,
     resumesIn: left,
     recordResponse() {},
+    sharedSlowness: () => undefined,
+    recordDurationRatio,
     slots: concurrencyFixture.unlimitedSlots(),
     quotas: {
       ...quotaFixture.unlimitedQuotas(),
@@ -61,14 +78,24 @@
       batchCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
       releaseCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
       holderOf: () => worker.address,
+      decodeReply: (status: number) => ({ status }),
+      decodeItemResults: () => results,
     } as unknown as protocols.GatewayProtocol,
     dispatcher: {
       dispatch(
         _options: undici.Dispatcher.DispatchOptions,
-        handler: { onResponseError(): void },
+        handler: undici.Dispatcher.DispatchHandler,
       ) {
         state.calls++;
-        if (state.isUnreachable) handler.onResponseError();
+        const controller = NO_CONTROLLER;
+        if (state.isUnreachable) {
+          handler.onResponseError?.(controller, new Error("unreachable"));
+        }
+        if (results !== undefined) {
+          clock.advance(CALL_MS);
+          handler.onResponseStart?.(controller, 200, { "content-length": "0" });
+          handler.onResponseEnd?.(controller, {});
+        }
         return true;
       },
     } as unknown as undici.Dispatcher,
@@ -165,3 +192,26 @@
   }
   t.is(state.calls, before + 1);
 });
+
+// Guards against an endpoint that looks fast because it computed only some items
+// of a call, or none.
+for (const failure of ["room", "late", undefined] as const) {
+  const title = failure === undefined
+    ? "the duration of a complete call is compared with the configuration"
+    : `a call with an item that failed (${failure}) is not compared`;
+  test(title, async (t) => {
+    const ratios: number[] = [];
+    const made = { type: "made", handle: "a" } as const;
+    const second = failure === undefined
+      ? made
+      : { type: "failed", failure } as const;
+    const { batcher } = batcherOf({
+      results: [made, second],
+      recordDurationRatio: (_, ratio) => void ratios.push(ratio),
+    });
+    void batcher.compute(QUESTION);
+    await settle();
+    await settle();
+    t.deepEqual(ratios.slice(0, 1), failure === undefined ? [2] : []);
+  });
+}
--- a/src/batching/scheduler.ts
+++ b/src/batching/scheduler.ts
@@ -44,6 +44,7 @@
 /** The queue and the endpoints of one partition. Mutable. */
 export class Scheduler {
   #traits: configurations.BatchTraits;
+  readonly #sharedSlowness?: workerStates.SharedSlowness;
   readonly #workers = new Map<string, workerStates.WorkerState>();
   #queued: tasks.Task[] = [];
   readonly #reservations = reservations.Reservations.create();
@@ -52,12 +53,19 @@
     CALL_DURATION_MEAN,
   );
 
-  private constructor(traits: configurations.BatchTraits) {
+  private constructor(
+    traits: configurations.BatchTraits,
+    sharedSlowness?: workerStates.SharedSlowness,
+  ) {
     this.#traits = traits;
+    this.#sharedSlowness = sharedSlowness;
   }
 
-  static create(traits: configurations.BatchTraits): Scheduler {
-    return new Scheduler(traits);
+  static create(
+    traits: configurations.BatchTraits,
+    sharedSlowness?: workerStates.SharedSlowness,
+  ): Scheduler {
+    return new Scheduler(traits, sharedSlowness);
   }
 
   /** Queued tasks. */
@@ -77,7 +85,7 @@
     for (const state of this.#workers.values()) state.isListed = false;
     for (const worker of workers) {
       const state = this.#workers.get(worker.id) ??
-        workerStates.WorkerState.create(worker);
+        workerStates.WorkerState.create(worker, this.#sharedSlowness);
       state.isListed = true;
       this.#workers.set(worker.id, state);
     }
@@ -194,12 +202,13 @@
     now: number,
   ): number {
     const state = this.#workers.get(worker.id);
-    const slowness = Math.max(1, state?.slowness(now) ?? 1);
+    const slowness = state?.timeoutSlowness(now) ?? 1;
     return MIN_CALL_TIMEOUT_MS +
       CALL_TIMEOUT_RATIO * slowness * this.#expectedDuration(tasks.length);
   }
 
-  /** Records that a call has completed, and the results that it gave. */
+  /** Records that a call has completed, and the results that it gave; returns
+   * the ratio of its duration to the one that the configuration gives. */
   completeCall(
     { worker, tasks }: tasks.Assignment,
     { results, duration, now }: {
@@ -207,7 +216,7 @@
       duration: number;
       now: number;
     },
-  ): void {
+  ): number {
     const expected = this.#expectedDuration(tasks.length);
     const prior = Math.min(duration, MAX_FIRST_RATIO * expected);
     this.#callDuration.add(duration, { now, prior });
@@ -215,6 +224,7 @@
     const until = now + this.#traits.keepTime;
     const state = this.#workers.get(worker.id);
     state?.completeCall(tasks, { results, until, ratio, now });
+    return ratio;
   }
 
   /** Records that a call gave no results. `pause` is the time for which the
--- a/src/batching/scheduler_test.ts
+++ b/src/batching/scheduler_test.ts
@@ -306,3 +306,64 @@
   const [call] = scheduler.assign(23_000);
   t.is(call?.worker.id, "slow");
 });
+
+/** A scheduler of two endpoints whose shared slowness is given. */
+function sharedSchedulerOf(slowness: Record<string, number | undefined>) {
+  const scheduler = schedulers.Scheduler.create(
+    configurations.batchTraits(),
+    (endpoint) => slowness[endpoint],
+  );
+  scheduler.setWorkers([worker("1"), worker("2")]);
+  return scheduler;
+}
+
+/** Makes a call of four items at the first endpoint, of the given duration. */
+function callFirst(scheduler: schedulers.Scheduler, duration: number) {
+  scheduler.add(fixture.tasks("first", 4));
+  const [call] = scheduler.assign(0);
+  const ratio = scheduler.completeCall(call, {
+    results: [],
+    duration,
+    now: duration,
+  });
+  return { call, ratio };
+}
+
+test("the shared slowness orders idle endpoints in place of own calls", (t) => {
+  const scheduler = sharedSchedulerOf({ 1: 0.7, 2: 1.5 });
+  const { call, ratio } = callFirst(scheduler, 420);
+  t.is(ratio, 3);
+  t.is(call.worker.id, "1");
+  scheduler.add(fixture.tasks("b", 4, { dueAt: 5000 }));
+  t.is(scheduler.assign(500)[0].worker.id, "1");
+});
+
+test("own calls order idle endpoints while there is no shared slowness", (t) => {
+  const scheduler = sharedSchedulerOf({});
+  const { call } = callFirst(scheduler, 420);
+  scheduler.add(fixture.tasks("b", 4, { dueAt: 5000 }));
+  t.not(scheduler.assign(500)[0].worker.id, call.worker.id);
+});
+
+test("the shared slowness lowers the forecast throughput", (t) => {
+  const task = { dueAt: 1000, rank: 0 };
+  const even = sharedSchedulerOf({}).forecast(task, 0).rate;
+  const uneven = sharedSchedulerOf({ 1: 1, 2: 2 }).forecast(task, 0).rate;
+  t.true(Math.abs(uneven / even - 0.75) < 1e-9);
+});
+
+// Guards against a slow endpoint that counts as dead: its calls, which may have
+// run, would time out and run again elsewhere.
+test("the shared slowness lengthens a call's timeout and never shortens it", (t) => {
+  const timeout = (shared: number | undefined, duration: number) => {
+    const scheduler = sharedSchedulerOf({ 1: shared, 2: shared });
+    const { call } = callFirst(scheduler, duration);
+    return scheduler.callTimeout(call, duration);
+  };
+  t.true(timeout(4, 140) > 3 * timeout(undefined, 140));
+  for (const shared of [0.2, 1, 1.1]) {
+    for (const duration of [30, 140, 420]) {
+      t.true(timeout(shared, duration) >= timeout(undefined, duration));
+    }
+  }
+});
--- a/src/batching/worker_state.ts
+++ b/src/batching/worker_state.ts
@@ -60,9 +60,18 @@
   readonly bytes: number;
 }
 
+/** Slowness of an endpoint as the host knows it, from all batchers and from what
+ * endpoints announce; undefined while the endpoints of its service are about
+ * equally fast. */
+export type SharedSlowness = (
+  endpoint: string,
+  now: number,
+) => number | undefined;
+
 /** State of one endpoint. Mutable. */
 export class WorkerState {
   readonly worker: tasks.Worker;
+  readonly #sharedSlowness: SharedSlowness;
   /** Whether the endpoint is among those that accept calls. */
   isListed = true;
   /** Since when a small call has been delayed to wait for more memory. */
@@ -91,20 +100,35 @@
   /** Expected size of the results of running calls. */
   #reserved = 0;
 
-  private constructor(worker: tasks.Worker) {
+  private constructor(worker: tasks.Worker, sharedSlowness: SharedSlowness) {
     this.worker = worker;
+    this.#sharedSlowness = sharedSlowness;
   }
 
-  static create(worker: tasks.Worker): WorkerState {
-    return new WorkerState(worker);
+  static create(
+    worker: tasks.Worker,
+    sharedSlowness: SharedSlowness = () => undefined,
+  ): WorkerState {
+    return new WorkerState(worker, sharedSlowness);
   }
 
   get calls(): number {
     return this.#calls;
   }
 
-  /** Call durations relative to those that the configuration gives. */
+  /** Call durations relative to those that the configuration gives: the shared
+   * estimate if there is one, else the mean of this batcher's own calls. */
   slowness(now: number): number {
+    return this.#sharedSlowness(this.worker.id, now) ?? this.#ownSlowness(now);
+  }
+
+  /** The slowness by which calls time out. The shared estimate may only raise
+   * it: an endpoint is not dead because the estimate calls it fast. */
+  timeoutSlowness(now: number): number {
+    return Math.max(1, this.#ownSlowness(now), this.slowness(now));
+  }
+
+  #ownSlowness(now: number): number {
     return this.#slowness.value({ now, prior: 1 });
   }
 
--- a/src/gateway/batch_endpoints.ts
+++ b/src/gateway/batch_endpoints.ts
@@ -8,7 +8,13 @@
 /** Functions of a batcher that concern single endpoints. */
 export type BatchEndpoints = Pick<
   batching.BatcherDependencies,
-  "recordHead" | "recordResponse" | "acceptsCalls" | "endpointAt" | "backoff"
+  | "recordHead"
+  | "recordResponse"
+  | "recordDurationRatio"
+  | "sharedSlowness"
+  | "acceptsCalls"
+  | "endpointAt"
+  | "backoff"
 >;
 
 /** Derives the functions from a pool. */
@@ -22,6 +28,14 @@
       const endpoint = pool.get(id);
       if (endpoint === undefined) return;
       announcementRecords.record(endpoint, head, options);
+      endpoint.recordAnnouncedSlowness(head.load, clock.now());
+    },
+    recordDurationRatio: (id, ratio) =>
+      pool.get(id)?.recordSlowness(ratio, clock.now()),
+    sharedSlowness(id, now) {
+      const endpoint = pool.get(id);
+      const isUneven = endpoint?.performance.isUneven(now) ?? false;
+      return isUneven ? endpoint!.slowness(now) : undefined;
     },
     recordResponse(id, { isRejection, startedAt }) {
       const endpoint = pool.get(id);
