Slowness of plain calls is shared by all hosts through control hosts

One of 80 hosts sees few calls to each endpoint, so its own estimates come late and scatter.

Sync questions carry the observations since the last one, control hosts merge them and forward the increments in their hello notices, and replies carry the merged estimates that changed within 2 s, all of them for an asker that names another epoch. Engines and batched services are left out: owners of partitions hear all outcomes there. An estimate with less than half of the evidence of the own one is not adopted, since it comes from a control host that has restarted. A line says when a service becomes uneven or even and by which endpoints; metrics and state dumps have the values in use.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -6,6 +6,7 @@
 import * as endpoints from "../endpoints/mod.ts";
 import * as concurrency from "../concurrency/mod.ts";
 import * as origins from "../origins/mod.ts";
+import * as performances from "../performance/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as rateLimits from "../rate_limits/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
@@ -72,6 +73,7 @@
   readonly #quotaServer: rateLimits.QuotaServer;
   readonly #slotServer: concurrency.SlotServer;
   readonly #originServer: origins.OriginServer;
+  readonly #slowness = performances.SlownessTable.create();
   readonly #syncSessions = syncSessions.SyncSessions.create();
   readonly #epoch: string;
   readonly #confirmations: coalescers.Coalescer<FleetState>;
@@ -191,6 +193,7 @@
       suspects: this.#coordinator.dump(),
       limits: this.#quotaServer.limits,
       origins: this.#originServer.dump(),
+      slowness: this.#slowness.dump(now),
       evacuations: this.evacuations(),
       peers: this.#network.transport.dump(),
     };
@@ -269,6 +272,7 @@
     this.#quotaServer.tick();
     this.#slotServer.tick();
     this.#originServer.tick();
+    this.#slowness.expire(now);
     this.#options.metrics.gauge(
       "evacuation.active",
       this.#store?.evacuations.active.length ?? 0,
@@ -281,6 +285,7 @@
     const { settings: { dataCentre } } = this.#options;
     const controlHosts = this.#members.live(now).map(({ host }) => host);
     const hosts = this.#entryMembers.live(now);
+    const slowness = slownessField(this.#slowness.takeForwards());
     for (const peer of this.#members.others) {
       const notice = {
         type: "hello" as const,
@@ -289,6 +294,7 @@
         hosts,
         leadership: this.#store?.leadership,
         ...this.#limits,
+        ...slowness,
       };
       this.#network.calls.cast(peer, notice);
     }
@@ -333,10 +339,11 @@
   }
 
   #handleHello(
-    { dataCentre, cores: controlHosts, hosts, leadership, limits = [] }:
+    { dataCentre, cores: controlHosts, hosts, leadership, ...shared }:
       schema.HelloNotice,
     from: string,
   ): void {
+    const { limits = [], slowness = [] } = shared;
     const now = this.#options.clock.now();
     const isNewHost = !this.#peers().includes(from);
     this.#members.recordHello({ host: from, dataCentre, heard: now });
@@ -344,6 +351,7 @@
     hosts.forEach((host) => this.#entryMembers.record(host, now));
     if (leadership !== undefined) this.#store?.updateLeaderHint(leadership);
     this.#quotaServer.mergeLimits(limits);
+    this.#slowness.merge(slowness, now);
     // A host that has just joined knows no endpoints and no suspects.
     if (!isNewHost) return;
     this.#replicator.sendAll(from);
@@ -362,7 +370,8 @@
   ): Promise<schema.Reply> {
     const { clock } = this.#options;
     this.#entryMembers.record({ ...question.host, host: from }, clock.now());
-    const { evacuationOrders: totalRevision = 0 } = question;
+    const { evacuationOrders: totalRevision = 0, slowness = [] } = question;
+    this.#slowness.record(slowness, clock.now());
     this.#syncSessions.record(from, { now: clock.now(), totalRevision });
     const { configuration, evacuations, hosts, hostsDigest, controlHosts } =
       await this
@@ -386,6 +395,7 @@
       cores: controlHosts,
       evacuations,
       ...this.#limits,
+      ...slownessField(this.#slowness.read({ now, isAll: !isSame })),
       ...this.#coordinator.changesSince(
         isSame ? question.suspectRevision ?? 0 : 0,
       ),
@@ -485,6 +495,13 @@
   }
 }
 
+/** Reports as a message field, which is absent when there are none. */
+function slownessField(
+  slowness: performances.SlownessReport[],
+): { slowness?: schema.SlownessReport[] } {
+  return slowness.length > 0 ? { slowness } : {};
+}
+
 /** How long a stopping host keeps answering, so that its successor as leader is
  * elected meanwhile. */
 const HANDOVER_MS = 300;
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -9,6 +9,7 @@
 import * as batching from "../batching/mod.ts";
 import * as concurrency from "../concurrency/mod.ts";
 import * as origins from "../origins/mod.ts";
+import * as performances from "../performance/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as rateLimits from "../rate_limits/mod.ts";
 import * as relay from "../relay/mod.ts";
@@ -57,6 +58,7 @@
   readonly #network: hostContext.Network;
   readonly #syncClient: syncClient.SyncClient;
   readonly #pool: gateway.EndpointPool;
+  readonly #slowness: performances.SlownessExchange;
   readonly #batcher: batching.Batcher;
   readonly #batcherClient: batching.BatcherClient;
   readonly #placement: gateway.Placement;
@@ -136,6 +138,18 @@
       onNewSource: (controlHost) => void this.#guard.sendAll(controlHost),
       onSuspects: (suspects) => this.#guard.merge(suspects),
       onLimits: (limits) => this.#quotaClient.mergeLimits(limits),
+      takeSlowness: () => this.#slowness.takeReports(),
+      onSlowness: (estimates) => this.#slowness.adopt(estimates),
+    });
+    this.#slowness = performances.SlownessExchange.create({
+      ...options,
+      performances: () => this.#pool.performances,
+      identityOf: (endpoint) => this.#pool.get(endpoint)?.identity,
+      isShared: (name) => {
+        const service = this.#catalogue?.service(name);
+        return service !== undefined && service.engine === undefined &&
+          service.batching === undefined;
+      },
     });
     this.#guard = quarantine.Guard.create({
       ...options,
@@ -250,6 +264,7 @@
       inFlight: this.#server.inFlight,
       follower: this.#syncClient.dump(),
       pool: this.#pool.dump(now),
+      performance: this.#pool.dumpPerformance(now),
       paths: this.#paths.dump(),
       suspects: this.#guard.dump(),
       limits: this.#quotaClient.dump(),
@@ -353,6 +368,7 @@
     ended.forEach((endpoint) => void this.#closeConnections(endpoint));
     this.#paths.update();
     this.#batcher.update();
+    this.#slowness.record();
     this.#options.metrics.gauge("config.proof_age", this.#syncClient.proofAge);
   }
 
--- a/src/fleet/sync_client.ts
+++ b/src/fleet/sync_client.ts
@@ -53,6 +53,11 @@
   onSuspects(suspects: readonly schema.Suspect[]): void;
   /** Rate limits that endpoints have announced have arrived. */
   onLimits(limits: readonly schema.EndpointLimit[]): void;
+  /** Observations of slowness since the last call. */
+  takeSlowness(): schema.SlownessReport[];
+  /** Estimates of slowness from all hosts' observations have arrived. They
+   * follow `onChange`, which makes their endpoints known. */
+  onSlowness(estimates: readonly schema.SlownessReport[]): void;
   /** Endpoints or hosts may have changed. */
   onChange(): void;
 }
@@ -192,13 +197,16 @@
   }
 
   async #sync(controlHost: string): Promise<boolean> {
-    const { clock, calls, self, dataCentre, isReady } = this.#options;
+    const { clock, calls, self, dataCentre, isReady, takeSlowness } =
+      this.#options;
     const sentAt = elapsedTime.instant(clock);
     // Revisions of one control host mean nothing to another.
     const revision = controlHost === this.#source
       ? this.#revision
       : NO_REVISION;
     const host = { host: self, dataCentre, ready: isReady(), age: 0 };
+    // Lost with a question that fails: it may have arrived.
+    const slowness = takeSlowness();
     const question: schema.SyncQuestion = {
       type: "sync",
       version: this.#version,
@@ -206,6 +214,7 @@
       mark: this.#hostsDigest,
       host,
       evacuationOrders: this.#evacuations.totalRevision,
+      ...(slowness.length > 0 && { slowness }),
     };
     try {
       const reply = await calls.ask(controlHost, question, {
@@ -253,7 +262,7 @@
     reply: schema.SyncedReply,
     sentAt: elapsedTime.Instant,
   ): void {
-    const { clock, onChange, onSuspects, onLimits } = this.#options;
+    const { clock, onChange, onSuspects, onLimits, onSlowness } = this.#options;
     const now = clock.now();
     if (reply.suspects !== undefined) onSuspects(reply.suspects);
     onLimits(reply.limits ?? []);
@@ -266,6 +275,7 @@
     if (reply.confirmed) this.#applyConfirmed(controlHost, reply, sentAt);
     else this.#directory.addReported(reply.cores, now);
     onChange();
+    if (reply.slowness !== undefined) onSlowness(reply.slowness);
   }
 
   #applyConfirmed(
--- a/src/fleet/sync_client_fixture.ts
+++ b/src/fleet/sync_client_fixture.ts
@@ -37,17 +37,24 @@
 export interface FixtureOptions {
   readonly seeds?: readonly string[];
   readonly logger?: telemetry.Logger;
+  /** What each question takes. */
+  readonly takeSlowness?: () => schema.SlownessReport[];
 }
 
 /** Creates a started sync client with the seeds `a` and `b`, or others. Changes
  * of `replies` take effect on later polls. */
 export function createSyncClient(
   replies: Replies,
-  { seeds = ["a", "b"], logger = telemetry.noLogger }: FixtureOptions = {},
+  {
+    seeds = ["a", "b"],
+    logger = telemetry.noLogger,
+    takeSlowness = () => [],
+  }: FixtureOptions = {},
 ) {
   const clock = new runtime.FakeClock();
   const requests: { core: string; question: schema.SyncQuestion }[] = [];
   const versions: string[] = [];
+  const estimates: schema.SlownessReport[] = [];
   const client = syncClient.SyncClient.create({
     self: "me",
     dataCentre: "town",
@@ -61,6 +68,8 @@
     onNewSource() {},
     onSuspects() {},
     onLimits() {},
+    takeSlowness,
+    onSlowness: (received) => void estimates.push(...received),
     calls: {
       ask(core, question) {
         requests.push({ core, question: question as schema.SyncQuestion });
@@ -78,5 +87,5 @@
     }
   };
   client.start();
-  return { client, clock, requests, versions, run };
+  return { client, clock, requests, versions, estimates, run };
 }
--- a/src/fleet/sync_client_test.ts
+++ b/src/fleet/sync_client_test.ts
@@ -130,3 +130,24 @@
   await run(1000);
   t.deepEqual(active(), []);
 });
+
+test("observations go with a question, and estimates come with a reply", async (t) => {
+  const report = { endpoint: "e~1", ratio: 2, count: 1 };
+  const untaken = [report];
+  const { requests, estimates, run } = fixture.createSyncClient(
+    { a: { slowness: [{ ...report, count: 9 }] } },
+    { takeSlowness: () => untaken.splice(0) },
+  );
+  await run(100);
+  t.deepEqual(requests[0].question.slowness, [report]);
+  t.deepEqual(estimates, [{ ...report, count: 9 }]);
+});
+
+// A control host of the previous release has neither field.
+test("without observations and estimates, messages have no such field", async (t) => {
+  const { requests, estimates, run } = fixture.createSyncClient({ a: {} });
+  await run(500);
+  t.true(requests.length > 0);
+  t.false(requests.some(({ question }) => "slowness" in question));
+  t.deepEqual(estimates, []);
+});
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -197,6 +197,19 @@
     }));
   }
 
+  /** Slowness of the endpoints by service, for diagnostics. */
+  dumpPerformance(now: number): unknown {
+    return Object.fromEntries(
+      [...this.#performances].map(([service, performance]) => [
+        service,
+        {
+          ...performance.dump(now),
+          meanDuration: this.#durations.get(service)?.value,
+        },
+      ]),
+    );
+  }
+
   #add(entry: endpoints.RosterEntry): endpoint.Endpoint {
     const { id: name, service, address, dataCentre, version, slots } = entry;
     const id = incarnations.keyOf(entry);
--- a/src/performance/mod.ts
+++ b/src/performance/mod.ts
@@ -5,4 +5,5 @@
 export * from "./mean_duration.ts";
 export * from "./service_performance.ts";
 export * from "./slowness.ts";
+export * from "./slowness_exchange.ts";
 export * from "./slowness_table.ts";
--- a/src/performance/service_performance.ts
+++ b/src/performance/service_performance.ts
@@ -155,6 +155,11 @@
     return slowest === undefined ? undefined : { fastest, slowest };
   }
 
+  /** Endpoints with an estimate. */
+  get endpoints(): string[] {
+    return [...this.#estimates.keys()];
+  }
+
   /** Drops the incarnations that aren't among `endpoints`. */
   retain(endpoints: ReadonlySet<string>): void {
     for (const endpoint of [...this.#estimates.keys()]) {
@@ -166,7 +171,7 @@
   }
 
   /** State for diagnostics. */
-  dump(now: number): unknown {
+  dump(now: number): object {
     return {
       isUneven: this.isUneven(now),
       endpoints: [...this.#estimates].map(([endpoint, estimate]) => ({
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -43,6 +43,15 @@
     type: "count",
     help: "Endpoints ejected after failures, by service and by who saw them",
   },
+  "performance.slowness": {
+    type: "gauge",
+    help:
+      "Slowness of endpoints of uneven services, by service and endpoint; 1 once even",
+  },
+  "performance.uneven": {
+    type: "gauge",
+    help: "Whether the endpoints of a service differ in speed, by service",
+  },
   "gateway.leaving": {
     type: "count",
     help: "Endpoints that announced that they are leaving, by service",
