--- a/src/performance/service_performance.ts
+++ b/src/performance/service_performance.ts
@@ -27,6 +27,10 @@
  * since evidence decays. */
 const COMPARISON_MS = 1000;
 
+/** Endpoints that are compared for each changed estimate, so that an observation
+ * costs the same in a large service. */
+const ENDPOINTS_PER_CHANGE = 8;
+
 /** An endpoint and its estimate. */
 export interface EndpointSlowness {
   readonly endpoint: string;
@@ -57,8 +61,9 @@
    * their endpoint, and its weight in observations. */
   #variance = PRIOR_VARIANCE;
   #weight = PRIOR_WEIGHT;
-  /** Time of the last comparison; -Infinity when observations are newer. */
   #comparedAt = -Infinity;
+  /** Changed estimates since the last comparison. */
+  #changes = 0;
 
   private constructor(isEnabled: boolean) {
     this.#isEnabled = isEnabled;
@@ -135,7 +140,9 @@
 
   /** Whether the endpoints differ enough for their slowness to be used. */
   isUneven(now: number): boolean {
-    if (now - this.#comparedAt >= COMPARISON_MS) this.#compare(now);
+    const isDue = this.#changes * ENDPOINTS_PER_CHANGE > this.#estimates.size ||
+      now - this.#comparedAt >= COMPARISON_MS;
+    if (isDue) this.#compare(now);
     return this.#isUneven;
   }
 
@@ -166,7 +173,7 @@
       if (endpoints.has(endpoint)) continue;
       this.#estimates.delete(endpoint);
       this.#untaken.delete(endpoint);
-      this.#comparedAt = -Infinity;
+      this.#changes = Infinity;
     }
   }
 
@@ -189,7 +196,7 @@
 
   #set(endpoint: string, estimate: slownesses.Slowness): void {
     this.#estimates.set(endpoint, estimate);
-    this.#comparedAt = -Infinity;
+    this.#changes++;
   }
 
   #recordDeviation(deviation: number): void {
@@ -199,47 +206,51 @@
 
   #compare(now: number): void {
     this.#comparedAt = now;
+    this.#changes = 0;
     const range = this.#extremes(now);
     if (range === undefined) {
       this.#isUneven = false;
       return;
     }
     const { fastest, slowest } = range;
-    const difference = slowest.logLasting(now) - fastest.logLasting(now);
+    const difference = slowest.value - fastest.value;
     const bound = this.#isUneven
       ? Math.log(EVEN_FACTOR)
-      : Math.max(Math.log(UNEVEN_FACTOR), this.#noise(range, now));
+      : Math.max(Math.log(UNEVEN_FACTOR), this.#noise(range));
     this.#isUneven = difference >= bound;
   }
 
   #extremes(now: number): Extremes | undefined {
-    let extremes: Extremes | undefined;
+    const none = { value: NaN, evidence: 0 };
+    let [fastest, slowest] = [none, none];
     for (const estimate of this.#estimates.values()) {
-      if (estimate.evidence(now) < MIN_EVIDENCE) continue;
-      const value = estimate.logLasting(now);
-      const { fastest, slowest } = extremes ??
-        { fastest: estimate, slowest: estimate };
-      extremes = {
-        fastest: value < fastest.logLasting(now) ? estimate : fastest,
-        slowest: value > slowest.logLasting(now) ? estimate : slowest,
-      };
+      const evidence = estimate.evidence(now);
+      if (evidence < MIN_EVIDENCE) continue;
+      const known = { value: estimate.logLasting(now), evidence };
+      if (!(known.value >= fastest.value)) fastest = known;
+      if (!(known.value <= slowest.value)) slowest = known;
     }
-    return extremes;
+    return fastest === none ? undefined : { fastest, slowest };
   }
 
   /** Difference that equal endpoints may show by chance. */
-  #noise({ fastest, slowest }: Extremes, now: number): number {
+  #noise({ fastest, slowest }: Extremes): number {
     const standardError = Math.sqrt(
-      this.#variance *
-        (1 / fastest.evidence(now) + 1 / slowest.evidence(now)),
+      this.#variance * (1 / fastest.evidence + 1 / slowest.evidence),
     );
     return MIN_STANDARD_ERRORS * standardError;
   }
 }
 
+/** Logarithm of a lasting slowness, and its observations. */
+interface Known {
+  readonly value: number;
+  readonly evidence: number;
+}
+
 interface Extremes {
-  readonly fastest: slownesses.Slowness;
-  readonly slowest: slownesses.Slowness;
+  readonly fastest: Known;
+  readonly slowest: Known;
 }
 
 const NONE: Untaken = { logSum: 0, count: 0 };
