--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -290,7 +290,8 @@
     const { clock, logger, metrics, loadUpdates, paths, slots } = this.#context;
     const { id, name, service, address } = target.identity;
     const started = clock.now();
-    const record = callRecords.create(chosen, started);
+    const wait = target.reportedWait(started);
+    const record = callRecords.create(chosen);
     this.#calls.push(record);
     target.rejections.recordCall(started);
     this.#phase = this.#reply.head === undefined ? "sent" : "streaming";
@@ -351,6 +352,7 @@
     healthSignals.record(target, outcome, {
       now: clock.now(),
       duration: clock.now() - started,
+      wait,
       isReceiving,
       metrics,
       logger,
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -16,7 +16,8 @@
   relay?: string;
   /** Which host chose the engine. */
   readonly placedBy?: placements.PlacementSource;
-  /** Slowness of the endpoint by which it was chosen; absent while it is 1. */
+  /** Slowness that the choice of the endpoint used; absent while its service is
+   * even. */
   readonly slowness?: number;
   /** Milliseconds to the first event of a stream. */
   first?: number;
@@ -27,17 +28,15 @@
 
 /** Creates the record of a call that begins. */
 export function create(
-  { endpoint, placed }: targetChoices.Target,
-  now: number,
+  { endpoint, placed, slowness }: targetChoices.Target,
 ): CallRecord {
   const { id, version } = endpoint.identity;
-  const slowness = placed?.slowness ?? endpoint.slowness(now);
   return {
     endpoint: id,
     version,
     ms: 0,
     outcome: "open",
     ...(placed !== undefined && { placedBy: placed.source }),
-    ...(slowness !== 1 && { slowness: Number(slowness.toFixed(2)) }),
+    ...(slowness !== undefined && { slowness: Number(slowness.toFixed(2)) }),
   };
 }
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -11,7 +11,6 @@
 import * as endpoint from "./endpoint.ts";
 import * as firstEventLatencies from "./first_event_latency.ts";
 import * as cachedPrefixes from "./cached_prefixes.ts";
-import * as typicalValues from "./typical_value.ts";
 
 /** Former endpoints whose announcements are kept, the latest: an outdated
  * roster may list them again. */
@@ -42,12 +41,13 @@
     string,
     firstEventLatencies.FirstEventLatency
   >();
-  readonly #eventGaps = new Map<string, typicalValues.TypicalValue>();
+  readonly #eventGaps = new Map<string, performances.MeanDuration>();
   readonly #brittleness = new Map<
     string,
     brittlenesses.ServiceBrittleness
   >();
   readonly #performances = new Map<string, performances.ServicePerformance>();
+  readonly #durations = new Map<string, performances.MeanDuration>();
   readonly #isPerformanceEnabled: boolean;
   /** Announcements of former endpoints, by incarnation. */
   readonly #former = new Map<string, announcements.Announcements>();
@@ -199,6 +199,19 @@
     }));
   }
 
+  /** Slowness of the endpoints by service, for diagnostics. */
+  dumpPerformance(now: number): unknown {
+    return Object.fromEntries(
+      [...this.#performances].map(([service, performance]) => [
+        service,
+        {
+          ...performance.dump(now),
+          meanDuration: this.#durations.get(service)?.value,
+        },
+      ]),
+    );
+  }
+
   #add(entry: endpoints.RosterEntry): endpoint.Endpoint {
     const { id: name, service, address, dataCentre, version, slots } = entry;
     const id = incarnations.keyOf(entry);
@@ -214,6 +227,7 @@
       this.#brittlenessOf(service),
     );
     added.performance = this.#performanceOf(service);
+    added.serviceDuration = this.#durationOf(service);
     this.#applyEvacuation(added);
     this.#byId.set(id, added);
     this.#byService.set(service, [...this.endpointsOf(service), added]);
@@ -262,10 +276,10 @@
     return created;
   }
 
-  #eventGapOf(service: string): typicalValues.TypicalValue {
+  #eventGapOf(service: string): performances.MeanDuration {
     const known = this.#eventGaps.get(service);
     if (known !== undefined) return known;
-    const created = typicalValues.TypicalValue.create();
+    const created = performances.MeanDuration.create();
     this.#eventGaps.set(service, created);
     return created;
   }
@@ -288,6 +302,14 @@
     return created;
   }
 
+  #durationOf(service: string): performances.MeanDuration {
+    const known = this.#durations.get(service);
+    if (known !== undefined) return known;
+    const created = performances.MeanDuration.create();
+    this.#durations.set(service, created);
+    return created;
+  }
+
   #remove(id: string, removed: endpoint.Endpoint): void {
     const { identity, announcements } = removed;
     this.#revision++;
--- a/src/gateway/engine_slowness_test.ts
+++ b/src/gateway/engine_slowness_test.ts
@@ -1,16 +1,27 @@
 /** @module */
 
 import test from "ava";
+import * as concurrencyFixture from "../concurrency/fixture.ts";
 import * as fixture from "../endpoints/fixture.ts";
+import * as rateLimitFixture from "../rate_limits/fixture.ts";
 import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
 import * as callLoads from "./call_load.ts";
 import * as callRecords from "./call_record.ts";
 import * as choices from "./endpoint_choice.ts";
 import type * as endpoints from "./endpoint.ts";
 import * as endpointPools from "./endpoint_pool.ts";
 import type * as loadUpdates from "./load_updates.ts";
+import * as placements from "./placement.ts";
+import * as targetChoices from "./target_choice.ts";
 
 const SLOTS = 4;
+const PROMPT = {
+  model: "m",
+  inputTokens: 100,
+  outputTokens: 10,
+  parts: [{ id: "own", tokens: 100 }],
+};
 const WORK = { tokens: 3000, streams: 1 };
 
 /** Engines of one service. */
@@ -157,10 +168,19 @@
 }
 
 const GAPS = [20, 20, 20, 20, 20];
+/** Streams from which the service's mean gap is known. */
+const STREAM_COUNT = 8;
+
+function streamOften(engine: endpoints.Endpoint) {
+  return Array.from(
+    { length: STREAM_COUNT },
+    () => stream(engine, { gaps: GAPS }),
+  ).flat();
+}
 
 test("a stream's mean gap is reported relative to that of the service", (t) => {
   const { pool, fast, slow } = createEngines();
-  t.deepEqual(stream(fast, { gaps: GAPS }), []);
+  t.deepEqual(streamOften(fast), []);
   const slowGaps = [30, 50, 40, 40, 40];
   const [ratio] = stream(slow, { gaps: slowGaps });
   t.true(Math.abs(ratio - 2) < 1e-9, `${ratio}`);
@@ -172,7 +192,7 @@
 
 test("failed streams and few events show nothing of an engine's speed", (t) => {
   const { pool, fast, slow } = createEngines();
-  stream(fast, { gaps: GAPS });
+  streamOften(fast);
   t.deepEqual(stream(slow, { gaps: [400, 400] }), []);
   t.deepEqual(stream(slow, { gaps: GAPS, isSuccess: false }), []);
   t.deepEqual(pool.performances.get("models")!.takeReports(), []);
@@ -195,25 +215,52 @@
   slow.inFlight = SLOTS - 1;
   fast.inFlight = SLOTS - 1;
   fast.backlog = 40_000;
-  const prompt = {
-    model: "m",
-    inputTokens: 100,
-    outputTokens: 10,
-    parts: [{ id: "own", tokens: 100 }],
-  };
   const context = {
     now: 0,
     random: { next: () => 0, below: () => 0 },
     dataCentre: "town",
   };
-  const chosen = choices.chooseEngine([fast, slow], prompt, context)!;
+  const chosen = choices.chooseEngine([fast, slow], PROMPT, context)!;
   t.is(chosen.engine, fast);
 });
 
-test("the record of a call names the slowness that was used", (t) => {
-  const { slow } = createUnevenEngines();
-  const record = callRecords.create({ endpoint: slow }, 0);
-  t.true(record.slowness! > 1.4);
-  const { slow: even } = createEngines();
-  t.false("slowness" in callRecords.create({ endpoint: even }, 0));
+// Guards against a log line without the value that decided a choice.
+test("the record of a prompt's call names the slowness that was used", async (t) => {
+  const uneven = await recordChoice(createUnevenEngines());
+  t.true(uneven.slowness! > 1.4, `${uneven.slowness}`);
+  t.false("slowness" in await recordChoice(createEngines()));
 });
+
+/** Record of a call to the slow engine, the only one that accepts calls. */
+async function recordChoice({ pool, fast }: ReturnType<typeof createEngines>) {
+  fast.isReady = false;
+  const clock = new runtime.FakeClock();
+  const random = runtime.createRandom(1);
+  const common = { pool, clock, random, dataCentre: "town" };
+  const placement = placements.Placement.create({
+    ...common,
+    self: "host",
+    logger: telemetry.noLogger,
+    metrics: telemetry.noMetrics,
+    calls: { ask: () => Promise.reject(new Error("silent")), cast() {} },
+    dependencies: () => [],
+    hosts: () => [],
+    busyHosts: () => [],
+  });
+  const choice = targetChoices.TargetChoice.create({
+    ...common,
+    placement,
+    quotas: rateLimitFixture.unlimitedQuotas(),
+    slots: concurrencyFixture.unlimitedSlots(),
+  }, {
+    service: "models",
+    prompt: PROMPT,
+    objective: 1000,
+    deadline: 1000,
+    rank: 0,
+    endpointAdmission: { acquire: () => Promise.resolve(undefined) } as never,
+  });
+  const result = await choice.choose({ called: [], isFinished: () => false });
+  if (result.type === "none") throw new Error("no target");
+  return callRecords.create(result.target);
+}
--- a/src/gateway/first_event_latency.ts
+++ b/src/gateway/first_event_latency.ts
@@ -7,7 +7,7 @@
  * @module */
 
 import * as regression from "../admission/regression.ts";
-import * as typicalValues from "./typical_value.ts";
+import * as performances from "../performance/mod.ts";
 
 /** Prior of the fit: milliseconds of an idle engine, per 1,000 tokens to
  * prefill, and per running stream. Observations soon outweigh it; its ratios
@@ -30,8 +30,8 @@
 /** First-event latency of one service's engines; changed in place. */
 export class FirstEventLatency {
   readonly #fit = regression.Regression.create(PRIOR);
-  /** Typical ratio of observed times to predicted ones. */
-  readonly #typicalRatio = typicalValues.TypicalValue.create();
+  /** Mean of observed times relative to predicted ones. */
+  readonly #meanRatio = performances.MeanDuration.create();
 
   static create(): FirstEventLatency {
     return new FirstEventLatency();
@@ -58,9 +58,9 @@
       return undefined;
     }
     const value = elapsed / this.predict({ tokens, streams });
-    const ratio = this.#typicalRatio.ratio(value);
-    this.#typicalRatio.observe(value, slowness);
-    return ratio;
+    const { value: mean } = this.#meanRatio;
+    this.#meanRatio.observe(value / slowness);
+    return mean && value / mean;
   }
 
   /** State for diagnostics. */
--- a/src/gateway/load_updates_test.ts
+++ b/src/gateway/load_updates_test.ts
@@ -2,6 +2,7 @@
 
 import test from "ava";
 import * as fixture from "../endpoints/fixture.ts";
+import * as performances from "../performance/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as choices from "./endpoint_choice.ts";
@@ -9,7 +10,6 @@
 import * as firstEventLatencies from "./first_event_latency.ts";
 import * as endpointPools from "./endpoint_pool.ts";
 import * as cachedPrefixes from "./cached_prefixes.ts";
-import * as typicalValues from "./typical_value.ts";
 import * as loadUpdates from "./load_updates.ts";
 
 const random: runtime.Random = { next: () => 0, below: () => 0 };
@@ -29,7 +29,7 @@
   return endpoints.Endpoint.create(identity, {
     cachedPrefixes: prefixes,
     firstEventLatency,
-    eventGap: typicalValues.TypicalValue.create(),
+    eventGap: performances.MeanDuration.create(),
   });
 }
 
--- a/src/performance/service_performance.ts
+++ b/src/performance/service_performance.ts
@@ -12,10 +12,25 @@
 /** Observations without which an endpoint doesn't count: the mean of fewer
  * differs by chance. */
 const MIN_EVIDENCE = 8;
+/** Standard errors by which two endpoints must differ as well: calls that vary
+ * widely, or wait together, make equal endpoints look different for a while. With
+ * 4, 5 of 60 runs with equal endpoints count as uneven for a while; with 6, 2 of
+ * 200. */
+const MIN_STANDARD_ERRORS = 6;
+/** Variance of the logarithm of ratios that is assumed before observations, and
+ * its weight in observations: calls often differ by half of their mean. */
+const PRIOR_VARIANCE = 0.16;
+const PRIOR_WEIGHT = 8;
+/** Largest weight of the observed variance, in observations. */
+const MAX_WEIGHT = 256;
 /** Milliseconds after which the comparison is repeated without observations,
  * since evidence decays. */
 const COMPARISON_MS = 1000;
 
+/** Endpoints that are compared for each changed estimate, so that an observation
+ * costs the same in a large service. */
+const ENDPOINTS_PER_CHANGE = 8;
+
 /** An endpoint and its estimate. */
 export interface EndpointSlowness {
   readonly endpoint: string;
@@ -42,8 +57,13 @@
   readonly #estimates = new Map<string, slownesses.Slowness>();
   readonly #untaken = new Map<string, Untaken>();
   #isUneven = false;
-  /** Time of the last comparison; -Infinity when observations are newer. */
+  /** Mean square of the deviation of observations from the lasting slowness of
+   * their endpoint, and its weight in observations. */
+  #variance = PRIOR_VARIANCE;
+  #weight = PRIOR_WEIGHT;
   #comparedAt = -Infinity;
+  /** Changed estimates since the last comparison. */
+  #changes = 0;
 
   private constructor(isEnabled: boolean) {
     this.#isEnabled = isEnabled;
@@ -58,7 +78,11 @@
   /** Records that a call took `ratio` times the expectation. */
   observe(endpoint: string, ratio: number, now: number): void {
     if (!this.#isEnabled || !(ratio > 0)) return;
-    this.#set(endpoint, this.#estimate(endpoint).observe(ratio, now));
+    const known = this.#estimate(endpoint);
+    if (known.evidence(now) >= MIN_EVIDENCE) {
+      this.#recordDeviation(slownesses.logOf(ratio) - known.logLasting(now));
+    }
+    this.#set(endpoint, known.observe(ratio, now));
     const { logSum, count } = this.#untaken.get(endpoint) ?? NONE;
     this.#untaken.set(endpoint, {
       logSum: logSum + slownesses.logOf(ratio),
@@ -79,7 +103,10 @@
     if (!this.#isEnabled) return;
     for (const report of reports) {
       const { endpoint } = report;
-      const adopted = this.#estimate(endpoint).replaceLasting(report, now);
+      const known = this.#estimate(endpoint);
+      // A control host that has restarted knows less than this host.
+      if (2 * report.count < known.evidence(now)) continue;
+      const adopted = known.replaceLasting(report, now);
       const untaken = this.#untaken.get(endpoint);
       this.#set(
         endpoint,
@@ -113,7 +140,9 @@
 
   /** Whether the endpoints differ enough for their slowness to be used. */
   isUneven(now: number): boolean {
-    if (now - this.#comparedAt >= COMPARISON_MS) this.#compare(now);
+    const isDue = this.#changes * ENDPOINTS_PER_CHANGE > this.#estimates.size ||
+      now - this.#comparedAt >= COMPARISON_MS;
+    if (isDue) this.#compare(now);
     return this.#isUneven;
   }
 
@@ -133,18 +162,23 @@
     return slowest === undefined ? undefined : { fastest, slowest };
   }
 
+  /** Endpoints with an estimate. */
+  get endpoints(): string[] {
+    return [...this.#estimates.keys()];
+  }
+
   /** Drops the incarnations that aren't among `endpoints`. */
   retain(endpoints: ReadonlySet<string>): void {
     for (const endpoint of [...this.#estimates.keys()]) {
       if (endpoints.has(endpoint)) continue;
       this.#estimates.delete(endpoint);
       this.#untaken.delete(endpoint);
-      this.#comparedAt = -Infinity;
+      this.#changes = Infinity;
     }
   }
 
   /** State for diagnostics. */
-  dump(now: number): unknown {
+  dump(now: number): object {
     return {
       isUneven: this.isUneven(now),
       endpoints: [...this.#estimates].map(([endpoint, estimate]) => ({
@@ -162,22 +196,61 @@
 
   #set(endpoint: string, estimate: slownesses.Slowness): void {
     this.#estimates.set(endpoint, estimate);
-    this.#comparedAt = -Infinity;
+    this.#changes++;
+  }
+
+  #recordDeviation(deviation: number): void {
+    this.#weight = Math.min(MAX_WEIGHT, this.#weight + 1);
+    this.#variance += (deviation ** 2 - this.#variance) / this.#weight;
   }
 
   #compare(now: number): void {
     this.#comparedAt = now;
-    let fastest = Infinity;
-    let slowest = -Infinity;
+    this.#changes = 0;
+    const range = this.#extremes(now);
+    if (range === undefined) {
+      this.#isUneven = false;
+      return;
+    }
+    const { fastest, slowest } = range;
+    const difference = slowest.value - fastest.value;
+    const bound = this.#isUneven
+      ? Math.log(EVEN_FACTOR)
+      : Math.max(Math.log(UNEVEN_FACTOR), this.#noise(range));
+    this.#isUneven = difference >= bound;
+  }
+
+  #extremes(now: number): Extremes | undefined {
+    const none = { value: NaN, evidence: 0 };
+    let [fastest, slowest] = [none, none];
     for (const estimate of this.#estimates.values()) {
-      if (estimate.evidence(now) < MIN_EVIDENCE) continue;
-      const value = estimate.logLasting(now);
-      fastest = Math.min(fastest, value);
-      slowest = Math.max(slowest, value);
+      const evidence = estimate.evidence(now);
+      if (evidence < MIN_EVIDENCE) continue;
+      const known = { value: estimate.logLasting(now), evidence };
+      if (!(known.value >= fastest.value)) fastest = known;
+      if (!(known.value <= slowest.value)) slowest = known;
     }
-    const factor = Math.exp(slowest - fastest);
-    this.#isUneven = factor >= (this.#isUneven ? EVEN_FACTOR : UNEVEN_FACTOR);
+    return fastest === none ? undefined : { fastest, slowest };
   }
+
+  /** Difference that equal endpoints may show by chance. */
+  #noise({ fastest, slowest }: Extremes): number {
+    const standardError = Math.sqrt(
+      this.#variance * (1 / fastest.evidence + 1 / slowest.evidence),
+    );
+    return MIN_STANDARD_ERRORS * standardError;
+  }
+}
+
+/** Logarithm of a lasting slowness, and its observations. */
+interface Known {
+  readonly value: number;
+  readonly evidence: number;
+}
+
+interface Extremes {
+  readonly fastest: Known;
+  readonly slowest: Known;
 }
 
 const NONE: Untaken = { logSum: 0, count: 0 };
