--- a/src/fleet/sync_client.ts
+++ b/src/fleet/sync_client.ts
@@ -55,6 +55,11 @@
   onSuspects(suspects: readonly schema.Suspect[]): void;
   /** Rate limits that endpoints have announced have arrived. */
   onLimits(limits: readonly schema.EndpointLimit[]): void;
+  /** Observations of slowness since the last call. */
+  takeSlowness(): schema.SlownessReport[];
+  /** Estimates of slowness from all hosts' observations have arrived. They
+   * follow `onChange`, which makes their endpoints known. */
+  onSlowness(estimates: readonly schema.SlownessReport[]): void;
   /** Endpoints or hosts may have changed. */
   onChange(): void;
 }
@@ -196,13 +201,16 @@
   }
 
   async #sync(controlHost: string): Promise<boolean> {
-    const { clock, calls, self, dataCentre, isReady } = this.#options;
+    const { clock, calls, self, dataCentre, isReady, takeSlowness } =
+      this.#options;
     const sentAt = elapsedTime.instant(clock);
     // Revisions of one control host mean nothing to another.
     const revision = controlHost === this.#source
       ? this.#revision
       : NO_REVISION;
     const host = { host: self, dataCentre, ready: isReady(), age: 0 };
+    // Lost with a question that fails: it may have arrived.
+    const slowness = takeSlowness();
     const question: schema.SyncQuestion = {
       type: "sync",
       version: this.#version,
@@ -210,6 +218,7 @@
       mark: this.#hostsDigest,
       host,
       evacuationOrders: this.#evacuations.totalRevision,
+      ...(slowness.length > 0 && { slowness }),
     };
     try {
       const reply = await calls.ask(controlHost, question, {
@@ -257,7 +266,7 @@
     reply: schema.SyncedReply,
     sentAt: elapsedTime.Instant,
   ): void {
-    const { clock, onChange, onSuspects, onLimits } = this.#options;
+    const { clock, onChange, onSuspects, onLimits, onSlowness } = this.#options;
     const now = clock.now();
     if (reply.suspects !== undefined) onSuspects(reply.suspects);
     onLimits(reply.limits ?? []);
@@ -268,6 +277,7 @@
       // After the configuration, which decides what services are known.
       this.#mergeSightings(reply);
       onChange();
+      if (reply.slowness !== undefined) onSlowness(reply.slowness);
     }
   }
 
--- a/src/fleet/sync_client_fixture.ts
+++ b/src/fleet/sync_client_fixture.ts
@@ -38,6 +38,8 @@
   readonly seeds?: readonly string[];
   readonly logger?: telemetry.Logger;
   isKnownService?(service: string): boolean;
+  /** What each question takes. */
+  readonly takeSlowness?: () => schema.SlownessReport[];
 }
 
 /** Creates a started sync client with the seeds `a` and `b`, or others. Changes
@@ -48,11 +50,13 @@
     seeds = ["a", "b"],
     logger = telemetry.noLogger,
     isKnownService = () => true,
+    takeSlowness = () => [],
   }: FixtureOptions = {},
 ) {
   const clock = new runtime.FakeClock();
   const requests: { core: string; question: schema.SyncQuestion }[] = [];
   const versions: string[] = [];
+  const estimates: schema.SlownessReport[] = [];
   const client = syncClient.SyncClient.create({
     self: "me",
     dataCentre: "town",
@@ -67,6 +71,8 @@
     onNewSource() {},
     onSuspects() {},
     onLimits() {},
+    takeSlowness,
+    onSlowness: (received) => void estimates.push(...received),
     calls: {
       ask(core, question) {
         requests.push({ core, question: question as schema.SyncQuestion });
@@ -84,5 +90,5 @@
     }
   };
   client.start();
-  return { client, clock, requests, versions, run };
+  return { client, clock, requests, versions, estimates, run };
 }
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -297,6 +297,7 @@
     const { clock, logger, metrics, loadUpdates, paths, slots } = this.#context;
     const { id, name, service, address } = target.identity;
     const started = clock.now();
+    const wait = target.reportedWait(started);
     const record = callRecords.create(chosen);
     this.#calls.push(record);
     target.rejections.recordCall(started);
@@ -309,14 +310,14 @@
       ...this.#context,
       prompt: this.#incoming!.prompt,
       prefillTokens: placement?.cacheMiss.prefillTokens ?? 0,
+      isFetching: (placement?.cacheMiss.fetchTokens ?? 0) > 0,
       ...(placement?.source === "owner" &&
         { pendingWork: placement.pendingWork }),
     });
     slots.begin(id);
-    const onFirstEvent = () => {
-      if (callLoad.firstEventTime === undefined) {
-        this.#recordFirstEvent(target, { callLoad, record });
-      }
+    const onEvents = () => {
+      if (callLoad.firstEventTime !== undefined) return callLoad.recordEvent();
+      this.#recordFirstEvent(target, { callLoad, record });
     };
     this.#attempt = attempts.Attempt.start({
       ...this.#context,
@@ -334,7 +335,7 @@
       ),
       onHead: (head) => this.#recordHead(target, { head, record, started }),
       stream: this.#route!.kind === "streaming"
-        ? this.#createStreamListener(target, onFirstEvent)
+        ? this.#createStreamListener(target, onEvents)
         : undefined,
     });
     const retentionTime = this.#context.inputRetention.time(service);
@@ -347,7 +348,7 @@
     if (this.#missedReleasedInput(outcome)) {
       this.#context.inputRetention.recordMissing(service, retentionTime);
     }
-    callLoad.end();
+    callLoad.end({ isSuccess: attempts.isSuccess(outcome) });
     record.ms = Math.round(clock.now() - started);
     record.relay = paths.relayOf(address);
     record.outcome = healthSignals.outcomeName(outcome);
@@ -358,6 +359,7 @@
     healthSignals.record(target, outcome, {
       now: clock.now(),
       duration: clock.now() - started,
+      wait,
       isReceiving,
       metrics,
       logger,
@@ -389,6 +391,7 @@
     quotas.recordLimit(target.identity.id, rateLimit);
     const request = this.#incoming!.id;
     announcementRecords.record(target, head, { ...this.#context, request });
+    target.recordAnnouncedSlowness(head.load, this.#context.clock.now());
     if (leaving !== undefined) record.leaving = leaving;
     if (retryAfter !== undefined) record.retryAfterMs = retryAfter;
   }
@@ -438,13 +441,13 @@
 
   #createStreamListener(
     target: endpoints.Endpoint,
-    onFirstEvent: () => void,
+    onEvents: () => void,
   ): attempts.StreamListener {
     let head: protocols.ReplyHead;
     return {
       head: (received) => void (head = received),
       events: (complete) => {
-        onFirstEvent();
+        onEvents();
         this.#binding!.bind(target);
         this.#relay(head, complete);
       },
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as configurations from "../configuration/mod.ts";
+import * as performances from "../performance/mod.ts";
 import * as announcements from "./announcements.ts";
 import * as brittlenesses from "./brittleness.ts";
 import * as remoteLoads from "./remote_load.ts";
@@ -27,6 +28,11 @@
 /** Half-life of the delay of first events, in milliseconds. */
 const DELAY_HALF_LIFE_MS = 1500;
 
+/** Of an endpoint that belongs to no pool, or no longer does. */
+const NO_PERFORMANCE = performances.ServicePerformance.create({
+  isEnabled: false,
+});
+
 /** Milliseconds after a successful call for which an endpoint counts as alive
  * without heartbeats: a network partition may block heartbeats but not
  * calls. */
@@ -56,12 +62,16 @@
   readonly cachedPrefixes: cachedPrefixes.CachedPrefixes;
   /** Latency model of first events, shared by the engines of its service. */
   readonly firstEventLatency: firstEventLatencies.FirstEventLatency;
+  /** Mean of streams' mean gaps between events, shared likewise. */
+  readonly eventGap: performances.MeanDuration;
 }
 
 /** How many milliseconds a first event took, and when it arrived. */
 export interface FirstEventTiming {
   readonly took: number;
   readonly now: number;
+  /** Whether the engine fetched parts of the prompt before. */
+  readonly isFetched?: boolean;
 }
 
 /** What the outcome of a call shows of its endpoint's health; "full" is a
@@ -74,6 +84,10 @@
   /** What it has announced of itself in its answers. */
   announcements = announcements.Announcements.create();
   brittleness = brittlenesses.Brittleness.create();
+  /** Slowness of the endpoints of its service. */
+  performance = NO_PERFORMANCE;
+  /** Mean duration of the calls of its service, at slowness 1. */
+  serviceDuration = performances.MeanDuration.create();
   readonly rejections = rejectionBackoffs.RejectionBackoff.create();
   /** Undefined unless its service is known to serve prompts: the first
    * heartbeat may arrive before the configuration. */
@@ -103,6 +117,9 @@
   backlog = 0;
   /** Moving average of the durations of answered calls, in milliseconds. */
   meanDuration = 0;
+  /** Work of this host's latest calls while its service is uneven, relative to
+   * what the endpoint can do. */
+  allotted = 0;
   /** Moving average of the success of calls, from 0 to 1. */
   successRate = 1;
   #consecutiveFailures = 0;
@@ -154,9 +171,11 @@
     };
   }
 
-  /** Expected milliseconds until that event, without other delays. */
+  /** Expected milliseconds until that event at the current slowness, without
+   * other delays. */
   predictFirstEvent(tokens: number, now: number): number {
-    return this.#latency.predict(this.pendingWork(tokens, now));
+    return this.#latency.predict(this.pendingWork(tokens, now)) *
+      this.slowness(now);
   }
 
   /** Milliseconds since the last successful call. */
@@ -264,10 +283,90 @@
       (duration - this.meanDuration);
   }
 
-  /** Records the load that it reports. */
+  /** Records how slow an answered call was, apart from its wait there. */
+  recordCallSlowness(
+    duration: number,
+    { wait, now }: {
+      /** Expected wait, relative to the work of a call. */
+      readonly wait: number;
+      readonly now: number;
+    },
+  ): void {
+    if (this.coldRate(now) !== undefined) return;
+    const expected = this.serviceDuration.value;
+    const work = duration / (1 + wait);
+    this.serviceDuration.observe(work / this.lastingSlowness(now));
+    if (expected !== undefined) this.recordSlowness(work / expected, now);
+  }
+
+  /** Expected wait of a call that is sent now, relative to the work of one. */
+  wait(now: number): number {
+    return this.#waitAt(this.load(now));
+  }
+
+  /** The same, if a recent report tells of all hosts' calls there. */
+  reportedWait(now: number): number | undefined {
+    const age = now - this.#loadReportedAt;
+    return age > MAX_LOAD_AGE_MS ? undefined : this.wait(now);
+  }
+
+  /** Wait at the load that the endpoint names as it answers: on average, a call
+   * leaves as many others behind as it has found. */
+  waitAtAnswer({ running, waiting }: protocols.ReportedLoad): number {
+    return this.#waitAt(running + waiting);
+  }
+
+  #waitAt(load: number): number {
+    const { slots } = this.identity;
+    return Math.max(0, load + 1 - slots) / slots;
+  }
+
+  /** Expected milliseconds of a call apart from its wait, by its slowness;
+   * undefined while its service is even, or its mean duration unknown. */
+  unevenDuration(now: number): number | undefined {
+    const { value } = this.serviceDuration;
+    return value !== undefined && this.performance.isUneven(now)
+      ? value * this.slowness(now)
+      : undefined;
+  }
+
+  /** Records the load that it reports, and the slowness that it announces. */
   recordLoad(load: protocols.ReportedLoad, now: number): void {
     this.#load = load;
     this.#loadReportedAt = now;
+    this.recordAnnouncedSlowness(load, now);
+  }
+
+  /** Records the slowness that it announces with a load report, if any. */
+  recordAnnouncedSlowness(
+    load: protocols.ReplyHead["load"],
+    now: number,
+  ): void {
+    if (typeof load !== "object" || load.slowness === undefined) return;
+    this.performance.announce(this.identity.id, load.slowness, now);
+  }
+
+  /** Its slowness at this moment; 1 while its service is even. */
+  slowness(now: number): number {
+    return this.performance.slowness(this.identity.id, now);
+  }
+
+  /** Its slowness without the momentary deviation. */
+  lastingSlowness(now: number): number {
+    return this.performance.lasting(this.identity.id, now);
+  }
+
+  /** Records that work took `ratio` times the expectation. What it does while it
+   * is cold says nothing of its speed. */
+  recordSlowness(ratio: number, now: number): void {
+    if (this.coldRate(now) !== undefined) return;
+    this.performance.observe(this.identity.id, ratio, now);
+  }
+
+  /** Ends the record of its performance: calls that are still under way don't
+   * count any more. */
+  endPerformance(): void {
+    this.performance = NO_PERFORMANCE;
   }
 
   /** Calls in flight there: this host's, or its recent own report if higher. */
@@ -282,17 +381,45 @@
   }
 
   /** Records the time to a first event, and its delay beyond the time predicted
-   * from the work before it. */
+   * from the work before it and the slowness, which includes this event: what
+   * the slowness explains is not counted twice. */
   recordFirstEvent(
     work: firstEventLatencies.PendingWork,
-    { took, now }: FirstEventTiming,
+    { took, now, isFetched = false }: FirstEventTiming,
   ): void {
-    const delay = took - this.#latency.predict(work);
-    this.#latency.observe(work, took);
+    const predicted = this.#latency.predict(work);
+    const lasting = this.lastingSlowness(now);
+    // The time of a fetch depends on another engine. Without a free slot, the
+    // prompt waited until a stream ended, which the model does not predict.
+    const isComparable = !isFetched && work.streams < this.identity.slots;
+    if (isComparable) this.#compareFirstEvent(work, { took, now });
+    this.#latency.observe(work, took / lasting);
+    const delay = took - predicted * this.slowness(now);
     this.#delay = (this.firstEventDelay(now) + Math.max(0, delay)) / 2;
     this.#delayUpdatedAt = now;
   }
 
+  #compareFirstEvent(
+    work: firstEventLatencies.PendingWork,
+    { took, now }: FirstEventTiming,
+  ): void {
+    const slowness = this.lastingSlowness(now);
+    const ratio = this.#latency.compare(work, { elapsed: took, slowness });
+    if (ratio !== undefined) this.recordSlowness(ratio, now);
+  }
+
+  /** Records the mean gap between events of a stream; returns it relative to the
+   * mean gap of the service, or undefined if that is unknown. */
+  recordGap(gap: number, now: number): number | undefined {
+    if (this.engine === undefined || gap <= 0) return undefined;
+    const { eventGap } = this.engine;
+    const { value: mean } = eventGap;
+    eventGap.observe(gap / this.lastingSlowness(now));
+    if (mean === undefined) return undefined;
+    this.recordSlowness(gap / mean, now);
+    return gap / mean;
+  }
+
   /** Recent delay of first events beyond their prediction, in milliseconds. */
   firstEventDelay(now: number): number {
     return this.#delay *
--- a/src/gateway/endpoint_choice_test.ts
+++ b/src/gateway/endpoint_choice_test.ts
@@ -1,6 +1,7 @@
 /** @module */
 
 import test from "ava";
+import * as performances from "../performance/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as choices from "./endpoint_choice.ts";
 import * as endpoints from "./endpoint.ts";
@@ -17,7 +18,8 @@
   const identity = { id, name: id, version: "v1", ...place };
   const prefixes = cachedPrefixes.CachedPrefixes.create(100_000);
   const firstEventLatency = firstEventLatencies.FirstEventLatency.create();
-  const engine = { cachedPrefixes: prefixes, firstEventLatency };
+  const eventGap = performances.MeanDuration.create();
+  const engine = { cachedPrefixes: prefixes, firstEventLatency, eventGap };
   return endpoints.Endpoint.create({ ...identity, ...change }, engine);
 }
 
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -4,6 +4,7 @@
 import type * as configurations from "../configuration/mod.ts";
 import * as incarnations from "../endpoints/incarnation.ts";
 import type * as endpoints from "../endpoints/mod.ts";
+import * as performances from "../performance/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as brittlenesses from "./brittleness.ts";
 import * as announcements from "./announcements.ts";
@@ -23,6 +24,12 @@
   readonly isRestarted: boolean;
 }
 
+/** Parts of a pool that a host may turn off. */
+export interface PoolOptions {
+  /** Whether the slowness of endpoints is estimated; true by default. */
+  readonly isPerformanceEnabled?: boolean;
+}
+
 /** Endpoints by service; each incarnation is a separate endpoint. Changed in
  * place. */
 export class EndpointPool {
@@ -34,18 +41,28 @@
     string,
     firstEventLatencies.FirstEventLatency
   >();
+  readonly #eventGaps = new Map<string, performances.MeanDuration>();
   readonly #brittleness = new Map<
     string,
     brittlenesses.ServiceBrittleness
   >();
+  readonly #performances = new Map<string, performances.ServicePerformance>();
+  readonly #durations = new Map<string, performances.MeanDuration>();
+  readonly #isPerformanceEnabled: boolean;
   /** Announcements of former endpoints, by incarnation. */
   readonly #former = new Map<string, announcements.Announcements>();
   readonly #unreadableLoggedAt: announcements.LastLogged = new Map();
   #evacuatedDataCentres: ReadonlySet<string> = new Set();
   #revision = 0;
 
-  static create(): EndpointPool {
-    return new EndpointPool();
+  private constructor(isPerformanceEnabled: boolean) {
+    this.#isPerformanceEnabled = isPerformanceEnabled;
+  }
+
+  static create(
+    { isPerformanceEnabled = true }: PoolOptions = {},
+  ): EndpointPool {
+    return new EndpointPool(isPerformanceEnabled);
   }
 
   /** Updates the endpoints from a roster and the configured services; returns
@@ -123,10 +140,11 @@
       load.verdicts?.forEach((signal) => {
         if (engine?.recordHealth(signal, now)) ejected.add(engine);
       });
-      load.firsts?.forEach(({ work, took }) => {
-        engine?.recordFirstEvent(work, { took, now });
+      load.firsts?.forEach(({ work, took, fetched }) => {
+        engine?.recordFirstEvent(work, { took, now, isFetched: fetched });
         engine?.rejections.recordAcceptance(now - took);
       });
+      load.gaps?.forEach((ratio) => engine?.recordSlowness(ratio, now));
     }
     return [...ejected];
   }
@@ -146,6 +164,11 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Slowness of the endpoints, by service. */
+  get performances(): ReadonlyMap<string, performances.ServicePerformance> {
+    return this.#performances;
+  }
+
   /** Endpoints of a service and version that accept calls; only the healthy
    * ones if there are any. */
   usable(
@@ -184,6 +207,19 @@
     }));
   }
 
+  /** Slowness of the endpoints by service, for diagnostics. */
+  dumpPerformance(now: number): unknown {
+    return Object.fromEntries(
+      [...this.#performances].map(([service, performance]) => [
+        service,
+        {
+          ...performance.dump(now),
+          meanDuration: this.#durations.get(service)?.value,
+        },
+      ]),
+    );
+  }
+
   #add(entry: endpoints.RosterEntry): endpoint.Endpoint {
     const { id: name, service, address, dataCentre, version, slots } = entry;
     const id = incarnations.keyOf(entry);
@@ -199,6 +235,8 @@
     added.brittleness = brittlenesses.Brittleness.create(
       this.#brittlenessOf(service),
     );
+    added.performance = this.#performanceOf(service);
+    added.serviceDuration = this.#durationOf(service);
     this.#applyEvacuation(added);
     this.#byId.set(id, added);
     this.#byService.set(service, [...this.endpointsOf(service), added]);
@@ -229,6 +267,7 @@
       fetchRate,
       cachedPrefixes: prefixes,
       firstEventLatency,
+      eventGap: this.#eventGapOf(service.name),
     };
   }
 
@@ -246,6 +285,14 @@
     return created;
   }
 
+  #eventGapOf(service: string): performances.MeanDuration {
+    const known = this.#eventGaps.get(service);
+    if (known !== undefined) return known;
+    const created = performances.MeanDuration.create();
+    this.#eventGaps.set(service, created);
+    return created;
+  }
+
   #brittlenessOf(service: string): brittlenesses.ServiceBrittleness {
     const known = this.#brittleness.get(service);
     if (known !== undefined) return known;
@@ -254,10 +301,29 @@
     return created;
   }
 
+  #performanceOf(service: string): performances.ServicePerformance {
+    const known = this.#performances.get(service);
+    if (known !== undefined) return known;
+    const created = performances.ServicePerformance.create({
+      isEnabled: this.#isPerformanceEnabled,
+    });
+    this.#performances.set(service, created);
+    return created;
+  }
+
+  #durationOf(service: string): performances.MeanDuration {
+    const known = this.#durations.get(service);
+    if (known !== undefined) return known;
+    const created = performances.MeanDuration.create();
+    this.#durations.set(service, created);
+    return created;
+  }
+
   #remove(id: string, removed: endpoint.Endpoint): endpoint.Endpoint {
     const { identity, announcements } = removed;
     removed.isReady = false;
     this.#revision++;
+    removed.endPerformance();
     if (!announcements.isEmpty) this.#former.set(id, announcements);
     const [oldest] = this.#former.keys();
     if (this.#former.size > MAX_FORMER_COUNT) this.#former.delete(oldest);
@@ -269,6 +335,9 @@
       each.identity.id !== id
     );
     this.#byService.set(identity.service, remaining);
+    this.#performances.get(identity.service)?.retain(
+      new Set(remaining.map((each) => each.identity.id)),
+    );
     return removed;
   }
 }
--- a/src/gateway/load_updates_test.ts
+++ b/src/gateway/load_updates_test.ts
@@ -2,6 +2,7 @@
 
 import test from "ava";
 import * as fixture from "../endpoints/fixture.ts";
+import * as performances from "../performance/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as choices from "./endpoint_choice.ts";
@@ -28,6 +29,7 @@
   return endpoints.Endpoint.create(identity, {
     cachedPrefixes: prefixes,
     firstEventLatency,
+    eventGap: performances.MeanDuration.create(),
   });
 }
 
--- /dev/null
+++ b/src/performance/service_performance.ts
@@ -0,0 +1,263 @@
+/** Slowness of the endpoints of a service, where they differ enough to matter.
+ * @module */
+
+import * as slownesses from "./slowness.ts";
+
+/** Factor between the slowest and the fastest endpoint from which a service is
+ * uneven. Below it, the feedback by load and delay is enough. */
+const UNEVEN_FACTOR = 1.5;
+/** Factor below which it no longer is; lower, so that an estimate near the bound
+ * doesn't switch the service back and forth. */
+const EVEN_FACTOR = 1.3;
+/** Observations without which an endpoint doesn't count: the mean of fewer
+ * differs by chance. */
+const MIN_EVIDENCE = 8;
+/** Standard errors by which two endpoints must differ as well: calls that vary
+ * widely, or wait together, make equal endpoints look different for a while. With
+ * 4, 5 of 60 runs with equal endpoints count as uneven for a while; with 6, 2 of
+ * 200. */
+const MIN_STANDARD_ERRORS = 6;
+/** Variance of the logarithm of ratios that is assumed before observations, and
+ * its weight in observations: calls often differ by half of their mean. */
+const PRIOR_VARIANCE = 0.16;
+const PRIOR_WEIGHT = 8;
+/** Largest weight of the observed variance, in observations. */
+const MAX_WEIGHT = 256;
+/** Milliseconds after which the comparison is repeated without observations,
+ * since evidence decays. */
+const COMPARISON_MS = 1000;
+
+/** Endpoints that are compared for each changed estimate, so that an observation
+ * costs the same in a large service. */
+const ENDPOINTS_PER_CHANGE = 8;
+
+/** An endpoint and its estimate. */
+export interface EndpointSlowness {
+  readonly endpoint: string;
+  readonly slowness: number;
+  readonly evidence: number;
+}
+
+/** Fastest and slowest endpoint of a service. */
+export interface SlownessRange {
+  readonly fastest: EndpointSlowness;
+  readonly slowest: EndpointSlowness;
+}
+
+/** Own observations of an endpoint that no report has yet. */
+interface Untaken {
+  readonly logSum: number;
+  readonly count: number;
+}
+
+/** Slowness of a service's endpoints; changed in place. Endpoints are named by
+ * the id of one incarnation. */
+export class ServicePerformance {
+  readonly #isEnabled: boolean;
+  readonly #estimates = new Map<string, slownesses.Slowness>();
+  readonly #untaken = new Map<string, Untaken>();
+  #isUneven = false;
+  /** Mean square of the deviation of observations from the lasting slowness of
+   * their endpoint, and its weight in observations. */
+  #variance = PRIOR_VARIANCE;
+  #weight = PRIOR_WEIGHT;
+  #comparedAt = -Infinity;
+  /** Changed estimates since the last comparison. */
+  #changes = 0;
+
+  private constructor(isEnabled: boolean) {
+    this.#isEnabled = isEnabled;
+  }
+
+  static create(
+    { isEnabled }: { readonly isEnabled: boolean },
+  ): ServicePerformance {
+    return new ServicePerformance(isEnabled);
+  }
+
+  /** Records that a call took `ratio` times the expectation. */
+  observe(endpoint: string, ratio: number, now: number): void {
+    if (!this.#isEnabled || !(ratio > 0)) return;
+    const known = this.#estimate(endpoint);
+    if (known.evidence(now) >= MIN_EVIDENCE) {
+      this.#recordDeviation(slownesses.logOf(ratio) - known.logLasting(now));
+    }
+    this.#set(endpoint, known.observe(ratio, now));
+    const { logSum, count } = this.#untaken.get(endpoint) ?? NONE;
+    this.#untaken.set(endpoint, {
+      logSum: logSum + slownesses.logOf(ratio),
+      count: count + 1,
+    });
+  }
+
+  /** Records the momentary slowness that an endpoint announces. */
+  announce(endpoint: string, value: number, now: number): void {
+    if (!this.#isEnabled || !(value > 0)) return;
+    const estimate = this.#estimate(endpoint).announce(value, now);
+    this.#estimates.set(endpoint, estimate);
+  }
+
+  /** Replaces the lasting estimates of the endpoints in `reports` by those of all
+   * hosts, plus own observations that no report has yet. */
+  adopt(reports: readonly slownesses.SlownessReport[], now: number): void {
+    if (!this.#isEnabled) return;
+    for (const report of reports) {
+      const { endpoint } = report;
+      const known = this.#estimate(endpoint);
+      // A control host that has restarted knows less than this host.
+      if (2 * report.count < known.evidence(now)) continue;
+      const adopted = known.replaceLasting(report, now);
+      const untaken = this.#untaken.get(endpoint);
+      this.#set(
+        endpoint,
+        untaken === undefined
+          ? adopted
+          : adopted.add(reportOf(endpoint, untaken), now),
+      );
+    }
+  }
+
+  /** Own observations since the last call. */
+  takeReports(): slownesses.SlownessReport[] {
+    const reports = [...this.#untaken].map(([endpoint, untaken]) =>
+      reportOf(endpoint, untaken)
+    );
+    this.#untaken.clear();
+    return reports;
+  }
+
+  /** Slowness of an endpoint at this moment; 1 while the service is even. */
+  slowness(endpoint: string, now: number): number {
+    if (!this.isUneven(now)) return 1;
+    return this.#estimate(endpoint).value(now);
+  }
+
+  /** Its slowness without the momentary deviation. */
+  lasting(endpoint: string, now: number): number {
+    if (!this.isUneven(now)) return 1;
+    return this.#estimate(endpoint).lasting(now);
+  }
+
+  /** Whether the endpoints differ enough for their slowness to be used. */
+  isUneven(now: number): boolean {
+    const isDue = this.#changes * ENDPOINTS_PER_CHANGE > this.#estimates.size ||
+      now - this.#comparedAt >= COMPARISON_MS;
+    if (isDue) this.#compare(now);
+    return this.#isUneven;
+  }
+
+  /** Fastest and slowest endpoint among those with enough observations;
+   * undefined without any. */
+  range(now: number): SlownessRange | undefined {
+    const known = [...this.#estimates]
+      .filter(([, estimate]) => estimate.evidence(now) >= MIN_EVIDENCE)
+      .map(([endpoint, estimate]) => ({
+        endpoint,
+        slowness: estimate.lasting(now),
+        evidence: estimate.evidence(now),
+      }))
+      .sort((one, two) => one.slowness - two.slowness);
+    const [fastest] = known;
+    const slowest = known.at(-1);
+    return slowest === undefined ? undefined : { fastest, slowest };
+  }
+
+  /** Endpoints with an estimate. */
+  get endpoints(): string[] {
+    return [...this.#estimates.keys()];
+  }
+
+  /** Drops the incarnations that aren't among `endpoints`. */
+  retain(endpoints: ReadonlySet<string>): void {
+    for (const endpoint of [...this.#estimates.keys()]) {
+      if (endpoints.has(endpoint)) continue;
+      this.#estimates.delete(endpoint);
+      this.#untaken.delete(endpoint);
+      this.#changes = Infinity;
+    }
+  }
+
+  /** State for diagnostics. */
+  dump(now: number): object {
+    return {
+      isUneven: this.isUneven(now),
+      endpoints: [...this.#estimates].map(([endpoint, estimate]) => ({
+        endpoint,
+        slowness: estimate.value(now),
+        lasting: estimate.lasting(now),
+        evidence: estimate.evidence(now),
+      })),
+    };
+  }
+
+  #estimate(endpoint: string): slownesses.Slowness {
+    return this.#estimates.get(endpoint) ?? slownesses.Slowness.PRIOR;
+  }
+
+  #set(endpoint: string, estimate: slownesses.Slowness): void {
+    this.#estimates.set(endpoint, estimate);
+    this.#changes++;
+  }
+
+  #recordDeviation(deviation: number): void {
+    this.#weight = Math.min(MAX_WEIGHT, this.#weight + 1);
+    this.#variance += (deviation ** 2 - this.#variance) / this.#weight;
+  }
+
+  #compare(now: number): void {
+    this.#comparedAt = now;
+    this.#changes = 0;
+    const range = this.#extremes(now);
+    if (range === undefined) {
+      this.#isUneven = false;
+      return;
+    }
+    const { fastest, slowest } = range;
+    const difference = slowest.value - fastest.value;
+    const bound = this.#isUneven
+      ? Math.log(EVEN_FACTOR)
+      : Math.max(Math.log(UNEVEN_FACTOR), this.#noise(range));
+    this.#isUneven = difference >= bound;
+  }
+
+  #extremes(now: number): Extremes | undefined {
+    const none = { value: NaN, evidence: 0 };
+    let [fastest, slowest] = [none, none];
+    for (const estimate of this.#estimates.values()) {
+      const evidence = estimate.evidence(now);
+      if (evidence < MIN_EVIDENCE) continue;
+      const known = { value: estimate.logLasting(now), evidence };
+      if (!(known.value >= fastest.value)) fastest = known;
+      if (!(known.value <= slowest.value)) slowest = known;
+    }
+    return fastest === none ? undefined : { fastest, slowest };
+  }
+
+  /** Difference that equal endpoints may show by chance. */
+  #noise({ fastest, slowest }: Extremes): number {
+    const standardError = Math.sqrt(
+      this.#variance * (1 / fastest.evidence + 1 / slowest.evidence),
+    );
+    return MIN_STANDARD_ERRORS * standardError;
+  }
+}
+
+/** Logarithm of a lasting slowness, and its observations. */
+interface Known {
+  readonly value: number;
+  readonly evidence: number;
+}
+
+interface Extremes {
+  readonly fastest: Known;
+  readonly slowest: Known;
+}
+
+const NONE: Untaken = { logSum: 0, count: 0 };
+
+function reportOf(
+  endpoint: string,
+  { logSum, count }: Untaken,
+): slownesses.SlownessReport {
+  return { endpoint, ratio: Math.exp(logSum / count), count };
+}
