Plain calls: a reported queue counts until the endpoint can have served it

While a service is uneven, the load that an endpoint has reported shrinks at the rate at which it works.

--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -295,7 +295,7 @@
 
   /** Expected wait of a call that is sent now, relative to the work of one. */
   wait(now: number): number {
-    return this.#waitAt(this.load(now));
+    return this.waitAt(this.load(now));
   }
 
   /** The same, if a recent report tells of all hosts' calls there. */
@@ -307,10 +307,11 @@
   /** Wait at the load that the endpoint names as it answers: on average, a call
    * leaves as many others behind as it has found. */
   waitAtAnswer({ running, waiting }: protocols.ReportedLoad): number {
-    return this.#waitAt(running + waiting);
+    return this.waitAt(running + waiting);
   }
 
-  #waitAt(load: number): number {
+  /** Expected wait at a load. */
+  waitAt(load: number): number {
     const { slots } = this.identity;
     return Math.max(0, load + 1 - slots) / slots;
   }
@@ -366,6 +367,16 @@
     return Math.max(this.inFlight, running + waiting);
   }
 
+  /** Calls that are still in flight there where one takes `duration`: a queue that
+   * it has reported only shrinks as fast as the endpoint works. */
+  remainingLoad(now: number, duration: number): number {
+    if (this.#load === undefined) return this.inFlight;
+    const { running, waiting } = this.#load;
+    const age = now - this.#loadReportedAt;
+    const done = age * this.identity.slots / duration;
+    return Math.max(this.load(now), running + waiting - done);
+  }
+
   /** Records the time to a first event, and its delay beyond the time predicted
    * from the work before it. */
   recordFirstEvent(
--- a/src/gateway/endpoint_choice.ts
+++ b/src/gateway/endpoint_choice.ts
@@ -86,7 +86,8 @@
 ): endpoints.Endpoint | undefined {
   return minBy(candidates, (each) => {
     const duration = each.meanDuration || 1;
-    const time = duration * (1 + each.wait(now) + utilization(each, now)) +
+    const utilization = each.load(now) / each.identity.slots;
+    const time = duration * (1 + each.wait(now) + utilization) +
       networkTime(each, dataCentre);
     return time / healthFactor(each) + random.next() * REMOTE_LATENCY_MS;
   });
@@ -105,10 +106,11 @@
     length;
   const chosen = minBy(candidates, (each) => {
     const allotted = mean > 0 ? each.allotted / mean : 0;
-    const factor = 1 + each.wait(now) + utilization(each, now) +
+    const duration = each.unevenDuration(now)!;
+    const load = each.remainingLoad(now, duration);
+    const factor = 1 + each.waitAt(load) + load / each.identity.slots +
       ALLOTMENT_COST * allotted + random.next() * UNEVEN_JITTER;
-    const time = each.unevenDuration(now)! * factor +
-      networkTime(each, dataCentre);
+    const time = duration * factor + networkTime(each, dataCentre);
     return time / healthFactor(each);
   });
   candidates.forEach((each) => each.allotted *= 1 - 1 / length);
@@ -118,11 +120,6 @@
   return chosen;
 }
 
-/** Calls there for each of its slots. */
-function utilization(endpoint: endpoints.Endpoint, now: number): number {
-  return endpoint.load(now) / endpoint.identity.slots;
-}
-
 function networkTime(
   { identity }: endpoints.Endpoint,
   dataCentre: string,
