--- a/src/gateway/endpoint_choice_test.ts
+++ b/src/gateway/endpoint_choice_test.ts
@@ -122,3 +122,15 @@
   one.recordHealth("bad", 1700);
   t.false(one.isEjected(1800));
 });
+
+// Guards against calls that join a queue of seconds since its report is older
+// than half a second.
+test("a reported queue counts until the endpoint can have served it", (t) => {
+  const one = createEndpoint("1");
+  one.recordLoad({ running: 4, waiting: 36, slots: 4 }, 0);
+  t.is(one.remainingLoad(0, 100), 40);
+  t.is(one.remainingLoad(600, 100), 16);
+  t.is(one.load(600), 0);
+  one.inFlight = 3;
+  t.is(one.remainingLoad(2000, 100), 3);
+});
