Performance: endpoints must differ by 7 standard errors

The test of the least evidence uses a larger difference, so that it still shows the evidence alone: 7 observations don't count and 8 do.

--- a/src/gateway/endpoint_choice_load_test.ts
+++ b/src/gateway/endpoint_choice_load_test.ts
@@ -242,10 +242,12 @@
   }
 });
 
-// Guards against differences by chance: 2 of 200 runs use slowness for a while.
+// Guards against differences by chance, which made seeds 8 and 18 use slowness
+// for a while.
 test("with equal endpoints, choices are those without slowness", (t) => {
-  for (const [pos, hosts] of [8, 8, 24, 24, 80].entries()) {
-    const options = { seed: pos + 1, speeds: Array(9).fill(1), hosts };
+  const runs = [[8, 1], [8, 2], [24, 3], [24, 8], [80, 5], [80, 18]];
+  for (const [hosts, seed] of runs) {
+    const options = { seed, speeds: Array(9).fill(1), hosts };
     const off = runHosts({ ...options, isEnabled: false });
     const on = runHosts({ ...options, isEnabled: true });
     t.deepEqual(on.chosen, off.chosen);
--- a/src/performance/service_performance.ts
+++ b/src/performance/service_performance.ts
@@ -13,10 +13,8 @@
  * differs by chance. */
 const MIN_EVIDENCE = 8;
 /** Standard errors by which two endpoints must differ as well: calls that vary
- * widely, or wait together, make equal endpoints look different for a while. With
- * 4, 5 of 60 runs with equal endpoints count as uneven for a while; with 6, 2 of
- * 200. */
-const MIN_STANDARD_ERRORS = 6;
+ * widely, or wait together, make equal endpoints look different for a while. */
+const MIN_STANDARD_ERRORS = 7;
 /** Variance of the logarithm of ratios that is assumed before observations, and
  * its weight in observations: calls often differ by half of their mean. */
 const PRIOR_VARIANCE = 0.16;
--- a/src/performance/service_performance_test.ts
+++ b/src/performance/service_performance_test.ts
@@ -27,8 +27,8 @@
 });
 
 test("fewer than 8 observations of an endpoint don't count", (t) => {
-  t.false(createService({ a: 1, b: 8 }, { count: 7 }).isUneven(0));
-  t.true(createService({ a: 1, b: 8 }, { count: 8 }).isUneven(0));
+  t.false(createService({ a: 1 / 8, b: 8 }, { count: 7 }).isUneven(0));
+  t.true(createService({ a: 1 / 8, b: 8 }, { count: 8 }).isUneven(0));
 });
 
 test("an uneven service stays so down to a factor of 1.3", (t) => {
