--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -1,158 +1,18 @@
 /** @module */
 
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as net from "node:net";
 import type * as ava from "ava";
 import test from "ava";
 import * as undici from "undici";
-import * as concurrencyFixture from "../concurrency/fixture.ts";
-import * as fixture from "../configuration/fixture.ts";
 import * as connector from "../endpoint_calls/connector.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
-import * as configurations from "../configuration/mod.ts";
-import * as originFixture from "../origins/fixture.ts";
-import * as quarantineFixture from "../quarantine/fixture.ts";
-import * as rateLimitFixture from "../rate_limits/fixture.ts";
-import * as runtime from "../runtime/mod.ts";
+import type * as configurations from "../configuration/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
-import * as gateway from "./mod.ts";
-import * as activeRequests from "./active_request.ts";
-
-/** Decodes answers from this test's own header names. */
-const TEST_PROTOCOL: gateway.GatewayProtocol = {
-  decodeRequest: ({ method = "", url = "" }) => ({
-    type: "ask",
-    request: {
-      id: "a-1",
-      method,
-      host: "host.example",
-      target: url,
-      headers: {},
-      itemCounts: [1],
-    },
-  }),
-  isReadinessProbe: () => true,
-  callHeaders: (_, { endpoint }) => ({ "test-endpoint": endpoint }),
-  decodeReply: (status, headers) => ({
-    status,
-    attempt: "a-1",
-    signature: headers["test-signature"] as string | undefined,
-    isNotRun: headers["test-not-run"] !== undefined,
-    leaving: headers["test-leaving"] === undefined ? undefined : "announced",
-    isMisdirected: false,
-    lacksInput: false,
-    headers: {},
-  }),
-  batchCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
-  decodeItemResults: () => undefined,
-  releaseCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
-  holderOf: (handle) => handle,
-};
-
-/** Route of a resumable stream with one stage. */
-const STREAM: Partial<configurations.Route> = {
-  kind: "streaming",
-  resumable: true,
-  objective: 1000,
-  timeout: 3000,
-  stages: [{ service: "maps", after: [], bytes: 100 }],
-};
-
-/** Listens on loopback; resolves with the address. */
-async function listen(
-  t: ava.ExecutionContext,
-  handle: http.RequestListener,
-): Promise<string> {
-  const server = http.createServer(handle);
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  t.teardown(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
-}
-
-/** A gateway host with one endpoint that handles each call with `endpoint`. */
-async function startHost(
-  t: ava.ExecutionContext,
-  route: Partial<configurations.Route>,
-  endpoint: http.RequestListener,
-  compute: gateway.Context["batcherClient"]["compute"] = () =>
-    Promise.resolve([]),
-) {
-  const resolvers: (() => void)[] = [];
-  const sent = new Promise<void>((resolve) => resolvers.push(resolve));
-  const address = await listen(t, (request, response) => {
-    resolvers.forEach((resolve) => resolve());
-    endpoint(request, response);
-  });
-  const dispatcher = new undici.Agent({ pipelining: 1 });
-  t.teardown(() => dispatcher.destroy());
-  const catalogue = configurations.Catalogue.create(
-    fixture.configuration({
-      routes: [fixture.route(route)],
-      services: [
-        { name: "desk", connections: 10 },
-        { name: "maps", connections: 10, batching: fixture.batchTraits() },
-      ],
-    }),
-  );
-  const pool = gateway.EndpointPool.create();
-  const entry = endpointFixture.entry({ id: "e-1", address });
-  pool.update([entry], () => undefined);
-  const bounds = { ratio: 1, burst: 10, window: 1000 };
-  const started: activeRequests.ActiveRequest[] = [];
-  const context: gateway.Context = {
-    clock: runtime.systemClock,
-    random: runtime.createRandom(7),
-    logger: telemetry.noLogger,
-    metrics: telemetry.noMetrics,
-    protocol: TEST_PROTOCOL,
-    dispatcher,
-    dataCentre: "town",
-    pool,
-    paths: { relayOf: () => undefined, hasReceivedFromOthers: () => true },
-    batcherClient: {
-      compute: compute,
-      reserve: () => Promise.resolve({ wait: 0, work: 0 }),
-      selectPartition: () => "all",
-      release() {},
-      cancel() {},
-    },
-    placement: { place: () => Promise.resolve(undefined) },
-    fleetView: {
-      catalogue: () => catalogue,
-      configurationAge: () => 0,
-      hostCount: () => 1,
-    },
-    calibration: gateway.Calibration.create(),
-    priorWait: gateway.PriorWait.create(),
-    inputRetention: gateway.InputRetention.create(),
-    loadUpdates: { record() {} },
-    quotas: rateLimitFixture.unlimitedQuotas(),
-    slots: concurrencyFixture.unlimitedSlots(),
-    origins: originFixture.noOrigins(),
-    guard: quarantineFixture.permissiveGuard(),
-    startedAt: 0,
-    maxConfigurationAge: 1000,
-    retryBudget: () => gateway.RetryBudget.create(bounds),
-    isDraining: () => false,
-    isStopping: () => false,
-  };
-  const gatewayAddress = await listen(t, (request, response) => {
-    started.push(
-      activeRequests.ActiveRequest.start(context, { request, response }),
-    );
-  });
-  const ask = async () => {
-    const answer = await undici.request(`http://${gatewayAddress}/a/x`);
-    return { status: answer.statusCode, text: await answer.body.text() };
-  };
-  return { ask, sent, started, pool, context };
-}
+import * as fixture from "./fixture.ts";
 
 test("a call in flight when a host stops is not reported as not executed", async (t) => {
-  const { ask, sent, started } = await startHost(
+  const { ask, sent, started } = await fixture.startHost(
     t,
     { kind: "unsafe" },
     () => {},
@@ -164,9 +24,13 @@
 });
 
 test("a complete answer is relayed", async (t) => {
-  const { ask } = await startHost(t, { kind: "unsafe" }, (_, response) => {
-    response.writeHead(200, { "test-signature": "s" }).end("done");
-  });
+  const { ask } = await fixture.startHost(
+    t,
+    { kind: "unsafe" },
+    (_, response) => {
+      response.writeHead(200, { "test-signature": "s" }).end("done");
+    },
+  );
   t.deepEqual(await ask(), { status: 200, text: "done" });
 });
 
@@ -180,9 +44,13 @@
   };
   for (const objective of [1000, -1]) {
     const change = { kind: "unsafe", objective } as const;
-    const { ask, context } = await startHost(t, change, (_, response) => {
-      response.writeHead(200, { "test-signature": "s" }).end("done");
-    });
+    const { ask, context } = await fixture.startHost(
+      t,
+      change,
+      (_, response) => {
+        response.writeHead(200, { "test-signature": "s" }).end("done");
+      },
+    );
     Object.assign(context, { metrics });
     await ask();
   }
@@ -193,22 +61,30 @@
 });
 
 test("an answer without an endpoint's signature is not relayed", async (t) => {
-  const { ask } = await startHost(t, { kind: "unsafe" }, (_, response) => {
-    response.writeHead(200).end("done");
-  });
+  const { ask } = await fixture.startHost(
+    t,
+    { kind: "unsafe" },
+    (_, response) => {
+      response.writeHead(200).end("done");
+    },
+  );
   t.is((await ask()).status, 502);
 });
 
 test("a call that the endpoint did not execute is refused with 503", async (t) => {
-  const { ask } = await startHost(t, { kind: "unsafe" }, (_, response) => {
-    response.writeHead(503, { "test-not-run": "1" }).end();
-  });
+  const { ask } = await fixture.startHost(
+    t,
+    { kind: "unsafe" },
+    (_, response) => {
+      response.writeHead(503, { "test-not-run": "1" }).end();
+    },
+  );
   t.is((await ask()).status, 503);
 });
 
 test("a request that is not idempotent is sent once", async (t) => {
   let count = 0;
-  const { ask } = await startHost(t, { kind: "unsafe" }, (request) => {
+  const { ask } = await fixture.startHost(t, { kind: "unsafe" }, (request) => {
     count++;
     request.socket.destroy();
   });
@@ -235,7 +111,7 @@
 // throws.
 test("a started stream is aborted if its stages fail on the second run", async (t) => {
   let runs = 0;
-  const { ask } = await startHost(t, STREAM, (_, response) => {
+  const { ask } = await fixture.startHost(t, fixture.STREAM, (_, response) => {
     response.writeHead(200, { "test-signature": "s" });
     response.write("id: 1\ndata: 1\n\n");
     setTimeout(() => response.destroy(), 50);
@@ -250,15 +126,20 @@
 
 test("a host that stops during the second run of the stages aborts the stream", async (t) => {
   let runs = 0;
-  const { ask, started } = await startHost(t, STREAM, (_, response) => {
-    response.writeHead(200, { "test-signature": "s" });
-    response.write("id: 1\ndata: 1\n\n");
-    setTimeout(() => response.destroy(), 50);
-  }, ({ pieces: [piece] }) => {
-    if (runs++ === 0) return Promise.resolve([{ piece, handle: "place/1" }]);
-    setTimeout(() => started[0].abort(), 10);
-    return new Promise(() => {});
-  });
+  const { ask, started } = await fixture.startHost(
+    t,
+    fixture.STREAM,
+    (_, response) => {
+      response.writeHead(200, { "test-signature": "s" });
+      response.write("id: 1\ndata: 1\n\n");
+      setTimeout(() => response.destroy(), 50);
+    },
+    ({ pieces: [piece] }) => {
+      if (runs++ === 0) return Promise.resolve([{ piece, handle: "place/1" }]);
+      setTimeout(() => started[0].abort(), 10);
+      return new Promise(() => {});
+    },
+  );
   t.is(await endOf(ask()), "broken off");
 });
 
@@ -267,7 +148,7 @@
 // and the request was refused as not executed.
 test("a request that may have run is never refused as not executed", async (t) => {
   let runs = 0;
-  const { ask } = await startHost(t, STREAM, (request) => {
+  const { ask } = await fixture.startHost(t, fixture.STREAM, (request) => {
     // After the inputs of the call are released.
     setTimeout(() => request.socket.destroy(), 400);
   }, ({ pieces: [piece] }) => {
@@ -296,14 +177,14 @@
     response.write("id: 1\ndata: 1\n\n");
     setTimeout(() => response.destroy(), 50);
   };
-  const { ask, pool } = await startHost(t, {
+  const { ask, pool } = await fixture.startHost(t, {
     kind: "streaming",
     resumable: true,
     objective: 1000,
     timeout: 3000,
   }, handle);
   const [{ identity: { address } }] = pool.endpointsOf("desk");
-  const other = await listen(t, handle);
+  const other = await fixture.listen(t, handle);
   const entries = entriesOf({ [address]: "v1", [other]: version });
   pool.update(entries, () => undefined);
   t.is(await endOf(ask()), "whole");
@@ -321,7 +202,7 @@
 
 test("an endpoint chosen before an evacuation is not called after it", async (t) => {
   let count = 0;
-  const host = await startHost(t, { kind: "safe" }, (_, response) => {
+  const host = await fixture.startHost(t, { kind: "safe" }, (_, response) => {
     count++;
     response.writeHead(200, { "test-signature": "s" }).end("done");
   });
@@ -339,11 +220,15 @@
 
 test("a request is refused at once if all endpoints have announced their departure", async (t) => {
   let count = 0;
-  const { ask } = await startHost(t, { kind: "safe" }, (_, response) => {
-    count++;
-    const head = { "test-signature": "s", "test-leaving": "1" };
-    response.writeHead(200, head).end("done");
-  });
+  const { ask } = await fixture.startHost(
+    t,
+    { kind: "safe" },
+    (_, response) => {
+      count++;
+      const head = { "test-signature": "s", "test-leaving": "1" };
+      response.writeHead(200, head).end("done");
+    },
+  );
   t.is((await ask()).status, 200);
   t.is((await ask()).status, 503);
   t.is(count, 1);
@@ -354,7 +239,7 @@
   t: ava.ExecutionContext,
   hasReceivedFromOthers: boolean,
 ): Promise<unknown[]> {
-  const { ask, context, pool } = await startHost(
+  const { ask, context, pool } = await fixture.startHost(
     t,
     { kind: "streaming", objective: 1000, timeout: 3000 },
     (request) => void request.socket.destroy(),
@@ -366,10 +251,10 @@
   const source = "owner" as const;
   const placed = { engine, firstEventTime: 0, cacheMiss, pendingWork, source };
   const prompt = { model: "m", inputTokens: 1, outputTokens: 1, parts: [] };
-  const { decodeRequest } = TEST_PROTOCOL;
+  const { decodeRequest } = fixture.PROTOCOL;
   Object.assign(context, {
     protocol: {
-      ...TEST_PROTOCOL,
+      ...fixture.PROTOCOL,
       decodeRequest(message: http.IncomingMessage) {
         const decoded = decodeRequest(message);
         if (decoded.type === "ask") Object.assign(decoded.request, { prompt });
@@ -413,7 +298,7 @@
   write: (socket: net.Socket) => void,
 ) {
   const sockets = new Set<net.Socket>();
-  const host = await startHost(t, route, ({ socket }) => {
+  const host = await fixture.startHost(t, route, ({ socket }) => {
     sockets.add(socket);
     socket.write(UNFRAMED_HEAD);
     write(socket);
--- /dev/null
+++ b/src/gateway/fixture.ts
@@ -0,0 +1,151 @@
+/** A gateway host on loopback for tests, with one endpoint.
+ * @module */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import type * as ava from "ava";
+import * as undici from "undici";
+import * as concurrencyFixture from "../concurrency/fixture.ts";
+import * as fixture from "../configuration/fixture.ts";
+import * as endpointFixture from "../endpoints/fixture.ts";
+import * as configurations from "../configuration/mod.ts";
+import * as originFixture from "../origins/fixture.ts";
+import * as quarantineFixture from "../quarantine/fixture.ts";
+import * as rateLimitFixture from "../rate_limits/fixture.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import * as gateway from "./mod.ts";
+import * as activeRequests from "./active_request.ts";
+
+/** Decodes answers from header names of tests. */
+export const PROTOCOL: gateway.GatewayProtocol = {
+  decodeRequest: ({ method = "", url = "" }) => ({
+    type: "ask",
+    request: {
+      id: "a-1",
+      method,
+      host: "host.example",
+      target: url,
+      headers: {},
+      itemCounts: [1],
+    },
+  }),
+  isReadinessProbe: () => true,
+  callHeaders: (_, { endpoint }) => ({ "test-endpoint": endpoint }),
+  decodeReply: (status, headers) => ({
+    status,
+    attempt: "a-1",
+    signature: headers["test-signature"] as string | undefined,
+    isNotRun: headers["test-not-run"] !== undefined,
+    leaving: headers["test-leaving"] === undefined ? undefined : "announced",
+    isMisdirected: false,
+    lacksInput: false,
+    headers: {},
+  }),
+  batchCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
+  decodeItemResults: () => undefined,
+  releaseCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
+  holderOf: (handle) => handle,
+};
+
+/** Route of a resumable stream with one stage. */
+export const STREAM: Partial<configurations.Route> = {
+  kind: "streaming",
+  resumable: true,
+  objective: 1000,
+  timeout: 3000,
+  stages: [{ service: "maps", after: [], bytes: 100 }],
+};
+
+/** Listens on loopback; resolves with the address. */
+export async function listen(
+  t: ava.ExecutionContext,
+  handle: http.RequestListener,
+): Promise<string> {
+  const server = http.createServer(handle);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
+/** A gateway host with one endpoint that handles each call with `endpoint`. */
+export async function startHost(
+  t: ava.ExecutionContext,
+  route: Partial<configurations.Route>,
+  endpoint: http.RequestListener,
+  compute: gateway.Context["batcherClient"]["compute"] = () =>
+    Promise.resolve([]),
+) {
+  const resolvers: (() => void)[] = [];
+  const sent = new Promise<void>((resolve) => resolvers.push(resolve));
+  const address = await listen(t, (request, response) => {
+    resolvers.forEach((resolve) => resolve());
+    endpoint(request, response);
+  });
+  const dispatcher = new undici.Agent({ pipelining: 1 });
+  t.teardown(() => dispatcher.destroy());
+  const catalogue = configurations.Catalogue.create(
+    fixture.configuration({
+      routes: [fixture.route(route)],
+      services: [
+        { name: "desk", connections: 10 },
+        { name: "maps", connections: 10, batching: fixture.batchTraits() },
+      ],
+    }),
+  );
+  const pool = gateway.EndpointPool.create();
+  const entry = endpointFixture.entry({ id: "e-1", address });
+  pool.update([entry], () => undefined);
+  const bounds = { ratio: 1, burst: 10, window: 1000 };
+  const started: activeRequests.ActiveRequest[] = [];
+  const context: gateway.Context = {
+    clock: runtime.systemClock,
+    random: runtime.createRandom(7),
+    logger: telemetry.noLogger,
+    metrics: telemetry.noMetrics,
+    protocol: PROTOCOL,
+    dispatcher,
+    dataCentre: "town",
+    pool,
+    paths: { relayOf: () => undefined, hasReceivedFromOthers: () => true },
+    batcherClient: {
+      compute: compute,
+      reserve: () => Promise.resolve({ wait: 0, work: 0 }),
+      selectPartition: () => "all",
+      release() {},
+      cancel() {},
+    },
+    placement: { place: () => Promise.resolve(undefined) },
+    fleetView: {
+      catalogue: () => catalogue,
+      configurationAge: () => 0,
+      hostCount: () => 1,
+    },
+    calibration: gateway.Calibration.create(),
+    priorWait: gateway.PriorWait.create(),
+    inputRetention: gateway.InputRetention.create(),
+    loadUpdates: { record() {} },
+    quotas: rateLimitFixture.unlimitedQuotas(),
+    slots: concurrencyFixture.unlimitedSlots(),
+    origins: originFixture.noOrigins(),
+    guard: quarantineFixture.permissiveGuard(),
+    startedAt: 0,
+    maxConfigurationAge: 1000,
+    retryBudget: () => gateway.RetryBudget.create(bounds),
+    isDraining: () => false,
+    isStopping: () => false,
+  };
+  const gatewayAddress = await listen(t, (request, response) => {
+    started.push(
+      activeRequests.ActiveRequest.start(context, { request, response }),
+    );
+  });
+  const ask = async () => {
+    const answer = await undici.request(`http://${gatewayAddress}/a/x`);
+    return { status: answer.statusCode, text: await answer.body.text() };
+  };
+  return { ask, sent, started, pool, context };
+}
