Gateway: cost of a request

The share of an account is counted in cost: 1 for a plain call, input tokens plus 10 times output tokens for a prompt. A prompt that declares no tokens costs 1, since a cost of 0 would be admitted without limit.

--- /dev/null
+++ b/src/gateway/request_cost_test.ts
@@ -0,0 +1,25 @@
+/** @module */
+
+import test from "ava";
+import * as costs from "./request_cost.ts";
+
+const PROMPT = { model: "m", inputTokens: 1200, outputTokens: 30, parts: [] };
+
+test("a plain call costs 1", (t) => {
+  t.is(costs.costOf(undefined), 1);
+});
+
+test("a generated token costs as much as ten input tokens", (t) => {
+  t.is(costs.costOf(PROMPT), 1200 + 10 * 30);
+});
+
+test("input tokens in the engine's cache cost nothing", (t) => {
+  t.is(costs.costOf(PROMPT, 200), 200 + 10 * 30);
+  t.is(costs.costOf(PROMPT, 0), 10 * 30);
+});
+
+// Guards against an account that floods without limit by declaring no tokens.
+test("a prompt that declares no tokens costs something", (t) => {
+  const prompt = { ...PROMPT, inputTokens: 0, outputTokens: 0 };
+  t.is(costs.costOf(prompt), 1);
+});
