Gateway: requests are charged to the share of their account

After the choice of the service and before any stage a request is charged, or refused as over-share with status 503 and the wait of the admission as Retry-After. The charge is corrected by the prefill of the chosen engine and ends once, in the one place through which every request ends.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -20,9 +20,11 @@
 import * as refusals from "./refusal.ts";
 import * as replies from "./reply.ts";
 import * as retries from "./retry.ts";
+import * as shareCharges from "./share_charge.ts";
 import * as pipelineRuns from "./pipeline_run.ts";
 import * as streamBindings from "./stream_binding.ts";
 import * as targetChoices from "./target_choice.ts";
+import * as timeliness from "./timeliness.ts";
 import * as healthSignals from "./health_signal.ts";
 
 /** Times that the stages of a request are run again after results are lost. */
@@ -61,6 +63,8 @@
   #errorAnswer?: { head: protocols.ReplyHead; body: Buffer };
   #pipelineRun?: pipelineRuns.PipelineRun;
   #binding?: streamBindings.StreamBinding;
+  /** Absent where accounts have no shares. */
+  #shareCharge?: shareCharges.ShareCharge;
   #resolveFinished!: () => void;
   /** Resolves when the request is answered, refused or abandoned. */
   readonly finished: Promise<void>;
@@ -113,13 +117,14 @@
         return this.#refuse(denial.reason, denial.details);
       }
       const service = await this.#chooseService();
-      if (service === undefined) return;
+      if (service === undefined || !this.#chargeShare(service)) return;
       const inputs = await this.#runStages(service);
       if (this.isFinished) return;
       await this.#callEndpoints({ service, inputs });
     } catch (error) {
       const request = this.#incoming?.id;
       this.#context.logger.error({ err: error, request }, "Request failed");
+      this.#shareCharge?.endByError({ mayHaveRun: this.#mayHaveRun });
       this.#refuse(this.#mayHaveRun ? "failed" : "not-run");
     }
   }
@@ -139,6 +144,24 @@
     return this.isFinished ? undefined : choice.service;
   }
 
+  /** Charges the request to the share of its account; refuses it and returns
+   * false if that is used up. */
+  #chargeShare(service: string): boolean {
+    const { accountShares } = this.#context;
+    if (accountShares === undefined) return true;
+    const result = shareCharges.ShareCharge.create(accountShares, {
+      service,
+      request: this.#incoming!,
+      route: this.#route!,
+      account: this.#account,
+      rank: this.#rank,
+      priorWait: this.#priorWait,
+    });
+    if (result.type === "refused") this.#refuse("over-share", result.details);
+    else this.#shareCharge = result.charge;
+    return !this.isFinished;
+  }
+
   /** Whether an endpoint may have executed the request or may be executing
    * it. */
   get #mayHaveRun(): boolean {
@@ -294,6 +317,9 @@
     this.#calls.push(record);
     target.rejections.recordCall(started);
     this.#phase = this.#reply.head === undefined ? "sent" : "streaming";
+    if (placement !== undefined) {
+      this.#shareCharge?.correct(placement.cacheMiss.prefillTokens);
+    }
     metrics.count("gateway.sent", 1, { service });
     if (this.#calls.length > 1) {
       metrics.count("gateway.repeated", 1, { service });
@@ -451,9 +477,7 @@
   ): void {
     if (this.isFinished) return;
     if (this.#reply.head === undefined) {
-      this.#firstEventMs = Math.round(
-        this.#context.clock.now() - this.#arrivedAt,
-      );
+      this.#firstEventMs = this.#age;
       this.#startStream(head);
     }
     if (complete.lastId !== undefined) this.#lastEventId = complete.lastId;
@@ -537,7 +561,7 @@
 
   /** Aborts the stream, so that the caller can't take it for complete. */
   #abortStream(reason: refusals.RefusalReason): void {
-    this.#finish();
+    this.#finish(reason);
     this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#reply.abort();
     this.#log(
@@ -558,7 +582,7 @@
       const { retryAfter: _, ...rest } = details;
       return this.#refuse("failed", { ...rest, after: reason });
     }
-    this.#finish();
+    this.#finish(reason);
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...details };
     this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#reply.refuse(reason, { status, retryAfter });
@@ -586,11 +610,17 @@
     if (isSent && route !== undefined && !configurations.isCancellable(route)) {
       return;
     }
-    this.#finish();
+    this.#finish("left");
     this.#log("info", { reason: "left" }, "Caller left");
   }
 
-  #finish(): void {
+  #finish(reason?: refusals.RefusalReason | "left"): void {
+    this.#shareCharge?.end({
+      reason,
+      lastCall: this.#calls.at(-1)?.outcome,
+      ms: this.#age,
+      firstEventMs: this.#firstEventMs,
+    });
     this.#phase = "finished";
     this.#cancelTimer();
     this.#attempt?.cancel();
@@ -598,13 +628,9 @@
     this.#resolveFinished();
   }
 
-  /** Whether an answer after `ms` milliseconds meets the route's objective,
-   * counting the time before this attempt; for a stream the first event
-   * counts. */
-  #timeliness(ms: number): "in-time" | "late" {
-    const { objective = Infinity } = this.#route ?? {};
-    const elapsed = this.#priorWait + (this.#firstEventMs ?? ms);
-    return elapsed <= objective ? "in-time" : "late";
+  /** Whole milliseconds since the request arrived. */
+  get #age(): number {
+    return Math.round(this.#context.clock.now() - this.#arrivedAt);
   }
 
   #log(
@@ -614,13 +640,15 @@
     },
     message: string,
   ): void {
-    const { clock, logger, metrics, fleetView } = this.#context;
-    const ms = Math.round(clock.now() - this.#arrivedAt);
+    const { logger, metrics, fleetView } = this.#context;
+    const ms = this.#age;
+    const elapsed = this.#priorWait + (this.#firstEventMs ?? ms);
     const route = this.#route?.name;
     metrics.time("gateway.duration", ms, { route: route ?? "none" });
     metrics.count("gateway.ended", 1, {
       route: route ?? "none",
-      ending: details.reason ?? this.#timeliness(ms),
+      ending: details.reason ??
+        timeliness.timelinessOf(this.#route ?? {}, elapsed),
     });
     logger[level]({
       request: this.#incoming?.id,
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -19,7 +19,7 @@
 
 /** Decodes answers from header names of tests. */
 export const PROTOCOL: gateway.GatewayProtocol = {
-  decodeRequest: ({ method = "", url = "" }) => ({
+  decodeRequest: ({ method = "", url = "", headers }) => ({
     type: "ask",
     request: {
       id: "a-1",
@@ -28,6 +28,7 @@
       target: url,
       headers: {},
       itemCounts: [1],
+      resumeAfter: headers["test-resume-after"] as string | undefined,
     },
   }),
   isReadinessProbe: () => true,
@@ -143,9 +144,14 @@
       activeRequests.ActiveRequest.start(context, { request, response }),
     );
   });
-  const ask = async () => {
-    const answer = await undici.request(`http://${gatewayAddress}/a/x`);
+  const request = (options: Parameters<typeof undici.request>[1] = {}) =>
+    undici.request(`http://${gatewayAddress}/a/x`, options);
+  const ask = async (options: Parameters<typeof undici.request>[1] = {}) => {
+    const answer = await request(options);
     return { status: answer.statusCode, text: await answer.body.text() };
   };
-  return { ask, sent, started, pool, context };
+  return { ask, request, sent, started, pool, context };
 }
+
+/** A gateway host of a test. */
+export type Host = Awaited<ReturnType<typeof startHost>>;
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -18,6 +18,7 @@
   | "leaving"
   | "backoff"
   | "rate-limited"
+  | "over-share"
   | "no-slot"
   | "suspected"
   | "quarantined"
@@ -91,6 +92,8 @@
   "backoff": { status: 503 },
   // The delay follows from the rate limit that endpoints announce.
   "rate-limited": { status: 503 },
+  // The delay follows from when the account's share has room again.
+  "over-share": { status: 503 },
   // Slots become free as calls end.
   "no-slot": { status: 503, retryAfter: 0.6 },
   // The delay follows from when the quarantine lets the request run again.
--- /dev/null
+++ b/src/gateway/share_charge.ts
@@ -0,0 +1,165 @@
+/** The charge of one request to the share of its client account: its admission,
+ * the correction of its cost, and how its end is counted.
+ * @module */
+
+import type * as admissions from "../account_shares/admission.ts";
+import type * as configurations from "../configuration/mod.ts";
+import type * as contexts from "./context.ts";
+import type * as protocols from "./protocol.ts";
+import * as refusals from "./refusal.ts";
+import * as costs from "./request_cost.ts";
+import * as timeliness from "./timeliness.ts";
+
+/** Reasons that show a lack of capacity. */
+const CAPACITY_REASONS: ReadonlySet<refusals.RefusalReason> = new Set([
+  "no-time",
+  "no-pieces",
+  "not-run",
+  "no-slot",
+  "timeout-not-run",
+  "timeout",
+]);
+
+/** A request whose service is chosen. */
+export interface ShareChargeOptions {
+  readonly service: string;
+  readonly request: protocols.IncomingRequest;
+  readonly route: configurations.Route;
+  readonly account?: configurations.Account;
+  readonly rank: number;
+  /** Milliseconds that the caller waited before this attempt. */
+  readonly priorWait: number;
+}
+
+/** How a request ended. */
+export interface RequestEnding {
+  /** Absent if it was answered. */
+  readonly reason?: refusals.RefusalReason | "left";
+  /** Outcome of the last call, as in its record; absent if none was sent. */
+  readonly lastCall?: string;
+  /** Milliseconds from arrival to the end. */
+  readonly ms: number;
+  /** Milliseconds from arrival to the first event sent to the caller. */
+  readonly firstEventMs?: number;
+}
+
+/** An admitted request, or the details of its refusal. */
+export type ShareChargeResult =
+  | { readonly type: "admitted"; readonly charge: ShareCharge }
+  | {
+    readonly type: "refused";
+    readonly details: Readonly<Record<string, unknown>> & {
+      /** Seconds until a retry. */
+      readonly retryAfter: number;
+    };
+  };
+
+/** The charge of one admitted request. */
+export class ShareCharge {
+  readonly #charge: admissions.Charge;
+  readonly #options: ShareChargeOptions;
+  #isEnded = false;
+
+  private constructor(
+    charge: admissions.Charge,
+    options: ShareChargeOptions,
+  ) {
+    this.#charge = charge;
+    this.#options = options;
+  }
+
+  /** Charges a request by its declared tokens, unless its account's share is
+   * used up. */
+  static create(
+    shares: contexts.ShareView,
+    options: ShareChargeOptions,
+  ): ShareChargeResult {
+    const { service, rank, account, priorWait, request } = options;
+    const admission = shares.admit({
+      service,
+      rank,
+      account: account?.name,
+      cost: costs.costOf(request.prompt),
+      priorWait,
+    });
+    if (admission.type === "refused") {
+      const { wait, details } = admission;
+      const retryAfter = refusals.retryDelay(wait);
+      return { type: "refused", details: { ...details, retryAfter } };
+    }
+    const charge = new ShareCharge(admission.charge, options);
+    return { type: "admitted", charge };
+  }
+
+  /** Corrects the cost by the input tokens that the chosen engine's cache
+   * lacks. A later call to another engine corrects it again. */
+  correct(prefillTokens: number): void {
+    if (this.#isEnded) return;
+    const { prompt } = this.#options.request;
+    this.#charge.correct(costs.costOf(prompt, prefillTokens));
+  }
+
+  /** Counts the end of the request; only the first one counts. */
+  end(ending: RequestEnding): void {
+    this.#end(outcomeOf(ending, this.#options));
+  }
+
+  /** Counts the end of a request that an internal error ended, which is no
+   * lack of capacity whatever its caller is told. */
+  endByError({ mayHaveRun }: { mayHaveRun: boolean }): void {
+    this.#end(mayHaveRun ? "served" : "unserved");
+  }
+
+  #end(outcome: admissions.ChargeOutcome): void {
+    if (this.#isEnded) return;
+    this.#isEnded = true;
+    this.#charge.end(outcome);
+  }
+}
+
+/** How the end of a request counts. A caller that has received a part of its
+ * stream got service, whatever ended the stream. A request that failed may have
+ * used capacity, so its cost is kept; that an endpoint failed is no lack of
+ * capacity. A caller that leaves after its objective was denied capacity. */
+export function outcomeOf(
+  ending: RequestEnding,
+  request: Pick<ShareChargeOptions, "request" | "route" | "priorWait">,
+): admissions.ChargeOutcome {
+  const { reason, lastCall, firstEventMs } = ending;
+  const isLate = isLateEnding(ending, request);
+  const answered = isLate ? "late" : "served";
+  if (reason === undefined || firstEventMs !== undefined) return answered;
+  if (reason === "left") {
+    const unsent = isLate ? "denied" : "unserved";
+    return lastCall === undefined ? unsent : answered;
+  }
+  if (showsLackOfCapacity(reason, lastCall)) return "denied";
+  return refusals.guaranteesNotRun(reason) ? "unserved" : "served";
+}
+
+/** Whether a refusal shows a lack of capacity. After a rejected call a backoff
+ * does: all endpoints of a small service have rejected calls then. A call that
+ * reaches the deadline fails at the time at which the request times out, and
+ * either of them may end the request. */
+function showsLackOfCapacity(
+  reason: refusals.RefusalReason,
+  lastCall: string | undefined,
+): boolean {
+  if (reason === "backoff") return lastCall === "full";
+  if (reason === "failed") return lastCall === "deadline";
+  return CAPACITY_REASONS.has(reason);
+}
+
+/** Whether the request ended, or its stream began, after the objective. The
+ * time before an attempt that resumes a stream doesn't count: the caller
+ * received events in it. */
+function isLateEnding(
+  { ms, firstEventMs = ms }: RequestEnding,
+  { request, route, priorWait }: Pick<
+    ShareChargeOptions,
+    "request" | "route" | "priorWait"
+  >,
+): boolean {
+  const waited = request.resumeAfter === undefined ? priorWait : 0;
+  return timeliness.timelinessOf(route, waited + firstEventMs) === "late";
+}
--- /dev/null
+++ b/src/gateway/share_charge_test.ts
@@ -0,0 +1,333 @@
+/** @module */
+
+import type * as http from "node:http";
+import type * as ava from "ava";
+import test from "ava";
+import type * as admissions from "../account_shares/admission.ts";
+import * as configurationFixture from "../configuration/fixture.ts";
+import type * as configurations from "../configuration/mod.ts";
+import type * as gateway from "./mod.ts";
+import * as fixture from "./fixture.ts";
+import * as shareCharges from "./share_charge.ts";
+
+/** Objective of the requests, in milliseconds. */
+const OBJECTIVE = 100;
+/** An age at which a request is in time, and one at which it is late. */
+const IN_TIME = 50;
+const LATE = 150;
+
+/** Outcome of a request that no call was sent for, unless `ending` says
+ * otherwise. */
+function outcomeOf(
+  ending: Partial<shareCharges.RequestEnding>,
+  { resumeAfter, priorWait = 0 }: {
+    resumeAfter?: string;
+    priorWait?: number;
+  } = {},
+): admissions.ChargeOutcome {
+  return shareCharges.outcomeOf(
+    { ms: IN_TIME, ...ending },
+    {
+      request: requestOf({ resumeAfter }),
+      route: configurationFixture.route({ objective: OBJECTIVE }),
+      priorWait,
+    },
+  );
+}
+
+function requestOf(
+  change: Partial<gateway.IncomingRequest>,
+): gateway.IncomingRequest {
+  return {
+    id: "a-1",
+    method: "POST",
+    host: "host.example",
+    target: "/a/x",
+    headers: {},
+    ...change,
+  };
+}
+
+test("an answer counts by the time since the caller's first attempt", (t) => {
+  t.is(outcomeOf({ ms: IN_TIME }), "served");
+  t.is(outcomeOf({ ms: LATE }), "late");
+  t.is(outcomeOf({ ms: IN_TIME }, { priorWait: OBJECTIVE }), "late");
+});
+
+test("a stream counts by its first event", (t) => {
+  t.is(outcomeOf({ ms: LATE, firstEventMs: IN_TIME }), "served");
+  t.is(outcomeOf({ ms: 2 * LATE, firstEventMs: LATE }), "late");
+});
+
+// Guards against contention that is seen after each loss of an engine: callers
+// that resume have waited as long as they have read the stream.
+test("the time before a stream resumes is not lateness", (t) => {
+  const resumed = { resumeAfter: "7", priorWait: 10 * OBJECTIVE };
+  t.is(outcomeOf({ firstEventMs: IN_TIME }, resumed), "served");
+  t.is(outcomeOf({ firstEventMs: LATE }, resumed), "late");
+  t.is(outcomeOf({ reason: "no-time" }, resumed), "denied");
+});
+
+test("a refusal after the first event counts as the caller was served", (t) => {
+  const started = { reason: "no-pieces", ms: LATE } as const;
+  t.is(outcomeOf({ ...started, firstEventMs: IN_TIME }), "served");
+  t.is(outcomeOf({ ...started, firstEventMs: LATE }), "late");
+});
+
+test("refusals for lack of capacity are denied, others refunded", (t) => {
+  const denied = [
+    "no-time",
+    "no-pieces",
+    "not-run",
+    "no-slot",
+    "timeout-not-run",
+    "timeout",
+  ] as const;
+  for (const reason of denied) t.is(outcomeOf({ reason }), "denied", reason);
+  const others = ["no-endpoint", "rate-limited", "stopping"] as const;
+  for (const reason of others) t.is(outcomeOf({ reason }), "unserved", reason);
+});
+
+// Guards against an overload that is not seen in a service of few endpoints: a
+// request ends by their backoff once all of them have rejected it.
+test("a backoff after a rejected call is denied, else refunded", (t) => {
+  t.is(outcomeOf({ reason: "backoff", lastCall: "full" }), "denied");
+  t.is(outcomeOf({ reason: "backoff", lastCall: "withheld" }), "unserved");
+  t.is(outcomeOf({ reason: "backoff" }), "unserved");
+});
+
+// Guards against contention that is seen where engines crash, and against
+// crashing requests that cost their account nothing.
+test("a failure of an endpoint keeps the cost and is not denied", (t) => {
+  const failed = { reason: "failed", lastCall: "broken" } as const;
+  t.is(outcomeOf(failed), "served");
+  t.is(outcomeOf({ ...failed, ms: LATE }), "served");
+});
+
+// Guards against timeouts that don't count: when a call reached its deadline
+// before the timer of its request ended, the request was refused as failed.
+test("a call that reaches the deadline is denied", (t) => {
+  t.is(outcomeOf({ reason: "failed", lastCall: "deadline" }), "denied");
+});
+
+test("a caller that leaves after its objective was denied capacity", (t) => {
+  const left = { reason: "left" } as const;
+  t.is(outcomeOf(left), "unserved");
+  t.is(outcomeOf({ ...left, ms: LATE }), "denied");
+  t.is(outcomeOf({ ...left, lastCall: "open" }), "served");
+  t.is(outcomeOf({ ...left, lastCall: "open", ms: LATE }), "late");
+});
+
+/** Shares that admit all requests and keep what they are told. */
+class RecordedShares implements gateway.ShareView {
+  readonly requests: admissions.ShareRequest[] = [];
+  readonly corrections: number[] = [];
+  readonly outcomes: admissions.ChargeOutcome[] = [];
+
+  admit(request: admissions.ShareRequest): admissions.ShareAdmission {
+    this.requests.push(request);
+    const charge = {
+      correct: (cost: number) => void this.corrections.push(cost),
+      end: (outcome: admissions.ChargeOutcome) =>
+        void this.outcomes.push(outcome),
+    };
+    return { type: "admitted", charge };
+  }
+}
+
+test("a charge takes the request's values and ends once", (t) => {
+  const shares = new RecordedShares();
+  const prompt = { model: "m", inputTokens: 100, outputTokens: 2, parts: [] };
+  const result = shareCharges.ShareCharge.create(shares, {
+    service: "desk",
+    request: requestOf({ prompt }),
+    route: configurationFixture.route(),
+    account: { name: "club", keys: [] },
+    rank: 3,
+    priorWait: 400,
+  });
+  t.deepEqual(shares.requests, [
+    { service: "desk", rank: 3, account: "club", cost: 120, priorWait: 400 },
+  ]);
+  if (result.type !== "admitted") return t.fail();
+  result.charge.correct(30);
+  result.charge.end({ reason: "no-time", ms: IN_TIME });
+  result.charge.end({ ms: IN_TIME });
+  result.charge.correct(100);
+  t.deepEqual(shares.corrections, [50]);
+  t.deepEqual(shares.outcomes, ["denied"]);
+});
+
+/** Outcomes of one request to a host whose endpoint handles it. */
+async function outcomesOf(
+  t: ava.ExecutionContext,
+  { route = { kind: "unsafe" }, endpoint, change, during, compute, resumed }: {
+    route?: Partial<configurations.Route>;
+    endpoint: http.RequestListener;
+    change?: Partial<gateway.Context>;
+    /** Called once the endpoint has the request. */
+    during?: (host: fixture.Host, leave: () => void) => void;
+    compute?: gateway.Context["batcherClient"]["compute"];
+    resumed?: string;
+  },
+): Promise<readonly admissions.ChargeOutcome[]> {
+  const host = await fixture.startHost(
+    t,
+    { objective: 1000, ...route },
+    endpoint,
+    compute,
+  );
+  const shares = new RecordedShares();
+  Object.assign(host.context, { accountShares: shares, ...change });
+  const leaving = new AbortController();
+  void host.sent.then(() => during?.(host, () => leaving.abort()));
+  await host.ask({
+    signal: leaving.signal,
+    ...(resumed && { headers: { "test-resume-after": resumed } }),
+  }).catch(() => {});
+  for (const { finished } of host.started) await finished;
+  t.is(shares.requests.length, 1);
+  return shares.outcomes;
+}
+
+const answer: http.RequestListener = (_, response) => {
+  response.writeHead(200, { "test-signature": "s" }).end("done");
+};
+
+const answerLater: http.RequestListener = (request, response) => {
+  setTimeout(() => answer(request, response), 100);
+};
+
+test("an answer ends the charge in time or late", async (t) => {
+  t.deepEqual(await outcomesOf(t, { endpoint: answer }), ["served"]);
+  const route = { kind: "unsafe", objective: 0 } as const;
+  t.deepEqual(await outcomesOf(t, { route, endpoint: answerLater }), ["late"]);
+});
+
+test("a rejection by all endpoints ends the charge as denied", async (t) => {
+  const endpoint: http.RequestListener = (_, response) => {
+    response.writeHead(503, { "test-not-run": "1" }).end();
+  };
+  t.deepEqual(await outcomesOf(t, { endpoint }), ["denied"]);
+});
+
+test("a timeout ends the charge as denied", async (t) => {
+  const route = { kind: "unsafe", timeout: 50 } as const;
+  t.deepEqual(await outcomesOf(t, { route, endpoint() {} }), ["denied"]);
+});
+
+test("a broken call keeps its charge", async (t) => {
+  const endpoint: http.RequestListener = (request) => request.socket.destroy();
+  t.deepEqual(await outcomesOf(t, { endpoint }), ["served"]);
+});
+
+test("a stopping host ends the charge once", async (t) => {
+  const during = ({ started }: fixture.Host) => started[0].abort();
+  const endpoint = () => {};
+  t.deepEqual(await outcomesOf(t, { endpoint, during }), ["served"]);
+});
+
+test("an internal error ends the charge without a denial", async (t) => {
+  const quotas = {
+    blockedEndpoints: [],
+    needsProbe: () => false,
+    recordLimit() {},
+    isLimited() {
+      throw new Error("expected");
+    },
+    acquire: () => Promise.resolve(0),
+  };
+  const change = { quotas };
+  t.deepEqual(await outcomesOf(t, { endpoint: answer, change }), ["unserved"]);
+});
+
+test("a caller that leaves a call that is cancelled keeps its charge", async (t) => {
+  const during = (_: fixture.Host, leave: () => void) => leave();
+  const route = { kind: "safe", timeout: 3000 } as const;
+  const endpoint = () => {};
+  t.deepEqual(await outcomesOf(t, { route, endpoint, during }), ["served"]);
+});
+
+// Guards against a charge that ends when the caller leaves, and again with the
+// answer of a call that continues.
+test("a call that continues without its caller ends its charge once", async (t) => {
+  const during = (_: fixture.Host, leave: () => void) => leave();
+  const endpoint = answerLater;
+  t.deepEqual(await outcomesOf(t, { endpoint, during }), ["served"]);
+});
+
+test("a caller that leaves before a call is refunded", async (t) => {
+  const leaving = new AbortController();
+  const host = await fixture.startHost(t, fixture.STREAM, answer, () => {
+    leaving.abort();
+    return new Promise(() => {});
+  });
+  const shares = new RecordedShares();
+  Object.assign(host.context, { accountShares: shares });
+  await host.ask({ signal: leaving.signal }).catch(() => {});
+  await host.started[0].finished;
+  t.deepEqual(shares.outcomes, ["unserved"]);
+});
+
+test("a started stream whose stages fail later counts as served", async (t) => {
+  let runs = 0;
+  const outcomes = await outcomesOf(t, {
+    route: fixture.STREAM,
+    endpoint(_, response) {
+      response.writeHead(200, { "test-signature": "s" });
+      response.write("id: 1\ndata: 1\n\n");
+      setTimeout(() => response.destroy(), 50);
+    },
+    compute: ({ pieces: [piece] }) => {
+      const result = { piece, handle: "place/1" };
+      const none = { piece, failure: "error" as const };
+      return Promise.resolve(runs++ === 0 ? [result] : [none]);
+    },
+  });
+  t.deepEqual(outcomes, ["served"]);
+});
+
+test("a request above its account's share is refused before any work", async (t) => {
+  let calls = 0;
+  const host = await fixture.startHost(t, { kind: "unsafe" }, () => calls++);
+  const lines: Record<string, unknown>[] = [];
+  const log = (details: Record<string, unknown>) => void lines.push(details);
+  const details = { shareRate: 2.5, shareAgeMs: 120, capacity: 50 };
+  const admit = () => ({ type: "refused" as const, wait: 812.4, details });
+  Object.assign(host.context, {
+    accountShares: { admit },
+    logger: { ...host.context.logger, info: log },
+  });
+  const { statusCode, headers, body } = await host.request();
+  t.is(statusCode, 503);
+  t.is(headers["retry-after"], "0.812");
+  t.like(await body.json(), { reason: "over-share" });
+  t.is(calls, 0);
+  t.like(lines[0], { reason: "over-share", retryAfter: 0.812, ...details });
+});
+
+test("the cost of a prompt is corrected by what its engine's cache lacks", async (t) => {
+  const host = await fixture.startHost(t, { kind: "unsafe" }, answer);
+  const shares = new RecordedShares();
+  const prompt = { model: "m", inputTokens: 100, outputTokens: 2, parts: [] };
+  const [engine] = host.pool.endpointsOf("desk");
+  const pendingWork = { tokens: 0, streams: 0 };
+  const cacheMiss = { prefillTokens: 10, fetchTokens: 0, fetchTime: 0 };
+  const source = "self" as const;
+  const placed = { engine, firstEventTime: 0, cacheMiss, pendingWork, source };
+  Object.assign(host.context, {
+    accountShares: shares,
+    protocol: {
+      ...fixture.PROTOCOL,
+      decodeRequest(message: http.IncomingMessage) {
+        const decoded = fixture.PROTOCOL.decodeRequest(message);
+        if (decoded.type === "ask") Object.assign(decoded.request, { prompt });
+        return decoded;
+      },
+    },
+    placement: { place: () => Promise.resolve(placed) },
+  });
+  t.is((await host.ask()).status, 200);
+  t.deepEqual(shares.requests.map(({ cost }) => cost), [120]);
+  t.deepEqual(shares.corrections, [30]);
+});
--- a/src/gateway/timeliness.ts
+++ b/src/gateway/timeliness.ts
@@ -35,6 +35,16 @@
   return Math.min(timeout, idleTime);
 }
 
+/** Whether an answer meets the objective of its route. `elapsed` is the time
+ * since the caller's first attempt, up to the answer or the first event of a
+ * stream. */
+export function timelinessOf(
+  { objective = Infinity }: Partial<configurations.Route>,
+  elapsed: number,
+): "in-time" | "late" {
+  return elapsed <= objective ? "in-time" : "late";
+}
+
 /** Rank of a request, lowered if it is late, so that requests which can meet
  * their objective go first. */
 export function effectiveRank(rank: number, isLate: boolean): number {
