--- a/src/rate_limits/token_bucket_test.ts
+++ b/src/rate_limits/token_bucket_test.ts
@@ -39,3 +39,17 @@
   bucket.setRate(1, 5000);
   t.is(bucket.take(6000), 0);
 });
+
+test("a bucket may go into debt by a withdrawal", (t) => {
+  const bucket = TokenBucket.create(10, 0);
+  bucket.withdraw(5, 0);
+  t.is(bucket.level(0), -5);
+  t.is(bucket.level(400), -1);
+  t.is(bucket.take(400), 200);
+});
+
+test("a bucket of another burst holds as much", (t) => {
+  const options = { burst: 1, minBurst: 0 };
+  t.is(TokenBucket.create(10, 0, options).level(60_000), 10);
+  t.is(TokenBucket.create(0.5, 0, options).level(60_000), 0.5);
+});
