--- /dev/null
+++ b/src/account_shares/capacity.ts
@@ -0,0 +1,59 @@
+/** Estimates what a service can serve, from what it served and denied.
+ * @module */
+
+/** Fraction of the admitted cost that is denied at which a service is short of
+ * capacity. Callers accept few failures of that kind, and fewer occur without
+ * any shortage, such as single late answers. */
+export const DENIED_RATIO = 0.05;
+/** Factor by which the estimate falls while the service is short of capacity,
+ * relative to itself or to the served rate. It leaves a tenth of the capacity for
+ * serving what has queued. */
+const DECREASE = 0.9;
+/** Factor by which the estimate grows otherwise. The overload that growth causes
+ * within one interval is as small as the denied cost that ends the growth. */
+const INCREASE = 1.05;
+/** Least estimate relative to the admitted rate at the beginning, or to the
+ * highest estimate if that is more. With an estimate of 0, no request would show
+ * that the service serves some again. */
+const MIN_RATIO = 0.1;
+
+/** Costs of one interval, per second. */
+export interface CapacityRates {
+  readonly admitted: number;
+  readonly denied: number;
+  readonly served: number;
+}
+
+/** Whether a service is short of capacity. */
+export function isShort(
+  { admitted, denied }: Pick<CapacityRates, "admitted" | "denied">,
+): boolean {
+  return denied > 0 && denied >= DENIED_RATIO * admitted;
+}
+
+/** The estimated capacity of a service, in cost per second. Immutable. */
+export class Capacity {
+  readonly value: number;
+  readonly #min: number;
+
+  private constructor(value: number, min: number) {
+    this.#min = Math.max(min, MIN_RATIO * value);
+    this.value = Math.max(value, this.#min);
+  }
+
+  /** The estimate when contention begins. */
+  static start({ admitted, served }: CapacityRates): Capacity {
+    return new Capacity(served, MIN_RATIO * admitted);
+  }
+
+  /** The estimate after another interval. */
+  next(rates: CapacityRates): Capacity {
+    const { value } = this;
+    const { served } = rates;
+    // What was served without shortage is a lower bound of the capacity.
+    const estimate = isShort(rates)
+      ? Math.max(DECREASE * value, DECREASE * served)
+      : Math.max(INCREASE * value, served);
+    return new Capacity(estimate, this.#min);
+  }
+}
