--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -96,6 +96,19 @@
   },
   "quota.withheld": { type: "count", help: "Requests kept from an endpoint" },
   "quota.unreadable": { type: "count", help: "Rate limits that say nothing" },
+  "shares.refused": {
+    type: "count",
+    help: "Requests beyond the share of their account, by service",
+  },
+  "shares.limited": {
+    type: "gauge",
+    help: "Accounts that are limited to their share, by service",
+  },
+  "shares.capacity": {
+    type: "gauge",
+    help:
+      "Cost per second that a service is taken to serve; 0 without contention",
+  },
   "quarantine.breaks": { type: "count", help: "Calls broken as by crashes" },
   "quarantine.changes": {
     type: "count",
