Fleet: control hosts coordinate account shares, entry hosts follow them

The control host answers the shares question, tells other control hosts in its hello and entry hosts in its sync reply which services it watches, and has both in its dump. The entry host creates the client while the settings and two accounts or more in the configuration call for it.

--- a/src/account_shares/service_shares.ts
+++ b/src/account_shares/service_shares.ts
@@ -76,6 +76,7 @@
 
   stop(): void {
     this.#isStopped = true;
+    this.#setLimits({ limits: [] });
   }
 
   /** Admits or refuses a request. */
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -4,6 +4,7 @@
 
 import * as versions from "../control/versions/mod.ts";
 import * as endpoints from "../endpoints/mod.ts";
+import * as accountShares from "../account_shares/mod.ts";
 import * as concurrency from "../concurrency/mod.ts";
 import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
@@ -18,7 +19,7 @@
 import * as operatorCommands from "./operator_commands.ts";
 import * as coalescers from "./coalescer.ts";
 import * as endpointReplicator from "./endpoint_replicator.ts";
-import type * as settings from "./settings.ts";
+import * as settings from "./settings.ts";
 import * as rosterCodec from "./roster_codec.ts";
 
 /** Interval of hello messages between control hosts, and of `#tick`. */
@@ -72,6 +73,8 @@
   readonly #quotaServer: rateLimits.QuotaServer;
   readonly #slotServer: concurrency.SlotServer;
   readonly #originServer: origins.OriginServer;
+  /** Undefined where accounts have no shares. */
+  readonly #shareCoordinator?: accountShares.ShareCoordinator;
   readonly #syncSessions = syncSessions.SyncSessions.create();
   readonly #epoch: string;
   readonly #confirmations: coalescers.Coalescer<FleetState>;
@@ -81,8 +84,8 @@
   #stopped = false;
 
   private constructor(options: ControlHostOptions) {
-    const { settings, clock } = options;
-    const { host, dataCentre, seeds, heartbeatInterval } = settings;
+    const { clock } = options;
+    const { host, dataCentre, seeds, heartbeatInterval } = options.settings;
     this.#options = options;
     this.#epoch = `${host}/${Math.floor(clock.wall())}`;
     this.#members = controlMembers.ControlMembers.create({ host, dataCentre }, {
@@ -93,6 +96,10 @@
       silenceTimeoutMs: MISSED_HEARTBEAT_COUNT * heartbeatInterval,
       retentionMs: RETENTION_MS,
     });
+    const coordinator = settings.hasAccountShares(options.settings)
+      ? accountShares.ShareCoordinator.create(options)
+      : undefined;
+    this.#shareCoordinator = coordinator;
     this.#network = hostContext.createNetwork(options, {
       handlers: {
         confirm: (question) => this.#handleLeaderQuestion(question),
@@ -115,6 +122,9 @@
         origin: (question) => this.#originServer.find(question),
         lease: (question, from) =>
           Promise.resolve(this.#coordinator.requestLease(question, from)),
+        shares: coordinator &&
+          ((question, from) =>
+            Promise.resolve(coordinator.answer(question, from))),
       },
       onNotice: (notice, from) => this.#handleNotice(notice, from),
       onLog: (envelope) => this.#store?.receive(envelope),
@@ -191,6 +201,7 @@
       suspects: this.#coordinator.dump(),
       limits: this.#quotaServer.limits,
       origins: this.#originServer.dump(),
+      accountShares: this.#shareCoordinator?.dump(),
       evacuations: this.evacuations(),
       peers: this.#network.transport.dump(),
     };
@@ -269,6 +280,7 @@
     this.#quotaServer.tick();
     this.#slotServer.tick();
     this.#originServer.tick();
+    this.#shareCoordinator?.tick();
     this.#options.metrics.gauge(
       "evacuation.active",
       this.#store?.evacuations.active.length ?? 0,
@@ -289,6 +301,7 @@
         hosts,
         leadership: this.#store?.leadership,
         ...this.#limits,
+        ...contendedField(this.#shareCoordinator?.watched),
       };
       this.#network.calls.cast(peer, notice);
     }
@@ -333,8 +346,14 @@
   }
 
   #handleHello(
-    { dataCentre, cores: controlHosts, hosts, leadership, limits = [] }:
-      schema.HelloNotice,
+    {
+      dataCentre,
+      cores: controlHosts,
+      hosts,
+      leadership,
+      limits = [],
+      contended = [],
+    }: schema.HelloNotice,
     from: string,
   ): void {
     const now = this.#options.clock.now();
@@ -344,6 +363,7 @@
     hosts.forEach((host) => this.#entryMembers.record(host, now));
     if (leadership !== undefined) this.#store?.updateLeaderHint(leadership);
     this.#quotaServer.mergeLimits(limits);
+    this.#shareCoordinator?.merge(contended);
     // A host that has just joined knows no endpoints and no suspects.
     if (!isNewHost) return;
     this.#replicator.sendAll(from);
@@ -386,6 +406,7 @@
       cores: controlHosts,
       evacuations,
       ...this.#limits,
+      ...contendedField(this.#shareCoordinator?.contended),
       ...this.#coordinator.changesSince(
         isSame ? question.suspectRevision ?? 0 : 0,
       ),
@@ -485,6 +506,14 @@
   }
 }
 
+/** Services under contention as a message field, which is absent when there are
+ * none. */
+function contendedField(
+  contended: string[] = [],
+): { contended?: string[] } {
+  return contended.length > 0 ? { contended } : {};
+}
+
 /** How long a stopping host keeps answering, so that its successor as leader is
  * elected meanwhile. */
 const HANDOVER_MS = 300;
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -7,6 +7,7 @@
 import * as connections from "../endpoint_calls/connections.ts";
 import * as gateway from "../gateway/mod.ts";
 import * as batching from "../batching/mod.ts";
+import * as accountShares from "../account_shares/mod.ts";
 import * as concurrency from "../concurrency/mod.ts";
 import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
@@ -16,7 +17,7 @@
 import * as hostContext from "./host_context.ts";
 import * as errors from "./errors.ts";
 import * as syncClient from "./sync_client.ts";
-import type * as settings from "./settings.ts";
+import * as settings from "./settings.ts";
 
 /** Age up to which a host serves by its configuration, as a fraction of the
  * time within which a revoked API key must be rejected. The rest is left for
@@ -40,6 +41,9 @@
  * differ. */
 const RETURN_WINDOW_MS = 15_000;
 
+/** Accounts from which on they can compete for a service. */
+const MIN_SHARING_ACCOUNTS = 2;
+
 /** Decodes a configuration; throws when it is invalid. */
 export type DecodeConfiguration = (
   document: string,
@@ -69,6 +73,8 @@
   readonly #connections: connections.Connections;
   readonly #retryBudgets = new Map<string, gateway.RetryBudget>();
   #catalogue?: configurations.Catalogue;
+  /** Undefined where accounts have no shares. */
+  #accountShares?: accountShares.AccountShares;
   /** Evacuations that have been applied to the pool. */
   #evacuations = evacuations.Evacuations.NONE;
   /** Cached list of ready hosts; its identity changes only with the list of
@@ -133,6 +139,7 @@
       onNewSource: (controlHost) => void this.#guard.sendAll(controlHost),
       onSuspects: (suspects) => this.#guard.merge(suspects),
       onLimits: (limits) => this.#quotaClient.mergeLimits(limits),
+      onContended: (services) => this.#accountShares?.setContended(services),
     });
     this.#guard = quarantine.Guard.create({
       ...options,
@@ -232,6 +239,7 @@
     await this.#server.stop();
     await this.#tunnelServer.finish(remaining());
     this.#syncClient.stop();
+    this.#accountShares?.stop();
     this.#network.calls.stop();
     await this.#network.transport.stop();
     this.#paths.close();
@@ -252,6 +260,7 @@
       limits: this.#quotaClient.dump(),
       slots: this.#slotClient.dump(),
       origins: this.#originClient.dump(),
+      accountShares: this.#accountShares?.dump(),
       batcher: this.#batcher.dump(),
       peers: this.#network.transport.dump(),
     };
@@ -286,7 +295,12 @@
   }
 
   #createContext(): gateway.Context {
+    const currentShares = () => this.#accountShares;
     return {
+      // Depends on the configuration in force.
+      get accountShares() {
+        return currentShares();
+      },
       ...this.#options,
       dispatcher: this.#connections,
       dataCentre: this.#options.settings.dataCentre,
@@ -335,10 +349,29 @@
     const text = configurations.decompress(document);
     const configuration = this.#options.decodeConfiguration(text);
     this.#catalogue = configurations.Catalogue.create(configuration);
+    this.#updateAccountShares(configuration);
     this.#server.setTimeouts(configuration.limits);
     this.#options.metrics.gauge("config.version", configuration.version);
   }
 
+  /** Starts or ends account shares, where the configuration calls for it. */
+  #updateAccountShares(
+    { accounts }: Pick<configurations.Configuration, "accounts">,
+  ): void {
+    const isOn = settings.hasAccountShares(this.#options.settings) &&
+      accounts.length >= MIN_SHARING_ACCOUNTS;
+    if (isOn === (this.#accountShares !== undefined)) return;
+    this.#accountShares?.stop();
+    this.#accountShares = isOn
+      ? accountShares.AccountShares.create({
+        ...this.#options,
+        calls: this.#network.calls,
+        controlHosts: () => this.#syncClient.controlHosts,
+      })
+      : undefined;
+    this.#options.logger.info({ isOn }, "Account shares turned on or off");
+  }
+
   #applyChanges(): void {
     const { roster } = this.#syncClient;
     this.#originClient.observe(roster.entries);
--- a/src/fleet/settings.ts
+++ b/src/fleet/settings.ts
@@ -26,6 +26,16 @@
 /** A part of a host that can be turned off. */
 export type OptionalPart = typeof OPTIONAL_PARTS[number];
 
+/** Whether a host with these settings takes part in account shares. */
+export function hasAccountShares(
+  { sharesAccounts, disabledParts }: Pick<
+    HostSettings,
+    "sharesAccounts" | "disabledParts"
+  >,
+): boolean {
+  return sharesAccounts && !disabledParts.has("account-shares");
+}
+
 /** Settings of a host. */
 export interface HostSettings {
   /** Display name, used in log lines. */
--- a/src/fleet/sync_client.ts
+++ b/src/fleet/sync_client.ts
@@ -53,6 +53,8 @@
   onSuspects(suspects: readonly schema.Suspect[]): void;
   /** Rate limits that endpoints have announced have arrived. */
   onLimits(limits: readonly schema.EndpointLimit[]): void;
+  /** A reply has told which services are under contention. */
+  onContended(services: readonly string[]): void;
   /** Endpoints or hosts may have changed. */
   onChange(): void;
 }
@@ -253,10 +255,12 @@
     reply: schema.SyncedReply,
     sentAt: elapsedTime.Instant,
   ): void {
-    const { clock, onChange, onSuspects, onLimits } = this.#options;
+    const { clock, onChange, onSuspects, onLimits, onContended } =
+      this.#options;
     const now = clock.now();
     if (reply.suspects !== undefined) onSuspects(reply.suspects);
     onLimits(reply.limits ?? []);
+    onContended(reply.contended ?? []);
     // A partitioned control host receives few heartbeats, so endpoints that it
     // reports as silent may be live.
     const judges = !reply.confirmed;
--- a/src/fleet/sync_client_fixture.ts
+++ b/src/fleet/sync_client_fixture.ts
@@ -48,6 +48,7 @@
   const clock = new runtime.FakeClock();
   const requests: { core: string; question: schema.SyncQuestion }[] = [];
   const versions: string[] = [];
+  const contended: (readonly string[])[] = [];
   const client = syncClient.SyncClient.create({
     self: "me",
     dataCentre: "town",
@@ -61,6 +62,7 @@
     onNewSource() {},
     onSuspects() {},
     onLimits() {},
+    onContended: (services) => void contended.push(services),
     calls: {
       ask(core, question) {
         requests.push({ core, question: question as schema.SyncQuestion });
@@ -78,5 +80,5 @@
     }
   };
   client.start();
-  return { client, clock, requests, versions, run };
+  return { client, clock, requests, versions, contended, run };
 }
--- a/src/fleet/sync_client_test.ts
+++ b/src/fleet/sync_client_test.ts
@@ -130,3 +130,16 @@
   await run(1000);
   t.deepEqual(active(), []);
 });
+
+// Guards against hosts that do not report on a service of which only others have
+// seen denied requests.
+test("services under contention are passed on, and that there are none", async (t) => {
+  const replies: fixture.Replies = { a: { contended: ["s"] } };
+  const { contended, run } = fixture.createSyncClient(replies, {
+    seeds: ["a"],
+  });
+  await run(100);
+  replies.a = {};
+  await run(1000);
+  t.deepEqual([contended.at(0), contended.at(-1)], [["s"], []]);
+});
