--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -2,7 +2,7 @@
  * @module */
 
 import type * as undici from "undici";
-import type * as admissions from "../account_shares/admission.ts";
+import type * as accountShares from "../account_shares/mod.ts";
 import type * as configurations from "../configuration/mod.ts";
 import type * as batching from "../batching/mod.ts";
 import type * as concurrency from "../concurrency/mod.ts";
@@ -40,13 +40,6 @@
   hasReceivedFromOthers(address: string, since: number): boolean;
 }
 
-/** Shares of client accounts, as far as the request path uses them. */
-export interface ShareView {
-  /** Admits a request within the share of its account, and charges its cost;
-   * or refuses it. Does no input or output. */
-  admit(request: admissions.ShareRequest): admissions.ShareAdmission;
-}
-
 /** Dependencies of requests, provided by their host. */
 export interface Context {
   readonly clock: runtime.Clock;
@@ -87,7 +80,7 @@
   readonly origins: Pick<origins.OriginClient, "record" | "find">;
   readonly loadUpdates: Pick<loadUpdates.LoadUpdates, "record">;
   /** Absent where accounts have no shares. */
-  readonly accountShares?: ShareView;
+  readonly accountShares?: Pick<accountShares.AccountShares, "admit">;
   /** Time at which the host started, by its clock. */
   readonly startedAt: number;
   /** Age of the configuration in milliseconds above which requests are refused,
--- a/src/gateway/share_charge.ts
+++ b/src/gateway/share_charge.ts
@@ -2,9 +2,8 @@
  * the correction of its cost, and how its end is counted.
  * @module */
 
-import type * as admissions from "../account_shares/admission.ts";
+import type * as accountShares from "../account_shares/mod.ts";
 import type * as configurations from "../configuration/mod.ts";
-import type * as contexts from "./context.ts";
 import type * as protocols from "./protocol.ts";
 import * as refusals from "./refusal.ts";
 import * as costs from "./request_cost.ts";
@@ -56,12 +55,12 @@
 
 /** The charge of one admitted request. */
 export class ShareCharge {
-  readonly #charge: admissions.Charge;
+  readonly #charge: accountShares.Charge;
   readonly #options: ShareChargeOptions;
   #isEnded = false;
 
   private constructor(
-    charge: admissions.Charge,
+    charge: accountShares.Charge,
     options: ShareChargeOptions,
   ) {
     this.#charge = charge;
@@ -71,7 +70,7 @@
   /** Charges a request by its declared tokens, unless its account's share is
    * used up. */
   static create(
-    shares: contexts.ShareView,
+    shares: Pick<accountShares.AccountShares, "admit">,
     options: ShareChargeOptions,
   ): ShareChargeResult {
     const { service, rank, account, priorWait, request } = options;
@@ -110,7 +109,7 @@
     this.#end(mayHaveRun ? "served" : "unserved");
   }
 
-  #end(outcome: admissions.ChargeOutcome): void {
+  #end(outcome: accountShares.ChargeOutcome): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#charge.end(outcome);
@@ -124,7 +123,7 @@
 export function outcomeOf(
   ending: RequestEnding,
   request: Pick<ShareChargeOptions, "request" | "route" | "priorWait">,
-): admissions.ChargeOutcome {
+): accountShares.ChargeOutcome {
   const { reason, lastCall, firstEventMs } = ending;
   const isLate = isLateEnding(ending, request);
   const answered = isLate ? "late" : "served";
--- a/src/gateway/share_charge_test.ts
+++ b/src/gateway/share_charge_test.ts
@@ -3,7 +3,7 @@
 import type * as http from "node:http";
 import type * as ava from "ava";
 import test from "ava";
-import type * as admissions from "../account_shares/admission.ts";
+import type * as accountShares from "../account_shares/mod.ts";
 import * as configurationFixture from "../configuration/fixture.ts";
 import type * as configurations from "../configuration/mod.ts";
 import type * as gateway from "./mod.ts";
@@ -24,7 +24,7 @@
     resumeAfter?: string;
     priorWait?: number;
   } = {},
-): admissions.ChargeOutcome {
+): accountShares.ChargeOutcome {
   return shareCharges.outcomeOf(
     { ms: IN_TIME, ...ending },
     {
@@ -119,16 +119,16 @@
 });
 
 /** Shares that admit all requests and keep what they are told. */
-class RecordedShares implements gateway.ShareView {
-  readonly requests: admissions.ShareRequest[] = [];
+class RecordedShares implements Pick<accountShares.AccountShares, "admit"> {
+  readonly requests: accountShares.ShareRequest[] = [];
   readonly corrections: number[] = [];
-  readonly outcomes: admissions.ChargeOutcome[] = [];
+  readonly outcomes: accountShares.ChargeOutcome[] = [];
 
-  admit(request: admissions.ShareRequest): admissions.ShareAdmission {
+  admit(request: accountShares.ShareRequest): accountShares.ShareAdmission {
     this.requests.push(request);
     const charge = {
       correct: (cost: number) => void this.corrections.push(cost),
-      end: (outcome: admissions.ChargeOutcome) =>
+      end: (outcome: accountShares.ChargeOutcome) =>
         void this.outcomes.push(outcome),
     };
     return { type: "admitted", charge };
@@ -170,7 +170,7 @@
     compute?: gateway.Context["batcherClient"]["compute"];
     resumed?: string;
   },
-): Promise<readonly admissions.ChargeOutcome[]> {
+): Promise<readonly accountShares.ChargeOutcome[]> {
   const host = await fixture.startHost(
     t,
     { objective: 1000, ...route },
