Retries: none for an account that exceeds its share

An account that was refused for its share within the last second gets no retries. It exceeds its share already, and the budget is left to the accounts that stay within theirs. The bounds of the budget are unchanged, and without shares nothing changes.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -157,9 +157,14 @@
       rank: this.#rank,
       priorWait: this.#priorWait,
     });
-    if (result.type === "refused") this.#refuse("over-share", result.details);
-    else this.#shareCharge = result.charge;
-    return !this.isFinished;
+    if (result.type === "admitted") {
+      this.#shareCharge = result.charge;
+      return true;
+    }
+    const { clock, retryBudget } = this.#context;
+    retryBudget(service).withhold(this.#account?.name ?? "", clock.now());
+    this.#refuse("over-share", result.details);
+    return false;
   }
 
   /** Whether an endpoint may have executed the request or may be executing
@@ -536,6 +541,8 @@
   #withdrawRetry(service: string): boolean {
     const { clock, fleetView, metrics } = this.#context;
     const budget = this.#context.retryBudget(service);
+    const account = this.#account?.name ?? "";
+    if (budget.isWithheldFrom(account, clock.now())) return false;
     const isAllowed = budget.tryWithdraw(clock.now(), fleetView.hostCount());
     if (!isAllowed) metrics.count("gateway.no_budget", 1, { service });
     return isAllowed;
--- a/src/gateway/retry_budget.ts
+++ b/src/gateway/retry_budget.ts
@@ -20,11 +20,18 @@
  * three, and windows slide. */
 const USED_RATIO = 0.6;
 
+/** Milliseconds for which an account gets no retries after a request of it was
+ * refused for its share: limits of shares are renewed every 500 ms, and an
+ * account that exceeds its share has a refusal within two of these times. */
+const WITHHOLDING_MS = 1000;
+
 /** Requests and retries of one service; changed in place. */
 export class RetryBudget {
   readonly #bounds: RetryBounds;
   #requests: number[] = [];
   #retries: number[] = [];
+  /** Times until which accounts get no retries. */
+  readonly #withheldUntil = new Map<string, number>();
 
   private constructor(bounds: RetryBounds) {
     this.#bounds = bounds;
@@ -48,6 +55,22 @@
     return true;
   }
 
+  /** Withholds retries from an account that exceeds its share. It would use up
+   * the budget of the other accounts, whose rejected calls must be retried for
+   * them to get their shares. */
+  withhold(account: string, now: number): void {
+    this.#withheldUntil.set(account, now + WITHHOLDING_MS);
+  }
+
+  /** Whether an account gets no retries now. */
+  isWithheldFrom(account: string, now: number): boolean {
+    const until = this.#withheldUntil.get(account);
+    if (until === undefined) return false;
+    if (now < until) return true;
+    this.#withheldUntil.delete(account);
+    return false;
+  }
+
   /** Retries allowed in the window, in a fleet of `hosts` hosts. */
   allowance(hosts: number): number {
     const { ratio, burst } = this.#bounds;
--- a/src/gateway/retry_budget_test.ts
+++ b/src/gateway/retry_budget_test.ts
@@ -35,3 +35,14 @@
   t.is(withdrawAll(budget, 5000, 2), 0);
   t.is(withdrawAll(budget, 10_001, 2), first);
 });
+
+// Guards against one account that takes the retries of all others: of 146
+// requests of other accounts during a flood, 11 were not retried after a
+// rejection, since the flood had used up the budget.
+test("an account that exceeded its share gets no retries for a while", (t) => {
+  const budget = retryBudgets.RetryBudget.create(BOUNDS);
+  budget.withhold("flooding", 0);
+  t.true(budget.isWithheldFrom("flooding", 999));
+  t.false(budget.isWithheldFrom("other", 999));
+  t.false(budget.isWithheldFrom("flooding", 1000));
+});
--- a/src/gateway/share_charge_test.ts
+++ b/src/gateway/share_charge_test.ts
@@ -5,6 +5,7 @@
 import test from "ava";
 import type * as accountShares from "../account_shares/mod.ts";
 import * as configurationFixture from "../configuration/fixture.ts";
+import * as endpointFixture from "../endpoints/fixture.ts";
 import type * as configurations from "../configuration/mod.ts";
 import type * as gateway from "./mod.ts";
 import * as fixture from "./fixture.ts";
@@ -306,6 +307,47 @@
   t.like(lines[0], { reason: "over-share", retryAfter: 0.812, ...details });
 });
 
+/** Calls to two endpoints that reject them, for a request whose account was or
+ * was not refused for its share just before. */
+async function rejectedCalls(
+  t: ava.ExecutionContext,
+  { isOverShare }: { isOverShare: boolean },
+): Promise<number> {
+  let calls = 0;
+  const reject: http.RequestListener = (_, response) => {
+    calls++;
+    response.writeHead(503, { "test-not-run": "1" }).end();
+  };
+  const host = await fixture.startHost(t, { kind: "safe" }, reject);
+  const [{ identity: { address } }] = host.pool.endpointsOf("desk");
+  const other = await fixture.listen(t, reject);
+  const entries = [address, other].map((each, number) =>
+    endpointFixture.entry({ id: `n-${number}`, address: each })
+  );
+  host.pool.update(entries, () => undefined);
+  const { retryBudget } = host.context;
+  const budget = retryBudget("desk");
+  Object.assign(host.context, { retryBudget: () => budget });
+  const admitting = new RecordedShares();
+  const details = { shareRate: 1, shareAgeMs: 0 };
+  const refusing: Required<gateway.Context>["accountShares"] = {
+    admit: () => ({ type: "refused", wait: 250, details }),
+  };
+  if (isOverShare) {
+    Object.assign(host.context, { accountShares: refusing });
+    await host.ask();
+  }
+  Object.assign(host.context, { accountShares: admitting });
+  t.is((await host.ask()).status, 503);
+  t.deepEqual(admitting.outcomes, ["denied"]);
+  return calls;
+}
+
+test("a rejected call of an account that exceeds its share is not retried", async (t) => {
+  t.is(await rejectedCalls(t, { isOverShare: false }), 2);
+  t.is(await rejectedCalls(t, { isOverShare: true }), 1);
+});
+
 test("the cost of a prompt is corrected by what its engine's cache lacks", async (t) => {
   const host = await fixture.startHost(t, { kind: "unsafe" }, answer);
   const shares = new RecordedShares();
