Gateway tests: callers that return after Retry-After

A request's wait follows from its timeout, and with the limits of a real AccountShares a caller that waited as told is admitted where new requests of its account, and one that is repeated at once, are refused.

--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -28,6 +28,7 @@
       target: url,
       headers: {},
       itemCounts: [1],
+      timeout: timeoutOf(headers["test-timeout"] as string | undefined),
       resumeAfter: headers["test-resume-after"] as string | undefined,
     },
   }),
@@ -49,6 +50,10 @@
   holderOf: (handle) => handle,
 };
 
+function timeoutOf(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
+
 /** Route of a resumable stream with one stage. */
 export const STREAM: Partial<configurations.Route> = {
   kind: "streaming",
--- a/src/gateway/share_charge_test.ts
+++ b/src/gateway/share_charge_test.ts
@@ -3,10 +3,12 @@
 import type * as http from "node:http";
 import type * as ava from "ava";
 import test from "ava";
-import type * as accountShares from "../account_shares/mod.ts";
+import * as accountShares from "../account_shares/mod.ts";
 import * as configurationFixture from "../configuration/fixture.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
 import type * as configurations from "../configuration/mod.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
 import type * as gateway from "./mod.ts";
 import * as fixture from "./fixture.ts";
 import * as shareCharges from "./share_charge.ts";
@@ -373,3 +375,69 @@
   t.deepEqual(shares.requests.map(({ cost }) => cost), [120]);
   t.deepEqual(shares.corrections, [30]);
 });
+
+test("the wait of a returning caller follows from its timeout", async (t) => {
+  const host = await fixture.startHost(t, { kind: "safe" }, answer);
+  const shares = new RecordedShares();
+  Object.assign(host.context, { accountShares: shares });
+  await host.ask({ headers: { "test-timeout": "3000" } });
+  await host.ask({ headers: { "test-timeout": "2600" } });
+  t.deepEqual(shares.requests.map(({ priorWait }) => priorWait), [0, 400]);
+});
+
+/** Shares that limit an account to 1 request a second, and their clock. */
+async function limitedShares() {
+  const clock = new runtime.FakeClock();
+  const limits = [{ account: "club", rank: 0, rate: 1 }];
+  const reply = {
+    type: "shares",
+    watched: true,
+    capacity: 10,
+    limits,
+  } as const;
+  const shares = accountShares.AccountShares.create({
+    clock,
+    random: runtime.createRandom(7),
+    logger: telemetry.noLogger,
+    metrics: telemetry.noMetrics,
+    calls: { ask: () => Promise.resolve(reply) },
+    controlHosts: () => ["control"],
+  });
+  shares.setContended(["desk"]);
+  clock.advance(500);
+  // The limits are set once the reply has been handled.
+  await new Promise((resolve) => setImmediate(resolve));
+  return { shares, clock };
+}
+
+/** Charges a request of the limited account; returns the seconds until a retry,
+ * 0 if it is admitted. */
+function retryAfterOf(
+  shares: Pick<accountShares.AccountShares, "admit">,
+  priorWait: number,
+): number {
+  const result = shareCharges.ShareCharge.create(shares, {
+    service: "desk",
+    request: requestOf({}),
+    route: configurationFixture.route(),
+    account: { name: "club", keys: [] },
+    rank: 0,
+    priorWait,
+  });
+  return result.type === "admitted" ? 0 : result.details.retryAfter;
+}
+
+// Guards against callers that heed Retry-After and are refused for good, since
+// new requests of their account take what gathers meanwhile.
+test("a caller that returns after Retry-After goes before new requests", async (t) => {
+  const { shares, clock } = await limitedShares();
+  clock.advance(400);
+  t.is(retryAfterOf(shares, 0), 0, "the share has room");
+  const retryAfter = retryAfterOf(shares, 0);
+  t.true(retryAfter >= 0.25, "the account is in debt");
+  clock.advance(1000 * retryAfter);
+  t.is(retryAfterOf(shares, 0), 0, "a new request takes the room");
+  t.true(retryAfterOf(shares, 0) > 0, "another new one is refused");
+  t.true(retryAfterOf(shares, 40) > 0, "as is one that is repeated at once");
+  t.is(retryAfterOf(shares, 1000 * retryAfter), 0, "the returning one is not");
+});
