--- a/src/gateway/share_charge.ts
+++ b/src/gateway/share_charge.ts
@@ -84,7 +84,7 @@
     if (admission.type === "refused") {
       const { wait, details } = admission;
       const retryAfter = refusals.retryDelay(wait);
-      return { type: "refused", details: { ...details, retryAfter } };
+      return { type: "refused", details: { service, ...details, retryAfter } };
     }
     const charge = new ShareCharge(admission.charge, options);
     return { type: "admitted", charge };
--- a/src/gateway/share_charge_test.ts
+++ b/src/gateway/share_charge_test.ts
@@ -306,7 +306,12 @@
   t.is(headers["retry-after"], "0.812");
   t.like(await body.json(), { reason: "over-share" });
   t.is(calls, 0);
-  t.like(lines[0], { reason: "over-share", retryAfter: 0.812, ...details });
+  t.like(lines[0], {
+    reason: "over-share",
+    service: "desk",
+    retryAfter: 0.812,
+    ...details,
+  });
 });
 
 /** Calls to two endpoints that reject them, for a request whose account was or
