--- a/src/account_shares/capacity.ts
+++ b/src/account_shares/capacity.ts
@@ -16,9 +16,12 @@
  * served, since it is not asked for or since the rest gathers in queues, shows
  * nothing about the capacity; queues hide a shortage until requests are late. */
 const MAX_HEADROOM = 1.05;
-/** Least estimate relative to the admitted rate at the beginning, or to the
- * highest estimate if that is more. With an estimate of 0, no request would show
- * that the service serves some again. */
+/** Least growth, also beyond that bound. Otherwise, an estimate that is too low
+ * would stay so where limits that are divided among hosts are not used up. */
+const MIN_INCREASE = 1.01;
+/** Least estimate relative to the highest one; relative to the admitted rate where
+ * nothing was served at the beginning. With an estimate of 0, no request would
+ * show that the service serves some again. */
 const MIN_RATIO = 0.1;
 
 /** Costs of one interval, per second. */
@@ -47,7 +50,9 @@
 
   /** The estimate when contention begins. */
   static start({ admitted, served }: CapacityRates): Capacity {
-    return new Capacity(served, MIN_RATIO * admitted);
+    return served > 0
+      ? new Capacity(served, 0)
+      : new Capacity(0, MIN_RATIO * admitted);
   }
 
   /** The estimate after another interval. */
@@ -60,7 +65,7 @@
   }
 
   #increased({ served }: CapacityRates): number {
-    const bound = Math.max(this.value, MAX_HEADROOM * served);
+    const bound = Math.max(MIN_INCREASE * this.value, MAX_HEADROOM * served);
     return Math.min(INCREASE * this.value, bound);
   }
 }
--- a/src/account_shares/service_shares.ts
+++ b/src/account_shares/service_shares.ts
@@ -214,11 +214,13 @@
   #refuse(bucket: shareBuckets.ShareBucket): admissions.ShareAdmission {
     const { clock, random, metrics, service } = this.#options;
     const now = clock.now();
-    const wait = bucket.wait(now) * (1 + random.next());
+    // Bounded before it is spread, so that those who are refused at the same time
+    // don't return at the same time.
+    const wait = Math.max(MIN_WAIT_MS, bucket.wait(now)) * (1 + random.next());
     metrics.count("shares.refused", 1, { service });
     return {
       type: "refused",
-      wait: Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, wait)),
+      wait: Math.min(MAX_WAIT_MS, wait),
       details: {
         shareRate: bucket.rate,
         shareAgeMs: Math.round(this.#table.age(now)),
