--- /dev/null
+++ b/src/account_shares/capacity.ts
@@ -0,0 +1,71 @@
+/** Estimates what a service can serve, from what it served and denied.
+ * @module */
+
+/** Fraction of the admitted cost that is denied at which a service is short of
+ * capacity. Callers accept few failures of that kind, and fewer occur without
+ * any shortage, such as single late answers. */
+export const DENIED_RATIO = 0.05;
+/** Factor by which the estimate falls while the service is short of capacity,
+ * relative to itself or to the served rate. It leaves a tenth of the capacity for
+ * serving what has queued. */
+const DECREASE = 0.9;
+/** Factor by which the estimate grows otherwise. The overload that growth causes
+ * within one interval is as small as the denied cost that ends the growth. */
+const INCREASE = 1.05;
+/** Bound of the growth, relative to the served rate. An estimate that is not
+ * served, since it is not asked for or since the rest gathers in queues, shows
+ * nothing about the capacity; queues hide a shortage until requests are late. */
+const MAX_HEADROOM = 1.05;
+/** Least growth, also beyond that bound. Otherwise, an estimate that is too low
+ * would stay so where limits that are divided among hosts are not used up. */
+const MIN_INCREASE = 1.01;
+/** Least estimate relative to the highest one; relative to the admitted rate where
+ * nothing was served at the beginning. With an estimate of 0, no request would
+ * show that the service serves some again. */
+const MIN_RATIO = 0.1;
+
+/** Costs of one interval, per second. */
+export interface CapacityRates {
+  readonly admitted: number;
+  readonly denied: number;
+  readonly served: number;
+}
+
+/** Whether a service is short of capacity. */
+export function isShort(
+  { admitted, denied }: Pick<CapacityRates, "admitted" | "denied">,
+): boolean {
+  return denied > 0 && denied >= DENIED_RATIO * admitted;
+}
+
+/** The estimated capacity of a service, in cost per second. Immutable. */
+export class Capacity {
+  readonly value: number;
+  readonly #min: number;
+
+  private constructor(value: number, min: number) {
+    this.#min = Math.max(min, MIN_RATIO * value);
+    this.value = Math.max(value, this.#min);
+  }
+
+  /** The estimate when contention begins. */
+  static start({ admitted, served }: CapacityRates): Capacity {
+    return served > 0
+      ? new Capacity(served, 0)
+      : new Capacity(0, MIN_RATIO * admitted);
+  }
+
+  /** The estimate after another interval. */
+  next(rates: CapacityRates): Capacity {
+    const { served } = rates;
+    const estimate = isShort(rates)
+      ? DECREASE * this.value
+      : this.#increased(rates);
+    return new Capacity(Math.max(estimate, DECREASE * served), this.#min);
+  }
+
+  #increased({ served }: CapacityRates): number {
+    const bound = Math.max(MIN_INCREASE * this.value, MAX_HEADROOM * served);
+    return Math.min(INCREASE * this.value, bound);
+  }
+}
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -4,6 +4,7 @@
 
 import * as versions from "../control/versions/mod.ts";
 import * as endpoints from "../endpoints/mod.ts";
+import * as accountShares from "../account_shares/mod.ts";
 import * as concurrency from "../concurrency/mod.ts";
 import * as origins from "../origins/mod.ts";
 import * as performances from "../performance/mod.ts";
@@ -21,7 +22,7 @@
 import * as telemetry from "../telemetry/mod.ts";
 import * as coalescers from "./coalescer.ts";
 import * as endpointReplicator from "./endpoint_replicator.ts";
-import type * as settings from "./settings.ts";
+import * as settings from "./settings.ts";
 import * as rosterCodec from "./roster_codec.ts";
 
 /** Interval of hello messages between control hosts, and of `#tick`. */
@@ -83,6 +84,8 @@
   readonly #slotServer: concurrency.SlotServer;
   readonly #originServer: origins.OriginServer;
   readonly #slowness = performances.SlownessTable.create();
+  /** Undefined where accounts have no shares. */
+  readonly #shareCoordinator?: accountShares.ShareCoordinator;
   readonly #syncSessions = syncSessions.SyncSessions.create();
   readonly #epoch: string;
   readonly #confirmations: coalescers.Coalescer<FleetState>;
@@ -92,8 +95,8 @@
   #stopped = false;
 
   private constructor(options: ControlHostOptions) {
-    const { settings, clock } = options;
-    const { host, dataCentre, seeds, heartbeatInterval } = settings;
+    const { clock } = options;
+    const { host, dataCentre, seeds, heartbeatInterval } = options.settings;
     this.#options = options;
     this.#epoch = `${host}/${Math.floor(clock.wall())}`;
     this.#members = controlMembers.ControlMembers.create({ host, dataCentre }, {
@@ -114,6 +117,10 @@
       retentionMs: RETENTION_MS,
       isKnownService: (name) => this.#services.has(name),
     });
+    const coordinator = settings.hasAccountShares(options.settings)
+      ? accountShares.ShareCoordinator.create({ ...options, self: host })
+      : undefined;
+    this.#shareCoordinator = coordinator;
     this.#network = hostContext.createNetwork(options, {
       handlers: {
         confirm: (question) => this.#handleLeaderQuestion(question),
@@ -136,6 +143,9 @@
         origin: (question) => this.#originServer.find(question),
         lease: (question, from) =>
           Promise.resolve(this.#coordinator.requestLease(question, from)),
+        shares: coordinator &&
+          ((question, from) =>
+            Promise.resolve(coordinator.answer(question, from))),
       },
       onNotice: (notice, from) => this.#handleNotice(notice, from),
       onLog: (envelope) => this.#store?.receive(envelope),
@@ -213,6 +223,7 @@
       limits: this.#quotaServer.limits,
       origins: this.#originServer.dump(),
       slowness: this.#slowness.dump(now),
+      accountShares: this.#shareCoordinator?.dump(),
       evacuations: this.evacuations(),
       peers: this.#network.transport.dump(),
     };
@@ -292,6 +303,7 @@
     this.#slotServer.tick();
     this.#originServer.tick();
     this.#slowness.expire(now);
+    this.#shareCoordinator?.tick();
     this.#options.metrics.gauge(
       "evacuation.active",
       this.#store?.evacuations.active.length ?? 0,
@@ -314,6 +326,7 @@
         leadership: this.#store?.leadership,
         ...this.#limits,
         ...slowness,
+        ...contendedField(this.#shareCoordinator?.watched),
       };
       this.#network.calls.cast(peer, notice);
     }
@@ -362,7 +375,7 @@
       schema.HelloNotice,
     from: string,
   ): void {
-    const { limits = [], slowness = [] } = shared;
+    const { limits = [], slowness = [], contended = [] } = shared;
     const now = this.#options.clock.now();
     const isNewHost = !this.#peers().includes(from);
     this.#members.recordHello({ host: from, dataCentre, heard: now });
@@ -371,6 +384,7 @@
     if (leadership !== undefined) this.#store?.updateLeaderHint(leadership);
     this.#quotaServer.mergeLimits(limits);
     this.#slowness.merge(slowness, now);
+    this.#shareCoordinator?.merge(contended, from);
     // A host that has just joined knows no endpoints and no suspects.
     if (!isNewHost) return;
     this.#replicator.sendAll(from);
@@ -415,6 +429,7 @@
       evacuations,
       ...this.#limits,
       ...slownessField(this.#slowness.read({ now, isAll: !isSame })),
+      ...contendedField(this.#shareCoordinator?.contended),
       ...this.#coordinator.changesSince(
         isSame ? question.suspectRevision ?? 0 : 0,
       ),
@@ -535,6 +550,14 @@
   return slowness.length > 0 ? { slowness } : {};
 }
 
+/** Services under contention as a message field, which is absent when there are
+ * none. */
+function contendedField(
+  contended: string[] = [],
+): { contended?: string[] } {
+  return contended.length > 0 ? { contended } : {};
+}
+
 /** How long a stopping host keeps answering, so that its successor as leader is
  * elected meanwhile. */
 const HANDOVER_MS = 300;
--- a/src/fleet/sync_client.ts
+++ b/src/fleet/sync_client.ts
@@ -60,6 +60,8 @@
   /** Estimates of slowness from all hosts' observations have arrived. They
    * follow `onChange`, which makes their endpoints known. */
   onSlowness(estimates: readonly schema.SlownessReport[]): void;
+  /** A reply has told which services are under contention. */
+  onContended(services: readonly string[]): void;
   /** Endpoints or hosts may have changed. */
   onChange(): void;
 }
@@ -266,10 +268,12 @@
     reply: schema.SyncedReply,
     sentAt: elapsedTime.Instant,
   ): void {
-    const { clock, onChange, onSuspects, onLimits, onSlowness } = this.#options;
+    const { clock, onChange, onSuspects, onLimits, onSlowness, onContended } =
+      this.#options;
     const now = clock.now();
     if (reply.suspects !== undefined) onSuspects(reply.suspects);
     onLimits(reply.limits ?? []);
+    onContended(reply.contended ?? []);
     try {
       if (reply.confirmed) this.#applyConfirmed(controlHost, reply, sentAt);
       else this.#directory.addReported(reply.cores, now);
--- a/src/fleet/sync_client_fixture.ts
+++ b/src/fleet/sync_client_fixture.ts
@@ -57,6 +57,7 @@
   const requests: { core: string; question: schema.SyncQuestion }[] = [];
   const versions: string[] = [];
   const estimates: schema.SlownessReport[] = [];
+  const contended: (readonly string[])[] = [];
   const client = syncClient.SyncClient.create({
     self: "me",
     dataCentre: "town",
@@ -73,6 +74,7 @@
     onLimits() {},
     takeSlowness,
     onSlowness: (received) => void estimates.push(...received),
+    onContended: (services) => void contended.push(services),
     calls: {
       ask(core, question) {
         requests.push({ core, question: question as schema.SyncQuestion });
@@ -90,5 +92,5 @@
     }
   };
   client.start();
-  return { client, clock, requests, versions, estimates, run };
+  return { client, clock, requests, versions, estimates, contended, run };
 }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import type * as undici from "undici";
+import type * as accountShares from "../account_shares/mod.ts";
 import type * as configurations from "../configuration/mod.ts";
 import type * as batching from "../batching/mod.ts";
 import type * as concurrency from "../concurrency/mod.ts";
@@ -78,6 +79,8 @@
   >;
   readonly origins: Pick<origins.OriginClient, "record" | "find">;
   readonly loadUpdates: Pick<loadUpdates.LoadUpdates, "record">;
+  /** Absent where accounts have no shares. */
+  readonly accountShares?: Pick<accountShares.AccountShares, "admit">;
   /** Time at which the host started, by its clock. */
   readonly startedAt: number;
   /** Age of the configuration in milliseconds above which requests are refused,
