Performance: observations within a second count as one; significance over all endpoints

Change: observations of an endpoint within a second count as one, by their mean; the differences of all endpoints are compared with their variance (analysis of variance) instead of those of the two extremes.

Tests that gave all observations at one time give them a second apart now; the drawn schedules notice control hosts that forward what others forward by wrong estimates, since counts no longer grow by repetition.

--- a/src/gateway/batch_endpoints_test.ts
+++ b/src/gateway/batch_endpoints_test.ts
@@ -28,6 +28,7 @@
   for (let count = 0; count < CALL_COUNT; count++) {
     endpoints.recordDurationRatio(ids[0], 1);
     endpoints.recordDurationRatio(ids[1], factor);
+    clock.advance(1000);
   }
   const slowness = (index: number) =>
     endpoints.sharedSlowness(ids[index], clock.now());
--- a/src/performance/service_performance.ts
+++ b/src/performance/service_performance.ts
@@ -12,9 +12,10 @@
 /** Observations without which an endpoint doesn't count: the mean of fewer
  * differs by chance. */
 const MIN_EVIDENCE = 8;
-/** Standard errors by which two endpoints must differ as well: calls that vary
- * widely, or wait together, make equal endpoints look different for a while. */
-const MIN_STANDARD_ERRORS = 7;
+/** Standard deviations by which the differences between all endpoints must exceed
+ * those of equal endpoints: calls that vary widely make equal endpoints look
+ * different for a while. */
+const MIN_DEVIATIONS = 6;
 /** Variance of the logarithm of ratios that is assumed before observations, and
  * its weight in observations: calls often differ by half of their mean. */
 const PRIOR_VARIANCE = 0.16;
@@ -55,8 +56,8 @@
   readonly #estimates = new Map<string, slownesses.Slowness>();
   readonly #untaken = new Map<string, Untaken>();
   #isUneven = false;
-  /** Mean square of the deviation of observations from the lasting slowness of
-   * their endpoint, and its weight in observations. */
+  /** Mean square of the deviation of observations from the mean of their
+   * endpoint, and its weight in observations. */
   #variance = PRIOR_VARIANCE;
   #weight = PRIOR_WEIGHT;
   #comparedAt = -Infinity;
@@ -77,8 +78,8 @@
   observe(endpoint: string, ratio: number, now: number): void {
     if (!this.#isEnabled || !(ratio > 0)) return;
     const known = this.#estimate(endpoint);
-    if (known.evidence(now) >= MIN_EVIDENCE) {
-      this.#recordDeviation(slownesses.logOf(ratio) - known.logLasting(now));
+    if (known.evidence(now) > 0) {
+      this.#recordDeviation(slownesses.logOf(ratio) - known.logMean);
     }
     this.#set(endpoint, known.observe(ratio, now));
     const { logSum, count } = this.#untaken.get(endpoint) ?? NONE;
@@ -205,50 +206,51 @@
   #compare(now: number): void {
     this.#comparedAt = now;
     this.#changes = 0;
-    const range = this.#extremes(now);
-    if (range === undefined) {
-      this.#isUneven = false;
-      return;
-    }
-    const { fastest, slowest } = range;
-    const difference = slowest.value - fastest.value;
-    const bound = this.#isUneven
-      ? Math.log(EVEN_FACTOR)
-      : Math.max(Math.log(UNEVEN_FACTOR), this.#noise(range));
-    this.#isUneven = difference >= bound;
+    const known = this.#known(now);
+    const values = known.map(({ value }) => value);
+    const difference = Math.max(...values) - Math.min(...values);
+    this.#isUneven = this.#isUneven
+      ? difference >= Math.log(EVEN_FACTOR)
+      : difference >= Math.log(UNEVEN_FACTOR) && this.#isSignificant(known);
   }
 
-  #extremes(now: number): Extremes | undefined {
-    const none = { value: NaN, evidence: 0 };
-    let [fastest, slowest] = [none, none];
-    for (const estimate of this.#estimates.values()) {
+  /** Endpoints with enough observations. */
+  #known(now: number): Known[] {
+    return [...this.#estimates.values()].flatMap((estimate) => {
       const evidence = estimate.evidence(now);
-      if (evidence < MIN_EVIDENCE) continue;
-      const known = { value: estimate.logLasting(now), evidence };
-      if (!(known.value >= fastest.value)) fastest = known;
-      if (!(known.value <= slowest.value)) slowest = known;
-    }
-    return fastest === none ? undefined : { fastest, slowest };
+      if (evidence < MIN_EVIDENCE) return [];
+      const { logMean: mean } = estimate;
+      return [{ value: estimate.logLasting(now), mean, evidence }];
+    });
   }
 
-  /** Difference that equal endpoints may show by chance. */
-  #noise({ fastest, slowest }: Extremes): number {
-    const standardError = Math.sqrt(
-      this.#variance * (1 / fastest.evidence + 1 / slowest.evidence),
+  /** Whether endpoints differ by more than equal ones by chance: the sum of
+   * squared differences from the mean of all, in units of their variance, is
+   * compared with that of equal endpoints (analysis of variance). */
+  #isSignificant(known: readonly Known[]): boolean {
+    const total = sumOf(known, ({ evidence }) => evidence);
+    const mean = sumOf(known, (each) => each.evidence * each.mean) / total;
+    const squares = sumOf(
+      known,
+      (each) => each.evidence * (each.mean - mean) ** 2,
     );
-    return MIN_STANDARD_ERRORS * standardError;
+    const freedom = known.length - 1;
+    const expected = freedom + MIN_DEVIATIONS * Math.sqrt(2 * freedom);
+    return squares / this.#variance >= expected;
   }
 }
 
-/** Logarithm of a lasting slowness, and its observations. */
+/** What is known of an endpoint. */
 interface Known {
+  /** Logarithm of the lasting slowness. */
   readonly value: number;
+  /** The same without the prior. */
+  readonly mean: number;
   readonly evidence: number;
 }
 
-interface Extremes {
-  readonly fastest: Known;
-  readonly slowest: Known;
+function sumOf<T>(items: readonly T[], value: (item: T) => number): number {
+  return items.reduce((sum, item) => sum + value(item), 0);
 }
 
 const NONE: Untaken = { logSum: 0, count: 0 };
--- a/src/performance/slowness.ts
+++ b/src/performance/slowness.ts
@@ -6,6 +6,10 @@
 const PRIOR_WEIGHT = 4;
 /** Largest weight of observations, so that the mean can follow a change. */
 const MAX_EVIDENCE = 64;
+/** Milliseconds within which observations of an endpoint count as one: its queue
+ * and the moments of its machine, several hundred milliseconds long, make them
+ * alike. */
+const WINDOW_MS = 1000;
 /** Milliseconds without an observation after which one is forgotten, so that an
  * endpoint that looks slow gets calls again. */
 const FORGET_MS = 5000;
@@ -33,13 +37,24 @@
 
 /** What observations show of the lasting slowness. */
 interface Lasting {
-  /** Mean logarithm of the ratios, without the prior. */
+  /** Mean logarithm of the ratios before the window, without the prior. */
   readonly mean: number;
-  /** Weight of the observations at `observedAt`. */
+  /** Number of windows in it, at `observedAt`. */
   readonly evidence: number;
   readonly observedAt: number;
+  /** The latest window. */
+  readonly window: Window;
 }
 
+/** Observations that count as one. */
+interface Window {
+  readonly since: number;
+  readonly mean: number;
+  readonly count: number;
+}
+
+const NO_WINDOW: Window = { since: -Infinity, mean: 0, count: 0 };
+
 /** Deviation of recent observations from the lasting slowness. */
 interface Moment {
   /** Weighted sum of the logarithms, and of the weights, at `updatedAt`. */
@@ -52,7 +67,7 @@
 export class Slowness {
   /** Estimate without observations: slowness 1. */
   static readonly PRIOR: Slowness = new this(
-    { mean: 0, evidence: 0, observedAt: 0 },
+    { mean: 0, evidence: 0, observedAt: 0, window: NO_WINDOW },
     { sum: 0, weight: 0, updatedAt: 0 },
   );
   readonly #lasting: Lasting;
@@ -89,11 +104,15 @@
     return this.#with({ mean: logOf(ratio), count }, now);
   }
 
-  /** The estimate whose lasting slowness is that of `report` alone; the momentary
-   * slowness stays the same. */
-  replaceLasting(report: SlownessReport, now: number): Slowness {
-    return new Slowness(Slowness.PRIOR.#lasting, this.#moment)
-      .add(report, now);
+  /** The estimate whose lasting slowness is that of another estimate's `report`;
+   * the momentary slowness stays the same. */
+  replaceLasting({ ratio, count }: SlownessReport, now: number): Slowness {
+    return new Slowness({
+      mean: logOf(ratio),
+      evidence: Math.min(MAX_EVIDENCE, count),
+      observedAt: now,
+      window: NO_WINDOW,
+    }, this.#moment);
   }
 
   /** Slowness at this moment. */
@@ -109,13 +128,20 @@
   /** Logarithm of the lasting slowness. */
   logLasting(now: number): number {
     const evidence = this.evidence(now);
-    return this.#lasting.mean * evidence / (evidence + PRIOR_WEIGHT);
+    const { mean } = closedOf(this.#lasting);
+    return mean * evidence / (evidence + PRIOR_WEIGHT);
   }
 
-  /** Number of observations, of which one is forgotten for every 5 s without
-   * one. */
+  /** Mean logarithm of the observed ratios, without the prior. */
+  get logMean(): number {
+    return closedOf(this.#lasting).mean;
+  }
+
+  /** Number of observations, those within a second counted as one. One is
+   * forgotten for every 5 s without any. */
   evidence(now: number): number {
-    const { evidence, observedAt } = this.#lasting;
+    const { observedAt } = this.#lasting;
+    const { evidence } = closedOf(this.#lasting);
     const forgotten = Math.floor(Math.max(0, now - observedAt) / FORGET_MS);
     return Math.max(0, evidence - forgotten);
   }
@@ -124,22 +150,32 @@
   report(endpoint: string, now: number): SlownessReport | undefined {
     const count = this.evidence(now);
     if (count === 0) return undefined;
-    return { endpoint, ratio: Math.exp(this.#lasting.mean), count };
+    return { endpoint, ratio: Math.exp(this.logMean), count };
   }
 
   #with(
-    { mean, count }: { readonly mean: number; readonly count: number },
+    { mean, count }: Pick<Window, "mean" | "count">,
     now: number,
   ): Slowness {
     if (count <= 0) return this;
-    const evidence = Math.min(MAX_EVIDENCE, this.evidence(now) + count);
-    const weight = Math.min(count, MAX_EVIDENCE) / evidence;
-    const lasting = {
-      mean: this.#lasting.mean + weight * (mean - this.#lasting.mean),
-      evidence,
-      observedAt: now,
+    const { window } = this.#lasting;
+    const isSame = now - window.since < WINDOW_MS;
+    const before = isSame ? this.#lasting : {
+      ...closedOf(this.#lasting),
+      evidence: this.evidence(now),
     };
-    return new Slowness(lasting, this.#moment);
+    const known = isSame ? window : { since: now, mean: 0, count: 0 };
+    const total = known.count + count;
+    return new Slowness({
+      mean: before.mean,
+      evidence: before.evidence,
+      observedAt: now,
+      window: {
+        since: known.since,
+        mean: known.mean + count / total * (mean - known.mean),
+        count: total,
+      },
+    }, this.#moment);
   }
 
   #momentAt(now: number): Pick<Moment, "sum" | "weight"> {
@@ -156,6 +192,15 @@
   }
 }
 
+/** Mean and evidence with the latest window counted as one observation. */
+function closedOf(
+  { mean, evidence, window }: Lasting,
+): Pick<Lasting, "mean" | "evidence"> {
+  if (window.count === 0) return { mean, evidence };
+  const total = Math.min(MAX_EVIDENCE, evidence + 1);
+  return { mean: mean + (window.mean - mean) / total, evidence: total };
+}
+
 /** Logarithm of a ratio, which is clamped to 1/8 to 8. */
 export function logOf(ratio: number): number {
   if (Number.isNaN(ratio)) return 0;
