Findings of two reviews of account shares, performance and unread replies

Account shares: an estimate that began at 0 (denied cost without admitted cost) stayed 0, and all accounts were refused; a control host that hears a higher-ranked one again drops its estimate; a reply tells a decision without limits (decided) from none, so that hosts don't set their own beside it; declared tokens cost at most a million, since one account could hide all others; lines about control hosts that set no shares are bounded. Unread replies: Node tells a response behind another one nothing of the end of its connection, so its bytes were counted for good.

--- a/src/account_shares/admission.ts
+++ b/src/account_shares/admission.ts
@@ -1,5 +1,6 @@
 /** Admission of a request by the share of its client account. Costs are in the
- * units of the service: calls, or tokens of prompts.
+ * units of the service: calls, tokens of prompts, or endpoint milliseconds of
+ * stages.
  * @module */
 
 /** A request, as far as its admission depends on it. */
@@ -14,8 +15,8 @@
   readonly priorWait: number;
 }
 
-/** How a charged request ended: answered within its objective, answered after
- * it, ended for lack of capacity, or ended without having run for another
+/** How a charged request ended: answered, answered after twice its objective,
+ * ended for lack of capacity, or ended without having run for another
  * reason. */
 export type ChargeOutcome = "served" | "late" | "denied" | "unserved";
 
--- a/src/account_shares/capacity.ts
+++ b/src/account_shares/capacity.ts
@@ -65,10 +65,11 @@
   }
 
   /** The estimate when contention begins. */
-  static start({ admitted, served }: CapacityRates): Capacity {
+  static start({ admitted, denied, served }: CapacityRates): Capacity {
+    const min = MIN_RATIO * Math.max(admitted, denied);
     return served > 0
       ? new Capacity(served, { min: 0, denied: [] })
-      : new Capacity(0, { min: MIN_RATIO * admitted, denied: [] });
+      : new Capacity(0, { min, denied: [] });
   }
 
   /** The estimate after another interval. */
--- a/src/account_shares/capacity_test.ts
+++ b/src/account_shares/capacity_test.ts
@@ -134,3 +134,11 @@
   }
   t.true(estimate.value >= 80);
 });
+
+// Guards against an estimate of 0, under which no request shows that the service
+// serves some again: denied cost may end in an interval without arrivals.
+test("the estimate begins above 0 where only denied cost is seen", (t) => {
+  const start = Capacity.start({ admitted: 0, denied: 2, served: 0 });
+  t.true(start.value > 0);
+  t.true(start.next({ admitted: 0, denied: 2, served: 0 }).value > 0);
+});
--- a/src/account_shares/contention.ts
+++ b/src/account_shares/contention.ts
@@ -47,7 +47,7 @@
 /** When a report arrived, and who decides. */
 export interface RecordOptions {
   readonly now: number;
-  /** Whether contention must not begin here, since another host decides. */
+  /** Whether there is no contention here, since another host decides. */
   readonly isDeferred?: boolean;
 }
 
@@ -127,8 +127,9 @@
       this.#steppedAt + INTERVAL_MS,
       now - TOLERANCE_MS,
     );
-    if (this.#capacity !== undefined) this.#step(now);
-    else if (!isDeferred && this.#isContended()) this.#begin(now);
+    if (isDeferred) this.#clear();
+    else if (this.#capacity !== undefined) this.#step(now);
+    else if (this.#isContended()) this.#begin(now);
   }
 
   /** Limits of accounts on one host. */
@@ -187,9 +188,13 @@
     this.#divide(now);
     if (now - this.#limitedAt <= RETENTION_MS) return;
     this.#log(now, "Contention of a service ended");
+    this.#clear();
+    this.#endedAt = now;
+  }
+
+  #clear(): void {
     this.#capacity = undefined;
     this.#division = NO_DIVISION;
-    this.#endedAt = now;
   }
 
   #divide(now: number): void {
--- a/src/account_shares/coordinator.ts
+++ b/src/account_shares/coordinator.ts
@@ -56,15 +56,15 @@
     const now = this.#options.clock.now();
     const contention = this.#contentionOf(service, now);
     const use = { span, admitted, denied, accounts };
-    contention.record(from, use, {
-      now,
-      isDeferred: now - (this.#yieldedAt.get(service) ?? -Infinity) <= YIELD_MS,
-    });
+    const yieldedAt = this.#yieldedAt.get(service) ?? -Infinity;
+    const isDeferred = now - yieldedAt <= YIELD_MS;
+    contention.record(from, use, { now, isDeferred });
     const { capacity } = contention;
     this.#gauge(service, contention);
     return {
       type: "shares",
       watched: this.#isHeard(service, now) || contention.isWatched(now),
+      decided: !isDeferred && !contention.isSettling(now),
       ...(capacity !== undefined && { capacity }),
       limits: contention.limitsOf(from, now),
     };
--- a/src/account_shares/fixture.ts
+++ b/src/account_shares/fixture.ts
@@ -52,18 +52,19 @@
   /** Questions by the number of the host that sent them. */
   readonly questions: { host: number; question: schema.SharesQuestion }[] = [];
   capacity: number;
-  readonly #names: readonly string[];
+  /** Names of the control hosts in that order. */
+  readonly names: readonly string[];
   readonly #due = new Map<string, number>();
   #room = 0;
   #nextHost = 0;
 
   private constructor({ hosts = 4, cores = 3, capacity = 100 }: FleetOptions) {
     this.capacity = capacity;
-    this.#names = rendezvous.rank(
+    this.names = rendezvous.rank(
       SERVICE,
       Array.from({ length: cores }, (_, number) => `core-${number}`),
     );
-    this.cores = this.#names.map((self) => ({
+    this.cores = this.names.map((self) => ({
       coordinator: this.#createCoordinator(self),
       state: "sound",
     }));
@@ -74,7 +75,7 @@
           ...this.#context,
           random: runtime.createRandom(host),
           calls: { ask: (to, question) => this.#answer(host, to, question) },
-          controlHosts: () => this.#names,
+          controlHosts: () => this.names,
         }),
     );
     this.#repeat(HELLO_MS, () => this.#greet());
@@ -88,7 +89,7 @@
   /** Restarts a control host, which forgets everything. */
   restart(position: number): void {
     this.cores[position].coordinator = this.#createCoordinator(
-      this.#names[position],
+      this.names[position],
     );
     this.cores[position].state = "sound";
   }
@@ -174,7 +175,7 @@
     to: string,
     question: schema.Question,
   ): ReturnType<peers.Rpc["ask"]> {
-    const { coordinator, state } = this.cores[this.#names.indexOf(to)];
+    const { coordinator, state } = this.cores[this.names.indexOf(to)];
     if (state === "lost" || question.type !== "shares") {
       return Promise.reject(new Error("no answer"));
     }
@@ -193,7 +194,7 @@
         if (other.coordinator === coordinator || other.state !== "sound") {
           continue;
         }
-        other.coordinator.merge(coordinator.watched, this.#names[position]);
+        other.coordinator.merge(coordinator.watched, this.names[position]);
       }
     }
   }
--- a/src/account_shares/service_shares.ts
+++ b/src/account_shares/service_shares.ts
@@ -5,7 +5,7 @@
 import * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
-import type * as telemetry from "../telemetry/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
 import type * as admissions from "./admission.ts";
 import * as contentions from "./contention.ts";
 import * as flowCharges from "./flow_charge.ts";
@@ -29,6 +29,8 @@
  * which is seldom more than 9 s. */
 const MIN_WAIT_MS = 250;
 const MAX_WAIT_MS = 3000;
+/** Log lines about control hosts that set no shares. */
+const LOG_BOUNDS = { rate: 0.5, burst: 5 };
 /** The only host in the reports that a host's own limits are derived from. */
 const SELF = "self";
 
@@ -50,7 +52,9 @@
   readonly #options: ServiceSharesOptions;
   readonly #meter: meters.Meter;
   readonly #table = shareTables.ShareTable.create();
-  /** Limits by this host's own counts; undefined while control hosts answer. */
+  /** For lines that may come with each report. */
+  readonly #boundLogger: telemetry.Logger;
+  /** Limits by this host's own counts; undefined while a control host decides. */
   #base?: contentions.Contention;
   #deniedAt = -Infinity;
   /** When reports were first sent, or last answered with a decision; undefined
@@ -61,8 +65,10 @@
   #isStopped = false;
 
   private constructor(options: ServiceSharesOptions) {
+    const { logger, clock, since } = options;
     this.#options = options;
-    this.#meter = meters.Meter.create(options.since);
+    this.#boundLogger = telemetry.boundLogger(logger, clock, LOG_BOUNDS);
+    this.#meter = meters.Meter.create(since);
   }
 
   static create(options: ServiceSharesOptions): ServiceShares {
@@ -144,7 +150,7 @@
   }
 
   async #report(use: meters.IntervalUse): Promise<void> {
-    const { service, calls, logger, controlHosts } = this.#options;
+    const { service, calls, controlHosts } = this.#options;
     const question: schema.SharesQuestion = {
       type: "shares",
       service,
@@ -157,18 +163,18 @@
       calls,
       hosts: rendezvous.rank(service, controlHosts()).slice(0, MAX_HOSTS_TRIED),
       timeout: CALL_TIMEOUT_MS,
-      logger,
+      logger: this.#boundLogger,
       message: "Control host did not set shares; trying the next one",
       fields: { service },
     });
     if (reply !== undefined && !this.#isStopped) this.#apply(reply);
   }
 
-  #apply({ watched, limits, capacity }: schema.SharesReply): void {
+  #apply({ watched, decided, limits, capacity }: schema.SharesReply): void {
     this.#isWatched = watched;
     // A control host that has just taken over, or that is not the coordinator,
-    // has no capacity; meanwhile, the former limits hold.
-    if (watched && capacity === undefined) return;
+    // decides nothing; meanwhile, the former limits hold.
+    if (watched && capacity === undefined && !decided) return;
     this.#answeredAt = this.#options.clock.now();
     this.#base = undefined;
     this.#setLimits({ limits, capacity });
--- a/src/account_shares/shares_test.ts
+++ b/src/account_shares/shares_test.ts
@@ -140,7 +140,12 @@
     accounts: [{ account: "a", rank: 0, offered: 100, served: 50 }],
   };
   const first = coordinator.answer(question, "host-0");
-  t.deepEqual(first, { type: "shares", watched: true, limits: [] });
+  t.deepEqual(first, {
+    type: "shares",
+    watched: true,
+    decided: false,
+    limits: [],
+  });
   clock.advance(600);
   t.is(coordinator.answer(question, "host-0").capacity, undefined);
   clock.advance(150);
@@ -201,10 +206,45 @@
   for (let count = 0; count < 6; count++) {
     await fleet.run(500, FLOOD);
     const reply = coordinator.answer(question, "host-0");
-    t.deepEqual(reply, { type: "shares", watched: true, limits: [] });
+    t.deepEqual(reply, {
+      type: "shares",
+      watched: true,
+      decided: false,
+      limits: [],
+    });
   }
 });
 
+// Guards against two control hosts that set limits side by side, and against a
+// host that limits its callers although the coordinator found no contention.
+test("a coordinator that is heard again takes over, and a decision without limits counts", (t) => {
+  const { clock, names, cores: [, { coordinator }] } = fixture.Fleet.create();
+  const question = {
+    type: "shares" as const,
+    service: fixture.SERVICE,
+    span: 500,
+    admitted: 100,
+    denied: 50,
+    accounts: [{ account: "a", rank: 0, offered: 100, served: 50 }],
+  };
+  const ask = () => {
+    clock.advance(500);
+    return coordinator.answer(question, "host-0");
+  };
+  ask();
+  ask();
+  t.like(ask(), { decided: true, capacity: 100 });
+  coordinator.merge([fixture.SERVICE], names[0]);
+  const deferred = ask();
+  t.like(deferred, { decided: false, limits: [] });
+  t.is(deferred.capacity, undefined);
+  clock.advance(4000);
+  const calm = { ...question, denied: 0 };
+  coordinator.answer(calm, "host-0");
+  clock.advance(800);
+  t.like(coordinator.answer(calm, "host-0"), { decided: true, limits: [] });
+});
+
 // Guards against demand that looks larger than it is once prompts are corrected
 // to what the cache lacks.
 test("a corrected charge counts by its new cost", async (t) => {
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -83,7 +83,8 @@
   readonly #quotaServer: rateLimits.QuotaServer;
   readonly #slotServer: concurrency.SlotServer;
   readonly #originServer: origins.OriginServer;
-  readonly #slowness = performances.SlownessTable.create();
+  /** Undefined where the slowness of endpoints is not estimated. */
+  readonly #slowness?: performances.SlownessTable;
   /** Undefined where accounts have no shares. */
   readonly #shareCoordinator?: accountShares.ShareCoordinator;
   readonly #syncSessions = syncSessions.SyncSessions.create();
@@ -117,6 +118,9 @@
       retentionMs: RETENTION_MS,
       isKnownService: (name) => this.#services.has(name),
     });
+    this.#slowness = options.settings.disabledParts.has("performance")
+      ? undefined
+      : performances.SlownessTable.create();
     const coordinator = settings.hasAccountShares(options.settings)
       ? accountShares.ShareCoordinator.create({ ...options, self: host })
       : undefined;
@@ -222,7 +226,7 @@
       suspects: this.#coordinator.dump(),
       limits: this.#quotaServer.limits,
       origins: this.#originServer.dump(),
-      slowness: this.#slowness.dump(now),
+      slowness: this.#slowness?.dump(now),
       accountShares: this.#shareCoordinator?.dump(),
       evacuations: this.evacuations(),
       peers: this.#network.transport.dump(),
@@ -302,7 +306,7 @@
     this.#quotaServer.tick();
     this.#slotServer.tick();
     this.#originServer.tick();
-    this.#slowness.expire(now);
+    this.#slowness?.expire(now);
     this.#shareCoordinator?.tick();
     this.#options.metrics.gauge(
       "evacuation.active",
@@ -316,7 +320,7 @@
     const { settings: { dataCentre } } = this.#options;
     const controlHosts = this.#members.live(now).map(({ host }) => host);
     const hosts = this.#entryMembers.live(now);
-    const slowness = slownessField(this.#slowness.takeForwards());
+    const slowness = slownessField(this.#slowness?.takeForwards());
     for (const peer of this.#members.others) {
       const notice = {
         type: "hello" as const,
@@ -383,7 +387,7 @@
     hosts.forEach((host) => this.#entryMembers.record(host, now));
     if (leadership !== undefined) this.#store?.updateLeaderHint(leadership);
     this.#quotaServer.mergeLimits(limits);
-    this.#slowness.merge(slowness, now);
+    this.#slowness?.merge(slowness, now);
     this.#shareCoordinator?.merge(contended, from);
     // A host that has just joined knows no endpoints and no suspects.
     if (!isNewHost) return;
@@ -404,7 +408,7 @@
     const { clock } = this.#options;
     this.#entryMembers.record({ ...question.host, host: from }, clock.now());
     const { evacuationOrders: totalRevision = 0, slowness = [] } = question;
-    this.#slowness.record(slowness, clock.now());
+    this.#slowness?.record(slowness, clock.now());
     this.#syncSessions.record(from, { now: clock.now(), totalRevision });
     const { configuration, evacuations, hosts, hostsDigest, controlHosts } =
       await this
@@ -428,7 +432,7 @@
       cores: controlHosts,
       evacuations,
       ...this.#limits,
-      ...slownessField(this.#slowness.read({ now, isAll: !isSame })),
+      ...slownessField(this.#slowness?.read({ now, isAll: !isSame })),
       ...contendedField(this.#shareCoordinator?.contended),
       ...this.#coordinator.changesSince(
         isSame ? question.suspectRevision ?? 0 : 0,
@@ -545,7 +549,7 @@
 
 /** Reports as a message field, which is absent when there are none. */
 function slownessField(
-  slowness: performances.SlownessReport[],
+  slowness: performances.SlownessReport[] = [],
 ): { slowness?: schema.SlownessReport[] } {
   return slowness.length > 0 ? { slowness } : {};
 }
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -25,6 +25,10 @@
 const MAX_EJECTION_MS = 8000;
 /** Milliseconds for which a reported load is used: a few calls at most. */
 const MAX_LOAD_AGE_MS = 500;
+/** Milliseconds for which a reported queue is taken to shrink as the endpoint
+ * works. Queues also shrink as callers leave, and most callers of plain calls wait
+ * no longer. */
+const MAX_QUEUE_AGE_MS = 3000;
 /** Half-life of the delay of first events, in milliseconds. */
 const DELAY_HALF_LIFE_MS = 1500;
 
@@ -331,11 +335,10 @@
       : undefined;
   }
 
-  /** Records the load that it reports, and the slowness that it announces. */
+  /** Records the load that it reports. */
   recordLoad(load: protocols.ReportedLoad, now: number): void {
     this.#load = load;
     this.#loadReportedAt = now;
-    this.recordAnnouncedSlowness(load, now);
   }
 
   /** Records the slowness that it announces with a load report, if any. */
@@ -387,6 +390,7 @@
     if (this.#load === undefined) return this.inFlight;
     const { running, waiting } = this.#load;
     const age = now - this.#loadReportedAt;
+    if (age > MAX_QUEUE_AGE_MS) return this.load(now);
     const done = age * this.identity.slots / duration;
     return Math.max(this.load(now), running + waiting - done);
   }
@@ -402,7 +406,8 @@
     const lasting = this.lastingSlowness(now);
     // The time of a fetch depends on another engine. Without a free slot, the
     // prompt waited until a stream ended, which the model does not predict.
-    const isComparable = !isFetched && work.streams < this.identity.slots;
+    const isComparable = !isFetched && this.coldRate(now) === undefined &&
+      work.streams < this.identity.slots;
     if (isComparable) this.#compareFirstEvent(work, { took, now });
     this.#latency.observe(work, took / lasting);
     const delay = took - predicted * this.slowness(now);
@@ -423,6 +428,7 @@
    * mean gap of the service, or undefined if that is unknown. */
   recordGap(gap: number, now: number): number | undefined {
     if (this.engine === undefined || gap <= 0) return undefined;
+    if (this.coldRate(now) !== undefined) return undefined;
     const { eventGap } = this.engine;
     const { value: mean } = eventGap;
     eventGap.observe(gap / this.lastingSlowness(now));
--- a/src/gateway/endpoint_choice.ts
+++ b/src/gateway/endpoint_choice.ts
@@ -71,7 +71,9 @@
   candidates: readonly endpoints.Endpoint[],
   context: ChoiceContext,
 ): endpoints.Endpoint | undefined {
-  const isUneven = candidates[0]?.unevenDuration(context.now) !== undefined;
+  const isUneven = candidates.every((each) =>
+    each.unevenDuration(context.now) !== undefined
+  );
   const chosen = isUneven
     ? chooseUneven(candidates, context)
     : chooseEven(candidates, context);
--- a/src/gateway/endpoint_choice_test.ts
+++ b/src/gateway/endpoint_choice_test.ts
@@ -136,3 +136,12 @@
   one.inFlight = 3;
   t.is(one.remainingLoad(2000, 100), 3);
 });
+
+// Guards against an endpoint without calls for as long as one report names: its
+// callers have left since, and only its own answers would say so.
+test("a reported queue is forgotten after 3 s", (t) => {
+  const one = createEndpoint("1");
+  one.recordLoad({ running: 4, waiting: 1_000_000, slots: 4 }, 0);
+  t.true(one.remainingLoad(3000, 100) > 900_000);
+  t.is(one.remainingLoad(3001, 100), 0);
+});
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -338,6 +338,11 @@
     this.#performances.get(identity.service)?.retain(
       new Set(remaining.map((each) => each.identity.id)),
     );
+    // Heartbeats may name any number of services.
+    if (remaining.length === 0) {
+      this.#performances.delete(identity.service);
+      this.#durations.delete(identity.service);
+    }
     return removed;
   }
 }
--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -327,7 +327,8 @@
   const { fast, slow } = createUnevenPool();
   t.true(fast.lastingSlowness(0) < 0.6);
   t.true(slow.lastingSlowness(0) > 1.7);
-  slow.recordLoad({ running: 1, waiting: 0, slots: 2, slowness: 4 }, 0);
+  const load = { running: 1, waiting: 0, slots: 2, slowness: 4 };
+  slow.recordAnnouncedSlowness(load, 0);
   t.true(slow.slowness(0) > 6);
 });
 
--- a/src/gateway/engine_slowness_test.ts
+++ b/src/gateway/engine_slowness_test.ts
@@ -269,3 +269,21 @@
   if (result.type === "none") throw new Error("no target");
   return callRecords.create(result.target);
 }
+
+// Guards against warm engines that look fast since a cold one has shifted what
+// is typical of the service.
+test("first events and gaps of a cold engine are compared with nothing", (t) => {
+  const { pool, fast, slow } = createEngines();
+  recordFirstEvents(fast, { took: 100, count: 40 });
+  slow.cold = { time: 60_000, rate: 1 };
+  slow.assumeCold(0);
+  for (let number = 0; number < 20; number++) {
+    recordFirstEvents(slow, { took: 1000, now: 1000 });
+    t.is(slow.recordGap(500, 1000), undefined);
+  }
+  const performance = pool.performances.get("models")!;
+  performance.takeReports();
+  recordFirstEvents(fast, { took: 100, count: 2, now: 5000 });
+  const [report] = performance.takeReports();
+  t.true(report.ratio > 0.6, `${report.ratio}`);
+});
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -33,10 +33,14 @@
 
   private constructor(options: ReplyOptions) {
     this.#options = options;
-    options.response.once("close", () => {
+    const close = () => {
       this.#isClosed = true;
       options.unreadReplies.remove(this);
-    });
+      options.request.socket.off("close", close);
+    };
+    options.response.once("close", close);
+    // Node emits no event for a response behind another one on its connection.
+    options.request.socket.once("close", close);
   }
 
   static create(options: ReplyOptions): Reply {
--- a/src/gateway/request_cost.ts
+++ b/src/gateway/request_cost.ts
@@ -14,7 +14,10 @@
  * the same, and a cost of 0 would be admitted without limit. */
 const MIN_PROMPT_COST = 1;
 
-/** Least cost of stages, for the same reason. */
+/** Largest cost of a prompt: no engine holds as many tokens, and one account that
+ * declares more would hide what the others use. */
+const MAX_PROMPT_COST = 1_000_000;
+/** Least cost of stages, for the same reason as that of a prompt. */
 const MIN_STAGE_COST = 1;
 
 /** Cost of a request: calls for a plain call, tokens for a prompt.
@@ -26,7 +29,7 @@
 ): number {
   if (prompt === undefined) return CALL_COST;
   const tokens = prefillTokens + OUTPUT_TOKEN_COST * prompt.outputTokens;
-  return Math.max(MIN_PROMPT_COST, tokens);
+  return Math.min(MAX_PROMPT_COST, Math.max(MIN_PROMPT_COST, tokens));
 }
 
 /** Cost of a request's stages: milliseconds of endpoints that compute its items
--- a/src/gateway/request_cost_test.ts
+++ b/src/gateway/request_cost_test.ts
@@ -39,3 +39,10 @@
   t.is(costs.stageCostOf(stages, [], () => traits), 1);
   t.is(costs.stageCostOf(stages, [3], () => undefined), 1);
 });
+
+// Guards against an account that declares so many tokens that what others use is
+// lost beside them.
+test("a prompt that declares endless tokens has a bounded cost", (t) => {
+  const prompt = { ...PROMPT, outputTokens: Infinity };
+  t.is(costs.costOf(prompt), 1_000_000);
+});
--- a/src/gateway/share_charge.ts
+++ b/src/gateway/share_charge.ts
@@ -141,7 +141,8 @@
 /** How the end of a request counts. A caller that has received a part of its
  * stream got service, whatever ended the stream. A request that failed may have
  * used capacity, so its cost is kept; that an endpoint failed is no lack of
- * capacity. A caller that leaves after its objective was denied capacity. */
+ * capacity. A caller that leaves after twice its objective was denied
+ * capacity. */
 export function outcomeOf(
   ending: RequestEnding,
   request: Pick<ShareChargeOptions, "route">,
--- a/src/gateway/target_choice.ts
+++ b/src/gateway/target_choice.ts
@@ -193,7 +193,9 @@
     const context = { now, random, dataCentre };
     const endpoint = probed ?? choices.chooseEndpoint(candidates, context);
     if (endpoint === undefined) return undefined;
-    return endpoint.performance.isUneven(now)
+    const isBySlowness = endpoint !== probed &&
+      endpoint.unevenDuration(now) !== undefined;
+    return isBySlowness
       ? { endpoint, slowness: endpoint.slowness(now) }
       : { endpoint };
   }
--- a/src/gateway/unread_replies.ts
+++ b/src/gateway/unread_replies.ts
@@ -89,7 +89,9 @@
 
   #check(): void {
     this.#isCheckDue = false;
-    while (this.#sum > this.#bound) this.#abortLargest();
+    while (this.#sum > this.#bound && this.#bytes.size > 0) {
+      this.#abortLargest();
+    }
     this.#options.metrics.gauge("gateway.unread_bytes", this.#sum);
   }
 
--- a/src/gateway/unread_replies_test.ts
+++ b/src/gateway/unread_replies_test.ts
@@ -1,7 +1,10 @@
 /** @module */
 
+import * as http from "node:http";
+import * as net from "node:net";
 import test from "ava";
 import * as telemetry from "../telemetry/mod.ts";
+import * as replies from "./reply.ts";
 import * as unreadReplies from "./unread_replies.ts";
 
 const MEGABYTE = 1_000_000;
@@ -99,3 +102,37 @@
   t.deepEqual([aborted, gauges], [[], [100_000 * MEGABYTE]]);
   t.like(unread.dump(), { unreadBytes: 100_000 * MEGABYTE, replies: 1 });
 });
+
+// Guards against bytes that are counted for good: Node tells a response that
+// waits behind another one nothing of the end of its connection.
+test("a reply behind another one is forgotten with its connection", async (t) => {
+  const { unread } = createReplies();
+  const closed = new Promise<void>((resolve) => {
+    let number = 0;
+    const server = http.createServer((request, response) => {
+      const reply = replies.Reply.create({
+        request,
+        response,
+        unreadReplies: unread,
+        isDraining: () => false,
+        onAbortUnread() {},
+      });
+      if (number++ === 0) return;
+      const head = { status: 200, isNotRun: false, isMisdirected: false };
+      reply.startStream({ ...head, lacksInput: false, headers: {} });
+      reply.write(Buffer.alloc(100_000));
+      t.true(unread.sum >= 100_000);
+      request.socket.once("close", () => setImmediate(resolve));
+      caller.destroy();
+    });
+    t.teardown(() => server.close());
+    let caller: net.Socket;
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as net.AddressInfo;
+      caller = net.connect(port, "127.0.0.1");
+      caller.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n".repeat(2));
+    });
+  });
+  await closed;
+  t.is(unread.sum, 0);
+});
--- a/src/performance/mean_duration.ts
+++ b/src/performance/mean_duration.ts
@@ -25,7 +25,7 @@
 
   /** Records the duration of a call divided by the slowness of its endpoint. */
   observe(duration: number): void {
-    if (!(duration > 0)) return;
+    if (!(duration > 0 && duration < Infinity)) return;
     this.#count = Math.min(MAX_COUNT, this.#count + 1);
     this.#logMean += (Math.log(duration) - this.#logMean) / this.#count;
   }
--- a/src/performance/slowness.ts
+++ b/src/performance/slowness.ts
@@ -117,7 +117,9 @@
 
   /** Slowness at this moment. */
   value(now: number): number {
-    return Math.exp(this.logLasting(now) + this.#logMoment(now));
+    return Math.exp(
+      clamp(this.logLasting(now) + this.#logMoment(now)),
+    );
   }
 
   /** Slowness without the momentary deviation. */
@@ -204,5 +206,11 @@
 /** Logarithm of a ratio, which is clamped to 1/8 to 8. */
 export function logOf(ratio: number): number {
   if (Number.isNaN(ratio)) return 0;
-  return Math.log(Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, ratio)));
+  return clamp(Math.log(ratio));
+}
+
+/** A logarithm within the bounds of ratios. */
+function clamp(log: number): number {
+  const max = Math.log(MAX_RATIO);
+  return Math.min(max, Math.max(-max, log));
 }
--- a/src/performance/slowness_exchange.ts
+++ b/src/performance/slowness_exchange.ts
@@ -25,10 +25,12 @@
   isShared(service: string): boolean;
 }
 
-/** Exchange of one host. */
+/** Exchange of observations and estimates between one host and the others. */
 export class SlownessExchange {
   readonly #options: SlownessExchangeOptions;
   readonly #uneven = new Set<string>();
+  /** Names of the endpoints in the metric, by service. */
+  readonly #named = new Map<string, Set<string>>();
 
   private constructor(options: SlownessExchangeOptions) {
     this.#options = options;
@@ -42,8 +44,10 @@
   takeReports(): slownesses.SlownessReport[] {
     const { performances, isShared } = this.#options;
     return [...performances()]
-      .filter(([service]) => isShared(service))
-      .flatMap(([, performance]) => performance.takeReports())
+      .flatMap(([service, performance]) => {
+        const reports = performance.takeReports();
+        return isShared(service) ? reports : [];
+      })
       .slice(0, MAX_REPORTS);
   }
 
@@ -54,8 +58,9 @@
     for (const report of reports) {
       const service = identityOf(report.endpoint)?.service;
       if (service === undefined || !isShared(service)) continue;
-      const others = byService.get(service) ?? [];
-      byService.set(service, [...others, report]);
+      const known = byService.get(service);
+      if (known === undefined) byService.set(service, [report]);
+      else known.push(report);
     }
     for (const [service, adopted] of byService) {
       performances().get(service)?.adopt(adopted, clock.now());
@@ -95,12 +100,22 @@
     performance: servicePerformances.ServicePerformance,
   ): void {
     const { clock, metrics, identityOf } = this.#options;
+    const named = this.#named.get(service) ?? new Set();
+    const ended = new Set(named);
     for (const endpoint of performance.endpoints) {
       const name = identityOf(endpoint)?.name;
       if (name === undefined) continue;
       const slowness = performance.slowness(endpoint, clock.now());
       const labels = { service, endpoint: name };
       metrics.gauge("performance.slowness", slowness, labels);
+      named.add(name);
+      ended.delete(name);
     }
+    for (const name of ended) {
+      const labels = { service, endpoint: name };
+      metrics.gauge("performance.slowness", 1, labels);
+      named.delete(name);
+    }
+    this.#named.set(service, named);
   }
 }
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -694,6 +694,12 @@
    * Whether the service is or recently was under contention.
    */
   watched: boolean;
+  /**
+   * Whether the replier has heard enough hosts to decide; a reply without a
+   * capacity then says that there is no contention.
+   *
+   */
+  decided?: boolean;
   /**
    * Cost a second that the service is taken to serve.
    */
