--- a/src/gateway/share_charge.ts
+++ b/src/gateway/share_charge.ts
@@ -123,11 +123,14 @@
 }
 
 /** What accounts compete for: the service, or for a route with stages all of its
- * services together. Routes that need other stages have other bottlenecks, and
- * one of them being short of capacity says nothing about the other. */
-function resourceOf({ service, route }: ShareChargeOptions): string {
+ * services together, in its rank. Routes that need other stages have other
+ * bottlenecks, and one of them being short of capacity says nothing about the
+ * other. Stages order items by rank and due time themselves, so that accounts
+ * only divide what their rank gets. */
+function resourceOf({ service, route, rank }: ShareChargeOptions): string {
+  if (route.stages.length === 0) return service;
   const stages = new Set(route.stages.map((stage) => stage.service));
-  return [service, ...[...stages].sort()].join("+");
+  return `${[service, ...[...stages].sort()].join("+")}/${rank}`;
 }
 
 /** Cost in the units of that resource: stages take most of the time of a request
--- a/src/gateway/share_charge_test.ts
+++ b/src/gateway/share_charge_test.ts
@@ -473,7 +473,7 @@
       ),
   });
   t.like(shares.requests[0], {
-    service: "desk+fees+maps",
+    service: "desk+fees+maps/0",
     cost: 2 * (10 + 25) + 4 * (5 + 10),
   });
   if (result.type !== "admitted") return t.fail();
