--- a/src/batching/worker_state.ts
+++ b/src/batching/worker_state.ts
@@ -60,7 +60,7 @@
   readonly bytes: number;
 }
 
-/** Slowness of an endpoint as the host knows it, from all batchers and from what
+/** Slowness of an endpoint as this host knows it, from its batchers and from what
  * endpoints announce; undefined while the endpoints of its service are about
  * equally fast. */
 export type SharedSlowness = (
--- a/src/gateway/call_load.ts
+++ b/src/gateway/call_load.ts
@@ -92,14 +92,16 @@
     });
   }
 
-  /** Records a further event. */
+  /** Records an event after the first. Several that arrive together count as
+   * one. */
   recordEvent(): void {
     const since = this.#startedAt + this.#firstEventTime! + this.#gapSum;
     this.#gapSum += this.#options.clock.now() - since;
     this.#gapCount++;
   }
 
-  /** Records the end of the call. */
+  /** Takes the call out of the load; a stream that has succeeded gives an
+   * observation of its mean gap. */
   end({ isSuccess }: { isSuccess: boolean }): void {
     this.#endpoint.inFlight--;
     if (this.#firstEventTime === undefined) {
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -123,7 +123,7 @@
   meanDuration = 0;
   /** Work of this host's latest calls while its service is uneven, relative to
    * what the endpoint can do. */
-  allotted = 0;
+  recentWork = 0;
   /** Moving average of the success of calls, from 0 to 1. */
   successRate = 1;
   #consecutiveFailures = 0;
@@ -320,7 +320,7 @@
     return this.waitAt(running + waiting);
   }
 
-  /** Expected wait at a load. */
+  /** Expected wait, relative to the work of a call, behind `load` calls. */
   waitAt(load: number): number {
     const { slots } = this.identity;
     return Math.max(0, load + 1 - slots) / slots;
@@ -369,7 +369,7 @@
 
   /** Ends the record of its performance: calls that are still under way don't
    * count any more. */
-  endPerformance(): void {
+  detachPerformance(): void {
     this.performance = NO_PERFORMANCE;
   }
 
--- a/src/gateway/endpoint_choice.ts
+++ b/src/gateway/endpoint_choice.ts
@@ -26,10 +26,9 @@
  * until a stream ends. */
 const QUEUE_DELAY_MS = 1000;
 /** Cost of an endpoint of an uneven service for its part in this host's latest
- * calls, in calls: the cost of an even part. With 8 to 16, the latencies of 8, 24
- * and 80 hosts differ by 4 % at most; with 2, the 95th percentile of 80 hosts is
- * several times as high. */
-const ALLOTMENT_COST = 12;
+ * calls, in calls: the cost of an even part. Hosts that each know little of the
+ * load need a high one, or many of them choose the same endpoint. */
+const RECENT_WORK_COST = 12;
 /** Largest random cost there, in calls, so that hosts don't choose in step. */
 const UNEVEN_JITTER = 1.5;
 /** Exponent of the success rate by which an endpoint's cost is divided. */
@@ -106,20 +105,20 @@
   { now, random, dataCentre }: ChoiceContext,
 ): endpoints.Endpoint | undefined {
   const { length } = candidates;
-  const mean = candidates.reduce((sum, { allotted }) => sum + allotted, 0) /
+  const mean = candidates.reduce((sum, { recentWork }) => sum + recentWork, 0) /
     length;
   const chosen = minBy(candidates, (each) => {
-    const allotted = mean > 0 ? each.allotted / mean : 0;
+    const recentWork = mean > 0 ? each.recentWork / mean : 0;
     const duration = each.unevenDuration(now)!;
     const load = each.remainingLoad(now, duration);
     const factor = 1 + each.waitAt(load) + load / each.identity.slots +
-      ALLOTMENT_COST * allotted + random.next() * UNEVEN_JITTER;
+      RECENT_WORK_COST * recentWork + random.next() * UNEVEN_JITTER;
     const time = duration * factor + networkTime(each, dataCentre);
     return time / healthFactor(each);
   });
-  candidates.forEach((each) => each.allotted *= 1 - 1 / length);
+  candidates.forEach((each) => each.recentWork *= 1 - 1 / length);
   if (chosen !== undefined) {
-    chosen.allotted += chosen.lastingSlowness(now) / chosen.identity.slots;
+    chosen.recentWork += chosen.lastingSlowness(now) / chosen.identity.slots;
   }
   return chosen;
 }
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -323,7 +323,7 @@
     const { identity, announcements } = removed;
     removed.isReady = false;
     this.#revision++;
-    removed.endPerformance();
+    removed.detachPerformance();
     if (!announcements.isEmpty) this.#former.set(id, announcements);
     const [oldest] = this.#former.keys();
     if (this.#former.size > MAX_FORMER_COUNT) this.#former.delete(oldest);
--- a/src/performance/mean_duration.ts
+++ b/src/performance/mean_duration.ts
@@ -1,4 +1,4 @@
-/** Mean duration of a service's calls at an endpoint of slowness 1.
+/** Mean of a service's durations, gaps or ratios at an endpoint of slowness 1.
  * @module */
 
 /** Calls of which the mean is taken: enough to average over endpoints, and few
@@ -7,9 +7,8 @@
 /** Calls before which the mean says little. */
 const MIN_COUNT = 8;
 
-/** Running mean; changed in place. It is the mean of logarithms, as that of
- * slowness is: with an arithmetic mean, most ratios were below 1, and all
- * estimates of slowness would fall together. */
+/** Running geometric mean; changed in place. An arithmetic mean exceeds most
+ * durations, so ratios to it would let all estimates of slowness fall together. */
 export class MeanDuration {
   #logMean = 0;
   #count = 0;
@@ -18,12 +17,12 @@
     return new MeanDuration();
   }
 
-  /** Milliseconds; undefined until enough calls are known. */
+  /** Mean in the unit of what is observed; undefined until enough is known. */
   get value(): number | undefined {
     return this.#count < MIN_COUNT ? undefined : Math.exp(this.#logMean);
   }
 
-  /** Records the duration of a call divided by the slowness of its endpoint. */
+  /** Records a value divided by the slowness of its endpoint. */
   observe(duration: number): void {
     if (!(duration > 0 && duration < Infinity)) return;
     this.#count = Math.min(MAX_COUNT, this.#count + 1);
--- a/src/performance/service_performance.ts
+++ b/src/performance/service_performance.ts
@@ -44,7 +44,7 @@
 }
 
 /** Own observations of an endpoint that no report has yet. */
-interface Untaken {
+interface Unreported {
   readonly logSum: number;
   readonly count: number;
 }
@@ -54,7 +54,7 @@
 export class ServicePerformance {
   readonly #isEnabled: boolean;
   readonly #estimates = new Map<string, slownesses.Slowness>();
-  readonly #untaken = new Map<string, Untaken>();
+  readonly #unreported = new Map<string, Unreported>();
   #isUneven = false;
   /** Mean square of the deviation of observations from the mean of their
    * endpoint, and its weight in observations. */
@@ -82,8 +82,8 @@
       this.#recordDeviation(slownesses.logOf(ratio) - known.logMean);
     }
     this.#set(endpoint, known.observe(ratio, now));
-    const { logSum, count } = this.#untaken.get(endpoint) ?? NONE;
-    this.#untaken.set(endpoint, {
+    const { logSum, count } = this.#unreported.get(endpoint) ?? NONE;
+    this.#unreported.set(endpoint, {
       logSum: logSum + slownesses.logOf(ratio),
       count: count + 1,
     });
@@ -106,22 +106,22 @@
       // A control host that has restarted knows less than this host.
       if (2 * report.count < known.evidence(now)) continue;
       const adopted = known.replaceLasting(report, now);
-      const untaken = this.#untaken.get(endpoint);
+      const unreported = this.#unreported.get(endpoint);
       this.#set(
         endpoint,
-        untaken === undefined
+        unreported === undefined
           ? adopted
-          : adopted.add(reportOf(endpoint, untaken), now),
+          : adopted.add(reportOf(endpoint, unreported), now),
       );
     }
   }
 
   /** Own observations since the last call. */
   takeReports(): slownesses.SlownessReport[] {
-    const reports = [...this.#untaken].map(([endpoint, untaken]) =>
-      reportOf(endpoint, untaken)
+    const reports = [...this.#unreported].map(([endpoint, unreported]) =>
+      reportOf(endpoint, unreported)
     );
-    this.#untaken.clear();
+    this.#unreported.clear();
     return reports;
   }
 
@@ -171,7 +171,7 @@
     for (const endpoint of [...this.#estimates.keys()]) {
       if (endpoints.has(endpoint)) continue;
       this.#estimates.delete(endpoint);
-      this.#untaken.delete(endpoint);
+      this.#unreported.delete(endpoint);
       this.#changes = Infinity;
     }
   }
@@ -253,11 +253,11 @@
   return items.reduce((sum, item) => sum + value(item), 0);
 }
 
-const NONE: Untaken = { logSum: 0, count: 0 };
+const NONE: Unreported = { logSum: 0, count: 0 };
 
 function reportOf(
   endpoint: string,
-  { logSum, count }: Untaken,
+  { logSum, count }: Unreported,
 ): slownesses.SlownessReport {
   return { endpoint, ratio: Math.exp(logSum / count), count };
 }
--- a/src/performance/slowness.ts
+++ b/src/performance/slowness.ts
@@ -17,9 +17,7 @@
  * the speed of machines changes within several hundred milliseconds. */
 const MOMENT_HALF_LIFE_MS = 300;
 /** Weight below which the momentary slowness fades, in observations: one call
- * alone may be long by its own work. With 1, the median latency of calls at
- * endpoints of constant speed rises by 2 %; with 3, the momentary slowness is of
- * little use where speeds change. */
+ * alone may be long by its own work. */
 const MIN_MOMENT_WEIGHT = 2;
 /** Largest ratio, and the inverse of the smallest, so that one observation can't
  * ban an endpoint. */
--- a/src/performance/slowness_table.ts
+++ b/src/performance/slowness_table.ts
@@ -29,7 +29,7 @@
   readonly #rows = new Map<string, Row>();
   /** Observations of entry hosts that other control hosts have not been told
    * of. */
-  readonly #untold = new Map<string, slownesses.SlownessReport>();
+  readonly #unforwarded = new Map<string, slownesses.SlownessReport>();
 
   static create(): SlownessTable {
     return new SlownessTable();
@@ -44,7 +44,10 @@
     this.merge(reports, now);
     for (const report of reports) {
       const { endpoint } = report;
-      this.#untold.set(endpoint, sum(this.#untold.get(endpoint), report));
+      this.#unforwarded.set(
+        endpoint,
+        sum(this.#unforwarded.get(endpoint), report),
+      );
     }
   }
 
@@ -62,8 +65,8 @@
 
   /** Observations of entry hosts since the last call. */
   takeForwards(): slownesses.SlownessReport[] {
-    const reports = [...this.#untold.values()].slice(0, MAX_REPORTS);
-    reports.forEach(({ endpoint }) => this.#untold.delete(endpoint));
+    const reports = [...this.#unforwarded.values()].slice(0, MAX_REPORTS);
+    reports.forEach(({ endpoint }) => this.#unforwarded.delete(endpoint));
     return reports;
   }
 
