--- a/bench/decisions/wire.ts
+++ b/bench/decisions/wire.ts
@@ -11,7 +11,8 @@
   const once = (name: string, hear: () => void) => {
     if (name === "end") queueMicrotask(hear);
   };
-  const made = { ask, complete: true, on() {}, once };
+  const socket = new events.EventEmitter();
+  const made = { ask, complete: true, on() {}, once, socket };
   return made as unknown as http.IncomingMessage;
 }
 
