Account shares: a bucket holds three requests at least

Shares were not used up: each of 80 hosts gets less than one request a second of an account, and a bucket that holds one second of that refuses whoever comes by chance soon after another.

Change: a bucket holds three requests of mean cost at least; it still starts empty.

--- a/src/account_shares/share_bucket.ts
+++ b/src/account_shares/share_bucket.ts
@@ -5,6 +5,13 @@
 
 /** Seconds of its share that an idle account saves up. */
 const BURST_S = 1;
+/** Requests that it saves up at least. Of dozens of hosts, each gets a rate below
+ * one request per second; without room for several, requests that come by chance
+ * soon after another one are refused although their account stays within its
+ * share. */
+const BURST_COUNT = 3;
+/** Weight of a new value in the mean cost of requests. */
+const COST_WEIGHT = 0.1;
 /** Seconds of its share by which returning callers may go beyond it. What is
  * more than that would delay new requests of the account for longer than the
  * burst that an idle account has. */
@@ -20,6 +27,8 @@
 export class ShareBucket {
   readonly #tokens: tokenBuckets.TokenBucket;
   #rate: number;
+  /** Mean cost of the requests that were charged. */
+  #meanCost = 0;
   /** Allowance of returning callers at the time of the last change, in cost. */
   #allowance = 0;
   #changedAt: number;
@@ -69,6 +78,7 @@
 
   /** Charges a cost; a negative one is refunded. */
   charge(cost: number, now: number): void {
+    if (cost > 0) this.#observeCost(cost);
     this.#tokens.withdraw(cost, now);
   }
 
@@ -79,6 +89,12 @@
     return this.#rate > 0 ? 1000 * debt / this.#rate : Infinity;
   }
 
+  #observeCost(cost: number): void {
+    const weight = this.#meanCost === 0 ? 1 : COST_WEIGHT;
+    this.#meanCost += weight * (cost - this.#meanCost);
+    this.#tokens.setMinBurst(BURST_COUNT * this.#meanCost);
+  }
+
   #allowanceAt(now: number): number {
     const max = RETURNING_S * this.#rate;
     const grown = max * (now - this.#changedAt) / (1000 * RAMP_S);
--- a/src/account_shares/share_bucket_test.ts
+++ b/src/account_shares/share_bucket_test.ts
@@ -1,6 +1,7 @@
 /** @module */
 
 import test from "ava";
+import * as runtime from "../runtime/mod.ts";
 import * as shareBuckets from "./share_bucket.ts";
 
 const NEW = { isReturning: false };
@@ -104,3 +105,20 @@
   bucket.setRate(0, 0);
   t.is(bucket.wait(0), Infinity);
 });
+
+// Load: requests of one account that come at random to one of 80 hosts, 0.5 per
+// second against a share of 0.4. Guards against a share of which half is lost,
+// since each request is followed by seconds without room.
+test("a share of less than a request per second is used", (t) => {
+  const random = runtime.createMixedRandom(1);
+  const bucket = shareBuckets.ShareBucket.create(0.4, 0);
+  let admitted = 0;
+  let now = 0;
+  while (now < 1_000_000) {
+    now += -2000 * Math.log(1 - random.next());
+    if (!bucket.admits(now, NEW)) continue;
+    bucket.charge(1, now);
+    admitted++;
+  }
+  t.true(admitted > 0.8 * 400 && admitted <= 401, `${admitted}`);
+});
--- a/src/rate_limits/token_bucket.ts
+++ b/src/rate_limits/token_bucket.ts
@@ -18,7 +18,7 @@
  * taken over does not know what was granted before. Mutable. */
 export class TokenBucket {
   readonly #burst: number;
-  readonly #minBurst: number;
+  #minBurst: number;
   #rate: number;
   #tokens = 0;
   #updatedAt: number;
@@ -43,6 +43,11 @@
     return new TokenBucket(rate, now, options);
   }
 
+  /** Changes the least number of tokens that the bucket holds when full. */
+  setMinBurst(minBurst: number): void {
+    this.#minBurst = minBurst;
+  }
+
   setRate(rate: number, now: number): void {
     this.#refill(now);
     this.#rate = rate;
