@@ -2701,21 +2861,21 @@
 }
 }
 else {
-validate48.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema89.type,parentSchema:schema89,data}];
+validate52.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema92.type,parentSchema:schema92,data}];
 return false;
 }
 }
-validate48.errors = vErrors;
+validate52.errors = vErrors;
 return errors === 0;
 }
-validate48.evaluated = {"props":{"type":true,"endpoint":true,"rate":true},"dynamicProps":false,"dynamicItems":false};
+validate52.evaluated = {"props":{"type":true,"endpoint":true,"rate":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema91 = {"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}};
+const schema94 = {"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}};
 
-function validate49(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate49.evaluated;
+const evaluated0 = validate53.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2726,7 +2886,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.slots === undefined) && (missing0 = "slots"))) || ((data.inFlight === undefined) && (missing0 = "inFlight"))){
-validate49.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema91.required,parentSchema:schema91,data}];
+validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
 return false;
 }
 else {
@@ -2734,11 +2894,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate49.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema91.properties.type.type,parentSchema:schema91.properties.type,data:data0}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema94.properties.type.type,parentSchema:schema94.properties.type,data:data0}];
 return false;
 }
 if("slot" !== data0){
-validate49.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slot"},message:"must be equal to constant",schema:"slot",parentSchema:schema91.properties.type,data:data0}];
+validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slot"},message:"must be equal to constant",schema:"slot",parentSchema:schema94.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -2754,18 +2914,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 300){
-validate49.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
+validate53.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema52,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate49.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
+validate53.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data1}];
 return false;
 }
 }
 }
 else {
-validate49.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
+validate53.errors = [{instancePath:instancePath+"/endpoint",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data1}];
 return false;
 }
 }
@@ -2779,13 +2939,13 @@
 let data2 = data.slots;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate49.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema91.properties.slots.type,parentSchema:schema91.properties.slots,data:data2}];
+validate53.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema94.properties.slots.type,parentSchema:schema94.properties.slots,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 1 || isNaN(data2)){
-validate49.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema91.properties.slots,data:data2}];
+validate53.errors = [{instancePath:instancePath+"/slots",schemaPath:"#/properties/slots/minimum",keyword:"minimum",params:{comparison: ">=", limit: 1},message:"must be >= 1",schema:1,parentSchema:schema94.properties.slots,data:data2}];
 return false;
 }
 }
@@ -2800,13 +2960,13 @@
 let data3 = data.inFlight;
 const _errs8 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
-validate49.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema91.properties.inFlight.type,parentSchema:schema91.properties.inFlight,data:data3}];
+validate53.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema94.properties.inFlight.type,parentSchema:schema94.properties.inFlight,data:data3}];
 return false;
 }
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate49.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema91.properties.inFlight,data:data3}];
+validate53.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.inFlight,data:data3}];
 return false;
 }
 }
@@ -2822,23 +2982,23 @@
 }
 }
 else {
-validate49.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema91.type,parentSchema:schema91,data}];
+validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
 return false;
 }
 }
-validate49.errors = vErrors;
+validate53.errors = vErrors;
 return errors === 0;
 }
-validate49.evaluated = {"props":{"type":true,"endpoint":true,"slots":true,"inFlight":true},"dynamicProps":false,"dynamicItems":false};
+validate53.evaluated = {"props":{"type":true,"endpoint":true,"slots":true,"inFlight":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema93 = {"title":"OriginsQuestion","description":"Asks a control host to store origins of streams.","type":"object","required":["type","origins"],"properties":{"type":{"type":"string","const":"origins"},"origins":{"type":"array","items":{"$ref":"#/$defs/StreamOrigin"}}}};
-const schema94 = {"title":"StreamOrigin","description":"The service and the software version at which a stream began.","type":"object","required":["stream","service","version","host","lifetime","age"],"properties":{"stream":{"$ref":"#/$defs/Stream"},"service":{"$ref":"#/$defs/Name"},"version":{"$ref":"#/$defs/Name"},"host":{"description":"Host that relayed its first event.","$ref":"#/$defs/Name"},"lifetime":{"description":"Milliseconds for which it is kept after its last use.","type":"number","minimum":0},"age":{"description":"Milliseconds since the first event.","type":"number","minimum":0}}};
-const schema95 = {"description":"Digest of the account, the route and the first attempt.","type":"string","minLength":1,"maxLength":64};
+const schema96 = {"title":"OriginsQuestion","description":"Asks a control host to store origins of streams.","type":"object","required":["type","origins"],"properties":{"type":{"type":"string","const":"origins"},"origins":{"type":"array","items":{"$ref":"#/$defs/StreamOrigin"}}}};
+const schema97 = {"title":"StreamOrigin","description":"The service and the software version at which a stream began.","type":"object","required":["stream","service","version","host","lifetime","age"],"properties":{"stream":{"$ref":"#/$defs/Stream"},"service":{"$ref":"#/$defs/Name"},"version":{"$ref":"#/$defs/Name"},"host":{"description":"Host that relayed its first event.","$ref":"#/$defs/Name"},"lifetime":{"description":"Milliseconds for which it is kept after its last use.","type":"number","minimum":0},"age":{"description":"Milliseconds since the first event.","type":"number","minimum":0}}};
+const schema98 = {"description":"Digest of the account, the route and the first attempt.","type":"string","minLength":1,"maxLength":64};
 
-function validate51(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate55(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate51.evaluated;
+const evaluated0 = validate55.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -2849,7 +3009,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((data.stream === undefined) && (missing0 = "stream")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.host === undefined) && (missing0 = "host"))) || ((data.lifetime === undefined) && (missing0 = "lifetime"))) || ((data.age === undefined) && (missing0 = "age"))){
-validate51.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema94.required,parentSchema:schema94,data}];
+validate55.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema97.required,parentSchema:schema97,data}];
 return false;
 }
 else {
@@ -2860,18 +3020,18 @@
 if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 64){
-validate51.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema95,data:data0}];
+validate55.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema98,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate51.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema95,data:data0}];
+validate55.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema98,data:data0}];
 return false;
 }
 }
 }
 else {
-validate51.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.type,parentSchema:schema95,data:data0}];
+validate55.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.type,parentSchema:schema98,data:data0}];
 return false;
 }
 }
@@ -2888,18 +3048,18 @@
 if(errors === _errs5){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate51.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate55.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate51.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate55.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate51.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate55.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -2916,18 +3076,18 @@
 if(errors === _errs8){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate51.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data2}];
+validate55.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate51.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data2}];
+validate55.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data2}];
 return false;
 }
 }
 }
 else {
-validate51.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data2}];
+validate55.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data2}];
 return false;
 }
 }
@@ -2944,18 +3104,18 @@
 if(errors === _errs11){
 if(typeof data3 === "string"){
 if(data3.length > 256){
-validate51.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
+validate55.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data3}];
 return false;
 }
 else {
 if(data3.length < 1){
-validate51.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
+validate55.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data3}];
 return false;
 }
 }
 }
 else {
-validate51.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
+validate55.errors = [{instancePath:instancePath+"/host",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data3}];
 return false;
 }
 }
@@ -2971,12 +3131,12 @@
 if(errors === _errs13){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate51.errors = [{instancePath:instancePath+"/lifetime",schemaPath:"#/properties/lifetime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.lifetime,data:data4}];
+validate55.errors = [{instancePath:instancePath+"/lifetime",schemaPath:"#/properties/lifetime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.lifetime,data:data4}];
 return false;
 }
 }
 else {
-validate51.errors = [{instancePath:instancePath+"/lifetime",schemaPath:"#/properties/lifetime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.lifetime.type,parentSchema:schema94.properties.lifetime,data:data4}];
+validate55.errors = [{instancePath:instancePath+"/lifetime",schemaPath:"#/properties/lifetime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.lifetime.type,parentSchema:schema97.properties.lifetime,data:data4}];
 return false;
 }
 }
@@ -2992,12 +3152,12 @@
 if(errors === _errs15){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate51.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema94.properties.age,data:data5}];
+validate55.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema97.properties.age,data:data5}];
 return false;
 }
 }
 else {
-validate51.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema94.properties.age.type,parentSchema:schema94.properties.age,data:data5}];
+validate55.errors = [{instancePath:instancePath+"/age",schemaPath:"#/properties/age/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema97.properties.age.type,parentSchema:schema97.properties.age,data:data5}];
 return false;
 }
 }
@@ -3014,20 +3174,20 @@
 }
 }
 else {
-validate51.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema94.type,parentSchema:schema94,data}];
+validate55.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema97.type,parentSchema:schema97,data}];
 return false;
 }
 }
-validate51.errors = vErrors;
+validate55.errors = vErrors;
 return errors === 0;
 }
-validate51.evaluated = {"props":{"stream":true,"service":true,"version":true,"host":true,"lifetime":true,"age":true},"dynamicProps":false,"dynamicItems":false};
+validate55.evaluated = {"props":{"stream":true,"service":true,"version":true,"host":true,"lifetime":true,"age":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate50(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate54(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate50.evaluated;
+const evaluated0 = validate54.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3038,7 +3198,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.origins === undefined) && (missing0 = "origins"))){
-validate50.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema93.required,parentSchema:schema93,data}];
+validate54.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema96.required,parentSchema:schema96,data}];
 return false;
 }
 else {
@@ -3046,11 +3206,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate50.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema93.properties.type.type,parentSchema:schema93.properties.type,data:data0}];
+validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema96.properties.type.type,parentSchema:schema96.properties.type,data:data0}];
 return false;
 }
 if("origins" !== data0){
-validate50.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origins"},message:"must be equal to constant",schema:"origins",parentSchema:schema93.properties.type,data:data0}];
+validate54.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origins"},message:"must be equal to constant",schema:"origins",parentSchema:schema96.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3068,8 +3228,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate51(data1[i0], {instancePath:instancePath+"/origins/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate51.errors : vErrors.concat(validate51.errors);
+if(!(validate55(data1[i0], {instancePath:instancePath+"/origins/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate55.errors : vErrors.concat(validate55.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -3079,7 +3239,7 @@
 }
 }
 else {
-validate50.errors = [{instancePath:instancePath+"/origins",schemaPath:"#/properties/origins/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema93.properties.origins.type,parentSchema:schema93.properties.origins,data:data1}];
+validate54.errors = [{instancePath:instancePath+"/origins",schemaPath:"#/properties/origins/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema96.properties.origins.type,parentSchema:schema96.properties.origins,data:data1}];
 return false;
 }
 }
@@ -3092,21 +3252,21 @@
 }
 }
 else {
-validate50.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema93.type,parentSchema:schema93,data}];
+validate54.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema96.type,parentSchema:schema96,data}];
 return false;
 }
 }
-validate50.errors = vErrors;
+validate54.errors = vErrors;
 return errors === 0;
 }
-validate50.evaluated = {"props":{"type":true,"origins":true},"dynamicProps":false,"dynamicItems":false};
+validate54.evaluated = {"props":{"type":true,"origins":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema99 = {"title":"OriginQuestion","description":"Asks a control host for the origin of a stream.","type":"object","required":["type","stream"],"properties":{"type":{"type":"string","const":"origin"},"stream":{"$ref":"#/$defs/Stream"}}};
+const schema102 = {"title":"OriginQuestion","description":"Asks a control host for the origin of a stream.","type":"object","required":["type","stream"],"properties":{"type":{"type":"string","const":"origin"},"stream":{"$ref":"#/$defs/Stream"}}};
 
-function validate53(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate57(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate53.evaluated;
+const evaluated0 = validate57.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3117,7 +3277,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.stream === undefined) && (missing0 = "stream"))){
-validate53.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema99.required,parentSchema:schema99,data}];
+validate57.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema102.required,parentSchema:schema102,data}];
 return false;
 }
 else {
@@ -3125,11 +3285,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema99.properties.type.type,parentSchema:schema99.properties.type,data:data0}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema102.properties.type.type,parentSchema:schema102.properties.type,data:data0}];
 return false;
 }
 if("origin" !== data0){
-validate53.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origin"},message:"must be equal to constant",schema:"origin",parentSchema:schema99.properties.type,data:data0}];
+validate57.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origin"},message:"must be equal to constant",schema:"origin",parentSchema:schema102.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3145,18 +3305,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 64){
-validate53.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema95,data:data1}];
+validate57.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema98,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate53.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema95,data:data1}];
+validate57.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema98,data:data1}];
 return false;
 }
 }
 }
 else {
-validate53.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema95.type,parentSchema:schema95,data:data1}];
+validate57.errors = [{instancePath:instancePath+"/stream",schemaPath:"#/$defs/Stream/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema98.type,parentSchema:schema98,data:data1}];
 return false;
 }
 }
@@ -3169,20 +3329,22 @@
 }
 }
 else {
-validate53.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema99.type,parentSchema:schema99,data}];
+validate57.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema102.type,parentSchema:schema102,data}];
 return false;
 }
 }
-validate53.errors = vErrors;
+validate57.errors = vErrors;
 return errors === 0;
 }
-validate53.evaluated = {"props":{"type":true,"stream":true},"dynamicProps":false,"dynamicItems":false};
+validate57.evaluated = {"props":{"type":true,"stream":true},"dynamicProps":false,"dynamicItems":false};
 
+const schema104 = {"title":"SharesQuestion","description":"Reports what client accounts asked of a service and asks for their shares.\nCosts are sums over `span`.\n","type":"object","required":["type","service","span","admitted","denied","accounts"],"properties":{"type":{"type":"string","const":"shares"},"service":{"$ref":"#/$defs/Name"},"span":{"description":"Milliseconds that the sums cover.","type":"number","exclusiveMinimum":0},"admitted":{"description":"Cost of requests that no share refused.","type":"number","minimum":0},"denied":{"description":"Cost of those that ended late or for lack of capacity.","type":"number","minimum":0},"accounts":{"type":"array","items":{"$ref":"#/$defs/AccountUse"}}}};
+const schema106 = {"title":"AccountUse","type":"object","required":["account","rank","offered","served"],"properties":{"account":{"description":"Empty for requests without an account.","type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"offered":{"type":"number","minimum":0},"served":{"type":"number","minimum":0}}};
 
-function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate59(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate22.evaluated;
+const evaluated0 = validate59.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3192,39 +3354,330 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if((data.type === undefined) && (missing0 = "type")){
-validate22.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema34.required,parentSchema:schema34,data}];
+if(((((data.account === undefined) && (missing0 = "account")) || ((data.rank === undefined) && (missing0 = "rank"))) || ((data.offered === undefined) && (missing0 = "offered"))) || ((data.served === undefined) && (missing0 = "served"))){
+validate59.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
 return false;
 }
 else {
-const tag0 = data.type;
-if(typeof tag0 == "string"){
-if(tag0 === "confirm"){
-if(!(validate23(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate23.errors : vErrors.concat(validate23.errors);
-errors = vErrors.length;
-}
-var props0 = {};
-props0.type = true;
-props0.version = true;
+if(data.account !== undefined){
+let data0 = data.account;
+const _errs1 = errors;
+if(errors === _errs1){
+if(typeof data0 === "string"){
+if(data0.length > 256){
+validate59.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema106.properties.account,data:data0}];
+return false;
 }
-else if(tag0 === "replace"){
-if(!(validate24(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate24.errors : vErrors.concat(validate24.errors);
-errors = vErrors.length;
 }
-if(props0 !== true){
-props0 = props0 || {};
-props0.type = true;
-props0.version = true;
-props0.document = true;
-props0.digest = true;
+else {
+validate59.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.account.type,parentSchema:schema106.properties.account,data:data0}];
+return false;
 }
 }
-else if(tag0 === "evacuate"){
-if(!(validate25(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate25.errors : vErrors.concat(validate25.errors);
-errors = vErrors.length;
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.rank !== undefined){
+let data1 = data.rank;
+const _errs3 = errors;
+const _errs4 = errors;
+if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
+validate59.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+return false;
+}
+if(errors === _errs4){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 < 0 || isNaN(data1)){
+validate59.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+return false;
+}
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.offered !== undefined){
+let data2 = data.offered;
+const _errs6 = errors;
+if(errors === _errs6){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 < 0 || isNaN(data2)){
+validate59.errors = [{instancePath:instancePath+"/offered",schemaPath:"#/properties/offered/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.offered,data:data2}];
+return false;
+}
+}
+else {
+validate59.errors = [{instancePath:instancePath+"/offered",schemaPath:"#/properties/offered/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.offered.type,parentSchema:schema106.properties.offered,data:data2}];
+return false;
+}
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.served !== undefined){
+let data3 = data.served;
+const _errs8 = errors;
+if(errors === _errs8){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate59.errors = [{instancePath:instancePath+"/served",schemaPath:"#/properties/served/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.served,data:data3}];
+return false;
+}
+}
+else {
+validate59.errors = [{instancePath:instancePath+"/served",schemaPath:"#/properties/served/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.served.type,parentSchema:schema106.properties.served,data:data3}];
+return false;
+}
+}
+var valid0 = _errs8 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+else {
+validate59.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
+return false;
+}
+}
+validate59.errors = vErrors;
+return errors === 0;
+}
+validate59.evaluated = {"props":{"account":true,"rank":true,"offered":true,"served":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate58(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate58.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if(((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.span === undefined) && (missing0 = "span"))) || ((data.admitted === undefined) && (missing0 = "admitted"))) || ((data.denied === undefined) && (missing0 = "denied"))) || ((data.accounts === undefined) && (missing0 = "accounts"))){
+validate58.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema104.required,parentSchema:schema104,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data0}];
+return false;
+}
+if("shares" !== data0){
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "shares"},message:"must be equal to constant",schema:"shares",parentSchema:schema104.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.service !== undefined){
+let data1 = data.service;
+const _errs3 = errors;
+const _errs4 = errors;
+if(errors === _errs4){
+if(typeof data1 === "string"){
+if(data1.length > 256){
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+return false;
+}
+}
+}
+else {
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.span !== undefined){
+let data2 = data.span;
+const _errs6 = errors;
+if(errors === _errs6){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 <= 0 || isNaN(data2)){
+validate58.errors = [{instancePath:instancePath+"/span",schemaPath:"#/properties/span/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema104.properties.span,data:data2}];
+return false;
+}
+}
+else {
+validate58.errors = [{instancePath:instancePath+"/span",schemaPath:"#/properties/span/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema104.properties.span.type,parentSchema:schema104.properties.span,data:data2}];
+return false;
+}
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.admitted !== undefined){
+let data3 = data.admitted;
+const _errs8 = errors;
+if(errors === _errs8){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate58.errors = [{instancePath:instancePath+"/admitted",schemaPath:"#/properties/admitted/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema104.properties.admitted,data:data3}];
+return false;
+}
+}
+else {
+validate58.errors = [{instancePath:instancePath+"/admitted",schemaPath:"#/properties/admitted/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema104.properties.admitted.type,parentSchema:schema104.properties.admitted,data:data3}];
+return false;
+}
+}
+var valid0 = _errs8 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.denied !== undefined){
+let data4 = data.denied;
+const _errs10 = errors;
+if(errors === _errs10){
+if((typeof data4 == "number") && (isFinite(data4))){
+if(data4 < 0 || isNaN(data4)){
+validate58.errors = [{instancePath:instancePath+"/denied",schemaPath:"#/properties/denied/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema104.properties.denied,data:data4}];
+return false;
+}
+}
+else {
+validate58.errors = [{instancePath:instancePath+"/denied",schemaPath:"#/properties/denied/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema104.properties.denied.type,parentSchema:schema104.properties.denied,data:data4}];
+return false;
+}
+}
+var valid0 = _errs10 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.accounts !== undefined){
+let data5 = data.accounts;
+const _errs12 = errors;
+if(errors === _errs12){
+if(Array.isArray(data5)){
+var valid2 = true;
+const len0 = data5.length;
+for(let i0=0; i0<len0; i0++){
+const _errs14 = errors;
+if(!(validate59(data5[i0], {instancePath:instancePath+"/accounts/" + i0,parentData:data5,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate59.errors : vErrors.concat(validate59.errors);
+errors = vErrors.length;
+}
+var valid2 = _errs14 === errors;
+if(!valid2){
+break;
+}
+}
+}
+else {
+validate58.errors = [{instancePath:instancePath+"/accounts",schemaPath:"#/properties/accounts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema104.properties.accounts.type,parentSchema:schema104.properties.accounts,data:data5}];
+return false;
+}
+}
+var valid0 = _errs12 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+}
+}
+else {
+validate58.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
+return false;
+}
+}
+validate58.errors = vErrors;
+return errors === 0;
+}
+validate58.evaluated = {"props":{"type":true,"service":true,"span":true,"admitted":true,"denied":true,"accounts":true},"dynamicProps":false,"dynamicItems":false};
+
+
+function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate22.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((data.type === undefined) && (missing0 = "type")){
+validate22.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema34.required,parentSchema:schema34,data}];
+return false;
+}
+else {
+const tag0 = data.type;
+if(typeof tag0 == "string"){
+if(tag0 === "confirm"){
+if(!(validate23(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate23.errors : vErrors.concat(validate23.errors);
+errors = vErrors.length;
+}
+var props0 = {};
+props0.type = true;
+props0.version = true;
+}
+else if(tag0 === "replace"){
+if(!(validate24(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate24.errors : vErrors.concat(validate24.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.version = true;
+props0.document = true;
+props0.digest = true;
+}
+}
+else if(tag0 === "evacuate"){
+if(!(validate25(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate25.errors : vErrors.concat(validate25.errors);
+errors = vErrors.length;
 }
 if(props0 !== true){
 props0 = props0 || {};
@@ -3250,11 +3703,12 @@
 props0.host = true;
 props0.suspectRevision = true;
 props0.evacuationOrders = true;
+props0.slowness = true;
 }
 }
 else if(tag0 === "note"){
-if(!(validate29(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate29.errors : vErrors.concat(validate29.errors);
+if(!(validate33(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate33.errors : vErrors.concat(validate33.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3264,8 +3718,8 @@
 }
 }
 else if(tag0 === "make"){
-if(!(validate32(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate32.errors : vErrors.concat(validate32.errors);
+if(!(validate36(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate36.errors : vErrors.concat(validate36.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3287,8 +3741,8 @@
 }
 }
 else if(tag0 === "book"){
-if(!(validate33(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate33.errors : vErrors.concat(validate33.errors);
+if(!(validate37(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate37.errors : vErrors.concat(validate37.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3304,8 +3758,8 @@
 }
 }
 else if(tag0 === "place"){
-if(!(validate34(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate34.errors : vErrors.concat(validate34.errors);
+if(!(validate38(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate38.errors : vErrors.concat(validate38.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3321,8 +3775,8 @@
 }
 }
 else if(tag0 === "suspects"){
-if(!(validate39(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate39.errors : vErrors.concat(validate39.errors);
+if(!(validate43(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate43.errors : vErrors.concat(validate43.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3332,8 +3786,8 @@
 }
 }
 else if(tag0 === "lease"){
-if(!(validate44(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
+if(!(validate48(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate48.errors : vErrors.concat(validate48.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3345,8 +3799,8 @@
 }
 }
 else if(tag0 === "quota"){
-if(!(validate45(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate45.errors : vErrors.concat(validate45.errors);
+if(!(validate49(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate49.errors : vErrors.concat(validate49.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3356,8 +3810,8 @@
 }
 }
 else if(tag0 === "warmup"){
-if(!(validate48(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate48.errors : vErrors.concat(validate48.errors);
+if(!(validate52(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate52.errors : vErrors.concat(validate52.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3368,8 +3822,8 @@
 }
 }
 else if(tag0 === "slot"){
-if(!(validate49(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate49.errors : vErrors.concat(validate49.errors);
+if(!(validate53(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate53.errors : vErrors.concat(validate53.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3381,8 +3835,8 @@
 }
 }
 else if(tag0 === "origins"){
-if(!(validate50(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate50.errors : vErrors.concat(validate50.errors);
+if(!(validate54(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate54.errors : vErrors.concat(validate54.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3392,8 +3846,8 @@
 }
 }
 else if(tag0 === "origin"){
-if(!(validate53(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate53.errors : vErrors.concat(validate53.errors);
+if(!(validate57(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate57.errors : vErrors.concat(validate57.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -3402,6 +3856,21 @@
 props0.stream = true;
 }
 }
+else if(tag0 === "shares"){
+if(!(validate58(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate58.errors : vErrors.concat(validate58.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.service = true;
+props0.span = true;
+props0.admitted = true;
+props0.denied = true;
+props0.accounts = true;
+}
+}
 else {
 validate22.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema34.discriminator,parentSchema:schema34,data}];
 return false;
@@ -3507,21 +3976,21 @@
 }
 validate21.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema101 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema103 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"}]};
-const schema128 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema129 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema130 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}};
-const schema131 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
-const schema132 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
-const schema104 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
-const schema107 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
-const schema108 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
+const schema108 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema110 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"},{"$ref":"#/$defs/SharesReply"}]};
+const schema140 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema141 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema142 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"}}};
+const schema143 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
+const schema144 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
+const schema111 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
+const schema114 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
+const schema115 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
 
-function validate74(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate82(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate74.evaluated;
+const evaluated0 = validate82.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3532,7 +4001,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.dataCentre === undefined) && (missing0 = "dataCentre")) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.active === undefined) && (missing0 = "active"))) || ((data.orderedAt === undefined) && (missing0 = "orderedAt"))){
-validate74.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema108.required,parentSchema:schema108,data}];
+validate82.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema115.required,parentSchema:schema115,data}];
 return false;
 }
 else {
@@ -3543,18 +4012,18 @@
 if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 256){
-validate74.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate74.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
 return false;
 }
 }
 }
 else {
-validate74.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
 return false;
 }
 }
@@ -3569,13 +4038,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate74.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate74.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3590,7 +4059,7 @@
 let data2 = data.active;
 const _errs7 = errors;
 if(typeof data2 !== "boolean"){
-validate74.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema108.properties.active.type,parentSchema:schema108.properties.active,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema115.properties.active.type,parentSchema:schema115.properties.active,data:data2}];
 return false;
 }
 var valid0 = _errs7 === errors;
@@ -3603,7 +4072,7 @@
 let data3 = data.orderedAt;
 const _errs9 = errors;
 if(!((typeof data3 == "number") && (isFinite(data3)))){
-validate74.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema108.properties.orderedAt.type,parentSchema:schema108.properties.orderedAt,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema115.properties.orderedAt.type,parentSchema:schema115.properties.orderedAt,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -3617,20 +4086,20 @@
 }
 }
 else {
-validate74.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema108.type,parentSchema:schema108,data}];
+validate82.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema115.type,parentSchema:schema115,data}];
 return false;
 }
 }
-validate74.errors = vErrors;
+validate82.errors = vErrors;
 return errors === 0;
 }
-validate74.evaluated = {"props":{"dataCentre":true,"revision":true,"active":true,"orderedAt":true},"dynamicProps":false,"dynamicItems":false};
+validate82.evaluated = {"props":{"dataCentre":true,"revision":true,"active":true,"orderedAt":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate73(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate81(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate73.evaluated;
+const evaluated0 = validate81.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3643,8 +4112,8 @@
 const len0 = data.length;
 for(let i0=0; i0<len0; i0++){
 const _errs1 = errors;
-if(!(validate74(data[i0], {instancePath:instancePath+"/" + i0,parentData:data,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate74.errors : vErrors.concat(validate74.errors);
+if(!(validate82(data[i0], {instancePath:instancePath+"/" + i0,parentData:data,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate82.errors : vErrors.concat(validate82.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs1 === errors;
@@ -3654,20 +4123,20 @@
 }
 }
 else {
-validate73.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema107.type,parentSchema:schema107,data}];
+validate81.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema114.type,parentSchema:schema114,data}];
 return false;
 }
 }
-validate73.errors = vErrors;
+validate81.errors = vErrors;
 return errors === 0;
 }
-validate73.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
+validate81.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate72(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate80(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate72.evaluated;
+const evaluated0 = validate80.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3678,7 +4147,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate72.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema104.required,parentSchema:schema104,data}];
+validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema111.required,parentSchema:schema111,data}];
 return false;
 }
 else {
@@ -3686,11 +4155,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data0}];
+validate80.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.type.type,parentSchema:schema111.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate72.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema104.properties.type,data:data0}];
+validate80.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema111.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3704,13 +4173,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate72.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate80.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate72.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate80.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3726,13 +4195,13 @@
 const _errs6 = errors;
 const _errs7 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate72.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate80.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs7){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate72.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate80.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3747,7 +4216,7 @@
 let data3 = data.document;
 const _errs9 = errors;
 if(typeof data3 !== "string"){
-validate72.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.document.type,parentSchema:schema104.properties.document,data:data3}];
+validate80.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.document.type,parentSchema:schema111.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -3760,7 +4229,7 @@
 let data4 = data.digest;
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate72.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.digest.type,parentSchema:schema104.properties.digest,data:data4}];
+validate80.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.digest.type,parentSchema:schema111.properties.digest,data:data4}];
 return false;
 }
 var valid0 = _errs11 === errors;
@@ -3771,8 +4240,8 @@
 if(valid0){
 if(data.evacuations !== undefined){
 const _errs13 = errors;
-if(!(validate73(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate73.errors : vErrors.concat(validate73.errors);
+if(!(validate81(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate81.errors : vErrors.concat(validate81.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs13 === errors;
@@ -3788,21 +4257,21 @@
 }
 }
 else {
-validate72.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
+validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema111.type,parentSchema:schema111,data}];
 return false;
 }
 }
-validate72.errors = vErrors;
+validate80.errors = vErrors;
 return errors === 0;
 }
-validate72.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
+validate80.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema111 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema118 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
-function validate77(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate85(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate77.evaluated;
+const evaluated0 = validate85.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3813,7 +4282,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate77.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema111.required,parentSchema:schema111,data}];
+validate85.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema118.required,parentSchema:schema118,data}];
 return false;
 }
 else {
@@ -3821,11 +4290,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.type.type,parentSchema:schema111.properties.type,data:data0}];
+validate85.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.type.type,parentSchema:schema118.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate77.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema111.properties.type,data:data0}];
+validate85.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema118.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3838,7 +4307,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate77.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema111.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema111.properties.verdict.enum,parentSchema:schema111.properties.verdict,data:data1}];
+validate85.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema118.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema118.properties.verdict.enum,parentSchema:schema118.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3852,13 +4321,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate77.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate85.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate77.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate85.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3873,21 +4342,21 @@
 }
 }
 else {
-validate77.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema111.type,parentSchema:schema111,data}];
+validate85.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
 return false;
 }
 }
-validate77.errors = vErrors;
+validate85.errors = vErrors;
 return errors === 0;
 }
-validate77.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
+validate85.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema113 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
+const schema120 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
 
-function validate78(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate86(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate78.evaluated;
+const evaluated0 = validate86.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3898,7 +4367,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.revision === undefined) && (missing0 = "revision"))){
-validate78.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema113.required,parentSchema:schema113,data}];
+validate86.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
 return false;
 }
 else {
@@ -3906,11 +4375,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate78.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema113.properties.type.type,parentSchema:schema113.properties.type,data:data0}];
+validate86.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data0}];
 return false;
 }
 if("evacuated" !== data0){
-validate78.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema113.properties.type,data:data0}];
+validate86.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema120.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3923,7 +4392,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!(((data1 === "accepted") || (data1 === "known")) || (data1 === "outdated"))){
-validate78.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema113.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema113.properties.verdict.enum,parentSchema:schema113.properties.verdict,data:data1}];
+validate86.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema120.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema120.properties.verdict.enum,parentSchema:schema120.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -3937,13 +4406,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate78.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate86.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate78.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate86.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -3958,21 +4427,75 @@
 }
 }
 else {
-validate78.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema113.type,parentSchema:schema113,data}];
+validate86.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
 return false;
 }
 }
-validate78.errors = vErrors;
+validate86.errors = vErrors;
 return errors === 0;
 }
-validate78.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
+validate86.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema115 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema122 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Recently changed estimates of all hosts together; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}};
+const schema127 = {"description":"Services under contention; absent without any.","type":"array","items":{"$ref":"#/$defs/Name"}};
 
-function validate79(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate94(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate79.evaluated;
+const evaluated0 = validate94.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(Array.isArray(data)){
+var valid0 = true;
+const len0 = data.length;
+for(let i0=0; i0<len0; i0++){
+let data0 = data[i0];
+const _errs1 = errors;
+const _errs2 = errors;
+if(errors === _errs2){
+if(typeof data0 === "string"){
+if(data0.length > 256){
+validate94.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
+return false;
+}
+else {
+if(data0.length < 1){
+validate94.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
+return false;
+}
+}
+}
+else {
+validate94.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
+return false;
+}
+}
+var valid0 = _errs1 === errors;
+if(!valid0){
+break;
+}
+}
+}
+else {
+validate94.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.type,parentSchema:schema127,data}];
+return false;
+}
+}
+validate94.errors = vErrors;
+return errors === 0;
+}
+validate94.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
+
+
+function validate87(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate87.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3983,7 +4506,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate79.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema115.required,parentSchema:schema115,data}];
+validate87.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema122.required,parentSchema:schema122,data}];
 return false;
 }
 else {
@@ -3991,11 +4514,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema115.properties.type.type,parentSchema:schema115.properties.type,data:data0}];
+validate87.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema115.properties.type,data:data0}];
+validate87.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema122.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4008,7 +4531,7 @@
 let data1 = data.confirmed;
 const _errs3 = errors;
 if(typeof data1 !== "boolean"){
-validate79.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema115.properties.confirmed.type,parentSchema:schema115.properties.confirmed,data:data1}];
+validate87.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema122.properties.confirmed.type,parentSchema:schema122.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -4022,13 +4545,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate79.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate87.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate79.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate87.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -4043,7 +4566,7 @@
 let data3 = data.document;
 const _errs8 = errors;
 if(typeof data3 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema115.properties.document.type,parentSchema:schema115.properties.document,data:data3}];
+validate87.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.document.type,parentSchema:schema122.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs8 === errors;
@@ -4056,7 +4579,7 @@
 let data4 = data.epoch;
 const _errs10 = errors;
 if(typeof data4 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema115.properties.epoch.type,parentSchema:schema115.properties.epoch,data:data4}];
+validate87.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.epoch.type,parentSchema:schema122.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs10 === errors;
@@ -4070,13 +4593,13 @@
 const _errs12 = errors;
 const _errs13 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
-validate79.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+validate87.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate79.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
+validate87.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
 return false;
 }
 }
@@ -4096,8 +4619,8 @@
 const len0 = data6.length;
 for(let i0=0; i0<len0; i0++){
 const _errs17 = errors;
-if(!(validate30(data6[i0], {instancePath:instancePath+"/sightings/" + i0,parentData:data6,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate30.errors : vErrors.concat(validate30.errors);
+if(!(validate34(data6[i0], {instancePath:instancePath+"/sightings/" + i0,parentData:data6,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate34.errors : vErrors.concat(validate34.errors);
 errors = vErrors.length;
 }
 var valid3 = _errs17 === errors;
@@ -4107,7 +4630,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema115.properties.sightings.type,parentSchema:schema115.properties.sightings,data:data6}];
+validate87.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.sightings.type,parentSchema:schema122.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -4121,7 +4644,7 @@
 let data8 = data.mark;
 const _errs18 = errors;
 if(typeof data8 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema115.properties.mark.type,parentSchema:schema115.properties.mark,data:data8}];
+validate87.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.mark.type,parentSchema:schema122.properties.mark,data:data8}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -4150,7 +4673,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema115.properties.hosts.type,parentSchema:schema115.properties.hosts,data:data9}];
+validate87.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.hosts.type,parentSchema:schema122.properties.hosts,data:data9}];
 return false;
 }
 }
@@ -4174,18 +4697,18 @@
 if(errors === _errs26){
 if(typeof data12 === "string"){
 if(data12.length > 256){
-validate79.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data12}];
+validate87.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data12}];
 return false;
 }
 else {
 if(data12.length < 1){
-validate79.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data12}];
+validate87.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data12}];
 return false;
 }
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data12}];
+validate87.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data12}];
 return false;
 }
 }
@@ -4196,7 +4719,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema115.properties.cores.type,parentSchema:schema115.properties.cores,data:data11}];
+validate87.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.cores.type,parentSchema:schema122.properties.cores,data:data11}];
 return false;
 }
 }
@@ -4208,8 +4731,8 @@
 if(valid0){
 if(data.evacuations !== undefined){
 const _errs28 = errors;
-if(!(validate73(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate73.errors : vErrors.concat(validate73.errors);
+if(!(validate81(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate81.errors : vErrors.concat(validate81.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs28 === errors;
@@ -4223,13 +4746,13 @@
 const _errs29 = errors;
 const _errs30 = errors;
 if(!(((typeof data14 == "number") && (!(data14 % 1) && !isNaN(data14))) && (isFinite(data14)))){
-validate79.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data14}];
+validate87.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data14}];
 return false;
 }
 if(errors === _errs30){
 if((typeof data14 == "number") && (isFinite(data14))){
 if(data14 < 0 || isNaN(data14)){
-validate79.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data14}];
+validate87.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data14}];
 return false;
 }
 }
@@ -4249,8 +4772,8 @@
 const len3 = data15.length;
 for(let i3=0; i3<len3; i3++){
 const _errs34 = errors;
-if(!(validate40(data15[i3], {instancePath:instancePath+"/suspects/" + i3,parentData:data15,parentDataProperty:i3,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate40.errors : vErrors.concat(validate40.errors);
+if(!(validate44(data15[i3], {instancePath:instancePath+"/suspects/" + i3,parentData:data15,parentDataProperty:i3,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate44.errors : vErrors.concat(validate44.errors);
 errors = vErrors.length;
 }
 var valid8 = _errs34 === errors;
@@ -4260,7 +4783,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema115.properties.suspects.type,parentSchema:schema115.properties.suspects,data:data15}];
+validate87.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.suspects.type,parentSchema:schema122.properties.suspects,data:data15}];
 return false;
 }
 }
@@ -4279,8 +4802,8 @@
 const len4 = data17.length;
 for(let i4=0; i4<len4; i4++){
 const _errs37 = errors;
-if(!(validate46(data17[i4], {instancePath:instancePath+"/limits/" + i4,parentData:data17,parentDataProperty:i4,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate46.errors : vErrors.concat(validate46.errors);
+if(!(validate50(data17[i4], {instancePath:instancePath+"/limits/" + i4,parentData:data17,parentDataProperty:i4,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate50.errors : vErrors.concat(validate50.errors);
 errors = vErrors.length;
 }
 var valid9 = _errs37 === errors;
@@ -4290,7 +4813,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema115.properties.limits.type,parentSchema:schema115.properties.limits,data:data17}];
+validate87.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.limits.type,parentSchema:schema122.properties.limits,data:data17}];
 return false;
 }
 }
@@ -4299,6 +4822,32 @@
 else {
 var valid0 = true;
 }
+if(valid0){
+if(data.slowness !== undefined){
+const _errs38 = errors;
+if(!(validate29(data.slowness, {instancePath:instancePath+"/slowness",parentData:data,parentDataProperty:"slowness",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate29.errors : vErrors.concat(validate29.errors);
+errors = vErrors.length;
+}
+var valid0 = _errs38 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.contended !== undefined){
+const _errs39 = errors;
+if(!(validate94(data.contended, {instancePath:instancePath+"/contended",parentData:data,parentDataProperty:"contended",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate94.errors : vErrors.concat(validate94.errors);
+errors = vErrors.length;
+}
+var valid0 = _errs39 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
 }
 }
 }
@@ -4315,22 +4864,22 @@
 }
 }
 else {
-validate79.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema115.type,parentSchema:schema115,data}];
+validate87.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
 return false;
 }
 }
-validate79.errors = vErrors;
+validate87.errors = vErrors;
 return errors === 0;
 }
-validate79.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
+validate87.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true,"slowness":true,"contended":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema120 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema121 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema129 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema130 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
-function validate86(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate97(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate86.evaluated;
+const evaluated0 = validate97.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4341,7 +4890,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate86.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema121.required,parentSchema:schema121,data}];
+validate97.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema130.required,parentSchema:schema130,data}];
 return false;
 }
 else {
@@ -4350,13 +4899,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate86.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate97.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate86.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate97.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -4371,7 +4920,7 @@
 let data1 = data.handle;
 const _errs4 = errors;
 if(typeof data1 !== "string"){
-validate86.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema121.properties.handle.type,parentSchema:schema121.properties.handle,data:data1}];
+validate97.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema130.properties.handle.type,parentSchema:schema130.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -4384,7 +4933,7 @@
 let data2 = data.failure;
 const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate86.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema121.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema121.properties.failure.enum,parentSchema:schema121.properties.failure,data:data2}];
+validate97.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema130.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema130.properties.failure.enum,parentSchema:schema130.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -4397,20 +4946,20 @@
 }
 }
 else {
-validate86.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema121.type,parentSchema:schema121,data}];
+validate97.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema130.type,parentSchema:schema130,data}];
 return false;
 }
 }
-validate86.errors = vErrors;
+validate97.errors = vErrors;
 return errors === 0;
 }
-validate86.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
+validate97.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate85(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate96(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate85.evaluated;
+const evaluated0 = validate96.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4421,7 +4970,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate85.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
+validate96.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema129.required,parentSchema:schema129,data}];
 return false;
 }
 else {
@@ -4429,11 +4978,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate85.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data0}];
+validate96.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema129.properties.type.type,parentSchema:schema129.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate85.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema120.properties.type,data:data0}];
+validate96.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema129.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4451,8 +5000,8 @@
 const len0 = data1.length;
 for(let i0=0; i0<len0; i0++){
 const _errs5 = errors;
-if(!(validate86(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate86.errors : vErrors.concat(validate86.errors);
+if(!(validate97(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate97.errors : vErrors.concat(validate97.errors);
 errors = vErrors.length;
 }
 var valid1 = _errs5 === errors;
@@ -4462,7 +5011,7 @@
 }
 }
 else {
-validate85.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema120.properties.results.type,parentSchema:schema120.properties.results,data:data1}];
+validate96.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema129.properties.results.type,parentSchema:schema129.properties.results,data:data1}];
 return false;
 }
 }
@@ -4475,22 +5024,22 @@
 }
 }
 else {
-validate85.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
+validate96.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema129.type,parentSchema:schema129,data}];
 return false;
 }
 }
-validate85.errors = vErrors;
+validate96.errors = vErrors;
 return errors === 0;
 }
-validate85.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
+validate96.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema123 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"}}};
-const schema126 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
+const schema132 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}};
+const schema135 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
 
-function validate88(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate88.evaluated;
+const evaluated0 = validate99.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4501,7 +5050,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((data.type === undefined) && (missing0 = "type")) || ((data.engine === undefined) && (missing0 = "engine"))) || ((data.read === undefined) && (missing0 = "read"))) || ((data.fetched === undefined) && (missing0 = "fetched"))) || ((data.fetchTime === undefined) && (missing0 = "fetchTime"))) || ((data.firstEvent === undefined) && (missing0 = "firstEvent"))) || ((data.work === undefined) && (missing0 = "work"))){
-validate88.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema123.required,parentSchema:schema123,data}];
+validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema132.required,parentSchema:schema132,data}];
 return false;
 }
 else {
@@ -4509,11 +5058,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate88.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema123.properties.type.type,parentSchema:schema123.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema132.properties.type.type,parentSchema:schema132.properties.type,data:data0}];
 return false;
 }
 if("placed" !== data0){
-validate88.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema123.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema132.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4529,18 +5078,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 300){
-validate88.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema52,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate88.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data1}];
 return false;
 }
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data1}];
 return false;
 }
 }
@@ -4557,18 +5106,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 300){
-validate88.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema74,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate88.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema74,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema74.type,parentSchema:schema74,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -4584,12 +5133,12 @@
 if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate88.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema123.properties.read,data:data3}];
+validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.read,data:data3}];
 return false;
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema123.properties.read.type,parentSchema:schema123.properties.read,data:data3}];
+validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.read.type,parentSchema:schema132.properties.read,data:data3}];
 return false;
 }
 }
@@ -4605,12 +5154,12 @@
 if(errors === _errs11){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate88.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema123.properties.fetched,data:data4}];
+validate99.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.fetched,data:data4}];
 return false;
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema123.properties.fetched.type,parentSchema:schema123.properties.fetched,data:data4}];
+validate99.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.fetched.type,parentSchema:schema132.properties.fetched,data:data4}];
 return false;
 }
 }
@@ -4626,12 +5175,12 @@
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate88.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema123.properties.fetchTime,data:data5}];
+validate99.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.fetchTime,data:data5}];
 return false;
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema123.properties.fetchTime.type,parentSchema:schema123.properties.fetchTime,data:data5}];
+validate99.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.fetchTime.type,parentSchema:schema132.properties.fetchTime,data:data5}];
 return false;
 }
 }
@@ -4647,83 +5196,283 @@
 if(errors === _errs15){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
-validate88.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema123.properties.firstEvent,data:data6}];
+validate99.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.firstEvent,data:data6}];
 return false;
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema123.properties.firstEvent.type,parentSchema:schema123.properties.firstEvent,data:data6}];
+validate99.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.firstEvent.type,parentSchema:schema132.properties.firstEvent,data:data6}];
 return false;
 }
 }
 var valid0 = _errs15 === errors;
 }
-else {
-var valid0 = true;
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.work !== undefined){
+let data7 = data.work;
+const _errs17 = errors;
+const _errs18 = errors;
+if(errors === _errs18){
+if(data7 && typeof data7 == "object" && !Array.isArray(data7)){
+let missing1;
+if(((data7.tokens === undefined) && (missing1 = "tokens")) || ((data7.streams === undefined) && (missing1 = "streams"))){
+validate99.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema135.required,parentSchema:schema135,data:data7}];
+return false;
+}
+else {
+if(data7.tokens !== undefined){
+let data8 = data7.tokens;
+const _errs20 = errors;
+if(errors === _errs20){
+if((typeof data8 == "number") && (isFinite(data8))){
+if(data8 < 0 || isNaN(data8)){
+validate99.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.tokens,data:data8}];
+return false;
+}
+}
+else {
+validate99.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.tokens.type,parentSchema:schema135.properties.tokens,data:data8}];
+return false;
+}
+}
+var valid4 = _errs20 === errors;
+}
+else {
+var valid4 = true;
+}
+if(valid4){
+if(data7.streams !== undefined){
+let data9 = data7.streams;
+const _errs22 = errors;
+if(errors === _errs22){
+if((typeof data9 == "number") && (isFinite(data9))){
+if(data9 < 0 || isNaN(data9)){
+validate99.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.streams,data:data9}];
+return false;
+}
+}
+else {
+validate99.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.streams.type,parentSchema:schema135.properties.streams,data:data9}];
+return false;
+}
+}
+var valid4 = _errs22 === errors;
+}
+else {
+var valid4 = true;
+}
+}
+}
+}
+else {
+validate99.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema135.type,parentSchema:schema135,data:data7}];
+return false;
+}
+}
+var valid0 = _errs17 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.slowness !== undefined){
+let data10 = data.slowness;
+const _errs24 = errors;
+if(errors === _errs24){
+if((typeof data10 == "number") && (isFinite(data10))){
+if(data10 <= 0 || isNaN(data10)){
+validate99.errors = [{instancePath:instancePath+"/slowness",schemaPath:"#/properties/slowness/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema132.properties.slowness,data:data10}];
+return false;
+}
+}
+else {
+validate99.errors = [{instancePath:instancePath+"/slowness",schemaPath:"#/properties/slowness/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.slowness.type,parentSchema:schema132.properties.slowness,data:data10}];
+return false;
+}
+}
+var valid0 = _errs24 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+}
+}
+}
+}
+}
+}
+else {
+validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema132.type,parentSchema:schema132,data}];
+return false;
+}
+}
+validate99.errors = vErrors;
+return errors === 0;
+}
+validate99.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true,"slowness":true},"dynamicProps":false,"dynamicItems":false};
+
+const schema136 = {"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}};
+
+function validate100(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate100.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((data.type === undefined) && (missing0 = "type")){
+validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema136.required,parentSchema:schema136,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema136.properties.type.type,parentSchema:schema136.properties.type,data:data0}];
+return false;
+}
+if("origin" !== data0){
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origin"},message:"must be equal to constant",schema:"origin",parentSchema:schema136.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.origin !== undefined){
+const _errs3 = errors;
+if(!(validate55(data.origin, {instancePath:instancePath+"/origin",parentData:data,parentDataProperty:"origin",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate55.errors : vErrors.concat(validate55.errors);
+errors = vErrors.length;
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.conflicting !== undefined){
+let data2 = data.conflicting;
+const _errs4 = errors;
+if(typeof data2 !== "boolean"){
+validate100.errors = [{instancePath:instancePath+"/conflicting",schemaPath:"#/properties/conflicting/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema136.properties.conflicting.type,parentSchema:schema136.properties.conflicting,data:data2}];
+return false;
+}
+var valid0 = _errs4 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+else {
+validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema136.type,parentSchema:schema136,data}];
+return false;
+}
+}
+validate100.errors = vErrors;
+return errors === 0;
+}
+validate100.evaluated = {"props":{"type":true,"origin":true,"conflicting":true},"dynamicProps":false,"dynamicItems":false};
+
+const schema137 = {"title":"SharesReply","type":"object","required":["type","watched","limits"],"properties":{"type":{"type":"string","const":"shares"},"watched":{"description":"Whether the service is or recently was under contention.","type":"boolean"},"capacity":{"description":"Cost a second that the service is taken to serve.","type":"number","minimum":0},"limits":{"description":"Limits for the asker; accounts without one are not limited.","type":"array","items":{"$ref":"#/$defs/AccountLimit"}}}};
+const schema138 = {"title":"AccountLimit","type":"object","required":["account","rank","rate"],"properties":{"account":{"type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"rate":{"description":"Cost a second.","type":"number","minimum":0}}};
+
+function validate103(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate103.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
 }
-if(valid0){
-if(data.work !== undefined){
-let data7 = data.work;
-const _errs17 = errors;
-const _errs18 = errors;
-if(errors === _errs18){
-if(data7 && typeof data7 == "object" && !Array.isArray(data7)){
-let missing1;
-if(((data7.tokens === undefined) && (missing1 = "tokens")) || ((data7.streams === undefined) && (missing1 = "streams"))){
-validate88.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema126.required,parentSchema:schema126,data:data7}];
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((((data.account === undefined) && (missing0 = "account")) || ((data.rank === undefined) && (missing0 = "rank"))) || ((data.rate === undefined) && (missing0 = "rate"))){
+validate103.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema138.required,parentSchema:schema138,data}];
 return false;
 }
 else {
-if(data7.tokens !== undefined){
-let data8 = data7.tokens;
-const _errs20 = errors;
-if(errors === _errs20){
-if((typeof data8 == "number") && (isFinite(data8))){
-if(data8 < 0 || isNaN(data8)){
-validate88.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema126.properties.tokens,data:data8}];
+if(data.account !== undefined){
+let data0 = data.account;
+const _errs1 = errors;
+if(errors === _errs1){
+if(typeof data0 === "string"){
+if(data0.length > 256){
+validate103.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema138.properties.account,data:data0}];
 return false;
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema126.properties.tokens.type,parentSchema:schema126.properties.tokens,data:data8}];
+validate103.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema138.properties.account.type,parentSchema:schema138.properties.account,data:data0}];
 return false;
 }
 }
-var valid4 = _errs20 === errors;
+var valid0 = _errs1 === errors;
 }
 else {
-var valid4 = true;
+var valid0 = true;
 }
-if(valid4){
-if(data7.streams !== undefined){
-let data9 = data7.streams;
-const _errs22 = errors;
-if(errors === _errs22){
-if((typeof data9 == "number") && (isFinite(data9))){
-if(data9 < 0 || isNaN(data9)){
-validate88.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema126.properties.streams,data:data9}];
+if(valid0){
+if(data.rank !== undefined){
+let data1 = data.rank;
+const _errs3 = errors;
+const _errs4 = errors;
+if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
+validate103.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
-}
-else {
-validate88.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema126.properties.streams.type,parentSchema:schema126.properties.streams,data:data9}];
+if(errors === _errs4){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 < 0 || isNaN(data1)){
+validate103.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
-var valid4 = _errs22 === errors;
 }
-else {
-var valid4 = true;
+var valid0 = _errs3 === errors;
 }
+else {
+var valid0 = true;
 }
+if(valid0){
+if(data.rate !== undefined){
+let data2 = data.rate;
+const _errs6 = errors;
+if(errors === _errs6){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 < 0 || isNaN(data2)){
+validate103.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema138.properties.rate,data:data2}];
+return false;
 }
 }
 else {
-validate88.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema126.type,parentSchema:schema126,data:data7}];
+validate103.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema138.properties.rate.type,parentSchema:schema138.properties.rate,data:data2}];
 return false;
 }
 }
-var valid0 = _errs17 === errors;
+var valid0 = _errs6 === errors;
 }
 else {
 var valid0 = true;
@@ -4732,27 +5481,21 @@
 }
 }
 }
-}
-}
-}
-}
-}
 else {
-validate88.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema123.type,parentSchema:schema123,data}];
+validate103.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema138.type,parentSchema:schema138,data}];
 return false;
 }
 }
-validate88.errors = vErrors;
+validate103.errors = vErrors;
 return errors === 0;
 }
-validate88.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true},"dynamicProps":false,"dynamicItems":false};
+validate103.evaluated = {"props":{"account":true,"rank":true,"rate":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema127 = {"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}};
 
-function validate89(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate102(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate89.evaluated;
+const evaluated0 = validate102.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4762,8 +5505,8 @@
 if(errors === 0){
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
-if((data.type === undefined) && (missing0 = "type")){
-validate89.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema127.required,parentSchema:schema127,data}];
+if((((data.type === undefined) && (missing0 = "type")) || ((data.watched === undefined) && (missing0 = "watched"))) || ((data.limits === undefined) && (missing0 = "limits"))){
+validate102.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema137.required,parentSchema:schema137,data}];
 return false;
 }
 else {
@@ -4771,11 +5514,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema127.properties.type.type,parentSchema:schema127.properties.type,data:data0}];
+validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema137.properties.type.type,parentSchema:schema137.properties.type,data:data0}];
 return false;
 }
-if("origin" !== data0){
-validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origin"},message:"must be equal to constant",schema:"origin",parentSchema:schema127.properties.type,data:data0}];
+if("shares" !== data0){
+validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "shares"},message:"must be equal to constant",schema:"shares",parentSchema:schema137.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4784,11 +5527,12 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.origin !== undefined){
+if(data.watched !== undefined){
+let data1 = data.watched;
 const _errs3 = errors;
-if(!(validate51(data.origin, {instancePath:instancePath+"/origin",parentData:data,parentDataProperty:"origin",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate51.errors : vErrors.concat(validate51.errors);
-errors = vErrors.length;
+if(typeof data1 !== "boolean"){
+validate102.errors = [{instancePath:instancePath+"/watched",schemaPath:"#/properties/watched/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema137.properties.watched.type,parentSchema:schema137.properties.watched,data:data1}];
+return false;
 }
 var valid0 = _errs3 === errors;
 }
@@ -4796,14 +5540,52 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.conflicting !== undefined){
-let data2 = data.conflicting;
-const _errs4 = errors;
-if(typeof data2 !== "boolean"){
-validate89.errors = [{instancePath:instancePath+"/conflicting",schemaPath:"#/properties/conflicting/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema127.properties.conflicting.type,parentSchema:schema127.properties.conflicting,data:data2}];
+if(data.capacity !== undefined){
+let data2 = data.capacity;
+const _errs5 = errors;
+if(errors === _errs5){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 < 0 || isNaN(data2)){
+validate102.errors = [{instancePath:instancePath+"/capacity",schemaPath:"#/properties/capacity/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema137.properties.capacity,data:data2}];
 return false;
 }
-var valid0 = _errs4 === errors;
+}
+else {
+validate102.errors = [{instancePath:instancePath+"/capacity",schemaPath:"#/properties/capacity/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema137.properties.capacity.type,parentSchema:schema137.properties.capacity,data:data2}];
+return false;
+}
+}
+var valid0 = _errs5 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.limits !== undefined){
+let data3 = data.limits;
+const _errs7 = errors;
+if(errors === _errs7){
+if(Array.isArray(data3)){
+var valid1 = true;
+const len0 = data3.length;
+for(let i0=0; i0<len0; i0++){
+const _errs9 = errors;
+if(!(validate103(data3[i0], {instancePath:instancePath+"/limits/" + i0,parentData:data3,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate103.errors : vErrors.concat(validate103.errors);
+errors = vErrors.length;
+}
+var valid1 = _errs9 === errors;
+if(!valid1){
+break;
+}
+}
+}
+else {
+validate102.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema137.properties.limits.type,parentSchema:schema137.properties.limits,data:data3}];
+return false;
+}
+}
+var valid0 = _errs7 === errors;
 }
 else {
 var valid0 = true;
@@ -4812,21 +5594,22 @@
 }
 }
 }
+}
 else {
-validate89.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema127.type,parentSchema:schema127,data}];
+validate102.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema137.type,parentSchema:schema137,data}];
 return false;
 }
 }
-validate89.errors = vErrors;
+validate102.errors = vErrors;
 return errors === 0;
 }
-validate89.evaluated = {"props":{"type":true,"origin":true,"conflicting":true},"dynamicProps":false,"dynamicItems":false};
+validate102.evaluated = {"props":{"type":true,"watched":true,"capacity":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate71(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate79(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate71.evaluated;
+const evaluated0 = validate79.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4837,7 +5620,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate71.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema103.required,parentSchema:schema103,data}];
+validate79.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema110.required,parentSchema:schema110,data}];
 return false;
 }
 else {
@@ -4849,7 +5632,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate71.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema128.required,parentSchema:schema128,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema140.required,parentSchema:schema140,data}];
 return false;
 }
 else {
@@ -4857,11 +5640,11 @@
 let data0 = data.type;
 const _errs5 = errors;
 if(typeof data0 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema128.properties.type.type,parentSchema:schema128.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema140.properties.type.type,parentSchema:schema140.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema128.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema140.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs5 === errors;
@@ -4874,7 +5657,7 @@
 let data1 = data.reason;
 const _errs7 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate71.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema128.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema128.properties.reason.enum,parentSchema:schema128.properties.reason,data:data1}];
+validate79.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema140.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema140.properties.reason.enum,parentSchema:schema140.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs7 === errors;
@@ -4887,7 +5670,7 @@
 let data2 = data.leader;
 const _errs8 = errors;
 if(typeof data2 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema128.properties.leader.type,parentSchema:schema128.properties.leader,data:data2}];
+validate79.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema140.properties.leader.type,parentSchema:schema140.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -4900,7 +5683,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema128.type,parentSchema:schema128,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema140.type,parentSchema:schema140,data}];
 return false;
 }
 }
@@ -4910,8 +5693,8 @@
 props0.leader = true;
 }
 else if(tag0 === "confirmed"){
-if(!(validate72(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate72.errors : vErrors.concat(validate72.errors);
+if(!(validate80(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate80.errors : vErrors.concat(validate80.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4925,8 +5708,8 @@
 }
 }
 else if(tag0 === "replaced"){
-if(!(validate77(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate77.errors : vErrors.concat(validate77.errors);
+if(!(validate85(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate85.errors : vErrors.concat(validate85.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4937,8 +5720,8 @@
 }
 }
 else if(tag0 === "evacuated"){
-if(!(validate78(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate78.errors : vErrors.concat(validate78.errors);
+if(!(validate86(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate86.errors : vErrors.concat(validate86.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4949,8 +5732,8 @@
 }
 }
 else if(tag0 === "synced"){
-if(!(validate79(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate79.errors : vErrors.concat(validate79.errors);
+if(!(validate87(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate87.errors : vErrors.concat(validate87.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -4969,6 +5752,8 @@
 props0.suspectRevision = true;
 props0.suspects = true;
 props0.limits = true;
+props0.slowness = true;
+props0.contended = true;
 }
 }
 else if(tag0 === "noted"){
@@ -4977,25 +5762,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate71.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema129.required,parentSchema:schema129,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema141.required,parentSchema:schema141,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema129.properties.type.type,parentSchema:schema129.properties.type,data:data3}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema141.properties.type.type,parentSchema:schema141.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema129.properties.type,data:data3}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema141.properties.type,data:data3}];
 return false;
 }
 }
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema129.type,parentSchema:schema129,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema141.type,parentSchema:schema141,data}];
 return false;
 }
 }
@@ -5005,8 +5790,8 @@
 }
 }
 else if(tag0 === "made"){
-if(!(validate85(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate85.errors : vErrors.concat(validate85.errors);
+if(!(validate96(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate96.errors : vErrors.concat(validate96.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -5021,7 +5806,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if((((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))) || ((data.work === undefined) && (missing3 = "work"))){
-validate71.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema130.required,parentSchema:schema130,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema142.required,parentSchema:schema142,data}];
 return false;
 }
 else {
@@ -5029,11 +5814,11 @@
 let data4 = data.type;
 const _errs23 = errors;
 if(typeof data4 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema130.properties.type.type,parentSchema:schema130.properties.type,data:data4}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema142.properties.type.type,parentSchema:schema142.properties.type,data:data4}];
 return false;
 }
 if("booked" !== data4){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema130.properties.type,data:data4}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema142.properties.type,data:data4}];
 return false;
 }
 var valid14 = _errs23 === errors;
@@ -5046,7 +5831,7 @@
 let data5 = data.wait;
 const _errs25 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema130.properties.wait.type,parentSchema:schema130.properties.wait,data:data5}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.wait.type,parentSchema:schema142.properties.wait,data:data5}];
 return false;
 }
 var valid14 = _errs25 === errors;
@@ -5059,7 +5844,7 @@
 let data6 = data.work;
 const _errs27 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate71.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema130.properties.work.type,parentSchema:schema130.properties.work,data:data6}];
+validate79.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.work.type,parentSchema:schema142.properties.work,data:data6}];
 return false;
 }
 var valid14 = _errs27 === errors;
@@ -5072,7 +5857,7 @@
 let data7 = data.workAge;
 const _errs29 = errors;
 if(!((typeof data7 == "number") && (isFinite(data7)))){
-validate71.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema130.properties.workAge.type,parentSchema:schema130.properties.workAge,data:data7}];
+validate79.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.workAge.type,parentSchema:schema142.properties.workAge,data:data7}];
 return false;
 }
 var valid14 = _errs29 === errors;
@@ -5085,7 +5870,7 @@
 let data8 = data.ahead;
 const _errs31 = errors;
 if(!((typeof data8 == "number") && (isFinite(data8)))){
-validate71.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema130.properties.ahead.type,parentSchema:schema130.properties.ahead,data:data8}];
+validate79.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.ahead.type,parentSchema:schema142.properties.ahead,data:data8}];
 return false;
 }
 var valid14 = _errs31 === errors;
@@ -5098,7 +5883,7 @@
 let data9 = data.rate;
 const _errs33 = errors;
 if(!((typeof data9 == "number") && (isFinite(data9)))){
-validate71.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema130.properties.rate.type,parentSchema:schema130.properties.rate,data:data9}];
+validate79.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.rate.type,parentSchema:schema142.properties.rate,data:data9}];
 return false;
 }
 var valid14 = _errs33 === errors;
@@ -5114,7 +5899,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema130.type,parentSchema:schema130,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema142.type,parentSchema:schema142,data}];
 return false;
 }
 }
@@ -5129,8 +5914,8 @@
 }
 }
 else if(tag0 === "placed"){
-if(!(validate88(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate88.errors : vErrors.concat(validate88.errors);
+if(!(validate99(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate99.errors : vErrors.concat(validate99.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -5143,6 +5928,7 @@
 props0.fetchTime = true;
 props0.firstEvent = true;
 props0.work = true;
+props0.slowness = true;
 }
 }
 else if(tag0 === "lease"){
@@ -5151,7 +5937,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing4;
 if((((data.type === undefined) && (missing4 = "type")) || ((data.granted === undefined) && (missing4 = "granted"))) || ((data.wait === undefined) && (missing4 = "wait"))){
-validate71.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema131.required,parentSchema:schema131,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema143.required,parentSchema:schema143,data}];
 return false;
 }
 else {
@@ -5159,11 +5945,11 @@
 let data10 = data.type;
 const _errs39 = errors;
 if(typeof data10 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema131.properties.type.type,parentSchema:schema131.properties.type,data:data10}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.type.type,parentSchema:schema143.properties.type,data:data10}];
 return false;
 }
 if("lease" !== data10){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema131.properties.type,data:data10}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema143.properties.type,data:data10}];
 return false;
 }
 var valid18 = _errs39 === errors;
@@ -5176,7 +5962,7 @@
 let data11 = data.granted;
 const _errs41 = errors;
 if(typeof data11 !== "boolean"){
-validate71.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema131.properties.granted.type,parentSchema:schema131.properties.granted,data:data11}];
+validate79.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema143.properties.granted.type,parentSchema:schema143.properties.granted,data:data11}];
 return false;
 }
 var valid18 = _errs41 === errors;
@@ -5189,7 +5975,7 @@
 let data12 = data.taken;
 const _errs43 = errors;
 if(typeof data12 !== "boolean"){
-validate71.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema131.properties.taken.type,parentSchema:schema131.properties.taken,data:data12}];
+validate79.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema143.properties.taken.type,parentSchema:schema143.properties.taken,data:data12}];
 return false;
 }
 var valid18 = _errs43 === errors;
@@ -5204,12 +5990,12 @@
 if(errors === _errs45){
 if((typeof data13 == "number") && (isFinite(data13))){
 if(data13 < 0 || isNaN(data13)){
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema131.properties.wait,data:data13}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema143.properties.wait,data:data13}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema131.properties.wait.type,parentSchema:schema131.properties.wait,data:data13}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema143.properties.wait.type,parentSchema:schema143.properties.wait,data:data13}];
 return false;
 }
 }
@@ -5224,7 +6010,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema131.type,parentSchema:schema131,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema143.type,parentSchema:schema143,data}];
 return false;
 }
 }
@@ -5242,7 +6028,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing5;
 if((((data.type === undefined) && (missing5 = "type")) || ((data.granted === undefined) && (missing5 = "granted"))) || ((data.wait === undefined) && (missing5 = "wait"))){
-validate71.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema132.required,parentSchema:schema132,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema144.required,parentSchema:schema144,data}];
 return false;
 }
 else {
@@ -5250,11 +6036,11 @@
 let data14 = data.type;
 const _errs50 = errors;
 if(typeof data14 !== "string"){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema132.properties.type.type,parentSchema:schema132.properties.type,data:data14}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.type.type,parentSchema:schema144.properties.type,data:data14}];
 return false;
 }
 if("quota" !== data14){
-validate71.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema132.properties.type,data:data14}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema144.properties.type,data:data14}];
 return false;
 }
 var valid21 = _errs50 === errors;
@@ -5267,7 +6053,7 @@
 let data15 = data.granted;
 const _errs52 = errors;
 if(typeof data15 !== "boolean"){
-validate71.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema132.properties.granted.type,parentSchema:schema132.properties.granted,data:data15}];
+validate79.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema144.properties.granted.type,parentSchema:schema144.properties.granted,data:data15}];
 return false;
 }
 var valid21 = _errs52 === errors;
@@ -5282,12 +6068,12 @@
 if(errors === _errs54){
 if((typeof data16 == "number") && (isFinite(data16))){
 if(data16 < 0 || isNaN(data16)){
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.wait,data:data16}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema144.properties.wait,data:data16}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.wait.type,parentSchema:schema132.properties.wait,data:data16}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema144.properties.wait.type,parentSchema:schema144.properties.wait,data:data16}];
 return false;
 }
 }
@@ -5301,7 +6087,7 @@
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema132.type,parentSchema:schema132,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema144.type,parentSchema:schema144,data}];
 return false;
 }
 }
@@ -5313,8 +6099,8 @@
 }
 }
 else if(tag0 === "origin"){
-if(!(validate89(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate89.errors : vErrors.concat(validate89.errors);
+if(!(validate100(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate100.errors : vErrors.concat(validate100.errors);
 errors = vErrors.length;
 }
 if(props0 !== true){
@@ -5324,33 +6110,46 @@
 props0.conflicting = true;
 }
 }
+else if(tag0 === "shares"){
+if(!(validate102(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate102.errors : vErrors.concat(validate102.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.watched = true;
+props0.capacity = true;
+props0.limits = true;
+}
+}
 else {
-validate71.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema103.discriminator,parentSchema:schema103,data}];
+validate79.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema110.discriminator,parentSchema:schema110,data}];
 return false;
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema103.discriminator,parentSchema:schema103,data}];
+validate79.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema110.discriminator,parentSchema:schema110,data}];
 return false;
 }
 }
 }
 else {
-validate71.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema103.type,parentSchema:schema103,data}];
+validate79.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema110.type,parentSchema:schema110,data}];
 return false;
 }
 }
-validate71.errors = vErrors;
+validate79.errors = vErrors;
 evaluated0.props = props0;
 return errors === 0;
 }
-validate71.evaluated = {"dynamicProps":true,"dynamicItems":false};
+validate79.evaluated = {"dynamicProps":true,"dynamicItems":false};
 
 
-function validate70(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate78(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate70.evaluated;
+const evaluated0 = validate78.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5361,7 +6160,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.id === undefined) && (missing0 = "id"))) || ((data.body === undefined) && (missing0 = "body"))){
-validate70.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema101.required,parentSchema:schema101,data}];
+validate78.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema108.required,parentSchema:schema108,data}];
 return false;
 }
 else {
@@ -5369,11 +6168,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema101.properties.type.type,parentSchema:schema101.properties.type,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema108.properties.type.type,parentSchema:schema108.properties.type,data:data0}];
 return false;
 }
 if("answer" !== data0){
-validate70.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema101.properties.type,data:data0}];
+validate78.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "answer"},message:"must be equal to constant",schema:"answer",parentSchema:schema108.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5387,13 +6186,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate70.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate78.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate70.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate78.errors = [{instancePath:instancePath+"/id",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -5406,8 +6205,8 @@
 if(valid0){
 if(data.body !== undefined){
 const _errs6 = errors;
-if(!(validate71(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate71.errors : vErrors.concat(validate71.errors);
+if(!(validate79(data.body, {instancePath:instancePath+"/body",parentData:data,parentDataProperty:"body",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate79.errors : vErrors.concat(validate79.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs6 === errors;
@@ -5420,21 +6219,21 @@
 }
 }
 else {
-validate70.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema101.type,parentSchema:schema101,data}];
+validate78.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema108.type,parentSchema:schema108,data}];
 return false;
 }
 }
-validate70.errors = vErrors;
+validate78.errors = vErrors;
 return errors === 0;
 }
-validate70.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
+validate78.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema133 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema145 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
-function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate114(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate99.evaluated;
+const evaluated0 = validate114.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5445,7 +6244,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema133.required,parentSchema:schema133,data}];
+validate114.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema145.required,parentSchema:schema145,data}];
 return false;
 }
 else {
@@ -5453,11 +6252,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema133.properties.type.type,parentSchema:schema133.properties.type,data:data0}];
+validate114.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema145.properties.type.type,parentSchema:schema145.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema133.properties.type,data:data0}];
+validate114.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema145.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5478,13 +6277,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate99.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate114.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate99.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate114.errors = [{instancePath:instancePath+"/ids/" + i0,schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -5496,7 +6295,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema133.properties.ids.type,parentSchema:schema133.properties.ids,data:data1}];
+validate114.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema145.properties.ids.type,parentSchema:schema145.properties.ids,data:data1}];
 return false;
 }
 }
@@ -5509,25 +6308,25 @@
 }
 }
 else {
-validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema133.type,parentSchema:schema133,data}];
+validate114.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema145.type,parentSchema:schema145,data}];
 return false;
 }
 }
-validate99.errors = vErrors;
+validate114.errors = vErrors;
 return errors === 0;
 }
-validate99.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
+validate114.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema135 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema136 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
-const schema159 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}};
-const schema137 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
-const schema140 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema147 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema148 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
+const schema171 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}};
+const schema149 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Observations that entry hosts have reported to the sender since its\nlast hello to the receiver; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}};
+const schema152 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
-function validate104(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate119(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate104.evaluated;
+const evaluated0 = validate119.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5538,7 +6337,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.term === undefined) && (missing0 = "term")) || ((data.leader === undefined) && (missing0 = "leader"))) || ((data.voters === undefined) && (missing0 = "voters"))){
-validate104.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema140.required,parentSchema:schema140,data}];
+validate119.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema152.required,parentSchema:schema152,data}];
 return false;
 }
 else {
@@ -5547,13 +6346,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate104.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate119.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate104.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate119.errors = [{instancePath:instancePath+"/term",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -5571,18 +6370,18 @@
 if(errors === _errs5){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate104.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate119.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate104.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate119.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate104.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate119.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
