Batching: items that wait for their data centre count apart, too

Cause: in partitions that several data centres share, large results wait for an endpoint near their reader; calls pass them over as for want of memory, but forecasts of small results counted them.

Change: a scheduler records the smallest result that a call passed over, whatever the reason; the median of these sizes divides the queue, so that one exception does not.

--- a/src/batching/scheduler.ts
+++ b/src/batching/scheduler.ts
@@ -186,7 +186,7 @@
     const idle = this.#queued.length > 0 ? this.#idleWorkers(now) : [];
     if (idle.length > 0) this.#sort(now);
     for (const state of idle) {
-      const { selected, rejectedSize } = this.#selectTasks(state, now);
+      const { selected, passedOver } = this.#selectTasks(state, now);
       if (selected.length === 0 || this.#shouldDelay(state, selected, now)) {
         continue;
       }
@@ -195,7 +195,7 @@
       const duration = this.#expectedDuration(selected.length) * slowness;
       state.startCall(selected, now + duration);
       const sizes = selected.map(({ bytes }) => bytes);
-      this.#throughput.recordCall({ sizes, rejectedSize }, now);
+      this.#throughput.recordCall({ sizes, passedOver }, now);
       assignments.push({ worker: state.worker, tasks: selected });
     }
     this.#throughput.recordSaturation(
@@ -349,15 +349,15 @@
   }
 
   /** Selects the most urgent tasks that fit into one call and that may run at
-   * the endpoint. `rejectedSize` is the smallest result that its memory could
-   * not hold, if the call is not full. */
+   * the endpoint. `passedOver` is the task with the smallest result that was
+   * not selected, if the call is not full. */
   #selectTasks(
     state: workerStates.WorkerState,
     now: number,
-  ): { selected: tasks.Task[]; rejectedSize?: number } {
+  ): { selected: tasks.Task[]; passedOver?: throughputs.PassedOverItem } {
     const selected: tasks.Task[] = [];
     let freeBytes = state.freeBytes(this.#traits.room, now);
-    let rejectedSize: number | undefined;
+    let passedOver: throughputs.PassedOverItem | undefined;
     const policy = delayScheduling.DelayScheduling.of(state, {
       workers: this.#workers.values(),
       traits: this.#traits,
@@ -365,14 +365,16 @@
     });
     for (const task of this.#queued) {
       if (selected.length >= this.#traits.batch) return { selected };
-      if (task.bytes > freeBytes) {
-        rejectedSize = Math.min(rejectedSize ?? Infinity, task.bytes);
-      } else if (policy.accepts(task)) {
+      const { bytes: size } = task;
+      const fits = size <= freeBytes;
+      if (fits && policy.accepts(task)) {
         selected.push(task);
-        freeBytes -= task.bytes;
+        freeBytes -= size;
+      } else if (size < (passedOver?.size ?? Infinity)) {
+        passedOver = { size, reason: fits ? "placement" : "memory" };
       }
     }
-    return { selected, rejectedSize };
+    return { selected, passedOver };
   }
 
   /** Whether a small call is delayed until the endpoint has more free memory.
--- a/src/batching/throughput.ts
+++ b/src/batching/throughput.ts
@@ -1,8 +1,9 @@
 /** Measured throughput of a partition while its queue is never empty. It may be
- * less than the endpoints' calls allow, if their memory for results is full.
- * Items with small results then start as calls allow all the same, so the
- * throughput is measured apart for the items that memory limits and for the
- * rest.
+ * less than the endpoints' calls allow, if calls pass over queued items: their
+ * results do not fit into an endpoint's memory, or they wait for an endpoint in
+ * the data centre of their data. Items with small results then start as calls
+ * allow all the same, so the throughput is measured apart for items like those
+ * that are passed over and for the rest.
  * @module */
 
 /** Window over which throughput is measured: several calls. */
@@ -11,21 +12,30 @@
 const MIN_SPAN_MS = 400;
 /** Minimum of the measured throughput, as a fraction of the nominal one. */
 const MIN_RATIO = 0.3;
-/** Fraction of the calls that memory must have limited for it to count as the
- * scarce resource. */
-const MEMORY_LIMITED_RATIO = 0.5;
+/** Fraction of the calls that must have passed over items for these to count
+ * apart. */
+const MIN_PASSING_RATIO = 0.5;
+
+/** A queued item that a call did not take although it was not full: the
+ * endpoint had no memory for its result, or the item waits for an endpoint that
+ * suits it better. */
+export interface PassedOverItem {
+  /** Size of its result. */
+  readonly size: number;
+  readonly reason: "memory" | "placement";
+}
 
 /** A started call. */
 export interface StartedCall {
   /** Sizes of the results of its items. */
   readonly sizes: readonly number[];
-  /** Smallest result for which the endpoint had no memory left, if the call
-   * could have taken more items. */
-  readonly rejectedSize?: number;
+  /** The passed over item with the smallest result. */
+  readonly passedOver?: PassedOverItem;
 }
 
-/** The resource that items wait for. */
-export type ScarceResource = "calls" | "memory";
+/** What items wait for: a call with room for them, or what makes calls pass
+ * them over. */
+export type ScarceResource = "calls" | PassedOverItem["reason"];
 
 /** Items that start in turn, and how fast they do. */
 export interface Pace {
@@ -61,7 +71,7 @@
 
   /** Expected pace of the items that compete with one whose result has `size`;
    * with all items if its size is unknown. `nominal` is the number of items per
-   * millisecond that endpoints start if memory does not limit them. */
+   * millisecond that endpoints start in full calls. */
   pace(size: number | undefined, nominal: number, now: number): Pace {
     const from = Math.max(this.#saturatedSince, now - WINDOW_MS);
     const span = now - from;
@@ -70,30 +80,36 @@
     const calls = this.#calls.filter(({ at }) => at > from);
     const bounded = (rate: number) =>
       Math.min(nominal, Math.max(MIN_RATIO * nominal, rate));
-    const limit = memoryLimitOf(calls);
-    if (limit === undefined || size === undefined) {
+    const passedOver = typicalPassedOver(calls);
+    if (passedOver === undefined || size === undefined) {
       const rate = bounded(countItems(calls, includesAll) / span);
       return { rate, scarce: "calls", includes: includesAll };
     }
-    const isLimited = (each = Infinity) => each >= limit;
-    const limitedRate = countItems(calls, isLimited) / span;
-    return isLimited(size)
-      ? { rate: bounded(limitedRate), scarce: "memory", includes: isLimited }
+    const isLikeIt = (each = Infinity) => each >= passedOver.size;
+    const slowRate = countItems(calls, isLikeIt) / span;
+    return isLikeIt(size)
+      ? {
+        rate: bounded(slowRate),
+        scarce: passedOver.reason,
+        includes: isLikeIt,
+      }
       : {
-        rate: bounded(nominal - limitedRate),
+        rate: bounded(nominal - slowRate),
         scarce: "calls",
-        includes: (each) => !isLimited(each),
+        includes: (each) => !isLikeIt(each),
       };
   }
 }
 
-/** Size of results from which memory limits the items that start; undefined if
- * it does not limit most calls. */
-function memoryLimitOf(calls: readonly StartedCall[]): number | undefined {
-  const sizes = calls.flatMap(({ rejectedSize }) => rejectedSize ?? []);
-  return sizes.length > MEMORY_LIMITED_RATIO * calls.length
-    ? Math.min(...sizes)
-    : undefined;
+/** The passed over item of median size; undefined unless most calls passed over
+ * one. */
+function typicalPassedOver(
+  calls: readonly StartedCall[],
+): PassedOverItem | undefined {
+  const items = calls.flatMap(({ passedOver }) => passedOver ?? []);
+  if (items.length <= MIN_PASSING_RATIO * calls.length) return undefined;
+  items.sort((one, other) => one.size - other.size);
+  return items[Math.floor(items.length / 2)];
 }
 
 function countItems(
--- a/src/batching/throughput_test.ts
+++ b/src/batching/throughput_test.ts
@@ -16,7 +16,10 @@
 
 /** A call of two large and three small results at an endpoint without memory
  * for another large one. */
-const SHORT_OF_MEMORY = { sizes: [3000, 3000, 8, 8, 8], rejectedSize: 3000 };
+const SHORT_OF_MEMORY: throughputs.StartedCall = {
+  sizes: [3000, 3000, 8, 8, 8],
+  passedOver: { size: 3000, reason: "memory" },
+};
 
 test("the measured throughput applies while the queue is saturated", (t) => {
   const measured = saturatedWith({ sizes: [8] });
@@ -49,6 +52,28 @@
   t.true(pace.includes(8) && !pace.includes(3000));
 });
 
+// Guards against the same where large results wait for an endpoint in the data
+// centre in which they are needed.
+test("small results do not wait for the data centre that large ones wait for", (t) => {
+  const call: throughputs.StartedCall = {
+    sizes: [3000, 8],
+    passedOver: { size: 3000, reason: "placement" },
+  };
+  const measured = saturatedWith(call);
+  t.is(measured.pace(3000, 0.06, 1000).scarce, "placement");
+  t.false(measured.pace(8, 0.06, 1000).includes(3000));
+});
+
+test("a single small item that is passed over does not hold up the others", (t) => {
+  const exception: throughputs.StartedCall = {
+    ...SHORT_OF_MEMORY,
+    passedOver: { size: 8, reason: "placement" },
+  };
+  const usual = new Array(4).fill(SHORT_OF_MEMORY);
+  const pace = saturatedWith(exception, ...usual).pace(8, 0.06, 1000);
+  t.false(pace.includes(3000));
+});
+
 test("memory counts as scarce if it limits most calls", (t) => {
   const full = { sizes: [3000, 3000, 3000, 8, 8] };
   const pace = saturatedWith(SHORT_OF_MEMORY, full, full).pace(8, 0.06, 1000);
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -613,7 +613,7 @@
   /**
    * What the pieces wait for; absent where endpoints keep up.
    */
-  scarce?: "calls" | "memory";
+  scarce?: "calls" | "memory" | "placement";
 }
 export interface PlacedReply {
   type: "placed";
