Gateway: late requests start their stages once queues are short

What callers saw: kinds of all ranks are late or refused in a burst while endpoints of the middle stage make calls that are not full.

Cause: who returns too late is served behind all others, but its first stages run wherever there is a gap, and their results take the middle stage's memory until the last stage has time for them. Ranks order queues; memory follows none. What expires meanwhile is made again.

Change: a late request waits in its host until its stages would queue for no longer than they take, by forecasts whose next one follows when the queue is expected to be that short; it starts at the latest when twice that time is left. A renewed reservation counts as one arrival. The test that a retry is served late advances the clock for it.

--- a/src/batching/reservations.ts
+++ b/src/batching/reservations.ts
@@ -31,10 +31,14 @@
     return new Reservations();
   }
 
+  /** Adds a reservation, or renews the one of the same stage. */
   add(reservation: Reservation, now: number): void {
     const { request, count, bytes } = reservation;
     const leadTime = tasks.virtualDeadline(reservation) - now;
-    this.#reservations.set(tasks.stageKey(reservation), reservation);
+    const key = tasks.stageKey(reservation);
+    const isRenewed = this.#reservations.has(key);
+    this.#reservations.set(key, reservation);
+    if (isRenewed) return;
     const arrival = { request, count, bytes, leadTime, reservedAt: now };
     this.#arrivals.record(arrival);
   }
--- a/src/batching/reservations_test.ts
+++ b/src/batching/reservations_test.ts
@@ -62,3 +62,17 @@
   const pace = { rate: 0.1, includes };
   t.is(pending.estimateWait(500, { ...EMPTY_QUEUE, pace }), 100);
 });
+
+// Guards against a request that renews its reservation while it waits, and
+// counts as another arrival each time.
+test("a renewed reservation is one arrival", (t) => {
+  const pending = reservations.Reservations.create();
+  const reservation = { request: "r", stage: 0, count: 100, rank: 0 };
+  for (let renewal = 0; renewal < 3; renewal++) {
+    pending.add({ ...reservation, dueAt: 500 }, 0);
+  }
+  pending.remove(reservation);
+  const queue = { ...EMPTY_QUEUE, waiting: 10 };
+  // Four steps of the estimate, each with 100 items more a second of waiting.
+  t.is(pending.estimateWait(5000, queue), 500);
+});
--- a/src/gateway/pipeline_run.ts
+++ b/src/gateway/pipeline_run.ts
@@ -29,6 +29,19 @@
  * so long a forecast. */
 const LATE_TIME_RATIO = 0.7;
 
+/** Queueing of a late request's stages, as a multiple of the time that they take
+ * without, up to which they start. The results of its first stages would else
+ * take memory while it queues at a later one; ranks order queues, but do not
+ * free memory for requests that can be in time. */
+const MAX_LATE_QUEUEING_RATIO = 1;
+/** Multiple of that time, before its stages are due, in which a late request
+ * starts whatever the queues are. */
+const LATE_START_RATIO = 2;
+/** Bounds of the time from one forecast of a waiting late request to the next,
+ * in milliseconds: it is the time by which queues are too long. */
+const MIN_FORECAST_INTERVAL_MS = 250;
+const MAX_FORECAST_INTERVAL_MS = 1000;
+
 /** Other data centres that are asked for a request that would be late in its
  * own: the less loaded of two at random is rarely overloaded. */
 const MAX_ALTERNATIVES = 2;
@@ -70,6 +83,9 @@
   overflow?: string;
   /** Whether it was served although it could no longer meet its objective. */
   isLate?: boolean;
+  /** Milliseconds for which its stages waited for short queues, since it is
+   * late. */
+  heldMs?: number;
   tookMs?: number;
   /** Item requests with their durations. */
   rounds?: readonly stageExecutions.StageRequestRecord[];
@@ -88,6 +104,7 @@
    * it. */
   readonly #lateDueAt: number;
   #isLate = false;
+  #isClosed = false;
   #isReleased = false;
   /** Record for the log line of the request. */
   readonly record: PipelineRunRecord = {};
@@ -163,6 +180,7 @@
       refusal = this.#refuseLate(forecast);
     }
     if (refusal !== undefined) return refusal;
+    if (this.#isLate) await this.#waitForShortQueues(forecast);
     const result = await this.#execute();
     if (result.type === "made" && !this.#isLate) {
       const { calibration } = this.#context;
@@ -196,6 +214,7 @@
 
   /** Releases the results and cancels what is unfinished. */
   close(): void {
+    this.#isClosed = true;
     this.#execution.close();
   }
 
@@ -207,6 +226,30 @@
     return priorWait > 0 && left < this.#execution.uncontended;
   }
 
+  /** Waits until the stages of a late request would hardly queue, or until it
+   * must start to be answered at all. */
+  async #waitForShortQueues(
+    { finish, uncontended }: stageExecutions.PipelineForecast,
+  ): Promise<void> {
+    const { clock } = this.#context;
+    const from = clock.now();
+    const latestStart = this.#lateDueAt - LATE_START_RATIO * uncontended;
+    const excessOf = (expected: number) =>
+      expected - (1 + MAX_LATE_QUEUEING_RATIO) * uncontended;
+    let excess = excessOf(finish);
+    while (excess > 0 && clock.now() < latestStart && !this.#isClosed) {
+      const pause = Math.min(
+        Math.max(MIN_FORECAST_INTERVAL_MS, excess),
+        MAX_FORECAST_INTERVAL_MS,
+        latestStart - clock.now(),
+      );
+      await new Promise<void>((resolve) => void clock.after(pause, resolve));
+      this.record.heldMs = Math.round(clock.now() - from);
+      if (this.#isClosed) return;
+      excess = excessOf((await this.#execution.reserve()).finish);
+    }
+  }
+
   /** Tries other data centres for the stages that may be computed there;
    * resolves with a forecast that meets the objective, and undoes the
    * reservations if there is none. */
--- a/src/gateway/pipeline_run_test.ts
+++ b/src/gateway/pipeline_run_test.ts
@@ -58,8 +58,9 @@
       calls.push(`cancel ${cell}`);
     },
   };
+  const clock = new runtime.FakeClock();
   const context = {
-    clock: new runtime.FakeClock(),
+    clock,
     random: { next: () => 0, below: () => 0 },
     metrics: telemetry.noMetrics,
     pool: endpointPools.EndpointPool.create(),
@@ -90,7 +91,15 @@
     priorWait,
     deadline: 15_000,
   });
-  return { run, calls, slacks, ranks };
+  return { run, calls, slacks, ranks, clock };
+}
+
+/** Lets `ms` milliseconds pass, and what waits for them run. */
+async function pass(clock: runtime.FakeClock, ms: number) {
+  for (const end = clock.now() + ms; clock.now() < end;) {
+    clock.advance(50);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
 }
 
 test("items are executed where they are needed if they are in time there", async (t) => {
@@ -131,10 +140,51 @@
   const first = await createRun({ town: 1500 });
   t.is((await first.run.run()).type, "refused");
   const back = await createRun({ town: 1500 }, { priorWait: 300 });
-  t.is((await back.run.run()).type, "made");
+  const result = back.run.run();
+  await pass(back.clock, 10_000);
+  t.is((await result).type, "made");
   t.true(back.run.isLate);
 });
 
+// Guards against late requests whose results take memory while they queue at a
+// later stage: requests that can be in time are refused for it.
+test("a late request starts its stages once their queues are short", async (t) => {
+  const waits = { town: 1500 };
+  const { run, calls, clock } = await createRun(waits, { priorWait: 1200 });
+  const result = run.run();
+  await pass(clock, 1000);
+  t.false(calls.includes("compute town"));
+  waits.town = 0;
+  await pass(clock, 1000);
+  t.like(await result, { type: "made" });
+  t.true(run.record.heldMs! >= 1000);
+});
+
+test("a late request starts before its caller leaves, however long queues are", async (t) => {
+  const { run, calls, clock } = await createRun(
+    { town: 1500 },
+    { priorWait: 1200 },
+  );
+  const result = run.run();
+  // The caller leaves after 4 s without an answer.
+  await pass(clock, 3000);
+  t.true(calls.includes("compute town"));
+  t.like(await result, { type: "made" });
+});
+
+test("a late request that is closed while it waits starts no stage", async (t) => {
+  const { run, calls, clock } = await createRun(
+    { town: 1500 },
+    { priorWait: 1200 },
+  );
+  void run.run();
+  await pass(clock, 500);
+  run.close();
+  await pass(clock, 5000);
+  t.false(calls.includes("compute town"));
+  t.is(calls.at(-1), "cancel town");
+});
+
 test("a retry that can't meet its objective is due later", async (t) => {
   const first = await createRun({ town: 0 });
   await first.run.run();
