Batching: small results are forecast by the places that calls have left

Cause: that a queue counted apart only if most calls passed items over was not how small results start.

Change: a small result is forecast by its turn among all items, or by the free places of calls that passed something over, whichever is sooner; behind other small ones in the latter case. No threshold is left for it.

--- a/src/batching/scheduler.ts
+++ b/src/batching/scheduler.ts
@@ -122,10 +122,9 @@
   /** Estimates when items would start, behind all that are more urgent and
    * wait for the same resource. */
   forecast(
-    { dueAt, rank, bytes }: Pick<
-      reservations.Reservation,
-      "dueAt" | "rank" | "bytes"
-    >,
+    { dueAt, rank, bytes, count = 1 }:
+      & Pick<reservations.Reservation, "dueAt" | "rank" | "bytes">
+      & Partial<Pick<reservations.Reservation, "count">>,
     now: number,
   ): Forecast {
     const deadline = tasks.virtualDeadline({ dueAt, rank });
@@ -139,22 +138,29 @@
         sum + slots * batch / (fullCall * Math.max(1, state.slowness(now))),
       0,
     );
-    const pace = this.#throughput.pace(bytes, nominal, now);
-    const queuedAhead = this.#queued.filter((task) =>
-      pace.includes(task.bytes) &&
-      this.#virtualDeadline(task, now) <= deadline
-    );
     const isBusy = usable.every(({ calls }) => calls >= slots);
     // If the remaining times of the running calls are independent and uniform,
     // this is the expected time until the first one ends.
     const firstIdle = isBusy ? fullCall / (usable.length + 1) : 0;
-    const wait = this.#reservations.estimateWait(deadline, {
-      waiting: queuedAhead.length,
-      pace,
-      now,
-    });
-    const { rate, scarce } = pace;
-    return { wait: firstIdle + wait, ahead: wait * rate, rate, scarce };
+    const ahead = this.#queued.filter((task) =>
+      this.#virtualDeadline(task, now) <= deadline
+    );
+    const forecasts = this.#throughput.paces(bytes, nominal, now).map(
+      (pace): Forecast => {
+        const { rate, scarce, takesFreePlaces } = pace;
+        const queued = ahead.filter((task) => pace.includes(task.bytes)).length;
+        const waiting = takesFreePlaces ? queued + count : queued;
+        const wait = this.#reservations.estimateWait(deadline, {
+          waiting,
+          pace,
+          now,
+        });
+        return { wait: firstIdle + wait, ahead: wait * rate, rate, scarce };
+      },
+    );
+    return forecasts.reduce((one, other) =>
+      other.wait < one.wait ? other : one
+    );
   }
 
   /** Adds tasks to the queue and removes the reservations that they fulfil. */
@@ -195,7 +201,8 @@
       const duration = this.#expectedDuration(selected.length) * slowness;
       state.startCall(selected, now + duration);
       const sizes = selected.map(({ bytes }) => bytes);
-      this.#throughput.recordCall({ sizes, passedOver }, now);
+      const freePlaces = this.#traits.batch - sizes.length;
+      this.#throughput.recordCall({ sizes, passedOver, freePlaces }, now);
       assignments.push({ worker: state.worker, tasks: selected });
     }
     this.#throughput.recordSaturation(
--- a/src/batching/throughput.ts
+++ b/src/batching/throughput.ts
@@ -1,9 +1,8 @@
 /** Measured throughput of a partition while its queue is never empty. It may be
  * less than the endpoints' calls allow, if calls pass over queued items: their
  * results do not fit into an endpoint's memory, or they wait for an endpoint in
- * the data centre of their data. Items with small results then start as calls
- * allow all the same, so the throughput is measured apart for items like those
- * that are passed over and for the rest.
+ * the data centre of their data. Such calls have places left, in which items
+ * with smaller results start before their turn.
  * @module */
 
 /** Window over which throughput is measured: several calls. */
@@ -12,8 +11,8 @@
 const MIN_SPAN_MS = 400;
 /** Minimum of the measured throughput, as a fraction of the nominal one. */
 const MIN_RATIO = 0.3;
-/** Fraction of the calls that must have passed over items for these to count
- * apart. */
+/** Fraction of the calls that must have passed over items for these to wait for
+ * one another alone. */
 const MIN_PASSING_RATIO = 0.5;
 
 /** A queued item that a call did not take although it was not full: the
@@ -31,6 +30,8 @@
   readonly sizes: readonly number[];
   /** The passed over item with the smallest result. */
   readonly passedOver?: PassedOverItem;
+  /** Items that the call could have taken beside its own. */
+  readonly freePlaces: number;
 }
 
 /** What items wait for: a call with room for them, or what makes calls pass
@@ -43,6 +44,9 @@
   readonly rate: number;
   /** What they wait for; undefined if endpoints keep up. */
   readonly scarce?: ScarceResource;
+  /** Whether they take places that calls have left, so that the first of them
+   * waits for a place, too. */
+  readonly takesFreePlaces?: boolean;
   /** Whether an item whose result has this size is one of them. */
   includes(size: number | undefined): boolean;
 }
@@ -69,45 +73,55 @@
     this.#calls = this.#calls.filter(({ at }) => at > now - WINDOW_MS);
   }
 
-  /** Expected pace of the items that compete with one whose result has `size`;
-   * with all items if its size is unknown. `nominal` is the number of items per
-   * millisecond that endpoints start in full calls. */
-  pace(size: number | undefined, nominal: number, now: number): Pace {
+  /** Expected paces at which an item whose result has `size` comes to its turn:
+   * it starts by the first of them. Items of unknown size wait for all others.
+   * `nominal` is the number of items per millisecond that endpoints start in
+   * full calls. */
+  paces(size: number | undefined, nominal: number, now: number): Pace[] {
     const from = Math.max(this.#saturatedSince, now - WINDOW_MS);
     const span = now - from;
-    const includesAll = () => true;
-    if (!(span >= MIN_SPAN_MS)) return { rate: nominal, includes: includesAll };
-    const calls = this.#calls.filter(({ at }) => at > from);
-    const bounded = (rate: number) =>
-      Math.min(nominal, Math.max(MIN_RATIO * nominal, rate));
-    const passedOver = typicalPassedOver(calls);
-    if (passedOver === undefined || size === undefined) {
-      const rate = bounded(countItems(calls, includesAll) / span);
-      return { rate, scarce: "calls", includes: includesAll };
+    if (!(span >= MIN_SPAN_MS)) {
+      return [{
+        rate: nominal,
+        includes: () => true,
+      }];
     }
+    const calls = this.#calls.filter(({ at }) => at > from);
+    const rateOf = (includes: Pace["includes"]) =>
+      Math.min(
+        nominal,
+        Math.max(MIN_RATIO * nominal, countItems(calls, includes) / span),
+      );
+    const all: Pace = {
+      rate: rateOf(() => true),
+      scarce: "calls",
+      includes: () => true,
+    };
+    const passing = calls.filter(({ passedOver }) => passedOver !== undefined);
+    const passedOver = typicalPassedOver(passing);
+    if (passedOver === undefined || size === undefined) return [all];
     const isLikeIt = (each = Infinity) => each >= passedOver.size;
-    const slowRate = countItems(calls, isLikeIt) / span;
-    return isLikeIt(size)
-      ? {
-        rate: bounded(slowRate),
-        scarce: passedOver.reason,
-        includes: isLikeIt,
-      }
-      : {
-        rate: bounded(nominal - slowRate),
-        scarce: "calls",
-        includes: (each) => !isLikeIt(each),
-      };
+    if (isLikeIt(size)) {
+      if (passing.length <= MIN_PASSING_RATIO * calls.length) return [all];
+      const { reason: scarce } = passedOver;
+      return [{ rate: rateOf(isLikeIt), scarce, includes: isLikeIt }];
+    }
+    const free = passing.reduce((sum, { freePlaces }) => sum + freePlaces, 0);
+    if (free === 0) return [all];
+    return [all, {
+      rate: free / span,
+      scarce: "calls",
+      takesFreePlaces: true,
+      includes: (each) => !isLikeIt(each),
+    }];
   }
 }
 
-/** The passed over item of median size; undefined unless most calls passed over
- * one. */
+/** The passed over item of median size, so that an exception does not count. */
 function typicalPassedOver(
-  calls: readonly StartedCall[],
+  passing: readonly StartedCall[],
 ): PassedOverItem | undefined {
-  const items = calls.flatMap(({ passedOver }) => passedOver ?? []);
-  if (items.length <= MIN_PASSING_RATIO * calls.length) return undefined;
+  const items = passing.flatMap(({ passedOver }) => passedOver ?? []);
   items.sort((one, other) => one.size - other.size);
   return items[Math.floor(items.length / 2)];
 }
--- a/src/batching/throughput_test.ts
+++ b/src/batching/throughput_test.ts
@@ -14,74 +14,76 @@
   return measured;
 }
 
-/** A call of two large and three small results at an endpoint without memory
- * for another large one. */
+/** A full call of results with these sizes. */
+function fullCall(...sizes: number[]): throughputs.StartedCall {
+  return { sizes, freePlaces: 0 };
+}
+
+/** A call of two large and three small results, with three places left, at an
+ * endpoint without memory for another large one. */
 const SHORT_OF_MEMORY: throughputs.StartedCall = {
   sizes: [3000, 3000, 8, 8, 8],
   passedOver: { size: 3000, reason: "memory" },
+  freePlaces: 3,
+};
+
+/** The same where large results wait for the data centre of their data. */
+const SHORT_OF_LOCAL: throughputs.StartedCall = {
+  ...SHORT_OF_MEMORY,
+  passedOver: { size: 3000, reason: "placement" },
 };
 
 test("the measured throughput applies while the queue is saturated", (t) => {
-  const measured = saturatedWith({ sizes: [8] });
-  t.is(measured.pace(8, 0.02, 300).rate, 0.02);
-  t.is(measured.pace(8, 0.02, 1000).rate, 0.01);
-  t.is(measured.pace(8, 0.02, 1000).scarce, "calls");
+  const measured = saturatedWith(fullCall(8));
+  t.is(measured.paces(8, 0.02, 300)[0].rate, 0.02);
+  t.like(measured.paces(8, 0.02, 1000), [{ rate: 0.01, scarce: "calls" }]);
   measured.recordSaturation(false, 1001);
-  t.is(measured.pace(8, 0.02, 1500).rate, 0.02);
-  t.is(measured.pace(8, 0.02, 1500).scarce, undefined);
+  t.like(measured.paces(8, 0.02, 1500), [{ rate: 0.02, scarce: undefined }]);
 });
 
 test("items compete with all others while calls are full", (t) => {
-  const pace = saturatedWith({ sizes: [3000, 8] }).pace(8, 0.02, 1000);
-  t.true(pace.includes(8) && pace.includes(3000) && pace.includes(undefined));
+  const paces = saturatedWith(fullCall(3000, 8)).paces(8, 0.02, 1000);
+  t.is(paces.length, 1);
+  const [{ includes }] = paces;
+  t.true(includes(8) && includes(3000) && includes(undefined));
 });
 
-test("where memory is short, large results wait for those that need it too", (t) => {
-  const pace = saturatedWith(SHORT_OF_MEMORY).pace(3000, 0.06, 1000);
-  t.is(pace.rate, 0.02);
-  t.is(pace.scarce, "memory");
-  t.true(pace.includes(3000) && !pace.includes(8));
-});
+for (const call of [SHORT_OF_MEMORY, SHORT_OF_LOCAL]) {
+  const { reason } = call.passedOver!;
+  test(`large results that are passed over wait for one another (${reason})`, (t) => {
+    const paces = saturatedWith(call).paces(3000, 0.06, 1000);
+    t.like(paces, [{ rate: 0.02, scarce: reason }]);
+    t.true(paces[0].includes(3000) && !paces[0].includes(8));
+  });
 
-// Guards against small results that are refused for a queue which waits for
-// memory: they start with the next call.
-test("where memory is short, small results get what calls have left", (t) => {
-  const pace = saturatedWith(SHORT_OF_MEMORY).pace(8, 0.06, 1000);
-  t.true(Math.abs(pace.rate - 0.04) < 1e-9);
-  t.is(pace.scarce, "calls");
-  t.true(pace.includes(8) && !pace.includes(3000));
-});
+  // Guards against small results that are refused for a queue of large ones,
+  // which calls pass over.
+  test(`small results take the places that calls have left (${reason})`, (t) => {
+    const [all, free] = saturatedWith(call).paces(8, 0.06, 1000);
+    t.like(all, { rate: 0.05, scarce: "calls" });
+    t.like(free, { rate: 0.03, takesFreePlaces: true });
+    t.true(free.includes(8) && !free.includes(3000));
+  });
+}
 
-// Guards against the same where large results wait for an endpoint in the data
-// centre in which they are needed.
-test("small results do not wait for the data centre that large ones wait for", (t) => {
-  const call: throughputs.StartedCall = {
-    sizes: [3000, 8],
-    passedOver: { size: 3000, reason: "placement" },
-  };
-  const measured = saturatedWith(call);
-  t.is(measured.pace(3000, 0.06, 1000).scarce, "placement");
-  t.false(measured.pace(8, 0.06, 1000).includes(3000));
+test("large results wait for all others if few calls pass over them", (t) => {
+  const full = fullCall(3000, 3000, 3000, 8, 8);
+  const measured = saturatedWith(SHORT_OF_MEMORY, full, full);
+  t.true(measured.paces(3000, 0.06, 1000)[0].includes(8));
 });
 
 test("a single small item that is passed over does not hold up the others", (t) => {
-  const exception: throughputs.StartedCall = {
+  const exception = {
     ...SHORT_OF_MEMORY,
-    passedOver: { size: 8, reason: "placement" },
+    passedOver: { size: 8, reason: "placement" } as const,
   };
   const usual = new Array(4).fill(SHORT_OF_MEMORY);
-  const pace = saturatedWith(exception, ...usual).pace(8, 0.06, 1000);
-  t.false(pace.includes(3000));
-});
-
-test("memory counts as scarce if it limits most calls", (t) => {
-  const full = { sizes: [3000, 3000, 3000, 8, 8] };
-  const pace = saturatedWith(SHORT_OF_MEMORY, full, full).pace(8, 0.06, 1000);
-  t.true(pace.includes(3000));
+  const paces = saturatedWith(exception, ...usual).paces(8, 0.06, 1000);
+  t.true(paces.some(({ includes }) => !includes(3000)));
 });
 
 test("items of unknown size compete with all others", (t) => {
-  const pace = saturatedWith(SHORT_OF_MEMORY).pace(undefined, 0.06, 1000);
-  t.is(pace.rate, 0.05);
-  t.true(pace.includes(8) && pace.includes(3000));
+  const paces = saturatedWith(SHORT_OF_MEMORY).paces(undefined, 0.06, 1000);
+  t.like(paces, [{ rate: 0.05 }]);
+  t.true(paces[0].includes(8) && paces[0].includes(3000));
 });
