--- a/src/gateway/pipeline_run.ts
+++ b/src/gateway/pipeline_run.ts
@@ -179,7 +179,10 @@
       forecast = await this.#execution.reserve();
       refusal = this.#refuseLate(forecast);
     }
-    if (refusal !== undefined) return refusal;
+    if (refusal !== undefined) {
+      this.#countRefusal(forecast);
+      return refusal;
+    }
     if (this.#isLate) await this.#waitForShortQueues(forecast);
     const result = await this.#execute();
     if (result.type === "made" && !this.#isLate) {
@@ -226,6 +229,17 @@
     return priorWait > 0 && left < this.#execution.uncontended;
   }
 
+  /** Counts a refusal by the stage that would wait longest. */
+  #countRefusal({ stages }: stageExecutions.PipelineForecast): void {
+    const { metrics } = this.#context;
+    if (stages.length === 0) return;
+    const { service, scarce = "none" } = stages.reduce((one, other) =>
+      other.waitMs > one.waitMs ? other : one
+    );
+    const { name: route } = this.#options.route;
+    metrics.count("gateway.no_time", 1, { route, service, scarce });
+  }
+
   /** Waits until the stages of a late request would hardly queue, or until it
    * must start to be answered at all. */
   async #waitForShortQueues(
--- a/src/gateway/pipeline_run_test.ts
+++ b/src/gateway/pipeline_run_test.ts
@@ -59,10 +59,17 @@
     },
   };
   const clock = new runtime.FakeClock();
+  const counted: unknown[] = [];
+  const metrics: telemetry.Metrics = {
+    ...telemetry.noMetrics,
+    count: (name, _, labels) => {
+      if (name === "gateway.no_time") counted.push(labels);
+    },
+  };
   const context = {
     clock,
     random: { next: () => 0, below: () => 0 },
-    metrics: telemetry.noMetrics,
+    metrics,
     pool: endpointPools.EndpointPool.create(),
     dataCentre: "town",
     batcherClient,
@@ -91,7 +98,7 @@
     priorWait,
     deadline: 15_000,
   });
-  return { run, calls, slacks, ranks, clock };
+  return { run, calls, slacks, ranks, clock, counted };
 }
 
 /** Lets `ms` milliseconds pass, and what waits for them run. */
@@ -220,6 +227,13 @@
   t.is((await back.run.run()).type, "refused");
 });
 
+// Guards against refusals of one kind whose cause takes a search in logs.
+test("a refusal is counted by the stage that would wait longest", async (t) => {
+  const { run, counted } = await createRun({ town: 5000 });
+  await run.run();
+  t.deepEqual(counted, [{ route: "route", service: "maps", scarce: "none" }]);
+});
+
 // Guards against requests that are refused for the queue of one data centre
 // while another one has endpoints to spare.
 test("a request that would be late in its data centre is computed in another one", async (t) => {
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -29,6 +29,11 @@
     help: "Replies aborted, as their callers have not read them",
   },
   "gateway.sent": { type: "count", help: "Calls to endpoints, by service" },
+  "gateway.no_time": {
+    type: "count",
+    help:
+      "Requests forecast to be late, by route, longest queue and what is scarce",
+  },
   "gateway.overflowed": {
     type: "count",
     help: "Requests with stages in another data centre to be in time, by route",
