Gateway: reservations of a request that is closed meanwhile are cancelled

A caller who leaves while its request books stages left them booked for up to a second after they were due, in its own or another data centre, and what came after was forecast behind them. Test: a request that is closed while it reserves leaves no reservation.

--- a/src/gateway/pipeline_run_test.ts
+++ b/src/gateway/pipeline_run_test.ts
@@ -264,6 +264,24 @@
   t.is(run.record.overflow, undefined);
 });
 
+// Guards against reservations that are made while the caller leaves.
+test("a request that is closed while it reserves leaves no reservation", async (t) => {
+  const { run, calls } = await createRun({ town: 5000, hall: 0 });
+  const reserving = run.run();
+  run.close();
+  await Promise.race([
+    reserving,
+    new Promise((resolve) => setImmediate(resolve)),
+  ]);
+  for (const dataCentre of ["town", "hall"]) {
+    t.true(
+      calls.lastIndexOf(`cancel ${dataCentre}`) >=
+        calls.lastIndexOf(`reserve ${dataCentre}`),
+    );
+  }
+  t.false(calls.some((call) => call.startsWith("compute")));
+});
+
 test("no more than two other data centres are asked", async (t) => {
   const waits = { town: 5000, a: 4000, b: 4000, c: 0 };
   const { run, calls } = await createRun(waits);
--- a/src/gateway/stage_execution.ts
+++ b/src/gateway/stage_execution.ts
@@ -172,12 +172,8 @@
 
   /** Reserves the items of all stages; resolves with their forecast
    * completion. */
-  async reserve(): Promise<PipelineForecast> {
-    const { stages } = this.#options.route;
-    this.#estimates = await Promise.all(
-      stages.map((_, stage) => this.#reserveStage(stage)),
-    );
-    return this.#createForecast();
+  reserve(): Promise<PipelineForecast> {
+    return this.#reserveStages(() => true);
   }
 
   /** Moves the mobile services to another data centre, or back to the
@@ -192,15 +188,23 @@
 
   /** Reserves the items of the mobile services after a move; resolves with the
    * forecast completion of all stages. */
-  async reserveMoved(): Promise<PipelineForecast> {
+  reserveMoved(): Promise<PipelineForecast> {
+    return this.#reserveStages((service) =>
+      this.#mobileServices.includes(service)
+    );
+  }
+
+  async #reserveStages(
+    isIncluded: (service: string) => boolean,
+  ): Promise<PipelineForecast> {
     const { stages } = this.#options.route;
     this.#estimates = await Promise.all(
       stages.map(({ service }, stage) =>
-        this.#mobileServices.includes(service)
-          ? this.#reserveStage(stage)
-          : this.#estimates[stage]
+        isIncluded(service) ? this.#reserveStage(stage) : this.#estimates[stage]
       ),
     );
+    // The reservations may have been made after `close` cancelled them.
+    if (this.#isClosed) this.#cancelAll();
     return this.#createForecast();
   }
 
@@ -280,7 +284,11 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     this.release();
-    if (this.#plan.isComplete) return;
+    if (!this.#plan.isComplete) this.#cancelAll();
+  }
+
+  /** Cancels all items that are reserved or queued. */
+  #cancelAll(): void {
     const services = this.#options.route.stages
       .filter((_, stage) => this.#plan.itemCounts[stage] > 0)
       .map(({ service }) => service);
