--- a/src/batching/scheduler.ts
+++ b/src/batching/scheduler.ts
@@ -119,8 +119,8 @@
     return forecast;
   }
 
-  /** Estimates when items would start, behind all that are more urgent and
-   * wait for the same resource. */
+  /** Estimates when items would start: behind all that are more urgent, or in
+   * places that calls leave free, whichever is sooner. */
   forecast(
     { dueAt, rank, bytes, count = 1 }:
       & Pick<reservations.Reservation, "dueAt" | "rank" | "bytes">
