Gateway: other data centres are asked only if moving can help

A refused request asked up to two other data centres also where a stage that stays near the engine makes it late by itself; their answers can't change that. It is now forecast without queues at the services that may move first, and what those take is derived only then, no longer for each request. Whether a run is closed is asked of its stages, which knew it already.

Test that fails before: no other data centre is asked where a stage that stays makes the request late.

--- a/src/gateway/pipeline_run.ts
+++ b/src/gateway/pipeline_run.ts
@@ -6,6 +6,7 @@
  * @module */
 
 import type * as configurations from "../configuration/mod.ts";
+import type * as calibrations from "./calibration.ts";
 import type * as choices from "./endpoint_choice.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoints from "./endpoint.ts";
@@ -104,7 +105,6 @@
    * it. */
   readonly #lateDueAt: number;
   #isLate = false;
-  #isClosed = false;
   #isReleased = false;
   /** Record for the log line of the request. */
   readonly record: PipelineRunRecord = {};
@@ -171,7 +171,7 @@
     let forecast = await this.#execution.reserve();
     let refusal = this.#refuseLate(forecast);
     if (refusal !== undefined && !this.#isLate) {
-      const elsewhere = await this.#reserveElsewhere();
+      const elsewhere = await this.#reserveElsewhere(forecast);
       if (elsewhere !== undefined) [forecast, refusal] = [elsewhere, undefined];
     }
     if (refusal !== undefined && this.#options.priorWait > 0 && !this.#isLate) {
@@ -217,7 +217,6 @@
 
   /** Releases the results and cancels what is unfinished. */
   close(): void {
-    this.#isClosed = true;
     this.#execution.close();
   }
 
@@ -251,7 +250,9 @@
     const excessOf = (expected: number) =>
       expected - (1 + MAX_LATE_QUEUEING_RATIO) * uncontended;
     let excess = excessOf(finish);
-    while (excess > 0 && clock.now() < latestStart && !this.#isClosed) {
+    while (
+      excess > 0 && clock.now() < latestStart && !this.#execution.isClosed
+    ) {
       const pause = Math.min(
         Math.max(MIN_FORECAST_INTERVAL_MS, excess),
         MAX_FORECAST_INTERVAL_MS,
@@ -259,18 +260,22 @@
       );
       await new Promise<void>((resolve) => void clock.after(pause, resolve));
       this.record.heldMs = Math.round(clock.now() - from);
-      if (this.#isClosed) return;
+      if (this.#execution.isClosed) return;
       excess = excessOf((await this.#execution.reserve()).finish);
     }
   }
 
   /** Tries other data centres for the stages that may be computed there;
    * resolves with a forecast that meets the objective, and undoes the
-   * reservations if there is none. */
-  async #reserveElsewhere(): Promise<
-    stageExecutions.PipelineForecast | undefined
-  > {
+   * reservations if there is none. None is asked where the other stages alone
+   * make the request late. */
+  async #reserveElsewhere(
+    { uncontended }: stageExecutions.PipelineForecast,
+  ): Promise<stageExecutions.PipelineForecast | undefined> {
     const { metrics } = this.#context;
+    const finish = this.#execution.leastFinish;
+    const best = this.#calibrate({ finish, uncontended });
+    if (!this.#meetsObjective(best)) return undefined;
     const { name: route } = this.#options.route;
     const home = { ...this.record };
     const alternatives = this.#execution.alternatives.slice(
@@ -300,25 +305,41 @@
   #refuseLate(
     forecast: stageExecutions.PipelineForecast,
   ): PipelineRunResult | undefined {
-    const { calibration } = this.#context;
-    const { name, objective } = this.#options.route;
-    const { uncontended } = forecast;
-    const finish = calibration.correct(name, forecast);
-    const dueAt = this.#isLate ? this.#lateDueAt : this.#dueAt;
-    const left = dueAt - this.#context.clock.now();
-    const error = calibration.error(name, forecast);
+    const calibrated = this.#calibrate(forecast);
+    const { finish, uncontended, error } = calibrated;
     this.record.expectedMs = Math.round(finish);
     this.record.forecast = forecast.stages;
     this.record.errorMs = Math.round(error);
-    const calibrated = { finish, uncontended, error };
-    if (timeliness.meetsObjective(calibrated, { left, objective })) {
-      return undefined;
-    }
+    if (this.#meetsObjective(calibrated)) return undefined;
+    const left = this.#timeLeft;
     const retryAfter = this.#retryDelay(finish - Math.max(left, uncontended));
     const about = { aloneMs: uncontended, left, retryAfter };
     return { type: "refused", reason: "no-time", about };
   }
 
+  #meetsObjective(calibrated: timeliness.CalibratedForecast): boolean {
+    return timeliness.meetsObjective(calibrated, {
+      left: this.#timeLeft,
+      objective: this.#options.route.objective,
+    });
+  }
+
+  #calibrate(forecast: calibrations.Forecast): timeliness.CalibratedForecast {
+    const { calibration } = this.#context;
+    const { name } = this.#options.route;
+    return {
+      finish: calibration.correct(name, forecast),
+      uncontended: forecast.uncontended,
+      error: calibration.error(name, forecast),
+    };
+  }
+
+  /** Milliseconds until the results are due. */
+  get #timeLeft(): number {
+    const dueAt = this.#isLate ? this.#lateDueAt : this.#dueAt;
+    return dueAt - this.#context.clock.now();
+  }
+
   async #execute(): Promise<PipelineRunResult> {
     const { clock, metrics } = this.#context;
     const { route } = this.#options;
--- a/src/gateway/pipeline_run_test.ts
+++ b/src/gateway/pipeline_run_test.ts
@@ -31,7 +31,11 @@
   const slacks: number[] = [];
   const ranks: number[] = [];
   const traits = fixture.batchTraits();
-  const services = [{ name: "maps", connections: 10, batching: traits }];
+  const services = ["maps", "checks"].map((name) => ({
+    name,
+    connections: 10,
+    batching: traits,
+  }));
   const catalogue = configurations.Catalogue.create(
     fixture.configuration({ routes: [route], services }),
   );
@@ -86,7 +90,7 @@
     host: "host.example",
     target: "/a/x",
     headers: {},
-    itemCounts: [2],
+    itemCounts: stages.map(() => 2),
     itemKey: "k",
   };
   const run = await pipelineRuns.PipelineRun.create(context, {
@@ -301,3 +305,15 @@
   t.is((await run.run()).type, "refused");
   t.false(calls.includes("reserve hall"));
 });
+
+// Guards against questions to other data centres that can't help, in an
+// overload of a stage that stays.
+test("no other data centre is asked where a stage that stays makes the request late", async (t) => {
+  const stages = [
+    { service: "maps", after: [], bytes: 3_000_000 },
+    { service: "checks", after: [], bytes: 100 },
+  ];
+  const { run, calls } = await createRun({ town: 5000, hall: 0 }, { stages });
+  t.is((await run.run()).type, "refused");
+  t.false(calls.includes("reserve hall"));
+});
--- a/src/gateway/stage_execution.ts
+++ b/src/gateway/stage_execution.ts
@@ -104,10 +104,12 @@
   readonly #stages: readonly Omit<batching.forecast.StageForecast, "wait">[];
   /** Milliseconds of work that follows on each stage. */
   #remainingTimes: readonly number[];
-  /** Services that may compute in another data centre, and the one in which
-   * they do; undefined where that is the destination. */
-  readonly #mobileServices: readonly string[];
-  #overflowDataCentre?: string;
+  /** Services that may compute in another data centre; derived once the request
+   * would be late in its own. */
+  #mobility?: readonly string[];
+  /** Data centres in which services compute, where that is not the
+   * destination. */
+  readonly #overflow = new Map<string, string>();
   /** Partitions that execute the items, by service. */
   readonly #partitions: Map<string, string>;
   /** Latest estimates by stage. */
@@ -132,10 +134,6 @@
       return { after, work: work ?? 0 };
     });
     this.#remainingTimes = batching.forecast.remainingTimes(this.#stages);
-    this.#mobileServices = stageMobility.mobileServices(
-      route.stages,
-      itemCounts,
-    );
     const services = new Set(route.stages.map(({ service }) => service));
     this.#partitions = new Map(
       [...services].map((each) => [each, this.#selectPartition(each)]),
@@ -160,6 +158,11 @@
     this.#rank = rank;
   }
 
+  /** Whether its stages are cancelled and its results released. */
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
   /** Data centres beside the destination in which the mobile services may
    * compute, in an order that differs from request to request. */
   get alternatives(): string[] {
@@ -170,6 +173,25 @@
     );
   }
 
+  /** Milliseconds until all stages would be complete if the mobile services had
+   * no queue: no other data centre completes them sooner. */
+  get leastFinish(): number {
+    const { stages } = this.#options.route;
+    const estimates = this.#estimates.map((estimate, stage) =>
+      this.#mobileServices.includes(stages[stage].service)
+        ? undefined
+        : estimate
+    );
+    return batching.forecast.completionTime(this.#forecastStages(estimates));
+  }
+
+  get #mobileServices(): readonly string[] {
+    return this.#mobility ??= stageMobility.mobileServices(
+      this.#options.route.stages,
+      this.#plan.itemCounts,
+    );
+  }
+
   /** Reserves the items of all stages; resolves with their forecast
    * completion. */
   reserve(): Promise<PipelineForecast> {
@@ -180,8 +202,9 @@
    * destination, and cancels what was reserved for them. */
   move(dataCentre?: string): void {
     this.#cancelReservations(this.#mobileServices);
-    this.#overflowDataCentre = dataCentre;
     for (const service of this.#mobileServices) {
+      if (dataCentre === undefined) this.#overflow.delete(service);
+      else this.#overflow.set(service, dataCentre);
       this.#partitions.set(service, this.#selectPartition(service));
     }
   }
@@ -225,10 +248,11 @@
     });
   }
 
-  #createForecast(): PipelineForecast {
-    const { route } = this.#options;
-    const stages = this.#uncontendedStages.map(({ after, work }, stage) => {
-      const estimate = this.#estimates[stage];
+  #forecastStages(
+    estimates: readonly (batching.OwnerEstimate | undefined)[],
+  ): batching.forecast.StageForecast[] {
+    return this.#uncontendedStages.map(({ after, work }, stage) => {
+      const estimate = estimates[stage];
       if (estimate === undefined) return { after, work, wait: 0 };
       return {
         after,
@@ -236,6 +260,11 @@
         work: Math.max(work, estimate.work),
       };
     });
+  }
+
+  #createForecast(): PipelineForecast {
+    const { route } = this.#options;
+    const stages = this.#forecastStages(this.#estimates);
     this.#remainingTimes = batching.forecast.remainingTimes(stages);
     return {
       finish: batching.forecast.completionTime(stages),
@@ -319,9 +348,7 @@
 
   #selectPartition(service: string): string {
     const { id: request } = this.#options.request;
-    const isMobile = this.#mobileServices.includes(service);
-    const dataCentre = (isMobile ? this.#overflowDataCentre : undefined) ??
-      this.#destination;
+    const dataCentre = this.#overflow.get(service) ?? this.#destination;
     return this.#dependencies.batcherClient.selectPartition(service, {
       request,
       dataCentre,
