Batching: endpoints are partitioned once per question, items counted once

Data centres beside the consumer's were found by partitioning the endpoints of each service once more for each of them, and the pace of all items by calling a predicate for each item, with each forecast. Both are done once.

--- a/src/batching/batcher_client.ts
+++ b/src/batching/batcher_client.ts
@@ -69,7 +69,9 @@
   /** Selects the partition that computes the items of a request for a service;
    * returns its name. */
   selectPartition(service: string, consumer: Consumer): string {
-    return this.#select(service, consumer).name;
+    const { workers, isAvailable } = this.#options;
+    const all = partitions.partition(workers(service));
+    return partitions.select(all, { ...consumer, isAvailable }).name;
   }
 
   /** Data centres beside the consumer's that have partitions for all of the
@@ -79,35 +81,27 @@
     services: readonly string[],
     { request, dataCentre }: Consumer,
   ): string[] {
-    const { workers } = this.#options;
-    const all = services.flatMap((service) =>
+    const { workers, isAvailable } = this.#options;
+    const partitioned = services.map((service) =>
       partitions.partition(workers(service))
     );
     const others = new Set(
-      all.flatMap(({ localDataCentres = [] }) => localDataCentres),
+      partitioned.flat().flatMap(({ localDataCentres = [] }) =>
+        localDataCentres
+      ),
     );
     others.delete(dataCentre);
     const candidates = [...others].filter((other) => {
-      const selected = services.map((service) =>
-        this.#select(service, { request, dataCentre: other })
-      );
-      const isComplete = selected.every(({ localDataCentres }) =>
-        localDataCentres?.includes(other) ?? true
-      );
-      return isComplete &&
-        selected.some(({ localDataCentres }) =>
-          localDataCentres?.includes(dataCentre) === false
-        );
+      const local = partitioned.map((all) => {
+        const consumer = { request, dataCentre: other, isAvailable };
+        return partitions.select(all, consumer).localDataCentres;
+      });
+      return local.every((names) => names?.includes(other) ?? true) &&
+        local.some((names) => names?.includes(dataCentre) === false);
     });
     return rendezvous.rank(request, candidates);
   }
 
-  #select(service: string, consumer: Consumer): partitions.Partition {
-    const { workers, isAvailable } = this.#options;
-    const all = partitions.partition(workers(service));
-    return partitions.select(all, { ...consumer, isAvailable });
-  }
-
   /** Computes items; resolves once each has a result or has failed. */
   async compute(question: schema.MakeQuestion): Promise<schema.Result[]> {
     const { self, clock, calls, batcher, logger } = this.#options;
--- a/src/batching/throughput.ts
+++ b/src/batching/throughput.ts
@@ -81,19 +81,13 @@
     const from = Math.max(this.#saturatedSince, now - WINDOW_MS);
     const span = now - from;
     if (!(span >= MIN_SPAN_MS)) {
-      return [{
-        rate: nominal,
-        includes: () => true,
-      }];
+      return [{ rate: nominal, includes: () => true }];
     }
     const calls = this.#calls.filter(({ at }) => at > from);
-    const rateOf = (includes: Pace["includes"]) =>
-      Math.min(
-        nominal,
-        Math.max(MIN_RATIO * nominal, countItems(calls, includes) / span),
-      );
+    const rateOf = (count: number) =>
+      Math.min(nominal, Math.max(MIN_RATIO * nominal, count / span));
     const all: Pace = {
-      rate: rateOf(() => true),
+      rate: rateOf(calls.reduce((sum, { sizes }) => sum + sizes.length, 0)),
       scarce: "calls",
       includes: () => true,
     };
@@ -103,8 +97,9 @@
     const isLikeIt = (each = Infinity) => each >= passedOver.size;
     if (isLikeIt(size)) {
       if (passing.length <= MIN_PASSING_RATIO * calls.length) return [all];
+      const count = calls.flatMap(({ sizes }) => sizes).filter(isLikeIt).length;
       const { reason: scarce } = passedOver;
-      return [{ rate: rateOf(isLikeIt), scarce, includes: isLikeIt }];
+      return [{ rate: rateOf(count), scarce, includes: isLikeIt }];
     }
     const free = passing.reduce((sum, { freePlaces }) => sum + freePlaces, 0);
     if (free === 0) return [all];
@@ -125,13 +120,3 @@
   items.sort((one, other) => one.size - other.size);
   return items[Math.floor(items.length / 2)];
 }
-
-function countItems(
-  calls: readonly StartedCall[],
-  includes: (size: number) => boolean,
-): number {
-  return calls.reduce(
-    (sum, { sizes }) => sum + sizes.filter(includes).length,
-    0,
-  );
-}
