Runtime: one pause by a clock in place of eleven

Late requests that wait for short queues wrote again what stood in ten places: a promise that a clock resolves after a time. All use runtime/delay.ts. The options of account shares are those of one service's, less its own two. Behaviour is the same; 492 tests of the parts concerned pass.

--- a/src/account_shares/account_shares.ts
+++ b/src/account_shares/account_shares.ts
@@ -3,23 +3,16 @@
  * for and get while a service is under contention.
  * @module */
 
-import type * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
-import type * as telemetry from "../telemetry/mod.ts";
 import type * as admissions from "./admission.ts";
 import * as contentions from "./contention.ts";
 import * as serviceShares from "./service_shares.ts";
 
 /** Dependencies of `AccountShares`. */
-export interface AccountSharesOptions {
-  readonly clock: runtime.Clock;
-  readonly random: runtime.Random;
-  readonly logger: telemetry.Logger;
-  readonly metrics: telemetry.Metrics;
-  readonly calls: Pick<peers.Rpc, "ask">;
-  /** Control hosts. */
-  controlHosts(): readonly string[];
-}
+export type AccountSharesOptions = Omit<
+  serviceShares.ServiceSharesOptions,
+  "service" | "since"
+>;
 
 /** The shares of client accounts in all services, on one entry host. Mutable. */
 export class AccountShares {
--- a/src/account_shares/service_shares.ts
+++ b/src/account_shares/service_shares.ts
@@ -44,6 +44,7 @@
   readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
   readonly calls: Pick<peers.Rpc, "ask">;
+  /** Control hosts. */
   controlHosts(): readonly string[];
 }
 
--- a/src/control/versions/leader_client.ts
+++ b/src/control/versions/leader_client.ts
@@ -2,6 +2,7 @@
  * host that is, replies.
  * @module */
 
+import * as delays from "../../runtime/delay.ts";
 import type * as runtime from "../../runtime/mod.ts";
 import type * as schema from "../../schema/fleet_types.ts";
 import type * as telemetry from "../../telemetry/mod.ts";
@@ -88,9 +89,7 @@
       mayHaveTakenEffect ||= reply === undefined || reply.reason === "unknown";
       const newLeader = this.#options.leader();
       if (newLeader !== undefined && newLeader !== leader) continue;
-      await new Promise<void>((resolve) =>
-        void clock.after(RETRY_DELAY_MS, () => resolve())
-      );
+      await delays.sleep(clock, RETRY_DELAY_MS);
     }
   }
 
--- a/src/fleet/coalescer.ts
+++ b/src/fleet/coalescer.ts
@@ -3,6 +3,7 @@
  * their rate does not grow with the number of callers.
  * @module */
 
+import * as delays from "../runtime/delay.ts";
 import type * as runtime from "../runtime/mod.ts";
 
 /** Parameters of a coalescer. */
@@ -38,9 +39,7 @@
   async #run(): Promise<T> {
     const { clock, minInterval, fetch } = this.#options;
     const wait = Math.max(0, this.#startedAt + minInterval - clock.now());
-    await new Promise<void>((resolve) =>
-      void clock.after(wait, () => resolve())
-    );
+    await delays.sleep(clock, wait);
     this.#pending = undefined;
     this.#startedAt = clock.now();
     return fetch();
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -24,6 +24,7 @@
 import * as endpointReplicator from "./endpoint_replicator.ts";
 import * as settings from "./settings.ts";
 import * as rosterCodec from "./roster_codec.ts";
+import * as delays from "../runtime/delay.ts";
 
 /** Interval of hello messages between control hosts, and of `#tick`. */
 const HELLO_INTERVAL_MS = 400;
@@ -205,9 +206,7 @@
   async stop(): Promise<void> {
     this.#stopped = true;
     this.#store?.transferLeadership();
-    await new Promise<void>((resolve) =>
-      void this.#options.clock.after(HANDOVER_MS, () => resolve())
-    );
+    await delays.sleep(this.#options.clock, HANDOVER_MS);
     await this.#server?.stop();
     this.#store?.stop();
     this.#network.calls.stop();
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -19,6 +19,7 @@
 import * as errors from "./errors.ts";
 import * as syncClient from "./sync_client.ts";
 import * as settings from "./settings.ts";
+import * as delays from "../runtime/delay.ts";
 
 /** Age up to which a host serves by its configuration, as a fraction of the
  * time within which a revoked API key must be rejected. The rest is left for
@@ -242,9 +243,7 @@
     this.#server.drain();
     this.#tunnelServer.drain();
     logger.info({ inFlight: this.#server.inFlight }, "Host draining");
-    await new Promise<void>((resolve) =>
-      void clock.after(DRAIN_DELAY_MS, () => resolve())
-    );
+    await delays.sleep(clock, DRAIN_DELAY_MS);
     this.#isStopping = true;
     const remaining = () =>
       bounds.shutdownGrace - CLOSE_RESERVE_MS - (clock.now() - started);
--- a/src/gateway/pipeline_run.ts
+++ b/src/gateway/pipeline_run.ts
@@ -14,6 +14,7 @@
 import * as timeliness from "./timeliness.ts";
 import type * as protocols from "./protocol.ts";
 import type * as refusals from "./refusal.ts";
+import * as delays from "../runtime/delay.ts";
 
 /** Least retry delay of a refused request, in milliseconds: a burst lasts some
  * seconds. */
@@ -258,7 +259,7 @@
         MAX_FORECAST_INTERVAL_MS,
         latestStart - clock.now(),
       );
-      await new Promise<void>((resolve) => void clock.after(pause, resolve));
+      await delays.sleep(clock, pause);
       this.record.heldMs = Math.round(clock.now() - from);
       if (this.#execution.isClosed) return;
       excess = excessOf((await this.#execution.reserve()).finish);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -8,6 +8,7 @@
 import * as activeRequests from "./active_request.ts";
 import * as connectionGates from "./connection_gate.ts";
 import * as unreadReplies from "./unread_replies.ts";
+import * as delays from "../runtime/delay.ts";
 
 /** Interval in milliseconds at which a stop checks for requests in flight. */
 const STOP_CHECK_INTERVAL_MS = 50;
@@ -120,9 +121,7 @@
     const { clock } = this.#options.context;
     const deadline = clock.now() + timeout;
     while (this.#activeRequests.size > 0 && clock.now() < deadline) {
-      await new Promise<void>((resolve) =>
-        void clock.after(STOP_CHECK_INTERVAL_MS, () => resolve())
-      );
+      await delays.sleep(clock, STOP_CHECK_INTERVAL_MS);
     }
     for (const active of this.#activeRequests) active.abort();
   }
--- a/src/gateway/target_choice.ts
+++ b/src/gateway/target_choice.ts
@@ -2,6 +2,7 @@
  * that admits the request now.
  * @module */
 
+import * as delays from "../runtime/delay.ts";
 import type * as admissions from "./endpoint_admission.ts";
 import * as choices from "./endpoint_choice.ts";
 import type * as contexts from "./context.ts";
@@ -134,7 +135,7 @@
   #waitForSlot(): Promise<void> {
     const { clock, random } = this.#dependencies;
     const wait = this.#slotWait + random.next() * SLOT_WAIT_SPREAD_MS;
-    return new Promise((resolve) => void clock.after(wait, () => resolve()));
+    return delays.sleep(clock, wait);
   }
 
   /** The result when no endpoint can be called. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -8,7 +8,7 @@
  * @module */
 
 import * as operators from "../operators/mod.ts";
-import type * as runtime from "../runtime/mod.ts";
+import * as delays from "../runtime/delay.ts";
 import type * as schema from "../schema/settings_types.ts";
 import * as hostContext from "./host_context.ts";
 import type * as options from "./options.ts";
@@ -187,7 +187,7 @@
     source.drain();
     await path.stop();
     members.leave();
-    await sleep(clock, LEAVE_PROPAGATION_MS);
+    await delays.sleep(clock, LEAVE_PROPAGATION_MS);
     await this.#operators?.close();
     await parts.stop(this.#parts);
     await closeMetrics();
@@ -198,10 +198,6 @@
 /** Interval at which a draining host counts its requests in flight. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
-function sleep(clock: runtime.Clock, ms: number): Promise<void> {
-  return new Promise((resolve) => void clock.after(ms, resolve));
-}
-
 /** Removes the cells of initial rows, which contain token hashes. All other
  * secrets in settings are references. */
 function redactSettings(settings: schema.Settings): unknown {
--- a/src/operators/client/client.ts
+++ b/src/operators/client/client.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import * as undici from "undici";
+import * as delays from "../../runtime/delay.ts";
 import type * as runtime from "../../runtime/mod.ts";
 import type * as schema from "../../schema/table_types.ts";
 import type * as problem from "../problem.ts";
@@ -92,7 +93,7 @@
           error.failure === "unavailable";
         if (!unavailable || clock.now() + RETRY_INTERVAL_MS >= end) throw error;
         this.#hostPos++;
-        await sleep(clock, RETRY_INTERVAL_MS);
+        await delays.sleep(clock, RETRY_INTERVAL_MS);
       }
     }
   }
@@ -161,7 +162,3 @@
     throw new clientError.ClientError("failed", message, { cause });
   }
 }
-
-function sleep(clock: runtime.Clock, ms: number): Promise<void> {
-  return new Promise((resolve) => void clock.after(ms, resolve));
-}
--- a/src/operators/client/watch.ts
+++ b/src/operators/client/watch.ts
@@ -4,6 +4,7 @@
 
 import * as parser from "eventsource-parser";
 import * as undici from "undici";
+import * as delays from "../../runtime/delay.ts";
 import type * as runtime from "../../runtime/mod.ts";
 import type * as table from "../../control/table/mod.ts";
 import type * as problem from "../problem.ts";
@@ -57,9 +58,7 @@
       if (error instanceof clientError.ClientError) throw error;
       options.onLost?.(error as Error);
     }
-    await new Promise<void>((resolve) =>
-      void options.clock.after(RECONNECT_INTERVAL_MS, resolve)
-    );
+    await delays.sleep(options.clock, RECONNECT_INTERVAL_MS);
   }
 }
 
--- a/src/origins/origin_client.ts
+++ b/src/origins/origin_client.ts
@@ -4,6 +4,7 @@
 
 import type * as peers from "../peers/mod.ts";
 import * as rendezvous from "../routing/rendezvous.ts";
+import * as delays from "../runtime/delay.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
@@ -140,7 +141,7 @@
     if (known.type === "found") return known;
     // The stream may have just begun, or the control hosts may have changed
     // since then.
-    await this.#wait(STORE_TIME_MS);
+    await delays.sleep(this.#options.clock, STORE_TIME_MS);
     return this.#findLocally(key) ?? await this.#ask(this.#rankHosts(key), key);
   }
 
@@ -233,7 +234,7 @@
       logger.warn({ stream }, "Origin of a stream not stored at any host");
       return;
     }
-    await this.#wait(STORE_RETRY_MS);
+    await delays.sleep(this.#options.clock, STORE_RETRY_MS);
     await this.#storeCopies(stream, kept, retries + 1);
   }
 
@@ -266,12 +267,6 @@
   #rankHosts(key: string): string[] {
     return rendezvous.rank(key, this.#options.controlHosts());
   }
-
-  #wait(ms: number): Promise<void> {
-    return new Promise((resolve) =>
-      void this.#options.clock.after(ms, () => resolve())
-    );
-  }
 }
 
 const NOT_RECORDED: Finding = { type: "unknown", reason: "not-recorded" };
