Sight: why no call follows a failed one; cut streams are not logged as not run

A stream that was cut after two silent calls was logged with the reason `not-run`, which is not what happened, and nothing told whether the retry policy or the budget had ended it. The line now has the reason `failed` with `after`, also for streams, and a call's record says `notRetried`. The test of the label failed before ("not-run").

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -550,7 +550,12 @@
     const history = { runs: this.#runs, calls: this.#calls.length };
     const decision = retries.afterFailure(this.#route!, outcome, history);
     if (decision === "retry-free") return true;
-    return decision === "retry" && this.#withdrawRetry(service);
+    if (decision === "retry" && this.#withdrawRetry(service)) return true;
+    const record = this.#calls.at(-1);
+    if (record !== undefined) {
+      record.notRetried = decision === "retry" ? "budget" : "policy";
+    }
+    return false;
   }
 
   #withdrawRetry(service: string): boolean {
@@ -582,28 +587,33 @@
   }
 
   /** Aborts the stream, so that the caller can't take it for complete. */
-  #abortStream(reason: refusals.RefusalReason): void {
+  #abortStream(
+    reason: refusals.RefusalReason,
+    details: RefusalDetails = {},
+  ): void {
     this.#finish(reason);
     this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#reply.abort();
     this.#log(
       "warn",
-      { reason, lastEvent: this.#lastEventId },
+      { reason, lastEvent: this.#lastEventId, ...details },
       "Stream broken off",
     );
   }
 
   #refuse(reason: refusals.RefusalReason, details: RefusalDetails = {}): void {
     if (this.isFinished) return;
-    // The head of a stream is sent once; a refusal can follow it when its
-    // stages are run again and fail.
-    if (this.#reply.head !== undefined) return this.#abortStream(reason);
-    // An earlier call may have run although the stages failed when they were
-    // run again, so the refusal must not guarantee that nothing ran.
+    // An earlier call may have run although no further one did, or the stages
+    // failed when they were run again, so the refusal must not guarantee that
+    // nothing ran.
     if (this.#runs > 0 && refusals.guaranteesNotRun(reason)) {
       const { retryAfter: _, ...rest } = details;
       return this.#refuse("failed", { ...rest, after: reason });
     }
+    // The head of a stream is sent once.
+    if (this.#reply.head !== undefined) {
+      return this.#abortStream(reason, details);
+    }
     this.#finish(reason);
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...details };
     this.#context.metrics.count("gateway.refused", 1, { reason });
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -212,6 +212,31 @@
   t.true(runs > 1);
 });
 
+// Guards against a log line that says of a stream which was cut in the middle
+// that it had not run.
+test("a stream that is cut after an event is not logged as not run", async (t) => {
+  const { ask, context } = await fixture.startHost(
+    t,
+    { kind: "streaming", resumable: true, attempts: 1 },
+    (_, response) => {
+      response.writeHead(200, { "test-signature": "s" });
+      response.write("id: 1\ndata: 1\n\n");
+      setTimeout(() => response.destroy(), 50);
+    },
+  );
+  const lines: Record<string, unknown>[] = [];
+  const logger = {
+    ...telemetry.noLogger,
+    warn: (fields: object) => void lines.push({ ...fields }),
+  };
+  Object.assign(context, { logger });
+  t.is(await endOf(ask()), "broken off");
+  const [line] = lines;
+  t.like(line, { reason: "failed", after: "not-run", lastEvent: "1" });
+  const [call] = line.calls as { notRetried?: string }[];
+  t.is(call.notRetried, "policy");
+});
+
 test("a host that stops during the second run of the stages aborts the stream", async (t) => {
   let runs = 0;
   const { ask, started } = await fixture.startHost(
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -24,6 +24,9 @@
   /** Announcements in the answer. */
   leaving?: protocols.ReplyHead["leaving"];
   retryAfterMs?: protocols.ReplyHead["retryAfter"];
+  /** Why no call follows its failure: the route's retry policy, or the retry
+   * budget. */
+  notRetried?: "policy" | "budget";
 }
 
 /** Creates the record of a call that begins. */
