Gateway: a silent call stays open beside the next one

What callers saw: at endpoints that are silent for 1.5 s and go on a tenth of the streams was cut and calls were refused with 502.

Where no further call was allowed (attempts, budget) or possible (version), or where that one met a silent endpoint too, the request was ended while its own endpoint would have gone on. The silence also counted as a crash at once: against the content of the request and the parts of its prompt, and for the ejection of the endpoint.

Change: silence is reported and ends nothing. A request keeps its silent calls open (`open_calls.ts`) and calls another endpoint beside them, within the same attempts and budget; the first that sends something is relayed, the others are cancelled. Calls in flight count as runs. A silent call counts as failed for its endpoint's health until it goes on, which ends the ejection; meanwhile an endpoint that sends nothing in other calls either is avoided. It counts as a crash only if its endpoint sends nothing for 2 s after its end. A call that was never sent fails as before. One call with what it shows of its endpoint is now `endpoint_call.ts`.

A request whose endpoints are all silent for good now ends at its timeout with 504; before it ended with 502 once its attempts were used up.

--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -26,6 +26,9 @@
   data(chunk: Buffer): void;
   end(): void;
   fail(failure: ExchangeFailure): void;
+  /** The endpoint has sent nothing for the idle timeout; called again after each
+   * further one. Without this method the exchange fails as `silent`. */
+  silence?(): void;
 }
 
 /** Request that is sent to the endpoint. */
@@ -38,7 +41,7 @@
 
 /** A dispatcher that may choose its connections by how calls end. */
 export type Dispatcher = undici.Dispatcher & {
-  /** A call that was sent to an origin broke or was not answered. */
+  /** A call that was sent to an origin broke or is not answered. */
   recordBreak?(origin: string): void;
 };
 
@@ -50,7 +53,7 @@
   url: string;
   /** Time of the clock in milliseconds. */
   deadline: number;
-  /** Milliseconds without a byte after which the exchange fails. */
+  /** Milliseconds without a byte after which the exchange is silent. */
   idleTimeout: number;
   /** Maximum size of the answer's body. */
   maxBytes: number;
@@ -84,6 +87,7 @@
   #isDone = false;
   #receivedBytes = 0;
   #lastReceivedAt: number;
+  #silenceReportedAt = -Infinity;
   #idleTimeout: number;
   #cancelTimer: runtime.Cancel = () => {};
 
@@ -110,7 +114,7 @@
   }
 
   /** Changes the time in milliseconds without a byte after which the exchange
-   * fails. */
+   * is silent. */
   setIdleTimeout(idleTimeout: number): void {
     if (this.#isDone) return;
     this.#idleTimeout = idleTimeout;
@@ -209,19 +213,34 @@
     }
   }
 
-  /** Fails the exchange at its deadline or idle timeout; otherwise schedules the
+  /** Ends the exchange at its deadline, or reports its silence; schedules the
    * next check. */
   #checkTimeouts(): void {
     const { clock, deadline } = this.#options;
-    const idleTimeout = this.#idleTimeout;
     const now = clock.now();
     if (now >= deadline) return this.break("deadline");
-    const idleAt = this.#lastReceivedAt + idleTimeout;
-    if (now >= idleAt) return this.break("silent");
-    const next = Math.min(deadline, idleAt);
+    if (now >= this.#idleAt) this.#reportSilence(now);
+    if (this.#isDone) return;
+    const next = Math.min(deadline, this.#idleAt);
     this.#cancelTimer = clock.after(next - now, () => this.#checkTimeouts());
   }
 
+  get #idleAt(): number {
+    return Math.max(this.#lastReceivedAt, this.#silenceReportedAt) +
+      this.#idleTimeout;
+  }
+
+  /** A request that was not sent is not kept: no endpoint can answer it. */
+  #reportSilence(now: number): void {
+    const { receiver } = this.#options;
+    if (receiver.silence === undefined || !this.#isStarted) {
+      return this.break("silent");
+    }
+    this.#silenceReportedAt = now;
+    this.#recordBreak();
+    receiver.silence();
+  }
+
   #recordBreak(): void {
     const { dispatcher, url } = this.#options;
     const [, origin] = URL_PARTS.exec(url)!;
--- a/src/endpoint_calls/exchange_test.ts
+++ b/src/endpoint_calls/exchange_test.ts
@@ -33,6 +33,53 @@
   t.pass();
 });
 
+/** Times at which an exchange that is never answered reports silence, and why
+ * it ends, within a second. */
+function silencesOf({ isSent }: { isSent: boolean }) {
+  const clock = new runtime.FakeClock();
+  const reported: number[] = [];
+  const failures: (exchange.ExchangeFailure & { at: number })[] = [];
+  const dispatcher = {
+    dispatch(_: unknown, handler: undici.Dispatcher.DispatchHandler) {
+      const controller = { abort() {} };
+      if (isSent) handler.onRequestStart!(controller as never, undefined);
+      return true;
+    },
+  } as unknown as undici.Dispatcher;
+  exchange.Exchange.start({ method: "GET", path: "/", headers: {} }, {
+    dispatcher,
+    clock,
+    url: "http://10.0.0.1:80",
+    deadline: 1000,
+    idleTimeout: 300,
+    maxBytes: 1,
+    receiver: {
+      head() {},
+      data() {},
+      end() {},
+      fail: (failure) => failures.push({ ...failure, at: clock.now() }),
+      silence: () => void reported.push(clock.now()),
+    },
+  });
+  clock.advance(1000);
+  return { reported, failures };
+}
+
+test("silence is reported after each idle timeout until the deadline", (t) => {
+  t.deepEqual(silencesOf({ isSent: true }), {
+    reported: [300, 600, 900],
+    failures: [{ reason: "deadline", outcome: "unknown", at: 1000 }],
+  });
+});
+
+// Guards against a call that waits for a connection instead of another endpoint.
+test("an exchange that was not sent fails after its idle timeout", (t) => {
+  t.deepEqual(silencesOf({ isSent: false }), {
+    reported: [],
+    failures: [{ reason: "silent", outcome: "not-run", at: 300 }],
+  });
+});
+
 // Guards against calls that wait for a connection while the reason to make them
 // ends: they reached endpoints that had announced their departure meanwhile.
 test("a request that may no longer be sent when its connection opens fails as not run", (t) => {
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -6,18 +6,17 @@
 import * as configurations from "../configuration/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as admissions from "./admission.ts";
-import * as announcementRecords from "./announcement_records.ts";
-import * as attempts from "./attempt.ts";
+import type * as attempts from "./attempt.ts";
 import * as bodies from "./body.ts";
 import * as callLimits from "./call_limits.ts";
 import type * as contexts from "./context.ts";
-import type * as endpoints from "./endpoint.ts";
+import * as endpointCalls from "./endpoint_call.ts";
 import * as endpointAdmissions from "./endpoint_admission.ts";
 import type * as eventBuffers from "./event_buffer.ts";
 import type * as protocols from "./protocol.ts";
-import * as callLoads from "./call_load.ts";
-import * as callRecords from "./call_record.ts";
+import type * as callRecords from "./call_record.ts";
 import * as refusals from "./refusal.ts";
+import * as openCalls from "./open_calls.ts";
 import * as replies from "./reply.ts";
 import * as retries from "./retry.ts";
 import * as shareCharges from "./share_charge.ts";
@@ -26,13 +25,16 @@
 import type * as unreadReplies from "./unread_replies.ts";
 import * as targetChoices from "./target_choice.ts";
 import * as timeliness from "./timeliness.ts";
-import * as healthSignals from "./health_signal.ts";
 
 /** Times that the stages of a request are run again after results are lost. */
 const MAX_STAGE_RERUNS = 1;
-/** Time in which endpoints that are reached send something: then a broken call is
- * not the fault of the path. */
-const RECEIVE_WINDOW_MS = 1000;
+
+/** An answer that can't be relayed. */
+const UNUSABLE_ANSWER: openCalls.Stall = {
+  type: "failed",
+  cause: "broken",
+  mayHaveRun: true,
+};
 
 /** Phase of a request: "pieces" while its stages run, "sent" while a call runs
  * whose answer is not relayed yet. */
@@ -56,8 +58,10 @@
   /** Milliseconds that the caller waited before this attempt of it. */
   #priorWait = 0;
   #cancelTimer = () => {};
-  #attempt?: attempts.Attempt;
+  readonly #openCalls = openCalls.OpenCalls.create();
+  /** Calls that have ended and may have run. */
   #runs = 0;
+  #cancelRelease = () => {};
   /** Milliseconds from arrival to the first event sent to the caller. */
   #firstEventMs?: number;
   #lastEventId?: string;
@@ -129,13 +133,17 @@
       if (this.isFinished) return;
       await this.#callEndpoints({ service, inputs });
     } catch (error) {
-      const request = this.#incoming?.id;
-      this.#context.logger.error({ err: error, request }, "Request failed");
-      this.#shareCharge?.endByError({ mayHaveRun: this.#mayHaveRun });
-      this.#refuse(this.#mayHaveRun ? "failed" : "not-run");
+      this.#fail(error);
     }
   }
 
+  #fail(error: unknown): void {
+    const request = this.#incoming?.id;
+    this.#context.logger.error({ err: error, request }, "Request failed");
+    this.#shareCharge?.endByError({ mayHaveRun: this.#mayHaveRun });
+    this.#refuse(this.#mayHaveRun ? "failed" : "not-run");
+  }
+
   /** Chooses the service before any stage runs; refuses the request if there is
    * none, or if its endpoints accept no call within the objective. */
   async #chooseService(): Promise<string | undefined> {
@@ -179,7 +187,7 @@
   /** Whether an endpoint may have executed the request or may be executing
    * it. */
   get #mayHaveRun(): boolean {
-    return this.#runs > 0 || this.#phase === "sent";
+    return this.#runs > 0 || this.#openCalls.size > 0;
   }
 
   /** Decodes the request, admits it and reads its body. */
@@ -237,11 +245,12 @@
     return { retryAfter: refusals.retryAfterUnconfigured(uptime) };
   }
 
-  /** Runs the stages of the request's route; resolves with their results. */
+  /** Runs the stages of the request's route; resolves with their results, and
+   * refuses the request without them unless a call is in flight. */
   async #runStages(service: string): Promise<readonly string[] | undefined> {
     const route = this.#route!;
     if (route.stages.length === 0) return undefined;
-    this.#phase = "pieces";
+    if (this.#openCalls.size === 0) this.#phase = "pieces";
     const earlier = this.#pipelineRun;
     this.#pipelineRun ??= await pipelineRuns.PipelineRun.create(this.#context, {
       request: this.#incoming!,
@@ -257,10 +266,12 @@
     const result = await (earlier?.rerun() ?? this.#pipelineRun.run());
     if (this.isFinished) return undefined;
     if (result.type === "made") return result.inputs;
+    if (this.#openCalls.size > 0) return undefined;
     return this.#refuseStep(result.reason, result.about);
   }
 
-  /** Calls endpoints until one answers or no further call is allowed. */
+  /** Calls endpoints until one answers or no further call is allowed. A silent
+   * call stays open beside the next one. */
   async #callEndpoints(
     { service, inputs: first }: {
       service: string;
@@ -268,44 +279,72 @@
     },
   ): Promise<void> {
     const { clock } = this.#context;
+    const targets = this.#createTargetChoice(service);
     let inputs = first;
     let reruns = 0;
     this.#context.retryBudget(service).deposit(clock.now());
-    const targets = this.#createTargetChoice(service);
-    for (;;) {
-      const chosen = await targets.choose({
-        called: this.#calls.map(({ endpoint }) => endpoint),
-        planned: this.#pipelineRun?.planned,
-        version: this.#binding?.version,
-        isFinished: () => this.isFinished,
-      });
+    await this.#callNext(targets, inputs);
+    while (!this.isFinished) {
+      const stall = await this.#openCalls.nextStall();
       if (this.isFinished) return;
-      if (chosen.type === "none") {
-        return this.#endUnanswered(chosen.reason, chosen.about);
-      }
-      const outcome = await this.#call(chosen.target, inputs);
-      if (this.isFinished) return;
-      if (outcome.type === "ended") return this.#endStream();
-      if (outcome.type === "answer") {
-        // The caller already has the head of a stream: another endpoint's plain
-        // answer can't continue it.
-        if (this.#reply.head !== undefined) {
-          return this.#endUnanswered("failed");
-        }
-        if (!this.#mayRetryAnswer(outcome, service)) {
-          return this.#answer(outcome);
-        }
+      const isStageLost = this.#needsStages(stall);
+      const isCalling = this.#mayCallAgain(stall, service) &&
+        !(isStageLost && reruns++ >= MAX_STAGE_RERUNS);
+      if (!isCalling) {
+        this.#endUnlessOpen(stall);
         continue;
       }
-      if (!this.#mayRetry(outcome, service)) {
-        return this.#endUnanswered("not-run");
-      }
-      if (outcome.cause === "lacks-input" || this.#pipelineRun?.isReleased) {
-        if (reruns++ >= MAX_STAGE_RERUNS) return this.#endUnanswered("not-run");
+      if (isStageLost) {
         inputs = await this.#runStages(service);
-        if (this.isFinished) return;
+        const hasStages = this.#route!.stages.length > 0;
+        // The stages have failed; a silent call may still go on.
+        if (inputs === undefined && hasStages) continue;
       }
+      await this.#callNext(targets, inputs);
+    }
+  }
+
+  /** Calls the best endpoint, unless a silent call goes on meanwhile. */
+  async #callNext(
+    targets: targetChoices.TargetChoice,
+    inputs: readonly string[] | undefined,
+  ): Promise<void> {
+    const chosen = await targets.choose({
+      called: this.#calls.map(({ endpoint }) => endpoint),
+      planned: this.#pipelineRun?.planned,
+      version: this.#binding?.version,
+      isFinished: () => this.isFinished || !this.#openCalls.isStalled,
+    });
+    if (this.isFinished) return;
+    if (!this.#openCalls.isStalled) {
+      // Results of stages that were run again are not needed any more.
+      if (this.#reply.head !== undefined) this.#pipelineRun?.release();
+      return;
     }
+    if (chosen.type === "target") return this.#call(chosen.target, inputs);
+    if (this.#openCalls.size > 0) return;
+    this.#endUnanswered(chosen.reason, chosen.about);
+  }
+
+  /** Whether a further call is allowed when none in flight sends anything. */
+  #mayCallAgain(stall: openCalls.Stall, service: string): boolean {
+    return stall.type === "answer"
+      ? this.#withdrawRetry(service)
+      : this.#mayRetry(stall, service);
+  }
+
+  /** Whether a further call needs the results of the stages once more. */
+  #needsStages(stall: openCalls.Stall): boolean {
+    const isInputLost = stall.type === "failed" &&
+      stall.cause === "lacks-input";
+    return isInputLost || (this.#pipelineRun?.isReleased ?? false);
+  }
+
+  /** Ends the request without a further call. A silent call may still go on; an
+   * endpoint's error answer is not kept back for it. */
+  #endUnlessOpen(stall: openCalls.Stall): void {
+    if (this.#openCalls.size > 0 && stall.type === "failed") return;
+    this.#endUnanswered("not-run");
   }
 
   #createTargetChoice(service: string): targetChoices.TargetChoice {
@@ -319,114 +358,97 @@
     });
   }
 
-  async #call(
-    chosen: targetChoices.Target,
+  #call(
+    target: targetChoices.Target,
     inputs: readonly string[] | undefined,
-  ): Promise<attempts.Outcome> {
-    const { endpoint: target, placed: placement } = chosen;
-    const { clock, logger, metrics, loadUpdates, paths, slots } = this.#context;
-    const { id, name, service, address } = target.identity;
-    const started = clock.now();
-    const wait = target.reportedWait(started);
-    const record = callRecords.create(chosen);
-    this.#calls.push(record);
-    target.rejections.recordCall(started);
-    this.#phase = this.#reply.head === undefined ? "sent" : "streaming";
-    if (placement !== undefined) {
-      this.#shareCharge?.correct(placement.cacheMiss.prefillTokens);
+  ): void {
+    const { metrics } = this.#context;
+    const { placed } = target;
+    const { name, service } = target.endpoint.identity;
+    if (this.#reply.head === undefined) this.#phase = "sent";
+    if (placed !== undefined) {
+      this.#shareCharge?.correct(placed.cacheMiss.prefillTokens);
     }
     metrics.count("gateway.sent", 1, { service });
-    if (this.#calls.length > 1) {
+    if (this.#calls.length > 0) {
       metrics.count("gateway.repeated", 1, { service });
     }
-    const callLoad = callLoads.CallLoad.start(target, {
-      ...this.#context,
-      prompt: this.#incoming!.prompt,
-      prefillTokens: placement?.cacheMiss.prefillTokens ?? 0,
-      isFetching: (placement?.cacheMiss.fetchTokens ?? 0) > 0,
-      ...(placement?.source === "owner" &&
-        { pendingWork: placement.pendingWork }),
-    });
-    slots.begin(id);
-    const onEvents = () => {
-      if (callLoad.firstEventTime !== undefined) return callLoad.recordEvent();
-      this.#recordFirstEvent(target, { callLoad, record });
-    };
-    this.#attempt = attempts.Attempt.start({
-      ...this.#context,
-      endpoint: target,
-      request: this.#incoming!,
-      metadata: {
-        ...this.#createMetadata(name, inputs),
-        fetchFrom: placement?.cacheMiss.source?.identity.address,
+    const call: endpointCalls.EndpointCall = endpointCalls.EndpointCall.start(
+      this.#context,
+      {
+        target,
+        request: this.#incoming!,
+        metadata: {
+          ...this.#createMetadata(name, inputs),
+          fetchFrom: placed?.cacheMiss.source?.identity.address,
+        },
+        body: this.#body.length > 0 ? this.#body : undefined,
+        deadline: this.#deadline,
+        idleTimeout: callLimits.idleTimeoutOf(
+          this.#route!,
+          this.#reply.head !== undefined,
+        ),
+        stream: this.#route!.kind === "streaming"
+          ? this.#createStreamListener(() => call)
+          : undefined,
+        onSilence: () => this.#openCalls.recordSilence(),
       },
-      body: this.#body.length > 0 ? this.#body : undefined,
-      deadline: this.#deadline,
-      idleTimeout: callLimits.idleTimeoutOf(
-        this.#route!,
-        this.#reply.head !== undefined,
-      ),
-      onHead: (head) => this.#recordHead(target, { head, record, started }),
-      stream: this.#route!.kind === "streaming"
-        ? this.#createStreamListener(target, onEvents)
-        : undefined,
-    });
-    const retentionTime = this.#context.inputRetention.time(service);
+    );
+    this.#calls.push(call.record);
+    this.#openCalls.add(call);
+    void this.#follow(call, inputs).catch((error) => this.#fail(error));
+  }
+
+  /** Waits for the end of a call and handles its outcome. */
+  async #follow(
+    call: endpointCalls.EndpointCall,
+    inputs: readonly string[] | undefined,
+  ): Promise<void> {
+    const { clock, inputRetention } = this.#context;
+    const { endpoint, startedAt } = call;
+    const { service } = endpoint.identity;
+    const retentionTime = inputRetention.time(service);
+    // A later call may still fetch the inputs.
+    this.#cancelRelease();
     const cancelRelease = inputs === undefined
       ? () => {}
       : clock.after(retentionTime, () => this.#pipelineRun?.release());
-    const outcome = await this.#attempt.outcome;
+    this.#cancelRelease = cancelRelease;
+    const outcome = await call.outcome;
     cancelRelease();
-    slots.end(id);
     if (this.#missedReleasedInput(outcome)) {
-      this.#context.inputRetention.recordMissing(service, retentionTime);
-    }
-    callLoad.end({ isSuccess: attempts.isSuccess(outcome) });
-    record.ms = Math.round(clock.now() - started);
-    record.relay = paths.relayOf(address);
-    record.outcome = healthSignals.outcomeName(outcome);
-    const isReceiving = paths.hasReceivedFromOthers(
-      address,
-      clock.now() - RECEIVE_WINDOW_MS,
-    );
-    healthSignals.record(target, outcome, {
-      now: clock.now(),
-      duration: clock.now() - started,
-      wait,
-      isReceiving,
-      metrics,
-      logger,
-    });
-    // The owner of the partition sees no calls of this host: it has to learn
-    // how the calls that it placed end.
-    if (placement?.source === "owner") {
-      const signal = healthSignals.reportedSignalOf(outcome, isReceiving);
-      loadUpdates.record(target, { signal });
+      inputRetention.recordMissing(service, retentionTime);
     }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
-    const call = { endpoint: id, startedAt: started };
-    this.#endpointAdmission!.recordOutcome(outcome, call);
-    return outcome;
-  }
-
-  /** Records what the head of an answer shows of its endpoint. */
-  #recordHead(
-    target: endpoints.Endpoint,
-    { head, record, started }: {
-      head: protocols.ReplyHead;
-      record: callRecords.CallRecord;
-      started: number;
-    },
+    this.#endpointAdmission!.recordOutcome(outcome, { endpoint, startedAt });
+    if (this.isFinished) return;
+    if (outcome.type === "answer") return this.#handleAnswer(call, outcome);
+    if (outcome.type === "failed") return this.#openCalls.end(call, outcome);
+    // A stream that ends without any event is no answer: its head was not
+    // relayed.
+    if (this.#reply.head !== undefined) return this.#endStream();
+    this.#openCalls.end(call, UNUSABLE_ANSWER);
+  }
+
+  #handleAnswer(
+    call: endpointCalls.EndpointCall,
+    outcome: Extract<attempts.Outcome, { type: "answer" }>,
   ): void {
-    const { quotas } = this.#context;
-    if (!head.isNotRun) target.rejections.recordAcceptance(started);
-    const { rateLimit, leaving, retryAfter } = head;
-    quotas.recordLimit(target.identity.id, rateLimit);
-    const request = this.#incoming!.id;
-    announcementRecords.record(target, head, { ...this.#context, request });
-    target.recordAnnouncedSlowness(head.load, this.#context.clock.now());
-    if (leaving !== undefined) record.leaving = leaving;
-    if (retryAfter !== undefined) record.retryAfterMs = retryAfter;
+    // The caller already has the head of a stream: another endpoint's plain
+    // answer can't continue it.
+    if (this.#reply.head !== undefined) {
+      return this.#openCalls.end(call, UNUSABLE_ANSWER);
+    }
+    const history = { runs: this.#runs, calls: this.#calls.length };
+    const isRetried = retries.shouldRetryAnswer(
+      this.#route!,
+      outcome.head,
+      history,
+    );
+    if (!isRetried) return this.#answer(outcome);
+    // Kept in case no other call gives an answer.
+    this.#errorAnswer = outcome;
+    this.#openCalls.end(call, outcome);
   }
 
   /** Whether a call failed for lack of inputs that were probably released too
@@ -454,18 +476,10 @@
     };
   }
 
-  #recordFirstEvent(
-    target: endpoints.Endpoint,
-    { callLoad, record }: {
-      callLoad: callLoads.CallLoad;
-      record: callRecords.CallRecord;
-    },
-  ): void {
+  #recordFirstEvent(call: endpointCalls.EndpointCall): void {
     const { clock, metrics, inputRetention } = this.#context;
-    callLoad.recordFirstEvent();
-    record.first = Math.round(callLoad.firstEventTime!);
     if (this.#pipelineRun?.isReleased) {
-      inputRetention.recordSuccess(target.identity.service);
+      inputRetention.recordSuccess(call.endpoint.identity.service);
     }
     metrics.time("gateway.first_event", clock.now() - this.#arrivedAt, {
       route: this.#route!.name,
@@ -473,51 +487,54 @@
   }
 
   #createStreamListener(
-    target: endpoints.Endpoint,
-    onEvents: () => void,
+    callOf: () => endpointCalls.EndpointCall,
   ): attempts.StreamListener {
     let head: protocols.ReplyHead;
     return {
       head: (received) => void (head = received),
       events: (complete) => {
-        onEvents();
-        this.#binding!.bind(target);
-        this.#relay(head, complete);
+        const call = callOf();
+        if (call.recordEvents()) this.#recordFirstEvent(call);
+        this.#binding!.bind(call.endpoint);
+        // Events of two calls must not be mixed.
+        this.#openCalls.cancelOthers(call);
+        this.#relay(call, head, complete);
       },
     };
   }
 
   /** Relays complete events to the caller, and the head before the first. */
   #relay(
+    call: endpointCalls.EndpointCall,
     head: protocols.ReplyHead,
     complete: eventBuffers.CompleteEvents,
   ): void {
     if (this.isFinished) return;
     if (this.#reply.head === undefined) {
       this.#firstEventMs = this.#age;
-      this.#startStream(head);
+      this.#startStream(call, head);
     }
     if (complete.lastId !== undefined) this.#lastEventId = complete.lastId;
     this.#reply.write(complete.bytes);
   }
 
-  #startStream(head: protocols.ReplyHead): void {
+  #startStream(
+    call: endpointCalls.EndpointCall,
+    head: protocols.ReplyHead,
+  ): void {
     this.#phase = "streaming";
     this.#pipelineRun?.release();
     if (configurations.isIdempotent(this.#route!)) {
-      this.#attempt?.setIdleTimeout(callLimits.EVENT_IDLE_TIMEOUT_MS);
+      call.setIdleTimeout(callLimits.EVENT_IDLE_TIMEOUT_MS);
     }
     this.#reply.startStream(head);
   }
 
   #endStream(): void {
-    // A stream that ends without any event is no answer: its head was not
-    // relayed.
-    const { head } = this.#reply;
-    if (head === undefined) return this.#endUnanswered("failed");
+    const { status } = this.#reply.head!;
     this.#finish();
     this.#reply.end();
-    this.#log("info", { status: head.status }, "Request answered");
+    this.#log("info", { status }, "Request answered");
   }
 
   #answer({ head, body }: { head: protocols.ReplyHead; body: Buffer }): void {
@@ -529,25 +546,12 @@
     this.#log("info", { status: head.status }, "Request answered");
   }
 
-  /** Whether an error answer of an endpoint is retried; the answer is kept in
-   * case no other call gives one. */
-  #mayRetryAnswer(
-    outcome: Extract<attempts.Outcome, { type: "answer" }>,
-    service: string,
-  ): boolean {
-    const { head } = outcome;
-    const calls = this.#calls.length;
-    const history = { runs: this.#runs, calls };
-    if (!retries.shouldRetryAnswer(this.#route!, head, history)) return false;
-    this.#errorAnswer = outcome;
-    return this.#withdrawRetry(service);
-  }
-
   #mayRetry(
     outcome: Extract<attempts.Outcome, { type: "failed" }>,
     service: string,
   ): boolean {
-    const history = { runs: this.#runs, calls: this.#calls.length };
+    const runs = this.#runs + this.#openCalls.size;
+    const history = { runs, calls: this.#calls.length };
     const decision = retries.afterFailure(this.#route!, outcome, history);
     if (decision === "retry-free") return true;
     if (decision === "retry" && this.#withdrawRetry(service)) return true;
@@ -675,7 +679,7 @@
     });
     this.#phase = "finished";
     this.#cancelTimer();
-    this.#attempt?.cancel();
+    this.#openCalls.cancelAll();
     this.#pipelineRun?.close();
     this.#resolveFinished();
   }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -60,13 +60,19 @@
   readonly body?: Buffer;
   /** Time at which the attempt ends at the latest. */
   readonly deadline: number;
-  /** Milliseconds without a received byte after which it fails. */
+  /** Milliseconds without a received byte after which it is silent. */
   readonly idleTimeout: number;
   /** Present for a stream. */
   readonly stream?: StreamListener;
   /** Called with the head of every answer of the intended endpoint, refusals
    * included. */
   onHead?(head: protocols.ReplyHead): void;
+  /** Called when it has been silent for the idle timeout, and after each further
+   * one (`isNew` is false then). It goes on until its deadline or until it is
+   * cancelled. */
+  onSilence?(silence: { isNew: boolean }): void;
+  /** Called when its endpoint sends something after a silence. */
+  onResume?(): void;
 }
 
 /** An attempt in progress. */
@@ -80,6 +86,7 @@
   #exchange?: endpointCalls.Exchange;
   #head?: protocols.ReplyHead;
   #isStream = false;
+  #isSilent = false;
   #isFinished = false;
 
   private constructor(options: AttemptOptions) {
@@ -117,11 +124,16 @@
     return attempt;
   }
 
+  /** Whether its endpoint has sent nothing for the idle timeout. */
+  get isSilent(): boolean {
+    return this.#isSilent;
+  }
+
   /** Cancels the attempt; the endpoint sees its connection close. */
-  cancel(cause: FailureCause = "cancelled"): void {
+  cancel(): void {
     if (this.#isFinished) return;
     this.#exchange?.cancel();
-    this.#fail(cause, true);
+    this.#fail(this.#isSilent ? "silent" : "cancelled", true);
   }
 
   /** Changes the idle timeout, counted from now. */
@@ -134,6 +146,7 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
     if (this.#isFinished) return;
+    this.#recordReceipt();
     const { protocol, request, stream } = this.#options;
     const head = protocol.decodeReply(status, headers);
     if (!belongsTo(head, request)) return this.#rejectMismatch();
@@ -143,8 +156,16 @@
     if (this.#isStream) stream!.head(head);
   }
 
+  silence(): void {
+    if (this.#isFinished) return;
+    const isNew = !this.#isSilent;
+    this.#isSilent = true;
+    this.#options.onSilence?.({ isNew });
+  }
+
   data(chunk: Buffer): void {
     if (this.#isFinished) return;
+    this.#recordReceipt();
     if (!this.#isStream) {
       this.#chunks.push(chunk);
       return;
@@ -172,6 +193,14 @@
     this.#fail(failureCause(reason), true);
   }
 
+  #recordReceipt(): void {
+    const { endpoint, clock, onResume } = this.#options;
+    endpoint.heardAt = clock.now();
+    if (!this.#isSilent) return;
+    this.#isSilent = false;
+    onResume?.();
+  }
+
   #failUnsent(): void {
     const { endpoint, clock } = this.#options;
     const isAccepting = endpoint.isAccepting(clock.now());
@@ -199,7 +228,7 @@
 }
 
 /** Whether the endpoint may have crashed during the call. A connection that is
- * cut or reset by the network looks the same. */
+ * cut or reset by the network looks the same. Silence alone does not show it. */
 export function mayHaveCrashed(outcome: Outcome): boolean {
   return outcome.type === "failed" && outcome.mayHaveRun &&
     CRASH_CAUSES.has(outcome.cause);
@@ -214,7 +243,6 @@
 const CRASH_CAUSES: ReadonlySet<FailureCause> = new Set([
   "connection",
   "broken",
-  "silent",
 ]);
 
 /** Whether an answer belongs to this request: refusals need not echo its id,
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -24,7 +24,9 @@
   /** Announcements in the answer. */
   leaving?: protocols.ReplyHead["leaving"];
   retryAfterMs?: protocols.ReplyHead["retryAfter"];
-  /** Why no call follows its failure: the route's retry policy, or the retry
+  /** Times that it was silent for its idle timeout and went on. */
+  resumed?: number;
+  /** Why no call follows its failure or silence: the route's retry policy, or the retry
    * budget. */
   notRetried?: "policy" | "budget";
 }
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -29,6 +29,9 @@
  * works. Queues also shrink as callers leave, and most callers of plain calls wait
  * no longer. */
 const MAX_QUEUE_AGE_MS = 3000;
+/** Milliseconds for which an endpoint with a silent call must have sent nothing
+ * to count as unresponsive: one that serves others has only delayed the call. */
+const UNRESPONSIVE_MS = 800;
 /** Half-life of the delay of first events, in milliseconds. */
 const DELAY_HALF_LIFE_MS = 1500;
 
@@ -117,6 +120,10 @@
   cold?: configurations.ColdTraits;
   /** Calls of this host in flight. */
   inFlight = 0;
+  /** Those of them that have been silent for their idle timeout. */
+  silentCalls = 0;
+  /** Time at which it last sent something in a call of this host. */
+  heardAt = -Infinity;
   /** Prompt tokens sent by this host that await their first event. */
   backlog = 0;
   /** Moving average of the durations of answered calls, in milliseconds. */
@@ -216,10 +223,17 @@
     return this.isAccepting(now) && this.isAlive(now) && !this.isAvoided(now);
   }
 
-  /** Whether other endpoints are preferred, since it failed or rejected
-   * calls. */
+  /** Whether other endpoints are preferred, since it failed or rejected calls,
+   * or sends nothing. */
   isAvoided(now: number): boolean {
-    return this.isEjected(now) || this.rejections.left(now) > 0;
+    return this.isEjected(now) || this.rejections.left(now) > 0 ||
+      this.isUnresponsive(now);
+  }
+
+  /** Whether it leaves calls unanswered and has sent nothing in others for some
+   * time either. */
+  isUnresponsive(now: number): boolean {
+    return this.silentCalls > 0 && now - this.heardAt > UNRESPONSIVE_MS;
   }
 
   /** Requests per second that all hosts together may send while it may be cold;
@@ -273,6 +287,20 @@
     return true;
   }
 
+  /** Records that a call has become silent: a failure until the call goes on.
+   * Returns whether it ejects the endpoint. */
+  recordSilence(now: number): boolean {
+    this.silentCalls++;
+    return this.recordHealth("bad", now);
+  }
+
+  /** Records that a silent call goes on: its endpoint is sound. */
+  recordResumption(now: number): void {
+    this.silentCalls--;
+    this.#ejectedUntil = 0;
+    this.recordHealth("good", now);
+  }
+
   /** Moves the mean duration towards `lowest`, the lowest of the candidates, when
    * another of them is chosen: only a call shows whether this one is still
    * slower. */
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -16,6 +16,11 @@
 /** Milliseconds over which the retries of rate-limited callers are spread. */
 const RETRY_SPREAD_MS = 1000;
 
+/** Milliseconds after the end of a silent call within which its endpoint must
+ * send something not to count as crashed: sound endpoints are silent for a second
+ * or so, and the call has waited for about as long. */
+const CRASH_VERDICT_MS = 2000;
+
 /** Why a request is not admitted to an endpoint. */
 export interface Denial {
   readonly reason: refusals.RefusalReason;
@@ -106,19 +111,34 @@
    * whether the request crashes endpoints. */
   recordOutcome(
     outcome: attempts.Outcome,
-    { endpoint, startedAt }: { endpoint: string; startedAt: number },
+    { endpoint, startedAt }: {
+      endpoint: endpoints.Endpoint;
+      startedAt: number;
+    },
   ): void {
     const { guard } = this.#dependencies;
     if (attempts.mayHaveCrashed(outcome)) {
-      guard.recordCrash(this.#identity, endpoint);
+      guard.recordCrash(this.#identity, endpoint.identity.id);
     } else if (outcome.type === "failed") {
       guard.endRun(this.#identity, { isUnused: !outcome.mayHaveRun });
+      if (outcome.cause === "silent") this.#awaitSign(endpoint);
     } else {
       const isWhole = attempts.isSuccess(outcome);
       guard.recordSuccess(this.#identity, { isWhole, startedAt });
     }
   }
 
+  /** Records a crash unless the endpoint sends something soon: it may have ended
+   * without closing its connections. */
+  #awaitSign(endpoint: endpoints.Endpoint): void {
+    const { clock, guard } = this.#dependencies;
+    const from = clock.now();
+    clock.after(CRASH_VERDICT_MS, () => {
+      if (endpoint.heardAt > from) return;
+      guard.recordCrash(this.#identity, endpoint.identity.id);
+    });
+  }
+
   async #acquireQuota(endpoint: string): Promise<Denial | undefined> {
     const { quotas, random } = this.#dependencies;
     if (!quotas.isLimited(endpoint)) return undefined;
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -46,7 +46,10 @@
     },
   }),
   isReadinessProbe: () => true,
-  callHeaders: (_, { endpoint }) => ({ "test-endpoint": endpoint }),
+  callHeaders: (_, { endpoint, resumeAfter }) => ({
+    "test-endpoint": endpoint,
+    ...(resumeAfter !== undefined && { "test-resume-after": resumeAfter }),
+  }),
   decodeReply: (status, headers) => ({
     status,
     attempt: "a-1",
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -46,6 +46,33 @@
   target.recordDuration(duration);
 }
 
+/** Records that a call has become silent. It counts as failed until it goes
+ * on, so that few calls go to an endpoint that is silent for good. */
+export function recordSilence(
+  target: endpoints.Endpoint,
+  { now, isReceiving, metrics, logger }: Omit<CallEnd, "duration" | "wait">,
+): void {
+  metrics.count("gateway.silences", 1, { service: target.identity.service });
+  if (!isReceiving) {
+    target.silentCalls++;
+    return;
+  }
+  if (target.recordSilence(now)) {
+    logEjection(target, { metrics, logger, cause: "silent" });
+  }
+}
+
+/** Records that a silent call goes on. */
+export function recordResumption(
+  target: endpoints.Endpoint,
+  { now, metrics }: Pick<CallEnd, "now" | "metrics">,
+): void {
+  metrics.count("gateway.resumptions", 1, {
+    service: target.identity.service,
+  });
+  target.recordResumption(now);
+}
+
 /** Records how slow a call without a prompt was. */
 function recordSlowness(
   target: endpoints.Endpoint,
@@ -121,6 +148,8 @@
   "cancelled",
   "deadline",
   "withheld",
+  // Recorded when the call became silent.
+  "silent",
 ]);
 
 /** Name of an outcome in logs: a status or a cause of failure. */
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -40,6 +40,14 @@
   },
   "gateway.placed": { type: "count", help: "Engines chosen, by whom" },
   "gateway.failed": { type: "count", help: "Failed calls, by cause" },
+  "gateway.silences": {
+    type: "count",
+    help: "Calls that became silent for their idle timeout, by service",
+  },
+  "gateway.resumptions": {
+    type: "count",
+    help: "Silent calls that went on, by service",
+  },
   "gateway.repeated": { type: "count", help: "Calls that repeat one" },
   "gateway.no_budget": { type: "count", help: "Repeats without a budget" },
   "origins.found": {
