Gateway: a reply that can't be written ends with a refusal, or with its connection

What callers see: an answer whose head Node refuses to write ends without an answer or a refusal; a stream of that kind goes on with a head of Node's own, 200 without a signature.

Cause: a request counted as finished before its answer was written, so the handler of its error found nothing to do, and a stream counted as started before its head was written. Errors in callbacks (heads and events of endpoints, the timeout, the close of a connection) ended the process, or undici took them for the endpoint's and the call was repeated without a log line.

Change: replies are written first, and all errors of a request end in one place, which logs the request's id and phase, counts gateway.errors, and refuses the request if nothing of its reply is written, else aborts the connection; a reply that is complete stays. A request in the phase "streaming" may have run.

No head that undici 7.30 accepts and Node 20 refuses was found by hand (60 heads), so no caller is known to have met this.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -66,6 +66,8 @@
   #binding?: streamBindings.StreamBinding;
   /** Absent where accounts have no shares. */
   #shareCharge?: shareCharges.ShareCharge;
+  /** Whether an error of this host has ended the request. */
+  #hasFailed = false;
   #resolveFinished!: () => void;
   /** Resolves when the request is answered, refused or abandoned. */
   readonly finished: Promise<void>;
@@ -94,7 +96,10 @@
     exchange: HttpExchange,
   ): ActiveRequest {
     const active = new ActiveRequest(context, exchange);
-    exchange.response.once("close", () => active.#onClose());
+    exchange.response.once(
+      "close",
+      () => active.#guard(() => active.#onClose()),
+    );
     void active.#serve();
     return active;
   }
@@ -107,7 +112,7 @@
   /** Ends the request at once because the host stops. */
   abort(): void {
     if (this.isFinished) return;
-    this.#refuse(this.#mayHaveRun ? "failed" : "stopping");
+    this.#guard(() => this.#refuse(this.#mayHaveRun ? "failed" : "stopping"));
   }
 
   async #serve(): Promise<void> {
@@ -129,11 +134,48 @@
       if (this.isFinished) return;
       await this.#callEndpoints({ service, inputs });
     } catch (error) {
-      const request = this.#incoming?.id;
-      this.#context.logger.error({ err: error, request }, "Request failed");
-      this.#shareCharge?.endByError({ mayHaveRun: this.#mayHaveRun });
-      this.#refuse(this.#mayHaveRun ? "failed" : "not-run");
+      this.#fail(error);
+    }
+  }
+
+  /** Runs a step outside of `#serve`, in a callback of a timer or a connection,
+   * where an error would end the process or be taken for the endpoint's. */
+  #guard(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.#fail(error);
+    }
+  }
+
+  /** Ends the request after an error of this host. A caller that has no part of
+   * its reply is refused; if it has one, or the refusal fails too, its connection
+   * is aborted. A reply that is complete stays as it is. */
+  #fail(error: unknown): void {
+    const { logger, metrics } = this.#context;
+    const phase = this.#phase;
+    const mayRefuse = !this.#hasFailed && !this.isFinished;
+    this.#hasFailed = true;
+    logger.error({
+      err: error,
+      request: this.#incoming?.id,
+      route: this.#route?.name,
+      phase,
+      calls: this.#calls,
+    }, "Request failed");
+    try {
+      metrics.count("gateway.errors", 1, { phase });
+      const mayHaveRun = this.#mayHaveRun;
+      this.#shareCharge?.endByError({ mayHaveRun });
+      if (mayRefuse) this.#refuse(mayHaveRun ? "failed" : "not-run");
+    } catch (second) {
+      logger.error(
+        { err: second, request: this.#incoming?.id },
+        "Request that failed could not be refused",
+      );
     }
+    if (!this.#reply.isEnded) this.#reply.abort();
+    if (!this.isFinished) this.#release();
   }
 
   /** Chooses the service before any stage runs; refuses the request if there is
@@ -179,7 +221,8 @@
   /** Whether an endpoint may have executed the request or may be executing
    * it. */
   get #mayHaveRun(): boolean {
-    return this.#runs > 0 || this.#phase === "sent";
+    return this.#runs > 0 || this.#phase === "sent" ||
+      this.#phase === "streaming";
   }
 
   /** Decodes the request, admits it and reads its body. */
@@ -204,7 +247,10 @@
     );
     const timeout = Math.min(route.timeout, incoming.timeout ?? Infinity);
     this.#deadline = this.#arrivedAt + timeout;
-    this.#cancelTimer = clock.after(timeout, () => this.#timeOut());
+    this.#cancelTimer = clock.after(
+      timeout,
+      () => this.#guard(() => this.#timeOut()),
+    );
     const { limits } = fleetView.catalogue()!.configuration;
     const body = await bodies.read(this.#message, limits.bodyBytes);
     if (typeof body === "string") return this.#refuseStep(body);
@@ -366,7 +412,8 @@
         this.#route!,
         this.#reply.head !== undefined,
       ),
-      onHead: (head) => this.#recordHead(target, { head, record, started }),
+      onHead: (head) =>
+        this.#guard(() => this.#recordHead(target, { head, record, started })),
       stream: this.#route!.kind === "streaming"
         ? this.#createStreamListener(target, onEvents)
         : undefined,
@@ -479,11 +526,12 @@
     let head: protocols.ReplyHead;
     return {
       head: (received) => void (head = received),
-      events: (complete) => {
-        onEvents();
-        this.#binding!.bind(target);
-        this.#relay(head, complete);
-      },
+      events: (complete) =>
+        this.#guard(() => {
+          onEvents();
+          this.#binding!.bind(target);
+          this.#relay(head, complete);
+        }),
     };
   }
 
@@ -502,12 +550,12 @@
   }
 
   #startStream(head: protocols.ReplyHead): void {
+    this.#reply.startStream(head);
     this.#phase = "streaming";
     this.#pipelineRun?.release();
     if (configurations.isIdempotent(this.#route!)) {
       this.#attempt?.setIdleTimeout(callLimits.EVENT_IDLE_TIMEOUT_MS);
     }
-    this.#reply.startStream(head);
   }
 
   #endStream(): void {
@@ -515,8 +563,8 @@
     // relayed.
     const { head } = this.#reply;
     if (head === undefined) return this.#endUnanswered("failed");
-    this.#finish();
     this.#reply.end();
+    this.#finish();
     this.#log("info", { status: head.status }, "Request answered");
   }
 
@@ -524,8 +572,10 @@
     if (!retries.mayRelayAnswer(this.#route!, head)) {
       return this.#refuse("failed", { answered: head.status });
     }
-    this.#finish();
+    // Before the request counts as finished: if the answer can't be written, the
+    // caller is refused.
     this.#reply.send(head, body);
+    this.#finish();
     this.#log("info", { status: head.status }, "Request answered");
   }
 
@@ -604,10 +654,10 @@
       const { retryAfter: _, ...rest } = details;
       return this.#refuse("failed", { ...rest, after: reason });
     }
-    this.#finish(reason);
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...details };
-    this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#reply.refuse(reason, { status, retryAfter });
+    this.#finish(reason);
+    this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#log("info", { status, reason, ...details }, "Request refused");
   }
 
@@ -657,12 +707,17 @@
   }
 
   #finish(reason?: refusals.RefusalReason | "left"): void {
+    this.#release();
     this.#shareCharge?.end({
       reason,
       lastCall: this.#calls.at(-1)?.outcome,
       ms: this.#age,
       firstEventMs: this.#firstEventMs,
     });
+  }
+
+  /** Ends what runs for the request. */
+  #release(): void {
     this.#phase = "finished";
     this.#cancelTimer();
     this.#attempt?.cancel();
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -12,6 +12,7 @@
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as fixture from "./fixture.ts";
+import type * as protocols from "./protocol.ts";
 
 test("a call in flight when a host stops is not reported as not executed", async (t) => {
   const { ask, sent, started } = await fixture.startHost(
@@ -180,6 +181,149 @@
   t.is(count, 1);
 });
 
+/** Records error lines and counted errors of a host. */
+function recordErrors({ context }: fixture.Host) {
+  const errors: object[] = [];
+  const counted: unknown[] = [];
+  const logger: telemetry.Logger = {
+    ...telemetry.noLogger,
+    error: (details) => void errors.push(details),
+  };
+  const metrics: telemetry.Metrics = {
+    ...telemetry.noMetrics,
+    count: (name, _, labels) =>
+      name === "gateway.errors" && counted.push(labels),
+  };
+  Object.assign(context, { logger, metrics });
+  return { errors, counted };
+}
+
+/** A host whose endpoint answers with a head that Node refuses to write. */
+async function startUnwritableHost(
+  t: ava.ExecutionContext,
+  route: Partial<configurations.Route>,
+  change: Partial<protocols.ReplyHead>,
+) {
+  const host = await fixture.startHost(t, route, (_, response) => {
+    response.writeHead(200, { "test-signature": "s" });
+    response.end("id: 1\ndata: 1\n\n");
+  });
+  const protocol: protocols.GatewayProtocol = {
+    ...fixture.PROTOCOL,
+    decodeReply: (status, headers) => ({
+      ...fixture.PROTOCOL.decodeReply(status, headers),
+      ...change,
+    }),
+  };
+  Object.assign(host.context, { protocol });
+  return host;
+}
+
+const UNWRITABLE_HEADS = {
+  "a line break in a value": { headers: { "test-note": "a\nb" } },
+  "a character beyond Latin-1": { headers: { "test-note": "\u65e5" } },
+  "a space in a name": { headers: { "test note": "a" } },
+  "a status of four digits": { status: 1000 },
+};
+
+// Guards against callers that get neither an answer nor a refusal: a request
+// counted as finished before its answer was written, so that the error of Node
+// ended it without a word. A stream whose head is refused must not go on with a
+// head of Node's own either, which has no signature.
+for (const [name, change] of Object.entries(UNWRITABLE_HEADS)) {
+  for (const kind of ["unsafe", "safe", "streaming"] as const) {
+    test(`an answer whose head can't be written is refused: ${kind}, ${name}`, async (t) => {
+      const route = { kind, resumable: true, objective: 1000, timeout: 3000 };
+      const host = await startUnwritableHost(t, route, change);
+      const { errors, counted } = recordErrors(host);
+      const answer = await Promise.race([
+        host.ask(),
+        timers.setTimeout(CLOSE_TIMEOUT_MS, "no answer"),
+      ]);
+      t.like(answer, { status: 502 });
+      t.like(errors, [{ request: "a-1", route: "route" }]);
+      t.is(errors.length, 1);
+      t.deepEqual(counted, [{ phase: "sent" }]);
+      t.true(host.started[0].isFinished);
+    });
+  }
+}
+
+// Guards against an error in a callback of a connection that undici takes for the
+// endpoint's: the call was repeated, and nothing was logged.
+test("an error while the head of an answer is recorded is not the endpoint's", async (t) => {
+  let calls = 0;
+  const host = await fixture.startHost(
+    t,
+    { kind: "safe", attempts: 2 },
+    (_, response) => {
+      calls++;
+      response.writeHead(200, { "test-signature": "s" }).end("done");
+    },
+  );
+  Object.assign(host.context.quotas, {
+    recordLimit() {
+      throw new Error("of a test");
+    },
+  });
+  const { errors } = recordErrors(host);
+  t.is((await host.ask()).status, 502);
+  t.is(errors.length, 1);
+  t.is(calls, 1);
+});
+
+// Guards against an error in a timer or a listener, which would end the process
+// and with it all other requests.
+test("an error at a request's timeout ends that request alone", async (t) => {
+  const host = await fixture.startHost(
+    t,
+    { kind: "unsafe", timeout: 100 },
+    () => {},
+  );
+  const { errors } = recordErrors(host);
+  const count = (name: string) => {
+    if (name === "gateway.refused") throw new Error("of a test");
+  };
+  const metrics: telemetry.Metrics = { ...telemetry.noMetrics, count };
+  Object.assign(host.context, { metrics });
+  t.is((await host.ask()).status, 504);
+  t.like(errors, [{ request: "a-1", phase: "finished" }]);
+});
+
+// Guards against a reply that is cut although it was complete.
+test("an error after an answer leaves the answer whole", async (t) => {
+  const host = await fixture.startHost(
+    t,
+    { kind: "unsafe" },
+    (_, response) => {
+      response.writeHead(200, { "test-signature": "s" }).end("done");
+    },
+  );
+  const { errors } = recordErrors(host);
+  const time = (name: string) => {
+    if (name === "gateway.duration") throw new Error("of a test");
+  };
+  const metrics: telemetry.Metrics = { ...telemetry.noMetrics, time };
+  Object.assign(host.context, { metrics });
+  t.deepEqual(await host.ask(), { status: 200, text: "done" });
+  t.is(errors.length, 1);
+});
+
+// Guards against a caller that waits for a refusal that can't be written.
+test("a refusal that can't be written ends with its connection", async (t) => {
+  const host = await startUnwritableHost(t, { kind: "unsafe" }, {
+    headers: { "test-note": "a\nb" },
+  });
+  const { errors } = recordErrors(host);
+  const isDraining = () => {
+    throw new Error("of a test");
+  };
+  Object.assign(host.context, { isDraining });
+  t.is(await endOf(host.ask()), "broken off");
+  t.is(errors.length, 2);
+  t.true(host.started[0].isFinished);
+});
+
 /** Milliseconds within which an aborted connection has closed. */
 const CLOSE_TIMEOUT_MS = 1500;
 
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -52,10 +52,18 @@
     return this.#head;
   }
 
-  /** Sends the head of a stream. */
+  /** Whether the reply is complete or its connection aborted. */
+  get isEnded(): boolean {
+    const { writableEnded, destroyed } = this.#options.response;
+    return writableEnded || destroyed || this.isDisconnected;
+  }
+
+  /** Sends the head of a stream. Throws if Node refuses to write it. */
   startStream(head: protocols.ReplyHead): void {
-    this.#head = head;
     this.#options.response.writeHead(head.status, this.#headersOf(head));
+    // Only once it is written: otherwise the stream would be taken for started,
+    // and its events would follow a head of Node's own.
+    this.#head = head;
   }
 
   /** Sends bytes of the stream. */
@@ -88,7 +96,8 @@
     this.#options.response.destroy();
   }
 
-  /** Sends an endpoint's plain answer. */
+  /** Sends an endpoint's plain answer. Throws if Node refuses to write its
+   * head. */
   send(head: protocols.ReplyHead, body: Buffer): void {
     if (this.isDisconnected) return;
     const { response } = this.#options;
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -17,6 +17,10 @@
     help: "Requests, by route and by how they ended: in time, late, or why not",
   },
   "gateway.refused": { type: "count", help: "Refused or failed, by reason" },
+  "gateway.errors": {
+    type: "count",
+    help: "Requests that an error of this host ended, by phase",
+  },
   "gateway.duration": { type: "time", help: "From arrival to answer" },
   "gateway.first_event": { type: "time", help: "To a stream's first event" },
   "gateway.in_flight": { type: "gauge", help: "Requests under way" },
