Gateway: a connection closes only once all requests read on it are answered

What callers see: a whole request ends without an answer or a refusal where - bytes that are no request follow it, or any bytes after a request with "Connection: close": the connection was destroyed at once; - it is one of several on a connection of a host that drains: the first reply announced the close, and those behind it, already passed on, were never sent.

Cause: the close of a connection was decided without regard to the order of replies on it.

Change: CallerConnection knows the last request that was read. Only its reply announces the close; after invalid bytes the connection closes once that reply is sent; a request that crosses an announced close is dropped, not passed on. A caller that leaves after invalid bytes is still seen to leave. A request whose own body is invalid ends as before, without an answer: it was never whole.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -9,6 +9,7 @@
 import * as announcementRecords from "./announcement_records.ts";
 import * as attempts from "./attempt.ts";
 import * as bodies from "./body.ts";
+import type * as callerConnections from "./caller_connection.ts";
 import * as callLimits from "./call_limits.ts";
 import type * as contexts from "./context.ts";
 import type * as endpoints from "./endpoint.ts";
@@ -74,7 +75,7 @@
 
   private constructor(
     context: contexts.Context,
-    { request, response, unreadReplies }: HttpExchange,
+    { request, response, unreadReplies, connection }: HttpExchange,
   ) {
     this.#context = context;
     this.#message = request;
@@ -83,7 +84,8 @@
       request,
       response,
       unreadReplies,
-      isDraining,
+      closesConnection: ({ isUnread }) =>
+        connection.announcesClose(request, isUnread || isDraining()),
       onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
     });
     this.#arrivedAt = context.clock.now();
@@ -786,6 +788,11 @@
     unreadReplies.UnreadReplies,
     "update" | "remove"
   >;
+  /** Connection of the request. */
+  readonly connection: Pick<
+    callerConnections.CallerConnection,
+    "announcesClose"
+  >;
 }
 
 const EMPTY_BODY = Buffer.alloc(0);
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -16,6 +16,7 @@
 import * as telemetry from "../telemetry/mod.ts";
 import * as gateway from "./mod.ts";
 import * as activeRequests from "./active_request.ts";
+import * as callerConnections from "./caller_connection.ts";
 import * as unreadReplies from "./unread_replies.ts";
 
 /** Headers of an answer that are relayed to the caller. */
@@ -172,11 +173,16 @@
     unread = createUnreadReplies(memory);
   };
   const gatewayAddress = await listen(t, (request, response) => {
+    const connection = callerConnections.CallerConnection.create(
+      request.socket,
+    );
+    connection.begin({ request, response });
     started.push(
       activeRequests.ActiveRequest.start(context, {
         request,
         response,
         unreadReplies: unread,
+        connection,
       }),
     );
   });
@@ -205,5 +211,19 @@
   };
 }
 
+/** Starts the server for callers of a host; resolves with it. */
+export async function startServer(
+  t: ava.ExecutionContext,
+  { context }: Pick<Host, "context">,
+): Promise<gateway.Server> {
+  const server = await gateway.Server.start({
+    context,
+    callers: { address: "127.0.0.1", port: 0 },
+    isReady: () => true,
+  });
+  t.teardown(() => server.stop());
+  return server;
+}
+
 /** A gateway host of a test. */
 export type Host = Awaited<ReturnType<typeof startHost>>;
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -16,8 +16,9 @@
     unreadReplies.UnreadReplies,
     "update" | "remove"
   >;
-  /** Whether the host accepts no further requests on the connection. */
-  isDraining(): boolean;
+  /** Whether the connection closes after this reply; asked once its head is
+   * written. It should if `isUnread`: a part of the request is left on it. */
+  closesConnection(state: { isUnread: boolean }): boolean;
   /** The reply is aborted because its caller has not read so many bytes. */
   onAbortUnread(unreadBytes: number): void;
 }
@@ -114,14 +115,14 @@
     { status, retryAfter }: refusals.Refusal,
   ): void {
     if (this.isDisconnected) return;
-    const { request, response, isDraining } = this.#options;
+    const { request, response, closesConnection } = this.#options;
     const text = JSON.stringify({ status, reason });
-    const isUnread = !request.complete;
+    const closes = closesConnection({ isUnread: !request.complete });
     response.writeHead(status, {
       "content-type": "application/problem+json",
       "content-length": `${Buffer.byteLength(text)}`,
       ...(retryAfter !== undefined && { "retry-after": `${retryAfter}` }),
-      ...((isUnread || isDraining()) && { connection: "close" }),
+      ...(closes && { connection: "close" }),
     });
     this.#end(text);
   }
@@ -136,7 +137,7 @@
   }
 
   #headersOf({ headers }: protocols.ReplyHead): Record<string, string> {
-    const closes = this.#options.isDraining();
+    const closes = this.#options.closesConnection({ isUnread: false });
     return { ...headers, ...(closes && { connection: "close" }) };
   }
 }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -6,6 +6,7 @@
 import type * as contexts from "./context.ts";
 import * as httpListener from "../fleet/http_listener.ts";
 import * as activeRequests from "./active_request.ts";
+import * as callerConnections from "./caller_connection.ts";
 import * as connectionGates from "./connection_gate.ts";
 import * as unreadReplies from "./unread_replies.ts";
 import * as delays from "../runtime/delay.ts";
@@ -36,8 +37,10 @@
   readonly #options: ServerOptions;
   readonly #unreadReplies: unreadReplies.UnreadReplies;
   readonly #activeRequests = new Set<activeRequests.ActiveRequest>();
-  /** Requests in flight by connection. */
-  readonly #inFlight = new WeakMap<net.Socket, number>();
+  readonly #connections = new WeakMap<
+    net.Socket,
+    callerConnections.CallerConnection
+  >();
   #callers!: http.Server;
   #readiness?: http.Server;
   #isDraining = false;
@@ -88,6 +91,11 @@
     return server;
   }
 
+  /** Port on which callers connect. */
+  get port(): number {
+    return (this.#callers.address() as net.AddressInfo).port;
+  }
+
   /** Number of requests in flight. */
   get inFlight(): number {
     return this.#activeRequests.size;
@@ -137,22 +145,37 @@
     response.on("error", (error) => {
       context.logger.debug({ err: error }, "Connection to a caller failed");
     });
+    const connection = this.#connectionOf(request.socket);
+    if (connection.isClosing) return this.#drop(request);
+    connection.begin({ request, response });
     const active = activeRequests.ActiveRequest.start(context, {
       request,
       response,
       unreadReplies: this.#unreadReplies,
+      connection,
     });
     this.#activeRequests.add(active);
-    this.#countOnConnection(request.socket, 1);
     context.metrics.gauge("gateway.in_flight", this.#activeRequests.size);
     void active.finished.then(() => {
       this.#activeRequests.delete(active);
-      this.#countOnConnection(request.socket, -1);
     });
   }
 
-  #countOnConnection(socket: net.Socket, change: number): void {
-    this.#inFlight.set(socket, (this.#inFlight.get(socket) ?? 0) + change);
+  #connectionOf(socket: net.Socket): callerConnections.CallerConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = callerConnections.CallerConnection.create(socket);
+    this.#connections.set(socket, connection);
+    return connection;
+  }
+
+  /** Drops a request on a connection that closes after an earlier reply, which
+   * its caller has sent before it has read that. */
+  #drop(request: http.IncomingMessage): void {
+    const { metrics, logger } = this.#options.context;
+    request.resume();
+    metrics.count("gateway.refused", 1, { reason: "closing" });
+    logger.debug({}, "Request dropped; its connection is closing");
   }
 
   #answerProbe(
@@ -169,21 +192,30 @@
 
   /** Rejects bytes that are not a valid HTTP request; none were forwarded. Behind
    * a request in flight the caller would take the status for its answer, and 408
-   * promises that it has not run, so the connection is closed. */
+   * promises that it has not run: the connection is closed once all requests in
+   * flight are answered. */
   #rejectInvalid(error: NodeJS.ErrnoException, socket: net.Socket): void {
     const { metrics, logger } = this.#options.context;
-    const { code } = error;
+    const { code = "" } = error;
+    const connection = this.#connectionOf(socket);
+    const isInvalid = code.startsWith("HPE_") ||
+      code === "ERR_HTTP_REQUEST_TIMEOUT";
+    // A caller that has ended its side in the middle of a request has left; one
+    // whose body is invalid gets no answer to it.
+    const hasLeft = !socket.writable || socket.readableEnded;
+    if (hasLeft || !isInvalid || connection.isReceiving) {
+      socket.destroy();
+      return;
+    }
+    // Reported again with all further bytes.
+    if (connection.isClosing) return;
     metrics.count("gateway.refused", 1, { reason: "bytes" });
     logger.debug(
       { code },
       "Invalid HTTP request from a caller; closing its connection",
     );
-    const isBusy = (this.#inFlight.get(socket) ?? 0) > 0;
-    if (!socket.writable || code === "ECONNRESET" || isBusy) {
-      socket.destroy();
-      return;
-    }
-    const status = CLIENT_ERROR_STATUS[code ?? ""] ?? "400 Bad Request";
+    if (connection.isBusy) return connection.closeWhenAnswered();
+    const status = CLIENT_ERROR_STATUS[code] ?? "400 Bad Request";
     socket.end(
       `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
     );
--- a/src/gateway/unread_replies_test.ts
+++ b/src/gateway/unread_replies_test.ts
@@ -114,7 +114,7 @@
         request,
         response,
         unreadReplies: unread,
-        isDraining: () => false,
+        closesConnection: () => false,
         onAbortUnread() {},
       });
       if (number++ === 0) return;
