Gateway: a host that stops sends its replies to the end

What callers see: at a SIGTERM an answer ends in the middle, or a refusal never comes, although the host has it and most of its grace period is left.

Cause: a stop waited for requests in flight only. One whose answer was written into the process's buffers counted as finished, and the close of all connections cut what the system had not taken. Of several requests on a connection that are refused at the end only the first refusal had been sent by then.

Change: a stop waits, within the grace period as before, until all replies are sent whole, and 200 ms for the refusals at its end.

Evidence: real sockets; an answer of 30,000,000 bytes whose caller pauses for 150 ms: 3,919,872 bytes before, all now; three requests on one connection at the end of the grace period: 1 of 3 refused before, 3 now. A caller that reads nothing for good delays the stop to the end of the grace period, no longer.

--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -234,8 +234,8 @@
     this.#options.logger.info({ seeds }, "Settings reloaded");
   }
 
-  /** Drains: fails readiness checks, finishes the requests in flight and
-   * stops. */
+  /** Drains: fails readiness checks, finishes the requests in flight, waits until
+   * their callers have read the replies and stops. */
   async stop(): Promise<void> {
     const { clock, logger, settings: { bounds } } = this.#options;
     const started = clock.now();
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -13,6 +13,9 @@
 
 /** Interval in milliseconds at which a stop checks for requests in flight. */
 const STOP_CHECK_INTERVAL_MS = 50;
+/** Time in milliseconds in which the refusals of a stop are sent: they are small,
+ * but may stand behind one another on a connection. */
+const REFUSAL_TIMEOUT_MS = 200;
 /** Bytes of the largest request head until a configuration sets the limit. */
 const MAX_HEADER_BYTES = 16 * 1024;
 /** Milliseconds within which a request head must arrive until a configuration
@@ -37,6 +40,8 @@
   readonly #options: ServerOptions;
   readonly #unreadReplies: unreadReplies.UnreadReplies;
   readonly #activeRequests = new Set<activeRequests.ActiveRequest>();
+  /** Connections with a reply that is not sent whole. */
+  readonly #busy = new Set<callerConnections.CallerConnection>();
   readonly #connections = new WeakMap<
     net.Socket,
     callerConnections.CallerConnection
@@ -123,15 +128,25 @@
     this.#isDraining = true;
   }
 
-  /** Resolves when no request is in flight, or after a timeout in milliseconds;
-   * the remaining requests are then aborted. */
+  /** Resolves when no request is in flight and all replies are sent whole, or
+   * after a timeout in milliseconds; the remaining requests are then refused. */
   async finish(timeout: number): Promise<void> {
+    await this.#waitFor(() => this.#isIdle, timeout);
+    if (this.#activeRequests.size === 0) return;
+    for (const active of this.#activeRequests) active.abort();
+    await this.#waitFor(() => this.#isIdle, REFUSAL_TIMEOUT_MS);
+  }
+
+  get #isIdle(): boolean {
+    return this.#activeRequests.size === 0 && this.#busy.size === 0;
+  }
+
+  async #waitFor(holds: () => boolean, timeout: number): Promise<void> {
     const { clock } = this.#options.context;
     const deadline = clock.now() + timeout;
-    while (this.#activeRequests.size > 0 && clock.now() < deadline) {
+    while (!holds() && clock.now() < deadline) {
       await delays.sleep(clock, STOP_CHECK_INTERVAL_MS);
     }
-    for (const active of this.#activeRequests) active.abort();
   }
 
   /** Closes all connections. */
@@ -147,7 +162,7 @@
     });
     const connection = this.#connectionOf(request.socket);
     if (connection.isClosing) return this.#drop(request);
-    connection.begin({ request, response });
+    this.#begin(connection, { request, response });
     const active = activeRequests.ActiveRequest.start(context, {
       request,
       response,
@@ -166,9 +181,22 @@
     if (known !== undefined) return known;
     const connection = callerConnections.CallerConnection.create(socket);
     this.#connections.set(socket, connection);
+    // Node emits no event for a response behind another one on its connection.
+    socket.once("close", () => this.#busy.delete(connection));
     return connection;
   }
 
+  #begin(
+    connection: callerConnections.CallerConnection,
+    exchange: callerConnections.Exchange,
+  ): void {
+    connection.begin(exchange);
+    this.#busy.add(connection);
+    exchange.response.once("close", () => {
+      if (!connection.isBusy) this.#busy.delete(connection);
+    });
+  }
+
   /** Drops a request on a connection that closes after an earlier reply, which
    * its caller has sent before it has read that. */
   #drop(request: http.IncomingMessage): void {
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -194,3 +194,60 @@
   t.deepEqual(await replies(), { statuses: [200], isOpen: false });
   t.is(calls.begun, 1);
 });
+
+/** Bytes of an answer that no buffers of the system take. */
+const LARGE_ANSWER_BYTES = 30_000_000;
+
+// Guards against an answer that is cut since the host stops before its caller
+// has read it: only requests in flight counted, and an answer that was written
+// was not one.
+test("a host that stops sends its answers to the end", async (t) => {
+  const { server } = await startServer(t, {
+    handle(_, response) {
+      response.writeHead(200, { "test-signature": "s" });
+      response.end("x".repeat(LARGE_ANSWER_BYTES));
+    },
+  });
+  const { socket, replies } = connect(t, server.port);
+  socket.write(requestOf());
+  while (server.inFlight === 0) await timers.setTimeout(1);
+  socket.pause();
+  while (server.inFlight > 0) await timers.setTimeout(1);
+  const stopped = server.finish(CLOSE_TIMEOUT_MS).then(() => server.stop());
+  await timers.setTimeout(WORK_MS);
+  let received = 0;
+  socket.on("data", (part) => received += part.length).resume();
+  await stopped;
+  await replies();
+  t.true(received > LARGE_ANSWER_BYTES, `${received} bytes received`);
+});
+
+test("a host that stops does not wait for a caller that reads nothing for good", async (t) => {
+  const { server } = await startServer(t, {
+    handle(_, response) {
+      response.writeHead(200, { "test-signature": "s" });
+      response.end("x".repeat(LARGE_ANSWER_BYTES));
+    },
+  });
+  const { socket } = connect(t, server.port);
+  socket.write(requestOf());
+  while (server.inFlight === 0) await timers.setTimeout(1);
+  socket.pause();
+  while (server.inFlight > 0) await timers.setTimeout(1);
+  const start = Date.now();
+  await server.finish(300);
+  const tookMs = Date.now() - start;
+  t.true(tookMs >= 290 && tookMs < CLOSE_TIMEOUT_MS, `${tookMs} ms`);
+});
+
+// Guards against refusals behind another one on their connection that are
+// written and never sent.
+test("a host that stops refuses all requests of a connection", async (t) => {
+  const { server, calls } = await startServer(t, { handle: () => {} });
+  const { socket, replies } = connect(t, server.port);
+  socket.write(requestOf().repeat(3));
+  while (calls.begun < 3) await timers.setTimeout(1);
+  await server.finish(10);
+  await server.stop();
+  t.deepEqual((await replies()).statuses, [502, 502, 502]);
+});
