Gateway: a request for a tunnel is refused, and those before it are answered

What callers see: the connection of a CONNECT request closes without a word, and so does a request in flight before it on the connection.

Cause: Node destroys the connection of a CONNECT request if nobody listens.

Change: it is refused with 400 as other invalid requests are, after all requests in flight on its connection are answered.

Evidence: on the code before, a CONNECT request got an end and no byte (raw socket); the new test passes. Tests beside it state what was found to be sound as it was: requests with Upgrade (websocket, h2c), HTTP/1.0, HEAD, Expect: 100-continue, a line break behind a request, a body of exactly the most bytes, timeouts that change each 20 ms while a request is in flight: all answered.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -87,6 +87,9 @@
         socket as net.Socket,
       );
     });
+    server.#callers.on("connect", (_, socket) => {
+      server.#rejectConnect(socket as net.Socket);
+    });
     if (readiness !== undefined) {
       server.#readiness = await httpListener.listen(
         readiness,
@@ -218,13 +221,26 @@
     response.writeHead(isReady() && !this.#isDraining ? 200 : 503).end();
   }
 
+  /** Rejects a request for a tunnel; without a listener Node closes its connection
+   * without a word. */
+  #rejectConnect(socket: net.Socket): void {
+    // Node has taken its own listeners off the connection.
+    socket.on("error", () => {});
+    socket.on("end", () => socket.destroy()).resume();
+    const isBusy = this.#connectionOf(socket).isBusy;
+    this.#rejectInvalid(CONNECT_ERROR, socket);
+    if (!isBusy) socket.destroySoon();
+  }
+
   /** Rejects bytes that are not a valid HTTP request; none were forwarded. Behind
    * a request in flight the caller would take the status for its answer, and 408
    * promises that it has not run: the connection is closed once all requests in
    * flight are answered. */
-  #rejectInvalid(error: NodeJS.ErrnoException, socket: net.Socket): void {
+  #rejectInvalid(
+    { code = "" }: Pick<NodeJS.ErrnoException, "code">,
+    socket: net.Socket,
+  ): void {
     const { metrics, logger } = this.#options.context;
-    const { code = "" } = error;
     const connection = this.#connectionOf(socket);
     const isInvalid = code.startsWith("HPE_") ||
       code === "ERR_HTTP_REQUEST_TIMEOUT";
@@ -250,6 +266,9 @@
   }
 }
 
+/** What the parser says of a method that it does not know. */
+const CONNECT_ERROR = { code: "HPE_INVALID_METHOD" } as const;
+
 const CLIENT_ERROR_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -149,6 +149,83 @@
   t.deepEqual(replies, { statuses: [400], isOpen: false, calls: 0 });
 });
 
+const TUNNEL_REQUEST = "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// Guards against a request whose connection closes without a word, with those
+// before it, as Node does with requests for tunnels.
+test("a request for a tunnel is refused, and those before it are answered", async (t) => {
+  const alone = await repliesTo(t, [TUNNEL_REQUEST]);
+  t.deepEqual(alone, { statuses: [400], isOpen: false, calls: 0 });
+  const last = await repliesTo(t, [requestOf() + TUNNEL_REQUEST]);
+  t.deepEqual(last, { statuses: [200], isOpen: false, calls: 1 });
+});
+
+// The next tests state which requests of other forms are answered as usual.
+for (
+  const [name, bytes] of Object.entries({
+    "with an upgrade": requestOf({
+      headers: "Connection: Upgrade\r\nUpgrade: websocket\r\n",
+    }),
+    "with an upgrade to HTTP/2": requestOf({
+      headers: "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n" +
+        "HTTP2-Settings: AAMAAABkAAQAAP__\r\n",
+    }),
+    "of HTTP/1.0": requestOf({ version: "1.0" }),
+    "with the method HEAD": requestOf({ method: "HEAD" }),
+    "with a line break behind": requestOf() + "\r\n",
+  })
+) {
+  test(`a request ${name} is answered`, async (t) => {
+    const { server } = await startServer(t);
+    const { socket, textWith } = connect(t, server.port);
+    socket.write(bytes);
+    t.deepEqual(statusesOf(await textWith("\r\n\r\n")), [200]);
+  });
+}
+
+test("a request whose caller waits for the host before its body is answered", async (t) => {
+  const { server } = await startServer(t);
+  const { socket, textWith } = connect(t, server.port);
+  const request = requestOf({ headers: "Expect: 100-continue\r\n" });
+  socket.write(request.slice(0, -1));
+  await textWith("HTTP/1.1 100 Continue\r\n\r\n");
+  socket.write(request.slice(-1));
+  t.deepEqual(statusesOf(await textWith("done")), [100, 200]);
+});
+
+/** Bytes that the bodies of the fixture's configuration may have. */
+const MAX_BODY_BYTES = 1_000_000;
+
+test("a body of exactly the most bytes is served, a larger one refused", async (t) => {
+  const { server, calls } = await startServer(t);
+  const send = async (bytes: number) => {
+    const { socket, textWith } = connect(t, server.port);
+    socket.write("POST /a/x HTTP/1.1\r\nHost: h\r\n");
+    socket.write(`Content-Length: ${bytes}\r\n\r\n${"x".repeat(bytes)}`);
+    return statusesOf(await textWith("\r\n\r\n"));
+  };
+  t.deepEqual(await send(MAX_BODY_BYTES), [200]);
+  t.deepEqual(await send(MAX_BODY_BYTES + 1), [413]);
+  t.is(calls.begun, 1);
+});
+
+// Guards against a timeout for idle connections that ends one with a request in
+// flight, as a configuration changes it meanwhile.
+test("a request outlives timeouts that are changed while it is in flight", async (t) => {
+  const { server } = await startServer(t, {
+    handle: (request, response) =>
+      void setTimeout(() => answerLater(request, response), 600),
+  });
+  const { socket, textWith } = connect(t, server.port);
+  socket.write(requestOf());
+  const changes = setInterval(() => {
+    server.setTimeouts({ headerTimeout: 50, idleTimeout: 1 });
+  }, 20);
+  const text = await textWith("done");
+  clearInterval(changes);
+  t.deepEqual(statusesOf(text), [200]);
+});
+
 // Guards against a request of a caller that has left that runs on, since bytes
 // that are no request keep the end of the connection from being seen.
 test("a caller that leaves after bytes that are no request ends its call", async (t) => {
