Gateway: a caller that ends its side after a whole request gets a reply

What callers see: one that ends its own side of the connection after a whole request, and reads on, gets neither an answer nor a refusal; the answer of a call that goes on, as it can't be cancelled, is thrown away.

Cause: Node ends a connection with its caller's end unless httpAllowHalfOpen is set, a property that its pages and types lack.

Change: it is set, and the end of a caller's side ends its requests as a caller that left does, but with a word: 503 where nothing was passed on, 502 where a call is cancelled. A call that can't be cancelled goes on, and its answer is sent.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as http from "node:http";
+import type * as net from "node:net";
 import * as configurations from "../configuration/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as admissions from "./admission.ts";
@@ -106,6 +107,11 @@
     return active;
   }
 
+  /** Connection of the caller. */
+  get socket(): net.Socket {
+    return this.#message.socket;
+  }
+
   /** Whether the request is answered, refused or abandoned. */
   get isFinished(): boolean {
     return this.#phase === "finished";
@@ -692,23 +698,44 @@
     }, message);
   }
 
+  /** Handles that the caller has ended its side of the connection: it has left,
+   * or it reads on. A call that can't be cancelled goes on, and its answer is sent;
+   * any other request is refused, for a caller that reads on. */
+  callerEnded(): void {
+    if (this.isFinished || this.#isUncancellable) return;
+    this.#guard(() => {
+      this.#context.metrics.count("gateway.left");
+      if (this.#reply.head === undefined) this.#refuseLeft();
+      else this.#reply.abort();
+      this.#finish("left");
+      this.#log("info", { reason: "left" }, "Caller left");
+    });
+  }
+
+  #refuseLeft(): void {
+    const reason = this.#mayHaveRun ? "failed" : "left";
+    this.#reply.refuse(reason, refusals.REFUSALS[reason]);
+  }
+
+  /** Whether a call runs that is not cancelled when its caller leaves: its outcome
+   * would stay unknown. */
+  get #isUncancellable(): boolean {
+    const route = this.#route;
+    return this.#phase === "sent" && route !== undefined &&
+      !configurations.isCancellable(route);
+  }
+
   /** Handles the end of the caller's connection. */
   #onClose(): void {
     if (this.isFinished) return;
     this.#reply.isDisconnected = true;
     this.#context.metrics.count("gateway.left");
-    const route = this.#route;
-    const isSent = this.#phase === "sent";
-    // A non-idempotent call continues: if it were cancelled, its outcome would
-    // stay unknown.
-    if (isSent && route !== undefined && !configurations.isCancellable(route)) {
-      return;
-    }
+    if (this.#isUncancellable) return;
     this.#finish("left");
     this.#log("info", { reason: "left" }, "Caller left");
   }
 
-  #finish(reason?: refusals.RefusalReason | "left"): void {
+  #finish(reason?: refusals.RefusalReason): void {
     this.#release();
     this.#shareCharge?.end({
       reason,
@@ -735,7 +762,7 @@
   #log(
     level: keyof telemetry.Logger,
     details: RefusalDetails & {
-      readonly reason?: refusals.RefusalReason | "left" | "unread";
+      readonly reason?: refusals.RefusalReason | "unread";
     },
     message: string,
   ): void {
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -28,6 +28,7 @@
   | "timeout-not-run"
   | "timeout"
   | "failed"
+  | "left"
   | "stopping";
 
 /** Statuses that promise the caller that the request has not been executed and
@@ -115,5 +116,7 @@
   "timeout-not-run": { status: 503, retryAfter: 0.5 },
   "timeout": { status: 504 },
   "failed": { status: 502 },
+  // The caller has ended its side of the connection before anything ran.
+  "left": { status: 503 },
   "stopping": { status: 503, retryAfter: 0.1 },
 };
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -80,7 +80,12 @@
     // Before the listener that begins to read.
     server.#callers.prependListener("connection", (socket) => {
       gate.take(socket);
+      // Before the listener of Node that closes the connection.
+      socket.once("end", () => server.#endCaller(socket));
     });
+    // Replies are sent after a caller has ended its side, as its requests end at
+    // that moment or can't be cancelled. Types and pages of Node lack the property.
+    Object.assign(server.#callers, { httpAllowHalfOpen: true });
     server.#callers.on("clientError", (error, socket) => {
       server.#rejectInvalid(
         error as NodeJS.ErrnoException,
@@ -200,6 +205,16 @@
     });
   }
 
+  /** Ends the requests of a caller that has ended its side of the connection. */
+  #endCaller(socket: net.Socket): void {
+    const connection = this.#connectionOf(socket);
+    if (!connection.isBusy) return;
+    connection.closeWhenAnswered();
+    for (const active of this.#activeRequests) {
+      if (active.socket === socket) active.callerEnded();
+    }
+  }
+
   /** Drops a request on a connection that closes after an earlier reply, which
    * its caller has sent before it has read that. */
   #drop(request: http.IncomingMessage): void {
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -328,3 +328,103 @@
   await server.stop();
   t.deepEqual((await replies()).statuses, [502, 502, 502]);
 });
+
+/** Callers of each kind in the tests of connections that end. */
+const CALLERS = 10;
+
+/** Sends a request of a kind for each caller, ends all connections while the
+ * calls run, and returns the callers, the calls, and how many of these still run
+ * after `GONE_MS`. */
+async function endWhileCalled(
+  t: ava.ExecutionContext,
+  kind: configurations.Route["kind"],
+  end: (socket: net.Socket) => void,
+) {
+  const { server, calls } = await startServer(t, {
+    kind,
+    handle: (_, response) => {
+      if (kind === "streaming") {
+        response.writeHead(200, { "test-signature": "s" });
+        response.write("id: 1\ndata: 1\n\n");
+      }
+      const answer = () => {
+        if (kind !== "streaming") {
+          response.writeHead(200, { "test-signature": "s" });
+        }
+        response.end();
+      };
+      setTimeout(answer, 2 * GONE_MS);
+    },
+  });
+  const callers = Array.from(
+    { length: CALLERS },
+    () => connect(t, server.port),
+  );
+  callers.forEach(({ socket }) => socket.write(requestOf()));
+  const deadline = Date.now() + CLOSE_TIMEOUT_MS;
+  while (calls.begun < CALLERS && Date.now() < deadline) {
+    await timers.setTimeout(5);
+  }
+  callers.forEach(({ socket }) => end(socket));
+  await timers.setTimeout(GONE_MS);
+  return { callers, running: CALLERS - calls.cut };
+}
+
+// Guards against whole requests that end without a word: callers that end their
+// side and read on got neither an answer nor a refusal.
+test("a caller that ends its side gets the answer of a call that can't be cancelled", async (t) => {
+  const { callers } = await endWhileCalled(t, "unsafe", (each) => each.end());
+  for (const { replies } of callers) {
+    t.deepEqual(await replies(), { statuses: [200], isOpen: false });
+  }
+});
+
+test("a caller that ends its side is refused where its call is cancelled", async (t) => {
+  const { callers, running } = await endWhileCalled(
+    t,
+    "safe",
+    (each) => each.end(),
+  );
+  t.is(running, 0);
+  for (const { replies } of callers) {
+    t.deepEqual(await replies(), { statuses: [502], isOpen: false });
+  }
+});
+
+test("a caller that ends its side before anything ran is refused as not run", async (t) => {
+  const { host, server, calls } = await startServer(t);
+  Object.assign(host.context.quotas, {
+    isLimited: () => true,
+    acquire: () => new Promise(() => {}),
+  });
+  const { socket, replies } = connect(t, server.port);
+  socket.end(requestOf().repeat(2));
+  t.deepEqual(await replies(), { statuses: [503, 503], isOpen: false });
+  t.is(calls.begun, 0);
+});
+
+test("a stream is cut for a caller that ends its side", async (t) => {
+  const { callers, running } = await endWhileCalled(
+    t,
+    "streaming",
+    (each) => each.end(),
+  );
+  t.is(running, 0);
+  for (const { replies, textWith } of callers) {
+    t.like(await replies(), { isOpen: false });
+    t.false((await textWith("")).endsWith("\r\n0\r\n\r\n"));
+  }
+});
+
+// Guards against endpoints that work on for callers that have left.
+for (const kind of ["safe", "streaming"] as const) {
+  test(`calls of callers that have left end: ${kind}`, async (t) => {
+    const ends = {
+      closed: (each: net.Socket) => void each.destroy(),
+      reset: (each: net.Socket) => void each.resetAndDestroy(),
+    };
+    for (const [name, end] of Object.entries(ends)) {
+      t.is((await endWhileCalled(t, kind, end)).running, 0, name);
+    }
+  });
+}
--- a/src/gateway/share_charge.ts
+++ b/src/gateway/share_charge.ts
@@ -38,7 +38,7 @@
 /** How a request ended. */
 export interface RequestEnding {
   /** Absent if it was answered. */
-  readonly reason?: refusals.RefusalReason | "left";
+  readonly reason?: refusals.RefusalReason;
   /** Outcome of the last call, as in its record; absent if none was sent. */
   readonly lastCall?: string;
   /** Milliseconds from arrival to the end. */
