Gateway: a request that arrives before its connection's idle timeout is answered

What callers see: a request on a kept connection ends without a word, although it was sent well before the timeout: the connection closes as idle. A short timeout of a new configuration makes it likelier.

Cause: after a pause of the process (work, a busy machine, a stop) timers run before connections are read, and Node destroys a connection at its timeout, with a request unread on it.

Change: at the timeout the connection is closed only once the system had its chance to hand over what has arrived, and nothing has.

Evidence: a request sent 500 ms after a reply, idle timeout 1 ms (Node adds 1,000), and a pause of the event loop of 1,000 ms: no answer before, 200 now. Idle connections are closed as before (test).

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -92,6 +92,7 @@
         socket as net.Socket,
       );
     });
+    server.#callers.on("timeout", closeIfIdle);
     server.#callers.on("connect", (_, socket) => {
       server.#rejectConnect(socket as net.Socket);
     });
@@ -281,6 +282,15 @@
   }
 }
 
+/** Closes a connection at its idle timeout. Timers run before connections are
+ * read, so after a pause of this process a request may have arrived in time. */
+function closeIfIdle(socket: net.Socket): void {
+  const { bytesRead } = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 /** What the parser says of a method that it does not know. */
 const CONNECT_ERROR = { code: "HPE_INVALID_METHOD" } as const;
 
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -272,6 +272,37 @@
   t.is(calls.begun, 1);
 });
 
+/** Blocks the event loop, as work or a busy machine does. */
+function blockLoop(span: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, span);
+}
+
+/** Time after a reply for which Node keeps a connection beyond the timeout that is
+ * set. */
+const KEEP_ALIVE_BUFFER_MS = 1000;
+
+// Guards against a request that has arrived while the host was busy, and whose
+// connection is closed as idle before the host reads it.
+test("a request that arrives before its connection's idle timeout is answered", async (t) => {
+  const { server } = await startServer(t);
+  server.setTimeouts({ headerTimeout: 3000, idleTimeout: 1 });
+  const { socket, replies, textWith } = connect(t, server.port);
+  socket.write(requestOf());
+  await textWith("done");
+  await timers.setTimeout(KEEP_ALIVE_BUFFER_MS / 2);
+  socket.write(requestOf());
+  blockLoop(KEEP_ALIVE_BUFFER_MS);
+  t.deepEqual((await replies()).statuses, [200, 200]);
+});
+
+test("an idle connection is closed after its timeout", async (t) => {
+  const { server } = await startServer(t);
+  server.setTimeouts({ headerTimeout: 3000, idleTimeout: 1 });
+  const { socket, replies } = connect(t, server.port);
+  socket.write(requestOf());
+  t.deepEqual(await replies(), { statuses: [200], isOpen: false });
+});
+
 /** Bytes of an answer that no buffers of the system take. */
 const LARGE_ANSWER_BYTES = 30_000_000;
 
