Gateway: a request that arrives as the host stops is answered or refused

What callers see: a request on a kept connection ends without a word, if it arrives in the last turn of the event loop before a stopping host closes all connections. After a pause of the process that turn may be long.

Cause: a stop looked at the requests in flight from a timer, before connections are read, and closed all of them at once.

Change: it looks only after what has arrived is read.

Evidence: a request written before the stop begins, with no turn of the event loop between: no answer before, 200 now; all 28 tests of the server pass.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -153,7 +153,10 @@
   async #waitFor(holds: () => boolean, timeout: number): Promise<void> {
     const { clock } = this.#options.context;
     const deadline = clock.now() + timeout;
-    while (!holds() && clock.now() < deadline) {
+    for (;;) {
+      // Reads what has arrived: a request may be waiting for this process.
+      await new Promise((resolve) => setImmediate(resolve));
+      if (holds() || clock.now() >= deadline) return;
       await delays.sleep(clock, STOP_CHECK_INTERVAL_MS);
     }
   }
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -303,6 +303,19 @@
   t.deepEqual(await replies(), { statuses: [200], isOpen: false });
 });
 
+// Guards against a request that has arrived while the host was busy, and whose
+// connection is closed by the stop before the host reads it.
+test("a request that arrives as the host stops is answered", async (t) => {
+  const { server } = await startServer(t);
+  const { socket, replies, textWith } = connect(t, server.port);
+  socket.write(requestOf());
+  await textWith("done");
+  socket.write(requestOf());
+  await server.finish(CLOSE_TIMEOUT_MS);
+  await server.stop();
+  t.deepEqual((await replies()).statuses, [200, 200]);
+});
+
 /** Bytes of an answer that no buffers of the system take. */
 const LARGE_ANSWER_BYTES = 30_000_000;
 
