--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -6,12 +6,16 @@
 import type * as contexts from "./context.ts";
 import * as httpListener from "../fleet/http_listener.ts";
 import * as activeRequests from "./active_request.ts";
+import * as callerConnections from "./caller_connection.ts";
 import * as connectionGates from "./connection_gate.ts";
 import * as unreadReplies from "./unread_replies.ts";
 import * as delays from "../runtime/delay.ts";
 
 /** Interval in milliseconds at which a stop checks for requests in flight. */
 const STOP_CHECK_INTERVAL_MS = 50;
+/** Time in milliseconds in which the refusals of a stop are sent: they are small,
+ * but may stand behind one another on a connection. */
+const REFUSAL_TIMEOUT_MS = 200;
 /** Bytes of the largest request head until a configuration sets the limit. */
 const MAX_HEADER_BYTES = 16 * 1024;
 /** Milliseconds within which a request head must arrive until a configuration
@@ -36,8 +40,12 @@
   readonly #options: ServerOptions;
   readonly #unreadReplies: unreadReplies.UnreadReplies;
   readonly #activeRequests = new Set<activeRequests.ActiveRequest>();
-  /** Requests in flight by connection. */
-  readonly #inFlight = new WeakMap<net.Socket, number>();
+  /** Connections with a reply that is not sent whole. */
+  readonly #busy = new Set<callerConnections.CallerConnection>();
+  readonly #connections = new WeakMap<
+    net.Socket,
+    callerConnections.CallerConnection
+  >();
   #callers!: http.Server;
   #readiness?: http.Server;
   #isDraining = false;
@@ -72,13 +80,22 @@
     // Before the listener that begins to read.
     server.#callers.prependListener("connection", (socket) => {
       gate.take(socket);
+      // Before the listener of Node that closes the connection.
+      socket.once("end", () => server.#endCaller(socket));
     });
+    // Replies are sent after a caller has ended its side, as its requests end at
+    // that moment or can't be cancelled. Types and pages of Node lack the property.
+    Object.assign(server.#callers, { httpAllowHalfOpen: true });
     server.#callers.on("clientError", (error, socket) => {
       server.#rejectInvalid(
         error as NodeJS.ErrnoException,
         socket as net.Socket,
       );
     });
+    server.#callers.on("timeout", closeIfIdle);
+    server.#callers.on("connect", (_, socket) => {
+      server.#rejectConnect(socket as net.Socket);
+    });
     if (readiness !== undefined) {
       server.#readiness = await httpListener.listen(
         readiness,
@@ -88,6 +105,11 @@
     return server;
   }
 
+  /** Port on which callers connect. */
+  get port(): number {
+    return (this.#callers.address() as net.AddressInfo).port;
+  }
+
   /** Number of requests in flight. */
   get inFlight(): number {
     return this.#activeRequests.size;
@@ -115,15 +137,28 @@
     this.#isDraining = true;
   }
 
-  /** Resolves when no request is in flight, or after a timeout in milliseconds;
-   * the remaining requests are then aborted. */
+  /** Resolves when no request is in flight and all replies are sent whole, or
+   * after a timeout in milliseconds; the remaining requests are then refused. */
   async finish(timeout: number): Promise<void> {
+    await this.#waitFor(() => this.#isIdle, timeout);
+    if (this.#activeRequests.size === 0) return;
+    for (const active of this.#activeRequests) active.abort();
+    await this.#waitFor(() => this.#isIdle, REFUSAL_TIMEOUT_MS);
+  }
+
+  get #isIdle(): boolean {
+    return this.#activeRequests.size === 0 && this.#busy.size === 0;
+  }
+
+  async #waitFor(holds: () => boolean, timeout: number): Promise<void> {
     const { clock } = this.#options.context;
     const deadline = clock.now() + timeout;
-    while (this.#activeRequests.size > 0 && clock.now() < deadline) {
+    for (;;) {
+      // Reads what has arrived: a request may be waiting for this process.
+      await new Promise((resolve) => setImmediate(resolve));
+      if (holds() || clock.now() >= deadline) return;
       await delays.sleep(clock, STOP_CHECK_INTERVAL_MS);
     }
-    for (const active of this.#activeRequests) active.abort();
   }
 
   /** Closes all connections. */
@@ -137,22 +172,60 @@
     response.on("error", (error) => {
       context.logger.debug({ err: error }, "Connection to a caller failed");
     });
+    const connection = this.#connectionOf(request.socket);
+    if (connection.isClosing) return this.#drop(request);
+    this.#begin(connection, { request, response });
     const active = activeRequests.ActiveRequest.start(context, {
       request,
       response,
       unreadReplies: this.#unreadReplies,
+      connection,
     });
     this.#activeRequests.add(active);
-    this.#countOnConnection(request.socket, 1);
     context.metrics.gauge("gateway.in_flight", this.#activeRequests.size);
     void active.finished.then(() => {
       this.#activeRequests.delete(active);
-      this.#countOnConnection(request.socket, -1);
     });
   }
 
-  #countOnConnection(socket: net.Socket, change: number): void {
-    this.#inFlight.set(socket, (this.#inFlight.get(socket) ?? 0) + change);
+  #connectionOf(socket: net.Socket): callerConnections.CallerConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = callerConnections.CallerConnection.create(socket);
+    this.#connections.set(socket, connection);
+    // Node emits no event for a response behind another one on its connection.
+    socket.once("close", () => this.#busy.delete(connection));
+    return connection;
+  }
+
+  #begin(
+    connection: callerConnections.CallerConnection,
+    exchange: callerConnections.Exchange,
+  ): void {
+    connection.begin(exchange);
+    this.#busy.add(connection);
+    exchange.response.once("close", () => {
+      if (!connection.isBusy) this.#busy.delete(connection);
+    });
+  }
+
+  /** Ends the requests of a caller that has ended its side of the connection. */
+  #endCaller(socket: net.Socket): void {
+    const connection = this.#connectionOf(socket);
+    if (!connection.isBusy) return;
+    connection.closeWhenAnswered();
+    for (const active of this.#activeRequests) {
+      if (active.socket === socket) active.callerEnded();
+    }
+  }
+
+  /** Drops a request on a connection that closes after an earlier reply, which
+   * its caller has sent before it has read that. */
+  #drop(request: http.IncomingMessage): void {
+    const { metrics, logger } = this.#options.context;
+    request.resume();
+    metrics.count("gateway.refused", 1, { reason: "closing" });
+    logger.debug({}, "Request dropped; its connection is closing");
   }
 
   #answerProbe(
@@ -167,29 +240,63 @@
     response.writeHead(isReady() && !this.#isDraining ? 200 : 503).end();
   }
 
+  /** Rejects a request for a tunnel; without a listener Node closes its connection
+   * without a word. */
+  #rejectConnect(socket: net.Socket): void {
+    // Node has taken its own listeners off the connection.
+    socket.on("error", () => {});
+    socket.on("end", () => socket.destroy()).resume();
+    const isBusy = this.#connectionOf(socket).isBusy;
+    this.#rejectInvalid(CONNECT_ERROR, socket);
+    if (!isBusy) socket.destroySoon();
+  }
+
   /** Rejects bytes that are not a valid HTTP request; none were forwarded. Behind
    * a request in flight the caller would take the status for its answer, and 408
-   * promises that it has not run, so the connection is closed. */
-  #rejectInvalid(error: NodeJS.ErrnoException, socket: net.Socket): void {
+   * promises that it has not run: the connection is closed once all requests in
+   * flight are answered. */
+  #rejectInvalid(
+    { code = "" }: Pick<NodeJS.ErrnoException, "code">,
+    socket: net.Socket,
+  ): void {
     const { metrics, logger } = this.#options.context;
-    const { code } = error;
+    const connection = this.#connectionOf(socket);
+    const isInvalid = code.startsWith("HPE_") ||
+      code === "ERR_HTTP_REQUEST_TIMEOUT";
+    // A caller that has ended its side in the middle of a request has left; one
+    // whose body is invalid gets no answer to it.
+    const hasLeft = !socket.writable || socket.readableEnded;
+    if (hasLeft || !isInvalid || connection.isReceiving) {
+      socket.destroy();
+      return;
+    }
+    // Reported again with all further bytes.
+    if (connection.isClosing) return;
     metrics.count("gateway.refused", 1, { reason: "bytes" });
     logger.debug(
       { code },
       "Invalid HTTP request from a caller; closing its connection",
     );
-    const isBusy = (this.#inFlight.get(socket) ?? 0) > 0;
-    if (!socket.writable || code === "ECONNRESET" || isBusy) {
-      socket.destroy();
-      return;
-    }
-    const status = CLIENT_ERROR_STATUS[code ?? ""] ?? "400 Bad Request";
+    if (connection.isBusy) return connection.closeWhenAnswered();
+    const status = CLIENT_ERROR_STATUS[code] ?? "400 Bad Request";
     socket.end(
       `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
     );
   }
 }
 
+/** Closes a connection at its idle timeout. Timers run before connections are
+ * read, so after a pause of this process a request may have arrived in time. */
+function closeIfIdle(socket: net.Socket): void {
+  const { bytesRead } = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
+/** What the parser says of a method that it does not know. */
+const CONNECT_ERROR = { code: "HPE_INVALID_METHOD" } as const;
+
 const CLIENT_ERROR_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
