Gateway: faults of calls beside silent ones, found by review

Other hosts hear of a silence only if the call has not gone on when it ends. A call that ends at the request's deadline and the request's timeout come at the same moment: both answer 504 now, where the former gave 502 (seen once beside load as a failed test).

Left: a suspect's lease ends 2 s before the crash of a silent run is recorded; on a quiet host a sound endpoint counts as crashed until its next heartbeat; the only endpoint is called again beside its own silent call; an engine's error answer is given to the caller while a silent call may still go on.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -63,6 +63,8 @@
   readonly #openCalls = openCalls.OpenCalls.create();
   /** Calls that have ended and may have run. */
   #runs = 0;
+  /** Whether a retry is withdrawn from the budget for a call not made yet. */
+  #isRetryWithdrawn = false;
   #cancelRelease = () => {};
   /** Milliseconds from arrival to the first event sent to the caller. */
   #firstEventMs?: number;
@@ -329,6 +331,7 @@
   ): Promise<void> {
     const { clock } = this.#context;
     const targets = this.#createTargetChoice(service);
+    const hasStages = this.#route!.stages.length > 0;
     let inputs = first;
     let reruns = 0;
     this.#context.retryBudget(service).deposit(clock.now());
@@ -336,18 +339,18 @@
     while (!this.isFinished) {
       const stall = await this.#openCalls.nextStall();
       if (this.isFinished) return;
-      const isStageLost = this.#needsStages(stall);
-      const isCalling = this.#mayCallAgain(stall, service) &&
-        !(isStageLost && reruns++ >= MAX_STAGE_RERUNS);
-      if (!isCalling) {
+      if (hasStages && this.#needsStages(stall)) inputs = undefined;
+      const isStageLost = hasStages && inputs === undefined;
+      const isExhausted = isStageLost && reruns >= MAX_STAGE_RERUNS;
+      if (isExhausted || !this.#mayCallAgain(stall, service)) {
         this.#endUnlessOpen(stall);
         continue;
       }
       if (isStageLost) {
+        reruns++;
         inputs = await this.#runStages(service);
-        const hasStages = this.#route!.stages.length > 0;
         // The stages have failed; a silent call may still go on.
-        if (inputs === undefined && hasStages) continue;
+        if (inputs === undefined) continue;
       }
       await this.#callNext(targets, inputs);
     }
@@ -358,19 +361,23 @@
     targets: targetChoices.TargetChoice,
     inputs: readonly string[] | undefined,
   ): Promise<void> {
+    const version = this.#binding?.version;
     const chosen = await targets.choose({
       called: this.#calls.map(({ endpoint }) => endpoint),
       planned: this.#pipelineRun?.planned,
-      version: this.#binding?.version,
-      isFinished: () => this.isFinished || !this.#openCalls.isStalled,
+      version,
+      isFinished: () =>
+        this.isFinished || !this.#openCalls.isStalled ||
+        // A call that has gone on and failed since binds the stream.
+        version !== this.#binding?.version,
     });
     if (this.isFinished) return;
-    if (!this.#openCalls.isStalled) {
+    if (chosen.type === "target") return this.#call(chosen.target, inputs);
+    if (chosen.type === "unneeded") {
       // Results of stages that were run again are not needed any more.
       if (this.#reply.head !== undefined) this.#pipelineRun?.release();
       return;
     }
-    if (chosen.type === "target") return this.#call(chosen.target, inputs);
     if (this.#openCalls.size > 0) return;
     this.#endUnanswered(chosen.reason, chosen.about);
   }
@@ -392,6 +399,10 @@
   /** Ends the request without a further call. A silent call may still go on; an
    * endpoint's error answer is not kept back for it. */
   #endUnlessOpen(stall: openCalls.Stall): void {
+    // Either of them may come first.
+    if (stall.type === "failed" && stall.cause === "deadline") {
+      return this.#timeOut();
+    }
     if (this.#openCalls.size > 0 && stall.type === "failed") return;
     this.#endUnanswered("not-run");
   }
@@ -414,6 +425,7 @@
     const { metrics } = this.#context;
     const { placed } = target;
     const { name, service } = target.endpoint.identity;
+    this.#isRetryWithdrawn = false;
     if (this.#reply.head === undefined) this.#phase = "sent";
     if (placed !== undefined) {
       this.#shareCharge?.correct(placed.cacheMiss.prefillTokens);
@@ -470,8 +482,14 @@
       inputRetention.recordMissing(service, retentionTime);
     }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
-    this.#endpointAdmission!.recordOutcome(outcome, { endpoint, startedAt });
-    if (this.isFinished) return;
+    const { heardAt } = call;
+    this.#endpointAdmission!.recordOutcome(outcome, {
+      endpoint,
+      startedAt,
+      heardAt,
+      isLast: this.#openCalls.isLast(call),
+    });
+    if (this.isFinished) return this.#openCalls.remove(call);
     if (outcome.type === "answer") return this.#handleAnswer(call, outcome);
     if (outcome.type === "failed") return this.#openCalls.end(call, outcome);
     // A stream that ends without any event is no answer: its head was not
@@ -489,11 +507,11 @@
     if (this.#reply.head !== undefined) {
       return this.#openCalls.end(call, UNUSABLE_ANSWER);
     }
-    const history = { runs: this.#runs, calls: this.#calls.length };
     const isRetried = retries.shouldRetryAnswer(
       this.#route!,
       outcome.head,
-      history,
+      // The call itself has ended, but is not removed yet.
+      { ...this.#history, runs: this.#history.runs - 1 },
     );
     if (!isRetried) return this.#answer(outcome);
     // Kept in case no other call gives an answer.
@@ -541,7 +559,11 @@
   ): attempts.StreamListener {
     let head: protocols.ReplyHead;
     return {
-      head: (received) => void (head = received),
+      head: (received) => {
+        head = received;
+        // It may run now, and no other endpoint may work on the request then.
+        this.#openCalls.cancelOthers(callOf());
+      },
       events: (complete) =>
         this.#guard(() => {
           const call = callOf();
@@ -603,9 +625,11 @@
     outcome: Extract<attempts.Outcome, { type: "failed" }>,
     service: string,
   ): boolean {
-    const runs = this.#runs + this.#openCalls.size;
-    const history = { runs, calls: this.#calls.length };
-    const decision = retries.afterFailure(this.#route!, outcome, history);
+    const decision = retries.afterFailure(
+      this.#route!,
+      outcome,
+      this.#history,
+    );
     if (decision === "retry-free") return true;
     if (decision === "retry" && this.#withdrawRetry(service)) return true;
     const record = this.#calls.at(-1);
@@ -615,13 +639,23 @@
     return false;
   }
 
+  /** Calls so far; one in flight may have run. */
+  get #history(): retries.RetryHistory {
+    const runs = this.#runs + this.#openCalls.size;
+    return { runs, calls: this.#calls.length };
+  }
+
+  /** Withdraws a retry from the budget, unless one was withdrawn for a call that
+   * was not made in the end. */
   #withdrawRetry(service: string): boolean {
+    if (this.#isRetryWithdrawn) return true;
     const { clock, fleetView, metrics } = this.#context;
     const budget = this.#context.retryBudget(service);
     const account = this.#account?.name ?? "";
     if (budget.isWithheldFrom(account, clock.now())) return false;
     const isAllowed = budget.tryWithdraw(clock.now(), fleetView.hostCount());
     if (!isAllowed) metrics.count("gateway.no_budget", 1, { service });
+    this.#isRetryWithdrawn = isAllowed;
     return isAllowed;
   }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -71,7 +71,8 @@
    * one (`isNew` is false then). It goes on until its deadline or until it is
    * cancelled. */
   onSilence?(silence: { isNew: boolean }): void;
-  /** Called when its endpoint sends something after a silence. */
+  /** Called when it goes on after a silence: with events to relay, or with the
+   * rest of a plain answer. */
   onResume?(): void;
 }
 
@@ -87,10 +88,12 @@
   #head?: protocols.ReplyHead;
   #isStream = false;
   #isSilent = false;
+  #heardAt: number;
   #isFinished = false;
 
   private constructor(options: AttemptOptions) {
     this.#options = options;
+    this.#heardAt = options.clock.now();
     this.outcome = new Promise((resolve) => this.#resolve = resolve);
   }
 
@@ -124,11 +127,17 @@
     return attempt;
   }
 
-  /** Whether its endpoint has sent nothing for the idle timeout. */
+  /** Whether its endpoint has sent nothing for the idle timeout, and nothing to
+   * relay since: a byte now and then gets the caller nothing. */
   get isSilent(): boolean {
     return this.#isSilent;
   }
 
+  /** Time at which its endpoint last sent something, or at which it began. */
+  get heardAt(): number {
+    return this.#heardAt;
+  }
+
   /** Cancels the attempt; the endpoint sees its connection close. */
   cancel(): void {
     if (this.#isFinished) return;
@@ -171,11 +180,14 @@
       return;
     }
     const complete = this.#events.push(chunk);
-    if (complete.bytes.length > 0) this.#options.stream!.events(complete);
+    if (complete.bytes.length === 0) return;
+    this.#resume();
+    this.#options.stream!.events(complete);
   }
 
   end(): void {
     if (this.#isFinished) return;
+    this.#resume();
     if (this.#isStream) return this.#endStream();
     const head = this.#head!;
     const cause = refusalCause(head);
@@ -194,11 +206,15 @@
   }
 
   #recordReceipt(): void {
-    const { endpoint, clock, onResume } = this.#options;
-    endpoint.heardAt = clock.now();
+    const { endpoint, clock } = this.#options;
+    this.#heardAt = clock.now();
+    endpoint.heardAt = this.#heardAt;
+  }
+
+  #resume(): void {
     if (!this.#isSilent) return;
     this.#isSilent = false;
-    onResume?.();
+    this.#options.onResume?.();
   }
 
   #failUnsent(): void {
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -24,7 +24,8 @@
   /** Announcements in the answer. */
   leaving?: protocols.ReplyHead["leaving"];
   retryAfterMs?: protocols.ReplyHead["retryAfter"];
-  /** Times that it was silent for its idle timeout and went on. */
+  /** Times that it became silent for its idle timeout, and that it went on. */
+  silences?: number;
   resumed?: number;
   /** Why no call follows its failure or silence: the route's retry policy, or the retry
    * budget. */
--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -294,9 +294,12 @@
     return this.recordHealth("bad", now);
   }
 
-  /** Records that a silent call goes on: its endpoint is sound. */
-  recordResumption(now: number): void {
+  /** Records that a silent call goes on. Its first silence takes back the failure
+   * that it counted as, since the endpoint is sound; one that is silent again and
+   * again is not. */
+  recordResumption(now: number, { isFirst }: { isFirst: boolean }): void {
     this.silentCalls--;
+    if (!isFirst) return;
     this.#ejectedUntil = 0;
     this.recordHealth("good", now);
   }
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -39,6 +39,17 @@
   readonly prompt?: protocols.Prompt;
 }
 
+/** A call that was admitted and has ended. */
+export interface AdmittedCall {
+  readonly endpoint: endpoints.Endpoint;
+  readonly startedAt: number;
+  /** Time at which the endpoint last sent something in the call. */
+  readonly heardAt: number;
+  /** Whether no other call of the request is in flight: a lease of the request
+   * covers all of them. */
+  readonly isLast: boolean;
+}
+
 type Dependencies = Pick<
   contexts.Context,
   "clock" | "random" | "guard" | "quotas" | "slots"
@@ -107,21 +118,20 @@
     this.#dependencies.guard.endRun(this.#identity, { isUnused: true });
   }
 
-  /** Records the outcome of an admitted call that began at `startedAt`; it shows
-   * whether the request crashes endpoints. */
+  /** Records the outcome of an admitted call; it shows whether the request crashes
+   * endpoints. */
   recordOutcome(
     outcome: attempts.Outcome,
-    { endpoint, startedAt }: {
-      endpoint: endpoints.Endpoint;
-      startedAt: number;
-    },
+    { endpoint, startedAt, heardAt, isLast }: AdmittedCall,
   ): void {
     const { guard } = this.#dependencies;
     if (attempts.mayHaveCrashed(outcome)) {
       guard.recordCrash(this.#identity, endpoint.identity.id);
     } else if (outcome.type === "failed") {
-      guard.endRun(this.#identity, { isUnused: !outcome.mayHaveRun });
-      if (outcome.cause === "silent") this.#awaitSign(endpoint);
+      if (isLast) {
+        guard.endRun(this.#identity, { isUnused: !outcome.mayHaveRun });
+      }
+      if (outcome.cause === "silent") this.#awaitSign(endpoint, heardAt);
     } else {
       const isWhole = attempts.isSuccess(outcome);
       guard.recordSuccess(this.#identity, { isWhole, startedAt });
@@ -130,11 +140,10 @@
 
   /** Records a crash unless the endpoint sends something soon: it may have ended
    * without closing its connections. */
-  #awaitSign(endpoint: endpoints.Endpoint): void {
+  #awaitSign(endpoint: endpoints.Endpoint, heardAt: number): void {
     const { clock, guard } = this.#dependencies;
-    const from = clock.now();
     clock.after(CRASH_VERDICT_MS, () => {
-      if (endpoint.heardAt > from) return;
+      if (endpoint.heardAt > heardAt) return;
       guard.recordCrash(this.#identity, endpoint.identity.id);
     });
   }
--- a/src/gateway/endpoint_call.ts
+++ b/src/gateway/endpoint_call.ts
@@ -96,8 +96,16 @@
     return this.#attempt.isSilent;
   }
 
+  /** Time at which its endpoint last sent something, or at which it began. */
+  get heardAt(): number {
+    return this.#attempt.heardAt;
+  }
+
   /** Cancels the call; the endpoint sees its connection close. */
   cancel(): void {
+    // The line of the request may be written before the outcome is handled.
+    this.record.outcome = this.isSilent ? "silent" : "cancelled";
+    this.record.ms = Math.round(this.#context.clock.now() - this.startedAt);
     this.#attempt.cancel();
   }
 
@@ -151,35 +159,40 @@
   }
 
   #recordSilence({ isNew }: { isNew: boolean }): void {
-    const { clock, logger } = this.#context;
-    if (isNew) {
-      const isReceiving = this.#isReceiving;
-      healthSignals.recordSilence(this.endpoint, {
-        ...this.#context,
-        now: clock.now(),
-        isReceiving,
-      });
-      if (isReceiving) this.#reportSignal("bad");
-      logger.info({
-        request: this.#options.request.id,
-        endpoint: this.endpoint.identity.id,
-        ms: Math.round(clock.now() - this.startedAt),
-        idleTimeoutMs: Math.round(this.#options.idleTimeout),
-        hasBegun: this.#load.firstEventTime !== undefined,
-        isReceiving,
-      }, "Call is silent; it stays open");
-    }
+    if (isNew) this.#recordNewSilence();
     this.#options.onSilence();
   }
 
+  #recordNewSilence(): void {
+    const { clock, logger } = this.#context;
+    const isReceiving = this.#isReceiving;
+    healthSignals.recordSilence(this.endpoint, {
+      ...this.#context,
+      now: clock.now(),
+      isReceiving,
+    });
+    this.record.silences = (this.record.silences ?? 0) + 1;
+    if (this.record.silences > 1) return;
+    logger.info({
+      request: this.#options.request.id,
+      endpoint: this.endpoint.identity.id,
+      ms: Math.round(clock.now() - this.startedAt),
+      silentMs: Math.round(clock.now() - this.heardAt),
+      hasBegun: this.#load.firstEventTime !== undefined,
+      isReceiving,
+    }, "Call is silent; it stays open");
+  }
+
   #recordResumption(): void {
     const { clock, logger } = this.#context;
+    const isFirst = this.record.resumed === undefined;
     healthSignals.recordResumption(this.endpoint, {
       ...this.#context,
       now: clock.now(),
+      isFirst,
     });
-    this.#reportSignal("good");
     this.record.resumed = (this.record.resumed ?? 0) + 1;
+    if (!isFirst) return;
     logger.info({
       request: this.#options.request.id,
       endpoint: this.endpoint.identity.id,
--- a/src/gateway/engine_slowness_test.ts
+++ b/src/gateway/engine_slowness_test.ts
@@ -266,7 +266,7 @@
     endpointAdmission: { acquire: () => Promise.resolve(undefined) } as never,
   });
   const result = await choice.choose({ called: [], isFinished: () => false });
-  if (result.type === "none") throw new Error("no target");
+  if (result.type !== "target") throw new Error("no target");
   return callRecords.create(result.target);
 }
 
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -65,12 +65,15 @@
 /** Records that a silent call goes on. */
 export function recordResumption(
   target: endpoints.Endpoint,
-  { now, metrics }: Pick<CallEnd, "now" | "metrics">,
+  { now, metrics, isFirst }: Pick<CallEnd, "now" | "metrics"> & {
+    /** Whether the call was silent for the first time. */
+    readonly isFirst: boolean;
+  },
 ): void {
   metrics.count("gateway.resumptions", 1, {
     service: target.identity.service,
   });
-  target.recordResumption(now);
+  target.recordResumption(now, { isFirst });
 }
 
 /** Records how slow a call without a prompt was. */
@@ -97,6 +100,9 @@
   const isUnreachable = outcome.type === "failed" &&
     outcome.cause === "unreachable";
   if (isUnreachable && !isReceiving) return undefined;
+  // Other hosts learn of a silence only once the call has not gone on.
+  const isSilent = outcome.type === "failed" && outcome.cause === "silent";
+  if (isSilent) return isReceiving ? "bad" : undefined;
   return isPathFault(outcome, isReceiving) ? undefined : signalOf(outcome);
 }
 
--- a/src/gateway/open_calls.ts
+++ b/src/gateway/open_calls.ts
@@ -40,12 +40,22 @@
     this.#stall = undefined;
   }
 
+  /** Whether no other call is in flight. */
+  isLast(attempt: OpenAttempt): boolean {
+    return this.#open.size === Number(this.#open.has(attempt));
+  }
+
   /** Removes a call that has ended without a usable answer. */
   end(attempt: OpenAttempt, stall: Stall): void {
-    this.#open.delete(attempt);
+    this.remove(attempt);
     this.#recordStall(stall);
   }
 
+  /** Removes a call after the end of its request. */
+  remove(attempt: OpenAttempt): void {
+    this.#open.delete(attempt);
+  }
+
   /** Records that a call has become silent, or is still silent after a further
    * idle timeout. */
   recordSilence(): void {
--- a/src/gateway/share_charge.ts
+++ b/src/gateway/share_charge.ts
@@ -171,6 +171,8 @@
   lastCall: string | undefined,
 ): boolean {
   if (reason === "backoff") return lastCall === "full";
+  // An endpoint that sends nothing is no lack of capacity.
+  if (lastCall === "silent") return false;
   if (reason === "failed") return lastCall === "deadline";
   return CAPACITY_REASONS.has(reason);
 }
--- a/src/gateway/target_choice.ts
+++ b/src/gateway/target_choice.ts
@@ -29,9 +29,11 @@
   readonly slowness?: number;
 }
 
-/** The chosen target, or why there is none. */
+/** The chosen target, or why there is none; nothing is acquired if the choice is
+ * not needed any more. */
 export type TargetChoiceResult =
   | { readonly type: "target"; readonly target: Target }
+  | { readonly type: "unneeded" }
   | {
     readonly type: "none";
     readonly reason: refusals.RefusalReason;
@@ -59,7 +61,7 @@
   readonly planned?: endpoints.Endpoint;
   /** Version that the endpoint must have; undefined while any will do. */
   readonly version?: string;
-  /** Whether the caller no longer waits. */
+  /** Whether no further call is needed. */
   isFinished(): boolean;
 }
 
@@ -96,19 +98,20 @@
     for (;;) {
       const target = await this.#pick(progress, avoided);
       if (target === undefined) return this.#unavailable(progress);
-      if (progress.isFinished()) return { type: "target", target };
+      if (progress.isFinished()) return { type: "unneeded" };
       const { id } = target.endpoint.identity;
       const denial = await admission.acquire(target.endpoint, deadline);
       const isFinished = progress.isFinished();
       if (isFinished && denial === undefined) admission.release();
-      if (isFinished || denial === undefined) return { type: "target", target };
+      if (isFinished) return { type: "unneeded" };
+      if (denial === undefined) return { type: "target", target };
       const isWaiting = denial.reason === "no-slot" &&
         avoided.includes(id) && this.#mayWaitForSlot(slotWaits);
       if (isWaiting) {
         slotWaits++;
         avoided.length = 0;
         await this.#waitForSlot();
-        if (progress.isFinished()) return this.#unavailable(progress);
+        if (progress.isFinished()) return { type: "unneeded" };
         continue;
       }
       if (denial.isFinal || avoided.includes(id)) {
