Runtime: the count of unread bytes is a ledger that others can use

No change of behaviour. The bytes by holder, their sum, the bound as a share of the host's memory and the removal of the largest holders move from the unread replies to a ledger of their own: the bytes of endpoints' answers that are not yet complete need the same.

--- a/src/gateway/unread_replies.ts
+++ b/src/gateway/unread_replies.ts
@@ -4,13 +4,12 @@
  * the bound, the replies with the most unread bytes are aborted.
  * @module */
 
+import * as byteLedgers from "../runtime/byte_ledger.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 
 /** Part of a host's memory that unread bytes may take: the rest is for the
  * requests in flight, which must not fail because of slow callers. */
 const MEMORY_SHARE = 1 / 8;
-/** Largest unread replies in the state dump. */
-const DUMPED_REPLIES = 10;
 
 /** A reply of which the host may hold unread bytes. */
 export interface UnreadReply {
@@ -33,15 +32,15 @@
 /** Unread bytes by reply; changed in place. */
 export class UnreadReplies {
   readonly #options: UnreadRepliesOptions;
-  /** Most bytes that the replies may hold together. */
-  readonly #bound: number;
-  readonly #bytes = new Map<UnreadReply, number>();
-  #sum = 0;
+  readonly #ledger: byteLedgers.ByteLedger<UnreadReply>;
   #isCheckDue = false;
 
   private constructor(options: UnreadRepliesOptions) {
     this.#options = options;
-    this.#bound = MEMORY_SHARE * (options.memory || Infinity);
+    this.#ledger = byteLedgers.ByteLedger.create({
+      memory: options.memory,
+      share: MEMORY_SHARE,
+    });
   }
 
   static create(options: UnreadRepliesOptions): UnreadReplies {
@@ -50,33 +49,24 @@
 
   /** Bytes that callers have not read. */
   get sum(): number {
-    return this.#sum;
+    return this.#ledger.sum;
   }
 
   /** Records that bytes were written to a reply, or read by its caller. */
   update(reply: UnreadReply): void {
-    const bytes = reply.unreadBytes;
-    this.#sum += bytes - (this.#bytes.get(reply) ?? 0);
-    if (bytes > 0) this.#bytes.set(reply, bytes);
-    else this.#bytes.delete(reply);
+    this.#ledger.update(reply, reply.unreadBytes);
     this.#scheduleCheck();
   }
 
   /** Records that a reply has ended: nothing is held for it any more. */
   remove(reply: UnreadReply): void {
-    this.#sum -= this.#bytes.get(reply) ?? 0;
-    if (this.#bytes.delete(reply)) this.#scheduleCheck();
+    if (this.#ledger.remove(reply)) this.#scheduleCheck();
   }
 
   /** State for diagnostics. */
   dump(): unknown {
-    const largest = [...this.#bytes.values()].sort((one, other) => other - one);
-    return {
-      unreadBytes: this.#sum,
-      ...(this.#bound < Infinity && { bound: this.#bound }),
-      replies: this.#bytes.size,
-      largest: largest.slice(0, DUMPED_REPLIES),
-    };
+    const { holders: replies, ...rest } = this.#ledger.dump();
+    return { unreadBytes: this.#ledger.sum, replies, ...rest };
   }
 
   /** Bytes that the system takes at once are not unread, so the bound is checked
@@ -89,18 +79,10 @@
 
   #check(): void {
     this.#isCheckDue = false;
-    while (this.#sum > this.#bound && this.#bytes.size > 0) {
-      this.#abortLargest();
-    }
-    this.#options.metrics.gauge("gateway.unread_bytes", this.#sum);
-  }
-
-  #abortLargest(): void {
-    const [largest, bytes] = [...this.#bytes].reduce((one, other) =>
-      other[1] > one[1] ? other : one
-    );
-    this.remove(largest);
-    this.#options.metrics.count("gateway.aborted_slow");
-    largest.abortUnread(bytes);
+    this.#ledger.removeExcess((largest, bytes) => {
+      this.#options.metrics.count("gateway.aborted_slow");
+      largest.abortUnread(bytes);
+    });
+    this.#options.metrics.gauge("gateway.unread_bytes", this.#ledger.sum);
   }
 }
