Gateway: a partial event is not copied for each of its chunks

What callers saw: a host that reads a long event stands still for seconds, and all of its requests with it. Cause: each chunk was concatenated with the whole partial event, which takes time with the square of its size. Now the chunks are kept in a list, only the last three bytes before a chunk are searched with it for an end, and the event is concatenated once.

--- a/src/gateway/event_buffer.ts
+++ b/src/gateway/event_buffer.ts
@@ -1,6 +1,8 @@
 /** Splits an event stream (server-sent events) after complete events.
  * @module */
 
+import * as chunkLists from "../endpoint_calls/chunk_list.ts";
+
 /** Complete events, and the last id among them. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
@@ -8,10 +10,17 @@
 }
 
 const ID_LINE = /^id: ?(.*?)\r?$/gm;
+/** Bytes of the longest sequence that ends an event, `\r\n\r\n`, without its
+ * last: as many of a partial event may belong to its end. */
+const MAX_PARTIAL_END_BYTES = 3;
+const NO_BYTES = Buffer.alloc(0);
+const NO_EVENTS: CompleteEvents = { bytes: NO_BYTES };
 
 /** Buffers a stream that arrives in chunks; changed in place. */
 export class EventBuffer {
-  #partial: Buffer = Buffer.alloc(0);
+  readonly #partial = chunkLists.ChunkList.create();
+  /** Last bytes of the partial event. */
+  #tail: Buffer = NO_BYTES;
 
   static create(): EventBuffer {
     return new EventBuffer();
@@ -22,16 +31,43 @@
     return this.#partial.length > 0;
   }
 
-  /** Adds a chunk; returns the events that are complete now. */
+  /** Bytes of memory that the partial event takes. */
+  get heldBytes(): number {
+    return this.#partial.heldBytes;
+  }
+
+  /** Adds a chunk; returns the events that are complete now. It takes time in
+   * proportion to the chunk and to the events that are returned, however long the
+   * partial event is. */
   push(chunk: Buffer): CompleteEvents {
-    const all = this.#partial.length > 0
-      ? Buffer.concat([this.#partial, chunk])
+    const searched = this.#tail.length > 0
+      ? Buffer.concat([this.#tail, chunk])
       : chunk;
-    const end = lastEventEnd(all);
-    this.#partial = all.subarray(end);
-    const bytes = all.subarray(0, end);
+    const end = lastEventEnd(searched);
+    if (end === 0) {
+      this.#partial.push(chunk);
+      this.#tail = Buffer.from(searched.subarray(-MAX_PARTIAL_END_BYTES));
+      return NO_EVENTS;
+    }
+    const endInChunk = end - this.#tail.length;
+    const bytes = this.#complete(chunk.subarray(0, endInChunk));
+    this.#begin(chunk.subarray(endInChunk));
     return { bytes, lastId: lastEventId(bytes) };
   }
+
+  /** Adds the end of the partial event and removes it; returns its bytes. */
+  #complete(end: Buffer): Buffer {
+    if (this.#partial.length === 0) return end;
+    this.#partial.push(end);
+    return this.#partial.take();
+  }
+
+  #begin(event: Buffer): void {
+    this.#partial.push(event);
+    this.#tail = event.length === 0
+      ? NO_BYTES
+      : Buffer.from(event.subarray(-MAX_PARTIAL_END_BYTES));
+  }
 }
 
 /** Offset at which the last complete event ends. */
--- a/src/gateway/event_buffer_test.ts
+++ b/src/gateway/event_buffer_test.ts
@@ -29,3 +29,42 @@
   const { whole } = feed("id: 7\r\ndata: x\r\n\r\n");
   t.deepEqual(whole, [["id: 7\r\ndata: x\r\n\r\n", "7"]]);
 });
+
+// Guards against ends that are missed, or found twice, where a chunk ends inside
+// of them.
+test("events are the same however the stream is cut into chunks", (t) => {
+  const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\nid: 3\n\nid: 4\nd";
+  const expected = text.slice(0, text.indexOf("id: 4"));
+  for (let first = 0; first <= text.length; first++) {
+    for (let second = first; second <= text.length; second++) {
+      const { whole, isOpen } = feed(
+        text.slice(0, first),
+        text.slice(first, second),
+        text.slice(second),
+      );
+      const bytes = whole.map(([each]) => each).join("");
+      if (bytes !== expected || !isOpen) {
+        return t.fail(`cut at ${first} and ${second}: ${bytes}`);
+      }
+    }
+  }
+  t.pass();
+});
+
+// Guards against time that grows with the square of an event's size: each chunk
+// copied the whole event, 32 GB for one of 32 MB.
+test("an event without an end takes time in proportion to its size", (t) => {
+  const buffer = eventBuffers.EventBuffer.create();
+  const chunk = Buffer.alloc(16 * 1024, "x");
+  const pushAll = (count: number) => {
+    const start = performance.now();
+    for (let index = 0; index < count; index++) buffer.push(chunk);
+    return performance.now() - start;
+  };
+  const early = pushAll(500);
+  pushAll(1000);
+  const late = pushAll(500);
+  t.log({ early, late });
+  t.true(buffer.heldBytes >= 2000 * chunk.length);
+  t.true(late <= 10 * early + 20, `${early} ms, then ${late} ms`);
+});
