Gateway: what a host holds of incomplete answers is bounded over all calls

What callers saw: one endpoint that answers without an end cost requests at all of them (68 of 160 beside an event without an end, 134 of 160 beside chunks of one byte), and the entry host grew to 300 and 2,447 MB, where 160 are given.

Cause: each call might hold 64 MB, counted without what small chunks take in memory, and nothing bounded the calls together. A call that was ended for it counted as `connection`, so as a crash: the request's content was suspected. So did a head that exceeds the HTTP client's bound of 16 KB.

Change: an exchange records what its receiver holds in a count of the host, an eighth of its memory as for unread replies; above the bound the call with the most bytes is ended at once, not after the turn of the event loop, in which all connections may deliver more than the memory. An event of a stream may take 4 MB; a stream as a whole has no bound any more (it was broken off after 64 MB, though nothing is held of it). A chunk counts with 200 bytes beside its own (142 were measured for one of a byte). Such a call ends as `oversized`: it is repeated as after a broken answer, counts against its endpoint's health and not as a crash. A log line and `gateway.oversized` tell of each, `gateway.partial_bytes` has the sum.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -86,6 +86,7 @@
     const budget = gateway.RetryBudget.create(bounds);
     this.#context = {
       ...common,
+      partialAnswers: { update() {}, remove() {} },
       pool: this.#pool,
       paths: { relayOf: () => undefined, hasReceivedFromOthers: () => true },
       batcherClient: maker,
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -6,9 +6,11 @@
  * carries a late answer.
  * @module */
 
-import type * as undici from "undici";
+import * as http from "node:http";
+import * as undici from "undici";
 import type * as request from "../request/request.ts";
 import * as connector from "./connector.ts";
+import type * as partialAnswers from "./partial_answers.ts";
 import type * as runtime from "../runtime/mod.ts";
 
 /** Headers of an answer, names in lower case. */
@@ -18,10 +20,14 @@
 export interface ExchangeFailure {
   reason: request.FailureReason;
   outcome: request.Outcome;
+  /** Present if the reason is "oversized". */
+  excess?: partialAnswers.Excess;
 }
 
 /** Receives the answer of an exchange; `end` or `fail` is the last call. */
 export interface Receiver {
+  /** Bytes of memory that it holds of the answer; none when absent. */
+  readonly heldBytes?: number;
   head(status: number, headers: Headers): void;
   data(chunk: Buffer): void;
   end(): void;
@@ -54,6 +60,9 @@
   idleTimeout: number;
   /** Maximum size of the answer's body. */
   maxBytes: number;
+  /** Bounds the bytes that the receivers of all exchanges hold together; no bound
+   * when absent. */
+  partialAnswers?: Pick<partialAnswers.PartialAnswers, "update" | "remove">;
   receiver: Receiver;
   /** Whether the request may still be sent, asked once a connection is open;
    * otherwise the exchange fails as not run. Absent if it always may. */
@@ -70,8 +79,12 @@
   "broken-stream",
 ]);
 
+/** Bytes of the largest head of an answer: the default of undici's pools. */
+const MAX_HEAD_BYTES = http.maxHeaderSize;
+
 /** One HTTP request and its answer. */
-export class Exchange implements undici.Dispatcher.DispatchHandler {
+export class Exchange
+  implements undici.Dispatcher.DispatchHandler, partialAnswers.PartialAnswer {
   readonly #options: Options;
   #controller: undici.Dispatcher.DispatchController | undefined;
   #isStarted = false;
@@ -118,14 +131,31 @@
     this.#checkTimeouts();
   }
 
+  /** Bytes of memory that the answer takes while it is incomplete. */
+  get heldBytes(): number {
+    return this.#options.receiver.heldBytes ?? 0;
+  }
+
+  /** Fails the exchange, as its answer holds too many bytes. */
+  endOversized(excess: partialAnswers.Excess): void {
+    this.break("oversized", excess);
+  }
+
   /** Fails the exchange and destroys the connection. */
-  break(reason: request.FailureReason): void {
+  break(
+    reason: request.FailureReason,
+    excess?: partialAnswers.Excess,
+  ): void {
     if (this.#isDone) return;
     const outcome = this.#isStarted ? "unknown" : "not-run";
     if (this.#isStarted && PATH_REASONS.has(reason)) this.#recordBreak();
     this.#finish();
     this.#abort(`call failed: ${reason}`);
-    this.#options.receiver.fail({ reason, outcome });
+    this.#options.receiver.fail({
+      reason,
+      outcome,
+      ...(excess && { excess }),
+    });
   }
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -160,10 +190,13 @@
     if (this.#isDone) return;
     this.#lastReceivedAt = this.#options.clock.now();
     this.#receivedBytes += chunk.length;
-    if (this.#receivedBytes > this.#options.maxBytes) {
-      return this.break("error");
+    const { maxBytes: bound, receiver, partialAnswers } = this.#options;
+    if (this.#receivedBytes > bound) {
+      const heldBytes = this.#receivedBytes;
+      return this.endOversized({ heldBytes, bound, scope: "answer" });
     }
-    this.#options.receiver.data(chunk);
+    receiver.data(chunk);
+    if (!this.#isDone) partialAnswers?.update(this);
   }
 
   onResponseEnd(): void {
@@ -178,7 +211,14 @@
     });
   }
 
-  onResponseError(): void {
+  onResponseError(
+    _controller: undici.Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    if (error instanceof undici.errors.HeadersOverflowError) {
+      const bound = MAX_HEAD_BYTES;
+      return this.endOversized({ heldBytes: bound, bound, scope: "head" });
+    }
     this.break(this.#hasResponseHead ? "broken-stream" : "connection");
   }
 
@@ -230,6 +270,7 @@
 
   #finish(): void {
     this.#isDone = true;
+    this.#options.partialAnswers?.remove(this);
     this.#cancelTimer();
   }
 
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -5,6 +5,7 @@
 import * as evacuations from "../control/versions/evacuations.ts";
 import * as configurations from "../configuration/mod.ts";
 import * as connections from "../endpoint_calls/connections.ts";
+import * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import * as gateway from "../gateway/mod.ts";
 import * as batching from "../batching/mod.ts";
 import * as accountShares from "../account_shares/mod.ts";
@@ -69,6 +70,7 @@
   readonly #paths: relay.EndpointPaths;
   readonly #tunnelServer: relay.TunnelServer;
   readonly #connections: connections.Connections;
+  readonly #partialAnswers: partialAnswers.PartialAnswers;
   readonly #retryBudgets = new Map<string, gateway.RetryBudget>();
   #catalogue?: configurations.Catalogue;
   /** Undefined where accounts have no shares. */
@@ -118,6 +120,11 @@
       clock,
       reuse: this.#paths,
     });
+    this.#partialAnswers = partialAnswers.PartialAnswers.create({
+      ...options,
+      memory: settings.memory,
+      afterTurn: setImmediate,
+    });
     this.#network = hostContext.createNetwork(options, {
       handlers: {
         make: (question) => this.#handleMake(question),
@@ -266,6 +273,7 @@
       ready: this.#isReady,
       inFlight: this.#server.inFlight,
       unread: this.#server.dump(),
+      partialAnswers: this.#partialAnswers.dump(),
       follower: this.#syncClient.dump(),
       pool: this.#pool.dump(now),
       performance: this.#pool.dumpPerformance(now),
@@ -318,6 +326,7 @@
       },
       ...this.#options,
       dispatcher: this.#connections,
+      partialAnswers: this.#partialAnswers,
       dataCentre: this.#options.settings.dataCentre,
       pool: this.#pool,
       paths: this.#paths,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,14 +7,21 @@
  * @module */
 
 import type * as undici from "undici";
+import * as chunkLists from "../endpoint_calls/chunk_list.ts";
 import * as endpointCalls from "../endpoint_calls/exchange.ts";
+import type * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import type * as runtime from "../runtime/mod.ts";
+import type * as telemetry from "../telemetry/mod.ts";
 import * as eventBuffers from "./event_buffer.ts";
 import type * as endpoints from "./endpoint.ts";
 import type * as protocols from "./protocol.ts";
 
-/** Bytes of the largest plain answer; it is buffered whole. */
+/** Bytes of memory that the largest plain answer takes; it is buffered whole. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Bytes of memory that the largest event of a stream takes. Events carry some
+ * tokens; an event without an end is to end soon, also at a host without a given
+ * memory. */
+const MAX_EVENT_BYTES = 4 * 1024 * 1024;
 
 /** Why an attempt has no answer. */
 export type FailureCause =
@@ -25,6 +32,7 @@
   | "lacks-input"
   | "connection"
   | "broken"
+  | "oversized"
   | "mismatch"
   | "silent"
   | "deadline"
@@ -53,6 +61,12 @@
 export interface AttemptOptions {
   readonly dispatcher: undici.Dispatcher;
   readonly clock: runtime.Clock;
+  readonly logger: telemetry.Logger;
+  readonly metrics: telemetry.Metrics;
+  readonly partialAnswers: Pick<
+    partialAnswers.PartialAnswers,
+    "update" | "remove"
+  >;
   readonly protocol: protocols.GatewayProtocol;
   readonly endpoint: endpoints.Endpoint;
   readonly request: protocols.IncomingRequest;
@@ -75,7 +89,7 @@
   readonly outcome: Promise<Outcome>;
   readonly #options: AttemptOptions;
   readonly #events = eventBuffers.EventBuffer.create();
-  readonly #chunks: Buffer[] = [];
+  readonly #chunks = chunkLists.ChunkList.create();
   #resolve!: (outcome: Outcome) => void;
   #exchange?: endpointCalls.Exchange;
   #head?: protocols.ReplyHead;
@@ -110,7 +124,9 @@
       url: `http://${endpoint.identity.address}`,
       deadline: options.deadline,
       idleTimeout: options.idleTimeout,
-      maxBytes: MAX_ANSWER_BYTES,
+      // Bounded by the bytes that are held.
+      maxBytes: Infinity,
+      partialAnswers: options.partialAnswers,
       receiver: attempt,
       maySend: () => endpoint.isAccepting(clock.now()),
     });
@@ -143,12 +159,24 @@
     if (this.#isStream) stream!.head(head);
   }
 
+  /** Bytes of memory that the incomplete answer, or the incomplete event of a
+   * stream, takes. */
+  get heldBytes(): number {
+    return this.#isStream ? this.#events.heldBytes : this.#chunks.heldBytes;
+  }
+
   data(chunk: Buffer): void {
     if (this.#isFinished) return;
-    if (!this.#isStream) {
-      this.#chunks.push(chunk);
-      return;
-    }
+    if (this.#isStream) this.#addToStream(chunk);
+    else this.#chunks.push(chunk);
+    const { heldBytes } = this;
+    const scope = this.#isStream ? "event" : "answer";
+    const bound = MAX_HELD_BYTES[scope];
+    if (heldBytes <= bound) return;
+    this.#exchange?.endOversized({ heldBytes, bound, scope });
+  }
+
+  #addToStream(chunk: Buffer): void {
     const complete = this.#events.push(chunk);
     if (complete.bytes.length > 0) this.#options.stream!.events(complete);
   }
@@ -159,11 +187,12 @@
     const head = this.#head!;
     const cause = refusalCause(head);
     if (cause !== undefined) return this.#fail(cause, false);
-    this.#finish({ type: "answer", head, body: Buffer.concat(this.#chunks) });
+    this.#finish({ type: "answer", head, body: this.#chunks.take() });
   }
 
-  fail({ reason, outcome }: endpointCalls.ExchangeFailure): void {
+  fail({ reason, outcome, excess }: endpointCalls.ExchangeFailure): void {
     if (this.#isFinished) return;
+    if (excess !== undefined) this.#recordExcess(excess);
     // The head alone marks an answer as a refusal, so one whose body is cut off
     // still counts.
     const refusal = this.#head && refusalCause(this.#head);
@@ -172,6 +201,17 @@
     this.#fail(failureCause(reason), true);
   }
 
+  #recordExcess(excess: partialAnswers.Excess): void {
+    const { logger, metrics, request, endpoint } = this.#options;
+    const { id, service } = endpoint.identity;
+    const { scope } = excess;
+    metrics.count("gateway.oversized", 1, { service, scope });
+    logger.warn(
+      { request: request.id, endpoint: id, service, ...excess },
+      "Call ended, as its incomplete answer holds too many bytes",
+    );
+  }
+
   #failUnsent(): void {
     const { endpoint, clock } = this.#options;
     const isAccepting = endpoint.isAccepting(clock.now());
@@ -211,6 +251,11 @@
     outcome.type === "answer" && hasSuccessStatus(outcome.head);
 }
 
+const MAX_HELD_BYTES = {
+  answer: MAX_ANSWER_BYTES,
+  event: MAX_EVENT_BYTES,
+} as const;
+
 const CRASH_CAUSES: ReadonlySet<FailureCause> = new Set([
   "connection",
   "broken",
@@ -245,6 +290,7 @@
     silent: "silent",
     deadline: "deadline",
     "broken-stream": "broken",
+    oversized: "oversized",
   };
   return causes[reason] ?? "connection";
 }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -6,6 +6,7 @@
 import type * as configurations from "../configuration/mod.ts";
 import type * as batching from "../batching/mod.ts";
 import type * as concurrency from "../concurrency/mod.ts";
+import type * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import type * as origins from "../origins/mod.ts";
 import type * as quarantine from "../quarantine/mod.ts";
 import type * as rateLimits from "../rate_limits/mod.ts";
@@ -48,6 +49,10 @@
   readonly metrics: telemetry.Metrics;
   readonly protocol: protocols.GatewayProtocol;
   readonly dispatcher: undici.Dispatcher;
+  readonly partialAnswers: Pick<
+    partialAnswers.PartialAnswers,
+    "update" | "remove"
+  >;
   readonly dataCentre: string;
   readonly pool: endpointPools.EndpointPool;
   readonly paths: PathView;
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -9,6 +9,7 @@
 import * as fixture from "../configuration/fixture.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
 import * as configurations from "../configuration/mod.ts";
+import * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import * as originFixture from "../origins/fixture.ts";
 import * as quarantineFixture from "../quarantine/fixture.ts";
 import * as rateLimitFixture from "../rate_limits/fixture.ts";
@@ -98,6 +99,14 @@
   });
 }
 
+function createPartialAnswers(memory?: number) {
+  return partialAnswers.PartialAnswers.create({
+    metrics: telemetry.noMetrics,
+    memory,
+    afterTurn: setImmediate,
+  });
+}
+
 /** A gateway host with one endpoint that handles each call with `endpoint`. */
 export async function startHost(
   t: ava.ExecutionContext,
@@ -129,6 +138,7 @@
   pool.update([entry], () => undefined);
   const bounds = { ratio: 1, burst: 10, window: 1000 };
   const started: activeRequests.ActiveRequest[] = [];
+  let partial = createPartialAnswers();
   const context: gateway.Context = {
     clock: runtime.systemClock,
     random: runtime.createRandom(7),
@@ -136,6 +146,9 @@
     metrics: telemetry.noMetrics,
     protocol: PROTOCOL,
     dispatcher,
+    get partialAnswers() {
+      return partial;
+    },
     dataCentre: "town",
     pool,
     paths: { relayOf: () => undefined, hasReceivedFromOthers: () => true },
@@ -171,6 +184,9 @@
   const limitMemory = (memory: number) => {
     unread = createUnreadReplies(memory);
   };
+  const limitPartialAnswers = (memory?: number) => {
+    return partial = createPartialAnswers(memory);
+  };
   const gatewayAddress = await listen(t, (request, response) => {
     started.push(
       activeRequests.ActiveRequest.start(context, {
@@ -202,6 +218,7 @@
     context,
     gatewayAddress,
     limitMemory,
+    limitPartialAnswers,
   };
 }
 
--- a/src/request/request.ts
+++ b/src/request/request.ts
@@ -72,6 +72,8 @@
   | "mismatch"
   | "broken-stream"
   | "error"
+  /** The answer was ended, as it held too many bytes. */
+  | "oversized"
   | "deadline";
 
 /** Failure of a call, and whether the call ran. */
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -28,6 +28,14 @@
     type: "count",
     help: "Replies aborted, as their callers have not read them",
   },
+  "gateway.partial_bytes": {
+    type: "gauge",
+    help: "Memory of endpoints' answers that are not yet complete",
+  },
+  "gateway.oversized": {
+    type: "count",
+    help: "Calls ended for the bytes that their answers held, by bound",
+  },
   "gateway.sent": { type: "count", help: "Calls to endpoints, by service" },
   "gateway.no_time": {
     type: "count",
