Gateway: bytes that are no HTTP are no sign of a crash

What callers saw: a request whose endpoint sends bytes that are no answer counts as one that has crashed it; after three such endpoints its content is quarantined, and sound requests with it are refused. Cause: any failed exchange ended as `connection` or `broken`, which a crash looks like. An endpoint that sends such bytes runs. Now it ends as `invalid`, still counts against the endpoint's health and is repeated as before. The parser reports the end of a connection within a chunk as the same error, but without bytes: that stays a sign of a crash.

Evidence: before, the tests of bytes that are no HTTP and of a chunk without a size fail (one crash counted each), the three of answers that are cut off pass; after, all pass.

--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -219,6 +219,7 @@
       const bound = MAX_HEAD_BYTES;
       return this.endOversized({ heldBytes: bound, bound, scope: "head" });
     }
+    if (isUnreadable(error)) return this.break("error");
     this.break(this.#hasResponseHead ? "broken-stream" : "connection");
   }
 
@@ -278,3 +279,10 @@
     this.#controller?.abort(new Error(message));
   }
 }
+
+/** Whether an endpoint has sent bytes that are no HTTP. The parser also fails at
+ * the end of a connection in the middle of an answer, then without such
+ * bytes. */
+function isUnreadable(error: Error & { readonly data?: unknown }): boolean {
+  return error.name === "HTTPParserError" && Boolean(error.data);
+}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -33,6 +33,8 @@
   | "connection"
   | "broken"
   | "oversized"
+  /** The endpoint sent bytes that are no answer. */
+  | "invalid"
   | "mismatch"
   | "silent"
   | "deadline"
@@ -291,6 +293,7 @@
     deadline: "deadline",
     "broken-stream": "broken",
     oversized: "oversized",
+    error: "invalid",
   };
   return causes[reason] ?? "connection";
 }
--- a/src/gateway/partial_answer_test.ts
+++ b/src/gateway/partial_answer_test.ts
@@ -135,6 +135,57 @@
   });
 }
 
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\ntest-signature: s\r\n" +
+  "transfer-encoding: chunked\r\n";
+
+/** Answers that are cut off or that no HTTP client can read, and whether their
+ * endpoint may have crashed. */
+const BROKEN_ANSWERS = [
+  { name: "bytes that are no HTTP", text: "x".repeat(100), isCrash: false },
+  {
+    name: "a chunk without a size",
+    text: `${CHUNKED_HEAD}\r\nno size\r\n`,
+    isCrash: false,
+  },
+  {
+    name: "a head that is cut off",
+    text: CHUNKED_HEAD,
+    isCut: true,
+    isCrash: true,
+  },
+  {
+    name: "a chunk that is cut off",
+    text: `${CHUNKED_HEAD}\r\n5\r\nab`,
+    isCut: true,
+    isCrash: true,
+  },
+  {
+    name: "the last chunk of a connection that is cut off",
+    text: `${CHUNKED_HEAD}connection: close\r\n\r\n5\r\nab`,
+    isCut: true,
+    isCrash: true,
+  },
+];
+
+// Guards against sound requests that are quarantined because their endpoint sends
+// bytes that are no answer, which one that has crashed does not, and against
+// crashes that are not counted.
+for (const { name, text, isCut, isCrash } of BROKEN_ANSWERS) {
+  test(`${name} is ${isCrash ? "a" : "no"} sign of a crash`, async (t) => {
+    const host = await startRecordingHost(t, "safe", ({ socket }) => {
+      socket.write(text);
+      if (isCut) socket.end();
+    });
+    const [endpoint] = host.pool.endpointsOf("desk");
+    const before = endpoint.successRate;
+    const { status } = await host.ask();
+    t.is(status, 502);
+    t.is(host.crashes.length > 0, isCrash);
+    t.true(endpoint.successRate < before, "counts against the endpoint");
+    t.deepEqual(host.counts, []);
+  });
+}
+
 const SOUND_COUNT = 10;
 const SOUND_ANSWER = Buffer.alloc(4 * MEGABYTE, "y");
 
