Batching: answers of endpoints that compute items count as incomplete answers

What callers saw: none failed; a host that computes items stood still for 435 ms and grew by 38 MB for one answer in chunks of one byte. Cause: a call's answer may have 1 MB, counted without the memory that its chunks take, and is in no bound of the host. Now these calls are in the host's count of incomplete answers, with a log line and the metric. An answer may take twice its maximum size in memory while it is incomplete; that holds for all exchanges with a maximum size.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -50,7 +50,12 @@
     this.dataCentre = dataCentre;
     this.#options = options;
     const { protocol } = wire;
-    const common = { ...options, protocol, metrics: telemetry.noMetrics };
+    const common = {
+      ...options,
+      protocol,
+      metrics: telemetry.noMetrics,
+      partialAnswers: { update() {}, remove() {} },
+    };
     this.#batcher = pieces.Batcher.create({
       ...common,
       quotas: rateLimitFixture.unlimitedQuotas(),
@@ -86,7 +91,6 @@
     const budget = gateway.RetryBudget.create(bounds);
     this.#context = {
       ...common,
-      partialAnswers: { update() {}, remove() {} },
       pool: this.#pool,
       paths: { relayOf: () => undefined, hasReceivedFromOthers: () => true },
       batcherClient: maker,
--- a/src/batching/batch_call.ts
+++ b/src/batching/batch_call.ts
@@ -2,7 +2,9 @@
  * @module */
 
 import type * as undici from "undici";
+import * as chunkLists from "../endpoint_calls/chunk_list.ts";
 import * as exchanges from "../endpoint_calls/exchange.ts";
+import type * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import type * as protocols from "../gateway/protocol.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
@@ -33,6 +35,12 @@
   readonly clock: runtime.Clock;
   readonly protocol: protocols.GatewayProtocol;
   readonly logger: telemetry.Logger;
+  readonly metrics: telemetry.Metrics;
+  readonly partialAnswers: Pick<
+    partialAnswers.PartialAnswers,
+    "update" | "remove"
+  >;
+  readonly service: string;
   /** Called with the head of each response. */
   onHead?(head: protocols.ReplyHead): void;
   /** Whether the call may still be sent, asked once a connection is open. */
@@ -109,7 +117,7 @@
 ): Promise<CallResponse> {
   const { dispatcher, clock, protocol, timeout, maySend } = options;
   return new Promise((resolve) => {
-    const parts: Buffer[] = [];
+    const chunks = chunkLists.ChunkList.create();
     let head: protocols.ReplyHead;
     exchanges.Exchange.start(outgoing, {
       dispatcher,
@@ -118,15 +126,20 @@
       deadline: clock.now() + timeout,
       idleTimeout: timeout,
       maxBytes: MAX_RESPONSE_BYTES,
+      partialAnswers: options.partialAnswers,
       maySend,
       receiver: {
+        get heldBytes() {
+          return chunks.heldBytes;
+        },
         head(status, headers) {
           head = protocol.decodeReply(status, headers);
           options.onHead?.(head);
         },
-        data: (part) => void parts.push(part),
-        end: () => resolve({ type: "whole", head, body: Buffer.concat(parts) }),
-        fail: ({ reason, outcome }) => {
+        data: (chunk) => chunks.push(chunk),
+        end: () => resolve({ type: "whole", head, body: chunks.take() }),
+        fail: ({ reason, outcome, excess }) => {
+          if (excess !== undefined) recordExcess(address, excess, options);
           const isWithheld = outcome === "not-run" && maySend?.() === false;
           const cause = isWithheld ? "withheld" : causeOf(reason, outcome);
           resolve({ type: "broken", cause });
@@ -136,6 +149,19 @@
   });
 }
 
+function recordExcess(
+  address: string,
+  excess: partialAnswers.Excess,
+  { logger, metrics, service }: CallOptions,
+): void {
+  const { scope } = excess;
+  metrics.count("gateway.oversized", 1, { service, scope });
+  logger.warn(
+    { address, service, ...excess },
+    "Call to compute items ended, as its incomplete answer holds too many bytes",
+  );
+}
+
 type Break = exchanges.ExchangeFailure;
 
 function causeOf(
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -29,6 +29,7 @@
   protocol: protocols.GatewayProtocol;
   metrics: telemetry.Metrics;
   logger: telemetry.Logger;
+  partialAnswers: batchCalls.CallOptions["partialAnswers"];
   /** Records that an endpoint has accepted or rejected a call sent at
    * `startedAt`. A scheduler gives no calls to an endpoint that does not
    * respond. */
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -56,6 +56,7 @@
     clock,
     metrics: telemetry.noMetrics,
     logger: telemetry.noLogger,
+    partialAnswers: { update() {}, remove() {} },
     service: "maps",
     traits: () => fixture.batchTraits(),
     workers: () => state.isClosed || left() > 0 ? [] : [worker],
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -79,6 +79,9 @@
   "broken-stream",
 ]);
 
+/** Memory that an answer may take while it is incomplete, relative to its maximum
+ * size: many small chunks take more than their bytes. */
+const MAX_HELD_RATIO = 2;
 /** Bytes of the largest head of an answer: the default of undici's pools. */
 const MAX_HEAD_BYTES = http.maxHeaderSize;
 
@@ -196,7 +199,12 @@
       return this.endOversized({ heldBytes, bound, scope: "answer" });
     }
     receiver.data(chunk);
-    if (!this.#isDone) partialAnswers?.update(this);
+    if (this.#isDone) return;
+    const { heldBytes } = this;
+    if (heldBytes > MAX_HELD_RATIO * bound) {
+      return this.endOversized({ heldBytes, bound, scope: "answer" });
+    }
+    partialAnswers?.update(this);
   }
 
   onResponseEnd(): void {
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -194,6 +194,7 @@
       quotas: this.#quotaClient,
       slots: this.#slotClient,
       dispatcher: this.#connections,
+      partialAnswers: this.#partialAnswers,
       service: (name) => this.#catalogue?.service(name),
       workers: (partition) => this.#usableWorkers(partition),
       isClosed: (partition) => this.#isClosed(partition),
