Endpoint calls: a subscription to an event without an end is replaced

What would be seen: an endpoint that sends one event without an end fills the memory of every host that is subscribed to its events. Cause: a subscription has no deadline and no size, and the parser keeps an event until it is complete. Now an event may have 1,048,576 characters; then the connection is closed and opened again with the usual backoff, and `endpoint.event_oversized` counts it.

--- a/src/endpoint_calls/subscription.ts
+++ b/src/endpoint_calls/subscription.ts
@@ -37,6 +37,8 @@
 /** Base of the backoff before reconnects, doubled after each failure. */
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 10_000;
+/** Characters of the largest event: a cache change names some thousand hashes. */
+const MAX_EVENT_CHARACTERS = 1024 * 1024;
 const EVENT_STREAM = "text/event-stream";
 
 type EventHandler = (data: string) => boolean;
@@ -102,6 +104,14 @@
     this.#reopen();
   }
 
+  /** Replaces the connection of an endpoint whose event has no end. */
+  #endOversized(): void {
+    this.#isStreaming = false;
+    this.#exchange?.cancel();
+    this.#options.metrics.count("endpoint.event_oversized");
+    this.#reopen();
+  }
+
   #open(): void {
     if (this.#isClosed) return;
     this.#decoder = new stringDecoder.StringDecoder("utf8");
@@ -138,6 +148,10 @@
 
   #createParser(): eventsource.EventSourceParser {
     return eventsource.createParser({
+      maxBufferSize: MAX_EVENT_CHARACTERS,
+      onError: ({ type }) => {
+        if (type === "max-buffer-size-exceeded") this.#endOversized();
+      },
       onEvent: ({ event = "", data }) => {
         const take = this.#eventHandlers[event];
         if (this.#isClosed || take === undefined) return;
--- a/src/endpoint_calls/subscriptions_test.ts
+++ b/src/endpoint_calls/subscriptions_test.ts
@@ -194,3 +194,27 @@
   t.is(offset.toHost(123_000, 122_080), 122_080);
   t.is(offset.toHost(5, 123_000), 123_000);
 });
+
+// Guards against an endpoint that fills the memory of all hosts with one event: a
+// subscription has neither a deadline nor a size.
+test("a subscription to an event without an end is replaced", async (t) => {
+  const { clock, tally, subscriptions, waitForEvents } = create(t);
+  const { url, next } = await listen(t);
+  subscriptions.replace([{ id: "e1", url }]);
+  const endless = await next();
+  endless.on("error", () => {});
+  let written = 0;
+  const part = "x".repeat(64 * 1024);
+  const write = () => {
+    while (!endless.destroyed && endless.write(part)) written += part.length;
+  };
+  endless.write("event: load\ndata: ");
+  endless.on("drain", write);
+  write();
+  await closed(endless);
+  t.true(written < 64 * 1024 * 1024, `${written} bytes`);
+  t.is(tally.total("endpoint.event_oversized"), 1);
+  clock.advance(1000);
+  (await next()).write(load(1));
+  t.is((await waitForEvents(1)).length, 1);
+});
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -232,6 +232,10 @@
   "endpoint.known": { type: "gauge", help: "Endpoints with a lease" },
   "endpoint.subscribed": { type: "count", help: "Event streams opened" },
   "endpoint.event_malformed": { type: "count", help: "Events not understood" },
+  "endpoint.event_oversized": {
+    type: "count",
+    help: "Event streams closed, as an event had no end",
+  },
   "endpoint.cache_gap": { type: "count", help: "Gaps in cache events" },
 
   // Operator calls and the table.
