Endpoint calls: answers of services count with the memory of their chunks

What would be seen: an answer of 16 MB in chunks of one byte takes some hundred times as much memory. Cause: the readers of JSON and of plain answers keep the chunks, and the bound counts their bytes.

--- a/src/endpoint_calls/endpoint_client_test.ts
+++ b/src/endpoint_calls/endpoint_client_test.ts
@@ -284,3 +284,54 @@
   await closed;
   t.pass();
 });
+
+/** Writes chunks of one byte until the caller closes; resolves with their
+ * number. */
+function writeSmallChunks(socket: net.Socket): Promise<number> {
+  const count = 10_000;
+  const part = "1\r\nx\r\n".repeat(count);
+  let written = 0;
+  return new Promise((resolve) => {
+    const write = () => {
+      let hasRoom = true;
+      while (hasRoom && !socket.destroyed) {
+        hasRoom = socket.write(part);
+        written += count;
+      }
+    };
+    socket.on("drain", write).on("error", () => {});
+    socket.on("close", () => resolve(written));
+    write();
+  });
+}
+
+// Guards against an answer that takes a hundred times its largest size in memory:
+// each chunk takes some hundred bytes beside its own.
+for (const type of ["plain", "encoder"] as const) {
+  test(`an answer in small chunks is ended by the memory that it takes: ${type}`, async (t) => {
+    let written!: Promise<number>;
+    const server = await listen(t, (_incoming, response) => {
+      const head = Object.entries({ ...echo, "transfer-encoding": "chunked" })
+        .map(([name, value]) => `${name}: ${value}\r\n`);
+      const socket = response.socket!;
+      socket.write(`HTTP/1.1 200 OK\r\n${head.join("")}\r\n`);
+      written = writeSmallChunks(socket);
+    });
+    const answerBytes = 4_000_000;
+    const client = endpointCalls.EndpointClient.create({
+      clock: runtime.systemClock,
+      metrics: telemetry.noMetrics,
+      answerBytes,
+    });
+    t.teardown(() => client.close());
+    const call = callOf(server.url, {
+      input: inputs[type],
+      deadline: Infinity,
+      idleTimeout: 10_000,
+    });
+    const end = await start(client, call).end;
+    t.like(end, { failure: { reason: "oversized", outcome: "unknown" } });
+    const chunks = await written;
+    t.true(chunks < answerBytes / 4, `${chunks} chunks of one byte`);
+  });
+}
--- a/src/endpoint_calls/handler.ts
+++ b/src/endpoint_calls/handler.ts
@@ -19,6 +19,8 @@
 
 /** Incremental reader of an answer's body. */
 export interface Reader {
+  /** Bytes of memory that it holds of the answer; none when absent. */
+  readonly heldBytes?: number;
   feed(chunk: Buffer): void;
   /** Throws a `CallError` when the answer is incomplete or belongs to another
    * call. */
--- a/src/endpoint_calls/json.ts
+++ b/src/endpoint_calls/json.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import * as call from "./call.ts";
+import * as chunkLists from "./chunk_list.ts";
 import type * as exchange from "./exchange.ts";
 import type * as handler from "./handler.ts";
 import type * as request from "../request/request.ts";
@@ -70,19 +71,23 @@
 class JsonReader implements handler.Reader {
   readonly #call: call.Call;
   readonly #parse: Parse;
-  readonly #chunks: Buffer[] = [];
+  readonly #chunks = chunkLists.ChunkList.create();
 
   constructor(sentCall: call.Call, parse: Parse) {
     this.#call = sentCall;
     this.#parse = parse;
   }
 
+  get heldBytes(): number {
+    return this.#chunks.heldBytes;
+  }
+
   feed(chunk: Buffer): void {
     this.#chunks.push(chunk);
   }
 
   end(): handler.ParsedAnswer {
-    const body = parse(Buffer.concat(this.#chunks).toString()) as Body | null;
+    const body = parse(this.#chunks.take().toString()) as Body | null;
     if (body?.id !== call.idOf(this.#call)) {
       throw new call.CallError("mismatch", "answer has the id of another call");
     }
--- a/src/endpoint_calls/plain.ts
+++ b/src/endpoint_calls/plain.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import * as call from "./call.ts";
+import * as chunkLists from "./chunk_list.ts";
 import type * as exchange from "./exchange.ts";
 import type * as handler from "./handler.ts";
 
@@ -49,13 +50,17 @@
 class PlainReader implements handler.Reader {
   readonly #call: call.Call;
   readonly #head: handler.Head;
-  readonly #chunks: Buffer[] = [];
+  readonly #chunks = chunkLists.ChunkList.create();
 
   constructor(sentCall: call.Call, head: handler.Head) {
     this.#call = sentCall;
     this.#head = head;
   }
 
+  get heldBytes(): number {
+    return this.#chunks.heldBytes;
+  }
+
   feed(chunk: Buffer): void {
     this.#chunks.push(chunk);
   }
@@ -63,7 +68,7 @@
   end(): handler.ParsedAnswer {
     const { status } = this.#head;
     const headers = forwardedHeaders(this.#head.headers);
-    const body = Buffer.concat(this.#chunks);
+    const body = this.#chunks.take();
     const callId = callIdIn(body);
     if (callId !== undefined && callId !== call.idOf(this.#call)) {
       throw new call.CallError("mismatch", "answer has the id of another call");
--- a/src/endpoint_calls/receiver.ts
+++ b/src/endpoint_calls/receiver.ts
@@ -40,6 +40,10 @@
     this.#exchange = started;
   }
 
+  get heldBytes(): number {
+    return this.#reader?.heldBytes ?? 0;
+  }
+
   head(status: number, headers: exchange.Headers): void {
     const { handler } = this.#options;
     if (!hasIdsOf(this.#call, headers)) return this.#abort("mismatch");
