Requests: bodies in small chunks take about their bytes in memory

What callers saw: a caller, or an endpoint that sends heartbeats, whose body of some megabytes comes in chunks of one byte makes the host grow by more than a gigabyte, within the largest body that is allowed. Cause: each chunk is kept as an object of some hundred bytes until the body is complete. Now chunks are joined whenever they take more than twice their bytes and 64 KB; that copies a constant number of bytes a chunk. It holds for bodies of callers, operators, orders and heartbeats, which share the list of chunks with endpoints' answers (moved to `runtime/`).

--- a/src/batching/batch_call.ts
+++ b/src/batching/batch_call.ts
@@ -2,7 +2,7 @@
  * @module */
 
 import type * as undici from "undici";
-import * as chunkLists from "../endpoint_calls/chunk_list.ts";
+import * as chunkLists from "../runtime/chunk_list.ts";
 import * as exchanges from "../endpoint_calls/exchange.ts";
 import type * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import type * as protocols from "../gateway/protocol.ts";
--- a/src/callers/body.ts
+++ b/src/callers/body.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import type * as http from "node:http";
+import * as chunkLists from "../runtime/chunk_list.ts";
 import * as problem from "./problem.ts";
 import type * as runtime from "../runtime/mod.ts";
 
@@ -20,8 +21,7 @@
   { clock, bytes, time }: Bounds,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const chunks = chunkLists.ChunkList.create();
     let done = false;
     const cancel = clock.after(time, () => fail("bad-request", TIMEOUT_DETAIL));
     incoming.on("data", take);
@@ -32,15 +32,16 @@
     if (declared > bytes) fail("body-too-large", tooLargeDetail(bytes));
 
     function take(chunk: Buffer): void {
-      size += chunk.length;
-      if (size > bytes) return fail("body-too-large", tooLargeDetail(bytes));
-      chunks.push(chunk);
+      if (chunks.length + chunk.length > bytes) {
+        return fail("body-too-large", tooLargeDetail(bytes));
+      }
+      chunks.pushJoined(chunk);
     }
 
     function finish(): void {
       done = true;
       cancel();
-      resolve(Buffer.concat(chunks));
+      resolve(chunks.take());
     }
 
     function fail(
--- a/src/endpoint_calls/plain.ts
+++ b/src/endpoint_calls/plain.ts
@@ -3,7 +3,7 @@
  * @module */
 
 import * as call from "./call.ts";
-import * as chunkLists from "./chunk_list.ts";
+import * as chunkLists from "../runtime/chunk_list.ts";
 import type * as exchange from "./exchange.ts";
 import type * as handler from "./handler.ts";
 
--- a/src/fleet/http_listener.ts
+++ b/src/fleet/http_listener.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import * as http from "node:http";
+import * as chunkLists from "../runtime/chunk_list.ts";
 import * as errors from "./errors.ts";
 
 /** Address and port to listen on. */
@@ -44,19 +45,19 @@
   request: http.IncomingMessage,
   limit: number,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const chunks = chunkLists.ChunkList.create();
   try {
     for await (const chunk of request) {
-      length += chunk.length;
-      if (length > limit) throw new errors.FleetError("The body is too large");
-      chunks.push(chunk);
+      if (chunks.length + chunk.length > limit) {
+        throw new errors.FleetError("The body is too large");
+      }
+      chunks.pushJoined(chunk);
     }
   } catch (cause) {
     if (cause instanceof errors.FleetError) throw cause;
     throw new errors.FleetError("The body did not arrive", { cause });
   }
-  return Buffer.concat(chunks);
+  return chunks.take();
 }
 
 /** Stops listening and closes all connections. */
--- a/src/gateway/body.ts
+++ b/src/gateway/body.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import type * as http from "node:http";
+import * as chunkLists from "../runtime/chunk_list.ts";
 
 /** Resolves with the complete body, or with why it can't be read. */
 export function read(
@@ -9,14 +10,12 @@
   maxBytes: number,
 ): Promise<Buffer | "too-large" | "unreadable"> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const chunks = chunkLists.ChunkList.create();
     request.on("data", (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > maxBytes) return resolve("too-large");
-      chunks.push(chunk);
+      if (chunks.length + chunk.length > maxBytes) return resolve("too-large");
+      chunks.pushJoined(chunk);
     });
-    request.once("end", () => resolve(Buffer.concat(chunks)));
+    request.once("end", () => resolve(chunks.take()));
     // The end of the connection is also handled where the response closes.
     request.once("error", () => resolve("unreadable"));
     request.once("close", () => resolve("unreadable"));
--- a/src/gateway/event_buffer.ts
+++ b/src/gateway/event_buffer.ts
@@ -1,7 +1,7 @@
 /** Splits an event stream (server-sent events) after complete events.
  * @module */
 
-import * as chunkLists from "../endpoint_calls/chunk_list.ts";
+import * as chunkLists from "../runtime/chunk_list.ts";
 
 /** Complete events, and the last id among them. */
 export interface CompleteEvents {
--- a/src/operators/body.ts
+++ b/src/operators/body.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import type * as http from "node:http";
+import * as chunkLists from "../runtime/chunk_list.ts";
 import * as problem from "./problem.ts";
 
 /** Maximum body size; an edit of 4000 cells takes about 0.6 MB. */
@@ -21,16 +22,14 @@
 }
 
 async function readText(request: http.IncomingMessage): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const chunks = chunkLists.ChunkList.create();
   // Leaving the loop must not close the socket: the error response uses it.
   for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) {
+    if (chunks.length + chunk.length > MAX_BODY_BYTES) {
       const detail = `a body may have ${MAX_BODY_BYTES} bytes`;
       throw new problem.OperatorsError("body-too-large", detail);
     }
-    chunks.push(chunk);
+    chunks.pushJoined(chunk);
   }
-  return Buffer.concat(chunks).toString("utf8");
+  return chunks.take().toString("utf8");
 }
--- a/src/endpoint_calls/chunk_list.ts
+++ b/src/runtime/chunk_list.ts
@@ -1,10 +1,12 @@
-/** Chunks of an answer that is not yet complete.
+/** Chunks of an answer or a request that is not yet complete.
  * @module */
 
 /** Memory that a chunk takes beside its bytes: the object, the entry of the list
  * and its allocation. An answer in chunks of one byte takes this much for each
  * byte of it. */
 const CHUNK_OVERHEAD_BYTES = 200;
+/** Memory beside their bytes that chunks may take before they are joined. */
+const MAX_LOOSE_OVERHEAD_BYTES = 64 * 1024;
 /** Part of its memory that a chunk must fill to be kept as it is. Smaller ones
  * would keep all that was read with them, such as the framing of chunks. */
 const MIN_FILL_RATIO = 1 / 2;
@@ -35,6 +37,16 @@
     this.#length += chunk.length;
   }
 
+  /** Adds a chunk of a body whose size is bounded by itself; joins the chunks when
+   * they take much more memory than their bytes. Each chunk costs the copy of a
+   * constant number of bytes on average. */
+  pushJoined(chunk: Buffer): void {
+    this.push(chunk);
+    const overhead = this.heldBytes - this.#length;
+    if (overhead <= this.#length + MAX_LOOSE_OVERHEAD_BYTES) return;
+    this.push(this.take());
+  }
+
   /** Removes all chunks; returns their bytes. */
   take(): Buffer {
     const bytes = this.#chunks.length === 1
--- a/src/endpoint_calls/chunk_list_test.ts
+++ b/src/runtime/chunk_list_test.ts
@@ -29,3 +29,21 @@
   t.true(chunks.heldBytes >= 100 * count);
   t.true(kept < 100_000_000, `${kept} bytes kept`);
 });
+
+// Guards against a request of some megabytes that takes a hundred times as much
+// while it is read, and against time that grows with the square of its size.
+test("small chunks that are joined take about their bytes", (t) => {
+  const chunks = chunkLists.ChunkList.create();
+  const count = 1_000_000;
+  const start = performance.now();
+  for (let index = 0; index < count; index++) {
+    chunks.pushJoined(Buffer.from([index % 256]));
+    if (chunks.heldBytes > 2 * chunks.length + 100_000) {
+      return t.fail(`${chunks.heldBytes} bytes for ${chunks.length}`);
+    }
+  }
+  t.log(`${Math.round(performance.now() - start)} ms`);
+  const bytes = chunks.take();
+  t.is(bytes.length, count);
+  t.true(bytes.every((byte, index) => byte === index % 256));
+});
