Endpoint calls: a series of interim heads is no answer

What callers saw: beside one of four endpoints that sends heads with status 102 without an end, 151 of 160 requests fail; hosts are busy with these heads, and each call lasts to its deadline (3,362 ms). Cause: an interim head counts as a byte of the answer, so that the call is not silent, and nothing bounds their number.

--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -85,6 +85,10 @@
 /** Bytes of the largest head of an answer: the default of undici's pools. */
 const MAX_HEAD_BYTES = http.maxHeaderSize;
 
+/** Heads with a status below 200 that an endpoint may send before its answer: each
+ * shows that it is at work, so the call would not end as silent. */
+const MAX_INTERIM_HEADS = 64;
+
 /** One HTTP request and its answer. */
 export class Exchange
   implements undici.Dispatcher.DispatchHandler, partialAnswers.PartialAnswer {
@@ -98,6 +102,7 @@
    * by the end of the connection. */
   #isFramed = true;
   #isDone = false;
+  #interimHeads = 0;
   #receivedBytes = 0;
   #lastReceivedAt: number;
   #idleTimeout: number;
@@ -178,7 +183,8 @@
     headers: Headers,
   ): void {
     this.#lastReceivedAt = this.#options.clock.now();
-    if (this.#isDone || status < 200) return;
+    if (this.#isDone) return;
+    if (status < 200) return this.#countInterimHead();
     this.#hasResponseHead = true;
     this.#isFramed = this.#isHeadRequest || status === 204 || status === 304 ||
       headers["content-length"] !== undefined ||
@@ -231,6 +237,11 @@
     this.break(this.#hasResponseHead ? "broken-stream" : "connection");
   }
 
+  #countInterimHead(): void {
+    this.#interimHeads++;
+    if (this.#interimHeads > MAX_INTERIM_HEADS) this.break("error");
+  }
+
   #end(): void {
     this.#finish();
     this.#options.receiver.end();
--- a/src/gateway/partial_answer_test.ts
+++ b/src/gateway/partial_answer_test.ts
@@ -142,6 +142,11 @@
  * endpoint may have crashed. */
 const BROKEN_ANSWERS = [
   { name: "bytes that are no HTTP", text: "x".repeat(100), isCrash: false },
+  {
+    name: "a long series of interim heads",
+    text: "HTTP/1.1 102 Processing\r\n\r\n".repeat(100),
+    isCrash: false,
+  },
   {
     name: "a chunk without a size",
     text: `${CHUNKED_HEAD}\r\nno size\r\n`,
