Endpoint calls: a connection may deliver 1 MB in a row that reaches no call

What callers saw: no failure; a host is kept busy for as long as a call may last by an endpoint that sends an extension of a chunk, empty lines before its head or a status line without an end. Cause: such bytes reach no call, so that no bound counts them; an idempotent call ends as silent, which counts as a crash, any other at its deadline. Now a connection is closed after 1 MB in a row of which no byte reached a call, and the call ends as `invalid`. A sound connection has at most a head of 16 KB and what the socket buffers between two bytes that do.

Evidence: on a copy of the code before, the three tests of endless framing fail (the calls end at their deadline); the tests of empty lines after a head and of a large answer in chunks of one byte pass on both.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -12,6 +12,7 @@
 
 import type * as net from "node:net";
 import * as undici from "undici";
+import * as framing from "./framing.ts";
 
 /** Error code that replaces `ECONNRESET`. */
 const RESET_CODE = "ERR_CONNECTION_RESET";
@@ -45,6 +46,7 @@
   // Must run before the listeners of undici and of the socket itself.
   socket.prependListener("error", renameReset);
   socket.prependListener("end", probeEnd);
+  framing.watch(socket);
 }
 
 /** Resolves with whether the connection whose `end` event is being handled
--- a/src/endpoint_calls/connector_test.ts
+++ b/src/endpoint_calls/connector_test.ts
@@ -31,7 +31,11 @@
 }
 
 /** Runs an exchange with the server; resolves with its body or failure. */
-function fetch(t: ava.ExecutionContext, url: string): Promise<string> {
+function fetch(
+  t: ava.ExecutionContext,
+  url: string,
+  { maxBytes = 1000 } = {},
+): Promise<string> {
   const dispatcher = new undici.Agent({
     connect: connector.create({ timeout: 500 }),
   });
@@ -46,7 +50,7 @@
         url,
         deadline: runtime.systemClock.now() + 2000,
         idleTimeout: 2000,
-        maxBytes: 1000,
+        maxBytes,
         receiver: {
           head() {},
           data: (part) => void (body += part),
@@ -59,8 +63,9 @@
 }
 
 const WITHOUT_LENGTH = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf";
-const CHUNKED = "HTTP/1.1 200 OK\r\nConnection: close\r\n" +
-  "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nConnection: close\r\n" +
+  "Transfer-Encoding: chunked\r\n\r\n";
+const CHUNKED = `${CHUNKED_HEAD}4\r\nhalf\r\n`;
 
 test("an answer without a length is complete when its connection ends", async (t) => {
   const url = await serverOf(t, WITHOUT_LENGTH, (socket) => socket.end());
@@ -97,3 +102,41 @@
     t.is(await fetch(t, url), "whole: half");
   }
 });
+
+/** Texts whose repetition never reaches a call. */
+const FRAMINGS = [
+  { name: "an extension of a chunk", start: `${CHUNKED_HEAD}1;`, part: "x" },
+  { name: "empty lines", start: "", part: "\r\n" },
+  { name: "a status line", start: "HTTP/1.1 200 ", part: "x" },
+  { name: "empty lines after a head", start: CHUNKED_HEAD, part: "\r\n" },
+];
+
+// Guards against a host that is kept busy for as long as a call may last by bytes
+// that reach no call, so that no bound counts them.
+for (const { name, start, part } of FRAMINGS) {
+  test(`a call ends soon when its answer is ${name} without an end`, async (t) => {
+    let written = 0;
+    const fill = part.repeat(64 * 1024);
+    const url = await serverOf(t, start, (socket) => {
+      const write = () => {
+        while (!socket.destroyed && socket.write(fill)) {
+          written += fill.length;
+        }
+      };
+      socket.on("drain", write);
+      write();
+    });
+    t.is(await fetch(t, url), "error");
+    t.true(written < 32 * 1024 * 1024, `${written} bytes`);
+  });
+}
+
+// Guards against a bound that ends sound answers: only bytes in a row that reach no
+// call count.
+test("a large answer in small chunks is complete", async (t) => {
+  const count = 400_000;
+  const text = CHUNKED_HEAD + "1\r\nx\r\n".repeat(count) + "0\r\n\r\n";
+  const url = await serverOf(t, text, () => {});
+  const body = await fetch(t, url, { maxBytes: Infinity });
+  t.is(body.length, "whole: ".length + count);
+});
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -10,6 +10,7 @@
 import * as undici from "undici";
 import type * as request from "../request/request.ts";
 import * as connector from "./connector.ts";
+import * as framing from "./framing.ts";
 import type * as partialAnswers from "./partial_answers.ts";
 import type * as runtime from "../runtime/mod.ts";
 
@@ -183,6 +184,7 @@
     headers: Headers,
   ): void {
     this.#lastReceivedAt = this.#options.clock.now();
+    framing.recordProgress();
     if (this.#isDone) return;
     if (status < 200) return this.#countInterimHead();
     this.#hasResponseHead = true;
@@ -199,6 +201,7 @@
     if (this.#isDone) return;
     this.#lastReceivedAt = this.#options.clock.now();
     this.#receivedBytes += chunk.length;
+    framing.recordProgress();
     const { maxBytes: bound, receiver, partialAnswers } = this.#options;
     if (this.#receivedBytes > bound) {
       const heldBytes = this.#receivedBytes;
@@ -303,5 +306,6 @@
  * the end of a connection in the middle of an answer, then without such
  * bytes. */
 function isUnreadable(error: Error & { readonly data?: unknown }): boolean {
+  if (error instanceof framing.FramingError) return true;
   return error.name === "HTTPParserError" && Boolean(error.data);
 }
