--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -50,7 +50,12 @@
     this.dataCentre = dataCentre;
     this.#options = options;
     const { protocol } = wire;
-    const common = { ...options, protocol, metrics: telemetry.noMetrics };
+    const common = {
+      ...options,
+      protocol,
+      metrics: telemetry.noMetrics,
+      partialAnswers: { update() {}, remove() {} },
+    };
     this.#batcher = pieces.Batcher.create({
       ...common,
       quotas: rateLimitFixture.unlimitedQuotas(),
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -6,9 +6,12 @@
  * carries a late answer.
  * @module */
 
-import type * as undici from "undici";
+import * as http from "node:http";
+import * as undici from "undici";
 import type * as request from "../request/request.ts";
 import * as connector from "./connector.ts";
+import * as framing from "./framing.ts";
+import type * as partialAnswers from "./partial_answers.ts";
 import type * as runtime from "../runtime/mod.ts";
 
 /** Headers of an answer, names in lower case. */
@@ -18,10 +21,14 @@
 export interface ExchangeFailure {
   reason: request.FailureReason;
   outcome: request.Outcome;
+  /** Present if the reason is "oversized". */
+  excess?: partialAnswers.Excess;
 }
 
 /** Receives the answer of an exchange; `end` or `fail` is the last call. */
 export interface Receiver {
+  /** Bytes of memory that it holds of the answer; none when absent. */
+  readonly heldBytes?: number;
   head(status: number, headers: Headers): void;
   data(chunk: Buffer): void;
   end(): void;
@@ -57,6 +64,9 @@
   idleTimeout: number;
   /** Maximum size of the answer's body. */
   maxBytes: number;
+  /** Bounds the bytes that the receivers of all exchanges hold together; no bound
+   * when absent. */
+  partialAnswers?: Pick<partialAnswers.PartialAnswers, "update" | "remove">;
   receiver: Receiver;
   /** Whether the request may still be sent, asked once a connection is open;
    * otherwise the exchange fails as not run. Absent if it always may. */
@@ -73,8 +83,19 @@
   "broken-stream",
 ]);
 
+/** Memory that an answer may take while it is incomplete, relative to its maximum
+ * size: many small chunks take more than their bytes. */
+const MAX_HELD_RATIO = 2;
+/** Bytes of the largest head of an answer: the default of undici's pools. */
+const MAX_HEAD_BYTES = http.maxHeaderSize;
+
+/** Heads with a status below 200 that an endpoint may send before its answer: each
+ * shows that it is at work, so the call would not end as silent. */
+const MAX_INTERIM_HEADS = 64;
+
 /** One HTTP request and its answer. */
-export class Exchange implements undici.Dispatcher.DispatchHandler {
+export class Exchange
+  implements undici.Dispatcher.DispatchHandler, partialAnswers.PartialAnswer {
   readonly #options: Options;
   #controller: undici.Dispatcher.DispatchController | undefined;
   #isStarted = false;
@@ -85,6 +106,7 @@
    * by the end of the connection. */
   #isFramed = true;
   #isDone = false;
+  #interimHeads = 0;
   #receivedBytes = 0;
   #lastReceivedAt: number;
   #silenceReportedAt = -Infinity;
@@ -122,14 +144,31 @@
     this.#checkTimeouts();
   }
 
+  /** Bytes of memory that the answer takes while it is incomplete. */
+  get heldBytes(): number {
+    return this.#options.receiver.heldBytes ?? 0;
+  }
+
+  /** Fails the exchange, as its answer holds too many bytes. */
+  endOversized(excess: partialAnswers.Excess): void {
+    this.break("oversized", excess);
+  }
+
   /** Fails the exchange and destroys the connection. */
-  break(reason: request.FailureReason): void {
+  break(
+    reason: request.FailureReason,
+    excess?: partialAnswers.Excess,
+  ): void {
     if (this.#isDone) return;
     const outcome = this.#isStarted ? "unknown" : "not-run";
     if (this.#isStarted && PATH_REASONS.has(reason)) this.#recordBreak();
     this.#finish();
     this.#abort(`call failed: ${reason}`);
-    this.#options.receiver.fail({ reason, outcome });
+    this.#options.receiver.fail({
+      reason,
+      outcome,
+      ...(excess && { excess }),
+    });
   }
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -149,7 +188,9 @@
     headers: Headers,
   ): void {
     this.#lastReceivedAt = this.#options.clock.now();
-    if (this.#isDone || status < 200) return;
+    framing.recordProgress();
+    if (this.#isDone) return;
+    if (status < 200) return this.#countInterimHead();
     this.#hasResponseHead = true;
     this.#isFramed = this.#isHeadRequest || status === 204 || status === 304 ||
       headers["content-length"] !== undefined ||
@@ -164,10 +205,19 @@
     if (this.#isDone) return;
     this.#lastReceivedAt = this.#options.clock.now();
     this.#receivedBytes += chunk.length;
-    if (this.#receivedBytes > this.#options.maxBytes) {
-      return this.break("error");
+    framing.recordProgress();
+    const { maxBytes: bound, receiver, partialAnswers } = this.#options;
+    if (this.#receivedBytes > bound) {
+      const heldBytes = this.#receivedBytes;
+      return this.endOversized({ heldBytes, bound, scope: "answer" });
     }
-    this.#options.receiver.data(chunk);
+    receiver.data(chunk);
+    if (this.#isDone) return;
+    const { heldBytes } = this;
+    if (heldBytes > MAX_HELD_RATIO * bound) {
+      return this.endOversized({ heldBytes, bound, scope: "answer" });
+    }
+    partialAnswers?.update(this);
   }
 
   onResponseEnd(): void {
@@ -182,10 +232,23 @@
     });
   }
 
-  onResponseError(): void {
+  onResponseError(
+    _controller: undici.Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    if (error instanceof undici.errors.HeadersOverflowError) {
+      const bound = MAX_HEAD_BYTES;
+      return this.endOversized({ heldBytes: bound, bound, scope: "head" });
+    }
+    if (isUnreadable(error)) return this.break("error");
     this.break(this.#hasResponseHead ? "broken-stream" : "connection");
   }
 
+  #countInterimHead(): void {
+    this.#interimHeads++;
+    if (this.#interimHeads > MAX_INTERIM_HEADS) this.break("error");
+  }
+
   #end(): void {
     this.#finish();
     this.#options.receiver.end();
@@ -249,6 +312,7 @@
 
   #finish(): void {
     this.#isDone = true;
+    this.#options.partialAnswers?.remove(this);
     this.#cancelTimer();
   }
 
@@ -256,3 +320,11 @@
     this.#controller?.abort(new Error(message));
   }
 }
+
+/** Whether an endpoint has sent bytes that are no HTTP. The parser also fails at
+ * the end of a connection in the middle of an answer, then without such
+ * bytes. */
+function isUnreadable(error: Error & { readonly data?: unknown }): boolean {
+  if (error instanceof framing.FramingError) return true;
+  return error.name === "HTTPParserError" && Boolean(error.data);
+}
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -32,6 +32,14 @@
     type: "count",
     help: "Replies aborted, as their callers have not read them",
   },
+  "gateway.partial_bytes": {
+    type: "gauge",
+    help: "Memory of endpoints' answers that are not yet complete",
+  },
+  "gateway.oversized": {
+    type: "count",
+    help: "Calls ended for the bytes that their answers held, by bound",
+  },
   "gateway.sent": { type: "count", help: "Calls to endpoints, by service" },
   "gateway.no_time": {
     type: "count",
@@ -236,6 +244,10 @@
   "endpoint.known": { type: "gauge", help: "Endpoints with a lease" },
   "endpoint.subscribed": { type: "count", help: "Event streams opened" },
   "endpoint.event_malformed": { type: "count", help: "Events not understood" },
+  "endpoint.event_oversized": {
+    type: "count",
+    help: "Event streams closed, as an event had no end",
+  },
   "endpoint.cache_gap": { type: "count", help: "Gaps in cache events" },
 
   // Operator calls and the table.
