Batching: a call that is not answered in time is kept beside its repetition

What callers saw: streams refused as no-time although the only endpoint of their stage had gone on after a silence of 1.5 s.

Cause: a call for items that was silent for its timeout was cancelled. An endpoint that went on had worked for nothing; its results took up memory that the scheduler counted as free, with nobody to release them; and it stayed paused for a time that doubles with each timeout, beyond the end of the silence.

Now such a call is overdue: its items are queued again as before, its endpoint is paused as before, and connections to it are suspected as before, but the call is kept for 3 s more, one at each endpoint. An answer ends the pause at once; the results are used where none has come meanwhile, and the others are released. Memory for them stays reserved as long, and the call counts for a brittle endpoint's slots. The duration of such a call says nothing about the endpoint's speed and is not recorded.

--- a/src/batching/batch_call.ts
+++ b/src/batching/batch_call.ts
@@ -1,7 +1,6 @@
 /** Calls to endpoints that compute items.
  * @module */
 
-import type * as undici from "undici";
 import * as exchanges from "../endpoint_calls/exchange.ts";
 import type * as protocols from "../gateway/protocol.ts";
 import type * as runtime from "../runtime/mod.ts";
@@ -14,6 +13,10 @@
  * expire by themselves. */
 const RELEASE_TIMEOUT_MS = 1000;
 
+/** Time for which an overdue call is kept: a sound endpoint may be silent for a
+ * second or two, and then has to work off what waits there. */
+const OVERDUE_MS = 3000;
+
 /** Why a call gave no results. */
 export type CallFailure =
   | "full"
@@ -29,7 +32,7 @@
 
 /** Dependencies of calls. */
 export interface CallOptions {
-  readonly dispatcher: undici.Dispatcher;
+  readonly dispatcher: exchanges.Dispatcher;
   readonly clock: runtime.Clock;
   readonly protocol: protocols.GatewayProtocol;
   readonly logger: telemetry.Logger;
@@ -39,12 +42,21 @@
   maySend?(): boolean;
 }
 
+/** Timeout of a call, and what follows it. */
+export interface CallTimeout {
+  /** Milliseconds after which a call is overdue. */
+  readonly timeout: number;
+  /** Called when the call is overdue; returns whether it is kept, so that an
+   * answer which comes later is used. Otherwise it is cancelled. */
+  onOverdue?(): boolean;
+}
+
 /** Calls an endpoint to compute the tasks of an assignment; never rejects. */
 export async function call(
   { worker, tasks }: tasks.Assignment,
-  options: CallOptions & { readonly timeout: number },
+  options: CallOptions & CallTimeout,
 ): Promise<CallOutcome> {
-  const { protocol, clock, timeout } = options;
+  const { protocol, clock } = options;
   const now = clock.now();
   const items = tasks.map((task) => ({
     request: task.request,
@@ -55,10 +67,7 @@
     inputs: task.inputs,
   }));
   const outgoing = protocol.batchCall(worker.name, items);
-  const response = await exchange(worker.address, outgoing, {
-    ...options,
-    timeout,
-  });
+  const response = await exchange(worker.address, outgoing, options);
   if (response.type === "broken") {
     return { type: "failed", cause: response.cause };
   }
@@ -105,18 +114,31 @@
 function exchange(
   address: string,
   outgoing: protocols.EncodedCall,
-  options: CallOptions & { timeout: number },
+  options: CallOptions & CallTimeout,
 ): Promise<CallResponse> {
-  const { dispatcher, clock, protocol, timeout, maySend } = options;
-  return new Promise((resolve) => {
+  const { dispatcher, clock, protocol, timeout, maySend, onOverdue } = options;
+  const url = `http://${address}`;
+  return new Promise((settle) => {
     const parts: Buffer[] = [];
     let head: protocols.ReplyHead;
-    exchanges.Exchange.start(outgoing, {
+    const cancelTimer = clock.after(timeout, () => {
+      // A call without a connection must not be sent later.
+      const isKept = exchange.isStarted && (onOverdue?.() ?? false);
+      if (!isKept) return exchange.break("silent");
+      // The connection may be dead: other calls use new ones.
+      dispatcher.recordBreak?.(url);
+    });
+    const resolve = (response: CallResponse) => {
+      cancelTimer();
+      settle(response);
+    };
+    const limit = timeout + OVERDUE_MS;
+    const exchange = exchanges.Exchange.start(outgoing, {
       dispatcher,
       clock,
-      url: `http://${address}`,
-      deadline: clock.now() + timeout,
-      idleTimeout: timeout,
+      url,
+      deadline: clock.now() + limit,
+      idleTimeout: limit,
       maxBytes: MAX_RESPONSE_BYTES,
       maySend,
       receiver: {
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -223,9 +223,11 @@
     metrics.count("pieces.calls", 1, { service });
     metrics.count("pieces.made", assignment.tasks.length, { service });
     slots.begin(id);
+    let isOverdue = false;
     const outcome = await batchCalls.call(assignment, {
       ...this.#options,
       timeout: this.#scheduler.callTimeout(assignment, started),
+      onOverdue: () => isOverdue = this.#handleOverdue(assignment),
       onHead: (head) => this.#recordHead(id, head),
       maySend: () => acceptsCalls(id),
     });
@@ -239,7 +241,8 @@
       const response = { isRejection, startedAt: started };
       this.#options.recordResponse(id, response);
     }
-    if (outcome.type === "results") {
+    if (isOverdue) this.#handleOverdueEnd(assignment, outcome);
+    else if (outcome.type === "results") {
       this.#handleResults(assignment, {
         results: outcome.results,
         duration: now - started,
@@ -287,11 +290,7 @@
   ): void {
     const { tasks } = assignment;
     const { metrics, service } = this.#options;
-    const held = results.flatMap((result, pos) =>
-      result.type === "made"
-        ? [{ handle: result.handle, bytes: tasks[pos].bytes }]
-        : []
-    );
+    const held = heldResults(assignment, results);
     const call = { results: held, duration, now };
     const ratio = this.#scheduler.completeCall(assignment, call);
     // A call that computed only some of its items says little about speed.
@@ -374,10 +373,56 @@
     }
   }
 
+  /** Has the items of a call that was not answered in time computed by other
+   * calls; returns whether the call is kept beside these. A sound endpoint may
+   * be silent for a second or two and go on: whichever result comes first is
+   * used. */
+  #handleOverdue(assignment: tasks.Assignment): boolean {
+    const { clock, metrics, logger, service } = this.#options;
+    if (!this.#scheduler.startOverdue(assignment, clock.now())) return false;
+    const { worker, tasks } = assignment;
+    metrics.count("pieces.overdue", tasks.length, { service });
+    logger.info(
+      { service, endpoint: worker.id, pieces: tasks.length },
+      "Call to compute items is overdue; its items are queued again beside it",
+    );
+    for (const task of tasks) this.#retry(task, "unreachable");
+    this.update();
+    return true;
+  }
+
+  /** Uses the results of an overdue call for the items that have none yet, and
+   * releases the others. */
+  #handleOverdueEnd(
+    assignment: tasks.Assignment,
+    outcome: batchCalls.CallOutcome,
+  ): void {
+    const { clock, logger, service } = this.#options;
+    const { worker, tasks } = assignment;
+    const about = { service, endpoint: worker.id, pieces: tasks.length };
+    if (outcome.type === "failed") {
+      const { cause } = outcome;
+      logger.info({ ...about, cause }, "Overdue call gave no results");
+      return this.#scheduler.endOverdue(assignment);
+    }
+    const { results } = outcome;
+    const held = heldResults(assignment, results);
+    const now = clock.now();
+    this.#scheduler.endOverdue(assignment, { results: held, now });
+    logger.info({ ...about, made: held.length }, "Overdue call was answered");
+    results.forEach((result, pos) => {
+      if (result.type !== "made") return;
+      const task = tasks[pos];
+      this.#scheduler.removeTask(task);
+      const { handle } = result;
+      this.#complete(task, { piece: task.itemIndex, handle });
+    });
+  }
+
   #retry(task: tasks.Task, failure: schema.Result["failure"]): void {
     const pending = this.#pending.get(tasks.stageKey(task));
     const attempts = task.attempts + 1;
-    if (pending === undefined) return;
+    if (pending === undefined || !isMissing(pending, task)) return;
     if (attempts < MAX_ATTEMPTS) {
       this.#scheduler.add([{ ...task, attempts }]);
     } else this.#complete(task, { piece: task.itemIndex, failure });
@@ -386,7 +431,7 @@
   #complete(task: tasks.Task, result: schema.Result): void {
     const key = tasks.stageKey(task);
     const pending = this.#pending.get(key);
-    if (pending === undefined) {
+    if (pending === undefined || !isMissing(pending, task)) {
       if (result.handle !== undefined) this.release([result.handle]);
       return;
     }
@@ -433,6 +478,26 @@
   }
 }
 
+/** Whether a stage still waits for the result of a task. */
+function isMissing(
+  { question, results }: PendingStage,
+  { itemIndex }: tasks.Task,
+): boolean {
+  return question.pieces.includes(itemIndex) && !results.has(itemIndex);
+}
+
+/** The results of an assignment's tasks that its endpoint holds. */
+function heldResults(
+  { tasks }: tasks.Assignment,
+  results: readonly protocols.ItemResult[],
+): workerStates.HeldResult[] {
+  return results.flatMap((result, pos) =>
+    result.type === "made"
+      ? [{ handle: result.handle, bytes: tasks[pos].bytes }]
+      : []
+  );
+}
+
 /** The task with the attempt taken back: an endpoint without memory has not
  * tried it. */
 function withoutAttempt(task: tasks.Task): tasks.Task {
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -39,8 +39,10 @@
     backoff = 0,
     results,
     recordDurationRatio = () => {},
+    endpointCount = 1,
   }: {
     isClosed?: boolean;
+    endpointCount?: number;
     results?: readonly protocols.ItemResult[];
     recordDurationRatio?: (endpoint: string, ratio: number) => void;
     acquire?: () => Promise<number>;
@@ -48,8 +50,17 @@
     backoff?: number;
   } = {},
 ) {
-  const [worker] = batchingFixture.workersAt({ hall: 1 });
-  const state = { isClosed, calls: 0, isUnreachable: false };
+  const workers = batchingFixture.workersAt({ hall: endpointCount });
+  const [worker] = workers;
+  const state = {
+    isClosed,
+    calls: 0,
+    isUnreachable: false,
+    /** Calls that compute items, in order, and handles that were released. */
+    sent: [] as SentCall[],
+    released: [] as string[],
+    breaks: 0,
+  };
   const clock = new runtime.FakeClock();
   const left = () => Math.max(0, backoff - clock.now());
   const batcher = partitionBatchers.PartitionBatcher.create({
@@ -58,7 +69,7 @@
     logger: telemetry.noLogger,
     service: "maps",
     traits: () => fixture.batchTraits(),
-    workers: () => state.isClosed || left() > 0 ? [] : [worker],
+    workers: () => state.isClosed || left() > 0 ? [] : workers,
     isClosed: () => state.isClosed,
     acceptsCalls: () => !state.isClosed,
     recordHead() {},
@@ -75,22 +86,34 @@
       acquire,
     },
     protocol: {
-      batchCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
-      releaseCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
+      batchCall: (_: string, items: readonly protocols.ItemRequest[]) => ({
+        method: "POST",
+        path: "/",
+        headers: {},
+        body: JSON.stringify(items),
+      }),
+      releaseCall: (handles: readonly string[]) => {
+        state.released.push(...handles);
+        return { method: "POST", path: "/", headers: {}, body: "" };
+      },
       holderOf: () => worker.address,
       decodeReply: (status: number) => ({ status }),
-      decodeItemResults: () => results,
+      decodeItemResults: (body: Buffer) =>
+        results ?? JSON.parse(body.toString()),
     } as unknown as protocols.GatewayProtocol,
     dispatcher: {
+      recordBreak: () => void state.breaks++,
       dispatch(
-        _options: undici.Dispatcher.DispatchOptions,
+        { origin, body }: undici.Dispatcher.DispatchOptions,
         handler: undici.Dispatcher.DispatchHandler,
       ) {
         state.calls++;
         const controller = NO_CONTROLLER;
         if (state.isUnreachable) {
           handler.onResponseError?.(controller, new Error("unreachable"));
+          return true;
         }
+        if (body !== "") state.sent.push(sentCall(`${origin}`, handler));
         if (results !== undefined) {
           clock.advance(CALL_MS);
           handler.onResponseStart?.(controller, 200, { "content-length": "0" });
@@ -103,6 +126,41 @@
   return { batcher, state, clock };
 }
 
+/** A call that computes items, and what becomes of it. */
+interface SentCall {
+  readonly origin: string;
+  isAborted: boolean;
+  /** Answers it with a result for each of its items. */
+  answer(handles: readonly string[]): void;
+}
+
+function sentCall(
+  origin: string,
+  handler: undici.Dispatcher.DispatchHandler,
+): SentCall {
+  const abort = () => void (call.isAborted = true);
+  const controller = {
+    abort,
+  } as unknown as undici.Dispatcher.DispatchController;
+  const call: SentCall = {
+    origin,
+    isAborted: false,
+    answer(handles) {
+      const made = handles.map((handle) => ({ type: "made", handle }));
+      const body = Buffer.from(JSON.stringify(made));
+      const headers = { "content-length": `${body.length}` };
+      handler.onResponseStart?.(controller, 200, headers);
+      handler.onResponseData?.(controller, body);
+      handler.onResponseEnd?.(controller, {});
+    },
+  };
+  handler.onRequestStart?.(controller, {});
+  return call;
+}
+
+/** Timeout of a call with the two items of `QUESTION`, and a moment more. */
+const OVERDUE_MS = 400 + 6 * 120 + 1;
+
 /** Lets promises settle. */
 const settle = () => new Promise(setImmediate);
 
@@ -215,3 +273,91 @@
     t.deepEqual(ratios.slice(0, 1), failure === undefined ? [2] : []);
   });
 }
+
+// Guards against the loss of what a sound endpoint computes that was silent for
+// longer than the timeout of its call: the call was cancelled, and the results
+// took up memory there until they expired.
+test("an endpoint that goes on after a silence gives the results of its call", async (t) => {
+  const { batcher, state, clock } = batcherOf();
+  const computed = batcher.compute(QUESTION);
+  await settle();
+  clock.advance(OVERDUE_MS);
+  await settle();
+  const [call] = state.sent;
+  t.false(call.isAborted);
+  call.answer(["a", "b"]);
+  t.deepEqual(await computed, [
+    { piece: 0, handle: "a" },
+    { piece: 1, handle: "b" },
+  ]);
+  clock.advance(1000);
+  await settle();
+  t.is(state.calls, 1);
+});
+
+// Guards against items that wait for a silent endpoint while others are idle,
+// and against results that are made twice and then kept by nobody.
+test("items of a silent endpoint are computed elsewhere, and its results released", async (t) => {
+  const { batcher, state, clock } = batcherOf({ endpointCount: 2 });
+  const computed = batcher.compute(QUESTION);
+  await settle();
+  clock.advance(OVERDUE_MS);
+  await settle();
+  const [silent, other] = state.sent;
+  t.not(other.origin, silent.origin);
+  t.is(state.breaks, 1);
+  other.answer(["a", "b"]);
+  await computed;
+  silent.answer(["c", "d"]);
+  await settle();
+  clock.advance(100);
+  await settle();
+  t.deepEqual(state.released, ["c", "d"]);
+});
+
+// Guards against results of an earlier call that are counted for other items.
+test("a late result completes only the item that it is for", async (t) => {
+  const { batcher, state, clock } = batcherOf({ endpointCount: 2 });
+  const first = batcher.compute({ ...QUESTION, remaining: OVERDUE_MS + 100 });
+  await settle();
+  clock.advance(OVERDUE_MS);
+  await settle();
+  clock.advance(200);
+  await settle();
+  const [silent, other] = state.sent;
+  other.answer(["a", "b"]);
+  await first;
+  const second = batcher.compute({ ...QUESTION, pieces: [1] });
+  await settle();
+  silent.answer(["c", "d"]);
+  t.deepEqual(await second, [{ piece: 1, handle: "d" }]);
+});
+
+// Guards against an endpoint that stays avoided after it has gone on, for as long
+// as its failures had doubled the pause.
+test("an endpoint that goes on is called again at once", async (t) => {
+  const { batcher, state, clock } = batcherOf();
+  void batcher.compute(QUESTION);
+  await settle();
+  clock.advance(OVERDUE_MS);
+  await settle();
+  state.sent[0].answer(["a", "b"]);
+  await settle();
+  void batcher.compute({ ...QUESTION, request: "next" });
+  await settle();
+  t.is(state.sent.length, 2);
+});
+
+// Guards against calls that pile up at an endpoint that never goes on.
+test("one overdue call is kept at an endpoint, and for some seconds", async (t) => {
+  const { batcher, state, clock } = batcherOf();
+  void batcher.compute(QUESTION);
+  for (let step = 0; step < 60; step++) {
+    await settle();
+    clock.advance(100);
+    const open = state.sent.filter(({ isAborted }) => !isAborted);
+    t.true(open.length <= 2, `${open.length} after ${step}`);
+  }
+  t.true(state.sent.length >= 3);
+  t.true(state.sent[0].isAborted);
+});
--- a/src/batching/scheduler.ts
+++ b/src/batching/scheduler.ts
@@ -91,10 +91,8 @@
       state.isListed = true;
       this.#workers.set(worker.id, state);
     }
-    for (
-      const [id, { isListed, calls, hasResults }] of this.#workers
-    ) {
-      if (!isListed && calls === 0 && !hasResults) this.#workers.delete(id);
+    for (const [id, { isListed, isInUse }] of this.#workers) {
+      if (!isListed && !isInUse) this.#workers.delete(id);
     }
   }
 
@@ -176,6 +174,14 @@
     return this.#removeIf((task) => task.request === request);
   }
 
+  /** Removes a queued task whose result has come from an overdue call. */
+  removeTask({ request, stage, itemIndex }: tasks.Task): void {
+    this.#removeIf((task) =>
+      task.request === request && task.stage === stage &&
+      task.itemIndex === itemIndex
+    );
+  }
+
   /** Removes and returns all queued tasks. */
   clear(): tasks.Task[] {
     return this.#removeIf(() => true);
@@ -252,6 +258,28 @@
     this.#workers.get(worker.id)?.failCall(tasks, { now, pause });
   }
 
+  /** Records that a call is overdue; returns whether it is to be kept. */
+  startOverdue({ worker }: tasks.Assignment, now: number): boolean {
+    return this.#workers.get(worker.id)?.startOverdue(now) ?? false;
+  }
+
+  /** Records the end of an overdue call, and the results that it gave; absent
+   * if it was not answered. Its duration says nothing about the endpoint's
+   * speed. */
+  endOverdue(
+    { worker, tasks }: tasks.Assignment,
+    answer?: {
+      readonly results: readonly workerStates.HeldResult[];
+      readonly now: number;
+    },
+  ): void {
+    const state = this.#workers.get(worker.id);
+    if (answer === undefined) return state?.endOverdue(tasks);
+    const { results, now } = answer;
+    const until = now + this.#traits.keepTime;
+    state?.endOverdue(tasks, { results, until, now });
+  }
+
   /** Records that an endpoint rejected some items of a call for lack of memory,
    * contrary to the estimate. Returns the estimate so far, and whether at least
    * half of the call's items were rejected. */
--- a/src/batching/worker_state.ts
+++ b/src/batching/worker_state.ts
@@ -97,8 +97,10 @@
    * item, and the time of that rejection. */
   #foreignBytes = 0;
   #foreignSeenAt = 0;
-  /** Expected size of the results of running calls. */
+  /** Expected size of the results of running calls and of the overdue one. */
   #reserved = 0;
+  /** Whether a call is overdue that is still waited for. */
+  #hasOverdueCall = false;
 
   private constructor(worker: tasks.Worker, sharedSlowness: SharedSlowness) {
     this.worker = worker;
@@ -132,6 +134,11 @@
     return this.#slowness.value({ now, prior: 1 });
   }
 
+  /** Whether calls or results of it are left. */
+  get isInUse(): boolean {
+    return this.#calls > 0 || this.#hasOverdueCall || this.hasResults;
+  }
+
   /** Whether the endpoint holds results. */
   get hasResults(): boolean {
     return this.#results.size > 0;
@@ -217,10 +224,38 @@
     this.#endCall(batch);
     this.#pause = MIN_PAUSE_MS;
     this.#slowness.add(ratio, { now, prior: 1 });
-    for (const { handle, bytes } of results) {
-      this.#results.set(handle, { bytes, until });
-      this.#heldBytes += bytes;
-    }
+    this.#addResults(results, until);
+  }
+
+  /** Records that a call was not answered in time and is kept beside others: it
+   * pauses the endpoint as a failure does, and its memory stays reserved, since
+   * the endpoint may go on. Returns false, and changes nothing, if another call
+   * is overdue already: the work of an endpoint that goes on is wasted on one
+   * call at most. */
+  startOverdue(now: number): boolean {
+    if (this.#hasOverdueCall) return false;
+    this.#hasOverdueCall = true;
+    this.#calls = Math.max(0, this.#calls - 1);
+    this.#pauseAfterFailure(now);
+    return true;
+  }
+
+  /** Records the end of the overdue call. One that was answered shows that the
+   * endpoint goes on, which ends its pause. */
+  endOverdue(
+    batch: readonly tasks.Task[],
+    answer?: {
+      readonly results: readonly HeldResult[];
+      readonly until: number;
+      readonly now: number;
+    },
+  ): void {
+    this.#hasOverdueCall = false;
+    this.#endReservation(batch);
+    if (answer === undefined) return;
+    this.#pause = MIN_PAUSE_MS;
+    this.#blockedUntil = Math.min(this.#blockedUntil, answer.now);
+    this.#addResults(answer.results, answer.until);
   }
 
   /** Records that a call gave no results, and pauses the endpoint for `pause`
@@ -230,10 +265,8 @@
     { now, pause }: { now: number; pause?: number },
   ): void {
     this.#endCall(batch);
-    this.#blockedUntil = now + (pause ?? this.#pause);
-    if (pause === undefined) {
-      this.#pause = Math.min(MAX_PAUSE_MS, 2 * this.#pause);
-    }
+    if (pause === undefined) this.#pauseAfterFailure(now);
+    else this.#blockedUntil = now + pause;
   }
 
   /** Records that items of a call were rejected for lack of memory; returns
@@ -287,6 +320,22 @@
 
   #endCall(batch: readonly tasks.Task[]): void {
     this.#calls = Math.max(0, this.#calls - 1);
+    this.#endReservation(batch);
+  }
+
+  #endReservation(batch: readonly tasks.Task[]): void {
     this.#reserved = Math.max(0, this.#reserved - tasks.totalBytes(batch));
   }
+
+  #addResults(results: readonly HeldResult[], until: number): void {
+    for (const { handle, bytes } of results) {
+      this.#results.set(handle, { bytes, until });
+      this.#heldBytes += bytes;
+    }
+  }
+
+  #pauseAfterFailure(now: number): void {
+    this.#blockedUntil = now + this.#pause;
+    this.#pause = Math.min(MAX_PAUSE_MS, 2 * this.#pause);
+  }
 }
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -101,6 +101,11 @@
     return exchange;
   }
 
+  /** Whether any byte of the request may have been sent. */
+  get isStarted(): boolean {
+    return this.#isStarted;
+  }
+
   /** Ends the exchange without notifying the receiver; destroys the connection
    * if it is in use. */
   cancel(): void {
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -155,6 +155,10 @@
   },
   "pieces.calls": { type: "count", help: "Calls for pieces, by service" },
   "pieces.made": { type: "count", help: "Pieces asked for, by service" },
+  "pieces.overdue": {
+    type: "count",
+    help: "Pieces queued again beside a call that was not answered in time",
+  },
   "pieces.failed": { type: "count", help: "Pieces not made, by failure" },
   "control.calls": { type: "count", help: "Calls to this control host" },
   "control.malformed": {
