Runtime: timers run after what has arrived meanwhile is read

What callers saw: streams cut and requests refused at an entry host that stood still for 1.5 s, although all endpoints and other hosts went on.

Cause: the event loop runs timers before it reads sockets. As the process goes on, each timeout finds that nothing was received, while the bytes wait to be read: calls end as silent, endpoints are ejected and contents quarantined. The same holds for keep-alives of other hosts and for every timeout of this clock.

Now a timer of the system clock runs its callback after the event loop has polled its sockets, in the same turn. Deciding by how late a timer is would miss one that is due right at the end of a standstill.

--- a/src/runtime/clock.ts
+++ b/src/runtime/clock.ts
@@ -16,12 +16,23 @@
   after(delay: number, callback: () => void): Cancel;
 }
 
-/** The clock of the operating system. */
+/** The clock of the operating system.
+ *
+ * A callback runs after what has arrived meanwhile is read. The event loop runs
+ * timers before it reads sockets: after a process stood still, or was busy for
+ * long, a timeout would take its own pause for the silence of another one whose
+ * bytes wait to be read. */
 export const systemClock: Clock = {
   now: () => performance.now(),
   wall: () => Date.now(),
   after(delay, callback) {
-    const timer = setTimeout(callback, Math.max(0, delay));
-    return () => clearTimeout(timer);
+    let immediate: NodeJS.Immediate | undefined;
+    const timer = setTimeout(() => {
+      immediate = setImmediate(callback);
+    }, Math.max(0, delay));
+    return () => {
+      clearTimeout(timer);
+      clearImmediate(immediate);
+    };
   },
 };
