Gateway: a standstill does not make a queue of connections overloaded

What callers saw: 25 or 26 connections at once closed without an answer by an entry host that went on after it stood still for 1.5 s.

Cause: the queue counts as non-empty from an accepted connection to a turn of the event loop without one. A host that stands still between the two finds its queue non-empty for longer than 700 ms when it goes on, and closes all connections that wait, though it could serve them in milliseconds.

Now 400 ms without an accepted connection show that turns were missed, and the time starts again. Where a host is overloaded, connections come in every turn, and turns take some milliseconds.

Evidence: the new unit test fails on the code before.

--- a/src/gateway/accept_queue.ts
+++ b/src/gateway/accept_queue.ts
@@ -11,6 +11,10 @@
 /** Time for which the queue may be non-empty: well below the second after which
  * callers give up on a request that is not read. */
 const MAX_BUSY_MS = 700;
+/** Time without a connection after which turns of the event loop have been
+ * missing, so that nothing is known of the queue: the process stood still. Turns
+ * of a busy host take some milliseconds. */
+const MAX_TURN_MS = 400;
 /** Connections closed at once at most, the capacity of the queue. If they come
  * faster than they can be closed, some are still served. */
 const MAX_SHED_COUNT = 511;
@@ -23,6 +27,7 @@
   /** Since when it has not been empty; undefined while it is. */
   #busySince?: number;
   #shedCount = 0;
+  #acceptedAt = -Infinity;
 
   static create(): AcceptQueue {
     return new AcceptQueue();
@@ -30,6 +35,8 @@
 
   /** Records that a connection was accepted. */
   accept(now: number): Verdict {
+    if (now - this.#acceptedAt > MAX_TURN_MS) this.recordEmpty();
+    this.#acceptedAt = now;
     this.#busySince ??= now;
     if (now - this.#busySince <= MAX_BUSY_MS) return "read";
     this.#shedCount++;
--- a/src/gateway/accept_queue_test.ts
+++ b/src/gateway/accept_queue_test.ts
@@ -41,3 +41,11 @@
   queue.recordEmpty();
   t.is(acceptAll(queue, { from: 5000, count: 300 }), 300);
 });
+
+// Guards against callers whose connections are closed unread after the process
+// stood still between two turns of the event loop: nothing is served too slowly.
+test("a queue is read after the process stood still before the turn that empties it", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  queue.accept(0);
+  t.is(acceptAll(queue, { from: 1500, count: 300 }), 300);
+});
