Test: endpoints that miss heartbeats or leases keep their calls

Suspicions, for a sound endpoint that is silent for 1.5 s:

- an endpoint that misses heartbeats is ended, and its connections closed.
Refuted: it keeps its state and accepts calls, after others that are alive.
- a lease of the fleet's own protocol (1.5 s) expires meanwhile.
- the idle timeout of the fleet's own protocol (half of the time left, half a second at least) ends its call.
Refuted with 8 s left: one call, whole.
With 2.4 s left the call is ended at 1.2 s and repeated, at another engine or at the only one, and the request is whole.

No change of logic.

--- a/src/endpoints/registry_test.ts
+++ b/src/endpoints/registry_test.ts
@@ -155,6 +155,24 @@
   t.is(world.serving(), "w1");
 });
 
+// Guards against a sound endpoint that stays away after a silence which outlasts
+// its lease.
+test("an endpoint that renews again after 1.5 s is serving within a second", (t) => {
+  let expired = 0;
+  for (let phase = 0; phase < 500; phase += 50) {
+    const world = new World(9);
+    world.serve("w1");
+    world.advance(10_000 + phase);
+    world.kill("w1");
+    world.advance(1500);
+    world.serve("w1");
+    world.advance(1000);
+    t.is(world.serving(), "w1", `phase ${phase}`);
+    expired += Number(expiryCount(world) > 0);
+  }
+  t.log(`${expired} of 10 silences outlasted the lease`);
+});
+
 test("an endpoint does not expire when its lease holder crashes", (t) => {
   const world = new World(4);
   world.serve("w1");
--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -150,6 +150,23 @@
   t.not(pool.endpointsOf("models")[0].cachedPrefixes, undefined);
 });
 
+// Guards against connections that are closed, and knowledge that is lost, because
+// a sound endpoint sent no heartbeats for a while.
+test("an endpoint without heartbeats is not ended and keeps its state", (t) => {
+  const { update, engine } = createPool({ born: 100 });
+  const known = engine();
+  known.cachedPrefixes!.insert(PROMPT);
+  t.deepEqual(update({ born: 100, isSilent: true }), []);
+  t.is(engine(), known);
+  t.true(known.isAccepting(10));
+  t.false(known.isAlive(10));
+  known.recordHealth("good", 10);
+  t.true(known.isAlive(4000));
+  t.deepEqual(update({ born: 100, isSilent: false }), []);
+  t.is(engine(), known);
+  t.is(known.cachedPrefixes!.cachedTokens(PROMPT), 6100);
+});
+
 test("an engine that has left does not count as restarted", (t) => {
   const { update } = createPool({ born: 100 });
   const [ended] = update({ state: "gone", born: 100 });
--- a/src/request/path_test.ts
+++ b/src/request/path_test.ts
@@ -1,4 +1,4 @@
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import * as undici from "undici";
 import * as fakePath from "./fake_path.ts";
 import type * as pathOptions from "./path_options.ts";
@@ -217,3 +217,65 @@
   t.is(complete.length, STREAM_COUNT);
   await stopped;
 });
+
+/** Handler of several engines, the first of which that is called sends nothing
+ * for 1.5 s and goes on. */
+function silentAtFirst(): fakePath.Serve {
+  let silent: { port?: number; until: number } | undefined;
+  return (incoming, response, body) => {
+    const { localPort: port } = incoming.socket;
+    silent ??= { port, until: performance.now() + 1500 };
+    const left = silent.port === port ? silent.until - performance.now() : 0;
+    setTimeout(
+      () => fakePath.generate()(incoming, response, body),
+      Math.max(0, left),
+    );
+  };
+}
+
+/** Sends a request to one or two engines, one of them silent once; resolves with
+ * its status and the calls that were made. */
+async function sendToSilent(
+  t: ExecutionContext,
+  { deadline, engines }: { deadline: number; engines: number },
+) {
+  const serve = silentAtFirst();
+  const started = await fakePath.start(
+    Object.fromEntries(
+      Array.from({ length: engines }, (_, pos) => [`lm-pool@${pos}`, serve]),
+    ),
+  );
+  t.teardown(() => started.stop());
+  const { status } = await fakePath.post(
+    `${started.url}/v1/pipelines/short`,
+    { input: { text: "one two three" } },
+    { headers: { "chicoryloft-deadline": `${deadline}` } },
+  );
+  const calls = Object.values(started.fleet).reduce(
+    (sum, each) => sum + each.calls(),
+    0,
+  );
+  return { status, calls };
+}
+
+// Guards against calls that end because a sound engine was silent for a second
+// or two, although half of the time left is longer.
+test("a call at an engine that is silent for a while goes on", async (t) => {
+  const sent = await sendToSilent(t, { deadline: 8000, engines: 1 });
+  t.deepEqual(sent, { status: 200, calls: 1 });
+});
+
+// Guards against requests with little time that wait for a silent engine beside
+// an idle one.
+test("a call with little time at a silent engine is repeated at another one", async (t) => {
+  const sent = await sendToSilent(t, { deadline: 2400, engines: 2 });
+  t.deepEqual(sent, { status: 200, calls: 2 });
+});
+
+// Guards against requests with little time that fail because their only engine
+// was silent for a while: its call is cancelled and repeated there until no time
+// is left.
+test("a call with little time at the only engine goes on after a silence", async (t) => {
+  const { status } = await sendToSilent(t, { deadline: 2400, engines: 1 });
+  t.is(status, 200);
+});
--- a/src/request/running_calls_test.ts
+++ b/src/request/running_calls_test.ts
@@ -109,3 +109,26 @@
   core.step({ type: "wake" }, 650);
   t.is(core.inFlight, 1);
 });
+
+// Guards against calls that end because their sound endpoint was silent for
+// longer than its lease.
+test("a call goes on at an endpoint whose lease has expired", (t) => {
+  const core = create(["e1"]);
+  const attempt = callIn(core.step(arrive(), 0));
+  t.deepEqual(typesOf(core.step({ type: "endpoints", endpoints: [] }, 50)), []);
+  core.step({ type: "progress", attempt, received: 1 }, 60);
+  const usage = {
+    inputTokens: 1,
+    outputTokens: 1,
+    cachedTokens: 0,
+    engineTime: 1,
+  };
+  const answer: event.Event = {
+    type: "answer",
+    attempt,
+    usage,
+    size: 0,
+    prefix: [],
+  };
+  t.deepEqual(typesOf(core.step(answer, 70)), ["complete"]);
+});
