Test: room and pause of an endpoint with an overdue call

Room that an overdue call may still take stays reserved until the call ends, also beside further calls; its answer ends the pause.

--- a/src/batching/worker_state_test.ts
+++ b/src/batching/worker_state_test.ts
@@ -146,3 +146,35 @@
   state.recordMemoryRejection(rejectionOf(2), 500);
   t.is(state.foreignBytes(500), 0);
 });
+
+// Guards against memory that is used twice: an endpoint that goes on makes the
+// results of its overdue call, beside those of the next one.
+test("memory of an overdue call stays reserved until the call ends", (t) => {
+  const state = stateOf();
+  state.startCall(tasks(2), 100);
+  t.true(state.startOverdue(1000));
+  t.is(state.calls, 0);
+  t.true(state.isInUse);
+  t.false(state.isUsable(1299));
+  t.is(state.freeBytes(1000, 1000), 770);
+  state.startCall(tasks(1), 1400);
+  t.false(state.startOverdue(2000));
+  state.failCall(tasks(1), { now: 2000 });
+  t.is(state.freeBytes(1000, 2000), 770);
+  state.endOverdue(tasks(2));
+  t.is(state.freeBytes(1000, 2000), 970);
+  t.false(state.isInUse);
+});
+
+// Guards against an endpoint that stays paused although it has gone on.
+test("the answer of an overdue call ends the pause, and its results take memory", (t) => {
+  const state = stateOf();
+  state.startCall(tasks(2), 100);
+  state.startOverdue(1000);
+  state.endOverdue(tasks(2), { results: RESULTS, until: 4000, now: 1100 });
+  t.true(state.isUsable(1100));
+  t.is(state.freeBytes(1000, 1100), 770);
+  state.startCall(tasks(1), 1200);
+  state.failCall(tasks(1), { now: 1200 });
+  t.true(state.isUsable(1500));
+});
