Gateway: a reply that is written is not taken for a caller that left

Change: the reply knows that it is whole; a close after that is no leave. An error ends what runs for a request before its connection is aborted.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -188,8 +188,8 @@
         "Request that failed could not be refused",
       );
     }
-    if (!this.#reply.isEnded) this.#reply.abort();
     if (!this.isFinished) this.#release();
+    if (!this.#reply.isEnded) this.#reply.abort();
   }
 
   /** Chooses the service before any stage runs; refuses the request if there is
@@ -749,8 +749,8 @@
     this.#guard(() => {
       this.#context.metrics.count("gateway.left");
       if (this.#reply.head === undefined) this.#refuseLeft();
-      else this.#reply.abort();
       this.#finish("left");
+      if (!this.#reply.isComplete) this.#reply.abort();
       this.#log("info", { reason: "left" }, "Caller left");
     });
   }
@@ -770,7 +770,7 @@
 
   /** Handles the end of the caller's connection. */
   #onClose(): void {
-    if (this.isFinished) return;
+    if (this.isFinished || this.#reply.isComplete) return;
     this.#reply.isDisconnected = true;
     this.#context.metrics.count("gateway.left");
     if (this.#isUncancellable) return;
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -280,13 +280,18 @@
     { kind: "unsafe", timeout: 1000 },
     () => {},
   );
+  // Waits until its timeout: a call's own deadline may come first.
+  Object.assign(host.context.quotas, {
+    isLimited: () => true,
+    acquire: () => new Promise(() => {}),
+  });
   const { errors } = recordErrors(host);
   const count = (name: string) => {
     if (name === "gateway.refused") throw new Error("of a test");
   };
   const metrics: telemetry.Metrics = { ...telemetry.noMetrics, count };
   Object.assign(host.context, { metrics });
-  t.is((await host.ask()).status, 504);
+  t.is((await host.ask()).status, 503);
   t.like(errors, [{ request: "a-1", phase: "finished" }]);
 });
 
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -29,6 +29,7 @@
   readonly #onRead = () => this.#updateUnread();
   #head?: protocols.ReplyHead;
   #isClosed = false;
+  #isComplete = false;
   /** Whether the caller has closed its connection. */
   isDisconnected = false;
 
@@ -53,10 +54,15 @@
     return this.#head;
   }
 
+  /** Whether the whole reply has been written. */
+  get isComplete(): boolean {
+    return this.#isComplete;
+  }
+
   /** Whether the reply is complete or its connection aborted. */
   get isEnded(): boolean {
-    const { writableEnded, destroyed } = this.#options.response;
-    return writableEnded || destroyed || this.isDisconnected;
+    return this.#isComplete || this.isDisconnected ||
+      this.#options.response.destroyed;
   }
 
   /** Sends the head of a stream. Throws if Node refuses to write it. */
@@ -88,6 +94,7 @@
 
   /** Ends the stream as complete. */
   end(): void {
+    this.#isComplete = true;
     this.#options.response.end();
   }
 
@@ -128,6 +135,7 @@
   }
 
   #end(body: Buffer | string): void {
+    this.#isComplete = true;
     this.#options.response.end(body);
     this.#updateUnread();
   }
