Test: endpoints of connection tests answer once the caller has sent everything

"a stream goes on to its end although bytes that are no request follow" failed once beside load (18 on 8 cores): the stream ended after 150 ms, before the late test had sent the bytes, which were then refused with 400 on an idle connection, as they should be. The same failure shows each time with a pause of 300 ms before them.

--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -20,6 +20,13 @@
 /** Time within which the call of a caller that has left ends. */
 const GONE_MS = 500;
 
+/** A promise, and the function that resolves it. */
+function deferred() {
+  let resolve = () => {};
+  const promise = new Promise<void>((settle) => resolve = settle);
+  return { promise, resolve };
+}
+
 /** Answers after the time that an endpoint works. */
 function answerLater(
   _request: http.IncomingMessage,
@@ -98,12 +105,19 @@
   parts: readonly string[],
   options: Parameters<typeof startServer>[1] = {},
 ) {
-  const { server, calls } = await startServer(t, options);
+  const sent = deferred();
+  const { server, calls } = await startServer(t, {
+    // Answers once all parts are sent, however long that takes beside load.
+    handle: (request, response) =>
+      void sent.promise.then(() => answerLater(request, response)),
+    ...options,
+  });
   const { socket, replies } = connect(t, server.port);
   for (const part of parts) {
     socket.write(part);
     await timers.setTimeout(WORK_MS / 5);
   }
+  sent.resolve();
   return { ...await replies(), calls: calls.begun };
 }
 
@@ -121,18 +135,22 @@
 });
 
 test("a stream goes on to its end although bytes that are no request follow", async (t) => {
+  const sent = deferred();
   const { server } = await startServer(t, {
     kind: "streaming",
     handle(_, response) {
       response.writeHead(200, { "test-signature": "s" });
       response.write("id: 1\ndata: 1\n\n");
-      setTimeout(() => response.end("id: 2\ndata: 2\n\n"), WORK_MS);
+      void sent.promise.then(() =>
+        setTimeout(() => response.end("id: 2\ndata: 2\n\n"), WORK_MS)
+      );
     },
   });
   const { socket, replies, textWith } = connect(t, server.port);
   socket.write(requestOf());
   await textWith("id: 1");
   socket.write(GARBAGE);
+  sent.resolve();
   t.deepEqual(await replies(), { statuses: [200], isOpen: false });
   const text = await textWith("id: 2");
   t.true(text.endsWith("\r\n0\r\n\r\n"), text);
@@ -255,19 +273,23 @@
 });
 
 test("a request that crosses the announced close of its connection is not passed on", async (t) => {
+  const sent = deferred();
   const { server, calls } = await startServer(t, {
     kind: "streaming",
     isDraining: true,
     handle(_, response) {
       response.writeHead(200, { "test-signature": "s" });
       response.write("id: 1\ndata: 1\n\n");
-      setTimeout(() => response.end("id: 2\ndata: 2\n\n"), WORK_MS);
+      void sent.promise.then(() =>
+        setTimeout(() => response.end("id: 2\ndata: 2\n\n"), WORK_MS)
+      );
     },
   });
   const { socket, replies, textWith } = connect(t, server.port);
   socket.write(requestOf());
   await textWith("id: 1");
   socket.write(requestOf());
+  sent.resolve();
   t.deepEqual(await replies(), { statuses: [200], isOpen: false });
   t.is(calls.begun, 1);
 });
