--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -266,7 +266,9 @@
     // A caller that has ended its side in the middle of a request has left; one
     // whose body is invalid gets no answer to it.
     const hasLeft = !socket.writable || socket.readableEnded;
-    if (hasLeft || !isInvalid || connection.isReceiving) {
+    // A head behind a request in flight that does not arrive in time ends it.
+    const isLate = code === "ERR_HTTP_REQUEST_TIMEOUT" && connection.isBusy;
+    if (hasLeft || isLate || !isInvalid || connection.isReceiving) {
       socket.destroy();
       return;
     }
