Gateway: a stopping host closes once its callers have read their answers

Callers saw: an answer that breaks off in the middle though the host has logged "Request answered" and stops within its grace period (LOST, around SIGTERM).

Cause: a request counts as finished as soon as its answer is written to the response. A stopping host waited for unfinished requests only, then closed all connections; what the system had not taken yet was thrown away. Any caller that reads late, or a link slower than the answer, loses its end.

Four callers that pause for 3.5 s while their host stops: 4 of 4 cut after 4.1 to 4.4 of 10 MB; now 4 of 4 whole.

Change: the host also waits while replies have bytes that the system has not taken, up to the end of the grace period as before. The count exists, as it bounds memory; the end of a stream is now counted, too.

--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -80,6 +80,7 @@
   /** Ends the stream as complete. */
   end(): void {
     this.#options.response.end();
+    this.#updateUnread();
   }
 
   /** Destroys the connection, so that the caller can't take the stream for
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -115,12 +115,13 @@
     this.#isDraining = true;
   }
 
-  /** Resolves when no request is in flight, or after a timeout in milliseconds;
-   * the remaining requests are then aborted. */
+  /** Resolves when no request is in flight and callers have read their replies,
+   * or after a timeout in milliseconds; the remaining requests are then
+   * aborted. */
   async finish(timeout: number): Promise<void> {
     const { clock } = this.#options.context;
     const deadline = clock.now() + timeout;
-    while (this.#activeRequests.size > 0 && clock.now() < deadline) {
+    while (this.#hasUnfinished && clock.now() < deadline) {
       await delays.sleep(clock, STOP_CHECK_INTERVAL_MS);
     }
     for (const active of this.#activeRequests) active.abort();
@@ -132,6 +133,11 @@
     if (this.#readiness) await httpListener.close(this.#readiness);
   }
 
+  /** A request ends before its caller has read the whole reply. */
+  get #hasUnfinished(): boolean {
+    return this.#activeRequests.size > 0 || this.#unreadReplies.sum > 0;
+  }
+
   #serve(request: http.IncomingMessage, response: http.ServerResponse): void {
     const { context } = this.#options;
     response.on("error", (error) => {
