Gateway: connections that come while a host stands still are read

Callers saw: a new connection with a whole request that is closed without an answer or a refusal, at a host that is not overloaded and had only stood still for .7 s or more.

Cause: the queue of new connections counts as full once each turn of the event loop for .7 s had one. Where the turn before the stall had accepted one, the stall itself counted as .7 s of such turns, and all that had come meanwhile was closed. A stall after an empty turn did no harm, as a test says.

The new test of the queue: 0 of 300 read before, 300 now.

--- a/src/gateway/accept_queue.ts
+++ b/src/gateway/accept_queue.ts
@@ -11,6 +11,10 @@
 /** Time for which the queue may be non-empty: well below the second after which
  * callers give up on a request that is not read. */
 const MAX_BUSY_MS = 700;
+/** Milliseconds that one turn of the event loop counts for at most. In a longer one
+ * the process stood still (a suspended machine, a core that others used); that
+ * connections waited then does not show that more come than it can serve. */
+const MAX_TURN_MS = 200;
 /** Connections closed at once at most, the capacity of the queue. If they come
  * faster than they can be closed, some are still served. */
 const MAX_SHED_COUNT = 511;
@@ -20,8 +24,10 @@
 
 /** State of the queue. Mutable. */
 export class AcceptQueue {
-  /** Since when it has not been empty; undefined while it is. */
-  #busySince?: number;
+  /** Time for which it has not been empty, in milliseconds. */
+  #busyMs = 0;
+  /** Undefined while it is empty. */
+  #lastAcceptedAt?: number;
   #shedCount = 0;
 
   static create(): AcceptQueue {
@@ -30,8 +36,10 @@
 
   /** Records that a connection was accepted. */
   accept(now: number): Verdict {
-    this.#busySince ??= now;
-    if (now - this.#busySince <= MAX_BUSY_MS) return "read";
+    const turnMs = now - (this.#lastAcceptedAt ?? now);
+    this.#lastAcceptedAt = now;
+    this.#busyMs += Math.min(MAX_TURN_MS, turnMs);
+    if (this.#busyMs <= MAX_BUSY_MS) return "read";
     this.#shedCount++;
     if (this.#shedCount >= MAX_SHED_COUNT) this.recordEmpty();
     return "close";
@@ -39,7 +47,8 @@
 
   /** Records a turn of the event loop without a connection. */
   recordEmpty(): void {
-    this.#busySince = undefined;
+    this.#lastAcceptedAt = undefined;
+    this.#busyMs = 0;
     this.#shedCount = 0;
   }
 }
--- a/src/gateway/accept_queue_test.ts
+++ b/src/gateway/accept_queue_test.ts
@@ -41,3 +41,24 @@
   queue.recordEmpty();
   t.is(acceptAll(queue, { from: 5000, count: 300 }), 300);
 });
+
+// Guards against a host that closes all connections which came while it stood
+// still, although it can serve them: the turn that lasts so long had accepted
+// one before.
+test("a queue that fills in a turn in which the process stands still is read", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  queue.accept(0);
+  t.is(acceptAll(queue, { from: 5000, count: 300 }), 300);
+});
+
+// Guards against a queue that is never taken for full where turns are slow.
+test("connections are closed unread where each turn is slow", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  const verdicts = Array.from(
+    { length: 20 },
+    (_, turn) => queue.accept(300 * turn),
+  );
+  const first = verdicts.indexOf("close");
+  t.true(first > 0 && 300 * first <= 1500, `${first}`);
+  t.true(verdicts.slice(first).every((verdict) => verdict === "close"));
+});
