--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -24,6 +24,11 @@
   /** Announcements in the answer. */
   leaving?: protocols.ReplyHead["leaving"];
   retryAfterMs?: protocols.ReplyHead["retryAfter"];
+  /** Times that it was silent for its idle timeout and went on. */
+  resumed?: number;
+  /** Why no call follows its failure or silence: the route's retry policy, or the retry
+   * budget. */
+  notRetried?: "policy" | "budget";
 }
 
 /** Creates the record of a call that begins. */
