--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -3,11 +3,13 @@
  * @module */
 
 import type * as http from "node:http";
+import type * as net from "node:net";
 import * as configurations from "../configuration/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as admissions from "./admission.ts";
 import type * as attempts from "./attempt.ts";
 import * as bodies from "./body.ts";
+import type * as callerConnections from "./caller_connection.ts";
 import * as callLimits from "./call_limits.ts";
 import type * as contexts from "./context.ts";
 import * as endpointCalls from "./endpoint_call.ts";
@@ -70,13 +72,15 @@
   #binding?: streamBindings.StreamBinding;
   /** Absent where accounts have no shares. */
   #shareCharge?: shareCharges.ShareCharge;
+  /** Whether an error of this host has ended the request. */
+  #hasFailed = false;
   #resolveFinished!: () => void;
   /** Resolves when the request is answered, refused or abandoned. */
   readonly finished: Promise<void>;
 
   private constructor(
     context: contexts.Context,
-    { request, response, unreadReplies }: HttpExchange,
+    { request, response, unreadReplies, connection }: HttpExchange,
   ) {
     this.#context = context;
     this.#message = request;
@@ -85,7 +89,8 @@
       request,
       response,
       unreadReplies,
-      isDraining,
+      closesConnection: ({ isUnread }) =>
+        connection.announcesClose(request, isUnread || isDraining()),
       onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
     });
     this.#arrivedAt = context.clock.now();
@@ -98,11 +103,19 @@
     exchange: HttpExchange,
   ): ActiveRequest {
     const active = new ActiveRequest(context, exchange);
-    exchange.response.once("close", () => active.#onClose());
+    exchange.response.once(
+      "close",
+      () => active.#guard(() => active.#onClose()),
+    );
     void active.#serve();
     return active;
   }
 
+  /** Connection of the caller. */
+  get socket(): net.Socket {
+    return this.#message.socket;
+  }
+
   /** Whether the request is answered, refused or abandoned. */
   get isFinished(): boolean {
     return this.#phase === "finished";
@@ -111,7 +124,7 @@
   /** Ends the request at once because the host stops. */
   abort(): void {
     if (this.isFinished) return;
-    this.#refuse(this.#mayHaveRun ? "failed" : "stopping");
+    this.#guard(() => this.#refuse(this.#mayHaveRun ? "failed" : "stopping"));
   }
 
   async #serve(): Promise<void> {
@@ -137,11 +150,44 @@
     }
   }
 
+  /** Runs a step outside of `#serve`, in a callback of a timer or a connection,
+   * where an error would end the process or be taken for the endpoint's. */
+  #guard(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.#fail(error);
+    }
+  }
+
+  /** Ends the request after an error of this host. A caller that has no part of
+   * its reply is refused; if it has one, or the refusal fails too, its connection
+   * is aborted. A reply that is complete stays as it is. */
   #fail(error: unknown): void {
-    const request = this.#incoming?.id;
-    this.#context.logger.error({ err: error, request }, "Request failed");
-    this.#shareCharge?.endByError({ mayHaveRun: this.#mayHaveRun });
-    this.#refuse(this.#mayHaveRun ? "failed" : "not-run");
+    const { logger, metrics } = this.#context;
+    const phase = this.#phase;
+    const mayRefuse = !this.#hasFailed && !this.isFinished;
+    this.#hasFailed = true;
+    logger.error({
+      err: error,
+      request: this.#incoming?.id,
+      route: this.#route?.name,
+      phase,
+      calls: this.#calls,
+    }, "Request failed");
+    try {
+      metrics.count("gateway.errors", 1, { phase });
+      const mayHaveRun = this.#mayHaveRun;
+      this.#shareCharge?.endByError({ mayHaveRun });
+      if (mayRefuse) this.#refuse(mayHaveRun ? "failed" : "not-run");
+    } catch (second) {
+      logger.error(
+        { err: second, request: this.#incoming?.id },
+        "Request that failed could not be refused",
+      );
+    }
+    if (!this.#reply.isEnded) this.#reply.abort();
+    if (!this.isFinished) this.#release();
   }
 
   /** Chooses the service before any stage runs; refuses the request if there is
@@ -212,7 +258,10 @@
     );
     const timeout = Math.min(route.timeout, incoming.timeout ?? Infinity);
     this.#deadline = this.#arrivedAt + timeout;
-    this.#cancelTimer = clock.after(timeout, () => this.#timeOut());
+    this.#cancelTimer = clock.after(
+      timeout,
+      () => this.#guard(() => this.#timeOut()),
+    );
     const { limits } = fleetView.catalogue()!.configuration;
     const body = await bodies.read(this.#message, limits.bodyBytes);
     if (typeof body === "string") return this.#refuseStep(body);
@@ -392,6 +441,7 @@
           ? this.#createStreamListener(() => call)
           : undefined,
         onSilence: () => this.#openCalls.recordSilence(),
+        onError: (error) => this.#fail(error),
       },
     );
     this.#calls.push(call.record);
@@ -492,14 +542,15 @@
     let head: protocols.ReplyHead;
     return {
       head: (received) => void (head = received),
-      events: (complete) => {
-        const call = callOf();
-        if (call.recordEvents()) this.#recordFirstEvent(call);
-        this.#binding!.bind(call.endpoint);
-        // Events of two calls must not be mixed.
-        this.#openCalls.cancelOthers(call);
-        this.#relay(call, head, complete);
-      },
+      events: (complete) =>
+        this.#guard(() => {
+          const call = callOf();
+          if (call.recordEvents()) this.#recordFirstEvent(call);
+          this.#binding!.bind(call.endpoint);
+          // Events of two calls must not be mixed.
+          this.#openCalls.cancelOthers(call);
+          this.#relay(call, head, complete);
+        }),
     };
   }
 
@@ -522,18 +573,18 @@
     call: endpointCalls.EndpointCall,
     head: protocols.ReplyHead,
   ): void {
+    this.#reply.startStream(head);
     this.#phase = "streaming";
     this.#pipelineRun?.release();
     if (configurations.isIdempotent(this.#route!)) {
       call.setIdleTimeout(callLimits.EVENT_IDLE_TIMEOUT_MS);
     }
-    this.#reply.startStream(head);
   }
 
   #endStream(): void {
     const { status } = this.#reply.head!;
-    this.#finish();
     this.#reply.end();
+    this.#finish();
     this.#log("info", { status }, "Request answered");
   }
 
@@ -541,8 +592,10 @@
     if (!retries.mayRelayAnswer(this.#route!, head)) {
       return this.#refuse("failed", { answered: head.status });
     }
-    this.#finish();
+    // Before the request counts as finished: if the answer can't be written, the
+    // caller is refused.
     this.#reply.send(head, body);
+    this.#finish();
     this.#log("info", { status: head.status }, "Request answered");
   }
 
@@ -618,10 +671,10 @@
     if (this.#reply.head !== undefined) {
       return this.#abortStream(reason, details);
     }
-    this.#finish(reason);
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...details };
-    this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#reply.refuse(reason, { status, retryAfter });
+    this.#finish(reason);
+    this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#log("info", { status, reason, ...details }, "Request refused");
   }
 
@@ -654,29 +707,55 @@
     }, message);
   }
 
+  /** Handles that the caller has ended its side of the connection: it has left,
+   * or it reads on. A call that can't be cancelled goes on, and its answer is sent;
+   * any other request is refused, for a caller that reads on. */
+  callerEnded(): void {
+    if (this.isFinished || this.#isUncancellable) return;
+    this.#guard(() => {
+      this.#context.metrics.count("gateway.left");
+      if (this.#reply.head === undefined) this.#refuseLeft();
+      else this.#reply.abort();
+      this.#finish("left");
+      this.#log("info", { reason: "left" }, "Caller left");
+    });
+  }
+
+  #refuseLeft(): void {
+    const reason = this.#mayHaveRun ? "failed" : "left";
+    this.#reply.refuse(reason, refusals.REFUSALS[reason]);
+  }
+
+  /** Whether a call runs that is not cancelled when its caller leaves: its outcome
+   * would stay unknown. */
+  get #isUncancellable(): boolean {
+    const route = this.#route;
+    return this.#phase === "sent" && route !== undefined &&
+      !configurations.isCancellable(route);
+  }
+
   /** Handles the end of the caller's connection. */
   #onClose(): void {
     if (this.isFinished) return;
     this.#reply.isDisconnected = true;
     this.#context.metrics.count("gateway.left");
-    const route = this.#route;
-    const isSent = this.#phase === "sent";
-    // A non-idempotent call continues: if it were cancelled, its outcome would
-    // stay unknown.
-    if (isSent && route !== undefined && !configurations.isCancellable(route)) {
-      return;
-    }
+    if (this.#isUncancellable) return;
     this.#finish("left");
     this.#log("info", { reason: "left" }, "Caller left");
   }
 
-  #finish(reason?: refusals.RefusalReason | "left"): void {
+  #finish(reason?: refusals.RefusalReason): void {
+    this.#release();
     this.#shareCharge?.end({
       reason,
       lastCall: this.#calls.at(-1)?.outcome,
       ms: this.#age,
       firstEventMs: this.#firstEventMs,
     });
+  }
+
+  /** Ends what runs for the request. */
+  #release(): void {
     this.#phase = "finished";
     this.#cancelTimer();
     this.#openCalls.cancelAll();
@@ -692,7 +771,7 @@
   #log(
     level: keyof telemetry.Logger,
     details: RefusalDetails & {
-      readonly reason?: refusals.RefusalReason | "left" | "unread";
+      readonly reason?: refusals.RefusalReason | "unread";
     },
     message: string,
   ): void {
@@ -745,6 +824,11 @@
     unreadReplies.UnreadReplies,
     "update" | "remove"
   >;
+  /** Connection of the request. */
+  readonly connection: Pick<
+    callerConnections.CallerConnection,
+    "announcesClose"
+  >;
 }
 
 const EMPTY_BODY = Buffer.alloc(0);
--- a/src/gateway/endpoint_call.ts
+++ b/src/gateway/endpoint_call.ts
@@ -26,13 +26,16 @@
   /** Called when the call has been silent for its idle timeout, and after each
    * further one. */
   onSilence(): void;
+  /** Called with an error of this host in a callback of the connection, where it
+   * would be taken for the endpoint's. */
+  onError(error: unknown): void;
 }
 
 /** A call to an endpoint. */
 export class EndpointCall {
   readonly record: callRecords.CallRecord;
   readonly startedAt: number;
-  /** Resolves once the call has ended and is recorded; never rejects. */
+  /** Resolves once the call has ended and is recorded. */
   readonly outcome: Promise<attempts.Outcome>;
   readonly #context: contexts.Context;
   readonly #options: EndpointCallOptions;
@@ -65,9 +68,10 @@
       ...context,
       ...options,
       endpoint,
-      onHead: (head) => this.#recordHead(head),
-      onSilence: ({ isNew }) => this.#recordSilence({ isNew }),
-      onResume: () => this.#recordResumption(),
+      onHead: (head) => this.#guard(() => this.#recordHead(head)),
+      onSilence: ({ isNew }) =>
+        this.#guard(() => this.#recordSilence({ isNew })),
+      onResume: () => this.#guard(() => this.#recordResumption()),
     });
     this.outcome = this.#attempt.outcome.then((outcome) => {
       this.#recordEnd(outcome);
@@ -113,6 +117,14 @@
     return true;
   }
 
+  #guard(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.#options.onError(error);
+    }
+  }
+
   /** Whether endpoints have recently sent something on the kind of path that
    * leads to this one. */
   get #isReceiving(): boolean {
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -16,8 +16,9 @@
     unreadReplies.UnreadReplies,
     "update" | "remove"
   >;
-  /** Whether the host accepts no further requests on the connection. */
-  isDraining(): boolean;
+  /** Whether the connection closes after this reply; asked once its head is
+   * written. It should if `isUnread`: a part of the request is left on it. */
+  closesConnection(state: { isUnread: boolean }): boolean;
   /** The reply is aborted because its caller has not read so many bytes. */
   onAbortUnread(unreadBytes: number): void;
 }
@@ -52,10 +53,18 @@
     return this.#head;
   }
 
-  /** Sends the head of a stream. */
+  /** Whether the reply is complete or its connection aborted. */
+  get isEnded(): boolean {
+    const { writableEnded, destroyed } = this.#options.response;
+    return writableEnded || destroyed || this.isDisconnected;
+  }
+
+  /** Sends the head of a stream. Throws if Node refuses to write it. */
   startStream(head: protocols.ReplyHead): void {
-    this.#head = head;
     this.#options.response.writeHead(head.status, this.#headersOf(head));
+    // Only once it is written: otherwise the stream would be taken for started,
+    // and its events would follow a head of Node's own.
+    this.#head = head;
   }
 
   /** Sends bytes of the stream. */
@@ -80,7 +89,6 @@
   /** Ends the stream as complete. */
   end(): void {
     this.#options.response.end();
-    this.#updateUnread();
   }
 
   /** Destroys the connection, so that the caller can't take the stream for
@@ -89,7 +97,8 @@
     this.#options.response.destroy();
   }
 
-  /** Sends an endpoint's plain answer. */
+  /** Sends an endpoint's plain answer. Throws if Node refuses to write its
+   * head. */
   send(head: protocols.ReplyHead, body: Buffer): void {
     if (this.isDisconnected) return;
     const { response } = this.#options;
@@ -106,14 +115,14 @@
     { status, retryAfter }: refusals.Refusal,
   ): void {
     if (this.isDisconnected) return;
-    const { request, response, isDraining } = this.#options;
+    const { request, response, closesConnection } = this.#options;
     const text = JSON.stringify({ status, reason });
-    const isUnread = !request.complete;
+    const closes = closesConnection({ isUnread: !request.complete });
     response.writeHead(status, {
       "content-type": "application/problem+json",
       "content-length": `${Buffer.byteLength(text)}`,
       ...(retryAfter !== undefined && { "retry-after": `${retryAfter}` }),
-      ...((isUnread || isDraining()) && { connection: "close" }),
+      ...(closes && { connection: "close" }),
     });
     this.#end(text);
   }
@@ -128,7 +137,7 @@
   }
 
   #headersOf({ headers }: protocols.ReplyHead): Record<string, string> {
-    const closes = this.#options.isDraining();
+    const closes = this.#options.closesConnection({ isUnread: false });
     return { ...headers, ...(closes && { connection: "close" }) };
   }
 }
