Gateway: a call that has answered is not logged as cancelled

Operators saw the outcome `cancelled` for each call that had answered: the end of a request cancels its calls, and the record was changed also for one that had ended.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -145,6 +145,11 @@
     return attempt;
   }
 
+  /** Whether it has an outcome. */
+  get isFinished(): boolean {
+    return this.#isFinished;
+  }
+
   /** Whether its endpoint has sent nothing for the idle timeout, and nothing to
    * relay since: a byte now and then gets the caller nothing. */
   get isSilent(): boolean {
--- a/src/gateway/endpoint_call.ts
+++ b/src/gateway/endpoint_call.ts
@@ -103,6 +103,7 @@
 
   /** Cancels the call; the endpoint sees its connection close. */
   cancel(): void {
+    if (this.#attempt.isFinished) return;
     // The line of the request may be written before the outcome is handled.
     this.record.outcome = this.isSilent ? "silent" : "cancelled";
     this.record.ms = Math.round(this.#context.clock.now() - this.startedAt);
--- a/src/gateway/silent_call_test.ts
+++ b/src/gateway/silent_call_test.ts
@@ -351,8 +351,10 @@
   const lines = recordLines(host);
   await host.ask();
   const line = lines.find(({ message }) => message === "Request answered");
-  const [silent] = line!.calls as { outcome: string; silences: number }[];
+  const [silent, whole] = line!.calls as object[];
   t.like(silent, { outcome: "silent", silences: 1 });
+  // Guards against a call that is cancelled in the log after its whole answer.
+  t.like(whole, { outcome: "200" });
 });
 
 // Guards against a log that grows with each silence of a slow stream.
