Gateway: a call that has ended is no open call while its outcome is handled

No behaviour changes. A call stayed among the open ones until its outcome had been handled, so that the count of runs was corrected by one for error answers and a check was needed for whether it was the last. It is removed first now, and counted as a run in the same step.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -477,46 +477,45 @@
       : clock.after(retentionTime, () => this.#pipelineRun?.release());
     this.#cancelRelease = cancelRelease;
     const outcome = await call.outcome;
+    this.#openCalls.remove(call);
+    if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
     cancelRelease();
     if (this.#missedReleasedInput(outcome)) {
       inputRetention.recordMissing(service, retentionTime);
     }
-    if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
     const { heardAt } = call;
     this.#endpointAdmission!.recordOutcome(outcome, {
       endpoint,
       startedAt,
       heardAt,
-      isLast: this.#openCalls.isLast(call),
+      isLast: this.#openCalls.size === 0,
     });
-    if (this.isFinished) return this.#openCalls.remove(call);
-    if (outcome.type === "answer") return this.#handleAnswer(call, outcome);
-    if (outcome.type === "failed") return this.#openCalls.end(call, outcome);
+    if (this.isFinished) return;
+    if (outcome.type === "answer") return this.#handleAnswer(outcome);
+    if (outcome.type === "failed") return this.#openCalls.recordStall(outcome);
     // A stream that ends without any event is no answer: its head was not
     // relayed.
     if (this.#reply.head !== undefined) return this.#endStream();
-    this.#openCalls.end(call, UNUSABLE_ANSWER);
+    this.#openCalls.recordStall(UNUSABLE_ANSWER);
   }
 
   #handleAnswer(
-    call: endpointCalls.EndpointCall,
     outcome: Extract<attempts.Outcome, { type: "answer" }>,
   ): void {
     // The caller already has the head of a stream: another endpoint's plain
     // answer can't continue it.
     if (this.#reply.head !== undefined) {
-      return this.#openCalls.end(call, UNUSABLE_ANSWER);
+      return this.#openCalls.recordStall(UNUSABLE_ANSWER);
     }
     const isRetried = retries.shouldRetryAnswer(
       this.#route!,
       outcome.head,
-      // The call itself has ended, but is not removed yet.
-      { ...this.#history, runs: this.#history.runs - 1 },
+      this.#history,
     );
     if (!isRetried) return this.#answer(outcome);
     // Kept in case no other call gives an answer.
     this.#errorAnswer = outcome;
-    this.#openCalls.end(call, outcome);
+    this.#openCalls.recordStall(outcome);
   }
 
   /** Whether a call failed for lack of inputs that were probably released too
--- a/src/gateway/open_calls.ts
+++ b/src/gateway/open_calls.ts
@@ -40,18 +40,7 @@
     this.#stall = undefined;
   }
 
-  /** Whether no other call is in flight. */
-  isLast(attempt: OpenAttempt): boolean {
-    return this.#open.size === Number(this.#open.has(attempt));
-  }
-
-  /** Removes a call that has ended without a usable answer. */
-  end(attempt: OpenAttempt, stall: Stall): void {
-    this.remove(attempt);
-    this.#recordStall(stall);
-  }
-
-  /** Removes a call after the end of its request. */
+  /** Removes a call that has ended. */
   remove(attempt: OpenAttempt): void {
     this.#open.delete(attempt);
   }
@@ -59,7 +48,7 @@
   /** Records that a call has become silent, or is still silent after a further
    * idle timeout. */
   recordSilence(): void {
-    this.#recordStall(SILENCE);
+    this.recordStall(SILENCE);
   }
 
   /** Resolves once all calls in flight are silent or have ended, anew with each
@@ -67,7 +56,7 @@
   nextStall(): Promise<Stall> {
     return new Promise((resolve) => {
       this.#resolve = resolve;
-      if (this.#stall !== undefined) this.#recordStall(this.#stall);
+      if (this.#stall !== undefined) this.recordStall(this.#stall);
     });
   }
 
@@ -82,7 +71,9 @@
     for (const each of [...this.#open]) each.cancel();
   }
 
-  #recordStall(stall: Stall): void {
+  /** Records that a call gave no usable answer; a stall if no other one sends
+   * anything. */
+  recordStall(stall: Stall): void {
     this.#stall = undefined;
     if (!this.isStalled) return;
     if (this.#resolve === undefined) {
--- a/src/gateway/open_calls_test.ts
+++ b/src/gateway/open_calls_test.ts
@@ -46,7 +46,8 @@
   const calls = openCalls.OpenCalls.create();
   const call = createAttempt();
   calls.add(call);
-  calls.end(call, BROKEN);
+  calls.remove(call);
+  calls.recordStall(BROKEN);
   t.is(await calls.nextStall(), BROKEN);
   t.false(await isResolved(calls.nextStall()));
 });
@@ -71,10 +72,12 @@
   const [first, second] = [createAttempt(), createAttempt()];
   calls.add(first);
   calls.add(second);
-  calls.end(second, BROKEN);
+  calls.remove(second);
+  calls.recordStall(BROKEN);
   const stall = calls.nextStall();
   t.false(await isResolved(stall));
-  calls.end(first, BROKEN);
+  calls.remove(first);
+  calls.recordStall(BROKEN);
   t.is(await stall, BROKEN);
 });
 
