Gateway: a suspected request keeps its lease until the verdict on a silent call

A request that is suspected of crashing endpoints runs at one endpoint at a time, under a lease. A silent call counts as a crash 2 s after its end unless its endpoint is heard again, but its lease ended with the call. In these 2 s the request, sent again, could run and crash one endpoint after another, none of them counted yet, which is what BUDGET forbids.

The lease now ends with the verdict, and is asked for that long. A call of a request that ran beside one that did not ends its lease as used.

--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -59,6 +59,13 @@
 export class EndpointAdmission {
   readonly #dependencies: Dependencies;
   readonly #identity: quarantine.Identity;
+  /** Silent calls of which it is not known yet whether their endpoint has
+   * crashed. */
+  #openVerdicts = 0;
+  /** Whether all calls have ended. */
+  #hasEnded = false;
+  /** Whether a call that the lease covers may have run. */
+  #hasRun = false;
 
   private constructor(
     dependencies: Dependencies,
@@ -125,13 +132,13 @@
     { endpoint, startedAt, heardAt, isLast }: AdmittedCall,
   ): void {
     const { guard } = this.#dependencies;
+    this.#hasEnded = isLast;
     if (attempts.mayHaveCrashed(outcome)) {
       guard.recordCrash(this.#identity, endpoint.identity.id);
     } else if (outcome.type === "failed") {
-      if (isLast) {
-        guard.endRun(this.#identity, { isUnused: !outcome.mayHaveRun });
-      }
       if (outcome.cause === "silent") this.#awaitSign(endpoint, heardAt);
+      if (outcome.mayHaveRun) this.#hasRun = true;
+      this.#endRun();
     } else {
       const isWhole = attempts.isSuccess(outcome);
       guard.recordSuccess(this.#identity, { isWhole, startedAt });
@@ -142,12 +149,24 @@
    * without closing its connections. */
   #awaitSign(endpoint: endpoints.Endpoint, heardAt: number): void {
     const { clock, guard } = this.#dependencies;
+    this.#openVerdicts++;
     clock.after(CRASH_VERDICT_MS, () => {
-      if (endpoint.heardAt > heardAt) return;
-      guard.recordCrash(this.#identity, endpoint.identity.id);
+      this.#openVerdicts--;
+      if (endpoint.heardAt > heardAt) this.#endRun();
+      else guard.recordCrash(this.#identity, endpoint.identity.id);
     });
   }
 
+  /** Ends the lease of the request unless it is needed: until the verdict on a
+   * silent call, the request may not run at another endpoint, which it may crash
+   * as well. */
+  #endRun(): void {
+    if (!this.#hasEnded || this.#openVerdicts > 0) return;
+    const isUnused = !this.#hasRun;
+    this.#hasRun = false;
+    this.#dependencies.guard.endRun(this.#identity, { isUnused });
+  }
+
   async #acquireQuota(endpoint: string): Promise<Denial | undefined> {
     const { quotas, random } = this.#dependencies;
     if (!quotas.isLimited(endpoint)) return undefined;
@@ -175,7 +194,7 @@
   ): Promise<Denial | undefined> {
     const { guard, clock } = this.#dependencies;
     const identity = this.#identity;
-    const remaining = deadline - clock.now();
+    const remaining = deadline + CRASH_VERDICT_MS - clock.now();
     const admission = await guard.admit({ identity, endpoint, remaining });
     if (admission.type === "admitted") return undefined;
     return quarantineDenial(admission, admission.type === "refused");
