Endpoint calls: read connections in slices, so that turns stay short

Callers of a host saw connections closed unread while an endpoint answered without an end, beside load: 8 of 160 requests with ECONNRESET in small chunks, 18 of 160 with a head without an end, and the log says `Connections closed unread`. Cause: turns of the event loop of up to seconds. Node reads a connection up to 32 times a turn of 64 KB each, and undici parses all it has read. A body in chunks of one byte costs a callback for each byte; undici goes on with a head that is too large to the end of what was read, and creates an error with its stack for each further name and value.

Connections to endpoints are now read in slices of 4 KB: each gets one in a turn, and further ones while less than 5 ms have passed since the first of the turn. The rest waits in the connection's buffer, whose limit stops the sender.

Peaks of memory and the length of calls that hold much remain.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -13,11 +13,18 @@
 import type * as net from "node:net";
 import * as undici from "undici";
 import * as framing from "./framing.ts";
+import * as readSlices from "./read_slices.ts";
 
 /** Error code that replaces `ECONNRESET`. */
 const RESET_CODE = "ERR_CONNECTION_RESET";
 const PROBE = "\r\n";
 
+/** Shared by all connections to endpoints, as they share the event loop. */
+const slices = readSlices.ReadSlices.create({
+  now: () => performance.now(),
+  afterTurn: setImmediate,
+});
+
 /** Options of a connector. */
 export interface ConnectorOptions {
   /** Timeout of connecting, in milliseconds. */
@@ -47,6 +54,7 @@
   socket.prependListener("error", renameReset);
   socket.prependListener("end", probeEnd);
   framing.watch(socket);
+  slices.watch(socket);
 }
 
 /** Resolves with whether the connection whose `end` event is being handled
--- a/src/endpoint_calls/connector_test.ts
+++ b/src/endpoint_calls/connector_test.ts
@@ -34,7 +34,10 @@
 function fetch(
   t: ava.ExecutionContext,
   url: string,
-  { maxBytes = 1000 } = {},
+  { maxBytes = 1000, onData = () => {} }: {
+    maxBytes?: number;
+    onData?(part: Buffer): void;
+  } = {},
 ): Promise<string> {
   const dispatcher = new undici.Agent({
     connect: connector.create({ timeout: 500 }),
@@ -53,7 +56,10 @@
         maxBytes,
         receiver: {
           head() {},
-          data: (part) => void (body += part),
+          data(part) {
+            onData(part);
+            body += part;
+          },
           end: () => resolve(`whole: ${body}`),
           fail: ({ reason }) => resolve(reason),
         },
@@ -140,3 +146,23 @@
   const body = await fetch(t, url, { maxBytes: Infinity });
   t.is(body.length, "whole: ".length + count);
 });
+
+/** Bytes that are not parsed at once, as they make some thousand calls in small
+ * chunks, or as many errors in a head that is too large. */
+const LARGE_BYTES = 16 * 1024;
+
+// Guards against turns of the event loop in which one endpoint's bytes are parsed
+// for hundreds of milliseconds, so that the host accepts no connection.
+test("what an endpoint sends at once is parsed in slices", async (t) => {
+  const count = 256 * 1024;
+  const text = `HTTP/1.1 200 OK\r\nContent-Length: ${count}\r\n\r\n` +
+    "x".repeat(count);
+  const url = await serverOf(t, text, () => {});
+  const sizes: number[] = [];
+  const body = await fetch(t, url, {
+    maxBytes: Infinity,
+    onData: ({ length }) => void sizes.push(length),
+  });
+  t.is(body.length, "whole: ".length + count);
+  t.true(Math.max(...sizes) <= LARGE_BYTES, `${Math.max(...sizes)} bytes`);
+});
