Gateway: an ended attempt keeps nothing of its answer

A request that is repeated kept what its ended calls had received until its own end, beyond the bound on incomplete answers, which counts them no more.

An attempt, and a call to compute items, removes its chunks and its partial event when it ends, so that their memory is used again.

A unit test shows it: 1 MB of a body or of an event is held after the end before the change, none after it. Conclusion: the bound holds for ended calls too.

--- a/src/batching/batch_call.ts
+++ b/src/batching/batch_call.ts
@@ -138,6 +138,7 @@
     });
     const resolve = (response: CallResponse) => {
       cancelTimer();
+      chunks.clear();
       settle(response);
     };
     const limit = timeout + OVERDUE_MS;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -286,6 +286,9 @@
 
   #finish(outcome: Outcome): void {
     this.#isFinished = true;
+    // The request goes on and keeps this attempt.
+    this.#chunks.clear();
+    this.#events.clear();
     this.#resolve(outcome);
   }
 }
--- a/src/gateway/event_buffer.ts
+++ b/src/gateway/event_buffer.ts
@@ -55,6 +55,12 @@
     return { bytes, lastId: lastEventId(bytes) };
   }
 
+  /** Removes the partial event. */
+  clear(): void {
+    this.#partial.clear();
+    this.#tail = NO_BYTES;
+  }
+
   /** Adds the end of the partial event and removes it; returns its bytes. */
   #complete(end: Buffer): Buffer {
     if (this.#partial.length === 0) return end;
