Retry budget: its balance stands beside the call that asked for a retry

On call, a line said that no retry was made for want of budget, not why: the requests, the retries and the number of hosts that this host counted were visible nowhere. The record of a call after which a retry was asked of the budget now has them. No logic changes.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -652,7 +652,12 @@
     const budget = this.#context.retryBudget(service);
     const account = this.#account?.name ?? "";
     if (budget.isWithheldFrom(account, clock.now())) return false;
-    const isAllowed = budget.tryWithdraw(clock.now(), fleetView.hostCount());
+    const hosts = fleetView.hostCount();
+    const isAllowed = budget.tryWithdraw(clock.now(), hosts);
+    const record = this.#calls.at(-1);
+    if (record !== undefined) {
+      record.budget = budget.balance(clock.now(), hosts);
+    }
     if (!isAllowed) metrics.count("gateway.no_budget", 1, { service });
     this.#isRetryWithdrawn = isAllowed;
     return isAllowed;
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -3,6 +3,7 @@
 
 import type * as placements from "./placement.ts";
 import type * as protocols from "./protocol.ts";
+import type * as retryBudgets from "./retry_budget.ts";
 import type * as targetChoices from "./target_choice.ts";
 
 /** One call to an endpoint; completed while the call runs. */
@@ -30,6 +31,8 @@
   /** Why no call follows its failure or silence: the route's retry policy, or the retry
    * budget. */
   notRetried?: "policy" | "budget";
+  /** The retry budget of the host when a call after this one was asked of it. */
+  budget?: retryBudgets.Balance;
 }
 
 /** Creates the record of a call that begins. */
--- a/src/gateway/retry_budget.ts
+++ b/src/gateway/retry_budget.ts
@@ -16,6 +16,18 @@
   readonly window: number;
 }
 
+/** Use of a budget at one time, for log lines. */
+export interface Balance {
+  /** Requests in the window. */
+  readonly requests: number;
+  /** Retries in the window. */
+  readonly retries: number;
+  /** Retries that are allowed in the window; a fraction is of no use. */
+  readonly allowance: number;
+  /** Number of hosts that share the burst, as far as this host knows. */
+  readonly hosts: number;
+}
+
 /** Part of the bounds that is used: a host's count of hosts may lag by one in
  * three, and windows slide. */
 const USED_RATIO = 0.6;
@@ -78,6 +90,17 @@
     return USED_RATIO * (earned + burst / Math.max(1, hosts));
   }
 
+  /** Use of the budget in the window that ends now. */
+  balance(now: number, hosts: number): Balance {
+    this.#expire(now);
+    return {
+      requests: this.#requests.length,
+      retries: this.#retries.length,
+      allowance: Number(this.allowance(hosts).toFixed(2)),
+      hosts,
+    };
+  }
+
   #expire(now: number): void {
     const from = now - this.#bounds.window;
     this.#requests = timesAfter(this.#requests, from);
--- a/src/gateway/silent_call_test.ts
+++ b/src/gateway/silent_call_test.ts
@@ -217,6 +217,7 @@
         withdrawals++;
         return budget.tryWithdraw(now, hosts);
       },
+      balance: (now: number, hosts: number) => budget.balance(now, hosts),
     }),
   });
   setTimeout(() => endpoints[0].isReady = false, IDLE_TIMEOUT_MS / 2);
