Retry budget: shares of hosts that were lost stay unused for a window

The burst is divided by the hosts that are live now. Hosts now divide it by the largest number of hosts that they have counted within the window.

--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -71,6 +71,8 @@
   readonly #tunnelServer: relay.TunnelServer;
   readonly #connections: connections.Connections;
   readonly #partialAnswers: partialAnswers.PartialAnswers;
+  /** Entry hosts that may have used retries within the budget's window. */
+  readonly #hostCount: gateway.PeakCount;
   /** Time at which the process started. */
   readonly #startedAt: number;
   readonly #retryBudgets = new Map<string, gateway.RetryBudget>();
@@ -96,6 +98,7 @@
     const { host: self, dataCentre, seeds } = settings;
     this.#options = options;
     this.#startedAt = options.clock.now();
+    this.#hostCount = gateway.PeakCount.create(settings.bounds.retryWindow);
     this.#pool = gateway.EndpointPool.create({
       isPerformanceEnabled: !settings.disabledParts.has("performance"),
     });
@@ -352,7 +355,8 @@
       fleetView: {
         catalogue: () => this.#catalogue,
         configurationAge: () => this.#syncClient.proofAge,
-        hostCount: () => Math.max(1, this.#syncClient.hosts.length),
+        hostCount: () =>
+          Math.max(1, this.#hostCount.peak(this.#options.clock.now())),
       },
       retryBudget: (service) => this.#retryBudget(service),
       isDraining: () => this.#isDraining,
@@ -401,7 +405,8 @@
   }
 
   #applyChanges(): void {
-    const { roster } = this.#syncClient;
+    const { roster, hosts } = this.#syncClient;
+    this.#hostCount.record(hosts.length, this.#options.clock.now());
     this.#originClient.observe(roster.entries);
     const ended = this.#pool.update(
       roster.entries,
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -27,7 +27,8 @@
   catalogue(): configurations.Catalogue | undefined;
   /** Milliseconds by which the configuration may be out of date. */
   configurationAge(): number;
-  /** Number of hosts that share the retry budget; at least 1. */
+  /** Number of hosts that share the retry budget; at least 1. Hosts that were
+   * lost within its window still count. */
   hostCount(): number;
 }
 
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -6,6 +6,7 @@
 export * from "./calibration.ts";
 export * from "./context.ts";
 export * from "./input_retention.ts";
+export * from "./peak_count.ts";
 export * from "./prior_wait.ts";
 export * from "./placement.ts";
 export * from "./endpoint_pool.ts";
--- a/src/gateway/retry_budget_test.ts
+++ b/src/gateway/retry_budget_test.ts
@@ -1,6 +1,7 @@
 /** @module */
 
 import test from "ava";
+import * as peakCounts from "./peak_count.ts";
 import * as retryBudgets from "./retry_budget.ts";
 
 const BOUNDS = { ratio: 0.2, burst: 50, window: 10_000 };
@@ -85,6 +86,29 @@
   }
 });
 
+// Guards against survivors that take over the shares of hosts that are lost just
+// after they have used them.
+test("hosts that remain when others are lost stay within the bounds", (t) => {
+  const budgets = Array.from(
+    { length: 6 },
+    () => retryBudgets.RetryBudget.create(BOUNDS),
+  );
+  const [first] = budgets;
+  const live = peakCounts.PeakCount.create(BOUNDS.window);
+  live.record(6, 0);
+  let repeats = 0;
+  for (const each of budgets) {
+    repeats += withdrawAll(each, 20_000, live.peak(20_000));
+  }
+  for (let lost = 1; lost < 6; lost++) {
+    live.record(6 - lost, 20_000 + 1000 * lost);
+    const now = 20_500 + 1000 * lost;
+    repeats += withdrawAll(first, now, live.peak(now));
+  }
+  t.true(repeats <= BOUNDS.burst, `${repeats} repeats`);
+  t.true(withdrawAll(first, 40_000, live.peak(40_000)) > 5);
+});
+
 test("a host that has just started retries a part of its requests", (t) => {
   const budget = retryBudgets.RetryBudget.create(BOUNDS, { startedAt: 0 });
   for (let pos = 0; pos < 100; pos++) budget.deposit(1000);
