--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -71,6 +71,10 @@
   readonly #tunnelServer: relay.TunnelServer;
   readonly #connections: connections.Connections;
   readonly #partialAnswers: partialAnswers.PartialAnswers;
+  /** Entry hosts that may have used retries within the budget's window. */
+  readonly #hostCount: gateway.PeakCount;
+  /** Time at which the process started. */
+  readonly #startedAt: number;
   readonly #retryBudgets = new Map<string, gateway.RetryBudget>();
   #catalogue?: configurations.Catalogue;
   /** Undefined where accounts have no shares. */
@@ -93,6 +97,8 @@
     const { settings, clock, logger } = options;
     const { host: self, dataCentre, seeds } = settings;
     this.#options = options;
+    this.#startedAt = options.clock.now();
+    this.#hostCount = gateway.PeakCount.create(settings.bounds.retryWindow);
     this.#pool = gateway.EndpointPool.create({
       isPerformanceEnabled: !settings.disabledParts.has("performance"),
     });
@@ -337,7 +343,7 @@
       quotas: this.#quotaClient,
       slots: this.#slotClient,
       origins: this.#originClient,
-      startedAt: this.#options.clock.now(),
+      startedAt: this.#startedAt,
       maxConfigurationAge: this.#maxProofAge,
       calibration: gateway.Calibration.create(),
       priorWait: gateway.PriorWait.create(),
@@ -349,7 +355,8 @@
       fleetView: {
         catalogue: () => this.#catalogue,
         configurationAge: () => this.#syncClient.proofAge,
-        hostCount: () => Math.max(1, this.#syncClient.hosts.length),
+        hostCount: () =>
+          Math.max(1, this.#hostCount.peak(this.#options.clock.now())),
       },
       retryBudget: (service) => this.#retryBudget(service),
       isDraining: () => this.#isDraining,
@@ -365,7 +372,7 @@
       ratio: bounds.retryRatio,
       burst: bounds.retryBurst,
       window: bounds.retryWindow,
-    });
+    }, { startedAt: this.#startedAt });
     this.#retryBudgets.set(service, budget);
     return budget;
   }
@@ -398,7 +405,8 @@
   }
 
   #applyChanges(): void {
-    const { roster } = this.#syncClient;
+    const { roster, hosts } = this.#syncClient;
+    this.#hostCount.record(hosts.length, this.#options.clock.now());
     this.#originClient.observe(roster.entries);
     const ended = this.#pool.update(
       roster.entries,
