--- a/src/endpoint_calls/read_slices.ts
+++ b/src/endpoint_calls/read_slices.ts
@@ -14,7 +14,7 @@
  * become too large, and creates an error for each further header line. */
 export const SLICE_BYTES = 4 * 1024;
 /** Milliseconds of a turn in which further slices are read, over all connections:
- * some megabytes of sound answers, and too short to delay other requests. */
+ * about a megabyte of sound answers, and too short to delay other requests. */
 const MAX_TURN_MS = 5;
 
 /** A connection as far as it is read. */
