Log: votes, election timeouts and slow writes are logged

Cause: "Role in the log changed" showed candidates that followed each other, not why voters gave them no vote, nor that a vote waited for a disk. Change: `Vote request answered` has the candidate, its term and the outcome (granted, leader-heard, term-outdated, voted-for-another, log-behind), `Election timeout passed` what the voter does, `Slow write to the disk of the log` writes above a heartbeat interval; five a second at most. The test that an ignored request has no effect now asserts that the report is the only one.

--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -41,11 +41,14 @@
   body: schema.VoteRequest,
 ): void {
   const { state } = draft;
-  if (!body.transfer && hasRecentLeader(draft)) return;
+  if (!body.transfer && hasRecentLeader(draft)) {
+    return reportDecision(draft, { from, body, outcome: "leader-heard" });
+  }
   if (body.pre) return answerPreVote(draft, from, body);
   if (body.term > state.term) drafts.becomeFollower(draft, body.term);
-  const free = state.vote === undefined || state.vote === from;
-  const granted = body.term === state.term && free && isUpToDate(state, body);
+  const outcome = voteOutcome(draft, from, body);
+  reportDecision(draft, { from, body, outcome });
+  const granted = outcome === "granted";
   if (granted && state.vote === undefined) {
     state.vote = from;
     drafts.persist(draft, { type: "vote", term: state.term, vote: from });
@@ -105,6 +108,7 @@
 
 function startPreVote(draft: drafts.Draft): void {
   const { state } = draft;
+  reportTimeout(draft, "pre-vote");
   drafts.setRole(draft, "pre-candidate");
   drafts.resetRetryTimer(draft);
   state.votes = [state.id];
@@ -160,7 +164,9 @@
   body: schema.VoteRequest,
 ): void {
   const { state } = draft;
-  const granted = body.term > state.term && isUpToDate(state, body);
+  const outcome = preVoteOutcome(state, body);
+  reportDecision(draft, { from, body, outcome });
+  const granted = outcome === "granted";
   // With simultaneous candidates neither would win if all votes are needed, so
   // the one with the greater id withdraws.
   const stepsAside = granted && state.role === "pre-candidate" &&
@@ -173,6 +179,67 @@
   drafts.send(draft, from, { type: "vote", term, granted, pre: true });
 }
 
+function voteOutcome(
+  { state }: drafts.Draft,
+  from: string,
+  body: schema.VoteRequest,
+): state.VoteOutcome {
+  if (body.term !== state.term) return "term-outdated";
+  const isFree = state.vote === undefined || state.vote === from;
+  if (!isFree) return "voted-for-another";
+  return isUpToDate(state, body) ? "granted" : "log-behind";
+}
+
+function preVoteOutcome(
+  from: state.State,
+  body: schema.VoteRequest,
+): state.VoteOutcome {
+  if (body.term <= from.term) return "term-outdated";
+  return isUpToDate(from, body) ? "granted" : "log-behind";
+}
+
+interface AnsweredRequest {
+  readonly from: string;
+  readonly body: schema.VoteRequest;
+  readonly outcome: state.VoteOutcome;
+}
+
+function reportDecision(
+  draft: drafts.Draft,
+  { from, body, outcome }: AnsweredRequest,
+): void {
+  draft.effects.push({
+    type: "vote-decision",
+    decision: {
+      candidate: replicaId.host(from),
+      term: body.term,
+      isPreVote: body.pre ?? false,
+      outcome,
+      leaderHeardMs: leaderHeardMs(draft),
+    },
+  });
+}
+
+function reportTimeout(
+  draft: drafts.Draft,
+  action: state.ElectionAction,
+): void {
+  const { state: { term, votes } } = draft;
+  draft.effects.push({
+    type: "election-timeout",
+    timeout: {
+      action,
+      term,
+      votes: votes.map((id) => replicaId.host(id)),
+      leaderHeardMs: leaderHeardMs(draft),
+    },
+  });
+}
+
+function leaderHeardMs({ state, now }: drafts.Draft): number {
+  return Math.round(now - state.lastLeaderContact);
+}
+
 /** Whether a leader was heard within the minimum election timeout; on a leader,
  * whether a majority has answered it within that time. */
 function hasRecentLeader(draft: drafts.Draft): boolean {
--- a/src/control/log/replica_test.ts
+++ b/src/control/log/replica_test.ts
@@ -111,15 +111,51 @@
 test("ignores candidates just after its start and while a leader is active", (t) => {
   const replica = createReplica();
   const { minElectionTimeout } = log.DEFAULT_TIMING;
+  const decision = {
+    candidate: "b",
+    term: 2,
+    isPreVote: false,
+    outcome: "leader-heard" as const,
+    leaderHeardMs: minElectionTimeout - 1,
+  };
+  const onlyReported = [{ type: "vote-decision" as const, decision }];
   const early = replica.step(createRequest(), minElectionTimeout - 1);
-  t.deepEqual(early.effects, []);
+  t.deepEqual(early.effects, onlyReported);
   const heard = replica.step(createAppend([]), minElectionTimeout).replica;
   const last = 2 * minElectionTimeout - 1;
   const { effects, replica: next } = heard.step(createRequest(), last);
-  t.deepEqual(effects, []);
+  t.deepEqual(effects, onlyReported);
   t.is(next.state.term, 1);
 });
 
+test("reports how each vote request was answered", (t) => {
+  const replica = createReplica();
+  const outcomes = [
+    createRequest({ pre: true }),
+    createRequest({ term: 1, pre: true }),
+    createRequest({ lastIndex: 0, lastTerm: 0 }),
+    createRequest(),
+    { ...createRequest(), host: "c" },
+    createRequest({ term: 1 }),
+  ];
+  let current = replica;
+  const reported = outcomes.map((request) => {
+    const { replica: next, effects } = current.step(request, VOTING_ALLOWED_AT);
+    current = next;
+    return effects.flatMap((effect) =>
+      effect.type === "vote-decision" ? [effect.decision.outcome] : []
+    );
+  });
+  t.deepEqual(reported, [
+    ["granted"],
+    ["term-outdated"],
+    ["log-behind"],
+    ["granted"],
+    ["voted-for-another"],
+    ["term-outdated"],
+  ]);
+});
+
 test("ignores messages to an earlier incarnation of its host's replica", (t) => {
   const replica = createReplica();
   const event = createRequest({ to: "0" });
--- a/src/control/log/runner.ts
+++ b/src/control/log/runner.ts
@@ -58,7 +58,11 @@
     this.#writer = new writers.Writer({
       journal,
       clock,
-      onSynced: (write) => this.#handleSynced(write),
+      onSynced: (write, durationMs) => {
+        const { heartbeat } = this.#replica.state.timing;
+        if (durationMs > heartbeat) options.onSlowWrite?.(durationMs);
+        this.#handleSynced(write);
+      },
       onFailure: (cause) => this.#fail("storage", cause),
     });
     this.#pauseDetector = new pauseDetectors.PauseDetector(clock);
@@ -288,6 +292,9 @@
       }
       this.#options.onRole?.(role, term, { leader });
     },
+    "vote-decision": ({ decision }) => this.#options.onVoteDecision?.(decision),
+    "election-timeout": ({ timeout }) =>
+      this.#options.onElectionTimeout?.(timeout),
     "need-snapshot": ({ index }) => {
       const { machine } = this.#options;
       const data = JSON.stringify(machine.toJSON(this.#state));
--- a/src/control/log/runner_options.ts
+++ b/src/control/log/runner_options.ts
@@ -27,6 +27,12 @@
   onChange?(state: State, index: number): void;
   /** Called when the role, the term or the known leader has changed. */
   onRole?(role: states.Role, term: number, options: { leader?: string }): void;
+  /** Called after a vote request was answered or ignored. */
+  onVoteDecision?(decision: states.VoteDecision): void;
+  /** Called when a voter's election timeout has passed. */
+  onElectionTimeout?(timeout: states.ElectionTimeout): void;
+  /** Called after a write that took longer than a heartbeat interval. */
+  onSlowWrite?(durationMs: number): void;
   /** Called once after the runner has stopped because of a failed write or an
    * inconsistency. */
   onFailure?(failure: errors.LogError): void;
--- a/src/control/log/state.ts
+++ b/src/control/log/state.ts
@@ -202,6 +202,41 @@
   /** Transfers leadership before a shutdown. */
   | { type: "transfer" };
 
+/** How a voter answered a vote request. It ignores requests when it has heard a
+ * leader within the minimum election timeout. */
+export type VoteOutcome =
+  | "granted"
+  | "leader-heard"
+  | "term-outdated"
+  | "voted-for-another"
+  | "log-behind";
+
+/** Answer to a vote request. */
+export interface VoteDecision {
+  /** Host that asks for the vote. */
+  readonly candidate: string;
+  /** Term that the candidate asks for. */
+  readonly term: number;
+  readonly isPreVote: boolean;
+  readonly outcome: VoteOutcome;
+  /** Milliseconds since a leader was last heard. */
+  readonly leaderHeardMs: number;
+}
+
+/** What a voter does when its election timeout passes. */
+export type ElectionAction = "pre-vote";
+
+/** An election timeout of a voter. */
+export interface ElectionTimeout {
+  readonly action: ElectionAction;
+  /** Current term; that of the votes when they are asked for again. */
+  readonly term: number;
+  /** Hosts whose votes this host had received before. */
+  readonly votes: readonly string[];
+  /** Milliseconds since a leader was last heard. */
+  readonly leaderHeardMs: number;
+}
+
 /** A record to persist. Entries replace all stored entries from the index of
  * their first one on. */
 export type LogRecord =
@@ -228,5 +263,7 @@
   /** The proposed commands were rejected. */
   | { type: "reject"; reason: "not-leader" | "no-quorum"; leader?: string }
   | { type: "role"; role: Role; term: number; leader?: string }
+  | { type: "vote-decision"; decision: VoteDecision }
+  | { type: "election-timeout"; timeout: ElectionTimeout }
   /** Requests a `snapshot` event with the state at `index`. */
   | { type: "need-snapshot"; index: number };
--- a/src/control/log/writer.ts
+++ b/src/control/log/writer.ts
@@ -10,8 +10,9 @@
 export interface WriterOptions {
   readonly journal: journals.Journal;
   readonly clock: runtime.Clock;
-  /** Called when the records up to number `write` are durable. */
-  onSynced(write: number): void;
+  /** Called when the records up to number `write` are durable; the last write
+   * took `durationMs`. */
+  onSynced(write: number, durationMs: number): void;
   onFailure(cause: unknown): void;
 }
 
@@ -62,7 +63,7 @@
         this.#writes++;
         this.#writeStartedAt = clock.now();
         await journal.write(records);
-        onSynced(last);
+        onSynced(last, this.currentWriteMs);
       }
       this.#writeStartedAt = undefined;
     } catch (cause) {
--- a/src/control/versions/configuration_store.ts
+++ b/src/control/versions/configuration_store.ts
@@ -4,7 +4,7 @@
 
 import * as runtime from "../../runtime/mod.ts";
 import type * as schema from "../../schema/fleet_types.ts";
-import type * as telemetry from "../../telemetry/mod.ts";
+import * as telemetry from "../../telemetry/mod.ts";
 import * as log from "../log/mod.ts";
 import * as configurationVersions from "./configuration_version.ts";
 import * as errors from "./errors.ts";
@@ -20,6 +20,9 @@
  * a log line means that one has failed. */
 const LEADER_CHECK_INTERVAL_MS = 1000;
 
+/** Bounds of log lines about votes: some elections in a row with five voters. */
+const ELECTION_LOG_BOUNDS = { rate: 5, burst: 100 };
+
 /** Log sizes for commands that contain whole documents of about 100 kB each:
  * frequent snapshots keep disk usage small. */
 const LOG_SIZES = {
@@ -79,6 +82,8 @@
   #runner?: Runner;
   #desiredVoters: readonly string[];
   #knownHosts: readonly string[] = [];
+  /** Logger of votes and slow writes, which may follow each other quickly. */
+  readonly #electionLogger: telemetry.Logger;
   #commandCount = 0;
   #stopped = false;
   #indexWaiters: { index: number; resolve(): void }[] = [];
@@ -94,6 +99,11 @@
 
   private constructor(options: ConfigurationStoreOptions) {
     this.#options = options;
+    this.#electionLogger = telemetry.boundLogger(
+      options.logger,
+      options.clock,
+      ELECTION_LOG_BOUNDS,
+    );
     this.#desiredVoters = options.initialVoters;
     this.#leaderClient = leaderClient.LeaderClient.create({
       ...options,
@@ -319,6 +329,15 @@
           queueMicrotask(() => this.#leaderClient.handleLeaderChange());
           if (role === "leader") queueMicrotask(() => this.#handleElected());
         },
+        onVoteDecision: (decision) =>
+          this.#electionLogger.info(decision, "Vote request answered"),
+        onElectionTimeout: (timeout) =>
+          this.#electionLogger.info(timeout, "Election timeout passed"),
+        onSlowWrite: (durationMs) =>
+          this.#electionLogger.info(
+            { durationMs: Math.round(durationMs) },
+            "Slow write to the disk of the log",
+          ),
         onFailure: (failure) => void this.#restart(failure, opened),
       });
     } catch (error) {
