Log: a candidate asks again for votes in the same term

Cause: entry hosts refused requests as stale-configuration after a leader stood still. A candidate that had no majority after 300 to 600 ms went on to a pre-vote and the next term, and so dropped votes that voters were still writing; a candidate also granted pre-votes of others, who then deposed it. On slow disks candidates followed each other. Seen with real processes: a vote took 801 ms. Change: unless a voter denies the vote, the candidate repeats its requests once in the same term and answers no pre-vote meanwhile. Once only: a candidate that lost the link to a voter must not hold back the others. Conclusion: one term is enough as long as votes come within two retry timeouts.

--- a/bench/log_fuzz/host.ts
+++ b/bench/log_fuzz/host.ts
@@ -136,9 +136,9 @@
     if (this.#syncing || this.isStalled || this.#disk.waiting === 0) return;
     this.#syncing = true;
     const disk = this.#disk;
-    const { random, clock } = this.#world;
-    const most = this.#world.breakage.lyingDisks ? 600 : 6;
-    clock.after(0.2 + random.next() * most, () => {
+    const { random, clock, breakage, weather } = this.#world;
+    const spread = breakage.lyingDisks ? 600 : weather.syncSpread;
+    clock.after(0.2 + random.next() * spread, () => {
       if (disk !== this.#disk) return;
       this.#later(() => {
         if (disk !== this.#disk) return;
--- a/bench/log_fuzz/world.ts
+++ b/bench/log_fuzz/world.ts
@@ -34,8 +34,20 @@
   duplicate: number;
   /** Share of messages that are very late. */
   late: number;
+  /** Milliseconds by which the delays of all other messages vary. */
+  delaySpread: number;
+  /** Milliseconds by which the durations of disk syncs vary. */
+  syncSpread: number;
 }
 
+const FAIR_WEATHER: Weather = {
+  drop: 0,
+  duplicate: 0,
+  late: 0,
+  delaySpread: 4,
+  syncSpread: 6,
+};
+
 const SIZES: Partial<log.Sizes> = {
   maxBatchEntries: 4,
   maxBatchCharacters: 200,
@@ -57,7 +69,7 @@
   readonly random: runtime.Random;
   readonly checker = new checkers.Checker();
   readonly hosts: readonly hosts.Host[];
-  readonly weather: Weather = { drop: 0, duplicate: 0, late: 0 };
+  readonly weather: Weather = { ...FAIR_WEATHER };
   readonly breakage: Breakage;
   readonly #named: number;
   /** Pairs `from>to` that nothing passes. */
@@ -140,7 +152,7 @@
         random.next() < weather.drop;
       const delay = random.next() < weather.late
         ? random.next() * 1500
-        : 0.5 + random.next() * 4;
+        : 0.5 + random.next() * weather.delaySpread;
       if (isLost) continue;
       this.clock.after(delay, () => {
         const host = this.hosts.find(({ name }) => name === envelope.to)!;
@@ -152,7 +164,7 @@
   /** Ends all faults and starts all that is down. */
   heal(): void {
     this.cut.clear();
-    Object.assign(this.weather, { drop: 0, duplicate: 0, late: 0 });
+    Object.assign(this.weather, FAIR_WEATHER);
     for (const host of this.hosts) {
       host.resume();
       host.start();
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -10,12 +10,16 @@
 import type * as state from "./state.ts";
 
 /** Starts a pre-vote or a bootstrap election and probes the other hosts when no
- * leader was heard within the election timeout. */
+ * leader was heard within the election timeout.
+ *
+ * A candidate whose votes are still due asks for them once more in the same term.
+ * A new term would void votes that voters are still writing to their disks: with
+ * disks slower than the retry timeout, no candidate would ever win. */
 export function handleElectionTimeout(draft: drafts.Draft): void {
   drafts.resetElectionTimer(draft);
   const { state } = draft;
   state.incomingSnapshot = undefined;
-  if (drafts.isVoter(state)) startPreVote(draft);
+  if (drafts.isVoter(state)) continueElection(draft);
   else if (mayBootstrap(state)) {
     return startElection(draft, initialVotersOf(state));
   } else drafts.becomeFollower(draft, state.term);
@@ -68,6 +72,9 @@
   if (!body.granted && body.term > state.term) {
     return drafts.becomeFollower(draft, body.term);
   }
+  if (!body.granted && !body.pre && body.term === state.term) {
+    state.isDenied = true;
+  }
   const phase = body.pre ? "pre-candidate" : "candidate";
   const term = body.pre ? state.term + 1 : state.term;
   if (state.role !== phase || body.term !== term || !body.granted) return;
@@ -106,6 +113,18 @@
   }
 }
 
+function continueElection(draft: drafts.Draft): void {
+  const { state } = draft;
+  if (!isElectionOpen(state) || state.hasRetried) return startPreVote(draft);
+  reportTimeout(draft, "repeat");
+  state.hasRetried = true;
+  drafts.resetRetryTimer(draft);
+  // Until its own vote is durable, the first requests have not been sent.
+  if (state.synced === state.written) {
+    requestVotes(draft, { term: state.term });
+  }
+}
+
 function startPreVote(draft: drafts.Draft): void {
   const { state } = draft;
   reportTimeout(draft, "pre-vote");
@@ -130,6 +149,8 @@
   );
   state.vote = state.id;
   state.votes = [];
+  state.isDenied = false;
+  state.hasRetried = false;
   state.initialVoters = initialVoters;
   state.emptyReplicas = {};
   drafts.setRole(draft, "candidate");
@@ -144,20 +165,23 @@
 
 function requestVotes(draft: drafts.Draft, fields: VoteRequestFields): void {
   const { state } = draft;
-  const { index: lastIndex, term: lastTerm } = state.log.last;
-  const request = {
-    type: "vote-request" as const,
-    lastIndex,
-    lastTerm,
-    ...fields,
-  };
   for (const id of state.initialVoters ?? drafts.otherVoters(state)) {
-    if (id === state.id) continue;
-    if (fields.pre) drafts.send(draft, id, request);
-    else drafts.sendWhenDurable(draft, id, request);
+    if (id !== state.id) requestVote(draft, id, fields);
   }
 }
 
+function requestVote(
+  draft: drafts.Draft,
+  to: string,
+  fields: VoteRequestFields,
+): void {
+  const { index: lastIndex, term: lastTerm } = draft.state.log.last;
+  const type = "vote-request" as const;
+  const request = { type, lastIndex, lastTerm, ...fields };
+  if (fields.pre) drafts.send(draft, to, request);
+  else drafts.sendWhenDurable(draft, to, request);
+}
+
 function answerPreVote(
   draft: drafts.Draft,
   from: string,
@@ -166,6 +190,7 @@
   const { state } = draft;
   const outcome = preVoteOutcome(state, body);
   reportDecision(draft, { from, body, outcome });
+  if (outcome === "candidate") return;
   const granted = outcome === "granted";
   // With simultaneous candidates neither would win if all votes are needed, so
   // the one with the greater id withdraws.
@@ -190,12 +215,20 @@
   return isUpToDate(state, body) ? "granted" : "log-behind";
 }
 
+/** Whether this voter is a candidate that may still win in the current term: no
+ * voter has denied its vote. A pre-vote that it granted now could void the votes
+ * that others are writing to their disks. */
+function isElectionOpen(from: state.State): boolean {
+  return from.role === "candidate" && !from.isDenied && drafts.isVoter(from);
+}
+
 function preVoteOutcome(
-  from: state.State,
+  own: state.State,
   body: schema.VoteRequest,
 ): state.VoteOutcome {
-  if (body.term <= from.term) return "term-outdated";
-  return isUpToDate(from, body) ? "granted" : "log-behind";
+  if (isElectionOpen(own)) return "candidate";
+  if (body.term <= own.term) return "term-outdated";
+  return isUpToDate(own, body) ? "granted" : "log-behind";
 }
 
 interface AnsweredRequest {
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -243,6 +243,8 @@
     lastLeaderContact: now,
     electionAt: now,
     votes: [],
+    isDenied: false,
+    hasRetried: false,
     isBootstrap,
     minBootstrapTerm,
     emptyReplicas: {},
--- a/src/control/log/replica_test.ts
+++ b/src/control/log/replica_test.ts
@@ -292,3 +292,51 @@
   t.true(wait >= minElectionTimeout / 2);
   t.true(wait <= maxElectionTimeout - minElectionTimeout / 2);
 });
+
+/** Makes a replica a candidate whose own vote is durable. */
+function createCandidate(): log.Replica {
+  let replica = createReplica();
+  ({ replica } = replica.step({ type: "tick" }, replica.wakeAt));
+  const preVote = {
+    type: "vote" as const,
+    from: "1",
+    to: "1",
+    term: 2,
+    granted: true,
+    pre: true,
+  };
+  const event = { type: "message" as const, host: "b", body: preVote };
+  ({ replica } = replica.step(event, VOTING_ALLOWED_AT + 300));
+  const write = replica.state.written;
+  return replica.step({ type: "synced", write }, VOTING_ALLOWED_AT + 310)
+    .replica;
+}
+
+// Guards against a candidate that cannot win and keeps others from trying:
+// without the limit it asked the voters that it still reached for ever.
+test("a candidate asks for votes once more, then starts a new pre-vote", (t) => {
+  let replica = createCandidate();
+  t.is(replica.state.role, "candidate");
+  let step = replica.step({ type: "tick" }, replica.wakeAt);
+  t.like(sent(step.effects)[0], { type: "vote-request", term: 2 });
+  t.is(step.replica.state.role, "candidate");
+  replica = step.replica;
+  step = replica.step({ type: "tick" }, replica.wakeAt);
+  t.like(sent(step.effects)[0], { type: "vote-request", term: 3, pre: true });
+  t.is(step.replica.state.role, "pre-candidate");
+});
+
+test("a candidate that was denied a vote starts a new pre-vote", (t) => {
+  let replica = createCandidate();
+  const denial = {
+    type: "vote" as const,
+    from: "1",
+    to: "1",
+    term: 2,
+    granted: false,
+  };
+  const event = { type: "message" as const, host: "b", body: denial };
+  ({ replica } = replica.step(event, VOTING_ALLOWED_AT + 320));
+  ({ replica } = replica.step({ type: "tick" }, replica.wakeAt));
+  t.is(replica.state.role, "pre-candidate");
+});
--- a/src/control/log/state.ts
+++ b/src/control/log/state.ts
@@ -145,6 +145,10 @@
   readonly lastLeaderContact: number;
   readonly electionAt: number;
   readonly votes: readonly string[];
+  /** Whether a voter has denied this candidate its vote in the current term. */
+  readonly isDenied: boolean;
+  /** Whether this candidate has asked for votes in vain before. */
+  readonly hasRetried: boolean;
   /** Whether this replica may bootstrap a new log on an empty disk. */
   readonly isBootstrap: boolean;
   /** Minimum first term of a log that this replica bootstraps. */
@@ -203,10 +207,12 @@
   | { type: "transfer" };
 
 /** How a voter answered a vote request. It ignores requests when it has heard a
- * leader within the minimum election timeout. */
+ * leader within the minimum election timeout, and pre-votes while it is a
+ * candidate that may still win. */
 export type VoteOutcome =
   | "granted"
   | "leader-heard"
+  | "candidate"
   | "term-outdated"
   | "voted-for-another"
   | "log-behind";
@@ -223,8 +229,9 @@
   readonly leaderHeardMs: number;
 }
 
-/** What a voter does when its election timeout passes. */
-export type ElectionAction = "pre-vote";
+/** What a voter does when its election timeout passes: it starts a pre-vote, or
+ * asks once more for votes that no voter has denied. */
+export type ElectionAction = "pre-vote" | "repeat";
 
 /** An election timeout of a voter. */
 export interface ElectionTimeout {
