Log: of simultaneous pre-candidates the smaller id goes first

Cause: two voters whose timeouts passed within one round trip granted each other pre-votes, became candidates of the same term, and split the vote: only the one with the greater id withdrew, and only if it had not been granted before. Change: a pre-candidate does not grant a pre-vote to a greater id with an equal log, and asks it again in place. On its first attempt only, since it may be the one that reaches no majority.

--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -128,6 +128,7 @@
 function startPreVote(draft: drafts.Draft): void {
   const { state } = draft;
   reportTimeout(draft, "pre-vote");
+  state.hasRetried = state.role !== "follower";
   drafts.setRole(draft, "pre-candidate");
   drafts.resetRetryTimer(draft);
   state.votes = [state.id];
@@ -188,9 +189,14 @@
   body: schema.VoteRequest,
 ): void {
   const { state } = draft;
-  const outcome = preVoteOutcome(state, body);
+  const outcome = preVoteOutcome(state, from, body);
   reportDecision(draft, { from, body, outcome });
   if (outcome === "candidate") return;
+  if (outcome === "rival") {
+    // The rival may have ignored the first request because it had still heard
+    // the leader then.
+    return requestVote(draft, from, { term: state.term + 1, pre: true });
+  }
   const granted = outcome === "granted";
   // With simultaneous candidates neither would win if all votes are needed, so
   // the one with the greater id withdraws.
@@ -224,11 +230,25 @@
 
 function preVoteOutcome(
   own: state.State,
+  from: string,
   body: schema.VoteRequest,
 ): state.VoteOutcome {
   if (isElectionOpen(own)) return "candidate";
   if (body.term <= own.term) return "term-outdated";
-  return isUpToDate(own, body) ? "granted" : "log-behind";
+  if (!isUpToDate(own, body)) return "log-behind";
+  return hasPrecedence(own, from, body) ? "rival" : "granted";
+}
+
+/** Whether this pre-candidate goes before a simultaneous one, which withdraws:
+ * its log is as long, and its id is smaller. Only on its first attempt, since it
+ * may be the one that can't reach a majority. */
+function hasPrecedence(
+  { id, role, log, hasRetried }: state.State,
+  from: string,
+  { lastIndex, lastTerm }: schema.VoteRequest,
+): boolean {
+  return role === "pre-candidate" && !hasRetried && id < from &&
+    lastIndex === log.last.index && lastTerm === log.last.term;
 }
 
 interface AnsweredRequest {
--- a/src/control/log/standstill_test.ts
+++ b/src/control/log/standstill_test.ts
@@ -1,6 +1,7 @@
 /** Guards against a log without a leader for longer than entry hosts serve
  * without a confirmed configuration, while voters stand still in turn. On slow
- * disks votes arrived after the candidate had started the next term.
+ * disks votes arrived after the candidate had started the next term, and voters
+ * that became candidates at once split the vote.
  * @module */
 
 import test from "ava";
@@ -75,6 +76,8 @@
 /** Conditions by name: disks and links as on a busy machine. */
 const CONDITIONS: Record<string, Partial<fuzz.Weather>> = {
   "on slow disks": { syncSpread: 300 },
+  "on slow disks and links": { syncSpread: 200, delaySpread: 60 },
+  "on slow links": { delaySpread: 150 },
 };
 
 for (const [name, weather] of Object.entries(CONDITIONS)) {
--- a/src/control/log/state.ts
+++ b/src/control/log/state.ts
@@ -147,7 +147,8 @@
   readonly votes: readonly string[];
   /** Whether a voter has denied this candidate its vote in the current term. */
   readonly isDenied: boolean;
-  /** Whether this candidate has asked for votes in vain before. */
+  /** Whether this candidate or pre-candidate has asked for votes in vain
+   * before. */
   readonly hasRetried: boolean;
   /** Whether this replica may bootstrap a new log on an empty disk. */
   readonly isBootstrap: boolean;
@@ -208,11 +209,12 @@
 
 /** How a voter answered a vote request. It ignores requests when it has heard a
  * leader within the minimum election timeout, and pre-votes while it is a
- * candidate that may still win. */
+ * candidate that may still win, or before a rival in the same position. */
 export type VoteOutcome =
   | "granted"
   | "leader-heard"
   | "candidate"
+  | "rival"
   | "term-outdated"
   | "voted-for-another"
   | "log-behind";
