Log: heartbeats reach followers whose disks are slow

Cause: a leader lost its lease, confirmed no reads and stepped down after 900 ms although a majority was awake. A follower with overdue entries got an append in place of the heartbeat, and acknowledges that only once its disk has the entries. Change: such a follower gets both; it answers the heartbeat at once. Conclusion: contact with followers no longer depends on their disks.

--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -56,8 +56,8 @@
 }
 
 /** Sends a heartbeat to each other member. A member whose acknowledgement of
- * entries is overdue gets an append instead that determines its last matching
- * index. */
+ * entries is overdue also gets an append that determines its last matching index;
+ * it answers that only once its disk has what it received before. */
 export function sendHeartbeats(draft: drafts.Draft): void {
   const { state, now } = draft;
   state.heartbeatAt = now + state.timing.heartbeat;
@@ -68,12 +68,11 @@
     if (match < state.log.last.index && lost && isRecent(draft, id)) {
       setProgress(draft, id, { next: match + 1, isMatchKnown: false });
       sendAppend(draft, id);
-    } else {
-      const commit = Math.min(match, state.commit);
-      const at = Math.floor(now);
-      const { term } = state;
-      drafts.send(draft, id, { type: "heartbeat", term, commit, at });
     }
+    const commit = Math.min(match, state.commit);
+    const at = Math.floor(now);
+    const { term } = state;
+    drafts.send(draft, id, { type: "heartbeat", term, commit, at });
   }
 }
 
--- a/src/control/log/standstill_test.ts
+++ b/src/control/log/standstill_test.ts
@@ -93,3 +93,24 @@
     t.log(`${longest} ms at most`);
   });
 }
+
+// Guards against a leader that steps down, or confirms no reads, because the only
+// other awake voter writes slowly: it acknowledged overdue entries only once they
+// were on its disk, and got no heartbeats meanwhile.
+test("a leader confirms reads while the only other awake voter's disk stalls", async (t) => {
+  const world = new fuzz.World({ seed: 1, voters: 3 });
+  world.hosts.forEach((host) => host.start());
+  await world.run(SETUP_MS);
+  const leader = world.hosts.find(isReadable)!;
+  const [stalled, frozen] = world.hosts.filter((host) => host !== leader);
+  frozen.pause("process");
+  stalled.isStalled = true;
+  world.propose(leader);
+  for (let passed = 0; passed < STANDSTILL_MS; passed += LOOK_MS) {
+    await world.run(LOOK_MS);
+    t.true(isReadable(leader), `after ${passed} ms`);
+  }
+  const read = leader.runner!.readIndex();
+  await world.run(100);
+  t.true(await read > 0);
+});
