Versions: calls to the own replica end at their timeout

Cause: a control host that led without a majority answered the sync of an entry host after 900 ms in place of 350, when the entry host had given up; other calls went on for one retry delay after their timeout. Change: the client of the leader limits local calls too, and sleeps no longer than the time that is left. Conclusion: an entry host learns in time that it has to ask another host.

--- a/src/control/versions/leader_client.ts
+++ b/src/control/versions/leader_client.ts
@@ -89,7 +89,8 @@
       mayHaveTakenEffect ||= reply === undefined || reply.reason === "unknown";
       const newLeader = this.#options.leader();
       if (newLeader !== undefined && newLeader !== leader) continue;
-      await delays.sleep(clock, RETRY_DELAY_MS);
+      const left = Math.max(0, deadline - clock.now());
+      await delays.sleep(clock, Math.min(RETRY_DELAY_MS, left));
     }
   }
 
@@ -101,7 +102,7 @@
     const { self, callHost, logger, onNotLeader } = this.#options;
     const leader = this.#options.leader();
     if (leader === undefined) return { type: "failed", reason: "not-leader" };
-    if (leader === self) return handleLocally();
+    if (leader === self) return this.#limitTime(handleLocally(), remaining);
     const { leaderChanged, stopWaiting } = this.#leaderOtherThan(leader);
     try {
       const timeout = Math.min(remaining, ATTEMPT_TIMEOUT_MS);
@@ -120,6 +121,23 @@
     }
   }
 
+  /** Resolves with the reply of this host, or with undefined after `timeout`
+   * milliseconds: a leader without a majority may wait for longer. */
+  async #limitTime(
+    reply: Promise<schema.Reply>,
+    timeout: number,
+  ): Promise<schema.Reply | undefined> {
+    let cancel: runtime.Cancel = () => {};
+    const timedOut = new Promise<undefined>((resolve) =>
+      cancel = this.#options.clock.after(timeout, () => resolve(undefined))
+    );
+    try {
+      return await Promise.race([reply, timedOut]);
+    } finally {
+      cancel();
+    }
+  }
+
   /** Returns a promise that resolves when a host other than `leader` becomes
    * the leader, and a function that stops waiting for it. */
   #leaderOtherThan(
