--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -10,12 +10,16 @@
 import type * as state from "./state.ts";
 
 /** Starts a pre-vote or a bootstrap election and probes the other hosts when no
- * leader was heard within the election timeout. */
+ * leader was heard within the election timeout.
+ *
+ * A candidate whose votes are still due asks for them once more in the same term.
+ * A new term would void votes that voters are still writing to their disks: with
+ * disks slower than the retry timeout, no candidate would ever win. */
 export function handleElectionTimeout(draft: drafts.Draft): void {
   drafts.resetElectionTimer(draft);
   const { state } = draft;
   state.incomingSnapshot = undefined;
-  if (drafts.isVoter(state)) startPreVote(draft);
+  if (drafts.isVoter(state)) continueElection(draft);
   else if (mayBootstrap(state)) {
     return startElection(draft, initialVotersOf(state));
   } else drafts.becomeFollower(draft, state.term);
@@ -41,11 +45,14 @@
   body: schema.VoteRequest,
 ): void {
   const { state } = draft;
-  if (!body.transfer && hasRecentLeader(draft)) return;
+  if (!body.transfer && hasRecentLeader(draft)) {
+    return reportDecision(draft, { from, body, outcome: "leader-heard" });
+  }
   if (body.pre) return answerPreVote(draft, from, body);
   if (body.term > state.term) drafts.becomeFollower(draft, body.term);
-  const free = state.vote === undefined || state.vote === from;
-  const granted = body.term === state.term && free && isUpToDate(state, body);
+  const outcome = voteOutcome(draft, from, body);
+  reportDecision(draft, { from, body, outcome });
+  const granted = outcome === "granted";
   if (granted && state.vote === undefined) {
     state.vote = from;
     drafts.persist(draft, { type: "vote", term: state.term, vote: from });
@@ -65,6 +72,9 @@
   if (!body.granted && body.term > state.term) {
     return drafts.becomeFollower(draft, body.term);
   }
+  if (!body.granted && !body.pre && body.term === state.term) {
+    state.isDenied = true;
+  }
   const phase = body.pre ? "pre-candidate" : "candidate";
   const term = body.pre ? state.term + 1 : state.term;
   if (state.role !== phase || body.term !== term || !body.granted) return;
@@ -103,8 +113,22 @@
   }
 }
 
+function continueElection(draft: drafts.Draft): void {
+  const { state } = draft;
+  if (!isElectionOpen(state) || state.hasRetried) return startPreVote(draft);
+  reportTimeout(draft, "repeat");
+  state.hasRetried = true;
+  drafts.resetRetryTimer(draft);
+  // Until its own vote is durable, the first requests have not been sent.
+  if (state.synced === state.written) {
+    requestVotes(draft, { term: state.term });
+  }
+}
+
 function startPreVote(draft: drafts.Draft): void {
   const { state } = draft;
+  reportTimeout(draft, "pre-vote");
+  state.hasRetried = state.role !== "follower";
   drafts.setRole(draft, "pre-candidate");
   drafts.resetRetryTimer(draft);
   state.votes = [state.id];
@@ -126,6 +150,8 @@
   );
   state.vote = state.id;
   state.votes = [];
+  state.isDenied = false;
+  state.hasRetried = false;
   state.initialVoters = initialVoters;
   state.emptyReplicas = {};
   drafts.setRole(draft, "candidate");
@@ -140,27 +166,38 @@
 
 function requestVotes(draft: drafts.Draft, fields: VoteRequestFields): void {
   const { state } = draft;
-  const { index: lastIndex, term: lastTerm } = state.log.last;
-  const request = {
-    type: "vote-request" as const,
-    lastIndex,
-    lastTerm,
-    ...fields,
-  };
   for (const id of state.initialVoters ?? drafts.otherVoters(state)) {
-    if (id === state.id) continue;
-    if (fields.pre) drafts.send(draft, id, request);
-    else drafts.sendWhenDurable(draft, id, request);
+    if (id !== state.id) requestVote(draft, id, fields);
   }
 }
 
+function requestVote(
+  draft: drafts.Draft,
+  to: string,
+  fields: VoteRequestFields,
+): void {
+  const { index: lastIndex, term: lastTerm } = draft.state.log.last;
+  const type = "vote-request" as const;
+  const request = { type, lastIndex, lastTerm, ...fields };
+  if (fields.pre) drafts.send(draft, to, request);
+  else drafts.sendWhenDurable(draft, to, request);
+}
+
 function answerPreVote(
   draft: drafts.Draft,
   from: string,
   body: schema.VoteRequest,
 ): void {
   const { state } = draft;
-  const granted = body.term > state.term && isUpToDate(state, body);
+  const outcome = preVoteOutcome(state, from, body);
+  reportDecision(draft, { from, body, outcome });
+  if (outcome === "candidate") return;
+  if (outcome === "rival") {
+    // The rival may have ignored the first request because it had still heard
+    // the leader then.
+    return requestVote(draft, from, { term: state.term + 1, pre: true });
+  }
+  const granted = outcome === "granted";
   // With simultaneous candidates neither would win if all votes are needed, so
   // the one with the greater id withdraws.
   const stepsAside = granted && state.role === "pre-candidate" &&
@@ -173,6 +210,89 @@
   drafts.send(draft, from, { type: "vote", term, granted, pre: true });
 }
 
+function voteOutcome(
+  { state }: drafts.Draft,
+  from: string,
+  body: schema.VoteRequest,
+): state.VoteOutcome {
+  if (body.term !== state.term) return "term-outdated";
+  const isFree = state.vote === undefined || state.vote === from;
+  if (!isFree) return "voted-for-another";
+  return isUpToDate(state, body) ? "granted" : "log-behind";
+}
+
+/** Whether this voter is a candidate that may still win in the current term: no
+ * voter has denied its vote. A pre-vote that it granted now could void the votes
+ * that others are writing to their disks. */
+function isElectionOpen(from: state.State): boolean {
+  return from.role === "candidate" && !from.isDenied && drafts.isVoter(from);
+}
+
+function preVoteOutcome(
+  own: state.State,
+  from: string,
+  body: schema.VoteRequest,
+): state.VoteOutcome {
+  if (isElectionOpen(own)) return "candidate";
+  if (body.term <= own.term) return "term-outdated";
+  if (!isUpToDate(own, body)) return "log-behind";
+  return hasPrecedence(own, from, body) ? "rival" : "granted";
+}
+
+/** Whether this pre-candidate goes before a simultaneous one, which withdraws:
+ * its log is as long, and its id is smaller. Only on its first attempt, since it
+ * may be the one that can't reach a majority. */
+function hasPrecedence(
+  { id, role, log, hasRetried }: state.State,
+  from: string,
+  { lastIndex, lastTerm }: schema.VoteRequest,
+): boolean {
+  return role === "pre-candidate" && !hasRetried && id < from &&
+    lastIndex === log.last.index && lastTerm === log.last.term;
+}
+
+interface AnsweredRequest {
+  readonly from: string;
+  readonly body: schema.VoteRequest;
+  readonly outcome: state.VoteOutcome;
+}
+
+function reportDecision(
+  draft: drafts.Draft,
+  { from, body, outcome }: AnsweredRequest,
+): void {
+  draft.effects.push({
+    type: "vote-decision",
+    decision: {
+      candidate: replicaId.host(from),
+      term: body.term,
+      isPreVote: body.pre ?? false,
+      outcome,
+      leaderHeardMs: leaderHeardMs(draft),
+    },
+  });
+}
+
+function reportTimeout(
+  draft: drafts.Draft,
+  action: state.ElectionAction,
+): void {
+  const { state: { term, votes } } = draft;
+  draft.effects.push({
+    type: "election-timeout",
+    timeout: {
+      action,
+      term,
+      votes: votes.map((id) => replicaId.host(id)),
+      leaderHeardMs: leaderHeardMs(draft),
+    },
+  });
+}
+
+function leaderHeardMs({ state, now }: drafts.Draft): number {
+  return Math.round(now - state.lastLeaderContact);
+}
+
 /** Whether a leader was heard within the minimum election timeout; on a leader,
  * whether a majority has answered it within that time. */
 function hasRecentLeader(draft: drafts.Draft): boolean {
--- a/src/control/log/replica_test.ts
+++ b/src/control/log/replica_test.ts
@@ -111,15 +111,51 @@
 test("ignores candidates just after its start and while a leader is active", (t) => {
   const replica = createReplica();
   const { minElectionTimeout } = log.DEFAULT_TIMING;
+  const decision = {
+    candidate: "b",
+    term: 2,
+    isPreVote: false,
+    outcome: "leader-heard" as const,
+    leaderHeardMs: minElectionTimeout - 1,
+  };
+  const onlyReported = [{ type: "vote-decision" as const, decision }];
   const early = replica.step(createRequest(), minElectionTimeout - 1);
-  t.deepEqual(early.effects, []);
+  t.deepEqual(early.effects, onlyReported);
   const heard = replica.step(createAppend([]), minElectionTimeout).replica;
   const last = 2 * minElectionTimeout - 1;
   const { effects, replica: next } = heard.step(createRequest(), last);
-  t.deepEqual(effects, []);
+  t.deepEqual(effects, onlyReported);
   t.is(next.state.term, 1);
 });
 
+test("reports how each vote request was answered", (t) => {
+  const replica = createReplica();
+  const outcomes = [
+    createRequest({ pre: true }),
+    createRequest({ term: 1, pre: true }),
+    createRequest({ lastIndex: 0, lastTerm: 0 }),
+    createRequest(),
+    { ...createRequest(), host: "c" },
+    createRequest({ term: 1 }),
+  ];
+  let current = replica;
+  const reported = outcomes.map((request) => {
+    const { replica: next, effects } = current.step(request, VOTING_ALLOWED_AT);
+    current = next;
+    return effects.flatMap((effect) =>
+      effect.type === "vote-decision" ? [effect.decision.outcome] : []
+    );
+  });
+  t.deepEqual(reported, [
+    ["granted"],
+    ["term-outdated"],
+    ["log-behind"],
+    ["granted"],
+    ["voted-for-another"],
+    ["term-outdated"],
+  ]);
+});
+
 test("ignores messages to an earlier incarnation of its host's replica", (t) => {
   const replica = createReplica();
   const event = createRequest({ to: "0" });
@@ -256,3 +292,51 @@
   t.true(wait >= minElectionTimeout / 2);
   t.true(wait <= maxElectionTimeout - minElectionTimeout / 2);
 });
+
+/** Makes a replica a candidate whose own vote is durable. */
+function createCandidate(): log.Replica {
+  let replica = createReplica();
+  ({ replica } = replica.step({ type: "tick" }, replica.wakeAt));
+  const preVote = {
+    type: "vote" as const,
+    from: "1",
+    to: "1",
+    term: 2,
+    granted: true,
+    pre: true,
+  };
+  const event = { type: "message" as const, host: "b", body: preVote };
+  ({ replica } = replica.step(event, VOTING_ALLOWED_AT + 300));
+  const write = replica.state.written;
+  return replica.step({ type: "synced", write }, VOTING_ALLOWED_AT + 310)
+    .replica;
+}
+
+// Guards against a candidate that cannot win and keeps others from trying:
+// without the limit it asked the voters that it still reached for ever.
+test("a candidate asks for votes once more, then starts a new pre-vote", (t) => {
+  let replica = createCandidate();
+  t.is(replica.state.role, "candidate");
+  let step = replica.step({ type: "tick" }, replica.wakeAt);
+  t.like(sent(step.effects)[0], { type: "vote-request", term: 2 });
+  t.is(step.replica.state.role, "candidate");
+  replica = step.replica;
+  step = replica.step({ type: "tick" }, replica.wakeAt);
+  t.like(sent(step.effects)[0], { type: "vote-request", term: 3, pre: true });
+  t.is(step.replica.state.role, "pre-candidate");
+});
+
+test("a candidate that was denied a vote starts a new pre-vote", (t) => {
+  let replica = createCandidate();
+  const denial = {
+    type: "vote" as const,
+    from: "1",
+    to: "1",
+    term: 2,
+    granted: false,
+  };
+  const event = { type: "message" as const, host: "b", body: denial };
+  ({ replica } = replica.step(event, VOTING_ALLOWED_AT + 320));
+  ({ replica } = replica.step({ type: "tick" }, replica.wakeAt));
+  t.is(replica.state.role, "pre-candidate");
+});
