Gateway tests: the time of a host passes with the turns of its event loop

Cause: hosts, endpoints and callers of these tests share one event loop. Timeouts of the hosts, pauses of the endpoints and limits of the tests were milliseconds of the machine, so that a loop which is busy, or has no processor, took an endpoint for silent that had only not had its turn, and a caller gave up.

Change: a clock for tests passes at most 10 ms with each turn that it counts. The hosts have it, and all pauses and limits of the tests are on it; they are as before in number, so that on an idle machine each check is as strict as it was: what must not happen within a time is shown for the same time. Requests are begun before timeouts of connections are changed. Timeouts of Node, which go by the machine, are long in tests that are not about them; the request at the idle timeout of its connection is sent at once, and the loop stands still until after that timeout. Rejections of a test that ends early have a handler.

--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -9,7 +9,6 @@
 import * as connector from "../endpoint_calls/connector.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
 import type * as configurations from "../configuration/mod.ts";
-import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as fixture from "./fixture.ts";
 import type * as protocols from "./protocol.ts";
@@ -150,7 +149,7 @@
     const answer = () =>
       response.writeHead(200, { "test-signature": "s" }).end("done");
     // A call that can be repeated is given up after 800 ms without a byte.
-    setTimeout(answer, 900);
+    fixture.clock.after(900, answer);
   });
   const { address } = pool.endpointsOf("desk")[0].identity;
   pool.update(
@@ -161,14 +160,14 @@
   );
   const [slow, fast] = pool.endpointsOf("desk");
   fast.isReady = false;
-  const now = runtime.systemClock.now();
+  const now = fixture.clock.now();
   for (let at = now - 29_000; at <= now; at += 1000) {
     slow.recordSlowness(8, at);
     fast.recordSlowness(1, at);
   }
   t.true(slow.slowness(now) > 4);
   t.is((await ask()).status, 200);
-  t.true(slow.isHealthy(runtime.systemClock.now()));
+  t.true(slow.isHealthy(fixture.clock.now()));
 });
 
 test("a request that is not idempotent is sent once", async (t) => {
@@ -238,7 +237,7 @@
       const { errors, counted } = recordErrors(host);
       const answer = await Promise.race([
         host.ask(),
-        timers.setTimeout(CLOSE_TIMEOUT_MS, "no answer"),
+        fixture.pause(CLOSE_TIMEOUT_MS, "no answer"),
       ]);
       t.like(answer, { status: 502 });
       t.like(errors, [{ request: "a-1", route: "route" }]);
@@ -329,17 +328,15 @@
   t.true(host.started[0].isFinished);
 });
 
-/** Milliseconds within which an aborted connection has closed. */
+/** Milliseconds of the hosts' clock within which an aborted connection has
+ * closed: less than the timeout of a request. */
 const CLOSE_TIMEOUT_MS = 1500;
 
 /** How an answer ends: whole, broken off, or open (not within the time). */
 async function endOf(answer: Promise<unknown>): Promise<string> {
-  const late = new Promise<string>((resolve) =>
-    setTimeout(() => resolve("open"), CLOSE_TIMEOUT_MS)
-  );
   return await Promise.race([
     answer.then(() => "whole", () => "broken off"),
-    late,
+    fixture.pause(CLOSE_TIMEOUT_MS, "open"),
   ]);
 }
 
@@ -351,7 +348,7 @@
   const { ask } = await fixture.startHost(t, fixture.STREAM, (_, response) => {
     response.writeHead(200, { "test-signature": "s" });
     response.write("id: 1\ndata: 1\n\n");
-    setTimeout(() => response.destroy(), 50);
+    fixture.clock.after(50, () => response.destroy());
   }, ({ pieces: [piece] }) => {
     const result = { piece, handle: "place/1" };
     const none = { piece, failure: "error" as const };
@@ -370,7 +367,7 @@
     (_, response) => {
       response.writeHead(200, { "test-signature": "s" });
       response.write("id: 1\ndata: 1\n\n");
-      setTimeout(() => response.destroy(), 50);
+      fixture.clock.after(50, () => response.destroy());
     },
   );
   const lines: Record<string, unknown>[] = [];
@@ -394,11 +391,11 @@
     (_, response) => {
       response.writeHead(200, { "test-signature": "s" });
       response.write("id: 1\ndata: 1\n\n");
-      setTimeout(() => response.destroy(), 50);
+      fixture.clock.after(50, () => response.destroy());
     },
     ({ pieces: [piece] }) => {
       if (runs++ === 0) return Promise.resolve([{ piece, handle: "place/1" }]);
-      setTimeout(() => started[0].abort(), 10);
+      fixture.clock.after(10, () => started[0].abort());
       return new Promise(() => {});
     },
   );
@@ -412,7 +409,7 @@
   let runs = 0;
   const { ask } = await fixture.startHost(t, fixture.STREAM, (request) => {
     // After the inputs of the call are released.
-    setTimeout(() => request.socket.destroy(), 400);
+    fixture.clock.after(400, () => request.socket.destroy());
   }, ({ pieces: [piece] }) => {
     const result = { piece, handle: "place/1" };
     const none = { piece, failure: "error" as const };
@@ -437,7 +434,7 @@
     response.writeHead(200, { "test-signature": "s" });
     if (called.length > 1) return void response.end("id: 2\ndata: 2\n\n");
     response.write("id: 1\ndata: 1\n\n");
-    setTimeout(() => response.destroy(), 50);
+    fixture.clock.after(50, () => response.destroy());
   };
   const { ask, pool } = await fixture.startHost(t, {
     kind: "streaming",
@@ -566,7 +563,7 @@
     write(socket);
   });
   const dispatcher = new undici.Agent({
-    connect: connector.create({ timeout: 1000 }),
+    connect: connector.create({ timeout: 60_000 }),
     pipelining: 1,
   });
   t.teardown(() => dispatcher.destroy());
@@ -601,7 +598,7 @@
 test("a stream without a length whose connection is reset is broken off", async (t) => {
   const { ask } = await startUnframedHost(t, PLAIN_STREAM, (socket) => {
     socket.write("id: 1\ndata: 1\n\n");
-    setTimeout(() => socket.resetAndDestroy(), 50);
+    fixture.clock.after(50, () => socket.resetAndDestroy());
   });
   t.is(await endOf(ask()), "broken off");
 });
@@ -609,12 +606,12 @@
 test("a plain answer without a length is relayed unless its connection is reset", async (t) => {
   const whole = await startUnframedHost(t, { kind: "unsafe" }, (socket) => {
     socket.write("do");
-    setTimeout(() => socket.end("ne"), 20);
+    fixture.clock.after(20, () => socket.end("ne"));
   });
   t.deepEqual(await whole.ask(), { status: 200, text: "done" });
   const cut = await startUnframedHost(t, { kind: "unsafe" }, (socket) => {
     socket.write("do");
-    setTimeout(() => socket.resetAndDestroy(), 20);
+    fixture.clock.after(20, () => socket.resetAndDestroy());
   });
   t.is((await cut.ask()).status, 502);
 });
@@ -626,9 +623,11 @@
 /** Memory of a host whose callers may leave 5 MB unread. */
 const SMALL_MEMORY = 40_000_000;
 
-/** Milliseconds in which a host on a loaded machine takes or aborts a response
- * that its caller does not read; without either, it never would. */
-const LOADED_TIMEOUT_MS = 15_000;
+/** Milliseconds of the hosts' clock in which a host takes or aborts a response
+ * that its caller does not read: half of the timeout of the request. */
+const UNREAD_MS = 15_000;
+/** The same in which a caller has read what was sent to it. */
+const READ_TIMEOUT_MS = 15_000;
 
 /** Sends a request and reads nothing of its answer until `read`, which resolves
  * with what the caller has when the connection ends, or after a time. */
@@ -649,7 +648,7 @@
   });
   const read = async () => {
     socket.resume();
-    await Promise.race([ended, timers.setTimeout(CLOSE_TIMEOUT_MS)]);
+    await Promise.race([ended, fixture.pause(READ_TIMEOUT_MS)]);
     return text;
   };
   return { read };
@@ -688,11 +687,11 @@
     const taken = deferred();
     const { gatewayAddress } = await fixture.startHost(
       t,
-      { kind, objective: 1000, timeout: 2 * LOADED_TIMEOUT_MS },
+      { kind, objective: 1000, timeout: 2 * UNREAD_MS },
       (_, response) => sendLargeEvents(response, taken.resolve),
     );
     const { read } = askWithoutReading(t, gatewayAddress);
-    const late = timers.setTimeout(LOADED_TIMEOUT_MS, "late");
+    const late = fixture.pause(UNREAD_MS, "late");
     t.is(await Promise.race([taken.promise, late]), undefined);
     t.true(isComplete(await read()));
   });
@@ -710,7 +709,7 @@
   test(`an unread reply is aborted above the bound: ${kind}, HTTP/${version}`, async (t) => {
     const host = await fixture.startHost(
       t,
-      { kind, objective: 1000, timeout: 2 * LOADED_TIMEOUT_MS },
+      { kind, objective: 1000, timeout: 2 * UNREAD_MS },
       (_, response) => sendLargeEvents(response),
     );
     const lines: object[] = [];
@@ -722,8 +721,7 @@
     Object.assign(host.context, { logger: { ...telemetry.noLogger, warn } });
     host.limitMemory(SMALL_MEMORY);
     const { read } = askWithoutReading(t, host.gatewayAddress, { version });
-    const late = timers.setTimeout(LOADED_TIMEOUT_MS);
-    await Promise.race([aborted.promise, late]);
+    await Promise.race([aborted.promise, fixture.pause(UNREAD_MS)]);
     t.like(lines, [{ request: "a-1", route: "route" }]);
     const text = await read();
     t.true(text.startsWith("HTTP/1.1 200"), "a part of it has arrived");
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -14,12 +14,27 @@
 import * as quarantineFixture from "../quarantine/fixture.ts";
 import * as rateLimitFixture from "../rate_limits/fixture.ts";
 import * as runtime from "../runtime/mod.ts";
+import * as turnClocks from "../runtime/turn_clock.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as gateway from "./mod.ts";
 import * as activeRequests from "./active_request.ts";
 import * as callerConnections from "./caller_connection.ts";
 import * as unreadReplies from "./unread_replies.ts";
 
+/** The clock of all hosts of a test file, and of what waits beside them: they
+ * share an event loop with their endpoints and callers, so that a busy machine
+ * would make an endpoint silent that has only not had its turn. */
+export const clock = turnClocks.TurnClock.start();
+
+/** Resolves with `value` after some milliseconds of `clock`. */
+export function pause(milliseconds: number): Promise<void>;
+export function pause<T>(milliseconds: number, value: T): Promise<T>;
+export function pause<T>(milliseconds: number, value?: T) {
+  return new Promise<T | undefined>((resolve) => {
+    clock.after(milliseconds, () => resolve(value));
+  });
+}
+
 /** Headers of an answer that are relayed to the caller. */
 function signatureOf(
   headers: Readonly<Record<string, string | string[] | undefined>>,
@@ -144,7 +159,7 @@
   const started: activeRequests.ActiveRequest[] = [];
   let partial = createPartialAnswers();
   const context: gateway.Context = {
-    clock: runtime.systemClock,
+    clock,
     random: runtime.createRandom(7),
     logger: telemetry.noLogger,
     metrics: telemetry.noMetrics,
--- a/src/gateway/partial_answer_test.ts
+++ b/src/gateway/partial_answer_test.ts
@@ -198,7 +198,8 @@
 function sendSoundAnswer(response: http.ServerResponse): void {
   response.writeHead(200, SIGNED);
   response.write(SOUND_ANSWER.subarray(0, 3 * MEGABYTE));
-  setTimeout(() => response.end(SOUND_ANSWER.subarray(3 * MEGABYTE)), 300);
+  const rest = SOUND_ANSWER.subarray(3 * MEGABYTE);
+  fixture.clock.after(300, () => response.end(rest));
 }
 
 async function askForSoundAnswers(
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -13,13 +13,17 @@
 /** Time in which an endpoint of these tests answers: requests that follow in the
  * same packet or the next are read meanwhile. */
 const WORK_MS = 150;
-/** Time within which all replies are sent and the connection is closed, beside a
- * busy machine. */
+/** Time of the hosts' clock within which all replies are sent and the connection
+ * is closed. */
 const CLOSE_TIMEOUT_MS = 5000;
 
 /** Time within which the call of a caller that has left ends. */
 const GONE_MS = 500;
 
+/** Timeouts of connections in tests that are not about them. They are Node's,
+ * which a busy machine can let pass before a request is read. */
+const TIMEOUTS = { headerTimeout: 60_000, idleTimeout: 15_000 };
+
 /** A promise, and the function that resolves it. */
 function deferred() {
   let resolve = () => {};
@@ -32,9 +36,9 @@
   _request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  setTimeout(() => {
+  fixture.clock.after(WORK_MS, () => {
     response.writeHead(200, { "test-signature": "s" }).end("done");
-  }, WORK_MS);
+  });
 }
 
 /** A server for callers, before an endpoint that counts its calls. */
@@ -57,6 +61,7 @@
   });
   Object.assign(host.context, { isDraining: () => isDraining });
   const server = await fixture.startServer(t, host);
+  server.setTimeouts(TIMEOUTS);
   return { host, server, calls };
 }
 
@@ -79,13 +84,13 @@
   /** Statuses of the replies once the server has closed the connection, and
    * whether it has within the time. */
   const replies = async () => {
-    const late = timers.setTimeout(CLOSE_TIMEOUT_MS, true, { ref: false });
+    const late = fixture.pause(CLOSE_TIMEOUT_MS, true);
     const isOpen = await Promise.race([ended, late]) === true;
     return { statuses: statusesOf(text), isOpen };
   };
   const textWith = async (part: string) => {
-    const deadline = Date.now() + CLOSE_TIMEOUT_MS;
-    while (!text.includes(part) && Date.now() < deadline) {
+    const deadline = fixture.clock.now() + CLOSE_TIMEOUT_MS;
+    while (!text.includes(part) && fixture.clock.now() < deadline) {
       await timers.setTimeout(5);
     }
     return text;
@@ -115,7 +120,7 @@
   const { socket, replies } = connect(t, server.port);
   for (const part of parts) {
     socket.write(part);
-    await timers.setTimeout(WORK_MS / 5);
+    await fixture.pause(WORK_MS / 5);
   }
   sent.resolve();
   return { ...await replies(), calls: calls.begun };
@@ -142,7 +147,10 @@
       response.writeHead(200, { "test-signature": "s" });
       response.write("id: 1\ndata: 1\n\n");
       void sent.promise.then(() =>
-        setTimeout(() => response.end("id: 2\ndata: 2\n\n"), WORK_MS)
+        fixture.clock.after(
+          WORK_MS,
+          () => response.end("id: 2\ndata: 2\n\n"),
+        )
       );
     },
   });
@@ -230,12 +238,13 @@
 // Guards against a timeout for idle connections that ends one with a request in
 // flight, as a configuration changes it meanwhile.
 test("a request outlives timeouts that are changed while it is in flight", async (t) => {
-  const { server } = await startServer(t, {
+  const { server, calls } = await startServer(t, {
     handle: (request, response) =>
-      void setTimeout(() => answerLater(request, response), 600),
+      void fixture.clock.after(600, () => answerLater(request, response)),
   });
   const { socket, textWith } = connect(t, server.port);
   socket.write(requestOf());
+  while (calls.begun === 0) await timers.setTimeout(1);
   const changes = setInterval(() => {
     server.setTimeouts({ headerTimeout: 50, idleTimeout: 1 });
   }, 20);
@@ -255,7 +264,7 @@
   socket.write(requestOf() + GARBAGE);
   while (calls.begun === 0) await timers.setTimeout(5);
   socket.destroy();
-  await timers.setTimeout(GONE_MS);
+  await fixture.pause(GONE_MS);
   t.is(calls.cut, 1);
 });
 
@@ -281,7 +290,10 @@
       response.writeHead(200, { "test-signature": "s" });
       response.write("id: 1\ndata: 1\n\n");
       void sent.promise.then(() =>
-        setTimeout(() => response.end("id: 2\ndata: 2\n\n"), WORK_MS)
+        fixture.clock.after(
+          WORK_MS,
+          () => response.end("id: 2\ndata: 2\n\n"),
+        )
       );
     },
   });
@@ -307,19 +319,20 @@
 // connection is closed as idle before the host reads it.
 test("a request that arrives before its connection's idle timeout is answered", async (t) => {
   const { server } = await startServer(t);
-  server.setTimeouts({ headerTimeout: 3000, idleTimeout: 1 });
+  server.setTimeouts({ ...TIMEOUTS, idleTimeout: 1 });
   const { socket, replies, textWith } = connect(t, server.port);
   socket.write(requestOf());
   await textWith("done");
-  await timers.setTimeout(KEEP_ALIVE_BUFFER_MS / 2);
   socket.write(requestOf());
-  blockLoop(KEEP_ALIVE_BUFFER_MS);
+  // The timeout is over before the request can be read, however long a busy
+  // machine took until here.
+  blockLoop(1.5 * KEEP_ALIVE_BUFFER_MS);
   t.deepEqual((await replies()).statuses, [200, 200]);
 });
 
 test("an idle connection is closed after its timeout", async (t) => {
   const { server } = await startServer(t);
-  server.setTimeouts({ headerTimeout: 3000, idleTimeout: 1 });
+  server.setTimeouts({ ...TIMEOUTS, idleTimeout: 1 });
   const { socket, replies } = connect(t, server.port);
   socket.write(requestOf());
   t.deepEqual(await replies(), { statuses: [200], isOpen: false });
@@ -357,7 +370,7 @@
   socket.pause();
   while (server.inFlight > 0) await timers.setTimeout(1);
   const stopped = server.finish(CLOSE_TIMEOUT_MS).then(() => server.stop());
-  await timers.setTimeout(WORK_MS);
+  await fixture.pause(WORK_MS);
   let received = 0;
   socket.on("data", (part) => received += part.length).resume();
   await stopped;
@@ -377,9 +390,9 @@
   while (server.inFlight === 0) await timers.setTimeout(1);
   socket.pause();
   while (server.inFlight > 0) await timers.setTimeout(1);
-  const start = Date.now();
+  const start = fixture.clock.now();
   await server.finish(300);
-  const tookMs = Date.now() - start;
+  const tookMs = fixture.clock.now() - start;
   t.true(tookMs >= 290 && tookMs < CLOSE_TIMEOUT_MS, `${tookMs} ms`);
 });
 
@@ -419,7 +432,7 @@
         }
         response.end();
       };
-      setTimeout(answer, 2 * GONE_MS);
+      fixture.clock.after(2 * GONE_MS, answer);
     },
   });
   const callers = Array.from(
@@ -427,12 +440,12 @@
     () => connect(t, server.port),
   );
   callers.forEach(({ socket }) => socket.write(requestOf()));
-  const deadline = Date.now() + CLOSE_TIMEOUT_MS;
-  while (calls.begun < CALLERS && Date.now() < deadline) {
+  const deadline = fixture.clock.now() + CLOSE_TIMEOUT_MS;
+  while (calls.begun < CALLERS && fixture.clock.now() < deadline) {
     await timers.setTimeout(5);
   }
   callers.forEach(({ socket }) => end(socket));
-  await timers.setTimeout(GONE_MS);
+  await fixture.pause(GONE_MS);
   return { callers, running: CALLERS - calls.cut };
 }
 
--- a/src/gateway/share_charge_test.ts
+++ b/src/gateway/share_charge_test.ts
@@ -208,7 +208,7 @@
 };
 
 const answerLater: http.RequestListener = (request, response) => {
-  setTimeout(() => answer(request, response), 100);
+  fixture.clock.after(100, () => answer(request, response));
 };
 
 test("an answer ends the charge in time or late", async (t) => {
@@ -289,7 +289,7 @@
     endpoint(_, response) {
       response.writeHead(200, { "test-signature": "s" });
       response.write("id: 1\ndata: 1\n\n");
-      setTimeout(() => response.destroy(), 50);
+      fixture.clock.after(50, () => response.destroy());
     },
     compute: ({ pieces: [piece] }) => {
       const result = { piece, handle: "place/1" };
--- a/src/gateway/silent_call_test.ts
+++ b/src/gateway/silent_call_test.ts
@@ -2,7 +2,6 @@
  * @module */
 
 import type * as http from "node:http";
-import * as timers from "node:timers/promises";
 import type * as ava from "ava";
 import test from "ava";
 import type * as configurations from "../configuration/mod.ts";
@@ -84,7 +83,7 @@
     const isResumed = request.headers["test-resume-after"] !== undefined;
     if (isStream && !isResumed) response.write(`id: 1\ndata: ${index}\n\n`);
     else response.flushHeaders();
-    await timers.setTimeout(silence);
+    await fixture.pause(silence);
     if (response.destroyed) return;
     response.end(isStream ? `id: 2\ndata: ${index}\n\n` : `${index}`);
   };
@@ -165,7 +164,7 @@
     { silence: 0 },
   ]);
   t.deepEqual(await ask(), { status: 200, text: "1" });
-  await timers.setTimeout(100);
+  await fixture.pause(100);
   t.deepEqual(calls, [{ count: 1, closed: 1 }, { count: 1, closed: 0 }]);
 });
 
@@ -175,7 +174,7 @@
     { silence: 60_000 },
   ]);
   t.deepEqual(await ask(), { status: 200, text: "0" });
-  await timers.setTimeout(100);
+  await fixture.pause(100);
   t.deepEqual(calls, [{ count: 1, closed: 0 }, { count: 1, closed: 1 }]);
 });
 
@@ -219,7 +218,10 @@
       },
     }),
   });
-  setTimeout(() => endpoints[0].isReady = false, IDLE_TIMEOUT_MS / 2);
+  fixture.clock.after(
+    IDLE_TIMEOUT_MS / 2,
+    () => endpoints[0].isReady = false,
+  );
   t.is((await ask()).text, "0");
   t.is(withdrawals, 1);
 });
@@ -269,9 +271,9 @@
   const first: http.RequestListener = async (_, response) => {
     response.writeHead(200, SIGNED);
     response.flushHeaders();
-    await timers.setTimeout(IDLE_TIMEOUT_MS + 100);
+    await fixture.pause(IDLE_TIMEOUT_MS + 100);
     response.write("id: 1\ndata: 0\n\n");
-    await timers.setTimeout(50);
+    await fixture.pause(50);
     response.destroy();
   };
   const second = handlerOf(STREAM, { silence: 0, version: "v2" }, 1);
@@ -282,7 +284,7 @@
   let admissions = 0;
   Object.assign(context.guard, {
     async admit() {
-      if (admissions++ > 0) await timers.setTimeout(300);
+      if (admissions++ > 0) await fixture.pause(300);
       return { type: "admitted" };
     },
   });
@@ -302,13 +304,13 @@
   const first: http.RequestListener = (_, response) => {
     response.writeHead(200, SIGNED);
     response.write("id: 1\ndata: 0\n\n");
-    response.once("close", () => closedAt = performance.now());
+    response.once("close", () => closedAt = fixture.clock.now());
   };
   const second: http.RequestListener = async (_, response) => {
-    begunAt = performance.now();
+    begunAt = fixture.clock.now();
     response.writeHead(200, SIGNED);
     response.flushHeaders();
-    await timers.setTimeout(1000);
+    await fixture.pause(1000);
     response.end("id: 2\ndata: 1\n\n");
   };
   const { ask } = await startEndpoints(t, STREAM, [first, second]);
@@ -323,7 +325,7 @@
     response.writeHead(200, SIGNED);
     response.flushHeaders();
     while (!response.destroyed) {
-      await timers.setTimeout(IDLE_TIMEOUT_MS + 100);
+      await fixture.pause(IDLE_TIMEOUT_MS + 100);
       response.write("x");
     }
   };
@@ -364,7 +366,7 @@
       response.writeHead(200, SIGNED);
       for (const id of [1, 2, 3]) {
         response.write(`id: ${id}\ndata: 0\n\n`);
-        await timers.setTimeout(1400);
+        await fixture.pause(1400);
       }
       response.end();
     },
@@ -384,9 +386,11 @@
     { silence: 60_000 },
     { silence: 60_000 },
   ]);
-  const signal = AbortSignal.timeout(IDLE_TIMEOUT_MS + 200);
+  const leaving = new AbortController();
+  fixture.clock.after(IDLE_TIMEOUT_MS + 200, () => leaving.abort());
+  const { signal } = leaving;
   await t.throwsAsync(request({ signal }), { any: true });
-  await timers.setTimeout(100);
+  await fixture.pause(100);
   t.deepEqual(calls, [{ count: 1, closed: 1 }, { count: 1, closed: 1 }]);
 });
 
@@ -406,7 +410,9 @@
     [{ silence: 3 * IDLE_TIMEOUT_MS }],
   );
   const answers = [ask(), ask(), ask(), ask()];
-  await timers.setTimeout(2 * IDLE_TIMEOUT_MS);
+  // Handled also where an assertion ends the test before they are awaited.
+  answers.forEach((each) => each.catch(() => {}));
+  await fixture.pause(2 * IDLE_TIMEOUT_MS);
   t.true(endpoints[0].isAvoided(context.clock.now()));
   const statuses = (await Promise.all(answers)).map(({ status }) => status);
   t.deepEqual(statuses, [200, 200, 200, 200]);
@@ -443,9 +449,9 @@
   });
   await ask();
   t.deepEqual(crashes, []);
-  await timers.setTimeout(100);
+  await fixture.pause(100);
   if (isHeardAgain) endpoints[0].heardAt = context.clock.now();
-  await timers.setTimeout(VERDICT_MS);
+  await fixture.pause(VERDICT_MS);
   return crashes;
 }
 
