Event buffer test: the shortest of several runs is measured

Seen: beside load 37 and 47 the time of 500 chunks behind 1,500 others was 76 ms and 1,774 ms where 46 ms and 266 ms were allowed: 2 of 6 runs of src/gateway.

Cause: one measurement of some milliseconds by the machine's clock, which holds all the time for which the thread had no processor.

Change: the shortest of 8 runs on buffers of their own, with the bound as before. Copying the whole event with each chunk takes its time in every run.

--- a/src/gateway/event_buffer_test.ts
+++ b/src/gateway/event_buffer_test.ts
@@ -51,20 +51,29 @@
   t.pass();
 });
 
+const RUN_COUNT = 8;
+
 // Guards against time that grows with the square of an event's size: each chunk
 // copied the whole event, 32 GB for one of 32 MB.
 test("an event without an end takes time in proportion to its size", (t) => {
-  const buffer = eventBuffers.EventBuffer.create();
   const chunk = Buffer.alloc(16 * 1024, "x");
-  const pushAll = (count: number) => {
-    const start = performance.now();
-    for (let index = 0; index < count; index++) buffer.push(chunk);
-    return performance.now() - start;
+  const measure = () => {
+    const buffer = eventBuffers.EventBuffer.create();
+    const pushAll = (count: number) => {
+      const start = performance.now();
+      for (let index = 0; index < count; index++) buffer.push(chunk);
+      return performance.now() - start;
+    };
+    const early = pushAll(500);
+    pushAll(1000);
+    const late = pushAll(500);
+    t.true(buffer.heldBytes >= 2000 * chunk.length);
+    return { early, late };
   };
-  const early = pushAll(500);
-  pushAll(1000);
-  const late = pushAll(500);
-  t.log({ early, late });
-  t.true(buffer.heldBytes >= 2000 * chunk.length);
+  // A busy machine adds to single runs, not to the shortest of several.
+  const runs = Array.from({ length: RUN_COUNT }, measure);
+  t.log(runs);
+  const early = Math.min(...runs.map((each) => each.early));
+  const late = Math.min(...runs.map((each) => each.late));
   t.true(late <= 10 * early + 20, `${early} ms, then ${late} ms`);
 });
