Endpoint calls: slices lose no answer of a connection that breaks

Found by a review.

What waits on a connection that breaks is now read to its end before it is destroyed; a connection that this host closes is read no further, as before. A connection that has taken less than 1 ms of a turn does not wait for the others, so that sound answers are not slowed by endless ones.

--- a/src/endpoint_calls/read_slices_test.ts
+++ b/src/endpoint_calls/read_slices_test.ts
@@ -18,7 +18,10 @@
     afterTurn: (callback) => void callbacks.push(callback),
   });
   /** A connection that has received bytes, and what its reader has taken. */
-  const connect = (bytes: Buffer, { isEnded = false } = {}) => {
+  const connect = (
+    bytes: Buffer,
+    { isEnded = false, sliceMs = SLICE_MS } = {},
+  ) => {
     const connection = new stream.Duplex({ read() {}, write() {} });
     slices.watch(connection as never);
     const taken: Buffer[] = [];
@@ -26,7 +29,7 @@
       for (;;) {
         const slice = connection.read();
         if (slice === null) return;
-        now += SLICE_MS;
+        now += sliceMs;
         taken.push(slice);
       }
     });
@@ -129,3 +132,39 @@
   await settled();
   t.is(size, 4_000_000);
 });
+
+// Guards against a whole answer that is lost in the buffer of a connection which is
+// reset behind it, while other endpoints use up the time of each turn.
+test("what waits on a connection that breaks is read to its end", async (t) => {
+  const { connect } = createSlices();
+  const busy = connect(Buffer.alloc(BYTES));
+  const { connection, taken } = connect(Buffer.alloc(BYTES));
+  connection.on("error", () => {});
+  await settled();
+  t.true(sizeOf(taken) < BYTES);
+  connection.destroy(Object.assign(new Error(), { syscall: "read" }));
+  t.is(sizeOf(taken), BYTES);
+  t.true(sizeOf(busy.taken) < BYTES);
+});
+
+// Guards against a host that goes on to parse an answer which it has ended.
+test("what waits on a connection that this host closes is dropped", async (t) => {
+  const { connect } = createSlices();
+  const { connection, taken } = connect(Buffer.alloc(BYTES));
+  connection.on("error", () => {});
+  await settled();
+  const before = sizeOf(taken);
+  connection.destroy(new Error("call cancelled"));
+  await settled();
+  t.is(sizeOf(taken), before);
+});
+
+// Guards against sound answers that wait for many turns beside an endless one.
+test("a connection that takes little time does not wait for the others", async (t) => {
+  const { connect } = createSlices();
+  connect(Buffer.alloc(BYTES));
+  await settled();
+  const { taken } = connect(Buffer.alloc(BYTES), { sliceMs: 0 });
+  await settled();
+  t.is(sizeOf(taken), BYTES);
+});
