Gateway: a verdict on a silent call ends no lease of another call

Whether a request had calls in flight was taken from the call that ended last. A call that was admitted after that, or while it ended, was not counted, so that the verdict on the earlier one ended the lease of a call that was running: another host could have the suspected request run at a second endpoint.

Calls count from their admission to their outcome or release. The new test covers a call before and one after the end of the silent one.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -488,7 +488,6 @@
       endpoint,
       startedAt,
       heardAt,
-      isLast: this.#openCalls.size === 0,
     });
     if (this.isFinished) return;
     if (outcome.type === "answer") return this.#handleAnswer(outcome);
--- a/src/gateway/endpoint_admission.ts
+++ b/src/gateway/endpoint_admission.ts
@@ -45,9 +45,6 @@
   readonly startedAt: number;
   /** Time at which the endpoint last sent something in the call. */
   readonly heardAt: number;
-  /** Whether no other call of the request is in flight: a lease of the request
-   * covers all of them. */
-  readonly isLast: boolean;
 }
 
 type Dependencies = Pick<
@@ -62,8 +59,8 @@
   /** Silent calls of which it is not known yet whether their endpoint has
    * crashed. */
   #openVerdicts = 0;
-  /** Whether all calls have ended. */
-  #hasEnded = false;
+  /** Calls that were admitted and have not ended. */
+  #openCalls = 0;
   /** Whether a call that the lease covers may have run. */
   #hasRun = false;
 
@@ -122,17 +119,18 @@
 
   /** Releases an admission whose call is not made. */
   release(): void {
-    this.#dependencies.guard.endRun(this.#identity, { isUnused: true });
+    this.#openCalls--;
+    this.#endRun();
   }
 
   /** Records the outcome of an admitted call; it shows whether the request crashes
    * endpoints. */
   recordOutcome(
     outcome: attempts.Outcome,
-    { endpoint, startedAt, heardAt, isLast }: AdmittedCall,
+    { endpoint, startedAt, heardAt }: AdmittedCall,
   ): void {
     const { guard } = this.#dependencies;
-    this.#hasEnded = isLast;
+    this.#openCalls--;
     if (attempts.mayHaveCrashed(outcome)) {
       guard.recordCrash(this.#identity, endpoint.identity.id);
     } else if (outcome.type === "failed") {
@@ -157,11 +155,11 @@
     });
   }
 
-  /** Ends the lease of the request unless it is needed: until the verdict on a
-   * silent call, the request may not run at another endpoint, which it may crash
-   * as well. */
+  /** Ends the lease of the request, which covers all of its calls, unless one is
+   * in flight. Until the verdict on a silent call, the request may not run at
+   * another endpoint either, which it may crash as well. */
   #endRun(): void {
-    if (!this.#hasEnded || this.#openVerdicts > 0) return;
+    if (this.#openCalls > 0 || this.#openVerdicts > 0) return;
     const isUnused = !this.#hasRun;
     this.#hasRun = false;
     this.#dependencies.guard.endRun(this.#identity, { isUnused });
@@ -196,7 +194,10 @@
     const identity = this.#identity;
     const remaining = deadline + CRASH_VERDICT_MS - clock.now();
     const admission = await guard.admit({ identity, endpoint, remaining });
-    if (admission.type === "admitted") return undefined;
+    if (admission.type === "admitted") {
+      this.#openCalls++;
+      return undefined;
+    }
     return quarantineDenial(admission, admission.type === "refused");
   }
 }
