Retry budget: a host that has started uses what the process before it has left

A host that has started had none of the burst for a window. Where no process before it had used any, as in a new fleet, its calls at silent endpoints got no second one: beside an engine that is silent for good 194 of 200 streams were in time, 200 before.

It now uses .4 of its share in the first window, and .6 later as before: with what the process before it may have used, .6 and .4 are the whole share.

--- a/src/gateway/retry_budget.ts
+++ b/src/gateway/retry_budget.ts
@@ -3,9 +3,9 @@
  * The retries of all hosts together must stay below a ratio of the requests
  * plus a burst. Each host uses a part of the ratio of its own requests and an
  * equal share of the burst, so the bound holds even while hosts can't
- * communicate. A host that has started uses its share only after a window: the
- * process before it, whose requests and retries it doesn't know, may have used
- * it just before its end.
+ * communicate. A host that has started uses a smaller part of its share for a
+ * window: the process before it, whose requests and retries it doesn't know, may
+ * have used the rest just before its end.
  * @module */
 
 /** Bounds of a service's retries for the whole fleet. */
@@ -33,6 +33,9 @@
 /** Part of the bounds that is used: a host's count of hosts may lag by one in
  * three, and windows slide. */
 const USED_RATIO = 0.6;
+/** Part of its share of the burst that a host uses in the first window after its
+ * start: what the process before it has left, if that ran for a window. */
+const FIRST_BURST_RATIO = 1 - USED_RATIO;
 
 /** Milliseconds for which an account gets no retries after a request of it was
  * refused for its share: limits of shares are renewed every 500 ms, and an
@@ -42,8 +45,8 @@
 /** Requests and retries of one service; changed in place. */
 export class RetryBudget {
   readonly #bounds: RetryBounds;
-  /** Time from which the host uses its share of the burst. */
-  readonly #burstFrom: number;
+  /** End of the first window after the host's start. */
+  readonly #firstUntil: number;
   #requests: number[] = [];
   #retries: number[] = [];
   /** Times until which accounts get no retries. */
@@ -51,7 +54,7 @@
 
   private constructor(bounds: RetryBounds, startedAt: number) {
     this.#bounds = bounds;
-    this.#burstFrom = startedAt + bounds.window;
+    this.#firstUntil = startedAt + bounds.window;
   }
 
   /** Creates the budget of a host that started at `startedAt`; of one that has
@@ -96,9 +99,10 @@
   /** Retries allowed in the window that ends now, in a fleet of `hosts` hosts. */
   allowance(now: number, hosts: number): number {
     const { ratio, burst } = this.#bounds;
-    const earned = ratio * this.#requests.length;
-    const share = now < this.#burstFrom ? 0 : burst / Math.max(1, hosts);
-    return USED_RATIO * (earned + share);
+    const isFirst = now < this.#firstUntil;
+    const burstRatio = isFirst ? FIRST_BURST_RATIO : USED_RATIO;
+    const share = burst / Math.max(1, hosts);
+    return USED_RATIO * ratio * this.#requests.length + burstRatio * share;
   }
 
   /** Use of the budget in the window that ends now. */
