--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -104,6 +104,19 @@
   );
 }
 
+/** A server with a request that is passed on and not answered until `answer`. */
+async function startWithRequest(t: ava.ExecutionContext) {
+  const sent = deferred();
+  const { server, calls } = await startServer(t, {
+    handle: (request, response) =>
+      void sent.promise.then(() => answerLater(request, response)),
+  });
+  const { socket, replies } = connect(t, server.port);
+  socket.write(requestOf());
+  while (calls.begun === 0) await timers.setTimeout(1);
+  return { server, calls, socket, replies, answer: sent.resolve };
+}
+
 /** What a caller gets that sends some bytes and waits for the server to close. */
 async function repliesTo(
   t: ava.ExecutionContext,
@@ -142,19 +155,12 @@
 // Guards against a request in flight that is cut since the bytes behind it, which
 // are no request, count as a head that does not arrive in time.
 test("a request that takes longer than the header timeout is answered although bytes that are no request follow", async (t) => {
-  const sent = deferred();
-  const { server, calls } = await startServer(t, {
-    handle: (request, response) =>
-      void sent.promise.then(() => answerLater(request, response)),
-  });
-  const { socket, replies } = connect(t, server.port);
-  socket.write(requestOf());
-  while (calls.begun === 0) await timers.setTimeout(1);
+  const { server, socket, replies, answer } = await startWithRequest(t);
   server.setTimeouts({ ...TIMEOUTS, headerTimeout: 50 });
   socket.write(GARBAGE);
   // Node looks for late heads every half a second.
   await timers.setTimeout(1500);
-  sent.resolve();
+  answer();
   t.deepEqual(await replies(), { statuses: [200], isOpen: false });
 });
 
@@ -553,18 +559,11 @@
 for (const [name, fragment] of Object.entries(FRAGMENTS)) {
   const { bytes, endsSide, statuses = [200] } = fragment;
   test(`a request is answered although its caller sends ${name}`, async (t) => {
-    const sent = deferred();
-    const { server, calls } = await startServer(t, {
-      handle: (request, response) =>
-        void sent.promise.then(() => answerLater(request, response)),
-    });
-    const { socket, replies } = connect(t, server.port);
-    socket.write(requestOf());
-    while (calls.begun === 0) await timers.setTimeout(1);
+    const { calls, socket, replies, answer } = await startWithRequest(t);
     if (endsSide) socket.end(bytes);
     else socket.write(bytes);
     await fixture.pause(WORK_MS);
-    sent.resolve();
+    answer();
     t.deepEqual(await replies(), { statuses, isOpen: false });
     t.is(calls.begun, 1);
   });
