--- a/bench/path_fuzz/world.ts
+++ b/bench/path_fuzz/world.ts
@@ -50,6 +50,11 @@
     this.emit("readable");
   }
 
+  /** Has no bytes but those that it counts. */
+  read(): null {
+    return null;
+  }
+
   destroy(): void {
     if (this.destroyed) return;
     this.destroyed = true;
