Gateway: a connection closes after a request in one place

Behaviour is unchanged. Closing after the last request and after the last whole one were two copies, one of which added a listener with each report of the parser; both now use one step that adds it once. The last request is read from the end of a list, not from a copy of a set with each head.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -1,5 +1,5 @@
-/** A caller's connection: the request that was read last on it, and whether a
- * further one may be served.
+/** A caller's connection: the requests on it that are not answered yet, and whether
+ * a further one may be served.
  *
  * Replies are sent in the order of their requests. So only the reply to the last
  * one may announce that the connection closes: those behind it would never be
@@ -20,10 +20,10 @@
 export class CallerConnection {
   readonly #socket: Pick<net.Socket, "destroySoon">;
   /** Requests whose replies are not sent whole yet, in their order. */
-  readonly #open = new Set<Exchange>();
+  #open: Exchange[] = [];
   #isClosing = false;
-  /** Request after whose reply it closes although a later one is not whole. */
-  #lastAnswered?: Exchange;
+  /** Request after whose reply it closes. */
+  #closesAfter?: Exchange;
 
   private constructor(socket: Pick<net.Socket, "destroySoon">) {
     this.#socket = socket;
@@ -35,7 +35,7 @@
 
   /** Whether a reply is not sent whole yet. */
   get isBusy(): boolean {
-    return this.#open.size > 0;
+    return this.#open.length > 0;
   }
 
   /** Whether a part of the last request's body has not arrived. */
@@ -44,7 +44,7 @@
   }
 
   get #last(): Exchange | undefined {
-    return [...this.#open].at(-1);
+    return this.#open.at(-1);
   }
 
   /** Whether it closes after the last reply, so that no further request may be
@@ -55,8 +55,10 @@
 
   /** Records a request that was read. */
   begin(exchange: Exchange): void {
-    this.#open.add(exchange);
-    exchange.response.once("close", () => this.#open.delete(exchange));
+    this.#open.push(exchange);
+    exchange.response.once("close", () => {
+      this.#open = this.#open.filter((each) => each !== exchange);
+    });
   }
 
   /** Whether the head of the reply to a request has to announce that the
@@ -71,21 +73,23 @@
   /** Closes it once the requests that were read whole are answered; returns false
    * if there are none. The rest of a later one does not arrive. */
   closeWhenWholeAnswered(): boolean {
-    const whole = [...this.#open].filter(({ request }) => request.complete);
-    const last = whole.at(-1);
+    const last = this.#open.findLast(({ request }) => request.complete);
     if (last === undefined) return false;
-    this.#isClosing = true;
-    if (this.#lastAnswered === last) return true;
-    this.#lastAnswered = last;
-    last.response.once("close", () => this.#socket.destroySoon());
+    this.#closeAfter(last);
     return true;
   }
 
   /** Closes it once all requests in flight are answered. */
   closeWhenAnswered(): void {
+    if (this.#last !== undefined) return this.#closeAfter(this.#last);
+    this.#isClosing = true;
+    this.#socket.destroySoon();
+  }
+
+  #closeAfter(exchange: Exchange): void {
     this.#isClosing = true;
-    const close = () => this.#socket.destroySoon();
-    if (this.#last === undefined) close();
-    else this.#last.response.once("close", close);
+    if (this.#closesAfter === exchange) return;
+    this.#closesAfter = exchange;
+    exchange.response.once("close", () => this.#socket.destroySoon());
   }
 }
