Gateway: the count of silent calls is kept where they are

Behaviour is unchanged. An endpoint's count of silent calls was raised in two places, by whether a path was at fault, and lowered in two others; the call itself raises and lowers it now. Endpoints and health signals keep only what a silence says of health.

--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -287,19 +287,9 @@
     return true;
   }
 
-  /** Records that a call has become silent: a failure until the call goes on.
-   * Returns whether it ejects the endpoint. */
-  recordSilence(now: number): boolean {
-    this.silentCalls++;
-    return this.recordHealth("bad", now);
-  }
-
-  /** Records that a silent call goes on. Its first silence takes back the failure
-   * that it counted as, since the endpoint is sound; one that is silent again and
-   * again is not. */
-  recordResumption(now: number, { isFirst }: { isFirst: boolean }): void {
-    this.silentCalls--;
-    if (!isFirst) return;
+  /** Takes back the failure that a silent call counted as, since the call goes
+   * on. */
+  revokeFailure(now: number): void {
     this.#ejectedUntil = 0;
     this.recordHealth("good", now);
   }
--- a/src/gateway/endpoint_call.ts
+++ b/src/gateway/endpoint_call.ts
@@ -167,6 +167,7 @@
   #recordNewSilence(): void {
     const { clock, logger } = this.#context;
     const isReceiving = this.#isReceiving;
+    this.endpoint.silentCalls++;
     healthSignals.recordSilence(this.endpoint, {
       ...this.#context,
       now: clock.now(),
@@ -187,6 +188,7 @@
   #recordResumption(): void {
     const { clock, logger } = this.#context;
     const isFirst = this.record.resumed === undefined;
+    this.endpoint.silentCalls--;
     healthSignals.recordResumption(this.endpoint, {
       ...this.#context,
       now: clock.now(),
--- a/src/gateway/health_signal.ts
+++ b/src/gateway/health_signal.ts
@@ -53,16 +53,13 @@
   { now, isReceiving, metrics, logger }: Omit<CallEnd, "duration" | "wait">,
 ): void {
   metrics.count("gateway.silences", 1, { service: target.identity.service });
-  if (!isReceiving) {
-    target.silentCalls++;
-    return;
-  }
-  if (target.recordSilence(now)) {
+  if (isReceiving && target.recordHealth("bad", now)) {
     logEjection(target, { metrics, logger, cause: "silent" });
   }
 }
 
-/** Records that a silent call goes on. */
+/** Records that a silent call goes on. Its first silence does not count any more,
+ * since the endpoint is sound; one that is silent again and again is not. */
 export function recordResumption(
   target: endpoints.Endpoint,
   { now, metrics, isFirst }: Pick<CallEnd, "now" | "metrics"> & {
@@ -73,7 +70,7 @@
   metrics.count("gateway.resumptions", 1, {
     service: target.identity.service,
   });
-  target.recordResumption(now, { isFirst });
+  if (isFirst) target.revokeFailure(now);
 }
 
 /** Records how slow a call without a prompt was. */
