--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -21,6 +21,7 @@
 import * as openCalls from "./open_calls.ts";
 import * as replies from "./reply.ts";
 import * as retries from "./retry.ts";
+import * as retryAllowances from "./retry_allowance.ts";
 import * as shareCharges from "./share_charge.ts";
 import * as pipelineRuns from "./pipeline_run.ts";
 import * as streamBindings from "./stream_binding.ts";
@@ -63,8 +64,8 @@
   readonly #openCalls = openCalls.OpenCalls.create();
   /** Calls that have ended and may have run. */
   #runs = 0;
-  /** Whether a retry is withdrawn from the budget for a call not made yet. */
-  #isRetryWithdrawn = false;
+  /** Present from the first call on. */
+  #retryAllowance?: retryAllowances.RetryAllowance;
   #cancelRelease = () => {};
   /** Milliseconds from arrival to the first event sent to the caller. */
   #firstEventMs?: number;
@@ -329,12 +330,16 @@
       inputs: readonly string[] | undefined;
     },
   ): Promise<void> {
-    const { clock } = this.#context;
     const targets = this.#createTargetChoice(service);
     const hasStages = this.#route!.stages.length > 0;
     let inputs = first;
     let reruns = 0;
-    this.#context.retryBudget(service).deposit(clock.now());
+    this.#retryAllowance = retryAllowances.RetryAllowance.start(this.#context, {
+      service,
+      route: this.#route!,
+      account: this.#account?.name ?? "",
+      calls: this.#calls,
+    });
     await this.#callNext(targets, inputs);
     while (!this.isFinished) {
       const stall = await this.#openCalls.nextStall();
@@ -342,7 +347,7 @@
       if (hasStages && this.#needsStages(stall)) inputs = undefined;
       const isStageLost = hasStages && inputs === undefined;
       const isExhausted = isStageLost && reruns >= MAX_STAGE_RERUNS;
-      if (isExhausted || !this.#mayCallAgain(stall, service)) {
+      if (isExhausted || !this.#mayCallAgain(stall)) {
         this.#endUnlessOpen(stall);
         continue;
       }
@@ -383,10 +388,11 @@
   }
 
   /** Whether a further call is allowed when none in flight sends anything. */
-  #mayCallAgain(stall: openCalls.Stall, service: string): boolean {
+  #mayCallAgain(stall: openCalls.Stall): boolean {
+    const allowance = this.#retryAllowance!;
     return stall.type === "answer"
-      ? this.#withdrawRetry(service)
-      : this.#mayRetry(stall, service);
+      ? allowance.withdraw()
+      : allowance.mayRetry(stall, this.#history);
   }
 
   /** Whether a further call needs the results of the stages once more. */
@@ -425,7 +431,7 @@
     const { metrics } = this.#context;
     const { placed } = target;
     const { name, service } = target.endpoint.identity;
-    this.#isRetryWithdrawn = false;
+    this.#retryAllowance!.recordCall();
     if (this.#reply.head === undefined) this.#phase = "sent";
     if (placed !== undefined) {
       this.#shareCharge?.correct(placed.cacheMiss.prefillTokens);
@@ -619,49 +625,12 @@
     this.#log("info", { status: head.status }, "Request answered");
   }
 
-  #mayRetry(
-    outcome: Extract<attempts.Outcome, { type: "failed" }>,
-    service: string,
-  ): boolean {
-    const decision = retries.afterFailure(
-      this.#route!,
-      outcome,
-      this.#history,
-    );
-    if (decision === "retry-free") return true;
-    if (decision === "retry" && this.#withdrawRetry(service)) return true;
-    const record = this.#calls.at(-1);
-    if (record !== undefined) {
-      record.notRetried = decision === "retry" ? "budget" : "policy";
-    }
-    return false;
-  }
-
   /** Calls so far; one in flight may have run. */
   get #history(): retries.RetryHistory {
     const runs = this.#runs + this.#openCalls.size;
     return { runs, calls: this.#calls.length };
   }
 
-  /** Withdraws a retry from the budget, unless one was withdrawn for a call that
-   * was not made in the end. */
-  #withdrawRetry(service: string): boolean {
-    if (this.#isRetryWithdrawn) return true;
-    const { clock, fleetView, metrics } = this.#context;
-    const budget = this.#context.retryBudget(service);
-    const account = this.#account?.name ?? "";
-    if (budget.isWithheldFrom(account, clock.now())) return false;
-    const hosts = fleetView.hostCount();
-    const isAllowed = budget.tryWithdraw(clock.now(), hosts);
-    const record = this.#calls.at(-1);
-    if (record !== undefined) {
-      record.budget = budget.balance(clock.now(), hosts);
-    }
-    if (!isAllowed) metrics.count("gateway.no_budget", 1, { service });
-    this.#isRetryWithdrawn = isAllowed;
-    return isAllowed;
-  }
-
   /** Ends a request for which no further call is made: with an error answer of
    * an endpoint where there is one, else with a refusal. */
   #endUnanswered(
