--- a/src/endpoint_calls/read_slices.ts
+++ b/src/endpoint_calls/read_slices.ts
@@ -13,7 +13,7 @@
 
 /** Bytes of a slice. undici parses a slice to its end also after the head in it has
  * become too large, and creates an error for each further header line. */
-export const SLICE_BYTES = 4 * 1024;
+const SLICE_BYTES = 4 * 1024;
 /** Milliseconds of a turn in which further slices are read, over all connections:
  * about a megabyte of sound answers, and too short to delay other requests. */
 const MAX_TURN_MS = 5;
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -237,7 +237,7 @@
       const { errors, counted } = recordErrors(host);
       const answer = await Promise.race([
         host.ask(),
-        fixture.pause(CLOSE_TIMEOUT_MS, "no answer"),
+        fixture.pause(CLOSE_TIMEOUT_MS).then(() => "no answer"),
       ]);
       t.like(answer, { status: 502 });
       t.like(errors, [{ request: "a-1", route: "route" }]);
@@ -336,7 +336,7 @@
 async function endOf(answer: Promise<unknown>): Promise<string> {
   return await Promise.race([
     answer.then(() => "whole", () => "broken off"),
-    fixture.pause(CLOSE_TIMEOUT_MS, "open"),
+    fixture.pause(CLOSE_TIMEOUT_MS).then(() => "open"),
   ]);
 }
 
@@ -691,7 +691,7 @@
       (_, response) => sendLargeEvents(response, taken.resolve),
     );
     const { read } = askWithoutReading(t, gatewayAddress);
-    const late = fixture.pause(UNREAD_MS, "late");
+    const late = fixture.pause(UNREAD_MS).then(() => "late");
     t.is(await Promise.race([taken.promise, late]), undefined);
     t.true(isComplete(await read()));
   });
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -13,6 +13,7 @@
 import * as originFixture from "../origins/fixture.ts";
 import * as quarantineFixture from "../quarantine/fixture.ts";
 import * as rateLimitFixture from "../rate_limits/fixture.ts";
+import * as delays from "../runtime/delay.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as turnClocks from "../runtime/turn_clock.ts";
 import * as telemetry from "../telemetry/mod.ts";
@@ -26,13 +27,9 @@
  * would make an endpoint silent that has only not had its turn. */
 export const clock = turnClocks.TurnClock.start();
 
-/** Resolves with `value` after some milliseconds of `clock`. */
-export function pause(milliseconds: number): Promise<void>;
-export function pause<T>(milliseconds: number, value: T): Promise<T>;
-export function pause<T>(milliseconds: number, value?: T) {
-  return new Promise<T | undefined>((resolve) => {
-    clock.after(milliseconds, () => resolve(value));
-  });
+/** Resolves after some milliseconds of `clock`. */
+export function pause(milliseconds: number): Promise<void> {
+  return delays.sleep(clock, milliseconds);
 }
 
 /** Headers of an answer that are relayed to the caller. */
--- a/src/gateway/retry_budget_test.ts
+++ b/src/gateway/retry_budget_test.ts
@@ -1,6 +1,7 @@
 /** @module */
 
 import test from "ava";
+import * as runtime from "../runtime/mod.ts";
 import * as peakCounts from "./peak_count.ts";
 import * as retryBudgets from "./retry_budget.ts";
 
@@ -33,15 +34,6 @@
   }
 });
 
-/** Seeded sequence of numbers from 0 to 1. */
-function randomOf(seed: number) {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 /** Largest number of `times` in a window of the bounds. */
 function mostInWindow(times: readonly number[]): number {
   const inWindow = (from: number) =>
@@ -56,7 +48,7 @@
 test("hosts that restart once in a window stay within the bounds", (t) => {
   const hosts = 6;
   for (let seed = 1; seed <= 50; seed++) {
-    const random = randomOf(seed);
+    const random = runtime.createMixedRandom(seed);
     const requests: number[] = [];
     const repeats: number[] = [];
     const budgets = new Map<number, retryBudgets.RetryBudget>();
@@ -68,15 +60,15 @@
     };
     const isKillOfAll = seed % 2 === 0;
     for (let now = 0; now < 60_000; now += 100) {
-      const isKilled = isKillOfAll && random() < RESTART_CHANCE;
+      const isKilled = isKillOfAll && random.next() < RESTART_CHANCE;
       for (let host = 0; host < hosts; host++) {
-        if (isKilled || !isKillOfAll && random() < RESTART_CHANCE) {
+        if (isKilled || !isKillOfAll && random.next() < RESTART_CHANCE) {
           restart(host, now);
         }
         const budget = budgets.get(host) ??
           retryBudgets.RetryBudget.create(BOUNDS, { startedAt: now });
         budgets.set(host, budget);
-        if (random() < 0.3) {
+        if (random.next() < 0.3) {
           budget.deposit(now);
           requests.push(now);
         }
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -84,7 +84,7 @@
   /** Statuses of the replies once the server has closed the connection, and
    * whether it has within the time. */
   const replies = async () => {
-    const late = fixture.pause(CLOSE_TIMEOUT_MS, true);
+    const late = fixture.pause(CLOSE_TIMEOUT_MS).then(() => true);
     const isOpen = await Promise.race([ended, late]) === true;
     return { statuses: statusesOf(text), isOpen };
   };
@@ -117,6 +117,33 @@
   return { server, calls, socket, replies, answer: sent.resolve };
 }
 
+/** A server with a stream whose caller has its first event, and which goes on once
+ * `end` is called. */
+async function startStream(
+  t: ava.ExecutionContext,
+  options: { isDraining?: boolean } = {},
+) {
+  const sent = deferred();
+  const { server, calls } = await startServer(t, {
+    ...options,
+    kind: "streaming",
+    handle(_, response) {
+      response.writeHead(200, { "test-signature": "s" });
+      response.write("id: 1\ndata: 1\n\n");
+      void sent.promise.then(() =>
+        fixture.clock.after(
+          WORK_MS,
+          () => response.end("id: 2\ndata: 2\n\n"),
+        )
+      );
+    },
+  });
+  const { socket, replies, textWith } = connect(t, server.port);
+  socket.write(requestOf());
+  await textWith("id: 1");
+  return { calls, socket, replies, textWith, end: sent.resolve };
+}
+
 /** What a caller gets that sends some bytes and waits for the server to close. */
 async function repliesTo(
   t: ava.ExecutionContext,
@@ -165,25 +192,9 @@
 });
 
 test("a stream goes on to its end although bytes that are no request follow", async (t) => {
-  const sent = deferred();
-  const { server } = await startServer(t, {
-    kind: "streaming",
-    handle(_, response) {
-      response.writeHead(200, { "test-signature": "s" });
-      response.write("id: 1\ndata: 1\n\n");
-      void sent.promise.then(() =>
-        fixture.clock.after(
-          WORK_MS,
-          () => response.end("id: 2\ndata: 2\n\n"),
-        )
-      );
-    },
-  });
-  const { socket, replies, textWith } = connect(t, server.port);
-  socket.write(requestOf());
-  await textWith("id: 1");
+  const { socket, replies, textWith, end } = await startStream(t);
   socket.write(GARBAGE);
-  sent.resolve();
+  end();
   t.deepEqual(await replies(), { statuses: [200], isOpen: false });
   const text = await textWith("id: 2");
   t.true(text.endsWith("\r\n0\r\n\r\n"), text);
@@ -307,26 +318,11 @@
 });
 
 test("a request that crosses the announced close of its connection is not passed on", async (t) => {
-  const sent = deferred();
-  const { server, calls } = await startServer(t, {
-    kind: "streaming",
+  const { calls, socket, replies, end } = await startStream(t, {
     isDraining: true,
-    handle(_, response) {
-      response.writeHead(200, { "test-signature": "s" });
-      response.write("id: 1\ndata: 1\n\n");
-      void sent.promise.then(() =>
-        fixture.clock.after(
-          WORK_MS,
-          () => response.end("id: 2\ndata: 2\n\n"),
-        )
-      );
-    },
   });
-  const { socket, replies, textWith } = connect(t, server.port);
   socket.write(requestOf());
-  await textWith("id: 1");
-  socket.write(requestOf());
-  sent.resolve();
+  end();
   t.deepEqual(await replies(), { statuses: [200], isOpen: false });
   t.is(calls.begun, 1);
 });
--- a/src/runtime/turn_clock.ts
+++ b/src/runtime/turn_clock.ts
@@ -2,7 +2,7 @@
  * @module */
 
 import type * as clock from "./clock.ts";
-import { FakeClock } from "./fake_clock.ts";
+import * as fakeClocks from "./fake_clock.ts";
 
 /** Milliseconds from one turn of the event loop that the clock counts to the
  * next. */
@@ -16,7 +16,7 @@
  * idle machine. Timers run after what has arrived is read, as with the system's
  * clock. */
 export class TurnClock implements clock.Clock {
-  readonly #time = new FakeClock();
+  readonly #time = new fakeClocks.FakeClock();
   readonly #start = performance.now();
   readonly #startWall = Date.now();
   #turnedAt = performance.now();
--- a/src/runtime/turn_clock_test.ts
+++ b/src/runtime/turn_clock_test.ts
@@ -2,7 +2,7 @@
 
 import * as timers from "node:timers/promises";
 import test from "ava";
-import { TurnClock } from "./turn_clock.ts";
+import * as turnClocks from "./turn_clock.ts";
 
 const TIMER_MS = 200;
 
@@ -12,7 +12,7 @@
 }
 
 /** Resolves once a timer of a clock has fired. */
-async function waitFor(clock: TurnClock, delay: number): Promise<void> {
+async function waitFor(clock: turnClocks.TurnClock, delay: number): Promise<void> {
   let isOver = false;
   clock.after(delay, () => isOver = true);
   // A promise of the clock alone keeps no process alive.
@@ -21,14 +21,14 @@
 
 // Guards against timeouts in tests that a busy machine makes come true.
 test("a clock of turns does not pass while the event loop is busy", (t) => {
-  const clock = TurnClock.start();
+  const clock = turnClocks.TurnClock.start();
   const start = clock.now();
   stayBusy(TIMER_MS);
   t.is(clock.now(), start);
 });
 
 test("a timer that is due while the event loop is busy waits for its turns", async (t) => {
-  const clock = TurnClock.start();
+  const clock = turnClocks.TurnClock.start();
   let hasFired = false;
   clock.after(TIMER_MS, () => hasFired = true);
   stayBusy(2 * TIMER_MS);
@@ -41,7 +41,7 @@
 
 test("a clock of turns is never ahead of the system's", async (t) => {
   const systemStart = performance.now();
-  const clock = TurnClock.start();
+  const clock = turnClocks.TurnClock.start();
   const start = clock.now();
   await waitFor(clock, TIMER_MS);
   const passed = clock.now() - start;
