--- a/src/batching/batch_call_test.ts
+++ b/src/batching/batch_call_test.ts
@@ -1,10 +1,10 @@
 /** @module */
 
-import * as http from "node:http";
-import type * as net from "node:net";
+import type * as http from "node:http";
 import type * as ava from "ava";
 import test from "ava";
 import * as undici from "undici";
+import * as gatewayFixture from "../gateway/fixture.ts";
 import type * as protocols from "../gateway/protocol.ts";
 import * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import * as runtime from "../runtime/mod.ts";
@@ -19,20 +19,6 @@
     body.length === 0 ? undefined : [{ type: "made", handle: `${body}` }],
 } as unknown as protocols.GatewayProtocol;
 
-/** Listens on loopback; resolves with the address. */
-async function listen(
-  t: ava.ExecutionContext,
-  handle: http.RequestListener,
-): Promise<string> {
-  const server = http.createServer(handle);
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  t.teardown(() => {
-    server.closeAllConnections();
-    server.close();
-  });
-  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
-}
-
 /** Calls an endpoint that handles the call with `handle`. */
 async function callEndpoint(
   t: ava.ExecutionContext,
@@ -47,7 +33,7 @@
   });
   const lines: object[] = [];
   const [worker] = fixture.workersAt({ hall: 1 });
-  const address = await listen(t, handle);
+  const address = await gatewayFixture.listen(t, handle);
   const assignment = {
     worker: { ...worker, address },
     tasks: fixture.tasks("a", 1),
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -227,7 +227,7 @@
 
 // Guards against callers that get neither an answer nor a refusal: a request
 // counted as finished before its answer was written, so that the error of Node
-// ended it without a word. A stream whose head is refused must not go on with a
+// ended it without a reply. A stream whose head is refused must not go on with a
 // head of Node's own either, which has no signature.
 for (const [name, change] of Object.entries(UNWRITABLE_HEADS)) {
   for (const kind of ["unsafe", "safe", "streaming"] as const) {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -241,7 +241,7 @@
   }
 
   /** Rejects a request for a tunnel; without a listener Node closes its connection
-   * without a word. */
+   * without a reply. */
   #rejectConnect(socket: net.Socket): void {
     // Node has taken its own listeners off the connection.
     socket.on("error", () => {});
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -213,7 +213,7 @@
 
 const TUNNEL_REQUEST = "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n";
 
-// Guards against a request whose connection closes without a word, with those
+// Guards against a request whose connection closes without a reply, with those
 // before it, as Node does with requests for tunnels.
 test("a request for a tunnel is refused, and those before it are answered", async (t) => {
   const alone = await repliesTo(t, [TUNNEL_REQUEST]);
@@ -470,7 +470,7 @@
   return { callers, running: CALLERS - calls.cut };
 }
 
-// Guards against whole requests that end without a word: callers that end their
+// Guards against whole requests that end without a reply: callers that end their
 // side and read on got neither an answer nor a refusal.
 test("a caller that ends its side gets the answer of a call that can't be cancelled", async (t) => {
   const { callers } = await endWhileCalled(t, "unsafe", (each) => each.end());
--- a/src/runtime/turn_clock_test.ts
+++ b/src/runtime/turn_clock_test.ts
@@ -12,7 +12,10 @@
 }
 
 /** Resolves once a timer of a clock has fired. */
-async function waitFor(clock: turnClocks.TurnClock, delay: number): Promise<void> {
+async function waitFor(
+  clock: turnClocks.TurnClock,
+  delay: number,
+): Promise<void> {
   let isOver = false;
   clock.after(delay, () => isOver = true);
   // A promise of the clock alone keeps no process alive.
