--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -11,7 +11,7 @@
 
 /** Requests a second, and milliseconds of traffic before the kill. */
 const RATE = 30;
-const KILL_AFTER = 1000;
+const KILL_AFTER = 1500;
 /** Milliseconds until the process starts again, and of traffic after it. */
 const RESTART_DELAY = 200;
 const AFTER = 2000;
