Hosts: a reply belongs to the process that asked

Cause: ids of questions between hosts began at 1 in each process, and a reply was matched by its id alone, whichever host sent it. The link to a host keeps messages for up to 3 s while it reconnects, so replies to the process that was killed reached its successor at the same address and settled the questions that had the same ids there.

Change: each process draws an incarnation of 52 random bits. - Ids of questions start from it, so a late reply matches no question of another process; hosts of earlier releases return ids unchanged, so this holds beside them too. - A reply or keep-alive counts only if it comes from the host that was asked. - Both ends of a connection state their incarnation in the handshake. A reply is for the incarnation that asked, and a link drops it instead of delivering it to another one (peer.dropped, former-incarnation). - A connection of a new incarnation ends those of former ones, whose messages may still be unread. - Revisions of a control host's roster and ids of its commands contained the wall clock in place of an identity: a clock that steps back could repeat them. They contain the incarnation.

Replies that match nothing are counted (peer.unmatched_replies).

What it leaves open: a process of an earlier release that is replaced by one of an earlier release still takes replies by small ids.

--- a/src/control/versions/configuration_store.ts
+++ b/src/control/versions/configuration_store.ts
@@ -45,6 +45,8 @@
 /** Dependencies of a store. */
 export interface ConfigurationStoreOptions {
   self: string;
+  /** Incarnation of this process, which makes the ids of its commands unique. */
+  incarnation: string;
   /** Hosts that are the first voters of a new log. */
   initialVoters: readonly string[];
   /** Whether this host may create a new log. */
@@ -519,8 +521,8 @@
   ): Promise<schema.Reply> {
     const runner = this.#runner;
     if (runner === undefined) return { type: "failed", reason: "stopped" };
-    const { self, clock } = this.#options;
-    const id = `${self}/${Math.floor(clock.wall())}/${++this.#commandCount}`;
+    const { self, incarnation } = this.#options;
+    const id = `${self}/${incarnation}/${++this.#commandCount}`;
     try {
       return await runner.propose(createCommand(id));
     } catch (error) {
--- a/src/control/versions/fake_cluster.ts
+++ b/src/control/versions/fake_cluster.ts
@@ -120,6 +120,7 @@
       const isCurrent = () => host.incarnation === incarnation;
       host.store = await configurationStore.ConfigurationStore.start({
         self: name,
+        incarnation: `${incarnation}`,
         initialVoters: host.seeds,
         isBootstrap: founds && host.seeds.includes(name),
         clock: {
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -100,7 +100,7 @@
     const { clock } = options;
     const { host, dataCentre, seeds, heartbeatInterval } = options.settings;
     this.#options = options;
-    this.#epoch = `${host}/${Math.floor(clock.wall())}`;
+    this.#epoch = `${host}/${options.incarnation}`;
     this.#members = controlMembers.ControlMembers.create({ host, dataCentre }, {
       known: seeds,
       now: clock.now(),
--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -5,6 +5,7 @@
 import * as crypto from "node:crypto";
 import * as fs from "node:fs";
 import type * as http from "node:http";
+import * as peers from "../peers/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import type * as hostContext from "./host_context.ts";
@@ -83,6 +84,7 @@
   const logger = telemetry.createLogger({ host: loaded.name });
   return {
     settings: loaded,
+    incarnation: peers.drawIncarnation(),
     clock,
     random: runtime.createRandom(crypto.randomInt(2 ** 31)),
     logger: telemetry.boundLogger(logger, clock),
--- a/src/fleet/host_context.ts
+++ b/src/fleet/host_context.ts
@@ -14,6 +14,8 @@
 /** Settings and system services that a host is given. */
 export interface HostContext {
   settings: settings.HostSettings;
+  /** Incarnation of this process; see `peers.drawIncarnation`. */
+  incarnation: string;
   clock: runtime.Clock;
   random: runtime.Random;
   logger: telemetry.Logger;
@@ -42,11 +44,13 @@
 
 /** Creates the transport and the RPC layer; neither listens yet. */
 export function createNetwork(
-  { settings: { host, peerPort }, clock, logger, metrics }: HostContext,
+  { settings: { host, peerPort }, incarnation, clock, logger, metrics }:
+    HostContext,
   { handlers, onNotice, onLog, onTunnel }: MessageHandlers,
 ): Network {
   const transport = peers.Peers.create({
     self: host,
+    incarnation,
     hosts: {
       get: (id) => ({ id, address: id, port: peerPort }),
       has: () => true,
@@ -73,12 +77,14 @@
     onTunnel,
     onEnvelope(envelope) {
       if (envelope.channel === "log") return onLog?.(envelope);
-      calls.receive(envelope.from, envelope.body as schema.FleetMessage);
+      calls.receive(envelope, envelope.body as schema.FleetMessage);
     },
   });
   const calls = peers.Rpc.create({
     self: host,
+    incarnation,
     clock,
+    metrics,
     transport,
     handlers,
     onNotice,
--- a/src/node/transport.ts
+++ b/src/node/transport.ts
@@ -40,6 +40,7 @@
   return peers.Peers.create({
     ...options,
     self,
+    incarnation: peers.drawIncarnation(),
     hosts,
     validators: {
       control: controlMessages.validate,
--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -4,6 +4,8 @@
 import * as ws from "ws";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as frames from "./frame.ts";
+import * as handshake from "./handshake.ts";
+import * as incarnations from "./incarnation.ts";
 
 /** Time within which a connection has to open. */
 const HANDSHAKE_TIMEOUT_MS = 2000;
@@ -23,8 +25,9 @@
 
 /** Callbacks of a connection. */
 export interface ConnectionListener {
-  /** The connection has opened. */
-  open(): void;
+  /** The connection has opened, to a process that may have stated its
+   * incarnation. */
+  open(incarnation: incarnations.Incarnation | undefined): void;
   /** The connection has ended; unacknowledged frames may be lost. */
   close(): void;
   /** The other host has received a frame. */
@@ -77,9 +80,14 @@
       perMessageDeflate: false,
     });
     this.#socket = socket;
+    let incarnation: incarnations.Incarnation | undefined;
+    socket.on("upgrade", ({ headers }) => {
+      const value = headers[handshake.INCARNATION_HEADER];
+      incarnation = incarnations.decode(value);
+    });
     socket.on("open", () => {
       this.#failures = 0;
-      if (!this.#isClosed) this.#listener.open();
+      if (!this.#isClosed) this.#listener.open(incarnation);
     });
     socket.on("message", (data) => {
       this.#listener.acknowledged(frames.decodeAck(`${data}`));
--- a/src/peers/handshake.ts
+++ b/src/peers/handshake.ts
@@ -11,6 +11,8 @@
 
 /** Header that names the dialling host. */
 export const HOST_HEADER = "chicoryloft-host";
+/** Header with the incarnation of a host, in requests and in responses. */
+export const INCARNATION_HEADER = "chicoryloft-incarnation";
 /** Header with the proof of the dialling host. */
 export const PROOF_HEADER = "chicoryloft-proof";
 
@@ -23,9 +25,10 @@
 /** Returns the headers with which `from` dials `to`. */
 export function headersFor(
   ends: Ends,
-  key: string | undefined,
+  { key, incarnation }: { key?: string; incarnation?: string },
 ): Record<string, string> {
   const headers: Record<string, string> = { [HOST_HEADER]: ends.from };
+  if (incarnation !== undefined) headers[INCARNATION_HEADER] = incarnation;
   if (key !== undefined) headers[PROOF_HEADER] = proofOf(ends, key);
   return headers;
 }
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -48,6 +48,8 @@
   readonly #queue: sendQueue.SendQueue;
   readonly #inFlight = new Map<number, InFlight>();
   #connection: connections.Connection;
+  /** Incarnation at the other end of the open connection. */
+  #incarnation?: string;
   #isOpen = false;
   #isClosed = false;
   #isFlushScheduled = false;
@@ -72,10 +74,11 @@
     return new Link(options);
   }
 
-  /** Queues a message; all messages of the same step are sent together. */
-  send(message: schema.Parcel): void {
-    this.#lastMessageAt = this.#options.clock.now();
-    this.#queue.push(message, this.#lastMessageAt);
+  /** Queues a message; all messages of the same step are sent together. With an
+   * `incarnation` no other one receives it. */
+  send(message: schema.Parcel, incarnation?: string): void {
+    const now = this.#lastMessageAt = this.#options.clock.now();
+    this.#queue.push(message, { now, incarnation });
     if (this.#isFlushScheduled) return;
     this.#isFlushScheduled = true;
     queueMicrotask(() => {
@@ -142,8 +145,9 @@
   #dial(): connections.Connection {
     this.#dialledAt = this.#options.clock.now();
     return connections.Connection.dial(this.#options, {
-      open: () => {
+      open: (incarnation) => {
         this.#isOpen = true;
+        this.#incarnation = incarnation;
         this.#options.metrics.count("peer.connected");
         this.#flush();
       },
@@ -167,7 +171,10 @@
 
   #flush(): void {
     while (this.#isOpen && this.#inFlight.size < MAX_BATCHES_IN_FLIGHT) {
-      const batch = this.#queue.take(this.#options.clock.now());
+      const batch = this.#queue.take({
+        now: this.#options.clock.now(),
+        incarnation: this.#incarnation,
+      });
       if (batch.messages.length === 0) return;
       this.#sendBatch(batch);
     }
--- a/src/peers/listener.ts
+++ b/src/peers/listener.ts
@@ -10,6 +10,7 @@
 import * as errors from "./errors.ts";
 import * as frames from "./frame.ts";
 import * as handshake from "./handshake.ts";
+import * as incarnations from "./incarnation.ts";
 
 /** Maximum size of a frame: a message of the largest size, or a batch, and the
  * enclosing JSON. */
@@ -23,16 +24,26 @@
   address: string;
   /** 0 lets the operating system choose. */
   port: number;
+  /** Incarnation of this process, which responses to upgrade requests state. */
+  incarnation?: string;
   logger: telemetry.Logger;
   /** Returns the host that the headers of an upgrade request authenticate;
    * undefined if it is refused. */
   admit(headers: handshake.Headers): string | undefined;
-  /** Processes a batch of messages from a host. */
-  receive(host: string, batch: schema.Batch): void;
+  /** Processes a batch of messages. */
+  receive(sender: Sender, batch: schema.Batch): void;
   /** Serves a tunnel; absent on hosts that serve none. */
   onTunnel?(request: TunnelRequest): void;
 }
 
+/** The process that sends messages on a connection. */
+export interface Sender {
+  /** Its host, authenticated. */
+  readonly host: string;
+  /** Undefined if the process has not stated it. */
+  readonly incarnation?: incarnations.Incarnation;
+}
+
 /** A host's request to be connected to an address through this host. */
 export interface TunnelRequest {
   /** The host that asks, authenticated. */
@@ -50,7 +61,7 @@
 
 /** Starts listening; resolves once connections are accepted. */
 export async function listen(options: ListenerOptions): Promise<Listener> {
-  const { address, port, admit } = options;
+  const { address, port, admit, incarnation } = options;
   const server = http.createServer((_request, response) => {
     response.writeHead(426, { connection: "close" }).end();
   });
@@ -74,16 +85,20 @@
     });
     server.listen(port, address);
   });
-  const lastFrameAt = new Map<ws.WebSocket, number>();
+  const accepted = new Map<ws.WebSocket, AcceptedConnection>();
+  sockets.on("headers", (headers) => {
+    if (incarnation === undefined) return;
+    headers.push(`${handshake.INCARNATION_HEADER}: ${incarnation}`);
+  });
   sockets.on("error", (err) => options.logger.warn({ err }, "Listener failed"));
   sockets.on("connection", (socket, request) => {
-    receiveFrames(socket, {
-      ...options,
-      host: hostOf(request),
-      lastFrameAt,
-    });
+    const sender = senderOf(request);
+    closeFormer(accepted, sender);
+    accepted.set(socket, { sender, lastFrameAt: performance.now() });
+    socket.on("close", () => accepted.delete(socket));
+    receiveFrames(socket, { ...options, connection: accepted.get(socket)! });
   });
-  const sweep = setInterval(() => closeSilent(lastFrameAt), SILENCE_TIMEOUT_MS);
+  const sweep = setInterval(() => closeSilent(accepted), SILENCE_TIMEOUT_MS);
   return {
     port: (server.address() as net.AddressInfo).port,
     close() {
@@ -121,28 +136,31 @@
   req: { headers: handshake.Headers };
 }
 
-/** An accepted connection; `lastFrameAt` is shared by all connections. */
-interface AcceptedConnection
-  extends Pick<ListenerOptions, "logger" | "receive"> {
-  readonly host: string;
-  readonly lastFrameAt: Map<ws.WebSocket, number>;
+/** An accepted connection. */
+interface AcceptedConnection {
+  readonly sender: Sender;
+  lastFrameAt: number;
 }
 
 /** Receives frames from a connection and acknowledges each. */
 function receiveFrames(
   socket: ws.WebSocket,
-  { host, lastFrameAt, logger, receive }: AcceptedConnection,
+  { connection, logger, receive }:
+    & Pick<ListenerOptions, "logger" | "receive">
+    & { readonly connection: AcceptedConnection },
 ): void {
-  lastFrameAt.set(socket, performance.now());
+  const { sender } = connection;
   socket.on("message", (data) => {
-    lastFrameAt.set(socket, performance.now());
+    // A frame may already have been read when the connection is terminated.
+    if (socket.readyState !== ws.WebSocket.OPEN) return;
+    connection.lastFrameAt = performance.now();
     try {
       const { id, batch } = frames.decode(`${data}`);
       socket.send(frames.encodeAck(id));
-      receive(host, batch);
+      receive(sender, batch);
     } catch (err) {
       logger.warn(
-        { peer: host, err },
+        { peer: sender.host, err },
         "Frame is invalid; connection terminated",
       );
       socket.terminate();
@@ -150,18 +168,35 @@
   });
   socket.on(
     "error",
-    (err) => logger.debug({ peer: host, err }, "Connection failed"),
+    (err) => logger.debug({ peer: sender.host, err }, "Connection failed"),
   );
-  socket.on("close", () => lastFrameAt.delete(socket));
 }
 
-function closeSilent(lastFrameAt: ReadonlyMap<ws.WebSocket, number>): void {
+type AcceptedConnections = ReadonlyMap<ws.WebSocket, AcceptedConnection>;
+
+function closeSilent(accepted: AcceptedConnections): void {
   const now = performance.now();
-  for (const [socket, at] of lastFrameAt) {
-    if (now - at > SILENCE_TIMEOUT_MS) socket.terminate();
+  for (const [socket, { lastFrameAt }] of accepted) {
+    if (now - lastFrameAt > SILENCE_TIMEOUT_MS) socket.terminate();
   }
 }
 
-function hostOf({ headers }: http.IncomingMessage): string {
-  return `${headers[handshake.HOST_HEADER]}`;
+/** Terminates connections of former incarnations of a host, whose messages may
+ * still wait to be read and must not follow those of the present one. */
+function closeFormer(
+  accepted: AcceptedConnections,
+  { host, incarnation }: Sender,
+): void {
+  if (incarnation === undefined) return;
+  for (const [socket, { sender }] of accepted) {
+    const isFormer = sender.host === host && sender.incarnation !== incarnation;
+    if (isFormer) socket.terminate();
+  }
+}
+
+function senderOf({ headers }: http.IncomingMessage): Sender {
+  return {
+    host: `${headers[handshake.HOST_HEADER]}`,
+    incarnation: incarnations.decode(headers[handshake.INCARNATION_HEADER]),
+  };
 }
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -3,6 +3,7 @@
 
 export * from "./ask_in_turn.ts";
 export * from "./rpc.ts";
+export { draw as drawIncarnation, type Incarnation } from "./incarnation.ts";
 export { PeerError } from "./errors.ts";
 export * from "./unresponsive_hosts.ts";
 export * from "./peers.ts";
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -8,6 +8,7 @@
 import type * as schema from "../schema/peers_types.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as errors from "./errors.ts";
+import type * as incarnations from "./incarnation.ts";
 import * as link from "./link.ts";
 import * as listener from "./listener.ts";
 import * as handshake from "./handshake.ts";
@@ -38,6 +39,8 @@
   hosts: readonly Host[] | Directory;
   /** Fleet key; without it, any host that states a known id is admitted. */
   key?: string;
+  /** Incarnation of this process, which it states to other hosts. */
+  incarnation?: incarnations.Incarnation;
   /** Address to listen on; defaults to that of `self` in `hosts`. */
   listenAddress?: string;
   /** Validator of each channel; messages of other channels are dropped. */
@@ -92,7 +95,7 @@
 
   /** Starts listening; resolves once other hosts can connect. */
   async start(): Promise<void> {
-    const { self, listenAddress, onTunnel } = this.#options;
+    const { self, incarnation, listenAddress, onTunnel } = this.#options;
     const own = this.#hosts.get(self);
     if (own === undefined) {
       throw new errors.PeerError(`Host ${self} is not in the list of hosts`);
@@ -100,9 +103,10 @@
     this.#listener = await listener.listen({
       address: listenAddress ?? own.address,
       port: own.port,
+      incarnation,
       logger: this.#logger,
       admit: (headers) => this.#admit(headers),
-      receive: (host, batch) => this.#receive(host, batch),
+      receive: (sender, batch) => this.#receive(sender, batch),
       onTunnel,
     });
     this.#sweptAt = this.#options.clock.now();
@@ -121,21 +125,20 @@
   /** Sends a message, dialling the host if necessary; drops messages to unknown
    * hosts. */
   send(envelope: runtime.Envelope): void {
-    const { to, channel } = envelope;
+    const { to, channel, toIncarnation } = envelope;
     if (to === this.#options.self) return this.#sendToSelf(envelope);
     const body = envelope.body as object;
     const link = this.#linkTo(to);
     if (link === undefined) return this.#countDropped("unknown-host");
     this.#metrics.count("peer.sent", 1, { channel });
-    link.send({ channel, body });
+    link.send({ channel, body }, toIncarnation);
   }
 
   /** How to dial another host; undefined if it is unknown. */
   dialAddress(id: string): DialAddress | undefined {
     const host = this.#hosts.get(id);
     if (host === undefined) return undefined;
-    const { self, key } = this.#options;
-    const headers = handshake.headersFor({ from: self, to: id }, key);
+    const headers = this.#headersFor(id);
     return { address: host.address, port: host.port, headers };
   }
 
@@ -173,11 +176,11 @@
     const known = this.#links.get(id);
     const host = this.#hosts.get(id);
     if (known !== undefined || host === undefined) return known;
-    const { self, key, clock } = this.#options;
+    const { clock } = this.#options;
     const opened = link.Link.create({
       host: id,
       url: `ws://${urlHost(host.address)}:${host.port}`,
-      headers: handshake.headersFor({ from: self, to: id }, key),
+      headers: this.#headersFor(id),
       clock,
       metrics: this.#metrics,
       logger: this.#logger,
@@ -186,6 +189,11 @@
     return opened;
   }
 
+  #headersFor(to: string): Record<string, string> {
+    const { self: from } = this.#options;
+    return handshake.headersFor({ from, to }, this.#options);
+  }
+
   #admit(headers: handshake.Headers): string | undefined {
     const { self: to, key } = this.#options;
     const host = handshake.verify(headers, { to, key, hosts: this.#hosts });
@@ -198,7 +206,10 @@
     return undefined;
   }
 
-  #receive(from: string, batch: schema.Batch): void {
+  #receive(
+    { host: from, incarnation: fromIncarnation }: listener.Sender,
+    batch: schema.Batch,
+  ): void {
     const { self: to } = this.#options;
     for (const { channel: name, body } of batch) {
       const channel = name as runtime.Channel;
@@ -207,7 +218,7 @@
         continue;
       }
       this.#metrics.count("peer.received", 1, { channel });
-      this.#deliver({ from, to, channel, body });
+      this.#deliver({ from, fromIncarnation, to, channel, body });
     }
   }
 
--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -216,20 +216,83 @@
     (reason) => drops.push(reason),
   );
   for (let pos = 0; pos < 5; pos++) {
-    waiting.push({ channel: "control", body: { pos } }, pos * 100);
+    waiting.push({ channel: "control", body: { pos } }, { now: pos * 100 });
   }
   t.deepEqual(drops, []);
-  waiting.push({ channel: "control", body: { text: "x".repeat(80) } }, 500);
+  waiting.push({ channel: "control", body: { text: "x".repeat(80) } }, {
+    now: 500,
+  });
   t.deepEqual(drops, ["too-large"]);
-  waiting.push({ channel: "control", body: { pos: 5 } }, 500);
+  waiting.push({ channel: "control", body: { pos: 5 } }, { now: 500 });
   t.is(waiting.bytes, 5 * size);
   t.deepEqual(drops, ["too-large", "queue-full"]);
-  const { messages } = waiting.take(1150);
+  const { messages } = waiting.take({ now: 1150 });
   const bodies = messages.map((text) => JSON.parse(text).body);
   t.deepEqual(bodies, [{ pos: 2 }, { pos: 3 }]);
   t.is(drops.at(-1), "stale");
 });
 
+test("a queue drops messages for another incarnation of the receiver", (t) => {
+  // Guards against replies that a successor takes for its own.
+  const drops: string[] = [];
+  const bounds = {
+    maxBytes: 1000,
+    maxMessageBytes: 100,
+    maxBatchBytes: 1000,
+    maxAgeMs: 1000,
+  };
+  const taken = (incarnation?: string) => {
+    const waiting = sendQueue.SendQueue.create(
+      bounds,
+      (reason) => drops.push(reason),
+    );
+    for (const [pos, receiver] of ["1a", undefined, "2b"].entries()) {
+      const message = { channel: "control", body: { pos } };
+      waiting.push(message, { now: 0, incarnation: receiver });
+    }
+    const { messages } = waiting.take({ now: 0, incarnation });
+    return messages.map((text) => JSON.parse(text).body.pos);
+  };
+  t.deepEqual([taken("1a"), taken("2b"), taken("3c"), taken()], [
+    [0, 1],
+    [1, 2],
+    [1],
+    [1],
+  ]);
+  t.deepEqual(drops, Array(6).fill("former-incarnation"));
+});
+
+test("a connection of a restarted host ends those of its former process", async (t) => {
+  // Guards against messages of a former process that are read after those of
+  // its successor.
+  const b = await createNode("b", [hostAt("a", 0), hostAt("c", 0)]);
+  const connect = async (from: string, incarnation?: string) => {
+    const socket = new ws.WebSocket(`ws://127.0.0.1:${b.peers.port}`, {
+      headers: handshake.headersFor({ from, to: "b" }, {
+        key: "secret",
+        incarnation,
+      }),
+    });
+    socket.on("error", () => {});
+    await new Promise((resolve) => socket.on("open", resolve));
+    return socket;
+  };
+  const former = [await connect("a"), await connect("a", "1a")];
+  const kept = [await connect("c", "1a"), await connect("a", "2b")];
+  await until(() =>
+    former.every(({ readyState }) => readyState === ws.WebSocket.CLOSED)
+  );
+  const message = frames.encodeMessage({ channel: "control", body: {} });
+  for (const socket of kept) socket.send(frames.encode(0, [message]));
+  await until(() => b.received.length === kept.length);
+  t.deepEqual(
+    b.received.map(({ from, fromIncarnation }) => [from, fromIncarnation]),
+    [["c", "1a"], ["a", "2b"]],
+  );
+  for (const socket of kept) socket.terminate();
+  await b.peers.stop();
+});
+
 test("a frame decodes to what was encoded", (t) => {
   const batch = [
     { channel: "control", body: { text: 'quote " and \u2028' } },
@@ -244,7 +307,7 @@
   const open = await createNode("b", [hostAt("a", 0)], { key: undefined });
   for (const text of ["", "{", "[]", '{"id":-1,"batch":[]}', '{"id":1}']) {
     const url = `ws://127.0.0.1:${open.peers.port}`;
-    const headers = handshake.headersFor({ from: "a", to: "b" }, undefined);
+    const headers = handshake.headersFor({ from: "a", to: "b" }, {});
     const socket = new ws.WebSocket(url, { headers });
     socket.on("error", () => {});
     socket.on("open", () => socket.send(text));
--- a/src/peers/rpc.ts
+++ b/src/peers/rpc.ts
@@ -1,11 +1,18 @@
 /** Remote procedure calls between hosts over an unreliable transport. The host
  * that processes a request sends keep-alives until it replies, so that a failed
  * host is detected long before the timeout of the request.
+ *
+ * A reply belongs to the process that asked. The id of a request is unique to
+ * that process and comes back in the reply, which counts only if it comes from
+ * the host that was asked. It is not delivered to a later process at the same
+ * address, if the asker has stated its incarnation.
  * @module */
 
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
+import type * as telemetry from "../telemetry/mod.ts";
 import * as errors from "./errors.ts";
+import * as incarnations from "./incarnation.ts";
 
 /** Interval between keep-alives for requests in progress. */
 const KEEP_ALIVE_INTERVAL_MS = 200;
@@ -29,7 +36,10 @@
 /** Options of remote procedure calls. */
 export interface RpcOptions {
   self: string;
+  /** Incarnation of this process, from which the ids of its requests start. */
+  incarnation: incarnations.Incarnation;
   clock: runtime.Clock;
+  metrics: telemetry.Metrics;
   transport: runtime.Transport;
   handlers: Handlers;
   /** Handles a one-way message. */
@@ -46,17 +56,27 @@
   reject(error: errors.PeerError): void;
 }
 
+/** A process at another host. */
+type Process = Pick<runtime.Envelope, "from" | "fromIncarnation">;
+
+/** Requests of one process that are in progress. */
+interface InProgress {
+  readonly asker: Process;
+  readonly ids: Set<number>;
+}
+
 /** Client and server side of the remote procedure calls of one host. */
 export class Rpc {
   readonly #options: RpcOptions;
   readonly #pending = new Map<number, Pending>();
-  /** Ids of the requests in progress, by the host that sent them. */
-  readonly #inProgress = new Map<string, Set<number>>();
-  #lastId = 0;
+  /** The requests in progress, by the process that sent them. */
+  readonly #inProgress = new Map<string, InProgress>();
+  #lastId: number;
   #isTickScheduled = false;
 
   private constructor(options: RpcOptions) {
     this.#options = options;
+    this.#lastId = incarnations.callIdBase(options.incarnation);
   }
 
   /** Creates the client and server of one host. */
@@ -83,26 +103,27 @@
         resolve,
         reject,
       });
-      this.#send(to, { type: "ask", id, body });
+      this.#send({ to }, { type: "ask", id, body });
       this.#scheduleTick();
     });
   }
 
   /** Sends a one-way message to a host. */
   cast(to: string, body: schema.Notice): void {
-    this.#send(to, { type: "cast", body });
+    this.#send({ to }, { type: "cast", body });
   }
 
   /** Processes a validated message from another host. */
-  receive(from: string, message: schema.FleetMessage): void {
+  receive(sender: Process, message: schema.FleetMessage): void {
+    const { from } = sender;
     const receivers: {
       [T in schema.FleetMessage["type"]]: (
         message: Extract<schema.FleetMessage, { type: T }>,
       ) => void;
     } = {
-      ask: ({ id, body }) => void this.#serve(from, { id, body }),
-      answer: ({ id, body }) => this.#resolve(id, body),
-      working: ({ ids }) => this.#recordKeepAlives(ids),
+      ask: ({ id, body }) => void this.#serve(sender, { id, body }),
+      answer: ({ id, body }) => this.#resolve(from, { id, body }),
+      working: ({ ids }) => this.#recordKeepAlives(from, ids),
       cast: ({ body }) => this.#options.onNotice?.(body, from),
     };
     (receivers[message.type] as (message: schema.FleetMessage) => void)(
@@ -118,15 +139,15 @@
   }
 
   async #serve(
-    from: string,
+    asker: Process,
     { id, body }: Pick<schema.Ask, "id" | "body">,
   ): Promise<void> {
-    const inProgress = this.#inProgressFor(from);
-    inProgress.add(id);
+    const { ids } = this.#inProgressFor(asker);
+    ids.add(id);
     this.#scheduleTick();
-    const reply = await this.#handle(body, from);
-    inProgress.delete(id);
-    this.#send(from, { type: "answer", id, body: reply });
+    const reply = await this.#handle(body, asker.from);
+    ids.delete(id);
+    this.#sendBack(asker, { type: "answer", id, body: reply });
   }
 
   async #handle(body: schema.Question, from: string): Promise<schema.Reply> {
@@ -140,25 +161,36 @@
     }
   }
 
-  #resolve(id: number, reply: schema.Reply): void {
-    const pending = this.#pending.get(id);
+  #resolve(from: string, { id, body }: Pick<schema.Answer, "id" | "body">) {
+    const pending = this.#pendingAt(from, id);
+    if (pending === undefined) {
+      const { type } = body;
+      return this.#options.metrics.count("peer.unmatched_replies", 1, { type });
+    }
     this.#pending.delete(id);
-    pending?.resolve(reply);
+    pending.resolve(body);
   }
 
-  #recordKeepAlives(ids: readonly number[]): void {
+  #recordKeepAlives(from: string, ids: readonly number[]): void {
     const now = this.#options.clock.now();
     for (const id of ids) {
-      const pending = this.#pending.get(id);
+      const pending = this.#pendingAt(from, id);
       if (pending !== undefined) pending.lastKeepAliveAt = now;
     }
   }
 
-  #inProgressFor(host: string): Set<number> {
-    const known = this.#inProgress.get(host);
+  /** Returns a pending request to a host. */
+  #pendingAt(host: string, id: number): Pending | undefined {
+    const pending = this.#pending.get(id);
+    return pending?.to === host ? pending : undefined;
+  }
+
+  #inProgressFor(asker: Process): InProgress {
+    const key = `${asker.from} ${asker.fromIncarnation}`;
+    const known = this.#inProgress.get(key);
     if (known !== undefined) return known;
-    const created = new Set<number>();
-    this.#inProgress.set(host, created);
+    const created = { asker, ids: new Set<number>() };
+    this.#inProgress.set(key, created);
     return created;
   }
 
@@ -173,9 +205,9 @@
 
   #tick(): void {
     const now = this.#options.clock.now();
-    for (const [host, ids] of this.#inProgress) {
-      if (ids.size === 0) this.#inProgress.delete(host);
-      else this.#send(host, { type: "working", ids: [...ids] });
+    for (const [key, { asker, ids }] of this.#inProgress) {
+      if (ids.size === 0) this.#inProgress.delete(key);
+      else this.#sendBack(asker, { type: "working", ids: [...ids] });
     }
     for (
       const [id, { to, lastKeepAliveAt, deadline }] of this.#pending
@@ -194,8 +226,19 @@
     pending?.reject(new errors.PeerError(message));
   }
 
-  #send(to: string, body: schema.FleetMessage): void {
+  /** Sends a message that concerns requests of one process to that process. */
+  #sendBack(
+    { from: to, fromIncarnation: toIncarnation }: Process,
+    body: schema.FleetMessage,
+  ): void {
+    this.#send({ to, toIncarnation }, body);
+  }
+
+  #send(
+    receiver: Pick<runtime.Envelope, "to" | "toIncarnation">,
+    body: schema.FleetMessage,
+  ): void {
     const { self: from, transport } = this.#options;
-    transport.send({ from, to, channel: "fleet", body });
+    transport.send({ from, ...receiver, channel: "fleet", body });
   }
 }
--- a/src/peers/send_queue.ts
+++ b/src/peers/send_queue.ts
@@ -6,7 +6,11 @@
 import * as frames from "./frame.ts";
 
 /** Why a message is dropped. */
-export type DropReason = "too-large" | "queue-full" | "stale";
+export type DropReason =
+  | "too-large"
+  | "queue-full"
+  | "stale"
+  | "former-incarnation";
 
 /** Limits of a queue. */
 export interface Bounds {
@@ -25,6 +29,15 @@
   message: string;
   bytes: number;
   queuedAt: number;
+  /** The only incarnation that the message is for; undefined if for any. */
+  incarnation?: string;
+}
+
+/** The receiver of a batch. */
+interface Receiver {
+  now: number;
+  /** Incarnation of the receiver; undefined if it has not stated one. */
+  incarnation?: string;
 }
 
 /** Messages to be sent in one frame. */
@@ -62,11 +75,14 @@
   }
 
   /** Adds a message, and drops the oldest ones if the queue exceeds its limit. */
-  push(message: schema.Parcel, now: number): void {
+  push(
+    message: schema.Parcel,
+    { now, incarnation }: Receiver,
+  ): void {
     const text = frames.encodeMessage(message);
     const bytes = Buffer.byteLength(text);
     if (bytes > this.#bounds.maxMessageBytes) return this.#drop("too-large");
-    this.#items.push({ message: text, bytes, queuedAt: now });
+    this.#items.push({ message: text, bytes, queuedAt: now, incarnation });
     this.#bytes += bytes;
     while (this.#bytes > this.#bounds.maxBytes) {
       this.#shift();
@@ -74,17 +90,19 @@
     }
   }
 
-  /** Removes and returns the next batch; drops messages that are too old. */
-  take(now: number): Batch {
+  /** Removes and returns the next batch; drops messages that are too old or for
+   * another incarnation of the receiver. */
+  take(receiver: Receiver): Batch {
     const batch: Batch = { messages: [], bytes: 0 };
     while (this.#items.length > 0) {
-      const { message, bytes, queuedAt } = this.#items[0];
-      const isStale = now - queuedAt > this.#bounds.maxAgeMs;
+      const { message, bytes } = this.#items[0];
+      const dropReason = this.#dropReasonOf(this.#items[0], receiver);
       const isFull = batch.bytes + bytes > this.#bounds.maxBatchBytes;
-      if (!isStale && isFull && batch.messages.length > 0) break;
+      const isSent = dropReason === undefined;
+      if (isSent && isFull && batch.messages.length > 0) break;
       this.#shift();
-      if (isStale) {
-        this.#drop("stale");
+      if (!isSent) {
+        this.#drop(dropReason);
         continue;
       }
       batch.messages.push(message);
@@ -93,6 +111,16 @@
     return batch;
   }
 
+  #dropReasonOf(
+    { queuedAt, incarnation }: Item,
+    receiver: Receiver,
+  ): DropReason | undefined {
+    if (receiver.now - queuedAt > this.#bounds.maxAgeMs) return "stale";
+    const isOther = incarnation !== undefined &&
+      incarnation !== receiver.incarnation;
+    return isOther ? "former-incarnation" : undefined;
+  }
+
   #shift(): void {
     this.#bytes -= this.#items.shift()!.bytes;
   }
--- a/src/runtime/transport.ts
+++ b/src/runtime/transport.ts
@@ -18,6 +18,12 @@
   to: string;
   channel: Channel;
   body: unknown;
+  /** Incarnation of the process that sent the message; undefined if it has not
+   * stated one. */
+  fromIncarnation?: string;
+  /** The only incarnation of the receiver that the message is for; undefined if
+   * it is for any. */
+  toIncarnation?: string;
 }
 
 /** Sends messages asynchronously, without guaranteeing delivery. */
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -275,6 +275,10 @@
     help: "Entries of messages that could not be read, by list",
   },
   "peer.dropped": { type: "count", help: "Envelopes dropped, by reason" },
+  "peer.unmatched_replies": {
+    type: "count",
+    help: "Replies to no pending question of this process, by type",
+  },
   "peer.bytes_sent": { type: "count", help: "Bytes sent to other hosts" },
   "peer.connected": { type: "count", help: "Connections made" },
   "peer.refused": { type: "count", help: "Connections without the fleet key" },
