Control hosts: an acknowledged departure is on disk

What callers saw: an endpoint deregistered and got its acknowledgement; the control hosts were killed at once and came back within a second with their disks. What it ran as it exited was lost.

Cause: a drain or leave was acknowledged once a majority of the voters had it in memory. After a kill of all nobody knew it, an endpoint that has left reports nothing any more, and an entry host that had not synced in between took it for ready without an end. Sequence numbers were forgotten too, so a heartbeat that was sent before the departure and arrived late made the endpoint ready again.

A host acknowledges one, to endpoints or to other control hosts, only once it is synced; arrivals during a write are written together. A majority of the voters acknowledges, as before. A disk that is full, hangs or fails acknowledges nothing until it has been opened again and holds the roster's departures; damaged lines are skipped and counted. Retention begins anew with a restart, since the time of day may step. What a host reads at its start is replaced and synced before it counts.

Entry hosts that tell a new source what they know do not help: the one that has not synced knows nothing. Dropping what a restarted host does not list would drop sound endpoints of which it has heard nothing yet.

No byte more between data centres.

What it leaves open: hosts of the release before acknowledge from memory, so a departure during the upgrade is durable only once a majority is upgraded.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -21,10 +21,12 @@
 import * as operatorCommands from "./operator_commands.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as coalescers from "./coalescer.ts";
+import * as departureJournals from "./departure_journal.ts";
 import * as endpointReplicator from "./endpoint_replicator.ts";
 import * as settings from "./settings.ts";
 import * as rosterCodec from "./roster_codec.ts";
 import * as delays from "../runtime/delay.ts";
+import type * as runtime from "../runtime/mod.ts";
 
 /** Interval of hello messages between control hosts, and of `#tick`. */
 const HELLO_INTERVAL_MS = 400;
@@ -55,7 +57,9 @@
   decodeConfiguration: hostContext.DecodeConfiguration;
   openStorage: versions.OpenStorage;
   /** Opens a storage apart from the log's, for the origins of streams. */
-  openOriginStorage: origins.OpenStorage;
+  openOriginStorage: runtime.OpenStorage;
+  /** Opens a storage apart from these, for the departures of endpoints. */
+  openDepartureStorage: runtime.OpenStorage;
 }
 
 /** Report of evacuations to operators. */
@@ -79,6 +83,7 @@
   readonly #roster: endpoints.Roster;
   readonly #services: knownServices.KnownServices;
   readonly #unknownServiceLogger: telemetry.Logger;
+  readonly #departures: departureJournals.DepartureJournal;
   readonly #replicator: endpointReplicator.EndpointReplicator;
   readonly #coordinator: quarantine.Coordinator;
   readonly #quotaServer: rateLimits.QuotaServer;
@@ -132,7 +137,7 @@
         replace: (question) => this.#handleLeaderQuestion(question),
         evacuate: (question) => this.#handleLeaderQuestion(question),
         sync: (question, from) => this.#handleSync(question, from),
-        note: (question) => this.#handleNote(question),
+        note: (question) => this.#replicator.receive(question),
         suspects: ({ suspects }) => {
           this.#coordinator.merge(suspects);
           return Promise.resolve({ type: "noted" });
@@ -160,9 +165,15 @@
       minInterval: MIN_CONFIRM_INTERVAL_MS,
       fetch: () => this.#readFleetState(),
     });
+    this.#departures = departureJournals.DepartureJournal.create({
+      ...options,
+      roster: this.#roster,
+      openStorage: options.openDepartureStorage,
+    });
     this.#replicator = endpointReplicator.EndpointReplicator.create({
       clock,
       roster: this.#roster,
+      departures: this.#departures,
       heartbeatInterval,
       logger: options.logger,
       calls: this.#network.calls,
@@ -257,6 +268,8 @@
     const { settings, logger, clock, openStorage } = this.#options;
     const { host, seeds, isBootstrap, controlAddress } = settings;
     const bootstraps = isBootstrap && seeds.includes(host);
+    // Before any host can sync with this one.
+    await this.#departures.open();
     await this.#network.transport.start();
     this.#store = await versions.ConfigurationStore.start({
       ...this.#options,
@@ -300,6 +313,7 @@
     this.#store?.setKnownHosts(this.#members.others);
     this.#sendHellos(now);
     this.#roster.expire(now);
+    this.#departures.tick();
     this.#replicator.tick();
     this.#coordinator.tick();
     this.#quotaServer.tick();
@@ -467,14 +481,6 @@
     return reply ?? { type: "failed", reason: "stopped" };
   }
 
-  #handleNote({ sightings }: schema.NoteQuestion): Promise<schema.Reply> {
-    const now = this.#options.clock.now();
-    for (const sighting of sightings) {
-      this.#roster.merge(rosterCodec.decode(sighting, { now, judges: true }));
-    }
-    return Promise.resolve({ type: "noted" });
-  }
-
   async #handleHeartbeat(
     { sighting, coldFor }: CommandOf<"heartbeat">,
   ): Promise<protocol.ControlResponse> {
@@ -513,9 +519,10 @@
   }
 
   /** Replicates a state change to the other control hosts. A drain or
-   * deregistration is acknowledged only once a majority of the voters has it:
-   * a control host can confirm anything to an entry host only while it reaches
-   * a majority, which includes at least one of these. */
+   * deregistration is acknowledged only once a majority of the voters has it on
+   * disk: a control host can confirm anything to an entry host only while it
+   * reaches a majority, which includes at least one of these, also after all of
+   * them have been killed. */
   async #replicateChange(
     id: string,
     state: endpoints.EndpointState,
@@ -527,7 +534,12 @@
       return OK;
     }
     const { host } = this.#options.settings;
-    const acknowledged = [host, ...await this.#replicator.broadcast(id)];
+    const entry = this.#roster.get(id);
+    const [isStored, others] = await Promise.all([
+      this.#departures.store(entry === undefined ? [] : [entry]),
+      this.#replicator.broadcast(id),
+    ]);
+    const acknowledged = isStored ? [host, ...others] : others;
     const voters = this.#store?.voters ?? [];
     const isAcknowledged = this.#members.isMajority(acknowledged, voters);
     logger.info(
@@ -542,7 +554,7 @@
     );
     return isAcknowledged
       ? OK
-      : protocol.problem(503, "other hosts do not answer");
+      : protocol.problem(503, "no majority of the voters has stored it");
   }
 }
 
--- a/src/fleet/endpoint_replicator.ts
+++ b/src/fleet/endpoint_replicator.ts
@@ -1,12 +1,15 @@
 /** Replication of endpoint state among control hosts: changes are sent at once,
  * heartbeats in batches, and recent changes repeatedly, so that a host that was
- * unreachable gets them from any other.
+ * unreachable gets them from any other. What a host acknowledges it does not
+ * forget when it is killed.
  * @module */
 
 import type * as endpoints from "../endpoints/mod.ts";
 import type * as peers from "../peers/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
+import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import type * as departureJournals from "./departure_journal.ts";
 import * as rosterCodec from "./roster_codec.ts";
 
 /** Timeout for another host to acknowledge an update. */
@@ -20,6 +23,7 @@
 export interface EndpointReplicatorOptions {
   clock: runtime.Clock;
   roster: endpoints.Roster;
+  departures: Pick<departureJournals.DepartureJournal, "store">;
   /** Milliseconds between heartbeats of an endpoint, and between batches of
    * endpoints that sent nothing but heartbeats: silence is detected only after
    * several of them. */
@@ -30,6 +34,8 @@
   peers(): readonly string[];
 }
 
+const FAILED: schema.FailedReply = { type: "failed", reason: "unknown" };
+
 /** Sends endpoint updates of one control host to the others. */
 export class EndpointReplicator {
   readonly #options: EndpointReplicatorOptions;
@@ -66,6 +72,20 @@
     return hosts.filter((_, position) => isAcknowledged[position]);
   }
 
+  /** Merges updates of another host. Acknowledges them once all departures in
+   * them are on disk. */
+  async receive({ sightings }: schema.NoteQuestion): Promise<schema.Reply> {
+    const { clock, roster, departures } = this.#options;
+    const now = clock.now();
+    for (const sighting of sightings) {
+      roster.merge(rosterCodec.decode(sighting, { now, judges: true }));
+    }
+    const entries = sightings.map(({ id }) => roster.get(id))
+      .filter((entry) => entry !== undefined);
+    const isStored = await departures.store(entries);
+    return isStored ? { type: "noted" } : FAILED;
+  }
+
   /** Sends the full state to one host. */
   sendAll(host: string): void {
     const ids = [...this.#options.roster.entries].map(({ id }) => id);
--- a/src/fleet/endpoint_replicator_test.ts
+++ b/src/fleet/endpoint_replicator_test.ts
@@ -15,9 +15,10 @@
  * `others`, of which those in `silent` do not respond. */
 function createReplicator(
   others: readonly string[],
-  { silent = [], heartbeat = 1200 }: {
+  { silent = [], heartbeat = 1200, isDiskFull = false }: {
     silent?: readonly string[];
     heartbeat?: number;
+    isDiskFull?: boolean;
   } = {},
 ) {
   const clock = new runtime.FakeClock();
@@ -30,6 +31,12 @@
   const replicator = endpointReplicator.EndpointReplicator.create({
     clock,
     roster,
+    departures: {
+      store: (entries) =>
+        Promise.resolve(
+          !isDiskFull || entries.every(({ state }) => state === "ready"),
+        ),
+    },
     heartbeatInterval: heartbeat,
     logger: telemetry.noLogger,
     peers: () => others,
@@ -49,7 +56,7 @@
       replicator.tick();
     }
   };
-  return { replicator, sent, tick };
+  return { replicator, roster, sent, tick };
 }
 
 test("a change is sent at once, and the hosts that acknowledged it are returned", async (t) => {
@@ -94,3 +101,25 @@
   tick(13);
   t.deepEqual(sent.map(({ ids }) => ids), [["i-1"]]);
 });
+
+function noteOf(change: Partial<schema.Sighting>): schema.NoteQuestion {
+  const sighting = { ...fixture.endpointStatus(), age: 0, ...change };
+  return { type: "note", sightings: [sighting] };
+}
+
+test("departures are acknowledged once they are on disk, heartbeats always", async (t) => {
+  // Guards against acknowledged departures that end with the process.
+  for (const isDiskFull of [false, true]) {
+    const { replicator, roster } = createReplicator([], { isDiskFull });
+    const reply = async (change: Partial<schema.Sighting>) =>
+      (await replicator.receive(noteOf(change))).type;
+    const expected = isDiskFull ? "failed" : "noted";
+    t.is(await reply({ sequence: 2 }), "noted");
+    t.is(await reply({ sequence: 3, state: "draining" }), expected);
+    t.is(await reply({ id: "i-2", state: "gone" }), expected);
+    t.deepEqual(
+      [...roster.entries].map(({ state }) => state),
+      ["draining", "gone"],
+    );
+  }
+});
--- a/src/fleet/errors.ts
+++ b/src/fleet/errors.ts
@@ -1,7 +1,8 @@
 /** Errors of hosts in a fleet that is discovered through seeds.
  * @module */
 
-/** A host failed to start, or could not read a request body. */
+/** A host failed to start, could not read a request body, or has too much to
+ * store. */
 export class FleetError extends Error {
   override readonly name = "FleetError";
 }
--- a/src/origins/mod.ts
+++ b/src/origins/mod.ts
@@ -5,5 +5,4 @@
 
 export * from "./origin.ts";
 export * from "./origin_client.ts";
-export type { OpenStorage } from "./origin_journal.ts";
 export * from "./origin_server.ts";
--- a/src/origins/origin_journal.ts
+++ b/src/origins/origin_journal.ts
@@ -10,6 +10,7 @@
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as fleetMessages from "../schema/fleet_validators.ts";
+import * as jsonLines from "../storage/json_lines.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 
 /** Interval of writes. Each one syncs the disk, which the replicated log needs
@@ -24,14 +25,11 @@
 const FILES = ["origins-0", "origins-1"];
 const EMPTY = Buffer.alloc(0);
 
-/** Opens the storage of a journal. */
-export type OpenStorage = () => Promise<runtime.Storage>;
-
 /** Dependencies of an `OriginJournal`. */
 export interface OriginJournalOptions {
   readonly clock: runtime.Clock;
   readonly logger: telemetry.Logger;
-  readonly openStorage: OpenStorage;
+  readonly openStorage: runtime.OpenStorage;
 }
 
 /** The file in use. */
@@ -108,9 +106,7 @@
     const storage = this.#storage;
     const file = this.#file;
     if (storage === undefined || file === undefined) return;
-    const line = Buffer.from(
-      `${JSON.stringify({ type: "origins", origins })}\n`,
-    );
+    const line = jsonLines.encode({ type: "origins", origins });
     await storage.append(FILES[file.number], line);
     file.bytes += line.length;
     const lifetimes = origins.map(({ lifetime }) => lifetime);
@@ -139,20 +135,11 @@
   }
 }
 
-/** Origins in the complete lines of a file; a line that was cut off by the end
- * of the process is skipped. */
+/** Origins in the lines of a file that are understood. */
 function decodeLines(bytes: Buffer): schema.StreamOrigin[] {
-  const lines = bytes.toString("utf8").split("\n");
-  return lines.flatMap((line) => decodeLine(line));
-}
-
-function decodeLine(line: string): schema.StreamOrigin[] {
-  try {
-    const body = JSON.parse(line);
+  return jsonLines.decode(bytes).values.flatMap((body) => {
     const message = { type: "ask", id: 0, body };
-    return fleetMessages.validate(message) ? body.origins ?? [] : [];
-  } catch (error) {
-    if (!(error instanceof SyntaxError)) throw error;
-    return [];
-  }
+    if (!fleetMessages.validate(message)) return [];
+    return (body as Partial<schema.OriginsQuestion>).origins ?? [];
+  });
 }
--- a/src/origins/origin_server.ts
+++ b/src/origins/origin_server.ts
@@ -14,7 +14,7 @@
   readonly clock: runtime.Clock;
   readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
-  readonly openStorage: journals.OpenStorage;
+  readonly openStorage: runtime.OpenStorage;
 }
 
 /** The origins that one control host stores; changed in place. */
--- a/src/runtime/storage.ts
+++ b/src/runtime/storage.ts
@@ -16,3 +16,6 @@
   /** Returns the names of all files. */
   list(): Promise<readonly string[]>;
 }
+
+/** Opens a storage. */
+export type OpenStorage = () => Promise<Storage>;
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -62,6 +62,10 @@
   },
   "gateway.repeated": { type: "count", help: "Calls that repeat one" },
   "gateway.no_budget": { type: "count", help: "Repeats without a budget" },
+  "departures.stored": {
+    type: "count",
+    help: "Drains and leaves to be stored, by whether the disk took them",
+  },
   "origins.found": {
     type: "count",
     help: "Searches for a resumed stream's origin, by where it was found",
