Control hosts: a restarted control host is sent what the others know

What could be seen: a control host that restarts within 1.5 s is not missed by the others, which send endpoints and suspects in full only to a host that is new to them.

Change: a hello message counts as one of a new process if the incarnation of its sender differs from the one heard before, or if the host had been missed.

Test: "a host that restarts between two hello messages is a new process"; the comparison of before, by time alone, gives false for the second process.

--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -6,6 +6,7 @@
 import * as endpoints from "../endpoints/mod.ts";
 import * as accountShares from "../account_shares/mod.ts";
 import * as concurrency from "../concurrency/mod.ts";
+import type * as peers from "../peers/mod.ts";
 import * as origins from "../origins/mod.ts";
 import * as performances from "../performance/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
@@ -157,7 +158,7 @@
           ((question, from) =>
             Promise.resolve(coordinator.answer(question, from))),
       },
-      onNotice: (notice, from) => this.#handleNotice(notice, from),
+      onNotice: (notice, sender) => this.#handleNotice(notice, sender),
       onLog: (envelope) => this.#store?.receive(envelope),
     });
     this.#confirmations = coalescers.Coalescer.create({
@@ -374,8 +375,9 @@
       .filter((peer) => peer !== host);
   }
 
-  #handleNotice(notice: schema.Notice, from: string): void {
-    if (notice.type === "hello") this.#handleHello(notice, from);
+  #handleNotice(notice: schema.Notice, sender: peers.Process): void {
+    const { from } = sender;
+    if (notice.type === "hello") this.#handleHello(notice, sender);
     else if (notice.type === "suspects") {
       this.#coordinator.merge(notice.suspects);
     } else if (notice.type === "limits") {
@@ -390,20 +392,24 @@
   #handleHello(
     { dataCentre, cores: controlHosts, hosts, leadership, ...shared }:
       schema.HelloNotice,
-    from: string,
+    { from, fromIncarnation: incarnation }: peers.Process,
   ): void {
     const { limits = [], slowness = [], contended = [] } = shared;
     const now = this.#options.clock.now();
-    const isNewHost = !this.#peers().includes(from);
-    this.#members.recordHello({ host: from, dataCentre, heard: now });
+    const isNewProcess = this.#members.recordHello({
+      host: from,
+      dataCentre,
+      incarnation,
+      heard: now,
+    });
     this.#members.addKnown(controlHosts);
     hosts.forEach((host) => this.#entryMembers.record(host, now));
     if (leadership !== undefined) this.#store?.updateLeaderHint(leadership);
     this.#quotaServer.mergeLimits(limits);
     this.#slowness?.merge(slowness, now);
     this.#shareCoordinator?.merge(contended, from);
-    // A host that has just joined knows no endpoints and no suspects.
-    if (!isNewHost) return;
+    // A process that has just started knows no endpoints and no suspects.
+    if (!isNewProcess) return;
     this.#replicator.sendAll(from);
     this.#coordinator.sendAll(from);
   }
--- a/src/fleet/control_members.ts
+++ b/src/fleet/control_members.ts
@@ -9,6 +9,8 @@
 export interface ControlMember {
   readonly host: string;
   readonly dataCentre: string;
+  /** Undefined if its process has not stated it. */
+  readonly incarnation?: string;
   readonly heard: number;
 }
 
@@ -42,10 +44,15 @@
     }
   }
 
-  /** Records a hello message. */
-  recordHello(host: ControlMember): void {
-    this.addKnown([host.host]);
-    this.#heard.set(host.host, host);
+  /** Records a hello message. Returns whether it comes from another process
+   * than the live one that was heard of before at this host. */
+  recordHello(member: ControlMember): boolean {
+    const { host, incarnation, heard } = member;
+    const known = this.#heard.get(host);
+    this.addKnown([host]);
+    this.#heard.set(host, member);
+    return known === undefined || known.incarnation !== incarnation ||
+      heard - known.heard > LIVENESS_TIMEOUT_MS;
   }
 
   /** Whether `hosts` contain a majority of the voters or, while no voters are
--- a/src/fleet/control_members_test.ts
+++ b/src/fleet/control_members_test.ts
@@ -111,3 +111,18 @@
   t.true(members.isMajority(["a1", "b1"], []));
   t.false(members.isMajority(["a1"], []));
 });
+
+test("a host that restarts between two hello messages is a new process", (t) => {
+  // Guards against a restarted control host that is sent no endpoints and no
+  // suspects, since it was never missed.
+  const members = createMembers();
+  const hello = (incarnation: string | undefined, heard: number) =>
+    members.recordHello({ host: "b1", dataCentre: "b", incarnation, heard });
+  t.true(hello("1a", 0));
+  t.false(hello("1a", 400));
+  t.true(hello("2b", 800));
+  t.false(hello("2b", 1200));
+  t.true(hello("2b", 2800), "it was missed for longer than hosts may be");
+  t.true(hello(undefined, 3200), "a release that states no incarnation");
+  t.false(hello(undefined, 3600));
+});
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -138,7 +138,7 @@
         place: (question, from) =>
           Promise.resolve(this.#placement.answerQuery(question, from)),
       },
-      onNotice: (notice, from) => this.#handleNotice(notice, from),
+      onNotice: (notice, { from }) => this.#handleNotice(notice, from),
       onTunnel: (request) => this.#tunnelServer.accept(request),
     });
     this.#syncClient = syncClient.SyncClient.create({
--- a/src/fleet/host_context.ts
+++ b/src/fleet/host_context.ts
@@ -36,7 +36,7 @@
 /** Handlers of messages from other hosts. */
 export interface MessageHandlers {
   handlers: peers.Handlers;
-  onNotice(notice: schema.Notice, from: string): void;
+  onNotice(notice: schema.Notice, sender: peers.Process): void;
   onLog?(envelope: runtime.Envelope): void;
   /** Serves a tunnel; absent on hosts that serve none. */
   onTunnel?(request: peers.TunnelRequest): void;
--- a/src/peers/rpc.ts
+++ b/src/peers/rpc.ts
@@ -43,7 +43,7 @@
   transport: runtime.Transport;
   handlers: Handlers;
   /** Handles a one-way message. */
-  onNotice?(notice: schema.Notice, from: string): void;
+  onNotice?(notice: schema.Notice, sender: Process): void;
   /** Reports an error thrown by a handler, which is a bug in this program. */
   onHandlerError(error: unknown, question: schema.Question): void;
 }
@@ -57,7 +57,7 @@
 }
 
 /** A process at another host. */
-type Process = Pick<runtime.Envelope, "from" | "fromIncarnation">;
+export type Process = Pick<runtime.Envelope, "from" | "fromIncarnation">;
 
 /** Requests of one process that are in progress. */
 interface InProgress {
@@ -124,7 +124,7 @@
       ask: ({ id, body }) => void this.#serve(sender, { id, body }),
       answer: ({ id, body }) => this.#resolve(from, { id, body }),
       working: ({ ids }) => this.#recordKeepAlives(from, ids),
-      cast: ({ body }) => this.#options.onNotice?.(body, from),
+      cast: ({ body }) => this.#options.onNotice?.(body, sender),
     };
     (receivers[message.type] as (message: schema.FleetMessage) => void)(
       message,
