Entry hosts: an endpoint that no control host reports becomes silent

What could be seen: an endpoint that crashes while no control host runs is found silent by none of them, and an entry host only merges what replies list. It kept the endpoint for ready, and called it, as long as it ran itself.

Change: an entry host remembers which endpoints the present process of its control host has reported, told by the epoch of its replies. Once it has followed that process for 15 s, which is several heartbeats and full transfers between control hosts, it takes endpoints that were never reported for silent: they get no calls unless calls there succeed, count again as soon as they are reported, and are removed after the retention time. Replies without a quorum count for nothing, and neither does a process that was followed for less.

Not done: dropping what the first reply after a restart lacks; the control host has heard few heartbeats then.

Tests: "an endpoint that a restarted control host never reports becomes silent", "an endpoint that stays unreported is removed after the retention time" (both fail without the change: the endpoint stays), "endpoints are not missed while control hosts change or confirm nothing". Not run with real processes.

--- a/src/fleet/sync_client.ts
+++ b/src/fleet/sync_client.ts
@@ -11,6 +11,7 @@
 import type * as telemetry from "../telemetry/mod.ts";
 import * as controlHostDirectory from "./control_host_directory.ts";
 import * as elapsedTime from "./elapsed_time.ts";
+import * as reportedEndpoints from "./reported_endpoints.ts";
 import * as rosterCodec from "./roster_codec.ts";
 
 /** Poll interval. Drains and new configurations must reach every host within
@@ -31,6 +32,9 @@
 /** Least interval between log lines about missing confirmation. */
 const LOG_INTERVAL_MS = 1000;
 
+/** Maximum number of endpoints in a log line. */
+const MAX_LOGGED = 20;
+
 /** Requests the full state. */
 const NO_REVISION = { epoch: "", revision: 0, suspectRevision: 0 };
 
@@ -71,6 +75,7 @@
   readonly roster: endpoints.Roster;
   readonly #options: SyncClientOptions;
   #revision = NO_REVISION;
+  readonly #reported = reportedEndpoints.ReportedEndpoints.create();
   readonly #directory: controlHostDirectory.ControlHostDirectory;
   /** Why hosts gave no confirmed reply in this round. */
   #failures = new Map<string, string>();
@@ -228,6 +233,7 @@
       });
       if (reply.type !== "synced") throw new Error(`not synced: ${reply.type}`);
       this.#applyReply(controlHost, reply, sentAt);
+      if (reply.confirmed) this.#markMissing(question, reply);
       if (!reply.confirmed) this.#recordFailure(controlHost, "no quorum");
       return reply.confirmed;
     } catch (error) {
@@ -295,6 +301,26 @@
     }
   }
 
+  /** Marks endpoints as silent that a control host would have reported if they
+   * were alive. */
+  #markMissing(question: schema.SyncQuestion, reply: schema.SyncedReply): void {
+    const { clock, logger, onChange } = this.#options;
+    const now = clock.now();
+    const { epoch, sightings } = reply;
+    const isFull = question.epoch !== epoch;
+    this.#reported.record({ epoch, isFull, endpoints: sightings }, now);
+    const missing = this.#reported.missing(this.roster.entries, now);
+    if (missing.length === 0) return;
+    for (const status of missing) {
+      this.roster.merge({ status, heardAt: now, isSilent: true });
+    }
+    onChange();
+    logger.info(
+      { endpoints: missing.map(({ id }) => id).slice(0, MAX_LOGGED), epoch },
+      "Control hosts do not report these endpoints; marked silent",
+    );
+  }
+
   #applyConfirmed(
     controlHost: string,
     reply: schema.SyncedReply,
--- a/src/fleet/sync_client_test.ts
+++ b/src/fleet/sync_client_test.ts
@@ -1,7 +1,9 @@
 /** @module */
 
 import test from "ava";
+import type * as schema from "../schema/fleet_types.ts";
 import * as telemetry from "../telemetry/mod.ts";
+import * as reportedEndpoints from "./reported_endpoints.ts";
 import * as syncClient from "./sync_client.ts";
 import * as fixture from "./sync_client_fixture.ts";
 
@@ -188,3 +190,57 @@
   await run(1000);
   t.deepEqual([contended.at(0), contended.at(-1)], [["s"], []]);
 });
+
+/** A client that knows the endpoints `i-1` and `i-2` from a control host, which
+ * is restarted and reports `reported` from then on. */
+async function syncAfterRestart(reported: readonly schema.Sighting[]) {
+  const both = [fixture.sighting(), fixture.sighting({ id: "i-2" })];
+  const replies: fixture.Replies = { a: { sightings: both } };
+  const synced = fixture.createSyncClient(replies);
+  await synced.run(500);
+  replies.a = { epoch: "e2", sightings: [] };
+  await synced.run(2000);
+  replies.a = { epoch: "e2", sightings: [...reported] };
+  const silent = () =>
+    [...synced.client.roster.entries].filter(({ isSilent }) => isSilent)
+      .map(({ id }) => id);
+  return { ...synced, replies, silent };
+}
+
+// Guards against an endpoint that crashes while no control host runs, and that
+// entry hosts would take for ready without an end.
+test("an endpoint that a restarted control host never reports becomes silent", async (t) => {
+  const { silent, run, client, replies } = await syncAfterRestart([
+    fixture.sighting(),
+  ]);
+  await run(reportedEndpoints.COMPLETE_MS - 3000);
+  t.deepEqual(silent(), []);
+  await run(4000);
+  t.deepEqual(silent(), ["i-2"]);
+  replies.a = { epoch: "e2", sightings: [fixture.sighting({ id: "i-2" })] };
+  await run(1000);
+  t.deepEqual(silent(), []);
+  replies.a = { epoch: "e2", sightings: [] };
+  await run(70_000);
+  t.is([...client.roster.entries].length, 2);
+});
+
+test("an endpoint that stays unreported is removed after the retention time", async (t) => {
+  const { run, client } = await syncAfterRestart([fixture.sighting()]);
+  await run(80_000);
+  t.deepEqual([...client.roster.entries].map(({ id }) => id), ["i-1"]);
+});
+
+// Guards against sound endpoints that are dropped because a control host has
+// just started or changes often.
+test("endpoints are not missed while control hosts change or confirm nothing", async (t) => {
+  const { silent, run, replies } = await syncAfterRestart([]);
+  for (let turn = 0; turn < 10; turn++) {
+    replies.a = { epoch: `f${turn}`, sightings: [] };
+    await run(reportedEndpoints.COMPLETE_MS / 2);
+  }
+  t.deepEqual(silent(), []);
+  replies.a = { epoch: "g", confirmed: false, sightings: [] };
+  await run(2 * reportedEndpoints.COMPLETE_MS);
+  t.deepEqual(silent(), []);
+});
