Batching: a copy of an earlier answer is not the answer to another call

What callers saw: a faulty endpoint that computes items sent an answer once more, where the answer to the next call on the connection was due.

Cause: calls for items carry no id that their answers repeat. An answer was accepted if it had as many results as its call has items, and the connection was used again after any whole answer, also after one that could not be read.

Change: a host remembers the handles that it has received from each incarnation of an endpoint, and for which item. An answer with a handle of another item is not used; its items are computed again. A connection is used again only after an answer with handles that are all new. After any other answer, rejections and results that all failed included, later calls to the endpoint use new connections, while those in flight are completed: what is still due on the former ones meets no call. Such answers are counted (pieces.repeated_answers).

Why this works: an answer with new handles is either that of its call, or the true answer of the call before, which is due only after an answer that was not certain, and then the connection is not used again.

--- a/src/batching/batch_call.ts
+++ b/src/batching/batch_call.ts
@@ -1,4 +1,10 @@
 /** Calls to endpoints that compute items.
+ *
+ * An answer names no call and is matched by its place on the connection, where a
+ * faulty endpoint may send an earlier answer once more. The connection is used
+ * again only if the answer is certainly that of its call: if all handles in it
+ * are new. Otherwise the answer that is still due would be taken for that of the
+ * next call.
  * @module */
 
 import * as chunkLists from "../runtime/chunk_list.ts";
@@ -7,6 +13,7 @@
 import type * as protocols from "../gateway/protocol.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import type * as receivedHandles from "./received_handles.ts";
 import type * as tasks from "./task.ts";
 
 /** Maximum size of a response: a full call has some dozens of results. */
@@ -44,6 +51,7 @@
     "update" | "remove"
   >;
   readonly service: string;
+  readonly receivedHandles: receivedHandles.ReceivedHandles;
   /** Called with the head of each response. */
   onHead?(head: protocols.ReplyHead): void;
   /** Whether the call may still be sent, asked once a connection is open. */
@@ -75,11 +83,27 @@
     inputs: task.inputs,
   }));
   const outgoing = protocol.batchCall(worker.name, items);
-  const response = await exchange(worker.address, outgoing, options);
-  if (response.type === "broken") {
-    return { type: "failed", cause: response.cause };
-  }
-  const { head, body } = response;
+  let outcome: CallOutcome = { type: "failed", cause: "broken" };
+  const response = await exchange(worker.address, outgoing, {
+    ...options,
+    onWhole(whole) {
+      outcome = outcomeOf(whole, { tasks, protocol });
+      const origin = originOf(outcome, { worker, tasks }, options);
+      if (origin === "foreign") outcome = { type: "failed", cause: "broken" };
+      return origin === "own";
+    },
+  });
+  return response.type === "broken"
+    ? { type: "failed", cause: response.cause }
+    : outcome;
+}
+
+function outcomeOf(
+  { head, body }: WholeResponse,
+  { tasks, protocol }: Pick<tasks.Assignment, "tasks"> & {
+    readonly protocol: protocols.GatewayProtocol;
+  },
+): CallOutcome {
   if (head.isNotRun) return { type: "failed", cause: "full" };
   if (head.isMisdirected) return { type: "failed", cause: "unreachable" };
   const results = head.status === 200
@@ -91,6 +115,29 @@
   return { type: "results", results };
 }
 
+/** Records the handles in an outcome, and tells whether they are of this call. */
+function originOf(
+  outcome: CallOutcome,
+  { worker, tasks }: tasks.Assignment,
+  { receivedHandles, metrics, logger, service }: CallOptions,
+): receivedHandles.Origin {
+  if (outcome.type === "failed") return "unknown";
+  const received = outcome.results.flatMap((result, position) =>
+    result.type === "made"
+      ? [{ handle: result.handle, item: tasks[position] }]
+      : []
+  );
+  const origin = receivedHandles.record(worker.id, received);
+  if (origin === "foreign" || origin === "repeated") {
+    metrics.count("pieces.repeated_answers", 1, { service });
+    logger.warn(
+      { endpoint: worker.id, service, origin },
+      "Endpoint sent results a second time; later calls use new connections",
+    );
+  }
+  return origin;
+}
+
 /** Releases results at the endpoint that holds them; resolves with whether the
  * endpoint has confirmed it. A failure is only logged, since results expire by
  * themselves. */
@@ -114,15 +161,25 @@
   return false;
 }
 
-type CallResponse =
-  | { type: "whole"; head: protocols.ReplyHead; body: Buffer }
-  | { type: "broken"; cause: CallFailure };
+interface WholeResponse {
+  readonly type: "whole";
+  readonly head: protocols.ReplyHead;
+  readonly body: Buffer;
+}
+
+type CallResponse = WholeResponse | { type: "broken"; cause: CallFailure };
+
+interface ExchangeOptions extends CallOptions, CallTimeout {
+  /** Called with a whole response before the next call can use its connection;
+   * returns whether it may. */
+  onWhole?(response: WholeResponse): boolean;
+}
 
 /** Sends a call and buffers the complete response. */
 function exchange(
   address: string,
   outgoing: protocols.EncodedCall,
-  options: CallOptions & CallTimeout,
+  options: ExchangeOptions,
 ): Promise<CallResponse> {
   const { dispatcher, clock, protocol, timeout, maySend, onOverdue } = options;
   const url = `http://${address}`;
@@ -160,7 +217,12 @@
           options.onHead?.(head);
         },
         data: (chunk) => chunks.push(chunk),
-        end: () => resolve({ type: "whole", head, body: chunks.take() }),
+        end() {
+          const whole = { type: "whole" as const, head, body: chunks.take() };
+          const isReusable = options.onWhole?.(whole) ?? true;
+          if (!isReusable) dispatcher.renew?.(url);
+          resolve(whole);
+        },
         fail: ({ reason, outcome, excess }) => {
           if (excess !== undefined) recordExcess(address, excess, options);
           const isWithheld = outcome === "not-run" && maySend?.() === false;
--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -5,6 +5,7 @@
 import type * as configurations from "../configuration/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as partitionBatchers from "./partition_batcher.ts";
+import * as receivedHandles from "./received_handles.ts";
 import type * as partitions from "./partitions.ts";
 import type * as tasks from "./task.ts";
 
@@ -24,6 +25,7 @@
 /** The batchers of this host, created on first use of a partition. */
 export class Batcher {
   readonly #options: BatcherOptions;
+  readonly #receivedHandles = receivedHandles.ReceivedHandles.create();
   readonly #batchers = new Map<string, partitionBatchers.PartitionBatcher>();
 
   private constructor(options: BatcherOptions) {
@@ -90,6 +92,7 @@
     let lastTraits = traits;
     const batcher = partitionBatchers.PartitionBatcher.create({
       ...this.#options,
+      receivedHandles: this.#receivedHandles,
       service,
       traits: () =>
         lastTraits = this.#options.service(service)?.batching ?? lastTraits,
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -64,6 +64,9 @@
 /** Options of the batcher of one partition. */
 export interface PartitionBatcherOptions extends BatcherDependencies {
   readonly service: string;
+  /** Handles that this host has received, of all partitions: endpoints move
+   * between partitions with their connections. */
+  readonly receivedHandles: batchCalls.CallOptions["receivedHandles"];
   /** Whether no endpoint of the partition accepts calls any more: each is
    * evacuated or leaving. */
   isClosed(): boolean;
--- a/src/batching/partition_batcher_test.ts
+++ b/src/batching/partition_batcher_test.ts
@@ -9,6 +9,7 @@
 import * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/fleet_types.ts";
 import * as telemetry from "../telemetry/mod.ts";
+import * as receivedHandles from "./received_handles.ts";
 import * as partitionBatchers from "./partition_batcher.ts";
 import * as batchingFixture from "./fixture.ts";
 
@@ -69,6 +70,7 @@
     logger: telemetry.noLogger,
     partialAnswers: { update() {}, remove() {} },
     service: "maps",
+    receivedHandles: receivedHandles.ReceivedHandles.create(),
     traits: () => fixture.batchTraits(),
     workers: () => state.isClosed || left() > 0 ? [] : workers,
     isClosed: () => state.isClosed,
--- a/src/endpoint_calls/connections.ts
+++ b/src/endpoint_calls/connections.ts
@@ -73,6 +73,12 @@
     this.#options.reuse.suspect(addressOf(origin));
   }
 
+  /** Opens new connections for later calls to an origin: on the present ones an
+   * answer may arrive that is not that of its call. */
+  renew(origin: string): void {
+    void this.#closePool(origin);
+  }
+
   /** Closes the pool of an address whose endpoint has left; calls in flight are
    * completed. */
   async retire(address: string): Promise<void> {
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -50,6 +50,9 @@
 export type Dispatcher = undici.Dispatcher & {
   /** A call that was sent to an origin broke or is not answered. */
   recordBreak?(origin: string): void;
+  /** An answer of an origin may not have been that of its call: later calls use
+   * new connections, those in flight are completed. */
+  renew?(origin: string): void;
 };
 
 /** Limits and dependencies of an exchange. */
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -183,6 +183,10 @@
     type: "count",
     help: "Pieces queued again beside a call that was not answered in time",
   },
+  "pieces.repeated_answers": {
+    type: "count",
+    help: "Answers with results that their endpoint had sent before",
+  },
   "pieces.failed": { type: "count", help: "Pieces not made, by failure" },
   "control.calls": { type: "count", help: "Calls to this control host" },
   "control.malformed": {
