Control hosts: a failed replica leaves what it had applied

Cause: a read asks the leader with the version that this host holds, and where nothing is newer the reply has no document. Replies to entry hosts use the same read.

Change: a replica that fails leaves configuration and evacuations that it had applied; they are committed, so they hold without it. A read compares what it returns with what was confirmed, and fails as "behind" rather than return an older version.

--- a/src/control/versions/configuration_store.ts
+++ b/src/control/versions/configuration_store.ts
@@ -243,9 +243,12 @@
     const reply = await this.#leaderClient.call(timeout, {
       question: { type: "confirm", version },
       handleLocally: () => this.#handleConfirm(version),
-    });
-    await this.#applyConfirmation(reply as schema.ConfirmedReply, timeout);
-    return this.configuration;
+    }) as schema.ConfirmedReply;
+    await this.#applyConfirmation(reply, timeout);
+    const { configuration } = this;
+    const isConfirmed = configuration.version >= (reply.version ?? version);
+    if (!isConfirmed) throw new errors.StoreError("behind");
+    return configuration;
   }
 
   /** Handles an RPC request that another host has sent to the leader. */
@@ -380,6 +383,9 @@
   /** Restarts the replica from disk after a failure. */
   async #restart(error: unknown, storage?: Storage): Promise<void> {
     const { clock, logger } = this.#options;
+    // Leaders confirm what this host has applied without sending it again.
+    this.#fetchedConfiguration = this.configuration;
+    this.#fetchedEvacuations = this.evacuations;
     this.#runner = undefined;
     logger.error(
       { err: error, retryMs: RESTART_DELAY_MS },
--- a/src/control/versions/errors.ts
+++ b/src/control/versions/errors.ts
@@ -3,7 +3,12 @@
 
 /** Why a call failed. A command may have taken effect only when the fault is
  * `unknown`. */
-export type StoreFault = "no-leader" | "unknown" | "stopped" | "abandoned";
+export type StoreFault =
+  | "no-leader"
+  | "unknown"
+  | "stopped"
+  | "abandoned"
+  | "behind";
 
 /** A command or a read was not acknowledged. */
 export class StoreError extends Error {
@@ -21,4 +26,5 @@
   unknown: "the order may or may not be in force",
   stopped: "the log does not run on this host",
   abandoned: "nobody waits for the order any more",
+  behind: "this host holds an older version than was confirmed",
 };
--- a/src/control/versions/fake_cluster.ts
+++ b/src/control/versions/fake_cluster.ts
@@ -161,6 +161,16 @@
     this.#host(name).disk = storage.MemoryStorage.create();
   }
 
+  /** Lets the disk of a host refuse every write from now on. */
+  fillDisk(name: string): void {
+    const refuse = () => Promise.reject(new Error("the disk is full"));
+    Object.assign(this.#host(name).disk, {
+      append: refuse,
+      replace: refuse,
+      truncate: refuse,
+    });
+  }
+
   /** Partitions hosts from all others, in both directions. */
   isolate(names: readonly string[]): void {
     for (const inside of names) {
