--- a/src/batching/batch_call.ts
+++ b/src/batching/batch_call.ts
@@ -115,7 +115,7 @@
   return { type: "results", results };
 }
 
-/** Records the handles in an outcome, and tells whether they are of this call. */
+/** Records the handles in an outcome; returns the origin of its answer. */
 function originOf(
   outcome: CallOutcome,
   { worker, tasks }: tasks.Assignment,
--- a/src/batching/received_handles.ts
+++ b/src/batching/received_handles.ts
@@ -18,9 +18,9 @@
   readonly item: Item;
 }
 
-/** What the handles of an answer say of it: those of `own` are all new, those of
- * a `repeated` one were received before for the same items, and in a `foreign`
- * one for others. An answer without handles says nothing (`unknown`). */
+/** Origin of an answer by its handles. All are new in the call's `own` answer;
+ * in a `repeated` one some were received before for the same items, in a
+ * `foreign` one for other items. Without handles it is `unknown`. */
 export type Origin = "own" | "repeated" | "foreign" | "unknown";
 
 /** Handles by endpoint; mutable. */
@@ -33,17 +33,16 @@
 
   /** Records the handles in an answer of an endpoint's incarnation. */
   record(endpoint: string, received: readonly ReceivedHandle[]): Origin {
-    const known = received.map(({ handle, item }) => {
-      const before = this.#items.get(keyOf(endpoint, handle));
-      return before === undefined ? "new" : before === textOf(item);
+    const entries = received.map(({ handle, item }) => {
+      const key = keyOf(endpoint, handle);
+      return { key, known: this.#items.get(key), item: textOf(item) };
     });
-    if (known.includes(false)) return "foreign";
-    for (const { handle, item } of received) {
-      this.#items.set(keyOf(endpoint, handle), textOf(item));
-    }
+    const repeated = entries.filter(({ known }) => known !== undefined);
+    if (repeated.some(({ known, item }) => known !== item)) return "foreign";
+    entries.forEach(({ key, item }) => this.#items.set(key, item));
     this.#evict();
-    if (known.length === 0) return "unknown";
-    return known.includes(true) ? "repeated" : "own";
+    if (entries.length === 0) return "unknown";
+    return repeated.length > 0 ? "repeated" : "own";
   }
 
   #evict(): void {
--- a/src/fleet/control_members.ts
+++ b/src/fleet/control_members.ts
@@ -44,8 +44,8 @@
     }
   }
 
-  /** Records a hello message. Returns whether it comes from another process
-   * than the live one that was heard of before at this host. */
+  /** Records a hello message. Returns whether its process is new: the host was
+   * not live before, or its incarnation has changed. */
   recordHello(member: ControlMember): boolean {
     const { host, incarnation, heard } = member;
     const known = this.#heard.get(host);
--- a/src/fleet/reported_endpoints.ts
+++ b/src/fleet/reported_endpoints.ts
@@ -1,14 +1,13 @@
-/** Which endpoints the control host that an entry host syncs with has reported
- * since it started. A control host that has run for a while has heard of every
- * live endpoint, from its heartbeats or from the other control hosts: one that
- * it never reported ended while no control host ran, so that none found it
- * silent.
+/** Endpoints that the control host in use has reported since it started. A
+ * control host that has run for a while knows every live endpoint, from its
+ * heartbeats or from other control hosts. An endpoint that it never reported
+ * ended while no control host ran, so that none detected its silence.
  * @module */
 
 import * as endpoints from "../endpoints/mod.ts";
 
-/** Time after which a control host has heard of every live endpoint: several
- * heartbeats of an endpoint, and full transfers between control hosts. */
+/** Time after which a control host knows every live endpoint: several heartbeats
+ * of an endpoint, and full transfers between control hosts. */
 export const COMPLETE_MS = 15_000;
 
 /** Endpoints in a confirmed reply. */
@@ -23,7 +22,7 @@
 /** Endpoints that one epoch has reported; mutable. */
 export class ReportedEndpoints {
   #epoch?: string;
-  /** When the epoch was first heard, or last checked. */
+  /** Time of the epoch's first reply, or of the last check. */
   #checkedAt = 0;
   #reported = new Set<string>();
 
@@ -34,7 +33,7 @@
   /** Records a confirmed reply. */
   record({ epoch, isFull, endpoints: reported }: Report, now: number): void {
     if (epoch !== this.#epoch) {
-      // Changes alone do not tell which other endpoints the epoch knows.
+      // A list of changes lacks the other endpoints that the epoch knows.
       this.#epoch = isFull ? epoch : undefined;
       this.#checkedAt = now;
       this.#reported = new Set();
@@ -45,8 +44,8 @@
   }
 
   /** Returns the endpoints of a roster that the epoch should have reported by
-   * now and has not. None between two checks, which are as far apart as it
-   * takes to hear of all endpoints. */
+   * now and has not. Checks are `COMPLETE_MS` apart; none are returned in
+   * between. */
   missing(
     entries: Iterable<endpoints.RosterEntry>,
     now: number,
