Control hosts: departures of long ago are not restored from disk

What could be seen: a control host that was down for hours would restore the departures of before and send them to all others. An endpoint that states no start time and serves again under its id since would be ignored for a minute.

Steps are of seconds, an outage may be of hours.

Change: a line has the time of day of the endpoint's last report, and what is more than two minutes old by it is left out: twice the roster's retention.

Test: "a departure is restored while delayed heartbeats may arrive, and not after a long time"; without the change the third of its checks fails, as nothing compares the age.

--- a/src/fleet/departure_journal.ts
+++ b/src/fleet/departure_journal.ts
@@ -25,6 +25,9 @@
 const MAX_RETAINED_BYTES = 8 * 1024 * 1024;
 /** Least interval between replacements that remove obsolete departures. */
 const CLEAN_INTERVAL_MS = 5000;
+/** Age by the time of day from which a departure is not restored: the roster
+ * would have dropped it, even if the time of day was stepped by a minute. */
+const MAX_RESTORED_AGE_MS = 120_000;
 /** Time until a storage that failed is opened again. */
 const REOPEN_MS = 1000;
 
@@ -175,21 +178,30 @@
   }
 
   #encode(departures: readonly endpoints.RosterEntry[]): Buffer {
-    const now = this.#options.clock.now();
-    return Buffer.concat(
-      departures.map((entry) =>
-        jsonLines.encode(noteOf(rosterCodec.encode(entry, now)))
-      ),
-    );
+    const { clock } = this.#options;
+    const now = clock.now();
+    return Buffer.concat(departures.map((entry) => {
+      const line: StoredDeparture = {
+        type: "note",
+        sightings: [rosterCodec.encode(entry, now)],
+        at: Math.round(clock.wall() - (now - entry.heardAt)),
+      };
+      return jsonLines.encode(line);
+    }));
   }
 
-  /** Merges departures of the file into the roster. They are retained as if
-   * they were new: the time of day may have been stepped while this host was
-   * down, and a departure must outlast delayed heartbeats. */
+  /** Merges departures of the file into the roster, except very old ones, whose
+   * endpoints may have started again. The others are retained as if they were
+   * new: the time of day may have been stepped while this host was down, and a
+   * departure must outlast delayed heartbeats. */
   #merge(bytes: Uint8Array): void {
     const { clock, logger, roster } = this.#options;
     const now = clock.now();
-    const { departures, skippedCount } = decode(bytes);
+    const wall = clock.wall();
+    const { stored, skippedCount } = decode(bytes);
+    const departures = stored
+      .filter(({ at }) => wall - at <= MAX_RESTORED_AGE_MS)
+      .flatMap(({ sightings }) => sightings);
     for (const departure of departures) {
       const sighting = { ...departure, age: 0 };
       roster.merge(rosterCodec.decode(sighting, { now, judges: true }));
@@ -224,24 +236,27 @@
   return `${endpoints.incarnations.keyOf(entry)} ${entry.state}`;
 }
 
-function noteOf(sighting: schema.Sighting): schema.NoteQuestion {
-  return { type: "note", sightings: [sighting] };
+/** A line of the file. */
+interface StoredDeparture extends schema.NoteQuestion {
+  /** Time of the endpoint's last report, in Unix milliseconds. */
+  readonly at: number;
 }
 
 /** Decodes the departures in a file, in the order in which they were stored,
  * and counts the lines that are damaged or of another release. */
 function decode(
   bytes: Uint8Array,
-): { departures: schema.Sighting[]; skippedCount: number } {
+): { stored: StoredDeparture[]; skippedCount: number } {
   const { values, skippedCount } = jsonLines.decode(bytes);
-  const notes = values.filter(isNote);
+  const stored = values.filter(isStoredDeparture);
   return {
-    departures: notes.flatMap(({ sightings }) => sightings),
-    skippedCount: skippedCount + values.length - notes.length,
+    stored,
+    skippedCount: skippedCount + values.length - stored.length,
   };
 }
 
-function isNote(body: unknown): body is schema.NoteQuestion {
+function isStoredDeparture(body: unknown): body is StoredDeparture {
   return fleetMessages.validate({ type: "ask", id: 0, body }) &&
-    (body as schema.Question).type === "note";
+    (body as schema.Question).type === "note" &&
+    typeof (body as StoredDeparture).at === "number";
 }
--- a/src/fleet/departure_journal_test.ts
+++ b/src/fleet/departure_journal_test.ts
@@ -16,9 +16,10 @@
 }
 
 /** A control host's roster and its journal on a disk that is synced by hand if
- * it is `manual`. */
-async function open(disk: storage.MemoryStorage) {
+ * it is `manual`, `age` milliseconds later by the time of day. */
+async function open(disk: storage.MemoryStorage, { age = 0 } = {}) {
   const clock = new runtime.FakeClock();
+  clock.advance(age);
   const tally = new telemetry.Tally();
   const roster = endpoints.Roster.create({
     silenceTimeoutMs: 4200,
@@ -218,3 +219,15 @@
   const { states } = await open(disk.crash());
   t.deepEqual(states(), {});
 });
+
+test("a departure is restored while delayed heartbeats may arrive, and not after a long time", async (t) => {
+  // Guards against an endpoint that serves again under its id and is ignored, as
+  // a control host that was down meanwhile restores its departure.
+  const disk = storage.MemoryStorage.create();
+  t.true(await (await open(disk)).leave("i-1"));
+  const statesAfter = async (age: number) =>
+    (await open(disk.crash(), { age })).states();
+  t.deepEqual(await statesAfter(1000), { "i-1": "gone" });
+  t.deepEqual(await statesAfter(90_000), { "i-1": "gone" });
+  t.deepEqual(await statesAfter(3_600_000), {});
+});
