--- a/bench/announcement_fuzz/mod.ts
+++ b/bench/announcement_fuzz/mod.ts
@@ -8,6 +8,7 @@
 import * as configurations from "../../src/configuration/mod.ts";
 import * as fixture from "../../src/endpoints/fixture.ts";
 import type * as endpoints from "../../src/endpoints/mod.ts";
+import type * as protocols from "../../src/gateway/protocol.ts";
 import * as runtime from "../../src/runtime/mod.ts";
 import * as telemetry from "../../src/telemetry/mod.ts";
 import * as hosts from "../decisions/host.ts";
@@ -262,10 +263,10 @@
 ): string {
   if (call === undefined) return "id: 1\ndata: 1\n\n";
   if (call !== "make") return "";
-  const items: unknown[] = JSON.parse(body);
-  const results = items.map((_, pos) => ({
+  const items: protocols.ItemRequest[] = JSON.parse(body);
+  const results = items.map(({ request, stage, itemIndex }) => ({
     type: "made",
-    handle: `${address}/${pos}`,
+    handle: `${address}/${request}.${stage}.${itemIndex}`,
   }));
   return JSON.stringify(results);
 }
