--- a/src/batching/batcher_client.ts
+++ b/src/batching/batcher_client.ts
@@ -9,6 +9,7 @@
 import type * as schema from "../schema/fleet_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import type * as batchers from "./batcher.ts";
+import * as errors from "./errors.ts";
 import * as partitionBatchers from "./partition_batcher.ts";
 import * as partitions from "./partitions.ts";
 import type * as tasks from "./task.ts";
@@ -116,8 +117,7 @@
         const reply = await calls.ask(host, forwarded, {
           timeout: remaining + 50,
         });
-        if (reply.type === "made") return reply.results;
-        throw new Error(`expected reply "made", got "${reply.type}"`);
+        return resultsOf(reply, question);
       } catch (error) {
         this.#unresponsive.add(host);
         const { request, service } = question;
@@ -235,3 +235,37 @@
     );
   }
 }
+
+/** Fields of a question that its reply repeats. */
+const REPEATED_FIELDS = ["service", "request", "stage"] as const;
+
+/** Returns the results in a reply. Throws if they were made for another
+ * question: an endpoint that still holds them would run this request with
+ * inputs of another one. */
+function resultsOf(
+  reply: schema.Reply,
+  question: schema.MakeQuestion,
+): schema.Result[] {
+  if (reply.type !== "made") {
+    throw new errors.BatchingError(
+      `expected reply "made", got "${reply.type}"`,
+    );
+  }
+  for (const field of REPEATED_FIELDS) {
+    const [expected, received] = [
+      question[field],
+      reply[field] ?? question[field],
+    ];
+    if (received !== expected) {
+      throw new errors.BatchingError(
+        `expected results of ${field} "${expected}", got "${received}"`,
+      );
+    }
+  }
+  const asked = new Set(question.pieces);
+  const foreign = reply.results.find(({ piece }) => !asked.has(piece));
+  if (foreign === undefined) return reply.results;
+  throw new errors.BatchingError(
+    `got a result of piece ${foreign.piece}, which was not asked for`,
+  );
+}
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -509,7 +509,9 @@
 
   async #handleMake(question: schema.MakeQuestion): Promise<schema.Reply> {
     if (this.#isDraining) return { type: "failed", reason: "stopped" };
-    return { type: "made", results: await this.#batcher.compute(question) };
+    const { service, request, stage } = question;
+    const results = await this.#batcher.compute(question);
+    return { type: "made", service, request, stage, results };
   }
 
   #handleBook(question: schema.BookQuestion): Promise<schema.Reply> {
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -576,8 +576,16 @@
 export interface NotedReply {
   type: "noted";
 }
+/**
+ * Results, and the question that they answer, which hosts of earlier
+ * releases leave out.
+ *
+ */
 export interface MadeReply {
   type: "made";
+  service?: Name;
+  request?: Name;
+  stage?: Count;
   results: Result[];
 }
 /**
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,7 +5,7 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"},{"$ref":"#/$defs/SharesQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"},{"$ref":"#/$defs/SharesReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"},"slowness":{"description":"Slowness of endpoints that the asker observed since its last sync;\nabsent without any.\n","$ref":"#/$defs/SlownessReports"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Recently changed estimates of all hosts together; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request, or a prompt part, that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"},"answers":{"description":"Most whole answers on the part that a host has seen.","$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"StreamOrigin":{"title":"StreamOrigin","description":"The service and the software version at which a stream began.","type":"object","required":["stream","service","version","host","lifetime","age"],"properties":{"stream":{"$ref":"#/$defs/Stream"},"service":{"$ref":"#/$defs/Name"},"version":{"$ref":"#/$defs/Name"},"host":{"description":"Host that relayed its first event.","$ref":"#/$defs/Name"},"lifetime":{"description":"Milliseconds for which it is kept after its last use.","type":"number","minimum":0},"age":{"description":"Milliseconds since the first event.","type":"number","minimum":0}}},"Stream":{"description":"Digest of the account, the route and the first attempt.","type":"string","minLength":1,"maxLength":64},"OriginsQuestion":{"title":"OriginsQuestion","description":"Asks a control host to store origins of streams.","type":"object","required":["type","origins"],"properties":{"type":{"type":"string","const":"origins"},"origins":{"type":"array","items":{"$ref":"#/$defs/StreamOrigin"}}}},"OriginQuestion":{"title":"OriginQuestion","description":"Asks a control host for the origin of a stream.","type":"object","required":["type","stream"],"properties":{"type":{"type":"string","const":"origin"},"stream":{"$ref":"#/$defs/Stream"}}},"OriginReply":{"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"SlownessReports":{"type":"array","maxItems":1024,"items":{"$ref":"#/$defs/SlownessReport"}},"SlownessReport":{"title":"SlownessReport","description":"Time that calls took at an endpoint relative to the expectation for its\nservice.\n","type":"object","required":["endpoint","ratio","count"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"ratio":{"description":"Geometric mean of the observed ratios.","type":"number","exclusiveMinimum":0},"count":{"description":"Number of observations.","type":"number","exclusiveMinimum":0}}},"Contended":{"description":"Services under contention; absent without any.","type":"array","items":{"$ref":"#/$defs/Name"}},"SharesQuestion":{"title":"SharesQuestion","description":"Reports what client accounts asked of a service and asks for their shares.\nCosts are sums over `span`.\n","type":"object","required":["type","service","span","admitted","denied","accounts"],"properties":{"type":{"type":"string","const":"shares"},"service":{"$ref":"#/$defs/Name"},"span":{"description":"Milliseconds that the sums cover.","type":"number","exclusiveMinimum":0},"admitted":{"description":"Cost of requests that no share refused.","type":"number","minimum":0},"denied":{"description":"Cost of those that ended late or for lack of capacity.","type":"number","minimum":0},"accounts":{"type":"array","items":{"$ref":"#/$defs/AccountUse"}}}},"AccountUse":{"title":"AccountUse","type":"object","required":["account","rank","offered","served"],"properties":{"account":{"description":"Empty for requests without an account.","type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"offered":{"type":"number","minimum":0},"served":{"type":"number","minimum":0}}},"SharesReply":{"title":"SharesReply","type":"object","required":["type","watched","limits"],"properties":{"type":{"type":"string","const":"shares"},"watched":{"description":"Whether the service is or recently was under contention.","type":"boolean"},"decided":{"description":"Whether the replier has heard enough hosts to decide; a reply without a\ncapacity then says that there is no contention.\n","type":"boolean"},"capacity":{"description":"Cost a second that the service is taken to serve.","type":"number","minimum":0},"limits":{"description":"Limits for the asker; accounts without one are not limited.","type":"array","items":{"$ref":"#/$defs/AccountLimit"}}}},"AccountLimit":{"title":"AccountLimit","type":"object","required":["account","rank","rate"],"properties":{"account":{"type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"rate":{"description":"Cost a second.","type":"number","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"},"bytes":{"description":"Size of a piece's result; absent from hosts of earlier releases.","type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"},"scarce":{"description":"What the pieces wait for; absent where endpoints keep up.","type":"string","enum":["calls","memory","placement"]}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"version":{"description":"Software version that the engine must have.","$ref":"#/$defs/Name"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Observations that entry hosts have reported to the sender since its\nlast hello to the receiver; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}},"gaps":{"description":"Mean gaps between events of streams that ended since, of prompts that\nanother host placed, relative to the mean gap of the service.\n","type":"array","items":{"type":"number","exclusiveMinimum":0}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0},"fetched":{"description":"Whether the engine fetched parts of the prompt from another one's\ncache; absent if not.\n","type":"boolean"}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"},{"$ref":"#/$defs/SharesQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"},{"$ref":"#/$defs/SharesReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"},"slowness":{"description":"Slowness of endpoints that the asker observed since its last sync;\nabsent without any.\n","$ref":"#/$defs/SlownessReports"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Recently changed estimates of all hosts together; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request, or a prompt part, that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"},"answers":{"description":"Most whole answers on the part that a host has seen.","$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"StreamOrigin":{"title":"StreamOrigin","description":"The service and the software version at which a stream began.","type":"object","required":["stream","service","version","host","lifetime","age"],"properties":{"stream":{"$ref":"#/$defs/Stream"},"service":{"$ref":"#/$defs/Name"},"version":{"$ref":"#/$defs/Name"},"host":{"description":"Host that relayed its first event.","$ref":"#/$defs/Name"},"lifetime":{"description":"Milliseconds for which it is kept after its last use.","type":"number","minimum":0},"age":{"description":"Milliseconds since the first event.","type":"number","minimum":0}}},"Stream":{"description":"Digest of the account, the route and the first attempt.","type":"string","minLength":1,"maxLength":64},"OriginsQuestion":{"title":"OriginsQuestion","description":"Asks a control host to store origins of streams.","type":"object","required":["type","origins"],"properties":{"type":{"type":"string","const":"origins"},"origins":{"type":"array","items":{"$ref":"#/$defs/StreamOrigin"}}}},"OriginQuestion":{"title":"OriginQuestion","description":"Asks a control host for the origin of a stream.","type":"object","required":["type","stream"],"properties":{"type":{"type":"string","const":"origin"},"stream":{"$ref":"#/$defs/Stream"}}},"OriginReply":{"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"SlownessReports":{"type":"array","maxItems":1024,"items":{"$ref":"#/$defs/SlownessReport"}},"SlownessReport":{"title":"SlownessReport","description":"Time that calls took at an endpoint relative to the expectation for its\nservice.\n","type":"object","required":["endpoint","ratio","count"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"ratio":{"description":"Geometric mean of the observed ratios.","type":"number","exclusiveMinimum":0},"count":{"description":"Number of observations.","type":"number","exclusiveMinimum":0}}},"Contended":{"description":"Services under contention; absent without any.","type":"array","items":{"$ref":"#/$defs/Name"}},"SharesQuestion":{"title":"SharesQuestion","description":"Reports what client accounts asked of a service and asks for their shares.\nCosts are sums over `span`.\n","type":"object","required":["type","service","span","admitted","denied","accounts"],"properties":{"type":{"type":"string","const":"shares"},"service":{"$ref":"#/$defs/Name"},"span":{"description":"Milliseconds that the sums cover.","type":"number","exclusiveMinimum":0},"admitted":{"description":"Cost of requests that no share refused.","type":"number","minimum":0},"denied":{"description":"Cost of those that ended late or for lack of capacity.","type":"number","minimum":0},"accounts":{"type":"array","items":{"$ref":"#/$defs/AccountUse"}}}},"AccountUse":{"title":"AccountUse","type":"object","required":["account","rank","offered","served"],"properties":{"account":{"description":"Empty for requests without an account.","type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"offered":{"type":"number","minimum":0},"served":{"type":"number","minimum":0}}},"SharesReply":{"title":"SharesReply","type":"object","required":["type","watched","limits"],"properties":{"type":{"type":"string","const":"shares"},"watched":{"description":"Whether the service is or recently was under contention.","type":"boolean"},"decided":{"description":"Whether the replier has heard enough hosts to decide; a reply without a\ncapacity then says that there is no contention.\n","type":"boolean"},"capacity":{"description":"Cost a second that the service is taken to serve.","type":"number","minimum":0},"limits":{"description":"Limits for the asker; accounts without one are not limited.","type":"array","items":{"$ref":"#/$defs/AccountLimit"}}}},"AccountLimit":{"title":"AccountLimit","type":"object","required":["account","rank","rate"],"properties":{"account":{"type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"rate":{"description":"Cost a second.","type":"number","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","description":"Results, and the question that they answer, which hosts of earlier\nreleases leave out.\n","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"},"bytes":{"description":"Size of a piece's result; absent from hosts of earlier releases.","type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"},"scarce":{"description":"What the pieces wait for; absent where endpoints keep up.","type":"string","enum":["calls","memory","placement"]}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"version":{"description":"Software version that the engine must have.","$ref":"#/$defs/Name"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Observations that entry hosts have reported to the sender since its\nlast hello to the receiver; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}},"gaps":{"description":"Mean gaps between events of streams that ended since, of prompts that\nanother host placed, relative to the mean gap of the service.\n","type":"array","items":{"type":"number","exclusiveMinimum":0}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0},"fetched":{"description":"Whether the engine fetched parts of the prompt from another one's\ncache; absent if not.\n","type":"boolean"}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
 const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"},{"$ref":"#/$defs/SharesQuestion"}]};
@@ -3993,11 +3993,11 @@
 
 const schema108 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
 const schema110 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"},{"$ref":"#/$defs/SharesReply"}]};
-const schema140 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema141 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema142 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"},"scarce":{"description":"What the pieces wait for; absent where endpoints keep up.","type":"string","enum":["calls","memory","placement"]}}};
-const schema143 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
-const schema144 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
+const schema143 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema144 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema145 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"},"scarce":{"description":"What the pieces wait for; absent where endpoints keep up.","type":"string","enum":["calls","memory","placement"]}}};
+const schema146 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
+const schema147 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
 const schema111 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
 const schema114 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
 const schema115 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
@@ -4888,8 +4888,8 @@
 }
 validate87.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true,"slowness":true,"contended":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema129 = {"title":"MadeReply","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema130 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema129 = {"title":"MadeReply","description":"Results, and the question that they answer, which hosts of earlier\nreleases leave out.\n","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema133 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
 function validate97(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -4905,7 +4905,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate97.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema130.required,parentSchema:schema130,data}];
+validate97.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema133.required,parentSchema:schema133,data}];
 return false;
 }
 else {
@@ -4935,7 +4935,7 @@
 let data1 = data.handle;
 const _errs4 = errors;
 if(typeof data1 !== "string"){
-validate97.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema130.properties.handle.type,parentSchema:schema130.properties.handle,data:data1}];
+validate97.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema133.properties.handle.type,parentSchema:schema133.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -4948,7 +4948,7 @@
 let data2 = data.failure;
 const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate97.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema130.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema130.properties.failure.enum,parentSchema:schema130.properties.failure,data:data2}];
+validate97.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema133.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema133.properties.failure.enum,parentSchema:schema133.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -4961,7 +4961,7 @@
 }
 }
 else {
-validate97.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema130.type,parentSchema:schema130,data}];
+validate97.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema133.type,parentSchema:schema133,data}];
 return false;
 }
 }
@@ -5006,31 +5006,109 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.results !== undefined){
-let data1 = data.results;
+if(data.service !== undefined){
+let data1 = data.service;
 const _errs3 = errors;
-if(errors === _errs3){
-if(Array.isArray(data1)){
-var valid1 = true;
-const len0 = data1.length;
+const _errs4 = errors;
+if(errors === _errs4){
+if(typeof data1 === "string"){
+if(data1.length > 256){
+validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+return false;
+}
+}
+}
+else {
+validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.request !== undefined){
+let data2 = data.request;
+const _errs6 = errors;
+const _errs7 = errors;
+if(errors === _errs7){
+if(typeof data2 === "string"){
+if(data2.length > 256){
+validate96.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data2}];
+return false;
+}
+else {
+if(data2.length < 1){
+validate96.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data2}];
+return false;
+}
+}
+}
+else {
+validate96.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data2}];
+return false;
+}
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.stage !== undefined){
+let data3 = data.stage;
+const _errs9 = errors;
+const _errs10 = errors;
+if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
+validate96.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data3}];
+return false;
+}
+if(errors === _errs10){
+if((typeof data3 == "number") && (isFinite(data3))){
+if(data3 < 0 || isNaN(data3)){
+validate96.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data3}];
+return false;
+}
+}
+}
+var valid0 = _errs9 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.results !== undefined){
+let data4 = data.results;
+const _errs12 = errors;
+if(errors === _errs12){
+if(Array.isArray(data4)){
+var valid4 = true;
+const len0 = data4.length;
 for(let i0=0; i0<len0; i0++){
-const _errs5 = errors;
-if(!(validate97(data1[i0], {instancePath:instancePath+"/results/" + i0,parentData:data1,parentDataProperty:i0,rootData,dynamicAnchors}))){
+const _errs14 = errors;
+if(!(validate97(data4[i0], {instancePath:instancePath+"/results/" + i0,parentData:data4,parentDataProperty:i0,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate97.errors : vErrors.concat(validate97.errors);
 errors = vErrors.length;
 }
-var valid1 = _errs5 === errors;
-if(!valid1){
+var valid4 = _errs14 === errors;
+if(!valid4){
 break;
 }
 }
 }
 else {
-validate96.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema129.properties.results.type,parentSchema:schema129.properties.results,data:data1}];
+validate96.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema129.properties.results.type,parentSchema:schema129.properties.results,data:data4}];
 return false;
 }
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs12 === errors;
 }
 else {
 var valid0 = true;
@@ -5038,6 +5116,9 @@
 }
 }
 }
+}
+}
+}
 else {
 validate96.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema129.type,parentSchema:schema129,data}];
 return false;
@@ -5046,10 +5127,10 @@
 validate96.errors = vErrors;
 return errors === 0;
 }
-validate96.evaluated = {"props":{"type":true,"results":true},"dynamicProps":false,"dynamicItems":false};
+validate96.evaluated = {"props":{"type":true,"service":true,"request":true,"stage":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema132 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}};
-const schema135 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
+const schema135 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}};
+const schema138 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
 
 function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5065,7 +5146,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((data.type === undefined) && (missing0 = "type")) || ((data.engine === undefined) && (missing0 = "engine"))) || ((data.read === undefined) && (missing0 = "read"))) || ((data.fetched === undefined) && (missing0 = "fetched"))) || ((data.fetchTime === undefined) && (missing0 = "fetchTime"))) || ((data.firstEvent === undefined) && (missing0 = "firstEvent"))) || ((data.work === undefined) && (missing0 = "work"))){
-validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema132.required,parentSchema:schema132,data}];
+validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema135.required,parentSchema:schema135,data}];
 return false;
 }
 else {
@@ -5073,11 +5154,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema132.properties.type.type,parentSchema:schema132.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema135.properties.type.type,parentSchema:schema135.properties.type,data:data0}];
 return false;
 }
 if("placed" !== data0){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema132.properties.type,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema135.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5148,12 +5229,12 @@
 if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.read,data:data3}];
+validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.read,data:data3}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.read.type,parentSchema:schema132.properties.read,data:data3}];
+validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.read.type,parentSchema:schema135.properties.read,data:data3}];
 return false;
 }
 }
@@ -5169,12 +5250,12 @@
 if(errors === _errs11){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate99.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.fetched,data:data4}];
+validate99.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.fetched,data:data4}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.fetched.type,parentSchema:schema132.properties.fetched,data:data4}];
+validate99.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.fetched.type,parentSchema:schema135.properties.fetched,data:data4}];
 return false;
 }
 }
@@ -5190,12 +5271,12 @@
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate99.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.fetchTime,data:data5}];
+validate99.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.fetchTime,data:data5}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.fetchTime.type,parentSchema:schema132.properties.fetchTime,data:data5}];
+validate99.errors = [{instancePath:instancePath+"/fetchTime",schemaPath:"#/properties/fetchTime/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.fetchTime.type,parentSchema:schema135.properties.fetchTime,data:data5}];
 return false;
 }
 }
@@ -5211,12 +5292,12 @@
 if(errors === _errs15){
 if((typeof data6 == "number") && (isFinite(data6))){
 if(data6 < 0 || isNaN(data6)){
-validate99.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema132.properties.firstEvent,data:data6}];
+validate99.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.firstEvent,data:data6}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.firstEvent.type,parentSchema:schema132.properties.firstEvent,data:data6}];
+validate99.errors = [{instancePath:instancePath+"/firstEvent",schemaPath:"#/properties/firstEvent/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.firstEvent.type,parentSchema:schema135.properties.firstEvent,data:data6}];
 return false;
 }
 }
@@ -5234,7 +5315,7 @@
 if(data7 && typeof data7 == "object" && !Array.isArray(data7)){
 let missing1;
 if(((data7.tokens === undefined) && (missing1 = "tokens")) || ((data7.streams === undefined) && (missing1 = "streams"))){
-validate99.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema135.required,parentSchema:schema135,data:data7}];
+validate99.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema138.required,parentSchema:schema138,data:data7}];
 return false;
 }
 else {
@@ -5244,12 +5325,12 @@
 if(errors === _errs20){
 if((typeof data8 == "number") && (isFinite(data8))){
 if(data8 < 0 || isNaN(data8)){
-validate99.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.tokens,data:data8}];
+validate99.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema138.properties.tokens,data:data8}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.tokens.type,parentSchema:schema135.properties.tokens,data:data8}];
+validate99.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema138.properties.tokens.type,parentSchema:schema138.properties.tokens,data:data8}];
 return false;
 }
 }
@@ -5265,12 +5346,12 @@
 if(errors === _errs22){
 if((typeof data9 == "number") && (isFinite(data9))){
 if(data9 < 0 || isNaN(data9)){
-validate99.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.streams,data:data9}];
+validate99.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema138.properties.streams,data:data9}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.streams.type,parentSchema:schema135.properties.streams,data:data9}];
+validate99.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema138.properties.streams.type,parentSchema:schema138.properties.streams,data:data9}];
 return false;
 }
 }
@@ -5283,7 +5364,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema135.type,parentSchema:schema135,data:data7}];
+validate99.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema138.type,parentSchema:schema138,data:data7}];
 return false;
 }
 }
@@ -5299,12 +5380,12 @@
 if(errors === _errs24){
 if((typeof data10 == "number") && (isFinite(data10))){
 if(data10 <= 0 || isNaN(data10)){
-validate99.errors = [{instancePath:instancePath+"/slowness",schemaPath:"#/properties/slowness/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema132.properties.slowness,data:data10}];
+validate99.errors = [{instancePath:instancePath+"/slowness",schemaPath:"#/properties/slowness/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema135.properties.slowness,data:data10}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/slowness",schemaPath:"#/properties/slowness/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema132.properties.slowness.type,parentSchema:schema132.properties.slowness,data:data10}];
+validate99.errors = [{instancePath:instancePath+"/slowness",schemaPath:"#/properties/slowness/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.slowness.type,parentSchema:schema135.properties.slowness,data:data10}];
 return false;
 }
 }
@@ -5324,7 +5405,7 @@
 }
 }
 else {
-validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema132.type,parentSchema:schema132,data}];
+validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema135.type,parentSchema:schema135,data}];
 return false;
 }
 }
@@ -5333,7 +5414,7 @@
 }
 validate99.evaluated = {"props":{"type":true,"engine":true,"source":true,"read":true,"fetched":true,"fetchTime":true,"firstEvent":true,"work":true,"slowness":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema136 = {"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}};
+const schema139 = {"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}};
 
 function validate100(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5349,7 +5430,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema136.required,parentSchema:schema136,data}];
+validate100.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema139.required,parentSchema:schema139,data}];
 return false;
 }
 else {
@@ -5357,11 +5438,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema136.properties.type.type,parentSchema:schema136.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema139.properties.type.type,parentSchema:schema139.properties.type,data:data0}];
 return false;
 }
 if("origin" !== data0){
-validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origin"},message:"must be equal to constant",schema:"origin",parentSchema:schema136.properties.type,data:data0}];
+validate100.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "origin"},message:"must be equal to constant",schema:"origin",parentSchema:schema139.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5386,7 +5467,7 @@
 let data2 = data.conflicting;
 const _errs4 = errors;
 if(typeof data2 !== "boolean"){
-validate100.errors = [{instancePath:instancePath+"/conflicting",schemaPath:"#/properties/conflicting/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema136.properties.conflicting.type,parentSchema:schema136.properties.conflicting,data:data2}];
+validate100.errors = [{instancePath:instancePath+"/conflicting",schemaPath:"#/properties/conflicting/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema139.properties.conflicting.type,parentSchema:schema139.properties.conflicting,data:data2}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -5399,7 +5480,7 @@
 }
 }
 else {
-validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema136.type,parentSchema:schema136,data}];
+validate100.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema139.type,parentSchema:schema139,data}];
 return false;
 }
 }
@@ -5408,8 +5489,8 @@
 }
 validate100.evaluated = {"props":{"type":true,"origin":true,"conflicting":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema137 = {"title":"SharesReply","type":"object","required":["type","watched","limits"],"properties":{"type":{"type":"string","const":"shares"},"watched":{"description":"Whether the service is or recently was under contention.","type":"boolean"},"decided":{"description":"Whether the replier has heard enough hosts to decide; a reply without a\ncapacity then says that there is no contention.\n","type":"boolean"},"capacity":{"description":"Cost a second that the service is taken to serve.","type":"number","minimum":0},"limits":{"description":"Limits for the asker; accounts without one are not limited.","type":"array","items":{"$ref":"#/$defs/AccountLimit"}}}};
-const schema138 = {"title":"AccountLimit","type":"object","required":["account","rank","rate"],"properties":{"account":{"type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"rate":{"description":"Cost a second.","type":"number","minimum":0}}};
+const schema140 = {"title":"SharesReply","type":"object","required":["type","watched","limits"],"properties":{"type":{"type":"string","const":"shares"},"watched":{"description":"Whether the service is or recently was under contention.","type":"boolean"},"decided":{"description":"Whether the replier has heard enough hosts to decide; a reply without a\ncapacity then says that there is no contention.\n","type":"boolean"},"capacity":{"description":"Cost a second that the service is taken to serve.","type":"number","minimum":0},"limits":{"description":"Limits for the asker; accounts without one are not limited.","type":"array","items":{"$ref":"#/$defs/AccountLimit"}}}};
+const schema141 = {"title":"AccountLimit","type":"object","required":["account","rank","rate"],"properties":{"account":{"type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"rate":{"description":"Cost a second.","type":"number","minimum":0}}};
 
 function validate103(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -5425,7 +5506,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.account === undefined) && (missing0 = "account")) || ((data.rank === undefined) && (missing0 = "rank"))) || ((data.rate === undefined) && (missing0 = "rate"))){
-validate103.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema138.required,parentSchema:schema138,data}];
+validate103.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema141.required,parentSchema:schema141,data}];
 return false;
 }
 else {
@@ -5435,12 +5516,12 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 256){
-validate103.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema138.properties.account,data:data0}];
+validate103.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema141.properties.account,data:data0}];
 return false;
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema138.properties.account.type,parentSchema:schema138.properties.account,data:data0}];
+validate103.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema141.properties.account.type,parentSchema:schema141.properties.account,data:data0}];
 return false;
 }
 }
@@ -5478,12 +5559,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate103.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema138.properties.rate,data:data2}];
+validate103.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema141.properties.rate,data:data2}];
 return false;
 }
 }
 else {
-validate103.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema138.properties.rate.type,parentSchema:schema138.properties.rate,data:data2}];
+validate103.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema141.properties.rate.type,parentSchema:schema141.properties.rate,data:data2}];
 return false;
 }
 }
@@ -5497,7 +5578,7 @@
 }
 }
 else {
-validate103.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema138.type,parentSchema:schema138,data}];
+validate103.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema141.type,parentSchema:schema141,data}];
 return false;
 }
 }
@@ -5521,7 +5602,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.watched === undefined) && (missing0 = "watched"))) || ((data.limits === undefined) && (missing0 = "limits"))){
-validate102.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema137.required,parentSchema:schema137,data}];
+validate102.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema140.required,parentSchema:schema140,data}];
 return false;
 }
 else {
@@ -5529,11 +5610,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema137.properties.type.type,parentSchema:schema137.properties.type,data:data0}];
+validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema140.properties.type.type,parentSchema:schema140.properties.type,data:data0}];
 return false;
 }
 if("shares" !== data0){
-validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "shares"},message:"must be equal to constant",schema:"shares",parentSchema:schema137.properties.type,data:data0}];
+validate102.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "shares"},message:"must be equal to constant",schema:"shares",parentSchema:schema140.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5546,7 +5627,7 @@
 let data1 = data.watched;
 const _errs3 = errors;
 if(typeof data1 !== "boolean"){
-validate102.errors = [{instancePath:instancePath+"/watched",schemaPath:"#/properties/watched/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema137.properties.watched.type,parentSchema:schema137.properties.watched,data:data1}];
+validate102.errors = [{instancePath:instancePath+"/watched",schemaPath:"#/properties/watched/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema140.properties.watched.type,parentSchema:schema140.properties.watched,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -5559,7 +5640,7 @@
 let data2 = data.decided;
 const _errs5 = errors;
 if(typeof data2 !== "boolean"){
-validate102.errors = [{instancePath:instancePath+"/decided",schemaPath:"#/properties/decided/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema137.properties.decided.type,parentSchema:schema137.properties.decided,data:data2}];
+validate102.errors = [{instancePath:instancePath+"/decided",schemaPath:"#/properties/decided/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema140.properties.decided.type,parentSchema:schema140.properties.decided,data:data2}];
 return false;
 }
 var valid0 = _errs5 === errors;
@@ -5574,12 +5655,12 @@
 if(errors === _errs7){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate102.errors = [{instancePath:instancePath+"/capacity",schemaPath:"#/properties/capacity/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema137.properties.capacity,data:data3}];
+validate102.errors = [{instancePath:instancePath+"/capacity",schemaPath:"#/properties/capacity/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema140.properties.capacity,data:data3}];
 return false;
 }
 }
 else {
-validate102.errors = [{instancePath:instancePath+"/capacity",schemaPath:"#/properties/capacity/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema137.properties.capacity.type,parentSchema:schema137.properties.capacity,data:data3}];
+validate102.errors = [{instancePath:instancePath+"/capacity",schemaPath:"#/properties/capacity/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema140.properties.capacity.type,parentSchema:schema140.properties.capacity,data:data3}];
 return false;
 }
 }
@@ -5609,7 +5690,7 @@
 }
 }
 else {
-validate102.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema137.properties.limits.type,parentSchema:schema137.properties.limits,data:data4}];
+validate102.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema140.properties.limits.type,parentSchema:schema140.properties.limits,data:data4}];
 return false;
 }
 }
@@ -5625,7 +5706,7 @@
 }
 }
 else {
-validate102.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema137.type,parentSchema:schema137,data}];
+validate102.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema140.type,parentSchema:schema140,data}];
 return false;
 }
 }
@@ -5661,7 +5742,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.reason === undefined) && (missing1 = "reason"))){
-validate79.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema140.required,parentSchema:schema140,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema143.required,parentSchema:schema143,data}];
 return false;
 }
 else {
@@ -5669,11 +5750,11 @@
 let data0 = data.type;
 const _errs5 = errors;
 if(typeof data0 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema140.properties.type.type,parentSchema:schema140.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.type.type,parentSchema:schema143.properties.type,data:data0}];
 return false;
 }
 if("failed" !== data0){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema140.properties.type,data:data0}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/FailedReply/properties/type/const",keyword:"const",params:{allowedValue: "failed"},message:"must be equal to constant",schema:"failed",parentSchema:schema143.properties.type,data:data0}];
 return false;
 }
 var valid3 = _errs5 === errors;
@@ -5686,7 +5767,7 @@
 let data1 = data.reason;
 const _errs7 = errors;
 if(!((((((data1 === "not-leader") || (data1 === "no-quorum")) || (data1 === "unknown")) || (data1 === "stopped")) || (data1 === "not-served")) || (data1 === "unreachable"))){
-validate79.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema140.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema140.properties.reason.enum,parentSchema:schema140.properties.reason,data:data1}];
+validate79.errors = [{instancePath:instancePath+"/reason",schemaPath:"#/$defs/FailedReply/properties/reason/enum",keyword:"enum",params:{allowedValues: schema143.properties.reason.enum},message:"must be equal to one of the allowed values",schema:schema143.properties.reason.enum,parentSchema:schema143.properties.reason,data:data1}];
 return false;
 }
 var valid3 = _errs7 === errors;
@@ -5699,7 +5780,7 @@
 let data2 = data.leader;
 const _errs8 = errors;
 if(typeof data2 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema140.properties.leader.type,parentSchema:schema140.properties.leader,data:data2}];
+validate79.errors = [{instancePath:instancePath+"/leader",schemaPath:"#/$defs/FailedReply/properties/leader/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.leader.type,parentSchema:schema143.properties.leader,data:data2}];
 return false;
 }
 var valid3 = _errs8 === errors;
@@ -5712,7 +5793,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema140.type,parentSchema:schema140,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/FailedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema143.type,parentSchema:schema143,data}];
 return false;
 }
 }
@@ -5791,25 +5872,25 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing2;
 if((data.type === undefined) && (missing2 = "type")){
-validate79.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema141.required,parentSchema:schema141,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/required",keyword:"required",params:{missingProperty: missing2},message:"must have required property '"+missing2+"'",schema:schema144.required,parentSchema:schema144,data}];
 return false;
 }
 else {
 if(data.type !== undefined){
 let data3 = data.type;
 if(typeof data3 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema141.properties.type.type,parentSchema:schema141.properties.type,data:data3}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.type.type,parentSchema:schema144.properties.type,data:data3}];
 return false;
 }
 if("noted" !== data3){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema141.properties.type,data:data3}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/NotedReply/properties/type/const",keyword:"const",params:{allowedValue: "noted"},message:"must be equal to constant",schema:"noted",parentSchema:schema144.properties.type,data:data3}];
 return false;
 }
 }
 }
 }
 else {
-validate79.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema141.type,parentSchema:schema141,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/NotedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema144.type,parentSchema:schema144,data}];
 return false;
 }
 }
@@ -5826,6 +5907,9 @@
 if(props0 !== true){
 props0 = props0 || {};
 props0.type = true;
+props0.service = true;
+props0.request = true;
+props0.stage = true;
 props0.results = true;
 }
 }
@@ -5835,7 +5919,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing3;
 if((((data.type === undefined) && (missing3 = "type")) || ((data.wait === undefined) && (missing3 = "wait"))) || ((data.work === undefined) && (missing3 = "work"))){
-validate79.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema142.required,parentSchema:schema142,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/required",keyword:"required",params:{missingProperty: missing3},message:"must have required property '"+missing3+"'",schema:schema145.required,parentSchema:schema145,data}];
 return false;
 }
 else {
@@ -5843,11 +5927,11 @@
 let data4 = data.type;
 const _errs23 = errors;
 if(typeof data4 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema142.properties.type.type,parentSchema:schema142.properties.type,data:data4}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema145.properties.type.type,parentSchema:schema145.properties.type,data:data4}];
 return false;
 }
 if("booked" !== data4){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema142.properties.type,data:data4}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/BookedReply/properties/type/const",keyword:"const",params:{allowedValue: "booked"},message:"must be equal to constant",schema:"booked",parentSchema:schema145.properties.type,data:data4}];
 return false;
 }
 var valid14 = _errs23 === errors;
@@ -5860,7 +5944,7 @@
 let data5 = data.wait;
 const _errs25 = errors;
 if(!((typeof data5 == "number") && (isFinite(data5)))){
-validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.wait.type,parentSchema:schema142.properties.wait,data:data5}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/BookedReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema145.properties.wait.type,parentSchema:schema145.properties.wait,data:data5}];
 return false;
 }
 var valid14 = _errs25 === errors;
@@ -5873,7 +5957,7 @@
 let data6 = data.work;
 const _errs27 = errors;
 if(!((typeof data6 == "number") && (isFinite(data6)))){
-validate79.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.work.type,parentSchema:schema142.properties.work,data:data6}];
+validate79.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/BookedReply/properties/work/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema145.properties.work.type,parentSchema:schema145.properties.work,data:data6}];
 return false;
 }
 var valid14 = _errs27 === errors;
@@ -5886,7 +5970,7 @@
 let data7 = data.workAge;
 const _errs29 = errors;
 if(!((typeof data7 == "number") && (isFinite(data7)))){
-validate79.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.workAge.type,parentSchema:schema142.properties.workAge,data:data7}];
+validate79.errors = [{instancePath:instancePath+"/workAge",schemaPath:"#/$defs/BookedReply/properties/workAge/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema145.properties.workAge.type,parentSchema:schema145.properties.workAge,data:data7}];
 return false;
 }
 var valid14 = _errs29 === errors;
@@ -5899,7 +5983,7 @@
 let data8 = data.ahead;
 const _errs31 = errors;
 if(!((typeof data8 == "number") && (isFinite(data8)))){
-validate79.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.ahead.type,parentSchema:schema142.properties.ahead,data:data8}];
+validate79.errors = [{instancePath:instancePath+"/ahead",schemaPath:"#/$defs/BookedReply/properties/ahead/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema145.properties.ahead.type,parentSchema:schema145.properties.ahead,data:data8}];
 return false;
 }
 var valid14 = _errs31 === errors;
@@ -5912,7 +5996,7 @@
 let data9 = data.rate;
 const _errs33 = errors;
 if(!((typeof data9 == "number") && (isFinite(data9)))){
-validate79.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema142.properties.rate.type,parentSchema:schema142.properties.rate,data:data9}];
+validate79.errors = [{instancePath:instancePath+"/rate",schemaPath:"#/$defs/BookedReply/properties/rate/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema145.properties.rate.type,parentSchema:schema145.properties.rate,data:data9}];
 return false;
 }
 var valid14 = _errs33 === errors;
@@ -5925,11 +6009,11 @@
 let data10 = data.scarce;
 const _errs35 = errors;
 if(typeof data10 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/scarce",schemaPath:"#/$defs/BookedReply/properties/scarce/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema142.properties.scarce.type,parentSchema:schema142.properties.scarce,data:data10}];
+validate79.errors = [{instancePath:instancePath+"/scarce",schemaPath:"#/$defs/BookedReply/properties/scarce/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema145.properties.scarce.type,parentSchema:schema145.properties.scarce,data:data10}];
 return false;
 }
 if(!(((data10 === "calls") || (data10 === "memory")) || (data10 === "placement"))){
-validate79.errors = [{instancePath:instancePath+"/scarce",schemaPath:"#/$defs/BookedReply/properties/scarce/enum",keyword:"enum",params:{allowedValues: schema142.properties.scarce.enum},message:"must be equal to one of the allowed values",schema:schema142.properties.scarce.enum,parentSchema:schema142.properties.scarce,data:data10}];
+validate79.errors = [{instancePath:instancePath+"/scarce",schemaPath:"#/$defs/BookedReply/properties/scarce/enum",keyword:"enum",params:{allowedValues: schema145.properties.scarce.enum},message:"must be equal to one of the allowed values",schema:schema145.properties.scarce.enum,parentSchema:schema145.properties.scarce,data:data10}];
 return false;
 }
 var valid14 = _errs35 === errors;
@@ -5946,7 +6030,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema142.type,parentSchema:schema142,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/BookedReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema145.type,parentSchema:schema145,data}];
 return false;
 }
 }
@@ -5985,7 +6069,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing4;
 if((((data.type === undefined) && (missing4 = "type")) || ((data.granted === undefined) && (missing4 = "granted"))) || ((data.wait === undefined) && (missing4 = "wait"))){
-validate79.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema143.required,parentSchema:schema143,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/required",keyword:"required",params:{missingProperty: missing4},message:"must have required property '"+missing4+"'",schema:schema146.required,parentSchema:schema146,data}];
 return false;
 }
 else {
@@ -5993,11 +6077,11 @@
 let data11 = data.type;
 const _errs41 = errors;
 if(typeof data11 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema143.properties.type.type,parentSchema:schema143.properties.type,data:data11}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema146.properties.type.type,parentSchema:schema146.properties.type,data:data11}];
 return false;
 }
 if("lease" !== data11){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema143.properties.type,data:data11}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseReply/properties/type/const",keyword:"const",params:{allowedValue: "lease"},message:"must be equal to constant",schema:"lease",parentSchema:schema146.properties.type,data:data11}];
 return false;
 }
 var valid18 = _errs41 === errors;
@@ -6010,7 +6094,7 @@
 let data12 = data.granted;
 const _errs43 = errors;
 if(typeof data12 !== "boolean"){
-validate79.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema143.properties.granted.type,parentSchema:schema143.properties.granted,data:data12}];
+validate79.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/LeaseReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema146.properties.granted.type,parentSchema:schema146.properties.granted,data:data12}];
 return false;
 }
 var valid18 = _errs43 === errors;
@@ -6023,7 +6107,7 @@
 let data13 = data.taken;
 const _errs45 = errors;
 if(typeof data13 !== "boolean"){
-validate79.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema143.properties.taken.type,parentSchema:schema143.properties.taken,data:data13}];
+validate79.errors = [{instancePath:instancePath+"/taken",schemaPath:"#/$defs/LeaseReply/properties/taken/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema146.properties.taken.type,parentSchema:schema146.properties.taken,data:data13}];
 return false;
 }
 var valid18 = _errs45 === errors;
@@ -6038,12 +6122,12 @@
 if(errors === _errs47){
 if((typeof data14 == "number") && (isFinite(data14))){
 if(data14 < 0 || isNaN(data14)){
-validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema143.properties.wait,data:data14}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema146.properties.wait,data:data14}];
 return false;
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema143.properties.wait.type,parentSchema:schema143.properties.wait,data:data14}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/LeaseReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema146.properties.wait.type,parentSchema:schema146.properties.wait,data:data14}];
 return false;
 }
 }
@@ -6058,7 +6142,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema143.type,parentSchema:schema143,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/LeaseReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema146.type,parentSchema:schema146,data}];
 return false;
 }
 }
@@ -6076,7 +6160,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing5;
 if((((data.type === undefined) && (missing5 = "type")) || ((data.granted === undefined) && (missing5 = "granted"))) || ((data.wait === undefined) && (missing5 = "wait"))){
-validate79.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema144.required,parentSchema:schema144,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/required",keyword:"required",params:{missingProperty: missing5},message:"must have required property '"+missing5+"'",schema:schema147.required,parentSchema:schema147,data}];
 return false;
 }
 else {
@@ -6084,11 +6168,11 @@
 let data15 = data.type;
 const _errs52 = errors;
 if(typeof data15 !== "string"){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema144.properties.type.type,parentSchema:schema144.properties.type,data:data15}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema147.properties.type.type,parentSchema:schema147.properties.type,data:data15}];
 return false;
 }
 if("quota" !== data15){
-validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema144.properties.type,data:data15}];
+validate79.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/QuotaReply/properties/type/const",keyword:"const",params:{allowedValue: "quota"},message:"must be equal to constant",schema:"quota",parentSchema:schema147.properties.type,data:data15}];
 return false;
 }
 var valid21 = _errs52 === errors;
@@ -6101,7 +6185,7 @@
 let data16 = data.granted;
 const _errs54 = errors;
 if(typeof data16 !== "boolean"){
-validate79.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema144.properties.granted.type,parentSchema:schema144.properties.granted,data:data16}];
+validate79.errors = [{instancePath:instancePath+"/granted",schemaPath:"#/$defs/QuotaReply/properties/granted/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema147.properties.granted.type,parentSchema:schema147.properties.granted,data:data16}];
 return false;
 }
 var valid21 = _errs54 === errors;
@@ -6116,12 +6200,12 @@
 if(errors === _errs56){
 if((typeof data17 == "number") && (isFinite(data17))){
 if(data17 < 0 || isNaN(data17)){
-validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema144.properties.wait,data:data17}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema147.properties.wait,data:data17}];
 return false;
 }
 }
 else {
-validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema144.properties.wait.type,parentSchema:schema144.properties.wait,data:data17}];
+validate79.errors = [{instancePath:instancePath+"/wait",schemaPath:"#/$defs/QuotaReply/properties/wait/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema147.properties.wait.type,parentSchema:schema147.properties.wait,data:data17}];
 return false;
 }
 }
@@ -6135,7 +6219,7 @@
 }
 }
 else {
-validate79.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema144.type,parentSchema:schema144,data}];
+validate79.errors = [{instancePath,schemaPath:"#/$defs/QuotaReply/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema147.type,parentSchema:schema147,data}];
 return false;
 }
 }
@@ -6277,7 +6361,7 @@
 }
 validate78.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema145 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
+const schema148 = {"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}};
 
 function validate114(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6293,7 +6377,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.ids === undefined) && (missing0 = "ids"))){
-validate114.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema145.required,parentSchema:schema145,data}];
+validate114.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema148.required,parentSchema:schema148,data}];
 return false;
 }
 else {
@@ -6301,11 +6385,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate114.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema145.properties.type.type,parentSchema:schema145.properties.type,data:data0}];
+validate114.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema148.properties.type.type,parentSchema:schema148.properties.type,data:data0}];
 return false;
 }
 if("working" !== data0){
-validate114.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema145.properties.type,data:data0}];
+validate114.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "working"},message:"must be equal to constant",schema:"working",parentSchema:schema148.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6344,7 +6428,7 @@
 }
 }
 else {
-validate114.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema145.properties.ids.type,parentSchema:schema145.properties.ids,data:data1}];
+validate114.errors = [{instancePath:instancePath+"/ids",schemaPath:"#/properties/ids/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema148.properties.ids.type,parentSchema:schema148.properties.ids,data:data1}];
 return false;
 }
 }
@@ -6357,7 +6441,7 @@
 }
 }
 else {
-validate114.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema145.type,parentSchema:schema145,data}];
+validate114.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema148.type,parentSchema:schema148,data}];
 return false;
 }
 }
@@ -6366,11 +6450,11 @@
 }
 validate114.evaluated = {"props":{"type":true,"ids":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema147 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
-const schema148 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
-const schema171 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}};
-const schema149 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Observations that entry hosts have reported to the sender since its\nlast hello to the receiver; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}};
-const schema152 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
+const schema150 = {"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}};
+const schema151 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]};
+const schema174 = {"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}};
+const schema152 = {"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Observations that entry hosts have reported to the sender since its\nlast hello to the receiver; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}};
+const schema155 = {"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}};
 
 function validate119(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6386,7 +6470,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.term === undefined) && (missing0 = "term")) || ((data.leader === undefined) && (missing0 = "leader"))) || ((data.voters === undefined) && (missing0 = "voters"))){
-validate119.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema152.required,parentSchema:schema152,data}];
+validate119.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema155.required,parentSchema:schema155,data}];
 return false;
 }
 else {
@@ -6476,7 +6560,7 @@
 }
 }
 else {
-validate119.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema152.properties.voters.type,parentSchema:schema152.properties.voters,data:data2}];
+validate119.errors = [{instancePath:instancePath+"/voters",schemaPath:"#/properties/voters/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema155.properties.voters.type,parentSchema:schema155.properties.voters,data:data2}];
 return false;
 }
 }
@@ -6490,7 +6574,7 @@
 }
 }
 else {
-validate119.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema152.type,parentSchema:schema152,data}];
+validate119.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema155.type,parentSchema:schema155,data}];
 return false;
 }
 }
@@ -6514,7 +6598,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.dataCentre === undefined) && (missing0 = "dataCentre"))) || ((data.cores === undefined) && (missing0 = "cores"))) || ((data.hosts === undefined) && (missing0 = "hosts"))){
-validate117.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema149.required,parentSchema:schema149,data}];
+validate117.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema152.required,parentSchema:schema152,data}];
 return false;
 }
 else {
@@ -6522,11 +6606,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema149.properties.type.type,parentSchema:schema149.properties.type,data:data0}];
+validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema152.properties.type.type,parentSchema:schema152.properties.type,data:data0}];
 return false;
 }
 if("hello" !== data0){
-validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema149.properties.type,data:data0}];
+validate117.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "hello"},message:"must be equal to constant",schema:"hello",parentSchema:schema152.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6599,7 +6683,7 @@
 }
 }
 else {
-validate117.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema149.properties.cores.type,parentSchema:schema149.properties.cores,data:data2}];
+validate117.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema152.properties.cores.type,parentSchema:schema152.properties.cores,data:data2}];
 return false;
 }
 }
@@ -6629,7 +6713,7 @@
 }
 }
 else {
-validate117.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema149.properties.hosts.type,parentSchema:schema149.properties.hosts,data:data4}];
+validate117.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema152.properties.hosts.type,parentSchema:schema152.properties.hosts,data:data4}];
 return false;
 }
 }
@@ -6671,7 +6755,7 @@
 }
 }
 else {
-validate117.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema149.properties.limits.type,parentSchema:schema149.properties.limits,data:data7}];
+validate117.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema152.properties.limits.type,parentSchema:schema152.properties.limits,data:data7}];
 return false;
 }
 }
@@ -6714,7 +6798,7 @@
 }
 }
 else {
-validate117.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema149.type,parentSchema:schema149,data}];
+validate117.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema152.type,parentSchema:schema152,data}];
 return false;
 }
 }
@@ -6723,7 +6807,7 @@
 }
 validate117.evaluated = {"props":{"type":true,"dataCentre":true,"cores":true,"hosts":true,"leadership":true,"limits":true,"slowness":true,"contended":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema156 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
+const schema159 = {"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}};
 
 function validate124(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6739,7 +6823,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.handles === undefined) && (missing0 = "handles"))){
-validate124.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema156.required,parentSchema:schema156,data}];
+validate124.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema159.required,parentSchema:schema159,data}];
 return false;
 }
 else {
@@ -6747,11 +6831,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate124.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema156.properties.type.type,parentSchema:schema156.properties.type,data:data0}];
+validate124.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema159.properties.type.type,parentSchema:schema159.properties.type,data:data0}];
 return false;
 }
 if("release" !== data0){
-validate124.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema156.properties.type,data:data0}];
+validate124.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "release"},message:"must be equal to constant",schema:"release",parentSchema:schema159.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6827,7 +6911,7 @@
 let data4 = data3[i0];
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate124.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema156.properties.handles.items.type,parentSchema:schema156.properties.handles.items,data:data4}];
+validate124.errors = [{instancePath:instancePath+"/handles/" + i0,schemaPath:"#/properties/handles/items/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema159.properties.handles.items.type,parentSchema:schema159.properties.handles.items,data:data4}];
 return false;
 }
 var valid3 = _errs11 === errors;
@@ -6837,7 +6921,7 @@
 }
 }
 else {
-validate124.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema156.properties.handles.type,parentSchema:schema156.properties.handles,data:data3}];
+validate124.errors = [{instancePath:instancePath+"/handles",schemaPath:"#/properties/handles/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema159.properties.handles.type,parentSchema:schema159.properties.handles,data:data3}];
 return false;
 }
 }
@@ -6852,7 +6936,7 @@
 }
 }
 else {
-validate124.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema156.type,parentSchema:schema156,data}];
+validate124.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema159.type,parentSchema:schema159,data}];
 return false;
 }
 }
@@ -6861,7 +6945,7 @@
 }
 validate124.evaluated = {"props":{"type":true,"service":true,"cell":true,"handles":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema159 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
+const schema162 = {"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}};
 
 function validate125(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -6877,7 +6961,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.cell === undefined) && (missing0 = "cell"))) || ((data.request === undefined) && (missing0 = "request"))){
-validate125.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema159.required,parentSchema:schema159,data}];
+validate125.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema162.required,parentSchema:schema162,data}];
 return false;
 }
 else {
@@ -6885,11 +6969,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate125.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema159.properties.type.type,parentSchema:schema159.properties.type,data:data0}];
+validate125.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema162.properties.type.type,parentSchema:schema162.properties.type,data:data0}];
 return false;
 }
 if("drop" !== data0){
-validate125.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema159.properties.type,data:data0}];
+validate125.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "drop"},message:"must be equal to constant",schema:"drop",parentSchema:schema162.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -6987,7 +7071,7 @@
 }
 }
 else {
-validate125.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema159.type,parentSchema:schema159,data}];
+validate125.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema162.type,parentSchema:schema162,data}];
 return false;
 }
 }
@@ -6996,9 +7080,9 @@
 }
 validate125.evaluated = {"props":{"type":true,"service":true,"cell":true,"request":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema163 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
-const schema164 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}},"gaps":{"description":"Mean gaps between events of streams that ended since, of prompts that\nanother host placed, relative to the mean gap of the service.\n","type":"array","items":{"type":"number","exclusiveMinimum":0}}}};
-const schema165 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0},"fetched":{"description":"Whether the engine fetched parts of the prompt from another one's\ncache; absent if not.\n","type":"boolean"}}};
+const schema166 = {"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}};
+const schema167 = {"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}},"gaps":{"description":"Mean gaps between events of streams that ended since, of prompts that\nanother host placed, relative to the mean gap of the service.\n","type":"array","items":{"type":"number","exclusiveMinimum":0}}}};
+const schema168 = {"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0},"fetched":{"description":"Whether the engine fetched parts of the prompt from another one's\ncache; absent if not.\n","type":"boolean"}}};
 
 function validate129(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -7014,7 +7098,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.work === undefined) && (missing0 = "work")) || ((data.took === undefined) && (missing0 = "took"))){
-validate129.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema165.required,parentSchema:schema165,data}];
+validate129.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema168.required,parentSchema:schema168,data}];
 return false;
 }
 else {
@@ -7026,7 +7110,7 @@
 if(data0 && typeof data0 == "object" && !Array.isArray(data0)){
 let missing1;
 if(((data0.tokens === undefined) && (missing1 = "tokens")) || ((data0.streams === undefined) && (missing1 = "streams"))){
-validate129.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema135.required,parentSchema:schema135,data:data0}];
+validate129.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema138.required,parentSchema:schema138,data:data0}];
 return false;
 }
 else {
@@ -7036,12 +7120,12 @@
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate129.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.tokens,data:data1}];
+validate129.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema138.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate129.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.tokens.type,parentSchema:schema135.properties.tokens,data:data1}];
+validate129.errors = [{instancePath:instancePath+"/work/tokens",schemaPath:"#/$defs/EngineWork/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema138.properties.tokens.type,parentSchema:schema138.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -7057,12 +7141,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate129.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.streams,data:data2}];
+validate129.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema138.properties.streams,data:data2}];
 return false;
 }
 }
 else {
-validate129.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.streams.type,parentSchema:schema135.properties.streams,data:data2}];
+validate129.errors = [{instancePath:instancePath+"/work/streams",schemaPath:"#/$defs/EngineWork/properties/streams/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema138.properties.streams.type,parentSchema:schema138.properties.streams,data:data2}];
 return false;
 }
 }
@@ -7075,7 +7159,7 @@
 }
 }
 else {
-validate129.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema135.type,parentSchema:schema135,data:data0}];
+validate129.errors = [{instancePath:instancePath+"/work",schemaPath:"#/$defs/EngineWork/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema138.type,parentSchema:schema138,data:data0}];
 return false;
 }
 }
@@ -7091,12 +7175,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate129.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema165.properties.took,data:data3}];
+validate129.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema168.properties.took,data:data3}];
 return false;
 }
 }
 else {
-validate129.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema165.properties.took.type,parentSchema:schema165.properties.took,data:data3}];
+validate129.errors = [{instancePath:instancePath+"/took",schemaPath:"#/properties/took/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema168.properties.took.type,parentSchema:schema168.properties.took,data:data3}];
 return false;
 }
 }
@@ -7110,7 +7194,7 @@
 let data4 = data.fetched;
 const _errs10 = errors;
 if(typeof data4 !== "boolean"){
-validate129.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema165.properties.fetched.type,parentSchema:schema165.properties.fetched,data:data4}];
+validate129.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema168.properties.fetched.type,parentSchema:schema168.properties.fetched,data:data4}];
 return false;
 }
 var valid0 = _errs10 === errors;
@@ -7123,7 +7207,7 @@
 }
 }
 else {
-validate129.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema165.type,parentSchema:schema165,data}];
+validate129.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema168.type,parentSchema:schema168,data}];
 return false;
 }
 }
@@ -7147,7 +7231,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.engine === undefined) && (missing0 = "engine")) || ((data.tokens === undefined) && (missing0 = "tokens"))) || ((data.streams === undefined) && (missing0 = "streams"))) || ((data.read === undefined) && (missing0 = "read"))){
-validate127.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema164.required,parentSchema:schema164,data}];
+validate127.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema167.required,parentSchema:schema167,data}];
 return false;
 }
 else {
@@ -7157,18 +7241,18 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 300){
-validate127.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema164.properties.engine,data:data0}];
+validate127.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema167.properties.engine,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate127.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema164.properties.engine,data:data0}];
+validate127.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema167.properties.engine,data:data0}];
 return false;
 }
 }
 }
 else {
-validate127.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema164.properties.engine.type,parentSchema:schema164.properties.engine,data:data0}];
+validate127.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/properties/engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema167.properties.engine.type,parentSchema:schema167.properties.engine,data:data0}];
 return false;
 }
 }
@@ -7184,12 +7268,12 @@
 if(errors === _errs3){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate127.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema164.properties.tokens,data:data1}];
+validate127.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema167.properties.tokens,data:data1}];
 return false;
 }
 }
 else {
-validate127.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema164.properties.tokens.type,parentSchema:schema164.properties.tokens,data:data1}];
+validate127.errors = [{instancePath:instancePath+"/tokens",schemaPath:"#/properties/tokens/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema167.properties.tokens.type,parentSchema:schema167.properties.tokens,data:data1}];
 return false;
 }
 }
@@ -7203,13 +7287,13 @@
 let data2 = data.streams;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate127.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema164.properties.streams.type,parentSchema:schema164.properties.streams,data:data2}];
+validate127.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema167.properties.streams.type,parentSchema:schema167.properties.streams,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate127.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema164.properties.streams,data:data2}];
+validate127.errors = [{instancePath:instancePath+"/streams",schemaPath:"#/properties/streams/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema167.properties.streams,data:data2}];
 return false;
 }
 }
@@ -7247,7 +7331,7 @@
 }
 }
 else {
-validate127.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema164.properties.read.items.type,parentSchema:schema164.properties.read.items,data:data4}];
+validate127.errors = [{instancePath:instancePath+"/read/" + i0,schemaPath:"#/properties/read/items/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema167.properties.read.items.type,parentSchema:schema167.properties.read.items,data:data4}];
 return false;
 }
 }
@@ -7258,7 +7342,7 @@
 }
 }
 else {
-validate127.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema164.properties.read.type,parentSchema:schema164.properties.read,data:data3}];
+validate127.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema167.properties.read.type,parentSchema:schema167.properties.read,data:data3}];
 return false;
 }
 }
@@ -7288,7 +7372,7 @@
 }
 }
 else {
-validate127.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema164.properties.firsts.type,parentSchema:schema164.properties.firsts,data:data6}];
+validate127.errors = [{instancePath:instancePath+"/firsts",schemaPath:"#/properties/firsts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema167.properties.firsts.type,parentSchema:schema167.properties.firsts,data:data6}];
 return false;
 }
 }
@@ -7309,7 +7393,7 @@
 let data9 = data8[i3];
 const _errs17 = errors;
 if(!(((data9 === "good") || (data9 === "bad")) || (data9 === "full"))){
-validate127.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema164.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema164.properties.verdicts.items.enum,parentSchema:schema164.properties.verdicts.items,data:data9}];
+validate127.errors = [{instancePath:instancePath+"/verdicts/" + i3,schemaPath:"#/properties/verdicts/items/enum",keyword:"enum",params:{allowedValues: schema167.properties.verdicts.items.enum},message:"must be equal to one of the allowed values",schema:schema167.properties.verdicts.items.enum,parentSchema:schema167.properties.verdicts.items,data:data9}];
 return false;
 }
 var valid4 = _errs17 === errors;
@@ -7319,7 +7403,7 @@
 }
 }
 else {
-validate127.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema164.properties.verdicts.type,parentSchema:schema164.properties.verdicts,data:data8}];
+validate127.errors = [{instancePath:instancePath+"/verdicts",schemaPath:"#/properties/verdicts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema167.properties.verdicts.type,parentSchema:schema167.properties.verdicts,data:data8}];
 return false;
 }
 }
@@ -7342,12 +7426,12 @@
 if(errors === _errs20){
 if((typeof data11 == "number") && (isFinite(data11))){
 if(data11 <= 0 || isNaN(data11)){
-validate127.errors = [{instancePath:instancePath+"/gaps/" + i4,schemaPath:"#/properties/gaps/items/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema164.properties.gaps.items,data:data11}];
+validate127.errors = [{instancePath:instancePath+"/gaps/" + i4,schemaPath:"#/properties/gaps/items/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema167.properties.gaps.items,data:data11}];
 return false;
 }
 }
 else {
-validate127.errors = [{instancePath:instancePath+"/gaps/" + i4,schemaPath:"#/properties/gaps/items/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema164.properties.gaps.items.type,parentSchema:schema164.properties.gaps.items,data:data11}];
+validate127.errors = [{instancePath:instancePath+"/gaps/" + i4,schemaPath:"#/properties/gaps/items/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema167.properties.gaps.items.type,parentSchema:schema167.properties.gaps.items,data:data11}];
 return false;
 }
 }
@@ -7358,7 +7442,7 @@
 }
 }
 else {
-validate127.errors = [{instancePath:instancePath+"/gaps",schemaPath:"#/properties/gaps/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema164.properties.gaps.type,parentSchema:schema164.properties.gaps,data:data10}];
+validate127.errors = [{instancePath:instancePath+"/gaps",schemaPath:"#/properties/gaps/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema167.properties.gaps.type,parentSchema:schema167.properties.gaps,data:data10}];
 return false;
 }
 }
@@ -7376,7 +7460,7 @@
 }
 }
 else {
-validate127.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema164.type,parentSchema:schema164,data}];
+validate127.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema167.type,parentSchema:schema167,data}];
 return false;
 }
 }
@@ -7400,7 +7484,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.uses === undefined) && (missing0 = "uses"))){
-validate126.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema163.required,parentSchema:schema163,data}];
+validate126.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema166.required,parentSchema:schema166,data}];
 return false;
 }
 else {
@@ -7408,11 +7492,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate126.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema163.properties.type.type,parentSchema:schema163.properties.type,data:data0}];
+validate126.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema166.properties.type.type,parentSchema:schema166.properties.type,data:data0}];
 return false;
 }
 if("use" !== data0){
-validate126.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema163.properties.type,data:data0}];
+validate126.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "use"},message:"must be equal to constant",schema:"use",parentSchema:schema166.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -7441,7 +7525,7 @@
 }
 }
 else {
-validate126.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema163.properties.uses.type,parentSchema:schema163.properties.uses,data:data1}];
+validate126.errors = [{instancePath:instancePath+"/uses",schemaPath:"#/properties/uses/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema166.properties.uses.type,parentSchema:schema166.properties.uses,data:data1}];
 return false;
 }
 }
@@ -7454,7 +7538,7 @@
 }
 }
 else {
-validate126.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema163.type,parentSchema:schema163,data}];
+validate126.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema166.type,parentSchema:schema166,data}];
 return false;
 }
 }
@@ -7463,7 +7547,7 @@
 }
 validate126.evaluated = {"props":{"type":true,"uses":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema167 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
+const schema170 = {"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}};
 
 function validate132(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -7479,7 +7563,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.suspects === undefined) && (missing0 = "suspects"))){
-validate132.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema167.required,parentSchema:schema167,data}];
+validate132.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema170.required,parentSchema:schema170,data}];
 return false;
 }
 else {
@@ -7487,11 +7571,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate132.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema167.properties.type.type,parentSchema:schema167.properties.type,data:data0}];
+validate132.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema170.properties.type.type,parentSchema:schema170.properties.type,data:data0}];
 return false;
 }
 if("suspects" !== data0){
-validate132.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema167.properties.type,data:data0}];
+validate132.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "suspects"},message:"must be equal to constant",schema:"suspects",parentSchema:schema170.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -7520,7 +7604,7 @@
 }
 }
 else {
-validate132.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema167.properties.suspects.type,parentSchema:schema167.properties.suspects,data:data1}];
+validate132.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema170.properties.suspects.type,parentSchema:schema170.properties.suspects,data:data1}];
 return false;
 }
 }
@@ -7533,7 +7617,7 @@
 }
 }
 else {
-validate132.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema167.type,parentSchema:schema167,data}];
+validate132.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema170.type,parentSchema:schema170,data}];
 return false;
 }
 }
@@ -7542,7 +7626,7 @@
 }
 validate132.evaluated = {"props":{"type":true,"suspects":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema168 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
+const schema171 = {"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}};
 
 function validate134(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -7558,7 +7642,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.limits === undefined) && (missing0 = "limits"))){
-validate134.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema168.required,parentSchema:schema168,data}];
+validate134.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema171.required,parentSchema:schema171,data}];
 return false;
 }
 else {
@@ -7566,11 +7650,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate134.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema168.properties.type.type,parentSchema:schema168.properties.type,data:data0}];
+validate134.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema171.properties.type.type,parentSchema:schema171.properties.type,data:data0}];
 return false;
 }
 if("limits" !== data0){
-validate134.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema168.properties.type,data:data0}];
+validate134.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "limits"},message:"must be equal to constant",schema:"limits",parentSchema:schema171.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -7599,7 +7683,7 @@
 }
 }
 else {
-validate134.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema168.properties.limits.type,parentSchema:schema168.properties.limits,data:data1}];
+validate134.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema171.properties.limits.type,parentSchema:schema171.properties.limits,data:data1}];
 return false;
 }
 }
@@ -7612,7 +7696,7 @@
 }
 }
 else {
-validate134.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema168.type,parentSchema:schema168,data}];
+validate134.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema171.type,parentSchema:schema171,data}];
 return false;
 }
 }
@@ -7621,7 +7705,7 @@
 }
 validate134.evaluated = {"props":{"type":true,"limits":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema169 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
+const schema172 = {"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}};
 
 function validate136(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
@@ -7637,7 +7721,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.endpoint === undefined) && (missing0 = "endpoint"))) || ((data.inFlight === undefined) && (missing0 = "inFlight"))){
-validate136.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema169.required,parentSchema:schema169,data}];
+validate136.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema172.required,parentSchema:schema172,data}];
 return false;
 }
 else {
@@ -7645,11 +7729,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate136.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema169.properties.type.type,parentSchema:schema169.properties.type,data:data0}];
+validate136.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema172.properties.type.type,parentSchema:schema172.properties.type,data:data0}];
 return false;
 }
 if("slots" !== data0){
-validate136.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema169.properties.type,data:data0}];
+validate136.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "slots"},message:"must be equal to constant",schema:"slots",parentSchema:schema172.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -7690,13 +7774,13 @@
 let data2 = data.inFlight;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate136.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema169.properties.inFlight.type,parentSchema:schema169.properties.inFlight,data:data2}];
+validate136.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema172.properties.inFlight.type,parentSchema:schema172.properties.inFlight,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate136.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema169.properties.inFlight,data:data2}];
+validate136.errors = [{instancePath:instancePath+"/inFlight",schemaPath:"#/properties/inFlight/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema172.properties.inFlight,data:data2}];
 return false;
 }
 }
@@ -7711,7 +7795,7 @@
 }
 }
 else {
-validate136.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema169.type,parentSchema:schema169,data}];
+validate136.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema172.type,parentSchema:schema172,data}];
 return false;
 }
 }
@@ -7735,7 +7819,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.type === undefined) && (missing0 = "type")){
-validate116.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema148.required,parentSchema:schema148,data}];
+validate116.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema151.required,parentSchema:schema151,data}];
 return false;
 }
 else {
@@ -7810,7 +7894,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing1;
 if(((data.type === undefined) && (missing1 = "type")) || ((data.fingerprint === undefined) && (missing1 = "fingerprint"))){
-validate116.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema171.required,parentSchema:schema171,data}];
+validate116.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/required",keyword:"required",params:{missingProperty: missing1},message:"must have required property '"+missing1+"'",schema:schema174.required,parentSchema:schema174,data}];
 return false;
 }
 else {
@@ -7818,11 +7902,11 @@
 let data0 = data.type;
 const _errs10 = errors;
 if(typeof data0 !== "string"){
-validate116.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema171.properties.type.type,parentSchema:schema171.properties.type,data:data0}];
+validate116.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema174.properties.type.type,parentSchema:schema174.properties.type,data:data0}];
 return false;
 }
 if("lease-over" !== data0){
-validate116.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema171.properties.type,data:data0}];
+validate116.errors = [{instancePath:instancePath+"/type",schemaPath:"#/$defs/LeaseOverNotice/properties/type/const",keyword:"const",params:{allowedValue: "lease-over"},message:"must be equal to constant",schema:"lease-over",parentSchema:schema174.properties.type,data:data0}];
 return false;
 }
 var valid8 = _errs10 === errors;
@@ -7837,18 +7921,18 @@
 if(errors === _errs12){
 if(typeof data1 === "string"){
 if(data1.length > 64){
-validate116.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema171.properties.fingerprint,data:data1}];
+validate116.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/maxLength",keyword:"maxLength",params:{limit: 64},message:"must NOT have more than 64 characters",schema:64,parentSchema:schema174.properties.fingerprint,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate116.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema171.properties.fingerprint,data:data1}];
+validate116.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema174.properties.fingerprint,data:data1}];
 return false;
 }
 }
 }
 else {
-validate116.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema171.properties.fingerprint.type,parentSchema:schema171.properties.fingerprint,data:data1}];
+validate116.errors = [{instancePath:instancePath+"/fingerprint",schemaPath:"#/$defs/LeaseOverNotice/properties/fingerprint/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema174.properties.fingerprint.type,parentSchema:schema174.properties.fingerprint,data:data1}];
 return false;
 }
 }
@@ -7862,7 +7946,7 @@
 let data2 = data.unused;
 const _errs14 = errors;
 if(typeof data2 !== "boolean"){
-validate116.errors = [{instancePath:instancePath+"/unused",schemaPath:"#/$defs/LeaseOverNotice/properties/unused/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema171.properties.unused.type,parentSchema:schema171.properties.unused,data:data2}];
+validate116.errors = [{instancePath:instancePath+"/unused",schemaPath:"#/$defs/LeaseOverNotice/properties/unused/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema174.properties.unused.type,parentSchema:schema174.properties.unused,data:data2}];
 return false;
 }
 var valid8 = _errs14 === errors;
@@ -7875,7 +7959,7 @@
 }
 }
 else {
-validate116.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema171.type,parentSchema:schema171,data}];
+validate116.errors = [{instancePath,schemaPath:"#/$defs/LeaseOverNotice/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema174.type,parentSchema:schema174,data}];
 return false;
 }
 }
@@ -7910,18 +7994,18 @@
 }
 }
 else {
-validate116.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema148.discriminator,parentSchema:schema148,data}];
+validate116.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "mapping", tag: "type", tagValue: tag0},message:"value of tag \"type\" must be in oneOf",schema:schema151.discriminator,parentSchema:schema151,data}];
 return false;
 }
 }
 else {
-validate116.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema148.discriminator,parentSchema:schema148,data}];
+validate116.errors = [{instancePath,schemaPath:"#/discriminator",keyword:"discriminator",params:{error: "tag", tag: "type", tagValue: tag0},message:"tag \"type\" must be string",schema:schema151.discriminator,parentSchema:schema151,data}];
 return false;
 }
 }
 }
 else {
-validate116.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema148.type,parentSchema:schema148,data}];
+validate116.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema151.type,parentSchema:schema151,data}];
 return false;
 }
 }
@@ -7946,7 +8030,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.body === undefined) && (missing0 = "body"))){
-validate115.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema147.required,parentSchema:schema147,data}];
+validate115.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema150.required,parentSchema:schema150,data}];
 return false;
 }
 else {
@@ -7954,11 +8038,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema147.properties.type.type,parentSchema:schema147.properties.type,data:data0}];
+validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema150.properties.type.type,parentSchema:schema150.properties.type,data:data0}];
 return false;
 }
 if("cast" !== data0){
-validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema147.properties.type,data:data0}];
+validate115.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "cast"},message:"must be equal to constant",schema:"cast",parentSchema:schema150.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -7982,7 +8066,7 @@
 }
 }
 else {
-validate115.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema147.type,parentSchema:schema147,data}];
+validate115.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema150.type,parentSchema:schema150,data}];
 return false;
 }
 }
