--- a/bench/stream_fuzz/mod.ts
+++ b/bench/stream_fuzz/mod.ts
@@ -1,7 +1,7 @@
 /** Drawn schedules of streams in virtual time: engines of several versions come
- * and go, hosts end, are cut off and see the engines late, and callers resume
- * streams at any host. Callers count streams that hold events of two versions,
- * and resumed streams that do not continue.
+ * and go, hosts end, are cut off and stand still, and callers resume streams at
+ * any host. Callers count streams that hold events of two versions, and resumed
+ * streams that do not continue.
  * @module */
 
 import type * as configurations from "../../src/configuration/mod.ts";
@@ -15,8 +15,16 @@
 /** Time before the first disturbance, in which hosts learn of the engines. */
 const START_MS = 2000;
 const EVENT_MS = 60;
-const DEADLINE_MS = 12_000;
-const MAX_LAG_MS = 1000;
+const DEADLINE_MS = 4000;
+/** Pause of a caller after an attempt at a host that does not serve. */
+const REFUSAL_PAUSE_MS = 300;
+/** Engines that join briefly, and the bounds of their stay. */
+const JOINING_COUNT = 8;
+const MIN_STAY_MS = 400;
+const MAX_STAY_MS = 1600;
+/** Time from which on they may join: by then the other version has been alone
+ * for longer than streams may be resumed. */
+const MIN_JOIN_MS = 9000;
 /** Calls of one attempt. */
 const MAX_CALLS = 3;
 /** Streams resumed from which their share counts, and the least part of the
@@ -36,8 +44,9 @@
   /** Entry hosts; drawn when absent. */
   readonly entries?: number;
   /** A way to break a rule, to show that it is noticed: hosts take any version
-   * where they know none, or ask nobody. */
-  readonly breakage?: "guesses" | "asks-nobody";
+   * where they know none, ask nobody, or take the engines that they know for
+   * all that there are. */
+  readonly breakage?: "guesses" | "asks-nobody" | "trusts-own-view";
 }
 
 /** What a schedule has shown. */
@@ -75,6 +84,10 @@
   readonly #entries = new Map<string, hosts.EntryHost>();
   readonly #engines: hosts.Engine[] = [];
   readonly #versions: string[];
+  /** Versions of engines that start, but for those that join briefly. */
+  readonly #usualVersions: string[];
+  /** Whether callers name the attempt that began their stream. */
+  readonly #isNamed: boolean;
   readonly #streams: Stream[] = [];
   #attempts = 0;
 
@@ -85,22 +98,27 @@
     const controlHosts = namesOf("control", 3 + random.below(4));
     this.#host = {
       clock: this.#clock,
+      random,
       network: new networks.Network(this.#clock, random, { isOrdered: true }),
       controlHosts,
-      engines: this.#engines,
     };
     this.#controls = controlHosts.map((name) =>
       new hosts.ControlHost(name, this.#host)
     );
     this.#entryNames = namesOf("entry", options.entries ?? 4 + random.below(9));
     this.#versions = namesOf("v", 1 + random.below(3));
-    for (let count = 3 + random.below(9); count > 0; count--) {
-      this.#startEngine(`engine-${count}`);
-    }
+    // In a release one version serves alone but for engines that join.
+    this.#usualVersions = random.next() < 0.5
+      ? this.#versions
+      : [this.#versions[0]];
+    this.#isNamed = random.next() < 0.7;
   }
 
   async play(): Promise<Seen> {
     this.#controls.forEach((control) => control.start());
+    for (let count = 3 + this.#random.below(9); count > 0; count--) {
+      this.#startEngine(`engine-${count}`);
+    }
     this.#entryNames.forEach((name) => this.#startEntry(name));
     const pause = 30 + this.#random.below(100);
     for (let at = START_MS; at < SPAN_MS; at += pause) {
@@ -110,6 +128,10 @@
       const at = START_MS + this.#random.next() * (SPAN_MS - START_MS);
       this.#clock.after(at, () => this.#disturb());
     }
+    if (this.#versions.length > this.#usualVersions.length) {
+      const at = MIN_JOIN_MS + this.#random.below(SPAN_MS - 2 * MIN_JOIN_MS);
+      this.#clock.after(at, () => this.#leaveBehind());
+    }
     const end = SPAN_MS + DEADLINE_MS;
     while (this.#clock.now() < end && this.#clock.step()) {
       for (let turn = 0; turn < 12; turn++) await Promise.resolve();
@@ -129,7 +151,9 @@
     const continued =
       all.filter((each) => each.isResumed && each.continued).length;
     const least = MIN_SHARE_RATIO * resumed * begun / all.length;
-    if (resumed >= MIN_RESUMED_COUNT && continued < least) {
+    // Without a name a stream continues only while there is one version.
+    const isBound = this.#isNamed && resumed >= MIN_RESUMED_COUNT;
+    if (isBound && continued < least) {
       throw new Error(
         `seed ${seed}: ${continued} of ${resumed} resumed continue`,
       );
@@ -138,18 +162,47 @@
   }
 
   #startEntry(name: string): void {
+    const { breakage } = this.#options;
     const entry = new hosts.EntryHost(name, this.#host, {
-      lag: this.#random.next() * MAX_LAG_MS,
-      asks: this.#options.breakage !== "asks-nobody",
+      asks: breakage !== "asks-nobody",
+      trustsOwnView: breakage === "trusts-own-view",
     });
     this.#entries.set(name, entry);
   }
 
-  #startEngine(address: string, version = this.#pick(this.#versions)): void {
-    const startedAt = this.#clock.now();
-    const id = `${address}/${this.#engines.length}`;
-    const life = { id, address, version, startedAt, endedAt: Infinity };
-    this.#engines.push(life);
+  #startEngine(
+    address: string,
+    version = this.#pick(this.#usualVersions),
+  ): hosts.Engine {
+    const engine = {
+      id: `${address}/${this.#engines.length}`,
+      address,
+      version,
+      startedAt: this.#clock.now(),
+      endedAt: Infinity,
+      sequence: 0,
+    };
+    this.#engines.push(engine);
+    this.#beat(engine);
+    return engine;
+  }
+
+  /** Sends heartbeats to whichever control host takes them. */
+  #beat(engine: hosts.Engine): void {
+    if (engine.endedAt !== Infinity) return;
+    engine.sequence++;
+    this.#report(engine, "ready");
+    this.#clock.after(hosts.HEARTBEAT_MS, () => this.#beat(engine));
+  }
+
+  #report(engine: hosts.Engine, state: "ready" | "gone"): void {
+    const reachable = this.#controls.filter(({ isReachable }) => isReachable);
+    if (reachable.length === 0) return;
+    const control = this.#pick(reachable);
+    this.#clock.after(
+      this.#random.next() * 5,
+      () => void control.report(engine, state),
+    );
   }
 
   /** A caller's stream, over all of its attempts. */
@@ -175,6 +228,8 @@
   async #attempt(stream: Stream): Promise<number> {
     const entry = this.#entries.get(this.#pick(this.#entryNames))!;
     if (!entry.isUp) return 30;
+    await entry.clock.running();
+    if (!entry.isServing) return REFUSAL_PAUSE_MS;
     const id = `a-${++this.#attempts}`;
     const { received: before, firstAttempt } = stream;
     const binding = this.#createBinding(entry, { id, before, firstAttempt });
@@ -188,7 +243,9 @@
     const isGuess = this.#options.breakage === "guesses";
     if (choice.type === "none" && !isGuess) {
       const { retryAfter } = choice.details;
-      return typeof retryAfter === "number" ? 1000 * retryAfter : 300;
+      return typeof retryAfter === "number"
+        ? 1000 * retryAfter
+        : REFUSAL_PAUSE_MS;
     }
     const calls = { binding, id, breaksOff: this.#random.next() < 0.2 };
     await this.#call(stream, entry, calls);
@@ -205,7 +262,7 @@
     },
   ): streamBindings.StreamBinding {
     return streamBindings.StreamBinding.create({
-      clock: this.#clock,
+      clock: entry.clock,
       random: this.#random,
       pool: entry.pool,
       origins: entry.client,
@@ -218,7 +275,7 @@
         headers: {},
         ...(firstAttempt !== undefined && {
           resumeAfter: `${before}`,
-          firstAttempt: { id: firstAttempt },
+          ...(this.#isNamed && { firstAttempt: { id: firstAttempt } }),
         }),
       },
       route: ROUTE,
@@ -250,8 +307,10 @@
       called.push(target.identity.id);
       const engine = this.#engines.find(({ id }) => id === target.identity.id)!;
       await this.#wait(20 + this.#random.below(150));
+      await entry.clock.running();
       while (engine.endedAt === Infinity && stream.received < last) {
         await this.#wait(EVENT_MS);
+        await entry.clock.running();
         if (!entry.isUp || this.#clock.now() > stream.deadline) return;
         if (engine.endedAt !== Infinity) break;
         binding.bind(target);
@@ -279,10 +338,47 @@
       },
       () => this.#cut(control.name),
       () => this.#cut(entry),
+      () => this.#freeze(control),
+      () => this.#freeze(this.#entries.get(entry)!.clock),
       () => this.#restartAll(),
     ])();
   }
 
+  /** Engines of another version join and end soon after. */
+  #joinBriefly(): void {
+    const version = this.#pick(this.#versions.slice(1));
+    for (let count = 0; count < JOINING_COUNT; count++) {
+      const engine = this.#startEngine(`joining-${count}`, version);
+      const stay = MIN_STAY_MS +
+        this.#random.next() * (MAX_STAY_MS - MIN_STAY_MS);
+      this.#clock.after(stay, () => {
+        engine.endedAt = this.#clock.now();
+        if (this.#random.next() < 0.5) this.#report(engine, "gone");
+      });
+    }
+  }
+
+  /** Entry hosts miss engines that join, and a control host stands still or is
+   * cut off soon after. */
+  #leaveBehind(): void {
+    const control = this.#pick(this.#controls);
+    for (const [name, entry] of this.#entries) {
+      const how = this.#random.below(3);
+      if (how === 0) this.#cut(name);
+      if (how === 1) this.#freeze(entry.clock);
+    }
+    this.#clock.after(this.#random.below(300), () => this.#joinBriefly());
+    this.#clock.after(this.#random.below(1500), () => {
+      if (this.#random.next() < 0.5) this.#cut(control.name);
+      else this.#freeze(control);
+    });
+  }
+
+  #freeze(host: { freeze(): void; thaw(): void }): void {
+    host.freeze();
+    this.#clock.after(200 + this.#random.below(3000), () => host.thaw());
+  }
+
   /** Ends an engine; one of any version starts at its address. */
   #replaceEngine(): void {
     const up = this.#engines.filter(({ endedAt }) => endedAt === Infinity);
--- a/bench/stream_fuzz/stream_fuzz_test.ts
+++ b/bench/stream_fuzz/stream_fuzz_test.ts
@@ -19,8 +19,9 @@
   t.true(sum.resumed > 1000);
 });
 
-for (const breakage of ["guesses", "asks-nobody"] as const) {
-  test(`schedules notice a host that ${breakage.replace("-", " ")}`, async (t) => {
+const BREAKAGES = ["guesses", "asks-nobody", "trusts-own-view"] as const;
+for (const breakage of BREAKAGES) {
+  test(`schedules notice a host that ${breakage.replaceAll("-", " ")}`, async (t) => {
     const failures = await Promise.allSettled(
       SEEDS.slice(0, 8).map((seed) => fuzz.runSchedule({ seed, breakage })),
     );
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -152,6 +152,8 @@
         origins: (question) =>
           Promise.resolve(this.#originServer.store(question)),
         origin: (question) => this.#originServer.find(question),
+        versions: (question) =>
+          Promise.resolve(this.#originServer.versions(question)),
         lease: (question, from) =>
           Promise.resolve(this.#coordinator.requestLease(question, from)),
         shares: coordinator &&
@@ -184,6 +186,7 @@
     this.#originServer = origins.OriginServer.create({
       ...options,
       openStorage: options.openOriginStorage,
+      endpoints: () => this.#roster.entries,
     });
     this.#quotaServer = rateLimits.QuotaServer.create({
       ...options,
@@ -436,6 +439,8 @@
     const isSame = question.epoch === this.#epoch;
     const since = isSame ? question.revision : 0;
     const { version, document } = configuration ?? versions.NO_VERSION;
+    const changed = this.#roster.changedSince(since);
+    this.#originServer.recordReport(changed);
     return {
       type: "synced",
       confirmed: configuration !== undefined,
@@ -443,9 +448,7 @@
       ...(version > question.version && { document }),
       epoch: this.#epoch,
       revision: this.#roster.revision,
-      sightings: this.#roster.changedSince(since).map((entry) =>
-        rosterCodec.encode(entry, now)
-      ),
+      sightings: changed.map((entry) => rosterCodec.encode(entry, now)),
       mark: hostsDigest,
       ...(hostsDigest !== question.mark && { hosts }),
       cores: controlHosts,
--- a/src/fleet/control_host_directory.ts
+++ b/src/fleet/control_host_directory.ts
@@ -76,13 +76,13 @@
 
   /** All known hosts. */
   get all(): string[] {
-    return [
-      ...new Set([
-        ...this.#confirmed,
-        ...this.#listedAt.keys(),
-        ...this.#seeds,
-      ]),
-    ];
+    return [...new Set([...this.listed, ...this.#seeds])];
+  }
+
+  /** Hosts that replies list or have listed of late; the seeds before the
+   * first confirmed reply. */
+  get listed(): readonly string[] {
+    return [...new Set([...this.current, ...this.#listedAt.keys()])];
   }
 
   /** Hosts that own fleet-wide tasks. All entry hosts must derive the same
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -193,7 +193,7 @@
       self,
       calls: this.#network.calls,
       controlHosts: () => this.#syncClient.controlHosts,
-      viewAge: () => this.#syncClient.proofAge,
+      reportingHosts: () => this.#syncClient.reportingHosts,
     });
     this.#batcher = batching.Batcher.create({
       ...options,
@@ -407,7 +407,6 @@
   #applyChanges(): void {
     const { roster, hosts } = this.#syncClient;
     this.#hostCount.record(hosts.length, this.#options.clock.now());
-    this.#originClient.observe(roster.entries);
     const ended = this.#pool.update(
       roster.entries,
       (name) => this.#catalogue?.service(name),
--- a/src/fleet/sync_client.ts
+++ b/src/fleet/sync_client.ts
@@ -142,6 +142,11 @@
     return this.#source === undefined ? others : [this.#source, ...others];
   }
 
+  /** Control hosts that may have reported endpoints to entry hosts of late. */
+  get reportingHosts(): readonly string[] {
+    return this.#directory.listed;
+  }
+
   /** Diagnostic state, for operators. */
   dump(): unknown {
     return {
--- a/src/origins/origin_client.ts
+++ b/src/origins/origin_client.ts
@@ -11,7 +11,6 @@
 import * as codec from "./origin_codec.ts";
 import * as origins from "./origin.ts";
 import * as tables from "./origin_table.ts";
-import * as histories from "./version_history.ts";
 
 /** Control hosts that store each origin. */
 const COPY_COUNT = 2;
@@ -23,10 +22,6 @@
 const MAX_STORE_RETRIES = 6;
 /** Time within which the origin of a stream that has just begun is stored. */
 const STORE_TIME_MS = 50;
-/** Age up to which this host's view of the endpoints is current: some sync
- * intervals. */
-const MAX_VIEW_AGE_MS = 1500;
-
 /** Dependencies of an `OriginClient`. */
 export interface OriginClientOptions {
   readonly self: string;
@@ -34,9 +29,10 @@
   readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
   readonly calls: Pick<peers.Rpc, "ask">;
+  /** The present ones, which store origins. */
   controlHosts(): readonly string[];
-  /** Milliseconds by which the known endpoints may be out of date. */
-  viewAge(): number;
+  /** All that may have reported endpoints to entry hosts of late. */
+  reportingHosts(): readonly string[];
 }
 
 /** A stream that this host begins. */
@@ -63,7 +59,8 @@
   /** This host began the stream or resumed it before. */
   | "self"
   | "control"
-  /** Its service has had only one version for as long as streams live. */
+  /** Control hosts have reported only one version of its service for as long as
+   * streams live. */
   | "history";
 
 /** Why an origin was not found. */
@@ -83,13 +80,17 @@
       & Pick<origins.Origin, "service" | "version">
       & Partial<origins.Origin>;
   }
-  | { readonly type: "unknown"; readonly reason: UnknownReason };
+  | UnknownFinding;
+
+interface UnknownFinding {
+  readonly type: "unknown";
+  readonly reason: UnknownReason;
+}
 
 /** Records and finds the origins of streams. */
 export class OriginClient {
   readonly #options: OriginClientOptions;
   readonly #table = tables.OriginTable.create();
-  readonly #history = histories.VersionHistory.create();
 
   private constructor(options: OriginClientOptions) {
     this.#options = options;
@@ -99,11 +100,6 @@
     return new OriginClient(options);
   }
 
-  /** Records the endpoints that are known at present, gone ones included. */
-  observe(endpoints: Iterable<histories.SeenEndpoint>): void {
-    this.#history.observe(endpoints, this.#options.clock.now());
-  }
-
   /** Records the origin of a stream, here and at control hosts. */
   record({ stream, service, version, lifetime }: BegunStream): void {
     const { self, clock } = this.#options;
@@ -119,7 +115,7 @@
   async find(resumed: ResumedStream): Promise<Finding> {
     const finding = await this.#findRecorded(resumed.stream);
     const result = finding.type === "unknown"
-      ? this.#findInHistory(resumed, finding)
+      ? await this.#findOnlyVersion(resumed, finding)
       : finding;
     const found = result.type === "found" ? result.source : result.reason;
     this.#options.metrics.count("origins.found", 1, { found });
@@ -152,24 +148,58 @@
     return { type: "found", source: "self", origin: kept.origin };
   }
 
-  /** Uses the history of the route's service where there is no record in reach:
-   * hosts of an earlier release write none, and records can be lost. */
-  #findInHistory(
+  /** Finds the version where there is no record: hosts of an earlier release
+   * write none, and records can be lost. Entry hosts learn of endpoints from
+   * control hosts alone, so a stream can have begun only at a version that one
+   * of these has reported. This host's own view proves nothing: what it lacks
+   * may be what it has not received yet. */
+  async #findOnlyVersion(
     { services, lifetime: period }: ResumedStream,
-    unknown: Extract<Finding, { type: "unknown" }>,
-  ): Finding {
-    const { clock, viewAge } = this.#options;
-    const isConflicting = unknown.reason === "conflicting";
-    if (isConflicting || viewAge() > MAX_VIEW_AGE_MS) return unknown;
+    unknown: UnknownFinding,
+  ): Promise<Finding> {
     const [service] = services;
-    const now = clock.now();
-    const version = services.length === 1
-      ? this.#history.onlyVersion(service, { now, period })
-      : undefined;
-    if (version === undefined) return unknown;
+    if (unknown.reason === "conflicting" || services.length !== 1) {
+      return unknown;
+    }
+    const replies = await Promise.all(
+      this.#options.reportingHosts().map((host) =>
+        this.#askVersions(host, { type: "versions", service, period })
+      ),
+    );
+    if (replies.includes("unreachable")) {
+      return { type: "unknown", reason: "unreachable" };
+    }
+    const reported = replies.filter((each) => each !== "unreachable");
+    const isProven = reported.length > 0 &&
+      reported.every((each) => each?.complete === true);
+    const versions = new Set(reported.flatMap((each) => each?.versions ?? []));
+    const [version] = versions;
+    if (!isProven || versions.size !== 1 || version === "") return unknown;
     return { type: "found", source: "history", origin: { service, version } };
   }
 
+  /** Resolves without a reply if the host is of an earlier release. */
+  async #askVersions(
+    host: string,
+    question: schema.VersionsQuestion,
+  ): Promise<schema.VersionsReply | "unreachable" | undefined> {
+    const { calls, logger } = this.#options;
+    try {
+      const reply = await calls.ask(host, question, {
+        timeout: CALL_TIMEOUT_MS,
+      });
+      if (isNotServed(reply)) return undefined;
+      if (reply.type !== "versions") throw new Error(`reply ${reply.type}`);
+      return reply;
+    } catch (error) {
+      logger.info(
+        { host, service: question.service, reason: `${error}` },
+        "Control host did not answer a question for versions of a service",
+      );
+      return "unreachable";
+    }
+  }
+
   /** Asks control hosts at once; resolves with the first origin, or once all
    * have answered or failed. */
   async #ask(hosts: readonly string[], key: string): Promise<Finding> {
--- a/src/origins/origin_server.ts
+++ b/src/origins/origin_server.ts
@@ -8,6 +8,7 @@
 import * as codec from "./origin_codec.ts";
 import * as journals from "./origin_journal.ts";
 import * as tables from "./origin_table.ts";
+import * as histories from "./version_history.ts";
 
 /** Dependencies of an `OriginServer`. */
 export interface OriginServerOptions {
@@ -15,12 +16,15 @@
   readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
   readonly openStorage: runtime.OpenStorage;
+  /** Endpoints that this host knows at present, gone ones included. */
+  endpoints(): Iterable<histories.SeenEndpoint>;
 }
 
 /** The origins that one control host stores; changed in place. */
 export class OriginServer {
   readonly #options: OriginServerOptions;
   readonly #table = tables.OriginTable.create();
+  readonly #history = histories.VersionHistory.create();
   readonly #journal: journals.OriginJournal;
   readonly #loaded: Promise<void>;
 
@@ -59,10 +63,28 @@
     };
   }
 
-  /** Removes expired origins. */
+  /** Records endpoints that this host is about to report to an entry host. */
+  recordReport(endpoints: Iterable<histories.SeenEndpoint>): void {
+    this.#history.observe(endpoints, this.#options.clock.now());
+  }
+
+  /** Answers a question for the versions of a service that this host has
+   * reported. */
+  versions({ service, period }: schema.VersionsQuestion): schema.VersionsReply {
+    const now = this.#options.clock.now();
+    this.#history.observe(this.#options.endpoints(), now);
+    const { versions, isComplete } = this.#history.versionsOf(service, {
+      now,
+      period,
+    });
+    return { type: "versions", versions, complete: isComplete };
+  }
+
+  /** Removes expired origins, and records the known endpoints. */
   tick(): void {
-    const { clock, metrics } = this.#options;
+    const { clock, metrics, endpoints } = this.#options;
     this.#table.expire(clock.now());
+    this.#history.observe(endpoints(), clock.now());
     metrics.gauge("origins.known", this.#table.size);
     metrics.gauge("origins.evicted", this.#table.evictedCount);
   }
--- a/src/origins/origins_test.ts
+++ b/src/origins/origins_test.ts
@@ -20,6 +20,11 @@
 /** How a control host answers. */
 type Behaviour = "sound" | "silent" | "earlier release";
 
+/** An endpoint of `RESUMED`'s service. */
+function endpointOf(version: string) {
+  return { service: "models", version };
+}
+
 /** Entry hosts before control hosts; each message takes a millisecond. */
 function createFleet() {
   const clock = new runtime.FakeClock();
@@ -27,19 +32,22 @@
     CONTROL_HOSTS.map((host) => [host, storage.MemoryStorage.create()]),
   );
   const servers = new Map<string, origins.OriginServer>();
+  /** Endpoints that each control host knows. */
+  const known = new Map(
+    CONTROL_HOSTS.map((host) => [host, [endpointOf("v1")]]),
+  );
   const startControl = (host: string) => {
     const server = origins.OriginServer.create({
       clock,
       logger: telemetry.noLogger,
       metrics: telemetry.noMetrics,
       openStorage: () => Promise.resolve(disks.get(host)!),
+      endpoints: () => known.get(host)!,
     });
     servers.set(host, server);
   };
   CONTROL_HOSTS.forEach(startControl);
   const behaviours = new Map<string, Behaviour>();
-  let viewAge = 0;
-  const setViewAge = (age: number) => void (viewAge = age);
   const answer = (host: string, question: schema.Question) => {
     if (behaviours.get(host) === "earlier release") {
       return { type: "failed", reason: "not-served" } as const;
@@ -47,6 +55,7 @@
     const server = servers.get(host)!;
     if (question.type === "origin") return server.find(question);
     if (question.type === "origins") return server.store(question);
+    if (question.type === "versions") return server.versions(question);
     throw new Error(`unexpected question ${question.type}`);
   };
   const createEntry = (self: string) =>
@@ -56,7 +65,7 @@
       logger: telemetry.noLogger,
       metrics: telemetry.noMetrics,
       controlHosts: () => CONTROL_HOSTS,
-      viewAge: () => viewAge,
+      reportingHosts: () => CONTROL_HOSTS,
       calls: {
         ask: (to, question, { timeout }) =>
           new Promise((resolve, reject) => {
@@ -90,17 +99,28 @@
     );
     return replies.flat();
   };
+  /** Lets time pass in which control hosts run. */
+  const run = async (span: number) => {
+    for (let elapsed = 0; elapsed < span; elapsed += 1000) {
+      servers.forEach((server) => server.tick());
+      clock.advance(1000);
+    }
+    await settle(1);
+  };
   const restartAllControl = () => CONTROL_HOSTS.forEach(startControl);
   return {
     clock,
     disks,
+    known,
+    servers,
     behaviours,
     createEntry,
     settle,
+    run,
     find,
     holders,
+    startControl,
     restartAllControl,
-    setViewAge,
   };
 }
 
@@ -207,66 +227,92 @@
   t.deepEqual(finding, { type: "unknown", reason: "not-named" });
 });
 
-/** An entry host that has seen endpoints of these versions for a minute. */
-async function entryWithHistory(
-  fleet: ReturnType<typeof createFleet>,
-  versions: readonly string[],
-): Promise<origins.OriginClient> {
-  const entry = fleet.createEntry("h-2");
-  const seen = versions.map((version) => ({ service: "models", version }));
-  for (let second = 0; second < 60; second++) {
-    entry.observe(seen);
-    fleet.clock.advance(1000);
-  }
-  entry.observe(seen);
-  await fleet.settle(1);
-  return entry;
+/** A fleet whose control hosts know an endpoint of `v1` for a minute. */
+async function createOldFleet() {
+  const fleet = createFleet();
+  await fleet.run(60_000);
+  return fleet;
 }
 
+const UNNAMED = { ...RESUMED, stream: undefined };
+const ONLY_V1 = {
+  type: "found",
+  source: "history",
+  origin: { service: "models", version: "v1" },
+};
+
 test("without a record the version is that which alone has served", async (t) => {
-  const fleet = createFleet();
-  const entry = await entryWithHistory(fleet, ["v1"]);
-  const found = {
-    type: "found",
-    source: "history",
-    origin: { service: "models", version: "v1" },
-  };
-  t.deepEqual(await fleet.find(entry) as unknown, found);
-  const unnamed = { ...RESUMED, stream: undefined };
-  t.deepEqual(await fleet.find(entry, unnamed) as unknown, found);
-  CONTROL_HOSTS.forEach((host) =>
-    fleet.behaviours.set(host, "earlier release")
-  );
-  t.deepEqual(await fleet.find(entry) as unknown, found);
+  const fleet = await createOldFleet();
+  const entry = fleet.createEntry("h-2");
+  t.deepEqual(await fleet.find(entry) as unknown, ONLY_V1);
+  t.deepEqual(await fleet.find(entry, UNNAMED) as unknown, ONLY_V1);
 });
 
 // Guards against streams of two versions: a host that finds no record guessed
 // the version.
 test("without a record the version is unknown while there are several", async (t) => {
-  const fleet = createFleet();
-  const entry = await entryWithHistory(fleet, ["v1", "v2"]);
+  const fleet = await createOldFleet();
+  CONTROL_HOSTS.forEach((host) =>
+    fleet.known.get(host)!.push(endpointOf("v2"))
+  );
+  const entry = fleet.createEntry("h-2");
   t.like(await fleet.find(entry), { type: "unknown", reason: "not-recorded" });
+  t.like(await fleet.find(entry, UNNAMED), { reason: "not-named" });
 });
 
-test("the version is unknown while a control host may have a record", async (t) => {
-  const fleet = createFleet();
-  const entry = await entryWithHistory(fleet, ["v1", "v2"]);
-  fleet.behaviours.set("c-3", "silent");
-  t.like(await fleet.find(entry), { type: "unknown", reason: "unreachable" });
+// Guards against streams of two versions: a host that was cut off, or stood
+// still, while endpoints of a new version joined continued their streams at
+// the version that it knew.
+test("an endpoint that one control host alone has reported makes the version unknown", async (t) => {
+  for (const host of CONTROL_HOSTS) {
+    const fleet = await createOldFleet();
+    fleet.servers.get(host)!.recordReport([endpointOf("v2")]);
+    const entry = fleet.createEntry("h-2");
+    t.like(await fleet.find(entry), { reason: "not-recorded" }, host);
+    t.like(await fleet.find(entry, UNNAMED), { reason: "not-named" }, host);
+  }
 });
 
-// Guards against lost streams on days with one version, while control hosts are
-// down or of an earlier release, which does not know the question.
-test("a single version is known while control hosts do not answer", async (t) => {
-  const fleet = createFleet();
-  const entry = await entryWithHistory(fleet, ["v1"]);
-  CONTROL_HOSTS.forEach((host) => fleet.behaviours.set(host, "silent"));
-  t.like(await fleet.find(entry), { type: "found", source: "history" });
+test("an endpoint that has left counts for as long as its streams may be resumed", async (t) => {
+  const fleet = await createOldFleet();
+  const [host] = CONTROL_HOSTS;
+  fleet.servers.get(host)!.recordReport([endpointOf("v2")]);
+  await fleet.run(RESUMED.lifetime - 2000);
+  const entry = fleet.createEntry("h-2");
+  t.like(await fleet.find(entry), { type: "unknown" });
+  await fleet.run(2000);
+  t.like(await fleet.find(entry), { type: "found" });
 });
 
-test("a host whose view is out of date knows no single version", async (t) => {
-  const fleet = createFleet();
-  const entry = await entryWithHistory(fleet, ["v1"]);
-  fleet.setViewAge(2000);
+test("the version is unknown while a control host does not answer", async (t) => {
+  for (const host of CONTROL_HOSTS) {
+    const fleet = await createOldFleet();
+    const entry = fleet.createEntry("h-2");
+    fleet.behaviours.set(host, "silent");
+    const unknown = { type: "unknown", reason: "unreachable" };
+    t.like(await fleet.find(entry), unknown, host);
+    t.like(await fleet.find(entry, UNNAMED), unknown, host);
+    fleet.behaviours.clear();
+    t.like(await fleet.find(entry), { type: "found" }, host);
+  }
+});
+
+test("the version is unknown while a control host does not know what it reported", async (t) => {
+  const fleet = await createOldFleet();
+  const [restarted] = CONTROL_HOSTS;
+  fleet.startControl(restarted);
+  const entry = fleet.createEntry("h-2");
   t.like(await fleet.find(entry), { type: "unknown", reason: "not-recorded" });
+  await fleet.run(RESUMED.lifetime);
+  t.like(await fleet.find(entry), { type: "found" });
+  fleet.behaviours.set(restarted, "earlier release");
+  t.like(await fleet.find(entry), { type: "unknown", reason: "not-recorded" });
+});
+
+test("the version is unknown where no control host has seen the service", async (t) => {
+  const fleet = await createOldFleet();
+  const services = ["others"];
+  t.like(await fleet.find(fleet.createEntry("h-2"), { ...UNNAMED, services }), {
+    reason: "not-named",
+  });
 });
--- a/src/origins/version_history.ts
+++ b/src/origins/version_history.ts
@@ -1,4 +1,5 @@
-/** History of the software versions of each service, as one host observes them.
+/** History of the software versions of each service, as one control host
+ * reports them to entry hosts.
  * @module */
 
 /** Time without an observation after which the history starts anew: endpoints
@@ -11,6 +12,14 @@
   readonly version: string;
 }
 
+/** Versions that a host has seen of a service. */
+export interface SeenVersions {
+  /** Distinct; an empty one stands for an unknown version. */
+  readonly versions: string[];
+  /** Whether the host has observed endpoints for the whole period. */
+  readonly isComplete: boolean;
+}
+
 /** When each version was last seen; changed in place. */
 export class VersionHistory {
   readonly #lastSeen = new Map<string, Map<string, number>>();
@@ -21,7 +30,8 @@
     return new VersionHistory();
   }
 
-  /** Records all endpoints that are known at present. */
+  /** Records endpoints that are known at present. All of them are due every few
+   * seconds. */
   observe(endpoints: Iterable<SeenEndpoint>, now: number): void {
     if (now - this.#observedAt > MAX_GAP_MS) this.#observedSince = now;
     this.#observedAt = now;
@@ -31,17 +41,15 @@
     }
   }
 
-  /** The version that all endpoints of a service have had for `period`
-   * milliseconds; undefined if there were several, one of them is unknown, or
-   * the history is shorter. */
-  onlyVersion(
+  /** The versions that endpoints of a service have had in the last `period`
+   * milliseconds. */
+  versionsOf(
     service: string,
     { now, period }: { now: number; period: number },
-  ): string | undefined {
-    if (now - this.#observedSince < period) return undefined;
-    const seen = [...this.#lastSeen.get(service) ?? []]
+  ): SeenVersions {
+    const versions = [...this.#lastSeen.get(service) ?? []]
       .filter(([, at]) => now - at < period)
       .map(([version]) => version);
-    return seen.length === 1 && seen[0] !== "" ? seen[0] : undefined;
+    return { versions, isComplete: now - this.#observedSince >= period };
   }
 }
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -25,6 +25,7 @@
   | SlotQuestion
   | OriginsQuestion
   | OriginQuestion
+  | VersionsQuestion
   | SharesQuestion;
 export type Name = string;
 /**
@@ -60,6 +61,7 @@
   | LeaseReply
   | QuotaReply
   | OriginReply
+  | VersionsReply
   | SharesReply;
 /**
  * Of each data centre that ever was evacuated.
@@ -442,6 +444,18 @@
   type: "origin";
   stream: Stream;
 }
+/**
+ * Asks a control host which software versions of a service it has reported.
+ *
+ */
+export interface VersionsQuestion {
+  type: "versions";
+  service: Name;
+  /**
+   * Milliseconds up to now that count.
+   */
+  period: number;
+}
 /**
  * Reports what client accounts asked of a service and asks for their shares.
  * Costs are sums over `span`.
@@ -704,6 +718,17 @@
    */
   age: number;
 }
+export interface VersionsReply {
+  type: "versions";
+  /**
+   * Without order; an empty one stands for an unknown version.
+   */
+  versions: string[];
+  /**
+   * Whether the host has observed endpoints for the period.
+   */
+  complete: boolean;
+}
 export interface SharesReply {
   type: "shares";
   /**
--- a/src/schema/fleet_validators.ts
+++ b/src/schema/fleet_validators.ts
@@ -5,10 +5,10 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"},{"$ref":"#/$defs/SharesQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"},{"$ref":"#/$defs/SharesReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"},"slowness":{"description":"Slowness of endpoints that the asker observed since its last sync;\nabsent without any.\n","$ref":"#/$defs/SlownessReports"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Recently changed estimates of all hosts together; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request, or a prompt part, that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"},"answers":{"description":"Most whole answers on the part that a host has seen.","$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"StreamOrigin":{"title":"StreamOrigin","description":"The service and the software version at which a stream began.","type":"object","required":["stream","service","version","host","lifetime","age"],"properties":{"stream":{"$ref":"#/$defs/Stream"},"service":{"$ref":"#/$defs/Name"},"version":{"$ref":"#/$defs/Name"},"host":{"description":"Host that relayed its first event.","$ref":"#/$defs/Name"},"lifetime":{"description":"Milliseconds for which it is kept after its last use.","type":"number","minimum":0},"age":{"description":"Milliseconds since the first event.","type":"number","minimum":0}}},"Stream":{"description":"Digest of the account, the route and the first attempt.","type":"string","minLength":1,"maxLength":64},"OriginsQuestion":{"title":"OriginsQuestion","description":"Asks a control host to store origins of streams.","type":"object","required":["type","origins"],"properties":{"type":{"type":"string","const":"origins"},"origins":{"type":"array","items":{"$ref":"#/$defs/StreamOrigin"}}}},"OriginQuestion":{"title":"OriginQuestion","description":"Asks a control host for the origin of a stream.","type":"object","required":["type","stream"],"properties":{"type":{"type":"string","const":"origin"},"stream":{"$ref":"#/$defs/Stream"}}},"OriginReply":{"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"SlownessReports":{"type":"array","maxItems":1024,"items":{"$ref":"#/$defs/SlownessReport"}},"SlownessReport":{"title":"SlownessReport","description":"Time that calls took at an endpoint relative to the expectation for its\nservice.\n","type":"object","required":["endpoint","ratio","count"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"ratio":{"description":"Geometric mean of the observed ratios.","type":"number","exclusiveMinimum":0},"count":{"description":"Number of observations.","type":"number","exclusiveMinimum":0}}},"Contended":{"description":"Services under contention; absent without any.","type":"array","items":{"$ref":"#/$defs/Name"}},"SharesQuestion":{"title":"SharesQuestion","description":"Reports what client accounts asked of a service and asks for their shares.\nCosts are sums over `span`.\n","type":"object","required":["type","service","span","admitted","denied","accounts"],"properties":{"type":{"type":"string","const":"shares"},"service":{"$ref":"#/$defs/Name"},"span":{"description":"Milliseconds that the sums cover.","type":"number","exclusiveMinimum":0},"admitted":{"description":"Cost of requests that no share refused.","type":"number","minimum":0},"denied":{"description":"Cost of those that ended late or for lack of capacity.","type":"number","minimum":0},"accounts":{"type":"array","items":{"$ref":"#/$defs/AccountUse"}}}},"AccountUse":{"title":"AccountUse","type":"object","required":["account","rank","offered","served"],"properties":{"account":{"description":"Empty for requests without an account.","type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"offered":{"type":"number","minimum":0},"served":{"type":"number","minimum":0}}},"SharesReply":{"title":"SharesReply","type":"object","required":["type","watched","limits"],"properties":{"type":{"type":"string","const":"shares"},"watched":{"description":"Whether the service is or recently was under contention.","type":"boolean"},"decided":{"description":"Whether the replier has heard enough hosts to decide; a reply without a\ncapacity then says that there is no contention.\n","type":"boolean"},"capacity":{"description":"Cost a second that the service is taken to serve.","type":"number","minimum":0},"limits":{"description":"Limits for the asker; accounts without one are not limited.","type":"array","items":{"$ref":"#/$defs/AccountLimit"}}}},"AccountLimit":{"title":"AccountLimit","type":"object","required":["account","rank","rate"],"properties":{"account":{"type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"rate":{"description":"Cost a second.","type":"number","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","description":"Results, and the question that they answer, which hosts of earlier\nreleases leave out.\n","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"},"bytes":{"description":"Size of a piece's result; absent from hosts of earlier releases.","type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"},"scarce":{"description":"What the pieces wait for; absent where endpoints keep up.","type":"string","enum":["calls","memory","placement"]}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"version":{"description":"Software version that the engine must have.","$ref":"#/$defs/Name"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Observations that entry hosts have reported to the sender since its\nlast hello to the receiver; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}},"gaps":{"description":"Mean gaps between events of streams that ended since, of prompts that\nanother host placed, relative to the mean gap of the service.\n","type":"array","items":{"type":"number","exclusiveMinimum":0}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0},"fetched":{"description":"Whether the engine fetched parts of the prompt from another one's\ncache; absent if not.\n","type":"boolean"}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"FleetMessage","description":"Messages between hosts that find each other by seeds: questions that are\nanswered, and notices that are not. Fields that a host does not know are left\nalone: hosts of two releases run beside each other during an upgrade.\n","type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/Ask"},{"$ref":"#/$defs/Answer"},{"$ref":"#/$defs/Working"},{"$ref":"#/$defs/Cast"}],"$defs":{"Count":{"type":"integer","minimum":0},"Name":{"type":"string","minLength":1,"maxLength":256},"Cell":{"description":"Part of a service's endpoints that one batcher schedules.","type":"string","minLength":1,"maxLength":256},"Ask":{"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}},"Answer":{"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}},"Working":{"title":"Working","description":"Questions that this host has and has not answered yet.","type":"object","required":["type","ids"],"properties":{"type":{"type":"string","const":"working"},"ids":{"type":"array","items":{"$ref":"#/$defs/Count"}}}},"Cast":{"title":"Cast","type":"object","required":["type","body"],"properties":{"type":{"type":"string","const":"cast"},"body":{"$ref":"#/$defs/Notice"}}},"Question":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"},{"$ref":"#/$defs/VersionsQuestion"},{"$ref":"#/$defs/SharesQuestion"}]},"Reply":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"},{"$ref":"#/$defs/VersionsReply"},{"$ref":"#/$defs/SharesReply"}]},"Notice":{"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/HelloNotice"},{"$ref":"#/$defs/ReleaseNotice"},{"$ref":"#/$defs/DropNotice"},{"$ref":"#/$defs/UseNotice"},{"$ref":"#/$defs/SuspectsNotice"},{"$ref":"#/$defs/LeaseOverNotice"},{"$ref":"#/$defs/LimitsNotice"},{"$ref":"#/$defs/SlotsNotice"}]},"ConfirmQuestion":{"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}},"ConfirmedReply":{"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}},"ReplaceQuestion":{"title":"ReplaceQuestion","description":"Orders a version of the configuration.","type":"object","required":["type","version","document","digest"],"properties":{"type":{"type":"string","const":"replace"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The whole configuration, packed.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"}}},"ReplacedReply":{"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}},"Evacuation":{"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}},"Evacuations":{"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}},"EvacuateQuestion":{"title":"EvacuateQuestion","description":"Orders the begin or the end of an evacuation.","type":"object","required":["type","dataCentre","active","after","orderedAt"],"properties":{"type":{"type":"string","const":"evacuate"},"dataCentre":{"$ref":"#/$defs/Name"},"active":{"type":"boolean"},"after":{"description":"Revision that the order follows. One that comes late, after another\norder, has no effect.\n","$ref":"#/$defs/Count"},"orderedAt":{"type":"number"}}},"EvacuatedReply":{"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}},"SyncQuestion":{"title":"SyncQuestion","description":"Asks for what is new, and for a proof that nothing else is.","type":"object","required":["type","version","epoch","revision","mark","host"],"properties":{"type":{"type":"string","const":"sync"},"version":{"$ref":"#/$defs/Count"},"epoch":{"description":"Of the roster that `revision` counts; empty without one.","type":"string"},"revision":{"$ref":"#/$defs/Count"},"mark":{"description":"Of the hosts that the asker knows; empty without any.","type":"string"},"host":{"$ref":"#/$defs/EntryHost"},"suspectRevision":{"description":"Of the suspects that the asker knows; of `epoch`.","$ref":"#/$defs/Count"},"evacuationOrders":{"description":"Orders of evacuations that the asker holds, in all.","$ref":"#/$defs/Count"},"slowness":{"description":"Slowness of endpoints that the asker observed since its last sync;\nabsent without any.\n","$ref":"#/$defs/SlownessReports"}}},"SyncedReply":{"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Recently changed estimates of all hosts together; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}},"NoteQuestion":{"title":"NoteQuestion","description":"Tells another core host of endpoints.","type":"object","required":["type","sightings"],"properties":{"type":{"type":"string","const":"note"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}}}},"NotedReply":{"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}},"Suspect":{"title":"Suspect","description":"What is known of a request, or a prompt part, that may crash endpoints.","type":"object","required":["fingerprint","crashes","acquittals","trials"],"properties":{"fingerprint":{"type":"string","minLength":1,"maxLength":64},"crashes":{"type":"array","maxItems":64,"items":{"$ref":"#/$defs/Crash"}},"acquittals":{"$ref":"#/$defs/Count"},"trials":{"$ref":"#/$defs/Count"},"answers":{"description":"Most whole answers on the part that a host has seen.","$ref":"#/$defs/Count"}}},"Crash":{"title":"Crash","type":"object","required":["endpoint","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"age":{"description":"Milliseconds since the call broke.","type":"number","minimum":0},"refuted":{"description":"Whether the endpoint was heard again since.","type":"boolean"}}},"SuspectsQuestion":{"title":"SuspectsQuestion","description":"Tells a core host of requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"SuspectsNotice":{"title":"SuspectsNotice","description":"A core host knows these requests that may crash endpoints.","type":"object","required":["type","suspects"],"properties":{"type":{"type":"string","const":"suspects"},"suspects":{"type":"array","items":{"$ref":"#/$defs/Suspect"}}}},"LeaseQuestion":{"title":"LeaseQuestion","description":"Asks for a lease to run a suspected request: it runs at one endpoint of the\nfleet at a time, and no other suspected one runs there.\n","type":"object","required":["type","fingerprint","endpoint","remaining"],"properties":{"type":{"type":"string","const":"lease"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"endpoint":{"$ref":"#/$defs/Engine"},"remaining":{"description":"Milliseconds after which its run has ended.","type":"number","minimum":0}}},"LeaseReply":{"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}},"LeaseOverNotice":{"title":"LeaseOverNotice","description":"A run under a lease has ended without a crash or an answer.","type":"object","required":["type","fingerprint"],"properties":{"type":{"type":"string","const":"lease-over"},"fingerprint":{"type":"string","minLength":1,"maxLength":64},"unused":{"description":"Whether no endpoint ran the request, so it was no trial.","type":"boolean"}}},"EndpointLimit":{"title":"EndpointLimit","description":"A rate limit that an endpoint has named in its answers.","type":"object","required":["endpoint","limit","age"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"limit":{"description":"Requests a second from all hosts together.","type":"number","minimum":0},"age":{"description":"Milliseconds since an answer named it.","type":"number","minimum":0},"ended":{"description":"Milliseconds since answers name none any more.","type":"number","minimum":0}}},"QuotaQuestion":{"title":"QuotaQuestion","description":"Asks for a grant to send one request to a limited endpoint.","type":"object","required":["type","limit"],"properties":{"type":{"type":"string","const":"quota"},"limit":{"$ref":"#/$defs/EndpointLimit"}}},"WarmupQuestion":{"title":"WarmupQuestion","description":"Asks for a grant to send one request to a cold endpoint.","type":"object","required":["type","endpoint","rate"],"properties":{"type":{"type":"string","const":"warmup"},"endpoint":{"$ref":"#/$defs/Engine"},"rate":{"description":"Requests a second from all hosts together.","type":"number","exclusiveMinimum":0}}},"SlotQuestion":{"title":"SlotQuestion","description":"Asks for a grant to send one request to a brittle endpoint.","type":"object","required":["type","endpoint","slots","inFlight"],"properties":{"type":{"type":"string","const":"slot"},"endpoint":{"$ref":"#/$defs/Engine"},"slots":{"description":"Requests that the endpoint runs at once.","type":"integer","minimum":1},"inFlight":{"description":"The asker's requests there, granted ones included.","type":"integer","minimum":0}}},"StreamOrigin":{"title":"StreamOrigin","description":"The service and the software version at which a stream began.","type":"object","required":["stream","service","version","host","lifetime","age"],"properties":{"stream":{"$ref":"#/$defs/Stream"},"service":{"$ref":"#/$defs/Name"},"version":{"$ref":"#/$defs/Name"},"host":{"description":"Host that relayed its first event.","$ref":"#/$defs/Name"},"lifetime":{"description":"Milliseconds for which it is kept after its last use.","type":"number","minimum":0},"age":{"description":"Milliseconds since the first event.","type":"number","minimum":0}}},"Stream":{"description":"Digest of the account, the route and the first attempt.","type":"string","minLength":1,"maxLength":64},"OriginsQuestion":{"title":"OriginsQuestion","description":"Asks a control host to store origins of streams.","type":"object","required":["type","origins"],"properties":{"type":{"type":"string","const":"origins"},"origins":{"type":"array","items":{"$ref":"#/$defs/StreamOrigin"}}}},"OriginQuestion":{"title":"OriginQuestion","description":"Asks a control host for the origin of a stream.","type":"object","required":["type","stream"],"properties":{"type":{"type":"string","const":"origin"},"stream":{"$ref":"#/$defs/Stream"}}},"OriginReply":{"title":"OriginReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"origin"},"origin":{"description":"Absent if it is not known.","$ref":"#/$defs/StreamOrigin"},"conflicting":{"description":"Whether different origins were recorded for the stream.","type":"boolean"}}},"VersionsQuestion":{"title":"VersionsQuestion","description":"Asks a control host which software versions of a service it has reported.\n","type":"object","required":["type","service","period"],"properties":{"type":{"type":"string","const":"versions"},"service":{"$ref":"#/$defs/Name"},"period":{"description":"Milliseconds up to now that count.","type":"number","minimum":0}}},"VersionsReply":{"title":"VersionsReply","type":"object","required":["type","versions","complete"],"properties":{"type":{"type":"string","const":"versions"},"versions":{"description":"Without order; an empty one stands for an unknown version.","type":"array","items":{"type":"string","maxLength":256}},"complete":{"description":"Whether the host has observed endpoints for the period.","type":"boolean"}}},"SlotsNotice":{"title":"SlotsNotice","description":"Tells a core host of this host's requests at an endpoint.","type":"object","required":["type","endpoint","inFlight"],"properties":{"type":{"type":"string","const":"slots"},"endpoint":{"$ref":"#/$defs/Engine"},"inFlight":{"type":"integer","minimum":0}}},"SlownessReports":{"type":"array","maxItems":1024,"items":{"$ref":"#/$defs/SlownessReport"}},"SlownessReport":{"title":"SlownessReport","description":"Time that calls took at an endpoint relative to the expectation for its\nservice.\n","type":"object","required":["endpoint","ratio","count"],"properties":{"endpoint":{"$ref":"#/$defs/Engine"},"ratio":{"description":"Geometric mean of the observed ratios.","type":"number","exclusiveMinimum":0},"count":{"description":"Number of observations.","type":"number","exclusiveMinimum":0}}},"Contended":{"description":"Services under contention; absent without any.","type":"array","items":{"$ref":"#/$defs/Name"}},"SharesQuestion":{"title":"SharesQuestion","description":"Reports what client accounts asked of a service and asks for their shares.\nCosts are sums over `span`.\n","type":"object","required":["type","service","span","admitted","denied","accounts"],"properties":{"type":{"type":"string","const":"shares"},"service":{"$ref":"#/$defs/Name"},"span":{"description":"Milliseconds that the sums cover.","type":"number","exclusiveMinimum":0},"admitted":{"description":"Cost of requests that no share refused.","type":"number","minimum":0},"denied":{"description":"Cost of those that ended late or for lack of capacity.","type":"number","minimum":0},"accounts":{"type":"array","items":{"$ref":"#/$defs/AccountUse"}}}},"AccountUse":{"title":"AccountUse","type":"object","required":["account","rank","offered","served"],"properties":{"account":{"description":"Empty for requests without an account.","type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"offered":{"type":"number","minimum":0},"served":{"type":"number","minimum":0}}},"SharesReply":{"title":"SharesReply","type":"object","required":["type","watched","limits"],"properties":{"type":{"type":"string","const":"shares"},"watched":{"description":"Whether the service is or recently was under contention.","type":"boolean"},"decided":{"description":"Whether the replier has heard enough hosts to decide; a reply without a\ncapacity then says that there is no contention.\n","type":"boolean"},"capacity":{"description":"Cost a second that the service is taken to serve.","type":"number","minimum":0},"limits":{"description":"Limits for the asker; accounts without one are not limited.","type":"array","items":{"$ref":"#/$defs/AccountLimit"}}}},"AccountLimit":{"title":"AccountLimit","type":"object","required":["account","rank","rate"],"properties":{"account":{"type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"rate":{"description":"Cost a second.","type":"number","minimum":0}}},"QuotaReply":{"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}},"LimitsNotice":{"title":"LimitsNotice","description":"Tells a core host of rate limits that endpoints name.","type":"object","required":["type","limits"],"properties":{"type":{"type":"string","const":"limits"},"limits":{"type":"array","items":{"$ref":"#/$defs/EndpointLimit"}}}},"MakeQuestion":{"title":"MakeQuestion","description":"Asks the batcher of a cell for pieces of one request.","type":"object","required":["type","service","cell","request","stage","pieces","bytes","remaining","rank"],"properties":{"type":{"type":"string","const":"make"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"type":"array","items":{"$ref":"#/$defs/Count"}},"key":{"type":"string"},"inputs":{"type":"array","items":{"type":"string"}},"bytes":{"description":"About how large a result is.","type":"number"},"moved":{"description":"Bytes that cross to another data centre for each piece that is made away from `dataCentre`.","type":"number"},"remaining":{"description":"Milliseconds after which the results are of no use.","type":"number"},"slack":{"description":"Milliseconds within which they are wanted.","type":"number"},"rank":{"type":"number"},"dataCentre":{"type":"string"}}},"MadeReply":{"title":"MadeReply","description":"Results, and the question that they answer, which hosts of earlier\nreleases leave out.\n","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}},"BookQuestion":{"title":"BookQuestion","description":"Announces pieces that will be asked for, and asks how long they would\nwait.\n","type":"object","required":["type","service","cell","request","stage","pieces","slack","rank"],"properties":{"type":{"type":"string","const":"book"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"pieces":{"$ref":"#/$defs/Count"},"slack":{"type":"number"},"rank":{"type":"number"},"bytes":{"description":"Size of a piece's result; absent from hosts of earlier releases.","type":"number"}}},"BookedReply":{"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"},"scarce":{"description":"What the pieces wait for; absent where endpoints keep up.","type":"string","enum":["calls","memory","placement"]}}},"PlaceQuestion":{"title":"PlaceQuestion","description":"Asks the owner of a partition of engines which of them a prompt goes to.\n","type":"object","required":["type","service","partition","prompt","tried","sent"],"properties":{"type":{"type":"string","const":"place"},"service":{"$ref":"#/$defs/Name"},"partition":{"$ref":"#/$defs/Cell"},"prompt":{"$ref":"#/$defs/Prompt"},"planned":{"description":"Engine that the prompt's inputs were made near.","$ref":"#/$defs/Engine"},"version":{"description":"Software version that the engine must have.","$ref":"#/$defs/Name"},"tried":{"description":"Engines that were called for the request before.","type":"array","items":{"$ref":"#/$defs/Engine"}},"sent":{"description":"Whether the prompt goes there now; else it is a forecast.","type":"boolean"}}},"PlacedReply":{"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}},"EngineWork":{"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}},"Engine":{"description":"One incarnation of an engine.","type":"string","minLength":1,"maxLength":300},"Prompt":{"title":"Prompt","type":"object","required":["model","inputTokens","outputTokens","parts"],"properties":{"model":{"type":"string"},"inputTokens":{"type":"number","minimum":0},"outputTokens":{"type":"number","minimum":0},"parts":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}}},"Result":{"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}},"FailedReply":{"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}},"HelloNotice":{"title":"HelloNotice","description":"A core host is there, and knows these.","type":"object","required":["type","dataCentre","cores","hosts"],"properties":{"type":{"type":"string","const":"hello"},"dataCentre":{"$ref":"#/$defs/Name"},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"hosts":{"type":"array","items":{"$ref":"#/$defs/EntryHost"}},"leadership":{"description":"Absent where the sender's replica hears no leader.","$ref":"#/$defs/Leadership"},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Observations that entry hosts have reported to the sender since its\nlast hello to the receiver; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}},"Leadership":{"title":"Leadership","description":"Who leads the log, as a replica knows it from the leader.","type":"object","required":["term","leader","voters"],"properties":{"term":{"$ref":"#/$defs/Count"},"leader":{"$ref":"#/$defs/Name"},"voters":{"type":"array","items":{"$ref":"#/$defs/Name"}}}},"ReleaseNotice":{"title":"ReleaseNotice","description":"Results that nobody needs any more.","type":"object","required":["type","service","cell","handles"],"properties":{"type":{"type":"string","const":"release"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"handles":{"type":"array","items":{"type":"string"}}}},"DropNotice":{"title":"DropNotice","description":"A request that nobody waits for any more.","type":"object","required":["type","service","cell","request"],"properties":{"type":{"type":"string","const":"drop"},"service":{"$ref":"#/$defs/Name"},"cell":{"$ref":"#/$defs/Cell"},"request":{"$ref":"#/$defs/Name"}}},"UseNotice":{"title":"UseNotice","description":"What a host has engines do now, of those where it changed.","type":"object","required":["type","uses"],"properties":{"type":{"type":"string","const":"use"},"uses":{"type":"array","items":{"$ref":"#/$defs/EngineUse"}}}},"EngineUse":{"title":"EngineUse","type":"object","required":["engine","tokens","streams","read"],"properties":{"engine":{"description":"One incarnation of it; what was said of another is ignored.","type":"string","minLength":1,"maxLength":300},"tokens":{"description":"Prompt tokens sent there whose first event has not come.","type":"number","minimum":0},"streams":{"description":"Requests under way there.","type":"integer","minimum":0},"read":{"description":"Shared parts of prompts that were sent there since.","type":"array","items":{"type":"array","items":{"$ref":"#/$defs/PromptPart"}}},"firsts":{"description":"First events since, of prompts that another host placed.","type":"array","items":{"$ref":"#/$defs/FirstEvent"}},"verdicts":{"description":"How calls ended since, of prompts that another host placed.","type":"array","items":{"enum":["good","bad","full"]}},"gaps":{"description":"Mean gaps between events of streams that ended since, of prompts that\nanother host placed, relative to the mean gap of the service.\n","type":"array","items":{"type":"number","exclusiveMinimum":0}}}},"FirstEvent":{"title":"FirstEvent","type":"object","required":["work","took"],"properties":{"work":{"$ref":"#/$defs/EngineWork"},"took":{"description":"Milliseconds from the call.","type":"number","minimum":0},"fetched":{"description":"Whether the engine fetched parts of the prompt from another one's\ncache; absent if not.\n","type":"boolean"}}},"PromptPart":{"title":"PromptPart","type":"object","required":["id","tokens"],"properties":{"id":{"$ref":"#/$defs/Name"},"tokens":{"type":"number","minimum":0}}},"EntryHost":{"title":"EntryHost","description":"A host that takes requests.","type":"object","required":["host","dataCentre","ready","age"],"properties":{"host":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"ready":{"type":"boolean"},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0}}},"Sighting":{"title":"Sighting","description":"What an endpoint last said of itself.","type":"object","required":["id","service","address","dataCentre","version","slots","state","sequence","age"],"properties":{"id":{"$ref":"#/$defs/Name"},"born":{"description":"Unix milliseconds of its start; absent where it does not say.\n","type":"integer","minimum":0},"service":{"$ref":"#/$defs/Name"},"address":{"$ref":"#/$defs/Name"},"dataCentre":{"$ref":"#/$defs/Name"},"version":{"type":"string"},"slots":{"type":"number"},"state":{"enum":["ready","draining","gone"]},"sequence":{"type":"integer","minimum":-1},"age":{"description":"Milliseconds since it was last heard.","type":"number","minimum":0},"cold":{"description":"Milliseconds for which it is still slow after its start.","type":"number","minimum":0},"silent":{"description":"Whether its heartbeats have stopped; for entry hosts.","type":"boolean"}}}}};
 const schema32 = {"title":"Ask","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"ask"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Question"}}};
 const schema33 = {"type":"integer","minimum":0};
-const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"},{"$ref":"#/$defs/SharesQuestion"}]};
+const schema34 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/ConfirmQuestion"},{"$ref":"#/$defs/ReplaceQuestion"},{"$ref":"#/$defs/EvacuateQuestion"},{"$ref":"#/$defs/SyncQuestion"},{"$ref":"#/$defs/NoteQuestion"},{"$ref":"#/$defs/MakeQuestion"},{"$ref":"#/$defs/BookQuestion"},{"$ref":"#/$defs/PlaceQuestion"},{"$ref":"#/$defs/SuspectsQuestion"},{"$ref":"#/$defs/LeaseQuestion"},{"$ref":"#/$defs/QuotaQuestion"},{"$ref":"#/$defs/WarmupQuestion"},{"$ref":"#/$defs/SlotQuestion"},{"$ref":"#/$defs/OriginsQuestion"},{"$ref":"#/$defs/OriginQuestion"},{"$ref":"#/$defs/VersionsQuestion"},{"$ref":"#/$defs/SharesQuestion"}]};
 const schema35 = {"title":"ConfirmQuestion","description":"Asks a leader for what is in force.","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"confirm"},"version":{"description":"Newest that the asker holds.","$ref":"#/$defs/Count"}}};
 
 function validate23(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -3352,13 +3352,112 @@
 }
 validate57.evaluated = {"props":{"type":true,"stream":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema104 = {"title":"SharesQuestion","description":"Reports what client accounts asked of a service and asks for their shares.\nCosts are sums over `span`.\n","type":"object","required":["type","service","span","admitted","denied","accounts"],"properties":{"type":{"type":"string","const":"shares"},"service":{"$ref":"#/$defs/Name"},"span":{"description":"Milliseconds that the sums cover.","type":"number","exclusiveMinimum":0},"admitted":{"description":"Cost of requests that no share refused.","type":"number","minimum":0},"denied":{"description":"Cost of those that ended late or for lack of capacity.","type":"number","minimum":0},"accounts":{"type":"array","items":{"$ref":"#/$defs/AccountUse"}}}};
-const schema106 = {"title":"AccountUse","type":"object","required":["account","rank","offered","served"],"properties":{"account":{"description":"Empty for requests without an account.","type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"offered":{"type":"number","minimum":0},"served":{"type":"number","minimum":0}}};
+const schema104 = {"title":"VersionsQuestion","description":"Asks a control host which software versions of a service it has reported.\n","type":"object","required":["type","service","period"],"properties":{"type":{"type":"string","const":"versions"},"service":{"$ref":"#/$defs/Name"},"period":{"description":"Milliseconds up to now that count.","type":"number","minimum":0}}};
 
-function validate59(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate58(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate59.evaluated;
+const evaluated0 = validate58.evaluated;
+if(evaluated0.dynamicProps){
+evaluated0.props = undefined;
+}
+if(evaluated0.dynamicItems){
+evaluated0.items = undefined;
+}
+if(errors === 0){
+if(data && typeof data == "object" && !Array.isArray(data)){
+let missing0;
+if((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.period === undefined) && (missing0 = "period"))){
+validate58.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema104.required,parentSchema:schema104,data}];
+return false;
+}
+else {
+if(data.type !== undefined){
+let data0 = data.type;
+const _errs1 = errors;
+if(typeof data0 !== "string"){
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data0}];
+return false;
+}
+if("versions" !== data0){
+validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "versions"},message:"must be equal to constant",schema:"versions",parentSchema:schema104.properties.type,data:data0}];
+return false;
+}
+var valid0 = _errs1 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.service !== undefined){
+let data1 = data.service;
+const _errs3 = errors;
+const _errs4 = errors;
+if(errors === _errs4){
+if(typeof data1 === "string"){
+if(data1.length > 256){
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+return false;
+}
+else {
+if(data1.length < 1){
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+return false;
+}
+}
+}
+else {
+validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+return false;
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.period !== undefined){
+let data2 = data.period;
+const _errs6 = errors;
+if(errors === _errs6){
+if((typeof data2 == "number") && (isFinite(data2))){
+if(data2 < 0 || isNaN(data2)){
+validate58.errors = [{instancePath:instancePath+"/period",schemaPath:"#/properties/period/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema104.properties.period,data:data2}];
+return false;
+}
+}
+else {
+validate58.errors = [{instancePath:instancePath+"/period",schemaPath:"#/properties/period/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema104.properties.period.type,parentSchema:schema104.properties.period,data:data2}];
+return false;
+}
+}
+var valid0 = _errs6 === errors;
+}
+else {
+var valid0 = true;
+}
+}
+}
+}
+}
+else {
+validate58.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
+return false;
+}
+}
+validate58.errors = vErrors;
+return errors === 0;
+}
+validate58.evaluated = {"props":{"type":true,"service":true,"period":true},"dynamicProps":false,"dynamicItems":false};
+
+const schema106 = {"title":"SharesQuestion","description":"Reports what client accounts asked of a service and asks for their shares.\nCosts are sums over `span`.\n","type":"object","required":["type","service","span","admitted","denied","accounts"],"properties":{"type":{"type":"string","const":"shares"},"service":{"$ref":"#/$defs/Name"},"span":{"description":"Milliseconds that the sums cover.","type":"number","exclusiveMinimum":0},"admitted":{"description":"Cost of requests that no share refused.","type":"number","minimum":0},"denied":{"description":"Cost of those that ended late or for lack of capacity.","type":"number","minimum":0},"accounts":{"type":"array","items":{"$ref":"#/$defs/AccountUse"}}}};
+const schema108 = {"title":"AccountUse","type":"object","required":["account","rank","offered","served"],"properties":{"account":{"description":"Empty for requests without an account.","type":"string","maxLength":256},"rank":{"$ref":"#/$defs/Count"},"offered":{"type":"number","minimum":0},"served":{"type":"number","minimum":0}}};
+
+function validate60(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+let vErrors = null;
+let errors = 0;
+const evaluated0 = validate60.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3369,7 +3468,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.account === undefined) && (missing0 = "account")) || ((data.rank === undefined) && (missing0 = "rank"))) || ((data.offered === undefined) && (missing0 = "offered"))) || ((data.served === undefined) && (missing0 = "served"))){
-validate59.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
+validate60.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema108.required,parentSchema:schema108,data}];
 return false;
 }
 else {
@@ -3379,12 +3478,12 @@
 if(errors === _errs1){
 if(typeof data0 === "string"){
 if(data0.length > 256){
-validate59.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema106.properties.account,data:data0}];
+validate60.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema108.properties.account,data:data0}];
 return false;
 }
 }
 else {
-validate59.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.account.type,parentSchema:schema106.properties.account,data:data0}];
+validate60.errors = [{instancePath:instancePath+"/account",schemaPath:"#/properties/account/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema108.properties.account.type,parentSchema:schema108.properties.account,data:data0}];
 return false;
 }
 }
@@ -3399,13 +3498,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate59.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate60.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate59.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate60.errors = [{instancePath:instancePath+"/rank",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -3422,12 +3521,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate59.errors = [{instancePath:instancePath+"/offered",schemaPath:"#/properties/offered/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.offered,data:data2}];
+validate60.errors = [{instancePath:instancePath+"/offered",schemaPath:"#/properties/offered/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema108.properties.offered,data:data2}];
 return false;
 }
 }
 else {
-validate59.errors = [{instancePath:instancePath+"/offered",schemaPath:"#/properties/offered/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.offered.type,parentSchema:schema106.properties.offered,data:data2}];
+validate60.errors = [{instancePath:instancePath+"/offered",schemaPath:"#/properties/offered/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema108.properties.offered.type,parentSchema:schema108.properties.offered,data:data2}];
 return false;
 }
 }
@@ -3443,12 +3542,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate59.errors = [{instancePath:instancePath+"/served",schemaPath:"#/properties/served/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.served,data:data3}];
+validate60.errors = [{instancePath:instancePath+"/served",schemaPath:"#/properties/served/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema108.properties.served,data:data3}];
 return false;
 }
 }
 else {
-validate59.errors = [{instancePath:instancePath+"/served",schemaPath:"#/properties/served/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.served.type,parentSchema:schema106.properties.served,data:data3}];
+validate60.errors = [{instancePath:instancePath+"/served",schemaPath:"#/properties/served/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema108.properties.served.type,parentSchema:schema108.properties.served,data:data3}];
 return false;
 }
 }
@@ -3463,20 +3562,20 @@
 }
 }
 else {
-validate59.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
+validate60.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema108.type,parentSchema:schema108,data}];
 return false;
 }
 }
-validate59.errors = vErrors;
+validate60.errors = vErrors;
 return errors === 0;
 }
-validate59.evaluated = {"props":{"account":true,"rank":true,"offered":true,"served":true},"dynamicProps":false,"dynamicItems":false};
+validate60.evaluated = {"props":{"account":true,"rank":true,"offered":true,"served":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate58(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate59(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate58.evaluated;
+const evaluated0 = validate59.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -3487,7 +3586,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((data.type === undefined) && (missing0 = "type")) || ((data.service === undefined) && (missing0 = "service"))) || ((data.span === undefined) && (missing0 = "span"))) || ((data.admitted === undefined) && (missing0 = "admitted"))) || ((data.denied === undefined) && (missing0 = "denied"))) || ((data.accounts === undefined) && (missing0 = "accounts"))){
-validate58.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema104.required,parentSchema:schema104,data}];
+validate59.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema106.required,parentSchema:schema106,data}];
 return false;
 }
 else {
@@ -3495,11 +3594,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema104.properties.type.type,parentSchema:schema104.properties.type,data:data0}];
+validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema106.properties.type.type,parentSchema:schema106.properties.type,data:data0}];
 return false;
 }
 if("shares" !== data0){
-validate58.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "shares"},message:"must be equal to constant",schema:"shares",parentSchema:schema104.properties.type,data:data0}];
+validate59.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "shares"},message:"must be equal to constant",schema:"shares",parentSchema:schema106.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -3515,18 +3614,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate59.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate59.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate58.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate59.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -3542,12 +3641,12 @@
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 <= 0 || isNaN(data2)){
-validate58.errors = [{instancePath:instancePath+"/span",schemaPath:"#/properties/span/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema104.properties.span,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/span",schemaPath:"#/properties/span/exclusiveMinimum",keyword:"exclusiveMinimum",params:{comparison: ">", limit: 0},message:"must be > 0",schema:0,parentSchema:schema106.properties.span,data:data2}];
 return false;
 }
 }
 else {
-validate58.errors = [{instancePath:instancePath+"/span",schemaPath:"#/properties/span/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema104.properties.span.type,parentSchema:schema104.properties.span,data:data2}];
+validate59.errors = [{instancePath:instancePath+"/span",schemaPath:"#/properties/span/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.span.type,parentSchema:schema106.properties.span,data:data2}];
 return false;
 }
 }
@@ -3563,12 +3662,12 @@
 if(errors === _errs8){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate58.errors = [{instancePath:instancePath+"/admitted",schemaPath:"#/properties/admitted/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema104.properties.admitted,data:data3}];
+validate59.errors = [{instancePath:instancePath+"/admitted",schemaPath:"#/properties/admitted/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.admitted,data:data3}];
 return false;
 }
 }
 else {
-validate58.errors = [{instancePath:instancePath+"/admitted",schemaPath:"#/properties/admitted/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema104.properties.admitted.type,parentSchema:schema104.properties.admitted,data:data3}];
+validate59.errors = [{instancePath:instancePath+"/admitted",schemaPath:"#/properties/admitted/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.admitted.type,parentSchema:schema106.properties.admitted,data:data3}];
 return false;
 }
 }
@@ -3584,12 +3683,12 @@
 if(errors === _errs10){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate58.errors = [{instancePath:instancePath+"/denied",schemaPath:"#/properties/denied/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema104.properties.denied,data:data4}];
+validate59.errors = [{instancePath:instancePath+"/denied",schemaPath:"#/properties/denied/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema106.properties.denied,data:data4}];
 return false;
 }
 }
 else {
-validate58.errors = [{instancePath:instancePath+"/denied",schemaPath:"#/properties/denied/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema104.properties.denied.type,parentSchema:schema104.properties.denied,data:data4}];
+validate59.errors = [{instancePath:instancePath+"/denied",schemaPath:"#/properties/denied/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema106.properties.denied.type,parentSchema:schema106.properties.denied,data:data4}];
 return false;
 }
 }
@@ -3608,8 +3707,8 @@
 const len0 = data5.length;
 for(let i0=0; i0<len0; i0++){
 const _errs14 = errors;
-if(!(validate59(data5[i0], {instancePath:instancePath+"/accounts/" + i0,parentData:data5,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate59.errors : vErrors.concat(validate59.errors);
+if(!(validate60(data5[i0], {instancePath:instancePath+"/accounts/" + i0,parentData:data5,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate60.errors : vErrors.concat(validate60.errors);
 errors = vErrors.length;
 }
 var valid2 = _errs14 === errors;
@@ -3619,7 +3718,7 @@
 }
 }
 else {
-validate58.errors = [{instancePath:instancePath+"/accounts",schemaPath:"#/properties/accounts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema104.properties.accounts.type,parentSchema:schema104.properties.accounts,data:data5}];
+validate59.errors = [{instancePath:instancePath+"/accounts",schemaPath:"#/properties/accounts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema106.properties.accounts.type,parentSchema:schema106.properties.accounts,data:data5}];
 return false;
 }
 }
@@ -3636,14 +3735,14 @@
 }
 }
 else {
-validate58.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema104.type,parentSchema:schema104,data}];
+validate59.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema106.type,parentSchema:schema106,data}];
 return false;
 }
 }
-validate58.errors = vErrors;
+validate59.errors = vErrors;
 return errors === 0;
 }
-validate58.evaluated = {"props":{"type":true,"service":true,"span":true,"admitted":true,"denied":true,"accounts":true},"dynamicProps":false,"dynamicItems":false};
+validate59.evaluated = {"props":{"type":true,"service":true,"span":true,"admitted":true,"denied":true,"accounts":true},"dynamicProps":false,"dynamicItems":false};
 
 
 function validate22(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
@@ -3871,7 +3970,7 @@
 props0.stream = true;
 }
 }
-else if(tag0 === "shares"){
+else if(tag0 === "versions"){
 if(!(validate58(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate58.errors : vErrors.concat(validate58.errors);
 errors = vErrors.length;
@@ -3880,6 +3979,18 @@
 props0 = props0 || {};
 props0.type = true;
 props0.service = true;
+props0.period = true;
+}
+}
+else if(tag0 === "shares"){
+if(!(validate59(data, {instancePath,parentData,parentDataProperty,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate59.errors : vErrors.concat(validate59.errors);
+errors = vErrors.length;
+}
+if(props0 !== true){
+props0 = props0 || {};
+props0.type = true;
+props0.service = true;
 props0.span = true;
 props0.admitted = true;
 props0.denied = true;
@@ -3991,21 +4102,22 @@
 }
 validate21.evaluated = {"props":{"type":true,"id":true,"body":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema108 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
-const schema110 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"},{"$ref":"#/$defs/SharesReply"}]};
-const schema143 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
-const schema144 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
-const schema145 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"},"scarce":{"description":"What the pieces wait for; absent where endpoints keep up.","type":"string","enum":["calls","memory","placement"]}}};
-const schema146 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
-const schema147 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
-const schema111 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
-const schema114 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
-const schema115 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
+const schema110 = {"title":"Answer","type":"object","required":["type","id","body"],"properties":{"type":{"type":"string","const":"answer"},"id":{"$ref":"#/$defs/Count"},"body":{"$ref":"#/$defs/Reply"}}};
+const schema112 = {"type":"object","required":["type"],"discriminator":{"propertyName":"type"},"oneOf":[{"$ref":"#/$defs/FailedReply"},{"$ref":"#/$defs/ConfirmedReply"},{"$ref":"#/$defs/ReplacedReply"},{"$ref":"#/$defs/EvacuatedReply"},{"$ref":"#/$defs/SyncedReply"},{"$ref":"#/$defs/NotedReply"},{"$ref":"#/$defs/MadeReply"},{"$ref":"#/$defs/BookedReply"},{"$ref":"#/$defs/PlacedReply"},{"$ref":"#/$defs/LeaseReply"},{"$ref":"#/$defs/QuotaReply"},{"$ref":"#/$defs/OriginReply"},{"$ref":"#/$defs/VersionsReply"},{"$ref":"#/$defs/SharesReply"}]};
+const schema145 = {"title":"FailedReply","type":"object","required":["type","reason"],"properties":{"type":{"type":"string","const":"failed"},"reason":{"enum":["not-leader","no-quorum","unknown","stopped","not-served","unreachable"]},"leader":{"type":"string"}}};
+const schema146 = {"title":"NotedReply","type":"object","required":["type"],"properties":{"type":{"type":"string","const":"noted"}}};
+const schema147 = {"title":"BookedReply","type":"object","required":["type","wait","work"],"properties":{"type":{"type":"string","const":"booked"},"wait":{"description":"Milliseconds until they would be begun.","type":"number"},"work":{"description":"Milliseconds that calls take there lately.","type":"number"},"workAge":{"description":"Milliseconds since a call was last measured; absent before the first.","type":"number"},"ahead":{"description":"Pieces that `wait` counts before them.","type":"number"},"rate":{"description":"Pieces that `wait` expects to be begun in a second.","type":"number"},"scarce":{"description":"What the pieces wait for; absent where endpoints keep up.","type":"string","enum":["calls","memory","placement"]}}};
+const schema148 = {"title":"LeaseReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"lease"},"granted":{"type":"boolean"},"taken":{"description":"Whether another suspected request runs at the endpoint.","type":"boolean"},"wait":{"description":"Milliseconds after which to ask again, if it is refused.","type":"number","minimum":0}}};
+const schema149 = {"title":"QuotaReply","type":"object","required":["type","granted","wait"],"properties":{"type":{"type":"string","const":"quota"},"granted":{"type":"boolean"},"wait":{"description":"Milliseconds until there may be a grant.","type":"number","minimum":0}}};
+const schema150 = {"title":"VersionsReply","type":"object","required":["type","versions","complete"],"properties":{"type":{"type":"string","const":"versions"},"versions":{"description":"Without order; an empty one stands for an unknown version.","type":"array","items":{"type":"string","maxLength":256}},"complete":{"description":"Whether the host has observed endpoints for the period.","type":"boolean"}}};
+const schema113 = {"title":"ConfirmedReply","type":"object","required":["type","index"],"properties":{"type":{"type":"string","const":"confirmed"},"index":{"description":"Of the log; a replica that has it applied is up to date.","$ref":"#/$defs/Count"},"version":{"description":"In force; told to an asker that names its own.","$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"digest":{"description":"Short mark of its text.","type":"string"},"evacuations":{"$ref":"#/$defs/Evacuations"}}};
+const schema116 = {"description":"Of each data centre that ever was evacuated.","type":"array","items":{"$ref":"#/$defs/Evacuation"}};
+const schema117 = {"title":"Evacuation","description":"The last order about the evacuation of a data centre: to the endpoints of\none that is evacuated nothing new goes.\n","type":"object","required":["dataCentre","revision","active","orderedAt"],"properties":{"dataCentre":{"$ref":"#/$defs/Name"},"revision":{"description":"Number of orders about this data centre that had effect.","$ref":"#/$defs/Count"},"active":{"description":"Whether it is evacuated; else that is over.","type":"boolean"},"orderedAt":{"description":"Unix milliseconds by the clock of the host that took the order.\n","type":"number"}}};
 
-function validate82(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate84(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate82.evaluated;
+const evaluated0 = validate84.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4016,7 +4128,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((data.dataCentre === undefined) && (missing0 = "dataCentre")) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.active === undefined) && (missing0 = "active"))) || ((data.orderedAt === undefined) && (missing0 = "orderedAt"))){
-validate82.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema115.required,parentSchema:schema115,data}];
+validate84.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema117.required,parentSchema:schema117,data}];
 return false;
 }
 else {
@@ -4027,18 +4139,18 @@
 if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 256){
-validate82.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
+validate84.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate82.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
+validate84.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
 return false;
 }
 }
 }
 else {
-validate82.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
+validate84.errors = [{instancePath:instancePath+"/dataCentre",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
 return false;
 }
 }
@@ -4053,13 +4165,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate82.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate84.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate82.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate84.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -4074,7 +4186,7 @@
 let data2 = data.active;
 const _errs7 = errors;
 if(typeof data2 !== "boolean"){
-validate82.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema115.properties.active.type,parentSchema:schema115.properties.active,data:data2}];
+validate84.errors = [{instancePath:instancePath+"/active",schemaPath:"#/properties/active/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema117.properties.active.type,parentSchema:schema117.properties.active,data:data2}];
 return false;
 }
 var valid0 = _errs7 === errors;
@@ -4087,7 +4199,7 @@
 let data3 = data.orderedAt;
 const _errs9 = errors;
 if(!((typeof data3 == "number") && (isFinite(data3)))){
-validate82.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema115.properties.orderedAt.type,parentSchema:schema115.properties.orderedAt,data:data3}];
+validate84.errors = [{instancePath:instancePath+"/orderedAt",schemaPath:"#/properties/orderedAt/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema117.properties.orderedAt.type,parentSchema:schema117.properties.orderedAt,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -4101,20 +4213,20 @@
 }
 }
 else {
-validate82.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema115.type,parentSchema:schema115,data}];
+validate84.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema117.type,parentSchema:schema117,data}];
 return false;
 }
 }
-validate82.errors = vErrors;
+validate84.errors = vErrors;
 return errors === 0;
 }
-validate82.evaluated = {"props":{"dataCentre":true,"revision":true,"active":true,"orderedAt":true},"dynamicProps":false,"dynamicItems":false};
+validate84.evaluated = {"props":{"dataCentre":true,"revision":true,"active":true,"orderedAt":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate81(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate83(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate81.evaluated;
+const evaluated0 = validate83.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4127,8 +4239,8 @@
 const len0 = data.length;
 for(let i0=0; i0<len0; i0++){
 const _errs1 = errors;
-if(!(validate82(data[i0], {instancePath:instancePath+"/" + i0,parentData:data,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate82.errors : vErrors.concat(validate82.errors);
+if(!(validate84(data[i0], {instancePath:instancePath+"/" + i0,parentData:data,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate84.errors : vErrors.concat(validate84.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs1 === errors;
@@ -4138,20 +4250,20 @@
 }
 }
 else {
-validate81.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema114.type,parentSchema:schema114,data}];
+validate83.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema116.type,parentSchema:schema116,data}];
 return false;
 }
 }
-validate81.errors = vErrors;
+validate83.errors = vErrors;
 return errors === 0;
 }
-validate81.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
+validate83.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate80(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate82(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate80.evaluated;
+const evaluated0 = validate82.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4162,7 +4274,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.index === undefined) && (missing0 = "index"))){
-validate80.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema111.required,parentSchema:schema111,data}];
+validate82.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema113.required,parentSchema:schema113,data}];
 return false;
 }
 else {
@@ -4170,11 +4282,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate80.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.type.type,parentSchema:schema111.properties.type,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema113.properties.type.type,parentSchema:schema113.properties.type,data:data0}];
 return false;
 }
 if("confirmed" !== data0){
-validate80.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema111.properties.type,data:data0}];
+validate82.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "confirmed"},message:"must be equal to constant",schema:"confirmed",parentSchema:schema113.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4188,13 +4300,13 @@
 const _errs3 = errors;
 const _errs4 = errors;
 if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
-validate80.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data1}];
 return false;
 }
 if(errors === _errs4){
 if((typeof data1 == "number") && (isFinite(data1))){
 if(data1 < 0 || isNaN(data1)){
-validate80.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
+validate82.errors = [{instancePath:instancePath+"/index",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data1}];
 return false;
 }
 }
@@ -4210,13 +4322,13 @@
 const _errs6 = errors;
 const _errs7 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate80.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs7){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate80.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate82.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -4231,7 +4343,7 @@
 let data3 = data.document;
 const _errs9 = errors;
 if(typeof data3 !== "string"){
-validate80.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.document.type,parentSchema:schema111.properties.document,data:data3}];
+validate82.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema113.properties.document.type,parentSchema:schema113.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs9 === errors;
@@ -4244,7 +4356,7 @@
 let data4 = data.digest;
 const _errs11 = errors;
 if(typeof data4 !== "string"){
-validate80.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema111.properties.digest.type,parentSchema:schema111.properties.digest,data:data4}];
+validate82.errors = [{instancePath:instancePath+"/digest",schemaPath:"#/properties/digest/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema113.properties.digest.type,parentSchema:schema113.properties.digest,data:data4}];
 return false;
 }
 var valid0 = _errs11 === errors;
@@ -4255,8 +4367,8 @@
 if(valid0){
 if(data.evacuations !== undefined){
 const _errs13 = errors;
-if(!(validate81(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate81.errors : vErrors.concat(validate81.errors);
+if(!(validate83(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate83.errors : vErrors.concat(validate83.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs13 === errors;
@@ -4272,21 +4384,21 @@
 }
 }
 else {
-validate80.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema111.type,parentSchema:schema111,data}];
+validate82.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema113.type,parentSchema:schema113,data}];
 return false;
 }
 }
-validate80.errors = vErrors;
+validate82.errors = vErrors;
 return errors === 0;
 }
-validate80.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
+validate82.evaluated = {"props":{"type":true,"index":true,"version":true,"document":true,"digest":true,"evacuations":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema118 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
+const schema120 = {"title":"ReplacedReply","type":"object","required":["type","verdict","version"],"properties":{"type":{"type":"string","const":"replaced"},"verdict":{"enum":["accepted","known","older","conflict"]},"version":{"$ref":"#/$defs/Count"}}};
 
-function validate85(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate87(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate85.evaluated;
+const evaluated0 = validate87.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4297,7 +4409,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.version === undefined) && (missing0 = "version"))){
-validate85.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema118.required,parentSchema:schema118,data}];
+validate87.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
 return false;
 }
 else {
@@ -4305,11 +4417,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate85.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema118.properties.type.type,parentSchema:schema118.properties.type,data:data0}];
+validate87.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data0}];
 return false;
 }
 if("replaced" !== data0){
-validate85.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema118.properties.type,data:data0}];
+validate87.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "replaced"},message:"must be equal to constant",schema:"replaced",parentSchema:schema120.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4322,7 +4434,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!((((data1 === "accepted") || (data1 === "known")) || (data1 === "older")) || (data1 === "conflict"))){
-validate85.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema118.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema118.properties.verdict.enum,parentSchema:schema118.properties.verdict,data:data1}];
+validate87.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema120.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema120.properties.verdict.enum,parentSchema:schema120.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -4336,13 +4448,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate85.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate87.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate85.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate87.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -4357,21 +4469,21 @@
 }
 }
 else {
-validate85.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema118.type,parentSchema:schema118,data}];
+validate87.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
 return false;
 }
 }
-validate85.errors = vErrors;
+validate87.errors = vErrors;
 return errors === 0;
 }
-validate85.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
+validate87.evaluated = {"props":{"type":true,"verdict":true,"version":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema120 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
+const schema122 = {"title":"EvacuatedReply","type":"object","required":["type","verdict","revision"],"properties":{"type":{"type":"string","const":"evacuated"},"verdict":{"enum":["accepted","known","outdated"]},"revision":{"description":"In force about this data centre.","$ref":"#/$defs/Count"}}};
 
-function validate86(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate88(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate86.evaluated;
+const evaluated0 = validate88.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4382,7 +4494,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((data.type === undefined) && (missing0 = "type")) || ((data.verdict === undefined) && (missing0 = "verdict"))) || ((data.revision === undefined) && (missing0 = "revision"))){
-validate86.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema120.required,parentSchema:schema120,data}];
+validate88.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema122.required,parentSchema:schema122,data}];
 return false;
 }
 else {
@@ -4390,11 +4502,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate86.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema120.properties.type.type,parentSchema:schema120.properties.type,data:data0}];
+validate88.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data0}];
 return false;
 }
 if("evacuated" !== data0){
-validate86.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema120.properties.type,data:data0}];
+validate88.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "evacuated"},message:"must be equal to constant",schema:"evacuated",parentSchema:schema122.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4407,7 +4519,7 @@
 let data1 = data.verdict;
 const _errs3 = errors;
 if(!(((data1 === "accepted") || (data1 === "known")) || (data1 === "outdated"))){
-validate86.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema120.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema120.properties.verdict.enum,parentSchema:schema120.properties.verdict,data:data1}];
+validate88.errors = [{instancePath:instancePath+"/verdict",schemaPath:"#/properties/verdict/enum",keyword:"enum",params:{allowedValues: schema122.properties.verdict.enum},message:"must be equal to one of the allowed values",schema:schema122.properties.verdict.enum,parentSchema:schema122.properties.verdict,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -4421,13 +4533,13 @@
 const _errs4 = errors;
 const _errs5 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate86.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate88.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs5){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate86.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate88.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -4442,22 +4554,22 @@
 }
 }
 else {
-validate86.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema120.type,parentSchema:schema120,data}];
+validate88.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
 return false;
 }
 }
-validate86.errors = vErrors;
+validate88.errors = vErrors;
 return errors === 0;
 }
-validate86.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
+validate88.evaluated = {"props":{"type":true,"verdict":true,"revision":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema122 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Recently changed estimates of all hosts together; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}};
-const schema127 = {"description":"Services under contention; absent without any.","type":"array","items":{"$ref":"#/$defs/Name"}};
+const schema124 = {"title":"SyncedReply","type":"object","required":["type","confirmed","version","epoch","revision","sightings","mark","cores"],"properties":{"type":{"type":"string","const":"synced"},"confirmed":{"description":"Whether a majority says that no version is newer.","type":"boolean"},"version":{"$ref":"#/$defs/Count"},"document":{"description":"The configuration, packed, if the asker has an older one.","type":"string"},"epoch":{"type":"string"},"revision":{"$ref":"#/$defs/Count"},"sightings":{"type":"array","items":{"$ref":"#/$defs/Sighting"}},"mark":{"description":"Of the hosts that take requests now.","type":"string"},"hosts":{"description":"These, if the asker knows others.","type":"array","items":{"$ref":"#/$defs/EntryHost"}},"cores":{"type":"array","items":{"$ref":"#/$defs/Name"}},"evacuations":{"$ref":"#/$defs/Evacuations"},"suspectRevision":{"$ref":"#/$defs/Count"},"suspects":{"description":"Those that have changed since the asker's revision.","type":"array","items":{"$ref":"#/$defs/Suspect"}},"limits":{"description":"Rate limits that endpoints name; absent without any.","type":"array","items":{"$ref":"#/$defs/EndpointLimit"}},"slowness":{"description":"Recently changed estimates of all hosts together; absent without any.\n","$ref":"#/$defs/SlownessReports"},"contended":{"$ref":"#/$defs/Contended"}}};
+const schema129 = {"description":"Services under contention; absent without any.","type":"array","items":{"$ref":"#/$defs/Name"}};
 
-function validate94(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate96(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate94.evaluated;
+const evaluated0 = validate96.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4475,18 +4587,18 @@
 if(errors === _errs2){
 if(typeof data0 === "string"){
 if(data0.length > 256){
-validate94.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
+validate96.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data0}];
 return false;
 }
 else {
 if(data0.length < 1){
-validate94.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
+validate96.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data0}];
 return false;
 }
 }
 }
 else {
-validate94.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
+validate96.errors = [{instancePath:instancePath+"/" + i0,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data0}];
 return false;
 }
 }
@@ -4497,20 +4609,20 @@
 }
 }
 else {
-validate94.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema127.type,parentSchema:schema127,data}];
+validate96.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema129.type,parentSchema:schema129,data}];
 return false;
 }
 }
-validate94.errors = vErrors;
+validate96.errors = vErrors;
 return errors === 0;
 }
-validate94.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
+validate96.evaluated = {"items":true,"dynamicProps":false,"dynamicItems":false};
 
 
-function validate87(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate89(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate87.evaluated;
+const evaluated0 = validate89.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4521,7 +4633,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((((((((data.type === undefined) && (missing0 = "type")) || ((data.confirmed === undefined) && (missing0 = "confirmed"))) || ((data.version === undefined) && (missing0 = "version"))) || ((data.epoch === undefined) && (missing0 = "epoch"))) || ((data.revision === undefined) && (missing0 = "revision"))) || ((data.sightings === undefined) && (missing0 = "sightings"))) || ((data.mark === undefined) && (missing0 = "mark"))) || ((data.cores === undefined) && (missing0 = "cores"))){
-validate87.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema122.required,parentSchema:schema122,data}];
+validate89.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema124.required,parentSchema:schema124,data}];
 return false;
 }
 else {
@@ -4529,11 +4641,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate87.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.type.type,parentSchema:schema122.properties.type,data:data0}];
+validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema124.properties.type.type,parentSchema:schema124.properties.type,data:data0}];
 return false;
 }
 if("synced" !== data0){
-validate87.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema122.properties.type,data:data0}];
+validate89.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "synced"},message:"must be equal to constant",schema:"synced",parentSchema:schema124.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -4546,7 +4658,7 @@
 let data1 = data.confirmed;
 const _errs3 = errors;
 if(typeof data1 !== "boolean"){
-validate87.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema122.properties.confirmed.type,parentSchema:schema122.properties.confirmed,data:data1}];
+validate89.errors = [{instancePath:instancePath+"/confirmed",schemaPath:"#/properties/confirmed/type",keyword:"type",params:{type: "boolean"},message:"must be boolean",schema:schema124.properties.confirmed.type,parentSchema:schema124.properties.confirmed,data:data1}];
 return false;
 }
 var valid0 = _errs3 === errors;
@@ -4560,13 +4672,13 @@
 const _errs5 = errors;
 const _errs6 = errors;
 if(!(((typeof data2 == "number") && (!(data2 % 1) && !isNaN(data2))) && (isFinite(data2)))){
-validate87.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
+validate89.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data2}];
 return false;
 }
 if(errors === _errs6){
 if((typeof data2 == "number") && (isFinite(data2))){
 if(data2 < 0 || isNaN(data2)){
-validate87.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
+validate89.errors = [{instancePath:instancePath+"/version",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data2}];
 return false;
 }
 }
@@ -4581,7 +4693,7 @@
 let data3 = data.document;
 const _errs8 = errors;
 if(typeof data3 !== "string"){
-validate87.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.document.type,parentSchema:schema122.properties.document,data:data3}];
+validate89.errors = [{instancePath:instancePath+"/document",schemaPath:"#/properties/document/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema124.properties.document.type,parentSchema:schema124.properties.document,data:data3}];
 return false;
 }
 var valid0 = _errs8 === errors;
@@ -4594,7 +4706,7 @@
 let data4 = data.epoch;
 const _errs10 = errors;
 if(typeof data4 !== "string"){
-validate87.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.epoch.type,parentSchema:schema122.properties.epoch,data:data4}];
+validate89.errors = [{instancePath:instancePath+"/epoch",schemaPath:"#/properties/epoch/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema124.properties.epoch.type,parentSchema:schema124.properties.epoch,data:data4}];
 return false;
 }
 var valid0 = _errs10 === errors;
@@ -4608,13 +4720,13 @@
 const _errs12 = errors;
 const _errs13 = errors;
 if(!(((typeof data5 == "number") && (!(data5 % 1) && !isNaN(data5))) && (isFinite(data5)))){
-validate87.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
+validate89.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data5}];
 return false;
 }
 if(errors === _errs13){
 if((typeof data5 == "number") && (isFinite(data5))){
 if(data5 < 0 || isNaN(data5)){
-validate87.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
+validate89.errors = [{instancePath:instancePath+"/revision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data5}];
 return false;
 }
 }
@@ -4645,7 +4757,7 @@
 }
 }
 else {
-validate87.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.sightings.type,parentSchema:schema122.properties.sightings,data:data6}];
+validate89.errors = [{instancePath:instancePath+"/sightings",schemaPath:"#/properties/sightings/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.sightings.type,parentSchema:schema124.properties.sightings,data:data6}];
 return false;
 }
 }
@@ -4659,7 +4771,7 @@
 let data8 = data.mark;
 const _errs18 = errors;
 if(typeof data8 !== "string"){
-validate87.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema122.properties.mark.type,parentSchema:schema122.properties.mark,data:data8}];
+validate89.errors = [{instancePath:instancePath+"/mark",schemaPath:"#/properties/mark/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema124.properties.mark.type,parentSchema:schema124.properties.mark,data:data8}];
 return false;
 }
 var valid0 = _errs18 === errors;
@@ -4688,7 +4800,7 @@
 }
 }
 else {
-validate87.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.hosts.type,parentSchema:schema122.properties.hosts,data:data9}];
+validate89.errors = [{instancePath:instancePath+"/hosts",schemaPath:"#/properties/hosts/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.hosts.type,parentSchema:schema124.properties.hosts,data:data9}];
 return false;
 }
 }
@@ -4712,18 +4824,18 @@
 if(errors === _errs26){
 if(typeof data12 === "string"){
 if(data12.length > 256){
-validate87.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data12}];
+validate89.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data12}];
 return false;
 }
 else {
 if(data12.length < 1){
-validate87.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data12}];
+validate89.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data12}];
 return false;
 }
 }
 }
 else {
-validate87.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data12}];
+validate89.errors = [{instancePath:instancePath+"/cores/" + i2,schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data12}];
 return false;
 }
 }
@@ -4734,7 +4846,7 @@
 }
 }
 else {
-validate87.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.cores.type,parentSchema:schema122.properties.cores,data:data11}];
+validate89.errors = [{instancePath:instancePath+"/cores",schemaPath:"#/properties/cores/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.cores.type,parentSchema:schema124.properties.cores,data:data11}];
 return false;
 }
 }
@@ -4746,8 +4858,8 @@
 if(valid0){
 if(data.evacuations !== undefined){
 const _errs28 = errors;
-if(!(validate81(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate81.errors : vErrors.concat(validate81.errors);
+if(!(validate83(data.evacuations, {instancePath:instancePath+"/evacuations",parentData:data,parentDataProperty:"evacuations",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate83.errors : vErrors.concat(validate83.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs28 === errors;
@@ -4761,13 +4873,13 @@
 const _errs29 = errors;
 const _errs30 = errors;
 if(!(((typeof data14 == "number") && (!(data14 % 1) && !isNaN(data14))) && (isFinite(data14)))){
-validate87.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data14}];
+validate89.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data14}];
 return false;
 }
 if(errors === _errs30){
 if((typeof data14 == "number") && (isFinite(data14))){
 if(data14 < 0 || isNaN(data14)){
-validate87.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data14}];
+validate89.errors = [{instancePath:instancePath+"/suspectRevision",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data14}];
 return false;
 }
 }
@@ -4798,7 +4910,7 @@
 }
 }
 else {
-validate87.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.suspects.type,parentSchema:schema122.properties.suspects,data:data15}];
+validate89.errors = [{instancePath:instancePath+"/suspects",schemaPath:"#/properties/suspects/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.suspects.type,parentSchema:schema124.properties.suspects,data:data15}];
 return false;
 }
 }
@@ -4828,7 +4940,7 @@
 }
 }
 else {
-validate87.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema122.properties.limits.type,parentSchema:schema122.properties.limits,data:data17}];
+validate89.errors = [{instancePath:instancePath+"/limits",schemaPath:"#/properties/limits/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema124.properties.limits.type,parentSchema:schema124.properties.limits,data:data17}];
 return false;
 }
 }
@@ -4852,8 +4964,8 @@
 if(valid0){
 if(data.contended !== undefined){
 const _errs39 = errors;
-if(!(validate94(data.contended, {instancePath:instancePath+"/contended",parentData:data,parentDataProperty:"contended",rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate94.errors : vErrors.concat(validate94.errors);
+if(!(validate96(data.contended, {instancePath:instancePath+"/contended",parentData:data,parentDataProperty:"contended",rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate96.errors : vErrors.concat(validate96.errors);
 errors = vErrors.length;
 }
 var valid0 = _errs39 === errors;
@@ -4879,22 +4991,22 @@
 }
 }
 else {
-validate87.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema122.type,parentSchema:schema122,data}];
+validate89.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema124.type,parentSchema:schema124,data}];
 return false;
 }
 }
-validate87.errors = vErrors;
+validate89.errors = vErrors;
 return errors === 0;
 }
-validate87.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true,"slowness":true,"contended":true},"dynamicProps":false,"dynamicItems":false};
+validate89.evaluated = {"props":{"type":true,"confirmed":true,"version":true,"document":true,"epoch":true,"revision":true,"sightings":true,"mark":true,"hosts":true,"cores":true,"evacuations":true,"suspectRevision":true,"suspects":true,"limits":true,"slowness":true,"contended":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema129 = {"title":"MadeReply","description":"Results, and the question that they answer, which hosts of earlier\nreleases leave out.\n","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
-const schema133 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
+const schema131 = {"title":"MadeReply","description":"Results, and the question that they answer, which hosts of earlier\nreleases leave out.\n","type":"object","required":["type","results"],"properties":{"type":{"type":"string","const":"made"},"service":{"$ref":"#/$defs/Name"},"request":{"$ref":"#/$defs/Name"},"stage":{"$ref":"#/$defs/Count"},"results":{"type":"array","items":{"$ref":"#/$defs/Result"}}}};
+const schema135 = {"title":"Result","description":"A result, or why there is none.","type":"object","required":["piece"],"properties":{"piece":{"$ref":"#/$defs/Count"},"handle":{"type":"string"},"failure":{"enum":["late","gone","room","error","unreachable"]}}};
 
-function validate97(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate97.evaluated;
+const evaluated0 = validate99.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4905,7 +5017,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((data.piece === undefined) && (missing0 = "piece")){
-validate97.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema133.required,parentSchema:schema133,data}];
+validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema135.required,parentSchema:schema135,data}];
 return false;
 }
 else {
@@ -4914,13 +5026,13 @@
 const _errs1 = errors;
 const _errs2 = errors;
 if(!(((typeof data0 == "number") && (!(data0 % 1) && !isNaN(data0))) && (isFinite(data0)))){
-validate97.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data0}];
 return false;
 }
 if(errors === _errs2){
 if((typeof data0 == "number") && (isFinite(data0))){
 if(data0 < 0 || isNaN(data0)){
-validate97.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
+validate99.errors = [{instancePath:instancePath+"/piece",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data0}];
 return false;
 }
 }
@@ -4935,7 +5047,7 @@
 let data1 = data.handle;
 const _errs4 = errors;
 if(typeof data1 !== "string"){
-validate97.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema133.properties.handle.type,parentSchema:schema133.properties.handle,data:data1}];
+validate99.errors = [{instancePath:instancePath+"/handle",schemaPath:"#/properties/handle/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema135.properties.handle.type,parentSchema:schema135.properties.handle,data:data1}];
 return false;
 }
 var valid0 = _errs4 === errors;
@@ -4948,7 +5060,7 @@
 let data2 = data.failure;
 const _errs6 = errors;
 if(!(((((data2 === "late") || (data2 === "gone")) || (data2 === "room")) || (data2 === "error")) || (data2 === "unreachable"))){
-validate97.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema133.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema133.properties.failure.enum,parentSchema:schema133.properties.failure,data:data2}];
+validate99.errors = [{instancePath:instancePath+"/failure",schemaPath:"#/properties/failure/enum",keyword:"enum",params:{allowedValues: schema135.properties.failure.enum},message:"must be equal to one of the allowed values",schema:schema135.properties.failure.enum,parentSchema:schema135.properties.failure,data:data2}];
 return false;
 }
 var valid0 = _errs6 === errors;
@@ -4961,20 +5073,20 @@
 }
 }
 else {
-validate97.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema133.type,parentSchema:schema133,data}];
+validate99.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema135.type,parentSchema:schema135,data}];
 return false;
 }
 }
-validate97.errors = vErrors;
+validate99.errors = vErrors;
 return errors === 0;
 }
-validate97.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
+validate99.evaluated = {"props":{"piece":true,"handle":true,"failure":true},"dynamicProps":false,"dynamicItems":false};
 
 
-function validate96(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate98(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate96.evaluated;
+const evaluated0 = validate98.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -4985,7 +5097,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if(((data.type === undefined) && (missing0 = "type")) || ((data.results === undefined) && (missing0 = "results"))){
-validate96.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema129.required,parentSchema:schema129,data}];
+validate98.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema131.required,parentSchema:schema131,data}];
 return false;
 }
 else {
@@ -4993,11 +5105,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate96.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema129.properties.type.type,parentSchema:schema129.properties.type,data:data0}];
+validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema131.properties.type.type,parentSchema:schema131.properties.type,data:data0}];
 return false;
 }
 if("made" !== data0){
-validate96.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema129.properties.type,data:data0}];
+validate98.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "made"},message:"must be equal to constant",schema:"made",parentSchema:schema131.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5013,18 +5125,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 256){
-validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
+validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
+validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data1}];
 return false;
 }
 }
 }
 else {
-validate96.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
+validate98.errors = [{instancePath:instancePath+"/service",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data1}];
 return false;
 }
 }
@@ -5041,18 +5153,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 256){
-validate96.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data2}];
+validate98.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/maxLength",keyword:"maxLength",params:{limit: 256},message:"must NOT have more than 256 characters",schema:256,parentSchema:schema40,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate96.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data2}];
+validate98.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema40,data:data2}];
 return false;
 }
 }
 }
 else {
-validate96.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data2}];
+validate98.errors = [{instancePath:instancePath+"/request",schemaPath:"#/$defs/Name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema40.type,parentSchema:schema40,data:data2}];
 return false;
 }
 }
@@ -5067,13 +5179,13 @@
 const _errs9 = errors;
 const _errs10 = errors;
 if(!(((typeof data3 == "number") && (!(data3 % 1) && !isNaN(data3))) && (isFinite(data3)))){
-validate96.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data3}];
+validate98.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema33.type,parentSchema:schema33,data:data3}];
 return false;
 }
 if(errors === _errs10){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate96.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data3}];
+validate98.errors = [{instancePath:instancePath+"/stage",schemaPath:"#/$defs/Count/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema33,data:data3}];
 return false;
 }
 }
@@ -5093,8 +5205,8 @@
 const len0 = data4.length;
 for(let i0=0; i0<len0; i0++){
 const _errs14 = errors;
-if(!(validate97(data4[i0], {instancePath:instancePath+"/results/" + i0,parentData:data4,parentDataProperty:i0,rootData,dynamicAnchors}))){
-vErrors = vErrors === null ? validate97.errors : vErrors.concat(validate97.errors);
+if(!(validate99(data4[i0], {instancePath:instancePath+"/results/" + i0,parentData:data4,parentDataProperty:i0,rootData,dynamicAnchors}))){
+vErrors = vErrors === null ? validate99.errors : vErrors.concat(validate99.errors);
 errors = vErrors.length;
 }
 var valid4 = _errs14 === errors;
@@ -5104,7 +5216,7 @@
 }
 }
 else {
-validate96.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema129.properties.results.type,parentSchema:schema129.properties.results,data:data4}];
+validate98.errors = [{instancePath:instancePath+"/results",schemaPath:"#/properties/results/type",keyword:"type",params:{type: "array"},message:"must be array",schema:schema131.properties.results.type,parentSchema:schema131.properties.results,data:data4}];
 return false;
 }
 }
@@ -5120,22 +5232,22 @@
 }
 }
 else {
-validate96.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema129.type,parentSchema:schema129,data}];
+validate98.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema131.type,parentSchema:schema131,data}];
 return false;
 }
 }
-validate96.errors = vErrors;
+validate98.errors = vErrors;
 return errors === 0;
 }
-validate96.evaluated = {"props":{"type":true,"service":true,"request":true,"stage":true,"results":true},"dynamicProps":false,"dynamicItems":false};
+validate98.evaluated = {"props":{"type":true,"service":true,"request":true,"stage":true,"results":true},"dynamicProps":false,"dynamicItems":false};
 
-const schema135 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}};
-const schema138 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
+const schema137 = {"title":"PlacedReply","type":"object","required":["type","engine","read","fetched","fetchTime","firstEvent","work"],"properties":{"type":{"type":"string","const":"placed"},"engine":{"$ref":"#/$defs/Engine"},"source":{"description":"Engine that it fetches shared parts of the prompt from.","$ref":"#/$defs/Engine"},"read":{"description":"Prompt tokens that it must read.","type":"number","minimum":0},"fetched":{"type":"number","minimum":0},"fetchTime":{"description":"Milliseconds that the fetch takes.","type":"number","minimum":0},"firstEvent":{"description":"Milliseconds until its first event is expected.","type":"number","minimum":0},"work":{"$ref":"#/$defs/EngineWork"},"slowness":{"description":"Slowness of the engine; absent while its service is even.","type":"number","exclusiveMinimum":0}}};
+const schema140 = {"title":"EngineWork","description":"What an engine has to do before a first event.","type":"object","required":["tokens","streams"],"properties":{"tokens":{"type":"number","minimum":0},"streams":{"type":"number","minimum":0}}};
 
-function validate99(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
+function validate101(data, {instancePath="", parentData, parentDataProperty, rootData=data, dynamicAnchors={}}={}){
 let vErrors = null;
 let errors = 0;
-const evaluated0 = validate99.evaluated;
+const evaluated0 = validate101.evaluated;
 if(evaluated0.dynamicProps){
 evaluated0.props = undefined;
 }
@@ -5146,7 +5258,7 @@
 if(data && typeof data == "object" && !Array.isArray(data)){
 let missing0;
 if((((((((data.type === undefined) && (missing0 = "type")) || ((data.engine === undefined) && (missing0 = "engine"))) || ((data.read === undefined) && (missing0 = "read"))) || ((data.fetched === undefined) && (missing0 = "fetched"))) || ((data.fetchTime === undefined) && (missing0 = "fetchTime"))) || ((data.firstEvent === undefined) && (missing0 = "firstEvent"))) || ((data.work === undefined) && (missing0 = "work"))){
-validate99.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema135.required,parentSchema:schema135,data}];
+validate101.errors = [{instancePath,schemaPath:"#/required",keyword:"required",params:{missingProperty: missing0},message:"must have required property '"+missing0+"'",schema:schema137.required,parentSchema:schema137,data}];
 return false;
 }
 else {
@@ -5154,11 +5266,11 @@
 let data0 = data.type;
 const _errs1 = errors;
 if(typeof data0 !== "string"){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema135.properties.type.type,parentSchema:schema135.properties.type,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema137.properties.type.type,parentSchema:schema137.properties.type,data:data0}];
 return false;
 }
 if("placed" !== data0){
-validate99.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema135.properties.type,data:data0}];
+validate101.errors = [{instancePath:instancePath+"/type",schemaPath:"#/properties/type/const",keyword:"const",params:{allowedValue: "placed"},message:"must be equal to constant",schema:"placed",parentSchema:schema137.properties.type,data:data0}];
 return false;
 }
 var valid0 = _errs1 === errors;
@@ -5174,18 +5286,18 @@
 if(errors === _errs4){
 if(typeof data1 === "string"){
 if(data1.length > 300){
-validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema52,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema52,data:data1}];
 return false;
 }
 else {
 if(data1.length < 1){
-validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data1}];
 return false;
 }
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data1}];
+validate101.errors = [{instancePath:instancePath+"/engine",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data1}];
 return false;
 }
 }
@@ -5202,18 +5314,18 @@
 if(errors === _errs7){
 if(typeof data2 === "string"){
 if(data2.length > 300){
-validate99.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema52,data:data2}];
+validate101.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/maxLength",keyword:"maxLength",params:{limit: 300},message:"must NOT have more than 300 characters",schema:300,parentSchema:schema52,data:data2}];
 return false;
 }
 else {
 if(data2.length < 1){
-validate99.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
+validate101.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema52,data:data2}];
 return false;
 }
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
+validate101.errors = [{instancePath:instancePath+"/source",schemaPath:"#/$defs/Engine/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema52.type,parentSchema:schema52,data:data2}];
 return false;
 }
 }
@@ -5229,12 +5341,12 @@
 if(errors === _errs9){
 if((typeof data3 == "number") && (isFinite(data3))){
 if(data3 < 0 || isNaN(data3)){
-validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.read,data:data3}];
+validate101.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema137.properties.read,data:data3}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.read.type,parentSchema:schema135.properties.read,data:data3}];
+validate101.errors = [{instancePath:instancePath+"/read",schemaPath:"#/properties/read/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema137.properties.read.type,parentSchema:schema137.properties.read,data:data3}];
 return false;
 }
 }
@@ -5250,12 +5362,12 @@
 if(errors === _errs11){
 if((typeof data4 == "number") && (isFinite(data4))){
 if(data4 < 0 || isNaN(data4)){
-validate99.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema135.properties.fetched,data:data4}];
+validate101.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema137.properties.fetched,data:data4}];
 return false;
 }
 }
 else {
-validate99.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema135.properties.fetched.type,parentSchema:schema135.properties.fetched,data:data4}];
+validate101.errors = [{instancePath:instancePath+"/fetched",schemaPath:"#/properties/fetched/type",keyword:"type",params:{type: "number"},message:"must be number",schema:schema137.properties.fetched.type,parentSchema:schema137.properties.fetched,data:data4}];
 return false;
 }
 }
