--- a/bench/stream_fuzz/stream_fuzz_test.ts
+++ b/bench/stream_fuzz/stream_fuzz_test.ts
@@ -23,7 +23,7 @@
 for (const breakage of BREAKAGES) {
   test(`schedules notice a host that ${breakage.replaceAll("-", " ")}`, async (t) => {
     const failures = await Promise.allSettled(
-      SEEDS.slice(0, 8).map((seed) => fuzz.runSchedule({ seed, breakage })),
+      SEEDS.slice(0, 12).map((seed) => fuzz.runSchedule({ seed, breakage })),
     );
     t.true(failures.some(({ status }) => status === "rejected"));
   });
