Partitions: hosts with much processor capacity own them first

Cause: the owner of a partition was any of the ready hosts. Four owners schedule two of three stage services for the whole fleet; on a host of .243 of a core this work and its own requests take all processor time, and every request with such a stage waits for its event loop.

Change: entry hosts announce their capacity with each sync, control hosts list it, and hosts with at least half of the largest one are ranked before the others as owners of partitions of items and engines.

--- a/src/batching/batcher_client.ts
+++ b/src/batching/batcher_client.ts
@@ -31,7 +31,7 @@
    * cached while all of these are identical. */
   dependencies(): readonly unknown[];
   /** Entry hosts that are ready. */
-  entryHosts(): readonly Pick<schema.EntryHost, "host" | "dataCentre">[];
+  entryHosts(): readonly Omit<schema.EntryHost, "ready" | "age">[];
   /** Services that compute items. */
   services(): readonly string[];
   /** All known endpoints of a service, whether available or not. */
@@ -208,10 +208,10 @@
     const { entryHosts, self } = this.#options;
     const ready = entryHosts();
     const local = ready.filter(({ dataCentre }) => dataCentre === location);
-    const names = (local.length > 0 ? local : ready).map(({ host }) => host);
+    const hosts = local.length > 0 ? local : ready;
     return partitionOwners.candidatesFor(key, {
       partitions: this.#partitionKeysIn(location),
-      hosts: names.length > 0 ? names : [self],
+      hosts: hosts.length > 0 ? hosts : [{ host: self }],
     });
   }
 
--- a/src/batching/partition_owners.ts
+++ b/src/batching/partition_owners.ts
@@ -1,10 +1,9 @@
 /** Assigns partitions to hosts: each partition is owned by the first host in
- * its rendezvous ranking that owns no other partition, so that no host owns two
- * partitions while another owns none. Hosts that know the same hosts and
- * partitions agree.
+ * its ranking that owns no other partition, so that no host owns two partitions
+ * while another owns none. Hosts that know the same hosts and partitions agree.
  * @module */
 
-import * as rendezvous from "../routing/rendezvous.ts";
+import * as hostPreference from "../routing/host_preference.ts";
 
 /** Hosts for a partition in order of preference, its owner first; empty without
  * hosts. `partitions` are all partitions that share the hosts. */
@@ -12,13 +11,14 @@
   partition: string,
   { partitions, hosts }: {
     partitions: readonly string[];
-    hosts: readonly string[];
+    hosts: readonly hostPreference.CandidateHost[];
   },
 ): string[] {
-  let available = new Set(hosts);
+  const names = hosts.map(({ host }) => host);
+  let available = new Set(names);
   for (const each of [...partitions].sort()) {
-    if (available.size === 0) available = new Set(hosts);
-    const ranked = rendezvous.rank(each, hosts);
+    if (available.size === 0) available = new Set(names);
+    const ranked = hostPreference.rankHosts(each, hosts);
     const owner = ranked.find((host) => available.has(host));
     if (owner === undefined) return [];
     if (each === partition) {
@@ -29,5 +29,5 @@
     }
     available.delete(owner);
   }
-  return rendezvous.rank(partition, hosts);
+  return hostPreference.rankHosts(partition, hosts);
 }
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -148,6 +148,7 @@
       seeds,
       calls: this.#network.calls,
       isReady: () => this.#isReady,
+      capacity: this.#announcedCapacity,
       isKnownService: (name) => this.#catalogue?.service(name) !== undefined,
       onVersion: (_, document) => this.#applyConfiguration(document),
       onChange: () => this.#applyChanges(),
@@ -315,6 +316,10 @@
     logger.info({ seeds: settings.seeds }, "Host started");
   }
 
+  get #announcedCapacity(): number | undefined {
+    return settings.announcedCapacity(this.#options.settings);
+  }
+
   get #maxProofAge(): number {
     return MAX_PROOF_AGE_RATIO * this.#options.settings.bounds.keyRevocation;
   }
--- a/src/fleet/entry_members.ts
+++ b/src/fleet/entry_members.ts
@@ -37,10 +37,12 @@
   }
 }
 
-/** Digest of a list of hosts and their readiness; independent of order and age,
- * so that equal lists have equal digests on all hosts. */
+/** Digest of a list of hosts, their readiness and capacity; independent of order
+ * and age, so that equal lists have equal digests on all hosts. */
 export function digestOf(hosts: readonly schema.EntryHost[]): string {
-  const keys = hosts.map(({ host, ready }) => `${host} ${ready}`).sort();
+  const keys = hosts.map(({ host, ready, capacity = "" }) =>
+    `${host} ${ready} ${capacity}`
+  ).sort();
   const text = keys.join();
   return `${keys.length}.${hash.ofString(text)}.${
     hash.ofString(text, SECOND_SEED)
--- a/src/fleet/entry_members_test.ts
+++ b/src/fleet/entry_members_test.ts
@@ -23,9 +23,11 @@
   t.false(members.live(1200)[0].ready);
 });
 
-test("the digest depends on hosts and their readiness alone", (t) => {
+test("the digest depends on hosts, their readiness and capacity alone", (t) => {
   const mark = entryMembers.digestOf([host("a"), host("b")]);
   t.is(entryMembers.digestOf([host("b", true, 300), host("a")]), mark);
   t.not(entryMembers.digestOf([host("a"), host("b", false)]), mark);
   t.not(entryMembers.digestOf([host("a")]), mark);
+  const larger = { ...host("b"), capacity: 0.8 };
+  t.not(entryMembers.digestOf([host("a"), larger]), mark);
 });
--- a/src/fleet/settings.ts
+++ b/src/fleet/settings.ts
@@ -21,7 +21,11 @@
 }
 
 /** Parts of a host that can be turned off. */
-export const OPTIONAL_PARTS = ["performance", "account-shares"] as const;
+export const OPTIONAL_PARTS = [
+  "performance",
+  "account-shares",
+  "host-capacity",
+] as const;
 
 /** A part of a host that can be turned off. */
 export type OptionalPart = typeof OPTIONAL_PARTS[number];
@@ -36,6 +40,14 @@
   return sharesAccounts && !disabledParts.has("account-shares");
 }
 
+/** Processor capacity that a host announces to others; undefined if it
+ * announces none. */
+export function announcedCapacity(
+  { capacity, disabledParts }: Pick<HostSettings, "capacity" | "disabledParts">,
+): number | undefined {
+  return disabledParts.has("host-capacity") ? undefined : capacity;
+}
+
 /** Settings of a host. */
 export interface HostSettings {
   /** Display name, used in log lines. */
@@ -58,6 +70,8 @@
   readonly bounds: Bounds;
   /** Memory that the process may use, in bytes; undefined without a limit. */
   readonly memory?: number;
+  /** Processor that the host has, in cores; undefined if it is not known. */
+  readonly capacity?: number;
   /** Whether client accounts get fair shares of services under contention. */
   readonly sharesAccounts: boolean;
   /** Parts that are turned off, for comparisons. */
--- a/src/fleet/sync_client.ts
+++ b/src/fleet/sync_client.ts
@@ -48,6 +48,8 @@
   calls: Pick<peers.Rpc, "ask">;
   logger: telemetry.Logger;
   isReady(): boolean;
+  /** Processor capacity of this host, in cores; absent if it announces none. */
+  readonly capacity?: number;
   /** Whether the configuration that was applied last has a service. */
   isKnownService(service: string): boolean;
   /** A newer configuration than any before has arrived. */
@@ -213,14 +215,20 @@
   }
 
   async #sync(controlHost: string): Promise<boolean> {
-    const { clock, calls, self, dataCentre, isReady, takeSlowness } =
+    const { clock, calls, self, dataCentre, isReady, capacity, takeSlowness } =
       this.#options;
     const sentAt = elapsedTime.instant(clock);
     // Revisions of one control host mean nothing to another.
     const revision = controlHost === this.#source
       ? this.#revision
       : NO_REVISION;
-    const host = { host: self, dataCentre, ready: isReady(), age: 0 };
+    const host = {
+      host: self,
+      dataCentre,
+      ready: isReady(),
+      ...(capacity !== undefined && { capacity }),
+      age: 0,
+    };
     // Lost with a question that fails: it may have arrived.
     const slowness = takeSlowness();
     const question: schema.SyncQuestion = {
--- a/src/fleet/sync_client_fixture.ts
+++ b/src/fleet/sync_client_fixture.ts
@@ -37,6 +37,7 @@
 export interface FixtureOptions {
   readonly seeds?: readonly string[];
   readonly logger?: telemetry.Logger;
+  readonly capacity?: number;
   isKnownService?(service: string): boolean;
   /** What each question takes. */
   readonly takeSlowness?: () => schema.SlownessReport[];
@@ -49,6 +50,7 @@
   {
     seeds = ["a", "b"],
     logger = telemetry.noLogger,
+    capacity,
     isKnownService = () => true,
     takeSlowness = () => [],
   }: FixtureOptions = {},
@@ -66,6 +68,7 @@
     random: { next: () => 0, below: () => 0 },
     logger,
     isReady: () => true,
+    capacity,
     isKnownService: (service) => isKnownService(service),
     onVersion: (_, document) => void versions.push(document),
     onChange() {},
--- a/src/fleet/sync_client_test.ts
+++ b/src/fleet/sync_client_test.ts
@@ -35,6 +35,17 @@
   t.true(client.proofAge <= syncClient.SYNC_INTERVAL_MS + fixture.STEP_MS);
 });
 
+test("a host announces its processor capacity if it knows it", async (t) => {
+  for (const capacity of [0.243, undefined]) {
+    const options = { capacity };
+    const { requests, run } = fixture.createSyncClient({ a: {} }, options);
+    await run(fixture.STEP_MS);
+    const [{ question: { host } }] = requests;
+    t.is(host.capacity, capacity);
+    t.is("capacity" in host, capacity !== undefined);
+  }
+});
+
 test("an older version never replaces a newer one", async (t) => {
   const replies: fixture.Replies = { a: { version: 5, document: "five" } };
   const { versions, run } = fixture.createSyncClient(replies);
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -23,6 +23,7 @@
 import type * as endpoints from "./endpoint.ts";
 import * as endpointPools from "./endpoint_pool.ts";
 import type * as protocols from "./protocol.ts";
+import * as hostPreference from "../routing/host_preference.ts";
 import * as rendezvous from "../routing/rendezvous.ts";
 
 /** Most other hosts to which a host sends load updates directly. An update goes
@@ -80,7 +81,7 @@
    * results are memoized while all of them are unchanged. */
   dependencies(): readonly unknown[];
   /** Ready hosts that serve callers. */
-  hosts(): readonly Pick<schema.EntryHost, "host" | "dataCentre">[];
+  hosts(): readonly Omit<schema.EntryHost, "ready" | "age">[];
   /** Hosts that already do other work for the fleet in a data centre or across
    * data centres. */
   busyHosts(dataCentre: string | undefined): readonly string[];
@@ -377,9 +378,8 @@
     const near = all.filter(({ dataCentre }) =>
       dataCentre === engineDataCentre
     );
-    const names = (near.length > 0 ? near : all).map(({ host }) => host);
     const busy = new Set(busyHosts(engineDataCentre));
-    const ranked = rendezvous.rank(key, names);
+    const ranked = hostPreference.rankHosts(key, near.length > 0 ? near : all);
     const owners = [
       ...ranked.filter((host) => !busy.has(host)),
       ...ranked.filter((host) => busy.has(host)),
--- a/src/gateway/placement_test.ts
+++ b/src/gateway/placement_test.ts
@@ -20,6 +20,8 @@
   readonly hosts?: number;
   readonly engines?: number;
   readonly lost?: string[];
+  /** Processor capacity of a host by its number, in cores. */
+  readonly capacityOf?: (number: number) => number;
   /** Versions of the engines, in turn. */
   readonly versions?: readonly string[];
   /** Whether owners know no condition on the version, as those of an earlier
@@ -34,6 +36,7 @@
     hosts = 20,
     engines = 6,
     lost = [],
+    capacityOf,
     versions = ["v1"],
     isEarlier = false,
   }: FleetOptions = {},
@@ -42,6 +45,7 @@
   const names = Array.from({ length: hosts }, (_, number) => ({
     host: `h-${number}`,
     dataCentre: "town",
+    ...(capacityOf && { capacity: capacityOf(number) }),
   }));
   const entries = Array.from({ length: engines }, (_, number) =>
     fixture.entry({
@@ -156,6 +160,19 @@
   t.not(tried[1], owner);
 });
 
+// Guards against prompts of all hosts that wait for one without processor time.
+test("engines are chosen by hosts with much processor capacity", async (t) => {
+  const { asked, place } = createFleet({
+    engines: 64,
+    capacityOf: (number) => number < 15 ? 0.243 : 0.81,
+  });
+  for (let number = 0; number < 40; number++) {
+    await place("h-0", createPrompt(`part ${number}`));
+  }
+  t.true(asked.length > 0);
+  t.deepEqual(asked.filter((host) => Number(host.slice(2)) < 15), []);
+});
+
 test("prompts with a popular shared part leave a busy partition", async (t) => {
   const { place } = createFleet({ engines: 40 });
   const engines = new Map<string, number>();
--- a/src/schema/fleet_types.ts
+++ b/src/schema/fleet_types.ts
@@ -167,6 +167,11 @@
   host: Name;
   dataCentre: Name;
   ready: boolean;
+  /**
+   * Its processor, in cores; absent if unknown, or of an earlier release.
+   *
+   */
+  capacity?: number;
   /**
    * Milliseconds since it was last heard.
    */
