--- a/bench/stream_fuzz/mod.ts
+++ b/bench/stream_fuzz/mod.ts
@@ -9,6 +9,7 @@
 import * as streamBindings from "../../src/gateway/stream_binding.ts";
 import * as runtime from "../../src/runtime/mod.ts";
 import * as networks from "../fuzz_world/network.ts";
+import * as engines from "./engines.ts";
 import * as hosts from "./hosts.ts";
 
 const SPAN_MS = 30_000;
@@ -82,7 +83,7 @@
   readonly #controls: hosts.ControlHost[];
   readonly #entryNames: string[];
   readonly #entries = new Map<string, hosts.EntryHost>();
-  readonly #engines: hosts.Engine[] = [];
+  readonly #engines: engines.Engines;
   readonly #versions: string[];
   /** Versions of engines that start, but for those that join briefly. */
   readonly #usualVersions: string[];
@@ -111,13 +112,19 @@
     this.#usualVersions = random.next() < 0.5
       ? this.#versions
       : [this.#versions[0]];
+    this.#engines = new engines.Engines({
+      clock: this.#clock,
+      random,
+      controls: this.#controls,
+      versions: this.#usualVersions,
+    });
     this.#isNamed = random.next() < 0.7;
   }
 
   async play(): Promise<Seen> {
     this.#controls.forEach((control) => control.start());
     for (let count = 3 + this.#random.below(9); count > 0; count--) {
-      this.#startEngine(`engine-${count}`);
+      this.#engines.start(`engine-${count}`);
     }
     this.#entryNames.forEach((name) => this.#startEntry(name));
     const pause = 30 + this.#random.below(100);
@@ -170,41 +177,6 @@
     this.#entries.set(name, entry);
   }
 
-  #startEngine(
-    address: string,
-    version = this.#pick(this.#usualVersions),
-  ): hosts.Engine {
-    const engine = {
-      id: `${address}/${this.#engines.length}`,
-      address,
-      version,
-      startedAt: this.#clock.now(),
-      endedAt: Infinity,
-      sequence: 0,
-    };
-    this.#engines.push(engine);
-    this.#beat(engine);
-    return engine;
-  }
-
-  /** Sends heartbeats to whichever control host takes them. */
-  #beat(engine: hosts.Engine): void {
-    if (engine.endedAt !== Infinity) return;
-    engine.sequence++;
-    this.#report(engine, "ready");
-    this.#clock.after(hosts.HEARTBEAT_MS, () => this.#beat(engine));
-  }
-
-  #report(engine: hosts.Engine, state: "ready" | "gone"): void {
-    const reachable = this.#controls.filter(({ isReachable }) => isReachable);
-    if (reachable.length === 0) return;
-    const control = this.#pick(reachable);
-    this.#clock.after(
-      this.#random.next() * 5,
-      () => void control.report(engine, state),
-    );
-  }
-
   /** A caller's stream, over all of its attempts. */
   async #begin(): Promise<void> {
     const stream: Stream = {
@@ -234,8 +206,8 @@
     const { received: before, firstAttempt } = stream;
     const binding = this.#createBinding(entry, { id, before, firstAttempt });
     const [version] = stream.versions;
-    const hasEngine = this.#engines.some((each) =>
-      each.version === version && each.endedAt === Infinity
+    const hasEngine = this.#engines.running.some((each) =>
+      each.version === version
     );
     if (before > 0 && hasEngine) stream.isResumed = true;
     const choice = await binding.chooseService();
@@ -305,7 +277,7 @@
       if (usable.length === 0) return;
       const target = this.#pick(usable);
       called.push(target.identity.id);
-      const engine = this.#engines.find(({ id }) => id === target.identity.id)!;
+      const engine = this.#engines.find(target.identity.id);
       await this.#wait(20 + this.#random.below(150));
       await entry.clock.running();
       while (engine.endedAt === Infinity && stream.received < last) {
@@ -348,13 +320,10 @@
   #joinBriefly(): void {
     const version = this.#pick(this.#versions.slice(1));
     for (let count = 0; count < JOINING_COUNT; count++) {
-      const engine = this.#startEngine(`joining-${count}`, version);
+      const engine = this.#engines.start(`joining-${count}`, version);
       const stay = MIN_STAY_MS +
         this.#random.next() * (MAX_STAY_MS - MIN_STAY_MS);
-      this.#clock.after(stay, () => {
-        engine.endedAt = this.#clock.now();
-        if (this.#random.next() < 0.5) this.#report(engine, "gone");
-      });
+      this.#clock.after(stay, () => this.#engines.end(engine));
     }
   }
 
@@ -379,22 +348,15 @@
     this.#clock.after(200 + this.#random.below(3000), () => host.thaw());
   }
 
-  /** Ends an engine; one of any version starts at its address. */
   #replaceEngine(): void {
-    const up = this.#engines.filter(({ endedAt }) => endedAt === Infinity);
-    if (up.length > 0) this.#endEngine(this.#pick(up));
+    const { running } = this.#engines;
+    if (running.length > 0) this.#engines.replace(this.#pick(running));
   }
 
   #replaceAllOf(version: string): void {
-    this.#engines
-      .filter((each) => each.endedAt === Infinity && each.version === version)
-      .forEach((each) => this.#endEngine(each));
-  }
-
-  #endEngine(engine: hosts.Engine): void {
-    engine.endedAt = this.#clock.now();
-    const pause = 200 + this.#random.below(2000);
-    this.#clock.after(pause, () => this.#startEngine(engine.address));
+    this.#engines.running
+      .filter((each) => each.version === version)
+      .forEach((each) => this.#engines.replace(each));
   }
 
   #restartEntry(name: string): void {
