--- a/src/origins/origin_client.ts
+++ b/src/origins/origin_client.ts
@@ -22,6 +22,7 @@
 const MAX_STORE_RETRIES = 6;
 /** Time within which the origin of a stream that has just begun is stored. */
 const STORE_TIME_MS = 50;
+
 /** Dependencies of an `OriginClient`. */
 export interface OriginClientOptions {
   readonly self: string;
