--- a/src/routing/host_preference.ts
+++ b/src/routing/host_preference.ts
@@ -24,6 +24,7 @@
   key: string,
   hosts: readonly CandidateHost[],
 ): string[] {
+  // NaN if a host announces none; then no capacity is below the threshold.
   const capacities = hosts.map(({ capacity = NaN }) => capacity);
   const threshold = MIN_CAPACITY_RATIO * Math.max(...capacities);
   const incapable = new Set(
