--- a/bench/stream_fuzz/engines.ts
+++ b/bench/stream_fuzz/engines.ts
@@ -70,7 +70,7 @@
     this.#options.clock.after(hosts.HEARTBEAT_MS, () => this.#beat(engine));
   }
 
-  /** Tells whichever control host can be reached. */
+  /** Reports to one of the control hosts that can be reached. */
   #report(engine: hosts.Engine, state: "ready" | "gone"): void {
     const { clock, random, controls } = this.#options;
     const reachable = controls.filter(({ isReachable }) => isReachable);
