--- a/bench/stream_fuzz/hosts.ts
+++ b/bench/stream_fuzz/hosts.ts
@@ -49,6 +49,13 @@
   readonly controlHosts: readonly string[];
 }
 
+function createRoster(): endpoints.Roster {
+  return endpoints.Roster.create({
+    silenceTimeoutMs: SILENCE_MS,
+    retentionMs: RETENTION_MS,
+  });
+}
+
 /** Calls of a host; replies reach it once it runs. */
 function callsOf(
   name: string,
@@ -73,10 +80,7 @@
   readonly #options: HostOptions;
   readonly #clock: hostClocks.HostClock;
   #disk = storage.MemoryStorage.create();
-  #roster = endpoints.Roster.create({
-    silenceTimeoutMs: SILENCE_MS,
-    retentionMs: RETENTION_MS,
-  });
+  #roster = createRoster();
   #replicator?: endpointReplicator.EndpointReplicator;
   #life = 0;
   #isUp = false;
@@ -100,10 +104,7 @@
     const clock = this.#clock;
     const life = ++this.#life;
     this.#isUp = true;
-    this.#roster = endpoints.Roster.create({
-      silenceTimeoutMs: SILENCE_MS,
-      retentionMs: RETENTION_MS,
-    });
+    this.#roster = createRoster();
     this.#replicator = endpointReplicator.EndpointReplicator.create({
       clock,
       roster: this.#roster,
