--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -187,6 +187,7 @@
     const messageCount = messages.length;
     this.#inFlight.set(id, { sentAt: this.#lastBatchAt, messageCount });
     metrics.count("peer.bytes_sent", bytes);
+    metrics.count("peer.frames_sent");
     this.#connection.send(frames.encode(id, messages));
   }
 }
--- a/src/peers/rpc.ts
+++ b/src/peers/rpc.ts
@@ -116,6 +116,8 @@
   /** Processes a validated message from another host. */
   receive(sender: Process, message: schema.FleetMessage): void {
     const { from } = sender;
+    const { metrics } = this.#options;
+    metrics.count("peer.served", 1, { type: typeOf(message) });
     const receivers: {
       [T in schema.FleetMessage["type"]]: (
         message: Extract<schema.FleetMessage, { type: T }>,
@@ -238,7 +240,13 @@
     receiver: Pick<runtime.Envelope, "to" | "toIncarnation">,
     body: schema.FleetMessage,
   ): void {
-    const { self: from, transport } = this.#options;
+    const { self: from, transport, metrics } = this.#options;
+    metrics.count("peer.asked", 1, { type: typeOf(body) });
     transport.send({ from, ...receiver, channel: "fleet", body });
   }
 }
+
+/** Type of the question, reply or notice in a message, or of the message. */
+function typeOf(message: schema.FleetMessage): string {
+  return "body" in message ? message.body.type : message.type;
+}
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -278,6 +278,22 @@
   // Communication and membership between hosts.
   "peer.sent": { type: "count", help: "Envelopes sent, by channel" },
   "peer.received": { type: "count", help: "Envelopes received, by channel" },
+  "peer.asked": {
+    type: "count",
+    help: "Messages of calls between hosts sent, by type",
+  },
+  "peer.served": {
+    type: "count",
+    help: "Messages of calls between hosts received, by type",
+  },
+  "peer.frames_sent": {
+    type: "count",
+    help: "Frames with messages sent to other hosts",
+  },
+  "peer.acks_sent": {
+    type: "count",
+    help: "Frames sent to other hosts that only acknowledge frames",
+  },
   "peer.left_out": {
     type: "count",
     help: "Entries of messages that could not be read, by list",
