Stages: results are released once

Callers saw: nothing by itself; each request with stages cost the owner of its last partition a second release notice, and the endpoints that held its results another call.

Cause: a request releases its results when its stream starts (or some time after the call was sent) and once more when it closes; the plan did not record the first release.

Evidence: pipeline_run_test, "results are released once", fails before with "release town" twice.

Conclusion: the plan marks all results as released; results that arrive later are still released.

--- a/src/batching/plan.ts
+++ b/src/batching/plan.ts
@@ -118,6 +118,13 @@
     );
   }
 
+  /** Marks all results as released. */
+  markReleased(): Plan {
+    return new Plan(
+      this.#stages.map((state) => ({ ...state, isReleased: true })),
+    );
+  }
+
   /** Marks the missing items of a stage as requested. */
   markRequested(stage: number): Plan {
     return this.#withStage(stage, (state) => ({ ...state, isRequested: true }));
@@ -131,7 +138,8 @@
     return this.#withStage(stage, (state) => {
       const handles = [...state.handles];
       for (const { piece, handle } of results) handles[piece] = handle;
-      return { ...state, handles, isRequested: false };
+      const isReleased = state.isReleased && results.length === 0;
+      return { ...state, handles, isRequested: false, isReleased };
     });
   }
 
--- a/src/gateway/pipeline_run_test.ts
+++ b/src/gateway/pipeline_run_test.ts
@@ -120,6 +120,16 @@
   t.deepEqual(calls, ["reserve town", "compute town"]);
 });
 
+// Guards against a second release of the same results as a request ends, which
+// costs the partition's owner a message and its endpoints a call each.
+test("results are released once", async (t) => {
+  const { run, calls } = await createRun({ town: 0 });
+  await run.run();
+  run.release();
+  run.close();
+  t.deepEqual(calls, ["reserve town", "compute town", "release town"]);
+});
+
 test("a request is refused if its items would be late", async (t) => {
   const { run, calls } = await createRun({ town: 5000 });
   const result = await run.run();
--- a/src/gateway/stage_execution.ts
+++ b/src/gateway/stage_execution.ts
@@ -306,6 +306,7 @@
   /** Releases the results that are held. */
   release(): void {
     this.#releaseResults(this.#plan.heldResults);
+    this.#plan = this.#plan.markReleased();
   }
 
   /** Releases the results and cancels the items that are unfinished. */
