Peers: an acknowledgement rides on the next frame and covers all before it

Cause: each frame was acknowledged at once by a frame of its own on its connection, though a question is followed by a reply and a reply mostly by the next question.

Change: an acknowledgement covers all frames up to its number. It waits up to 250 ms for a frame to the sender's process, or is sent by itself, after four frames at once. A host states in its upgrade request that it understands this; hosts of earlier releases get one acknowledgement a frame as before. The timeout of a silent connection is longer by the delay. One that may be lost with its frame is sent again.

Evidence: acknowledgements_test, "a question and its reply are acknowledged by the frames that follow" sends 40 acknowledgements for 40 frames with the header ignored, "frames without any in return ..." 8 for 8.

--- a/src/peers/frame.ts
+++ b/src/peers/frame.ts
@@ -14,9 +14,17 @@
   }}`;
 }
 
-/** Encodes a frame from encoded messages. */
-export function encode(id: number, messages: readonly string[]): string {
-  return `{"id":${id},"batch":[${messages.join(",")}]}`;
+/** Encodes a frame from encoded messages; `acknowledged` is the number of the
+ * last frame received from the other host, if it is to be acknowledged. */
+export function encode(
+  id: number,
+  messages: readonly string[],
+  acknowledged?: number,
+): string {
+  const ack = acknowledged === undefined
+    ? ""
+    : `"acknowledged":${acknowledged},`;
+  return `{"id":${id},${ack}"batch":[${messages.join(",")}]}`;
 }
 
 /** Decodes a frame. Throws `SyntaxError` or `SchemaError`. */
--- a/src/peers/handshake.ts
+++ b/src/peers/handshake.ts
@@ -13,6 +13,11 @@
 export const HOST_HEADER = "chicoryloft-host";
 /** Header with the incarnation of a host, in requests and in responses. */
 export const INCARNATION_HEADER = "chicoryloft-incarnation";
+/** Header with which the dialling host states that it understands
+ * acknowledgements of several frames. */
+export const ACKNOWLEDGEMENT_HEADER = "chicoryloft-acknowledgement";
+/** Its value. */
+export const CUMULATIVE = "cumulative";
 /** Header with the proof of the dialling host. */
 export const PROOF_HEADER = "chicoryloft-proof";
 
@@ -27,7 +32,10 @@
   ends: Ends,
   { key, incarnation }: { key?: string; incarnation?: string },
 ): Record<string, string> {
-  const headers: Record<string, string> = { [HOST_HEADER]: ends.from };
+  const headers: Record<string, string> = {
+    [HOST_HEADER]: ends.from,
+    [ACKNOWLEDGEMENT_HEADER]: CUMULATIVE,
+  };
   if (incarnation !== undefined) headers[INCARNATION_HEADER] = incarnation;
   if (key !== undefined) headers[PROOF_HEADER] = proofOf(ends, key);
   return headers;
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -1,17 +1,19 @@
 /** The connection over which this host sends messages to one other host. The
- * receiver acknowledges each batch. A connection without a timely
- * acknowledgement is replaced, and its unacknowledged messages are lost.
+ * receiver acknowledges batches, several at a time, on this connection or with a
+ * batch of its own. A connection without a timely acknowledgement is replaced, and its unacknowledged messages are lost.
  * @module */
 
 import type * as runtime from "../runtime/mod.ts";
 import type * as schema from "../schema/peers_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import * as acknowledgements from "./acknowledgements.ts";
 import * as connections from "./connection.ts";
 import * as frames from "./frame.ts";
 import * as sendQueue from "./send_queue.ts";
 
-/** Time without an acknowledgement after which a connection is replaced. */
-export const ACK_TIMEOUT_MS = 1000;
+/** Time without an acknowledgement after which a connection is replaced: the
+ * delay that the receiver may add, and a second for its event loop. */
+export const ACK_TIMEOUT_MS = acknowledgements.DELAY_MS + 1000;
 /** Time without a batch after which an empty one probes the connection. */
 const PROBE_INTERVAL_MS = 5000;
 /** Time without messages after which the connection is closed. */
@@ -34,6 +36,11 @@
 export interface LinkOptions extends connections.Destination {
   readonly clock: runtime.Clock;
   readonly metrics: telemetry.Metrics;
+  /** Returns the number of the last frame from the other host's process, if it
+   * is to be acknowledged. */
+  takeAcknowledgement(incarnation: string | undefined): number | undefined;
+  /** Called when frames that carried acknowledgements may be lost. */
+  onLoss(): void;
 }
 
 /** A batch that is not acknowledged yet. */
@@ -87,6 +94,14 @@
     });
   }
 
+  /** Handles that a process of the other host has received all batches up to
+   * one. */
+  acknowledge(id: number, incarnation: string | undefined): void {
+    if (this.#isOpen && incarnation === this.#incarnation) {
+      this.#acknowledge(id);
+    }
+  }
+
   /** Replaces a silent connection and probes one at rest. If the check is
    * late (`isLate`), this host itself was paused and acknowledgements may be
    * waiting to be read, so silence is ignored. Returns false once the link is
@@ -152,19 +167,25 @@
         this.#flush();
       },
       close: () => this.#dropInFlight("connection"),
-      acknowledged: (id) => {
-        this.#inFlight.delete(id);
-        this.#flush();
-      },
+      acknowledged: (id) => this.#acknowledge(id),
     });
   }
 
+  #acknowledge(last: number): void {
+    for (const id of this.#inFlight.keys()) {
+      if (id > last) break;
+      this.#inFlight.delete(id);
+    }
+    this.#flush();
+  }
+
   /** Counts unacknowledged messages as dropped; whether they arrived is
    * unknown. */
   #dropInFlight(reason: string): void {
     this.#isOpen = false;
     const lost = [...this.#inFlight.values()]
       .reduce((sum, { messageCount }) => sum + messageCount, 0);
+    if (this.#inFlight.size > 0) this.#options.onLoss();
     this.#inFlight.clear();
     if (lost > 0) this.#options.metrics.count("peer.dropped", lost, { reason });
   }
@@ -181,13 +202,14 @@
   }
 
   #sendBatch({ messages, bytes }: sendQueue.Batch): void {
-    const { clock, metrics } = this.#options;
+    const { clock, metrics, takeAcknowledgement } = this.#options;
     const id = this.#batchCount++;
     this.#lastBatchAt = clock.now();
     const messageCount = messages.length;
     this.#inFlight.set(id, { sentAt: this.#lastBatchAt, messageCount });
     metrics.count("peer.bytes_sent", bytes);
     metrics.count("peer.frames_sent");
-    this.#connection.send(frames.encode(id, messages));
+    const acknowledged = takeAcknowledgement(this.#incarnation);
+    this.#connection.send(frames.encode(id, messages, acknowledged));
   }
 }
--- a/src/peers/listener.ts
+++ b/src/peers/listener.ts
@@ -7,6 +7,7 @@
 import * as ws from "ws";
 import type * as schema from "../schema/peers_types.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import * as acknowledgements from "./acknowledgements.ts";
 import * as errors from "./errors.ts";
 import * as frames from "./frame.ts";
 import * as handshake from "./handshake.ts";
@@ -27,11 +28,15 @@
   /** Incarnation of this process, which responses to upgrade requests state. */
   incarnation?: string;
   logger: telemetry.Logger;
+  metrics: telemetry.Metrics;
   /** Returns the host that the headers of an upgrade request authenticate;
    * undefined if it is refused. */
   admit(headers: handshake.Headers): string | undefined;
   /** Processes a batch of messages. */
   receive(sender: Sender, batch: schema.Batch): void;
+  /** Handles that a host has received all frames up to one, on the connection
+   * from this host to it. */
+  acknowledged(sender: Sender, id: number): void;
   /** Serves tunnels; absent on hosts that serve none. */
   tunnels?: Tunnels;
 }
@@ -72,6 +77,11 @@
 /** A listening server. */
 export interface Listener {
   port: number;
+  /** Returns the number of the last frame from a process, to be acknowledged by a
+   * frame to it; undefined if no acknowledgement waits. */
+  takeAcknowledgement(process: Sender): number | undefined;
+  /** Acknowledges the last frame from a host again. */
+  repeatAcknowledgement(host: string): void;
   close(): Promise<void>;
 }
 
@@ -103,6 +113,8 @@
     server.listen(port, address);
   });
   const accepted = new Map<ws.WebSocket, AcceptedConnection>();
+  /** The last connection of each host. */
+  const lastBySender = new Map<string, AcceptedConnection>();
   sockets.on("headers", (headers) => {
     if (incarnation === undefined) return;
     headers.push(`${handshake.INCARNATION_HEADER}: ${incarnation}`);
@@ -111,13 +123,30 @@
   sockets.on("connection", (socket, request) => {
     const sender = senderOf(request);
     closeFormer(accepted, sender);
-    accepted.set(socket, { sender, lastFrameAt: performance.now() });
-    socket.on("close", () => accepted.delete(socket));
-    receiveFrames(socket, { ...options, connection: accepted.get(socket)! });
+    const connection = acceptedConnection(socket, { request, sender }, options);
+    accepted.set(socket, connection);
+    lastBySender.set(sender.host, connection);
+    socket.on("close", () => {
+      accepted.delete(socket);
+      connection.acknowledgements.close();
+      if (lastBySender.get(sender.host) === connection) {
+        lastBySender.delete(sender.host);
+      }
+    });
+    receiveFrames(socket, { ...options, connection });
   });
   const sweep = setInterval(() => closeSilent(accepted), SILENCE_TIMEOUT_MS);
   return {
     port: (server.address() as net.AddressInfo).port,
+    takeAcknowledgement({ host, incarnation }) {
+      const last = lastBySender.get(host);
+      return last?.isCumulative && last.sender.incarnation === incarnation
+        ? last.acknowledgements.take()
+        : undefined;
+    },
+    repeatAcknowledgement(host) {
+      lastBySender.get(host)?.acknowledgements.repeat();
+    },
     close() {
       clearInterval(sweep);
       for (const socket of sockets.clients) socket.terminate();
@@ -167,14 +196,41 @@
 /** An accepted connection. */
 interface AcceptedConnection {
   readonly sender: Sender;
+  /** Whether the sender understands acknowledgements of several frames. */
+  readonly isCumulative: boolean;
+  readonly acknowledgements: acknowledgements.Acknowledgements;
   lastFrameAt: number;
 }
 
-/** Receives frames from a connection and acknowledges each. */
+function acceptedConnection(
+  socket: ws.WebSocket,
+  { request, sender }: {
+    readonly request: http.IncomingMessage;
+    readonly sender: Sender;
+  },
+  { metrics }: Pick<ListenerOptions, "metrics">,
+): AcceptedConnection {
+  const isCumulative =
+    request.headers[handshake.ACKNOWLEDGEMENT_HEADER] === handshake.CUMULATIVE;
+  return {
+    sender,
+    isCumulative,
+    acknowledgements: acknowledgements.Acknowledgements.create({
+      isCumulative,
+      send(id) {
+        metrics.count("peer.acks_sent");
+        socket.send(frames.encodeAck(id));
+      },
+    }),
+    lastFrameAt: performance.now(),
+  };
+}
+
+/** Receives frames from a connection and acknowledges them. */
 function receiveFrames(
   socket: ws.WebSocket,
-  { connection, logger, receive }:
-    & Pick<ListenerOptions, "logger" | "receive">
+  { connection, logger, receive, acknowledged }:
+    & Pick<ListenerOptions, "logger" | "receive" | "acknowledged">
     & { readonly connection: AcceptedConnection },
 ): void {
   const { sender } = connection;
@@ -183,9 +239,12 @@
     if (socket.readyState !== ws.WebSocket.OPEN) return;
     connection.lastFrameAt = performance.now();
     try {
-      const { id, batch } = frames.decode(`${data}`);
-      socket.send(frames.encodeAck(id));
-      receive(sender, batch);
+      const frame = frames.decode(`${data}`);
+      connection.acknowledgements.record(frame.id);
+      if (frame.acknowledged !== undefined) {
+        acknowledged(sender, frame.acknowledged);
+      }
+      receive(sender, frame.batch);
     } catch (err) {
       logger.warn(
         { peer: sender.host, err },
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -106,7 +106,10 @@
       incarnation,
       logger: this.#logger,
       admit: (headers) => this.#admit(headers),
+      metrics: this.#metrics,
       receive: (sender, batch) => this.#receive(sender, batch),
+      acknowledged: ({ host, incarnation }, id) =>
+        this.#links.get(host)?.acknowledge(id, incarnation),
       tunnels,
     });
     this.#sweptAt = this.#options.clock.now();
@@ -184,6 +187,9 @@
       clock,
       metrics: this.#metrics,
       logger: this.#logger,
+      takeAcknowledgement: (incarnation) =>
+        this.#listener?.takeAcknowledgement({ host: id, incarnation }),
+      onLoss: () => this.#listener?.repeatAcknowledgement(id),
     });
     this.#links.set(id, opened);
     return opened;
--- a/src/peers/restart_test.ts
+++ b/src/peers/restart_test.ts
@@ -2,78 +2,11 @@
  * @module */
 
 import test, { type ExecutionContext } from "ava";
-import * as runtime from "../runtime/mod.ts";
+import * as fixture from "./fixture.ts";
 import type * as schema from "../schema/fleet_types.ts";
-import * as telemetry from "../telemetry/mod.ts";
-import * as peers from "./mod.ts";
 import * as tcpProxy from "./tcp_proxy.ts";
 
-const POLL_INTERVAL_MS = 5;
-const ASKER = "asker";
-const OWNER = "owner";
-
-interface Host {
-  readonly transport: peers.Peers;
-  readonly rpc: peers.Rpc;
-  readonly tally: telemetry.Tally;
-  readonly notices: schema.Notice[];
-}
-
-interface HostOptions {
-  readonly self: string;
-  /** Ports of the other host. */
-  readonly port: number;
-  readonly handlers?: peers.Handlers;
-  /** Whether it is of a release that knows no incarnations. */
-  readonly isEarlier?: boolean;
-}
-
-/** Starts a host with the transport and the calls of the product. */
-async function startHost(
-  { self, port, handlers = {}, isEarlier = false }: HostOptions,
-): Promise<Host> {
-  const clock = runtime.systemClock;
-  const tally = new telemetry.Tally();
-  const notices: schema.Notice[] = [];
-  const incarnation = peers.drawIncarnation();
-  const hosts = [ASKER, OWNER].map((id) => ({
-    id,
-    address: "127.0.0.1",
-    port: id === self ? 0 : port,
-  }));
-  const transport = peers.Peers.create({
-    self,
-    hosts,
-    ...(!isEarlier && { incarnation }),
-    validators: { fleet: () => true },
-    clock,
-    metrics: tally,
-    onEnvelope({ from, fromIncarnation, body }) {
-      const sender = isEarlier ? { from } : { from, fromIncarnation };
-      rpc.receive(sender, body as schema.FleetMessage);
-    },
-  });
-  const rpc = peers.Rpc.create({
-    self,
-    incarnation,
-    clock,
-    metrics: tally,
-    transport,
-    handlers,
-    onNotice: (notice) => void notices.push(notice),
-    onHandlerError: (error) => {
-      throw error;
-    },
-  });
-  await transport.start();
-  return { transport, rpc, tally, notices };
-}
-
-async function until(condition: () => boolean): Promise<void> {
-  while (!condition()) {
-    await new Promise((done) => setTimeout(done, POLL_INTERVAL_MS));
-  }
-}
+const { ASKER, OWNER, startHost, until } = fixture;
 
 /** A host that asks, at an address at which it can be restarted, and the owner
  * that it asks; the owner replies once `reply` is called. */
@@ -82,7 +15,7 @@
   { isEarlier = false }: { isEarlier?: boolean } = {},
 ) {
   const waiting: (() => void)[] = [];
-  let asker: Host | undefined;
+  let asker: fixture.Host | undefined;
   const address = await tcpProxy.TcpProxy.create(() =>
     asker?.transport.port ?? 0
   );
@@ -122,7 +55,7 @@
 
 /** Asks the owner to confirm a version; resolves with the version that the
  * reply confirms, or with the name of the error. */
-async function confirm(host: Host, version: number) {
+async function confirm(host: fixture.Host, version: number) {
   try {
     const question = { type: "confirm" as const, version };
     const reply = await host.rpc.ask(OWNER, question, { timeout: 5000 });
--- a/src/peers/rpc.ts
+++ b/src/peers/rpc.ts
@@ -117,7 +117,7 @@
   receive(sender: Process, message: schema.FleetMessage): void {
     const { from } = sender;
     const { metrics } = this.#options;
-    metrics.count("peer.served", 1, { type: typeOf(message) });
+    metrics.count("peer.messages_received", 1, { type: typeOf(message) });
     const receivers: {
       [T in schema.FleetMessage["type"]]: (
         message: Extract<schema.FleetMessage, { type: T }>,
@@ -241,7 +241,7 @@
     body: schema.FleetMessage,
   ): void {
     const { self: from, transport, metrics } = this.#options;
-    metrics.count("peer.asked", 1, { type: typeOf(body) });
+    metrics.count("peer.messages_sent", 1, { type: typeOf(body) });
     transport.send({ from, ...receiver, channel: "fleet", body });
   }
 }
--- a/src/peers/tcp_proxy.ts
+++ b/src/peers/tcp_proxy.ts
@@ -46,9 +46,14 @@
     }
   }
 
+  /** Closes the current connections. */
+  reset(): void {
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
   /** Closes all connections and stops. */
   close(): Promise<void> {
-    for (const socket of this.#sockets) socket.destroy();
+    this.reset();
     return new Promise((resolve) => this.#server.close(() => resolve()));
   }
 
--- a/src/schema/peers_types.ts
+++ b/src/schema/peers_types.ts
@@ -11,11 +11,19 @@
 
 /**
  * Messages from one host to another, in order. Who sent them and to whom
- * follows from the connection. It is acknowledged by its number alone.
+ * follows from the connection. An acknowledgement of a frame covers all earlier
+ * ones of its connection: it is a number alone, or rides on a frame that goes
+ * back.
  *
  */
 export interface Frame {
   id: number;
+  /**
+   * Number of the last frame that the sender has received from the receiver;
+   * absent if it has been acknowledged.
+   *
+   */
+  acknowledged?: number;
   batch: Batch;
 }
 /**
--- a/src/schema/peers_validators.ts
+++ b/src/schema/peers_validators.ts
@@ -5,7 +5,7 @@
 "use strict";
 export const validate = validate20;
 export default validate20;
-const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Frame","description":"Messages from one host to another, in order. Who sent them and to whom\nfollows from the connection. It is acknowledged by its number alone.\n","type":"object","required":["id","batch"],"properties":{"id":{"type":"integer","minimum":0},"batch":{"$ref":"#/$defs/Batch"}},"$defs":{"Batch":{"title":"Batch","type":"array","maxItems":4096,"items":{"$ref":"#/$defs/Parcel"}},"Parcel":{"title":"Parcel","type":"object","required":["channel","body"],"properties":{"channel":{"description":"A channel that a host does not know, as of a later release, costs\nits own message only.\n","type":"string","maxLength":64},"body":{"description":"Message of the channel, checked against its own schema.","type":"object"}}}}};
+const schema31 = {"$schema":"https://json-schema.org/draft/2020-12/schema","title":"Frame","description":"Messages from one host to another, in order. Who sent them and to whom\nfollows from the connection. An acknowledgement of a frame covers all earlier\nones of its connection: it is a number alone, or rides on a frame that goes\nback.\n","type":"object","required":["id","batch"],"properties":{"id":{"type":"integer","minimum":0},"acknowledged":{"description":"Number of the last frame that the sender has received from the receiver;\nabsent if it has been acknowledged.\n","type":"integer","minimum":0},"batch":{"$ref":"#/$defs/Batch"}},"$defs":{"Batch":{"title":"Batch","type":"array","maxItems":4096,"items":{"$ref":"#/$defs/Parcel"}},"Parcel":{"title":"Parcel","type":"object","required":["channel","body"],"properties":{"channel":{"description":"A channel that a host does not know, as of a later release, costs\nits own message only.\n","type":"string","maxLength":64},"body":{"description":"Message of the channel, checked against its own schema.","type":"object"}}}}};
 const schema32 = {"title":"Batch","type":"array","maxItems":4096,"items":{"$ref":"#/$defs/Parcel"}};
 const schema33 = {"title":"Parcel","type":"object","required":["channel","body"],"properties":{"channel":{"description":"A channel that a host does not know, as of a later release, costs\nits own message only.\n","type":"string","maxLength":64},"body":{"description":"Message of the channel, checked against its own schema.","type":"object"}}};
 
@@ -138,13 +138,34 @@
 var valid0 = true;
 }
 if(valid0){
-if(data.batch !== undefined){
+if(data.acknowledged !== undefined){
+let data1 = data.acknowledged;
 const _errs3 = errors;
+if(!(((typeof data1 == "number") && (!(data1 % 1) && !isNaN(data1))) && (isFinite(data1)))){
+validate20.errors = [{instancePath:instancePath+"/acknowledged",schemaPath:"#/properties/acknowledged/type",keyword:"type",params:{type: "integer"},message:"must be integer",schema:schema31.properties.acknowledged.type,parentSchema:schema31.properties.acknowledged,data:data1}];
+return false;
+}
+if(errors === _errs3){
+if((typeof data1 == "number") && (isFinite(data1))){
+if(data1 < 0 || isNaN(data1)){
+validate20.errors = [{instancePath:instancePath+"/acknowledged",schemaPath:"#/properties/acknowledged/minimum",keyword:"minimum",params:{comparison: ">=", limit: 0},message:"must be >= 0",schema:0,parentSchema:schema31.properties.acknowledged,data:data1}];
+return false;
+}
+}
+}
+var valid0 = _errs3 === errors;
+}
+else {
+var valid0 = true;
+}
+if(valid0){
+if(data.batch !== undefined){
+const _errs5 = errors;
 if(!(validate21(data.batch, {instancePath:instancePath+"/batch",parentData:data,parentDataProperty:"batch",rootData,dynamicAnchors}))){
 vErrors = vErrors === null ? validate21.errors : vErrors.concat(validate21.errors);
 errors = vErrors.length;
 }
-var valid0 = _errs3 === errors;
+var valid0 = _errs5 === errors;
 }
 else {
 var valid0 = true;
@@ -152,6 +173,7 @@
 }
 }
 }
+}
 else {
 validate20.errors = [{instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema31.type,parentSchema:schema31,data}];
 return false;
@@ -160,5 +182,5 @@
 validate20.errors = vErrors;
 return errors === 0;
 }
-validate20.evaluated = {"props":{"id":true,"batch":true},"dynamicProps":false,"dynamicItems":false};
+validate20.evaluated = {"props":{"id":true,"acknowledged":true,"batch":true},"dynamicProps":false,"dynamicItems":false};
 
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -278,11 +278,11 @@
   // Communication and membership between hosts.
   "peer.sent": { type: "count", help: "Envelopes sent, by channel" },
   "peer.received": { type: "count", help: "Envelopes received, by channel" },
-  "peer.asked": {
+  "peer.messages_sent": {
     type: "count",
     help: "Messages of calls between hosts sent, by type",
   },
-  "peer.served": {
+  "peer.messages_received": {
     type: "count",
     help: "Messages of calls between hosts received, by type",
   },
