Requests: a host that drains makes no call that it would cut off

Callers saw: in a planned stop of one host, in calm, requests that came while it still took them and whose bodies ended late in its grace were passed on and cut at its end: 502 for safe and unsafe requests, streams broken off.

Cause: whether the host stops was asked once, before the body was read. A request that waited there, for a body, for its stages, for the place of its prompt, for a grant of an endpoint or between two calls, was passed on up to the last moment, and nothing compared what is left of the grace with how long the work takes.

Once it drains, each request has a last moment at which a call can be made that ends before the stop. A request without a call at that moment is refused at once, as not run if nothing has run, wherever it waits; no retry and no continuation of a stream is made after it. A call in flight goes on.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -102,6 +102,7 @@
       startedAt: clock.now(),
       maxConfigurationAge: 1000,
       calibration: gateway.Calibration.create(),
+      callDurations: gateway.CallDurations.create(),
       priorWait: gateway.PriorWait.create(),
       inputRetention: gateway.InputRetention.create(),
       loadUpdates: gateway.LoadUpdates.create({
@@ -116,6 +117,7 @@
       retryBudget: () => budget,
       isDraining: () => false,
       isStopping: () => false,
+      stopsAt: () => Infinity,
     };
     this.follow();
   }
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -92,6 +92,8 @@
   #server!: gateway.Server;
   #isDraining = false;
   #isStopping = false;
+  /** Time at which requests in flight are ended; infinite before a stop. */
+  #stopsAt = Infinity;
 
   private constructor(options: EntryHostOptions) {
     const { settings, clock, logger } = options;
@@ -255,13 +257,13 @@
     const { clock, logger, settings: { bounds } } = this.#options;
     const started = clock.now();
     this.#isDraining = true;
+    this.#stopsAt = started + bounds.shutdownGrace - CLOSE_RESERVE_MS;
     this.#server.drain();
     this.#tunnelServer.drain();
     logger.info({ inFlight: this.#server.inFlight }, "Host draining");
     await delays.sleep(clock, DRAIN_DELAY_MS);
     this.#isStopping = true;
-    const remaining = () =>
-      bounds.shutdownGrace - CLOSE_RESERVE_MS - (clock.now() - started);
+    const remaining = () => this.#stopsAt - clock.now();
     await this.#server.finish(remaining());
     await this.#server.stop();
     await this.#tunnelServer.finish(remaining());
@@ -351,6 +353,7 @@
       startedAt: this.#startedAt,
       maxConfigurationAge: this.#maxProofAge,
       calibration: gateway.Calibration.create(),
+      callDurations: gateway.CallDurations.create(),
       priorWait: gateway.PriorWait.create(),
       inputRetention: gateway.InputRetention.create(),
       loadUpdates: gateway.LoadUpdates.create({
@@ -366,6 +369,7 @@
       retryBudget: (service) => this.#retryBudget(service),
       isDraining: () => this.#isDraining,
       isStopping: () => this.#isStopping,
+      stopsAt: () => this.#stopsAt,
     };
   }
 
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -61,6 +61,7 @@
   /** Milliseconds that the caller waited before this attempt of it. */
   #priorWait = 0;
   #cancelTimer = () => {};
+  #cancelDrainTimer = () => {};
   readonly #openCalls = openCalls.OpenCalls.create();
   /** Calls that have ended and may have run. */
   #runs = 0;
@@ -124,6 +125,38 @@
     return this.#phase === "finished";
   }
 
+  /** Has the request refused as soon as no call for it could end before the host
+   * stops, wherever it waits. */
+  handleDrain(): void {
+    const { clock } = this.#context;
+    const lastCallAt = this.#lastCallAt;
+    if (this.isFinished || lastCallAt === Infinity) return;
+    this.#cancelDrainTimer = clock.after(
+      Math.max(0, lastCallAt - clock.now()),
+      () => this.#guard(() => this.#refuseUnlessCalled()),
+    );
+  }
+
+  /** Last time at which a call can be made that ends before the host stops;
+   * infinite while it does not drain. */
+  get #lastCallAt(): number {
+    const { stopsAt, callDurations } = this.#context;
+    const route = this.#route;
+    return route === undefined
+      ? Infinity
+      : stopsAt() - callDurations.expected(route);
+  }
+
+  get #isTooLateToCall(): boolean {
+    return this.#context.clock.now() >= this.#lastCallAt;
+  }
+
+  #refuseUnlessCalled(): void {
+    if (!this.isFinished && this.#openCalls.size === 0) {
+      this.#endUnanswered("stopping");
+    }
+  }
+
   /** Ends the request at once because the host stops. */
   abort(): void {
     if (this.isFinished) return;
@@ -265,6 +298,7 @@
       timeout,
       () => this.#guard(() => this.#timeOut()),
     );
+    this.handleDrain();
     const { limits } = fleetView.catalogue()!.configuration;
     const body = await bodies.read(this.#message, limits.bodyBytes);
     if (typeof body === "string") return this.#refuseStep(body);
@@ -346,7 +380,8 @@
       if (this.isFinished) return;
       if (hasStages && this.#needsStages(stall)) inputs = undefined;
       const isStageLost = hasStages && inputs === undefined;
-      const isExhausted = isStageLost && reruns >= MAX_STAGE_RERUNS;
+      const isExhausted = this.#isTooLateToCall ||
+        isStageLost && reruns >= MAX_STAGE_RERUNS;
       if (isExhausted || !this.#mayCallAgain(stall)) {
         this.#endUnlessOpen(stall);
         continue;
@@ -366,6 +401,7 @@
     targets: targetChoices.TargetChoice,
     inputs: readonly string[] | undefined,
   ): Promise<void> {
+    if (this.#isTooLateToCall) return this.#refuseUnlessCalled();
     const version = this.#binding?.version;
     const chosen = await targets.choose({
       called: this.#calls.map(({ endpoint }) => endpoint),
@@ -373,12 +409,14 @@
       version,
       isFinished: () =>
         this.isFinished || !this.#openCalls.isStalled ||
+        this.#isTooLateToCall ||
         // A call that has gone on and failed since binds the stream.
         version !== this.#binding?.version,
     });
     if (this.isFinished) return;
     if (chosen.type === "target") return this.#call(chosen.target, inputs);
     if (chosen.type === "unneeded") {
+      if (this.#isTooLateToCall) return this.#refuseUnlessCalled();
       // Results of stages that were run again are not needed any more.
       if (this.#reply.head !== undefined) this.#pipelineRun?.release();
       return;
@@ -410,7 +448,7 @@
       return this.#timeOut();
     }
     if (this.#openCalls.size > 0 && stall.type === "failed") return;
-    this.#endUnanswered("not-run");
+    this.#endUnanswered(this.#isTooLateToCall ? "stopping" : "not-run");
   }
 
   #createTargetChoice(service: string): targetChoices.TargetChoice {
@@ -484,6 +522,10 @@
     this.#cancelRelease = cancelRelease;
     const outcome = await call.outcome;
     this.#openCalls.remove(call);
+    if (isWhole(outcome)) {
+      const { callDurations } = this.#context;
+      callDurations.record(this.#route!, clock.now() - startedAt);
+    }
     if (outcome.type !== "failed" || outcome.mayHaveRun) this.#runs++;
     cancelRelease();
     if (this.#missedReleasedInput(outcome)) {
@@ -764,6 +806,7 @@
   #release(): void {
     this.#phase = "finished";
     this.#cancelTimer();
+    this.#cancelDrainTimer();
     this.#openCalls.cancelAll();
     this.#pipelineRun?.close();
     this.#resolveFinished();
@@ -816,6 +859,12 @@
   }
 }
 
+/** Whether a call gave the whole answer to its request. */
+function isWhole(outcome: attempts.Outcome): boolean {
+  return outcome.type === "ended" ||
+    outcome.type === "answer" && outcome.head.status < 400;
+}
+
 /** Details of a refusal for its log line. */
 interface RefusalDetails extends Readonly<Record<string, unknown>> {
   /** Seconds until a retry, in place of the default of the reason. */
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -12,6 +12,7 @@
 import type * as rateLimits from "../rate_limits/mod.ts";
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
+import type * as callDurations from "./call_durations.ts";
 import type * as calibrations from "./calibration.ts";
 import type * as inputRetentions from "./input_retention.ts";
 import type * as priorWaits from "./prior_wait.ts";
@@ -69,6 +70,7 @@
   readonly placement: Pick<placements.Placement, "place">;
   readonly fleetView: FleetView;
   readonly calibration: calibrations.Calibration;
+  readonly callDurations: callDurations.CallDurations;
   readonly priorWait: priorWaits.PriorWait;
   readonly inputRetention: inputRetentions.InputRetention;
   readonly guard: Pick<
@@ -101,4 +103,7 @@
   isDraining(): boolean;
   /** Whether the host stops too soon to finish a new request. */
   isStopping(): boolean;
+  /** Time at which a host that drains ends what is still in flight; infinite
+   * while it does not drain. */
+  stopsAt(): number;
 }
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -183,6 +183,7 @@
       hostCount: () => 1,
     },
     calibration: gateway.Calibration.create(),
+    callDurations: gateway.CallDurations.create(),
     priorWait: gateway.PriorWait.create(),
     inputRetention: gateway.InputRetention.create(),
     loadUpdates: { record() {} },
@@ -195,6 +196,7 @@
     retryBudget: () => gateway.RetryBudget.create(bounds),
     isDraining: () => false,
     isStopping: () => false,
+    stopsAt: () => Infinity,
   };
   let unread = createUnreadReplies();
   const limitMemory = (memory: number) => {
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -4,6 +4,7 @@
 export * from "./batch_endpoints.ts";
 export { record as recordAnnouncements } from "./announcement_records.ts";
 export * from "./calibration.ts";
+export * from "./call_durations.ts";
 export * from "./context.ts";
 export * from "./input_retention.ts";
 export * from "./peak_count.ts";
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -132,9 +132,11 @@
     this.#callers.keepAliveTimeout = idleTimeout;
   }
 
-  /** Reports the host as not ready; requests are still served. */
+  /** Reports the host as not ready; requests that can end before the host stops
+   * are still served. */
   drain(): void {
     this.#isDraining = true;
+    for (const active of this.#activeRequests) active.handleDrain();
   }
 
   /** Resolves when no request is in flight and all replies are sent whole, or
