Memory: a host without a limit in its settings assumes a part of its machine's

Reported by another operator: an engine sent bytes without end, the host that had called it kept them all and ran out of memory.

Cause: the incomplete answers of all calls together, and the replies that callers have not read, are bounded by a part of the memory in the host's settings.

--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -130,7 +130,7 @@
     });
     this.#partialAnswers = partialAnswers.PartialAnswers.create({
       ...options,
-      memory: settings.memory,
+      memory: this.#memory,
       afterTurn: setImmediate,
     });
     this.#network = hostContext.createNetwork(options, {
@@ -311,13 +311,17 @@
       context: this.#createContext(),
       callers: callerAddress,
       readiness: readinessAddress,
-      memory: settings.memory,
+      memory: this.#memory,
       isReady: () => this.#isReady,
     });
     this.#syncClient.start();
     logger.info({ seeds: settings.seeds }, "Host started");
   }
 
+  get #memory(): number {
+    return settings.memoryOf(this.#options.settings);
+  }
+
   get #announcedCapacity(): number | undefined {
     return settings.announcedCapacity(this.#options.settings);
   }
--- a/src/fleet/settings.ts
+++ b/src/fleet/settings.ts
@@ -2,6 +2,7 @@
  * them. Times are in milliseconds.
  * @module */
 
+import * as runtime from "../runtime/mod.ts";
 import type * as httpListener from "./http_listener.ts";
 
 /** Limits that the platform requires hosts to keep. */
@@ -48,6 +49,14 @@
   return disabledParts.has("host-capacity") ? undefined : capacity;
 }
 
+/** Memory that a host may use, in bytes: a part of its machine's memory if its
+ * settings name no limit. */
+export function memoryOf(
+  { memory }: Pick<HostSettings, "memory">,
+): number {
+  return memory || runtime.assumedMemory();
+}
+
 /** Settings of a host. */
 export interface HostSettings {
   /** Display name, used in log lines. */
--- a/src/runtime/mod.ts
+++ b/src/runtime/mod.ts
@@ -6,6 +6,7 @@
 export * from "./storage.ts";
 export * from "./transport.ts";
 export { Timer } from "./timer.ts";
+export { assumedMemory } from "./machine_memory.ts";
 export { FakeClock } from "./fake_clock.ts";
 export {
   create as createRandom,
