Stop: a host computes the items that other hosts wait for before it ends

Callers saw: in a planned stop of a host that owns a partition of a stage service, requests at other hosts whose items took longer than its drain delay waited on for most of a second and were computed a second time.

Cause: a stop waited for the requests of the host's own callers, not for the items that it computes for requests of other hosts.

--- a/src/batching/batcher.ts
+++ b/src/batching/batcher.ts
@@ -68,6 +68,11 @@
     this.#batcherOf(partition)?.release(handles);
   }
 
+  /** Whether no items are queued or computed. */
+  get isIdle(): boolean {
+    return [...this.#batchers.values()].every(({ isIdle }) => isIdle);
+  }
+
   /** Applies a change of the endpoints or of the configuration. */
   update(): void {
     for (const batcher of this.#batchers.values()) batcher.update();
--- a/src/batching/partition_batcher.ts
+++ b/src/batching/partition_batcher.ts
@@ -194,6 +194,11 @@
     }
   }
 
+  /** Whether no stage waits for its items. */
+  get isIdle(): boolean {
+    return this.#pending.size === 0;
+  }
+
   /** State for the state dump. */
   dump(): unknown {
     return this.#scheduler.dump(this.#options.clock.now());
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -251,8 +251,9 @@
     this.#options.logger.info({ seeds }, "Settings reloaded");
   }
 
-  /** Drains: fails readiness checks, finishes the requests in flight, waits until
-   * their callers have read the replies and stops. */
+  /** Drains: fails readiness checks, finishes the requests in flight and the items
+   * that other hosts wait for, waits until callers have read the replies and
+   * stops. */
   async stop(): Promise<void> {
     const { clock, logger, settings: { bounds } } = this.#options;
     const started = clock.now();
@@ -264,7 +265,11 @@
     await delays.sleep(clock, DRAIN_DELAY_MS);
     this.#isStopping = true;
     const remaining = () => this.#stopsAt - clock.now();
-    await this.#server.finish(remaining());
+    await Promise.all([
+      this.#server.finish(remaining()),
+      // Requests of other hosts wait for these items.
+      delays.until(clock, () => this.#batcher.isIdle, { timeout: remaining() }),
+    ]);
     await this.#server.stop();
     await this.#tunnelServer.finish(remaining());
     this.#syncClient.stop();
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -11,8 +11,6 @@
 import * as unreadReplies from "./unread_replies.ts";
 import * as delays from "../runtime/delay.ts";
 
-/** Interval in milliseconds at which a stop checks for requests in flight. */
-const STOP_CHECK_INTERVAL_MS = 50;
 /** Time in milliseconds in which the refusals of a stop are sent: they are small,
  * but may stand behind one another on a connection. */
 const REFUSAL_TIMEOUT_MS = 200;
@@ -152,15 +150,8 @@
     return this.#activeRequests.size === 0 && this.#busy.size === 0;
   }
 
-  async #waitFor(holds: () => boolean, timeout: number): Promise<void> {
-    const { clock } = this.#options.context;
-    const deadline = clock.now() + timeout;
-    for (;;) {
-      // Reads what has arrived: a request may be waiting for this process.
-      await new Promise((resolve) => setImmediate(resolve));
-      if (holds() || clock.now() >= deadline) return;
-      await delays.sleep(clock, STOP_CHECK_INTERVAL_MS);
-    }
+  #waitFor(holds: () => boolean, timeout: number): Promise<void> {
+    return delays.until(this.#options.context.clock, holds, { timeout });
   }
 
   /** Closes all connections. */
