--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -380,9 +380,10 @@
       if (this.isFinished) return;
       if (hasStages && this.#needsStages(stall)) inputs = undefined;
       const isStageLost = hasStages && inputs === undefined;
-      const isExhausted = this.#isTooLateToCall ||
-        isStageLost && reruns >= MAX_STAGE_RERUNS;
-      if (isExhausted || !this.#mayCallAgain(stall)) {
+      const isExhausted = isStageLost && reruns >= MAX_STAGE_RERUNS;
+      const mayCall = !this.#isTooLateToCall && !isExhausted &&
+        this.#mayCallAgain(stall);
+      if (!mayCall) {
         this.#endUnlessOpen(stall);
         continue;
       }
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -1,6 +1,7 @@
 /** The connection over which this host sends messages to one other host. The
  * receiver acknowledges batches, several at a time, on this connection or with a
- * batch of its own. A connection without a timely acknowledgement is replaced, and its unacknowledged messages are lost.
+ * batch of its own. A connection without a timely acknowledgement is replaced, and
+ * its unacknowledged messages are lost.
  * @module */
 
 import type * as runtime from "../runtime/mod.ts";
