--- a/src/gateway/draining_request_test.ts
+++ b/src/gateway/draining_request_test.ts
@@ -29,7 +29,7 @@
   response.writeHead(200, { "test-signature": "s" }).end("done");
 }
 
-/** A host whose endpoint is called as often as `calls` says. */
+/** A host with one endpoint, whose calls are counted. */
 async function startHost(
   t: ava.ExecutionContext,
   route: Partial<configurations.Route>,
--- a/src/runtime/machine_memory.ts
+++ b/src/runtime/machine_memory.ts
@@ -4,7 +4,7 @@
 import * as os from "node:os";
 
 /** Part of the machine's memory that a process takes to be its own if nothing
- * says how much is: other programs run beside it. */
+ * states its limit: other programs run beside it. */
 const PROCESS_SHARE = 1 / 4;
 /** Most of it, in bytes: what a host holds at a time doesn't grow with the memory
  * of its machine. */
@@ -17,7 +17,7 @@
   return Math.min(MAX_PROCESS_BYTES, PROCESS_SHARE * available);
 }
 
-/** Bytes that this process takes to be its own if its settings don't say. */
+/** Bytes that this process takes to be its own if its settings state no limit. */
 export function assumedMemory(): number {
   return processShare(os.totalmem(), process.constrainedMemory());
 }
