Peers: whether a sender takes acknowledgements of several frames is held once

A connection whose sender takes one for each frame has none that waits, so that the listener's own check of it had no effect. Tests of the transport use the fixture's wait instead of a copy; an import moves to its place.

--- a/src/peers/listener.ts
+++ b/src/peers/listener.ts
@@ -140,8 +140,8 @@
     port: (server.address() as net.AddressInfo).port,
     takeAcknowledgement({ host, incarnation }) {
       const last = lastBySender.get(host);
-      return last?.isCumulative && last.sender.incarnation === incarnation
-        ? last.acknowledgements.take()
+      return last?.sender.incarnation === incarnation
+        ? last?.acknowledgements.take()
         : undefined;
     },
     repeatAcknowledgement(host) {
@@ -196,8 +196,6 @@
 /** An accepted connection. */
 interface AcceptedConnection {
   readonly sender: Sender;
-  /** Whether the sender understands acknowledgements of several frames. */
-  readonly isCumulative: boolean;
   readonly acknowledgements: acknowledgements.Acknowledgements;
   lastFrameAt: number;
 }
@@ -214,7 +212,6 @@
     request.headers[handshake.ACKNOWLEDGEMENT_HEADER] === handshake.CUMULATIVE;
   return {
     sender,
-    isCumulative,
     acknowledgements: acknowledgements.Acknowledgements.create({
       isCumulative,
       send(id) {
--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -2,6 +2,7 @@
 import * as ws from "ws";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
+import * as fixture from "./fixture.ts";
 import * as frames from "./frame.ts";
 import * as peers from "./mod.ts";
 import * as handshake from "./handshake.ts";
@@ -9,6 +10,7 @@
 import * as tcpProxy from "./tcp_proxy.ts";
 
 const POLL_INTERVAL_MS = 5;
+const { until } = fixture;
 
 interface Node {
   peers: peers.Peers;
@@ -49,12 +51,6 @@
   return { from: "a", to, channel: "control", body };
 }
 
-async function until(condition: () => boolean): Promise<void> {
-  while (!condition()) {
-    await new Promise((done) => setTimeout(done, POLL_INTERVAL_MS));
-  }
-}
-
 async function createPair(changes: Partial<peers.PeersOptions> = {}) {
   const b = await createNode("b", [hostAt("a", 0)]);
   const a = await createNode("a", [hostAt("b", b.peers.port)], changes);
