Requests: the record of a call says how its answer ended

Operators saw short replies with a length or a last chunk of the host's own making, and the log could not tell whether an endpoint's answer had stated its end. The record of each call now has the framing of its answer and how the connection ended; gateway.undelimited counts answers whose end was that of their connection. No decision depends on it.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -25,6 +25,10 @@
   afterTurn: setImmediate,
 });
 
+/** How a connection ended: in order, by a reset, or in order without the
+ * confirmation of the host that forwards it. */
+export type ConnectionEnd = "orderly" | "reset" | "unconfirmed";
+
 /** Options of a connector. */
 export interface ConnectorOptions {
   /** Timeout of connecting, in milliseconds. */
@@ -33,7 +37,7 @@
 
 /** Checks whether the `end` event being handled is an orderly end; set only while
  * its listeners run. */
-let currentCheck: (() => Promise<boolean>) | undefined;
+let currentCheck: (() => Promise<ConnectionEnd>) | undefined;
 /** What confirms the ends of connections that others forward. */
 const confirmations = new WeakMap<net.Socket, () => Promise<boolean>>();
 
@@ -68,9 +72,9 @@
   confirmations.set(socket, confirm);
 }
 
-/** Resolves with whether the connection whose `end` event is being handled
- * ended in order; undefined when no such event is being handled. */
-export function currentEndCheck(): Promise<boolean> | undefined {
+/** Resolves with how the connection whose `end` event is being handled ended;
+ * undefined when no such event is being handled. */
+export function currentEndCheck(): Promise<ConnectionEnd> | undefined {
   return currentCheck?.();
 }
 
@@ -78,6 +82,14 @@
   if (error.code === "ECONNRESET") error.code = RESET_CODE;
 }
 
+/** How a connection ended, by the error with which undici fails its call;
+ * undefined if the error is not about its end. */
+export function endOf(error: Error): ConnectionEnd | undefined {
+  const { code } = error as NodeJS.ErrnoException;
+  if (code === RESET_CODE) return "reset";
+  return code === "UND_ERR_SOCKET" ? "orderly" : undefined;
+}
+
 /** Resolves with whether a connection whose `end` event is being handled ended
  * in order. */
 export function endsInOrder(socket: net.Socket): Promise<boolean> {
@@ -92,7 +104,10 @@
 function probeEnd(this: net.Socket): void {
   const probed = endsInOrder(this);
   const confirm = confirmations.get(this) ?? (() => Promise.resolve(true));
-  const check = async () => await probed && await confirm();
+  const check = async (): Promise<ConnectionEnd> => {
+    if (!await probed) return "reset";
+    return await confirm() ? "orderly" : "unconfirmed";
+  };
   currentCheck = check;
   // All listeners of this event run before the next microtask.
   queueMicrotask(() => {
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -17,26 +17,42 @@
 /** Headers of an answer, names in lower case. */
 export type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
+/** What marks the end of an answer: nothing as it has no body, its length, a last
+ * chunk, or the end of its connection, which also follows if the endpoint
+ * stops. */
+export type Framing = "empty" | "length" | "chunked" | "connection";
+
+/** Whether an answer states its end. */
+export function isDelimited(framing: Framing): boolean {
+  return framing !== "connection";
+}
+
 /** Failure of an exchange, and whether the endpoint ran the request. */
 export interface ExchangeFailure {
   reason: request.FailureReason;
   outcome: request.Outcome;
+  /** How the connection ended, if that was the failure. */
+  connectionEnd?: connector.ConnectionEnd;
   /** Present if the reason is "oversized". */
   excess?: partialAnswers.Excess;
 }
 
 /** How a complete answer ended. */
 export interface Ending {
-  /** Whether a length or a last chunk marked its end. Otherwise the end of its
-   * connection did, which also follows if the endpoint stops. */
-  readonly isDelimited: boolean;
+  readonly framing: Framing;
+  /** Present if the end of its connection marked its end. */
+  readonly connectionEnd?: connector.ConnectionEnd;
 }
 
 /** Receives the answer of an exchange; `end` or `fail` is the last call. */
 export interface Receiver {
   /** Bytes of memory that it holds of the answer; none when absent. */
   readonly heldBytes?: number;
-  head(status: number, headers: Headers): void;
+  head(
+    status: number,
+    headers: Headers,
+    about: { readonly framing: Framing },
+  ): void;
   data(chunk: Buffer): void;
   end(ending: Ending): void;
   fail(failure: ExchangeFailure): void;
@@ -112,9 +128,7 @@
   #hasResponseHead = false;
   /** Whether the method is `HEAD`, whose answer has no body. */
   #isHeadRequest = false;
-  /** Whether the answer's end is marked by a length or by its chunks, not by the
-   * end of the connection. */
-  #isDelimited = true;
+  #framing: Framing = "empty";
   #isDone = false;
   #interimHeads = 0;
   #receivedBytes = 0;
@@ -166,13 +180,13 @@
 
   /** Fails the exchange, as its answer holds too many bytes. */
   endOversized(excess: partialAnswers.Excess): void {
-    this.break("oversized", excess);
+    this.break("oversized", { excess });
   }
 
   /** Fails the exchange and destroys the connection. */
   break(
     reason: request.FailureReason,
-    excess?: partialAnswers.Excess,
+    about: Pick<ExchangeFailure, "excess" | "connectionEnd"> = {},
   ): void {
     if (this.#isDone) return;
     const outcome = this.#isStarted ? "unknown" : "not-run";
@@ -182,7 +196,7 @@
     this.#options.receiver.fail({
       reason,
       outcome,
-      ...(excess && { excess }),
+      ...about,
     });
   }
 
@@ -207,10 +221,10 @@
     if (this.#isDone) return;
     if (status < 200) return this.#countInterimHead();
     this.#hasResponseHead = true;
-    this.#isDelimited = this.#isHeadRequest || status === 204 ||
-      status === 304 ||
-      headers["content-length"] !== undefined || isChunked(headers);
-    this.#options.receiver.head(status, headers);
+    const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
+    this.#framing = isEmpty ? "empty" : framingOf(headers);
+    const { receiver } = this.#options;
+    receiver.head(status, headers, { framing: this.#framing });
   }
 
   onResponseData(
@@ -237,13 +251,13 @@
 
   onResponseEnd(): void {
     if (this.#isDone) return;
-    if (this.#isDelimited) return this.#end();
+    if (isDelimited(this.#framing)) return this.#end();
     const ending = connector.currentEndCheck();
     if (ending === undefined) return this.break("broken-stream");
-    void ending.then((isInOrder) => {
+    void ending.then((connectionEnd) => {
       if (this.#isDone) return;
-      if (isInOrder) this.#end();
-      else this.break("broken-stream");
+      if (connectionEnd === "orderly") this.#end(connectionEnd);
+      else this.break("broken-stream", { connectionEnd });
     });
   }
 
@@ -256,7 +270,9 @@
       return this.endOversized({ heldBytes: bound, bound, scope: "head" });
     }
     if (isUnreadable(error)) return this.break("error");
-    this.break(this.#hasResponseHead ? "broken-stream" : "connection");
+    const reason = this.#hasResponseHead ? "broken-stream" : "connection";
+    const connectionEnd = connector.endOf(error);
+    this.break(reason, connectionEnd && { connectionEnd });
   }
 
   #countInterimHead(): void {
@@ -264,9 +280,12 @@
     if (this.#interimHeads > MAX_INTERIM_HEADS) this.break("error");
   }
 
-  #end(): void {
+  #end(connectionEnd?: connector.ConnectionEnd): void {
     this.#finish();
-    this.#options.receiver.end({ isDelimited: this.#isDelimited });
+    this.#options.receiver.end({
+      framing: this.#framing,
+      ...(connectionEnd && { connectionEnd }),
+    });
   }
 
   #send(outgoing: OutgoingRequest): void {
@@ -336,11 +355,13 @@
   }
 }
 
-/** Whether `chunked` is the last transfer coding of an answer. One with other
- * codings alone ends with its connection (RFC 9112, 6.3). */
-function isChunked(headers: Headers): boolean {
+/** Framing of an answer that may have a body. One whose last transfer coding is
+ * not `chunked` ends with its connection (RFC 9112, 6.3). */
+function framingOf(headers: Headers): Framing {
+  if (headers["content-length"] !== undefined) return "length";
   const codings = [headers["transfer-encoding"] ?? []].flat().join();
-  return codings.split(",").at(-1)!.trim().toLowerCase() === "chunked";
+  const last = codings.split(",").at(-1)!.trim().toLowerCase();
+  return last === "chunked" ? "chunked" : "connection";
 }
 
 /** Whether an endpoint has sent bytes that are no HTTP. The parser also fails at
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -8,6 +8,7 @@
 
 import type * as undici from "undici";
 import * as chunkLists from "../runtime/chunk_list.ts";
+import type * as connector from "../endpoint_calls/connector.ts";
 import * as endpointCalls from "../endpoint_calls/exchange.ts";
 import type * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import type * as runtime from "../runtime/mod.ts";
@@ -102,6 +103,8 @@
   #resolve!: (outcome: Outcome) => void;
   #exchange?: endpointCalls.Exchange;
   #head?: protocols.ReplyHead;
+  #framing?: endpointCalls.Framing;
+  #connectionEnd?: connector.ConnectionEnd;
   #isStream = false;
   #hasEvents = false;
   #isSilent = false;
@@ -157,6 +160,16 @@
     return this.#isSilent;
   }
 
+  /** What marks the end of the answer; undefined before its head. */
+  get framing(): endpointCalls.Framing | undefined {
+    return this.#framing;
+  }
+
+  /** How the connection ended, if it did before the answer or with it. */
+  get connectionEnd(): connector.ConnectionEnd | undefined {
+    return this.#connectionEnd;
+  }
+
   /** Time at which its endpoint last sent something, or at which it began. */
   get heardAt(): number {
     return this.#heardAt;
@@ -177,8 +190,10 @@
   head(
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
+    { framing }: { readonly framing: endpointCalls.Framing },
   ): void {
     if (this.#isFinished) return;
+    this.#framing = framing;
     this.#recordReceipt();
     const { protocol, request, stream } = this.#options;
     const head = protocol.decodeReply(status, headers);
@@ -222,18 +237,22 @@
     this.#options.stream!.events(complete);
   }
 
-  end({ isDelimited }: endpointCalls.Ending): void {
+  end({ framing, connectionEnd }: endpointCalls.Ending): void {
     if (this.#isFinished) return;
+    this.#connectionEnd = connectionEnd;
     this.#resume();
-    if (this.#isStream) return this.#endStream(isDelimited);
+    if (this.#isStream) return this.#endStream(framing);
     const head = this.#head!;
     const cause = refusalCause(head);
     if (cause !== undefined) return this.#fail(cause, false);
     this.#finish({ type: "answer", head, body: this.#chunks.take() });
   }
 
-  fail({ reason, outcome, excess }: endpointCalls.ExchangeFailure): void {
+  fail(
+    { reason, outcome, excess, connectionEnd }: endpointCalls.ExchangeFailure,
+  ): void {
     if (this.#isFinished) return;
+    this.#connectionEnd = connectionEnd;
     if (excess !== undefined) this.#recordExcess(excess);
     // The head alone marks an answer as a refusal, so one whose body is cut off
     // still counts.
@@ -274,9 +293,9 @@
 
   /** Ends a stream. One without events whose end is that of its connection may be
    * one whose endpoint stopped behind the head. */
-  #endStream(isDelimited: boolean): void {
+  #endStream(framing: endpointCalls.Framing): void {
     const isComplete = !this.#events.hasPartialEvent &&
-      (isDelimited || this.#hasEvents);
+      (endpointCalls.isDelimited(framing) || this.#hasEvents);
     if (!isComplete) return this.#fail("broken", true);
     this.#finish({ type: "ended" });
   }
--- a/src/gateway/call_record.ts
+++ b/src/gateway/call_record.ts
@@ -1,6 +1,8 @@
 /** Record of one call to an endpoint, for the log line of its request.
  * @module */
 
+import type * as connectors from "../endpoint_calls/connector.ts";
+import type * as exchanges from "../endpoint_calls/exchange.ts";
 import type * as placements from "./placement.ts";
 import type * as protocols from "./protocol.ts";
 import type * as retryBudgets from "./retry_budget.ts";
@@ -13,6 +15,10 @@
   readonly version: string;
   ms: number;
   outcome: string;
+  /** What marks the end of its answer; absent without a head. */
+  framing?: exchanges.Framing;
+  /** How its connection ended, if it did before the answer or with it. */
+  connectionEnd?: connectors.ConnectionEnd;
   /** Host through which the endpoint is reached, if not directly. */
   relay?: string;
   /** Which host chose the engine. */
--- a/src/gateway/endpoint_call.ts
+++ b/src/gateway/endpoint_call.ts
@@ -2,6 +2,7 @@
  * load, health and announcements.
  * @module */
 
+import * as exchanges from "../endpoint_calls/exchange.ts";
 import * as announcementRecords from "./announcement_records.ts";
 import * as attempts from "./attempt.ts";
 import * as callLoads from "./call_load.ts";
@@ -149,6 +150,7 @@
   #recordHead(head: protocols.ReplyHead): void {
     const { quotas, clock } = this.#context;
     const { endpoint, record, startedAt } = this;
+    record.framing = this.#attempt.framing;
     if (!head.isNotRun) endpoint.rejections.recordAcceptance(startedAt);
     const { rateLimit, leaving, retryAfter } = head;
     quotas.recordLimit(endpoint.identity.id, rateLimit);
@@ -210,6 +212,13 @@
     this.#context.loadUpdates.record(this.endpoint, { signal });
   }
 
+  #countUndelimited(): void {
+    const { framing, connectionEnd: end = "none" } = this.record;
+    if (framing === undefined || exchanges.isDelimited(framing)) return;
+    const { service } = this.endpoint.identity;
+    this.#context.metrics.count("gateway.undelimited", 1, { service, end });
+  }
+
   #recordEnd(outcome: attempts.Outcome): void {
     const { clock, paths, slots } = this.#context;
     const { endpoint, record, startedAt } = this;
@@ -220,6 +229,8 @@
     this.#load.end({ isSuccess: attempts.isSuccess(outcome) });
     record.ms = Math.round(now - startedAt);
     record.relay = paths.relayOf(address);
+    record.connectionEnd = this.#attempt.connectionEnd;
+    this.#countUndelimited();
     record.outcome = healthSignals.outcomeName(outcome);
     const isReceiving = this.#isReceiving;
     healthSignals.record(endpoint, outcome, {
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -36,6 +36,10 @@
     type: "gauge",
     help: "Memory of endpoints' answers that are not yet complete",
   },
+  "gateway.undelimited": {
+    type: "count",
+    help: "Answers whose end was that of their connection, by how it ended",
+  },
   "gateway.oversized": {
     type: "count",
     help: "Calls ended for the bytes that their answers held, by bound",
