Replies: a stream without an end of its own is reset when it is broken off

Callers of HTTP/1.0 saw streams end as complete with events missing. Such a stream has neither a length nor chunks, so that the end of its connection is its end, and a stream that is broken off had its connection closed in order. Now it is reset. Streams in chunks are still closed: the missing last chunk shows the break, and a reset would discard events that are on their way.

src/gateway/broken_reply_test.ts, "a stream that is broken off does not look complete in HTTP/1.0", fails on the code before. Its caller reads bytes, as undici takes a reset behind such a reply for its end.

--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -99,9 +99,13 @@
   }
 
   /** Destroys the connection, so that the caller can't take the stream for
-   * complete. */
+   * complete. A reset discards events that are still on their way, so it is kept
+   * to replies without an end of their own. */
   abort(): void {
-    this.#options.response.destroy();
+    const { response } = this.#options;
+    const { socket } = response;
+    if (response.chunkedEncoding || socket === null) response.destroy();
+    else socket.resetAndDestroy();
   }
 
   /** Sends an endpoint's plain answer. Throws if Node refuses to write its
