Replies: a reply states its end only if the endpoint's answer does

Callers saw short replies with a length of the host's own making, and streams that ended with a last chunk before their last event. An answer may have neither a length nor chunks: its end is that of its connection, which also follows if its endpoint stops or breaks off. The host buffered or relayed what had come, and stated it as a whole: Content-Length for plain answers, chunks for streams.

A reply to such an answer now has neither, and ends with its connection, in order if the answer's did and by a reset otherwise. Where another request has been read behind it on its connection, it is refused with 502, as closing the connection would lose the other reply. A stream whose head is that of an answer in chunks can't end with an answer without an end: it goes on elsewhere behind the last event as one that is broken, or is broken off.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -139,7 +139,10 @@
       response: response as unknown as passages.HttpExchange["response"],
       // Callers of this bench read at once.
       unreadReplies: { update() {}, remove() {} },
-      connection: { announcesClose: (_, isWanted) => isWanted },
+      connection: {
+        announcesClose: (_, isWanted) => isWanted,
+        isLast: () => true,
+      },
     });
   }
 
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -71,7 +71,7 @@
   /** Milliseconds from arrival to the first event sent to the caller. */
   #firstEventMs?: number;
   #lastEventId?: string;
-  #errorAnswer?: { head: protocols.ReplyHead; body: Buffer };
+  #errorAnswer?: Answer;
   #pipelineRun?: pipelineRuns.PipelineRun;
   #binding?: streamBindings.StreamBinding;
   /** Absent where accounts have no shares. */
@@ -93,8 +93,9 @@
       request,
       response,
       unreadReplies,
-      closesConnection: ({ isUnread }) =>
-        connection.announcesClose(request, isUnread || isDraining()),
+      closesConnection: ({ isNeeded }) =>
+        connection.announcesClose(request, isNeeded || isDraining()),
+      isLast: () => connection.isLast(request),
       onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
     });
     this.#arrivedAt = context.clock.now();
@@ -542,14 +543,15 @@
     if (outcome.type === "answer") return this.#handleAnswer(outcome);
     if (outcome.type === "failed") return this.#openCalls.recordStall(outcome);
     // A stream that ends without any event is no answer: its head was not
-    // relayed.
-    if (this.#reply.head !== undefined) return this.#endStream();
+    // relayed. One that was begun with an end of its own can't end with an answer
+    // without one.
+    if (this.#reply.head !== undefined && this.#reply.mayEndWith(outcome)) {
+      return this.#endStream();
+    }
     this.#openCalls.recordStall(UNUSABLE_ANSWER);
   }
 
-  #handleAnswer(
-    outcome: Extract<attempts.Outcome, { type: "answer" }>,
-  ): void {
+  #handleAnswer(outcome: Answer): void {
     // The caller already has the head of a stream: another endpoint's plain
     // answer can't continue it.
     if (this.#reply.head !== undefined) {
@@ -605,9 +607,11 @@
     callOf: () => endpointCalls.EndpointCall,
   ): attempts.StreamListener {
     let head: protocols.ReplyHead;
+    let end: replies.AnswerEnd;
     return {
-      head: (received) => {
+      head: (received, about) => {
         head = received;
+        end = about;
         // It may run now, and no other endpoint may work on the request then.
         this.#openCalls.cancelOthers(callOf());
       },
@@ -618,7 +622,7 @@
           this.#binding!.bind(call.endpoint);
           // Events of two calls must not be mixed.
           this.#openCalls.cancelOthers(call);
-          this.#relay(call, head, complete);
+          this.#relay(call, { head, end, complete });
         }),
     };
   }
@@ -626,13 +630,17 @@
   /** Relays complete events to the caller, and the head before the first. */
   #relay(
     call: endpointCalls.EndpointCall,
-    head: protocols.ReplyHead,
-    complete: eventBuffers.CompleteEvents,
+    { head, end, complete }: {
+      head: protocols.ReplyHead;
+      end: replies.AnswerEnd;
+      complete: eventBuffers.CompleteEvents;
+    },
   ): void {
     if (this.isFinished) return;
     if (this.#reply.head === undefined) {
+      if (!this.#reply.canForward(end)) return this.#refuseAnswer(head);
       this.#firstEventMs = this.#age;
-      this.#startStream(call, head);
+      this.#startStream(call, { head, end });
     }
     if (complete.lastId !== undefined) this.#lastEventId = complete.lastId;
     this.#reply.write(complete.bytes);
@@ -640,9 +648,9 @@
 
   #startStream(
     call: endpointCalls.EndpointCall,
-    head: protocols.ReplyHead,
+    { head, end }: { head: protocols.ReplyHead; end: replies.AnswerEnd },
   ): void {
-    this.#reply.startStream(head);
+    this.#reply.startStream(head, end);
     this.#phase = "streaming";
     this.#pipelineRun?.release();
     if (configurations.isIdempotent(this.#route!)) {
@@ -657,17 +665,23 @@
     this.#log("info", { status }, "Request answered");
   }
 
-  #answer({ head, body }: { head: protocols.ReplyHead; body: Buffer }): void {
-    if (!retries.mayRelayAnswer(this.#route!, head)) {
-      return this.#refuse("failed", { answered: head.status });
-    }
+  #answer(answer: Answer): void {
+    const { head, body } = answer;
+    const mayRelay = retries.mayRelayAnswer(this.#route!, head) &&
+      this.#reply.canForward(answer);
+    if (!mayRelay) return this.#refuseAnswer(head);
     // Before the request counts as finished: if the answer can't be written, the
     // caller is refused.
-    this.#reply.send(head, body);
+    this.#reply.send(head, body, answer);
     this.#finish();
     this.#log("info", { status: head.status }, "Request answered");
   }
 
+  /** Refuses the request as an endpoint's answer can't be forwarded. */
+  #refuseAnswer({ status }: protocols.ReplyHead): void {
+    this.#refuse("failed", { answered: status });
+  }
+
   /** Calls so far; one in flight may have run. */
   get #history(): retries.RetryHistory {
     const runs = this.#runs + this.#openCalls.size;
@@ -860,6 +874,9 @@
   }
 }
 
+/** A plain answer of an endpoint. */
+type Answer = Extract<attempts.Outcome, { type: "answer" }>;
+
 /** Whether a call gave the whole answer to its request. */
 function isWhole(outcome: attempts.Outcome): boolean {
   return outcome.type === "ended" ||
@@ -883,7 +900,7 @@
   /** Connection of the request. */
   readonly connection: Pick<
     callerConnections.CallerConnection,
-    "announcesClose"
+    "announcesClose" | "isLast"
   >;
 }
 
--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -10,6 +10,7 @@
 import * as endpointFixture from "../endpoints/fixture.ts";
 import type * as configurations from "../configuration/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
+import * as callerFixture from "./caller_fixture.ts";
 import * as fixture from "./fixture.ts";
 import type * as protocols from "./protocol.ts";
 
@@ -643,18 +644,26 @@
 });
 
 test("a stream that ends with its connection inside an event is broken off", async (t) => {
-  const { ask } = await startUnframedHost(t, PLAIN_STREAM, (socket) => {
-    socket.end("id: 1\ndata: 1\n\nid: 2\nda");
-  });
-  t.is(await endOf(ask()), "broken off");
+  const { gatewayAddress } = await startUnframedHost(
+    t,
+    PLAIN_STREAM,
+    (socket) => void socket.end("id: 1\ndata: 1\n\nid: 2\nda"),
+  );
+  const reply = await callerFixture.send(gatewayAddress, {});
+  t.like(reply, { status: 200, body: "id: 1\ndata: 1\n\n", isComplete: false });
 });
 
 test("a stream without a length whose connection is reset is broken off", async (t) => {
-  const { ask } = await startUnframedHost(t, PLAIN_STREAM, (socket) => {
-    socket.write("id: 1\ndata: 1\n\n");
-    fixture.clock.after(50, () => socket.resetAndDestroy());
-  });
-  t.is(await endOf(ask()), "broken off");
+  const { gatewayAddress } = await startUnframedHost(
+    t,
+    PLAIN_STREAM,
+    (socket) => {
+      socket.write("id: 1\ndata: 1\n\n");
+      fixture.clock.after(50, () => socket.resetAndDestroy());
+    },
+  );
+  const reply = await callerFixture.send(gatewayAddress, {});
+  t.like(reply, { status: 200, body: "id: 1\ndata: 1\n\n", isComplete: false });
 });
 
 test("a plain answer without a length is relayed unless its connection is reset", async (t) => {
--- a/src/gateway/announcements_test.ts
+++ b/src/gateway/announcements_test.ts
@@ -108,7 +108,12 @@
     headers: {},
     load: "unreadable" as const,
   };
-  const outcome = { type: "answer" as const, head, body: Buffer.alloc(0) };
+  const outcome = {
+    type: "answer" as const,
+    head,
+    body: Buffer.alloc(0),
+    framing: "length" as const,
+  };
   healthSignals.record(endpoint, outcome, {
     now: 100,
     duration: 10,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -44,9 +44,14 @@
 /** How an attempt ended. */
 export type Outcome =
   /** A plain answer, or an endpoint's error answer to a streaming call. */
-  | { type: "answer"; head: protocols.ReplyHead; body: Buffer }
+  | {
+    type: "answer";
+    head: protocols.ReplyHead;
+    body: Buffer;
+    framing: endpointCalls.Framing;
+  }
   /** A complete stream. */
-  | { type: "ended" }
+  | { type: "ended"; framing: endpointCalls.Framing }
   | {
     type: "failed";
     cause: FailureCause;
@@ -56,7 +61,10 @@
 
 /** Receives a stream as it arrives. */
 export interface StreamListener {
-  head(head: protocols.ReplyHead): void;
+  head(
+    head: protocols.ReplyHead,
+    about: { readonly framing: endpointCalls.Framing },
+  ): void;
   events(whole: eventBuffers.CompleteEvents): void;
 }
 
@@ -201,7 +209,7 @@
     if (!head.isMisdirected) this.#options.onHead?.(head);
     this.#head = head;
     this.#isStream = stream !== undefined && hasSuccessStatus(head);
-    if (this.#isStream) stream!.head(head);
+    if (this.#isStream) stream!.head(head, { framing });
   }
 
   silence(): void {
@@ -245,7 +253,8 @@
     const head = this.#head!;
     const cause = refusalCause(head);
     if (cause !== undefined) return this.#fail(cause, false);
-    this.#finish({ type: "answer", head, body: this.#chunks.take() });
+    const body = this.#chunks.take();
+    this.#finish({ type: "answer", head, body, framing });
   }
 
   fail(
@@ -297,7 +306,7 @@
     const isComplete = !this.#events.hasPartialEvent &&
       (endpointCalls.isDelimited(framing) || this.#hasEvents);
     if (!isComplete) return this.#fail("broken", true);
-    this.#finish({ type: "ended" });
+    this.#finish({ type: "ended", framing });
   }
 
   #rejectMismatch(): void {
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -61,11 +61,16 @@
     });
   }
 
+  /** Whether a request is the last one that was read. */
+  isLast(request: http.IncomingMessage): boolean {
+    return this.#last?.request === request;
+  }
+
   /** Whether the head of the reply to a request has to announce that the
    * connection closes after it; `isWanted` says that it should close as soon as
    * no reply is lost by it. */
   announcesClose(request: http.IncomingMessage, isWanted: boolean): boolean {
-    if (this.#last?.request !== request) return false;
+    if (!this.isLast(request)) return false;
     this.#isClosing ||= isWanted;
     return this.#isClosing;
   }
--- a/src/gateway/cut_streams_test.ts
+++ b/src/gateway/cut_streams_test.ts
@@ -9,6 +9,7 @@
 import * as undici from "undici";
 import * as connector from "../endpoint_calls/connector.ts";
 import * as runtime from "../runtime/mod.ts";
+import * as callerFixture from "./caller_fixture.ts";
 import * as fixture from "./fixture.ts";
 
 const SEED = 70;
@@ -78,7 +79,7 @@
     answers.push(answer);
     send(socket, answer);
   };
-  const { ask, context } = await fixture.startHost(t, {
+  const { gatewayAddress, context } = await fixture.startHost(t, {
     kind: "streaming",
     resumable: true,
     objective: 1000,
@@ -95,12 +96,13 @@
   let complete = 0;
   for (let count = 0; count < STREAMS; count++) {
     answers = [];
-    const answer = await ask().catch(() => undefined);
-    if (answer?.status !== 200) continue;
+    const reply = await callerFixture.send(gatewayAddress, {});
+    if (reply.status !== 200 || !reply.isComplete) continue;
     complete++;
-    const ids = idsOf(answer.text);
+    const ids = idsOf(reply.body);
     const isInOrder = ids.every((id, index) => id === index + 1);
-    const isWhole = ids.length === EVENTS || answers.at(-1)!.looksWhole;
+    const isWhole = ids.length === EVENTS ||
+      reply.framing === "connection" && answers.at(-1)!.looksWhole;
     if (!isInOrder || !isWhole) wrong.push([ids, answers]);
   }
   return { complete, wrong };
--- a/src/gateway/health_signal_test.ts
+++ b/src/gateway/health_signal_test.ts
@@ -25,7 +25,12 @@
     const whole = { ...common, lacksInput: false, headers: {}, ...head };
     healthSignals.record(
       endpoint,
-      { type: "answer", head: whole, body: Buffer.alloc(0) },
+      {
+        type: "answer",
+        head: whole,
+        body: Buffer.alloc(0),
+        framing: "length",
+      },
       {
         now: 0,
         duration,
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -1,8 +1,13 @@
 /** Reply to a caller: a plain answer, a relayed stream, or a refusal by the
  * gateway; answers and refusals are dropped once the caller has disconnected.
+ *
+ * A reply states its end only if the endpoint's answer did. Otherwise its end is
+ * that of its connection, as it was the answer's: in order if that was complete,
+ * by a reset if it was not.
  * @module */
 
 import type * as http from "node:http";
+import * as endpointCalls from "../endpoint_calls/exchange.ts";
 import type * as protocols from "./protocol.ts";
 import type * as refusals from "./refusal.ts";
 import type * as unreadReplies from "./unread_replies.ts";
@@ -17,12 +22,20 @@
     "update" | "remove"
   >;
   /** Whether the connection closes after this reply; asked once its head is
-   * written. It should if `isUnread`: a part of the request is left on it. */
-  closesConnection(state: { isUnread: boolean }): boolean;
+   * written. It should if `isNeeded`: a part of the request is left on it, or its
+   * end is that of the reply. */
+  closesConnection(state: { isNeeded: boolean }): boolean;
+  /** Whether no other request has been read behind this one. */
+  isLast(): boolean;
   /** The reply is aborted because its caller has not read so many bytes. */
   onAbortUnread(unreadBytes: number): void;
 }
 
+/** What marks the end of the answer that a reply forwards. */
+export interface AnswerEnd {
+  readonly framing: endpointCalls.Framing;
+}
+
 /** The reply to one request. */
 export class Reply implements unreadReplies.UnreadReply {
   readonly #options: ReplyOptions;
@@ -65,9 +78,23 @@
       this.#options.response.destroyed;
   }
 
+  /** Whether an answer can be forwarded: one that states no end closes the
+   * connection, on which another reply may be due. */
+  canForward({ framing }: AnswerEnd): boolean {
+    return endpointCalls.isDelimited(framing) || this.#options.isLast();
+  }
+
+  /** Whether the end of an answer may end the stream, whose head may be that of
+   * another answer. */
+  mayEndWith({ framing }: AnswerEnd): boolean {
+    const { response } = this.#options;
+    return endpointCalls.isDelimited(framing) || !response.chunkedEncoding;
+  }
+
   /** Sends the head of a stream. Throws if Node refuses to write it. */
-  startStream(head: protocols.ReplyHead): void {
-    this.#options.response.writeHead(head.status, this.#headersOf(head));
+  startStream(head: protocols.ReplyHead, end: AnswerEnd): void {
+    const headers = this.#headersOf(head, end);
+    this.#options.response.writeHead(head.status, headers);
     // Only once it is written: otherwise the stream would be taken for started,
     // and its events would follow a head of Node's own.
     this.#head = head;
@@ -110,12 +137,12 @@
 
   /** Sends an endpoint's plain answer. Throws if Node refuses to write its
    * head. */
-  send(head: protocols.ReplyHead, body: Buffer): void {
+  send(head: protocols.ReplyHead, body: Buffer, end: AnswerEnd): void {
     if (this.isDisconnected) return;
-    const { response } = this.#options;
-    response.writeHead(head.status, {
-      ...this.#headersOf(head),
-      "content-length": `${body.length}`,
+    const hasLength = end.framing === "length" || end.framing === "chunked";
+    this.#options.response.writeHead(head.status, {
+      ...this.#headersOf(head, end),
+      ...(hasLength && { "content-length": `${body.length}` }),
     });
     this.#end(body);
   }
@@ -128,7 +155,7 @@
     if (this.isDisconnected) return;
     const { request, response, closesConnection } = this.#options;
     const text = JSON.stringify({ status, reason });
-    const closes = closesConnection({ isUnread: !request.complete });
+    const closes = closesConnection({ isNeeded: !request.complete });
     response.writeHead(status, {
       "content-type": "application/problem+json",
       "content-length": `${Buffer.byteLength(text)}`,
@@ -148,8 +175,14 @@
     if (!this.#isClosed) this.#options.unreadReplies.update(this);
   }
 
-  #headersOf({ headers }: protocols.ReplyHead): Record<string, string> {
-    const closes = this.#options.closesConnection({ isUnread: false });
+  #headersOf(
+    { headers }: protocols.ReplyHead,
+    { framing }: AnswerEnd,
+  ): Record<string, string> {
+    const { response, closesConnection } = this.#options;
+    const isNeeded = !endpointCalls.isDelimited(framing);
+    if (isNeeded) response.useChunkedEncodingByDefault = false;
+    const closes = closesConnection({ isNeeded });
     return { ...headers, ...(closes && { connection: "close" }) };
   }
 }
--- a/src/gateway/unread_replies_test.ts
+++ b/src/gateway/unread_replies_test.ts
@@ -115,11 +115,14 @@
         response,
         unreadReplies: unread,
         closesConnection: () => false,
+        isLast: () => true,
         onAbortUnread() {},
       });
       if (number++ === 0) return;
       const head = { status: 200, isNotRun: false, isMisdirected: false };
-      reply.startStream({ ...head, lacksInput: false, headers: {} });
+      reply.startStream({ ...head, lacksInput: false, headers: {} }, {
+        framing: "chunked",
+      });
       reply.write(Buffer.alloc(100_000));
       t.true(unread.sum >= 100_000);
       request.socket.once("close", () => setImmediate(resolve));
