Calls: an answer without a length is not complete if its endpoint has stopped

Callers saw parts of answers as whole ones when an endpoint was killed: its system ends its connections in order, which is the end of an answer without a length or chunks. That system also refuses new connections from then on, so such an end now counts only if the endpoint's address still accepts one; a host that relays the connection asks the same before it confirms the end. A safe request is then called again, a stream that may be resumed goes on elsewhere, and an unsafe request is refused with 502. Only a refusal counts: a timeout shows nothing. The call's record says `stopped`.

It costs a connection to the endpoint for each answer without an end of its own, and a whole one is lost if its endpoint ends at that moment. An endpoint that goes on after it broke an answer off is not found by it.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -8,12 +8,16 @@
  * line break is written, which the operating system refuses on a connection
  * that was reset. The write is harmless otherwise, since an endpoint that has
  * ended its answer reads nothing more.
+ *
+ * The connections of a process that is killed end in order as well, so an end
+ * counts only if the endpoint's address still accepts connections.
  * @module */
 
 import type * as net from "node:net";
 import * as undici from "undici";
 import * as framing from "./framing.ts";
 import * as readSlices from "./read_slices.ts";
+import * as stoppedEndpoint from "./stopped_endpoint.ts";
 
 /** Error code that replaces `ECONNRESET`. */
 const RESET_CODE = "ERR_CONNECTION_RESET";
@@ -25,9 +29,10 @@
   afterTurn: setImmediate,
 });
 
-/** How a connection ended: in order, by a reset, or in order without the
- * confirmation of the host that forwards it. */
-export type ConnectionEnd = "orderly" | "reset" | "unconfirmed";
+/** How a connection ended: in order, by a reset, in order at an endpoint that
+ * refuses connections since, or in order without the confirmation of the host that
+ * forwards it. */
+export type ConnectionEnd = "orderly" | "reset" | "stopped" | "unconfirmed";
 
 /** Options of a connector. */
 export interface ConnectorOptions {
@@ -103,10 +108,14 @@
 
 function probeEnd(this: net.Socket): void {
   const probed = endsInOrder(this);
-  const confirm = confirmations.get(this) ?? (() => Promise.resolve(true));
+  const confirm = confirmations.get(this);
+  const { remoteAddress: host, remotePort: port } = this;
   const check = async (): Promise<ConnectionEnd> => {
     if (!await probed) return "reset";
-    return await confirm() ? "orderly" : "unconfirmed";
+    if (confirm) return await confirm() ? "orderly" : "unconfirmed";
+    if (host === undefined || port === undefined) return "unconfirmed";
+    const isStopped = await stoppedEndpoint.hasStopped({ host, port });
+    return isStopped ? "stopped" : "orderly";
   };
   currentCheck = check;
   // All listeners of this event run before the next microtask.
--- a/src/endpoint_calls/connector_test.ts
+++ b/src/endpoint_calls/connector_test.ts
@@ -13,15 +13,15 @@
 async function serverOf(
   t: ava.ExecutionContext,
   text: string,
-  end: (socket: net.Socket) => void,
+  end: (socket: net.Socket, server: net.Server) => void,
   { wait = 30 }: { wait?: number } = {},
 ): Promise<string> {
   const server = net.createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => {
       socket.write(text);
-      if (wait === 0) end(socket);
-      else setTimeout(() => end(socket), wait);
+      if (wait === 0) end(socket, server);
+      else setTimeout(() => end(socket, server), wait);
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -87,6 +87,16 @@
   t.is(await fetch(t, url), "broken-stream");
 });
 
+// Guards against a short answer that counts as whole: a process that is killed
+// closes its listener, and its connections in order.
+test("an answer without a length fails when its endpoint has stopped", async (t) => {
+  const url = await serverOf(t, WITHOUT_LENGTH, (socket, server) => {
+    server.close();
+    socket.end();
+  });
+  t.is(await fetch(t, url), "broken-stream");
+});
+
 test("a chunked answer fails when its connection ends early", async (t) => {
   const url = await serverOf(t, CHUNKED, (socket) => socket.end());
   t.is(await fetch(t, url), "broken-stream");
--- a/src/peers/listener.ts
+++ b/src/peers/listener.ts
@@ -44,8 +44,9 @@
 /** Serves tunnels of other hosts. */
 export interface Tunnels {
   accept(request: TunnelRequest): void;
-  /** Whether the endpoint's connection of a tunnel has ended in order. */
-  hasEnded(tunnel: string): boolean;
+  /** Resolves with whether the endpoint's connection of a tunnel has ended in
+   * order, and the endpoint has not stopped. */
+  hasEnded(tunnel: string): Promise<boolean>;
 }
 
 /** Header of a request for a tunnel that identifies it, and of its response if its
@@ -89,8 +90,9 @@
 export async function listen(options: ListenerOptions): Promise<Listener> {
   const { address, port, admit, incarnation } = options;
   const server = http.createServer((request, response) => {
-    const status = statusOf(request, options);
-    response.writeHead(status, { connection: "close" }).end();
+    void statusOf(request, options).then((status) => {
+      response.writeHead(status, { connection: "close" }).end();
+    });
   });
   const sockets = new ws.WebSocketServer({
     server,
@@ -161,13 +163,14 @@
 }
 
 /** Status of the response to a plain request. */
-function statusOf(
+async function statusOf(
   { url = "", headers }: http.IncomingMessage,
   { admit, tunnels }: ListenerOptions,
-): number {
+): Promise<number> {
   if (!url.startsWith(TUNNEL_END_PATH)) return 426;
   if (admit(headers) === undefined) return 403;
-  return tunnels?.hasEnded(url.slice(TUNNEL_END_PATH.length)) ? 204 : 404;
+  const tunnel = url.slice(TUNNEL_END_PATH.length);
+  return await tunnels?.hasEnded(tunnel) ? 204 : 404;
 }
 
 /** Passes on a request for a tunnel of a host of the fleet. */
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -10,6 +10,7 @@
 
 import * as net from "node:net";
 import * as connector from "../endpoint_calls/connector.ts";
+import * as stoppedEndpoint from "../endpoint_calls/stopped_endpoint.ts";
 import * as peers from "../peers/mod.ts";
 import * as delays from "../runtime/delay.ts";
 import type * as runtime from "../runtime/mod.ts";
@@ -56,8 +57,8 @@
 export class TunnelServer implements peers.Tunnels {
   readonly #options: TunnelServerOptions;
   readonly #tunnels = new Set<net.Socket>();
-  /** Ids of tunnels that have ended in order lately. */
-  readonly #ended = new Set<string>();
+  /** Endpoints of tunnels that have ended in order lately, by the tunnels' ids. */
+  readonly #ended = new Map<string, stoppedEndpoint.EndpointAddress>();
   #isStopping = false;
   #onEmpty = () => {};
 
@@ -84,10 +85,12 @@
     this.#connect(request, client);
   }
 
-  /** Whether the endpoint's connection of a tunnel has ended in order; false if
-   * that is not known. */
-  hasEnded(tunnel: string): boolean {
-    return this.#ended.has(tunnel);
+  /** Resolves with whether the endpoint's connection of a tunnel has ended in
+   * order, and the endpoint has not stopped; false if the tunnel is not known. */
+  async hasEnded(tunnel: string): Promise<boolean> {
+    const endpoint = this.#ended.get(tunnel);
+    return endpoint !== undefined &&
+      !await stoppedEndpoint.hasStopped(endpoint);
   }
 
   /** Refuses new tunnels from now on. */
@@ -140,10 +143,10 @@
     const { clock, logger, metrics } = this.#options;
     const { from, endpoint, tunnel } = request;
     const [host, port] = endpoint.split(":");
+    const address = { host, port: Number(port) };
     this.#add(client);
     const upstream = net.connect({
-      host,
-      port: Number(port),
+      ...address,
       noDelay: true,
       allowHalfOpen: true,
     });
@@ -165,13 +168,16 @@
       metrics.count("relay.served", 1, { result: "open" });
       logger.info({ from, address: endpoint }, "Tunnel opened");
       client.write(headOf(tunnel));
-      forward(client, upstream, () => this.#recordEnd(tunnel));
+      forward(client, upstream, () => this.#recordEnd(tunnel, address));
     });
   }
 
-  #recordEnd(tunnel: string | undefined): void {
+  #recordEnd(
+    tunnel: string | undefined,
+    endpoint: stoppedEndpoint.EndpointAddress,
+  ): void {
     if (tunnel === undefined) return;
-    this.#ended.add(tunnel);
+    this.#ended.set(tunnel, endpoint);
     this.#options.clock.after(
       END_RETENTION_MS,
       () => this.#ended.delete(tunnel),
--- a/src/relay/tunnel_test.ts
+++ b/src/relay/tunnel_test.ts
@@ -34,7 +34,8 @@
     server.close();
   });
   const { port } = server.address() as net.AddressInfo;
-  return { address: `${fixture.LOOPBACK}:${port}`, sockets };
+  const stop = () => void server.close();
+  return { address: `${fixture.LOOPBACK}:${port}`, sockets, stop };
 }
 
 function open(
@@ -179,6 +180,20 @@
   }
 });
 
+// Guards against a short answer that counts as whole: the connections of an endpoint
+// that is killed end in order at the host that relays it, too.
+test("an answer without a length is not complete when the endpoint behind a relaying host has stopped", async (t) => {
+  const { address, stop } = await startEndpoint(t, (socket) => {
+    socket.once("data", () => {
+      stop();
+      socket.end(WITHOUT_LENGTH);
+    });
+  });
+  const { dialAddress } = await fixture.startRelay(t);
+  const answer = callOn(t, await open(dialAddress, address));
+  t.is(await answer, "broken-stream");
+});
+
 test("an answer without a length through a host of the previous release ends with the tunnel", async (t) => {
   const { address } = await startEndpoint(t, (socket) => {
     socket.once("data", () => socket.end(WITHOUT_LENGTH));
