Calls: an endpoint that ends has stopped though its port still takes connections

Callers of streams saw short replies end in order: an endpoint without a length exited behind an event, and the check whether it has stopped found its port open (killed_endpoint_test in the making, staged and resumable streams, ends by exit).

Linux closes the descriptors of a process that ends in reverse order, the connections before the listener, which has the lower one. The end of an answer wakes its reader, which may connect before the listener is closed: such a connection opens and waits for a process that takes it no more. Beside 12 busy processes the listener was open for up to 46 ms.

The connection of the check is now ended as it opens. A process that runs ends it as well; the system resets it as it closes the listener, and the check asks again until a connection is refused. Still only a refusal counts. A connection that stays open for 100 ms shows nothing, as before: so an endpoint that is too busy to take a connection delays the end of its answer by 100 ms.

--- a/src/endpoint_calls/stopped_endpoint.ts
+++ b/src/endpoint_calls/stopped_endpoint.ts
@@ -1,11 +1,24 @@
 /** Whether an endpoint has stopped. The system of a process that is killed ends
  * its connections in order, and refuses new ones from then on.
+ *
+ * Linux closes the connections of such a process before its listener, which has the
+ * lower descriptor, so that it still takes connections for some milliseconds, which
+ * no process will accept. Therefore a connection that opens is ended at once: a
+ * process that runs ends it as well, and the system resets it as it closes the
+ * listener.
  * @module */
 
 import * as net from "node:net";
 
-/** Timeout of the check; an address that does not answer refuses nothing. */
-const CHECK_TIMEOUT_MS = 500;
+/** Timeout of connecting; an address that does not answer refuses nothing. */
+const CONNECT_TIMEOUT_MS = 500;
+/** Milliseconds after which a connection that stays open shows nothing, as its
+ * endpoint may be busy. Beside 12 busy processes on 8 cores a listener was open for
+ * up to 46 ms after its connections had ended. */
+const REACTION_TIMEOUT_MS = 100;
+/** Connections of one check. One that is reset shows nothing by itself, and those
+ * of an endpoint that runs may all be. */
+const MAX_CONNECTIONS = 3;
 
 /** Address of an endpoint. */
 export interface EndpointAddress {
@@ -13,20 +26,39 @@
   readonly port: number;
 }
 
+/** What became of a connection that was ended as it opened. */
+type Reaction = "ended" | "refused" | "reset" | "none";
+
 /** Resolves with whether an address refuses connections. */
-export function hasStopped(address: EndpointAddress): Promise<boolean> {
+export async function hasStopped(address: EndpointAddress): Promise<boolean> {
+  for (let count = 0; count < MAX_CONNECTIONS; count++) {
+    const reaction = await reactionOf(address);
+    if (reaction !== "reset") return reaction === "refused";
+  }
+  return false;
+}
+
+function reactionOf(address: EndpointAddress): Promise<Reaction> {
   return new Promise((resolve) => {
     const socket = net.connect(address);
-    const finish = (isRefused: boolean) => {
+    const finish = (reaction: Reaction) => {
       socket.destroy();
-      resolve(isRefused);
+      resolve(reaction);
     };
-    socket.setTimeout(CHECK_TIMEOUT_MS);
-    socket.once("connect", () => finish(false));
-    socket.once("timeout", () => finish(false));
+    socket.setTimeout(CONNECT_TIMEOUT_MS);
+    socket.once("connect", () => socket.setTimeout(REACTION_TIMEOUT_MS));
+    socket.once("data", () => finish("ended"));
+    socket.once("end", () => finish("ended"));
+    socket.once("timeout", () => finish("none"));
     // Stays for errors behind the first.
-    socket.on("error", ({ code }: NodeJS.ErrnoException) => {
-      finish(code === "ECONNREFUSED");
+    socket.on("error", ({ code = "" }: NodeJS.ErrnoException) => {
+      finish(REACTIONS[code] ?? "none");
     });
+    socket.end();
   });
 }
+
+const REACTIONS: Readonly<Record<string, Reaction>> = {
+  ECONNREFUSED: "refused",
+  ECONNRESET: "reset",
+};
