Replies: no request behind a stream of HTTP/1.0 is passed on

A caller of HTTP/1.0 that keeps its connection and sends a second request before its stream has ended got no answer to it, although it had been passed on: such a stream has neither a length nor chunks, so Node closes the connection behind it, which the host did not know.

A streaming request without chunks now marks its connection as one that closes as soon as its route is known; what comes behind it is dropped as not run, as behind any announced close. Plain replies of HTTP/1.0 have a length, and their connections are kept as before.

http_1_0_test, "a request behind one of HTTP/1.0 is answered or not passed on: stream, kept open" and "no request is passed on that comes while a stream of HTTP/1.0 is sent", fail on the code before (2 calls begun, 1 reply). 106 tests of requests, replies and the server pass.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -290,6 +290,7 @@
       return this.#refuseStep(reason, this.#retryDetails(reason));
     }
     const route = this.#route!;
+    if (route.kind === "streaming") this.#reply.expectStream();
     this.#priorWait = this.#context.priorWait.estimate(
       route.name,
       incoming.timeout,
--- a/src/gateway/caller_fixture.ts
+++ b/src/gateway/caller_fixture.ts
@@ -65,10 +65,11 @@
 }
 
 /** Sends text on one connection; resolves with all that comes until it ends, and
- * how it ends. */
+ * how it ends. `onData` is called with what has come so far. */
 export function exchange(
   address: string,
   sent: string,
+  { onData }: { onData?(socket: net.Socket, received: string): void } = {},
 ): Promise<{ text: string; connectionEnd: connector.ConnectionEnd }> {
   return new Promise((resolve) => {
     let text = "";
@@ -77,7 +78,10 @@
       resolve({ text, connectionEnd });
       socket.destroy();
     };
-    socket.on("data", (part) => text += part.toString("latin1"));
+    socket.on("data", (part) => {
+      text += part.toString("latin1");
+      onData?.(socket, text);
+    });
     socket.on("error", () => finish("reset"));
     socket.on("end", () => void endOf(socket).then(finish));
     socket.write(sent);
--- /dev/null
+++ b/src/gateway/http_1_0_test.ts
@@ -0,0 +1,116 @@
+/** Callers of HTTP/1.0, whose streams have neither a length nor chunks.
+ * @module */
+
+import type * as http from "node:http";
+import type * as ava from "ava";
+import test from "ava";
+import type * as configurations from "../configuration/mod.ts";
+import * as callerFixture from "./caller_fixture.ts";
+import * as fixture from "./fixture.ts";
+
+const STREAM: Partial<configurations.Route> = {
+  kind: "streaming",
+  objective: 1000,
+  stages: [],
+};
+const PLAIN: Partial<configurations.Route> = { kind: "unsafe", stages: [] };
+const EVENT = "id: 1\ndata: 1\n\n";
+const WORK_MS = 100;
+const KEEP_ALIVE = { connection: "keep-alive" };
+
+/** Starts a server before an endpoint that answers each call after some time with
+ * one event; counts its calls. */
+async function startServer(
+  t: ava.ExecutionContext,
+  route: Partial<configurations.Route>,
+  handle: http.RequestListener = answerLater,
+) {
+  const calls = { begun: 0 };
+  const host = await fixture.startHost(t, route, (request, response) => {
+    calls.begun++;
+    handle(request, response);
+  });
+  const server = await fixture.startServer(t, host);
+  return { calls, address: `127.0.0.1:${server.port}` };
+}
+
+function answerLater(_: http.IncomingMessage, response: http.ServerResponse) {
+  response.writeHead(200, { "test-signature": "s" });
+  response.write(EVENT.slice(0, 5));
+  fixture.clock.after(WORK_MS, () => response.end(EVENT.slice(5)));
+}
+
+/** Replies in what came on a connection. */
+function repliesIn(text: string): callerFixture.RawReply[] {
+  return text.split(/(?=HTTP\/1\.1 )/).filter((each) => each !== "")
+    .map((each) => callerFixture.parse(each, { connectionEnd: "orderly" }));
+}
+
+// Guards against a request that is passed on and never answered: the connection of
+// a caller of HTTP/1.0 closes after a reply without a length.
+for (const [kind, route] of Object.entries({ stream: STREAM, plain: PLAIN })) {
+  for (const headers of [{}, KEEP_ALIVE]) {
+    const isKept = "connection" in headers;
+    const name = `${kind}, ${isKept ? "kept open" : "closed"}`;
+    test(`a request behind one of HTTP/1.0 is answered or not passed on: ${name}`, async (t) => {
+      const { calls, address } = await startServer(t, route);
+      const request = callerFixture.textOf({ version: "1.0", headers });
+      let text = "";
+      await callerFixture.exchange(
+        address,
+        request + request,
+        {
+          onData(socket, received) {
+            text = received;
+            if (repliesIn(text).length > 1) socket.end();
+          },
+        },
+      );
+      const replies = repliesIn(text);
+      t.is(replies.length, isKept && kind === "plain" ? 2 : 1, text);
+      t.is(calls.begun, replies.length);
+      for (const reply of replies) {
+        t.like(reply, { status: 200, body: EVENT, isComplete: true });
+      }
+    });
+  }
+}
+
+// Guards against a request that crosses the reply after which its connection
+// closes.
+test("no request is passed on that comes while a stream of HTTP/1.0 is sent", async (t) => {
+  const { calls, address } = await startServer(t, STREAM, (_, response) => {
+    response.writeHead(200, { "test-signature": "s" });
+    response.write(EVENT);
+    fixture.clock.after(WORK_MS, () => response.end(EVENT));
+  });
+  const request = callerFixture.textOf({
+    version: "1.0",
+    headers: KEEP_ALIVE,
+  });
+  const seen = await callerFixture.exchange(address, request, {
+    onData: (socket) => socket.write(request),
+  });
+  const replies = repliesIn(seen.text);
+  t.is(replies.length, 1, seen.text);
+  t.is(replies[0].body, EVENT + EVENT);
+  t.is(calls.begun, 1);
+});
+
+test("a caller of HTTP/1.0 may send a request after each answer with a length", async (t) => {
+  const { calls, address } = await startServer(t, PLAIN);
+  const request = callerFixture.textOf({
+    version: "1.0",
+    headers: KEEP_ALIVE,
+  });
+  let sent = 1;
+  const { text } = await callerFixture.exchange(address, request, {
+    onData: (socket, received) => {
+      if (received.split("HTTP/1.1").length - 1 < sent) return;
+      if (++sent <= 3) socket.write(request);
+      else socket.end();
+    },
+  });
+  t.deepEqual(repliesIn(text).map(({ body }) => body), [EVENT, EVENT, EVENT]);
+  t.is(calls.begun, 3);
+});
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -98,6 +98,18 @@
     return endpointCalls.isDelimited(framing) || !response.chunkedEncoding;
   }
 
+  /** Prepares for a stream. Where it can't be sent in chunks, its connection closes
+   * behind it, so that no further request on it may be passed on. */
+  expectStream(): void {
+    const isNeeded = !this.#hasChunks;
+    if (isNeeded) this.#options.closesConnection({ isNeeded });
+  }
+
+  /** Whether streams have chunks: not in HTTP/1.0. */
+  get #hasChunks(): boolean {
+    return this.#options.response.useChunkedEncodingByDefault;
+  }
+
   /** Sends the head of a stream. Throws if Node refuses to write it. */
   startStream(head: protocols.ReplyHead, end: AnswerEnd): void {
     const headers = this.#headersOf(head, end);
