Server: a stop resets replies without an end of their own

A host that stopped closed the connections of callers that had not read their replies yet in order. A stream of HTTP/1.0 and a reply to an answer without a length end with their connection, so that their callers took the part that they had for the whole.

A reply now tells its connection that its head states no end, and a stop resets the connection while such a reply is being sent. Others are closed as before: a length or a missing last chunk shows the break, and a reset discards bytes that are on their way.

--- a/bench/decisions/wire.ts
+++ b/bench/decisions/wire.ts
@@ -27,6 +27,9 @@
 export class Response extends events.EventEmitter {
   readonly #hearer: Hearer;
   #isOver = false;
+  /** Streams are sent in chunks, as callers of HTTP/1.1 get them. */
+  readonly chunkedEncoding = true;
+  useChunkedEncodingByDefault = true;
 
   constructor(hearer: Hearer) {
     super();
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -97,6 +97,7 @@
       closesConnection: ({ isNeeded }) =>
         connection.announcesClose(request, isNeeded || isDraining()),
       isLast: () => connection.isLast(request),
+      onUndelimited: () => connection.endReplyWith(request),
       onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
     });
     this.#arrivedAt = context.clock.now();
@@ -902,7 +903,7 @@
   /** Connection of the request. */
   readonly connection: Pick<
     callerConnections.CallerConnection,
-    "announcesClose" | "isLast"
+    "announcesClose" | "isLast" | "endReplyWith"
   >;
 }
 
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -16,20 +16,25 @@
   readonly response: http.ServerResponse;
 }
 
+/** What is done with the socket of a connection. */
+type Socket = Pick<net.Socket, "destroySoon" | "destroy" | "resetAndDestroy">;
+
 /** State of one connection. Mutable. */
 export class CallerConnection {
-  readonly #socket: Pick<net.Socket, "destroySoon">;
+  readonly #socket: Socket;
   /** Requests whose replies are not sent whole yet, in their order. */
   #open: Exchange[] = [];
   #isClosing = false;
   /** Request after whose reply it closes. */
   #closesAfter?: Exchange;
+  /** Request whose reply ends with the connection. */
+  #endedBy?: http.IncomingMessage;
 
-  private constructor(socket: Pick<net.Socket, "destroySoon">) {
+  private constructor(socket: Socket) {
     this.#socket = socket;
   }
 
-  static create(socket: Pick<net.Socket, "destroySoon">): CallerConnection {
+  static create(socket: Socket): CallerConnection {
     return new CallerConnection(socket);
   }
 
@@ -75,6 +80,21 @@
     return this.#isClosing;
   }
 
+  /** Records that the end of the connection is that of the reply to a request, as
+   * it states none of its own. */
+  endReplyWith(request: http.IncomingMessage): void {
+    this.#endedBy = request;
+  }
+
+  /** Closes it at once. It is reset if the reply that is being sent ends with it:
+   * otherwise its caller would take the part that it has for the whole. */
+  close(): void {
+    const [first] = this.#open;
+    const isReset = first !== undefined && first.request === this.#endedBy;
+    if (isReset) this.#socket.resetAndDestroy();
+    else this.#socket.destroy();
+  }
+
   /** Closes it once the requests that were read whole are answered; returns false
    * if there are none. The rest of a later one does not arrive. */
   closeWhenWholeAnswered(): boolean {
--- a/src/gateway/caller_fixture.ts
+++ b/src/gateway/caller_fixture.ts
@@ -43,9 +43,19 @@
   return `${method} ${path} HTTP/${version}\r\n${lines.join("")}\r\n${body}`;
 }
 
+/** How a caller reads. */
+export interface Manner {
+  /** It reads nothing before. */
+  readonly readAfter?: Promise<unknown>;
+}
+
 /** Sends a request to an address (host and port) on a connection of its own;
  * resolves once the reply or the connection has ended. */
-export function send(address: string, request: RawRequest): Promise<RawReply> {
+export function send(
+  address: string,
+  request: RawRequest,
+  { readAfter }: Manner = {},
+): Promise<RawReply> {
   return new Promise((resolve) => {
     let text = "";
     const socket = connect(address);
@@ -53,6 +63,7 @@
       resolve(parse(text, { connectionEnd, method: request.method }));
       socket.destroy();
     };
+    if (readAfter !== undefined) void pauseUntil(socket, readAfter);
     socket.on("data", (part) => {
       text += part.toString("latin1");
       const reply = parse(text, { method: request.method });
@@ -88,6 +99,15 @@
   });
 }
 
+async function pauseUntil(
+  socket: net.Socket,
+  readAfter: Promise<unknown>,
+): Promise<void> {
+  socket.pause();
+  await readAfter;
+  socket.resume();
+}
+
 function connect(address: string): net.Socket {
   const [host, port] = address.split(":");
   return net.connect({ host, port: Number(port), allowHalfOpen: true });
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -33,6 +33,8 @@
   closesConnection(state: { isNeeded: boolean }): boolean;
   /** Whether no other request has been read behind this one. */
   isLast(): boolean;
+  /** The head of the reply states no end: the end of its connection is its own. */
+  onUndelimited(): void;
   /** The reply is aborted because its caller has not read so many bytes. */
   onAbortUnread(unreadBytes: number): void;
 }
@@ -113,7 +115,9 @@
   /** Sends the head of a stream. Throws if Node refuses to write it. */
   startStream(head: protocols.ReplyHead, end: AnswerEnd): void {
     const headers = this.#headersOf(head, end);
-    this.#options.response.writeHead(head.status, headers);
+    const { response, onUndelimited } = this.#options;
+    response.writeHead(head.status, headers);
+    if (!response.chunkedEncoding) onUndelimited();
     // Only once it is written: otherwise the stream would be taken for started,
     // and its events would follow a head of Node's own.
     this.#head = head;
@@ -159,11 +163,13 @@
    * head. */
   send(head: protocols.ReplyHead, body: Buffer, end: AnswerEnd): void {
     if (this.isDisconnected) return;
+    const { response, onUndelimited } = this.#options;
     const hasLength = end.framing === "length" || end.framing === "chunked";
-    this.#options.response.writeHead(head.status, {
+    response.writeHead(head.status, {
       ...this.#headersOf(head, end),
       ...(hasLength && { "content-length": `${body.length}` }),
     });
+    if (!endpointCalls.isDelimited(end.framing)) onUndelimited();
     this.#end(body);
   }
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -154,8 +154,14 @@
     return delays.until(this.#options.context.clock, holds, { timeout });
   }
 
+  /** Closes at once all connections with a reply that is not sent whole. */
+  closeBusy(): void {
+    for (const connection of this.#busy) connection.close();
+  }
+
   /** Closes all connections. */
   async stop(): Promise<void> {
+    this.closeBusy();
     await httpListener.close(this.#callers);
     if (this.#readiness) await httpListener.close(this.#readiness);
   }
