Hosts: replies without an end of their own are reset as the process ends

A host that ended by an error that nothing caught, by a stop that failed or by a second SIGTERM left its connections to its system, which closes them in order. Streams of HTTP/1.0 and replies to answers without a length then looked whole to their callers, wherever they were.

The connections of such replies are now reset before the process ends: in the `exit` event, at which Node still closes sockets, and at a second signal of the kind that stops a host. That signal then ends the process as before.

SIGKILL, a crash of Node and the end of memory still end in order: no code of the host runs then.

--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -23,6 +23,11 @@
   reload(settings: settings.HostSettings): void;
   stop(): Promise<void>;
   dump(): unknown;
+  /** Closes the connections of callers whose replies are not sent whole, before
+   * the process ends: its system would close all in order, which is the end of a
+   * reply without one of its own. It has closed them when it returns. Absent on
+   * hosts without such callers. */
+  closeBusy?(): void;
   /** Releases a request from quarantine at an operator's command; returns false
    * when it is not a suspect. Absent on hosts that do not take the command. */
   release?(fingerprint: string): boolean;
@@ -61,10 +66,11 @@
   });
   try {
     const host = await options.start(context);
+    process.once("exit", () => host.closeBusy?.());
     const server = await serveDiagnostics(loaded, { exposition, host });
     process.on("SIGUSR2", () => logger.info({ dump: host.dump() }, "Dump"));
     watchSettings(options, { host, logger });
-    await stopSignal();
+    await stopSignal(host);
     logger.info({}, "Signal received; stopping");
     await host.stop();
     server?.close();
@@ -159,10 +165,19 @@
   timer.unref();
 }
 
-function stopSignal(): Promise<void> {
+/** Resolves at the first signal that stops a host; a second one of its kind ends
+ * the process, as signals do by default. */
+function stopSignal(host: Host): Promise<void> {
   return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+      process.once(signal, () => {
+        process.once(signal, () => {
+          host.closeBusy?.();
+          process.kill(process.pid, signal);
+        });
+        resolve();
+      });
+    }
   });
 }
 
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -281,6 +281,11 @@
     logger.info({ tookMs: Math.round(clock.now() - started) }, "Host stopped");
   }
 
+  /** Closes the connections of callers whose replies are not sent whole. */
+  closeBusy(): void {
+    this.#server.closeBusy();
+  }
+
   /** Diagnostic state, for operators. */
   dump(): unknown {
     const now = this.#options.clock.now();
--- a/src/gateway/caller_fixture.ts
+++ b/src/gateway/caller_fixture.ts
@@ -45,8 +45,10 @@
 
 /** How a caller reads. */
 export interface Manner {
-  /** It reads nothing before. */
+  /** It reads nothing between the first bytes of the reply and this. */
   readonly readAfter?: Promise<unknown>;
+  /** Called with the first bytes of the reply. */
+  onBegin?(): void;
 }
 
 /** Sends a request to an address (host and port) on a connection of its own;
@@ -54,7 +56,7 @@
 export function send(
   address: string,
   request: RawRequest,
-  { readAfter }: Manner = {},
+  { readAfter, onBegin }: Manner = {},
 ): Promise<RawReply> {
   return new Promise((resolve) => {
     let text = "";
@@ -63,7 +65,10 @@
       resolve(parse(text, { connectionEnd, method: request.method }));
       socket.destroy();
     };
-    if (readAfter !== undefined) void pauseUntil(socket, readAfter);
+    socket.once("data", () => {
+      onBegin?.();
+      if (readAfter !== undefined) void pauseUntil(socket, readAfter);
+    });
     socket.on("data", (part) => {
       text += part.toString("latin1");
       const reply = parse(text, { method: request.method });
