Replies: a stream broken off behind another reply is sent as far as it came

A stream that was broken off before the reply ahead of it on its connection had ended got no reply at all: Node destroys the connection as it begins to send a response that was destroyed. Its caller saw the connection end in order behind the first reply and could not tell that the request had been passed on.

Such a reply is now broken off once it is sent: its head and events come first, and it ends as any broken stream does. Requests behind it are still cut off with their connection, as nothing else shows the break of a stream.

broken_reply_test, "a stream that is broken off behind another reply is sent as far as it came", fails for answers in chunks and without an end before (no second reply), and passes now.

--- a/src/gateway/broken_reply_test.ts
+++ b/src/gateway/broken_reply_test.ts
@@ -68,3 +68,32 @@
     t.is(seen, `${EVENT}${EVENT}ECONNRESET`);
   }
 });
+
+// Guards against a request that was passed on and gets no part of a reply, since
+// its stream was broken off before that of the request before it had ended.
+for (const framing of ["chunked", "connection"]) {
+  test(`a stream that is broken off behind another reply is sent as far as it came: ${framing}`, async (t) => {
+    const host = await fixture.startHost(
+      t,
+      { kind: "streaming", objective: 1000, stages: [], attempts: 1 },
+      ({ url }, response) => {
+        const isFirst = url === "/a/first";
+        response.useChunkedEncodingByDefault = isFirst || framing === "chunked";
+        response.writeHead(200, { "test-signature": "s" });
+        response.write(EVENT);
+        if (isFirst) fixture.clock.after(200, () => response.end());
+        else fixture.clock.after(50, () => response.socket?.resetAndDestroy());
+      },
+    );
+    const server = await fixture.startServer(t, host);
+    const { text, connectionEnd } = await callerFixture.exchange(
+      `127.0.0.1:${server.port}`,
+      callerFixture.textOf({ path: "/a/first" }) +
+        callerFixture.textOf({ path: "/a/second" }),
+    );
+    const [first, second] = text.split(/(?=HTTP\/1\.1 )/);
+    t.like(callerFixture.parse(first), { body: EVENT, isComplete: true });
+    t.like(callerFixture.parse(second), { framing, body: EVENT });
+    t.false(callerFixture.parse(second, { connectionEnd }).isComplete);
+  });
+}
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -149,12 +149,21 @@
   }
 
   /** Destroys the connection, so that the caller can't take the stream for
-   * complete. A reset discards events that are still on their way, so it is kept
-   * to replies without an end of their own. */
+   * complete. A reply behind another one on its connection is sent first: without
+   * any part of it, its caller can't tell that the request may have run. */
   abort(): void {
+    const { response } = this.#options;
+    this.#isAborted = true;
+    if (response.socket !== null || this.#isClosed) return this.#breakOff();
+    // Node sends what it holds of the response right after this event.
+    response.once("socket", () => queueMicrotask(() => this.#breakOff()));
+  }
+
+  /** A reset discards events that are still on their way, so it is kept to replies
+   * without an end of their own. */
+  #breakOff(): void {
     const { response, clock } = this.#options;
     const { socket } = response;
-    this.#isAborted = true;
     if (response.chunkedEncoding || socket === null) response.destroy();
     else clock.after(RESET_DELAY_MS, () => socket.resetAndDestroy());
   }
