Replies: replies of HTTP/1.0 without a body keep their connection

A caller of HTTP/1.0 that keeps its connection and sends a second request behind one whose reply has no body (HEAD, 204, 304) lost it: the request was passed on, and Node closed the connection behind the first reply, as that stated no length. Such replies have had none since they state no length of the host's own.

A reply without a body ends with its head in HTTP/1.0 too. It now says that its connection is kept, which Node follows.

http_1_0_test, "a request of HTTP/1.0 behind a reply to HEAD / with status 204 / with status 304 is answered", 3 tests, fail before (1 reply to 2 calls).

--- a/src/gateway/http_1_0_test.ts
+++ b/src/gateway/http_1_0_test.ts
@@ -114,3 +114,35 @@
   t.deepEqual(repliesIn(text).map(({ body }) => body), [EVENT, EVENT, EVENT]);
   t.is(calls.begun, 3);
 });
+
+// Guards against a request that is passed on and never answered: Node closes the
+// connection of a caller of HTTP/1.0 behind a reply that states no length, also
+// where that has no body.
+for (
+  const [name, { method, status }] of Object.entries({
+    "to HEAD": { method: "HEAD", status: 200 },
+    "with status 204": { method: "POST", status: 204 },
+    "with status 304": { method: "GET", status: 304 },
+  })
+) {
+  test(`a request of HTTP/1.0 behind a reply ${name} is answered`, async (t) => {
+    const { calls, address } = await startServer(t, PLAIN, (_, response) => {
+      response.writeHead(status, { "test-signature": "s" }).end();
+    });
+    const request = callerFixture.textOf({
+      method,
+      version: "1.0",
+      headers: KEEP_ALIVE,
+    });
+    const { text } = await callerFixture.exchange(address, request + request, {
+      onData(socket, received) {
+        if (repliesIn(received).length > 1) socket.end();
+      },
+    });
+    const replies = repliesIn(text);
+    t.deepEqual(replies.map((reply) => reply.status), [status, status]);
+    t.is(replies[0].headers.connection, "keep-alive");
+    t.false("content-length" in replies[0].headers);
+    t.is(calls.begun, 2);
+  });
+}
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -218,6 +218,14 @@
     const isNeeded = !endpointCalls.isDelimited(framing);
     if (isNeeded) response.useChunkedEncodingByDefault = false;
     const closes = closesConnection({ isNeeded });
-    return { ...headers, ...(closes && { connection: "close" }) };
+    // Node would close a connection of HTTP/1.0 behind a reply without a length,
+    // also where that has no body.
+    const isKept = !closes && framing === "empty" && !this.#hasChunks &&
+      response.shouldKeepAlive;
+    return {
+      ...headers,
+      ...(closes && { connection: "close" }),
+      ...(isKept && { connection: "keep-alive" }),
+    };
   }
 }
