--- a/src/gateway/caller_fixture.ts
+++ b/src/gateway/caller_fixture.ts
@@ -60,6 +60,8 @@
 ): Promise<RawReply> {
   return new Promise((resolve) => {
     let text = "";
+    // Large replies are not parsed again with each part.
+    let endsWithConnection = false;
     const socket = connect(address);
     const finish = (connectionEnd?: connector.ConnectionEnd) => {
       resolve(parse(text, { connectionEnd, method: request.method }));
@@ -71,8 +73,11 @@
     });
     socket.on("data", (part) => {
       text += part.toString("latin1");
+      if (endsWithConnection) return;
       const reply = parse(text, { method: request.method });
-      if (reply.isComplete) finish();
+      if (reply.isComplete) return finish();
+      endsWithConnection = reply.status !== undefined &&
+        reply.framing === "connection";
     });
     socket.on("error", () => finish("reset"));
     socket.on("end", () => void endOf(socket).then(finish));
