--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -97,6 +97,7 @@
       closesConnection: ({ isNeeded }) =>
         connection.announcesClose(request, isNeeded || isDraining()),
       isLast: () => connection.isLast(request),
+      onUndelimited: () => connection.endReplyWith(request),
       onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
     });
     this.#arrivedAt = context.clock.now();
@@ -290,6 +291,7 @@
       return this.#refuseStep(reason, this.#retryDetails(reason));
     }
     const route = this.#route!;
+    if (route.kind === "streaming") this.#reply.expectStream();
     this.#priorWait = this.#context.priorWait.estimate(
       route.name,
       incoming.timeout,
@@ -901,7 +903,7 @@
   /** Connection of the request. */
   readonly connection: Pick<
     callerConnections.CallerConnection,
-    "announcesClose" | "isLast"
+    "announcesClose" | "isLast" | "endReplyWith"
   >;
 }
 
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -33,6 +33,8 @@
   closesConnection(state: { isNeeded: boolean }): boolean;
   /** Whether no other request has been read behind this one. */
   isLast(): boolean;
+  /** The head of the reply states no end: the end of its connection is its own. */
+  onUndelimited(): void;
   /** The reply is aborted because its caller has not read so many bytes. */
   onAbortUnread(unreadBytes: number): void;
 }
@@ -98,10 +100,24 @@
     return endpointCalls.isDelimited(framing) || !response.chunkedEncoding;
   }
 
+  /** Prepares for a stream. Where it can't be sent in chunks, its connection closes
+   * behind it, so that no further request on it may be passed on. */
+  expectStream(): void {
+    const isNeeded = !this.#hasChunks;
+    if (isNeeded) this.#options.closesConnection({ isNeeded });
+  }
+
+  /** Whether streams have chunks: not in HTTP/1.0. */
+  get #hasChunks(): boolean {
+    return this.#options.response.useChunkedEncodingByDefault;
+  }
+
   /** Sends the head of a stream. Throws if Node refuses to write it. */
   startStream(head: protocols.ReplyHead, end: AnswerEnd): void {
     const headers = this.#headersOf(head, end);
-    this.#options.response.writeHead(head.status, headers);
+    const { response, onUndelimited } = this.#options;
+    response.writeHead(head.status, headers);
+    if (!response.chunkedEncoding) onUndelimited();
     // Only once it is written: otherwise the stream would be taken for started,
     // and its events would follow a head of Node's own.
     this.#head = head;
@@ -133,12 +149,21 @@
   }
 
   /** Destroys the connection, so that the caller can't take the stream for
-   * complete. A reset discards events that are still on their way, so it is kept
-   * to replies without an end of their own. */
+   * complete. A reply behind another one on its connection is sent first: without
+   * any part of it, its caller can't tell that the request may have run. */
   abort(): void {
+    const { response } = this.#options;
+    this.#isAborted = true;
+    if (response.socket !== null || this.#isClosed) return this.#breakOff();
+    // Node sends what it holds of the response right after this event.
+    response.once("socket", () => queueMicrotask(() => this.#breakOff()));
+  }
+
+  /** A reset discards events that are still on their way, so it is kept to replies
+   * without an end of their own. */
+  #breakOff(): void {
     const { response, clock } = this.#options;
     const { socket } = response;
-    this.#isAborted = true;
     if (response.chunkedEncoding || socket === null) response.destroy();
     else clock.after(RESET_DELAY_MS, () => socket.resetAndDestroy());
   }
@@ -147,11 +172,13 @@
    * head. */
   send(head: protocols.ReplyHead, body: Buffer, end: AnswerEnd): void {
     if (this.isDisconnected) return;
+    const { response, onUndelimited } = this.#options;
     const hasLength = end.framing === "length" || end.framing === "chunked";
-    this.#options.response.writeHead(head.status, {
+    response.writeHead(head.status, {
       ...this.#headersOf(head, end),
       ...(hasLength && { "content-length": `${body.length}` }),
     });
+    if (!endpointCalls.isDelimited(end.framing)) onUndelimited();
     this.#end(body);
   }
 
@@ -191,6 +218,14 @@
     const isNeeded = !endpointCalls.isDelimited(framing);
     if (isNeeded) response.useChunkedEncodingByDefault = false;
     const closes = closesConnection({ isNeeded });
-    return { ...headers, ...(closes && { connection: "close" }) };
+    // Node would close a connection of HTTP/1.0 behind a reply without a length,
+    // also where that has no body.
+    const isKept = !closes && framing === "empty" && !this.#hasChunks &&
+      response.shouldKeepAlive;
+    return {
+      ...headers,
+      ...(closes && { connection: "close" }),
+      ...(isKept && { connection: "keep-alive" }),
+    };
   }
 }
