Calls: a refusal without an attempt id counts on an unused connection alone

A faulty endpoint that sends a refusal behind a whole answer, late and without an attempt id, had it taken for the answer to the next call on the connection, as refusals need not echo the id. A 421 also made the endpoint count as replaced.

Such a refusal is now believed only if it is the first answer on its connection, where no other can be due; otherwise the call counts as one that may have run (`mismatch`). Endpoints echo ids by the protocol, also in refusals, and a 421 of another incarnation comes on a new connection; one that does neither has unsafe calls that it refuses on a kept connection end in 502.

--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -9,6 +9,7 @@
 import * as http from "node:http";
 import * as undici from "undici";
 import type * as request from "../request/request.ts";
+import * as answeredConnections from "./answered_connections.ts";
 import * as connector from "./connector.ts";
 import * as framing from "./framing.ts";
 import type * as partialAnswers from "./partial_answers.ts";
@@ -44,6 +45,14 @@
   readonly connectionEnd?: connector.ConnectionEnd;
 }
 
+/** What is known of an answer beside its head. */
+export interface AnswerOrigin {
+  readonly framing: Framing;
+  /** Whether it is the first answer on its connection, so that it can't be a late
+   * one to an earlier call. */
+  readonly isFirst: boolean;
+}
+
 /** Receives the answer of an exchange; `end` or `fail` is the last call. */
 export interface Receiver {
   /** Bytes of memory that it holds of the answer; none when absent. */
@@ -51,7 +60,7 @@
   head(
     status: number,
     headers: Headers,
-    about: { readonly framing: Framing },
+    origin: AnswerOrigin,
   ): void;
   data(chunk: Buffer): void;
   end(ending: Ending): void;
@@ -224,7 +233,8 @@
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
     this.#framing = isEmpty ? "empty" : framingOf(headers);
     const { receiver } = this.#options;
-    receiver.head(status, headers, { framing: this.#framing });
+    const isFirst = answeredConnections.recordAnswer();
+    receiver.head(status, headers, { framing: this.#framing, isFirst });
   }
 
   onResponseData(
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -198,14 +198,14 @@
   head(
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
-    { framing }: { readonly framing: endpointCalls.Framing },
+    { framing, isFirst }: endpointCalls.AnswerOrigin,
   ): void {
     if (this.#isFinished) return;
     this.#framing = framing;
     this.#recordReceipt();
     const { protocol, request, stream } = this.#options;
     const head = protocol.decodeReply(status, headers);
-    if (!belongsTo(head, request)) return this.#rejectMismatch();
+    if (!belongsTo(request, { head, isFirst })) return this.#rejectMismatch();
     if (!head.isMisdirected) this.#options.onHead?.(head);
     this.#head = head;
     this.#isStream = stream !== undefined && hasSuccessStatus(head);
@@ -350,14 +350,20 @@
   "broken",
 ]);
 
-/** Whether an answer belongs to this request: refusals need not echo its id,
- * any other answer must echo it and carry an endpoint's signature. */
+/** Whether an answer belongs to this request. It must echo the attempt's id, and
+ * carry an endpoint's signature unless it is a refusal. A refusal may lack the id,
+ * and is then believed as the first answer on its connection alone: later ones may
+ * be late answers to other calls, while the request runs. */
 function belongsTo(
-  head: protocols.ReplyHead,
   { id }: protocols.IncomingRequest,
+  { head, isFirst }: {
+    readonly head: protocols.ReplyHead;
+    readonly isFirst: boolean;
+  },
 ): boolean {
-  if (head.attempt !== undefined && head.attempt !== id) return false;
-  if (head.isNotRun || head.isMisdirected) return true;
+  if (head.isNotRun || head.isMisdirected) {
+    return head.attempt === undefined ? isFirst : head.attempt === id;
+  }
   return head.attempt === id && head.signature !== undefined;
 }
 
