Calls: an unsafe request calls an endpoint again on a connection of its own

A request that an endpoint has refused may come back to it, once it is no longer avoided and the others have refused too. A late copy of the refusal then came where the answer to the second call was due, with the same attempt id. That call ran, and its caller got 503, which promises that it never will (rule REFUSED).

The second call of a request that may run once has a connection of its own now, where no other answer can be due (`reset`, which `Connections` gives a pool that is closed with the call). It costs a connection for each such call; idempotent requests stay on the kept ones, as nothing is promised for them.

--- a/src/endpoint_calls/connections.ts
+++ b/src/endpoint_calls/connections.ts
@@ -36,7 +36,8 @@
 
 /** Connection pools of one host; an undici dispatcher that opens a pool on the
  * first request to an address, and another one when the connections of the
- * first may no longer be used. */
+ * first may no longer be used. A request with `reset` has a connection of its
+ * own. */
 export class Connections extends undici.Dispatcher {
   readonly #options: ConnectionsOptions;
   readonly #pools = new Map<string, AddressPool>();
@@ -63,10 +64,24 @@
     handler: undici.Dispatcher.DispatchHandler,
   ): boolean {
     const origin = `${options.origin}`;
+    if (options.reset) {
+      return this.#dispatchAlone({ ...options, origin }, handler);
+    }
     const pool = this.#usablePool(origin) ?? this.#openPool(origin);
     return pool.dispatch({ ...options, origin }, handler);
   }
 
+  /** Sends a call on a connection that carries no other. */
+  #dispatchAlone(
+    options: undici.Dispatcher.DispatchOptions & { readonly origin: string },
+    handler: undici.Dispatcher.DispatchHandler,
+  ): boolean {
+    const pool = new undici.Pool(options.origin, this.#options.pool);
+    const isReady = pool.dispatch(options, handler);
+    void this.#closeOnceIdle(pool, options.origin);
+    return isReady;
+  }
+
   /** Records that a call broke or was not answered: new calls use new
    * connections. */
   recordBreak(origin: string): void {
@@ -129,6 +144,10 @@
   async #closePool(origin: string): Promise<void> {
     const pool = this.#removePool(origin);
     if (pool === undefined) return;
+    await this.#closeOnceIdle(pool, origin);
+  }
+
+  async #closeOnceIdle(pool: undici.Pool, origin: string): Promise<void> {
     this.#closing.set(pool, origin);
     await pool.close();
     this.#closing.delete(pool);
--- a/src/endpoint_calls/connections_test.ts
+++ b/src/endpoint_calls/connections_test.ts
@@ -29,12 +29,13 @@
 async function send(
   pools: connections.Connections,
   address: string,
-  path = "/",
+  { path = "/", reset }: { path?: string; reset?: boolean } = {},
 ): Promise<string> {
   const options: undici.Dispatcher.RequestOptions = {
     origin: `http://${address}`,
     path,
     method: "GET",
+    reset,
   };
   const answer = await pools.request(options);
   const text = await answer.body.text();
@@ -81,7 +82,7 @@
 test("a call in flight fails when its endpoint restarts", async (t) => {
   const address = await serve(t);
   const pools = createConnections(t);
-  const pendingAnswer = send(pools, address, "/slow");
+  const pendingAnswer = send(pools, address, { path: "/slow" });
   await new Promise((resolve) => setTimeout(resolve, 20));
   void pools.abort(address);
   await t.throwsAsync(pendingAnswer, { message: /endpoint restarted/ });
@@ -146,10 +147,29 @@
   const address = await serve(t);
   let epoch = "1";
   const pools = createConnections(t, { epochOf: () => epoch });
-  const pendingAnswer = send(pools, address, "/slow");
+  const pendingAnswer = send(pools, address, { path: "/slow" });
   await new Promise((resolve) => setTimeout(resolve, 20));
   epoch = "2";
   await send(pools, address);
   void pools.abort(address);
   await t.throwsAsync(pendingAnswer, { message: /endpoint restarted/ });
 });
+
+test("a call with a connection of its own shares none", async (t) => {
+  const address = await serve(t);
+  const pools = createConnections(t);
+  t.is(await send(pools, address), "1");
+  t.is(await send(pools, address, { reset: true }), "2");
+  t.is(await send(pools, address, { reset: true }), "3");
+  t.is(await send(pools, address), "1");
+});
+
+test("a call with a connection of its own fails when its endpoint restarts", async (t) => {
+  const address = await serve(t);
+  const pools = createConnections(t);
+  const options = { path: "/slow", reset: true };
+  const pendingAnswer = send(pools, address, options);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  void pools.abort(address);
+  await t.throwsAsync(pendingAnswer, { message: /endpoint restarted/ });
+});
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -491,6 +491,7 @@
           fetchFrom: placed?.cacheMiss.source?.identity.address,
         },
         body: this.#body.length > 0 ? this.#body : undefined,
+        isAlone: this.#isAlone(target),
         deadline: this.#deadline,
         idleTimeout: callLimits.idleTimeoutOf(
           this.#route!,
@@ -508,6 +509,15 @@
     void this.#follow(call, inputs).catch((error) => this.#fail(error));
   }
 
+  /** Whether a call has a connection of its own: an endpoint that refused the
+   * request may send the refusal once more, which has the id of this call too. Only
+   * a request that may run once must not be taken for not run. */
+  #isAlone({ endpoint }: targetChoices.Target): boolean {
+    if (configurations.isIdempotent(this.#route!)) return false;
+    const { id } = endpoint.identity;
+    return this.#calls.some((call) => call.endpoint === id);
+  }
+
   /** Waits for the end of a call and handles its outcome. */
   async #follow(
     call: endpointCalls.EndpointCall,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -83,6 +83,8 @@
   readonly request: protocols.IncomingRequest;
   readonly metadata: protocols.CallMetadata;
   readonly body?: Buffer;
+  /** Whether the call has a connection of its own. */
+  readonly isAlone?: boolean;
   /** Time at which the attempt ends at the latest. */
   readonly deadline: number;
   /** Milliseconds without a received byte after which it is silent. */
@@ -151,6 +153,7 @@
       // Bounded by the bytes that are held.
       maxBytes: Infinity,
       partialAnswers: options.partialAnswers,
+      isAlone: options.isAlone,
       receiver: attempt,
       maySend: () => endpoint.isAccepting(clock.now()),
     });
--- a/src/gateway/endpoint_call.ts
+++ b/src/gateway/endpoint_call.ts
@@ -21,7 +21,13 @@
 export interface EndpointCallOptions extends
   Pick<
     attempts.AttemptOptions,
-    "request" | "metadata" | "body" | "deadline" | "idleTimeout" | "stream"
+    | "request"
+    | "metadata"
+    | "body"
+    | "isAlone"
+    | "deadline"
+    | "idleTimeout"
+    | "stream"
   > {
   readonly target: targetChoices.Target;
   /** Called when the call has been silent for its idle timeout, and after each
