--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -9,6 +9,7 @@
 import * as http from "node:http";
 import * as undici from "undici";
 import type * as request from "../request/request.ts";
+import * as answeredConnections from "./answered_connections.ts";
 import * as connector from "./connector.ts";
 import * as framing from "./framing.ts";
 import type * as partialAnswers from "./partial_answers.ts";
@@ -44,6 +45,14 @@
   readonly connectionEnd?: connector.ConnectionEnd;
 }
 
+/** What is known of an answer beside its head. */
+export interface AnswerOrigin {
+  readonly framing: Framing;
+  /** Whether it is the first answer on its connection, so that it can't be a late
+   * one to an earlier call. */
+  readonly isFirst: boolean;
+}
+
 /** Receives the answer of an exchange; `end` or `fail` is the last call. */
 export interface Receiver {
   /** Bytes of memory that it holds of the answer; none when absent. */
@@ -51,7 +60,7 @@
   head(
     status: number,
     headers: Headers,
-    about: { readonly framing: Framing },
+    origin: AnswerOrigin,
   ): void;
   data(chunk: Buffer): void;
   end(ending: Ending): void;
@@ -94,6 +103,9 @@
    * when absent. */
   partialAnswers?: Pick<partialAnswers.PartialAnswers, "update" | "remove">;
   receiver: Receiver;
+  /** Whether the request has a connection of its own, so that no late answer to an
+   * earlier one can come where its answer is due. */
+  isAlone?: boolean;
   /** Whether the request may still be sent, asked once a connection is open;
    * otherwise the exchange fails as not run. Absent if it always may. */
   maySend?(): boolean;
@@ -224,7 +236,8 @@
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
     this.#framing = isEmpty ? "empty" : framingOf(headers);
     const { receiver } = this.#options;
-    receiver.head(status, headers, { framing: this.#framing });
+    const isFirst = answeredConnections.recordAnswer();
+    receiver.head(status, headers, { framing: this.#framing, isFirst });
   }
 
   onResponseData(
@@ -291,7 +304,7 @@
   #send(outgoing: OutgoingRequest): void {
     this.#isHeadRequest = outgoing.method === "HEAD";
     if (this.#isDone) return;
-    const { dispatcher, url } = this.#options;
+    const { dispatcher, url, isAlone } = this.#options;
     const [, origin, base] = URL_PARTS.exec(url) ?? [];
     if (origin === undefined) return this.break("connection");
     const request = {
@@ -302,6 +315,7 @@
       body: outgoing.body ?? null,
       headersTimeout: 0,
       bodyTimeout: 0,
+      ...(isAlone && { reset: true }),
     };
     try {
       dispatcher.dispatch(request, this);
