Callers: a stopping host closes a connection only behind its last reply

Callers that sent requests behind one another on a connection lost replies when their host stopped: each reply said `Connection: close`, and Node closes the connection behind the first one that does, so that later requests ran and got no reply. Only the reply to the last request that was read announces the close now, by the gateway's CallerConnection, and a request read behind it is dropped before it runs (`request.dropped`).

Replies without an end of their own need the same rule.

--- /dev/null
+++ b/src/callers/connection_test.ts
@@ -0,0 +1,51 @@
+/** Requests that are sent behind one another on a caller's connection.
+ * @module */
+
+import type * as ava from "ava";
+import test from "ava";
+import * as callerFixture from "../gateway/caller_fixture.ts";
+import * as fakePath from "../request/fake_path.ts";
+
+/** Text of a call to the plain service. */
+function callText(path: string): string {
+  return callerFixture.textOf({
+    path: `/v1/services/billing/${path}`,
+    headers: { authorization: `Bearer ${fakePath.TOKEN}` },
+  });
+}
+
+/** Starts a path whose service answers a call when it is released. */
+async function startHeld(t: ava.ExecutionContext) {
+  const held: (() => void)[] = [];
+  let called = () => {};
+  const bothCalled = new Promise<void>((resolve) => called = resolve);
+  const started = await fakePath.start({
+    billing: ({ url }, response) => {
+      held.push(() => response.end(`answer to ${url}`));
+      if (held.length === 2) called();
+    },
+  });
+  t.teardown(() => started.stop());
+  const address = new URL(started.url).host;
+  const release = () => held.forEach((each) => each());
+  return { started, address, bothCalled, release };
+}
+
+// Guards against a reply that closes the connection on which another one is due:
+// that request has run, and its caller gets nothing.
+test("a stopping host closes a connection behind its last reply", async (t) => {
+  const { started, address, bothCalled, release } = await startHeld(t);
+  const sent = callText("a") + callText("b");
+  const exchanged = callerFixture.exchange(address, sent);
+  await bothCalled;
+  const stopped = started.stop();
+  release();
+  const { text, connectionEnd } = await exchanged;
+  const replies = text.split(/(?=HTTP\/1\.1 )/);
+  t.is(replies.length, 2);
+  t.notRegex(replies[0], /connection: close/i);
+  t.regex(replies[0], /answer to \/a$/);
+  t.regex(replies[1], /connection: close[^]*answer to \/b$/i);
+  t.is(connectionEnd, "orderly");
+  await stopped;
+});
--- a/src/callers/requests.ts
+++ b/src/callers/requests.ts
@@ -70,7 +70,7 @@
   exchange: server.Exchange,
 ): OpenedRequest {
   const { clock, metrics, intake, abandon, settings } = options;
-  const { incoming, response, draining } = exchange;
+  const { incoming, response, connection, draining } = exchange;
   const arrived = clock.now();
   metrics.count("request.arrived");
   const account = tokens.accountOf(incoming.headers, options.accounts)?.name;
@@ -94,7 +94,7 @@
     const reply = new httpReply.HttpReply(response, {
       id,
       streaming,
-      closing: draining,
+      closing: () => connection.announcesClose(incoming, draining()),
     });
     response.once("close", () => {
       if (!response.writableFinished) abandon(id);
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import * as https from "node:https";
 import type * as net from "node:net";
+import * as callerConnections from "../gateway/caller_connection.ts";
 import type * as catalogue from "../request/catalogue.ts";
 import * as endpoints from "./endpoints.ts";
 import * as httpReply from "./http_reply.ts";
@@ -25,6 +26,8 @@
 export interface Exchange {
   incoming: http.IncomingMessage;
   response: http.ServerResponse;
+  /** Connection of the caller. */
+  connection: callerConnections.CallerConnection;
   /** Decoded path segments after those of the route. */
   names: readonly string[];
   /** Whether the host is draining. */
@@ -54,6 +57,10 @@
   #draining = false;
   #open = 0;
   #idleWaiters: (() => void)[] = [];
+  readonly #connections = new WeakMap<
+    net.Socket,
+    callerConnections.CallerConnection
+  >();
 
   private constructor(options: Options) {
     this.#options = options;
@@ -128,17 +135,37 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
+    const connection = this.#connectionOf(incoming.socket);
+    if (connection.isClosing) return this.#drop(incoming);
+    connection.begin({ request: incoming, response });
     this.#open++;
     response.once("close", () => this.#requestEnded());
-    this.#route(incoming, response).catch((error) => {
+    this.#route({ incoming, response, connection }).catch((error) => {
       this.#refuse(response, error);
     });
   }
 
+  #connectionOf(socket: net.Socket): callerConnections.CallerConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = callerConnections.CallerConnection.create(socket);
+    this.#connections.set(socket, connection);
+    return connection;
+  }
+
+  /** Drops a request on a connection that closes after an earlier reply, which
+   * its caller has sent before it has read that. */
+  #drop(incoming: http.IncomingMessage): void {
+    const { metrics, log } = this.#options;
+    incoming.resume();
+    metrics.count("request.dropped");
+    log.info({}, "request dropped; its connection is closing");
+  }
+
   async #route(
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
+    exchange: Pick<Exchange, "incoming" | "response" | "connection">,
   ): Promise<void> {
+    const { incoming } = exchange;
     const segments = pathSegments(incoming.url ?? "/");
     const route = routes[`/${segments.slice(0, 2).join("/")}`];
     if (route === undefined) {
@@ -146,7 +173,7 @@
     }
     const names = segments.slice(2);
     const draining = () => this.#draining;
-    await route(this.#options, { incoming, response, names, draining });
+    await route(this.#options, { ...exchange, names, draining });
   }
 
   #refuse(response: http.ServerResponse, error: unknown): void {
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -214,6 +214,10 @@
   "request.on_time": { type: "count", help: "Answered in time, by account" },
   "request.refused": { type: "count", help: "Refused or failed, by problem" },
   "request.abandoned": { type: "count", help: "Left by their callers" },
+  "request.dropped": {
+    type: "count",
+    help: "Sent behind a reply that closes its connection; not run",
+  },
   "request.bad": { type: "count", help: "Bad input, nothing dispatched" },
   "request.unauthorized": { type: "count", help: "Wrong or missing tokens" },
   "request.duration": { type: "time", help: "From arrival to answer" },
