Calls: an answer without a length is whole when its endpoint closes its socket

Every whole answer without a length of an endpoint that closes its socket behind it, as HTTP servers do, was lost on a direct connection: 502, cause `unconfirmed`. The check of the endpoint's address read the address after the line break had been written. A closed socket answers that with a reset, on loopback before the write returns, and the system knows no address of the other side from then on. Tests ended the answer without closing the socket, so that the line break was taken.

The address is now read before the line break is written.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -107,9 +107,11 @@
 }
 
 function probeEnd(this: net.Socket): void {
+  // Read before the probe: an endpoint that has closed its side resets the
+  // connection on it, and the system then knows no address of the other side.
+  const { remoteAddress: host, remotePort: port } = this;
   const probed = endsInOrder(this);
   const confirm = confirmations.get(this);
-  const { remoteAddress: host, remotePort: port } = this;
   const check = async (): Promise<ConnectionEnd> => {
     if (!await probed) return "reset";
     if (confirm) return await confirm() ? "orderly" : "unconfirmed";
--- a/src/endpoint_calls/connector_test.ts
+++ b/src/endpoint_calls/connector_test.ts
@@ -78,6 +78,16 @@
   t.is(await fetch(t, url), "whole: half");
 });
 
+// Guards against whole answers that are lost: an endpoint that closes its socket
+// resets the connection when the host writes to it to find out how it ended.
+test("an answer without a length is complete when its endpoint has closed the connection", async (t) => {
+  for (const wait of [0, 20]) {
+    const close = (socket: net.Socket) => void socket.destroySoon();
+    const url = await serverOf(t, WITHOUT_LENGTH, close, { wait });
+    t.is(await fetch(t, url), "whole: half");
+  }
+});
+
 test("an answer without a length fails when its connection is reset", async (t) => {
   const url = await serverOf(
     t,
