Relay: a reset behind a whole answer does not discard it

A whole answer with a length or chunks was lost through a relaying host if its endpoint reset the connection right behind it: the host forwarded the reset at once, which discards the bytes that it had taken and the other host had not. On a direct connection the same answer is whole.

The relaying host now ends the tunnel in order after a reset, and does not confirm that end: all bytes arrive, and an answer without a length is refused as `unconfirmed`, as it is when the relaying host stops. A host that will not ask still gets a reset. Bytes that wait in the relay's buffer are written first.

--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -2,10 +2,12 @@
  * forwards bytes in both directions. A tunnel never leads through another
  * tunnel.
  *
- * An end of the endpoint's connection is forwarded as an end and a reset as a
- * reset: for an answer without a length, only the end marks it as complete. The
- * end of this process looks like an end to the other host, which therefore asks
- * whether a tunnel has ended in order.
+ * For an answer without a length, only an end of the endpoint's connection marks
+ * it as complete, and not a reset. The end of this process looks like an end to the
+ * other host, which therefore asks whether a tunnel has ended in order. A reset is
+ * forwarded as an end that is not confirmed: forwarded as a reset, it would discard
+ * bytes that are on their way, perhaps the rest of a whole answer. Only a host that
+ * will not ask gets a reset.
  * @module */
 
 import * as net from "node:net";
@@ -168,7 +170,10 @@
       metrics.count("relay.served", 1, { result: "open" });
       logger.info({ from, address: endpoint }, "Tunnel opened");
       client.write(headOf(tunnel));
-      forward(client, upstream, () => this.#recordEnd(tunnel, address));
+      forward(client, upstream, {
+        onEnd: () => this.#recordEnd(tunnel, address),
+        onReset: () => endUnconfirmed(client, tunnel),
+      });
     });
   }
 
@@ -204,12 +209,26 @@
   return `HTTP/1.1 200 Connected\r\n${line}\r\n`;
 }
 
-/** Forwards bytes until either side ends, and calls `onEnd` before an orderly end
- * is forwarded. The pipes pause a side while the other does not read. */
+/** Ends the connection to the other host after a reset of the endpoint's. */
+function endUnconfirmed(client: net.Socket, tunnel: string | undefined): void {
+  if (tunnel === undefined) client.resetAndDestroy();
+  else client.end();
+}
+
+/** Called once the endpoint's connection has ended and its bytes are forwarded. */
+interface EndListener {
+  /** In order: before an end is forwarded. */
+  onEnd(): void;
+  /** By a reset. */
+  onReset(): void;
+}
+
+/** Forwards bytes until either side ends. The pipes pause a side while the other
+ * does not read. */
 function forward(
   client: net.Socket,
   upstream: net.Socket,
-  onEnd: () => void,
+  { onEnd, onReset }: EndListener,
 ): void {
   client.setNoDelay(true);
   client.pipe(upstream, { end: false });
@@ -217,13 +236,20 @@
   // The other host has given the call up: the endpoint is to see it.
   client.once("end", () => client.destroy());
   client.once("close", () => upstream.destroy());
-  upstream.once("error", () => client.resetAndDestroy());
+  upstream.once("error", () => {
+    client.unpipe(upstream);
+    // Left over while the other host does not read.
+    const rest = upstream.read();
+    if (rest !== null && client.writable) client.write(rest);
+    client.resume();
+    onReset();
+  });
   upstream.once("end", () => {
     client.unpipe(upstream);
     client.resume();
     void connector.endsInOrder(upstream).then((isInOrder) => {
       upstream.destroy();
-      if (!isInOrder) return void client.resetAndDestroy();
+      if (!isInOrder) return onReset();
       onEnd();
       client.end();
     });
