Relay: a stopping host answers how its tunnels have ended before it goes

The answer to the question how a tunnel ended includes a connection to its endpoint since, up to 500 ms if the endpoint's system does not answer at once. A stopping host waited 200 ms from the end of its last tunnel and closed the connection on which the question was open, so that a whole answer without a length was lost. It now waits until open questions are answered, within the timeout of its stop.

tunnel_test, "a stopping host finds out whether the endpoint of its last tunnel has stopped" (the check takes 450 ms), fails without the wait. "... does not wait for an endpoint longer than it may" holds the bound.

--- a/src/relay/fixture.ts
+++ b/src/relay/fixture.ts
@@ -15,7 +15,10 @@
 export async function startRelay(
   t: ava.ExecutionContext,
   path: pathTables.Path | undefined = "direct",
-  { keepsEnds = true }: { keepsEnds?: boolean } = {},
+  { keepsEnds = true, hasStopped }: {
+    keepsEnds?: boolean;
+    hasStopped?: tunnelServers.TunnelServerOptions["hasStopped"];
+  } = {},
 ) {
   const tally = new telemetry.Tally();
   const server = tunnelServers.TunnelServer.create({
@@ -24,6 +27,7 @@
     metrics: tally,
     pathTo: () => path,
     onFailure() {},
+    hasStopped,
   });
   const requests: peers.TunnelRequest[] = [];
   const relay = await startPeers(t, "relay", [], {
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -43,6 +43,8 @@
   pathTo(endpoint: string): pathTables.Path | undefined;
   /** A direct connection to an endpoint has failed. */
   onFailure(endpoint: string): void;
+  /** Defaults to `stoppedEndpoint.hasStopped`. */
+  hasStopped?(address: stoppedEndpoint.EndpointAddress): Promise<boolean>;
 }
 
 /** Status lines that refuse a tunnel. */
@@ -61,6 +63,8 @@
   readonly #tunnels = new Set<net.Socket>();
   /** Endpoints of tunnels that have ended in order lately, by the tunnels' ids. */
   readonly #ended = new Map<string, stoppedEndpoint.EndpointAddress>();
+  /** Questions how a tunnel has ended that are not answered yet. */
+  #openQuestions = 0;
   #isStopping = false;
   #onEmpty = () => {};
 
@@ -91,8 +95,14 @@
    * order, and the endpoint has not stopped; false if the tunnel is not known. */
   async hasEnded(tunnel: string): Promise<boolean> {
     const endpoint = this.#ended.get(tunnel);
-    return endpoint !== undefined &&
-      !await stoppedEndpoint.hasStopped(endpoint);
+    if (endpoint === undefined) return false;
+    const { hasStopped = stoppedEndpoint.hasStopped } = this.#options;
+    this.#openQuestions++;
+    try {
+      return !await hasStopped(endpoint);
+    } finally {
+      this.#openQuestions--;
+    }
   }
 
   /** Refuses new tunnels from now on. */
@@ -102,7 +112,7 @@
 
   /** Resolves when all tunnels have ended, or after `timeout` milliseconds;
    * those that are left are reset. Waits a little longer for questions about
-   * how tunnels have ended, within the timeout. */
+   * how tunnels have ended, and until they are answered, within the timeout. */
   async finish(timeout: number): Promise<void> {
     this.drain();
     const { clock, logger } = this.#options;
@@ -121,6 +131,9 @@
     for (const client of this.#tunnels) client.resetAndDestroy();
     const left = Math.min(END_QUESTION_MS, deadline - clock.now());
     if (this.#ended.size > 0 && left > 0) await delays.sleep(clock, left);
+    await delays.until(clock, () => this.#openQuestions === 0, {
+      timeout: deadline - clock.now(),
+    });
   }
 
   #refusalOf({ endpoint }: peers.TunnelRequest): Refusal | undefined {
--- a/src/relay/tunnel_test.ts
+++ b/src/relay/tunnel_test.ts
@@ -255,6 +255,38 @@
   await stopped;
 });
 
+// Guards against whole answers that are lost: the answer to the question takes
+// longer than the host waits for questions.
+test("a stopping host finds out whether the endpoint of its last tunnel has stopped", async (t) => {
+  const { address, sockets } = await startEndpoint(t, (socket) => {
+    socket.once("data", () => socket.write(WITHOUT_LENGTH));
+  });
+  const { dialAddress, server, relay } = await fixture.startRelay(t, "direct", {
+    hasStopped: () => timers.setTimeout(450, false),
+  });
+  const tunnel = await open(dialAddress, address);
+  const stopped = server.finish(5000).then(() => relay.stop());
+  const answer = callOn(t, tunnel, () => sockets[0].end());
+  t.is(await answer, "whole: half");
+  await stopped;
+});
+
+test("a stopping host does not wait for an endpoint longer than it may", async (t) => {
+  const { address, sockets } = await startEndpoint(t, (socket) => {
+    socket.once("data", () => socket.write(WITHOUT_LENGTH));
+  });
+  const { dialAddress, server, relay } = await fixture.startRelay(t, "direct", {
+    hasStopped: () => timers.setTimeout(2000, false),
+  });
+  const tunnel = await open(dialAddress, address);
+  const startedAt = performance.now();
+  const answer = callOn(t, tunnel, () => sockets[0].end());
+  await server.finish(400);
+  t.true(performance.now() - startedAt < 1500);
+  await relay.stop();
+  t.is(await answer, "broken-stream");
+});
+
 // Guards against endpoints that go on with calls whose callers have left.
 test("the endpoint's connection closes when the host gives up its call", async (t) => {
   const { address, sockets } = await startEndpoint(
