Callers: a reply of a plain service states its end only if the answer did

Callers of plain services saw parts of answers as whole ones. An answer with neither a length nor chunks ends with its connection, which also follows if its endpoint stops in the middle; the host buffered what had come and stated it with a Content-Length of its own. Replies to HEAD and with status 204 and 304 said `Content-Length: 0`, which no answer had said.

A call's result now has the framing of its answer. The reply to one that stated no end has neither a length nor chunks, and ends with its connection, which it announces. If another request has been read behind it, it is refused with 502 and outcome `ran`, logged and counted (`request.undelivered`), as closing the connection would lose the other reply; a request that is read later is dropped.

--- a/src/callers/http_reply.ts
+++ b/src/callers/http_reply.ts
@@ -4,18 +4,31 @@
 
 import type * as http from "node:http";
 import type * as endpointCalls from "../endpoint_calls/call.ts";
+import * as exchanges from "../endpoint_calls/exchange.ts";
 import * as problem from "./problem.ts";
 import type * as request from "../request/mod.ts";
 
 /** Unread data beyond which a slow caller is disconnected. */
 const MAX_UNREAD_BYTES = 1024 * 1024;
 
+/** Refusal of a request whose answer can't be delivered. */
+const UNDELIVERABLE: request.Problem = {
+  name: "stage-failed",
+  outcome: "ran",
+  detail: "The answer states no end, and a request is behind this one",
+};
+
 /** Options of a reply. */
 export interface Options {
   id: string;
   streaming: boolean;
-  /** Whether to close the connection after the reply. */
-  closing: () => boolean;
+  /** Whether the connection closes after the reply; it should if `isNeeded`, as
+   * its end is that of the reply. */
+  closing: (state: { isNeeded: boolean }) => boolean;
+  /** Whether no other request has been read behind this one. */
+  isLast: () => boolean;
+  /** An answer is refused, as closing the connection would lose another reply. */
+  onUndeliverable: () => void;
 }
 
 /** Reply over HTTP. */
@@ -58,9 +71,17 @@
     this.#response.end();
   }
 
-  pass({ status, headers, body }: endpointCalls.PlainResult): void {
-    const all = { ...headers, ...this.#closingHeaders() };
-    send(this.#response, { status, headers: all, body });
+  /** Forwards the answer of a plain service. The reply states its end only if
+   * the answer did, and otherwise closes its connection, on which another reply
+   * may be due. */
+  pass({ status, headers, body, framing }: endpointCalls.PlainResult): void {
+    const isNeeded = !exchanges.isDelimited(framing);
+    if (isNeeded && !this.#options.isLast()) {
+      this.#options.onUndeliverable();
+      return this.refuse(UNDELIVERABLE);
+    }
+    const all = { ...headers, ...this.#closingHeaders({ isNeeded }) };
+    send(this.#response, { status, headers: all, body, framing });
   }
 
   replay(answer: request.StoredAnswer): void {
@@ -103,8 +124,8 @@
     });
   }
 
-  #closingHeaders(): Record<string, string> {
-    return this.#options.closing() ? { connection: "close" } : {};
+  #closingHeaders({ isNeeded } = { isNeeded: false }): Record<string, string> {
+    return this.#options.closing({ isNeeded }) ? { connection: "close" } : {};
   }
 }
 
@@ -113,16 +134,23 @@
   status: number;
   headers: Record<string, string>;
   body: string | Uint8Array;
+  /** What marks its end; its length when absent. */
+  framing?: exchanges.Framing;
 }
 
 /** Sends an answer, unless one was sent or the connection is closed. */
 export function send(
   response: http.ServerResponse,
-  { status, headers, body }: FullResponse,
+  { status, headers, body, framing = "length" }: FullResponse,
 ): void {
   if (response.headersSent || response.destroyed) return;
-  const length = String(Buffer.byteLength(body));
-  response.writeHead(status, { ...headers, "content-length": length });
+  // Otherwise Node would frame a reply without a length in chunks.
+  if (framing === "connection") response.useChunkedEncodingByDefault = false;
+  const hasLength = framing === "length" || framing === "chunked";
+  response.writeHead(status, {
+    ...headers,
+    ...(hasLength && { "content-length": `${Buffer.byteLength(body)}` }),
+  });
   response.end(body);
 }
 
--- a/src/callers/requests.ts
+++ b/src/callers/requests.ts
@@ -69,7 +69,7 @@
   options: server.Options,
   exchange: server.Exchange,
 ): OpenedRequest {
-  const { clock, metrics, intake, abandon, settings } = options;
+  const { clock, metrics, log, intake, abandon, settings } = options;
   const { incoming, response, connection, draining } = exchange;
   const arrived = clock.now();
   metrics.count("request.arrived");
@@ -94,7 +94,16 @@
     const reply = new httpReply.HttpReply(response, {
       id,
       streaming,
-      closing: () => connection.announcesClose(incoming, draining()),
+      closing: ({ isNeeded }) =>
+        connection.announcesClose(incoming, isNeeded || draining()),
+      isLast: () => connection.isLast(incoming),
+      onUndeliverable() {
+        metrics.count("request.undelivered");
+        log.info(
+          { request: id },
+          "answer without an end refused; a request is behind it",
+        );
+      },
     });
     response.once("close", () => {
       if (!response.writableFinished) abandon(id);
--- a/src/endpoint_calls/call.ts
+++ b/src/endpoint_calls/call.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import type * as request from "../request/request.ts";
+import type * as exchange from "./exchange.ts";
 
 /** Input of a call, by kind of endpoint. */
 export type Input =
@@ -59,6 +60,8 @@
   status: number;
   headers: Readonly<Record<string, string>>;
   body: Uint8Array;
+  /** What marked the end of the answer. */
+  framing: exchange.Framing;
 }
 
 /** One call to one endpoint. */
--- a/src/endpoint_calls/handler.ts
+++ b/src/endpoint_calls/handler.ts
@@ -9,6 +9,7 @@
 export interface Head {
   status: number;
   headers: exchange.Headers;
+  framing: exchange.Framing;
 }
 
 /** Result and usage of a complete answer. */
--- a/src/endpoint_calls/plain.ts
+++ b/src/endpoint_calls/plain.ts
@@ -66,14 +66,20 @@
   }
 
   end(): handler.ParsedAnswer {
-    const { status } = this.#head;
+    const { status, framing } = this.#head;
     const headers = forwardedHeaders(this.#head.headers);
     const body = this.#chunks.take();
     const callId = callIdIn(body);
     if (callId !== undefined && callId !== call.idOf(this.#call)) {
       throw new call.CallError("mismatch", "answer has the id of another call");
     }
-    const result = { type: "plain" as const, status, headers, body };
+    const result = {
+      type: "plain" as const,
+      status,
+      headers,
+      body,
+      framing,
+    };
     return { result, usage: NO_USAGE };
   }
 }
--- a/src/endpoint_calls/receiver.ts
+++ b/src/endpoint_calls/receiver.ts
@@ -44,7 +44,11 @@
     return this.#reader?.heldBytes ?? 0;
   }
 
-  head(status: number, headers: exchange.Headers): void {
+  head(
+    status: number,
+    headers: exchange.Headers,
+    { framing }: Pick<handler.Head, "framing">,
+  ): void {
     const { handler } = this.#options;
     if (!hasIdsOf(this.#call, headers)) return this.#abort("mismatch");
     this.#retryAfter = retryAfterOf(headers);
@@ -55,7 +59,7 @@
     if (!isSuccess && !handler.acceptsAnyStatus) return this.#abort("error");
     this.#reader = handler.createReader(
       this.#call,
-      { status, headers },
+      { status, headers, framing },
       (offset, text) => this.#token(offset, text),
     );
   }
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -218,6 +218,10 @@
     type: "count",
     help: "Sent behind a reply that closes its connection; not run",
   },
+  "request.undelivered": {
+    type: "count",
+    help: "Answers without an end refused, as a request is behind them",
+  },
   "request.bad": { type: "count", help: "Bad input, nothing dispatched" },
   "request.unauthorized": { type: "count", help: "Wrong or missing tokens" },
   "request.duration": { type: "time", help: "From arrival to answer" },
