Claims: an answer that states no end is not stored for resends

A resend with the key of an answered request got the stored bytes with a Content-Length of the host's own, also if the answer had neither a length nor chunks and was a part. The claim is now settled as `ran` without an answer, as for an answer that is too large; a resend is refused with outcome `ran` and "its answer was not kept".

The cost: a caller whose reply to a whole answer of that kind was lost learns that it ran, not what it said.

path_claims_test, "does not store an answer that states no end", and claim_client_test, "an answer that is not kept settles its claim as ran", fail with the fault put back.

--- a/src/control/host/claim_client.ts
+++ b/src/control/host/claim_client.ts
@@ -94,17 +94,20 @@
     }
   }
 
-  /** Stores the final answer under the key; an undefined answer releases the
-   * claim as not run. */
-  settle(claim: request.Claim, answer: request.StoredAnswer | undefined): void {
+  /** Stores how the request ended under the key; an undefined settlement
+   * releases the claim as not run. */
+  settle(
+    claim: request.Claim,
+    settlement: request.Settlement | undefined,
+  ): void {
     const token = this.#tokens.get(claim.request);
     if (token === undefined) return;
     this.#tokens.delete(claim.request);
-    const outcome = answer === undefined ? "not-run" : "ran";
+    const outcome = settlement === undefined ? "not-run" : "ran";
     this.#startSettlement(claim, {
       token,
       outcome,
-      answer: toStoredAnswer(answer),
+      answer: toStoredAnswer(settlement),
     });
   }
 
@@ -183,9 +186,9 @@
 }
 
 function toStoredAnswer(
-  answer: request.StoredAnswer | undefined,
+  settlement: request.Settlement | undefined,
 ): command.StoredAnswer | undefined {
-  if (answer === undefined) return undefined;
-  const { status, headers, body } = answer;
+  if (settlement === undefined || settlement === "not-kept") return undefined;
+  const { status, headers, body } = settlement;
   return { status, contentType: headers["content-type"], body };
 }
--- a/src/control/host/claim_client_test.ts
+++ b/src/control/host/claim_client_test.ts
@@ -45,3 +45,19 @@
   const result = await client.claim(CLAIM);
   t.like(result, { type: "refused", outcome: "not-run" });
 });
+
+// Guards against a claim that is released, or stored with an answer that may be a
+// part: the request ran, and must neither run again nor look answered whole.
+test("an answer that is not kept settles its claim as ran", async (t) => {
+  const { client, proposed } = createClient([
+    { type: "granted" },
+    { type: "settled" },
+    { type: "ended", outcome: "ran" },
+  ]);
+  await client.claim(CLAIM);
+  client.settle(CLAIM, "not-kept");
+  await client.flush();
+  t.like(proposed[1], { type: "settle", outcome: "ran", answer: undefined });
+  const resend = await client.claim({ ...CLAIM, request: "r2" });
+  t.like(resend, { type: "refused", outcome: "ran" });
+});
--- a/src/request/path_claims_test.ts
+++ b/src/request/path_claims_test.ts
@@ -5,8 +5,8 @@
 /** In-memory claims that return `results` in order. */
 function claimsOf(
   results: pathOptions.ClaimResult[],
-): pathOptions.Claims & { settled: (pathOptions.StoredAnswer | undefined)[] } {
-  const settled: (pathOptions.StoredAnswer | undefined)[] = [];
+): pathOptions.Claims & { settled: (pathOptions.Settlement | undefined)[] } {
+  const settled: (pathOptions.Settlement | undefined)[] = [];
   return {
     settled,
     claim: () => Promise.resolve(results.shift()!),
@@ -28,6 +28,23 @@
   await started.stop();
 });
 
+// Guards against a replay that states the end of an answer that stated none, and
+// may be a part: resends would get it for the whole.
+test("does not store an answer that states no end", async (t) => {
+  const claims = claimsOf([{ type: "granted" }]);
+  const serve: fakePath.Serve = (_incoming, response) => {
+    response.useChunkedEncodingByDefault = false;
+    response.setHeader("connection", "close");
+    response.write("boo");
+    response.end();
+  };
+  const started = await fakePath.start({ billing: serve }, { claims });
+  const url = `${started.url}/v1/services/billing/`;
+  t.is((await fakePath.post(url, "book", once)).text, "boo");
+  t.deepEqual(claims.settled, ["not-kept"]);
+  await started.stop();
+});
+
 test("answers a resend without a second call", async (t) => {
   const answer = { status: 201, headers: {}, body: "booked before" };
   const claims = claimsOf([
--- a/src/request/path_options.ts
+++ b/src/request/path_options.ts
@@ -87,12 +87,15 @@
   body: string;
 }
 
+/** What is stored of a request that ran: its answer, or only that it ran. */
+export type Settlement = StoredAnswer | "not-kept";
+
 /** Claims of idempotency keys, committed by a quorum before dispatch. */
 export interface Claims {
   claim(claim: Claim): Promise<ClaimResult>;
-  /** Stores the final answer; undefined releases the claim, since the request
-   * did not run. */
-  settle(claim: Claim, answer: StoredAnswer | undefined): void;
+  /** Stores how the request ended; undefined releases the claim, since it did
+   * not run. */
+  settle(claim: Claim, settlement: Settlement | undefined): void;
 }
 
 /** Logger of state changes. */
--- a/src/request/recorded_reply.ts
+++ b/src/request/recorded_reply.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import type * as endpointCalls from "../endpoint_calls/call.ts";
+import * as exchanges from "../endpoint_calls/exchange.ts";
 import type * as effect from "./effect.ts";
 import type * as pathOptions from "./path_options.ts";
 import * as problem from "../callers/problem.ts";
@@ -10,8 +11,8 @@
 /** Options of a recorded reply. */
 export interface Options {
   id: string;
-  /** Stores the answer; undefined when the request did not run. */
-  settle(answer: pathOptions.StoredAnswer | undefined): void;
+  /** Stores how the request ended; undefined when it did not run. */
+  settle(settlement: pathOptions.Settlement | undefined): void;
 }
 
 /** Forwards to another reply and stores the final answer. */
@@ -41,10 +42,16 @@
     this.#reply.complete(answer);
   }
 
+  /** An answer that states no end may be a part, which all resends would get for
+   * the whole: only that the request ran is stored. */
   pass(result: endpointCalls.PlainResult): void {
-    const { status, headers } = result;
+    const { status, headers, framing } = result;
     const body = Buffer.from(result.body).toString();
-    this.#options.settle({ status, headers: { ...headers }, body });
+    this.#options.settle(
+      exchanges.isDelimited(framing)
+        ? { status, headers: { ...headers }, body }
+        : "not-kept",
+    );
     this.#reply.pass(result);
   }
 
