Stages: a plain answer that states no end is no result of a pipeline

A pipeline that ends with a plain stage answers with that stage's text in JSON, which is whole. An answer without a length or chunks that was cut off gave `12` of `123` as the text, as nothing in a plain body shows its end. Its call now fails as `broken-stream` with an unknown outcome; requests that may run twice are tried at another endpoint. Endpoints that never state an end can't serve such a stage.

--- a/src/endpoint_calls/call.ts
+++ b/src/endpoint_calls/call.ts
@@ -30,6 +30,9 @@
   path: string;
   headers: Readonly<Record<string, string>>;
   body: Uint8Array;
+  /** Set if the answer fails unless it states its end: whoever reads its result
+   * can't be told. */
+  needsEnd?: true;
 }
 
 /** A document that a retriever returned. */
--- a/src/endpoint_calls/plain.ts
+++ b/src/endpoint_calls/plain.ts
@@ -4,7 +4,7 @@
 
 import * as call from "./call.ts";
 import * as chunkLists from "../runtime/chunk_list.ts";
-import type * as exchange from "./exchange.ts";
+import * as exchange from "./exchange.ts";
 import type * as handler from "./handler.ts";
 
 const NO_USAGE = {
@@ -67,6 +67,10 @@
 
   end(): handler.ParsedAnswer {
     const { status, framing } = this.#head;
+    const { needsEnd } = this.#call.input as call.PlainInput;
+    if (needsEnd && !exchange.isDelimited(framing)) {
+      throw new call.CallError("broken-stream", "answer states no end");
+    }
     const headers = forwardedHeaders(this.#head.headers);
     const body = this.#chunks.take();
     const callId = callIdIn(body);
--- a/src/request/stage_data.ts
+++ b/src/request/stage_data.ts
@@ -145,7 +145,16 @@
       if (payload.type === "plain") return payload.call;
       const headers = { "content-type": "application/json" };
       const body = Buffer.from(JSON.stringify(payload.call.input));
-      return { type: "plain", method: "POST", path: "/", headers, body };
+      // The answer's text becomes a part of another one, which is whole.
+      const needsEnd = true;
+      return {
+        type: "plain",
+        method: "POST",
+        path: "/",
+        headers,
+        body,
+        needsEnd,
+      };
     },
     characters: (input) => (input as endpointCalls.PlainInput).body.length,
   },
