Callers: requests behind one another are closed with their connection

A caller that sent several requests on a connection and disconnected left all but the first open: Node emits `close` only for the response whose turn it is. They counted as open, were not abandoned, and a stopping host waited for them until the longest deadline and 2 s more. The server now closes the responses that wait when their connection closes.

connection_test, "all requests of a caller that disconnects are closed": on the code before the stop does not end within the test's 15 s; now it ends at once, with both requests abandoned.

--- a/src/callers/connection_test.ts
+++ b/src/callers/connection_test.ts
@@ -3,6 +3,7 @@
 
 import type * as ava from "ava";
 import test from "ava";
+import * as net from "node:net";
 import * as callerFixture from "../gateway/caller_fixture.ts";
 import * as fakePath from "../request/fake_path.ts";
 
@@ -49,3 +50,16 @@
   t.is(connectionEnd, "orderly");
   await stopped;
 });
+
+// Guards against requests that count as open after their caller has gone: they go
+// on, and a stopping host waits for them.
+test("all requests of a caller that disconnects are closed", async (t) => {
+  const { started, address, bothCalled } = await startHeld(t);
+  const [host, port] = address.split(":");
+  const socket = net.connect({ host, port: Number(port) });
+  socket.write(callText("a") + callText("b"));
+  await bothCalled;
+  socket.destroy();
+  await started.stop();
+  t.is(started.tally.total("request.abandoned"), 2);
+});
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -55,7 +55,8 @@
   readonly #options: Options;
   #server: http.Server | undefined;
   #draining = false;
-  #open = 0;
+  /** Responses that are not closed. */
+  readonly #open = new Set<http.ServerResponse>();
   #idleWaiters: (() => void)[] = [];
   readonly #connections = new WeakMap<
     net.Socket,
@@ -72,7 +73,7 @@
 
   /** Number of requests whose responses are not closed. */
   get open(): number {
-    return this.#open;
+    return this.#open.size;
   }
 
   /** Port of the listener; 0 before `start`. */
@@ -112,7 +113,7 @@
 
   /** Resolves once no request is open. */
   idle(): Promise<void> {
-    if (this.#open === 0) return Promise.resolve();
+    if (this.#open.size === 0) return Promise.resolve();
     return new Promise((resolve) => this.#idleWaiters.push(resolve));
   }
 
@@ -138,8 +139,8 @@
     const connection = this.#connectionOf(incoming.socket);
     if (connection.isClosing) return this.#drop(incoming);
     connection.begin({ request: incoming, response });
-    this.#open++;
-    response.once("close", () => this.#requestEnded());
+    this.#open.add(response);
+    response.once("close", () => this.#requestEnded(response));
     this.#route({ incoming, response, connection }).catch((error) => {
       this.#refuse(response, error);
     });
@@ -150,9 +151,20 @@
     if (known !== undefined) return known;
     const connection = callerConnections.CallerConnection.create(socket);
     this.#connections.set(socket, connection);
+    socket.once("close", () => this.#closeWaiting(socket));
     return connection;
   }
 
+  /** Closes the responses behind another one on a connection that has closed:
+   * Node closes only the one whose turn it is. */
+  #closeWaiting(socket: net.Socket): void {
+    for (const response of this.#open) {
+      if (response.req.socket !== socket || response.socket !== null) continue;
+      response.destroy();
+      response.emit("close");
+    }
+  }
+
   /** Drops a request on a connection that closes after an earlier reply, which
    * its caller has sent before it has read that. */
   #drop(incoming: http.IncomingMessage): void {
@@ -206,9 +218,9 @@
     );
   }
 
-  #requestEnded(): void {
-    this.#open--;
-    if (this.#open > 0) return;
+  #requestEnded(response: http.ServerResponse): void {
+    this.#open.delete(response);
+    if (this.#open.size > 0) return;
     for (const resolve of this.#idleWaiters.splice(0)) resolve();
   }
 }
