Callers: a stopping host resets replies that have no end of their own

A reply without a length or chunks ends with its connection, and a host that stopped closed all connections in order: callers that were slow to read saw a part of a plain answer, or in HTTP/1.0 of a stream, as the whole. Such connections are reset now. Node itself closes a connection whose last reply is still being sent, as it takes it for idle once the reply has been handed over (closeIdleConnections looks at `finished`), so these are reset before the port is closed. Streams whose caller has not read 1 MiB are reset likewise. Connections in TLS are destroyed as before: they end without the alert that closes TLS in order (seen in TLS 1.2: record type 21 behind `end`, none behind `destroy`).

A host that is killed still ends such replies in order, by its system.

--- a/src/callers/http_reply.ts
+++ b/src/callers/http_reply.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as http from "node:http";
+import * as tls from "node:tls";
 import type * as endpointCalls from "../endpoint_calls/call.ts";
 import * as exchanges from "../endpoint_calls/exchange.ts";
 import * as problem from "./problem.ts";
@@ -50,7 +51,7 @@
     this.#openStream();
     this.#writeEvent("token", { offset, text });
     if (this.#response.writableLength > MAX_UNREAD_BYTES) {
-      this.#response.destroy();
+      abort(this.#response);
     }
   }
 
@@ -129,6 +130,18 @@
   }
 }
 
+/** Breaks off a reply that is not whole. A close in order is the end of one that
+ * has neither a length nor chunks, as in HTTP/1.0, so such a connection is reset.
+ * TLS needs no reset: a connection that is destroyed ends without the alert that
+ * closes it in order. */
+export function abort(response: http.ServerResponse): void {
+  const { socket, useChunkedEncodingByDefault } = response;
+  const isReset = socket !== null && !useChunkedEncodingByDefault &&
+    !(socket instanceof tls.TLSSocket);
+  if (isReset) socket.resetAndDestroy();
+  else response.destroy();
+}
+
 /** Status, headers and body of an answer. */
 export interface FullResponse {
   status: number;
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -124,10 +124,15 @@
     const { clock } = this.#options;
     // `close` ends idle connections; a request that has just arrived on another
     // one may complete within the timeout.
-    const cancel = clock.after(
-      CLOSE_TIMEOUT_MS,
-      () => server.closeAllConnections(),
-    );
+    const cancel = clock.after(CLOSE_TIMEOUT_MS, () => {
+      for (const response of this.#open) httpReply.abort(response);
+      server.closeAllConnections();
+    });
+    // Node takes a connection for idle while the rest of its last reply is sent,
+    // and closes it in order.
+    for (const response of this.#open) {
+      if (response.writableEnded) httpReply.abort(response);
+    }
     await new Promise<void>((resolve) => server.close(() => resolve()));
     cancel();
   }
--- a/src/callers/undelimited_answer_test.ts
+++ b/src/callers/undelimited_answer_test.ts
@@ -6,8 +6,10 @@
 import * as net from "node:net";
 import type * as ava from "ava";
 import test from "ava";
+import * as connector from "../endpoint_calls/connector.ts";
 import * as callerFixture from "../gateway/caller_fixture.ts";
 import * as fakePath from "../request/fake_path.ts";
+import * as runtime from "../runtime/mod.ts";
 
 /** Sends a body with a framing. */
 const FRAMINGS: Record<
@@ -130,3 +132,73 @@
   });
   t.like(await callerFixture.send(address, CALL), { status: 502 });
 });
+
+/** A clock whose timers take a tenth of a second at most. */
+const HASTY_CLOCK: runtime.Clock = {
+  now: () => runtime.systemClock.now(),
+  wall: () => runtime.systemClock.wall(),
+  after: (ms, run) => runtime.systemClock.after(Math.min(ms, 100), run),
+};
+
+for (const version of ["1.0", "1.1"] as const) {
+  // Guards against an orderly end of a reply that has no other one: its caller
+  // would take what it has read for the whole.
+  test(`a reply of HTTP/${version} without an end is reset when its host stops`, async (t) => {
+    const length = 8 * 1024 * 1024;
+    const started = await fakePath.start({
+      billing: (_incoming, response) => {
+        FRAMINGS.connection(response, "x".repeat(length));
+      },
+    }, { clock: HASTY_CLOCK });
+    const [host, port] = new URL(started.url).host.split(":");
+    const socket = net.connect({
+      host,
+      port: Number(port),
+      allowHalfOpen: true,
+    });
+    t.teardown(() => socket.destroy());
+    socket.write(callerFixture.textOf({ ...CALL, version }));
+    await new Promise((resolve) => socket.once("readable", resolve));
+    await started.stop();
+    let read = 0;
+    const isWhole = new Promise<boolean>((resolve) => {
+      socket.once("error", () => resolve(false));
+      socket.once(
+        "end",
+        () => void connector.endsInOrder(socket).then(resolve),
+      );
+    });
+    socket.on("data", (part) => read += part.length);
+    t.false(await isWhole);
+    t.true(read < length);
+  });
+}
+
+// Guards against an orderly end of a stream that is broken off: in HTTP/1.0 that is
+// the end of a whole one.
+test("a stream of HTTP/1.0 is reset when its host stops in the middle", async (t) => {
+  let answered = () => {};
+  const started = await fakePath.start({
+    "lm-pool@1": ({ headers }, response) => {
+      const ids = ["x-request-id", "x-stage", "x-attempt"];
+      const id = ids.map((name) => headers[name]).join("/");
+      const choices = [{ index: 0, text: "a", "finish_reason": null }];
+      const data = JSON.stringify({ id, offset: 0, choices });
+      response.write(`data: ${data}\n\n`);
+      answered();
+    },
+  }, { clock: HASTY_CLOCK });
+  const isAnswered = new Promise<void>((resolve) => answered = resolve);
+  const reply = callerFixture.send(new URL(started.url).host, {
+    ...CALL,
+    version: "1.0",
+    path: "/v1/pipelines/short",
+    body: JSON.stringify({ input: { text: "one" }, stream: true }),
+  });
+  await isAnswered;
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  await started.stop();
+  const { body, isComplete } = await reply;
+  t.regex(body, /^event: token\ndata: [^\n]*\n\n$/);
+  t.false(isComplete);
+});
