Callers: a replayed answer without a body has no length

A resend whose stored answer has status 204 or 304, or that is a HEAD, got `Content-Length: 0`, which its answer had not said and RFC 9110 (8.6) forbids with 204. Its first reply has no length since plain replies follow their answers.

path_claims_test, "a replayed answer without a body has no length", fails on the code before.

--- a/src/callers/http_reply.ts
+++ b/src/callers/http_reply.ts
@@ -86,7 +86,10 @@
   }
 
   replay(answer: request.StoredAnswer): void {
-    send(this.#response, answer);
+    const { status } = answer;
+    const isEmpty = this.#response.req.method === "HEAD" || status === 204 ||
+      status === 304;
+    send(this.#response, { ...answer, framing: isEmpty ? "empty" : "length" });
   }
 
   refuse(refused: request.Problem): void {
--- a/src/request/path_claims_test.ts
+++ b/src/request/path_claims_test.ts
@@ -69,6 +69,18 @@
   await started.stop();
 });
 
+// Guards against a length of the host's own in a reply that has no body.
+test("a replayed answer without a body has no length", async (t) => {
+  const answer = { status: 204, headers: {}, body: "" };
+  const claims = claimsOf([{ type: "answered", answer }]);
+  const started = await fakePath.start({}, { claims });
+  const url = `${started.url}/v1/services/billing/`;
+  const { status, headers } = await fakePath.post(url, "book", once);
+  t.is(status, 204);
+  t.false("content-length" in headers);
+  await started.stop();
+});
+
 test("releases a claim when nothing ran", async (t) => {
   const claims = claimsOf([{ type: "granted" }]);
   const started = await fakePath.start({}, { claims });
