Callers: bytes that are no request are not refused ahead of replies

A caller that sent bytes which are no request behind others in flight got the 400 for them at once, as the answer to the first of those, and its connection ended: both had run, and their replies were lost. Behind a reply that ends with its connection the 400 would be a part of its body. The connection is now closed once the requests before are answered, as the gateway does; the 400 is sent where none is in flight.

connection_test, "bytes that are no request are not refused ahead of a reply", gets 1 reply on the code before, that of status 400, and both replies now.

--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -209,10 +209,20 @@
     httpReply.sendProblem(response, problem.documentOf(error.problem));
   }
 
+  /** Refuses bytes that are no request, once all requests before them are
+   * answered: their callers would take the refusal for an answer. */
   #refuseMalformed(socket: net.Socket | unknown): void {
-    this.#options.metrics.count("request.bad", 1, { problem: "bad-request" });
     const open = socket as net.Socket;
+    const connection = this.#connectionOf(open);
+    // Reported again with all further bytes.
+    if (connection.isClosing) return;
+    this.#options.metrics.count("request.bad", 1, { problem: "bad-request" });
     if (!open.writable) return;
+    if (connection.isReceiving) {
+      if (connection.closeWhenWholeAnswered()) return;
+    } else if (connection.isBusy) {
+      return connection.closeWhenAnswered();
+    }
     const error = new problem.CallerError("bad-request", "This is not HTTP");
     const document = problem.documentOf(error.problem);
     const body = JSON.stringify(document);
