Metrics: replies state their length in HTTP/1.0 too

Node states no length of its own in HTTP/1.0, so metrics and the evacuation report ended with their connection there, which a host that stops closes in order: a scraper could take `12` of `123` for a value. The server of the metrics address states the length now, and is a module of its own (diagnostics.ts), moved from daemon.ts unchanged otherwise. Operators, control hosts and the callers' server stated it before, in both versions.

diagnostics_test: the test for HTTP/1.0 fails on the code before; the one for HTTP/1.1 holds what Node did.

--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -4,12 +4,11 @@
 
 import * as crypto from "node:crypto";
 import * as fs from "node:fs";
-import type * as http from "node:http";
 import * as peers from "../peers/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
+import * as diagnostics from "./diagnostics.ts";
 import type * as hostContext from "./host_context.ts";
-import * as httpListener from "./http_listener.ts";
 import type * as settings from "./settings.ts";
 
 /** Exit codes. */
@@ -19,15 +18,10 @@
 const SETTINGS_CHECK_INTERVAL_MS = 1000;
 
 /** A running host. */
-export interface Host {
+export interface Host extends diagnostics.Host {
   reload(settings: settings.HostSettings): void;
   stop(): Promise<void>;
   dump(): unknown;
-  /** Releases a request from quarantine at an operator's command; returns false
-   * when it is not a suspect. Absent on hosts that do not take the command. */
-  release?(fingerprint: string): boolean;
-  /** Report of evacuations. Absent on hosts that do not take the command. */
-  evacuations?(): unknown;
 }
 
 /** Starts a host. */
@@ -61,7 +55,7 @@
   });
   try {
     const host = await options.start(context);
-    const server = await serveDiagnostics(loaded, { exposition, host });
+    const server = await diagnostics.serve(loaded, { exposition, host });
     process.on("SIGUSR2", () => logger.info({ dump: host.dump() }, "Dump"));
     watchSettings(options, { host, logger });
     await stopSignal();
@@ -92,39 +86,6 @@
   };
 }
 
-/** Serves metrics, the evacuation report, and the command that releases a
- * request from quarantine. */
-async function serveDiagnostics(
-  { metrics }: settings.HostSettings,
-  { exposition, host }: { exposition: telemetry.Exposition; host: Host },
-): Promise<http.Server | undefined> {
-  if (metrics === undefined) return undefined;
-  return await httpListener.listen(
-    metrics.listenAddress,
-    (request, response) => {
-      const { method, url = "" } = request;
-      if (url === metrics.path) {
-        void exposition.text().then((text) => response.end(text));
-        return;
-      }
-      if (url === EVACUATIONS_PATH && host.evacuations !== undefined) {
-        response.setHeader("content-type", "application/json");
-        response.end(JSON.stringify(host.evacuations()));
-        return;
-      }
-      const fingerprint = RELEASE_PATTERN.exec(url)?.[1];
-      const isReleased = method === "POST" && fingerprint !== undefined &&
-        host.release?.(fingerprint);
-      response.writeHead(isReleased ? 204 : 404).end();
-    },
-  );
-}
-
-/** Path of the evacuation report. */
-const EVACUATIONS_PATH = "/evacuations";
-/** Path of the command that releases a request from quarantine. */
-const RELEASE_PATTERN = /^\/suspects\/([\w-]{1,64})\/release$/;
-
 /** Reloads the settings on SIGHUP and when their file has changed. Invalid
  * settings are rejected, and the former ones remain in effect. */
 function watchSettings(
