Callers: a stopping host resets replies without an end over TLS too

A connection of TLS that is destroyed ends without the alert that closes it in order, but callers such as Node's don't ask for that: their socket emits `end`, and a part of a stream of HTTP/1.0 or of a plain answer looks whole. Node can't reset a socket of TLS, so the server keeps the TCP connections below by their callers' addresses and resets those; a Node caller then sees ECONNRESET (trial on loopback: `end` with destroy, ECONNRESET with the reset).

tls_test, "a stream of HTTP/1.0 over TLS is reset when its host stops", fails with the former abort. The engine that stops sending is now an option of the fake path that both tests of such streams use.

--- a/src/callers/http_reply.ts
+++ b/src/callers/http_reply.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as http from "node:http";
+import type * as net from "node:net";
 import * as tls from "node:tls";
 import type * as endpointCalls from "../endpoint_calls/call.ts";
 import * as exchanges from "../endpoint_calls/exchange.ts";
@@ -134,15 +135,17 @@
 }
 
 /** Breaks off a reply that is not whole. A close in order is the end of one that
- * has neither a length nor chunks, as in HTTP/1.0, so such a connection is reset.
- * TLS needs no reset: a connection that is destroyed ends without the alert that
- * closes it in order. */
-export function abort(response: http.ServerResponse): void {
+ * has neither a length nor chunks, as in HTTP/1.0, so such a connection is reset;
+ * `tcp` is the one below TLS, which can't be reset itself. */
+export function abort(
+  response: http.ServerResponse,
+  tcp: net.Socket | null = response.socket,
+): void {
   const { socket, useChunkedEncodingByDefault } = response;
   const isReset = socket !== null && !useChunkedEncodingByDefault &&
-    !(socket instanceof tls.TLSSocket);
-  if (isReset) socket.resetAndDestroy();
-  else response.destroy();
+    !(tcp instanceof tls.TLSSocket);
+  if (isReset) tcp?.resetAndDestroy();
+  response.destroy();
 }
 
 /** Status, headers and body of an answer. */
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -63,6 +63,10 @@
     callerConnections.CallerConnection
   >();
 
+  /** TCP connections by their callers' addresses: a response of TLS has another
+   * socket, which can't be reset. */
+  readonly #tcp = new Map<string, net.Socket>();
+
   private constructor(options: Options) {
     this.#options = options;
   }
@@ -95,6 +99,7 @@
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    server.on("connection", (socket) => this.#recordTcp(socket));
     server.on("request", (...pair) => this.#handle(...pair));
     server.on("clientError", (_error, socket) => this.#refuseMalformed(socket));
     await new Promise<void>((resolve, reject) => {
@@ -125,13 +130,13 @@
     // `close` ends idle connections; a request that has just arrived on another
     // one may complete within the timeout.
     const cancel = clock.after(CLOSE_TIMEOUT_MS, () => {
-      for (const response of this.#open) httpReply.abort(response);
+      for (const response of this.#open) this.#abort(response);
       server.closeAllConnections();
     });
     // Node takes a connection for idle while the rest of its last reply is sent,
     // and closes it in order.
     for (const response of this.#open) {
-      if (response.writableEnded) httpReply.abort(response);
+      if (response.writableEnded) this.#abort(response);
     }
     await new Promise<void>((resolve) => server.close(() => resolve()));
     cancel();
@@ -151,6 +156,16 @@
     });
   }
 
+  #recordTcp(socket: net.Socket): void {
+    const address = addressOf(socket);
+    this.#tcp.set(address, socket);
+    socket.once("close", () => this.#tcp.delete(address));
+  }
+
+  #abort(response: http.ServerResponse): void {
+    httpReply.abort(response, this.#tcp.get(addressOf(response.req.socket)));
+  }
+
   #connectionOf(socket: net.Socket): callerConnections.CallerConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
@@ -240,6 +255,10 @@
   }
 }
 
+function addressOf({ remoteAddress, remotePort }: net.Socket): string {
+  return `${remoteAddress} ${remotePort}`;
+}
+
 function pathSegments(url: string): string[] {
   const [path] = url.split("?", 1);
   try {
--- a/src/callers/tls_test.ts
+++ b/src/callers/tls_test.ts
@@ -1,8 +1,10 @@
 import type * as ava from "ava";
 import test from "ava";
 import * as fs from "node:fs";
+import * as nodeTls from "node:tls";
 import * as url from "node:url";
 import * as undici from "undici";
+import * as callerFixture from "../gateway/caller_fixture.ts";
 import * as fakePath from "../request/fake_path.ts";
 import * as operators from "../operators/mod.ts";
 import * as runtime from "../runtime/mod.ts";
@@ -89,3 +91,36 @@
   const plain = status.replace("https:", "http:");
   await t.throwsAsync(undici.request(plain, { headers }));
 });
+
+// Guards against an orderly end of a stream that is broken off. Callers such as
+// Node's don't ask for the alert with which TLS is closed in order.
+test("a stream of HTTP/1.0 over TLS is reset when its host stops", async (t) => {
+  const settings = fakePath.settingsOf();
+  settings.listen.callers = { port: 0, tls };
+  const started = await fakePath.start({
+    "lm-pool@1": fakePath.generate({ stopAt: 1 }),
+  }, { settings, clock: fakePath.HASTY_CLOCK });
+  const { hostname: host, port } = new URL(started.url);
+  const socket = nodeTls.connect({
+    host,
+    port: Number(port),
+    rejectUnauthorized: false,
+  });
+  const ended = new Promise<string>((resolve) => {
+    socket.once("end", () => resolve("end"));
+    socket.once("error", ({ code }: NodeJS.ErrnoException) => resolve(code!));
+  });
+  socket.write(callerFixture.textOf({
+    version: "1.0",
+    path: "/v1/pipelines/short",
+    headers: { authorization: `Bearer ${fakePath.TOKEN}` },
+    body: JSON.stringify({ input: { text: "one two" }, stream: true }),
+  }));
+  let text = "";
+  socket.on("data", (part) => text += part);
+  while (!text.includes("event: token")) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  await started.stop();
+  t.is(await ended, "ECONNRESET");
+});
--- a/src/callers/undelimited_answer_test.ts
+++ b/src/callers/undelimited_answer_test.ts
@@ -9,7 +9,6 @@
 import * as connector from "../endpoint_calls/connector.ts";
 import * as callerFixture from "../gateway/caller_fixture.ts";
 import * as fakePath from "../request/fake_path.ts";
-import * as runtime from "../runtime/mod.ts";
 
 /** Sends a body with a framing. */
 const FRAMINGS: Record<
@@ -133,13 +132,6 @@
   t.like(await callerFixture.send(address, CALL), { status: 502 });
 });
 
-/** A clock whose timers take a tenth of a second at most. */
-const HASTY_CLOCK: runtime.Clock = {
-  now: () => runtime.systemClock.now(),
-  wall: () => runtime.systemClock.wall(),
-  after: (ms, run) => runtime.systemClock.after(Math.min(ms, 100), run),
-};
-
 for (const version of ["1.0", "1.1"] as const) {
   // Guards against an orderly end of a reply that has no other one: its caller
   // would take what it has read for the whole.
@@ -149,7 +141,7 @@
       billing: (_incoming, response) => {
         FRAMINGS.connection(response, "x".repeat(length));
       },
-    }, { clock: HASTY_CLOCK });
+    }, { clock: fakePath.HASTY_CLOCK });
     const [host, port] = new URL(started.url).host.split(":");
     const socket = net.connect({
       host,
@@ -177,25 +169,18 @@
 // Guards against an orderly end of a stream that is broken off: in HTTP/1.0 that is
 // the end of a whole one.
 test("a stream of HTTP/1.0 is reset when its host stops in the middle", async (t) => {
-  let answered = () => {};
   const started = await fakePath.start({
-    "lm-pool@1": ({ headers }, response) => {
-      const ids = ["x-request-id", "x-stage", "x-attempt"];
-      const id = ids.map((name) => headers[name]).join("/");
-      const choices = [{ index: 0, text: "a", "finish_reason": null }];
-      const data = JSON.stringify({ id, offset: 0, choices });
-      response.write(`data: ${data}\n\n`);
-      answered();
-    },
-  }, { clock: HASTY_CLOCK });
-  const isAnswered = new Promise<void>((resolve) => answered = resolve);
+    "lm-pool@1": fakePath.generate({ stopAt: 1 }),
+  }, { clock: fakePath.HASTY_CLOCK });
   const reply = callerFixture.send(new URL(started.url).host, {
     ...CALL,
     version: "1.0",
     path: "/v1/pipelines/short",
-    body: JSON.stringify({ input: { text: "one" }, stream: true }),
+    body: JSON.stringify({ input: { text: "one two" }, stream: true }),
   });
-  await isAnswered;
+  while (started.fleet["lm-pool@1"].calls() === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
   await new Promise((resolve) => setTimeout(resolve, 50));
   await started.stop();
   const { body, isComplete } = await reply;
--- a/src/request/fake_path.ts
+++ b/src/request/fake_path.ts
@@ -14,6 +14,14 @@
 /** Bearer token of the only account. */
 export const TOKEN = "crew-token";
 
+/** A clock whose timers take a tenth of a second at most. */
+export const HASTY_CLOCK: runtime.Clock = {
+  now: () => runtime.systemClock.now(),
+  wall: () => runtime.systemClock.wall(),
+  after: (delay, callback) =>
+    runtime.systemClock.after(Math.min(delay, 100), callback),
+};
+
 /** Handler of one call. */
 export type Serve = (
   incoming: http.IncomingMessage,
@@ -100,10 +108,14 @@
 export interface Generation {
   /** Number of tokens after which the connection breaks. */
   breakAt?: number;
+  /** Number of tokens after which nothing more is sent. */
+  stopAt?: number;
 }
 
 /** Handler of an engine that generates the first six words of the prompt. */
-export function generate({ breakAt = Infinity }: Generation = {}): Serve {
+export function generate(
+  { breakAt = Infinity, stopAt = Infinity }: Generation = {},
+): Serve {
   return (incoming, response, body) => {
     const { prompt, resume_from: from } = JSON.parse(body);
     const words = prompt.split(/\s+/).slice(0, 6);
@@ -114,6 +126,7 @@
       response.write(`data: ${JSON.stringify(chunk)}\n\n`);
     }
     for (let pos = from; pos < words.length; pos++) {
+      if (pos === stopAt) return;
       if (pos === breakAt) {
         response.write("", () => response.destroy());
         return;
