--- a/src/callers/connection_test.ts
+++ b/src/callers/connection_test.ts
@@ -3,6 +3,7 @@
 
 import type * as ava from "ava";
 import test from "ava";
+import * as net from "node:net";
 import * as callerFixture from "../gateway/caller_fixture.ts";
 import * as fakePath from "../request/fake_path.ts";
 
@@ -49,3 +50,34 @@
   t.is(connectionEnd, "orderly");
   await stopped;
 });
+
+// Guards against requests that count as open after their caller has gone: they go
+// on, and a stopping host waits for them.
+test("all requests of a caller that disconnects are closed", async (t) => {
+  const { started, address, bothCalled } = await startHeld(t);
+  const [host, port] = address.split(":");
+  const socket = net.connect({ host, port: Number(port) });
+  socket.write(callText("a") + callText("b"));
+  await bothCalled;
+  socket.destroy();
+  await started.stop();
+  t.is(started.tally.total("request.abandoned"), 2);
+});
+
+// Guards against a refusal that its caller takes for the answer to the request
+// before it, or for a part of a reply that ends with its connection.
+test("bytes that are no request are not refused ahead of a reply", async (t) => {
+  const { address, bothCalled, release } = await startHeld(t);
+  const sent = callText("a") + callText("b") + "no request\r\n\r\n";
+  const exchanged = callerFixture.exchange(address, sent);
+  await bothCalled;
+  // The bytes have been read with the requests.
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  release();
+  const { text, connectionEnd } = await exchanged;
+  const replies = text.split(/(?=HTTP\/1\.1 )/);
+  t.is(replies.length, 2);
+  t.regex(replies[0], /answer to \/a$/);
+  t.regex(replies[1], /answer to \/b$/);
+  t.is(connectionEnd, "orderly");
+});
--- a/src/endpoint_calls/call.ts
+++ b/src/endpoint_calls/call.ts
@@ -2,6 +2,7 @@
  * @module */
 
 import type * as request from "../request/request.ts";
+import type * as exchange from "./exchange.ts";
 
 /** Input of a call, by kind of endpoint. */
 export type Input =
@@ -29,6 +30,9 @@
   path: string;
   headers: Readonly<Record<string, string>>;
   body: Uint8Array;
+  /** Set if the answer fails unless it states its end: whoever reads its result
+   * can't be told. */
+  needsEnd?: true;
 }
 
 /** A document that a retriever returned. */
@@ -59,6 +63,8 @@
   status: number;
   headers: Readonly<Record<string, string>>;
   body: Uint8Array;
+  /** What marked the end of the answer. */
+  framing: exchange.Framing;
 }
 
 /** One call to one endpoint. */
--- a/src/endpoint_calls/plain.ts
+++ b/src/endpoint_calls/plain.ts
@@ -4,7 +4,7 @@
 
 import * as call from "./call.ts";
 import * as chunkLists from "../runtime/chunk_list.ts";
-import type * as exchange from "./exchange.ts";
+import * as exchange from "./exchange.ts";
 import type * as handler from "./handler.ts";
 
 const NO_USAGE = {
@@ -66,14 +66,24 @@
   }
 
   end(): handler.ParsedAnswer {
-    const { status } = this.#head;
+    const { status, framing } = this.#head;
+    const { needsEnd } = this.#call.input as call.PlainInput;
+    if (needsEnd && !exchange.isDelimited(framing)) {
+      throw new call.CallError("broken-stream", "answer states no end");
+    }
     const headers = forwardedHeaders(this.#head.headers);
     const body = this.#chunks.take();
     const callId = callIdIn(body);
     if (callId !== undefined && callId !== call.idOf(this.#call)) {
       throw new call.CallError("mismatch", "answer has the id of another call");
     }
-    const result = { type: "plain" as const, status, headers, body };
+    const result = {
+      type: "plain" as const,
+      status,
+      headers,
+      body,
+      framing,
+    };
     return { result, usage: NO_USAGE };
   }
 }
