Calls: connections of an endpoint that sends extra answers rest between calls

An answer that an endpoint sends late, behind that of its call, ends the next call if that is already written to the connection: what comes is not its answer, so the connection is closed, and a request that may run once gets 502. undici uses the connection that became free last, so that the next call is written soon. An extra answer that comes between two calls costs its connection alone.

Once an endpoint has sent an answer that is not due (to a call that is not its own, or on an idle connection), its connections are used again 100 ms after their last answer for 30 s, so that a second one comes while no call waits; calls meanwhile use others. It is written as one line and counted (`gateway.extra_answers`).

At rest nothing changes, as long as no endpoint sends extra answers. In a rest of 100 ms an endpoint that gets 960 calls a second from all hosts together has 96 connections at rest.

--- a/src/endpoint_calls/connections.ts
+++ b/src/endpoint_calls/connections.ts
@@ -5,6 +5,11 @@
 
 import * as undici from "undici";
 import type * as runtime from "../runtime/mod.ts";
+import * as restingPools from "./resting_pool.ts";
+
+/** Milliseconds for which the connections of an endpoint rest between calls, since
+ * it last sent an answer that was not due. */
+const REST_PERIOD_MS = 30_000;
 
 /** Decides which open connections to an endpoint, given by its address, may be
  * used for new calls. */
@@ -25,11 +30,18 @@
   readonly pool: undici.Pool.Options;
   readonly clock: runtime.Clock;
   readonly reuse: ReusePolicy;
+  /** Called when an address first sends an answer that is not due, and when it does
+   * so again after a while without. */
+  onExtraAnswer?(address: string): void;
 }
 
+/** Pool of an address whose answers all come when they are due, or not. */
+type Pool = undici.Pool | restingPools.RestingPool;
+
 /** Connections to one address. */
 interface AddressPool {
-  readonly pool: undici.Pool;
+  readonly pool: Pool;
+  readonly isResting: boolean;
   readonly epoch: string;
   readonly openedAt: number;
 }
@@ -42,7 +54,9 @@
   readonly #options: ConnectionsOptions;
   readonly #pools = new Map<string, AddressPool>();
   /** Pools that are closed once their calls in flight are completed, by origin. */
-  readonly #closing = new Map<undici.Pool, string>();
+  readonly #closing = new Map<Pool, string>();
+  /** Times until which connections rest between calls, by origin. */
+  readonly #restingUntil = new Map<string, number>();
 
   private constructor(options: ConnectionsOptions) {
     super();
@@ -88,6 +102,15 @@
     this.#options.reuse.suspect(addressOf(origin));
   }
 
+  /** Records that an endpoint has sent an answer that was not due: its connections
+   * rest between calls. */
+  recordExtraAnswer(origin: string): void {
+    const isKnown = this.#isResting(origin);
+    const now = this.#options.clock.now();
+    this.#restingUntil.set(origin, now + REST_PERIOD_MS);
+    if (!isKnown) this.#options.onExtraAnswer?.(addressOf(origin));
+  }
+
   /** Opens new connections for later calls to an origin: on the present ones an
    * answer may arrive that is not that of its call. */
   renew(origin: string): void {
@@ -98,6 +121,7 @@
    * completed. */
   async retire(address: string): Promise<void> {
     this.#options.reuse.forget(address);
+    this.#restingUntil.delete(originOf(address));
     await this.#closePool(originOf(address));
   }
 
@@ -105,6 +129,7 @@
    * flight fail. */
   async abort(address: string): Promise<void> {
     this.#options.reuse.forget(address);
+    this.#restingUntil.delete(originOf(address));
     const error = new undici.errors.SocketError(
       "endpoint restarted; its former connections are closed",
     );
@@ -126,13 +151,14 @@
 
   /** The pool of an address if its connections may be used; otherwise it is
    * closed once its calls in flight are completed. */
-  #usablePool(origin: string): undici.Pool | undefined {
+  #usablePool(origin: string): Pool | undefined {
     const known = this.#pools.get(origin);
     if (known === undefined) return undefined;
     const { reuse } = this.#options;
     const address = addressOf(origin);
-    const { pool, epoch, openedAt } = known;
-    const isUsable = epoch === reuse.epochOf(address) &&
+    const { pool, epoch, openedAt, isResting } = known;
+    const isUsable = isResting === this.#isResting(origin) &&
+      epoch === reuse.epochOf(address) &&
       !reuse.isSilent(address, openedAt);
     if (isUsable) return pool;
     void this.#closePool(origin);
@@ -147,21 +173,50 @@
     await this.#closeOnceIdle(pool, origin);
   }
 
-  async #closeOnceIdle(pool: undici.Pool, origin: string): Promise<void> {
+  async #closeOnceIdle(pool: Pool, origin: string): Promise<void> {
     this.#closing.set(pool, origin);
     await pool.close();
     this.#closing.delete(pool);
   }
 
-  #openPool(origin: string): undici.Pool {
-    const { pool: options, clock, reuse } = this.#options;
-    const pool = new undici.Pool(origin, options);
+  #openPool(origin: string): Pool {
+    const { clock, reuse } = this.#options;
+    const isResting = this.#isResting(origin);
+    const pool = isResting
+      ? this.#createRestingPool(origin)
+      : this.#createPool(origin);
     const epoch = reuse.epochOf(addressOf(origin));
-    this.#pools.set(origin, { pool, epoch, openedAt: clock.now() });
+    const openedAt = clock.now();
+    this.#pools.set(origin, { pool, isResting, epoch, openedAt });
     return pool;
   }
 
-  #removePool(origin: string): undici.Pool | undefined {
+  #createPool(origin: string): undici.Pool {
+    const pool = new undici.Pool(origin, this.#options.pool);
+    return pool.on("disconnect", (_origin, _targets, error) => {
+      if (isUnexpectedAnswer(error)) this.recordExtraAnswer(origin);
+    });
+  }
+
+  #createRestingPool(origin: string): restingPools.RestingPool {
+    return restingPools.RestingPool.create(origin, {
+      connection: this.#options.pool,
+      clock: this.#options.clock,
+      onDisconnect: (error) => {
+        if (isUnexpectedAnswer(error)) this.recordExtraAnswer(origin);
+      },
+    });
+  }
+
+  #isResting(origin: string): boolean {
+    const until = this.#restingUntil.get(origin);
+    if (until === undefined) return false;
+    if (this.#options.clock.now() < until) return true;
+    this.#restingUntil.delete(origin);
+    return false;
+  }
+
+  #removePool(origin: string): Pool | undefined {
     const known = this.#pools.get(origin);
     this.#pools.delete(origin);
     return known?.pool;
@@ -177,3 +232,10 @@
 function addressOf(origin: string): string {
   return origin.slice(SCHEME.length);
 }
+
+/** Whether undici closed a connection as an answer began while no call waited for
+ * one; its only sign of that is the message. */
+function isUnexpectedAnswer(error: Error): boolean {
+  return error instanceof undici.errors.SocketError &&
+    error.message === "bad response";
+}
--- a/src/endpoint_calls/connections_test.ts
+++ b/src/endpoint_calls/connections_test.ts
@@ -1,9 +1,10 @@
 /** @module */
 
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import test, { type ExecutionContext } from "ava";
 import type * as undici from "undici";
+import * as fakeClocks from "../runtime/fake_clock.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as connections from "./connections.ts";
 
@@ -47,10 +48,14 @@
 function createConnections(
   t: ExecutionContext,
   policy: Partial<connections.ReusePolicy> = {},
+  { clock = runtime.systemClock, onExtraAnswer }: Partial<
+    Pick<connections.ConnectionsOptions, "clock" | "onExtraAnswer">
+  > = {},
 ) {
   const pools = connections.Connections.create({
     pool: { pipelining: 1 },
-    clock: runtime.systemClock,
+    clock,
+    onExtraAnswer,
     reuse: {
       epochOf: () => "",
       isSilent: () => false,
@@ -173,3 +178,62 @@
   void pools.abort(address);
   await t.throwsAsync(pendingAnswer, { message: /endpoint restarted/ });
 });
+
+// Guards against calls that fail as a late second answer to the call before comes
+// where their own is due.
+test("connections of an endpoint that sends extra answers rest between calls", async (t) => {
+  const address = await serve(t);
+  const clock = new fakeClocks.FakeClock();
+  const pools = createConnections(t, {}, { clock });
+  t.is(await send(pools, address), "1");
+  pools.recordExtraAnswer(`http://${address}`);
+  t.is(
+    await send(pools, address),
+    "2",
+    "a second answer may be due on the first",
+  );
+  clock.advance(10);
+  t.is(await send(pools, address), "3");
+  clock.advance(100);
+  t.is(await send(pools, address), "3", "the one that was used last");
+  t.is(await send(pools, address), "2");
+  clock.advance(30_000);
+  t.is(await send(pools, address), "4");
+  t.is(await send(pools, address), "4");
+});
+
+test("connections that rest are closed when their endpoint restarts", async (t) => {
+  const address = await serve(t);
+  const pools = createConnections(t);
+  pools.recordExtraAnswer(`http://${address}`);
+  const pendingAnswer = send(pools, address, { path: "/slow" });
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  void pools.abort(address);
+  await t.throwsAsync(pendingAnswer, { message: /endpoint restarted/ });
+  t.is(await send(pools, address), "2");
+  t.is(await send(pools, address), "2", "its successor's do not rest");
+});
+
+// undici shows such an answer by the message of an error alone.
+test("an answer on an idle connection is noticed once", async (t) => {
+  const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
+  const server = net.createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", () => {
+      socket.write(answer);
+      setTimeout(() => socket.write(answer), 20);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => void server.close());
+  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  const noticed: string[] = [];
+  const pools = createConnections(t, {}, {
+    onExtraAnswer: (each) => void noticed.push(each),
+  });
+  for (let count = 0; count < 3; count++) {
+    t.is(await send(pools, address), "1");
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+  t.deepEqual(noticed, [address]);
+});
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -82,6 +82,8 @@
 export type Dispatcher = undici.Dispatcher & {
   /** A call that was sent to an origin broke or is not answered. */
   recordBreak?(origin: string): void;
+  /** An origin has sent an answer that was not due. */
+  recordExtraAnswer?(origin: string): void;
   /** An answer of an origin may not have been that of its call: later calls use
    * new connections, those in flight are completed. */
   renew?(origin: string): void;
@@ -176,6 +178,15 @@
     this.#abort("call cancelled");
   }
 
+  /** Ends the exchange without notifying the receiver, as its answer is that of
+   * another call; destroys the connection. */
+  rejectAnswer(): void {
+    if (this.#isDone) return;
+    const { dispatcher, url } = this.#options;
+    dispatcher.recordExtraAnswer?.(originOf(url)!);
+    this.cancel();
+  }
+
   /** Changes the time in milliseconds without a byte after which the exchange
    * is silent. */
   setIdleTimeout(idleTimeout: number): void {
@@ -354,8 +365,7 @@
 
   #recordBreak(): void {
     const { dispatcher, url } = this.#options;
-    const [, origin] = URL_PARTS.exec(url)!;
-    dispatcher.recordBreak?.(origin);
+    dispatcher.recordBreak?.(originOf(url)!);
   }
 
   #finish(): void {
@@ -369,6 +379,11 @@
   }
 }
 
+/** Origin of a base URL; undefined if it is none. */
+function originOf(url: string): string | undefined {
+  return URL_PARTS.exec(url)?.[1];
+}
+
 /** Framing of an answer that may have a body. One whose last transfer coding is
  * not `chunked` ends with its connection (RFC 9112, 6.3). */
 function framingOf(headers: Headers): Framing {
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -127,6 +127,7 @@
       },
       clock,
       reuse: this.#paths,
+      onExtraAnswer: (address) => this.#recordExtraAnswer(address),
     });
     this.#partialAnswers = partialAnswers.PartialAnswers.create({
       ...options,
@@ -460,6 +461,16 @@
 
   /** Closes the connections to an endpoint that has ended: at once where
    * another incarnation has replaced it, otherwise when its calls are done. */
+  #recordExtraAnswer(address: string): void {
+    const { logger, metrics } = this.#options;
+    const { id, service = "unknown" } = this.#pool.at(address)?.identity ?? {};
+    metrics.count("gateway.extra_answers", 1, { service });
+    logger.warn(
+      { endpoint: id, service, address },
+      "Endpoint sent an answer that was not due; its connections rest",
+    );
+  }
+
   async #closeConnections(
     { identity, isRestarted }: gateway.EndedEndpoint,
   ): Promise<void> {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -313,7 +313,7 @@
   }
 
   #rejectMismatch(): void {
-    this.#exchange?.cancel();
+    this.#exchange?.rejectAnswer();
     this.#fail("mismatch", true);
   }
 
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -40,6 +40,10 @@
     type: "count",
     help: "Answers whose end was that of their connection, by how it ended",
   },
+  "gateway.extra_answers": {
+    type: "count",
+    help: "Times that an endpoint began to send answers that are not due",
+  },
   "gateway.oversized": {
     type: "count",
     help: "Calls ended for the bytes that their answers held, by bound",
