Calls: the connection of a refusal without an attempt id is not used again

Since a refusal without an attempt id was believed as the first answer on its connection alone. Endpoints whose own refusals have no id then had all of them on kept connections taken for foreign: unsafe requests got 502 in place of 503, and such endpoints were avoided. The protocol says that endpoints echo ids, not whether refusals are excepted.

A copy has the id of its answer, or none if that had none. So a refusal without an id can only be a copy if another one came before it on its connection. That rule is reverted, and a refusal without an id is believed and ends its connection, as an answer does that names no call in batch_call.ts. It costs a connection for each such refusal, nothing where refusals have ids. What is left: an endpoint that sends a refusal without an id behind an answer with one, which is no copy, is believed.

--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -9,7 +9,6 @@
 import * as http from "node:http";
 import * as undici from "undici";
 import type * as request from "../request/request.ts";
-import * as answeredConnections from "./answered_connections.ts";
 import * as connector from "./connector.ts";
 import * as framing from "./framing.ts";
 import type * as partialAnswers from "./partial_answers.ts";
@@ -45,14 +44,6 @@
   readonly connectionEnd?: connector.ConnectionEnd;
 }
 
-/** What is known of an answer beside its head. */
-export interface AnswerOrigin {
-  readonly framing: Framing;
-  /** Whether it is the first answer on its connection, so that it can't be a late
-   * one to an earlier call. */
-  readonly isFirst: boolean;
-}
-
 /** Receives the answer of an exchange; `end` or `fail` is the last call. */
 export interface Receiver {
   /** Bytes of memory that it holds of the answer; none when absent. */
@@ -60,7 +51,7 @@
   head(
     status: number,
     headers: Headers,
-    origin: AnswerOrigin,
+    about: { readonly framing: Framing },
   ): void;
   data(chunk: Buffer): void;
   end(ending: Ending): void;
@@ -247,8 +238,7 @@
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
     this.#framing = isEmpty ? "empty" : framingOf(headers);
     const { receiver } = this.#options;
-    const isFirst = answeredConnections.recordAnswer();
-    receiver.head(status, headers, { framing: this.#framing, isFirst });
+    receiver.head(status, headers, { framing: this.#framing });
   }
 
   onResponseData(
--- a/src/endpoint_calls/framing.ts
+++ b/src/endpoint_calls/framing.ts
@@ -32,11 +32,6 @@
   if (current !== undefined) progress.set(current, current.bytesRead);
 }
 
-/** Returns the connection that is being parsed; undefined if none is. */
-export function currentConnection(): net.Socket | undefined {
-  return current;
-}
-
 function check(this: net.Socket): void {
   const framing = this.bytesRead - progress.get(this)!;
   if (framing > MAX_FRAMING_BYTES) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -201,16 +201,20 @@
   head(
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
-    { framing, isFirst }: endpointCalls.AnswerOrigin,
+    { framing }: { readonly framing: endpointCalls.Framing },
   ): void {
     if (this.#isFinished) return;
     this.#framing = framing;
     this.#recordReceipt();
     const { protocol, request, stream } = this.#options;
     const head = protocol.decodeReply(status, headers);
-    if (!belongsTo(request, { head, isFirst })) return this.#rejectMismatch();
+    if (!belongsTo(head, request)) return this.#rejectMismatch();
     if (!head.isMisdirected) this.#options.onHead?.(head);
     this.#head = head;
+    const refusal = refusalCause(head);
+    if (refusal !== undefined && head.attempt === undefined) {
+      return this.#endUnnamedRefusal(refusal);
+    }
     this.#isStream = stream !== undefined && hasSuccessStatus(head);
     if (this.#isStream) stream!.head(head, { framing });
   }
@@ -312,6 +316,13 @@
     this.#finish({ type: "ended", framing });
   }
 
+  /** Closes the connection of a refusal without an attempt id: a late copy of it
+   * could not be told from the refusal of the next call there. */
+  #endUnnamedRefusal(cause: FailureCause): void {
+    this.#exchange?.cancel();
+    this.#fail(cause, false);
+  }
+
   #rejectMismatch(): void {
     this.#exchange?.rejectAnswer();
     this.#fail("mismatch", true);
@@ -353,20 +364,14 @@
   "broken",
 ]);
 
-/** Whether an answer belongs to this request. It must echo the attempt's id, and
- * carry an endpoint's signature unless it is a refusal. A refusal may lack the id,
- * and is then believed as the first answer on its connection alone: later ones may
- * be late answers to other calls, while the request runs. */
+/** Whether an answer belongs to this request: refusals need not echo its id,
+ * any other answer must echo it and carry an endpoint's signature. */
 function belongsTo(
+  head: protocols.ReplyHead,
   { id }: protocols.IncomingRequest,
-  { head, isFirst }: {
-    readonly head: protocols.ReplyHead;
-    readonly isFirst: boolean;
-  },
 ): boolean {
-  if (head.isNotRun || head.isMisdirected) {
-    return head.attempt === undefined ? isFirst : head.attempt === id;
-  }
+  if (head.attempt !== undefined && head.attempt !== id) return false;
+  if (head.isNotRun || head.isMisdirected) return true;
   return head.attempt === id && head.signature !== undefined;
 }
 
