--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -9,7 +9,6 @@
 import * as http from "node:http";
 import * as undici from "undici";
 import type * as request from "../request/request.ts";
-import * as answeredConnections from "./answered_connections.ts";
 import * as connector from "./connector.ts";
 import * as framing from "./framing.ts";
 import type * as partialAnswers from "./partial_answers.ts";
@@ -45,14 +44,6 @@
   readonly connectionEnd?: connector.ConnectionEnd;
 }
 
-/** What is known of an answer beside its head. */
-export interface AnswerOrigin {
-  readonly framing: Framing;
-  /** Whether it is the first answer on its connection, so that it can't be a late
-   * one to an earlier call. */
-  readonly isFirst: boolean;
-}
-
 /** Receives the answer of an exchange; `end` or `fail` is the last call. */
 export interface Receiver {
   /** Bytes of memory that it holds of the answer; none when absent. */
@@ -60,7 +51,7 @@
   head(
     status: number,
     headers: Headers,
-    origin: AnswerOrigin,
+    about: { readonly framing: Framing },
   ): void;
   data(chunk: Buffer): void;
   end(ending: Ending): void;
@@ -82,6 +73,8 @@
 export type Dispatcher = undici.Dispatcher & {
   /** A call that was sent to an origin broke or is not answered. */
   recordBreak?(origin: string): void;
+  /** An origin has sent an answer that was not due. */
+  recordExtraAnswer?(origin: string): void;
   /** An answer of an origin may not have been that of its call: later calls use
    * new connections, those in flight are completed. */
   renew?(origin: string): void;
@@ -176,6 +169,15 @@
     this.#abort("call cancelled");
   }
 
+  /** Ends the exchange without notifying the receiver, as its answer is that of
+   * another call; destroys the connection. */
+  rejectAnswer(): void {
+    if (this.#isDone) return;
+    const { dispatcher, url } = this.#options;
+    dispatcher.recordExtraAnswer?.(originOf(url)!);
+    this.cancel();
+  }
+
   /** Changes the time in milliseconds without a byte after which the exchange
    * is silent. */
   setIdleTimeout(idleTimeout: number): void {
@@ -236,8 +238,7 @@
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
     this.#framing = isEmpty ? "empty" : framingOf(headers);
     const { receiver } = this.#options;
-    const isFirst = answeredConnections.recordAnswer();
-    receiver.head(status, headers, { framing: this.#framing, isFirst });
+    receiver.head(status, headers, { framing: this.#framing });
   }
 
   onResponseData(
@@ -354,8 +355,7 @@
 
   #recordBreak(): void {
     const { dispatcher, url } = this.#options;
-    const [, origin] = URL_PARTS.exec(url)!;
-    dispatcher.recordBreak?.(origin);
+    dispatcher.recordBreak?.(originOf(url)!);
   }
 
   #finish(): void {
@@ -369,6 +369,11 @@
   }
 }
 
+/** Origin of a base URL; undefined if it is none. */
+function originOf(url: string): string | undefined {
+  return URL_PARTS.exec(url)?.[1];
+}
+
 /** Framing of an answer that may have a body. One whose last transfer coding is
  * not `chunked` ends with its connection (RFC 9112, 6.3). */
 function framingOf(headers: Headers): Framing {
