--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -464,8 +464,6 @@
     );
   }
 
-  /** Closes the connections to an endpoint that has ended: at once where
-   * another incarnation has replaced it, otherwise when its calls are done. */
   #recordExtraAnswer(address: string): void {
     const { logger, metrics } = this.#options;
     const { id, service = "unknown" } = this.#pool.at(address)?.identity ?? {};
@@ -476,6 +474,8 @@
     );
   }
 
+  /** Closes the connections to an endpoint that has ended: at once where
+   * another incarnation has replaced it, otherwise when its calls are done. */
   async #closeConnections(
     { identity, isRestarted }: gateway.EndedEndpoint,
   ): Promise<void> {
