Streams: an event whose id is not above those before it is not sent

Behind the open body of a stream without a length, a second answer of a faulty endpoint is a part of it: callers got its head and events 1 to 3 once more, and the stream ended as complete (ORDER, events that come twice). An endpoint that begins anew in place of going on behind Last-Event-Id did the same to a stream that was continued. The ids of events increase by the protocol, so an event whose id is a number not above the last one now breaks its call off (`invalid`): the stream goes on elsewhere behind its last event, or is broken off. Events of the same read are dropped with it.

undelimited_answer_test, "a stream that begins anew behind its events is broken off" and "events before the last one that was received are not sent again", and event_buffer_test.

--- a/src/gateway/active_request_test.ts
+++ b/src/gateway/active_request_test.ts
@@ -679,10 +679,14 @@
   t.is((await cut.ask()).status, 502);
 });
 
-/** An event of 100 kB, and a number of them that no buffers of the system
- * take. */
-const LARGE_EVENT = `id: 1\ndata: ${"x".repeat(100_000)}\n\n`;
+/** Events of 100 kB, as many as no buffers of the system take. */
 const LARGE_EVENT_COUNT = 300;
+const LARGE_DATA = "x".repeat(100_000);
+
+function largeEvent(id: number): string {
+  return `id: ${id}\ndata: ${LARGE_DATA}\n\n`;
+}
+
 /** Memory of a host whose callers may leave 5 MB unread. */
 const SMALL_MEMORY = 40_000_000;
 
@@ -737,8 +741,8 @@
  * them all. */
 function sendLargeEvents(response: http.ServerResponse, onTaken = () => {}) {
   response.writeHead(200, { "test-signature": "s" });
-  for (let count = 0; count < LARGE_EVENT_COUNT; count++) {
-    response.write(LARGE_EVENT);
+  for (let id = 1; id <= LARGE_EVENT_COUNT; id++) {
+    response.write(largeEvent(id));
   }
   response.end(onTaken);
 }
@@ -799,8 +803,8 @@
     { kind: "streaming", objective: 1000, timeout: 5000 },
     async (_, response) => {
       response.writeHead(200, { "test-signature": "s" });
-      for (let count = 0; count < LARGE_EVENT_COUNT; count++) {
-        response.write(LARGE_EVENT);
+      for (let id = 1; id <= LARGE_EVENT_COUNT; id++) {
+        response.write(largeEvent(id));
         await timers.setTimeout(1);
       }
       response.end();
@@ -808,5 +812,9 @@
   );
   limitMemory(SMALL_MEMORY);
   const { text } = await ask();
-  t.is(text.length, LARGE_EVENT_COUNT * LARGE_EVENT.length);
+  const ids = Array.from(
+    { length: LARGE_EVENT_COUNT },
+    (_, index) => index + 1,
+  );
+  t.is(text, ids.map(largeEvent).join(""));
 });
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -108,7 +108,7 @@
   /** Resolves when the attempt ends; never rejects. */
   readonly outcome: Promise<Outcome>;
   readonly #options: AttemptOptions;
-  readonly #events = eventBuffers.EventBuffer.create();
+  readonly #events: eventBuffers.EventBuffer;
   readonly #chunks = chunkLists.ChunkList.create();
   #resolve!: (outcome: Outcome) => void;
   #exchange?: endpointCalls.Exchange;
@@ -124,6 +124,9 @@
   private constructor(options: AttemptOptions) {
     this.#options = options;
     this.#heardAt = options.clock.now();
+    this.#events = eventBuffers.EventBuffer.create({
+      resumedAfter: options.metadata.resumeAfter,
+    });
     this.outcome = new Promise((resolve) => this.#resolve = resolve);
   }
 
@@ -247,6 +250,9 @@
   #addToStream(chunk: Buffer): void {
     const complete = this.#events.push(chunk);
     if (complete.bytes.length === 0) return;
+    // Events of another answer behind an open body, or of a stream that begins anew
+    // in place of going on.
+    if (!complete.isInOrder) return this.#exchange?.break("error");
     this.#hasEvents = true;
     this.#resume();
     this.#options.stream!.events(complete);
--- a/src/gateway/event_buffer.ts
+++ b/src/gateway/event_buffer.ts
@@ -7,6 +7,8 @@
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly lastId?: string;
+  /** Whether each id that is a number is above those before it. */
+  readonly isInOrder: boolean;
 }
 
 const ID_LINE = /^id: ?(.*?)\r?$/gm;
@@ -14,16 +16,26 @@
  * last: as many of a partial event may belong to its end. */
 const MAX_PARTIAL_END_BYTES = 3;
 const NO_BYTES = Buffer.alloc(0);
-const NO_EVENTS: CompleteEvents = { bytes: NO_BYTES };
+const NO_EVENTS: CompleteEvents = { bytes: NO_BYTES, isInOrder: true };
+const NUMBER = /^\d+$/;
 
 /** Buffers a stream that arrives in chunks; changed in place. */
 export class EventBuffer {
   readonly #partial = chunkLists.ChunkList.create();
   /** Last bytes of the partial event. */
   #tail: Buffer = NO_BYTES;
+  /** Highest id that is a number. */
+  #lastNumber = -Infinity;
 
-  static create(): EventBuffer {
-    return new EventBuffer();
+  private constructor(resumedAfter?: string) {
+    if (resumedAfter !== undefined) this.#recordId(resumedAfter);
+  }
+
+  /** Creates an empty buffer of a stream that begins behind an event, if any. */
+  static create(
+    { resumedAfter }: { readonly resumedAfter?: string } = {},
+  ): EventBuffer {
+    return new EventBuffer(resumedAfter);
   }
 
   /** Whether the buffer holds a partial event. */
@@ -52,7 +64,20 @@
     const endInChunk = end - this.#tail.length;
     const bytes = this.#complete(chunk.subarray(0, endInChunk));
     this.#begin(chunk.subarray(endInChunk));
-    return { bytes, lastId: lastEventId(bytes) };
+    const ids = eventIds(bytes);
+    const isInOrder = ids
+      .map((id) => this.#recordId(id))
+      .every((isNext) => isNext);
+    return { bytes, lastId: ids.at(-1), isInOrder };
+  }
+
+  /** Records an id; returns false if it is a number that is not above the last. */
+  #recordId(id: string): boolean {
+    if (!NUMBER.test(id)) return true;
+    const number = Number(id);
+    if (number <= this.#lastNumber) return false;
+    this.#lastNumber = number;
+    return true;
   }
 
   /** Removes the partial event. */
@@ -86,8 +111,7 @@
   );
 }
 
-function lastEventId(bytes: Buffer): string | undefined {
-  if (bytes.length === 0) return undefined;
-  const ids = [...bytes.toString("utf8").matchAll(ID_LINE)];
-  return ids.at(-1)?.[1];
+function eventIds(bytes: Buffer): string[] {
+  if (bytes.length === 0) return [];
+  return [...bytes.toString("utf8").matchAll(ID_LINE)].map(([, id]) => id);
 }
--- a/src/gateway/event_buffer_test.ts
+++ b/src/gateway/event_buffer_test.ts
@@ -25,6 +25,26 @@
   t.false(isOpen);
 });
 
+test("ids that do not increase are out of order", (t) => {
+  const orderOf = (text: string, resumedAfter?: string) =>
+    eventBuffers.EventBuffer.create({ resumedAfter })
+      .push(Buffer.from(text)).isInOrder;
+  t.true(orderOf("id: 1\n\nid: 3\n\n"));
+  t.true(orderOf("id: 9\n\nid: 10\n\n"));
+  t.true(orderOf("data: a\n\nid: x\n\nid: x\n\n"));
+  t.true(orderOf("id: 3\n\n", "2"));
+  t.false(orderOf("id: 2\n\nid: 2\n\n"));
+  t.false(orderOf("id: 2\n\nid: 1\n\n"));
+  t.false(orderOf("id: 1\n\nid: 3\n\n", "2"));
+});
+
+test("ids are in order over all chunks", (t) => {
+  const buffer = eventBuffers.EventBuffer.create();
+  t.true(buffer.push(Buffer.from("id: 4\n\nid: 5\n")).isInOrder);
+  t.true(buffer.push(Buffer.from("\nid: 4\n")).isInOrder);
+  t.false(buffer.push(Buffer.from("\n")).isInOrder);
+});
+
 test("lines may end with a carriage return and a line feed", (t) => {
   const { whole } = feed("id: 7\r\ndata: x\r\n\r\n");
   t.deepEqual(whole, [["id: 7\r\ndata: x\r\n\r\n", "7"]]);
--- a/src/gateway/http_1_0_test.ts
+++ b/src/gateway/http_1_0_test.ts
@@ -15,6 +15,7 @@
 };
 const PLAIN: Partial<configurations.Route> = { kind: "unsafe", stages: [] };
 const EVENT = "id: 1\ndata: 1\n\n";
+const NEXT_EVENT = "id: 2\ndata: 2\n\n";
 const WORK_MS = 100;
 const KEEP_ALIVE = { connection: "keep-alive" };
 
@@ -82,7 +83,7 @@
   const { calls, address } = await startServer(t, STREAM, (_, response) => {
     response.writeHead(200, { "test-signature": "s" });
     response.write(EVENT);
-    fixture.clock.after(WORK_MS, () => response.end(EVENT));
+    fixture.clock.after(WORK_MS, () => response.end(NEXT_EVENT));
   });
   const request = callerFixture.textOf({
     version: "1.0",
@@ -93,7 +94,7 @@
   });
   const replies = repliesIn(seen.text);
   t.is(replies.length, 1, seen.text);
-  t.is(replies[0].body, EVENT + EVENT);
+  t.is(replies[0].body, EVENT + NEXT_EVENT);
   t.is(calls.begun, 1);
 });
 
--- a/src/gateway/undelimited_answer_test.ts
+++ b/src/gateway/undelimited_answer_test.ts
@@ -172,3 +172,27 @@
     }
   }
 });
+
+// Guards against events that come twice: behind the open body of a stream, a second
+// answer is a part of it.
+test("a stream that begins anew behind its events is broken off", async (t) => {
+  const copy = `HTTP/1.1 200 OK\r\ntest-signature: s\r\n\r\n${EVENTS}`;
+  const { host, resumedAfter } = await startHostOf(t, [
+    `\r\n${EVENTS}${copy}`,
+    `Content-Length: ${EVENTS.length}\r\n\r\n${EVENTS}`,
+  ]);
+  const reply = await callerFixture.send(host.gatewayAddress, {});
+  t.deepEqual(resumedAfter, [undefined, undefined]);
+  t.like(reply, { status: 200, body: EVENTS, isComplete: true });
+});
+
+test("events before the last one that was received are not sent again", async (t) => {
+  const { host, resumedAfter } = await startHostOf(t, [
+    CUT,
+    `Content-Length: ${EVENTS.length}\r\n\r\n${EVENTS}`,
+    `Content-Length: ${SECOND.length}\r\n\r\n${SECOND}`,
+  ]);
+  const reply = await callerFixture.send(host.gatewayAddress, {});
+  t.deepEqual(resumedAfter, [undefined, "1", "1"]);
+  t.like(reply, { status: 200, body: EVENTS, isComplete: true });
+});
