--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import * as https from "node:https";
 import type * as net from "node:net";
+import * as callerConnections from "../gateway/caller_connection.ts";
 import type * as catalogue from "../request/catalogue.ts";
 import * as endpoints from "./endpoints.ts";
 import * as httpReply from "./http_reply.ts";
@@ -25,6 +26,8 @@
 export interface Exchange {
   incoming: http.IncomingMessage;
   response: http.ServerResponse;
+  /** Connection of the caller. */
+  connection: callerConnections.CallerConnection;
   /** Decoded path segments after those of the route. */
   names: readonly string[];
   /** Whether the host is draining. */
@@ -52,8 +55,17 @@
   readonly #options: Options;
   #server: http.Server | undefined;
   #draining = false;
-  #open = 0;
+  /** Responses that are not closed. */
+  readonly #open = new Set<http.ServerResponse>();
   #idleWaiters: (() => void)[] = [];
+  readonly #connections = new WeakMap<
+    net.Socket,
+    callerConnections.CallerConnection
+  >();
+
+  /** TCP connections by their callers' addresses: a response of TLS has another
+   * socket, which can't be reset. */
+  readonly #tcp = new Map<string, net.Socket>();
 
   private constructor(options: Options) {
     this.#options = options;
@@ -65,7 +77,7 @@
 
   /** Number of requests whose responses are not closed. */
   get open(): number {
-    return this.#open;
+    return this.#open.size;
   }
 
   /** Port of the listener; 0 before `start`. */
@@ -87,6 +99,7 @@
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    server.on("connection", (socket) => this.#recordTcp(socket));
     server.on("request", (...pair) => this.#handle(...pair));
     server.on("clientError", (_error, socket) => this.#refuseMalformed(socket));
     await new Promise<void>((resolve, reject) => {
@@ -105,7 +118,7 @@
 
   /** Resolves once no request is open. */
   idle(): Promise<void> {
-    if (this.#open === 0) return Promise.resolve();
+    if (this.#open.size === 0) return Promise.resolve();
     return new Promise((resolve) => this.#idleWaiters.push(resolve));
   }
 
@@ -116,10 +129,15 @@
     const { clock } = this.#options;
     // `close` ends idle connections; a request that has just arrived on another
     // one may complete within the timeout.
-    const cancel = clock.after(
-      CLOSE_TIMEOUT_MS,
-      () => server.closeAllConnections(),
-    );
+    const cancel = clock.after(CLOSE_TIMEOUT_MS, () => {
+      for (const response of this.#open) this.#abort(response);
+      server.closeAllConnections();
+    });
+    // Node takes a connection for idle while the rest of its last reply is sent,
+    // and closes it in order.
+    for (const response of this.#open) {
+      if (response.writableEnded) this.#abort(response);
+    }
     await new Promise<void>((resolve) => server.close(() => resolve()));
     cancel();
   }
@@ -128,17 +146,58 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
-    this.#open++;
-    response.once("close", () => this.#requestEnded());
-    this.#route(incoming, response).catch((error) => {
+    const connection = this.#connectionOf(incoming.socket);
+    if (connection.isClosing) return this.#drop(incoming);
+    connection.begin({ request: incoming, response });
+    this.#open.add(response);
+    response.once("close", () => this.#requestEnded(response));
+    this.#route({ incoming, response, connection }).catch((error) => {
       this.#refuse(response, error);
     });
   }
 
+  #recordTcp(socket: net.Socket): void {
+    const address = addressOf(socket);
+    this.#tcp.set(address, socket);
+    socket.once("close", () => this.#tcp.delete(address));
+  }
+
+  #abort(response: http.ServerResponse): void {
+    httpReply.abort(response, this.#tcp.get(addressOf(response.req.socket)));
+  }
+
+  #connectionOf(socket: net.Socket): callerConnections.CallerConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = callerConnections.CallerConnection.create(socket);
+    this.#connections.set(socket, connection);
+    socket.once("close", () => this.#closeWaiting(socket));
+    return connection;
+  }
+
+  /** Closes the responses behind another one on a connection that has closed:
+   * Node closes only the one whose turn it is. */
+  #closeWaiting(socket: net.Socket): void {
+    for (const response of this.#open) {
+      if (response.req.socket !== socket || response.socket !== null) continue;
+      response.destroy();
+      response.emit("close");
+    }
+  }
+
+  /** Drops a request on a connection that closes after an earlier reply, which
+   * its caller has sent before it has read that. */
+  #drop(incoming: http.IncomingMessage): void {
+    const { metrics, log } = this.#options;
+    incoming.resume();
+    metrics.count("request.dropped");
+    log.info({}, "request dropped; its connection is closing");
+  }
+
   async #route(
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
+    exchange: Pick<Exchange, "incoming" | "response" | "connection">,
   ): Promise<void> {
+    const { incoming } = exchange;
     const segments = pathSegments(incoming.url ?? "/");
     const route = routes[`/${segments.slice(0, 2).join("/")}`];
     if (route === undefined) {
@@ -146,7 +205,7 @@
     }
     const names = segments.slice(2);
     const draining = () => this.#draining;
-    await route(this.#options, { incoming, response, names, draining });
+    await route(this.#options, { ...exchange, names, draining });
   }
 
   #refuse(response: http.ServerResponse, error: unknown): void {
@@ -165,10 +224,20 @@
     httpReply.sendProblem(response, problem.documentOf(error.problem));
   }
 
+  /** Refuses bytes that are no request, once all requests before them are
+   * answered: their callers would take the refusal for an answer. */
   #refuseMalformed(socket: net.Socket | unknown): void {
-    this.#options.metrics.count("request.bad", 1, { problem: "bad-request" });
     const open = socket as net.Socket;
+    const connection = this.#connectionOf(open);
+    // Reported again with all further bytes.
+    if (connection.isClosing) return;
+    this.#options.metrics.count("request.bad", 1, { problem: "bad-request" });
     if (!open.writable) return;
+    if (connection.isReceiving) {
+      if (connection.closeWhenWholeAnswered()) return;
+    } else if (connection.isBusy) {
+      return connection.closeWhenAnswered();
+    }
     const error = new problem.CallerError("bad-request", "This is not HTTP");
     const document = problem.documentOf(error.problem);
     const body = JSON.stringify(document);
@@ -179,13 +248,17 @@
     );
   }
 
-  #requestEnded(): void {
-    this.#open--;
-    if (this.#open > 0) return;
+  #requestEnded(response: http.ServerResponse): void {
+    this.#open.delete(response);
+    if (this.#open.size > 0) return;
     for (const resolve of this.#idleWaiters.splice(0)) resolve();
   }
 }
 
+function addressOf({ remoteAddress, remotePort }: net.Socket): string {
+  return `${remoteAddress} ${remotePort}`;
+}
+
 function pathSegments(url: string): string[] {
   const [path] = url.split("?", 1);
   try {
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -97,6 +97,7 @@
       closesConnection: ({ isNeeded }) =>
         connection.announcesClose(request, isNeeded || isDraining()),
       isLast: () => connection.isLast(request),
+      onUndelimited: () => connection.endReplyWith(request),
       onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
     });
     this.#arrivedAt = context.clock.now();
@@ -290,6 +291,7 @@
       return this.#refuseStep(reason, this.#retryDetails(reason));
     }
     const route = this.#route!;
+    if (route.kind === "streaming") this.#reply.expectStream();
     this.#priorWait = this.#context.priorWait.estimate(
       route.name,
       incoming.timeout,
@@ -491,6 +493,7 @@
           fetchFrom: placed?.cacheMiss.source?.identity.address,
         },
         body: this.#body.length > 0 ? this.#body : undefined,
+        isAlone: this.#isAlone(target),
         deadline: this.#deadline,
         idleTimeout: callLimits.idleTimeoutOf(
           this.#route!,
@@ -508,6 +511,15 @@
     void this.#follow(call, inputs).catch((error) => this.#fail(error));
   }
 
+  /** Whether a call has a connection of its own: an endpoint that refused the
+   * request may send the refusal once more, which has the id of this call too. Only
+   * a request that may run once must not be taken for not run. */
+  #isAlone({ endpoint }: targetChoices.Target): boolean {
+    if (configurations.isIdempotent(this.#route!)) return false;
+    const { id } = endpoint.identity;
+    return this.#calls.some((call) => call.endpoint === id);
+  }
+
   /** Waits for the end of a call and handles its outcome. */
   async #follow(
     call: endpointCalls.EndpointCall,
@@ -901,7 +913,7 @@
   /** Connection of the request. */
   readonly connection: Pick<
     callerConnections.CallerConnection,
-    "announcesClose" | "isLast"
+    "announcesClose" | "isLast" | "endReplyWith"
   >;
 }
 
--- a/src/gateway/caller_fixture.ts
+++ b/src/gateway/caller_fixture.ts
@@ -43,20 +43,41 @@
   return `${method} ${path} HTTP/${version}\r\n${lines.join("")}\r\n${body}`;
 }
 
+/** How a caller reads. */
+export interface Manner {
+  /** It reads nothing between the first bytes of the reply and this. */
+  readonly readAfter?: Promise<unknown>;
+  /** Called with the first bytes of the reply. */
+  onBegin?(): void;
+}
+
 /** Sends a request to an address (host and port) on a connection of its own;
  * resolves once the reply or the connection has ended. */
-export function send(address: string, request: RawRequest): Promise<RawReply> {
+export function send(
+  address: string,
+  request: RawRequest,
+  { readAfter, onBegin }: Manner = {},
+): Promise<RawReply> {
   return new Promise((resolve) => {
     let text = "";
+    // Large replies are not parsed again with each part.
+    let endsWithConnection = false;
     const socket = connect(address);
     const finish = (connectionEnd?: connector.ConnectionEnd) => {
       resolve(parse(text, { connectionEnd, method: request.method }));
       socket.destroy();
     };
+    socket.once("data", () => {
+      onBegin?.();
+      if (readAfter !== undefined) void pauseUntil(socket, readAfter);
+    });
     socket.on("data", (part) => {
       text += part.toString("latin1");
+      if (endsWithConnection) return;
       const reply = parse(text, { method: request.method });
-      if (reply.isComplete) finish();
+      if (reply.isComplete) return finish();
+      endsWithConnection = reply.status !== undefined &&
+        reply.framing === "connection";
     });
     socket.on("error", () => finish("reset"));
     socket.on("end", () => void endOf(socket).then(finish));
@@ -65,10 +86,11 @@
 }
 
 /** Sends text on one connection; resolves with all that comes until it ends, and
- * how it ends. */
+ * how it ends. `onData` is called with what has come so far. */
 export function exchange(
   address: string,
   sent: string,
+  { onData }: { onData?(socket: net.Socket, received: string): void } = {},
 ): Promise<{ text: string; connectionEnd: connector.ConnectionEnd }> {
   return new Promise((resolve) => {
     let text = "";
@@ -77,13 +99,25 @@
       resolve({ text, connectionEnd });
       socket.destroy();
     };
-    socket.on("data", (part) => text += part.toString("latin1"));
+    socket.on("data", (part) => {
+      text += part.toString("latin1");
+      onData?.(socket, text);
+    });
     socket.on("error", () => finish("reset"));
     socket.on("end", () => void endOf(socket).then(finish));
     socket.write(sent);
   });
 }
 
+async function pauseUntil(
+  socket: net.Socket,
+  readAfter: Promise<unknown>,
+): Promise<void> {
+  socket.pause();
+  await readAfter;
+  socket.resume();
+}
+
 function connect(address: string): net.Socket {
   const [host, port] = address.split(":");
   return net.connect({ host, port: Number(port), allowHalfOpen: true });
