Server: a request for a tunnel does not cut the replies before it

A caller that sent a request for a tunnel behind another request and then ended its side had its connection closed in order at once. A stream of HTTP/1.0 or a reply to an answer without a length looked whole then, and a whole request that was passed on got no reply. Node leaves such a connection to the host, which closed it at the caller's end, busy or not.

A connection with requests in flight now closes once they are answered, as it does without the request for a tunnel.

http_1_0_test, "a stream of HTTP/1.0 does not look whole behind a request for a tunnel", and server_test, "a request is answered although its caller asks for a tunnel and ends its side", fail before.

--- a/src/gateway/caller_fixture.ts
+++ b/src/gateway/caller_fixture.ts
@@ -86,11 +86,15 @@
 }
 
 /** Sends text on one connection; resolves with all that comes until it ends, and
- * how it ends. `onData` is called with what has come so far. */
+ * how it ends. `onData` is called with what has come so far. The end of a
+ * connection whose caller has ended its side can't be probed. */
 export function exchange(
   address: string,
   sent: string,
-  { onData }: { onData?(socket: net.Socket, received: string): void } = {},
+  { onData, probesEnd = true }: {
+    onData?(socket: net.Socket, received: string): void;
+    probesEnd?: boolean;
+  } = {},
 ): Promise<{ text: string; connectionEnd: connector.ConnectionEnd }> {
   return new Promise((resolve) => {
     let text = "";
@@ -104,7 +108,10 @@
       onData?.(socket, text);
     });
     socket.on("error", () => finish("reset"));
-    socket.on("end", () => void endOf(socket).then(finish));
+    socket.on("end", () => {
+      if (probesEnd) void endOf(socket).then(finish);
+      else finish("orderly");
+    });
     socket.write(sent);
   });
 }
--- a/src/gateway/http_1_0_test.ts
+++ b/src/gateway/http_1_0_test.ts
@@ -146,3 +146,27 @@
     t.is(calls.begun, 2);
   });
 }
+
+// Guards against the orderly end of a stream that is not whole, as its caller ends
+// its side behind a request for a tunnel.
+test("a stream of HTTP/1.0 does not look whole behind a request for a tunnel", async (t) => {
+  const { address } = await startServer(t, STREAM, (_, response) => {
+    response.writeHead(200, { "test-signature": "s" });
+    response.write(EVENT);
+  });
+  const request = callerFixture.textOf({
+    version: "1.0",
+    headers: KEEP_ALIVE,
+  });
+  const { text, connectionEnd } = await callerFixture.exchange(
+    address,
+    request,
+    {
+      onData: (socket) =>
+        void socket.end("CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n"),
+      probesEnd: false,
+    },
+  );
+  t.regex(text, /id: 1\n/);
+  t.is(connectionEnd, "reset");
+});
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -244,8 +244,10 @@
   #rejectConnect(socket: net.Socket): void {
     // Node has taken its own listeners off the connection.
     socket.on("error", () => {});
-    socket.on("end", () => socket.destroy()).resume();
-    const isBusy = this.#connectionOf(socket).isBusy;
+    const connection = this.#connectionOf(socket);
+    // One with requests in flight closes once they are answered.
+    socket.on("end", () => connection.isBusy || socket.destroy()).resume();
+    const { isBusy } = connection;
     this.#rejectInvalid(CONNECT_ERROR, socket);
     if (!isBusy) socket.destroySoon();
   }
--- a/src/gateway/server_test.ts
+++ b/src/gateway/server_test.ts
@@ -222,6 +222,17 @@
   t.deepEqual(last, { statuses: [200], isOpen: false, calls: 1 });
 });
 
+// Guards against a reply that is cut as its caller ends its side behind a request
+// for a tunnel: Node leaves the connection to the host then.
+test("a request is answered although its caller asks for a tunnel and ends its side", async (t) => {
+  const { calls, socket, replies, answer } = await startWithRequest(t);
+  socket.end(TUNNEL_REQUEST);
+  await fixture.pause(WORK_MS);
+  answer();
+  t.deepEqual(await replies(), { statuses: [200], isOpen: false });
+  t.is(calls.begun, 1);
+});
+
 // The next tests state which requests of other forms are answered as usual.
 for (
   const [name, bytes] of Object.entries({
