Tests: unread replies without an end of their own

The tests of replies that are aborted as their callers have not read them had none that ends with its connection but the plain one of HTTP/1.0, whose answer has a length.

Calls of a fixture's host tell a reset from an end by `distinguishResets`, which stood in drawn_connections_test; two older tests still have their own.

--- a/src/gateway/broken_reply_test.ts
+++ b/src/gateway/broken_reply_test.ts
@@ -4,6 +4,7 @@
 import * as net from "node:net";
 import test from "ava";
 import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
 import * as callerFixture from "./caller_fixture.ts";
 import * as fixture from "./fixture.ts";
 import * as replies from "./reply.ts";
@@ -97,3 +98,46 @@
     t.false(callerFixture.parse(second, { connectionEnd }).isComplete);
   });
 }
+
+/** Memory of a host, of which unread bytes may take an eighth, and a reply that
+ * takes more beside what the buffers of the system take. */
+const MEMORY = 8_000_000;
+const LARGE_REPLY_BYTES = 20_000_000;
+
+// Guards against an orderly end of a reply that is aborted as its caller has not
+// read it.
+for (
+  const { kind, version, isChunked } of [
+    { kind: "streaming", version: "1.0", isChunked: true },
+    { kind: "streaming", version: "1.1", isChunked: false },
+    { kind: "unsafe", version: "1.0", isChunked: false },
+    { kind: "unsafe", version: "1.1", isChunked: false },
+  ] as const
+) {
+  test(`an unread ${kind} reply without an end of its own is reset in HTTP/${version}`, async (t) => {
+    const host = await fixture.startHost(
+      t,
+      { kind, objective: 1000, timeout: 5000, stages: [] },
+      (_, response) => {
+        response.useChunkedEncodingByDefault = isChunked;
+        response.writeHead(200, { "test-signature": "s" });
+        response.end(EVENT.repeat(LARGE_REPLY_BYTES / EVENT.length));
+      },
+    );
+    fixture.distinguishResets(t, host);
+    let markAborted = () => {};
+    const aborted = new Promise<void>((resolve) => markAborted = resolve);
+    const logger = { ...telemetry.noLogger, warn: () => markAborted() };
+    Object.assign(host.context, { logger });
+    host.limitMemory(MEMORY);
+    const { status, isComplete, connectionEnd } = await callerFixture.send(
+      host.gatewayAddress,
+      { version },
+      { readAfter: aborted },
+    );
+    t.deepEqual(
+      { status, isComplete, connectionEnd },
+      { status: 200, isComplete: false, connectionEnd: "reset" },
+    );
+  });
+}
--- a/src/gateway/drawn_connections_test.ts
+++ b/src/gateway/drawn_connections_test.ts
@@ -6,7 +6,6 @@
 import * as net from "node:net";
 import type * as ava from "ava";
 import test from "ava";
-import * as undici from "undici";
 import type * as configurations from "../configuration/mod.ts";
 import * as connector from "../endpoint_calls/connector.ts";
 import * as runtime from "../runtime/mod.ts";
@@ -175,12 +174,7 @@
     void answer(socket, requests.get(id)!);
   };
   const host = await fixture.startHost(t, { ...route, stages: [] }, handle);
-  const dispatcher = new undici.Agent({
-    connect: connector.create({ timeout: 10_000 }),
-    pipelining: 1,
-  });
-  t.teardown(() => dispatcher.destroy());
-  Object.assign(host.context, { dispatcher });
+  fixture.distinguishResets(t, host);
   return { host, begun };
 }
 
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -9,6 +9,7 @@
 import * as fixture from "../configuration/fixture.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
 import * as configurations from "../configuration/mod.ts";
+import * as connector from "../endpoint_calls/connector.ts";
 import * as partialAnswers from "../endpoint_calls/partial_answers.ts";
 import * as originFixture from "../origins/fixture.ts";
 import * as quarantineFixture from "../quarantine/fixture.ts";
@@ -27,6 +28,9 @@
  * would make an endpoint silent that has only not had its turn. */
 export const clock = turnClocks.TurnClock.start();
 
+/** Timeout of connecting to an endpoint. */
+const CONNECT_TIMEOUT_MS = 10_000;
+
 /** Resolves after some milliseconds of `clock`. */
 export function pause(milliseconds: number): Promise<void> {
   return delays.sleep(clock, milliseconds);
@@ -245,6 +249,20 @@
   };
 }
 
+/** Makes the calls of a host tell a reset from the end of an answer, as those of
+ * hosts outside of tests do. */
+export function distinguishResets(
+  t: ava.ExecutionContext,
+  { context }: Pick<Host, "context">,
+): void {
+  const dispatcher = new undici.Agent({
+    connect: connector.create({ timeout: CONNECT_TIMEOUT_MS }),
+    pipelining: 1,
+  });
+  t.teardown(() => dispatcher.destroy());
+  Object.assign(context, { dispatcher });
+}
+
 /** Starts the server for callers of a host; resolves with it. */
 export async function startServer(
   t: ava.ExecutionContext,
