--- a/src/endpoint_calls/connector_test.ts
+++ b/src/endpoint_calls/connector_test.ts
@@ -82,10 +82,16 @@
 // behind them is answered by a reset, after which the system has forgotten the
 // endpoint's address.
 test("an answer without a length is complete when its connection closes on both sides", async (t) => {
-  for (let round = 0; round < 200; round++) {
-    const close = (socket: net.Socket) => void socket.destroy();
-    const url = await serverOf(t, WITHOUT_LENGTH, close, { wait: 1 });
-    t.is(await fetch(t, url), "whole: half");
+  const ways: readonly ((socket: net.Socket) => void)[] = [
+    (socket) => void socket.destroy(),
+    (socket) => void socket.destroySoon(),
+  ];
+  for (const close of ways) {
+    for (let round = 0; round < 100; round++) {
+      const wait = [0, 1, 20][round % 3];
+      const url = await serverOf(t, WITHOUT_LENGTH, close, { wait });
+      t.is(await fetch(t, url), "whole: half");
+    }
   }
 });
 
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -73,6 +73,8 @@
 export type Dispatcher = undici.Dispatcher & {
   /** A call that was sent to an origin broke or is not answered. */
   recordBreak?(origin: string): void;
+  /** An origin has sent an answer that was not due. */
+  recordExtraAnswer?(origin: string): void;
   /** An answer of an origin may not have been that of its call: later calls use
    * new connections, those in flight are completed. */
   renew?(origin: string): void;
@@ -94,6 +96,9 @@
    * when absent. */
   partialAnswers?: Pick<partialAnswers.PartialAnswers, "update" | "remove">;
   receiver: Receiver;
+  /** Whether the request has a connection of its own, so that no late answer to an
+   * earlier one can come where its answer is due. */
+  isAlone?: boolean;
   /** Whether the request may still be sent, asked once a connection is open;
    * otherwise the exchange fails as not run. Absent if it always may. */
   maySend?(): boolean;
@@ -164,6 +169,15 @@
     this.#abort("call cancelled");
   }
 
+  /** Ends the exchange without notifying the receiver, as its answer is that of
+   * another call; destroys the connection. */
+  rejectAnswer(): void {
+    if (this.#isDone) return;
+    const { dispatcher, url } = this.#options;
+    dispatcher.recordExtraAnswer?.(originOf(url)!);
+    this.cancel();
+  }
+
   /** Changes the time in milliseconds without a byte after which the exchange
    * is silent. */
   setIdleTimeout(idleTimeout: number): void {
@@ -291,7 +305,7 @@
   #send(outgoing: OutgoingRequest): void {
     this.#isHeadRequest = outgoing.method === "HEAD";
     if (this.#isDone) return;
-    const { dispatcher, url } = this.#options;
+    const { dispatcher, url, isAlone } = this.#options;
     const [, origin, base] = URL_PARTS.exec(url) ?? [];
     if (origin === undefined) return this.break("connection");
     const request = {
@@ -302,6 +316,7 @@
       body: outgoing.body ?? null,
       headersTimeout: 0,
       bodyTimeout: 0,
+      ...(isAlone && { reset: true }),
     };
     try {
       dispatcher.dispatch(request, this);
@@ -340,8 +355,7 @@
 
   #recordBreak(): void {
     const { dispatcher, url } = this.#options;
-    const [, origin] = URL_PARTS.exec(url)!;
-    dispatcher.recordBreak?.(origin);
+    dispatcher.recordBreak?.(originOf(url)!);
   }
 
   #finish(): void {
@@ -355,6 +369,11 @@
   }
 }
 
+/** Origin of a base URL; undefined if it is none. */
+function originOf(url: string): string | undefined {
+  return URL_PARTS.exec(url)?.[1];
+}
+
 /** Framing of an answer that may have a body. One whose last transfer coding is
  * not `chunked` ends with its connection (RFC 9112, 6.3). */
 function framingOf(headers: Headers): Framing {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -83,6 +83,8 @@
   readonly request: protocols.IncomingRequest;
   readonly metadata: protocols.CallMetadata;
   readonly body?: Buffer;
+  /** Whether the call has a connection of its own. */
+  readonly isAlone?: boolean;
   /** Time at which the attempt ends at the latest. */
   readonly deadline: number;
   /** Milliseconds without a received byte after which it is silent. */
@@ -151,6 +153,7 @@
       // Bounded by the bytes that are held.
       maxBytes: Infinity,
       partialAnswers: options.partialAnswers,
+      isAlone: options.isAlone,
       receiver: attempt,
       maySend: () => endpoint.isAccepting(clock.now()),
     });
@@ -208,6 +211,10 @@
     if (!belongsTo(head, request)) return this.#rejectMismatch();
     if (!head.isMisdirected) this.#options.onHead?.(head);
     this.#head = head;
+    const refusal = refusalCause(head);
+    if (refusal !== undefined && head.attempt === undefined) {
+      return this.#endUnnamedRefusal(refusal);
+    }
     this.#isStream = stream !== undefined && hasSuccessStatus(head);
     if (this.#isStream) stream!.head(head, { framing });
   }
@@ -309,8 +316,15 @@
     this.#finish({ type: "ended", framing });
   }
 
-  #rejectMismatch(): void {
+  /** Closes the connection of a refusal without an attempt id: a late copy of it
+   * could not be told from the refusal of the next call there. */
+  #endUnnamedRefusal(cause: FailureCause): void {
     this.#exchange?.cancel();
+    this.#fail(cause, false);
+  }
+
+  #rejectMismatch(): void {
+    this.#exchange?.rejectAnswer();
     this.#fail("mismatch", true);
   }
 
