Calls: a transfer coding is read as the parser reads it

While the end of an answer is checked its endpoint no longer counts as silent, and the check gives up connecting after 250 ms in place of 500.

--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -266,6 +266,8 @@
   onResponseEnd(): void {
     if (this.#isDone) return;
     if (isDelimited(this.#framing)) return this.#end();
+    // The endpoint is not silent while the end is checked.
+    this.#lastReceivedAt = this.#options.clock.now();
     const ending = connector.currentEndCheck();
     if (ending === undefined) return this.break("broken-stream");
     void ending.then((connectionEnd) => {
@@ -375,11 +377,13 @@
 }
 
 /** Framing of an answer that may have a body. One whose last transfer coding is
- * not `chunked` ends with its connection (RFC 9112, 6.3). */
+ * not `chunked` ends with its connection (RFC 9112, 6.3). Only spaces and tabs are
+ * no part of a coding, as for the parser. */
 function framingOf(headers: Headers): Framing {
   if (headers["content-length"] !== undefined) return "length";
   const codings = [headers["transfer-encoding"] ?? []].flat().join();
-  const last = codings.split(",").at(-1)!.trim().toLowerCase();
+  const last = codings.split(",").at(-1)!.replace(/^[ \t]+|[ \t]+$/g, "")
+    .toLowerCase();
   return last === "chunked" ? "chunked" : "connection";
 }
 
--- a/src/endpoint_calls/stopped_endpoint.ts
+++ b/src/endpoint_calls/stopped_endpoint.ts
@@ -11,7 +11,7 @@
 import * as net from "node:net";
 
 /** Timeout of connecting; an address that does not answer refuses nothing. */
-const CONNECT_TIMEOUT_MS = 500;
+const CONNECT_TIMEOUT_MS = 250;
 /** Milliseconds after which a connection that stays open shows nothing, as its
  * endpoint may be busy. Beside 12 busy processes on 8 cores a listener was open for
  * up to 46 ms after its connections had ended. */
