Callers: a request for a tunnel ends no reply before it

Callers of the own protocol lost replies in flight, or got a part of one that ends with its connection as the whole, when they sent CONNECT behind their requests: Node closes a connection in order that asks for a tunnel where nothing listens for it. It is refused as bytes that are no request are: the connection closes once the replies before it are sent, and a lone one gets 400.

--- a/src/callers/connection_test.ts
+++ b/src/callers/connection_test.ts
@@ -64,20 +64,28 @@
   t.is(started.tally.total("request.abandoned"), 2);
 });
 
-// Guards against a refusal that its caller takes for the answer to the request
-// before it, or for a part of a reply that ends with its connection.
-test("bytes that are no request are not refused ahead of a reply", async (t) => {
-  const { address, bothCalled, release } = await startHeld(t);
-  const sent = callText("a") + callText("b") + "no request\r\n\r\n";
-  const exchanged = callerFixture.exchange(address, sent);
-  await bothCalled;
-  // The bytes have been read with the requests.
-  await new Promise((resolve) => setTimeout(resolve, 50));
-  release();
-  const { text, connectionEnd } = await exchanged;
-  const replies = text.split(/(?=HTTP\/1\.1 )/);
-  t.is(replies.length, 2);
-  t.regex(replies[0], /answer to \/a$/);
-  t.regex(replies[1], /answer to \/b$/);
-  t.is(connectionEnd, "orderly");
-});
+const NO_REQUESTS = {
+  "bytes that are no request": "no request\r\n\r\n",
+  "a request for a tunnel": "CONNECT host:80 HTTP/1.1\r\nHost: host\r\n\r\n",
+};
+
+for (const [name, bytes] of Object.entries(NO_REQUESTS)) {
+  // Guards against a refusal that its caller takes for the answer to the request
+  // before it, or for a part of a reply that ends with its connection, and against a
+  // connection that closes before such a reply is sent.
+  test(`${name} ends no reply before it`, async (t) => {
+    const { address, bothCalled, release } = await startHeld(t);
+    const sent = callText("a") + callText("b") + bytes;
+    const exchanged = callerFixture.exchange(address, sent);
+    await bothCalled;
+    // The bytes have been read with the requests.
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    release();
+    const { text, connectionEnd } = await exchanged;
+    const replies = text.split(/(?=HTTP\/1\.1 )/);
+    t.is(replies.length, 2);
+    t.regex(replies[0], /answer to \/a$/);
+    t.regex(replies[1], /answer to \/b$/);
+    t.is(connectionEnd, "orderly");
+  });
+}
--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import * as https from "node:https";
 import type * as net from "node:net";
+import type * as stream from "node:stream";
 import * as callerConnections from "../gateway/caller_connection.ts";
 import type * as catalogue from "../request/catalogue.ts";
 import * as endpoints from "./endpoints.ts";
@@ -102,6 +103,7 @@
     server.on("connection", (socket) => this.#recordTcp(socket));
     server.on("request", (...pair) => this.#handle(...pair));
     server.on("clientError", (_error, socket) => this.#refuseMalformed(socket));
+    server.on("connect", (_, socket) => this.#refuseConnect(socket));
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(port, address, () => {
@@ -226,6 +228,14 @@
 
   /** Refuses bytes that are no request, once all requests before them are
    * answered: their callers would take the refusal for an answer. */
+  /** Refuses a request for a tunnel; without a listener Node closes its connection
+   * at once, in the middle of replies before it. */
+  #refuseConnect(socket: stream.Duplex): void {
+    // Node has taken its own listeners off the connection.
+    socket.on("error", () => {}).resume();
+    this.#refuseMalformed(socket);
+  }
+
   #refuseMalformed(socket: net.Socket | unknown): void {
     const open = socket as net.Socket;
     const connection = this.#connectionOf(open);
