Peers: a question about a tunnel that fails is answered

Whether a tunnel has ended in order is found out asynchronously since. If that failed, the promise was rejected without a handler, which ends the process, and the other host got no answer. No way to it is known: the check of an endpoint resolves for every address that a tunnel was opened to. Now it is logged and answered with 500, which confirms no end.

peers_test, "a question that fails is answered with a status of its own", does not end on the code before. "... that is answered after the host has stopped gets no answer" passes before and after: Node drops a response whose connection is closed.

--- a/src/peers/listener.ts
+++ b/src/peers/listener.ts
@@ -90,9 +90,14 @@
 export async function listen(options: ListenerOptions): Promise<Listener> {
   const { address, port, admit, incarnation } = options;
   const server = http.createServer((request, response) => {
-    void statusOf(request, options).then((status) => {
-      response.writeHead(status, { connection: "close" }).end();
-    });
+    void statusOf(request, options)
+      .catch((err) => {
+        options.logger.warn({ err, url: request.url }, "Request failed");
+        return 500;
+      })
+      .then((status) => {
+        response.writeHead(status, { connection: "close" }).end();
+      });
   });
   const sockets = new ws.WebSocketServer({
     server,
--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -1,3 +1,4 @@
+import * as http from "node:http";
 import test from "ava";
 import * as ws from "ws";
 import * as runtime from "../runtime/mod.ts";
@@ -312,3 +313,52 @@
   t.is(open.received.length, 0);
   await open.peers.stop();
 });
+
+/** Asks a host how a tunnel has ended; resolves with the status, or undefined if
+ * there is no answer. */
+function askHowEnded(
+  { address, port, headers }: peers.DialAddress,
+): Promise<number | undefined> {
+  return new Promise((resolve) => {
+    const path = `${peers.TUNNEL_END_PATH}some`;
+    http.get({ host: address, port, path, headers, agent: false })
+      .on("response", (response) => {
+        response.resume();
+        resolve(response.statusCode);
+      })
+      .on("error", () => resolve(undefined));
+  });
+}
+
+/** Starts a host, and another one that may ask it how tunnels have ended. */
+async function createAskedPair(hasEnded: () => Promise<boolean>) {
+  const asked = await createNode("b", [hostAt("a", 0)], {
+    tunnels: { accept() {}, hasEnded },
+  });
+  const asker = await createNode("a", [hostAt("b", asked.peers.port)]);
+  return { asked, asker, dialAddress: asker.peers.dialAddress("b")! };
+}
+
+// Guards against a host that ends because it fails to answer another one.
+test("a question that fails is answered with a status of its own", async (t) => {
+  const { asked, asker, dialAddress } = await createAskedPair(() =>
+    Promise.reject(new Error("no answer"))
+  );
+  t.is(await askHowEnded(dialAddress), 500);
+  await Promise.all([asked.peers.stop(), asker.peers.stop()]);
+});
+
+test("a question that is answered after the host has stopped gets no answer", async (t) => {
+  let answer = (_hasEnded: boolean) => {};
+  let isAsked = false;
+  const { asked, asker, dialAddress } = await createAskedPair(() => {
+    isAsked = true;
+    return new Promise((resolve) => answer = resolve);
+  });
+  const status = askHowEnded(dialAddress);
+  await until(() => isAsked);
+  await asked.peers.stop();
+  answer(true);
+  t.is(await status, undefined);
+  await asker.peers.stop();
+});
