Calls: an endpoint that is exiting does not count as running

A process that exits by itself may close its connections some milliseconds before its listener, whose address then still accepts the connection by which the host asks whether it has stopped: a part of an answer counted as whole.

connector_test, "an answer without a length fails when its endpoint is exiting", fails on the code before.

--- a/src/endpoint_calls/connector_test.ts
+++ b/src/endpoint_calls/connector_test.ts
@@ -107,6 +107,18 @@
   t.is(await fetch(t, url), "broken-stream");
 });
 
+// Guards against the same where the process exits by itself, and closes its
+// connections before its listener.
+test("an answer without a length fails when its endpoint is exiting", async (t) => {
+  const url = await serverOf(t, WITHOUT_LENGTH, (socket, server) => {
+    server.on("connection", (next) => {
+      setTimeout(() => next.resetAndDestroy(), 3);
+    });
+    socket.end();
+  });
+  t.is(await fetch(t, url), "broken-stream");
+});
+
 test("a chunked answer fails when its connection ends early", async (t) => {
   const url = await serverOf(t, CHUNKED, (socket) => socket.end());
   t.is(await fetch(t, url), "broken-stream");
