Calls: the wait for an exiting endpoint reads sockets first

On a busy event loop the 15 ms were over before a reset that had arrived was read. The clock that reads sockets before it runs a timer is used now; the test resets the connection at once.

--- a/src/endpoint_calls/connector_test.ts
+++ b/src/endpoint_calls/connector_test.ts
@@ -111,9 +111,7 @@
 // connections before its listener.
 test("an answer without a length fails when its endpoint is exiting", async (t) => {
   const url = await serverOf(t, WITHOUT_LENGTH, (socket, server) => {
-    server.on("connection", (next) => {
-      setTimeout(() => next.resetAndDestroy(), 3);
-    });
+    server.on("connection", (next) => next.resetAndDestroy());
     socket.end();
   });
   t.is(await fetch(t, url), "broken-stream");
--- a/src/endpoint_calls/stopped_endpoint.ts
+++ b/src/endpoint_calls/stopped_endpoint.ts
@@ -5,6 +5,7 @@
  * @module */
 
 import * as net from "node:net";
+import * as clock from "../runtime/clock.ts";
 
 /** Timeout of the check; an address that does not answer refuses nothing. */
 const CHECK_TIMEOUT_MS = 500;
@@ -22,15 +23,16 @@
 export function hasStopped(address: EndpointAddress): Promise<boolean> {
   return new Promise((resolve) => {
     const socket = net.connect(address);
-    let exited: NodeJS.Timeout | undefined;
+    let cancel = () => {};
     const finish = (isRefused: boolean) => {
-      clearTimeout(exited);
+      cancel();
       socket.destroy();
       resolve(isRefused);
     };
     socket.setTimeout(CHECK_TIMEOUT_MS);
     socket.once("connect", () => {
-      exited = setTimeout(() => finish(false), EXIT_MS);
+      // This clock reads sockets before it runs a timer: the reset may wait there.
+      cancel = clock.systemClock.after(EXIT_MS, () => finish(false));
     });
     socket.once("timeout", () => finish(false));
     // Stays for errors behind the first.
