Names: close-delimited replies, stated ends and connections of one call

Renames alone, and the comments beside them: isAlone, onUndelimited, endReplyWith, needsEnd and closeBusy were words of this project's own; a reply or an answer whose end is that of its connection is close-delimited (RFC 9112).

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -142,7 +142,7 @@
       connection: {
         announcesClose: (_, isWanted) => isWanted,
         isLast: () => true,
-        endReplyWith() {},
+        recordCloseDelimited() {},
       },
     });
   }
--- a/src/endpoint_calls/call.ts
+++ b/src/endpoint_calls/call.ts
@@ -32,7 +32,7 @@
   body: Uint8Array;
   /** Set if the answer fails unless it states its end: whoever reads its result
    * can't be told. */
-  needsEnd?: true;
+  needsStatedEnd?: true;
 }
 
 /** A document that a retriever returned. */
--- a/src/endpoint_calls/connections.ts
+++ b/src/endpoint_calls/connections.ts
@@ -79,14 +79,14 @@
   ): boolean {
     const origin = `${options.origin}`;
     if (options.reset) {
-      return this.#dispatchAlone({ ...options, origin }, handler);
+      return this.#dispatchOnOwnConnection({ ...options, origin }, handler);
     }
     const pool = this.#usablePool(origin) ?? this.#openPool(origin);
     return pool.dispatch({ ...options, origin }, handler);
   }
 
   /** Sends a call on a connection that carries no other. */
-  #dispatchAlone(
+  #dispatchOnOwnConnection(
     options: undici.Dispatcher.DispatchOptions & { readonly origin: string },
     handler: undici.Dispatcher.DispatchHandler,
   ): boolean {
--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -10,7 +10,7 @@
  * ended its answer reads nothing more.
  *
  * The connections of a process that is killed end in order as well, so an end
- * counts only if the endpoint's address still accepts connections.
+ * does not count if the endpoint's address refuses connections since.
  * @module */
 
 import type * as net from "node:net";
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -98,7 +98,7 @@
   receiver: Receiver;
   /** Whether the request has a connection of its own, so that no late answer to an
    * earlier one can come where its answer is due. */
-  isAlone?: boolean;
+  hasOwnConnection?: boolean;
   /** Whether the request may still be sent, asked once a connection is open;
    * otherwise the exchange fails as not run. Absent if it always may. */
   maySend?(): boolean;
@@ -307,7 +307,7 @@
   #send(outgoing: OutgoingRequest): void {
     this.#isHeadRequest = outgoing.method === "HEAD";
     if (this.#isDone) return;
-    const { dispatcher, url, isAlone } = this.#options;
+    const { dispatcher, url, hasOwnConnection } = this.#options;
     const [, origin, base] = URL_PARTS.exec(url) ?? [];
     if (origin === undefined) return this.break("connection");
     const request = {
@@ -318,7 +318,7 @@
       body: outgoing.body ?? null,
       headersTimeout: 0,
       bodyTimeout: 0,
-      ...(isAlone && { reset: true }),
+      ...(hasOwnConnection && { reset: true }),
     };
     try {
       dispatcher.dispatch(request, this);
--- a/src/endpoint_calls/plain.ts
+++ b/src/endpoint_calls/plain.ts
@@ -67,8 +67,8 @@
 
   end(): handler.ParsedAnswer {
     const { status, framing } = this.#head;
-    const { needsEnd } = this.#call.input as call.PlainInput;
-    if (needsEnd && !exchange.isDelimited(framing)) {
+    const { needsStatedEnd } = this.#call.input as call.PlainInput;
+    if (needsStatedEnd && !exchange.isDelimited(framing)) {
       throw new call.CallError("broken-stream", "answer states no end");
     }
     const headers = forwardedHeaders(this.#head.headers);
--- a/src/endpoint_calls/resting_pool.ts
+++ b/src/endpoint_calls/resting_pool.ts
@@ -7,8 +7,8 @@
 import * as undici from "undici";
 import type * as runtime from "../runtime/mod.ts";
 
-/** Milliseconds from an answer to the next call on its connection; second answers
- * have been seen up to 80 ms late. */
+/** Milliseconds from an answer to the next call on its connection: longer than a
+ * second answer is late. */
 const REST_MS = 100;
 
 /** Options of a pool; those of each connection are undici's. */
--- a/src/endpoint_calls/stopped_endpoint.ts
+++ b/src/endpoint_calls/stopped_endpoint.ts
@@ -1,11 +1,11 @@
 /** Whether an endpoint has stopped. The system of a process that is killed ends
  * its connections in order, and refuses new ones from then on.
  *
- * Linux closes the connections of such a process before its listener, which has the
- * lower descriptor, so that it still takes connections for some milliseconds, which
- * no process will accept. Therefore a connection that opens is ended at once: a
- * process that runs ends it as well, and the system resets it as it closes the
- * listener.
+ * Linux closes the descriptors of such a process from the highest down, and so its
+ * connections before its listener, which still takes connections for some
+ * milliseconds that no process will accept. Therefore a connection that opens is
+ * ended at once: a process that runs ends it as well, and the system resets it as
+ * it closes the listener.
  * @module */
 
 import * as net from "node:net";
@@ -13,8 +13,8 @@
 /** Timeout of connecting; an address that does not answer refuses nothing. */
 const CONNECT_TIMEOUT_MS = 250;
 /** Milliseconds after which a connection that stays open shows nothing, as its
- * endpoint may be busy. Beside 12 busy processes on 8 cores a listener was open for
- * up to 46 ms after its connections had ended. */
+ * endpoint may be busy. On a busy machine a listener stays open for tens of
+ * milliseconds after the connections. */
 const REACTION_TIMEOUT_MS = 100;
 /** Connections of one check. One that is reset shows nothing by itself, and those
  * of an endpoint that runs may all be. */
--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -26,7 +26,7 @@
    * the process ends: its system would close all in order, which is the end of a
    * reply without one of its own. It has closed them when it returns. Absent on
    * hosts without such callers. */
-  closeBusy?(): void;
+  closeUnfinishedReplies?(): void;
 }
 
 /** Starts a host. */
@@ -60,7 +60,7 @@
   });
   try {
     const host = await options.start(context);
-    process.once("exit", () => host.closeBusy?.());
+    process.once("exit", () => host.closeUnfinishedReplies?.());
     const server = await diagnostics.serve(loaded, { exposition, host });
     process.on("SIGUSR2", () => logger.info({ dump: host.dump() }, "Dump"));
     watchSettings(options, { host, logger });
@@ -133,7 +133,7 @@
     for (const signal of ["SIGTERM", "SIGINT"] as const) {
       process.once(signal, () => {
         process.once(signal, () => {
-          host.closeBusy?.();
+          host.closeUnfinishedReplies?.();
           process.kill(process.pid, signal);
         });
         resolve();
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -283,8 +283,8 @@
   }
 
   /** Closes the connections of callers whose replies are not sent whole. */
-  closeBusy(): void {
-    this.#server.closeBusy();
+  closeUnfinishedReplies(): void {
+    this.#server.closeUnfinishedReplies();
   }
 
   /** Diagnostic state, for operators. */
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -97,7 +97,7 @@
       closesConnection: ({ isNeeded }) =>
         connection.announcesClose(request, isNeeded || isDraining()),
       isLast: () => connection.isLast(request),
-      onUndelimited: () => connection.endReplyWith(request),
+      onCloseDelimited: () => connection.recordCloseDelimited(request),
       onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
     });
     this.#arrivedAt = context.clock.now();
@@ -493,7 +493,7 @@
           fetchFrom: placed?.cacheMiss.source?.identity.address,
         },
         body: this.#body.length > 0 ? this.#body : undefined,
-        isAlone: this.#isAlone(target),
+        hasOwnConnection: this.#hasOwnConnection(target),
         deadline: this.#deadline,
         idleTimeout: callLimits.idleTimeoutOf(
           this.#route!,
@@ -514,7 +514,7 @@
   /** Whether a call has a connection of its own: an endpoint that refused the
    * request may send the refusal once more, which has the id of this call too. Only
    * a request that may run once must not be taken for not run. */
-  #isAlone({ endpoint }: targetChoices.Target): boolean {
+  #hasOwnConnection({ endpoint }: targetChoices.Target): boolean {
     if (configurations.isIdempotent(this.#route!)) return false;
     const { id } = endpoint.identity;
     return this.#calls.some((call) => call.endpoint === id);
@@ -913,7 +913,7 @@
   /** Connection of the request. */
   readonly connection: Pick<
     callerConnections.CallerConnection,
-    "announcesClose" | "isLast" | "endReplyWith"
+    "announcesClose" | "isLast" | "recordCloseDelimited"
   >;
 }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -84,7 +84,7 @@
   readonly metadata: protocols.CallMetadata;
   readonly body?: Buffer;
   /** Whether the call has a connection of its own. */
-  readonly isAlone?: boolean;
+  readonly hasOwnConnection?: boolean;
   /** Time at which the attempt ends at the latest. */
   readonly deadline: number;
   /** Milliseconds without a received byte after which it is silent. */
@@ -156,7 +156,7 @@
       // Bounded by the bytes that are held.
       maxBytes: Infinity,
       partialAnswers: options.partialAnswers,
-      isAlone: options.isAlone,
+      hasOwnConnection: options.hasOwnConnection,
       receiver: attempt,
       maySend: () => endpoint.isAccepting(clock.now()),
     });
--- a/src/gateway/broken_reply_test.ts
+++ b/src/gateway/broken_reply_test.ts
@@ -41,7 +41,7 @@
       unreadReplies: { update() {}, remove() {} },
       closesConnection: () => true,
       isLast: () => true,
-      onUndelimited() {},
+      onCloseDelimited() {},
       onAbortUnread() {},
     });
     const head = { status: 200, isNotRun: false, isMisdirected: false };
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -28,7 +28,7 @@
   /** Request after whose reply it closes. */
   #closesAfter?: Exchange;
   /** Request whose reply ends with the connection. */
-  #endedBy?: http.IncomingMessage;
+  #closeDelimited?: http.IncomingMessage;
 
   private constructor(socket: Socket) {
     this.#socket = socket;
@@ -82,15 +82,16 @@
 
   /** Records that the end of the connection is that of the reply to a request, as
    * it states none of its own. */
-  endReplyWith(request: http.IncomingMessage): void {
-    this.#endedBy = request;
+  recordCloseDelimited(request: http.IncomingMessage): void {
+    this.#closeDelimited = request;
   }
 
   /** Closes it at once. It is reset if the reply that is being sent ends with it:
    * otherwise its caller would take the part that it has for the whole. */
   close(): void {
     const [first] = this.#open;
-    const isReset = first !== undefined && first.request === this.#endedBy;
+    const isReset = first !== undefined &&
+      first.request === this.#closeDelimited;
     if (isReset) this.#socket.resetAndDestroy();
     else this.#socket.destroy();
   }
--- a/src/gateway/endpoint_call.ts
+++ b/src/gateway/endpoint_call.ts
@@ -24,7 +24,7 @@
     | "request"
     | "metadata"
     | "body"
-    | "isAlone"
+    | "hasOwnConnection"
     | "deadline"
     | "idleTimeout"
     | "stream"
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -1,9 +1,10 @@
 /** Reply to a caller: a plain answer, a relayed stream, or a refusal by the
  * gateway; answers and refusals are dropped once the caller has disconnected.
  *
- * A reply states its end only if the endpoint's answer did. Otherwise its end is
- * that of its connection, as it was the answer's: in order if that was complete,
- * by a reset if it was not.
+ * A reply states its end, by a length or chunks, only if the endpoint's answer did.
+ * Otherwise it is close-delimited (RFC 9112, 6.3) as the answer was: its connection
+ * ends in order if the answer was complete, and by a reset if it was not. So are
+ * streams to callers of HTTP/1.0, which has no chunks.
  * @module */
 
 import type * as http from "node:http";
@@ -31,10 +32,10 @@
    * written. It should if `isNeeded`: a part of the request is left on it, or its
    * end is that of the reply. */
   closesConnection(state: { isNeeded: boolean }): boolean;
-  /** Whether no other request has been read behind this one. */
+  /** Whether no pipelined request has been read behind this one. */
   isLast(): boolean;
-  /** The head of the reply states no end: the end of its connection is its own. */
-  onUndelimited(): void;
+  /** The head has been sent of a reply that is close-delimited. */
+  onCloseDelimited(): void;
   /** The reply is aborted because its caller has not read so many bytes. */
   onAbortUnread(unreadBytes: number): void;
 }
@@ -87,8 +88,8 @@
       this.#options.response.destroyed;
   }
 
-  /** Whether an answer can be forwarded: one that states no end closes the
-   * connection, on which another reply may be due. */
+  /** Whether an answer can be forwarded: a close-delimited one closes the
+   * connection, on which the reply to a pipelined request may be due. */
   canForward({ framing }: AnswerEnd): boolean {
     return endpointCalls.isDelimited(framing) || this.#options.isLast();
   }
@@ -115,9 +116,9 @@
   /** Sends the head of a stream. Throws if Node refuses to write it. */
   startStream(head: protocols.ReplyHead, end: AnswerEnd): void {
     const headers = this.#headersOf(head, end);
-    const { response, onUndelimited } = this.#options;
+    const { response, onCloseDelimited } = this.#options;
     response.writeHead(head.status, headers);
-    if (!response.chunkedEncoding) onUndelimited();
+    if (!response.chunkedEncoding) onCloseDelimited();
     // Only once it is written: otherwise the stream would be taken for started,
     // and its events would follow a head of Node's own.
     this.#head = head;
@@ -148,8 +149,8 @@
     this.#options.response.end();
   }
 
-  /** Destroys the connection, so that the caller can't take the stream for
-   * complete. A reply behind another one on its connection is sent first: without
+  /** Closes the connection, so that the caller can't take the stream for complete;
+   * a close-delimited reply is reset after `RESET_DELAY_MS`. A reply behind another one on its connection is sent first: without
    * any part of it, its caller can't tell that the request may have run. */
   abort(): void {
     const { response } = this.#options;
@@ -172,13 +173,14 @@
    * head. */
   send(head: protocols.ReplyHead, body: Buffer, end: AnswerEnd): void {
     if (this.isDisconnected) return;
-    const { response, onUndelimited } = this.#options;
+    const { response, onCloseDelimited } = this.#options;
+    // A chunked answer has been read whole, so that its length is known.
     const hasLength = end.framing === "length" || end.framing === "chunked";
     response.writeHead(head.status, {
       ...this.#headersOf(head, end),
       ...(hasLength && { "content-length": `${body.length}` }),
     });
-    if (!endpointCalls.isDelimited(end.framing)) onUndelimited();
+    if (!endpointCalls.isDelimited(end.framing)) onCloseDelimited();
     this.#end(body);
   }
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -155,13 +155,13 @@
   }
 
   /** Closes at once all connections with a reply that is not sent whole. */
-  closeBusy(): void {
+  closeUnfinishedReplies(): void {
     for (const connection of this.#busy) connection.close();
   }
 
   /** Closes all connections. */
   async stop(): Promise<void> {
-    this.closeBusy();
+    this.closeUnfinishedReplies();
     await httpListener.close(this.#callers);
     if (this.#readiness) await httpListener.close(this.#readiness);
   }
--- a/src/gateway/unread_replies_test.ts
+++ b/src/gateway/unread_replies_test.ts
@@ -118,7 +118,7 @@
         clock: runtime.systemClock,
         closesConnection: () => false,
         isLast: () => true,
-        onUndelimited() {},
+        onCloseDelimited() {},
         onAbortUnread() {},
       });
       if (number++ === 0) return;
--- a/src/request/stage_data.ts
+++ b/src/request/stage_data.ts
@@ -146,14 +146,14 @@
       const headers = { "content-type": "application/json" };
       const body = Buffer.from(JSON.stringify(payload.call.input));
       // The answer's text becomes a part of another one, which is whole.
-      const needsEnd = true;
+      const needsStatedEnd = true;
       return {
         type: "plain",
         method: "POST",
         path: "/",
         headers,
         body,
-        needsEnd,
+        needsStatedEnd,
       };
     },
     characters: (input) => (input as endpointCalls.PlainInput).body.length,
