Tests: events of a large unread stream are numbered

broken_reply_test, "an unread streaming reply without an end of its own is reset", repeated one id, which breaks a stream off since ids have to increase; its checks are as they were.

--- a/src/gateway/broken_reply_test.ts
+++ b/src/gateway/broken_reply_test.ts
@@ -102,7 +102,10 @@
 /** Memory of a host, of which unread bytes may take an eighth, and a reply that
  * takes more beside what the buffers of the system take. */
 const MEMORY = 8_000_000;
-const LARGE_REPLY_BYTES = 20_000_000;
+const LARGE_REPLY = Array.from(
+  { length: 1_000_000 },
+  (_, id) => `id: ${id}\ndata: ${id}\n\n`,
+).join("");
 
 // Guards against an orderly end of a reply that is aborted as its caller has not
 // read it.
@@ -121,7 +124,7 @@
       (_, response) => {
         response.useChunkedEncodingByDefault = isChunked;
         response.writeHead(200, { "test-signature": "s" });
-        response.end(EVENT.repeat(LARGE_REPLY_BYTES / EVENT.length));
+        response.end(LARGE_REPLY);
       },
     );
     fixture.distinguishResets(t, host);
