--- a/src/callers/server.ts
+++ b/src/callers/server.ts
@@ -226,8 +226,6 @@
     httpReply.sendProblem(response, problem.documentOf(error.problem));
   }
 
-  /** Refuses bytes that are no request, once all requests before them are
-   * answered: their callers would take the refusal for an answer. */
   /** Refuses a request for a tunnel; without a listener Node closes its connection
    * at once, in the middle of replies before it. */
   #refuseConnect(socket: stream.Duplex): void {
@@ -236,6 +234,8 @@
     this.#refuseMalformed(socket);
   }
 
+  /** Refuses bytes that are no request, once all requests before them are
+   * answered: their callers would take the refusal for an answer. */
   #refuseMalformed(socket: net.Socket | unknown): void {
     const open = socket as net.Socket;
     const connection = this.#connectionOf(open);
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -150,8 +150,9 @@
   }
 
   /** Closes the connection, so that the caller can't take the stream for complete;
-   * a close-delimited reply is reset after `RESET_DELAY_MS`. A reply behind another one on its connection is sent first: without
-   * any part of it, its caller can't tell that the request may have run. */
+   * a close-delimited reply is reset after `RESET_DELAY_MS`. A reply behind another
+   * one on its connection is sent first: without any part of it, its caller can't
+   * tell that the request may have run. */
   abort(): void {
     const { response } = this.#options;
     this.#isAborted = true;
