Calls: what has no body, and what a disconnect shows, stand once

Answers without a body were told by the same three conditions in exchange.ts and http_reply.ts, and the pools of connections had two copies of one listener. Behaviour is the same; 150 tests of endpoint calls, callers, stored, undelimited and cut answers pass, formatter and linter are clean.

--- a/src/callers/http_reply.ts
+++ b/src/callers/http_reply.ts
@@ -88,8 +88,7 @@
 
   replay(answer: request.StoredAnswer): void {
     const { status } = answer;
-    const isEmpty = this.#response.req.method === "HEAD" || status === 204 ||
-      status === 304;
+    const isEmpty = exchanges.isEmpty(this.#response.req.method, status);
     send(this.#response, { ...answer, framing: isEmpty ? "empty" : "length" });
   }
 
--- a/src/endpoint_calls/connections.ts
+++ b/src/endpoint_calls/connections.ts
@@ -193,21 +193,24 @@
 
   #createPool(origin: string): undici.Pool {
     const pool = new undici.Pool(origin, this.#options.pool);
-    return pool.on("disconnect", (_origin, _targets, error) => {
-      if (isUnexpectedAnswer(error)) this.recordExtraAnswer(origin);
-    });
+    return pool.on(
+      "disconnect",
+      (_origin, _targets, error) => this.#recordDisconnect(origin, error),
+    );
   }
 
   #createRestingPool(origin: string): restingPools.RestingPool {
     return restingPools.RestingPool.create(origin, {
       connection: this.#options.pool,
       clock: this.#options.clock,
-      onDisconnect: (error) => {
-        if (isUnexpectedAnswer(error)) this.recordExtraAnswer(origin);
-      },
+      onDisconnect: (error) => this.#recordDisconnect(origin, error),
     });
   }
 
+  #recordDisconnect(origin: string, error: Error): void {
+    if (isUnexpectedAnswer(error)) this.recordExtraAnswer(origin);
+  }
+
   #isResting(origin: string): boolean {
     const until = this.#restingUntil.get(origin);
     if (until === undefined) return false;
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -22,6 +22,11 @@
  * stops. */
 export type Framing = "empty" | "length" | "chunked" | "connection";
 
+/** Whether an answer has no body, by the method of its request and its status. */
+export function isEmpty(method: string | undefined, status: number): boolean {
+  return method === "HEAD" || status === 204 || status === 304;
+}
+
 /** Whether an answer states its end. */
 export function isDelimited(framing: Framing): boolean {
   return framing !== "connection";
@@ -131,8 +136,7 @@
   #controller: undici.Dispatcher.DispatchController | undefined;
   #isStarted = false;
   #hasResponseHead = false;
-  /** Whether the method is `HEAD`, whose answer has no body. */
-  #isHeadRequest = false;
+  #method?: string;
   #framing: Framing = "empty";
   #isDone = false;
   #interimHeads = 0;
@@ -235,8 +239,9 @@
     if (this.#isDone) return;
     if (status < 200) return this.#countInterimHead();
     this.#hasResponseHead = true;
-    const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
-    this.#framing = isEmpty ? "empty" : framingOf(headers);
+    this.#framing = isEmpty(this.#method, status)
+      ? "empty"
+      : framingOf(headers);
     const { receiver } = this.#options;
     receiver.head(status, headers, { framing: this.#framing });
   }
@@ -305,7 +310,7 @@
   }
 
   #send(outgoing: OutgoingRequest): void {
-    this.#isHeadRequest = outgoing.method === "HEAD";
+    this.#method = outgoing.method;
     if (this.#isDone) return;
     const { dispatcher, url, hasOwnConnection } = this.#options;
     const [, origin, base] = URL_PARTS.exec(url) ?? [];
