Replies: the end of a host is not that of its streams

Callers of a host that was killed got the part of a stream that had been sent as a whole one: no length, no chunks, and a connection that ended in order in the middle of the events.

Cause: the system closes the connections of a killed process in order, and a stream without an end of its own ends with its connection. Streams in HTTP/1.0 always were so; since replies state no more than their answers did, those in HTTP/1.1 to close-delimited answers were so too.

Change: a stream in HTTP/1.1 always has chunks, and its last chunk is sent only once the end of the answer counts, as before (no reset, an address that does not refuse, a relay's confirmation). One in HTTP/1.0 is held until it is whole and then sent as a plain reply; if it breaks off it is refused, also if it takes too much memory. Resets 50 ms behind the last bytes are not needed any more, nor is the refusal of streams behind which another request has been read. Plain replies to close-delimited answers stay close-delimited.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -88,9 +88,8 @@
   ) {
     this.#context = context;
     this.#message = request;
-    const { isDraining, clock } = context;
+    const { isDraining } = context;
     this.#reply = replies.Reply.create({
-      clock,
       request,
       response,
       unreadReplies,
@@ -291,7 +290,6 @@
       return this.#refuseStep(reason, this.#retryDetails(reason));
     }
     const route = this.#route!;
-    if (route.kind === "streaming") this.#reply.expectStream();
     this.#priorWait = this.#context.priorWait.estimate(
       route.name,
       incoming.timeout,
@@ -556,11 +554,8 @@
     if (outcome.type === "answer") return this.#handleAnswer(outcome);
     if (outcome.type === "failed") return this.#openCalls.recordStall(outcome);
     // A stream that ends without any event is no answer: its head was not
-    // relayed. One that was begun with an end of its own can't end with an answer
-    // without one.
-    if (this.#reply.head !== undefined && this.#reply.mayEndWith(outcome)) {
-      return this.#endStream();
-    }
+    // relayed.
+    if (this.#reply.head !== undefined) return this.#endStream(outcome);
     this.#openCalls.recordStall(UNUSABLE_ANSWER);
   }
 
@@ -620,11 +615,9 @@
     callOf: () => endpointCalls.EndpointCall,
   ): attempts.StreamListener {
     let head: protocols.ReplyHead;
-    let end: replies.AnswerEnd;
     return {
-      head: (received, about) => {
+      head: (received) => {
         head = received;
-        end = about;
         // It may run now, and no other endpoint may work on the request then.
         this.#openCalls.cancelOthers(callOf());
       },
@@ -635,7 +628,7 @@
           this.#binding!.bind(call.endpoint);
           // Events of two calls must not be mixed.
           this.#openCalls.cancelOthers(call);
-          this.#relay(call, { head, end, complete });
+          this.#relay(call, { head, complete });
         }),
     };
   }
@@ -643,17 +636,15 @@
   /** Relays complete events to the caller, and the head before the first. */
   #relay(
     call: endpointCalls.EndpointCall,
-    { head, end, complete }: {
+    { head, complete }: {
       head: protocols.ReplyHead;
-      end: replies.AnswerEnd;
       complete: eventBuffers.CompleteEvents;
     },
   ): void {
     if (this.isFinished) return;
     if (this.#reply.head === undefined) {
-      if (!this.#reply.canForward(end)) return this.#refuseAnswer(head);
       this.#firstEventMs = this.#age;
-      this.#startStream(call, { head, end });
+      this.#startStream(call, head);
     }
     if (complete.lastId !== undefined) this.#lastEventId = complete.lastId;
     this.#reply.write(complete.bytes);
@@ -661,9 +652,9 @@
 
   #startStream(
     call: endpointCalls.EndpointCall,
-    { head, end }: { head: protocols.ReplyHead; end: replies.AnswerEnd },
+    head: protocols.ReplyHead,
   ): void {
-    this.#reply.startStream(head, end);
+    this.#reply.startStream(head);
     this.#phase = "streaming";
     this.#pipelineRun?.release();
     if (configurations.isIdempotent(this.#route!)) {
@@ -671,17 +662,18 @@
     }
   }
 
-  #endStream(): void {
-    const { status } = this.#reply.head!;
-    this.#reply.end();
+  #endStream(end: replies.AnswerEnd): void {
+    const head = this.#reply.head!;
+    if (!this.#reply.canEndWith(end)) return this.#refuseAnswer(head);
+    this.#reply.endStream(end);
     this.#finish();
-    this.#log("info", { status }, "Request answered");
+    this.#log("info", { status: head.status }, "Request answered");
   }
 
   #answer(answer: Answer): void {
     const { head, body } = answer;
     const mayRelay = retries.mayRelayAnswer(this.#route!, head) &&
-      this.#reply.canForward(answer);
+      this.#reply.canEndWith(answer);
     if (!mayRelay) return this.#refuseAnswer(head);
     // Before the request counts as finished: if the answer can't be written, the
     // caller is refused.
@@ -743,8 +735,8 @@
       const { retryAfter: _, ...rest } = details;
       return this.#refuse("failed", { ...rest, after: reason });
     }
-    // The head of a stream is sent once.
-    if (this.#reply.head !== undefined) {
+    // A head is sent once.
+    if (this.#reply.isHeadSent) {
       return this.#abortStream(reason, details);
     }
     const { status, retryAfter } = { ...refusals.REFUSALS[reason], ...details };
@@ -764,9 +756,13 @@
   }
 
   /** Ends and logs a request whose reply is aborted, as its caller has not read
-   * it; a reply may be unread after its request has ended. */
+   * it; a reply may be unread after its request has ended. One of which no part has
+   * been sent is refused. */
   #recordAbort(unreadBytes: number): void {
     const message = "Reply aborted, as its caller has not read it";
+    if (!this.#reply.isHeadSent) {
+      return this.#refuse("failed", { unreadBytes });
+    }
     if (!this.isFinished) {
       this.#finish();
       const lastEvent = this.#lastEventId;
@@ -790,7 +786,7 @@
     if (this.isFinished || this.#isUncancellable) return;
     this.#guard(() => {
       this.#context.metrics.count("gateway.left");
-      if (this.#reply.head === undefined) this.#refuseLeft();
+      if (!this.#reply.isHeadSent) this.#refuseLeft();
       this.#finish("left");
       if (!this.#reply.isComplete) this.#reply.abort();
       this.#log("info", { reason: "left" }, "Caller left");
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -61,10 +61,7 @@
 
 /** Receives a stream as it arrives. */
 export interface StreamListener {
-  head(
-    head: protocols.ReplyHead,
-    about: { readonly framing: endpointCalls.Framing },
-  ): void;
+  head(head: protocols.ReplyHead): void;
   events(whole: eventBuffers.CompleteEvents): void;
 }
 
@@ -219,7 +216,7 @@
       return this.#endUnnamedRefusal(refusal);
     }
     this.#isStream = stream !== undefined && hasSuccessStatus(head);
-    if (this.#isStream) stream!.head(head, { framing });
+    if (this.#isStream) stream!.head(head);
   }
 
   silence(): void {
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -1,26 +1,24 @@
 /** Reply to a caller: a plain answer, a relayed stream, or a refusal by the
  * gateway; answers and refusals are dropped once the caller has disconnected.
  *
- * A reply states its end, by a length or chunks, only if the endpoint's answer did.
- * Otherwise it is close-delimited (RFC 9112, 6.3) as the answer was: its connection
- * ends in order if the answer was complete, and by a reset if it was not. So are
- * streams to callers of HTTP/1.0, which has no chunks.
+ * A reply that is sent as it arrives has chunks, whatever the answer had: the system
+ * of a host that is killed closes its connections in order, and only the last
+ * chunk distinguishes that from the end of the stream. HTTP/1.0 has no chunks, so
+ * streams to its callers are held until they are whole.
+ *
+ * A reply that is sent at once states its end, by its length, only if the endpoint's
+ * answer did. Otherwise it is close-delimited (RFC 9112, 6.3) as the answer was.
  * @module */
 
 import type * as http from "node:http";
 import * as endpointCalls from "../endpoint_calls/exchange.ts";
-import type * as runtime from "../runtime/mod.ts";
+import * as chunkLists from "../runtime/chunk_list.ts";
 import type * as protocols from "./protocol.ts";
 import type * as refusals from "./refusal.ts";
 import type * as unreadReplies from "./unread_replies.ts";
 
-/** Milliseconds between the last bytes of a reply and its reset. A caller that sees
- * both at once may take the reset for an orderly end, as libuv does. */
-const RESET_DELAY_MS = 50;
-
 /** Dependencies of a reply. */
 export interface ReplyOptions {
-  readonly clock: Pick<runtime.Clock, "after">;
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
   /** Counts the bytes that callers have not read. */
@@ -36,7 +34,8 @@
   isLast(): boolean;
   /** The head has been sent of a reply that is close-delimited. */
   onCloseDelimited(): void;
-  /** The reply is aborted because its caller has not read so many bytes. */
+  /** The reply is aborted because its caller has not read so many bytes, or is to
+   * be refused as it holds them. */
   onAbortUnread(unreadBytes: number): void;
 }
 
@@ -50,6 +49,8 @@
   readonly #options: ReplyOptions;
   readonly #onRead = () => this.#updateUnread();
   #head?: protocols.ReplyHead;
+  /** Events of a stream that can't be sent before its end. */
+  readonly #held = chunkLists.ChunkList.create();
   #isClosed = false;
   #isComplete = false;
   #isAborted = false;
@@ -60,6 +61,7 @@
     this.#options = options;
     const close = () => {
       this.#isClosed = true;
+      this.#held.clear();
       options.unreadReplies.remove(this);
       options.request.socket.off("close", close);
     };
@@ -72,11 +74,16 @@
     return new Reply(options);
   }
 
-  /** Head of the stream, once it has started; it is sent only once. */
+  /** Head of the stream, from its first event on; no other one can follow. */
   get head(): protocols.ReplyHead | undefined {
     return this.#head;
   }
 
+  /** Whether the head has been sent, so that it can't be that of a refusal. */
+  get isHeadSent(): boolean {
+    return this.#options.response.headersSent;
+  }
+
   /** Whether the whole reply has been written. */
   get isComplete(): boolean {
     return this.#isComplete;
@@ -88,24 +95,11 @@
       this.#options.response.destroyed;
   }
 
-  /** Whether an answer can be forwarded: a close-delimited one closes the
+  /** Whether the reply can end with an answer: a close-delimited one closes the
    * connection, on which the reply to a pipelined request may be due. */
-  canForward({ framing }: AnswerEnd): boolean {
-    return endpointCalls.isDelimited(framing) || this.#options.isLast();
-  }
-
-  /** Whether the end of an answer may end the stream, whose head may be that of
-   * another answer. */
-  mayEndWith({ framing }: AnswerEnd): boolean {
-    const { response } = this.#options;
-    return endpointCalls.isDelimited(framing) || !response.chunkedEncoding;
-  }
-
-  /** Prepares for a stream. Where it can't be sent in chunks, its connection closes
-   * behind it, so that no further request on it may be passed on. */
-  expectStream(): void {
-    const isNeeded = !this.#hasChunks;
-    if (isNeeded) this.#options.closesConnection({ isNeeded });
+  canEndWith({ framing }: AnswerEnd): boolean {
+    return endpointCalls.isDelimited(framing) || this.isHeadSent ||
+      this.#options.isLast();
   }
 
   /** Whether streams have chunks: not in HTTP/1.0. */
@@ -113,61 +107,60 @@
     return this.#options.response.useChunkedEncodingByDefault;
   }
 
-  /** Sends the head of a stream. Throws if Node refuses to write it. */
-  startStream(head: protocols.ReplyHead, end: AnswerEnd): void {
-    const headers = this.#headersOf(head, end);
-    const { response, onCloseDelimited } = this.#options;
-    response.writeHead(head.status, headers);
-    if (!response.chunkedEncoding) onCloseDelimited();
+  /** Starts a stream, and sends its head unless the stream is held. Throws if Node
+   * refuses to write it. */
+  startStream(head: protocols.ReplyHead): void {
+    if (this.#hasChunks) {
+      const headers = this.#headersOf(head, { framing: "chunked" });
+      this.#options.response.writeHead(head.status, headers);
+    }
     // Only once it is written: otherwise the stream would be taken for started,
     // and its events would follow a head of Node's own.
     this.#head = head;
   }
 
-  /** Sends bytes of the stream. */
+  /** Adds bytes to the stream. */
   write(bytes: Buffer): void {
-    this.#options.response.write(bytes, this.#onRead);
+    if (this.#hasChunks) this.#options.response.write(bytes, this.#onRead);
+    else this.#held.push(bytes);
     this.#updateUnread();
   }
 
   /** Bytes of the reply that the system has not taken yet. */
   get unreadBytes(): number {
-    return this.#options.response.writableLength;
+    return this.#options.response.writableLength + this.#held.heldBytes;
   }
 
-  /** Resets the connection. Closing it in order would look like the end of a
-   * reply that has neither a length nor chunks, as streams have in HTTP/1.0. */
+  /** Resets the connection, unless no part of the reply has been sent. Closing it
+   * in order would look like the end of a close-delimited reply. */
   abortUnread(unreadBytes: number): void {
     const { request, onAbortUnread } = this.#options;
+    const isReset = this.isHeadSent;
     onAbortUnread(unreadBytes);
-    request.socket.resetAndDestroy();
+    if (isReset) request.socket.resetAndDestroy();
   }
 
-  /** Ends the stream as complete. */
-  end(): void {
+  /** Ends the stream as complete, with the answer that gave its last events. */
+  endStream(end: AnswerEnd): void {
+    if (!this.#hasChunks) {
+      return this.send(this.#head!, this.#held.take(), end);
+    }
     this.#isComplete = true;
     this.#options.response.end();
   }
 
-  /** Closes the connection, so that the caller can't take the stream for complete;
-   * a close-delimited reply is reset after `RESET_DELAY_MS`. A reply behind another
-   * one on its connection is sent first: without any part of it, its caller can't
-   * tell that the request may have run. */
+  /** Closes the connection, so that the caller can't take the stream for complete.
+   * A reply behind another one on its connection is sent first: without any part of
+   * it, its caller can't tell that the request may have run. */
   abort(): void {
     const { response } = this.#options;
     this.#isAborted = true;
-    if (response.socket !== null || this.#isClosed) return this.#breakOff();
+    if (response.socket !== null || this.#isClosed) {
+      // Node sends what was written in this turn on its next tick.
+      return process.nextTick(() => response.destroy());
+    }
     // Node sends what it holds of the response right after this event.
-    response.once("socket", () => queueMicrotask(() => this.#breakOff()));
-  }
-
-  /** A reset discards events that are still on their way, so it is kept to replies
-   * without an end of their own. */
-  #breakOff(): void {
-    const { response, clock } = this.#options;
-    const { socket } = response;
-    if (response.chunkedEncoding || socket === null) response.destroy();
-    else clock.after(RESET_DELAY_MS, () => socket.resetAndDestroy());
+    response.once("socket", () => queueMicrotask(() => response.destroy()));
   }
 
   /** Sends an endpoint's plain answer. Throws if Node refuses to write its
@@ -205,6 +198,7 @@
 
   #end(body: Buffer | string): void {
     this.#isComplete = true;
+    this.#held.clear();
     this.#options.response.end(body);
     this.#updateUnread();
   }
