Calls: an end that is noticed behind a standstill does not count

Callers got the part of an answer without a length as a whole one: their host had stood still while its endpoint ended, and another process listened at the endpoint's address when it went on.

Cause: the end of such an answer counts if the address does not refuse connections. That says something of the process that answered only right behind the end.

Change: a host that has stood still for a second or more takes no end for that of an answer without a length that it notices then, or within half a second, nor does it if it stands still while it checks. The same holds for a host that relays the connection. connectionEnd says `late`. Safe requests are called again, streams that may be resumed go on, unsafe requests get 502.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -10,18 +10,23 @@
  * ended its answer reads nothing more.
  *
  * The connections of a process that is killed end in order as well, so an end
- * does not count if the endpoint's address refuses connections since.
+ * does not count if the endpoint's address refuses connections since. Nor does one
+ * that was noticed late, as this process stood still: another process may listen at
+ * the address by then.
  * @module */
 
 import type * as net from "node:net";
 import * as undici from "undici";
 import * as framing from "./framing.ts";
+import * as standstill from "../runtime/standstill.ts";
 import * as readSlices from "./read_slices.ts";
 import * as stoppedEndpoint from "./stopped_endpoint.ts";
 
 /** Error code that replaces `ECONNRESET`. */
 const RESET_CODE = "ERR_CONNECTION_RESET";
 const PROBE = "\r\n";
+/** Milliseconds behind a standstill in which what came meanwhile is still read. */
+const BACKLOG_MS = 500;
 
 /** Shared by all connections to endpoints, as they share the event loop. */
 const slices = readSlices.ReadSlices.create({
@@ -30,9 +35,14 @@
 });
 
 /** How a connection ended: in order, by a reset, in order at an endpoint that
- * refuses connections since, or in order without the confirmation of the host that
- * forwards it. */
-export type ConnectionEnd = "orderly" | "reset" | "stopped" | "unconfirmed";
+ * refuses connections since, in order without the confirmation of the host that
+ * forwards it, or in order at a time that is not known. */
+export type ConnectionEnd =
+  | "orderly"
+  | "reset"
+  | "stopped"
+  | "unconfirmed"
+  | "late";
 
 /** Options of a connector. */
 export interface ConnectorOptions {
@@ -40,6 +50,12 @@
   readonly timeout: number;
 }
 
+/** Shared by all connections of this process. */
+const standstills = standstill.StandstillWatch.start({
+  now: () => performance.now(),
+  every: (interval, action) => void setInterval(action, interval).unref(),
+});
+
 /** Checks whether the `end` event being handled is an orderly end; set only while
  * its listeners run. */
 let currentCheck: (() => Promise<ConnectionEnd>) | undefined;
@@ -85,6 +101,13 @@
   confirmations.set(socket, confirm);
 }
 
+/** Returns whether the end of a connection that is being noticed now was noticed
+ * late, or the time since then included a standstill. */
+export function watchEnd(): () => boolean {
+  const earliest = performance.now() - BACKLOG_MS;
+  return () => standstills.hasEndedSince(earliest);
+}
+
 /** Resolves with how the connection whose `end` event is being handled ended;
  * undefined when no such event is being handled. */
 export function currentEndCheck(): Promise<ConnectionEnd> | undefined {
@@ -118,11 +141,14 @@
   const probed = endsInOrder(this);
   const confirm = confirmations.get(this);
   const peer = peers.get(this);
+  const isLate = watchEnd();
   const check = async (): Promise<ConnectionEnd> => {
     if (!await probed) return "reset";
-    if (confirm) return await confirm() ? "orderly" : "unconfirmed";
-    const isStopped = peer && await stoppedEndpoint.hasStopped(peer);
-    return isStopped ? "stopped" : "orderly";
+    if (confirm && !await confirm()) return "unconfirmed";
+    const isStopped = !confirm && peer &&
+      await stoppedEndpoint.hasStopped(peer);
+    if (isStopped) return "stopped";
+    return isLate() ? "late" : "orderly";
   };
   currentCheck = check;
   // All listeners of this event run before the next microtask.
--- /dev/null
+++ b/src/endpoint_calls/late_end_test.ts
@@ -0,0 +1,72 @@
+/** Ends of connections that are noticed behind a standstill of this process; apart
+ * from other tests, which it would delay.
+ * @module */
+
+import * as net from "node:net";
+import type * as ava from "ava";
+import test from "ava";
+import * as undici from "undici";
+import * as runtime from "../runtime/mod.ts";
+import * as standstill from "../runtime/standstill.ts";
+import * as connector from "./connector.ts";
+import * as exchange from "./exchange.ts";
+
+/** Milliseconds for which this process stands still. */
+const STANDSTILL_MS = standstill.MIN_STANDSTILL_MS + 200;
+
+function standStill(): void {
+  const flag = new Int32Array(new SharedArrayBuffer(4));
+  Atomics.wait(flag, 0, 0, STANDSTILL_MS);
+}
+
+/** Runs an exchange with a server whose answer ends with its connection, right before
+ * a standstill; resolves with the body or the failure. */
+async function fetch(
+  t: ava.ExecutionContext,
+  framing: string,
+): Promise<{ result: string; connectionEnd?: connector.ConnectionEnd }> {
+  const server = net.createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n${framing}\r\nbody`);
+      standStill();
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  const dispatcher = new undici.Agent({
+    connect: connector.create({ timeout: 500 }),
+  });
+  t.teardown(() => dispatcher.destroy());
+  return new Promise((resolve) => {
+    let body = "";
+    exchange.Exchange.start({ method: "GET", path: "/", headers: {} }, {
+      dispatcher,
+      clock: runtime.systemClock,
+      url: `http://127.0.0.1:${port}`,
+      deadline: Infinity,
+      idleTimeout: 10_000,
+      maxBytes: 1000,
+      receiver: {
+        head() {},
+        data: (part) => void (body += part),
+        end: ({ connectionEnd }) => resolve({ result: body, connectionEnd }),
+        fail: ({ reason, connectionEnd }) =>
+          resolve({ result: reason, connectionEnd }),
+      },
+    });
+  });
+}
+
+// Guards against a part of an answer that counts as whole: while this process stood
+// still, its endpoint may have ended and another one taken its address.
+test.serial("an answer without a length fails when its end is noticed late", async (t) => {
+  const seen = await fetch(t, "");
+  t.deepEqual(seen, { result: "broken-stream", connectionEnd: "late" });
+});
+
+test.serial("an answer with a length is complete whenever it is noticed", async (t) => {
+  const { result } = await fetch(t, "Content-Length: 4\r\n");
+  t.is(result, "body");
+});
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -47,6 +47,13 @@
   hasStopped?(address: stoppedEndpoint.EndpointAddress): Promise<boolean>;
 }
 
+/** A tunnel whose endpoint's connection has ended in order. */
+interface EndedTunnel {
+  readonly endpoint: stoppedEndpoint.EndpointAddress;
+  /** Whether the end was noticed late, or the host has stood still since. */
+  isLate(): boolean;
+}
+
 /** Status lines that refuse a tunnel. */
 const REFUSALS = {
   stopping: "503 Stopping",
@@ -61,8 +68,8 @@
 export class TunnelServer implements peers.Tunnels {
   readonly #options: TunnelServerOptions;
   readonly #tunnels = new Set<net.Socket>();
-  /** Endpoints of tunnels that have ended in order lately, by the tunnels' ids. */
-  readonly #ended = new Map<string, stoppedEndpoint.EndpointAddress>();
+  /** Tunnels that have ended in order lately, by their ids. */
+  readonly #ended = new Map<string, EndedTunnel>();
   /** Questions how a tunnel has ended that are not answered yet. */
   #openQuestions = 0;
   #isStopping = false;
@@ -92,14 +99,15 @@
   }
 
   /** Resolves with whether the endpoint's connection of a tunnel has ended in
-   * order, and the endpoint has not stopped; false if the tunnel is not known. */
+   * order, and the endpoint has not stopped; false if the tunnel is not known, or
+   * this process has stood still since. */
   async hasEnded(tunnel: string): Promise<boolean> {
-    const endpoint = this.#ended.get(tunnel);
-    if (endpoint === undefined) return false;
+    const ended = this.#ended.get(tunnel);
+    if (ended === undefined) return false;
     const { hasStopped = stoppedEndpoint.hasStopped } = this.#options;
     this.#openQuestions++;
     try {
-      return !await hasStopped(endpoint);
+      return !await hasStopped(ended.endpoint) && !ended.isLate();
     } finally {
       this.#openQuestions--;
     }
@@ -195,7 +203,7 @@
     endpoint: stoppedEndpoint.EndpointAddress,
   ): void {
     if (tunnel === undefined) return;
-    this.#ended.set(tunnel, endpoint);
+    this.#ended.set(tunnel, { endpoint, isLate: connector.watchEnd() });
     this.#options.clock.after(
       END_RETENTION_MS,
       () => this.#ended.delete(tunnel),
--- /dev/null
+++ b/src/runtime/standstill.ts
@@ -0,0 +1,48 @@
+/** Notices that this process has stood still: it was suspended, others used its
+ * core, or a turn of its event loop was long. What it reads right behind that may
+ * have come at any time meanwhile.
+ * @module */
+
+/** Milliseconds without a turn of the event loop that count as a standstill. Shorter
+ * ones are usual beside a busy machine, and leave no time for another process to
+ * take the place of one that has ended. */
+export const MIN_STANDSTILL_MS = 1000;
+/** Milliseconds between two looks at the clock. */
+const LOOK_INTERVAL_MS = 50;
+
+/** Dependencies of a watch. */
+export interface StandstillOptions {
+  /** Milliseconds of a monotonic clock. */
+  now(): number;
+  /** Calls a function at intervals, without keeping the process alive. */
+  every(interval: number, action: () => void): void;
+}
+
+/** Watches for standstills; changed in place. */
+export class StandstillWatch {
+  readonly #now: () => number;
+  #lookedAt: number;
+  #endedAt = -Infinity;
+
+  private constructor({ now, every }: StandstillOptions) {
+    this.#now = now;
+    this.#lookedAt = now();
+    every(LOOK_INTERVAL_MS, () => this.#look());
+  }
+
+  static start(options: StandstillOptions): StandstillWatch {
+    return new StandstillWatch(options);
+  }
+
+  /** Whether a standstill has ended since a time of the clock, or is ending now. */
+  hasEndedSince(time: number): boolean {
+    this.#look();
+    return this.#endedAt >= time;
+  }
+
+  #look(): void {
+    const now = this.#now();
+    if (now - this.#lookedAt >= MIN_STANDSTILL_MS) this.#endedAt = now;
+    this.#lookedAt = now;
+  }
+}
