Calls: an answer whose status HTTP does not define is invalid

Callers got statuses from 600 to 999 as signed answers of endpoints, and resends with an idempotency key got them again. Items whose answer had such a status and said that they did not run were taken for not run. An answer with a status below 100 failed an assertion of undici's parser, which was taken for a connection that broke: such a break is recorded as a crash, of which sound requests are suspected.

A head with a status outside 100 to 599 (RFC 9110, 15) now fails its call as invalid at once, for all that call endpoints. Its outcome is unknown: an unsafe request gets 502, a safe one is called again, a resumable stream goes on.

Orders to engines took such answers for lost ones before, too.

--- a/src/batching/batch_call_test.ts
+++ b/src/batching/batch_call_test.ts
@@ -17,7 +17,10 @@
 
 const PROTOCOL = {
   batchCall: () => ({ method: "POST", path: "/", headers: {}, body: "" }),
-  decodeReply: (status: number) => ({ status }),
+  decodeReply: (status: number, headers: Record<string, string>) => ({
+    status,
+    isNotRun: headers["not-run"] !== undefined,
+  }),
   decodeItemResults: (body: Buffer) =>
     body.length === 0 ? undefined : [{ type: "made", handle: `${body}` }],
 } as unknown as protocols.GatewayProtocol;
@@ -87,6 +90,20 @@
   t.is(sum, 0);
 });
 
+// Guards against items that are requested again, or elsewhere, at once, since an
+// answer with a status that HTTP does not define promises that they did not run.
+test("an answer with an invalid status promises nothing", async (t) => {
+  for (const status of ["000", "099", "600", "999"]) {
+    const { outcome } = await callEndpoint(t, {
+      handle: ({ socket }) =>
+        void socket.write(
+          `HTTP/1.1 ${status} Odd\r\nNot-Run: 1\r\nContent-Length: 1\r\n\r\na`,
+        ),
+    });
+    t.deepEqual(outcome, { type: "failed", cause: "broken" }, status);
+  }
+});
+
 // Guards against an endpoint without an end that fills the memory of the host
 // that computes items for others: chunks of one byte take some hundred times as
 // much.
--- a/src/control/orders/engine_client_test.ts
+++ b/src/control/orders/engine_client_test.ts
@@ -62,6 +62,29 @@
   t.is(await client.readReport(broken.engine), undefined);
 });
 
+// Guards against an order that is taken for refused or accepted, as its engine
+// answers with a status that HTTP does not define.
+test("an answer with an invalid status is a lost one", async (t) => {
+  const client = orders.EngineClient.create({ holdsLease: () => true });
+  for (const status of ["000", "099", "600", "999"]) {
+    const body = JSON.stringify(REPORT);
+    const server = http.createServer(({ socket }) =>
+      void socket.write(
+        `HTTP/1.1 ${status} Odd\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+      )
+    );
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+    const { port } = server.address() as net.AddressInfo;
+    const url = `http://127.0.0.1:${port}`;
+    const engine = { id: "e0", service: "lm", url };
+    const answer = await client.sendOrder(engine, 3, LOAD);
+    t.deepEqual(answer, { type: "lost" }, status);
+    t.is(await client.readReport(engine), undefined, status);
+    server.closeAllConnections();
+    server.close();
+  }
+});
+
 test("a reconciler sends orders only while it holds the lease", async (t) => {
   const { engine, taken, close } = await listen(202);
   const clock = new runtime.FakeClock();
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -237,6 +237,7 @@
     this.#lastReceivedAt = this.#options.clock.now();
     framing.recordProgress();
     if (this.#isDone) return;
+    if (!isValid(status)) return this.break("error");
     if (status < 200) return this.#countInterimHead();
     this.#hasResponseHead = true;
     this.#framing = isEmpty(this.#method, status)
@@ -376,6 +377,11 @@
   }
 }
 
+/** Whether HTTP defines the class of a status (RFC 9110, 15). */
+function isValid(status: number): boolean {
+  return status >= 100 && status <= 599;
+}
+
 /** Origin of a base URL; undefined if it is none. */
 function originOf(url: string): string | undefined {
   return URL_PARTS.exec(url)?.[1];
--- /dev/null
+++ b/src/gateway/answer_status_test.ts
@@ -0,0 +1,201 @@
+/** Statuses of answers: those that HTTP does not define, and interim ones.
+ * @module */
+
+import type * as net from "node:net";
+import type * as ava from "ava";
+import test from "ava";
+import type * as configurations from "../configuration/mod.ts";
+import * as quarantineFixture from "../quarantine/fixture.ts";
+import * as callerFixture from "./caller_fixture.ts";
+import * as fixture from "./fixture.ts";
+
+const BODY = "the body";
+const EVENTS = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+
+/** An answer's framing: its header lines, and its body as it is sent. */
+const FRAMINGS: Record<string, (body: string) => [string, string]> = {
+  length: (body) => [`Content-Length: ${body.length}\r\n`, body],
+  chunked: (body) => [
+    "Transfer-Encoding: chunked\r\n",
+    `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`,
+  ],
+  connection: (body) => ["", body],
+  "no body": () => ["", ""],
+};
+
+/** How an endpoint answers a call. */
+interface Answer {
+  readonly status: string;
+  readonly framing?: string;
+  readonly body?: string;
+  /** Header lines beside the signature. */
+  readonly lines?: string;
+  /** Heads before the answer. */
+  readonly interim?: string;
+  /** Whether the connection ends behind the answer. */
+  readonly isClosed?: boolean;
+  /** Whether the body is sent after the head has been received. */
+  readonly hasPause?: boolean;
+}
+
+function send(socket: net.Socket, answer: Answer): void {
+  const { status, framing = "length", body = BODY, lines = "" } = answer;
+  const { interim = "", isClosed = false, hasPause = false } = answer;
+  const [framingLines, sent] = FRAMINGS[framing](body);
+  const head = `${interim}HTTP/1.1 ${status} Odd\r\ntest-signature: s\r\n` +
+    `${lines}${framingLines}\r\n`;
+  const finish = (text: string) => {
+    if (isClosed) socket.end(text);
+    else socket.write(text);
+  };
+  socket.on("error", () => {});
+  if (!hasPause) return finish(head + sent);
+  socket.write(head);
+  fixture.clock.after(20, () => finish(sent));
+}
+
+/** Starts a host whose endpoint sends one answer after the other, the last one
+ * again and again. */
+async function startHost(
+  t: ava.ExecutionContext,
+  route: Partial<configurations.Route>,
+) {
+  let answers: readonly Answer[] = [];
+  let calls = 0;
+  const resumedAfter: unknown[] = [];
+  const crashes: unknown[] = [];
+  const host = await fixture.startHost(
+    t,
+    { objective: 1000, timeout: 20_000, stages: [], attempts: 3, ...route },
+    ({ socket, headers }) => {
+      resumedAfter.push(headers["test-resume-after"]);
+      send(socket, answers[Math.min(calls++, answers.length - 1)]);
+    },
+  );
+  fixture.distinguishResets(t, host);
+  Object.assign(host.context, {
+    guard: {
+      ...quarantineFixture.permissiveGuard(),
+      recordCrash: (crash: unknown) => void crashes.push(crash),
+    },
+  });
+  /** Sends a request that is answered so. */
+  const ask = async (...given: Answer[]) => {
+    answers = given;
+    calls = 0;
+    resumedAfter.length = 0;
+    crashes.length = 0;
+    const reply = await callerFixture.send(host.gatewayAddress, {});
+    return { reply, calls, crashes: crashes.length };
+  };
+  return { ...host, ask, resumedAfter };
+}
+
+/** Statuses that no answer may have, also those that can't be parsed. */
+const INVALID_STATUSES = [
+  ...["000", "001", "099", "600", "777", "999"],
+  ...["1000", "65736", "-1", "20", "2e2"],
+];
+
+/** All ways to send an answer with a status. */
+function variantsOf(status: string): Answer[] {
+  return Object.keys(FRAMINGS).flatMap((framing) =>
+    [false, true].flatMap((isClosed) =>
+      [false, true].flatMap((hasPause) =>
+        ["", "Connection: close\r\n", "test-not-run: 1\r\n"].map((lines) => ({
+          status,
+          framing,
+          isClosed,
+          hasPause,
+          lines,
+        }))
+      )
+    )
+  );
+}
+
+for (const status of INVALID_STATUSES) {
+  // Guards against callers who get such a status as an endpoint's answer, wait for
+  // a call whose outcome is known, or whose sound requests are quarantined.
+  test(`an answer with status ${status} is invalid`, async (t) => {
+    const { ask } = await startHost(t, { kind: "unsafe" });
+    for (const answer of variantsOf(status)) {
+      const { reply, ...rest } = await ask(answer);
+      const about = JSON.stringify(answer);
+      t.is(reply.status, 502, about);
+      t.false("test-signature" in reply.headers, about);
+      t.deepEqual(rest, { calls: 1, crashes: 0 }, about);
+    }
+  });
+
+  test(`a safe request is called again behind status ${status}`, async (t) => {
+    const { ask } = await startHost(t, { kind: "safe" });
+    for (const framing of Object.keys(FRAMINGS)) {
+      const { reply, ...rest } = await ask(
+        { status, framing },
+        { status: "200" },
+      );
+      t.like(reply, { status: 200, body: BODY, isComplete: true }, framing);
+      t.deepEqual(rest, { calls: 2, crashes: 0 }, framing);
+    }
+  });
+}
+
+for (const status of ["000", "099", "600", "999"]) {
+  // Guards against a stream that ends with the body of an answer that is none.
+  test(`a stream goes on behind status ${status}`, async (t) => {
+    const { ask, resumedAfter } = await startHost(t, {
+      kind: "streaming",
+      resumable: true,
+    });
+    const [first, second] = EVENTS.split(/(?<=\n\n)/);
+    for (const framing of Object.keys(FRAMINGS)) {
+      const { reply } = await ask(
+        { status: "200", body: `${first}id: 2\nda`, isClosed: true },
+        { status, framing, body: second },
+        { status: "200", body: second },
+      );
+      t.like(reply, { status: 200, body: EVENTS, isComplete: true }, framing);
+      t.deepEqual(resumedAfter, [undefined, "1", "1"], framing);
+    }
+    const { reply } = await ask({ status, body: EVENTS });
+    t.is(reply.status, 502);
+  });
+}
+
+/** Heads that an endpoint may send before its answer. */
+const INTERIM_HEADS = [
+  "HTTP/1.1 102 Processing\r\n\r\n",
+  "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n",
+  "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n",
+  "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n",
+  "HTTP/1.1 199 Odd\r\ntest-signature: s\r\n\r\n",
+  "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n",
+];
+
+// Guards against an answer that is lost to the heads before it.
+test("an answer behind interim heads reaches its caller", async (t) => {
+  const { ask } = await startHost(t, { kind: "unsafe" });
+  for (const interim of INTERIM_HEADS) {
+    for (const framing of ["length", "chunked", "connection"]) {
+      const isClosed = framing === "connection";
+      const { reply, ...rest } = await ask(
+        { status: "200", framing, isClosed, interim },
+      );
+      const about = JSON.stringify([interim, framing]);
+      t.like(reply, { status: 200, body: BODY, isComplete: true }, about);
+      t.deepEqual(rest, { calls: 1, crashes: 0 }, about);
+    }
+  }
+});
+
+// Guards against an answer that is lost for a body that its status does not need.
+test("an answer with status 205 is sent with its body", async (t) => {
+  const { ask } = await startHost(t, { kind: "unsafe" });
+  for (const framing of ["length", "chunked", "connection"]) {
+    const isClosed = framing === "connection";
+    const { reply } = await ask({ status: "205", framing, isClosed });
+    t.like(reply, { status: 205, body: BODY, isComplete: true }, framing);
+  }
+});
--- a/src/request/path_claims_test.ts
+++ b/src/request/path_claims_test.ts
@@ -45,6 +45,30 @@
   await started.stop();
 });
 
+for (const status of ["000", "099", "600", "999"]) {
+  // Guards against callers who get a status that HTTP does not define, and resends
+  // that get it again.
+  test(`neither passes on nor stores an answer with status ${status}`, async (t) => {
+    const claims = claimsOf([{ type: "granted" }]);
+    const serve: fakePath.Serve = ({ headers }, response) => {
+      const ids = ["x-request-id", "x-stage", "x-attempt"].map((name) =>
+        `${name}: ${headers[name]}\r\n`
+      );
+      response.socket!.write(
+        `HTTP/1.1 ${status} Odd\r\n${ids.join("")}Content-Length: 6\r\n\r\n` +
+          "booked",
+      );
+    };
+    const started = await fakePath.start({ billing: serve }, { claims });
+    const url = `${started.url}/v1/services/billing/`;
+    const refused = await fakePath.post(url, "book", once);
+    t.like(refused.body, { status: 502, outcome: "unknown" });
+    t.like(claims.settled, { length: 1, 0: { status: 502 } });
+    t.is(started.fleet.billing.calls(), 1);
+    await started.stop();
+  });
+}
+
 test("answers a resend without a second call", async (t) => {
   const answer = { status: 201, headers: {}, body: "booked before" };
   const claims = claimsOf([
