Calls: a head that no call asks for is an invalid answer, not a crash

An endpoint that changed the protocol (101) or sent status 100 unasked was recorded as one that crashed, so that sound requests were suspected. undici closes the connection by itself and reports an error like that of a broken one.

Its errors for such heads are told by their messages, and status 101 by itself.

An answer behind a head with status 100 is still lost, as undici closes the connection: no call sends Expect, for which alone that status is meant.

--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -237,7 +237,7 @@
     this.#lastReceivedAt = this.#options.clock.now();
     framing.recordProgress();
     if (this.#isDone) return;
-    if (!isValid(status)) return this.break("error");
+    if (!isExpected(status)) return this.break("error");
     if (status < 200) return this.#countInterimHead();
     this.#hasResponseHead = true;
     this.#framing = isEmpty(this.#method, status)
@@ -377,9 +377,10 @@
   }
 }
 
-/** Whether HTTP defines the class of a status (RFC 9110, 15). */
-function isValid(status: number): boolean {
-  return status >= 100 && status <= 599;
+/** Whether a call may get a status: HTTP defines those from 100 to 599 (RFC 9110,
+ * 15), and no call asks for another protocol. */
+function isExpected(status: number): boolean {
+  return status >= 100 && status <= 599 && status !== 101;
 }
 
 /** Origin of a base URL; undefined if it is none. */
@@ -398,10 +399,20 @@
   return last === "chunked" ? "chunked" : "connection";
 }
 
-/** Whether an endpoint has sent bytes that are no HTTP. The parser also fails at
- * the end of a connection in the middle of an answer, then without such
- * bytes. */
+/** Messages of undici's errors for heads that it takes for no answer: one that
+ * changes the protocol, and one with status 100, as no call sends `Expect`. */
+const UNASKED_HEAD_MESSAGES: ReadonlySet<string> = new Set([
+  "bad upgrade",
+  "bad response",
+]);
+
+/** Whether an endpoint has sent bytes that are no HTTP, or a head that no call
+ * asks for. The parser also fails at the end of a connection in the middle of an
+ * answer, then without such bytes. */
 function isUnreadable(error: Error & { readonly data?: unknown }): boolean {
   if (error instanceof framing.FramingError) return true;
+  if (error instanceof undici.errors.SocketError) {
+    return UNASKED_HEAD_MESSAGES.has(error.message);
+  }
   return error.name === "HTTPParserError" && Boolean(error.data);
 }
--- a/src/gateway/answer_status_test.ts
+++ b/src/gateway/answer_status_test.ts
@@ -190,6 +190,31 @@
   }
 });
 
+const UPGRADE = "Connection: Upgrade\r\nUpgrade: odd\r\n";
+
+// Guards against sound requests that are quarantined for an endpoint that sends
+// heads which no call has asked for, and against calls that wait for their
+// deadline.
+for (
+  const [name, answer] of Object.entries<Answer>({
+    "an upgrade": { status: "101", lines: UPGRADE, framing: "no body" },
+    "status 101 without an upgrade": { status: "101", framing: "no body" },
+    "status 101 with a body": { status: "101", lines: UPGRADE },
+    "status 100": { status: "100", framing: "no body" },
+    "an interim head with a body": { status: "103" },
+    "an interim head with chunks": { status: "199", framing: "chunked" },
+  })
+) {
+  test(`a call that is answered with ${name} has an invalid answer`, async (t) => {
+    const { ask } = await startHost(t, { kind: "unsafe" });
+    for (const isClosed of [false, true]) {
+      const { reply, ...rest } = await ask({ ...answer, isClosed });
+      t.is(reply.status, 502);
+      t.deepEqual(rest, { calls: 1, crashes: 0 });
+    }
+  });
+}
+
 // Guards against an answer that is lost for a body that its status does not need.
 test("an answer with status 205 is sent with its body", async (t) => {
   const { ask } = await startHost(t, { kind: "unsafe" });
