Calls: an answer with status 204 or 304 is whole whatever length it states

A 304 may state the length of the body that the answer to another request has (RFC 9110, 8.6), and no length marks the end of such an answer (RFC 9112, 6.3). undici counts the bytes of the body all the same, so the whole answer was taken for one that broke off: an unsafe request that had run got 502.

An answer without a body that states one ends with its head, and its connection is closed, as what follows there may be such a body. Replies to HEAD are as before.

--- a/src/callers/undelimited_answer_test.ts
+++ b/src/callers/undelimited_answer_test.ts
@@ -87,6 +87,23 @@
   });
 }
 
+// Guards against an answer that is refused for a length that is not its own.
+test("an answer without a body that states a length is passed on", async (t) => {
+  for (const status of [204, 304]) {
+    const { address } = await start(t, ({ headers }, response) => {
+      const ids = ["x-request-id", "x-stage", "x-attempt"].map((name) =>
+        `${name}: ${headers[name]}\r\n`
+      );
+      response.socket!.write(
+        `HTTP/1.1 ${status} Odd\r\n${ids.join("")}Content-Length: 8\r\n\r\n`,
+      );
+    });
+    const reply = await callerFixture.send(address, { ...CALL, method: "GET" });
+    t.like(reply, { status, body: "", isComplete: true });
+    t.false("content-length" in reply.headers);
+  }
+});
+
 // Guards against a reply that closes the connection on which another one is due,
 // and against one with a length of the host's own.
 test("an answer without an end is refused if another request is behind it", async (t) => {
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -245,6 +245,9 @@
       : framingOf(headers);
     const { receiver } = this.#options;
     receiver.head(status, headers, { framing: this.#framing });
+    const isEnded = this.#framing === "empty" && this.#method !== "HEAD" &&
+      statesBody(headers);
+    if (isEnded) this.#endWithHead();
   }
 
   onResponseData(
@@ -297,6 +300,15 @@
     this.break(reason, connectionEnd && { connectionEnd });
   }
 
+  /** Ends an answer behind its head. undici would take the length of a body that
+   * it does not have for that of one that is cut off, and what follows on the
+   * connection may be such a body. */
+  #endWithHead(): void {
+    if (this.#isDone) return;
+    this.#end();
+    this.#abort("answer has no body");
+  }
+
   #countInterimHead(): void {
     this.#interimHeads++;
     if (this.#interimHeads > MAX_INTERIM_HEADS) this.break("error");
@@ -377,6 +389,14 @@
   }
 }
 
+/** Whether an answer states a body. One with status 304 may state that of the
+ * answer to another request (RFC 9110, 8.6). */
+function statesBody(headers: Headers): boolean {
+  const { "content-length": length = "0", "transfer-encoding": coding } =
+    headers;
+  return coding !== undefined || Number(length) !== 0;
+}
+
 /** Whether a call may get a status: HTTP defines those from 100 to 599 (RFC 9110,
  * 15), and no call asks for another protocol. */
 function isExpected(status: number): boolean {
--- a/src/gateway/answer_status_test.ts
+++ b/src/gateway/answer_status_test.ts
@@ -1,4 +1,5 @@
-/** Statuses of answers: those that HTTP does not define, and interim ones.
+/** Statuses of answers: those that HTTP does not define, interim ones, and those
+ * of answers that have no body.
  * @module */
 
 import type * as net from "node:net";
@@ -215,6 +216,40 @@
   });
 }
 
+/** Answers without a body that may state one: a length is that of the answer to
+ * another request (RFC 9110, 8.6), and never what marks their end (RFC 9112,
+ * 6.3). Some come with such a body. */
+const EMPTY_ANSWERS = ["204", "304"].flatMap((status): Answer[] => [
+  ...Object.keys(FRAMINGS).flatMap((framing) =>
+    [BODY, ""].flatMap((body) => [
+      { status, framing, body },
+      { status, framing, body, lines: "Connection: close\r\n", isClosed: true },
+    ])
+  ),
+  ...["length", "chunked"].map((framing) => ({
+    status,
+    framing,
+    hasPause: true,
+  })),
+  { status, framing: "no body", lines: "Content-Length: 8\r\n" },
+]);
+
+// Guards against a whole answer that is refused for a length that is not its own,
+// and against a call that is answered with the body behind an answer without one.
+test("an answer without a body is whole whatever body it states", async (t) => {
+  const { ask } = await startHost(t, { kind: "unsafe" });
+  for (const answer of EMPTY_ANSWERS) {
+    const { reply, ...rest } = await ask(answer);
+    const about = JSON.stringify(answer);
+    const { status, headers } = reply;
+    t.like(reply, { body: "", isComplete: true }, about);
+    t.is(`${status}`, answer.status, about);
+    t.is(headers["test-signature"], "s", about);
+    t.false("content-length" in headers, about);
+    t.deepEqual(rest, { calls: 1, crashes: 0 }, about);
+  }
+});
+
 // Guards against an answer that is lost for a body that its status does not need.
 test("an answer with status 205 is sent with its body", async (t) => {
   const { ask } = await startHost(t, { kind: "unsafe" });
