Attempts: a success that says its call did not run is invalid

An answer with a status from 200 to 299 that also says that its call did not run was taken for a refusal: an unsafe request got 503, which promises that it did not run. As the answer to a stream its events were passed on all the same, also without a signature, since a refusal needs none.

Such an answer contradicts itself, so that its call may have run: an unsafe request gets 502, a safe one is called again, and no event of it is passed on. Other statuses that say so are refusals as before.

--- a/src/gateway/answer_status_test.ts
+++ b/src/gateway/answer_status_test.ts
@@ -27,6 +27,8 @@
 /** How an endpoint answers a call. */
 interface Answer {
   readonly status: string;
+  /** True when absent. */
+  readonly isSigned?: boolean;
   readonly framing?: string;
   readonly body?: string;
   /** Header lines beside the signature. */
@@ -42,8 +44,9 @@
 function send(socket: net.Socket, answer: Answer): void {
   const { status, framing = "length", body = BODY, lines = "" } = answer;
   const { interim = "", isClosed = false, hasPause = false } = answer;
+  const signature = answer.isSigned === false ? "" : "test-signature: s\r\n";
   const [framingLines, sent] = FRAMINGS[framing](body);
-  const head = `${interim}HTTP/1.1 ${status} Odd\r\ntest-signature: s\r\n` +
+  const head = `${interim}HTTP/1.1 ${status} Odd\r\n${signature}` +
     `${lines}${framingLines}\r\n`;
   const finish = (text: string) => {
     if (isClosed) socket.end(text);
@@ -216,6 +219,42 @@
   });
 }
 
+const NOT_RUN = "test-not-run: 1\r\n";
+
+// Guards against a request that runs twice, since its answer is a success and says
+// that it did not run, and against a stream that is such an answer.
+for (
+  const [kind, calls] of [["unsafe", 1], ["safe", 3], ["streaming", 1]] as const
+) {
+  test(`a success that says it did not run is invalid: ${kind}`, async (t) => {
+    const { ask } = await startHost(t, { kind });
+    for (const status of ["200", "204", "299"]) {
+      for (const isSigned of [true, false]) {
+        const { reply, ...rest } = await ask({
+          status,
+          body: EVENTS,
+          lines: NOT_RUN,
+          isSigned,
+        });
+        const about = `${status} ${isSigned}`;
+        t.is(reply.status, 502, about);
+        t.false("test-signature" in reply.headers, about);
+        t.deepEqual(rest, { calls, crashes: 0 }, about);
+      }
+    }
+  });
+}
+
+test("any other answer that says it did not run is a refusal", async (t) => {
+  for (const status of ["300", "404", "409", "429", "500", "503", "599"]) {
+    const { ask } = await startHost(t, { kind: "unsafe" });
+    const { reply, calls } = await ask({ status, lines: NOT_RUN });
+    t.like(reply, { status: 503, isComplete: true }, status);
+    t.false("test-signature" in reply.headers, status);
+    t.is(calls, 1, status);
+  }
+});
+
 /** Answers without a body that may state one: a length is that of the answer to
  * another request (RFC 9110, 8.6), and never what marks their end (RFC 9112,
  * 6.3). Some come with such a body. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -212,6 +212,7 @@
     const { protocol, request, stream } = this.#options;
     const head = protocol.decodeReply(status, headers);
     if (!belongsTo(head, request)) return this.#rejectMismatch();
+    if (contradictsItself(head)) return this.#exchange?.break("error");
     if (!head.isMisdirected) this.#options.onHead?.(head);
     this.#head = head;
     const refusal = refusalCause(head);
@@ -385,6 +386,11 @@
   return status >= 200 && status < 300;
 }
 
+/** Whether an answer is a success and says that its call did not run. */
+function contradictsItself(head: protocols.ReplyHead): boolean {
+  return head.isNotRun && hasSuccessStatus(head);
+}
+
 function refusalCause(head: protocols.ReplyHead): FailureCause | undefined {
   if (head.isMisdirected) return "misdirected";
   if (!head.isNotRun) return undefined;
