--- a/src/operators/cut_answers_test.ts
+++ b/src/operators/cut_answers_test.ts
@@ -10,12 +10,16 @@
 
 /** Starts a host that sends the first `length` bytes of an answer without a length
  * or chunks, and ends the connection. */
-async function startHost(t: ava.ExecutionContext, body: string) {
+async function startHost(
+  t: ava.ExecutionContext,
+  body: string,
+  { status = "200" } = {},
+) {
   const cut = { length: body.length };
   const server = net.createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => {
-      const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+      const head = `HTTP/1.1 ${status} OK\r\nConnection: close\r\n\r\n`;
       socket.end(head + body.slice(0, cut.length));
     });
   });
@@ -42,6 +46,19 @@
   }
 });
 
+// Guards against an answer that is taken for the state of a host though its status
+// is none that HTTP defines, or promises another answer.
+test("no answer with an invalid status is taken for a host's", async (t) => {
+  for (const status of ["000", "099", "101", "103", "600", "999", "1000"]) {
+    const { source } = await startHost(t, `{"revision":1,"rows":[]}`, {
+      status,
+    });
+    await t.throwsAsync(source.read("/v1/table"), {
+      instanceOf: client.ClientError,
+    }, status);
+  }
+});
+
 // Guards against an import of values that are parts of those exported.
 test("a part of an exported table changes no cell to a part of its value", (t) => {
   const viewOf = (weight: number, rate: number) => ({
