--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -237,6 +237,7 @@
     this.#lastReceivedAt = this.#options.clock.now();
     framing.recordProgress();
     if (this.#isDone) return;
+    if (!isExpected(status)) return this.break("error");
     if (status < 200) return this.#countInterimHead();
     this.#hasResponseHead = true;
     this.#framing = isEmpty(this.#method, status)
@@ -244,6 +245,9 @@
       : framingOf(headers);
     const { receiver } = this.#options;
     receiver.head(status, headers, { framing: this.#framing });
+    const isEnded = this.#framing === "empty" && this.#method !== "HEAD" &&
+      statesBody(headers);
+    if (isEnded) this.#endWithHead();
   }
 
   onResponseData(
@@ -296,6 +300,15 @@
     this.break(reason, connectionEnd && { connectionEnd });
   }
 
+  /** Ends an answer behind its head. undici would take the length of a body that
+   * it does not have for that of one that is cut off, and what follows on the
+   * connection may be such a body. */
+  #endWithHead(): void {
+    if (this.#isDone) return;
+    this.#end();
+    this.#abort("answer has no body");
+  }
+
   #countInterimHead(): void {
     this.#interimHeads++;
     if (this.#interimHeads > MAX_INTERIM_HEADS) this.break("error");
@@ -376,6 +389,20 @@
   }
 }
 
+/** Whether an answer states a body. One with status 304 may state that of the
+ * answer to another request (RFC 9110, 8.6). */
+function statesBody(headers: Headers): boolean {
+  const { "content-length": length = "0", "transfer-encoding": coding } =
+    headers;
+  return coding !== undefined || Number(length) !== 0;
+}
+
+/** Whether a call may get a status: HTTP defines those from 100 to 599 (RFC 9110,
+ * 15), and no call asks for another protocol. */
+function isExpected(status: number): boolean {
+  return status >= 100 && status <= 599 && status !== 101;
+}
+
 /** Origin of a base URL; undefined if it is none. */
 function originOf(url: string): string | undefined {
   return URL_PARTS.exec(url)?.[1];
@@ -392,10 +419,20 @@
   return last === "chunked" ? "chunked" : "connection";
 }
 
-/** Whether an endpoint has sent bytes that are no HTTP. The parser also fails at
- * the end of a connection in the middle of an answer, then without such
- * bytes. */
+/** Messages of undici's errors for heads that it takes for no answer: one that
+ * changes the protocol, and one with status 100, as no call sends `Expect`. */
+const UNASKED_HEAD_MESSAGES: ReadonlySet<string> = new Set([
+  "bad upgrade",
+  "bad response",
+]);
+
+/** Whether an endpoint has sent bytes that are no HTTP, or a head that no call
+ * asks for. The parser also fails at the end of a connection in the middle of an
+ * answer, then without such bytes. */
 function isUnreadable(error: Error & { readonly data?: unknown }): boolean {
   if (error instanceof framing.FramingError) return true;
+  if (error instanceof undici.errors.SocketError) {
+    return UNASKED_HEAD_MESSAGES.has(error.message);
+  }
   return error.name === "HTTPParserError" && Boolean(error.data);
 }
