Streams: ids of events are read as server-sent events have them

A stream that broke off behind an id beyond ASCII was asked for behind other bytes than its endpoint had sent.

Cause: ids were read by a multi-line regular expression, for which U+2028 and U+2029 end lines, decoded as UTF-8 and compared as doubles.

A call that ends for its order is counted and logged, with the two ids.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -15,6 +15,7 @@
 import * as endpointCalls from "./endpoint_call.ts";
 import * as endpointAdmissions from "./endpoint_admission.ts";
 import type * as eventBuffers from "./event_buffer.ts";
+import * as eventOrders from "./event_order.ts";
 import type * as protocols from "./protocol.ts";
 import type * as callRecords from "./call_record.ts";
 import * as refusals from "./refusal.ts";
@@ -71,6 +72,8 @@
   /** Milliseconds from arrival to the first event sent to the caller. */
   #firstEventMs?: number;
   #lastEventId?: string;
+  /** Events that the caller has. */
+  #eventOrder = eventOrders.EventOrder.create();
   #errorAnswer?: Answer;
   #pipelineRun?: pipelineRuns.PipelineRun;
   #binding?: streamBindings.StreamBinding;
@@ -284,6 +287,9 @@
     }
     const { request: incoming } = decoded;
     this.#incoming = incoming;
+    this.#eventOrder = eventOrders.EventOrder.create({
+      resumedAfter: incoming.resumeAfter,
+    });
     const reason = this.#context.isStopping()
       ? "stopping"
       : this.#evaluate(incoming);
@@ -602,7 +608,7 @@
         this.#pipelineRun?.isLate ?? false,
       ),
       inputs,
-      resumeAfter: this.#lastEventId ?? this.#incoming!.resumeAfter,
+      resumeAfter: this.#eventOrder.lastId,
     };
   }
 
@@ -622,6 +628,7 @@
     let head: protocols.ReplyHead;
     let end: replies.AnswerEnd;
     return {
+      order: this.#eventOrder,
       head: (received, about) => {
         head = received;
         end = about;
@@ -635,6 +642,7 @@
           this.#binding!.bind(call.endpoint);
           // Events of two calls must not be mixed.
           this.#openCalls.cancelOthers(call);
+          this.#eventOrder = complete.order;
           this.#relay(call, { head, end, complete });
         }),
     };
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -14,6 +14,7 @@
 import type * as runtime from "../runtime/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as eventBuffers from "./event_buffer.ts";
+import type * as eventOrders from "./event_order.ts";
 import type * as endpoints from "./endpoint.ts";
 import type * as protocols from "./protocol.ts";
 
@@ -23,6 +24,8 @@
  * tokens; an event without an end is to end soon, also at a host without a given
  * memory. */
 const MAX_EVENT_BYTES = 4 * 1024 * 1024;
+/** Characters of an event's id that are logged. */
+const MAX_LOGGED_ID = 64;
 
 /** Why an attempt has no answer. */
 export type FailureCause =
@@ -61,6 +64,8 @@
 
 /** Receives a stream as it arrives. */
 export interface StreamListener {
+  /** Events that the answer is to go on behind; none when absent. */
+  readonly order?: eventOrders.EventOrder;
   head(
     head: protocols.ReplyHead,
     about: { readonly framing: endpointCalls.Framing },
@@ -125,7 +130,7 @@
     this.#options = options;
     this.#heardAt = options.clock.now();
     this.#events = eventBuffers.EventBuffer.create({
-      resumedAfter: options.metadata.resumeAfter,
+      order: options.stream?.order,
     });
     this.outcome = new Promise((resolve) => this.#resolve = resolve);
   }
@@ -252,12 +257,27 @@
     if (complete.bytes.length === 0) return;
     // Events of another answer behind an open body, or of a stream that begins anew
     // in place of going on.
-    if (!complete.isInOrder) return this.#exchange?.break("error");
+    if (!complete.isInOrder) return this.#breakMisordered(complete);
     this.#hasEvents = true;
     this.#resume();
     this.#options.stream!.events(complete);
   }
 
+  #breakMisordered({ order, misfit }: eventBuffers.CompleteEvents): void {
+    const { logger, metrics, request, endpoint } = this.#options;
+    const { id, service } = endpoint.identity;
+    metrics.count("gateway.misordered", 1, { service });
+    logger.warn({
+      request: request.id,
+      endpoint: id,
+      service,
+      lastEvent: order.lastId?.slice(0, MAX_LOGGED_ID),
+      event: misfit?.slice(0, MAX_LOGGED_ID),
+      isFirst: !this.#hasEvents,
+    }, "Call ended, as its event can't follow the one before");
+    this.#exchange?.break("error");
+  }
+
   end({ framing, connectionEnd }: endpointCalls.Ending): void {
     if (this.#isFinished) return;
     this.#connectionEnd = connectionEnd;
--- /dev/null
+++ b/src/gateway/continued_streams_test.ts
@@ -0,0 +1,157 @@
+/** Streams that are continued behind their last event: which answers are taken for
+ * their rest.
+ * @module */
+
+import type * as ava from "ava";
+import test from "ava";
+import * as undici from "undici";
+import * as connector from "../endpoint_calls/connector.ts";
+import * as callerFixture from "./caller_fixture.ts";
+import * as fixture from "./fixture.ts";
+
+/** Events with ids; one without where the id is undefined. */
+function eventsOf(...ids: (string | undefined)[]): string {
+  return ids.map((id, index) =>
+    `${id === undefined ? "" : `id: ${id}\n`}data: ${index}\n\n`
+  ).join("");
+}
+
+function chunkOf(text: string): string {
+  return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+}
+
+/** Starts a host of a resumable stream whose endpoint answers its calls with
+ * bodies, all but the last of which are cut off; further calls get the last. */
+async function startHost(t: ava.ExecutionContext, bodies: readonly string[]) {
+  const resumedAfter: unknown[] = [];
+  const host = await fixture.startHost(t, {
+    kind: "streaming",
+    resumable: true,
+    objective: 1000,
+    attempts: 3,
+    stages: [],
+  }, ({ headers, socket }) => {
+    const isLast = resumedAfter.length >= bodies.length - 1;
+    const body = isLast ? bodies.at(-1)! : bodies[resumedAfter.length];
+    resumedAfter.push(headers["test-resume-after"]);
+    const head = "HTTP/1.1 200 OK\r\ntest-signature: s\r\n" +
+      "Transfer-Encoding: chunked\r\n\r\n";
+    const chunk = body === "" ? "" : chunkOf(body);
+    socket.end(head + chunk + (isLast ? "0\r\n\r\n" : ""));
+  });
+  const dispatcher = new undici.Agent({
+    connect: connector.create({ timeout: 10_000 }),
+    pipelining: 1,
+  });
+  t.teardown(() => dispatcher.destroy());
+  const found = {
+    type: "found",
+    origin: { service: "desk", version: "v1", host: "h" },
+    source: "stored",
+  };
+  Object.assign(host.context, {
+    dispatcher,
+    origins: { record() {}, find: () => Promise.resolve(found) },
+  });
+  return { host, resumedAfter };
+}
+
+/** Asks for a stream; `body` is what its caller reads as bytes of latin1. */
+async function ask(
+  t: ava.ExecutionContext,
+  bodies: readonly string[],
+  { after }: { after?: string } = {},
+) {
+  const { host, resumedAfter } = await startHost(t, bodies);
+  const headers: Record<string, string> = after === undefined
+    ? {}
+    : { "test-resume-after": after };
+  const { status, body, isComplete } = await callerFixture.send(
+    host.gatewayAddress,
+    { headers },
+  );
+  const text = Buffer.from(body, "latin1").toString();
+  return { status, text, isComplete, resumedAfter };
+}
+
+const LARGE = ["9007199254740991", "9007199254740992", "9007199254740993"];
+
+/** Ids of a stream that breaks off, and of its rest. */
+const FITTING: Record<string, [string[], (string | undefined)[]]> = {
+  "the next number": [["1", "2"], ["3", "4"]],
+  "the next number, with a zero in front": [["08", "09"], ["10"]],
+  "the next large number": [LARGE.slice(0, 2), [LARGE[2]]],
+  "a number behind numbers with gaps": [["10", "20"], ["35"]],
+  "a number behind one that is not the first": [["10"], ["20"]],
+  "a gap behind the first of its events": [["1", "2"], ["3", "5"]],
+  "another id that is no number": [["a", "b"], ["c", "c"]],
+  "an event without an id behind the first": [["1"], ["2", undefined]],
+  "no event": [["1", "2"], []],
+  "an id beyond ASCII": [["a", "\u00e9"], ["\u00fc"]],
+};
+
+for (const [name, [first, rest]] of Object.entries(FITTING)) {
+  // Guards against a stream that breaks off though its rest is there.
+  test(`a stream is continued with ${name}`, async (t) => {
+    const reply = await ask(t, [first, rest].map((ids) => eventsOf(...ids)));
+    const last = Buffer.from(first.at(-1)!).toString("latin1");
+    t.deepEqual(reply, {
+      status: 200,
+      text: eventsOf(...first) + eventsOf(...rest),
+      isComplete: true,
+      resumedAfter: [undefined, last],
+    });
+  });
+}
+
+// Guards against a stream that breaks off though no event has been sent.
+test("a stream begins anew behind a comment", async (t) => {
+  const reply = await ask(t, [": wait\n\n", eventsOf("1")]);
+  t.deepEqual(reply, {
+    status: 200,
+    text: `: wait\n\n${eventsOf("1")}`,
+    isComplete: true,
+    resumedAfter: [undefined, undefined],
+  });
+});
+
+/** Whole streams of one answer, with ids of many kinds. */
+const WHOLE: Record<string, string> = {
+  "without ids": eventsOf(undefined, undefined),
+  "with some ids": eventsOf(undefined, "1", undefined, "2", undefined),
+  "with gaps": eventsOf("1", "2", "4", "9"),
+  "with ids that are no numbers": eventsOf("x", "x", "y", "x"),
+  "with negative numbers": eventsOf("-1", "-2", "-3", "+1", "+1"),
+  "with large numbers": eventsOf(...LARGE, "9007199254740994"),
+  "with very large numbers": eventsOf(
+    `1${"0".repeat(50)}0`,
+    `1${"0".repeat(50)}1`,
+  ),
+  "with empty ids": eventsOf("1", "", "2", ""),
+  "with several ids in an event": "id: 9\nid: 2\ndata: 1\n\n" +
+    "id: 3\ndata: 2\n\n",
+  "with an id in the data": "id: 2\ndata: id: 1\ndata: 1\n\n" +
+    "id: 3\ndata: a\u2028id: 2\u2029id: 2\n\n",
+  "with fields that begin like ids": "id: 2\ndata: 1\n\nidea: 1\nid : 1\n\n" +
+    "id:3\ndata: 2\n\n",
+  "with CR LF": eventsOf("1", "2", "3").replaceAll("\n", "\r\n"),
+};
+
+for (const [name, events] of Object.entries(WHOLE)) {
+  // Guards against whole answers that are lost for the ids of their events.
+  test(`a whole stream ${name} gets through`, async (t) => {
+    const reply = await ask(t, [events]);
+    t.like(reply, { status: 200, text: events, isComplete: true });
+  });
+}
+
+test("a caller's resumed stream may have ids with gaps", async (t) => {
+  const bodies = [["30"], ["50"]].map((ids) => eventsOf(...ids));
+  const reply = await ask(t, bodies, { after: "20" });
+  t.deepEqual(reply, {
+    status: 200,
+    text: bodies.join(""),
+    isComplete: true,
+    resumedAfter: ["20", "30"],
+  });
+});
--- a/src/gateway/event_buffer.ts
+++ b/src/gateway/event_buffer.ts
@@ -2,40 +2,44 @@
  * @module */
 
 import * as chunkLists from "../runtime/chunk_list.ts";
+import * as eventOrders from "./event_order.ts";
 
 /** Complete events, and the last id among them. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly lastId?: string;
-  /** Whether each id that is a number is above those before it. */
+  /** Whether each event can follow the one before it. */
   readonly isInOrder: boolean;
+  /** Order of the stream behind them, or behind the last one that can follow. */
+  readonly order: eventOrders.EventOrder;
+  /** Id of the event that can't follow, if it has one. */
+  readonly misfit?: string;
 }
 
-const ID_LINE = /^id: ?(.*?)\r?$/gm;
+const LINE_END = /\r\n|\n|\r/;
 /** Bytes of the longest sequence that ends an event, `\r\n\r\n`, without its
  * last: as many of a partial event may belong to its end. */
 const MAX_PARTIAL_END_BYTES = 3;
 const NO_BYTES = Buffer.alloc(0);
-const NO_EVENTS: CompleteEvents = { bytes: NO_BYTES, isInOrder: true };
-const NUMBER = /^\d+$/;
 
 /** Buffers a stream that arrives in chunks; changed in place. */
 export class EventBuffer {
   readonly #partial = chunkLists.ChunkList.create();
   /** Last bytes of the partial event. */
   #tail: Buffer = NO_BYTES;
-  /** Highest id that is a number. */
-  #lastNumber = -Infinity;
+  #order: eventOrders.EventOrder;
 
-  private constructor(resumedAfter?: string) {
-    if (resumedAfter !== undefined) this.#recordId(resumedAfter);
+  private constructor(order: eventOrders.EventOrder) {
+    this.#order = order;
   }
 
-  /** Creates an empty buffer of a stream that begins behind an event, if any. */
+  /** Creates an empty buffer of an answer that goes on with a stream, if any. */
   static create(
-    { resumedAfter }: { readonly resumedAfter?: string } = {},
+    { order = eventOrders.EventOrder.create() }: {
+      readonly order?: eventOrders.EventOrder;
+    } = {},
   ): EventBuffer {
-    return new EventBuffer(resumedAfter);
+    return new EventBuffer(order);
   }
 
   /** Whether the buffer holds a partial event. */
@@ -59,25 +63,28 @@
     if (end === 0) {
       this.#partial.push(chunk);
       this.#tail = Buffer.from(searched.subarray(-MAX_PARTIAL_END_BYTES));
-      return NO_EVENTS;
+      return { bytes: NO_BYTES, isInOrder: true, order: this.#order };
     }
     const endInChunk = end - this.#tail.length;
     const bytes = this.#complete(chunk.subarray(0, endInChunk));
     this.#begin(chunk.subarray(endInChunk));
-    const ids = eventIds(bytes);
-    const isInOrder = ids
-      .map((id) => this.#recordId(id))
-      .every((isNext) => isNext);
-    return { bytes, lastId: ids.at(-1), isInOrder };
+    return { bytes, ...this.#follow(eventIds(bytes)) };
   }
 
-  /** Records an id; returns false if it is a number that is not above the last. */
-  #recordId(id: string): boolean {
-    if (!NUMBER.test(id)) return true;
-    const number = Number(id);
-    if (number <= this.#lastNumber) return false;
-    this.#lastNumber = number;
-    return true;
+  /** Adds events to the order of the stream, up to one that can't follow. */
+  #follow(
+    ids: readonly (string | undefined)[],
+  ): Omit<CompleteEvents, "bytes"> {
+    let lastId: string | undefined;
+    for (const id of ids) {
+      const order = this.#order.next(id);
+      if (order === undefined) {
+        return { lastId, isInOrder: false, order: this.#order, misfit: id };
+      }
+      this.#order = order;
+      lastId = id ?? lastId;
+    }
+    return { lastId, isInOrder: true, order: this.#order };
   }
 
   /** Removes the partial event. */
@@ -111,7 +118,28 @@
   );
 }
 
-function eventIds(bytes: Buffer): string[] {
-  if (bytes.length === 0) return [];
-  return [...bytes.toString("utf8").matchAll(ID_LINE)].map(([, id]) => id);
+/** Ids of complete events by the rules of server-sent events: the last `id` field
+ * counts. What has neither an id nor data is no event. In latin1, as headers have
+ * them. */
+function eventIds(bytes: Buffer): (string | undefined)[] {
+  const ids: (string | undefined)[] = [];
+  let id: string | undefined;
+  let isEvent = false;
+  for (const line of bytes.toString("latin1").split(LINE_END)) {
+    if (line === "") {
+      if (isEvent) ids.push(id);
+      id = undefined;
+      isEvent = false;
+      continue;
+    }
+    const colon = line.indexOf(":");
+    const name = colon < 0 ? line : line.slice(0, colon);
+    if (name === "id") id = colon < 0 ? "" : valueBehind(line, colon);
+    isEvent ||= name === "id" || name === "data";
+  }
+  return ids;
+}
+
+function valueBehind(line: string, colon: number): string {
+  return line.slice(line[colon + 1] === " " ? colon + 2 : colon + 1);
 }
--- a/src/gateway/event_buffer_test.ts
+++ b/src/gateway/event_buffer_test.ts
@@ -2,6 +2,7 @@
 
 import test from "ava";
 import * as eventBuffers from "./event_buffer.ts";
+import * as eventOrders from "./event_order.ts";
 
 /** The events that are returned for each chunk, and their last id. */
 function feed(...chunks: string[]) {
@@ -27,8 +28,9 @@
 
 test("ids that do not increase are out of order", (t) => {
   const orderOf = (text: string, resumedAfter?: string) =>
-    eventBuffers.EventBuffer.create({ resumedAfter })
-      .push(Buffer.from(text)).isInOrder;
+    eventBuffers.EventBuffer.create({
+      order: eventOrders.EventOrder.create({ resumedAfter }),
+    }).push(Buffer.from(text)).isInOrder;
   t.true(orderOf("id: 1\n\nid: 3\n\n"));
   t.true(orderOf("id: 9\n\nid: 10\n\n"));
   t.true(orderOf("data: a\n\nid: x\n\nid: x\n\n"));
@@ -45,6 +47,26 @@
   t.false(buffer.push(Buffer.from("\n")).isInOrder);
 });
 
+// Guards against ids that are missed, or found in data, where a chunk ends inside
+// of their line.
+test("ids are the same however the stream is cut into chunks", (t) => {
+  const text = "id: 1\r\ndata: id: 9\r\n\r\n: id: 8\n\nid:7\nid: 2\n\n";
+  for (let first = 0; first <= text.length; first++) {
+    for (let second = first; second <= text.length; second++) {
+      const buffer = eventBuffers.EventBuffer.create();
+      const cuts = [0, first, second, text.length];
+      const orders = cuts.slice(1).map((end, index) =>
+        buffer.push(Buffer.from(text.slice(cuts[index], end)))
+      );
+      const { order } = orders.at(-1)!;
+      if (orders.some((each) => !each.isInOrder) || order.lastId !== "2") {
+        return t.fail(`cut at ${first} and ${second}: ${order.lastId}`);
+      }
+    }
+  }
+  t.pass();
+});
+
 test("lines may end with a carriage return and a line feed", (t) => {
   const { whole } = feed("id: 7\r\ndata: x\r\n\r\n");
   t.deepEqual(whole, [["id: 7\r\ndata: x\r\n\r\n", "7"]]);
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -44,6 +44,10 @@
     type: "count",
     help: "Times that an endpoint began to send answers that are not due",
   },
+  "gateway.misordered": {
+    type: "count",
+    help: "Calls ended, as an event can't follow the one before",
+  },
   "gateway.oversized": {
     type: "count",
     help: "Calls ended for the bytes that their answers held, by bound",
