Streams: an answer that goes on with a stream begins behind its last event

Callers got streams with events missing or twice that ended as complete: of an endpoint that was asked for the events behind one, any answer was relayed whose numbers are above the last. Events left out (2, then 4), events without ids, ids of another kind, and ids that are no numbers from the beginning again all went through.

The first event of a further answer now has to follow the last one that the caller has: - it has an id that is neither the last nor the first one of the stream; - behind a number it is a higher number, also if other ids came in between; - where all ids so far were consecutive (two events, or one that is 0 or 1, or one right behind the caller's own `Last-Event-Id`), it is the next one. Otherwise the call breaks off, and another endpoint is asked.

Only the first event is judged by its distance. Numbers that skip inside one answer are how its endpoint counts, in a first run as in a further one: an endpoint that counts tokens, most of which are an event each, would lose most of its continued streams otherwise, and a few where the break falls on such a skip. Where ids have had gaps a missing event can't be told.

--- a/src/gateway/continued_streams_test.ts
+++ b/src/gateway/continued_streams_test.ts
@@ -76,6 +76,55 @@
 
 const LARGE = ["9007199254740991", "9007199254740992", "9007199254740993"];
 
+/** Ids of a stream that breaks off, of an answer that is not its rest, and of one
+ * that is. */
+const MISFITS: Record<
+  string,
+  [first: string[], misfit: (string | undefined)[], rest: string[]]
+> = {
+  "one event left out": [["1", "2"], ["4", "5"], ["3", "4"]],
+  "an event left out behind the first": [["1"], ["3"], ["2"]],
+  "an event left out of a stream that begins at 0": [["0"], ["2"], ["1"]],
+  "the last event again": [["1", "2"], ["2", "3"], ["3"]],
+  "all events again": [["1", "2"], ["1", "2", "3"], ["3"]],
+  "the last event again, with a zero in front": [["1", "2"], ["02"], ["3"]],
+  "no ids": [["1", "2"], [undefined, undefined], ["3"]],
+  "no id at first": [["1", "2"], [undefined, "3"], ["3"]],
+  "an empty id": [["1", "2"], [""], ["3"]],
+  "an id that is no number": [["1", "2"], ["x"], ["3"]],
+  "a negative number": [["1", "2"], ["-3"], ["3"]],
+  "a number with a sign": [["1", "2"], ["+3"], ["3"]],
+  "a fraction": [["1", "2"], ["2.5"], ["3"]],
+  "a lower number of another length": [["9", "10"], ["9"], ["11"]],
+  "a gap in large numbers": [LARGE.slice(0, 2), ["9007199254740994"], [
+    LARGE[2],
+  ]],
+  "a large number again": [LARGE.slice(1, 2), [LARGE[1]], [LARGE[2]]],
+  "a step back in numbers that have gaps": [["10", "20"], ["15"], ["30"]],
+  "the last of ids that are no numbers again": [["a", "b"], ["b"], ["c"]],
+  "the first of ids that are no numbers again": [["a", "b"], ["a"], ["c"]],
+  "no id behind ids that are no numbers": [["a", "b"], [undefined], ["c"]],
+  "a number from before an id that is none": [["5", "x"], ["5"], ["y"]],
+};
+
+for (const [name, [first, misfit, rest]] of Object.entries(MISFITS)) {
+  // Guards against events that are missing or come twice where another endpoint
+  // goes on with a stream.
+  test(`a stream is not continued with ${name}`, async (t) => {
+    const reply = await ask(
+      t,
+      [first, misfit, rest].map((ids) => eventsOf(...ids)),
+    );
+    const last = first.at(-1);
+    t.deepEqual(reply, {
+      status: 200,
+      text: eventsOf(...first) + eventsOf(...rest),
+      isComplete: true,
+      resumedAfter: [undefined, last, last],
+    });
+  });
+}
+
 /** Ids of a stream that breaks off, and of its rest. */
 const FITTING: Record<string, [string[], (string | undefined)[]]> = {
   "the next number": [["1", "2"], ["3", "4"]],
@@ -145,6 +194,49 @@
   });
 }
 
+/** Ids of an answer that is not the rest of its caller's stream behind an event,
+ * and of one that is. */
+const RESUMED_MISFITS: Record<
+  string,
+  [after: string, misfit: (string | undefined)[], rest: string[]]
+> = {
+  "the last event again": ["5", ["5", "6"], ["6"]],
+  "all events": ["5", ["1", "2", "3", "4", "5", "6"], ["6"]],
+  "no ids": ["5", [undefined], ["6"]],
+  "an id that is no number": ["5", ["x"], ["6"]],
+  "a large number again": [LARGE[1], [LARGE[1]], [LARGE[2]]],
+  "the last id that is no number again": ["x", ["x"], ["y"]],
+};
+
+for (const [name, [after, misfit, rest]] of Object.entries(RESUMED_MISFITS)) {
+  // Guards against events that come twice where a caller resumes its stream.
+  test(`a caller's resumed stream does not go on with ${name}`, async (t) => {
+    const [first, last] = [misfit, rest].map((ids) => eventsOf(...ids));
+    const reply = await ask(t, [first, last], { after });
+    t.deepEqual(reply, {
+      status: 200,
+      text: last,
+      isComplete: true,
+      resumedAfter: [after, after],
+    });
+  });
+}
+
+// Guards against events left out, or sent twice, where a host continues a stream
+// that its caller has resumed.
+test("a caller's resumed stream is continued behind its own events", async (t) => {
+  for (const misfit of [["8"], ["6"], ["1"], [undefined]]) {
+    const bodies = [["6"], misfit, ["7"]].map((ids) => eventsOf(...ids));
+    const reply = await ask(t, bodies, { after: "5" });
+    t.deepEqual(reply, {
+      status: 200,
+      text: eventsOf("6") + eventsOf("7"),
+      isComplete: true,
+      resumedAfter: ["5", "6", "6"],
+    });
+  }
+});
+
 test("a caller's resumed stream may have ids with gaps", async (t) => {
   const bodies = [["30"], ["50"]].map((ids) => eventsOf(...ids));
   const reply = await ask(t, bodies, { after: "20" });
@@ -155,3 +247,15 @@
     resumedAfter: ["20", "30"],
   });
 });
+
+// Guards against a second run of a stream whose caller has a part of the first:
+// without ids, it can't be told what that is.
+test("a caller's resumed stream without ids is refused", async (t) => {
+  const { status, resumedAfter } = await ask(
+    t,
+    [eventsOf(undefined), eventsOf(undefined), eventsOf(undefined)],
+    { after: "5" },
+  );
+  t.is(status, 502);
+  t.deepEqual(resumedAfter, ["5", "5", "5"]);
+});
--- a/src/gateway/event_buffer.ts
+++ b/src/gateway/event_buffer.ts
@@ -39,7 +39,7 @@
       readonly order?: eventOrders.EventOrder;
     } = {},
   ): EventBuffer {
-    return new EventBuffer(order);
+    return new EventBuffer(order.continued());
   }
 
   /** Whether the buffer holds a partial event. */
--- a/src/gateway/event_order.ts
+++ b/src/gateway/event_order.ts
@@ -1,12 +1,24 @@
-/** Order of a stream's events as their ids show it: those that are numbers increase.
+/** Order of a stream's events as their ids show it. It decides whether an answer
+ * goes on with the stream.
+ *
+ * Ids that are numbers increase. Any others are compared for equality alone.
  * @module */
 
 /** Longer numbers are compared as text: to parse them takes more time than is in
  * proportion to their length. */
 const NUMBER = /^\d{1,100}$/;
+/** Whether each id was the number behind the one before it; undefined while there
+ * is too little to tell. */
+type Numbering = "consecutive" | "other" | undefined;
+
 interface State {
+  /** First id that is known of the stream. */
+  readonly firstId?: string;
   readonly lastId?: string;
   readonly highest?: bigint;
+  readonly numbering: Numbering;
+  /** Whether the next event is the first of another answer. */
+  readonly isJoin: boolean;
 }
 
 /** The events of a stream so far; immutable. */
@@ -22,8 +34,11 @@
     { resumedAfter }: { readonly resumedAfter?: string } = {},
   ): EventOrder {
     return new EventOrder({
+      firstId: resumedAfter,
       lastId: resumedAfter,
       highest: numberOf(resumedAfter),
+      numbering: undefined,
+      isJoin: false,
     });
   }
 
@@ -32,15 +47,49 @@
     return this.#state.lastId;
   }
 
+  /** The same order, whose next event is that of another answer. */
+  continued(): EventOrder {
+    const isJoin = this.#state.lastId !== undefined;
+    return new EventOrder({ ...this.#state, isJoin });
+  }
+
   /** Order behind the next event; undefined if that can't follow. */
   next(id: string | undefined): EventOrder | undefined {
+    const { isJoin, highest, firstId } = this.#state;
+    if (isJoin && !this.#goesOnWith(id)) return undefined;
     if (id === undefined) return this;
-    const { highest } = this.#state;
     const number = numberOf(id);
     if (number !== undefined && highest !== undefined && number <= highest) {
       return undefined;
     }
-    return new EventOrder({ lastId: id, highest: number ?? highest });
+    return new EventOrder({
+      firstId: firstId ?? id,
+      lastId: id,
+      highest: number ?? highest,
+      numbering: this.#numberingWith(number),
+      isJoin: false,
+    });
+  }
+
+  /** Whether another answer may go on with an id. Where ids have been consecutive, a
+   * number beyond the next one leaves out events; elsewhere that can't be told. */
+  #goesOnWith(id: string | undefined): boolean {
+    const { firstId, lastId, numbering } = this.#state;
+    if (id === undefined || id === "") return false;
+    if (id === lastId || id === firstId) return false;
+    const last = numberOf(lastId);
+    if (last === undefined) return true;
+    const number = numberOf(id);
+    if (number === undefined) return false;
+    return numbering !== "consecutive" || number === last + 1n;
+  }
+
+  #numberingWith(number: bigint | undefined): Numbering {
+    const { lastId, numbering } = this.#state;
+    if (number === undefined || numbering === "other") return "other";
+    if (lastId === undefined) return number <= 1n ? "consecutive" : undefined;
+    const last = numberOf(lastId);
+    return last !== undefined && number === last + 1n ? "consecutive" : "other";
   }
 }
 
--- a/src/gateway/event_order_test.ts
+++ b/src/gateway/event_order_test.ts
@@ -14,6 +14,11 @@
   );
 }
 
+/** Whether another answer may go on with an event. */
+function mayGoOn(ids: readonly string[], next: string | undefined): boolean {
+  return orderOf(ids)!.continued().next(next) !== undefined;
+}
+
 test("numbers increase", (t) => {
   t.truthy(orderOf(["1", "2", "9", "10"]));
   t.truthy(orderOf(["1", "x", undefined, "2"]));
@@ -30,3 +35,35 @@
   const long = "1".repeat(200);
   t.truthy(orderOf([long, long]));
 });
+
+test("ids that are consecutive so far go on with the next number", (t) => {
+  t.true(mayGoOn(["1", "2"], "3"));
+  t.false(mayGoOn(["1", "2"], "4"));
+  t.true(mayGoOn(["7", "8"], "9"));
+  t.false(mayGoOn(["7", "8"], "10"));
+  t.true(mayGoOn(["1", "3"], "7"));
+  t.true(mayGoOn(["1", "2", "x", "3"], "7"));
+});
+
+test("a first number is one of consecutive ones only if it is 0 or 1", (t) => {
+  t.false(mayGoOn(["0"], "2"));
+  t.false(mayGoOn(["1"], "3"));
+  t.true(mayGoOn(["2"], "4"));
+});
+
+test("one event behind that of a caller shows whether ids are consecutive", (t) => {
+  const mayGoOnBehind = (ids: readonly string[], next: string) => {
+    const from = eventOrders.EventOrder.create({ resumedAfter: "5" });
+    const order = orderOf(ids, { from: from.continued() })!;
+    return order.continued().next(next) !== undefined;
+  };
+  t.true(mayGoOnBehind([], "8"));
+  t.false(mayGoOnBehind([], "5"));
+  t.false(mayGoOnBehind(["6"], "8"));
+  t.true(mayGoOnBehind(["8"], "10"));
+});
+
+test("a stream may go on anywhere while it has no events", (t) => {
+  t.true(mayGoOn([], "9"));
+  t.true(mayGoOn([], undefined));
+});
