Streams: one whose last event has no usable id is not continued

Callers of streams whose events have no ids got pieces of two runs joined, in a stream that ended as complete: where the endpoint broke off or was silent, another one was called without `Last-Event-Id`, began anew, and its events were sent behind those of the first. So it was behind an event without an id that follows others with ids (the call asked for events that had been sent), behind an empty id, and behind an id with spaces around it, which a header does not keep.

A further call is made only while nothing is sent, or behind an event whose id a header holds unchanged. Otherwise the stream breaks off, which its line shows as `isResumable` false; a silent call stays open alone. What has neither an id nor data, such as a comment, is no event and does not count.

The cost: a stream whose endpoint sends events without ids between others, such as pings with data, breaks off if the endpoint breaks off right behind one, also on a route whose streams may be resumed.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -392,7 +392,7 @@
       const isStageLost = hasStages && inputs === undefined;
       const isExhausted = isStageLost && reruns >= MAX_STAGE_RERUNS;
       const mayCall = !this.#isTooLateToCall && !isExhausted &&
-        this.#mayCallAgain(stall);
+        this.#eventOrder.isResumable && this.#mayCallAgain(stall);
       if (!mayCall) {
         this.#endUnlessOpen(stall);
         continue;
@@ -425,7 +425,11 @@
         version !== this.#binding?.version,
     });
     if (this.isFinished) return;
-    if (chosen.type === "target") return this.#call(chosen.target, inputs);
+    if (chosen.type === "target") {
+      // A call that has gone on since may have sent an event without an id.
+      if (!this.#eventOrder.isResumable) return;
+      return this.#call(chosen.target, inputs);
+    }
     if (chosen.type === "unneeded") {
       if (this.#isTooLateToCall) return this.#refuseUnlessCalled();
       // Results of stages that were run again are not needed any more.
@@ -735,9 +739,10 @@
     this.#finish(reason);
     this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#reply.abort();
+    const { isResumable } = this.#eventOrder;
     this.#log(
       "warn",
-      { reason, lastEvent: this.#lastEventId, ...details },
+      { reason, lastEvent: this.#lastEventId, isResumable, ...details },
       "Stream broken off",
     );
   }
--- a/src/gateway/continued_streams_test.ts
+++ b/src/gateway/continued_streams_test.ts
@@ -153,6 +153,30 @@
   });
 }
 
+/** Events behind whose last one a stream can't be continued. */
+const UNPLACED: Record<string, string> = {
+  "without ids": eventsOf(undefined, undefined),
+  "without an id at last": eventsOf("1", undefined),
+  "with an empty id": eventsOf("1", ""),
+  "with an id line that has no value": "id: 1\ndata: 1\n\nid\ndata: 2\n\n",
+  "with an id that a header can't hold": eventsOf("1", "2\u0000"),
+  "with an id that a header changes": eventsOf("1", " 2 "),
+};
+
+for (const [name, events] of Object.entries(UNPLACED)) {
+  // Guards against events that come twice: an endpoint that is called again can't be
+  // told what its caller has.
+  test(`a stream of events ${name} is not continued`, async (t) => {
+    const reply = await ask(t, [events, eventsOf("7")]);
+    t.deepEqual(reply, {
+      status: 200,
+      text: events,
+      isComplete: false,
+      resumedAfter: [undefined],
+    });
+  });
+}
+
 // Guards against a stream that breaks off though no event has been sent.
 test("a stream begins anew behind a comment", async (t) => {
   const reply = await ask(t, [": wait\n\n", eventsOf("1")]);
--- a/src/gateway/event_order.ts
+++ b/src/gateway/event_order.ts
@@ -1,5 +1,5 @@
 /** Order of a stream's events as their ids show it. It decides whether an answer
- * goes on with the stream.
+ * goes on with the stream, and whether one can be asked for.
  *
  * Ids that are numbers increase. Any others are compared for equality alone.
  * @module */
@@ -7,6 +7,9 @@
 /** Longer numbers are compared as text: to parse them takes more time than is in
  * proportion to their length. */
 const NUMBER = /^\d{1,100}$/;
+/** What the value of a header can hold unchanged, in latin1. */
+const HEADER_VALUE = /^[!-~\x80-\xff](?:[\t -~\x80-\xff]*[!-~\x80-\xff])?$/;
+
 /** Whether each id was the number behind the one before it; undefined while there
  * is too little to tell. */
 type Numbering = "consecutive" | "other" | undefined;
@@ -15,6 +18,8 @@
   /** First id that is known of the stream. */
   readonly firstId?: string;
   readonly lastId?: string;
+  /** Whether the last event has an id. */
+  readonly isPlaced: boolean;
   readonly highest?: bigint;
   readonly numbering: Numbering;
   /** Whether the next event is the first of another answer. */
@@ -36,6 +41,7 @@
     return new EventOrder({
       firstId: resumedAfter,
       lastId: resumedAfter,
+      isPlaced: true,
       highest: numberOf(resumedAfter),
       numbering: undefined,
       isJoin: false,
@@ -47,6 +53,13 @@
     return this.#state.lastId;
   }
 
+  /** Whether an endpoint can be asked for the events behind the last one, or for
+   * all while there are none. An event without an id would come twice. */
+  get isResumable(): boolean {
+    const { lastId, isPlaced } = this.#state;
+    return isPlaced && (lastId === undefined || HEADER_VALUE.test(lastId));
+  }
+
   /** The same order, whose next event is that of another answer. */
   continued(): EventOrder {
     const isJoin = this.#state.lastId !== undefined;
@@ -57,7 +70,9 @@
   next(id: string | undefined): EventOrder | undefined {
     const { isJoin, highest, firstId } = this.#state;
     if (isJoin && !this.#goesOnWith(id)) return undefined;
-    if (id === undefined) return this;
+    if (id === undefined) {
+      return new EventOrder({ ...this.#state, isPlaced: false });
+    }
     const number = numberOf(id);
     if (number !== undefined && highest !== undefined && number <= highest) {
       return undefined;
@@ -65,6 +80,7 @@
     return new EventOrder({
       firstId: firstId ?? id,
       lastId: id,
+      isPlaced: true,
       highest: number ?? highest,
       numbering: this.#numberingWith(number),
       isJoin: false,
--- a/src/gateway/event_order_test.ts
+++ b/src/gateway/event_order_test.ts
@@ -67,3 +67,20 @@
   t.true(mayGoOn([], "9"));
   t.true(mayGoOn([], undefined));
 });
+
+// Guards against events that come twice: an answer to a call that does not say
+// behind which event has all of them.
+test("a stream is resumable behind an event whose id a header can hold", (t) => {
+  const isResumable = (...ids: (string | undefined)[]) =>
+    orderOf(ids)!.isResumable;
+  t.true(isResumable());
+  t.true(isResumable("1"));
+  t.true(isResumable("a b"));
+  t.true(isResumable("\u00c3\u00a9"));
+  t.true(isResumable(undefined, "1"));
+  t.false(isResumable(undefined));
+  t.false(isResumable("1", undefined));
+  for (const id of ["", " 1", "1 ", "1\t", "\u0000", "1\u00002"]) {
+    t.false(isResumable("1", id), JSON.stringify(id));
+  }
+});
--- a/src/gateway/silent_call_test.ts
+++ b/src/gateway/silent_call_test.ts
@@ -6,6 +6,7 @@
 import test from "ava";
 import type * as configurations from "../configuration/mod.ts";
 import * as endpointFixture from "../endpoints/fixture.ts";
+import * as callLimits from "./call_limits.ts";
 import * as fixture from "./fixture.ts";
 import * as gateway from "./mod.ts";
 
@@ -125,6 +126,26 @@
   t.deepEqual(calls.map(({ count }) => count), [1, 0]);
 });
 
+// Guards against events of two runs in one stream: a call beside a silent one
+// begins anew where it can't be told which events have been sent.
+test("a silent stream without ids goes on at its endpoint", async (t) => {
+  const silent: http.RequestListener = async (_, response) => {
+    response.writeHead(200, SIGNED).write("data: 1\n\n");
+    await fixture.pause(2 * callLimits.EVENT_IDLE_TIMEOUT_MS);
+    response.end("data: 2\n\n");
+  };
+  const other: http.RequestListener = (_, response) => {
+    response.writeHead(200, SIGNED).end("data: 3\n\n");
+  };
+  const handlers = [silent, other].map((handle) =>
+    Object.assign(handle, { version: "v1" })
+  );
+  const { ask, calls } = await startEndpoints(t, STREAM, handlers);
+  const text = "data: 1\n\ndata: 2\n\n";
+  t.deepEqual(await ask(), { status: 200, text });
+  t.deepEqual(calls.map(({ count }) => count), [1, 0]);
+});
+
 test("a silent call goes on when the retry budget is used up", async (t) => {
   const { ask, context } = await startHost(t, SAFE, [
     { silence: 2 * IDLE_TIMEOUT_MS },
