Streams: the head of another answer does not go on with a stream

Callers got the events of a second answer behind those of the first, in a stream that ended as complete: an endpoint sent both into the body of a stream that ends with its connection, and the events had no ids. Where they had, the head of the second answer could still reach the caller.

No field of an event begins as a status line does, so that a line such as `HTTP/1.1 200 OK` in the body of a close-delimited stream is the head of another answer, and ends the call. Such lines in the data of events, in comments, and in bodies with a length or chunks are passed on. A second answer whose first byte follows an event that is not complete is still a part of it.

Evidence: without the condition in attempt.ts two of the new cases in undelimited_answer_test.ts fail: a complete stream of data 1, 2, a head and data 1, 2; and a head between events 1 and 2.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -257,13 +257,17 @@
     if (complete.bytes.length === 0) return;
     // Events of another answer behind an open body, or of a stream that begins anew
     // in place of going on.
-    if (!complete.isInOrder) return this.#breakMisordered(complete);
+    const isOther = !complete.isInOrder ||
+      complete.holdsHead && !endpointCalls.isDelimited(this.#framing!);
+    if (isOther) return this.#breakMisordered(complete);
     this.#hasEvents = true;
     this.#resume();
     this.#options.stream!.events(complete);
   }
 
-  #breakMisordered({ order, misfit }: eventBuffers.CompleteEvents): void {
+  #breakMisordered(
+    { order, misfit, holdsHead }: eventBuffers.CompleteEvents,
+  ): void {
     const { logger, metrics, request, endpoint } = this.#options;
     const { id, service } = endpoint.identity;
     metrics.count("gateway.misordered", 1, { service });
@@ -274,6 +278,7 @@
       lastEvent: order.lastId?.slice(0, MAX_LOGGED_ID),
       event: misfit?.slice(0, MAX_LOGGED_ID),
       isFirst: !this.#hasEvents,
+      holdsHead,
     }, "Call ended, as its event can't follow the one before");
     this.#exchange?.break("error");
   }
--- a/src/gateway/event_buffer.ts
+++ b/src/gateway/event_buffer.ts
@@ -14,9 +14,13 @@
   readonly order: eventOrders.EventOrder;
   /** Id of the event that can't follow, if it has one. */
   readonly misfit?: string;
+  /** Whether they hold the first line of another answer. */
+  readonly holdsHead: boolean;
 }
 
 const LINE_END = /\r\n|\n|\r/;
+/** Fields of events have other names. */
+const STATUS_LINE = /^HTTP\/1\.[01] \d{3}(?: |$)/;
 /** Bytes of the longest sequence that ends an event, `\r\n\r\n`, without its
  * last: as many of a partial event may belong to its end. */
 const MAX_PARTIAL_END_BYTES = 3;
@@ -63,18 +67,24 @@
     if (end === 0) {
       this.#partial.push(chunk);
       this.#tail = Buffer.from(searched.subarray(-MAX_PARTIAL_END_BYTES));
-      return { bytes: NO_BYTES, isInOrder: true, order: this.#order };
+      return {
+        bytes: NO_BYTES,
+        isInOrder: true,
+        holdsHead: false,
+        order: this.#order,
+      };
     }
     const endInChunk = end - this.#tail.length;
     const bytes = this.#complete(chunk.subarray(0, endInChunk));
     this.#begin(chunk.subarray(endInChunk));
-    return { bytes, ...this.#follow(eventIds(bytes)) };
+    const { ids, holdsHead } = readEvents(bytes);
+    return { bytes, holdsHead, ...this.#follow(ids) };
   }
 
   /** Adds events to the order of the stream, up to one that can't follow. */
   #follow(
     ids: readonly (string | undefined)[],
-  ): Omit<CompleteEvents, "bytes"> {
+  ): Omit<CompleteEvents, "bytes" | "holdsHead"> {
     let lastId: string | undefined;
     for (const id of ids) {
       const order = this.#order.next(id);
@@ -118,10 +128,13 @@
   );
 }
 
-/** Ids of complete events by the rules of server-sent events: the last `id` field
- * counts. What has neither an id nor data is no event. In latin1, as headers have
- * them. */
-function eventIds(bytes: Buffer): (string | undefined)[] {
+/** Reads complete events: their ids by the rules of server-sent events, where the
+ * last `id` field counts, in latin1, as headers have them. What has neither an id
+ * nor data is no event. */
+function readEvents(
+  bytes: Buffer,
+): { ids: (string | undefined)[]; holdsHead: boolean } {
+  let holdsHead = false;
   const ids: (string | undefined)[] = [];
   let id: string | undefined;
   let isEvent = false;
@@ -136,8 +149,9 @@
     const name = colon < 0 ? line : line.slice(0, colon);
     if (name === "id") id = colon < 0 ? "" : valueBehind(line, colon);
     isEvent ||= name === "id" || name === "data";
+    holdsHead ||= STATUS_LINE.test(line);
   }
-  return ids;
+  return { ids, holdsHead };
 }
 
 function valueBehind(line: string, colon: number): string {
--- a/src/gateway/undelimited_answer_test.ts
+++ b/src/gateway/undelimited_answer_test.ts
@@ -196,3 +196,34 @@
   t.deepEqual(resumedAfter, [undefined, "1", "1"]);
   t.like(reply, { status: 200, body: EVENTS, isComplete: true });
 });
+
+// Guards against events that come twice, in a stream that ends as complete: those
+// of the second answer have no ids that show it.
+test("a stream does not go on with the head of another answer", async (t) => {
+  const events = "data: 1\n\ndata: 2\n\n";
+  const head = "HTTP/1.1 200 OK\r\ntest-signature: s\r\n\r\n";
+  const { host } = await startHostOf(t, [`\r\n${events}${head}${events}`]);
+  const reply = await callerFixture.send(host.gatewayAddress, {});
+  t.false(reply.isComplete && reply.status === 200, reply.body);
+  t.false(reply.body.includes("HTTP/1.1"), reply.body);
+});
+
+test("a stream goes on elsewhere behind the head of another answer", async (t) => {
+  const head = "HTTP/1.1 200 OK\r\ntest-signature: s\r\n\r\n";
+  const { host } = await startHostOf(t, [
+    CUT,
+    `\r\n${head}`,
+    `Content-Length: ${SECOND.length}\r\n\r\n${SECOND}`,
+  ]);
+  const reply = await callerFixture.send(host.gatewayAddress, {});
+  t.like(reply, { status: 200, body: EVENTS, isComplete: true });
+});
+
+test("an event of a whole stream may have a line like that of a head", async (t) => {
+  const body = "data: HTTP/1.1 200 OK\n\n: HTTP/1.1 200 OK\n\n";
+  for (const framing of ["connection", "chunked"]) {
+    const host = await startHost(t, STREAM, FRAMINGS[framing](body));
+    const reply = await callerFixture.send(host.gatewayAddress, {});
+    t.like(reply, { status: 200, body, isComplete: true });
+  }
+});
