--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -15,6 +15,7 @@
 import * as endpointCalls from "./endpoint_call.ts";
 import * as endpointAdmissions from "./endpoint_admission.ts";
 import type * as eventBuffers from "./event_buffer.ts";
+import * as eventOrders from "./event_order.ts";
 import type * as protocols from "./protocol.ts";
 import type * as callRecords from "./call_record.ts";
 import * as refusals from "./refusal.ts";
@@ -71,6 +72,8 @@
   /** Milliseconds from arrival to the first event sent to the caller. */
   #firstEventMs?: number;
   #lastEventId?: string;
+  /** Events that the caller has. */
+  #eventOrder = eventOrders.EventOrder.create();
   #errorAnswer?: Answer;
   #pipelineRun?: pipelineRuns.PipelineRun;
   #binding?: streamBindings.StreamBinding;
@@ -283,6 +286,9 @@
     }
     const { request: incoming } = decoded;
     this.#incoming = incoming;
+    this.#eventOrder = eventOrders.EventOrder.create({
+      resumedAfter: incoming.resumeAfter,
+    });
     const reason = this.#context.isStopping()
       ? "stopping"
       : this.#evaluate(incoming);
@@ -384,7 +390,7 @@
       const isStageLost = hasStages && inputs === undefined;
       const isExhausted = isStageLost && reruns >= MAX_STAGE_RERUNS;
       const mayCall = !this.#isTooLateToCall && !isExhausted &&
-        this.#mayCallAgain(stall);
+        this.#eventOrder.isResumable && this.#mayCallAgain(stall);
       if (!mayCall) {
         this.#endUnlessOpen(stall);
         continue;
@@ -417,7 +423,11 @@
         version !== this.#binding?.version,
     });
     if (this.isFinished) return;
-    if (chosen.type === "target") return this.#call(chosen.target, inputs);
+    if (chosen.type === "target") {
+      // A call that has gone on since may have sent an event without an id.
+      if (!this.#eventOrder.isResumable) return;
+      return this.#call(chosen.target, inputs);
+    }
     if (chosen.type === "unneeded") {
       if (this.#isTooLateToCall) return this.#refuseUnlessCalled();
       // Results of stages that were run again are not needed any more.
@@ -597,7 +607,7 @@
         this.#pipelineRun?.isLate ?? false,
       ),
       inputs,
-      resumeAfter: this.#lastEventId ?? this.#incoming!.resumeAfter,
+      resumeAfter: this.#eventOrder.lastId,
     };
   }
 
@@ -616,6 +626,7 @@
   ): attempts.StreamListener {
     let head: protocols.ReplyHead;
     return {
+      order: this.#eventOrder,
       head: (received) => {
         head = received;
         // It may run now, and no other endpoint may work on the request then.
@@ -628,6 +639,7 @@
           this.#binding!.bind(call.endpoint);
           // Events of two calls must not be mixed.
           this.#openCalls.cancelOthers(call);
+          this.#eventOrder = complete.order;
           this.#relay(call, { head, complete });
         }),
     };
@@ -719,9 +731,10 @@
     this.#finish(reason);
     this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#reply.abort();
+    const { isResumable } = this.#eventOrder;
     this.#log(
       "warn",
-      { reason, lastEvent: this.#lastEventId, ...details },
+      { reason, lastEvent: this.#lastEventId, isResumable, ...details },
       "Stream broken off",
     );
   }
