Calls: an answer that ends before its upload was received is not complete

An engine that answers a long upload at once without a length, sends a part of its body and ends the connection passed for one that had sent a complete answer. The system of such an engine ends the connection and resets it on the bytes that come then; the line break behind the end was written before that reset arrived, and uploads of some megabytes were in the buffers of the system by then.

The end of an answer without a length is now held back for 50 ms if its request has a body, with the host's side open, and probed behind that. It is not complete if the connection is reset meanwhile, if bytes of the request were still in the process, or, for bodies of more than 64 KB, if the other side has not acknowledged them (from the system's table of connections; where it does not tell, this is not checked). Calls fail as those whose connection is reset. The hold applies before undici sees the end: it destroys the connection in the same event.

Not detected: a connection that ends without a reset while the upload waits in the receive buffer of the endpoint's system.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -9,19 +9,32 @@
  * that was reset. The write is harmless otherwise, since an endpoint that has
  * ended its answer reads nothing more.
  *
+ * A system that closes a connection with unread input sends what it has, an end,
+ * and a reset on the next bytes that come. The end of an answer to a request with a
+ * body is therefore held back until such a reset would have come: the line break
+ * would provoke one behind whole answers, too.
+ *
  * The connections of a process that is killed end in order as well, so an end
  * does not count if the endpoint's address refuses connections since.
  * @module */
 
 import type * as net from "node:net";
+import * as timers from "node:timers/promises";
 import * as undici from "undici";
 import * as framing from "./framing.ts";
 import * as readSlices from "./read_slices.ts";
+import * as sendQueues from "./send_queue.ts";
 import * as stoppedEndpoint from "./stopped_endpoint.ts";
 
 /** Error code that replaces `ECONNRESET`. */
 const RESET_CODE = "ERR_CONNECTION_RESET";
 const PROBE = "\r\n";
+/** Milliseconds behind an end in which a reset counts: the endpoint's system sends
+ * it a round trip later, or once the process closes what it has shut down. */
+const RESET_DELAY_MS = 50;
+/** Bytes of a request that an endpoint's system receives at once; Linux begins with
+ * a window of this size. */
+const RECEIVE_WINDOW_BYTES = 64 * 1024;
 
 /** Shared by all connections to endpoints, as they share the event loop. */
 const slices = readSlices.ReadSlices.create({
@@ -29,10 +42,15 @@
   afterTurn: setImmediate,
 });
 
-/** How a connection ended: in order, by a reset, in order at an endpoint that
- * refuses connections since, or in order without the confirmation of the host that
- * forwards it. */
-export type ConnectionEnd = "orderly" | "reset" | "stopped" | "unconfirmed";
+/** How a connection ended: in order, by a reset, in order before the request was
+ * sent whole, in order at an endpoint that refuses connections since, or in order
+ * without the confirmation of the host that forwards it. */
+export type ConnectionEnd =
+  | "orderly"
+  | "reset"
+  | "early"
+  | "stopped"
+  | "unconfirmed";
 
 /** Options of a connector. */
 export interface ConnectorOptions {
@@ -48,6 +66,11 @@
 /** What confirms the ends of connections that others forward. */
 const confirmations = new WeakMap<net.Socket, () => Promise<boolean>>();
 
+/** Bytes of the body of a request whose answer ends with the connection. */
+const uploads = new WeakMap<net.Socket, number>();
+/** Connections that have ended before the request was sent whole. */
+const early = new WeakSet<net.Socket>();
+
 /** Creates a connector for an undici dispatcher. */
 export function create(
   { timeout }: ConnectorOptions,
@@ -72,6 +95,7 @@
   // Must run before the listeners of undici and of the socket itself.
   socket.prependListener("error", renameReset);
   socket.prependListener("end", probeEnd);
+  holdEnd(socket);
   framing.watch(socket);
   slices.watch(socket);
 }
@@ -85,6 +109,27 @@
   confirmations.set(socket, confirm);
 }
 
+/** Sets that the answer which is being parsed ends with its connection, and the size
+ * of its request's body. */
+export function expectEnd({ sentBytes }: { readonly sentBytes: number }): void {
+  const socket = framing.currentConnection();
+  if (socket !== undefined && sentBytes > 0) uploads.set(socket, sentBytes);
+}
+
+/** Resolves with whether a connection that has ended had sent all bytes before, and
+ * is not reset soon after. Its own side must be open. */
+export async function hasSentAll(
+  socket: net.Socket,
+  { sentBytes }: { readonly sentBytes: number },
+): Promise<boolean> {
+  if (socket.writableLength > 0) return false;
+  await timers.setTimeout(RESET_DELAY_MS);
+  if (socket.destroyed) return false;
+  if (sentBytes <= RECEIVE_WINDOW_BYTES) return true;
+  const unacknowledged = await sendQueues.unacknowledgedBytes(socket);
+  return !socket.destroyed && (unacknowledged ?? 0) === 0;
+}
+
 /** Resolves with how the connection whose `end` event is being handled ended;
  * undefined when no such event is being handled. */
 export function currentEndCheck(): Promise<ConnectionEnd> | undefined {
@@ -114,12 +159,33 @@
   });
 }
 
+/** Has the end of a connection wait if it is that of an answer to a request with a
+ * body. */
+function holdEnd(socket: net.Socket): void {
+  const emit = socket.emit.bind(socket) as (...event: unknown[]) => boolean;
+  const end = async (sentBytes: number) => {
+    if (!await hasSentAll(socket, { sentBytes })) early.add(socket);
+    if (!socket.destroyed) emit("end");
+  };
+  socket.emit = (...event: unknown[]) => {
+    const sentBytes = uploads.get(socket);
+    if (event[0] !== "end" || sentBytes === undefined) return emit(...event);
+    uploads.delete(socket);
+    // Node would end its side of the connection, which then can't be probed.
+    socket.allowHalfOpen = true;
+    void end(sentBytes);
+    return true;
+  };
+}
+
 function probeEnd(this: net.Socket): void {
   const probed = endsInOrder(this);
   const confirm = confirmations.get(this);
   const peer = peers.get(this);
   const check = async (): Promise<ConnectionEnd> => {
-    if (!await probed) return "reset";
+    const isInOrder = await probed;
+    if (early.has(this)) return "early";
+    if (!isInOrder) return "reset";
     if (confirm) return await confirm() ? "orderly" : "unconfirmed";
     const isStopped = peer && await stoppedEndpoint.hasStopped(peer);
     return isStopped ? "stopped" : "orderly";
--- /dev/null
+++ b/src/endpoint_calls/early_end_test.ts
@@ -0,0 +1,173 @@
+/** Answers without a length whose connection ends while a part of the request is
+ * unread, over loopback.
+ * @module */
+
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
+import type * as ava from "ava";
+import test from "ava";
+import * as undici from "undici";
+import * as runtime from "../runtime/mod.ts";
+import * as connector from "./connector.ts";
+import * as exchange from "./exchange.ts";
+
+const KILOBYTE = 1024;
+/** Bytes of uploads: an endpoint's system receives the smallest ones whole, and Node
+ * reads up to 128 KB before a pause takes effect. */
+const UPLOADS = [100, 256, 1024, 4096].map((size) => size * KILOBYTE);
+const MAX_READ_BYTES = 128 * KILOBYTE;
+const ANSWER = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart";
+
+type End = (socket: net.Socket) => unknown;
+
+/** Ends behind an answer to a request that is not read. */
+const ENDS: Record<string, End> = {
+  "an end and a reset": (socket) => {
+    socket.end(() => socket.resetAndDestroy());
+  },
+  "an end and a reset 5 ms later": async (socket) => {
+    socket.end();
+    await timers.setTimeout(5);
+    socket.resetAndDestroy();
+  },
+  "an end and a reset 20 ms later": async (socket) => {
+    socket.end();
+    await timers.setTimeout(20);
+    socket.resetAndDestroy();
+  },
+  "a reset": (socket) => socket.resetAndDestroy(),
+  "a close": (socket) => socket.destroySoon(),
+};
+
+const ORDERLY_ENDS: Record<string, End> = {
+  "an end": (socket) => socket.end(),
+  "a close": (socket) => socket.destroySoon(),
+};
+
+/** Starts an endpoint that reads the head of a request, answers and ends the
+ * connection, or reads it to the end before. */
+async function startEndpoint(
+  t: ava.ExecutionContext,
+  { answer = ANSWER, end, readsAll = false }: {
+    answer?: string;
+    end: End;
+    readsAll?: boolean;
+  },
+): Promise<string> {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer({ allowHalfOpen: true }, (socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    const reply = () => socket.write(answer, () => void end(socket));
+    let left: number | undefined;
+    socket.on("data", (part) => {
+      left = (left ?? lengthOf(part)) - part.length;
+      if (readsAll && left > 0) return;
+      if (!readsAll) socket.pause();
+      reply();
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  return `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
+/** Bytes of a request, by its first part. */
+function lengthOf(part: Buffer): number {
+  const text = part.toString("latin1");
+  const [, body = 0] = /content-length: (\d+)/i.exec(text) ?? [];
+  return text.indexOf("\r\n\r\n") + 4 + Number(body);
+}
+
+/** Sends an upload; resolves with the whole answer, or why there is none. */
+function upload(
+  t: ava.ExecutionContext,
+  url: string,
+  size: number,
+): Promise<string> {
+  const dispatcher = new undici.Agent({
+    connect: connector.create({ timeout: 500 }),
+  });
+  t.teardown(() => dispatcher.destroy());
+  return new Promise((resolve) => {
+    let body = "";
+    exchange.Exchange.start(
+      { method: "POST", path: "/", headers: {}, body: Buffer.alloc(size, "x") },
+      {
+        dispatcher,
+        clock: runtime.systemClock,
+        url,
+        deadline: runtime.systemClock.now() + 3000,
+        idleTimeout: 3000,
+        maxBytes: 1000,
+        receiver: {
+          head() {},
+          data: (part) => void (body += part),
+          end: () => resolve(`whole: ${body}`),
+          fail: ({ reason, outcome }) => resolve(`${reason}, ${outcome}`),
+        },
+      },
+    );
+  });
+}
+
+const ROUNDS = 5;
+
+for (const [name, end] of Object.entries(ENDS)) {
+  // Guards against the part of an answer that counts as the whole: an endpoint that
+  // closes a connection with unread input ends it, and resets it on what comes then.
+  test(`an answer to an unread upload is not complete with ${name}`, async (t) => {
+    const url = await startEndpoint(t, { end });
+    for (const size of UPLOADS) {
+      // Closed behind a request that was read, a connection is not reset.
+      if (name === "a close" && size <= MAX_READ_BYTES) continue;
+      for (let round = 0; round < ROUNDS; round++) {
+        const answer = await upload(t, url, size);
+        t.true(
+          ["broken-stream, unknown", "connection, unknown"].includes(answer),
+          `${size} bytes: ${answer}`,
+        );
+      }
+    }
+  });
+}
+
+// Guards against the same where the endpoint ends only its side: no reset follows,
+// and the rest of the upload stays in the buffers of the system.
+test("an answer is not complete when its connection ends before the upload is received", async (t) => {
+  const url = await startEndpoint(t, { end: (socket) => socket.end() });
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const size of [1024 * KILOBYTE, 4096 * KILOBYTE]) {
+      t.is(await upload(t, url, size), "broken-stream, unknown", `${size}`);
+    }
+  }
+});
+
+for (const [name, end] of Object.entries(ORDERLY_ENDS)) {
+  // Guards against whole answers that are lost.
+  test(`an answer to an upload that was read is complete with ${name}`, async (t) => {
+    const url = await startEndpoint(t, { end, readsAll: true });
+    for (const size of [0, 1, ...UPLOADS]) {
+      for (let round = 0; round < ROUNDS; round++) {
+        t.is(await upload(t, url, size), "whole: part", `${size} bytes`);
+      }
+    }
+  });
+}
+
+// Guards against refusals that are lost: an answer that states its end is complete
+// however much of its request was read.
+test("an answer with an end of its own is complete before its request is read", async (t) => {
+  const answer = "HTTP/1.1 413 Content Too Large\r\nConnection: close\r\n" +
+    "Content-Length: 4\r\n\r\npart";
+  for (const name of ["an end and a reset 20 ms later", "an end"]) {
+    const end = ENDS[name] ?? ORDERLY_ENDS[name];
+    const url = await startEndpoint(t, { answer, end });
+    for (const size of UPLOADS) {
+      t.is(await upload(t, url, size), "whole: part", `${name}, ${size}`);
+    }
+  }
+});
--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -137,6 +137,7 @@
   #isStarted = false;
   #hasResponseHead = false;
   #method?: string;
+  #sentBytes = 0;
   #framing: Framing = "empty";
   #isDone = false;
   #interimHeads = 0;
@@ -242,6 +243,9 @@
     this.#framing = isEmpty(this.#method, status)
       ? "empty"
       : framingOf(headers);
+    if (!isDelimited(this.#framing)) {
+      connector.expectEnd({ sentBytes: this.#sentBytes });
+    }
     const { receiver } = this.#options;
     receiver.head(status, headers, { framing: this.#framing });
   }
@@ -311,6 +315,7 @@
 
   #send(outgoing: OutgoingRequest): void {
     this.#method = outgoing.method;
+    this.#sentBytes = Buffer.byteLength(outgoing.body ?? "");
     if (this.#isDone) return;
     const { dispatcher, url, hasOwnConnection } = this.#options;
     const [, origin, base] = URL_PARTS.exec(url) ?? [];
--- a/src/endpoint_calls/framing.ts
+++ b/src/endpoint_calls/framing.ts
@@ -32,6 +32,11 @@
   if (current !== undefined) progress.set(current, current.bytesRead);
 }
 
+/** The connection whose bytes are being parsed; undefined outside of that. */
+export function currentConnection(): net.Socket | undefined {
+  return current;
+}
+
 function check(this: net.Socket): void {
   const framing = this.bytesRead - progress.get(this)!;
   if (framing > MAX_FRAMING_BYTES) {
