Tunnels: an end that leaves bytes of a request behind is not confirmed

Behind a relaying host an answer that ended before its upload was received still counted as complete: the relaying host wrote its line break as the connection to the endpoint ended, closed it and confirmed the end, and threw the rest of the upload away. If nothing followed the end, the line break waited behind the rest of the upload until the call's deadline.

The relaying host now passes the end on at once, holds the connection to the endpoint, and judges the end once the other host has closed its side, which that host delays for a reset behind the end. The end is not confirmed if bytes were left in the process, if more than the other host's line break came behind it, if the endpoint has not acknowledged all, or if the connection was reset.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -28,7 +28,8 @@
 
 /** Error code that replaces `ECONNRESET`. */
 const RESET_CODE = "ERR_CONNECTION_RESET";
-const PROBE = "\r\n";
+/** What is written behind an end. */
+export const PROBE = "\r\n";
 /** Milliseconds behind an end in which a reset counts: the endpoint's system sends
  * it a round trip later, or once the process closes what it has shut down. */
 const RESET_DELAY_MS = 50;
@@ -116,18 +117,15 @@
   if (socket !== undefined && sentBytes > 0) uploads.set(socket, sentBytes);
 }
 
-/** Resolves with whether a connection that has ended had sent all bytes before, and
- * is not reset soon after. Its own side must be open. */
-export async function hasSentAll(
+/** Resolves with whether the other side of a connection has received all of the bytes
+ * that were written; true if that is not known. */
+export async function isReceived(
   socket: net.Socket,
   { sentBytes }: { readonly sentBytes: number },
 ): Promise<boolean> {
   if (socket.writableLength > 0) return false;
-  await timers.setTimeout(RESET_DELAY_MS);
-  if (socket.destroyed) return false;
   if (sentBytes <= RECEIVE_WINDOW_BYTES) return true;
-  const unacknowledged = await sendQueues.unacknowledgedBytes(socket);
-  return !socket.destroyed && (unacknowledged ?? 0) === 0;
+  return (await sendQueues.unacknowledgedBytes(socket) ?? 0) === 0;
 }
 
 /** Resolves with how the connection whose `end` event is being handled ended;
@@ -164,7 +162,9 @@
 function holdEnd(socket: net.Socket): void {
   const emit = socket.emit.bind(socket) as (...event: unknown[]) => boolean;
   const end = async (sentBytes: number) => {
-    if (!await hasSentAll(socket, { sentBytes })) early.add(socket);
+    const isSent = socket.writableLength === 0;
+    if (isSent) await timers.setTimeout(RESET_DELAY_MS);
+    if (!isSent || !await isReceived(socket, { sentBytes })) early.add(socket);
     if (!socket.destroyed) emit("end");
   };
   socket.emit = (...event: unknown[]) => {
--- /dev/null
+++ b/src/relay/early_end_test.ts
@@ -0,0 +1,180 @@
+/** Answers without a length that end while a part of the request is unread, through
+ * a host that relays.
+ * @module */
+
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
+import type * as ava from "ava";
+import test from "ava";
+import * as undici from "undici";
+import * as connector from "../endpoint_calls/connector.ts";
+import * as exchanges from "../endpoint_calls/exchange.ts";
+import type * as peers from "../peers/mod.ts";
+import * as runtime from "../runtime/mod.ts";
+import * as fixture from "./fixture.ts";
+import * as tunnelClient from "./tunnel_client.ts";
+
+const KILOBYTE = 1024;
+const UPLOADS = [100, 1024, 4096].map((size) => size * KILOBYTE);
+const ROUNDS = 5;
+const CLOSE = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+const ANSWER = `${CLOSE}\r\npart`;
+const ANSWER_WITH_LENGTH = `${CLOSE}Content-Length: 4\r\n\r\npart`;
+
+type End = (socket: net.Socket) => unknown;
+
+const end: End = (socket) => void socket.end();
+
+/** Ends a connection in order, and resets it some milliseconds later. */
+function resetAfter(delayMs: number): End {
+  return (socket) =>
+    socket.end(async () => {
+      await timers.setTimeout(delayMs);
+      socket.resetAndDestroy();
+    });
+}
+
+/** Bytes of a request, by its first part. */
+function lengthOf(part: Buffer): number {
+  const text = part.toString("latin1");
+  const [, body = 0] = /content-length: (\d+)/i.exec(text) ?? [];
+  return text.indexOf("\r\n\r\n") + 4 + Number(body);
+}
+
+/** Starts an endpoint that answers the head of a request, or the whole. */
+async function startEndpoint(
+  t: ava.ExecutionContext,
+  { answer = ANSWER, end, readsAll = false }: {
+    answer?: string;
+    end: End;
+    readsAll?: boolean;
+  },
+): Promise<string> {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer({ allowHalfOpen: true }, (socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    let left: number | undefined;
+    socket.on("data", (part) => {
+      left = (left ?? lengthOf(part)) - part.length;
+      if (readsAll && left > 0) return;
+      if (!readsAll) socket.pause();
+      socket.write(answer, () => void end(socket));
+    });
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, fixture.LOOPBACK, resolve)
+  );
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  return `${fixture.LOOPBACK}:${(server.address() as net.AddressInfo).port}`;
+}
+
+function open(
+  dialAddress: peers.DialAddress,
+  endpoint: string,
+): Promise<net.Socket> {
+  return new Promise((resolve, reject) => {
+    tunnelClient.open(dialAddress, endpoint, (error, socket) => {
+      if (socket === undefined) return reject(error);
+      connector.prepare(socket);
+      resolve(socket);
+    });
+  });
+}
+
+/** Sends an upload through a relay; resolves with the whole answer, or why there is
+ * none. */
+async function upload(
+  t: ava.ExecutionContext,
+  { dialAddress, endpoint, size }: {
+    dialAddress: peers.DialAddress;
+    endpoint: string;
+    size: number;
+  },
+): Promise<string> {
+  const tunnel = await open(dialAddress, endpoint);
+  const dispatcher = new undici.Client("http://endpoint", {
+    connect: (_, callback) => setImmediate(() => callback(null, tunnel)),
+  });
+  t.teardown(() => dispatcher.destroy());
+  const { systemClock: clock } = runtime;
+  return new Promise((resolve) => {
+    let body = "";
+    exchanges.Exchange.start(
+      { method: "POST", path: "/", headers: {}, body: Buffer.alloc(size, "x") },
+      {
+        dispatcher,
+        clock,
+        url: "http://endpoint",
+        deadline: clock.now() + 3000,
+        idleTimeout: 3000,
+        maxBytes: 1000,
+        receiver: {
+          head() {},
+          data: (part) => void (body += part),
+          end: () => resolve(`whole: ${body}`),
+          fail: ({ reason }) => resolve(reason),
+        },
+      },
+    );
+  });
+}
+
+for (const delayMs of [0, 5, 20]) {
+  // Guards against the part of an answer that counts as the whole: the relaying host
+  // confirmed the end before the reset behind it arrived.
+  test(`an answer to an unread upload through a relaying host is not complete with an end and a reset ${delayMs} ms later`, async (t) => {
+    const endpoint = await startEndpoint(t, { end: resetAfter(delayMs) });
+    const { dialAddress } = await fixture.startRelay(t);
+    for (const size of UPLOADS) {
+      for (let round = 0; round < ROUNDS; round++) {
+        const answer = await upload(t, { dialAddress, endpoint, size });
+        t.is(answer, "broken-stream", `${size} bytes`);
+      }
+    }
+  });
+}
+
+// Guards against the same where no reset follows, and against calls that last until
+// their deadline: the rest of the upload can't be written.
+test("an answer through a relaying host is not complete when its connection ends before the upload is received", async (t) => {
+  const endpoint = await startEndpoint(t, { end });
+  const { dialAddress } = await fixture.startRelay(t);
+  for (const size of [1024 * KILOBYTE, 4096 * KILOBYTE]) {
+    for (let round = 0; round < ROUNDS; round++) {
+      const answer = await upload(t, { dialAddress, endpoint, size });
+      t.is(answer, "broken-stream", `${size} bytes`);
+    }
+  }
+});
+
+// Guards against whole answers that are lost.
+test("an answer to an upload that was read is complete through a relaying host", async (t) => {
+  const ends: readonly End[] = [end, (socket) => socket.destroySoon()];
+  const { dialAddress } = await fixture.startRelay(t);
+  for (const each of ends) {
+    const endpoint = await startEndpoint(t, { end: each, readsAll: true });
+    for (const size of [0, 1, ...UPLOADS]) {
+      for (let round = 0; round < ROUNDS; round++) {
+        const answer = await upload(t, { dialAddress, endpoint, size });
+        t.is(answer, "whole: part", `${size} bytes`);
+      }
+    }
+  }
+});
+
+// Guards against refusals that are lost.
+test("an answer with an end of its own is complete through a relaying host before its request is read", async (t) => {
+  const { dialAddress } = await fixture.startRelay(t);
+  for (const each of [end, resetAfter(20)]) {
+    const answer = ANSWER_WITH_LENGTH;
+    const endpoint = await startEndpoint(t, { answer, end: each });
+    for (const size of UPLOADS) {
+      const got = await upload(t, { dialAddress, endpoint, size });
+      t.is(got, "whole: part", `${size} bytes`);
+    }
+  }
+});
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -8,6 +8,9 @@
  * forwarded as an end that is not confirmed: forwarded as a reset, it would discard
  * bytes that are on their way, perhaps the rest of a whole answer. Only a host that
  * will not ask gets a reset.
+ *
+ * An end is no orderly one if bytes for the endpoint are left, or if a reset follows
+ * before the other host closes its side, which it holds open for that.
  * @module */
 
 import * as net from "node:net";
@@ -30,6 +33,10 @@
 /** Time for which orderly ends are kept: the other host asks at once. */
 const END_RETENTION_MS = 5000;
 
+/** Time for which the other host may hold its side of a tunnel open behind an end:
+ * it asks later than that only if its end is lost, and waits for a second. */
+const CLOSE_TIMEOUT_MS = 500;
+
 /** Time from the end of the last tunnel in which the other host may ask how it
  * ended: some round trips. */
 const END_QUESTION_MS = 200;
@@ -57,12 +64,19 @@
 
 type Refusal = keyof typeof REFUSALS;
 
+/** How a tunnel has ended. */
+interface TunnelEnd {
+  readonly endpoint: stoppedEndpoint.EndpointAddress;
+  /** Whether the endpoint's connection has ended in order. */
+  readonly isInOrder: Promise<boolean>;
+}
+
 /** Tunnels that end at this host. */
 export class TunnelServer implements peers.Tunnels {
   readonly #options: TunnelServerOptions;
   readonly #tunnels = new Set<net.Socket>();
-  /** Endpoints of tunnels that have ended in order lately, by the tunnels' ids. */
-  readonly #ended = new Map<string, stoppedEndpoint.EndpointAddress>();
+  /** Tunnels that have ended lately without a reset, by their ids. */
+  readonly #ended = new Map<string, TunnelEnd>();
   /** Questions how a tunnel has ended that are not answered yet. */
   #openQuestions = 0;
   #isStopping = false;
@@ -94,12 +108,12 @@
   /** Resolves with whether the endpoint's connection of a tunnel has ended in
    * order, and the endpoint has not stopped; false if the tunnel is not known. */
   async hasEnded(tunnel: string): Promise<boolean> {
-    const endpoint = this.#ended.get(tunnel);
-    if (endpoint === undefined) return false;
+    const end = this.#ended.get(tunnel);
+    if (end === undefined) return false;
     const { hasStopped = stoppedEndpoint.hasStopped } = this.#options;
     this.#openQuestions++;
     try {
-      return !await hasStopped(endpoint);
+      return await end.isInOrder && !await hasStopped(end.endpoint);
     } finally {
       this.#openQuestions--;
     }
@@ -172,30 +186,60 @@
     };
     const cancel = clock.after(CONNECT_TIMEOUT_MS, fail);
     upstream.once("error", fail);
-    client.once("close", () => {
+    const giveUp = () => {
       cancel();
       upstream.destroy();
-    });
+    };
+    client.once("close", giveUp);
     upstream.once("connect", () => {
       cancel();
+      client.off("close", giveUp);
       upstream.off("error", fail);
       if (client.destroyed) return void upstream.destroy();
       metrics.count("relay.served", 1, { result: "open" });
       logger.info({ from, address: endpoint }, "Tunnel opened");
       client.write(headOf(tunnel));
       forward(client, upstream, {
-        onEnd: () => this.#recordEnd(tunnel, address),
+        onEnd: () => {
+          if (tunnel === undefined) return passEnd(client, upstream);
+          const isInOrder = this.#settle(client, upstream);
+          this.#recordEnd(tunnel, { endpoint: address, isInOrder });
+          client.end();
+        },
         onReset: () => endUnconfirmed(client, tunnel),
       });
     });
   }
 
-  #recordEnd(
-    tunnel: string | undefined,
-    endpoint: stoppedEndpoint.EndpointAddress,
-  ): void {
-    if (tunnel === undefined) return;
-    this.#ended.set(tunnel, endpoint);
+  /** Resolves with whether the endpoint's connection of a tunnel has ended in order,
+   * once the other host has closed its side; closes the connection. */
+  async #settle(client: net.Socket, upstream: net.Socket): Promise<boolean> {
+    const isSent = upstream.writableLength === 0;
+    let left = 0;
+    client.on("data", (part: Buffer) => void (left += part.length));
+    client.resume();
+    if (isSent) await this.#untilClosed(client, CLOSE_TIMEOUT_MS);
+    const sentBytes = upstream.bytesWritten;
+    // The other host writes its own probe behind the end.
+    const isInOrder = isSent && left <= connector.PROBE.length &&
+      await connector.isReceived(upstream, { sentBytes }) &&
+      await connector.endsInOrder(upstream);
+    upstream.destroy();
+    return isInOrder;
+  }
+
+  #untilClosed(client: net.Socket, timeout: number): Promise<void> {
+    return new Promise((resolve) => {
+      const cancel = this.#options.clock.after(timeout, resolve);
+      client.once("close", () => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+
+  #recordEnd(tunnel: string, end: TunnelEnd): void {
+    this.#ended.set(tunnel, end);
     this.#options.clock.after(
       END_RETENTION_MS,
       () => this.#ended.delete(tunnel),
@@ -228,9 +272,22 @@
   else client.end();
 }
 
-/** Called once the endpoint's connection has ended and its bytes are forwarded. */
+/** Passes the end of the endpoint's connection on to a host that does not ask how it
+ * ended. */
+function passEnd(client: net.Socket, upstream: net.Socket): void {
+  client.resume();
+  client.once("close", () => upstream.destroy());
+  void connector.endsInOrder(upstream).then((isInOrder) => {
+    upstream.destroy();
+    if (isInOrder) client.end();
+    else client.resetAndDestroy();
+  });
+}
+
+/** Called once the endpoint's connection has ended and its bytes are forwarded; the
+ * listener closes it. */
 interface EndListener {
-  /** In order: before an end is forwarded. */
+  /** In order, as far as its end shows it. */
   onEnd(): void;
   /** By a reset. */
   onReset(): void;
@@ -248,7 +305,8 @@
   upstream.pipe(client, { end: false });
   // The other host has given the call up: the endpoint is to see it.
   client.once("end", () => client.destroy());
-  client.once("close", () => upstream.destroy());
+  const close = () => void upstream.destroy();
+  client.once("close", close);
   upstream.once("error", () => {
     client.unpipe(upstream);
     // Left over while the other host does not read.
@@ -259,12 +317,7 @@
   });
   upstream.once("end", () => {
     client.unpipe(upstream);
-    client.resume();
-    void connector.endsInOrder(upstream).then((isInOrder) => {
-      upstream.destroy();
-      if (!isInOrder) return onReset();
-      onEnd();
-      client.end();
-    });
+    client.off("close", close);
+    onEnd();
   });
 }
