--- a/src/endpoint_calls/early_end_test.ts
+++ b/src/endpoint_calls/early_end_test.ts
@@ -82,16 +82,25 @@
   return text.indexOf("\r\n\r\n") + 4 + Number(body);
 }
 
+/** A dispatcher with one connection to each endpoint. */
+function createDispatcher(t: ava.ExecutionContext): undici.Agent {
+  const dispatcher = new undici.Agent({
+    connect: connector.create({ timeout: 500 }),
+    connections: 1,
+  });
+  t.teardown(() => dispatcher.destroy());
+  return dispatcher;
+}
+
 /** Sends an upload; resolves with the whole answer, or why there is none. */
 function upload(
   t: ava.ExecutionContext,
   url: string,
-  size: number,
+  { size, dispatcher = createDispatcher(t) }: {
+    size: number;
+    dispatcher?: exchange.Dispatcher;
+  },
 ): Promise<string> {
-  const dispatcher = new undici.Agent({
-    connect: connector.create({ timeout: 500 }),
-  });
-  t.teardown(() => dispatcher.destroy());
   return new Promise((resolve) => {
     let body = "";
     exchange.Exchange.start(
@@ -125,7 +134,7 @@
       // Closed behind a request that was read, a connection is not reset.
       if (name === "a close" && size <= MAX_READ_BYTES) continue;
       for (let round = 0; round < ROUNDS; round++) {
-        const answer = await upload(t, url, size);
+        const answer = await upload(t, url, { size });
         t.true(
           ["broken-stream, unknown", "connection, unknown"].includes(answer),
           `${size} bytes: ${answer}`,
@@ -141,7 +150,7 @@
   const url = await startEndpoint(t, { end: (socket) => socket.end() });
   for (let round = 0; round < ROUNDS; round++) {
     for (const size of [1024 * KILOBYTE, 4096 * KILOBYTE]) {
-      t.is(await upload(t, url, size), "broken-stream, unknown", `${size}`);
+      t.is(await upload(t, url, { size }), "broken-stream, unknown", `${size}`);
     }
   }
 });
@@ -152,7 +161,7 @@
     const url = await startEndpoint(t, { end, readsAll: true });
     for (const size of [0, 1, ...UPLOADS]) {
       for (let round = 0; round < ROUNDS; round++) {
-        t.is(await upload(t, url, size), "whole: part", `${size} bytes`);
+        t.is(await upload(t, url, { size }), "whole: part", `${size} bytes`);
       }
     }
   });
@@ -167,7 +176,60 @@
     const end = ENDS[name] ?? ORDERLY_ENDS[name];
     const url = await startEndpoint(t, { answer, end });
     for (const size of UPLOADS) {
-      t.is(await upload(t, url, size), "whole: part", `${name}, ${size}`);
+      t.is(await upload(t, url, { size }), "whole: part", `${name}, ${size}`);
     }
   }
 });
+
+/** Bytes of bodies in the order in which an endpoint receives them, with the heads
+ * that come between. */
+function bodiesOf(text: string): { length: number; isPure: boolean }[] {
+  const bodies = [];
+  for (let pos = 0; pos < text.length;) {
+    const start = text.indexOf("\r\n\r\n", pos) + 4;
+    const [, count = 0] = /content-length: (\d+)/i.exec(
+      text.slice(pos, start),
+    ) ?? [];
+    const body = text.slice(start, start + Number(count));
+    bodies.push({ length: body.length, isPure: /^x*$/.test(body) });
+    pos = start + Number(count);
+  }
+  return bodies;
+}
+
+// Guards against requests whose bytes come where the rest of an earlier body is due:
+// an endpoint may answer before it has read a body, keep the connection and read on.
+test("the rest of an upload comes before the next request on its connection", async (t) => {
+  const size = 8 * 1024 * KILOBYTE;
+  const received: string[] = [];
+  const server = net.createServer((socket) => {
+    const index = received.push("") - 1;
+    let isAnswered = false;
+    socket.on("error", () => {});
+    socket.on("data", async (part) => {
+      received[index] += part.toString("latin1");
+      if (isAnswered) return;
+      isAnswered = true;
+      socket.pause();
+      const answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart";
+      socket.write(answer);
+      await timers.setTimeout(100);
+      socket.resume();
+      socket.on("data", () => {
+        const [first, second] = bodiesOf(received[index]);
+        if (first.length === size && second?.length === 10) {
+          socket.write(answer);
+        }
+      });
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const url = `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  const dispatcher = createDispatcher(t);
+  t.is(await upload(t, url, { size, dispatcher }), "whole: part");
+  t.is(await upload(t, url, { size: 10, dispatcher }), "whole: part");
+  for (const text of received) {
+    t.true(bodiesOf(text).every(({ isPure }) => isPure));
+  }
+});
