--- a/src/endpoint_calls/exchange.ts
+++ b/src/endpoint_calls/exchange.ts
@@ -137,6 +137,7 @@
   #isStarted = false;
   #hasResponseHead = false;
   #method?: string;
+  #sentBytes = 0;
   #framing: Framing = "empty";
   #isDone = false;
   #interimHeads = 0;
@@ -243,6 +244,9 @@
     this.#framing = isEmpty(this.#method, status)
       ? "empty"
       : framingOf(headers);
+    if (!isDelimited(this.#framing)) {
+      connector.expectEnd({ sentBytes: this.#sentBytes });
+    }
     const { receiver } = this.#options;
     receiver.head(status, headers, { framing: this.#framing });
     const isEnded = this.#framing === "empty" && this.#method !== "HEAD" &&
@@ -324,6 +328,7 @@
 
   #send(outgoing: OutgoingRequest): void {
     this.#method = outgoing.method;
+    this.#sentBytes = Buffer.byteLength(outgoing.body ?? "");
     if (this.#isDone) return;
     const { dispatcher, url, hasOwnConnection } = this.#options;
     const [, origin, base] = URL_PARTS.exec(url) ?? [];
