Calls: readings of the system's connections are shared

Each answer to an upload of more than 64 KB that states no end had the table of connections read by itself; the system gives it a page at a time. Callers that wait while it is read share the next reading, which begins after they asked.

--- a/src/endpoint_calls/send_queue.ts
+++ b/src/endpoint_calls/send_queue.ts
@@ -25,7 +25,7 @@
   const local = entryOf(localAddress, localPort);
   const remote = entryOf(remoteAddress, remotePort);
   if (local === undefined || remote === undefined) return undefined;
-  const table = await fs.readFile(TABLE, "latin1").catch(() => "");
+  const table = await readTable();
   const pair = `: ${local} ${remote}`;
   const start = table.indexOf(pair);
   if (start < 0) return undefined;
@@ -34,6 +34,25 @@
   return bytes === undefined ? undefined : Number.parseInt(bytes, 16);
 }
 
+let reading: Promise<string> | undefined;
+let nextReading: Promise<string> | undefined;
+
+/** Reads the table once for all callers that wait while it is read: the system gives
+ * it a page at a time. It is never older than the call. */
+function readTable(): Promise<string> {
+  if (reading === undefined) {
+    reading = fs.readFile(TABLE, "latin1").catch(() => "").finally(() => {
+      reading = undefined;
+    });
+    return reading;
+  }
+  nextReading ??= reading.then(() => {
+    nextReading = undefined;
+    return readTable();
+  });
+  return nextReading;
+}
+
 /** An address as the table has it: the number as the machine stores it. */
 function entryOf(address = "", port = 0): string | undefined {
   const parts = address.replace(/^::ffff:/, "").split(".").map(Number);
--- a/src/endpoint_calls/send_queue_test.ts
+++ b/src/endpoint_calls/send_queue_test.ts
@@ -45,6 +45,20 @@
   t.is(accepted.bytesRead, LARGE_BYTES);
 });
 
+// Guards against a table that was read before its caller asked: callers at the same
+// time share a reading.
+test("callers at the same time get what is true as they ask", async (t) => {
+  const { client } = await connect(t);
+  const before = sendQueues.unacknowledgedBytes(client);
+  client.write(Buffer.alloc(LARGE_BYTES));
+  await timers.setImmediate();
+  const after = await Promise.all(
+    Array.from({ length: 50 }, () => sendQueues.unacknowledgedBytes(client)),
+  );
+  t.is(typeof await before, "number");
+  t.true(after.every((bytes) => bytes! > 0), `${after}`);
+});
+
 test("nothing is known of a connection that is closed, or of IPv6", async (t) => {
   const { client } = await connect(t);
   const { localPort, remoteAddress, remotePort } = client;
