Tests: early ends behind interim heads and in the own protocol

Uploads of 5 KB to 4 MB whose answers end early behind a head with status 103, and as calls of the project's own protocol, are not complete.

--- a/src/endpoint_calls/early_end_test.ts
+++ b/src/endpoint_calls/early_end_test.ts
@@ -8,8 +8,12 @@
 import test from "ava";
 import * as undici from "undici";
 import * as runtime from "../runtime/mod.ts";
+import * as telemetry from "../telemetry/mod.ts";
+import type * as calls from "./call.ts";
 import * as connector from "./connector.ts";
+import * as endpointClients from "./endpoint_client.ts";
 import * as exchange from "./exchange.ts";
+import * as fixture from "./fixture.ts";
 
 const KILOBYTE = 1024;
 /** Bytes of uploads: an endpoint's system receives the smallest ones whole, and Node
@@ -148,6 +152,61 @@
   });
 }
 
+// Guards against the same behind heads that are no answer.
+test("an answer behind an interim head is not complete before the upload is received", async (t) => {
+  const answer = `HTTP/1.1 103 Early Hints\r\n\r\n${ANSWER}`;
+  const end = ENDS["an end and a reset 5 ms later"];
+  const url = await startEndpoint(t, { answer, end });
+  for (const size of UPLOADS) {
+    t.is(await upload(t, url, { size }), "broken-stream, unknown", `${size}`);
+  }
+});
+
+/** Makes a call of the project's own protocol with an upload; resolves with the
+ * answer's body, or why there is none. */
+function callWith(
+  t: ava.ExecutionContext,
+  url: string,
+  { size }: { size: number },
+): Promise<string> {
+  const clock = runtime.systemClock;
+  const client = endpointClients.EndpointClient.create({
+    clock,
+    metrics: telemetry.noMetrics,
+  });
+  t.teardown(() => client.close());
+  const body = Buffer.alloc(size, "x");
+  const call = fixture.call(url, {
+    deadline: clock.now() + 3000,
+    input: { ...fixture.INPUTS.plain, body },
+  });
+  return new Promise((resolve) => {
+    client.call(call, {
+      token() {},
+      answer: (result) =>
+        resolve(`whole: ${Buffer.from((result as calls.PlainResult).body)}`),
+      fail: ({ reason, outcome }) => resolve(`${reason}, ${outcome}`),
+    });
+  });
+}
+
+// Guards against the same in calls of the project's own protocol.
+test("an answer in the project's own protocol is not complete before the upload is received", async (t) => {
+  const ids = Object.entries(fixture.ECHO).map(([name, value]) =>
+    `${name}: ${value}\r\n`
+  );
+  const answer = `HTTP/1.1 200 OK\r\n${ids.join("")}\r\npart`;
+  const early = ENDS["an end and a reset 5 ms later"];
+  const earlyUrl = await startEndpoint(t, { answer, end: early });
+  for (const size of UPLOADS) {
+    const got = await callWith(t, earlyUrl, { size });
+    t.is(got, "broken-stream, unknown", `${size} bytes`);
+  }
+  const end = ORDERLY_ENDS["a close"];
+  const url = await startEndpoint(t, { answer, end, readsAll: true });
+  t.is(await callWith(t, url, { size: 1024 * KILOBYTE }), "whole: part");
+});
+
 // Guards against the same where the endpoint ends only its side: no reset follows,
 // and the rest of the upload stays in the buffers of the system.
 test("an answer is not complete when its connection ends before the upload is received", async (t) => {
