--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -69,7 +69,6 @@
 const peers = new WeakMap<net.Socket, stoppedEndpoint.EndpointAddress>();
 /** What confirms the ends of connections that others forward. */
 const confirmations = new WeakMap<net.Socket, () => Promise<boolean>>();
-
 /** Bytes of the long body of a request whose answer ends with the connection. */
 const uploads = new WeakMap<net.Socket, number>();
 /** Connections that have ended before the request was sent whole. */
@@ -172,8 +171,8 @@
     if (!socket.destroyed) emit("end");
   };
   socket.emit = (...event: unknown[]) => {
-    const sentBytes = uploads.get(socket);
-    if (event[0] !== "end" || sentBytes === undefined) return emit(...event);
+    const sentBytes = event[0] === "end" ? uploads.get(socket) : undefined;
+    if (sentBytes === undefined) return emit(...event);
     uploads.delete(socket);
     // Node would end its side of the connection, which then can't be probed.
     socket.allowHalfOpen = true;
