Calls: an endpoint is checked as its connection ends, not once the end counts

The end of an answer to an upload waits for 50 ms, and the check whether its endpoint has stopped came only then, when another process may listen at the address: a part of the answer counted as the whole.

The check begins as the end is noticed, at a relaying host as it is asked, and its result is used once the wait is over.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -86,6 +86,8 @@
 const uploads = new WeakMap<net.Socket, number>();
 /** Connections that have ended before the request was sent whole. */
 const early = new WeakSet<net.Socket>();
+/** Checks of the endpoints of connections whose end waits. */
+const endpointChecks = new WeakMap<net.Socket, Promise<ConnectionEnd>>();
 
 /** Creates a connector for an undici dispatcher. */
 export function create(
@@ -194,6 +196,8 @@
     const sentBytes = event[0] === "end" ? uploads.get(socket) : undefined;
     if (sentBytes === undefined) return emit(...event);
     uploads.delete(socket);
+    // Another process may listen at the address once the wait is over.
+    endpointChecks.set(socket, checkEndpoint(socket));
     // Node would end its side of the connection, which then can't be probed.
     socket.allowHalfOpen = true;
     void end(sentBytes);
@@ -201,20 +205,25 @@
   };
 }
 
+/** Resolves with how a connection that has ended in order just now counts, by what
+ * became of its endpoint. */
+async function checkEndpoint(socket: net.Socket): Promise<ConnectionEnd> {
+  const isLate = watchEnd();
+  const confirm = confirmations.get(socket);
+  const peer = peers.get(socket);
+  if (confirm && !await confirm()) return "unconfirmed";
+  const isStopped = !confirm && peer && await stoppedEndpoint.hasStopped(peer);
+  if (isStopped) return "stopped";
+  return isLate() ? "late" : "orderly";
+}
+
 function probeEnd(this: net.Socket): void {
   const probed = endsInOrder(this);
-  const confirm = confirmations.get(this);
-  const peer = peers.get(this);
-  const isLate = watchEnd();
   const check = async (): Promise<ConnectionEnd> => {
+    const checked = endpointChecks.get(this) ?? checkEndpoint(this);
     const isInOrder = await probed;
     if (early.has(this)) return "early";
-    if (!isInOrder) return "reset";
-    if (confirm && !await confirm()) return "unconfirmed";
-    const isStopped = !confirm && peer &&
-      await stoppedEndpoint.hasStopped(peer);
-    if (isStopped) return "stopped";
-    return isLate() ? "late" : "orderly";
+    return isInOrder ? await checked : "reset";
   };
   currentCheck = check;
   // All listeners of this event run before the next microtask.
--- a/src/endpoint_calls/early_end_test.ts
+++ b/src/endpoint_calls/early_end_test.ts
@@ -24,7 +24,7 @@
 const MAX_SHORT_MS = 40;
 const ANSWER = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart";
 
-type End = (socket: net.Socket) => unknown;
+type End = (socket: net.Socket, server: net.Server) => unknown;
 
 /** Ends behind an answer to a request that is not read. */
 const ENDS: Record<string, End> = {
@@ -66,7 +66,7 @@
     socket.on("error", () => {});
     // As endpoints that are not busy end connections without a request.
     socket.on("end", () => socket.end());
-    const reply = () => socket.write(answer, () => void end(socket));
+    const reply = () => socket.write(answer, () => void end(socket, server));
     let left: number | undefined;
     socket.on("data", (part) => {
       left = (left ?? lengthOf(part)) - part.length;
@@ -133,6 +133,31 @@
 
 const ROUNDS = 5;
 
+/** Milliseconds until another process listens at the address of an endpoint. */
+const REPLACEMENT_MS = 40;
+
+// Guards against the part of an answer that counts as the whole: while its end waits,
+// another process may listen at the address of an endpoint that has stopped.
+test.serial("an answer to an upload is not complete if its endpoint is replaced", async (t) => {
+  const replace: End = (socket, server) => {
+    // Line breaks behind the end are no requests.
+    if (!server.listening) return;
+    const { port } = server.address() as net.AddressInfo;
+    server.close();
+    socket.end();
+    const next = net.createServer((caller) => {
+      caller.on("error", () => {});
+      caller.on("end", () => caller.end()).resume();
+    });
+    t.teardown(() => next.close());
+    setTimeout(() => next.listen(port, "127.0.0.1"), REPLACEMENT_MS);
+  };
+  for (const size of UPLOADS) {
+    const url = await startEndpoint(t, { readsAll: true, end: replace });
+    t.is(await upload(t, url, { size }), "broken-stream, unknown", `${size}`);
+  }
+});
+
 for (const [name, end] of Object.entries(ENDS)) {
   // Guards against the part of an answer that counts as the whole: an endpoint that
   // closes a connection with unread input ends it, and resets it on what comes then.
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -116,8 +116,9 @@
     const { hasStopped = stoppedEndpoint.hasStopped } = this.#options;
     this.#openQuestions++;
     try {
-      return await end.isInOrder && !await hasStopped(end.endpoint) &&
-        !end.isLate();
+      // Another process may listen at the address once the end has settled.
+      const stopped = hasStopped(end.endpoint);
+      return await end.isInOrder && !await stopped && !end.isLate();
     } finally {
       this.#openQuestions--;
     }
