Replies: a held stream takes no more memory than a plain answer

It is refused above 64 MB, as a plain answer is, and its call ends. A held stream also counted as begun for its objective, although its caller had nothing: its first event is now its end.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -7,7 +7,7 @@
 import * as configurations from "../configuration/mod.ts";
 import type * as telemetry from "../telemetry/mod.ts";
 import * as admissions from "./admission.ts";
-import type * as attempts from "./attempt.ts";
+import * as attempts from "./attempt.ts";
 import * as bodies from "./body.ts";
 import type * as callerConnections from "./caller_connection.ts";
 import * as callLimits from "./call_limits.ts";
@@ -654,12 +654,15 @@
     },
   ): void {
     if (this.isFinished) return;
-    if (this.#reply.head === undefined) {
-      this.#firstEventMs = this.#age;
-      this.#startStream(call, head);
-    }
+    if (this.#reply.head === undefined) this.#startStream(call, head);
+    // The caller has no event of a held stream yet.
+    if (this.#reply.isHeadSent) this.#firstEventMs ??= this.#age;
     if (complete.lastId !== undefined) this.#lastEventId = complete.lastId;
     this.#reply.write(complete.bytes);
+    const { heldBytes } = this.#reply;
+    if (heldBytes > attempts.MAX_ANSWER_BYTES) {
+      this.#refuse("failed", { heldBytes });
+    }
   }
 
   #startStream(
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -18,8 +18,8 @@
 import type * as endpoints from "./endpoint.ts";
 import type * as protocols from "./protocol.ts";
 
-/** Bytes of memory that the largest plain answer takes; it is buffered whole. */
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Bytes of memory that the largest answer takes which is buffered whole. */
+export const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 /** Bytes of memory that the largest event of a stream takes. Events carry some
  * tokens; an event without an end is to end soon, also at a host without a given
  * memory. */
--- a/src/gateway/broken_reply_test.ts
+++ b/src/gateway/broken_reply_test.ts
@@ -107,6 +107,8 @@
 /** Memory of a host, of which unread bytes may take an eighth, and a reply that
  * takes more beside what the buffers of the system take. */
 const MEMORY = 8_000_000;
+/** Milliseconds in which an endpoint sees that its call has ended. */
+const CALL_END_MS = 500;
 const LARGE_REPLY = Array.from(
   { length: 1_000_000 },
   (_, id) => `id: ${id}\ndata: ${id}\n\n`,
@@ -167,6 +169,33 @@
 // Guards against a connection that closes without any reply, as its host has no
 // memory for a stream that it holds until its end.
 test("a held stream that takes too much memory is refused", async (t) => {
-  const { status } = await askUnread(t, { kind: "streaming", version: "1.0" });
+  const { status, isComplete } = await askUnread(t, {
+    kind: "streaming",
+    version: "1.0",
+  });
+  t.deepEqual({ status, isComplete }, { status: 502, isComplete: true });
+});
+
+// Guards against a held stream without an end, at a host without a given memory.
+test("a held stream takes no more memory than a plain answer may", async (t) => {
+  let hasClosed = false;
+  const event = (id: number) => `id: ${id}\ndata: ${"x".repeat(1_000_000)}\n\n`;
+  const host = await fixture.startHost(
+    t,
+    { kind: "streaming", objective: 1000, timeout: 20_000, stages: [] },
+    async (_, response) => {
+      response.writeHead(200, { "test-signature": "s" });
+      response.once("close", () => hasClosed = true);
+      for (let id = 1; !hasClosed; id++) {
+        await new Promise((resolve) => response.write(event(id), resolve));
+      }
+    },
+  );
+  const { status } = await callerFixture.send(host.gatewayAddress, {
+    version: "1.0",
+  });
   t.is(status, 502);
+  // Its call ends too.
+  await fixture.pause(CALL_END_MS);
+  t.true(hasClosed);
 });
--- a/src/gateway/http_1_0_test.ts
+++ b/src/gateway/http_1_0_test.ts
@@ -185,3 +185,24 @@
   t.regex(text, /id: 1\n/);
   t.false(callerFixture.parse(text, { connectionEnd }).isComplete);
 });
+
+test("a stream of HTTP/1.0 is sent whole or refused behind a request for a tunnel", async (t) => {
+  const { address } = await startServer(t, STREAM, (_, response) => {
+    response.writeHead(200, { "test-signature": "s" });
+    response.write(EVENT);
+    fixture.clock.after(WORK_MS, () => response.end(NEXT_EVENT));
+  });
+  const request = callerFixture.textOf({
+    version: "1.0",
+    headers: KEEP_ALIVE,
+  });
+  const { text, connectionEnd } = await callerFixture.exchange(
+    address,
+    `${request}CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n`,
+    { probesEnd: false },
+  );
+  const reply = callerFixture.parse(text, { connectionEnd });
+  t.true(reply.isComplete, text);
+  if (reply.status === 200) t.is(reply.body, EVENT + NEXT_EVENT);
+  else t.is(reply.status, 502);
+});
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -126,9 +126,14 @@
     this.#updateUnread();
   }
 
+  /** Bytes of memory that a held stream takes. */
+  get heldBytes(): number {
+    return this.#held.heldBytes;
+  }
+
   /** Bytes of the reply that the system has not taken yet. */
   get unreadBytes(): number {
-    return this.#options.response.writableLength + this.#held.heldBytes;
+    return this.#options.response.writableLength + this.heldBytes;
   }
 
   /** Resets the connection, unless no part of the reply has been sent. Closing it
