Streams: a caller that has all events gets an empty rest

A caller whose stream was cut behind its last event, as by the end of its host, and that resumed it behind that event got 502 after as many calls as its route allows: each endpoint answered that nothing is left, and an answer without events counted as none.

A stream without events that states its end is now the rest for a caller that has sent an id; behind a first event it ended streams before, too. Without an id, or without an end of its own, it still is no answer.

continued_streams_test: 502 after three calls before, 200 after one now.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -72,6 +72,8 @@
   /** Milliseconds from arrival to the first event sent to the caller. */
   #firstEventMs?: number;
   #lastEventId?: string;
+  /** Head of the newest stream of an endpoint. */
+  #receivedHead?: protocols.ReplyHead;
   /** Events that the caller has. */
   #eventOrder = eventOrders.EventOrder.create();
   #errorAnswer?: Answer;
@@ -563,10 +565,16 @@
     if (this.isFinished) return;
     if (outcome.type === "answer") return this.#handleAnswer(outcome);
     if (outcome.type === "failed") return this.#openCalls.recordStall(outcome);
-    // A stream that ends without any event is no answer: its head was not
-    // relayed.
-    if (this.#reply.head !== undefined) return this.#endStream(outcome);
-    this.#openCalls.recordStall(UNUSABLE_ANSWER);
+    // A stream that ends without any event is no answer, unless it is the rest
+    // behind the last event of a caller that has all.
+    if (this.#reply.head === undefined) {
+      const { resumeAfter } = this.#incoming!;
+      if (resumeAfter === undefined || this.#receivedHead === undefined) {
+        return this.#openCalls.recordStall(UNUSABLE_ANSWER);
+      }
+      this.#startStream(call, this.#receivedHead);
+    }
+    this.#endStream(outcome);
   }
 
   #handleAnswer(outcome: Answer): void {
@@ -629,6 +637,7 @@
       order: this.#eventOrder,
       head: (received) => {
         head = received;
+        this.#receivedHead = received;
         // It may run now, and no other endpoint may work on the request then.
         this.#openCalls.cancelOthers(callOf());
       },
--- a/src/gateway/continued_streams_test.ts
+++ b/src/gateway/continued_streams_test.ts
@@ -283,3 +283,26 @@
   t.is(status, 502);
   t.deepEqual(resumedAfter, ["5", "5", "5"]);
 });
+
+// Guards against a caller that has all events, and whose host was killed before the
+// end, being refused when it resumes its stream.
+test("a caller that resumes its stream behind the last event gets an empty rest", async (t) => {
+  t.deepEqual(await ask(t, [""], { after: "5" }), {
+    status: 200,
+    text: "",
+    isComplete: true,
+    resumedAfter: ["5"],
+  });
+  t.deepEqual(await ask(t, ["", ""], { after: "5" }), {
+    status: 200,
+    text: "",
+    isComplete: true,
+    resumedAfter: ["5", "5"],
+  });
+});
+
+test("a stream without any event is refused unless its caller has some", async (t) => {
+  const { status, resumedAfter } = await ask(t, ["", "", ""]);
+  t.is(status, 502);
+  t.is(resumedAfter.length, 3);
+});
