--- a/src/runtime/standstill.ts
+++ b/src/runtime/standstill.ts
@@ -4,8 +4,8 @@
  * @module */
 
 /** Milliseconds without a turn of the event loop that count as a standstill. Shorter
- * ones are usual beside a busy machine, and leave no time for another process to
- * take the place of one that has ended. */
+ * ones are usual beside a busy machine, where whole answers would be lost; a process
+ * that takes the place of one that has ended within such a time is not noticed. */
 export const MIN_STANDSTILL_MS = 1000;
 /** Milliseconds between two looks at the clock. */
 const LOOK_INTERVAL_MS = 50;
