Streams: a caller's own id never keeps its request from being called

A stream whose caller names an id that no event can have, such as an empty one, was called at no endpoint and refused at its deadline: the rule for streams that can't be continued looked at the caller's id before anything was sent. The platform's adapter takes an empty id for none, so that no caller of it met this. The rule applies from the first event on.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -392,7 +392,7 @@
       const isStageLost = hasStages && inputs === undefined;
       const isExhausted = isStageLost && reruns >= MAX_STAGE_RERUNS;
       const mayCall = !this.#isTooLateToCall && !isExhausted &&
-        this.#eventOrder.isResumable && this.#mayCallAgain(stall);
+        this.#isResumable && this.#mayCallAgain(stall);
       if (!mayCall) {
         this.#endUnlessOpen(stall);
         continue;
@@ -427,7 +427,7 @@
     if (this.isFinished) return;
     if (chosen.type === "target") {
       // A call that has gone on since may have sent an event without an id.
-      if (!this.#eventOrder.isResumable) return;
+      if (!this.#isResumable) return;
       return this.#call(chosen.target, inputs);
     }
     if (chosen.type === "unneeded") {
@@ -440,6 +440,11 @@
     this.#endUnanswered(chosen.reason, chosen.about);
   }
 
+  /** Whether an endpoint can be asked for what the caller does not have yet. */
+  get #isResumable(): boolean {
+    return this.#reply.head === undefined || this.#eventOrder.isResumable;
+  }
+
   /** Whether a further call is allowed when none in flight sends anything. */
   #mayCallAgain(stall: openCalls.Stall): boolean {
     const allowance = this.#retryAllowance!;
--- a/src/gateway/continued_streams_test.ts
+++ b/src/gateway/continued_streams_test.ts
@@ -306,3 +306,14 @@
   t.is(status, 502);
   t.is(resumedAfter.length, 3);
 });
+
+// Guards against a request that no endpoint is called for, as the id that its caller
+// names can't be that of an event.
+test("a stream whose caller names an empty id is asked for with it", async (t) => {
+  const { status, text, resumedAfter } = await ask(t, [eventsOf("1", "2")], {
+    after: "",
+  });
+  t.is(status, 200);
+  t.is(text, eventsOf("1", "2"));
+  t.deepEqual(resumedAfter, [""]);
+});
