--- a/src/endpoint_calls/early_end_test.ts
+++ b/src/endpoint_calls/early_end_test.ts
@@ -14,6 +14,7 @@
 import * as endpointClients from "./endpoint_client.ts";
 import * as exchange from "./exchange.ts";
 import * as fixture from "./fixture.ts";
+import * as uploadFixture from "./upload_fixture.ts";
 
 const KILOBYTE = 1024;
 /** Bytes of uploads: an endpoint's system receives the smallest ones whole, and Node
@@ -24,10 +25,8 @@
 const MAX_SHORT_MS = 40;
 const ANSWER = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart";
 
-type End = (socket: net.Socket, server: net.Server) => unknown;
-
 /** Ends behind an answer to a request that is not read. */
-const ENDS: Record<string, End> = {
+const ENDS: Record<string, uploadFixture.End> = {
   "an end and a reset": (socket) => {
     socket.end(() => socket.resetAndDestroy());
   },
@@ -45,49 +44,22 @@
   "a close": (socket) => socket.destroySoon(),
 };
 
-const ORDERLY_ENDS: Record<string, End> = {
+const ORDERLY_ENDS: Record<string, uploadFixture.End> = {
   "an end": (socket) => socket.end(),
   "a close": (socket) => socket.destroySoon(),
 };
 
-/** Starts an endpoint that reads the head of a request, answers and ends the
- * connection, or reads it to the end before. */
+/** Starts an endpoint; resolves with its base URL. */
 async function startEndpoint(
   t: ava.ExecutionContext,
-  { answer = ANSWER, end, readsAll = false }: {
-    answer?: string;
-    end: End;
-    readsAll?: boolean;
+  { answer = ANSWER, ...options }: Partial<uploadFixture.EndpointOptions> & {
+    end: uploadFixture.End;
   },
 ): Promise<string> {
-  const sockets = new Set<net.Socket>();
-  const server = net.createServer({ allowHalfOpen: true }, (socket) => {
-    sockets.add(socket);
-    socket.on("error", () => {});
-    // As endpoints that are not busy end connections without a request.
-    socket.on("end", () => socket.end());
-    const reply = () => socket.write(answer, () => void end(socket, server));
-    let left: number | undefined;
-    socket.on("data", (part) => {
-      left = (left ?? lengthOf(part)) - part.length;
-      if (readsAll && left > 0) return;
-      if (!readsAll) socket.pause();
-      reply();
-    });
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  t.teardown(() => {
-    sockets.forEach((socket) => socket.destroy());
-    server.close();
-  });
-  return `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
-}
-
-/** Bytes of a request, by its first part. */
-function lengthOf(part: Buffer): number {
-  const text = part.toString("latin1");
-  const [, body = 0] = /content-length: (\d+)/i.exec(text) ?? [];
-  return text.indexOf("\r\n\r\n") + 4 + Number(body);
+  return `http://${await uploadFixture.startEndpoint(t, {
+    answer,
+    ...options,
+  })}`;
 }
 
 /** A dispatcher with one connection to each endpoint. */
@@ -139,7 +111,7 @@
 // Guards against the part of an answer that counts as the whole: while its end waits,
 // another process may listen at the address of an endpoint that has stopped.
 test.serial("an answer to an upload is not complete if its endpoint is replaced", async (t) => {
-  const replace: End = (socket, server) => {
+  const replace: uploadFixture.End = (socket, server) => {
     // Line breaks behind the end are no requests.
     if (!server.listening) return;
     const { port } = server.address() as net.AddressInfo;
--- a/src/endpoint_calls/late_end_test.ts
+++ b/src/endpoint_calls/late_end_test.ts
@@ -7,18 +7,10 @@
 import test from "ava";
 import * as undici from "undici";
 import * as runtime from "../runtime/mod.ts";
-import * as standstill from "../runtime/standstill.ts";
+import * as standstillFixture from "../runtime/standstill_fixture.ts";
 import * as connector from "./connector.ts";
 import * as exchange from "./exchange.ts";
 
-/** Milliseconds for which this process stands still. */
-const STANDSTILL_MS = standstill.MIN_STANDSTILL_MS + 200;
-
-function standStill(): void {
-  const flag = new Int32Array(new SharedArrayBuffer(4));
-  Atomics.wait(flag, 0, 0, STANDSTILL_MS);
-}
-
 /** Runs an exchange with a server whose answer ends with its connection, right before
  * a standstill; resolves with the body or the failure. */
 async function fetch(
@@ -29,7 +21,7 @@
     socket.on("error", () => {});
     socket.once("data", () => {
       socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n${framing}\r\nbody`);
-      standStill();
+      standstillFixture.standStill();
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
--- a/src/relay/early_end_test.ts
+++ b/src/relay/early_end_test.ts
@@ -9,6 +9,7 @@
 import * as undici from "undici";
 import * as connector from "../endpoint_calls/connector.ts";
 import * as exchanges from "../endpoint_calls/exchange.ts";
+import * as uploadFixture from "../endpoint_calls/upload_fixture.ts";
 import type * as peers from "../peers/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as fixture from "./fixture.ts";
@@ -21,12 +22,10 @@
 const ANSWER = `${CLOSE}\r\npart`;
 const ANSWER_WITH_LENGTH = `${CLOSE}Content-Length: 4\r\n\r\npart`;
 
-type End = (socket: net.Socket) => unknown;
-
-const end: End = (socket) => void socket.end();
+const end: uploadFixture.End = (socket) => void socket.end();
 
 /** Ends a connection in order, and resets it some milliseconds later. */
-function resetAfter(delayMs: number): End {
+function resetAfter(delayMs: number): uploadFixture.End {
   return (socket) =>
     socket.end(async () => {
       await timers.setTimeout(delayMs);
@@ -34,44 +33,13 @@
     });
 }
 
-/** Bytes of a request, by its first part. */
-function lengthOf(part: Buffer): number {
-  const text = part.toString("latin1");
-  const [, body = 0] = /content-length: (\d+)/i.exec(text) ?? [];
-  return text.indexOf("\r\n\r\n") + 4 + Number(body);
-}
-
-/** Starts an endpoint that answers the head of a request, or the whole. */
-async function startEndpoint(
+function startEndpoint(
   t: ava.ExecutionContext,
-  { answer = ANSWER, end, readsAll = false }: {
-    answer?: string;
-    end: End;
-    readsAll?: boolean;
+  { answer = ANSWER, ...options }: Partial<uploadFixture.EndpointOptions> & {
+    end: uploadFixture.End;
   },
 ): Promise<string> {
-  const sockets = new Set<net.Socket>();
-  const server = net.createServer({ allowHalfOpen: true }, (socket) => {
-    sockets.add(socket);
-    socket.on("error", () => {});
-    // As endpoints that are not busy end connections without a request.
-    socket.on("end", () => socket.end());
-    let left: number | undefined;
-    socket.on("data", (part) => {
-      left = (left ?? lengthOf(part)) - part.length;
-      if (readsAll && left > 0) return;
-      if (!readsAll) socket.pause();
-      socket.write(answer, () => void end(socket));
-    });
-  });
-  await new Promise<void>((resolve) =>
-    server.listen(0, fixture.LOOPBACK, resolve)
-  );
-  t.teardown(() => {
-    sockets.forEach((socket) => socket.destroy());
-    server.close();
-  });
-  return `${fixture.LOOPBACK}:${(server.address() as net.AddressInfo).port}`;
+  return uploadFixture.startEndpoint(t, { answer, ...options });
 }
 
 function open(
@@ -155,7 +123,10 @@
 
 // Guards against whole answers that are lost.
 test("an answer to an upload that was read is complete through a relaying host", async (t) => {
-  const ends: readonly End[] = [end, (socket) => socket.destroySoon()];
+  const ends: readonly uploadFixture.End[] = [
+    end,
+    (socket) => socket.destroySoon(),
+  ];
   const { dialAddress } = await fixture.startRelay(t);
   for (const each of ends) {
     const endpoint = await startEndpoint(t, { end: each, readsAll: true });
--- a/src/relay/late_end_test.ts
+++ b/src/relay/late_end_test.ts
@@ -5,18 +5,10 @@
 import * as net from "node:net";
 import type * as ava from "ava";
 import test from "ava";
-import * as standstill from "../runtime/standstill.ts";
+import * as standstillFixture from "../runtime/standstill_fixture.ts";
 import * as fixture from "./fixture.ts";
 import * as tunnelClient from "./tunnel_client.ts";
 
-/** Milliseconds for which this process stands still. */
-const STANDSTILL_MS = standstill.MIN_STANDSTILL_MS + 200;
-
-function standStill(): void {
-  const flag = new Int32Array(new SharedArrayBuffer(4));
-  Atomics.wait(flag, 0, 0, STANDSTILL_MS);
-}
-
 /** Opens a tunnel to an endpoint that ends it behind an answer; resolves with whether
  * the host that relays it confirms the end, once `wait` has returned. */
 async function confirmEnd(
@@ -55,5 +47,5 @@
 // Guards against a part of an answer that counts as whole: while the relaying host
 // stood still, the endpoint may have ended and another one taken its address.
 test.serial("a host that has stood still does not confirm the end of a tunnel", async (t) => {
-  t.false(await confirmEnd(t, standStill));
+  t.false(await confirmEnd(t, standstillFixture.standStill));
 });
