--- a/src/runtime/standstill.ts
+++ b/src/runtime/standstill.ts
@@ -7,8 +7,8 @@
  * ones are usual beside a busy machine, where whole answers would be lost; a process
  * that takes the place of one that has ended within such a time is not noticed. */
 export const MIN_STANDSTILL_MS = 1000;
-/** Milliseconds between two looks at the clock. */
-const LOOK_INTERVAL_MS = 50;
+/** Milliseconds between two looks at the clock: a standstill may seem so much longer. */
+const LOOK_INTERVAL_MS = 250;
 
 /** Dependencies of a watch. */
 export interface StandstillOptions {
