Calls: a busy host does not take a stopped endpoint for one that shows nothing

Callers got the part of an answer without a length as a whole one, as its endpoint was killed beside a busy machine.

Cause: the check of a stopped endpoint has timeouts, and timers run before connections are read. A host whose event loop was late by 250 ms found the timeout due, while the refusal of its connection had come long before.

What has come is read before the check ends without a reaction.

--- a/src/endpoint_calls/late_end_test.ts
+++ b/src/endpoint_calls/late_end_test.ts
@@ -10,6 +10,7 @@
 import * as standstillFixture from "../runtime/standstill_fixture.ts";
 import * as connector from "./connector.ts";
 import * as exchange from "./exchange.ts";
+import * as stoppedEndpoint from "./stopped_endpoint.ts";
 
 /** Runs an exchange with a server whose answer ends with its connection, right before
  * a standstill; resolves with the body or the failure. */
@@ -58,6 +59,18 @@
   t.deepEqual(seen, { result: "broken-stream", connectionEnd: "late" });
 });
 
+// Guards against a check that shows nothing as its process was busy: timers run before
+// what has come meanwhile is read.
+test.serial("an address that refused a connection during a standstill has stopped", async (t) => {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  const stopped = stoppedEndpoint.hasStopped({ host: "127.0.0.1", port });
+  standstillFixture.standStill();
+  t.true(await stopped);
+});
+
 test.serial("an answer with a length is complete whenever it is noticed", async (t) => {
   const { result } = await fetch(t, "Content-Length: 4\r\n");
   t.is(result, "body");
--- a/src/endpoint_calls/stopped_endpoint.ts
+++ b/src/endpoint_calls/stopped_endpoint.ts
@@ -50,7 +50,11 @@
     socket.once("connect", () => socket.setTimeout(REACTION_TIMEOUT_MS));
     socket.once("data", () => finish("ended"));
     socket.once("end", () => finish("ended"));
-    socket.once("timeout", () => finish("none"));
+    socket.on("timeout", () => {
+      const { connecting } = socket;
+      // Timers run before connections are read, so a reaction may have come in time.
+      setImmediate(() => connecting === socket.connecting && finish("none"));
+    });
     // Stays for errors behind the first.
     socket.on("error", ({ code = "" }: NodeJS.ErrnoException) => {
       finish(REACTIONS[code] ?? "none");
