--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -183,7 +183,8 @@
 }
 
 /** Has the end of a connection wait if it is that of an answer to a request with a
- * long body. */
+ * long body. A listener can't delay an event, and undici destroys the connection in
+ * this one. */
 function holdEnd(socket: net.Socket): void {
   const emit = socket.emit.bind(socket) as (...event: unknown[]) => boolean;
   const end = async (sentBytes: number) => {
