--- a/src/gateway/caller_fixture.ts
+++ b/src/gateway/caller_fixture.ts
@@ -59,11 +59,13 @@
   { readAfter, onBegin }: Manner = {},
 ): Promise<RawReply> {
   return new Promise((resolve) => {
-    let text = "";
+    const parts: string[] = [];
+    let length = 0;
     // Large replies are not parsed again with each part.
-    let endsWithConnection = false;
+    let mayEnd: (part: string) => boolean = () => true;
     const socket = connect(address);
     const finish = (connectionEnd?: connector.ConnectionEnd) => {
+      const text = parts.join("");
       resolve(parse(text, { connectionEnd, method: request.method }));
       socket.destroy();
     };
@@ -72,12 +74,21 @@
       if (readAfter !== undefined) void pauseUntil(socket, readAfter);
     });
     socket.on("data", (part) => {
-      text += part.toString("latin1");
-      if (endsWithConnection) return;
+      parts.push(part.toString("latin1"));
+      length += part.length;
+      if (!mayEnd(parts.slice(-4).join(""))) return;
+      const text = parts.join("");
       const reply = parse(text, { method: request.method });
       if (reply.isComplete) return finish();
-      endsWithConnection = reply.status !== undefined &&
-        reply.framing === "connection";
+      if (reply.status === undefined) return;
+      const whole = text.indexOf("\r\n\r\n") + 4 +
+        Number(reply.headers["content-length"] ?? 0);
+      const ends: Record<RawReply["framing"], typeof mayEnd> = {
+        connection: () => false,
+        length: () => length >= whole,
+        chunked: (last) => last.endsWith("\r\n\r\n"),
+      };
+      mayEnd = ends[reply.framing];
     });
     socket.on("error", () => finish("reset"));
     socket.on("end", () => void endOf(socket).then(finish));
