--- a/src/relay/fixture.ts
+++ b/src/relay/fixture.ts
@@ -37,6 +37,7 @@
         server.accept(keepsEnds ? request : { ...request, tunnel: undefined });
       },
       hasEnded: (tunnel) => server.hasEnded(tunnel),
+      standstillMs: (tunnel) => server.standstillMs(tunnel),
     },
   });
   const asker = await startPeers(t, "asker", [relay.port]);
--- a/src/relay/tunnel_client.ts
+++ b/src/relay/tunnel_client.ts
@@ -50,7 +50,7 @@
     socket.setNoDelay(true);
     // Hosts of the previous release do not keep the ends of tunnels.
     if (response.headers[peers.TUNNEL_HEADER] === tunnel) {
-      connector.confirmEnd(socket, () => hasEnded(dialAddress, tunnel));
+      connector.confirmEnd(socket, () => confirmationOf(dialAddress, tunnel));
     }
     if (head.length > 0) socket.unshift(head);
     finish(undefined, socket);
@@ -71,12 +71,12 @@
   };
 }
 
-/** Asks the other host whether a tunnel has ended in order; false if it does not
+/** Asks the other host how a tunnel has ended; not in order if it does not
  * answer. */
-function hasEnded(
+function confirmationOf(
   { address, port, headers }: peers.DialAddress,
   tunnel: string,
-): Promise<boolean> {
+): Promise<connector.Confirmation> {
   return new Promise((resolve) => {
     const request = http.get({
       host: address,
@@ -88,11 +88,15 @@
     });
     request.on("response", (response) => {
       response.resume();
-      resolve(response.statusCode === 204);
+      const standstill = response.headers[peers.STANDSTILL_HEADER];
+      resolve({
+        isInOrder: response.statusCode === 204,
+        ...(standstill !== undefined && { standstillMs: Number(standstill) }),
+      });
     });
     request.on("timeout", () => request.destroy());
-    request.on("error", () => resolve(false));
-    request.on("close", () => resolve(false));
+    request.on("error", () => resolve({ isInOrder: false }));
+    request.on("close", () => resolve({ isInOrder: false }));
   });
 }
 
