--- a/src/relay/fixture.ts
+++ b/src/relay/fixture.ts
@@ -1,11 +1,13 @@
 /** Hosts on loopback for tests: one that serves tunnels, and one that dials it.
  * @module */
 
+import type * as net from "node:net";
 import type * as ava from "ava";
 import * as peers from "../peers/mod.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import type * as pathTables from "./path_table.ts";
+import * as tunnelClient from "./tunnel_client.ts";
 import * as tunnelServers from "./tunnel_server.ts";
 
 /** Address on which all of them listen. */
@@ -69,3 +71,16 @@
   t.teardown(() => started.stop());
   return started;
 }
+
+/** Opens a tunnel to an endpoint; rejects if it is refused. */
+export function openTunnel(
+  dialAddress: peers.DialAddress,
+  endpoint: string,
+): Promise<net.Socket> {
+  return new Promise((resolve, reject) => {
+    tunnelClient.open(dialAddress, endpoint, (error, socket) => {
+      if (error !== undefined) return reject(error);
+      resolve(socket!);
+    });
+  });
+}
