Streams: the last event that was sent is a part of the order of events

It stood in three places: in the order, in each batch of complete events and in the request. The order tells the event that a caller named from those that have followed, so that the other two are gone. No change of behaviour.

Run: tests of events, requests, continued, cut and broken streams of src/gateway, and the drawn streams.

--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -71,7 +71,6 @@
   #cancelRelease = () => {};
   /** Milliseconds from arrival to the first event sent to the caller. */
   #firstEventMs?: number;
-  #lastEventId?: string;
   /** Head of the newest stream of an endpoint. */
   #receivedHead?: protocols.ReplyHead;
   /** Events that the caller has. */
@@ -671,7 +670,6 @@
     if (this.#reply.head === undefined) this.#startStream(call, head);
     // The caller has no event of a held stream yet.
     if (this.#reply.isHeadSent) this.#firstEventMs ??= this.#age;
-    if (complete.lastId !== undefined) this.#lastEventId = complete.lastId;
     this.#reply.write(complete.bytes);
     const { heldBytes } = this.#reply;
     if (heldBytes > attempts.MAX_ANSWER_BYTES) {
@@ -748,10 +746,10 @@
     this.#finish(reason);
     this.#context.metrics.count("gateway.refused", 1, { reason });
     this.#reply.abort();
-    const { isResumable } = this.#eventOrder;
+    const { isResumable, lastSentId: lastEvent } = this.#eventOrder;
     this.#log(
       "warn",
-      { reason, lastEvent: this.#lastEventId, isResumable, ...details },
+      { reason, lastEvent, isResumable, ...details },
       "Stream broken off",
     );
   }
@@ -795,7 +793,7 @@
     }
     if (!this.isFinished) {
       this.#finish();
-      const lastEvent = this.#lastEventId;
+      const { lastSentId: lastEvent } = this.#eventOrder;
       this.#log("warn", { reason: "unread", unreadBytes, lastEvent }, message);
       return;
     }
--- a/src/gateway/event_buffer.ts
+++ b/src/gateway/event_buffer.ts
@@ -4,10 +4,9 @@
 import * as chunkLists from "../runtime/chunk_list.ts";
 import * as eventOrders from "./event_order.ts";
 
-/** Complete events, and the last id among them. */
+/** Complete events, and whether they can follow what came before. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
-  readonly lastId?: string;
   /** Whether each event can follow the one before it. */
   readonly isInOrder: boolean;
   /** Order of the stream behind them, or behind the last one that can follow. */
@@ -85,16 +84,14 @@
   #follow(
     ids: readonly (string | undefined)[],
   ): Omit<CompleteEvents, "bytes" | "holdsHead"> {
-    let lastId: string | undefined;
     for (const id of ids) {
       const order = this.#order.next(id);
       if (order === undefined) {
-        return { lastId, isInOrder: false, order: this.#order, misfit: id };
+        return { isInOrder: false, order: this.#order, misfit: id };
       }
       this.#order = order;
-      lastId = id ?? lastId;
     }
-    return { lastId, isInOrder: true, order: this.#order };
+    return { isInOrder: true, order: this.#order };
   }
 
   /** Removes the partial event. */
--- a/src/gateway/event_buffer_test.ts
+++ b/src/gateway/event_buffer_test.ts
@@ -8,8 +8,8 @@
 function feed(...chunks: string[]) {
   const buffer = eventBuffers.EventBuffer.create();
   const complete = chunks.map((chunk) => {
-    const { bytes, lastId } = buffer.push(Buffer.from(chunk));
-    return [bytes.toString(), lastId];
+    const { bytes, order } = buffer.push(Buffer.from(chunk));
+    return [bytes.toString(), order.lastSentId];
   });
   return { whole: complete, isOpen: buffer.hasPartialEvent };
 }
--- a/src/gateway/event_order.ts
+++ b/src/gateway/event_order.ts
@@ -15,9 +15,12 @@
 type Numbering = "consecutive" | "other" | undefined;
 
 interface State {
+  /** Event behind which the stream begins. */
+  readonly resumedAfter?: string;
   /** First id that is known of the stream. */
   readonly firstId?: string;
-  readonly lastId?: string;
+  /** Of the events that have followed. */
+  readonly lastSentId?: string;
   /** Whether the last event has an id. */
   readonly isPlaced: boolean;
   readonly highest?: bigint;
@@ -39,8 +42,8 @@
     { resumedAfter }: { readonly resumedAfter?: string } = {},
   ): EventOrder {
     return new EventOrder({
+      resumedAfter,
       firstId: resumedAfter,
-      lastId: resumedAfter,
       isPlaced: true,
       highest: numberOf(resumedAfter),
       numbering: undefined,
@@ -48,21 +51,27 @@
     });
   }
 
-  /** Id of the last event that has one. */
+  /** Id of the last event that has one, or of that behind which the stream begins. */
   get lastId(): string | undefined {
-    return this.#state.lastId;
+    return this.#state.lastSentId ?? this.#state.resumedAfter;
+  }
+
+  /** Id of the last event that has followed and has one. */
+  get lastSentId(): string | undefined {
+    return this.#state.lastSentId;
   }
 
   /** Whether an endpoint can be asked for the events behind the last one, or for
    * all while there are none. An event without an id would come twice. */
   get isResumable(): boolean {
-    const { lastId, isPlaced } = this.#state;
+    const { lastId } = this;
+    const { isPlaced } = this.#state;
     return isPlaced && (lastId === undefined || HEADER_VALUE.test(lastId));
   }
 
   /** The same order, whose next event is that of another answer. */
   continued(): EventOrder {
-    const isJoin = this.#state.lastId !== undefined;
+    const isJoin = this.lastId !== undefined;
     return new EventOrder({ ...this.#state, isJoin });
   }
 
@@ -78,8 +87,9 @@
       return undefined;
     }
     return new EventOrder({
+      ...this.#state,
       firstId: firstId ?? id,
-      lastId: id,
+      lastSentId: id,
       isPlaced: true,
       highest: number ?? highest,
       numbering: this.#numberingWith(number),
@@ -90,7 +100,8 @@
   /** Whether another answer may go on with an id. Where ids have been consecutive, a
    * number beyond the next one leaves out events; elsewhere that can't be told. */
   #goesOnWith(id: string | undefined): boolean {
-    const { firstId, lastId, numbering } = this.#state;
+    const { lastId } = this;
+    const { firstId, numbering } = this.#state;
     if (id === undefined || id === "") return false;
     if (id === lastId || id === firstId) return false;
     const last = numberOf(lastId);
@@ -101,7 +112,8 @@
   }
 
   #numberingWith(number: bigint | undefined): Numbering {
-    const { lastId, numbering } = this.#state;
+    const { lastId } = this;
+    const { numbering } = this.#state;
     if (number === undefined || numbering === "other") return "other";
     if (lastId === undefined) return number <= 1n ? "consecutive" : undefined;
     const last = numberOf(lastId);
