Connector: companion connections are withdrawn

Cause: a connection that carries nothing isn't free for an endpoint: it holds a worker of those that serve a connection each, and one of the connections that are accepted. An idle connection of the pool would be free, but endpoints that send close-delimited answers have none.

--- a/src/endpoint_calls/connector.ts
+++ b/src/endpoint_calls/connector.ts
@@ -15,20 +15,18 @@
  * would provoke one behind whole answers, too.
  *
  * The connections of a process that is killed end in order as well, so an end
- * does not count if the endpoint's address refuses connections since. If it was noticed
- * late, as this process stood still, another process may listen at the address by then;
- * a connection that was opened to the endpoint beside a longer answer shows whether
- * that is so.
+ * does not count if the endpoint's address refuses connections since. Nor does one
+ * that was noticed late, as this process stood still: another process may listen at
+ * the address by then.
  * @module */
 
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as undici from "undici";
-import * as companion from "./companion.ts";
 import * as framing from "./framing.ts";
+import * as standstill from "../runtime/standstill.ts";
 import * as readSlices from "./read_slices.ts";
 import * as sendQueues from "./send_queue.ts";
-import * as standstills from "./standstills.ts";
 import * as stoppedEndpoint from "./stopped_endpoint.ts";
 
 /** Error code that replaces `ECONNRESET`. */
@@ -44,9 +42,8 @@
 /** Bytes of a request that an endpoint's system receives at once; Linux begins with
  * a window of this size. */
 const RECEIVE_WINDOW_BYTES = 64 * 1024;
-/** Milliseconds behind the head of an answer that ends with its connection in which
- * it mostly ends; another connection to its endpoint is opened after them. */
-const SHORT_ANSWER_MS = 50;
+/** Milliseconds behind a standstill in which what came meanwhile is still read. */
+const BACKLOG_MS = 500;
 
 /** Shared by all connections to endpoints, as they share the event loop. */
 const slices = readSlices.ReadSlices.create({
@@ -72,31 +69,25 @@
   readonly timeout: number;
 }
 
-/** What another host knows about the end of a connection that it forwards. */
-export interface Confirmation {
-  /** Whether the endpoint's connection has ended in order, and it has not stopped. */
-  readonly isInOrder: boolean;
-  /** Milliseconds since that host began to stand still, if it did around the end. */
-  readonly standstillMs?: number;
-}
+/** Shared by all connections of this process, also those that it relays. */
+const standstills = standstill.StandstillWatch.start({
+  now: () => performance.now(),
+  every: (interval, action) => void setInterval(action, interval).unref(),
+});
 
 /** What is known about a connection to an endpoint, as far as the end of an answer
  * depends on it. */
 interface Connection {
   /** The endpoint's address; absent if the connection had closed before. */
   readonly peer?: stoppedEndpoint.EndpointAddress;
-  /** Where another connection reaches the endpoint. */
-  readonly destination?: companion.Destination;
   /** Confirms the end, if another host forwards the connection. */
-  confirm?: () => Promise<Confirmation>;
+  readonly confirm?: () => Promise<boolean>;
   /** Bytes of the long body of a request whose answer ends with the connection. */
   uploadBytes?: number;
   /** Whether it has ended before the request was sent whole. */
   isEarly?: boolean;
   /** Check of the endpoint, if the end waits. */
   endpointCheck?: Promise<ConnectionEnd>;
-  /** Another connection to the endpoint, open beside a longer answer. */
-  companionship?: companion.Companionship;
 }
 
 /** Checks whether the `end` event being handled is an orderly end; set only while
@@ -104,10 +95,7 @@
 let currentCheck: (() => Promise<ConnectionEnd>) | undefined;
 const connections = new WeakMap<net.Socket, Connection>();
 /** What confirms the ends of connections that are not prepared yet. */
-const confirmations = new WeakMap<
-  net.Socket,
-  () => Promise<Confirmation>
->();
+const confirmations = new WeakMap<net.Socket, () => Promise<boolean>>();
 
 /** Creates a connector for an undici dispatcher. */
 export function create(
@@ -122,24 +110,15 @@
     });
 }
 
-/** Prepares an open connection before undici uses it; `destination` is absent if it
- * leads to the endpoint directly. */
-export function prepare(
-  socket: net.Socket,
-  { destination }: { readonly destination?: companion.Destination } = {},
-): void {
-  standstills.start();
+/** Prepares an open connection before undici uses it. */
+export function prepare(socket: net.Socket): void {
   // Behind an end the system may not know the address any more, as the probe may
   // have been answered by a reset.
   const { remoteAddress: host, remotePort: port } = socket;
   const peer = host === undefined || port === undefined
     ? undefined
     : { host, port };
-  connections.set(socket, {
-    peer,
-    destination: destination ?? (peer && companion.directTo(peer)),
-    confirm: confirmations.get(socket),
-  });
+  connections.set(socket, { peer, confirm: confirmations.get(socket) });
   // Must run before the listeners of undici and of the socket itself.
   socket.prependListener("error", renameReset);
   socket.prependListener("end", probeEnd);
@@ -148,39 +127,30 @@
   slices.watch(socket);
 }
 
-/** Sets that an end of a connection is orderly only if `confirm` resolves so. It is
- * called if an answer ends with the connection, which is prepared later. */
+/** Sets that an end of a connection, which is prepared later, is orderly only if
+ * `confirm` resolves with true. It is called if an answer ends with the
+ * connection. */
 export function confirmEnd(
   socket: net.Socket,
-  confirm: () => Promise<Confirmation>,
+  confirm: () => Promise<boolean>,
 ): void {
   confirmations.set(socket, confirm);
 }
 
+/** Returns whether the end of a connection that is being noticed now was noticed
+ * late, or the time since then included a standstill. */
+export function watchEnd(): () => boolean {
+  const earliest = performance.now() - BACKLOG_MS;
+  return () => standstills.hasEndedSince(earliest);
+}
+
 /** Sets that the answer which is being parsed ends with its connection, and the size
  * of its request's body. */
 export function expectEnd({ sentBytes }: { readonly sentBytes: number }): void {
   const socket = framing.currentConnection();
   const connection = socket && connections.get(socket);
-  if (socket === undefined || connection === undefined) return;
-  if (sentBytes > SHORT_BODY_BYTES) connection.uploadBytes = sentBytes;
-  accompany(socket, connection);
-}
-
-/** Opens another connection to the endpoint unless the answer ends soon; it is closed
- * with that of the answer. */
-function accompany(socket: net.Socket, connection: Connection): void {
-  const { destination } = connection;
-  if (destination === undefined) return;
-  const timer = setTimeout(() => {
-    connection.companionship = companion.accompany(destination);
-  }, SHORT_ANSWER_MS).unref();
-  socket.once("close", () => {
-    clearTimeout(timer);
-    // The check of the endpoint goes on behind the close.
-    const checked = connection.endpointCheck ?? Promise.resolve();
-    void checked.finally(() => connection.companionship?.end());
-  });
+  if (connection === undefined || sentBytes <= SHORT_BODY_BYTES) return;
+  connection.uploadBytes = sentBytes;
 }
 
 /** Resolves with whether the other side of a connection has received all of the bytes
@@ -252,24 +222,13 @@
 /** Resolves with how a connection that has ended in order just now counts, by what
  * became of its endpoint. */
 async function checkEndpoint(
-  { confirm, peer, companionship }: Connection,
+  { confirm, peer }: Connection,
 ): Promise<ConnectionEnd> {
-  const surroundings = standstills.around();
-  const confirmation = await confirm?.();
-  if (confirmation?.isInOrder === false) return "unconfirmed";
+  const isLate = watchEnd();
+  if (confirm && !await confirm()) return "unconfirmed";
   const isStopped = !confirm && peer && await stoppedEndpoint.hasStopped(peer);
   if (isStopped) return "stopped";
-  // What the system has noticed by now is read before the next check phase.
-  await timers.setImmediate();
-  const { standstillMs = -Infinity } = confirmation ?? {};
-  const begin = Math.min(
-    surroundings.begin(),
-    performance.now() - standstillMs,
-  );
-  if (begin === Infinity) return "orderly";
-  const sign = companionship?.signSince(begin) ?? "none";
-  const isLate = sign === "none" ? surroundings.isLong() : sign === "ended";
-  return isLate ? "late" : "orderly";
+  return isLate() ? "late" : "orderly";
 }
 
 function probeEnd(this: net.Socket): void {
--- a/src/peers/listener.ts
+++ b/src/peers/listener.ts
@@ -47,9 +47,6 @@
   /** Resolves with whether the endpoint's connection of a tunnel has ended in
    * order, and the endpoint has not stopped. */
   hasEnded(tunnel: string): Promise<boolean>;
-  /** Milliseconds since this process began to stand still, if it did around the end
-   * of a tunnel; undefined if not. */
-  standstillMs(tunnel: string): number | undefined;
 }
 
 /** Header of a request for a tunnel that identifies it, and of its response if its
@@ -59,10 +56,6 @@
  * ended in order, and 404 otherwise. */
 export const TUNNEL_END_PATH = "/tunnel-ends/";
 
-/** Header of the response with this status: milliseconds since the forwarding host
- * began to stand still, if it did around the end. */
-export const STANDSTILL_HEADER = "chicoryloft-standstill-ms";
-
 /** The process that sends messages on a connection. */
 export interface Sender {
   /** Its host, authenticated. */
@@ -97,13 +90,13 @@
 export async function listen(options: ListenerOptions): Promise<Listener> {
   const { address, port, admit, incarnation } = options;
   const server = http.createServer((request, response) => {
-    void responseTo(request, options)
-      .catch((err): PlainResponse => {
+    void statusOf(request, options)
+      .catch((err) => {
         options.logger.warn({ err, url: request.url }, "Request failed");
-        return { status: 500 };
+        return 500;
       })
-      .then(({ status, headers }) => {
-        response.writeHead(status, { ...headers, connection: "close" }).end();
+      .then((status) => {
+        response.writeHead(status, { connection: "close" }).end();
       });
   });
   const sockets = new ws.WebSocketServer({
@@ -174,24 +167,15 @@
   };
 }
 
-/** Response to a plain request. */
-interface PlainResponse {
-  readonly status: number;
-  readonly headers?: http.OutgoingHttpHeaders;
-}
-
-async function responseTo(
+/** Status of the response to a plain request. */
+async function statusOf(
   { url = "", headers }: http.IncomingMessage,
   { admit, tunnels }: ListenerOptions,
-): Promise<PlainResponse> {
-  if (!url.startsWith(TUNNEL_END_PATH)) return { status: 426 };
-  if (admit(headers) === undefined) return { status: 403 };
+): Promise<number> {
+  if (!url.startsWith(TUNNEL_END_PATH)) return 426;
+  if (admit(headers) === undefined) return 403;
   const tunnel = url.slice(TUNNEL_END_PATH.length);
-  if (!await tunnels?.hasEnded(tunnel)) return { status: 404 };
-  const standstill = tunnels?.standstillMs(tunnel);
-  return standstill === undefined
-    ? { status: 204 }
-    : { status: 204, headers: { [STANDSTILL_HEADER]: standstill } };
+  return await tunnels?.hasEnded(tunnel) ? 204 : 404;
 }
 
 /** Passes on a request for a tunnel of a host of the fleet. */
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -7,9 +7,5 @@
 export { PeerError } from "./errors.ts";
 export * from "./unresponsive_hosts.ts";
 export * from "./peers.ts";
-export {
-  STANDSTILL_HEADER,
-  TUNNEL_END_PATH,
-  TUNNEL_HEADER,
-} from "./listener.ts";
+export { TUNNEL_END_PATH, TUNNEL_HEADER } from "./listener.ts";
 export type { TunnelRequest, Tunnels } from "./listener.ts";
--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -314,26 +314,26 @@
   await open.peers.stop();
 });
 
-/** Asks a host how a tunnel has ended; resolves with the response, or undefined if
- * there is none. */
+/** Asks a host how a tunnel has ended; resolves with the status, or undefined if
+ * there is no answer. */
 function askHowEnded(
   { address, port, headers }: peers.DialAddress,
-): Promise<http.IncomingMessage | undefined> {
+): Promise<number | undefined> {
   return new Promise((resolve) => {
     const path = `${peers.TUNNEL_END_PATH}some`;
     http.get({ host: address, port, path, headers, agent: false })
-      .on("response", (response) => resolve(response.resume()))
+      .on("response", (response) => {
+        response.resume();
+        resolve(response.statusCode);
+      })
       .on("error", () => resolve(undefined));
   });
 }
 
 /** Starts a host, and another one that may ask it how tunnels have ended. */
-async function createAskedPair(
-  hasEnded: () => Promise<boolean>,
-  { standstillMs }: { readonly standstillMs?: number } = {},
-) {
+async function createAskedPair(hasEnded: () => Promise<boolean>) {
   const asked = await createNode("b", [hostAt("a", 0)], {
-    tunnels: { accept() {}, hasEnded, standstillMs: () => standstillMs },
+    tunnels: { accept() {}, hasEnded },
   });
   const asker = await createNode("a", [hostAt("b", asked.peers.port)]);
   return { asked, asker, dialAddress: asker.peers.dialAddress("b")! };
@@ -344,24 +344,10 @@
   const { asked, asker, dialAddress } = await createAskedPair(() =>
     Promise.reject(new Error("no answer"))
   );
-  t.is((await askHowEnded(dialAddress))?.statusCode, 500);
+  t.is(await askHowEnded(dialAddress), 500);
   await Promise.all([asked.peers.stop(), asker.peers.stop()]);
 });
 
-for (const standstillMs of [undefined, 300]) {
-  test(`a host tells how a tunnel has ended and its standstill of ${standstillMs} ms`, async (t) => {
-    const hasEnded = () => Promise.resolve(true);
-    const { asked, asker, dialAddress } = await createAskedPair(hasEnded, {
-      standstillMs,
-    });
-    const { statusCode, headers } = (await askHowEnded(dialAddress))!;
-    const expected = standstillMs === undefined ? undefined : `${standstillMs}`;
-    t.is(statusCode, 204);
-    t.is(headers[peers.STANDSTILL_HEADER], expected);
-    await Promise.all([asked.peers.stop(), asker.peers.stop()]);
-  });
-}
-
 test("a question that is answered after the host has stopped gets no answer", async (t) => {
   let answer = (_hasEnded: boolean) => {};
   let isAsked = false;
@@ -369,10 +355,10 @@
     isAsked = true;
     return new Promise((resolve) => answer = resolve);
   });
-  const response = askHowEnded(dialAddress);
+  const status = askHowEnded(dialAddress);
   await until(() => isAsked);
   await asked.peers.stop();
   answer(true);
-  t.is(await response, undefined);
+  t.is(await status, undefined);
   await asker.peers.stop();
 });
--- a/src/relay/endpoint_paths.ts
+++ b/src/relay/endpoint_paths.ts
@@ -8,7 +8,6 @@
 
 import type * as net from "node:net";
 import type * as undici from "undici";
-import type * as companion from "../endpoint_calls/companion.ts";
 import * as connector from "../endpoint_calls/connector.ts";
 import type * as connections from "../endpoint_calls/connections.ts";
 import type * as telemetry from "../telemetry/mod.ts";
@@ -162,20 +161,8 @@
     }
     const connection = await this.#openOn(endpoint, path);
     this.#watch(endpoint, connection);
-    const { socket, relay } = connection;
-    const destination = relay === undefined
-      ? undefined
-      : this.#relayedDestination(endpoint, relay);
-    connector.prepare(socket, { destination });
-    return socket;
-  }
-
-  #relayedDestination(endpoint: string, relay: string): companion.Destination {
-    const { dialer } = this.#options;
-    return {
-      key: `${endpoint} through ${relay}`,
-      dial: (callback) => dialer.tunnel({ host: relay, endpoint }, callback),
-    };
+    connector.prepare(connection.socket);
+    return connection.socket;
   }
 
   /** Opens a connection and records which path it took. */
--- a/src/relay/fixture.ts
+++ b/src/relay/fixture.ts
@@ -39,7 +39,6 @@
         server.accept(keepsEnds ? request : { ...request, tunnel: undefined });
       },
       hasEnded: (tunnel) => server.hasEnded(tunnel),
-      standstillMs: (tunnel) => server.standstillMs(tunnel),
     },
   });
   const asker = await startPeers(t, "asker", [relay.port]);
--- a/src/relay/tunnel_client.ts
+++ b/src/relay/tunnel_client.ts
@@ -50,7 +50,7 @@
     socket.setNoDelay(true);
     // Hosts of the previous release do not keep the ends of tunnels.
     if (response.headers[peers.TUNNEL_HEADER] === tunnel) {
-      connector.confirmEnd(socket, () => confirmationOf(dialAddress, tunnel));
+      connector.confirmEnd(socket, () => hasEnded(dialAddress, tunnel));
     }
     if (head.length > 0) socket.unshift(head);
     finish(undefined, socket);
@@ -71,12 +71,12 @@
   };
 }
 
-/** Asks the other host how a tunnel has ended; not in order if it does not
+/** Asks the other host whether a tunnel has ended in order; false if it does not
  * answer. */
-function confirmationOf(
+function hasEnded(
   { address, port, headers }: peers.DialAddress,
   tunnel: string,
-): Promise<connector.Confirmation> {
+): Promise<boolean> {
   return new Promise((resolve) => {
     const request = http.get({
       host: address,
@@ -88,15 +88,11 @@
     });
     request.on("response", (response) => {
       response.resume();
-      const standstill = response.headers[peers.STANDSTILL_HEADER];
-      resolve({
-        isInOrder: response.statusCode === 204,
-        ...(standstill !== undefined && { standstillMs: Number(standstill) }),
-      });
+      resolve(response.statusCode === 204);
     });
     request.on("timeout", () => request.destroy());
-    request.on("error", () => resolve({ isInOrder: false }));
-    request.on("close", () => resolve({ isInOrder: false }));
+    request.on("error", () => resolve(false));
+    request.on("close", () => resolve(false));
   });
 }
 
--- a/src/relay/tunnel_server.ts
+++ b/src/relay/tunnel_server.ts
@@ -15,7 +15,6 @@
 
 import * as net from "node:net";
 import * as connector from "../endpoint_calls/connector.ts";
-import * as standstills from "../endpoint_calls/standstills.ts";
 import * as stoppedEndpoint from "../endpoint_calls/stopped_endpoint.ts";
 import * as peers from "../peers/mod.ts";
 import * as delays from "../runtime/delay.ts";
@@ -70,7 +69,8 @@
   readonly endpoint: stoppedEndpoint.EndpointAddress;
   /** Whether the endpoint's connection has ended in order. */
   readonly isInOrder: Promise<boolean>;
-  readonly surroundings: standstills.Surroundings;
+  /** Whether the end was noticed late, or this host has stood still since. */
+  isLate(): boolean;
 }
 
 /** Tunnels that end at this host. */
@@ -118,20 +118,12 @@
     try {
       // Another process may listen at the address once the end has settled.
       const stopped = hasStopped(end.endpoint);
-      return await end.isInOrder && !await stopped &&
-        !end.surroundings.isLong();
+      return await end.isInOrder && !await stopped && !end.isLate();
     } finally {
       this.#openQuestions--;
     }
   }
 
-  /** Milliseconds since this process began to stand still, if it did around the end of
-   * a tunnel; undefined if not. */
-  standstillMs(tunnel: string): number | undefined {
-    const begin = this.#ended.get(tunnel)?.surroundings.begin() ?? Infinity;
-    return begin === Infinity ? undefined : performance.now() - begin;
-  }
-
   /** Refuses new tunnels from now on. */
   drain(): void {
     this.#isStopping = true;
@@ -218,7 +210,7 @@
           this.#recordEnd(tunnel, {
             endpoint: address,
             isInOrder: this.#settle(client, upstream),
-            surroundings: standstills.around(),
+            isLate: connector.watchEnd(),
           });
           client.end();
         },
@@ -256,22 +248,18 @@
 
   #recordEnd(tunnel: string, end: TunnelEnd): void {
     this.#ended.set(tunnel, end);
-    const unwatch = standstills.watchShort();
-    this.#options.clock.after(END_RETENTION_MS, () => {
-      unwatch();
-      this.#ended.delete(tunnel);
-    });
+    this.#options.clock.after(
+      END_RETENTION_MS,
+      () => this.#ended.delete(tunnel),
+    );
   }
 
   #add(client: net.Socket): void {
     const { metrics } = this.#options;
-    standstills.start();
-    const unwatch = standstills.watchShort();
     this.#tunnels.add(client);
     metrics.gauge("relay.tunnels", this.count);
     client.once("close", () => {
       this.#tunnels.delete(client);
-      unwatch();
       metrics.gauge("relay.tunnels", this.count);
       if (this.count === 0) this.#onEmpty();
     });
--- a/src/runtime/standstill.ts
+++ b/src/runtime/standstill.ts
@@ -4,48 +4,30 @@
  * @module */
 
 /** Milliseconds without a turn of the event loop that count as a standstill. Shorter
- * ones are usual beside a busy machine, where whole answers would be lost. */
+ * ones are usual beside a busy machine, where whole answers would be lost; a process
+ * that takes the place of one that has ended within such a time is not noticed. */
 export const MIN_STANDSTILL_MS = 1000;
 /** Milliseconds between two looks at the clock: a standstill may seem so much longer. */
 const LOOK_INTERVAL_MS = 250;
-/** Milliseconds behind a standstill in which what came meanwhile is still read. */
-export const BACKLOG_MS = 500;
 
-/** Dependencies and bounds of a watch. */
+/** Dependencies of a watch. */
 export interface StandstillOptions {
   /** Milliseconds of a monotonic clock. */
   now(): number;
-  /** Calls a function at intervals, without keeping the process alive, until the
-   * returned function is called. */
-  every(interval: number, action: () => void): () => void;
-  /** Least milliseconds of a standstill, more than the interval; `MIN_STANDSTILL_MS`
-   * when absent. */
-  readonly minimum?: number;
-  /** Milliseconds between two looks at the clock. */
-  readonly interval?: number;
+  /** Calls a function at intervals, without keeping the process alive. */
+  every(interval: number, action: () => void): void;
 }
 
 /** Watches for standstills; changed in place. */
 export class StandstillWatch {
   readonly #now: () => number;
-  readonly #minimum: number;
-  readonly #stop: () => void;
   #lookedAt: number;
-  #begunAt = -Infinity;
   #endedAt = -Infinity;
 
-  private constructor(
-    {
-      now,
-      every,
-      minimum = MIN_STANDSTILL_MS,
-      interval = LOOK_INTERVAL_MS,
-    }: StandstillOptions,
-  ) {
+  private constructor({ now, every }: StandstillOptions) {
     this.#now = now;
-    this.#minimum = minimum;
     this.#lookedAt = now();
-    this.#stop = every(interval, () => this.#look());
+    every(LOOK_INTERVAL_MS, () => this.#look());
   }
 
   static start(options: StandstillOptions): StandstillWatch {
@@ -54,28 +36,13 @@
 
   /** Whether a standstill has ended since a time of the clock, or is ending now. */
   hasEndedSince(time: number): boolean {
-    return this.beginOfEnded({ since: time }) !== undefined;
-  }
-
-  /** When a standstill began that has ended since a time of the clock, or is ending
-   * now; undefined if none has. Those in quick succession count as one. */
-  beginOfEnded({ since }: { readonly since: number }): number | undefined {
     this.#look();
-    return this.#endedAt >= since ? this.#begunAt : undefined;
-  }
-
-  /** Ends the watch. */
-  stop(): void {
-    this.#stop();
+    return this.#endedAt >= time;
   }
 
   #look(): void {
     const now = this.#now();
-    if (now - this.#lookedAt >= this.#minimum) {
-      const isFurther = this.#lookedAt - this.#endedAt < BACKLOG_MS;
-      if (!isFurther) this.#begunAt = this.#lookedAt;
-      this.#endedAt = now;
-    }
+    if (now - this.#lookedAt >= MIN_STANDSTILL_MS) this.#endedAt = now;
     this.#lookedAt = now;
   }
 }
