Endpoint choice: an endpoint without an answer counts as fast as the fastest

Callers' requests hardly went to endpoints that had not answered a call yet where the others answer within about a millisecond: an endpoint that had rejected calls from its start was not used again for up to 8 s and more. Where calls take long, the reverse: such an endpoint drew all calls until its first answer.

Cause: the unknown mean duration is kept as 0. The cost of a call counted it as 1 ms whatever the others take, and the lowest mean of the candidates, to which all that are passed over move, counted it as 0, so that the means of the others sank to about a third, below that millisecond.

Change: the lowest mean is that of endpoints with an answer, and an unknown mean counts as the lowest.

Tests, on the code before and with the change: - choices of 2,000 that go to one without an answer beside nine of .5 ms: 7 (100 asked), passes; - of 40 that go to one beside nine of 200 ms: 40 (8 allowed), passes; - means of three of 20 ms beside one: 2.4, 2.9 and 3.6 (20 asked), 20 each.

--- a/src/gateway/endpoint.ts
+++ b/src/gateway/endpoint.ts
@@ -126,7 +126,8 @@
   heardAt = -Infinity;
   /** Prompt tokens sent by this host that await their first event. */
   backlog = 0;
-  /** Moving average of the durations of answered calls, in milliseconds. */
+  /** Moving average of the durations of answered calls, in milliseconds; 0 before
+   * the first. */
   meanDuration = 0;
   /** Work of this host's latest calls while its service is uneven, relative to
    * what the endpoint can do. */
--- a/src/gateway/endpoint_choice.ts
+++ b/src/gateway/endpoint_choice.ts
@@ -19,6 +19,8 @@
 const TIE_BREAK_MS = 10;
 /** Additional milliseconds of a call to another data centre. */
 const REMOTE_LATENCY_MS = 3;
+/** Mean milliseconds of a call while no endpoint has answered one. */
+const UNKNOWN_DURATION_MS = 1;
 /** Milliseconds by which an engine must be better than the planned one, near
  * which the stages ran: its inputs may have to cross data centres. */
 const MOVE_COST_MS = 30;
@@ -73,22 +75,32 @@
   const isUneven = candidates.every((each) =>
     each.unevenDuration(context.now) !== undefined
   );
+  const lowest = lowestDuration(candidates);
   const chosen = isUneven
     ? chooseUneven(candidates, context)
-    : chooseEven(candidates, context);
-  const lowest = Math.min(
-    ...candidates.map(({ meanDuration }) => meanDuration),
-  );
+    : chooseEven(candidates, { ...context, lowest });
   candidates.forEach((each) => each !== chosen && each.passOver(lowest));
   return chosen;
 }
 
+/** Lowest known mean duration; `UNKNOWN_DURATION_MS` if none is known. */
+function lowestDuration(candidates: readonly endpoints.Endpoint[]): number {
+  const known = candidates
+    .map(({ meanDuration }) => meanDuration)
+    .filter((duration) => duration > 0);
+  return known.length > 0 ? Math.min(...known) : UNKNOWN_DURATION_MS;
+}
+
+/** An endpoint that has not answered yet counts as fast as the fastest: only a
+ * call shows how fast it is. */
 function chooseEven(
   candidates: readonly endpoints.Endpoint[],
-  { now, random, dataCentre }: ChoiceContext,
+  { now, random, dataCentre, lowest }: ChoiceContext & {
+    readonly lowest: number;
+  },
 ): endpoints.Endpoint | undefined {
   return minBy(candidates, (each) => {
-    const duration = each.meanDuration || 1;
+    const duration = each.meanDuration || lowest;
     const utilization = each.load(now) / each.identity.slots;
     const time = duration * (1 + each.wait(now) + utilization) +
       networkTime(each, dataCentre);
--- a/src/gateway/endpoint_choice_test.ts
+++ b/src/gateway/endpoint_choice_test.ts
@@ -50,14 +50,29 @@
  * is chosen in `count` choices. */
 function choicesOfFirst(durations: readonly number[], count: number): number {
   const all = durations.map((_, pos) => createEndpoint(`${pos}`));
-  const drawn = { ...context, random: runtime.createRandom(7) };
   // One call of the first endpoint is slow once.
   all.forEach((each, pos) => each.recordDuration(pos === 0 ? 400 : 1));
-  return Array.from({ length: count }, () => {
-    const chosen = choices.chooseEndpoint(all, drawn)!;
-    chosen.recordDuration(durations[all.indexOf(chosen)]);
-    return chosen;
-  }).filter((chosen) => chosen === all[0]).length;
+  return countChoices(all, { durations, count })[0];
+}
+
+/** Number of times that each endpoint is chosen in `count` choices; calls of one
+ * without a duration are not answered. */
+function countChoices(
+  all: readonly endpoints.Endpoint[],
+  { durations, count }: {
+    durations: readonly (number | undefined)[];
+    count: number;
+  },
+): number[] {
+  const drawn = { ...context, random: runtime.createRandom(7) };
+  const counts = all.map(() => 0);
+  for (let made = 0; made < count; made++) {
+    const pos = all.indexOf(choices.chooseEndpoint(all, drawn)!);
+    counts[pos]++;
+    const duration = durations[pos];
+    if (duration !== undefined) all[pos].recordDuration(duration);
+  }
+  return counts;
 }
 
 // Guards against an endpoint that hardly gets calls because one was slow: only a
@@ -70,6 +85,37 @@
   t.true(choicesOfFirst([400, 1, 1, 1, 1], 2000) <= 2000 / 50);
 });
 
+// Guards against an endpoint that gets hardly any calls since it has answered none:
+// it counted as one that takes 1 ms, however fast the others are.
+test("an endpoint without an answer gets its share beside fast ones", (t) => {
+  const durations = [undefined, ...Array<number>(9).fill(0.5)];
+  const all = durations.map((_, pos) => createEndpoint(`${pos}`));
+  const [first] = countChoices(all, { durations, count: 2000 });
+  t.true(first >= 2000 / 20, `${first}`);
+});
+
+// Guards against an endpoint that draws all calls until its first answer.
+test("an endpoint without an answer gets no more than its share beside slow ones", (t) => {
+  const all = Array.from({ length: 10 }, (_, pos) => createEndpoint(`${pos}`));
+  const [first, ...answering] = all;
+  answering.forEach((each) => each.recordDuration(200));
+  for (let count = 0; count < 40; count++) {
+    choices.chooseEndpoint(all, context)!.inFlight++;
+  }
+  t.true(first.inFlight <= 2 * 40 / 10, `${first.inFlight}`);
+});
+
+// Guards against means that fall to nothing beside an endpoint without an answer,
+// whose unknown mean counted as the lowest.
+test("an endpoint without an answer makes no other look faster", (t) => {
+  const durations = [undefined, 20, 20, 20];
+  const all = durations.map((_, pos) => createEndpoint(`${pos}`));
+  const [, ...answering] = all;
+  answering.forEach((each) => each.recordDuration(20));
+  countChoices(all, { durations, count: 2000 });
+  t.deepEqual(answering.map(({ meanDuration }) => meanDuration), [20, 20, 20]);
+});
+
 test("a prompt goes to an engine whose cache holds its shared part", (t) => {
   const engines = ["1", "2", "3"].map((id) => createEndpoint(id));
   for (const engine of engines) {
