Calls: the table of send queues is read without the threads of Node's pool

Callers saw 502 in place of whole answers without a length to uploads over 64 KB that a relaying host passed on, beside a busy machine: the end counted as unconfirmed.

Cause: host and relay each read /proc/self/net/tcp as the connection ends, to see whether the upload was received. The relay waits up to 500 ms for the host, which reads its own table meanwhile, and the question how the tunnel ended has a second.

Change: the table is read in the event loop, at most 2 ms a turn. A read of it never waits.

--- a/src/endpoint_calls/send_queue.ts
+++ b/src/endpoint_calls/send_queue.ts
@@ -2,12 +2,18 @@
  * received yet. Node does not tell it; Linux lists it for all connections.
  * @module */
 
-import * as fs from "node:fs/promises";
+import * as fs from "node:fs";
 import type * as net from "node:net";
 import * as os from "node:os";
+import * as timers from "node:timers/promises";
 
 /** The connections of IPv4, a line each. */
 const TABLE = "/proc/self/net/tcp";
+/** Bytes that are read at a time, more than the system gives. */
+const READ_BYTES = 64 * 1024;
+/** Milliseconds of a turn in which the table is read: it has thousands of lines on a
+ * busy host. */
+const SLICE_MS = 2;
 const LINE = /^ [0-9A-F]{2} ([0-9A-F]{8}):/;
 
 /** Both addresses of a connection. */
@@ -37,11 +43,11 @@
 let reading: Promise<string> | undefined;
 let nextReading: Promise<string> | undefined;
 
-/** Reads the table once for all callers that wait while it is read: the system gives
- * it a page at a time. It is never older than the call. */
+/** Reads the table once for all callers that wait while it is read. It is never older
+ * than the call. */
 function readTable(): Promise<string> {
   if (reading === undefined) {
-    reading = fs.readFile(TABLE, "latin1").catch(() => "").finally(() => {
+    reading = readInSlices().catch(() => "").finally(() => {
       reading = undefined;
     });
     return reading;
@@ -53,6 +59,27 @@
   return nextReading;
 }
 
+/** Reads the table in some turns of the event loop. The system makes it up as it is
+ * read, a page at a time, so that a read takes no longer than its work; threads of
+ * Node's pool would be waited for with each page. */
+async function readInSlices(): Promise<string> {
+  const file = fs.openSync(TABLE, "r");
+  try {
+    const parts: string[] = [];
+    const buffer = Buffer.allocUnsafe(READ_BYTES);
+    let end = performance.now() + SLICE_MS;
+    for (let bytes; (bytes = fs.readSync(file, buffer)) > 0;) {
+      parts.push(buffer.toString("latin1", 0, bytes));
+      if (performance.now() < end) continue;
+      await timers.setImmediate();
+      end = performance.now() + SLICE_MS;
+    }
+    return parts.join("");
+  } finally {
+    fs.closeSync(file);
+  }
+}
+
 /** An address as the table has it: the number as the machine stores it. */
 function entryOf(address = "", port = 0): string | undefined {
   const parts = address.replace(/^::ffff:/, "").split(".").map(Number);
--- a/src/endpoint_calls/send_queue_test.ts
+++ b/src/endpoint_calls/send_queue_test.ts
@@ -1,7 +1,9 @@
 /** @module */
 
+import * as crypto from "node:crypto";
 import * as net from "node:net";
 import * as timers from "node:timers/promises";
+import * as util from "node:util";
 import type * as ava from "ava";
 import test from "ava";
 import * as sendQueues from "./send_queue.ts";
@@ -69,3 +71,24 @@
   await new Promise((resolve) => client.once("close", resolve));
   t.is(await sendQueues.unacknowledgedBytes(client), undefined);
 });
+
+const hash = util.promisify(crypto.pbkdf2);
+/** More than Node's pool has threads, each busy for a second or so. */
+const HASHES = 8;
+const ITERATIONS = 1_000_000;
+
+// Guards against whole answers that are lost through a relaying host: both read the
+// table, and the end is confirmed within a second.
+test.serial("the table is read while all threads of the pool are busy", async (t) => {
+  const { client } = await connect(t);
+  const hashes = Array.from(
+    { length: HASHES },
+    () => hash("password", "salt", ITERATIONS, 64, "sha512"),
+  );
+  const first = await Promise.race([
+    sendQueues.unacknowledgedBytes(client),
+    ...hashes.map((each) => each.then(() => "hash")),
+  ]);
+  t.is(first, 0);
+  await Promise.all(hashes);
+});
