Gateway: a few connections that wait to be accepted are read

Cause: the event loop accepts one connection in a turn. A queue that is not empty for 700 ms counts as more than the host can serve, however short it is. Where turns take 100 to 400 ms, since the process is not run, seven of them close all that came in the standstill: traces show 61 ms of processor time in 1,562 ms.

Change: after 700 ms connections are accepted and held unread, which takes less than a millisecond each, until the queue is empty. 50 or fewer are then read. If more wait, or holding takes longer than 250 ms, all are closed unread as before. Node's listeners get a connection only once it is read; it is paused until then.

What is left is closed in pauses while connections are held, and where more than 50 wait.

--- a/src/gateway/accept_queue.ts
+++ b/src/gateway/accept_queue.ts
@@ -3,25 +3,38 @@
  *
  * The event loop accepts one connection in each of its turns. While each turn has
  * one, the queue is not empty; a turn without one shows that it is. A queue that
- * stays non-empty grows, and callers whose requests are read at last have waited
- * too long. It is emptied by closing connections unread: such a caller may retry
- * at another host, whatever its request.
+ * stays non-empty either grows, and callers whose requests are read at last have
+ * waited too long, or is what came while the process did not run, and is short.
+ * To tell them apart, connections are accepted and held unread until the queue is
+ * empty: few are read, and many are closed. A caller whose connection was closed
+ * unread may retry at another host, whatever its request.
  * @module */
 
-/** Time for which the queue may be non-empty: well below the second after which
- * callers give up on a request that is not read. */
+/** Time for which the queue may be non-empty before its length is found out: well
+ * below the second after which callers give up on a request that is not read. */
 const MAX_BUSY_MS = 700;
 /** Milliseconds that one turn of the event loop counts for at most. In a longer one
  * the process stood still (a suspended machine, a core that others used); that
  * connections waited then does not show that more come than it can serve. Turns
  * of a busy host take some milliseconds. */
 const MAX_TURN_MS = 400;
+/** Connections held at once at most: a host that reads each in 7 ms reads them in
+ * less time than callers wait. */
+export const MAX_HELD_COUNT = 50;
+/** Time for which connections may be held. Accepting one without reading it takes
+ * less than a millisecond: a queue that is not empty by then has many, or turns
+ * are slow. */
+const MAX_HOLDING_MS = 250;
+/** Milliseconds of that time that one turn counts for at most, so that a single
+ * standstill does not use it up. */
+const MAX_HOLDING_TURN_MS = 200;
 /** Connections closed at once at most, the capacity of the queue. If they come
  * faster than they can be closed, some are still served. */
 const MAX_SHED_COUNT = 511;
 
-/** What to do with a connection. */
-export type Verdict = "read" | "close";
+/** What to do with a connection: "hold" leaves it unread until the queue is empty,
+ * or until a later one is closed, and these with it. */
+export type Verdict = "read" | "hold" | "close";
 
 /** State of the queue. Mutable. */
 export class AcceptQueue {
@@ -31,6 +44,9 @@
   #lastAcceptedAt?: number;
   /** Whether the process has stood still since it was empty. */
   #hasStoodStill = false;
+  #heldCount = 0;
+  /** Time for which connections have been held, in milliseconds. */
+  #holdingMs = 0;
   #shedCount = 0;
 
   static create(): AcceptQueue {
@@ -41,12 +57,10 @@
   accept(now: number): Verdict {
     const turnMs = now - (this.#lastAcceptedAt ?? now);
     this.#lastAcceptedAt = now;
+    if (this.#isFull) return this.#shed(turnMs);
     if (turnMs > MAX_TURN_MS && !this.#hasStoodStill) this.#restart();
     else this.#busyMs += Math.min(MAX_TURN_MS, turnMs);
-    if (this.#busyMs <= MAX_BUSY_MS) return "read";
-    this.#shedCount++;
-    if (this.#shedCount >= MAX_SHED_COUNT) this.recordEmpty();
-    return "close";
+    return this.#isFull ? this.#shed(0) : "read";
   }
 
   /** Records a turn of the event loop without a connection. */
@@ -54,14 +68,33 @@
     this.#lastAcceptedAt = undefined;
     this.#hasStoodStill = false;
     this.#busyMs = 0;
+    this.#heldCount = 0;
+    this.#holdingMs = 0;
     this.#shedCount = 0;
   }
 
+  get #isFull(): boolean {
+    return this.#busyMs > MAX_BUSY_MS;
+  }
+
+  #shed(turnMs: number): Verdict {
+    this.#holdingMs += Math.min(MAX_HOLDING_TURN_MS, turnMs);
+    this.#shedCount++;
+    const isHeld = this.#heldCount < MAX_HELD_COUNT &&
+      this.#holdingMs <= MAX_HOLDING_MS;
+    if (isHeld) {
+      this.#heldCount++;
+      return "hold";
+    }
+    this.#heldCount = MAX_HELD_COUNT;
+    if (this.#shedCount >= MAX_SHED_COUNT) this.recordEmpty();
+    return "close";
+  }
+
   /** Begins anew after a standstill: the whole time is left to serve what came in
    * it. Several in a row are slow turns. */
   #restart(): void {
     this.#hasStoodStill = true;
     this.#busyMs = 0;
-    this.#shedCount = 0;
   }
 }
--- a/src/gateway/accept_queue_test.ts
+++ b/src/gateway/accept_queue_test.ts
@@ -71,3 +71,58 @@
     t.true(verdicts.slice(first).every((verdict) => verdict === "close"));
   });
 }
+
+/** Accepts connections until the queue is taken for one that does not empty; returns
+ * the time of the first that is held. */
+function fill(queue: acceptQueues.AcceptQueue): number {
+  for (let now = 0;; now++) {
+    const verdict = queue.accept(now);
+    if (verdict !== "read") return now;
+  }
+}
+
+/** Verdicts on connections at times of the clock. */
+function verdictsAt(
+  queue: acceptQueues.AcceptQueue,
+  times: readonly number[],
+): string {
+  return times.map((time) => queue.accept(time)).join(" ");
+}
+
+// Guards against a short queue that is closed unread before its length is known.
+test("a few connections are held until the queue is empty", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  const from = fill(queue);
+  t.is(verdictsAt(queue, [from + 1, from + 2]), "hold hold");
+  queue.recordEmpty();
+  t.is(queue.accept(from + 4), "read");
+});
+
+// Guards against held connections that use up descriptors.
+test("all further ones are closed once as many are held as may be", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  const from = fill(queue);
+  const verdicts = Array.from(
+    { length: 400 },
+    (_, index) => queue.accept(from + (index + 1) / 10),
+  );
+  const held = verdicts.indexOf("close");
+  t.is(held, acceptQueues.MAX_HELD_COUNT - 1);
+  t.true(verdicts.slice(held).every((verdict) => verdict === "close"));
+});
+
+// Guards against connections that are held for long where turns are slow.
+test("connections are held for a short time", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  const from = fill(queue);
+  const times = [100, 200, 300, 301].map((wait) => from + wait);
+  t.is(verdictsAt(queue, times), "hold hold close close");
+});
+
+// Guards against a standstill that has connections closed which were held.
+test("one standstill of the process does not end the time for holding", (t) => {
+  const queue = acceptQueues.AcceptQueue.create();
+  const from = fill(queue);
+  const times = [1, 1501, 1502, 1503].map((wait) => from + wait);
+  t.is(verdictsAt(queue, times), "hold hold hold hold");
+});
--- a/src/gateway/connection_gate.ts
+++ b/src/gateway/connection_gate.ts
@@ -15,6 +15,8 @@
   readonly clock: runtime.Clock;
   readonly logger: telemetry.Logger;
   readonly metrics: telemetry.Metrics;
+  /** Begins to read a connection. */
+  read(socket: net.Socket): void;
   /** Runs a callback in the next turn of the event loop, after its accepts. */
   afterTurn(callback: () => void): void;
 }
@@ -26,6 +28,8 @@
   #isWatching = false;
   /** Whether a connection was accepted in this turn. */
   #hasAccepted = false;
+  /** Connections that are neither read nor closed yet. */
+  #held: net.Socket[] = [];
   /** Connections closed since the last log line. */
   #closedCount = 0;
 
@@ -37,14 +41,17 @@
     return new ConnectionGate(options);
   }
 
-  /** Takes a new connection; closes it if it is not to be read. */
-  take(socket: Pick<net.Socket, "destroy">): void {
-    const { clock } = this.#options;
+  /** Takes a new connection, of which nothing has been read. */
+  take(socket: net.Socket): void {
     this.#hasAccepted = true;
     this.#watch();
-    if (this.#queue.accept(clock.now()) === "read") return;
-    socket.destroy();
-    this.#recordClosed();
+    const verdict = this.#queue.accept(this.#options.clock.now());
+    this.#handlers[verdict](socket);
+  }
+
+  /** Closes the connections that are held. */
+  closeHeld(): void {
+    for (const socket of this.#takeHeld()) this.#close(socket);
   }
 
   /** Watches for a turn without a connection. */
@@ -56,13 +63,44 @@
 
   #checkTurn(): void {
     this.#isWatching = false;
-    if (!this.#hasAccepted) return this.#queue.recordEmpty();
+    if (!this.#hasAccepted) return this.#recordEmpty();
     this.#hasAccepted = false;
     this.#watch();
   }
 
-  #recordClosed(): void {
+  #recordEmpty(): void {
+    const { logger, read } = this.#options;
+    this.#queue.recordEmpty();
+    const held = this.#takeHeld();
+    if (held.length === 0) return;
+    logger.info(
+      { held: held.length },
+      "Connections waited to be accepted; they are few and are read",
+    );
+    held.forEach((socket) => read(socket));
+  }
+
+  #takeHeld(): net.Socket[] {
+    const held = this.#held;
+    this.#held = [];
+    return held;
+  }
+
+  readonly #handlers: Record<
+    acceptQueues.Verdict,
+    (socket: net.Socket) => void
+  > = {
+    read: (socket) => this.#options.read(socket),
+    hold: (socket) => this.#held.push(socket),
+    close: (socket) => {
+      this.closeHeld();
+      this.#close(socket);
+    },
+  };
+
+  #close(socket: net.Socket): void {
     const { clock, logger, metrics } = this.#options;
+    socket.destroy();
     metrics.count("gateway.closed_unread");
     this.#closedCount++;
     if (this.#closedCount > 1) return;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -45,6 +45,7 @@
     callerConnections.CallerConnection
   >();
   #callers!: http.Server;
+  #gate!: connectionGates.ConnectionGate;
   #readiness?: http.Server;
   #isDraining = false;
 
@@ -71,19 +72,14 @@
       headerTimeout: HEADER_TIMEOUT_MS,
       idleTimeout: IDLE_TIMEOUT_MS,
     });
-    const gate = connectionGates.ConnectionGate.create({
-      ...options.context,
-      afterTurn: setImmediate,
-    });
-    // Before the listener that begins to read.
-    server.#callers.prependListener("connection", (socket) => {
-      gate.take(socket);
-      // Before the listener of Node that closes the connection.
-      socket.once("end", () => server.#endCaller(socket));
-    });
+    server.#gate = server.#openGate();
     // Replies are sent after a caller has ended its side, as its requests end at
-    // that moment or can't be cancelled. Types and pages of Node lack the property.
-    Object.assign(server.#callers, { httpAllowHalfOpen: true });
+    // that moment or can't be cancelled. Connections are paused until the gate has
+    // them read. Types and pages of Node lack the properties.
+    Object.assign(server.#callers, {
+      httpAllowHalfOpen: true,
+      pauseOnConnect: true,
+    });
     server.#callers.on("clientError", (error, socket) => {
       server.#rejectInvalid(
         error as NodeJS.ErrnoException,
@@ -162,10 +158,31 @@
   /** Closes all connections. */
   async stop(): Promise<void> {
     this.closeUnfinishedReplies();
+    this.#gate.closeHeld();
     await httpListener.close(this.#callers);
     if (this.#readiness) await httpListener.close(this.#readiness);
   }
 
+  /** Has new connections pass the gate before Node's own listeners, which begin to
+   * read them. */
+  #openGate(): connectionGates.ConnectionGate {
+    const callers = this.#callers;
+    const listeners = callers.listeners("connection");
+    callers.removeAllListeners("connection");
+    const gate = connectionGates.ConnectionGate.create({
+      ...this.#options.context,
+      afterTurn: setImmediate,
+      read: (socket) => {
+        // Before the listener of Node that closes the connection.
+        socket.once("end", () => this.#endCaller(socket));
+        for (const listener of listeners) listener.call(callers, socket);
+        socket.resume();
+      },
+    });
+    callers.on("connection", (socket) => gate.take(socket));
+    return gate;
+  }
+
   #serve(request: http.IncomingMessage, response: http.ServerResponse): void {
     const { context } = this.#options;
     response.on("error", (error) => {
