Connections: calls of an endpoint's new process survive the news of its start

What callers saw: 502, or a stream broken off, for answers of an endpoint that had just started again under its id at its address. Its new process ran the call and sent the whole answer.

Cause: when a heartbeat states a later start, `Connections.abort` destroyed every connection to the address, also those that had been opened to the new process before the host learned of it.

Change: a connection knows when it was opened and when something last came on it. It is kept, and closed behind its call, if either is later than the first report of the new process (an age by the host's clock, so clocks of endpoints don't matter), or if it was opened behind a connection that is kept for what came on it. The others are destroyed as before, 500 ms after that report was received or with the news if that is later. The system checks kept connections (TCP keep-alive after a second). Nothing is sent again.

What can't be told fails as before: calls that were sent before the first report and are silent until 500 ms after it, or until the news; calls at an address that the endpoint has left. Given up later than before, by 500 ms at most: calls to the former process whose connections have no end, if the news comes sooner. Not shown: a machine that loses its power.

--- a/src/endpoint_calls/connections.ts
+++ b/src/endpoint_calls/connections.ts
@@ -5,12 +5,18 @@
 
 import * as undici from "undici";
 import type * as runtime from "../runtime/mod.ts";
+import * as datedClients from "./dated_client.ts";
+import * as datedPools from "./dated_pool.ts";
 import * as restingPools from "./resting_pool.ts";
 
 /** Milliseconds for which the connections of an endpoint rest between calls, since
  * it last sent an answer that was not due. */
 const REST_PERIOD_MS = 30_000;
 
+/** Milliseconds from the first report of a process until connections are given up on
+ * which nothing has come since: as long as some hosts take to learn of it. */
+const SIGN_PERIOD_MS = 500;
+
 /** Decides which open connections to an endpoint, given by its address, may be
  * used for new calls. */
 export interface ReusePolicy {
@@ -36,7 +42,7 @@
 }
 
 /** Pool of an address whose answers all come when they are due, or not. */
-type Pool = undici.Pool | restingPools.RestingPool;
+type Pool = datedPools.DatedPool | restingPools.RestingPool;
 
 /** Connections to one address. */
 interface AddressPool {
@@ -52,6 +58,8 @@
  * own. */
 export class Connections extends undici.Dispatcher {
   readonly #options: ConnectionsOptions;
+  /** Options of each connection. */
+  readonly #connection: datedClients.ConnectionOptions;
   readonly #pools = new Map<string, AddressPool>();
   /** Pools that are closed once their calls in flight are completed, by origin. */
   readonly #closing = new Map<Pool, string>();
@@ -61,6 +69,13 @@
   private constructor(options: ConnectionsOptions) {
     super();
     this.#options = options;
+    const { connect } = options.pool;
+    this.#connection = {
+      ...options.pool,
+      connect: typeof connect === "function"
+        ? connect
+        : undici.buildConnector({ ...connect }),
+    };
   }
 
   /** Creates a dispatcher without connections. */
@@ -90,7 +105,10 @@
     options: undici.Dispatcher.DispatchOptions & { readonly origin: string },
     handler: undici.Dispatcher.DispatchHandler,
   ): boolean {
-    const pool = new undici.Pool(options.origin, this.#options.pool);
+    const pool = datedPools.DatedPool.create(options.origin, {
+      connection: this.#connection,
+      clock: this.#options.clock,
+    });
     const isReady = pool.dispatch(options, handler);
     void this.#closeOnceIdle(pool, options.origin);
     return isReady;
@@ -125,21 +143,38 @@
     await this.#closePool(originOf(address));
   }
 
-  /** Destroys the pool of an address whose endpoint has restarted; calls in
-   * flight fail. */
-  async abort(address: string): Promise<void> {
+  /** Destroys the connections to an address whose endpoint has restarted; calls in
+   * flight on them fail. Its present process was first heard of at `successorSince`:
+   * connections that were opened since, or on which something comes within a while,
+   * are closed once their calls are completed. Resolves with what became of those
+   * that had any. */
+  async abort(
+    address: string,
+    { successorSince = Infinity }: { readonly successorSince?: number } = {},
+  ): Promise<datedClients.Parted> {
     this.#options.reuse.forget(address);
     this.#restingUntil.delete(originOf(address));
     const error = new undici.errors.SocketError(
       "endpoint restarted; its former connections are closed",
     );
     const origin = originOf(address);
-    const closing = [...this.#closing]
+    void this.#closePool(origin);
+    const pools = [...this.#closing]
       .filter(([, each]) => each === origin)
       .map(([pool]) => pool);
-    closing.forEach((pool) => this.#closing.delete(pool));
-    const pools = [...closing, this.#removePool(origin)];
-    await Promise.all(pools.map((pool) => pool?.destroy(error)));
+    if (successorSince < Infinity) await this.#waitForSigns(successorSince);
+    const clients = pools.flatMap((pool) => pool.clients);
+    const since = successorSince;
+    return await datedClients.destroyFormer(clients, { since, error });
+  }
+
+  /** Resolves once connections to a process that was heard of at a time have mostly
+   * brought something. */
+  #waitForSigns(since: number): Promise<void> {
+    const { clock } = this.#options;
+    const rest = since + SIGN_PERIOD_MS - clock.now();
+    if (rest <= 0) return Promise.resolve();
+    return new Promise((resolve) => clock.after(rest, resolve));
   }
 
   override async destroy(): Promise<void> {
@@ -191,20 +226,20 @@
     return pool;
   }
 
-  #createPool(origin: string): undici.Pool {
-    const pool = new undici.Pool(origin, this.#options.pool);
-    return pool.on(
-      "disconnect",
-      (_origin, _targets, error) => this.#recordDisconnect(origin, error),
-    );
+  #createPool(origin: string): datedPools.DatedPool {
+    return datedPools.DatedPool.create(origin, this.#poolOptions(origin));
   }
 
   #createRestingPool(origin: string): restingPools.RestingPool {
-    return restingPools.RestingPool.create(origin, {
-      connection: this.#options.pool,
+    return restingPools.RestingPool.create(origin, this.#poolOptions(origin));
+  }
+
+  #poolOptions(origin: string): restingPools.RestingPoolOptions {
+    return {
+      connection: this.#connection,
       clock: this.#options.clock,
       onDisconnect: (error) => this.#recordDisconnect(origin, error),
-    });
+    };
   }
 
   #recordDisconnect(origin: string, error: Error): void {
--- a/src/endpoint_calls/connections_test.ts
+++ b/src/endpoint_calls/connections_test.ts
@@ -3,7 +3,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import test, { type ExecutionContext } from "ava";
-import type * as undici from "undici";
+import * as undici from "undici";
 import * as fakeClocks from "../runtime/fake_clock.ts";
 import * as runtime from "../runtime/mod.ts";
 import * as connections from "./connections.ts";
@@ -48,12 +48,12 @@
 function createConnections(
   t: ExecutionContext,
   policy: Partial<connections.ReusePolicy> = {},
-  { clock = runtime.systemClock, onExtraAnswer }: Partial<
-    Pick<connections.ConnectionsOptions, "clock" | "onExtraAnswer">
-  > = {},
+  { clock = runtime.systemClock, onExtraAnswer, connect }:
+    & Partial<Pick<connections.ConnectionsOptions, "clock" | "onExtraAnswer">>
+    & { connect?: undici.buildConnector.connector } = {},
 ) {
   const pools = connections.Connections.create({
-    pool: { pipelining: 1 },
+    pool: { pipelining: 1, connect },
     clock,
     onExtraAnswer,
     reuse: {
@@ -79,7 +79,7 @@
   const address = await serve(t);
   const pools = createConnections(t);
   await send(pools, address);
-  await pools.abort(address);
+  t.deepEqual(await pools.abort(address), { kept: 0, closed: 0 });
   t.deepEqual(pools.addresses, []);
   t.is(await send(pools, address), "2");
 });
@@ -214,6 +214,260 @@
   t.is(await send(pools, address), "2", "its successor's do not rest");
 });
 
+/** Starts a server that never answers `/slow`, and sends the head of any other answer
+ * at once; its whole answers have the text `whole`. */
+async function serveHeads(t: ExecutionContext) {
+  const responses: http.ServerResponse[] = [];
+  const requests: string[] = [];
+  const server = http.createServer((request, response) => {
+    requests.push(request.url!);
+    responses.push(response);
+    if (request.url === "/slow") return;
+    response.writeHead(200, { "content-length": 5 });
+    response.flushHeaders();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const { port } = server.address() as net.AddressInfo;
+  return { address: `127.0.0.1:${port}`, responses, requests };
+}
+
+/** Begins a call; resolves once the head of its answer is there. */
+async function begin(
+  pools: connections.Connections,
+  address: string,
+  { path = "/", reset }: { path?: string; reset?: boolean } = {},
+): Promise<{ readonly text: Promise<string> }> {
+  const method = "GET";
+  const origin = `http://${address}`;
+  const answer = await pools.request({ origin, path, method, reset });
+  const text = answer.body.text();
+  text.catch(() => {});
+  return { text };
+}
+
+/** Milliseconds after which connections are given up that have brought nothing since
+ * their endpoint's process was heard of. */
+const SIGN_PERIOD_MS = 500;
+
+/** Kinds of connections that a call may have. */
+const CONNECTIONS = {
+  "a shared connection": {},
+  "a connection of its own": { reset: true },
+  "a connection that rests": { isResting: true },
+  "a connection that is not used again": { isRenewed: true },
+};
+
+for (const [name, kind] of Object.entries(CONNECTIONS)) {
+  const { reset, isResting, isRenewed }: {
+    reset?: boolean;
+    isResting?: boolean;
+    isRenewed?: boolean;
+  } = kind;
+
+  // Guards against answers of an endpoint's new process that are broken off as
+  // hosts learn of its start.
+  test(`a call to an endpoint's new process on ${name} survives the news of its start`, async (t) => {
+    const { address, responses, requests } = await serveHeads(t);
+    const clock = new fakeClocks.FakeClock();
+    const pools = createConnections(t, {}, { clock });
+    if (isResting) pools.recordExtraAnswer(`http://${address}`);
+    const successorSince = clock.now();
+    const { text } = await begin(pools, address, { reset });
+    if (isRenewed) pools.renew(`http://${address}`);
+    clock.advance(SIGN_PERIOD_MS);
+    await pools.abort(address, { successorSince });
+    t.deepEqual(pools.addresses, []);
+    responses[0].end("whole");
+    t.is(await text, "whole");
+    t.deepEqual(requests, ["/"], "it is not sent again");
+  });
+
+  // Guards against calls that wait for a former process, whose machine has lost its
+  // power.
+  test(`a call to an endpoint's former process on ${name} fails with the news of a start`, async (t) => {
+    const { address, requests } = await serveHeads(t);
+    const clock = new fakeClocks.FakeClock();
+    const pools = createConnections(t, {}, { clock });
+    if (isResting) pools.recordExtraAnswer(`http://${address}`);
+    const { text } = await begin(pools, address, { reset });
+    if (isRenewed) pools.renew(`http://${address}`);
+    clock.advance(100);
+    const successorSince = clock.now();
+    clock.advance(SIGN_PERIOD_MS);
+    await pools.abort(address, { successorSince });
+    await t.throwsAsync(text, { message: /endpoint restarted/ });
+    t.deepEqual(requests, ["/"], "it is not sent again");
+  });
+}
+
+/** Waits for what has been sent over loopback. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, 20));
+}
+
+// Guards against answers that are broken off although their bytes still come once the
+// former process is gone.
+test("an answer that goes on behind the start of an endpoint's process is its own", async (t) => {
+  const { address, responses } = await serveHeads(t);
+  const clock = new fakeClocks.FakeClock();
+  const pools = createConnections(t, {}, { clock });
+  const { text: silent } = await begin(pools, address);
+  clock.advance(100);
+  const { text: going } = await begin(pools, address);
+  clock.advance(100);
+  const successorSince = clock.now();
+  responses[1].write("wh");
+  await settle();
+  clock.advance(SIGN_PERIOD_MS);
+  t.deepEqual(await pools.abort(address, { successorSince }), {
+    kept: 1,
+    closed: 1,
+  });
+  await t.throwsAsync(silent, { message: /endpoint restarted/ });
+  responses[1].end("ole");
+  t.is(await going, "whole");
+});
+
+// Guards against answers that pause as hosts learn of their process at once, and
+// against calls to a former process that wait for longer than hosts take to learn.
+test("connections are given up if nothing comes shortly behind the start of an endpoint's process", async (t) => {
+  const { address, responses } = await serveHeads(t);
+  const clock = new fakeClocks.FakeClock();
+  const pools = createConnections(t, {}, { clock });
+  const { text: silent } = await begin(pools, address);
+  clock.advance(100);
+  const { text: going } = await begin(pools, address);
+  clock.advance(100);
+  const aborted = pools.abort(address, { successorSince: clock.now() });
+  t.deepEqual(pools.addresses, [], "no other call uses them");
+  clock.advance(SIGN_PERIOD_MS - 1);
+  responses[1].write("wh");
+  await settle();
+  t.is(await Promise.race([silent, settle().then(() => "open")]), "open");
+  clock.advance(1);
+  await aborted;
+  await t.throwsAsync(silent, { message: /endpoint restarted/ });
+  responses[1].end("ole");
+  t.is(await going, "whole");
+});
+
+// Guards against silent answers that are broken off although another connection
+// shows that their process listened before.
+test("what is opened behind a connection of an endpoint's process is its own", async (t) => {
+  const { address, responses } = await serveHeads(t);
+  const clock = new fakeClocks.FakeClock();
+  const pools = createConnections(t, {}, { clock });
+  const texts: Promise<string>[] = [];
+  for (let count = 0; count < 3; count++) {
+    texts.push((await begin(pools, address)).text);
+    clock.advance(100);
+  }
+  const successorSince = clock.now();
+  responses[1].write("wh");
+  await settle();
+  clock.advance(SIGN_PERIOD_MS);
+  await pools.abort(address, { successorSince });
+  await t.throwsAsync(texts[0], { message: /endpoint restarted/ });
+  responses[1].end("ole");
+  responses[2].end("whole");
+  t.deepEqual(await Promise.all(texts.slice(1)), ["whole", "whole"]);
+});
+
+// Guards against calls that wait for a process that was replaced twice.
+test("a call that has survived one restart fails with the next", async (t) => {
+  const { address } = await serveHeads(t);
+  const clock = new fakeClocks.FakeClock();
+  const pools = createConnections(t, {}, { clock });
+  const { text } = await begin(pools, address);
+  const first = clock.now();
+  clock.advance(SIGN_PERIOD_MS);
+  await pools.abort(address, { successorSince: first });
+  const second = clock.now();
+  clock.advance(SIGN_PERIOD_MS);
+  await pools.abort(address, { successorSince: second });
+  await t.throwsAsync(text, { message: /endpoint restarted/ });
+});
+
+// Guards against calls that fail before they are sent to the new process.
+test("a call whose connection is being opened to an endpoint's new process is sent", async (t) => {
+  const { address, responses } = await serveHeads(t);
+  const clock = new fakeClocks.FakeClock();
+  const dial = undici.buildConnector({});
+  let isDialing = false;
+  const pools = createConnections(t, {}, {
+    clock,
+    connect: (options, callback) => {
+      isDialing = true;
+      setTimeout(() => dial(options, callback), 20);
+    },
+  });
+  const successorSince = clock.now();
+  const pending = begin(pools, address);
+  t.true(isDialing);
+  clock.advance(SIGN_PERIOD_MS);
+  await pools.abort(address, { successorSince });
+  const { text } = await pending;
+  responses[0].end("whole");
+  t.is(await text, "whole");
+});
+
+// Guards against a dead connection that counts as its successor's, as this host stood
+// still while it opened.
+test("a connection whose opening is noticed late counts from its beginning", async (t) => {
+  const { address } = await serveHeads(t);
+  const clock = new fakeClocks.FakeClock();
+  const dial = undici.buildConnector({});
+  const pools = createConnections(t, {}, {
+    clock,
+    connect: (options, callback) =>
+      dial(options, (...results) => {
+        clock.advance(100);
+        callback(...results as Parameters<typeof callback>);
+      }),
+  });
+  const silent = send(pools, address, { path: "/slow" });
+  silent.catch(() => {});
+  const successorSince = clock.now() + 50;
+  while (clock.now() < successorSince) await settle();
+  clock.advance(SIGN_PERIOD_MS);
+  await pools.abort(address, { successorSince });
+  await t.throwsAsync(silent, { message: /endpoint restarted/ });
+});
+
+// Guards against calls that wait on a dead connection whose last bytes were read late.
+test("the system checks connections that are kept as an endpoint restarts", async (t) => {
+  const { address, responses } = await serveHeads(t);
+  const clock = new fakeClocks.FakeClock();
+  const dial = undici.buildConnector({ keepAlive: false });
+  const checks: unknown[][] = [];
+  const pools = createConnections(t, {}, {
+    clock,
+    connect: (options, callback) =>
+      dial(options, (...results) => {
+        const [, socket] = results;
+        const setKeepAlive = socket?.setKeepAlive.bind(socket);
+        if (socket) {
+          socket.setKeepAlive = (...values) => {
+            checks.push(values);
+            return setKeepAlive!(...values);
+          };
+        }
+        callback(...results as Parameters<typeof callback>);
+      }),
+  });
+  const successorSince = clock.now();
+  const { text } = await begin(pools, address);
+  clock.advance(SIGN_PERIOD_MS);
+  await pools.abort(address, { successorSince });
+  t.deepEqual(checks, [[true, 1000]]);
+  responses[0].end("whole");
+  t.is(await text, "whole");
+});
+
 // undici shows such an answer by the message of an error alone.
 test("an answer on an idle connection is noticed once", async (t) => {
   const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
--- a/src/endpoint_calls/resting_pool.ts
+++ b/src/endpoint_calls/resting_pool.ts
@@ -4,8 +4,9 @@
  * so that few new ones are opened.
  * @module */
 
-import * as undici from "undici";
+import type * as undici from "undici";
 import type * as runtime from "../runtime/mod.ts";
+import * as datedClients from "./dated_client.ts";
 
 /** Milliseconds from an answer to the next call on its connection: longer than a
  * second answer is late. */
@@ -13,7 +14,7 @@
 
 /** Options of a pool; those of each connection are undici's. */
 export interface RestingPoolOptions {
-  readonly connection: undici.Client.Options;
+  readonly connection: datedClients.ConnectionOptions;
   readonly clock: runtime.Clock;
   /** Called with the error that closed a connection. */
   onDisconnect(error: Error): void;
@@ -21,7 +22,7 @@
 
 /** A client with one connection at most. */
 interface Place {
-  readonly client: undici.Client;
+  readonly dated: datedClients.DatedClient;
   isBusy: boolean;
   restedAt: number;
 }
@@ -49,18 +50,24 @@
   ): boolean {
     const place = this.#restedPlace() ?? this.#open();
     place.isBusy = true;
-    return place.client.dispatch(options, handler);
+    return place.dated.client.dispatch(options, handler);
   }
 
   /** Closes the connections once their calls are completed. */
   async close(): Promise<void> {
-    await Promise.all([...this.#places].map(({ client }) => client.close()));
+    const places = [...this.#places];
+    await Promise.all(places.map(({ dated }) => dated.client.close()));
   }
 
   /** Closes the connections; calls in flight fail with the error. */
   async destroy(error: Error | null = null): Promise<void> {
     const places = [...this.#places];
-    await Promise.all(places.map(({ client }) => client.destroy(error)));
+    await Promise.all(places.map(({ dated }) => dated.client.destroy(error)));
+  }
+
+  /** Clients that have connections, or had. */
+  get clients(): datedClients.DatedClient[] {
+    return [...this.#places].map(({ dated }) => dated);
   }
 
   /** The place that has rested for the shortest time, so that those which are not
@@ -78,10 +85,11 @@
   }
 
   #open(): Place {
-    const { connection, onDisconnect } = this.#options;
-    const client = new undici.Client(this.#origin, connection);
+    const dated = datedClients.DatedClient.create(this.#origin, this.#options);
+    const { client } = dated;
+    const { onDisconnect } = this.#options;
     client.on("disconnect", (_origin, _targets, error) => onDisconnect(error));
-    const place = { client, isBusy: false, restedAt: -Infinity };
+    const place = { dated, isBusy: false, restedAt: -Infinity };
     // Emitted once its call has ended, whatever its end.
     client.on("drain", () => this.#release(place));
     this.#places.add(place);
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -475,9 +475,10 @@
   }
 
   /** Closes the connections to an endpoint that has ended: at once where
-   * another incarnation has replaced it, otherwise when its calls are done. */
+   * another incarnation has replaced it and they may not be to that one, otherwise
+   * when their calls are done. */
   async #closeConnections(
-    { identity, isRestarted }: gateway.EndedEndpoint,
+    { identity, isRestarted, successorSince }: gateway.EndedEndpoint,
   ): Promise<void> {
     const { id, service, address } = identity;
     const { logger } = this.#options;
@@ -486,8 +487,12 @@
       "Endpoint ended",
     );
     try {
-      if (isRestarted) await this.#connections.abort(address);
-      else await this.#connections.retire(address);
+      if (!isRestarted) return await this.#connections.retire(address);
+      const parted = await this.#connections.abort(address, { successorSince });
+      logger.info(
+        { endpoint: id, service, address, ...parted },
+        "Connections to the former process closed",
+      );
     } catch (error) {
       logger.warn(
         { err: error, endpoint: id },
--- a/src/gateway/endpoint_pool.ts
+++ b/src/gateway/endpoint_pool.ts
@@ -22,6 +22,9 @@
   /** Whether the endpoint has restarted under the same name, so that its calls
    * in flight are lost. */
   readonly isRestarted: boolean;
+  /** When its successor, under the same name and at the same address, was first
+   * heard of, by the clock of this host. */
+  readonly successorSince?: number;
 }
 
 /** Parts of a pool that a host may turn off. */
@@ -94,10 +97,15 @@
     for (const [id, known] of [...this.#byId]) {
       if (!currentIds.has(id)) ended.push(this.#remove(id, known));
     }
-    return ended.map(({ identity }) => ({
-      identity,
-      isRestarted: currentNames.has(identity.name),
-    }));
+    return ended.map(({ identity }) => {
+      const successor = newest.get(identity.address);
+      const isSame = successor?.id === identity.name;
+      return {
+        identity,
+        isRestarted: currentNames.has(identity.name),
+        ...(isSame && { successorSince: successor.firstHeardAt }),
+      };
+    });
   }
 
   /** Sets the evacuated data centres. Endpoints of those just returned to
--- a/src/gateway/endpoint_pool_test.ts
+++ b/src/gateway/endpoint_pool_test.ts
@@ -61,6 +61,32 @@
   t.is(engine().cachedPrefixes!.cachedTokens(PROMPT), 0);
 });
 
+// Guards against calls of a new process that are taken for those of the former one,
+// and against the reverse at an address that the endpoint has left.
+test("a successor counts from when it was first heard of, at the same address only", (t) => {
+  const hear = (next: Partial<endpoints.EndpointStatus>) => {
+    const pool = gateway.EndpointPool.create();
+    const roster = endpoints.Roster.create(ROSTER_TIMES);
+    const merge = (
+      change: Partial<endpoints.EndpointStatus>,
+      heardAt: number,
+    ) => {
+      const status = fixture.endpointStatus({ service: "models", ...change });
+      roster.merge({ status, heardAt });
+    };
+    merge({ born: 100, sequence: 70 }, 0);
+    pool.update(roster.entries, createService({}));
+    merge({ born: 200, sequence: 1, ...next }, 1000);
+    merge({ born: 200, sequence: 2, ...next }, 1300);
+    return pool.update(roster.entries, createService({}));
+  };
+  t.like(hear({}), { 0: { isRestarted: true, successorSince: 1000 } });
+  const [moved] = hear({ address: "10.9.9.9:80" });
+  t.like(moved, { isRestarted: true, successorSince: undefined });
+  const [replaced] = hear({ id: "i-2" });
+  t.like(replaced, { isRestarted: false, successorSince: undefined });
+});
+
 // Guards against a restarted endpoint that hosts lose when messages of its former
 // incarnation arrive late.
 test("late messages of a former incarnation leave its successor in the pool", (t) => {
