--- a/src/gateway/continued_streams_test.ts
+++ b/src/gateway/continued_streams_test.ts
@@ -164,8 +164,8 @@
 };
 
 for (const [name, events] of Object.entries(UNPLACED)) {
-  // Guards against events that come twice: an endpoint that is called again can't be
-  // told what its caller has.
+  // Guards against events that come twice: an endpoint that is called again can't
+  // know what its caller has.
   test(`a stream of events ${name} is not continued`, async (t) => {
     const reply = await ask(t, [events, eventsOf("7")]);
     t.deepEqual(reply, {
@@ -273,7 +273,7 @@
 });
 
 // Guards against a second run of a stream whose caller has a part of the first:
-// without ids, it can't be told what that is.
+// without ids, that is not known.
 test("a caller's resumed stream without ids is refused", async (t) => {
   const { status, resumedAfter } = await ask(
     t,
--- a/src/gateway/silent_call_test.ts
+++ b/src/gateway/silent_call_test.ts
@@ -127,7 +127,7 @@
 });
 
 // Guards against events of two runs in one stream: a call beside a silent one
-// begins anew where it can't be told which events have been sent.
+// begins anew where it is not known which events have been sent.
 test("a silent stream without ids goes on at its endpoint", async (t) => {
   const silent: http.RequestListener = async (_, response) => {
     response.writeHead(200, SIGNED).write("data: 1\n\n");
