Gateway: one account of what a host holds for all requests together

Cause: each request's body had a bound, all of them together had none. Bodies that stopped just short of their end stayed until the route's timeout; a refused body went on to be collected; closing a connection with unread bytes reset it, so that callers lost the refusal; read buffers and joined copies stayed until V8 had seen 64 MB of them.

Above the bound the bodies that still arrive are evicted, of the account that holds the most and there the one that has grown least recently; such a request is refused as `no-memory`, 503 with Retry-After, which is true as nothing of it has been passed on. The only body is never evicted. Large bodies are read once in a turn of the event loop, so that the system's buffers for them stay small. Connections of refused requests linger: the reply, then half-closed for a second at most. Unused buffers are collected once they take a thirty-second of the host's memory. Setting `--limit request-bytes=N`, gauge `gateway.body_bytes`, `gateway.refused` by reason, the refusal's log line with `heldBytes`.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -8,6 +8,7 @@
 import * as originFixture from "../../src/origins/fixture.ts";
 import * as gateway from "../../src/gateway/mod.ts";
 import * as passages from "../../src/gateway/active_request.ts";
+import * as requestBodies from "../../src/gateway/request_bodies.ts";
 import * as pieces from "../../src/batching/mod.ts";
 import type * as endpoints from "../../src/endpoints/mod.ts";
 import * as quarantineFixture from "../../src/quarantine/fixture.ts";
@@ -34,6 +35,14 @@
 /** Milliseconds from host to host, one way. */
 const WAY = 1.4;
 
+/** Memory has no bound in a simulation. */
+const UNBOUNDED_BODIES = requestBodies.RequestBodies.create({
+  metrics: telemetry.noMetrics,
+  maxBytes: Infinity,
+  otherBytes: () => 0,
+  afterTurn: () => {},
+});
+
 /** One host. */
 export class Host {
   readonly name: string;
@@ -54,7 +63,7 @@
       ...options,
       protocol,
       metrics: telemetry.noMetrics,
-      partialAnswers: { update() {}, remove() {} },
+      partialAnswers: { update() {}, remove() {}, sum: 0 },
     };
     this.#batcher = pieces.Batcher.create({
       ...common,
@@ -139,9 +148,11 @@
       response: response as unknown as passages.HttpExchange["response"],
       // Callers of this bench read at once.
       unreadReplies: { update() {}, remove() {} },
+      requestBodies: UNBOUNDED_BODIES,
       connection: {
         announcesClose: (_, isWanted) => isWanted,
         isLast: () => true,
+        linger() {},
         recordCloseDelimited() {},
       },
     });
--- a/bench/decisions/wire.ts
+++ b/bench/decisions/wire.ts
@@ -12,7 +12,15 @@
     if (name === "end") queueMicrotask(hear);
   };
   const socket = new events.EventEmitter();
-  const made = { ask, complete: true, on() {}, once, socket };
+  const made = {
+    ask,
+    complete: true,
+    on() {},
+    off() {},
+    once,
+    resume() {},
+    socket,
+  };
   return made as unknown as http.IncomingMessage;
 }
 
--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -6,10 +6,11 @@
 import * as fs from "node:fs";
 import * as peers from "../peers/mod.ts";
 import * as runtime from "../runtime/mod.ts";
+import * as collectors from "../runtime/collector.ts";
 import * as telemetry from "../telemetry/mod.ts";
 import * as diagnostics from "./diagnostics.ts";
 import type * as hostContext from "./host_context.ts";
-import type * as settings from "./settings.ts";
+import * as settings from "./settings.ts";
 
 /** Exit codes. */
 const EXIT_CODES = { ok: 0, failed: 1, settings: 2 } as const;
@@ -51,6 +52,7 @@
     process.stderr.write(`chicoryloftd: ${messageOf(error)}\n`);
     process.exit(EXIT_CODES.settings);
   }
+  collectors.shared.limitMemory(settings.memoryOf(loaded));
   const exposition = telemetry.Exposition.create();
   const context = createContext(loaded, exposition);
   const { logger } = context;
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -19,6 +19,7 @@
 import * as hostContext from "./host_context.ts";
 import * as errors from "./errors.ts";
 import * as syncClient from "./sync_client.ts";
+import * as hostLimits from "./host_limits.ts";
 import * as settings from "./settings.ts";
 import * as delays from "../runtime/delay.ts";
 
@@ -293,7 +294,7 @@
     return {
       ready: this.#isReady,
       inFlight: this.#server.inFlight,
-      unread: this.#server.dump(),
+      ...this.#server.dump(),
       partialAnswers: this.#partialAnswers.dump(),
       follower: this.#syncClient.dump(),
       pool: this.#pool.dump(now),
@@ -323,6 +324,7 @@
       callers: callerAddress,
       readiness: readinessAddress,
       memory: this.#memory,
+      maxRequestBytes: hostLimits.requestBytes(this.#options.settings),
       isReady: () => this.#isReady,
     });
     this.#syncClient.start();
--- a/src/fleet/settings.ts
+++ b/src/fleet/settings.ts
@@ -31,6 +31,15 @@
 /** A part of a host that can be turned off. */
 export type OptionalPart = typeof OPTIONAL_PARTS[number];
 
+/** Names of the limits that a host keeps for all of its clients together. */
+export const LIMIT_NAMES = ["request-bytes"] as const;
+
+/** Name of such a limit. */
+export type LimitName = typeof LIMIT_NAMES[number];
+
+/** Limits in place of their defaults, by name. */
+export type ClientLimits = Partial<Readonly<Record<LimitName, number>>>;
+
 /** Whether a host with these settings takes part in account shares. */
 export function hasAccountShares(
   { sharesAccounts, disabledParts }: Pick<
@@ -79,6 +88,8 @@
   readonly bounds: Bounds;
   /** Memory that the process may use, in bytes; undefined without a limit. */
   readonly memory?: number;
+  /** Limits for all clients together in place of their defaults. */
+  readonly limits: ClientLimits;
   /** Processor that the host has, in cores; undefined if it is not known. */
   readonly capacity?: number;
   /** Whether client accounts get fair shares of services under contention. */
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -8,7 +8,6 @@
 import type * as telemetry from "../telemetry/mod.ts";
 import * as admissions from "./admission.ts";
 import * as attempts from "./attempt.ts";
-import * as bodies from "./body.ts";
 import type * as callerConnections from "./caller_connection.ts";
 import * as callLimits from "./call_limits.ts";
 import type * as contexts from "./context.ts";
@@ -21,6 +20,7 @@
 import * as refusals from "./refusal.ts";
 import * as openCalls from "./open_calls.ts";
 import * as replies from "./reply.ts";
+import type * as requestBodies from "./request_bodies.ts";
 import * as retries from "./retry.ts";
 import * as retryAllowances from "./retry_allowance.ts";
 import * as shareCharges from "./share_charge.ts";
@@ -49,6 +49,9 @@
   readonly #context: contexts.Context;
   readonly #message: http.IncomingMessage;
   readonly #reply: replies.Reply;
+  readonly #requestBodies: HttpExchange["requestBodies"];
+  /** Present from the admission of the request on. */
+  #requestBody?: requestBodies.RequestBody;
   readonly #arrivedAt: number;
   readonly #calls: callRecords.CallRecord[] = [];
   #phase: Phase = "reading";
@@ -88,9 +91,11 @@
 
   private constructor(
     context: contexts.Context,
-    { request, response, unreadReplies, connection }: HttpExchange,
+    { request, response, unreadReplies, requestBodies, connection }:
+      HttpExchange,
   ) {
     this.#context = context;
+    this.#requestBodies = requestBodies;
     this.#message = request;
     const { isDraining } = context;
     this.#reply = replies.Reply.create({
@@ -100,6 +105,7 @@
       closesConnection: ({ isNeeded }) =>
         connection.announcesClose(request, isNeeded || isDraining()),
       isLast: () => connection.isLast(request),
+      onEarlyRefusal: () => connection.linger(),
       onCloseDelimited: () => connection.recordCloseDelimited(request),
       onAbortUnread: (unreadBytes) => this.#recordAbort(unreadBytes),
     });
@@ -309,8 +315,15 @@
     );
     this.handleDrain();
     const { limits } = fleetView.catalogue()!.configuration;
-    const body = await bodies.read(this.#message, limits.bodyBytes);
-    if (typeof body === "string") return this.#refuseStep(body);
+    this.#requestBody = this.#requestBodies.read(this.#message, {
+      maxBytes: limits.bodyBytes,
+      account: this.#account?.name,
+    });
+    const body = await this.#requestBody.result;
+    if (typeof body === "string") {
+      const { evictedBytes } = this.#requestBody;
+      return this.#refuseStep(body, { heldBytes: evictedBytes });
+    }
     // The configuration may have changed while a slow body was received.
     const laterReason = this.#evaluate(incoming);
     if (laterReason !== undefined && !this.isFinished) {
@@ -857,6 +870,8 @@
   /** Ends what runs for the request. */
   #release(): void {
     this.#phase = "finished";
+    this.#requestBody?.discard();
+    this.#body = EMPTY_BODY;
     this.#cancelTimer();
     this.#cancelDrainTimer();
     this.#openCalls.cancelAll();
@@ -934,10 +949,11 @@
     unreadReplies.UnreadReplies,
     "update" | "remove"
   >;
+  readonly requestBodies: Pick<requestBodies.RequestBodies, "read">;
   /** Connection of the request. */
   readonly connection: Pick<
     callerConnections.CallerConnection,
-    "announcesClose" | "isLast" | "recordCloseDelimited"
+    "announcesClose" | "isLast" | "linger" | "recordCloseDelimited"
   >;
 }
 
--- a/src/gateway/broken_reply_test.ts
+++ b/src/gateway/broken_reply_test.ts
@@ -48,6 +48,7 @@
       unreadReplies: { update() {}, remove() {} },
       closesConnection: () => true,
       isLast: () => true,
+      onEarlyRefusal() {},
       onCloseDelimited() {},
       onAbortUnread() {},
     });
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -9,6 +9,7 @@
 
 import type * as http from "node:http";
 import type * as net from "node:net";
+import type * as lingeringCloses from "./lingering_closes.ts";
 
 /** A request and its response. */
 export interface Exchange {
@@ -17,11 +18,16 @@
 }
 
 /** What is done with the socket of a connection. */
-type Socket = Pick<net.Socket, "destroySoon" | "destroy" | "resetAndDestroy">;
+type Socket =
+  & Pick<net.Socket, "destroySoon" | "destroy" | "resetAndDestroy">
+  & lingeringCloses.Socket;
+
+type LingeringCloses = Pick<lingeringCloses.LingeringCloses, "prepare">;
 
 /** State of one connection. Mutable. */
 export class CallerConnection {
   readonly #socket: Socket;
+  readonly #lingeringCloses?: LingeringCloses;
   /** Requests whose replies are not sent whole yet, in their order. */
   #open: Exchange[] = [];
   #isClosing = false;
@@ -30,12 +36,18 @@
   /** Request whose reply ends with the connection. */
   #closeDelimited?: http.IncomingMessage;
 
-  private constructor(socket: Socket) {
+  private constructor(socket: Socket, closes?: LingeringCloses) {
     this.#socket = socket;
+    this.#lingeringCloses = closes;
   }
 
-  static create(socket: Socket): CallerConnection {
-    return new CallerConnection(socket);
+  /** A connection that closes at once after its last reply if it gets no
+   * `lingeringCloses`. */
+  static create(
+    socket: Socket,
+    { lingeringCloses }: { lingeringCloses?: LingeringCloses } = {},
+  ): CallerConnection {
+    return new CallerConnection(socket, lingeringCloses);
   }
 
   /** Whether a reply is not sent whole yet. */
@@ -80,6 +92,12 @@
     return this.#isClosing;
   }
 
+  /** Has it linger before it closes, so that its caller gets the refusal of a
+   * request that it still sends. */
+  linger(): void {
+    this.#lingeringCloses?.prepare(this.#socket);
+  }
+
   /** Records that the end of the connection is that of the reply to a request, as
    * it states none of its own. */
   recordCloseDelimited(request: http.IncomingMessage): void {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -53,7 +53,7 @@
   readonly dispatcher: undici.Dispatcher;
   readonly partialAnswers: Pick<
     partialAnswers.PartialAnswers,
-    "update" | "remove"
+    "update" | "remove" | "sum"
   >;
   readonly dataCentre: string;
   readonly pool: endpointPools.EndpointPool;
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -21,6 +21,7 @@
 import * as gateway from "./mod.ts";
 import * as activeRequests from "./active_request.ts";
 import * as callerConnections from "./caller_connection.ts";
+import * as requestBodies from "./request_bodies.ts";
 import * as unreadReplies from "./unread_replies.ts";
 
 /** The clock of all hosts of a test file, and of what waits beside them: they
@@ -119,6 +120,15 @@
   });
 }
 
+function createRequestBodies(maxBytes: number) {
+  return requestBodies.RequestBodies.create({
+    metrics: telemetry.noMetrics,
+    maxBytes,
+    otherBytes: () => 0,
+    afterTurn: setImmediate,
+  });
+}
+
 function createPartialAnswers(memory?: number) {
   return partialAnswers.PartialAnswers.create({
     metrics: telemetry.noMetrics,
@@ -203,9 +213,13 @@
     stopsAt: () => Infinity,
   };
   let unread = createUnreadReplies();
+  let bodies = createRequestBodies(Infinity);
   const limitMemory = (memory: number) => {
     unread = createUnreadReplies(memory);
   };
+  const limitBodies = (maxBytes: number) => {
+    bodies = createRequestBodies(maxBytes);
+  };
   const limitPartialAnswers = (memory?: number) => {
     return partial = createPartialAnswers(memory);
   };
@@ -219,6 +233,7 @@
         request,
         response,
         unreadReplies: unread,
+        requestBodies: bodies,
         connection,
       }),
     );
@@ -245,6 +260,7 @@
     context,
     gatewayAddress,
     limitMemory,
+    limitBodies,
     limitPartialAnswers,
   };
 }
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -7,6 +7,7 @@
   | "malformed"
   | "too-large"
   | "unreadable"
+  | "no-memory"
   | "no-configuration"
   | "stale-configuration"
   | "no-route"
@@ -84,6 +85,8 @@
   "malformed": { status: 400 },
   "too-large": { status: 413 },
   "unreadable": { status: 400 },
+  // A body that was not complete; requests that hold memory end meanwhile.
+  "no-memory": { status: 503, retryAfter: 1 },
   // The delay depends on the host's uptime: `retryAfterUnconfigured`.
   "no-configuration": { status: 503 },
   "stale-configuration": { status: 503, retryAfter: 0.5 },
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -30,6 +30,9 @@
    * written. It should if `isNeeded`: a part of the request is left on it, or its
    * end is that of the reply. */
   closesConnection(state: { isNeeded: boolean }): boolean;
+  /** A refusal is sent while the body of its request is still arriving, on a
+   * connection that closes after it. */
+  onEarlyRefusal(): void;
   /** Whether no pipelined request has been read behind this one. */
   isLast(): boolean;
   /** The head has been sent of a reply that is close-delimited. */
@@ -189,9 +192,11 @@
     { status, retryAfter }: refusals.Refusal,
   ): void {
     if (this.isDisconnected) return;
-    const { request, response, closesConnection } = this.#options;
+    const { request, response, closesConnection, onEarlyRefusal } =
+      this.#options;
     const text = JSON.stringify({ status, reason });
     const closes = closesConnection({ isNeeded: !request.complete });
+    if (closes && !request.complete) onEarlyRefusal();
     response.writeHead(status, {
       "content-type": "application/problem+json",
       "content-length": `${Buffer.byteLength(text)}`,
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -8,6 +8,8 @@
 import * as activeRequests from "./active_request.ts";
 import * as callerConnections from "./caller_connection.ts";
 import * as connectionGates from "./connection_gate.ts";
+import * as lingeringCloses from "./lingering_closes.ts";
+import * as requestBodies from "./request_bodies.ts";
 import * as unreadReplies from "./unread_replies.ts";
 import * as delays from "../runtime/delay.ts";
 
@@ -23,6 +25,12 @@
  * the limit. */
 const IDLE_TIMEOUT_MS = 15_000;
 
+/** Milliseconds for which a connection stays open after the refusal of a request
+ * that is still arriving: its caller reads the refusal meanwhile. */
+const LINGER_TIMEOUT_MS = 1000;
+/** Most connections that stay open so. */
+const MAX_LINGERING_COUNT = 64;
+
 /** Dependencies of a server. */
 export interface ServerOptions {
   context: contexts.Context;
@@ -30,6 +38,9 @@
   readiness?: httpListener.ListenAddress;
   /** Memory of the host in bytes; undefined without a limit. */
   memory?: number;
+  /** Most bytes that the host may hold for all requests together; without a bound
+   * when absent. */
+  maxRequestBytes?: number;
   isReady(): boolean;
 }
 
@@ -37,6 +48,8 @@
 export class Server {
   readonly #options: ServerOptions;
   readonly #unreadReplies: unreadReplies.UnreadReplies;
+  readonly #requestBodies: requestBodies.RequestBodies;
+  readonly #lingeringCloses: lingeringCloses.LingeringCloses;
   readonly #activeRequests = new Set<activeRequests.ActiveRequest>();
   /** Connections with a reply that is not sent whole. */
   readonly #busy = new Set<callerConnections.CallerConnection>();
@@ -50,12 +63,24 @@
 
   private constructor(options: ServerOptions) {
     this.#options = options;
-    const { context: { metrics }, memory } = options;
+    const { context: { metrics, partialAnswers }, memory } = options;
+    const { maxRequestBytes = Infinity } = options;
     this.#unreadReplies = unreadReplies.UnreadReplies.create({
       metrics,
       memory,
       afterTurn: setImmediate,
     });
+    this.#lingeringCloses = lingeringCloses.LingeringCloses.create({
+      clock: options.context.clock,
+      timeout: LINGER_TIMEOUT_MS,
+      maxCount: MAX_LINGERING_COUNT,
+    });
+    this.#requestBodies = requestBodies.RequestBodies.create({
+      metrics,
+      maxBytes: maxRequestBytes,
+      otherBytes: () => this.#unreadReplies.sum + partialAnswers.sum,
+      afterTurn: setImmediate,
+    });
   }
 
   /** Listens; resolves once callers can connect. */
@@ -114,8 +139,11 @@
   }
 
   /** State for diagnostics. */
-  dump(): unknown {
-    return this.#unreadReplies.dump();
+  dump(): Readonly<Record<"unread" | "bodies", unknown>> {
+    return {
+      unread: this.#unreadReplies.dump(),
+      bodies: this.#requestBodies.dump(),
+    };
   }
 
   /** Sets the timeouts of a configuration, in milliseconds. */
@@ -178,6 +206,7 @@
       request,
       response,
       unreadReplies: this.#unreadReplies,
+      requestBodies: this.#requestBodies,
       connection,
     });
     this.#activeRequests.add(active);
@@ -190,7 +219,9 @@
   #connectionOf(socket: net.Socket): callerConnections.CallerConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
-    const connection = callerConnections.CallerConnection.create(socket);
+    const connection = callerConnections.CallerConnection.create(socket, {
+      lingeringCloses: this.#lingeringCloses,
+    });
     this.#connections.set(socket, connection);
     // Node emits no event for a response behind another one on its connection.
     socket.once("close", () => this.#busy.delete(connection));
--- a/src/gateway/unread_replies_test.ts
+++ b/src/gateway/unread_replies_test.ts
@@ -116,6 +116,7 @@
         unreadReplies: unread,
         closesConnection: () => false,
         isLast: () => true,
+        onEarlyRefusal() {},
         onCloseDelimited() {},
         onAbortUnread() {},
       });
--- a/src/runtime/chunk_list.ts
+++ b/src/runtime/chunk_list.ts
@@ -1,12 +1,14 @@
 /** Chunks of an answer or a request that is not yet complete.
  * @module */
 
+import * as collectors from "./collector.ts";
+
 /** Memory that a chunk takes beside its bytes: the object, the entry of the list
  * and its allocation. An answer in chunks of one byte takes this much for each
  * byte of it. */
 const CHUNK_OVERHEAD_BYTES = 200;
 /** Memory beside their bytes that chunks may take before they are joined. */
-const MAX_LOOSE_OVERHEAD_BYTES = 64 * 1024;
+const MAX_LOOSE_OVERHEAD_BYTES = 16 * 1024;
 /** Bytes of a block, to which the chunks of a long list are copied. */
 const BLOCK_BYTES = 64 * 1024;
 /** Bytes above which a list uses blocks: a shorter one would waste most of a
@@ -14,7 +16,7 @@
 const MIN_BLOCK_LIST_BYTES = 32 * 1024;
 /** Blocks that are kept for reuse. V8 collects buffers once 64 MB more have been
  * allocated since it last did, which is more than a small host has left. */
-const MAX_FREE_BLOCKS = 256;
+const MAX_FREE_BLOCKS = 160;
 /** Part of its memory that a chunk must fill to be kept as it is. Smaller ones
  * would keep all that was read with them, such as the framing of chunks. */
 const MIN_FILL_RATIO = 1 / 2;
@@ -72,6 +74,7 @@
   take(): Buffer {
     const chunks = [...this.#chunks, ...this.#filledBlocks()];
     const isLoose = chunks.length === 1 && this.#blocks.length === 0;
+    if (this.#blocks.length > 0) collectors.shared.addUnused(this.#length);
     const bytes = isLoose ? chunks[0] : Buffer.concat(chunks, this.#length);
     this.clear();
     return bytes;
@@ -81,6 +84,8 @@
   clear(): void {
     const room = MAX_FREE_BLOCKS - freeBlocks.length;
     freeBlocks.push(...this.#blocks.slice(0, room));
+    const unusedCount = Math.max(0, this.#blocks.length - room);
+    collectors.shared.addUnused(unusedCount * BLOCK_BYTES);
     this.#chunks = [];
     this.#blocks = [];
     this.#blockLength = 0;
@@ -89,6 +94,7 @@
   }
 
   #pushToBlocks(chunk: Buffer): void {
+    collectors.shared.addUnused(chunk.length);
     let copied = 0;
     while (copied < chunk.length) {
       const offset = this.#blockLength % BLOCK_BYTES;
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -28,6 +28,10 @@
     type: "gauge",
     help: "Bytes of replies that callers have not read",
   },
+  "gateway.body_bytes": {
+    type: "gauge",
+    help: "Memory of requests and their bodies",
+  },
   "gateway.aborted_slow": {
     type: "count",
     help: "Replies aborted, as their callers have not read them",
