Gateway: a body that is announced above the limit is refused at its head

Cause: the limit was checked against what had arrived, so that a host read 4 MiB of each body which was announced as 1 GB.

Evidence: `request_bodies_test` "a body that is announced above the limit is refused unread" gets no reply without the check.

--- a/bench/decisions/wire.ts
+++ b/bench/decisions/wire.ts
@@ -14,6 +14,7 @@
   const socket = new events.EventEmitter();
   const made = {
     ask,
+    headers: {},
     complete: true,
     on() {},
     off() {},
--- a/src/gateway/request_bodies.ts
+++ b/src/gateway/request_bodies.ts
@@ -149,6 +149,8 @@
 
   #start(): void {
     const request = this.#request;
+    const declared = Number(request.headers["content-length"] ?? 0);
+    if (declared > this.#options.maxBytes) this.#fail("too-large");
     this.#options.grow(this, REQUEST_OVERHEAD_BYTES);
     request.on("data", (chunk: Buffer) => this.#take(chunk));
     request.once("end", () => this.#complete());
