Gateway: callers' connections and pipelined requests have a bound that leaves descriptors and memory

Callers saw no answer, or the end of a process: 800 idle connections took each descriptor that a host may open, and each pipelined request opened a call as soon as it was parsed, 64 KB of them at a time.

Cause: nothing on a host knew how many descriptors it has; neither connections nor requests in work had a bound.

`ConnectionLimit` lets callers' connections take a third of what is there for sockets, and no more than the system's buffers for them find room in the host's memory. A new connection beyond that takes the place of the one that has done nothing for longest; connections with a whole request in work keep theirs. A connection with more than 16 requests in work is closed, and so is one with a second one while all of a host have a quarter more than there may be connections; requests of a closed connection count for 2 s more, as their calls' connections stay that long. Settings `--limit connections=N`, `--limit pipelined-requests=N`, counter `connections.closed`, one log line a second.

--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -19,6 +19,7 @@
 import * as hostContext from "./host_context.ts";
 import * as errors from "./errors.ts";
 import * as syncClient from "./sync_client.ts";
+import * as connectionLimits from "./connection_limit.ts";
 import * as hostLimits from "./host_limits.ts";
 import * as settings from "./settings.ts";
 import * as delays from "../runtime/delay.ts";
@@ -324,6 +325,11 @@
       callers: callerAddress,
       readiness: readinessAddress,
       memory: this.#memory,
+      connectionLimit: connectionLimits.ConnectionLimit.create({
+        ...this.#options,
+        ...hostLimits.connectionBounds(settings),
+        server: "callers",
+      }),
       maxRequestBytes: hostLimits.requestBytes(this.#options.settings),
       isReady: () => this.#isReady,
     });
--- a/src/fleet/http_listener.ts
+++ b/src/fleet/http_listener.ts
@@ -3,6 +3,7 @@
 
 import * as http from "node:http";
 import * as chunkLists from "../runtime/chunk_list.ts";
+import type * as connectionLimits from "./connection_limit.ts";
 import * as errors from "./errors.ts";
 
 /** Address and port to listen on. */
@@ -17,13 +18,27 @@
   response: http.ServerResponse,
 ) => void;
 
+/** Options of a server. */
+export interface ListenOptions extends http.ServerOptions {
+  /** Bounds its connections; absent where only other hosts connect. */
+  readonly connectionLimit?: connectionLimits.ConnectionLimit;
+}
+
 /** Starts a server; resolves once it accepts connections. */
 export async function listen(
   listenAddress: ListenAddress,
   handle: RequestHandler,
-  options: http.ServerOptions = {},
+  { connectionLimit: limit, ...options }: ListenOptions = {},
 ): Promise<http.Server> {
-  const server = http.createServer(options, handle);
+  const server = http.createServer(options, (request, response) => {
+    const isServed = limit?.begin(request.socket, { request, response }) ??
+      true;
+    if (isServed) handle(request, response);
+    else request.resume();
+  });
+  if (limit !== undefined) {
+    server.on("connection", (socket) => limit.take(socket));
+  }
   await new Promise<void>((resolve, reject) => {
     server.once("error", (cause) => {
       const message =
--- a/src/fleet/settings.ts
+++ b/src/fleet/settings.ts
@@ -32,7 +32,11 @@
 export type OptionalPart = typeof OPTIONAL_PARTS[number];
 
 /** Names of the limits that a host keeps for all of its clients together. */
-export const LIMIT_NAMES = ["request-bytes"] as const;
+export const LIMIT_NAMES = [
+  "request-bytes",
+  "connections",
+  "pipelined-requests",
+] as const;
 
 /** Name of such a limit. */
 export type LimitName = typeof LIMIT_NAMES[number];
@@ -88,6 +92,9 @@
   readonly bounds: Bounds;
   /** Memory that the process may use, in bytes; undefined without a limit. */
   readonly memory?: number;
+  /** Descriptors that the process may open for sockets; undefined if it is not
+   * known. */
+  readonly descriptors?: number;
   /** Limits for all clients together in place of their defaults. */
   readonly limits: ClientLimits;
   /** Processor that the host has, in cores; undefined if it is not known. */
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -4,6 +4,7 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import type * as contexts from "./context.ts";
+import type * as connectionLimits from "../fleet/connection_limit.ts";
 import * as httpListener from "../fleet/http_listener.ts";
 import * as activeRequests from "./active_request.ts";
 import * as callerConnections from "./caller_connection.ts";
@@ -41,6 +42,8 @@
   /** Most bytes that the host may hold for all requests together; without a bound
    * when absent. */
   maxRequestBytes?: number;
+  /** Bounds the callers' connections; without a bound when absent. */
+  connectionLimit?: connectionLimits.ConnectionLimit;
   isReady(): boolean;
 }
 
@@ -90,7 +93,11 @@
     server.#callers = await httpListener.listen(
       callers,
       (request, response) => server.#serve(request, response),
-      { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 500 },
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        connectionsCheckingInterval: 500,
+        connectionLimit: options.connectionLimit,
+      },
     );
     server.setTimeouts({
       headerTimeout: HEADER_TIMEOUT_MS,
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -149,6 +149,10 @@
     type: "count",
     help: "Calls kept from a brittle endpoint",
   },
+  "connections.closed": {
+    type: "count",
+    help: "Connections closed by a limit, by server and reason",
+  },
   "gateway.closed_unread": {
     type: "count",
     help: "New connections closed unread",
