Control hosts: requests and connections have a bound on what they take together

Callers saw control hosts that held 478 MB of 250 for bodies which stopped short of their end, and that answered no one while 800 idle connections had their descriptors.

Cause: 16 MiB were read of any call, of any number of them, for Node's 300 s; connections had no bound.

Change: the account of request bodies, the turns in which they are read, lingering closes and the limit of connections are those of entry hosts, moved to `src/fleet/`. Only a configuration may have 16 MiB, other calls 64 KiB; a whole request has to arrive in 60 s. A body that is evicted gets 503, which operators and endpoints repeat.

--- a/bench/decisions/host.ts
+++ b/bench/decisions/host.ts
@@ -8,7 +8,7 @@
 import * as originFixture from "../../src/origins/fixture.ts";
 import * as gateway from "../../src/gateway/mod.ts";
 import * as passages from "../../src/gateway/active_request.ts";
-import * as requestBodies from "../../src/gateway/request_bodies.ts";
+import * as requestBodies from "../../src/fleet/request_bodies.ts";
 import * as pieces from "../../src/batching/mod.ts";
 import type * as endpoints from "../../src/endpoints/mod.ts";
 import * as quarantineFixture from "../../src/quarantine/fixture.ts";
--- a/src/fleet/control_host.ts
+++ b/src/fleet/control_host.ts
@@ -14,6 +14,7 @@
 import type * as schema from "../schema/fleet_types.ts";
 import * as hostContext from "./host_context.ts";
 import * as controlServer from "./control_server.ts";
+import * as hostLimits from "./host_limits.ts";
 import * as controlMembers from "./control_members.ts";
 import * as entryMembers from "./entry_members.ts";
 import * as knownServices from "./known_services.ts";
@@ -294,6 +295,7 @@
         logger,
         metrics: this.#options.metrics,
         clock,
+        bounds: hostLimits.controlBounds(settings),
         protocol: this.#options.protocol,
         handlers: {
           ...operatorCommands.handlers({
--- a/src/fleet/control_protocol.ts
+++ b/src/fleet/control_protocol.ts
@@ -46,6 +46,8 @@
 
 /** Decodes requests to control hosts. */
 export interface ControlProtocol {
+  /** Whether the body of a request is a configuration. */
+  isConfiguration(request: Pick<ControlRequest, "method" | "target">): boolean;
   decode(request: ControlRequest): ControlCommand;
 }
 
--- a/src/fleet/control_server.ts
+++ b/src/fleet/control_server.ts
@@ -4,12 +4,18 @@
 import type * as http from "node:http";
 import type * as runtime from "../runtime/mod.ts";
 import * as telemetry from "../telemetry/mod.ts";
-import * as errors from "./errors.ts";
+import * as connectionLimits from "./connection_limit.ts";
 import * as httpListener from "./http_listener.ts";
+import * as lingeringCloses from "./lingering_closes.ts";
+import * as requestBodies from "./request_bodies.ts";
 import * as protocol from "./control_protocol.ts";
 
 /** Enough for a configuration with thousands of routes. */
-const MAX_BODY_BYTES = 16 * 1024 * 1024;
+const MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024;
+/** Other calls have a few hundred bytes. */
+const MAX_BODY_BYTES = 64 * 1024;
+/** Milliseconds in which a whole request has to arrive. */
+const REQUEST_TIMEOUT_MS = 60_000;
 /** Log lines about requests that cannot be decoded: another writer may send many
  * of them, and other lines must remain. */
 const MALFORMED_LOG_BOUNDS = { rate: 1, burst: 10 };
@@ -35,16 +41,41 @@
   clock: runtime.Clock;
   protocol: protocol.ControlProtocol;
   handlers: CommandHandlers;
+  bounds: ControlBounds;
 }
 
+/** Bounds on what clients may take. */
+export interface ControlBounds extends connectionLimits.ConnectionBounds {
+  /** Most bytes that the host may hold for all requests together. */
+  readonly requestBytes: number;
+}
+
+/** Why a body is refused. */
+const BODY_PROBLEMS: Readonly<
+  Record<requestBodies.BodyFailure, protocol.ControlResponse>
+> = {
+  "too-large": protocol.problem(413, "The body is too large"),
+  "unreadable": protocol.problem(400, "The body did not arrive"),
+  "no-memory": protocol.problem(503, "Other requests take the memory"),
+};
+
 /** A listening control server. */
 export class ControlServer {
   readonly #options: ControlServerOptions;
   readonly #malformedLogger: telemetry.Logger;
+  readonly #bodies: requestBodies.RequestBodies;
+  readonly #lingeringCloses: lingeringCloses.LingeringCloses;
   #server!: http.Server;
 
   private constructor(options: ControlServerOptions) {
     this.#options = options;
+    this.#bodies = requestBodies.RequestBodies.create({
+      metrics: options.metrics,
+      maxBytes: options.bounds.requestBytes,
+      otherBytes: () => 0,
+      afterTurn: setImmediate,
+    });
+    this.#lingeringCloses = lingeringCloses.LingeringCloses.create(options);
     this.#malformedLogger = telemetry.boundLogger(
       options.logger,
       options.clock,
@@ -58,6 +89,14 @@
     server.#server = await httpListener.listen(
       options.listenAddress,
       (request, response) => void server.#serve(request, response),
+      {
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        connectionLimit: connectionLimits.ConnectionLimit.create({
+          ...options,
+          ...options.bounds,
+          server: "control",
+        }),
+      },
     );
     return server;
   }
@@ -83,9 +122,12 @@
       const fitting = fault === undefined ? logger : this.#malformedLogger;
       fitting.info({ target, status, body, fault }, "Control request refused");
     }
+    const isEarly = !request.complete;
+    if (isEarly) this.#lingeringCloses.prepare(request.socket);
     response.writeHead(status, {
       "content-type": "application/json",
       "content-length": Buffer.byteLength(body),
+      ...(isEarly && { connection: "close" }),
     });
     response.end(body);
   }
@@ -96,19 +138,25 @@
   ): Promise<protocol.ControlResponse> {
     const { logger } = this.#options;
     const { method = "", url: target = "" } = request;
+    const isConfiguration = this.#options.protocol.isConfiguration({
+      method,
+      target,
+    });
+    const received = this.#bodies.read(request, {
+      maxBytes: isConfiguration ? MAX_CONFIGURATION_BYTES : MAX_BODY_BYTES,
+    });
     try {
-      const body = await httpListener.readBody(request, MAX_BODY_BYTES);
-      const received = { method, target, body };
+      const body = await received.result;
+      if (typeof body === "string") return BODY_PROBLEMS[body];
       return await this.#handle(
-        this.#options.protocol.decode(received),
+        this.#options.protocol.decode({ method, target, body }),
         connection,
       );
     } catch (error) {
-      if (error instanceof errors.FleetError) {
-        return protocol.problem(413, error.message);
-      }
       logger.error({ err: error, target }, "Control request failed");
       return protocol.problem(500, "the call failed");
+    } finally {
+      received.discard();
     }
   }
 
--- a/src/fleet/host_limits.ts
+++ b/src/fleet/host_limits.ts
@@ -3,6 +3,7 @@
  * @module */
 
 import type * as connectionLimits from "./connection_limit.ts";
+import type * as controlServer from "./control_server.ts";
 import * as settings from "./settings.ts";
 
 /** Bytes of a host that serves nothing. */
@@ -30,6 +31,16 @@
  * an answer, unless they pipeline. */
 const MAX_PIPELINED = 16;
 
+/** Bounds of a control host's server. */
+export function controlBounds(
+  host: Pick<settings.HostSettings, "memory" | "descriptors" | "limits">,
+): controlServer.ControlBounds {
+  return {
+    ...connectionBounds(host),
+    requestBytes: requestBytes(host),
+  };
+}
+
 /** Bounds on the connections of a host's clients. */
 export function connectionBounds(
   host: Pick<settings.HostSettings, "memory" | "descriptors" | "limits">,
--- a/src/fleet/http_listener.ts
+++ b/src/fleet/http_listener.ts
@@ -2,7 +2,6 @@
  * @module */
 
 import * as http from "node:http";
-import * as chunkLists from "../runtime/chunk_list.ts";
 import type * as connectionLimits from "./connection_limit.ts";
 import * as errors from "./errors.ts";
 
@@ -54,27 +53,6 @@
  * pause of this process. */
 const BACKLOG = 511;
 
-/** Reads a whole body. Rejects with `FleetError` when it exceeds `limit` bytes
- * or the connection breaks. */
-export async function readBody(
-  request: http.IncomingMessage,
-  limit: number,
-): Promise<Buffer> {
-  const chunks = chunkLists.ChunkList.create();
-  try {
-    for await (const chunk of request) {
-      if (chunks.length + chunk.length > limit) {
-        throw new errors.FleetError("The body is too large");
-      }
-      chunks.pushJoined(chunk);
-    }
-  } catch (cause) {
-    if (cause instanceof errors.FleetError) throw cause;
-    throw new errors.FleetError("The body did not arrive", { cause });
-  }
-  return chunks.take();
-}
-
 /** Stops listening and closes all connections. */
 export function close(server: http.Server): Promise<void> {
   return new Promise((resolve) => {
--- a/src/gateway/lingering_closes.ts
+++ b/src/fleet/lingering_closes.ts
@@ -14,13 +14,15 @@
   "destroySoon" | "end" | "destroy" | "once"
 >;
 
-/** Dependencies and bounds. */
+/** Milliseconds for which a connection stays open after its reply, in which its
+ * caller reads that. */
+const TIMEOUT_MS = 1000;
+/** Most such connections; one beyond them is closed at once. */
+const MAX_COUNT = 64;
+
+/** Dependencies of `LingeringCloses`. */
 export interface LingeringClosesOptions {
   readonly clock: runtime.Clock;
-  /** Milliseconds for which a connection stays open after its reply. */
-  readonly timeout: number;
-  /** Most such connections; one beyond them is closed at once. */
-  readonly maxCount: number;
 }
 
 /** Connections that close so. Mutable. */
@@ -38,8 +40,8 @@
 
   /** Has a connection linger once Node closes it after its last reply. */
   prepare(socket: Socket): void {
-    const { clock, timeout, maxCount } = this.#options;
-    if (this.#count >= maxCount) return;
+    if (this.#count >= MAX_COUNT) return;
+    const { clock } = this.#options;
     this.#count++;
     let cancel = () => {};
     socket.once("close", () => {
@@ -50,7 +52,7 @@
     socket.destroySoon = () => {
       socket.end();
       socket.once("end", () => socket.destroy());
-      cancel = clock.after(timeout, () => socket.destroy());
+      cancel = clock.after(TIMEOUT_MS, () => socket.destroy());
     };
   }
 }
--- a/src/gateway/lingering_closes_test.ts
+++ b/src/fleet/lingering_closes_test.ts
@@ -17,20 +17,16 @@
   return { socket, calls };
 }
 
-function closesOf(maxCount: number) {
+function createCloses() {
   const clock = new fakeClocks.FakeClock();
-  const closes = lingeringCloses.LingeringCloses.create({
-    clock,
-    timeout: 1000,
-    maxCount,
-  });
+  const closes = lingeringCloses.LingeringCloses.create({ clock });
   const prepare = ({ socket }: ReturnType<typeof socketOf>) =>
     closes.prepare(socket as unknown as lingeringCloses.Socket);
   return { clock, prepare };
 }
 
 test("a connection is closed for writing, and wholly at the timeout", (t) => {
-  const { clock, prepare } = closesOf(1);
+  const { clock, prepare } = createCloses();
   const { socket, calls } = socketOf();
   prepare({ socket, calls });
   socket.destroySoon();
@@ -42,7 +38,7 @@
 });
 
 test("a connection is closed once its caller closes it", (t) => {
-  const { clock, prepare } = closesOf(1);
+  const { clock, prepare } = createCloses();
   const { socket, calls } = socketOf();
   prepare({ socket, calls });
   socket.destroySoon();
@@ -53,13 +49,14 @@
 });
 
 test("connections beyond the bound are closed at once", (t) => {
-  const { prepare } = closesOf(1);
-  const [first, second, third] = [socketOf(), socketOf(), socketOf()];
-  prepare(first);
+  const { prepare } = createCloses();
+  const lingering = Array.from({ length: 64 }, socketOf);
+  lingering.forEach(prepare);
+  const [second, third] = [socketOf(), socketOf()];
   prepare(second);
   second.socket.destroySoon();
   t.deepEqual(second.calls, ["destroySoon"]);
-  first.socket.emit("close");
+  lingering[0].socket.emit("close");
   prepare(third);
   third.socket.destroySoon();
   t.deepEqual(third.calls, ["end"]);
--- a/src/gateway/request_bodies.ts
+++ b/src/fleet/request_bodies.ts
@@ -100,7 +100,7 @@
     this.#isGaugeDue = true;
     this.#options.afterTurn(() => {
       this.#isGaugeDue = false;
-      this.#options.metrics.gauge("gateway.body_bytes", this.#ledger.sum);
+      this.#options.metrics.gauge("requests.body_bytes", this.#ledger.sum);
     });
   }
 }
--- a/src/gateway/active_request.ts
+++ b/src/gateway/active_request.ts
@@ -20,7 +20,7 @@
 import * as refusals from "./refusal.ts";
 import * as openCalls from "./open_calls.ts";
 import * as replies from "./reply.ts";
-import type * as requestBodies from "./request_bodies.ts";
+import type * as requestBodies from "../fleet/request_bodies.ts";
 import * as retries from "./retry.ts";
 import * as retryAllowances from "./retry_allowance.ts";
 import * as shareCharges from "./share_charge.ts";
--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -9,7 +9,7 @@
 
 import type * as http from "node:http";
 import type * as net from "node:net";
-import type * as lingeringCloses from "./lingering_closes.ts";
+import type * as lingeringCloses from "../fleet/lingering_closes.ts";
 
 /** A request and its response. */
 export interface Exchange {
--- a/src/gateway/fixture.ts
+++ b/src/gateway/fixture.ts
@@ -21,7 +21,7 @@
 import * as gateway from "./mod.ts";
 import * as activeRequests from "./active_request.ts";
 import * as callerConnections from "./caller_connection.ts";
-import * as requestBodies from "./request_bodies.ts";
+import * as requestBodies from "../fleet/request_bodies.ts";
 import * as unreadReplies from "./unread_replies.ts";
 
 /** The clock of all hosts of a test file, and of what waits beside them: they
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -9,8 +9,8 @@
 import * as activeRequests from "./active_request.ts";
 import * as callerConnections from "./caller_connection.ts";
 import * as connectionGates from "./connection_gate.ts";
-import * as lingeringCloses from "./lingering_closes.ts";
-import * as requestBodies from "./request_bodies.ts";
+import * as lingeringCloses from "../fleet/lingering_closes.ts";
+import * as requestBodies from "../fleet/request_bodies.ts";
 import * as unreadReplies from "./unread_replies.ts";
 import * as delays from "../runtime/delay.ts";
 
@@ -26,12 +26,6 @@
  * the limit. */
 const IDLE_TIMEOUT_MS = 15_000;
 
-/** Milliseconds for which a connection stays open after the refusal of a request
- * that is still arriving: its caller reads the refusal meanwhile. */
-const LINGER_TIMEOUT_MS = 1000;
-/** Most connections that stay open so. */
-const MAX_LINGERING_COUNT = 64;
-
 /** Dependencies of a server. */
 export interface ServerOptions {
   context: contexts.Context;
@@ -73,11 +67,9 @@
       memory,
       afterTurn: setImmediate,
     });
-    this.#lingeringCloses = lingeringCloses.LingeringCloses.create({
-      clock: options.context.clock,
-      timeout: LINGER_TIMEOUT_MS,
-      maxCount: MAX_LINGERING_COUNT,
-    });
+    this.#lingeringCloses = lingeringCloses.LingeringCloses.create(
+      options.context,
+    );
     this.#requestBodies = requestBodies.RequestBodies.create({
       metrics,
       maxBytes: maxRequestBytes,
--- a/src/telemetry/names.ts
+++ b/src/telemetry/names.ts
@@ -28,7 +28,7 @@
     type: "gauge",
     help: "Bytes of replies that callers have not read",
   },
-  "gateway.body_bytes": {
+  "requests.body_bytes": {
     type: "gauge",
     help: "Memory of requests and their bodies",
   },
