Control hosts: a body of many values is refused before it is parsed

Callers saw the end of a control host: one body of 15 MB, `[{},{},...]`, takes some 340 MB once it is parsed, and the process has a heap of 200.

Cause: a body was bounded by its bytes alone, and parsed before anything of it is checked.

Change: commas, colons and opening brackets are counted first; above 500,000 of them the call gets 413. A configuration of 4,000 routes has 110,000. Setting `--limit configuration-values=N`.

`control_server_test` "a body of too many values is refused unparsed".

--- a/src/fleet/control_server.ts
+++ b/src/fleet/control_server.ts
@@ -6,6 +6,7 @@
 import * as telemetry from "../telemetry/mod.ts";
 import * as connectionLimits from "./connection_limit.ts";
 import * as httpListener from "./http_listener.ts";
+import * as jsonValues from "./json_values.ts";
 import * as lingeringCloses from "./lingering_closes.ts";
 import * as requestBodies from "./request_bodies.ts";
 import * as protocol from "./control_protocol.ts";
@@ -48,6 +49,8 @@
 export interface ControlBounds extends connectionLimits.ConnectionBounds {
   /** Most bytes that the host may hold for all requests together. */
   readonly requestBytes: number;
+  /** Most values of a configuration. */
+  readonly configurationValues: number;
 }
 
 /** Why a body is refused. */
@@ -136,7 +139,7 @@
     request: http.IncomingMessage,
     connection: protocol.ControlConnection,
   ): Promise<protocol.ControlResponse> {
-    const { logger } = this.#options;
+    const { logger, bounds } = this.#options;
     const { method = "", url: target = "" } = request;
     const isConfiguration = this.#options.protocol.isConfiguration({
       method,
@@ -148,6 +151,9 @@
     try {
       const body = await received.result;
       if (typeof body === "string") return BODY_PROBLEMS[body];
+      if (jsonValues.exceed(body, bounds.configurationValues)) {
+        return protocol.problem(413, "The body has too many values");
+      }
       return await this.#handle(
         this.#options.protocol.decode({ method, target, body }),
         connection,
--- a/src/fleet/control_server_test.ts
+++ b/src/fleet/control_server_test.ts
@@ -13,6 +13,7 @@
   maxConnections: 4,
   maxPipelined: 2,
   requestBytes: 1_000_000,
+  configurationValues: 100,
 };
 
 /** Starts a server that answers each command with its type; resolves with the
@@ -58,6 +59,14 @@
   return { handled, port, send };
 }
 
+// Guards against control hosts that parse what takes their whole memory.
+test("a body of too many values is refused unparsed", async (t) => {
+  const { handled, send } = await start(t);
+  t.is(await send("/replace", `[${"{},".repeat(200)}{}]`), 413);
+  t.deepEqual(handled, []);
+  t.is(await send("/replace", `[${"{},".repeat(20)}{}]`), 200);
+});
+
 test("only a configuration may be large", async (t) => {
   const { handled, send } = await start(t);
   const body = JSON.stringify("x".repeat(100_000));
--- a/src/fleet/host_limits.ts
+++ b/src/fleet/host_limits.ts
@@ -31,6 +31,10 @@
  * an answer, unless they pipeline. */
 const MAX_PIPELINED = 16;
 
+/** Most values of a configuration: thousands of routes have some hundred thousand,
+ * and a parsed value takes up to a hundred bytes. */
+const MAX_CONFIGURATION_VALUES = 500_000;
+
 /** Bounds of a control host's server. */
 export function controlBounds(
   host: Pick<settings.HostSettings, "memory" | "descriptors" | "limits">,
@@ -38,6 +42,8 @@
   return {
     ...connectionBounds(host),
     requestBytes: requestBytes(host),
+    configurationValues: host.limits["configuration-values"] ??
+      MAX_CONFIGURATION_VALUES,
   };
 }
 
--- a/src/fleet/settings.ts
+++ b/src/fleet/settings.ts
@@ -36,6 +36,7 @@
   "request-bytes",
   "connections",
   "pipelined-requests",
+  "configuration-values",
 ] as const;
 
 /** Name of such a limit. */
