Hosts: the readiness and metrics ports have a bound on their connections

Callers saw no answer: 800 idle connections to the readiness or the metrics port took each descriptor that an entry host may open, as those to the callers' port did.

Change: both ports keep 32 connections; a new one takes the place of the one that was idle for longest.

--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -8,6 +8,8 @@
 import * as runtime from "../runtime/mod.ts";
 import * as collectors from "../runtime/collector.ts";
 import * as telemetry from "../telemetry/mod.ts";
+import * as connectionLimits from "./connection_limit.ts";
+import * as hostLimits from "./host_limits.ts";
 import * as diagnostics from "./diagnostics.ts";
 import type * as hostContext from "./host_context.ts";
 import * as settings from "./settings.ts";
@@ -63,7 +65,15 @@
   try {
     const host = await options.start(context);
     process.once("exit", () => host.closeUnfinishedReplies?.());
-    const server = await diagnostics.serve(loaded, { exposition, host });
+    const server = await diagnostics.serve(loaded, {
+      exposition,
+      host,
+      connectionLimit: connectionLimits.ConnectionLimit.create({
+        ...context,
+        ...hostLimits.PROBE_BOUNDS,
+        server: "metrics",
+      }),
+    });
     process.on("SIGUSR2", () => logger.info({ dump: host.dump() }, "Dump"));
     watchSettings(options, { host, logger });
     await stopSignal(host);
--- a/src/fleet/diagnostics.ts
+++ b/src/fleet/diagnostics.ts
@@ -4,6 +4,7 @@
 
 import type * as http from "node:http";
 import type * as telemetry from "../telemetry/mod.ts";
+import type * as connectionLimits from "./connection_limit.ts";
 import * as httpListener from "./http_listener.ts";
 import type * as settings from "./settings.ts";
 
@@ -24,9 +25,10 @@
 /** Starts the server if the settings give its address. */
 export async function serve(
   { metrics }: Pick<settings.HostSettings, "metrics">,
-  { exposition, host }: {
+  { exposition, host, connectionLimit }: {
     exposition: Pick<telemetry.Exposition, "text">;
     host: Host;
+    connectionLimit?: connectionLimits.ConnectionLimit;
   },
 ): Promise<http.Server | undefined> {
   if (metrics === undefined) return undefined;
@@ -48,6 +50,7 @@
         host.release?.(fingerprint);
       response.writeHead(isReleased ? 204 : 404).end();
     },
+    { connectionLimit },
   );
 }
 
--- a/src/fleet/entry_host.ts
+++ b/src/fleet/entry_host.ts
@@ -330,6 +330,11 @@
         ...hostLimits.connectionBounds(settings),
         server: "callers",
       }),
+      readinessLimit: connectionLimits.ConnectionLimit.create({
+        ...this.#options,
+        ...hostLimits.PROBE_BOUNDS,
+        server: "readiness",
+      }),
       maxRequestBytes: hostLimits.requestBytes(this.#options.settings),
       isReady: () => this.#isReady,
     });
--- a/src/fleet/host_limits.ts
+++ b/src/fleet/host_limits.ts
@@ -31,6 +31,12 @@
  * an answer, unless they pipeline. */
 const MAX_PIPELINED = 16;
 
+/** Bounds of servers that a prober or a collector of metrics asks now and then. */
+export const PROBE_BOUNDS: connectionLimits.ConnectionBounds = {
+  maxConnections: 32,
+  maxPipelined: 4,
+};
+
 /** Most values of a configuration: thousands of routes have some hundred thousand,
  * and a parsed value takes up to a hundred bytes. */
 const MAX_CONFIGURATION_VALUES = 500_000;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -38,6 +38,8 @@
   maxRequestBytes?: number;
   /** Bounds the callers' connections; without a bound when absent. */
   connectionLimit?: connectionLimits.ConnectionLimit;
+  /** The same for readiness probes. */
+  readinessLimit?: connectionLimits.ConnectionLimit;
   isReady(): boolean;
 }
 
@@ -122,6 +124,7 @@
       server.#readiness = await httpListener.listen(
         readiness,
         (request, response) => server.#answerProbe(request, response),
+        { connectionLimit: options.readinessLimit },
       );
     }
     return server;
