Gateway: bodies have half of the bytes of all requests whatever else is held

Callers on a small host were refused as `no-memory` beside callers that read nothing: what was unread took the whole bound, and each new request was evicted at once.

Cause: an eighth of a small host's memory for unread replies is more than the bound for all requests, which is a sixteenth there.

Change: what is held elsewhere takes off at most half of the bound.

Evidence: without it `slow_caller_test` "callers that read nothing cost no other request" (48 MB) and `request_bodies_test` "bodies have half of the bytes whatever else is held" fail.

--- a/src/fleet/request_bodies.ts
+++ b/src/fleet/request_bodies.ts
@@ -29,6 +29,10 @@
 /** Bytes of a body from which on it is read in turns. */
 const LARGE_BODY_BYTES = 32 * 1024;
 
+/** Part of the bytes of all requests that bodies may take whatever else is held:
+ * callers that read slowly must not keep out all others. */
+const MIN_BODY_RATIO = 1 / 2;
+
 /** Memory that an open request takes beside its body: its head, its state and that
  * of its reply. */
 const REQUEST_OVERHEAD_BYTES = 16 * 1024;
@@ -54,7 +58,7 @@
     this.#options = options;
     this.#readTurns = readTurns.ReadTurns.create(options);
     this.#ledger = bodyLedgers.BodyLedger.create({
-      bound: () => maxBytes - otherBytes(),
+      bound: () => Math.max(MIN_BODY_RATIO * maxBytes, maxBytes - otherBytes()),
     });
   }
 
