Chunk lists: small chunks that are copied to blocks are not joined again; their buffers count as unused

Cause: a list that held a body in blocks counted 200 bytes for each chunk that it had copied, and so copied the whole list whenever these made up its length, each time into a new buffer; and a small buffer takes hundreds of bytes beside its own until it is collected, most of them outside of what V8 counts.

Change: in blocks, chunks take their bytes alone; what came before is joined once. Unused buffers count with 400 bytes beside their own. An unused block is counted only if there is one.

--- a/src/runtime/chunk_list.ts
+++ b/src/runtime/chunk_list.ts
@@ -65,9 +65,19 @@
    * constant number of bytes on average. */
   pushJoined(chunk: Buffer): void {
     this.push(chunk);
-    const overhead = this.heldBytes - this.#length;
-    if (overhead <= this.#length + MAX_LOOSE_OVERHEAD_BYTES) return;
-    this.push(this.take());
+    const hasBlocks = this.#blocks.length > 0;
+    const overhead = CHUNK_OVERHEAD_BYTES * this.#chunks.length;
+    const isExcessive = overhead > this.#looseLength + MAX_LOOSE_OVERHEAD_BYTES;
+    if (this.#chunks.length > 1 && (hasBlocks || isExcessive)) {
+      this.#chunks = [Buffer.concat(this.#chunks, this.#looseLength)];
+    }
+    // Chunks that are copied to blocks take their bytes alone.
+    this.#count = this.#chunks.length;
+  }
+
+  /** Bytes before those in blocks. */
+  get #looseLength(): number {
+    return this.#length - this.#blockLength;
   }
 
   /** Removes all chunks; returns their bytes. */
@@ -84,8 +94,10 @@
   clear(): void {
     const room = MAX_FREE_BLOCKS - freeBlocks.length;
     freeBlocks.push(...this.#blocks.slice(0, room));
-    const unusedCount = Math.max(0, this.#blocks.length - room);
-    collectors.shared.addUnused(unusedCount * BLOCK_BYTES);
+    const unusedCount = this.#blocks.length - room;
+    if (unusedCount > 0) {
+      collectors.shared.addUnused(unusedCount * BLOCK_BYTES);
+    }
     this.#chunks = [];
     this.#blocks = [];
     this.#blockLength = 0;
--- a/src/runtime/collector.ts
+++ b/src/runtime/collector.ts
@@ -9,6 +9,10 @@
 /** Part of a process's memory that unused buffers may take. */
 const UNUSED_RATIO = 1 / 32;
 
+/** Memory that a buffer takes beside its bytes until it is collected: its objects,
+ * and what its allocation takes outside of V8's heap, which V8 does not count. */
+const BUFFER_OVERHEAD_BYTES = 400;
+
 /** Dependencies of a collector. */
 export interface CollectorOptions {
   /** Collects all that is not used. */
@@ -37,9 +41,9 @@
     this.#threshold = UNUSED_RATIO * bytes;
   }
 
-  /** Records buffers that are not used any more, or will not be soon. */
+  /** Records a buffer that is not used any more, or will not be soon. */
   addUnused(bytes: number): void {
-    this.#unusedBytes += bytes;
+    this.#unusedBytes += bytes + BUFFER_OVERHEAD_BYTES;
     if (this.#unusedBytes < this.#threshold || this.#isDue) return;
     this.#isDue = true;
     const { collect, afterTurn } = this.#options;
