Gateway: bodies in small chunks leave turns of the event loop short

Ordinary callers of a host were not answered while 150 bodies in chunks of 16 bytes arrived: ten tries in a row got nothing (trial at full size, 210 MB, beside other load).

Cause: one read of 64 KiB has 3,100 such chunks, each connection was read once in a turn, and a turn of 150 reads took about a second, in which new connections are closed unread.

Change: bodies that wait for their turn are resumed in their order, as many as have brought 4,096 chunks together in their last turns; those in large chunks are all resumed as before.

--- a/src/fleet/read_turns.ts
+++ b/src/fleet/read_turns.ts
@@ -1,13 +1,22 @@
 /** Reading of large bodies in turns: each connection is read once in a turn of the
- * event loop. What is read at a time takes memory until it is collected, other
- * requests wait meanwhile, and the buffer that the system gives a connection grows
- * with it.
+ * event loop. What is read at a time takes memory until it is collected, and the
+ * buffer that the system gives a connection grows with it. Bodies in small chunks
+ * cost time, too: one read of them has thousands, so that only as many connections
+ * are read in a turn as leave it short for other requests.
  * @module */
 
-import type * as net from "node:net";
+/** Chunks that are read in one turn: some ten milliseconds of work. */
+const MAX_CHUNKS = 4096;
 
-/** A connection whose reading is paused and resumed. */
-export type Connection = Pick<net.Socket, "pause" | "resume">;
+/** A body that is read in turns. */
+export interface Reader {
+  /** Chunks that its last turn has brought. */
+  readonly turnChunks: number;
+  /** Stops reading its connection. */
+  pause(): void;
+  /** Begins a further turn. */
+  resume(): void;
+}
 
 /** Dependencies of `ReadTurns`. */
 export interface ReadTurnsOptions {
@@ -15,10 +24,11 @@
   afterTurn(action: () => void): void;
 }
 
-/** Connections that wait for their turn; changed in place. */
+/** Bodies that wait for their turn, in their order; changed in place. */
 export class ReadTurns {
   readonly #options: ReadTurnsOptions;
-  readonly #waiting = new Set<Connection>();
+  readonly #waiting = new Set<Reader>();
+  #isScheduled = false;
 
   private constructor(options: ReadTurnsOptions) {
     this.#options = options;
@@ -28,18 +38,32 @@
     return new ReadTurns(options);
   }
 
-  /** Reads no more of a connection before its next turn. */
-  endTurn(connection: Connection): void {
-    if (this.#waiting.has(connection)) return;
-    connection.pause();
-    this.#waiting.add(connection);
-    if (this.#waiting.size > 1) return;
-    this.#options.afterTurn(() => this.#resumeAll());
+  /** Reads no more of a body before its next turn. */
+  endTurn(reader: Reader): void {
+    if (this.#waiting.has(reader)) return;
+    reader.pause();
+    this.#waiting.add(reader);
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    if (this.#isScheduled) return;
+    this.#isScheduled = true;
+    this.#options.afterTurn(() => {
+      this.#isScheduled = false;
+      this.#resumeNext();
+    });
   }
 
-  #resumeAll(): void {
-    const waiting = [...this.#waiting];
-    this.#waiting.clear();
-    for (const connection of waiting) connection.resume();
+  #resumeNext(): void {
+    let expected = 0;
+    for (const reader of this.#waiting) {
+      if (expected > 0 && expected + reader.turnChunks > MAX_CHUNKS) {
+        return this.#schedule();
+      }
+      expected += reader.turnChunks;
+      this.#waiting.delete(reader);
+      reader.resume();
+    }
   }
 }
--- a/src/fleet/request_bodies.ts
+++ b/src/fleet/request_bodies.ts
@@ -84,7 +84,7 @@
         this.#ledger.remove(body);
         this.#scheduleGauge();
       },
-      endTurn: (connection) => this.#readTurns.endTurn(connection),
+      endTurn: (body) => this.#readTurns.endTurn(body),
     });
   }
 
@@ -114,12 +114,12 @@
   grow(body: RequestBody, bytes: number): void;
   complete(body: RequestBody, bytes: number): void;
   remove(body: RequestBody): void;
-  /** Reads no more of a connection before its next turn. */
-  endTurn(connection: readTurns.Connection): void;
+  /** Reads no more of a body before its next turn. */
+  endTurn(body: RequestBody): void;
 }
 
 /** The body of one request. */
-export class RequestBody implements bodyLedgers.HeldBody {
+export class RequestBody implements bodyLedgers.HeldBody, readTurns.Reader {
   readonly account?: string;
   readonly #request: http.IncomingMessage;
   readonly #options: BodyOptions & Accounting;
@@ -129,6 +129,7 @@
   /** The complete body, or why it can't be read. */
   readonly result: Promise<Buffer | BodyFailure>;
   #receivedBytes = 0;
+  #turnChunks = 0;
   /** Bytes that it took as it was evicted. */
   evictedBytes?: number;
 
@@ -166,7 +167,8 @@
   #take(chunk: Buffer): void {
     const { maxBytes, grow, endTurn } = this.#options;
     this.#receivedBytes += chunk.length;
-    if (this.#receivedBytes > LARGE_BODY_BYTES) endTurn(this.#request.socket);
+    this.#turnChunks++;
+    if (this.#receivedBytes > LARGE_BODY_BYTES) endTurn(this);
     if (this.#isDiscarded) return collectors.shared.addUnused(chunk.length);
     if (this.#receivedBytes > maxBytes) return this.#fail("too-large");
     this.#chunks.pushJoined(chunk);
@@ -186,6 +188,19 @@
     this.#stop();
   }
 
+  get turnChunks(): number {
+    return this.#turnChunks;
+  }
+
+  pause(): void {
+    this.#request.socket.pause();
+  }
+
+  resume(): void {
+    this.#turnChunks = 0;
+    this.#request.socket.resume();
+  }
+
   /** Ends the request for want of memory. */
   evict(heldBytes: number): void {
     this.evictedBytes = heldBytes;
