--- a/src/fleet/host_limits.ts
+++ b/src/fleet/host_limits.ts
@@ -6,8 +6,9 @@
 import type * as controlServer from "./control_server.ts";
 import * as settings from "./settings.ts";
 
-/** Bytes of a host that serves nothing. */
-const RESTING_BYTES = 120_000_000;
+/** Bytes of a busy host beside what it holds for requests: the program, V8's heap
+ * with its young generation, connections. */
+const BASE_BYTES = 120_000_000;
 /** Part of its other memory that requests may take; the rest is for connections,
  * for what has arrived and is not read, and for memory that is not collected yet. */
 const REQUEST_RATIO = 1 / 4;
@@ -58,7 +59,7 @@
   host: Pick<settings.HostSettings, "memory" | "descriptors" | "limits">,
 ): connectionLimits.ConnectionBounds {
   const { descriptors = ASSUMED_DESCRIPTORS, limits } = host;
-  const memory = settings.memoryOf(host) - RESTING_BYTES;
+  const memory = settings.memoryOf(host) - BASE_BYTES;
   const fitting = Math.min(
     CONNECTION_RATIO * descriptors,
     UNREAD_RATIO * memory / UNREAD_BYTES,
@@ -77,6 +78,6 @@
   const memory = settings.memoryOf(host);
   return host.limits["request-bytes"] ?? Math.max(
     MIN_REQUEST_RATIO * memory,
-    REQUEST_RATIO * (memory - RESTING_BYTES),
+    REQUEST_RATIO * (memory - BASE_BYTES),
   );
 }
--- a/src/runtime/body_ledger.ts
+++ b/src/runtime/body_ledger.ts
@@ -7,7 +7,8 @@
 
 /** A request's body, from its first byte until its request ends. */
 export interface HeldBody {
-  /** Client account of the request; undefined if it has none. */
+  /** Client account of the request; those of requests without one count as those
+   * of one account. */
   readonly account?: string;
   /** Ends the request and frees what is held of the body. */
   evict(heldBytes: number): void;
