Tests: crowds share one retrying client and the product's form of addresses in the system's table

The tests of both hosts had a loop of their own that repeats a request until it is answered, and the samples of a host's usage wrote the form of an address again that `send_queue.ts` has, without the byte order of other machines. Tries, pauses, bounds and checks are as they were.

--- a/src/endpoint_calls/send_queue.ts
+++ b/src/endpoint_calls/send_queue.ts
@@ -80,8 +80,9 @@
   }
 }
 
-/** An address as the table has it: the number as the machine stores it. */
-function entryOf(address = "", port = 0): string | undefined {
+/** An address of IPv4 and a port as the system's table has them, the number as the
+ * machine stores it; undefined for another address. */
+export function entryOf(address = "", port = 0): string | undefined {
   const parts = address.replace(/^::ffff:/, "").split(".").map(Number);
   if (parts.length !== 4) return undefined;
   const ordered = os.endianness() === "LE" ? parts.reverse() : parts;
